--- a/rehearsal/callers.c
+++ b/rehearsal/callers.c
@@ -22,16 +22,17 @@
 
 struct reading {
 	const char *id;
-	char line[4096], xid[80];
+	char line[4096], xid[80], mark[80]; /* mark: the run that the pieces say they are of */
 	size_t n;
 	int next, end, bad, pieces;
+	int64_t last;
 	char error[200], outcome[32];
 };
 
 static void one_line(struct reading *r)
 {
 	struct json_object *j = json_tokener_parse(r->line);
-	char want[200];
+	char want[400];
 
 	if (!j) {
 		r->bad = 1;
@@ -44,13 +45,18 @@
 		r->end++;
 		r->pieces = (int)jgeti(j, "pieces");
 		snprintf(r->xid, sizeof r->xid, "%s", jgets(j, "exchange"));
-		if (r->pieces != r->next)
+		if (r->pieces != r->next || (r->next && strcmp(r->mark, r->xid)))
 			r->bad = 2;
 	} else {
-		snprintf(want, sizeof want, "%s#%d ", r->id, r->next);
+		const char *at = strchr(jgets(j, "text"), '@');
+
+		if (!r->next && at)
+			snprintf(r->mark, sizeof r->mark, "%s", at + 1);
+		snprintf(want, sizeof want, "%s#%d@%s", r->id, r->next, r->mark);
 		if (r->end || jgeti(j, "n") != r->next || strcmp(jgets(j, "text"), want))
 			r->bad = 3;
 		r->next++;
+		r->last = clock_ms();
 	}
 	json_object_put(j);
 }
@@ -157,6 +163,7 @@
 	json_object_object_add(rec, "pieces", json_object_new_int(r.next));
 	json_object_object_add(rec, "x", json_object_new_string(r.xid));
 	json_object_object_add(rec, "bad", json_object_new_int(r.bad));
+	json_object_object_add(rec, "last", json_object_new_int64(r.last));
 	json_object_object_add(rec, "error", json_object_new_string(r.error));
 	record_put(c->rec, rec);
 	if (!strcmp(outcome, "whole"))
--- a/rehearsal/run.c
+++ b/rehearsal/run.c
@@ -221,14 +221,15 @@
 			continue;
 		st = http_do("POST", n->web, "/v1/change", NULL, body, 6000, &out);
 		j = json_tokener_parse(out ? out : "");
-		if (st == 200) {
-			struct json_object *r = ev("ack");
+		if (st != 400 && st != 409 && st != 503) { /* acknowledged, or its outcome is not known */
+			struct json_object *r = ev(st == 200 ? "ack" : "tried");
 
 			json_object_object_add(r, "edition", json_object_new_int64(jgeti(j, "edition")));
+			json_object_object_add(r, "change", json_tokener_parse(body));
 			record_put(f->rec, r);
-		} else if (st >= 400 && st != 503 && st != 504) {
-			fprintf(stderr, "rehearsal: %d %s to %.200s\n", st, out, body);
 		}
+		if (st >= 400 && st != 503 && st != 504)
+			fprintf(stderr, "rehearsal: %d %s to %.200s\n", st, out, body);
 		if (edition)
 			*edition = jgeti(j, "edition");
 		json_object_put(j);
@@ -254,19 +255,30 @@
 {
 	char b[400];
 
+	if (!strcmp(state, "draining"))
+		note(f, "drain-asked", "server", n->name);
+	else
+		note(f, "undrained", "server", n->name);
 	snprintf(b, sizeof b, "{\"set\":[{\"kind\":\"server\",\"name\":\"%s\",\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\",\"state\":\"%s\"}]}",
 	         n->name, n->service, n->web, n->zone, state);
 	must(f, b);
+	if (!strcmp(state, "draining"))
+		note(f, "drained", "server", n->name);
 }
 
 static void name_weights(struct fleet *f, int svc, const char *w)
 {
+	struct json_object *j;
 	char b[400];
 
 	snprintf(f->weights[svc], sizeof f->weights[svc], "%s", w);
 	snprintf(b, sizeof b, "{\"set\":[{\"kind\":\"service\",\"name\":\"%s\",\"weights\":\"%s\",\"prefill\":%d,\"kv_bytes\":%d,\"link\":%d,\"store\":%d,\"addr\":\"%s\"}]}",
 	         f->services[svc], w, f->prefill, f->kv, f->link, f->link / 4, pick(f, STORE, 0)->web);
 	must(f, b);
+	j = ev("named");
+	json_object_object_add(j, "service", json_object_new_string(f->services[svc]));
+	json_object_object_add(j, "weights", json_object_new_string(w));
+	record_put(f->rec, j);
 }
 
 static void tenant(struct fleet *f, int i, int walled)
@@ -321,7 +333,8 @@
 			}
 			j = json_tokener_parse(out);
 			r = ev("state");
-			json_object_object_add(r, "counter", json_object_new_string(n->name));
+			json_object_object_add(r, "id", json_object_new_string(jgets(j, "id")));
+			json_object_object_add(r, "web", json_object_new_string(n->web));
 			json_object_object_add(r, "asked", json_object_new_int64(asked));
 			json_object_object_add(r, "edition", json_object_new_int64(jgeti(j, "edition")));
 			json_object_object_add(r, "age_ms", json_object_new_int64(jgeti(j, "age_ms")));
@@ -486,8 +499,14 @@
 		tenant(f, i, 0);
 		key(f, i, 1);
 	}
-	for (int i = 0; i < f->nsrv; i++)
+	for (int i = 0; i < f->nsrv; i++) {
+		struct json_object *j = ev("serves");
+
+		json_object_object_add(j, "server", json_object_new_string(pick(f, SERVER, i)->name));
+		json_object_object_add(j, "service", json_object_new_string(pick(f, SERVER, i)->service));
+		record_put(f->rec, j);
 		serve(f, pick(f, SERVER, i), "serving");
+	}
 	for (int turn = 0; turn < 900; turn++) {
 		if (all_ready(f))
 			return 1;
@@ -528,6 +547,7 @@
 
 		r = ev("table");
 		json_object_object_add(r, "edition", json_object_new_int64(jgeti(j, "edition")));
+		json_object_object_add(r, "rows", json_object_get(jget(j, "rows")));
 		record_put(f->rec, r);
 		json_object_put(j);
 	}
@@ -746,42 +766,26 @@
 	fault(f, "a server is killed, one is drained");
 	end_proc(n, SIGKILL);
 	serve(f, m, "draining");
-	note(f, "drained", "server", m->name);
 	nap(6000);
 	restart(f, n);
 	nap(3000);
-	note(f, "undrained", "server", m->name);
 	serve(f, m, "serving");
 	nap(3000);
 	fault(f, "a whole service is replaced one by one");
 	for (int i = 0; i < f->nsrv; i += 3) {
 		n = pick(f, SERVER, i);
 		serve(f, n, "draining");
-		note(f, "drained", "server", n->name);
 		nap(3500);
 		end_proc(n, SIGTERM);
 		restart(f, n);
-		note(f, "undrained", "server", n->name);
 		serve(f, n, "serving");
 		nap(1000);
 	}
 	nap(3000);
 }
 
-static void expect_weights(struct fleet *f, int svc)
-{
-	for (int i = svc; i < f->nsrv; i += 3) {
-		struct json_object *j = ev("expect-weights");
-
-		json_object_object_add(j, "server", json_object_new_string(pick(f, SERVER, i)->name));
-		json_object_object_add(j, "weights", json_object_new_string(f->weights[svc]));
-		record_put(f->rec, j);
-	}
-}
-
 static void sc_rollout(struct fleet *f)
 {
-	note(f, "named", "weights", "w2");
 	name_weights(f, 0, "w2");
 	nap(3000);
 	fault(f, "a server dies during the roll-out, and the giver of its service too");
@@ -789,15 +793,11 @@
 	end_proc(pick(f, REGISTRAR, owner_wait(f, (int)core_part_of(f->services[0], PART_SERVICES))), SIGKILL);
 	nap(4000);
 	restart(f, pick(f, SERVER, 3)); /* comes back with the old weights */
-	nap(16000);
-	expect_weights(f, 0);
-	note(f, "named", "weights", "w3");
+	nap(23000);
 	name_weights(f, 0, "w3"); /* a second one overtakes */
 	nap(1000);
-	note(f, "named", "weights", "w4");
 	name_weights(f, 0, "w4");
-	nap(20000);
-	expect_weights(f, 0);
+	nap(26000);
 	for (int i = 0; i < f->nreg; i++)
 		if (!pick(f, REGISTRAR, i)->pid)
 			restart(f, pick(f, REGISTRAR, i));
@@ -898,7 +898,7 @@
 		lost += st == 409;
 	}
 	if (won != 5 || lost != 5)
-		note(f, "race", "failed", "an overtaken change was taken");
+		note(f, "tool-failed", "what", "of two operators who raced not just one was refused");
 	nap(3000);
 }
 
@@ -969,6 +969,7 @@
 static void sc_tools(struct fleet *f)
 {
 	char *at = pick(f, REGISTRAR, 1)->web, *ctr = pick(f, COUNTER, 0)->web, sheet[700], bad[700], out[700], old[700], cell[32], *text;
+	struct json_object *r;
 
 	snprintf(sheet, sizeof sheet, "%s/sheet.tsv", f->s->folder);
 	snprintf(old, sizeof old, "%s/old.json", f->s->folder);
@@ -982,6 +983,9 @@
 	free(text);
 	tool(f, 0, "examiner", out, "--at", at, "--counter", ctr, sheet, NULL);
 	snprintf(cell, sizeof cell, "share=%d", 3);
+	r = ev("tried");
+	json_object_object_add(r, "change", json_tokener_parse("{\"set\":[{\"kind\":\"tenant\",\"name\":\"tenant-7\",\"share\":3}]}"));
+	record_put(f->rec, r);
 	tool(f, 0, "clerk", out, "--at", at, "set", "tenant", "tenant-7", cell, NULL);
 	/* the sheet is of an earlier edition now, and says otherwise of tenant-7 */
 	tool(f, 1, "examiner", out, "--at", at, sheet, NULL);
--- a/rehearsal/server.c
+++ b/rehearsal/server.c
@@ -150,6 +150,7 @@
 			json_object_object_add(u, "m", json_object_new_string(jgets(e, "m")));
 			json_object_object_add(u, "w", json_object_new_string(jgets(e, "w")));
 			json_object_object_add(u, "ct", json_object_new_int64(jgeti(e, "t")));
+			json_object_object_add(u, "from", json_object_new_int(1)); /* fetched: kept elsewhere till now */
 			json_object_array_add(used, u);
 			have++;
 		}
@@ -174,7 +175,7 @@
 		if (r->next < r->pieces) {
 			if (r->next)
 				apr_sleep(sv.piece_ms * 1000);
-			r->len = (size_t)snprintf(r->line, sizeof r->line, "{\"x\":\"%s\",\"n\":%d,\"t\":\"%s#%d \"}\n", r->xid, r->next, r->id, r->next);
+			r->len = (size_t)snprintf(r->line, sizeof r->line, "{\"x\":\"%s\",\"n\":%d,\"t\":\"%s#%d@%s\"}\n", r->xid, r->next, r->id, r->next, r->xid);
 			r->next++;
 		} else {
 			struct json_object *j = jnew("end");
@@ -487,6 +488,7 @@
 	struct arg_int *link = arg_int0(NULL, "link", "N", "bytes per ms of a fetch"), *kv = arg_int0(NULL, "kv", "N", "bytes kept per token");
 	struct arg_end *end = arg_end(5);
 	void *t[] = { addr, name, weights, store, rec, slots, prefill, piece, pieces, load, cap, link, kv, end };
+	struct json_object *up;
 	struct sockaddr_in sa;
 	struct MHD_Daemon *d;
 	apr_pool_t *p;
@@ -524,7 +526,9 @@
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
 	sigprocmask(SIG_BLOCK, &set, NULL);
-	record_put(sv.rec, jnew("up"));
+	up = jnew("up");
+	json_object_object_add(up, "weights", json_object_new_string(sv.weights));
+	record_put(sv.rec, up);
 	d = MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL, on_request, NULL,
 	                     MHD_OPTION_SOCK_ADDR, &sa, MHD_OPTION_NOTIFY_COMPLETED, on_end, NULL,
 	                     MHD_OPTION_THREAD_STACK_SIZE, (size_t)256 << 10, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
