--- a/bin/counter.c
+++ b/bin/counter.c
@@ -60,6 +60,7 @@
 }
 
 static int done(void *ctx) { return ctr_idle(ctx); }
+static int64_t good(void *ctx) { return ctr_good_until(ctx); }
 
 static void say(void *ctx, const char *prefix, const char *line)
 {
@@ -71,7 +72,7 @@
 {
 	struct proc p;
 	struct ctr c;
-	struct proc_duty d = { &c, step, done };
+	struct proc_duty d = { &c, step, done, good };
 	uint64_t seeds[8];
 	int rc;
 
--- a/bin/registrar.c
+++ b/bin/registrar.c
@@ -65,7 +65,7 @@
 {
 	static struct registrar g;
 	struct proc *p = &g.p;
-	struct proc_duty d = { &g, step, done };
+	struct proc_duty d = { &g, step, done, NULL };
 	struct store_found f;
 	uint64_t seeds[8];
 	const char *why = "";
--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -958,7 +958,7 @@
 		{ "answered", c->n.answered }, { "refused", c->n.refused }, { "unknown", c->n.unknown }, { "sends", c->n.sends },
 		{ "resends", c->n.resends }, { "pieces", c->n.pieces }, { "tokens", c->n.tokens }, { "reused", c->n.reused },
 		{ "fetched", c->n.fetched }, { "cold", c->n.cold }, { "claims", c->n.claims }, { "looks", c->n.looks }, { "refused_stale", c->n.refused_stale },
-		{ "refused_line", c->n.refused_line }, { "refused_limit", c->n.refused_limit }, { "revoked", c->n.revoked },
+		{ "refused_line", c->n.refused_line }, { "refused_limit", c->n.refused_limit }, { "revoked", c->n.revoked }, { "blind", c->n.blind },
 		{ "downstreams", (uint64_t)arrlen(c->relay.down) }, { "increments", c->relay.n_inc }, { "counters", c->f.counters },
 	};
 
@@ -1055,6 +1055,17 @@
 	}
 }
 
+/* Cut off, or woken after a freeze: before anything else happens, all that is held here ends. */
+static void end_blind(struct ctr *c, int64_t now, struct out *o)
+{
+	while (arrlen(c->all) && now > ctr_good_until(c)) {
+		c->n.blind++;
+		end_early(c, arrlast(c->all), 503, "this counter has been cut off: its configuration may be out of force", CTR_RETRY, now, o);
+	}
+}
+
+int64_t ctr_good_until(const struct ctr *c) { return c->f.fresh + CTR_RIDE; }
+
 void ctr_step(struct ctr *c, const struct ctr_ev *ev, int64_t now, struct out *o)
 {
 	struct xch *x;
@@ -1062,6 +1073,7 @@
 	o->id = c->id;
 	o->addr = c->addr;
 	o->fleet = c->f.fleet;
+	end_blind(c, now, o);
 	switch (ev->kind) {
 	case CTR_TICK: tick(c, now, o); break;
 	case CTR_MSG: on_msg(c, ev->u.msg, now, o); break;
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -17,6 +17,7 @@
 	CTR_LIMIT_MIN = 50, CTR_LIMIT_MAX = 600000, CTR_LIMIT = 60000,
 	CTR_BUDGET = 200,      /* resends per mille of sends */
 	CTR_BUDGET_CAP = 2000, /* saved up at most: two resends */
+	CTR_RIDE = 4500,       /* ms of not knowing that are ridden out; then all that is held here ends */
 	CTR_RETRY = 500        /* ms after which a refused caller may come back */
 };
 
@@ -94,7 +95,7 @@
 
 struct ctr_counts {
 	uint64_t taken, answered, refused, unknown, sends, resends, pieces, tokens, reused, fetched, cold, claims;
-	uint64_t looks, refused_stale, refused_line, refused_limit, revoked, gone;
+	uint64_t looks, refused_stale, refused_line, refused_limit, revoked, blind, gone;
 };
 
 struct ctr_use { uint64_t key; struct { uint64_t exchanges, tokens, reused, pieces, errors; } value; };
@@ -130,6 +131,10 @@
 /* One step. Example: ctr_step(&c, &(struct ctr_ev){ .kind = CTR_TICK }, now, &o); */
 void ctr_step(struct ctr *c, const struct ctr_ev *ev, int64_t now, struct out *o);
 
+/* Until when what is held here may go on to callers: past it keys may have been removed that still hold here.
+ * Example: web_good_until(web, ctr_good_until(&c)); */
+int64_t ctr_good_until(const struct ctr *c);
+
 /* Whether nothing is under way. Example: if (stopping && ctr_idle(&c)) leave(); */
 int ctr_idle(const struct ctr *c);
 
--- a/lib/shell/proc.c
+++ b/lib/shell/proc.c
@@ -236,6 +236,8 @@
 			tick = now;
 			d->step(d->ctx, NULL, now, &p->o);
 			perform(p);
+			if (d->good)
+				web_good_until(p->web, d->good(d->ctx));
 		}
 		if (now - scan >= PROC_SCAN) {
 			scan = now;
--- a/lib/shell/shell.h
+++ b/lib/shell/shell.h
@@ -72,6 +72,10 @@
 void web_answer(struct web *w, uint64_t token, int status, int retry_ms, const char *body);
 void web_piece(struct web *w, uint64_t token, const char *d, size_t n, int end, int ok);
 
+/* From when on streams go no further, unless it is moved on: a process that froze must not pass on what it held
+ * before. Never set, it does not matter. Example: web_good_until(w, clock_ms() + 4500); */
+void web_good_until(struct web *w, int64_t until);
+
 /* Look for callers that left while they wait. Example: web_scan(w); */
 void web_scan(struct web *w);
 void web_close(struct web *w);
@@ -141,6 +145,7 @@
 	/* e is NULL for a tick */
 	void (*step)(void *ctx, const struct shell_ev *e, int64_t now, struct out *o);
 	int (*done)(void *ctx); /* while stopping: nothing is under way any more */
+	int64_t (*good)(void *ctx); /* until when streams may go on; NULL: for ever */
 };
 
 /* Open sockets and threads. Example: if (!proc_open(&p)) return 1; */
--- a/lib/shell/web.c
+++ b/lib/shell/web.c
@@ -26,6 +26,7 @@
 	int streaming, ended, ok;
 	char *buf;           /* stb_ds: stream bytes to go */
 	size_t at;
+	int mid;             /* what went last did not end a line */
 };
 
 struct web {
@@ -35,6 +36,7 @@
 	uint64_t token;
 	struct { uint64_t key; struct conn *value; } *by;
 	int closing;
+	int64_t good;        /* streams go no further after it */
 };
 
 static void wake(struct conn *k)
@@ -72,7 +74,7 @@
 	(void)pos;
 	apr_thread_mutex_lock(x->w->m);
 	k = hmget(x->w->by, x->token);
-	if (!k) {
+	if (!k || (x->w->good && clock_ms() > x->w->good)) {
 		n = MHD_CONTENT_READER_END_WITH_ERROR;
 	} else if (k->at < (size_t)arrlen(k->buf)) {
 		n = (ssize_t)((size_t)arrlen(k->buf) - k->at);
@@ -80,6 +82,7 @@
 			n = (ssize_t)max;
 		memcpy(to, k->buf + k->at, (size_t)n);
 		k->at += (size_t)n;
+		k->mid = to[n - 1] != '\n';
 		if (k->at == (size_t)arrlen(k->buf)) {
 			arrsetlen(k->buf, 0);
 			k->at = 0;
@@ -258,6 +261,23 @@
 	apr_thread_mutex_unlock(w->m);
 }
 
+static void stream_cut(struct conn *k)
+{
+	size_t n = k->at;
+
+	while (k->mid && n < (size_t)arrlen(k->buf) && k->buf[n++] != '\n')
+		;
+	if (n < (size_t)arrlen(k->buf))
+		arrsetlen(k->buf, n);
+}
+
+void web_good_until(struct web *w, int64_t until)
+{
+	apr_thread_mutex_lock(w->m);
+	w->good = until;
+	apr_thread_mutex_unlock(w->m);
+}
+
 void web_piece(struct web *w, uint64_t token, const char *d, size_t n, int end, int ok)
 {
 	struct conn *k;
@@ -266,6 +286,8 @@
 	k = hmget(w->by, token);
 	if (k && !k->reply && !k->ended) {
 		k->streaming = 1;
+		if (end && !ok) /* broken: what its caller has not read yet, beyond the line begun, is not passed on */
+			stream_cut(k);
 		if ((size_t)arrlen(k->buf) + n > WEB_STREAM_MAX) { /* a caller that does not read */
 			end = 1;
 			ok = 0;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -399,6 +399,8 @@
 
 	if (!x)
 		return;
+	if (!end && s->removed && shgeti(s->removed, x->key) >= 0 && s->now - shget(s->removed, x->key) > 5000)
+		sim_breach(s, "%s heard a piece with a key that was removed %lld ms before", x->id, (long long)(s->now - shget(s->removed, x->key)));
 	text = malloc(len + 1);
 	memcpy(text, body, len);
 	text[len] = 0;
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -350,5 +350,7 @@
 	};
 
 	apr_initialize();
+	if (getenv("NL_TEST")) /* one test alone, for long runs over seeds */
+		cmocka_set_test_filter(getenv("NL_TEST"));
 	return cmocka_run_group_tests(t, NULL, NULL);
 }
--- a/tests/test_data.c
+++ b/tests/test_data.c
@@ -329,6 +329,78 @@
 	sim_close(&s);
 }
 
+/* A key is removed while its counter is cut off, hears all but the owner, is frozen, or frozen and then cut off:
+ * nothing is heard with it 5 s after the acknowledgement, and what runs ends as an error. */
+static void cut_off_counters_end_their_streams(void **st)
+{
+	uint64_t first, seeds = seeds_of(24, &first);
+	int64_t worst = 0;
+
+	(void)st;
+	for (uint64_t seed = first; seed < first + seeds; seed++) {
+		struct sim s;
+		char body[200], hex[65], id[16];
+		int mode = (int)(seed % 4);
+
+		sim_deploy(&s, seed, 4, 2, 3);
+		for (int i = 0; i < 3; i++)
+			s.sv[i].slow = 2500;
+		for (int i = 0; i < 8; i++) {
+			snprintf(id, sizeof id, "e%d", i);
+			sim_ask(&s, SIM_REGS, id, 1, lanes[i % 3], 0);
+		}
+		sim_run(&s, 500 + (int64_t)(seed % 7) * 40, NULL);
+		if (mode == 0 || mode == 3)
+			sim_cut(&s, SIM_REGS, 1);
+		else if (mode == 1)
+			s.link_cut[sim_owner(&s, PART_CTL)][SIM_REGS] = 1;
+		if (mode >= 2)
+			sim_freeze(&s, SIM_REGS, 1);
+		snprintf(body, sizeof body, "{\"del\":[{\"kind\":\"key\",\"name\":\"%s\"}]}", sim_key(1, hex));
+		must_change(&s, body, 3000);
+		sh_new_strdup(s.removed);
+		shput(s.removed, hex, s.now);
+		sim_run(&s, 4600, NULL);
+		sim_freeze(&s, SIM_REGS, 0); /* it wakes with pieces at its door */
+		sim_run(&s, 9000, NULL);
+		ok(&s);
+		for (ptrdiff_t i = 0; i < arrlen(s.x); i++) {
+			assert_int_equal(s.x[i].told, SIM_UNKNOWN);
+			if (s.x[i].told_at - shget(s.removed, hex) > worst)
+				worst = s.x[i].told_at - shget(s.removed, hex);
+		}
+		sim_close(&s);
+	}
+	print_message("key removed while its counter is cut off or frozen: the last stream ended after %lld ms\n", (long long)worst);
+}
+
+/* The configuration's owner dies: what runs and what waits rides it out, at every counter. */
+static void streams_outlive_a_failover(void **st)
+{
+	uint64_t first, seeds = seeds_of(24, &first);
+
+	(void)st;
+	for (uint64_t seed = first; seed < first + seeds; seed++) {
+		struct sim s;
+		char id[16];
+
+		sim_deploy(&s, seed, 4, 2, 3);
+		for (int i = 0; i < 3; i++)
+			s.sv[i].slow = 600;
+		for (int i = 0; i < 24; i++) {
+			snprintf(id, sizeof id, "f%d", i);
+			sim_ask(&s, SIM_REGS + i % 2, id, i % 4, lanes[i % 3], 0);
+		}
+		sim_run(&s, 300 + (int64_t)(seed % 11) * 23, NULL);
+		sim_crash(&s, sim_owner(&s, PART_CTL), 0);
+		sim_run(&s, 9000, NULL);
+		ok(&s);
+		assert_int_equal(s.n_unknown, 0);
+		assert_int_equal(s.n_whole, 24);
+		sim_close(&s);
+	}
+}
+
 /* A caller that leaves stops its exchange, running or waiting; a counter that is told to stop ends what it has. */
 static void leaving_and_stopping(void **st)
 {
@@ -528,6 +600,8 @@
 		cmocka_unit_test(bad_answers_end_as_errors),
 		cmocka_unit_test(refusing_servers_keep_the_budget),
 		cmocka_unit_test(removed_key_ends_its_streams),
+		cmocka_unit_test(cut_off_counters_end_their_streams),
+		cmocka_unit_test(streams_outlive_a_failover),
 		cmocka_unit_test(leaving_and_stopping),
 		cmocka_unit_test(overload_keeps_classes_and_shares),
 		cmocka_unit_test(services_replaced_one_by_one),
@@ -536,5 +610,7 @@
 	};
 
 	apr_initialize();
+	if (getenv("NL_TEST")) /* one test alone, for long runs over seeds */
+		cmocka_set_test_filter(getenv("NL_TEST"));
 	return cmocka_run_group_tests(t, NULL, NULL);
 }
--- a/tests/test_shell.c
+++ b/tests/test_shell.c
@@ -510,6 +510,43 @@
 	assert_null(strstr(b, "\r\n0\r\n"));
 	close(fd);
 	shell_ev_free(e);
+	/* a process that froze passes on nothing that it held before */
+	fd = dial(addr);
+	assert_true(write(fd, ask, sizeof ask - 1) > 0);
+	e = next(r, EV_WEB);
+	web_good_until(w, clock_ms() + 60000);
+	web_piece(w, e->token, "one\n", 4, 0, 1);
+	read_until(fd, b, sizeof b, "one\n");
+	web_good_until(w, clock_ms() - 1);
+	web_piece(w, e->token, "two\n", 4, 0, 1);
+	read_until(fd, b, sizeof b, NULL);
+	assert_null(strstr(b, "two"));
+	assert_null(strstr(b, "\r\n0\r\n"));
+	web_good_until(w, clock_ms() + 60000);
+	close(fd);
+	shell_ev_free(e);
+	/* a slow reader of a stream that is broken off hears no more than it was in the middle of */
+	fd = dial(addr);
+	assert_true(write(fd, ask, sizeof ask - 1) > 0);
+	e = next(r, EV_WEB);
+	for (int i = 0; i < 700; i++) { /* some 7 MB: more than sockets hold */
+		static char line[10000];
+
+		memset(line, 'a', sizeof line);
+		line[sizeof line - 1] = '\n';
+		web_piece(w, e->token, line, sizeof line, 0, 1);
+	}
+	web_piece(w, e->token, "broken", 6, 1, 0);
+	{
+		size_t all = 0;
+		ssize_t n;
+
+		while ((n = read(fd, b, sizeof b)) > 0)
+			all += (size_t)n;
+		assert_true(all > 0 && all < 6900000);
+	}
+	close(fd);
+	shell_ev_free(e);
 	/* a caller that leaves while it waits is noticed */
 	fd = dial(addr);
 	assert_true(write(fd, ask, sizeof ask - 1) > 0);
