--- a/lib/shell/call.c
+++ b/lib/shell/call.c
@@ -23,7 +23,8 @@
 	CURL *h;
 	struct curl_slist *headers;
 	char *body, *got; /* got: stb_ds */
-	int stream, post, sockets, guarded, too_long;
+	int stream, post, sockets, guarded, late;
+	int64_t not_after;
 	struct call *c;
 };
 
@@ -48,6 +49,20 @@
 	return socket(a->family, a->socktype | SOCK_CLOEXEC, a->protocol);
 }
 
+/* The connection is up and nothing has gone out on it: the last look at the clock. The process may have frozen
+ * between deciding and connecting. */
+static int before_sending(void *arg, char *to, char *from, int to_port, int from_port)
+{
+	struct one *k = arg;
+
+	(void)to;
+	(void)from;
+	(void)to_port;
+	(void)from_port;
+	k->late = clock_ms() > k->not_after;
+	return k->late ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 static void piece(struct one *k, const char *d, size_t n)
 {
 	struct shell_ev *e = shell_ev_new(EV_PIECE);
@@ -136,8 +151,8 @@
 	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_getinfo(h, CURLINFO_CONNECT_TIME_T, &connected);
 	arrput(k->got, 0);
-	/* no connection was ever up, so no byte of it left; or the server says so in so many words */
-	never = (connected == 0 && !k->guarded) || (rc == CURLE_OK && status >= 400 && says_never(k->got));
+	/* no connection was ever up, or it was too late to use it, so no byte left; or the server says so in so many words */
+	never = (connected == 0 && !k->guarded) || k->late || (rc == CURLE_OK && status >= 400 && says_never(k->got));
 	if (k->token)
 		report(c, k->token, k->stream, rc == CURLE_OK ? (int)status : 0, never, k->got);
 	one_free(c, k);
@@ -162,6 +177,7 @@
 	k->stream = q->stream;
 	k->body = q->body;
 	k->post = q->body != NULL;
+	k->not_after = q->not_after;
 	k->h = curl_easy_init();
 	if (!k->h)
 		abort();
@@ -176,6 +192,8 @@
 	curl_easy_setopt(k->h, CURLOPT_CONNECTTIMEOUT_MS, (long)CALL_CONNECT);
 	curl_easy_setopt(k->h, CURLOPT_OPENSOCKETFUNCTION, one_socket);
 	curl_easy_setopt(k->h, CURLOPT_OPENSOCKETDATA, k);
+	curl_easy_setopt(k->h, CURLOPT_PREREQFUNCTION, before_sending);
+	curl_easy_setopt(k->h, CURLOPT_PREREQDATA, k);
 	curl_easy_setopt(k->h, CURLOPT_TCP_NODELAY, 1L);
 	if (k->post) {
 		k->headers = curl_slist_append(curl_slist_append(NULL, "Content-Type: application/json"), "Expect:");
--- a/tests/test_shell.c
+++ b/tests/test_shell.c
@@ -89,6 +89,22 @@
 	return NULL;
 }
 
+/* The clock as the code under test reads it. Armed, it jumps 10 s after its next reading by another thread than the
+ * test's: as if the process froze between the decision to send and the connection. */
+int64_t __real_clock_ms(void);
+int64_t __wrap_clock_ms(void);
+static int jump_armed, jump;
+static pthread_t test_thread;
+
+int64_t __wrap_clock_ms(void)
+{
+	int64_t now = __real_clock_ms() + (__atomic_load_n(&jump, __ATOMIC_SEQ_CST) ? 10000 : 0);
+
+	if (__atomic_load_n(&jump_armed, __ATOMIC_SEQ_CST) && !pthread_equal(pthread_self(), test_thread))
+		__atomic_store_n(&jump, 1, __ATOMIC_SEQ_CST);
+	return now;
+}
+
 static void a_send_goes_out_once(void **st)
 {
 	apr_pool_t *p;
@@ -138,6 +154,16 @@
 	assert_int_equal(e->never, 1);
 	shell_ev_free(e);
 	assert_int_equal(f.taken, 3);
+	/* it froze after that look and woke with its connection up: still nothing goes out on it */
+	test_thread = pthread_self();
+	jump_armed = 1;
+	call_start(c, 8, addr, "/v1/run", "{}", 5000, 1, __real_clock_ms() + 5000);
+	e = next(r, EV_DONE);
+	assert_int_equal(jump, 1);
+	jump_armed = jump = 0;
+	assert_int_equal(e->never, 1);
+	shell_ev_free(e);
+	assert_int_equal(f.requests, 3);
 	/* the server says itself that it never began; any other error is no such word */
 	f.reply = "HTTP/1.1 503 No\r\nContent-Length: 15\r\nConnection: close\r\n\r\n{\"began\":false}";
 	call_start(c, 6, addr, "/v1/run", "{}", 5000, 1, clock_ms() + LIMIT);
