--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -890,11 +890,46 @@
 	call(s->call, apr_pstrdup(o->p, row->addr), "/v1/report", NULL, now + 400, o);
 }
 
+/* Followed tables say what is named; not later than the last good asking that did not say so. */
+static void note_named(struct reg *r, int64_t before)
+{
+	for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
+		const struct Nl__Row *row = r->f.t.h[i].value.row;
+		ptrdiff_t k;
+
+		if (row->kind != NL__KIND__SERVICE)
+			continue;
+		k = shgeti(r->named, row->name);
+		if (k >= 0 && !strcmp(r->named[k].value.weights, row->weights))
+			continue;
+		if (k >= 0)
+			free(r->named[k].value.weights);
+		shput(r->named, row->name, ((typeof(r->named->value)){ strdup(row->weights), before, 0 }));
+	}
+}
+
+/* How many of n servers may have been told by now: a third at once, the next ones as the loading ends, or when the
+ * bound asks for it. A giver that took over has less time left and need not leave any for another. */
+static int due(const struct reg *r, uint32_t part, typeof(((struct reg_named *)0)->value) *m, int n, int64_t now)
+{
+	int64_t last = m->since + REG_TELL;
+	int third = (n + 2) / 3;
+
+	if (!m->first || m->first < r->owner_since[part])
+		m->first = now;
+	if (r->owner_since[part] <= m->since)
+		last -= REG_TAKE_OVER;
+	if (now >= last || m->first >= last)
+		return n;
+	return third * (1 + (int)(2 * (now - m->first) / (last - m->first)));
+}
+
 /* One service's roll-out: a third of its servers at a time, the rest keep serving. */
 static void roll(struct reg *r, const struct Nl__Row *service, uint32_t part, int64_t now, struct out *o)
 {
 	struct reg_svc *c = svc_of(r, part);
-	int n = 0, loading = 0, on = 0, room;
+	typeof(r->named->value) *m = &shgetp(r->named, service->name)->value;
+	int n = 0, loading = 0, on = 0, room, more;
 	ptrdiff_t was;
 
 	for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
@@ -907,11 +942,20 @@
 		if (!s || now - s->reported > 10000)
 			continue; /* dead: it loads what is named when it is back */
 		n++;
-		on += !strcmp(s->weights, service->weights) && !s->loading[0];
-		loading += strcmp(s->weights, service->weights) && s->load_at && now - s->load_at < REG_LOAD;
+		if (!strcmp(s->weights, service->weights) && !s->loading[0])
+			on++;
+		else
+			loading += s->loading[0] || s->load_at >= m->since;
+	}
+	if (on < n) {
+		room = (n + 2) / 3 - loading;
+		more = due(r, part, m, n, now) - on - loading;
+		if (room < more)
+			room = more;
+	} else {
+		room = 0;
 	}
-	room = (n + 2) / 3 - loading;
-	for (ptrdiff_t i = 0; i < shlen(r->f.t.h) && room > 0; i++) {
+	for (ptrdiff_t i = 0; i < shlen(r->f.t.h) && on < n; i++) {
 		const struct Nl__Row *row = r->f.t.h[i].value.row;
 		struct reg_server *s;
 		struct json_object *what;
@@ -922,13 +966,15 @@
 		if (!s || now - s->reported > 2 * REG_LOOK || !strcmp(s->weights, service->weights) ||
 		    !strcmp(s->loading, service->weights) || now - s->ordered < REG_LOOK)
 			continue;
-		if (s->load_at && now - s->load_at < 2 * REG_LOOK)
+		if (s->load_at >= m->since && now - s->load_at < 2 * REG_LOOK)
+			continue; /* told just now */
+		/* one whose order was lost, or that loads what has been overtaken, is told in the place it has */
+		if (s->load_at < m->since && !s->loading[0] && room-- <= 0)
 			continue;
 		what = json_object_new_object();
 		json_object_object_add(what, "load", json_object_new_string(service->weights));
 		order(r, s, part, apr_pstrdup(o->p, row->addr), what, now, o);
 		s->load_at = now;
-		room--;
 		say(r, "order", o->p, "Server %s is told to load %s.", s->name, service->weights);
 	}
 	was = shgeti(c->rolled, service->name);
@@ -1314,6 +1360,8 @@
 
 static void on_msg(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
+	int64_t before;
+
 	if (m->speak != CORE_SPEAK || (m->fleet && r->fleet && m->fleet != r->fleet))
 		return;
 	switch (m->body_case) {
@@ -1329,7 +1377,9 @@
 	case NL__MSG__BODY_FOLLOW: on_follow(r, m, now, o); break;
 	case NL__MSG__BODY_FOLLOW_REPLY:
 	case NL__MSG__BODY_OWNER:
-		(void)follow_msg(&r->f, m, now, o);
+		before = r->f.fresh;
+		if (follow_msg(&r->f, m, now, o))
+			note_named(r, before);
 		if (!r->fleet && r->f.fleet) {
 			r->fleet = r->f.fleet;
 			r->fleet_dirty = 1;
@@ -1442,6 +1492,7 @@
 		clear_svc(&r->svc[i]);
 	for (uint32_t i = 0; i < PART_COUNT; i++)
 		part_open(&r->part[i], i, id, seed, saved ? saved[i] : NULL, now);
+	sh_new_strdup(r->named);
 	follow_open(&r->f, id, seeds, r->nseeds, now);
 	r->f.fleet = fleet;
 	r->f.zone = zone;
@@ -1472,6 +1523,9 @@
 	}
 	if (r->found.members)
 		nl__members__free_unpacked(r->found.members, NULL);
+	for (ptrdiff_t i = 0; i < shlen(r->named); i++)
+		free(r->named[i].value.weights);
+	shfree(r->named);
 	arrfree(r->wait);
 	arrfree(r->ask);
 	arrfree(r->seen);
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -11,7 +11,9 @@
 	REG_SEEN = 3000,      /* ms a node counts as live after its last asking */
 	REG_HOLD = 4000,      /* ms a new giver waits after the licence, before its first order */
 	REG_LOOK = 500,       /* ms between a giver's looks at a server's report */
-	REG_LOAD = 6000,      /* ms after which a loading server no longer holds its wave up */
+	/* From the naming of weights to the last server that has them: 25 s. The last is told early enough for a loading of
+	 * 8 s; the first giver is done with telling early enough for another to take over: licence, election, hold-off. */
+	REG_TELL = 16000, REG_TAKE_OVER = 7500,
 	REG_CALL = 5000,      /* ms before an operator's call is answered as unknown */
 	REG_CLAIM_KEEP = 600000, /* ms of the part's own clock that a claim is remembered */
 	REG_AGAIN = 400,      /* ms before a proposal without an answer is made again */
@@ -57,6 +59,9 @@
 	uint64_t mark[PART_COUNT];    /* feeds: highest index published */
 };
 
+/* Weights as they were named for a service: since when, at the earliest; what this giver began with. */
+struct reg_named { char *key; struct { char *weights; int64_t since, first; } value; };
+
 struct reg_server { /* the giver's view of one server */
 	char *name, *service;
 	uint64_t call;
@@ -84,6 +89,7 @@
 	struct reg_seen *seen;
 	struct { uint64_t web; int64_t asked; } *reads; /* table reads that wait for a fresh answer */
 	struct reg_server *server;
+	struct reg_named *named;  /* stb_ds, by service */
 	uint64_t token;
 	int64_t owner_since[PART_COUNT], clock_at[PART_COUNT], mended, joined;
 	uint64_t was_owner[PART_COUNT]; /* term in which we last took office */
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -208,8 +208,9 @@
 		return;
 	}
 	v->fence = fence;
-	if (json_object_object_get_ex(j, "load", &x) && strcmp(v->weights, json_object_get_string(x))) {
-		struct sim_ev e = { .at = s->now + 1500 + (int64_t)rnd(s, 1000), .kind = SIM_LOADED, .server = (int)(v - s->sv) };
+	if (json_object_object_get_ex(j, "load", &x) && strcmp(v->weights, json_object_get_string(x)) &&
+	    strcmp(v->loading, json_object_get_string(x))) {
+		struct sim_ev e = { .at = s->now + (s->load_ms ? s->load_ms : 1500 + (int64_t)rnd(s, 1000)), .kind = SIM_LOADED, .server = (int)(v - s->sv) };
 
 		snprintf(v->loading, sizeof v->loading, "%s", json_object_get_string(x));
 		v->load_done = e.at;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -89,6 +89,7 @@
 	int loss, delay, jitter; /* per mille; ms */
 	int far;               /* ms added between zones */
 	int disk_ms;
+	int load_ms;           /* how long servers load weights; 0: 1.5 to 2.5 s */
 	char bad[512];
 	/* global truth */
 	uint64_t *hash[PART_COUNT]; /* stb_ds: hash of each committed entry */
--- a/tests/test_data.c
+++ b/tests/test_data.c
@@ -266,6 +266,91 @@
 	print_message("ten whole answers after the last fault: at most %lld ms of virtual time\n", (long long)worst);
 }
 
+static int by_ms(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static void print_spread(const char *what, int64_t *v)
+{
+	size_t n = (size_t)arrlen(v);
+
+	qsort(v, n, sizeof *v, by_ms);
+	print_message("%s: least %lld, median %lld, p95 %lld, most %lld ms over %llu seeds\n", what, (long long)v[0], (long long)v[n / 2],
+	              (long long)v[n * 95 / 100], (long long)v[n - 1], (unsigned long long)n);
+}
+
+/* New weights for one service of six servers that load for 1 to 8 s, under load: its giver dies at any moment of the
+ * roll-out, or a server dies and is back, or both, or another naming overtakes. All have them within 25 s. */
+static void weights_reach_every_server(void **st)
+{
+	static const char *const names[] = { "nothing fails", "the giver dies", "a server dies and is back", "both", "overtaken, then the giver dies" };
+	uint64_t first, seeds = seeds_of(10, &first);
+
+	(void)st;
+	for (int mode = 0; mode < 5; mode++) {
+		int64_t *took = NULL;
+		char what[100];
+		int least = 6;
+
+		for (uint64_t seed = first; seed < first + seeds; seed++) {
+			struct sim s;
+			uint64_t rng = seed * 131 + (uint64_t)mode;
+			const char *want = mode == 4 ? "w3" : "w2";
+			int64_t named, giver_at, server_at;
+			int dead = 1 + 3 * (int)(core_rand(&rng) % 6), on = 0, giver = -1, gone = 0;
+
+			sim_deploy(&s, seed, 4, 2, 18);
+			ok(&s);
+			s.load_ms = 1000 + (int)(seed % 8) * 1000;
+			s.jitter = (int)(core_rand(&rng) % 40);
+			sim_run(&s, 6000, NULL); /* the giver's hold-off is over */
+			must_change(&s, "{\"set\":[{\"kind\":\"service\",\"name\":\"repairs\",\"weights\":\"w2\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000}]}", 12000);
+			if (mode == 4) {
+				sim_run(&s, (int64_t)(core_rand(&rng) % 9000), NULL);
+				must_change(&s, "{\"set\":[{\"kind\":\"service\",\"name\":\"repairs\",\"weights\":\"w3\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000}]}", 12000);
+			}
+			named = s.now;
+			giver_at = mode % 2 || mode == 4 ? named + (int64_t)(core_rand(&rng) % 15000) : INT64_MAX;
+			server_at = mode == 2 || mode == 3 ? named + (int64_t)(core_rand(&rng) % 5000) : INT64_MAX;
+			while (on < 6) {
+				int up = 0;
+
+				load(&s, &rng, 100, 60, 2);
+				if (s.now >= giver_at && giver < 0 && (giver = sim_owner(&s, core_part_of("repairs", PART_SERVICES))) >= 0)
+					sim_crash(&s, giver, 0);
+				if (s.now >= server_at && !gone) {
+					gone = 1;
+					s.sv[dead].up = 0;
+					s.sv[dead].loading[0] = 0;
+					s.sv[dead].load_done = 0;
+				}
+				if (gone && s.now >= server_at + 2000)
+					s.sv[dead].up = 1;
+				on = 0;
+				for (int i = 1; i < 18; i += 3) {
+					on += !strcmp(s.sv[i].weights, want);
+					up += s.sv[i].up && !s.sv[i].loading[0];
+				}
+				if (up < least)
+					least = up;
+				if (s.now - named > 25000)
+					fail_msg("seed %llu, %s, loading takes %d ms: %d of 6 servers have the weights after 25 s",
+					         (unsigned long long)seed, names[mode], s.load_ms, on);
+			}
+			arrput(took, s.now - named);
+			sim_close(&s);
+		}
+		snprintf(what, sizeof what, "weights on every server, %s (at least %d of 6 serving)", names[mode], least);
+		print_spread(what, took);
+		if (mode == 0 || mode == 2) /* a third serves throughout; a late takeover puts the bound first */
+			assert_true(least >= 1);
+		arrfree(took);
+	}
+}
+
 /* A server that answers for another, skips, repeats or breaks off is never passed on as a whole answer. */
 static void bad_answers_end_as_errors(void **st)
 {
@@ -597,6 +682,7 @@
 		cmocka_unit_test(carries_and_reuses),
 		cmocka_unit_test(decisions_under_load),
 		cmocka_unit_test(storm_under_load),
+		cmocka_unit_test(weights_reach_every_server),
 		cmocka_unit_test(bad_answers_end_as_errors),
 		cmocka_unit_test(refusing_servers_keep_the_budget),
 		cmocka_unit_test(removed_key_ends_its_streams),
