Given up means answered: no server, no owner, or a line too long is told at once

Cause: an exchange waited in its line to its limit whatever the counter knew: its service had no standing server, its part no owner, the line was longer than the limit. Hopeless ones were then sent late and ran out while they ran. One whose place another counter took was refused after its claim, though its line could have held it. Ruled out: refusing at the first missing server or answer; a failover of 3.2 s must be ridden out (4.5 s are). Now: each line knows the usual gap between its heads and how long it stands still; what this cannot send in time is refused within a tick, with a time to come back that follows from the wait and is spread. A claimed exchange without a place goes back to the head of its line with its claim.

--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -48,7 +48,7 @@
 }
 
 /* Two passes: names first, so that the arrays have their size; then the rows. */
-static struct book *book_make(struct ctr *c)
+static struct book *book_make(struct ctr *c, int64_t now)
 {
 	const struct table *t = &c->f.t;
 	apr_pool_t *p;
@@ -138,6 +138,8 @@
 	}
 	while (arrlen(c->running) < (ptrdiff_t)b->ntenant)
 		arrput(c->running, 0);
+	while (arrlen(c->stood) < (ptrdiff_t)b->nservice)
+		arrput(c->stood, now);
 	return b;
 }
 
@@ -164,7 +166,7 @@
 
 static struct line *line_of(struct ctr *c, uint32_t lane, uint32_t tenant)
 {
-	struct line n = { lane, tenant, NULL, NULL, 0, 0, 0 };
+	struct line n = { lane, tenant, NULL, NULL, 0, 0, 0, 0, 0 };
 
 	for (ptrdiff_t i = 0; i < arrlen(c->line); i++)
 		if (c->line[i].lane == lane && c->line[i].tenant == tenant)
@@ -257,12 +259,20 @@
 		out_cmd(o, CMD_CANCEL)->u.cancel.token = x->call;
 }
 
+/* When to come back: not sooner than makes sense, and not all at once. */
+static int retry_in(struct ctr *c, double ms)
+{
+	int64_t least = ms < CTR_RETRY ? CTR_RETRY : ms > CTR_RETRY_MOST ? CTR_RETRY_MOST : (int64_t)ms;
+
+	return (int)(least + (int64_t)(core_rdv(c->id, ++c->retries) % (uint64_t)least));
+}
+
 /* Refused: nothing of it was ever sent to a server that may have begun, and nothing will be. */
-static void refuse(struct ctr *c, struct xch *x, int status, const char *why, int retry_ms, int64_t now, struct out *o)
+static void refuse(struct ctr *c, struct xch *x, int status, const char *why, double back, int64_t now, struct out *o)
 {
 	if (x->claim)
 		claim_send(c, x, 1, now, o); /* the id may be used again */
-	out_answer(o, x->token, status, retry_ms, error_json(o->p, why, "refused"));
+	out_answer(o, x->token, status, status == 503 || status == 429 ? retry_in(c, back) : 0, error_json(o->p, why, "refused"));
 	c->n.refused++;
 	xch_drop(c, x);
 }
@@ -288,12 +298,12 @@
 	xch_drop(c, x);
 }
 
-static void end_early(struct ctr *c, struct xch *x, int status, const char *why, int retry_ms, int64_t now, struct out *o)
+static void end_early(struct ctr *c, struct xch *x, int status, const char *why, int64_t now, struct out *o)
 {
 	if (x->state == XCH_RUNNING)
 		give_up(c, x, status, why, o);
 	else
-		refuse(c, x, status, why, retry_ms, now, o);
+		refuse(c, x, status, why, CTR_RETRY, now, o);
 }
 
 static struct json_object *read_json(struct ctr *c, const char *text)
@@ -362,6 +372,17 @@
 	return why;
 }
 
+static const char no_server[] = "no server of this service stands";
+
+/* How long the exchange with i others before it in its line has yet to wait: what its line's heads usually take, and
+ * for the next of them no less than the time for which it has already stood still. */
+static double expected(const struct line *l, uint32_t i, int64_t now)
+{
+	double still = (double)(now - l->still);
+
+	return i * l->gap + (still > l->gap - still ? still : l->gap - still);
+}
+
 static void take(struct ctr *c, uint64_t token, const char *digest, const char *body, int64_t now, struct out *o)
 {
 	struct book *b = c->book;
@@ -378,7 +399,7 @@
 	if (c->stopping || !b || follow_age(&c->f, now) > FOLLOW_CONFIG) {
 		c->n.refused++;
 		c->n.refused_stale++;
-		out_answer(o, token, 503, CTR_RETRY, error_json(o->p, c->stopping ? "this counter is stopping"
+		out_answer(o, token, 503, retry_in(c, CTR_RETRY), error_json(o->p, c->stopping ? "this counter is stopping"
 		       : "this counter's configuration is not certain to be in force", "refused"));
 		return;
 	}
@@ -403,10 +424,14 @@
 	x->tenant = keys[ki].value;
 	x->service = b->lane[li].service;
 	l = line_of(c, x->lane, x->tenant);
-	if (l->n >= b->lane[li].limit) {
+	if (l->n >= b->lane[li].limit || now - c->stood[x->service] > CTR_RIDE) {
+		int full = l->n >= b->lane[li].limit;
+
 		c->n.refused++;
-		c->n.refused_line++;
-		out_answer(o, token, 429, CTR_RETRY, error_json(o->p, "the line is full", "refused"));
+		c->n.refused_line += full;
+		c->n.refused_early += !full;
+		out_answer(o, token, full ? 429 : 503, retry_in(c, full ? expected(l, l->n / 2, now) : CTR_RETRY),
+		           error_json(o->p, full ? "the line is full" : no_server, "refused"));
 		apr_pool_destroy(p);
 		return;
 	}
@@ -427,6 +452,7 @@
 	if (!l->n) { /* a line that was empty starts where the others are */
 		uint64_t least = UINT64_MAX;
 
+		l->still = now;
 		for (ptrdiff_t i = 0; i < arrlen(c->line); i++)
 			if (c->line[i].n && b->lane[c->line[i].lane].prio == b->lane[li].prio && c->line[i].pass < least)
 				least = c->line[i].pass;
@@ -622,29 +648,40 @@
 	use_of(c, x)->value.reused += tokens_upto(x, pl->keep);
 }
 
+/* With its claim, to the head of its line: there is no place just now. */
+static void back_to_line(struct ctr *c, struct xch *x)
+{
+	struct line *l = line_of(c, x->lane, x->tenant);
+
+	x->state = XCH_WAITING;
+	x->after = l->head;
+	l->head = x;
+	if (!l->tail)
+		l->tail = x;
+	l->n++;
+	l->running--;
+	c->running[x->tenant]--;
+}
+
 static void send_claimed(struct ctr *c, struct xch *x, int64_t now, struct out *o)
 {
-	struct plan pl;
+	struct plan pl = { -1, 0, -1, 0, 0 };
 
 	if (now >= x->limit) {
 		c->n.refused_limit++;
 		refuse(c, x, 503, "the limit passed before a send", CTR_RETRY, now, o);
 		return;
 	}
-	if (follow_age(&c->f, now) > FOLLOW_CONFIG) {
-		refuse(c, x, 503, "this counter's configuration is not certain to be in force", CTR_RETRY, now, o);
-		return;
-	}
 	if (x->server >= 0) { /* the place that was held for it */
 		c->sv[x->server].own--;
 		x->server = -1;
 	}
-	pl = assign(c, x, now);
-	if (pl.server < 0) {
-		refuse(c, x, 503, "no server can take it", CTR_RETRY, now, o);
-		return;
-	}
-	send_to(c, x, &pl, now, o);
+	if (follow_age(&c->f, now) <= FOLLOW_CONFIG)
+		pl = assign(c, x, now);
+	if (pl.server < 0)
+		back_to_line(c, x); /* its place went to another counter's, or this counter must hear the owner first */
+	else
+		send_to(c, x, &pl, now, o);
 }
 
 /* Heads of lines go on while there are places: by class, then by share. */
@@ -689,14 +726,20 @@
 		x->after = NULL;
 		best->n--;
 		best->running++;
+		best->gap += ((double)(now - best->still) - best->gap) / 16;
+		best->still = now;
 		share_of(b, best->lane, best->tenant, &share, &limit);
 		best->pass += 1000000 / (share ? share : 1);
 		c->running[x->tenant]++;
 		x->state = XCH_CLAIMING;
 		x->server = best_plan.server;
 		c->sv[x->server].own++;
+		if (x->claimed) {
+			send_claimed(c, x, now, o);
+			continue;
+		}
 		x->claim = token_new(c);
-		x->claim_born = now;
+		x->claim_born = x->claim_from = now;
 		hmput(c->by, x->claim, x);
 		claim_send(c, x, 0, now, o);
 	}
@@ -802,7 +845,7 @@
 	x->server = -1;
 	x->state = XCH_CLAIMING;
 	if (c->budget < 1000) {
-		refuse(c, x, 503, "the server refused, and the budget for resends is spent", 2 * CTR_RETRY, now, o);
+		refuse(c, x, 503, "the server refused, and the budget for resends is spent", CTR_RETRY, now, o);
 		return;
 	}
 	c->budget -= 1000 + CTR_BUDGET; /* a resend earns nothing */
@@ -928,7 +971,7 @@
 
 static void swap_book(struct ctr *c, int64_t now, struct out *o)
 {
-	struct book *b = book_make(c), *old = c->book;
+	struct book *b = book_make(c, now), *old = c->book;
 
 	c->book = b;
 	for (ptrdiff_t i = arrlen(c->all) - 1; i >= 0; i--) {
@@ -938,9 +981,9 @@
 
 		if (k < 0 || keys[k].value != x->tenant || !b->tenant[x->tenant].on) {
 			c->n.revoked++;
-			end_early(c, x, 401, "key: removed", 0, now, o);
+			end_early(c, x, 401, "key: removed", now, o);
 		} else if (x->state != XCH_RUNNING && (!b->lane[x->lane].on || b->lane[x->lane].service != x->service || !b->service[x->service].on)) {
-			end_early(c, x, 404, "lane: removed", 0, now, o);
+			end_early(c, x, 404, "lane: removed", now, o);
 		}
 	}
 	book_free(old);
@@ -958,7 +1001,7 @@
 		{ "answered", c->n.answered }, { "refused", c->n.refused }, { "unknown", c->n.unknown }, { "sends", c->n.sends },
 		{ "resends", c->n.resends }, { "pieces", c->n.pieces }, { "tokens", c->n.tokens }, { "reused", c->n.reused },
 		{ "fetched", c->n.fetched }, { "cold", c->n.cold }, { "claims", c->n.claims }, { "looks", c->n.looks }, { "refused_stale", c->n.refused_stale },
-		{ "refused_line", c->n.refused_line }, { "refused_limit", c->n.refused_limit }, { "revoked", c->n.revoked }, { "blind", c->n.blind },
+		{ "refused_line", c->n.refused_line }, { "refused_limit", c->n.refused_limit }, { "refused_early", c->n.refused_early }, { "revoked", c->n.revoked }, { "blind", c->n.blind },
 		{ "downstreams", (uint64_t)arrlen(c->relay.down) }, { "increments", c->relay.n_inc }, { "counters", c->f.counters },
 	};
 
@@ -1005,19 +1048,51 @@
 	return s;
 }
 
+/* What will not be sent in time is told so now, not at its limit. */
+static void end_hopeless(struct ctr *c, int64_t now, struct out *o)
+{
+	const struct book *b = c->book;
+
+	for (uint32_t s = 0; b && s < b->nserver; s++)
+		if (!b->server[s].is_store && standing(c, s, now))
+			c->stood[b->server[s].service] = now;
+	for (ptrdiff_t i = 0; i < arrlen(c->line); i++) {
+		struct line *l = &c->line[i];
+		struct xch *next;
+		uint32_t before = 0;
+
+		for (struct xch *x = l->head; x; x = next) {
+			int none = now - c->stood[x->service] > CTR_RIDE;
+			double wait = expected(l, before, now);
+
+			next = x->after;
+			if (!none && wait <= (double)(x->limit - now)) {
+				before++;
+				continue;
+			}
+			c->n.refused_early++;
+			refuse(c, x, 503, none ? no_server : "the line is too long to be sent within the limit", none ? CTR_RETRY : wait / 2, now, o);
+		}
+	}
+}
+
 static void tick(struct ctr *c, int64_t now, struct out *o)
 {
 	follow_tick(&c->f, c->relay.k.horizon, now, o);
 	relay_up(&c->relay, c->f.up, (size_t)c->f.nup, follow_log(&c->f, c->relay.moved, now), now);
 	relay_tick(&c->relay, now, o);
 	look(c, now, o);
+	end_hopeless(c, now, o);
 	for (ptrdiff_t i = arrlen(c->all) - 1; i >= 0; i--) {
 		struct xch *x = c->all[i];
 
 		if (now >= x->limit) {
 			c->n.refused_limit += x->state != XCH_RUNNING;
 			end_early(c, x, x->state == XCH_RUNNING ? 504 : 503,
-			          x->state == XCH_RUNNING ? "the limit passed" : "the limit passed in the line", CTR_RETRY, now, o);
+			          x->state == XCH_RUNNING ? "the limit passed" : "the limit passed in the line", now, o);
+		} else if (x->state == XCH_CLAIMING && !x->claimed && now - x->claim_from > CTR_RIDE) {
+			c->n.refused_early++;
+			refuse(c, x, 503, "the part of this service has no owner that answers", CTR_RETRY, now, o);
 		} else if (x->state == XCH_CLAIMING && !x->claimed && now - x->claim_at >= CTR_CLAIM_WAIT) {
 			/* the same claim again: a part takes it once however often it is asked */
 			if (now - x->claim_born > CTR_CLAIM_WAIT)
@@ -1060,7 +1135,7 @@
 {
 	while (arrlen(c->all) && now > ctr_good_until(c)) {
 		c->n.blind++;
-		end_early(c, arrlast(c->all), 503, "this counter has been cut off: its configuration may be out of force", CTR_RETRY, now, o);
+		end_early(c, arrlast(c->all), 503, "this counter has been cut off: its configuration may be out of force", now, o);
 	}
 }
 
@@ -1157,6 +1232,7 @@
 	arrfree(c->line);
 	arrfree(c->all);
 	arrfree(c->running);
+	arrfree(c->stood);
 	hmfree(c->by);
 	hmfree(c->use);
 	apr_pool_destroy(c->p);
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -18,7 +18,8 @@
 	CTR_BUDGET = 200,      /* resends per mille of sends */
 	CTR_BUDGET_CAP = 2000, /* saved up at most: two resends */
 	CTR_RIDE = 4500,       /* ms of not knowing that are ridden out; then all that is held here ends */
-	CTR_RETRY = 500        /* ms after which a refused caller may come back */
+	CTR_RETRY = 500,       /* ms after which a refused caller may come back, at the least */
+	CTR_RETRY_MOST = 30000
 };
 
 enum ctr_ev_kind { CTR_TICK, CTR_MSG, CTR_EXCHANGE, CTR_GONE, CTR_PIECE, CTR_DONE, CTR_CALLED, CTR_WEB, CTR_STOP };
@@ -70,7 +71,7 @@
 	apr_pool_t *p;
 	char *digest, *id, *xid, *tail;
 	uint32_t lane, tenant, service;
-	int64_t limit, since, claim_at, sent_at, claim_born;
+	int64_t limit, since, claim_at, sent_at, claim_born, claim_from;
 	int nparts, claimed, begun, sends, resend_paid;
 	uint64_t hash[CTR_PARTS];
 	const char *text[CTR_PARTS];
@@ -83,7 +84,8 @@
 	struct xch *after;  /* in its line */
 };
 
-struct line { uint32_t lane, tenant; struct xch *head, *tail; uint32_t n, running; uint64_t pass; };
+/* still: since when its head has waited; gap: the usual ms between two heads that leave */
+struct line { uint32_t lane, tenant; struct xch *head, *tail; uint32_t n, running; uint64_t pass; int64_t still; double gap; };
 
 struct ctr_server {
 	int64_t reported, called, bad_until, told; /* told: when a relay last passed its report on */
@@ -95,13 +97,13 @@
 
 struct ctr_counts {
 	uint64_t taken, answered, refused, unknown, sends, resends, pieces, tokens, reused, fetched, cold, claims;
-	uint64_t looks, refused_stale, refused_line, refused_limit, revoked, blind, gone;
+	uint64_t looks, refused_stale, refused_line, refused_limit, refused_early, revoked, blind, gone;
 };
 
 struct ctr_use { uint64_t key; struct { uint64_t exchanges, tokens, reused, pieces, errors; } value; };
 
 struct ctr {
-	uint64_t id, addr, token, seq;
+	uint64_t id, addr, token, seq, retries;
 	const char *zone;
 	struct follow f;
 	struct relay relay;
@@ -112,6 +114,7 @@
 	struct json_tokener *tok;   /* one for all that is read here, kept between texts */
 	struct ctr_server *sv;      /* stb_ds, by server index */
 	struct line *line;          /* stb_ds */
+	int64_t *stood;             /* stb_ds, by service: when a server of it last stood */
 	struct { uint64_t key; struct xch *value; } *by; /* stb_ds: token of a call, claim or caller */
 	struct xch **all;           /* stb_ds */
 	uint32_t *running;          /* stb_ds: by tenant */
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -249,7 +249,24 @@
 		nl__op__free_unpacked(op, NULL);
 }
 
-/* Committed entries agree everywhere, for ever. */
+/* On how many disks an entry is, whatever their machines think of it. */
+static int copies(const struct sim *s, int part, uint64_t x, uint64_t hash)
+{
+	int n = 0;
+
+	for (int i = 0; i < SIM_REGS; i++) {
+		const struct sim_disk_part *d = &s->n[i].disk.p[part];
+		const struct sim_entry *e = d->e;
+
+		if (d->base >= x)
+			n++;
+		else if (arrlen(e) && x >= d->from && x - d->from < (uint64_t)arrlen(e))
+			n += core_hash(e[x - d->from].term * 4 + e[x - d->from].kind, e[x - d->from].data, e[x - d->from].len) == hash;
+	}
+	return n;
+}
+
+/* Committed entries agree everywhere, for ever, and are on two disks at the least when the first node knows of it. */
 static void check_logs(struct sim *s, struct sim_node *n)
 {
 	for (int i = 0; i < PART_COUNT; i++) {
@@ -267,6 +284,8 @@
 					sim_breach(s, "part %d entry %llu differs", i, (unsigned long long)x);
 			} else if ((uint64_t)arrlen(s->hash[i]) == x - 1) {
 				arrput(s->hash[i], h);
+				if (copies(s, i, x, h) < 2)
+					sim_breach(s, "part %d entry %llu is committed, and synced on %d disks", i, (unsigned long long)x, copies(s, i, x, h));
 				if (i == PART_PURGE && e->kind == PART_OP)
 					check_value(s, e->data, e->len);
 			} else {
@@ -308,21 +327,32 @@
 	}
 }
 
-/* Whoever would serve two seconds after an acknowledgement has that edition. */
+/* Whoever sends has every edition that was acknowledged two seconds before, whatever it thinks of its own age. */
+static void check_in_force(struct sim *s, int i)
+{
+	struct sim_node *n = &s->n[i];
+
+	for (ptrdiff_t k = arrlen(s->ack) - 1; n->c && k >= 0 && k > arrlen(s->ack) - 20; k--)
+		if (s->now - s->ack[k].at > 2000 && n->c->f.t.edition < s->ack[k].edition)
+			sim_breach(s, "counter %d serves with edition %llu, %lld ms after %llu was acknowledged", i,
+			           (unsigned long long)n->c->f.t.edition, (long long)(s->now - s->ack[k].at), (unsigned long long)s->ack[k].edition);
+}
+
+/* A machine never goes back, across its restarts too; one that knows none yet takes nothing. */
+static void check_edition(struct sim *s, int i, uint64_t edition)
+{
+	if (edition && edition < s->n[i].edition)
+		sim_breach(s, "node %d went back from edition %llu to %llu", i, (unsigned long long)s->n[i].edition, (unsigned long long)edition);
+	if (edition > s->n[i].edition)
+		s->n[i].edition = edition;
+}
+
 static void check_counter(struct sim *s, int i)
 {
 	struct sim_node *n = &s->n[i];
 
 	check_relay(s, i, &n->c->relay);
-	if (n->c->f.t.edition < n->edition)
-		sim_breach(s, "node %d went back from edition %llu", i, (unsigned long long)n->edition);
-	n->edition = n->c->f.t.edition;
-	if (follow_age(&n->c->f, local(s, n)) > FOLLOW_CONFIG)
-		return;
-	for (ptrdiff_t k = arrlen(s->ack) - 1; k >= 0 && k > arrlen(s->ack) - 20; k--)
-		if (s->now - s->ack[k].at > 2000 && n->edition < s->ack[k].edition)
-			sim_breach(s, "counter %d serves with edition %llu, %lld ms after %llu was acknowledged", i,
-			           (unsigned long long)n->edition, (long long)(s->now - s->ack[k].at), (unsigned long long)s->ack[k].edition);
+	check_edition(s, i, n->c->f.t.edition);
 }
 
 static void check_node(struct sim *s, int i)
@@ -336,9 +366,7 @@
 	check_logs(s, n);
 	check_owners(s);
 	check_relay(s, i, &n->r->relay);
-	if (n->r->f.t.edition < n->edition)
-		sim_breach(s, "node %d went back from edition %llu", i, (unsigned long long)n->edition);
-	n->edition = n->r->f.t.edition;
+	check_edition(s, i, n->r->f.t.edition);
 }
 
 /* ---- callers and runs ------------------------------------------------------------------- */
@@ -381,12 +409,13 @@
 	}
 }
 
-static void hear_answer(struct sim *s, uint64_t token, int status, const char *body)
+static void hear_answer(struct sim *s, uint64_t token, int status, int retry_ms, const char *body)
 {
 	struct sim_exch *x = exch_by(s, token);
 
 	if (!x)
 		return;
+	x->retry_ms = retry_ms;
 	if (x->next)
 		sim_breach(s, "%s was answered %d in the middle of its stream", x->id, status);
 	told(s, x, strstr(body, "\"refused\"") ? SIM_REFUSED : strstr(body, "\"claimed\"") ? SIM_LOST : SIM_UNKNOWN);
@@ -448,8 +477,8 @@
 	x->asked_at = s->now;
 	x->refused_at = 0;
 	sim_key(tenant, x->key);
-	snprintf(body, sizeof body, "{\"lane\":\"%s\",\"id\":\"%s\",\"limit_ms\":8000,\"parts\":[\"the part of all of %s, quite long as such parts are\",\"the part of tenant %d\",\"matter %d of that tenant, with what was written about it and the rules that apply to it\"],\"tail\":\"%s\"}",
-	         lane, id, lane, tenant, pick, id);
+	snprintf(body, sizeof body, "{\"lane\":\"%s\",\"id\":\"%s\",\"limit_ms\":%d,\"parts\":[\"the part of all of %s, quite long as such parts are\",\"the part of tenant %d\",\"matter %d of that tenant, with what was written about it and the rules that apply to it\"],\"tail\":\"%s\"}",
+	         lane, id, s->limit_ms, lane, tenant, pick, id);
 	e.d = (uint8_t *)strdup(body);
 	push(s, e);
 }
@@ -557,6 +586,8 @@
 		broke(s, e->node, e->life, e->token, 0, 1);
 		return;
 	}
+	if (s->n[e->node].life == e->life)
+		check_in_force(s, e->node);
 	j = json_tokener_parse((char *)e->d);
 	json_object_object_get_ex(j, "id", &x);
 	id = json_object_get_string(x);
@@ -782,7 +813,7 @@
 			struct sim_web w = { c->u.answer.token, c->u.answer.status, s->now, "" };
 
 			if (n->c) {
-				hear_answer(s, c->u.answer.token, c->u.answer.status, c->u.answer.body);
+				hear_answer(s, c->u.answer.token, c->u.answer.status, c->u.answer.retry_ms, c->u.answer.body);
 				break;
 			}
 			snprintf(w.body, sizeof w.body, "%s", c->u.answer.body);
@@ -1008,7 +1039,6 @@
 	n->frozen = 0;
 	n->skew = (int64_t)rnd(s, 100000);
 	memset(n->checked, 0, sizeof n->checked);
-	n->edition = 0;
 	if (n->counter) { /* no disk: a new identity at each start */
 		n->id = core_rand(&s->rng);
 		n->c = malloc(sizeof *n->c);
@@ -1177,6 +1207,7 @@
 	s->jitter = 2;
 	s->far = 1;
 	s->disk_ms = 2;
+	s->limit_ms = 8000;
 	apr_pool_create(&s->pool, NULL);
 }
 
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -72,6 +72,7 @@
 	const char *lane;
 	uint64_t token;
 	int64_t asked_at, refused_at, told_at;
+	int retry_ms; /* when it was told to come back */
 	char key[65];
 };
 enum { SIM_OPEN = 0, SIM_WHOLE = 1, SIM_REFUSED = 2, SIM_UNKNOWN = 3, SIM_LOST = 4 };
@@ -89,6 +90,7 @@
 	int loss, delay, jitter; /* per mille; ms */
 	int far;               /* ms added between zones */
 	int disk_ms;
+	int limit_ms;          /* of exchanges */
 	int load_ms;           /* how long servers load weights; 0: 1.5 to 2.5 s */
 	char bad[512];
 	/* global truth */
--- a/tests/test_data.c
+++ b/tests/test_data.c
@@ -278,7 +278,7 @@
 	size_t n = (size_t)arrlen(v);
 
 	qsort(v, n, sizeof *v, by_ms);
-	print_message("%s: least %lld, median %lld, p95 %lld, most %lld ms over %llu seeds\n", what, (long long)v[0], (long long)v[n / 2],
+	print_message("%s: least %lld, median %lld, p95 %lld, most %lld ms of %llu\n", what, (long long)v[0], (long long)v[n / 2],
 	              (long long)v[n * 95 / 100], (long long)v[n - 1], (unsigned long long)n);
 }
 
@@ -557,6 +557,85 @@
 	sim_close(&s);
 }
 
+/* Held times of what was refused, from the asking on; each was told when to come back, and not all the same. */
+static int64_t *held(struct sim *s, ptrdiff_t from)
+{
+	int64_t *v = NULL;
+	int differ = 0;
+
+	for (ptrdiff_t i = from; i < arrlen(s->x); i++)
+		if (s->x[i].told == SIM_REFUSED) {
+			arrput(v, s->x[i].told_at - s->x[i].asked_at);
+			assert_true(s->x[i].retry_ms >= CTR_RETRY);
+			differ += s->x[i].retry_ms != s->x[from].retry_ms;
+		}
+	assert_true(differ * 2 > arrlen(v));
+	return v;
+}
+
+/* What the fleet has given up on is told so at once, however long its limit: no server stands, the core has no majority,
+ * the line is too long. And it is given up on only then. */
+static void given_up_is_answered_at_once(void **st)
+{
+	uint64_t first, seeds = seeds_of(6, &first);
+
+	(void)st;
+	for (int mode = 0; mode < 3; mode++) {
+		static const char *const what[] = { "no server stands: refused after", "two of three core machines gone: refused after", "a line too long: refused after" };
+		int64_t *all = NULL, whole = 0, late = 0;
+
+		for (uint64_t seed = first; seed < first + seeds; seed++) {
+			struct sim s;
+			int64_t *v, fault;
+			uint64_t rng = seed;
+			char id[32];
+
+			sim_deploy(&s, seed, 3, 2, 3);
+			must_change(&s, "{\"set\":[{\"kind\":\"lane\",\"name\":\"arrears\",\"service\":\"arrears\",\"limit\":1000},"
+			                "{\"kind\":\"lane\",\"name\":\"later\",\"service\":\"arrears\",\"prio\":4,\"limit\":1000}]}", 5000);
+			sim_run(&s, 1000, NULL);
+			s.limit_ms = mode == 2 ? 6000 : 60000;
+			load(&s, &rng, 1000 + (int64_t)(seed % 5) * 50, 30, 2);
+			fault = s.now;
+			if (mode == 2)
+				s.sv[0].slow = 100;
+			if (mode == 0) {
+				s.sv[0].up = 0;
+			} else if (mode == 1) { /* two of three copies: this part cannot be owned any more */
+				int owner = sim_owner(&s, core_part_of("arrears", PART_SERVICES));
+
+				sim_crash(&s, owner, 0);
+				sim_crash(&s, (owner + 1) % 3, 0);
+			}
+			for (int k = 0; k < 900; k++) {
+				snprintf(id, sizeof id, "g%d", k);
+				sim_ask(&s, SIM_REGS + k % 2, id, k % 4, k % 5 ? "arrears" : "later", 0);
+				sim_run(&s, 9, NULL);
+			}
+			sim_run(&s, 6500, NULL);
+			ok(&s);
+			v = held(&s, 0);
+			for (ptrdiff_t i = 0; i < arrlen(s.x); i++) {
+				
+				assert_int_not_equal(s.x[i].told, SIM_OPEN);
+				whole += s.x[i].told == SIM_WHOLE;
+				late += s.x[i].told == SIM_REFUSED && s.x[i].told_at - s.x[i].asked_at >= s.limit_ms;
+				if (mode < 2 && s.x[i].told == SIM_REFUSED && s.x[i].told_at > fault + CTR_REPORT + CTR_RIDE + 500 &&
+				    s.x[i].told_at - s.x[i].asked_at > (mode ? CTR_RIDE + 100 : 100))
+					fail_msg("seed %llu: %s was held for %lld ms", (unsigned long long)seed, s.x[i].id, (long long)(s.x[i].told_at - s.x[i].asked_at));
+			}
+			for (ptrdiff_t i = 0; i < arrlen(v); i++)
+				arrput(all, v[i]);
+			arrfree(v);
+			sim_close(&s);
+		}
+		print_spread(what[mode], all);
+		print_message("  whole answers %lld, held to the limit %lld\n", (long long)whole, (long long)late);
+		assert_true(late * 50 <= arrlen(all)); /* an estimate may be wrong now and then */
+		arrfree(all);
+	}
+}
+
 /* Every server of every service is drained, replaced by an empty one, and taken back, one after the other. */
 static void services_replaced_one_by_one(void **st)
 {
@@ -690,6 +769,7 @@
 		cmocka_unit_test(streams_outlive_a_failover),
 		cmocka_unit_test(leaving_and_stopping),
 		cmocka_unit_test(overload_keeps_classes_and_shares),
+		cmocka_unit_test(given_up_is_answered_at_once),
 		cmocka_unit_test(services_replaced_one_by_one),
 		cmocka_unit_test(many_purges_at_once),
 		cmocka_unit_test(relays_spare_the_publisher),
