--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -87,19 +87,22 @@
 {
 	char *key = apr_pstrcat(p, c->tenant, "\x1f", c->id, NULL);
 	ptrdiff_t i = shgeti(s->h, key);
+	int mine;
 
 	if (i >= 0 && s->h[i].value.at + REG_CLAIM_KEEP < s->clock) {
 		(void)shdel(s->h, key);
 		i = -1;
 	}
-	if (c->release) {
-		if (i >= 0 && s->h[i].value.by == c->by && s->h[i].value.seq == c->seq)
-			(void)shdel(s->h, key);
+	mine = i >= 0 && s->h[i].value.by == c->by && s->h[i].value.seq == c->seq;
+	if (c->release) { /* remembered, since the claim itself may still be on its way, here or once more */
+		if (i < 0 || mine)
+			shput(s->h, key, ((typeof(s->h->value)){ c->by, c->seq, s->clock, 1 }));
 		return TABLE_DONE;
 	}
-	if (i >= 0)
-		return s->h[i].value.by == c->by && s->h[i].value.seq == c->seq ? TABLE_DONE : TABLE_REFUSED;
-	shput(s->h, key, ((typeof(s->h->value)){ c->by, c->seq, s->clock }));
+	if (mine ? s->h[i].value.given_back : i >= 0 && !s->h[i].value.given_back)
+		return TABLE_REFUSED;
+	if (!mine)
+		shput(s->h, key, ((typeof(s->h->value)){ c->by, c->seq, s->clock, 0 }));
 	return TABLE_DONE;
 }
 
@@ -307,6 +310,7 @@
 		x->by = shget(h, key[i]).by;
 		x->seq = shget(h, key[i]).seq;
 		x->at = shget(h, key[i]).at;
+		x->given_back = shget(h, key[i]).given_back;
 		s.c[s.n_c++] = x;
 	}
 	s.feed = c->feed;
@@ -407,7 +411,7 @@
 		c->clock = s->clock;
 		for (size_t i = 0; i < s->n_c; i++)
 			shput(c->h, apr_pstrcat(p, s->c[i]->tenant, "\x1f", s->c[i]->id, NULL),
-			      ((typeof(c->h->value)){ s->c[i]->by, s->c[i]->seq, s->c[i]->at }));
+			      ((typeof(c->h->value)){ s->c[i]->by, s->c[i]->seq, s->c[i]->at, s->c[i]->given_back }));
 		for (size_t i = 0; i < s->n_feed; i++)
 			arrput(c->feed, value_copy(s->feed[i]));
 		for (size_t i = 0; i < s->n_rolled; i++)
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -15,7 +15,7 @@
 	 * 8 s; the first giver is done with telling early enough for another to take over: licence, election, hold-off. */
 	REG_TELL = 16000, REG_TAKE_OVER = 7500,
 	REG_CALL = 5000,      /* ms before an operator's call is answered as unknown */
-	REG_CLAIM_KEEP = 600000, /* ms of the part's own clock that a claim is remembered */
+	REG_CLAIM_KEEP = 720000, /* ms of the part's own clock that a claim is remembered: the longest limit and two minutes */
 	REG_AGAIN = 400,      /* ms before a proposal without an answer is made again */
 	REG_BATCH = 128,      /* purges logged together */
 	REG_DONE = 256,       /* changes whose answers are remembered */
@@ -43,7 +43,7 @@
 	int sends, denied; /* as long as they are alike it surely was not logged */
 };
 struct reg_seen { uint64_t id, addr, zone; int64_t at; int counter; uint64_t edition, horizon; };
-struct reg_claim { char *key; struct { uint64_t by, seq, at; } value; };
+struct reg_claim { char *key; struct { uint64_t by, seq, at; int given_back; } value; };
 
 struct reg_svc { /* a service part's state */
 	uint64_t clock;
--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -187,25 +187,60 @@
 	return s;
 }
 
-static void claim_send(struct ctr *c, struct xch *x, int release, int64_t now, struct out *o)
+static void claim_msg(struct ctr *c, uint32_t service, uint32_t tenant, const char *id, uint64_t seq, int release, uint64_t token,
+                      struct out *o)
 {
-	uint32_t part = core_part_of(c->services.name[x->service], PART_SERVICES);
+	uint32_t part = core_part_of(c->services.name[service], PART_SERVICES);
 	struct Nl__Propose *q = OUT_NEW(o, Nl__Propose, NL__PROPOSE__INIT);
 
 	q->op = OUT_NEW(o, Nl__Op, NL__OP__INIT);
 	q->op->op_case = NL__OP__OP_CLAIM;
 	q->op->claim = OUT_NEW(o, Nl__Claim, NL__CLAIM__INIT);
-	q->op->claim->tenant = apr_pstrdup(o->p, c->tenants.name[x->tenant]);
-	q->op->claim->id = apr_pstrdup(o->p, x->id);
+	q->op->claim->tenant = apr_pstrdup(o->p, c->tenants.name[tenant]);
+	q->op->claim->id = apr_pstrdup(o->p, id);
 	q->op->claim->by = c->id;
-	q->op->claim->seq = x->seq;
+	q->op->claim->seq = seq;
 	q->op->claim->release = release;
-	q->token = release ? 0 : x->claim;
-	x->claim_at = now;
+	q->token = token;
 	c->n.claims++;
 	out_msg(o, follow_seat(&c->f, part), part, NL__MSG__BODY_PROPOSE)->propose = q;
 }
 
+static void claim_send(struct ctr *c, struct xch *x, int64_t now, struct out *o)
+{
+	x->claim_at = now;
+	claim_msg(c, x->service, x->tenant, x->id, x->seq, 0, x->claim, o);
+}
+
+/* The id may be used again: said until the part has heard it. */
+static void claim_release(struct ctr *c, const struct xch *x, int64_t now, struct out *o)
+{
+	struct ctr_release r = { token_new(c), x->seq, x->service, x->tenant, strdup(x->id), now, now + CTR_RELEASE };
+
+	arrput(c->release, r);
+	claim_msg(c, r.service, r.tenant, r.id, r.seq, 1, r.token, o);
+}
+
+static void release_end(struct ctr *c, ptrdiff_t i)
+{
+	free(c->release[i].id);
+	arrdelswap(c->release, i);
+}
+
+static void releases_tick(struct ctr *c, int64_t now, struct out *o)
+{
+	for (ptrdiff_t i = arrlen(c->release) - 1; i >= 0; i--) {
+		struct ctr_release *r = &c->release[i];
+
+		if (now >= r->until) {
+			release_end(c, i);
+		} else if (now - r->at >= CTR_CLAIM_WAIT) {
+			r->at = now;
+			claim_msg(c, r->service, r->tenant, r->id, r->seq, 1, r->token, o);
+		}
+	}
+}
+
 static struct ctr_use *use_of(struct ctr *c, const struct xch *x)
 {
 	uint64_t key = (uint64_t)x->lane << 32 | x->tenant;
@@ -271,7 +306,7 @@
 static void refuse(struct ctr *c, struct xch *x, int status, const char *why, double back, int64_t now, struct out *o)
 {
 	if (x->claim)
-		claim_send(c, x, 1, now, o); /* the id may be used again */
+		claim_release(c, x, now, o); /* the id may be used again */
 	out_answer(o, x->token, status, status == 503 || status == 429 ? retry_in(c, back) : 0, error_json(o->p, why, "refused"));
 	c->n.refused++;
 	xch_drop(c, x);
@@ -676,6 +711,10 @@
 		c->sv[x->server].own--;
 		x->server = -1;
 	}
+	if (now - x->claim_from > CTR_CLAIM_HOLD) { /* it must outlast what is sent under it */
+		refuse(c, x, 503, "no server could take it for long", CTR_RETRY, now, o);
+		return;
+	}
 	if (follow_age(&c->f, now) <= FOLLOW_CONFIG)
 		pl = assign(c, x, now);
 	if (pl.server < 0)
@@ -741,7 +780,7 @@
 		x->claim = token_new(c);
 		x->claim_born = x->claim_from = now;
 		hmput(c->by, x->claim, x);
-		claim_send(c, x, 0, now, o);
+		claim_send(c, x, now, o);
 	}
 }
 
@@ -751,6 +790,16 @@
 {
 	struct xch *x = xch_by(c, a->token);
 
+	for (ptrdiff_t i = 0; i < arrlen(c->release); i++)
+		if (c->release[i].token == a->token) {
+			if (a->status == TABLE_NOT_OWNER) {
+				follow_hint(&c->f, core_part_of(c->services.name[c->release[i].service], PART_SERVICES), a->hint);
+				c->release[i].at = now - CTR_CLAIM_WAIT + 50;
+			} else if (a->status != TABLE_BUSY) {
+				release_end(c, i);
+			}
+			return;
+		}
 	if (!x || x->state != XCH_CLAIMING || x->claim != a->token || x->claimed)
 		return;
 	switch (a->status) {
@@ -1083,6 +1132,7 @@
 	relay_tick(&c->relay, now, o);
 	look(c, now, o);
 	end_hopeless(c, now, o);
+	releases_tick(c, now, o);
 	for (ptrdiff_t i = arrlen(c->all) - 1; i >= 0; i--) {
 		struct xch *x = c->all[i];
 
@@ -1098,7 +1148,7 @@
 			if (now - x->claim_born > CTR_CLAIM_WAIT)
 				follow_miss(&c->f, core_part_of(c->services.name[x->service], PART_SERVICES));
 			x->claim_born = now;
-			claim_send(c, x, 0, now, o);
+			claim_send(c, x, now, o);
 		}
 	}
 }
@@ -1160,7 +1210,7 @@
 		c->n.gone++;
 		call_cancel(x, o);
 		if (x->state != XCH_RUNNING && x->claim)
-			claim_send(c, x, 1, now, o);
+			claim_release(c, x, now, o);
 		xch_drop(c, x);
 		break;
 	case CTR_PIECE:
@@ -1193,7 +1243,7 @@
 	pump(c, now, o);
 }
 
-int ctr_idle(const struct ctr *c) { return arrlen(c->all) == 0; }
+int ctr_idle(const struct ctr *c) { return arrlen(c->all) == 0 && arrlen(c->release) == 0; }
 
 void ctr_open(struct ctr *c, uint64_t id, uint64_t addr, const char *zone, const uint64_t *seeds, int n, int64_t now)
 {
@@ -1218,6 +1268,9 @@
 {
 	while (arrlen(c->all))
 		xch_drop(c, c->all[0]);
+	while (arrlen(c->release))
+		release_end(c, 0);
+	arrfree(c->release);
 	json_tokener_free(c->tok);
 	book_free(c->book);
 	names_clear(&c->lanes);
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -13,6 +13,8 @@
 	CTR_REPORT = 3000,     /* a report older than this does not vouch for a server */
 	CTR_BAD = 1000,        /* ms a server that could not be reached is left alone */
 	CTR_CLAIM_WAIT = 300,  /* ms before a claim is asked again, of another registrar */
+	CTR_CLAIM_HOLD = 60000, /* ms after which a claim is too old to send with */
+	CTR_RELEASE = 15000,   /* ms for which a claim is given back again and again */
 	CTR_PARTS = 64,
 	CTR_LIMIT_MIN = 50, CTR_LIMIT_MAX = 600000, CTR_LIMIT = 60000,
 	CTR_BUDGET = 200,      /* resends per mille of sends */
@@ -95,6 +97,9 @@
 	double mean_ms;
 };
 
+/* A claim that is given back, asked again until the part has heard of it. */
+struct ctr_release { uint64_t token, seq; uint32_t service, tenant; char *id; int64_t at, until; };
+
 struct ctr_counts {
 	uint64_t taken, answered, refused, unknown, sends, resends, pieces, tokens, reused, fetched, cold, claims;
 	uint64_t looks, refused_stale, refused_line, refused_limit, refused_early, revoked, blind, gone;
@@ -117,6 +122,7 @@
 	int64_t *stood;             /* stb_ds, by service: when a server of it last stood */
 	struct { uint64_t key; struct xch *value; } *by; /* stb_ds: token of a call, claim or caller */
 	struct xch **all;           /* stb_ds */
+	struct ctr_release *release; /* stb_ds */
 	uint32_t *running;          /* stb_ds: by tenant */
 	int64_t budget;             /* resends saved up, per mille */
 	struct ctr_counts n;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -398,15 +398,37 @@
 {
 	x->told = how;
 	x->told_at = s->now;
+	for (ptrdiff_t i = arrlen(s->asking) - 1; i >= 0 && how == SIM_REFUSED; i--)
+		if (s->asking[i].token == x->token) {
+			s->asking[i].refused = s->now;
+			for (ptrdiff_t k = 0; k < arrlen(s->run); k++)
+				if (s->run[k].node == s->asking[i].node && s->run[k].life == s->asking[i].life && s->run[k].asking == x->token)
+					sim_breach(s, "%s ran, and its caller was told it was refused", x->id);
+			break;
+		}
 	x->token = 0;
 	s->n_whole += how == SIM_WHOLE;
 	s->n_refused += how == SIM_REFUSED;
 	s->n_unknown += how >= SIM_UNKNOWN;
-	if (how == SIM_REFUSED) {
-		x->refused_at = s->now;
-		if (x->began && x->asked == 1)
-			sim_breach(s, "%s ran, and its caller was told it was refused", x->id);
+}
+
+/* The asking that a send of this id by this life of a counter is of: one that was not refused, if there is any.
+ * Of two that were not, the send does not tell. */
+static struct sim_asking *asking_of(struct sim *s, const char *id, int node, uint64_t life, int *n)
+{
+	struct sim_asking *best = NULL;
+
+	*n = 0;
+	for (ptrdiff_t i = 0; i < arrlen(s->asking); i++) {
+		struct sim_asking *a = &s->asking[i];
+
+		if (a->node != node || a->life != life || strcmp(a->id, id))
+			continue;
+		*n += !a->refused;
+		if (!best || !a->refused)
+			best = a;
 	}
+	return best;
 }
 
 static void hear_answer(struct sim *s, uint64_t token, int status, int retry_ms, const char *body)
@@ -457,6 +479,7 @@
 {
 	struct sim_exch *x = exch_of(s, id), n;
 	struct sim_ev e = { .at = s->now, .kind = SIM_ASK, .node = node, .life = s->n[node].life, .token = ++s->token };
+	struct sim_asking a;
 	char body[600];
 
 	if (!x) {
@@ -475,7 +498,12 @@
 	x->asked++;
 	x->tries = 0; /* a caller's own asking anew is no resend */
 	x->asked_at = s->now;
-	x->refused_at = 0;
+	memset(&a, 0, sizeof a);
+	snprintf(a.id, sizeof a.id, "%s", id);
+	a.node = node;
+	a.life = e.life;
+	a.token = e.token;
+	arrput(s->asking, a);
 	sim_key(tenant, x->key);
 	snprintf(body, sizeof body, "{\"lane\":\"%s\",\"id\":\"%s\",\"limit_ms\":%d,\"parts\":[\"the part of all of %s, quite long as such parts are\",\"the part of tenant %d\",\"matter %d of that tenant, with what was written about it and the rules that apply to it\"],\"tail\":\"%s\"}",
 	         lane, id, s->limit_ms, lane, tenant, pick, id);
@@ -489,9 +517,21 @@
 	struct sim_ev e = { .at = s->now, .kind = SIM_LEAVE, .node = x->node, .life = s->n[x->node].life, .token = x->token };
 
 	told(s, x, SIM_LOST);
+	x->left = 1;
 	push(s, e);
 }
 
+int sim_open_ask(struct sim *s, const char *id) { return exch_of(s, id) && exch_of(s, id)->token; }
+void sim_forget(struct sim *s, const char *id) { told(s, exch_of(s, id), SIM_LOST); }
+
+int sim_lives(const struct sim *s, const char *id)
+{
+	for (ptrdiff_t i = 0; i < arrlen(s->asking); i++)
+		if (!strcmp(s->asking[i].id, id))
+			return s->n[s->asking[i].node].up && s->n[s->asking[i].node].life == s->asking[i].life;
+	return 0;
+}
+
 void sim_stop(struct sim *s, int node)
 {
 	struct sim_ev e = { .at = s->now, .kind = SIM_STOP, .node = node, .life = s->n[node].life };
@@ -577,10 +617,11 @@
 	struct sim_server *v = &s->sv[e->server];
 	struct json_object *j, *x, *parts, *f;
 	struct sim_exch *c;
+	struct sim_asking *a;
 	struct sim_run r;
 	const char *id, *tenant;
 	uint64_t stamp;
-	int n, have;
+	int n, have, askings;
 
 	if (!v->up) {
 		broke(s, e->node, e->life, e->token, 0, 1);
@@ -606,8 +647,11 @@
 	}
 	if (c->began++)
 		sim_breach(s, "%s ran twice", id);
-	if (c->refused_at)
-		sim_breach(s, "%s ran %lld ms after its caller was told it was refused", id, (long long)(s->now - c->refused_at));
+	a = asking_of(s, id, e->node, e->life, &askings);
+	if (!a)
+		sim_breach(s, "%s ran for a counter where nobody asked it", id);
+	else if (a->refused)
+		sim_breach(s, "%s ran %lld ms after its caller was told it was refused", id, (long long)(s->now - a->refused));
 	if (s->removed && shgeti(s->removed, c->key) >= 0 && c->asked_at - shget(s->removed, c->key) > 5000)
 		sim_breach(s, "%s ran with a key that was removed %lld ms before", id, (long long)(c->asked_at - shget(s->removed, c->key)));
 	memset(&r, 0, sizeof r);
@@ -615,6 +659,7 @@
 	r.life = e->life;
 	r.token = e->token;
 	r.server = e->server;
+	r.asking = a && askings == 1 ? a->token : 0;
 	r.born = (uint64_t)v->load_done;
 	r.pieces = 3 + (int)(core_hashs(1, id) % 4);
 	snprintf(r.id, sizeof r.id, "%s", id);
@@ -1234,6 +1279,7 @@
 	arrfree(s->ack);
 	arrfree(s->x);
 	arrfree(s->run);
+	arrfree(s->asking);
 	shfree(s->removed);
 	apr_pool_destroy(s->pool);
 }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -63,7 +63,7 @@
 };
 
 /* One run at a server. */
-struct sim_run { uint64_t life, token, born; int node, server, pieces, next, over, again; char xid[80], id[64]; };
+struct sim_run { uint64_t life, token, born, asking; int node, server, pieces, next, over, again; char xid[80], id[64]; };
 
 /* One exchange as its caller knows it, and what servers did with its id. */
 struct sim_exch {
@@ -71,11 +71,14 @@
 	int tenant, node, next, told, began, asked, tries, pick;
 	const char *lane;
 	uint64_t token;
-	int64_t asked_at, refused_at, told_at;
+	int64_t asked_at, told_at;
+	int left;     /* its caller left */
 	int retry_ms; /* when it was told to come back */
 	char key[65];
 };
 enum { SIM_OPEN = 0, SIM_WHOLE = 1, SIM_REFUSED = 2, SIM_UNKNOWN = 3, SIM_LOST = 4 };
+/* One asking of an id at one life of a counter, and when it was told that it is refused. */
+struct sim_asking { char id[64]; int node; uint64_t life, token; int64_t refused; };
 struct sim_web { uint64_t token; int status; int64_t at; char body[512]; };
 struct sim_ack { uint64_t edition; int64_t at; };
 struct sim_value { uint64_t tick, key; };
@@ -101,6 +104,7 @@
 	uint64_t n_msg, n_sync, n_bytes, n_orders, by_body[64];
 	uint64_t mark[PART_COUNT];
 	struct sim_exch *x;         /* stb_ds */
+	struct sim_asking *asking;  /* stb_ds */
 	struct sim_run *run;        /* stb_ds */
 	struct { char *key; int64_t value; } *removed; /* digests of keys, when their removal was acknowledged */
 	struct { int64_t since; int walled; } wall[16];
@@ -115,6 +119,14 @@
 
 /* Its caller leaves; a counter is told to stop. Example: sim_leave(&s, "x1"); sim_stop(&s, SIM_REGS); */
 void sim_leave(struct sim *s, const char *id);
+
+/* Whether its caller still waits; that it waits no longer, though its counter does not hear of it.
+ * Example: if (sim_open_ask(&s, "x1")) sim_forget(&s, "x1"); */
+int sim_open_ask(struct sim *s, const char *id);
+void sim_forget(struct sim *s, const char *id);
+
+/* Whether the counter that it was asked at first is still the same. Example: if (sim_lives(&s, "x1")) ... */
+int sim_lives(const struct sim *s, const char *id);
 void sim_stop(struct sim *s, int node);
 
 /* The key digest of a tenant in the simulator. Example: sim_key(0, buf) */
--- a/tests/test_data.c
+++ b/tests/test_data.c
@@ -459,6 +459,89 @@
 	print_message("key removed while its counter is cut off or frozen: the last stream ended after %lld ms\n", (long long)worst);
 }
 
+/* Races round the claim, with loss and links that reorder: at any moment between asking, claim, answer and send the
+ * caller leaves, the counter dies or freezes, the part's owner changes, or the same id is asked at another counter, or
+ * at the same. Nothing runs twice, nor after it was refused; and an id that was refused, or that its caller left
+ * before it was sent, may be used again (unless the counter has died since, and with it its word). */
+static void claims_race(void **st)
+{
+	uint64_t first, seeds = seeds_of(20, &first), again = 0, claimed = 0, twice = 0;
+
+	(void)st;
+	for (uint64_t seed = first; seed < first + seeds; seed++) {
+		struct sim s;
+		uint64_t rng = seed * 97;
+		ptrdiff_t n;
+
+		sim_deploy(&s, seed, 4, 3, 6);
+		ok(&s);
+		s.loss = (int)(core_rand(&rng) % 60);
+		s.jitter = (int)(core_rand(&rng) % 80);
+		for (int k = 0; k < 120 && !s.bad[0]; k++) {
+			int node = SIM_REGS + (int)(core_rand(&rng) % 3), other = SIM_REGS + (int)(core_rand(&rng) % 3), what = (int)(core_rand(&rng) % 10);
+			int owner = sim_owner(&s, core_part_of(lanes[k % 3], PART_SERVICES)), down = 0;
+			char id[32];
+
+			for (int i = 0; i < 6; i++)
+				s.sv[i].refuse = core_rand(&rng) % 2;
+			for (int i = 0; i < 4; i++)
+				down += !s.n[i].up;
+			for (int i = SIM_REGS; i < SIM_REGS + 3; i++)
+				if (!s.n[i].up)
+					sim_start(&s, i);
+			snprintf(id, sizeof id, "r%d", k);
+			sim_ask(&s, node, id, k % 4, lanes[k % 3], 0);
+			sim_run(&s, (int64_t)(core_rand(&rng) % 60), NULL);
+			if (what == 0 && sim_open_ask(&s, id))
+				sim_leave(&s, id);
+			else if (what == 1)
+				sim_crash(&s, node, 0);
+			else if (what == 2)
+				sim_freeze(&s, node, 1);
+			else if (what == 3 && owner >= 0 && !down)
+				sim_crash(&s, owner, 0);
+			else if (what == 4 && owner >= 0)
+				s.n[owner].stall_until = s.now + 700;
+			if (what && what < 7 && s.n[other].up && !s.n[other].frozen) { /* asked again while the first may go on */
+				if (sim_open_ask(&s, id))
+					sim_forget(&s, id);
+				sim_run(&s, (int64_t)(core_rand(&rng) % 40), NULL);
+				sim_ask(&s, other, id, k % 4, lanes[k % 3], 0);
+				twice++;
+			}
+			sim_run(&s, (int64_t)(core_rand(&rng) % 500), NULL);
+			for (int i = SIM_REGS; i < SIM_REGS + 3; i++)
+				sim_freeze(&s, i, 0);
+			if (core_rand(&rng) % 8 == 0)
+				for (int i = 0; i < 4; i++)
+					if (!s.n[i].up)
+						sim_start(&s, i);
+		}
+		for (int i = 0; i < SIM_REGS + 3; i++)
+			if (s.n[i].used && !s.n[i].up)
+				sim_start(&s, i);
+		all_told(&s);
+		s.loss = 0;
+		for (int i = 0; i < 6; i++)
+			s.sv[i].refuse = 0;
+		n = arrlen(s.x);
+		for (ptrdiff_t i = 0; i < n; i++)
+			if (s.x[i].asked == 1 && !s.x[i].began && (s.x[i].told == SIM_REFUSED || (s.x[i].left && !s.x[i].tries)) && sim_lives(&s, s.x[i].id)) {
+				again++;
+				sim_ask(&s, SIM_REGS + (int)(i % 3), s.x[i].id, s.x[i].tenant, s.x[i].lane, 1);
+				sim_run(&s, 50, NULL);
+			}
+		all_told(&s);
+		for (ptrdiff_t i = 0; i < n; i++)
+			claimed += s.x[i].pick == 1 && s.x[i].told == SIM_LOST;
+		sim_close(&s);
+	}
+	print_message("races round the claim: %llu ids asked twice at once; of %llu asked again after a refusal or a leaving %llu were held by a claim\n",
+	              (unsigned long long)twice, (unsigned long long)again, (unsigned long long)claimed);
+	assert_true(again >= seeds);
+	assert_int_equal(claimed, 0);
+}
+
 /* The configuration's owner dies: what runs and what waits rides it out, at every counter. */
 static void streams_outlive_a_failover(void **st)
 {
@@ -766,6 +849,7 @@
 		cmocka_unit_test(refusing_servers_keep_the_budget),
 		cmocka_unit_test(removed_key_ends_its_streams),
 		cmocka_unit_test(cut_off_counters_end_their_streams),
+		cmocka_unit_test(claims_race),
 		cmocka_unit_test(streams_outlive_a_failover),
 		cmocka_unit_test(leaving_and_stopping),
 		cmocka_unit_test(overload_keeps_classes_and_shares),
