--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -555,20 +555,43 @@
 	return v->others + v->own;
 }
 
-struct plan { int server, keep, from, upto; double cost; };
+struct plan { int server, keep, from, upto; double cost, fetch; };
+
+/* How much slower than the table says the link between two servers was seen to be; forgotten by and by. */
+static double slow_of(struct ctr *c, uint32_t from, uint32_t to, int64_t now)
+{
+	ptrdiff_t i = hmgeti(c->pair, (uint64_t)from << 32 | to);
+	double slow = i < 0 ? 1 : c->pair[i].value.slow;
+
+	for (int64_t t = i < 0 ? 0 : now - c->pair[i].value.at; t >= CTR_SLOW_HALF && slow > 1; t -= CTR_SLOW_HALF)
+		slow /= 2;
+	return slow < 1 ? 1 : slow;
+}
+
+/* An answer says what its fetch took and brought. One that brought nothing was waited for in vain. */
+static void learn_fetch(struct ctr *c, const struct xch *x, int64_t took, int brought, int64_t now)
+{
+	double slow = brought && took > 0 ? (double)took / (x->fetch_ms ? x->fetch_ms : 1) : CTR_SLOW_MOST;
+
+	if (took <= 20 && brought) /* too short to tell a link from a process that was not scheduled */
+		slow = 1;
+	if (slow > CTR_SLOW_MOST)
+		slow = CTR_SLOW_MOST;
+	hmput(c->pair, (uint64_t)x->from << 32 | (uint32_t)x->server, ((typeof(c->pair->value)){ slow, now }));
+}
 
 /* Prefill saved against load and lines; a fetch where the link beats the prefill. */
 static struct plan assign(struct ctr *c, const struct xch *x, int64_t now)
 {
 	const struct book *b = c->book;
 	const struct bk_service *svc = &b->service[x->service];
-	struct plan best = { -1, 0, -1, 0, 0 };
+	struct plan best = { -1, 0, -1, 0, 0, 0 };
 	int current = relay_current(&c->relay, now);
 	uint64_t all = tokens_upto(x, x->nparts) + x->tail_tokens;
 
 	for (uint32_t s = 0; s < b->nserver; s++) {
 		struct ctr_server *v = &c->sv[s];
-		struct plan p = { (int)s, 0, -1, 0, 0 };
+		struct plan p = { (int)s, 0, -1, 0, 0, 0 };
 		double prefill;
 
 		if (b->server[s].is_store || b->server[s].service != x->service || s == x->tried || !standing(c, s, now) || busy(v) >= v->slots)
@@ -578,7 +601,7 @@
 		prefill = c->plain ? 0 : (double)(all - tokens_upto(x, p.keep)) / svc->prefill;
 		p.cost = prefill + v->mean_ms * busy(v) / v->slots;
 		for (uint32_t f = 0; current && !c->plain && p.keep < x->nparts && f < b->nserver; f++) { /* a colleague server or the store */
-			double speed = b->server[f].is_store ? svc->store : svc->link, save, cost;
+			double speed = b->server[f].is_store ? svc->store : svc->link, save, cost, fetch;
 			int n;
 
 			if (f == s || b->server[f].service != x->service || !speed || (!b->server[f].is_store && c->sv[f].weights != v->weights) ||
@@ -588,12 +611,14 @@
 			if (n <= p.keep)
 				continue;
 			save = (double)(tokens_upto(x, n) - tokens_upto(x, p.keep));
-			cost = save * svc->kv_bytes / speed;
+			fetch = save * svc->kv_bytes / speed;
+			cost = fetch * slow_of(c, f, s, now);
 			save /= svc->prefill;
 			if (cost < save && prefill - save + cost < p.cost - v->mean_ms * busy(v) / v->slots) {
 				p.cost = prefill - save + cost + v->mean_ms * busy(v) / v->slots;
 				p.from = (int)f;
 				p.upto = n;
+				p.fetch = fetch;
 			}
 		}
 		if (best.server < 0 || p.cost < best.cost ||
@@ -620,6 +645,7 @@
 	struct ctr_server *v = &c->sv[pl->server];
 	struct json_object *j = json_object_new_object(), *a;
 	struct cmd *k;
+	double read;
 
 	x->state = XCH_RUNNING;
 	x->server = pl->server;
@@ -628,6 +654,8 @@
 	x->sent_at = now;
 	x->sends++;
 	x->next = 0;
+	x->from = pl->from;
+	x->fetch_ms = (uint32_t)(pl->fetch + 0.5);
 	x->call = token_new(c);
 	hmput(c->by, x->call, x);
 	x->xid = apr_psprintf(x->p, "%016" APR_UINT64_T_HEX_FMT "-%" APR_UINT64_T_FMT "-%d", c->id, x->seq, x->sends);
@@ -660,6 +688,9 @@
 			json_object_array_add(a, copy_json(c, x->hash[i], usable(c, x, x->hash[i], (uint32_t)pl->from, x->weights), o->p));
 		json_object_object_add(f, "from", json_object_new_string(b->server[pl->from].addr));
 		json_object_object_add(f, "parts", a);
+		/* no longer than reading them anew would take */
+		read = (double)(tokens_upto(x, pl->upto) - tokens_upto(x, pl->keep)) / b->service[x->service].prefill;
+		json_object_object_add(f, "wait_ms", json_object_new_int(read < 1 ? 1 : read > CTR_FETCH_MOST ? CTR_FETCH_MOST : (int)read));
 		json_object_object_add(j, "fetch", f);
 	}
 	k = out_cmd(o, CMD_CALL);
@@ -700,7 +731,7 @@
 
 static void send_claimed(struct ctr *c, struct xch *x, int64_t now, struct out *o)
 {
-	struct plan pl = { -1, 0, -1, 0, 0 };
+	struct plan pl = { -1, 0, -1, 0, 0, 0 };
 
 	if (now >= x->limit) {
 		c->n.refused_limit++;
@@ -732,7 +763,7 @@
 		return;
 	for (;;) {
 		struct line *best = NULL;
-		struct plan best_plan = { -1, 0, -1, 0, 0 };
+		struct plan best_plan = { -1, 0, -1, 0, 0, 0 };
 		struct xch *x;
 		uint32_t share, limit, n = c->f.counters ? c->f.counters : 1;
 
@@ -858,6 +889,8 @@
 		goto end;
 	}
 	if (json_object_object_get_ex(j, "end", &v)) {
+		if (x->from >= 0 && json_object_object_get_ex(j, "fetch_ms", &t))
+			learn_fetch(c, x, json_object_get_int64(t), json_object_object_get_ex(j, "fetched", &v) ? json_object_get_int(v) : 0, now);
 		whole(c, x, now, o);
 		goto end;
 	}
@@ -1287,6 +1320,7 @@
 	arrfree(c->running);
 	arrfree(c->stood);
 	hmfree(c->by);
+	hmfree(c->pair);
 	hmfree(c->use);
 	apr_pool_destroy(c->p);
 }
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -14,6 +14,9 @@
 	CTR_BAD = 1000,        /* ms a server that could not be reached is left alone */
 	CTR_CLAIM_WAIT = 300,  /* ms before a claim is asked again, of another registrar */
 	CTR_CLAIM_HOLD = 60000, /* ms after which a claim is too old to send with */
+	CTR_FETCH_MOST = 2000, /* ms that a server waits for a fetch at the most */
+	CTR_SLOW_HALF = 10000, /* ms in which half of a link's slowness is forgotten */
+	CTR_SLOW_MOST = 64,
 	CTR_RELEASE = 15000,   /* ms for which a claim is given back again and again */
 	CTR_PARTS = 64,
 	CTR_LIMIT_MIN = 50, CTR_LIMIT_MAX = 600000, CTR_LIMIT = 60000,
@@ -83,6 +86,8 @@
 	uint32_t tried;     /* last server that refused it */
 	uint64_t stamp;
 	uint32_t weights;
+	int from;           /* the server that kept parts are fetched from; -1: none */
+	uint32_t fetch_ms;  /* what the fetch should take, the link as the table has it */
 	struct xch *after;  /* in its line */
 };
 
@@ -97,6 +102,9 @@
 	double mean_ms;
 };
 
+/* What fetches from one server to another were seen to take, as a multiple of what the table says. */
+struct ctr_pair { uint64_t key; struct { double slow; int64_t at; } value; };
+
 /* A claim that is given back, asked again until the part has heard of it. */
 struct ctr_release { uint64_t token, seq; uint32_t service, tenant; char *id; int64_t at, until; };
 
@@ -123,6 +131,7 @@
 	struct { uint64_t key; struct xch *value; } *by; /* stb_ds: token of a call, claim or caller */
 	struct xch **all;           /* stb_ds */
 	struct ctr_release *release; /* stb_ds */
+	struct ctr_pair *pair;      /* stb_ds: from << 32 | to */
 	uint32_t *running;          /* stb_ds: by tenant */
 	int64_t budget;             /* resends saved up, per mille */
 	struct ctr_counts n;
--- a/rehearsal/server.c
+++ b/rehearsal/server.c
@@ -26,6 +26,7 @@
 	struct copy *kept; /* stb_ds */
 	int held;          /* tokens */
 	int drop_reports, late_reports, refuse;
+	int slow_link, hang_fetch, liar; /* times slower; ms that a fetch from here hangs; see run_more */
 } sv;
 
 static void lock(void) { apr_thread_mutex_lock(sv.m); }
@@ -98,9 +99,10 @@
 /* ---- a run ---- */
 
 struct run {
-	char *xid, *id;
+	char xid[80], *id;
 	struct json_object *body;
-	int pieces, next, done;
+	int pieces, next, done, again;
+	int fetch_ms, fetched; /* -1: there was nothing to fetch */
 	char line[512];
 	size_t len, at;
 };
@@ -125,44 +127,67 @@
 	return have;
 }
 
-/* Fetch kept parts from a colleague server or the store; what fails is read from the prompt instead. */
-static int fetch(struct json_object *f, const char *w, struct json_object *used, int have)
+/* Fetch kept parts from a colleague server or the store; what fails, or would take longer than the send allows, is read
+ * from the prompt instead. */
+static int fetch(struct json_object *f, const char *w, struct json_object *used, int have, int *ms)
 {
-	struct json_object *q, *got, *list;
+	struct json_object *q, *got = NULL, *list;
 	char *body = NULL;
-	int64_t bytes = 0;
+	int64_t bytes = 0, from = clock_ms(), wait = jgeti(f, "wait_ms"), takes;
 
 	if (!f)
 		return have;
 	q = json_object_new_object();
 	json_object_object_add(q, "weights", json_object_new_string(w));
 	json_object_object_add(q, "parts", json_object_get(jget(f, "parts")));
-	if (http_do("POST", jgets(f, "from"), "/v1/fetch", NULL, json_object_to_json_string(q), 2000, &body) == 200) {
+	if (http_do("POST", jgets(f, "from"), "/v1/fetch", NULL, json_object_to_json_string(q), wait < 20 ? 20 : (int)wait, &body) == 200)
 		got = json_tokener_parse(body);
-		list = jget(got, "parts");
-		lock();
-		for (size_t i = 0; list && i < json_object_array_length(list); i++) {
-			struct json_object *e = json_object_array_get_idx(list, i), *u = json_object_new_object();
-
-			keep(jgets(e, "h"), w, jgets(e, "m"), jgeti(e, "t"), (int)jgeti(e, "n"));
-			bytes += jgeti(e, "n") * sv.kv;
-			json_object_object_add(u, "h", json_object_new_string(jgets(e, "h")));
-			json_object_object_add(u, "m", json_object_new_string(jgets(e, "m")));
-			json_object_object_add(u, "w", json_object_new_string(jgets(e, "w")));
-			json_object_object_add(u, "ct", json_object_new_int64(jgeti(e, "t")));
-			json_object_object_add(u, "from", json_object_new_int(1)); /* fetched: kept elsewhere till now */
-			json_object_array_add(used, u);
-			have++;
-		}
-		unlock();
-		json_object_put(got);
-		apr_sleep(bytes / (sv.link ? sv.link : 1) * 1000);
+	list = jget(got, "parts");
+	for (size_t i = 0; list && i < json_object_array_length(list); i++)
+		bytes += jgeti(json_object_array_get_idx(list, i), "n") * sv.kv;
+	takes = bytes / (sv.link ? sv.link : 1) * (sv.slow_link ? sv.slow_link : 1);
+	if (takes > wait) { /* not through in time: what came is thrown away */
+		takes = wait;
+		list = NULL;
+	}
+	apr_sleep(takes * 1000);
+	lock();
+	for (size_t i = 0; list && i < json_object_array_length(list); i++) {
+		struct json_object *e = json_object_array_get_idx(list, i), *u = json_object_new_object();
+
+		keep(jgets(e, "h"), w, jgets(e, "m"), jgeti(e, "t"), (int)jgeti(e, "n"));
+		json_object_object_add(u, "h", json_object_new_string(jgets(e, "h")));
+		json_object_object_add(u, "m", json_object_new_string(jgets(e, "m")));
+		json_object_object_add(u, "w", json_object_new_string(jgets(e, "w")));
+		json_object_object_add(u, "ct", json_object_new_int64(jgeti(e, "t")));
+		json_object_object_add(u, "from", json_object_new_int(1)); /* fetched: kept elsewhere till now */
+		json_object_array_add(used, u);
+		have++;
 	}
+	unlock();
+	*ms = (int)(clock_ms() - from);
+	json_object_put(got);
 	free(body);
 	json_object_put(q);
 	return have;
 }
 
+/* Faults of an answer, from its second piece on: 1 it is marked as another's, 2 a piece is left out, 3 it breaks off,
+ * 4 a piece comes twice, 5 it says no more. */
+static int lie(struct run *r)
+{
+	if (r->next != 1)
+		return 0;
+	switch (sv.liar) {
+	case 1: r->xid[0] = r->xid[0] == '0' ? '1' : '0'; return 0;
+	case 2: r->next++; return 0;
+	case 3: return 1;
+	case 4: r->next -= !r->again++; return 0;
+	case 5: apr_sleep(30 * 1000 * 1000); return 1;
+	default: return 0;
+	}
+}
+
 static ssize_t run_more(void *arg, uint64_t pos, char *to, size_t max)
 {
 	struct run *r = arg;
@@ -172,6 +197,8 @@
 	if (r->at == r->len) {
 		if (r->done)
 			return MHD_CONTENT_READER_END_OF_STREAM;
+		if (lie(r))
+			return MHD_CONTENT_READER_END_WITH_ERROR;
 		if (r->next < r->pieces) {
 			if (r->next)
 				apr_sleep(sv.piece_ms * 1000);
@@ -184,7 +211,10 @@
 			json_object_object_add(j, "id", json_object_new_string(r->id));
 			json_object_object_add(j, "n", json_object_new_int(r->pieces));
 			record_put(sv.rec, j);
-			r->len = (size_t)snprintf(r->line, sizeof r->line, "{\"x\":\"%s\",\"n\":%d,\"end\":true}\n", r->xid, r->next);
+			r->len = (size_t)snprintf(r->line, sizeof r->line, "{\"x\":\"%s\",\"n\":%d,\"end\":true", r->xid, r->next);
+			if (r->fetch_ms >= 0)
+				r->len += (size_t)snprintf(r->line + r->len, sizeof r->line - r->len, ",\"fetch_ms\":%d,\"fetched\":%d", r->fetch_ms, r->fetched);
+			r->len += (size_t)snprintf(r->line + r->len, sizeof r->line - r->len, "}\n");
 			r->done = 1;
 		}
 		r->at = 0;
@@ -252,12 +282,14 @@
 	json_object_object_add(rec, "t", json_object_new_int64(clock_ms()));
 	r = calloc(1, sizeof *r);
 	r->body = j;
-	r->xid = (char *)(uintptr_t)jgets(j, "x");
+	r->fetch_ms = -1;
+	snprintf(r->xid, sizeof r->xid, "%s", jgets(j, "x"));
 	r->id = (char *)(uintptr_t)jgets(j, "id");
 	unlock();
 	own = have;
 	if (have == (jget(j, "reuse") ? (int)json_object_array_length(jget(j, "reuse")) : 0))
-		have = fetch(jget(j, "fetch"), jgets(j, "weights"), used, have);
+		have = fetch(jget(j, "fetch"), jgets(j, "weights"), used, have, &r->fetch_ms);
+	r->fetched = have - own;
 	for (int i = 0; i < n; i++) {
 		int t = (int)(strlen(jgets(json_object_array_get_idx(parts, (size_t)i), "text")) + 3) / 4;
 
@@ -393,6 +425,8 @@
 	struct json_object *a = json_object_new_array();
 	enum MHD_Result rc;
 
+	if (sv.hang_fetch)
+		apr_sleep(sv.hang_fetch * 1000);
 	lock();
 	for (size_t i = 0; list && i < json_object_array_length(list); i++) {
 		struct json_object *e = json_object_array_get_idx(list, i);
@@ -433,6 +467,9 @@
 	sv.drop_reports = (int)jgeti(j, "drop_reports");
 	sv.late_reports = (int)jgeti(j, "late_reports");
 	sv.refuse = (int)jgeti(j, "refuse");
+	sv.slow_link = (int)jgeti(j, "slow_link");
+	sv.hang_fetch = (int)jgeti(j, "hang_fetch");
+	sv.liar = (int)jgeti(j, "liar");
 	unlock();
 	json_object_put(j);
 	return reply(c, 200, "{}");
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -548,55 +548,117 @@
 }
 
 /* A send must not name a part that was withdrawn at a tick its counter knew of. */
-static void check_withdrawn(struct sim *s, struct sim_server *v, const char *m, uint64_t t, uint64_t stamp)
+static void check_withdrawn(struct sim *s, struct sim_server *v, const struct sim_kept *c, uint64_t stamp)
 {
 	struct Nl__Purge p[3] = { NL__PURGE__INIT, NL__PURGE__INIT, NL__PURGE__INIT };
 
 	p[0].why = PURGE_WEIGHTS;
 	p[0].service = v->service;
-	p[0].weights = v->weights;
+	p[0].weights = (char *)(uintptr_t)c->w;
 	p[1].why = PURGE_TENANT;
-	p[1].tenant = (char *)(uintptr_t)m;
+	p[1].tenant = (char *)(uintptr_t)c->m;
 	p[2].why = PURGE_SERVER;
 	p[2].server = v->name;
 	for (ptrdiff_t i = 0; i < arrlen(s->value); i++)
 		for (int k = 0; k < 3; k++)
-			if (s->value[i].key == view_subject(&p[k]) && s->value[i].tick > t && s->value[i].tick <= stamp)
-				sim_breach(s, "a part of %s made at tick %llu at %s was reused at horizon %llu, withdrawn at %llu", m,
-				           (unsigned long long)t, v->name, (unsigned long long)stamp, (unsigned long long)s->value[i].tick);
+			if (s->value[i].key == view_subject(&p[k]) && s->value[i].tick > c->t && s->value[i].tick <= stamp)
+				sim_breach(s, "a part of %s made at tick %llu at %s was reused at horizon %llu, withdrawn at %llu", c->m,
+				           (unsigned long long)c->t, v->name, (unsigned long long)stamp, (unsigned long long)s->value[i].tick);
+}
+
+/* The very copy that a send names, as a server has it; NULL when it has none. */
+static struct sim_kept *copy_of(struct sim_server *v, struct json_object *e, const char *weights)
+{
+	struct json_object *h, *m, *t;
+
+	json_object_object_get_ex(e, "h", &h);
+	json_object_object_get_ex(e, "m", &m);
+	json_object_object_get_ex(e, "t", &t);
+	for (ptrdiff_t q = 0; q < arrlen(v->kept); q++)
+		if (v->kept[q].h == strtoull(json_object_get_string(h), NULL, 16) && !strcmp(v->kept[q].m, json_object_get_string(m)) &&
+		    v->kept[q].t == json_object_get_uint64(t) && !strcmp(v->kept[q].w, weights))
+			return &v->kept[q];
+	return NULL;
+}
+
+/* A kept part is used for a tenant, at the server that kept it or fetched from there. */
+static void check_used(struct sim *s, struct sim_server *v, const struct sim_kept *k, const char *tenant, uint64_t stamp)
+{
+	check_withdrawn(s, v, k, stamp);
+	if (strcmp(k->m, tenant))
+		for (int w = 0; w < 16; w++)
+			if (s->wall[w].walled && s->now - s->wall[w].since > 2000 && (atoi(tenant + 1) == w || atoi(k->m + 1) == w))
+				sim_breach(s, "%s used a part made by %s, one of them walled off %lld ms ago", tenant, k->m,
+				           (long long)(s->now - s->wall[w].since));
 }
 
 static int run_reuse(struct sim *s, struct sim_server *v, struct json_object *j, const char *tenant, uint64_t stamp)
 {
-	struct json_object *list, *h, *m, *t;
+	struct json_object *list;
 	int have = 0;
 
 	if (!json_object_object_get_ex(j, "reuse", &list))
 		return 0;
 	for (size_t i = 0; i < json_object_array_length(list); i++) {
-		struct json_object *e = json_object_array_get_idx(list, i);
-		struct sim_kept *k = NULL;
-
-		json_object_object_get_ex(e, "h", &h);
-		json_object_object_get_ex(e, "m", &m);
-		json_object_object_get_ex(e, "t", &t);
-		for (ptrdiff_t q = 0; q < arrlen(v->kept); q++)
-			if (v->kept[q].h == strtoull(json_object_get_string(h), NULL, 16) && !strcmp(v->kept[q].m, json_object_get_string(m)) &&
-			    v->kept[q].t == json_object_get_uint64(t) && !strcmp(v->kept[q].w, v->weights))
-				k = &v->kept[q];
+		struct sim_kept *k = copy_of(v, json_object_array_get_idx(list, i), v->weights);
+
 		if (!k)
 			break;
 		have++;
-		check_withdrawn(s, v, k->m, k->t, stamp);
-		if (strcmp(k->m, tenant))
-			for (int w = 0; w < 16; w++)
-				if (s->wall[w].walled && s->now - s->wall[w].since > 2000 && (atoi(tenant + 1) == w || atoi(k->m + 1) == w))
-					sim_breach(s, "%s used a part made by %s, one of them walled off %lld ms ago", tenant, k->m,
-					           (long long)(s->now - s->wall[w].since));
+		check_used(s, v, k, tenant, stamp);
 	}
 	return have;
 }
 
+static void keep(struct sim_server *v, const struct sim_kept *k)
+{
+	for (ptrdiff_t q = 0; q < arrlen(v->kept); q++)
+		if (v->kept[q].h == k->h && !strcmp(v->kept[q].m, k->m)) {
+			v->kept[q] = *k;
+			return;
+		}
+	arrput(v->kept, *k);
+}
+
+/* What a send says to fetch, as far as its source answers within the time that the send allows. */
+static int run_fetch(struct sim *s, struct sim_server *v, struct json_object *j, const char *tenant, uint64_t stamp, int have, int *ms)
+{
+	struct json_object *f, *x, *list;
+	struct sim_server *from;
+	struct sim_kept got[64];
+	int n = 0, wait;
+	double takes = 0;
+
+	*ms = -1;
+	if (!json_object_object_get_ex(j, "fetch", &f))
+		return have;
+	json_object_object_get_ex(f, "wait_ms", &x);
+	wait = json_object_get_int(x);
+	json_object_object_get_ex(f, "from", &x);
+	from = server_at(s, json_object_get_string(x));
+	json_object_object_get_ex(f, "parts", &list);
+	for (size_t i = 0; from && from->up && i < json_object_array_length(list) && n < 64; i++) {
+		struct sim_kept *k = copy_of(from, json_object_array_get_idx(list, i), v->weights);
+
+		if (!k)
+			break;
+		takes += k->n * 400 / 100000.0 * (from->slow_link ? from->slow_link : 1);
+		got[n++] = *k;
+	}
+	if (!from || from->hang || takes > wait) {
+		*ms = wait;
+		s->n_vain++;
+		return have;
+	}
+	*ms = (int)takes;
+	for (int i = 0; i < n; i++) {
+		check_used(s, from, &got[i], tenant, stamp);
+		keep(v, &got[i]);
+	}
+	s->n_fetched += (uint64_t)n;
+	return have + n;
+}
+
 static void stream_at(struct sim *s, ptrdiff_t run, int64_t at)
 {
 	struct sim_ev e = { .at = at, .kind = SIM_STREAM, .node = s->run[run].node, .token = (uint64_t)run };
@@ -615,13 +677,13 @@
 static void run_arrives(struct sim *s, const struct sim_ev *e)
 {
 	struct sim_server *v = &s->sv[e->server];
-	struct json_object *j, *x, *parts, *f;
+	struct json_object *j, *x, *parts;
 	struct sim_exch *c;
 	struct sim_asking *a;
 	struct sim_run r;
 	const char *id, *tenant;
 	uint64_t stamp;
-	int n, have, askings;
+	int n, have, own, askings;
 
 	if (!v->up) {
 		broke(s, e->node, e->life, e->token, 0, 1);
@@ -668,12 +730,17 @@
 	json_object_object_get_ex(j, "stamp", &x);
 	stamp = json_object_get_uint64(x);
 	have = run_reuse(s, v, j, tenant, stamp);
+	own = have;
+	if (json_object_object_get_ex(j, "reuse", &x) && (size_t)have == json_object_array_length(x))
+		have = run_fetch(s, v, j, tenant, stamp, have, &r.fetch_ms);
+	else
+		r.fetch_ms = -1;
+	r.fetched = have - own;
 	json_object_object_get_ex(j, "parts", &parts);
 	n = (int)json_object_array_length(parts);
 	for (int i = 0; i < n; i++) {
 		struct json_object *p = json_object_array_get_idx(parts, (size_t)i), *h, *t;
 		struct sim_kept k;
-		ptrdiff_t q;
 		int tokens;
 
 		json_object_object_get_ex(p, "h", &h);
@@ -689,20 +756,15 @@
 		snprintf(k.m, sizeof k.m, "%s", tenant);
 		k.t = stamp;
 		k.n = tokens;
-		for (q = 0; q < arrlen(v->kept); q++)
-			if (v->kept[q].h == k.h && !strcmp(v->kept[q].m, k.m))
-				break;
-		if (q < arrlen(v->kept))
-			v->kept[q] = k;
-		else
-			arrput(v->kept, k);
+		keep(v, &k);
+		for (int q = 0; q < SIM_SERVERS; q++) /* the store gets what was read anew */
+			if (s->sv[q].used && s->sv[q].is_store && s->sv[q].up)
+				keep(&s->sv[q], &k);
 	}
-	if (json_object_object_get_ex(j, "fetch", &f))
-		have++; /* a fetch is modelled as done in no time; what it brings is not kept */
 	json_object_put(j);
 	v->running++;
 	arrput(s->run, r);
-	stream_at(s, arrlen(s->run) - 1, s->now + 20);
+	stream_at(s, arrlen(s->run) - 1, s->now + 20 + (r.fetch_ms > 0 ? r.fetch_ms : 0));
 }
 
 static void run_over(struct sim *s, struct sim_run *r)
@@ -742,6 +804,8 @@
 	ev.u.piece.line = line;
 	if (r->next < r->pieces)
 		snprintf(line, sizeof line, "{\"x\":\"%s\",\"n\":%d,\"t\":\"%s#%d\"}", r->xid, r->next, r->id, r->next);
+	else if (r->fetch_ms >= 0)
+		snprintf(line, sizeof line, "{\"x\":\"%s\",\"n\":%d,\"end\":true,\"fetch_ms\":%d,\"fetched\":%d}", r->xid, r->next, r->fetch_ms, r->fetched);
 	else
 		snprintf(line, sizeof line, "{\"x\":\"%s\",\"n\":%d,\"end\":true}", r->xid, r->next);
 	if (s->sv[r->server].bad == 1 && r->next == 1)
@@ -831,6 +895,8 @@
 			}
 			if (!v || !v->up || local(s, n) > c->u.call.not_after || n->cell)
 				break;
+			if (v->mute && strcmp(c->u.call.path, "/v1/order"))
+				break;
 			if (!strcmp(c->u.call.path, "/v1/order")) {
 				server_order(s, v, c->u.call.body);
 				break;
@@ -841,7 +907,7 @@
 			e.token = c->u.call.token;
 			e.status = 200;
 			server_report(v, (char **)&e.d);
-			e.at = s->now + 2;
+			e.at = s->now + 2 + v->late;
 			push(s, e);
 			break;
 		}
@@ -1202,6 +1268,14 @@
 	return -1;
 }
 
+int sim_store(struct sim *s)
+{
+	int v = sim_server(s, "store", "", "");
+
+	s->sv[v].is_store = 1;
+	return v;
+}
+
 uint64_t sim_call(struct sim *s, int node, const char *verb, const char *path, const char *body)
 {
 	size_t a = strlen(verb) + 1, b = strlen(path) + 1, c = strlen(body) + 1;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -46,6 +46,7 @@
 	int running;
 	int bad; /* 1 answers with another's mark, 2 skips a piece, 3 breaks off, 4 repeats a piece */
 	int refuse, slow; /* slow: ms between pieces */
+	int is_store, slow_link, hang, mute, late; /* fetches from it: times slower, never answered; reports: none, ms late */
 	int64_t departed; /* when its drain was acknowledged */
 };
 
@@ -63,7 +64,7 @@
 };
 
 /* One run at a server. */
-struct sim_run { uint64_t life, token, born, asking; int node, server, pieces, next, over, again; char xid[80], id[64]; };
+struct sim_run { uint64_t life, token, born, asking; int node, server, pieces, next, over, again, fetch_ms, fetched; char xid[80], id[64]; };
 
 /* One exchange as its caller knows it, and what servers did with its id. */
 struct sim_exch {
@@ -108,7 +109,7 @@
 	struct sim_run *run;        /* stb_ds */
 	struct { char *key; int64_t value; } *removed; /* digests of keys, when their removal was acknowledged */
 	struct { int64_t since; int walled; } wall[16];
-	uint64_t n_sends, n_firsts, n_whole, n_refused, n_unknown, n_fresh, n_tokens;
+	uint64_t n_sends, n_firsts, n_whole, n_refused, n_unknown, n_fresh, n_tokens, n_fetched, n_vain;
 	unsigned char link_cut[16][16]; /* one way, between the first nodes: from, to */
 };
 
@@ -145,6 +146,9 @@
 int sim_registrar(struct sim *s, const char *zone, const uint64_t *seeds, int nseeds);
 int sim_server(struct sim *s, const char *name, const char *service, const char *weights);
 
+/* A store of kept parts for all services; the table must name it. Example: v = sim_store(&s); */
+int sim_store(struct sim *s);
+
 /* Run until a time, or until done says so; 0 when an invariant broke. Example: assert(sim_run(&s, 5000, NULL)); */
 int sim_run(struct sim *s, int64_t ms, int (*done)(struct sim *));
 void sim_crash(struct sim *s, int node, int wipe);
--- a/tests/test_data.c
+++ b/tests/test_data.c
@@ -351,6 +351,113 @@
 	}
 }
 
+/* Walls both ways, roll-outs there and back and drains while parts are fetched between servers and from a store that
+ * keeps all it ever got; the store goes down and is back empty, links between servers are slow or hang in a fetch,
+ * reports are lost or late. No part of other weights, of a walled tenant or withdrawn at a known tick is ever used. */
+static void fetches_keep_within_walls(void **st)
+{
+	uint64_t first, seeds = seeds_of(10, &first), fetched = 0, vain = 0;
+
+	(void)st;
+	for (uint64_t seed = first; seed < first + seeds; seed++) {
+		struct sim s;
+		uint64_t rng = seed * 53;
+		char body[1000], sv[3][200];
+		int store, weights[3] = { 1, 1, 1 }, drained = -1, on;
+
+		sim_deploy(&s, seed, 4, 3, 9);
+		ok(&s);
+		store = sim_store(&s);
+		s.jitter = (int)(core_rand(&rng) % 30);
+		for (int k = 0; k < 22; k++) {
+			int t = (int)(core_rand(&rng) % 4), v = (int)(core_rand(&rng) % 9), l = (int)(core_rand(&rng) % 3);
+
+			switch (k ? core_rand(&rng) % 9 : 99) {
+			case 0: /* a wall goes up, or comes down */
+				on = !s.wall[t].walled;
+				s.wall[t].walled = 0; /* walled from the acknowledgement on, open from the asking on */
+				snprintf(body, sizeof body, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t%d\",\"share\":1,\"limit\":100,\"walled\":%s}]}", t, on ? "true" : "false");
+				must_change(&s, body, 12000);
+				s.wall[t].walled = on;
+				s.wall[t].since = s.now;
+				break;
+			case 1:
+				weights[l] = 3 - weights[l]; /* between two, there and back */
+				/* fall through */
+			case 99:
+				for (int i = 0; i < 3; i++)
+					snprintf(sv[i], sizeof sv[i], "{\"kind\":\"service\",\"name\":\"%s\",\"weights\":\"w%d\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000,\"store\":50000,\"addr\":\"%s\"}",
+					         lanes[i], weights[i], s.sv[store].addr);
+				snprintf(body, sizeof body, "{\"set\":[%s,%s,%s]}", sv[0], sv[1], sv[2]);
+				must_change(&s, body, 12000);
+				break;
+			case 2:
+				s.sv[store].up = !s.sv[store].up;
+				arrsetlen(s.sv[store].kept, 0);
+				break;
+			case 3: s.sv[v].slow_link = s.sv[v].slow_link ? 0 : 1 << core_rand(&rng) % 12; break;
+			case 4: s.sv[v].hang = !s.sv[v].hang; break;
+			case 5: s.sv[v].mute = !s.sv[v].mute; break;
+			case 6: s.sv[v].late = s.sv[v].late ? 0 : (int)(core_rand(&rng) % 1500); break;
+			case 7: s.sv[store].hang = !s.sv[store].hang; break;
+			default:
+				if (drained >= 0) {
+					s.sv[drained].departed = 0;
+					v = drained;
+				}
+				snprintf(body, sizeof body, "{\"set\":[{\"kind\":\"server\",\"name\":\"s%d\",\"service\":\"%s\",\"addr\":\"%s\",\"state\":\"%s\"}]}", v, lanes[v % 3], s.sv[v].addr,
+				         drained >= 0 ? "serving" : "draining");
+				must_change(&s, body, 12000);
+				if (drained < 0)
+					s.sv[v].departed = s.now;
+				drained = drained >= 0 ? -1 : v;
+			}
+			load(&s, &rng, 500 + (int64_t)(core_rand(&rng) % 4000), 15, 3);
+		}
+		all_told(&s);
+		fetched += s.n_fetched;
+		vain += s.n_vain;
+		sim_close(&s);
+	}
+	print_message("fetches among walls and roll-outs: %llu parts fetched, %llu fetches in vain, over %llu seeds\n", (unsigned long long)fetched,
+	              (unsigned long long)vain, (unsigned long long)seeds);
+	assert_true(fetched > 20 * seeds);
+}
+
+/* A server whose link hangs in the middle of fetches, or is a thousand times slower: nothing is lost by it but the time that
+ * reading anew would have taken, and soon nobody fetches from there; when the link is good again, they do. */
+static void slow_links_are_learned(void **st)
+{
+	(void)st;
+	for (int hang = 0; hang < 2; hang++) {
+		struct sim s;
+		uint64_t rng = 77, vain[3], fetched[3];
+
+		sim_deploy(&s, 7, 4, 1, 9);
+		matters = 400;
+		for (int phase = 0; phase < 3; phase++) {
+			for (int v = 0; v < 9; v++) {
+				s.sv[v].hang = hang && phase == 1;
+				s.sv[v].slow_link = !hang && phase == 1 ? 1000 : 0;
+			}
+			vain[phase] = s.n_vain;
+			fetched[phase] = s.n_fetched;
+			load(&s, &rng, phase == 2 ? 90000 : 20000, 15, 1);
+			vain[phase] = s.n_vain - vain[phase];
+			fetched[phase] = s.n_fetched - fetched[phase];
+		}
+		matters = 3;
+		all_told(&s);
+		assert_int_equal(s.n_unknown, 0);
+		print_message("links %s: fetches in vain before %llu, meanwhile %llu, after %llu; parts fetched %llu, %llu, %llu\n", hang ? "hang" : "are slow",
+		              (unsigned long long)vain[0], (unsigned long long)vain[1], (unsigned long long)vain[2], (unsigned long long)fetched[0],
+		              (unsigned long long)fetched[1], (unsigned long long)fetched[2]);
+		assert_true(vain[1] <= 2 * 18); /* each pair of servers of a service once, and once more when it is half forgotten */
+		assert_true(fetched[0] && fetched[2]);
+		sim_close(&s);
+	}
+}
+
 /* A server that answers for another, skips, repeats or breaks off is never passed on as a whole answer. */
 static void bad_answers_end_as_errors(void **st)
 {
@@ -845,6 +952,8 @@
 		cmocka_unit_test(decisions_under_load),
 		cmocka_unit_test(storm_under_load),
 		cmocka_unit_test(weights_reach_every_server),
+		cmocka_unit_test(fetches_keep_within_walls),
+		cmocka_unit_test(slow_links_are_learned),
 		cmocka_unit_test(bad_answers_end_as_errors),
 		cmocka_unit_test(refusing_servers_keep_the_budget),
 		cmocka_unit_test(removed_key_ends_its_streams),
