--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -23,6 +23,14 @@
 	return part_licensed(&r->part[part], now) && r->was_owner[part] == r->part[part].term;
 }
 
+/* Who owns a part, as far as this member has heard within its promise; an older word would send others to the dead. */
+static uint64_t owner_hint(const struct reg *r, uint32_t part, int64_t now)
+{
+	const struct part *p = &r->part[part];
+
+	return now < p->promise || part_licensed(p, now) ? p->owner_addr : 0;
+}
+
 static struct reg_svc *svc_of(struct reg *r, uint32_t part)
 {
 	return part >= PART_SERVICE && part < PART_COUNT ? &r->svc[part - PART_SERVICE] : NULL;
@@ -474,7 +482,7 @@
 	fits = m->part == PART_CTL ? q->op->op_case == NL__OP__OP_CHANGE
 	       : svc_of(r, m->part) ? q->op->op_case == NL__OP__OP_CLAIM : 0;
 	if (!in_office(r, m->part, now)) {
-		send_answer(r, m->addr, q->token, TABLE_NOT_OWNER, "", r->part[m->part].owner_addr, o);
+		send_answer(r, m->addr, q->token, TABLE_NOT_OWNER, "", owner_hint(r, m->part, now), o);
 		return;
 	}
 	if (!fits)
@@ -604,7 +612,7 @@
 	a->token = q->token;
 	a->fleet = r->fleet;
 	a->licensed = in_office(r, PART_CTL, now);
-	a->hint = r->part[PART_CTL].owner_addr;
+	a->hint = owner_hint(r, PART_CTL, now);
 	if (!a->hint && r->f.seat[PART_CTL] != o->addr)
 		a->hint = r->f.seat[PART_CTL];
 	if (!a->licensed)
@@ -671,7 +679,7 @@
 	if (!in_office(r, m->part, now)) {
 		struct Nl__Owner *w = OUT_NEW(o, Nl__Owner, NL__OWNER__INIT);
 
-		w->owner = r->part[m->part].owner_addr;
+		w->owner = owner_hint(r, m->part, now);
 		out_msg(o, m->addr, m->part, NL__MSG__BODY_OWNER)->owner = w;
 		return;
 	}
@@ -1397,7 +1405,7 @@
 		if (!r->relay.publisher || !in_office(r, PART_PURGE, now)) {
 			struct Nl__Owner *w = OUT_NEW(o, Nl__Owner, NL__OWNER__INIT);
 
-			w->owner = r->part[PART_PURGE].owner_addr;
+			w->owner = owner_hint(r, PART_PURGE, now);
 			out_msg(o, m->addr, PART_PURGE, NL__MSG__BODY_OWNER)->owner = w;
 			break;
 		}
--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -187,10 +187,14 @@
 	return s;
 }
 
-static void claim_msg(struct ctr *c, uint32_t service, uint32_t tenant, const char *id, uint64_t seq, int release, uint64_t token,
-                      struct out *o)
+static uint32_t part_of(const struct ctr *c, uint32_t service) { return core_part_of(c->services.name[service], PART_SERVICES); }
+
+/* Ask the part's owner, as far as it is known; whom. */
+static uint64_t claim_msg(struct ctr *c, uint32_t service, uint32_t tenant, const char *id, uint64_t seq, int release, uint64_t token,
+                          struct out *o)
 {
-	uint32_t part = core_part_of(c->services.name[service], PART_SERVICES);
+	uint32_t part = part_of(c, service);
+	uint64_t to = follow_seat(&c->f, part);
 	struct Nl__Propose *q = OUT_NEW(o, Nl__Propose, NL__PROPOSE__INIT);
 
 	q->op = OUT_NEW(o, Nl__Op, NL__OP__INIT);
@@ -203,22 +207,30 @@
 	q->op->claim->release = release;
 	q->token = token;
 	c->n.claims++;
-	out_msg(o, follow_seat(&c->f, part), part, NL__MSG__BODY_PROPOSE)->propose = q;
+	out_msg(o, to, part, NL__MSG__BODY_PROPOSE)->propose = q;
+	return to;
+}
+
+/* Who was asked does not answer: ask another, unless that has been decided meanwhile. */
+static void claim_miss(struct ctr *c, uint32_t service, uint64_t asked)
+{
+	if (follow_seat(&c->f, part_of(c, service)) == asked)
+		follow_miss(&c->f, part_of(c, service));
 }
 
 static void claim_send(struct ctr *c, struct xch *x, int64_t now, struct out *o)
 {
 	x->claim_at = now;
-	claim_msg(c, x->service, x->tenant, x->id, x->seq, 0, x->claim, o);
+	x->asked = claim_msg(c, x->service, x->tenant, x->id, x->seq, 0, x->claim, o);
 }
 
 /* The id may be used again: said until the part has heard it. */
 static void claim_release(struct ctr *c, const struct xch *x, int64_t now, struct out *o)
 {
-	struct ctr_release r = { token_new(c), x->seq, x->service, x->tenant, strdup(x->id), now, now + CTR_RELEASE };
+	struct ctr_release r = { token_new(c), x->seq, 0, x->service, x->tenant, strdup(x->id), now, now + CTR_RELEASE };
 
+	r.asked = claim_msg(c, r.service, r.tenant, r.id, r.seq, 1, r.token, o);
 	arrput(c->release, r);
-	claim_msg(c, r.service, r.tenant, r.id, r.seq, 1, r.token, o);
 }
 
 static void release_end(struct ctr *c, ptrdiff_t i)
@@ -236,7 +248,8 @@
 			release_end(c, i);
 		} else if (now - r->at >= CTR_CLAIM_WAIT) {
 			r->at = now;
-			claim_msg(c, r->service, r->tenant, r->id, r->seq, 1, r->token, o);
+			claim_miss(c, r->service, r->asked);
+			r->asked = claim_msg(c, r->service, r->tenant, r->id, r->seq, 1, r->token, o);
 		}
 	}
 }
@@ -809,7 +822,7 @@
 			continue;
 		}
 		x->claim = token_new(c);
-		x->claim_born = x->claim_from = now;
+		x->claim_from = now;
 		hmput(c->by, x->claim, x);
 		claim_send(c, x, now, o);
 	}
@@ -817,15 +830,23 @@
 
 /* ---- answers ------------------------------------------------------------------------------ */
 
-static void on_answer(struct ctr *c, const struct Nl__Answer *a, int64_t now, struct out *o)
+/* Who was asked is not the owner, and may know who is. A late word about another guess moves nothing. */
+static void claim_hint(struct ctr *c, uint32_t service, uint64_t asked, uint64_t from, uint64_t hint)
+{
+	if (asked == from && follow_seat(&c->f, part_of(c, service)) == asked)
+		follow_hint(&c->f, part_of(c, service), hint == from ? 0 : hint);
+}
+
+static void on_answer(struct ctr *c, const struct Nl__Answer *a, uint64_t from, int64_t now, struct out *o)
 {
 	struct xch *x = xch_by(c, a->token);
 
 	for (ptrdiff_t i = 0; i < arrlen(c->release); i++)
 		if (c->release[i].token == a->token) {
 			if (a->status == TABLE_NOT_OWNER) {
-				follow_hint(&c->f, core_part_of(c->services.name[c->release[i].service], PART_SERVICES), a->hint);
+				claim_hint(c, c->release[i].service, c->release[i].asked, from, a->hint);
 				c->release[i].at = now - CTR_CLAIM_WAIT + 50;
+				c->release[i].asked = 0;
 			} else if (a->status != TABLE_BUSY) {
 				release_end(c, i);
 			}
@@ -836,10 +857,12 @@
 	switch (a->status) {
 	case TABLE_DONE:
 		x->claimed = 1;
+		follow_hint(&c->f, part_of(c, x->service), from); /* who answers owns */
 		send_claimed(c, x, now, o);
 		break;
 	case TABLE_NOT_OWNER:
-		follow_hint(&c->f, core_part_of(c->services.name[x->service], PART_SERVICES), a->hint);
+		claim_hint(c, x->service, x->asked, from, a->hint);
+		x->asked = 0; /* it did answer */
 		x->claim_at = now - CTR_CLAIM_WAIT + 20; /* ask the one named, soon */
 		break;
 	case TABLE_BUSY: x->claim_at = now - CTR_CLAIM_WAIT + 50; break;
@@ -1178,9 +1201,7 @@
 			refuse(c, x, 503, "the part of this service has no owner that answers", CTR_RETRY, now, o);
 		} else if (x->state == XCH_CLAIMING && !x->claimed && now - x->claim_at >= CTR_CLAIM_WAIT) {
 			/* the same claim again: a part takes it once however often it is asked */
-			if (now - x->claim_born > CTR_CLAIM_WAIT)
-				follow_miss(&c->f, core_part_of(c->services.name[x->service], PART_SERVICES));
-			x->claim_born = now;
+			claim_miss(c, x->service, x->asked);
 			claim_send(c, x, now, o);
 		}
 	}
@@ -1199,7 +1220,7 @@
 	case NL__MSG__BODY_KNOWLEDGE:
 	case NL__MSG__BODY_PURGE_SNAP:
 	case NL__MSG__BODY_CURIOSITY: relay_msg(&c->relay, m, now, o); break;
-	case NL__MSG__BODY_ANSWER: on_answer(c, m->answer, now, o); break;
+	case NL__MSG__BODY_ANSWER: on_answer(c, m->answer, m->addr, now, o); break;
 	case NL__MSG__BODY_REPORT: on_passed_report(c, m->report, now, o); break;
 	case NL__MSG__BODY_FOLLOW: { /* a seed need not be a registrar: say whom to ask */
 		struct Nl__FollowReply *a = OUT_NEW(o, Nl__FollowReply, NL__FOLLOW_REPLY__INIT);
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -76,7 +76,8 @@
 	apr_pool_t *p;
 	char *digest, *id, *xid, *tail;
 	uint32_t lane, tenant, service;
-	int64_t limit, since, claim_at, sent_at, claim_born, claim_from;
+	int64_t limit, since, claim_at, sent_at, claim_from;
+	uint64_t asked;     /* the registrar that was asked for the claim */
 	int nparts, claimed, begun, sends, resend_paid;
 	uint64_t hash[CTR_PARTS];
 	const char *text[CTR_PARTS];
@@ -106,7 +107,7 @@
 struct ctr_pair { uint64_t key; struct { double slow; int64_t at; } value; };
 
 /* A claim that is given back, asked again until the part has heard of it. */
-struct ctr_release { uint64_t token, seq; uint32_t service, tenant; char *id; int64_t at, until; };
+struct ctr_release { uint64_t token, seq, asked; uint32_t service, tenant; char *id; int64_t at, until; };
 
 struct ctr_counts {
 	uint64_t taken, answered, refused, unknown, sends, resends, pieces, tokens, reused, fetched, cold, claims;
--- a/tests/test_data.c
+++ b/tests/test_data.c
@@ -458,6 +458,191 @@
 	}
 }
 
+enum { L_OWNER, L_TWO_AT_ONCE, L_ALL_POWER, L_ZONE, L_FROZEN, L_SPLIT, L_ONE_WAY, L_STALLED, L_FULL, L_COUNTERS, L_SERVICE, L_EMPTY, L_STORM, L_LARGE, L_FAULTS };
+
+static void replace_registrar(struct sim *s, int old)
+{
+	uint64_t seeds[3];
+	int n = 0;
+
+	sim_crash(s, old, 1);
+	for (int i = 0; i < SIM_REGS && n < 2; i++)
+		if (s->n[i].used && s->n[i].up)
+			seeds[n++] = s->n[i].addr;
+	seeds[n++] = s->n[old].addr; /* where nobody answers */
+	sim_registrar(s, s->n[old].zone, seeds, n);
+}
+
+static void bring_about(struct sim *s, int fault, uint64_t *rng)
+{
+	int owner = sim_owner(s, PART_CTL), r = (int)(core_rand(rng) % 4);
+	char *body;
+	size_t k;
+
+	switch (fault) {
+	case L_OWNER: sim_crash(s, owner, 0); break;
+	case L_TWO_AT_ONCE: sim_crash(s, owner, 0); sim_crash(s, (owner + 1) % 4, 0); sim_crash(s, SIM_REGS, 0); break;
+	case L_ALL_POWER:
+		for (int i = 0; i < 4; i++)
+			sim_crash(s, i, 0);
+		break;
+	case L_ZONE: /* all that stands in one zone: a registrar, counters, servers */
+		sim_crash(s, r, 0);
+		for (int i = SIM_REGS; i < SIM_NODES; i++)
+			if (s->n[i].used && !strcmp(s->n[i].zone, s->n[r].zone))
+				sim_crash(s, i, 0);
+		for (int i = r; i < 9; i += 4)
+			s->sv[i].up = 0;
+		break;
+	case L_FROZEN: sim_freeze(s, owner, 1); sim_freeze(s, SIM_REGS + 1, 1); break;
+	case L_SPLIT: /* two and two */
+		sim_cut(s, r, 1);
+		sim_cut(s, (r + 1) % 4, 1);
+		break;
+	case L_ONE_WAY:
+		for (int i = 0; i < 16; i++)
+			s->link_cut[owner][i] = 1;
+		break;
+	case L_STALLED: s->n[owner].stall_until = s->now + 8000; break;
+	case L_FULL: /* it takes nothing more until there is room again; two machines */
+		s->n[owner].stall_until = s->n[(owner + 1) % 4].stall_until = s->now + 9000;
+		break;
+	case L_COUNTERS:
+		for (int i = SIM_REGS; i < SIM_REGS + 2; i++)
+			sim_crash(s, i, 0);
+		break;
+	case L_SERVICE:
+		for (int i = 0; i < 9; i += 3) {
+			s->sv[i].up = 0;
+			arrsetlen(s->sv[i].kept, 0);
+		}
+		break;
+	case L_EMPTY: replace_registrar(s, owner); break;
+	case L_STORM:
+		for (int i = 0; i < 200; i++) {
+			char b[200];
+
+			snprintf(b, sizeof b, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t%d\",\"share\":%d,\"limit\":100}]}", i % 4, 1 + i % 9);
+			sim_call(s, i % 4, "POST", "/v1/change", b);
+			sim_run(s, 10, NULL);
+			if (i == 100)
+				sim_crash(s, owner, 0);
+		}
+		break;
+	case L_LARGE: /* four thousand rows at once, and the owner dies */
+		body = malloc(4000 * 100);
+		k = (size_t)sprintf(body, "{\"set\":[");
+		for (int i = 0; i < 4000; i++)
+			k += (size_t)sprintf(body + k, "%s{\"kind\":\"tenant\",\"name\":\"estate-%d\",\"share\":1,\"limit\":10}", i ? "," : "", i);
+		sprintf(body + k, "]}");
+		must_change(s, body, 12000);
+		free(body);
+		sim_crash(s, owner, 0);
+		break;
+	default: break;
+	}
+}
+
+static void mend(struct sim *s)
+{
+	memset(s->link_cut, 0, sizeof s->link_cut);
+	for (int i = 0; i < SIM_NODES; i++) {
+		sim_cut(s, i, 0);
+		if (s->n[i].used && s->n[i].up)
+			sim_freeze(s, i, 0);
+		if (s->n[i].used && !s->n[i].up && s->n[i].disk.made + s->n[i].counter)
+			sim_start(s, i);
+	}
+	for (int i = 0; i < 9; i++)
+		s->sv[i].up = 1;
+}
+
+static int any_up(const struct sim *s)
+{
+	int i = 0;
+
+	while (!s->n[i].used || !s->n[i].up)
+		i++;
+	return i;
+}
+
+/* Each fault of the brief, healed as it would be; then one more that is not: the configuration's owner dies for good.
+ * Time until a change is acknowledged, and until every lane is answered whole at every counter. */
+static void each_fault_and_one_more(void **st)
+{
+	static const char *const names[] = { "owner killed", "two registrars and a counter killed at once", "all registrars lose power", "a zone lost",
+		"owner and a counter freeze", "core split in two", "owner heard by nobody", "owner's disk stalls", "two disks full", "counters killed",
+		"a service replaced at once", "owner swapped for an empty machine", "storm of changes, owner dies", "very large change, owner dies" };
+	uint64_t first, seeds = seeds_of(2, &first);
+
+	(void)st;
+	for (int fault = 0; fault < L_FAULTS; fault++) {
+		int64_t *lanes_ms = NULL, *change_ms = NULL;
+		char what[160];
+
+		for (uint64_t seed = first; seed < first + seeds; seed++) {
+			struct sim s;
+			uint64_t rng = seed * 211 + (uint64_t)fault;
+			int64_t from, acked = 0;
+			int owner, left = 9, seen[3][3] = { { 0 } };
+			uint64_t call = 0;
+			ptrdiff_t asked;
+
+			sim_deploy(&s, seed, 4, 3, 9);
+			ok(&s);
+			load(&s, &rng, 500 + (int64_t)(core_rand(&rng) % 500), 30, 3);
+			bring_about(&s, fault, &rng);
+			load(&s, &rng, 3000 + (int64_t)(core_rand(&rng) % 5000), 30, 3);
+			mend(&s);
+			load(&s, &rng, 15000, 30, 3); /* long enough for a group to mend itself */
+			owner = sim_owner(&s, PART_CTL);
+			if (owner < 0)
+				fail_msg("seed %llu, %s: no owner 15 s after it was mended", (unsigned long long)seed, names[fault]);
+			sim_crash(&s, owner, 0);
+			from = s.now;
+			asked = arrlen(s.x);
+			while (left || !acked) {
+				for (int k = 0; k < 9; k++) {
+					char id[40];
+
+					snprintf(id, sizeof id, "l%lld-%d", (long long)s.now, k);
+					sim_ask(&s, SIM_REGS + k % 3, id, k % 4, lanes[k / 3], 0);
+				}
+				if (!acked && (!call || (sim_answer(&s, call) && sim_answer(&s, call)->status != 200)))
+					call = sim_call(&s, any_up(&s), "POST", "/v1/change", "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t1\",\"share\":7,\"limit\":100}]}");
+				sim_run(&s, 100, NULL);
+				ok(&s);
+				if (!acked && sim_answer(&s, call) && sim_answer(&s, call)->status == 200)
+					acked = sim_answer(&s, call)->at;
+				for (ptrdiff_t i = asked; i < arrlen(s.x); i++) {
+					int lane = s.x[i].lane[0] == 'a' ? 0 : s.x[i].lane[0] == 'r' ? 1 : 2, *at = &seen[s.x[i].node - SIM_REGS][lane];
+
+					if (s.x[i].told == SIM_WHOLE && !*at) {
+						*at = 1;
+						left--;
+					}
+				}
+				if (s.now - from > 12000)
+					fail_msg("seed %llu, %s: 12 s after the last fault %d of 9 lanes at counters are not answered, change %s", (unsigned long long)seed,
+					         names[fault], left, acked ? "acknowledged" : "not acknowledged");
+				if (!left && arrlen(lanes_ms) == (ptrdiff_t)(seed - first))
+					arrput(lanes_ms, s.now - from);
+			}
+			if (acked - from > 6000)
+				print_message("seed %llu, %s: change %lld\n", (unsigned long long)seed, names[fault], (long long)(acked - from));
+			arrput(change_ms, acked - from);
+			all_told(&s);
+			sim_close(&s);
+		}
+		snprintf(what, sizeof what, "%s, then the owner: all lanes", names[fault]);
+		print_spread(what, lanes_ms);
+		snprintf(what, sizeof what, "%s, then the owner: a change", names[fault]);
+		print_spread(what, change_ms);
+		arrfree(lanes_ms);
+		arrfree(change_ms);
+	}
+}
+
 /* A server that answers for another, skips, repeats or breaks off is never passed on as a whole answer. */
 static void bad_answers_end_as_errors(void **st)
 {
@@ -952,6 +1137,7 @@
 		cmocka_unit_test(decisions_under_load),
 		cmocka_unit_test(storm_under_load),
 		cmocka_unit_test(weights_reach_every_server),
+		cmocka_unit_test(each_fault_and_one_more),
 		cmocka_unit_test(fetches_keep_within_walls),
 		cmocka_unit_test(slow_links_are_learned),
 		cmocka_unit_test(bad_answers_end_as_errors),
