rehearsal: liars, slow and hanging links, seeds exchanged, a torn file, a zone lost

Servers that mark pieces as another's, skip, repeat, break off or fall silent; links 200 times slower, then hanging in fetches, with walls going up and down; all three seeds exchanged for empty machines at other addresses, a counter that only knows the new ones, then the owner dies; a torn data file, refused with its remedy; all machines of a zone gone at once, then one more.

--- a/rehearsal/run.c
+++ b/rehearsal/run.c
@@ -824,6 +824,11 @@
 	nap(2000);
 }
 
+static void server_fault(struct fleet *f, int i, const char *what)
+{
+	http_do("POST", pick(f, SERVER, i)->web, "/fault", NULL, what, 1000, NULL);
+}
+
 static void sc_store(struct fleet *f)
 {
 	struct node *n = pick(f, STORE, 0);
@@ -834,15 +839,142 @@
 	restart(f, n);
 	nap(5000);
 	fault(f, "reports are lost and late");
-	http_do("POST", pick(f, SERVER, 0)->web, "/fault", NULL, "{\"drop_reports\":1}", 1000, NULL);
-	http_do("POST", pick(f, SERVER, 1)->web, "/fault", NULL, "{\"late_reports\":700}", 1000, NULL);
+	server_fault(f, 0, "{\"drop_reports\":1}");
+	server_fault(f, 1, "{\"late_reports\":700}");
 	tenant(f, 0, 1);
 	nap(5000);
-	http_do("POST", pick(f, SERVER, 0)->web, "/fault", NULL, "{}", 1000, NULL);
-	http_do("POST", pick(f, SERVER, 1)->web, "/fault", NULL, "{}", 1000, NULL);
+	server_fault(f, 0, "{}");
+	server_fault(f, 1, "{}");
 	nap(3000);
 }
 
+/* Servers whose answers are not their own, or not whole: two of them, one kind of lie after the other. */
+static void sc_liars(struct fleet *f)
+{
+	char b[40];
+
+	for (int lie = 1; lie <= 5; lie++) {
+		fault(f, lie == 1 ? "servers answer with another's mark" : lie == 2 ? "servers leave pieces out" : lie == 3 ? "servers break off"
+		         : lie == 4 ? "servers repeat pieces" : "servers fall silent in the middle");
+		snprintf(b, sizeof b, "{\"liar\":%d}", lie);
+		server_fault(f, 0, b);
+		server_fault(f, 4, b);
+		nap(2500);
+		server_fault(f, 0, "{}");
+		server_fault(f, 4, "{}");
+		nap(500);
+	}
+	nap(2000);
+}
+
+/* Links between servers: two hundred times slower, then hanging in the middle of fetches; walls go up meanwhile. */
+static void sc_links(struct fleet *f)
+{
+	static const char *const what[] = { "{\"slow_link\":200}", "{\"hang_fetch\":5000}" };
+
+	for (int k = 0; k < 2; k++) {
+		fault(f, k ? "fetches hang" : "links between servers are slow");
+		for (int i = 0; i < f->nsrv; i++)
+			server_fault(f, i, what[k]);
+		nap(3000);
+		tenant(f, 1, !k);
+		nap(4000);
+		for (int i = 0; i < f->nsrv; i++)
+			server_fault(f, i, "{}");
+		nap(3000);
+	}
+}
+
+/* All seed machines are exchanged, one by one, for empty ones at other addresses; then a counter starts that only knows
+ * new ones, and the owner dies. */
+static void sc_seeds(struct fleet *f)
+{
+	char path[800];
+	struct node *c = pick(f, COUNTER, 0);
+
+	for (int i = 0; i < 3; i++) {
+		struct node *n = pick(f, REGISTRAR, i), *m;
+
+		fault(f, "a seed machine is exchanged for an empty one at another address");
+		end_proc(n, SIGKILL);
+		snprintf(path, sizeof path, "%s/registrar.tdb", n->data);
+		unlink(path);
+		m = add(f, REGISTRAR, f->nreg);
+		snprintf(f->seeds[i], sizeof f->seeds[i], "%s", m->adv);
+		start(f, m, 0);
+		f->nreg++;
+		tenant(f, 5, i & 1);
+		nap(14000); /* the groups mend themselves: six seconds until the dead one is given up, then copies */
+	}
+	fault(f, "a counter starts that only knows the new seeds");
+	end_proc(c, SIGKILL);
+	restart(f, c);
+	tenant(f, 6, 1);
+	nap(4000);
+	fault(f, "and the owner is killed");
+	end_proc(pick(f, REGISTRAR, owner_wait(f, 0)), SIGKILL);
+	tenant(f, 6, 0);
+	nap(8000);
+}
+
+/* A registrar's file is torn while it is down: it is refused with a word, moved away, and the machine joins as a new one. */
+static void sc_torn(struct fleet *f)
+{
+	struct node *n = pick(f, REGISTRAR, owner_wait(f, 0));
+	char path[800], away[900];
+	struct stat st;
+	int fd, was = 0;
+
+	tenant(f, 5, 1);
+	fault(f, "a registrar loses power, and its file is torn");
+	end_proc(n, SIGKILL);
+	snprintf(path, sizeof path, "%s/registrar.tdb", n->data);
+	snprintf(away, sizeof away, "%s.torn", path);
+	fd = open(path, O_RDWR);
+	if (fd < 0 || fstat(fd, &st) || ftruncate(fd, st.st_size / 3))
+		note(f, "missed", "what", "the file could not be torn");
+	close(fd);
+	restart(f, n);
+	for (int i = 0; i < 100 && was != n->pid; i++) {
+		nap(100);
+		was = waitpid(n->pid, NULL, WNOHANG);
+	}
+	if (was != n->pid)
+		note(f, "missed", "what", "a registrar starts with a torn file");
+	else
+		n->pid = 0;
+	bitten(f, n, "tep check");
+	rename(path, away);
+	restart(f, n);
+	tenant(f, 6, 1);
+	nap(14000);
+	fault(f, "the owner is killed");
+	end_proc(pick(f, REGISTRAR, owner_wait(f, 0)), SIGKILL);
+	tenant(f, 6, 0);
+	nap(8000);
+}
+
+/* All that stands in one zone is gone at once, and stays away. */
+static void sc_zone(struct fleet *f)
+{
+	fault(f, "all machines of a zone are gone");
+	for (int i = 0; i < f->nn; i++)
+		if ((f->n[i].kind == REGISTRAR || f->n[i].kind == COUNTER || f->n[i].kind == SERVER) && !strcmp(f->n[i].zone, "z2"))
+			end_proc(&f->n[i], SIGKILL);
+	tenant(f, 5, 1);
+	key(f, 7, 0);
+	nap(14000);
+	fault(f, "and then a registrar elsewhere");
+	end_proc(pick(f, REGISTRAR, owner_wait(f, 0)), SIGKILL);
+	tenant(f, 5, 0);
+	key(f, 7, 1);
+	nap(9000);
+	for (int i = 0; i < f->nn; i++)
+		if (!f->n[i].pid && f->n[i].kind != STORE)
+			restart(f, &f->n[i]);
+	nap(6000);
+}
+
 /* Ten times the callers for a while, and servers that refuse in the middle of it. */
 static void sc_overload(struct fleet *f)
 {
@@ -855,10 +987,10 @@
 	nap(5000);
 	fault(f, "a third of the servers refuse under overload");
 	for (int i = 0; i < f->nsrv; i += 3)
-		http_do("POST", pick(f, SERVER, i)->web, "/fault", NULL, "{\"refuse\":1}", 1000, NULL);
+		server_fault(f, i, "{\"refuse\":1}");
 	nap(4000);
 	for (int i = 0; i < f->nsrv; i += 3)
-		http_do("POST", pick(f, SERVER, i)->web, "/fault", NULL, "{}", 1000, NULL);
+		server_fault(f, i, "{}");
 	callers_stop(more);
 	nap(2000);
 }
@@ -1085,6 +1217,11 @@
 	{ "wall", "a tenant is walled off and let back while its streams run", sc_wall },
 	{ "revoke", "a key is removed while its callers go on", sc_revoke },
 	{ "store", "the store goes down and comes back empty; reports lost and late", sc_store },
+	{ "liars", "servers that answer with another's pieces, skip, repeat, break off or fall silent", sc_liars },
+	{ "links", "links between servers slow down and hang in the middle of fetches", sc_links },
+	{ "seeds", "the seed machines are exchanged one by one, then the owner dies", sc_seeds },
+	{ "torn", "a registrar's file is torn; it joins anew, then the owner dies", sc_torn },
+	{ "zone", "all machines of one zone are gone at once, then one more", sc_zone },
 	{ "overload", "ten times the callers, and servers that refuse meanwhile", sc_overload },
 	{ "storm", "a storm of configurations, and racing operators", sc_storm },
 	{ "large", "a very large configuration, then its owner dies", sc_large },
