--- a/lib/shell/base.c
+++ b/lib/shell/base.c
@@ -1,5 +1,6 @@
 /* log, clock, ring, events */
 #include <errno.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -42,54 +43,68 @@
 	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
+/* POSIX and not APR: APR's timed wait goes by the wall clock, and lasts an hour when that is set back by one. */
 struct ring {
-	apr_thread_mutex_t *m;
-	apr_thread_cond_t *some, *room;
+	pthread_mutex_t m;
+	pthread_cond_t some, room;
 	size_t cap, head, n;
 	void **v;
 };
 
 void ring_open(struct ring **r, size_t cap, apr_pool_t *p)
 {
+	pthread_condattr_t a;
+
 	*r = apr_pcalloc(p, sizeof **r);
 	(*r)->cap = cap;
 	(*r)->v = apr_pcalloc(p, cap * sizeof(void *));
-	apr_thread_mutex_create(&(*r)->m, APR_THREAD_MUTEX_DEFAULT, p);
-	apr_thread_cond_create(&(*r)->some, p);
-	apr_thread_cond_create(&(*r)->room, p);
+	pthread_mutex_init(&(*r)->m, NULL);
+	pthread_condattr_init(&a);
+	pthread_condattr_setclock(&a, CLOCK_MONOTONIC);
+	pthread_cond_init(&(*r)->some, &a);
+	pthread_cond_init(&(*r)->room, &a);
+	pthread_condattr_destroy(&a);
 }
 
 int ring_push(struct ring *r, void *v, int wait)
 {
 	int ok = 1;
 
-	apr_thread_mutex_lock(r->m);
+	pthread_mutex_lock(&r->m);
 	while (r->n == r->cap && wait)
-		apr_thread_cond_wait(r->room, r->m);
+		pthread_cond_wait(&r->room, &r->m);
 	if (r->n < r->cap) {
 		r->v[(r->head + r->n++) % r->cap] = v;
-		apr_thread_cond_signal(r->some);
+		pthread_cond_signal(&r->some);
 	} else {
 		ok = 0;
 	}
-	apr_thread_mutex_unlock(r->m);
+	pthread_mutex_unlock(&r->m);
 	return ok;
 }
 
 void *ring_pop(struct ring *r, int ms)
 {
+	struct timespec until;
 	void *v = NULL;
 
-	apr_thread_mutex_lock(r->m);
+	clock_gettime(CLOCK_MONOTONIC, &until);
+	until.tv_sec += ms / 1000;
+	until.tv_nsec += ms % 1000 * 1000000L;
+	if (until.tv_nsec >= 1000000000L) {
+		until.tv_sec++;
+		until.tv_nsec -= 1000000000L;
+	}
+	pthread_mutex_lock(&r->m);
 	if (!r->n && ms > 0)
-		apr_thread_cond_timedwait(r->some, r->m, (apr_interval_time_t)ms * 1000);
+		pthread_cond_timedwait(&r->some, &r->m, &until);
 	if (r->n) {
 		v = r->v[r->head];
 		r->head = (r->head + 1) % r->cap;
 		r->n--;
-		apr_thread_cond_signal(r->room);
+		pthread_cond_signal(&r->room);
 	}
-	apr_thread_mutex_unlock(r->m);
+	pthread_mutex_unlock(&r->m);
 	return v;
 }
 
--- a/tests/test_shell.c
+++ b/tests/test_shell.c
@@ -105,6 +105,55 @@
 	return now;
 }
 
+/* The wall clock as libraries read it: an hour ahead of the kernel's when armed, as if it were set back by an hour
+ * between a reading and the wait that follows. */
+static int wall_jump;
+#include <sys/time.h>
+int gettimeofday(struct timeval *restrict tv, void *restrict tz)
+{
+	struct timespec ts;
+
+	(void)tz;
+	clock_gettime(CLOCK_REALTIME, &ts);
+	tv->tv_sec = ts.tv_sec + (wall_jump ? 3600 : 0);
+	tv->tv_usec = ts.tv_nsec / 1000;
+	return 0;
+}
+
+static void *pop_once(void *arg)
+{
+	struct { struct ring *r; int done; } *x = arg;
+
+	(void)ring_pop(x->r, 20);
+	__atomic_store_n(&x->done, 1, __ATOMIC_SEQ_CST);
+	return NULL;
+}
+
+/* The owner of the state waits for events by a clock that nobody sets. */
+static void a_wall_clock_set_back_stops_nothing(void **st)
+{
+	struct { struct ring *r; int done; } x = { NULL, 0 };
+	apr_pool_t *p;
+	pthread_t t;
+	int64_t end = clock_ms() + LIMIT;
+	int in_time;
+
+	(void)st;
+	apr_pool_create(&p, NULL);
+	ring_open(&x.r, 4, p);
+	wall_jump = 1;
+	pthread_create(&t, NULL, pop_once, &x);
+	while (!__atomic_load_n(&x.done, __ATOMIC_SEQ_CST) && clock_ms() < end)
+		sched_yield();
+	in_time = __atomic_load_n(&x.done, __ATOMIC_SEQ_CST);
+	wall_jump = 0;
+	if (!in_time)
+		ring_push(x.r, &x, 0); /* so that the thread ends */
+	pthread_join(t, NULL);
+	assert_int_equal(in_time, 1);
+	apr_pool_destroy(p);
+}
+
 static void a_send_goes_out_once(void **st)
 {
 	apr_pool_t *p;
@@ -642,6 +691,7 @@
 int main(void)
 {
 	const struct CMUnitTest t[] = {
+		cmocka_unit_test(a_wall_clock_set_back_stops_nothing),
 		cmocka_unit_test(a_send_goes_out_once),
 		cmocka_unit_test(folder_keeps_what_was_synced),
 		cmocka_unit_test(full_disk_acknowledges_nothing),
