--- a/lib/core/part.c
+++ b/lib/core/part.c
@@ -511,11 +511,13 @@
 static void take_snapshot(struct part *p, uint64_t index, uint64_t term, const uint8_t *mem, size_t mem_len,
                           const uint8_t *d, size_t n)
 {
+	uint8_t *members = copy(mem, mem_len); /* what is given may be the last snapshot's own */
+
 	free(p->snap);
 	free(p->snap_members);
 	p->snap = copy(d, n);
 	p->snap_len = n;
-	p->snap_members = copy(mem, mem_len);
+	p->snap_members = members;
 	p->snap_members_len = mem_len;
 	p->snap_index = index;
 	p->snap_term = term;
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -233,6 +233,45 @@
 	}
 }
 
+/* A part's second snapshot and its third stand on the members of the first: all lose power after them, and the groups
+ * are what they were. */
+static void later_snapshots_keep_the_members(void **st)
+{
+	struct sim s;
+	uint64_t e;
+
+	(void)st;
+	sim_fleet(&s, 4, 4);
+	sim_run(&s, 3000, NULL);
+	for (int i = 0; i < 3 * PART_SNAP + 100; i++) {
+		char body[200];
+
+		snprintf(body, sizeof body, "{\"set\":[" TENANT("t%d", "%d") "]}", i % 7, 1 + i % 90);
+		sim_call(&s, i % 4, "POST", "/v1/change", body);
+		sim_run(&s, 2, NULL);
+		ok(&s);
+	}
+	sim_run(&s, 6000, NULL);
+	e = s.n[sim_owner(&s, PART_CTL)].r->ctl.edition;
+	assert_true(e > 2 * PART_SNAP + PART_SNAP / 2);
+	for (int i = 0; i < 4; i++) {
+		struct Nl__Members *m = nl__members__unpack(NULL, s.n[i].disk.p[PART_CTL].members_len, s.n[i].disk.p[PART_CTL].members);
+
+		if (s.n[i].r->part[PART_CTL].mn) { /* not the fourth, which keeps no copy */
+			assert_non_null(m);
+			assert_int_equal(m->n_m, 3);
+		}
+		if (m)
+			nl__members__free_unpacked(m, NULL);
+		sim_crash(&s, i, 0);
+	}
+	for (int i = 0; i < 4; i++)
+		sim_start(&s, i);
+	assert_true(sim_change(&s, "{\"set\":[" TENANT("teduh", "1") "]}", 12000) > e);
+	ok(&s);
+	sim_close(&s);
+}
+
 /* The publisher dies and stays away: every other node's horizon moves on under its successor. */
 static void publisher_lost_for_good(void **st)
 {
@@ -345,6 +384,7 @@
 		cmocka_unit_test(all_registrars_lose_power),
 		cmocka_unit_test(all_machines_replaced),
 		cmocka_unit_test(promises_outlast_a_restart),
+		cmocka_unit_test(later_snapshots_keep_the_members),
 		cmocka_unit_test(publisher_lost_for_good),
 		cmocka_unit_test(storm),
 	};
