Limits hold over the fleet: places handed out under licence by the configuration's owner

Cause: each counter took its share of a limit, rounded up: nine counters made 9 of a limit of 3, and a tenant whose callers use one counter got a ninth. Ways weighed: one owner asked for each exchange (a message each); places as rows in the log (a sync each); places in the answers to what counters ask anyway, as soft state of the configuration's owner: chosen. They end with the freshness that all else here ends with (4.5 s); the owner counts what a counter holds or may believe to hold, and a new owner gives nothing more until the last one's places have been heard of or have ended. Cost: at most 20 askings a second of a counter that lacks places.

--- a/lib/control/follow.c
+++ b/lib/control/follow.c
@@ -1,5 +1,6 @@
 #include "follow.h"
 
+#include <apr_strings.h>
 #include <string.h>
 
 #include "ds.h"
@@ -8,6 +9,7 @@
 {
 	memset(f, 0, sizeof *f);
 	table_open(&f->t);
+	sh_new_strdup(f->hold);
 	f->born = f->rng = born;
 	f->zone = f->web = "";
 	for (int i = 0; i < n && i < FOLLOW_SEATS; i++)
@@ -19,7 +21,48 @@
 	f->at = f->ncand ? (int)(core_rand(&f->rng) % (uint64_t)f->ncand) : 0;
 }
 
-void follow_close(struct follow *f) { table_close(&f->t); }
+void follow_close(struct follow *f)
+{
+	table_close(&f->t);
+	shfree(f->hold);
+}
+
+typeof(((struct follow_hold *)0)->value) *follow_hold(struct follow *f, const char *name)
+{
+	if (shgeti(f->hold, name) < 0)
+		shput(f->hold, name, ((typeof(f->hold->value)){ 0, 0, 0 }));
+	return &shgetp(f->hold, name)->value;
+}
+
+static void say_holds(struct follow *f, struct Nl__Follow *a, struct out *o)
+{
+	a->hold = apr_palloc(o->p, ((size_t)shlen(f->hold) + 1) * sizeof *a->hold);
+	for (ptrdiff_t i = shlen(f->hold) - 1; i >= 0; i--) {
+		struct Nl__Hold *h;
+
+		if (!f->hold[i].value.held && !f->hold[i].value.used && !f->hold[i].value.want) {
+			(void)shdel(f->hold, f->hold[i].key);
+			continue;
+		}
+		h = OUT_NEW(o, Nl__Hold, NL__HOLD__INIT);
+		h->name = apr_pstrdup(o->p, f->hold[i].key);
+		h->held = f->hold[i].value.held;
+		h->used = f->hold[i].value.used;
+		h->want = f->hold[i].value.want;
+		a->hold[a->n_hold++] = h;
+	}
+	a->applied = f->applied;
+}
+
+/* An older answer that comes late may say more than was given since. */
+static void take_places(struct follow *f, const struct Nl__FollowReply *r)
+{
+	if (r->token <= f->applied)
+		return;
+	f->applied = r->token;
+	for (size_t i = 0; i < r->n_place; i++)
+		follow_hold(f, r->place[i]->name)->held = r->place[i]->held;
+}
 
 int64_t follow_age(const struct follow *f, int64_t now) { return now - f->fresh; }
 
@@ -70,6 +113,7 @@
 	a->web = (char *)f->web;
 	a->counter = f->counter;
 	a->horizon = horizon;
+	say_holds(f, a, o);
 	f->asked[f->token % 16].token = f->token;
 	f->asked[f->token % 16].at = now;
 	f->last_ask = now;
@@ -134,6 +178,7 @@
 	if (!table_follow(&f->t, r))
 		return 0; /* an answer to an older asking; the next one fits */
 	f->fleet = r->fleet;
+	take_places(f, r);
 	if (asked > f->fresh)
 		f->fresh = asked;
 	f->nup = 0;
--- a/lib/control/follow.h
+++ b/lib/control/follow.h
@@ -10,12 +10,18 @@
 	FOLLOW_EVERY = 250,   /* ms between askings */
 	FOLLOW_WAIT = 300,    /* ms without an answer before another registrar is asked */
 	FOLLOW_CONFIG = 1700, /* ms after which new work is refused: the brief's 2 s, less what a send may take */
+	FOLLOW_RIDE = 4500,   /* ms after which all that is held ends: keys, places, exchanges */
 	FOLLOW_LOG = 500,     /* ms for which a publisher that does not answer is asked */
 	FOLLOW_SEATS = 32
 };
 
+/* Places under a limit, handed out by the configuration's owner. name: "tenant" or "lane/tenant". */
+struct follow_hold { char *key; struct { uint32_t held, used, want; } value; };
+
 struct follow {
 	struct table t;
+	struct follow_hold *hold;             /* stb_ds; what a counter uses and wants it writes here */
+	uint64_t applied;                     /* the newest answer whose places are in force */
 	uint64_t born, rng;
 	uint64_t fleet;                       /* 0 until known */
 	const char *zone, *web;
@@ -37,6 +43,9 @@
 void follow_open(struct follow *f, uint64_t born, const uint64_t *seeds, int n, int64_t now);
 void follow_close(struct follow *f);
 
+/* The places of a limit, made with none when they are new. Example: follow_hold(&f, "t1")->used++; */
+typeof(((struct follow_hold *)0)->value) *follow_hold(struct follow *f, const char *name);
+
 /* Ask when it is time. Example: follow_tick(&f, horizon, now, o); */
 void follow_tick(struct follow *f, uint64_t horizon, int64_t now, struct out *o);
 
--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -602,11 +602,94 @@
 	return core_rdv(zone, s->id) > core_rdv(zone, id);
 }
 
+/* The fleet's limit of "tenant" or "lane/tenant" as the table has it. */
+static uint32_t limit_of(const struct reg *r, const char *name)
+{
+	const struct Nl__Row *row = table_get(&r->ctl, strchr(name, '/') ? NL__KIND__SHARE : NL__KIND__TENANT, name);
+
+	return row ? row->limit : 0;
+}
+
+/* What the asker may use. Never more than the limit less all that others hold or may believe to hold. What is wanted
+ * beyond the limit is shared out evenly; the odd places go round from second to second. */
+static uint32_t share_out(const struct reg_place *v, const struct reg_place *me, const char *name, uint32_t limit, uint32_t spare, int64_t now)
+{
+	uint64_t others = 0, all = 0;
+	uint32_t n = 0, rank = 0, want = me->want + spare, even;
+
+	for (ptrdiff_t i = 0; i < arrlen(v); i++) {
+		uint64_t turn = core_hashs((uint64_t)(now / 1000), name);
+
+		if (v[i].id != me->id)
+			others += v[i].rec;
+		all += v[i].want + spare;
+		n += v[i].want > 0;
+		rank += v[i].want && core_rdv(turn, v[i].id) > core_rdv(turn, me->id);
+	}
+	if (all > limit) {
+		even = n ? limit / n + (rank < limit % n) : 0;
+		want = me->want < even ? me->want : even;
+	}
+	if (want <= me->rec) /* less than it has: always; more: as far as others leave it */
+		return want;
+	return others + want <= limit ? want : others + me->rec < limit ? (uint32_t)(limit - others) : me->rec < limit ? me->rec : limit;
+}
+
+/* Places that the asker holds, uses and wants, and what it gets. In the first seconds of an office nobody gets more: not
+ * all that the last owner gave has been heard of yet. */
+static void places(struct reg *r, uint64_t id, const struct Nl__Follow *q, uint32_t counters, struct Nl__FollowReply *a, int64_t now, struct out *o)
+{
+	/* the members are a fleet's first entry, its first owner's the second: before it nobody gave any */
+	int young = now - r->owner_since[PART_CTL] < REG_PLACES && r->part[PART_CTL].term_start > 2;
+
+	a->place = apr_palloc(o->p, (q->n_hold + 1) * sizeof *a->place);
+	for (size_t k = 0; k < q->n_hold; k++) {
+		const struct Nl__Hold *h = q->hold[k];
+		uint32_t limit = limit_of(r, h->name), got, most = h->held > h->used ? h->held : h->used;
+		struct Nl__Hold *p;
+		struct reg_place *v, *me = NULL;
+
+		if (shgeti(r->limit, h->name) < 0)
+			shput(r->limit, h->name, NULL);
+		v = shget(r->limit, h->name);
+		for (ptrdiff_t i = arrlen(v) - 1; i >= 0; i--)
+			if (now - v[i].at > REG_PLACES)
+				arrdelswap(v, i);
+		for (ptrdiff_t i = 0; i < arrlen(v); i++)
+			if (v[i].id == id)
+				me = &v[i];
+		if (!me) {
+			struct reg_place n = { id, 0, most, 0, 0, now };
+
+			arrput(v, n);
+			me = &arrlast(v);
+		}
+		if (q->applied >= me->token || most > me->rec) /* it has heard the last that was said */
+			me->rec = most;
+		me->used = h->used;
+		me->want = h->want;
+		me->at = now;
+		got = share_out(v, me, h->name, limit, limit / (4 * (counters ? counters : 1)), now);
+		if (young && got > h->held)
+			got = h->held < limit ? h->held : limit;
+		if (got > me->rec)
+			me->rec = got;
+		me->token = q->token;
+		shput(r->limit, h->name, v);
+		p = OUT_NEW(o, Nl__Hold, NL__HOLD__INIT);
+		p->name = apr_pstrdup(o->p, h->name);
+		p->held = got;
+		a->place[a->n_place++] = p;
+	}
+}
+
 static void on_follow(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	const struct Nl__Follow *q = m->follow;
 	struct Nl__FollowReply *a = OUT_NEW(o, Nl__FollowReply, NL__FOLLOW_REPLY__INIT);
-	struct reg_seen *s = NULL, me = { m->id, m->addr, core_hashs(0, q->zone), now, q->counter, q->have, q->horizon };
+	struct reg_seen *s = NULL, me = { m->id, m->addr, core_hashs(0, q->zone), now, q->counter, q->have, q->horizon, q->token };
+
+	int late;
 
 	out_msg(o, m->addr, PART_CTL, NL__MSG__BODY_FOLLOW_REPLY)->follow_reply = a;
 	a->token = q->token;
@@ -626,6 +709,7 @@
 	for (ptrdiff_t i = 0; i < arrlen(r->seen); i++)
 		if (r->seen[i].id == m->id)
 			s = &r->seen[i];
+	late = s && q->token < s->token; /* overtaken on its way: what it says of places no longer holds */
 	if (s)
 		*s = me;
 	else
@@ -650,6 +734,8 @@
 	}
 	for (ptrdiff_t i = 0; i < arrlen(r->seen); i++)
 		a->counters += r->seen[i].counter && now - r->seen[i].at < REG_SEEN;
+	if (!late)
+		places(r, m->id, q, a->counters, a, now, o);
 	a->registrars = apr_palloc(o->p, ((size_t)arrlen(r->seen) + 1) * sizeof *a->registrars);
 	for (ptrdiff_t i = 0; i < arrlen(r->seen); i++)
 		if (!r->seen[i].counter && now - r->seen[i].at < REG_SEEN) {
@@ -1334,6 +1420,14 @@
 
 /* ---- the step ------------------------------------------------------------------------------ */
 
+static void limits_clear(struct reg *r)
+{
+	for (ptrdiff_t i = 0; i < shlen(r->limit); i++)
+		arrfree(r->limit[i].value);
+	shfree(r->limit);
+	sh_new_strdup(r->limit);
+}
+
 /* Taking office comes after all that is committed has been applied, leaving it before. */
 static void office_begins(struct reg *r, uint32_t i, int64_t now, struct out *o)
 {
@@ -1343,8 +1437,10 @@
 		r->was_owner[i] = p->term;
 		r->owner_since[i] = r->clock_at[i] = now;
 		say(r, "part", o->p, "Part %u is owned here from term %" APR_UINT64_T_FMT ".", i, p->term);
-		if (i == PART_CTL)
+		if (i == PART_CTL) {
 			arrsetlen(r->seen, 0);
+			limits_clear(r);
+		}
 		if (i == PART_PURGE)
 			publisher_begins(r, now, o);
 	}
@@ -1505,6 +1601,7 @@
 	for (uint32_t i = 0; i < PART_COUNT; i++)
 		part_open(&r->part[i], i, id, seed, saved ? saved[i] : NULL, now);
 	sh_new_strdup(r->named);
+	sh_new_strdup(r->limit);
 	follow_open(&r->f, id, seeds, r->nseeds, now);
 	r->f.fleet = fleet;
 	r->f.zone = zone;
@@ -1538,6 +1635,8 @@
 	for (ptrdiff_t i = 0; i < shlen(r->named); i++)
 		free(r->named[i].value.weights);
 	shfree(r->named);
+	limits_clear(r);
+	shfree(r->limit);
 	arrfree(r->wait);
 	arrfree(r->ask);
 	arrfree(r->seen);
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -14,6 +14,7 @@
 	/* From the naming of weights to the last server that has them: 25 s. The last is told early enough for a loading of
 	 * 8 s; the first giver is done with telling early enough for another to take over: licence, election, hold-off. */
 	REG_TELL = 16000, REG_TAKE_OVER = 7500,
+	REG_PLACES = FOLLOW_RIDE + 300, /* ms after its last asking for which a counter's places are its own */
 	REG_CALL = 5000,      /* ms before an operator's call is answered as unknown */
 	REG_CLAIM_KEEP = 720000, /* ms of the part's own clock that a claim is remembered: the longest limit and two minutes */
 	REG_AGAIN = 400,      /* ms before a proposal without an answer is made again */
@@ -42,7 +43,10 @@
 	int64_t until, again;
 	int sends, denied; /* as long as they are alike it surely was not logged */
 };
-struct reg_seen { uint64_t id, addr, zone; int64_t at; int counter; uint64_t edition, horizon; };
+struct reg_seen { uint64_t id, addr, zone; int64_t at; int counter; uint64_t edition, horizon, token; };
+/* What a counter holds or may still believe to hold under a limit; the answer that said the last of it. */
+struct reg_place { uint64_t id, token; uint32_t rec, used, want; int64_t at; };
+struct reg_limit { char *key; struct reg_place *value; /* stb_ds */ };
 struct reg_claim { char *key; struct { uint64_t by, seq, at; int given_back; } value; };
 
 struct reg_svc { /* a service part's state */
@@ -87,6 +91,7 @@
 	struct reg_wait *wait;
 	struct reg_ask *ask;
 	struct reg_seen *seen;
+	struct reg_limit *limit;  /* stb_ds: by what the limit is of; the configuration owner's soft state */
 	struct { uint64_t web; int64_t asked; } *reads; /* table reads that wait for a fresh answer */
 	struct reg_server *server;
 	struct reg_named *named;  /* stb_ds, by service */
--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -166,11 +166,12 @@
 
 static struct line *line_of(struct ctr *c, uint32_t lane, uint32_t tenant)
 {
-	struct line n = { lane, tenant, NULL, NULL, 0, 0, 0, 0, 0 };
+	struct line n = { lane, tenant, NULL, NULL, NULL, 0, 0, 0, 0, 0 };
 
 	for (ptrdiff_t i = 0; i < arrlen(c->line); i++)
 		if (c->line[i].lane == lane && c->line[i].tenant == tenant)
 			return &c->line[i];
+	n.name = apr_pstrcat(c->p, c->lanes.name[lane], "/", c->tenants.name[tenant], NULL);
 	arrput(c->line, n);
 	return &arrlast(c->line);
 }
@@ -767,6 +768,41 @@
 		send_to(c, x, &pl, now, o);
 }
 
+static uint32_t held(const struct ctr *c, const char *name)
+{
+	struct follow_hold *h = c->f.hold;
+	ptrdiff_t i = shgeti(h, name);
+
+	return i < 0 ? 0 : h[i].value.held;
+}
+
+/* What is used and wanted of each limit; where a line lacks places, its owner is asked at once, though not each time. */
+static void want_places(struct ctr *c, int64_t now, struct out *o)
+{
+	struct follow *f = &c->f;
+	int lacks = 0;
+
+	for (ptrdiff_t i = 0; i < shlen(f->hold); i++)
+		f->hold[i].value.used = f->hold[i].value.want = 0;
+	for (ptrdiff_t i = 0; i < arrlen(c->line); i++) {
+		const struct line *l = &c->line[i];
+		uint32_t share, limit;
+
+		if (!l->n && !l->running)
+			continue;
+		share_of(c->book, l->lane, l->tenant, &share, &limit);
+		for (int k = 0; k < 1 + (limit != UINT32_MAX); k++) {
+			typeof(f->hold->value) *h = follow_hold(f, k ? l->name : c->tenants.name[l->tenant]);
+
+			h->used += l->running;
+			h->want += l->running + l->n;
+			lacks |= l->n && h->used >= h->held;
+		}
+	}
+	if (lacks && now - f->last_ask >= CTR_ASK)
+		follow_ask(f, c->relay.k.horizon, now, o);
+}
+
 /* Heads of lines go on while there are places: by class, then by share. */
 static void pump(struct ctr *c, int64_t now, struct out *o)
 {
@@ -778,18 +814,16 @@
 		struct line *best = NULL;
 		struct plan best_plan = { -1, 0, -1, 0, 0, 0 };
 		struct xch *x;
-		uint32_t share, limit, n = c->f.counters ? c->f.counters : 1;
+		uint32_t share, limit;
 
 		for (ptrdiff_t i = 0; i < arrlen(c->line); i++) {
 			struct line *l = &c->line[i];
-			uint32_t whole;
 			struct plan pl;
 
 			if (!l->n)
 				continue;
 			share_of(b, l->lane, l->tenant, &share, &limit);
-			whole = b->tenant[l->tenant].limit;
-			if (c->running[l->tenant] >= (whole + n - 1) / n || (limit != UINT32_MAX && l->running >= (limit + n - 1) / n))
+			if (c->running[l->tenant] >= held(c, c->tenants.name[l->tenant]) || (limit != UINT32_MAX && l->running >= held(c, l->name)))
 				continue;
 			if (best && (b->lane[l->lane].prio > b->lane[best->lane].prio ||
 			             (b->lane[l->lane].prio == b->lane[best->lane].prio && l->pass >= best->pass)))
@@ -1295,6 +1329,8 @@
 	case CTR_STOP: c->stopping = 1; break;
 	}
 	pump(c, now, o);
+	if (c->book && (ev->kind == CTR_TICK || ev->kind == CTR_EXCHANGE))
+		want_places(c, now, o);
 }
 
 int ctr_idle(const struct ctr *c) { return arrlen(c->all) == 0 && arrlen(c->release) == 0; }
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -22,7 +22,8 @@
 	CTR_LIMIT_MIN = 50, CTR_LIMIT_MAX = 600000, CTR_LIMIT = 60000,
 	CTR_BUDGET = 200,      /* resends per mille of sends */
 	CTR_BUDGET_CAP = 2000, /* saved up at most: two resends */
-	CTR_RIDE = 4500,       /* ms of not knowing that are ridden out; then all that is held here ends */
+	CTR_RIDE = FOLLOW_RIDE, /* ms of not knowing that are ridden out; then all that is held here ends */
+	CTR_ASK = 50,          /* ms between askings for places that are lacked */
 	CTR_RETRY = 500,       /* ms after which a refused caller may come back, at the least */
 	CTR_RETRY_MOST = 30000
 };
@@ -93,7 +94,7 @@
 };
 
 /* still: since when its head has waited; gap: the usual ms between two heads that leave */
-struct line { uint32_t lane, tenant; struct xch *head, *tail; uint32_t n, running; uint64_t pass; int64_t still; double gap; };
+struct line { uint32_t lane, tenant; char *name; struct xch *head, *tail; uint32_t n, running; uint64_t pass; int64_t still; double gap; };
 
 struct ctr_server {
 	int64_t reported, called, bad_until, told; /* told: when a relay last passed its report on */
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -673,6 +673,22 @@
 	push(s, e);
 }
 
+/* Runs of a tenant at servers, of counters that live: one that is frozen or dead may be beyond its places. */
+static void check_limit(struct sim *s, int tenant)
+{
+	int n = 0;
+
+	for (ptrdiff_t i = 0; i < arrlen(s->run); i++) {
+		const struct sim_run *r = &s->run[i];
+
+		n += !r->over && r->tenant == tenant && s->n[r->node].life == r->life && s->n[r->node].up && !s->n[r->node].frozen;
+	}
+	if (n > s->most[tenant])
+		s->most[tenant] = n;
+	if (s->limit[tenant] && n > s->limit[tenant])
+		sim_breach(s, "tenant t%d has %d runs at once under a limit of %d", tenant, n, s->limit[tenant]);
+}
+
 /* A send reaches a server. */
 static void run_arrives(struct sim *s, const struct sim_ev *e)
 {
@@ -761,9 +777,11 @@
 			if (s->sv[q].used && s->sv[q].is_store && s->sv[q].up)
 				keep(&s->sv[q], &k);
 	}
+	r.tenant = atoi(tenant + 1);
 	json_object_put(j);
 	v->running++;
 	arrput(s->run, r);
+	check_limit(s, r.tenant);
 	stream_at(s, arrlen(s->run) - 1, s->now + 20 + (r.fetch_ms > 0 ? r.fetch_ms : 0));
 }
 
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -64,7 +64,7 @@
 };
 
 /* One run at a server. */
-struct sim_run { uint64_t life, token, born, asking; int node, server, pieces, next, over, again, fetch_ms, fetched; char xid[80], id[64]; };
+struct sim_run { uint64_t life, token, born, asking; int tenant, node, server, pieces, next, over, again, fetch_ms, fetched; char xid[80], id[64]; };
 
 /* One exchange as its caller knows it, and what servers did with its id. */
 struct sim_exch {
@@ -109,6 +109,8 @@
 	struct sim_run *run;        /* stb_ds */
 	struct { char *key; int64_t value; } *removed; /* digests of keys, when their removal was acknowledged */
 	struct { int64_t since; int walled; } wall[16];
+	int limit[16];              /* of a tenant over the fleet, where it is judged */
+	int most[16];               /* runs of a tenant at once */
 	uint64_t n_sends, n_firsts, n_whole, n_refused, n_unknown, n_fresh, n_tokens, n_fetched, n_vain;
 	unsigned char link_cut[16][16]; /* one way, between the first nodes: from, to */
 };
--- a/tests/test_data.c
+++ b/tests/test_data.c
@@ -1011,6 +1011,100 @@
 	}
 }
 
+/* A limit holds over the fleet, whatever counters its callers use, while counters die, freeze and are cut off, the
+ * configuration's owner changes and the table lowers the limit; and it is used: by one counter alone too. */
+static void limits_hold_fleet_wide(void **st)
+{
+	uint64_t first, seeds = seeds_of(8, &first);
+	int64_t *skewed = NULL, *even = NULL;
+	double asks = 0;
+
+	(void)st;
+	for (uint64_t seed = first; seed < first + seeds; seed++) {
+		struct sim s;
+		uint64_t rng = seed * 7 + 3, k = 0, asked;
+		int limit = 1 + (int)(core_rand(&rng) % 9), at[9] = { 0 };
+		char id[32], body[200];
+
+		sim_deploy(&s, seed, 4, 9, 9);
+		snprintf(body, sizeof body, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t1\",\"share\":1,\"limit\":%d}]}", limit);
+		must_change(&s, body, 6000);
+		sim_run(&s, 6000, NULL); /* what was held under the limit before has ended */
+		for (int i = 0; i < 9; i++)
+			s.sv[i].slow = 60;
+		s.limit[1] = limit;
+		/* all callers at one counter, then at all of them */
+		for (int phase = 0; phase < 2; phase++) {
+			int64_t from = s.now;
+			uint64_t before = s.n_whole;
+
+			asked = s.by_body[NL__MSG__BODY_FOLLOW];
+			while (s.now < from + 10000 && !s.bad[0]) {
+				snprintf(id, sizeof id, "p%llu", (unsigned long long)++k);
+				sim_ask(&s, SIM_REGS + (phase ? (int)(core_rand(&rng) % 9) : 4), id, 1, lanes[k % 3], 0);
+				sim_run(&s, 10, NULL);
+			}
+			ok(&s);
+			asks += phase ? (double)(s.by_body[NL__MSG__BODY_FOLLOW] - asked) / 10 : 0;
+			if (phase)
+				arrput(even, (int64_t)(s.n_whole - before) * 1000 / limit);
+			else
+				arrput(skewed, (int64_t)(s.n_whole - before) * 1000 / limit);
+			assert_int_equal(s.most[1], limit);
+		}
+		/* faults, with the limit lowered among them: what runs may go on, so it is judged a little later */
+		for (int f = 0; f < 10 && !s.bad[0]; f++) {
+			int c = (int)(core_rand(&rng) % 9), node = SIM_REGS + c, what = (int)(core_rand(&rng) % 6), owner = sim_owner(&s, PART_CTL);
+			int64_t end = s.now + 2500;
+
+			if (what == 0)
+				sim_crash(&s, node, 0);
+			else if (what == 1)
+				sim_cut(&s, node, 1);
+			else if (what == 2)
+				sim_freeze(&s, node, 1);
+			else if (what == 3 && owner >= 0)
+				sim_crash(&s, owner, 0);
+			else if (what == 4 && owner >= 0)
+				s.link_cut[owner][node < 16 ? node : 15] ^= 1;
+			else {
+				snprintf(body, sizeof body, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t1\",\"share\":1,\"limit\":%d}]}", limit = 1 + (int)(core_rand(&rng) % 9));
+				s.limit[1] = 0;
+				must_change(&s, body, 12000);
+			}
+			while (s.now < end && !s.bad[0]) {
+				node = SIM_REGS + (int)(core_rand(&rng) % 9);
+				snprintf(id, sizeof id, "p%llu", (unsigned long long)++k);
+				sim_ask(&s, node, id, 1, lanes[k % 3], 0);
+				sim_run(&s, 12, NULL);
+			}
+			s.limit[1] = limit;
+			for (int i = 0; i < SIM_REGS + 9; i++) {
+				if (!s.n[i].used)
+					continue;
+				sim_cut(&s, i, 0);
+				sim_freeze(&s, i, 0);
+				if (!s.n[i].up)
+					sim_start(&s, i);
+			}
+			ok(&s);
+		}
+		memset(s.link_cut, 0, sizeof s.link_cut);
+		all_told(&s);
+		for (ptrdiff_t i = 0; i < arrlen(s.x); i++)
+			if (s.x[i].told == SIM_WHOLE)
+				at[s.x[i].node - SIM_REGS]++;
+		for (int i = 0; i < 9; i++)
+			assert_true(at[i] > 0); /* nobody starves */
+		sim_close(&s);
+	}
+	print_spread("whole answers a place in 10 s, thousandths, all callers at one counter", skewed);
+	print_spread("whole answers a place in 10 s, thousandths, callers at all nine", even);
+	print_message("askings of the configuration's owner a second with nine busy counters: %.1f\n", asks / (double)seeds);
+	arrfree(skewed);
+	arrfree(even);
+}
+
 /* Every server of every service is drained, replaced by an empty one, and taken back, one after the other. */
 static void services_replaced_one_by_one(void **st)
 {
@@ -1149,6 +1243,7 @@
 		cmocka_unit_test(leaving_and_stopping),
 		cmocka_unit_test(overload_keeps_classes_and_shares),
 		cmocka_unit_test(given_up_is_answered_at_once),
+		cmocka_unit_test(limits_hold_fleet_wide),
 		cmocka_unit_test(services_replaced_one_by_one),
 		cmocka_unit_test(many_purges_at_once),
 		cmocka_unit_test(relays_spare_the_publisher),
