--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -611,7 +611,7 @@
 }
 
 /* What the asker may use. Never more than the limit less all that others hold or may believe to hold. What is wanted
- * beyond the limit is shared out evenly; the odd places go round from second to second. */
+ * beyond the limit is shared out evenly; the odd places go to those that have gone without for longest. */
 static uint32_t share_out(const struct reg_place *v, const struct reg_place *me, const char *name, uint32_t limit, uint32_t spare, int64_t now)
 {
 	uint64_t others = 0, all = 0;
@@ -624,7 +624,7 @@
 			others += v[i].rec;
 		all += v[i].want + spare;
 		n += v[i].want > 0;
-		rank += v[i].want && core_rdv(turn, v[i].id) > core_rdv(turn, me->id);
+		rank += v[i].want && (v[i].fed / 1000 != me->fed / 1000 ? v[i].fed < me->fed : core_rdv(turn, v[i].id) > core_rdv(turn, me->id));
 	}
 	if (all > limit) {
 		even = n ? limit / n + (rank < limit % n) : 0;
@@ -659,14 +659,13 @@
 			if (v[i].id == id)
 				me = &v[i];
 		if (!me) {
-			struct reg_place n = { id, 0, most, 0, 0, now };
+			struct reg_place n = { id, 0, most, 0, now, 0 };
 
 			arrput(v, n);
 			me = &arrlast(v);
 		}
 		if (q->applied >= me->token || most > me->rec) /* it has heard the last that was said */
 			me->rec = most;
-		me->used = h->used;
 		me->want = h->want;
 		me->at = now;
 		got = share_out(v, me, h->name, limit, limit / (4 * (counters ? counters : 1)), now);
@@ -674,6 +673,8 @@
 			got = h->held < limit ? h->held : limit;
 		if (got > me->rec)
 			me->rec = got;
+		if (got || h->used)
+			me->fed = now;
 		me->token = q->token;
 		shput(r->limit, h->name, v);
 		p = OUT_NEW(o, Nl__Hold, NL__HOLD__INIT);
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -45,7 +45,7 @@
 };
 struct reg_seen { uint64_t id, addr, zone; int64_t at; int counter; uint64_t edition, horizon, token; };
 /* What a counter holds or may still believe to hold under a limit; the answer that said the last of it. */
-struct reg_place { uint64_t id, token; uint32_t rec, used, want; int64_t at; };
+struct reg_place { uint64_t id, token; uint32_t rec, want; int64_t at, fed; }; /* fed: when it last had any */
 struct reg_limit { char *key; struct reg_place *value; /* stb_ds */ };
 struct reg_claim { char *key; struct { uint64_t by, seq, at; int given_back; } value; };
 
