--- a/lib/control/follow.c
+++ b/lib/control/follow.c
@@ -18,7 +18,8 @@
 	f->fresh = now - 1000000;
 	f->last_word = now;
 	f->last_ask = now - FOLLOW_EVERY;
-	f->at = f->ncand ? (int)(core_rand(&f->rng) % (uint64_t)f->ncand) : 0;
+	for (int i = 0; i < PART_COUNT && f->ncand; i++)
+		f->at[i] = (int)(core_rand(&f->rng) % (uint64_t)f->ncand);
 }
 
 void follow_close(struct follow *f)
@@ -68,15 +69,15 @@
 
 uint64_t follow_seat(struct follow *f, uint32_t part)
 {
-	if (part < PART_COUNT && f->seat[part])
-		return f->seat[part];
-	return f->ncand ? f->cand[f->at % f->ncand] : 0;
+	if (part >= PART_COUNT)
+		return 0;
+	return f->seat[part] ? f->seat[part] : f->ncand ? f->cand[f->at[part] % f->ncand] : 0;
 }
 
 void follow_miss(struct follow *f, uint32_t part)
 {
 	f->seat[part] = 0;
-	f->at++;
+	f->at[part]++;
 }
 
 uint64_t follow_log(struct follow *f, int64_t moved, int64_t now)
--- a/lib/control/follow.h
+++ b/lib/control/follow.h
@@ -27,7 +27,8 @@
 	const char *zone, *web;
 	int counter;
 	uint64_t cand[FOLLOW_SEATS];          /* seeds, then registrars */
-	int ncand, nseed, at;
+	int ncand, nseed;
+	int at[PART_COUNT];                   /* each part goes round by itself: together they skip some for ever */
 	uint64_t seat[PART_COUNT];            /* best guess of each part's owner */
 	uint64_t up[8];
 	int nup;
--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -872,7 +872,7 @@
 
 			if (i == PART_PURGE)
 				continue;
-			if (r->feed_round > r->feed_ok[i] + 5 && r->feed_round % 5 == 0)
+			if (i != PART_CTL && r->feed_round > r->feed_ok[i] + 5 && r->feed_round % 5 == 0)
 				follow_miss(&r->f, i); /* no word for a while: try another registrar, then heed its hint */
 			q = OUT_NEW(o, Nl__FeedAsk, NL__FEED_ASK__INIT);
 			q->have = r->pub.mark[i];
@@ -1522,6 +1522,9 @@
 	found_tick(r, now, o);
 	if (r->stopping)
 		return;
+	for (uint32_t i = 0; i < PART_COUNT; i++) /* a member knows its owner best */
+		if (owner_hint(r, i, now))
+			r->f.seat[i] = owner_hint(r, i, now);
 	follow_tick(&r->f, r->relay.k.horizon, now, o);
 	join_tick(r, now, o);
 	mend_tick(r, now, o);
