Places ahead: a failover finds every counter with a few places of each limit

Cause: a new owner gives out nothing for 4.8 s, so a tenant that a counter had not served lately waited that long after each change of owner: an exchange whole again after 6285 ms in the middle, where it had been 2205. Ways weighed: a reserve for new owners (two changes close together spend it twice); a shorter hold (a cut-off counter runs on for 4.5 s); places ahead while all is well: chosen, for tables of up to 64 limits and limits of four a counter. Ruled out: lost words, the claims. Small limits, and tables of many tenants, still wait.

--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -374,6 +374,8 @@
 
 		table_close(&r->ctl);
 		table_open(&r->ctl);
+		arrsetlen(r->spare, 0); /* its names were that table's */
+		r->spare_edition = 0;
 		clear_values(&r->ctl_feed);
 		arrsetlen(r->ctl_done, 0);
 		if (!s)
@@ -635,40 +637,77 @@
 	return others + want <= limit ? want : others + me->rec < limit ? (uint32_t)(limit - others) : me->rec < limit ? me->rec : limit;
 }
 
+static struct reg_place *place_of(struct reg *r, const char *name, uint64_t id, uint32_t most, int64_t now)
+{
+	struct reg_place *v, n = { id, 0, most, 0, now, 0 };
+	ptrdiff_t me = -1;
+
+	if (shgeti(r->limit, name) < 0)
+		shput(r->limit, name, NULL);
+	v = shget(r->limit, name);
+	for (ptrdiff_t i = arrlen(v) - 1; i >= 0; i--)
+		if (now - v[i].at > REG_PLACES)
+			arrdelswap(v, i);
+	for (ptrdiff_t i = 0; i < arrlen(v); i++)
+		if (v[i].id == id)
+			me = i;
+	if (me < 0) {
+		arrput(v, n);
+		me = arrlen(v) - 1;
+	}
+	shput(r->limit, name, v);
+	return &v[me];
+}
+
+static void place_say(const char *name, uint32_t held, struct Nl__FollowReply *a, struct out *o)
+{
+	struct Nl__Hold *p = OUT_NEW(o, Nl__Hold, NL__HOLD__INIT);
+
+	p->name = apr_pstrdup(o->p, name);
+	p->held = held;
+	a->place[a->n_place++] = p;
+}
+
+/* Where a table has few limits, counters hold some of each ahead: a failover then finds them with places. */
+static void spare_names(struct reg *r)
+{
+	if (r->spare_edition == r->ctl.edition)
+		return;
+	r->spare_edition = r->ctl.edition;
+	arrsetlen(r->spare, 0);
+	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++) {
+		const struct Nl__Row *row = r->ctl.h[i].value.row;
+
+		if (row->kind != NL__KIND__TENANT && row->kind != NL__KIND__SHARE)
+			continue;
+		if (arrlen(r->spare) == REG_SPARE) {
+			arrsetlen(r->spare, 0);
+			return;
+		}
+		arrput(r->spare, row->name);
+	}
+}
+
 /* Places that the asker holds, uses and wants, and what it gets. In the first seconds of an office nobody gets more: not
  * all that the last owner gave has been heard of yet. */
 static void places(struct reg *r, uint64_t id, const struct Nl__Follow *q, uint32_t counters, struct Nl__FollowReply *a, int64_t now, struct out *o)
 {
 	/* the members are a fleet's first entry, its first owner's the second: before it nobody gave any */
 	int young = now - r->owner_since[PART_CTL] < REG_PLACES && r->part[PART_CTL].term_start > 2;
+	uint32_t n = counters ? counters : 1;
 
-	a->place = apr_palloc(o->p, (q->n_hold + 1) * sizeof *a->place);
+	spare_names(r);
+	a->place = apr_palloc(o->p, (q->n_hold + (size_t)arrlen(r->spare) + 1) * sizeof *a->place);
 	for (size_t k = 0; k < q->n_hold; k++) {
 		const struct Nl__Hold *h = q->hold[k];
 		uint32_t limit = limit_of(r, h->name), got, most = h->held > h->used ? h->held : h->used;
-		struct Nl__Hold *p;
-		struct reg_place *v, *me = NULL;
-
-		if (shgeti(r->limit, h->name) < 0)
-			shput(r->limit, h->name, NULL);
-		v = shget(r->limit, h->name);
-		for (ptrdiff_t i = arrlen(v) - 1; i >= 0; i--)
-			if (now - v[i].at > REG_PLACES)
-				arrdelswap(v, i);
-		for (ptrdiff_t i = 0; i < arrlen(v); i++)
-			if (v[i].id == id)
-				me = &v[i];
-		if (!me) {
-			struct reg_place n = { id, 0, most, 0, now, 0 };
-
-			arrput(v, n);
-			me = &arrlast(v);
-		}
+		struct reg_place *me = place_of(r, h->name, id, most, now);
+
 		if (q->applied >= me->token || most > me->rec) /* it has heard the last that was said */
 			me->rec = most;
 		me->want = h->want;
 		me->at = now;
-		got = share_out(v, me, h->name, limit, limit / (4 * (counters ? counters : 1)), now);
+		got = share_out(shget(r->limit, h->name), me, h->name, limit, limit / (4 * n), now);
 		if (young && got > h->held)
 			got = h->held < limit ? h->held : limit;
 		if (got > me->rec)
@@ -676,11 +715,27 @@
 		if (got || h->used)
 			me->fed = now;
 		me->token = q->token;
-		shput(r->limit, h->name, v);
-		p = OUT_NEW(o, Nl__Hold, NL__HOLD__INIT);
-		p->name = apr_pstrdup(o->p, h->name);
-		p->held = got;
-		a->place[a->n_place++] = p;
+		place_say(h->name, got, a, o);
+	}
+	for (ptrdiff_t i = 0; i < arrlen(r->spare) && q->counter && !young; i++) {
+		uint32_t limit = limit_of(r, r->spare[i]), got;
+		struct reg_place *me;
+		int named = 0;
+
+		for (size_t k = 0; k < q->n_hold && !named; k++)
+			named = !strcmp(q->hold[k]->name, r->spare[i]);
+		if (named || limit < 4 * n)
+			continue;
+		me = place_of(r, r->spare[i], id, 0, now);
+		me->at = now;
+		me->want = 0;
+		if (q->applied >= me->token)
+			me->rec = 0;
+		got = share_out(shget(r->limit, r->spare[i]), me, r->spare[i], limit, limit / (4 * n), now);
+		if (got > me->rec)
+			me->rec = got;
+		me->token = q->token;
+		place_say(r->spare[i], got, a, o);
 	}
 }
 
@@ -1641,6 +1696,7 @@
 	shfree(r->named);
 	limits_clear(r);
 	shfree(r->limit);
+	arrfree(r->spare);
 	arrfree(r->wait);
 	arrfree(r->ask);
 	arrfree(r->seen);
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -15,6 +15,7 @@
 	 * 8 s; the first giver is done with telling early enough for another to take over: licence, election, hold-off. */
 	REG_TELL = 16000, REG_TAKE_OVER = 7500,
 	REG_PLACES = FOLLOW_RIDE + 300, /* ms after its last asking for which a counter's places are its own */
+	REG_SPARE = 64,       /* limits in the table up to which every counter holds spare places of each */
 	REG_CALL = 5000,      /* ms before an operator's call is answered as unknown */
 	REG_CLAIM_KEEP = 720000, /* ms of the part's own clock that a claim is remembered: the longest limit and two minutes */
 	REG_AGAIN = 400,      /* ms before a proposal without an answer is made again */
@@ -91,6 +92,8 @@
 	struct reg_wait *wait;
 	struct reg_ask *ask;
 	struct reg_seen *seen;
+	char **spare;             /* stb_ds: limits of which every counter is given a few places ahead */
+	uint64_t spare_edition;
 	struct reg_limit *limit;  /* stb_ds: by what the limit is of; the configuration owner's soft state */
 	struct { uint64_t web; int64_t asked; } *reads; /* table reads that wait for a fresh answer */
 	struct reg_server *server;
