Reports that cannot be read, or name what nobody knows, change nothing and are said once

Cause: a server's report could bring any number of names of tenants and weights, which live as long as the counter; one that could not be read was passed over without a word. Ruled out: dropping unknown weights altogether; a server may still have those from before a counter started. Now a part whose maker the table never named is passed over, weights from reports are bounded (4096 names), a report names 20000 parts at the most, and a server whose report cannot be read is spoken of once until it is mended.

--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -994,17 +994,40 @@
 
 /* ---- reports ---------------------------------------------------------------------------------- */
 
+/* Names of weights come from reports too: a server may still have those from before. They are bounded. */
+static int weights_of(struct ctr *c, const char *name)
+{
+	int i = names_find(&c->weights, name);
+
+	return i >= 0 || strlen(name) > 128 || arrlen(c->weights.name) >= CTR_WEIGHTS ? i : (int)names_id(&c->weights, name);
+}
+
+/* A report that cannot be read changes nothing, and is spoken of once. */
+static void odd_report(struct ctr *c, uint32_t s, const char *why)
+{
+	char line[300];
+
+	if (!c->sv[s].odd++ && c->log) {
+		apr_snprintf(line, sizeof line, "Step report: server %s: %s; it is passed over until it is mended.", c->servers.name[s], why);
+		c->log(c->log_ctx, "ctr", line);
+	}
+}
+
 static void on_report(struct ctr *c, uint32_t s, const char *body, int64_t now)
 {
 	struct ctr_server *v = &c->sv[s];
 	struct json_object *j = read_json(c, body), *parts;
 	const char *service;
+	int weights = json_object_is_type(j, json_type_object) ? weights_of(c, json_str(j, "weights")) : -1;
 
-	if (!json_object_is_type(j, json_type_object))
+	if (weights < 0 || json_num(j, "slots") > 100000) {
+		odd_report(c, s, "its report cannot be read, or names what nobody knows");
 		goto end;
+	}
+	v->odd = 0;
 	v->reported = now;
 	v->have = 1;
-	v->weights = names_id(&c->weights, json_str(j, "weights"));
+	v->weights = (uint32_t)weights;
 	v->loading = json_str(j, "loading")[0] != 0;
 	v->slots = (int)json_num(j, "slots");
 	v->running = (int)json_num(j, "running");
@@ -1017,10 +1040,13 @@
 	v->serial = json_num(j, "serial");
 	v->boot = json_num(j, "boot");
 	service = c->services.name[c->book->server[s].service];
-	for (size_t i = 0; i < json_object_array_length(parts); i++) {
+	for (size_t i = 0; i < json_object_array_length(parts) && i < CTR_KEPT; i++) {
 		struct json_object *e = json_object_array_get_idx(parts, i);
-		struct kept_copy n = { s, names_id(&c->tenants, json_str(e, "m")), c->book->server[s].service,
-			               names_id(&c->weights, json_str(e, "w")), json_num(e, "t"), v->asked };
+		int maker = names_find(&c->tenants, json_str(e, "m")), made_under = weights_of(c, json_str(e, "w"));
+		struct kept_copy n = { s, (uint32_t)maker, c->book->server[s].service, (uint32_t)made_under, json_num(e, "t"), v->asked };
+
+		if (maker < 0 || made_under < 0)
+			continue; /* of nobody that the table ever named here */
 
 		/* a late report never revives what is withdrawn */
 		if (view_allows(&c->relay.w, service, json_str(e, "w"), json_str(e, "m"), c->servers.name[s], n.stamp))
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -19,6 +19,8 @@
 	CTR_SLOW_MOST = 64,
 	CTR_RELEASE = 15000,   /* ms for which a claim is given back again and again */
 	CTR_PARTS = 64,
+	CTR_KEPT = 20000,      /* kept parts of one report that are heeded */
+	CTR_WEIGHTS = 4096,    /* names of weights that reports may bring */
 	CTR_LIMIT_MIN = 50, CTR_LIMIT_MAX = 600000, CTR_LIMIT = 60000,
 	CTR_BUDGET = 200,      /* resends per mille of sends */
 	CTR_BUDGET_CAP = 2000, /* saved up at most: two resends */
@@ -100,6 +102,7 @@
 	int64_t reported, called, bad_until, told; /* told: when a relay last passed its report on */
 	uint64_t call, asked, serial, boot;
 	uint32_t weights;
+	int odd;            /* its last report could not be read; said once */
 	int have, loading, slots, running, own, others; /* running there: ours as we know it, others' by the last report */
 	double mean_ms;
 };
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -179,6 +179,17 @@
 {
 	size_t n = 256 + 200 * (size_t)arrlen(v->kept), k;
 
+	if (v->odd) {
+		*body = malloc(200000);
+		k = (size_t)sprintf(*body, v->odd == 1 ? "{\"weights\":\"w1" : v->odd == 2 ? "[1,2]" : "{\"weights\":\"w1\",\"loading\":\"\",\"slots\":%s,\"parts\":[",
+		                    v->odd == 3 ? "99999999" : "8");
+		v->serial++;
+		for (int i = 0; i < 1000 && v->odd > 2; i++)
+			k += (size_t)sprintf(*body + k, "%s{\"h\":\"%x\",\"w\":\"odd-%d-%d\",\"m\":\"nobody-%d-%d\",\"t\":1,\"n\":1}", i ? "," : "", i, i, v->serial, i, v->serial);
+		if (v->odd > 2)
+			sprintf(*body + k, "]}");
+		return;
+	}
 	*body = malloc(n);
 	k = (size_t)snprintf(*body, n, "{\"weights\":\"%s\",\"loading\":\"%s\",\"slots\":8,\"running\":%d,\"parts\":[", v->weights,
 	                     v->loading, v->running);
@@ -1155,6 +1166,12 @@
 
 /* ---- nodes --------------------------------------------------------------------------------- */
 
+static void count_line(void *ctx, const char *prefix, const char *line)
+{
+	(void)prefix;
+	((struct sim *)ctx)->n_odd += strstr(line, "Step report") != NULL;
+}
+
 static void node_begin(struct sim *s, int i, const uint64_t *seeds, int nseeds)
 {
 	struct sim_node *n = &s->n[i];
@@ -1172,6 +1189,8 @@
 		n->id = core_rand(&s->rng);
 		n->c = malloc(sizeof *n->c);
 		ctr_open(n->c, n->id, n->addr, n->zone, seeds, nseeds, local(s, n));
+		n->c->log = count_line;
+		n->c->log_ctx = s;
 		apr_pool_destroy(p);
 		tick_at(s, i, s->now + (int64_t)rnd(s, 25));
 		return;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -46,6 +46,8 @@
 	int running;
 	int bad; /* 1 answers with another's mark, 2 skips a piece, 3 breaks off, 4 repeats a piece */
 	int refuse, slow; /* slow: ms between pieces */
+	int serial;
+	int odd; /* reports: 1 torn, 2 no object, 3 slots beyond reason, 4 parts of a thousand unknown tenants and weights */
 	int is_store, slow_link, hang, mute, late; /* fetches from it: times slower, never answered; reports: none, ms late */
 	int64_t departed; /* when its drain was acknowledged */
 };
@@ -111,7 +113,7 @@
 	struct { int64_t since; int walled; } wall[16];
 	int limit[16];              /* of a tenant over the fleet, where it is judged */
 	int most[16];               /* runs of a tenant at once */
-	uint64_t n_sends, n_firsts, n_whole, n_refused, n_unknown, n_fresh, n_tokens, n_fetched, n_vain;
+	uint64_t n_sends, n_firsts, n_whole, n_refused, n_unknown, n_fresh, n_tokens, n_fetched, n_vain, n_odd;
 	unsigned char link_cut[16][16]; /* one way, between the first nodes: from, to */
 };
 
--- a/tests/test_data.c
+++ b/tests/test_data.c
@@ -861,6 +861,33 @@
 	}
 }
 
+/* Reports that are torn, no object, beyond reason, or name a thousand unknown tenants and weights each time: nothing is
+ * learned from them, names do not grow without end, each server is spoken of once, and the others serve. */
+static void odd_reports_change_nothing(void **st)
+{
+	(void)st;
+	for (int odd = 1; odd <= 4; odd++) {
+		struct sim s;
+		uint64_t rng = 5;
+		struct ctr *c;
+		ptrdiff_t tenants;
+
+		sim_deploy(&s, 5, 3, 1, 6);
+		c = s.n[SIM_REGS].c;
+		tenants = arrlen(c->tenants.name);
+		for (int i = 0; i < 3; i++)
+			s.sv[i].odd = odd;
+		load(&s, &rng, 12000, 20, 1);
+		all_told(&s);
+		assert_int_equal(arrlen(c->tenants.name), tenants);
+		assert_true(arrlen(c->weights.name) <= CTR_WEIGHTS);
+		assert_int_equal(s.n_odd, odd < 4 ? 3 : 0);
+		assert_int_equal(s.n_unknown, 0);
+		assert_true(s.n_whole > 400);
+		sim_close(&s);
+	}
+}
+
 /* A caller that leaves stops its exchange, running or waiting; a counter that is told to stop ends what it has. */
 static void leaving_and_stopping(void **st)
 {
@@ -1240,6 +1267,7 @@
 		cmocka_unit_test(cut_off_counters_end_their_streams),
 		cmocka_unit_test(claims_race),
 		cmocka_unit_test(streams_outlive_a_failover),
+		cmocka_unit_test(odd_reports_change_nothing),
 		cmocka_unit_test(leaving_and_stopping),
 		cmocka_unit_test(overload_keeps_classes_and_shares),
 		cmocka_unit_test(given_up_is_answered_at_once),
