rehearsal: a slow link delays each message, not one after the other

Cause: with all links 60 ms slower service paused for 5 to 7 s, at the first landing as now. The rehearsal's link slept the delay for each frame in turn, so a link let 16 messages a second through and its queue grew without end; what was rehearsed was a link that all but stops. Ruled out: licences and rounds (a round trip of 124 ms fits a licence of 1000 ms).

--- a/rehearsal/links.c
+++ b/rehearsal/links.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -55,54 +56,92 @@
 	return cut;
 }
 
-static void *way_thread(void *arg)
+/* A frame on its way: links delay each one by itself, however many are on their way at once. */
+struct held { int64_t due; size_t n; struct held *next; uint8_t d[]; };
+
+/* Read one frame; NULL when the connection ends. What a rule cuts is read and dropped: *h stays NULL. */
+static int frame_in(struct way *w, struct held **h)
 {
-	struct way *w = arg;
-	struct sockaddr_in sa = sockaddr_of(w->k->real);
-	int one = 1, out = -1;
-	uint8_t *buf = NULL;
+	uint8_t head[4];
+	struct Nl__Msg *m;
+	size_t n;
+	int delay, cut;
 
-	for (;;) {
-		uint8_t head[4];
-		size_t n;
-		struct Nl__Msg *m;
-		uint64_t from;
-		int delay;
-
-		if (!read_all(w->fd, head, 4))
-			break;
-		n = (size_t)head[0] << 24 | (size_t)head[1] << 16 | (size_t)head[2] << 8 | head[3];
-		if (n > 64u << 20)
-			break;
-		buf = realloc(buf, n + 4);
-		memcpy(buf, head, 4);
-		if (!read_all(w->fd, buf + 4, n))
-			break;
-		m = nl__msg__unpack(NULL, n, buf + 4);
-		if (!m)
-			break;
-		from = m->addr;
+	*h = NULL;
+	if (!read_all(w->fd, head, 4))
+		return 0;
+	n = (size_t)head[0] << 24 | (size_t)head[1] << 16 | (size_t)head[2] << 8 | head[3];
+	if (n > 64u << 20)
+		return 0;
+	*h = calloc(1, sizeof **h + n + 4);
+	memcpy((*h)->d, head, 4);
+	m = read_all(w->fd, (*h)->d + 4, n) ? nl__msg__unpack(NULL, n, (*h)->d + 4) : NULL;
+	cut = !m || rule_for(w->k->l, m->addr, w->k->at, &delay);
+	if (m)
 		nl__msg__free_unpacked(m, NULL);
-		if (rule_for(w->k->l, from, w->k->at, &delay))
-			continue;
-		if (delay)
-			usleep((useconds_t)delay * 1000);
-		if (out < 0) {
-			out = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-			setsockopt(out, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-			if (connect(out, (struct sockaddr *)&sa, sizeof sa))
-				break;
-		}
-		for (size_t at = 0; at < n + 4;) {
-			ssize_t k = send(out, buf + at, n + 4 - at, MSG_NOSIGNAL);
+	if (cut) {
+		free(*h);
+		*h = NULL;
+		return m != NULL;
+	}
+	(*h)->n = n + 4;
+	(*h)->due = clock_ms() + delay;
+	return 1;
+}
+
+static int frame_out(struct way *w, int *out, const struct held *h)
+{
+	struct sockaddr_in sa = sockaddr_of(w->k->real);
+	int one = 1;
+
+	if (*out < 0) {
+		*out = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		setsockopt(*out, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+		if (connect(*out, (struct sockaddr *)&sa, sizeof sa))
+			return 0;
+	}
+	for (size_t at = 0; at < h->n;) {
+		ssize_t k = send(*out, h->d + at, h->n - at, MSG_NOSIGNAL);
 
-			if (k <= 0)
-				goto end;
-			at += (size_t)k;
+		if (k <= 0)
+			return 0;
+		at += (size_t)k;
+	}
+	return 1;
+}
+
+static void *way_thread(void *arg)
+{
+	struct way *w = arg;
+	struct held *head = NULL, *tail = NULL, *h;
+	int out = -1, open = 1;
+
+	while (open) {
+		struct pollfd p = { w->fd, POLLIN, 0 };
+		int64_t wait = head ? head->due - clock_ms() : -1;
+
+		if (poll(&p, 1, head && wait < 0 ? 0 : (int)wait) > 0) {
+			open = frame_in(w, &h);
+			if (h && tail && h->due < tail->due)
+				h->due = tail->due; /* in order */
+			if (h) {
+				*(head ? &tail->next : &head) = h;
+				tail = h;
+			}
+		}
+		while (open && head && head->due <= clock_ms()) {
+			h = head;
+			head = h->next;
+			if (!head)
+				tail = NULL;
+			open = frame_out(w, &out, h);
+			free(h);
 		}
 	}
-end:
-	free(buf);
+	while ((h = head)) {
+		head = h->next;
+		free(h);
+	}
 	if (out >= 0)
 		close(out);
 	close(w->fd);
