Places: one way to give them out; the turn is hashed once an answer

The two loops of places() each raised the record, set the token and said the place: place_say does it now. share_out hashed the second's turn once a counter, though it is the same for all. Behaviour as before: limits_hold_fleet_wide gives the same figures to the digit, test_control passes.

--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -616,12 +616,10 @@
  * beyond the limit is shared out evenly; the odd places go to those that have gone without for longest. */
 static uint32_t share_out(const struct reg_place *v, const struct reg_place *me, const char *name, uint32_t limit, uint32_t spare, int64_t now)
 {
-	uint64_t others = 0, all = 0;
+	uint64_t others = 0, all = 0, turn = core_hashs((uint64_t)(now / 1000), name);
 	uint32_t n = 0, rank = 0, want = me->want + spare, even;
 
 	for (ptrdiff_t i = 0; i < arrlen(v); i++) {
-		uint64_t turn = core_hashs((uint64_t)(now / 1000), name);
-
 		if (v[i].id != me->id)
 			others += v[i].rec;
 		all += v[i].want + spare;
@@ -659,10 +657,14 @@
 	return &v[me];
 }
 
-static void place_say(const char *name, uint32_t held, struct Nl__FollowReply *a, struct out *o)
+/* Say what the asker may use, and count it as held until it is heard to be back. */
+static void place_say(struct reg_place *me, const char *name, uint32_t held, uint64_t token, struct Nl__FollowReply *a, struct out *o)
 {
 	struct Nl__Hold *p = OUT_NEW(o, Nl__Hold, NL__HOLD__INIT);
 
+	if (held > me->rec)
+		me->rec = held;
+	me->token = token;
 	p->name = apr_pstrdup(o->p, name);
 	p->held = held;
 	a->place[a->n_place++] = p;
@@ -710,12 +712,9 @@
 		got = share_out(shget(r->limit, h->name), me, h->name, limit, limit / (4 * n), now);
 		if (young && got > h->held)
 			got = h->held < limit ? h->held : limit;
-		if (got > me->rec)
-			me->rec = got;
 		if (got || h->used)
 			me->fed = now;
-		me->token = q->token;
-		place_say(h->name, got, a, o);
+		place_say(me, h->name, got, q->token, a, o);
 	}
 	for (ptrdiff_t i = 0; i < arrlen(r->spare) && q->counter && !young; i++) {
 		uint32_t limit = limit_of(r, r->spare[i]), got;
@@ -732,10 +731,7 @@
 		if (q->applied >= me->token)
 			me->rec = 0;
 		got = share_out(shget(r->limit, r->spare[i]), me, r->spare[i], limit, limit / (4 * n), now);
-		if (got > me->rec)
-			me->rec = got;
-		me->token = q->token;
-		place_say(r->spare[i], got, a, o);
+		place_say(me, r->spare[i], got, q->token, a, o);
 	}
 }
 
