--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -1607,6 +1607,7 @@
 		for (int i = 0; i < PART_COUNT; i++)
 			part_give_up(&r->part[i], now, o);
 		break;
+	default: break;
 	}
 	for (uint32_t i = 0; i < PART_COUNT; i++) {
 		struct part *p = &r->part[i];
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -24,7 +24,7 @@
 	REG_FEED = 100        /* ms between the publisher's askings of the feeds */
 };
 
-enum reg_ev_kind { REG_TICK, REG_MSG, REG_SYNCED, REG_WEB, REG_CALLED, REG_STOP };
+enum reg_ev_kind { REG_TICK, REG_MSG, REG_SYNCED, REG_WEB, REG_CALLED, REG_STOP, REG_DOC, REG_READ, REG_NAME, REG_LISTED, REG_LOOKED, REG_ORDERED };
 
 struct reg_ev {
 	enum reg_ev_kind kind;
@@ -33,9 +33,24 @@
 		struct { uint32_t part; uint64_t seq; } synced;
 		struct { uint64_t token; const char *verb, *path, *body; } web;
 		struct { uint64_t token; int status; const char *body; } called;
+		/* an operator's document, whole or a patch on the version base */
+		struct { uint64_t token, base; int patch; const char *body; size_t len; } doc;
+		struct { uint64_t token; } read;                            /* the newest document is wanted back */
+		struct { uint64_t token; const char *model, *weights; } name; /* weights are named for a model */
+		struct { uint64_t token; int ok; size_t n; struct Nl__Sight *const *v; } listed; /* the whole list of servers */
+		struct { uint64_t token; int status; const char *weights; int loading; } looked;
+		/* 200 holds, 202 begun, 409 another under way, 412 a lower fence, 421 not this server; 0 no answer; never: nothing left */
+		struct { uint64_t token; int status, never; } ordered;
 	} u;
 };
 
+/* The language that operators' documents are written in: the door's. Makes rows out of a document, and one whole
+ * document out of an old one and a patch. *why says what is wrong and names the item. Pure; results live in p.
+ * whole: the new document, as bytes; c: rows that replace all earlier ones, keys too. */
+struct reg_tongue {
+	int (*read)(const char *old, size_t old_len, const char *body, size_t len, int patch, struct Nl__Change *c, const char **why, apr_pool_t *p);
+};
+
 struct reg_wait { uint32_t part; uint64_t index, addr, token; };
 struct reg_ask {
 	uint64_t token, web;
--- a/lib/control/table.c
+++ b/lib/control/table.c
@@ -6,7 +6,7 @@
 
 #include "ds.h"
 
-static const char *const kinds[] = { "none", "lane", "tenant", "share", "key", "server", "service", "registrar" };
+static const char *const kinds[] = { "none", "lane", "tenant", "share", "key", "server", "service", "registrar", "model" };
 enum { KINDS = sizeof kinds / sizeof *kinds };
 
 const char *table_kind_name(Nl__Kind k) { return (unsigned)k < KINDS ? kinds[k] : "none"; }
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -127,3 +127,9 @@
 
 	return core_unpack(p, m->descriptor, n, d);
 }
+
+const struct bounds bounds_default = {
+	.config_ms = 2000, .revoke_ms = 5000, .drift_ms = 5000, .contact_ms = 3000, .drain_ms = 3000, .ack_ms = 4000, .catch_up_ms = 6000,
+	.grace_ms = 30000, .lease_ms = 3000, .thaw_ms = 300, .recover_ms = 12000, .roll_ms = 25000, .budget_mille = 200, .budget_slack = 18,
+	.budget_window_ms = 10000, .copies = 3, .list_mille = 0, .sights = 0,
+};
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -19,7 +19,30 @@
 	CMD_PIECE,   /* pass one piece of a stream on to a caller */
 	CMD_END,     /* end a caller's stream: ok or the error in body */
 	CMD_CALL,    /* call a server: POST body to addr/path */
-	CMD_CANCEL   /* give a call up */
+	CMD_CANCEL,  /* give a call up */
+	CMD_FORWARD, /* send a caller's request, whose text waits at the door, to a server */
+	CMD_LIST,    /* look at the list of servers */
+	CMD_LOOK,    /* look at one server's report */
+	CMD_ORDER,   /* tell a server to load weights */
+	CMD_WATCH    /* wait at a server for events of its kept parts */
+};
+
+/* A caller's request on its way to a server. The bytes stay with the shell, which passes the answer's pieces on by
+ * itself and says how it ended. */
+struct forward {
+	uint64_t call, caller;       /* tokens */
+	uint64_t addr;
+	const char *server, *tenant; /* the life meant; NULL tenant: none */
+	const char *shelf;           /* under which kept parts are filed there; NULL: none that others use */
+	const char *weights;         /* expected; NULL: any */
+	uint64_t from, sink;         /* fetch from and leave parts at; 0: none */
+	int prio;                    /* 0 goes first, to 9 */
+	int limit_ms;
+	int64_t not_after;
+	const char *since;           /* take up after this piece; NULL: as the caller said */
+	int joined;                  /* the caller has a head and pieces already: only pieces go on */
+	int stream;                  /* passed on by whole pieces, whose ids rise */
+	int repeatable;
 };
 
 struct persist_entry { uint64_t index, term; uint32_t kind; size_t len; const uint8_t *data; };
@@ -41,13 +64,34 @@
 	union {
 		struct { uint64_t addr; struct Nl__Msg *msg; } send;
 		struct persist *persist;
-		struct { uint64_t token; int status; int retry_ms; const char *body; } answer;
+		struct { uint64_t token; int status; int retry_ms; const char *body; uint64_t to; size_t len; } answer; /* to: 307, that peer's door; len: of body, 0 = its strlen */
 		struct { uint64_t token; const char *body; size_t len; int ok; } piece; /* PIECE, END */
 		struct { uint64_t token; const char *addr, *path, *body; int limit_ms; int stream; int64_t not_after; } call;
 		struct { uint64_t token; } cancel;
+		struct forward *forward;
+		struct { uint64_t token; } list;
+		struct { uint64_t token, addr; const char *server, *model; int64_t not_after; } look;
+		struct { uint64_t token, addr, fence; const char *server, *model, *weights, *holder; int64_t not_after; } order;
+		struct { uint64_t token, addr, since; const char *server; int wait_ms; } watch;
 	} u;
 };
 
+/* Bounds that a deployment sets; ms unless said otherwise. bounds_default is what stands without settings. */
+struct bounds {
+	int config_ms;       /* a change is in force everywhere */
+	int revoke_ms;       /* a removed key is dead everywhere */
+	int drift_ms;        /* how much later while the core is unsettled */
+	int contact_ms;      /* calm time after which a node counts as in touch */
+	int drain_ms;        /* a leaving server gets nothing more */
+	int ack_ms, catch_up_ms, grace_ms, lease_ms, thaw_ms, recover_ms;
+	int roll_ms;         /* named weights have reached every server */
+	int budget_mille, budget_slack, budget_window_ms; /* resends over the fleet: per mille of requests, and so many more, in any window */
+	int copies;          /* of each part: one more than twice the machines that may be lost at once */
+	int list_mille;      /* calls to the list of servers, in thousandths a second, for the whole fleet; 0: no list */
+	int sights;          /* servers come from the list, not from the table */
+};
+extern const struct bounds bounds_default;
+
 struct out {
 	apr_pool_t *p;     /* commands live in it until the shell clears it */
 	struct cmd *v;     /* stb_ds array */
--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -1353,6 +1353,7 @@
 			out_answer(o, ev->u.web.token, 404, 0, error_json(o->p, "path: no such call", "refused"));
 		break;
 	case CTR_STOP: c->stopping = 1; break;
+	default: break;
 	}
 	pump(c, now, o);
 	if (c->book && (ev->kind == CTR_TICK || ev->kind == CTR_EXCHANGE))
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -30,7 +30,38 @@
 	CTR_RETRY_MOST = 30000
 };
 
-enum ctr_ev_kind { CTR_TICK, CTR_MSG, CTR_EXCHANGE, CTR_GONE, CTR_PIECE, CTR_DONE, CTR_CALLED, CTR_WEB, CTR_STOP };
+enum ctr_ev_kind { CTR_TICK, CTR_MSG, CTR_EXCHANGE, CTR_GONE, CTR_PIECE, CTR_DONE, CTR_CALLED, CTR_WEB, CTR_STOP, CTR_ASKED, CTR_BEGAN, CTR_ENDED, CTR_WATCHED };
+
+/* An exchange whose text stays at the door; what is decided by is here. Strings live until the step is over. */
+struct ctr_part { uint64_t id; uint32_t tokens; };
+struct ctr_asking {
+	uint64_t token;
+	const char *digest;          /* of the key; NULL: none was shown */
+	const char *host, *path, *id;
+	int limit_ms;
+	uint32_t tokens_in, tokens_out;
+	int nparts;
+	struct ctr_part part[64];    /* in order; the last is the exchange's own */
+	int resumes;                 /* the caller itself takes up a stream */
+};
+
+/* How a forwarded send ended. */
+enum ctr_end {
+	CTR_WHOLE,   /* the server's whole answer has gone to the caller, whatever its status */
+	CTR_NEVER,   /* the server surely never began: no byte left, or it says so; the caller has heard nothing of it */
+	CTR_BROKE    /* it may have begun; began says whether the caller has seen a head and pieces */
+};
+struct ctr_ended {
+	uint64_t token;
+	enum ctr_end how;
+	int status;                  /* 0: no answer */
+	int began;
+	uint32_t pieces;             /* whole pieces passed on by this send */
+	const char *since;           /* id of the last of them; NULL: none */
+	int running, waiting, slots; /* the server's load as it says; slots 0: it does not say */
+	const char *weights;         /* that it names; NULL: none */
+	int wrong_life;              /* the address answers for another server, or other weights */
+};
 
 struct ctr_ev {
 	enum ctr_ev_kind kind;
@@ -43,6 +74,10 @@
 		struct { uint64_t token; int status, whole, never; const char *body; } done;
 		struct { uint64_t token; int status; const char *body; } called;
 		struct { uint64_t token; const char *path; } web;
+		const struct ctr_asking *ask;
+		struct { uint64_t token; const char *weights; } began; /* the first piece has gone to the caller */
+		const struct ctr_ended *ended;
+		struct { uint64_t token; const struct Nl__Kept *k; int status; } kept; /* answer to a watch */
 	} u;
 };
 
--- a/lib/shell/base.c
+++ b/lib/shell/base.c
@@ -49,8 +49,18 @@
 	pthread_cond_t some, room;
 	size_t cap, head, n;
 	void **v;
+	void (*pushed)(void *ctx);
+	void *ctx;
 };
 
+void ring_on_push(struct ring *r, void (*fn)(void *ctx), void *ctx)
+{
+	pthread_mutex_lock(&r->m);
+	r->ctx = ctx;
+	r->pushed = fn;
+	pthread_mutex_unlock(&r->m);
+}
+
 void ring_open(struct ring **r, size_t cap, apr_pool_t *p)
 {
 	pthread_condattr_t a;
@@ -79,6 +89,8 @@
 	} else {
 		ok = 0;
 	}
+	if (r->pushed && r->n == 1)
+		r->pushed(r->ctx);
 	pthread_mutex_unlock(&r->m);
 	return ok;
 }
--- a/lib/shell/proc.c
+++ b/lib/shell/proc.c
@@ -187,15 +187,24 @@
 		ring_open(&p->ring, PROC_RING, p->p);
 	p->addr = core_addr(p->set.advertise ? p->set.advertise : p->set.listen);
 	apr_pool_create(&p->o.p, NULL);
+	if (p->door) {
+		p->net = net_open(p->set.listen, p->ring, p->p);
+		if (!p->net || !p->door->open(p->door_ctx, p))
+			return 0;
+		ring_on_push(p->ring, p->door->wake, p->door_ctx);
+		return 1;
+	}
 	return (p->net = net_open(p->set.listen, p->ring, p->p)) && (p->web = web_open(p->set.web, p->ring, p->p)) &&
 	       (p->call = call_open(p->ring, p->p));
 }
 
-static void perform(struct proc *p)
+void proc_perform(struct proc *p)
 {
 	for (ptrdiff_t i = 0; i < arrlen(p->o.v); i++) {
 		struct cmd *c = &p->o.v[i];
 
+		if (p->door && p->door->perform(p->door_ctx, c))
+			continue;
 		switch (c->kind) {
 		case CMD_SEND: net_send(p->net, c->u.send.addr, c->u.send.msg); break;
 		case CMD_PERSIST: store_write(p->store, c->u.persist); break;
@@ -209,6 +218,7 @@
 			           c->u.call.stream, c->u.call.not_after);
 			break;
 		case CMD_CANCEL: call_cancel_one(p->call, c->u.cancel.token); break;
+		case CMD_FORWARD: case CMD_LIST: case CMD_LOOK: case CMD_ORDER: case CMD_WATCH: break; /* only doors of other languages have them */
 		}
 	}
 	out_clear(&p->o);
@@ -226,42 +236,51 @@
 
 			log_say(LOG_INFO, "proc", "Stops: what is under way is ended first.");
 			p->stopping = 1;
-			p->stop_at = now + PROC_DRAIN;
-			d->step(d->ctx, &stop, now, &p->o);
-			perform(p);
+			p->stop_at = now + (p->set.grace_ms ? p->set.grace_ms : PROC_DRAIN);
+			if (p->door)
+				p->door->stop(p->door_ctx, now);
+			else
+				d->step(d->ctx, &stop, now, &p->o);
+			proc_perform(p);
 		}
-		if (p->stopping && (d->done(d->ctx) || now >= p->stop_at))
+		if (p->stopping && ((d->done(d->ctx) && (!p->door || p->door->done(p->door_ctx, now))) || now >= p->stop_at))
 			break;
 		if (now - tick >= PROC_TICK) {
 			tick = now;
 			d->step(d->ctx, NULL, now, &p->o);
-			perform(p);
-			if (d->good)
+			proc_perform(p);
+			if (d->good && !p->door)
 				web_good_until(p->web, d->good(d->ctx));
 		}
-		if (now - scan >= PROC_SCAN) {
+		if (!p->door && now - scan >= PROC_SCAN) {
 			scan = now;
 			web_scan(p->web);
 		}
-		e = ring_pop(p->ring, (int)(tick + PROC_TICK - now > 0 ? tick + PROC_TICK - now : 0));
+		if (p->door)
+			p->door->wait(p->door_ctx, (int)(tick + PROC_TICK - now > 0 ? tick + PROC_TICK - now : 0));
+		e = ring_pop(p->ring, p->door ? 0 : (int)(tick + PROC_TICK - now > 0 ? tick + PROC_TICK - now : 0));
 		for (int i = 0; e && i < PROC_BATCH; i++) {
 			d->step(d->ctx, e, clock_ms(), &p->o);
-			perform(p);
+			proc_perform(p);
 			shell_ev_free(e);
 			e = ring_pop(p->ring, 0);
 		}
 		if (e) { /* the batch is full: this one still counts */
 			d->step(d->ctx, e, clock_ms(), &p->o);
-			perform(p);
+			proc_perform(p);
 			shell_ev_free(e);
 		}
 	}
 	apr_sleep(50000); /* answers that were just given leave */
 	/* the core takes nothing more: keep the line to it empty so that no thread waits at it */
-	web_close(p->web);
+	if (p->door)
+		p->door->close(p->door_ctx);
+	else
+		web_close(p->web);
 	while ((e = ring_pop(p->ring, 0)))
 		shell_ev_free(e);
-	call_close(p->call);
+	if (!p->door)
+		call_close(p->call);
 	net_close(p->net);
 	if (p->store)
 		store_close(p->store);
--- a/lib/shell/shell.h
+++ b/lib/shell/shell.h
@@ -38,6 +38,9 @@
 /* Take one out within ms, else NULL. Example: ev = ring_pop(r, 25); */
 void *ring_pop(struct ring *r, int ms);
 
+/* Called after a push into an empty ring, by whoever pushed; for an owner that waits elsewhere. Example: ring_on_push(r, wake, loop); */
+void ring_on_push(struct ring *r, void (*fn)(void *ctx), void *ctx);
+
 /* ---- events that reach a program's core thread ---- */
 enum shell_ev_kind { EV_MSG, EV_WEB, EV_GONE, EV_PIECE, EV_DONE, EV_SYNCED, EV_STOP };
 struct shell_ev {
@@ -119,6 +122,10 @@
 	int nseeds;
 	int check;
 	const char *file;
+	int grace_ms;         /* for a planned stop; 0: as the product has it */
+	struct bounds bounds;
+	int found;            /* a first start of empty disks: the first seed founds the fleet, once */
+	void *more;           /* what only another language's door knows */
 };
 
 /* Read flags and, with --settings, a file; flags go first. Returns -1 to go on, else the exit code.
@@ -126,7 +133,23 @@
 int set_read(struct settings *s, const char *program, int disk, int argc, char **argv, apr_pool_t *p);
 
 /* ---- proc ---- */
+struct proc;
+
+/* A door of another language than the product's own: callers, operators and servers are spoken to through it, by the
+ * thread that owns the state. It turns what it hears into the core's events, steps the core and calls proc_perform. */
+struct door {
+	int (*open)(void *ctx, struct proc *p);
+	int (*perform)(void *ctx, const struct cmd *c); /* 1: the command was the door's and is done */
+	void (*wait)(void *ctx, int ms);
+	void (*wake)(void *ctx);                        /* by any thread */
+	void (*stop)(void *ctx, int64_t now);           /* a planned stop begins */
+	int (*done)(void *ctx, int64_t now);
+	void (*close)(void *ctx);
+};
+
 struct proc {
+	const struct door *door; /* NULL: the product's own interface */
+	void *door_ctx;
 	apr_pool_t *p;
 	struct settings set;
 	struct ring *ring;
@@ -154,6 +177,9 @@
 /* Run until SIGTERM or SIGINT and the drain that follows. Example: return proc_run(&p, &duty); */
 int proc_run(struct proc *p, const struct proc_duty *d);
 
+/* Perform the commands that a step left in p->o. Example: ctr_step(c, &ev, now, &p->o); proc_perform(p); */
+void proc_perform(struct proc *p);
+
 /* A random number from the kernel. Example: id = proc_random(); */
 uint64_t proc_random(void);
 
