--- a/tests/sim.c
+++ b/tests/sim.c
@@ -945,6 +945,7 @@
 		case CMD_END:
 			hear_piece(s, c->u.piece.token, c->u.piece.body, c->u.piece.len, c->kind == CMD_END, c->u.piece.ok);
 			break;
+		case CMD_FORWARD: case CMD_LIST: case CMD_LOOK: case CMD_ORDER: case CMD_WATCH: break; /* no such door here yet */
 		case CMD_CANCEL:
 			for (ptrdiff_t q = 0; q < arrlen(s->run); q++)
 				if (!s->run[q].over && s->run[q].node == i && s->run[q].token == c->u.cancel.token)
