--- /dev/null
+++ b/lib/data/ctr_send.c
@@ -0,0 +1,264 @@
+/* ctr_send: sends, what comes back from servers, and when another may have it. */
+#include "ctr_in.h"
+
+#include <apr_strings.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ds.h"
+
+static struct json_object *copy_json(const struct ctr *c, uint64_t hash, const struct kept_copy *k, apr_pool_t *p)
+{
+	struct json_object *j = json_object_new_object();
+
+	json_object_object_add(j, "h", json_object_new_string(apr_psprintf(p, "%016" APR_UINT64_T_HEX_FMT, hash)));
+	json_object_object_add(j, "m", json_object_new_string(c->tenants.name[k->maker]));
+	json_object_object_add(j, "t", json_object_new_int64((int64_t)k->stamp));
+	return j;
+}
+
+/* The one place where an exchange leaves for a server. */
+static void send_to(struct ctr *c, struct xch *x, const struct plan *pl, int64_t now, struct out *o)
+{
+	const struct book *b = c->book;
+	struct ctr_server *v = &c->sv[pl->server];
+	struct json_object *j = json_object_new_object(), *a;
+	struct cmd *k;
+	double read;
+
+	x->state = XCH_RUNNING;
+	x->server = pl->server;
+	x->weights = v->weights;
+	x->stamp = c->relay.k.horizon;
+	x->sent_at = now;
+	x->sends++;
+	x->next = 0;
+	x->from = pl->from;
+	x->fetch_ms = (uint32_t)(pl->fetch + 0.5);
+	x->call = ctr_token_new(c);
+	hmput(c->by, x->call, x);
+	x->xid = apr_psprintf(x->p, "%016" APR_UINT64_T_HEX_FMT "-%" APR_UINT64_T_FMT "-%d", c->id, x->seq, x->sends);
+	v->own++;
+	json_object_object_add(j, "x", json_object_new_string(x->xid));
+	json_object_object_add(j, "id", json_object_new_string(x->id));
+	json_object_object_add(j, "tenant", json_object_new_string(c->tenants.name[x->tenant]));
+	json_object_object_add(j, "weights", json_object_new_string(c->weights.name[x->weights]));
+	json_object_object_add(j, "stamp", json_object_new_int64((int64_t)x->stamp));
+	json_object_object_add(j, "limit_ms", json_object_new_int64(x->limit - now));
+	a = json_object_new_array();
+	for (int i = 0; i < x->nparts; i++) {
+		struct json_object *e = json_object_new_object();
+
+		json_object_object_add(e, "h", json_object_new_string(apr_psprintf(o->p, "%016" APR_UINT64_T_HEX_FMT, x->hash[i])));
+		json_object_object_add(e, "text", json_object_new_string(x->text[i]));
+		json_object_array_add(a, e);
+	}
+	json_object_object_add(j, "parts", a);
+	json_object_object_add(j, "tail", json_object_new_string(x->tail));
+	a = json_object_new_array();
+	for (int i = 0; i < pl->keep; i++)
+		json_object_array_add(a, copy_json(c, x->hash[i], ctr_usable(c, x, x->hash[i], (uint32_t)pl->server, x->weights), o->p));
+	json_object_object_add(j, "reuse", a);
+	if (pl->from >= 0) {
+		struct json_object *f = json_object_new_object();
+
+		a = json_object_new_array();
+		for (int i = pl->keep; i < pl->upto; i++)
+			json_object_array_add(a, copy_json(c, x->hash[i], ctr_usable(c, x, x->hash[i], (uint32_t)pl->from, x->weights), o->p));
+		json_object_object_add(f, "from", json_object_new_string(b->server[pl->from].addr));
+		json_object_object_add(f, "parts", a);
+		/* no longer than reading them anew would take */
+		read = (double)(ctr_tokens_upto(x, pl->upto) - ctr_tokens_upto(x, pl->keep)) / b->service[x->service].prefill;
+		json_object_object_add(f, "wait_ms", json_object_new_int(read < 1 ? 1 : read > CTR_FETCH_MOST ? CTR_FETCH_MOST : (int)read));
+		json_object_object_add(j, "fetch", f);
+	}
+	k = out_cmd(o, CMD_CALL);
+	k->u.call.token = x->call;
+	k->u.call.addr = apr_pstrdup(o->p, b->server[pl->server].addr);
+	k->u.call.path = "/v1/run";
+	k->u.call.body = apr_pstrdup(o->p, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
+	k->u.call.limit_ms = (int)(x->limit - now);
+	k->u.call.stream = 1;
+	k->u.call.not_after = c->f.fresh + FOLLOW_CONFIG + 200; /* a frozen process must not send what was decided before */
+	json_object_put(j);
+	c->n.sends++;
+	c->budget += CTR_BUDGET;
+	if (c->budget > CTR_BUDGET_CAP)
+		c->budget = CTR_BUDGET_CAP;
+	c->n.tokens += ctr_tokens_upto(x, x->nparts) + x->tail_tokens;
+	c->n.reused += ctr_tokens_upto(x, pl->keep);
+	c->n.fetched += pl->from >= 0 ? ctr_tokens_upto(x, pl->upto) - ctr_tokens_upto(x, pl->keep) : 0;
+	c->n.cold += !relay_current(&c->relay, now);
+	ctr_use_of(c, x)->value.tokens += ctr_tokens_upto(x, x->nparts) + x->tail_tokens;
+	ctr_use_of(c, x)->value.reused += ctr_tokens_upto(x, pl->keep);
+}
+
+/* With its claim, to the head of its line: there is no place just now. */
+static void back_to_line(struct ctr *c, struct xch *x)
+{
+	struct line *l = ctr_line_of(c, x->lane, x->tenant);
+
+	x->state = XCH_WAITING;
+	x->after = l->head;
+	l->head = x;
+	if (!l->tail)
+		l->tail = x;
+	l->n++;
+	l->running--;
+	c->running[x->tenant]--;
+}
+
+void ctr_send_claimed(struct ctr *c, struct xch *x, int64_t now, struct out *o)
+{
+	struct plan pl = { -1, 0, -1, 0, 0, 0 };
+
+	if (now >= x->limit) {
+		c->n.refused_limit++;
+		ctr_refuse(c, x, 503, "the limit passed before a send", CTR_RETRY, now, o);
+		return;
+	}
+	if (x->server >= 0) { /* the place that was held for it */
+		c->sv[x->server].own--;
+		x->server = -1;
+	}
+	if (now - x->claim_from > CTR_CLAIM_HOLD) { /* it must outlast what is sent under it */
+		ctr_refuse(c, x, 503, "no server could take it for long", CTR_RETRY, now, o);
+		return;
+	}
+	if (follow_age(&c->f, now) <= FOLLOW_CONFIG)
+		pl = ctr_assign(c, x, now);
+	if (pl.server < 0)
+		back_to_line(c, x); /* its place went to another counter's, or this counter must hear the owner first */
+	else
+		send_to(c, x, &pl, now, o);
+}
+
+/* ---- answers ------------------------------------------------------------------------------ */
+
+/* Who was asked is not the owner, and may know who is. A late word about another guess moves nothing. */
+static void claim_hint(struct ctr *c, uint32_t service, uint64_t asked, uint64_t from, uint64_t hint)
+{
+	if (asked == from && follow_seat(&c->f, ctr_part_of(c, service)) == asked)
+		follow_hint(&c->f, ctr_part_of(c, service), hint == from ? 0 : hint);
+}
+
+void ctr_on_answer(struct ctr *c, const struct Nl__Answer *a, uint64_t from, int64_t now, struct out *o)
+{
+	struct xch *x = ctr_xch_by(c, a->token);
+
+	for (ptrdiff_t i = 0; i < arrlen(c->release); i++)
+		if (c->release[i].token == a->token) {
+			if (a->status == TABLE_NOT_OWNER) {
+				claim_hint(c, c->release[i].service, c->release[i].asked, from, a->hint);
+				c->release[i].at = now - CTR_CLAIM_WAIT + 50;
+				c->release[i].asked = 0;
+			} else if (a->status != TABLE_BUSY) {
+				ctr_release_end(c, i);
+			}
+			return;
+		}
+	if (!x || x->state != XCH_CLAIMING || x->claim != a->token || x->claimed)
+		return;
+	switch (a->status) {
+	case TABLE_DONE:
+		x->claimed = 1;
+		follow_hint(&c->f, ctr_part_of(c, x->service), from); /* who answers owns */
+		ctr_send_claimed(c, x, now, o);
+		break;
+	case TABLE_NOT_OWNER:
+		claim_hint(c, x->service, x->asked, from, a->hint);
+		x->asked = 0; /* it did answer */
+		x->claim_at = now - CTR_CLAIM_WAIT + 20; /* ask the one named, soon */
+		break;
+	case TABLE_BUSY: x->claim_at = now - CTR_CLAIM_WAIT + 50; break;
+	default:
+		/* not "refused": the asking that holds the id may be running */
+		out_answer(o, x->token, 409, 0, ctr_error_json(o->p, "id: claimed by an earlier asking", "claimed"));
+		c->n.refused++;
+		ctr_xch_drop(c, x);
+	}
+}
+
+static void whole(struct ctr *c, struct xch *x, int64_t now, struct out *o)
+{
+	struct ctr_server *v = &c->sv[x->server];
+	const char *body = apr_psprintf(o->p, "{\"end\":true,\"pieces\":%" APR_UINT64_T_FMT ",\"exchange\":\"%s\"}\n", x->next, x->xid);
+	struct cmd *k = out_cmd(o, CMD_END);
+
+	k->u.piece.token = x->token;
+	k->u.piece.body = body;
+	k->u.piece.len = strlen(body);
+	k->u.piece.ok = 1;
+	v->mean_ms += ((double)(now - x->sent_at) - v->mean_ms) / 8;
+	for (int i = 0; i < x->nparts; i++) { /* kept there now, until a report says otherwise */
+		struct kept_copy n = { (uint32_t)x->server, x->tenant, x->service, x->weights, x->stamp, v->asked + 1 };
+		const struct kept_copy *old = ctr_usable(c, x, x->hash[i], (uint32_t)x->server, x->weights);
+
+		if (!old && view_allows(&c->relay.w, c->services.name[x->service], c->weights.name[x->weights], c->tenants.name[x->tenant],
+		                        c->servers.name[x->server], x->stamp))
+			kept_put(&c->kept, x->hash[i], &n);
+	}
+	c->n.answered++;
+	ctr_use_of(c, x)->value.exchanges++;
+	ctr_use_of(c, x)->value.pieces += x->next;
+	ctr_xch_drop(c, x);
+}
+
+/* One line of a server's stream: bound to this send, in order, else it is no answer. */
+void ctr_on_piece(struct ctr *c, struct xch *x, const char *text, int64_t now, struct out *o)
+{
+	struct json_object *j = ctr_read_json(c, text), *v, *n, *t;
+	struct cmd *k;
+
+	if (!json_object_is_type(j, json_type_object) || !json_object_object_get_ex(j, "x", &v) ||
+	    strcmp(json_object_get_string(v), x->xid) || !json_object_object_get_ex(j, "n", &n) ||
+	    json_object_get_uint64(n) != x->next) {
+		ctr_give_up(c, x, 502, "the server's answer does not belong to this exchange", o);
+		goto end;
+	}
+	if (json_object_object_get_ex(j, "end", &v)) {
+		if (x->from >= 0 && json_object_object_get_ex(j, "fetch_ms", &t))
+			ctr_learn_fetch(c, x, json_object_get_int64(t), json_object_object_get_ex(j, "fetched", &v) ? json_object_get_int(v) : 0, now);
+		whole(c, x, now, o);
+		goto end;
+	}
+	if (!json_object_object_get_ex(j, "t", &t)) {
+		ctr_give_up(c, x, 502, "the server's answer is not whole", o);
+		goto end;
+	}
+	k = out_cmd(o, CMD_PIECE);
+	k->u.piece.token = x->token;
+	k->u.piece.body = apr_psprintf(o->p, "{\"n\":%" APR_UINT64_T_FMT ",\"text\":%s}\n", x->next,
+	                               json_object_to_json_string_ext(t, JSON_C_TO_STRING_PLAIN));
+	k->u.piece.len = strlen(k->u.piece.body);
+	x->begun = 1;
+	x->next++;
+	c->n.pieces++;
+end:
+	if (j)
+		json_object_put(j);
+}
+
+void ctr_on_done(struct ctr *c, struct xch *x, const typeof(((struct ctr_ev *)0)->u.done) *d, int64_t now, struct out *o)
+{
+	(void)hmdel(c->by, x->call);
+	x->call = 0;
+	if (!d->never || x->next) {
+		ctr_give_up(c, x, 502, "the server's answer broke off", o);
+		return;
+	}
+	/* it surely never began: another server may have it, within the budget */
+	c->sv[x->server].own--;
+	if (d->status == 0)
+		c->sv[x->server].bad_until = now + CTR_BAD;
+	x->tried = (uint32_t)x->server;
+	x->server = -1;
+	x->state = XCH_CLAIMING;
+	if (c->budget < 1000) {
+		ctr_refuse(c, x, 503, "the server refused, and the budget for resends is spent", CTR_RETRY, now, o);
+		return;
+	}
+	c->budget -= 1000 + CTR_BUDGET; /* a resend earns nothing */
+	c->n.resends++;
+	ctr_send_claimed(c, x, now, o);
+}
--- /dev/null
+++ b/lib/data/ctr_watch.c
@@ -0,0 +1,148 @@
+/* ctr_watch: servers' reports, the index of kept parts, and what purges withdraw from it. */
+#include "ctr_in.h"
+
+#include <apr_strings.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ds.h"
+
+/* ---- reports ---------------------------------------------------------------------------------- */
+
+/* Names of weights come from reports too: a server may still have those from before. They are bounded. */
+static int weights_of(struct ctr *c, const char *name)
+{
+	int i = names_find(&c->weights, name);
+
+	return i >= 0 || strlen(name) > 128 || arrlen(c->weights.name) >= CTR_WEIGHTS ? i : (int)names_id(&c->weights, name);
+}
+
+/* A report that cannot be read changes nothing, and is spoken of once. */
+static void odd_report(struct ctr *c, uint32_t s, const char *why)
+{
+	char line[300];
+
+	if (!c->sv[s].odd++ && c->log) {
+		apr_snprintf(line, sizeof line, "Step report: server %s: %s; it is passed over until it is mended.", c->servers.name[s], why);
+		c->log(c->log_ctx, "ctr", line);
+	}
+}
+
+void ctr_on_report(struct ctr *c, uint32_t s, const char *body, int64_t now)
+{
+	struct ctr_server *v = &c->sv[s];
+	struct json_object *j = ctr_read_json(c, body), *parts;
+	const char *service;
+	int weights = json_object_is_type(j, json_type_object) ? weights_of(c, json_str(j, "weights")) : -1;
+
+	if (weights < 0 || json_num(j, "slots") > 100000) {
+		odd_report(c, s, "its report cannot be read, or names what nobody knows");
+		goto end;
+	}
+	v->odd = 0;
+	v->reported = now;
+	v->have = 1;
+	v->weights = (uint32_t)weights;
+	v->loading = json_str(j, "loading")[0] != 0;
+	v->slots = (int)json_num(j, "slots");
+	v->running = (int)json_num(j, "running");
+	v->others = v->running > v->own ? v->running - v->own : 0; /* what other counters run there */
+	if (!json_object_object_get_ex(j, "parts", &parts) || !json_object_is_type(parts, json_type_array)) {
+		if (json_num(j, "serial") != v->serial || json_num(j, "boot") != v->boot)
+			v->told = v->called = 0; /* what changed was lost on its way here: look ourselves */
+		goto end;
+	}
+	v->serial = json_num(j, "serial");
+	v->boot = json_num(j, "boot");
+	service = c->services.name[c->book->server[s].service];
+	for (size_t i = 0; i < json_object_array_length(parts) && i < CTR_KEPT; i++) {
+		struct json_object *e = json_object_array_get_idx(parts, i);
+		int maker = names_find(&c->tenants, json_str(e, "m")), made_under = weights_of(c, json_str(e, "w"));
+		struct kept_copy n = { s, (uint32_t)maker, c->book->server[s].service, (uint32_t)made_under, json_num(e, "t"), v->asked };
+
+		if (maker < 0 || made_under < 0)
+			continue; /* of nobody that the table ever named here */
+
+		/* a late report never revives what is withdrawn */
+		if (view_allows(&c->relay.w, service, json_str(e, "w"), json_str(e, "m"), c->servers.name[s], n.stamp))
+			kept_put(&c->kept, strtoull(json_str(e, "h"), NULL, 16), &n);
+	}
+	kept_sweep(&c->kept, s, v->asked);
+end:
+	if (j)
+		json_object_put(j);
+}
+
+/* A relay looks for its zone: what it saw goes to its downstreams as it came. */
+void ctr_pass_report(struct ctr *c, uint32_t s, const char *body, struct out *o)
+{
+	for (ptrdiff_t i = 0; i < arrlen(c->relay.down); i++) {
+		struct Nl__Report *r = OUT_NEW(o, Nl__Report, NL__REPORT__INIT);
+
+		r->server = apr_pstrdup(o->p, c->servers.name[s]);
+		r->body.len = strlen(body);
+		r->body.data = (uint8_t *)apr_pstrdup(o->p, body);
+		out_msg(o, c->relay.down[i].addr, 0, NL__MSG__BODY_REPORT)->report = r;
+	}
+}
+
+void ctr_on_passed_report(struct ctr *c, const struct Nl__Report *r, int64_t now, struct out *o)
+{
+	int s = names_find(&c->servers, r->server);
+
+	if (s < 0 || !c->book || (uint32_t)s >= c->book->nserver || !c->book->server[s].on)
+		return;
+	c->sv[s].told = now;
+	c->sv[s].asked++;
+	ctr_on_report(c, (uint32_t)s, apr_pstrmemdup(o->p, (char *)r->body.data, r->body.len), now);
+}
+
+void ctr_look(struct ctr *c, int64_t now, struct out *o)
+{
+	const struct book *b = c->book;
+
+	for (uint32_t s = 0; b && s < b->nserver; s++) {
+		struct ctr_server *v = &c->sv[s];
+		struct cmd *k;
+
+		if (!b->server[s].on || now - v->called < CTR_LOOK || now - v->told < CTR_TOLD)
+			continue;
+		/* spread over the period, so that counters do not all look at once */
+		v->called = v->called ? now : now - (int64_t)(core_rdv(c->id, s) % CTR_LOOK);
+		v->call = ctr_token_new(c);
+		v->asked++;
+		c->n.looks++;
+		k = out_cmd(o, CMD_CALL);
+		k->u.call.token = v->call;
+		k->u.call.addr = apr_pstrdup(o->p, b->server[s].addr);
+		k->u.call.path = apr_psprintf(o->p, "/v1/report?since=%" APR_UINT64_T_FMT "&boot=%" APR_UINT64_T_FMT, v->serial, v->boot);
+		k->u.call.limit_ms = 800;
+		k->u.call.not_after = now + 800;
+	}
+}
+
+/* ---- purges ------------------------------------------------------------------------------------- */
+
+struct withdrawn { struct ctr *c; const struct Nl__Value *v; };
+
+static int is_withdrawn(const void *ctx, const struct kept_copy *k)
+{
+	const struct withdrawn *w = ctx;
+	const struct Nl__Purge *p = w->v->purge;
+	const struct ctr *c = w->c;
+
+	if (k->stamp >= w->v->tick)
+		return 0;
+	switch (p->why) {
+	case PURGE_WEIGHTS: return !strcmp(c->services.name[k->service], p->service) && !strcmp(c->weights.name[k->weights], p->weights);
+	case PURGE_TENANT: return !strcmp(c->tenants.name[k->maker], p->tenant);
+	default: return !strcmp(c->servers.name[k->server], p->server);
+	}
+}
+
+void ctr_on_value(void *ctx, const struct Nl__Value *v)
+{
+	struct withdrawn w = { ctx, v };
+
+	kept_drop(&w.c->kept, is_withdrawn, &w);
+}
