--- a/lib/core/kept.c
+++ b/lib/core/kept.c
@@ -48,6 +48,23 @@
 	}
 }
 
+void kept_lose(struct kept *k, uint64_t hash, uint32_t server)
+{
+	struct kept_row *r = k->h ? hmgetp_null(k->h, hash) : NULL;
+
+	if (!r)
+		return;
+	for (ptrdiff_t i = arrlen(r->value) - 1; i >= 0; i--)
+		if (r->value[i].server == server) {
+			arrdelswap(r->value, i);
+			k->n--;
+		}
+	if (!arrlen(r->value)) {
+		arrfree(r->value);
+		(void)hmdel(k->h, hash);
+	}
+}
+
 struct sweep { uint32_t server; uint64_t seen; };
 
 static int swept(const void *ctx, const struct kept_copy *c)
--- a/lib/core/kept.h
+++ b/lib/core/kept.h
@@ -20,6 +20,9 @@
 /* Put one copy in; the same (server, maker) replaces. Example: kept_put(&k, hash, &copy); */
 void kept_put(struct kept *k, uint64_t hash, const struct kept_copy *c);
 
+/* Drop the copies that one server has of a part. Example: kept_lose(&k, hash, 3); */
+void kept_lose(struct kept *k, uint64_t hash, uint32_t server);
+
 /* Drop the copies of a server that its report number seen did not name. Example: kept_sweep(&k, 3, 17); */
 void kept_sweep(struct kept *k, uint32_t server, uint64_t seen);
 
--- a/lib/core/purge.c
+++ b/lib/core/purge.c
@@ -204,6 +204,14 @@
 	       !gone(w, subject(PURGE_SERVER, server, ""), stamp);
 }
 
+uint64_t view_tick(const struct view *w, uint32_t why, const char *a, const char *b)
+{
+	struct view_row *h = w->h;
+	ptrdiff_t i = h ? hmgeti(h, subject(why, a, b)) : -1;
+
+	return i < 0 ? 0 : h[i].value->tick;
+}
+
 void view_clear(struct view *w)
 {
 	for (ptrdiff_t i = 0; i < hmlen(w->h); i++)
--- a/lib/core/purge.h
+++ b/lib/core/purge.h
@@ -61,6 +61,9 @@
  * view_allows(&w, "arrears", "w1", "t3", "s7", stamp) */
 int view_allows(const struct view *w, const char *service, const char *weights, const char *maker,
                 const char *server, uint64_t stamp);
+
+/* The newest tick that withdrew a subject; 0: none. b only with weights. Example: view_tick(&w, PURGE_WEIGHTS, "arrears", "w1") */
+uint64_t view_tick(const struct view *w, uint32_t why, const char *a, const char *b);
 void view_clear(struct view *w);
 
 struct relay_down { uint64_t id, addr, taken; int64_t heard; };
--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -9,20 +9,32 @@
 
 /* ---- a new edition --------------------------------------------------------------------------------- */
 
+static void swap_roster(struct ctr *c, int64_t now)
+{
+	struct roster *r = ctr_roster_make(c, now);
+
+	ctr_roster_free(c->roster);
+	c->roster = r;
+}
+
 static void swap_book(struct ctr *c, int64_t now, struct out *o)
 {
 	struct book *b = ctr_book_make(c, now), *old = c->book;
 
 	c->book = b;
+	swap_roster(c, now);
 	for (ptrdiff_t i = arrlen(c->all) - 1; i >= 0; i--) {
 		struct xch *x = c->all[i];
 		struct bk_key *keys = b->key;
-		ptrdiff_t k = shgeti(keys, x->digest);
+		ptrdiff_t k = x->digest ? shgeti(keys, x->digest) : -1;
 
-		if (k < 0 || keys[k].value != x->tenant || !b->tenant[x->tenant].on) {
+		if (x->forwarded && x->state == XCH_RUNNING)
+			continue; /* sent while its key held; a server ends it within its deadline */
+		if (x->digest && x->tenant != b->keyless && (k < 0 || keys[k].value != x->tenant || !b->tenant[x->tenant].on)) {
 			c->n.revoked++;
 			ctr_end_early(c, x, 401, "key: removed", now, o);
-		} else if (x->state != XCH_RUNNING && (!b->lane[x->lane].on || b->lane[x->lane].service != x->service || !b->service[x->service].on)) {
+		} else if (x->state != XCH_RUNNING && (!b->lane[x->lane].on || (!x->forwarded && b->lane[x->lane].service != x->service) ||
+		                                       !b->service[x->service].on)) {
 			ctr_end_early(c, x, 404, "lane: removed", now, o);
 		}
 	}
@@ -40,7 +52,8 @@
 		{ "edition", c->f.t.edition }, { "horizon", c->relay.k.horizon }, { "kept", c->kept.n }, { "taken", c->n.taken },
 		{ "answered", c->n.answered }, { "refused", c->n.refused }, { "unknown", c->n.unknown }, { "sends", c->n.sends },
 		{ "resends", c->n.resends }, { "pieces", c->n.pieces }, { "tokens", c->n.tokens }, { "reused", c->n.reused },
-		{ "fetched", c->n.fetched }, { "cold", c->n.cold }, { "claims", c->n.claims }, { "looks", c->n.looks }, { "refused_stale", c->n.refused_stale },
+		{ "fetched", c->n.fetched }, { "cold", c->n.cold }, { "claims", c->n.claims }, { "looks", c->n.looks }, { "watches", c->n.watches }, { "events", c->n.events }, { "taken_up", c->n.taken_up },
+		{ "wrong_life", c->n.wrong_life }, { "refused_stale", c->n.refused_stale },
 		{ "refused_line", c->n.refused_line }, { "refused_limit", c->n.refused_limit }, { "refused_early", c->n.refused_early }, { "revoked", c->n.revoked }, { "blind", c->n.blind },
 		{ "downstreams", (uint64_t)arrlen(c->relay.down) }, { "increments", c->relay.n_inc }, { "counters", c->f.counters },
 	};
@@ -55,10 +68,10 @@
 	json_object_object_add(j, "current", json_object_new_boolean(relay_current(&c->relay, now)));
 	json_object_object_add(j, "running", json_object_new_int64(arrlen(c->all) - (int64_t)waiting));
 	json_object_object_add(j, "waiting", json_object_new_int64(waiting));
-	for (uint32_t i = 0; c->book && i < c->book->nserver; i++) {
+	for (uint32_t i = 0; c->roster && i < c->roster->nserver; i++) {
 		struct json_object *x;
 
-		if (!c->book->server[i].on)
+		if (!c->roster->server[i].on)
 			continue;
 		x = json_object_new_object();
 		json_object_object_add(x, "server", json_object_new_string(c->servers.name[i]));
@@ -91,11 +104,11 @@
 /* What will not be sent in time is told so now, not at its limit. */
 static void end_hopeless(struct ctr *c, int64_t now, struct out *o)
 {
-	const struct book *b = c->book;
+	const struct roster *b = c->roster;
 
 	for (uint32_t s = 0; b && s < b->nserver; s++)
-		if (!b->server[s].is_store && ctr_standing(c, s, now))
-			c->stood[b->server[s].service] = now;
+		if (!c->roster->server[s].is_store && ctr_standing(c, s, now))
+			c->stood[c->roster->server[s].service] = now;
 	for (ptrdiff_t i = 0; i < arrlen(c->line); i++) {
 		struct line *l = &c->line[i];
 		struct xch *next;
@@ -121,7 +134,10 @@
 	follow_tick(&c->f, c->relay.k.horizon, now, o);
 	relay_up(&c->relay, c->f.up, (size_t)c->f.nup, follow_log(&c->f, c->relay.moved, now), now);
 	relay_tick(&c->relay, now, o);
-	ctr_look(c, now, o);
+	if (c->b.sights)
+		ctr_watch(c, now, o);
+	else
+		ctr_look(c, now, o);
 	end_hopeless(c, now, o);
 	ctr_releases_tick(c, now, o);
 	for (ptrdiff_t i = arrlen(c->all) - 1; i >= 0; i--) {
@@ -144,18 +160,24 @@
 
 static void on_msg(struct ctr *c, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
+	int changed;
+
 	if (m->speak != CORE_SPEAK || (m->fleet && c->f.fleet && m->fleet != c->f.fleet))
 		return;
 	switch (m->body_case) {
 	case NL__MSG__BODY_FOLLOW_REPLY:
 	case NL__MSG__BODY_OWNER:
-		if (follow_msg(&c->f, m, now, o))
+		changed = follow_msg(&c->f, m, now, o);
+		if (changed & 1)
 			swap_book(c, now, o);
+		else if (changed && c->book)
+			swap_roster(c, now);
 		break;
 	case NL__MSG__BODY_KNOWLEDGE:
 	case NL__MSG__BODY_PURGE_SNAP:
 	case NL__MSG__BODY_CURIOSITY: relay_msg(&c->relay, m, now, o); break;
 	case NL__MSG__BODY_ANSWER: ctr_on_answer(c, m->answer, m->addr, now, o); break;
+	case NL__MSG__BODY_KEPT: ctr_on_kept(c, m->kept, now); break;
 	case NL__MSG__BODY_REPORT: ctr_on_passed_report(c, m->report, now, o); break;
 	case NL__MSG__BODY_FOLLOW: { /* a seed need not be a registrar: say whom to ask */
 		struct Nl__FollowReply *a = OUT_NEW(o, Nl__FollowReply, NL__FOLLOW_REPLY__INIT);
@@ -213,7 +235,7 @@
 			ctr_on_done(c, x, &ev->u.done, now, o);
 		break;
 	case CTR_CALLED:
-		for (uint32_t s = 0; c->book && s < c->book->nserver; s++)
+		for (uint32_t s = 0; c->roster && s < c->roster->nserver; s++)
 			if (c->sv[s].call == ev->u.called.token && ev->u.called.status == 200) {
 				ctr_on_report(c, s, ev->u.called.body, now);
 				ctr_pass_report(c, s, ev->u.called.body, o);
@@ -228,13 +250,29 @@
 			out_answer(o, ev->u.web.token, 404, 0, ctr_error_json(o->p, "path: no such call", "refused"));
 		break;
 	case CTR_STOP: c->stopping = 1; break;
-	default: break;
+	case CTR_ASKED: ctr_asked(c, ev->u.ask, now, o); break;
+	case CTR_BEGAN:
+		x = ctr_xch_by(c, ev->u.began.token);
+		if (x && x->call == ev->u.began.token)
+			ctr_on_began(c, x, ev->u.began.weights, now);
+		break;
+	case CTR_ENDED:
+		x = ctr_xch_by(c, ev->u.ended->token);
+		if (x && x->call == ev->u.ended->token)
+			ctr_on_ended(c, x, ev->u.ended, now, o);
+		break;
+	case CTR_WATCHED: ctr_on_watched(c, ev->u.kept.token, ev->u.kept.k, ev->u.kept.status, now, o); break;
 	}
 	ctr_pump(c, now, o);
-	if (c->book && (ev->kind == CTR_TICK || ev->kind == CTR_EXCHANGE))
+	if (c->book && (ev->kind == CTR_TICK || ev->kind == CTR_EXCHANGE || ev->kind == CTR_ASKED))
 		ctr_want_places(c, now, o);
 }
 
+int ctr_ready(const struct ctr *c, int64_t now)
+{
+	return !c->stopping && c->book && c->f.t.edition && follow_age(&c->f, now) <= ctr_ride(c);
+}
+
 int ctr_idle(const struct ctr *c) { return arrlen(c->all) == 0 && arrlen(c->release) == 0; }
 
 void ctr_open(struct ctr *c, uint64_t id, uint64_t addr, const char *zone, const uint64_t *seeds, int n, int64_t now)
@@ -248,6 +286,9 @@
 	if (!c->tok)
 		abort();
 	apr_pool_create(&c->p, NULL);
+	apr_pool_create(&c->scratch, c->p);
+	c->b = bounds_default;
+	c->zone_hash = core_hashs(0, zone);
 	follow_open(&c->f, id, seeds, n, now);
 	c->f.zone = zone;
 	c->f.counter = 1;
@@ -265,6 +306,11 @@
 	arrfree(c->release);
 	json_tokener_free(c->tok);
 	ctr_book_free(c->book);
+	ctr_roster_free(c->roster);
+	hmfree(c->line_at);
+	hmfree(c->named);
+	arrfree(c->depth);
+	arrfree(c->server_hash);
 	ctr_names_clear(&c->lanes);
 	ctr_names_clear(&c->tenants);
 	ctr_names_clear(&c->services);
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -26,10 +26,21 @@
 	CTR_BUDGET_CAP = 2000, /* saved up at most: two resends */
 	CTR_RIDE = FOLLOW_RIDE, /* ms of not knowing that are ridden out; then all that is held here ends */
 	CTR_ASK = 50,          /* ms between askings for places that are lacked */
+	CTR_FIRST_MS = 35,     /* what a first piece takes besides reading */
+	CTR_LATE_MOST = 1000, CTR_FULL = 150, CTR_AGAIN_LEAST = 50,
+	CTR_WATCH_WAIT = 1000, CTR_WATCH_GAP = 300, /* ms that a server holds a watch; between two of them */
+	CTR_INDEX = 1000000,   /* copies of parts that the index holds at the most */
+	CTR_FETCH_MS = 6,      /* what a fetch takes besides moving */
+	CTR_OTHERS_HALF = 1000, CTR_LATE_HALF = 1500, CTR_FAILED_HALF = 3000, /* ms in which half of what was seen is forgotten */
+	CTR_FAILED_MS = 1500,  /* what a server costs of whose sends all broke off lately */
+	CTR_RIDE_MARGIN = 500, /* ms by which the ride ends before the strictest bound */
+	CTR_ROLL_EARLY = 1500, /* ms before a roll-out's bound after which older weights are sent nothing more */
 	CTR_RETRY = 500,       /* ms after which a refused caller may come back, at the least */
 	CTR_RETRY_MOST = 30000
 };
 
+#define CTR_STEP_MS 0.4 /* ms that each request running at a server costs another */
+
 enum ctr_ev_kind { CTR_TICK, CTR_MSG, CTR_EXCHANGE, CTR_GONE, CTR_PIECE, CTR_DONE, CTR_CALLED, CTR_WEB, CTR_STOP, CTR_ASKED, CTR_BEGAN, CTR_ENDED, CTR_WATCHED };
 
 /* An exchange whose text stays at the door; what is decided by is here. Strings live until the step is over. */
@@ -88,10 +99,22 @@
 int names_find(const struct names *n, const char *s); /* -1: never seen */
 
 /* The table as the data plane reads it: immutable, swapped whole at each edition. */
-struct bk_lane { int on; uint32_t service, prio, limit; };
-struct bk_tenant { int on, walled; uint32_t share, limit; };
-struct bk_service { int on; uint32_t weights, prefill, kv_bytes, link, store; int store_server; };
-struct bk_server { int on, draining, is_store; uint32_t service; const char *addr; };
+struct bk_split { uint32_t service, upto; }; /* upto: weights up to and with this one */
+struct bk_lane {
+	int on, resumable, repeatable, vouched, open;
+	uint32_t service, prio, limit, aim, pause, timeout, attempts;
+	const char *host, *path;
+	const struct bk_split *split;
+	uint32_t nsplit;
+};
+struct bk_tenant { int on, walled; uint32_t share, limit, rank; };
+/* weights: those named newest; late: from when on no server of older ones is sent anything */
+struct bk_service { int on; uint32_t weights, prefill, kv_bytes, link, store, slots, watches; int store_server; int64_t late; };
+struct bk_place { uint64_t key; uint32_t value; }; /* hash of host and path -> lane */
+/* One server's life, from the table or the list of servers. */
+struct bk_server { int on, draining, is_store; uint32_t service; const char *addr; uint64_t to, zone; };
+/* Who stands: swapped whole like the book, but far more often. */
+struct roster { apr_pool_t *p; struct bk_server *server; uint32_t nserver; };
 struct bk_share { uint64_t key; struct { uint32_t share, limit; } value; };
 struct bk_key { char *key; uint32_t value; };
 struct book {
@@ -100,8 +123,11 @@
 	struct bk_lane *lane;
 	struct bk_tenant *tenant;
 	struct bk_service *service;
-	struct bk_server *server;
-	uint32_t nlane, ntenant, nservice, nserver;
+	uint32_t nlane, ntenant, nservice;
+	uint32_t keyless;       /* the tenant of exchanges that show no key */
+	int keys, limits;       /* any key; any limit of places */
+	uint64_t walls;         /* hash over the tenants that are walled off */
+	struct bk_place *place; /* stb_ds */
 	struct bk_share *share; /* stb_ds: lane << 32 | tenant */
 	struct bk_key *key;     /* stb_ds: digest -> tenant */
 };
@@ -114,7 +140,7 @@
 	apr_pool_t *p;
 	char *digest, *id, *xid, *tail;
 	uint32_t lane, tenant, service;
-	int64_t limit, since, claim_at, sent_at, claim_from;
+	int64_t limit, since_at, claim_at, sent_at, claim_from;
 	uint64_t asked;     /* the registrar that was asked for the claim */
 	int nparts, claimed, begun, sends, resend_paid;
 	uint64_t hash[CTR_PARTS];
@@ -128,6 +154,13 @@
 	int from;           /* the server that kept parts are fetched from; -1: none */
 	uint32_t fetch_ms;  /* what the fetch should take, the link as the table has it */
 	struct xch *after;  /* in its line */
+	/* what the text of stays at the door */
+	int forwarded, ran, repeatable, resumable, attempts, slot; /* slot: where it is among all */
+	uint32_t prio, tokens_out, ahead; /* ahead: tokens that its send still has to read */
+	int64_t first;      /* when its first piece went on; 0: none has */
+	char *since;        /* the last whole piece that the caller has */
+	uint64_t shelf;     /* of its send */
+	double guess;       /* ms that its first piece should take */
 };
 
 /* still: since when its head has waited; gap: the usual ms between two heads that leave */
@@ -136,10 +169,17 @@
 struct ctr_server {
 	int64_t reported, called, bad_until, told; /* told: when a relay last passed its report on */
 	uint64_t call, asked, serial, boot;
-	uint32_t weights;
+	uint32_t weights, seen_weights; /* seen: by the list; an answer's own word is newer */
 	int odd;            /* its last report could not be read; said once */
 	int have, loading, slots, running, own, others; /* running there: ours as we know it, others' by the last report */
 	double mean_ms;
+	int64_t others_at, late_at, failed_at;
+	uint32_t ahead;     /* tokens that ours still have to read there */
+	double late_ms;     /* how much later than reckoned first pieces came lately */
+	double failed;      /* of late sends, the part that broke off; forgotten by and by */
+	int fails;          /* connections in a row that did not come up */
+	uint64_t watch, epoch, next; /* a watch of its kept parts: the call, where it stands */
+	int64_t watched, heard; /* heard: a relay's word of its kept parts */
 };
 
 /* What fetches from one server to another were seen to take, as a multiple of what the table says. */
@@ -150,7 +190,7 @@
 
 struct ctr_counts {
 	uint64_t taken, answered, refused, unknown, sends, resends, pieces, tokens, reused, fetched, cold, claims;
-	uint64_t looks, refused_stale, refused_line, refused_limit, refused_early, revoked, blind, gone;
+	uint64_t watches, events, taken_up, wrong_life, looks, refused_stale, refused_line, refused_limit, refused_early, revoked, blind, gone;
 };
 
 struct ctr_use { uint64_t key; struct { uint64_t exchanges, tokens, reused, pieces, errors; } value; };
@@ -163,6 +203,16 @@
 	struct kept kept;
 	struct names lanes, tenants, services, servers, weights;
 	struct book *book;
+	struct roster *roster;
+	struct bounds b;
+	struct shelf_name { char *key; uint32_t value; } *shelves; /* stb_ds: a shelf's name as it goes to servers -> weights */
+	int *depth;                 /* stb_ds, by server: leading parts kept there; of the assigning under way */
+	uint64_t *server_hash;      /* stb_ds, by server: of its name, so that every counter ranks alike */
+	uint64_t zone_hash;
+	apr_pool_t *scratch;
+	uint64_t walled_tick;       /* newest purge of a tenant in the view */
+	struct { uint64_t key; uint32_t value; } *line_at; /* stb_ds: lane << 32 | tenant -> line */
+	struct ctr_named { uint32_t key; struct { uint32_t weights; int64_t since; } value; } *named; /* stb_ds, by service: what is named, since when that is known */
 	apr_pool_t *p;
 	struct json_tokener *tok;   /* one for all that is read here, kept between texts */
 	struct ctr_server *sv;      /* stb_ds, by server index */
@@ -193,6 +243,10 @@
  * Example: web_good_until(web, ctr_good_until(&c)); */
 int64_t ctr_good_until(const struct ctr *c);
 
+/* Whether it may be called ready: it has a configuration that is in force, and is not stopping.
+ * Example: answer(ctr_ready(&c, now) ? 200 : 503); */
+int ctr_ready(const struct ctr *c, int64_t now);
+
 /* Whether nothing is under way. Example: if (stopping && ctr_idle(&c)) leave(); */
 int ctr_idle(const struct ctr *c);
 
--- a/lib/data/ctr_assign.c
+++ b/lib/data/ctr_assign.c
@@ -9,10 +9,15 @@
 
 int ctr_standing(const struct ctr *c, uint32_t s, int64_t now)
 {
-	const struct bk_server *b = &c->book->server[s];
+	const struct bk_server *b = &c->roster->server[s];
 	const struct ctr_server *v = &c->sv[s];
 
-	return b->on && !b->draining && v->have && !v->loading && now - v->reported < CTR_REPORT && now >= v->bad_until;
+	if (!b->on || b->draining || !v->have || v->loading || now < v->bad_until)
+		return 0;
+	if (!c->b.sights || b->is_store)
+		return now - v->reported < CTR_REPORT;
+	/* named weights are on every server in their bound: one that has older ones then gets nothing */
+	return v->weights == c->book->service[b->service].weights || now < c->book->service[b->service].late;
 }
 
 const struct kept_copy *ctr_usable(struct ctr *c, const struct xch *x, uint64_t hash, uint32_t server, uint32_t weights)
@@ -88,22 +93,22 @@
 	int current = relay_current(&c->relay, now);
 	uint64_t all = ctr_tokens_upto(x, x->nparts) + x->tail_tokens;
 
-	for (uint32_t s = 0; s < b->nserver; s++) {
+	for (uint32_t s = 0; s < c->roster->nserver; s++) {
 		struct ctr_server *v = &c->sv[s];
 		struct plan p = { (int)s, 0, -1, 0, 0, 0 };
 		double prefill;
 
-		if (b->server[s].is_store || b->server[s].service != x->service || s == x->tried || !ctr_standing(c, s, now) || busy(v) >= v->slots)
+		if (c->roster->server[s].is_store || c->roster->server[s].service != x->service || s == x->tried || !ctr_standing(c, s, now) || busy(v) >= v->slots)
 			continue;
 		if (current)
 			p.keep = prefix(c, x, s, v->weights);
 		prefill = c->plain ? 0 : (double)(all - ctr_tokens_upto(x, p.keep)) / svc->prefill;
 		p.cost = prefill + v->mean_ms * busy(v) / v->slots;
-		for (uint32_t f = 0; current && !c->plain && p.keep < x->nparts && f < b->nserver; f++) { /* a colleague server or the store */
-			double speed = b->server[f].is_store ? svc->store : svc->link, save, cost, fetch;
+		for (uint32_t f = 0; current && !c->plain && p.keep < x->nparts && f < c->roster->nserver; f++) { /* a colleague server or the store */
+			double speed = c->roster->server[f].is_store ? svc->store : svc->link, save, cost, fetch;
 			int n;
 
-			if (f == s || b->server[f].service != x->service || !speed || (!b->server[f].is_store && c->sv[f].weights != v->weights) ||
+			if (f == s || c->roster->server[f].service != x->service || !speed || (!c->roster->server[f].is_store && c->sv[f].weights != v->weights) ||
 			    !ctr_standing(c, f, now))
 				continue;
 			n = prefix(c, x, f, v->weights);
@@ -126,3 +131,131 @@
 	}
 	return best;
 }
+
+/* ---- exchanges whose text stays at the door ------------------------------------------------ */
+
+/* The name under which kept parts are filed at servers. It says all that decides who may use them again: the weights, the
+ * walls, and the purges that the view knows of. So a server finds no part that was made under other weights or behind a
+ * wall, whatever it keeps; and a purge that is known here makes what was filed before it unreachable from here. */
+const char *ctr_shelf(const struct ctr *c, uint32_t service, uint32_t weights, uint32_t tenant, apr_pool_t *p)
+{
+	const struct book *b = c->book;
+	const char *w = c->weights.name[weights];
+	uint64_t cut = view_tick(&c->relay.w, PURGE_WEIGHTS, c->services.name[service], w);
+	uint64_t age = core_rdv(b->walls ^ c->walled_tick, cut);
+
+	return apr_psprintf(p, "%s-%" APR_UINT64_T_HEX_FMT "%s%s", w, age & 0xffffffff, b->tenant[tenant].walled ? "-" : "",
+	                    b->tenant[tenant].walled ? c->tenants.name[tenant] : "");
+}
+
+uint64_t ctr_kept_key(uint64_t shelf, uint64_t id) { return core_rdv(shelf, id); }
+
+/* Of what was seen lately, less the older it is. */
+static double faded(double v, int64_t at, int64_t now, int half)
+{
+	for (int64_t t = now - at; t >= half && v > 0.01; t -= half)
+		v /= 2;
+	return v;
+}
+
+static int others_at(const struct ctr_server *v, int64_t now)
+{
+	return (int)faded(v->others, v->others_at, now, CTR_OTHERS_HALF);
+}
+
+/* How long a send would wait there before it is read, and what makes it risky, in ms. */
+static double load_of(const struct ctr *c, uint32_t s, const struct bk_service *svc, int64_t now)
+{
+	const struct ctr_server *v = &c->sv[s];
+	int others = others_at(v, now);
+	double ahead = (double)v->ahead / svc->prefill;
+
+	return ahead + CTR_STEP_MS * (v->own + others) + faded(v->late_ms, v->late_at, now, CTR_LATE_HALF) / 2 +
+	       CTR_FAILED_MS * faded(v->failed, v->failed_at, now, CTR_FAILED_HALF) + (c->roster->server[s].zone == c->zone_hash ? 0 : 1);
+}
+
+/* The part that a request shares with others: the last one is its own. */
+static uint64_t home_part(const struct xch *x) { return x->nparts > 1 ? x->hash[x->nparts - 2] : x->nparts ? x->hash[0] : x->seq; }
+
+/* How many leading parts each server keeps on this shelf, into c->depth. */
+static void depths(struct ctr *c, const struct xch *x, uint64_t shelf, uint32_t weights)
+{
+	for (int i = 0; i < x->nparts; i++) {
+		struct kept_copy *v = kept_get(&c->kept, ctr_kept_key(shelf, x->hash[i]));
+
+		for (ptrdiff_t k = 0; k < arrlen(v); k++)
+			if (c->depth[v[k].server] == i && (c->sv[v[k].server].weights == weights || c->roster->server[v[k].server].is_store))
+				c->depth[v[k].server] = i + 1;
+		if (!v)
+			break;
+	}
+}
+
+/* Go where the prefix is kept; where nobody knows, to the server that rendezvous hashing names for it, so that all
+ * counters guess alike; unless the wait there is longer than a fetch from it takes. */
+struct plan ctr_assign_forward(struct ctr *c, const struct xch *x, int64_t now)
+{
+	const struct book *b = c->book;
+	const struct bk_service *svc = &b->service[x->service];
+	struct plan best = { -1, 0, -1, 0, 0, 0 };
+	int current = relay_current(&c->relay, now), home = -1, deep = -1;
+	uint32_t n = c->roster->nserver, seen[4], nseen = 0;
+	double all = (double)(ctr_tokens_upto(x, x->nparts) + x->tail_tokens);
+	uint64_t part = home_part(x), top = 0;
+
+	arrsetlen(c->depth, n);
+	if (n)
+		memset(c->depth, 0, n * sizeof *c->depth);
+	for (uint32_t s = 0; s < n; s++) {
+		const struct bk_server *sv = &c->roster->server[s];
+		uint64_t w = core_rdv(part, c->server_hash[s]);
+		uint32_t k = 0;
+
+		if (sv->service != x->service || sv->is_store || !ctr_standing(c, s, now))
+			continue;
+		if (home < 0 || w > top) {
+			home = (int)s;
+			top = w;
+		}
+		while (k < nseen && seen[k] != c->sv[s].weights)
+			k++;
+		if (current && k == nseen && nseen < 4) {
+			seen[nseen++] = c->sv[s].weights;
+			depths(c, x, core_hashs(0, ctr_shelf(c, x->service, c->sv[s].weights, x->tenant, c->scratch)), c->sv[s].weights);
+		}
+	}
+	apr_pool_clear(c->scratch);
+	for (uint32_t s = 0; s < n; s++)
+		if (c->depth[s] && ctr_standing(c, s, now) && (deep < 0 || c->depth[s] > c->depth[deep]))
+			deep = (int)s;
+	for (uint32_t s = 0; s < n; s++) {
+		const struct bk_server *sv = &c->roster->server[s];
+		struct ctr_server *v = &c->sv[s];
+		struct plan p = { (int)s, c->depth[s], -1, 0, 0, 0 };
+		double read;
+		int from = deep >= 0 ? deep : home, upto = deep >= 0 ? c->depth[deep] : x->nparts - 1;
+
+		if (sv->service != x->service || sv->is_store || s == x->tried || !ctr_standing(c, s, now) || v->own + others_at(v, now) >= v->slots)
+			continue;
+		if (!p.keep && current && (int)s == home && deep < 0)
+			p.keep = x->nparts - 1; /* others will have sent it here */
+		read = (all - (double)ctr_tokens_upto(x, p.keep)) / svc->prefill;
+		if (current && from >= 0 && from != (int)s && upto > p.keep && svc->link &&
+		    (c->roster->server[from].is_store || c->sv[from].weights == v->weights)) {
+			double more = (double)(ctr_tokens_upto(x, upto) - ctr_tokens_upto(x, p.keep));
+			double ms = more * svc->kv_bytes / (c->roster->server[from].is_store ? svc->store ? svc->store : 1 : svc->link);
+
+			ms = ms * slow_of(c, (uint32_t)from, s, now) * (c->roster->server[from].zone == sv->zone ? 1 : 2) + CTR_FETCH_MS;
+			if (ms < more / svc->prefill && ms < CTR_FETCH_MOST) {
+				p.from = from;
+				p.upto = upto;
+				p.fetch = ms;
+				read += ms - more / svc->prefill;
+			}
+		}
+		p.cost = read + load_of(c, s, svc, now);
+		if (best.server < 0 || p.cost < best.cost)
+			best = p;
+	}
+	return best;
+}
--- a/lib/data/ctr_book.c
+++ b/lib/data/ctr_book.c
@@ -42,11 +42,74 @@
 	if (!b)
 		return;
 	hmfree(b->share);
+	hmfree(b->place);
 	shfree(b->key);
 	apr_pool_destroy(b->p);
 }
 
-/* Two passes: names first, so that the arrays have their size; then the rows. */
+/* The names that rows bring, so that the arrays have their size. */
+static void book_names(struct ctr *c, const struct Nl__Row *r)
+{
+	switch (r->kind) {
+	case NL__KIND__LANE:
+		names_id(&c->lanes, r->name);
+		names_id(&c->services, r->service);
+		for (size_t k = 0; k < r->n_split; k++)
+			names_id(&c->services, r->split[k]->service);
+		break;
+	case NL__KIND__TENANT: names_id(&c->tenants, r->name); break;
+	case NL__KIND__KEY: names_id(&c->tenants, r->tenant); break;
+	case NL__KIND__SERVICE:
+		names_id(&c->services, r->name);
+		names_id(&c->weights, r->weights);
+		break;
+	case NL__KIND__MODEL: names_id(&c->weights, r->weights); break;
+	default: break;
+	}
+}
+
+/* Where a lane is found by host and path. Example: hmget(b->place, ctr_place("a.example", "/x/", 3)) */
+uint64_t ctr_place(const char *host, const char *path, size_t n)
+{
+	return core_hash(core_hashs(17, host), path, n);
+}
+
+static void lane_row(struct ctr *c, struct book *b, const struct Nl__Row *r)
+{
+	uint32_t id = names_id(&c->lanes, r->name), upto = 0;
+	struct bk_lane *l = &b->lane[id];
+	struct bk_split *sp = apr_palloc(b->p, (r->n_split + 1) * sizeof *sp);
+
+	*l = (struct bk_lane){ 1, r->resumable, r->repeatable, r->vouched, r->open, names_id(&c->services, r->service), r->prio, r->limit,
+	                       r->aim, r->pause, r->timeout, r->attempts, apr_pstrdup(b->p, r->host), apr_pstrdup(b->p, r->path), sp, 0 };
+	for (size_t k = 0; k < r->n_split; k++)
+		if (r->split[k]->weight)
+			sp[l->nsplit++] = (struct bk_split){ names_id(&c->services, r->split[k]->service), upto += r->split[k]->weight };
+	if (r->path[0])
+		hmput(b->place, ctr_place(r->host, r->path, strlen(r->path)), id);
+}
+
+/* What is named newest for a service, and from when on nothing goes to servers with older weights. A counter that has
+ * just begun does not know how long ago it was named: it takes half of the bound as gone. */
+static void service_row(struct ctr *c, struct book *b, const struct Nl__Row *r, int64_t now)
+{
+	const struct Nl__Row *m = r->model[0] ? table_get(&c->f.t, NL__KIND__MODEL, r->model) : NULL;
+	uint32_t id = names_id(&c->services, r->name), named = names_id(&c->weights, m ? m->weights : r->weights);
+	struct bk_service *s = &b->service[id];
+	struct ctr_named *n = hmgetp_null(c->named, id);
+
+	if (!n) {
+		hmput(c->named, id, ((typeof(c->named->value)){ named, now - c->b.roll_ms / 2 }));
+	} else if (n->value.weights != named) {
+		n->value.weights = named;
+		n->value.since = now;
+	}
+	*s = (struct bk_service){ 1, named, r->prefill, r->kv_bytes, r->link, r->store, r->slots, r->watches, -1,
+	                          hmgetp(c->named, id)->value.since + c->b.roll_ms - CTR_ROLL_EARLY };
+	if (r->addr[0] && r->store)
+		s->store_server = (int)names_id(&c->servers, apr_pstrcat(b->p, "store:", r->name, NULL));
+}
+
 struct book *ctr_book_make(struct ctr *c, int64_t now)
 {
 	const struct table *t = &c->f.t;
@@ -57,65 +120,36 @@
 	b = apr_pcalloc(p, sizeof *b);
 	b->p = p;
 	b->edition = t->edition;
-	for (ptrdiff_t i = 0; i < shlen(t->h); i++) {
-		const struct Nl__Row *r = t->h[i].value.row;
-
-		switch (r->kind) {
-		case NL__KIND__LANE:
-			names_id(&c->lanes, r->name);
-			names_id(&c->services, r->service);
-			break;
-		case NL__KIND__TENANT: names_id(&c->tenants, r->name); break;
-		case NL__KIND__KEY: names_id(&c->tenants, r->tenant); break;
-		case NL__KIND__SERVICE:
-			names_id(&c->services, r->name);
-			names_id(&c->weights, r->weights);
-			if (r->addr[0])
-				names_id(&c->servers, apr_pstrcat(p, "store:", r->name, NULL));
-			break;
-		case NL__KIND__SERVER:
-			names_id(&c->servers, r->name);
-			names_id(&c->services, r->service);
-			break;
-		default: break;
-		}
-	}
+	for (ptrdiff_t i = 0; i < shlen(t->h); i++)
+		book_names(c, t->h[i].value.row);
+	b->keyless = names_id(&c->tenants, "");
 	b->nlane = (uint32_t)arrlen(c->lanes.name);
 	b->ntenant = (uint32_t)arrlen(c->tenants.name);
 	b->nservice = (uint32_t)arrlen(c->services.name);
-	b->nserver = (uint32_t)arrlen(c->servers.name);
 	b->lane = apr_pcalloc(p, (b->nlane + 1) * sizeof *b->lane);
 	b->tenant = apr_pcalloc(p, (b->ntenant + 1) * sizeof *b->tenant);
 	b->service = apr_pcalloc(p, (b->nservice + 1) * sizeof *b->service);
-	b->server = apr_pcalloc(p, (b->nserver + 1) * sizeof *b->server);
 	sh_new_arena(b->key);
+	b->tenant[b->keyless] = (struct bk_tenant){ 1, 0, 1, 0, 0 };
 	for (ptrdiff_t i = 0; i < shlen(t->h); i++) {
 		const struct Nl__Row *r = t->h[i].value.row;
 		const char *slash;
 
 		switch (r->kind) {
-		case NL__KIND__LANE:
-			b->lane[names_id(&c->lanes, r->name)] = (struct bk_lane){ 1, names_id(&c->services, r->service), r->prio, r->limit };
-			break;
+		case NL__KIND__LANE: lane_row(c, b, r); break;
 		case NL__KIND__TENANT:
-			b->tenant[names_id(&c->tenants, r->name)] = (struct bk_tenant){ 1, r->walled, r->share, r->limit };
-			break;
-		case NL__KIND__KEY: shput(b->key, r->name, names_id(&c->tenants, r->tenant)); break;
-		case NL__KIND__SERVICE: {
-			struct bk_service *s = &b->service[names_id(&c->services, r->name)];
-
-			*s = (struct bk_service){ 1, names_id(&c->weights, r->weights), r->prefill, r->kv_bytes, r->link, r->store, -1 };
-			if (r->addr[0] && r->store) {
-				s->store_server = (int)names_id(&c->servers, apr_pstrcat(p, "store:", r->name, NULL));
-				b->server[s->store_server] = (struct bk_server){ 1, 0, 1, names_id(&c->services, r->name), apr_pstrdup(p, r->addr) };
-			}
+			b->tenant[names_id(&c->tenants, r->name)] = (struct bk_tenant){ 1, r->walled, r->share, r->limit, r->rank };
+			b->limits |= r->limit != 0;
+			if (r->walled)
+				b->walls += core_hashs(29, r->name); /* a sum: the order of rows does not matter */
 			break;
-		}
-		case NL__KIND__SERVER:
-			b->server[names_id(&c->servers, r->name)] =
-				(struct bk_server){ 1, r->state != 0, 0, names_id(&c->services, r->service), apr_pstrdup(p, r->addr) };
+		case NL__KIND__KEY:
+			shput(b->key, r->name, names_id(&c->tenants, r->tenant));
+			b->keys = 1;
 			break;
+		case NL__KIND__SERVICE: service_row(c, b, r, now); break;
 		case NL__KIND__SHARE:
+			b->limits = 1;
 			slash = strchr(r->name, '/');
 			if (slash) {
 				int lane = names_find(&c->lanes, apr_pstrmemdup(p, r->name, (size_t)(slash - r->name)));
@@ -129,12 +163,6 @@
 		default: break;
 		}
 	}
-	while (arrlen(c->sv) < (ptrdiff_t)b->nserver) {
-		struct ctr_server s;
-
-		memset(&s, 0, sizeof s);
-		arrput(c->sv, s);
-	}
 	while (arrlen(c->running) < (ptrdiff_t)b->ntenant)
 		arrput(c->running, 0);
 	while (arrlen(c->stood) < (ptrdiff_t)b->nservice)
@@ -142,6 +170,90 @@
 	return b;
 }
 
+/* A service that is not in the table has no place in the book's arrays: its servers do not count. */
+static void roster_put(struct ctr *c, struct roster *r, uint32_t id, const char *service, const char *addr, const char *zone, int draining,
+                       int is_store)
+{
+	int s = names_find(&c->services, service);
+
+	if (s < 0 || (uint32_t)s >= c->book->nservice)
+		return;
+	r->server[id] = (struct bk_server){ 1, draining, is_store, (uint32_t)s, apr_pstrdup(r->p, addr), core_addr(addr), core_hashs(0, zone) };
+}
+
+/* What the list says of a server; what the server itself said since goes first. */
+static void roster_sight(struct ctr *c, struct ctr_server *v, const struct Nl__Sight *s, int64_t now)
+{
+	int w = s->weights[0] && strlen(s->weights) < 128 ? (int)names_id(&c->weights, s->weights) : -1;
+
+	if (w >= 0 && (!v->have || v->seen_weights != (uint32_t)w))
+		v->weights = v->seen_weights = (uint32_t)w;
+	if (!v->have)
+		v->bad_until = now + (s->cold_ms > 2000 ? 2000 : s->cold_ms);
+	v->have = 1;
+	v->loading = s->loading;
+	v->slots = s->slots ? (int)s->slots : 1;
+}
+
+struct roster *ctr_roster_make(struct ctr *c, int64_t now)
+{
+	const struct table *t = &c->f.t;
+	const struct sights *g = &c->f.sights;
+	apr_pool_t *p;
+	struct roster *r;
+
+	apr_pool_create(&p, c->p);
+	r = apr_pcalloc(p, sizeof *r);
+	r->p = p;
+	for (ptrdiff_t i = 0; i < shlen(t->h); i++) {
+		const struct Nl__Row *row = t->h[i].value.row;
+
+		if (row->kind == NL__KIND__SERVER && !c->b.sights)
+			names_id(&c->servers, row->name);
+		else if (row->kind == NL__KIND__SERVICE && row->addr[0])
+			names_id(&c->servers, apr_pstrcat(p, "store:", row->name, NULL));
+	}
+	for (ptrdiff_t i = 0; c->b.sights && i < shlen(g->h); i++)
+		if (g->h[i].value.s->state != SIGHT_GONE)
+			names_id(&c->servers, g->h[i].key);
+	r->nserver = (uint32_t)arrlen(c->servers.name);
+	r->server = apr_pcalloc(p, (r->nserver + 1) * sizeof *r->server);
+	while (arrlen(c->sv) < (ptrdiff_t)r->nserver) {
+		struct ctr_server s;
+
+		memset(&s, 0, sizeof s);
+		arrput(c->server_hash, core_hashs(43, c->servers.name[arrlen(c->sv)]));
+		arrput(c->sv, s);
+	}
+	for (ptrdiff_t i = 0; i < shlen(t->h); i++) {
+		const struct Nl__Row *row = t->h[i].value.row;
+
+		if (row->kind == NL__KIND__SERVER && !c->b.sights)
+			roster_put(c, r, names_id(&c->servers, row->name), row->service, row->addr, row->zone, row->state != 0, 0);
+		else if (row->kind == NL__KIND__SERVICE && row->addr[0] && row->store)
+			roster_put(c, r, names_id(&c->servers, apr_pstrcat(p, "store:", row->name, NULL)), row->name, row->addr, row->zone, 0, 1);
+	}
+	for (ptrdiff_t i = 0; c->b.sights && i < shlen(g->h); i++) {
+		const struct Nl__Sight *s = g->h[i].value.s;
+		int id = names_find(&c->servers, g->h[i].key);
+
+		if (id < 0 || s->state == SIGHT_GONE)
+			continue;
+		roster_put(c, r, (uint32_t)id, s->service, s->addr, s->zone, s->state != SIGHT_SERVING, 0);
+		roster_sight(c, &c->sv[id], s, now);
+	}
+	for (uint32_t i = 0; c->roster && i < c->roster->nserver; i++)
+		if (c->roster->server[i].on && !r->server[i].on)
+			kept_sweep(&c->kept, i, UINT64_MAX); /* that life is over, and what it kept */
+	return r;
+}
+
+void ctr_roster_free(struct roster *r)
+{
+	if (r)
+		apr_pool_destroy(r->p);
+}
+
 void ctr_share_of(const struct book *b, uint32_t lane, uint32_t tenant, uint32_t *share, uint32_t *limit)
 {
 	struct bk_share *h = b->share;
--- a/lib/data/ctr_in.h
+++ b/lib/data/ctr_in.h
@@ -12,6 +12,9 @@
 
 /* ctr_assign.c */
 struct plan ctr_assign(struct ctr *c, const struct xch *x, int64_t now);
+struct plan ctr_assign_forward(struct ctr *c, const struct xch *x, int64_t now);
+const char *ctr_shelf(const struct ctr *c, uint32_t service, uint32_t weights, uint32_t tenant, apr_pool_t *p);
+uint64_t ctr_kept_key(uint64_t shelf, uint64_t id);
 void ctr_learn_fetch(struct ctr *c, const struct xch *x, int64_t took, int brought, int64_t now);
 int ctr_standing(const struct ctr *c, uint32_t s, int64_t now);
 uint64_t ctr_tokens_upto(const struct xch *x, int n);
@@ -19,6 +22,9 @@
 /* ctr_book.c */
 void ctr_book_free(struct book *b);
 struct book *ctr_book_make(struct ctr *c, int64_t now);
+uint64_t ctr_place(const char *host, const char *path, size_t n);
+struct roster *ctr_roster_make(struct ctr *c, int64_t now);
+void ctr_roster_free(struct roster *r);
 void ctr_names_clear(struct names *n);
 void ctr_share_of(const struct book *b, uint32_t lane, uint32_t tenant, uint32_t *share, uint32_t *limit);
 /* ctr_line.c */
@@ -32,6 +38,8 @@
 void ctr_give_up(struct ctr *c, struct xch *x, int status, const char *why, struct out *o);
 uint32_t ctr_held(const struct ctr *c, const char *name);
 struct line *ctr_line_of(struct ctr *c, uint32_t lane, uint32_t tenant);
+int ctr_ride(const struct ctr *c);
+void ctr_asked(struct ctr *c, const struct ctr_asking *a, int64_t now, struct out *o);
 uint32_t ctr_part_of(const struct ctr *c, uint32_t service);
 void ctr_pump(struct ctr *c, int64_t now, struct out *o);
 struct json_object *ctr_read_json(struct ctr *c, const char *text);
@@ -47,6 +55,9 @@
 /* ctr_send.c */
 void ctr_on_answer(struct ctr *c, const struct Nl__Answer *a, uint64_t from, int64_t now, struct out *o);
 void ctr_on_done(struct ctr *c, struct xch *x, const typeof(((struct ctr_ev *)0)->u.done) *d, int64_t now, struct out *o);
+void ctr_forward(struct ctr *c, struct xch *x, const struct plan *pl, int64_t now, struct out *o);
+void ctr_on_began(struct ctr *c, struct xch *x, const char *weights, int64_t now);
+void ctr_on_ended(struct ctr *c, struct xch *x, const struct ctr_ended *e, int64_t now, struct out *o);
 void ctr_on_piece(struct ctr *c, struct xch *x, const char *text, int64_t now, struct out *o);
 void ctr_send_claimed(struct ctr *c, struct xch *x, int64_t now, struct out *o);
 /* ctr_watch.c */
@@ -54,6 +65,9 @@
 void ctr_on_passed_report(struct ctr *c, const struct Nl__Report *r, int64_t now, struct out *o);
 void ctr_on_report(struct ctr *c, uint32_t s, const char *body, int64_t now);
 void ctr_on_value(void *ctx, const struct Nl__Value *v);
+void ctr_watch(struct ctr *c, int64_t now, struct out *o);
+void ctr_on_watched(struct ctr *c, uint64_t token, const struct Nl__Kept *k, int status, int64_t now, struct out *o);
+void ctr_on_kept(struct ctr *c, const struct Nl__Kept *k, int64_t now);
 void ctr_pass_report(struct ctr *c, uint32_t s, const char *body, struct out *o);
 
 #endif
--- a/lib/data/ctr_line.c
+++ b/lib/data/ctr_line.c
@@ -23,10 +23,12 @@
 {
 	struct line n = { lane, tenant, NULL, NULL, NULL, 0, 0, 0, 0, 0 };
 
-	for (ptrdiff_t i = 0; i < arrlen(c->line); i++)
-		if (c->line[i].lane == lane && c->line[i].tenant == tenant)
-			return &c->line[i];
+	ptrdiff_t i = hmgeti(c->line_at, (uint64_t)lane << 32 | tenant);
+
+	if (i >= 0)
+		return &c->line[c->line_at[i].value];
 	n.name = apr_pstrcat(c->p, c->lanes.name[lane], "/", c->tenants.name[tenant], NULL);
+	hmput(c->line_at, (uint64_t)lane << 32 | tenant, (uint32_t)arrlen(c->line));
 	arrput(c->line, n);
 	return &arrlast(c->line);
 }
@@ -141,19 +143,19 @@
 	} else {
 		l->running--;
 		c->running[x->tenant]--;
-		if (x->server >= 0)
+		if (x->server >= 0) {
 			c->sv[x->server].own--;
+			c->sv[x->server].ahead -= x->ahead;
+		}
 	}
 	(void)hmdel(c->by, x->token);
 	if (x->claim)
 		(void)hmdel(c->by, x->claim);
 	if (x->call)
 		(void)hmdel(c->by, x->call);
-	for (ptrdiff_t i = 0; i < arrlen(c->all); i++)
-		if (c->all[i] == x) {
-			arrdelswap(c->all, i);
-			break;
-		}
+	arrdelswap(c->all, x->slot);
+	if (x->slot < arrlen(c->all))
+		c->all[x->slot]->slot = x->slot;
 	apr_pool_destroy(x->p);
 }
 
@@ -171,16 +173,6 @@
 	return (int)(least + (int64_t)(core_rdv(c->id, ++c->retries) % (uint64_t)least));
 }
 
-/* Refused: nothing of it was ever sent to a server that may have begun, and nothing will be. */
-void ctr_refuse(struct ctr *c, struct xch *x, int status, const char *why, double back, int64_t now, struct out *o)
-{
-	if (x->claim)
-		ctr_claim_release(c, x, now, o); /* the id may be used again */
-	out_answer(o, x->token, status, status == 503 || status == 429 ? retry_in(c, back) : 0, ctr_error_json(o->p, why, "refused"));
-	c->n.refused++;
-	ctr_xch_drop(c, x);
-}
-
 /* Given up after a send: what the server did is not known. */
 void ctr_give_up(struct ctr *c, struct xch *x, int status, const char *why, struct out *o)
 {
@@ -202,9 +194,23 @@
 	ctr_xch_drop(c, x);
 }
 
+/* Refused: nothing of it was ever sent to a server that may have begun, and nothing will be. */
+void ctr_refuse(struct ctr *c, struct xch *x, int status, const char *why, double back, int64_t now, struct out *o)
+{
+	if (x->begun || x->ran) {
+		ctr_give_up(c, x, 502, why, o);
+		return;
+	}
+	if (x->claim)
+		ctr_claim_release(c, x, now, o); /* the id may be used again */
+	out_answer(o, x->token, status, status == 503 || status == 429 ? retry_in(c, back) : 0, ctr_error_json(o->p, why, "refused"));
+	c->n.refused++;
+	ctr_xch_drop(c, x);
+}
+
 void ctr_end_early(struct ctr *c, struct xch *x, int status, const char *why, int64_t now, struct out *o)
 {
-	if (x->state == XCH_RUNNING)
+	if (x->state == XCH_RUNNING || x->begun || x->ran)
 		ctr_give_up(c, x, status, why, o);
 	else
 		ctr_refuse(c, x, status, why, CTR_RETRY, now, o);
@@ -287,6 +293,77 @@
 	return i * l->gap + (still > l->gap - still ? still : l->gap - still);
 }
 
+/* Whether the configuration here is certain to be in force, or may be ridden on. */
+static int in_force(const struct ctr *c, int64_t now) { return c->book && follow_age(&c->f, now) <= ctr_ride(c); }
+
+/* How long the configuration's owner may go unheard while new work is still taken. With servers from the table it is the
+ * brief's two seconds. Where a deployment grants its nodes more while the core is unsettled, as long as no removed key
+ * can have outlived its bound: docs/design.md, Freshness. */
+int ctr_ride(const struct ctr *c)
+{
+	int key = c->b.revoke_ms - CTR_RIDE_MARGIN, drift = c->b.config_ms + c->b.drift_ms - CTR_RIDE_MARGIN;
+
+	return !c->b.sights ? FOLLOW_CONFIG : key < drift ? key : drift;
+}
+
+/* Which class a line goes in: its tenant's, where that has one, else its lane's. */
+static uint32_t class_of(const struct book *b, const struct line *l)
+{
+	uint32_t rank = b->tenant[l->tenant].rank;
+
+	return rank ? rank - 1 : b->lane[l->lane].prio;
+}
+
+/* To the end of its line. */
+static void line_up(struct ctr *c, struct xch *x, struct line *l, int64_t now)
+{
+	const struct book *b = c->book;
+
+	if (!l->n) { /* a line that was empty starts where the others are */
+		uint64_t least = UINT64_MAX;
+
+		l->still = now;
+		for (ptrdiff_t i = 0; i < arrlen(c->line); i++)
+			if (c->line[i].n && class_of(b, &c->line[i]) == class_of(b, l) && c->line[i].pass < least)
+				least = c->line[i].pass;
+		if (least != UINT64_MAX && l->pass < least)
+			l->pass = least;
+	}
+	if (l->tail)
+		l->tail->after = x;
+	else
+		l->head = x;
+	l->tail = x;
+	l->n++;
+	x->slot = (int)arrlen(c->all);
+	arrput(c->all, x);
+	hmput(c->by, x->token, x);
+}
+static int refused_stale(struct ctr *c, uint64_t token, int64_t now, struct out *o)
+{
+	if (!c->stopping && in_force(c, now))
+		return 0;
+	c->n.refused++;
+	c->n.refused_stale++;
+	out_answer(o, token, 503, retry_in(c, CTR_RETRY), ctr_error_json(o->p, c->stopping ? "this counter is stopping"
+	       : "this counter's configuration is not certain to be in force", "refused"));
+	return 1;
+}
+
+static int refused_line(struct ctr *c, uint64_t token, const struct line *l, uint32_t lane, uint32_t service, int64_t now, struct out *o)
+{
+	int full = l->n >= c->book->lane[lane].limit;
+
+	if (!full && now - c->stood[service] <= CTR_RIDE)
+		return 0;
+	c->n.refused++;
+	c->n.refused_line += full;
+	c->n.refused_early += !full;
+	out_answer(o, token, full ? 429 : 503, retry_in(c, full ? ctr_expected(l, l->n / 2, now) : CTR_RETRY),
+	           ctr_error_json(o->p, full ? "the line is full" : ctr_no_server, "refused"));
+	return 1;
+}
+
 void ctr_take(struct ctr *c, uint64_t token, const char *digest, const char *body, int64_t now, struct out *o)
 {
 	struct book *b = c->book;
@@ -300,13 +377,8 @@
 	struct line *l;
 
 	c->n.taken++;
-	if (c->stopping || !b || follow_age(&c->f, now) > FOLLOW_CONFIG) {
-		c->n.refused++;
-		c->n.refused_stale++;
-		out_answer(o, token, 503, retry_in(c, CTR_RETRY), ctr_error_json(o->p, c->stopping ? "this counter is stopping"
-		       : "this counter's configuration is not certain to be in force", "refused"));
+	if (refused_stale(c, token, now, o))
 		return;
-	}
 	ki = keys ? shgeti(keys, digest) : -1;
 	if (ki < 0 || !b->tenant[keys[ki].value].on) {
 		c->n.refused++;
@@ -328,14 +400,7 @@
 	x->tenant = keys[ki].value;
 	x->service = b->lane[li].service;
 	l = ctr_line_of(c, x->lane, x->tenant);
-	if (l->n >= b->lane[li].limit || now - c->stood[x->service] > CTR_RIDE) {
-		int full = l->n >= b->lane[li].limit;
-
-		c->n.refused++;
-		c->n.refused_line += full;
-		c->n.refused_early += !full;
-		out_answer(o, token, full ? 429 : 503, retry_in(c, full ? ctr_expected(l, l->n / 2, now) : CTR_RETRY),
-		           ctr_error_json(o->p, full ? "the line is full" : ctr_no_server, "refused"));
+	if (refused_line(c, token, l, x->lane, x->service, now, o)) {
 		apr_pool_destroy(p);
 		return;
 	}
@@ -343,7 +408,7 @@
 	x->digest = apr_pstrdup(p, digest);
 	x->seq = ++c->seq;
 	x->limit = now + limit;
-	x->since = now;
+	x->since_at = now;
 	x->server = -1;
 	x->tried = UINT32_MAX;
 	h = core_hashs(0, c->services.name[x->service]);
@@ -353,24 +418,7 @@
 		x->tokens[i] = (uint32_t)(strlen(x->text[i]) + 3) / 4;
 	}
 	x->tail_tokens = (uint32_t)(strlen(x->tail) + 3) / 4;
-	if (!l->n) { /* a line that was empty starts where the others are */
-		uint64_t least = UINT64_MAX;
-
-		l->still = now;
-		for (ptrdiff_t i = 0; i < arrlen(c->line); i++)
-			if (c->line[i].n && b->lane[c->line[i].lane].prio == b->lane[li].prio && c->line[i].pass < least)
-				least = c->line[i].pass;
-		if (least != UINT64_MAX && l->pass < least)
-			l->pass = least;
-	}
-	if (l->tail)
-		l->tail->after = x;
-	else
-		l->head = x;
-	l->tail = x;
-	l->n++;
-	arrput(c->all, x);
-	hmput(c->by, token, x);
+	line_up(c, x, l, now);
 }
 
 uint32_t ctr_held(const struct ctr *c, const char *name)
@@ -387,6 +435,8 @@
 	struct follow *f = &c->f;
 	int lacks = 0;
 
+	if (!c->book->limits)
+		return;
 	for (ptrdiff_t i = 0; i < shlen(f->hold); i++)
 		f->hold[i].value.used = f->hold[i].value.want = 0;
 	for (ptrdiff_t i = 0; i < arrlen(c->line); i++) {
@@ -397,7 +447,11 @@
 			continue;
 		ctr_share_of(c->book, l->lane, l->tenant, &share, &limit);
 		for (int k = 0; k < 1 + (limit != UINT32_MAX); k++) {
-			typeof(f->hold->value) *h = follow_hold(f, k ? l->name : c->tenants.name[l->tenant]);
+			typeof(f->hold->value) *h;
+
+			if (!k && !c->book->tenant[l->tenant].limit)
+				continue;
+			h = follow_hold(f, k ? l->name : c->tenants.name[l->tenant]);
 
 			h->used += l->running;
 			h->want += l->running + l->n;
@@ -413,7 +467,7 @@
 {
 	const struct book *b = c->book;
 
-	if (!b || follow_age(&c->f, now) > FOLLOW_CONFIG)
+	if (!in_force(c, now) || !c->roster || !arrlen(c->all))
 		return;
 	for (;;) {
 		struct line *best = NULL;
@@ -428,12 +482,11 @@
 			if (!l->n)
 				continue;
 			ctr_share_of(b, l->lane, l->tenant, &share, &limit);
-			if (c->running[l->tenant] >= ctr_held(c, c->tenants.name[l->tenant]) || (limit != UINT32_MAX && l->running >= ctr_held(c, l->name)))
+			if ((b->tenant[l->tenant].limit && c->running[l->tenant] >= ctr_held(c, c->tenants.name[l->tenant])) || (limit != UINT32_MAX && l->running >= ctr_held(c, l->name)))
 				continue;
-			if (best && (b->lane[l->lane].prio > b->lane[best->lane].prio ||
-			             (b->lane[l->lane].prio == b->lane[best->lane].prio && l->pass >= best->pass)))
+			if (best && (class_of(b, l) > class_of(b, best) || (class_of(b, l) == class_of(b, best) && l->pass >= best->pass)))
 				continue;
-			pl = ctr_assign(c, l->head, now);
+			pl = l->head->forwarded ? ctr_assign_forward(c, l->head, now) : ctr_assign(c, l->head, now);
 			if (pl.server < 0)
 				continue;
 			best = l;
@@ -455,7 +508,14 @@
 		c->running[x->tenant]++;
 		x->state = XCH_CLAIMING;
 		x->server = best_plan.server;
-		c->sv[x->server].own++;
+		c->sv[x->server].own++; /* its place is held until its claim has been answered */
+		if (x->forwarded) {
+			x->prio = class_of(b, best);
+			x->server = -1;
+			c->sv[best_plan.server].own--;
+			ctr_forward(c, x, &best_plan, now, o);
+			continue;
+		}
 		if (x->claimed) {
 			ctr_send_claimed(c, x, now, o);
 			continue;
@@ -466,3 +526,112 @@
 		ctr_claim_send(c, x, now, o);
 	}
 }
+
+/* Which lane an exchange is on: the longest path prefix of its host. -1: none. */
+static int lane_at(const struct book *b, const char *host, const char *path)
+{
+	struct bk_place *h = b->place;
+	size_t n = strcspn(path, "?#");
+
+	for (; h && n; n--) {
+		ptrdiff_t i;
+		const struct bk_lane *l;
+
+		if (path[n - 1] != '/')
+			continue;
+		i = hmgeti(h, ctr_place(host, path, n));
+		if (i < 0)
+			continue;
+		l = &b->lane[h[i].value];
+		if (l->on && !strcmp(l->host, host) && strlen(l->path) == n && !strncmp(l->path, path, n))
+			return (int)h[i].value;
+	}
+	return -1;
+}
+
+/* By the split's weights; the same id always goes the same way. */
+static uint32_t service_at(const struct bk_lane *l, const char *id)
+{
+	uint32_t at, k = 0;
+
+	if (!l->nsplit)
+		return l->service;
+	at = (uint32_t)(core_hashs(31, id) % l->split[l->nsplit - 1].upto);
+	while (l->split[k].upto <= at)
+		k++;
+	return l->split[k].service;
+}
+
+static void refused_wrong(struct ctr *c, uint64_t token, int status, const char *why, struct out *o)
+{
+	c->n.refused++;
+	out_answer(o, token, status, 0, ctr_error_json(o->p, why, "refused"));
+}
+
+void ctr_asked(struct ctr *c, const struct ctr_asking *a, int64_t now, struct out *o)
+{
+	const struct book *b = c->book;
+	const struct bk_lane *bl;
+	struct line *l;
+	struct xch *x;
+	apr_pool_t *p;
+	int li, shared;
+	uint32_t tenant, service;
+
+	c->n.taken++;
+	if (refused_stale(c, a->token, now, o))
+		return;
+	li = lane_at(b, a->host, a->path);
+	if (li < 0) {
+		refused_wrong(c, a->token, 404, "lane: none at this host and path", o);
+		return;
+	}
+	bl = &b->lane[li];
+	tenant = b->keyless;
+	if (b->keys && (a->digest || !bl->open)) {
+		struct bk_key *keys = b->key;
+		ptrdiff_t ki = a->digest ? shgeti(keys, a->digest) : -1;
+
+		if (ki >= 0 && b->tenant[keys[ki].value].on) {
+			tenant = keys[ki].value;
+		} else if (!bl->open) {
+			refused_wrong(c, a->token, 401, "key: unknown", o);
+			return;
+		}
+	}
+	service = service_at(bl, a->id);
+	if (!b->service[service].on) {
+		refused_wrong(c, a->token, 404, "lane: its service is unknown", o);
+		return;
+	}
+	l = ctr_line_of(c, (uint32_t)li, tenant);
+	if (refused_line(c, a->token, l, (uint32_t)li, service, now, o))
+		return;
+	apr_pool_create(&p, c->p);
+	x = apr_pcalloc(p, sizeof *x);
+	x->p = p;
+	x->lane = (uint32_t)li;
+	x->tenant = tenant;
+	x->service = service;
+	x->token = a->token;
+	x->digest = a->digest ? apr_pstrdup(p, a->digest) : NULL;
+	x->id = apr_pstrdup(p, a->id);
+	x->seq = ++c->seq;
+	x->limit = now + (bl->timeout && (int)bl->timeout < a->limit_ms ? (int)bl->timeout : a->limit_ms);
+	x->since_at = now;
+	x->server = -1;
+	x->tried = UINT32_MAX;
+	x->forwarded = x->claimed = 1; /* whoever calls vouches that the id is used once */
+	x->repeatable = bl->repeatable;
+	x->resumable = bl->resumable;
+	x->attempts = bl->attempts ? (int)bl->attempts : 2;
+	x->nparts = a->nparts < CTR_PARTS ? a->nparts : CTR_PARTS;
+	for (int i = 0; i < x->nparts; i++) {
+		x->hash[i] = a->part[i].id;
+		x->tokens[i] = a->part[i].tokens;
+	}
+	shared = (int)ctr_tokens_upto(x, x->nparts);
+	x->tail_tokens = a->tokens_in > (uint32_t)shared ? a->tokens_in - (uint32_t)shared : 0;
+	x->tokens_out = a->tokens_out;
+	line_up(c, x, l, now);
+}
--- a/lib/data/ctr_send.c
+++ b/lib/data/ctr_send.c
@@ -17,6 +17,29 @@
 	return j;
 }
 
+/* Resends that may be saved up: a counter's part of what the fleet may resend at once beside its share of the traffic. */
+static int64_t budget_cap(const struct ctr *c)
+{
+	uint32_t n = c->f.counters ? c->f.counters : 1;
+
+	return c->b.sights ? 1000 + (int64_t)c->b.budget_slack * 600 / n : CTR_BUDGET_CAP;
+}
+
+/* What every send costs and earns, whatever its door. */
+static void count_send(struct ctr *c, struct xch *x, const struct plan *pl, int64_t now)
+{
+	c->n.sends++;
+	c->budget += c->b.sights ? c->b.budget_mille * 3 / 4 : CTR_BUDGET;
+	if (c->budget > budget_cap(c))
+		c->budget = budget_cap(c);
+	c->n.tokens += ctr_tokens_upto(x, x->nparts) + x->tail_tokens;
+	c->n.reused += ctr_tokens_upto(x, pl->keep);
+	c->n.fetched += pl->from >= 0 ? ctr_tokens_upto(x, pl->upto) - ctr_tokens_upto(x, pl->keep) : 0;
+	c->n.cold += !relay_current(&c->relay, now);
+	ctr_use_of(c, x)->value.tokens += ctr_tokens_upto(x, x->nparts) + x->tail_tokens;
+	ctr_use_of(c, x)->value.reused += ctr_tokens_upto(x, pl->keep);
+}
+
 /* The one place where an exchange leaves for a server. */
 static void send_to(struct ctr *c, struct xch *x, const struct plan *pl, int64_t now, struct out *o)
 {
@@ -65,7 +88,7 @@
 		a = json_object_new_array();
 		for (int i = pl->keep; i < pl->upto; i++)
 			json_object_array_add(a, copy_json(c, x->hash[i], ctr_usable(c, x, x->hash[i], (uint32_t)pl->from, x->weights), o->p));
-		json_object_object_add(f, "from", json_object_new_string(b->server[pl->from].addr));
+		json_object_object_add(f, "from", json_object_new_string(c->roster->server[pl->from].addr));
 		json_object_object_add(f, "parts", a);
 		/* no longer than reading them anew would take */
 		read = (double)(ctr_tokens_upto(x, pl->upto) - ctr_tokens_upto(x, pl->keep)) / b->service[x->service].prefill;
@@ -74,23 +97,61 @@
 	}
 	k = out_cmd(o, CMD_CALL);
 	k->u.call.token = x->call;
-	k->u.call.addr = apr_pstrdup(o->p, b->server[pl->server].addr);
+	k->u.call.addr = apr_pstrdup(o->p, c->roster->server[pl->server].addr);
 	k->u.call.path = "/v1/run";
 	k->u.call.body = apr_pstrdup(o->p, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
 	k->u.call.limit_ms = (int)(x->limit - now);
 	k->u.call.stream = 1;
-	k->u.call.not_after = c->f.fresh + FOLLOW_CONFIG + 200; /* a frozen process must not send what was decided before */
+	k->u.call.not_after = c->f.fresh + ctr_ride(c) + 200; /* a frozen process must not send what was decided before */
 	json_object_put(j);
-	c->n.sends++;
-	c->budget += CTR_BUDGET;
-	if (c->budget > CTR_BUDGET_CAP)
-		c->budget = CTR_BUDGET_CAP;
-	c->n.tokens += ctr_tokens_upto(x, x->nparts) + x->tail_tokens;
-	c->n.reused += ctr_tokens_upto(x, pl->keep);
-	c->n.fetched += pl->from >= 0 ? ctr_tokens_upto(x, pl->upto) - ctr_tokens_upto(x, pl->keep) : 0;
-	c->n.cold += !relay_current(&c->relay, now);
-	ctr_use_of(c, x)->value.tokens += ctr_tokens_upto(x, x->nparts) + x->tail_tokens;
-	ctr_use_of(c, x)->value.reused += ctr_tokens_upto(x, pl->keep);
+	count_send(c, x, pl, now);
+}
+
+/* The text goes from the door; here is whom to, and what for. */
+void ctr_forward(struct ctr *c, struct xch *x, const struct plan *pl, int64_t now, struct out *o)
+{
+	const struct book *b = c->book;
+	const struct bk_server *sv = &c->roster->server[pl->server];
+	struct ctr_server *v = &c->sv[pl->server];
+	struct forward *f = apr_pcalloc(o->p, sizeof *f);
+	int current = relay_current(&c->relay, now);
+
+	x->state = XCH_RUNNING;
+	x->server = pl->server;
+	x->weights = v->weights;
+	x->stamp = c->relay.k.horizon;
+	x->sent_at = now;
+	x->sends++;
+	x->from = pl->from;
+	x->first = 0;
+	x->call = ctr_token_new(c);
+	hmput(c->by, x->call, x);
+	x->ahead = (uint32_t)(ctr_tokens_upto(x, x->nparts) + x->tail_tokens - ctr_tokens_upto(x, pl->from >= 0 ? pl->upto : pl->keep));
+	x->guess = pl->cost + CTR_FIRST_MS;
+	v->own++;
+	v->ahead += x->ahead;
+	f->call = x->call;
+	f->caller = x->token;
+	f->addr = sv->to;
+	f->server = c->servers.name[pl->server];
+	f->tenant = x->tenant == b->keyless ? NULL : c->tenants.name[x->tenant];
+	f->shelf = current ? ctr_shelf(c, x->service, v->weights, x->tenant, o->p)
+	           : apr_psprintf(o->p, "cold-%" APR_UINT64_T_HEX_FMT "-%" APR_UINT64_T_FMT, c->id, x->seq);
+	x->shelf = current ? core_hashs(0, f->shelf) : 0;
+	f->weights = c->weights.name[v->weights];
+	f->from = pl->from >= 0 ? c->roster->server[pl->from].to : 0;
+	f->prio = (int)x->prio;
+	f->limit_ms = (int)(x->limit - now);
+	f->not_after = c->f.fresh + ctr_ride(c) + 200; /* a frozen process must not send what was decided before */
+	f->since = x->since;
+	f->joined = x->begun;
+	f->stream = 1;
+	f->repeatable = x->repeatable || x->resumable;
+	out_cmd(o, CMD_FORWARD)->u.forward = f;
+	if (x->sends > 1)
+		c->budget -= 1000; /* a resend earns nothing and costs one */
+	else
+		count_send(c, x, pl, now);
 }
 
 /* With its claim, to the head of its line: there is no place just now. */
@@ -121,14 +182,16 @@
 		c->sv[x->server].own--;
 		x->server = -1;
 	}
-	if (now - x->claim_from > CTR_CLAIM_HOLD) { /* it must outlast what is sent under it */
+	if (!x->forwarded && now - x->claim_from > CTR_CLAIM_HOLD) { /* it must outlast what is sent under it */
 		ctr_refuse(c, x, 503, "no server could take it for long", CTR_RETRY, now, o);
 		return;
 	}
-	if (follow_age(&c->f, now) <= FOLLOW_CONFIG)
-		pl = ctr_assign(c, x, now);
+	if (follow_age(&c->f, now) <= ctr_ride(c))
+		pl = x->forwarded ? ctr_assign_forward(c, x, now) : ctr_assign(c, x, now);
 	if (pl.server < 0)
 		back_to_line(c, x); /* its place went to another counter's, or this counter must hear the owner first */
+	else if (x->forwarded)
+		ctr_forward(c, x, &pl, now, o);
 	else
 		send_to(c, x, &pl, now, o);
 }
@@ -262,3 +325,112 @@
 	c->n.resends++;
 	ctr_send_claimed(c, x, now, o);
 }
+
+/* ---- forwarded sends -------------------------------------------------------------------------- */
+
+void ctr_on_began(struct ctr *c, struct xch *x, const char *weights, int64_t now)
+{
+	struct ctr_server *v = &c->sv[x->server];
+	double late;
+
+	x->begun = 1;
+	if (x->first)
+		return;
+	x->first = now;
+	v->ahead -= x->ahead;
+	x->ahead = 0;
+	late = (double)(now - x->sent_at) - x->guess;
+	late = late < 0 ? 0 : late > CTR_LATE_MOST ? CTR_LATE_MOST : late;
+	v->late_ms = v->late_ms * 3 / 4 + late / 4;
+	v->late_at = now;
+	if (weights && strcmp(weights, c->weights.name[x->weights]))
+		return; /* not under the weights that its shelf says */
+	for (int i = 0; x->shelf && i < x->nparts; i++) { /* kept there now, until it is said to be gone */
+		struct kept_copy n = { (uint32_t)x->server, 0, x->service, x->weights, x->stamp, 0 };
+
+		kept_put(&c->kept, ctr_kept_key(x->shelf, x->hash[i]), &n);
+	}
+}
+
+static void learn_load(struct ctr *c, uint32_t s, const struct ctr_ended *e, int64_t now)
+{
+	struct ctr_server *v = &c->sv[s];
+
+	if (e->slots > 0 && e->running >= 0 && e->waiting >= 0 && e->running + e->waiting < 100000) {
+		v->others = e->running + e->waiting > v->own ? e->running + e->waiting - v->own : 0;
+		v->others_at = now;
+	}
+	if (e->how != CTR_BROKE) {
+		v->failed = v->failed * 7 / 8;
+	} else {
+		v->failed = v->failed * 7 / 8 + 1.0 / 8;
+		v->failed_at = now;
+	}
+	if (e->how == CTR_NEVER && !e->status) { /* its connection did not come up */
+		v->fails++;
+		v->bad_until = now + (v->fails > 3 ? 2 * CTR_BAD : CTR_BAD);
+	} else if (e->status) {
+		v->fails = 0;
+	}
+	if (e->how == CTR_NEVER && e->status == 503)
+		v->bad_until = now + CTR_FULL; /* full, or loading */
+	if (e->wrong_life) {
+		c->n.wrong_life++;
+		v->bad_until = now + CTR_BAD; /* the list will say who stands there */
+	}
+	if (e->weights && strlen(e->weights) < 128) {
+		int w = names_find(&c->weights, e->weights);
+
+		if (w >= 0 || arrlen(c->weights.name) < CTR_WEIGHTS)
+			v->weights = w >= 0 ? (uint32_t)w : names_id(&c->weights, e->weights);
+	}
+}
+
+/* May another server have it? Within its own bound and the fleet's budget. */
+static int again(const struct ctr *c, const struct xch *x, int64_t now)
+{
+	return x->sends < x->attempts && c->budget >= 1000 && now + CTR_AGAIN_LEAST < x->limit;
+}
+
+void ctr_on_ended(struct ctr *c, struct xch *x, const struct ctr_ended *e, int64_t now, struct out *o)
+{
+	uint32_t s = (uint32_t)x->server;
+
+	(void)hmdel(c->by, x->call);
+	x->call = 0;
+	learn_load(c, s, e, now);
+	if (e->since)
+		x->since = apr_pstrdup(x->p, e->since);
+	x->next += e->pieces;
+	x->begun |= e->began;
+	x->ran |= e->how != CTR_NEVER;
+	if (e->how == CTR_WHOLE) {
+		if (!x->first)
+			ctr_on_began(c, x, e->weights, now);
+		c->sv[s].mean_ms += ((double)(now - x->sent_at) - c->sv[s].mean_ms) / 8;
+		c->n.answered++;
+		ctr_use_of(c, x)->value.exchanges++;
+		ctr_use_of(c, x)->value.pieces += x->next;
+		ctr_xch_drop(c, x);
+		return;
+	}
+	if (e->how == CTR_BROKE ? x->begun ? x->resumable : x->repeatable || x->resumable : !x->begun || x->resumable) {
+		if (again(c, x, now)) {
+			c->sv[s].own--;
+			c->sv[s].ahead -= x->ahead;
+			x->ahead = 0;
+			x->tried = s;
+			x->server = -1;
+			x->state = XCH_CLAIMING;
+			c->n.resends++;
+			c->n.taken_up += x->begun != 0;
+			ctr_send_claimed(c, x, now, o);
+			return;
+		}
+		if (e->how == CTR_NEVER && !x->begun) {
+			ctr_refuse(c, x, 503, "the server did not take it, and the budget for resends is spent", CTR_RETRY, now, o);
+			return;
+		}
+	}
+	ctr_give_up(c, x, 502, "the server's answer broke off", o);
+}
--- a/lib/data/ctr_watch.c
+++ b/lib/data/ctr_watch.c
@@ -54,11 +54,11 @@
 	}
 	v->serial = json_num(j, "serial");
 	v->boot = json_num(j, "boot");
-	service = c->services.name[c->book->server[s].service];
+	service = c->services.name[c->roster->server[s].service];
 	for (size_t i = 0; i < json_object_array_length(parts) && i < CTR_KEPT; i++) {
 		struct json_object *e = json_object_array_get_idx(parts, i);
 		int maker = names_find(&c->tenants, json_str(e, "m")), made_under = weights_of(c, json_str(e, "w"));
-		struct kept_copy n = { s, (uint32_t)maker, c->book->server[s].service, (uint32_t)made_under, json_num(e, "t"), v->asked };
+		struct kept_copy n = { s, (uint32_t)maker, c->roster->server[s].service, (uint32_t)made_under, json_num(e, "t"), v->asked };
 
 		if (maker < 0 || made_under < 0)
 			continue; /* of nobody that the table ever named here */
@@ -90,7 +90,7 @@
 {
 	int s = names_find(&c->servers, r->server);
 
-	if (s < 0 || !c->book || (uint32_t)s >= c->book->nserver || !c->book->server[s].on)
+	if (s < 0 || !c->roster || (uint32_t)s >= c->roster->nserver || !c->roster->server[s].on)
 		return;
 	c->sv[s].told = now;
 	c->sv[s].asked++;
@@ -99,13 +99,13 @@
 
 void ctr_look(struct ctr *c, int64_t now, struct out *o)
 {
-	const struct book *b = c->book;
+	const struct roster *b = c->roster;
 
 	for (uint32_t s = 0; b && s < b->nserver; s++) {
 		struct ctr_server *v = &c->sv[s];
 		struct cmd *k;
 
-		if (!b->server[s].on || now - v->called < CTR_LOOK || now - v->told < CTR_TOLD)
+		if (!c->roster->server[s].on || now - v->called < CTR_LOOK || now - v->told < CTR_TOLD)
 			continue;
 		/* spread over the period, so that counters do not all look at once */
 		v->called = v->called ? now : now - (int64_t)(core_rdv(c->id, s) % CTR_LOOK);
@@ -114,7 +114,7 @@
 		c->n.looks++;
 		k = out_cmd(o, CMD_CALL);
 		k->u.call.token = v->call;
-		k->u.call.addr = apr_pstrdup(o->p, b->server[s].addr);
+		k->u.call.addr = apr_pstrdup(o->p, c->roster->server[s].addr);
 		k->u.call.path = apr_psprintf(o->p, "/v1/report?since=%" APR_UINT64_T_FMT "&boot=%" APR_UINT64_T_FMT, v->serial, v->boot);
 		k->u.call.limit_ms = 800;
 		k->u.call.not_after = now + 800;
@@ -144,5 +144,80 @@
 {
 	struct withdrawn w = { ctx, v };
 
+	if (v->purge && v->purge->why == PURGE_TENANT && v->tick > w.c->walled_tick)
+		w.c->walled_tick = v->tick;
 	kept_drop(&w.c->kept, is_withdrawn, &w);
 }
+
+/* ---- watches of kept parts ---------------------------------------------------------------------- */
+
+/* The head of a zone's relays watches each server for its zone; what it hears goes down the way purges go. */
+void ctr_watch(struct ctr *c, int64_t now, struct out *o)
+{
+	const struct roster *r = c->roster;
+
+	if (!r || c->stopping || c->f.nup || follow_age(&c->f, now) > ctr_ride(c))
+		return;
+	for (uint32_t s = 0; s < r->nserver; s++) {
+		struct ctr_server *v = &c->sv[s];
+		struct cmd *k;
+
+		if (!r->server[s].on || r->server[s].draining || v->watch || now - v->watched < CTR_WATCH_GAP || now < v->bad_until)
+			continue;
+		v->watch = ctr_token_new(c);
+		v->watched = now;
+		c->n.watches++;
+		k = out_cmd(o, CMD_WATCH);
+		k->u.watch.token = v->watch;
+		k->u.watch.addr = r->server[s].to;
+		k->u.watch.server = c->servers.name[s];
+		k->u.watch.since = v->next;
+		k->u.watch.wait_ms = CTR_WATCH_WAIT;
+	}
+}
+
+/* Of one server: what it keeps now, and no longer. Events that were missed make all that is known of it doubtful. */
+void ctr_on_kept(struct ctr *c, const struct Nl__Kept *k, int64_t now)
+{
+	int s = names_find(&c->servers, k->server);
+	struct ctr_server *v;
+
+	if (s < 0 || !c->roster || (uint32_t)s >= c->roster->nserver || !c->roster->server[s].on)
+		return;
+	v = &c->sv[s];
+	v->heard = now;
+	if (k->lost || (v->epoch && v->epoch != k->epoch))
+		kept_sweep(&c->kept, (uint32_t)s, UINT64_MAX);
+	v->epoch = k->epoch;
+	v->next = k->next;
+	for (size_t i = 0; i < k->n_e; i++) {
+		uint64_t key = ctr_kept_key(core_hashs(0, k->e[i]->shelf), k->e[i]->id);
+		struct kept_copy n = { (uint32_t)s, 0, c->roster->server[s].service, v->weights, 0, 0 };
+
+		c->n.events++;
+		if (k->e[i]->gone)
+			kept_lose(&c->kept, key, (uint32_t)s);
+		else if (c->kept.n < CTR_INDEX)
+			kept_put(&c->kept, key, &n);
+	}
+}
+
+void ctr_on_watched(struct ctr *c, uint64_t token, const struct Nl__Kept *k, int status, int64_t now, struct out *o)
+{
+	for (uint32_t s = 0; c->roster && s < c->roster->nserver; s++) {
+		struct ctr_server *v = &c->sv[s];
+
+		if (v->watch != token)
+			continue;
+		v->watch = 0;
+		v->watched = now;
+		if (status != 200 || !k) {
+			v->watched = now + CTR_LOOK; /* too many watch it, or it is gone */
+			return;
+		}
+		ctr_on_kept(c, k, now);
+		for (ptrdiff_t i = 0; k->n_e && i < arrlen(c->relay.down); i++)
+			out_msg(o, c->relay.down[i].addr, 0, NL__MSG__BODY_KEPT)->kept = (struct Nl__Kept *)core_dup(o->p, &k->base);
+		return;
+	}
+}
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1458,9 +1458,9 @@
 
 			while (servers < SIM_SERVERS && s->sv[servers].used)
 				servers++;
-			if (!relay_current(&s->n[i].c->relay, local(s, &s->n[i])) || !s->n[i].c->book || s->n[i].c->book->nserver < servers)
+			if (!relay_current(&s->n[i].c->relay, local(s, &s->n[i])) || !s->n[i].c->book || s->n[i].c->roster->nserver < servers)
 				return 0;
-			for (uint32_t k = 0; k < s->n[i].c->book->nserver; k++)
+			for (uint32_t k = 0; k < s->n[i].c->roster->nserver; k++)
 				if (!s->n[i].c->sv[k].have)
 					return 0;
 		}
