Servers from a list, and their weights' roll-out: first working version

Cause: on a deployment with a list of servers nobody writes SERVER rows. Before: no list, no orders but those to servers of the table. After: the configuration's owner looks at the list (sights.c), followers get what it saw with the following, and the same owner rolls named weights out (giver.c).

--- a/lib/control/follow.c
+++ b/lib/control/follow.c
@@ -9,6 +9,7 @@
 {
 	memset(f, 0, sizeof *f);
 	table_open(&f->t);
+	sights_open(&f->sights);
 	sh_new_strdup(f->hold);
 	f->born = f->rng = born;
 	f->zone = f->web = "";
@@ -25,6 +26,7 @@
 void follow_close(struct follow *f)
 {
 	table_close(&f->t);
+	sights_close(&f->sights);
 	shfree(f->hold);
 }
 
@@ -108,6 +110,7 @@
 		return;
 	a = OUT_NEW(o, Nl__Follow, NL__FOLLOW__INIT);
 	a->have = f->t.edition;
+	a->sights = f->sights.stamp;
 	a->born = f->born;
 	a->token = ++f->token;
 	a->zone = (char *)f->zone;
@@ -187,5 +190,5 @@
 		f->up[f->nup++] = r->up[i];
 	f->counters = r->counters;
 	take_registrars(f, r);
-	return f->t.edition != was;
+	return (f->t.edition != was ? FOLLOW_TABLE : 0) | (sights_follow(&f->sights, r, now) ? FOLLOW_SIGHTS : 0);
 }
--- a/lib/control/follow.h
+++ b/lib/control/follow.h
@@ -4,6 +4,7 @@
 #define NL_FOLLOW_H
 
 #include "core.h"
+#include "sights.h"
 #include "table.h"
 
 enum {
@@ -20,6 +21,7 @@
 
 struct follow {
 	struct table t;
+	struct sights sights;                 /* servers as the configuration's owner sees them; gone ones stay for a while */
 	struct follow_hold *hold;             /* stb_ds; what a counter uses and wants it writes here */
 	uint64_t applied;                     /* the newest answer whose places are in force */
 	uint64_t born, rng;
@@ -53,7 +55,9 @@
 /* Ask at once, for example when a change is known to have passed. Example: follow_ask(&f, h, now, o); */
 void follow_ask(struct follow *f, uint64_t horizon, int64_t now, struct out *o);
 
-/* Take an answer in; 1 when the table changed. Example: if (follow_msg(&f, m, now, o)) rebuild(); */
+enum { FOLLOW_TABLE = 1, FOLLOW_SIGHTS = 2 };
+
+/* Take an answer in; bits tell what changed, 0 nothing. Example: if (follow_msg(&f, m, now, o)) rebuild(); */
 int follow_msg(struct follow *f, const struct Nl__Msg *m, int64_t now, struct out *o);
 
 /* How old the newest certain knowledge is. Example: if (follow_age(&f, now) > FOLLOW_CONFIG) refuse(); */
--- a/lib/control/giver.c
+++ b/lib/control/giver.c
@@ -222,3 +222,404 @@
 		}
 	}
 }
+
+/* ---- orders to sighted servers ------------------------------------------------------- */
+
+void giver_open(struct giver *g)
+{
+	memset(g, 0, sizeof *g);
+	sh_new_strdup(g->m);
+}
+
+static void told_free(struct giver_server *s)
+{
+	free(s->name);
+	free(s->weights);
+}
+
+void giver_close(struct giver *g)
+{
+	for (ptrdiff_t i = 0; i < arrlen(g->v); i++)
+		told_free(&g->v[i]);
+	arrfree(g->v);
+	for (ptrdiff_t i = 0; i < shlen(g->m); i++)
+		free(g->m[i].value.weights);
+	shfree(g->m);
+}
+
+static struct giver_server *told_get(const struct giver *g, const char *name)
+{
+	for (ptrdiff_t i = 0; i < arrlen(g->v); i++)
+		if (!strcmp(g->v[i].name, name))
+			return &g->v[i];
+	return NULL;
+}
+
+static struct giver_server *told_of(struct giver *g, const char *name)
+{
+	struct giver_server n, *s = told_get(g, name);
+
+	if (s)
+		return s;
+	memset(&n, 0, sizeof n);
+	n.name = strdup(name);
+	n.weights = strdup("");
+	arrput(g->v, n);
+	return &arrlast(g->v);
+}
+
+void giver_begins(struct reg *r, int64_t now)
+{
+	struct giver *g = &r->giver;
+	uint64_t term = r->part[PART_CTL].term;
+
+	/* the last giver's lease ended before this office began, and no order left after it; one that may still be on its
+	 * way, or whose lease a server still heeds, gets its time. No other was between if the terms follow. */
+	g->first = g->term && term == g->term + 1 ? now : now + r->b.lease_ms + GIVER_AFTER;
+	g->term = term;
+	g->seq = 0;
+	g->barred = 0;
+	for (ptrdiff_t i = 0; i < arrlen(g->v); i++)
+		told_free(&g->v[i]);
+	arrsetlen(g->v, 0);
+	sights_begin(&r->sights, &r->f.sights, term, now);
+	for (ptrdiff_t i = 0; i < shlen(r->sights.h); i++)
+		if (r->sights.h[i].value.s->loading)
+			told_of(g, r->sights.h[i].key)->is = GIVER_UNSURE;
+}
+
+/* Since when a model's newest weights are named, as far as this registrar can tell. */
+static void note_models(struct reg *r, int64_t now)
+{
+	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++) {
+		const struct Nl__Row *row = r->ctl.h[i].value.row;
+		ptrdiff_t k;
+
+		if (row->kind != NL__KIND__MODEL)
+			continue;
+		k = shgeti(r->giver.m, row->name);
+		if (k < 0) {
+			typeof(r->giver.m->value) n = { strdup(row->weights), now, 0, 0, 0, 0, 0 };
+
+			shput(r->giver.m, row->name, n);
+		} else if (strcmp(r->giver.m[k].value.weights, row->weights)) {
+			free(r->giver.m[k].value.weights);
+			r->giver.m[k].value.weights = strdup(row->weights);
+			r->giver.m[k].value.since = now;
+		}
+	}
+}
+
+static int digits(const char *s) { return *s && strspn(s, "0123456789") == strlen(s); }
+
+/* Whether a server has what is named, or newer: a new one may, before its naming has come here. */
+static int has(const char *weights, const char *named)
+{
+	if (!strcmp(weights, named))
+		return 1;
+	if (!digits(weights) || !digits(named))
+		return 0;
+	return strlen(weights) != strlen(named) ? strlen(weights) > strlen(named) : strcmp(weights, named) > 0;
+}
+
+static const char *model_of(const struct reg *r, const struct Nl__Sight *x)
+{
+	const struct Nl__Row *service = x->state == SIGHT_SERVING ? table_get(&r->ctl, NL__KIND__SERVICE, x->service) : NULL;
+
+	return service && service->model[0] ? service->model : NULL;
+}
+
+static void give(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, const char *weights, int beside,
+                 int64_t now, struct out *o)
+{
+	struct cmd *c = out_cmd(o, CMD_ORDER);
+
+	s->is = GIVER_ASKED;
+	s->token = ++r->token;
+	s->told = now;
+	s->beside = beside;
+	free(s->weights);
+	s->weights = strdup(weights);
+	c->u.order.token = s->token;
+	c->u.order.addr = core_addr(x->addr);
+	c->u.order.fence = r->giver.term << 20 | (++r->giver.seq & 0xfffff);
+	c->u.order.server = apr_pstrdup(o->p, x->server);
+	c->u.order.model = apr_pstrdup(o->p, model);
+	c->u.order.weights = apr_pstrdup(o->p, weights);
+	c->u.order.holder = apr_psprintf(o->p, "%016" APR_UINT64_T_HEX_FMT, r->id);
+	c->u.order.not_after = r->part[PART_CTL].licence - GIVER_MARGIN;
+	say(r, "order", o->p, "Server %s is told to load %s of %s.", x->server, weights, model);
+	sights_say(&r->sights, s->name, x->weights, 1, now); /* x may be another copy after this */
+}
+
+static void look(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, int64_t now, struct out *o)
+{
+	struct cmd *c;
+
+	if (now - s->looked < GIVER_LOOK || (s->look && now - s->looked < GIVER_SILENT))
+		return;
+	s->look = ++r->token;
+	s->looked = now;
+	c = out_cmd(o, CMD_LOOK);
+	c->u.look.token = s->look;
+	c->u.look.addr = core_addr(x->addr);
+	c->u.look.server = apr_pstrdup(o->p, x->server);
+	c->u.look.model = apr_pstrdup(o->p, model);
+	c->u.look.not_after = now + GIVER_SILENT;
+}
+
+/* One that was told, or may have been: what is known of it since. */
+static void attend(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, const char *named, int64_t now, struct out *o)
+{
+	if (s->is == GIVER_ASKED && now - s->told >= GIVER_SILENT)
+		s->is = GIVER_UNSURE;
+	if (s->is == GIVER_LOADING || s->is == GIVER_UNSURE) {
+		if (has(x->weights, named)) { /* the list says so */
+			s->is = GIVER_IDLE;
+			sights_say(&r->sights, s->name, x->weights, 0, now);
+		} else if (now >= s->told + GIVER_LOOK) {
+			look(r, s, x, model, now, o);
+		}
+	}
+}
+
+/* Learn from a load's end: how long one takes; whether as many at once as now make it longer. */
+static void learn(struct reg *r, const struct giver_server *s, const char *model, int64_t now)
+{
+	ptrdiff_t k = shgeti(r->giver.m, model);
+	int ms = (int)(now - s->told), loading = 0; /* told: not by this giver, if 0 */
+	typeof(r->giver.m->value) *m;
+
+	if (k < 0 || s->is != GIVER_LOADING || !s->told)
+		return;
+	m = &r->giver.m[k].value;
+	for (ptrdiff_t i = 0; i < arrlen(r->giver.v); i++)
+		loading += r->giver.v[i].is != GIVER_IDLE;
+	if (!m->load_ms || ms < m->load_ms)
+		m->load_ms = ms;
+	if (ms > m->load_ms + m->load_ms / 2 && s->beside > m->room) {
+		m->most = s->beside - 1; /* so many were too many */
+		m->good = 0;
+	} else if (ms <= m->load_ms + m->load_ms / 4 && loading >= m->room && ++m->good > 2 * m->room && (!m->most || m->room < m->most)) {
+		m->room++;
+		m->good = 0;
+	}
+	if (m->most && m->room > m->most && m->room > 1)
+		m->room = m->most;
+}
+
+/* How many may load at once: as many as don't slow each other down, as far as is known; more when the bound asks for
+ * it. All have it by half the bound, so that another giver can take over in the other half. */
+static int at_once(const struct reg *r, typeof(((struct giver_model *)0)->value) *m, int n, int left, int64_t now)
+{
+	int64_t load = (m->load_ms ? m->load_ms : r->b.roll_ms / 10) + GIVER_LOOK, time = m->since + r->b.roll_ms / 2 - now;
+	int need;
+
+	if (!m->room)
+		m->room = (n + 3) / 6 > 1 ? (n + 3) / 6 : 1;
+	need = time < load ? left : (int)((left + time / load - 1) / (time / load));
+	return need > m->room ? need : m->room;
+}
+
+struct zone { const char *zone; int n, out; };
+
+static struct zone *zone_of(struct zone **z, const char *name, apr_pool_t *p)
+{
+	struct zone n = { name, 0, 0 };
+
+	for (ptrdiff_t i = 0; i < arrlen(*z); i++)
+		if (!strcmp((*z)[i].zone, name))
+			return &(*z)[i];
+	n.zone = apr_pstrdup(p, name);
+	arrput(*z, n);
+	return &arrlast(*z);
+}
+
+static void log_rolled(struct reg *r, typeof(((struct giver_model *)0)->value) *m, const struct Nl__Row *model, int64_t now, struct out *o)
+{
+	const struct part *p = &r->part[PART_CTL];
+	struct Nl__Row row = *model, *set[1] = { &row };
+	struct Nl__Op op = NL__OP__INIT;
+	struct Nl__Change c = NL__CHANGE__INIT;
+
+	/* nothing stands in the log behind the row as it is here, which would be undone; nor is this on its way already */
+	if (p->taken != p->base + (uint64_t)arrlen(p->log) || now - m->rolled < 1000)
+		return;
+	row.rolled = model->weights;
+	c.any = 1;
+	c.set = set;
+	c.n_set = 1;
+	op.op_case = NL__OP__OP_CHANGE;
+	op.change = &c;
+	if (log_op(r, PART_CTL, &op, now, o)) {
+		m->rolled = now;
+		say(r, "order", o->p, "Every server has %s of %s.", model->weights, model->name);
+	}
+}
+
+/* 1 when nothing is left to do. */
+static int roll_model(struct reg *r, const struct Nl__Row *model, int64_t now, struct out *o)
+{
+	typeof(r->giver.m->value) *m = &shgetp(r->giver.m, model->name)->value;
+	int n = 0, on = 0, busy = 0, room;
+	struct zone *z = NULL;
+
+	for (ptrdiff_t i = 0; i < shlen(r->sights.h); i++) {
+		const struct Nl__Sight *x = r->sights.h[i].value.s;
+		const char *name = model_of(r, x);
+		struct giver_server *s;
+		int out;
+
+		if (!name || strcmp(name, model->name))
+			continue;
+		s = told_get(&r->giver, x->server);
+		if (s)
+			attend(r, s, x, model->name, model->weights, now, o);
+		x = r->sights.h[i].value.s;
+		out = s && s->is != GIVER_IDLE;
+		n++;
+		busy += out;
+		on += !out && has(x->weights, model->weights);
+		zone_of(&z, x->zone, o->p)->n++;
+		zone_of(&z, x->zone, o->p)->out += out;
+	}
+	if (n && on == n && strcmp(model->rolled, model->weights))
+		log_rolled(r, m, model, now, o);
+	room = on == n ? 0 : at_once(r, m, n, n - on, now) - busy;
+	if (r->giver.barred || now < r->giver.first || now >= r->part[PART_CTL].licence - GIVER_MARGIN)
+		room = 0;
+	while (room-- > 0) { /* next in the zone that has the smallest share of its servers out */
+		const struct Nl__Sight *best = NULL;
+		struct zone *at = NULL;
+
+		for (ptrdiff_t i = 0; i < shlen(r->sights.h); i++) {
+			const struct Nl__Sight *x = r->sights.h[i].value.s;
+			const char *name = model_of(r, x);
+			struct giver_server *s;
+			struct zone *q;
+
+			if (!name || strcmp(name, model->name) || has(x->weights, model->weights))
+				continue;
+			s = told_get(&r->giver, x->server);
+			q = zone_of(&z, x->zone, o->p);
+			if ((s && (s->is != GIVER_IDLE || now < s->again)) || (at && q->out * at->n >= at->out * q->n))
+				continue;
+			best = x;
+			at = q;
+		}
+		if (!best)
+			break;
+		at->out++;
+		give(r, told_of(&r->giver, best->server), best, model->name, model->weights, ++busy, now, o);
+	}
+	arrfree(z);
+	return !n || (on == n && !strcmp(model->rolled, model->weights));
+}
+
+void giver_sighted(struct reg *r, int64_t now, struct out *o)
+{
+	int soon = 0, done = 1;
+
+	if (!r->b.sights)
+		return;
+	note_models(r, now);
+	if (!in_office(r, PART_CTL, now))
+		return;
+	for (ptrdiff_t i = arrlen(r->giver.v) - 1; i >= 0; i--) { /* those of servers that have left */
+		const struct Nl__Sight *x = sights_get(&r->sights, r->giver.v[i].name);
+
+		if (x && x->state == SIGHT_SERVING) {
+			soon |= r->giver.v[i].is != GIVER_IDLE;
+			continue;
+		}
+		told_free(&r->giver.v[i]);
+		arrdelswap(r->giver.v, i);
+	}
+	sights_tick(&r->sights, soon, r->b.list_mille, ++r->token, now, o);
+	if (!r->sights.listed || (r->giver.done_stamp == r->sights.stamp && r->giver.done_edition == r->ctl.edition))
+		return;
+	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++)
+		if (r->ctl.h[i].value.row->kind == NL__KIND__MODEL)
+			done &= roll_model(r, r->ctl.h[i].value.row, now, o);
+	if (done) { /* until something is seen or named */
+		r->giver.done_stamp = r->sights.stamp;
+		r->giver.done_edition = r->ctl.edition;
+	}
+}
+
+void giver_ordered(struct reg *r, uint64_t token, int status, int never, int64_t now, struct out *o)
+{
+	struct giver_server *s = NULL;
+	const struct Nl__Sight *x;
+
+	for (ptrdiff_t i = 0; i < arrlen(r->giver.v) && token; i++)
+		if (r->giver.v[i].token == token)
+			s = &r->giver.v[i];
+	x = s ? sights_get(&r->sights, s->name) : NULL;
+	if (!x)
+		return;
+	s->token = 0;
+	switch (status) {
+	case 200:
+		s->is = GIVER_IDLE;
+		sights_say(&r->sights, s->name, s->weights, 0, now);
+		break;
+	case 202: s->is = GIVER_LOADING; break;
+	case 412:
+		if (!r->giver.barred)
+			say(r, "order", o->p, "Server %s has seen a higher fence; no orders until the next term.", s->name);
+		r->giver.barred = 1;
+		s->is = GIVER_UNSURE;
+		break;
+	case 421:
+		sights_end(&r->sights, s->name, now);
+		break;
+	case 409: s->is = GIVER_UNSURE; break; /* it loads what it was told before: told again when a look says it is done */
+	default:
+		if (never) {
+			s->is = GIVER_IDLE;
+			s->again = now + 100;
+			sights_say(&r->sights, s->name, x->weights, 0, now);
+		} else {
+			s->is = GIVER_UNSURE;
+			s->again = now + (status ? GIVER_REFUSED : 0);
+			if (status)
+				say(r, "order", o->p, "Step order: server %s answers %d.", s->name, status);
+		}
+	}
+}
+
+void giver_looked(struct reg *r, uint64_t token, int status, const char *weights, int loading, int64_t now)
+{
+	struct giver_server *s = NULL;
+	const struct Nl__Sight *x;
+	const char *model;
+	ptrdiff_t k;
+
+	for (ptrdiff_t i = 0; i < arrlen(r->giver.v) && token; i++)
+		if (r->giver.v[i].look == token)
+			s = &r->giver.v[i];
+	x = s ? sights_get(&r->sights, s->name) : NULL;
+	model = x ? model_of(r, x) : NULL;
+	if (!model)
+		return;
+	s->look = 0;
+	if (status == 421) {
+		sights_end(&r->sights, s->name, now);
+		return;
+	}
+	k = shgeti(r->giver.m, model);
+	if (status != 200 || !weights || k < 0 || (s->is != GIVER_LOADING && s->is != GIVER_UNSURE))
+		return;
+	if (loading) {
+		s->is = GIVER_LOADING;
+		sights_say(&r->sights, s->name, weights, 1, now);
+		return;
+	}
+	if (!has(weights, s->weights) && s->looked < s->told + GIVER_DATED)
+		return; /* the report may be older than the order */
+	if (!strcmp(weights, s->weights))
+		learn(r, s, model, now);
+	s->is = GIVER_IDLE;
+	sights_say(&r->sights, s->name, weights, 0, now);
+}
--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -738,6 +738,7 @@
 	else
 		arrput(r->seen, me);
 	table_since(&r->ctl, q->have, a, o->p);
+	sights_since(&r->sights, q->sights, a, o->p);
 	a->up = apr_palloc(o->p, 2 * sizeof *a->up);
 	for (int k = 0; q->counter && k < 2; k++) { /* the best two that rendezvous ranks above the asker in its zone */
 		const struct reg_seen *best = NULL;
@@ -1167,6 +1168,8 @@
 		json_object_array_add(a, x);
 	}
 	json_object_object_add(j, "servers", a);
+	if (r->b.sights)
+		json_object_object_add(j, "sights", sights_json(in_office(r, PART_CTL, now) && r->sights.listed ? &r->sights : &r->f.sights));
 	s = apr_pstrdup(p, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN));
 	json_object_put(j);
 	return s;
@@ -1245,6 +1248,7 @@
 		if (i == PART_CTL) {
 			arrsetlen(r->seen, 0);
 			limits_clear(r);
+			giver_begins(r, now);
 		}
 		if (i == PART_PURGE)
 			publisher_begins(r, now, o);
@@ -1338,6 +1342,7 @@
 		relay_up(&r->relay, NULL, 0, follow_log(&r->f, r->relay.moved, now), now);
 	relay_tick(&r->relay, now, o);
 	giver_tick(r, now, o);
+	giver_sighted(r, now, o);
 }
 
 void reg_step(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
@@ -1355,6 +1360,11 @@
 			if (ev->u.called.token && r->server[i].call == ev->u.called.token && ev->u.called.status == 200)
 				giver_report(r, &r->server[i], ev->u.called.body, now, o);
 		break;
+	case REG_LISTED: sights_listed(&r->sights, ev->u.listed.token, ev->u.listed.ok, ev->u.listed.v, ev->u.listed.n, now); break;
+	case REG_LOOKED:
+		giver_looked(r, ev->u.looked.token, ev->u.looked.status, ev->u.looked.weights, ev->u.looked.loading, now);
+		break;
+	case REG_ORDERED: giver_ordered(r, ev->u.ordered.token, ev->u.ordered.status, ev->u.ordered.never, now, o); break;
 	case REG_STOP:
 		r->stopping = 1;
 		for (int i = 0; i < PART_COUNT; i++)
@@ -1404,7 +1414,10 @@
 	r->token = core_rand(&r->rng) >> 2; /* never one of this registrar's life before */
 	r->nseeds = nseeds > 8 ? 8 : nseeds;
 	memcpy(r->seeds, seeds, (size_t)r->nseeds * sizeof *seeds);
+	r->b = bounds_default;
 	table_open(&r->ctl);
+	sights_open(&r->sights);
+	giver_open(&r->giver);
 	for (int i = 0; i < PART_SERVICES; i++)
 		clear_svc(&r->svc[i]);
 	for (uint32_t i = 0; i < PART_COUNT; i++)
@@ -1422,6 +1435,8 @@
 	for (int i = 0; i < PART_COUNT; i++)
 		part_close(&r->part[i]);
 	table_close(&r->ctl);
+	sights_close(&r->sights);
+	giver_close(&r->giver);
 	clear_values(&r->ctl_feed);
 	arrfree(r->ctl_done);
 	clear_values(&r->pub.v);
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -3,6 +3,7 @@
 #define NL_REG_H
 
 #include "follow.h"
+#include "giver.h"
 #include "part.h"
 #include "purge.h"
 #include "table.h"
@@ -103,6 +104,9 @@
 	struct reg_pub pub;
 	struct reg_svc svc[PART_SERVICES];
 	struct follow f;
+	struct bounds b;          /* bounds_default until they are set */
+	struct sights sights;     /* what the configuration's owner sees itself */
+	struct giver giver;
 	struct relay relay;
 	struct reg_wait *wait;
 	struct reg_ask *ask;
--- /dev/null
+++ b/lib/control/sights.c
@@ -0,0 +1,279 @@
+#include "sights.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "ds.h"
+
+static struct Nl__Sight *copy(const struct Nl__Sight *x)
+{
+	size_t n = nl__sight__get_packed_size(x);
+	uint8_t *d = malloc(n + 1);
+	struct Nl__Sight *c;
+
+	if (!d)
+		abort();
+	nl__sight__pack(x, d);
+	c = nl__sight__unpack(NULL, n, d);
+	free(d);
+	if (!c)
+		abort();
+	return c;
+}
+
+void sights_open(struct sights *s)
+{
+	memset(s, 0, sizeof *s);
+	sh_new_strdup(s->h);
+}
+
+void sights_close(struct sights *s)
+{
+	for (ptrdiff_t i = 0; i < shlen(s->h); i++)
+		nl__sight__free_unpacked(s->h[i].value.s, NULL);
+	shfree(s->h);
+}
+
+const struct Nl__Sight *sights_get(const struct sights *s, const char *name)
+{
+	struct sights_row *h = s->h;
+	ptrdiff_t i = shgeti(h, name);
+
+	return i < 0 ? NULL : h[i].value.s;
+}
+
+/* Put a copy in place of what stands there. */
+static typeof(((struct sights_row *)0)->value) *put(struct sights *s, const struct Nl__Sight *x)
+{
+	ptrdiff_t i = shgeti(s->h, x->server);
+	struct Nl__Sight *c = copy(x);
+
+	if (i >= 0) {
+		nl__sight__free_unpacked(s->h[i].value.s, NULL);
+		s->h[i].value.s = c;
+	} else {
+		shput(s->h, c->server, ((typeof(s->h->value)){ c, 0, 0, 0, 0 }));
+	}
+	return &shgetp(s->h, c->server)->value; /* x may have stood on the old one */
+}
+
+static void forget(struct sights *s, int64_t now)
+{
+	for (ptrdiff_t i = shlen(s->h) - 1; i >= 0; i--) {
+		struct Nl__Sight *x = s->h[i].value.s;
+
+		if (x->state != SIGHT_GONE || now - s->h[i].value.gone < SIGHTS_TOMB)
+			continue;
+		if (x->stamp > s->forgotten)
+			s->forgotten = x->stamp;
+		(void)shdel(s->h, s->h[i].key);
+		nl__sight__free_unpacked(x, NULL);
+	}
+}
+
+/* ---- the owner's side ---------------------------------------------------------- */
+
+static void stamp(struct sights *s, struct Nl__Sight *x, int64_t now)
+{
+	x->stamp = ++s->stamp;
+	s->changed = now;
+}
+
+void sights_begin(struct sights *s, const struct sights *f, uint64_t term, int64_t now)
+{
+	sights_close(s);
+	sights_open(s);
+	s->term = term;
+	s->stamp = term << 24;
+	s->due = s->changed = now;
+	for (ptrdiff_t i = 0; i < shlen(f->h); i++) {
+		typeof(f->h->value) *v = put(s, f->h[i].value.s);
+
+		v->gone = f->h[i].value.gone;
+		v->ended = v->s->state == SIGHT_DRAINING;
+		v->s->stamp = ++s->stamp;
+	}
+}
+
+void sights_tick(struct sights *s, int soon, int mille, uint64_t token, int64_t now, struct out *o)
+{
+	int64_t every = soon || now - s->changed < SIGHTS_LATELY ? SIGHTS_SOON : SIGHTS_CALM;
+
+	forget(s, now);
+	if (mille <= 0)
+		return;
+	if (every < 3000000 / mille) /* at most a third of what the whole fleet may call */
+		every = 3000000 / mille;
+	if ((s->call && now - s->called < SIGHTS_LOST) || (s->called && now - s->called < every) || now < s->due)
+		return;
+	s->call = token;
+	s->called = now;
+	out_cmd(o, CMD_LIST)->u.list.token = token;
+}
+
+/* Time runs down by itself where it is known: only its beginning and its end are news. */
+static int differs(const struct Nl__Sight *a, const struct Nl__Sight *b)
+{
+	return strcmp(a->service, b->service) || strcmp(a->addr, b->addr) || strcmp(a->zone, b->zone) || a->slots != b->slots ||
+	       a->state != b->state || strcmp(a->weights, b->weights) || a->loading != b->loading || !a->cold_ms != !b->cold_ms;
+}
+
+static void one_listed(struct sights *s, const struct Nl__Sight *is, int64_t now)
+{
+	ptrdiff_t i = shgeti(s->h, is->server);
+	struct Nl__Sight x = *is;
+	const struct Nl__Sight *was;
+
+	if (i < 0) {
+		x.loading = 0;
+		stamp(s, put(s, &x)->s, now);
+		s->h[shgeti(s->h, is->server)].value.ended = x.state != SIGHT_SERVING;
+		return;
+	}
+	was = s->h[i].value.s;
+	s->h[i].value.missed = 0;
+	if (was->state == SIGHT_GONE && (s->h[i].value.ended || now - s->h[i].value.gone < SIGHTS_BACK))
+		return;
+	if (x.state == SIGHT_DRAINING)
+		s->h[i].value.ended = 1;
+	else if (s->h[i].value.ended)
+		x.state = SIGHT_DRAINING;
+	x.loading = was->loading; /* the list doesn't tell */
+	if (s->called < s->h[i].value.firm)
+		x.weights = was->weights;
+	if (differs(was, &x))
+		stamp(s, put(s, &x)->s, now);
+}
+
+static void gone(struct sights *s, ptrdiff_t i, int64_t now)
+{
+	s->h[i].value.s->state = SIGHT_GONE;
+	s->h[i].value.s->loading = 0;
+	s->h[i].value.gone = now;
+	stamp(s, s->h[i].value.s, now);
+}
+
+void sights_listed(struct sights *s, uint64_t token, int ok, struct Nl__Sight *const *v, size_t n, int64_t now)
+{
+	if (!s->term || !token || token != s->call)
+		return;
+	s->call = 0;
+	if (!ok)
+		return;
+	for (ptrdiff_t i = 0; i < shlen(s->h); i++)
+		s->h[i].value.missed++;
+	for (size_t i = 0; i < n; i++)
+		if (v[i]->server[0] && v[i]->state <= SIGHT_DRAINING)
+			one_listed(s, v[i], now);
+	for (ptrdiff_t i = 0; i < shlen(s->h); i++) {
+		if (s->h[i].value.s->state == SIGHT_GONE)
+			continue;
+		if (s->h[i].value.missed >= SIGHTS_MISSED)
+			gone(s, i, now);
+		else if (s->h[i].value.missed)
+			s->changed = now; /* look again soon */
+	}
+	if (!s->listed++)
+		s->stamp++; /* an empty list is something to tell too */
+}
+
+void sights_say(struct sights *s, const char *name, const char *weights, int loading, int64_t now)
+{
+	ptrdiff_t i = shgeti(s->h, name);
+	struct Nl__Sight x;
+
+	if (i < 0 || s->h[i].value.s->state == SIGHT_GONE)
+		return;
+	x = *s->h[i].value.s;
+	x.weights = (char *)weights;
+	x.loading = loading;
+	s->h[i].value.firm = now + SIGHTS_FIRM;
+	if (differs(s->h[i].value.s, &x))
+		stamp(s, put(s, &x)->s, now);
+}
+
+void sights_end(struct sights *s, const char *name, int64_t now)
+{
+	ptrdiff_t i = shgeti(s->h, name);
+
+	if (i < 0)
+		return;
+	s->h[i].value.ended = 1;
+	if (s->h[i].value.s->state != SIGHT_GONE)
+		gone(s, i, now);
+}
+
+void sights_since(const struct sights *s, uint64_t have, struct Nl__FollowReply *a, apr_pool_t *p)
+{
+	if (!s->term || !s->listed)
+		return; /* what followers have is better than what this owner was told itself */
+	a->sights = s->stamp;
+	a->sights_whole = have >> 24 != s->term || have > s->stamp || have < s->forgotten;
+	if (!a->sights_whole && have == s->stamp)
+		return;
+	a->sight = apr_palloc(p, ((size_t)shlen(s->h) + 1) * sizeof *a->sight);
+	for (ptrdiff_t i = 0; i < shlen(s->h); i++)
+		if (a->sights_whole || s->h[i].value.s->stamp > have)
+			a->sight[a->n_sight++] = (struct Nl__Sight *)core_dup(p, &s->h[i].value.s->base);
+}
+
+/* ---- a follower's side ----------------------------------------------------------- */
+
+int sights_follow(struct sights *s, const struct Nl__FollowReply *a, int64_t now)
+{
+	int changed = 0;
+
+	forget(s, now);
+	if (a->sights <= s->stamp || (!a->sights_whole && a->sights >> 24 != s->stamp >> 24))
+		return 0;
+	for (ptrdiff_t i = shlen(s->h) - 1; i >= 0 && a->sights_whole; i--) {
+		int there = 0;
+
+		for (size_t k = 0; k < a->n_sight && !there; k++)
+			there = !strcmp(a->sight[k]->server, s->h[i].key);
+		if (there)
+			continue;
+		changed = 1;
+		nl__sight__free_unpacked(s->h[i].value.s, NULL);
+		(void)shdel(s->h, s->h[i].key);
+	}
+	for (size_t k = 0; k < a->n_sight; k++) {
+		struct Nl__Sight x = *a->sight[k];
+		const struct Nl__Sight *was = sights_get(s, x.server);
+		typeof(s->h->value) *v;
+
+		if (!x.server[0])
+			continue;
+		if (was && was->state == SIGHT_DRAINING && x.state == SIGHT_SERVING)
+			x.state = SIGHT_DRAINING; /* an owner that knows less than the one before */
+		changed |= !was || differs(was, &x);
+		v = put(s, &x);
+		if (x.state == SIGHT_GONE && !v->gone)
+			v->gone = now;
+		else if (x.state != SIGHT_GONE)
+			v->gone = 0;
+	}
+	s->stamp = a->sights;
+	return changed;
+}
+
+struct json_object *sights_json(const struct sights *s)
+{
+	static const char *const states[] = { "serving", "draining", "gone" };
+	struct json_object *a = json_object_new_array();
+
+	for (ptrdiff_t i = 0; i < shlen(s->h); i++) {
+		const struct Nl__Sight *x = s->h[i].value.s;
+		struct json_object *j = json_object_new_object();
+
+		json_object_object_add(j, "server", json_object_new_string(x->server));
+		json_object_object_add(j, "service", json_object_new_string(x->service));
+		json_object_object_add(j, "addr", json_object_new_string(x->addr));
+		json_object_object_add(j, "zone", json_object_new_string(x->zone));
+		json_object_object_add(j, "state", json_object_new_string(states[x->state > SIGHT_GONE ? SIGHT_GONE : x->state]));
+		json_object_object_add(j, "weights", json_object_new_string(x->weights));
+		json_object_object_add(j, "loading", json_object_new_boolean(x->loading));
+		json_object_array_add(a, j);
+	}
+	return a;
+}
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -854,6 +854,203 @@
 	ctr_do(s, r->node, &ev);
 }
 
+/* ---- the list of servers, and servers that take orders as the platform's do ------------ */
+
+static struct sim_inst *inst_at(struct sim *s, uint64_t addr)
+{
+	for (ptrdiff_t i = arrlen(s->list.v) - 1; i >= 0; i--)
+		if (s->list.v[i].up && core_addr(s->list.v[i].addr) == addr)
+			return &s->list.v[i];
+	return NULL;
+}
+
+int sim_inst(struct sim *s, const char *service, const char *zone, const char *weights)
+{
+	struct sim_inst v;
+	int n = (int)arrlen(s->list.v);
+
+	memset(&v, 0, sizeof v);
+	v.up = 1;
+	snprintf(v.name, sizeof v.name, "i-%04x", n);
+	snprintf(v.service, sizeof v.service, "%s", service);
+	snprintf(v.zone, sizeof v.zone, "%s", zone);
+	snprintf(v.weights, sizeof v.weights, "%s", weights);
+	snprintf(v.before, sizeof v.before, "%s", weights);
+	snprintf(v.addr, sizeof v.addr, "127.1.%d.%d:8000", n / 200, n % 200 + 1);
+	v.born = s->now;
+	arrput(s->list.v, v);
+	return n;
+}
+
+void sim_inst_drain(struct sim *s, int i)
+{
+	s->list.v[i].draining = 1;
+	s->list.v[i].drained = s->now;
+}
+
+void sim_inst_end(struct sim *s, int i, int64_t shown_ms)
+{
+	s->list.v[i].up = 0;
+	s->list.v[i].ended = s->now + shown_ms;
+}
+
+/* What the list shows at a moment that is past. */
+static void list_pack(struct sim *s, int64_t at, struct sim_ev *e)
+{
+	struct Nl__FollowReply a = NL__FOLLOW_REPLY__INIT;
+	struct Nl__Sight *x = calloc((size_t)arrlen(s->list.v) + 1, sizeof *x);
+
+	a.sight = calloc((size_t)arrlen(s->list.v) + 1, sizeof *a.sight);
+	for (ptrdiff_t i = 0; i < arrlen(s->list.v); i++) {
+		struct sim_inst *v = &s->list.v[i];
+
+		if (v->born > at || (v->ended && v->ended <= at))
+			continue;
+		nl__sight__init(&x[i]);
+		x[i].server = v->name;
+		x[i].service = v->service;
+		x[i].addr = v->addr;
+		x[i].zone = v->zone;
+		x[i].slots = 128;
+		x[i].state = v->draining && v->drained <= at;
+		x[i].weights = v->changed > at ? v->before : v->weights;
+		a.sight[a.n_sight++] = &x[i];
+	}
+	e->n = nl__follow_reply__get_packed_size(&a);
+	e->d = malloc(e->n + 1);
+	nl__follow_reply__pack(&a, e->d);
+	free(a.sight);
+	free(x);
+}
+
+static void list_call(struct sim *s, int i, uint64_t token)
+{
+	struct sim_node *n = &s->n[i];
+	struct sim_ev e = { .at = s->now + 2 + s->list.slow, .kind = SIM_LISTED, .node = i, .life = n->life, .token = token, .status = 1 };
+	int64_t *ring = s->list.calls;
+	int many = 3 * s->b.list_mille / 3000 + 3;
+
+	if (s->list.n_list >= (uint64_t)many && many < 64 && s->now - ring[(s->list.n_list - (uint64_t)many) % 64] < 2900)
+		sim_breach(s, "%d calls to the list in %lld ms", many, (long long)(s->now - ring[(s->list.n_list - (uint64_t)many) % 64]));
+	ring[s->list.n_list++ % 64] = s->now;
+	if (n->cell || s->now < s->list.away_until || rnd(s, 1000) < (uint64_t)s->list.refuse) {
+		e.status = 0;
+		e.at += n->cell ? 1000 : 0;
+	}
+	list_pack(s, s->now - s->list.lag, &e);
+	push(s, e);
+}
+
+/* A report dates from some hundred ms ago. */
+static void inst_look(struct sim *s, int i, const struct cmd *c)
+{
+	struct sim_node *n = &s->n[i];
+	struct sim_inst *v = inst_at(s, c->u.look.addr);
+	struct sim_ev e = { .at = s->now + 4, .kind = SIM_LOOKED, .node = i, .life = n->life, .token = c->u.look.token, .status = 200 };
+	int64_t at = s->now - 100;
+
+	s->list.n_look++;
+	if (n->cell || !v) {
+		e.status = 0;
+		e.at += 400;
+	} else if (strcmp(v->name, c->u.look.server)) {
+		e.status = 421;
+	} else {
+		e.d = (uint8_t *)strdup(v->changed > at ? v->before : v->weights);
+		e.step = v->changed > at || (v->loading[0] && v->told_at <= at);
+	}
+	push(s, e);
+}
+
+struct order { uint64_t addr, fence; char server[24], weights[32], holder[20]; };
+
+static void inst_order(struct sim *s, int i, const struct cmd *c)
+{
+	struct sim_node *n = &s->n[i];
+	struct sim_ev e = { .at = s->now + 1 + (int64_t)rnd(s, 3), .kind = SIM_ORDER, .node = i, .life = n->life, .token = c->u.order.token };
+	struct order *q;
+
+	if (local(s, n) > c->u.order.not_after || n->cell || !inst_at(s, c->u.order.addr)) {
+		e.kind = SIM_ORDERED;
+		e.step = 1;
+		e.at += n->cell ? 200 : 0;
+		push(s, e);
+		return;
+	}
+	q = calloc(1, sizeof *q);
+	q->addr = c->u.order.addr;
+	q->fence = c->u.order.fence;
+	snprintf(q->server, sizeof q->server, "%s", c->u.order.server);
+	snprintf(q->weights, sizeof q->weights, "%s", c->u.order.weights);
+	snprintf(q->holder, sizeof q->holder, "%s", c->u.order.holder);
+	e.d = (uint8_t *)q;
+	push(s, e);
+}
+
+static int loading_now(const struct sim *s)
+{
+	int n = 0;
+
+	for (ptrdiff_t i = 0; i < arrlen(s->list.v); i++)
+		n += s->list.v[i].up && s->list.v[i].loading[0];
+	return n;
+}
+
+static int order_arrives(struct sim *s, const struct order *q)
+{
+	struct sim_inst *v = inst_at(s, q->addr);
+	struct sim_ev e = { .kind = SIM_LOAD_END };
+	int n;
+
+	if (!v)
+		return 0;
+	s->list.n_order++;
+	if (strcmp(v->name, q->server))
+		return 421;
+	if (v->told_at && strcmp(v->holder, q->holder) && s->now - v->told_at < s->b.lease_ms)
+		sim_breach(s, "server %s had orders of two holders %lld ms apart", v->name, (long long)(s->now - v->told_at));
+	if (strcmp(v->holder, q->holder) && v->fence == q->fence)
+		sim_breach(s, "server %s had one fence of two holders", v->name);
+	if (q->fence < v->fence) {
+		s->list.n_fenced++;
+		return 412;
+	}
+	v->fence = q->fence;
+	snprintf(v->holder, sizeof v->holder, "%s", q->holder);
+	if (!strcmp(v->weights, q->weights))
+		return 200;
+	if (v->loading[0]) {
+		s->list.n_busy++;
+		return 409;
+	}
+	v->told_at = s->now;
+	for (int k = 0; k < v->loads && k < 8; k++)
+		if (!strcmp(v->loaded[k], q->weights))
+			sim_breach(s, "server %s loads %s twice", v->name, q->weights);
+	snprintf(v->loaded[v->loads++ % 8], sizeof v->loaded[0], "%s", q->weights);
+	snprintf(v->loading, sizeof v->loading, "%s", q->weights);
+	s->list.n_load++;
+	n = loading_now(s);
+	if (n > s->list.most)
+		s->list.most = n;
+	e.at = v->load_done = s->now + s->list.load_ms * (n > s->list.at_once ? n : s->list.at_once) / s->list.at_once;
+	e.server = (int)(v - s->list.v);
+	push(s, e);
+	return 202;
+}
+
+static void load_ends(struct sim *s, const struct sim_ev *e)
+{
+	struct sim_inst *v = &s->list.v[e->server];
+
+	if (!v->up || v->load_done != e->at)
+		return;
+	memcpy(v->before, v->weights, sizeof v->before);
+	memcpy(v->weights, v->loading, sizeof v->weights);
+	v->loading[0] = 0;
+	v->changed = s->now;
+}
+
 /* ---- performing commands --------------------------------------------------------------- */
 
 static int node_at(struct sim *s, uint64_t addr)
@@ -945,7 +1142,10 @@
 		case CMD_END:
 			hear_piece(s, c->u.piece.token, c->u.piece.body, c->u.piece.len, c->kind == CMD_END, c->u.piece.ok);
 			break;
-		case CMD_FORWARD: case CMD_LIST: case CMD_LOOK: case CMD_ORDER: case CMD_WATCH: break; /* no such door here yet */
+		case CMD_LIST: list_call(s, i, c->u.list.token); break;
+		case CMD_LOOK: inst_look(s, i, c); break;
+		case CMD_ORDER: inst_order(s, i, c); break;
+		case CMD_FORWARD: case CMD_WATCH: break; /* no such door here yet */
 		case CMD_CANCEL:
 			for (ptrdiff_t q = 0; q < arrlen(s->run); q++)
 				if (!s->run[q].over && s->run[q].node == i && s->run[q].token == c->u.cancel.token)
@@ -1057,6 +1257,19 @@
 	struct sim_node *n = &s->n[e->node];
 	struct reg_ev ev;
 
+	if (e->kind == SIM_LOAD_END) {
+		load_ends(s, e);
+		return;
+	}
+	if (e->kind == SIM_ORDER) { /* at its server, whatever has become of who sent it */
+		struct sim_ev a = { .at = s->now + 2, .kind = SIM_ORDERED, .node = e->node, .life = e->life, .token = e->token };
+
+		a.status = order_arrives(s, (struct order *)e->d);
+		if (rnd(s, 1000) < (uint64_t)s->list.lossy || n->cell)
+			a.status = 0;
+		push(s, a);
+		return;
+	}
 	if (e->kind == SIM_LOADED) {
 		struct sim_server *v = &s->sv[e->server];
 
@@ -1133,6 +1346,33 @@
 		ev.u.called.body = (const char *)e->d;
 		reg_do(s, e->node, &ev);
 		break;
+	case SIM_LISTED: {
+		struct Nl__FollowReply *a = nl__follow_reply__unpack(NULL, e->n, e->d);
+
+		ev.kind = REG_LISTED;
+		ev.u.listed.token = e->token;
+		ev.u.listed.ok = e->status;
+		ev.u.listed.v = a->sight;
+		ev.u.listed.n = e->status ? a->n_sight : 0;
+		reg_do(s, e->node, &ev);
+		nl__follow_reply__free_unpacked(a, NULL);
+		break;
+	}
+	case SIM_LOOKED:
+		ev.kind = REG_LOOKED;
+		ev.u.looked.token = e->token;
+		ev.u.looked.status = e->status;
+		ev.u.looked.weights = (const char *)e->d;
+		ev.u.looked.loading = e->step;
+		reg_do(s, e->node, &ev);
+		break;
+	case SIM_ORDERED:
+		ev.kind = REG_ORDERED;
+		ev.u.ordered.token = e->token;
+		ev.u.ordered.status = e->status;
+		ev.u.ordered.never = e->step;
+		reg_do(s, e->node, &ev);
+		break;
 	case SIM_WEB: {
 		char *verb = (char *)e->d, *path = verb + strlen(verb) + 1, *body = path + strlen(path) + 1;
 
@@ -1215,6 +1455,7 @@
 	}
 	n->r = malloc(sizeof *n->r);
 	reg_open(n->r, n->id, n->addr, n->zone, seeds, nseeds, n->disk.fleet, core_rand(&s->rng), psv, local(s, n));
+	n->r->b = s->b;
 	apr_pool_destroy(p);
 	tick_at(s, i, s->now + (int64_t)rnd(s, 25));
 }
@@ -1366,6 +1607,10 @@
 	s->far = 1;
 	s->disk_ms = 2;
 	s->limit_ms = 8000;
+	s->b = bounds_default;
+	s->list.lag = 800;
+	s->list.load_ms = 1100;
+	s->list.at_once = 3;
 	apr_pool_create(&s->pool, NULL);
 }
 
@@ -1394,6 +1639,7 @@
 	arrfree(s->run);
 	arrfree(s->asking);
 	arrfree(s->send);
+	arrfree(s->list.v);
 	shfree(s->removed);
 	apr_pool_destroy(s->pool);
 }
@@ -1450,6 +1696,48 @@
 	return 0;
 }
 
+int sim_propose(struct sim *s, const struct Nl__Change *c, int64_t ms)
+{
+	struct Nl__Msg m = NL__MSG__INIT;
+	struct Nl__Propose q = NL__PROPOSE__INIT;
+	struct Nl__Op op = NL__OP__INIT;
+	int64_t end = s->now + ms;
+
+	q.token = op.token = ++s->token;
+	op.from = 77;
+	op.op_case = NL__OP__OP_CHANGE;
+	op.change = (struct Nl__Change *)c;
+	q.op = &op;
+	m.speak = CORE_SPEAK;
+	m.id = 77;
+	m.addr = core_addr("127.0.9.9:1");
+	m.part = PART_CTL;
+	m.body_case = NL__MSG__BODY_PROPOSE;
+	m.propose = &q;
+	while (s->now < end && !s->bad[0]) {
+		int at = sim_owner(s, PART_CTL);
+
+		if (at >= 0) {
+			struct sim_ev e = { .at = s->now, .kind = SIM_MSG, .node = at };
+
+			m.fleet = s->n[at].r->fleet;
+			e.n = nl__msg__get_packed_size(&m);
+			e.d = malloc(e.n + 1);
+			nl__msg__pack(&m, e.d);
+			push(s, e);
+		}
+		for (int k = 0; k < 40; k++) { /* whoever has applied it knows that it is committed */
+			if (!sim_run(s, 5, NULL))
+				return 0;
+			for (int i = 0; i < SIM_REGS; i++)
+				for (ptrdiff_t d = 0; s->n[i].up && s->n[i].r && d < arrlen(s->n[i].r->ctl_done); d++)
+					if (s->n[i].r->ctl_done[d].from == 77 && s->n[i].r->ctl_done[d].token == op.token)
+						return 1;
+		}
+	}
+	return 0;
+}
+
 static int standing_all(struct sim *s)
 {
 	for (int i = SIM_REGS; i < SIM_NODES; i++)
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -52,7 +52,31 @@
 	int64_t departed; /* when its drain was acknowledged */
 };
 
-enum sim_ev_kind { SIM_TICK, SIM_MSG, SIM_SYNC, SIM_CALLED, SIM_ARRIVE, SIM_STREAM, SIM_BROKE, SIM_WEB, SIM_ASK, SIM_LEAVE, SIM_STOP, SIM_LOADED };
+/* One life of a server that a list shows; it takes orders as the platform's servers do. */
+struct sim_inst {
+	int up, draining;
+	char name[24], service[32], addr[32], zone[16], weights[32], before[32], loading[32]; /* before: what it had until changed */
+	int64_t born, changed, drained, ended; /* ended: when it leaves the truth that the list shows late; 0 not yet */
+	int64_t load_done, told_at;
+	uint64_t fence;
+	char holder[20];
+	char loaded[8][32];
+	int loads;
+};
+
+/* The list of servers and how it misbehaves. */
+struct sim_list {
+	struct sim_inst *v;      /* stb_ds; never shrinks */
+	int lag, slow;           /* ms that it is behind; that a call takes */
+	int refuse, lossy;       /* per mille of calls that it refuses; of orders whose answer never comes */
+	int64_t away_until;      /* no call is answered before */
+	int load_ms, at_once;    /* a load; how many go on at once without slowing each other down */
+	int64_t calls[64];       /* the last calls */
+	uint64_t n_list, n_look, n_order, n_load, n_fenced, n_busy;
+	int most;                /* loads under way at once */
+};
+
+enum sim_ev_kind { SIM_LISTED, SIM_LOOKED, SIM_ORDERED, SIM_ORDER, SIM_LOAD_END, SIM_TICK, SIM_MSG, SIM_SYNC, SIM_CALLED, SIM_ARRIVE, SIM_STREAM, SIM_BROKE, SIM_WEB, SIM_ASK, SIM_LEAVE, SIM_STOP, SIM_LOADED };
 struct sim_ev {
 	int64_t at;
 	uint64_t seq, life;
@@ -97,6 +121,8 @@
 	int far;               /* ms added between zones */
 	int disk_ms;
 	int limit_ms;          /* of exchanges */
+	struct bounds b;       /* of registrars */
+	struct sim_list list;
 	int load_ms;           /* how long servers load weights; 0: 1.5 to 2.5 s */
 	char bad[512];
 	/* global truth */
@@ -146,6 +172,17 @@
  * Example: sim_deploy(&s, 1, 4, 3, 6); */
 void sim_deploy(struct sim *s, uint64_t seed, int regs, int ctrs, int servers);
 
+/* A server that the list shows. Example: i = sim_inst(&s, "lm", "z1", "1"); */
+int sim_inst(struct sim *s, const char *service, const char *zone, const char *weights);
+
+/* It drains, and ends later; it ends at once; its machine goes on under a new name with the weights it had.
+ * Example: sim_inst_drain(&s, 3); sim_inst_end(&s, 3, 2000); */
+void sim_inst_drain(struct sim *s, int i);
+void sim_inst_end(struct sim *s, int i, int64_t shown_ms);
+
+/* Log a change of rows through whoever owns the table; 0 when it takes longer. Example: sim_propose(&s, &change, 8000) */
+int sim_propose(struct sim *s, const struct Nl__Change *c, int64_t ms);
+
 void sim_open(struct sim *s, uint64_t seed);
 void sim_close(struct sim *s);
 int sim_registrar(struct sim *s, const char *zone, const uint64_t *seeds, int nseeds);
