--- a/lib/control/giver.c
+++ b/lib/control/giver.c
@@ -299,7 +299,7 @@
 			continue;
 		k = shgeti(r->giver.m, row->name);
 		if (k < 0) {
-			typeof(r->giver.m->value) n = { strdup(row->weights), now, 0, 0, 0, 0, 0 };
+			typeof(r->giver.m->value) n = { strdup(row->weights), now, 0, 0, 0, 0, 0, 0, 0 };
 
 			shput(r->giver.m, row->name, n);
 		} else if (strcmp(r->giver.m[k].value.weights, row->weights)) {
@@ -329,7 +329,7 @@
 	return service && service->model[0] ? service->model : NULL;
 }
 
-static void give(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, const char *weights, int beside,
+static void give(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, const char *weights,
                  int64_t now, struct out *o)
 {
 	struct cmd *c = out_cmd(o, CMD_ORDER);
@@ -337,7 +337,7 @@
 	s->is = GIVER_ASKED;
 	s->token = ++r->token;
 	s->told = now;
-	s->beside = beside;
+	s->beside = 1;
 	free(s->weights);
 	s->weights = strdup(weights);
 	c->u.order.token = s->token;
@@ -354,9 +354,11 @@
 
 static void look(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, int64_t now, struct out *o)
 {
+	ptrdiff_t k = shgeti(r->giver.m, model);
+	int load = k < 0 ? 0 : r->giver.m[k].value.base_ms;
 	struct cmd *c;
 
-	if (now - s->looked < GIVER_LOOK || (s->look && now - s->looked < GIVER_SILENT))
+	if (now - s->looked < GIVER_LOOK || now - s->told < load * 4 / 5 || (s->look && now - s->looked < GIVER_SILENT))
 		return;
 	s->look = ++r->token;
 	s->looked = now;
@@ -383,41 +385,41 @@
 	}
 }
 
-/* Learn from a load's end: how long one takes; whether as many at once as now make it longer. */
+/* Learn from a load's end how long one takes, and whether more at once than at first make it longer. */
 static void learn(struct reg *r, const struct giver_server *s, const char *model, int64_t now)
 {
-	ptrdiff_t k = shgeti(r->giver.m, model);
-	int ms = (int)(now - s->told), loading = 0; /* told: not by this giver, if 0 */
 	typeof(r->giver.m->value) *m;
+	int ms = (int)(now - s->told);
 
-	if (k < 0 || s->is != GIVER_LOADING || !s->told)
+	if (shgeti(r->giver.m, model) < 0 || s->is != GIVER_LOADING || !s->told)
 		return;
-	m = &r->giver.m[k].value;
-	for (ptrdiff_t i = 0; i < arrlen(r->giver.v); i++)
-		loading += r->giver.v[i].is != GIVER_IDLE;
-	if (!m->load_ms || ms < m->load_ms)
-		m->load_ms = ms;
-	if (ms > m->load_ms + m->load_ms / 2 && s->beside > m->room) {
-		m->most = s->beside - 1; /* so many were too many */
-		m->good = 0;
-	} else if (ms <= m->load_ms + m->load_ms / 4 && loading >= m->room && ++m->good > 2 * m->room && (!m->most || m->room < m->most)) {
+	m = &shgetp(r->giver.m, model)->value;
+	if (s->beside <= m->base) {
+		m->base_ms = m->base_ms ? (3 * m->base_ms + ms) / 4 : ms;
+		return;
+	}
+	m->more_ms = m->more_ms ? (3 * m->more_ms + ms) / 4 : ms;
+	m->more++;
+	if (m->base_ms && m->more_ms > m->base_ms + m->base_ms / 4) {
+		m->many = 1;
+		m->room = m->base;
+	} else if (!m->many && m->more % (2 * m->room) == 0 && s->beside >= m->room) {
 		m->room++;
-		m->good = 0;
 	}
-	if (m->most && m->room > m->most && m->room > 1)
-		m->room = m->most;
 }
 
 /* How many may load at once: as many as don't slow each other down, as far as is known; more when the bound asks for
- * it. All have it by half the bound, so that another giver can take over in the other half. */
+ * it and it helps; all that are left once the time that is planned for is over. */
 static int at_once(const struct reg *r, typeof(((struct giver_model *)0)->value) *m, int n, int left, int64_t now)
 {
-	int64_t load = (m->load_ms ? m->load_ms : r->b.roll_ms / 10) + GIVER_LOOK, time = m->since + r->b.roll_ms / 2 - now;
+	int64_t load = m->base_ms ? m->base_ms : r->b.roll_ms / 10, time = m->since + r->b.roll_ms * GIVER_PLAN / 100 - now;
 	int need;
 
-	if (!m->room)
-		m->room = (n + 3) / 6 > 1 ? (n + 3) / 6 : 1;
-	need = time < load ? left : (int)((left + time / load - 1) / (time / load));
+	if (!m->base)
+		m->base = m->room = (n + 3) / 6 > 1 ? (n + 3) / 6 : 1;
+	if (time < load)
+		return left;
+	need = m->many ? 0 : (int)((left + time / load - 1) / (time / load));
 	return need > m->room ? need : m->room;
 }
 
@@ -510,8 +512,12 @@
 		if (!best)
 			break;
 		at->out++;
-		give(r, told_of(&r->giver, best->server), best, model->name, model->weights, ++busy, now, o);
+		give(r, told_of(&r->giver, best->server), best, model->name, model->weights, now, o);
+		busy++;
 	}
+	for (ptrdiff_t i = 0; i < arrlen(r->giver.v); i++)
+		if (r->giver.v[i].is != GIVER_IDLE && r->giver.v[i].beside < busy)
+			r->giver.v[i].beside = busy;
 	arrfree(z);
 	return !n || (on == n && !strcmp(model->rolled, model->weights));
 }
--- a/lib/control/giver.h
+++ b/lib/control/giver.h
@@ -8,7 +8,8 @@
 struct reg_server;
 
 enum {
-	GIVER_LOOK = 300,     /* ms between looks at a server that loads */
+	GIVER_LOOK = 200,     /* ms between looks at a server that should soon have loaded */
+	GIVER_PLAN = 60,      /* per cent of the bound in which all is planned to be done */
 	GIVER_DATED = 700,    /* ms after which a server's report cannot be older than what it was told */
 	GIVER_SILENT = 1000,  /* ms after which an order or a look has got no answer */
 	GIVER_REFUSED = 2000, /* ms before one that refuses an order gets another */
@@ -22,11 +23,12 @@
 	enum { GIVER_IDLE, GIVER_ASKED, GIVER_UNSURE, GIVER_LOADING } is;
 	uint64_t token, look; /* of what is under way */
 	int64_t told, looked, again;
-	int beside;           /* how many loaded when it was told, itself counted */
+	int beside;           /* how many were under way at the most meanwhile, itself counted */
 };
 
-/* What is known of a model's roll-out: since when the newest weights are named, how long a load takes. */
-struct giver_model { char *key; struct { char *weights; int64_t since, rolled; int load_ms, room, most, good; } value; };
+/* A model's roll-out: since when the newest weights are named; how many load at once, at first and now; how long a load
+ * takes then, and with more at once; whether more were too many. */
+struct giver_model { char *key; struct { char *weights; int64_t since, rolled; int base, room, base_ms, more_ms, more, many; } value; };
 
 struct giver {
 	struct giver_server *v;  /* stb_ds */
