--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -66,6 +66,59 @@
 	return NULL;
 }
 
+static const struct Nl__DoneDoc *doc_taken(const struct reg *r, uint64_t digest)
+{
+	for (ptrdiff_t i = arrlen(r->docs) - 1; i >= 0; i--)
+		if (r->docs[i].digest == digest)
+			return &r->docs[i];
+	return NULL;
+}
+
+static void doc_keep(struct reg *r, const uint8_t *d, size_t n, uint64_t version)
+{
+	free(r->ctl_doc);
+	r->ctl_doc = malloc(n + 1);
+	if (!r->ctl_doc)
+		abort();
+	if (n)
+		memcpy(r->ctl_doc, d, n);
+	r->ctl_doc[n] = 0;
+	r->ctl_doc_len = n;
+	r->ctl_doc_version = version;
+}
+
+static void doc_note(struct reg *r, uint64_t version, uint64_t digest)
+{
+	struct Nl__DoneDoc d = NL__DONE_DOC__INIT;
+
+	d.version = version;
+	d.digest = digest;
+	arrput(r->docs, d);
+	if (arrlen(r->docs) > REG_DONE)
+		arrdel(r->docs, 0);
+}
+
+/* A document is taken in the log's order: the same call again changes nothing, one built on another version is late. */
+static int apply_doc(struct reg *r, const struct Nl__Change *c, struct Nl__Purge ***feed)
+{
+	const struct Nl__DoneDoc *old = doc_taken(r, c->doc_digest);
+	int st;
+
+	r->doc_logged += c->doc.len;
+	if (old && old->version == c->doc_version)
+		return TABLE_DONE;
+	if (c->doc_base != r->ctl_doc_version)
+		return TABLE_OVERTAKEN;
+	if (c->doc_version <= r->ctl_doc_version)
+		return TABLE_REFUSED;
+	st = table_apply(&r->ctl, c, feed);
+	if (st != TABLE_DONE)
+		return st;
+	doc_keep(r, c->doc.data, c->doc.len, c->doc_version);
+	doc_note(r, c->doc_version, c->doc_digest);
+	return TABLE_DONE;
+}
+
 /* A change may be proposed again while its answer is lost; it is applied once. */
 static uint32_t apply_change(struct reg *r, uint64_t index, const struct Nl__Op *op)
 {
@@ -76,7 +129,7 @@
 
 	if (old)
 		return old->status;
-	st = table_apply(&r->ctl, op->change, &p);
+	st = op->change->doc_version ? apply_doc(r, op->change, &p) : table_apply(&r->ctl, op->change, &p);
 	d.status = (uint32_t)st;
 	if (d.from)
 		arrput(r->ctl_done, d);
@@ -263,6 +316,13 @@
 		s.done[i]->token = r->ctl_done[i].token;
 		s.done[i]->status = r->ctl_done[i].status;
 	}
+	s.doc.data = r->ctl_doc;
+	s.doc.len = r->ctl_doc_len;
+	s.doc_version = r->ctl_doc_version;
+	s.n_docs = (size_t)arrlen(r->docs);
+	s.docs = apr_palloc(p, (s.n_docs + 1) * sizeof *s.docs);
+	for (size_t i = 0; i < s.n_docs; i++)
+		s.docs[i] = &r->docs[i];
 	return core_pack(p, &s.base, n);
 }
 
@@ -378,8 +438,13 @@
 		r->spare_edition = 0;
 		clear_values(&r->ctl_feed);
 		arrsetlen(r->ctl_done, 0);
+		arrsetlen(r->docs, 0);
+		r->doc_logged = 0;
+		doc_keep(r, s ? s->doc.data : NULL, s ? s->doc.len : 0, s ? s->doc_version : 0);
 		if (!s)
 			return;
+		for (size_t i = 0; i < s->n_docs; i++)
+			doc_note(r, s->docs[i]->version, s->docs[i]->digest);
 		for (size_t i = 0; i < s->n_done; i++) {
 			struct reg_done d = { s->done[i]->from, s->done[i]->token, s->done[i]->status };
 
@@ -431,6 +496,19 @@
 
 /* ---- proposals and their answers ----------------------------------------------- */
 
+static const char *error_json(apr_pool_t *p, const char *why, uint64_t edition)
+{
+	struct json_object *j = json_object_new_object();
+	const char *s;
+
+	json_object_object_add(j, "error", json_object_new_string(why));
+	if (edition)
+		json_object_object_add(j, "edition", json_object_new_int64((int64_t)edition));
+	s = apr_pstrdup(p, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN));
+	json_object_put(j);
+	return s;
+}
+
 static void on_answer(struct reg *r, const struct Nl__Answer *a, int64_t now, struct out *o);
 
 static void send_answer(struct reg *r, uint64_t addr, uint64_t token, uint32_t st, const char *why, uint64_t hint,
@@ -446,8 +524,26 @@
 	out_msg(o, addr, 0, NL__MSG__BODY_ANSWER)->answer = a;
 }
 
+/* Operators' calls that wait for this entry. */
+static void answer_calls(struct reg *r, uint64_t index, uint32_t st, struct out *o)
+{
+	for (ptrdiff_t i = arrlen(r->call) - 1; i >= 0; i--) {
+		if (r->call[i].index != index)
+			continue;
+		if (st == TABLE_DONE)
+			out_answer(o, r->call[i].token, 200, 0, "{}");
+		else if (st == TABLE_OVERTAKEN)
+			out_answer(o, r->call[i].token, 412, 0, error_json(o->p, "another version is current", 0));
+		else
+			out_answer(o, r->call[i].token, 400, 0, error_json(o->p, "version: not above the current one", 0));
+		arrdel(r->call, i);
+	}
+}
+
 static void answer_wait(struct reg *r, uint32_t part, uint64_t index, uint32_t st, struct out *o)
 {
+	if (part == PART_CTL)
+		answer_calls(r, index, st, o);
 	for (ptrdiff_t i = 0; i < arrlen(r->wait); i++)
 		if (r->wait[i].part == part && r->wait[i].index == index) {
 			send_answer(r, r->wait[i].addr, r->wait[i].token, st,
@@ -531,19 +627,6 @@
 	arrdel(r->ask, i);
 }
 
-static const char *error_json(apr_pool_t *p, const char *why, uint64_t edition)
-{
-	struct json_object *j = json_object_new_object();
-	const char *s;
-
-	json_object_object_add(j, "error", json_object_new_string(why));
-	if (edition)
-		json_object_object_add(j, "edition", json_object_new_int64((int64_t)edition));
-	s = apr_pstrdup(p, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN));
-	json_object_put(j);
-	return s;
-}
-
 static void asks_tick(struct reg *r, int64_t now, struct out *o)
 {
 	for (ptrdiff_t i = arrlen(r->ask) - 1; i >= 0; i--) {
@@ -599,6 +682,9 @@
 
 /* ---- the configuration's owner answers followers --------------------------------- */
 
+/* ms after which a silent registrar is replaced: the rest of the bound is for the joining of another. */
+static int64_t lost_after(const struct reg *r) { return r->b.catch_up_ms * 2 / 5; }
+
 static int rank_before(uint64_t zone, const struct reg_seen *s, uint64_t id)
 {
 	return core_rdv(zone, s->id) > core_rdv(zone, id);
@@ -612,6 +698,12 @@
 	return row ? row->limit : 0;
 }
 
+/* Whether there is such a row at all; one without a limit has 0. */
+static int named(const struct reg *r, const char *name)
+{
+	return table_get(&r->ctl, strchr(name, '/') ? NL__KIND__SHARE : NL__KIND__TENANT, name) != NULL;
+}
+
 /* What the asker may use. Never more than the limit less all that others hold or may believe to hold. What is wanted
  * beyond the limit is shared out evenly; the odd places go to those that have gone without for longest. */
 static uint32_t share_out(const struct reg_place *v, const struct reg_place *me, const char *name, uint32_t limit, uint32_t spare, int64_t now)
@@ -680,7 +772,7 @@
 	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++) {
 		const struct Nl__Row *row = r->ctl.h[i].value.row;
 
-		if (row->kind != NL__KIND__TENANT && row->kind != NL__KIND__SHARE)
+		if ((row->kind != NL__KIND__TENANT && row->kind != NL__KIND__SHARE) || !row->limit)
 			continue;
 		if (arrlen(r->spare) == REG_SPARE) {
 			arrsetlen(r->spare, 0);
@@ -703,8 +795,11 @@
 	for (size_t k = 0; k < q->n_hold; k++) {
 		const struct Nl__Hold *h = q->hold[k];
 		uint32_t limit = limit_of(r, h->name), got, most = h->held > h->used ? h->held : h->used;
-		struct reg_place *me = place_of(r, h->name, id, most, now);
+		struct reg_place *me;
 
+		if (!limit && named(r, h->name)) /* no limit: nobody asks for places */
+			continue;
+		me = place_of(r, h->name, id, most, now);
 		if (q->applied >= me->token || most > me->rec) /* it has heard the last that was said */
 			me->rec = most;
 		me->want = h->want;
@@ -790,7 +885,7 @@
 		places(r, m->id, q, a->counters, a, now, o);
 	a->registrars = apr_palloc(o->p, ((size_t)arrlen(r->seen) + 1) * sizeof *a->registrars);
 	for (ptrdiff_t i = 0; i < arrlen(r->seen); i++)
-		if (!r->seen[i].counter && now - r->seen[i].at < REG_SEEN) {
+		if (!r->seen[i].counter && now - r->seen[i].at < (lost_after(r) < REG_SEEN ? lost_after(r) : REG_SEEN)) {
 			struct Nl__Member *x = OUT_NEW(o, Nl__Member, NL__MEMBER__INIT);
 
 			x->id = r->seen[i].id;
@@ -1210,7 +1305,7 @@
 		out_msg(o, m->addr, 0, NL__MSG__BODY_FOUND)->found = a;
 		return;
 	}
-	for (int i = 0; i < r->nseeds && r->found.web; i++)
+	for (int i = 0; i < r->nseeds && (r->found.web || r->found.own); i++)
 		if (r->seeds[i] == m->addr) {
 			r->found.id[i] = m->id;
 			r->found.empty[i] = q->empty;
@@ -1218,11 +1313,36 @@
 		}
 }
 
+static void found_begin(struct reg *r, int64_t now)
+{
+	if (r->found.members)
+		nl__members__free_unpacked(r->found.members, NULL);
+	memset(&r->found, 0, sizeof r->found);
+	r->found.until = now + 10000;
+}
+
+void reg_found(struct reg *r, int64_t now)
+{
+	if (r->found.web || r->found.own || !r->nseeds || !is_empty(r))
+		return;
+	found_begin(r, now);
+	r->found.own = 1;
+	r->found.until = now + 30000; /* by then its seeds have answered, or were replaced */
+}
+
+static void found_end(struct reg *r, int status, const char *body, struct out *o)
+{
+	if (r->found.web)
+		out_answer(o, r->found.web, status, 0, body);
+	r->found.web = 0;
+	r->found.own = 0;
+}
+
 static void found_tick(struct reg *r, int64_t now, struct out *o)
 {
 	int heard = 0, empty = 0, done = 0;
 
-	if (!r->found.web || now < r->found.at)
+	if ((!r->found.web && !r->found.own) || now < r->found.at)
 		return;
 	r->found.at = now + 200;
 	for (int i = 0; i < r->nseeds; i++) {
@@ -1231,14 +1351,13 @@
 		done += r->found.fleet[i] && r->found.fleet[i] == r->found.name;
 	}
 	if (r->nseeds && done == r->nseeds) {
-		out_answer(o, r->found.web, 200, 0, apr_psprintf(o->p, "{\"fleet\":\"%016" APR_UINT64_T_HEX_FMT "\"}", r->fleet));
-		r->found.web = 0;
+		found_end(r, 200, apr_psprintf(o->p, "{\"fleet\":\"%016" APR_UINT64_T_HEX_FMT "\"}", r->fleet), o);
 		return;
 	}
-	if (now > r->found.until || (!r->found.members && heard == r->nseeds && empty < heard)) {
-		out_answer(o, r->found.web, 409, 0, error_json(o->p, heard < r->nseeds ? "found: not every seed answers"
-		           : "found: a seed already belongs to a fleet; start the others and they join", 0));
-		r->found.web = 0;
+	if (r->found.own ? (!r->found.members && (empty < heard || r->fleet)) || (r->fleet && now > r->found.until)
+	                 : now > r->found.until || (!r->found.members && heard == r->nseeds && empty < heard)) {
+		found_end(r, 409, error_json(o->p, heard < r->nseeds ? "found: not every seed answers"
+		          : "found: a seed already belongs to a fleet; start the others and they join", 0), o);
 		return;
 	}
 	if (!r->found.members && heard == r->nseeds) {
@@ -1305,28 +1424,36 @@
 static void mend_tick(struct reg *r, int64_t now, struct out *o)
 {
 	struct part_member live[FOLLOW_SEATS];
+	const struct Nl__Row *row;
+	char name[20];
 	int n = 0;
 
-	if (now - r->mended < 500 || follow_age(&r->f, now) > FOLLOW_CONFIG)
+	if (now - r->mended < REG_MEND || follow_age(&r->f, now) > FOLLOW_CONFIG)
 		return;
 	r->mended = now;
 	memset(live, 0, sizeof live);
 	for (; n < r->f.nlive; n++) {
 		live[n].id = r->f.live_id[n];
 		live[n].addr = r->f.live[n];
+		apr_snprintf(name, sizeof name, "%016" APR_UINT64_T_HEX_FMT, live[n].id);
+		row = table_get(&r->f.t, NL__KIND__REGISTRAR, name);
+		live[n].zone = row ? core_hashs(0, row->zone) : 0;
 	}
-	for (int i = 0; i < PART_COUNT; i++)
+	for (int i = 0; i < PART_COUNT; i++) {
+		r->part[i].copies = r->b.copies < PART_COPIES ? PART_COPIES : r->b.copies < PART_MEMBERS - 1 ? r->b.copies : PART_MEMBERS - 1;
+		r->part[i].dead = lost_after(r);
 		part_mend(&r->part[i], live, n, now);
+	}
 	if (!in_office(r, PART_CTL, now) || now - r->owner_since[PART_CTL] < 60000)
 		return;
 	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++) {
-		struct Nl__Row *row = r->ctl.h[i].value.row, *del[1] = { row };
+		struct Nl__Row *old = r->ctl.h[i].value.row, *del[1] = { old };
 		struct Nl__Op op = NL__OP__INIT;
 		struct Nl__Change c = NL__CHANGE__INIT;
-		int seen = row->kind != NL__KIND__REGISTRAR;
+		int seen = old->kind != NL__KIND__REGISTRAR;
 
 		for (ptrdiff_t k = 0; k < arrlen(r->seen) && !seen; k++)
-			seen = r->seen[k].id == row->id;
+			seen = r->seen[k].id == old->id;
 		if (seen)
 			continue;
 		c.any = 1;
@@ -1443,15 +1570,12 @@
 		else
 			ask(r, PART_CTL, &op, web, now);
 	} else if (!strcmp(path, "/v1/found") && !strcmp(verb, "POST")) {
-		if (r->found.web || !r->nseeds) {
+		if (r->found.web || r->found.own || !r->nseeds) {
 			out_answer(o, web, 409, 1000, error_json(o->p, "found: already under way, or no seeds are set", 0));
 			return;
 		}
-		if (r->found.members)
-			nl__members__free_unpacked(r->found.members, NULL);
-		memset(&r->found, 0, sizeof r->found);
+		found_begin(r, now);
 		r->found.web = web;
-		r->found.until = now + 10000;
 	} else {
 		out_answer(o, web, 404, 0, error_json(o->p, "path: no such call", 0));
 	}
@@ -1470,6 +1594,130 @@
 	}
 }
 
+/* ---- operators' documents ------------------------------------------------------------------ */
+
+/* Only the configuration's owner in office takes them; others say who that is, as far as they know. */
+static int elsewhere(struct reg *r, uint64_t token, int64_t now, struct out *o)
+{
+	uint64_t to = owner_hint(r, PART_CTL, now);
+	struct cmd *c;
+
+	if (in_office(r, PART_CTL, now))
+		return 0;
+	if (!to && follow_age(&r->f, now) < FOLLOW_EVERY + FOLLOW_WAIT)
+		to = r->f.seat[PART_CTL];
+	if (!to || to == r->addr) {
+		out_answer(o, token, 503, 200, error_json(o->p, "no owner of the configuration is known here: nothing was logged", 0));
+		return 1;
+	}
+	c = out_cmd(o, CMD_ANSWER);
+	c->u.answer.token = token;
+	c->u.answer.status = 307;
+	c->u.answer.body = "";
+	c->u.answer.to = to;
+	return 1;
+}
+
+/* Log a change and answer when it is committed. */
+static void call_log(struct reg *r, uint64_t token, struct Nl__Change *c, int64_t now, struct out *o)
+{
+	struct reg_call w = { token, 0, c->doc_digest };
+	struct Nl__Op op = NL__OP__INIT;
+
+	op.op_case = NL__OP__OP_CHANGE;
+	op.change = c;
+	w.index = log_op(r, PART_CTL, &op, now, o);
+	if (w.index)
+		arrput(r->call, w);
+	else
+		out_answer(o, token, 503, 200, error_json(o->p, "the configuration's owner has changed: nothing was logged", 0));
+}
+
+static void on_doc(struct reg *r, uint64_t token, uint64_t base, int patch, const char *body, size_t len, int64_t now, struct out *o)
+{
+	uint64_t digest = core_hash(base << 1 | !!patch, body, len) | 1;
+	struct Nl__Change c = NL__CHANGE__INIT;
+	const char *why = NULL;
+
+	if (elsewhere(r, token, now, o))
+		return;
+	if (doc_taken(r, digest)) {
+		out_answer(o, token, 200, 0, "{}");
+		return;
+	}
+	for (ptrdiff_t i = 0; i < arrlen(r->call); i++)
+		if (r->call[i].digest == digest) { /* its first sending is being logged */
+			struct reg_call w = { token, r->call[i].index, digest };
+
+			arrput(r->call, w);
+			return;
+		}
+	if (base != r->ctl_doc_version) {
+		out_answer(o, token, 412, 0, error_json(o->p, "another version is current", 0));
+		return;
+	}
+	if (!r->tongue)
+		why = "document: none is taken here";
+	else if (r->tongue->read((const char *)r->ctl_doc, r->ctl_doc_len, body, len, patch, &c, &why, o->p))
+		why = why ? why : "document: cannot be read";
+	else if (c.doc_version <= r->ctl_doc_version)
+		why = "version: not above the current one";
+	else {
+		c.any = c.whole = c.keys = 1;
+		c.doc_base = base;
+		c.doc_digest = digest;
+		why = table_check(&r->ctl, &c, o->p);
+	}
+	if (why)
+		out_answer(o, token, 400, 0, error_json(o->p, why, 0));
+	else
+		call_log(r, token, &c, now, o);
+}
+
+static void on_read(struct reg *r, uint64_t token, int64_t now, struct out *o)
+{
+	struct cmd *c;
+
+	if (elsewhere(r, token, now, o))
+		return;
+	if (!r->ctl_doc_version) {
+		out_answer(o, token, 404, 0, error_json(o->p, "no document was taken yet", 0));
+		return;
+	}
+	c = out_cmd(o, CMD_ANSWER);
+	c->u.answer.token = token;
+	c->u.answer.status = 200;
+	c->u.answer.body = apr_pmemdup(o->p, r->ctl_doc, r->ctl_doc_len + 1);
+	c->u.answer.len = r->ctl_doc_len;
+}
+
+static void on_name(struct reg *r, uint64_t token, const char *model, const char *weights, int64_t now, struct out *o)
+{
+	struct Nl__Change c = NL__CHANGE__INIT;
+	struct Nl__Row m = NL__ROW__INIT, *set[1] = { &m };
+	const struct Nl__Row *old;
+	const char *why;
+
+	if (elsewhere(r, token, now, o))
+		return;
+	m.kind = NL__KIND__MODEL;
+	m.name = (char *)model;
+	m.weights = (char *)weights;
+	c.any = 1;
+	c.set = set;
+	c.n_set = 1;
+	why = table_check(&r->ctl, &c, o->p);
+	if (why || !weights[0]) {
+		out_answer(o, token, 400, 0, error_json(o->p, why ? why : "weights: missing", 0));
+		return;
+	}
+	old = table_get(&r->ctl, NL__KIND__MODEL, model);
+	if (strtoull(weights, NULL, 10) <= (old ? strtoull(old->weights, NULL, 10) : 1))
+		out_answer(o, token, 200, 0, "{}"); /* committed, and perhaps overtaken, before */
+	else
+		call_log(r, token, &c, now, o);
+}
+
 /* ---- the step ------------------------------------------------------------------------------ */
 
 static void limits_clear(struct reg *r)
@@ -1510,6 +1758,10 @@
 			say(r, "purge", o->p, "The publisher's licence is lost here.");
 		}
 	}
+	for (ptrdiff_t k = arrlen(r->call) - 1; k >= 0 && i == PART_CTL && p->role != PART_OWNER; k--) {
+		out_answer(o, r->call[k].token, 503, 200, error_json(o->p, "ownership lost: outcome unknown, send it again", 0));
+		arrdel(r->call, k);
+	}
 	if (p->role != PART_OWNER)
 		for (ptrdiff_t k = arrlen(r->wait) - 1; k >= 0; k--)
 			if (r->wait[k].part == i) {
@@ -1607,6 +1859,9 @@
 		for (int i = 0; i < PART_COUNT; i++)
 			part_give_up(&r->part[i], now, o);
 		break;
+	case REG_DOC: on_doc(r, ev->u.doc.token, ev->u.doc.base, ev->u.doc.patch, ev->u.doc.body, ev->u.doc.len, now, o); break;
+	case REG_READ: on_read(r, ev->u.read.token, now, o); break;
+	case REG_NAME: on_name(r, ev->u.name.token, ev->u.name.model, ev->u.name.weights, now, o); break;
 	default: break;
 	}
 	for (uint32_t i = 0; i < PART_COUNT; i++) {
@@ -1622,12 +1877,14 @@
 		while ((e = part_take(p, &index)))
 			apply(r, i, index, e, now, o);
 		office_begins(r, i, now, o);
-		if (part_wants_snap(p)) {
+		if (part_wants_snap(p) || (i == PART_CTL && r->doc_logged > REG_SNAP_BYTES)) {
 			size_t n;
 			uint8_t *d;
 
 			if (svc_of(r, i))
 				forget_claims(svc_of(r, i));
+			if (i == PART_CTL)
+				r->doc_logged = 0;
 			d = reg_state(r, i, o->p, &n);
 
 			part_snap(p, d, n);
@@ -1651,6 +1908,7 @@
 	r->token = core_rand(&r->rng) >> 2; /* never one of this registrar's life before */
 	r->nseeds = nseeds > 8 ? 8 : nseeds;
 	memcpy(r->seeds, seeds, (size_t)r->nseeds * sizeof *seeds);
+	r->b = bounds_default;
 	table_open(&r->ctl);
 	for (int i = 0; i < PART_SERVICES; i++)
 		clear_svc(&r->svc[i]);
@@ -1671,6 +1929,9 @@
 	table_close(&r->ctl);
 	clear_values(&r->ctl_feed);
 	arrfree(r->ctl_done);
+	arrfree(r->docs);
+	arrfree(r->call);
+	free(r->ctl_doc);
 	clear_values(&r->pub.v);
 	view_clear(&r->pub.last);
 	for (int i = 0; i < PART_SERVICES; i++) {
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -20,6 +20,8 @@
 	REG_CLAIM_KEEP = 720000, /* ms of the part's own clock that a claim is remembered: the longest limit and two minutes */
 	REG_AGAIN = 400,      /* ms before a proposal without an answer is made again */
 	REG_BATCH = 128,      /* purges logged together */
+	REG_MEND = 200,       /* ms between steps of mending a part's group */
+	REG_SNAP_BYTES = 16 << 20, /* of documents logged before the next snapshot, since each is kept whole */
 	REG_DONE = 256,       /* changes whose answers are remembered */
 	REG_FEED = 100        /* ms between the publisher's askings of the feeds */
 };
@@ -51,6 +53,8 @@
 	int (*read)(const char *old, size_t old_len, const char *body, size_t len, int patch, struct Nl__Change *c, const char **why, apr_pool_t *p);
 };
 
+/* An operator's document or naming that is logged here: answered once it is committed. digest 0: a naming. */
+struct reg_call { uint64_t token, index, digest; };
 struct reg_wait { uint32_t part; uint64_t index, addr, token; };
 struct reg_ask {
 	uint64_t token, web;
@@ -100,6 +104,13 @@
 	struct table ctl;
 	struct Nl__Value **ctl_feed;
 	struct reg_done { uint64_t from, token; uint32_t status; } *ctl_done; /* stb_ds, oldest first */
+	struct Nl__DoneDoc *docs; /* stb_ds, oldest first: calls with documents that were taken */
+	uint8_t *ctl_doc;         /* the newest document, byte for byte */
+	size_t ctl_doc_len, doc_logged; /* doc_logged: bytes since the last snapshot */
+	uint64_t ctl_doc_version;
+	struct reg_call *call;    /* stb_ds */
+	const struct reg_tongue *tongue; /* of documents; NULL: none are taken */
+	struct bounds b;
 	struct reg_pub pub;
 	struct reg_svc svc[PART_SERVICES];
 	struct follow f;
@@ -124,7 +135,8 @@
 	uint64_t pending_tick;    /* of a value being logged */
 	uint32_t order_seq;
 	/* founding */
-	struct { uint64_t web, name; int64_t until, at; uint64_t id[8], fleet[8]; int empty[8]; struct Nl__Members *members; } found;
+	/* web: the call that asked for it; own: the settings did */
+	struct { uint64_t web, name; int own; int64_t until, at; uint64_t id[8], fleet[8]; int empty[8]; struct Nl__Members *members; } found;
 	int stopping;
 	void (*log)(void *ctx, const char *prefix, const char *line);
 	void *log_ctx;
@@ -139,6 +151,10 @@
 /* One step. Example: reg_step(&r, &(struct reg_ev){ .kind = REG_TICK }, now, &o); */
 void reg_step(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o);
 
+/* Found the fleet without a call, as the settings of the first seed say: goes on until all seeds answer that they are
+ * empty, or one belongs to a fleet. Example: if (initial) reg_found(&r, now); */
+void reg_found(struct reg *r, int64_t now);
+
 /* The state of a part's machine, packed, as a snapshot holds it; for checks.
  * Example: d = reg_state(&r, part, pool, &n); */
 uint8_t *reg_state(const struct reg *r, uint32_t part, apr_pool_t *p, size_t *n);
--- a/lib/control/sheet.c
+++ b/lib/control/sheet.c
@@ -5,7 +5,9 @@
 #include <string.h>
 
 static const char *const columns[] = { "kind", "name", "service", "tenant", "prio", "share", "limit", "walled", "weights",
-	"prefill", "kv_bytes", "link", "store", "addr", "zone", "state" };
+	"prefill", "kv_bytes", "link", "store", "addr", "zone", "state", "host", "path", "split", "aim", "pause", "timeout", "attempts",
+	"resumable", "repeatable", "vouched", "open", "model", "slots", "conns", "watches", "room", "health", "rank", "rolled",
+	"head_bytes", "body_bytes", "head_ms", "idle_ms" };
 enum { COLUMNS = sizeof columns / sizeof *columns };
 
 static const char *str(struct json_object *j, const char *k)
@@ -27,8 +29,13 @@
 const char *sheet_print(struct json_object *table, const char *kind, apr_pool_t *p)
 {
 	struct json_object *rows = rows_of(table);
-	size_t n = rows ? json_object_array_length(rows) : 0, cap = 1024 + n * 1024, k = 0;
-	char *out = apr_palloc(p, cap);
+	size_t n = rows ? json_object_array_length(rows) : 0, cap = 1024, k = 0;
+	char *out;
+
+	for (size_t i = 0; i < n; i++)
+		for (int c = 0; c < COLUMNS; c++)
+			cap += strlen(str(json_object_array_get_idx(rows, i), columns[c])) + 1;
+	out = apr_palloc(p, cap);
 
 	k += (size_t)apr_snprintf(out, cap, "# edition %s\n", str(table, "edition"));
 	for (int c = 0; c < COLUMNS; c++)
@@ -48,15 +55,18 @@
 
 struct json_object *sheet_cell(const char *column, const char *text)
 {
-	static const char *const ints[] = { "prio", "share", "limit", "prefill", "kv_bytes", "link", "store" };
+	static const char *const ints[] = { "prio", "share", "limit", "prefill", "kv_bytes", "link", "store", "aim", "pause", "timeout", "attempts",
+		"slots", "conns", "watches", "room", "rank", "head_bytes", "body_bytes", "head_ms", "idle_ms" };
+	static const char *const bools[] = { "walled", "resumable", "repeatable", "vouched", "open" };
 	char *end;
 	long long n = strtoll(text, &end, 10);
 
 	for (size_t i = 0; i < sizeof ints / sizeof *ints; i++)
 		if (!strcmp(column, ints[i]) && !*end && end != text)
 			return json_object_new_int64(n);
-	if (!strcmp(column, "walled") && (!strcmp(text, "true") || !strcmp(text, "false")))
-		return json_object_new_boolean(text[0] == 't');
+	for (size_t i = 0; i < sizeof bools / sizeof *bools; i++)
+		if (!strcmp(column, bools[i]) && (!strcmp(text, "true") || !strcmp(text, "false")))
+			return json_object_new_boolean(text[0] == 't');
 	return json_object_new_string(text);
 }
 
--- a/lib/control/table.c
+++ b/lib/control/table.c
@@ -6,7 +6,7 @@
 
 #include "ds.h"
 
-static const char *const kinds[] = { "none", "lane", "tenant", "share", "key", "server", "service", "registrar", "model" };
+static const char *const kinds[] = { "none", "lane", "tenant", "share", "key", "server", "service", "registrar", "model", "door" };
 enum { KINDS = sizeof kinds / sizeof *kinds };
 
 const char *table_kind_name(Nl__Kind k) { return (unsigned)k < KINDS ? kinds[k] : "none"; }
@@ -81,23 +81,64 @@
 	return n > 0 && n < 200 && strspn(s, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._/-*") == n;
 }
 
+/* Printable and without blanks, so that it fits a cell of the sheet. */
+static int word_ok(const char *s, size_t most)
+{
+	size_t n = 0;
+
+	for (; s[n]; n++)
+		if ((unsigned char)s[n] <= ' ' || (unsigned char)s[n] == 127)
+			return 0;
+	return n > 0 && n <= most;
+}
+
+static int path_ok(const char *s) { return word_ok(s, 1000) && s[0] == '/' && s[strlen(s) - 1] == '/'; }
+
+/* Named weights of a model are counted upwards. */
+static int count_ok(const char *s) { return strlen(s) > 0 && strlen(s) < 19 && s[0] != '0' && strspn(s, "0123456789") == strlen(s); }
+
+static const char *check_split(const struct Nl__Row *r)
+{
+	uint64_t all = 0;
+
+	if (!r->n_split)
+		return NULL;
+	if (r->n_split > TABLE_SPLITS)
+		return "split: more than 64 services";
+	for (size_t i = 0; i < r->n_split; i++) {
+		if (!name_ok(r->split[i]->service))
+			return "split: a service is missing";
+		all += r->split[i]->weight;
+	}
+	return all ? NULL : "split: the weights add up to 0";
+}
+
+static const char *check_lane(const struct Nl__Row *r)
+{
+	const char *bad = check_split(r);
+
+	return bad ? bad : !name_ok(r->service) ? "service: missing" : r->prio > 9 ? "prio: 0 to 9"
+	       : r->limit < 1 || r->limit > 100000 ? "limit: 1 to 100000 places in the line"
+	       : (r->host[0] || r->path[0]) && !word_ok(r->host, 255) ? "host: 1 to 255 characters without blanks, where there is a path"
+	       : r->host[0] && !path_ok(r->path) ? "path: begins and ends with a slash"
+	       : r->timeout > 3600000 ? "timeout: up to 3600000 ms" : r->attempts > 100 ? "attempts: up to 100" : NULL;
+}
+
 static const char *check_row(const struct Nl__Row *r, apr_pool_t *p)
 {
 	const char *bad = NULL;
 
 	if (r->kind <= NL__KIND__NONE || (unsigned)r->kind >= KINDS)
-		return "kind: none of lane, tenant, share, key, server, service, registrar";
+		return "kind: none of lane, tenant, share, key, server, service, registrar, model, door";
 	if (!name_ok(r->name))
 		return apr_psprintf(p, "%s: name: 1 to 199 letters, digits, . _ / - or *", table_kind_name(r->kind));
 	switch (r->kind) {
-	case NL__KIND__LANE:
-		bad = !name_ok(r->service) ? "service: missing" : r->prio > 9 ? "prio: 0 to 9"
-		      : r->limit < 1 || r->limit > 100000 ? "limit: 1 to 100000 places in the line" : NULL;
-		break;
+	case NL__KIND__LANE: bad = check_lane(r); break;
 	case NL__KIND__TENANT:
 	case NL__KIND__SHARE:
 		bad = r->share < 1 || r->share > 1000 ? "share: 1 to 1000"
-		      : r->limit < 1 || r->limit > 100000 ? "limit: 1 to 100000 running at once"
+		      : r->limit > 100000 ? "limit: up to 100000 running at once; 0 for no limit"
+		      : r->rank > 10 ? "rank: 1 to 10; 0 for none"
 		      : r->kind == NL__KIND__SHARE && !strchr(r->name, '/') ? "name: lane/tenant" : NULL;
 		break;
 	case NL__KIND__KEY: bad = !name_ok(r->tenant) ? "tenant: missing" : strlen(r->name) != 64 ? "name: a digest of 64 hex digits" : NULL; break;
@@ -106,15 +147,98 @@
 		      : r->state > 1 ? "state: serving or draining" : NULL;
 		break;
 	case NL__KIND__SERVICE:
-		bad = !name_ok(r->weights) ? "weights: missing" : r->prefill < 1 || r->prefill > 100000 ? "prefill: 1 to 100000 tokens per ms"
+		bad = r->model[0] && !name_ok(r->model) ? "model: letters, digits, . _ / - or *"
+		      : (r->weights[0] || !r->model[0]) && !name_ok(r->weights) ? "weights: missing, and no model"
+		      : r->prefill < 1 || r->prefill > 100000 ? "prefill: 1 to 100000 tokens per ms"
 		      : r->kv_bytes < 1 ? "kv_bytes: 1 or more" : r->link < 1 ? "link: 1 or more bytes per ms"
+		      : r->health[0] && (!word_ok(r->health, 1000) || r->health[0] != '/') ? "health: a path"
 		      : r->addr[0] && !core_addr(r->addr) ? "addr: not ip:port" : NULL;
 		break;
+	case NL__KIND__MODEL:
+		bad = r->weights[0] && !count_ok(r->weights) ? "weights: a number from 1" : r->rolled[0] && !count_ok(r->rolled) ? "rolled: a number from 1"
+		      : !r->weights[0] && !r->rolled[0] ? "weights: missing" : NULL;
+		break;
+	case NL__KIND__DOOR: break;
 	default: bad = !core_addr(r->addr) || !r->id ? "addr: not ip:port" : NULL; break;
 	}
 	return bad ? apr_psprintf(p, "%s %s: %s", table_kind_name(r->kind), r->name, bad) : NULL;
 }
 
+struct names { char *key; const struct Nl__Row *value; };
+
+static int operators_kind(Nl__Kind k)
+{
+	return k == NL__KIND__LANE || k == NL__KIND__TENANT || k == NL__KIND__SHARE || k == NL__KIND__SERVICE || k == NL__KIND__DOOR;
+}
+
+static int replaced(const struct Nl__Change *c, Nl__Kind k) { return operators_kind(k) || (c->keys && k == NL__KIND__KEY); }
+
+/* The names of all rows that a change sets, in one hash. */
+static struct names *names_set(const struct Nl__Change *c)
+{
+	struct names *h = NULL;
+	char buf[300];
+
+	sh_new_arena(h);
+	for (size_t i = 0; i < c->n_set; i++)
+		shput(h, key_of(buf, sizeof buf, c->set[i]->kind, c->set[i]->name), c->set[i]);
+	return h;
+}
+
+static struct names *names_del(const struct Nl__Change *c)
+{
+	struct names *h = NULL;
+	char buf[300];
+
+	sh_new_arena(h);
+	for (size_t i = 0; i < c->n_del; i++)
+		shput(h, key_of(buf, sizeof buf, c->del[i]->kind, c->del[i]->name), c->del[i]);
+	return h;
+}
+
+/* Host and path lead to one lane, and splits to services that there are, after the change. */
+static const char *check_whole(const struct table *t, const struct Nl__Change *c, apr_pool_t *p)
+{
+	struct names *set = names_set(c), *del = names_del(c), *seen = NULL;
+	struct table_row *h = t->h;
+	const char *why = NULL;
+	char buf[300];
+	int matters = c->whole;
+
+	sh_new_arena(seen);
+	for (size_t i = 0; i < c->n_set; i++)
+		matters |= c->set[i]->kind == NL__KIND__LANE && (c->set[i]->path[0] || c->set[i]->n_split);
+	for (ptrdiff_t i = 0; i < shlen(h) + (ptrdiff_t)c->n_set && matters && !why; i++) {
+		int mine = i >= shlen(h);
+		const struct Nl__Row *r = mine ? c->set[i - shlen(h)] : h[i].value.row;
+		ptrdiff_t k;
+		char *at;
+
+		if (r->kind != NL__KIND__LANE || (!mine && (c->whole || shgeti(set, h[i].key) >= 0 || shgeti(del, h[i].key) >= 0)))
+			continue;
+		if (mine && shget(set, key_of(buf, sizeof buf, r->kind, r->name)) != r)
+			continue; /* set twice: the last one counts */
+		for (size_t s = 0; s < r->n_split && !why && mine; s++) {
+			const char *key = key_of(buf, sizeof buf, NL__KIND__SERVICE, r->split[s]->service);
+
+			if (shgeti(set, key) < 0 && (c->whole || shgeti(del, key) >= 0 || shgeti(h, key) < 0))
+				why = apr_psprintf(p, "lane %s: split: no service %s", r->name, r->split[s]->service);
+		}
+		if (!r->path[0] || why)
+			continue;
+		at = apr_pstrcat(p, r->host, "\t", r->path, NULL);
+		k = shgeti(seen, at);
+		if (k >= 0)
+			why = apr_psprintf(p, "lane %s: host and path: those of lane %s", r->name, seen[k].value->name);
+		else
+			shput(seen, at, r);
+	}
+	shfree(seen);
+	shfree(set);
+	shfree(del);
+	return why;
+}
+
 const char *table_check(const struct table *t, const struct Nl__Change *c, apr_pool_t *p)
 {
 	const char *why;
@@ -124,16 +248,16 @@
 	for (size_t i = 0; i < c->n_set; i++)
 		if ((why = check_row(c->set[i], p)))
 			return why;
-	for (size_t i = 0; i < c->n_set; i++) { /* an id is claimed in its service's part: a lane stays with its service */
+	for (size_t i = 0; i < c->n_set; i++) { /* an id is claimed in its service's part: such a lane stays with its service */
 		const struct Nl__Row *old = c->set[i]->kind == NL__KIND__LANE ? table_get(t, NL__KIND__LANE, c->set[i]->name) : NULL;
 
-		if (old && strcmp(old->service, c->set[i]->service))
+		if (old && strcmp(old->service, c->set[i]->service) && !(old->vouched && c->set[i]->vouched))
 			return apr_psprintf(p, "lane %s: service: cannot change; make a new lane", old->name);
 	}
 	for (size_t i = 0; i < c->n_del; i++)
 		if (!c->whole && find(t, c->del[i]->kind, c->del[i]->name) < 0)
 			return apr_psprintf(p, "del %s %s: no such row", table_kind_name(c->del[i]->kind), c->del[i]->name);
-	return NULL;
+	return check_whole(t, c, p);
 }
 
 /* ---- change --------------------------------------------------------------- */
@@ -160,34 +284,91 @@
 	arrput(*feed, c);
 }
 
+/* A model's weights have reached every server: what stood before them, and what was named in between, is withdrawn. */
+static void withdraw_model(const struct table *t, const struct Nl__Row *was, const struct Nl__Row *is, struct Nl__Purge ***feed)
+{
+	uint64_t a = strtoull(was->rolled, NULL, 10), b = is ? strtoull(is->rolled, NULL, 10) : a + 1;
+
+	if (!a || a >= b)
+		return;
+	if (b - a > TABLE_SKIPPED)
+		b = a + TABLE_SKIPPED;
+	for (; a < b; a++)
+		for (ptrdiff_t i = 0; i < shlen(t->h); i++) {
+			const struct Nl__Row *r = t->h[i].value.row;
+			char buf[24];
+
+			if (r->kind != NL__KIND__SERVICE || strcmp(r->model, was->name))
+				continue;
+			apr_snprintf(buf, sizeof buf, "%" APR_UINT64_T_FMT, (apr_uint64_t)a);
+			feed_add(feed, 1, r->name, buf, "", "");
+		}
+}
+
 /* What a row's change withdraws. */
-static void decide(const struct Nl__Row *was, const struct Nl__Row *is, struct Nl__Purge ***feed)
+static void decide(const struct table *t, const struct Nl__Row *was, const struct Nl__Row *is, struct Nl__Purge ***feed)
 {
 	if (!feed || !was)
 		return;
-	if (was->kind == NL__KIND__SERVICE && (!is || strcmp(was->weights, is->weights)))
+	if (was->kind == NL__KIND__SERVICE && was->weights[0] && (!is || strcmp(was->weights, is->weights)))
 		feed_add(feed, 1, was->name, was->weights, "", "");
 	if (was->kind == NL__KIND__TENANT && (!is || was->walled != is->walled))
 		feed_add(feed, 2, "", "", was->name, "");
 	if (was->kind == NL__KIND__SERVER && was->state == 0 && (!is || is->state || strcmp(was->addr, is->addr)))
 		feed_add(feed, 3, "", "", "", was->name);
+	if (was->kind == NL__KIND__MODEL && is)
+		withdraw_model(t, was, is, feed);
 }
 
-static void row_set(struct table *t, const struct Nl__Row *r, uint64_t edition, struct Nl__Purge ***feed)
+static const char *higher(const char *a, const char *b) { return strtoull(a, NULL, 10) >= strtoull(b, NULL, 10) ? a : b; }
+
+/* Weights of a model only rise; what a change leaves empty stays. Before any are named, the first stand everywhere. */
+static struct Nl__Row *model_row(const struct Nl__Row *was, const struct Nl__Row *r)
+{
+	struct Nl__Row m = *r;
+
+	m.weights = (char *)higher(r->weights, was ? was->weights : "1");
+	m.rolled = (char *)higher(r->rolled, was ? was->rolled : "1");
+	return row_copy(&m);
+}
+
+static int row_same(const struct Nl__Row *a, const struct Nl__Row *b)
+{
+	size_t n = nl__row__get_packed_size(a);
+	uint8_t *x, *y;
+	int same = 0;
+
+	if (n != nl__row__get_packed_size(b))
+		return 0;
+	x = malloc(2 * n + 1);
+	if (!x)
+		abort();
+	y = x + n;
+	nl__row__pack(a, x);
+	nl__row__pack(b, y);
+	same = !memcmp(x, y, n);
+	free(x);
+	return same;
+}
+
+/* still: an equal row keeps its edition, so that followers get only what changed. */
+static void row_set(struct table *t, const struct Nl__Row *r, uint64_t edition, int still, struct Nl__Purge ***feed)
 {
 	ptrdiff_t i = find(t, r->kind, r->name);
+	struct Nl__Row *old = i >= 0 ? t->h[i].value.row : NULL, *is;
 	char buf[300];
 
-	if (i >= 0) {
-		struct Nl__Row *old = t->h[i].value.row;
-
-		decide(old, r, feed);
-		t->h[i].value.row = row_copy(r);
+	if (old && still && row_same(old, r))
+		return;
+	is = r->kind == NL__KIND__MODEL ? model_row(old, r) : row_copy(r);
+	if (old) {
+		decide(t, old, is, feed);
+		t->h[i].value.row = is;
 		t->h[i].value.edition = edition;
 		nl__row__free_unpacked(old, NULL);
 		return;
 	}
-	shput(t->h, key_of(buf, sizeof buf, r->kind, r->name), ((typeof(t->h->value)){ row_copy(r), edition }));
+	shput(t->h, key_of(buf, sizeof buf, r->kind, r->name), ((typeof(t->h->value)){ is, edition }));
 }
 
 static void row_del(struct table *t, const char *key, uint64_t edition, struct Nl__Purge ***feed)
@@ -199,7 +380,7 @@
 	if (i < 0)
 		return;
 	row = t->h[i].value.row;
-	decide(row, NULL, feed);
+	decide(t, row, NULL, feed);
 	tomb.key = strdup(key);
 	tomb.edition = edition;
 	arrput(t->tomb, tomb);
@@ -212,11 +393,6 @@
 	}
 }
 
-static int operators_kind(Nl__Kind k)
-{
-	return k == NL__KIND__LANE || k == NL__KIND__TENANT || k == NL__KIND__SHARE || k == NL__KIND__SERVICE;
-}
-
 uint64_t table_plan(const struct table *t)
 {
 	uint64_t plan = t->plan;
@@ -241,30 +417,24 @@
 		plan |= operators_kind(c->del[i]->kind);
 	if (plan)
 		t->plan = t->edition;
-	if (c->whole) { /* operators' kinds are replaced; servers, keys and registrars have calls of their own */
+	if (c->whole) { /* operators' kinds are replaced; servers, registrars and models have calls of their own */
+		struct names *set = names_set(c);
 		char **gone = NULL;
 
-		for (ptrdiff_t i = 0; i < shlen(t->h); i++) {
-			Nl__Kind k = t->h[i].value.row->kind;
-			int stays = 0;
-
-			if (!operators_kind(k))
-				continue;
-			for (size_t j = 0; j < c->n_set && !stays; j++)
-				stays = c->set[j]->kind == k && !strcmp(c->set[j]->name, t->h[i].value.row->name);
-			if (!stays)
+		for (ptrdiff_t i = 0; i < shlen(t->h); i++)
+			if (replaced(c, t->h[i].value.row->kind) && shgeti(set, t->h[i].key) < 0)
 				arrput(gone, strdup(t->h[i].key));
-		}
 		for (ptrdiff_t i = 0; i < arrlen(gone); i++) {
 			row_del(t, gone[i], t->edition, feed);
 			free(gone[i]);
 		}
 		arrfree(gone);
+		shfree(set);
 	}
 	for (size_t i = 0; i < c->n_del; i++)
 		row_del(t, key_of(buf, sizeof buf, c->del[i]->kind, c->del[i]->name), t->edition, feed);
 	for (size_t i = 0; i < c->n_set; i++)
-		row_set(t, c->set[i], t->edition, feed);
+		row_set(t, c->set[i], t->edition, c->whole, feed);
 	return TABLE_DONE;
 }
 
@@ -314,14 +484,14 @@
 	for (size_t i = 0; i < r->n_del; i++)
 		row_del(t, key_of(buf, sizeof buf, r->del[i]->kind, r->del[i]->name), r->edition, NULL);
 	for (size_t i = 0; i < r->n_set; i++)
-		row_set(t, r->set[i], r->edition, NULL);
+		row_set(t, r->set[i], r->edition, 0, NULL);
 	t->edition = r->edition;
 	return 1;
 }
 
 /* ---- JSON ----------------------------------------------------------------- */
 
-enum cell_kind { CELL_STR, CELL_INT, CELL_BOOL, CELL_STATE, CELL_HEX };
+enum cell_kind { CELL_STR, CELL_INT, CELL_BIG, CELL_BOOL, CELL_STATE, CELL_HEX, CELL_SPLIT };
 struct cell { const char *name; enum cell_kind kind; size_t off; unsigned on; };
 #define ON(k) (1u << NL__KIND__##k)
 #define AT(f) offsetof(struct Nl__Row, f)
@@ -332,8 +502,8 @@
 	{ "service", CELL_STR, AT(service), ON(LANE) | ON(SERVER) },
 	{ "tenant", CELL_STR, AT(tenant), ON(KEY) },
 	{ "addr", CELL_STR, AT(addr), ON(SERVER) | ON(REGISTRAR) | ON(SERVICE) },
-	{ "zone", CELL_STR, AT(zone), ON(SERVER) | ON(REGISTRAR) },
-	{ "weights", CELL_STR, AT(weights), ON(SERVICE) },
+	{ "zone", CELL_STR, AT(zone), ON(SERVER) | ON(REGISTRAR) | ON(SERVICE) },
+	{ "weights", CELL_STR, AT(weights), ON(SERVICE) | ON(MODEL) },
 	{ "prio", CELL_INT, AT(prio), ON(LANE) },
 	{ "share", CELL_INT, AT(share), ON(TENANT) | ON(SHARE) },
 	{ "limit", CELL_INT, AT(limit), ON(LANE) | ON(TENANT) | ON(SHARE) },
@@ -344,13 +514,81 @@
 	{ "kv_bytes", CELL_INT, AT(kv_bytes), ON(SERVICE) },
 	{ "link", CELL_INT, AT(link), ON(SERVICE) },
 	{ "store", CELL_INT, AT(store), ON(SERVICE) },
+	{ "host", CELL_STR, AT(host), ON(LANE) },
+	{ "path", CELL_STR, AT(path), ON(LANE) },
+	{ "split", CELL_SPLIT, AT(split), ON(LANE) },
+	{ "aim", CELL_INT, AT(aim), ON(LANE) },
+	{ "pause", CELL_INT, AT(pause), ON(LANE) },
+	{ "timeout", CELL_INT, AT(timeout), ON(LANE) },
+	{ "attempts", CELL_INT, AT(attempts), ON(LANE) },
+	{ "resumable", CELL_BOOL, AT(resumable), ON(LANE) },
+	{ "repeatable", CELL_BOOL, AT(repeatable), ON(LANE) },
+	{ "vouched", CELL_BOOL, AT(vouched), ON(LANE) },
+	{ "open", CELL_BOOL, AT(open), ON(LANE) },
+	{ "model", CELL_STR, AT(model), ON(SERVICE) },
+	{ "slots", CELL_INT, AT(slots), ON(SERVICE) },
+	{ "conns", CELL_INT, AT(conns), ON(SERVICE) },
+	{ "watches", CELL_INT, AT(watches), ON(SERVICE) },
+	{ "room", CELL_BIG, AT(room), ON(SERVICE) },
+	{ "rank", CELL_INT, AT(rank), ON(TENANT) },
+	{ "rolled", CELL_STR, AT(rolled), ON(MODEL) },
+	{ "health", CELL_STR, AT(health), ON(SERVICE) },
+	{ "head_bytes", CELL_INT, AT(head_bytes), ON(DOOR) },
+	{ "body_bytes", CELL_INT, AT(body_bytes), ON(DOOR) },
+	{ "head_ms", CELL_INT, AT(head_ms), ON(DOOR) },
+	{ "idle_ms", CELL_INT, AT(idle_ms), ON(DOOR) },
 };
 enum { CELLS = sizeof cells / sizeof *cells };
 
+/* Services and weights as one text: "a:90,b:10". */
+static char *split_text(const struct Nl__Row *r)
+{
+	size_t cap = 1, k = 0;
+	char *s;
+
+	for (size_t i = 0; i < r->n_split; i++)
+		cap += strlen(r->split[i]->service) + 16;
+	s = malloc(cap);
+	if (!s)
+		abort();
+	s[0] = 0;
+	for (size_t i = 0; i < r->n_split; i++)
+		k += (size_t)apr_snprintf(s + k, cap - k, "%s%s:%u", i ? "," : "", r->split[i]->service, (unsigned)r->split[i]->weight);
+	return s;
+}
+
+static int split_parse(struct Nl__Row *r, const char *text, apr_pool_t *p)
+{
+	char *copy = apr_pstrdup(p, text), *save = NULL;
+	size_t n = 1;
+
+	for (const char *c = text; *c; c++)
+		n += *c == ',';
+	r->split = apr_palloc(p, (n + 1) * sizeof *r->split);
+	r->n_split = 0;
+	for (char *x = apr_strtok(copy, ",", &save); x; x = apr_strtok(NULL, ",", &save)) {
+		struct Nl__Split *s = apr_palloc(p, sizeof *s);
+		char *colon = strrchr(x, ':'), *end = colon;
+		unsigned long long w;
+
+		if (!colon || colon == x || colon[1] < '0' || colon[1] > '9')
+			return 0;
+		w = strtoull(colon + 1, &end, 10);
+		if (*end || w > 1000000)
+			return 0;
+		*colon = 0;
+		nl__split__init(s);
+		s->service = x;
+		s->weight = (uint32_t)w;
+		r->split[r->n_split++] = s;
+	}
+	return 1;
+}
+
 struct json_object *table_row_json(const struct Nl__Row *r)
 {
 	struct json_object *j = json_object_new_object();
-	char hex[20];
+	char hex[20], *text;
 
 	json_object_object_add(j, "kind", json_object_new_string(table_kind_name(r->kind)));
 	for (int i = 0; i < CELLS; i++) {
@@ -362,6 +600,12 @@
 		switch (cells[i].kind) {
 		case CELL_STR: v = json_object_new_string(*(char *const *)(const void *)f); break;
 		case CELL_INT: v = json_object_new_int64(*(const uint32_t *)(const void *)f); break;
+		case CELL_BIG: v = json_object_new_uint64(*(const uint64_t *)(const void *)f); break;
+		case CELL_SPLIT:
+			text = split_text(r);
+			v = json_object_new_string(text);
+			free(text);
+			break;
 		case CELL_BOOL: v = json_object_new_boolean(*(const protobuf_c_boolean *)(const void *)f); break;
 		case CELL_STATE: v = json_object_new_string(*(const uint32_t *)(const void *)f ? "draining" : "serving"); break;
 		case CELL_HEX:
@@ -382,7 +626,7 @@
 	nl__row__init(r);
 	if (!json_object_is_type(j, json_type_object) || !json_object_object_get_ex(j, "kind", &k) ||
 	    (r->kind = table_kind(json_object_get_string(k))) == NL__KIND__NONE) {
-		*why = "kind: none of lane, tenant, share, key, server, service, registrar";
+		*why = "kind: none of lane, tenant, share, key, server, service, registrar, model, door";
 		return NULL;
 	}
 	json_object_object_foreach(j, name, v) {
@@ -399,7 +643,8 @@
 			return NULL;
 		}
 		f = (char *)r + c->off;
-		if (c->kind == CELL_INT ? !json_object_is_type(v, json_type_int) || json_object_get_int64(v) < 0 ||
+		if (c->kind == CELL_BIG   ? !json_object_is_type(v, json_type_int) || json_object_get_int64(v) < 0
+		    : c->kind == CELL_INT ? !json_object_is_type(v, json_type_int) || json_object_get_int64(v) < 0 ||
 		                                  json_object_get_int64(v) > UINT32_MAX
 		    : c->kind == CELL_BOOL ? !json_object_is_type(v, json_type_boolean)
 		                           : !json_object_is_type(v, json_type_string)) {
@@ -409,6 +654,13 @@
 		switch (c->kind) {
 		case CELL_STR: *(char **)(void *)f = apr_pstrdup(p, json_object_get_string(v)); break;
 		case CELL_INT: *(uint32_t *)(void *)f = (uint32_t)json_object_get_int64(v); break;
+		case CELL_BIG: *(uint64_t *)(void *)f = json_object_get_uint64(v); break;
+		case CELL_SPLIT:
+			if (!split_parse(r, json_object_get_string(v), p)) {
+				*why = apr_psprintf(p, "%s: split: not as service:weight,service:weight", table_kind_name(r->kind));
+				return NULL;
+			}
+			break;
 		case CELL_BOOL: *(protobuf_c_boolean *)(void *)f = json_object_get_boolean(v); break;
 		case CELL_STATE: {
 			const char *s = json_object_get_string(v);
--- a/lib/control/table.h
+++ b/lib/control/table.h
@@ -19,7 +19,7 @@
 	struct table_tomb *tomb;        /* stb_ds */
 };
 
-enum { TABLE_TOMBS = 512, TABLE_MAX = 8 << 20 };
+enum { TABLE_TOMBS = 512, TABLE_MAX = 24 << 20, TABLE_SPLITS = 64, TABLE_SKIPPED = 64 };
 enum { TABLE_DONE = 0, TABLE_NOT_OWNER = 1, TABLE_REFUSED = 2, TABLE_OVERTAKEN = 3, TABLE_BUSY = 4 };
 
 void table_open(struct table *t);
--- a/lib/core/part.c
+++ b/lib/core/part.c
@@ -104,7 +104,6 @@
 		m->id = ms->m[i]->id;
 		m->addr = ms->m[i]->addr;
 		m->voter = ms->m[i]->voter;
-		m->zone = core_hashs(0, ms->m[i]->zone);
 	}
 	if (ms)
 		nl__members__free_unpacked(ms, NULL);
@@ -749,18 +748,100 @@
 	return NULL;
 }
 
+/* Another identity stands where a member stood: its disk was lost, and it will not come back. */
+static int displaced(const struct part_member *m, const struct part_member *live, int n, int64_t now)
+{
+	int other = 0;
+
+	for (int i = 0; i < n; i++) {
+		if (live[i].id == m->id)
+			return 0;
+		other |= live[i].addr == m->addr;
+	}
+	return other && now - m->heard > 4 * PART_ROUND;
+}
+
+static int gone(const struct part *p, const struct part_member *m, const struct part_member *live, int n, int64_t now)
+{
+	return m->id != p->id && (now - m->heard > p->dead || displaced(m, live, n, now));
+}
+
+/* Members of a zone that are not lost. */
+static int in_zone(const struct part *p, uint64_t zone, const struct part_member *live, int n, int64_t now)
+{
+	int k = 0;
+
+	for (int i = 0; i < p->mn && zone; i++)
+		k += p->m[i].zone == zone && !gone(p, &p->m[i], live, n, now);
+	return k;
+}
+
+/* The registrar that joins next: of the zone with the fewest members, the one that rendezvous names. */
+static const struct part_member *next_one(struct part *p, const struct part_member *live, int n, int64_t now)
+{
+	const struct part_member *best = NULL;
+	int few = 0;
+
+	for (int i = 0; i < n; i++) {
+		int k = in_zone(p, live[i].zone, live, n, now);
+
+		if (member(p, live[i].id))
+			continue;
+		if (best && (k > few || (k == few && core_rdv(p->no, live[i].id) <= core_rdv(p->no, best->id))))
+			continue;
+		best = &live[i];
+		few = k;
+	}
+	return best;
+}
+
+/* One too many: of the zone with the most members, the one that rendezvous ranks last; never the owner. */
+static int surplus(const struct part *p, const struct part_member *live, int n, int64_t now)
+{
+	int worst = -1, many = 0;
+
+	for (int i = 0; i < p->mn; i++) {
+		int k = in_zone(p, p->m[i].zone, live, n, now);
+
+		if (p->m[i].id == p->id)
+			continue;
+		if (worst >= 0 && (k < many || (k == many && core_rdv(p->no, p->m[i].id) >= core_rdv(p->no, p->m[worst].id))))
+			continue;
+		worst = i;
+		many = k;
+	}
+	return worst;
+}
+
+/* A registrar whose zone has two members fewer than another: its joining spreads the group better. */
+static int crowded(const struct part *p, const struct part_member *next, const struct part_member *live, int n, int64_t now)
+{
+	int most = 0;
+
+	for (int i = 0; i < p->mn; i++) {
+		int k = in_zone(p, p->m[i].zone, live, n, now);
+
+		if (k > most)
+			most = k;
+	}
+	return next && in_zone(p, next->zone, live, n, now) + 2 <= most;
+}
+
 void part_mend(struct part *p, const struct part_member *live, int n, int64_t now)
 {
 	struct part_member m[PART_MEMBERS];
-	const struct part_member *best = NULL;
+	const struct part_member *best;
 	int dead = -1, learner = -1, v = 0, alive = 0;
 
 	if (!part_licensed(p, now) || p->members_at > p->commit)
 		return;
+	for (int i = 0; i < p->mn; i++)
+		if (live_one(live, n, p->m[i].id) && live_one(live, n, p->m[i].id)->zone)
+			p->m[i].zone = live_one(live, n, p->m[i].id)->zone;
 	memcpy(m, p->m, sizeof m);
 	for (int i = 0; i < p->mn; i++) {
 		const struct part_member *l = live_one(live, n, m[i].id);
-		int gone = m[i].id != p->id && now - m[i].heard > PART_DEAD;
+		int lost = gone(p, &m[i], live, n, now);
 
 		if (l && l->addr != m[i].addr) { /* moved to another address */
 			m[i].addr = l->addr;
@@ -768,8 +849,8 @@
 			return;
 		}
 		v += m[i].voter;
-		alive += m[i].voter && !gone;
-		if (gone && (dead < 0 || !m[i].voter))
+		alive += m[i].voter && !lost;
+		if (lost && (dead < 0 || !m[i].voter))
 			dead = i;
 		if (!m[i].voter)
 			learner = i;
@@ -781,32 +862,23 @@
 		}
 		return;
 	}
-	if (dead < 0 && v > 3) /* one too many: the one that rendezvous ranks last leaves, but never the owner */
-		for (int i = 0; i < p->mn; i++)
-			if (m[i].id != p->id && (dead < 0 || core_rdv(p->no, m[i].id) < core_rdv(p->no, m[dead].id)))
-				dead = i;
-	if (dead >= 0 && (!m[dead].voter || v > 3)) {
-		if (m[dead].voter && alive - (now - m[dead].heard <= PART_DEAD) <= (v - 1) / 2)
+	best = next_one(p, live, n, now);
+	if (dead < 0 && v > p->copies)
+		dead = surplus(p, live, n, now);
+	if (dead >= 0 && (!m[dead].voter || v > PART_COPIES)) {
+		if (m[dead].voter && alive - !gone(p, &m[dead], live, n, now) <= (v - 1) / 2)
 			return;
 		m[dead] = m[p->mn - 1];
 		change_members(p, m, p->mn - 1);
 		return;
 	}
-	if ((dead < 0 && v >= 3) || p->mn >= PART_MEMBERS)
-		return;
-	for (int i = 0; i < n; i++) { /* the registrar that rendezvous names next */
-		if (member(p, live[i].id))
-			continue;
-		if (!best || core_rdv(p->no, live[i].id) > core_rdv(p->no, best->id))
-			best = &live[i];
-	}
-	if (!best)
+	if ((dead < 0 && v >= p->copies && !crowded(p, best, live, n, now)) || p->mn >= PART_MEMBERS || !best)
 		return;
 	memset(&m[p->mn], 0, sizeof *m);
 	m[p->mn].id = best->id;
 	m[p->mn].addr = best->addr;
 	change_members(p, m, p->mn + 1);
-	member(p, best->id)->heard = now;
+	member(p, m[p->mn - 1].id)->heard = now;
 }
 
 /* ---- begin and end -------------------------------------------------------- */
@@ -817,6 +889,8 @@
 	p->no = no;
 	p->id = id;
 	p->rng = seed ^ core_rdv(no, id);
+	p->copies = PART_COPIES;
+	p->dead = PART_DEAD;
 	p->promise = now + PART_LICENCE; /* we may have promised before we fell */
 	wait_anew(p, now);
 	p->snap = copy(NULL, 0);
--- a/lib/core/part.h
+++ b/lib/core/part.h
@@ -13,7 +13,8 @@
 	PART_ROUND = 150,      /* ms between rounds */
 	PART_ELECT = 1100,     /* a standby waits this long, plus up to half again */
 	PART_STALL = 600,      /* an own sync slower than this costs the ownership */
-	PART_DEAD = 6000,      /* a voter unheard of for so long is replaced */
+	PART_COPIES = 3,       /* founded with these; a group never shrinks below them */
+	PART_DEAD = 6000,      /* a member unheard of for so long is replaced, unless the part is told another bound */
 	PART_MEMBERS = 8,
 	PART_KEEP = 256,       /* entries kept behind a snapshot */
 	PART_SNAP = 2048       /* entries before the next snapshot */
@@ -25,7 +26,7 @@
 
 struct part_member {
 	uint64_t id, addr;
-	uint64_t zone; /* hash of the zone's name */
+	uint64_t zone; /* hash of the zone's name, as far as the mender knows */
 	int voter;
 	/* the owner's view */
 	uint64_t next, match, round;
@@ -52,6 +53,8 @@
 	struct part_member m[PART_MEMBERS];
 	int mn;
 	uint64_t members_at;
+	int copies;           /* members wanted */
+	int64_t dead;         /* ms after which a member counts as lost */
 
 	uint64_t commit, taken, stable, matched;
 	uint64_t term_start;  /* the owner's first entry in its term */
@@ -124,8 +127,8 @@
  * Example: part_give_up(&p, now, o); */
 void part_give_up(struct part *p, int64_t now, struct out *o);
 
-/* The owner mends its group by one step: adds, raises, readdresses or removes one member.
- * live: registrars known to the fleet. Example: part_mend(&p, live, n, now); */
+/* The owner mends its group by one step: adds, raises, readdresses or removes one member, towards p->copies of them
+ * spread over zones. live: registrars known to the fleet, with their zones. Example: part_mend(&p, live, n, now); */
 void part_mend(struct part *p, const struct part_member *live, int n, int64_t now);
 
 #endif
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -952,13 +952,15 @@
 					run_over(s, &s->run[q]);
 			break;
 		case CMD_ANSWER: {
-			struct sim_web w = { c->u.answer.token, c->u.answer.status, s->now, "" };
+			struct sim_web w = { c->u.answer.token, c->u.answer.status, s->now, "", c->u.answer.to, NULL, c->u.answer.len };
 
 			if (n->c) {
 				hear_answer(s, c->u.answer.token, c->u.answer.status, c->u.answer.retry_ms, c->u.answer.body);
 				break;
 			}
 			snprintf(w.body, sizeof w.body, "%s", c->u.answer.body);
+			if (w.len)
+				w.whole = apr_pmemdup(s->pool, c->u.answer.body, w.len + 1);
 			arrput(s->web, w);
 			if (n->r && w.status == 200 && !strncmp(w.body, "{\"edition\":", 11) && !strstr(w.body, "rows")) {
 				struct sim_ack a = { strtoull(w.body + 11, NULL, 10), s->now };
@@ -1144,6 +1146,26 @@
 		reg_do(s, e->node, &ev);
 		break;
 	}
+	case SIM_DOC: {
+		char *body = (char *)e->d, *weights = body + e->n + 1;
+
+		ev.kind = e->status == 2 ? REG_READ : e->status == 3 ? REG_NAME : REG_DOC;
+		if (ev.kind == REG_READ) {
+			ev.u.read.token = e->token;
+		} else if (ev.kind == REG_NAME) {
+			ev.u.name.token = e->token;
+			ev.u.name.model = body;
+			ev.u.name.weights = weights;
+		} else {
+			ev.u.doc.token = e->token;
+			ev.u.doc.base = e->from_addr;
+			ev.u.doc.patch = e->status;
+			ev.u.doc.body = body;
+			ev.u.doc.len = e->n;
+		}
+		reg_do(s, e->node, &ev);
+		break;
+	}
 	default: break;
 	}
 }
@@ -1215,6 +1237,11 @@
 	}
 	n->r = malloc(sizeof *n->r);
 	reg_open(n->r, n->id, n->addr, n->zone, seeds, nseeds, n->disk.fleet, core_rand(&s->rng), psv, local(s, n));
+	n->r->tongue = s->tongue;
+	if (s->copies)
+		n->r->b.copies = s->copies;
+	if (s->catch_up_ms)
+		n->r->b.catch_up_ms = s->catch_up_ms;
 	apr_pool_destroy(p);
 	tick_at(s, i, s->now + (int64_t)rnd(s, 25));
 }
@@ -1328,6 +1355,21 @@
 	return e.token;
 }
 
+uint64_t sim_doc(struct sim *s, int node, uint64_t base, int patch, const char *body, const char *weights)
+{
+	size_t n = body ? strlen(body) : 0, m = weights ? strlen(weights) : 0;
+	struct sim_ev e = { .at = s->now, .kind = SIM_DOC, .node = node, .life = s->n[node].life, .token = ++s->token };
+
+	e.status = !body ? 2 : weights ? 3 : !!patch;
+	e.from_addr = base;
+	e.n = n;
+	e.d = calloc(1, n + m + 2);
+	memcpy(e.d, body ? body : "", n);
+	memcpy(e.d + n + 1, weights ? weights : "", m);
+	push(s, e);
+	return e.token;
+}
+
 const struct sim_web *sim_answer(struct sim *s, uint64_t token)
 {
 	for (ptrdiff_t i = arrlen(s->web) - 1; i >= 0; i--)
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -52,7 +52,7 @@
 	int64_t departed; /* when its drain was acknowledged */
 };
 
-enum sim_ev_kind { SIM_TICK, SIM_MSG, SIM_SYNC, SIM_CALLED, SIM_ARRIVE, SIM_STREAM, SIM_BROKE, SIM_WEB, SIM_ASK, SIM_LEAVE, SIM_STOP, SIM_LOADED };
+enum sim_ev_kind { SIM_TICK, SIM_MSG, SIM_SYNC, SIM_CALLED, SIM_ARRIVE, SIM_STREAM, SIM_BROKE, SIM_WEB, SIM_ASK, SIM_LEAVE, SIM_STOP, SIM_LOADED, SIM_DOC };
 struct sim_ev {
 	int64_t at;
 	uint64_t seq, life;
@@ -82,7 +82,7 @@
 enum { SIM_OPEN = 0, SIM_WHOLE = 1, SIM_REFUSED = 2, SIM_UNKNOWN = 3, SIM_LOST = 4 };
 /* One asking of an id at one life of a counter, and when it was told that it is refused. */
 struct sim_asking { char id[64]; int node; uint64_t life, token; int64_t refused; };
-struct sim_web { uint64_t token; int status; int64_t at; char body[512]; };
+struct sim_web { uint64_t token; int status; int64_t at; char body[512]; uint64_t to; char *whole; size_t len; }; /* whole: of documents read */
 struct sim_ack { uint64_t edition; int64_t at; };
 struct sim_value { uint64_t tick, key; };
 
@@ -97,6 +97,9 @@
 	int far;               /* ms added between zones */
 	int disk_ms;
 	int limit_ms;          /* of exchanges */
+	int copies;            /* of each part; 0: as the product has it */
+	int catch_up_ms;       /* 0: as the product has it */
+	const struct reg_tongue *tongue;
 	int load_ms;           /* how long servers load weights; 0: 1.5 to 2.5 s */
 	char bad[512];
 	/* global truth */
@@ -169,6 +172,10 @@
 /* Make a call and wait for its answer's status; 0 on none. Example: assert_int_equal(sim_do(&s, 0, ...), 200); */
 int sim_do(struct sim *s, int node, const char *verb, const char *path, const char *body, int64_t ms);
 
+/* An operator's document, a reading (body NULL) or a naming (weights not NULL: body is the model) at one registrar.
+ * Example: t = sim_doc(&s, 0, 5, 0, body, NULL); */
+uint64_t sim_doc(struct sim *s, int node, uint64_t base, int patch, const char *body, const char *weights);
+
 /* Which registrar licensed-owns a part; -1 for none. Example: sim_owner(&s, PART_CTL) */
 int sim_owner(struct sim *s, uint32_t part);
 
