--- a/lib/core/part.c
+++ b/lib/core/part.c
@@ -696,10 +696,13 @@
 	const uint8_t *mem;
 	size_t mem_len;
 	uint64_t drop;
+	size_t bytes = 0;
 
 	members_at(p, p->taken, &mem, &mem_len);
 	take_snapshot(p, p->taken, term_at(p, p->taken), mem, mem_len, d, n);
-	drop = p->taken > PART_KEEP ? p->taken - PART_KEEP : 0;
+	drop = p->taken;
+	while (drop > p->base && p->taken - drop < PART_KEEP && bytes + at(p, drop)->len <= PART_KEEP_BYTES)
+		bytes += at(p, drop--)->len;
 	if (drop > p->stable)
 		drop = p->stable;
 	if (drop <= p->base)
--- a/lib/core/part.h
+++ b/lib/core/part.h
@@ -16,7 +16,8 @@
 	PART_COPIES = 3,       /* founded with these; a group never shrinks below them */
 	PART_DEAD = 6000,      /* a member unheard of for so long is replaced, unless the part is told another bound */
 	PART_MEMBERS = 8,
-	PART_KEEP = 256,       /* entries kept behind a snapshot */
+	PART_KEEP = 256,       /* entries kept behind a snapshot, */
+	PART_KEEP_BYTES = 8 << 20, /* as far as they hold no more */
 	PART_SNAP = 2048       /* entries before the next snapshot */
 };
 
