--- a/bin/counter.c
+++ b/bin/counter.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "ctr.h"
+#include "platform.h"
 #include "shell.h"
 
 static void step(void *ctx, const struct shell_ev *e, int64_t now, struct out *o)
@@ -59,6 +60,16 @@
 	ctr_step(c, &ev, now, o);
 }
 
+static void changed(void *ctx, const struct settings *s)
+{
+	struct ctr *c = ctx;
+	uint64_t seeds[8];
+
+	for (int i = 0; i < s->nseeds; i++)
+		seeds[i] = core_addr(s->seed[i]);
+	follow_seeds(&c->f, seeds, s->nseeds);
+}
+
 static int done(void *ctx) { return ctr_idle(ctx); }
 static int64_t good(void *ctx) { return ctr_good_until(ctx); }
 
@@ -72,7 +83,7 @@
 {
 	struct proc p;
 	struct ctr c;
-	struct proc_duty d = { &c, step, done, good };
+	struct proc_duty d = { &c, step, done, good, changed };
 	uint64_t seeds[8];
 	int rc;
 
@@ -80,6 +91,7 @@
 	apr_initialize();
 	apr_pool_create(&p.p, NULL);
 	log_open("counter");
+	p.set.other = platform_settings;
 	rc = set_read(&p.set, "counter", 0, argc, argv, p.p);
 	if (rc >= 0)
 		goto end;
--- a/bin/registrar.c
+++ b/bin/registrar.c
@@ -2,6 +2,7 @@
 #include <apr_general.h>
 #include <string.h>
 
+#include "platform.h"
 #include "reg.h"
 #include "shell.h"
 
@@ -49,6 +50,16 @@
 	}
 }
 
+static void changed(void *ctx, const struct settings *s)
+{
+	struct registrar *g = ctx;
+	uint64_t seeds[8];
+
+	for (int i = 0; i < s->nseeds; i++)
+		seeds[i] = core_addr(s->seed[i]);
+	follow_seeds(&g->r.f, seeds, s->nseeds);
+}
+
 static int done(void *ctx)
 {
 	(void)ctx;
@@ -65,7 +76,7 @@
 {
 	static struct registrar g;
 	struct proc *p = &g.p;
-	struct proc_duty d = { &g, step, done, NULL };
+	struct proc_duty d = { &g, step, done, NULL, changed };
 	struct store_found f;
 	uint64_t seeds[8];
 	const char *why = "";
@@ -74,6 +85,7 @@
 	apr_initialize();
 	apr_pool_create(&p->p, NULL);
 	log_open("registrar");
+	p->set.other = platform_settings;
 	rc = set_read(&p->set, "registrar", 1, argc, argv, p->p);
 	if (rc >= 0)
 		goto end;
--- a/lib/control/follow.c
+++ b/lib/control/follow.c
@@ -22,6 +22,28 @@
 		f->at[i] = (int)(core_rand(&f->rng) % (uint64_t)f->ncand);
 }
 
+void follow_seeds(struct follow *f, const uint64_t *seeds, int n)
+{
+	uint64_t old[FOLLOW_SEATS];
+	int nold = f->ncand;
+
+	memcpy(old, f->cand, sizeof old);
+	f->ncand = 0;
+	for (int i = 0; i < n && i < FOLLOW_SEATS; i++)
+		f->cand[f->ncand++] = seeds[i];
+	f->nseed = f->ncand;
+	for (int i = 0; i < nold; i++) { /* who was known stays so until the next answer */
+		int known = 0;
+
+		for (int k = 0; k < f->ncand; k++)
+			known |= f->cand[k] == old[i];
+		if (!known && f->ncand < FOLLOW_SEATS)
+			f->cand[f->ncand++] = old[i];
+	}
+	for (int i = 0; i < PART_COUNT; i++)
+		f->at[i] = f->ncand ? f->at[i] % f->ncand : 0;
+}
+
 void follow_close(struct follow *f)
 {
 	table_close(&f->t);
--- a/lib/control/follow.h
+++ b/lib/control/follow.h
@@ -44,6 +44,9 @@
 void follow_open(struct follow *f, uint64_t born, const uint64_t *seeds, int n, int64_t now);
 void follow_close(struct follow *f);
 
+/* Other seeds from now on; who is known otherwise stays known. Example: follow_seeds(&f, seeds, 3); */
+void follow_seeds(struct follow *f, const uint64_t *seeds, int n);
+
 /* The places of a limit, made with none when they are new. Example: follow_hold(&f, "t1")->used++; */
 typeof(((struct follow_hold *)0)->value) *follow_hold(struct follow *f, const char *name);
 
--- a/lib/shell/proc.c
+++ b/lib/shell/proc.c
@@ -1,4 +1,5 @@
 /* proc: settings, and the loop that every daemon runs: events to the owner of its state, commands performed. */
+#include <apr_file_info.h>
 #include <apr_strings.h>
 #include <argtable2.h>
 #include <errno.h>
@@ -18,7 +19,7 @@
 #define NL_VERSION "0.1.0"
 #endif
 
-enum { PROC_TICK = 25, PROC_SCAN = 250, PROC_DRAIN = 30000, PROC_RING = 65536, PROC_BATCH = 64 };
+enum { PROC_TICK = 25, PROC_SCAN = 250, PROC_DRAIN = 30000, PROC_RING = 65536, PROC_BATCH = 64, PROC_SETTINGS = 1000, PROC_LEAVE = 50 };
 
 uint64_t proc_random(void)
 {
@@ -29,6 +30,30 @@
 	return v | 1;
 }
 
+static volatile sig_atomic_t got_signal, got_hup;
+
+static void on_signal(int sig)
+{
+	if (sig == SIGHUP)
+		got_hup = 1;
+	else
+		got_signal = sig;
+}
+
+static void signals(const struct settings *s)
+{
+	struct sigaction sa;
+
+	memset(&sa, 0, sizeof sa);
+	sa.sa_handler = on_signal;
+	sigaction(SIGTERM, &sa, NULL);
+	sigaction(SIGINT, &sa, NULL);
+	if (s->other)
+		sigaction(SIGHUP, &sa, NULL);
+	sa.sa_handler = SIG_IGN;
+	sigaction(SIGPIPE, &sa, NULL);
+}
+
 /* ---- settings ---- */
 
 static const char *const set_keys = "listen, advertise, web, zone, seeds, data, fault";
@@ -112,6 +137,7 @@
 {
 	struct arg_lit *help = arg_lit0("h", "help", "say how it is called"), *version = arg_lit0(NULL, "version", "say the version");
 	struct arg_lit *check = arg_lit0(NULL, "check", "check the settings and end; no socket opens");
+	struct arg_lit *other = arg_lit0(NULL, "platform", "take all settings from where the platform keeps them; no other flag but --check");
 	struct arg_file *file = arg_file0("s", "settings", "FILE", "JSON settings; flags go first");
 	struct arg_str *listen = arg_str0("l", "listen", "IP:PORT", "where colleagues reach this process");
 	struct arg_str *adv = arg_str0(NULL, "advertise", "IP:PORT", "the address told to colleagues, if another");
@@ -121,7 +147,8 @@
 	struct arg_str *data = arg_str0("d", "data", "FOLDER", disk ? "the data folder" : "unused here");
 	struct arg_str *fault = arg_str0(NULL, "fault", "FILE", "rehearsals only: a file with the ms that each sync is slower");
 	struct arg_end *end = arg_end(10);
-	void *t[] = { help, version, check, file, listen, adv, web, zone, seed, data, fault, end };
+	void *t[] = { help, version, check, other, file, listen, adv, web, zone, seed, data, fault, end };
+	int (*from)(struct settings *, const char *, int, apr_pool_t *) = s->other;
 	int rc = -1, bad;
 
 	memset(s, 0, sizeof *s);
@@ -142,6 +169,20 @@
 	}
 	if (rc >= 0)
 		goto end;
+	if (other->count) {
+		if (!from || listen->count + adv->count + web->count + zone->count + seed->count + data->count + fault->count + file->count) {
+			rc = set_bad(program, "flags", "platform", from ? "no other flag but --check with it" : "not known by this program");
+			goto end;
+		}
+		if ((rc = from(s, program, disk, p)) >= 0) {
+			fprintf(stderr, "%s: %s\n", program, s->why);
+			goto end;
+		}
+		s->check = check->count;
+		s->other = from;
+		goto check;
+	}
+	s->bounds = bounds_default;
 #define TAKE(a) ((a)->count ? apr_pstrdup(p, (a)->sval[0]) : NULL)
 	s->listen = TAKE(listen);
 	s->advertise = TAKE(adv);
@@ -156,12 +197,15 @@
 	s->file = file->count ? apr_pstrdup(p, file->filename[0]) : NULL;
 	if (s->file)
 		rc = set_file(s, program, p);
+check:
 	if (rc < 0)
 		rc = set_check(s, program, disk);
 	if (rc < 0 && s->check) {
 		printf("%s: the settings are good\n", program);
 		rc = 0;
 	}
+	if (rc < 0 && s->other)
+		signals(s); /* the platform may signal at once */
 end:
 	arg_freetable(t, sizeof t / sizeof *t);
 	return rc;
@@ -169,20 +213,62 @@
 
 /* ---- the loop ---- */
 
-static volatile sig_atomic_t got_signal;
+/* Settings of another form may change at any time, with a signal or without. A file that is torn or bad changes
+ * nothing, is said once, and is read again until it is good. */
+struct watch { int64_t at; apr_time_t mtime; apr_ino_t inode; apr_off_t size; int stale; char why[500]; };
 
-static void on_signal(int sig) { got_signal = sig; }
+static int watch_moved(struct watch *w, const char *file, apr_pool_t *p)
+{
+	apr_finfo_t i;
+	int moved;
 
-int proc_open(struct proc *p)
+	memset(&i, 0, sizeof i);
+	if (apr_stat(&i, file, APR_FINFO_MTIME | APR_FINFO_INODE | APR_FINFO_SIZE, p) != APR_SUCCESS && !i.valid)
+		return w->stale = 1; /* gone for a moment, or for good: the reading says so */
+	moved = i.mtime != w->mtime || i.inode != w->inode || i.size != w->size;
+	w->mtime = i.mtime;
+	w->inode = i.inode;
+	w->size = i.size;
+	return moved;
+}
+
+static void watch_settings(struct proc *p, struct watch *w, const struct proc_duty *d, int64_t now)
 {
-	struct sigaction sa;
+	struct settings s;
+	apr_pool_t *tmp;
+	int moved;
 
-	memset(&sa, 0, sizeof sa);
-	sa.sa_handler = on_signal;
-	sigaction(SIGTERM, &sa, NULL);
-	sigaction(SIGINT, &sa, NULL);
-	sa.sa_handler = SIG_IGN;
-	sigaction(SIGPIPE, &sa, NULL);
+	if (!p->set.other || (now < w->at && !got_hup))
+		return;
+	apr_pool_create(&tmp, p->p);
+	moved = watch_moved(w, p->set.file, tmp);
+	if (!w->at) /* the first look: they were read a moment ago */
+		moved = 0;
+	w->at = now + PROC_SETTINGS;
+	if (got_hup || moved || w->stale) {
+		memset(&s, 0, sizeof s);
+		if (p->set.other(&s, "", p->store != NULL, tmp) >= 0) {
+			w->stale = 1;
+			if (strncmp(w->why, s.why, sizeof w->why - 1))
+				log_say(LOG_WARN, "proc", "Settings stay as they were. %s.", s.why);
+			apr_cpystrn(w->why, s.why, sizeof w->why);
+		} else {
+			w->stale = 0;
+			w->why[0] = 0;
+			log_say(LOG_INFO, "proc", "Settings are read anew%s.", got_hup ? ", as asked by SIGHUP" : "");
+			p->set.bounds = s.bounds;
+			p->set.grace_ms = s.grace_ms;
+			if (d->changed)
+				d->changed(d->ctx, &s);
+		}
+		got_hup = 0;
+	}
+	apr_pool_destroy(tmp);
+}
+
+int proc_open(struct proc *p)
+{
+	signals(&p->set);
 	if (!p->ring)
 		ring_open(&p->ring, PROC_RING, p->p);
 	p->addr = core_addr(p->set.advertise ? p->set.advertise : p->set.listen);
@@ -227,10 +313,13 @@
 int proc_run(struct proc *p, const struct proc_duty *d)
 {
 	int64_t tick = 0, scan = 0, now;
+	struct watch watch = { 0 };
 	struct shell_ev *e;
+	int full = 0;
 
 	for (;;) {
 		now = clock_ms();
+		watch_settings(p, &watch, d, now);
 		if (got_signal && !p->stopping) {
 			struct shell_ev stop = { .kind = EV_STOP };
 
@@ -256,8 +345,8 @@
 			scan = now;
 			web_scan(p->web);
 		}
-		if (p->door)
-			p->door->wait(p->door_ctx, (int)(tick + PROC_TICK - now > 0 ? tick + PROC_TICK - now : 0));
+		if (p->door) /* what stands in the ring already wakes nobody */
+			p->door->wait(p->door_ctx, (int)(!full && tick + PROC_TICK - now > 0 ? tick + PROC_TICK - now : 0));
 		e = ring_pop(p->ring, p->door ? 0 : (int)(tick + PROC_TICK - now > 0 ? tick + PROC_TICK - now : 0));
 		for (int i = 0; e && i < PROC_BATCH; i++) {
 			d->step(d->ctx, e, clock_ms(), &p->o);
@@ -265,13 +354,19 @@
 			shell_ev_free(e);
 			e = ring_pop(p->ring, 0);
 		}
+		full = e != NULL;
 		if (e) { /* the batch is full: this one still counts */
 			d->step(d->ctx, e, clock_ms(), &p->o);
 			proc_perform(p);
 			shell_ev_free(e);
 		}
 	}
-	apr_sleep(50000); /* answers that were just given leave */
+	now = clock_ms();
+	if (!p->door) /* answers that were just given leave */
+		apr_sleep(PROC_LEAVE * 1000);
+	else
+		for (int64_t end = now + PROC_LEAVE; now < end; now = clock_ms())
+			p->door->wait(p->door_ctx, (int)(end - now));
 	/* the core takes nothing more: keep the line to it empty so that no thread waits at it */
 	if (p->door)
 		p->door->close(p->door_ctx);
--- a/lib/shell/shell.h
+++ b/lib/shell/shell.h
@@ -126,6 +126,10 @@
 	struct bounds bounds;
 	int found;            /* a first start of empty disks: the first seed founds the fleet, once */
 	void *more;           /* what only another language's door knows */
+	/* Settings in another form than the product's, for --platform; set before set_read. Fills in what flags may not.
+	 * -1 to go on; else an exit code, and in why one line of file, key and range. */
+	int (*other)(struct settings *s, const char *program, int disk, apr_pool_t *p);
+	const char *why;
 };
 
 /* Read flags and, with --settings, a file; flags go first. Returns -1 to go on, else the exit code.
@@ -169,6 +173,8 @@
 	void (*step)(void *ctx, const struct shell_ev *e, int64_t now, struct out *o);
 	int (*done)(void *ctx); /* while stopping: nothing is under way any more */
 	int64_t (*good)(void *ctx); /* until when streams may go on; NULL: for ever */
+	/* Settings of another form were read anew; they live until it returns. NULL: nothing of them can change. */
+	void (*changed)(void *ctx, const struct settings *s);
 };
 
 /* Open sockets and threads. Example: if (!proc_open(&p)) return 1; */
