--- a/lib/shell/proc.c
+++ b/lib/shell/proc.c
@@ -368,10 +368,12 @@
 		for (int64_t end = now + PROC_LEAVE; now < end; now = clock_ms())
 			p->door->wait(p->door_ctx, (int)(end - now));
 	/* the core takes nothing more: keep the line to it empty so that no thread waits at it */
-	if (p->door)
+	if (p->door) {
+		ring_on_push(p->ring, NULL, NULL);
 		p->door->close(p->door_ctx);
-	else
+	} else {
 		web_close(p->web);
+	}
 	while ((e = ring_pop(p->ring, 0)))
 		shell_ev_free(e);
 	if (!p->door)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,4 +1,5 @@
 /* The platform's settings and doors, on files and loopback sockets with ports given by the kernel. */
+#define _GNU_SOURCE
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -8,12 +9,23 @@
 
 #include <apr_general.h>
 #include <apr_strings.h>
+#include <arpa/inet.h>
 #include <cmocka.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
 #include <signal.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include "control.h"
+#include "ds.h"
 #include "platform.h"
 
+enum { LIMIT = 20000 };
+
 /* ---- settings ---- */
 
 /* A line each; a case replaces or leaves out the one that begins with its key. */
@@ -293,12 +305,673 @@
 	assert_int_equal(set_read(&s, "test", 0, 2, run, p), 2);
 }
 
+/* ---- the control door, with a scripted core behind it ---- */
+
+struct heard {
+	enum reg_ev_kind kind;
+	uint64_t token, base;
+	int patch, ok, status, never, loading;
+	size_t n;
+	char text[4][200];  /* what the event is about */
+	struct { char server[60], service[60], addr[60], zone[60], weights[60]; uint32_t slots, state, cold; } sight[8];
+};
+
+/* One answer for each event that wants one. */
+struct script { int status, retry; uint64_t to; const char *body; size_t len; int hold; };
+
+struct desk {
+	struct proc p;
+	struct control c;
+	struct heard *v;         /* stb_ds */
+	struct script s;
+	char web[40];
+	int list;                /* a listener that plays the platform's list, or a server */
+	char list_addr[40];
+};
+
+static int listener(char addr[40])
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t n = sizeof sa;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_return_code(bind(fd, (struct sockaddr *)&sa, sizeof sa), 0);
+	assert_return_code(listen(fd, 16), 0);
+	getsockname(fd, (struct sockaddr *)&sa, &n);
+	snprintf(addr, 40, "127.0.0.1:%d", ntohs(sa.sin_port));
+	return fd;
+}
+
+static int dial(const char *addr)
+{
+	uint64_t a = core_addr(addr);
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_addr.s_addr = htonl((uint32_t)(a >> 16)), .sin_port = htons((uint16_t)a) };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_return_code(connect(fd, (struct sockaddr *)&sa, sizeof sa), 0);
+	return fd;
+}
+
+static void copy(char to[200], const char *s) { snprintf(to, 200, "%s", s ? s : "(none)"); }
+
+static void core(void *ctx, const struct reg_ev *ev, int64_t now, struct out *o)
+{
+	struct desk *d = ctx;
+	struct heard h;
+	struct cmd *c;
+
+	(void)now;
+	memset(&h, 0, sizeof h);
+	h.kind = ev->kind;
+	switch (ev->kind) {
+	case REG_DOC:
+		h.token = ev->u.doc.token;
+		h.base = ev->u.doc.base;
+		h.patch = ev->u.doc.patch;
+		snprintf(h.text[0], 200, "%.*s", (int)ev->u.doc.len, ev->u.doc.body);
+		h.n = ev->u.doc.len;
+		break;
+	case REG_READ: h.token = ev->u.read.token; break;
+	case REG_NAME:
+		h.token = ev->u.name.token;
+		copy(h.text[0], ev->u.name.model);
+		copy(h.text[1], ev->u.name.weights);
+		break;
+	case REG_WEB:
+		h.token = ev->u.web.token;
+		copy(h.text[0], ev->u.web.verb);
+		copy(h.text[1], ev->u.web.path);
+		copy(h.text[2], ev->u.web.body);
+		break;
+	case REG_LISTED:
+		h.token = ev->u.listed.token;
+		h.ok = ev->u.listed.ok;
+		h.n = ev->u.listed.n;
+		for (size_t i = 0; i < h.n && i < 8; i++) {
+			const struct Nl__Sight *s = ev->u.listed.v[i];
+
+			snprintf(h.sight[i].server, 60, "%s", s->server);
+			snprintf(h.sight[i].service, 60, "%s", s->service);
+			snprintf(h.sight[i].addr, 60, "%s", s->addr);
+			snprintf(h.sight[i].zone, 60, "%s", s->zone);
+			snprintf(h.sight[i].weights, 60, "%s", s->weights);
+			h.sight[i].slots = s->slots;
+			h.sight[i].state = s->state;
+			h.sight[i].cold = s->cold_ms;
+		}
+		break;
+	case REG_LOOKED:
+		h.token = ev->u.looked.token;
+		h.status = ev->u.looked.status;
+		h.loading = ev->u.looked.loading;
+		copy(h.text[0], ev->u.looked.weights);
+		break;
+	case REG_ORDERED:
+		h.token = ev->u.ordered.token;
+		h.status = ev->u.ordered.status;
+		h.never = ev->u.ordered.never;
+		break;
+	default: break;
+	}
+	arrput(d->v, h);
+	if ((ev->kind == REG_DOC || ev->kind == REG_READ || ev->kind == REG_NAME || ev->kind == REG_WEB) && !d->s.hold) {
+		out_answer(o, h.token, d->s.status, d->s.retry, d->s.body);
+		c = &arrlast(o->v);
+		c->u.answer.to = d->s.to;
+		c->u.answer.len = d->s.len;
+	}
+}
+
+static void desk_open(struct desk *d, apr_pool_t *p)
+{
+	memset(d, 0, sizeof *d);
+	close(listener(d->web)); /* a port that nobody listens at */
+	d->list = listener(d->list_addr);
+	fcntl(d->list, F_SETFL, O_NONBLOCK);
+	apr_pool_create(&d->p.p, p);
+	apr_pool_create(&d->p.o.p, d->p.p);
+	ring_open(&d->p.ring, 64, d->p.p);
+	d->p.set.web = d->web;
+	d->c.step = core;
+	d->c.ctx = d;
+	d->c.list = core_addr(d->list_addr);
+	d->p.door = &platform_control;
+	d->p.door_ctx = &d->c;
+	d->s = (struct script){ 200, 0, 0, "{}", 0, 0 };
+	assert_true(platform_control.open(&d->c, &d->p));
+}
+
+static void desk_close(struct desk *d)
+{
+	platform_control.close(&d->c);
+	close(d->list);
+	arrfree(d->p.o.v);
+	arrfree(d->v);
+	apr_pool_destroy(d->p.p);
+}
+
+/* Runs the door until text ends a whole answer with a length, or the connection closes. */
+static void hear(struct desk *d, int fd, char *to, size_t size)
+{
+	int64_t end = clock_ms() + LIMIT;
+	size_t n = 0;
+
+	for (;;) {
+		ssize_t k;
+		char *body, *len;
+
+		platform_control.wait(&d->c, 5);
+		k = recv(fd, to + n, size - n - 1, MSG_DONTWAIT);
+		if (k > 0)
+			n += (size_t)k;
+		to[n] = 0;
+		body = strstr(to, "\r\n\r\n");
+		len = strcasestr(to, "\ncontent-length:");
+		if (k == 0 || (body && (!len || n - (size_t)(body + 4 - to) >= strtoul(len + 16, NULL, 10))))
+			return;
+		if (clock_ms() > end)
+			fail_msg("no answer within the limit");
+	}
+}
+
+static char said[70000];
+
+static const char *ask(struct desk *d, const char *verb, const char *target, const char *fields, const char *body)
+{
+	char q[2000];
+	int fd = dial(d->web), n = snprintf(q, sizeof q, "%s %s HTTP/1.1\r\nHost: x\r\n%sContent-Length: %zu\r\n\r\n%s", verb, target, fields, strlen(body), body);
+
+	assert_int_equal(write(fd, q, (size_t)n), n);
+	hear(d, fd, said, sizeof said);
+	close(fd);
+	return said;
+}
+
+static void says(const char *answer, const char *status, const char *part)
+{
+	if (strncmp(answer + 9, status, 3) || !strcasestr(answer, part))
+		fail_msg("wanted %s and \"%s\", got \"%s\"", status, part, answer);
+}
+
+static void documents_reach_the_core_and_its_answers_the_operator(void **st)
+{
+	struct desk d;
+	struct heard *h;
+
+	desk_open(&d, *st);
+	says(ask(&d, "POST", "/configuration/replace", "X-Notchlug-Base-Version: 5\r\n", "{\"ConfigVersion\":7}"), "200", "Content-Type: application/json");
+	h = &arrlast(d.v);
+	assert_int_equal(h->kind, REG_DOC);
+	assert_int_equal(h->base, 5);
+	assert_int_equal(h->patch, 0);
+	assert_string_equal(h->text[0], "{\"ConfigVersion\":7}");
+
+	d.s = (struct script){ 412, 0, 0, "{\"error\":\"another version is current\"}", 0, 0 };
+	says(ask(&d, "POST", "/configuration/modify", "x-notchlug-base-version: 18446744073709\r\n", "{}"), "412", "another version");
+	h = &arrlast(d.v);
+	assert_int_equal(h->base, 18446744073709);
+	assert_int_equal(h->patch, 1);
+
+	d.s = (struct script){ 200, 0, 0, "{\"RouteList\":[]} and not this", 16, 0 };
+	says(ask(&d, "GET", "/configuration/retrieve", "", ""), "200", "\r\n\r\n{\"RouteList\":[]}");
+	assert_null(strstr(said, "and not"));
+	assert_int_equal(arrlast(d.v).kind, REG_READ);
+
+	d.s = (struct script){ 307, 0, core_addr("127.9.8.7:7360"), NULL, 0, 0 };
+	says(ask(&d, "POST", "/configuration/replace?x=1", "X-Notchlug-Base-Version: 0\r\n", "{}"), "307",
+	     apr_psprintf(*st, "Location: http://127.9.8.7%s/configuration/replace?x=1\r\n", strchr(d.web, ':')));
+
+	d.s = (struct script){ 503, 1250, 0, "{}", 0, 0 };
+	says(ask(&d, "POST", "/configuration/replace", "X-Notchlug-Base-Version: 0\r\n", "{}"), "503", "Retry-After: 1.250\r\n");
+
+	d.s = (struct script){ 200, 0, 0, "{}", 0, 0 };
+	says(ask(&d, "POST", "/version-put", "", "{\"ModelName\":\"m1\",\"ConfigVersion\":2}"), "200", "");
+	h = &arrlast(d.v);
+	assert_int_equal(h->kind, REG_NAME);
+	assert_string_equal(h->text[0], "m1");
+	assert_string_equal(h->text[1], "2");
+
+	says(ask(&d, "POST", "/v1/change", "", "{\"a\":1}"), "200", ""); /* the product's own calls stay */
+	h = &arrlast(d.v);
+	assert_int_equal(h->kind, REG_WEB);
+	assert_string_equal(h->text[0], "POST");
+	assert_string_equal(h->text[1], "/v1/change");
+	assert_string_equal(h->text[2], "{\"a\":1}");
+	desk_close(&d);
+}
+
+static void what_makes_no_sense_never_reaches_the_core(void **st)
+{
+	static const struct { const char *verb, *target, *fields, *body, *status, *part; } c[] = {
+		{ "POST", "/configuration/replace", "", "{}", "400", "X-Notchlug-Base-Version" },
+		{ "POST", "/configuration/replace", "X-Notchlug-Base-Version: -1\r\n", "{}", "400", "X-Notchlug-Base-Version" },
+		{ "POST", "/configuration/replace", "X-Notchlug-Base-Version: 99999999999999999999\r\n", "{}", "400", "X-Notchlug-Base-Version" },
+		{ "POST", "/configuration/modify", "X-Notchlug-Base-Version: 7x\r\n", "{}", "400", "X-Notchlug-Base-Version" },
+		{ "GET", "/configuration/replace", "", "", "405", "Allow: POST" },
+		{ "POST", "/configuration/retrieve", "", "", "405", "Allow: GET" },
+		{ "PUT", "/version-put", "", "", "405", "Allow: POST" },
+		{ "GET", "/configuration", "", "", "404", "no such path" },
+		{ "GET", "/configuration/retrieve/", "", "", "404", "no such path" },
+		{ "POST", "/version-put", "", "", "400", "ModelName" },
+		{ "POST", "/version-put", "", "{\"ModelName\":\"m1\"}", "400", "ConfigVersion" },
+		{ "POST", "/version-put", "", "{\"ModelName\":\"\",\"ConfigVersion\":2}", "400", "ModelName" },
+		{ "POST", "/version-put", "", "{\"ModelName\":\"m1\",\"ConfigVersion\":0}", "400", "ConfigVersion" },
+		{ "POST", "/version-put", "", "{\"ModelName\":\"m1\",\"ConfigVersion\":1.5}", "400", "ConfigVersion" },
+		{ "POST", "/version-put", "", "[\"m1\",2]", "400", "ModelName" },
+		{ "POST", "/version-put", "", "{\"ModelName\":\"m1\",\"ConfigVer", "400", "ModelName" },
+	};
+	struct desk d;
+
+	desk_open(&d, *st);
+	for (size_t i = 0; i < sizeof c / sizeof *c; i++) {
+		says(ask(&d, c[i].verb, c[i].target, c[i].fields, c[i].body), c[i].status, c[i].part);
+		assert_int_equal(arrlen(d.v), 0);
+	}
+	desk_close(&d);
+}
+
+/* An operator that has left is answered by nobody; the next one is. */
+static void an_answer_to_who_left_goes_nowhere(void **st)
+{
+	struct desk d;
+	int64_t end = clock_ms() + LIMIT;
+	const char q[] = "GET /configuration/retrieve HTTP/1.1\r\nHost: x\r\n\r\n";
+	int fd;
+
+	desk_open(&d, *st);
+	d.s.hold = 1;
+	fd = dial(d.web);
+	assert_int_equal(write(fd, q, sizeof q - 1), sizeof q - 1);
+	while (!arrlen(d.v) && clock_ms() < end)
+		platform_control.wait(&d.c, 5);
+	assert_int_equal(arrlen(d.v), 1);
+	assert_false(platform_control.done(&d.c, clock_ms()));
+	close(fd);
+	while (!platform_control.done(&d.c, clock_ms()) && clock_ms() < end)
+		platform_control.wait(&d.c, 5);
+	assert_true(platform_control.done(&d.c, clock_ms()));
+	out_answer(&d.p.o, d.v[0].token, 200, 0, "{}");
+	proc_perform(&d.p);
+	d.s.hold = 0;
+	says(ask(&d, "GET", "/configuration/retrieve", "", ""), "200", "{}");
+	desk_close(&d);
+}
+
+/* Plays one call's server: takes a connection, or the next request on the last one, hears it and says reply; NULL: closes. */
+static void serve(struct desk *d, const char *reply, char *heard, size_t size)
+{
+	int64_t end = clock_ms() + LIMIT;
+	size_t n = 0;
+	int fd = -1;
+
+	heard[0] = 0;
+	for (;;) {
+		char *body = strstr(heard, "\r\n\r\n"), *len = strcasestr(heard, "\ncontent-length:");
+		ssize_t k;
+
+		if (body && n - (size_t)(body + 4 - heard) >= (len ? strtoul(len + 16, NULL, 10) : 0))
+			break;
+		if (clock_ms() > end)
+			fail_msg("no call within the limit");
+		platform_control.wait(&d->c, 5);
+		if (fd < 0)
+			fd = accept(d->list, NULL, NULL);
+		k = fd >= 0 ? recv(fd, heard + n, size - n - 1, MSG_DONTWAIT) : 0;
+		n += k > 0 ? (size_t)k : 0;
+		heard[n] = 0;
+	}
+	if (reply)
+		assert_int_equal(write(fd, reply, strlen(reply)), strlen(reply));
+	close(fd);
+}
+
+static const char *reply(apr_pool_t *p, int status, const char *body)
+{
+	return apr_psprintf(p, "HTTP/1.1 %d X\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", status, (int)strlen(body), body);
+}
+
+static struct heard *event(struct desk *d)
+{
+	int64_t end = clock_ms() + LIMIT;
+
+	while (!arrlen(d->v) && clock_ms() < end)
+		platform_control.wait(&d->c, 5);
+	assert_int_equal(arrlen(d->v), 1);
+	return &d->v[0];
+}
+
+static void list(struct desk *d, uint64_t token)
+{
+	arrsetlen(d->v, 0);
+	out_cmd(&d->p.o, CMD_LIST)->u.list.token = token;
+	proc_perform(&d->p);
+}
+
+#define ENTRY(id, addr, state) "{\"ServiceName\":\"s1\",\"Address\":\"" addr "\",\"Zone\":\"z1\",\"ConfigVersion\":\"v1\",\"SlotCount\":128," \
+	"\"State\":\"" state "\",\"ColdLeftMs\":40,\"Stage\":\"combined\",\"Models\":[{\"Name\":\"m1\",\"ConfigVersion\":3,\"Adapters\":[]}],\"InstanceId\":\"" id "\"}"
+
+static void the_whole_list_is_read_page_by_page(void **st)
+{
+	struct desk d;
+	struct heard *h;
+	char q[4000];
+
+	desk_open(&d, *st);
+	list(&d, 77);
+	serve(&d, reply(*st, 200, "{\"Instances\":[" ENTRY("i-1", "127.0.0.9:8080", "ready") "," ENTRY("i-2", "127.0.0.8:8080", "ready") "],\"NextToken\":\"p 2/&\"}"), q, sizeof q);
+	assert_int_equal(strncmp(q, "GET /instances HTTP/1.1\r\n", 25), 0);
+	assert_non_null(strcasestr(q, apr_psprintf(*st, "Host: %s\r\n", d.list_addr)));
+	serve(&d, reply(*st, 200, "{\"Instances\":[" ENTRY("i-1", "127.0.0.9:8080", "draining") ",{\"ServiceName\":\"s2\",\"Address\":\"127.0.0.7:1\",\"Zone\":\"z2\","
+	      "\"SlotCount\":8,\"State\":\"ready\",\"ColdLeftMs\":0,\"InstanceId\":\"i-3\"}],\"NextToken\":null}"), q, sizeof q);
+	assert_int_equal(strncmp(q, "GET /instances?PageToken=p%202%2F%26 HTTP/1.1\r\n", 47), 0);
+	h = event(&d);
+	assert_int_equal(h->kind, REG_LISTED);
+	assert_int_equal(h->token, 77);
+	assert_true(h->ok);
+	assert_int_equal(h->n, 3);
+	assert_string_equal(h->sight[0].server, "i-2");
+	assert_string_equal(h->sight[0].service, "s1");
+	assert_string_equal(h->sight[0].addr, "127.0.0.8:8080");
+	assert_string_equal(h->sight[0].zone, "z1");
+	assert_string_equal(h->sight[0].weights, "3");
+	assert_int_equal(h->sight[0].slots, 128);
+	assert_int_equal(h->sight[0].cold, 40);
+	assert_int_equal(h->sight[0].state, 0);
+	assert_string_equal(h->sight[1].server, "i-1"); /* on both pages: the later one holds */
+	assert_int_equal(h->sight[1].state, 1);
+	assert_string_equal(h->sight[2].server, "i-3");
+	assert_string_equal(h->sight[2].weights, "");
+	list(&d, 78);
+	serve(&d, reply(*st, 200, "{\"Instances\":[],\"NextToken\":null}"), q, sizeof q);
+	assert_true(event(&d)->ok); /* an empty list is a list */
+	assert_int_equal(d.v[0].n, 0);
+	desk_close(&d);
+}
+
+static void a_list_that_makes_no_sense_is_none(void **st)
+{
+	static const struct { int status; const char *body; } c[] = {
+		{ 429, "{\"Instances\":[],\"NextToken\":null}" }, { 500, "" }, { 200, "" }, { 200, "[]" }, { 200, "{\"Instances\":{},\"NextToken\":null}" },
+		{ 200, "{\"Instances\":[" ENTRY("i-1", "127.0.0.9:8080", "ready") }, { 200, "{\"NextToken\":null}" },
+		{ 200, "{\"Instances\":[],\"NextToken\":7}" }, { 200, "{\"Instances\":[],\"NextToken\":\"\"}" },
+		{ 200, "{\"Instances\":[7],\"NextToken\":null}" },
+		{ 200, "{\"Instances\":[" ENTRY("", "127.0.0.9:8080", "ready") "],\"NextToken\":null}" },
+		{ 200, "{\"Instances\":[" ENTRY("i-1", "127.0.0.9", "ready") "],\"NextToken\":null}" },
+		{ 200, "{\"Instances\":[" ENTRY("i-1", "127.0.0.9:0", "ready") "],\"NextToken\":null}" },
+		{ 200, "{\"Instances\":[" ENTRY("i-1", "127.0.0.9:8080", "new") "],\"NextToken\":null}" },
+		{ 200, "{\"Instances\":[{\"ServiceName\":\"s1\",\"Address\":\"127.0.0.9:8080\",\"Zone\":\"z1\",\"SlotCount\":-1,\"State\":\"ready\",\"ColdLeftMs\":0,\"InstanceId\":\"i\"}],\"NextToken\":null}" },
+		{ 200, "{\"Instances\":[{\"ServiceName\":\"s1\",\"Address\":\"127.0.0.9:8080\",\"Zone\":\"z1\",\"SlotCount\":99999999,\"State\":\"ready\",\"ColdLeftMs\":0,\"InstanceId\":\"i\"}],\"NextToken\":null}" },
+		{ 200, "{\"Instances\":[{\"ServiceName\":\"s1\",\"Address\":\"127.0.0.9:8080\",\"Zone\":\"z1\",\"SlotCount\":1,\"State\":\"ready\",\"ColdLeftMs\":\"x\",\"InstanceId\":\"i\"}],\"NextToken\":null}" },
+		{ 200, "{\"Instances\":[{\"ServiceName\":\"s1\",\"Address\":\"127.0.0.9:8080\",\"Zone\":\"z1\",\"SlotCount\":1,\"State\":\"ready\",\"ColdLeftMs\":0,\"Models\":[{}],\"InstanceId\":\"i\"}],\"NextToken\":null}" },
+	};
+	struct desk d;
+	char q[4000];
+
+	desk_open(&d, *st);
+	for (size_t i = 0; i < sizeof c / sizeof *c; i++) {
+		list(&d, i);
+		serve(&d, reply(*st, c[i].status, c[i].body), q, sizeof q);
+		if (event(&d)->ok)
+			fail_msg("taken for a list: %d %s", c[i].status, c[i].body);
+		assert_int_equal(d.v[0].token, i);
+	}
+	list(&d, 90); /* pages without an end */
+	serve(&d, reply(*st, 200, "{\"Instances\":[],\"NextToken\":\"p\"}"), q, sizeof q);
+	serve(&d, reply(*st, 200, "{\"Instances\":[],\"NextToken\":\"p\"}"), q, sizeof q);
+	assert_false(event(&d)->ok);
+	list(&d, 91); /* an answer that breaks off */
+	serve(&d, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"Instances\":[],\"NextToken\":null}", q, sizeof q);
+	assert_false(event(&d)->ok);
+	close(d.list);
+	list(&d, 92); /* nobody there */
+	assert_false(event(&d)->ok);
+	d.list = listener(d.list_addr);
+	desk_close(&d);
+}
+
+static void look(struct desk *d, const char *model)
+{
+	struct cmd *c;
+
+	arrsetlen(d->v, 0);
+	c = out_cmd(&d->p.o, CMD_LOOK);
+	c->u.look.token = 5;
+	c->u.look.addr = core_addr(d->list_addr);
+	c->u.look.server = "i-1";
+	c->u.look.model = model;
+	c->u.look.not_after = clock_ms() + LIMIT;
+	proc_perform(&d->p);
+}
+
+static void a_servers_report_is_read(void **st)
+{
+	static const struct { int status; const char *model, *body; int want, loading; const char *weights; } c[] = {
+		{ 200, "m2", "{\"Models\":[{\"Name\":\"m1\",\"ConfigVersion\":1},{\"Name\":\"m2\",\"ConfigVersion\":4}],\"Saturated\":true}", 200, 1, "4" },
+		{ 200, "m1", "{\"Models\":[{\"Name\":\"m1\",\"ConfigVersion\":1}],\"Saturated\":false}", 200, 0, "1" },
+		{ 200, "m3", "{\"Models\":[{\"Name\":\"m1\",\"ConfigVersion\":1}],\"Saturated\":false}", 200, 0, "" },
+		{ 200, "m1", "{\"Models\":[{\"Name\":\"m1\"}],\"Saturated\":false}", 0, 0, "" },
+		{ 200, "m1", "{\"Models\":[{\"Name\":\"m1\",\"ConfigVersion\":1}]}", 0, 0, "1" },
+		{ 200, "m1", "{\"Models\":", 0, 0, "" },
+		{ 421, "m1", "", 421, 0, "" },
+	};
+	struct desk d;
+	char q[4000];
+
+	desk_open(&d, *st);
+	for (size_t i = 0; i < sizeof c / sizeof *c; i++) {
+		look(&d, c[i].model);
+		serve(&d, reply(*st, c[i].status, c[i].body), q, sizeof q);
+		assert_int_equal(strncmp(q, "GET /report HTTP/1.1\r\n", 22), 0);
+		assert_non_null(strcasestr(q, "\r\nX-Notchlug-Target-Instance: i-1\r\n"));
+		assert_int_equal(event(&d)->kind, REG_LOOKED);
+		assert_int_equal(d.v[0].token, 5);
+		assert_int_equal(d.v[0].status, c[i].want);
+		assert_int_equal(d.v[0].loading, c[i].loading);
+		assert_string_equal(d.v[0].text[0], c[i].weights);
+	}
+	desk_close(&d);
+}
+
+static void order(struct desk *d, int64_t not_after)
+{
+	struct cmd *c;
+
+	arrsetlen(d->v, 0);
+	c = out_cmd(&d->p.o, CMD_ORDER);
+	c->u.order.token = 6;
+	c->u.order.addr = core_addr(d->list_addr);
+	c->u.order.fence = 18446744073709551615u;
+	c->u.order.server = "i-1";
+	c->u.order.model = "m1";
+	c->u.order.weights = "2";
+	c->u.order.holder = "node-7";
+	c->u.order.not_after = not_after;
+	proc_perform(&d->p);
+}
+
+static void orders_go_out_once_and_their_answers_come_back(void **st)
+{
+	static const int status[] = { 200, 202, 409, 412, 421, 400 };
+	struct desk d;
+	char q[4000];
+
+	desk_open(&d, *st);
+	for (size_t i = 0; i < sizeof status / sizeof *status; i++) {
+		order(&d, clock_ms() + LIMIT);
+		serve(&d, reply(*st, status[i], ""), q, sizeof q);
+		assert_int_equal(strncmp(q, "POST /order HTTP/1.1\r\n", 22), 0);
+		assert_non_null(strcasestr(q, "\r\nX-Notchlug-Target-Instance: i-1\r\n"));
+		assert_string_equal(strstr(q, "\r\n\r\n") + 4, "{\"Operation\":\"ConfigVersion\",\"ModelName\":\"m1\",\"ConfigVersion\":2,"
+		                    "\"Method\":\"hold\",\"Holder\":\"node-7\",\"FenceNumber\":18446744073709551615}");
+		assert_int_equal(event(&d)->kind, REG_ORDERED);
+		assert_int_equal(d.v[0].token, 6);
+		assert_int_equal(d.v[0].status, status[i]);
+		assert_int_equal(d.v[0].never, 0);
+	}
+	order(&d, clock_ms() + LIMIT); /* heard, and then nothing: it may have been taken */
+	serve(&d, NULL, q, sizeof q);
+	assert_int_equal(event(&d)->status, 0);
+	assert_int_equal(d.v[0].never, 0);
+	order(&d, clock_ms() - 1); /* too late */
+	assert_int_equal(event(&d)->status, 0);
+	assert_int_equal(d.v[0].never, 1);
+	close(d.list);
+	order(&d, clock_ms() + LIMIT); /* nobody there */
+	assert_int_equal(event(&d)->status, 0);
+	assert_int_equal(d.v[0].never, 1);
+	d.list = listener(d.list_addr);
+	desk_close(&d);
+}
+
+/* What is under way is ended first: an operator's call, an order. Nobody new is let in. */
+static void a_planned_stop_ends_what_is_under_way(void **st)
+{
+	const char q[] = "GET /configuration/retrieve HTTP/1.1\r\nHost: x\r\n\r\n";
+	int64_t end = clock_ms() + LIMIT;
+	struct desk d;
+	char heard[4000], b[10];
+	int fd, late;
+
+	desk_open(&d, *st);
+	d.s.hold = 1;
+	fd = dial(d.web);
+	assert_int_equal(write(fd, q, sizeof q - 1), sizeof q - 1);
+	while (!arrlen(d.v) && clock_ms() < end)
+		platform_control.wait(&d.c, 5);
+	out_cmd(&d.p.o, CMD_ORDER)->u.order.addr = core_addr(d.list_addr);
+	arrlast(d.p.o.v).u.order.server = arrlast(d.p.o.v).u.order.model = arrlast(d.p.o.v).u.order.holder = arrlast(d.p.o.v).u.order.weights = "w";
+	proc_perform(&d.p);
+	platform_control.stop(&d.c, clock_ms());
+	assert_int_equal(arrlast(d.v).kind, REG_STOP);
+	late = socket(AF_INET, SOCK_STREAM, 0); /* refused, or closed unread */
+	if (connect(late, (struct sockaddr *)&(struct sockaddr_in){ .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	            .sin_port = htons((uint16_t)core_addr(d.web)) }, sizeof(struct sockaddr_in)) == 0) {
+		assert_int_equal(write(late, q, sizeof q - 1), sizeof q - 1);
+		for (int i = 0; i < 20; i++)
+			platform_control.wait(&d.c, 5);
+		assert_true(recv(late, b, sizeof b, 0) <= 0);
+	}
+	close(late);
+	assert_false(platform_control.done(&d.c, clock_ms()));
+	out_answer(&d.p.o, d.v[0].token, 200, 0, "{}");
+	proc_perform(&d.p);
+	hear(&d, fd, said, sizeof said);
+	says(said, "200", "Connection: close");
+	assert_false(platform_control.done(&d.c, clock_ms())); /* the order */
+	serve(&d, reply(*st, 202, ""), heard, sizeof heard);
+	while (!platform_control.done(&d.c, clock_ms()) && clock_ms() < end)
+		platform_control.wait(&d.c, 5);
+	assert_true(platform_control.done(&d.c, clock_ms()));
+	close(fd);
+	desk_close(&d);
+}
+
+/* ---- settings that change ---- */
+
+static int reads;
+
+static int counted(struct settings *s, const char *program, int disk, apr_pool_t *p)
+{
+	__atomic_add_fetch(&reads, 1, __ATOMIC_SEQ_CST);
+	return platform_settings(s, program, disk, p);
+}
+
+struct running { struct desk d; struct ring *heard; int rc; };
+
+static void quiet(void *ctx, const struct shell_ev *e, int64_t now, struct out *o)
+{
+	(void)ctx;
+	(void)e;
+	(void)now;
+	(void)o;
+}
+
+static int nothing(void *ctx)
+{
+	(void)ctx;
+	return 1;
+}
+
+static void told(void *ctx, const struct settings *s)
+{
+	struct running *r = ctx;
+
+	ring_push(r->heard, strdup(s->seed[0]), 1);
+}
+
+static void *runs(void *arg)
+{
+	struct running *r = arg;
+	const struct proc_duty d = { r, quiet, nothing, NULL, told };
+
+	r->rc = proc_run(&r->d.p, &d);
+	return NULL;
+}
+
+static void heard_seed(struct running *r, const char *seed)
+{
+	char *s = ring_pop(r->heard, LIMIT);
+
+	assert_non_null(s);
+	assert_string_equal(s, seed);
+	free(s);
+}
+
+/* A program that runs goes on with new settings, asked by a signal or not, and with the old ones while they are torn. */
+static void settings_are_read_anew(void **st)
+{
+	static const char moved[] = "[\"127.5.5.5:8683\"]", again[] = "[\"127.6.6.6:8683\"]";
+	int64_t end = clock_ms() + LIMIT;
+	apr_pool_t *p = *st;
+	static struct running r;
+	char in[40];
+	pthread_t t;
+	int n;
+
+	memset(&r, 0, sizeof r);
+	put(with(NULL, NULL, p));
+	r.d.p.set.other = counted;
+	assert_int_equal(set_read(&r.d.p.set, "test", 0, 2, (char *[]){ "test", "--platform", NULL }, p), -1);
+	close(listener(in));
+	close(listener(r.d.web));
+	r.d.p.p = p;
+	r.d.p.set.listen = in;
+	r.d.p.set.web = r.d.web;
+	r.d.c.step = core;
+	r.d.c.ctx = &r.d;
+	r.d.p.door = &platform_control;
+	r.d.p.door_ctx = &r.d.c;
+	ring_open(&r.heard, 16, p);
+	assert_true(proc_open(&r.d.p));
+	assert_int_equal(pthread_create(&t, NULL, runs, &r), 0);
+	put(with("SeedNodes", moved, p));
+	kill(getpid(), SIGHUP);
+	heard_seed(&r, "127.5.5.5:7360");
+	n = __atomic_load_n(&reads, __ATOMIC_SEQ_CST);
+	put("NodeName = \"edge");
+	while (__atomic_load_n(&reads, __ATOMIC_SEQ_CST) < n + 2 && clock_ms() < end)
+		assert_null(ring_pop(r.heard, 25)); /* read, and read again */
+	assert_true(__atomic_load_n(&reads, __ATOMIC_SEQ_CST) >= n + 2);
+	put(with("SeedNodes", again, p));
+	heard_seed(&r, "127.6.6.6:7360");
+	kill(getpid(), SIGTERM);
+	pthread_join(t, NULL);
+	assert_int_equal(r.rc, 0);
+	arrfree(r.d.v);
+	signal(SIGTERM, SIG_DFL);
+	signal(SIGHUP, SIG_DFL);
+}
+
 int main(void)
 {
 	const struct CMUnitTest t[] = {
 #define T(f) cmocka_unit_test_setup_teardown(f, setup, teardown)
 		T(settings_of_an_edge_are_read), T(settings_of_a_core_machine_are_read), T(each_bad_field_is_named_with_its_range),
 		T(unknown_fields_and_bounds_of_other_parts_are_ignored), T(a_missing_or_torn_file_is_refused), T(the_flag_stands_alone),
+		T(documents_reach_the_core_and_its_answers_the_operator), T(what_makes_no_sense_never_reaches_the_core),
+		T(an_answer_to_who_left_goes_nowhere), T(the_whole_list_is_read_page_by_page), T(a_list_that_makes_no_sense_is_none),
+		T(a_servers_report_is_read), T(orders_go_out_once_and_their_answers_come_back), T(a_planned_stop_ends_what_is_under_way),
+		T(settings_are_read_anew),
 	};
 	int rc;
 
