--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,5 +1,4 @@
 /* The platform's settings and doors, on files and loopback sockets with ports given by the kernel. */
-#define _GNU_SOURCE
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
