--- a/bin/counter.c
+++ b/bin/counter.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "ctr.h"
+#include "edge.h"
 #include "platform.h"
 #include "shell.h"
 
@@ -83,6 +84,7 @@
 {
 	struct proc p;
 	struct ctr c;
+	struct edge edge;
 	struct proc_duty d = { &c, step, done, good, changed };
 	uint64_t seeds[8];
 	int rc;
@@ -98,11 +100,19 @@
 	rc = 1;
 	for (int i = 0; i < p.set.nseeds; i++)
 		seeds[i] = core_addr(p.set.seed[i]);
+	memset(&edge, 0, sizeof edge);
+	edge.c = &c;
+	if (p.set.more) { /* another language than the product's own */
+		p.door = &platform_edge;
+		p.door_ctx = &edge;
+	}
+	ctr_open(&c, proc_random(), core_addr(p.set.advertise ? p.set.advertise : p.set.listen), p.set.zone, seeds, p.set.nseeds, clock_ms());
+	if (p.set.more)
+		c.b = p.set.bounds;
 	if (!proc_open(&p))
 		goto end;
-	ctr_open(&c, proc_random(), p.addr, p.set.zone, seeds, p.set.nseeds, clock_ms());
 	c.log = say;
-	log_say(LOG_INFO, "counter", "Serves callers at %s in zone %s.", p.set.web, p.set.zone);
+	log_say(LOG_INFO, "counter", "Serves callers at %s in zone %s.", p.set.more ? ((struct platform *)p.set.more)->front : p.set.web, p.set.zone);
 	rc = proc_run(&p, &d);
 	ctr_close(&c);
 end:
--- a/bin/registrar.c
+++ b/bin/registrar.c
@@ -2,11 +2,25 @@
 #include <apr_general.h>
 #include <string.h>
 
+#include "control.h"
+#include "doc.h"
 #include "platform.h"
 #include "reg.h"
 #include "shell.h"
 
-struct registrar { struct reg r; struct proc p; };
+struct registrar { struct reg r; struct proc p; struct control door; };
+
+static void stepped(void *ctx, const struct reg_ev *ev, int64_t now, struct out *o)
+{
+	struct registrar *g = ctx;
+
+	reg_step(&g->r, ev, now, o);
+	if (g->r.fleet_dirty) { /* on the disk before anything said under it */
+		g->r.fleet_dirty = 0;
+		if (!store_identity(g->p.store, g->r.id, g->r.fleet))
+			log_say(LOG_BAD, "store", "Step identity: the disk refuses; this registrar may be taken for a new one.");
+	}
+}
 
 static void step(void *ctx, const struct shell_ev *e, int64_t now, struct out *o)
 {
@@ -42,12 +56,7 @@
 	case EV_STOP: ev.kind = REG_STOP; break;
 	default: return;
 	}
-	reg_step(&g->r, &ev, now, o);
-	if (g->r.fleet_dirty) { /* on the disk before anything said under it */
-		g->r.fleet_dirty = 0;
-		if (!store_identity(g->p.store, g->r.id, g->r.fleet))
-			log_say(LOG_BAD, "store", "Step identity: the disk refuses; this registrar may be taken for a new one.");
-	}
+	stepped(g, &ev, now, o);
 }
 
 static void changed(void *ctx, const struct settings *s)
@@ -105,11 +114,24 @@
 			goto end;
 		}
 	}
+	if (p->set.more) { /* another language than the product's own */
+		g.door.step = stepped;
+		g.door.ctx = &g;
+		g.door.list = ((struct platform *)p->set.more)->list;
+		p->door = &platform_control;
+		p->door_ctx = &g.door;
+	}
+	reg_open(&g.r, f.id, core_addr(p->set.advertise ? p->set.advertise : p->set.listen), p->set.zone, seeds, p->set.nseeds, f.fleet, proc_random(), f.ptr, clock_ms());
+	g.r.log = say;
+	if (p->set.more) {
+		g.r.tongue = &platform_tongue;
+		g.r.b = p->set.bounds;
+		if (p->set.found && p->set.nseeds && !strcmp(p->set.seed[0], p->set.listen))
+			reg_found(&g.r, clock_ms());
+	}
 	if (!proc_open(p))
 		goto end;
-	reg_open(&g.r, f.id, p->addr, p->set.zone, seeds, p->set.nseeds, f.fleet, proc_random(), f.ptr, clock_ms());
-	g.r.log = say;
-	log_say(LOG_INFO, "registrar", "Serves operators at %s in zone %s.", p->set.web, p->set.zone);
+	log_say(LOG_INFO, "registrar", "Serves operators at %s in zone %s.", p->set.more ? ((struct platform *)p->set.more)->control : p->set.web, p->set.zone);
 	rc = proc_run(p, &d);
 	reg_close(&g.r);
 end:
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -111,7 +111,6 @@
 	uint64_t ctl_doc_version;
 	struct reg_call *call;    /* stb_ds */
 	const struct reg_tongue *tongue; /* of documents; NULL: none are taken */
-	struct bounds b;
 	struct reg_pub pub;
 	struct reg_svc svc[PART_SERVICES];
 	struct follow f;
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -43,6 +43,7 @@
 	int joined;                  /* the caller has a head and pieces already: only pieces go on */
 	int stream;                  /* passed on by whole pieces, whose ids rise */
 	int repeatable;
+	int most;                    /* connections that this node may hold to that server; 0: no bound */
 };
 
 struct persist_entry { uint64_t index, term; uint32_t kind; size_t len; const uint8_t *data; };
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -109,7 +109,7 @@
 };
 struct bk_tenant { int on, walled; uint32_t share, limit, rank; };
 /* weights: those named newest; late: from when on no server of older ones is sent anything */
-struct bk_service { int on; uint32_t weights, prefill, kv_bytes, link, store, slots, watches; int store_server; int64_t late; };
+struct bk_service { int on; uint32_t weights, prefill, kv_bytes, link, store, slots, watches, conns; int store_server; int64_t late; };
 struct bk_place { uint64_t key; uint32_t value; }; /* hash of host and path -> lane */
 /* One server's life, from the table or the list of servers. */
 struct bk_server { int on, draining, is_store; uint32_t service; const char *addr; uint64_t to, zone; };
@@ -126,6 +126,7 @@
 	uint32_t nlane, ntenant, nservice;
 	uint32_t keyless;       /* the tenant of exchanges that show no key */
 	int keys, limits;       /* any key; any limit of places */
+	struct { uint32_t head, body, head_ms, idle_ms; } door; /* what callers may send, in bytes and ms; 0: as the program has it */
 	uint64_t walls;         /* hash over the tenants that are walled off */
 	struct bk_place *place; /* stb_ds */
 	struct bk_share *share; /* stb_ds: lane << 32 | tenant */
--- a/lib/data/ctr_book.c
+++ b/lib/data/ctr_book.c
@@ -104,7 +104,7 @@
 		n->value.weights = named;
 		n->value.since = now;
 	}
-	*s = (struct bk_service){ 1, named, r->prefill, r->kv_bytes, r->link, r->store, r->slots, r->watches, -1,
+	*s = (struct bk_service){ 1, named, r->prefill, r->kv_bytes, r->link, r->store, r->slots, r->watches, r->conns, -1,
 	                          hmgetp(c->named, id)->value.since + c->b.roll_ms - CTR_ROLL_EARLY };
 	if (r->addr[0] && r->store)
 		s->store_server = (int)names_id(&c->servers, apr_pstrcat(b->p, "store:", r->name, NULL));
@@ -148,6 +148,12 @@
 			b->keys = 1;
 			break;
 		case NL__KIND__SERVICE: service_row(c, b, r, now); break;
+		case NL__KIND__DOOR:
+			b->door.head = r->head_bytes;
+			b->door.body = r->body_bytes;
+			b->door.head_ms = r->head_ms;
+			b->door.idle_ms = r->idle_ms;
+			break;
 		case NL__KIND__SHARE:
 			b->limits = 1;
 			slash = strchr(r->name, '/');
--- a/lib/data/ctr_send.c
+++ b/lib/data/ctr_send.c
@@ -146,6 +146,11 @@
 	f->since = x->since;
 	f->joined = x->begun;
 	f->stream = 1;
+	if (b->service[x->service].conns) {
+		int n = (int)(b->service[x->service].conns * 9 / 10 / (c->f.counters ? c->f.counters : 1));
+
+		f->most = n < 2 ? 2 : n;
+	}
 	f->repeatable = x->repeatable || x->resumable;
 	out_cmd(o, CMD_FORWARD)->u.forward = f;
 	if (x->sends > 1)
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1477,15 +1477,12 @@
 	}
 	n->r = malloc(sizeof *n->r);
 	reg_open(n->r, n->id, n->addr, n->zone, seeds, nseeds, n->disk.fleet, core_rand(&s->rng), psv, local(s, n));
-<<<<<<< HEAD
 	n->r->b = s->b;
-=======
 	n->r->tongue = s->tongue;
 	if (s->copies)
 		n->r->b.copies = s->copies;
 	if (s->catch_up_ms)
 		n->r->b.catch_up_ms = s->catch_up_ms;
->>>>>>> h-control
 	apr_pool_destroy(p);
 	tick_at(s, i, s->now + (int64_t)rnd(s, 25));
 }
--- a/tests/test_doc.c
+++ b/tests/test_doc.c
@@ -1,4 +1,5 @@
 /* Operators' documents: their translation, and a slow plain model of taking them against the code under virtual time. */
+#include <apr_strings.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
