--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -12,9 +12,18 @@
 static void swap_roster(struct ctr *c, int64_t now)
 {
 	struct roster *r = ctr_roster_make(c, now);
+	uint32_t n = 0;
+	char line[100];
 
 	ctr_roster_free(c->roster);
 	c->roster = r;
+	for (uint32_t i = 0; i < r->nserver; i++)
+		n += r->server[i].on && !r->server[i].draining && !r->server[i].is_store;
+	if (n != c->nstand && c->log) {
+		apr_snprintf(line, sizeof line, "Servers that stand: %u, before %u.", n, c->nstand);
+		c->log(c->log_ctx, "ctr", line);
+	}
+	c->nstand = n;
 }
 
 static void swap_book(struct ctr *c, int64_t now, struct out *o)
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -205,6 +205,7 @@
 	struct names lanes, tenants, services, servers, weights;
 	struct book *book;
 	struct roster *roster;
+	uint32_t nstand;            /* servers in it that take requests */
 	struct bounds b;
 	struct shelf_name { char *key; uint32_t value; } *shelves; /* stb_ds: a shelf's name as it goes to servers -> weights */
 	int *depth;                 /* stb_ds, by server: leading parts kept there; of the assigning under way */
