--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -30,6 +30,10 @@
 	CTR_LATE_MOST = 1000, CTR_FULL = 150, CTR_AGAIN_LEAST = 50,
 	CTR_WATCH_WAIT = 1000, CTR_WATCH_GAP = 300, /* ms that a server holds a watch; between two of them */
 	CTR_INDEX = 1000000,   /* copies of parts that the index holds at the most */
+	CTR_AWAY_MS = 40, CTR_AWAY_K = 4, /* ms that a server counts as dearer which does not keep the prefix, also by 1000 tokens of it: it pushes others' out */
+	CTR_FULL_PART = 70,    /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
+	CTR_MEAN_SIZE = 9000,  /* tokens that others' requests are taken to hold */
+	CTR_STORE_HEARD = 3500, /* ms after the last word of a store's events for which it counts as up */
 	CTR_FETCH_MS = 6,      /* what a fetch takes besides moving */
 	CTR_OTHERS_HALF = 1000, CTR_LATE_HALF = 1500, CTR_FAILED_HALF = 3000, /* ms in which half of what was seen is forgotten */
 	CTR_FAILED_MS = 1500,  /* what a server costs of whose sends all broke off lately */
@@ -109,7 +113,7 @@
 };
 struct bk_tenant { int on, walled; uint32_t share, limit, rank; };
 /* weights: those named newest; late: from when on no server of older ones is sent anything */
-struct bk_service { int on; uint32_t weights, prefill, kv_bytes, link, store, slots, watches, conns; int store_server; int64_t late; };
+struct bk_service { int on; uint32_t weights, prefill, kv_bytes, link, store, slots, watches, conns; uint64_t room; int store_server; int64_t late; };
 struct bk_place { uint64_t key; uint32_t value; }; /* hash of host and path -> lane */
 /* One server's life, from the table or the list of servers. */
 struct bk_server { int on, draining, is_store; uint32_t service; const char *addr; uint64_t to, zone; };
@@ -157,7 +161,8 @@
 	struct xch *after;  /* in its line */
 	/* what the text of stays at the door */
 	int forwarded, ran, repeatable, resumable, attempts, slot; /* slot: where it is among all */
-	uint32_t prio, tokens_out, ahead; /* ahead: tokens that its send still has to read */
+	uint32_t prio, tokens_out, ahead, size; /* ahead: tokens that its send still has to read; size: all that it takes at a server */
+	int sink;           /* the store that its parts are left at; -1: none */
 	int64_t first;      /* when its first piece went on; 0: none has */
 	char *since;        /* the last whole piece that the caller has */
 	uint64_t shelf;     /* of its send */
@@ -176,6 +181,7 @@
 	double mean_ms;
 	int64_t others_at, late_at, failed_at;
 	uint32_t ahead;     /* tokens that ours still have to read there */
+	uint64_t tokens;    /* of ours that run there, prompt and answer */
 	double late_ms;     /* how much later than reckoned first pieces came lately */
 	double failed;      /* of late sends, the part that broke off; forgotten by and by */
 	int fails;          /* connections in a row that did not come up */
--- a/lib/data/ctr_assign.c
+++ b/lib/data/ctr_assign.c
@@ -12,10 +12,12 @@
 	const struct bk_server *b = &c->roster->server[s];
 	const struct ctr_server *v = &c->sv[s];
 
-	if (!b->on || b->draining || !v->have || v->loading || now < v->bad_until)
+	if (!b->on || b->draining || (!v->have && !(b->is_store && c->b.sights)) || v->loading || now < v->bad_until)
 		return 0;
-	if (!c->b.sights || b->is_store)
+	if (!c->b.sights)
 		return now - v->reported < CTR_REPORT;
+	if (b->is_store)
+		return now - v->heard < CTR_STORE_HEARD;
 	/* named weights are on every server in their bound: one that has older ones then gets nothing */
 	return v->weights == c->book->service[b->service].weights || now < c->book->service[b->service].late;
 }
@@ -191,62 +193,119 @@
 	}
 }
 
-/* Go where the prefix is kept; where nobody knows, to the server that rendezvous hashing names for it, so that all
- * counters guess alike; unless the wait there is longer than a fetch from it takes. */
+/* Whether one more fits beside what runs there, so that kept parts are not pushed out by it. */
+static int fits(const struct ctr *c, const struct xch *x, uint32_t s, const struct bk_service *svc, int64_t now)
+{
+	const struct ctr_server *v = &c->sv[s];
+	int others = others_at(v, now);
+	uint64_t held = v->tokens + (uint64_t)others * CTR_MEAN_SIZE;
+
+	if (v->own + others >= v->slots)
+		return 0;
+	return !svc->room || !held || held + x->size <= svc->room * CTR_FULL_PART / 100;
+}
+
+/* The server that rendezvous hashing names for a prefix, so that all counters name the same: the first that stands in an
+ * order which does not change while others load, fall or rise. -1: none stands. */
+static int home_of(struct ctr *c, const struct xch *x, int64_t now)
+{
+	uint64_t part = home_part(x), top = 0;
+	int home = -1;
+
+	for (uint32_t s = 0; s < c->roster->nserver; s++) {
+		const struct bk_server *sv = &c->roster->server[s];
+		uint64_t w;
+
+		if (!sv->on || sv->is_store || sv->service != x->service || s == x->tried)
+			continue;
+		w = core_rdv(part, c->server_hash[s]);
+		if ((home < 0 || w > top) && ctr_standing(c, s, now)) {
+			home = (int)s;
+			top = w;
+		}
+	}
+	return home;
+}
+
+/* The deepest holder of the prefix among servers with these weights, and the store. -1: nobody is known to keep any. */
+static int holder_of(struct ctr *c, const struct xch *x, uint32_t weights, int not, int64_t now)
+{
+	int deep = -1;
+
+	for (uint32_t s = 0; s < c->roster->nserver; s++) {
+		const struct bk_server *sv = &c->roster->server[s];
+
+		if (!c->depth[s] || (int)s == not || sv->service != x->service || (!sv->is_store && c->sv[s].weights != weights))
+			continue;
+		if (deep >= 0 && c->depth[s] < c->depth[deep])
+			continue;
+		if (deep >= 0 && c->depth[s] == c->depth[deep] && c->sv[deep].own <= c->sv[s].own)
+			continue;
+		if (ctr_standing(c, s, now))
+			deep = (int)s;
+	}
+	return deep;
+}
+
+/* Go where the prefix is kept, or to its home; elsewhere only where the wait there is so long that it pays to move the
+ * prefix, and then with a fetch. Reading again what is kept somewhere is the dearest of all. */
 struct plan ctr_assign_forward(struct ctr *c, const struct xch *x, int64_t now)
 {
 	const struct book *b = c->book;
 	const struct bk_service *svc = &b->service[x->service];
 	struct plan best = { -1, 0, -1, 0, 0, 0 };
-	int current = relay_current(&c->relay, now), home = -1, deep = -1;
+	int current = relay_current(&c->relay, now), home = home_of(c, x, now), shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
 	uint32_t n = c->roster->nserver, seen[4], nseen = 0;
+	int holder[4];
 	double all = (double)(ctr_tokens_upto(x, x->nparts) + x->tail_tokens);
-	uint64_t part = home_part(x), top = 0;
 
+	if (home < 0)
+		return best;
 	arrsetlen(c->depth, n);
-	if (n)
-		memset(c->depth, 0, n * sizeof *c->depth);
-	for (uint32_t s = 0; s < n; s++) {
+	memset(c->depth, 0, n * sizeof *c->depth);
+	for (uint32_t s = 0; s < n && current; s++) {
 		const struct bk_server *sv = &c->roster->server[s];
-		uint64_t w = core_rdv(part, c->server_hash[s]);
 		uint32_t k = 0;
 
-		if (sv->service != x->service || sv->is_store || !ctr_standing(c, s, now))
+		if (!sv->on || sv->is_store || sv->service != x->service)
 			continue;
-		if (home < 0 || w > top) {
-			home = (int)s;
-			top = w;
-		}
 		while (k < nseen && seen[k] != c->sv[s].weights)
 			k++;
-		if (current && k == nseen && nseen < 4) {
+		if (k == nseen && nseen < 4) {
 			seen[nseen++] = c->sv[s].weights;
 			depths(c, x, core_hashs(0, ctr_shelf(c, x->service, c->sv[s].weights, x->tenant, c->scratch)), c->sv[s].weights);
 		}
 	}
 	apr_pool_clear(c->scratch);
-	for (uint32_t s = 0; s < n; s++)
-		if (c->depth[s] && ctr_standing(c, s, now) && (deep < 0 || c->depth[s] > c->depth[deep]))
-			deep = (int)s;
+	for (uint32_t k = 0; k < nseen; k++)
+		holder[k] = holder_of(c, x, seen[k], -1, now);
 	for (uint32_t s = 0; s < n; s++) {
 		const struct bk_server *sv = &c->roster->server[s];
 		struct ctr_server *v = &c->sv[s];
 		struct plan p = { (int)s, c->depth[s], -1, 0, 0, 0 };
 		double read;
-		int from = deep >= 0 ? deep : home, upto = deep >= 0 ? c->depth[deep] : x->nparts - 1;
+		int from = -1, upto = 0;
 
-		if (sv->service != x->service || sv->is_store || s == x->tried || !ctr_standing(c, s, now) || v->own + others_at(v, now) >= v->slots)
+		if (!sv->on || sv->service != x->service || sv->is_store || s == x->tried || !ctr_standing(c, s, now) || !fits(c, x, s, svc, now))
 			continue;
-		if (!p.keep && current && (int)s == home && deep < 0)
-			p.keep = x->nparts - 1; /* others will have sent it here */
+		for (uint32_t k = 0; k < nseen; k++)
+			if (seen[k] == v->weights)
+				from = holder[k];
+		if (from >= 0) {
+			upto = c->depth[from];
+		} else if (current && (int)s != home && c->sv[home].weights == v->weights) {
+			from = home;
+			upto = shared; /* it has it, unless nobody asked there yet */
+		}
 		read = (all - (double)ctr_tokens_upto(x, p.keep)) / svc->prefill;
-		if (current && from >= 0 && from != (int)s && upto > p.keep && svc->link &&
-		    (c->roster->server[from].is_store || c->sv[from].weights == v->weights)) {
+		if (!p.keep && (int)s == home && from < 0)
+			read -= 0.7 * (double)ctr_tokens_upto(x, shared) / svc->prefill; /* others will have sent it here */
+		if (from >= 0 && from != (int)s && upto > p.keep && svc->link) {
 			double more = (double)(ctr_tokens_upto(x, upto) - ctr_tokens_upto(x, p.keep));
 			double ms = more * svc->kv_bytes / (c->roster->server[from].is_store ? svc->store ? svc->store : 1 : svc->link);
 
 			ms = ms * slow_of(c, (uint32_t)from, s, now) * (c->roster->server[from].zone == sv->zone ? 1 : 2) + CTR_FETCH_MS;
-			if (ms < more / svc->prefill && ms < CTR_FETCH_MOST) {
+			if (ms < CTR_FETCH_MOST / 2) {
 				p.from = from;
 				p.upto = upto;
 				p.fetch = ms;
@@ -254,8 +313,29 @@
 			}
 		}
 		p.cost = read + load_of(c, s, svc, now);
+		if (p.keep < shared && (int)s != home)
+			p.cost += CTR_AWAY_MS + CTR_AWAY_K * (double)(ctr_tokens_upto(x, shared) - ctr_tokens_upto(x, p.keep)) / 1000;
 		if (best.server < 0 || p.cost < best.cost)
 			best = p;
 	}
 	return best;
 }
+
+/* The store, where the prefix is to be left once it is read there: it is up and not known to have it. 0: not. */
+uint64_t ctr_sink(struct ctr *c, const struct xch *x, uint64_t shelf, int64_t now)
+{
+	int st = c->book->service[x->service].store_server, shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
+
+	if (st < 0 || (uint32_t)st >= c->roster->nserver || !c->roster->server[st].on || !ctr_standing(c, (uint32_t)st, now))
+		return 0;
+	for (int i = 0; i < shared; i++) {
+		struct kept_copy *v = kept_get(&c->kept, ctr_kept_key(shelf, x->hash[i]));
+		int there = 0;
+
+		for (ptrdiff_t k = 0; k < arrlen(v) && !there; k++)
+			there = v[k].server == (uint32_t)st;
+		if (!there)
+			return c->roster->server[st].to;
+	}
+	return 0;
+}
--- a/lib/data/ctr_book.c
+++ b/lib/data/ctr_book.c
@@ -104,7 +104,7 @@
 		n->value.weights = named;
 		n->value.since = now;
 	}
-	*s = (struct bk_service){ 1, named, r->prefill, r->kv_bytes, r->link, r->store, r->slots, r->watches, r->conns, -1,
+	*s = (struct bk_service){ 1, named, r->prefill, r->kv_bytes, r->link, r->store, r->slots, r->watches, r->conns, r->room, -1,
 	                          m ? hmgetp(c->named, id)->value.since + c->b.roll_ms - CTR_ROLL_EARLY : INT64_MAX };
 	if (r->addr[0] && r->store)
 		s->store_server = (int)names_id(&c->servers, apr_pstrcat(b->p, "store:", r->name, NULL));
--- a/lib/data/ctr_line.c
+++ b/lib/data/ctr_line.c
@@ -146,6 +146,8 @@
 		if (x->server >= 0) {
 			c->sv[x->server].own--;
 			c->sv[x->server].ahead -= x->ahead;
+			if (x->forwarded && x->state == XCH_RUNNING)
+				c->sv[x->server].tokens -= x->size;
 		}
 	}
 	(void)hmdel(c->by, x->token);
@@ -633,5 +635,6 @@
 	shared = (int)ctr_tokens_upto(x, x->nparts);
 	x->tail_tokens = a->tokens_in > (uint32_t)shared ? a->tokens_in - (uint32_t)shared : 0;
 	x->tokens_out = a->tokens_out;
+	x->size = (uint32_t)shared + x->tail_tokens + x->tokens_out;
 	line_up(c, x, l, now);
 }
--- a/lib/data/ctr_send.c
+++ b/lib/data/ctr_send.c
@@ -130,6 +130,7 @@
 	x->guess = pl->cost + CTR_FIRST_MS;
 	v->own++;
 	v->ahead += x->ahead;
+	v->tokens += x->size;
 	f->call = x->call;
 	f->caller = x->token;
 	f->addr = sv->to;
@@ -138,6 +139,8 @@
 	f->shelf = current ? ctr_shelf(c, x->service, v->weights, x->tenant, o->p)
 	           : apr_psprintf(o->p, "cold-%" APR_UINT64_T_HEX_FMT "-%" APR_UINT64_T_FMT, c->id, x->seq);
 	x->shelf = current ? core_hashs(0, f->shelf) : 0;
+	f->sink = current ? ctr_sink(c, x, x->shelf, now) : 0;
+	x->sink = f->sink ? (int)b->service[x->service].store_server : -1;
 	f->weights = c->weights.name[v->weights];
 	f->from = pl->from >= 0 ? c->roster->server[pl->from].to : 0;
 	f->prio = (int)x->prio;
@@ -354,6 +357,9 @@
 		struct kept_copy n = { (uint32_t)x->server, 0, x->service, x->weights, x->stamp, 0 };
 
 		kept_put(&c->kept, ctr_kept_key(x->shelf, x->hash[i]), &n);
+		n.server = (uint32_t)x->sink;
+		if (x->sink >= 0)
+			kept_put(&c->kept, ctr_kept_key(x->shelf, x->hash[i]), &n);
 	}
 }
 
@@ -423,6 +429,7 @@
 		if (again(c, x, now)) {
 			c->sv[s].own--;
 			c->sv[s].ahead -= x->ahead;
+			c->sv[s].tokens -= x->size;
 			x->ahead = 0;
 			x->tried = s;
 			x->server = -1;
--- a/lib/data/ctr_watch.c
+++ b/lib/data/ctr_watch.c
@@ -216,7 +216,8 @@
 			return;
 		}
 		ctr_on_kept(c, k, now);
-		for (ptrdiff_t i = 0; k->n_e && i < arrlen(c->relay.down); i++)
+		/* of a store each word goes on, for it says that the store is up */
+		for (ptrdiff_t i = 0; (k->n_e || c->roster->server[s].is_store) && i < arrlen(c->relay.down); i++)
 			out_msg(o, c->relay.down[i].addr, 0, NL__MSG__BODY_KEPT)->kept = (struct Nl__Kept *)core_dup(o->p, &k->base);
 		return;
 	}
