Counters share what they have under way at servers, through the heads of their zones

Cause: a counter saw only its own sends; with prompts of very different lengths several queued behind each other at one server while others idled (seen in a log of late first pieces: up to 1.2 s where 0.1 s was reckoned, own load 1). Ruled out: reading speed, fetches.

--- a/lib/control/follow.c
+++ b/lib/control/follow.c
@@ -210,6 +210,9 @@
 	f->nup = 0;
 	for (size_t i = 0; i < r->n_up && i < 8; i++)
 		f->up[f->nup++] = r->up[i];
+	f->nhead = 0;
+	for (size_t i = 0; i < r->n_head && f->nhead < (int)(sizeof f->head / sizeof *f->head); i++)
+		f->head[f->nhead++] = r->head[i];
 	f->counters = r->counters;
 	take_registrars(f, r);
 	return (f->t.edition != was ? FOLLOW_TABLE : 0) | (sights_follow(&f->sights, r, now) ? FOLLOW_SIGHTS : 0);
--- a/lib/control/follow.h
+++ b/lib/control/follow.h
@@ -34,6 +34,8 @@
 	uint64_t seat[PART_COUNT];            /* best guess of each part's owner */
 	uint64_t up[8];
 	int nup;
+	uint64_t head[32];                    /* of the other zones, if this node is the head of its own */
+	int nhead;
 	uint64_t live[FOLLOW_SEATS], live_id[FOLLOW_SEATS];
 	int nlive;
 	uint32_t counters;                    /* how many the owner saw lately */
--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -801,6 +801,30 @@
 	}
 }
 
+/* The head of each zone but one's own: whom rendezvous ranks first of the counters heard lately. */
+static void name_heads(const struct reg *r, uint64_t zone, struct Nl__FollowReply *a, int64_t now, struct out *o)
+{
+	const struct reg_seen **head = NULL;
+
+	for (ptrdiff_t i = 0; i < arrlen(r->seen); i++) {
+		const struct reg_seen *c = &r->seen[i];
+		ptrdiff_t k = 0;
+
+		if (!c->counter || c->zone == zone || now - c->at > REG_SEEN / 2)
+			continue;
+		while (k < arrlen(head) && head[k]->zone != c->zone)
+			k++;
+		if (k == arrlen(head))
+			arrput(head, c);
+		else if (rank_before(c->zone, c, head[k]->id))
+			head[k] = c;
+	}
+	a->head = apr_palloc(o->p, ((size_t)arrlen(head) + 1) * sizeof *a->head);
+	for (ptrdiff_t k = 0; k < arrlen(head); k++)
+		a->head[a->n_head++] = head[k]->addr;
+	arrfree(head);
+}
+
 static void on_follow(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	const struct Nl__Follow *q = m->follow;
@@ -853,6 +877,8 @@
 	}
 	for (ptrdiff_t i = 0; i < arrlen(r->seen); i++)
 		a->counters += r->seen[i].counter && now - r->seen[i].at < REG_SEEN;
+	if (q->counter && !a->n_up)
+		name_heads(r, me.zone, a, now, o);
 	if (!late)
 		places(r, m->id, q, a->counters, a, now, o);
 	a->registrars = apr_palloc(o->p, ((size_t)arrlen(r->seen) + 1) * sizeof *a->registrars);
--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -143,6 +143,8 @@
 	follow_tick(&c->f, c->relay.k.horizon, now, o);
 	relay_up(&c->relay, c->f.up, (size_t)c->f.nup, follow_log(&c->f, c->relay.moved, now), now);
 	relay_tick(&c->relay, now, o);
+	if (c->b.sights)
+		ctr_load_tick(c, now, o);
 	if (c->b.sights)
 		ctr_watch(c, now, o);
 	else
@@ -186,6 +188,7 @@
 	case NL__MSG__BODY_PURGE_SNAP:
 	case NL__MSG__BODY_CURIOSITY: relay_msg(&c->relay, m, now, o); break;
 	case NL__MSG__BODY_ANSWER: ctr_on_answer(c, m->answer, m->addr, now, o); break;
+	case NL__MSG__BODY_LOAD: ctr_on_load(c, m->id, m->addr, m->load, now); break;
 	case NL__MSG__BODY_KEPT: ctr_on_kept(c, m->kept, now); break;
 	case NL__MSG__BODY_REPORT: ctr_on_passed_report(c, m->report, now, o); break;
 	case NL__MSG__BODY_FOLLOW: { /* a seed need not be a registrar: say whom to ask */
@@ -316,6 +319,7 @@
 	json_tokener_free(c->tok);
 	ctr_book_free(c->book);
 	ctr_roster_free(c->roster);
+	ctr_load_clear(c);
 	hmfree(c->line_at);
 	hmfree(c->named);
 	arrfree(c->depth);
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -34,6 +34,7 @@
 	CTR_FULL_PART = 70,    /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
 	CTR_MEAN_SIZE = 9000,  /* tokens that others' requests are taken to hold */
 	CTR_STORE_HEARD = 3500, /* ms after the last word of a store's events for which it counts as up */
+	CTR_LOAD = 50, CTR_LOAD_WHOLE = 1000, CTR_LOAD_OLD = 2500, /* ms between words of load; between whole ones; after which one is forgotten */
 	CTR_FETCH_MS = 6,      /* what a fetch takes besides moving */
 	CTR_OTHERS_HALF = 1000, CTR_LATE_HALF = 1500, CTR_FAILED_HALF = 3000, /* ms in which half of what was seen is forgotten */
 	CTR_FAILED_MS = 1500,  /* what a server costs of whose sends all broke off lately */
@@ -189,6 +190,10 @@
 	int64_t watched, heard; /* heard: a relay's word of its kept parts */
 };
 
+/* What is under way at servers, as one source says it: a counter of the zone, another zone's head, or this zone's head. */
+struct load_cell { uint32_t ahead, running; };
+struct load_from { uint64_t id; int of; int64_t at; uint64_t addr; struct load_cell *v; /* stb_ds, by server */ };
+
 /* What fetches from one server to another were seen to take, as a multiple of what the table says. */
 struct ctr_pair { uint64_t key; struct { double slow; int64_t at; } value; };
 
@@ -213,6 +218,9 @@
 	struct roster *roster;
 	uint32_t nstand;            /* servers in it that take requests */
 	struct bounds b;
+	struct load_from *load;     /* stb_ds: what others said */
+	struct load_cell *told_up, *told_down, *told_far, *others; /* stb_ds, by server: last said to each; what others have under way */
+	int64_t load_at, load_whole, others_fresh;
 	struct shelf_name { char *key; uint32_t value; } *shelves; /* stb_ds: a shelf's name as it goes to servers -> weights */
 	int *depth;                 /* stb_ds, by server: leading parts kept there; of the assigning under way */
 	uint64_t *server_hash;      /* stb_ds, by server: of its name, so that every counter ranks alike */
--- a/lib/data/ctr_assign.c
+++ b/lib/data/ctr_assign.c
@@ -160,17 +160,27 @@
 	return v;
 }
 
-static int others_at(const struct ctr_server *v, int64_t now)
+/* What other counters have under way there: as the heads of zones say, else as the server's last answer said. */
+static int others_at(const struct ctr *c, uint32_t s, int64_t now)
 {
+	const struct ctr_server *v = &c->sv[s];
+
+	if (now - c->others_fresh <= CTR_LOAD_OLD && s < (uint32_t)arrlen(c->others))
+		return (int)c->others[s].running;
 	return (int)faded(v->others, v->others_at, now, CTR_OTHERS_HALF);
 }
 
+static uint32_t ahead_at(const struct ctr *c, uint32_t s, int64_t now)
+{
+	return now - c->others_fresh <= CTR_LOAD_OLD && s < (uint32_t)arrlen(c->others) ? c->others[s].ahead : 0;
+}
+
 /* How long a send would wait there before it is read, and what makes it risky, in ms. */
 static double load_of(const struct ctr *c, uint32_t s, const struct bk_service *svc, int64_t now)
 {
 	const struct ctr_server *v = &c->sv[s];
-	int others = others_at(v, now);
-	double ahead = (double)v->ahead / svc->prefill;
+	int others = others_at(c, s, now);
+	double ahead = (double)(v->ahead + ahead_at(c, s, now)) / svc->prefill;
 
 	return ahead + CTR_STEP_MS * (v->own + others) + faded(v->late_ms, v->late_at, now, CTR_LATE_HALF) / 2 +
 	       CTR_FAILED_MS * faded(v->failed, v->failed_at, now, CTR_FAILED_HALF) + (c->roster->server[s].zone == c->zone_hash ? 0 : 1);
@@ -179,25 +189,33 @@
 /* The part that a request shares with others: the last one is its own. */
 static uint64_t home_part(const struct xch *x) { return x->nparts > 1 ? x->hash[x->nparts - 2] : x->nparts ? x->hash[0] : x->seq; }
 
-/* How many leading parts each server keeps on this shelf, into c->depth. */
-static void depths(struct ctr *c, const struct xch *x, uint64_t shelf, uint32_t weights)
+/* How many leading parts each server keeps on this shelf, into c->depth; and the store, which keeps many shelves. */
+static int depths(struct ctr *c, const struct xch *x, uint64_t shelf, uint32_t weights)
 {
+	int store = c->book->service[x->service].store_server, deep = 0;
+
 	for (int i = 0; i < x->nparts; i++) {
 		struct kept_copy *v = kept_get(&c->kept, ctr_kept_key(shelf, x->hash[i]));
 
-		for (ptrdiff_t k = 0; k < arrlen(v); k++)
-			if (c->depth[v[k].server] == i && (c->sv[v[k].server].weights == weights || c->roster->server[v[k].server].is_store))
-				c->depth[v[k].server] = i + 1;
+		for (ptrdiff_t k = 0; k < arrlen(v); k++) {
+			uint32_t s = v[k].server;
+
+			if ((int)s == store)
+				deep = deep == i ? i + 1 : deep;
+			else if (c->depth[s] == i && c->sv[s].weights == weights)
+				c->depth[s] = i + 1;
+		}
 		if (!v)
 			break;
 	}
+	return deep;
 }
 
 /* Whether one more fits beside what runs there, so that kept parts are not pushed out by it. */
 static int fits(const struct ctr *c, const struct xch *x, uint32_t s, const struct bk_service *svc, int64_t now)
 {
 	const struct ctr_server *v = &c->sv[s];
-	int others = others_at(v, now);
+	int others = others_at(c, s, now);
 	uint64_t held = v->tokens + (uint64_t)others * CTR_MEAN_SIZE;
 
 	if (v->own + others >= v->slots)
@@ -227,19 +245,17 @@
 	return home;
 }
 
-/* The deepest holder of the prefix among servers with these weights, and the store. -1: nobody is known to keep any. */
-static int holder_of(struct ctr *c, const struct xch *x, uint32_t weights, int not, int64_t now)
+/* The deepest holder of the prefix among servers with these weights. -1: nobody is known to keep any. */
+static int holder_of(struct ctr *c, const struct xch *x, uint32_t weights, int64_t now)
 {
 	int deep = -1;
 
 	for (uint32_t s = 0; s < c->roster->nserver; s++) {
 		const struct bk_server *sv = &c->roster->server[s];
 
-		if (!c->depth[s] || (int)s == not || sv->service != x->service || (!sv->is_store && c->sv[s].weights != weights))
-			continue;
-		if (deep >= 0 && c->depth[s] < c->depth[deep])
+		if (!c->depth[s] || sv->service != x->service || sv->is_store || c->sv[s].weights != weights)
 			continue;
-		if (deep >= 0 && c->depth[s] == c->depth[deep] && c->sv[deep].own <= c->sv[s].own)
+		if (deep >= 0 && (c->depth[s] < c->depth[deep] || (c->depth[s] == c->depth[deep] && c->sv[deep].own <= c->sv[s].own)))
 			continue;
 		if (ctr_standing(c, s, now))
 			deep = (int)s;
@@ -256,7 +272,7 @@
 	struct plan best = { -1, 0, -1, 0, 0, 0 };
 	int current = relay_current(&c->relay, now), home = home_of(c, x, now), shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
 	uint32_t n = c->roster->nserver, seen[4], nseen = 0;
-	int holder[4];
+	int holder[4], held[4], store = svc->store_server, store_up;
 	double all = (double)(ctr_tokens_upto(x, x->nparts) + x->tail_tokens);
 
 	if (home < 0)
@@ -273,12 +289,19 @@
 			k++;
 		if (k == nseen && nseen < 4) {
 			seen[nseen++] = c->sv[s].weights;
-			depths(c, x, core_hashs(0, ctr_shelf(c, x->service, c->sv[s].weights, x->tenant, c->scratch)), c->sv[s].weights);
+			held[k] = depths(c, x, core_hashs(0, ctr_shelf(c, x->service, c->sv[s].weights, x->tenant, c->scratch)), c->sv[s].weights);
 		}
 	}
 	apr_pool_clear(c->scratch);
-	for (uint32_t k = 0; k < nseen; k++)
-		holder[k] = holder_of(c, x, seen[k], -1, now);
+	store_up = store >= 0 && (uint32_t)store < n && c->roster->server[store].on && ctr_standing(c, (uint32_t)store, now);
+	for (uint32_t k = 0; k < nseen; k++) {
+		holder[k] = holder_of(c, x, seen[k], now);
+		if (holder[k] >= 0 && (!store_up || c->depth[holder[k]] >= held[k])) {
+			held[k] = c->depth[holder[k]];
+		} else {
+			holder[k] = store_up && held[k] ? store : -1;
+		}
+	}
 	for (uint32_t s = 0; s < n; s++) {
 		const struct bk_server *sv = &c->roster->server[s];
 		struct ctr_server *v = &c->sv[s];
@@ -289,11 +312,11 @@
 		if (!sv->on || sv->service != x->service || sv->is_store || s == x->tried || !ctr_standing(c, s, now) || !fits(c, x, s, svc, now))
 			continue;
 		for (uint32_t k = 0; k < nseen; k++)
-			if (seen[k] == v->weights)
+			if (seen[k] == v->weights && holder[k] >= 0) {
 				from = holder[k];
-		if (from >= 0) {
-			upto = c->depth[from];
-		} else if (current && (int)s != home && c->sv[home].weights == v->weights) {
+				upto = held[k];
+			}
+		if (from < 0 && current && (int)s != home && c->sv[home].weights == v->weights) {
 			from = home;
 			upto = shared; /* it has it, unless nobody asked there yet */
 		}
--- a/lib/data/ctr_in.h
+++ b/lib/data/ctr_in.h
@@ -53,6 +53,10 @@
 void ctr_want_places(struct ctr *c, int64_t now, struct out *o);
 struct xch *ctr_xch_by(struct ctr *c, uint64_t token);
 void ctr_xch_drop(struct ctr *c, struct xch *x);
+/* ctr_load.c */
+void ctr_load_tick(struct ctr *c, int64_t now, struct out *o);
+void ctr_on_load(struct ctr *c, uint64_t id, uint64_t addr, const struct Nl__Load *l, int64_t now);
+void ctr_load_clear(struct ctr *c);
 /* ctr_send.c */
 void ctr_on_answer(struct ctr *c, const struct Nl__Answer *a, uint64_t from, int64_t now, struct out *o);
 void ctr_on_done(struct ctr *c, struct xch *x, const typeof(((struct ctr_ev *)0)->u.done) *d, int64_t now, struct out *o);
--- /dev/null
+++ b/lib/data/ctr_load.c
@@ -0,0 +1,159 @@
+/* ctr_load: what all counters have under way at each server. A counter alone sees only its own sends, so several would
+ * queue behind each other at one server while others idle. Its word goes to the head of its zone, sums go between heads,
+ * and the sum of all comes back: three hops, some 50 ms old, and a cost that does not grow with the square of counters.
+ * Soft state: a lost word is mended by the next whole one. */
+#include "ctr_in.h"
+
+#include <apr_strings.h>
+#include <string.h>
+
+#include "ds.h"
+
+enum { LOAD_OWN = 0, LOAD_ZONE = 1, LOAD_ALL = 2 };
+
+static void size_to(struct load_cell **v, uint32_t n)
+{
+	struct load_cell zero = { 0, 0 };
+
+	while (arrlen(*v) < (ptrdiff_t)n)
+		arrput(*v, zero);
+}
+
+static void add(struct load_cell *to, const struct load_cell *v)
+{
+	to->ahead += v->ahead;
+	to->running += v->running;
+}
+
+/* Say what has changed since the last word, or all that is not nothing; nothing is said when nothing has. */
+static void say(struct ctr *c, const uint64_t *to, int n, int of, const struct load_cell *v, struct load_cell **told, int whole, struct out *o)
+{
+	uint32_t servers = c->roster->nserver;
+	struct Nl__Load *l;
+
+	size_to(told, servers);
+	l = OUT_NEW(o, Nl__Load, NL__LOAD__INIT);
+	l->of = (uint32_t)of;
+	l->zone = c->zone_hash;
+	l->whole = whole;
+	l->row = apr_palloc(o->p, (servers + 1) * sizeof *l->row);
+	for (uint32_t s = 0; s < servers; s++) {
+		struct Nl__LoadRow *x;
+
+		if (whole ? !v[s].ahead && !v[s].running : v[s].ahead == (*told)[s].ahead && v[s].running == (*told)[s].running)
+			continue;
+		x = OUT_NEW(o, Nl__LoadRow, NL__LOAD_ROW__INIT);
+		x->server = apr_pstrdup(o->p, c->servers.name[s]);
+		x->ahead = v[s].ahead;
+		x->running = v[s].running;
+		l->row[l->n_row++] = x;
+	}
+	memcpy(*told, v, servers * sizeof *v);
+	if (!whole && !l->n_row)
+		return;
+	for (int i = 0; i < n; i++)
+		out_msg(o, to[i], 0, NL__MSG__BODY_LOAD)->load = l;
+}
+
+static struct load_cell *zeros(const struct ctr *c, struct out *o)
+{
+	return apr_pcalloc(o->p, (c->roster->nserver + 1) * sizeof(struct load_cell));
+}
+
+void ctr_load_tick(struct ctr *c, int64_t now, struct out *o)
+{
+	struct load_cell *own, *zone, *all;
+	uint64_t *down;
+	int whole, n = 0;
+
+	if (!c->roster || now - c->load_at < CTR_LOAD)
+		return;
+	c->load_at = now;
+	whole = now - c->load_whole >= CTR_LOAD_WHOLE;
+	if (whole)
+		c->load_whole = now;
+	for (ptrdiff_t i = arrlen(c->load) - 1; i >= 0; i--)
+		if (now - c->load[i].at > CTR_LOAD_OLD) {
+			arrfree(c->load[i].v);
+			arrdelswap(c->load, i);
+		}
+	own = zeros(c, o);
+	for (uint32_t s = 0; s < c->roster->nserver; s++)
+		own[s] = (struct load_cell){ c->sv[s].ahead, (uint32_t)c->sv[s].own };
+	if (c->f.nup) { /* not the head: what others have is what the head says of all, less what it knows to be ours */
+		say(c, c->f.up, 1, LOAD_OWN, own, &c->told_up, whole, o);
+		return;
+	}
+	zone = zeros(c, o);
+	all = zeros(c, o);
+	size_to(&c->others, c->roster->nserver);
+	for (ptrdiff_t i = 0; i < arrlen(c->load); i++)
+		for (ptrdiff_t s = 0; s < arrlen(c->load[i].v) && s < (ptrdiff_t)c->roster->nserver; s++)
+			if (c->load[i].of != LOAD_ALL)
+				add(c->load[i].of == LOAD_OWN ? &zone[s] : &all[s], &c->load[i].v[s]);
+	for (uint32_t s = 0; s < c->roster->nserver; s++) {
+		c->others[s] = zone[s];
+		add(&c->others[s], &all[s]);
+		add(&zone[s], &own[s]);
+		add(&all[s], &zone[s]);
+	}
+	c->others_fresh = now;
+	if (c->f.nhead)
+		say(c, c->f.head, c->f.nhead, LOAD_ZONE, zone, &c->told_far, whole, o);
+	down = apr_palloc(o->p, ((size_t)arrlen(c->load) + 1) * sizeof *down);
+	for (ptrdiff_t i = 0; i < arrlen(c->load); i++)
+		if (c->load[i].of == LOAD_OWN)
+			down[n++] = c->load[i].addr;
+	if (n)
+		say(c, down, n, LOAD_ALL, all, &c->told_down, whole, o);
+}
+
+void ctr_on_load(struct ctr *c, uint64_t id, uint64_t addr, const struct Nl__Load *l, int64_t now)
+{
+	struct load_from *f = NULL, zero = { id, (int)l->of, now, addr, NULL };
+
+	if (!c->roster || l->of > LOAD_ALL || id == c->id)
+		return;
+	for (ptrdiff_t i = 0; i < arrlen(c->load) && !f; i++)
+		if (c->load[i].id == id)
+			f = &c->load[i];
+	if (!f) {
+		arrput(c->load, zero);
+		f = &arrlast(c->load);
+	}
+	if (f->of != (int)l->of || l->whole)
+		arrsetlen(f->v, 0);
+	f->of = (int)l->of;
+	f->at = now;
+	f->addr = addr;
+	size_to(&f->v, c->roster->nserver);
+	memset(f->v, 0, l->whole ? (size_t)arrlen(f->v) * sizeof *f->v : 0);
+	for (size_t i = 0; i < l->n_row; i++) {
+		int s = names_find(&c->servers, l->row[i]->server);
+
+		if (s >= 0 && s < arrlen(f->v))
+			f->v[s] = (struct load_cell){ l->row[i]->ahead, l->row[i]->running };
+	}
+	if (l->of != LOAD_ALL)
+		return;
+	size_to(&c->others, c->roster->nserver);
+	size_to(&c->told_up, c->roster->nserver);
+	for (ptrdiff_t s = 0; s < arrlen(f->v) && s < arrlen(c->others); s++) {
+		const struct load_cell *mine = &c->told_up[s], *all = &f->v[s];
+
+		c->others[s].ahead = all->ahead > mine->ahead ? all->ahead - mine->ahead : 0;
+		c->others[s].running = all->running > mine->running ? all->running - mine->running : 0;
+	}
+	c->others_fresh = now;
+}
+
+void ctr_load_clear(struct ctr *c)
+{
+	for (ptrdiff_t i = 0; i < arrlen(c->load); i++)
+		arrfree(c->load[i].v);
+	arrfree(c->load);
+	arrfree(c->told_up);
+	arrfree(c->told_down);
+	arrfree(c->told_far);
+	arrfree(c->others);
+}
