--- a/lib/shell/http.h
+++ b/lib/shell/http.h
@@ -83,6 +83,12 @@
 /* Bytes that a caller has not taken yet. Example: if (http_backlog(h, token) > 8 << 20) http_abort(h, token); */
 size_t http_backlog(struct http *h, uint64_t token);
 
+/* Callers that are being answered, or whose answers are not sent to the end. Example: while (http_busy(h)) http_wait(h, 25); */
+int http_busy(const struct http *h);
+
+/* The port of a door, for one that was opened at port 0. Example: port = http_port(h, 1); */
+int http_port(const struct http *h, int door);
+
 /* Call the server at addr (as core_addr gives it). head, body and done follow, done last and once, never from within.
  * Example: http_call(h, token, addr, &q); */
 void http_call(struct http *h, uint64_t token, uint64_t addr, const struct http_out *q);
@@ -90,6 +96,9 @@
 /* Give a call up: its connection is closed; nothing more is heard of it. Example: http_cancel(h, token); */
 void http_cancel(struct http *h, uint64_t token);
 
+/* Whether any byte of a call that is under way has left. Example: if (!http_sent(h, token)) http_cancel(h, token); */
+int http_sent(struct http *h, uint64_t token);
+
 /* Close the kept connections to an address, for it is somebody else's now. Example: http_forget(h, addr); */
 void http_forget(struct http *h, uint64_t addr);
 
