--- a/lib/shell/http.c
+++ b/lib/shell/http.c
@@ -77,13 +77,13 @@
 	struct peer *peer;
 	unsigned epoch;
 	uint64_t token;
-	int64_t not_after, limit_at;
-	int connect_ms, fresh, is_head, sent;
+	int64_t not_after, limit_at, until; /* until: a kept one may be used */
+	int connect_ms, fresh, is_head, sent, cut;
 	struct conn *next, *prev;
 	enum framing in;
 };
 
-struct listener { int id, port, leaving, shut, burst, checked, inherits; uint64_t turn; struct http_limits lim; };
+struct listener { int id, port, leaving, burst, checked, inherits; uint64_t turn; struct http_limits lim; };
 
 struct conn {
 	struct http *h;
@@ -506,7 +506,7 @@
 	return 1;
 }
 
-struct reading { struct conn *c; char *name_end, *value_end; int values, request, ended; };
+struct reading { struct conn *c; char *name_end, *value_end; int values, ended; };
 
 static void terminate(struct reading *r)
 {
@@ -658,7 +658,7 @@
 {
 	static const http_parser_settings set = { .on_url = on_url, .on_header_field = on_field, .on_header_value = on_value,
 	                                          .on_headers_complete = on_head };
-	struct reading r = { .c = c, .request = request };
+	struct reading r = { .c = c };
 	http_parser p;
 
 	c->nf = 0;
@@ -870,7 +870,7 @@
 			server_refuse(c, 400);
 			return 0;
 		}
-		if (c->ck.left > lim->body || s->body_len + dn + c->ck.left > lim->body) {
+		if (c->ck.at != CH_SIZE && s->body_len + dn + c->ck.left > lim->body) { /* the size itself may be half read */
 			server_refuse(c, 413);
 			return 0;
 		}
@@ -974,16 +974,20 @@
 		conn_due(c, h->now + LINGER_MS);
 		return;
 	}
-	h->busy--;
 	if (rest)
 		memmove(c->in.d, c->in.d + s->pos, rest);
 	c->in.len = rest;
+	if (!rest && !s->early.len && s->door->d.leaving) {
+		conn_close(c, 0); /* its head was out before we left */
+		return;
+	}
 	if (s->early.len) {
 		put(h, &c->in, s->early.d, s->early.len);
 		buf_free(h, &s->early);
 		if (!(c->mask & EPOLLIN))
 			conn_mask(c, READ);
 	}
+	h->busy--;
 	server_idle(c);
 	if (c->in.len)
 		server_parse(c);
@@ -1106,6 +1110,7 @@
 		}
 		if (!d->inherits)
 			options(fd);
+		h->n.accepted++;
 		c = conn_new(h, CONN_SERVER, fd);
 		c->s.door = l;
 		if (arrlen(h->free_slot)) {
@@ -1326,7 +1331,6 @@
 			continue;
 		close(l->fd); /* its struct stays for its connections */
 		l->fd = -1;
-		l->d.shut = 1;
 		heap_del(h, l);
 	}
 	for (i = 0; i < arrlen(h->slot); i++) {
@@ -1397,16 +1401,19 @@
 	return c;
 }
 
+/* How long a connection is kept: the server must not close it just as we use it. */
+static int64_t keep_ms(const struct head *hd)
+{
+	int64_t margin = (int64_t)hd->keep_s * 250;
+
+	return hd->keep_s < 0 ? KEPT_MS : (int64_t)hd->keep_s * 1000 - (margin < 300 ? 300 : margin);
+}
+
 static void client_keep(struct conn *c)
 {
 	struct peer *p = c->k.peer;
-	int64_t ms = KEPT_MS, margin;
 
-	if (c->hd.keep_s >= 0) {
-		margin = c->hd.keep_s * 250;
-		ms = c->hd.keep_s * 1000 - (margin < 300 ? 300 : margin);
-	}
-	if (ms <= 0 || c->k.epoch != p->epoch) {
+	if (c->k.until <= c->h->now || c->k.epoch != p->epoch) {
 		conn_close(c, 0);
 		return;
 	}
@@ -1419,7 +1426,7 @@
 		p->last = c;
 	p->first = c;
 	buf_free(c->h, &c->in);
-	conn_due(c, c->h->now + ms);
+	conn_due(c, c->k.until);
 }
 
 /* The call is over. keep: its connection may serve another. */
@@ -1504,6 +1511,7 @@
 		if (!c->k.sent)
 			return 0;
 		/* an answer may have come all the same; what is read says so */
+		c->k.cut = 1;
 		buf_free(c->h, &c->out);
 		conn_mask(c, READ);
 		return 1;
@@ -1554,7 +1562,8 @@
 /* Whole, with surplus bytes behind it or not. */
 static int client_whole(struct conn *c, size_t surplus)
 {
-	client_end(c, HTTP_WHOLE, !surplus && !c->hd.close && !c->out.len);
+	c->k.until = c->h->now + keep_ms(&c->hd);
+	client_end(c, HTTP_WHOLE, !surplus && !c->hd.close && !c->out.len && !c->k.cut);
 	return 1;
 }
 
@@ -1951,6 +1960,7 @@
 	for (i = 0; i < arrlen(h->doors); i++) {
 		if (h->doors[i]->fd >= 0)
 			close(h->doors[i]->fd);
+		free(h->doors[i]->f);
 		free(h->doors[i]);
 	}
 	while (h->spare) {
--- a/lib/shell/http.h
+++ b/lib/shell/http.h
@@ -114,7 +114,7 @@
 /* A field's value, or NULL; names in any case. Example: http_get(q->f, q->nf, "host") */
 const char *http_get(const struct http_field *f, int nf, const char *name);
 
-struct http_counts { uint64_t connects, kept_used, requests, calls, bad; };
+struct http_counts { uint64_t accepted, connects, kept_used, requests, calls, bad; };
 struct http_counts http_count(const struct http *h);
 
 #endif
