--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -29,7 +29,11 @@
 
 int64_t __real_clock_ms(void);
 int64_t __wrap_clock_ms(void);
+struct there { int fd, c; uint64_t addr; };
+
 static int64_t moved, freeze; /* freeze: for so long in the next wait */
+static struct there *early;   /* a server that speaks first, in the next wait */
+static void speak_first(struct there *t);
 
 int64_t __wrap_clock_ms(void) { return __real_clock_ms() + moved; }
 
@@ -43,6 +47,9 @@
 	sys.waits += counting;
 	moved += freeze;
 	freeze = 0;
+	if (early)
+		speak_first(early);
+	early = NULL;
 	return __real_epoll_wait(fd, e, n, ms);
 }
 
@@ -914,7 +921,11 @@
 
 /* ---- client ---- */
 
-struct there { int fd, c; uint64_t addr; };
+static void speak_first(struct there *t)
+{
+	t->c = accept(t->fd, NULL, NULL);
+	say(t->c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly");
+}
 
 static struct there serve(void)
 {
@@ -1177,7 +1188,15 @@
 	say(t.c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
 	UNTIL(h, s.call[k].done);
 	assert_int_equal(s.call[k].how, HTTP_WHOLE);
+	n = http_count(h).connects;
+	q = get();
+	http_call(h, ++k, t.addr, &q);
+	UNTIL(h, http_sent(h, k));
+	assert_int_equal(http_count(h).connects, n + 1);
+	http_cancel(h, k);
 	heard(h, t.c, "");
+	while ((t.c = accept(t.fd, NULL, NULL)) >= 0)
+		close(t.c);
 	/* no more than told */
 	u = t;
 	http_most(h, t.addr, 2);
@@ -1241,6 +1260,18 @@
 	freeze = 5001; /* between connecting and sending */
 	UNTIL(h, s.call[3].done);
 	assert_int_equal(s.call[3].how, HTTP_NEVER);
+	/* a server that answers before it was asked */
+	q = get();
+	while ((i = accept(t.fd, NULL, NULL)) >= 0)
+		close(i);
+	http_call(h, 10, t.addr, &q);
+	early = &t;
+	UNTIL(h, s.call[10].done);
+	assert_int_equal(s.call[10].how, HTTP_NEVER);
+	assert_int_equal(s.call[10].n, 0);
+	assert_int_equal(hear(h, t.c, b, GOT, GOT, &how), 0); /* nothing of the request came */
+	assert_true(how > 0);
+	close(t.c);
 	/* on a kept connection, which is whole afterwards */
 	t.c = -1;
 	while ((i = accept(t.fd, NULL, NULL)) >= 0)
@@ -1302,7 +1333,7 @@
 		close(fd[i]);
 	close(full.fd);
 	close(t.fd);
-	for (i = 1; i < 10; i++)
+	for (i = 1; i < 11; i++)
 		assert_false(s.call[i].bad);
 	end(&s);
 }
