--- a/bin/registrar.c
+++ b/bin/registrar.c
@@ -2,15 +2,28 @@
 #include <apr_general.h>
 #include <string.h>
 
+#include "control.h"
+#include "doc.h"
 #include "platform.h"
 #include "reg.h"
 #include "shell.h"
 
-struct registrar { struct reg r; struct proc p; };
+struct registrar { struct reg r; struct proc p; struct control door; };
 
-static void step(void *ctx, const struct shell_ev *e, int64_t now, struct out *o)
+static void step_reg(void *ctx, const struct reg_ev *ev, int64_t now, struct out *o)
 {
 	struct registrar *g = ctx;
+
+	reg_step(&g->r, ev, now, o);
+	if (g->r.fleet_dirty) { /* on the disk before anything said under it */
+		g->r.fleet_dirty = 0;
+		if (!store_identity(g->p.store, g->r.id, g->r.fleet))
+			log_say(LOG_BAD, "store", "Step identity: the disk refuses; this registrar may be taken for a new one.");
+	}
+}
+
+static void step(void *ctx, const struct shell_ev *e, int64_t now, struct out *o)
+{
 	struct reg_ev ev;
 
 	memset(&ev, 0, sizeof ev);
@@ -42,12 +55,7 @@
 	case EV_STOP: ev.kind = REG_STOP; break;
 	default: return;
 	}
-	reg_step(&g->r, &ev, now, o);
-	if (g->r.fleet_dirty) { /* on the disk before anything said under it */
-		g->r.fleet_dirty = 0;
-		if (!store_identity(g->p.store, g->r.id, g->r.fleet))
-			log_say(LOG_BAD, "store", "Step identity: the disk refuses; this registrar may be taken for a new one.");
-	}
+	step_reg(ctx, &ev, now, o);
 }
 
 static void changed(void *ctx, const struct settings *s)
@@ -58,6 +66,8 @@
 	for (int i = 0; i < s->nseeds; i++)
 		seeds[i] = core_addr(s->seed[i]);
 	follow_seeds(&g->r.f, seeds, s->nseeds);
+	g->r.b = s->bounds;
+	g->door.list = ((const struct platform *)s->more)->list;
 }
 
 static int done(void *ctx)
@@ -105,10 +115,22 @@
 			goto end;
 		}
 	}
+	if (p->set.more) {
+		p->door = &platform_control;
+		p->door_ctx = &g.door;
+		g.door.step = step_reg;
+		g.door.ctx = &g;
+		g.door.list = ((const struct platform *)p->set.more)->list;
+	}
 	if (!proc_open(p))
 		goto end;
 	reg_open(&g.r, f.id, p->addr, p->set.zone, seeds, p->set.nseeds, f.fleet, proc_random(), f.ptr, clock_ms());
 	g.r.log = say;
+	g.r.b = p->set.bounds;
+	if (p->set.more)
+		g.r.tongue = &platform_tongue;
+	if (p->set.found && p->set.nseeds && !f.fleet && seeds[0] == p->addr) /* every other one waits to be asked */
+		reg_found(&g.r, clock_ms());
 	log_say(LOG_INFO, "registrar", "Serves operators at %s in zone %s.", p->set.web, p->set.zone);
 	rc = proc_run(p, &d);
 	reg_close(&g.r);
