--- a/bin/registrar.c
+++ b/bin/registrar.c
@@ -10,7 +10,7 @@
 
 struct registrar { struct reg r; struct proc p; struct control door; };
 
-static void step_reg(void *ctx, const struct reg_ev *ev, int64_t now, struct out *o)
+static void stepped(void *ctx, const struct reg_ev *ev, int64_t now, struct out *o)
 {
 	struct registrar *g = ctx;
 
@@ -55,7 +55,7 @@
 	case EV_STOP: ev.kind = REG_STOP; break;
 	default: return;
 	}
-	step_reg(ctx, &ev, now, o);
+	stepped(ctx, &ev, now, o);
 }
 
 static void changed(void *ctx, const struct settings *s)
@@ -115,23 +115,24 @@
 			goto end;
 		}
 	}
-	if (p->set.more) {
+	if (p->set.more) { /* another language than the product's own */
+		g.door.step = stepped;
+		g.door.ctx = &g;
+		g.door.list = ((struct platform *)p->set.more)->list;
 		p->door = &platform_control;
 		p->door_ctx = &g.door;
-		g.door.step = step_reg;
-		g.door.ctx = &g;
-		g.door.list = ((const struct platform *)p->set.more)->list;
 	}
-	if (!proc_open(p))
-		goto end;
-	reg_open(&g.r, f.id, p->addr, p->set.zone, seeds, p->set.nseeds, f.fleet, proc_random(), f.ptr, clock_ms());
+	reg_open(&g.r, f.id, core_addr(p->set.advertise ? p->set.advertise : p->set.listen), p->set.zone, seeds, p->set.nseeds, f.fleet, proc_random(), f.ptr, clock_ms());
 	g.r.log = say;
-	g.r.b = p->set.bounds;
-	if (p->set.more)
+	if (p->set.more) {
 		g.r.tongue = &platform_tongue;
-	if (p->set.found && p->set.nseeds && !f.fleet && seeds[0] == p->addr) /* every other one waits to be asked */
-		reg_found(&g.r, clock_ms());
-	log_say(LOG_INFO, "registrar", "Serves operators at %s in zone %s.", p->set.web, p->set.zone);
+		g.r.b = p->set.bounds;
+		if (p->set.found && p->set.nseeds && !strcmp(p->set.seed[0], p->set.listen))
+			reg_found(&g.r, clock_ms());
+	}
+	if (!proc_open(p))
+		goto end;
+	log_say(LOG_INFO, "registrar", "Serves operators at %s in zone %s.", p->set.more ? ((struct platform *)p->set.more)->control : p->set.web, p->set.zone);
 	rc = proc_run(p, &d);
 	reg_close(&g.r);
 end:
--- /dev/null
+++ b/lib/control/giver.c
@@ -0,0 +1,631 @@
+#include "giver.h"
+
+#include <apr_strings.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ds.h"
+#include "duty.h"
+
+static struct reg_server *server_of(struct reg *r, const char *name)
+{
+	for (ptrdiff_t i = 0; i < arrlen(r->server); i++)
+		if (!strcmp(r->server[i].name, name))
+			return &r->server[i];
+	return NULL;
+}
+
+static void call(uint64_t token, const char *addr, const char *path, const char *body, int64_t not_after,
+                 struct out *o)
+{
+	struct cmd *c = out_cmd(o, CMD_CALL);
+
+	c->u.call.token = token;
+	c->u.call.addr = addr;
+	c->u.call.path = path;
+	c->u.call.body = body;
+	c->u.call.limit_ms = 400;
+	c->u.call.not_after = not_after;
+}
+
+/* An order: body fields, fenced by the part's term. The giver's licence is checked again before it leaves. */
+static void order(struct reg *r, struct reg_server *s, uint32_t part, const char *addr, struct json_object *what,
+                  int64_t now, struct out *o)
+{
+	uint64_t fence = r->part[part].term << 20 | (++r->order_seq & 0xfffff);
+
+	json_object_object_add(what, "fence", json_object_new_int64((int64_t)fence));
+	json_object_object_add(what, "giver", json_object_new_string(apr_psprintf(o->p, "%016" APR_UINT64_T_HEX_FMT, r->id)));
+	call(0, addr, "/v1/order", apr_pstrdup(o->p, json_object_to_json_string_ext(what, JSON_C_TO_STRING_PLAIN)),
+	     r->part[part].licence, o);
+	json_object_put(what);
+	s->ordered = now;
+}
+
+void giver_report(struct reg *r, struct reg_server *s, const char *body, int64_t now, struct out *o)
+{
+	struct json_object *j = json_tokener_parse(body), *parts, *drop;
+	const struct Nl__Row *row = table_get(&r->f.t, NL__KIND__SERVER, s->name);
+	uint32_t part = core_part_of(s->service, PART_SERVICES);
+
+	if (!json_object_is_type(j, json_type_object) || !row)
+		goto end;
+	s->reported = now;
+	apr_cpystrn(s->weights, json_str(j, "weights"), sizeof s->weights);
+	apr_cpystrn(s->loading, json_str(j, "loading"), sizeof s->loading);
+	if (!json_object_object_get_ex(j, "parts", &parts) || !json_object_is_type(parts, json_type_array))
+		goto end;
+	drop = json_object_new_array();
+	for (size_t i = 0; i < json_object_array_length(parts); i++) {
+		struct json_object *x = json_object_array_get_idx(parts, i);
+
+		if (!view_allows(&r->relay.w, s->service, json_str(x, "w"), json_str(x, "m"), s->name, json_num(x, "t")))
+			json_object_array_add(drop, json_object_get(x));
+	}
+	if (!json_object_array_length(drop)) {
+		s->carried = s->carried_want; /* the report shows it: carried out up to the horizon at the look */
+		json_object_put(drop);
+	} else if (in_office(r, part, now) && now - r->owner_since[part] >= REG_HOLD && relay_current(&r->relay, now)) {
+		struct json_object *what = json_object_new_object();
+
+		json_object_object_add(what, "drop", drop);
+		order(r, s, part, row->addr, what, now, o);
+	} else {
+		json_object_put(drop);
+	}
+end:
+	if (j)
+		json_object_put(j);
+}
+
+static void look_at(struct reg *r, const struct Nl__Row *row, int64_t now, struct out *o)
+{
+	struct reg_server *s = server_of(r, row->name);
+
+	if (!s) {
+		struct reg_server n;
+
+		memset(&n, 0, sizeof n);
+		n.name = strdup(row->name);
+		n.service = strdup(row->service);
+		n.reported = now;
+		arrput(r->server, n);
+		s = &arrlast(r->server);
+	}
+	if (now - s->called < REG_LOOK)
+		return;
+	s->called = now;
+	s->call = ++r->token;
+	s->carried_want = r->relay.k.horizon;
+	call(s->call, apr_pstrdup(o->p, row->addr), "/v1/report", NULL, now + 400, o);
+}
+
+/* Followed tables say what is named; not later than the last good asking that did not say so. */
+void giver_named(struct reg *r, int64_t before)
+{
+	for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
+		const struct Nl__Row *row = r->f.t.h[i].value.row;
+		ptrdiff_t k;
+
+		if (row->kind != NL__KIND__SERVICE)
+			continue;
+		k = shgeti(r->named, row->name);
+		if (k >= 0 && !strcmp(r->named[k].value.weights, row->weights))
+			continue;
+		if (k >= 0)
+			free(r->named[k].value.weights);
+		shput(r->named, row->name, ((typeof(r->named->value)){ strdup(row->weights), before, 0 }));
+	}
+}
+
+/* How many of n servers may have been told by now: a third at once, the next ones as the loading ends, or when the
+ * bound asks for it. A giver that took over has less time left and need not leave any for another. */
+static int due(const struct reg *r, uint32_t part, typeof(((struct reg_named *)0)->value) *m, int n, int64_t now)
+{
+	int64_t last = m->since + REG_TELL;
+	int third = (n + 2) / 3;
+
+	if (!m->first || m->first < r->owner_since[part])
+		m->first = now;
+	if (r->owner_since[part] <= m->since)
+		last -= REG_TAKE_OVER;
+	if (now >= last || m->first >= last)
+		return n;
+	return third * (1 + (int)(2 * (now - m->first) / (last - m->first)));
+}
+
+/* One service's roll-out: a third of its servers at a time, the rest keep serving. */
+static void roll(struct reg *r, const struct Nl__Row *service, uint32_t part, int64_t now, struct out *o)
+{
+	struct reg_svc *c = svc_of(r, part);
+	typeof(r->named->value) *m = &shgetp(r->named, service->name)->value;
+	int n = 0, loading = 0, on = 0, room, more;
+	ptrdiff_t was;
+
+	for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
+		const struct Nl__Row *row = r->f.t.h[i].value.row;
+		struct reg_server *s;
+
+		if (row->kind != NL__KIND__SERVER || strcmp(row->service, service->name) || row->state)
+			continue;
+		s = server_of(r, row->name);
+		if (!s || now - s->reported > 10000)
+			continue; /* dead: it loads what is named when it is back */
+		n++;
+		if (!strcmp(s->weights, service->weights) && !s->loading[0])
+			on++;
+		else
+			loading += s->loading[0] || s->load_at >= m->since;
+	}
+	if (on < n) {
+		room = (n + 2) / 3 - loading;
+		more = due(r, part, m, n, now) - on - loading;
+		if (room < more)
+			room = more;
+	} else {
+		room = 0;
+	}
+	for (ptrdiff_t i = 0; i < shlen(r->f.t.h) && on < n; i++) {
+		const struct Nl__Row *row = r->f.t.h[i].value.row;
+		struct reg_server *s;
+		struct json_object *what;
+
+		if (row->kind != NL__KIND__SERVER || strcmp(row->service, service->name) || row->state)
+			continue;
+		s = server_of(r, row->name);
+		if (!s || now - s->reported > 2 * REG_LOOK || !strcmp(s->weights, service->weights) ||
+		    !strcmp(s->loading, service->weights) || now - s->ordered < REG_LOOK)
+			continue;
+		if (s->load_at >= m->since && now - s->load_at < 2 * REG_LOOK)
+			continue; /* told just now */
+		/* one whose order was lost, or that loads what has been overtaken, is told in the place it has */
+		if (s->load_at < m->since && !s->loading[0] && room-- <= 0)
+			continue;
+		what = json_object_new_object();
+		json_object_object_add(what, "load", json_object_new_string(service->weights));
+		order(r, s, part, apr_pstrdup(o->p, row->addr), what, now, o);
+		s->load_at = now;
+		say(r, "order", o->p, "Server %s is told to load %s.", s->name, service->weights);
+	}
+	was = shgeti(c->rolled, service->name);
+	if (n && on == n && (was < 0 || strcmp(c->rolled[was].value, service->weights))) {
+		struct Nl__Op op = NL__OP__INIT;
+		struct Nl__Rolled d = NL__ROLLED__INIT;
+
+		d.service = service->name;
+		d.weights = service->weights;
+		op.op_case = NL__OP__OP_ROLLED;
+		op.rolled = &d;
+		if (arrlen(r->part[part].marks) == 0) /* nothing of ours is still on its way */
+			log_op(r, part, &op, now, o);
+	}
+}
+
+void giver_tick(struct reg *r, int64_t now, struct out *o)
+{
+	for (uint32_t part = PART_SERVICE; part < PART_COUNT; part++) {
+		if (!in_office(r, part, now) || follow_age(&r->f, now) > FOLLOW_CONFIG)
+			continue;
+		for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
+			const struct Nl__Row *row = r->f.t.h[i].value.row;
+
+			if (row->kind == NL__KIND__SERVER && core_part_of(row->service, PART_SERVICES) == part)
+				look_at(r, row, now, o);
+		}
+		if (now - r->owner_since[part] < REG_HOLD)
+			continue; /* the last giver's orders must have had time to end */
+		for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
+			const struct Nl__Row *row = r->f.t.h[i].value.row;
+
+			if (row->kind == NL__KIND__SERVICE && core_part_of(row->name, PART_SERVICES) == part)
+				roll(r, row, part, now, o);
+		}
+	}
+}
+
+/* ---- orders to sighted servers ------------------------------------------------------- */
+
+void giver_open(struct giver *g)
+{
+	memset(g, 0, sizeof *g);
+	sh_new_strdup(g->m);
+}
+
+static void told_free(struct giver_server *s)
+{
+	free(s->name);
+	free(s->weights);
+}
+
+void giver_close(struct giver *g)
+{
+	for (ptrdiff_t i = 0; i < arrlen(g->v); i++)
+		told_free(&g->v[i]);
+	arrfree(g->v);
+	for (ptrdiff_t i = 0; i < shlen(g->m); i++)
+		free(g->m[i].value.weights);
+	shfree(g->m);
+}
+
+static struct giver_server *told_get(const struct giver *g, const char *name)
+{
+	for (ptrdiff_t i = 0; i < arrlen(g->v); i++)
+		if (!strcmp(g->v[i].name, name))
+			return &g->v[i];
+	return NULL;
+}
+
+static struct giver_server *told_of(struct giver *g, const char *name)
+{
+	struct giver_server n, *s = told_get(g, name);
+
+	if (s)
+		return s;
+	memset(&n, 0, sizeof n);
+	n.name = strdup(name);
+	n.weights = strdup("");
+	arrput(g->v, n);
+	return &arrlast(g->v);
+}
+
+void giver_begins(struct reg *r, int64_t now)
+{
+	struct giver *g = &r->giver;
+	uint64_t term = r->part[PART_CTL].term;
+
+	/* the last giver's lease ended before this office began, and no order left after it; one that may still be on its
+	 * way, or whose lease a server still heeds, gets its time. No other was between if the terms follow. */
+	g->first = g->term && term == g->term + 1 ? now : now + r->b.lease_ms + GIVER_AFTER;
+	g->term = term;
+	g->seq = 0;
+	g->barred = 0;
+	for (ptrdiff_t i = 0; i < arrlen(g->v); i++)
+		told_free(&g->v[i]);
+	arrsetlen(g->v, 0);
+	sights_begin(&r->sights, &r->f.sights, term, now);
+	for (ptrdiff_t i = 0; i < shlen(r->sights.h); i++)
+		if (r->sights.h[i].value.s->loading)
+			told_of(g, r->sights.h[i].key)->is = GIVER_UNSURE;
+}
+
+/* Since when a model's newest weights are named, as far as this registrar can tell. */
+static void note_models(struct reg *r, int64_t now)
+{
+	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++) {
+		const struct Nl__Row *row = r->ctl.h[i].value.row;
+		ptrdiff_t k;
+
+		if (row->kind != NL__KIND__MODEL)
+			continue;
+		k = shgeti(r->giver.m, row->name);
+		if (k < 0) {
+			typeof(r->giver.m->value) n = { strdup(row->weights), now, 0, 0, 0, 0, 0, 0, 0 };
+
+			shput(r->giver.m, row->name, n);
+		} else if (strcmp(r->giver.m[k].value.weights, row->weights)) {
+			free(r->giver.m[k].value.weights);
+			r->giver.m[k].value.weights = strdup(row->weights);
+			r->giver.m[k].value.since = now;
+		}
+	}
+}
+
+static int digits(const char *s) { return *s && strspn(s, "0123456789") == strlen(s); }
+
+/* Whether a server has what is named, or newer: a new one may, before its naming has come here. */
+static int has(const char *weights, const char *named)
+{
+	if (!strcmp(weights, named))
+		return 1;
+	if (!digits(weights) || !digits(named))
+		return 0;
+	return strlen(weights) != strlen(named) ? strlen(weights) > strlen(named) : strcmp(weights, named) > 0;
+}
+
+static const char *model_of(const struct reg *r, const struct Nl__Sight *x)
+{
+	const struct Nl__Row *service = x->state == SIGHT_SERVING ? table_get(&r->ctl, NL__KIND__SERVICE, x->service) : NULL;
+
+	return service && service->model[0] ? service->model : NULL;
+}
+
+static void give(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, const char *weights,
+                 int64_t now, struct out *o)
+{
+	struct cmd *c = out_cmd(o, CMD_ORDER);
+
+	s->is = GIVER_ASKED;
+	s->token = ++r->token;
+	s->told = now;
+	s->beside = 1;
+	free(s->weights);
+	s->weights = strdup(weights);
+	c->u.order.token = s->token;
+	c->u.order.addr = core_addr(x->addr);
+	c->u.order.fence = r->giver.term << 20 | (++r->giver.seq & 0xfffff);
+	c->u.order.server = apr_pstrdup(o->p, x->server);
+	c->u.order.model = apr_pstrdup(o->p, model);
+	c->u.order.weights = apr_pstrdup(o->p, weights);
+	c->u.order.holder = apr_psprintf(o->p, "%016" APR_UINT64_T_HEX_FMT, r->id);
+	c->u.order.not_after = r->part[PART_CTL].licence - GIVER_MARGIN;
+	say(r, "order", o->p, "Server %s is told to load %s of %s.", x->server, weights, model);
+	sights_say(&r->sights, s->name, x->weights, 1, now); /* x may be another copy after this */
+}
+
+static void look(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, int64_t now, struct out *o)
+{
+	ptrdiff_t k = shgeti(r->giver.m, model);
+	int load = k < 0 ? 0 : r->giver.m[k].value.base_ms;
+	struct cmd *c;
+
+	if (now - s->looked < GIVER_LOOK || now - s->told < load * 4 / 5 || (s->look && now - s->looked < GIVER_SILENT))
+		return;
+	s->look = ++r->token;
+	s->looked = now;
+	c = out_cmd(o, CMD_LOOK);
+	c->u.look.token = s->look;
+	c->u.look.addr = core_addr(x->addr);
+	c->u.look.server = apr_pstrdup(o->p, x->server);
+	c->u.look.model = apr_pstrdup(o->p, model);
+	c->u.look.not_after = now + GIVER_SILENT;
+}
+
+/* One that was told, or may have been: what is known of it since. */
+static void attend(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, const char *named, int64_t now, struct out *o)
+{
+	if (s->is == GIVER_ASKED && now - s->told >= GIVER_SILENT)
+		s->is = GIVER_UNSURE;
+	if (s->is == GIVER_LOADING || s->is == GIVER_UNSURE) {
+		if (has(x->weights, named)) { /* the list says so */
+			s->is = GIVER_IDLE;
+			sights_say(&r->sights, s->name, x->weights, 0, now);
+		} else if (now >= s->told + GIVER_LOOK) {
+			look(r, s, x, model, now, o);
+		}
+	}
+}
+
+/* Learn from a load's end how long one takes, and whether more at once than at first make it longer. */
+static void learn(struct reg *r, const struct giver_server *s, const char *model, int64_t now)
+{
+	typeof(r->giver.m->value) *m;
+	int ms = (int)(now - s->told);
+
+	if (shgeti(r->giver.m, model) < 0 || s->is != GIVER_LOADING || !s->told)
+		return;
+	m = &shgetp(r->giver.m, model)->value;
+	if (s->beside <= m->base) {
+		m->base_ms = m->base_ms ? (3 * m->base_ms + ms) / 4 : ms;
+		return;
+	}
+	m->more_ms = m->more_ms ? (3 * m->more_ms + ms) / 4 : ms;
+	m->more++;
+	if (m->base_ms && m->more_ms > m->base_ms + m->base_ms / 4) {
+		m->many = 1;
+		m->room = m->base;
+	} else if (!m->many && m->more % (2 * m->room) == 0 && s->beside >= m->room) {
+		m->room++;
+	}
+}
+
+/* How many may load at once: as many as don't slow each other down, as far as is known; more when the bound asks for
+ * it and it helps; all that are left once the time that is planned for is over. */
+static int at_once(const struct reg *r, typeof(((struct giver_model *)0)->value) *m, int n, int left, int64_t now)
+{
+	int64_t load = m->base_ms ? m->base_ms : r->b.roll_ms / 10, time = m->since + r->b.roll_ms * GIVER_PLAN / 100 - now;
+	int need;
+
+	if (!m->base)
+		m->base = m->room = (n + 3) / 6 > 1 ? (n + 3) / 6 : 1;
+	if (time < load)
+		return left;
+	need = m->many ? 0 : (int)((left + time / load - 1) / (time / load));
+	return need > m->room ? need : m->room;
+}
+
+struct zone { const char *zone; int n, out; };
+
+static struct zone *zone_of(struct zone **z, const char *name, apr_pool_t *p)
+{
+	struct zone n = { name, 0, 0 };
+
+	for (ptrdiff_t i = 0; i < arrlen(*z); i++)
+		if (!strcmp((*z)[i].zone, name))
+			return &(*z)[i];
+	n.zone = apr_pstrdup(p, name);
+	arrput(*z, n);
+	return &arrlast(*z);
+}
+
+static void log_rolled(struct reg *r, typeof(((struct giver_model *)0)->value) *m, const struct Nl__Row *model, int64_t now, struct out *o)
+{
+	const struct part *p = &r->part[PART_CTL];
+	struct Nl__Row row = *model, *set[1] = { &row };
+	struct Nl__Op op = NL__OP__INIT;
+	struct Nl__Change c = NL__CHANGE__INIT;
+
+	/* nothing stands in the log behind the row as it is here, which would be undone; nor is this on its way already */
+	if (p->taken != p->base + (uint64_t)arrlen(p->log) || now - m->rolled < 1000)
+		return;
+	row.rolled = model->weights;
+	c.any = 1;
+	c.set = set;
+	c.n_set = 1;
+	op.op_case = NL__OP__OP_CHANGE;
+	op.change = &c;
+	if (log_op(r, PART_CTL, &op, now, o)) {
+		m->rolled = now;
+		say(r, "order", o->p, "Every server has %s of %s.", model->weights, model->name);
+	}
+}
+
+/* 1 when nothing is left to do. */
+static int roll_model(struct reg *r, const struct Nl__Row *model, int64_t now, struct out *o)
+{
+	typeof(r->giver.m->value) *m = &shgetp(r->giver.m, model->name)->value;
+	int n = 0, on = 0, busy = 0, room;
+	struct zone *z = NULL;
+
+	for (ptrdiff_t i = 0; i < shlen(r->sights.h); i++) {
+		const struct Nl__Sight *x = r->sights.h[i].value.s;
+		const char *name = model_of(r, x);
+		struct giver_server *s;
+		int out;
+
+		if (!name || strcmp(name, model->name))
+			continue;
+		s = told_get(&r->giver, x->server);
+		if (s)
+			attend(r, s, x, model->name, model->weights, now, o);
+		x = r->sights.h[i].value.s;
+		out = s && s->is != GIVER_IDLE;
+		n++;
+		busy += out;
+		on += !out && has(x->weights, model->weights);
+		zone_of(&z, x->zone, o->p)->n++;
+		zone_of(&z, x->zone, o->p)->out += out;
+	}
+	if (n && on == n && strcmp(model->rolled, model->weights))
+		log_rolled(r, m, model, now, o);
+	room = on == n ? 0 : at_once(r, m, n, n - on, now) - busy;
+	if (r->giver.barred || now < r->giver.first || now >= r->part[PART_CTL].licence - GIVER_MARGIN)
+		room = 0;
+	while (room-- > 0) { /* next in the zone that has the smallest share of its servers out */
+		const struct Nl__Sight *best = NULL;
+		struct zone *at = NULL;
+
+		for (ptrdiff_t i = 0; i < shlen(r->sights.h); i++) {
+			const struct Nl__Sight *x = r->sights.h[i].value.s;
+			const char *name = model_of(r, x);
+			struct giver_server *s;
+			struct zone *q;
+
+			if (!name || strcmp(name, model->name) || has(x->weights, model->weights))
+				continue;
+			s = told_get(&r->giver, x->server);
+			q = zone_of(&z, x->zone, o->p);
+			if ((s && (s->is != GIVER_IDLE || now < s->again)) || (at && q->out * at->n >= at->out * q->n))
+				continue;
+			best = x;
+			at = q;
+		}
+		if (!best)
+			break;
+		at->out++;
+		give(r, told_of(&r->giver, best->server), best, model->name, model->weights, now, o);
+		busy++;
+	}
+	for (ptrdiff_t i = 0; i < arrlen(r->giver.v); i++)
+		if (r->giver.v[i].is != GIVER_IDLE && r->giver.v[i].beside < busy)
+			r->giver.v[i].beside = busy;
+	arrfree(z);
+	return !n || (on == n && !strcmp(model->rolled, model->weights));
+}
+
+void giver_sighted(struct reg *r, int64_t now, struct out *o)
+{
+	int soon = 0, done = 1;
+
+	if (!r->b.sights)
+		return;
+	note_models(r, now);
+	if (!in_office(r, PART_CTL, now))
+		return;
+	for (ptrdiff_t i = arrlen(r->giver.v) - 1; i >= 0; i--) { /* those of servers that have left */
+		const struct Nl__Sight *x = sights_get(&r->sights, r->giver.v[i].name);
+
+		if (x && x->state == SIGHT_SERVING) {
+			soon |= r->giver.v[i].is != GIVER_IDLE;
+			continue;
+		}
+		told_free(&r->giver.v[i]);
+		arrdelswap(r->giver.v, i);
+	}
+	sights_tick(&r->sights, soon, r->b.list_mille, ++r->token, now, o);
+	if (!r->sights.listed || (r->giver.done_stamp == r->sights.stamp && r->giver.done_edition == r->ctl.edition))
+		return;
+	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++)
+		if (r->ctl.h[i].value.row->kind == NL__KIND__MODEL)
+			done &= roll_model(r, r->ctl.h[i].value.row, now, o);
+	if (done) { /* until something is seen or named */
+		r->giver.done_stamp = r->sights.stamp;
+		r->giver.done_edition = r->ctl.edition;
+	}
+}
+
+void giver_ordered(struct reg *r, uint64_t token, int status, int never, int64_t now, struct out *o)
+{
+	struct giver_server *s = NULL;
+	const struct Nl__Sight *x;
+
+	for (ptrdiff_t i = 0; i < arrlen(r->giver.v) && token; i++)
+		if (r->giver.v[i].token == token)
+			s = &r->giver.v[i];
+	x = s ? sights_get(&r->sights, s->name) : NULL;
+	if (!x)
+		return;
+	s->token = 0;
+	switch (status) {
+	case 200:
+		s->is = GIVER_IDLE;
+		sights_say(&r->sights, s->name, s->weights, 0, now);
+		break;
+	case 202: s->is = GIVER_LOADING; break;
+	case 412:
+		if (!r->giver.barred)
+			say(r, "order", o->p, "Server %s has seen a higher fence; no orders until the next term.", s->name);
+		r->giver.barred = 1;
+		s->is = GIVER_UNSURE;
+		break;
+	case 421:
+		sights_end(&r->sights, s->name, now);
+		break;
+	case 409: s->is = GIVER_UNSURE; break; /* it loads what it was told before: told again when a look says it is done */
+	default:
+		if (never) {
+			s->is = GIVER_IDLE;
+			s->again = now + 100;
+			sights_say(&r->sights, s->name, x->weights, 0, now);
+		} else {
+			s->is = GIVER_UNSURE;
+			s->again = now + (status ? GIVER_REFUSED : 0);
+			if (status)
+				say(r, "order", o->p, "Step order: server %s answers %d.", s->name, status);
+		}
+	}
+}
+
+void giver_looked(struct reg *r, uint64_t token, int status, const char *weights, int loading, int64_t now)
+{
+	struct giver_server *s = NULL;
+	const struct Nl__Sight *x;
+	const char *model;
+	ptrdiff_t k;
+
+	for (ptrdiff_t i = 0; i < arrlen(r->giver.v) && token; i++)
+		if (r->giver.v[i].look == token)
+			s = &r->giver.v[i];
+	x = s ? sights_get(&r->sights, s->name) : NULL;
+	model = x ? model_of(r, x) : NULL;
+	if (!model)
+		return;
+	s->look = 0;
+	if (status == 421) {
+		sights_end(&r->sights, s->name, now);
+		return;
+	}
+	k = shgeti(r->giver.m, model);
+	if (status != 200 || !weights || k < 0 || (s->is != GIVER_LOADING && s->is != GIVER_UNSURE))
+		return;
+	if (loading) {
+		s->is = GIVER_LOADING;
+		sights_say(&r->sights, s->name, weights, 1, now);
+		return;
+	}
+	if (!has(weights, s->weights) && s->looked < s->told + GIVER_DATED)
+		return; /* the report may be older than the order */
+	if (!strcmp(weights, s->weights))
+		learn(r, s, model, now);
+	s->is = GIVER_IDLE;
+	sights_say(&r->sights, s->name, weights, 0, now);
+}
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -3,6 +3,7 @@
 #define NL_REG_H
 
 #include "follow.h"
+#include "giver.h"
 #include "part.h"
 #include "purge.h"
 #include "table.h"
@@ -110,10 +111,12 @@
 	uint64_t ctl_doc_version;
 	struct reg_call *call;    /* stb_ds */
 	const struct reg_tongue *tongue; /* of documents; NULL: none are taken */
-	struct bounds b;
 	struct reg_pub pub;
 	struct reg_svc svc[PART_SERVICES];
 	struct follow f;
+	struct bounds b;          /* bounds_default until they are set */
+	struct sights sights;     /* what the configuration's owner sees itself */
+	struct giver giver;
 	struct relay relay;
 	struct reg_wait *wait;
 	struct reg_ask *ask;
