--- a/bin/counter.c
+++ b/bin/counter.c
@@ -69,6 +69,7 @@
 	for (int i = 0; i < s->nseeds; i++)
 		seeds[i] = core_addr(s->seed[i]);
 	follow_seeds(&c->f, seeds, s->nseeds);
+	c->b = s->bounds;
 }
 
 static int done(void *ctx) { return ctr_idle(ctx); }
