--- a/bin/registrar.c
+++ b/bin/registrar.c
@@ -24,7 +24,6 @@
 
 static void step(void *ctx, const struct shell_ev *e, int64_t now, struct out *o)
 {
-	struct registrar *g = ctx;
 	struct reg_ev ev;
 
 	memset(&ev, 0, sizeof ev);
@@ -56,7 +55,7 @@
 	case EV_STOP: ev.kind = REG_STOP; break;
 	default: return;
 	}
-	stepped(g, &ev, now, o);
+	stepped(ctx, &ev, now, o);
 }
 
 static void changed(void *ctx, const struct settings *s)
@@ -67,6 +66,8 @@
 	for (int i = 0; i < s->nseeds; i++)
 		seeds[i] = core_addr(s->seed[i]);
 	follow_seeds(&g->r.f, seeds, s->nseeds);
+	g->r.b = s->bounds;
+	g->door.list = ((const struct platform *)s->more)->list;
 }
 
 static int done(void *ctx)
