rehearsal hollow: the cores of a large fleet in one process, counted by role and duty

Before: no figure of messages, processor time or memory at that size. After: rehearsal hollow runs the real cores under virtual time with imitated links, disks, servers and callers, and prints per role what is sent, heard, spent, held and synced.

--- a/rehearsal/main.c
+++ b/rehearsal/main.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "hollow.h"
 #include "kit.h"
 
 static int usage(FILE *o)
@@ -16,6 +17,7 @@
 	           "       rehearsal up [--small] [--folder F]        a fleet to try things on\n"
 	           "       rehearsal check FOLDER                     judge the records of a run\n"
 	           "       rehearsal list                             the scenarios\n"
+	           "       rehearsal hollow --nodes N --servers M ... the cores of a large fleet in one process: what each role costs\n"
 	           "       rehearsal server ...                       one server stand-in\n");
 	return o == stdout ? 0 : 2;
 }
@@ -87,6 +89,8 @@
 		rc = server_main(argc - 1, argv + 1);
 	else if (!strcmp(argv[1], "run"))
 		rc = run(argc - 1, argv + 1, NULL);
+	else if (!strcmp(argv[1], "hollow"))
+		rc = hollow_main(argc - 1, argv + 1);
 	else if (!strcmp(argv[1], "up"))
 		rc = run(argc - 1, argv + 1, "up");
 	else if (!strcmp(argv[1], "check") && argc == 3) {
