--- a/rehearsal/hollow.c
+++ b/rehearsal/hollow.c
@@ -1070,10 +1070,16 @@
 	int64_t n = s->parts < 200000 ? s->parts : 200000;
 	struct kept k = { 0 };
 	struct view w = { 0 };
-	struct table t;
+	struct table tab;
 	struct Nl__FollowReply all = NL__FOLLOW_REPLY__INIT;
+	enum { EVENTS = 100 }; /* of one message */
+	struct Nl__KeptEvent ke[EVENTS], *pe[EVENTS];
+	struct Nl__Kept kept = NL__KEPT__INIT;
+	struct Nl__Msg m = NL__MSG__INIT;
 	apr_pool_t *p;
-	size_t was = heap();
+	size_t was = heap(), bytes;
+	int64_t t = cpu_ns();
+	uint8_t *d;
 
 	for (int64_t i = 0; i < n; i++) {
 		struct kept_copy c = { 0 };
@@ -1082,9 +1088,33 @@
 		c.maker = (uint32_t)(i % s->tenants);
 		kept_put(&k, core_rand(&f->rng), &c);
 	}
-	if (n)
+	t = cpu_ns() - t;
+	if (n) {
 		row(r, (double)(heap() - was) / (double)n, (double)(heap() - was) / (double)n, "state.kept_part_bytes");
+		row(r, (double)t / (double)n, (double)t / (double)n, "state.kept_put_ns");
+	}
 	kept_clear(&k);
+	for (int i = 0; i < EVENTS; i++) {
+		nl__kept_event__init(&ke[i]);
+		ke[i].shelf = "t1234567";
+		ke[i].id = core_rand(&f->rng);
+		ke[i].tokens = 64;
+		pe[i] = &ke[i];
+	}
+	m.body_case = NL__MSG__BODY_KEPT;
+	m.kept = &kept;
+	kept.server = "s1000";
+	kept.n_e = EVENTS;
+	kept.e = pe;
+	bytes = nl__msg__get_packed_size(&m);
+	d = malloc(bytes);
+	nl__msg__pack(&m, d);
+	t = cpu_ns();
+	for (int i = 0; i < EVENTS; i++)
+		nl__msg__free_unpacked(nl__msg__unpack(NULL, bytes, d), NULL);
+	row(r, (double)bytes / EVENTS, (double)bytes / EVENTS, "state.kept_event_bytes");
+	row(r, (double)(cpu_ns() - t) / EVENTS / EVENTS, (double)(cpu_ns() - t) / EVENTS / EVENTS, "state.kept_event_unpack_ns");
+	free(d);
 	was = heap();
 	for (int i = 0; i < s->tenants; i++) {
 		struct Nl__Value v = NL__VALUE__INIT;
@@ -1103,11 +1133,11 @@
 	apr_pool_create(&p, f->pool);
 	table_since(&f->n[f->nn - 1].c->f.t, 0, &all, p);
 	was = heap();
-	table_open(&t);
+	table_open(&tab);
 	all.whole = 1;
-	if (table_follow(&t, &all) && all.n_set)
+	if (table_follow(&tab, &all) && all.n_set)
 		row(r, (double)(heap() - was) / (double)all.n_set, (double)(heap() - was) / (double)all.n_set, "state.row_bytes");
-	table_close(&t);
+	table_close(&tab);
 	row(r, (double)protobuf_c_message_get_packed_size(&all.base), (double)protobuf_c_message_get_packed_size(&all.base), "state.table_packed_bytes");
 	apr_pool_destroy(p);
 }
