Failover: shorter leases and elections, a silent owner looked for at several registrars; the ride ends with the calm time

The ride now ends 150 ms before the machines count as in touch again. Leases 1000 -> 600 ms, elections 1100 -> 700 ms.

--- a/lib/control/follow.c
+++ b/lib/control/follow.c
@@ -123,14 +123,10 @@
 		follow_miss(f, part);
 }
 
-void follow_ask(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
+static struct Nl__Follow *asking(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
 {
-	uint64_t to = follow_seat(f, PART_CTL);
-	struct Nl__Follow *a;
+	struct Nl__Follow *a = OUT_NEW(o, Nl__Follow, NL__FOLLOW__INIT);
 
-	if (!to)
-		return;
-	a = OUT_NEW(o, Nl__Follow, NL__FOLLOW__INIT);
 	a->have = f->t.edition;
 	a->sights = f->sights.stamp;
 	a->born = f->born;
@@ -143,18 +139,49 @@
 	f->asked[f->token % 16].token = f->token;
 	f->asked[f->token % 16].at = now;
 	f->last_ask = now;
-	out_msg(o, to, PART_CTL, NL__MSG__BODY_FOLLOW)->follow = a;
+	return a;
+}
+
+void follow_ask(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
+{
+	uint64_t to = follow_seat(f, PART_CTL);
+
+	if (to)
+		out_msg(o, to, PART_CTL, NL__MSG__BODY_FOLLOW)->follow = asking(f, horizon, now, o);
+}
+
+/* The owner is silent, or nobody's guess is right: a few at once, in turn, so that a new owner is found as soon as there is
+ * one. Only a licensed one answers with more than a hint. */
+static void ask_around(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
+{
+	struct Nl__Follow *a = asking(f, horizon, now, o);
+	uint64_t first = f->seat[PART_CTL];
+
+	if (first)
+		out_msg(o, first, PART_CTL, NL__MSG__BODY_FOLLOW)->follow = a;
+	for (int i = 0; i < FOLLOW_AROUND && i < f->ncand; i++) {
+		uint64_t to = f->cand[(f->at[PART_CTL] + i) % f->ncand];
+
+		if (to != first)
+			out_msg(o, to, PART_CTL, NL__MSG__BODY_FOLLOW)->follow = a;
+	}
+	f->at[PART_CTL] = (f->at[PART_CTL] + FOLLOW_AROUND) % (f->ncand ? f->ncand : 1);
 }
 
 void follow_tick(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
 {
-	if (now - f->last_ask < FOLLOW_EVERY)
+	int silent = follow_age(f, now) > FOLLOW_WAIT + FOLLOW_EVERY;
+
+	if (now - f->last_ask < (silent ? FOLLOW_EVERY / 2 : FOLLOW_EVERY))
 		return;
 	if (now - f->last_word > FOLLOW_WAIT + FOLLOW_EVERY) {
 		follow_miss(f, PART_CTL);
 		f->last_word = now - FOLLOW_EVERY; /* the next one gets its time too */
 	}
-	follow_ask(f, horizon, now, o);
+	if (silent)
+		ask_around(f, horizon, now, o);
+	else
+		follow_ask(f, horizon, now, o);
 }
 
 static void take_registrars(struct follow *f, const struct Nl__FollowReply *r)
--- a/lib/core/part.h
+++ b/lib/core/part.h
@@ -8,10 +8,10 @@
 enum part_role { PART_STANDBY, PART_ASKING, PART_CONTENDER, PART_OWNER };
 
 enum {
-	PART_LICENCE = 1000,   /* ms that a member promises not to vote for another */
+	PART_LICENCE = 600,    /* ms that a member promises not to vote for another */
 	PART_EARLY = 150,      /* the owner stops this much before the licence ends */
 	PART_ROUND = 150,      /* ms between rounds */
-	PART_ELECT = 1100,     /* a standby waits this long, plus up to half again */
+	PART_ELECT = 700,      /* a standby waits this long, plus up to half again */
 	PART_RETRY = 300,      /* ms after which one that asked in vain asks again, plus up to as much; without an owner nobody waits for one */
 	PART_STALL = 600,      /* an own sync slower than this costs the ownership */
 	PART_COPIES = 3,       /* founded with these; a group never shrinks below them */
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -38,6 +38,7 @@
 	CTR_FETCH_MS = 6,      /* what a fetch takes besides moving */
 	CTR_OTHERS_HALF = 1000, CTR_LATE_HALF = 1500, CTR_FAILED_HALF = 3000, /* ms in which half of what was seen is forgotten */
 	CTR_FAILED_MS = 1500,  /* what a server costs of whose sends all broke off lately */
+	CTR_CALM_MARGIN = 150,
 	CTR_RIDE_MARGIN = 500, /* ms by which the ride ends before the strictest bound */
 	CTR_ROLL_EARLY = 1500, /* ms before a roll-out's bound after which older weights are sent nothing more */
 	CTR_RETRY = 500,       /* ms after which a refused caller may come back, at the least */
--- a/lib/data/ctr_line.c
+++ b/lib/data/ctr_line.c
@@ -299,13 +299,19 @@
 static int in_force(const struct ctr *c, int64_t now) { return c->book && follow_age(&c->f, now) <= ctr_ride(c); }
 
 /* How long the configuration's owner may go unheard while new work is still taken. With servers from the table it is the
- * brief's two seconds. Where a deployment grants its nodes more while the core is unsettled, as long as no removed key
- * can have outlived its bound: docs/design.md, Freshness. */
+ * brief's two seconds. Where a deployment counts nodes as in touch only when the core has been calm for a while, an owner
+ * that falls silent just after its last good answer makes the core uncalm for that long: until then what it may have
+ * acknowledged meanwhile need not be in force here. No removed key may outlive its bound either: docs/design.md, Freshness. */
 int ctr_ride(const struct ctr *c)
 {
-	int key = c->b.revoke_ms - CTR_RIDE_MARGIN, drift = c->b.config_ms + c->b.drift_ms - CTR_RIDE_MARGIN;
+	int key = c->b.revoke_ms - CTR_RIDE_MARGIN, calm = c->b.contact_ms - CTR_CALM_MARGIN;
+	int drift = c->b.config_ms + c->b.drift_ms - CTR_RIDE_MARGIN;
 
-	return !c->b.sights ? FOLLOW_CONFIG : key < drift ? key : drift;
+	if (!c->b.sights)
+		return FOLLOW_CONFIG;
+	if (calm < c->b.config_ms - CTR_CALM_MARGIN)
+		calm = c->b.config_ms - CTR_CALM_MARGIN;
+	return key < calm && key < drift ? key : drift < calm ? drift : calm;
 }
 
 /* Which class a line goes in: its tenant's, where that has one, else its lane's. */
