--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -30,11 +30,15 @@
 	CTR_LATE_MOST = 1000, CTR_FULL = 150, CTR_AGAIN_LEAST = 50,
 	CTR_WATCH_WAIT = 1000, CTR_WATCH_GAP = 300, /* ms that a server holds a watch; between two of them */
 	CTR_INDEX = 1000000,   /* copies of parts that the index holds at the most */
-	CTR_AWAY_MS = 40, CTR_AWAY_K = 4, /* ms that a server counts as dearer which does not keep the prefix, also by 1000 tokens of it: it pushes others' out */
-	CTR_FULL_PART = 70,    /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
+	CTR_AWAY_MS = 40, CTR_AWAY_K = 12, /* ms that a server counts as dearer which does not keep the prefix, also by 1000 tokens of it: it pushes others' out */
+	CTR_PUMP = 10,         /* ms between weighings of lines that nobody has room for */
+	CTR_WAIT_MOST = 800,   /* ms of reading that may be ahead of a send at its server */
+	CTR_FULL_PART = 60,    /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
 	CTR_MEAN_SIZE = 9000,  /* tokens that others' requests are taken to hold */
 	CTR_STORE_HEARD = 3500, /* ms after the last word of a store's events for which it counts as up */
 	CTR_LOAD = 50, CTR_LOAD_WHOLE = 1000, CTR_LOAD_OLD = 2500, /* ms between words of load; between whole ones; after which one is forgotten */
+	CTR_FETCH_WAIT = 400,  /* ms that a fetch may take before reading anew is the better */
+	CTR_SINK_WAIT = 80,    /* ms of moves at the store beyond which nothing more is left there */
 	CTR_FETCH_MS = 6,      /* what a fetch takes besides moving */
 	CTR_OTHERS_HALF = 1000, CTR_LATE_HALF = 1500, CTR_FAILED_HALF = 3000, /* ms in which half of what was seen is forgotten */
 	CTR_FAILED_MS = 1500,  /* what a server costs of whose sends all broke off lately */
@@ -188,6 +192,7 @@
 	double failed;      /* of late sends, the part that broke off; forgotten by and by */
 	int fails;          /* connections in a row that did not come up */
 	uint64_t watch, epoch, next; /* a watch of its kept parts: the call, where it stands */
+	double link_free;   /* when the moves from and to it that are under way should be done; ours stand for all counters' */
 	int64_t watched, heard; /* heard: a relay's word of its kept parts */
 };
 
@@ -227,6 +232,7 @@
 	uint64_t *server_hash;      /* stb_ds, by server: of its name, so that every counter ranks alike */
 	uint64_t zone_hash;
 	apr_pool_t *scratch;
+	int64_t pump_at;
 	uint64_t walled_tick;       /* newest purge of a tenant in the view */
 	struct { uint64_t key; uint32_t value; } *line_at; /* stb_ds: lane << 32 | tenant -> line */
 	struct ctr_named { uint32_t key; struct { uint32_t weights; int64_t since; } value; } *named; /* stb_ds, by service: what is named, since when that is known */
--- a/lib/data/ctr_assign.c
+++ b/lib/data/ctr_assign.c
@@ -91,13 +91,13 @@
 {
 	const struct book *b = c->book;
 	const struct bk_service *svc = &b->service[x->service];
-	struct plan best = { -1, 0, -1, 0, 0, 0 };
+	struct plan best = { -1, 0, -1, 0, 0, 0, 0 };
 	int current = relay_current(&c->relay, now);
 	uint64_t all = ctr_tokens_upto(x, x->nparts) + x->tail_tokens;
 
 	for (uint32_t s = 0; s < c->roster->nserver; s++) {
 		struct ctr_server *v = &c->sv[s];
-		struct plan p = { (int)s, 0, -1, 0, 0, 0 };
+		struct plan p = { (int)s, 0, -1, 0, 0, 0, 0 };
 		double prefill;
 
 		if (c->roster->server[s].is_store || c->roster->server[s].service != x->service || s == x->tried || !ctr_standing(c, s, now) || busy(v) >= v->slots)
@@ -211,38 +211,68 @@
 	return deep;
 }
 
-/* Whether one more fits beside what runs there, so that kept parts are not pushed out by it. */
+/* Whether one more fits beside what runs there: not so much that kept parts are pushed out by it, nor that it would wait
+ * there for long, where no other counter's more urgent one can pass it. What does not fit anywhere waits in its line. */
 static int fits(const struct ctr *c, const struct xch *x, uint32_t s, const struct bk_service *svc, int64_t now)
 {
 	const struct ctr_server *v = &c->sv[s];
 	int others = others_at(c, s, now);
-	uint64_t held = v->tokens + (uint64_t)others * CTR_MEAN_SIZE;
+	uint64_t held = v->tokens + (uint64_t)others * CTR_MEAN_SIZE, ahead = v->ahead + ahead_at(c, s, now);
 
 	if (v->own + others >= v->slots)
 		return 0;
+	if (ahead && ahead / svc->prefill > CTR_WAIT_MOST)
+		return 0;
 	return !svc->room || !held || held + x->size <= svc->room * CTR_FULL_PART / 100;
 }
 
-/* The server that rendezvous hashing names for a prefix, so that all counters name the same: the first that stands in an
- * order which does not change while others load, fall or rise. -1: none stands. */
+/* The server that rendezvous hashing names for a prefix, so that all counters name the same. While it does not stand, the
+ * next in an order that does not change while others load, fall or rise; those with the newest weights go first, since what
+ * is read there is of use when the others have them too. -1: none stands. */
 static int home_of(struct ctr *c, const struct xch *x, int64_t now)
 {
-	uint64_t part = home_part(x), top = 0;
-	int home = -1;
+	uint32_t newest = c->book->service[x->service].weights;
+	uint64_t part = home_part(x), first = 0, top = 0;
+	int home = -1, named = -1, best = -1;
 
 	for (uint32_t s = 0; s < c->roster->nserver; s++) {
 		const struct bk_server *sv = &c->roster->server[s];
 		uint64_t w;
+		int fresh;
 
-		if (!sv->on || sv->is_store || sv->service != x->service || s == x->tried)
+		if (!sv->on || sv->is_store || sv->draining || sv->service != x->service || s == x->tried)
 			continue;
 		w = core_rdv(part, c->server_hash[s]);
-		if ((home < 0 || w > top) && ctr_standing(c, s, now)) {
+		if (best < 0 || w > first) {
+			best = (int)s;
+			first = w;
+		}
+		if (!ctr_standing(c, s, now))
+			continue;
+		fresh = c->sv[s].weights == newest;
+		if (home < 0 || fresh > named || (fresh == named && w > top)) {
 			home = (int)s;
+			named = fresh;
 			top = w;
 		}
 	}
-	return home;
+	return best >= 0 && ctr_standing(c, (uint32_t)best, now) ? best : home;
+}
+
+/* Moves at one machine run one after the other. How long one that begins now would wait there. */
+static double link_wait(const struct ctr *c, uint32_t s, int64_t now)
+{
+	double ms = c->sv[s].link_free - (double)now;
+
+	return ms > 0 ? ms : 0;
+}
+
+/* This counter sees its own moves only; it takes each as standing for one of every counter. */
+void ctr_link_use(struct ctr *c, uint32_t s, double ms, int64_t now)
+{
+	struct ctr_server *v = &c->sv[s];
+
+	v->link_free = (v->link_free > (double)now ? v->link_free : (double)now) + ms * (c->f.counters ? c->f.counters : 1);
 }
 
 /* The deepest holder of the prefix among servers with these weights. -1: nobody is known to keep any. */
@@ -269,7 +299,7 @@
 {
 	const struct book *b = c->book;
 	const struct bk_service *svc = &b->service[x->service];
-	struct plan best = { -1, 0, -1, 0, 0, 0 };
+	struct plan best = { -1, 0, -1, 0, 0, 0, 0 };
 	int current = relay_current(&c->relay, now), home = home_of(c, x, now), shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
 	uint32_t n = c->roster->nserver, seen[4], nseen = 0;
 	int holder[4], held[4], store = svc->store_server, store_up;
@@ -296,7 +326,8 @@
 	store_up = store >= 0 && (uint32_t)store < n && c->roster->server[store].on && ctr_standing(c, (uint32_t)store, now);
 	for (uint32_t k = 0; k < nseen; k++) {
 		holder[k] = holder_of(c, x, seen[k], now);
-		if (holder[k] >= 0 && (!store_up || c->depth[holder[k]] >= held[k])) {
+		/* servers' links are many, the store's is one: it is asked for what no server keeps */
+		if (holder[k] >= 0 && (!store_up || c->depth[holder[k]] >= held[k] || c->depth[holder[k]] >= shared)) {
 			held[k] = c->depth[holder[k]];
 		} else {
 			holder[k] = store_up && held[k] ? store : -1;
@@ -305,7 +336,7 @@
 	for (uint32_t s = 0; s < n; s++) {
 		const struct bk_server *sv = &c->roster->server[s];
 		struct ctr_server *v = &c->sv[s];
-		struct plan p = { (int)s, c->depth[s], -1, 0, 0, 0 };
+		struct plan p = { (int)s, c->depth[s], -1, 0, 0, 0, 0 };
 		double read;
 		int from = -1, upto = 0;
 
@@ -327,16 +358,18 @@
 			double more = (double)(ctr_tokens_upto(x, upto) - ctr_tokens_upto(x, p.keep));
 			double ms = more * svc->kv_bytes / (c->roster->server[from].is_store ? svc->store ? svc->store : 1 : svc->link);
 
-			ms = ms * slow_of(c, (uint32_t)from, s, now) * (c->roster->server[from].zone == sv->zone ? 1 : 2) + CTR_FETCH_MS;
-			if (ms < CTR_FETCH_MOST / 2) {
+			ms = ms * slow_of(c, (uint32_t)from, s, now) * (c->roster->server[from].zone == sv->zone ? 1 : 2) + CTR_FETCH_MS +
+			     link_wait(c, (uint32_t)from, now);
+			if (ms < CTR_FETCH_WAIT) {
 				p.from = from;
 				p.upto = upto;
 				p.fetch = ms;
+				p.move = ms - CTR_FETCH_MS - link_wait(c, (uint32_t)from, now);
 				read += ms - more / svc->prefill;
 			}
 		}
 		p.cost = read + load_of(c, s, svc, now);
-		if (p.keep < shared && (int)s != home)
+		if (p.keep < shared && ((int)s != home || (from >= 0 && from != store && from != (int)s)))
 			p.cost += CTR_AWAY_MS + CTR_AWAY_K * (double)(ctr_tokens_upto(x, shared) - ctr_tokens_upto(x, p.keep)) / 1000;
 		if (best.server < 0 || p.cost < best.cost)
 			best = p;
@@ -351,6 +384,11 @@
 
 	if (st < 0 || (uint32_t)st >= c->roster->nserver || !c->roster->server[st].on || !ctr_standing(c, (uint32_t)st, now))
 		return 0;
+	if (link_wait(c, (uint32_t)st, now) > CTR_SINK_WAIT)
+		return 0;
+	/* its own part would go there too and push shared ones out: one that brings little of it will come */
+	if ((x->size - ctr_tokens_upto(x, shared)) * 3ull > ctr_tokens_upto(x, shared))
+		return 0;
 	for (int i = 0; i < shared; i++) {
 		struct kept_copy *v = kept_get(&c->kept, ctr_kept_key(shelf, x->hash[i]));
 		int there = 0;
--- a/lib/data/ctr_line.c
+++ b/lib/data/ctr_line.c
@@ -475,11 +475,12 @@
 {
 	const struct book *b = c->book;
 
-	if (!in_force(c, now) || !c->roster || !arrlen(c->all))
+	if (!in_force(c, now) || !c->roster || !arrlen(c->all) || now < c->pump_at)
 		return;
 	for (;;) {
 		struct line *best = NULL;
-		struct plan best_plan = { -1, 0, -1, 0, 0, 0 };
+		int waits = 0;
+		struct plan best_plan = { -1, 0, -1, 0, 0, 0, 0 };
 		struct xch *x;
 		uint32_t share, limit;
 
@@ -489,6 +490,7 @@
 
 			if (!l->n)
 				continue;
+			waits = 1;
 			ctr_share_of(b, l->lane, l->tenant, &share, &limit);
 			if ((b->tenant[l->tenant].limit && c->running[l->tenant] >= ctr_held(c, c->tenants.name[l->tenant])) || (limit != UINT32_MAX && l->running >= ctr_held(c, l->name)))
 				continue;
@@ -500,8 +502,10 @@
 			best = l;
 			best_plan = pl;
 		}
-		if (!best)
+		if (!best) {
+			c->pump_at = waits ? now + CTR_PUMP : 0; /* all that waits was weighed against all servers: not at every event */
 			return;
+		}
 		x = best->head;
 		best->head = x->after;
 		if (!best->head)
--- a/lib/data/ctr_send.c
+++ b/lib/data/ctr_send.c
@@ -140,6 +140,11 @@
 	           : apr_psprintf(o->p, "cold-%" APR_UINT64_T_HEX_FMT "-%" APR_UINT64_T_FMT, c->id, x->seq);
 	x->shelf = current ? core_hashs(0, f->shelf) : 0;
 	f->sink = current ? ctr_sink(c, x, x->shelf, now) : 0;
+	if (pl->from >= 0 && pl->upto > pl->keep)
+		ctr_link_use(c, (uint32_t)pl->from, pl->move, now);
+	if (f->sink)
+		ctr_link_use(c, (uint32_t)b->service[x->service].store_server, (double)x->ahead * b->service[x->service].kv_bytes /
+		             (b->service[x->service].store ? b->service[x->service].store : 1), now);
 	x->sink = f->sink ? (int)b->service[x->service].store_server : -1;
 	f->weights = c->weights.name[v->weights];
 	f->from = pl->from >= 0 ? c->roster->server[pl->from].to : 0;
@@ -179,7 +184,7 @@
 
 void ctr_send_claimed(struct ctr *c, struct xch *x, int64_t now, struct out *o)
 {
-	struct plan pl = { -1, 0, -1, 0, 0, 0 };
+	struct plan pl = { -1, 0, -1, 0, 0, 0, 0 };
 
 	if (now >= x->limit) {
 		c->n.refused_limit++;
