--- a/lib/control/giver.h
+++ b/lib/control/giver.h
@@ -9,10 +9,10 @@
 
 enum {
 	GIVER_LOOK = 200,     /* ms between looks at a server that should soon have loaded */
-	GIVER_PLAN = 60,      /* per cent of the bound in which all is planned to be done */
+	GIVER_PLAN = 90,      /* per cent of the bound in which all is planned to be done */
 	GIVER_DATED = 700,    /* ms after which a server's report cannot be older than what it was told */
 	GIVER_SILENT = 1000,  /* ms after which an order or a look has got no answer */
-	GIVER_LAST = 75,      /* per cent of the bound after which all that are left are told */
+	GIVER_LAST = 95,      /* per cent of the bound after which all that are left are told */
 	GIVER_REFUSED = 2000, /* ms before one that refuses an order gets another */
 	GIVER_MEANT_FOR = 1000, /* ms after an order was logged in which it may leave */
 	GIVER_MARGIN = 100,   /* ms before the licence's end after which no order leaves */
