Events of kept parts and load go round less often the more counters there are

Cause: each watch's answer went to each counter of the zone at once, each word of load every 50 ms: at 81 counters some 2,800 messages a second through a head with 0.12 of a core. Now batched, and paced by the number of counters.

--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -143,8 +143,10 @@
 	follow_tick(&c->f, c->relay.k.horizon, now, o);
 	relay_up(&c->relay, c->f.up, (size_t)c->f.nup, follow_log(&c->f, c->relay.moved, now), now);
 	relay_tick(&c->relay, now, o);
-	if (c->b.sights)
+	if (c->b.sights) {
 		ctr_load_tick(c, now, o);
+		ctr_kept_tell(c, now, o);
+	}
 	if (c->b.sights)
 		ctr_watch(c, now, o);
 	else
@@ -189,7 +191,10 @@
 	case NL__MSG__BODY_CURIOSITY: relay_msg(&c->relay, m, now, o); break;
 	case NL__MSG__BODY_ANSWER: ctr_on_answer(c, m->answer, m->addr, now, o); break;
 	case NL__MSG__BODY_LOAD: ctr_on_load(c, m->id, m->addr, m->load, now); break;
-	case NL__MSG__BODY_KEPT: ctr_on_kept(c, m->kept, now); break;
+	case NL__MSG__BODY_KEPT_ALL:
+		for (size_t i = 0; i < m->kept_all->n_k; i++)
+			ctr_on_kept(c, m->kept_all->k[i], now);
+		break;
 	case NL__MSG__BODY_REPORT: ctr_on_passed_report(c, m->report, now, o); break;
 	case NL__MSG__BODY_FOLLOW: { /* a seed need not be a registrar: say whom to ask */
 		struct Nl__FollowReply *a = OUT_NEW(o, Nl__FollowReply, NL__FOLLOW_REPLY__INIT);
@@ -273,7 +278,7 @@
 		if (x && x->call == ev->u.ended->token)
 			ctr_on_ended(c, x, ev->u.ended, now, o);
 		break;
-	case CTR_WATCHED: ctr_on_watched(c, ev->u.kept.token, ev->u.kept.k, ev->u.kept.status, now, o); break;
+	case CTR_WATCHED: ctr_on_watched(c, ev->u.kept.token, ev->u.kept.k, ev->u.kept.status, now); break;
 	}
 	ctr_pump(c, now, o);
 	if (c->book && (ev->kind == CTR_TICK || ev->kind == CTR_EXCHANGE || ev->kind == CTR_ASKED))
@@ -299,6 +304,7 @@
 		abort();
 	apr_pool_create(&c->p, NULL);
 	apr_pool_create(&c->scratch, c->p);
+	apr_pool_create(&c->heard_pool, c->p);
 	c->b = bounds_default;
 	c->zone_hash = core_hashs(0, zone);
 	follow_open(&c->f, id, seeds, n, now);
@@ -320,6 +326,7 @@
 	ctr_book_free(c->book);
 	ctr_roster_free(c->roster);
 	ctr_load_clear(c);
+	arrfree(c->heard);
 	hmfree(c->line_at);
 	hmfree(c->named);
 	arrfree(c->depth);
--- a/lib/data/ctr_in.h
+++ b/lib/data/ctr_in.h
@@ -72,8 +72,10 @@
 void ctr_on_report(struct ctr *c, uint32_t s, const char *body, int64_t now);
 void ctr_on_value(void *ctx, const struct Nl__Value *v);
 void ctr_watch(struct ctr *c, int64_t now, struct out *o);
-void ctr_on_watched(struct ctr *c, uint64_t token, const struct Nl__Kept *k, int status, int64_t now, struct out *o);
+void ctr_on_watched(struct ctr *c, uint64_t token, const struct Nl__Kept *k, int status, int64_t now);
 void ctr_on_kept(struct ctr *c, const struct Nl__Kept *k, int64_t now);
+void ctr_kept_tell(struct ctr *c, int64_t now, struct out *o);
+int ctr_pace(const struct ctr *c, int ms);
 void ctr_pass_report(struct ctr *c, uint32_t s, const char *body, struct out *o);
 
 #endif
--- a/lib/data/ctr_load.c
+++ b/lib/data/ctr_load.c
@@ -66,10 +66,10 @@
 	uint64_t *down;
 	int whole, n = 0;
 
-	if (!c->roster || now - c->load_at < CTR_LOAD)
+	if (!c->roster || now - c->load_at < ctr_pace(c, CTR_LOAD))
 		return;
 	c->load_at = now;
-	whole = now - c->load_whole >= CTR_LOAD_WHOLE;
+	whole = now - c->load_whole >= (c->f.counters > 16 ? 2 : 1) * CTR_LOAD_WHOLE;
 	if (whole)
 		c->load_whole = now;
 	for (ptrdiff_t i = arrlen(c->load) - 1; i >= 0; i--)
--- a/lib/data/ctr_watch.c
+++ b/lib/data/ctr_watch.c
@@ -202,7 +202,7 @@
 	}
 }
 
-void ctr_on_watched(struct ctr *c, uint64_t token, const struct Nl__Kept *k, int status, int64_t now, struct out *o)
+void ctr_on_watched(struct ctr *c, uint64_t token, const struct Nl__Kept *k, int status, int64_t now)
 {
 	for (uint32_t s = 0; c->roster && s < c->roster->nserver; s++) {
 		struct ctr_server *v = &c->sv[s];
@@ -217,8 +217,33 @@
 		}
 		ctr_on_kept(c, k, now);
 		/* of a store each word goes on, for it says that the store is up */
-		for (ptrdiff_t i = 0; (k->n_e || c->roster->server[s].is_store) && i < arrlen(c->relay.down); i++)
-			out_msg(o, c->relay.down[i].addr, 0, NL__MSG__BODY_KEPT)->kept = (struct Nl__Kept *)core_dup(o->p, &k->base);
+		if (arrlen(c->relay.down) && (k->n_e || c->roster->server[s].is_store))
+			arrput(c->heard, (struct Nl__Kept *)core_dup(c->heard_pool, &k->base));
 		return;
 	}
 }
+
+/* What was heard goes on a few times a second: a word for each watch and each counter of the zone would be their product. */
+void ctr_kept_tell(struct ctr *c, int64_t now, struct out *o)
+{
+	struct Nl__KeptAll *all;
+
+	if (!arrlen(c->heard) || now - c->heard_at < ctr_pace(c, CTR_KEPT_TELL))
+		return;
+	c->heard_at = now;
+	all = OUT_NEW(o, Nl__KeptAll, NL__KEPT_ALL__INIT);
+	all->n_k = (size_t)arrlen(c->heard);
+	all->k = apr_palloc(o->p, all->n_k * sizeof *all->k);
+	for (size_t i = 0; i < all->n_k; i++)
+		all->k[i] = (struct Nl__Kept *)core_dup(o->p, &c->heard[i]->base);
+	for (ptrdiff_t i = 0; i < arrlen(c->relay.down); i++)
+		out_msg(o, c->relay.down[i].addr, 0, NL__MSG__BODY_KEPT_ALL)->kept_all = all;
+	arrsetlen(c->heard, 0);
+	apr_pool_clear(c->heard_pool);
+}
+
+/* Words between counters are rarer the more of them there are. Example: ctr_pace(c, 50) is 50 for up to 16 counters */
+int ctr_pace(const struct ctr *c, int ms)
+{
+	return c->f.counters <= 16 ? ms : c->f.counters >= 64 ? 4 * ms : ms * (int)c->f.counters / 16;
+}
