--- a/rehearsal/hollow.c
+++ b/rehearsal/hollow.c
@@ -1075,7 +1075,7 @@
 	enum { EVENTS = 100 }; /* of one message */
 	struct Nl__KeptEvent ke[EVENTS], *pe[EVENTS];
 	struct Nl__Kept kept = NL__KEPT__INIT;
-	struct Nl__KeptAll all = NL__KEPT_ALL__INIT;
+	struct Nl__KeptAll heard = NL__KEPT_ALL__INIT;
 	struct Nl__Kept *one = &kept;
 	struct Nl__Msg m = NL__MSG__INIT;
 	apr_pool_t *p;
@@ -1104,9 +1104,9 @@
 		pe[i] = &ke[i];
 	}
 	m.body_case = NL__MSG__BODY_KEPT_ALL;
-	m.kept_all = &all;
-	all.n_k = 1;
-	all.k = &one;
+	m.kept_all = &heard;
+	heard.n_k = 1;
+	heard.k = &one;
 	kept.server = "s1000";
 	kept.n_e = EVENTS;
 	kept.e = pe;
