--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -32,8 +32,6 @@
 	CTR_INDEX = 1000000,   /* copies of parts that the index holds at the most */
 	CTR_AWAY_MS = 40, CTR_AWAY_K = 12, /* ms that a server counts as dearer which does not keep the prefix, also by 1000 tokens of it: it pushes others' out */
 	CTR_KEPT_TELL = 75,    /* ms between words of kept parts to the zone */
-	CTR_KEPT_FRESH = 1500, /* ms for which events that were heard vouch for what is not known to be kept */
-	CTR_STRAY_MS = 15,     /* what a prefix that must be read anyway costs more where nobody would look for it first */
 	CTR_PUMP = 10,         /* ms between weighings of lines that nobody has room for */
 	CTR_WAIT_MOST = 800,   /* ms of reading that may be ahead of a send at its server */
 	CTR_FULL_PART = 60,    /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
@@ -235,7 +233,7 @@
 	uint64_t *server_hash;      /* stb_ds, by server: of its name, so that every counter ranks alike */
 	uint64_t zone_hash;
 	apr_pool_t *scratch;
-	int64_t pump_at, heard_at, kept_fresh;
+	int64_t pump_at, heard_at;
 	struct Nl__Kept **heard;    /* stb_ds: events of kept parts that the zone has not been told */
 	apr_pool_t *heard_pool;
 	uint64_t walled_tick;       /* newest purge of a tenant in the view */
--- a/lib/data/ctr_assign.c
+++ b/lib/data/ctr_assign.c
@@ -302,8 +302,7 @@
 	struct plan best = { -1, 0, -1, 0, 0, 0, 0 };
 	int current = relay_current(&c->relay, now), home = home_of(c, x, now), shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
 	uint32_t n = c->roster->nserver, seen[4], nseen = 0;
-	/* the zone hears events: what is kept anywhere is known here half a second later */
-	int holder[4], held[4], store = svc->store_server, store_up, told = now - c->kept_fresh < CTR_KEPT_FRESH;
+	int holder[4], held[4], store = svc->store_server, store_up;
 	double all = (double)(ctr_tokens_upto(x, x->nparts) + x->tail_tokens);
 
 	if (home < 0)
@@ -348,13 +347,13 @@
 				from = holder[k];
 				upto = held[k];
 			}
-		if (from < 0 && current && !told && (int)s != home && c->sv[home].weights == v->weights) {
+		if (from < 0 && current && (int)s != home && c->sv[home].weights == v->weights) {
 			from = home;
 			upto = shared; /* it has it, unless nobody asked there yet */
 		}
 		read = (all - (double)ctr_tokens_upto(x, p.keep)) / svc->prefill;
-		if (!p.keep && (int)s == home && from < 0) /* others will have sent it here */
-			read -= (told ? 0.2 : 0.7) * (double)ctr_tokens_upto(x, shared) / svc->prefill;
+		if (!p.keep && (int)s == home && from < 0)
+			read -= 0.7 * (double)ctr_tokens_upto(x, shared) / svc->prefill; /* others will have sent it here */
 		if (from >= 0 && from != (int)s && upto > p.keep && svc->link) {
 			double more = (double)(ctr_tokens_upto(x, upto) - ctr_tokens_upto(x, p.keep));
 			double ms = more * svc->kv_bytes / (c->roster->server[from].is_store ? svc->store ? svc->store : 1 : svc->link);
@@ -370,9 +369,7 @@
 			}
 		}
 		p.cost = read + load_of(c, s, svc, now);
-		if (told && from < 0)
-			p.cost += (int)s != home ? CTR_STRAY_MS : 0; /* it has to be read wherever it goes */
-		else if (p.keep < shared && ((int)s != home || (from >= 0 && from != store && from != (int)s)))
+		if (p.keep < shared && ((int)s != home || (from >= 0 && from != store && from != (int)s)))
 			p.cost += CTR_AWAY_MS + CTR_AWAY_K * (double)(ctr_tokens_upto(x, shared) - ctr_tokens_upto(x, p.keep)) / 1000;
 		if (best.server < 0 || p.cost < best.cost)
 			best = p;
--- a/lib/data/ctr_watch.c
+++ b/lib/data/ctr_watch.c
@@ -185,7 +185,7 @@
 	if (s < 0 || !c->roster || (uint32_t)s >= c->roster->nserver || !c->roster->server[s].on)
 		return;
 	v = &c->sv[s];
-	v->heard = c->kept_fresh = now;
+	v->heard = now;
 	if (k->lost || (v->epoch && v->epoch != k->epoch))
 		kept_sweep(&c->kept, (uint32_t)s, UINT64_MAX);
 	v->epoch = k->epoch;
