--- a/lib/data/ctr_assign.c
+++ b/lib/data/ctr_assign.c
@@ -293,6 +293,33 @@
 	return deep;
 }
 
+/* Where else it may go: a few that the request's own id names. All counters see the same load, some 50 ms old or more; if
+ * each took the idlest of all, they would take the same one together. */
+static void choices(const struct ctr *c, const struct xch *x, int choice[3], int64_t now)
+{
+	uint64_t top[3] = { 0, 0, 0 }, id = core_hashs(53, x->id);
+
+	choice[0] = choice[1] = choice[2] = -1;
+	for (uint32_t s = 0; s < c->roster->nserver; s++) {
+		const struct bk_server *sv = &c->roster->server[s];
+		uint64_t w;
+
+		if (!sv->on || sv->is_store || sv->service != x->service || s == x->tried || !ctr_standing(c, s, now))
+			continue;
+		w = core_rdv(id, c->server_hash[s]);
+		for (int k = 0; k < 3; k++)
+			if (choice[k] < 0 || w > top[k]) {
+				for (int j = 2; j > k; j--) {
+					choice[j] = choice[j - 1];
+					top[j] = top[j - 1];
+				}
+				choice[k] = (int)s;
+				top[k] = w;
+				break;
+			}
+	}
+}
+
 /* Go where the prefix is kept, or to its home; elsewhere only where the wait there is so long that it pays to move the
  * prefix, and then with a fetch. Reading again what is kept somewhere is the dearest of all. */
 struct plan ctr_assign_forward(struct ctr *c, const struct xch *x, int64_t now)
@@ -302,7 +329,7 @@
 	struct plan best = { -1, 0, -1, 0, 0, 0, 0 };
 	int current = relay_current(&c->relay, now), home = home_of(c, x, now), shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
 	uint32_t n = c->roster->nserver, seen[4], nseen = 0;
-	int holder[4], held[4], store = svc->store_server, store_up;
+	int choice[3], holder[4], held[4], store = svc->store_server, store_up;
 	double all = (double)(ctr_tokens_upto(x, x->nparts) + x->tail_tokens);
 
 	if (home < 0)
@@ -333,6 +360,7 @@
 			holder[k] = store_up && held[k] ? store : -1;
 		}
 	}
+	choices(c, x, choice, now);
 	for (uint32_t s = 0; s < n; s++) {
 		const struct bk_server *sv = &c->roster->server[s];
 		struct ctr_server *v = &c->sv[s];
@@ -340,7 +368,11 @@
 		double read;
 		int from = -1, upto = 0;
 
-		if (!sv->on || sv->service != x->service || sv->is_store || s == x->tried || !ctr_standing(c, s, now) || !fits(c, x, s, svc, now))
+		if (!sv->on || sv->service != x->service || sv->is_store || s == x->tried || !ctr_standing(c, s, now))
+			continue;
+		if (p.keep < shared && (int)s != home && (int)s != choice[0] && (int)s != choice[1] && (int)s != choice[2])
+			continue;
+		if (!fits(c, x, s, svc, now))
 			continue;
 		for (uint32_t k = 0; k < nseen; k++)
 			if (seen[k] == v->weights && holder[k] >= 0) {
