--- a/lib/control/giver.c
+++ b/lib/control/giver.c
@@ -453,7 +453,7 @@
 		m->base_ms = m->base_ms ? (3 * m->base_ms + ms) / 4 : ms;
 		return;
 	}
-	m->more_ms = m->more_ms ? (3 * m->more_ms + ms) / 4 : ms;
+	m->more_ms = m->more_ms ? (m->more_ms + ms) / 2 : ms;
 	m->more++;
 	if (m->base_ms && m->more_ms > m->base_ms + m->base_ms / 4) {
 		m->many = 1;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -947,7 +947,7 @@
 	struct sim_node *n = &s->n[i];
 	struct sim_inst *v = inst_at(s, c->u.look.addr);
 	struct sim_ev e = { .at = s->now + 4, .kind = SIM_LOOKED, .node = i, .life = n->life, .token = c->u.look.token, .status = 200 };
-	int64_t at = s->now - 100;
+	int64_t at = s->now - s->list.dated;
 
 	s->list.n_look++;
 	if (n->cell || !v) {
@@ -1268,7 +1268,8 @@
 		a.status = order_arrives(s, (struct order *)e->d);
 		if (rnd(s, 1000) < (uint64_t)s->list.lossy || n->cell)
 			a.status = 0;
-		push(s, a);
+		if (a.status || rnd(s, 2)) /* some never hear */
+			push(s, a);
 		return;
 	}
 	if (e->kind == SIM_LOADED) {
@@ -1612,6 +1613,7 @@
 	s->list.lag = 800;
 	s->list.load_ms = 1100;
 	s->list.at_once = 3;
+	s->list.dated = 100;
 	apr_pool_create(&s->pool, NULL);
 }
 
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -70,6 +70,7 @@
 	int lag, slow;           /* ms that it is behind; that a call takes */
 	int refuse, lossy;       /* per mille of calls that it refuses; of orders whose answer never comes */
 	int64_t away_until;      /* no call is answered before */
+	int dated;               /* ms that a server's report is old */
 	int load_ms, at_once;    /* a load; how many go on at once without slowing each other down */
 	int64_t calls[64];       /* the last calls */
 	uint64_t n_list, n_look, n_order, n_load, n_fenced, n_busy;
--- a/tests/test_sights.c
+++ b/tests/test_sights.c
@@ -81,16 +81,31 @@
 	for (int n = 0; n < SIM_REGS; n++)
 		if (s->n[n].used && (!s->n[n].up || s->n[n].frozen || s->n[n].cell))
 			j->unsettled = s->now;
+	for (int n = 0; n < REGS * REGS; n++)
+		if (s->link_cut[n / REGS][n % REGS])
+			j->unsettled = s->now;
 	if (s->now < s->list.away_until)
 		j->unsettled = s->now;
 }
 
+/* Weights that are called rolled out are at every server that has been listed for long. */
+static void judge_rolled(struct sim *s)
+{
+	int at = sim_owner(s, PART_CTL);
+	const struct Nl__Row *m = at < 0 ? NULL : table_get(&s->n[at].r->ctl, NL__KIND__MODEL, "lm");
+
+	for (ptrdiff_t i = 0; m && m->rolled[0] && i < arrlen(s->list.v); i++)
+		if (s->list.v[i].up && !s->list.v[i].draining && s->now - s->list.v[i].born > 3000 && strcmp(s->list.v[i].weights, m->rolled) < 0)
+			sim_breach(s, "%s is called rolled out, but server %s has %s", m->rolled, s->list.v[i].name, s->list.v[i].weights);
+}
+
 static void go(struct sim *s, struct judge *j, int64_t ms)
 {
 	for (int64_t end = s->now + ms; s->now < end;) {
 		if (!sim_run(s, STEP, NULL))
 			fail_msg("%s", s->bad);
 		judge(s, j);
+		judge_rolled(s);
 		if (s->bad[0])
 			fail_msg("%s", s->bad);
 	}
@@ -195,6 +210,7 @@
 
 		fleet(&s, &j, seed, site[seed % 2].roll, site[seed % 2].load);
 		assert_int_equal(s.list.n_order, 0);
+		s.list.dated = seed % 4 < 2 ? 100 : 500;
 		name_weights(&s, "2");
 		named = s.now;
 		go(&s, &j, s.b.roll_ms);
@@ -219,6 +235,50 @@
 	}
 }
 
+/* Where more at once don't slow each other down, more are told from early on, rather than all that are left at the end. */
+static void more_at_once_where_it_helps(void **st)
+{
+	struct sim s;
+	struct judge j;
+	int64_t named, last;
+
+	(void)st;
+	fleet(&s, &j, 3, 15000, 1800);
+	s.list.at_once = SERVERS;
+	name_weights(&s, "2");
+	named = s.now;
+	go(&s, &j, s.b.roll_ms);
+	last = all_have(&s, "2", named);
+	print_message("no slower with more: all have it after %lld ms, %d at once, %d orders\n", (long long)last, s.list.most, (int)s.list.n_order);
+	assert_true(last >= 0 && last < s.b.roll_ms * GIVER_PLAN / 100);
+	assert_true(s.list.most <= 6);
+	sim_close(&s);
+}
+
+/* A server that does another's order takes none: it is told again when a look says that it is done. */
+static void a_busy_server_is_told_later(void **st)
+{
+	struct sim s;
+	struct judge j;
+	int64_t named;
+
+	(void)st;
+	fleet(&s, &j, 9, 15000, 1100);
+	snprintf(s.list.v[0].loading, sizeof s.list.v[0].loading, "0");
+	name_weights(&s, "2");
+	named = s.now;
+	go(&s, &j, 10000);
+	assert_string_equal(rolled(&s), "1");
+	assert_true(s.list.n_busy > 0 && s.list.n_busy < 3);
+	s.list.v[0].loading[0] = 0;
+	go(&s, &j, 5000);
+	assert_true(all_have(&s, "2", named) >= 0);
+	go(&s, &j, 1000);
+	assert_string_equal(rolled(&s), "2");
+	assert_int_equal(s.list.n_load, SERVERS);
+	sim_close(&s);
+}
+
 /* The giver is killed, frozen or cut off at any moment of a roll-out; orders and answers get lost. */
 static void the_giver_is_lost(void **st)
 {
@@ -230,7 +290,7 @@
 		struct judge j;
 		uint64_t d = seed * 31;
 		int64_t named, last;
-		int at, how = (int)(seed % 4);
+		int at, how = (int)(seed % 5); /* 4: from the other registrars alone */
 
 		fleet(&s, &j, seed, seed / 4 % 2 ? 12000 : 15000, seed / 4 % 2 ? 1100 : 1800);
 		s.list.lossy = seed % 3 ? 0 : 200;
@@ -244,8 +304,10 @@
 			sim_freeze(&s, at, 1);
 		else if (at >= 0 && how == 2)
 			sim_cut(&s, at, 1);
-		else if (at >= 0)
+		else if (at >= 0 && how == 3)
 			sim_crash(&s, at, 1);
+		for (int k = 0; at >= 0 && how == 4 && k < REGS; k++)
+			s.link_cut[at][k] = s.link_cut[k][at] = k != at;
 		go(&s, &j, 2000 + (int64_t)dice(&d, 4000));
 		if (at >= 0 && (how == 0 || how == 3))
 			sim_start(&s, at);
@@ -253,6 +315,7 @@
 			sim_freeze(&s, at, 0);
 		else if (at >= 0)
 			sim_cut(&s, at, 0);
+		memset(s.link_cut, 0, sizeof s.link_cut);
 		go(&s, &j, 20000);
 		last = all_have(&s, "2", named);
 		if (last < 0)
@@ -530,6 +593,8 @@
 {
 	const struct CMUnitTest t[] = {
 		cmocka_unit_test(a_calm_roll_out),
+		cmocka_unit_test(more_at_once_where_it_helps),
+		cmocka_unit_test(a_busy_server_is_told_later),
 		cmocka_unit_test(the_giver_is_lost),
 		cmocka_unit_test(named_again_in_a_roll_out),
 		cmocka_unit_test(servers_come_and_go),
