--- a/bin/counter.c
+++ b/bin/counter.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #include "ctr.h"
+#include "edge.h"
+#include "platform.h"
 #include "shell.h"
 
 static void step(void *ctx, const struct shell_ev *e, int64_t now, struct out *o)
@@ -59,6 +61,17 @@
 	ctr_step(c, &ev, now, o);
 }
 
+static void changed(void *ctx, const struct settings *s)
+{
+	struct ctr *c = ctx;
+	uint64_t seeds[8];
+
+	for (int i = 0; i < s->nseeds; i++)
+		seeds[i] = core_addr(s->seed[i]);
+	follow_seeds(&c->f, seeds, s->nseeds);
+	c->b = s->bounds;
+}
+
 static int done(void *ctx) { return ctr_idle(ctx); }
 static int64_t good(void *ctx) { return ctr_good_until(ctx); }
 
@@ -72,7 +85,8 @@
 {
 	struct proc p;
 	struct ctr c;
-	struct proc_duty d = { &c, step, done, good };
+	struct edge edge;
+	struct proc_duty d = { &c, step, done, good, changed };
 	uint64_t seeds[8];
 	int rc;
 
@@ -80,17 +94,26 @@
 	apr_initialize();
 	apr_pool_create(&p.p, NULL);
 	log_open("counter");
+	p.set.other = platform_settings;
 	rc = set_read(&p.set, "counter", 0, argc, argv, p.p);
 	if (rc >= 0)
 		goto end;
 	rc = 1;
 	for (int i = 0; i < p.set.nseeds; i++)
 		seeds[i] = core_addr(p.set.seed[i]);
+	memset(&edge, 0, sizeof edge);
+	edge.c = &c;
+	if (p.set.more) { /* another language than the product's own */
+		p.door = &platform_edge;
+		p.door_ctx = &edge;
+	}
+	ctr_open(&c, proc_random(), core_addr(p.set.advertise ? p.set.advertise : p.set.listen), p.set.zone, seeds, p.set.nseeds, clock_ms());
+	if (p.set.more)
+		c.b = p.set.bounds;
 	if (!proc_open(&p))
 		goto end;
-	ctr_open(&c, proc_random(), p.addr, p.set.zone, seeds, p.set.nseeds, clock_ms());
 	c.log = say;
-	log_say(LOG_INFO, "counter", "Serves callers at %s in zone %s.", p.set.web, p.set.zone);
+	log_say(LOG_INFO, "counter", "Serves callers at %s in zone %s.", p.set.more ? ((struct platform *)p.set.more)->front : p.set.web, p.set.zone);
 	rc = proc_run(&p, &d);
 	ctr_close(&c);
 end:
--- a/bin/registrar.c
+++ b/bin/registrar.c
@@ -2,14 +2,28 @@
 #include <apr_general.h>
 #include <string.h>
 
+#include "control.h"
+#include "doc.h"
+#include "platform.h"
 #include "reg.h"
 #include "shell.h"
 
-struct registrar { struct reg r; struct proc p; };
+struct registrar { struct reg r; struct proc p; struct control door; };
 
-static void step(void *ctx, const struct shell_ev *e, int64_t now, struct out *o)
+static void stepped(void *ctx, const struct reg_ev *ev, int64_t now, struct out *o)
 {
 	struct registrar *g = ctx;
+
+	reg_step(&g->r, ev, now, o);
+	if (g->r.fleet_dirty) { /* on the disk before anything said under it */
+		g->r.fleet_dirty = 0;
+		if (!store_identity(g->p.store, g->r.id, g->r.fleet))
+			log_say(LOG_BAD, "store", "Step identity: the disk refuses; this registrar may be taken for a new one.");
+	}
+}
+
+static void step(void *ctx, const struct shell_ev *e, int64_t now, struct out *o)
+{
 	struct reg_ev ev;
 
 	memset(&ev, 0, sizeof ev);
@@ -41,12 +55,19 @@
 	case EV_STOP: ev.kind = REG_STOP; break;
 	default: return;
 	}
-	reg_step(&g->r, &ev, now, o);
-	if (g->r.fleet_dirty) { /* on the disk before anything said under it */
-		g->r.fleet_dirty = 0;
-		if (!store_identity(g->p.store, g->r.id, g->r.fleet))
-			log_say(LOG_BAD, "store", "Step identity: the disk refuses; this registrar may be taken for a new one.");
-	}
+	stepped(ctx, &ev, now, o);
+}
+
+static void changed(void *ctx, const struct settings *s)
+{
+	struct registrar *g = ctx;
+	uint64_t seeds[8];
+
+	for (int i = 0; i < s->nseeds; i++)
+		seeds[i] = core_addr(s->seed[i]);
+	follow_seeds(&g->r.f, seeds, s->nseeds);
+	g->r.b = s->bounds;
+	g->door.list = ((const struct platform *)s->more)->list;
 }
 
 static int done(void *ctx)
@@ -65,7 +86,7 @@
 {
 	static struct registrar g;
 	struct proc *p = &g.p;
-	struct proc_duty d = { &g, step, done, NULL };
+	struct proc_duty d = { &g, step, done, NULL, changed };
 	struct store_found f;
 	uint64_t seeds[8];
 	const char *why = "";
@@ -74,6 +95,7 @@
 	apr_initialize();
 	apr_pool_create(&p->p, NULL);
 	log_open("registrar");
+	p->set.other = platform_settings;
 	rc = set_read(&p->set, "registrar", 1, argc, argv, p->p);
 	if (rc >= 0)
 		goto end;
@@ -93,11 +115,24 @@
 			goto end;
 		}
 	}
+	if (p->set.more) { /* another language than the product's own */
+		g.door.step = stepped;
+		g.door.ctx = &g;
+		g.door.list = ((struct platform *)p->set.more)->list;
+		p->door = &platform_control;
+		p->door_ctx = &g.door;
+	}
+	reg_open(&g.r, f.id, core_addr(p->set.advertise ? p->set.advertise : p->set.listen), p->set.zone, seeds, p->set.nseeds, f.fleet, proc_random(), f.ptr, clock_ms());
+	g.r.log = say;
+	if (p->set.more) {
+		g.r.tongue = &platform_tongue;
+		g.r.b = p->set.bounds;
+		if (p->set.found && p->set.nseeds && !strcmp(p->set.seed[0], p->set.listen))
+			reg_found(&g.r, clock_ms());
+	}
 	if (!proc_open(p))
 		goto end;
-	reg_open(&g.r, f.id, p->addr, p->set.zone, seeds, p->set.nseeds, f.fleet, proc_random(), f.ptr, clock_ms());
-	g.r.log = say;
-	log_say(LOG_INFO, "registrar", "Serves operators at %s in zone %s.", p->set.web, p->set.zone);
+	log_say(LOG_INFO, "registrar", "Serves operators at %s in zone %s.", p->set.more ? ((struct platform *)p->set.more)->control : p->set.web, p->set.zone);
 	rc = proc_run(p, &d);
 	reg_close(&g.r);
 end:
