Hollow: servers from a list, text at the door and watches of kept parts, as the users' platform has them

Cause: the fleet that the users run takes servers from a list, keeps no claims and hears events of kept parts; the hollow fleet knew only the product's own interface.

--- a/rehearsal/hollow.c
+++ b/rehearsal/hollow.c
@@ -13,9 +13,9 @@
 #include "ds.h"
 #include "reg.h"
 
-enum { TICK = 25, START = 1000000, SLOTS_SERVER = 16, KEEP_MOST = 20000, OUTSIDE = 64, SLOT_RUN = 92, SLOT_ORDER, SLOT_OUT, SLOT_MOST };
+enum { TICK = 25, START = 1000000, SLOTS_SERVER = 16, SLOTS_LISTED = 128, EVENTS_LATE = 80, KEEP_MOST = 20000, OUTSIDE = 64, SLOT_RUN = 92, SLOT_ORDER, SLOT_OUT, SLOT_MOST };
 
-const struct hollow_set hollow_default = { 9, 4, 18, 4, 12, 0, 10, 0, 0, 8, 180, 0, 0, 1, 0 };
+const struct hollow_set hollow_default = { 9, 4, 18, 4, 12, 0, 10, 0, 0, 8, 1, 180, 0, 0, 1, 0 };
 
 /* What was counted in the window under one kind: of message by its place in the body, from OUTSIDE on of event. */
 struct tally { uint64_t sent, sent_bytes, heard, heard_bytes, ns, codec_ns; };
@@ -32,7 +32,9 @@
 	struct { uint32_t part; uint64_t seq; } *writes; /* stb_ds, oldest first */
 };
 
-struct block { uint64_t h, t; uint32_t maker; };
+struct block { uint64_t h, t; uint32_t maker, shelf; };
+struct kept_event { uint64_t id; uint32_t shelf; int gone; };
+struct watch { int node, due; uint64_t life, token, since; };
 struct server {
 	uint64_t addr, serial;
 	int running, at;
@@ -40,13 +42,16 @@
 	struct block *kept; /* stb_ds */
 	char *text;         /* its whole report, until something changes */
 	size_t len;
+	char name[16], zone[16], service[16];
+	struct kept_event *log; /* stb_ds: all events of kept parts so far */
+	struct watch *watch;    /* stb_ds: held */
 };
 
-enum ev_kind { HO_TICK, HO_MSG, HO_SYNC, HO_CALLED, HO_ARRIVE, HO_STREAM, HO_DONE, HO_LOAD, HO_CHURN, HO_CHANGE, HO_RESTART, HO_WATCHED };
+enum ev_kind { HO_TICK, HO_MSG, HO_SYNC, HO_CALLED, HO_ARRIVE, HO_STREAM, HO_DONE, HO_LOAD, HO_CHURN, HO_CHANGE, HO_RESTART, HO_WATCHED, HO_LISTED, HO_LOOKED, HO_ORDERED };
 struct ev { int64_t at; uint64_t seq, life, token; enum ev_kind kind; int node, server, status; size_t n; uint8_t *d; };
 
 struct run { int node, server, next, over; uint64_t life, token; char xid[80]; };
-struct ask { int64_t at; int node; };
+struct ask { int64_t at; int node; uint64_t part[3]; };
 struct change { uint64_t token, edition; int64_t acked; };
 
 struct fleet {
@@ -68,9 +73,13 @@
 	int64_t load_acc, churn_acc;
 	uint64_t asked, whole, refused, unknown, sends, pieces, send_ms, first_ms, first_n;
 	int64_t send_most;
+	struct { char *key; uint32_t value; } *shelves; /* stb_ds: under which name parts are kept */
+	char **shelf;                                   /* stb_ds */
 	apr_pool_t *pool;
 };
 
+static int services_of(const struct hollow_set *s) { return s->lanes < s->servers ? s->lanes : s->servers; }
+
 static int64_t cpu_ns(void)
 {
 	struct timespec t;
@@ -161,20 +170,57 @@
 	v->text = NULL;
 }
 
-static void keep(struct fleet *f, struct server *v, uint64_t h, uint32_t maker, uint64_t t)
+static void event(struct fleet *f, enum ev_kind kind, int node, uint64_t token, int64_t at)
+{
+	struct ev e = { .at = at, .kind = kind, .node = node, .life = f->n[node].life, .token = token };
+
+	push(f, e);
+}
+
+static uint32_t shelf_of(struct fleet *f, const char *name)
 {
-	struct block b = { h, t, maker };
+	ptrdiff_t i = shgeti(f->shelves, name);
+
+	if (i >= 0)
+		return f->shelves[i].value;
+	arrput(f->shelf, strdup(name));
+	shput(f->shelves, name, (uint32_t)arrlen(f->shelf) - 1);
+	return (uint32_t)arrlen(f->shelf) - 1;
+}
+
+/* Whoever watches hears of it a little later, with what else comes until then. */
+static void tell(struct fleet *f, struct server *v, const struct block *b, int gone)
+{
+	struct kept_event e = { b->h, b->shelf, gone };
+
+	if (!f->s.listed)
+		return;
+	arrput(v->log, e);
+	for (ptrdiff_t i = 0; i < arrlen(v->watch); i++)
+		if (!v->watch[i].due) {
+			v->watch[i].due = 1;
+			push(f, (struct ev){ .at = f->now + EVENTS_LATE, .kind = HO_WATCHED, .node = v->watch[i].node, .life = v->watch[i].life,
+			                     .token = v->watch[i].token, .server = (int)(v - f->sv) });
+		}
+}
+
+static void keep(struct fleet *f, struct server *v, uint64_t h, uint32_t maker, uint64_t t, uint32_t shelf)
+{
+	struct block b = { h, t, maker, shelf };
 	ptrdiff_t most = (ptrdiff_t)(f->s.parts / f->s.servers);
 
 	for (ptrdiff_t i = 0; i < arrlen(v->kept) && i < 64; i++) /* the last few are looked at; a copy twice does no harm */
-		if (v->kept[i].h == h && v->kept[i].maker == maker)
+		if (v->kept[i].h == h && v->kept[i].maker == maker && v->kept[i].shelf == shelf)
 			return;
 	if (most < 4)
 		most = 4;
-	if (arrlen(v->kept) < most)
+	if (arrlen(v->kept) < most) {
 		arrput(v->kept, b);
-	else
+	} else {
+		tell(f, v, &v->kept[v->at % most], 1);
 		v->kept[v->at++ % most] = b;
+	}
+	tell(f, v, &b, 0);
 	changed(v);
 }
 
@@ -209,11 +255,19 @@
 	return d;
 }
 
-static void event(struct fleet *f, enum ev_kind kind, int node, uint64_t token, int64_t at)
+static void begins(struct fleet *f, const struct run *r, int64_t first)
 {
-	struct ev e = { .at = at, .kind = kind, .node = node, .life = f->n[node].life, .token = token };
+	int i;
 
-	push(f, e);
+	if (arrlen(f->idle)) {
+		i = arrpop(f->idle);
+		f->run[i] = *r;
+	} else {
+		arrput(f->run, *r);
+		i = (int)arrlen(f->run) - 1;
+	}
+	hmput(f->by, core_rdv((uint64_t)r->node, r->token), i);
+	event(f, HO_STREAM, r->node, (uint64_t)i, first);
 }
 
 /* A send reaches a server: what it names as reused is not looked up, all parts are kept there afterwards. */
@@ -224,10 +278,8 @@
 	struct run r = { .node = e->node, .server = e->server, .life = e->life, .token = e->token };
 	uint32_t maker = (uint32_t)atoi(json_str(j, "tenant") + 1);
 	uint64_t stamp = json_num(j, "stamp");
-	int i;
 
 	snprintf(r.xid, sizeof r.xid, "%s", json_str(j, "x"));
-	f->sends++;
 	if (v->running >= SLOTS_SERVER || strcmp(json_str(j, "weights"), v->weights)) {
 		event(f, HO_DONE, e->node, e->token, f->now + 1);
 		json_object_put(j);
@@ -237,17 +289,9 @@
 	if (json_object_object_get_ex(j, "parts", &parts))
 		for (size_t k = 0; k < json_object_array_length(parts); k++)
 			if (json_object_object_get_ex(json_object_array_get_idx(parts, k), "h", &p))
-				keep(f, v, strtoull(json_object_get_string(p), NULL, 16), maker, stamp);
+				keep(f, v, strtoull(json_object_get_string(p), NULL, 16), maker, stamp, 0);
 	json_object_put(j);
-	if (arrlen(f->idle)) {
-		i = arrpop(f->idle);
-		f->run[i] = r;
-	} else {
-		arrput(f->run, r);
-		i = (int)arrlen(f->run) - 1;
-	}
-	hmput(f->by, core_rdv((uint64_t)e->node, e->token), i);
-	event(f, HO_STREAM, e->node, (uint64_t)i, f->now + 20);
+	begins(f, &r, f->now + 20);
 }
 
 static void run_end(struct fleet *f, int i)
@@ -351,6 +395,8 @@
 	event(f, HO_SYNC, n->no, 0, f->now + 2 + (int64_t)rnd(f, 3));
 }
 
+static int64_t sent(struct fleet *f, uint64_t caller);
+
 static void call(struct fleet *f, struct node *n, const struct cmd *c)
 {
 	struct server *v = server_at(f, core_addr(c->u.call.addr));
@@ -358,12 +404,9 @@
 
 	if (c->u.call.stream) {
 		struct xch *x = n->c && hmgeti(n->c->by, e.token) >= 0 ? hmget(n->c->by, e.token) : NULL;
-		ptrdiff_t i = x ? hmgeti(f->asks, x->token) : -1;
-		int64_t ms = i < 0 ? 0 : f->now - f->asks[i].value.at;
 
 		say(n, SLOT_RUN, strlen(c->u.call.body));
-		f->send_ms += (uint64_t)ms;
-		f->send_most = ms > f->send_most ? ms : f->send_most;
+		(void)sent(f, x ? x->token : 0);
 		if (!v) {
 			event(f, HO_DONE, n->no, e.token, f->now + 1);
 			return;
@@ -389,6 +432,130 @@
 	push(f, e);
 }
 
+static int64_t sent(struct fleet *f, uint64_t caller)
+{
+	ptrdiff_t i = hmgeti(f->asks, caller);
+	int64_t ms = i < 0 ? 0 : f->now - f->asks[i].value.at;
+
+	f->sends++;
+	f->send_ms += (uint64_t)ms;
+	f->send_most = ms > f->send_most ? ms : f->send_most;
+	return ms;
+}
+
+/* A request whose text stays at the door: of its send the core hears the first piece and the end. */
+static void forward(struct fleet *f, struct node *n, const struct forward *w)
+{
+	struct server *v = server_at(f, w->addr);
+	struct run r = { .node = n->no, .life = n->life, .token = w->call };
+	ptrdiff_t i = hmgeti(f->asks, w->caller);
+	uint32_t shelf;
+
+	(void)sent(f, w->caller);
+	say(n, SLOT_RUN, 0);
+	if (!v || v->running >= SLOTS_LISTED) {
+		event(f, HO_DONE, n->no, w->call, f->now + 2);
+		return;
+	}
+	r.server = (int)(v - f->sv);
+	v->running++;
+	shelf = w->shelf ? shelf_of(f, w->shelf) : 0;
+	for (int k = 0; k < 3 && i >= 0; k++)
+		keep(f, v, f->asks[i].value.part[k], 0, 0, shelf);
+	snprintf(r.xid, sizeof r.xid, "%llu", (unsigned long long)w->caller);
+	begins(f, &r, f->now + 20 + (int64_t)rnd(f, 3));
+}
+
+static void watch(struct fleet *f, struct node *n, const struct cmd *c)
+{
+	struct server *v = server_at(f, c->u.watch.addr);
+	struct watch w = { n->no, 0, n->life, c->u.watch.token, c->u.watch.since };
+	struct ev e = { .at = f->now + c->u.watch.wait_ms, .kind = HO_WATCHED, .node = n->no, .life = n->life, .token = w.token };
+
+	say(n, OUTSIDE + CTR_WATCHED, 60);
+	if (!v)
+		return;
+	e.server = (int)(v - f->sv);
+	if (w.since < (uint64_t)arrlen(v->log)) {
+		w.due = 1;
+		e.at = f->now + 2;
+	}
+	arrput(v->watch, w);
+	push(f, e);
+}
+
+/* A held watch is answered with all that came since. */
+static void watched(struct fleet *f, struct node *n, const struct ev *e)
+{
+	struct server *v = &f->sv[e->server];
+	struct ctr_ev ev = { .kind = CTR_WATCHED };
+	struct Nl__Kept k = NL__KEPT__INIT;
+	struct Nl__KeptEvent *ke, **pe;
+	struct watch w;
+	ptrdiff_t i = 0;
+
+	while (i < arrlen(v->watch) && (v->watch[i].token != e->token || v->watch[i].node != e->node))
+		i++;
+	if (i == arrlen(v->watch))
+		return; /* it was answered before */
+	w = v->watch[i];
+	arrdelswap(v->watch, i);
+	if (!n->c || w.life != n->life)
+		return;
+	k.server = v->name;
+	k.epoch = 1;
+	k.next = (uint64_t)arrlen(v->log);
+	k.n_e = (size_t)(k.next - w.since);
+	k.e = pe = calloc(k.n_e + 1, sizeof *pe);
+	ke = calloc(k.n_e + 1, sizeof *ke);
+	for (size_t q = 0; q < k.n_e; q++) {
+		const struct kept_event *x = &v->log[w.since + q];
+
+		nl__kept_event__init(&ke[q]);
+		ke[q].gone = x->gone;
+		ke[q].shelf = f->shelf[x->shelf];
+		ke[q].id = x->id;
+		ke[q].tokens = 64;
+		pe[q] = &ke[q];
+	}
+	ev.u.kept.token = w.token;
+	ev.u.kept.k = &k;
+	ev.u.kept.status = 200;
+	hear(n, OUTSIDE + CTR_WATCHED, 120 + 45 * k.n_e); /* as text */
+	ctr_do(f, n, OUTSIDE + CTR_WATCHED, &ev);
+	free(ke);
+	free(pe);
+}
+
+static void listed(struct fleet *f, struct node *n, const struct ev *e)
+{
+	struct reg_ev ev = { .kind = REG_LISTED };
+	struct Nl__Sight *x = calloc((size_t)f->s.servers, sizeof *x), **px = calloc((size_t)f->s.servers, sizeof *px);
+	size_t bytes = 0;
+
+	for (int i = 0; i < f->s.servers; i++) {
+		struct server *v = &f->sv[i];
+
+		nl__sight__init(&x[i]);
+		x[i].server = v->name;
+		x[i].service = v->service;
+		x[i].zone = v->zone;
+		x[i].addr = (char *)core_addr_str(n->o.p, v->addr);
+		x[i].slots = SLOTS_LISTED;
+		x[i].weights = v->weights;
+		px[i] = &x[i];
+		bytes += 150; /* as text */
+	}
+	ev.u.listed.token = e->token;
+	ev.u.listed.ok = 1;
+	ev.u.listed.n = (size_t)f->s.servers;
+	ev.u.listed.v = px;
+	hear(n, OUTSIDE + REG_LISTED, bytes);
+	reg_do(f, n, OUTSIDE + REG_LISTED, &ev);
+	free(px);
+	free(x);
+}
+
 static void answered(struct fleet *f, const struct cmd *c)
 {
 	const char *b = c->u.answer.body ? c->u.answer.body : "";
@@ -419,6 +586,26 @@
 		case CMD_SEND: send_msg(f, n, c); break;
 		case CMD_PERSIST: persist(f, n, c->u.persist); break;
 		case CMD_CALL: call(f, n, c); break;
+		case CMD_FORWARD: forward(f, n, c->u.forward); break;
+		case CMD_WATCH: watch(f, n, c); break;
+		case CMD_LIST:
+			say(n, OUTSIDE + REG_LISTED, 100);
+			event(f, HO_LISTED, n->no, c->u.list.token, f->now + 20);
+			break;
+		case CMD_LOOK:
+			say(n, OUTSIDE + REG_LOOKED, 100);
+			push(f, (struct ev){ .at = f->now + 4, .kind = HO_LOOKED, .node = n->no, .life = n->life, .token = c->u.look.token,
+			                     .d = (uint8_t *)strdup(c->u.look.server) });
+			break;
+		case CMD_ORDER: { /* weights are there at once */
+			struct server *v = server_at(f, c->u.order.addr);
+
+			say(n, OUTSIDE + REG_ORDERED, 200);
+			if (v)
+				apr_cpystrn(v->weights, c->u.order.weights, sizeof v->weights);
+			event(f, HO_ORDERED, n->no, c->u.order.token, f->now + 4);
+			break;
+		}
 		case CMD_ANSWER: answered(f, c); break;
 		case CMD_PIECE:
 		case CMD_END:
@@ -439,7 +626,6 @@
 			if (i >= 0)
 				run_end(f, f->by[i].value);
 			break;
-		default: break; /* doors of other languages are not imitated */
 		}
 	}
 	out_clear(&n->o);
@@ -456,21 +642,47 @@
 static void ask(struct fleet *f)
 {
 	struct node *n = &f->n[f->s.registrars + (int)rnd(f, (uint64_t)f->s.nodes)];
-	int tenant = (int)rnd(f, (uint64_t)f->s.tenants), lane = (int)rnd(f, (uint64_t)f->s.lanes);
+	int tenant = (int)rnd(f, (uint64_t)f->s.tenants), lane = (int)rnd(f, (uint64_t)f->s.lanes), matter = (int)rnd(f, 200);
+	struct ask a = { f->now, n->no, { core_rdv(1, (uint64_t)lane), core_rdv((uint64_t)lane, (uint64_t)tenant), core_rdv((uint64_t)tenant << 32 | (uint64_t)lane, (uint64_t)matter) } };
 	struct ctr_ev ev = { .kind = CTR_EXCHANGE };
-	char key[65], body[700];
+	struct ctr_asking q;
+	char key[65], body[700], path[30], id[30];
+	int slot = OUTSIDE + CTR_EXCHANGE;
 
 	if (!n->c)
 		return;
-	ev.u.exchange.token = ++f->token;
-	ev.u.exchange.digest = digest(key, tenant);
-	ev.u.exchange.body = body;
-	snprintf(body, sizeof body, "{\"lane\":\"l%d\",\"id\":\"x%llu\",\"limit_ms\":20000,\"parts\":[\"the part of all of lane %d, quite long as such parts are\",\"the part of tenant %d\",\"matter %d of that tenant, with what was written about it and the rules that apply to it\"],\"tail\":\"what is asked\"}",
-	         lane, (unsigned long long)f->token, lane, tenant, (int)rnd(f, 200));
-	hmput(f->asks, f->token, ((struct ask){ f->now, n->no }));
+	f->token++;
+	hmput(f->asks, f->token, a);
 	f->asked++;
-	hear(n, OUTSIDE + CTR_EXCHANGE, strlen(body));
-	ctr_do(f, n, OUTSIDE + CTR_EXCHANGE, &ev);
+	(void)digest(key, tenant);
+	snprintf(id, sizeof id, "x%llu", (unsigned long long)f->token);
+	if (f->s.listed) {
+		memset(&q, 0, sizeof q);
+		snprintf(path, sizeof path, "/l%d/ask", lane);
+		q.token = f->token;
+		q.digest = key;
+		q.host = "a.example";
+		q.path = path;
+		q.id = id;
+		q.limit_ms = 20000;
+		q.tokens_in = 4000;
+		q.tokens_out = 420;
+		q.nparts = 3;
+		for (int i = 0; i < 3; i++)
+			q.part[i] = (struct ctr_part){ a.part[i], 1000 };
+		ev.kind = CTR_ASKED;
+		ev.u.ask = &q;
+		slot = OUTSIDE + CTR_ASKED;
+		hear(n, slot, 500);
+	} else {
+		snprintf(body, sizeof body, "{\"lane\":\"l%d\",\"id\":\"%s\",\"limit_ms\":20000,\"parts\":[\"the part of all of lane %d, quite long as such parts are\",\"the part of tenant %d\",\"matter %d of that tenant, with what was written about it and the rules that apply to it\"],\"tail\":\"what is asked\"}",
+		         lane, id, lane, tenant, matter);
+		ev.u.exchange.token = f->token;
+		ev.u.exchange.digest = key;
+		ev.u.exchange.body = body;
+		hear(n, slot, strlen(body));
+	}
+	ctr_do(f, n, slot, &ev);
 }
 
 static uint64_t operate(struct fleet *f, const char *path, const char *body)
@@ -493,8 +705,8 @@
 	char body[200];
 	int no = f->changed++;
 
-	snprintf(body, sizeof body, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t%d\",\"share\":%d,\"limit\":100000,\"walled\":%s}]}",
-	         no / 2 % f->s.tenants, 1 + no % 7, no % 8 == 7 ? "true" : "false");
+	snprintf(body, sizeof body, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t%d\",\"share\":%d,\"limit\":%d,\"walled\":%s}]}",
+	         no / 2 % f->s.tenants, 1 + no % 7, f->s.listed ? 0 : 100000, no % 8 == 7 ? "true" : "false");
 	c.token = f->token + 1; /* the answer may come within the step */
 	arrput(f->change, c);
 	operate(f, "/v1/change", body);
@@ -502,10 +714,12 @@
 
 static void churn(struct fleet *f)
 {
-	for (f->churn_acc += f->s.events * 10; f->churn_acc >= 1000; f->churn_acc -= 1000) {
+	int64_t one = f->s.listed ? 2000 : 1000; /* one comes and another goes: two events */
+
+	for (f->churn_acc += f->s.events * 10; f->churn_acc >= one; f->churn_acc -= one) {
 		struct server *v = &f->sv[rnd(f, (uint64_t)f->s.servers)];
 
-		keep(f, v, core_rand(&f->rng), (uint32_t)rnd(f, (uint64_t)f->s.tenants), 0);
+		keep(f, v, core_rand(&f->rng), (uint32_t)rnd(f, (uint64_t)f->s.tenants), 0, 0);
 	}
 }
 
@@ -514,16 +728,21 @@
 static void begin(struct fleet *f, struct node *n)
 {
 	uint64_t seeds[3], id = core_rand(&f->rng);
+	struct bounds b = bounds_default;
 
 	for (int k = 0; k < 3; k++)
 		seeds[k] = address(AT_REGISTRAR, k);
 	n->life = ++f->seq;
+	b.sights = f->s.listed;
+	b.list_mille = f->s.listed ? 2000 : 0;
 	if (n->counter) {
 		n->c = malloc(sizeof *n->c);
 		ctr_open(n->c, id, n->addr, n->zone, seeds, 3, f->now);
+		n->c->b = b;
 	} else {
 		n->r = malloc(sizeof *n->r);
 		reg_open(n->r, id, n->addr, n->zone, seeds, 3, 0, core_rand(&f->rng), NULL, f->now);
+		n->r->b = b;
 	}
 	event(f, HO_TICK, n->no, 0, f->now + (int64_t)rnd(f, TICK));
 }
@@ -576,6 +795,7 @@
 static void ctr_dispatch(struct fleet *f, struct node *n, struct ev *e)
 {
 	struct ctr_ev ev = { .kind = CTR_TICK };
+	struct ctr_ended ended = { 0 };
 	int slot = OUTSIDE + CTR_TICK;
 	struct Nl__Msg *m = NULL;
 
@@ -594,6 +814,16 @@
 		hear(n, slot, e->n);
 		break;
 	case HO_DONE:
+		if (f->s.listed) {
+			ended.token = e->token;
+			ended.how = CTR_NEVER;
+			ended.status = 503;
+			ev.kind = CTR_ENDED;
+			ev.u.ended = &ended;
+			slot = OUTSIDE + CTR_ENDED;
+			hear(n, slot, 0);
+			break;
+		}
 		ev.kind = CTR_DONE;
 		ev.u.done.token = e->token;
 		ev.u.done.status = 503;
@@ -637,6 +867,23 @@
 		slot = OUTSIDE + REG_CALLED;
 		hear(n, slot, e->n);
 		break;
+	case HO_LOOKED:
+		for (int i = 0; i < f->s.servers; i++)
+			if (!strcmp(f->sv[i].name, (char *)e->d))
+				ev.u.looked.weights = f->sv[i].weights;
+		ev.kind = REG_LOOKED;
+		ev.u.looked.token = e->token;
+		ev.u.looked.status = 200;
+		slot = OUTSIDE + REG_LOOKED;
+		hear(n, slot, 300);
+		break;
+	case HO_ORDERED:
+		ev.kind = REG_ORDERED;
+		ev.u.ordered.token = e->token;
+		ev.u.ordered.status = 200;
+		slot = OUTSIDE + REG_ORDERED;
+		hear(n, slot, 100);
+		break;
 	default: break;
 	}
 	reg_do(f, n, slot, &ev);
@@ -644,6 +891,39 @@
 		nl__msg__free_unpacked(m, NULL);
 }
 
+/* The first piece has come, or the whole rest: pieces between them do not reach the core. */
+static void forwarded(struct fleet *f, int i)
+{
+	struct run *r = &f->run[i];
+	struct node *n = &f->n[r->node];
+	struct server *v = &f->sv[r->server];
+	struct ctr_ended done = { .token = r->token, .how = CTR_WHOLE, .status = 200, .began = 1, .slots = SLOTS_LISTED, .weights = v->weights };
+	struct ctr_ev ev = { .kind = CTR_BEGAN };
+	int slot = OUTSIDE + CTR_BEGAN;
+
+	if (!r->next) {
+		r->next = f->s.pieces;
+		event(f, HO_STREAM, r->node, (uint64_t)i, f->now + 15 * (int64_t)f->s.pieces);
+		ev.u.began.token = r->token;
+		ev.u.began.weights = v->weights;
+	} else {
+		uint64_t caller = strtoull(r->xid, NULL, 10);
+
+		run_end(f, i);
+		arrput(f->idle, i);
+		done.pieces = (uint32_t)f->s.pieces;
+		done.running = v->running;
+		ev.kind = CTR_ENDED;
+		ev.u.ended = &done;
+		slot = OUTSIDE + CTR_ENDED;
+		f->pieces += (uint64_t)f->s.pieces;
+		f->whole += hmgeti(f->asks, caller) >= 0;
+		(void)hmdel(f->asks, caller);
+	}
+	hear(n, slot, 0);
+	ctr_do(f, n, slot, &ev);
+}
+
 static void streams(struct fleet *f, const struct ev *e)
 {
 	int i = (int)e->token;
@@ -658,6 +938,10 @@
 		arrput(f->idle, i);
 		return;
 	}
+	if (f->s.listed) {
+		forwarded(f, i);
+		return;
+	}
 	if (last)
 		snprintf(line, sizeof line, "{\"x\":\"%s\",\"n\":%d,\"end\":true}", r->xid, r->next);
 	else
@@ -710,10 +994,18 @@
 		return;
 	default: break;
 	}
+	if (e->kind == HO_WATCHED) {
+		watched(f, n, e);
+		return;
+	}
 	if (e->life != n->life)
 		return;
 	if (e->kind == HO_TICK)
 		again(f, e, TICK);
+	if (e->kind == HO_LISTED) {
+		listed(f, n, e);
+		return;
+	}
 	if (n->c)
 		ctr_dispatch(f, n, e);
 	else
@@ -797,8 +1089,6 @@
 	return ok;
 }
 
-static int services_of(const struct hollow_set *s) { return s->lanes < s->servers ? s->lanes : s->servers; }
-
 static int table(struct fleet *f)
 {
 	const struct hollow_set *s = &f->s;
@@ -807,15 +1097,20 @@
 	apr_pool_t *p;
 
 	apr_pool_create(&p, f->pool);
-	for (int i = 0; i < nsvc; i++)
+	for (int i = 0; i < nsvc && s->listed; i++) {
+		arrput(rows, apr_psprintf(p, "{\"kind\":\"model\",\"name\":\"d%d\",\"weights\":\"1\"}", i));
+		arrput(rows, apr_psprintf(p, "{\"kind\":\"service\",\"name\":\"m%d\",\"model\":\"d%d\",\"prefill\":112,\"kv_bytes\":18432,\"link\":46250000,\"slots\":%d,\"conns\":630,\"watches\":64,\"room\":239003}", i, i, SLOTS_LISTED));
+	}
+	for (int i = 0; i < nsvc && !s->listed; i++)
 		arrput(rows, apr_psprintf(p, "{\"kind\":\"service\",\"name\":\"m%d\",\"weights\":\"w1\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000}", i));
 	for (int i = 0; i < s->lanes; i++)
-		arrput(rows, apr_psprintf(p, "{\"kind\":\"lane\",\"name\":\"l%d\",\"service\":\"m%d\",\"prio\":%d,\"limit\":1000}", i, i % nsvc, i % 3));
+		arrput(rows, apr_psprintf(p, "{\"kind\":\"lane\",\"name\":\"l%d\",\"service\":\"m%d\",\"prio\":%d,\"limit\":1000%s}", i, i % nsvc, i % 3,
+		       !s->listed ? "" : apr_psprintf(p, ",\"host\":\"a.example\",\"path\":\"/l%d/\",\"vouched\":true,\"aim\":360,\"pause\":72,\"attempts\":2", i)));
 	for (int i = 0; i < s->tenants; i++) {
-		arrput(rows, apr_psprintf(p, "{\"kind\":\"tenant\",\"name\":\"t%d\",\"share\":1,\"limit\":100000}", i));
+		arrput(rows, apr_psprintf(p, "{\"kind\":\"tenant\",\"name\":\"t%d\",\"share\":1,\"limit\":%d}", i, s->listed ? 0 : 100000));
 		arrput(rows, apr_psprintf(p, "{\"kind\":\"key\",\"name\":\"%s\",\"tenant\":\"t%d\"}", digest(hex, i), i));
 	}
-	for (int i = 0; i < s->servers; i++)
+	for (int i = 0; i < s->servers && !s->listed; i++)
 		arrput(rows, apr_psprintf(p, "{\"kind\":\"server\",\"name\":\"s%d\",\"service\":\"m%d\",\"addr\":\"%s\"}", i, i % nsvc, core_addr_str(p, f->sv[i].addr)));
 	for (int i = 0; i < arrlen(rows) && ok; i += 300)
 		ok = set_rows(f, rows, i, (int)arrlen(rows) - i < 300 ? (int)arrlen(rows) - i : 300);
@@ -839,6 +1134,8 @@
 	f->rng = s->seed * 7919 + 17;
 	f->now = START;
 	apr_pool_create(&f->pool, NULL);
+	sh_new_strdup(f->shelves);
+	(void)shelf_of(f, "1-of-before");
 	f->nn = s->registrars + s->nodes;
 	f->n = calloc((size_t)f->nn, sizeof *f->n);
 	f->sv = calloc((size_t)s->servers, sizeof *f->sv);
@@ -856,11 +1153,15 @@
 
 		v->addr = address(AT_SERVER, i);
 		v->serial = 1;
-		snprintf(v->weights, sizeof v->weights, "w1");
+		snprintf(v->weights, sizeof v->weights, s->listed ? "1" : "w1");
+		snprintf(v->name, sizeof v->name, "s%d", i);
+		snprintf(v->zone, sizeof v->zone, "z%d", i % zones);
+		snprintf(v->service, sizeof v->service, "m%d", i % services_of(s));
 		for (int64_t k = s->parts * i / s->servers; k < s->parts * (i + 1) / s->servers; k++) {
-			struct block b = { core_rand(&f->rng), 0, (uint32_t)rnd(f, (uint64_t)s->tenants) };
+			struct block b = { core_rand(&f->rng), 0, (uint32_t)rnd(f, (uint64_t)s->tenants), 0 };
 
 			arrput(v->kept, b);
+			tell(f, v, &b, 0);
 		}
 	}
 }
@@ -1169,6 +1470,8 @@
 	}
 	for (int i = 0; i < f->s.servers; i++) {
 		arrfree(f->sv[i].kept);
+		arrfree(f->sv[i].log);
+		arrfree(f->sv[i].watch);
 		free(f->sv[i].text);
 	}
 	for (ptrdiff_t i = 0; i < arrlen(f->q); i++)
@@ -1178,6 +1481,10 @@
 	arrfree(f->idle);
 	arrfree(f->change);
 	arrfree(f->reached);
+	for (ptrdiff_t i = 0; i < arrlen(f->shelf); i++)
+		free(f->shelf[i]);
+	arrfree(f->shelf);
+	shfree(f->shelves);
 	hmfree(f->by);
 	hmfree(f->asks);
 	free(f->n);
@@ -1231,8 +1538,8 @@
 {
 	uint64_t nodes = (uint64_t)s->nodes + (uint64_t)s->registrars, svc = (uint64_t)s->servers, rows = svc + 2 * (uint64_t)s->tenants + 2 * (uint64_t)s->lanes;
 
-	return (32u << 20) + nodes * (200000 + 800 * rows + 320 * (uint64_t)s->parts) + svc * 1000 + 150 * (uint64_t)s->parts +
-	       (uint64_t)s->rate * (uint64_t)(s->seconds + 4) * 1000 + (uint64_t)s->events * 100;
+	return (32u << 20) + nodes * (200000 + 900 * rows) + (uint64_t)s->nodes * 300 * (uint64_t)s->parts + svc * 1000 + 150 * (uint64_t)s->parts +
+	       (uint64_t)s->rate * (uint64_t)(s->seconds + 4) * 1500 + (uint64_t)s->events * 100;
 }
 
 const char *hollow_refuse(const struct hollow_set *s, char *buf, size_t n)
@@ -1241,7 +1548,7 @@
 		{ "nodes", s->nodes, 1, 4000 }, { "registrars", s->registrars, 3, 24 }, { "servers", s->servers, 1, 20000 },
 		{ "tenants", s->tenants, 1, 20000 }, { "lanes", s->lanes, 1, 4000 }, { "zones", s->zones, 0, 200 },
 		{ "seconds", s->seconds, 1, 3600 }, { "changes", s->changes, 0, 100000 }, { "restarts", s->restarts, 0, 10000 },
-		{ "pieces", s->pieces, 1, 10000 }, { "parts", s->parts, 0, 1000000000 }, { "rate", s->rate, 0, 1000000 }, { "events", s->events, 0, 10000000 },
+		{ "pieces", s->pieces, 1, 10000 }, { "listed", s->listed, 0, 1 }, { "parts", s->parts, 0, 1000000000 }, { "rate", s->rate, 0, 1000000 }, { "events", s->events, 0, 10000000 },
 	};
 	uint64_t have = s->machine ? s->machine : (uint64_t)sysconf(_SC_PHYS_PAGES) * (uint64_t)sysconf(_SC_PAGESIZE), need;
 
@@ -1288,6 +1595,7 @@
 		{ "lanes", "lanes, each with a service while there are servers", &s.lanes, NULL },
 		{ "zones", "zones; three are a region; 0: one for 16 counters, 3 to 21", &s.zones, NULL },
 		{ "parts", "kept parts at all servers together", NULL, &s.parts }, { "rate", "exchanges a second", NULL, &s.rate },
+		{ "listed", "1: servers from a list, text at the door; 0: the product's own interface", &s.listed, NULL },
 		{ "pieces", "pieces of an answer", &s.pieces, NULL }, { "events", "kept parts that come and go a second", NULL, &s.events },
 		{ "changes", "changes of the table in the window", &s.changes, NULL }, { "restarts", "counters replaced in the window", &s.restarts, NULL },
 		{ "seconds", "of virtual time", &s.seconds, NULL }, { "seed", "a whole number", NULL, (int64_t *)&s.seed },
--- a/rehearsal/hollow.h
+++ b/rehearsal/hollow.h
@@ -8,6 +8,7 @@
 
 struct hollow_set {
 	int nodes, registrars, servers, tenants, lanes, zones, seconds, changes, restarts, pieces;
+	int listed;       /* 1: servers come from a list, tell of kept parts by events, and text stays at the door; 0: the product's own interface */
 	int64_t parts;    /* kept at all servers together */
 	int64_t rate;     /* exchanges a second, over the fleet */
 	int64_t events;   /* kept parts that come and go a second, over the fleet */
--- a/tests/test_hollow.c
+++ b/tests/test_hollow.c
@@ -27,13 +27,13 @@
 	return s;
 }
 
-static void serves_and_counts(void **state)
+static void serves_and_counts(int listed)
 {
 	struct hollow_set s = tiny();
 	struct hollow_result r;
 	const char *why = "";
 
-	(void)state;
+	s.listed = listed;
 	if (!hollow_run(&s, &r, &why))
 		fail_msg("%s", why);
 	assert_int_equal(hollow_get(&r, "fleet.asked"), s.rate * s.seconds);
@@ -51,9 +51,25 @@
 	assert_float_equal(hollow_get(&r, "registrar.sent.append"), hollow_get(&r, "registrar.heard.append"), 1);
 	assert_true(hollow_get(&r, "registrar.disk.bytes") > 0);
 	assert_true(hollow_get(&r, "counter.cpu_us.=control") > 0);
+	/* kept parts become known by events, or by reports; the list is looked at, or it is not there */
+	assert_int_equal(hollow_get(&r, "counter.heard.watched") > 0, listed);
+	assert_int_equal(hollow_get(&r, "registrar.heard.listed") > 0, listed);
+	assert_int_equal(hollow_get(&r, "counter.heard.look") > 0, !listed);
 	hollow_free(&r);
 }
 
+static void serves_servers_of_a_list(void **state)
+{
+	(void)state;
+	serves_and_counts(1);
+}
+
+static void serves_servers_of_the_table(void **state)
+{
+	(void)state;
+	serves_and_counts(0);
+}
+
 /* The same seed sends the same messages. */
 static void a_seed_repeats(void **state)
 {
@@ -140,7 +156,7 @@
 int main(void)
 {
 	const struct CMUnitTest t[] = {
-		cmocka_unit_test(serves_and_counts), cmocka_unit_test(a_seed_repeats),
+		cmocka_unit_test(serves_servers_of_a_list), cmocka_unit_test(serves_servers_of_the_table), cmocka_unit_test(a_seed_repeats),
 		cmocka_unit_test(sizes_are_refused), cmocka_unit_test(the_command_refuses),
 	};
 
