--- a/rehearsal/main.c
+++ b/rehearsal/main.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "kit.h"
+#include "stand.h"
 
 static int usage(FILE *o)
 {
@@ -16,6 +17,7 @@
 	           "       rehearsal up [--small] [--folder F]        a fleet to try things on\n"
 	           "       rehearsal check FOLDER                     judge the records of a run\n"
 	           "       rehearsal list                             the scenarios\n"
+	           "       rehearsal platform ...                     the same on a stand-in of the users' platform\n"
 	           "       rehearsal server ...                       one server stand-in\n");
 	return o == stdout ? 0 : 2;
 }
@@ -85,6 +87,8 @@
 		return usage(stderr);
 	if (!strcmp(argv[1], "server"))
 		rc = server_main(argc - 1, argv + 1);
+	else if (!strcmp(argv[1], "platform"))
+		rc = stand_main(argc - 1, argv + 1);
 	else if (!strcmp(argv[1], "run"))
 		rc = run(argc - 1, argv + 1, NULL);
 	else if (!strcmp(argv[1], "up"))
--- /dev/null
+++ b/rehearsal/stand.c
@@ -0,0 +1,687 @@
+/* Scenarios on the stand-in of the users' platform: rehearsal platform list | run NAME. */
+#include <argtable2.h>
+#include <dirent.h>
+#include <errno.h>
+#include <libgen.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "ds.h"
+#include "stand_run.h"
+
+/* From the system's page: two deployments. The same weights of requests, at their rates. */
+const struct sheet sheets[2] = {
+	{ .name = "warisan", .host = "ficu95.example", .service = "lm-registry", .store = "clerk-desk", .model = "daka510000",
+	  .zone = { "shah-alam-a", "petaling-b", "cyberjaya-c", "putrajaya-d" }, .region = "my-central", .tenants = 8,
+	  .c = {
+		{ "lineage-recon", "/lohu930/", 13300, 3720, 24, 600, 400, 8000, 1, 1, 2, 1, 161, 42.9, 2, 0.6 },
+		{ "cert-transcribe", "/pufi791/", 6300, 2890, 10, 500, 400, 5000, 1, 0, 1, 0, 126, 33.5, 3, 0.9 },
+		{ "name-check", "/wuno96/", 350, 1110, 34, 400, 400, 10000, 1, 1, 2, 2, 264, 46.7, 1, 0.3 },
+	  } },
+	{ .name = "teduh", .host = "kaje80.example", .service = "lm-pool", .store = "tenant-desk", .model = "huvo110000",
+	  .zone = { "petaling", "gombak", "klang", "ampang" }, .region = "klang-valley", .tenants = 8,
+	  .c = {
+		{ "arrears-query", "/daka51/", 13300, 3720, 24, 400, 250, 8000, 1, 1, 2, 1, 161, 54.7, 2, 1 },
+		{ "repair-check", "/ieis12/", 6300, 2890, 10, 300, 250, 4000, 1, 0, 1, 0, 126, 40.9, 3, 1.5 },
+		{ "msg-sort", "/a9rg35/", 350, 1110, 34, 300, 250, 10000, 1, 1, 2, 2, 264, 58.9, 1, 0.5 },
+	  } },
+};
+
+void run_say(struct run *r, const char *fmt, ...)
+{
+	va_list ap;
+
+	fprintf(stderr, "rehearsal: %7.3f ", (double)run_ms(r) / 1000);
+	va_start(ap, fmt);
+	vfprintf(stderr, fmt, ap);
+	va_end(ap);
+	fputc('\n', stderr);
+}
+
+void run_for(struct run *r, int64_t ms)
+{
+	int64_t until = run_ms(r) + ms;
+
+	while (run_ms(r) < until && !r->missed) {
+		int64_t left = until - run_ms(r);
+
+		loop_until(r->l, ms_us((double)(left < 20 ? left : 20)), NULL, NULL);
+		machines_look(r);
+	}
+}
+
+static int wait_for(struct run *r, int64_t ms, int (*fn)(struct run *r))
+{
+	int64_t until = run_ms(r) + ms;
+
+	while (!fn(r) && run_ms(r) < until)
+		run_for(r, 20);
+	return fn(r);
+}
+
+static int calm_operator(struct run *r) { return operator_idle(r->op); }
+static int read_back(struct run *r) { return operator_read_done(r->op); }
+static int quiet_clients(struct run *r) { return !clients_busy(r->clients); }
+
+static int ready(struct run *r)
+{
+	int ok = operator_acked(r->op) > 0;
+
+	for (int i = 0; i < r->nm; i++)
+		ok &= r->m[i].core || (r->m[i].in && !r->m[i].misses);
+	return ok;
+}
+
+static struct machine *nth(struct run *r, int core, int n)
+{
+	for (int i = 0; i < r->nm; i++)
+		if (r->m[i].core == core && !r->m[i].gone && n-- == 0)
+			return &r->m[i];
+	return NULL;
+}
+
+static int count(struct run *r, int core)
+{
+	int n = 0;
+
+	for (int i = 0; i < r->nm; i++)
+		n += r->m[i].core == core && !r->m[i].gone;
+	return n;
+}
+
+/* ---- scenarios ---- */
+
+static void sc_quiet(struct run *r) { run_for(r, r->small ? 6000 : 20000); }
+
+static void sc_kill_edge(struct run *r)
+{
+	struct machine *m = nth(r, 0, 0);
+
+	run_for(r, 2000);
+	run_say(r, "fault: %s is killed", m->name);
+	machine_kill(m);
+	run_for(r, 800);
+	machine_start(m);
+	run_for(r, 4000);
+	if (!r->small)
+		for (int i = 1; i < 4; i++) {
+			machine_kill(nth(r, 0, i));
+			run_for(r, 1500);
+			machine_start(nth(r, 0, i));
+			run_for(r, 1500);
+		}
+}
+
+static void sc_kill_core(struct run *r)
+{
+	run_for(r, 1500);
+	for (int i = 0; i < (r->small ? 2 : count(r, 1)); i++) {
+		struct machine *m = nth(r, 1, i);
+
+		run_say(r, "fault: %s is killed", m->name);
+		machine_kill(m);
+		operator_change(r->op, CHANGE_SPLIT, 1);
+		run_for(r, 1500);
+		machine_start(m);
+		run_for(r, 4000);
+	}
+}
+
+static void kill_everything(struct run *r, int closing)
+{
+	int64_t fault = run_ms(r);
+
+	run_say(r, "fault: every process is killed");
+	for (int i = 0; i < r->nm; i++)
+		machine_kill(&r->m[i]);
+	run_for(r, 700);
+	for (int i = 0; i < r->nm; i++)
+		machine_start(&r->m[i]);
+	if (closing)
+		judge_closing(r->j, fault, run_ms(r));
+}
+
+static void sc_kill_all(struct run *r)
+{
+	run_for(r, 2500);
+	operator_change(r->op, CHANGE_TIMEOUT, 0);
+	wait_for(r, 4000, calm_operator);
+	kill_everything(r, 1);
+	run_for(r, r->b.recovery + 3000);
+}
+
+static void sc_freeze(struct run *r)
+{
+	struct machine *m[2] = { nth(r, 0, 1), nth(r, 1, 0) };
+
+	run_for(r, 1500);
+	for (int i = 0; i < 2; i++) {
+		run_say(r, "fault: %s freezes", m[i]->name);
+		machine_freeze(m[i], 1);
+		run_for(r, 2500);
+		machine_freeze(m[i], 0);
+		run_say(r, "%s wakes", m[i]->name);
+		run_for(r, 3000);
+	}
+}
+
+static int all_down(struct run *r)
+{
+	for (int i = 0; i < r->nm; i++)
+		if (r->m[i].leaving)
+			return 0;
+	return 1;
+}
+
+static void sc_term_roll(struct run *r)
+{
+	run_for(r, 3200); /* calm before it */
+	for (int i = 0; i < (r->small ? 4 : r->nm); i++) {
+		struct machine *m = r->small ? nth(r, i % 2, i / 2) : &r->m[i];
+
+		run_say(r, "planned: %s is stopped", m->name);
+		machine_term(m);
+		wait_for(r, r->b.grace + 1000, all_down);
+		run_for(r, 300);
+		machine_start(m);
+		run_for(r, 4000);
+	}
+}
+
+static void sc_config(struct run *r)
+{
+	clients_probe(r->clients, 1);
+	for (int i = 0; i < 2 * CHANGE_BIG; i++) {
+		enum change what = (enum change)(i % CHANGE_BIG);
+
+		run_for(r, 700);
+		if (what != CHANGE_KEY_OFF && what != CHANGE_IDLE)
+			operator_change(r->op, what, i >= CHANGE_BIG);
+	}
+	run_for(r, 3000);
+}
+
+static void sc_storm(struct run *r)
+{
+	run_for(r, 1500);
+	clients_probe(r->clients, 1);
+	for (int i = 0; i < 30; i++)
+		operator_change(r->op, i % 3 ? CHANGE_TIMEOUT : i % 2 ? CHANGE_ROUTE_ON : CHANGE_ROUTE_OFF, i % 2);
+	run_for(r, 6000);
+}
+
+static void sc_race(struct run *r)
+{
+	clients_probe(r->clients, 1);
+	for (int i = 0; i < 5; i++) {
+		run_for(r, 1200);
+		wait_for(r, 4000, calm_operator);
+		operator_race(r->op);
+	}
+	run_for(r, 3000);
+}
+
+static void sc_bad(struct run *r)
+{
+	run_for(r, 1000);
+	for (int i = 0; i < INVALIDS; i++) {
+		operator_invalid(r->op, (enum invalid)i);
+		run_for(r, 500);
+		operator_change(r->op, CHANGE_SPLIT, 0);
+		wait_for(r, 4000, calm_operator);
+	}
+	run_for(r, 2500);
+}
+
+static void sc_big(struct run *r)
+{
+	run_for(r, 1500);
+	operator_change(r->op, CHANGE_BIG, 0);
+	wait_for(r, 6000, calm_operator);
+	run_for(r, r->b.apply + 300);
+	clients_extra(r->clients, 200);
+	run_for(r, 5000);
+}
+
+static void sc_revoke(struct run *r)
+{
+	char key[64];
+
+	run_for(r, 1500);
+	operator_change(r->op, CHANGE_KEY_ON, 1);
+	wait_for(r, 5000, calm_operator);
+	run_for(r, r->b.apply + 200);
+	operator_change(r->op, CHANGE_KEY_OFF, 1);
+	wait_for(r, 5000, calm_operator);
+	run_for(r, 1000);
+	snprintf(key, sizeof key, "key%02d-1-abcdefgh", 3); /* its clients go on with the old key a while, as some do */
+	run_for(r, r->b.revoke + 1500);
+	clients_keys(r->clients, 3, key);
+	run_for(r, 2000);
+}
+
+static int rolled(struct run *r)
+{
+	for (int i = 0; i < arrlen(r->f.server); i++)
+		if (!r->f.server[i]->is_store && r->f.server[i]->life == LIFE_UP && r->f.server[i]->version < r->f.newest)
+			return 0;
+	return 1;
+}
+
+static void sc_roll_out(struct run *r)
+{
+	run_for(r, 2000);
+	operator_weights(r->op, 2);
+	if (!wait_for(r, r->b.version, rolled))
+		run_say(r, "not every server has the new weights after VersionMs");
+	else
+		run_say(r, "all servers have the new weights");
+	run_for(r, 3000);
+}
+
+static void sc_release(struct run *r)
+{
+	int n = 0;
+
+	run_for(r, 1500);
+	for (int i = 0; i < arrlen(r->f.server); i++) {
+		struct server *s = r->f.server[i];
+
+		if (s->is_store || n++ >= (r->small ? 2 : 6))
+			continue;
+		run_say(r, "planned: server %s drains", s->addr);
+		server_drain(s);
+		run_for(r, r->b.drain + r->f.e.linger + 2200);
+		server_up(s);
+		run_for(r, 1200);
+	}
+}
+
+static void sc_crash(struct run *r)
+{
+	run_for(r, 1500);
+	for (int i = 0; i < (r->small ? 2 : 6); i++) {
+		struct server *s = r->f.server[i];
+
+		run_say(r, "fault: server %s crashes", s->addr);
+		server_crash(s);
+		run_for(r, 1500);
+		server_up(s);
+		run_for(r, 1500);
+	}
+	run_say(r, "fault: server %s is lost for good", r->f.server[2]->addr);
+	server_crash(r->f.server[2]);
+	run_for(r, 4000);
+}
+
+static void every_server(struct run *r, const struct server_fault *x)
+{
+	for (int i = 0; i < arrlen(r->f.server); i++)
+		if (!r->f.server[i]->is_store)
+			r->f.server[i]->fault = *x;
+}
+
+static void sc_garble(struct run *r)
+{
+	struct server_fault x = { .close = 0.05, .broken = 0.05, .garbage = 0.03, .surplus = 0.1 }, none = { .close = 0.01 };
+
+	run_for(r, 1000);
+	run_say(r, "fault: servers break answers off, send garbage and surplus bytes");
+	every_server(r, &x);
+	run_for(r, 6000);
+	every_server(r, &none);
+	run_for(r, 2000);
+}
+
+static void sc_lost_answer(struct run *r)
+{
+	struct server_fault x = { .close = 0.01, .lost = 0.08 }, none = { .close = 0.01 };
+
+	run_for(r, 1000);
+	run_say(r, "fault: servers run requests and lose the answers");
+	every_server(r, &x);
+	run_for(r, 6000);
+	every_server(r, &none);
+	run_for(r, 2000);
+}
+
+static void sc_grey(struct run *r)
+{
+	run_for(r, 1000);
+	run_say(r, "fault: server %s fails a third of its requests, and says it is well", r->f.server[0]->addr);
+	r->f.server[0]->fault.grey = 0.35;
+	run_for(r, 5000);
+	r->f.server[0]->fault.grey = 0;
+	run_say(r, "fault: server %s says falsely that it is not well", r->f.server[1]->addr);
+	r->f.server[1]->fault.false_health = 1;
+	run_for(r, 4000);
+}
+
+static void sc_dark(struct run *r)
+{
+	struct server *s = r->f.server[0];
+
+	run_for(r, 1500);
+	run_say(r, "fault: server %s is silent", s->addr);
+	server_dark(s, 1);
+	run_for(r, 4000);
+	server_dark(s, 0);
+	run_for(r, 3000);
+}
+
+static void sc_flap(struct run *r)
+{
+	run_for(r, 1000);
+	for (int i = 0; i < 6; i++) {
+		server_crash(r->f.server[0]);
+		run_for(r, 500);
+		server_up(r->f.server[0]);
+		run_for(r, 700);
+	}
+	run_for(r, 2000);
+}
+
+static void sc_events_gap(struct run *r)
+{
+	run_for(r, 1500);
+	run_say(r, "fault: events come late, a few never come, and only a few stay");
+	r->f.e.events_loss = 0.05;
+	r->f.e.events_lag = 1500;
+	r->f.e.events = 20;
+	run_for(r, 3000);
+	for (int i = 0; i < arrlen(r->f.server); i++)
+		r->f.server[i]->fault.events_lost = i % 2;
+	run_for(r, 2500);
+	for (int i = 0; i < arrlen(r->f.server); i++)
+		r->f.server[i]->fault.events_lost = 0;
+	r->f.e.events_loss = 0;
+	r->f.e.events_lag = 80;
+	run_for(r, 2000);
+}
+
+static void sc_store_down(struct run *r)
+{
+	struct server *s = arrlast(r->f.server);
+
+	run_for(r, 2000);
+	run_say(r, "fault: the store is down");
+	server_crash(s);
+	run_for(r, 2500);
+	server_up(s);
+	run_say(r, "the store is back, empty");
+	run_for(r, 3000);
+}
+
+static void sc_wipe(struct run *r)
+{
+	struct machine *m = nth(r, 1, 1);
+
+	run_for(r, 1500);
+	operator_change(r->op, CHANGE_TIMEOUT, 1);
+	wait_for(r, 4000, calm_operator);
+	run_say(r, "fault: %s loses its disk right after an acknowledgement", m->name);
+	machine_kill(m);
+	machine_wipe(m);
+	run_for(r, 800);
+	machine_start(m);
+	run_for(r, r->b.catch_up + 1000);
+	operator_change(r->op, CHANGE_SPLIT, 0);
+	wait_for(r, 5000, calm_operator);
+	run_for(r, 2000);
+}
+
+static void sc_replace(struct run *r)
+{
+	struct machine *m = nth(r, 1, 0), *n;
+	int zone = 0;
+
+	run_for(r, 1500);
+	while (zone < 3 && strcmp(m->zone, r->sheet->zone[zone]))
+		zone++;
+	run_say(r, "fault: %s goes for good and an empty machine comes at another address", m->name);
+	machine_remove(m);
+	run_for(r, 500);
+	n = machine_add(r, 1, zone);
+	machine_start(n);
+	run_for(r, 3000); /* SeedLagS */
+	m->listed = 0;
+	n->listed = 1;
+	run_for(r, r->b.catch_up);
+	operator_change(r->op, CHANGE_SPLIT, 1);
+	wait_for(r, 5000, calm_operator);
+	run_for(r, 2000);
+}
+
+static const struct { const char *name, *what; void (*fn)(struct run *r); } scenarios[] = {
+	{ "quiet", "no fault", sc_quiet },
+	{ "kill-edge", "edges are killed and come back", sc_kill_edge },
+	{ "kill-core", "core machines are killed one after another, under changes", sc_kill_core },
+	{ "kill-all", "every process is killed at once, right after an acknowledgement", sc_kill_all },
+	{ "freeze", "an edge and a core machine freeze and wake", sc_freeze },
+	{ "term-roll", "machines are stopped and started in turn", sc_term_roll },
+	{ "config", "configurations change, in whole and in part", sc_config },
+	{ "storm", "thirty changes one right after another", sc_storm },
+	{ "race", "two operators on top of the same version", sc_race },
+	{ "bad", "invalid configurations between proper ones", sc_bad },
+	{ "big", "two hundred more routes, all used", sc_big },
+	{ "revoke", "a key is taken away from clients that go on using it", sc_revoke },
+	{ "roll-out", "new weights", sc_roll_out },
+	{ "release", "servers drain, end and come back as new ones", sc_release },
+	{ "crash", "servers crash, come back, and one is lost", sc_crash },
+	{ "garble", "broken answers, garbage, bytes behind whole answers", sc_garble },
+	{ "lost-answer", "requests run, their answers never come", sc_lost_answer },
+	{ "grey", "a server fails a third of its requests; health lies", sc_grey },
+	{ "dark", "a server falls silent", sc_dark },
+	{ "flap", "a server goes and comes", sc_flap },
+	{ "events-gap", "events of kept parts are late and lost", sc_events_gap },
+	{ "store-down", "the store goes and comes back empty", sc_store_down },
+	{ "wipe", "a core machine loses its disk after an acknowledgement", sc_wipe },
+	{ "replace", "a core machine is replaced at another address", sc_replace },
+	{ "cut", "skipped: the links of processes on one machine cannot be cut without tools for isolation", NULL },
+};
+
+/* ---- one run ---- */
+
+static int set_up(struct run *r, const char *deployment)
+{
+	int edges = r->small ? 3 : 9, cores = r->small ? 3 : 4, servers = r->small ? 4 : 18;
+	char at[48];
+
+	r->l = loop_open();
+	r->f.l = r->l;
+	r->f.start = loop_us();
+	r->j = judge_open(&r->b);
+	r->f.j = r->j;
+	r->f.e = engine_sheet;
+	r->f.e.drain_ms = (int)r->b.drain;
+	r->f.rng = r->seed * 7 + 1;
+	r->f.newest = 1;
+	r->f.thaw_ms = (int)r->b.thaw;
+	r->sheet = &sheets[!strcmp(deployment, "teduh")];
+	if (r->sheet == &sheets[1]) {
+		r->f.e.kv = 319789;
+		r->f.e.step = 3.55;
+		r->f.e.read_per_ms = 157;
+		r->f.e.load_ms = 1100;
+	}
+	r->f.model = r->sheet->model;
+	r->rng = r->seed;
+	r->traffic_at = -1;
+	snprintf(r->base, sizeof r->base, "127.%d.%d", 16 + (getpid() / 250) % 200, 1 + getpid() % 250);
+	for (int i = 0; i < servers; i++) {
+		snprintf(at, sizeof at, "%s.%d:8080", r->base, 100 + i);
+		server_add(&r->f, at, r->sheet->zone[i % 4], r->sheet->service, 0);
+	}
+	snprintf(at, sizeof at, "%s.250:8680", r->base);
+	server_add(&r->f, at, r->sheet->zone[1], r->sheet->store, 1);
+	for (int i = 0; i < arrlen(r->f.server); i++)
+		server_up(r->f.server[i]);
+	snprintf(r->list_at, sizeof r->list_at, "%s.251:8688", r->base);
+	if (!list_open(&r->f, &(struct list_set){ r->list_at, 800, 5, 47 }))
+		return 0;
+	for (int i = 0; i < cores; i++)
+		machine_add(r, 1, i % 4)->listed = 1;
+	for (int i = 0; i < edges; i++)
+		machine_add(r, 0, i % 4);
+	for (int i = 0; i < r->nm; i++)
+		machine_start(&r->m[i]);
+	r->op = operator_open(r);
+	r->clients = clients_open(r);
+	operator_first(r->op);
+	wait_for(r, 20000, ready);
+	for (int i = 0; i < r->nm && !r->missed; i++)
+		if (r->m[i].own_ends >= 3)
+			r->missed = "processes end by themselves at their start: do they know --platform?";
+	if (!r->missed && !operator_acked(r->op))
+		r->missed = "no node took the first configuration within 20 s";
+	if (!r->missed && !ready(r))
+		run_say(r, "not every edge is ready 20 s after the start");
+	while (run_ms(r) < r->b.contact + 1000 && !r->missed)
+		run_for(r, 20);
+	run_say(r, "traffic starts");
+	r->traffic_at = run_ms(r);
+	return !r->missed;
+}
+
+static int one_run(struct run *r, const char *deployment, int k, const char *report)
+{
+	const struct breach *b = NULL;
+	int n = 0, rc = 1;
+
+	if (!set_up(r, deployment))
+		goto end;
+	clients_traffic(r->clients, 1);
+	scenarios[k].fn(r);
+	clients_traffic(r->clients, 0);
+	wait_for(r, 11000, quiet_clients);
+	wait_for(r, 6000, calm_operator);
+	if (r->missed)
+		goto end;
+	operator_read_back(r->op);
+	wait_for(r, 6 * r->b.contact, read_back);
+	n = judge_all(r->j, run_ms(r), &b);
+	report_print(r, b, n);
+	if (report && !report_write(r, report, b, n))
+		goto end;
+	rc = n != 0;
+	{
+		int whole = 0, asked = 0;
+
+		for (int i = 0; i < CLASSES; i++)
+			whole += r->fig.whole[i], asked += r->fig.asked[i];
+		if (!whole || whole * 10 < asked * 4) { /* the gate: at most 60% refused or failed */
+			printf("BREACH GATE     : %d of %d requests were served\n", whole, asked);
+			rc = 1;
+		}
+	}
+end:
+	if (r->missed) {
+		printf("UNDECIDED: %s\n", r->missed);
+		rc = 3;
+	}
+	if (r->clients)
+		clients_close(r->clients);
+	if (r->op)
+		operator_close(r->op);
+	machines_end(r);
+	if (r->f.list)
+		list_close(r->f.list);
+	servers_free(&r->f);
+	loop_close(r->l);
+	judge_close(r->j);
+	free(r->fig.sec);
+	printf("%s %s seed %llu%s: %s; logs in %s\n", r->sheet->name, scenarios[k].name, (unsigned long long)r->seed, r->small ? " small" : "",
+	       rc == 0 ? "no rule broken" : rc == 3 ? "undecided" : "RULES BROKEN", r->folder);
+	return rc;
+}
+
+static void list_scenarios(FILE *f)
+{
+	for (size_t i = 0; i < sizeof scenarios / sizeof *scenarios; i++)
+		fprintf(f, "  %-12s %s\n", scenarios[i].name, scenarios[i].what);
+}
+
+static int run(int argc, char **argv)
+{
+	struct arg_str *name = arg_str1(NULL, NULL, "NAME", "the scenario"), *seed = arg_str0(NULL, "seed", "N", "a whole number"),
+		*dep = arg_str0(NULL, "deployment", "NAME", "warisan or teduh"), *bin = arg_str0(NULL, "bin", "DIR", "where the programs are"),
+		*report = arg_str0(NULL, "report", "DIR", "tables and a picture"), *folder = arg_str0(NULL, "folder", "DIR", "logs and disks; must not exist"),
+		*rate = arg_str0(NULL, "rate", "X", "traffic, as a share of the sheet's");
+	struct arg_int *slack = arg_int0(NULL, "slack", "N", "bounds in ms are so many times as long: for slow machines");
+	struct arg_lit *small = arg_lit0(NULL, "small", "3 edges, 3 core machines, 4 servers"), *verbose = arg_litn("v", "verbose", 0, 3, "say more");
+	struct arg_end *end = arg_end(5);
+	void *t[] = { name, seed, dep, bin, report, folder, rate, slack, small, verbose, end };
+	struct run *r = NULL;
+	char self[600], *stop = "";
+	ssize_t n;
+	int rc = 2, k;
+
+	if (arg_parse(argc, argv, t)) {
+		arg_print_errors(stderr, end, "rehearsal platform run");
+		fprintf(stderr, "The scenarios are:\n");
+		list_scenarios(stderr);
+		goto end;
+	}
+	for (k = 0; k < (int)(sizeof scenarios / sizeof *scenarios); k++)
+		if (!strcmp(scenarios[k].name, name->sval[0]))
+			break;
+	r = calloc(1, sizeof *r);
+	r->seed = seed->count ? strtoull(seed->sval[0], &stop, 10) : 1;
+	if (k == (int)(sizeof scenarios / sizeof *scenarios) || *stop || !r->seed ||
+	    (dep->count && strcmp(dep->sval[0], "warisan") && strcmp(dep->sval[0], "teduh"))) {
+		fprintf(stderr, "rehearsal: NAME is one of these, --seed 1 or more, --deployment warisan or teduh\n");
+		list_scenarios(stderr);
+		goto end;
+	}
+	if (!scenarios[k].fn) {
+		printf("%s: %s\n", scenarios[k].name, scenarios[k].what);
+		rc = 0;
+		goto end;
+	}
+	r->small = small->count;
+	r->verbose = verbose->count;
+	r->b = bounds_sheet;
+	r->rate = rate->count ? atof(rate->sval[0]) : r->small ? 0.3 : 1;
+	r->slack = slack->count ? slack->ival[0] : 1;
+	if (r->slack > 1) { /* what the daemons must keep is told to them as it is; the judge is as patient as asked */
+		int64_t *v[] = { &r->b.ack, &r->b.drain, &r->b.apply, &r->b.revert, &r->b.revoke, &r->b.version, &r->b.recovery, &r->b.loss_slack };
+
+		for (size_t i = 0; i < sizeof v / sizeof *v; i++)
+			*v[i] *= r->slack;
+	}
+	n = readlink("/proc/self/exe", self, sizeof self - 1);
+	self[n > 0 ? n : 0] = 0;
+	snprintf(r->bin, sizeof r->bin, "%s", bin->count ? bin->sval[0] : dirname(self));
+	if (folder->count)
+		snprintf(r->folder, sizeof r->folder, "%s", folder->sval[0]);
+	else
+		snprintf(r->folder, sizeof r->folder, "/tmp/platform-%s-%llu-%d", scenarios[k].name, (unsigned long long)r->seed, (int)getpid());
+	if (mkdir(r->folder, 0700)) {
+		fprintf(stderr, "rehearsal: %s: %s\n", r->folder, strerror(errno));
+		goto end;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	rc = one_run(r, dep->count ? dep->sval[0] : "warisan", k, report->count ? report->sval[0] : NULL);
+end:
+	free(r);
+	arg_freetable(t, sizeof t / sizeof *t);
+	return rc;
+}
+
+int stand_main(int argc, char **argv)
+{
+	if (argc >= 2 && !strcmp(argv[1], "list")) {
+		list_scenarios(stdout);
+		return 0;
+	}
+	if (argc >= 2 && !strcmp(argv[1], "run"))
+		return run(argc - 1, argv + 1);
+	fprintf(stderr, "Usage: rehearsal platform list\n"
+	                "       rehearsal platform run NAME [--seed N] [--deployment warisan|teduh] [--small] [--rate X] [--slack N] [--bin DIR]\n"
+	                "                              [--folder DIR] [--report DIR] [-v]\n");
+	return 2;
+}
--- a/rehearsal/stand.h
+++ b/rehearsal/stand.h
@@ -3,8 +3,9 @@
  * failures can be brought about where the users' own bench cannot run.
  *   stand_net      loop, timers, HTTP both ways       stand_server   model servers and the store
  *   stand_list     the list of servers                stand_client   entry, clients, histogram
- *   stand_operator configurations and their senders   stand_machine  processes under test
- *   stand_judge    the rules                          stand          scenarios */
+ *   stand_operator who sends configurations           stand_machine  processes under test
+ *   stand_config   how configurations read            stand_judge    the rules
+ *   stand_report   figures and a picture              stand          scenarios */
 #ifndef NL_STAND_H
 #define NL_STAND_H
 
@@ -280,17 +281,6 @@
 void list_close(struct list *l);
 uint64_t list_calls(const struct list *l);
 
-/* ---- the machines under test ---- */
-struct machine {
-	int i, core, pid, up, frozen, gone, first, leaving, ready, misses, wiped;
-	int64_t trouble_until;
-	char name[48], ip[32], zone[32], folder[600];
-	char front[40], ready_at[40], control[40];
-	struct field_of *owner;
-	uint64_t timer;
-	int own_ends;
-};
-
 /* ---- scenarios: rehearsal platform ... ---- */
 int stand_main(int argc, char **argv);
 
--- /dev/null
+++ b/rehearsal/stand_run.h
@@ -0,0 +1,113 @@
+/* What the parts of one run share: machines, entry and clients, operator, figures. */
+#ifndef NL_STAND_RUN_H
+#define NL_STAND_RUN_H
+
+#include "stand.h"
+
+enum { MOST_MACHINES = 40, CLASSES = 3, MOST_SECONDS = 600 };
+
+/* ---- the sheet of a deployment ---- */
+struct class_set {
+	const char *name, *prefix;
+	int shared, own, out, aim, gap, deadline, retries, resumable, attempts, priority, things;
+	double per_s, worth, late;
+};
+struct sheet {
+	const char *name, *host, *service, *store, *model, *zone[4], *region;
+	struct class_set c[CLASSES];
+	int tenants;
+};
+extern const struct sheet sheets[2];
+
+/* ---- machines ---- */
+struct machine {
+	struct run *r;
+	int i, core, pid, frozen, gone, starts, leaving, in, misses, own_ends, listed;
+	int64_t leave_by;
+	char name[64], ip[32], zone[40], folder[700];
+	char front[48], ready[48], control[48];
+	uint64_t timer;
+};
+
+/* ---- figures ---- */
+struct second { int asked, whole, refused, failed; struct hist first; };
+struct figures {
+	struct hist first[CLASSES], pause[CLASSES], transit;
+	int asked[CLASSES], whole[CLASSES], late[CLASSES], gave_up, refused, tries, cut, silent, probes, stray;
+	double owed, earned;
+	struct second *sec; /* MOST_SECONDS */
+};
+
+/* ---- the run ---- */
+struct operator;
+struct clients;
+struct run {
+	struct loop *l;
+	struct judge *j;
+	struct fleet_set f;
+	struct bounds_set b;
+	const struct sheet *sheet;
+	uint64_t rng, seed;
+	int small, verbose, slack;
+	char base[20], folder[600], bin[600], list_at[40];
+	double rate; /* of the sheet's */
+	struct machine m[MOST_MACHINES];
+	int nm, nservers;
+	int64_t traffic_at; /* ms of the run, -1: not yet */
+	struct clients *clients;
+	struct operator *op;
+	struct figures fig;
+	const char *missed; /* why the run proves nothing */
+};
+
+static inline int64_t run_ms(const struct run *r) { return (loop_us() - r->f.start) / 1000; }
+void run_say(struct run *r, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+void run_for(struct run *r, int64_t ms);
+
+/* Machines. Example: m = machine_add(r, 0, 2); machine_start(m); machine_kill(m); */
+struct machine *machine_add(struct run *r, int core, int zone);
+void machine_start(struct machine *m);
+void machine_kill(struct machine *m);      /* SIGKILL, stays down */
+void machine_term(struct machine *m);      /* SIGTERM, SIGKILL after GraceS; machine_down says when it is over */
+int machine_down(const struct machine *m);
+void machine_freeze(struct machine *m, int on);
+void machine_wipe(struct machine *m);      /* its disk is empty; the process must be down */
+void machine_remove(struct machine *m);    /* for good */
+void machine_hup(struct machine *m);
+void machines_look(struct run *r);         /* who ended by itself is started again */
+void machines_end(struct run *r);
+
+/* Entry and clients. */
+struct clients *clients_open(struct run *r);
+void clients_traffic(struct clients *c, int on);
+int clients_busy(const struct clients *c);
+void clients_extra(struct clients *c, int routes); /* so many added routes get traffic too */
+void clients_probe(struct clients *c, int on);
+void clients_keys(struct clients *c, int tenant, const char *key);
+void clients_close(struct clients *c);
+
+/* The operator. What it wants goes out one after another unless said otherwise. */
+struct operator *operator_open(struct run *r);
+void operator_close(struct operator *o);
+void operator_first(struct operator *o);
+int operator_idle(const struct operator *o);
+int operator_acked(const struct operator *o); /* configurations so far */
+enum change { CHANGE_SPLIT, CHANGE_MOVE, CHANGE_TIMEOUT, CHANGE_ROUTE_ON, CHANGE_ROUTE_OFF, CHANGE_KEY_ON, CHANGE_KEY_OFF, CHANGE_WALL, CHANGE_IDLE,
+	CHANGE_BIG, CHANGES };
+void operator_change(struct operator *o, enum change what, int modify);
+void operator_race(struct operator *o);
+enum invalid { INVALID_CUT, INVALID_SERVICE, INVALID_PLACE, INVALID_WEIGHT, INVALID_TIMEOUT, INVALID_OLD, INVALID_KEY, INVALIDS };
+void operator_invalid(struct operator *o, enum invalid what);
+void operator_weights(struct operator *o, int version);
+int operator_weights_acked(const struct operator *o);
+void operator_read_back(struct operator *o);
+int operator_read_done(const struct operator *o);
+/* A route that came or went lately, for the probes; NULL: none. */
+const char *operator_added(const struct operator *o);
+const char *operator_removed(const struct operator *o);
+
+/* Figures and the picture. */
+int report_write(struct run *r, const char *folder, const struct breach *b, int n);
+void report_print(struct run *r, const struct breach *b, int n);
+
+#endif
