--- a/lib/control/follow.c
+++ b/lib/control/follow.c
@@ -9,6 +9,7 @@
 {
 	memset(f, 0, sizeof *f);
 	table_open(&f->t);
+	sights_open(&f->sights);
 	sh_new_strdup(f->hold);
 	f->born = f->rng = born;
 	f->zone = f->web = "";
@@ -22,9 +23,32 @@
 		f->at[i] = (int)(core_rand(&f->rng) % (uint64_t)f->ncand);
 }
 
+void follow_seeds(struct follow *f, const uint64_t *seeds, int n)
+{
+	uint64_t old[FOLLOW_SEATS];
+	int nold = f->ncand;
+
+	memcpy(old, f->cand, sizeof old);
+	f->ncand = 0;
+	for (int i = 0; i < n && i < FOLLOW_SEATS; i++)
+		f->cand[f->ncand++] = seeds[i];
+	f->nseed = f->ncand;
+	for (int i = 0; i < nold; i++) { /* who was known stays so until the next answer */
+		int known = 0;
+
+		for (int k = 0; k < f->ncand; k++)
+			known |= f->cand[k] == old[i];
+		if (!known && f->ncand < FOLLOW_SEATS)
+			f->cand[f->ncand++] = old[i];
+	}
+	for (int i = 0; i < PART_COUNT; i++)
+		f->at[i] = f->ncand ? f->at[i] % f->ncand : 0;
+}
+
 void follow_close(struct follow *f)
 {
 	table_close(&f->t);
+	sights_close(&f->sights);
 	shfree(f->hold);
 }
 
@@ -108,6 +132,7 @@
 		return;
 	a = OUT_NEW(o, Nl__Follow, NL__FOLLOW__INIT);
 	a->have = f->t.edition;
+	a->sights = f->sights.stamp;
 	a->born = f->born;
 	a->token = ++f->token;
 	a->zone = (char *)f->zone;
@@ -187,5 +212,5 @@
 		f->up[f->nup++] = r->up[i];
 	f->counters = r->counters;
 	take_registrars(f, r);
-	return f->t.edition != was;
+	return (f->t.edition != was ? FOLLOW_TABLE : 0) | (sights_follow(&f->sights, r, now) ? FOLLOW_SIGHTS : 0);
 }
--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -5,36 +5,8 @@
 #include <string.h>
 
 #include "ds.h"
-
-static void say(struct reg *r, const char *prefix, apr_pool_t *p, const char *fmt, ...)
-{
-	va_list ap;
-
-	if (!r->log)
-		return;
-	va_start(ap, fmt);
-	r->log(r->log_ctx, prefix, apr_pvsprintf(p, fmt, ap));
-	va_end(ap);
-}
-
-/* Licensed, and all that was committed before has been applied here. */
-static int in_office(const struct reg *r, uint32_t part, int64_t now)
-{
-	return part_licensed(&r->part[part], now) && r->was_owner[part] == r->part[part].term;
-}
-
-/* Who owns a part, as far as this member has heard within its promise; an older word would send others to the dead. */
-static uint64_t owner_hint(const struct reg *r, uint32_t part, int64_t now)
-{
-	const struct part *p = &r->part[part];
-
-	return now < p->promise || part_licensed(p, now) ? p->owner_addr : 0;
-}
-
-static struct reg_svc *svc_of(struct reg *r, uint32_t part)
-{
-	return part >= PART_SERVICE && part < PART_COUNT ? &r->svc[part - PART_SERVICE] : NULL;
-}
+#include "duty.h"
+#include "giver.h"
 
 /* ---- state machines: apply -------------------------------------------------- */
 
@@ -66,6 +38,59 @@
 	return NULL;
 }
 
+static const struct Nl__DoneDoc *doc_taken(const struct reg *r, uint64_t digest)
+{
+	for (ptrdiff_t i = arrlen(r->docs) - 1; i >= 0; i--)
+		if (r->docs[i].digest == digest)
+			return &r->docs[i];
+	return NULL;
+}
+
+static void doc_keep(struct reg *r, const uint8_t *d, size_t n, uint64_t version)
+{
+	free(r->ctl_doc);
+	r->ctl_doc = malloc(n + 1);
+	if (!r->ctl_doc)
+		abort();
+	if (n)
+		memcpy(r->ctl_doc, d, n);
+	r->ctl_doc[n] = 0;
+	r->ctl_doc_len = n;
+	r->ctl_doc_version = version;
+}
+
+static void doc_note(struct reg *r, uint64_t version, uint64_t digest)
+{
+	struct Nl__DoneDoc d = NL__DONE_DOC__INIT;
+
+	d.version = version;
+	d.digest = digest;
+	arrput(r->docs, d);
+	if (arrlen(r->docs) > REG_DONE)
+		arrdel(r->docs, 0);
+}
+
+/* A document is taken in the log's order: the same call again changes nothing, one built on another version is late. */
+static int apply_doc(struct reg *r, const struct Nl__Change *c, struct Nl__Purge ***feed)
+{
+	const struct Nl__DoneDoc *old = doc_taken(r, c->doc_digest);
+	int st;
+
+	r->doc_logged += c->doc.len;
+	if (old && old->version == c->doc_version)
+		return TABLE_DONE;
+	if (c->doc_base != r->ctl_doc_version)
+		return TABLE_OVERTAKEN;
+	if (c->doc_version <= r->ctl_doc_version)
+		return TABLE_REFUSED;
+	st = table_apply(&r->ctl, c, feed);
+	if (st != TABLE_DONE)
+		return st;
+	doc_keep(r, c->doc.data, c->doc.len, c->doc_version);
+	doc_note(r, c->doc_version, c->doc_digest);
+	return TABLE_DONE;
+}
+
 /* A change may be proposed again while its answer is lost; it is applied once. */
 static uint32_t apply_change(struct reg *r, uint64_t index, const struct Nl__Op *op)
 {
@@ -76,7 +101,7 @@
 
 	if (old)
 		return old->status;
-	st = table_apply(&r->ctl, op->change, &p);
+	st = op->change->doc_version ? apply_doc(r, op->change, &p) : table_apply(&r->ctl, op->change, &p);
 	d.status = (uint32_t)st;
 	if (d.from)
 		arrput(r->ctl_done, d);
@@ -263,6 +288,13 @@
 		s.done[i]->token = r->ctl_done[i].token;
 		s.done[i]->status = r->ctl_done[i].status;
 	}
+	s.doc.data = r->ctl_doc;
+	s.doc.len = r->ctl_doc_len;
+	s.doc_version = r->ctl_doc_version;
+	s.n_docs = (size_t)arrlen(r->docs);
+	s.docs = apr_palloc(p, (s.n_docs + 1) * sizeof *s.docs);
+	for (size_t i = 0; i < s.n_docs; i++)
+		s.docs[i] = &r->docs[i];
 	return core_pack(p, &s.base, n);
 }
 
@@ -378,8 +410,13 @@
 		r->spare_edition = 0;
 		clear_values(&r->ctl_feed);
 		arrsetlen(r->ctl_done, 0);
+		arrsetlen(r->docs, 0);
+		r->doc_logged = 0;
+		doc_keep(r, s ? s->doc.data : NULL, s ? s->doc.len : 0, s ? s->doc_version : 0);
 		if (!s)
 			return;
+		for (size_t i = 0; i < s->n_docs; i++)
+			doc_note(r, s->docs[i]->version, s->docs[i]->digest);
 		for (size_t i = 0; i < s->n_done; i++) {
 			struct reg_done d = { s->done[i]->from, s->done[i]->token, s->done[i]->status };
 
@@ -431,6 +468,19 @@
 
 /* ---- proposals and their answers ----------------------------------------------- */
 
+static const char *error_json(apr_pool_t *p, const char *why, uint64_t edition)
+{
+	struct json_object *j = json_object_new_object();
+	const char *s;
+
+	json_object_object_add(j, "error", json_object_new_string(why));
+	if (edition)
+		json_object_object_add(j, "edition", json_object_new_int64((int64_t)edition));
+	s = apr_pstrdup(p, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN));
+	json_object_put(j);
+	return s;
+}
+
 static void on_answer(struct reg *r, const struct Nl__Answer *a, int64_t now, struct out *o);
 
 static void send_answer(struct reg *r, uint64_t addr, uint64_t token, uint32_t st, const char *why, uint64_t hint,
@@ -446,8 +496,26 @@
 	out_msg(o, addr, 0, NL__MSG__BODY_ANSWER)->answer = a;
 }
 
+/* Operators' calls that wait for this entry. */
+static void answer_calls(struct reg *r, uint64_t index, uint32_t st, struct out *o)
+{
+	for (ptrdiff_t i = arrlen(r->call) - 1; i >= 0; i--) {
+		if (r->call[i].index != index)
+			continue;
+		if (st == TABLE_DONE)
+			out_answer(o, r->call[i].token, 200, 0, "{}");
+		else if (st == TABLE_OVERTAKEN)
+			out_answer(o, r->call[i].token, 412, 0, error_json(o->p, "another version is current", 0));
+		else
+			out_answer(o, r->call[i].token, 400, 0, error_json(o->p, "version: not above the current one", 0));
+		arrdel(r->call, i);
+	}
+}
+
 static void answer_wait(struct reg *r, uint32_t part, uint64_t index, uint32_t st, struct out *o)
 {
+	if (part == PART_CTL)
+		answer_calls(r, index, st, o);
 	for (ptrdiff_t i = 0; i < arrlen(r->wait); i++)
 		if (r->wait[i].part == part && r->wait[i].index == index) {
 			send_answer(r, r->wait[i].addr, r->wait[i].token, st,
@@ -457,8 +525,7 @@
 		}
 }
 
-/* Log an operation of this part, stamped with the part's own clock. */
-static uint64_t log_op(struct reg *r, uint32_t part, struct Nl__Op *op, int64_t now, struct out *o)
+uint64_t log_op(struct reg *r, uint32_t part, struct Nl__Op *op, int64_t now, struct out *o)
 {
 	size_t n;
 	uint8_t *d;
@@ -531,19 +598,6 @@
 	arrdel(r->ask, i);
 }
 
-static const char *error_json(apr_pool_t *p, const char *why, uint64_t edition)
-{
-	struct json_object *j = json_object_new_object();
-	const char *s;
-
-	json_object_object_add(j, "error", json_object_new_string(why));
-	if (edition)
-		json_object_object_add(j, "edition", json_object_new_int64((int64_t)edition));
-	s = apr_pstrdup(p, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN));
-	json_object_put(j);
-	return s;
-}
-
 static void asks_tick(struct reg *r, int64_t now, struct out *o)
 {
 	for (ptrdiff_t i = arrlen(r->ask) - 1; i >= 0; i--) {
@@ -599,6 +653,9 @@
 
 /* ---- the configuration's owner answers followers --------------------------------- */
 
+/* ms after which a silent registrar is replaced: the rest of the bound is for the joining of another. */
+static int64_t lost_after(const struct reg *r) { return r->b.catch_up_ms * 2 / 5; }
+
 static int rank_before(uint64_t zone, const struct reg_seen *s, uint64_t id)
 {
 	return core_rdv(zone, s->id) > core_rdv(zone, id);
@@ -612,6 +669,12 @@
 	return row ? row->limit : 0;
 }
 
+/* Whether there is such a row at all; one without a limit has 0. */
+static int named(const struct reg *r, const char *name)
+{
+	return table_get(&r->ctl, strchr(name, '/') ? NL__KIND__SHARE : NL__KIND__TENANT, name) != NULL;
+}
+
 /* What the asker may use. Never more than the limit less all that others hold or may believe to hold. What is wanted
  * beyond the limit is shared out evenly; the odd places go to those that have gone without for longest. */
 static uint32_t share_out(const struct reg_place *v, const struct reg_place *me, const char *name, uint32_t limit, uint32_t spare, int64_t now)
@@ -680,7 +743,7 @@
 	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++) {
 		const struct Nl__Row *row = r->ctl.h[i].value.row;
 
-		if (row->kind != NL__KIND__TENANT && row->kind != NL__KIND__SHARE)
+		if ((row->kind != NL__KIND__TENANT && row->kind != NL__KIND__SHARE) || !row->limit)
 			continue;
 		if (arrlen(r->spare) == REG_SPARE) {
 			arrsetlen(r->spare, 0);
@@ -703,8 +766,11 @@
 	for (size_t k = 0; k < q->n_hold; k++) {
 		const struct Nl__Hold *h = q->hold[k];
 		uint32_t limit = limit_of(r, h->name), got, most = h->held > h->used ? h->held : h->used;
-		struct reg_place *me = place_of(r, h->name, id, most, now);
+		struct reg_place *me;
 
+		if (!limit && named(r, h->name)) /* no limit: nobody asks for places */
+			continue;
+		me = place_of(r, h->name, id, most, now);
 		if (q->applied >= me->token || most > me->rec) /* it has heard the last that was said */
 			me->rec = most;
 		me->want = h->want;
@@ -767,6 +833,7 @@
 	else
 		arrput(r->seen, me);
 	table_since(&r->ctl, q->have, a, o->p);
+	sights_since(&r->sights, q->sights, a, o->p);
 	a->up = apr_palloc(o->p, 2 * sizeof *a->up);
 	for (int k = 0; q->counter && k < 2; k++) { /* the best two that rendezvous ranks above the asker in its zone */
 		const struct reg_seen *best = NULL;
@@ -790,7 +857,7 @@
 		places(r, m->id, q, a->counters, a, now, o);
 	a->registrars = apr_palloc(o->p, ((size_t)arrlen(r->seen) + 1) * sizeof *a->registrars);
 	for (ptrdiff_t i = 0; i < arrlen(r->seen); i++)
-		if (!r->seen[i].counter && now - r->seen[i].at < REG_SEEN) {
+		if (!r->seen[i].counter && now - r->seen[i].at < (lost_after(r) < REG_SEEN ? lost_after(r) : REG_SEEN)) {
 			struct Nl__Member *x = OUT_NEW(o, Nl__Member, NL__MEMBER__INIT);
 
 			x->id = r->seen[i].id;
@@ -945,224 +1012,6 @@
 	relay_publish(&r->relay, r->tick, r->tick, NULL, now, o);
 }
 
-/* ---- server orders ------------------------------------------------------------------- */
-
-static struct reg_server *server_of(struct reg *r, const char *name)
-{
-	for (ptrdiff_t i = 0; i < arrlen(r->server); i++)
-		if (!strcmp(r->server[i].name, name))
-			return &r->server[i];
-	return NULL;
-}
-
-static void call(uint64_t token, const char *addr, const char *path, const char *body, int64_t not_after,
-                 struct out *o)
-{
-	struct cmd *c = out_cmd(o, CMD_CALL);
-
-	c->u.call.token = token;
-	c->u.call.addr = addr;
-	c->u.call.path = path;
-	c->u.call.body = body;
-	c->u.call.limit_ms = 400;
-	c->u.call.not_after = not_after;
-}
-
-/* An order: body fields, fenced by the part's term. The giver's licence is checked again before it leaves. */
-static void order(struct reg *r, struct reg_server *s, uint32_t part, const char *addr, struct json_object *what,
-                  int64_t now, struct out *o)
-{
-	uint64_t fence = r->part[part].term << 20 | (++r->order_seq & 0xfffff);
-
-	json_object_object_add(what, "fence", json_object_new_int64((int64_t)fence));
-	json_object_object_add(what, "giver", json_object_new_string(apr_psprintf(o->p, "%016" APR_UINT64_T_HEX_FMT, r->id)));
-	call(0, addr, "/v1/order", apr_pstrdup(o->p, json_object_to_json_string_ext(what, JSON_C_TO_STRING_PLAIN)),
-	     r->part[part].licence, o);
-	json_object_put(what);
-	s->ordered = now;
-}
-
-static void on_report(struct reg *r, struct reg_server *s, const char *body, int64_t now, struct out *o)
-{
-	struct json_object *j = json_tokener_parse(body), *parts, *drop;
-	const struct Nl__Row *row = table_get(&r->f.t, NL__KIND__SERVER, s->name);
-	uint32_t part = core_part_of(s->service, PART_SERVICES);
-
-	if (!json_object_is_type(j, json_type_object) || !row)
-		goto end;
-	s->reported = now;
-	apr_cpystrn(s->weights, json_str(j, "weights"), sizeof s->weights);
-	apr_cpystrn(s->loading, json_str(j, "loading"), sizeof s->loading);
-	if (!json_object_object_get_ex(j, "parts", &parts) || !json_object_is_type(parts, json_type_array))
-		goto end;
-	drop = json_object_new_array();
-	for (size_t i = 0; i < json_object_array_length(parts); i++) {
-		struct json_object *x = json_object_array_get_idx(parts, i);
-
-		if (!view_allows(&r->relay.w, s->service, json_str(x, "w"), json_str(x, "m"), s->name, json_num(x, "t")))
-			json_object_array_add(drop, json_object_get(x));
-	}
-	if (!json_object_array_length(drop)) {
-		s->carried = s->carried_want; /* the report shows it: carried out up to the horizon at the look */
-		json_object_put(drop);
-	} else if (in_office(r, part, now) && now - r->owner_since[part] >= REG_HOLD && relay_current(&r->relay, now)) {
-		struct json_object *what = json_object_new_object();
-
-		json_object_object_add(what, "drop", drop);
-		order(r, s, part, row->addr, what, now, o);
-	} else {
-		json_object_put(drop);
-	}
-end:
-	if (j)
-		json_object_put(j);
-}
-
-static void look_at(struct reg *r, const struct Nl__Row *row, int64_t now, struct out *o)
-{
-	struct reg_server *s = server_of(r, row->name);
-
-	if (!s) {
-		struct reg_server n;
-
-		memset(&n, 0, sizeof n);
-		n.name = strdup(row->name);
-		n.service = strdup(row->service);
-		n.reported = now;
-		arrput(r->server, n);
-		s = &arrlast(r->server);
-	}
-	if (now - s->called < REG_LOOK)
-		return;
-	s->called = now;
-	s->call = ++r->token;
-	s->carried_want = r->relay.k.horizon;
-	call(s->call, apr_pstrdup(o->p, row->addr), "/v1/report", NULL, now + 400, o);
-}
-
-/* Followed tables say what is named; not later than the last good asking that did not say so. */
-static void note_named(struct reg *r, int64_t before)
-{
-	for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
-		const struct Nl__Row *row = r->f.t.h[i].value.row;
-		ptrdiff_t k;
-
-		if (row->kind != NL__KIND__SERVICE)
-			continue;
-		k = shgeti(r->named, row->name);
-		if (k >= 0 && !strcmp(r->named[k].value.weights, row->weights))
-			continue;
-		if (k >= 0)
-			free(r->named[k].value.weights);
-		shput(r->named, row->name, ((typeof(r->named->value)){ strdup(row->weights), before, 0 }));
-	}
-}
-
-/* How many of n servers may have been told by now: a third at once, the next ones as the loading ends, or when the
- * bound asks for it. A giver that took over has less time left and need not leave any for another. */
-static int due(const struct reg *r, uint32_t part, typeof(((struct reg_named *)0)->value) *m, int n, int64_t now)
-{
-	int64_t last = m->since + REG_TELL;
-	int third = (n + 2) / 3;
-
-	if (!m->first || m->first < r->owner_since[part])
-		m->first = now;
-	if (r->owner_since[part] <= m->since)
-		last -= REG_TAKE_OVER;
-	if (now >= last || m->first >= last)
-		return n;
-	return third * (1 + (int)(2 * (now - m->first) / (last - m->first)));
-}
-
-/* One service's roll-out: a third of its servers at a time, the rest keep serving. */
-static void roll(struct reg *r, const struct Nl__Row *service, uint32_t part, int64_t now, struct out *o)
-{
-	struct reg_svc *c = svc_of(r, part);
-	typeof(r->named->value) *m = &shgetp(r->named, service->name)->value;
-	int n = 0, loading = 0, on = 0, room, more;
-	ptrdiff_t was;
-
-	for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
-		const struct Nl__Row *row = r->f.t.h[i].value.row;
-		struct reg_server *s;
-
-		if (row->kind != NL__KIND__SERVER || strcmp(row->service, service->name) || row->state)
-			continue;
-		s = server_of(r, row->name);
-		if (!s || now - s->reported > 10000)
-			continue; /* dead: it loads what is named when it is back */
-		n++;
-		if (!strcmp(s->weights, service->weights) && !s->loading[0])
-			on++;
-		else
-			loading += s->loading[0] || s->load_at >= m->since;
-	}
-	if (on < n) {
-		room = (n + 2) / 3 - loading;
-		more = due(r, part, m, n, now) - on - loading;
-		if (room < more)
-			room = more;
-	} else {
-		room = 0;
-	}
-	for (ptrdiff_t i = 0; i < shlen(r->f.t.h) && on < n; i++) {
-		const struct Nl__Row *row = r->f.t.h[i].value.row;
-		struct reg_server *s;
-		struct json_object *what;
-
-		if (row->kind != NL__KIND__SERVER || strcmp(row->service, service->name) || row->state)
-			continue;
-		s = server_of(r, row->name);
-		if (!s || now - s->reported > 2 * REG_LOOK || !strcmp(s->weights, service->weights) ||
-		    !strcmp(s->loading, service->weights) || now - s->ordered < REG_LOOK)
-			continue;
-		if (s->load_at >= m->since && now - s->load_at < 2 * REG_LOOK)
-			continue; /* told just now */
-		/* one whose order was lost, or that loads what has been overtaken, is told in the place it has */
-		if (s->load_at < m->since && !s->loading[0] && room-- <= 0)
-			continue;
-		what = json_object_new_object();
-		json_object_object_add(what, "load", json_object_new_string(service->weights));
-		order(r, s, part, apr_pstrdup(o->p, row->addr), what, now, o);
-		s->load_at = now;
-		say(r, "order", o->p, "Server %s is told to load %s.", s->name, service->weights);
-	}
-	was = shgeti(c->rolled, service->name);
-	if (n && on == n && (was < 0 || strcmp(c->rolled[was].value, service->weights))) {
-		struct Nl__Op op = NL__OP__INIT;
-		struct Nl__Rolled d = NL__ROLLED__INIT;
-
-		d.service = service->name;
-		d.weights = service->weights;
-		op.op_case = NL__OP__OP_ROLLED;
-		op.rolled = &d;
-		if (arrlen(r->part[part].marks) == 0) /* nothing of ours is still on its way */
-			log_op(r, part, &op, now, o);
-	}
-}
-
-static void giver_tick(struct reg *r, int64_t now, struct out *o)
-{
-	for (uint32_t part = PART_SERVICE; part < PART_COUNT; part++) {
-		if (!in_office(r, part, now) || follow_age(&r->f, now) > FOLLOW_CONFIG)
-			continue;
-		for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
-			const struct Nl__Row *row = r->f.t.h[i].value.row;
-
-			if (row->kind == NL__KIND__SERVER && core_part_of(row->service, PART_SERVICES) == part)
-				look_at(r, row, now, o);
-		}
-		if (now - r->owner_since[part] < REG_HOLD)
-			continue; /* the last giver's orders must have had time to end */
-		for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
-			const struct Nl__Row *row = r->f.t.h[i].value.row;
-
-			if (row->kind == NL__KIND__SERVICE && core_part_of(row->name, PART_SERVICES) == part)
-				roll(r, row, part, now, o);
-		}
-	}
-}
-
 /* ---- founding and joining -------------------------------------------------------------- */
 
 static int is_empty(const struct reg *r)
@@ -1210,7 +1059,7 @@
 		out_msg(o, m->addr, 0, NL__MSG__BODY_FOUND)->found = a;
 		return;
 	}
-	for (int i = 0; i < r->nseeds && r->found.web; i++)
+	for (int i = 0; i < r->nseeds && (r->found.web || r->found.own); i++)
 		if (r->seeds[i] == m->addr) {
 			r->found.id[i] = m->id;
 			r->found.empty[i] = q->empty;
@@ -1218,11 +1067,36 @@
 		}
 }
 
+static void found_begin(struct reg *r, int64_t now)
+{
+	if (r->found.members)
+		nl__members__free_unpacked(r->found.members, NULL);
+	memset(&r->found, 0, sizeof r->found);
+	r->found.until = now + 10000;
+}
+
+void reg_found(struct reg *r, int64_t now)
+{
+	if (r->found.web || r->found.own || !r->nseeds || !is_empty(r))
+		return;
+	found_begin(r, now);
+	r->found.own = 1;
+	r->found.until = now + 30000; /* by then its seeds have answered, or were replaced */
+}
+
+static void found_end(struct reg *r, int status, const char *body, struct out *o)
+{
+	if (r->found.web)
+		out_answer(o, r->found.web, status, 0, body);
+	r->found.web = 0;
+	r->found.own = 0;
+}
+
 static void found_tick(struct reg *r, int64_t now, struct out *o)
 {
 	int heard = 0, empty = 0, done = 0;
 
-	if (!r->found.web || now < r->found.at)
+	if ((!r->found.web && !r->found.own) || now < r->found.at)
 		return;
 	r->found.at = now + 200;
 	for (int i = 0; i < r->nseeds; i++) {
@@ -1231,14 +1105,13 @@
 		done += r->found.fleet[i] && r->found.fleet[i] == r->found.name;
 	}
 	if (r->nseeds && done == r->nseeds) {
-		out_answer(o, r->found.web, 200, 0, apr_psprintf(o->p, "{\"fleet\":\"%016" APR_UINT64_T_HEX_FMT "\"}", r->fleet));
-		r->found.web = 0;
+		found_end(r, 200, apr_psprintf(o->p, "{\"fleet\":\"%016" APR_UINT64_T_HEX_FMT "\"}", r->fleet), o);
 		return;
 	}
-	if (now > r->found.until || (!r->found.members && heard == r->nseeds && empty < heard)) {
-		out_answer(o, r->found.web, 409, 0, error_json(o->p, heard < r->nseeds ? "found: not every seed answers"
-		           : "found: a seed already belongs to a fleet; start the others and they join", 0));
-		r->found.web = 0;
+	if (r->found.own ? (!r->found.members && (empty < heard || r->fleet)) || (r->fleet && now > r->found.until)
+	                 : now > r->found.until || (!r->found.members && heard == r->nseeds && empty < heard)) {
+		found_end(r, 409, error_json(o->p, heard < r->nseeds ? "found: not every seed answers"
+		          : "found: a seed already belongs to a fleet; start the others and they join", 0), o);
 		return;
 	}
 	if (!r->found.members && heard == r->nseeds) {
@@ -1305,28 +1178,36 @@
 static void mend_tick(struct reg *r, int64_t now, struct out *o)
 {
 	struct part_member live[FOLLOW_SEATS];
+	const struct Nl__Row *row;
+	char name[20];
 	int n = 0;
 
-	if (now - r->mended < 500 || follow_age(&r->f, now) > FOLLOW_CONFIG)
+	if (now - r->mended < REG_MEND || follow_age(&r->f, now) > FOLLOW_CONFIG)
 		return;
 	r->mended = now;
 	memset(live, 0, sizeof live);
 	for (; n < r->f.nlive; n++) {
 		live[n].id = r->f.live_id[n];
 		live[n].addr = r->f.live[n];
+		apr_snprintf(name, sizeof name, "%016" APR_UINT64_T_HEX_FMT, live[n].id);
+		row = table_get(&r->f.t, NL__KIND__REGISTRAR, name);
+		live[n].zone = row ? core_hashs(0, row->zone) : 0;
 	}
-	for (int i = 0; i < PART_COUNT; i++)
+	for (int i = 0; i < PART_COUNT; i++) {
+		r->part[i].copies = r->b.copies < PART_COPIES ? PART_COPIES : r->b.copies < PART_MEMBERS - 1 ? r->b.copies : PART_MEMBERS - 1;
+		r->part[i].dead = lost_after(r);
 		part_mend(&r->part[i], live, n, now);
+	}
 	if (!in_office(r, PART_CTL, now) || now - r->owner_since[PART_CTL] < 60000)
 		return;
 	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++) {
-		struct Nl__Row *row = r->ctl.h[i].value.row, *del[1] = { row };
+		struct Nl__Row *old = r->ctl.h[i].value.row, *del[1] = { old };
 		struct Nl__Op op = NL__OP__INIT;
 		struct Nl__Change c = NL__CHANGE__INIT;
-		int seen = row->kind != NL__KIND__REGISTRAR;
+		int seen = old->kind != NL__KIND__REGISTRAR;
 
 		for (ptrdiff_t k = 0; k < arrlen(r->seen) && !seen; k++)
-			seen = r->seen[k].id == row->id;
+			seen = r->seen[k].id == old->id;
 		if (seen)
 			continue;
 		c.any = 1;
@@ -1414,6 +1295,8 @@
 		json_object_array_add(a, x);
 	}
 	json_object_object_add(j, "servers", a);
+	if (r->b.sights)
+		json_object_object_add(j, "sights", sights_json(in_office(r, PART_CTL, now) && r->sights.listed ? &r->sights : &r->f.sights));
 	s = apr_pstrdup(p, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN));
 	json_object_put(j);
 	return s;
@@ -1443,15 +1326,12 @@
 		else
 			ask(r, PART_CTL, &op, web, now);
 	} else if (!strcmp(path, "/v1/found") && !strcmp(verb, "POST")) {
-		if (r->found.web || !r->nseeds) {
+		if (r->found.web || r->found.own || !r->nseeds) {
 			out_answer(o, web, 409, 1000, error_json(o->p, "found: already under way, or no seeds are set", 0));
 			return;
 		}
-		if (r->found.members)
-			nl__members__free_unpacked(r->found.members, NULL);
-		memset(&r->found, 0, sizeof r->found);
+		found_begin(r, now);
 		r->found.web = web;
-		r->found.until = now + 10000;
 	} else {
 		out_answer(o, web, 404, 0, error_json(o->p, "path: no such call", 0));
 	}
@@ -1470,6 +1350,130 @@
 	}
 }
 
+/* ---- operators' documents ------------------------------------------------------------------ */
+
+/* Only the configuration's owner in office takes them; others say who that is, as far as they know. */
+static int elsewhere(struct reg *r, uint64_t token, int64_t now, struct out *o)
+{
+	uint64_t to = owner_hint(r, PART_CTL, now);
+	struct cmd *c;
+
+	if (in_office(r, PART_CTL, now))
+		return 0;
+	if (!to && follow_age(&r->f, now) < FOLLOW_EVERY + FOLLOW_WAIT)
+		to = r->f.seat[PART_CTL];
+	if (!to || to == r->addr) {
+		out_answer(o, token, 503, 200, error_json(o->p, "no owner of the configuration is known here: nothing was logged", 0));
+		return 1;
+	}
+	c = out_cmd(o, CMD_ANSWER);
+	c->u.answer.token = token;
+	c->u.answer.status = 307;
+	c->u.answer.body = "";
+	c->u.answer.to = to;
+	return 1;
+}
+
+/* Log a change and answer when it is committed. */
+static void call_log(struct reg *r, uint64_t token, struct Nl__Change *c, int64_t now, struct out *o)
+{
+	struct reg_call w = { token, 0, c->doc_digest };
+	struct Nl__Op op = NL__OP__INIT;
+
+	op.op_case = NL__OP__OP_CHANGE;
+	op.change = c;
+	w.index = log_op(r, PART_CTL, &op, now, o);
+	if (w.index)
+		arrput(r->call, w);
+	else
+		out_answer(o, token, 503, 200, error_json(o->p, "the configuration's owner has changed: nothing was logged", 0));
+}
+
+static void on_doc(struct reg *r, uint64_t token, uint64_t base, int patch, const char *body, size_t len, int64_t now, struct out *o)
+{
+	uint64_t digest = core_hash(base << 1 | !!patch, body, len) | 1;
+	struct Nl__Change c = NL__CHANGE__INIT;
+	const char *why = NULL;
+
+	if (elsewhere(r, token, now, o))
+		return;
+	if (doc_taken(r, digest)) {
+		out_answer(o, token, 200, 0, "{}");
+		return;
+	}
+	for (ptrdiff_t i = 0; i < arrlen(r->call); i++)
+		if (r->call[i].digest == digest) { /* its first sending is being logged */
+			struct reg_call w = { token, r->call[i].index, digest };
+
+			arrput(r->call, w);
+			return;
+		}
+	if (base != r->ctl_doc_version) {
+		out_answer(o, token, 412, 0, error_json(o->p, "another version is current", 0));
+		return;
+	}
+	if (!r->tongue)
+		why = "document: none is taken here";
+	else if (r->tongue->read((const char *)r->ctl_doc, r->ctl_doc_len, body, len, patch, &c, &why, o->p))
+		why = why ? why : "document: cannot be read";
+	else if (c.doc_version <= r->ctl_doc_version)
+		why = "version: not above the current one";
+	else {
+		c.any = c.whole = c.keys = 1;
+		c.doc_base = base;
+		c.doc_digest = digest;
+		why = table_check(&r->ctl, &c, o->p);
+	}
+	if (why)
+		out_answer(o, token, 400, 0, error_json(o->p, why, 0));
+	else
+		call_log(r, token, &c, now, o);
+}
+
+static void on_read(struct reg *r, uint64_t token, int64_t now, struct out *o)
+{
+	struct cmd *c;
+
+	if (elsewhere(r, token, now, o))
+		return;
+	if (!r->ctl_doc_version) {
+		out_answer(o, token, 404, 0, error_json(o->p, "no document was taken yet", 0));
+		return;
+	}
+	c = out_cmd(o, CMD_ANSWER);
+	c->u.answer.token = token;
+	c->u.answer.status = 200;
+	c->u.answer.body = apr_pmemdup(o->p, r->ctl_doc, r->ctl_doc_len + 1);
+	c->u.answer.len = r->ctl_doc_len;
+}
+
+static void on_name(struct reg *r, uint64_t token, const char *model, const char *weights, int64_t now, struct out *o)
+{
+	struct Nl__Change c = NL__CHANGE__INIT;
+	struct Nl__Row m = NL__ROW__INIT, *set[1] = { &m };
+	const struct Nl__Row *old;
+	const char *why;
+
+	if (elsewhere(r, token, now, o))
+		return;
+	m.kind = NL__KIND__MODEL;
+	m.name = (char *)model;
+	m.weights = (char *)weights;
+	c.any = 1;
+	c.set = set;
+	c.n_set = 1;
+	why = table_check(&r->ctl, &c, o->p);
+	if (why || !weights[0]) {
+		out_answer(o, token, 400, 0, error_json(o->p, why ? why : "weights: missing", 0));
+		return;
+	}
+	old = table_get(&r->ctl, NL__KIND__MODEL, model);
+	if (strtoull(weights, NULL, 10) <= (old ? strtoull(old->weights, NULL, 10) : 1))
+		out_answer(o, token, 200, 0, "{}"); /* committed, and perhaps overtaken, before */
+	else
+		call_log(r, token, &c, now, o);
+}
+
 /* ---- the step ------------------------------------------------------------------------------ */
 
 static void limits_clear(struct reg *r)
@@ -1492,6 +1496,7 @@
 		if (i == PART_CTL) {
 			arrsetlen(r->seen, 0);
 			limits_clear(r);
+			giver_begins(r, now);
 		}
 		if (i == PART_PURGE)
 			publisher_begins(r, now, o);
@@ -1510,6 +1515,10 @@
 			say(r, "purge", o->p, "The publisher's licence is lost here.");
 		}
 	}
+	for (ptrdiff_t k = arrlen(r->call) - 1; k >= 0 && i == PART_CTL && p->role != PART_OWNER; k--) {
+		out_answer(o, r->call[k].token, 503, 200, error_json(o->p, "ownership lost: outcome unknown, send it again", 0));
+		arrdel(r->call, k);
+	}
 	if (p->role != PART_OWNER)
 		for (ptrdiff_t k = arrlen(r->wait) - 1; k >= 0; k--)
 			if (r->wait[k].part == i) {
@@ -1539,7 +1548,7 @@
 	case NL__MSG__BODY_OWNER:
 		before = r->f.fresh;
 		if (follow_msg(&r->f, m, now, o))
-			note_named(r, before);
+			giver_named(r, before);
 		if (!r->fleet && r->f.fleet) {
 			r->fleet = r->f.fleet;
 			r->fleet_dirty = 1;
@@ -1585,6 +1594,7 @@
 		relay_up(&r->relay, NULL, 0, follow_log(&r->f, r->relay.moved, now), now);
 	relay_tick(&r->relay, now, o);
 	giver_tick(r, now, o);
+	giver_sighted(r, now, o);
 }
 
 void reg_step(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
@@ -1600,13 +1610,21 @@
 	case REG_CALLED:
 		for (ptrdiff_t i = 0; i < arrlen(r->server); i++)
 			if (ev->u.called.token && r->server[i].call == ev->u.called.token && ev->u.called.status == 200)
-				on_report(r, &r->server[i], ev->u.called.body, now, o);
+				giver_report(r, &r->server[i], ev->u.called.body, now, o);
+		break;
+	case REG_LISTED: sights_listed(&r->sights, ev->u.listed.token, ev->u.listed.ok, ev->u.listed.v, ev->u.listed.n, now); break;
+	case REG_LOOKED:
+		giver_looked(r, ev->u.looked.token, ev->u.looked.status, ev->u.looked.weights, ev->u.looked.loading, now);
 		break;
+	case REG_ORDERED: giver_ordered(r, ev->u.ordered.token, ev->u.ordered.status, ev->u.ordered.never, now, o); break;
 	case REG_STOP:
 		r->stopping = 1;
 		for (int i = 0; i < PART_COUNT; i++)
 			part_give_up(&r->part[i], now, o);
 		break;
+	case REG_DOC: on_doc(r, ev->u.doc.token, ev->u.doc.base, ev->u.doc.patch, ev->u.doc.body, ev->u.doc.len, now, o); break;
+	case REG_READ: on_read(r, ev->u.read.token, now, o); break;
+	case REG_NAME: on_name(r, ev->u.name.token, ev->u.name.model, ev->u.name.weights, now, o); break;
 	default: break;
 	}
 	for (uint32_t i = 0; i < PART_COUNT; i++) {
@@ -1622,12 +1640,14 @@
 		while ((e = part_take(p, &index)))
 			apply(r, i, index, e, now, o);
 		office_begins(r, i, now, o);
-		if (part_wants_snap(p)) {
+		if (part_wants_snap(p) || (i == PART_CTL && r->doc_logged > REG_SNAP_BYTES)) {
 			size_t n;
 			uint8_t *d;
 
 			if (svc_of(r, i))
 				forget_claims(svc_of(r, i));
+			if (i == PART_CTL)
+				r->doc_logged = 0;
 			d = reg_state(r, i, o->p, &n);
 
 			part_snap(p, d, n);
@@ -1651,7 +1671,10 @@
 	r->token = core_rand(&r->rng) >> 2; /* never one of this registrar's life before */
 	r->nseeds = nseeds > 8 ? 8 : nseeds;
 	memcpy(r->seeds, seeds, (size_t)r->nseeds * sizeof *seeds);
+	r->b = bounds_default;
 	table_open(&r->ctl);
+	sights_open(&r->sights);
+	giver_open(&r->giver);
 	for (int i = 0; i < PART_SERVICES; i++)
 		clear_svc(&r->svc[i]);
 	for (uint32_t i = 0; i < PART_COUNT; i++)
@@ -1669,8 +1692,13 @@
 	for (int i = 0; i < PART_COUNT; i++)
 		part_close(&r->part[i]);
 	table_close(&r->ctl);
+	sights_close(&r->sights);
+	giver_close(&r->giver);
 	clear_values(&r->ctl_feed);
 	arrfree(r->ctl_done);
+	arrfree(r->docs);
+	arrfree(r->call);
+	free(r->ctl_doc);
 	clear_values(&r->pub.v);
 	view_clear(&r->pub.last);
 	for (int i = 0; i < PART_SERVICES; i++) {
