--- a/tests/test_stand.c
+++ b/tests/test_stand.c
@@ -776,11 +776,675 @@
 	free(h);
 }
 
+
+/* ---- servers, store and list, spoken to by a plain client ---- */
+
+struct rig {
+	struct fleet_set f;
+	struct server *a, *b, *store;
+	char at[3][40];
+	int status, done, keep;
+	char *body, *weights, *load, *seal, *id, *not_run, *instance;
+	struct conn *c;
+	int gone;          /* 1 + how */
+	int events, first, last; /* ids of events */
+	char *stream;      /* stb array */
+};
+
+static void rig_open(struct rig *g)
+{
+	char base[24];
+
+	memset(g, 0, sizeof *g);
+	snprintf(base, sizeof base, "127.%d.%d", 16 + (getpid() / 250) % 200, 1 + getpid() % 250);
+	g->f.l = loop_open();
+	g->f.start = loop_us();
+	g->f.e = engine_sheet;
+	g->f.e.load_ms = 30;
+	g->f.e.events_lag = 5;
+	g->f.e.report_lag = 20;
+	g->f.rng = 5;
+	g->f.newest = 1;
+	g->f.model = "m1";
+	for (int i = 0; i < 3; i++)
+		snprintf(g->at[i], sizeof g->at[i], "%s.%d:8080", base, 100 + i);
+	g->a = server_add(&g->f, g->at[0], "z1", "lm", 0);
+	g->b = server_add(&g->f, g->at[1], "z1", "lm", 0);
+	g->store = server_add(&g->f, g->at[2], "z2", "store", 1);
+	for (int i = 0; i < 3; i++) {
+		server_up(g->f.server[i]);
+		g->f.server[i]->fault.close = 0;
+	}
+}
+
+static void answer_clear(struct rig *g)
+{
+	char **v[] = { &g->body, &g->weights, &g->load, &g->seal, &g->id, &g->not_run, &g->instance };
+
+	for (size_t i = 0; i < sizeof v / sizeof *v; i++) {
+		free(*v[i]);
+		*v[i] = NULL;
+	}
+	arrfree(g->stream);
+	g->status = g->done = g->gone = g->events = g->first = g->last = 0;
+}
+
+static void rig_close(struct rig *g)
+{
+	answer_clear(g);
+	if (g->f.list)
+		list_close(g->f.list);
+	servers_free(&g->f);
+	loop_close(g->f.l);
+}
+
+static char *dup_of(const char *s) { return s ? strdup(s) : NULL; }
+
+static void on_head(void *ctx, struct conn *c, struct msg *m)
+{
+	struct rig *g = ctx;
+
+	(void)c;
+	g->status = m->status;
+	g->weights = dup_of(msg_get(m, "X-Notchlug-Weight-Versions"));
+	g->load = dup_of(msg_get(m, "X-Notchlug-Server-Load"));
+	g->seal = dup_of(msg_get(m, "X-Notchlug-Server-Seal"));
+	g->id = dup_of(msg_get(m, "X-Notchlug-Attempt-Id"));
+	g->not_run = dup_of(msg_get(m, "X-Notchlug-Not-Executed"));
+	g->instance = dup_of(msg_get(m, "X-Notchlug-Instance-Id"));
+}
+
+static void on_data(void *ctx, struct conn *c, const char *d, size_t n)
+{
+	struct rig *g = ctx;
+
+	(void)c;
+	memcpy(arraddnptr(g->stream, n), d, n);
+}
+
+static void on_whole(void *ctx, struct conn *c, struct msg *m)
+{
+	struct rig *g = ctx;
+	char *at;
+
+	(void)c;
+	g->body = strndup(m->body ? m->body : "", m->len);
+	g->keep = m->keep;
+	g->done = 1;
+	for (at = strstr(g->body, "id: "); at; at = strstr(at + 1, "\nid: ")) {
+		int id = atoi(at + (*at == '\n' ? 5 : 4));
+
+		g->first = g->events++ ? g->first : id;
+		g->last = id;
+	}
+}
+
+static void on_gone(void *ctx, struct conn *c, enum conn_end how)
+{
+	struct rig *g = ctx;
+
+	(void)c;
+	g->c = NULL;
+	g->gone = 1 + (int)how;
+}
+
+static int settled(void *ctx)
+{
+	struct rig *g = ctx;
+
+	return g->done || g->gone;
+}
+
+static const struct conn_on on_answer = { .head = on_head, .data = on_data, .whole = on_whole, .gone = on_gone };
+
+/* One call on the rig's connection (a new one if there is none); waits for its end. */
+static void say(struct rig *g, const char *at, const char *method, const char *target, const char *fields, const char *body)
+{
+	answer_clear(g);
+	if (!g->c)
+		g->c = conn_call(g->f.l, at, &on_answer, g);
+	conn_expect(g->c);
+	conn_sayf(g->c, "%s %s HTTP/1.1\r\nHost: h\r\n%s", method, target, fields);
+	if (body)
+		conn_sayf(g->c, "Content-Length: %zu\r\n", strlen(body));
+	conn_sayf(g->c, "\r\n%s", body ? body : "");
+}
+
+static void ask(struct rig *g, const char *at, const char *method, const char *target, const char *fields, const char *body)
+{
+	say(g, at, method, target, fields, body);
+	if (!loop_until(g->f.l, ms_us(5000), settled, g))
+		fail_msg("%s %s at %s: nothing came", method, target, at);
+}
+
+static void hang_up(struct rig *g)
+{
+	if (g->c)
+		conn_close(g->c, 0);
+	g->c = NULL;
+}
+
+#define GEN(id, prompt, parts) "X-Notchlug-Attempt-Id: " id "\r\nX-Notchlug-Model-Name: m1\r\nX-Notchlug-Token-Count: " prompt ",20\r\n" \
+	"X-Notchlug-Prompt-Prefix: " parts "\r\nX-Notchlug-Deadline-Remaining: 5000\r\n"
+
+static void a_stream_is_whole_and_stamped(void **st)
+{
+	struct rig g;
+	int all;
+
+	(void)st;
+	rig_open(&g);
+	ask(&g, g.at[0], "POST", "/x", GEN("t1", "300", "aa:200,bb:100"), "hello");
+	assert_int_equal(g.status, 200);
+	assert_string_equal(g.id, "t1");
+	assert_non_null(g.seal);
+	assert_string_equal(g.weights, "1");
+	assert_string_equal(g.load, "1,0,128");
+	assert_int_equal(g.first, 1);
+	assert_int_equal(g.last, g.events);
+	assert_true(g.events > 1);
+	assert_true(g.keep);
+	all = g.last;
+	/* the same request is taken up elsewhere where it was cut, with as many pieces */
+	hang_up(&g);
+	ask(&g, g.at[1], "POST", "/x", GEN("t2", "300", "aa:200,bb:100") "Last-Event-Id: 2\r\n", "hello");
+	assert_int_equal(g.first, 3);
+	assert_int_equal(g.last, all);
+	hang_up(&g);
+	rig_close(&g);
+}
+
+static void what_does_not_run_says_so(void **st)
+{
+	static const struct { const char *fields; int status; } c[] = {
+		{ GEN("t1", "300", "aa:300") "X-Notchlug-Target-Instance: i-nobody\r\n", 421 },
+		{ GEN("t1", "300", "aa:300") "X-Notchlug-Expected-Version: 7\r\n", 421 },
+		{ "X-Notchlug-Token-Count: 5,5\r\n", 400 },                     /* no id */
+		{ GEN("t1", "300000", "aa:300000"), 503 },                      /* larger than its memory */
+	};
+	struct rig g;
+
+	(void)st;
+	rig_open(&g);
+	g.f.j = judge_open(&bounds_sheet);
+	for (size_t i = 0; i < sizeof c / sizeof *c; i++) {
+		ask(&g, g.at[0], "POST", "/x", c[i].fields, "");
+		assert_int_equal(g.status, c[i].status);
+		assert_non_null(g.not_run);
+		assert_null(g.seal);
+	}
+	assert_int_equal(arrlen(g.a->run) + arrlen(g.a->wait), 0);
+	hang_up(&g);
+	judge_close(g.f.j);
+	rig_close(&g);
+}
+
+static void kept_parts_are_not_read_again_and_stay_behind_their_salt(void **st)
+{
+	struct rig g;
+	uint64_t read;
+
+	(void)st;
+	rig_open(&g);
+	ask(&g, g.at[0], "POST", "/x", GEN("t1", "300", "aa:200,bb:100"), "1");
+	read = g.f.read;
+	assert_int_equal(read, 300);
+	ask(&g, g.at[0], "POST", "/x", GEN("t2", "280", "aa:200,cc:80"), "2");
+	assert_int_equal(g.f.read - read, 80);
+	read = g.f.read;
+	ask(&g, g.at[0], "POST", "/x", GEN("t3", "280", "dd:80,aa:200"), "3"); /* not behind all that went before it */
+	assert_int_equal(g.f.read - read, 280);
+	read = g.f.read;
+	ask(&g, g.at[0], "POST", "/x", GEN("t4", "280", "aa:200,cc:80") "X-Notchlug-Cache-Salt: s1\r\n", "4");
+	assert_int_equal(g.f.read - read, 280);
+	hang_up(&g);
+	rig_close(&g);
+}
+
+static void the_longest_unused_gives_way(void **st)
+{
+	struct rig g;
+
+	(void)st;
+	rig_open(&g);
+	g.f.e.kv = 1000;
+	ask(&g, g.at[0], "POST", "/x", GEN("t1", "400", "aa:400"), "1");
+	ask(&g, g.at[0], "POST", "/x", GEN("t2", "400", "bb:400"), "2");
+	ask(&g, g.at[0], "POST", "/x", GEN("t3", "400", "aa:400"), "3");
+	ask(&g, g.at[0], "POST", "/x", GEN("t4", "500", "cc:500"), "4");
+	assert_true(server_kept(g.a) <= 1000);
+	for (int i = 0; i < arrlen(g.a->part); i++) {
+		if (!strcmp(g.a->part[i].id, "aa"))
+			assert_int_equal(g.a->part[i].tokens, 400);
+		if (!strcmp(g.a->part[i].id, "bb"))
+			assert_true(g.a->part[i].tokens < 400);
+	}
+	hang_up(&g);
+	rig_close(&g);
+}
+
+static void parts_are_taken_from_another_and_sent_to_the_store(void **st)
+{
+	struct rig g;
+	uint64_t read;
+	char f[600];
+
+	(void)st;
+	rig_open(&g);
+	snprintf(f, sizeof f, GEN("t1", "300", "aa:200,bb:100") "X-Notchlug-Kv-Sink: %s\r\n", g.at[2]);
+	ask(&g, g.at[0], "POST", "/x", f, "1");
+	assert_int_equal(server_kept(g.store), 300);
+	hang_up(&g);
+	read = g.f.read;
+	snprintf(f, sizeof f, GEN("t2", "300", "aa:200,bb:100") "X-Notchlug-Kv-Source: %s\r\n", g.at[0]);
+	ask(&g, g.at[1], "POST", "/x", f, "2");
+	assert_int_equal(g.f.fetched, 300);
+	assert_true(g.f.read - read <= 1);
+	hang_up(&g);
+	/* a dead source costs time, no more */
+	server_crash(g.store);
+	read = g.f.read;
+	snprintf(f, sizeof f, GEN("t3", "90", "ee:90") "X-Notchlug-Kv-Source: %s\r\n", g.at[2]);
+	ask(&g, g.at[1], "POST", "/x", f, "3");
+	assert_int_equal(g.status, 200);
+	assert_int_equal(g.f.read - read, 90);
+	hang_up(&g);
+	server_up(g.store);
+	assert_int_equal(server_kept(g.store), 0);
+	rig_close(&g);
+}
+
+static struct json_object *field(struct json_object *j, const char *k)
+{
+	struct json_object *v = NULL;
+
+	assert_true(json_object_object_get_ex(j, k, &v));
+	return v;
+}
+
+static void events_come_late_in_order_and_name_gaps(void **st)
+{
+	struct rig g;
+	struct json_object *j, *list;
+	int64_t epoch;
+
+	(void)st;
+	rig_open(&g);
+	ask(&g, g.at[0], "POST", "/x", GEN("t1", "300", "aa:200,bb:100"), "1");
+	ask(&g, g.at[0], "GET", "/kv-events?SinceTime=0", "Wait-Ms: 800\r\n", NULL);
+	assert_int_equal(g.status, 200);
+	j = json_tokener_parse(g.body);
+	list = field(j, "EventList");
+	assert_true(json_object_array_length(list) >= 1);
+	assert_string_equal(json_object_to_json_string_ext(json_object_array_get_idx(list, 0), JSON_C_TO_STRING_PLAIN), "[1,\"+\",\"\",\"aa\",200,\"m1\"]");
+	assert_false(json_object_get_boolean(field(j, "LostCount")));
+	epoch = json_object_get_int64(field(j, "NodeEpoch"));
+	json_object_put(j);
+	/* nothing new: held for as long as asked */
+	{
+		int64_t began = loop_us();
+
+		ask(&g, g.at[0], "GET", "/kv-events?SinceTime=2", "Wait-Ms: 60\r\n", NULL);
+		assert_true(loop_us() - began >= 60000);
+		j = json_tokener_parse(g.body);
+		assert_int_equal(json_object_array_length(field(j, "EventList")), 0);
+		assert_int_equal(json_object_get_int64(field(j, "NextToken")), 2);
+		json_object_put(j);
+	}
+	g.f.e.events = 2;
+	for (int i = 0; i < 4; i++) {
+		char f[400];
+
+		snprintf(f, sizeof f, GEN("t2", "60", "%02x:60"), i);
+		ask(&g, g.at[0], "POST", "/x", f, "2");
+	}
+	ask(&g, g.at[0], "GET", "/kv-events?SinceTime=2", "Wait-Ms: 800\r\n", NULL);
+	j = json_tokener_parse(g.body);
+	assert_true(json_object_get_boolean(field(j, "LostCount")));
+	json_object_put(j);
+	ask(&g, g.at[0], "GET", "/kv-list", "", NULL);
+	j = json_tokener_parse(g.body);
+	assert_int_equal(json_object_array_length(field(j, "HeldCount")), 6);
+	json_object_put(j);
+	hang_up(&g);
+	server_crash(g.a);
+	server_up(g.a);
+	ask(&g, g.at[0], "GET", "/kv-events?SinceTime=6", "", NULL);
+	j = json_tokener_parse(g.body);
+	assert_true(json_object_get_int64(field(j, "NodeEpoch")) != epoch);
+	json_object_put(j);
+	hang_up(&g);
+	rig_close(&g);
+}
+
+static void only_so_many_calls_for_events_are_held(void **st)
+{
+	struct rig g;
+	struct conn *c[2];
+
+	(void)st;
+	rig_open(&g);
+	g.f.e.in_flight = 2;
+	for (int i = 0; i < 2; i++) {
+		say(&g, g.at[0], "GET", "/kv-events?SinceTime=0", "Wait-Ms: 1000\r\n", NULL);
+		loop_until(g.f.l, ms_us(10), NULL, NULL);
+		c[i] = g.c;
+		g.c = NULL;
+	}
+	ask(&g, g.at[0], "GET", "/kv-events?SinceTime=0", "Wait-Ms: 1000\r\n", NULL);
+	assert_int_equal(g.status, 429);
+	hang_up(&g);
+	for (int i = 0; i < 2; i++)
+		conn_close(c[i], 0);
+	rig_close(&g);
+}
+
+#define ORDER(version, fence, more) "{\"Operation\":\"ConfigVersion\",\"ModelName\":\"m1\",\"ConfigVersion\":" version ",\"Method\":\"hold\",\"Holder\":\"n1\",\"FenceNumber\":" fence more "}"
+
+static int loaded(void *ctx)
+{
+	struct rig *g = ctx;
+
+	return g->a->version == g->f.newest && !g->a->loading_to;
+}
+
+static void orders_are_fenced_counted_and_drop_what_was_kept(void **st)
+{
+	struct rig g;
+
+	(void)st;
+	rig_open(&g);
+	ask(&g, g.at[0], "POST", "/x", GEN("t1", "300", "aa:200,bb:100"), "1");
+	ask(&g, g.at[0], "POST", "/order", "", ORDER("2", "4", ""));
+	assert_int_equal(g.status, 400); /* not named */
+	g.f.newest = 2;
+	ask(&g, g.at[0], "POST", "/order", "", "{\"Operation\":\"ConfigVersion\",\"ModelName\":\"m1\",\"ConfigVersion\":2,\"Method\":\"hold\"}");
+	assert_int_equal(g.status, 400); /* no holder, no fence */
+	ask(&g, g.at[0], "POST", "/order", "", ORDER("2", "4", ",\"ExpectedCount\":3"));
+	assert_int_equal(g.status, 409);
+	ask(&g, g.at[0], "POST", "/order", "", ORDER("2", "4", ",\"ExpectedCount\":0"));
+	assert_int_equal(g.status, 202);
+	ask(&g, g.at[0], "POST", "/x", GEN("t2", "300", "aa:200,bb:100"), "1");
+	assert_int_equal(g.status, 503);
+	assert_non_null(g.not_run);
+	assert_true(loop_until(g.f.l, ms_us(3000), loaded, &g));
+	assert_int_equal(server_kept(g.a), 0);
+	ask(&g, g.at[0], "POST", "/order", "", ORDER("2", "4", ""));
+	assert_int_equal(g.status, 200);
+	ask(&g, g.at[0], "POST", "/order", "", ORDER("1", "3", ""));
+	assert_int_equal(g.status, 412);
+	ask(&g, g.at[0], "POST", "/x", GEN("t3", "300", "aa:200,bb:100"), "1");
+	assert_string_equal(g.weights, "2");
+	hang_up(&g);
+	server_crash(g.a); /* forgets fences and counts, not its version */
+	server_up(g.a);
+	assert_int_equal(g.a->version, 2);
+	ask(&g, g.at[0], "POST", "/order", "", ORDER("2", "1", ",\"ExpectedCount\":0"));
+	assert_int_equal(g.status, 200);
+	hang_up(&g);
+	rig_close(&g);
+}
+
+static void heard(void *ctx, int status, const struct msg *m)
+{
+	(void)ctx, (void)m;
+	assert_int_equal(status, 202);
+}
+
+static int taken(void *ctx)
+{
+	struct rig *g = ctx;
+
+	return arrlen(g->stream) > 0;
+}
+
+static void preempted_streams_are_reset_and_retained_ones_tell(void **st)
+{
+	struct rig g;
+	struct conn *old;
+
+	(void)st;
+	rig_open(&g);
+	g.f.newest = 3;
+	g.f.e.step = 10;
+	say(&g, g.at[0], "POST", "/x", GEN("t1", "30", "aa:30"), "1");
+	assert_true(loop_until(g.f.l, ms_us(3000), taken, &g));
+	call_once(g.f.l, g.at[0], "POST", "/order", "", "{\"Operation\":\"ConfigVersion\",\"ModelName\":\"m1\",\"ConfigVersion\":2,\"Method\":\"preempt\",\"Holder\":\"n1\",\"FenceNumber\":1}",
+	          1000, heard, NULL);
+	assert_true(loop_until(g.f.l, ms_us(3000), settled, &g));
+	assert_int_equal(g.gone, 1 + CONN_RESET);
+	g.f.newest = 2;
+	assert_true(loop_until(g.f.l, ms_us(3000), loaded, &g));
+	g.f.newest = 3;
+	say(&g, g.at[0], "POST", "/x", GEN("t2", "30", "aa:30"), "1");
+	assert_true(loop_until(g.f.l, ms_us(3000), taken, &g));
+	old = g.c;
+	call_once(g.f.l, g.at[0], "POST", "/order", "", "{\"Operation\":\"ConfigVersion\",\"ModelName\":\"m1\",\"ConfigVersion\":3,\"Method\":\"retain\",\"Holder\":\"n1\",\"FenceNumber\":1}",
+	          1000, heard, NULL);
+	assert_true(loop_until(g.f.l, ms_us(3000), settled, &g));
+	assert_true(g.done && g.c == old);
+	assert_non_null(strstr(g.body, "\n\nx-notchlug-weight-versions: 3\nid: "));
+	hang_up(&g);
+	rig_close(&g);
+}
+
+static void the_urgent_go_first_and_the_late_are_turned_away(void **st)
+{
+	struct rig g;
+	struct conn *held;
+
+	(void)st;
+	rig_open(&g);
+	g.f.e.slots = 1;
+	g.f.e.step = 20;
+	say(&g, g.at[0], "POST", "/x", GEN("t1", "30", "aa:30"), "1");
+	assert_true(loop_until(g.f.l, ms_us(3000), taken, &g));
+	held = g.c;
+	conn_set(held, &(const struct conn_on){ .gone = NULL }, NULL);
+	g.c = NULL;
+	ask(&g, g.at[0], "POST", "/x", "X-Notchlug-Attempt-Id: t2\r\nX-Notchlug-Token-Count: 30,20\r\nX-Notchlug-Deadline-Remaining: 40\r\n", "2");
+	assert_int_equal(g.status, 503); /* its deadline passed in the queue */
+	assert_non_null(g.not_run);
+	ask(&g, g.at[0], "POST", "/x", GEN("t3", "30", "bb:30") "X-Notchlug-Priority-Level: 1\r\n", "3");
+	assert_int_equal(g.status, 200);
+	assert_int_equal(arrlen(g.a->run) + arrlen(g.a->wait), 1); /* the first is put back, not gone */
+	hang_up(&g);
+	conn_close(held, 0);
+	rig_close(&g);
+}
+
+static void health_and_report_tell_what_they_should(void **st)
+{
+	struct rig g;
+	struct json_object *j;
+
+	(void)st;
+	rig_open(&g);
+	ask(&g, g.at[0], "GET", "/health", "", NULL);
+	assert_int_equal(g.status, 200);
+	assert_string_equal(g.instance, g.a->instance);
+	assert_string_equal(g.load, "0,0,128");
+	ask(&g, g.at[0], "GET", "/report", "", NULL);
+	j = json_tokener_parse(g.body);
+	assert_string_equal(json_object_get_string(field(j, "Stage")), "combined");
+	assert_int_equal(json_object_get_int(field(j, "KvTotal")), g.f.e.kv);
+	assert_int_equal(json_object_get_int(field(json_object_array_get_idx(field(j, "Models"), 0), "ConfigVersion")), 1);
+	json_object_put(j);
+	g.a->fault.false_health = 1;
+	ask(&g, g.at[0], "GET", "/health", "", NULL);
+	assert_int_equal(g.status, 503);
+	hang_up(&g);
+	rig_close(&g);
+}
+
+static void faults_are_as_named(void **st)
+{
+	struct rig g;
+	struct server_fault none = { .close = 0 };
+
+	(void)st;
+	rig_open(&g);
+	g.a->fault.broken = 1;
+	ask(&g, g.at[0], "POST", "/x", GEN("t1", "30", "aa:30"), "1");
+	assert_true(g.gone && !g.done && g.status == 200);
+	g.a->fault = none;
+	g.a->fault.garbage = 1;
+	ask(&g, g.at[0], "POST", "/x", GEN("t2", "30", "aa:30"), "1");
+	assert_int_equal(g.gone, 1 + CONN_BAD);
+	g.a->fault = none;
+	g.a->fault.lost = 1;
+	ask(&g, g.at[0], "POST", "/x", GEN("t3", "30", "aa:30"), "1");
+	assert_true(g.gone && g.status == 0);
+	g.a->fault = none;
+	g.a->fault.grey = 1;
+	ask(&g, g.at[0], "POST", "/x", GEN("t4", "30", "aa:30"), "1");
+	assert_int_equal(g.status, 500);
+	assert_non_null(g.seal);
+	g.a->fault = none;
+	g.a->fault.surplus = 1;
+	ask(&g, g.at[0], "POST", "/x", GEN("t5", "30", "aa:30"), "1");
+	assert_true(g.done && g.status == 200);
+	loop_until(g.f.l, ms_us(400), NULL, NULL);
+	assert_int_equal(g.gone, 1 + CONN_SURPLUS);
+	g.a->fault = none;
+	g.a->fault.close = 1;
+	ask(&g, g.at[0], "POST", "/x", GEN("t6", "30", "aa:30"), "1");
+	assert_true(g.done && !g.keep);
+	hang_up(&g);
+	server_dark(g.a, 1);
+	say(&g, g.at[0], "POST", "/x", GEN("t7", "30", "aa:30"), "1");
+	assert_false(loop_until(g.f.l, ms_us(150), settled, &g));
+	server_dark(g.a, 0);
+	assert_true(loop_until(g.f.l, ms_us(3000), settled, &g));
+	assert_int_equal(g.status, 200);
+	hang_up(&g);
+	server_crash(g.a);
+	ask(&g, g.at[0], "POST", "/x", GEN("t8", "30", "aa:30"), "1");
+	assert_int_equal(g.gone, 1 + CONN_REFUSED);
+	rig_close(&g);
+}
+
+static void connections_are_bounded_and_idle_ones_closed(void **st)
+{
+	struct rig g;
+
+	(void)st;
+	rig_open(&g);
+	server_crash(g.a);
+	g.f.e.max_conns = 1;
+	g.f.e.idle_ms = 100;
+	server_up(g.a);
+	ask(&g, g.at[0], "GET", "/health", "", NULL);
+	assert_int_equal(g.status, 200);
+	{
+		struct conn *first = g.c;
+
+		g.c = NULL;
+		ask(&g, g.at[0], "GET", "/health", "", NULL);
+		assert_true(g.gone);
+		g.c = first;
+		g.gone = 0;
+	}
+	loop_until(g.f.l, ms_us(400), NULL, NULL);
+	assert_int_equal(g.gone, 1 + CONN_CLOSED);
+	rig_close(&g);
+}
+
+struct seen { int status, n; char next[20], first[32], state[16]; int done, draining; };
+
+static void on_list(void *ctx, int status, const struct msg *m)
+{
+	struct seen *s = ctx;
+	struct json_object *j, *a, *v = NULL;
+
+	s->done = 1;
+	s->status = status;
+	s->next[0] = 0;
+	s->n = 0;
+	if (status != 200)
+		return;
+	j = json_tokener_parse(m->body);
+	a = field(j, "Instances");
+	s->n = (int)json_object_array_length(a);
+	if (json_object_object_get_ex(j, "NextToken", &v) && v)
+		snprintf(s->next, sizeof s->next, "%s", json_object_get_string(v));
+	if (s->n) {
+		snprintf(s->first, sizeof s->first, "%s", json_object_get_string(field(json_object_array_get_idx(a, 0), "InstanceId")));
+		snprintf(s->state, sizeof s->state, "%s", json_object_get_string(field(json_object_array_get_idx(a, 0), "State")));
+	}
+	json_object_put(j);
+}
+
+static int seen_done(void *ctx) { return ((struct seen *)ctx)->done; }
+
+static void ask_list(struct rig *g, const char *at, const char *target, struct seen *s)
+{
+	s->done = 0;
+	call_once(g->f.l, at, "GET", target, "", NULL, 1000, on_list, s);
+	assert_true(loop_until(g->f.l, ms_us(2000), seen_done, s));
+}
+
+static void the_list_lags_comes_in_pages_and_has_a_rate(void **st)
+{
+	struct rig g;
+	struct seen s;
+	char at[40], old[32], target[60];
+
+	(void)st;
+	rig_open(&g);
+	memset(&s, 0, sizeof s);
+	snprintf(at, sizeof at, "%.*s:8688", (int)strcspn(g.at[0], ":"), g.at[0]);
+	g.f.j = judge_open(&bounds_sheet);
+	assert_non_null(list_open(&g.f, &(struct list_set){ at, 60, 1, 30 }));
+	ask_list(&g, at, "/instances", &s);
+	assert_int_equal(s.n, 0); /* it lags */
+	loop_until(g.f.l, ms_us(80), NULL, NULL);
+	ask_list(&g, at, "/instances", &s);
+	assert_int_equal(s.n, 1);
+	assert_string_equal(s.state, "ready");
+	assert_true(s.next[0]);
+	snprintf(old, sizeof old, "%s", s.first);
+	snprintf(target, sizeof target, "/instances?Zone=z1&PageToken=%s", s.next);
+	ask_list(&g, at, target, &s);
+	assert_int_equal(s.n, 1);
+	assert_string_not_equal(s.first, old);
+	assert_string_equal(s.next, ""); /* the store is on no list */
+	ask_list(&g, at, "/instances?Zone=z9", &s);
+	assert_int_equal(s.n, 0);
+	server_drain(g.a);
+	loop_until(g.f.l, ms_us(80), NULL, NULL);
+	ask_list(&g, at, "/instances", &s);
+	assert_string_equal(s.state, "draining");
+	server_crash(g.a);
+	server_up(g.a);
+	loop_until(g.f.l, ms_us(80), NULL, NULL);
+	ask_list(&g, at, "/instances", &s);
+	assert_string_equal(s.state, "ready");
+	assert_string_not_equal(s.first, old); /* a new life */
+	for (int i = 0; i < 60 && s.status != 429; i++)
+		ask_list(&g, at, "/instances", &s);
+	assert_int_equal(s.status, 429);
+	{
+		struct judge *j = g.f.j;
+
+		rig_close(&g);
+		judge_close(j);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(judge_catches_each_breach), cmocka_unit_test(configurations_are_told_apart),
-		cmocka_unit_test(histogram_is_within_its_steps),
+		cmocka_unit_test(histogram_is_within_its_steps), cmocka_unit_test(a_stream_is_whole_and_stamped),
+		cmocka_unit_test(what_does_not_run_says_so), cmocka_unit_test(kept_parts_are_not_read_again_and_stay_behind_their_salt),
+		cmocka_unit_test(the_longest_unused_gives_way), cmocka_unit_test(parts_are_taken_from_another_and_sent_to_the_store),
+		cmocka_unit_test(events_come_late_in_order_and_name_gaps), cmocka_unit_test(only_so_many_calls_for_events_are_held),
+		cmocka_unit_test(orders_are_fenced_counted_and_drop_what_was_kept),
+		cmocka_unit_test(preempted_streams_are_reset_and_retained_ones_tell),
+		cmocka_unit_test(the_urgent_go_first_and_the_late_are_turned_away), cmocka_unit_test(health_and_report_tell_what_they_should),
+		cmocka_unit_test(faults_are_as_named), cmocka_unit_test(connections_are_bounded_and_idle_ones_closed),
+		cmocka_unit_test(the_list_lags_comes_in_pages_and_has_a_rate),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
