--- a/rehearsal/stand.c
+++ b/rehearsal/stand.c
@@ -521,7 +521,7 @@
 	for (int i = 0; i < arrlen(r->f.server); i++)
 		server_up(r->f.server[i]);
 	snprintf(r->list_at, sizeof r->list_at, "%s.251:8688", r->base);
-	if (!list_open(&r->f, &(struct list_set){ r->list_at, 800, 5, 47 }))
+	if (!list_open(&r->f, &(struct list_set){ r->list_at, 800, 5, 47, r->verbose > 1 }))
 		return 0;
 	for (int i = 0; i < cores; i++)
 		machine_add(r, 1, i % 4)->listed = 1;
--- a/rehearsal/stand.h
+++ b/rehearsal/stand.h
@@ -275,7 +275,7 @@
 int64_t server_kept(const struct server *s); /* tokens that it keeps */
 
 /* ---- the list ---- */
-struct list_set { const char *addr; int lag_ms, page; double rate; };
+struct list_set { const char *addr; int lag_ms, page; double rate; int verbose; };
 struct list *list_open(struct fleet_set *f, const struct list_set *s);
 void list_note(struct list *l, struct server *s); /* a server's state has changed */
 void list_close(struct list *l);
--- a/rehearsal/stand_client.c
+++ b/rehearsal/stand_client.c
@@ -368,6 +368,8 @@
 	if (!a)
 		return;
 	a->keep = m->keep;
+	if (a->all->r->verbose > 1 && a->status >= 300)
+		run_say(a->all->r, "client: %s got %d: %.200s", a->id, a->status, m->body ? m->body : "");
 	attempt_over(a, TOLD_WHOLE);
 }
 
--- a/rehearsal/stand_list.c
+++ b/rehearsal/stand_list.c
@@ -88,6 +88,8 @@
 	char b[32];
 
 	l->calls++;
+	if (l->set.verbose)
+		fprintf(stderr, "rehearsal: list: %s\n", m->target);
 	l->tokens += l->set.rate * (double)(now - l->tokens_at) / 1e6;
 	l->tokens_at = now;
 	if (l->tokens > l->set.rate)
--- a/rehearsal/stand_server.c
+++ b/rehearsal/stand_server.c
@@ -1196,6 +1196,8 @@
 	f->list = NULL;
 	for (int i = 0; i < arrlen(f->server); i++) {
 		life_ends(f->server[i], 0);
+		arrfree(f->server[i]->run);
+		arrfree(f->server[i]->wait);
 		free(f->server[i]);
 	}
 	arrfree(f->server);
--- a/tests/test_stand.c
+++ b/tests/test_stand.c
@@ -1395,7 +1395,7 @@
 	memset(&s, 0, sizeof s);
 	snprintf(at, sizeof at, "%.*s:8688", (int)strcspn(g.at[0], ":"), g.at[0]);
 	g.f.j = judge_open(&bounds_sheet);
-	assert_non_null(list_open(&g.f, &(struct list_set){ at, 60, 1, 30 }));
+	assert_non_null(list_open(&g.f, &(struct list_set){ at, 60, 1, 30, 0 }));
 	ask_list(&g, at, "/instances", &s);
 	assert_int_equal(s.n, 0); /* it lags */
 	loop_until(g.f.l, ms_us(80), NULL, NULL);
