--- a/lib/data/ctr_in.h
+++ b/lib/data/ctr_in.h
@@ -14,6 +14,7 @@
 struct plan ctr_assign(struct ctr *c, const struct xch *x, int64_t now);
 struct plan ctr_assign_forward(struct ctr *c, const struct xch *x, int64_t now);
 const char *ctr_shelf(const struct ctr *c, uint32_t service, uint32_t weights, uint32_t tenant, apr_pool_t *p);
+uint64_t ctr_sink(struct ctr *c, const struct xch *x, uint64_t shelf, int64_t now);
 uint64_t ctr_kept_key(uint64_t shelf, uint64_t id);
 void ctr_learn_fetch(struct ctr *c, const struct xch *x, int64_t took, int brought, int64_t now);
 int ctr_standing(const struct ctr *c, uint32_t s, int64_t now);
@@ -52,6 +53,10 @@
 void ctr_want_places(struct ctr *c, int64_t now, struct out *o);
 struct xch *ctr_xch_by(struct ctr *c, uint64_t token);
 void ctr_xch_drop(struct ctr *c, struct xch *x);
+/* ctr_load.c */
+void ctr_load_tick(struct ctr *c, int64_t now, struct out *o);
+void ctr_on_load(struct ctr *c, uint64_t id, uint64_t addr, const struct Nl__Load *l, int64_t now);
+void ctr_load_clear(struct ctr *c);
 /* ctr_send.c */
 void ctr_on_answer(struct ctr *c, const struct Nl__Answer *a, uint64_t from, int64_t now, struct out *o);
 void ctr_on_done(struct ctr *c, struct xch *x, const typeof(((struct ctr_ev *)0)->u.done) *d, int64_t now, struct out *o);
--- a/rehearsal/main.c
+++ b/rehearsal/main.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "hollow.h"
 #include "kit.h"
 #include "stand.h"
 
@@ -18,6 +19,7 @@
 	           "       rehearsal check FOLDER                     judge the records of a run\n"
 	           "       rehearsal list                             the scenarios\n"
 	           "       rehearsal platform ...                     the same on a stand-in of the users' platform\n"
+	           "       rehearsal hollow --nodes N --servers M ... the cores of a large fleet in one process: what each role costs\n"
 	           "       rehearsal server ...                       one server stand-in\n");
 	return o == stdout ? 0 : 2;
 }
@@ -91,6 +93,8 @@
 		rc = stand_main(argc - 1, argv + 1);
 	else if (!strcmp(argv[1], "run"))
 		rc = run(argc - 1, argv + 1, NULL);
+	else if (!strcmp(argv[1], "hollow"))
+		rc = hollow_main(argc - 1, argv + 1);
 	else if (!strcmp(argv[1], "up"))
 		rc = run(argc - 1, argv + 1, "up");
 	else if (!strcmp(argv[1], "check") && argc == 3) {
