--- a/rehearsal/stand.c
+++ b/rehearsal/stand.c
@@ -489,12 +489,19 @@
 static int set_up(struct run *r, const char *deployment)
 {
 	int edges = r->small ? 3 : 9, cores = r->small ? 3 : 4, servers = r->small ? 4 : 18;
+	struct bounds_set judged = r->b;
 	char at[48];
 
+	if (r->impossible) { /* nobody can keep these: whoever judges must say so */
+		judged.apply = judged.revert = -3000;
+		judged.ack = judged.drain = judged.revoke = judged.version = 0;
+		judged.slack = -1000000;
+		judged.lease = 1000000;
+	}
 	r->l = loop_open();
 	r->f.l = r->l;
 	r->f.start = loop_us();
-	r->j = judge_open(&r->b);
+	r->j = judge_open(&judged);
 	r->f.j = r->j;
 	r->f.e = engine_sheet;
 	r->f.e.drain_ms = (int)r->b.drain;
@@ -612,9 +619,10 @@
 		*report = arg_str0(NULL, "report", "DIR", "tables and a picture"), *folder = arg_str0(NULL, "folder", "DIR", "logs and disks; must not exist"),
 		*rate = arg_str0(NULL, "rate", "X", "traffic, as a share of the sheet's");
 	struct arg_int *slack = arg_int0(NULL, "slack", "N", "bounds in ms are so many times as long: for slow machines");
+	struct arg_lit *impossible = arg_lit0(NULL, "impossible", "judge by bounds that nobody can keep: shows that breaches are seen");
 	struct arg_lit *small = arg_lit0(NULL, "small", "3 edges, 3 core machines, 4 servers"), *verbose = arg_litn("v", "verbose", 0, 3, "say more");
 	struct arg_end *end = arg_end(5);
-	void *t[] = { name, seed, dep, bin, report, folder, rate, slack, small, verbose, end };
+	void *t[] = { name, seed, dep, bin, report, folder, rate, slack, small, impossible, verbose, end };
 	struct run *r = NULL;
 	char self[600], *stop = "";
 	ssize_t n;
@@ -643,6 +651,7 @@
 		goto end;
 	}
 	r->small = small->count;
+	r->impossible = impossible->count;
 	r->verbose = verbose->count;
 	r->b = bounds_sheet;
 	r->rate = rate->count ? atof(rate->sval[0]) : r->small ? 0.3 : 1;
@@ -682,6 +691,6 @@
 		return run(argc - 1, argv + 1);
 	fprintf(stderr, "Usage: rehearsal platform list\n"
 	                "       rehearsal platform run NAME [--seed N] [--deployment warisan|teduh] [--small] [--rate X] [--slack N] [--bin DIR]\n"
-	                "                              [--folder DIR] [--report DIR] [-v]\n");
+	                "                              [--folder DIR] [--report DIR] [--impossible] [-v]\n");
 	return 2;
 }
--- a/rehearsal/stand_run.h
+++ b/rehearsal/stand_run.h
@@ -48,7 +48,7 @@
 	struct bounds_set b;
 	const struct sheet *sheet;
 	uint64_t rng, seed;
-	int small, verbose, slack;
+	int small, verbose, slack, impossible;
 	char base[20], folder[600], bin[600], list_at[40];
 	double rate; /* of the sheet's */
 	struct machine m[MOST_MACHINES];
