--- a/rehearsal/stand.c
+++ b/rehearsal/stand.c
@@ -375,6 +375,52 @@
 	run_for(r, 3000);
 }
 
+/* Now this one, now that one stands still for a moment, and several at once. */
+static void sc_stall(struct run *r)
+{
+	int n = (int)arrlen(r->f.server) - 1;
+
+	run_for(r, 1000);
+	for (int i = 0; i < 12; i++) {
+		int from = (int)(stand_rand(&r->rng) % (uint64_t)n), many = 1 + (int)(stand_rand(&r->rng) % (uint64_t)n);
+
+		for (int k = 0; k < many; k++)
+			server_dark(r->f.server[(from + k) % n], 1);
+		run_for(r, 200 + (int64_t)(stand_rand(&r->rng) % 1800));
+		for (int k = 0; k < many; k++)
+			server_dark(r->f.server[(from + k) % n], 0);
+		run_for(r, (int64_t)(stand_rand(&r->rng) % 800));
+	}
+	run_for(r, 2000);
+}
+
+/* The whole platform stands still, and with it every server, client and list. */
+static void sc_hiccup(struct run *r)
+{
+	run_for(r, 1000);
+	for (int i = 0; i < 8; i++) {
+		usleep((useconds_t)(300 + stand_rand(&r->rng) % 1500) * 1000);
+		run_for(r, 300 + (int64_t)(stand_rand(&r->rng) % 1200));
+	}
+	run_for(r, 2000);
+}
+
+static void sc_stutter(struct run *r)
+{
+	run_for(r, 1000);
+	for (int i = 0; i < 20; i++) {
+		int from = (int)(stand_rand(&r->rng) % (uint64_t)r->nm), many = 1 + (int)(stand_rand(&r->rng) % 3);
+
+		for (int k = 0; k < many; k++)
+			machine_freeze(&r->m[(from + k) % r->nm], 1);
+		run_for(r, 100 + (int64_t)(stand_rand(&r->rng) % 1400));
+		for (int k = 0; k < many; k++)
+			machine_freeze(&r->m[(from + k) % r->nm], 0);
+		run_for(r, (int64_t)(stand_rand(&r->rng) % 700));
+	}
+	run_for(r, 2000);
+}
+
 static void sc_flap(struct run *r)
 {
 	run_for(r, 1000);
@@ -480,6 +526,9 @@
 	{ "lost-answer", "requests run, their answers never come", sc_lost_answer },
 	{ "grey", "a server fails a third of its requests; health lies", sc_grey },
 	{ "dark", "a server falls silent", sc_dark },
+	{ "stall", "servers stand still for moments, several at once", sc_stall },
+	{ "hiccup", "the whole platform stands still for moments", sc_hiccup },
+	{ "stutter", "machines freeze for moments, several at once", sc_stutter },
 	{ "flap", "a server goes and comes", sc_flap },
 	{ "events-gap", "events of kept parts are late and lost", sc_events_gap },
 	{ "store-down", "the store goes and comes back empty", sc_store_down },
--- a/rehearsal/stand_server.c
+++ b/rehearsal/stand_server.c
@@ -652,12 +652,15 @@
 	}
 	arrfree(now);
 	if (out_of_order(s)) {
-		while (arrlen(s->wait))
-			work_turn_away(s->wait[0], 503);
+		for (int i = arrlen(s->wait) - 1; i >= 0; i--) /* what has begun and was put back ends first */
+			if (!s->wait[i]->begun)
+				work_turn_away(s->wait[i], 503);
 		for (int i = arrlen(s->run) - 1; i >= 0; i--)
 			if (!s->run[i]->begun)
 				work_turn_away(s->run[i], 503);
-		if (!s->load_timer && (!arrlen(s->run) || s->method == 2))
+		if (!s->load_timer && s->method != 2)
+			admit(s);
+		if (!s->load_timer && ((!arrlen(s->run) && !arrlen(s->wait)) || s->method == 2))
 			load_begin(s);
 		if (s->load_timer && s->method == 2) {
 			s->step_timer = loop_after(s->f->l, ms_us(20), again, s);
