--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -34,8 +34,8 @@
 	CTR_KEPT_TELL = 75,    /* ms between words of kept parts to the zone */
 	CTR_PUMP = 10,         /* ms between weighings of lines that nobody has room for */
 	CTR_WAIT_MOST = 800,   /* ms of reading that may be ahead of a send at its server */
-	CTR_FULL_PART = 60,    /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
-	CTR_MEAN_SIZE = 9000,  /* tokens that others' requests are taken to hold */
+	CTR_FULL_PART = 45,    /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
+	CTR_MEAN_SIZE = 5000,  /* tokens that others' requests are taken to hold */
 	CTR_STORE_HEARD = 3500, /* ms after the last word of a store's events for which it counts as up */
 	CTR_LOAD = 50, CTR_LOAD_WHOLE = 1000, CTR_LOAD_OLD = 2500, /* ms between words of load; between whole ones; after which one is forgotten */
 	CTR_FETCH_WAIT = 400,  /* ms that a fetch may take before reading anew is the better */
@@ -168,7 +168,7 @@
 	struct xch *after;  /* in its line */
 	/* what the text of stays at the door */
 	int forwarded, ran, repeatable, resumable, attempts, slot; /* slot: where it is among all */
-	uint32_t prio, tokens_out, ahead, size; /* ahead: tokens that its send still has to read; size: all that it takes at a server */
+	uint32_t prio, tokens_out, ahead, size, brings; /* brings: of its size, what its server did not keep; ahead: tokens that its send still has to read; size: all that it takes at a server */
 	int sink;           /* the store that its parts are left at; -1: none */
 	int64_t first;      /* when its first piece went on; 0: none has */
 	char *since;        /* the last whole piece that the caller has */
--- a/lib/data/ctr_assign.c
+++ b/lib/data/ctr_assign.c
@@ -211,9 +211,12 @@
 	return deep;
 }
 
+/* What an exchange brings to a server's memory that keeps so many of its leading parts. */
+uint32_t ctr_brings(const struct xch *x, int keep) { return x->size - (uint32_t)ctr_tokens_upto(x, keep < x->nparts ? keep : x->nparts); }
+
 /* Whether one more fits beside what runs there: not so much that kept parts are pushed out by it, nor that it would wait
  * there for long, where no other counter's more urgent one can pass it. What does not fit anywhere waits in its line. */
-static int fits(const struct ctr *c, const struct xch *x, uint32_t s, const struct bk_service *svc, int64_t now)
+static int fits(const struct ctr *c, const struct xch *x, uint32_t s, int keep, const struct bk_service *svc, int64_t now)
 {
 	const struct ctr_server *v = &c->sv[s];
 	int others = others_at(c, s, now);
@@ -223,7 +226,7 @@
 		return 0;
 	if (ahead && ahead / svc->prefill > CTR_WAIT_MOST)
 		return 0;
-	return !svc->room || !held || held + x->size <= svc->room * CTR_FULL_PART / 100;
+	return !svc->room || !held || held + ctr_brings(x, keep) <= svc->room * CTR_FULL_PART / 100;
 }
 
 /* The server that rendezvous hashing names for a prefix, so that all counters name the same. While it does not stand, the
@@ -372,7 +375,7 @@
 			continue;
 		if (p.keep < shared && (int)s != home && (int)s != choice[0] && (int)s != choice[1] && (int)s != choice[2])
 			continue;
-		if (!fits(c, x, s, svc, now))
+		if (!fits(c, x, s, p.keep, svc, now))
 			continue;
 		for (uint32_t k = 0; k < nseen; k++)
 			if (seen[k] == v->weights && holder[k] >= 0) {
--- a/lib/data/ctr_in.h
+++ b/lib/data/ctr_in.h
@@ -16,6 +16,7 @@
 const char *ctr_shelf(const struct ctr *c, uint32_t service, uint32_t weights, uint32_t tenant, apr_pool_t *p);
 void ctr_link_use(struct ctr *c, uint32_t s, double ms, int64_t now);
 uint64_t ctr_sink(struct ctr *c, const struct xch *x, uint64_t shelf, int64_t now);
+uint32_t ctr_brings(const struct xch *x, int keep);
 uint64_t ctr_kept_key(uint64_t shelf, uint64_t id);
 void ctr_learn_fetch(struct ctr *c, const struct xch *x, int64_t took, int brought, int64_t now);
 int ctr_standing(const struct ctr *c, uint32_t s, int64_t now);
--- a/lib/data/ctr_line.c
+++ b/lib/data/ctr_line.c
@@ -147,7 +147,7 @@
 			c->sv[x->server].own--;
 			c->sv[x->server].ahead -= x->ahead;
 			if (x->forwarded && x->state == XCH_RUNNING)
-				c->sv[x->server].tokens -= x->size;
+				c->sv[x->server].tokens -= x->brings;
 		}
 	}
 	(void)hmdel(c->by, x->token);
--- a/lib/data/ctr_send.c
+++ b/lib/data/ctr_send.c
@@ -130,7 +130,8 @@
 	x->guess = pl->cost + CTR_FIRST_MS;
 	v->own++;
 	v->ahead += x->ahead;
-	v->tokens += x->size;
+	x->brings = ctr_brings(x, pl->keep);
+	v->tokens += x->brings;
 	f->call = x->call;
 	f->caller = x->token;
 	f->addr = sv->to;
@@ -434,7 +435,7 @@
 		if (again(c, x, now)) {
 			c->sv[s].own--;
 			c->sv[s].ahead -= x->ahead;
-			c->sv[s].tokens -= x->size;
+			c->sv[s].tokens -= x->brings;
 			x->ahead = 0;
 			x->tried = s;
 			x->server = -1;
