--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -34,7 +34,7 @@
 	CTR_KEPT_TELL = 75,    /* ms between words of kept parts to the zone */
 	CTR_PUMP = 10,         /* ms between weighings of lines that nobody has room for */
 	CTR_WAIT_MOST = 800,   /* ms of reading that may be ahead of a send at its server */
-	CTR_FULL_PART = 45,    /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
+	CTR_FULL_PART = 60,    /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
 	CTR_MEAN_SIZE = 5000,  /* tokens that others' requests are taken to hold */
 	CTR_STORE_HEARD = 3500, /* ms after the last word of a store's events for which it counts as up */
 	CTR_LOAD = 50, CTR_LOAD_WHOLE = 1000, CTR_LOAD_OLD = 2500, /* ms between words of load; between whole ones; after which one is forgotten */
