--- a/lib/control/giver.c
+++ b/lib/control/giver.c
@@ -343,6 +343,17 @@
 	return at > g->begun ? 0 : at + GIVER_MEANT_FOR + g->wait;
 }
 
+/* Tell counters whether to count on a server, whose weights stay what they are. */
+static void unload(struct reg *r, const struct giver_server *s, int loading, int64_t now)
+{
+	const struct Nl__Sight *x = sights_get(&r->sights, s->name);
+	char *weights = x ? strdup(x->weights) : NULL;
+
+	if (weights)
+		sights_say(&r->sights, s->name, weights, loading, now);
+	free(weights);
+}
+
 static void mean(struct reg *r, struct giver_server *s, const char *model, const char *weights, int64_t now, struct out *o)
 {
 	struct Nl__Op op = NL__OP__INIT;
@@ -361,6 +372,7 @@
 	s->beside = 1;
 	free(s->weights);
 	s->weights = strdup(weights);
+	unload(r, s, 1, now); /* counters hear of it while the log is written */
 }
 
 void giver_meant(struct reg *r, const char *server, int64_t now)
@@ -380,6 +392,7 @@
 		until = meant + GIVER_MEANT_FOR;
 	if (now >= until || r->giver.barred) {
 		s->is = GIVER_IDLE;
+		unload(r, s, 0, now);
 		return;
 	}
 	s->is = GIVER_ASKED;
@@ -422,10 +435,12 @@
 	if (s->is == GIVER_MEANT) {
 		ptrdiff_t k = shgeti(r->giver.meant, s->name);
 
-		if (k >= 0 && r->giver.meant[k].value >= s->told)
+		if (k >= 0 && r->giver.meant[k].value >= s->told) {
 			give(r, s, x, model, r->giver.meant[k].value, now, o);
-		else if (now - s->told > GIVER_MEANT_FOR)
+		} else if (now - s->told > GIVER_MEANT_FOR) {
 			s->is = GIVER_IDLE; /* the log stands still */
+			unload(r, s, 0, now);
+		}
 		return;
 	}
 	if (s->is == GIVER_ASKED && now - s->told >= GIVER_SILENT)
--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -306,6 +306,7 @@
 	apr_pool_create(&c->scratch, c->p);
 	apr_pool_create(&c->heard_pool, c->p);
 	c->b = bounds_default;
+	c->opened = now;
 	c->zone_hash = core_hashs(0, zone);
 	follow_open(&c->f, id, seeds, n, now);
 	c->f.zone = zone;
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -32,6 +32,8 @@
 	CTR_INDEX = 1000000,   /* copies of parts that the index holds at the most */
 	CTR_AWAY_MS = 40, CTR_AWAY_K = 12, /* ms that a server counts as dearer which does not keep the prefix, also by 1000 tokens of it: it pushes others' out */
 	CTR_KEPT_TELL = 75,    /* ms between words of kept parts to the zone */
+	CTR_BEGIN = 1300,      /* ms that a counter and its fleet take from a start to a configuration in force */
+	CTR_SOON = 60,         /* ms after which one that a single server turned away may come back */
 	CTR_PUMP = 10,         /* ms between weighings of lines that nobody has room for */
 	CTR_WAIT_MOST = 800,   /* ms of reading that may be ahead of a send at its server */
 	CTR_FULL_PART = 60,    /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
@@ -233,7 +235,7 @@
 	uint64_t *server_hash;      /* stb_ds, by server: of its name, so that every counter ranks alike */
 	uint64_t zone_hash;
 	apr_pool_t *scratch;
-	int64_t pump_at, heard_at;
+	int64_t opened, pump_at, heard_at;
 	struct Nl__Kept **heard;    /* stb_ds: events of kept parts that the zone has not been told */
 	apr_pool_t *heard_pool;
 	uint64_t walled_tick;       /* newest purge of a tenant in the view */
--- a/lib/data/ctr_in.h
+++ b/lib/data/ctr_in.h
@@ -41,6 +41,7 @@
 void ctr_give_up(struct ctr *c, struct xch *x, int status, const char *why, struct out *o);
 uint32_t ctr_held(const struct ctr *c, const char *name);
 struct line *ctr_line_of(struct ctr *c, uint32_t lane, uint32_t tenant);
+int ctr_retry_soon(struct ctr *c, int ms);
 int ctr_ride(const struct ctr *c);
 void ctr_asked(struct ctr *c, const struct ctr_asking *a, int64_t now, struct out *o);
 uint32_t ctr_part_of(const struct ctr *c, uint32_t service);
--- a/lib/data/ctr_line.c
+++ b/lib/data/ctr_line.c
@@ -167,6 +167,9 @@
 		out_cmd(o, CMD_CANCEL)->u.cancel.token = x->call;
 }
 
+/* When to come back for a reason that passes soon. */
+int ctr_retry_soon(struct ctr *c, int ms) { return ms + (int)(core_rdv(c->id, ++c->retries) % (uint64_t)(ms / 2 + 1)); }
+
 /* When to come back: not sooner than makes sense, and not all at once. */
 static int retry_in(struct ctr *c, double ms)
 {
@@ -205,7 +208,7 @@
 	}
 	if (x->claim)
 		ctr_claim_release(c, x, now, o); /* the id may be used again */
-	out_answer(o, x->token, status, status == 503 || status == 429 ? retry_in(c, back) : 0, ctr_error_json(o->p, why, "refused"));
+	out_answer(o, x->token, status, status == 503 || status == 429 ? back == CTR_SOON ? ctr_retry_soon(c, CTR_SOON) : retry_in(c, back) : 0, ctr_error_json(o->p, why, "refused"));
 	c->n.refused++;
 	ctr_xch_drop(c, x);
 }
@@ -349,11 +352,17 @@
 }
 static int refused_stale(struct ctr *c, uint64_t token, int64_t now, struct out *o)
 {
+	int back;
+
 	if (!c->stopping && in_force(c, now))
 		return 0;
+	back = retry_in(c, CTR_RETRY);
 	c->n.refused++;
 	c->n.refused_stale++;
-	out_answer(o, token, 503, retry_in(c, CTR_RETRY), ctr_error_json(o->p, c->stopping ? "this counter is stopping"
+	/* one that has just begun knows how long its fleet usually takes to find its owners */
+	if (c->b.sights)
+		back = ctr_retry_soon(c, now - c->opened < CTR_BEGIN ? (int)(CTR_BEGIN - (now - c->opened) + 200) : CTR_RETRY);
+	out_answer(o, token, 503, back, ctr_error_json(o->p, c->stopping ? "this counter is stopping"
 	       : "this counter's configuration is not certain to be in force", "refused"));
 	return 1;
 }
--- a/lib/data/ctr_send.c
+++ b/lib/data/ctr_send.c
@@ -446,7 +446,7 @@
 			return;
 		}
 		if (e->how == CTR_NEVER && !x->begun) {
-			ctr_refuse(c, x, 503, "the server did not take it, and the budget for resends is spent", CTR_RETRY, now, o);
+			ctr_refuse(c, x, 503, "the server did not take it, and it may go to no other", CTR_SOON, now, o);
 			return;
 		}
 	}
