A core that fell whole asks whether anybody owns, and waits for nobody

Now it probes the members that it knows; once all of them say, in this life, that they own nothing, and none knows of a later term or later members, the promise is over. Members ask for votes in turn.

--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -1569,6 +1569,8 @@
 	case NL__MSG__BODY_APPEND_REPLY:
 	case NL__MSG__BODY_SNAP:
 	case NL__MSG__BODY_GIVE_UP:
+	case NL__MSG__BODY_PROBE:
+	case NL__MSG__BODY_PROBE_REPLY:
 		if (m->part < PART_COUNT && r->fleet && m->fleet == r->fleet)
 			part_msg(&r->part[m->part], m, now, o);
 		break;
--- a/lib/core/part.c
+++ b/lib/core/part.c
@@ -436,6 +436,7 @@
 	p->owner_id = m->id;
 	p->owner_addr = m->addr;
 	p->promise = now + PART_LICENCE;
+	p->unsure = 0;
 	wait_anew(p, now);
 	return 1;
 }
@@ -555,6 +556,70 @@
 	send_ack(p, m->addr, 1, p->matched < p->stable ? p->matched : p->stable, s->round, o);
 }
 
+/* ---- back after a fall ----------------------------------------------------
+
+One that came back waits out what it may have promised before. When all fell together, that would be a wait for an owner that
+fell too. So it asks every member that it knows; once all of them have said, in this life of ours, that they own nothing, nobody
+holds a licence that rests on a promise from before. An owner that we do not know can be there only if some member of ours
+was there when the members changed, so that its log is of a later term, or has a later members entry, than ours: then we wait. */
+
+static void probe(struct part *p, int64_t now, struct out *o)
+{
+	p->probe_at = now + PART_PROBE;
+	for (int i = 0; i < p->mn; i++)
+		if (p->m[i].id != p->id && !p->m[i].idle) {
+			struct Nl__Probe *a = OUT_NEW(o, Nl__Probe, NL__PROBE__INIT);
+
+			a->life = p->life;
+			out_msg(o, p->m[i].addr, p->no, NL__MSG__BODY_PROBE)->probe = a;
+		}
+}
+
+static void on_probe(struct part *p, const struct Nl__Msg *m, struct out *o)
+{
+	struct Nl__ProbeReply *r;
+
+	if (!member(p, p->id))
+		return; /* one that left may have forgotten what it knew */
+	r = OUT_NEW(o, Nl__ProbeReply, NL__PROBE_REPLY__INIT);
+	r->life = m->probe->life;
+	r->owner = p->role == PART_OWNER;
+	r->last_term = term_at(p, last(p));
+	r->members_at = p->members_at;
+	out_msg(o, m->addr, p->no, NL__MSG__BODY_PROBE_REPLY)->probe_reply = r;
+}
+
+/* In this part so many members go before us, so that who fell together does not ask for votes together. */
+static int ahead(const struct part *p)
+{
+	int n = 0;
+
+	for (int i = 0; i < p->mn; i++)
+		n += p->m[i].voter && core_rdv(p->m[i].id, p->no) > core_rdv(p->id, p->no);
+	return n;
+}
+
+static void on_probe_reply(struct part *p, const struct Nl__Msg *m, int64_t now)
+{
+	const struct Nl__ProbeReply *r = m->probe_reply;
+	struct part_member *who = member(p, m->id);
+	uint64_t term = term_at(p, last(p));
+
+	if (!p->unsure || r->life != p->life || !who)
+		return;
+	if (r->owner || r->last_term > term || (r->last_term == term && r->members_at > p->members_at)) {
+		p->unsure = 0; /* the promise is waited out */
+		return;
+	}
+	who->idle = 1;
+	for (int i = 0; i < p->mn; i++)
+		if (p->m[i].id != p->id && !p->m[i].idle)
+			return;
+	p->unsure = 0;
+	p->promise = 0;
+	p->elect_at = now + PART_HASTE * (1 + ahead(p)) + (int64_t)(core_rand(&p->rng) % (PART_HASTE / 2));
+}
+
 void part_msg(struct part *p, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	switch (m->body_case) {
@@ -569,6 +634,8 @@
 			p->elect_at = now + (int64_t)(core_rand(&p->rng) % 100);
 		}
 		break;
+	case NL__MSG__BODY_PROBE: on_probe(p, m, o); break;
+	case NL__MSG__BODY_PROBE_REPLY: on_probe_reply(p, m, now); break;
 	default: break;
 	}
 }
@@ -596,6 +663,8 @@
 		}
 		return;
 	}
+	if (p->unsure && now < p->promise && now >= p->probe_at)
+		probe(p, now, o);
 	if (now < p->elect_at || now < p->promise || stalled(p, now))
 		return;
 	if (!member(p, p->id) || !member(p, p->id)->voter)
@@ -901,6 +970,9 @@
 	p->copies = PART_COPIES;
 	p->dead = PART_DEAD;
 	p->promise = now + PART_LICENCE; /* we may have promised before we fell */
+	p->unsure = 1;
+	p->life = core_rand(&p->rng);
+	p->probe_at = now;
 	wait_anew(p, now);
 	p->snap = copy(NULL, 0);
 	p->snap_members = copy(NULL, 0);
@@ -959,4 +1031,5 @@
 	free(d);
 	p->elect_at = now + (int64_t)(core_rand(&p->rng) % 300);
 	p->promise = 0;
+	p->unsure = 0;
 }
--- a/lib/core/part.h
+++ b/lib/core/part.h
@@ -13,6 +13,8 @@
 	PART_ROUND = 150,      /* ms between rounds */
 	PART_ELECT = 700,      /* a standby waits this long, plus up to half again */
 	PART_RETRY = 300,      /* ms after which one that asked in vain asks again, plus up to as much; without an owner nobody waits for one */
+	PART_PROBE = 50,       /* ms between probes of one that came back */
+	PART_HASTE = 50,       /* nobody owns the part: its members ask for votes so long after one another */
 	PART_STALL = 600,      /* an own sync slower than this costs the ownership */
 	PART_COPIES = 3,       /* founded with these; a group never shrinks below them */
 	PART_DEAD = 6000,      /* a member unheard of for so long is replaced, unless the part is told another bound */
@@ -34,6 +36,7 @@
 	uint64_t next, match, round;
 	int64_t heard, snap_at;
 	int granted;
+	int idle; /* has said that it owns nothing since we came back */
 };
 
 struct part_mark { uint64_t seq, last; int64_t at; };
@@ -61,7 +64,9 @@
 	uint64_t commit, taken, stable, matched;
 	uint64_t term_start;  /* the owner's first entry in its term */
 
-	int64_t promise, elect_at, licence, round_at, asked_at;
+	int64_t promise, elect_at, licence, round_at, asked_at, probe_at;
+	int unsure;           /* whom the promise binds us to is not known: it may be from before we fell */
+	uint64_t life;
 	uint64_t round;       /* the owner's current one; a member's last answered */
 	int64_t rounds[64];
 
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -147,6 +147,44 @@
 	print_message("all registrars lose power: a change is acknowledged again after at most %lld ms of virtual time\n", (long long)worst);
 }
 
+static int all_owned(struct sim *s)
+{
+	for (uint32_t q = 0; q < PART_COUNT; q++)
+		if (sim_owner(s, q) < 0)
+			return 0;
+	return 1;
+}
+
+/* Who fell together owes no promise to an owner that fell too: every part is owned well before a licence would have ended. */
+static void who_fell_together_wait_for_nobody(void **st)
+{
+	int64_t worst = 0;
+
+	(void)st;
+	for (uint64_t seed = 1; seed <= 40; seed++) {
+		struct sim s;
+		int64_t from;
+
+		sim_fleet(&s, seed, 4);
+		sim_run(&s, 3000 + (int64_t)(seed * 37 % 900), NULL);
+		for (int i = 0; i < 4; i++)
+			sim_crash(&s, i, 0);
+		sim_run(&s, 20 + (int64_t)(seed * 13 % 300), NULL);
+		for (int i = 0; i < 4; i++) {
+			sim_start(&s, i);
+			sim_run(&s, (int64_t)(seed % 4) * 20, NULL);
+		}
+		from = s.now;
+		assert_true(sim_run(&s, 4000, all_owned));
+		if (s.now - from > worst)
+			worst = s.now - from;
+		ok(&s);
+		sim_close(&s);
+	}
+	print_message("all registrars fell: every part is owned again after at most %lld ms of virtual time\n", (long long)worst);
+	assert_true(worst <= 300);
+}
+
 /* Every machine of the core is swapped for an empty one at a new address, one after the other; in the end none of
  * the seeds is left. Nothing acknowledged is lost, and the groups are whole again. */
 static void all_machines_replaced(void **st)
@@ -323,7 +361,7 @@
 
 			for (int i = 0; i < 4; i++)
 				down += !s.n[i].up;
-			switch (core_rand(&rng) % 9) {
+			switch (core_rand(&rng) % 11) {
 			case 0:
 				if (s.n[v].up && !down)
 					sim_crash(&s, v, 0);
@@ -338,6 +376,18 @@
 			case 5: s.jitter = (int)(core_rand(&rng) % 200); break;
 			case 6:
 			case 7: s.link_cut[v][core_rand(&rng) % 4] ^= 1; break; /* one way, between two */
+			case 8:
+			case 9: /* several fall together, or all, and come back at once or a little later */
+				for (int i = 0; i < 4; i++)
+					if (s.n[i].up && (core_rand(&rng) % 4 || !v))
+						sim_crash(&s, i, 0);
+				sim_run(&s, (int64_t)(core_rand(&rng) % 300), NULL);
+				for (int i = 0; i < 4; i++)
+					if (!s.n[i].up) {
+						sim_start(&s, i);
+						sim_run(&s, (int64_t)(core_rand(&rng) % 100), NULL);
+					}
+				break;
 			default: break;
 			}
 			snprintf(body, sizeof body, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t%d\",\"share\":1,\"limit\":9,\"walled\":%s}]}",
@@ -382,6 +432,7 @@
 		cmocka_unit_test(one_of_two_racing_operators_is_refused),
 		cmocka_unit_test(one_registrar_lost),
 		cmocka_unit_test(all_registrars_lose_power),
+		cmocka_unit_test(who_fell_together_wait_for_nobody),
 		cmocka_unit_test(all_machines_replaced),
 		cmocka_unit_test(promises_outlast_a_restart),
 		cmocka_unit_test(later_snapshots_keep_the_members),
--- a/tests/test_units.c
+++ b/tests/test_units.c
@@ -514,6 +514,110 @@
 	bench_close(&b);
 }
 
+/* Back after a fall, with a log of term 3: asks what the two others own. */
+static void bench_return(struct bench *b)
+{
+	struct Nl__Members ms = NL__MEMBERS__INIT;
+	struct Nl__Member v[3], *pv[3];
+	struct part_entry e[2] = { { 1, PART_MEMBERS_ENTRY, 0, NULL }, { 3, PART_NOOP, 0, (uint8_t *)"" } };
+	struct part_saved saved = { .term = 3, .vote = 2, .log_from = 1, .e = e, .n = 2 };
+
+	memset(b, 0, sizeof *b);
+	apr_pool_create(&b->o.p, NULL);
+	b->o.id = 1;
+	b->o.addr = 101;
+	b->now = 100000;
+	for (int i = 0; i < 3; i++) {
+		nl__member__init(&v[i]);
+		v[i].id = (uint64_t)i + 1;
+		v[i].addr = 101 + (uint64_t)i;
+		v[i].voter = 1;
+		pv[i] = &v[i];
+	}
+	ms.n_m = 3;
+	ms.m = pv;
+	e[0].len = nl__members__get_packed_size(&ms);
+	e[0].data = apr_palloc(b->o.p, e[0].len + 1);
+	nl__members__pack(&ms, e[0].data);
+	part_open(&b->p, 0, 1, 5, &saved, b->now);
+	part_tick(&b->p, b->now, &b->o);
+}
+
+static void hear_idle(struct bench *b, uint64_t from, uint64_t life, int owner, uint64_t last_term, uint64_t members_at)
+{
+	struct Nl__Msg m = NL__MSG__INIT;
+	struct Nl__ProbeReply r = NL__PROBE_REPLY__INIT;
+
+	r.life = life;
+	r.owner = owner;
+	r.last_term = last_term;
+	r.members_at = members_at;
+	m.body_case = NL__MSG__BODY_PROBE_REPLY;
+	m.probe_reply = &r;
+	hear(b, from, &m);
+}
+
+static void a_promise_from_before_a_fall_ends_when_nobody_owns(void **st)
+{
+	struct bench b;
+	uint64_t life;
+
+	(void)st;
+	/* both others own nothing: it votes at once */
+	bench_return(&b);
+	assert_non_null(said(&b, NL__MSG__BODY_PROBE));
+	life = said(&b, NL__MSG__BODY_PROBE)->probe->life;
+	hear_idle(&b, 2, life, 0, 3, 1);
+	hear_idle(&b, 2, life, 0, 3, 1);
+	hear_vote(&b, 2, 5, 2, 3);
+	assert_false(said(&b, NL__MSG__BODY_VOTE_REPLY)->vote_reply->granted); /* not before all have said so */
+	hear_idle(&b, 9, life, 0, 3, 1);   /* nobody of ours */
+	hear_idle(&b, 3, life ^ 1, 0, 3, 1); /* said to another life */
+	hear_vote(&b, 2, 5, 2, 3);
+	assert_false(said(&b, NL__MSG__BODY_VOTE_REPLY)->vote_reply->granted);
+	hear_idle(&b, 3, life, 0, 3, 1);
+	hear_vote(&b, 2, 5, 2, 3);
+	part_synced(&b.p, b.p.seq, b.now, &b.o);
+	assert_true(said(&b, NL__MSG__BODY_VOTE_REPLY)->vote_reply->granted);
+	bench_close(&b);
+
+	/* an owner, a later term, or later members that we do not know: the promise is waited out */
+	for (int k = 0; k < 3; k++) {
+		bench_return(&b);
+		life = said(&b, NL__MSG__BODY_PROBE)->probe->life;
+		hear_idle(&b, 3, life, k == 0, k == 1 ? 4 : 3, k == 2 ? 2 : 1);
+		hear_idle(&b, 2, life, 0, 3, 1);
+		hear_idle(&b, 3, life, 0, 3, 1);
+		hear_vote(&b, 2, 5, 2, 3);
+		assert_false(said(&b, NL__MSG__BODY_VOTE_REPLY)->vote_reply->granted);
+		b.now += PART_LICENCE;
+		hear_vote(&b, 2, 5, 2, 3);
+		part_synced(&b.p, b.p.seq, b.now, &b.o);
+		assert_true(said(&b, NL__MSG__BODY_VOTE_REPLY)->vote_reply->granted);
+		bench_close(&b);
+	}
+
+	/* an owner heard since: its licence holds, whatever the others said before */
+	bench_return(&b);
+	life = said(&b, NL__MSG__BODY_PROBE)->probe->life;
+	hear_idle(&b, 2, life, 0, 3, 1);
+	{
+		struct Nl__Msg m = NL__MSG__INIT;
+		struct Nl__Append a = NL__APPEND__INIT;
+
+		a.term = 4;
+		a.prev = 2;
+		a.prev_term = 3;
+		m.body_case = NL__MSG__BODY_APPEND;
+		m.append = &a;
+		hear(&b, 2, &m);
+	}
+	hear_idle(&b, 3, life, 0, 3, 1);
+	hear_vote(&b, 3, 5, 2, 3);
+	assert_false(said(&b, NL__MSG__BODY_VOTE_REPLY)->vote_reply->granted);
+	bench_close(&b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest t[] = {
@@ -525,6 +629,7 @@
 		cmocka_unit_test(bad_changes_name_the_field),
 		cmocka_unit_test(nothing_is_said_before_the_disk_has_it),
 		cmocka_unit_test(an_owner_counts_itself_once_synced),
+		cmocka_unit_test(a_promise_from_before_a_fall_ends_when_nobody_owns),
 	};
 
 	apr_initialize();
