A dial that hangs is made anew after 250 ms

Cause: after a loss of power the first machine back dials others that are still dark; their kernel says nothing, and ours asks again only after a second, though the colleague is there after 0.1 s. Test: a_dial_that_hangs_is_made_anew, seen to fail before.

--- a/lib/shell/net.c
+++ b/lib/shell/net.c
@@ -9,7 +9,7 @@
 #include "ds.h"
 #include "shell.h"
 
-enum { NET_FRAME = 32 << 20, NET_QUEUE = 64 << 20, NET_AGAIN = 200, NET_DRAWS = 64 };
+enum { NET_FRAME = 32 << 20, NET_QUEUE = 64 << 20, NET_AGAIN = 200, NET_DIAL = 250, NET_DRAWS = 64 };
 
 struct net_bytes { uint64_t addr; size_t n; uint8_t *d; };
 
@@ -21,7 +21,7 @@
 	uint8_t *buf;       /* stb_ds: bytes to write or read so far */
 	size_t at;
 	int up, listed;
-	int64_t again;
+	int64_t again, dialled;
 	int bad;            /* logged that it cannot be reached */
 };
 
@@ -91,6 +91,7 @@
 	apr_socket_opt_set(c->s, APR_SO_NONBLOCK, 1);
 	apr_socket_timeout_set(c->s, 0);
 	apr_socket_opt_set(c->s, APR_TCP_NODELAY, 1);
+	c->dialled = clock_ms();
 	st = apr_socket_connect(c->s, sa);
 	if (st != APR_SUCCESS && !APR_STATUS_IS_EINPROGRESS(st)) {
 		out_close(n, c);
@@ -166,6 +167,11 @@
 		c->addr = b->addr;
 		hmput(n->peer, b->addr, c);
 	}
+	/* a machine without power, or behind a cut, does not answer a dial; the kernel would ask once more after a second only */
+	if (c->s && !c->up && clock_ms() - c->dialled > NET_DIAL) {
+		out_close(n, c);
+		c->again = 0;
+	}
 	if (!c->s && clock_ms() >= c->again)
 		out_dial(n, c);
 	if (!c->s || (size_t)arrlen(c->buf) - c->at + b->n > NET_QUEUE)
--- a/tests/test_shell.c
+++ b/tests/test_shell.c
@@ -526,6 +526,88 @@
 	apr_pool_destroy(p);
 }
 
+/* Whether a connection to this port is being dialled. */
+static int dialling(unsigned port)
+{
+	FILE *f = fopen("/proc/net/tcp", "r");
+	char line[300];
+	int n = 0;
+
+	assert_non_null(f);
+	while (fgets(line, sizeof line, f)) {
+		unsigned to, state;
+
+		n += sscanf(line, " %*u: %*x:%*x %*x:%x %x", &to, &state) == 2 && to == port && state == 2;
+	}
+	fclose(f);
+	return n;
+}
+
+/* A colleague without power does not answer the dial at all; once it is back it is dialled anew, not when the kernel
+ * thinks of it. */
+static void a_dial_that_hangs_is_made_anew(void **st)
+{
+	apr_pool_t *p;
+	struct ring *r;
+	struct net *a, *b;
+	char at_a[40], at_b[40];
+	struct Nl__Msg m = NL__MSG__INIT;
+	struct Nl__Owner q = NL__OWNER__INIT;
+	struct shell_ev *e = NULL;
+	int64_t end = clock_ms() + LIMIT;
+	struct sockaddr_in to = { .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int l = socket(AF_INET, SOCK_STREAM, 0), full[4], one = 1;
+	unsigned port;
+
+	(void)st;
+	apr_pool_create(&p, NULL);
+	ring_open(&r, 64, p);
+	free_addr(at_a);
+	free_addr(at_b);
+	port = (unsigned)(core_addr(at_b) & 65535);
+	to.sin_port = htons((uint16_t)port);
+	setsockopt(l, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+	assert_int_equal(bind(l, (struct sockaddr *)&to, sizeof to), 0);
+	assert_int_equal(listen(l, 0), 0);
+	for (int i = 0; i < 4; i++) { /* its queue is full: further dials are not answered */
+		full[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)connect(full[i], (struct sockaddr *)&to, sizeof to);
+	}
+	a = net_open(at_a, r, p);
+	assert_non_null(a);
+	m.speak = CORE_SPEAK;
+	m.body_case = NL__MSG__BODY_OWNER;
+	m.owner = &q;
+	m.part = 1;
+	while (!(dialling(port) > 0) && clock_ms() < end)
+		;
+	one = dialling(port);
+	net_send(a, core_addr(at_b), &m);
+	while (dialling(port) <= one && clock_ms() < end)
+		;
+	for (int i = 0; i < 4; i++)
+		close(full[i]);
+	close(l);
+	b = net_open(at_b, r, p);
+	assert_non_null(b);
+	__atomic_store_n(&jump, 1, __ATOMIC_SEQ_CST);
+	m.part = 2;
+	end = clock_ms() + LIMIT;
+	while (!e && clock_ms() < end) {
+		net_send(a, core_addr(at_b), &m);
+		e = ring_pop(r, 50);
+	}
+	__atomic_store_n(&jump, 0, __ATOMIC_SEQ_CST);
+	assert_non_null(e);
+	assert_int_equal(e->msg->part, 2); /* not what the first dial was for */
+	shell_ev_free(e);
+	net_close(b);
+	net_close(a);
+	while ((e = ring_pop(r, 0)))
+		shell_ev_free(e);
+	apr_pool_destroy(p);
+}
+
 /* ---- callers ---- */
 
 static size_t read_until(int fd, char *b, size_t cap, const char *mark)
@@ -697,6 +779,7 @@
 		cmocka_unit_test(full_disk_acknowledges_nothing),
 		cmocka_unit_test(damaged_folder_is_refused),
 		cmocka_unit_test(senseless_colleagues_are_hung_up_on),
+		cmocka_unit_test(a_dial_that_hangs_is_made_anew),
 		cmocka_unit_test(streams_end_definitely),
 		cmocka_unit_test(bad_settings_open_nothing),
 	};
