--- a/lib/data/ctr_in.h
+++ b/lib/data/ctr_in.h
@@ -16,6 +16,7 @@
 const char *ctr_shelf(const struct ctr *c, uint32_t service, uint32_t weights, uint32_t tenant, apr_pool_t *p);
 void ctr_link_use(struct ctr *c, uint32_t s, double ms, int64_t now);
 uint64_t ctr_sink(struct ctr *c, const struct xch *x, uint64_t shelf, int64_t now);
+uint32_t ctr_brings(const struct xch *x, int keep);
 uint64_t ctr_kept_key(uint64_t shelf, uint64_t id);
 void ctr_learn_fetch(struct ctr *c, const struct xch *x, int64_t took, int brought, int64_t now);
 int ctr_standing(const struct ctr *c, uint32_t s, int64_t now);
@@ -72,8 +73,10 @@
 void ctr_on_report(struct ctr *c, uint32_t s, const char *body, int64_t now);
 void ctr_on_value(void *ctx, const struct Nl__Value *v);
 void ctr_watch(struct ctr *c, int64_t now, struct out *o);
-void ctr_on_watched(struct ctr *c, uint64_t token, const struct Nl__Kept *k, int status, int64_t now, struct out *o);
+void ctr_on_watched(struct ctr *c, uint64_t token, const struct Nl__Kept *k, int status, int64_t now);
 void ctr_on_kept(struct ctr *c, const struct Nl__Kept *k, int64_t now);
+void ctr_kept_tell(struct ctr *c, int64_t now, struct out *o);
+int ctr_pace(const struct ctr *c, int ms);
 void ctr_pass_report(struct ctr *c, uint32_t s, const char *body, struct out *o);
 
 #endif
