--- a/tests/sim.c
+++ b/tests/sim.c
@@ -911,7 +911,7 @@
 		x[i].service = v->service;
 		x[i].addr = v->addr;
 		x[i].zone = v->zone;
-		x[i].slots = 128;
+		x[i].slots = s->list.slots ? (uint32_t)s->list.slots : 128;
 		x[i].state = v->draining && v->drained <= at;
 		x[i].weights = v->changed > at ? v->before : v->weights;
 		a.sight[a.n_sight++] = &x[i];
@@ -1077,11 +1077,15 @@
 		int to;
 
 		memset(&e, 0, sizeof e);
+		if (n->c && s->door.perform && s->door.perform(s->door.ctx, i, c))
+			continue;
 		switch (c->kind) {
 		case CMD_SEND:
 			s->n_msg++;
 			s->by_body[c->u.send.msg->body_case % 64]++;
 			to = node_at(s, c->u.send.addr);
+			if (to >= SIM_REGS && s->deaf >> c->u.send.msg->body_case % 64 & 1)
+				break;
 			if (to < 0 || s->n[to].cell != n->cell || (i < 16 && to < 16 && s->link_cut[i][to]) || (to != i && rnd(s, 1000) < (uint64_t)s->loss))
 				break;
 			e.kind = SIM_MSG;
@@ -1146,7 +1150,7 @@
 		case CMD_LIST: list_call(s, i, c->u.list.token); break;
 		case CMD_LOOK: inst_look(s, i, c); break;
 		case CMD_ORDER: inst_order(s, i, c); break;
-		case CMD_FORWARD: case CMD_WATCH: break; /* no such door here yet */
+		case CMD_FORWARD: case CMD_WATCH: break; /* no door stands here */
 		case CMD_CANCEL:
 			for (ptrdiff_t q = 0; q < arrlen(s->run); q++)
 				if (!s->run[q].over && s->run[q].node == i && s->run[q].token == c->u.cancel.token)
@@ -1248,6 +1252,10 @@
 		nl__msg__free_unpacked(m, NULL);
 }
 
+void sim_push(struct sim *s, struct sim_ev e) { push(s, e); }
+void sim_ctr(struct sim *s, int node, const struct ctr_ev *ev) { ctr_do(s, node, ev); }
+int64_t sim_local(const struct sim *s, int node) { return local(s, &s->n[node]); }
+
 static void tick_at(struct sim *s, int node, int64_t at)
 {
 	struct sim_ev e = { .at = at, .kind = SIM_TICK, .node = node, .life = s->n[node].life };
@@ -1260,6 +1268,10 @@
 	struct sim_node *n = &s->n[e->node];
 	struct reg_ev ev;
 
+	if (e->kind == SIM_DOOR) {
+		s->door.event(s->door.ctx, e);
+		return;
+	}
 	if (e->kind == SIM_LOAD_END) {
 		load_ends(s, e);
 		return;
@@ -1454,6 +1466,8 @@
 		n->id = core_rand(&s->rng);
 		n->c = malloc(sizeof *n->c);
 		ctr_open(n->c, n->id, n->addr, n->zone, seeds, nseeds, local(s, n));
+		if (s->door.perform)
+			n->c->b = s->b;
 		n->c->log = count_line;
 		n->c->log_ctx = s;
 		apr_pool_destroy(p);
@@ -1538,6 +1552,8 @@
 		free(n->c);
 		n->c = NULL;
 		callers_lose(s, i);
+		if (s->door.lost)
+			s->door.lost(s->door.ctx, i);
 	}
 	n->up = 0;
 	for (ptrdiff_t k = 0; k < arrlen(n->writes); k++) /* what was not synced is gone */
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -70,13 +70,14 @@
 	int lag, slow;           /* ms that it is behind; that a call takes */
 	int refuse, lossy;       /* per mille of calls that it refuses; of orders whose answer never comes */
 	int64_t away_until;      /* no call is answered before */
+	int slots;               /* of each server; 0: 128 */
 	int load_ms, at_once;    /* a load; how many go on at once without slowing each other down */
 	int64_t calls[64];       /* the last calls */
 	uint64_t n_list, n_look, n_order, n_load, n_fenced, n_busy;
 	int most;                /* loads under way at once */
 };
 
-enum sim_ev_kind { SIM_LISTED, SIM_LOOKED, SIM_ORDERED, SIM_ORDER, SIM_LOAD_END, SIM_TICK, SIM_MSG, SIM_SYNC, SIM_CALLED, SIM_ARRIVE, SIM_STREAM, SIM_BROKE, SIM_WEB, SIM_ASK, SIM_LEAVE, SIM_STOP, SIM_LOADED, SIM_DOC };
+enum sim_ev_kind { SIM_LISTED, SIM_LOOKED, SIM_ORDERED, SIM_ORDER, SIM_LOAD_END, SIM_TICK, SIM_MSG, SIM_SYNC, SIM_CALLED, SIM_ARRIVE, SIM_STREAM, SIM_BROKE, SIM_WEB, SIM_ASK, SIM_LEAVE, SIM_STOP, SIM_LOADED, SIM_DOC, SIM_DOOR };
 struct sim_ev {
 	int64_t at;
 	uint64_t seq, life;
@@ -110,6 +111,14 @@
 struct sim_ack { uint64_t edition; int64_t at; };
 struct sim_value { uint64_t tick, key; };
 
+/* What stands between counters and servers when exchanges are forwarded: see sim_forward.h. */
+struct sim_door {
+	void *ctx;
+	int (*perform)(void *ctx, int node, const struct cmd *c); /* 1: it was its own */
+	void (*event)(void *ctx, struct sim_ev *e);               /* of kind SIM_DOOR, whatever has become of the node */
+	void (*lost)(void *ctx, int node);                        /* a counter fell, and its connections with it */
+};
+
 struct sim {
 	uint64_t seed, rng, seq, token;
 	int64_t now;
@@ -123,6 +132,8 @@
 	int limit_ms;          /* of exchanges */
 	struct bounds b;       /* of registrars */
 	struct sim_list list;
+	struct sim_door door;
+	uint64_t deaf;         /* kinds of message (bits by body) that do not reach counters */
 	int copies;            /* of each part; 0: as the product has it */
 	int catch_up_ms;       /* 0: as the product has it */
 	const struct reg_tongue *tongue;
@@ -216,6 +227,11 @@
 /* Which registrar licensed-owns a part; -1 for none. Example: sim_owner(&s, PART_CTL) */
 int sim_owner(struct sim *s, uint32_t part);
 
+/* Put an event in the queue; do one step of a counter. Example: sim_push(&s, e); sim_ctr(&s, node, &ev); */
+void sim_push(struct sim *s, struct sim_ev e);
+void sim_ctr(struct sim *s, int node, const struct ctr_ev *ev);
+int64_t sim_local(const struct sim *s, int node);
+
 /* A founded fleet of n registrars in as many zones. Example: sim_fleet(&s, 1, 4); */
 void sim_fleet(struct sim *s, uint64_t seed, int regs);
 
