A cut-off counter answers 502, not 503, for what runs at a server

Cause: the end of what a blind counter holds went through the give-up with status 503, which promises that the request never ran.

--- a/lib/data/ctr_line.c
+++ b/lib/data/ctr_line.c
@@ -188,8 +188,8 @@
 		k->u.piece.body = body;
 		k->u.piece.len = strlen(body);
 		k->u.piece.ok = 0;
-	} else {
-		out_answer(o, x->token, status, 0, body);
+	} else { /* 503 would promise that it never runs */
+		out_answer(o, x->token, status == 503 ? 502 : status, 0, body);
 	}
 	c->n.unknown++;
 	ctr_use_of(c, x)->value.errors++;
