--- a/bin/registrar.c
+++ b/bin/registrar.c
@@ -14,6 +14,7 @@
 {
 	struct registrar *g = ctx;
 
+	g->r.wall = clock_wall();
 	reg_step(&g->r, ev, now, o);
 	if (g->r.fleet_dirty) { /* on the disk before anything said under it */
 		g->r.fleet_dirty = 0;
--- a/lib/control/follow.c
+++ b/lib/control/follow.c
@@ -50,6 +50,7 @@
 	table_close(&f->t);
 	sights_close(&f->sights);
 	shfree(f->hold);
+	arrfree(f->left);
 }
 
 typeof(((struct follow_hold *)0)->value) *follow_hold(struct follow *f, const char *name)
@@ -135,6 +136,13 @@
 	a->web = (char *)f->web;
 	a->counter = f->counter;
 	a->horizon = horizon;
+	a->wall = f->wall;
+	a->strain = f->strain;
+	a->index = f->index;
+	a->n_left = (size_t)arrlen(f->left);
+	a->left = apr_palloc(o->p, (a->n_left + 1) * sizeof *a->left);
+	for (size_t i = 0; i < a->n_left; i++)
+		a->left[i] = (struct Nl__Left *)core_dup(o->p, &f->left[i].base);
 	say_holds(f, a, o);
 	f->asked[f->token % 16].token = f->token;
 	f->asked[f->token % 16].at = now;
--- a/lib/control/follow.h
+++ b/lib/control/follow.h
@@ -26,6 +26,10 @@
 	struct follow_hold *hold;             /* stb_ds; what a counter uses and wants it writes here */
 	uint64_t applied;                     /* the newest answer whose places are in force */
 	uint64_t born, rng;
+	int64_t wall;                         /* a registrar's; 0: none */
+	uint32_t strain;                      /* a counter's */
+	int index;                            /* it holds the index */
+	struct Nl__Left *left;                /* stb_ds: what servers still name of before a clearing */
 	uint64_t fleet;                       /* 0 until known */
 	const char *zone, *web;
 	int counter;
--- a/lib/control/giver.c
+++ b/lib/control/giver.c
@@ -59,7 +59,8 @@
 	for (size_t i = 0; i < json_object_array_length(parts); i++) {
 		struct json_object *x = json_object_array_get_idx(parts, i);
 
-		if (!view_allows(&r->relay.w, s->service, json_str(x, "w"), json_str(x, "m"), s->name, json_num(x, "t")))
+		if (!view_allows(&r->relay.w, s->service, json_str(x, "w"), json_str(x, "m"), s->name, json_num(x, "t")) ||
+		    !view_keeps(&r->relay.w, s->service, json_str(x, "m"), strtoull(json_str(x, "h"), NULL, 16), json_num(x, "t")))
 			json_object_array_add(drop, json_object_get(x));
 	}
 	if (!json_object_array_length(drop)) {
--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -113,9 +113,45 @@
 		nl__purge__free_unpacked(p[i], NULL);
 	}
 	arrfree(p);
+	if (st == TABLE_DONE)
+		retention_rows(r, index);
 	return (uint32_t)st;
 }
 
+/* An operator's call to clear may be proposed again while its answer is lost, too. */
+static uint32_t apply_clear(struct reg *r, uint64_t index, const struct Nl__Op *op)
+{
+	const struct reg_done *old = op->from ? done_of(r, op->from, op->token) : NULL;
+	struct reg_done d = { op->from, op->token, 0 };
+
+	if (old)
+		return old->status;
+	d.status = retention_apply(r, index, op->clear);
+	if (d.from)
+		arrput(r->ctl_done, d);
+	if (arrlen(r->ctl_done) > REG_DONE)
+		arrdel(r->ctl_done, 0);
+	return d.status;
+}
+
+/* Once context is cleared, what a part logged before goes from its disks, and again when no claim is left from then. */
+static void apply_cleared(struct reg *r, uint32_t part, const struct Nl__Trim *t)
+{
+	struct reg_svc *s = svc_of(r, part);
+	uint64_t *cleared = s ? &s->cleared : part == PART_CTL ? &r->ret.cleared : &r->pub.cleared;
+
+	if (t->cleared <= *cleared && !t->settled)
+		return;
+	if (s && t->cleared > *cleared) {
+		s->cleared_at = s->clock;
+		s->settled = 0;
+	} else if (s) {
+		s->settled = 1;
+	}
+	*cleared = t->cleared > *cleared ? t->cleared : *cleared;
+	r->fresh[part] = 1;
+}
+
 static uint32_t apply_claim(struct reg_svc *s, const struct Nl__Claim *c, apr_pool_t *p)
 {
 	char *key = apr_pstrcat(p, c->tenant, "\x1f", c->id, NULL);
@@ -241,9 +277,16 @@
 			}
 			break;
 		case NL__OP__OP_TRIM:
-			feed_trim(part == PART_CTL ? &r->ctl_feed : &svc_of(r, part)->feed, op->trim->feed);
+			if (part != PART_PURGE)
+				feed_trim(part == PART_CTL ? &r->ctl_feed : &svc_of(r, part)->feed, op->trim->feed);
+			if (op->trim->cleared)
+				apply_cleared(r, part, op->trim);
 			st = TABLE_DONE;
 			break;
+		case NL__OP__OP_CLEAR:
+			if (part == PART_CTL)
+				st = apply_clear(r, index, op);
+			break;
 		default: break;
 		}
 	answer_wait(r, part, index, st, o);
@@ -298,6 +341,7 @@
 	s.docs = apr_palloc(p, (s.n_docs + 1) * sizeof *s.docs);
 	for (size_t i = 0; i < s.n_docs; i++)
 		s.docs[i] = &r->docs[i];
+	retention_pack(r, &s);
 	return core_pack(p, &s.base, n);
 }
 
@@ -309,6 +353,7 @@
 
 	s.ceiling = r->pub.ceiling;
 	s.released = r->pub.released;
+	s.cleared = r->pub.cleared;
 	s.v = r->pub.v;
 	s.n_v = (size_t)arrlen(r->pub.v);
 	s.last = apr_palloc(p, ((size_t)hmlen(h) + 1) * sizeof *s.last);
@@ -338,6 +383,9 @@
 	size_t live = 0;
 
 	s.clock = c->clock;
+	s.cleared = c->cleared;
+	s.cleared_at = c->cleared_at;
+	s.settled = c->settled;
 	s.c = apr_palloc(p, ((size_t)shlen(h) + 1) * sizeof *s.c);
 	for (ptrdiff_t i = 0; i < shlen(h); i++)
 		if (h[i].value.at + REG_CLAIM_KEEP >= c->clock)
@@ -415,6 +463,7 @@
 		arrsetlen(r->ctl_done, 0);
 		arrsetlen(r->docs, 0);
 		r->doc_logged = 0;
+		retention_load(r, s);
 		doc_keep(r, s ? s->doc.data : NULL, s ? s->doc.len : 0, s ? s->doc_version : 0);
 		if (!s)
 			return;
@@ -444,6 +493,7 @@
 			return;
 		r->pub.ceiling = s->ceiling;
 		r->pub.released = s->released;
+		r->pub.cleared = s->cleared;
 		for (size_t i = 0; i < s->n_v; i++)
 			arrput(r->pub.v, value_copy(s->v[i]));
 		for (size_t i = 0; i < s->n_last; i++)
@@ -459,6 +509,9 @@
 		if (!s)
 			return;
 		c->clock = s->clock;
+		c->cleared = s->cleared;
+		c->cleared_at = s->cleared_at;
+		c->settled = s->settled;
 		for (size_t i = 0; i < s->n_c; i++)
 			shput(c->h, apr_pstrcat(p, s->c[i]->tenant, "\x1f", s->c[i]->id, NULL),
 			      ((typeof(c->h->value)){ s->c[i]->by, s->c[i]->seq, s->c[i]->at, s->c[i]->given_back }));
@@ -541,6 +594,22 @@
 	return part_propose(&r->part[part], d, n, now);
 }
 
+/* An operator wants a scope cleared now; the time is the owner's, since nothing is planned by it. */
+static const char *clear_check(const struct reg *r, struct Nl__Clear *c, int64_t now, apr_pool_t *p)
+{
+	int64_t wall = retention_wall(r, now);
+	char lane[200], tenant[200];
+
+	if (!retention_scope(c->scope, lane, tenant))
+		return "scope: lane/tenant, with * for all; * alone for everything";
+	if (lane[0] && !table_get(&r->ctl, NL__KIND__LANE, lane))
+		return apr_psprintf(p, "scope: no lane %s", lane);
+	if (tenant[0] && !table_get(&r->ctl, NL__KIND__TENANT, tenant))
+		return apr_psprintf(p, "scope: no tenant %s", tenant);
+	c->wall = c->due = wall == INT64_MIN ? r->wall : wall;
+	return NULL;
+}
+
 static void on_propose(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	const struct Nl__Propose *q = m->propose;
@@ -551,7 +620,7 @@
 
 	if (m->part >= PART_COUNT || !q->op)
 		return;
-	fits = m->part == PART_CTL ? q->op->op_case == NL__OP__OP_CHANGE
+	fits = m->part == PART_CTL ? q->op->op_case == NL__OP__OP_CHANGE || (q->op->op_case == NL__OP__OP_CLEAR && q->op->clear->step == NL__CLEAR_STEP__CLEAR_NOW)
 	       : svc_of(r, m->part) ? q->op->op_case == NL__OP__OP_CLAIM : 0;
 	if (!in_office(r, m->part, now)) {
 		send_answer(r, m->addr, q->token, TABLE_NOT_OWNER, "", owner_hint(r, m->part, now), o);
@@ -562,11 +631,16 @@
 	else if (m->part == PART_CTL && (done = done_of(r, q->op->from, q->op->token))) {
 		send_answer(r, m->addr, q->token, done->status, "edition overtaken", 0, o);
 		return;
+	} else if (m->part == PART_CTL && q->op->op_case == NL__OP__OP_CLEAR) {
+		why = clear_check(r, q->op->clear, now, o->p);
 	} else if (m->part == PART_CTL && r->ctl.edition && !q->op->change->any && q->op->change->expect < r->ctl.plan) {
 		send_answer(r, m->addr, q->token, TABLE_OVERTAKEN, "edition overtaken", 0, o);
 		return;
-	} else if (m->part == PART_CTL)
+	} else if (m->part == PART_CTL) {
 		why = table_check(&r->ctl, q->op->change, o->p);
+		if (!why)
+			why = retention_check(r->calendar, q->op->change, retention_wall(r, now), o->p);
+	}
 	if (why) {
 		send_answer(r, m->addr, q->token, TABLE_REFUSED, why, 0, o);
 		return;
@@ -832,7 +906,7 @@
 {
 	const struct Nl__Follow *q = m->follow;
 	struct Nl__FollowReply *a = OUT_NEW(o, Nl__FollowReply, NL__FOLLOW_REPLY__INIT);
-	struct reg_seen *s = NULL, me = { m->id, m->addr, core_hashs(0, q->zone), now, q->counter, q->have, q->horizon, q->token };
+	struct reg_seen *s = NULL, me = { m->id, m->addr, core_hashs(0, q->zone), now, q->counter, q->have, q->horizon, q->token, q->wall, q->strain };
 
 	int late;
 
@@ -859,6 +933,7 @@
 		*s = me;
 	else
 		arrput(r->seen, me);
+	retention_heard(r, m, now);
 	table_since(&r->ctl, q->have, a, o->p);
 	sights_since(&r->sights, q->sights, a, o->p);
 	a->up = apr_palloc(o->p, 2 * sizeof *a->up);
@@ -1354,6 +1429,25 @@
 			out_answer(o, web, 400, 0, error_json(o->p, why, 0));
 		else
 			ask(r, PART_CTL, &op, web, now);
+	} else if (!strcmp(path, "/v1/retention") && !strcmp(verb, "GET")) {
+		out_answer(o, web, 200, 0, retention_json(r, now, o->p));
+	} else if (!strcmp(path, "/v1/retention.csv") && !strcmp(verb, "GET")) {
+		out_answer(o, web, 200, 0, retention_csv(r, o->p));
+	} else if (!strcmp(path, "/v1/clear") && !strcmp(verb, "POST")) {
+		struct json_object *j = json_tokener_parse(body);
+		struct Nl__Op op = NL__OP__INIT;
+		struct Nl__Clear c = NL__CLEAR__INIT;
+
+		op.op_case = NL__OP__OP_CLEAR;
+		op.clear = &c;
+		c.step = NL__CLEAR_STEP__CLEAR_NOW;
+		c.scope = (char *)json_str(j, "scope");
+		c.by = (char *)(json_str(j, "by")[0] ? json_str(j, "by") : "an operator");
+		if (strpbrk(c.by, ",\"\r\n") || strlen(c.by) > 100)
+			out_answer(o, web, 400, 0, error_json(o->p, "by: up to 100 characters without commas and quotes", 0));
+		else
+			ask(r, PART_CTL, &op, web, now);
+		json_object_put(j);
 	} else if (!strcmp(path, "/v1/found") && !strcmp(verb, "POST")) {
 		if (r->found.web || r->found.own || !r->nseeds) {
 			out_answer(o, web, 409, 1000, error_json(o->p, "found: already under way, or no seeds are set", 0));
@@ -1526,6 +1620,7 @@
 			arrsetlen(r->seen, 0);
 			limits_clear(r);
 			giver_begins(r, now);
+			r->ret.logged = 0;
 		}
 		if (i == PART_PURGE)
 			publisher_begins(r, now, o);
@@ -1624,6 +1719,21 @@
 	relay_tick(&r->relay, now, o);
 	giver_tick(r, now, o);
 	giver_sighted(r, now, o);
+	retention_tick(r, now, o);
+	retention_disks(r, now, o);
+}
+
+static void snapshot(struct reg *r, uint32_t i, struct out *o)
+{
+	size_t n;
+	uint8_t *d;
+
+	if (svc_of(r, i))
+		forget_claims(svc_of(r, i));
+	if (i == PART_CTL)
+		r->doc_logged = 0;
+	d = reg_state(r, i, o->p, &n);
+	part_snap(&r->part[i], d, n);
 }
 
 void reg_step(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
@@ -1631,6 +1741,13 @@
 	o->id = r->id;
 	o->addr = r->addr;
 	o->fleet = r->fleet;
+	r->f.wall = r->wall;
+	for (uint32_t i = 0; i < PART_COUNT; i++) /* what the step before took in */
+		if (r->fresh[i] && !r->part[i].snap_new) {
+			r->part[i].bare = 1;
+			r->fresh[i] = 0;
+			snapshot(r, i, o);
+		}
 	switch (ev->kind) {
 	case REG_TICK: tick(r, now, o); break;
 	case REG_MSG: on_msg(r, ev->u.msg, now, o); break;
@@ -1672,16 +1789,7 @@
 			apply(r, i, index, e, now, o);
 		office_begins(r, i, now, o);
 		if (part_wants_snap(p) || (i == PART_CTL && r->doc_logged > REG_SNAP_BYTES)) {
-			size_t n;
-			uint8_t *d;
-
-			if (svc_of(r, i))
-				forget_claims(svc_of(r, i));
-			if (i == PART_CTL)
-				r->doc_logged = 0;
-			d = reg_state(r, i, o->p, &n);
-
-			part_snap(p, d, n);
+			snapshot(r, i, o);
 		}
 	}
 	asks_tick(r, now, o);
@@ -1725,6 +1833,7 @@
 	table_close(&r->ctl);
 	sights_close(&r->sights);
 	giver_close(&r->giver);
+	retention_clear(r);
 	clear_values(&r->ctl_feed);
 	arrfree(r->ctl_done);
 	arrfree(r->docs);
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -6,6 +6,7 @@
 #include "giver.h"
 #include "part.h"
 #include "purge.h"
+#include "retention.h"
 #include "table.h"
 
 enum {
@@ -64,7 +65,7 @@
 	int64_t until, again;
 	int sends, denied; /* as long as they are alike it surely was not logged */
 };
-struct reg_seen { uint64_t id, addr, zone; int64_t at; int counter; uint64_t edition, horizon, token; };
+struct reg_seen { uint64_t id, addr, zone; int64_t at; int counter; uint64_t edition, horizon, token; int64_t wall; uint32_t strain; };
 /* What a counter holds or may still believe to hold under a limit; the answer that said the last of it. */
 struct reg_place { uint64_t id, token; uint32_t rec, want; int64_t at, fed; }; /* fed: when it last had any */
 struct reg_limit { char *key; struct reg_place *value; /* stb_ds */ };
@@ -74,6 +75,8 @@
 	uint64_t clock;
 	struct reg_claim *h;          /* stb_ds string map */
 	struct Nl__Value **feed;      /* decisions for the publisher */
+	uint64_t cleared, cleared_at; /* the newest clearing after which its log was cut: tick, clock */
+	int settled;                  /* no claim is left from before it */
 	struct reg_rolled { char *key; char *value; } *rolled; /* service -> weights last fully rolled out */
 };
 
@@ -82,6 +85,7 @@
 	struct Nl__Value **v;         /* held values, by tick */
 	struct view last;
 	uint64_t mark[PART_COUNT];    /* feeds: highest index published */
+	uint64_t cleared;
 };
 
 /* Weights as they were named for a service: since when, at the earliest; what this giver began with. */
@@ -110,6 +114,11 @@
 	size_t ctl_doc_len, doc_logged; /* doc_logged: bytes since the last snapshot */
 	uint64_t ctl_doc_version;
 	struct reg_call *call;    /* stb_ds */
+	struct retention ret;
+	const struct reg_calendar *calendar; /* NULL: no schedules in calendar terms */
+	int64_t wall;             /* the machine's clock at this step, ms since 1970, set by whoever steps; 0: no schedule runs */
+	int64_t disk_at[PART_COUNT];
+	int fresh[PART_COUNT];    /* a snapshot is due, and nothing older stays on the disk */
 	const struct reg_tongue *tongue; /* of documents; NULL: none are taken */
 	struct reg_pub pub;
 	struct reg_svc svc[PART_SERVICES];
--- a/lib/control/table.c
+++ b/lib/control/table.c
@@ -5,8 +5,9 @@
 #include <string.h>
 
 #include "ds.h"
+#include "retention.h"
 
-static const char *const kinds[] = { "none", "lane", "tenant", "share", "key", "server", "service", "registrar", "model", "door" };
+static const char *const kinds[] = { "none", "lane", "tenant", "share", "key", "server", "service", "registrar", "model", "door", "retention" };
 enum { KINDS = sizeof kinds / sizeof *kinds };
 
 const char *table_kind_name(Nl__Kind k) { return (unsigned)k < KINDS ? kinds[k] : "none"; }
@@ -129,7 +130,7 @@
 	const char *bad = NULL;
 
 	if (r->kind <= NL__KIND__NONE || (unsigned)r->kind >= KINDS)
-		return "kind: none of lane, tenant, share, key, server, service, registrar, model, door";
+		return "kind: none of lane, tenant, share, key, server, service, registrar, model, door, retention";
 	if (!name_ok(r->name))
 		return apr_psprintf(p, "%s: name: 1 to 199 letters, digits, . _ / - or *", table_kind_name(r->kind));
 	switch (r->kind) {
@@ -159,6 +160,7 @@
 		      : !r->weights[0] && !r->rolled[0] ? "weights: missing" : NULL;
 		break;
 	case NL__KIND__DOOR: break;
+	case NL__KIND__RETENTION: bad = retention_row(r); break;
 	default: bad = !core_addr(r->addr) || !r->id ? "addr: not ip:port" : NULL; break;
 	}
 	return bad ? apr_psprintf(p, "%s %s: %s", table_kind_name(r->kind), r->name, bad) : NULL;
@@ -168,10 +170,11 @@
 
 static int operators_kind(Nl__Kind k)
 {
-	return k == NL__KIND__LANE || k == NL__KIND__TENANT || k == NL__KIND__SHARE || k == NL__KIND__SERVICE || k == NL__KIND__DOOR;
+	return k == NL__KIND__LANE || k == NL__KIND__TENANT || k == NL__KIND__SHARE || k == NL__KIND__SERVICE || k == NL__KIND__DOOR ||
+	       k == NL__KIND__RETENTION;
 }
 
-static int replaced(const struct Nl__Change *c, Nl__Kind k) { return operators_kind(k) || (c->keys && k == NL__KIND__KEY); }
+static int replaced(const struct Nl__Change *c, Nl__Kind k) { return (operators_kind(k) && k != NL__KIND__RETENTION) || (c->keys && k == NL__KIND__KEY); }
 
 /* The names of all rows that a change sets, in one hash. */
 static struct names *names_set(const struct Nl__Change *c)
@@ -257,7 +260,8 @@
 	for (size_t i = 0; i < c->n_del; i++)
 		if (!c->whole && find(t, c->del[i]->kind, c->del[i]->name) < 0)
 			return apr_psprintf(p, "del %s %s: no such row", table_kind_name(c->del[i]->kind), c->del[i]->name);
-	return check_whole(t, c, p);
+	why = retention_scopes(t, c, p);
+	return why ? why : check_whole(t, c, p);
 }
 
 /* ---- change --------------------------------------------------------------- */
@@ -537,6 +541,10 @@
 	{ "body_bytes", CELL_INT, AT(body_bytes), ON(DOOR) },
 	{ "head_ms", CELL_INT, AT(head_ms), ON(DOOR) },
 	{ "idle_ms", CELL_INT, AT(idle_ms), ON(DOOR) },
+	{ "keep", CELL_STR, AT(keep), ON(RETENTION) },
+	{ "every", CELL_STR, AT(every), ON(RETENTION) },
+	{ "at", CELL_STR, AT(at), ON(RETENTION) },
+	{ "window", CELL_INT, AT(window), ON(RETENTION) },
 };
 enum { CELLS = sizeof cells / sizeof *cells };
 
@@ -626,7 +634,7 @@
 	nl__row__init(r);
 	if (!json_object_is_type(j, json_type_object) || !json_object_object_get_ex(j, "kind", &k) ||
 	    (r->kind = table_kind(json_object_get_string(k))) == NL__KIND__NONE) {
-		*why = "kind: none of lane, tenant, share, key, server, service, registrar, model, door";
+		*why = "kind: none of lane, tenant, share, key, server, service, registrar, model, door, retention";
 		return NULL;
 	}
 	json_object_object_foreach(j, name, v) {
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -54,6 +54,7 @@
 	uint64_t cut;  /* drop synced entries at or above this index first; 0 = none */
 	size_t n;
 	struct persist_entry *e;
+	int tidy;      /* what this takes away must not stay in freed pages */
 	int snap;      /* a new snapshot stands in data; entries at or below drop go away */
 	uint64_t base, base_term, drop;
 	size_t members_len, data_len;
--- a/lib/core/kept.c
+++ b/lib/core/kept.c
@@ -29,13 +29,13 @@
 	return r ? r->value : NULL;
 }
 
-void kept_drop(struct kept *k, int (*gone)(const void *, const struct kept_copy *), const void *ctx)
+void kept_drop(struct kept *k, int (*gone)(const void *, uint64_t, const struct kept_copy *), const void *ctx)
 {
 	for (ptrdiff_t i = hmlen(k->h) - 1; i >= 0; i--) {
 		struct kept_row *r = &k->h[i];
 
 		for (ptrdiff_t j = arrlen(r->value) - 1; j >= 0; j--)
-			if (gone(ctx, &r->value[j])) {
+			if (gone(ctx, r->key, &r->value[j])) {
 				arrdelswap(r->value, j);
 				k->n--;
 			}
@@ -67,10 +67,11 @@
 
 struct sweep { uint32_t server; uint64_t seen; };
 
-static int swept(const void *ctx, const struct kept_copy *c)
+static int swept(const void *ctx, uint64_t id, const struct kept_copy *c)
 {
 	const struct sweep *s = ctx;
 
+	(void)id;
 	return c->server == s->server && c->seen < s->seen;
 }
 
--- a/lib/core/kept.h
+++ b/lib/core/kept.h
@@ -10,7 +10,7 @@
 	uint32_t server, maker, service; /* dense indices */
 	uint64_t weights;                /* hash of the name */
 	uint64_t stamp;
-	uint64_t seen;                   /* the report that last named it */
+	uint64_t seen;                   /* the report that last named it; of forwarded sends the generation of its shelf */
 };
 
 struct kept_row { uint64_t key; struct kept_copy *value; };
@@ -30,7 +30,7 @@
 struct kept_copy *kept_get(struct kept *k, uint64_t hash);
 
 /* Drop all copies for which gone says so. Example: kept_drop(&k, matches, purge); */
-void kept_drop(struct kept *k, int (*gone)(const void *ctx, const struct kept_copy *c), const void *ctx);
+void kept_drop(struct kept *k, int (*gone)(const void *ctx, uint64_t id, const struct kept_copy *c), const void *ctx);
 void kept_clear(struct kept *k);
 
 #endif
--- a/lib/core/part.c
+++ b/lib/core/part.c
@@ -667,6 +667,7 @@
 	}
 	if (p->snap_dirty) {
 		s->snap = 1;
+		s->tidy = p->bare;
 		s->base = p->snap_index;
 		s->base_term = p->snap_term;
 		s->drop = p->base;
@@ -677,7 +678,7 @@
 	}
 	mark = (struct part_mark){ p->seq, last(p), now };
 	arrput(p->marks, mark);
-	p->dirty = p->snap_dirty = 0;
+	p->dirty = p->snap_dirty = p->bare = 0;
 	p->dirty_from = p->cut = 0;
 	out_cmd(o, CMD_PERSIST)->u.persist = s;
 }
@@ -707,7 +708,7 @@
 	members_at(p, p->taken, &mem, &mem_len);
 	take_snapshot(p, p->taken, term_at(p, p->taken), mem, mem_len, d, n);
 	drop = p->taken;
-	while (drop > p->base && p->taken - drop < PART_KEEP && bytes + at(p, drop)->len <= PART_KEEP_BYTES)
+	while (!p->bare && drop > p->base && p->taken - drop < PART_KEEP && bytes + at(p, drop)->len <= PART_KEEP_BYTES)
 		bytes += at(p, drop--)->len;
 	if (drop > p->stable)
 		drop = p->stable;
--- a/lib/core/part.h
+++ b/lib/core/part.h
@@ -66,6 +66,7 @@
 	int64_t rounds[64];
 
 	int dirty, snap_dirty;
+	int bare;             /* the next snapshot keeps no entries behind it, nor their traces on the disk */
 	uint64_t dirty_from, cut, seq, synced;
 	struct part_mark *marks; /* stb_ds */
 	struct { int on; uint64_t seq, to, term; } vote_held;
--- a/lib/core/purge.c
+++ b/lib/core/purge.c
@@ -170,6 +170,7 @@
 	switch (p->why) {
 	case PURGE_WEIGHTS: return subject(PURGE_WEIGHTS, p->service, p->weights);
 	case PURGE_TENANT: return subject(PURGE_TENANT, p->tenant, "");
+	case PURGE_CONTEXT: return core_rdv(subject(PURGE_CONTEXT, p->lane, p->tenant), p->slice);
 	default: return subject(PURGE_SERVER, p->server, "");
 	}
 }
@@ -181,9 +182,15 @@
 
 	if (r && r->value->tick >= v->tick)
 		return;
+	if (r && v->purge->why == PURGE_CONTEXT)
+		for (ptrdiff_t i = arrlen(w->clear) - 1; i >= 0; i--)
+			if (w->clear[i] == r->value)
+				arrdelswap(w->clear, i);
 	if (r)
 		value_free(r->value);
 	hmput(w->h, key, value_copy(v));
+	if (v->purge->why == PURGE_CONTEXT)
+		arrput(w->clear, hmget(w->h, key));
 }
 
 static int gone(const struct view *w, uint64_t key, uint64_t stamp)
@@ -204,6 +211,18 @@
 	       !gone(w, subject(PURGE_SERVER, server, ""), stamp);
 }
 
+int view_keeps(const struct view *w, const char *service, const char *maker, uint64_t id, uint64_t stamp)
+{
+	for (ptrdiff_t i = 0; i < arrlen(w->clear); i++) {
+		const struct Nl__Purge *p = w->clear[i]->purge;
+
+		if (stamp < w->clear[i]->tick && p->slice == PURGE_SLICE(id) && (!p->tenant[0] || !strcmp(p->tenant, maker)) &&
+		    (!p->service[0] || !strcmp(p->service, service)))
+			return 0;
+	}
+	return 1;
+}
+
 uint64_t view_tick(const struct view *w, uint32_t why, const char *a, const char *b)
 {
 	struct view_row *h = w->h;
@@ -217,6 +236,7 @@
 	for (ptrdiff_t i = 0; i < hmlen(w->h); i++)
 		value_free(w->h[i].value);
 	hmfree(w->h);
+	arrfree(w->clear);
 }
 
 /* ---- relay ---------------------------------------------------------------- */
--- a/lib/core/purge.h
+++ b/lib/core/purge.h
@@ -16,7 +16,11 @@
 	PURGE_CHUNK = 1000    /* ticks reserved in the log at once */
 };
 
-enum { PURGE_WEIGHTS = 1, PURGE_TENANT = 2, PURGE_SERVER = 3 };
+enum { PURGE_WEIGHTS = 1, PURGE_TENANT = 2, PURGE_SERVER = 3, PURGE_CONTEXT = 4 };
+
+/* Context is cleared by slices of its parts' ids, so that not all is read anew at once. */
+enum { PURGE_SLICES = 8 };
+#define PURGE_SLICE(id) ((uint32_t)((id) % PURGE_SLICES))
 
 struct tick_range { uint64_t a, b; };
 
@@ -50,7 +54,10 @@
 
 /* The monotone view: per subject the newest tick that withdrew it. */
 struct view_row { uint64_t key; struct Nl__Value *value; };
-struct view { struct view_row *h; /* stb_ds map */ };
+struct view {
+	struct view_row *h;        /* stb_ds map */
+	struct Nl__Value **clear;  /* stb_ds: of it, the clearings of context */
+};
 
 uint64_t view_subject(const struct Nl__Purge *p);
 
@@ -62,6 +69,10 @@
 int view_allows(const struct view *w, const char *service, const char *weights, const char *maker,
                 const char *server, uint64_t stamp);
 
+/* Whether a clearing of context withdrew a part that this tenant's exchange made for this service.
+ * Example: if (!view_keeps(&w, "arrears", "t1", id, stamp)) read_anew(); */
+int view_keeps(const struct view *w, const char *service, const char *maker, uint64_t id, uint64_t stamp);
+
 /* The newest tick that withdrew a subject; 0: none. b only with weights. Example: view_tick(&w, PURGE_WEIGHTS, "arrears", "w1") */
 uint64_t view_tick(const struct view *w, uint32_t why, const char *a, const char *b);
 void view_clear(struct view *w);
--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -140,6 +140,7 @@
 
 static void tick(struct ctr *c, int64_t now, struct out *o)
 {
+	ctr_retention_tick(c, now);
 	follow_tick(&c->f, c->relay.k.horizon, now, o);
 	relay_up(&c->relay, c->f.up, (size_t)c->f.nup, follow_log(&c->f, c->relay.moved, now), now);
 	relay_tick(&c->relay, now, o);
@@ -322,6 +323,7 @@
 	ctr_load_clear(c);
 	hmfree(c->line_at);
 	hmfree(c->named);
+	arrfree(c->generation);
 	arrfree(c->depth);
 	arrfree(c->server_hash);
 	ctr_names_clear(&c->lanes);
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -126,6 +126,8 @@
 /* Who stands: swapped whole like the book, but far more often. */
 struct roster { apr_pool_t *p; struct bk_server *server; uint32_t nserver; };
 struct bk_share { uint64_t key; struct { uint32_t share, limit; } value; };
+/* A scope whose context is cleared by itself, and so lies on shelves of its own; -1: all lanes, all tenants. */
+struct bk_scope { int lane, tenant; const char *lane_name, *tenant_name; uint64_t hash; };
 struct bk_key { char *key; uint32_t value; };
 struct book {
 	uint64_t edition;
@@ -139,6 +141,7 @@
 	struct { uint32_t head, body, head_ms, idle_ms; } door; /* what callers may send, in bytes and ms; 0: as the program has it */
 	uint64_t walls;         /* hash over the tenants that are walled off */
 	struct bk_place *place; /* stb_ds */
+	struct bk_scope *scope; /* stb_ds */
 	struct bk_share *share; /* stb_ds: lane << 32 | tenant */
 	struct bk_key *key;     /* stb_ds: digest -> tenant */
 };
@@ -172,6 +175,7 @@
 	int64_t first;      /* when its first piece went on; 0: none has */
 	char *since;        /* the last whole piece that the caller has */
 	uint64_t shelf;     /* of its send */
+	uint64_t filed;     /* scope and generation of that shelf */
 	double guess;       /* ms that its first piece should take */
 };
 
@@ -182,6 +186,7 @@
 	int64_t reported, called, bad_until, told; /* told: when a relay last passed its report on */
 	uint64_t call, asked, serial, boot;
 	uint32_t weights, seen_weights; /* seen: by the list; an answer's own word is newer */
+	uint32_t stale;     /* parts in its last report that a clearing withdrew */
 	int odd;            /* its last report could not be read; said once */
 	int have, loading, slots, running, own, others; /* running there: ours as we know it, others' by the last report */
 	double mean_ms;
@@ -233,6 +238,8 @@
 	uint64_t zone_hash;
 	apr_pool_t *scratch;
 	int64_t pump_at;
+	uint64_t *generation;       /* stb_ds, by scope and slice; emptied when a clearing or another book comes */
+	int64_t left_at;
 	uint64_t walled_tick;       /* newest purge of a tenant in the view */
 	struct { uint64_t key; uint32_t value; } *line_at; /* stb_ds: lane << 32 | tenant -> line */
 	struct ctr_named { uint32_t key; struct { uint32_t weights; int64_t since; } value; } *named; /* stb_ds, by service: what is named, since when that is known */
--- a/lib/data/ctr_assign.c
+++ b/lib/data/ctr_assign.c
@@ -33,7 +33,7 @@
 		if (v[i].maker != x->tenant && (b->tenant[v[i].maker].walled || b->tenant[x->tenant].walled || !b->tenant[v[i].maker].on))
 			continue;
 		if (view_allows(&c->relay.w, c->services.name[x->service], c->weights.name[weights], c->tenants.name[v[i].maker],
-		                c->servers.name[server], v[i].stamp))
+		                c->servers.name[server], v[i].stamp) && ctr_keeps(c, x->service, v[i].maker, hash, v[i].stamp))
 			return &v[i];
 	}
 	return NULL;
@@ -138,16 +138,20 @@
 
 /* The name under which kept parts are filed at servers. It says all that decides who may use them again: the weights, the
  * walls, and the purges that the view knows of. So a server finds no part that was made under other weights or behind a
- * wall, whatever it keeps; and a purge that is known here makes what was filed before it unreachable from here. */
-const char *ctr_shelf(const struct ctr *c, uint32_t service, uint32_t weights, uint32_t tenant, apr_pool_t *p)
+ * wall, whatever it keeps; and a purge that is known here makes what was filed before it unreachable from here. A scope with
+ * a retention row of its own has shelves of its own, and every clearing that covers a shelf's slice gives it a new name. */
+const char *ctr_shelf(struct ctr *c, const struct xch *x, uint32_t weights, apr_pool_t *p)
 {
 	const struct book *b = c->book;
-	const char *w = c->weights.name[weights];
+	uint32_t service = x->service, tenant = x->tenant;
+	const char *w = c->weights.name[weights], *s;
+	uint64_t filed = ctr_filed(c, x);
 	uint64_t cut = view_tick(&c->relay.w, PURGE_WEIGHTS, c->services.name[service], w);
 	uint64_t age = core_rdv(b->walls ^ c->walled_tick, cut);
 
-	return apr_psprintf(p, "%s-%" APR_UINT64_T_HEX_FMT "%s%s", w, age & 0xffffffff, b->tenant[tenant].walled ? "-" : "",
+	s = apr_psprintf(p, "%s-%" APR_UINT64_T_HEX_FMT "%s%s", w, age & 0xffffffff, b->tenant[tenant].walled ? "-" : "",
 	                    b->tenant[tenant].walled ? c->tenants.name[tenant] : "");
+	return filed ? apr_psprintf(p, "%s~%016" APR_UINT64_T_HEX_FMT, s, filed) : s;
 }
 
 uint64_t ctr_kept_key(uint64_t shelf, uint64_t id) { return core_rdv(shelf, id); }
@@ -187,7 +191,7 @@
 }
 
 /* The part that a request shares with others: the last one is its own. */
-static uint64_t home_part(const struct xch *x) { return x->nparts > 1 ? x->hash[x->nparts - 2] : x->nparts ? x->hash[0] : x->seq; }
+uint64_t ctr_home_part(const struct xch *x) { return x->nparts > 1 ? x->hash[x->nparts - 2] : x->nparts ? x->hash[0] : x->seq; }
 
 /* How many leading parts each server keeps on this shelf, into c->depth; and the store, which keeps many shelves. */
 static int depths(struct ctr *c, const struct xch *x, uint64_t shelf, uint32_t weights)
@@ -232,7 +236,7 @@
 static int home_of(struct ctr *c, const struct xch *x, int64_t now)
 {
 	uint32_t newest = c->book->service[x->service].weights;
-	uint64_t part = home_part(x), first = 0, top = 0;
+	uint64_t part = ctr_home_part(x), first = 0, top = 0;
 	int home = -1, named = -1, best = -1;
 
 	for (uint32_t s = 0; s < c->roster->nserver; s++) {
@@ -319,7 +323,7 @@
 			k++;
 		if (k == nseen && nseen < 4) {
 			seen[nseen++] = c->sv[s].weights;
-			held[k] = depths(c, x, core_hashs(0, ctr_shelf(c, x->service, c->sv[s].weights, x->tenant, c->scratch)), c->sv[s].weights);
+			held[k] = depths(c, x, core_hashs(0, ctr_shelf(c, x, c->sv[s].weights, c->scratch)), c->sv[s].weights);
 		}
 	}
 	apr_pool_clear(c->scratch);
--- a/lib/data/ctr_book.c
+++ b/lib/data/ctr_book.c
@@ -42,6 +42,7 @@
 	if (!b)
 		return;
 	hmfree(b->share);
+	arrfree(b->scope);
 	hmfree(b->place);
 	shfree(b->key);
 	apr_pool_destroy(b->p);
@@ -148,6 +149,7 @@
 			b->keys = 1;
 			break;
 		case NL__KIND__SERVICE: service_row(c, b, r, now); break;
+		case NL__KIND__RETENTION: ctr_scope_row(c, b, r); break;
 		case NL__KIND__DOOR:
 			b->door.head = r->head_bytes;
 			b->door.body = r->body_bytes;
@@ -169,6 +171,7 @@
 		default: break;
 		}
 	}
+	arrsetlen(c->generation, 0);
 	while (arrlen(c->running) < (ptrdiff_t)b->ntenant)
 		arrput(c->running, 0);
 	while (arrlen(c->stood) < (ptrdiff_t)b->nservice)
--- a/lib/data/ctr_in.h
+++ b/lib/data/ctr_in.h
@@ -13,12 +13,13 @@
 /* ctr_assign.c */
 struct plan ctr_assign(struct ctr *c, const struct xch *x, int64_t now);
 struct plan ctr_assign_forward(struct ctr *c, const struct xch *x, int64_t now);
-const char *ctr_shelf(const struct ctr *c, uint32_t service, uint32_t weights, uint32_t tenant, apr_pool_t *p);
+const char *ctr_shelf(struct ctr *c, const struct xch *x, uint32_t weights, apr_pool_t *p);
 void ctr_link_use(struct ctr *c, uint32_t s, double ms, int64_t now);
 uint64_t ctr_sink(struct ctr *c, const struct xch *x, uint64_t shelf, int64_t now);
 uint64_t ctr_kept_key(uint64_t shelf, uint64_t id);
 void ctr_learn_fetch(struct ctr *c, const struct xch *x, int64_t took, int brought, int64_t now);
 int ctr_standing(const struct ctr *c, uint32_t s, int64_t now);
+uint64_t ctr_home_part(const struct xch *x);
 uint64_t ctr_tokens_upto(const struct xch *x, int n);
 const struct kept_copy *ctr_usable(struct ctr *c, const struct xch *x, uint64_t hash, uint32_t server, uint32_t weights);
 /* ctr_book.c */
@@ -66,6 +67,15 @@
 void ctr_on_ended(struct ctr *c, struct xch *x, const struct ctr_ended *e, int64_t now, struct out *o);
 void ctr_on_piece(struct ctr *c, struct xch *x, const char *text, int64_t now, struct out *o);
 void ctr_send_claimed(struct ctr *c, struct xch *x, int64_t now, struct out *o);
+/* ctr_retention.c */
+void ctr_scope_row(struct ctr *c, struct book *b, const struct Nl__Row *r);
+int ctr_scope(const struct book *b, uint32_t lane, uint32_t tenant);
+uint64_t ctr_generation(struct ctr *c, int scope, uint32_t slice);
+uint64_t ctr_filed(struct ctr *c, const struct xch *x);
+uint64_t ctr_filed_text(const char *shelf);
+void ctr_cleared(struct ctr *c, const struct Nl__Value *v);
+void ctr_retention_tick(struct ctr *c, int64_t now);
+int ctr_keeps(const struct ctr *c, uint32_t service, uint32_t maker, uint64_t id, uint64_t stamp);
 /* ctr_watch.c */
 void ctr_look(struct ctr *c, int64_t now, struct out *o);
 void ctr_on_passed_report(struct ctr *c, const struct Nl__Report *r, int64_t now, struct out *o);
--- /dev/null
+++ b/lib/data/ctr_retention.c
@@ -0,0 +1,168 @@
+/* ctr_retention: what a clearing of context means at a counter: under which names parts are filed, what still names others. */
+#include "ctr_in.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "ds.h"
+#include "retention.h"
+
+enum { RETENTION_COUNT = 1000 }; /* ms between countings of what servers still name */
+
+void ctr_scope_row(struct ctr *c, struct book *b, const struct Nl__Row *r)
+{
+	char lane[200], tenant[200];
+	struct bk_scope s = { -1, -1, "", "", 0 };
+
+	if (!retention_scope(r->name, lane, tenant) || (!lane[0] && !tenant[0]))
+		return; /* of everything: the common shelves are its own */
+	s.lane = lane[0] ? (int)names_find(&c->lanes, lane) : -1;
+	s.tenant = tenant[0] ? (int)names_find(&c->tenants, tenant) : -1;
+	if ((lane[0] && s.lane < 0) || (tenant[0] && s.tenant < 0))
+		return;
+	s.lane_name = lane[0] ? c->lanes.name[s.lane] : "";
+	s.tenant_name = tenant[0] ? c->tenants.name[s.tenant] : "";
+	s.hash = retention_hash(lane, tenant);
+	arrput(b->scope, s);
+}
+
+/* The narrowest scope of a lane and a tenant that is cleared by itself; a tenant's goes before a lane's. -1: none. */
+int ctr_scope(const struct book *b, uint32_t lane, uint32_t tenant)
+{
+	int best = -1, weight = 0;
+
+	for (ptrdiff_t i = 0; i < arrlen(b->scope); i++) {
+		const struct bk_scope *s = &b->scope[i];
+		int w = (s->tenant >= 0) * 2 + (s->lane >= 0);
+
+		if ((s->lane < 0 || s->lane == (int)lane) && (s->tenant < 0 || s->tenant == (int)tenant) && w > weight) {
+			best = (int)i;
+			weight = w;
+		}
+	}
+	return best;
+}
+
+/* The newest clearing that covers a scope's shelves of a slice, or the common ones (-1); 0: none ever did. */
+uint64_t ctr_generation(struct ctr *c, int scope, uint32_t slice)
+{
+	ptrdiff_t n = arrlen(c->book->scope) + 1;
+
+	if (!arrlen(c->relay.w.clear))
+		return 0;
+	if (!arrlen(c->generation)) {
+		arrsetlen(c->generation, n * PURGE_SLICES);
+		memset(c->generation, 0, (size_t)n * PURGE_SLICES * sizeof *c->generation);
+		for (ptrdiff_t i = 0; i < arrlen(c->relay.w.clear); i++) {
+			const struct Nl__Purge *p = c->relay.w.clear[i]->purge;
+
+			for (ptrdiff_t k = 0; k < n && p->slice < PURGE_SLICES; k++) {
+				const struct bk_scope *s = k ? &c->book->scope[k - 1] : NULL;
+				uint64_t *g = &c->generation[k * PURGE_SLICES + p->slice];
+
+				if (p->number > *g && (s ? (!p->lane[0] || !s->lane_name[0] || !strcmp(p->lane, s->lane_name)) &&
+				                               (!p->tenant[0] || !s->tenant_name[0] || !strcmp(p->tenant, s->tenant_name))
+				                         : !p->lane[0] && !p->tenant[0]))
+					*g = p->number;
+			}
+		}
+	}
+	return c->generation[(scope + 1) * PURGE_SLICES + slice];
+}
+
+/* What a shelf's name says of clearings: 32 bits of its scope, 32 of its generation. 0: neither. */
+uint64_t ctr_filed(struct ctr *c, const struct xch *x)
+{
+	int scope = ctr_scope(c->book, x->lane, x->tenant);
+	uint64_t hash = scope < 0 ? 0 : c->book->scope[scope].hash;
+
+	return hash << 32 | (ctr_generation(c, scope, PURGE_SLICE(ctr_home_part(x))) & UINT32_MAX);
+}
+
+uint64_t ctr_filed_text(const char *shelf)
+{
+	const char *t = strrchr(shelf, '~');
+
+	return t && strlen(t) == 17 ? strtoull(t + 1, NULL, 16) : 0;
+}
+
+int ctr_keeps(const struct ctr *c, uint32_t service, uint32_t maker, uint64_t id, uint64_t stamp)
+{
+	return view_keeps(&c->relay.w, c->services.name[service], c->tenants.name[maker], id, stamp);
+}
+
+/* With the last slice, usage that names who is cleared goes too. */
+void ctr_cleared(struct ctr *c, const struct Nl__Value *v)
+{
+	const struct Nl__Purge *p = v->purge;
+
+	arrsetlen(c->generation, 0);
+	c->left_at = 0;
+	for (ptrdiff_t i = hmlen(c->use) - 1; i >= 0 && p->slice == PURGE_SLICES - 1; i--) {
+		uint64_t key = c->use[i].key;
+
+		if ((!p->lane[0] || !strcmp(p->lane, c->lanes.name[key >> 32])) && (!p->tenant[0] || !strcmp(p->tenant, c->tenants.name[key & UINT32_MAX])))
+			(void)hmdel(c->use, key);
+	}
+}
+
+static void left_add(struct ctr *c, uint32_t server, uint64_t scope, uint64_t number, uint32_t parts)
+{
+	struct Nl__Left n = NL__LEFT__INIT;
+
+	for (ptrdiff_t i = 0; i < arrlen(c->f.left); i++)
+		if (c->f.left[i].scope == scope && c->f.left[i].number == number && c->f.left[i].server == c->servers.name[server]) {
+			c->f.left[i].parts += parts;
+			return;
+		}
+	n.server = c->servers.name[server];
+	n.scope = scope;
+	n.number = number;
+	n.parts = parts;
+	if (arrlen(c->f.left) < RETENTION_ROWS)
+		arrput(c->f.left, n);
+}
+
+/* A shelf's generation is of one slice; what is older than the oldest slice of its scope now is surely from before. */
+static int is_old(struct ctr *c, uint64_t filed)
+{
+	uint64_t oldest = UINT64_MAX;
+	int scope = -1;
+
+	for (ptrdiff_t i = 0; filed >> 32 && i < arrlen(c->book->scope); i++)
+		if ((c->book->scope[i].hash & UINT32_MAX) == filed >> 32)
+			scope = (int)i;
+	if (filed >> 32 && scope < 0)
+		return 1; /* of a row that is no more */
+	for (uint32_t k = 0; k < PURGE_SLICES; k++)
+		oldest = ctr_generation(c, scope, k) < oldest ? ctr_generation(c, scope, k) : oldest;
+	return (filed & UINT32_MAX) < oldest;
+}
+
+/* What servers still name from before a clearing, for the owner of part 0; how far lines are from free capacity. */
+void ctr_retention_tick(struct ctr *c, int64_t now)
+{
+	uint32_t waiting = 0;
+	struct kept_row *h = c->kept.h;
+
+	c->f.index = !c->b.sights || !c->f.nup;
+	if (!c->book || now - c->left_at < RETENTION_COUNT)
+		return;
+	c->left_at = now;
+	for (ptrdiff_t i = 0; i < arrlen(c->line); i++)
+		waiting += c->line[i].n;
+	c->f.strain = waiting ? (uint32_t)(1000ull * waiting / (arrlen(c->all) ? (uint64_t)arrlen(c->all) : 1)) : 0;
+	arrsetlen(c->f.left, 0);
+	if (!arrlen(c->relay.w.clear) || !c->f.index)
+		return;
+	for (uint32_t s = 0; !c->b.sights && s < c->roster->nserver; s++)
+		if (c->roster->server[s].on && c->sv[s].stale)
+			left_add(c, s, RETENTION_ANY, 0, c->sv[s].stale);
+	for (ptrdiff_t i = 0; c->b.sights && i < hmlen(h); i++)
+		for (ptrdiff_t k = 0; k < arrlen(h[i].value); k++) {
+			uint64_t filed = h[i].value[k].seen;
+
+			if (h[i].value[k].server < c->roster->nserver && is_old(c, filed))
+				left_add(c, h[i].value[k].server, filed >> 32, filed & UINT32_MAX, 1);
+		}
+}
--- a/lib/data/ctr_send.c
+++ b/lib/data/ctr_send.c
@@ -136,9 +136,10 @@
 	f->addr = sv->to;
 	f->server = c->servers.name[pl->server];
 	f->tenant = x->tenant == b->keyless ? NULL : c->tenants.name[x->tenant];
-	f->shelf = current ? ctr_shelf(c, x->service, v->weights, x->tenant, o->p)
+	f->shelf = current ? ctr_shelf(c, x, v->weights, o->p)
 	           : apr_psprintf(o->p, "cold-%" APR_UINT64_T_HEX_FMT "-%" APR_UINT64_T_FMT, c->id, x->seq);
 	x->shelf = current ? core_hashs(0, f->shelf) : 0;
+	x->filed = ctr_filed(c, x);
 	f->sink = current ? ctr_sink(c, x, x->shelf, now) : 0;
 	if (pl->from >= 0 && pl->upto > pl->keep)
 		ctr_link_use(c, (uint32_t)pl->from, pl->move, now);
@@ -271,7 +272,7 @@
 		const struct kept_copy *old = ctr_usable(c, x, x->hash[i], (uint32_t)x->server, x->weights);
 
 		if (!old && view_allows(&c->relay.w, c->services.name[x->service], c->weights.name[x->weights], c->tenants.name[x->tenant],
-		                        c->servers.name[x->server], x->stamp))
+		                        c->servers.name[x->server], x->stamp) && ctr_keeps(c, x->service, x->tenant, x->hash[i], x->stamp))
 			kept_put(&c->kept, x->hash[i], &n);
 	}
 	c->n.answered++;
@@ -359,7 +360,7 @@
 	if (weights && strcmp(weights, c->weights.name[x->weights]))
 		return; /* not under the weights that its shelf says */
 	for (int i = 0; x->shelf && i < x->nparts; i++) { /* kept there now, until it is said to be gone */
-		struct kept_copy n = { (uint32_t)x->server, 0, x->service, x->weights, x->stamp, 0 };
+		struct kept_copy n = { (uint32_t)x->server, 0, x->service, x->weights, x->stamp, x->filed };
 
 		kept_put(&c->kept, ctr_kept_key(x->shelf, x->hash[i]), &n);
 		n.server = (uint32_t)x->sink;
--- a/lib/data/ctr_watch.c
+++ b/lib/data/ctr_watch.c
@@ -55,6 +55,7 @@
 	v->serial = json_num(j, "serial");
 	v->boot = json_num(j, "boot");
 	service = c->services.name[c->roster->server[s].service];
+	v->stale = 0;
 	for (size_t i = 0; i < json_object_array_length(parts) && i < CTR_KEPT; i++) {
 		struct json_object *e = json_object_array_get_idx(parts, i);
 		int maker = names_find(&c->tenants, json_str(e, "m")), made_under = weights_of(c, json_str(e, "w"));
@@ -64,7 +65,9 @@
 			continue; /* of nobody that the table ever named here */
 
 		/* a late report never revives what is withdrawn */
-		if (view_allows(&c->relay.w, service, json_str(e, "w"), json_str(e, "m"), c->servers.name[s], n.stamp))
+		if (!ctr_keeps(c, n.service, n.maker, strtoull(json_str(e, "h"), NULL, 16), n.stamp))
+			v->stale++;
+		else if (view_allows(&c->relay.w, service, json_str(e, "w"), json_str(e, "m"), c->servers.name[s], n.stamp))
 			kept_put(&c->kept, strtoull(json_str(e, "h"), NULL, 16), &n);
 	}
 	kept_sweep(&c->kept, s, v->asked);
@@ -125,7 +128,7 @@
 
 struct withdrawn { struct ctr *c; const struct Nl__Value *v; };
 
-static int is_withdrawn(const void *ctx, const struct kept_copy *k)
+static int is_withdrawn(const void *ctx, uint64_t id, const struct kept_copy *k)
 {
 	const struct withdrawn *w = ctx;
 	const struct Nl__Purge *p = w->v->purge;
@@ -135,6 +138,8 @@
 		return 0;
 	switch (p->why) {
 	case PURGE_WEIGHTS: return !strcmp(c->services.name[k->service], p->service) && !strcmp(c->weights.name[k->weights], p->weights);
+	case PURGE_CONTEXT: /* what is forwarded is filed under another name from now on; its old names go as servers say */
+		return !c->b.sights && !ctr_keeps(c, k->service, k->maker, id, k->stamp);
 	case PURGE_TENANT: return !strcmp(c->tenants.name[k->maker], p->tenant);
 	default: return !strcmp(c->servers.name[k->server], p->server);
 	}
@@ -146,6 +151,8 @@
 
 	if (v->purge && v->purge->why == PURGE_TENANT && v->tick > w.c->walled_tick)
 		w.c->walled_tick = v->tick;
+	if (v->purge && v->purge->why == PURGE_CONTEXT)
+		ctr_cleared(w.c, v);
 	kept_drop(&w.c->kept, is_withdrawn, &w);
 }
 
@@ -192,7 +199,7 @@
 	v->next = k->next;
 	for (size_t i = 0; i < k->n_e; i++) {
 		uint64_t key = ctr_kept_key(core_hashs(0, k->e[i]->shelf), k->e[i]->id);
-		struct kept_copy n = { (uint32_t)s, 0, c->roster->server[s].service, v->weights, 0, 0 };
+		struct kept_copy n = { (uint32_t)s, 0, c->roster->server[s].service, v->weights, 0, ctr_filed_text(k->e[i]->shelf) };
 
 		c->n.events++;
 		if (k->e[i]->gone)
--- a/lib/shell/shell.h
+++ b/lib/shell/shell.h
@@ -26,6 +26,10 @@
 /* Milliseconds on a clock that counts suspend and never jumps. Example: now = clock_ms(); */
 int64_t clock_ms(void);
 
+/* Milliseconds since 1970 as this machine has it; it may jump. Schedules alone are read by it, and only where a majority of
+ * registrars says the same. Example: r.wall = clock_wall(); */
+int64_t clock_wall(void);
+
 /* ---- ring ---- */
 struct ring;
 
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1179,6 +1179,7 @@
 {
 	struct sim_node *n = &s->n[i];
 
+	n->r->wall = s->epoch ? s->epoch + s->now + n->wall_off : 0;
 	reg_step(n->r, ev, local(s, n), &n->o);
 	if (n->r->fleet_dirty) {
 		n->disk.fleet = n->r->fleet;
@@ -1480,6 +1481,7 @@
 	reg_open(n->r, n->id, n->addr, n->zone, seeds, nseeds, n->disk.fleet, core_rand(&s->rng), psv, local(s, n));
 	n->r->b = s->b;
 	n->r->tongue = s->tongue;
+	n->r->calendar = s->calendar;
 	if (s->copies)
 		n->r->b.copies = s->copies;
 	if (s->catch_up_ms)
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -23,6 +23,7 @@
 	int used, counter, up, frozen, cell; /* cell: nodes in different cells cannot talk */
 	int64_t stall_until;
 	int64_t skew;          /* of its own monotonic clock */
+	int64_t wall_off;      /* how far its wall clock is off */
 	uint64_t addr, id, life;
 	char zone[16];
 	struct reg *r;
@@ -120,6 +121,8 @@
 	int loss, delay, jitter; /* per mille; ms */
 	int far;               /* ms added between zones */
 	int disk_ms;
+	int64_t epoch;         /* ms since 1970 at virtual time 0; 0: registrars know no wall clock */
+	const struct reg_calendar *calendar;
 	int limit_ms;          /* of exchanges */
 	struct bounds b;       /* of registrars */
 	struct sim_list list;
--- a/tests/test_units.c
+++ b/tests/test_units.c
@@ -179,7 +179,7 @@
 	apr_pool_destroy(o.p);
 }
 
-static int of_server(const void *ctx, const struct kept_copy *c) { return c->server == *(const uint32_t *)ctx; }
+static int of_server(const void *ctx, uint64_t id, const struct kept_copy *c) { (void)id; return c->server == *(const uint32_t *)ctx; }
 
 static void index_against_plain_table(void **st)
 {
