--- a/lib/control/follow.c
+++ b/lib/control/follow.c
@@ -23,6 +23,28 @@
 		f->at[i] = (int)(core_rand(&f->rng) % (uint64_t)f->ncand);
 }
 
+void follow_seeds(struct follow *f, const uint64_t *seeds, int n)
+{
+	uint64_t old[FOLLOW_SEATS];
+	int nold = f->ncand;
+
+	memcpy(old, f->cand, sizeof old);
+	f->ncand = 0;
+	for (int i = 0; i < n && i < FOLLOW_SEATS; i++)
+		f->cand[f->ncand++] = seeds[i];
+	f->nseed = f->ncand;
+	for (int i = 0; i < nold; i++) { /* who was known stays so until the next answer */
+		int known = 0;
+
+		for (int k = 0; k < f->ncand; k++)
+			known |= f->cand[k] == old[i];
+		if (!known && f->ncand < FOLLOW_SEATS)
+			f->cand[f->ncand++] = old[i];
+	}
+	for (int i = 0; i < PART_COUNT; i++)
+		f->at[i] = f->ncand ? f->at[i] % f->ncand : 0;
+}
+
 void follow_close(struct follow *f)
 {
 	table_close(&f->t);
@@ -101,14 +123,10 @@
 		follow_miss(f, part);
 }
 
-void follow_ask(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
+static struct Nl__Follow *asking(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
 {
-	uint64_t to = follow_seat(f, PART_CTL);
-	struct Nl__Follow *a;
+	struct Nl__Follow *a = OUT_NEW(o, Nl__Follow, NL__FOLLOW__INIT);
 
-	if (!to)
-		return;
-	a = OUT_NEW(o, Nl__Follow, NL__FOLLOW__INIT);
 	a->have = f->t.edition;
 	a->sights = f->sights.stamp;
 	a->born = f->born;
@@ -121,18 +139,49 @@
 	f->asked[f->token % 16].token = f->token;
 	f->asked[f->token % 16].at = now;
 	f->last_ask = now;
-	out_msg(o, to, PART_CTL, NL__MSG__BODY_FOLLOW)->follow = a;
+	return a;
+}
+
+void follow_ask(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
+{
+	uint64_t to = follow_seat(f, PART_CTL);
+
+	if (to)
+		out_msg(o, to, PART_CTL, NL__MSG__BODY_FOLLOW)->follow = asking(f, horizon, now, o);
+}
+
+/* The owner is silent, or nobody's guess is right: a few at once, in turn, so that a new owner is found as soon as there is
+ * one. Only a licensed one answers with more than a hint. */
+static void ask_around(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
+{
+	struct Nl__Follow *a = asking(f, horizon, now, o);
+	uint64_t first = f->seat[PART_CTL];
+
+	if (first)
+		out_msg(o, first, PART_CTL, NL__MSG__BODY_FOLLOW)->follow = a;
+	for (int i = 0; i < FOLLOW_AROUND && i < f->ncand; i++) {
+		uint64_t to = f->cand[(f->at[PART_CTL] + i) % f->ncand];
+
+		if (to != first)
+			out_msg(o, to, PART_CTL, NL__MSG__BODY_FOLLOW)->follow = a;
+	}
+	f->at[PART_CTL] = (f->at[PART_CTL] + FOLLOW_AROUND) % (f->ncand ? f->ncand : 1);
 }
 
 void follow_tick(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
 {
-	if (now - f->last_ask < FOLLOW_EVERY)
+	int silent = follow_age(f, now) > FOLLOW_WAIT + FOLLOW_EVERY;
+
+	if (now - f->last_ask < (silent ? FOLLOW_EVERY / 2 : FOLLOW_EVERY))
 		return;
 	if (now - f->last_word > FOLLOW_WAIT + FOLLOW_EVERY) {
 		follow_miss(f, PART_CTL);
 		f->last_word = now - FOLLOW_EVERY; /* the next one gets its time too */
 	}
-	follow_ask(f, horizon, now, o);
+	if (silent)
+		ask_around(f, horizon, now, o);
+	else
+		follow_ask(f, horizon, now, o);
 }
 
 static void take_registrars(struct follow *f, const struct Nl__FollowReply *r)
@@ -188,6 +237,9 @@
 	f->nup = 0;
 	for (size_t i = 0; i < r->n_up && i < 8; i++)
 		f->up[f->nup++] = r->up[i];
+	f->nhead = 0;
+	for (size_t i = 0; i < r->n_head && f->nhead < (int)(sizeof f->head / sizeof *f->head); i++)
+		f->head[f->nhead++] = r->head[i];
 	f->counters = r->counters;
 	take_registrars(f, r);
 	return (f->t.edition != was ? FOLLOW_TABLE : 0) | (sights_follow(&f->sights, r, now) ? FOLLOW_SIGHTS : 0);
--- a/lib/control/follow.h
+++ b/lib/control/follow.h
@@ -9,6 +9,7 @@
 
 enum {
 	FOLLOW_EVERY = 250,   /* ms between askings */
+	FOLLOW_AROUND = 3,    /* registrars that are asked at once while the owner is silent */
 	FOLLOW_WAIT = 300,    /* ms without an answer before another registrar is asked */
 	FOLLOW_CONFIG = 1700, /* ms after which new work is refused: the brief's 2 s, less what a send may take */
 	FOLLOW_RIDE = 4500,   /* ms after which all that is held ends: keys, places, exchanges */
@@ -34,6 +35,8 @@
 	uint64_t seat[PART_COUNT];            /* best guess of each part's owner */
 	uint64_t up[8];
 	int nup;
+	uint64_t head[32];                    /* of the other zones, if this node is the head of its own */
+	int nhead;
 	uint64_t live[FOLLOW_SEATS], live_id[FOLLOW_SEATS];
 	int nlive;
 	uint32_t counters;                    /* how many the owner saw lately */
@@ -46,6 +49,9 @@
 void follow_open(struct follow *f, uint64_t born, const uint64_t *seeds, int n, int64_t now);
 void follow_close(struct follow *f);
 
+/* Other seeds from now on; who is known otherwise stays known. Example: follow_seeds(&f, seeds, 3); */
+void follow_seeds(struct follow *f, const uint64_t *seeds, int n);
+
 /* The places of a limit, made with none when they are new. Example: follow_hold(&f, "t1")->used++; */
 typeof(((struct follow_hold *)0)->value) *follow_hold(struct follow *f, const char *name);
 
--- a/lib/control/sights.c
+++ b/lib/control/sights.c
@@ -160,8 +160,10 @@
 	if (!s->term || !token || token != s->call)
 		return;
 	s->call = 0;
-	if (!ok)
+	if (!ok) {
+		s->changed = now; /* again soon: a server may have begun to leave */
 		return;
+	}
 	for (ptrdiff_t i = 0; i < shlen(s->h); i++)
 		s->h[i].value.missed++;
 	for (size_t i = 0; i < n; i++)
--- /dev/null
+++ b/lib/data/ctr_assign.c
@@ -0,0 +1,402 @@
+/* ctr_assign: which server an exchange goes to, what it reuses there, and what it fetches from where. */
+#include "ctr_in.h"
+
+#include <apr_strings.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ds.h"
+
+int ctr_standing(const struct ctr *c, uint32_t s, int64_t now)
+{
+	const struct bk_server *b = &c->roster->server[s];
+	const struct ctr_server *v = &c->sv[s];
+
+	if (!b->on || b->draining || (!v->have && !(b->is_store && c->b.sights)) || v->loading || now < v->bad_until)
+		return 0;
+	if (!c->b.sights)
+		return now - v->reported < CTR_REPORT;
+	if (b->is_store)
+		return now - v->heard < CTR_STORE_HEARD;
+	/* named weights are on every server in their bound: one that has older ones then gets nothing */
+	return v->weights == c->book->service[b->service].weights || now < c->book->service[b->service].late;
+}
+
+const struct kept_copy *ctr_usable(struct ctr *c, const struct xch *x, uint64_t hash, uint32_t server, uint32_t weights)
+{
+	const struct book *b = c->book;
+	struct kept_copy *v = kept_get(&c->kept, hash);
+
+	for (ptrdiff_t i = 0; i < arrlen(v); i++) {
+		if (v[i].server != server || v[i].weights != weights || v[i].maker >= b->ntenant)
+			continue;
+		if (v[i].maker != x->tenant && (b->tenant[v[i].maker].walled || b->tenant[x->tenant].walled || !b->tenant[v[i].maker].on))
+			continue;
+		if (view_allows(&c->relay.w, c->services.name[x->service], c->weights.name[weights], c->tenants.name[v[i].maker],
+		                c->servers.name[server], v[i].stamp))
+			return &v[i];
+	}
+	return NULL;
+}
+
+/* How many leading parts a server keeps in a form this exchange may use. */
+static int prefix(struct ctr *c, const struct xch *x, uint32_t server, uint32_t weights)
+{
+	int n = 0;
+
+	while (n < x->nparts && ctr_usable(c, x, x->hash[n], server, weights))
+		n++;
+	return n;
+}
+
+uint64_t ctr_tokens_upto(const struct xch *x, int n)
+{
+	uint64_t t = 0;
+
+	for (int i = 0; i < n; i++)
+		t += x->tokens[i];
+	return t;
+}
+
+static int busy(const struct ctr_server *v)
+{
+	return v->others + v->own;
+}
+
+/* How much slower than the table says the link between two servers was seen to be; forgotten by and by. */
+static double slow_of(struct ctr *c, uint32_t from, uint32_t to, int64_t now)
+{
+	ptrdiff_t i = hmgeti(c->pair, (uint64_t)from << 32 | to);
+	double slow = i < 0 ? 1 : c->pair[i].value.slow;
+
+	for (int64_t t = i < 0 ? 0 : now - c->pair[i].value.at; t >= CTR_SLOW_HALF && slow > 1; t -= CTR_SLOW_HALF)
+		slow /= 2;
+	return slow < 1 ? 1 : slow;
+}
+
+/* An answer says what its fetch took and brought. One that brought nothing was waited for in vain. */
+void ctr_learn_fetch(struct ctr *c, const struct xch *x, int64_t took, int brought, int64_t now)
+{
+	double slow = brought && took > 0 ? (double)took / (x->fetch_ms ? x->fetch_ms : 1) : CTR_SLOW_MOST;
+
+	if (took <= 20 && brought) /* too short to tell a link from a process that was not scheduled */
+		slow = 1;
+	if (slow > CTR_SLOW_MOST)
+		slow = CTR_SLOW_MOST;
+	hmput(c->pair, (uint64_t)x->from << 32 | (uint32_t)x->server, ((typeof(c->pair->value)){ slow, now }));
+}
+
+/* Prefill saved against load and lines; a fetch where the link beats the prefill. */
+struct plan ctr_assign(struct ctr *c, const struct xch *x, int64_t now)
+{
+	const struct book *b = c->book;
+	const struct bk_service *svc = &b->service[x->service];
+	struct plan best = { -1, 0, -1, 0, 0, 0, 0 };
+	int current = relay_current(&c->relay, now);
+	uint64_t all = ctr_tokens_upto(x, x->nparts) + x->tail_tokens;
+
+	for (uint32_t s = 0; s < c->roster->nserver; s++) {
+		struct ctr_server *v = &c->sv[s];
+		struct plan p = { (int)s, 0, -1, 0, 0, 0, 0 };
+		double prefill;
+
+		if (c->roster->server[s].is_store || c->roster->server[s].service != x->service || s == x->tried || !ctr_standing(c, s, now) || busy(v) >= v->slots)
+			continue;
+		if (current)
+			p.keep = prefix(c, x, s, v->weights);
+		prefill = c->plain ? 0 : (double)(all - ctr_tokens_upto(x, p.keep)) / svc->prefill;
+		p.cost = prefill + v->mean_ms * busy(v) / v->slots;
+		for (uint32_t f = 0; current && !c->plain && p.keep < x->nparts && f < c->roster->nserver; f++) { /* a colleague server or the store */
+			double speed = c->roster->server[f].is_store ? svc->store : svc->link, save, cost, fetch;
+			int n;
+
+			if (f == s || c->roster->server[f].service != x->service || !speed || (!c->roster->server[f].is_store && c->sv[f].weights != v->weights) ||
+			    !ctr_standing(c, f, now))
+				continue;
+			n = prefix(c, x, f, v->weights);
+			if (n <= p.keep)
+				continue;
+			save = (double)(ctr_tokens_upto(x, n) - ctr_tokens_upto(x, p.keep));
+			fetch = save * svc->kv_bytes / speed;
+			cost = fetch * slow_of(c, f, s, now);
+			save /= svc->prefill;
+			if (cost < save && prefill - save + cost < p.cost - v->mean_ms * busy(v) / v->slots) {
+				p.cost = prefill - save + cost + v->mean_ms * busy(v) / v->slots;
+				p.from = (int)f;
+				p.upto = n;
+				p.fetch = fetch;
+			}
+		}
+		if (best.server < 0 || p.cost < best.cost ||
+		    (p.cost == best.cost && core_rdv(x->seq ^ c->id, s) > core_rdv(x->seq ^ c->id, (uint64_t)best.server)))
+			best = p;
+	}
+	return best;
+}
+
+/* ---- exchanges whose text stays at the door ------------------------------------------------ */
+
+/* The name under which kept parts are filed at servers. It says all that decides who may use them again: the weights, the
+ * walls, and the purges that the view knows of. So a server finds no part that was made under other weights or behind a
+ * wall, whatever it keeps; and a purge that is known here makes what was filed before it unreachable from here. */
+const char *ctr_shelf(const struct ctr *c, uint32_t service, uint32_t weights, uint32_t tenant, apr_pool_t *p)
+{
+	const struct book *b = c->book;
+	const char *w = c->weights.name[weights];
+	uint64_t cut = view_tick(&c->relay.w, PURGE_WEIGHTS, c->services.name[service], w);
+	uint64_t age = core_rdv(b->walls ^ c->walled_tick, cut);
+
+	return apr_psprintf(p, "%s-%" APR_UINT64_T_HEX_FMT "%s%s", w, age & 0xffffffff, b->tenant[tenant].walled ? "-" : "",
+	                    b->tenant[tenant].walled ? c->tenants.name[tenant] : "");
+}
+
+uint64_t ctr_kept_key(uint64_t shelf, uint64_t id) { return core_rdv(shelf, id); }
+
+/* Of what was seen lately, less the older it is. */
+static double faded(double v, int64_t at, int64_t now, int half)
+{
+	for (int64_t t = now - at; t >= half && v > 0.01; t -= half)
+		v /= 2;
+	return v;
+}
+
+/* What other counters have under way there: as the heads of zones say, else as the server's last answer said. */
+static int others_at(const struct ctr *c, uint32_t s, int64_t now)
+{
+	const struct ctr_server *v = &c->sv[s];
+
+	if (now - c->others_fresh <= CTR_LOAD_OLD && s < (uint32_t)arrlen(c->others))
+		return (int)c->others[s].running;
+	return (int)faded(v->others, v->others_at, now, CTR_OTHERS_HALF);
+}
+
+static uint32_t ahead_at(const struct ctr *c, uint32_t s, int64_t now)
+{
+	return now - c->others_fresh <= CTR_LOAD_OLD && s < (uint32_t)arrlen(c->others) ? c->others[s].ahead : 0;
+}
+
+/* How long a send would wait there before it is read, and what makes it risky, in ms. */
+static double load_of(const struct ctr *c, uint32_t s, const struct bk_service *svc, int64_t now)
+{
+	const struct ctr_server *v = &c->sv[s];
+	int others = others_at(c, s, now);
+	double ahead = (double)(v->ahead + ahead_at(c, s, now)) / svc->prefill;
+
+	return ahead + CTR_STEP_MS * (v->own + others) + faded(v->late_ms, v->late_at, now, CTR_LATE_HALF) / 2 +
+	       CTR_FAILED_MS * faded(v->failed, v->failed_at, now, CTR_FAILED_HALF) + (c->roster->server[s].zone == c->zone_hash ? 0 : 1);
+}
+
+/* The part that a request shares with others: the last one is its own. */
+static uint64_t home_part(const struct xch *x) { return x->nparts > 1 ? x->hash[x->nparts - 2] : x->nparts ? x->hash[0] : x->seq; }
+
+/* How many leading parts each server keeps on this shelf, into c->depth; and the store, which keeps many shelves. */
+static int depths(struct ctr *c, const struct xch *x, uint64_t shelf, uint32_t weights)
+{
+	int store = c->book->service[x->service].store_server, deep = 0;
+
+	for (int i = 0; i < x->nparts; i++) {
+		struct kept_copy *v = kept_get(&c->kept, ctr_kept_key(shelf, x->hash[i]));
+
+		for (ptrdiff_t k = 0; k < arrlen(v); k++) {
+			uint32_t s = v[k].server;
+
+			if ((int)s == store)
+				deep = deep == i ? i + 1 : deep;
+			else if (c->depth[s] == i && c->sv[s].weights == weights)
+				c->depth[s] = i + 1;
+		}
+		if (!v)
+			break;
+	}
+	return deep;
+}
+
+/* Whether one more fits beside what runs there: not so much that kept parts are pushed out by it, nor that it would wait
+ * there for long, where no other counter's more urgent one can pass it. What does not fit anywhere waits in its line. */
+static int fits(const struct ctr *c, const struct xch *x, uint32_t s, const struct bk_service *svc, int64_t now)
+{
+	const struct ctr_server *v = &c->sv[s];
+	int others = others_at(c, s, now);
+	uint64_t held = v->tokens + (uint64_t)others * CTR_MEAN_SIZE, ahead = v->ahead + ahead_at(c, s, now);
+
+	if (v->own + others >= v->slots)
+		return 0;
+	if (ahead && ahead / svc->prefill > CTR_WAIT_MOST)
+		return 0;
+	return !svc->room || !held || held + x->size <= svc->room * CTR_FULL_PART / 100;
+}
+
+/* The server that rendezvous hashing names for a prefix, so that all counters name the same. While it does not stand, the
+ * next in an order that does not change while others load, fall or rise; those with the newest weights go first, since what
+ * is read there is of use when the others have them too. -1: none stands. */
+static int home_of(struct ctr *c, const struct xch *x, int64_t now)
+{
+	uint32_t newest = c->book->service[x->service].weights;
+	uint64_t part = home_part(x), first = 0, top = 0;
+	int home = -1, named = -1, best = -1;
+
+	for (uint32_t s = 0; s < c->roster->nserver; s++) {
+		const struct bk_server *sv = &c->roster->server[s];
+		uint64_t w;
+		int fresh;
+
+		if (!sv->on || sv->is_store || sv->draining || sv->service != x->service || s == x->tried)
+			continue;
+		w = core_rdv(part, c->server_hash[s]);
+		if (best < 0 || w > first) {
+			best = (int)s;
+			first = w;
+		}
+		if (!ctr_standing(c, s, now))
+			continue;
+		fresh = c->sv[s].weights == newest;
+		if (home < 0 || fresh > named || (fresh == named && w > top)) {
+			home = (int)s;
+			named = fresh;
+			top = w;
+		}
+	}
+	return best >= 0 && ctr_standing(c, (uint32_t)best, now) ? best : home;
+}
+
+/* Moves at one machine run one after the other. How long one that begins now would wait there. */
+static double link_wait(const struct ctr *c, uint32_t s, int64_t now)
+{
+	double ms = c->sv[s].link_free - (double)now;
+
+	return ms > 0 ? ms : 0;
+}
+
+/* This counter sees its own moves only; it takes each as standing for one of every counter. */
+void ctr_link_use(struct ctr *c, uint32_t s, double ms, int64_t now)
+{
+	struct ctr_server *v = &c->sv[s];
+
+	v->link_free = (v->link_free > (double)now ? v->link_free : (double)now) + ms * (c->f.counters ? c->f.counters : 1);
+}
+
+/* The deepest holder of the prefix among servers with these weights. -1: nobody is known to keep any. */
+static int holder_of(struct ctr *c, const struct xch *x, uint32_t weights, int64_t now)
+{
+	int deep = -1;
+
+	for (uint32_t s = 0; s < c->roster->nserver; s++) {
+		const struct bk_server *sv = &c->roster->server[s];
+
+		if (!c->depth[s] || sv->service != x->service || sv->is_store || c->sv[s].weights != weights)
+			continue;
+		if (deep >= 0 && (c->depth[s] < c->depth[deep] || (c->depth[s] == c->depth[deep] && c->sv[deep].own <= c->sv[s].own)))
+			continue;
+		if (ctr_standing(c, s, now))
+			deep = (int)s;
+	}
+	return deep;
+}
+
+/* Go where the prefix is kept, or to its home; elsewhere only where the wait there is so long that it pays to move the
+ * prefix, and then with a fetch. Reading again what is kept somewhere is the dearest of all. */
+struct plan ctr_assign_forward(struct ctr *c, const struct xch *x, int64_t now)
+{
+	const struct book *b = c->book;
+	const struct bk_service *svc = &b->service[x->service];
+	struct plan best = { -1, 0, -1, 0, 0, 0, 0 };
+	int current = relay_current(&c->relay, now), home = home_of(c, x, now), shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
+	uint32_t n = c->roster->nserver, seen[4], nseen = 0;
+	int holder[4], held[4], store = svc->store_server, store_up;
+	double all = (double)(ctr_tokens_upto(x, x->nparts) + x->tail_tokens);
+
+	if (home < 0)
+		return best;
+	arrsetlen(c->depth, n);
+	memset(c->depth, 0, n * sizeof *c->depth);
+	for (uint32_t s = 0; s < n && current; s++) {
+		const struct bk_server *sv = &c->roster->server[s];
+		uint32_t k = 0;
+
+		if (!sv->on || sv->is_store || sv->service != x->service)
+			continue;
+		while (k < nseen && seen[k] != c->sv[s].weights)
+			k++;
+		if (k == nseen && nseen < 4) {
+			seen[nseen++] = c->sv[s].weights;
+			held[k] = depths(c, x, core_hashs(0, ctr_shelf(c, x->service, c->sv[s].weights, x->tenant, c->scratch)), c->sv[s].weights);
+		}
+	}
+	apr_pool_clear(c->scratch);
+	store_up = store >= 0 && (uint32_t)store < n && c->roster->server[store].on && ctr_standing(c, (uint32_t)store, now);
+	for (uint32_t k = 0; k < nseen; k++) {
+		holder[k] = holder_of(c, x, seen[k], now);
+		/* servers' links are many, the store's is one: it is asked for what no server keeps */
+		if (holder[k] >= 0 && (!store_up || c->depth[holder[k]] >= held[k] || c->depth[holder[k]] >= shared)) {
+			held[k] = c->depth[holder[k]];
+		} else {
+			holder[k] = store_up && held[k] ? store : -1;
+		}
+	}
+	for (uint32_t s = 0; s < n; s++) {
+		const struct bk_server *sv = &c->roster->server[s];
+		struct ctr_server *v = &c->sv[s];
+		struct plan p = { (int)s, c->depth[s], -1, 0, 0, 0, 0 };
+		double read;
+		int from = -1, upto = 0;
+
+		if (!sv->on || sv->service != x->service || sv->is_store || s == x->tried || !ctr_standing(c, s, now) || !fits(c, x, s, svc, now))
+			continue;
+		for (uint32_t k = 0; k < nseen; k++)
+			if (seen[k] == v->weights && holder[k] >= 0) {
+				from = holder[k];
+				upto = held[k];
+			}
+		if (from < 0 && current && (int)s != home && c->sv[home].weights == v->weights) {
+			from = home;
+			upto = shared; /* it has it, unless nobody asked there yet */
+		}
+		read = (all - (double)ctr_tokens_upto(x, p.keep)) / svc->prefill;
+		if (!p.keep && (int)s == home && from < 0)
+			read -= 0.7 * (double)ctr_tokens_upto(x, shared) / svc->prefill; /* others will have sent it here */
+		if (from >= 0 && from != (int)s && upto > p.keep && svc->link) {
+			double more = (double)(ctr_tokens_upto(x, upto) - ctr_tokens_upto(x, p.keep));
+			double ms = more * svc->kv_bytes / (c->roster->server[from].is_store ? svc->store ? svc->store : 1 : svc->link);
+
+			ms = ms * slow_of(c, (uint32_t)from, s, now) * (c->roster->server[from].zone == sv->zone ? 1 : 2) + CTR_FETCH_MS +
+			     link_wait(c, (uint32_t)from, now);
+			if (ms < CTR_FETCH_WAIT) {
+				p.from = from;
+				p.upto = upto;
+				p.fetch = ms;
+				p.move = ms - CTR_FETCH_MS - link_wait(c, (uint32_t)from, now);
+				read += ms - more / svc->prefill;
+			}
+		}
+		p.cost = read + load_of(c, s, svc, now);
+		if (p.keep < shared && ((int)s != home || (from >= 0 && from != store && from != (int)s)))
+			p.cost += CTR_AWAY_MS + CTR_AWAY_K * (double)(ctr_tokens_upto(x, shared) - ctr_tokens_upto(x, p.keep)) / 1000;
+		if (best.server < 0 || p.cost < best.cost)
+			best = p;
+	}
+	return best;
+}
+
+/* The store, where the prefix is to be left once it is read there: it is up and not known to have it. 0: not. */
+uint64_t ctr_sink(struct ctr *c, const struct xch *x, uint64_t shelf, int64_t now)
+{
+	int st = c->book->service[x->service].store_server, shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
+
+	if (st < 0 || (uint32_t)st >= c->roster->nserver || !c->roster->server[st].on || !ctr_standing(c, (uint32_t)st, now))
+		return 0;
+	if (link_wait(c, (uint32_t)st, now) > CTR_SINK_WAIT)
+		return 0;
+	/* its own part would go there too and push shared ones out: one that brings little of it will come */
+	if ((x->size - ctr_tokens_upto(x, shared)) * 3ull > ctr_tokens_upto(x, shared))
+		return 0;
+	for (int i = 0; i < shared; i++) {
+		struct kept_copy *v = kept_get(&c->kept, ctr_kept_key(shelf, x->hash[i]));
+		int there = 0;
+
+		for (ptrdiff_t k = 0; k < arrlen(v) && !there; k++)
+			there = v[k].server == (uint32_t)st;
+		if (!there)
+			return c->roster->server[st].to;
+	}
+	return 0;
+}
