Stores have rows of their own: several share what is left, each counted in its zone and with its own link

Cause: the grown sites have three stores of which one was used, and the store's zone was not known, so its moves were reckoned half as long as they take.

--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -140,6 +140,8 @@
 	struct bk_service *service;
 	uint32_t nlane, ntenant, nservice;
 	uint32_t keyless;       /* the tenant of exchanges that show no key */
+	int *store;             /* stores that serve all services: servers, by rendezvous of what is left there */
+	uint32_t nstore;
 	int keys, limits;       /* any key; any limit of places */
 	struct { uint32_t head, body, head_ms, idle_ms; } door; /* what callers may send, in bytes and ms; 0: as the program has it */
 	uint64_t walls;         /* hash over the tenants that are walled off */
--- a/lib/data/ctr_assign.c
+++ b/lib/data/ctr_assign.c
@@ -193,10 +193,18 @@
 /* The part that a request shares with others: the last one is its own. */
 uint64_t ctr_home_part(const struct xch *x) { return x->nparts > 1 ? x->hash[x->nparts - 2] : x->nparts ? x->hash[0] : x->seq; }
 
+/* The store that a prefix is left at, if any: of several always the same. -1: there is none. */
+int ctr_store_of(const struct ctr *c, const struct xch *x)
+{
+	const struct book *b = c->book;
+
+	return b->nstore ? b->store[core_rdv(61, ctr_home_part(x)) % b->nstore] : b->service[x->service].store_server;
+}
+
 /* How many leading parts each server keeps on this shelf, into c->depth; and the store, which keeps many shelves. */
 static int depths(struct ctr *c, const struct xch *x, uint64_t shelf, uint32_t weights)
 {
-	int store = c->book->service[x->service].store_server, deep = 0;
+	int store = ctr_store_of(c, x), deep = 0;
 
 	for (int i = 0; i < x->nparts; i++) {
 		struct kept_copy *v = kept_get(&c->kept, ctr_kept_key(shelf, x->hash[i]));
@@ -336,7 +344,7 @@
 	struct plan best = { -1, 0, -1, 0, 0, 0, 0 };
 	int current = relay_current(&c->relay, now), home = home_of(c, x, now), shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
 	uint32_t n = c->roster->nserver, seen[4], nseen = 0;
-	int choice[3], holder[4], held[4], store = svc->store_server, store_up;
+	int choice[3], holder[4], held[4], store = ctr_store_of(c, x), store_up;
 	double all = (double)(ctr_tokens_upto(x, x->nparts) + x->tail_tokens);
 
 	if (home < 0)
@@ -419,7 +427,7 @@
 /* The store, where the prefix is to be left once it is read there: it is up and not known to have it. 0: not. */
 uint64_t ctr_sink(struct ctr *c, const struct xch *x, uint64_t shelf, int64_t now)
 {
-	int st = c->book->service[x->service].store_server, shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
+	int st = ctr_store_of(c, x), shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
 
 	if (st < 0 || (uint32_t)st >= c->roster->nserver || !c->roster->server[st].on || !ctr_standing(c, (uint32_t)st, now))
 		return 0;
--- a/lib/data/ctr_book.c
+++ b/lib/data/ctr_book.c
@@ -107,6 +107,8 @@
 	}
 	*s = (struct bk_service){ 1, named, r->prefill, r->kv_bytes, r->link, r->store, r->slots, r->watches, r->conns, r->room, -1,
 	                          m ? hmgetp(c->named, id)->value.since + c->b.roll_ms - CTR_ROLL_EARLY : INT64_MAX };
+	if (r->addr[0] && !r->store && c->b.sights) /* a store itself, not a service that has one */
+		b->store[b->nstore++] = (int)names_id(&c->servers, apr_pstrcat(b->p, "store:", r->name, NULL));
 	if (r->addr[0] && r->store)
 		s->store_server = (int)names_id(&c->servers, apr_pstrcat(b->p, "store:", r->name, NULL));
 }
@@ -130,6 +132,7 @@
 	b->lane = apr_pcalloc(p, (b->nlane + 1) * sizeof *b->lane);
 	b->tenant = apr_pcalloc(p, (b->ntenant + 1) * sizeof *b->tenant);
 	b->service = apr_pcalloc(p, (b->nservice + 1) * sizeof *b->service);
+	b->store = apr_pcalloc(p, (b->nservice + 1) * sizeof *b->store);
 	sh_new_arena(b->key);
 	b->tenant[b->keyless] = (struct bk_tenant){ 1, 0, 1, 0, 0 };
 	for (ptrdiff_t i = 0; i < shlen(t->h); i++) {
@@ -204,6 +207,12 @@
 	v->slots = s->slots ? (int)s->slots : 1;
 }
 
+/* Whether a service's row stands for a store: where stores have rows of their own those do, else each service's address. */
+static int store_row(const struct ctr *c, const struct Nl__Row *r)
+{
+	return r->addr[0] && (c->book->nstore ? !r->store : r->store != 0);
+}
+
 struct roster *ctr_roster_make(struct ctr *c, int64_t now)
 {
 	const struct table *t = &c->f.t;
@@ -219,7 +228,7 @@
 
 		if (row->kind == NL__KIND__SERVER && !c->b.sights)
 			names_id(&c->servers, row->name);
-		else if (row->kind == NL__KIND__SERVICE && row->addr[0])
+		else if (row->kind == NL__KIND__SERVICE && store_row(c, row))
 			names_id(&c->servers, apr_pstrcat(p, "store:", row->name, NULL));
 	}
 	for (ptrdiff_t i = 0; c->b.sights && i < shlen(g->h); i++)
@@ -239,7 +248,7 @@
 
 		if (row->kind == NL__KIND__SERVER && !c->b.sights)
 			roster_put(c, r, names_id(&c->servers, row->name), row->service, row->addr, row->zone, row->state != 0, 0);
-		else if (row->kind == NL__KIND__SERVICE && row->addr[0] && row->store)
+		else if (row->kind == NL__KIND__SERVICE && store_row(c, row))
 			roster_put(c, r, names_id(&c->servers, apr_pstrcat(p, "store:", row->name, NULL)), row->name, row->addr, row->zone, 0, 1);
 	}
 	for (ptrdiff_t i = 0; c->b.sights && i < shlen(g->h); i++) {
--- a/lib/data/ctr_in.h
+++ b/lib/data/ctr_in.h
@@ -17,6 +17,7 @@
 void ctr_link_use(struct ctr *c, uint32_t s, double ms, int64_t now);
 uint64_t ctr_sink(struct ctr *c, const struct xch *x, uint64_t shelf, int64_t now);
 uint32_t ctr_brings(const struct xch *x, int keep);
+int ctr_store_of(const struct ctr *c, const struct xch *x);
 uint64_t ctr_kept_key(uint64_t shelf, uint64_t id);
 void ctr_learn_fetch(struct ctr *c, const struct xch *x, int64_t took, int brought, int64_t now);
 int ctr_standing(const struct ctr *c, uint32_t s, int64_t now);
--- a/lib/data/ctr_send.c
+++ b/lib/data/ctr_send.c
@@ -145,9 +145,9 @@
 	if (pl->from >= 0 && pl->upto > pl->keep)
 		ctr_link_use(c, (uint32_t)pl->from, pl->move, now);
 	if (f->sink)
-		ctr_link_use(c, (uint32_t)b->service[x->service].store_server, (double)x->ahead * b->service[x->service].kv_bytes /
+		ctr_link_use(c, (uint32_t)ctr_store_of(c, x), (double)x->ahead * b->service[x->service].kv_bytes /
 		             (b->service[x->service].store ? b->service[x->service].store : 1), now);
-	x->sink = f->sink ? (int)b->service[x->service].store_server : -1;
+	x->sink = f->sink ? ctr_store_of(c, x) : -1;
 	f->weights = c->weights.name[v->weights];
 	f->from = pl->from >= 0 ? c->roster->server[pl->from].to : 0;
 	f->prio = (int)x->prio;
