--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include <apr_general.h>
+#include <apr_strings.h>
 #include <cmocka.h>
 
 #include "ctr_in.h"
@@ -56,7 +57,6 @@
 static void calm(void **st)
 {
 	(void)st;
-	(void)change;
 	for (uint64_t seed = 1; seed <= seeds(3); seed++) {
 		struct fw f;
 
@@ -255,11 +255,822 @@
 	assert_true(judged == reused);
 }
 
+/* ---- one guard at a time --------------------------------------------------------------------- */
+
+static int asks(struct fw *f, int n, int lane)
+{
+	int first = (int)arrlen(f->req);
+
+	for (int i = 0; i < n; i++)
+		fw_ask(f, SIM_REGS + i % f->ctrs, lane, i % FW_KEYS, i, 9); /* without trying again */
+	return first;
+}
+
+/* All servers refuse at once, again and again: what went back to its line is not sent again on a credit that is spent. */
+static void many_go_back_to_their_lines(void **st)
+{
+	(void)st;
+	for (uint64_t seed = 1; seed <= seeds(3); seed++) {
+		struct fw f;
+
+		open_fleet(&f, seed, 2, 4, NULL);
+		for (ptrdiff_t i = 0; i < arrlen(f.v); i++)
+			f.v[i].refuse = 1000;
+		asks(&f, 80, FW_CHAT);
+		go(&f, 7000);
+		assert_true(f.n_resend > 0);
+		assert_int_equal(f.n_run, 0);
+		done(&f);
+	}
+}
+
+/* Streams that break off are taken up after their last piece, without a gap and without a second head. */
+static void streams_are_taken_up(void **st)
+{
+	(void)st;
+	for (uint64_t seed = 1; seed <= seeds(4); seed++) {
+		struct fw f;
+
+		open_fleet(&f, seed, 2, 6, NULL);
+		f.every = 15;
+		for (ptrdiff_t i = 0; i < arrlen(f.v); i++) {
+			f.v[i].breaks = 120;
+			f.v[i].surplus = 500;
+		}
+		go(&f, 9000);
+		f.every = 0;
+		go(&f, 7000);
+		assert_true(f.n_taken_up > 10);
+		done(&f);
+	}
+}
+
+/* A counter is cut off while slow servers work for it: what may have run is never told that it has not; and with its keys
+ * it takes nothing more in time, nor does a door that was frozen send what was decided before. */
+static void a_counter_is_cut_off(void **st)
+{
+	(void)st;
+	for (uint64_t seed = 1; seed <= seeds(6); seed++) {
+		struct fw f;
+		struct fw_conf c;
+		int hold = seed % 3 == 2;
+
+		open_fleet(&f, seed, 3, 6, NULL);
+		f.limit_ms = 9000;
+		f.every = 6;
+		for (ptrdiff_t i = 0; i < arrlen(f.v); i++)
+			f.v[i].silent = 200;
+		go(&f, 500);
+		if (hold)
+			sim_freeze(&f.s, SIM_REGS, 1);
+		else
+			sim_cut(&f.s, SIM_REGS, 2);
+		go(&f, 100);
+		c = arrlast(f.conf);
+		for (int k = 1; k < FW_KEYS; k += 2)
+			c.key[k] = -1;
+		change(&f, c);
+		go(&f, seed % 2 ? 5500 : 8000);
+		if (hold)
+			sim_freeze(&f.s, SIM_REGS, 0);
+		else
+			sim_cut(&f.s, SIM_REGS, 0);
+		go(&f, 2000);
+		f.every = 0;
+		go(&f, 9500);
+		done(&f);
+	}
+}
+
+/* What a door has been told to send when its process is frozen does not leave after the thaw. */
+static void a_door_thaws(void **st)
+{
+	struct fw f;
+	uint64_t runs;
+
+	(void)st;
+	open_fleet(&f, 3, 1, 4, NULL);
+	f.limit_ms = 60000;
+	for (int i = 0; i < 40; i++) {
+		fw_ask(&f, SIM_REGS, FW_ONCE, 0, i, 9);
+		go(&f, 1);
+	}
+	sim_freeze(&f.s, SIM_REGS, 1);
+	go(&f, 20);
+	runs = f.n_run;
+	go(&f, 4000);
+	assert_int_equal(f.n_run, runs);
+	sim_freeze(&f.s, SIM_REGS, 0);
+	go(&f, 3000);
+	done(&f);
+}
+
+/* No server stands: what waits ends, what comes is refused, both long before their limits. */
+static void no_server_stands(void **st)
+{
+	(void)st;
+	for (uint64_t seed = 1; seed <= seeds(2); seed++) {
+		struct fw f;
+		int first;
+
+		open_fleet(&f, seed, 2, 4, NULL);
+		f.limit_ms = 60000;
+		for (ptrdiff_t i = 0; i < arrlen(f.s.list.v); i++)
+			if (f.s.list.v[i].service[0] == 'p')
+				sim_inst_end(&f.s, (int)i, 0);
+		go(&f, 2000);
+		first = asks(&f, 20, FW_ONCE);
+		go(&f, 5500);
+		for (int i = 0; i < 20; i++) {
+			assert_int_equal(f.req[first + i].told, FW_ANSWERED);
+			assert_int_equal(f.req[first + i].status, 503);
+		}
+		first = asks(&f, 20, FW_ONCE);
+		go(&f, 50);
+		for (int i = 0; i < 20; i++)
+			assert_int_equal(f.req[first + i].status, 503);
+		first = asks(&f, 20, FW_DEEP); /* of the other service */
+		go(&f, 1500);
+		for (int i = 0; i < 20; i++)
+			assert_int_equal(f.req[first + i].told, FW_WHOLE);
+		done(&f);
+	}
+}
+
+/* No purge knowledge comes: nothing is reused until it comes again, though all is served. */
+static void the_purge_horizon_stands_still(void **st)
+{
+	struct fw f;
+	uint64_t reused, cold;
+
+	(void)st;
+	open_fleet(&f, 1, 3, 6, NULL);
+	f.every = 15;
+	go(&f, 3000);
+	assert_true(f.n_reused > 0);
+	assert_int_equal(f.n_cold, 0);
+	f.s.deaf = 1ull << NL__MSG__BODY_KNOWLEDGE | 1ull << NL__MSG__BODY_PURGE_SNAP;
+	go(&f, PURGE_STALE + 500);
+	reused = f.n_reused + f.n_fetched;
+	cold = f.n_cold;
+	assert_true(cold > 0);
+	go(&f, 3000);
+	assert_int_equal(f.n_reused + f.n_fetched, reused);
+	assert_true(f.n_cold > cold + 50);
+	f.s.deaf = 0;
+	go(&f, 2500);
+	cold = f.n_cold;
+	go(&f, 3000);
+	assert_int_equal(f.n_cold, cold);
+	assert_true(f.n_reused + f.n_fetched > reused);
+	f.every = 0;
+	go(&f, 7000);
+	assert_int_equal(f.n_cut, 0);
+	done(&f);
+}
+
+static void few_slots(struct fw *f) { f->s.list.slots = 2; }
+
+/* Servers have few places: among what waits at a counter, urgent lanes go first, and within a line the first. */
+static void urgent_lanes_go_first(void **st)
+{
+	(void)st;
+	for (uint64_t seed = 1; seed <= seeds(3); seed++) {
+		struct fw f;
+		int idem, once;
+		int64_t last_once = 0, first_idem = INT64_MAX;
+
+		open_fleet(&f, seed, 1, 3, few_slots);
+		f.limit_ms = 30000;
+		for (ptrdiff_t i = 0; i < arrlen(f.v); i++)
+			f.v[i].slow = 50;
+		asks(&f, 12, FW_CHAT);
+		go(&f, 100);
+		idem = asks(&f, 20, FW_IDEM);
+		go(&f, 10);
+		once = asks(&f, 20, FW_ONCE);
+		go(&f, 25000);
+		for (int i = 0; i < 20; i++) {
+			const struct fw_req *a = &f.req[once + i], *b = &f.req[idem + i];
+
+			assert_int_equal(a->told, FW_WHOLE);
+			assert_int_equal(a->prio, 0);
+			assert_int_equal(b->prio, 2);
+			last_once = a->sent > last_once ? a->sent : last_once;
+			first_idem = b->sent < first_idem ? b->sent : first_idem;
+			for (int k = i + 2; k < 20; k++) /* keys i and i + 1 may be one tenant's: one line */
+				if (f.req[once + k].tenant == a->tenant)
+					assert_true(f.req[once + k].sent >= a->sent);
+		}
+		if (last_once > first_idem)
+			fail_msg("seed %d: a request of class 2 went %lld ms before one of class 0", (int)seed, (long long)(last_once - first_idem));
+		done(&f);
+	}
+}
+
+/* A key is removed while requests with it wait in their lines: they end soon, and never run. */
+static void a_key_is_removed_over_a_line(void **st)
+{
+	struct fw f;
+	struct fw_conf c;
+	int first;
+
+	(void)st;
+	open_fleet(&f, 2, 1, 3, few_slots);
+	f.limit_ms = 60000;
+	for (ptrdiff_t i = 0; i < arrlen(f.v); i++)
+		f.v[i].slow = 2500;
+	for (int i = 0; i < 4; i++)
+		fw_ask(&f, SIM_REGS, FW_ONCE, 0, i, 9);
+	go(&f, 300);
+	first = (int)arrlen(f.req);
+	for (int i = 0; i < 10; i++)
+		fw_ask(&f, SIM_REGS, FW_ONCE, 3, i, 9);
+	go(&f, 100);
+	c = arrlast(f.conf);
+	c.key[3] = -1;
+	change(&f, c);
+	go(&f, 1000);
+	for (int i = 0; i < 10; i++)
+		assert_int_equal(f.req[first + i].status, 401);
+	go(&f, 30000);
+	for (int i = 0; i < 10; i++)
+		assert_int_equal(f.req[first + i].arrivals, 0);
+	done(&f);
+}
+
+/* Tenants are walled off and let in again while their parts are kept everywhere. */
+static void walls_change(void **st)
+{
+	(void)st;
+	for (uint64_t seed = 1; seed <= seeds(4); seed++) {
+		struct fw f;
+		uint64_t judged;
+
+		open_fleet(&f, seed, 3, 6, NULL);
+		f.every = 10;
+		for (int i = 0; i < 5; i++) {
+			struct fw_conf c = arrlast(f.conf);
+
+			c.walled[i % 2 ? 0 : (int)seed % FW_TENANTS] ^= 1;
+			change(&f, c);
+			go(&f, 3000);
+		}
+		judged = f.n_judged;
+		go(&f, 1000);
+		assert_true(f.n_judged > judged + 50);
+		f.every = 0;
+		go(&f, 6500);
+		done(&f);
+	}
+}
+
+static void stuck(struct fw *f)
+{
+	f->s.b.roll_ms = 12000;
+	f->s.list.load_ms = 900;
+}
+
+/* Weights are named; one server never loads them, and gets nothing more after the bound. Names that come back from the
+ * list make none of what was read under others good again. */
+static void a_server_keeps_old_weights(void **st)
+{
+	(void)st;
+	for (uint64_t seed = 1; seed <= seeds(4); seed++) {
+		struct fw f;
+
+		open_fleet(&f, seed, 3, 6, stuck);
+		f.every = 10;
+		go(&f, 2000);
+		snprintf(f.s.list.v[0].loading, sizeof f.s.list.v[0].loading, "9"); /* it says that it is busy, for ever */
+		assert_true(fw_name(&f, 0, 2));
+		go(&f, 18000);
+		assert_true(fw_name(&f, 0, 3));
+		go(&f, 16000);
+		f.every = 0;
+		go(&f, 6500);
+		assert_int_equal(atoi(f.s.list.v[0].weights), 1);
+		done(&f);
+	}
+}
+
+/* Servers drain while the list lags: nothing is sent to them past the bound. */
+static void servers_drain(void **st)
+{
+	(void)st;
+	for (uint64_t seed = 1; seed <= seeds(3); seed++) {
+		struct fw f;
+
+		open_fleet(&f, seed, 3, 9, NULL);
+		f.every = 6;
+		for (int i = 0; i < 6; i += 2) {
+			sim_inst_drain(&f.s, i);
+			go(&f, 1500);
+		}
+		go(&f, 6000);
+		f.every = 0;
+		go(&f, 6500);
+		done(&f);
+	}
+}
+
+/* ---- a counter by itself --------------------------------------------------------------------- */
+
+struct solo { struct ctr c; struct out o; apr_pool_t *p; int64_t now; uint64_t token; };
+
+static void solo_open(struct solo *s, uint64_t id)
+{
+	uint64_t seed = 1;
+
+	memset(s, 0, sizeof *s);
+	apr_pool_create(&s->p, NULL);
+	apr_pool_create(&s->o.p, s->p);
+	s->now = 1000000;
+	ctr_open(&s->c, id, id + 1000, "z1", &seed, 1, s->now);
+	s->c.b.sights = 1;
+}
+
+static void solo_close(struct solo *s)
+{
+	ctr_close(&s->c);
+	arrfree(s->o.v);
+	apr_pool_destroy(s->p);
+}
+
+static void solo_step(struct solo *s, const struct ctr_ev *ev) { ctr_step(&s->c, ev, s->now, &s->o); }
+static void solo_tick(struct solo *s, int64_t ms)
+{
+	s->now += ms;
+	solo_step(s, &(struct ctr_ev){ .kind = CTR_TICK });
+}
+
+static void solo_msg(struct solo *s, struct Nl__Msg *m)
+{
+	struct ctr_ev ev;
+
+	memset(&ev, 0, sizeof ev);
+	ev.kind = CTR_MSG;
+	ev.u.msg = m;
+	m->speak = CORE_SPEAK;
+	solo_step(s, &ev);
+}
+
+/* A whole table, and the servers of a list. */
+static void solo_table(struct solo *s, struct Nl__Row **rows, size_t n, struct Nl__Sight **sights, size_t nsight, uint64_t edition)
+{
+	struct Nl__Msg m = NL__MSG__INIT;
+	struct Nl__FollowReply r = NL__FOLLOW_REPLY__INIT;
+
+	out_clear(&s->o);
+	solo_tick(s, 300);
+	for (ptrdiff_t i = 0; i < arrlen(s->o.v); i++)
+		if (s->o.v[i].kind == CMD_SEND && s->o.v[i].u.send.msg->body_case == NL__MSG__BODY_FOLLOW)
+			r.token = s->o.v[i].u.send.msg->follow->token;
+	assert_true(r.token);
+	r.licensed = r.whole = r.sights_whole = 1;
+	r.fleet = 7;
+	r.edition = edition;
+	r.set = rows;
+	r.n_set = n;
+	r.sight = sights;
+	r.n_sight = nsight;
+	r.sights = edition;
+	r.counters = 1;
+	m.body_case = NL__MSG__BODY_FOLLOW_REPLY;
+	m.follow_reply = &r;
+	m.addr = 1;
+	m.id = 1;
+	solo_msg(s, &m);
+	out_clear(&s->o);
+	assert_non_null(s->c.book);
+}
+
+static struct Nl__Row *new_row(apr_pool_t *p, Nl__Kind kind, const char *name)
+{
+	struct Nl__Row *r = apr_palloc(p, sizeof *r);
+
+	nl__row__init(r);
+	r->kind = kind;
+	r->name = apr_pstrdup(p, name);
+	return r;
+}
+
+static struct Nl__Row *new_service(apr_pool_t *p, const char *name)
+{
+	struct Nl__Row *r = new_row(p, NL__KIND__SERVICE, name);
+
+	r->weights = "w1";
+	r->prefill = 20;
+	return r;
+}
+
+/* Ask; the exchange as it waits, or NULL with its status. */
+static struct xch *solo_ask(struct solo *s, const char *host, const char *path, const char *id, int *status)
+{
+	struct ctr_asking a;
+	struct ctr_ev ev;
+
+	memset(&a, 0, sizeof a);
+	memset(&ev, 0, sizeof ev);
+	a.token = ++s->token;
+	a.host = host;
+	a.path = path;
+	a.id = id;
+	a.limit_ms = 60000;
+	ev.kind = CTR_ASKED;
+	ev.u.ask = &a;
+	out_clear(&s->o);
+	solo_step(s, &ev);
+	*status = 0;
+	for (ptrdiff_t i = 0; i < arrlen(s->o.v); i++)
+		if (s->o.v[i].kind == CMD_ANSWER && s->o.v[i].u.answer.token == a.token)
+			*status = s->o.v[i].u.answer.status;
+	return ctr_xch_by(&s->c, a.token);
+}
+
+static void solo_gone(struct solo *s)
+{
+	struct ctr_ev ev;
+
+	memset(&ev, 0, sizeof ev);
+	ev.kind = CTR_GONE;
+	ev.u.gone.token = s->token;
+	solo_step(s, &ev);
+}
+
+/* The plain matcher: look at every lane. */
+static const char *plain_lane(struct Nl__Row **rows, size_t n, const char *host, const char *path)
+{
+	const char *best = NULL;
+	size_t most = 0, len = strcspn(path, "?#");
+
+	for (size_t i = 0; i < n; i++) {
+		size_t m = strlen(rows[i]->path);
+
+		if (rows[i]->kind == NL__KIND__LANE && !strcmp(rows[i]->host, host) && m <= len && m > most && !strncmp(rows[i]->path, path, m)) {
+			most = m;
+			best = rows[i]->name;
+		}
+	}
+	return best;
+}
+
+/* 20,000 lanes: the longest prefix of whole segments wins, at its own host only. */
+static void lanes_are_found_by_the_longest_prefix(void **st)
+{
+	enum { N = 20000 };
+	struct solo s;
+	struct Nl__Row **rows;
+	struct { char *key; int value; } *seen = NULL;
+	uint64_t d = 4;
+	size_t n = 0;
+	int found = 0, status;
+
+	(void)st;
+	solo_open(&s, 5);
+	rows = apr_palloc(s.p, (N + 1) * sizeof *rows);
+	rows[n++] = new_service(s.p, "pool");
+	sh_new_strdup(seen);
+	while (n <= N) {
+		struct Nl__Row *r = new_row(s.p, NL__KIND__LANE, apr_psprintf(s.p, "l%d", (int)n));
+		int deep = (int)dice(&d, 6);
+		char *key;
+
+		r->path = "/";
+		for (int i = 0; i < deep; i++)
+			r->path = apr_psprintf(s.p, "%s%c%d/", r->path, 'a' + (int)dice(&d, 3), (int)dice(&d, i ? 3 : 12));
+		r->host = apr_psprintf(s.p, "h%d.example", (int)dice(&d, 12));
+		key = apr_pstrcat(s.p, r->host, r->path, NULL);
+		if (shgeti(seen, key) >= 0)
+			continue;
+		shput(seen, key, 1);
+		r->service = "pool";
+		r->limit = 10;
+		r->open = 1;
+		rows[n++] = r;
+	}
+	shfree(seen);
+	solo_table(&s, rows, n, NULL, 0, 1);
+	for (int k = 0; k < 3000; k++) {
+		char host[32], path[200];
+		size_t at = (size_t)snprintf(path, sizeof path, "/");
+		int deep = (int)dice(&d, 8);
+		const char *want;
+		struct xch *x;
+
+		snprintf(host, sizeof host, "h%d.example", (int)dice(&d, 13));
+		for (int i = 0; i < deep; i++)
+			at += (size_t)snprintf(path + at, sizeof path - at, "%c%d%s", 'a' + (int)dice(&d, 3), (int)dice(&d, i ? 3 : 12), i + 1 < deep || dice(&d, 2) ? "/" : "");
+		if (!dice(&d, 4))
+			snprintf(path + at, sizeof path - at, "?q=/a1/b2/");
+		want = plain_lane(rows, n, host, path);
+		x = solo_ask(&s, host, path, "id", &status);
+		if (!want) {
+			assert_null(x);
+			assert_int_equal(status, 404);
+			continue;
+		}
+		assert_non_null(x);
+		assert_string_equal(s.c.lanes.name[x->lane], want);
+		found++;
+		solo_gone(&s);
+		if (k % 200 == 0) /* it must stay in touch with its table */
+			s.c.f.fresh = s.now;
+	}
+	assert_true(found > 1000);
+	solo_close(&s);
+}
+
+/* A split goes by its weights; the same id always goes the same way; weight 0 gets nothing. */
+static void a_split_goes_by_weights(void **st)
+{
+	struct solo s;
+	struct Nl__Row *rows[6], *lane;
+	struct Nl__Split part[4], *list[4];
+	static const char *const names[] = { "s0", "s1", "s2", "s3" };
+	static const int weight[] = { 70, 0, 25, 5 };
+	int got[4] = { 0, 0, 0, 0 }, status;
+
+	(void)st;
+	solo_open(&s, 5);
+	for (int i = 0; i < 4; i++) {
+		rows[i] = new_service(s.p, names[i]);
+		nl__split__init(&part[i]);
+		part[i].service = (char *)(uintptr_t)names[i];
+		part[i].weight = (uint32_t)weight[i];
+		list[i] = &part[i];
+	}
+	rows[4] = lane = new_row(s.p, NL__KIND__LANE, "l");
+	lane->service = "s0";
+	lane->host = "h";
+	lane->path = "/";
+	lane->limit = 10;
+	lane->open = 1;
+	lane->split = list;
+	lane->n_split = 4;
+	solo_table(&s, rows, 5, NULL, 0, 1);
+	for (int k = 0; k < 10000; k++) {
+		char id[20];
+		uint32_t first;
+
+		snprintf(id, sizeof id, "id-%d", k);
+		first = solo_ask(&s, "h", "/x", id, &status)->service;
+		solo_gone(&s);
+		if (k % 10 == 0) {
+			assert_int_equal(solo_ask(&s, "h", "/x", id, &status)->service, first);
+			solo_gone(&s);
+		}
+		got[s.c.services.name[first][1] - '0']++;
+	}
+	for (int i = 0; i < 4; i++)
+		assert_in_range(got[i], weight[i] * 100 - weight[i] * 10, weight[i] * 100 + weight[i] * 10);
+	solo_close(&s);
+}
+
+static struct Nl__Sight *new_sight(apr_pool_t *p, int i, const char *service)
+{
+	struct Nl__Sight *x = apr_palloc(p, sizeof *x);
+
+	nl__sight__init(x);
+	x->server = apr_psprintf(p, "i-%d", i);
+	x->service = (char *)(uintptr_t)service;
+	x->addr = apr_psprintf(p, "127.1.0.%d:80", i + 1);
+	x->zone = "z1";
+	x->slots = 100;
+	x->weights = "w1";
+	x->stamp = 1;
+	return x;
+}
+
+/* Words of load between 9 counters in 3 zones, some lost: once words arrive again, each knows what all others have. */
+static void loads_add_up(void **st)
+{
+	enum { N = 9, ZONES = 3, SRV = 7 };
+
+	(void)st;
+	for (uint64_t seed = 1; seed <= seeds(20); seed++) {
+		struct solo s[N];
+		struct Nl__Row *rows[1];
+		struct Nl__Sight *sights[SRV];
+		uint64_t d = seed * 13;
+		int loss = seed % 3 == 0 ? 300 : seed % 3 == 1 ? 50 : 0, off = (int)dice(&d, N);
+
+		for (int i = 0; i < N; i++) {
+			solo_open(&s[i], (uint64_t)i + 1);
+			rows[0] = new_service(s[i].p, "pool");
+			for (int k = 0; k < SRV; k++)
+				sights[k] = new_sight(s[i].p, (k + i) % SRV, "pool"); /* each knows them by other numbers */
+			solo_table(&s[i], rows, 1, sights, SRV, 1);
+		}
+		for (int round = 0; round < 400; round++) {
+			int quiet = round >= 300, lose = quiet ? 0 : loss;
+
+			for (int i = 0; i < N; i++) {
+				int zone = i % ZONES, head = i < ZONES;
+				struct ctr *c = &s[i].c;
+
+				c->f.fresh = s[i].now;
+				c->zone_hash = (uint64_t)zone + 1;
+				c->f.nup = head ? 0 : 1;
+				c->f.up[0] = (uint64_t)zone + 1001;
+				c->f.nhead = 0;
+				for (int z = 0; z < ZONES && head; z++)
+					if (z != zone)
+						c->f.head[c->f.nhead++] = (uint64_t)z + 1001;
+				if (!quiet && dice(&d, 3) == 0) {
+					int k = (int)dice(&d, SRV);
+
+					c->sv[k].own = (int)dice(&d, 30);
+					c->sv[k].ahead = (uint32_t)dice(&d, 20000);
+				}
+				if (i == off && round > 150 && round < 260) /* it falls silent for over the time for which words count */
+					continue;
+				solo_tick(&s[i], 25);
+				if (i == off && round == 260)
+					s[i].now = s[(i + 1) % N].now;
+			}
+			for (int i = 0; i < N; i++) {
+				for (ptrdiff_t k = 0; k < arrlen(s[i].o.v); k++) {
+					struct cmd *q = &s[i].o.v[k];
+					int to = (int)q->u.send.addr - 1001;
+
+					if (q->kind != CMD_SEND || q->u.send.msg->body_case != NL__MSG__BODY_LOAD || to < 0 || to >= N || dice(&d, 1000) < (uint64_t)lose)
+						continue;
+					q->u.send.msg->id = (uint64_t)i + 1;
+					q->u.send.msg->addr = (uint64_t)i + 1001;
+					solo_msg(&s[to], q->u.send.msg);
+				}
+				out_clear(&s[i].o);
+			}
+		}
+		for (int i = 0; i < N; i++)
+			for (int k = 0; k < SRV; k++) {
+				const char *name = s[i].c.servers.name[k];
+				uint32_t ahead = 0, running = 0;
+
+				for (int x = 0; x < N; x++) {
+					int at = names_find(&s[x].c.servers, name);
+
+					ahead += x == i ? 0 : s[x].c.sv[at].ahead;
+					running += x == i ? 0 : (uint32_t)s[x].c.sv[at].own;
+				}
+				if (s[i].c.others[k].ahead != ahead || s[i].c.others[k].running != running)
+					fail_msg("seed %d: counter %d thinks that others have %u tokens, %u requests at %s; they have %u, %u", (int)seed, i,
+					         s[i].c.others[k].ahead, s[i].c.others[k].running, name, ahead, running);
+			}
+		for (int i = 0; i < N; i++) {
+			for (int k = 0; k < SRV; k++)
+				s[i].c.sv[k].own = 0;
+			solo_close(&s[i]);
+		}
+	}
+}
+
+/* The index follows events: added, gone, a gap, a new epoch, a life that ends; against a plain list. */
+static void kept_parts_follow_events(void **st)
+{
+	enum { SRV = 3, IDS = 40, SHELVES = 2 };
+
+	(void)st;
+	for (uint64_t seed = 1; seed <= seeds(10); seed++) {
+		struct solo s;
+		struct Nl__Row *rows[1];
+		struct Nl__Sight *sights[SRV];
+		uint64_t d = seed * 7, epoch[SRV] = { 1, 1, 1 }, next[SRV] = { 1, 1, 1 };
+		int have[SRV][SHELVES][IDS];
+
+		memset(have, 0, sizeof have);
+		solo_open(&s, 5);
+		rows[0] = new_service(s.p, "pool");
+		for (int k = 0; k < SRV; k++)
+			sights[k] = new_sight(s.p, k, "pool");
+		solo_table(&s, rows, 1, sights, SRV, 1);
+		for (int round = 0; round < 600; round++) {
+			struct Nl__Msg m = NL__MSG__INIT;
+			struct Nl__Kept k = NL__KEPT__INIT;
+			struct Nl__KeptEvent e[5], *list[5];
+			int v = (int)dice(&d, SRV), n = (int)dice(&d, 6);
+			size_t all = 0;
+
+			k.server = s.c.servers.name[v];
+			if (!dice(&d, 40))
+				epoch[v]++;
+			k.lost = !dice(&d, 40);
+			if (k.lost || (s.c.sv[v].epoch && epoch[v] != s.c.sv[v].epoch))
+				memset(have[v], 0, sizeof have[v]);
+			k.epoch = epoch[v];
+			k.next = next[v] += (uint64_t)n;
+			for (int i = 0; i < n; i++) {
+				int shelf = (int)dice(&d, SHELVES), id = (int)dice(&d, IDS);
+
+				nl__kept_event__init(&e[i]);
+				e[i].shelf = shelf ? "w1-a" : "w1-b";
+				e[i].id = (uint64_t)id + 1;
+				e[i].gone = dice(&d, 3) == 0;
+				e[i].tokens = 10;
+				have[v][shelf][id] = !e[i].gone;
+				list[i] = &e[i];
+			}
+			k.e = list;
+			k.n_e = (size_t)n;
+			m.body_case = NL__MSG__BODY_KEPT;
+			m.kept = &k;
+			solo_msg(&s, &m);
+			out_clear(&s.o);
+			assert_int_equal(s.c.sv[v].next, next[v]);
+			for (int x = 0; x < SRV; x++)
+				for (int h = 0; h < SHELVES; h++)
+					for (int i = 0; i < IDS; i++) {
+						struct kept_copy *c = kept_get(&s.c.kept, ctr_kept_key(core_hashs(0, h ? "w1-a" : "w1-b"), (uint64_t)i + 1));
+						int there = 0;
+
+						for (ptrdiff_t q = 0; q < arrlen(c); q++)
+							there += c[q].server == (uint32_t)x;
+						assert_int_equal(there, have[x][h][i]);
+						all += (size_t)there;
+					}
+			assert_int_equal(s.c.kept.n, all);
+		}
+		sights[0]->state = SIGHT_GONE; /* what a life kept goes with it */
+		sights[0]->stamp = 2;
+		solo_table(&s, rows, 1, sights, SRV, 2);
+		for (ptrdiff_t i = 0; i < hmlen(s.c.kept.h); i++)
+			for (ptrdiff_t q = 0; q < arrlen(s.c.kept.h[i].value); q++)
+				assert_int_not_equal(s.c.kept.h[i].value[q].server, names_find(&s.c.servers, "i-0"));
+		solo_close(&s);
+	}
+}
+
+/* The name under which parts are filed changes with all that decides who may use them. */
+static void a_shelf_says_who_may_use_it(void **st)
+{
+	struct solo s;
+	struct Nl__Row *rows[4];
+	char *was[8];
+	int n = 0;
+	uint32_t w1, w2, t0, t1, pool;
+
+	(void)st;
+	solo_open(&s, 5);
+	rows[0] = new_service(s.p, "pool");
+	rows[1] = new_row(s.p, NL__KIND__TENANT, "t0");
+	rows[2] = new_row(s.p, NL__KIND__TENANT, "t1");
+	rows[1]->share = rows[2]->share = 1;
+	solo_table(&s, rows, 3, NULL, 0, 1);
+	w1 = names_id(&s.c.weights, "w1");
+	w2 = names_id(&s.c.weights, "w2");
+	t0 = names_id(&s.c.tenants, "t0");
+	t1 = names_id(&s.c.tenants, "t1");
+	pool = names_id(&s.c.services, "pool");
+	was[n++] = (char *)(uintptr_t)ctr_shelf(&s.c, pool, w1, t0, s.p);
+	assert_string_equal(was[0], ctr_shelf(&s.c, pool, w1, t1, s.p));
+	was[n++] = (char *)(uintptr_t)ctr_shelf(&s.c, pool, w2, t0, s.p);
+	rows[2]->walled = 1;
+	solo_table(&s, rows, 3, NULL, 0, 2);
+	was[n++] = (char *)(uintptr_t)ctr_shelf(&s.c, pool, w1, t0, s.p);
+	was[n++] = (char *)(uintptr_t)ctr_shelf(&s.c, pool, w1, t1, s.p);
+	for (int k = 0; k < 2; k++) {
+		struct Nl__Value v = NL__VALUE__INIT;
+		struct Nl__Purge p = NL__PURGE__INIT;
+
+		v.tick = 5 + (uint64_t)k;
+		v.purge = &p;
+		p.why = k ? PURGE_TENANT : PURGE_WEIGHTS;
+		p.service = "pool";
+		p.weights = "w1";
+		p.tenant = "t1";
+		view_apply(&s.c.relay.w, &v);
+		ctr_on_value(&s.c, &v);
+		was[n++] = (char *)(uintptr_t)ctr_shelf(&s.c, pool, w1, t0, s.p);
+		was[n++] = (char *)(uintptr_t)ctr_shelf(&s.c, pool, w1, t1, s.p);
+	}
+	for (int i = 0; i < n; i++)
+		for (int k = 0; k < i; k++)
+			assert_string_not_equal(was[i], was[k]);
+	solo_close(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(calm),
 		cmocka_unit_test(storms),
+		cmocka_unit_test(many_go_back_to_their_lines),
+		cmocka_unit_test(streams_are_taken_up),
+		cmocka_unit_test(a_counter_is_cut_off),
+		cmocka_unit_test(a_door_thaws),
+		cmocka_unit_test(no_server_stands),
+		cmocka_unit_test(the_purge_horizon_stands_still),
+		cmocka_unit_test(urgent_lanes_go_first),
+		cmocka_unit_test(a_key_is_removed_over_a_line),
+		cmocka_unit_test(walls_change),
+		cmocka_unit_test(a_server_keeps_old_weights),
+		cmocka_unit_test(servers_drain),
+		cmocka_unit_test(lanes_are_found_by_the_longest_prefix),
+		cmocka_unit_test(a_split_goes_by_weights),
+		cmocka_unit_test(loads_add_up),
+		cmocka_unit_test(kept_parts_follow_events),
+		cmocka_unit_test(a_shelf_says_who_may_use_it),
 	};
 	int rc;
 
