Older weights get no more time when still newer ones are named

Cause: a counter counted a roll-out's bound from the newest naming alone. Before: a server that never loaded 2 was sent requests on 1 for a whole bound more once 3 was named (a_server_keeps_old_weights fails under VERSION). After: each naming's own bound holds.

--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -45,6 +45,7 @@
 	CTR_CALM_MARGIN = 150,
 	CTR_RIDE_MARGIN = 500, /* ms by which the ride ends before the strictest bound */
 	CTR_ROLL_EARLY = 1500, /* ms before a roll-out's bound after which older weights are sent nothing more */
+	CTR_NAMED = 8,         /* namings of a service's weights that are remembered */
 	CTR_RETRY = 500,       /* ms after which a refused caller may come back, at the least */
 	CTR_RETRY_MOST = 30000
 };
@@ -118,8 +119,8 @@
 	uint32_t nsplit;
 };
 struct bk_tenant { int on, walled; uint32_t share, limit, rank; };
-/* weights: those named newest; late: from when on no server of older ones is sent anything */
-struct bk_service { int on; uint32_t weights, prefill, kv_bytes, link, store, slots, watches, conns; uint64_t room; int store_server; int64_t late; };
+/* weights: those named newest; modelled: a bound holds for their reaching every server */
+struct bk_service { int on; uint32_t weights, prefill, kv_bytes, link, store, slots, watches, conns; uint64_t room; int store_server, modelled; };
 struct bk_place { uint64_t key; uint32_t value; }; /* hash of host and path -> lane */
 /* One server's life, from the table or the list of servers. */
 struct bk_server { int on, draining, is_store; uint32_t service; const char *addr; uint64_t to, zone; };
@@ -235,7 +236,7 @@
 	int64_t pump_at;
 	uint64_t walled_tick;       /* newest purge of a tenant in the view */
 	struct { uint64_t key; uint32_t value; } *line_at; /* stb_ds: lane << 32 | tenant -> line */
-	struct ctr_named { uint32_t key; struct { uint32_t weights; int64_t since; } value; } *named; /* stb_ds, by service: what is named, since when that is known */
+	struct ctr_named { uint32_t key; struct { int n; struct { uint64_t no; int64_t since; } v[CTR_NAMED]; } value; } *named; /* stb_ds, by service: what was named, oldest first, and since when that is known */
 	apr_pool_t *p;
 	struct json_tokener *tok;   /* one for all that is read here, kept between texts */
 	struct ctr_server *sv;      /* stb_ds, by server index */
--- a/lib/data/ctr_assign.c
+++ b/lib/data/ctr_assign.c
@@ -18,8 +18,7 @@
 		return now - v->reported < CTR_REPORT;
 	if (b->is_store)
 		return now - v->heard < CTR_STORE_HEARD;
-	/* named weights are on every server in their bound: one that has older ones then gets nothing */
-	return v->weights == c->book->service[b->service].weights || now < c->book->service[b->service].late;
+	return ctr_rolled(c, b->service, v->weights, now);
 }
 
 const struct kept_copy *ctr_usable(struct ctr *c, const struct xch *x, uint64_t hash, uint32_t server, uint32_t weights)
--- a/lib/data/ctr_book.c
+++ b/lib/data/ctr_book.c
@@ -89,27 +89,49 @@
 		hmput(b->place, ctr_place(r->host, r->path, strlen(r->path)), id);
 }
 
-/* What is named newest for a service, and from when on nothing goes to servers with older weights. A counter that has
- * just begun does not know how long ago it was named: it takes half of the bound as gone. */
+static void named_put(struct ctr_named *n, uint64_t no, int64_t now)
+{
+	if (n->value.n == CTR_NAMED)
+		memmove(n->value.v, n->value.v + 1, (size_t)--n->value.n * sizeof *n->value.v);
+	n->value.v[n->value.n].no = no;
+	n->value.v[n->value.n++].since = now;
+}
+
+/* What is named newest for a service, and since when. A counter that has just begun does not know how long ago it was
+ * named: it takes half of the bound as gone. */
 static void service_row(struct ctr *c, struct book *b, const struct Nl__Row *r, int64_t now)
 {
 	const struct Nl__Row *m = r->model[0] ? table_get(&c->f.t, NL__KIND__MODEL, r->model) : NULL;
 	uint32_t id = names_id(&c->services, r->name), named = names_id(&c->weights, m ? m->weights : r->weights);
+	uint64_t no = m ? strtoull(m->weights, NULL, 10) : 0;
 	struct bk_service *s = &b->service[id];
 	struct ctr_named *n = hmgetp_null(c->named, id);
 
-	if (!n) {
-		hmput(c->named, id, ((typeof(c->named->value)){ named, now - c->b.roll_ms / 2 }));
-	} else if (n->value.weights != named) {
-		n->value.weights = named;
-		n->value.since = now;
-	}
-	*s = (struct bk_service){ 1, named, r->prefill, r->kv_bytes, r->link, r->store, r->slots, r->watches, r->conns, r->room, -1,
-	                          m ? hmgetp(c->named, id)->value.since + c->b.roll_ms - CTR_ROLL_EARLY : INT64_MAX };
+	if (!n)
+		hmput(c->named, id, ((typeof(c->named->value)){ 1, { { no, now - c->b.roll_ms / 2 } } }));
+	else if (n->value.v[n->value.n - 1].no != no)
+		named_put(n, no, now);
+	*s = (struct bk_service){ 1, named, r->prefill, r->kv_bytes, r->link, r->store, r->slots, r->watches, r->conns, r->room, -1, m != NULL };
 	if (r->addr[0] && r->store)
 		s->store_server = (int)names_id(&c->servers, apr_pstrcat(b->p, "store:", r->name, NULL));
 }
 
+/* May a server with these weights be sent anything? Newer ones that were named are on every server in their bound, however
+ * much newer ones were named since: one that has older ones then gets nothing. */
+int ctr_rolled(const struct ctr *c, uint32_t service, uint32_t weights, int64_t now)
+{
+	struct ctr_named *h = c->named, *n;
+	uint64_t no;
+
+	if (weights == c->book->service[service].weights || !c->book->service[service].modelled || !(n = hmgetp_null(h, service)))
+		return 1;
+	no = strtoull(c->weights.name[weights], NULL, 10);
+	for (int i = 0; i < n->value.n; i++)
+		if (n->value.v[i].no > no)
+			return now < n->value.v[i].since + c->b.roll_ms - CTR_ROLL_EARLY;
+	return 1;
+}
+
 struct book *ctr_book_make(struct ctr *c, int64_t now)
 {
 	const struct table *t = &c->f.t;
--- a/lib/data/ctr_in.h
+++ b/lib/data/ctr_in.h
@@ -18,6 +18,7 @@
 uint64_t ctr_sink(struct ctr *c, const struct xch *x, uint64_t shelf, int64_t now);
 uint64_t ctr_kept_key(uint64_t shelf, uint64_t id);
 void ctr_learn_fetch(struct ctr *c, const struct xch *x, int64_t took, int brought, int64_t now);
+int ctr_rolled(const struct ctr *c, uint32_t service, uint32_t weights, int64_t now);
 int ctr_standing(const struct ctr *c, uint32_t s, int64_t now);
 uint64_t ctr_tokens_upto(const struct xch *x, int n);
 const struct kept_copy *ctr_usable(struct ctr *c, const struct xch *x, uint64_t hash, uint32_t server, uint32_t weights);
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -560,7 +560,7 @@
 		assert_true(fw_name(&f, 0, 3));
 		hold_back(&f, 16000);
 		f.every = 0;
-		go(&f, 6500);
+		hold_back(&f, 6500);
 		assert_int_equal(atoi(f.s.list.v[0].weights), 1);
 		done(&f);
 	}
