A counter that is new in its zone is told once what is kept

Cause: only the head of a zone watches servers; a counter that came back heard just what changed from then on, so it had prompts read again that lay ready. Now the head briefs each new downstream once, and the newcomer adds that to what it knows. Test: a_counter_that_is_back_learns_what_is_kept, seen to fail without the briefing.

--- a/lib/core/purge.h
+++ b/lib/core/purge.h
@@ -66,7 +66,7 @@
 uint64_t view_tick(const struct view *w, uint32_t why, const char *a, const char *b);
 void view_clear(struct view *w);
 
-struct relay_down { uint64_t id, addr, taken; int64_t heard; };
+struct relay_down { uint64_t id, addr, taken; int64_t heard; int briefed; /* its owner has told it what it keeps */ };
 
 struct relay {
 	struct know k;
--- a/lib/data/ctr_watch.c
+++ b/lib/data/ctr_watch.c
@@ -189,7 +189,13 @@
 	if (k->lost || (v->epoch && v->epoch != k->epoch))
 		kept_sweep(&c->kept, (uint32_t)s, UINT64_MAX);
 	v->epoch = k->epoch;
-	v->next = k->next;
+	if (!k->n_held || k->next > v->next)
+		v->next = k->next;
+	for (size_t i = 0; i < k->n_held && c->kept.n < CTR_INDEX; i++) {
+		struct kept_copy n = { (uint32_t)s, 0, c->roster->server[s].service, v->weights, 0, 0 };
+
+		kept_put(&c->kept, k->held[i], &n);
+	}
 	for (size_t i = 0; i < k->n_e; i++) {
 		uint64_t key = ctr_kept_key(core_hashs(0, k->e[i]->shelf), k->e[i]->id);
 		struct kept_copy n = { (uint32_t)s, 0, c->roster->server[s].service, v->weights, 0, 0 };
@@ -223,11 +229,52 @@
 	}
 }
 
+/* A counter that is new in the zone, or back, hears only what changes from then on; so it is told once all that is known to be
+ * kept, or it would have prompts read again that lie ready. It adds this to what it knows itself. */
+static void brief(struct ctr *c, uint64_t addr, struct out *o)
+{
+	const struct roster *r = c->roster;
+	struct Nl__KeptAll *all = OUT_NEW(o, Nl__KeptAll, NL__KEPT_ALL__INIT);
+	struct Nl__Kept **of = apr_pcalloc(o->p, (r->nserver + 1) * sizeof *of);
+
+	all->k = apr_palloc(o->p, (r->nserver + 1) * sizeof *all->k);
+	for (int fill = 0; fill < 2; fill++) { /* counted first, then put in */
+		for (ptrdiff_t i = 0; i < hmlen(c->kept.h); i++)
+			for (ptrdiff_t k = 0; k < arrlen(c->kept.h[i].value); k++) {
+				uint32_t s = c->kept.h[i].value[k].server;
+
+				if (s >= r->nserver || !r->server[s].on || !c->sv[s].epoch)
+					continue;
+				if (!of[s]) {
+					of[s] = OUT_NEW(o, Nl__Kept, NL__KEPT__INIT);
+					of[s]->server = apr_pstrdup(o->p, c->servers.name[s]);
+					of[s]->epoch = c->sv[s].epoch;
+					of[s]->next = c->sv[s].next;
+					all->k[all->n_k++] = of[s];
+				}
+				if (fill)
+					of[s]->held[of[s]->n_held] = c->kept.h[i].key;
+				of[s]->n_held++;
+			}
+		for (size_t i = 0; !fill && i < all->n_k; i++) {
+			all->k[i]->held = apr_palloc(o->p, all->k[i]->n_held * sizeof *all->k[i]->held);
+			all->k[i]->n_held = 0;
+		}
+	}
+	if (all->n_k)
+		out_msg(o, addr, 0, NL__MSG__BODY_KEPT_ALL)->kept_all = all;
+}
+
 /* What was heard goes on a few times a second: a word for each watch and each counter of the zone would be their product. */
 void ctr_kept_tell(struct ctr *c, int64_t now, struct out *o)
 {
 	struct Nl__KeptAll *all;
 
+	for (ptrdiff_t i = 0; c->roster && !c->f.nup && i < arrlen(c->relay.down); i++)
+		if (!c->relay.down[i].briefed) {
+			c->relay.down[i].briefed = 1;
+			brief(c, c->relay.down[i].addr, o);
+		}
 	if (!arrlen(c->heard) || now - c->heard_at < ctr_pace(c, CTR_KEPT_TELL))
 		return;
 	c->heard_at = now;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1455,6 +1455,7 @@
 		n->id = core_rand(&s->rng);
 		n->c = malloc(sizeof *n->c);
 		ctr_open(n->c, n->id, n->addr, n->zone, seeds, nseeds, local(s, n));
+		n->c->b = s->b;
 		n->c->log = count_line;
 		n->c->log_ctx = s;
 		apr_pool_destroy(p);
--- a/tests/test_sights.c
+++ b/tests/test_sights.c
@@ -10,6 +10,7 @@
 #include <cmocka.h>
 
 #include "ds.h"
+#include "ctr_in.h"
 #include "sim.h"
 
 enum { REGS = 4, CTRS = 6, SERVERS = 18, STEP = 20 };
@@ -461,6 +462,66 @@
 	sim_close(&s);
 }
 
+/* ---- kept parts ------------------------------------------------------------------------ */
+
+static int knows(struct sim *s, int node, uint64_t key)
+{
+	return arrlen(kept_get(&s->n[node].c->kept, key)) == 1;
+}
+
+/* A counter that comes back hears from its zone's head what is kept where, also what has not changed since. */
+static void a_counter_that_is_back_learns_what_is_kept(void **st)
+{
+	int learned = 0;
+
+	(void)st;
+	for (uint64_t seed = 1; seed <= 6; seed++) {
+		struct sim s;
+		struct judge j;
+		struct Nl__KeptEvent e = NL__KEPT_EVENT__INIT, *pe = &e;
+		struct Nl__Kept k = NL__KEPT__INIT, *pk = &k;
+		struct Nl__KeptAll all = NL__KEPT_ALL__INIT;
+		struct Nl__Msg m = NL__MSG__INIT;
+		uint64_t key = ctr_kept_key(core_hashs(0, "shelf"), 5);
+
+		fleet(&s, &j, seed, 15000, 100);
+		e.shelf = "shelf";
+		e.id = 5;
+		e.tokens = 100;
+		k.server = s.list.v[1].name;
+		k.epoch = 7;
+		k.next = 3;
+		k.n_e = 1;
+		k.e = &pe;
+		all.n_k = 1;
+		all.k = &pk;
+		m.speak = CORE_SPEAK;
+		m.body_case = NL__MSG__BODY_KEPT_ALL;
+		m.kept_all = &all;
+		for (int n = SIM_REGS; n < SIM_REGS + CTRS; n++) { /* what all have heard */
+			struct ctr_ev ev = { .kind = CTR_MSG };
+
+			ev.u.msg = &m;
+			ctr_step(s.n[n].c, &ev, s.now + s.n[n].skew, &s.n[n].o);
+			out_clear(&s.n[n].o);
+			assert_true(knows(&s, n, key));
+		}
+		for (int n = SIM_REGS; n < SIM_REGS + CTRS; n++) {
+			sim_crash(&s, n, 0);
+			sim_run(&s, 50, NULL);
+			sim_start(&s, n);
+			assert_true(sim_run(&s, 5000, NULL));
+			if (!s.n[n].c->f.nup)
+				break; /* it is a head now, and asks the servers themselves */
+			assert_true(knows(&s, n, key));
+			assert_int_equal(s.n[n].c->sv[names_find(&s.n[n].c->servers, k.server)].next, 3);
+			learned++;
+		}
+		sim_close(&s);
+	}
+	assert_true(learned > 3);
+}
+
 /* ---- sights by themselves ------------------------------------------------------------- */
 
 static struct Nl__Sight *sight(apr_pool_t *p, const char *name, int state, const char *weights)
@@ -599,6 +660,7 @@
 		cmocka_unit_test(named_again_in_a_roll_out),
 		cmocka_unit_test(servers_come_and_go),
 		cmocka_unit_test(a_higher_fence_bars),
+		cmocka_unit_test(a_counter_that_is_back_learns_what_is_kept),
 		cmocka_unit_test(sights_alone),
 	};
 	int rc;
