--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -140,6 +140,7 @@
 
 static void tick(struct ctr *c, int64_t now, struct out *o)
 {
+	ctr_retention_tick(c, now);
 	follow_tick(&c->f, c->relay.k.horizon, now, o);
 	relay_up(&c->relay, c->f.up, (size_t)c->f.nup, follow_log(&c->f, c->relay.moved, now), now);
 	relay_tick(&c->relay, now, o);
@@ -306,6 +307,7 @@
 	apr_pool_create(&c->scratch, c->p);
 	apr_pool_create(&c->heard_pool, c->p);
 	c->b = bounds_default;
+	c->opened = now;
 	c->zone_hash = core_hashs(0, zone);
 	follow_open(&c->f, id, seeds, n, now);
 	c->f.zone = zone;
@@ -329,6 +331,7 @@
 	arrfree(c->heard);
 	hmfree(c->line_at);
 	hmfree(c->named);
+	arrfree(c->generation);
 	arrfree(c->depth);
 	arrfree(c->server_hash);
 	ctr_names_clear(&c->lanes);
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -32,9 +32,11 @@
 	CTR_INDEX = 1000000,   /* copies of parts that the index holds at the most */
 	CTR_AWAY_MS = 40, CTR_AWAY_K = 12, /* ms that a server counts as dearer which does not keep the prefix, also by 1000 tokens of it: it pushes others' out */
 	CTR_KEPT_TELL = 75,    /* ms between words of kept parts to the zone */
+	CTR_BEGIN = 1300,      /* ms that a counter and its fleet take from a start to a configuration in force */
+	CTR_SOON = 60,         /* ms after which one that a single server turned away may come back */
 	CTR_PUMP = 10,         /* ms between weighings of lines that nobody has room for */
 	CTR_WAIT_MOST = 800,   /* ms of reading that may be ahead of a send at its server */
-	CTR_FULL_PART = 45,    /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
+	CTR_FULL_PART = 60,    /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
 	CTR_MEAN_SIZE = 5000,  /* tokens that others' requests are taken to hold */
 	CTR_STORE_HEARD = 3500, /* ms after the last word of a store's events for which it counts as up */
 	CTR_LOAD = 50, CTR_LOAD_WHOLE = 1000, CTR_LOAD_OLD = 2500, /* ms between words of load; between whole ones; after which one is forgotten */
@@ -127,6 +129,8 @@
 /* Who stands: swapped whole like the book, but far more often. */
 struct roster { apr_pool_t *p; struct bk_server *server; uint32_t nserver; };
 struct bk_share { uint64_t key; struct { uint32_t share, limit; } value; };
+/* A scope whose context is cleared by itself, and so lies on shelves of its own; -1: all lanes, all tenants. */
+struct bk_scope { int lane, tenant; const char *lane_name, *tenant_name; uint64_t hash; };
 struct bk_key { char *key; uint32_t value; };
 struct book {
 	uint64_t edition;
@@ -140,6 +144,7 @@
 	struct { uint32_t head, body, head_ms, idle_ms; } door; /* what callers may send, in bytes and ms; 0: as the program has it */
 	uint64_t walls;         /* hash over the tenants that are walled off */
 	struct bk_place *place; /* stb_ds */
+	struct bk_scope *scope; /* stb_ds */
 	struct bk_share *share; /* stb_ds: lane << 32 | tenant */
 	struct bk_key *key;     /* stb_ds: digest -> tenant */
 };
@@ -173,6 +178,7 @@
 	int64_t first;      /* when its first piece went on; 0: none has */
 	char *since;        /* the last whole piece that the caller has */
 	uint64_t shelf;     /* of its send */
+	uint64_t filed;     /* scope and generation of that shelf */
 	double guess;       /* ms that its first piece should take */
 };
 
@@ -183,6 +189,7 @@
 	int64_t reported, called, bad_until, told; /* told: when a relay last passed its report on */
 	uint64_t call, asked, serial, boot;
 	uint32_t weights, seen_weights; /* seen: by the list; an answer's own word is newer */
+	uint32_t stale;     /* parts in its last report that a clearing withdrew */
 	int odd;            /* its last report could not be read; said once */
 	int have, loading, slots, running, own, others; /* running there: ours as we know it, others' by the last report */
 	double mean_ms;
@@ -233,7 +240,9 @@
 	uint64_t *server_hash;      /* stb_ds, by server: of its name, so that every counter ranks alike */
 	uint64_t zone_hash;
 	apr_pool_t *scratch;
-	int64_t pump_at, heard_at;
+	uint64_t *generation;       /* stb_ds, by scope and slice; emptied when a clearing or another book comes */
+	int64_t left_at;
+	int64_t opened, pump_at, heard_at;
 	struct Nl__Kept **heard;    /* stb_ds: events of kept parts that the zone has not been told */
 	apr_pool_t *heard_pool;
 	uint64_t walled_tick;       /* newest purge of a tenant in the view */
