Resends are set aside for when they are decided on, and by service

Cause: a resend was paid for when it left, so that all that went back to a line passed the check on one credit; and one credit served all services, while the bound holds for each.

--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -299,7 +299,6 @@
 	c->id = id;
 	c->addr = addr;
 	c->zone = zone;
-	c->budget = 1000;
 	c->tok = json_tokener_new();
 	if (!c->tok)
 		abort();
@@ -347,6 +346,7 @@
 	arrfree(c->all);
 	arrfree(c->running);
 	arrfree(c->stood);
+	arrfree(c->budget);
 	hmfree(c->by);
 	hmfree(c->pair);
 	hmfree(c->use);
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -258,7 +258,7 @@
 	struct ctr_release *release; /* stb_ds */
 	struct ctr_pair *pair;      /* stb_ds: from << 32 | to */
 	uint32_t *running;          /* stb_ds: by tenant */
-	int64_t budget;             /* resends saved up, per mille */
+	int64_t *budget;            /* stb_ds, by service: resends saved up, per mille */
 	struct ctr_counts n;
 	struct ctr_use *use;        /* stb_ds: lane << 32 | tenant */
 	int stopping;
--- a/lib/data/ctr_book.c
+++ b/lib/data/ctr_book.c
@@ -176,6 +176,8 @@
 		arrput(c->running, 0);
 	while (arrlen(c->stood) < (ptrdiff_t)b->nservice)
 		arrput(c->stood, now);
+	while (arrlen(c->budget) < (ptrdiff_t)b->nservice)
+		arrput(c->budget, 1000);
 	return b;
 }
 
--- a/lib/data/ctr_line.c
+++ b/lib/data/ctr_line.c
@@ -150,6 +150,8 @@
 				c->sv[x->server].tokens -= x->brings;
 		}
 	}
+	if (x->resend_paid)
+		c->budget[x->service] += 1000; /* never sent again */
 	(void)hmdel(c->by, x->token);
 	if (x->claim)
 		(void)hmdel(c->by, x->claim);
--- a/lib/data/ctr_send.c
+++ b/lib/data/ctr_send.c
@@ -29,9 +29,9 @@
 static void count_send(struct ctr *c, struct xch *x, const struct plan *pl, int64_t now)
 {
 	c->n.sends++;
-	c->budget += c->b.sights ? c->b.budget_mille * 3 / 4 : CTR_BUDGET;
-	if (c->budget > budget_cap(c))
-		c->budget = budget_cap(c);
+	c->budget[x->service] += c->b.sights ? c->b.budget_mille * 3 / 4 : CTR_BUDGET;
+	if (c->budget[x->service] > budget_cap(c))
+		c->budget[x->service] = budget_cap(c);
 	c->n.tokens += ctr_tokens_upto(x, x->nparts) + x->tail_tokens;
 	c->n.reused += ctr_tokens_upto(x, pl->keep);
 	c->n.fetched += pl->from >= 0 ? ctr_tokens_upto(x, pl->upto) - ctr_tokens_upto(x, pl->keep) : 0;
@@ -164,7 +164,7 @@
 	f->repeatable = x->repeatable || x->resumable;
 	out_cmd(o, CMD_FORWARD)->u.forward = f;
 	if (x->sends > 1)
-		c->budget -= 1000; /* a resend earns nothing and costs one */
+		x->resend_paid = 0; /* a resend earns nothing; what was set aside for it is spent */
 	else
 		count_send(c, x, pl, now);
 }
@@ -332,11 +332,11 @@
 	x->tried = (uint32_t)x->server;
 	x->server = -1;
 	x->state = XCH_CLAIMING;
-	if (c->budget < 1000) {
+	if (c->budget[x->service] < 1000) {
 		ctr_refuse(c, x, 503, "the server refused, and the budget for resends is spent", CTR_RETRY, now, o);
 		return;
 	}
-	c->budget -= 1000 + CTR_BUDGET; /* a resend earns nothing */
+	c->budget[x->service] -= 1000 + CTR_BUDGET; /* a resend earns nothing */
 	c->n.resends++;
 	ctr_send_claimed(c, x, now, o);
 }
@@ -404,10 +404,10 @@
 	}
 }
 
-/* May another server have it? Within its own bound and the fleet's budget. */
+/* May another server have it? Within its own bound and the fleet's budget for the service. */
 static int again(const struct ctr *c, const struct xch *x, int64_t now)
 {
-	return x->sends < x->attempts && c->budget >= 1000 && now + CTR_AGAIN_LEAST < x->limit;
+	return x->sends < x->attempts && c->budget[x->service] >= 1000 && now + CTR_AGAIN_LEAST < x->limit;
 }
 
 void ctr_on_ended(struct ctr *c, struct xch *x, const struct ctr_ended *e, int64_t now, struct out *o)
@@ -441,6 +441,8 @@
 			x->tried = s;
 			x->server = -1;
 			x->state = XCH_CLAIMING;
+			c->budget[x->service] -= 1000; /* set aside at once: it may wait in its line, and others be decided on meanwhile */
+			x->resend_paid = 1;
 			c->n.resends++;
 			c->n.taken_up += x->begun != 0;
 			ctr_send_claimed(c, x, now, o);
