A send that reached nobody is no try and draws on no budget

Cause: a route with one try (the dearest of both sites) refused its request when the server's connection did not come up, though no server had heard of it; and each such send drew on the budget for resends. Test: a_server_that_is_not_reached_costs_no_try.

--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -27,7 +27,7 @@
 	CTR_RIDE = FOLLOW_RIDE, /* ms of not knowing that are ridden out; then all that is held here ends */
 	CTR_ASK = 50,          /* ms between askings for places that are lacked */
 	CTR_FIRST_MS = 35,     /* what a first piece takes besides reading */
-	CTR_LATE_MOST = 1000, CTR_FULL = 150, CTR_AGAIN_LEAST = 50,
+	CTR_LATE_MOST = 1000, CTR_FULL = 150, CTR_AGAIN_LEAST = 50, CTR_UNREACHED = 4,
 	CTR_WATCH_WAIT = 1000, CTR_WATCH_GAP = 300, /* ms that a server holds a watch; between two of them */
 	CTR_INDEX = 1000000,   /* copies of parts that the index holds at the most */
 	CTR_AWAY_MS = 40, CTR_AWAY_K = 12, /* ms that a server counts as dearer which does not keep the prefix, also by 1000 tokens of it: it pushes others' out */
@@ -159,7 +159,7 @@
 	uint32_t lane, tenant, service;
 	int64_t limit, since_at, claim_at, sent_at, claim_from;
 	uint64_t asked;     /* the registrar that was asked for the claim */
-	int nparts, claimed, begun, sends, resend_paid;
+	int nparts, claimed, begun, sends, resend_paid, unreached;
 	uint64_t hash[CTR_PARTS];
 	const char *text[CTR_PARTS];
 	uint32_t tokens[CTR_PARTS], tail_tokens;
--- a/lib/data/ctr_send.c
+++ b/lib/data/ctr_send.c
@@ -165,7 +165,7 @@
 	out_cmd(o, CMD_FORWARD)->u.forward = f;
 	if (x->sends > 1)
 		x->resend_paid = 0; /* a resend earns nothing; what was set aside for it is spent */
-	else
+	else if (!x->unreached)
 		count_send(c, x, pl, now);
 }
 
@@ -407,12 +407,14 @@
 /* May another server have it? Within its own bound and the fleet's budget for the service. */
 static int again(const struct ctr *c, const struct xch *x, int64_t now)
 {
-	return x->sends < x->attempts && c->budget[x->service] >= 1000 && now + CTR_AGAIN_LEAST < x->limit;
+	return x->sends < x->attempts && x->unreached < CTR_UNREACHED && (!x->sends || c->budget[x->service] >= 1000) &&
+	       now + CTR_AGAIN_LEAST < x->limit;
 }
 
 void ctr_on_ended(struct ctr *c, struct xch *x, const struct ctr_ended *e, int64_t now, struct out *o)
 {
 	uint32_t s = (uint32_t)x->server;
+	int unreached = e->how == CTR_NEVER && !e->status && !e->wrong_life;
 
 	(void)hmdel(c->by, x->call);
 	x->call = 0;
@@ -422,6 +424,11 @@
 	x->next += e->pieces;
 	x->begun |= e->began;
 	x->ran |= e->how != CTR_NEVER;
+	if (unreached) { /* nobody heard of this send: it is no try, and what was set aside for it comes back */
+		x->unreached++;
+		if (--x->sends > 0)
+			c->budget[x->service] += 1000;
+	}
 	if (e->how == CTR_WHOLE) {
 		if (!x->first)
 			ctr_on_began(c, x, e->weights, now);
@@ -434,6 +441,8 @@
 	}
 	if (e->how == CTR_BROKE ? x->begun ? x->resumable : x->repeatable || x->resumable : !x->begun || x->resumable) {
 		if (again(c, x, now)) {
+			int paid = x->sends > 0;
+
 			c->sv[s].own--;
 			c->sv[s].ahead -= x->ahead;
 			c->sv[s].tokens -= x->brings;
@@ -441,8 +450,9 @@
 			x->tried = s;
 			x->server = -1;
 			x->state = XCH_CLAIMING;
-			c->budget[x->service] -= 1000; /* set aside at once: it may wait in its line, and others be decided on meanwhile */
-			x->resend_paid = 1;
+			if (paid)
+				c->budget[x->service] -= 1000; /* set aside at once: it may wait in its line, and others be decided on meanwhile */
+			x->resend_paid = paid;
 			c->n.resends++;
 			c->n.taken_up += x->begun != 0;
 			ctr_send_claimed(c, x, now, o);
