--- a/lib/control/retention.c
+++ b/lib/control/retention.c
@@ -564,7 +564,8 @@
 		index |= s->horizon >= tick;
 		for (ptrdiff_t k = 0; k < arrlen(s->v); k++)
 			if (s->v[k].number < c->number && covers(r, c, s->v[k].scope))
-				MISS("server %s still names %u parts, which nothing finds any more", s->v[k].server, (unsigned)s->v[k].parts);
+				MISS(s->v[k].parts ? "server %s still names %u parts, which nothing finds any more" : "server %s has not said since what it keeps",
+				     s->v[k].server, (unsigned)s->v[k].parts);
 	}
 	if (!index)
 		MISS("no holder of the index has looked since");
--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -227,6 +227,7 @@
 	o->id = c->id;
 	o->addr = c->addr;
 	o->fleet = c->f.fleet;
+	c->now = now;
 	end_blind(c, now, o);
 	switch (ev->kind) {
 	case CTR_TICK: tick(c, now, o); break;
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -187,7 +187,8 @@
 	int64_t reported, called, bad_until, told; /* told: when a relay last passed its report on */
 	uint64_t call, asked, serial, boot;
 	uint32_t weights, seen_weights; /* seen: by the list; an answer's own word is newer */
-	uint32_t stale;     /* parts in its last report that a clearing withdrew */
+	uint32_t stale;     /* parts in its last whole report that a clearing withdrew */
+	int64_t counted;    /* when that report came */
 	int odd;            /* its last report could not be read; said once */
 	int have, loading, slots, running, own, others; /* running there: ours as we know it, others' by the last report */
 	double mean_ms;
@@ -239,7 +240,8 @@
 	uint64_t zone_hash;
 	apr_pool_t *scratch;
 	uint64_t *generation;       /* stb_ds, by scope and slice; emptied when a clearing or another book comes */
-	int64_t left_at;
+	int64_t now;                /* of the step under way */
+	int64_t left_at, cleared_at; /* what servers still name was counted; the last clearing was heard of whole */
 	int64_t pump_at, heard_at;
 	struct Nl__Kept **heard;    /* stb_ds: events of kept parts that the zone has not been told */
 	apr_pool_t *heard_pool;
--- a/lib/data/ctr_in.h
+++ b/lib/data/ctr_in.h
@@ -73,7 +73,7 @@
 uint64_t ctr_generation(struct ctr *c, int scope, uint32_t slice);
 uint64_t ctr_filed(struct ctr *c, const struct xch *x);
 uint64_t ctr_filed_text(const char *shelf);
-void ctr_cleared(struct ctr *c, const struct Nl__Value *v);
+void ctr_cleared(struct ctr *c, const struct Nl__Value *v, int64_t now);
 void ctr_retention_tick(struct ctr *c, int64_t now);
 int ctr_keeps(const struct ctr *c, uint32_t service, uint32_t maker, uint64_t id, uint64_t stamp);
 /* ctr_watch.c */
--- a/lib/data/ctr_retention.c
+++ b/lib/data/ctr_retention.c
@@ -7,7 +7,7 @@
 #include "ds.h"
 #include "retention.h"
 
-enum { RETENTION_COUNT = 1000 }; /* ms between countings of what servers still name */
+enum { RETENTION_COUNT = 1000, RETENTION_UNHEARD = 5000 }; /* ms between countings of what servers still name; after which one is not heard */
 
 void ctr_scope_row(struct ctr *c, struct book *b, const struct Nl__Row *r)
 {
@@ -92,12 +92,17 @@
 }
 
 /* With the last slice, usage that names who is cleared goes too. */
-void ctr_cleared(struct ctr *c, const struct Nl__Value *v)
+void ctr_cleared(struct ctr *c, const struct Nl__Value *v, int64_t now)
 {
 	const struct Nl__Purge *p = v->purge;
 
 	arrsetlen(c->generation, 0);
 	c->left_at = 0;
+	if (p->slice == PURGE_SLICES - 1) { /* now all servers are to say anew what they keep */
+		c->cleared_at = now;
+		for (ptrdiff_t s = 0; s < arrlen(c->sv); s++)
+			c->sv[s].serial = c->sv[s].boot = 0;
+	}
 	for (ptrdiff_t i = hmlen(c->use) - 1; i >= 0 && p->slice == PURGE_SLICES - 1; i--) {
 		uint64_t key = c->use[i].key;
 
@@ -155,9 +160,12 @@
 	arrsetlen(c->f.left, 0);
 	if (!arrlen(c->relay.w.clear) || !c->f.index)
 		return;
-	for (uint32_t s = 0; !c->b.sights && s < c->roster->nserver; s++)
-		if (c->roster->server[s].on && c->sv[s].stale)
-			left_add(c, s, RETENTION_ANY, 0, c->sv[s].stale);
+	for (uint32_t s = 0; s < c->roster->nserver; s++) { /* 0 parts: it is not known what it keeps */
+		const struct ctr_server *v = &c->sv[s];
+
+		if (c->roster->server[s].on && (c->b.sights ? now - v->heard > RETENTION_UNHEARD : v->stale || v->counted <= c->cleared_at))
+			left_add(c, s, RETENTION_ANY, 0, c->b.sights || v->counted <= c->cleared_at ? 0 : v->stale);
+	}
 	for (ptrdiff_t i = 0; c->b.sights && i < hmlen(h); i++)
 		for (ptrdiff_t k = 0; k < arrlen(h[i].value); k++) {
 			uint64_t filed = h[i].value[k].seen;
--- a/lib/data/ctr_watch.c
+++ b/lib/data/ctr_watch.c
@@ -56,6 +56,7 @@
 	v->boot = json_num(j, "boot");
 	service = c->services.name[c->roster->server[s].service];
 	v->stale = 0;
+	v->counted = now;
 	for (size_t i = 0; i < json_object_array_length(parts) && i < CTR_KEPT; i++) {
 		struct json_object *e = json_object_array_get_idx(parts, i);
 		int maker = names_find(&c->tenants, json_str(e, "m")), made_under = weights_of(c, json_str(e, "w"));
@@ -152,7 +153,7 @@
 	if (v->purge && v->purge->why == PURGE_TENANT && v->tick > w.c->walled_tick)
 		w.c->walled_tick = v->tick;
 	if (v->purge && v->purge->why == PURGE_CONTEXT)
-		ctr_cleared(w.c, v);
+		ctr_cleared(w.c, v, w.c->now);
 	kept_drop(&w.c->kept, is_withdrawn, &w);
 }
 
--- a/tests/test_clear.c
+++ b/tests/test_clear.c
@@ -405,6 +405,57 @@
 	return ctr_shelf(c, x, weights, p);
 }
 
+static int missing_says(struct sim *s, const char *text)
+{
+	int at = sim_owner(s, PART_CTL), found;
+	apr_pool_t *p;
+
+	assert_true(at >= 0);
+	apr_pool_create(&p, NULL);
+	found = strstr(retention_json(s->n[at].r, s->now + s->n[at].skew, p), text) != NULL;
+	apr_pool_destroy(p);
+	return found;
+}
+
+/* Done is said of no clearing that a counter has not heard, or after which a server has not said what it keeps. */
+static void done_waits_for_all(void **st)
+{
+	struct sim s;
+	uint64_t rng = 41;
+
+	(void)st;
+	sim_deploy(&s, 41, 4, 3, 6);
+	s.epoch = EPOCH * 1000ll;
+	load(&s, &rng, 9000, 20, 3); /* and the owner has been in office for long */
+	s.sv[2].mute = 1;
+	assert_true(clear_now(&s, "*", 9000) > 0);
+	load(&s, &rng, 9000, 20, 3);
+	assert_true(newest(&s, "*")->slices == PURGE_SLICES && !newest(&s, "*")->done);
+	assert_true(missing_says(&s, "server s2 has not said since what it keeps"));
+	s.sv[2].mute = 0;
+	load(&s, &rng, 6000, 20, 3);
+	assert_true(newest(&s, "*")->done);
+	sim_freeze(&s, SIM_REGS + 1, 1);
+	assert_true(clear_now(&s, "*", 9000) > 0);
+	for (int i = 0; i < 6; i++)
+		s.sv[i].late = 2500; /* what drops came of is seen late */
+	sim_run(&s, 2000, NULL);
+	assert_false(newest(&s, "*")->done);
+	assert_true(missing_says(&s, "has not heard of it yet"));
+	assert_true(missing_says(&s, "server s"));
+	for (int i = 0; i < 6; i++)
+		s.sv[i].late = 0;
+	sim_run(&s, 2500, NULL);
+	assert_false(newest(&s, "*")->done);
+	assert_true(missing_says(&s, "has not heard of it yet"));
+	assert_false(missing_says(&s, "server s"));
+	sim_freeze(&s, SIM_REGS + 1, 0);
+	load(&s, &rng, 6000, 20, 3);
+	assert_true(newest(&s, "*")->done);
+	all_told(&s);
+	sim_close(&s);
+}
+
 /* Where a forwarded send is filed: by its scope, its slice and the clearings that cover them. */
 static void shelves_follow_clearings(void **st)
 {
@@ -626,6 +677,7 @@
 		cmocka_unit_test(bad_rows_name_their_cell),
 		cmocka_unit_test(calendars_come_when_they_say),
 		cmocka_unit_test(now_clears_all),
+		cmocka_unit_test(done_waits_for_all),
 		cmocka_unit_test(shelves_follow_clearings),
 		cmocka_unit_test(windows_spread_and_end),
 		cmocka_unit_test(first_pieces_come_in_time),
