--- a/rehearsal/stand.c
+++ b/rehearsal/stand.c
@@ -506,6 +506,65 @@
 	run_for(r, 2000);
 }
 
+struct own_call { struct run *r; int status, answered; char *body; };
+
+static void own_answer(void *ctx, int status, const struct msg *m)
+{
+	struct own_call *c = ctx;
+
+	c->status = status;
+	c->answered = 1;
+	c->body = m && m->body ? strndup(m->body, m->len) : NULL;
+}
+
+/* A call of the product's own at one core machine after another, until one takes it. */
+static char *own_call(struct run *r, const char *method, const char *path, const char *body)
+{
+	for (int i = 0; i < 12 && !r->missed; i++) {
+		struct own_call c = { r, 0, 0, NULL };
+
+		call_once(r->l, nth(r, 1, i % count(r, 1))->control, method, path, body ? "Content-Type: application/json\r\n" : "", body, 6000, own_answer, &c);
+		while (!c.answered)
+			run_for(r, 20);
+		if (c.status == 200)
+			return c.body ? c.body : strdup("");
+		run_say(r, "%s %s: %d %.200s", method, path, c.status, c.body ? c.body : "");
+		free(c.body);
+		run_for(r, 500);
+	}
+	r->missed = "no core machine takes the call";
+	return strdup("");
+}
+
+/* Kept context is cleared on schedule and at once, over and again, as the decider dies and an edge stands still. */
+static void sc_clear(struct run *r)
+{
+	struct machine *m = nth(r, 1, 0);
+	int64_t sent;
+	char *s;
+
+	run_for(r, 4000);
+	free(own_call(r, "POST", "/v1/change", "{\"set\":[{\"kind\":\"retention\",\"name\":\"*\",\"every\":\"12s\",\"window\":4000}]}"));
+	run_for(r, 6000);
+	sent = loop_us();
+	free(own_call(r, "POST", "/v1/clear", "{\"scope\":\"*\",\"by\":\"rehearsal\"}"));
+	r->f.cleared = sent;
+	r->f.cleared_by = loop_us() + ms_us(4000);
+	run_for(r, 5000);
+	if (!r->small) {
+		machine_freeze(nth(r, 0, 1), 1);
+		machine_kill(m);
+		run_for(r, 1500);
+		machine_freeze(nth(r, 0, 1), 0);
+		machine_start(m);
+	}
+	run_for(r, 10000);
+	s = own_call(r, "GET", "/v1/retention.csv", NULL);
+	printf("%s", s);
+	free(s);
+	printf("after the clearing servers used %llu parts of before and %llu others\n", (unsigned long long)r->f.old_used, (unsigned long long)r->f.new_used);
+}
+
 static const struct { const char *name, *what; void (*fn)(struct run *r); } scenarios[] = {
 	{ "quiet", "no fault", sc_quiet },
 	{ "kill-edge", "edges are killed and come back", sc_kill_edge },
@@ -534,6 +593,7 @@
 	{ "store-down", "the store goes and comes back empty", sc_store_down },
 	{ "wipe", "a core machine loses its disk after an acknowledgement", sc_wipe },
 	{ "replace", "a core machine is replaced at another address", sc_replace },
+	{ "clear", "kept context is cleared, on schedule and at once", sc_clear },
 	{ "cut", "skipped: the links of processes on one machine cannot be cut without tools for isolation", NULL },
 };
 
@@ -635,6 +695,10 @@
 	if (report && !report_write(r, report, b, n))
 		goto end;
 	rc = n != 0;
+	if (r->f.old_used) {
+		printf("BREACH CLEARED  : %llu parts of before a clearing were used after it\n", (unsigned long long)r->f.old_used);
+		rc = 1;
+	}
 	{
 		int whole = 0, asked = 0;
 
--- a/rehearsal/stand.h
+++ b/rehearsal/stand.h
@@ -237,10 +237,12 @@
 	int loading;
 	int thaw_ms;
 	int64_t thawed;            /* a machine was thawed then, in ms of the run */
+	int64_t cleared, cleared_by; /* loop_us: what was read before must not be used after; 0: nothing was cleared */
+	uint64_t old_used, new_used; /* parts that were used after that: from before, and others */
 	uint64_t read, found, fetched, loads, orders, probes, turned; /* tokens; calls */
 };
 
-struct kept_part { char salt[48], id[24], tenant[48]; int tokens, version, refs; int64_t used; };
+struct kept_part { char salt[48], id[24], tenant[48]; int tokens, version, refs; int64_t used, born; }; /* born: when its text was read */
 enum life { LIFE_UP, LIFE_DRAINING, LIFE_DOWN };
 struct server {
 	struct fleet_set *f;
--- a/rehearsal/stand_server.c
+++ b/rehearsal/stand_server.c
@@ -138,7 +138,7 @@
 	snprintf(n.tenant, sizeof n.tenant, "%s", tenant);
 	n.tokens = tokens;
 	n.version = version;
-	n.used = loop_us();
+	n.used = n.born = loop_us();
 	arrput(s->part, n);
 	event_add(s, '+', &n, tokens);
 	return &arrlast(s->part);
@@ -349,6 +349,17 @@
 	}
 }
 
+/* A part serves a request: after a clearing it is one that was read since. */
+static void part_used(struct fleet_set *f, const struct kept_part *p)
+{
+	if (!f->cleared_by || loop_us() < f->cleared_by)
+		return;
+	if (p->born < f->cleared)
+		f->old_used++;
+	else
+		f->new_used++;
+}
+
 /* What it keeps of the prompt, and what another keeps beyond. */
 static void find_parts(struct work *w)
 {
@@ -365,6 +376,7 @@
 			break;
 		p->refs++;
 		p->used = loop_us();
+		part_used(s->f, p);
 		w->ask[i].hit = 1;
 		u.version = p->version;
 		arrput(w->names, strdup(p->tenant));
@@ -405,14 +417,19 @@
 				for (int k = i; k < i + n; k++) {
 					struct kept_part *p = part_find(from, w->salt, w->ask[k].id), *own;
 					struct used_rec u;
+					int64_t born;
 					char tenant[48];
 
 					snprintf(tenant, sizeof tenant, "%s", p->tenant);
 					u.version = p->version;
 					p->used = now;
+					part_used(s->f, p);
+					born = p->born;
 					own = part_find(s, w->salt, w->ask[k].id);
-					if (!own)
+					if (!own) {
 						own = part_keep(s, w->salt, w->ask[k].id, w->ask[k].tokens, u.version, tenant);
+						own->born = born;
+					}
 					if (w->ask[k].hit)
 						continue;
 					own->refs++;
@@ -502,12 +519,16 @@
 		}
 		p = part_find(s, w->salt, w->ask[i].id);
 		if (to && p) {
-			int version = p->version;
+			int version = p->version, there = part_find(to, w->salt, w->ask[i].id) != NULL;
+			int64_t born = p->born;
 			char tenant[48];
 
 			snprintf(tenant, sizeof tenant, "%s", p->tenant);
-			if (make_room(to, w->ask[i].tokens))
-				part_keep(to, w->salt, w->ask[i].id, w->ask[i].tokens, version, tenant);
+			if (make_room(to, w->ask[i].tokens)) {
+				struct kept_part *at = part_keep(to, w->salt, w->ask[i].id, w->ask[i].tokens, version, tenant);
+
+				at->born = there ? at->born : born;
+			}
 		}
 	}
 	w->state = WORK_WRITES;
