--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -332,6 +332,7 @@
 	hmfree(c->line_at);
 	hmfree(c->named);
 	arrfree(c->generation);
+	arrfree(c->left);
 	arrfree(c->depth);
 	arrfree(c->server_hash);
 	ctr_names_clear(&c->lanes);
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -241,7 +241,9 @@
 	apr_pool_t *scratch;
 	uint64_t *generation;       /* stb_ds, by scope and slice; emptied when a clearing or another book comes */
 	int64_t now;                /* of the step under way */
-	int64_t left_at, cleared_at; /* what servers still name was counted; the last clearing was heard of whole */
+	int64_t left_at, cleared_at; /* a look at what servers still name began; the last clearing was heard of whole */
+	ptrdiff_t left_pos;         /* how much of the index that look has before it */
+	struct Nl__Left *left;      /* stb_ds: what it has found */
 	int64_t pump_at, heard_at;
 	struct Nl__Kept **heard;    /* stb_ds: events of kept parts that the zone has not been told */
 	apr_pool_t *heard_pool;
--- a/lib/data/ctr_retention.c
+++ b/lib/data/ctr_retention.c
@@ -7,7 +7,7 @@
 #include "ds.h"
 #include "retention.h"
 
-enum { RETENTION_COUNT = 1000, RETENTION_UNHEARD = 5000 }; /* ms between countings of what servers still name; after which one is not heard */
+enum { RETENTION_COUNT = 1000, RETENTION_UNHEARD = 5000, RETENTION_STRETCH = 2000 }; /* ms between countings of what servers still name; after which one is not heard; rows of the index looked at in a tick */
 
 void ctr_scope_row(struct ctr *c, struct book *b, const struct Nl__Row *r)
 {
@@ -97,9 +97,10 @@
 	const struct Nl__Purge *p = v->purge;
 
 	arrsetlen(c->generation, 0);
-	c->left_at = 0;
 	if (p->slice == PURGE_SLICES - 1) { /* now all servers are to say anew what they keep */
 		c->cleared_at = now;
+		c->left_pos = 0; /* a new look at once */
+		c->left_at = now - RETENTION_COUNT;
 		for (ptrdiff_t s = 0; s < arrlen(c->sv); s++)
 			c->sv[s].serial = c->sv[s].boot = 0;
 	}
@@ -111,21 +112,21 @@
 	}
 }
 
-static void left_add(struct ctr *c, uint32_t server, uint64_t scope, uint64_t number, uint32_t parts)
+static void left_add(struct ctr *c, struct Nl__Left **left, uint32_t server, uint64_t scope, uint64_t number, uint32_t parts)
 {
-	struct Nl__Left n = NL__LEFT__INIT;
+	struct Nl__Left n = NL__LEFT__INIT, *v = *left;
 
-	for (ptrdiff_t i = 0; i < arrlen(c->f.left); i++)
-		if (c->f.left[i].scope == scope && c->f.left[i].number == number && c->f.left[i].server == c->servers.name[server]) {
-			c->f.left[i].parts += parts;
+	for (ptrdiff_t i = 0; i < arrlen(v); i++)
+		if (v[i].scope == scope && v[i].number == number && v[i].server == c->servers.name[server]) {
+			v[i].parts += parts;
 			return;
 		}
 	n.server = c->servers.name[server];
 	n.scope = scope;
 	n.number = number;
 	n.parts = parts;
-	if (arrlen(c->f.left) < RETENTION_ROWS)
-		arrput(c->f.left, n);
+	if (arrlen(v) < RETENTION_ROWS)
+		arrput(*left, n);
 }
 
 /* A shelf's generation is of one slice; what is older than the oldest slice of its scope now is surely from before. */
@@ -144,33 +145,70 @@
 	return (filed & UINT32_MAX) < oldest;
 }
 
+/* Servers that have not said since what they keep. Our own interface's say at once what a clearing withdrew there. */
+static void left_servers(struct ctr *c, struct Nl__Left **left, int64_t now)
+{
+	for (uint32_t s = 0; s < c->roster->nserver; s++) { /* 0 parts: it is not known what it keeps */
+		const struct ctr_server *v = &c->sv[s];
+
+		if (c->roster->server[s].on && (c->b.sights ? now - v->heard > RETENTION_UNHEARD : v->stale || v->counted <= c->cleared_at))
+			left_add(c, left, s, RETENTION_ANY, 0, c->b.sights || v->counted <= c->cleared_at ? 0 : v->stale);
+	}
+}
+
+/* A stretch of the index, from its end on: what a deletion moves meanwhile is looked at twice rather than never. */
+static void left_index(struct ctr *c)
+{
+	struct kept_row *h = c->kept.h;
+	uint64_t last = UINT64_MAX;
+	int old = 0;
+
+	if (c->left_pos > hmlen(h))
+		c->left_pos = hmlen(h);
+	for (int n = 0; n < RETENTION_STRETCH && c->left_pos > 0; n++) {
+		struct kept_row *r = &h[--c->left_pos];
+
+		for (ptrdiff_t k = 0; k < arrlen(r->value); k++) {
+			uint64_t filed = r->value[k].seen;
+
+			if (filed != last)
+				old = is_old(c, filed);
+			last = filed;
+			if (old && r->value[k].server < c->roster->nserver)
+				left_add(c, &c->left, r->value[k].server, filed >> 32, filed & UINT32_MAX, 1);
+		}
+	}
+}
+
 /* What servers still name from before a clearing, for the owner of part 0; how far lines are from free capacity. */
 void ctr_retention_tick(struct ctr *c, int64_t now)
 {
 	uint32_t waiting = 0;
-	struct kept_row *h = c->kept.h;
 
-	c->f.index = !c->b.sights || !c->f.nup;
-	if (!c->book || now - c->left_at < RETENTION_COUNT)
+	if (!c->book)
+		return;
+	if (!arrlen(c->relay.w.clear) || (c->b.sights && c->f.nup)) {
+		c->f.index = 0;
+		c->left_pos = 0;
+		arrsetlen(c->f.left, 0);
+	} else if (c->left_pos > 0) {
+		left_index(c);
+	}
+	if (c->left_pos > 0 || now - c->left_at < RETENTION_COUNT)
 		return;
-	c->left_at = now;
 	for (ptrdiff_t i = 0; i < arrlen(c->line); i++)
 		waiting += c->line[i].n;
 	c->f.strain = waiting ? (uint32_t)(1000ull * waiting / (arrlen(c->all) ? (uint64_t)arrlen(c->all) : 1)) : 0;
-	arrsetlen(c->f.left, 0);
-	if (!arrlen(c->relay.w.clear) || !c->f.index)
+	if (!arrlen(c->relay.w.clear) || (c->b.sights && c->f.nup)) {
+		c->left_at = now;
 		return;
-	for (uint32_t s = 0; s < c->roster->nserver; s++) { /* 0 parts: it is not known what it keeps */
-		const struct ctr_server *v = &c->sv[s];
-
-		if (c->roster->server[s].on && (c->b.sights ? now - v->heard > RETENTION_UNHEARD : v->stale || v->counted <= c->cleared_at))
-			left_add(c, s, RETENTION_ANY, 0, c->b.sights || v->counted <= c->cleared_at ? 0 : v->stale);
 	}
-	for (ptrdiff_t i = 0; c->b.sights && i < hmlen(h); i++)
-		for (ptrdiff_t k = 0; k < arrlen(h[i].value); k++) {
-			uint64_t filed = h[i].value[k].seen;
-
-			if (h[i].value[k].server < c->roster->nserver && is_old(c, filed))
-				left_add(c, h[i].value[k].server, filed >> 32, filed & UINT32_MAX, 1);
-		}
+	left_servers(c, &c->left, now); /* a look is over: it is said, if it began after the last clearing */
+	arrsetlen(c->f.left, 0);
+	for (ptrdiff_t i = 0; i < arrlen(c->left); i++)
+		arrput(c->f.left, c->left[i]);
+	c->f.index = !c->b.sights || c->left_at >= c->cleared_at;
+	arrsetlen(c->left, 0);
+	c->left_at = now;
+	c->left_pos = c->b.sights ? hmlen(c->kept.h) : 0;
 }
--- a/tests/test_clear.c
+++ b/tests/test_clear.c
@@ -465,7 +465,7 @@
 	apr_pool_t *p;
 	const char *t1, *t2, *again;
 	uint64_t rng = 9;
-	uint32_t w;
+	uint32_t w, old = 0;
 
 	(void)st;
 	apr_pool_create(&p, NULL);
@@ -517,6 +517,20 @@
 	x.hash[0] = 12346;
 	assert_string_equal(again, shelf(c, &x, w, p, "t1"));
 	ok(&s);
+	/* the head of a zone sees in its index what servers still name of before, and nothing else, in a few thousand rows a tick */
+	c->b.sights = 1;
+	c->f.nup = 0;
+	for (uint64_t i = 0; i < 5000; i++)
+		kept_put(&c->kept, 1000 + i, &(struct kept_copy){ (uint32_t)(i % 2), 0, 0, 0, 0, ctr_filed_text(i % 1000 == 7 ? t1 : again) });
+	for (int i = 0; i < 200; i++)
+		ctr_retention_tick(c, s.now + s.n[SIM_REGS].skew + 25 * i);
+	assert_true(c->f.index);
+	for (ptrdiff_t i = 0; i < arrlen(c->f.left); i++) {
+		assert_true(c->f.left[i].parts == 0 || (c->f.left[i].parts == 5 && c->f.left[i].scope == ctr_filed_text(t1) >> 32 &&
+		                                        c->f.left[i].number == (ctr_filed_text(t1) & UINT32_MAX)));
+		old += c->f.left[i].parts;
+	}
+	assert_int_equal(old, 5);
 	sim_close(&s);
 	apr_pool_destroy(p);
 }
