--- a/rehearsal/stand.c
+++ b/rehearsal/stand.c
@@ -394,6 +394,28 @@
 	run_for(r, 2000);
 }
 
+/* Edges are cut off from the core for longer than they ride, while servers are slow to begin and go on without a caller:
+ * what was sent may run, so nobody may promise that it has not. */
+static void sc_blind(struct run *r)
+{
+	struct server_fault x = { .close = 0.01, .stubborn = 1 }, none = { .close = 0.01 };
+	double read = r->f.e.read_per_ms;
+
+	run_for(r, 2000);
+	every_server(r, &x);
+	r->f.e.read_per_ms = 30;
+	run_say(r, "fault: the core freezes; servers are slow, and run what nobody waits for any more");
+	for (int i = 0; i < r->nm; i++)
+		if (r->m[i].core)
+			machine_freeze(&r->m[i], 1);
+	run_for(r, 6000);
+	for (int i = 0; i < r->nm; i++)
+		machine_freeze(&r->m[i], 0);
+	r->f.e.read_per_ms = read;
+	run_for(r, 12000);
+	every_server(r, &none);
+}
+
 /* The whole platform stands still, and with it every server, client and list. */
 static void sc_hiccup(struct run *r)
 {
@@ -527,6 +549,7 @@
 	{ "grey", "a server fails a third of its requests; health lies", sc_grey },
 	{ "dark", "a server falls silent", sc_dark },
 	{ "stall", "servers stand still for moments, several at once", sc_stall },
+	{ "blind", "edges are cut off from the core while servers are slow to begin", sc_blind },
 	{ "hiccup", "the whole platform stands still for moments", sc_hiccup },
 	{ "stutter", "machines freeze for moments, several at once", sc_stutter },
 	{ "flap", "a server goes and comes", sc_flap },
--- a/rehearsal/stand.h
+++ b/rehearsal/stand.h
@@ -221,6 +221,7 @@
 
 struct server_fault {
 	double broken, garbage, surplus, lost, grey, close; /* shares of answers */
+	double stubborn; /* of requests whose connection closed, run all the same */
 	int false_health, dark, events_lost;
 };
 
--- a/rehearsal/stand_server.c
+++ b/rehearsal/stand_server.c
@@ -235,9 +235,13 @@
 	release(w);
 	take_out(&s->run, w);
 	take_out(&s->wait, w);
-	conn_set_tag(c, NULL);
+	if (c)
+		conn_set_tag(c, NULL);
 	work_free(w);
-	turn_away(s, c, run, id, status);
+	if (c)
+		turn_away(s, c, run, id, status);
+	else if (s->f->j && run >= 0)
+		judge_turned(s->f->j, run, status);
 }
 
 static void send_head(struct work *w, int status)
@@ -322,8 +326,10 @@
 		if (!plain && !lost)
 			conn_say(c, "0\r\n\r\n", 5);
 		work_end(w, lost ? 0 : 1, status);
-		if (lost)
+		if (lost && c)
 			conn_close(c, 0);
+		else if (lost)
+			;
 		else if (plain)
 			conn_answer(c, status, f, body, strlen(body), !close);
 		else
@@ -644,7 +650,9 @@
 			snprintf(f + strlen(f), sizeof f - strlen(f), "X-Notchlug-Server-Seal: %d.%08x\r\n", w->run, (unsigned)w->seed);
 			w->body = stand_hash(0, "late", 4);
 			work_end(w, head ? 0 : 1, 504);
-			if (head)
+			if (!c)
+				;
+			else if (head)
 				conn_close(c, 0);
 			else
 				conn_answer(c, 504, f, "late", 4, keeps(s));
@@ -907,7 +915,8 @@
 				if (!w->begun)
 					continue;
 				work_end(w, 0, 200);
-				conn_close(x, 1);
+				if (x)
+					conn_close(x, 1);
 			}
 		set_going(s);
 	}
@@ -1059,6 +1068,19 @@
 		run_request(s, c, m);
 }
 
+/* Most drop a request when its connection closes; some go on. */
+static void left(struct work *w)
+{
+	if (stand_unit(&w->s->f->rng) >= w->s->fault.stubborn) {
+		work_end(w, -1, 0);
+		return;
+	}
+	conn_set_tag(w->c, NULL);
+	w->c = NULL;
+	w->lost = 1;
+	w->garbage = w->grey = w->surplus = w->break_at = 0;
+}
+
 static void gone(void *ctx, struct conn *c, enum conn_end how)
 {
 	struct server *s = ctx;
@@ -1070,12 +1092,12 @@
 			arrdel(s->watcher, i);
 	for (int i = 0; w && i < arrlen(s->run); i++)
 		if (s->run[i] == w) {
-			work_end(w, -1, 0);
+			left(w);
 			return;
 		}
 	for (int i = 0; w && i < arrlen(s->wait); i++)
 		if (s->wait[i] == w) {
-			work_end(w, -1, 0);
+			left(w);
 			return;
 		}
 	conn_set_tag(c, NULL);
