--- a/rehearsal/hollow.c
+++ b/rehearsal/hollow.c
@@ -395,7 +395,16 @@
 	event(f, HO_SYNC, n->no, 0, f->now + 2 + (int64_t)rnd(f, 3));
 }
 
-static int64_t sent(struct fleet *f, uint64_t caller);
+/* When a request leaves for a server, after how long. */
+static void sent(struct fleet *f, uint64_t caller)
+{
+	ptrdiff_t i = hmgeti(f->asks, caller);
+	int64_t ms = i < 0 ? 0 : f->now - f->asks[i].value.at;
+
+	f->sends++;
+	f->send_ms += (uint64_t)ms;
+	f->send_most = ms > f->send_most ? ms : f->send_most;
+}
 
 static void call(struct fleet *f, struct node *n, const struct cmd *c)
 {
@@ -406,7 +415,7 @@
 		struct xch *x = n->c && hmgeti(n->c->by, e.token) >= 0 ? hmget(n->c->by, e.token) : NULL;
 
 		say(n, SLOT_RUN, strlen(c->u.call.body));
-		(void)sent(f, x ? x->token : 0);
+		sent(f, x ? x->token : 0);
 		if (!v) {
 			event(f, HO_DONE, n->no, e.token, f->now + 1);
 			return;
@@ -432,17 +441,6 @@
 	push(f, e);
 }
 
-static int64_t sent(struct fleet *f, uint64_t caller)
-{
-	ptrdiff_t i = hmgeti(f->asks, caller);
-	int64_t ms = i < 0 ? 0 : f->now - f->asks[i].value.at;
-
-	f->sends++;
-	f->send_ms += (uint64_t)ms;
-	f->send_most = ms > f->send_most ? ms : f->send_most;
-	return ms;
-}
-
 /* A request whose text stays at the door: of its send the core hears the first piece and the end. */
 static void forward(struct fleet *f, struct node *n, const struct forward *w)
 {
@@ -451,7 +449,7 @@
 	ptrdiff_t i = hmgeti(f->asks, w->caller);
 	uint32_t shelf;
 
-	(void)sent(f, w->caller);
+	sent(f, w->caller);
 	say(n, SLOT_RUN, 0);
 	if (!v || v->running >= SLOTS_LISTED) {
 		event(f, HO_DONE, n->no, w->call, f->now + 2);
