--- a/lib/data/ctr_assign.c
+++ b/lib/data/ctr_assign.c
@@ -32,7 +32,7 @@
 		if (v[i].maker != x->tenant && (b->tenant[v[i].maker].walled || b->tenant[x->tenant].walled || !b->tenant[v[i].maker].on))
 			continue;
 		if (view_allows(&c->relay.w, c->services.name[x->service], c->weights.name[weights], c->tenants.name[v[i].maker],
-		                c->servers.name[server], v[i].stamp))
+		                c->servers.name[server], v[i].stamp) && ctr_keeps(c, x->service, v[i].maker, hash, v[i].stamp))
 			return &v[i];
 	}
 	return NULL;
@@ -137,16 +137,20 @@
 
 /* The name under which kept parts are filed at servers. It says all that decides who may use them again: the weights, the
  * walls, and the purges that the view knows of. So a server finds no part that was made under other weights or behind a
- * wall, whatever it keeps; and a purge that is known here makes what was filed before it unreachable from here. */
-const char *ctr_shelf(const struct ctr *c, uint32_t service, uint32_t weights, uint32_t tenant, apr_pool_t *p)
+ * wall, whatever it keeps; and a purge that is known here makes what was filed before it unreachable from here. A scope with
+ * a retention row of its own has shelves of its own, and every clearing that covers a shelf's slice gives it a new name. */
+const char *ctr_shelf(struct ctr *c, const struct xch *x, uint32_t weights, apr_pool_t *p)
 {
 	const struct book *b = c->book;
-	const char *w = c->weights.name[weights];
+	uint32_t service = x->service, tenant = x->tenant;
+	const char *w = c->weights.name[weights], *s;
+	uint64_t filed = ctr_filed(c, x);
 	uint64_t cut = view_tick(&c->relay.w, PURGE_WEIGHTS, c->services.name[service], w);
 	uint64_t age = core_rdv(b->walls ^ c->walled_tick, cut);
 
-	return apr_psprintf(p, "%s-%" APR_UINT64_T_HEX_FMT "%s%s", w, age & 0xffffffff, b->tenant[tenant].walled ? "-" : "",
+	s = apr_psprintf(p, "%s-%" APR_UINT64_T_HEX_FMT "%s%s", w, age & 0xffffffff, b->tenant[tenant].walled ? "-" : "",
 	                    b->tenant[tenant].walled ? c->tenants.name[tenant] : "");
+	return filed ? apr_psprintf(p, "%s~%016" APR_UINT64_T_HEX_FMT, s, filed) : s;
 }
 
 uint64_t ctr_kept_key(uint64_t shelf, uint64_t id) { return core_rdv(shelf, id); }
@@ -186,7 +190,7 @@
 }
 
 /* The part that a request shares with others: the last one is its own. */
-static uint64_t home_part(const struct xch *x) { return x->nparts > 1 ? x->hash[x->nparts - 2] : x->nparts ? x->hash[0] : x->seq; }
+uint64_t ctr_home_part(const struct xch *x) { return x->nparts > 1 ? x->hash[x->nparts - 2] : x->nparts ? x->hash[0] : x->seq; }
 
 /* How many leading parts each server keeps on this shelf, into c->depth; and the store, which keeps many shelves. */
 static int depths(struct ctr *c, const struct xch *x, uint64_t shelf, uint32_t weights)
@@ -210,9 +214,12 @@
 	return deep;
 }
 
+/* What an exchange brings to a server's memory that keeps so many of its leading parts. */
+uint32_t ctr_brings(const struct xch *x, int keep) { return x->size - (uint32_t)ctr_tokens_upto(x, keep < x->nparts ? keep : x->nparts); }
+
 /* Whether one more fits beside what runs there: not so much that kept parts are pushed out by it, nor that it would wait
  * there for long, where no other counter's more urgent one can pass it. What does not fit anywhere waits in its line. */
-static int fits(const struct ctr *c, const struct xch *x, uint32_t s, const struct bk_service *svc, int64_t now)
+static int fits(const struct ctr *c, const struct xch *x, uint32_t s, int keep, const struct bk_service *svc, int64_t now)
 {
 	const struct ctr_server *v = &c->sv[s];
 	int others = others_at(c, s, now);
@@ -222,7 +229,7 @@
 		return 0;
 	if (ahead && ahead / svc->prefill > CTR_WAIT_MOST)
 		return 0;
-	return !svc->room || !held || held + x->size <= svc->room * CTR_FULL_PART / 100;
+	return !svc->room || !held || held + ctr_brings(x, keep) <= svc->room * CTR_FULL_PART / 100;
 }
 
 /* The server that rendezvous hashing names for a prefix, so that all counters name the same. While it does not stand, the
@@ -231,7 +238,7 @@
 static int home_of(struct ctr *c, const struct xch *x, int64_t now)
 {
 	uint32_t newest = c->book->service[x->service].weights;
-	uint64_t part = home_part(x), first = 0, top = 0;
+	uint64_t part = ctr_home_part(x), first = 0, top = 0;
 	int home = -1, named = -1, best = -1;
 
 	for (uint32_t s = 0; s < c->roster->nserver; s++) {
@@ -292,6 +299,33 @@
 	return deep;
 }
 
+/* Where else it may go: a few that the request's own id names. All counters see the same load, some 50 ms old or more; if
+ * each took the idlest of all, they would take the same one together. */
+static void choices(const struct ctr *c, const struct xch *x, int choice[3], int64_t now)
+{
+	uint64_t top[3] = { 0, 0, 0 }, id = core_hashs(53, x->id);
+
+	choice[0] = choice[1] = choice[2] = -1;
+	for (uint32_t s = 0; s < c->roster->nserver; s++) {
+		const struct bk_server *sv = &c->roster->server[s];
+		uint64_t w;
+
+		if (!sv->on || sv->is_store || sv->service != x->service || s == x->tried || !ctr_standing(c, s, now))
+			continue;
+		w = core_rdv(id, c->server_hash[s]);
+		for (int k = 0; k < 3; k++)
+			if (choice[k] < 0 || w > top[k]) {
+				for (int j = 2; j > k; j--) {
+					choice[j] = choice[j - 1];
+					top[j] = top[j - 1];
+				}
+				choice[k] = (int)s;
+				top[k] = w;
+				break;
+			}
+	}
+}
+
 /* Go where the prefix is kept, or to its home; elsewhere only where the wait there is so long that it pays to move the
  * prefix, and then with a fetch. Reading again what is kept somewhere is the dearest of all. */
 struct plan ctr_assign_forward(struct ctr *c, const struct xch *x, int64_t now)
@@ -301,7 +335,7 @@
 	struct plan best = { -1, 0, -1, 0, 0, 0, 0 };
 	int current = relay_current(&c->relay, now), home = home_of(c, x, now), shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
 	uint32_t n = c->roster->nserver, seen[4], nseen = 0;
-	int holder[4], held[4], store = svc->store_server, store_up;
+	int choice[3], holder[4], held[4], store = svc->store_server, store_up;
 	double all = (double)(ctr_tokens_upto(x, x->nparts) + x->tail_tokens);
 
 	if (home < 0)
@@ -318,7 +352,7 @@
 			k++;
 		if (k == nseen && nseen < 4) {
 			seen[nseen++] = c->sv[s].weights;
-			held[k] = depths(c, x, core_hashs(0, ctr_shelf(c, x->service, c->sv[s].weights, x->tenant, c->scratch)), c->sv[s].weights);
+			held[k] = depths(c, x, core_hashs(0, ctr_shelf(c, x, c->sv[s].weights, c->scratch)), c->sv[s].weights);
 		}
 	}
 	apr_pool_clear(c->scratch);
@@ -332,6 +366,7 @@
 			holder[k] = store_up && held[k] ? store : -1;
 		}
 	}
+	choices(c, x, choice, now);
 	for (uint32_t s = 0; s < n; s++) {
 		const struct bk_server *sv = &c->roster->server[s];
 		struct ctr_server *v = &c->sv[s];
@@ -339,7 +374,11 @@
 		double read;
 		int from = -1, upto = 0;
 
-		if (!sv->on || sv->service != x->service || sv->is_store || s == x->tried || !ctr_standing(c, s, now) || !fits(c, x, s, svc, now))
+		if (!sv->on || sv->service != x->service || sv->is_store || s == x->tried || !ctr_standing(c, s, now))
+			continue;
+		if (p.keep < shared && (int)s != home && (int)s != choice[0] && (int)s != choice[1] && (int)s != choice[2])
+			continue;
+		if (!fits(c, x, s, p.keep, svc, now))
 			continue;
 		for (uint32_t k = 0; k < nseen; k++)
 			if (seen[k] == v->weights && holder[k] >= 0) {
--- a/lib/data/ctr_watch.c
+++ b/lib/data/ctr_watch.c
@@ -55,6 +55,7 @@
 	v->serial = json_num(j, "serial");
 	v->boot = json_num(j, "boot");
 	service = c->services.name[c->roster->server[s].service];
+	v->stale = 0;
 	for (size_t i = 0; i < json_object_array_length(parts) && i < CTR_KEPT; i++) {
 		struct json_object *e = json_object_array_get_idx(parts, i);
 		int maker = names_find(&c->tenants, json_str(e, "m")), made_under = weights_of(c, json_str(e, "w"));
@@ -64,7 +65,9 @@
 			continue; /* of nobody that the table ever named here */
 
 		/* a late report never revives what is withdrawn */
-		if (view_allows(&c->relay.w, service, json_str(e, "w"), json_str(e, "m"), c->servers.name[s], n.stamp))
+		if (!ctr_keeps(c, n.service, n.maker, strtoull(json_str(e, "h"), NULL, 16), n.stamp))
+			v->stale++;
+		else if (view_allows(&c->relay.w, service, json_str(e, "w"), json_str(e, "m"), c->servers.name[s], n.stamp))
 			kept_put(&c->kept, strtoull(json_str(e, "h"), NULL, 16), &n);
 	}
 	kept_sweep(&c->kept, s, v->asked);
@@ -125,7 +128,7 @@
 
 struct withdrawn { struct ctr *c; const struct Nl__Value *v; };
 
-static int is_withdrawn(const void *ctx, const struct kept_copy *k)
+static int is_withdrawn(const void *ctx, uint64_t id, const struct kept_copy *k)
 {
 	const struct withdrawn *w = ctx;
 	const struct Nl__Purge *p = w->v->purge;
@@ -135,6 +138,8 @@
 		return 0;
 	switch (p->why) {
 	case PURGE_WEIGHTS: return !strcmp(c->services.name[k->service], p->service) && !strcmp(c->weights.name[k->weights], p->weights);
+	case PURGE_CONTEXT: /* what is forwarded is filed under another name from now on; its old names go as servers say */
+		return !c->b.sights && !ctr_keeps(c, k->service, k->maker, id, k->stamp);
 	case PURGE_TENANT: return !strcmp(c->tenants.name[k->maker], p->tenant);
 	default: return !strcmp(c->servers.name[k->server], p->server);
 	}
@@ -146,6 +151,8 @@
 
 	if (v->purge && v->purge->why == PURGE_TENANT && v->tick > w.c->walled_tick)
 		w.c->walled_tick = v->tick;
+	if (v->purge && v->purge->why == PURGE_CONTEXT)
+		ctr_cleared(w.c, v);
 	kept_drop(&w.c->kept, is_withdrawn, &w);
 }
 
@@ -192,7 +199,7 @@
 	v->next = k->next;
 	for (size_t i = 0; i < k->n_e; i++) {
 		uint64_t key = ctr_kept_key(core_hashs(0, k->e[i]->shelf), k->e[i]->id);
-		struct kept_copy n = { (uint32_t)s, 0, c->roster->server[s].service, v->weights, 0, 0 };
+		struct kept_copy n = { (uint32_t)s, 0, c->roster->server[s].service, v->weights, 0, ctr_filed_text(k->e[i]->shelf) };
 
 		c->n.events++;
 		if (k->e[i]->gone)
@@ -202,7 +209,7 @@
 	}
 }
 
-void ctr_on_watched(struct ctr *c, uint64_t token, const struct Nl__Kept *k, int status, int64_t now, struct out *o)
+void ctr_on_watched(struct ctr *c, uint64_t token, const struct Nl__Kept *k, int status, int64_t now)
 {
 	for (uint32_t s = 0; c->roster && s < c->roster->nserver; s++) {
 		struct ctr_server *v = &c->sv[s];
@@ -217,8 +224,33 @@
 		}
 		ctr_on_kept(c, k, now);
 		/* of a store each word goes on, for it says that the store is up */
-		for (ptrdiff_t i = 0; (k->n_e || c->roster->server[s].is_store) && i < arrlen(c->relay.down); i++)
-			out_msg(o, c->relay.down[i].addr, 0, NL__MSG__BODY_KEPT)->kept = (struct Nl__Kept *)core_dup(o->p, &k->base);
+		if (arrlen(c->relay.down) && (k->n_e || c->roster->server[s].is_store))
+			arrput(c->heard, (struct Nl__Kept *)core_dup(c->heard_pool, &k->base));
 		return;
 	}
 }
+
+/* What was heard goes on a few times a second: a word for each watch and each counter of the zone would be their product. */
+void ctr_kept_tell(struct ctr *c, int64_t now, struct out *o)
+{
+	struct Nl__KeptAll *all;
+
+	if (!arrlen(c->heard) || now - c->heard_at < ctr_pace(c, CTR_KEPT_TELL))
+		return;
+	c->heard_at = now;
+	all = OUT_NEW(o, Nl__KeptAll, NL__KEPT_ALL__INIT);
+	all->n_k = (size_t)arrlen(c->heard);
+	all->k = apr_palloc(o->p, all->n_k * sizeof *all->k);
+	for (size_t i = 0; i < all->n_k; i++)
+		all->k[i] = (struct Nl__Kept *)core_dup(o->p, &c->heard[i]->base);
+	for (ptrdiff_t i = 0; i < arrlen(c->relay.down); i++)
+		out_msg(o, c->relay.down[i].addr, 0, NL__MSG__BODY_KEPT_ALL)->kept_all = all;
+	arrsetlen(c->heard, 0);
+	apr_pool_clear(c->heard_pool);
+}
+
+/* Words between counters are rarer the more of them there are. Example: ctr_pace(c, 50) is 50 for up to 16 counters */
+int ctr_pace(const struct ctr *c, int ms)
+{
+	return c->f.counters <= 16 ? ms : c->f.counters >= 64 ? 4 * ms : ms * (int)c->f.counters / 16;
+}
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -480,7 +480,8 @@
 		snprintf(want, sizeof want, "%s#%d", x->id, x->next);
 		if (!json_object_object_get_ex(j, "text", &v) || strcmp(json_object_get_string(v), want))
 			sim_breach(s, "%s heard another piece than %s", x->id, want);
-		x->next++;
+		if (!x->next++)
+			x->first_at = s->now;
 	}
 	json_object_put(j);
 	free(text);
@@ -596,6 +597,16 @@
 static void check_used(struct sim *s, struct sim_server *v, const struct sim_kept *k, const char *tenant, uint64_t stamp)
 {
 	check_withdrawn(s, v, k, stamp);
+	for (ptrdiff_t i = 0; i < arrlen(s->clear); i++) {
+		const struct sim_clear *c = &s->clear[i];
+
+		if (s->now < c->after || (c->tenant[0] && strcmp(c->tenant, k->m)) || (c->service[0] && strcmp(c->service, v->service)))
+			continue;
+		s->n_judged++;
+		if (k->t < c->made)
+			sim_breach(s, "a part of %s made at tick %llu was used at %s, %lld ms after all before tick %llu was cleared", k->m,
+			           (unsigned long long)k->t, v->name, (long long)(s->now - c->after), (unsigned long long)c->made);
+	}
 	if (strcmp(k->m, tenant))
 		for (int w = 0; w < 16; w++)
 			if (s->wall[w].walled && s->now - s->wall[w].since > 2000 && (atoi(tenant + 1) == w || atoi(k->m + 1) == w))
@@ -710,7 +721,7 @@
 	struct sim_run r;
 	const char *id, *tenant;
 	uint64_t stamp;
-	int n, have, own, askings;
+	int n, have, own, askings, fresh = 0;
 
 	if (!v->up) {
 		broke(s, e->node, e->life, e->token, 0, 1);
@@ -778,6 +789,7 @@
 		if (i < have)
 			continue;
 		s->n_fresh += (uint64_t)tokens;
+		fresh += tokens;
 		memset(&k, 0, sizeof k);
 		k.h = strtoull(json_object_get_string(h), NULL, 16);
 		snprintf(k.w, sizeof k.w, "%s", v->weights);
@@ -794,7 +806,7 @@
 	v->running++;
 	arrput(s->run, r);
 	check_limit(s, r.tenant);
-	stream_at(s, arrlen(s->run) - 1, s->now + 20 + (r.fetch_ms > 0 ? r.fetch_ms : 0));
+	stream_at(s, arrlen(s->run) - 1, s->now + 20 + fresh * s->read_ms + (r.fetch_ms > 0 ? r.fetch_ms : 0));
 }
 
 static void run_over(struct sim *s, struct sim_run *r)
@@ -947,7 +959,7 @@
 	struct sim_node *n = &s->n[i];
 	struct sim_inst *v = inst_at(s, c->u.look.addr);
 	struct sim_ev e = { .at = s->now + 4, .kind = SIM_LOOKED, .node = i, .life = n->life, .token = c->u.look.token, .status = 200 };
-	int64_t at = s->now - 100;
+	int64_t at = s->now - s->list.dated;
 
 	s->list.n_look++;
 	if (n->cell || !v) {
@@ -1183,6 +1195,7 @@
 {
 	struct sim_node *n = &s->n[i];
 
+	n->r->wall = s->epoch ? s->epoch + s->now + n->wall_off : 0;
 	reg_step(n->r, ev, local(s, n), &n->o);
 	if (n->r->fleet_dirty) {
 		n->disk.fleet = n->r->fleet;
@@ -1282,7 +1295,8 @@
 		a.status = order_arrives(s, (struct order *)e->d);
 		if (rnd(s, 1000) < (uint64_t)s->list.lossy || n->cell)
 			a.status = 0;
-		push(s, a);
+		if (a.status || rnd(s, 2)) /* some never hear */
+			push(s, a);
 		return;
 	}
 	if (e->kind == SIM_LOADED) {
@@ -1494,6 +1508,7 @@
 	reg_open(n->r, n->id, n->addr, n->zone, seeds, nseeds, n->disk.fleet, core_rand(&s->rng), psv, local(s, n));
 	n->r->b = s->b;
 	n->r->tongue = s->tongue;
+	n->r->calendar = s->calendar;
 	if (s->copies)
 		n->r->b.copies = s->copies;
 	if (s->catch_up_ms)
@@ -1670,6 +1685,7 @@
 	s->list.lag = 800;
 	s->list.load_ms = 1100;
 	s->list.at_once = 3;
+	s->list.dated = 100;
 	apr_pool_create(&s->pool, NULL);
 }
 
@@ -1698,6 +1714,7 @@
 	arrfree(s->run);
 	arrfree(s->asking);
 	arrfree(s->send);
+	arrfree(s->clear);
 	arrfree(s->list.v);
 	shfree(s->removed);
 	apr_pool_destroy(s->pool);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -23,6 +23,7 @@
 	int used, counter, up, frozen, cell; /* cell: nodes in different cells cannot talk */
 	int64_t stall_until;
 	int64_t skew;          /* of its own monotonic clock */
+	int64_t wall_off;      /* how far its wall clock is off */
 	uint64_t addr, id, life;
 	char zone[16];
 	struct reg *r;
@@ -70,6 +71,7 @@
 	int lag, slow;           /* ms that it is behind; that a call takes */
 	int refuse, lossy;       /* per mille of calls that it refuses; of orders whose answer never comes */
 	int64_t away_until;      /* no call is answered before */
+	int dated;               /* ms that a server's report is old */
 	int slots;               /* of each server; 0: 128 */
 	int load_ms, at_once;    /* a load; how many go on at once without slowing each other down */
 	int64_t calls[64];       /* the last calls */
@@ -99,7 +101,7 @@
 	int tenant, node, next, told, began, asked, tries, pick;
 	const char *lane;
 	uint64_t token;
-	int64_t asked_at, told_at;
+	int64_t asked_at, told_at, first_at; /* first_at: its first piece */
 	int left;     /* its caller left */
 	int retry_ms; /* when it was told to come back */
 	char key[65];
@@ -129,6 +131,9 @@
 	int loss, delay, jitter; /* per mille; ms */
 	int far;               /* ms added between zones */
 	int disk_ms;
+	int read_ms;           /* that servers read at a token which they do not keep */
+	int64_t epoch;         /* ms since 1970 at virtual time 0; 0: registrars know no wall clock */
+	const struct reg_calendar *calendar;
 	int limit_ms;          /* of exchanges */
 	struct bounds b;       /* of registrars */
 	struct sim_list list;
@@ -152,6 +157,8 @@
 	struct { int64_t at; int again; } *send; /* stb_ds: each send that arrived, and whether it was a resend */
 	struct { char *key; int64_t value; } *removed; /* digests of keys, when their removal was acknowledged */
 	struct { int64_t since; int walled; } wall[16];
+	struct sim_clear { char tenant[16], service[16]; uint64_t made; int64_t after; } *clear; /* stb_ds: from a time on nothing made before a tick is used */
+	uint64_t n_judged;
 	int limit[16];              /* of a tenant over the fleet, where it is judged */
 	int most[16];               /* runs of a tenant at once */
 	uint64_t n_sends, n_firsts, n_whole, n_refused, n_unknown, n_fresh, n_tokens, n_fetched, n_vain, n_odd;
--- /dev/null
+++ b/tests/test_stand.c
@@ -0,0 +1,1602 @@
+/* The stand-in of the users' platform, tried by itself: the judge catches a breach of each rule and lets its mended
+ * twin pass; servers, store and list speak as the pages say. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "ds.h"
+#include "stand_run.h"
+
+/* ---- the judge ---- */
+
+enum { EDGES = 3, CORES = 3 };
+#define ROUTE(name, prefix, service) "{\"Name\":\"" name "\",\"HostName\":\"h.example\",\"PathPrefix\":\"" prefix "\",\"RouteType\":\"streaming\"," \
+	"\"TimeoutMs\":8000,\"TargetMs\":400,\"Priority\":0,\"ServiceName\":\"" service "\",\"MaxAttempts\":2,\"PublicAccess\":false,\"Resumable\":true}"
+#define TENANTS(keys, iso) "\"TenantList\":[{\"Name\":\"t1\",\"AccessKeys\":[" keys "],\"Isolated\":" iso "},{\"Name\":\"t2\",\"AccessKeys\":[\"k2\"],\"Isolated\":false}]"
+#define SERVICES "\"ServiceList\":[{\"Name\":\"lm\"},{\"Name\":\"lm2\"}]"
+#define CFG(version, routes, tenants) "{\"ConfigVersion\":" version ",\"RouteList\":[" routes "]," SERVICES "," tenants "}"
+#define FIRST CFG("1", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false"))
+
+static const struct try_rec a_try = {
+	.id = "x1", .subject = "s1", .method = "POST", .host = "h.example", .path = "/a/1", .key = "k1", .body = 7, .edge = 0, .deadline = 8000,
+	.stream = 1, .kind = TRY_RESUMABLE,
+};
+
+static int cfg_at(struct judge *j, int64_t t, int64_t acked, int64_t base, const char *s)
+{
+	struct cfg *c = cfg_read(s);
+	int n = judge_cfg(j, t, c, base, cfg_invalid(c, base) != NULL);
+
+	if (acked >= 0)
+		judge_cfg_fate(j, acked, n, CFG_ACKED);
+	return n;
+}
+
+static struct judge *world(void)
+{
+	struct judge *j = judge_open(&bounds_sheet);
+
+	for (int i = 0; i < EDGES + CORES; i++)
+		judge_machine(j, 0, i, i >= EDGES, CALM, 1);
+	cfg_at(j, 100, 300, 0, FIRST);
+	judge_named(j, 0, 1, 1);
+	return j;
+}
+
+static int arrives(struct judge *j, int64_t t, const struct try_rec *x, const char *service, const char *instance)
+{
+	struct arrive_rec a = { .id = x->id, .method = x->method, .host = x->host, .path = x->path, .tenant = "t1", .service = service,
+		                .instance = instance, .body = x->body, .last_event = x->last_event };
+
+	return judge_arrive(j, t, &a);
+}
+
+static int runs(struct judge *j, int64_t t, const struct try_rec *x, const char *service)
+{
+	int run = arrives(j, t, x, service, "i-1");
+
+	judge_begin(j, t + 20, run, 1, NULL, 0);
+	return run;
+}
+
+static struct told_rec told(const struct try_rec *x, int run, const struct event_rec *e, int n)
+{
+	return (struct told_rec){ .id = x->id, .seal_id = x->id, .status = 200, .seal = run, .how = TOLD_WHOLE, .event = e, .nevent = n, .events = 1 };
+}
+
+/* A try that is served whole: two pieces. */
+static int served(struct judge *j, int64_t t, const struct try_rec *x, const char *service)
+{
+	int run;
+	struct event_rec e[2];
+	struct told_rec r;
+
+	judge_try(j, t, x);
+	run = runs(j, t + 5, x, service);
+	judge_ran(j, t + 60, run, 1, 200, 0, 2);
+	e[0] = (struct event_rec){ 1, run };
+	e[1] = (struct event_rec){ 2, run };
+	r = told(x, run, e, 2);
+	judge_told(j, t + 70, &r);
+	return run;
+}
+
+static void answered(struct judge *j, int64_t t, const struct try_rec *x, int status, int own)
+{
+	struct told_rec r = { .id = x->id, .status = status, .seal = -1, .own = own, .how = TOLD_WHOLE };
+
+	judge_told(j, t, &r);
+}
+
+static struct try_rec named(const char *id)
+{
+	struct try_rec x = a_try;
+
+	x.id = id;
+	return x;
+}
+
+/* each: with bad set the rule is broken, without it the same story is mended */
+
+static void no_seal(struct judge *j, int bad)
+{
+	struct event_rec e[2];
+	struct told_rec r;
+	int run;
+
+	judge_try(j, 5000, &a_try);
+	run = runs(j, 5005, &a_try, "lm");
+	judge_ran(j, 5060, run, 1, 200, 0, 2);
+	e[0] = (struct event_rec){ 1, run }, e[1] = (struct event_rec){ 2, run };
+	r = told(&a_try, bad ? -1 : run, e, 2);
+	judge_told(j, 5070, &r);
+}
+
+static void other_answer(struct judge *j, int bad)
+{
+	struct try_rec y = named("x2");
+	struct event_rec e[1];
+	struct told_rec r;
+	int run[2];
+
+	judge_try(j, 5000, &a_try);
+	judge_try(j, 5000, &y);
+	run[0] = runs(j, 5005, &a_try, "lm");
+	run[1] = runs(j, 5005, &y, "lm");
+	judge_ran(j, 5060, run[0], 1, 200, 0, 1);
+	judge_ran(j, 5060, run[1], 1, 200, 0, 1);
+	e[0] = (struct event_rec){ 1, run[bad] };
+	r = told(&a_try, run[bad], e, 1);
+	r.seal_id = bad ? "x2" : "x1";
+	judge_told(j, 5070, &r);
+}
+
+static void other_body(struct judge *j, int bad)
+{
+	struct told_rec r;
+	int run;
+
+	judge_try(j, 5000, &a_try);
+	run = runs(j, 5005, &a_try, "lm");
+	judge_ran(j, 5060, run, 1, 200, 99, 0);
+	r = told(&a_try, run, NULL, 0);
+	r.events = 0;
+	r.body = bad ? 98 : 99;
+	judge_told(j, 5070, &r);
+}
+
+static void success_of_a_failure(struct judge *j, int bad)
+{
+	struct told_rec r;
+	int run;
+
+	judge_try(j, 5000, &a_try);
+	run = runs(j, 5005, &a_try, "lm");
+	judge_ran(j, 5060, run, 1, 500, 99, 0);
+	r = told(&a_try, run, NULL, 0);
+	r.events = 0;
+	r.body = 99;
+	r.status = bad ? 200 : 500;
+	judge_told(j, 5070, &r);
+}
+
+static void garbage(struct judge *j, int bad)
+{
+	struct told_rec r;
+	int run;
+
+	judge_try(j, 5000, &a_try);
+	run = runs(j, 5005, &a_try, "lm");
+	judge_ran(j, 5060, run, bad ? 1 : 0, 200, 0, 1); /* 0: the server broke off itself */
+	r = told(&a_try, run, NULL, 0);
+	r.status = 0;
+	r.how = TOLD_BAD;
+	judge_told(j, 5070, &r);
+}
+
+static void stray(struct judge *j, int bad)
+{
+	struct told_rec r = { .id = "x1", .how = TOLD_STRAY };
+
+	served(j, 5000, &a_try, "lm");
+	if (bad)
+		judge_told(j, 5100, &r);
+}
+
+static void broke_but_whole(struct judge *j, int bad)
+{
+	struct told_rec r;
+	int run;
+
+	judge_try(j, 5000, &a_try);
+	run = runs(j, 5005, &a_try, "lm");
+	judge_ran(j, 5060, run, 0, 200, 99, 0);
+	r = told(&a_try, run, NULL, 0);
+	r.events = 0;
+	r.how = bad ? TOLD_WHOLE : TOLD_CUT;
+	judge_told(j, 5070, &r);
+}
+
+static void unasked(struct judge *j, int bad)
+{
+	struct try_rec y = named(bad ? "nobody" : "x1");
+
+	judge_try(j, 5000, &a_try);
+	judge_ran(j, 5060, runs(j, 5005, &y, "lm"), 1, 200, 0, 2);
+}
+
+static void changed_path(struct judge *j, int bad)
+{
+	struct try_rec y = a_try;
+
+	judge_try(j, 5000, &a_try);
+	if (bad)
+		y.path = "/a/2";
+	runs(j, 5005, &y, "lm");
+}
+
+static void changed_body(struct judge *j, int bad)
+{
+	struct try_rec y = a_try;
+
+	judge_try(j, 5000, &a_try);
+	y.body += (uint64_t)bad;
+	runs(j, 5005, &y, "lm");
+}
+
+static void other_tenant(struct judge *j, int bad)
+{
+	struct try_rec y = a_try;
+
+	y.key = bad ? "k2" : "k1"; /* runs as t1 */
+	judge_try(j, 5000, &y);
+	runs(j, 5005, &y, "lm");
+}
+
+static void twice(struct judge *j, int bad)
+{
+	struct try_rec y = a_try;
+
+	y.kind = bad ? TRY_ONCE : TRY_IDEMPOTENT;
+	judge_try(j, 5000, &y);
+	runs(j, 5005, &y, "lm");
+	runs(j, 5105, &y, "lm");
+}
+
+static void refused(struct judge *j, int bad)
+{
+	struct try_rec y = a_try;
+
+	y.kind = TRY_ONCE;
+	judge_try(j, 5000, &y);
+	answered(j, 5010, &y, 503, 1);
+	if (bad)
+		runs(j, 5105, &y, "lm");
+	else
+		arrives(j, 5105, &y, "lm", "i-1");
+}
+
+static void denied(struct judge *j, int bad)
+{
+	for (int i = 0; i < 6; i++) {
+		struct try_rec y = a_try;
+		char id[20];
+
+		snprintf(id, sizeof id, "d%d", i);
+		y.id = id;
+		judge_try(j, 5000 + i, &y);
+		answered(j, 5010 + i, &y, bad || i < 5 ? 400 : 429, 1);
+	}
+}
+
+static void route(struct judge *j, int bad)
+{
+	judge_try(j, 5000, &a_try);
+	runs(j, 5005, &a_try, bad ? "lm2" : "lm");
+}
+
+static void unknown_key(struct judge *j, int bad)
+{
+	struct try_rec y = a_try;
+
+	y.key = bad ? "k9" : "k1";
+	judge_try(j, 5000, &y);
+	runs(j, 5005, &y, "lm");
+}
+
+static void old_version(struct judge *j, int bad)
+{
+	cfg_at(j, 5000, 5200, 1, CFG("3", ROUTE("a", "/a/", "lm2"), TENANTS("\"k1\"", "false")));
+	served(j, 5200 + 2000 + (bad ? 10 : -10), &a_try, "lm");
+}
+
+static void old_denial(struct judge *j, int bad)
+{
+	struct try_rec y = a_try;
+
+	y.path = "/b/1";
+	cfg_at(j, 5000, 5200, 1, CFG("3", ROUTE("a", "/a/", "lm") "," ROUTE("b", "/b/", "lm"), TENANTS("\"k1\"", "false")));
+	judge_try(j, 5200 + 2000 + (bad ? 10 : -10), &y);
+	answered(j, 7300, &y, 404, 1);
+}
+
+static void old_while_out_of_touch(struct judge *j, int bad)
+{
+	cfg_at(j, 5000, 5200, 1, CFG("3", ROUTE("a", "/a/", "lm2"), TENANTS("\"k1\"", "false")));
+	if (!bad) {
+		judge_machine(j, 6000, 0, 0, UNPLANNED, 0);
+		judge_machine(j, 6500, 0, 0, CALM, 1);
+	}
+	served(j, 7300, &a_try, "lm");
+}
+
+static void goes_back(struct judge *j, int bad)
+{
+	struct try_rec y = named("x2");
+
+	cfg_at(j, 5000, 5200, 1, CFG("3", ROUTE("a", "/a/", "lm2"), TENANTS("\"k1\"", "false")));
+	served(j, 5300, &a_try, "lm2");
+	served(j, bad ? 5325 + 260 : 5325 + 240, &y, "lm");
+}
+
+static void refused_in_force(struct judge *j, int bad)
+{
+	int n = cfg_at(j, 5000, -1, 1, CFG("3", ROUTE("a", "/a/", "lm2"), TENANTS("\"k1\"", "false")));
+
+	judge_cfg_fate(j, 5200, n, CFG_REFUSED);
+	served(j, 8000, &a_try, bad ? "lm2" : "lm");
+}
+
+static void invalid_acked(struct judge *j, int bad)
+{
+	int n = cfg_at(j, 5000, -1, 1, bad ? CFG("3", ROUTE("a", "/a/", "nowhere"), TENANTS("\"k1\"", "false")) :
+	               CFG("3", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false")));
+
+	judge_cfg_fate(j, 5200, n, CFG_ACKED);
+}
+
+static void both_acked(struct judge *j, int bad)
+{
+	int n;
+
+	cfg_at(j, 5000, 5100, 1, CFG("3", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false")));
+	n = cfg_at(j, 5000, -1, 1, CFG("4", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false")));
+	judge_cfg_fate(j, 5100, n, bad ? CFG_ACKED : CFG_REFUSED);
+}
+
+static void read_old(struct judge *j, int bad)
+{
+	cfg_at(j, 5000, 5100, 1, CFG("3", ROUTE("b", "/b/", "lm"), TENANTS("\"k1\"", "false")));
+	judge_read(j, 20000, bad ? FIRST : CFG("3", ROUTE("b", "/b/", "lm"), TENANTS("\"k1\"", "false")));
+}
+
+static void read_other(struct judge *j, int bad)
+{
+	cfg_at(j, 5000, 5100, 1, CFG("3", ROUTE("b", "/b/", "lm"), TENANTS("\"k1\"", "false")));
+	judge_read(j, 20000, CFG("3", ROUTE("b", "/b/", "lm"), TENANTS("\"k1\"", "false")));
+	if (bad)
+		judge_read(j, 20000, CFG("3", ROUTE("b", "/c/", "lm"), TENANTS("\"k1\"", "false")));
+}
+
+static void read_nothing(struct judge *j, int bad) { judge_read(j, 20000, bad ? NULL : FIRST); }
+
+static void lost_after_fault(struct judge *j, int bad)
+{
+	cfg_at(j, 5000, 5100, 1, CFG("3", ROUTE("b", "/b/", "lm"), TENANTS("\"k1\"", "false")));
+	judge_closing(j, 5200, 6000);
+	judge_read(j, 30000, bad ? FIRST : CFG("3", ROUTE("b", "/b/", "lm"), TENANTS("\"k1\"", "false")));
+}
+
+static void added_routes(struct judge *j, int bad)
+{
+	char *big = malloc(20000);
+	size_t n = (size_t)sprintf(big, "{\"ConfigVersion\":3,\"RouteList\":[" ROUTE("a", "/a/", "lm"));
+
+	for (int i = 0; i < 25; i++)
+		n += (size_t)sprintf(big + n, ",{\"Name\":\"n%d\",\"HostName\":\"h.example\",\"PathPrefix\":\"/n%d/\",\"TimeoutMs\":8000,\"ServiceName\":\"lm\"}", i, i);
+	sprintf(big + n, "]," SERVICES "," TENANTS("\"k1\"", "false") "}");
+	cfg_at(j, 4000, 4100, 1, big);
+	free(big);
+	for (int i = 0; i < 50; i++) {
+		struct try_rec y = a_try;
+		char id[20], path[20];
+
+		snprintf(id, sizeof id, "a%d", i);
+		snprintf(path, sizeof path, i % 2 ? "/n%d/1" : "/a/%d", i / 2);
+		y.id = id;
+		y.path = path;
+		if (i % 2 && bad && i > 10) {
+			judge_try(j, 7000 + i, &y);
+			answered(j, 7010 + i, &y, 503, 1);
+		} else {
+			served(j, 7000 + i, &y, "lm");
+		}
+	}
+}
+
+static void revoked(struct judge *j, int bad)
+{
+	cfg_at(j, 5000, 5100, 1, CFG("3", ROUTE("a", "/a/", "lm"), TENANTS("\"k3\"", "false")));
+	judge_machine(j, 5050, 0, 0, UNPLANNED, 1); /* also on machines that are not in touch */
+	judge_machine(j, 9000, 0, 0, UNPLANNED, 1);
+	served(j, 5100 + 5000 + (bad ? 10 : -10), &a_try, "lm");
+}
+
+static void drain(struct judge *j, int bad)
+{
+	judge_shown(j, 5000, "i-1", SHOWN_DRAINING);
+	judge_try(j, 7900, &a_try);
+	arrives(j, 8000 + (bad ? 10 : -10), &a_try, "lm", "i-1");
+}
+
+static void drain_421(struct judge *j, int bad)
+{
+	judge_shown(j, 5000, "i-1", SHOWN_GONE);
+	judge_try(j, 7900, &a_try);
+	judge_turned(j, arrives(j, 8010, &a_try, "lm", "i-1"), bad ? 503 : 421);
+}
+
+static void lost(struct judge *j, int bad)
+{
+	struct told_rec r = { .id = "x1", .seal = -1, .how = TOLD_CUT };
+
+	judge_try(j, 10000, &a_try);
+	runs(j, 10010, &a_try, "lm");
+	judge_machine(j, 10100, 0, 0, bad ? PLANNED : UNPLANNED, 0);
+	judge_told(j, 10300, &r);
+}
+
+static void lost_unread(struct judge *j, int bad)
+{
+	struct told_rec r = { .id = "x1", .seal = -1, .how = bad ? TOLD_CUT : TOLD_NOTHING }; /* a reset: it was not read */
+
+	judge_try(j, 10000, &a_try);
+	judge_machine(j, 10100, 0, 0, PLANNED, 0);
+	judge_told(j, 10300, &r);
+}
+
+static void lost_late_work(struct judge *j, int bad)
+{
+	struct told_rec r = { .id = "x1", .seal = -1, .how = TOLD_CUT };
+	int run;
+
+	judge_try(j, 10000, &a_try);
+	run = runs(j, 10010, &a_try, "lm");
+	judge_machine(j, 10100, 0, 0, PLANNED, 0);
+	if (bad)
+		judge_ran(j, 11000, run, 1, 200, 0, 2);
+	judge_told(j, 15000, &r); /* in the second half of GraceS; excused while its server still works */
+}
+
+static void budget(struct judge *j, int bad)
+{
+	for (int i = 0; i < 100; i++) { /* 0.2 x 100 + 58 = 78 */
+		struct try_rec y = a_try;
+		char id[20];
+
+		snprintf(id, sizeof id, "b%d", i);
+		y.id = id;
+		judge_try(j, 5000 + i, &y);
+		arrives(j, 5001 + i, &y, "lm", "i-1");
+		if (i < 78 + bad)
+			arrives(j, 5200 + i, &y, "lm", "i-1");
+	}
+}
+
+static void order_gap(struct judge *j, int bad)
+{
+	struct event_rec e[3];
+	struct told_rec r;
+	int run;
+
+	judge_try(j, 5000, &a_try);
+	run = runs(j, 5005, &a_try, "lm");
+	judge_ran(j, 5060, run, 1, 200, 0, 3);
+	for (int i = 0; i < 3; i++)
+		e[i] = (struct event_rec){ i + 1, run };
+	if (bad)
+		e[1] = e[2];
+	r = told(&a_try, run, e, 3 - bad);
+	judge_told(j, 5070, &r);
+}
+
+static void order_double(struct judge *j, int bad)
+{
+	struct event_rec e[3];
+	struct told_rec r;
+	int run;
+
+	judge_try(j, 5000, &a_try);
+	run = runs(j, 5005, &a_try, "lm");
+	judge_ran(j, 5060, run, 1, 200, 0, 2);
+	e[0] = e[1] = (struct event_rec){ 1, run };
+	e[2] = (struct event_rec){ 2, run };
+	r = told(&a_try, run, e + !bad, 2 + bad);
+	judge_told(j, 5070, &r);
+}
+
+static void order_short(struct judge *j, int bad)
+{
+	struct event_rec e[1];
+	struct told_rec r;
+	int run;
+
+	judge_try(j, 5000, &a_try);
+	run = runs(j, 5005, &a_try, "lm");
+	judge_ran(j, 5060, run, 0, 200, 0, 1);
+	e[0] = (struct event_rec){ 1, run };
+	r = told(&a_try, run, e, 1);
+	r.how = bad ? TOLD_WHOLE : TOLD_CUT;
+	judge_told(j, 5070, &r);
+}
+
+static void order_joined(struct judge *j, int bad)
+{
+	struct try_rec again = a_try;
+	struct event_rec e[2];
+	struct told_rec r;
+	int run[2];
+
+	judge_try(j, 5000, &a_try);
+	run[0] = runs(j, 5005, &a_try, "lm");
+	judge_ran(j, 5060, run[0], 0, 200, 0, 1);
+	again.last_event = bad ? 0 : 1; /* the second run goes on where the first was cut */
+	run[1] = runs(j, 5100, &again, "lm");
+	judge_ran(j, 5160, run[1], 1, 200, 0, 2);
+	e[0] = (struct event_rec){ 1, run[0] };
+	e[1] = (struct event_rec){ 2, run[1] };
+	r = told(&a_try, run[0], e, 2);
+	judge_told(j, 5170, &r);
+}
+
+static void order_joined_once(struct judge *j, int bad)
+{
+	struct try_rec x = a_try, again;
+	struct event_rec e[2];
+	struct told_rec r;
+	int run[2];
+
+	x.kind = bad ? TRY_ONCE : TRY_RESUMABLE;
+	judge_try(j, 5000, &x);
+	run[0] = runs(j, 5005, &x, "lm");
+	judge_ran(j, 5060, run[0], 0, 200, 0, 1);
+	again = x;
+	again.last_event = 1;
+	run[1] = runs(j, 5100, &again, "lm");
+	judge_ran(j, 5160, run[1], 1, 200, 0, 2);
+	e[0] = (struct event_rec){ 1, run[0] };
+	e[1] = (struct event_rec){ 2, run[1] };
+	r = told(&x, run[0], e, 2);
+	judge_told(j, 5170, &r);
+}
+
+static void orders(struct judge *j, int64_t t, const char *holder, int64_t fence, int status, int thawed)
+{
+	struct order_rec r = { .instance = "i-1", .holder = holder, .fence = fence, .status = status, .thawed = thawed };
+
+	judge_order(j, t, &r);
+}
+
+static void one_fence(struct judge *j, int bad)
+{
+	orders(j, 5000, "a", 4, 202, 0);
+	orders(j, 9000, "b", bad ? 4 : 5, 202, 0);
+}
+
+static void one_lease(struct judge *j, int bad)
+{
+	orders(j, 5000, "a", 4, 202, 0);
+	orders(j, bad ? 7990 : 8010, "b", 5, 202, 0);
+}
+
+static void one_thawed(struct judge *j, int bad)
+{
+	orders(j, 5000, "a", 4, 202, 0);
+	orders(j, 6000, "b", 5, bad ? 202 : 412, 0);
+	orders(j, 6100, "c", 5, 202, 1);
+}
+
+static void stale(struct judge *j, int bad)
+{
+	struct used_rec u = { bad ? 1 : 2, "t1" };
+
+	judge_try(j, 5000, &a_try);
+	judge_begin(j, 5020, arrives(j, 5005, &a_try, "lm", "i-1"), 2, &u, 1);
+}
+
+static void wall(struct judge *j, int bad)
+{
+	struct used_rec u = { 1, "t2" };
+
+	cfg_at(j, 4000, 4100, 1, CFG("3", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "true")));
+	judge_try(j, 6000, &a_try);
+	judge_begin(j, bad ? 6110 : 6090, arrives(j, 6005, &a_try, "lm", "i-1"), 1, &u, 1); /* in force 2 s after it was acknowledged */
+}
+
+static void version(struct judge *j, int bad)
+{
+	judge_named(j, 5000, 2, 0);
+	judge_named(j, 5100, 2, 1);
+	judge_try(j, 20000, &a_try);
+	judge_begin(j, 20100 + (bad ? 10 : -10), arrives(j, 20005, &a_try, "lm", "i-1"), 1, NULL, 0);
+}
+
+static void acks(struct judge *j, int bad)
+{
+	cfg_at(j, 5000, 9003 + (bad ? 1 : 0), 1, CFG("3", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false")));
+}
+
+static void acks_unsettled(struct judge *j, int bad)
+{
+	cfg_at(j, 5000, -1, 1, CFG("3", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false")));
+	if (!bad)
+		judge_machine(j, 6000, EDGES, 1, UNPLANNED, 0);
+}
+
+static void acks_weights(struct judge *j, int bad)
+{
+	judge_named(j, 5000, 2, 0);
+	judge_named(j, bad ? 9010 : 8990, 2, 1);
+}
+
+static void recover(struct judge *j, int bad)
+{
+	for (int i = 0; i < 10; i++) {
+		struct try_rec y = a_try;
+		char id[20];
+
+		snprintf(id, sizeof id, "q%d", i);
+		y.id = id;
+		served(j, 5000 + i, &y, "lm");
+	}
+	judge_closing(j, 6000, 7000);
+	for (int i = 0; i < 10; i++) {
+		struct try_rec y = a_try;
+		char id[20];
+
+		snprintf(id, sizeof id, "r%d", i);
+		y.id = id;
+		if (i < 3 - bad) {
+			served(j, 19010 + i, &y, "lm");
+		} else {
+			judge_try(j, 19010 + i, &y);
+			answered(j, 19020 + i, &y, 503, 1);
+		}
+	}
+}
+
+static void own_ends(struct judge *j, int bad)
+{
+	for (int i = 0; i < 3; i++) {
+		judge_own_end(j, 5000, 0);
+		if (i < 2 + bad)
+			judge_own_end(j, 5000, 1);
+	}
+}
+
+static void starved(struct judge *j, int bad)
+{
+	for (int i = 0; i < 80; i++) {
+		struct try_rec y = a_try;
+		char id[20];
+
+		snprintf(id, sizeof id, "v%d", i);
+		y.id = id;
+		y.key = i % 2 ? "k1" : "k2";
+		judge_try(j, 5000 + i, &y);
+		if (i % 2 || (!bad && i % 4 == 0)) {
+			struct arrive_rec a = { .id = id, .method = y.method, .host = y.host, .path = y.path, .tenant = i % 2 ? "t1" : "t2",
+				                .service = "lm", .instance = "i-1", .body = y.body };
+			int run = judge_arrive(j, 5005 + i, &a);
+			struct event_rec e[1] = { { 1, run } };
+			struct told_rec r = told(&y, run, e, 1);
+
+			judge_begin(j, 5010 + i, run, 1, NULL, 0);
+			judge_ran(j, 5060 + i, run, 1, 200, 0, 1);
+			judge_told(j, 5070 + i, &r);
+		} else {
+			answered(j, 5020 + i, &y, 503, 1);
+		}
+	}
+}
+
+/* rule: the one it breaks, and behind it what the same story breaks besides */
+static const struct { const char *name, *rule; void (*fn)(struct judge *j, int bad); } stories[] = {
+	{ "no seal", "MIXED", no_seal }, { "another's answer", "MIXED", other_answer }, { "another body", "MIXED", other_body },
+	{ "a success of a failure", "MIXED", success_of_a_failure }, { "garbage", "MIXED", garbage }, { "stray", "MIXED", stray },
+	{ "broken off, but whole", "MIXED", broke_but_whole }, { "unasked", "UNASKED", unasked }, { "another path", "UNASKED", changed_path },
+	{ "another body runs", "UNASKED", changed_body }, { "another tenant", "UNASKED", other_tenant }, { "twice", "TWICE", twice },
+	{ "refused, but ran", "REFUSED", refused }, { "denied", "DENIED", denied }, { "wrong service", "ROUTE", route },
+	{ "unknown key", "ROUTE", unknown_key }, { "old version runs", "CONFIG", old_version }, { "old version denies", "CONFIG", old_denial },
+	{ "out of touch", "CONFIG", old_while_out_of_touch }, { "goes back", "CONFIG", goes_back },
+	{ "refused in force", "CONFIG", refused_in_force }, { "invalid acknowledged", "CONFIG", invalid_acked },
+	{ "both acknowledged", "CONFIG", both_acked }, { "read old", "CONFIG", read_old }, { "read another", "CONFIG", read_other },
+	{ "read nothing", "CONFIG", read_nothing }, { "lost after the fault", "LOST", lost_after_fault },
+	{ "added routes", "CONFIG", added_routes }, { "revoked", "CONFIG", revoked }, { "drain", "DRAIN", drain }, { "drain 421", "DRAIN", drain_421 },
+	{ "lost", "LOST", lost }, { "lost, unread", "LOST", lost_unread }, { "lost, still at work", "LOST", lost_late_work },
+	{ "budget", "BUDGET", budget }, { "a gap", "ORDER", order_gap }, { "a piece twice", "ORDER", order_double },
+	{ "ends early", "ORDER", order_short }, { "joined", "ORDER", order_joined }, { "joined, once only", "ORDER TWICE", order_joined_once },
+	{ "one fence", "ONE", one_fence }, { "one lease", "ONE", one_lease }, { "one thawed", "ONE", one_thawed }, { "stale", "STALE", stale },
+	{ "wall", "WALL", wall }, { "version", "VERSION", version }, { "acks", "ACKS", acks }, { "acks, unsettled", "ACKS", acks_unsettled },
+	{ "acks of weights", "ACKS", acks_weights }, { "recover", "RECOVER", recover }, { "own ends", "FAULT", own_ends }, { "starved", "STARVED", starved },
+};
+
+static void judge_catches_each_breach(void **st)
+{
+	int wrong = 0;
+
+	(void)st;
+	for (size_t i = 0; i < sizeof stories / sizeof *stories; i++)
+		for (int bad = 0; bad < 2; bad++) {
+			struct judge *j = world();
+			const struct breach *b;
+			int n, hit = 0;
+
+			stories[i].fn(j, bad);
+			n = judge_all(j, 40000, &b);
+			for (int k = 0; k < n; k++) {
+				if (!bad || !strstr(stories[i].rule, b[k].rule)) {
+					print_error("%s, %s: %s %s\n", stories[i].name, bad ? "broken" : "mended", b[k].rule, b[k].text);
+					wrong++;
+				}
+				hit += !strncmp(stories[i].rule, b[k].rule, strlen(b[k].rule));
+			}
+			if (bad && !hit) {
+				print_error("%s: the breach of %s is not seen\n", stories[i].name, stories[i].rule);
+				wrong++;
+			}
+			judge_close(j);
+		}
+	assert_int_equal(wrong, 0);
+}
+
+static void configurations_are_told_apart(void **st)
+{
+	static const struct { const char *text; int64_t base; int bad; } c[] = {
+		{ FIRST, 0, 0 },
+		{ FIRST, 1, 1 },                               /* not above */
+		{ "{\"ConfigVersion\":2,\"RouteList\":[", 1, 1 }, /* cut short */
+		{ CFG("2", ROUTE("a", "/a/", "nowhere"), TENANTS("\"k1\"", "false")), 1, 1 },
+		{ CFG("2", ROUTE("a", "/a/", "lm") "," ROUTE("b", "/a/", "lm"), TENANTS("\"k1\"", "false")), 1, 1 },
+		{ CFG("2", ROUTE("a", "/a/", "lm") "," ROUTE("b", "/b/", "lm"), TENANTS("\"k1\"", "false")), 1, 0 },
+		{ CFG("2", ROUTE("a", "/a/", "lm"), TENANTS("\"k2\"", "false")), 1, 1 }, /* a shared key */
+		{ CFG("2", "{\"Name\":\"a\",\"HostName\":\"h\",\"PathPrefix\":\"/a/\",\"TimeoutMs\":0,\"ServiceName\":\"lm\"}", TENANTS("", "false")), 1, 1 },
+		{ CFG("2", "{\"Name\":\"a\",\"HostName\":\"h\",\"PathPrefix\":\"/a/\",\"TimeoutMs\":9,\"TrafficSplit\":[{\"ServiceName\":\"lm\",\"ShareWeight\":0}]}", TENANTS("", "false")), 1, 1 },
+	};
+
+	(void)st;
+	for (size_t i = 0; i < sizeof c / sizeof *c; i++) {
+		struct cfg *k = cfg_read(c[i].text);
+
+		if ((cfg_invalid(k, c[i].base) != NULL) != c[i].bad)
+			fail_msg("configuration %zu is judged wrongly", i);
+		cfg_free(k);
+	}
+}
+
+static void histogram_is_within_its_steps(void **st)
+{
+	struct hist *h = calloc(1, sizeof *h);
+
+	(void)st;
+	assert_int_equal(hist_at(h, 0.5), -1);
+	for (int i = 1; i <= 100000; i++)
+		hist_add(h, i);
+	for (int k = 1; k < 100; k++) {
+		int64_t v = hist_at(h, k / 100.0), want = k * 1000;
+
+		assert_true(v <= want && v >= want - want / 64 - 1);
+	}
+	assert_int_equal(hist_at(h, 0.0), 1);
+	free(h);
+}
+
+
+/* ---- servers, store and list, spoken to by a plain client ---- */
+
+struct rig {
+	struct fleet_set f;
+	struct server *a, *b, *store;
+	char at[3][40];
+	int status, done, keep, held;
+	char *body, *weights, *load, *seal, *id, *not_run, *instance;
+	struct conn *c;
+	int gone;          /* 1 + how */
+	int events, first, last; /* ids of events */
+	char *stream;      /* stb array */
+};
+
+static void rig_open(struct rig *g)
+{
+	char base[24];
+
+	memset(g, 0, sizeof *g);
+	snprintf(base, sizeof base, "127.%d.%d", 16 + (getpid() / 250) % 200, 1 + getpid() % 250);
+	g->f.l = loop_open();
+	g->f.start = loop_us();
+	g->f.e = engine_sheet;
+	g->f.e.load_ms = 30;
+	g->f.e.events_lag = 5;
+	g->f.e.report_lag = 20;
+	g->f.rng = 5;
+	g->f.newest = 1;
+	g->f.model = "m1";
+	for (int i = 0; i < 3; i++)
+		snprintf(g->at[i], sizeof g->at[i], "%s.%d:8080", base, 100 + i);
+	g->a = server_add(&g->f, g->at[0], "z1", "lm", 0);
+	g->b = server_add(&g->f, g->at[1], "z1", "lm", 0);
+	g->store = server_add(&g->f, g->at[2], "z2", "store", 1);
+	for (int i = 0; i < 3; i++) {
+		server_up(g->f.server[i]);
+		g->f.server[i]->fault.close = 0;
+	}
+}
+
+static void answer_clear(struct rig *g)
+{
+	char **v[] = { &g->body, &g->weights, &g->load, &g->seal, &g->id, &g->not_run, &g->instance };
+
+	for (size_t i = 0; i < sizeof v / sizeof *v; i++) {
+		free(*v[i]);
+		*v[i] = NULL;
+	}
+	arrfree(g->stream);
+	g->status = g->done = g->gone = g->events = g->first = g->last = 0;
+}
+
+static void rig_close(struct rig *g)
+{
+	answer_clear(g);
+	if (g->f.list)
+		list_close(g->f.list);
+	servers_free(&g->f);
+	loop_close(g->f.l);
+}
+
+static char *dup_of(const char *s) { return s ? strdup(s) : NULL; }
+
+static void on_head(void *ctx, struct conn *c, struct msg *m)
+{
+	struct rig *g = ctx;
+
+	(void)c;
+	g->status = m->status;
+	g->weights = dup_of(msg_get(m, "X-Notchlug-Weight-Versions"));
+	g->load = dup_of(msg_get(m, "X-Notchlug-Server-Load"));
+	g->seal = dup_of(msg_get(m, "X-Notchlug-Server-Seal"));
+	g->id = dup_of(msg_get(m, "X-Notchlug-Attempt-Id"));
+	g->not_run = dup_of(msg_get(m, "X-Notchlug-Not-Executed"));
+	g->instance = dup_of(msg_get(m, "X-Notchlug-Instance-Id"));
+}
+
+static void on_data(void *ctx, struct conn *c, const char *d, size_t n)
+{
+	struct rig *g = ctx;
+
+	(void)c;
+	memcpy(arraddnptr(g->stream, n), d, n);
+}
+
+static void on_whole(void *ctx, struct conn *c, struct msg *m)
+{
+	struct rig *g = ctx;
+	char *at;
+
+	(void)c;
+	g->body = strndup(m->body ? m->body : "", m->len);
+	g->keep = m->keep;
+	g->done = 1;
+	for (at = strstr(g->body, "id: "); at; at = strstr(at + 1, "\nid: ")) {
+		int id = atoi(at + (*at == '\n' ? 5 : 4));
+
+		g->first = g->events++ ? g->first : id;
+		g->last = id;
+	}
+}
+
+static void on_gone(void *ctx, struct conn *c, enum conn_end how)
+{
+	struct rig *g = ctx;
+
+	(void)c;
+	g->c = NULL;
+	g->gone = 1 + (int)how;
+}
+
+static int settled(void *ctx)
+{
+	struct rig *g = ctx;
+
+	return g->done || g->gone;
+}
+
+static const struct conn_on on_answer = { .head = on_head, .data = on_data, .whole = on_whole, .gone = on_gone };
+
+/* One call on the rig's connection (a new one if there is none); waits for its end. */
+static void say(struct rig *g, const char *at, const char *method, const char *target, const char *fields, const char *body)
+{
+	answer_clear(g);
+	if (!g->c)
+		g->c = conn_call(g->f.l, at, &on_answer, g);
+	conn_expect(g->c);
+	conn_sayf(g->c, "%s %s HTTP/1.1\r\nHost: h\r\n%s", method, target, fields);
+	if (body)
+		conn_sayf(g->c, "Content-Length: %zu\r\n", strlen(body));
+	conn_sayf(g->c, "\r\n%s", body ? body : "");
+}
+
+static void ask(struct rig *g, const char *at, const char *method, const char *target, const char *fields, const char *body)
+{
+	say(g, at, method, target, fields, body);
+	if (!loop_until(g->f.l, ms_us(5000), settled, g))
+		fail_msg("%s %s at %s: nothing came", method, target, at);
+}
+
+static void hang_up(struct rig *g)
+{
+	if (g->c)
+		conn_close(g->c, 0);
+	g->c = NULL;
+}
+
+#define GEN(id, prompt, parts) "X-Notchlug-Attempt-Id: " id "\r\nX-Notchlug-Model-Name: m1\r\nX-Notchlug-Token-Count: " prompt ",20\r\n" \
+	"X-Notchlug-Prompt-Prefix: " parts "\r\nX-Notchlug-Deadline-Remaining: 5000\r\n"
+
+static void a_stream_is_whole_and_stamped(void **st)
+{
+	struct rig g;
+	int all;
+
+	(void)st;
+	rig_open(&g);
+	ask(&g, g.at[0], "POST", "/x", GEN("t1", "300", "aa:200,bb:100"), "hello");
+	assert_int_equal(g.status, 200);
+	assert_string_equal(g.id, "t1");
+	assert_non_null(g.seal);
+	assert_string_equal(g.weights, "1");
+	assert_string_equal(g.load, "1,0,128");
+	assert_int_equal(g.first, 1);
+	assert_int_equal(g.last, g.events);
+	assert_true(g.events > 1);
+	assert_true(g.keep);
+	all = g.last;
+	/* the same request is taken up elsewhere where it was cut, with as many pieces */
+	hang_up(&g);
+	ask(&g, g.at[1], "POST", "/x", GEN("t2", "300", "aa:200,bb:100") "Last-Event-Id: 2\r\n", "hello");
+	assert_int_equal(g.first, 3);
+	assert_int_equal(g.last, all);
+	hang_up(&g);
+	rig_close(&g);
+}
+
+static void what_does_not_run_says_so(void **st)
+{
+	static const struct { const char *fields; int status; } c[] = {
+		{ GEN("t1", "300", "aa:300") "X-Notchlug-Target-Instance: i-nobody\r\n", 421 },
+		{ GEN("t1", "300", "aa:300") "X-Notchlug-Expected-Version: 7\r\n", 421 },
+		{ "X-Notchlug-Token-Count: 5,5\r\n", 400 },                     /* no id */
+		{ GEN("t1", "300000", "aa:300000"), 503 },                      /* larger than its memory */
+	};
+	struct rig g;
+
+	(void)st;
+	rig_open(&g);
+	g.f.j = judge_open(&bounds_sheet);
+	for (size_t i = 0; i < sizeof c / sizeof *c; i++) {
+		ask(&g, g.at[0], "POST", "/x", c[i].fields, "");
+		assert_int_equal(g.status, c[i].status);
+		assert_non_null(g.not_run);
+		assert_null(g.seal);
+	}
+	assert_int_equal(arrlen(g.a->run) + arrlen(g.a->wait), 0);
+	hang_up(&g);
+	judge_close(g.f.j);
+	rig_close(&g);
+}
+
+static void kept_parts_are_not_read_again_and_stay_behind_their_salt(void **st)
+{
+	struct rig g;
+	uint64_t read;
+
+	(void)st;
+	rig_open(&g);
+	ask(&g, g.at[0], "POST", "/x", GEN("t1", "300", "aa:200,bb:100"), "1");
+	read = g.f.read;
+	assert_int_equal(read, 300);
+	ask(&g, g.at[0], "POST", "/x", GEN("t2", "280", "aa:200,cc:80"), "2");
+	assert_int_equal(g.f.read - read, 80);
+	read = g.f.read;
+	ask(&g, g.at[0], "POST", "/x", GEN("t3", "280", "dd:80,aa:200"), "3"); /* not behind all that went before it */
+	assert_int_equal(g.f.read - read, 280);
+	read = g.f.read;
+	ask(&g, g.at[0], "POST", "/x", GEN("t4", "280", "aa:200,cc:80") "X-Notchlug-Cache-Salt: s1\r\n", "4");
+	assert_int_equal(g.f.read - read, 280);
+	hang_up(&g);
+	rig_close(&g);
+}
+
+static void the_longest_unused_gives_way(void **st)
+{
+	struct rig g;
+
+	(void)st;
+	rig_open(&g);
+	g.f.e.kv = 1000;
+	ask(&g, g.at[0], "POST", "/x", GEN("t1", "400", "aa:400"), "1");
+	ask(&g, g.at[0], "POST", "/x", GEN("t2", "400", "bb:400"), "2");
+	ask(&g, g.at[0], "POST", "/x", GEN("t3", "400", "aa:400"), "3");
+	ask(&g, g.at[0], "POST", "/x", GEN("t4", "500", "cc:500"), "4");
+	assert_true(server_kept(g.a) <= 1000);
+	for (int i = 0; i < arrlen(g.a->part); i++) {
+		if (!strcmp(g.a->part[i].id, "aa"))
+			assert_int_equal(g.a->part[i].tokens, 400);
+		if (!strcmp(g.a->part[i].id, "bb"))
+			assert_true(g.a->part[i].tokens < 400);
+	}
+	hang_up(&g);
+	rig_close(&g);
+}
+
+static void parts_are_taken_from_another_and_sent_to_the_store(void **st)
+{
+	struct rig g;
+	uint64_t read;
+	char f[600];
+
+	(void)st;
+	rig_open(&g);
+	snprintf(f, sizeof f, GEN("t1", "300", "aa:200,bb:100") "X-Notchlug-Kv-Sink: %s\r\n", g.at[2]);
+	ask(&g, g.at[0], "POST", "/x", f, "1");
+	assert_int_equal(server_kept(g.store), 300);
+	hang_up(&g);
+	read = g.f.read;
+	snprintf(f, sizeof f, GEN("t2", "300", "aa:200,bb:100") "X-Notchlug-Kv-Source: %s\r\n", g.at[0]);
+	ask(&g, g.at[1], "POST", "/x", f, "2");
+	assert_int_equal(g.f.fetched, 300);
+	assert_true(g.f.read - read <= 1);
+	hang_up(&g);
+	/* a dead source costs time, no more */
+	server_crash(g.store);
+	read = g.f.read;
+	snprintf(f, sizeof f, GEN("t3", "90", "ee:90") "X-Notchlug-Kv-Source: %s\r\n", g.at[2]);
+	ask(&g, g.at[1], "POST", "/x", f, "3");
+	assert_int_equal(g.status, 200);
+	assert_int_equal(g.f.read - read, 90);
+	hang_up(&g);
+	server_up(g.store);
+	assert_int_equal(server_kept(g.store), 0);
+	rig_close(&g);
+}
+
+static struct json_object *field(struct json_object *j, const char *k)
+{
+	struct json_object *v = NULL;
+
+	assert_true(json_object_object_get_ex(j, k, &v));
+	return v;
+}
+
+static void events_come_late_in_order_and_name_gaps(void **st)
+{
+	struct rig g;
+	struct json_object *j, *list;
+	int64_t epoch;
+
+	(void)st;
+	rig_open(&g);
+	ask(&g, g.at[0], "POST", "/x", GEN("t1", "300", "aa:200,bb:100"), "1");
+	ask(&g, g.at[0], "GET", "/kv-events?SinceTime=0", "Wait-Ms: 800\r\n", NULL);
+	assert_int_equal(g.status, 200);
+	j = json_tokener_parse(g.body);
+	list = field(j, "EventList");
+	assert_true(json_object_array_length(list) >= 1);
+	assert_string_equal(json_object_to_json_string_ext(json_object_array_get_idx(list, 0), JSON_C_TO_STRING_PLAIN), "[1,\"+\",\"\",\"aa\",200,\"m1\"]");
+	assert_false(json_object_get_boolean(field(j, "LostCount")));
+	epoch = json_object_get_int64(field(j, "NodeEpoch"));
+	json_object_put(j);
+	/* nothing new: held for as long as asked */
+	{
+		int64_t began = loop_us();
+
+		ask(&g, g.at[0], "GET", "/kv-events?SinceTime=2", "Wait-Ms: 60\r\n", NULL);
+		assert_true(loop_us() - began >= 60000);
+		j = json_tokener_parse(g.body);
+		assert_int_equal(json_object_array_length(field(j, "EventList")), 0);
+		assert_int_equal(json_object_get_int64(field(j, "NextToken")), 2);
+		json_object_put(j);
+	}
+	g.f.e.events = 2;
+	for (int i = 0; i < 4; i++) {
+		char f[400];
+
+		snprintf(f, sizeof f, GEN("t2", "60", "%02x:60"), i);
+		ask(&g, g.at[0], "POST", "/x", f, "2");
+	}
+	ask(&g, g.at[0], "GET", "/kv-events?SinceTime=2", "Wait-Ms: 800\r\n", NULL);
+	j = json_tokener_parse(g.body);
+	assert_true(json_object_get_boolean(field(j, "LostCount")));
+	json_object_put(j);
+	ask(&g, g.at[0], "GET", "/kv-list", "", NULL);
+	j = json_tokener_parse(g.body);
+	assert_int_equal(json_object_array_length(field(j, "HeldCount")), 6);
+	json_object_put(j);
+	hang_up(&g);
+	server_crash(g.a);
+	server_up(g.a);
+	ask(&g, g.at[0], "GET", "/kv-events?SinceTime=6", "", NULL);
+	j = json_tokener_parse(g.body);
+	assert_true(json_object_get_int64(field(j, "NodeEpoch")) != epoch);
+	json_object_put(j);
+	hang_up(&g);
+	rig_close(&g);
+}
+
+static int are_held(void *ctx)
+{
+	struct rig *g = ctx;
+
+	return arrlen(g->a->watcher) == g->held;
+}
+
+static void only_so_many_calls_for_events_are_held(void **st)
+{
+	struct rig g;
+	struct conn *c[2];
+
+	(void)st;
+	rig_open(&g);
+	g.f.e.in_flight = 2;
+	for (int i = 0; i < 2; i++) {
+		say(&g, g.at[0], "GET", "/kv-events?SinceTime=0", "Wait-Ms: 1000\r\n", NULL);
+		g.held = i + 1;
+		assert_true(loop_until(g.f.l, ms_us(3000), are_held, &g));
+		c[i] = g.c;
+		g.c = NULL;
+	}
+	ask(&g, g.at[0], "GET", "/kv-events?SinceTime=0", "Wait-Ms: 1000\r\n", NULL);
+	assert_int_equal(g.status, 429);
+	hang_up(&g);
+	for (int i = 0; i < 2; i++)
+		conn_close(c[i], 0);
+	rig_close(&g);
+}
+
+#define ORDER(version, fence, more) "{\"Operation\":\"ConfigVersion\",\"ModelName\":\"m1\",\"ConfigVersion\":" version ",\"Method\":\"hold\",\"Holder\":\"n1\",\"FenceNumber\":" fence more "}"
+
+static int loaded(void *ctx)
+{
+	struct rig *g = ctx;
+
+	return g->a->version == g->f.newest && !g->a->loading_to;
+}
+
+static void orders_are_fenced_counted_and_drop_what_was_kept(void **st)
+{
+	struct rig g;
+
+	(void)st;
+	rig_open(&g);
+	ask(&g, g.at[0], "POST", "/x", GEN("t1", "300", "aa:200,bb:100"), "1");
+	ask(&g, g.at[0], "POST", "/order", "", ORDER("2", "4", ""));
+	assert_int_equal(g.status, 400); /* not named */
+	g.f.newest = 2;
+	ask(&g, g.at[0], "POST", "/order", "", "{\"Operation\":\"ConfigVersion\",\"ModelName\":\"m1\",\"ConfigVersion\":2,\"Method\":\"hold\"}");
+	assert_int_equal(g.status, 400); /* no holder, no fence */
+	ask(&g, g.at[0], "POST", "/order", "", ORDER("2", "4", ",\"ExpectedCount\":3"));
+	assert_int_equal(g.status, 409);
+	ask(&g, g.at[0], "POST", "/order", "", ORDER("2", "4", ",\"ExpectedCount\":0"));
+	assert_int_equal(g.status, 202);
+	ask(&g, g.at[0], "POST", "/x", GEN("t2", "300", "aa:200,bb:100"), "1");
+	assert_int_equal(g.status, 503);
+	assert_non_null(g.not_run);
+	assert_true(loop_until(g.f.l, ms_us(3000), loaded, &g));
+	assert_int_equal(server_kept(g.a), 0);
+	ask(&g, g.at[0], "POST", "/order", "", ORDER("2", "4", ""));
+	assert_int_equal(g.status, 200);
+	ask(&g, g.at[0], "POST", "/order", "", ORDER("1", "3", ""));
+	assert_int_equal(g.status, 412);
+	ask(&g, g.at[0], "POST", "/x", GEN("t3", "300", "aa:200,bb:100"), "1");
+	assert_string_equal(g.weights, "2");
+	hang_up(&g);
+	server_crash(g.a); /* forgets fences and counts, not its version */
+	server_up(g.a);
+	assert_int_equal(g.a->version, 2);
+	ask(&g, g.at[0], "POST", "/order", "", ORDER("2", "1", ",\"ExpectedCount\":0"));
+	assert_int_equal(g.status, 200);
+	hang_up(&g);
+	rig_close(&g);
+}
+
+static void heard(void *ctx, int status, const struct msg *m)
+{
+	(void)ctx, (void)m;
+	assert_int_equal(status, 202);
+}
+
+static int taken(void *ctx)
+{
+	struct rig *g = ctx;
+
+	return arrlen(g->stream) > 0;
+}
+
+static void preempted_streams_are_reset_and_retained_ones_tell(void **st)
+{
+	struct rig g;
+	struct conn *old;
+
+	(void)st;
+	rig_open(&g);
+	g.f.newest = 3;
+	g.f.e.step = 10;
+	say(&g, g.at[0], "POST", "/x", GEN("t1", "30", "aa:30"), "1");
+	assert_true(loop_until(g.f.l, ms_us(3000), taken, &g));
+	call_once(g.f.l, g.at[0], "POST", "/order", "", "{\"Operation\":\"ConfigVersion\",\"ModelName\":\"m1\",\"ConfigVersion\":2,\"Method\":\"preempt\",\"Holder\":\"n1\",\"FenceNumber\":1}",
+	          1000, heard, NULL);
+	assert_true(loop_until(g.f.l, ms_us(3000), settled, &g));
+	assert_int_equal(g.gone, 1 + CONN_RESET);
+	g.f.newest = 2;
+	assert_true(loop_until(g.f.l, ms_us(3000), loaded, &g));
+	g.f.newest = 3;
+	say(&g, g.at[0], "POST", "/x", GEN("t2", "30", "aa:30"), "1");
+	assert_true(loop_until(g.f.l, ms_us(3000), taken, &g));
+	old = g.c;
+	call_once(g.f.l, g.at[0], "POST", "/order", "", "{\"Operation\":\"ConfigVersion\",\"ModelName\":\"m1\",\"ConfigVersion\":3,\"Method\":\"retain\",\"Holder\":\"n1\",\"FenceNumber\":1}",
+	          1000, heard, NULL);
+	assert_true(loop_until(g.f.l, ms_us(3000), settled, &g));
+	assert_true(g.done && g.c == old);
+	assert_non_null(strstr(g.body, "\n\nx-notchlug-weight-versions: 3\nid: "));
+	hang_up(&g);
+	rig_close(&g);
+}
+
+static void the_urgent_go_first_and_the_late_are_turned_away(void **st)
+{
+	struct rig g;
+	struct conn *held;
+
+	(void)st;
+	rig_open(&g);
+	g.f.e.slots = 1;
+	g.f.e.step = 20;
+	say(&g, g.at[0], "POST", "/x", GEN("t1", "30", "aa:30"), "1");
+	assert_true(loop_until(g.f.l, ms_us(3000), taken, &g));
+	held = g.c;
+	conn_set(held, &(const struct conn_on){ .gone = NULL }, NULL);
+	g.c = NULL;
+	ask(&g, g.at[0], "POST", "/x", "X-Notchlug-Attempt-Id: t2\r\nX-Notchlug-Token-Count: 30,20\r\nX-Notchlug-Deadline-Remaining: 40\r\n", "2");
+	assert_int_equal(g.status, 503); /* its deadline passed in the queue */
+	assert_non_null(g.not_run);
+	ask(&g, g.at[0], "POST", "/x", GEN("t3", "30", "bb:30") "X-Notchlug-Priority-Level: 1\r\n", "3");
+	assert_int_equal(g.status, 200);
+	assert_int_equal(arrlen(g.a->run) + arrlen(g.a->wait), 1); /* the first is put back, not gone */
+	hang_up(&g);
+	conn_close(held, 0);
+	rig_close(&g);
+}
+
+static void health_and_report_tell_what_they_should(void **st)
+{
+	struct rig g;
+	struct json_object *j;
+
+	(void)st;
+	rig_open(&g);
+	ask(&g, g.at[0], "GET", "/health", "", NULL);
+	assert_int_equal(g.status, 200);
+	assert_string_equal(g.instance, g.a->instance);
+	assert_string_equal(g.load, "0,0,128");
+	ask(&g, g.at[0], "GET", "/report", "", NULL);
+	j = json_tokener_parse(g.body);
+	assert_string_equal(json_object_get_string(field(j, "Stage")), "combined");
+	assert_int_equal(json_object_get_int(field(j, "KvTotal")), g.f.e.kv);
+	assert_int_equal(json_object_get_int(field(json_object_array_get_idx(field(j, "Models"), 0), "ConfigVersion")), 1);
+	json_object_put(j);
+	g.a->fault.false_health = 1;
+	ask(&g, g.at[0], "GET", "/health", "", NULL);
+	assert_int_equal(g.status, 503);
+	hang_up(&g);
+	rig_close(&g);
+}
+
+static void faults_are_as_named(void **st)
+{
+	struct rig g;
+	struct server_fault none = { .close = 0 };
+
+	(void)st;
+	rig_open(&g);
+	g.a->fault.broken = 1;
+	ask(&g, g.at[0], "POST", "/x", GEN("t1", "30", "aa:30"), "1");
+	assert_true(g.gone && !g.done && g.status == 200);
+	g.a->fault = none;
+	g.a->fault.garbage = 1;
+	ask(&g, g.at[0], "POST", "/x", GEN("t2", "30", "aa:30"), "1");
+	assert_int_equal(g.gone, 1 + CONN_BAD);
+	g.a->fault = none;
+	g.a->fault.lost = 1;
+	ask(&g, g.at[0], "POST", "/x", GEN("t3", "30", "aa:30"), "1");
+	assert_true(g.gone && g.status == 0);
+	g.a->fault = none;
+	g.a->fault.grey = 1;
+	ask(&g, g.at[0], "POST", "/x", GEN("t4", "30", "aa:30"), "1");
+	assert_int_equal(g.status, 500);
+	assert_non_null(g.seal);
+	g.a->fault = none;
+	g.a->fault.surplus = 1;
+	ask(&g, g.at[0], "POST", "/x", GEN("t5", "30", "aa:30"), "1");
+	assert_true(g.done && g.status == 200);
+	loop_until(g.f.l, ms_us(400), NULL, NULL);
+	assert_int_equal(g.gone, 1 + CONN_SURPLUS);
+	g.a->fault = none;
+	g.a->fault.close = 1;
+	ask(&g, g.at[0], "POST", "/x", GEN("t6", "30", "aa:30"), "1");
+	assert_true(g.done && !g.keep);
+	hang_up(&g);
+	server_dark(g.a, 1);
+	say(&g, g.at[0], "POST", "/x", GEN("t7", "30", "aa:30"), "1");
+	assert_false(loop_until(g.f.l, ms_us(150), settled, &g));
+	server_dark(g.a, 0);
+	assert_true(loop_until(g.f.l, ms_us(3000), settled, &g));
+	assert_int_equal(g.status, 200);
+	hang_up(&g);
+	server_crash(g.a);
+	ask(&g, g.at[0], "POST", "/x", GEN("t8", "30", "aa:30"), "1");
+	assert_int_equal(g.gone, 1 + CONN_REFUSED);
+	rig_close(&g);
+}
+
+static void connections_are_bounded_and_idle_ones_closed(void **st)
+{
+	struct rig g;
+
+	(void)st;
+	rig_open(&g);
+	server_crash(g.a);
+	g.f.e.max_conns = 1;
+	g.f.e.idle_ms = 100;
+	server_up(g.a);
+	ask(&g, g.at[0], "GET", "/health", "", NULL);
+	assert_int_equal(g.status, 200);
+	{
+		struct conn *first = g.c;
+
+		g.c = NULL;
+		ask(&g, g.at[0], "GET", "/health", "", NULL);
+		assert_true(g.gone);
+		g.c = first;
+		g.gone = 0;
+	}
+	loop_until(g.f.l, ms_us(400), NULL, NULL);
+	assert_int_equal(g.gone, 1 + CONN_CLOSED);
+	rig_close(&g);
+}
+
+struct seen { int status, n; char next[20], first[32], state[16]; int done, draining; };
+
+static void on_list(void *ctx, int status, const struct msg *m)
+{
+	struct seen *s = ctx;
+	struct json_object *j, *a, *v = NULL;
+
+	s->done = 1;
+	s->status = status;
+	s->next[0] = 0;
+	s->n = 0;
+	if (status != 200)
+		return;
+	j = json_tokener_parse(m->body);
+	a = field(j, "Instances");
+	s->n = (int)json_object_array_length(a);
+	if (json_object_object_get_ex(j, "NextToken", &v) && v)
+		snprintf(s->next, sizeof s->next, "%s", json_object_get_string(v));
+	if (s->n) {
+		snprintf(s->first, sizeof s->first, "%s", json_object_get_string(field(json_object_array_get_idx(a, 0), "InstanceId")));
+		snprintf(s->state, sizeof s->state, "%s", json_object_get_string(field(json_object_array_get_idx(a, 0), "State")));
+	}
+	json_object_put(j);
+}
+
+static int seen_done(void *ctx) { return ((struct seen *)ctx)->done; }
+
+static void ask_list(struct rig *g, const char *at, const char *target, struct seen *s)
+{
+	s->done = 0;
+	call_once(g->f.l, at, "GET", target, "", NULL, 1000, on_list, s);
+	assert_true(loop_until(g->f.l, ms_us(2000), seen_done, s));
+}
+
+static void the_list_lags_comes_in_pages_and_has_a_rate(void **st)
+{
+	struct rig g;
+	struct seen s;
+	char at[40], old[32], target[60];
+
+	(void)st;
+	rig_open(&g);
+	memset(&s, 0, sizeof s);
+	snprintf(at, sizeof at, "%.*s:8688", (int)strcspn(g.at[0], ":"), g.at[0]);
+	g.f.j = judge_open(&bounds_sheet);
+	assert_non_null(list_open(&g.f, &(struct list_set){ at, 60, 1, 12, 0 }));
+	ask_list(&g, at, "/instances", &s);
+	assert_int_equal(s.n, 0); /* it lags */
+	loop_until(g.f.l, ms_us(80), NULL, NULL);
+	ask_list(&g, at, "/instances", &s);
+	assert_int_equal(s.n, 1);
+	assert_string_equal(s.state, "ready");
+	assert_true(s.next[0]);
+	snprintf(old, sizeof old, "%s", s.first);
+	snprintf(target, sizeof target, "/instances?Zone=z1&PageToken=%s", s.next);
+	ask_list(&g, at, target, &s);
+	assert_int_equal(s.n, 1);
+	assert_string_not_equal(s.first, old);
+	assert_string_equal(s.next, ""); /* the store is on no list */
+	ask_list(&g, at, "/instances?Zone=z9", &s);
+	assert_int_equal(s.n, 0);
+	server_drain(g.a);
+	loop_until(g.f.l, ms_us(80), NULL, NULL);
+	ask_list(&g, at, "/instances", &s);
+	assert_string_equal(s.state, "draining");
+	server_crash(g.a);
+	server_up(g.a);
+	loop_until(g.f.l, ms_us(80), NULL, NULL);
+	ask_list(&g, at, "/instances", &s);
+	assert_string_equal(s.state, "ready");
+	assert_string_not_equal(s.first, old); /* a new life */
+	for (int i = 0; i < 500 && s.status != 429; i++)
+		ask_list(&g, at, "/instances", &s);
+	assert_int_equal(s.status, 429);
+	{
+		struct judge *j = g.f.j;
+
+		rig_close(&g);
+		judge_close(j);
+	}
+}
+
+/* ---- clients straight at a server, without an edge between: what the parts see fits together ---- */
+
+static void straight(const char *cfg_text, const struct server_fault *x, int64_t ms, struct judge **j, struct figures *fig)
+{
+	struct run *r = calloc(1, sizeof *r);
+	struct cfg *c;
+
+	r->l = loop_open();
+	r->f.l = r->l;
+	r->f.start = loop_us();
+	r->b = bounds_sheet;
+	r->j = r->f.j = judge_open(&r->b);
+	r->sheet = &sheets[0];
+	r->rng = r->seed = 3;
+	r->rate = 0.5;
+	r->f.e = engine_sheet;
+	r->f.e.read_per_ms = 5000; /* one server stands for all of them */
+	r->f.rng = 4;
+	r->f.newest = 1;
+	r->f.model = r->sheet->model;
+	snprintf(r->base, sizeof r->base, "127.%d.%d", 16 + (getpid() / 250) % 200, 1 + getpid() % 250);
+	snprintf(r->m[0].front, sizeof r->m[0].front, "%s.100:8080", r->base);
+	snprintf(r->m[0].ready, sizeof r->m[0].ready, "%s.100:8080", r->base);
+	snprintf(r->m[0].zone, sizeof r->m[0].zone, "%s", r->sheet->zone[0]);
+	r->m[0].in = r->nm = 1;
+	server_add(&r->f, r->m[0].front, r->sheet->zone[0], r->sheet->service, 0);
+	server_up(r->f.server[0]);
+	r->f.server[0]->fault = *x;
+	judge_machine(r->j, -10000, 0, 0, CALM, 1);
+	judge_machine(r->j, -10000, 1, 1, CALM, 1);
+	c = cfg_read(cfg_text);
+	assert_non_null(c);
+	judge_cfg_fate(r->j, -9000, judge_cfg(r->j, -9500, c, 0, 0), CFG_ACKED);
+	r->op = operator_open(r);
+	r->clients = clients_open(r);
+	clients_traffic(r->clients, 1);
+	loop_until(r->l, ms_us((double)ms), NULL, NULL);
+	clients_traffic(r->clients, 0);
+	for (int i = 0; i < 400 && clients_busy(r->clients); i++)
+		loop_until(r->l, ms_us(25), NULL, NULL);
+	assert_int_equal(clients_busy(r->clients), 0);
+	clients_close(r->clients);
+	operator_close(r->op);
+	servers_free(&r->f);
+	loop_close(r->l);
+	*j = r->j;
+	*fig = r->fig;
+	free(r->fig.sec);
+	free(r);
+}
+
+#define PLAIN_ROUTE(prefix) "{\"Name\":\"r" prefix "\",\"HostName\":\"ficu95.example\",\"PathPrefix\":\"" prefix "\",\"TimeoutMs\":8000,\"ServiceName\":\"lm-registry\"}"
+#define ROUTES "{\"ConfigVersion\":1,\"RouteList\":[" PLAIN_ROUTE("/lohu930/") "," PLAIN_ROUTE("/pufi791/") "," PLAIN_ROUTE("/wuno96/") "],\"ServiceList\":[]"
+
+static int breaches_of(struct judge *j, const char *rule, const char *words)
+{
+	const struct breach *b;
+	int n = judge_all(j, 30000, &b), hit = 0;
+
+	for (int i = 0; i < n; i++)
+		hit += (!rule || !strcmp(b[i].rule, rule)) && (!words || strstr(b[i].text, words));
+	return hit;
+}
+
+static void calm_clients_break_nothing(void **st)
+{
+	struct figures *f = calloc(1, sizeof *f);
+	struct server_fault none = { .close = 0.05 };
+	struct judge *j;
+	int asked = 0, whole = 0;
+
+	(void)st;
+	straight(ROUTES "}", &none, 1500, &j, f);
+	for (int i = 0; i < CLASSES; i++)
+		asked += f->asked[i], whole += f->whole[i];
+	assert_true(asked > 40);
+	assert_int_equal(whole, asked);
+	assert_true(f->owed > 0 && f->earned > 0 && f->earned <= f->owed + 0.001);
+	assert_int_equal(breaches_of(j, NULL, NULL), 0);
+	judge_close(j);
+	free(f);
+}
+
+static void a_missing_tenant_is_seen(void **st)
+{
+	struct figures *f = calloc(1, sizeof *f);
+	struct server_fault none = { .close = 0 };
+	struct judge *j;
+
+	(void)st; /* nobody translates the keys of clients into names */
+	straight(ROUTES ",\"TenantList\":[{\"Name\":\"tenant-0\",\"AccessKeys\":[\"key00-0-abcdefgh\"]}]}", &none, 500, &j, f);
+	assert_true(breaches_of(j, "UNASKED", "without its tenant's name") > 0);
+	assert_true(breaches_of(j, "ROUTE", "a key that no configuration holds") > 0);
+	judge_close(j);
+	free(f);
+}
+
+static void cut_streams_are_taken_up_without_a_breach(void **st)
+{
+	struct figures *f = calloc(1, sizeof *f);
+	struct server_fault x = { .broken = 0.2, .garbage = 0.1 };
+	struct judge *j;
+
+	(void)st;
+	straight(ROUTES "}", &x, 1500, &j, f);
+	assert_true(f->cut > 0);
+	assert_true(f->whole[0] > 0);
+	assert_int_equal(breaches_of(j, NULL, NULL), 0);
+	judge_close(j);
+	free(f);
+}
+
+static void surplus_bytes_that_reach_a_client_are_seen(void **st)
+{
+	struct figures *f = calloc(1, sizeof *f);
+	struct server_fault x = { .surplus = 0.5 };
+	struct judge *j;
+
+	(void)st;
+	straight(ROUTES "}", &x, 1000, &j, f);
+	assert_true(breaches_of(j, "MIXED", NULL) > 0);
+	judge_close(j);
+	free(f);
+}
+
+static void an_answer_lost_after_its_run_is_not_run_again_where_it_may_not(void **st)
+{
+	struct figures *f = calloc(1, sizeof *f);
+	struct server_fault x = { .lost = 1 };
+	struct judge *j;
+
+	(void)st;
+	straight(ROUTES "}", &x, 1000, &j, f);
+	assert_int_equal(f->whole[0] + f->whole[1] + f->whole[2], 0);
+	assert_int_equal(breaches_of(j, "TWICE", NULL), 0);
+	assert_true(f->tries > f->asked[0] + f->asked[1] + f->asked[2]); /* what may be repeated was */
+	judge_close(j);
+	free(f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(judge_catches_each_breach), cmocka_unit_test(configurations_are_told_apart),
+		cmocka_unit_test(histogram_is_within_its_steps), cmocka_unit_test(a_stream_is_whole_and_stamped),
+		cmocka_unit_test(what_does_not_run_says_so), cmocka_unit_test(kept_parts_are_not_read_again_and_stay_behind_their_salt),
+		cmocka_unit_test(the_longest_unused_gives_way), cmocka_unit_test(parts_are_taken_from_another_and_sent_to_the_store),
+		cmocka_unit_test(events_come_late_in_order_and_name_gaps), cmocka_unit_test(only_so_many_calls_for_events_are_held),
+		cmocka_unit_test(orders_are_fenced_counted_and_drop_what_was_kept),
+		cmocka_unit_test(preempted_streams_are_reset_and_retained_ones_tell),
+		cmocka_unit_test(the_urgent_go_first_and_the_late_are_turned_away), cmocka_unit_test(health_and_report_tell_what_they_should),
+		cmocka_unit_test(faults_are_as_named), cmocka_unit_test(connections_are_bounded_and_idle_ones_closed),
+		cmocka_unit_test(the_list_lags_comes_in_pages_and_has_a_rate), cmocka_unit_test(calm_clients_break_nothing),
+		cmocka_unit_test(a_missing_tenant_is_seen), cmocka_unit_test(cut_streams_are_taken_up_without_a_breach),
+		cmocka_unit_test(surplus_bytes_that_reach_a_client_are_seen),
+		cmocka_unit_test(an_answer_lost_after_its_run_is_not_run_again_where_it_may_not),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
