--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1075,9 +1075,40 @@
 	solo_close(&s);
 }
 
+/* Servers go dark and the list does not say so yet: a request that did not reach one goes to the next, also where one try may go
+ * to one server only, and it draws on no budget. */
+static void a_server_that_is_not_reached_costs_no_try(void **st)
+{
+	(void)st;
+	for (uint64_t seed = 1; seed <= seeds(4); seed++) {
+		struct fw f;
+		int first, dark = 0, whole = 0;
+
+		open_fleet(&f, seed, CTRS, SERVERS, NULL);
+		go(&f, 1000);
+		for (ptrdiff_t i = 0; i < arrlen(f.s.list.v) && dark < 2; i++)
+			if (f.s.list.v[i].service[0] == 'p' && f.s.list.v[i].up && !f.v[i].running) {
+				sim_inst_end(&f.s, (int)i, 3000);
+				dark++;
+			}
+		first = (int)arrlen(f.req);
+		for (int k = 0; k < 48; k++) {
+			fw_ask(&f, SIM_REGS + k % CTRS, FW_ONCE, 2, k % 12, 0);
+			go(&f, 5);
+		}
+		go(&f, 9000);
+		for (ptrdiff_t i = first; i < arrlen(f.req); i++)
+			whole += f.req[i].told == FW_WHOLE;
+		assert_true(f.n_never > 0);
+		assert_int_equal(whole, arrlen(f.req) - first);
+		done(&f);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_server_that_is_not_reached_costs_no_try),
 		cmocka_unit_test(calm),
 		cmocka_unit_test(storms),
 		cmocka_unit_test(many_go_back_to_their_lines),
