--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -32,10 +32,12 @@
 	CTR_INDEX = 1000000,   /* copies of parts that the index holds at the most */
 	CTR_AWAY_MS = 40, CTR_AWAY_K = 12, /* ms that a server counts as dearer which does not keep the prefix, also by 1000 tokens of it: it pushes others' out */
 	CTR_KEPT_TELL = 75,    /* ms between words of kept parts to the zone */
+	CTR_BEGIN = 1300,      /* ms that a counter and its fleet take from a start to a configuration in force */
+	CTR_SOON = 60,         /* ms after which one that a single server turned away may come back */
 	CTR_PUMP = 10,         /* ms between weighings of lines that nobody has room for */
 	CTR_WAIT_MOST = 800,   /* ms of reading that may be ahead of a send at its server */
 	CTR_FULL_PART = 60,    /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
-	CTR_MEAN_SIZE = 9000,  /* tokens that others' requests are taken to hold */
+	CTR_MEAN_SIZE = 5000,  /* tokens that others' requests are taken to hold */
 	CTR_STORE_HEARD = 3500, /* ms after the last word of a store's events for which it counts as up */
 	CTR_LOAD = 50, CTR_LOAD_WHOLE = 1000, CTR_LOAD_OLD = 2500, /* ms between words of load; between whole ones; after which one is forgotten */
 	CTR_FETCH_WAIT = 400,  /* ms that a fetch may take before reading anew is the better */
@@ -138,6 +140,8 @@
 	struct bk_service *service;
 	uint32_t nlane, ntenant, nservice;
 	uint32_t keyless;       /* the tenant of exchanges that show no key */
+	int *store;             /* stores that serve all services: servers, by rendezvous of what is left there */
+	uint32_t nstore;
 	int keys, limits;       /* any key; any limit of places */
 	struct { uint32_t head, body, head_ms, idle_ms; } door; /* what callers may send, in bytes and ms; 0: as the program has it */
 	uint64_t walls;         /* hash over the tenants that are walled off */
@@ -171,7 +175,7 @@
 	struct xch *after;  /* in its line */
 	/* what the text of stays at the door */
 	int forwarded, ran, repeatable, resumable, attempts, slot; /* slot: where it is among all */
-	uint32_t prio, tokens_out, ahead, size; /* ahead: tokens that its send still has to read; size: all that it takes at a server */
+	uint32_t prio, tokens_out, ahead, size, brings; /* brings: of its size, what its server did not keep; ahead: tokens that its send still has to read; size: all that it takes at a server */
 	int sink;           /* the store that its parts are left at; -1: none */
 	int64_t first;      /* when its first piece went on; 0: none has */
 	char *since;        /* the last whole piece that the caller has */
@@ -244,7 +248,7 @@
 	int64_t left_at, cleared_at; /* a look at what servers still name began; the last clearing was heard of whole */
 	ptrdiff_t left_pos;         /* how much of the index that look has before it */
 	struct Nl__Left *left;      /* stb_ds: what it has found */
-	int64_t pump_at, heard_at;
+	int64_t opened, pump_at, heard_at;
 	struct Nl__Kept **heard;    /* stb_ds: events of kept parts that the zone has not been told */
 	apr_pool_t *heard_pool;
 	uint64_t walled_tick;       /* newest purge of a tenant in the view */
--- a/lib/data/ctr_assign.c
+++ b/lib/data/ctr_assign.c
@@ -193,10 +193,18 @@
 /* The part that a request shares with others: the last one is its own. */
 uint64_t ctr_home_part(const struct xch *x) { return x->nparts > 1 ? x->hash[x->nparts - 2] : x->nparts ? x->hash[0] : x->seq; }
 
+/* The store that a prefix is left at, if any: of several always the same. -1: there is none. */
+int ctr_store_of(const struct ctr *c, const struct xch *x)
+{
+	const struct book *b = c->book;
+
+	return b->nstore ? b->store[core_rdv(61, ctr_home_part(x)) % b->nstore] : b->service[x->service].store_server;
+}
+
 /* How many leading parts each server keeps on this shelf, into c->depth; and the store, which keeps many shelves. */
 static int depths(struct ctr *c, const struct xch *x, uint64_t shelf, uint32_t weights)
 {
-	int store = c->book->service[x->service].store_server, deep = 0;
+	int store = ctr_store_of(c, x), deep = 0;
 
 	for (int i = 0; i < x->nparts; i++) {
 		struct kept_copy *v = kept_get(&c->kept, ctr_kept_key(shelf, x->hash[i]));
@@ -215,9 +223,12 @@
 	return deep;
 }
 
+/* What an exchange brings to a server's memory that keeps so many of its leading parts. */
+uint32_t ctr_brings(const struct xch *x, int keep) { return x->size - (uint32_t)ctr_tokens_upto(x, keep < x->nparts ? keep : x->nparts); }
+
 /* Whether one more fits beside what runs there: not so much that kept parts are pushed out by it, nor that it would wait
  * there for long, where no other counter's more urgent one can pass it. What does not fit anywhere waits in its line. */
-static int fits(const struct ctr *c, const struct xch *x, uint32_t s, const struct bk_service *svc, int64_t now)
+static int fits(const struct ctr *c, const struct xch *x, uint32_t s, int keep, const struct bk_service *svc, int64_t now)
 {
 	const struct ctr_server *v = &c->sv[s];
 	int others = others_at(c, s, now);
@@ -227,7 +238,7 @@
 		return 0;
 	if (ahead && ahead / svc->prefill > CTR_WAIT_MOST)
 		return 0;
-	return !svc->room || !held || held + x->size <= svc->room * CTR_FULL_PART / 100;
+	return !svc->room || !held || held + ctr_brings(x, keep) <= svc->room * CTR_FULL_PART / 100;
 }
 
 /* The server that rendezvous hashing names for a prefix, so that all counters name the same. While it does not stand, the
@@ -333,7 +344,7 @@
 	struct plan best = { -1, 0, -1, 0, 0, 0, 0 };
 	int current = relay_current(&c->relay, now), home = home_of(c, x, now), shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
 	uint32_t n = c->roster->nserver, seen[4], nseen = 0;
-	int choice[3], holder[4], held[4], store = svc->store_server, store_up;
+	int choice[3], holder[4], held[4], store = ctr_store_of(c, x), store_up;
 	double all = (double)(ctr_tokens_upto(x, x->nparts) + x->tail_tokens);
 
 	if (home < 0)
@@ -376,7 +387,7 @@
 			continue;
 		if (p.keep < shared && (int)s != home && (int)s != choice[0] && (int)s != choice[1] && (int)s != choice[2])
 			continue;
-		if (!fits(c, x, s, svc, now))
+		if (!fits(c, x, s, p.keep, svc, now))
 			continue;
 		for (uint32_t k = 0; k < nseen; k++)
 			if (seen[k] == v->weights && holder[k] >= 0) {
@@ -416,7 +427,7 @@
 /* The store, where the prefix is to be left once it is read there: it is up and not known to have it. 0: not. */
 uint64_t ctr_sink(struct ctr *c, const struct xch *x, uint64_t shelf, int64_t now)
 {
-	int st = c->book->service[x->service].store_server, shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
+	int st = ctr_store_of(c, x), shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
 
 	if (st < 0 || (uint32_t)st >= c->roster->nserver || !c->roster->server[st].on || !ctr_standing(c, (uint32_t)st, now))
 		return 0;
--- a/lib/data/ctr_send.c
+++ b/lib/data/ctr_send.c
@@ -130,7 +130,8 @@
 	x->guess = pl->cost + CTR_FIRST_MS;
 	v->own++;
 	v->ahead += x->ahead;
-	v->tokens += x->size;
+	x->brings = ctr_brings(x, pl->keep);
+	v->tokens += x->brings;
 	f->call = x->call;
 	f->caller = x->token;
 	f->addr = sv->to;
@@ -144,9 +145,9 @@
 	if (pl->from >= 0 && pl->upto > pl->keep)
 		ctr_link_use(c, (uint32_t)pl->from, pl->move, now);
 	if (f->sink)
-		ctr_link_use(c, (uint32_t)b->service[x->service].store_server, (double)x->ahead * b->service[x->service].kv_bytes /
+		ctr_link_use(c, (uint32_t)ctr_store_of(c, x), (double)x->ahead * b->service[x->service].kv_bytes /
 		             (b->service[x->service].store ? b->service[x->service].store : 1), now);
-	x->sink = f->sink ? (int)b->service[x->service].store_server : -1;
+	x->sink = f->sink ? ctr_store_of(c, x) : -1;
 	f->weights = c->weights.name[v->weights];
 	f->from = pl->from >= 0 ? c->roster->server[pl->from].to : 0;
 	f->prio = (int)x->prio;
@@ -435,7 +436,7 @@
 		if (again(c, x, now)) {
 			c->sv[s].own--;
 			c->sv[s].ahead -= x->ahead;
-			c->sv[s].tokens -= x->size;
+			c->sv[s].tokens -= x->brings;
 			x->ahead = 0;
 			x->tried = s;
 			x->server = -1;
@@ -446,7 +447,7 @@
 			return;
 		}
 		if (e->how == CTR_NEVER && !x->begun) {
-			ctr_refuse(c, x, 503, "the server did not take it, and the budget for resends is spent", CTR_RETRY, now, o);
+			ctr_refuse(c, x, 503, "the server did not take it, and it may go to no other", CTR_SOON, now, o);
 			return;
 		}
 	}
