--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -209,7 +209,7 @@
 };
 
 /* What is under way at servers, as one source says it: a counter of the zone, another zone's head, or this zone's head. */
-struct load_cell { uint32_t ahead, running; };
+struct load_cell { uint32_t ahead, running, tokens; };
 struct load_from { uint64_t id; int of; int64_t at; uint64_t addr; struct load_cell *v; /* stb_ds, by server */ };
 
 /* What fetches from one server to another were seen to take, as a multiple of what the table says. */
--- a/lib/data/ctr_assign.c
+++ b/lib/data/ctr_assign.c
@@ -231,7 +231,8 @@
 {
 	const struct ctr_server *v = &c->sv[s];
 	int others = others_at(c, s, now);
-	uint64_t held = v->tokens + (uint64_t)others * CTR_MEAN_SIZE, ahead = v->ahead + ahead_at(c, s, now);
+	int fresh = now - c->others_fresh <= CTR_LOAD_OLD && s < (uint32_t)arrlen(c->others);
+	uint64_t held = v->tokens + (fresh ? c->others[s].tokens : (uint64_t)others * CTR_MEAN_SIZE), ahead = v->ahead + ahead_at(c, s, now);
 
 	if (v->own + others >= v->slots)
 		return 0;
--- a/lib/data/ctr_load.c
+++ b/lib/data/ctr_load.c
@@ -13,7 +13,7 @@
 
 static void size_to(struct load_cell **v, uint32_t n)
 {
-	struct load_cell zero = { 0, 0 };
+	struct load_cell zero = { 0, 0, 0 };
 
 	while (arrlen(*v) < (ptrdiff_t)n)
 		arrput(*v, zero);
@@ -23,6 +23,7 @@
 {
 	to->ahead += v->ahead;
 	to->running += v->running;
+	to->tokens += v->tokens;
 }
 
 /* Say what has changed since the last word, or all that is not nothing; nothing is said when nothing has. */
@@ -40,12 +41,13 @@
 	for (uint32_t s = 0; s < servers; s++) {
 		struct Nl__LoadRow *x;
 
-		if (whole ? !v[s].ahead && !v[s].running : v[s].ahead == (*told)[s].ahead && v[s].running == (*told)[s].running)
+		if (whole ? !v[s].ahead && !v[s].running : !memcmp(&v[s], &(*told)[s], sizeof v[s]))
 			continue;
 		x = OUT_NEW(o, Nl__LoadRow, NL__LOAD_ROW__INIT);
 		x->server = apr_pstrdup(o->p, c->servers.name[s]);
 		x->ahead = v[s].ahead;
 		x->running = v[s].running;
+		x->tokens = v[s].tokens;
 		l->row[l->n_row++] = x;
 	}
 	memcpy(*told, v, servers * sizeof *v);
@@ -79,7 +81,7 @@
 		}
 	own = zeros(c, o);
 	for (uint32_t s = 0; s < c->roster->nserver; s++)
-		own[s] = (struct load_cell){ c->sv[s].ahead, (uint32_t)c->sv[s].own };
+		own[s] = (struct load_cell){ c->sv[s].ahead, (uint32_t)c->sv[s].own, (uint32_t)c->sv[s].tokens };
 	if (c->f.nup) { /* not the head: what others have is what the head says of all, less what it knows to be ours */
 		say(c, c->f.up, 1, LOAD_OWN, own, &c->told_up, whole, o);
 		return;
@@ -132,7 +134,7 @@
 		int s = names_find(&c->servers, l->row[i]->server);
 
 		if (s >= 0 && s < arrlen(f->v))
-			f->v[s] = (struct load_cell){ l->row[i]->ahead, l->row[i]->running };
+			f->v[s] = (struct load_cell){ l->row[i]->ahead, l->row[i]->running, l->row[i]->tokens };
 	}
 	if (l->of != LOAD_ALL)
 		return;
@@ -143,6 +145,7 @@
 
 		c->others[s].ahead = all->ahead > mine->ahead ? all->ahead - mine->ahead : 0;
 		c->others[s].running = all->running > mine->running ? all->running - mine->running : 0;
+		c->others[s].tokens = all->tokens > mine->tokens ? all->tokens - mine->tokens : 0;
 	}
 	c->others_fresh = now;
 }
