--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -227,6 +227,7 @@
 	o->id = c->id;
 	o->addr = c->addr;
 	o->fleet = c->f.fleet;
+	c->now = now;
 	end_blind(c, now, o);
 	switch (ev->kind) {
 	case CTR_TICK: tick(c, now, o); break;
@@ -331,6 +332,7 @@
 	hmfree(c->line_at);
 	hmfree(c->named);
 	arrfree(c->generation);
+	arrfree(c->left);
 	arrfree(c->depth);
 	arrfree(c->server_hash);
 	ctr_names_clear(&c->lanes);
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -48,6 +48,7 @@
 	CTR_CALM_MARGIN = 150,
 	CTR_RIDE_MARGIN = 500, /* ms by which the ride ends before the strictest bound */
 	CTR_ROLL_EARLY = 1500, /* ms before a roll-out's bound after which older weights are sent nothing more */
+	CTR_NAMED = 8,         /* namings of a service's weights that are remembered */
 	CTR_RETRY = 500,       /* ms after which a refused caller may come back, at the least */
 	CTR_RETRY_MOST = 30000
 };
@@ -121,8 +122,8 @@
 	uint32_t nsplit;
 };
 struct bk_tenant { int on, walled; uint32_t share, limit, rank; };
-/* weights: those named newest; late: from when on no server of older ones is sent anything */
-struct bk_service { int on; uint32_t weights, prefill, kv_bytes, link, store, slots, watches, conns; uint64_t room; int store_server; int64_t late; };
+/* weights: those named newest; modelled: a bound holds for their reaching every server */
+struct bk_service { int on; uint32_t weights, prefill, kv_bytes, link, store, slots, watches, conns; uint64_t room; int store_server, modelled; };
 struct bk_place { uint64_t key; uint32_t value; }; /* hash of host and path -> lane */
 /* One server's life, from the table or the list of servers. */
 struct bk_server { int on, draining, is_store; uint32_t service; const char *addr; uint64_t to, zone; };
@@ -140,6 +141,8 @@
 	struct bk_service *service;
 	uint32_t nlane, ntenant, nservice;
 	uint32_t keyless;       /* the tenant of exchanges that show no key */
+	int *store;             /* stores that serve all services: servers, by rendezvous of what is left there */
+	uint32_t nstore;
 	int keys, limits;       /* any key; any limit of places */
 	struct { uint32_t head, body, head_ms, idle_ms; } door; /* what callers may send, in bytes and ms; 0: as the program has it */
 	uint64_t walls;         /* hash over the tenants that are walled off */
@@ -189,7 +192,8 @@
 	int64_t reported, called, bad_until, told; /* told: when a relay last passed its report on */
 	uint64_t call, asked, serial, boot;
 	uint32_t weights, seen_weights; /* seen: by the list; an answer's own word is newer */
-	uint32_t stale;     /* parts in its last report that a clearing withdrew */
+	uint32_t stale;     /* parts in its last whole report that a clearing withdrew */
+	int64_t counted;    /* when that report came */
 	int odd;            /* its last report could not be read; said once */
 	int have, loading, slots, running, own, others; /* running there: ours as we know it, others' by the last report */
 	double mean_ms;
@@ -241,13 +245,16 @@
 	uint64_t zone_hash;
 	apr_pool_t *scratch;
 	uint64_t *generation;       /* stb_ds, by scope and slice; emptied when a clearing or another book comes */
-	int64_t left_at;
+	int64_t now;                /* of the step under way */
+	int64_t left_at, cleared_at; /* a look at what servers still name began; the last clearing was heard of whole */
+	ptrdiff_t left_pos;         /* how much of the index that look has before it */
+	struct Nl__Left *left;      /* stb_ds: what it has found */
 	int64_t opened, pump_at, heard_at;
 	struct Nl__Kept **heard;    /* stb_ds: events of kept parts that the zone has not been told */
 	apr_pool_t *heard_pool;
 	uint64_t walled_tick;       /* newest purge of a tenant in the view */
 	struct { uint64_t key; uint32_t value; } *line_at; /* stb_ds: lane << 32 | tenant -> line */
-	struct ctr_named { uint32_t key; struct { uint32_t weights; int64_t since; } value; } *named; /* stb_ds, by service: what is named, since when that is known */
+	struct ctr_named { uint32_t key; struct { int n; struct { uint64_t no; int64_t since; } v[CTR_NAMED]; } value; } *named; /* stb_ds, by service: what was named, oldest first, and since when that is known */
 	apr_pool_t *p;
 	struct json_tokener *tok;   /* one for all that is read here, kept between texts */
 	struct ctr_server *sv;      /* stb_ds, by server index */
