--- a/lib/data/ctr_load.c
+++ b/lib/data/ctr_load.c
@@ -48,7 +48,8 @@
 		x->running = v[s].running;
 		l->row[l->n_row++] = x;
 	}
-	memcpy(*told, v, servers * sizeof *v);
+	if (servers)
+		memcpy(*told, v, servers * sizeof *v);
 	if (!whole && !l->n_row)
 		return;
 	for (int i = 0; i < n; i++)
@@ -127,7 +128,8 @@
 	f->at = now;
 	f->addr = addr;
 	size_to(&f->v, c->roster->nserver);
-	memset(f->v, 0, l->whole ? (size_t)arrlen(f->v) * sizeof *f->v : 0);
+	if (l->whole && arrlen(f->v))
+		memset(f->v, 0, (size_t)arrlen(f->v) * sizeof *f->v);
 	for (size_t i = 0; i < l->n_row; i++) {
 		int s = names_find(&c->servers, l->row[i]->server);
 
