--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -962,6 +962,8 @@
 			struct Nl__Kept k = NL__KEPT__INIT;
 			struct Nl__KeptEvent e[5], *list[5];
 			int v = (int)dice(&d, SRV), n = (int)dice(&d, 6);
+			struct Nl__KeptAll whole = NL__KEPT_ALL__INIT;
+			struct Nl__Kept *one[1] = { &k };
 			size_t all = 0;
 
 			k.server = s.c.servers.name[v];
@@ -985,8 +987,10 @@
 			}
 			k.e = list;
 			k.n_e = (size_t)n;
-			m.body_case = NL__MSG__BODY_KEPT;
-			m.kept = &k;
+			whole.k = one;
+			whole.n_k = 1;
+			m.body_case = NL__MSG__BODY_KEPT_ALL;
+			m.kept_all = &whole;
 			solo_msg(&s, &m);
 			out_clear(&s.o);
 			assert_int_equal(s.c.sv[v].next, next[v]);
@@ -1013,6 +1017,16 @@
 	}
 }
 
+static const char *shelf_for(struct solo *s, uint32_t service, uint32_t weights, uint32_t tenant)
+{
+	struct xch x;
+
+	memset(&x, 0, sizeof x);
+	x.service = service;
+	x.tenant = tenant;
+	return ctr_shelf(&s->c, &x, weights, s->p);
+}
+
 /* The name under which parts are filed changes with all that decides who may use them. */
 static void a_shelf_says_who_may_use_it(void **st)
 {
@@ -1034,13 +1048,13 @@
 	t0 = names_id(&s.c.tenants, "t0");
 	t1 = names_id(&s.c.tenants, "t1");
 	pool = names_id(&s.c.services, "pool");
-	was[n++] = (char *)(uintptr_t)ctr_shelf(&s.c, pool, w1, t0, s.p);
-	assert_string_equal(was[0], ctr_shelf(&s.c, pool, w1, t1, s.p));
-	was[n++] = (char *)(uintptr_t)ctr_shelf(&s.c, pool, w2, t0, s.p);
+	was[n++] = (char *)(uintptr_t)shelf_for(&s, pool, w1, t0);
+	assert_string_equal(was[0], shelf_for(&s, pool, w1, t1));
+	was[n++] = (char *)(uintptr_t)shelf_for(&s, pool, w2, t0);
 	rows[2]->walled = 1;
 	solo_table(&s, rows, 3, NULL, 0, 2);
-	was[n++] = (char *)(uintptr_t)ctr_shelf(&s.c, pool, w1, t0, s.p);
-	was[n++] = (char *)(uintptr_t)ctr_shelf(&s.c, pool, w1, t1, s.p);
+	was[n++] = (char *)(uintptr_t)shelf_for(&s, pool, w1, t0);
+	was[n++] = (char *)(uintptr_t)shelf_for(&s, pool, w1, t1);
 	for (int k = 0; k < 2; k++) {
 		struct Nl__Value v = NL__VALUE__INIT;
 		struct Nl__Purge p = NL__PURGE__INIT;
@@ -1053,8 +1067,8 @@
 		p.tenant = "t1";
 		view_apply(&s.c.relay.w, &v);
 		ctr_on_value(&s.c, &v);
-		was[n++] = (char *)(uintptr_t)ctr_shelf(&s.c, pool, w1, t0, s.p);
-		was[n++] = (char *)(uintptr_t)ctr_shelf(&s.c, pool, w1, t1, s.p);
+		was[n++] = (char *)(uintptr_t)shelf_for(&s, pool, w1, t0);
+		was[n++] = (char *)(uintptr_t)shelf_for(&s, pool, w1, t1);
 	}
 	for (int i = 0; i < n; i++)
 		for (int k = 0; k < i; k++)
