--- a/tests/test_clear.c
+++ b/tests/test_clear.c
@@ -685,12 +685,46 @@
 	assert_true(most[1][1] <= most[0][1] + 60 * 5 + 30);
 }
 
+/* One clock of the voters, the decider's own too, runs nothing early; a due time that was taken is refused. */
+static void one_clock_decides_nothing(void **st)
+{
+	struct sim s;
+	struct Nl__Clear c = NL__CLEAR__INIT;
+	struct Nl__Planned *plan;
+	int at;
+
+	(void)st;
+	sim_deploy(&s, 51, 4, 1, 3);
+	s.epoch = EPOCH * 1000ll;
+	must_change(&s, "{\"set\":[{\"kind\":\"retention\",\"name\":\"*\",\"every\":\"1h\"}]}", 12000);
+	sim_run(&s, 2000, NULL);
+	at = sim_owner(&s, PART_CTL);
+	for (int k = 0; k < 4; k++) {
+		s.n[k].wall_off = 7200000;
+		sim_run(&s, 2000, NULL);
+		assert_int_equal(records(&s)->number, 0);
+		s.n[k].wall_off = -7200000;
+		sim_run(&s, 2000, NULL);
+		s.n[k].wall_off = 0;
+	}
+	assert_true(at >= 0 && arrlen(s.n[at].r->ret.plan) == 1);
+	plan = s.n[at].r->ret.plan[0];
+	c.step = NL__CLEAR_STEP__CLEAR_DUE;
+	c.scope = plan->scope;
+	c.due = plan->due - 3600000;
+	c.next = plan->due + 3600000;
+	assert_int_equal(retention_apply(s.n[at].r, 1, &c), TABLE_REFUSED);
+	ok(&s);
+	sim_close(&s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest t[] = {
 		cmocka_unit_test(bad_rows_name_their_cell),
 		cmocka_unit_test(calendars_come_when_they_say),
 		cmocka_unit_test(now_clears_all),
+		cmocka_unit_test(one_clock_decides_nothing),
 		cmocka_unit_test(done_waits_for_all),
 		cmocka_unit_test(shelves_follow_clearings),
 		cmocka_unit_test(windows_spread_and_end),
