--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -140,6 +140,7 @@
 
 static void tick(struct ctr *c, int64_t now, struct out *o)
 {
+	ctr_retention_tick(c, now);
 	follow_tick(&c->f, c->relay.k.horizon, now, o);
 	relay_up(&c->relay, c->f.up, (size_t)c->f.nup, follow_log(&c->f, c->relay.moved, now), now);
 	relay_tick(&c->relay, now, o);
@@ -217,6 +218,17 @@
 	}
 }
 
+/* The door passes a head on before it says so. Whatever ends the exchange in this very step owes its caller an end of the
+ * stream: an answer would go nowhere, and the caller wait. */
+static void door_has_begun(struct ctr *c, const struct ctr_ev *ev)
+{
+	uint64_t call = ev->kind == CTR_BEGAN ? ev->u.began.token : ev->kind == CTR_ENDED && ev->u.ended->began ? ev->u.ended->token : 0;
+	struct xch *x = call ? ctr_xch_by(c, call) : NULL;
+
+	if (x && x->call == call)
+		x->begun = 1;
+}
+
 int64_t ctr_good_until(const struct ctr *c) { return c->f.fresh + CTR_RIDE; }
 
 void ctr_step(struct ctr *c, const struct ctr_ev *ev, int64_t now, struct out *o)
@@ -226,6 +238,8 @@
 	o->id = c->id;
 	o->addr = c->addr;
 	o->fleet = c->f.fleet;
+	c->now = now;
+	door_has_begun(c, ev);
 	end_blind(c, now, o);
 	switch (ev->kind) {
 	case CTR_TICK: tick(c, now, o); break;
@@ -298,7 +312,6 @@
 	c->id = id;
 	c->addr = addr;
 	c->zone = zone;
-	c->budget = 1000;
 	c->tok = json_tokener_new();
 	if (!c->tok)
 		abort();
@@ -306,6 +319,7 @@
 	apr_pool_create(&c->scratch, c->p);
 	apr_pool_create(&c->heard_pool, c->p);
 	c->b = bounds_default;
+	c->opened = now;
 	c->zone_hash = core_hashs(0, zone);
 	follow_open(&c->f, id, seeds, n, now);
 	c->f.zone = zone;
@@ -329,6 +343,8 @@
 	arrfree(c->heard);
 	hmfree(c->line_at);
 	hmfree(c->named);
+	arrfree(c->generation);
+	arrfree(c->left);
 	arrfree(c->depth);
 	arrfree(c->server_hash);
 	ctr_names_clear(&c->lanes);
@@ -344,6 +360,7 @@
 	arrfree(c->all);
 	arrfree(c->running);
 	arrfree(c->stood);
+	arrfree(c->budget);
 	hmfree(c->by);
 	hmfree(c->pair);
 	hmfree(c->use);
--- a/lib/data/ctr_send.c
+++ b/lib/data/ctr_send.c
@@ -29,9 +29,9 @@
 static void count_send(struct ctr *c, struct xch *x, const struct plan *pl, int64_t now)
 {
 	c->n.sends++;
-	c->budget += c->b.sights ? c->b.budget_mille * 3 / 4 : CTR_BUDGET;
-	if (c->budget > budget_cap(c))
-		c->budget = budget_cap(c);
+	c->budget[x->service] += c->b.sights ? c->b.budget_mille * 3 / 4 : CTR_BUDGET;
+	if (c->budget[x->service] > budget_cap(c))
+		c->budget[x->service] = budget_cap(c);
 	c->n.tokens += ctr_tokens_upto(x, x->nparts) + x->tail_tokens;
 	c->n.reused += ctr_tokens_upto(x, pl->keep);
 	c->n.fetched += pl->from >= 0 ? ctr_tokens_upto(x, pl->upto) - ctr_tokens_upto(x, pl->keep) : 0;
@@ -130,22 +130,24 @@
 	x->guess = pl->cost + CTR_FIRST_MS;
 	v->own++;
 	v->ahead += x->ahead;
-	v->tokens += x->size;
+	x->brings = ctr_brings(x, pl->keep);
+	v->tokens += x->brings;
 	f->call = x->call;
 	f->caller = x->token;
 	f->addr = sv->to;
 	f->server = c->servers.name[pl->server];
 	f->tenant = x->tenant == b->keyless ? NULL : c->tenants.name[x->tenant];
-	f->shelf = current ? ctr_shelf(c, x->service, v->weights, x->tenant, o->p)
+	f->shelf = current ? ctr_shelf(c, x, v->weights, o->p)
 	           : apr_psprintf(o->p, "cold-%" APR_UINT64_T_HEX_FMT "-%" APR_UINT64_T_FMT, c->id, x->seq);
 	x->shelf = current ? core_hashs(0, f->shelf) : 0;
+	x->filed = ctr_filed(c, x);
 	f->sink = current ? ctr_sink(c, x, x->shelf, now) : 0;
 	if (pl->from >= 0 && pl->upto > pl->keep)
 		ctr_link_use(c, (uint32_t)pl->from, pl->move, now);
 	if (f->sink)
-		ctr_link_use(c, (uint32_t)b->service[x->service].store_server, (double)x->ahead * b->service[x->service].kv_bytes /
+		ctr_link_use(c, (uint32_t)ctr_store_of(c, x), (double)x->ahead * b->service[x->service].kv_bytes /
 		             (b->service[x->service].store ? b->service[x->service].store : 1), now);
-	x->sink = f->sink ? (int)b->service[x->service].store_server : -1;
+	x->sink = f->sink ? ctr_store_of(c, x) : -1;
 	f->weights = c->weights.name[v->weights];
 	f->from = pl->from >= 0 ? c->roster->server[pl->from].to : 0;
 	f->prio = (int)x->prio;
@@ -162,8 +164,8 @@
 	f->repeatable = x->repeatable || x->resumable;
 	out_cmd(o, CMD_FORWARD)->u.forward = f;
 	if (x->sends > 1)
-		c->budget -= 1000; /* a resend earns nothing and costs one */
-	else
+		x->resend_paid = 0; /* a resend earns nothing; what was set aside for it is spent */
+	else if (!x->unreached)
 		count_send(c, x, pl, now);
 }
 
@@ -271,7 +273,7 @@
 		const struct kept_copy *old = ctr_usable(c, x, x->hash[i], (uint32_t)x->server, x->weights);
 
 		if (!old && view_allows(&c->relay.w, c->services.name[x->service], c->weights.name[x->weights], c->tenants.name[x->tenant],
-		                        c->servers.name[x->server], x->stamp))
+		                        c->servers.name[x->server], x->stamp) && ctr_keeps(c, x->service, x->tenant, x->hash[i], x->stamp))
 			kept_put(&c->kept, x->hash[i], &n);
 	}
 	c->n.answered++;
@@ -330,11 +332,11 @@
 	x->tried = (uint32_t)x->server;
 	x->server = -1;
 	x->state = XCH_CLAIMING;
-	if (c->budget < 1000) {
+	if (c->budget[x->service] < 1000) {
 		ctr_refuse(c, x, 503, "the server refused, and the budget for resends is spent", CTR_RETRY, now, o);
 		return;
 	}
-	c->budget -= 1000 + CTR_BUDGET; /* a resend earns nothing */
+	c->budget[x->service] -= 1000 + CTR_BUDGET; /* a resend earns nothing */
 	c->n.resends++;
 	ctr_send_claimed(c, x, now, o);
 }
@@ -359,7 +361,7 @@
 	if (weights && strcmp(weights, c->weights.name[x->weights]))
 		return; /* not under the weights that its shelf says */
 	for (int i = 0; x->shelf && i < x->nparts; i++) { /* kept there now, until it is said to be gone */
-		struct kept_copy n = { (uint32_t)x->server, 0, x->service, x->weights, x->stamp, 0 };
+		struct kept_copy n = { (uint32_t)x->server, 0, x->service, x->weights, x->stamp, x->filed };
 
 		kept_put(&c->kept, ctr_kept_key(x->shelf, x->hash[i]), &n);
 		n.server = (uint32_t)x->sink;
@@ -402,15 +404,17 @@
 	}
 }
 
-/* May another server have it? Within its own bound and the fleet's budget. */
+/* May another server have it? Within its own bound and the fleet's budget for the service. */
 static int again(const struct ctr *c, const struct xch *x, int64_t now)
 {
-	return x->sends < x->attempts && c->budget >= 1000 && now + CTR_AGAIN_LEAST < x->limit;
+	return x->sends < x->attempts && x->unreached < CTR_UNREACHED && (!x->sends || c->budget[x->service] >= 1000) &&
+	       now + CTR_AGAIN_LEAST < x->limit;
 }
 
 void ctr_on_ended(struct ctr *c, struct xch *x, const struct ctr_ended *e, int64_t now, struct out *o)
 {
 	uint32_t s = (uint32_t)x->server;
+	int unreached = e->how == CTR_NEVER && !e->status && !e->wrong_life;
 
 	(void)hmdel(c->by, x->call);
 	x->call = 0;
@@ -420,6 +424,11 @@
 	x->next += e->pieces;
 	x->begun |= e->began;
 	x->ran |= e->how != CTR_NEVER;
+	if (unreached) { /* nobody heard of this send: it is no try, and what was set aside for it comes back */
+		x->unreached++;
+		if (--x->sends > 0)
+			c->budget[x->service] += 1000;
+	}
 	if (e->how == CTR_WHOLE) {
 		if (!x->first)
 			ctr_on_began(c, x, e->weights, now);
@@ -432,20 +441,25 @@
 	}
 	if (e->how == CTR_BROKE ? x->begun ? x->resumable : x->repeatable || x->resumable : !x->begun || x->resumable) {
 		if (again(c, x, now)) {
+			int paid = x->sends > 0;
+
 			c->sv[s].own--;
 			c->sv[s].ahead -= x->ahead;
-			c->sv[s].tokens -= x->size;
+			c->sv[s].tokens -= x->brings;
 			x->ahead = 0;
 			x->tried = s;
 			x->server = -1;
 			x->state = XCH_CLAIMING;
+			if (paid)
+				c->budget[x->service] -= 1000; /* set aside at once: it may wait in its line, and others be decided on meanwhile */
+			x->resend_paid = paid;
 			c->n.resends++;
 			c->n.taken_up += x->begun != 0;
 			ctr_send_claimed(c, x, now, o);
 			return;
 		}
 		if (e->how == CTR_NEVER && !x->begun) {
-			ctr_refuse(c, x, 503, "the server did not take it, and the budget for resends is spent", CTR_RETRY, now, o);
+			ctr_refuse(c, x, 503, "the server did not take it, and it may go to no other", CTR_SOON, now, o);
 			return;
 		}
 	}
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -23,6 +23,7 @@
 	int used, counter, up, frozen, cell; /* cell: nodes in different cells cannot talk */
 	int64_t stall_until;
 	int64_t skew;          /* of its own monotonic clock */
+	int64_t wall_off;      /* how far its wall clock is off */
 	uint64_t addr, id, life;
 	char zone[16];
 	struct reg *r;
@@ -45,6 +46,7 @@
 	struct sim_kept *kept;
 	int running;
 	int bad; /* 1 answers with another's mark, 2 skips a piece, 3 breaks off, 4 repeats a piece */
+	int hoard; /* drops nothing that it is told to */
 	int refuse, slow; /* slow: ms between pieces */
 	int serial;
 	int odd; /* reports: 1 torn, 2 no object, 3 slots beyond reason, 4 parts of a thousand unknown tenants and weights */
@@ -70,13 +72,15 @@
 	int lag, slow;           /* ms that it is behind; that a call takes */
 	int refuse, lossy;       /* per mille of calls that it refuses; of orders whose answer never comes */
 	int64_t away_until;      /* no call is answered before */
+	int dated;               /* ms that a server's report is old */
+	int slots;               /* of each server; 0: 128 */
 	int load_ms, at_once;    /* a load; how many go on at once without slowing each other down */
 	int64_t calls[64];       /* the last calls */
 	uint64_t n_list, n_look, n_order, n_load, n_fenced, n_busy;
 	int most;                /* loads under way at once */
 };
 
-enum sim_ev_kind { SIM_LISTED, SIM_LOOKED, SIM_ORDERED, SIM_ORDER, SIM_LOAD_END, SIM_TICK, SIM_MSG, SIM_SYNC, SIM_CALLED, SIM_ARRIVE, SIM_STREAM, SIM_BROKE, SIM_WEB, SIM_ASK, SIM_LEAVE, SIM_STOP, SIM_LOADED, SIM_DOC };
+enum sim_ev_kind { SIM_LISTED, SIM_LOOKED, SIM_ORDERED, SIM_ORDER, SIM_LOAD_END, SIM_TICK, SIM_MSG, SIM_SYNC, SIM_CALLED, SIM_ARRIVE, SIM_STREAM, SIM_BROKE, SIM_WEB, SIM_ASK, SIM_LEAVE, SIM_STOP, SIM_LOADED, SIM_DOC, SIM_DOOR };
 struct sim_ev {
 	int64_t at;
 	uint64_t seq, life;
@@ -98,7 +102,7 @@
 	int tenant, node, next, told, began, asked, tries, pick;
 	const char *lane;
 	uint64_t token;
-	int64_t asked_at, told_at;
+	int64_t asked_at, told_at, first_at; /* first_at: its first piece */
 	int left;     /* its caller left */
 	int retry_ms; /* when it was told to come back */
 	char key[65];
@@ -110,6 +114,14 @@
 struct sim_ack { uint64_t edition; int64_t at; };
 struct sim_value { uint64_t tick, key; };
 
+/* What stands between counters and servers when exchanges are forwarded: see sim_forward.h. */
+struct sim_door {
+	void *ctx;
+	int (*perform)(void *ctx, int node, const struct cmd *c); /* 1: it was its own */
+	void (*event)(void *ctx, struct sim_ev *e);               /* of kind SIM_DOOR, whatever has become of the node */
+	void (*lost)(void *ctx, int node);                        /* a counter fell, and its connections with it */
+};
+
 struct sim {
 	uint64_t seed, rng, seq, token;
 	int64_t now;
@@ -120,9 +132,14 @@
 	int loss, delay, jitter; /* per mille; ms */
 	int far;               /* ms added between zones */
 	int disk_ms;
+	int read_ms;           /* that servers read at a token which they do not keep */
+	int64_t epoch;         /* ms since 1970 at virtual time 0; 0: registrars know no wall clock */
+	const struct reg_calendar *calendar;
 	int limit_ms;          /* of exchanges */
 	struct bounds b;       /* of registrars */
 	struct sim_list list;
+	struct sim_door door;
+	uint64_t deaf;         /* kinds of message (bits by body) that do not reach counters */
 	int copies;            /* of each part; 0: as the product has it */
 	int catch_up_ms;       /* 0: as the product has it */
 	const struct reg_tongue *tongue;
@@ -141,6 +158,8 @@
 	struct { int64_t at; int again; } *send; /* stb_ds: each send that arrived, and whether it was a resend */
 	struct { char *key; int64_t value; } *removed; /* digests of keys, when their removal was acknowledged */
 	struct { int64_t since; int walled; } wall[16];
+	struct sim_clear { char tenant[16], service[16]; uint64_t made; int64_t after; } *clear; /* stb_ds: from a time on nothing made before a tick is used */
+	uint64_t n_judged;
 	int limit[16];              /* of a tenant over the fleet, where it is judged */
 	int most[16];               /* runs of a tenant at once */
 	uint64_t n_sends, n_firsts, n_whole, n_refused, n_unknown, n_fresh, n_tokens, n_fetched, n_vain, n_odd;
@@ -216,6 +235,11 @@
 /* Which registrar licensed-owns a part; -1 for none. Example: sim_owner(&s, PART_CTL) */
 int sim_owner(struct sim *s, uint32_t part);
 
+/* Put an event in the queue; do one step of a counter. Example: sim_push(&s, e); sim_ctr(&s, node, &ev); */
+void sim_push(struct sim *s, struct sim_ev e);
+void sim_ctr(struct sim *s, int node, const struct ctr_ev *ev);
+int64_t sim_local(const struct sim *s, int node);
+
 /* A founded fleet of n registrars in as many zones. Example: sim_fleet(&s, 1, 4); */
 void sim_fleet(struct sim *s, uint64_t seed, int regs);
 
