--- a/lib/control/follow.c
+++ b/lib/control/follow.c
@@ -19,7 +19,7 @@
 	f->fresh = now - 1000000;
 	f->last_word = now;
 	f->last_ask = now - FOLLOW_EVERY;
-	for (int i = 0; i < PART_COUNT && f->ncand; i++)
+	for (int i = 0; i < SHARD_COUNT && f->ncand; i++)
 		f->at[i] = (int)(core_rand(&f->rng) % (uint64_t)f->ncand);
 }
 
@@ -41,7 +41,7 @@
 		if (!known && f->ncand < FOLLOW_SEATS)
 			f->cand[f->ncand++] = old[i];
 	}
-	for (int i = 0; i < PART_COUNT; i++)
+	for (int i = 0; i < SHARD_COUNT; i++)
 		f->at[i] = f->ncand ? f->at[i] % f->ncand : 0;
 }
 
@@ -94,7 +94,7 @@
 
 uint64_t follow_seat(struct follow *f, uint32_t part)
 {
-	if (part >= PART_COUNT)
+	if (part >= SHARD_COUNT)
 		return 0;
 	return f->seat[part] ? f->seat[part] : f->ncand ? f->cand[f->at[part] % f->ncand] : 0;
 }
@@ -109,14 +109,14 @@
 {
 	if (now - moved > 2 * FOLLOW_LOG && now - f->log_tried > FOLLOW_LOG) {
 		f->log_tried = now;
-		follow_miss(f, PART_PURGE);
+		follow_miss(f, SHARD_PURGE);
 	}
-	return follow_seat(f, PART_PURGE);
+	return follow_seat(f, SHARD_PURGE);
 }
 
 void follow_hint(struct follow *f, uint32_t part, uint64_t addr)
 {
-	if (part >= PART_COUNT)
+	if (part >= SHARD_COUNT)
 		return;
 	if (addr)
 		f->seat[part] = addr;
@@ -152,10 +152,10 @@
 
 void follow_ask(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
 {
-	uint64_t to = follow_seat(f, PART_CTL);
+	uint64_t to = follow_seat(f, SHARD_CONTROL);
 
 	if (to)
-		out_msg(o, to, PART_CTL, NL__MSG__BODY_FOLLOW)->follow = asking(f, horizon, now, o);
+		out_msg(o, to, SHARD_CONTROL, NL__MSG__BODY_FOLLOW)->follow = asking(f, horizon, now, o);
 }
 
 /* The owner is silent, or nobody's guess is right: a few at once, in turn, so that a new owner is found as soon as there is
@@ -163,17 +163,17 @@
 static void ask_around(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
 {
 	struct Nl__Follow *a = asking(f, horizon, now, o);
-	uint64_t first = f->seat[PART_CTL];
+	uint64_t first = f->seat[SHARD_CONTROL];
 
 	if (first)
-		out_msg(o, first, PART_CTL, NL__MSG__BODY_FOLLOW)->follow = a;
+		out_msg(o, first, SHARD_CONTROL, NL__MSG__BODY_FOLLOW)->follow = a;
 	for (int i = 0; i < FOLLOW_AROUND && i < f->ncand; i++) {
-		uint64_t to = f->cand[(f->at[PART_CTL] + i) % f->ncand];
+		uint64_t to = f->cand[(f->at[SHARD_CONTROL] + i) % f->ncand];
 
 		if (to != first)
-			out_msg(o, to, PART_CTL, NL__MSG__BODY_FOLLOW)->follow = a;
+			out_msg(o, to, SHARD_CONTROL, NL__MSG__BODY_FOLLOW)->follow = a;
 	}
-	f->at[PART_CTL] = (f->at[PART_CTL] + FOLLOW_AROUND) % (f->ncand ? f->ncand : 1);
+	f->at[SHARD_CONTROL] = (f->at[SHARD_CONTROL] + FOLLOW_AROUND) % (f->ncand ? f->ncand : 1);
 }
 
 void follow_tick(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
@@ -183,7 +183,7 @@
 	if (now - f->last_ask < (silent ? FOLLOW_EVERY / 2 : FOLLOW_EVERY))
 		return;
 	if (now - f->last_word > FOLLOW_WAIT + FOLLOW_EVERY) {
-		follow_miss(f, PART_CTL);
+		follow_miss(f, SHARD_CONTROL);
 		f->last_word = now - FOLLOW_EVERY; /* the next one gets its time too */
 	}
 	if (silent)
@@ -227,7 +227,7 @@
 	asked = f->asked[r->token % 16].at;
 	if (!r->licensed) {
 		if (r->token == f->token) { /* only the newest asking moves the guess */
-			follow_hint(f, PART_CTL, r->hint == m->addr ? 0 : r->hint);
+			follow_hint(f, SHARD_CONTROL, r->hint == m->addr ? 0 : r->hint);
 			if (r->hint && r->hint != m->addr && now - f->last_ask >= 20)
 				follow_ask(f, 0, now, o);
 		}
@@ -235,7 +235,7 @@
 	}
 	if (f->fleet && r->fleet != f->fleet)
 		return 0;
-	f->seat[PART_CTL] = m->addr;
+	f->seat[SHARD_CONTROL] = m->addr;
 	if (!table_follow(&f->t, r))
 		return 0; /* an answer to an older asking; the next one fits */
 	f->fleet = r->fleet;
--- a/lib/control/follow.h
+++ b/lib/control/follow.h
@@ -35,8 +35,8 @@
 	int counter;
 	uint64_t cand[FOLLOW_SEATS];          /* seeds, then registrars */
 	int ncand, nseed;
-	int at[PART_COUNT];                   /* each part goes round by itself: together they skip some for ever */
-	uint64_t seat[PART_COUNT];            /* best guess of each part's owner */
+	int at[SHARD_COUNT];                   /* each part goes round by itself: together they skip some for ever */
+	uint64_t seat[SHARD_COUNT];            /* best guess of each part's owner */
 	uint64_t up[8];
 	int nup;
 	uint64_t head[32];                    /* of the other zones, if this node is the head of its own */
--- a/lib/control/giver.c
+++ b/lib/control/giver.c
@@ -37,7 +37,7 @@
 	json_object_object_add(what, "fence", json_object_new_int64((int64_t)fence));
 	json_object_object_add(what, "giver", json_object_new_string(apr_psprintf(o->p, "%016" APR_UINT64_T_HEX_FMT, r->id)));
 	call(0, addr, "/v1/order", apr_pstrdup(o->p, json_object_to_json_string_ext(what, JSON_C_TO_STRING_PLAIN)),
-	     r->part[part].licence, o);
+	     r->part[part].lease_expires_at, o);
 	json_object_put(what);
 	s->ordered = now;
 }
@@ -46,7 +46,7 @@
 {
 	struct json_object *j = json_tokener_parse(body), *parts, *drop;
 	const struct Nl__Row *row = table_get(&r->f.t, NL__KIND__SERVER, s->name);
-	uint32_t part = core_part_of(s->service, PART_SERVICES);
+	uint32_t part = core_part_of(s->service, SHARD_SERVICES);
 
 	if (!json_object_is_type(j, json_type_object) || !row)
 		goto end;
@@ -204,13 +204,13 @@
 
 void giver_tick(struct reg *r, int64_t now, struct out *o)
 {
-	for (uint32_t part = PART_SERVICE; part < PART_COUNT; part++) {
+	for (uint32_t part = SHARD_SERVICE; part < SHARD_COUNT; part++) {
 		if (!in_office(r, part, now) || follow_age(&r->f, now) > FOLLOW_CONFIG)
 			continue;
 		for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
 			const struct Nl__Row *row = r->f.t.h[i].value.row;
 
-			if (row->kind == NL__KIND__SERVER && core_part_of(row->service, PART_SERVICES) == part)
+			if (row->kind == NL__KIND__SERVER && core_part_of(row->service, SHARD_SERVICES) == part)
 				look_at(r, row, now, o);
 		}
 		if (now - r->owner_since[part] < REG_HOLD)
@@ -218,7 +218,7 @@
 		for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
 			const struct Nl__Row *row = r->f.t.h[i].value.row;
 
-			if (row->kind == NL__KIND__SERVICE && core_part_of(row->name, PART_SERVICES) == part)
+			if (row->kind == NL__KIND__SERVICE && core_part_of(row->name, SHARD_SERVICES) == part)
 				roll(r, row, part, now, o);
 		}
 	}
@@ -275,7 +275,7 @@
 void giver_begins(struct reg *r, int64_t now)
 {
 	struct giver *g = &r->giver;
-	uint64_t term = r->part[PART_CTL].term;
+	uint64_t term = r->part[SHARD_CONTROL].term;
 
 	/* no other gave orders between if the terms follow each other */
 	g->wait = g->term && term == g->term + 1 ? 0 : r->b.lease_ms + GIVER_AFTER;
@@ -366,7 +366,7 @@
 	d.fence = r->giver.term << 20 | (r->giver.seq & 0xfffff);
 	op.op_case = NL__OP__OP_ROLLED;
 	op.rolled = &d;
-	if (!log_op(r, PART_CTL, &op, now, o))
+	if (!log_op(r, SHARD_CONTROL, &op, now, o))
 		return;
 	s->is = GIVER_MEANT;
 	s->told = now;
@@ -386,7 +386,7 @@
 
 static void give(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, int64_t meant, int64_t now, struct out *o)
 {
-	int64_t until = r->part[PART_CTL].licence - GIVER_MARGIN;
+	int64_t until = r->part[SHARD_CONTROL].lease_expires_at - GIVER_MARGIN;
 	struct cmd *c;
 
 	if (until > meant + GIVER_MEANT_FOR)
@@ -518,13 +518,13 @@
 
 static void log_rolled(struct reg *r, typeof(((struct giver_model *)0)->value) *m, const struct Nl__Row *model, int64_t now, struct out *o)
 {
-	const struct part *p = &r->part[PART_CTL];
+	const struct raft *p = &r->part[SHARD_CONTROL];
 	struct Nl__Row row = *model, *set[1] = { &row };
 	struct Nl__Op op = NL__OP__INIT;
 	struct Nl__Change c = NL__CHANGE__INIT;
 
 	/* nothing stands in the log behind the row as it is here, which would be undone; nor is this on its way already */
-	if (p->taken != p->base + (uint64_t)arrlen(p->log) || now - m->rolled < 1000)
+	if (p->applied != p->base + (uint64_t)arrlen(p->log) || now - m->rolled < 1000)
 		return;
 	row.rolled = model->weights;
 	c.any = 1;
@@ -532,7 +532,7 @@
 	c.n_set = 1;
 	op.op_case = NL__OP__OP_CHANGE;
 	op.change = &c;
-	if (log_op(r, PART_CTL, &op, now, o)) {
+	if (log_op(r, SHARD_CONTROL, &op, now, o)) {
 		m->rolled = now;
 		say(r, "order", o->p, "Every server has %s of %s.", model->weights, model->name);
 	}
@@ -567,7 +567,7 @@
 	if (n && on == n && strcmp(model->rolled, model->weights))
 		log_rolled(r, m, model, now, o);
 	room = on == n ? 0 : at_once(r, m, n, n - on, busy, now) - busy;
-	if (r->giver.barred || now >= r->part[PART_CTL].licence - GIVER_MARGIN)
+	if (r->giver.barred || now >= r->part[SHARD_CONTROL].lease_expires_at - GIVER_MARGIN)
 		room = 0;
 	while (room-- > 0) { /* next in the zone that has the smallest share of its servers out */
 		const struct Nl__Sight *best = NULL;
@@ -608,7 +608,7 @@
 	if (!r->b.sights)
 		return;
 	note_models(r, now);
-	if (!in_office(r, PART_CTL, now))
+	if (!in_office(r, SHARD_CONTROL, now))
 		return;
 	for (ptrdiff_t i = arrlen(r->giver.v) - 1; i >= 0; i--) { /* those of servers that have left */
 		const struct Nl__Sight *x = sights_get(&r->sights, r->giver.v[i].name);
--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -109,7 +109,7 @@
 		arrdel(r->ctl_done, 0);
 
 	for (ptrdiff_t i = 0; i < arrlen(p); i++) {
-		feed_put(&r->ctl_feed, PART_CTL, index << 16 | (uint64_t)i, p[i]);
+		feed_put(&r->ctl_feed, SHARD_CONTROL, index << 16 | (uint64_t)i, p[i]);
 		nl__purge__free_unpacked(p[i], NULL);
 	}
 	arrfree(p);
@@ -138,7 +138,7 @@
 static void apply_cleared(struct reg *r, uint32_t part, const struct Nl__Trim *t)
 {
 	struct reg_svc *s = svc_of(r, part);
-	uint64_t *cleared = s ? &s->cleared : part == PART_CTL ? &r->ret.cleared : &r->pub.cleared;
+	uint64_t *cleared = s ? &s->cleared : part == SHARD_CONTROL ? &r->ret.cleared : &r->pub.cleared;
 
 	if (t->cleared <= *cleared && !t->settled)
 		return;
@@ -205,7 +205,7 @@
 static void apply_value(struct reg *r, const struct Nl__Value *v, int64_t now, struct out *o)
 {
 	struct reg_pub *b = &r->pub;
-	int fresh = v->feed < PART_COUNT && v->index > b->mark[v->feed] && v->purge;
+	int fresh = v->feed < SHARD_COUNT && v->index > b->mark[v->feed] && v->purge;
 
 	if (fresh) {
 		b->mark[v->feed] = v->index;
@@ -238,7 +238,7 @@
 
 static void answer_wait(struct reg *r, uint32_t part, uint64_t index, uint32_t st, struct out *o);
 
-static void apply(struct reg *r, uint32_t part, uint64_t index, const struct part_entry *e, int64_t now, struct out *o)
+static void apply(struct reg *r, uint32_t part, uint64_t index, const struct raft_entry *e, int64_t now, struct out *o)
 {
 	struct Nl__Op *op = (struct Nl__Op *)core_unpack(o->p, &nl__op__descriptor, e->len, e->data);
 	uint32_t st = TABLE_REFUSED;
@@ -248,17 +248,17 @@
 	if (op)
 		switch (op->op_case) {
 		case NL__OP__OP_CHANGE:
-			if (part == PART_CTL)
+			if (part == SHARD_CONTROL)
 				st = apply_change(r, index, op);
 			break;
 		case NL__OP__OP_RESERVE:
-			if (part == PART_PURGE) {
+			if (part == SHARD_PURGE) {
 				apply_reserve(r, op->reserve);
 				st = TABLE_DONE;
 			}
 			break;
 		case NL__OP__OP_VALUE:
-			if (part == PART_PURGE) {
+			if (part == SHARD_PURGE) {
 				apply_value(r, op->value, now, o);
 				st = TABLE_DONE;
 			}
@@ -271,20 +271,20 @@
 			if (svc_of(r, part)) {
 				apply_rolled(r, part, index, op->rolled);
 				st = TABLE_DONE;
-			} else if (part == PART_CTL) {
+			} else if (part == SHARD_CONTROL) {
 				giver_meant(r, op->rolled->server, now);
 				st = TABLE_DONE;
 			}
 			break;
 		case NL__OP__OP_TRIM:
-			if (part != PART_PURGE)
-				feed_trim(part == PART_CTL ? &r->ctl_feed : &svc_of(r, part)->feed, op->trim->feed);
+			if (part != SHARD_PURGE)
+				feed_trim(part == SHARD_CONTROL ? &r->ctl_feed : &svc_of(r, part)->feed, op->trim->feed);
 			if (op->trim->cleared)
 				apply_cleared(r, part, op->trim);
 			st = TABLE_DONE;
 			break;
 		case NL__OP__OP_CLEAR:
-			if (part == PART_CTL)
+			if (part == SHARD_CONTROL)
 				st = apply_clear(r, index, op);
 			break;
 		default: break;
@@ -348,7 +348,7 @@
 static uint8_t *pack_pub(const struct reg *r, apr_pool_t *p, size_t *n)
 {
 	struct Nl__PurgeState s = NL__PURGE_STATE__INIT;
-	struct Nl__FeedMark m[PART_COUNT], *pm[PART_COUNT];
+	struct Nl__FeedMark m[SHARD_COUNT], *pm[SHARD_COUNT];
 	struct view_row *h = r->pub.last.h;
 
 	s.ceiling = r->pub.ceiling;
@@ -364,14 +364,14 @@
 			s.last[k] = s.last[k - 1];
 		s.last[k] = h[i].value;
 	}
-	for (int i = 0; i < PART_COUNT; i++) {
+	for (int i = 0; i < SHARD_COUNT; i++) {
 		nl__feed_mark__init(&m[i]);
 		m[i].feed = (uint32_t)i;
 		m[i].index = r->pub.mark[i];
 		pm[i] = &m[i];
 	}
 	s.mark = pm;
-	s.n_mark = PART_COUNT;
+	s.n_mark = SHARD_COUNT;
 	return core_pack(p, &s.base, n);
 }
 
@@ -423,9 +423,9 @@
 
 uint8_t *reg_state(const struct reg *r, uint32_t part, apr_pool_t *p, size_t *n)
 {
-	return part == PART_CTL     ? pack_ctl(r, p, n)
-	       : part == PART_PURGE ? pack_pub(r, p, n)
-	                            : pack_svc(&r->svc[part - PART_SERVICE], p, n);
+	return part == SHARD_CONTROL     ? pack_ctl(r, p, n)
+	       : part == SHARD_PURGE ? pack_pub(r, p, n)
+	                            : pack_svc(&r->svc[part - SHARD_SERVICE], p, n);
 }
 
 static void clear_values(struct Nl__Value ***v)
@@ -449,10 +449,10 @@
 
 static void load_state(struct reg *r, uint32_t part, apr_pool_t *p)
 {
-	const struct part *q = &r->part[part];
+	const struct raft *q = &r->part[part];
 
-	if (part == PART_CTL) {
-		struct Nl__CtlState *s = (struct Nl__CtlState *)core_unpack(p, &nl__ctl_state__descriptor, q->snap_len, q->snap);
+	if (part == SHARD_CONTROL) {
+		struct Nl__CtlState *s = (struct Nl__CtlState *)core_unpack(p, &nl__ctl_state__descriptor, q->snapshot_len, q->snap);
 		struct Nl__FollowReply all = NL__FOLLOW_REPLY__INIT;
 
 		table_close(&r->ctl);
@@ -483,8 +483,8 @@
 		r->ctl.floor = s->edition;
 		for (size_t i = 0; i < s->n_feed; i++)
 			arrput(r->ctl_feed, value_copy(s->feed[i]));
-	} else if (part == PART_PURGE) {
-		struct Nl__PurgeState *s = (struct Nl__PurgeState *)core_unpack(p, &nl__purge_state__descriptor, q->snap_len, q->snap);
+	} else if (part == SHARD_PURGE) {
+		struct Nl__PurgeState *s = (struct Nl__PurgeState *)core_unpack(p, &nl__purge_state__descriptor, q->snapshot_len, q->snap);
 
 		clear_values(&r->pub.v);
 		view_clear(&r->pub.last);
@@ -499,11 +499,11 @@
 		for (size_t i = 0; i < s->n_last; i++)
 			view_apply(&r->pub.last, s->last[i]);
 		for (size_t i = 0; i < s->n_mark; i++)
-			if (s->mark[i]->feed < PART_COUNT)
+			if (s->mark[i]->feed < SHARD_COUNT)
 				r->pub.mark[s->mark[i]->feed] = s->mark[i]->index;
 	} else {
 		struct reg_svc *c = svc_of(r, part);
-		struct Nl__ServiceState *s = (struct Nl__ServiceState *)core_unpack(p, &nl__service_state__descriptor, q->snap_len, q->snap);
+		struct Nl__ServiceState *s = (struct Nl__ServiceState *)core_unpack(p, &nl__service_state__descriptor, q->snapshot_len, q->snap);
 
 		clear_svc(c);
 		if (!s)
@@ -570,7 +570,7 @@
 
 static void answer_wait(struct reg *r, uint32_t part, uint64_t index, uint32_t st, struct out *o)
 {
-	if (part == PART_CTL)
+	if (part == SHARD_CONTROL)
 		answer_calls(r, index, st, o);
 	for (ptrdiff_t i = 0; i < arrlen(r->wait); i++)
 		if (r->wait[i].part == part && r->wait[i].index == index) {
@@ -591,7 +591,7 @@
 	op->clock = (uint64_t)(now - r->clock_at[part]);
 	r->clock_at[part] = now;
 	d = core_pack(o->p, &op->base, &n);
-	return part_propose(&r->part[part], d, n, now);
+	return raft_propose(&r->part[part], d, n, now);
 }
 
 /* An operator wants a scope cleared now; the time is the owner's, since nothing is planned by it. */
@@ -618,9 +618,9 @@
 	const struct reg_done *done;
 	int fits;
 
-	if (m->part >= PART_COUNT || !q->op)
+	if (m->part >= SHARD_COUNT || !q->op)
 		return;
-	fits = m->part == PART_CTL ? q->op->op_case == NL__OP__OP_CHANGE || (q->op->op_case == NL__OP__OP_CLEAR && q->op->clear->step == NL__CLEAR_STEP__CLEAR_NOW)
+	fits = m->part == SHARD_CONTROL ? q->op->op_case == NL__OP__OP_CHANGE || (q->op->op_case == NL__OP__OP_CLEAR && q->op->clear->step == NL__CLEAR_STEP__CLEAR_NOW)
 	       : svc_of(r, m->part) ? q->op->op_case == NL__OP__OP_CLAIM : 0;
 	if (!in_office(r, m->part, now)) {
 		send_answer(r, m->addr, q->token, TABLE_NOT_OWNER, "", owner_hint(r, m->part, now), o);
@@ -628,15 +628,15 @@
 	}
 	if (!fits)
 		why = "op: not one that this part takes";
-	else if (m->part == PART_CTL && (done = done_of(r, q->op->from, q->op->token))) {
+	else if (m->part == SHARD_CONTROL && (done = done_of(r, q->op->from, q->op->token))) {
 		send_answer(r, m->addr, q->token, done->status, "edition overtaken", 0, o);
 		return;
-	} else if (m->part == PART_CTL && q->op->op_case == NL__OP__OP_CLEAR) {
+	} else if (m->part == SHARD_CONTROL && q->op->op_case == NL__OP__OP_CLEAR) {
 		why = clear_check(r, q->op->clear, now, o->p);
-	} else if (m->part == PART_CTL && r->ctl.edition && !q->op->change->any && q->op->change->expect < r->ctl.plan) {
+	} else if (m->part == SHARD_CONTROL && r->ctl.edition && !q->op->change->any && q->op->change->expect < r->ctl.plan) {
 		send_answer(r, m->addr, q->token, TABLE_OVERTAKEN, "edition overtaken", 0, o);
 		return;
-	} else if (m->part == PART_CTL) {
+	} else if (m->part == SHARD_CONTROL) {
 		why = table_check(&r->ctl, q->op->change, o->p);
 		if (!why)
 			why = retention_check(r->calendar, q->op->change, retention_wall(r, now), o->p);
@@ -835,7 +835,7 @@
 static void places(struct reg *r, uint64_t id, const struct Nl__Follow *q, uint32_t counters, struct Nl__FollowReply *a, int64_t now, struct out *o)
 {
 	/* the members are a fleet's first entry, its first owner's the second: before it nobody gave any */
-	int young = now - r->owner_since[PART_CTL] < REG_PLACES && r->part[PART_CTL].term_start > 2;
+	int young = now - r->owner_since[SHARD_CONTROL] < REG_PLACES && r->part[SHARD_CONTROL].term_start > 2;
 	uint32_t n = counters ? counters : 1;
 
 	spare_names(r);
@@ -910,13 +910,13 @@
 
 	int late;
 
-	out_msg(o, m->addr, PART_CTL, NL__MSG__BODY_FOLLOW_REPLY)->follow_reply = a;
+	out_msg(o, m->addr, SHARD_CONTROL, NL__MSG__BODY_FOLLOW_REPLY)->follow_reply = a;
 	a->token = q->token;
 	a->fleet = r->fleet;
-	a->licensed = in_office(r, PART_CTL, now);
-	a->hint = owner_hint(r, PART_CTL, now);
-	if (!a->hint && r->f.seat[PART_CTL] != o->addr)
-		a->hint = r->f.seat[PART_CTL];
+	a->licensed = in_office(r, SHARD_CONTROL, now);
+	a->hint = owner_hint(r, SHARD_CONTROL, now);
+	if (!a->hint && r->f.seat[SHARD_CONTROL] != o->addr)
+		a->hint = r->f.seat[SHARD_CONTROL];
 	if (!a->licensed)
 		return;
 	for (ptrdiff_t i = arrlen(r->seen) - 1; i >= 0; i--)
@@ -974,7 +974,7 @@
 
 static struct Nl__Value **feed_of(struct reg *r, uint32_t part)
 {
-	return part == PART_CTL ? r->ctl_feed : svc_of(r, part) ? svc_of(r, part)->feed : NULL;
+	return part == SHARD_CONTROL ? r->ctl_feed : svc_of(r, part) ? svc_of(r, part)->feed : NULL;
 }
 
 static void on_feed_ask(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
@@ -983,7 +983,7 @@
 	struct Nl__Value **v;
 	size_t n = 0, old = 0;
 
-	if (m->part >= PART_COUNT || m->part == PART_PURGE)
+	if (m->part >= SHARD_COUNT || m->part == SHARD_PURGE)
 		return;
 	if (!in_office(r, m->part, now)) {
 		struct Nl__Owner *w = OUT_NEW(o, Nl__Owner, NL__OWNER__INIT);
@@ -1017,7 +1017,7 @@
 	const struct Nl__FeedReply *a = m->feed_reply;
 	int asked = 0;
 
-	if (!r->relay.publisher || m->part >= PART_COUNT || !in_office(r, PART_PURGE, now))
+	if (!r->relay.publisher || m->part >= SHARD_COUNT || !in_office(r, SHARD_PURGE, now))
 		return;
 	follow_hint(&r->f, m->part, m->addr);
 	/* one batch at a time; what does not fit, the feed will say again */
@@ -1033,7 +1033,7 @@
 		a->v[i]->tick = next;
 		op.op_case = NL__OP__OP_VALUE;
 		op.value = a->v[i];
-		if (!log_op(r, PART_PURGE, &op, now, o))
+		if (!log_op(r, SHARD_PURGE, &op, now, o))
 			break;
 		r->pending_tick = next;
 		asked++;
@@ -1053,7 +1053,7 @@
 	c.released = r->relay.k.released;
 	op.op_case = NL__OP__OP_RESERVE;
 	op.reserve = &c;
-	if (log_op(r, PART_PURGE, &op, now, o))
+	if (log_op(r, SHARD_PURGE, &op, now, o))
 		r->reserved_for = r->pub.ceiling;
 }
 
@@ -1076,7 +1076,7 @@
 	r->pending_tick = 0;
 	r->reserved_for = UINT64_MAX;
 	r->tick_at = now;
-	for (int i = 0; i < PART_COUNT; i++)
+	for (int i = 0; i < SHARD_COUNT; i++)
 		r->feed_ok[i] = 0;
 	r->feed_round = 1;
 	reserve(r, now, o);
@@ -1089,12 +1089,12 @@
 	if (now - r->feed_at >= REG_FEED) {
 		r->feed_at = now;
 		r->feed_round++;
-		for (uint32_t i = 0; i < PART_COUNT; i++) {
+		for (uint32_t i = 0; i < SHARD_COUNT; i++) {
 			struct Nl__FeedAsk *q;
 
-			if (i == PART_PURGE)
+			if (i == SHARD_PURGE)
 				continue;
-			if (i != PART_CTL && r->feed_round > r->feed_ok[i] + 5 && r->feed_round % 5 == 0)
+			if (i != SHARD_CONTROL && r->feed_round > r->feed_ok[i] + 5 && r->feed_round % 5 == 0)
 				follow_miss(&r->f, i); /* no word for a while: try another registrar, then heed its hint */
 			q = OUT_NEW(o, Nl__FeedAsk, NL__FEED_ASK__INIT);
 			q->have = r->pub.mark[i];
@@ -1107,8 +1107,8 @@
 		reserve(r, now, o);
 	if (now - r->tick_at < PURGE_TICK || r->pending_tick > r->tick || r->tick >= r->pub.ceiling)
 		return;
-	for (uint32_t i = 0; i < PART_COUNT; i++) /* silence waits for every feed */
-		all &= i == PART_PURGE || r->feed_ok[i] + 2 >= r->feed_round;
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) /* silence waits for every feed */
+		all &= i == SHARD_PURGE || r->feed_ok[i] + 2 >= r->feed_round;
 	if (!all)
 		return;
 	r->tick_at = now;
@@ -1120,18 +1120,18 @@
 
 static int is_empty(const struct reg *r)
 {
-	for (int i = 0; i < PART_COUNT; i++)
-		if (r->part[i].term || r->part[i].mn || r->part[i].base)
+	for (int i = 0; i < SHARD_COUNT; i++)
+		if (r->part[i].term || r->part[i].member_count || r->part[i].base)
 			return 0;
 	return !r->fleet;
 }
 
 static void found_here(struct reg *r, uint64_t fleet, const struct Nl__Members *ms, int64_t now, struct out *o)
 {
-	struct part_member m[PART_MEMBERS];
+	struct raft_member m[RAFT_MAX_MEMBERS];
 	int n = 0, mine = 0;
 
-	for (size_t i = 0; i < ms->n_m && n < PART_MEMBERS; i++) {
+	for (size_t i = 0; i < ms->n_m && n < RAFT_MAX_MEMBERS; i++) {
 		memset(&m[n], 0, sizeof m[n]);
 		m[n].id = ms->m[i]->id;
 		m[n].addr = ms->m[i]->addr;
@@ -1143,8 +1143,8 @@
 	r->fleet = r->f.fleet = fleet;
 	r->fleet_dirty = 1;
 	o->fleet = fleet;
-	for (int i = 0; i < PART_COUNT; i++)
-		part_found(&r->part[i], m, n, now, o);
+	for (int i = 0; i < SHARD_COUNT; i++)
+		raft_bootstrap(&r->part[i], m, n, now, o);
 	say(r, "found", o->p, "The fleet %016" APR_UINT64_T_HEX_FMT " is founded with %d registrars.", fleet, n);
 }
 
@@ -1275,13 +1275,13 @@
 	c.n_set = 1;
 	op.op_case = NL__OP__OP_CHANGE;
 	op.change = &c;
-	ask(r, PART_CTL, &op, 0, now);
+	ask(r, SHARD_CONTROL, &op, 0, now);
 }
 
 /* Owners mend their groups; the configuration's owner forgets registrars that are long gone. */
 static void mend_tick(struct reg *r, int64_t now, struct out *o)
 {
-	struct part_member live[FOLLOW_SEATS];
+	struct raft_member live[FOLLOW_SEATS];
 	const struct Nl__Row *row;
 	char name[20];
 	int n = 0;
@@ -1297,12 +1297,12 @@
 		row = table_get(&r->f.t, NL__KIND__REGISTRAR, name);
 		live[n].zone = row ? core_hashs(0, row->zone) : 0;
 	}
-	for (int i = 0; i < PART_COUNT; i++) {
-		r->part[i].copies = r->b.copies < PART_COPIES ? PART_COPIES : r->b.copies < PART_MEMBERS - 1 ? r->b.copies : PART_MEMBERS - 1;
-		r->part[i].dead = lost_after(r);
-		part_mend(&r->part[i], live, n, now);
+	for (int i = 0; i < SHARD_COUNT; i++) {
+		r->part[i].replicas = r->b.copies < RAFT_MIN_VOTERS ? RAFT_MIN_VOTERS : r->b.copies < RAFT_MAX_MEMBERS - 1 ? r->b.copies : RAFT_MAX_MEMBERS - 1;
+		r->part[i].member_lost_ms = lost_after(r);
+		raft_reconfigure(&r->part[i], live, n, now);
 	}
-	if (!in_office(r, PART_CTL, now) || now - r->owner_since[PART_CTL] < 60000)
+	if (!in_office(r, SHARD_CONTROL, now) || now - r->owner_since[SHARD_CONTROL] < 60000)
 		return;
 	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++) {
 		struct Nl__Row *old = r->ctl.h[i].value.row, *del[1] = { old };
@@ -1319,7 +1319,7 @@
 		c.n_del = 1;
 		op.op_case = NL__OP__OP_CHANGE;
 		op.change = &c;
-		log_op(r, PART_CTL, &op, now, o);
+		log_op(r, SHARD_CONTROL, &op, now, o);
 		return;
 	}
 }
@@ -1354,25 +1354,25 @@
 	json_object_object_add(j, "age_ms", json_object_new_int64(follow_age(&r->f, now)));
 	json_object_object_add(j, "horizon", json_object_new_int64((int64_t)r->relay.k.horizon));
 	json_object_object_add(j, "publisher", json_object_new_boolean(r->relay.publisher));
-	for (int i = 0; i < PART_COUNT; i++) {
-		struct part *q = &r->part[i];
+	for (int i = 0; i < SHARD_COUNT; i++) {
+		struct raft *q = &r->part[i];
 		struct json_object *x = json_object_new_object(), *ms = json_object_new_array();
 
 		json_object_object_add(x, "part", json_object_new_int(i));
 		json_object_object_add(x, "role", json_object_new_string(roles[q->role]));
-		json_object_object_add(x, "licensed", json_object_new_boolean(part_licensed(q, now)));
-		json_object_object_add(x, "owner", json_object_new_string(q->owner_addr ? core_addr_str(p, q->owner_addr) : ""));
+		json_object_object_add(x, "licensed", json_object_new_boolean(raft_has_lease(q, now)));
+		json_object_object_add(x, "owner", json_object_new_string(q->leader_addr ? core_addr_str(p, q->leader_addr) : ""));
 		json_object_object_add(x, "term", json_object_new_int64((int64_t)q->term));
 		json_object_object_add(x, "commit", json_object_new_int64((int64_t)q->commit));
-		for (int k = 0; k < q->mn; k++)
-			json_object_array_add(ms, json_object_new_string(apr_psprintf(p, "%016" APR_UINT64_T_HEX_FMT "@%s%s", q->m[k].id,
-			                      core_addr_str(p, q->m[k].addr), q->m[k].voter ? "" : " (not voting)")));
+		for (int k = 0; k < q->member_count; k++)
+			json_object_array_add(ms, json_object_new_string(apr_psprintf(p, "%016" APR_UINT64_T_HEX_FMT "@%s%s", q->members[k].id,
+			                      core_addr_str(p, q->members[k].addr), q->members[k].voter ? "" : " (not voting)")));
 		json_object_object_add(x, "members", ms);
 		json_object_array_add(a, x);
 	}
 	json_object_object_add(j, "parts", a);
 	a = json_object_new_array();
-	for (ptrdiff_t i = 0; i < arrlen(r->seen) && in_office(r, PART_CTL, now); i++) {
+	for (ptrdiff_t i = 0; i < arrlen(r->seen) && in_office(r, SHARD_CONTROL, now); i++) {
 		struct json_object *x = json_object_new_object();
 
 		json_object_object_add(x, "addr", json_object_new_string(core_addr_str(p, r->seen[i].addr)));
@@ -1387,7 +1387,7 @@
 	for (ptrdiff_t i = 0; i < arrlen(r->server); i++) {
 		struct json_object *x = json_object_new_object();
 
-		if (!in_office(r, core_part_of(r->server[i].service, PART_SERVICES), now)) {
+		if (!in_office(r, core_part_of(r->server[i].service, SHARD_SERVICES), now)) {
 			json_object_put(x);
 			continue;
 		}
@@ -1400,7 +1400,7 @@
 	}
 	json_object_object_add(j, "servers", a);
 	if (r->b.sights)
-		json_object_object_add(j, "sights", sights_json(in_office(r, PART_CTL, now) && r->sights.listed ? &r->sights : &r->f.sights));
+		json_object_object_add(j, "sights", sights_json(in_office(r, SHARD_CONTROL, now) && r->sights.listed ? &r->sights : &r->f.sights));
 	s = apr_pstrdup(p, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN));
 	json_object_put(j);
 	return s;
@@ -1428,7 +1428,7 @@
 		if (why)
 			out_answer(o, web, 400, 0, error_json(o->p, why, 0));
 		else
-			ask(r, PART_CTL, &op, web, now);
+			ask(r, SHARD_CONTROL, &op, web, now);
 	} else if (!strcmp(path, "/v1/retention") && !strcmp(verb, "GET")) {
 		out_answer(o, web, 200, 0, retention_json(r, now, o->p));
 	} else if (!strcmp(path, "/v1/retention.csv") && !strcmp(verb, "GET")) {
@@ -1446,7 +1446,7 @@
 		if (strpbrk(c.by, ",\"\r\n") || strlen(c.by) > 100)
 			out_answer(o, web, 400, 0, error_json(o->p, "by: up to 100 characters without commas and quotes", 0));
 		else
-			ask(r, PART_CTL, &op, web, now);
+			ask(r, SHARD_CONTROL, &op, web, now);
 		json_object_put(j);
 	} else if (!strcmp(path, "/v1/found") && !strcmp(verb, "POST")) {
 		if (r->found.web || r->found.own || !r->nseeds) {
@@ -1478,13 +1478,13 @@
 /* Only the configuration's owner in office takes them; others say who that is, as far as they know. */
 static int elsewhere(struct reg *r, uint64_t token, int64_t now, struct out *o)
 {
-	uint64_t to = owner_hint(r, PART_CTL, now);
+	uint64_t to = owner_hint(r, SHARD_CONTROL, now);
 	struct cmd *c;
 
-	if (in_office(r, PART_CTL, now))
+	if (in_office(r, SHARD_CONTROL, now))
 		return 0;
 	if (!to && follow_age(&r->f, now) < FOLLOW_EVERY + FOLLOW_WAIT)
-		to = r->f.seat[PART_CTL];
+		to = r->f.seat[SHARD_CONTROL];
 	if (!to || to == r->addr) {
 		out_answer(o, token, 503, 200, error_json(o->p, "no owner of the configuration is known here: nothing was logged", 0));
 		return 1;
@@ -1505,7 +1505,7 @@
 
 	op.op_case = NL__OP__OP_CHANGE;
 	op.change = c;
-	w.index = log_op(r, PART_CTL, &op, now, o);
+	w.index = log_op(r, SHARD_CONTROL, &op, now, o);
 	if (w.index)
 		arrput(r->call, w);
 	else
@@ -1610,40 +1610,40 @@
 /* Taking office comes after all that is committed has been applied, leaving it before. */
 static void office_begins(struct reg *r, uint32_t i, int64_t now, struct out *o)
 {
-	struct part *p = &r->part[i];
+	struct raft *p = &r->part[i];
 
-	if (part_licensed(p, now) && r->was_owner[i] != p->term) {
+	if (raft_has_lease(p, now) && r->was_owner[i] != p->term) {
 		r->was_owner[i] = p->term;
 		r->owner_since[i] = r->clock_at[i] = now;
 		say(r, "part", o->p, "Part %u is owned here from term %" APR_UINT64_T_FMT ".", i, p->term);
-		if (i == PART_CTL) {
+		if (i == SHARD_CONTROL) {
 			arrsetlen(r->seen, 0);
 			limits_clear(r);
 			giver_begins(r, now);
 			r->ret.logged = 0;
 		}
-		if (i == PART_PURGE)
+		if (i == SHARD_PURGE)
 			publisher_begins(r, now, o);
 	}
 }
 
 static void office_ends(struct reg *r, uint32_t i, int64_t now, struct out *o)
 {
-	struct part *p = &r->part[i];
+	struct raft *p = &r->part[i];
 
-	if (i == PART_PURGE && r->relay.publisher && !part_licensed(p, now)) {
+	if (i == SHARD_PURGE && r->relay.publisher && !raft_has_lease(p, now)) {
 		/* between licences nothing is declared; as owner of the same term it goes on after the next */
-		if (p->role != PART_OWNER) {
+		if (p->role != RAFT_LEADER) {
 			r->relay.publisher = 0;
 			arrsetlen(r->relay.up, 0);
 			say(r, "purge", o->p, "The publisher's licence is lost here.");
 		}
 	}
-	for (ptrdiff_t k = arrlen(r->call) - 1; k >= 0 && i == PART_CTL && p->role != PART_OWNER; k--) {
+	for (ptrdiff_t k = arrlen(r->call) - 1; k >= 0 && i == SHARD_CONTROL && p->role != RAFT_LEADER; k--) {
 		out_answer(o, r->call[k].token, 503, 200, error_json(o->p, "ownership lost: outcome unknown, send it again", 0));
 		arrdel(r->call, k);
 	}
-	if (p->role != PART_OWNER)
+	if (p->role != RAFT_LEADER)
 		for (ptrdiff_t k = arrlen(r->wait) - 1; k >= 0; k--)
 			if (r->wait[k].part == i) {
 				send_answer(r, r->wait[k].addr, r->wait[k].token, TABLE_BUSY, "ownership lost: outcome unknown", 0, o);
@@ -1666,8 +1666,8 @@
 	case NL__MSG__BODY_GIVE_UP:
 	case NL__MSG__BODY_PROBE:
 	case NL__MSG__BODY_PROBE_REPLY:
-		if (m->part < PART_COUNT && r->fleet && m->fleet == r->fleet)
-			part_msg(&r->part[m->part], m, now, o);
+		if (m->part < SHARD_COUNT && r->fleet && m->fleet == r->fleet)
+			raft_receive(&r->part[m->part], m, now, o);
 		break;
 	case NL__MSG__BODY_FOLLOW: on_follow(r, m, now, o); break;
 	case NL__MSG__BODY_FOLLOW_REPLY:
@@ -1685,11 +1685,11 @@
 	case NL__MSG__BODY_FEED_ASK: on_feed_ask(r, m, now, o); break;
 	case NL__MSG__BODY_FEED_REPLY: on_feed_reply(r, m, now, o); break;
 	case NL__MSG__BODY_CURIOSITY:
-		if (!r->relay.publisher || !in_office(r, PART_PURGE, now)) {
+		if (!r->relay.publisher || !in_office(r, SHARD_PURGE, now)) {
 			struct Nl__Owner *w = OUT_NEW(o, Nl__Owner, NL__OWNER__INIT);
 
-			w->owner = owner_hint(r, PART_PURGE, now);
-			out_msg(o, m->addr, PART_PURGE, NL__MSG__BODY_OWNER)->owner = w;
+			w->owner = owner_hint(r, SHARD_PURGE, now);
+			out_msg(o, m->addr, SHARD_PURGE, NL__MSG__BODY_OWNER)->owner = w;
 			break;
 		}
 		/* fall through */
@@ -1702,19 +1702,19 @@
 
 static void tick(struct reg *r, int64_t now, struct out *o)
 {
-	for (int i = 0; i < PART_COUNT; i++)
+	for (int i = 0; i < SHARD_COUNT; i++)
 		if (r->fleet && !r->stopping)
-			part_tick(&r->part[i], now, o);
+			raft_tick(&r->part[i], now, o);
 	found_tick(r, now, o);
 	if (r->stopping)
 		return;
-	for (uint32_t i = 0; i < PART_COUNT; i++) /* a member knows its owner best */
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) /* a member knows its owner best */
 		if (owner_hint(r, i, now))
 			r->f.seat[i] = owner_hint(r, i, now);
 	follow_tick(&r->f, r->relay.k.horizon, now, o);
 	join_tick(r, now, o);
 	mend_tick(r, now, o);
-	if (r->relay.publisher && in_office(r, PART_PURGE, now))
+	if (r->relay.publisher && in_office(r, SHARD_PURGE, now))
 		publisher_tick(r, now, o);
 	if (!r->relay.publisher)
 		relay_up(&r->relay, NULL, 0, follow_log(&r->f, r->relay.moved, now), now);
@@ -1732,10 +1732,10 @@
 
 	if (svc_of(r, i))
 		forget_claims(svc_of(r, i));
-	if (i == PART_CTL)
+	if (i == SHARD_CONTROL)
 		r->doc_logged = 0;
 	d = reg_state(r, i, o->p, &n);
-	part_snap(&r->part[i], d, n);
+	raft_snapshot(&r->part[i], d, n);
 }
 
 void reg_step(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
@@ -1744,16 +1744,16 @@
 	o->addr = r->addr;
 	o->fleet = r->fleet;
 	r->f.wall = r->wall;
-	for (uint32_t i = 0; i < PART_COUNT; i++) /* what the step before took in */
-		if (r->fresh[i] && !r->part[i].snap_new) {
-			r->part[i].bare = 1;
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) /* what the step before took in */
+		if (r->fresh[i] && !r->part[i].snapshot_to_load) {
+			r->part[i].drop_tail = 1;
 			r->fresh[i] = 0;
 			snapshot(r, i, o);
 		}
 	switch (ev->kind) {
 	case REG_TICK: tick(r, now, o); break;
 	case REG_MSG: on_msg(r, ev->u.msg, now, o); break;
-	case REG_SYNCED: part_synced(&r->part[ev->u.synced.part], ev->u.synced.seq, now, o); break;
+	case REG_SYNCED: raft_synced(&r->part[ev->u.synced.part], ev->u.synced.seq, now, o); break;
 	case REG_WEB: on_web(r, ev->u.web.token, ev->u.web.verb, ev->u.web.path, ev->u.web.body, now, o); break;
 	case REG_CALLED:
 		for (ptrdiff_t i = 0; i < arrlen(r->server); i++)
@@ -1767,41 +1767,41 @@
 	case REG_ORDERED: giver_ordered(r, ev->u.ordered.token, ev->u.ordered.status, ev->u.ordered.never, now, o); break;
 	case REG_STOP:
 		r->stopping = 1;
-		for (int i = 0; i < PART_COUNT; i++)
-			part_give_up(&r->part[i], now, o);
+		for (int i = 0; i < SHARD_COUNT; i++)
+			raft_step_down(&r->part[i], now, o);
 		break;
 	case REG_DOC: on_doc(r, ev->u.doc.token, ev->u.doc.base, ev->u.doc.patch, ev->u.doc.body, ev->u.doc.len, now, o); break;
 	case REG_READ: on_read(r, ev->u.read.token, now, o); break;
 	case REG_NAME: on_name(r, ev->u.name.token, ev->u.name.model, ev->u.name.weights, now, o); break;
 	default: break;
 	}
-	for (uint32_t i = 0; i < PART_COUNT; i++) {
-		struct part *p = &r->part[i];
-		const struct part_entry *e;
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
+		struct raft *p = &r->part[i];
+		const struct raft_entry *e;
 		uint64_t index;
 
-		if (p->snap_new) {
+		if (p->snapshot_to_load) {
 			load_state(r, i, o->p);
-			if (i == PART_CTL)
+			if (i == SHARD_CONTROL)
 				r->giver.blind = now; /* orders that were logged before are in no snapshot */
-			p->snap_new = 0;
+			p->snapshot_to_load = 0;
 		}
 		office_ends(r, i, now, o);
-		while ((e = part_take(p, &index)))
+		while ((e = raft_next_committed(p, &index)))
 			apply(r, i, index, e, now, o);
 		office_begins(r, i, now, o);
-		if (part_wants_snap(p) || (i == PART_CTL && r->doc_logged > REG_SNAP_BYTES)) {
+		if (raft_wants_snapshot(p) || (i == SHARD_CONTROL && r->doc_logged > REG_SNAP_BYTES)) {
 			snapshot(r, i, o);
 		}
 	}
 	asks_tick(r, now, o);
 	reads_tick(r, now, o);
-	for (uint32_t i = 0; i < PART_COUNT; i++)
-		part_flush(&r->part[i], now, o);
+	for (uint32_t i = 0; i < SHARD_COUNT; i++)
+		raft_flush(&r->part[i], now, o);
 }
 
 void reg_open(struct reg *r, uint64_t id, uint64_t addr, const char *zone, const uint64_t *seeds, int nseeds,
-              uint64_t fleet, uint64_t seed, const struct part_saved *const *saved, int64_t now)
+              uint64_t fleet, uint64_t seed, const struct raft_saved *const *saved, int64_t now)
 {
 	memset(r, 0, sizeof *r);
 	r->id = id;
@@ -1816,10 +1816,10 @@
 	table_open(&r->ctl);
 	sights_open(&r->sights);
 	giver_open(&r->giver, now);
-	for (int i = 0; i < PART_SERVICES; i++)
+	for (int i = 0; i < SHARD_SERVICES; i++)
 		clear_svc(&r->svc[i]);
-	for (uint32_t i = 0; i < PART_COUNT; i++)
-		part_open(&r->part[i], i, id, seed, saved ? saved[i] : NULL, now);
+	for (uint32_t i = 0; i < SHARD_COUNT; i++)
+		raft_open(&r->part[i], i, id, seed, saved ? saved[i] : NULL, now);
 	sh_new_strdup(r->named);
 	sh_new_strdup(r->limit);
 	follow_open(&r->f, id, seeds, r->nseeds, now);
@@ -1830,8 +1830,8 @@
 
 void reg_close(struct reg *r)
 {
-	for (int i = 0; i < PART_COUNT; i++)
-		part_close(&r->part[i]);
+	for (int i = 0; i < SHARD_COUNT; i++)
+		raft_close(&r->part[i]);
 	table_close(&r->ctl);
 	sights_close(&r->sights);
 	giver_close(&r->giver);
@@ -1843,7 +1843,7 @@
 	free(r->ctl_doc);
 	clear_values(&r->pub.v);
 	view_clear(&r->pub.last);
-	for (int i = 0; i < PART_SERVICES; i++) {
+	for (int i = 0; i < SHARD_SERVICES; i++) {
 		clear_svc(&r->svc[i]);
 		shfree(r->svc[i].h);
 		shfree(r->svc[i].rolled);
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -4,7 +4,7 @@
 
 #include "follow.h"
 #include "giver.h"
-#include "part.h"
+#include "raft.h"
 #include "purge.h"
 #include "retention.h"
 #include "table.h"
@@ -84,7 +84,7 @@
 	uint64_t ceiling, released;
 	struct Nl__Value **v;         /* held values, by tick */
 	struct view last;
-	uint64_t mark[PART_COUNT];    /* feeds: highest index published */
+	uint64_t mark[SHARD_COUNT];    /* feeds: highest index published */
 	uint64_t cleared;
 };
 
@@ -105,7 +105,7 @@
 	const char *zone;
 	uint64_t seeds[8];
 	int nseeds;
-	struct part part[PART_COUNT];
+	struct raft part[SHARD_COUNT];
 	struct table ctl;
 	struct Nl__Value **ctl_feed;
 	struct reg_done { uint64_t from, token; uint32_t status; } *ctl_done; /* stb_ds, oldest first */
@@ -117,11 +117,11 @@
 	struct retention ret;
 	const struct reg_calendar *calendar; /* NULL: no schedules in calendar terms */
 	int64_t wall;             /* the machine's clock at this step, ms since 1970, set by whoever steps; 0: no schedule runs */
-	int64_t disk_at[PART_COUNT];
-	int fresh[PART_COUNT];    /* a snapshot is due, and nothing older stays on the disk */
+	int64_t disk_at[SHARD_COUNT];
+	int fresh[SHARD_COUNT];    /* a snapshot is due, and nothing older stays on the disk */
 	const struct reg_tongue *tongue; /* of documents; NULL: none are taken */
 	struct reg_pub pub;
-	struct reg_svc svc[PART_SERVICES];
+	struct reg_svc svc[SHARD_SERVICES];
 	struct follow f;
 	struct bounds b;          /* bounds_default until they are set */
 	struct sights sights;     /* what the configuration's owner sees itself */
@@ -137,11 +137,11 @@
 	struct reg_server *server;
 	struct reg_named *named;  /* stb_ds, by service */
 	uint64_t token;
-	int64_t owner_since[PART_COUNT], clock_at[PART_COUNT], mended, joined;
-	uint64_t was_owner[PART_COUNT]; /* term in which we last took office */
+	int64_t owner_since[SHARD_COUNT], clock_at[SHARD_COUNT], mended, joined;
+	uint64_t was_owner[SHARD_COUNT]; /* term in which we last took office */
 	/* publisher's soft state */
 	uint64_t tick;            /* highest tick declared */
-	uint64_t feed_ok[PART_COUNT]; /* round at which each feed last said all */
+	uint64_t feed_ok[SHARD_COUNT]; /* round at which each feed last said all */
 	uint64_t feed_round, reserved_for;
 	int64_t feed_at, tick_at;
 	uint64_t pending_tick;    /* of a value being logged */
@@ -157,7 +157,7 @@
 
 /* Begin. saved[i] may be NULL. Example: reg_open(&r, id, addr, "z1", seeds, 3, fleet, seed, saved, now); */
 void reg_open(struct reg *r, uint64_t id, uint64_t addr, const char *zone, const uint64_t *seeds, int nseeds,
-              uint64_t fleet, uint64_t seed, const struct part_saved *const *saved, int64_t now);
+              uint64_t fleet, uint64_t seed, const struct raft_saved *const *saved, int64_t now);
 void reg_close(struct reg *r);
 
 /* One step. Example: reg_step(&r, &(struct reg_ev){ .kind = REG_TICK }, now, &o); */
--- a/lib/control/retention.c
+++ b/lib/control/retention.c
@@ -214,7 +214,7 @@
 	p.slice = c->slices++;
 	for (ptrdiff_t i = arrlen(r->ctl_feed) - 1; i >= 0 && r->ctl_feed[i]->index >> 16 == index; i--)
 		n++;
-	v.feed = PART_CTL;
+	v.feed = SHARD_CONTROL;
 	v.index = index << 16 | n;
 	v.purge = &p;
 	arrput(r->ctl_feed, value_copy(&v));
@@ -399,21 +399,21 @@
 /* More than half of part 0's voters say that it is this late, or later: one clock that jumps decides nothing. */
 int64_t retention_wall(const struct reg *r, int64_t now)
 {
-	const struct part *p = &r->part[PART_CTL];
-	int64_t v[PART_MEMBERS];
+	const struct raft *p = &r->part[SHARD_CONTROL];
+	int64_t v[RAFT_MAX_MEMBERS];
 	int n = 0;
 
-	for (int i = 0; i < p->mn; i++) {
+	for (int i = 0; i < p->member_count; i++) {
 		int64_t wall = INT64_MIN;
 		int k = n;
 
-		if (!p->m[i].voter)
+		if (!p->members[i].voter)
 			continue;
-		if (p->m[i].id == r->id)
+		if (p->members[i].id == r->id)
 			wall = r->wall ? r->wall : INT64_MIN;
 		else
 			for (ptrdiff_t s = 0; s < arrlen(r->seen); s++)
-				if (r->seen[s].id == p->m[i].id && r->seen[s].wall && now - r->seen[s].at <= REG_SEEN)
+				if (r->seen[s].id == p->members[i].id && r->seen[s].wall && now - r->seen[s].at <= REG_SEEN)
 					wall = r->seen[s].wall + (now - r->seen[s].at);
 		for (; k && v[k - 1] < wall; k--)
 			v[k] = v[k - 1];
@@ -431,7 +431,7 @@
 
 	op.op_case = NL__OP__OP_CLEAR;
 	op.clear = c;
-	return r->ret.logged = log_op(r, PART_CTL, &op, now, o);
+	return r->ret.logged = log_op(r, SHARD_CONTROL, &op, now, o);
 }
 
 /* A row without a due time gets one; one whose time has come is cleared, however many times were missed since. */
@@ -575,7 +575,7 @@
 
 static int done(struct reg *r, int64_t wall, int64_t now, struct out *o)
 {
-	if (now - r->ret.checked < RETENTION_CHECK || now - r->owner_since[PART_CTL] < RETENTION_HEARD)
+	if (now - r->ret.checked < RETENTION_CHECK || now - r->owner_since[SHARD_CONTROL] < RETENTION_HEARD)
 		return 0; /* a new owner hears all nodes first */
 	r->ret.checked = now;
 	for (ptrdiff_t i = 0; i < arrlen(r->ret.v); i++) {
@@ -600,9 +600,9 @@
 {
 	int64_t wall;
 
-	if ((!arrlen(r->ret.plan) && !arrlen(r->ret.v)) || !in_office(r, PART_CTL, now))
+	if ((!arrlen(r->ret.plan) && !arrlen(r->ret.v)) || !in_office(r, SHARD_CONTROL, now))
 		return;
-	if (now - r->ret.looked < RETENTION_LOOK || r->ret.logged > r->part[PART_CTL].taken)
+	if (now - r->ret.looked < RETENTION_LOOK || r->ret.logged > r->part[SHARD_CONTROL].applied)
 		return;
 	r->ret.looked = now;
 	wall = retention_wall(r, now);
@@ -651,9 +651,9 @@
 
 	for (ptrdiff_t i = 0; i < arrlen(r->relay.w.clear); i++)
 		tick = r->relay.w.clear[i]->tick > tick ? r->relay.w.clear[i]->tick : tick;
-	for (uint32_t i = 0; tick && i < PART_COUNT; i++) {
+	for (uint32_t i = 0; tick && i < SHARD_COUNT; i++) {
 		struct reg_svc *s = svc_of(r, i);
-		uint64_t cleared = s ? s->cleared : i == PART_CTL ? r->ret.cleared : r->pub.cleared;
+		uint64_t cleared = s ? s->cleared : i == SHARD_CONTROL ? r->ret.cleared : r->pub.cleared;
 		int settle = s && !s->settled && s->cleared && s->clock + (uint64_t)(now - r->clock_at[i]) > s->cleared_at + REG_CLAIM_KEEP;
 		struct Nl__Op op = NL__OP__INIT;
 		struct Nl__Trim t = NL__TRIM__INIT;
@@ -676,11 +676,11 @@
 const char *retention_json(struct reg *r, int64_t now, apr_pool_t *p)
 {
 	struct json_object *j = json_object_new_object(), *a = json_object_new_array();
-	int owner = in_office(r, PART_CTL, now);
+	int owner = in_office(r, SHARD_CONTROL, now);
 	const char *s;
 
 	json_object_object_add(j, "owner", json_object_new_boolean(owner));
-	json_object_object_add(j, "owner_addr", json_object_new_string(owner_hint(r, PART_CTL, now) ? core_addr_str(p, owner_hint(r, PART_CTL, now)) : ""));
+	json_object_object_add(j, "owner_addr", json_object_new_string(owner_hint(r, SHARD_CONTROL, now) ? core_addr_str(p, owner_hint(r, SHARD_CONTROL, now)) : ""));
 	add_num(j, "wall", owner && retention_wall(r, now) != INT64_MIN ? retention_wall(r, now) : r->wall);
 	for (ptrdiff_t i = 0; i < arrlen(r->ret.plan); i++) {
 		struct json_object *x = json_object_new_object();
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -81,7 +81,7 @@
 
 uint32_t core_part_of(const char *service, uint32_t n)
 {
-	return PART_SERVICE + (uint32_t)(core_hashs(0, service) % n);
+	return SHARD_SERVICE + (uint32_t)(core_hashs(0, service) % n);
 }
 
 uint64_t core_addr(const char *s)
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -149,6 +149,6 @@
 /* A deep copy in pool memory. Example: v = (struct Nl__Value *)core_dup(p, &old->base); */
 ProtobufCMessage *core_dup(apr_pool_t *p, const ProtobufCMessage *m);
 
-enum { PART_CTL = 0, PART_PURGE = 1, PART_SERVICE = 2, PART_SERVICES = 4, PART_COUNT = 6 };
+enum { SHARD_CONTROL = 0, SHARD_PURGE = 1, SHARD_SERVICE = 2, SHARD_SERVICES = 4, SHARD_COUNT = 6 };
 
 #endif
--- a/lib/core/purge.c
+++ b/lib/core/purge.c
@@ -303,7 +303,7 @@
 		if (!know_tell(&r->k, a, b, m, o) || !m->n_inc)
 			continue;
 		m->age = age(r, now);
-		out_msg(o, r->down[i].addr, PART_PURGE, NL__MSG__BODY_KNOWLEDGE)->knowledge = m;
+		out_msg(o, r->down[i].addr, SHARD_PURGE, NL__MSG__BODY_KNOWLEDGE)->knowledge = m;
 		r->n_inc += m->n_inc;
 	}
 }
@@ -371,7 +371,7 @@
 	s->last = apr_palloc(o->p, ((size_t)hmlen(r->w.h) + 1) * sizeof *s->last);
 	for (ptrdiff_t i = 0; i < hmlen(r->w.h); i++)
 		s->last[s->n_last++] = (struct Nl__Value *)core_dup(o->p, &r->w.h[i].value->base);
-	out_msg(o, to, PART_PURGE, NL__MSG__BODY_PURGE_SNAP)->purge_snap = s;
+	out_msg(o, to, SHARD_PURGE, NL__MSG__BODY_PURGE_SNAP)->purge_snap = s;
 }
 
 /* Curiosity up: what is taken, and what is wanted if anything is. */
@@ -397,7 +397,7 @@
 		c->n_want++;
 	}
 	r->asked = now;
-	out_msg(o, r->up[r->up_at % (size_t)arrlen(r->up)], PART_PURGE, NL__MSG__BODY_CURIOSITY)->curiosity = c;
+	out_msg(o, r->up[r->up_at % (size_t)arrlen(r->up)], SHARD_PURGE, NL__MSG__BODY_CURIOSITY)->curiosity = c;
 }
 
 static void on_curiosity(struct relay *r, const struct Nl__Msg *msg, int64_t now, struct out *o)
@@ -438,7 +438,7 @@
 		send_snap(r, msg->addr, now, o);
 	else if (m->n_inc) {
 		m->age = age(r, now);
-		out_msg(o, msg->addr, PART_PURGE, NL__MSG__BODY_KNOWLEDGE)->knowledge = m;
+		out_msg(o, msg->addr, SHARD_PURGE, NL__MSG__BODY_KNOWLEDGE)->knowledge = m;
 	}
 	/* pass the question further up, unless it was asked lately */
 	if (unknown && !m->n_inc && now - r->asked >= PURGE_ACK)
--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -201,8 +201,8 @@
 		struct Nl__FollowReply *a = OUT_NEW(o, Nl__FollowReply, NL__FOLLOW_REPLY__INIT);
 
 		a->token = m->follow->token;
-		a->hint = c->f.seat[PART_CTL];
-		out_msg(o, m->addr, PART_CTL, NL__MSG__BODY_FOLLOW_REPLY)->follow_reply = a;
+		a->hint = c->f.seat[SHARD_CONTROL];
+		out_msg(o, m->addr, SHARD_CONTROL, NL__MSG__BODY_FOLLOW_REPLY)->follow_reply = a;
 		break;
 	}
 	default: break;
--- a/lib/data/ctr_line.c
+++ b/lib/data/ctr_line.c
@@ -45,7 +45,7 @@
 	return s;
 }
 
-uint32_t ctr_part_of(const struct ctr *c, uint32_t service) { return core_part_of(c->services.name[service], PART_SERVICES); }
+uint32_t ctr_part_of(const struct ctr *c, uint32_t service) { return core_part_of(c->services.name[service], SHARD_SERVICES); }
 
 /* Ask the part's owner, as far as it is known; whom. */
 static uint64_t claim_msg(struct ctr *c, uint32_t service, uint32_t tenant, const char *id, uint64_t seq, int release, uint64_t token,
--- a/lib/shell/shell.h
+++ b/lib/shell/shell.h
@@ -12,7 +12,7 @@
 #include <apr_thread_mutex.h>
 
 #include "core.h"
-#include "part.h"
+#include "raft.h"
 
 /* ---- log and clock ---- */
 enum log_level { LOG_BAD = 3, LOG_WARN = 4, LOG_INFO = 6 };
@@ -102,7 +102,7 @@
 
 /* ---- store ---- */
 struct store;
-struct store_found { uint64_t id, fleet; struct part_saved part[PART_COUNT]; const struct part_saved *ptr[PART_COUNT]; };
+struct store_found { uint64_t id, fleet; struct raft_saved part[SHARD_COUNT]; const struct raft_saved *ptr[SHARD_COUNT]; };
 
 /* Open the data folder; what it holds goes to *f. NULL on a fault, with the reason and the remedy in *why.
  * Example: s = store_open("data", ring, &found, &why, pool); */
--- a/lib/shell/store.c
+++ b/lib/shell/store.c
@@ -25,8 +25,8 @@
 	apr_thread_t *t;
 	apr_thread_mutex_t *m;
 	volatile int stop;
-	uint64_t first[PART_COUNT]; /* lowest entry held, 0 = none */
-	uint64_t last[PART_COUNT];
+	uint64_t first[SHARD_COUNT]; /* lowest entry held, 0 = none */
+	uint64_t last[SHARD_COUNT];
 	volatile uint64_t syncs, refused;
 	int lock;
 	int tidy;            /* what was taken away must not stay in freed pages: a fresh file is due */
@@ -136,7 +136,7 @@
 
 static int write_batch(struct store *s, struct store_job **v, size_t n)
 {
-	uint64_t first[PART_COUNT], last[PART_COUNT];
+	uint64_t first[SHARD_COUNT], last[SHARD_COUNT];
 	int ok;
 
 	apr_thread_mutex_lock(s->m);
@@ -277,7 +277,7 @@
 
 /* ---- reading back ---- */
 
-struct reading { struct store_found *f; apr_pool_t *p; const char *bad; struct part_entry *e[PART_COUNT]; /* stb_ds */ };
+struct reading { struct store_found *f; apr_pool_t *p; const char *bad; struct raft_entry *e[SHARD_COUNT]; /* stb_ds */ };
 
 static int read_one(struct tdb_context *db, TDB_DATA k, TDB_DATA v, void *arg)
 {
@@ -307,7 +307,7 @@
 		return 0;
 	}
 	part = strtoul(key + 2, &end, 10);
-	if (part >= PART_COUNT) {
+	if (part >= SHARD_COUNT) {
 		r->bad = key;
 		return -1;
 	}
@@ -319,7 +319,7 @@
 		r->f->part[part].vote = m.vote;
 	} else if (key[0] == 's' && n >= sizeof(struct snap_head)) {
 		struct snap_head h;
-		struct part_saved *s = &r->f->part[part];
+		struct raft_saved *s = &r->f->part[part];
 
 		memcpy(&h, b, sizeof h);
 		if (h.members_len + h.data_len != n - sizeof h) {
@@ -334,7 +334,7 @@
 		s->data_len = h.data_len;
 	} else if (key[0] == 'e' && n >= sizeof(struct entry_head) && *end == '/') {
 		struct entry_head h;
-		struct part_entry e;
+		struct raft_entry e;
 		uint64_t i = strtoull(end + 1, NULL, 10);
 
 		memcpy(&h, b, sizeof h);
@@ -351,7 +351,7 @@
 	return 0;
 }
 
-static uint64_t index_of(const struct part_entry *e)
+static uint64_t index_of(const struct raft_entry *e)
 {
 	uint64_t i;
 
@@ -368,9 +368,9 @@
 
 static const char *settle(struct store *s, const struct reading *r, apr_pool_t *p)
 {
-	for (int i = 0; i < PART_COUNT; i++) {
-		struct part_saved *q = &r->f->part[i];
-		struct part_entry *e = r->e[i];
+	for (int i = 0; i < SHARD_COUNT; i++) {
+		struct raft_saved *q = &r->f->part[i];
+		struct raft_entry *e = r->e[i];
 
 		r->f->ptr[i] = q;
 		q->n = (size_t)arrlen(e);
@@ -431,7 +431,7 @@
 		*why = apr_psprintf(p, "step check: %s: %s; it is not voted with: move the folder away and start anew", path, bad);
 		goto bad;
 	}
-	for (int i = 0; i < PART_COUNT; i++)
+	for (int i = 0; i < SHARD_COUNT; i++)
 		arrfree(r.e[i]);
 	folder_sync(folder); /* the file's name must last too */
 	apr_thread_mutex_create(&s->m, APR_THREAD_MUTEX_DEFAULT, p);
@@ -440,7 +440,7 @@
 		return s;
 	*why = "step start: no thread for the disk";
 bad:
-	for (int i = 0; i < PART_COUNT; i++)
+	for (int i = 0; i < SHARD_COUNT; i++)
 		arrfree(r.e[i]);
 	if (s->db)
 		tdb_close(s->db);
--- a/rehearsal/hollow.c
+++ b/rehearsal/hollow.c
@@ -1049,11 +1049,11 @@
 
 static int all_owned(struct fleet *f)
 {
-	for (int p = 0; p < PART_COUNT; p++) {
+	for (int p = 0; p < SHARD_COUNT; p++) {
 		int owned = 0;
 
 		for (int i = 0; i < f->s.registrars; i++)
-			owned |= part_licensed(&f->n[i].r->part[p], f->now);
+			owned |= raft_has_lease(&f->n[i].r->part[p], f->now);
 		if (!owned)
 			return 0;
 	}
--- a/rehearsal/run.c
+++ b/rehearsal/run.c
@@ -790,7 +790,7 @@
 	nap(3000);
 	fault(f, "a server dies during the roll-out, and the giver of its service too");
 	end_proc(pick(f, SERVER, 3), SIGKILL);
-	end_proc(pick(f, REGISTRAR, owner_wait(f, (int)core_part_of(f->services[0], PART_SERVICES))), SIGKILL);
+	end_proc(pick(f, REGISTRAR, owner_wait(f, (int)core_part_of(f->services[0], SHARD_SERVICES))), SIGKILL);
 	nap(4000);
 	restart(f, pick(f, SERVER, 3)); /* comes back with the old weights */
 	nap(23000);
--- a/tests/measure.c
+++ b/tests/measure.c
@@ -102,7 +102,7 @@
 
 		sim_deploy(&s, 100 + (uint64_t)k, 4, 3, 6);
 		sim_run(&s, (int64_t)(core_rand(&s.rng) % 1000), NULL);
-		sim_crash(&s, sim_owner(&s, PART_CTL), 0);
+		sim_crash(&s, sim_owner(&s, SHARD_CONTROL), 0);
 		from = s.now;
 		if (!sim_change(&s, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t1\",\"share\":9,\"limit\":100}]}", 12000))
 			fail(&s, "not acknowledged");
@@ -117,7 +117,7 @@
 		}
 		serve[k] = s.now - from;
 		sim_run(&s, 20000, NULL);
-		pub = sim_owner(&s, PART_PURGE);
+		pub = sim_owner(&s, SHARD_PURGE);
 		ceiling = s.n[pub].r->pub.ceiling; /* a successor starts above it */
 		sim_crash(&s, pub, 0);
 		from = s.now;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -131,7 +131,7 @@
 
 static void disk_wipe(struct sim_disk *d)
 {
-	for (int i = 0; i < PART_COUNT; i++) {
+	for (int i = 0; i < SHARD_COUNT; i++) {
 		entries_cut(&d->p[i], 0);
 		arrfree(d->p[i].e);
 		free(d->p[i].data);
@@ -246,7 +246,7 @@
 {
 	struct Nl__Op *op = nl__op__unpack(NULL, n, d);
 
-	if (op && op->op_case == NL__OP__OP_VALUE && op->value->feed < PART_COUNT &&
+	if (op && op->op_case == NL__OP__OP_VALUE && op->value->feed < SHARD_COUNT &&
 	    op->value->index > s->mark[op->value->feed]) {
 		struct sim_value v = { op->value->tick, view_subject(op->value->purge) };
 
@@ -280,14 +280,14 @@
 /* Committed entries agree everywhere, for ever, and are on two disks at the least when the first node knows of it. */
 static void check_logs(struct sim *s, struct sim_node *n)
 {
-	for (int i = 0; i < PART_COUNT; i++) {
-		struct part *p = &n->r->part[i];
+	for (int i = 0; i < SHARD_COUNT; i++) {
+		struct raft *p = &n->r->part[i];
 
 		if (n->checked[i] < p->base)
 			n->checked[i] = p->base;
 		while (n->checked[i] < p->commit) {
 			uint64_t x = ++n->checked[i];
-			struct part_entry *e = &p->log[x - p->base - 1];
+			struct raft_entry *e = &p->log[x - p->base - 1];
 			uint64_t h = core_hash(e->term * 4 + e->kind, e->data, e->len);
 
 			if ((uint64_t)arrlen(s->hash[i]) >= x) {
@@ -297,7 +297,7 @@
 				arrput(s->hash[i], h);
 				if (copies(s, i, x, h) < 2)
 					sim_breach(s, "part %d entry %llu is committed, and synced on %d disks", i, (unsigned long long)x, copies(s, i, x, h));
-				if (i == PART_PURGE && e->kind == PART_OP)
+				if (i == SHARD_PURGE && e->kind == RAFT_ENTRY_OPERATION)
 					check_value(s, e->data, e->len);
 			} else {
 				sim_breach(s, "part %d entry %llu was committed unseen", i, (unsigned long long)x);
@@ -310,11 +310,11 @@
 
 static void check_owners(struct sim *s)
 {
-	for (uint32_t i = 0; i < PART_COUNT; i++) {
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
 		int who = -1;
 
 		for (int k = 0; k < SIM_REGS; k++)
-			if (s->n[k].used && s->n[k].up && s->n[k].r && part_licensed(&s->n[k].r->part[i], local(s, &s->n[k]))) {
+			if (s->n[k].used && s->n[k].up && s->n[k].r && raft_has_lease(&s->n[k].r->part[i], local(s, &s->n[k]))) {
 				if (who >= 0)
 					sim_breach(s, "part %u has two licensed owners, %d and %d", i, who, k);
 				who = k;
@@ -1466,8 +1466,8 @@
 static void node_begin(struct sim *s, int i, const uint64_t *seeds, int nseeds)
 {
 	struct sim_node *n = &s->n[i];
-	struct part_saved sv[PART_COUNT];
-	const struct part_saved *psv[PART_COUNT];
+	struct raft_saved sv[SHARD_COUNT];
+	const struct raft_saved *psv[SHARD_COUNT];
 	apr_pool_t *p;
 
 	apr_pool_create(&p, s->pool);
@@ -1492,15 +1492,15 @@
 		n->disk.id = core_rand(&s->rng);
 	}
 	n->id = n->disk.id;
-	for (int k = 0; k < PART_COUNT; k++) {
+	for (int k = 0; k < SHARD_COUNT; k++) {
 		struct sim_disk_part *d = &n->disk.p[k];
 		size_t m = (size_t)arrlen(d->e);
 
-		sv[k] = (struct part_saved){ d->term, d->vote, d->base, d->base_term, d->members, d->data,
+		sv[k] = (struct raft_saved){ d->term, d->vote, d->base, d->base_term, d->members, d->data,
 			                     d->members_len, d->data_len, d->from, NULL, m };
 		sv[k].e = apr_palloc(p, (m + 1) * sizeof *sv[k].e);
 		for (size_t q = 0; q < m; q++)
-			sv[k].e[q] = (struct part_entry){ d->e[q].term, d->e[q].kind, d->e[q].len, d->e[q].data };
+			sv[k].e[q] = (struct raft_entry){ d->e[q].term, d->e[q].kind, d->e[q].len, d->e[q].data };
 		psv[k] = &sv[k];
 	}
 	n->r = malloc(sizeof *n->r);
@@ -1664,7 +1664,7 @@
 int sim_owner(struct sim *s, uint32_t part)
 {
 	for (int i = 0; i < SIM_REGS; i++)
-		if (s->n[i].up && s->n[i].r && part_licensed(&s->n[i].r->part[part], local(s, &s->n[i])))
+		if (s->n[i].up && s->n[i].r && raft_has_lease(&s->n[i].r->part[part], local(s, &s->n[i])))
 			return i;
 	return -1;
 }
@@ -1701,7 +1701,7 @@
 		}
 	for (ptrdiff_t i = 0; i < arrlen(s->q); i++)
 		ev_free(&s->q[i]);
-	for (int i = 0; i < PART_COUNT; i++)
+	for (int i = 0; i < SHARD_COUNT; i++)
 		arrfree(s->hash[i]);
 	for (int i = 0; i < SIM_SERVERS; i++)
 		arrfree(s->sv[i].kept);
@@ -1721,7 +1721,7 @@
 
 static int all_owned(struct sim *s)
 {
-	for (uint32_t i = 0; i < PART_COUNT; i++)
+	for (uint32_t i = 0; i < SHARD_COUNT; i++)
 		if (sim_owner(s, i) < 0)
 			return 0;
 	return 1;
@@ -1786,11 +1786,11 @@
 	m.speak = CORE_SPEAK;
 	m.id = 77;
 	m.addr = core_addr("127.0.9.9:1");
-	m.part = PART_CTL;
+	m.part = SHARD_CONTROL;
 	m.body_case = NL__MSG__BODY_PROPOSE;
 	m.propose = &q;
 	while (s->now < end && !s->bad[0]) {
-		int at = sim_owner(s, PART_CTL);
+		int at = sim_owner(s, SHARD_CONTROL);
 
 		if (at >= 0) {
 			struct sim_ev e = { .at = s->now, .kind = SIM_MSG, .node = at };
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -15,7 +15,7 @@
 	uint8_t *data, *members;
 	size_t data_len, members_len;
 };
-struct sim_disk { uint64_t id, fleet; int made; struct sim_disk_part p[PART_COUNT]; };
+struct sim_disk { uint64_t id, fleet; int made; struct sim_disk_part p[SHARD_COUNT]; };
 
 struct sim_write { apr_pool_t *p; struct persist *w; };
 
@@ -31,7 +31,7 @@
 	struct sim_disk disk;
 	struct sim_write *writes; /* not yet synced, oldest first */
 	struct out o;
-	uint64_t checked[PART_COUNT];
+	uint64_t checked[SHARD_COUNT];
 	uint64_t edition;
 };
 
@@ -146,12 +146,12 @@
 	int load_ms;           /* how long servers load weights; 0: 1.5 to 2.5 s */
 	char bad[512];
 	/* global truth */
-	uint64_t *hash[PART_COUNT]; /* stb_ds: hash of each committed entry */
+	uint64_t *hash[SHARD_COUNT]; /* stb_ds: hash of each committed entry */
 	struct sim_value *value;    /* published values in order of tick */
 	struct sim_web *web;        /* answers to operators' calls */
 	struct sim_ack *ack;
 	uint64_t n_msg, n_sync, n_bytes, n_orders, by_body[64];
-	uint64_t mark[PART_COUNT];
+	uint64_t mark[SHARD_COUNT];
 	struct sim_exch *x;         /* stb_ds */
 	struct sim_asking *asking;  /* stb_ds */
 	struct sim_run *run;        /* stb_ds */
@@ -232,7 +232,7 @@
  * Example: t = sim_doc(&s, 0, 5, 0, body, NULL); */
 uint64_t sim_doc(struct sim *s, int node, uint64_t base, int patch, const char *body, const char *weights);
 
-/* Which registrar licensed-owns a part; -1 for none. Example: sim_owner(&s, PART_CTL) */
+/* Which registrar licensed-owns a part; -1 for none. Example: sim_owner(&s, SHARD_CONTROL) */
 int sim_owner(struct sim *s, uint32_t part);
 
 /* Put an event in the queue; do one step of a counter. Example: sim_push(&s, e); sim_ctr(&s, node, &ev); */
--- a/tests/sim_forward.c
+++ b/tests/sim_forward.c
@@ -851,7 +851,7 @@
 			core = 1;
 	if (core || f->s.now < f->s.list.away_until || f->s.loss || f->s.deaf)
 		f->unsettled = f->s.now;
-	if (sim_owner(&f->s, PART_CTL) >= 0 && !f->s.n[sim_owner(&f->s, PART_CTL)].cell)
+	if (sim_owner(&f->s, SHARD_CONTROL) >= 0 && !f->s.n[sim_owner(&f->s, SHARD_CONTROL)].cell)
 		f->owned = f->s.now;
 	for (int n = SIM_REGS; n < SIM_REGS + f->ctrs; n++) {
 		if (!f->s.n[n].up || f->s.n[n].life != f->life[n] || f->s.n[n].frozen || f->s.n[n].cell) {
--- a/tests/test_clear.c
+++ b/tests/test_clear.c
@@ -207,7 +207,7 @@
 		must_change(&s, "{\"set\":[{\"kind\":\"retention\",\"name\":\"*\",\"every\":\"20s\",\"window\":4000}]}", 12000);
 		must_change(&s, "{\"set\":[{\"kind\":\"retention\",\"name\":\"*/t1\",\"every\":\"15s\",\"keep\":\"30s\"}]}", 12000);
 		for (int k = 0; k < 16; k++) {
-			int owner = sim_owner(&s, PART_CTL);
+			int owner = sim_owner(&s, SHARD_CONTROL);
 
 			load(&s, &rng, 5000, 40, 3);
 			if (frozen >= 0)
@@ -275,8 +275,8 @@
 		switch (seed % 6) { /* what goes wrong as the clearing runs */
 		case 0: sim_freeze(&s, SIM_REGS, 1); break;
 		case 1: sim_cut(&s, SIM_REGS + 1, 1); break;
-		case 2: sim_crash(&s, sim_owner(&s, PART_PURGE), 0); break;
-		case 3: sim_crash(&s, sim_owner(&s, PART_CTL), seed % 2 ? 1 : 0); break;
+		case 2: sim_crash(&s, sim_owner(&s, SHARD_PURGE), 0); break;
+		case 3: sim_crash(&s, sim_owner(&s, SHARD_CONTROL), seed % 2 ? 1 : 0); break;
 		case 4: s.sv[1].up = 0; break; /* and comes back with what it had */
 		default: /* a wall and a roll-out at the same time */
 			snprintf(body, sizeof body, "{\"set\":[{\"kind\":\"service\",\"name\":\"repairs\",\"weights\":\"w2\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000},"
@@ -412,7 +412,7 @@
 
 static int missing_says(struct sim *s, const char *text)
 {
-	int at = sim_owner(s, PART_CTL), found;
+	int at = sim_owner(s, SHARD_CONTROL), found;
 	apr_pool_t *p;
 
 	assert_true(at >= 0);
@@ -558,7 +558,7 @@
 	for (int i = 0; i < SIM_REGS; i++) {
 		int here = 0;
 
-		for (int k = 0; k < PART_COUNT; k++) {
+		for (int k = 0; k < SHARD_COUNT; k++) {
 			const struct sim_disk_part *d = &s->n[i].disk.p[k];
 
 			for (size_t q = 0; q + m <= d->data_len; q++)
@@ -703,7 +703,7 @@
 	s.epoch = EPOCH * 1000ll;
 	must_change(&s, "{\"set\":[{\"kind\":\"retention\",\"name\":\"*\",\"every\":\"1h\"}]}", 12000);
 	sim_run(&s, 2000, NULL);
-	at = sim_owner(&s, PART_CTL);
+	at = sim_owner(&s, SHARD_CONTROL);
 	for (int k = 0; k < 4; k++) {
 		s.n[k].wall_off = 7200000;
 		sim_run(&s, 2000, NULL);
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -33,10 +33,10 @@
 	(void)st;
 	sim_fleet(&s, 1, 4);
 	ok(&s);
-	assert_true(sim_owner(&s, PART_CTL) >= 0);
+	assert_true(sim_owner(&s, SHARD_CONTROL) >= 0);
 	for (int i = 0; i < 3; i++) { /* every founder has it on its disk, the one that was asked too */
 		assert_int_equal(s.n[i].disk.fleet, s.n[0].r->fleet);
-		assert_true(s.n[i].disk.p[PART_CTL].term > 0);
+		assert_true(s.n[i].disk.p[SHARD_CONTROL].term > 0);
 	}
 	assert_int_equal(sim_do(&s, 1, "POST", "/v1/change", "{\"set\":[" TENANT("rumah", "3") "]}", 6000), 200);
 	assert_int_equal(sim_do(&s, 2, "POST", "/v1/change", "{\"set\":[{\"kind\":\"tenant\",\"name\":\"x\",\"share\":0,\"limit\":1}]}", 6000), 400);
@@ -98,15 +98,15 @@
 			assert_true(s.now - from < 12000);
 		if (s.now - from > worst)
 			worst = s.now - from;
-		assert_true(s.n[sim_owner(&s, PART_CTL)].r->ctl.edition > e);
-		assert_non_null(table_get(&s.n[sim_owner(&s, PART_CTL)].r->ctl, NL__KIND__TENANT, "rumah"));
+		assert_true(s.n[sim_owner(&s, SHARD_CONTROL)].r->ctl.edition > e);
+		assert_non_null(table_get(&s.n[sim_owner(&s, SHARD_CONTROL)].r->ctl, NL__KIND__TENANT, "rumah"));
 		/* the group mends itself with the fourth registrar, then the lost one comes back */
 		sim_run(&s, 15000, NULL);
 		ok(&s);
 		sim_start(&s, victim);
 		sim_run(&s, 15000, NULL);
 		ok(&s);
-		for (int i = 0; i < PART_COUNT; i++)
+		for (int i = 0; i < SHARD_COUNT; i++)
 			assert_true(sim_owner(&s, (uint32_t)i) >= 0);
 		sim_close(&s);
 	}
@@ -138,7 +138,7 @@
 		for (int i = 0; i < 4; i++)
 			sim_start(&s, i);
 		assert_true(sim_change(&s, "{\"set\":[" TENANT("teduh", "1") "]}", 12000) > e);
-		assert_non_null(table_get(&s.n[sim_owner(&s, PART_CTL)].r->ctl, NL__KIND__TENANT, "rumah"));
+		assert_non_null(table_get(&s.n[sim_owner(&s, SHARD_CONTROL)].r->ctl, NL__KIND__TENANT, "rumah"));
 		if (s.now - from > worst)
 			worst = s.now - from;
 		ok(&s);
@@ -149,7 +149,7 @@
 
 static int all_owned(struct sim *s)
 {
-	for (uint32_t q = 0; q < PART_COUNT; q++)
+	for (uint32_t q = 0; q < SHARD_COUNT; q++)
 		if (sim_owner(s, q) < 0)
 			return 0;
 	return 1;
@@ -213,13 +213,13 @@
 			while (!whole) { /* three voters in each group, all of them up */
 				assert_true(sim_run(&s, 100, NULL));
 				whole = 1;
-				for (uint32_t q = 0; q < PART_COUNT; q++) {
+				for (uint32_t q = 0; q < SHARD_COUNT; q++) {
 					int o = sim_owner(&s, q), up = 0;
 
-					for (int m = 0; o >= 0 && m < s.n[o].r->part[q].mn; m++)
+					for (int m = 0; o >= 0 && m < s.n[o].r->part[q].member_count; m++)
 						for (int k = 0; k < SIM_REGS; k++)
-							up += s.n[k].up && s.n[k].id == s.n[o].r->part[q].m[m].id && s.n[o].r->part[q].m[m].voter;
-					whole &= o >= 0 && up == 3 && s.n[o].r->part[q].mn == 3;
+							up += s.n[k].up && s.n[k].id == s.n[o].r->part[q].members[m].id && s.n[o].r->part[q].members[m].voter;
+					whole &= o >= 0 && up == 3 && s.n[o].r->part[q].member_count == 3;
 				}
 				if (s.now - from > 40000)
 					fail_msg("seed %llu: the groups are not whole 40 s after machine %d was replaced", (unsigned long long)seed, i);
@@ -228,7 +228,7 @@
 				worst = s.now - from;
 		}
 		assert_true(sim_change(&s, "{\"set\":[" TENANT("teduh", "3") "]}", 6000));
-		assert_non_null(table_get(&s.n[sim_owner(&s, PART_CTL)].r->ctl, NL__KIND__TENANT, "rumah"));
+		assert_non_null(table_get(&s.n[sim_owner(&s, SHARD_CONTROL)].r->ctl, NL__KIND__TENANT, "rumah"));
 		ok(&s);
 		sim_close(&s);
 	}
@@ -247,7 +247,7 @@
 
 		sim_fleet(&s, seed, 3);
 		sim_run(&s, 3000, NULL); /* all have joined: the deaf one will lack nothing */
-		a = sim_owner(&s, PART_CTL);
+		a = sim_owner(&s, SHARD_CONTROL);
 		b = (a + 1) % 3;
 		c = (a + 2) % 3;
 		s.link_cut[a][c] = s.link_cut[c][a] = 1;
@@ -256,7 +256,7 @@
 			int64_t end = s.now + 3000;
 
 			/* just before the deaf one asks */
-			while (s.now < end && n->r->part[PART_CTL].elect_at > s.now + n->skew + 5 + (int64_t)(core_rand(&rng) % 20))
+			while (s.now < end && n->r->part[SHARD_CONTROL].election_at > s.now + n->skew + 5 + (int64_t)(core_rand(&rng) % 20))
 				sim_run(&s, 1, NULL);
 			sim_crash(&s, b, 0);
 			sim_start(&s, b);
@@ -266,7 +266,7 @@
 		s.link_cut[a][c] = s.link_cut[c][a] = 0;
 		sim_run(&s, 6000, NULL);
 		ok(&s);
-		assert_true(sim_owner(&s, PART_CTL) >= 0);
+		assert_true(sim_owner(&s, SHARD_CONTROL) >= 0);
 		sim_close(&s);
 	}
 }
@@ -281,7 +281,7 @@
 	(void)st;
 	sim_fleet(&s, 4, 4);
 	sim_run(&s, 3000, NULL);
-	for (int i = 0; i < 3 * PART_SNAP + 100; i++) {
+	for (int i = 0; i < 3 * RAFT_SNAPSHOT_ENTRIES + 100; i++) {
 		char body[200];
 
 		snprintf(body, sizeof body, "{\"set\":[" TENANT("t%d", "%d") "]}", i % 7, 1 + i % 90);
@@ -290,12 +290,12 @@
 		ok(&s);
 	}
 	sim_run(&s, 6000, NULL);
-	e = s.n[sim_owner(&s, PART_CTL)].r->ctl.edition;
-	assert_true(e > 2 * PART_SNAP + PART_SNAP / 2);
+	e = s.n[sim_owner(&s, SHARD_CONTROL)].r->ctl.edition;
+	assert_true(e > 2 * RAFT_SNAPSHOT_ENTRIES + RAFT_SNAPSHOT_ENTRIES / 2);
 	for (int i = 0; i < 4; i++) {
-		struct Nl__Members *m = nl__members__unpack(NULL, s.n[i].disk.p[PART_CTL].members_len, s.n[i].disk.p[PART_CTL].members);
+		struct Nl__Members *m = nl__members__unpack(NULL, s.n[i].disk.p[SHARD_CONTROL].members_len, s.n[i].disk.p[SHARD_CONTROL].members);
 
-		if (s.n[i].r->part[PART_CTL].mn) { /* not the fourth, which keeps no copy */
+		if (s.n[i].r->part[SHARD_CONTROL].member_count) { /* not the fourth, which keeps no copy */
 			assert_non_null(m);
 			assert_int_equal(m->n_m, 3);
 		}
@@ -323,11 +323,11 @@
 
 		sim_fleet(&s, seed, 4);
 		sim_run(&s, 3000, NULL);
-		pub = sim_owner(&s, PART_PURGE);
+		pub = sim_owner(&s, SHARD_PURGE);
 		sim_crash(&s, pub, 0);
 		from = s.now;
 		for (int i = 0; i < 4; i++)
-			while (s.n[i].r && (sim_owner(&s, PART_PURGE) < 0 || s.n[i].r->relay.k.horizon <= PURGE_CHUNK)) {
+			while (s.n[i].r && (sim_owner(&s, SHARD_PURGE) < 0 || s.n[i].r->relay.k.horizon <= PURGE_CHUNK)) {
 				assert_true(sim_run(&s, 10, NULL));
 				if (s.now - from > 12000)
 					fail_msg("seed %llu: node %d's horizon stands still", (unsigned long long)seed, i);
@@ -409,15 +409,15 @@
 		}
 		sim_run(&s, 12000, NULL);
 		ok(&s);
-		for (uint32_t i = 0; i < PART_COUNT; i++)
+		for (uint32_t i = 0; i < SHARD_COUNT; i++)
 			if (sim_owner(&s, i) < 0)
 				fail_msg("seed %llu: part %u has no owner 12 s after the last fault", (unsigned long long)seed, i);
 		/* all horizons reach the publisher's, all tables agree */
 		for (int i = 0; i < 4; i++) {
-			struct reg *pub = s.n[sim_owner(&s, PART_PURGE)].r, *me = s.n[i].r;
+			struct reg *pub = s.n[sim_owner(&s, SHARD_PURGE)].r, *me = s.n[i].r;
 
 			assert_true(me->relay.k.horizon + 10 >= pub->tick);
-			assert_true(me->f.t.edition == s.n[sim_owner(&s, PART_CTL)].r->ctl.edition);
+			assert_true(me->f.t.edition == s.n[sim_owner(&s, SHARD_CONTROL)].r->ctl.edition);
 		}
 		values += (uint64_t)arrlen(s.value);
 		sim_close(&s);
--- a/tests/test_data.c
+++ b/tests/test_data.c
@@ -148,7 +148,7 @@
 		load(&s, &rng, 5000, 20, 3);
 		/* remove the key of t2, with a counter cut off and another frozen meanwhile */
 		/* the first hears all registrars but the configuration's owner: it could claim and send, but not know */
-		giver = sim_owner(&s, PART_CTL);
+		giver = sim_owner(&s, SHARD_CONTROL);
 		s.link_cut[giver][SIM_REGS] = 1;
 		sim_freeze(&s, SIM_REGS + 1, 1);
 		snprintf(body, sizeof body, "{\"del\":[{\"kind\":\"key\",\"name\":\"%s\"}]}", sim_key(2, hex));
@@ -164,7 +164,7 @@
 		must_change(&s, "{\"set\":[{\"kind\":\"service\",\"name\":\"repairs\",\"weights\":\"w2\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000}]}", 12000);
 		named = s.now;
 		load(&s, &rng, 1000, 20, 3);
-		giver = sim_owner(&s, core_part_of("repairs", PART_SERVICES)); /* and the giver dies in the middle */
+		giver = sim_owner(&s, core_part_of("repairs", SHARD_SERVICES)); /* and the giver dies in the middle */
 		if (giver >= 0)
 			sim_crash(&s, giver, 0);
 		load(&s, &rng, 2000, 20, 3);
@@ -264,8 +264,8 @@
 		for (int i = 0; i < 6; i++)
 			s.sv[i].up = 1;
 		load(&s, &rng, 4000, 30, 3);
-		if (sim_owner(&s, PART_CTL) >= 0) /* the last fault */
-			sim_crash(&s, sim_owner(&s, PART_CTL), 0);
+		if (sim_owner(&s, SHARD_CONTROL) >= 0) /* the last fault */
+			sim_crash(&s, sim_owner(&s, SHARD_CONTROL), 0);
 		from = s.now;
 		whole = s.n_whole;
 		do {
@@ -335,7 +335,7 @@
 				int up = 0;
 
 				load(&s, &rng, 100, 60, 2);
-				if (s.now >= giver_at && giver < 0 && (giver = sim_owner(&s, core_part_of("repairs", PART_SERVICES))) >= 0)
+				if (s.now >= giver_at && giver < 0 && (giver = sim_owner(&s, core_part_of("repairs", SHARD_SERVICES))) >= 0)
 					sim_crash(&s, giver, 0);
 				if (s.now >= server_at && !gone) {
 					gone = 1;
@@ -491,7 +491,7 @@
 
 static void bring_about(struct sim *s, int fault, uint64_t *rng)
 {
-	int owner = sim_owner(s, PART_CTL), r = (int)(core_rand(rng) % 4);
+	int owner = sim_owner(s, SHARD_CONTROL), r = (int)(core_rand(rng) % 4);
 	char *body;
 	size_t k;
 
@@ -611,7 +611,7 @@
 			load(&s, &rng, 3000 + (int64_t)(core_rand(&rng) % 5000), 30, 3);
 			mend(&s);
 			load(&s, &rng, 15000, 30, 3); /* long enough for a group to mend itself */
-			owner = sim_owner(&s, PART_CTL);
+			owner = sim_owner(&s, SHARD_CONTROL);
 			if (owner < 0)
 				fail_msg("seed %llu, %s: no owner 15 s after it was mended", (unsigned long long)seed, names[fault]);
 			sim_crash(&s, owner, 0);
@@ -746,7 +746,7 @@
 		if (mode == 0 || mode == 3)
 			sim_cut(&s, SIM_REGS, 1);
 		else if (mode == 1)
-			s.link_cut[sim_owner(&s, PART_CTL)][SIM_REGS] = 1;
+			s.link_cut[sim_owner(&s, SHARD_CONTROL)][SIM_REGS] = 1;
 		if (mode >= 2)
 			sim_freeze(&s, SIM_REGS, 1);
 		snprintf(body, sizeof body, "{\"del\":[{\"kind\":\"key\",\"name\":\"%s\"}]}", sim_key(1, hex));
@@ -787,7 +787,7 @@
 		s.jitter = (int)(core_rand(&rng) % 80);
 		for (int k = 0; k < 120 && !s.bad[0]; k++) {
 			int node = SIM_REGS + (int)(core_rand(&rng) % 3), other = SIM_REGS + (int)(core_rand(&rng) % 3), what = (int)(core_rand(&rng) % 10);
-			int owner = sim_owner(&s, core_part_of(lanes[k % 3], PART_SERVICES)), down = 0;
+			int owner = sim_owner(&s, core_part_of(lanes[k % 3], SHARD_SERVICES)), down = 0;
 			char id[32];
 
 			for (int i = 0; i < 6; i++)
@@ -868,7 +868,7 @@
 			sim_ask(&s, SIM_REGS + i % 2, id, i % 4, lanes[i % 3], 0);
 		}
 		sim_run(&s, 300 + (int64_t)(seed % 11) * 23, NULL);
-		sim_crash(&s, sim_owner(&s, PART_CTL), 0);
+		sim_crash(&s, sim_owner(&s, SHARD_CONTROL), 0);
 		sim_run(&s, 9000, NULL);
 		ok(&s);
 		assert_int_equal(s.n_unknown, 0);
@@ -1020,7 +1020,7 @@
 			if (mode == 0) {
 				s.sv[0].up = 0;
 			} else if (mode == 1) { /* two of three copies: this part cannot be owned any more */
-				int owner = sim_owner(&s, core_part_of("arrears", PART_SERVICES));
+				int owner = sim_owner(&s, core_part_of("arrears", SHARD_SERVICES));
 
 				sim_crash(&s, owner, 0);
 				sim_crash(&s, (owner + 1) % 3, 0);
@@ -1097,7 +1097,7 @@
 		}
 		/* faults, with the limit lowered among them: what runs may go on, so it is judged a little later */
 		for (int f = 0; f < 10 && !s.bad[0]; f++) {
-			int c = (int)(core_rand(&rng) % 9), node = SIM_REGS + c, what = (int)(core_rand(&rng) % 6), owner = sim_owner(&s, PART_CTL);
+			int c = (int)(core_rand(&rng) % 9), node = SIM_REGS + c, what = (int)(core_rand(&rng) % 6), owner = sim_owner(&s, SHARD_CONTROL);
 			int64_t end = s.now + 2500;
 
 			if (what == 0)
@@ -1213,7 +1213,7 @@
 	assert_true(s.now - from < 3000);
 	ok(&s);
 	{ /* and each once: asked again, the feeds say the same, and nothing is published anew */
-		struct reg_pub *pub = &s.n[sim_owner(&s, PART_PURGE)].r->pub;
+		struct reg_pub *pub = &s.n[sim_owner(&s, SHARD_PURGE)].r->pub;
 		uint64_t sum = 0, later = 0;
 
 		for (ptrdiff_t i = 0; i < hmlen(pub->last.h); i++)
@@ -1242,7 +1242,7 @@
 		sim_deploy(&s, 2, 4, size[k], 3);
 		ok(&s);
 		sim_run(&s, 5000, NULL);
-		node = sim_owner(&s, PART_PURGE);
+		node = sim_owner(&s, SHARD_PURGE);
 		pub = s.n[node].r;
 		assert_true(arrlen(pub->relay.down) <= 4 + 3); /* a relay a zone, and the other registrars */
 		from = s.by_body[NL__MSG__BODY_KNOWLEDGE];
--- a/tests/test_doc.c
+++ b/tests/test_doc.c
@@ -343,23 +343,23 @@
 /* Each part is owned, and has so many voting members, each of which is up. */
 static int whole_at(struct sim *s, int copies)
 {
-	for (uint32_t i = 0; i < PART_COUNT; i++) {
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
 		int o = sim_owner(s, i), v = 0;
-		const struct part *p;
+		const struct raft *p;
 
 		if (o < 0)
 			return 0;
 		p = &s->n[o].r->part[i];
-		for (int k = 0; k < p->mn; k++) {
+		for (int k = 0; k < p->member_count; k++) {
 			int up = 0;
 
 			for (int q = 0; q < SIM_REGS; q++)
-				up |= s->n[q].up && !s->n[q].frozen && s->n[q].id == p->m[k].id;
-			if (!up || !p->m[k].voter)
+				up |= s->n[q].up && !s->n[q].frozen && s->n[q].id == p->members[k].id;
+			if (!up || !p->members[k].voter)
 				return 0;
 			v++;
 		}
-		if (v != copies || p->members_at > p->commit)
+		if (v != copies || p->members_index > p->commit)
 			return 0;
 	}
 	return 1;
@@ -372,8 +372,8 @@
 	while (!whole_at(s, copies)) {
 		if (s->now - from > ms || !sim_run(s, 25, NULL)) {
 			ok(s);
-			for (uint32_t i = 0; i < PART_COUNT; i++)
-				print_message("part %u: owner %d, members %d\n", i, sim_owner(s, i), sim_owner(s, i) < 0 ? 0 : s->n[sim_owner(s, i)].r->part[i].mn);
+			for (uint32_t i = 0; i < SHARD_COUNT; i++)
+				print_message("part %u: owner %d, members %d\n", i, sim_owner(s, i), sim_owner(s, i) < 0 ? 0 : s->n[sim_owner(s, i)].r->part[i].member_count);
 			fail_msg("seed %llu: not whole at %d copies after %lld ms", (unsigned long long)s->seed, copies, (long long)ms);
 		}
 	}
@@ -537,7 +537,7 @@
 	whole = read_doc(&s, &n);
 	assert_int_equal(n, strlen(first));
 	assert_memory_equal(whole, first, n);
-	o = sim_owner(&s, PART_CTL);
+	o = sim_owner(&s, SHARD_CONTROL);
 	r = table_get(&s.n[o].r->ctl, NL__KIND__LANE, "r2");
 	assert_non_null(r);
 	edition = s.n[o].r->ctl.edition;
@@ -546,7 +546,7 @@
 	assert_int_equal(s.n[o].r->ctl.edition, edition);
 	/* a patch; rows that it leaves alone keep their edition; keys, walls and services follow the document */
 	assert_int_equal(put_doc(&s, 7, 1, "{\"ConfigVersion\":9,\"Remove\":{\"TenantList\":[\"t2\"]}}"), 200);
-	o = sim_owner(&s, PART_CTL);
+	o = sim_owner(&s, SHARD_CONTROL);
 	for (ptrdiff_t i = 0; i < shlen(s.n[o].r->ctl.h); i++) {
 		const struct Nl__Row *x = s.n[o].r->ctl.h[i].value.row;
 
@@ -565,7 +565,7 @@
 	name.weights = "0";
 	assert_int_equal(finish(&s, &name, 5000), 400);
 	assert_int_equal(put_doc(&s, 9, 0, DOC("12", ROUTE("r1", "/a/", "\"ServiceName\":\"s2\""), SERVICE("s2"), "")), 200);
-	o = sim_owner(&s, PART_CTL);
+	o = sim_owner(&s, SHARD_CONTROL);
 	r = table_get(&s.n[o].r->ctl, NL__KIND__MODEL, "daka");
 	assert_string_equal(r->weights, "3");
 	assert_string_equal(r->rolled, "1");
@@ -744,7 +744,7 @@
 	uint64_t at = 0;
 	struct json_object *doc_is = NULL;
 	ptrdiff_t last_one = -1;
-	int o = sim_owner(s, PART_CTL);
+	int o = sim_owner(s, SHARD_CONTROL);
 	size_t n = 0;
 	char *body;
 
@@ -822,7 +822,7 @@
 
 		assert_true(json_object_equal(j, doc_is));
 		json_object_put(j);
-		o = sim_owner(s, PART_CTL);
+		o = sim_owner(s, SHARD_CONTROL);
 		for (ptrdiff_t i = 0; i < shlen(s->n[o].r->ctl.h); i++) {
 			Nl__Kind k = s->n[o].r->ctl.h[i].value.row->kind;
 
@@ -854,12 +854,12 @@
 	apr_pool_t *p;
 	uint8_t *a = NULL;
 	size_t n = 0;
-	int o = sim_owner(s, PART_CTL);
+	int o = sim_owner(s, SHARD_CONTROL);
 
 	apr_pool_create(&p, NULL);
-	a = reg_state(s->n[o].r, PART_CTL, p, &n);
+	a = reg_state(s->n[o].r, SHARD_CONTROL, p, &n);
 	for (int i = 0; i < regs(s); i++) {
-		const struct part *q = &s->n[i].r->part[PART_CTL];
+		const struct raft *q = &s->n[i].r->part[SHARD_CONTROL];
 		uint8_t *b;
 		size_t m;
 
@@ -872,9 +872,9 @@
 				assert_non_null(y);
 				assert_int_equal(protobuf_c_message_get_packed_size(&x->base), protobuf_c_message_get_packed_size(&y->base));
 			}
-		if (q->taken != s->n[o].r->part[PART_CTL].taken || !q->mn)
+		if (q->applied != s->n[o].r->part[SHARD_CONTROL].applied || !q->member_count)
 			continue;
-		b = reg_state(s->n[i].r, PART_CTL, p, &m);
+		b = reg_state(s->n[i].r, SHARD_CONTROL, p, &m);
 		assert_int_equal(n, m);
 		assert_memory_equal(a, b, n);
 	}
@@ -933,7 +933,7 @@
 				c->body = gen(&s, c->version, c->patch);
 				no_empty_keys(c->body);
 				if (!rnd(&s, 3)) { /* it goes to the owner, which dies before or after logging it */
-					int o = sim_owner(&s, PART_CTL);
+					int o = sim_owner(&s, SHARD_CONTROL);
 
 					if (o >= 0 && down < 0 && cut < 0 && s.now > next_fault) {
 						send_call(&s, c, o, 0);
@@ -1025,10 +1025,10 @@
 		if (v == 5)
 			old = strdup(b);
 	}
-	o = sim_owner(&s, PART_CTL);
-	from = s.n[o].r->part[PART_CTL].base;
+	o = sim_owner(&s, SHARD_CONTROL);
+	from = s.n[o].r->part[SHARD_CONTROL].base;
 	assert_true(from > 0);
-	assert_true(arrlen(s.n[o].r->part[PART_CTL].log) < 45); /* 16 MB since the last snapshot, 8 MB kept behind it */
+	assert_true(arrlen(s.n[o].r->part[SHARD_CONTROL].log) < 45); /* 16 MB since the last snapshot, 8 MB kept behind it */
 	for (int i = 0; i < 4; i++) { /* each in turn comes back without its disk */
 		sim_crash(&s, i, 1);
 		sim_run(&s, 500, NULL);
@@ -1052,14 +1052,14 @@
 /* Of registrars that stand in three zones in turn, no part has more than two members in one. */
 static int spread_out(struct sim *s, int n)
 {
-	for (uint32_t i = 0; i < PART_COUNT; i++) {
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
 		int z[3] = { 0 }, o = sim_owner(s, i);
 
 		if (o < 0)
 			return 0;
-		for (int k = 0; k < s->n[o].r->part[i].mn; k++)
+		for (int k = 0; k < s->n[o].r->part[i].member_count; k++)
 			for (int q = 0; q < n; q++)
-				z[q % 3] += s->n[q].id == s->n[o].r->part[i].m[k].id;
+				z[q % 3] += s->n[q].id == s->n[o].r->part[i].members[k].id;
 		if (z[0] > 2 || z[1] > 2 || z[2] > 2)
 			return 0;
 	}
@@ -1089,8 +1089,8 @@
 			size_t len;
 			char *got;
 
-			if (round == 1 && sim_owner(&s, PART_CTL) != b)
-				a = sim_owner(&s, PART_CTL);
+			if (round == 1 && sim_owner(&s, SHARD_CONTROL) != b)
+				a = sim_owner(&s, SHARD_CONTROL);
 			snprintf(body, sizeof body, DOC("%d", "", SERVICE("s1"), ""), (int)v + 1);
 			assert_int_equal(put_doc(&s, v, 0, body), 200);
 			v++;
@@ -1142,7 +1142,7 @@
 		fleet(&s, seed, copies + 1, 3, copies);
 		until_whole(&s, copies, 12000);
 		sim_run(&s, 3000 + (int64_t)rnd(&s, 500), NULL);
-		a = seed % 3 ? (int)rnd(&s, (uint64_t)copies + 1) : sim_owner(&s, PART_CTL);
+		a = seed % 3 ? (int)rnd(&s, (uint64_t)copies + 1) : sim_owner(&s, SHARD_CONTROL);
 		sim_crash(&s, a, 1);
 		t = until_whole(&s, copies, 12000);
 		worst = t > worst ? t : worst;
@@ -1166,9 +1166,9 @@
 	until_whole(&s, 3, 8000);
 	sim_crash(&s, 1, 1);
 	sim_run(&s, 8000, NULL);
-	for (uint32_t i = 0; i < PART_COUNT; i++) {
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
 		assert_true(sim_owner(&s, i) >= 0);
-		assert_int_equal(s.n[sim_owner(&s, i)].r->part[i].mn, 3);
+		assert_int_equal(s.n[sim_owner(&s, i)].r->part[i].member_count, 3);
 	}
 	sim_start(&s, 1);
 	sim_start(&s, 2);
@@ -1200,13 +1200,13 @@
 	until_whole(&s, 3, 5000);
 	sim_run(&s, 8000, NULL);
 	until_whole(&s, 3, 5000);
-	for (uint32_t i = 0; i < PART_COUNT; i++) {
-		const struct part *p = &s.n[sim_owner(&s, i)].r->part[i];
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
+		const struct raft *p = &s.n[sim_owner(&s, i)].r->part[i];
 		int first_zone = 0;
 
-		for (int k = 0; k < p->mn; k++)
+		for (int k = 0; k < p->member_count; k++)
 			for (int q = 0; q < 3; q++)
-				first_zone += s.n[q].id == p->m[k].id;
+				first_zone += s.n[q].id == p->members[k].id;
 		assert_true(first_zone <= 2);
 	}
 	ok(&s);
@@ -1225,7 +1225,7 @@
 	assert_int_equal(put_doc(&s, 0, 0, first), 200);
 	sim_counter(&s, "z1");
 	sim_run(&s, 8000, NULL);
-	o = sim_owner(&s, PART_CTL);
+	o = sim_owner(&s, SHARD_CONTROL);
 	assert_int_equal(shlen(s.n[o].r->limit), 0);
 	follow_hold(&s.n[SIM_REGS].c->f, "t1")->want = 1;
 	sim_run(&s, 1000, NULL);
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -144,7 +144,7 @@
 {
 	struct down n = { -1, (int)dice(d, 3), f->s.now + 300 + (int64_t)dice(d, 7000) };
 
-	n.node = core ? sim_owner(&f->s, dice(d, 4) ? PART_CTL : PART_PURGE) : SIM_REGS + (int)dice(d, (uint64_t)f->ctrs);
+	n.node = core ? sim_owner(&f->s, dice(d, 4) ? SHARD_CONTROL : SHARD_PURGE) : SIM_REGS + (int)dice(d, (uint64_t)f->ctrs);
 	if (n.node < 0 || v->node >= 0 || !f->s.n[n.node].up)
 		return;
 	*v = n;
--- a/tests/test_shell.c
+++ b/tests/test_shell.c
@@ -266,7 +266,7 @@
 	w.e = e;
 	for (uint64_t i = 0; i < n; i++) {
 		snprintf(d[i], sizeof d[i], "entry %d of %d", (int)(from + i), (int)seq);
-		e[i] = (struct persist_entry){ from + i, 7, PART_OP, strlen(d[i]), (uint8_t *)d[i] };
+		e[i] = (struct persist_entry){ from + i, 7, RAFT_ENTRY_OPERATION, strlen(d[i]), (uint8_t *)d[i] };
 	}
 	store_write(s, &w);
 	do {
@@ -432,7 +432,7 @@
 	char folder[64];
 	struct rlimit was, full;
 	struct persist w = { 0 };
-	struct persist_entry e = { 31, 7, PART_OP, 5, (const uint8_t *)"after" };
+	struct persist_entry e = { 31, 7, RAFT_ENTRY_OPERATION, 5, (const uint8_t *)"after" };
 
 	(void)st;
 	apr_pool_create(&p, NULL);
--- a/tests/test_sights.c
+++ b/tests/test_sights.c
@@ -92,7 +92,7 @@
 /* Weights that are called rolled out are at every server that has been listed for long. */
 static void judge_rolled(struct sim *s)
 {
-	int at = sim_owner(s, PART_CTL);
+	int at = sim_owner(s, SHARD_CONTROL);
 	const struct Nl__Row *m = at < 0 ? NULL : table_get(&s->n[at].r->ctl, NL__KIND__MODEL, "lm");
 
 	for (ptrdiff_t i = 0; m && m->rolled[0] && i < arrlen(s->list.v); i++)
@@ -191,7 +191,7 @@
 
 static const char *rolled(struct sim *s)
 {
-	int at = sim_owner(s, PART_CTL);
+	int at = sim_owner(s, SHARD_CONTROL);
 	const struct Nl__Row *m = at < 0 ? NULL : table_get(&s->n[at].r->ctl, NL__KIND__MODEL, "lm");
 
 	return m ? m->rolled : "";
@@ -298,7 +298,7 @@
 		name_weights(&s, "2");
 		named = s.now;
 		go(&s, &j, (int64_t)dice(&d, 8000));
-		at = sim_owner(&s, PART_CTL);
+		at = sim_owner(&s, SHARD_CONTROL);
 		if (at >= 0 && how == 0)
 			sim_crash(&s, at, 0);
 		else if (at >= 0 && how == 1)
@@ -394,7 +394,7 @@
 					s.list.away_until = s.now + 2000;
 				break;
 			case 6: {
-				int at = sim_owner(&s, PART_CTL);
+				int at = sim_owner(&s, SHARD_CONTROL);
 
 				if (at >= 0 && down < 0 && held < 0 && cut < 0 && step % 2) {
 					if (seed % 3 == 0)
@@ -456,7 +456,7 @@
 		s.list.v[i].fence = 0;
 		assert_int_equal(sights_get(&s.n[SIM_REGS].c->f.sights, s.list.v[i].name)->loading, 0);
 	}
-	sim_crash(&s, sim_owner(&s, PART_CTL), 0);
+	sim_crash(&s, sim_owner(&s, SHARD_CONTROL), 0);
 	go(&s, &j, 25000);
 	assert_true(all_have(&s, "2", 0) >= 0);
 	sim_close(&s);
--- a/tests/test_units.c
+++ b/tests/test_units.c
@@ -12,7 +12,7 @@
 #include "ctr.h"
 #include "ds.h"
 #include "kept.h"
-#include "part.h"
+#include "raft.h"
 #include "purge.h"
 #include "table.h"
 
@@ -348,28 +348,28 @@
 
 /* ---- a group's member alone, its messages and syncs given by hand ---- */
 
-struct bench { struct part p; struct out o; int64_t now; };
+struct bench { struct raft p; struct out o; int64_t now; };
 
 static void bench_open(struct bench *b)
 {
-	struct part_member m[3] = { { .id = 1, .addr = 101, .voter = 1 }, { .id = 2, .addr = 102, .voter = 1 }, { .id = 3, .addr = 103, .voter = 1 } };
+	struct raft_member m[3] = { { .id = 1, .addr = 101, .voter = 1 }, { .id = 2, .addr = 102, .voter = 1 }, { .id = 3, .addr = 103, .voter = 1 } };
 
 	memset(b, 0, sizeof *b);
 	apr_pool_create(&b->o.p, NULL);
 	b->o.id = 1;
 	b->o.addr = 101;
 	b->now = 100000;
-	part_open(&b->p, 0, 1, 5, NULL, b->now);
-	part_found(&b->p, m, 3, b->now, &b->o);
-	part_flush(&b->p, b->now, &b->o);
-	part_synced(&b->p, b->p.seq, b->now, &b->o);
+	raft_open(&b->p, 0, 1, 5, NULL, b->now);
+	raft_bootstrap(&b->p, m, 3, b->now, &b->o);
+	raft_flush(&b->p, b->now, &b->o);
+	raft_synced(&b->p, b->p.seq, b->now, &b->o);
 	out_clear(&b->o);
 	b->now += 5000;
 }
 
 static void bench_close(struct bench *b)
 {
-	part_close(&b->p);
+	raft_close(&b->p);
 	arrfree(b->o.v);
 	apr_pool_destroy(b->o.p);
 }
@@ -386,8 +386,8 @@
 {
 	m->id = from;
 	m->addr = 100 + from;
-	part_msg(&b->p, m, b->now, &b->o);
-	part_flush(&b->p, b->now, &b->o);
+	raft_receive(&b->p, m, b->now, &b->o);
+	raft_flush(&b->p, b->now, &b->o);
 }
 
 static void hear_vote(struct bench *b, uint64_t from, uint64_t term, uint64_t last, uint64_t last_term)
@@ -430,7 +430,7 @@
 	/* a vote */
 	hear_vote(&b, 2, 5, 1, 1);
 	assert_null(said(&b, NL__MSG__BODY_VOTE_REPLY));
-	part_synced(&b.p, b.p.seq, b.now, &b.o);
+	raft_synced(&b.p, b.p.seq, b.now, &b.o);
 	r = said(&b, NL__MSG__BODY_VOTE_REPLY);
 	assert_non_null(r);
 	assert_true(r->vote_reply->granted);
@@ -464,7 +464,7 @@
 	assert_int_equal(r->append_reply->match, 1);
 	assert_int_equal(r->append_reply->round, 1);
 	out_clear(&b.o);
-	part_synced(&b.p, b.p.seq, b.now, &b.o);
+	raft_synced(&b.p, b.p.seq, b.now, &b.o);
 	assert_int_equal(said(&b, NL__MSG__BODY_APPEND_REPLY)->append_reply->match, 2);
 	bench_close(&b);
 }
@@ -478,38 +478,38 @@
 
 	(void)st;
 	bench_open(&b);
-	part_tick(&b.p, b.now, &b.o);
-	assert_int_equal(b.p.role, PART_ASKING);
+	raft_tick(&b.p, b.now, &b.o);
+	assert_int_equal(b.p.role, RAFT_PRE_CANDIDATE);
 	v.term = b.p.term + 1;
 	v.granted = v.pre = 1;
 	m.body_case = NL__MSG__BODY_VOTE_REPLY;
 	m.vote_reply = &v;
 	hear(&b, 2, &m);
-	assert_int_equal(b.p.role, PART_CONTENDER);
+	assert_int_equal(b.p.role, RAFT_CANDIDATE);
 	v.pre = 0;
 	hear(&b, 2, &m);
-	assert_int_equal(b.p.role, PART_CONTENDER); /* its own vote is not on the disk yet */
-	part_synced(&b.p, b.p.seq, b.now, &b.o);
-	assert_int_equal(b.p.role, PART_OWNER);
-	part_flush(&b.p, b.now, &b.o);
-	part_synced(&b.p, b.p.seq, b.now, &b.o);
-	part_tick(&b.p, b.now, &b.o);
+	assert_int_equal(b.p.role, RAFT_CANDIDATE); /* its own vote is not on the disk yet */
+	raft_synced(&b.p, b.p.seq, b.now, &b.o);
+	assert_int_equal(b.p.role, RAFT_LEADER);
+	raft_flush(&b.p, b.now, &b.o);
+	raft_synced(&b.p, b.p.seq, b.now, &b.o);
+	raft_tick(&b.p, b.now, &b.o);
 	hear_ack(&b, 2, b.p.term_start);
-	assert_true(part_licensed(&b.p, b.now));
-	i = part_propose(&b.p, (const uint8_t *)"x", 1, b.now);
+	assert_true(raft_has_lease(&b.p, b.now));
+	i = raft_propose(&b.p, (const uint8_t *)"x", 1, b.now);
 	assert_true(i > 0);
-	part_flush(&b.p, b.now, &b.o);
+	raft_flush(&b.p, b.now, &b.o);
 	hear_ack(&b, 2, i);
 	assert_true(b.p.commit < i); /* one member and an unsynced owner are no majority */
-	part_synced(&b.p, b.p.seq, b.now, &b.o);
+	raft_synced(&b.p, b.p.seq, b.now, &b.o);
 	assert_int_equal(b.p.commit, i);
 	/* its disk stalls: it gives up, and says so */
-	part_propose(&b.p, (const uint8_t *)"y", 1, b.now);
-	part_flush(&b.p, b.now, &b.o);
+	raft_propose(&b.p, (const uint8_t *)"y", 1, b.now);
+	raft_flush(&b.p, b.now, &b.o);
 	out_clear(&b.o);
-	b.now += PART_STALL + 1;
-	part_tick(&b.p, b.now, &b.o);
-	assert_int_equal(b.p.role, PART_STANDBY);
+	b.now += RAFT_SYNC_STALL_MS + 1;
+	raft_tick(&b.p, b.now, &b.o);
+	assert_int_equal(b.p.role, RAFT_FOLLOWER);
 	assert_non_null(said(&b, NL__MSG__BODY_GIVE_UP));
 	bench_close(&b);
 }
@@ -519,8 +519,8 @@
 {
 	struct Nl__Members ms = NL__MEMBERS__INIT;
 	struct Nl__Member v[3], *pv[3];
-	struct part_entry e[2] = { { 1, PART_MEMBERS_ENTRY, 0, NULL }, { 3, PART_NOOP, 0, (uint8_t *)"" } };
-	struct part_saved saved = { .term = 3, .vote = 2, .log_from = 1, .e = e, .n = 2 };
+	struct raft_entry e[2] = { { 1, RAFT_ENTRY_MEMBERS, 0, NULL }, { 3, RAFT_ENTRY_NOOP, 0, (uint8_t *)"" } };
+	struct raft_saved saved = { .term = 3, .vote = 2, .log_from = 1, .e = e, .n = 2 };
 
 	memset(b, 0, sizeof *b);
 	apr_pool_create(&b->o.p, NULL);
@@ -539,8 +539,8 @@
 	e[0].len = nl__members__get_packed_size(&ms);
 	e[0].data = apr_palloc(b->o.p, e[0].len + 1);
 	nl__members__pack(&ms, e[0].data);
-	part_open(&b->p, 0, 1, 5, &saved, b->now);
-	part_tick(&b->p, b->now, &b->o);
+	raft_open(&b->p, 0, 1, 5, &saved, b->now);
+	raft_tick(&b->p, b->now, &b->o);
 }
 
 static void hear_idle(struct bench *b, uint64_t from, uint64_t life, int owner, uint64_t last_term, uint64_t members_at)
@@ -577,7 +577,7 @@
 	assert_false(said(&b, NL__MSG__BODY_VOTE_REPLY)->vote_reply->granted);
 	hear_idle(&b, 3, life, 0, 3, 1);
 	hear_vote(&b, 2, 5, 2, 3);
-	part_synced(&b.p, b.p.seq, b.now, &b.o);
+	raft_synced(&b.p, b.p.seq, b.now, &b.o);
 	assert_true(said(&b, NL__MSG__BODY_VOTE_REPLY)->vote_reply->granted);
 	bench_close(&b);
 
@@ -590,9 +590,9 @@
 		hear_idle(&b, 3, life, 0, 3, 1);
 		hear_vote(&b, 2, 5, 2, 3);
 		assert_false(said(&b, NL__MSG__BODY_VOTE_REPLY)->vote_reply->granted);
-		b.now += PART_LICENCE;
+		b.now += RAFT_LEASE_MS;
 		hear_vote(&b, 2, 5, 2, 3);
-		part_synced(&b.p, b.p.seq, b.now, &b.o);
+		raft_synced(&b.p, b.p.seq, b.now, &b.o);
 		assert_true(said(&b, NL__MSG__BODY_VOTE_REPLY)->vote_reply->granted);
 		bench_close(&b);
 	}
