--- a/bin/clerk.c
+++ b/bin/clerk.c
@@ -17,22 +17,23 @@
 
 static int usage(FILE *f)
 {
-	fprintf(f, "Usage: clerk [--at IP:PORT] COMMAND      a registrar's web address\n\n"
-	           "  found                          found a fleet from the three seeds, once\n"
-	           "  show [KIND]                    the table as a sheet (tab-separated)\n"
-	           "  set KIND NAME COLUMN=VALUE...  change cells of one row, or add the row\n"
-	           "  del KIND NAME                  take a row out\n"
-	           "  compare FILE                   what a sheet would change; - is standard input\n"
-	           "  apply FILE                     make the table like the sheet, if nobody changed it since\n"
-	           "  key add TENANT KEY             let a key in; only its digest is kept\n"
-	           "  key remove KEY                 put a key out\n"
-	           "  drain SERVER | serve SERVER    take a server out of the lanes, and back\n"
-	           "  weights SERVICE NAME           name new weights: a roll-out\n"
-	           "  clear all | LANE/TENANT        clear kept context now; * stands for all lanes or tenants\n"
-	           "  retention [--report]           clearings that are due, run, are done, and what is missing; the report as CSV\n"
-	           "  state                          who owns what, editions, horizons, servers\n"
-	           "  --help, --version\n\n"
-	           "Ends with 0 done, 1 refused, 2 wrong call, 3 nobody answers, 4 overtaken: the table has changed.\n");
+	fprintf(f,
+		"Usage: clerk [--at IP:PORT] COMMAND      a registrar's web address\n\n"
+		"  found                          found a fleet from the three seeds, once\n"
+		"  show [KIND]                    the table as a sheet (tab-separated)\n"
+		"  set KIND NAME COLUMN=VALUE...  change cells of one row, or add the row\n"
+		"  del KIND NAME                  take a row out\n"
+		"  compare FILE                   what a sheet would change; - is standard input\n"
+		"  apply FILE                     make the table like the sheet, if nobody changed it since\n"
+		"  key add TENANT KEY             let a key in; only its digest is kept\n"
+		"  key remove KEY                 put a key out\n"
+		"  drain SERVER | serve SERVER    take a server out of the lanes, and back\n"
+		"  weights SERVICE NAME           name new weights: a roll-out\n"
+		"  clear all | LANE/TENANT        clear kept context now; * stands for all lanes or tenants\n"
+		"  retention [--report]           clearings that are due, run, are done, and what is missing; the report as CSV\n"
+		"  state                          who owns what, editions, horizons, servers\n"
+		"  --help, --version\n\n"
+		"Ends with 0 done, 1 refused, 2 wrong call, 3 nobody answers, 4 overtaken: the table has changed.\n");
 	return f == stdout ? OK : USAGE;
 }
 
@@ -58,7 +59,8 @@
 	if (rc == OK)
 		printf("edition %lld\n", (long long)jgeti(j, "edition"));
 	else if (rc == OVERTAKEN)
-		fprintf(stderr, "clerk: overtaken: the table is at edition %lld now; look at it and try again\n", (long long)jgeti(j, "edition"));
+		fprintf(stderr, "clerk: overtaken: the table is at edition %lld now; look at it and try again\n",
+			(long long)jgeti(j, "edition"));
 	else
 		fprintf(stderr, "clerk: step change, at %s: %s\n", at, st ? jgets(j, "error") : "nobody answers");
 	if (j)
@@ -113,7 +115,7 @@
 			return USAGE;
 		}
 		json_object_object_add(r, apr_pstrmemdup(pool, cells[i], (size_t)(eq - cells[i])),
-		                       sheet_cell(apr_pstrmemdup(pool, cells[i], (size_t)(eq - cells[i])), eq + 1));
+				       sheet_cell(apr_pstrmemdup(pool, cells[i], (size_t)(eq - cells[i])), eq + 1));
 	}
 	c = change_of("set", r, jget(t, "edition"));
 	json_object_put(t);
@@ -142,9 +144,11 @@
 		goto end;
 	}
 	for (size_t i = 0; i < json_object_array_length(jget(d, "set")); i++)
-		printf("set %s\n", json_object_to_json_string_ext(json_object_array_get_idx(jget(d, "set"), i), JSON_C_TO_STRING_PLAIN));
+		printf("set %s\n",
+		       json_object_to_json_string_ext(json_object_array_get_idx(jget(d, "set"), i), JSON_C_TO_STRING_PLAIN));
 	for (size_t i = 0; i < json_object_array_length(jget(d, "del")); i++)
-		printf("del %s\n", json_object_to_json_string_ext(json_object_array_get_idx(jget(d, "del"), i), JSON_C_TO_STRING_PLAIN));
+		printf("del %s\n",
+		       json_object_to_json_string_ext(json_object_array_get_idx(jget(d, "del"), i), JSON_C_TO_STRING_PLAIN));
 	if (apply)
 		rc = change(json_object_get(d));
 end:
@@ -190,22 +194,25 @@
 		struct json_object *x = json_object_array_get_idx(a, i);
 
 		printf("part %lld  owner %-21s term %-4lld entries %-6lld here %s%s\n", (long long)jgeti(x, "part"),
-		       jgets(x, "owner")[0] ? jgets(x, "owner") : "not known here", (long long)jgeti(x, "term"), (long long)jgeti(x, "commit"),
-		       jgets(x, "role"), json_object_get_boolean(jget(x, "licensed")) ? ", licensed" : "");
+		       jgets(x, "owner")[0] ? jgets(x, "owner") : "not known here", (long long)jgeti(x, "term"),
+		       (long long)jgeti(x, "commit"), jgets(x, "role"),
+		       json_object_get_boolean(jget(x, "licensed")) ? ", licensed" : "");
 	}
 	a = jget(j, "nodes");
 	for (size_t i = 0; a && i < json_object_array_length(a); i++) {
 		struct json_object *x = json_object_array_get_idx(a, i);
 
-		printf("%s %-21s edition %-6lld horizon %-6lld heard %lld ms ago\n", json_object_get_boolean(jget(x, "counter")) ? "counter  " : "registrar",
-		       jgets(x, "addr"), (long long)jgeti(x, "edition"), (long long)jgeti(x, "horizon"), (long long)jgeti(x, "heard_ms"));
+		printf("%s %-21s edition %-6lld horizon %-6lld heard %lld ms ago\n",
+		       json_object_get_boolean(jget(x, "counter")) ? "counter  " : "registrar", jgets(x, "addr"),
+		       (long long)jgeti(x, "edition"), (long long)jgeti(x, "horizon"), (long long)jgeti(x, "heard_ms"));
 	}
 	a = jget(j, "servers");
 	for (size_t i = 0; a && i < json_object_array_length(a); i++) {
 		struct json_object *x = json_object_array_get_idx(a, i);
 
-		printf("server %-12s weights %-8s %s%s purges carried out to tick %lld, reported %lld ms ago\n", jgets(x, "server"), jgets(x, "weights"),
-		       jgets(x, "loading")[0] ? "loading " : "", jgets(x, "loading"), (long long)jgeti(x, "carried"), (long long)jgeti(x, "reported_ms"));
+		printf("server %-12s weights %-8s %s%s purges carried out to tick %lld, reported %lld ms ago\n", jgets(x, "server"),
+		       jgets(x, "weights"), jgets(x, "loading")[0] ? "loading " : "", jgets(x, "loading"),
+		       (long long)jgeti(x, "carried"), (long long)jgeti(x, "reported_ms"));
 	}
 	for (size_t i = 0; rows && i < json_object_array_length(rows); i++)
 		if (!strcmp(jgets(json_object_array_get_idx(rows, i), "kind"), "registrar"))
@@ -243,7 +250,8 @@
 
 	if (!ms || apr_time_exp_gmt(&x, ms * 1000) != APR_SUCCESS)
 		return "-";
-	return apr_psprintf(pool, "%04d-%02d-%02d %02d:%02d:%02d UTC", x.tm_year + 1900, x.tm_mon + 1, x.tm_mday, x.tm_hour, x.tm_min, x.tm_sec);
+	return apr_psprintf(pool, "%04d-%02d-%02d %02d:%02d:%02d UTC", x.tm_year + 1900, x.tm_mon + 1, x.tm_mday, x.tm_hour,
+			    x.tm_min, x.tm_sec);
 }
 
 /* What is due, runs and is done; what is missing is known by the owner of the configuration alone. */
@@ -266,7 +274,8 @@
 	for (size_t i = 0; a && i < json_object_array_length(a); i++) {
 		struct json_object *x = json_object_array_get_idx(a, i), *m = jget(x, "missing");
 
-		printf("clearing %" APR_INT64_T_FMT " of %s by %s, due %s: ", jgeti(x, "number"), jgets(x, "scope"), jgets(x, "by"), when(jgeti(x, "due")));
+		printf("clearing %" APR_INT64_T_FMT " of %s by %s, due %s: ", jgeti(x, "number"), jgets(x, "scope"), jgets(x, "by"),
+		       when(jgeti(x, "due")));
 		if (jgeti(x, "done"))
 			printf("done %s\n", when(jgeti(x, "done")));
 		else if (jgeti(x, "sliced"))
@@ -277,7 +286,8 @@
 			printf("  missing: %s\n", json_object_get_string(json_object_array_get_idx(m, k)));
 	}
 	if (j && !json_object_get_boolean(jget(j, "owner")))
-		printf("what is missing is known at the owner of the configuration alone: %s\n", jgets(j, "owner_addr")[0] ? jgets(j, "owner_addr") : "not known here");
+		printf("what is missing is known at the owner of the configuration alone: %s\n",
+		       jgets(j, "owner_addr")[0] ? jgets(j, "owner_addr") : "not known here");
 	free(body);
 	if (j)
 		json_object_put(j);
--- a/bin/counter.c
+++ b/bin/counter.c
@@ -15,49 +15,50 @@
 	memset(&ev, 0, sizeof ev);
 	if (!e) {
 		ev.kind = CTR_TICK;
-	} else switch (e->kind) {
-	case EV_MSG:
-		ev.kind = CTR_MSG;
-		ev.u.msg = e->msg;
-		break;
-	case EV_WEB:
-		if (!strcmp(e->path, "/v1/exchange") && !strcmp(e->verb, "POST")) {
-			ev.kind = CTR_EXCHANGE;
-			ev.u.exchange.token = e->token;
-			ev.u.exchange.digest = e->digest;
-			ev.u.exchange.body = e->body;
-		} else {
-			ev.kind = CTR_WEB;
-			ev.u.web.token = e->token;
-			ev.u.web.path = e->path;
+	} else
+		switch (e->kind) {
+		case EV_MSG:
+			ev.kind = CTR_MSG;
+			ev.u.msg = e->msg;
+			break;
+		case EV_WEB:
+			if (!strcmp(e->path, "/v1/exchange") && !strcmp(e->verb, "POST")) {
+				ev.kind = CTR_EXCHANGE;
+				ev.u.exchange.token = e->token;
+				ev.u.exchange.digest = e->digest;
+				ev.u.exchange.body = e->body;
+			} else {
+				ev.kind = CTR_WEB;
+				ev.u.web.token = e->token;
+				ev.u.web.path = e->path;
+			}
+			break;
+		case EV_GONE:
+			ev.kind = CTR_GONE;
+			ev.u.gone.token = e->token;
+			break;
+		case EV_PIECE:
+			ev.kind = CTR_PIECE;
+			ev.u.piece.token = e->token;
+			ev.u.piece.line = e->body;
+			break;
+		case EV_DONE:
+			if (e->stream) {
+				ev.kind = CTR_DONE;
+				ev.u.done.token = e->token;
+				ev.u.done.status = e->status;
+				ev.u.done.never = e->never;
+				ev.u.done.body = e->body;
+			} else {
+				ev.kind = CTR_CALLED;
+				ev.u.called.token = e->token;
+				ev.u.called.status = e->status;
+				ev.u.called.body = e->body;
+			}
+			break;
+		case EV_STOP: ev.kind = CTR_STOP; break;
+		default: return;
 		}
-		break;
-	case EV_GONE:
-		ev.kind = CTR_GONE;
-		ev.u.gone.token = e->token;
-		break;
-	case EV_PIECE:
-		ev.kind = CTR_PIECE;
-		ev.u.piece.token = e->token;
-		ev.u.piece.line = e->body;
-		break;
-	case EV_DONE:
-		if (e->stream) {
-			ev.kind = CTR_DONE;
-			ev.u.done.token = e->token;
-			ev.u.done.status = e->status;
-			ev.u.done.never = e->never;
-			ev.u.done.body = e->body;
-		} else {
-			ev.kind = CTR_CALLED;
-			ev.u.called.token = e->token;
-			ev.u.called.status = e->status;
-			ev.u.called.body = e->body;
-		}
-		break;
-	case EV_STOP: ev.kind = CTR_STOP; break;
-	default: return;
-	}
 	ctr_step(c, &ev, now, o);
 }
 
@@ -107,13 +108,15 @@
 		p.door = &platform_edge;
 		p.door_ctx = &edge;
 	}
-	ctr_open(&c, proc_random(), core_addr(p.set.advertise ? p.set.advertise : p.set.listen), p.set.zone, seeds, p.set.nseeds, clock_ms());
+	ctr_open(&c, proc_random(), core_addr(p.set.advertise ? p.set.advertise : p.set.listen), p.set.zone, seeds, p.set.nseeds,
+		 clock_ms());
 	if (p.set.more)
 		c.b = p.set.bounds;
 	if (!proc_open(&p))
 		goto end;
 	c.log = say;
-	log_say(LOG_INFO, "counter", "Serves callers at %s in zone %s.", p.set.more ? ((struct platform *)p.set.more)->front : p.set.web, p.set.zone);
+	log_say(LOG_INFO, "counter", "Serves callers at %s in zone %s.",
+		p.set.more ? ((struct platform *)p.set.more)->front : p.set.web, p.set.zone);
 	rc = proc_run(&p, &d);
 	ctr_close(&c);
 end:
--- a/bin/examiner.c
+++ b/bin/examiner.c
@@ -17,7 +17,7 @@
 
 struct exam {
 	apr_pool_t *p;
-	struct json_object *found; /* list of {"grade","row","why"} */
+	struct json_object *found;      /* list of {"grade","row","why"} */
 	struct json_object *now, *next; /* rows before and after */
 	struct json_object *servers;    /* as a counter reports them */
 	int faults, warnings;
@@ -114,9 +114,12 @@
 	due = retention_next(&calendar_icu, rows[0], wall, wall);
 	if ((was && json_object_equal(r, was)) || !due || apr_time_exp_gmt(&e, due * 1000) != APR_SUCCESS)
 		return;
-	note(x, label, apr_psprintf(x->p, "would clear the context of %s first at %04d-%02d-%02d %02d:%02d UTC, spread over %u s%s",
-	                            rows[0]->name, e.tm_year + 1900, e.tm_mon + 1, e.tm_mday, e.tm_hour, e.tm_min, (unsigned)(rows[0]->window / 1000),
-	                            !was && (lane[0] || tenant[0]) ? "; that first time with all common context, where its own lies among the others'" : ""));
+	note(x, label,
+	     apr_psprintf(
+		 x->p, "would clear the context of %s first at %04d-%02d-%02d %02d:%02d UTC, spread over %u s%s", rows[0]->name,
+		 e.tm_year + 1900, e.tm_mon + 1, e.tm_mday, e.tm_hour, e.tm_min, (unsigned)(rows[0]->window / 1000),
+		 !was && (lane[0] || tenant[0]) ? "; that first time with all common context, where its own lies among the others'"
+						: ""));
 }
 
 static void check_row(struct exam *x, struct json_object *r)
@@ -142,7 +145,8 @@
 		else if (x->servers && !n)
 			say(x, 0, label, "none of its servers reports");
 		if (was && strcmp(jgets(was, "weights"), jgets(r, "weights")) && x->servers && !known)
-			say(x, 0, label, apr_psprintf(x->p, "weights %s are not loaded anywhere yet: a roll-out begins", jgets(r, "weights")));
+			say(x, 0, label,
+			    apr_psprintf(x->p, "weights %s are not loaded anywhere yet: a roll-out begins", jgets(r, "weights")));
 	} else if (!strcmp(kind, "share")) {
 		const char *lane, *tenant;
 		struct json_object *l, *t;
@@ -157,7 +161,9 @@
 		if (!t)
 			say(x, 1, label, apr_psprintf(x->p, "tenant %s is not in the table", tenant));
 		if (l && (n = places(x, jgets(l, "service"), "", &known)) && jgeti(r, "limit") > n)
-			say(x, 0, label, apr_psprintf(x->p, "limit %" APR_INT64_T_FMT " is above the %d places that the lane's servers report", jgeti(r, "limit"), n));
+			say(x, 0, label,
+			    apr_psprintf(x->p, "limit %" APR_INT64_T_FMT " is above the %d places that the lane's servers report",
+					 jgeti(r, "limit"), n));
 		if (t && jgeti(r, "limit") > jgeti(t, "limit"))
 			say(x, 0, label, "limit is above the tenant's own: it never bites");
 	}
@@ -186,9 +192,12 @@
 		}
 		if (with && without)
 			say(x, 0, apr_pstrcat(x->p, "lane ", jgets(l, "name"), NULL),
-			    apr_psprintf(x->p, "shares do not add up: %d tenants have one in this lane, %d fall back to their general one", with, without));
+			    apr_psprintf(
+				x->p, "shares do not add up: %d tenants have one in this lane, %d fall back to their general one",
+				with, without));
 		if (sum && least * 200 < sum)
-			say(x, 0, apr_pstrcat(x->p, "lane ", jgets(l, "name"), NULL), "a tenant's share is under half a percent of the sum");
+			say(x, 0, apr_pstrcat(x->p, "lane ", jgets(l, "name"), NULL),
+			    "a tenant's share is under half a percent of the sum");
 	}
 }
 
@@ -236,7 +245,8 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_str *at = arg_str0(NULL, "at", "IP:PORT", "a registrar's web address"), *ctr = arg_str0(NULL, "counter", "IP:PORT", "a counter's web address: what servers report");
+	struct arg_str *at = arg_str0(NULL, "at", "IP:PORT", "a registrar's web address"),
+		       *ctr = arg_str0(NULL, "counter", "IP:PORT", "a counter's web address: what servers report");
 	struct arg_lit *json = arg_lit0(NULL, "json", "findings as JSON"), *help = arg_lit0("h", "help", "say how it is called");
 	struct arg_lit *version = arg_lit0(NULL, "version", "say the version");
 	struct arg_file *file = arg_file0(NULL, NULL, "FILE", "a sheet, or a change as JSON; - is standard input");
@@ -306,7 +316,8 @@
 	x.found = json_object_new_array();
 	x.now = jget(table, "rows");
 	x.servers = jget(state, "servers");
-	if ((jget(change, "set") && json_object_array_length(jget(change, "set"))) || (jget(change, "del") && json_object_array_length(jget(change, "del")))) {
+	if ((jget(change, "set") && json_object_array_length(jget(change, "set"))) ||
+	    (jget(change, "del") && json_object_array_length(jget(change, "del")))) {
 		c = table_change_parse(json_object_to_json_string(change), x.p, &why);
 		table_open(&empty);
 		if (c) {
@@ -319,8 +330,10 @@
 	}
 	/* as the registrars judge it: an operator's change since then overtakes */
 	if (jget(change, "expect") && jgeti(change, "expect") < jgeti(table, "plan"))
-		say(&x, 1, "change", apr_psprintf(x.p, "edition %" APR_INT64_T_FMT " is overtaken: operators changed the table in edition %" APR_INT64_T_FMT,
-		                                  jgeti(change, "expect"), jgeti(table, "plan")));
+		say(&x, 1, "change",
+		    apr_psprintf(
+			x.p, "edition %" APR_INT64_T_FMT " is overtaken: operators changed the table in edition %" APR_INT64_T_FMT,
+			jgeti(change, "expect"), jgeti(table, "plan")));
 	lay_over(&x, change);
 	for (size_t i = 0; i < json_object_array_length(x.next); i++)
 		check_row(&x, json_object_array_get_idx(x.next, i));
--- a/bin/registrar.c
+++ b/bin/registrar.c
@@ -9,7 +9,11 @@
 #include "reg.h"
 #include "shell.h"
 
-struct registrar { struct reg r; struct proc p; struct control door; };
+struct registrar {
+	struct reg r;
+	struct proc p;
+	struct control door;
+};
 
 static void stepped(void *ctx, const struct reg_ev *ev, int64_t now, struct out *o)
 {
@@ -31,32 +35,33 @@
 	memset(&ev, 0, sizeof ev);
 	if (!e) {
 		ev.kind = REG_TICK;
-	} else switch (e->kind) {
-	case EV_MSG:
-		ev.kind = REG_MSG;
-		ev.u.msg = e->msg;
-		break;
-	case EV_SYNCED:
-		ev.kind = REG_SYNCED;
-		ev.u.synced.part = e->part;
-		ev.u.synced.seq = e->seq;
-		break;
-	case EV_WEB:
-		ev.kind = REG_WEB;
-		ev.u.web.token = e->token;
-		ev.u.web.verb = e->verb;
-		ev.u.web.path = e->path;
-		ev.u.web.body = e->body;
-		break;
-	case EV_DONE:
-		ev.kind = REG_CALLED;
-		ev.u.called.token = e->token;
-		ev.u.called.status = e->status;
-		ev.u.called.body = e->body;
-		break;
-	case EV_STOP: ev.kind = REG_STOP; break;
-	default: return;
-	}
+	} else
+		switch (e->kind) {
+		case EV_MSG:
+			ev.kind = REG_MSG;
+			ev.u.msg = e->msg;
+			break;
+		case EV_SYNCED:
+			ev.kind = REG_SYNCED;
+			ev.u.synced.part = e->part;
+			ev.u.synced.seq = e->seq;
+			break;
+		case EV_WEB:
+			ev.kind = REG_WEB;
+			ev.u.web.token = e->token;
+			ev.u.web.verb = e->verb;
+			ev.u.web.path = e->path;
+			ev.u.web.body = e->body;
+			break;
+		case EV_DONE:
+			ev.kind = REG_CALLED;
+			ev.u.called.token = e->token;
+			ev.u.called.status = e->status;
+			ev.u.called.body = e->body;
+			break;
+		case EV_STOP: ev.kind = REG_STOP; break;
+		default: return;
+		}
 	stepped(ctx, &ev, now, o);
 }
 
@@ -124,7 +129,8 @@
 		p->door = &platform_control;
 		p->door_ctx = &g.door;
 	}
-	reg_open(&g.r, f.id, core_addr(p->set.advertise ? p->set.advertise : p->set.listen), p->set.zone, seeds, p->set.nseeds, f.fleet, proc_random(), f.ptr, clock_ms());
+	reg_open(&g.r, f.id, core_addr(p->set.advertise ? p->set.advertise : p->set.listen), p->set.zone, seeds, p->set.nseeds,
+		 f.fleet, proc_random(), f.ptr, clock_ms());
 	g.r.log = say;
 	g.r.calendar = &calendar_icu;
 	if (p->set.more) {
@@ -135,7 +141,8 @@
 	}
 	if (!proc_open(p))
 		goto end;
-	log_say(LOG_INFO, "registrar", "Serves operators at %s in zone %s.", p->set.more ? ((struct platform *)p->set.more)->control : p->set.web, p->set.zone);
+	log_say(LOG_INFO, "registrar", "Serves operators at %s in zone %s.",
+		p->set.more ? ((struct platform *)p->set.more)->control : p->set.web, p->set.zone);
 	rc = proc_run(p, &d);
 	reg_close(&g.r);
 end:
--- a/lib/control/calendar.c
+++ b/lib/control/calendar.c
@@ -9,7 +9,10 @@
 
 enum { DAYS = 366 * 9 }; /* 29 February comes within these */
 
-struct schedule { int days, day, month, hour, minute; char zone[64]; }; /* days: bits from Sunday; day and month: 0 for any */
+struct schedule {
+	int days, day, month, hour, minute;
+	char zone[64];
+}; /* days: bits from Sunday; day and month: 0 for any */
 
 /* Two digits, or one. -1: not a number up to most. */
 static int number(const char *s, size_t n, int most)
--- a/lib/control/follow.h
+++ b/lib/control/follow.h
@@ -18,35 +18,43 @@
 };
 
 /* Places under a limit, handed out by the configuration's owner. name: "tenant" or "lane/tenant". */
-struct follow_hold { char *key; struct { uint32_t held, used, want; } value; };
+struct follow_hold {
+	char *key;
+	struct {
+		uint32_t held, used, want;
+	} value;
+};
 
 struct follow {
 	struct table t;
-	struct sights sights;                 /* servers as the configuration's owner sees them; gone ones stay for a while */
-	struct follow_hold *hold;             /* stb_ds; what a counter uses and wants it writes here */
-	uint64_t applied;                     /* the newest answer whose places are in force */
+	struct sights sights;     /* servers as the configuration's owner sees them; gone ones stay for a while */
+	struct follow_hold *hold; /* stb_ds; what a counter uses and wants it writes here */
+	uint64_t applied;         /* the newest answer whose places are in force */
 	uint64_t born, rng;
-	int64_t wall;                         /* a registrar's; 0: none */
-	uint32_t strain;                      /* a counter's */
-	int index;                            /* it holds the index */
-	struct Nl__Left *left;                /* stb_ds: what servers still name of before a clearing */
-	uint64_t fleet;                       /* 0 until known */
+	int64_t wall;          /* a registrar's; 0: none */
+	uint32_t strain;       /* a counter's */
+	int index;             /* it holds the index */
+	struct Nl__Left *left; /* stb_ds: what servers still name of before a clearing */
+	uint64_t fleet;        /* 0 until known */
 	const char *zone, *web;
 	int counter;
-	uint64_t cand[FOLLOW_SEATS];          /* seeds, then registrars */
+	uint64_t cand[FOLLOW_SEATS]; /* seeds, then registrars */
 	int ncand, nseed;
-	int at[SHARD_COUNT];                   /* each part goes round by itself: together they skip some for ever */
-	uint64_t seat[SHARD_COUNT];            /* best guess of each part's owner */
+	int at[SHARD_COUNT];        /* each part goes round by itself: together they skip some for ever */
+	uint64_t seat[SHARD_COUNT]; /* best guess of each part's owner */
 	uint64_t up[8];
 	int nup;
-	uint64_t head[32];                    /* of the other zones, if this node is the head of its own */
+	uint64_t head[32]; /* of the other zones, if this node is the head of its own */
 	int nhead;
 	uint64_t live[FOLLOW_SEATS], live_id[FOLLOW_SEATS];
 	int nlive;
-	uint32_t counters;                    /* how many the owner saw lately */
+	uint32_t counters; /* how many the owner saw lately */
 	uint64_t token;
-	struct { uint64_t token; int64_t at; } asked[16];
-	int64_t fresh;                        /* when the last good answer was asked for */
+	struct {
+		uint64_t token;
+		int64_t at;
+	} asked[16];
+	int64_t fresh; /* when the last good answer was asked for */
 	int64_t last_ask, last_word, log_tried;
 };
 
--- a/lib/control/giver.c
+++ b/lib/control/giver.c
@@ -15,8 +15,7 @@
 	return NULL;
 }
 
-static void call(uint64_t token, const char *addr, const char *path, const char *body, int64_t not_after,
-                 struct out *o)
+static void call(uint64_t token, const char *addr, const char *path, const char *body, int64_t not_after, struct out *o)
 {
 	struct cmd *c = out_cmd(o, CMD_CALL);
 
@@ -29,8 +28,8 @@
 }
 
 /* An order: body fields, fenced by the part's term. The giver's licence is checked again before it leaves. */
-static void order(struct reg *r, struct reg_server *s, uint32_t part, const char *addr, struct json_object *what,
-                  int64_t now, struct out *o)
+static void order(struct reg *r, struct reg_server *s, uint32_t part, const char *addr, struct json_object *what, int64_t now,
+		  struct out *o)
 {
 	uint64_t fence = r->part[part].term << 20 | (++r->order_seq & 0xfffff);
 
@@ -384,7 +383,8 @@
 	shput(r->giver.meant, server, now);
 }
 
-static void give(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, int64_t meant, int64_t now, struct out *o)
+static void give(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, int64_t meant, int64_t now,
+		 struct out *o)
 {
 	int64_t until = r->part[SHARD_CONTROL].lease_expires_at - GIVER_MARGIN;
 	struct cmd *c;
@@ -431,7 +431,8 @@
 }
 
 /* One that was told, or may have been: what is known of it since. */
-static void attend(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, const char *named, int64_t now, struct out *o)
+static void attend(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, const char *named,
+		   int64_t now, struct out *o)
 {
 	if (s->is == GIVER_MEANT) {
 		ptrdiff_t k = shgeti(r->giver.meant, s->name);
@@ -490,7 +491,9 @@
 		m->base = m->room = (n + 3) / 6 > 1 ? (n + 3) / 6 : 1;
 	if (time < load) /* while more don't help, or have not shown that they do, a few more keep as busy as all */
 		return (m->many || (m->base_ms && m->more < 2 * m->base)) && now < m->since + r->b.roll_ms * GIVER_LAST / 100 &&
-		       left > 2 * m->base ? 2 * m->base : left;
+			       left > 2 * m->base
+			   ? 2 * m->base
+			   : left;
 	if (!busy)
 		m->begun = now;
 	if (m->many || (!m->base_ms && now - m->begun < 2 * load)) /* the first ones show how long it takes */
@@ -502,7 +505,10 @@
 	return need > m->room ? need : m->room;
 }
 
-struct zone { const char *zone; int n, out; };
+struct zone {
+	const char *zone;
+	int n, out;
+};
 
 static struct zone *zone_of(struct zone **z, const char *name, apr_pool_t *p)
 {
@@ -516,7 +522,8 @@
 	return &arrlast(*z);
 }
 
-static void log_rolled(struct reg *r, typeof(((struct giver_model *)0)->value) *m, const struct Nl__Row *model, int64_t now, struct out *o)
+static void log_rolled(struct reg *r, typeof(((struct giver_model *)0)->value) *m, const struct Nl__Row *model, int64_t now,
+		       struct out *o)
 {
 	const struct raft *p = &r->part[SHARD_CONTROL];
 	struct Nl__Row row = *model, *set[1] = { &row };
@@ -583,7 +590,8 @@
 				continue;
 			s = told_get(&r->giver, x->server);
 			q = zone_of(&z, x->zone, o->p);
-			if ((s && (s->is != GIVER_IDLE || now < s->again)) || now < free_from(&r->giver, x->server) || (at && q->out * at->n >= at->out * q->n))
+			if ((s && (s->is != GIVER_IDLE || now < s->again)) || now < free_from(&r->giver, x->server) ||
+			    (at && q->out * at->n >= at->out * q->n))
 				continue;
 			best = x;
 			at = q;
@@ -656,9 +664,7 @@
 		r->giver.barred = 1;
 		s->is = GIVER_UNSURE;
 		break;
-	case 421:
-		sights_end(&r->sights, s->name, now);
-		break;
+	case 421: sights_end(&r->sights, s->name, now); break;
 	case 409: s->is = GIVER_UNSURE; break; /* it loads what it was told before: told again when a look says it is done */
 	default:
 		if (never) {
--- a/lib/control/giver.h
+++ b/lib/control/giver.h
@@ -8,15 +8,15 @@
 struct reg_server;
 
 enum {
-	GIVER_LOOK = 200,     /* ms between looks at a server that should soon have loaded */
-	GIVER_PLAN = 90,      /* per cent of the bound in which all is planned to be done */
-	GIVER_DATED = 700,    /* ms after which a server's report cannot be older than what it was told */
-	GIVER_SILENT = 1000,  /* ms after which an order or a look has got no answer */
-	GIVER_LAST = 95,      /* per cent of the bound after which all that are left are told */
-	GIVER_REFUSED = 2000, /* ms before one that refuses an order gets another */
+	GIVER_LOOK = 200,       /* ms between looks at a server that should soon have loaded */
+	GIVER_PLAN = 90,        /* per cent of the bound in which all is planned to be done */
+	GIVER_DATED = 700,      /* ms after which a server's report cannot be older than what it was told */
+	GIVER_SILENT = 1000,    /* ms after which an order or a look has got no answer */
+	GIVER_LAST = 95,        /* per cent of the bound after which all that are left are told */
+	GIVER_REFUSED = 2000,   /* ms before one that refuses an order gets another */
 	GIVER_MEANT_FOR = 1000, /* ms after an order was logged in which it may leave */
-	GIVER_MARGIN = 100,   /* ms before the licence's end after which no order leaves */
-	GIVER_AFTER = 300     /* ms beyond the lease for the last giver's orders to have ended */
+	GIVER_MARGIN = 100,     /* ms before the licence's end after which no order leaves */
+	GIVER_AFTER = 300       /* ms beyond the lease for the last giver's orders to have ended */
 };
 
 /* A sighted server that is told, or looked at, until it has what is named. */
@@ -25,21 +25,31 @@
 	enum { GIVER_IDLE, GIVER_MEANT, GIVER_ASKED, GIVER_UNSURE, GIVER_LOADING } is;
 	uint64_t token, look; /* of what is under way */
 	int64_t told, looked, again;
-	int beside;           /* how many were under way at the most meanwhile, itself counted */
+	int beside; /* how many were under way at the most meanwhile, itself counted */
 };
 
 /* A model's roll-out: since when the newest weights are named; how many load at once, at first and now; how long a load
  * takes then, and with more at once; whether more were too many. */
-struct giver_model { char *key; struct { char *weights; int64_t since, rolled, begun; int base, room, base_ms, more_ms, more, many; } value; };
+struct giver_model {
+	char *key;
+	struct {
+		char *weights;
+		int64_t since, rolled, begun;
+		int base, room, base_ms, more_ms, more, many;
+	} value;
+};
 
 struct giver {
-	struct giver_server *v;  /* stb_ds */
-	struct giver_model *m;   /* stb_ds */
-	uint64_t term, seq;      /* of the office; orders given in it */
-	struct giver_meant { char *key; int64_t value; } *meant; /* stb_ds: when orders to a server that were logged were applied here */
-	int64_t blind;           /* what was logged before is not known here */
-	int64_t begun, wait;     /* of the office; how long what a giver before told must be over */
-	int barred;              /* a server has seen a higher fence */
+	struct giver_server *v; /* stb_ds */
+	struct giver_model *m;  /* stb_ds */
+	uint64_t term, seq;     /* of the office; orders given in it */
+	struct giver_meant {
+		char *key;
+		int64_t value;
+	} * meant;                         /* stb_ds: when orders to a server that were logged were applied here */
+	int64_t blind;                     /* what was logged before is not known here */
+	int64_t begun, wait;               /* of the office; how long what a giver before told must be over */
+	int barred;                        /* a server has seen a higher fence */
 	uint64_t done_stamp, done_edition; /* of what was seen and named when nothing was left to do */
 };
 
--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -423,9 +423,9 @@
 
 uint8_t *reg_state(const struct reg *r, uint32_t part, apr_pool_t *p, size_t *n)
 {
-	return part == SHARD_CONTROL     ? pack_ctl(r, p, n)
+	return part == SHARD_CONTROL ? pack_ctl(r, p, n)
 	       : part == SHARD_PURGE ? pack_pub(r, p, n)
-	                            : pack_svc(&r->svc[part - SHARD_SERVICE], p, n);
+				     : pack_svc(&r->svc[part - SHARD_SERVICE], p, n);
 }
 
 static void clear_values(struct Nl__Value ***v)
@@ -452,7 +452,8 @@
 	const struct raft *q = &r->part[part];
 
 	if (part == SHARD_CONTROL) {
-		struct Nl__CtlState *s = (struct Nl__CtlState *)core_unpack(p, &nl__ctl_state__descriptor, q->snapshot_len, q->snap);
+		struct Nl__CtlState *s =
+		    (struct Nl__CtlState *)core_unpack(p, &nl__ctl_state__descriptor, q->snapshot_len, q->snap);
 		struct Nl__FollowReply all = NL__FOLLOW_REPLY__INIT;
 
 		table_close(&r->ctl);
@@ -484,7 +485,8 @@
 		for (size_t i = 0; i < s->n_feed; i++)
 			arrput(r->ctl_feed, value_copy(s->feed[i]));
 	} else if (part == SHARD_PURGE) {
-		struct Nl__PurgeState *s = (struct Nl__PurgeState *)core_unpack(p, &nl__purge_state__descriptor, q->snapshot_len, q->snap);
+		struct Nl__PurgeState *s =
+		    (struct Nl__PurgeState *)core_unpack(p, &nl__purge_state__descriptor, q->snapshot_len, q->snap);
 
 		clear_values(&r->pub.v);
 		view_clear(&r->pub.last);
@@ -503,7 +505,8 @@
 				r->pub.mark[s->mark[i]->feed] = s->mark[i]->index;
 	} else {
 		struct reg_svc *c = svc_of(r, part);
-		struct Nl__ServiceState *s = (struct Nl__ServiceState *)core_unpack(p, &nl__service_state__descriptor, q->snapshot_len, q->snap);
+		struct Nl__ServiceState *s =
+		    (struct Nl__ServiceState *)core_unpack(p, &nl__service_state__descriptor, q->snapshot_len, q->snap);
 
 		clear_svc(c);
 		if (!s)
@@ -539,8 +542,7 @@
 
 static void on_answer(struct reg *r, const struct Nl__Answer *a, int64_t now, struct out *o);
 
-static void send_answer(struct reg *r, uint64_t addr, uint64_t token, uint32_t st, const char *why, uint64_t hint,
-                        struct out *o)
+static void send_answer(struct reg *r, uint64_t addr, uint64_t token, uint32_t st, const char *why, uint64_t hint, struct out *o)
 {
 	struct Nl__Answer *a = OUT_NEW(o, Nl__Answer, NL__ANSWER__INIT);
 
@@ -575,7 +577,10 @@
 	for (ptrdiff_t i = 0; i < arrlen(r->wait); i++)
 		if (r->wait[i].part == part && r->wait[i].index == index) {
 			send_answer(r, r->wait[i].addr, r->wait[i].token, st,
-			            st == TABLE_OVERTAKEN ? "edition overtaken" : st == TABLE_REFUSED ? "already claimed" : "", 0, o);
+				    st == TABLE_OVERTAKEN ? "edition overtaken"
+				    : st == TABLE_REFUSED ? "already claimed"
+							  : "",
+				    0, o);
 			arrdel(r->wait, i);
 			return;
 		}
@@ -620,8 +625,10 @@
 
 	if (m->part >= SHARD_COUNT || !q->op)
 		return;
-	fits = m->part == SHARD_CONTROL ? q->op->op_case == NL__OP__OP_CHANGE || (q->op->op_case == NL__OP__OP_CLEAR && q->op->clear->step == NL__CLEAR_STEP__CLEAR_NOW)
-	       : svc_of(r, m->part) ? q->op->op_case == NL__OP__OP_CLAIM : 0;
+	fits = m->part == SHARD_CONTROL ? q->op->op_case == NL__OP__OP_CHANGE || (q->op->op_case == NL__OP__OP_CLEAR &&
+										  q->op->clear->step == NL__CLEAR_STEP__CLEAR_NOW)
+	       : svc_of(r, m->part)     ? q->op->op_case == NL__OP__OP_CLAIM
+					: 0;
 	if (!in_office(r, m->part, now)) {
 		send_answer(r, m->addr, q->token, TABLE_NOT_OWNER, "", owner_hint(r, m->part, now), o);
 		return;
@@ -684,8 +691,10 @@
 		if (now >= a->until) {
 			if (a->web)
 				out_answer(o, a->web, a->sends > a->denied ? 504 : 503, 1000,
-				           error_json(o->p, a->sends > a->denied ? "outcome unknown: read the table before trying again"
-				                                     : "no owner of the configuration: nothing was logged", 0));
+					   error_json(o->p,
+						      a->sends > a->denied ? "outcome unknown: read the table before trying again"
+									   : "no owner of the configuration: nothing was logged",
+						      0));
 			ask_end(r, i);
 			continue;
 		}
@@ -733,10 +742,7 @@
 /* ms after which a silent registrar is replaced: the rest of the bound is for the joining of another. */
 static int64_t lost_after(const struct reg *r) { return r->b.catch_up_ms * 2 / 5; }
 
-static int rank_before(uint64_t zone, const struct reg_seen *s, uint64_t id)
-{
-	return core_rdv(zone, s->id) > core_rdv(zone, id);
-}
+static int rank_before(uint64_t zone, const struct reg_seen *s, uint64_t id) { return core_rdv(zone, s->id) > core_rdv(zone, id); }
 
 /* The fleet's limit of "tenant" or "lane/tenant" as the table has it. */
 static uint32_t limit_of(const struct reg *r, const char *name)
@@ -754,7 +760,8 @@
 
 /* What the asker may use. Never more than the limit less all that others hold or may believe to hold. What is wanted
  * beyond the limit is shared out evenly; the odd places go to those that have gone without for longest. */
-static uint32_t share_out(const struct reg_place *v, const struct reg_place *me, const char *name, uint32_t limit, uint32_t spare, int64_t now)
+static uint32_t share_out(const struct reg_place *v, const struct reg_place *me, const char *name, uint32_t limit, uint32_t spare,
+			  int64_t now)
 {
 	uint64_t others = 0, all = 0, turn = core_hashs((uint64_t)(now / 1000), name);
 	uint32_t n = 0, rank = 0, want = me->want + spare, even;
@@ -764,7 +771,8 @@
 			others += v[i].rec;
 		all += v[i].want + spare;
 		n += v[i].want > 0;
-		rank += v[i].want && (v[i].fed / 1000 != me->fed / 1000 ? v[i].fed < me->fed : core_rdv(turn, v[i].id) > core_rdv(turn, me->id));
+		rank += v[i].want &&
+			(v[i].fed / 1000 != me->fed / 1000 ? v[i].fed < me->fed : core_rdv(turn, v[i].id) > core_rdv(turn, me->id));
 	}
 	if (all > limit) {
 		even = n ? limit / n + (rank < limit % n) : 0;
@@ -772,7 +780,10 @@
 	}
 	if (want <= me->rec) /* less than it has: always; more: as far as others leave it */
 		return want;
-	return others + want <= limit ? want : others + me->rec < limit ? (uint32_t)(limit - others) : me->rec < limit ? me->rec : limit;
+	return others + want <= limit     ? want
+	       : others + me->rec < limit ? (uint32_t)(limit - others)
+	       : me->rec < limit          ? me->rec
+					  : limit;
 }
 
 static struct reg_place *place_of(struct reg *r, const char *name, uint64_t id, uint32_t most, int64_t now)
@@ -798,7 +809,8 @@
 }
 
 /* Say what the asker may use, and count it as held until it is heard to be back. */
-static void place_say(struct reg_place *me, const char *name, uint32_t held, uint64_t token, struct Nl__FollowReply *a, struct out *o)
+static void place_say(struct reg_place *me, const char *name, uint32_t held, uint64_t token, struct Nl__FollowReply *a,
+		      struct out *o)
 {
 	struct Nl__Hold *p = OUT_NEW(o, Nl__Hold, NL__HOLD__INIT);
 
@@ -832,7 +844,8 @@
 
 /* Places that the asker holds, uses and wants, and what it gets. In the first seconds of an office nobody gets more: not
  * all that the last owner gave has been heard of yet. */
-static void places(struct reg *r, uint64_t id, const struct Nl__Follow *q, uint32_t counters, struct Nl__FollowReply *a, int64_t now, struct out *o)
+static void places(struct reg *r, uint64_t id, const struct Nl__Follow *q, uint32_t counters, struct Nl__FollowReply *a,
+		   int64_t now, struct out *o)
 {
 	/* the members are a fleet's first entry, its first owner's the second: before it nobody gave any */
 	int young = now - r->owner_since[SHARD_CONTROL] < REG_PLACES && r->part[SHARD_CONTROL].term_start > 2;
@@ -906,7 +919,8 @@
 {
 	const struct Nl__Follow *q = m->follow;
 	struct Nl__FollowReply *a = OUT_NEW(o, Nl__FollowReply, NL__FOLLOW_REPLY__INIT);
-	struct reg_seen *s = NULL, me = { m->id, m->addr, core_hashs(0, q->zone), now, q->counter, q->have, q->horizon, q->token, q->wall, q->strain };
+	struct reg_seen *s = NULL, me = { m->id,   m->addr,  core_hashs(0, q->zone), now, q->counter, q->have, q->horizon, q->token,
+					  q->wall, q->strain };
 
 	int late;
 
@@ -1099,8 +1113,7 @@
 			q = OUT_NEW(o, Nl__FeedAsk, NL__FEED_ASK__INIT);
 			q->have = r->pub.mark[i];
 			q->round = r->feed_round;
-			out_msg(o, in_office(r, i, now) ? o->addr : follow_seat(&r->f, i), i,
-			        NL__MSG__BODY_FEED_ASK)->feed_ask = q;
+			out_msg(o, in_office(r, i, now) ? o->addr : follow_seat(&r->f, i), i, NL__MSG__BODY_FEED_ASK)->feed_ask = q;
 		}
 	}
 	if (r->pub.ceiling < r->tick + PURGE_CHUNK / 2 && r->reserved_for != r->pub.ceiling)
@@ -1213,9 +1226,13 @@
 		return;
 	}
 	if (r->found.own ? (!r->found.members && (empty < heard || r->fleet)) || (r->fleet && now > r->found.until)
-	                 : now > r->found.until || (!r->found.members && heard == r->nseeds && empty < heard)) {
-		found_end(r, 409, error_json(o->p, heard < r->nseeds ? "found: not every seed answers"
-		          : "found: a seed already belongs to a fleet; start the others and they join", 0), o);
+			 : now > r->found.until || (!r->found.members && heard == r->nseeds && empty < heard)) {
+		found_end(r, 409,
+			  error_json(o->p,
+				     heard < r->nseeds ? "found: not every seed answers"
+						       : "found: a seed already belongs to a fleet; start the others and they join",
+				     0),
+			  o);
 		return;
 	}
 	if (!r->found.members && heard == r->nseeds) {
@@ -1298,7 +1315,9 @@
 		live[n].zone = row ? core_hashs(0, row->zone) : 0;
 	}
 	for (int i = 0; i < SHARD_COUNT; i++) {
-		r->part[i].replicas = r->b.copies < RAFT_MIN_VOTERS ? RAFT_MIN_VOTERS : r->b.copies < RAFT_MAX_MEMBERS - 1 ? r->b.copies : RAFT_MAX_MEMBERS - 1;
+		r->part[i].replicas = r->b.copies < RAFT_MIN_VOTERS        ? RAFT_MIN_VOTERS
+				      : r->b.copies < RAFT_MAX_MEMBERS - 1 ? r->b.copies
+									   : RAFT_MAX_MEMBERS - 1;
 		r->part[i].member_lost_ms = lost_after(r);
 		raft_reconfigure(&r->part[i], live, n, now);
 	}
@@ -1365,8 +1384,10 @@
 		json_object_object_add(x, "term", json_object_new_int64((int64_t)q->term));
 		json_object_object_add(x, "commit", json_object_new_int64((int64_t)q->commit));
 		for (int k = 0; k < q->member_count; k++)
-			json_object_array_add(ms, json_object_new_string(apr_psprintf(p, "%016" APR_UINT64_T_HEX_FMT "@%s%s", q->members[k].id,
-			                      core_addr_str(p, q->members[k].addr), q->members[k].voter ? "" : " (not voting)")));
+			json_object_array_add(
+			    ms, json_object_new_string(apr_psprintf(p, "%016" APR_UINT64_T_HEX_FMT "@%s%s", q->members[k].id,
+								    core_addr_str(p, q->members[k].addr),
+								    q->members[k].voter ? "" : " (not voting)")));
 		json_object_object_add(x, "members", ms);
 		json_object_array_add(a, x);
 	}
@@ -1400,14 +1421,14 @@
 	}
 	json_object_object_add(j, "servers", a);
 	if (r->b.sights)
-		json_object_object_add(j, "sights", sights_json(in_office(r, SHARD_CONTROL, now) && r->sights.listed ? &r->sights : &r->f.sights));
+		json_object_object_add(
+		    j, "sights", sights_json(in_office(r, SHARD_CONTROL, now) && r->sights.listed ? &r->sights : &r->f.sights));
 	s = apr_pstrdup(p, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN));
 	json_object_put(j);
 	return s;
 }
 
-static void on_web(struct reg *r, uint64_t web, const char *verb, const char *path, const char *body, int64_t now,
-                   struct out *o)
+static void on_web(struct reg *r, uint64_t web, const char *verb, const char *path, const char *body, int64_t now, struct out *o)
 {
 	const char *why = NULL;
 
@@ -1486,7 +1507,8 @@
 	if (!to && follow_age(&r->f, now) < FOLLOW_EVERY + FOLLOW_WAIT)
 		to = r->f.seat[SHARD_CONTROL];
 	if (!to || to == r->addr) {
-		out_answer(o, token, 503, 200, error_json(o->p, "no owner of the configuration is known here: nothing was logged", 0));
+		out_answer(o, token, 503, 200,
+			   error_json(o->p, "no owner of the configuration is known here: nothing was logged", 0));
 		return 1;
 	}
 	c = out_cmd(o, CMD_ANSWER);
@@ -1512,7 +1534,8 @@
 		out_answer(o, token, 503, 200, error_json(o->p, "the configuration's owner has changed: nothing was logged", 0));
 }
 
-static void on_doc(struct reg *r, uint64_t token, uint64_t base, int patch, const char *body, size_t len, int64_t now, struct out *o)
+static void on_doc(struct reg *r, uint64_t token, uint64_t base, int patch, const char *body, size_t len, int64_t now,
+		   struct out *o)
 {
 	uint64_t digest = core_hash(base << 1 | !!patch, body, len) | 1;
 	struct Nl__Change c = NL__CHANGE__INIT;
@@ -1646,7 +1669,8 @@
 	if (p->role != RAFT_LEADER)
 		for (ptrdiff_t k = arrlen(r->wait) - 1; k >= 0; k--)
 			if (r->wait[k].part == i) {
-				send_answer(r, r->wait[k].addr, r->wait[k].token, TABLE_BUSY, "ownership lost: outcome unknown", 0, o);
+				send_answer(r, r->wait[k].addr, r->wait[k].token, TABLE_BUSY, "ownership lost: outcome unknown", 0,
+					    o);
 				arrdel(r->wait, k);
 			}
 }
@@ -1800,8 +1824,8 @@
 		raft_flush(&r->part[i], now, o);
 }
 
-void reg_open(struct reg *r, uint64_t id, uint64_t addr, const char *zone, const uint64_t *seeds, int nseeds,
-              uint64_t fleet, uint64_t seed, const struct raft_saved *const *saved, int64_t now)
+void reg_open(struct reg *r, uint64_t id, uint64_t addr, const char *zone, const uint64_t *seeds, int nseeds, uint64_t fleet,
+	      uint64_t seed, const struct raft_saved *const *saved, int64_t now)
 {
 	memset(r, 0, sizeof *r);
 	r->id = id;
--- a/lib/control/retention.c
+++ b/lib/control/retention.c
@@ -12,7 +12,10 @@
 
 int64_t retention_span(const char *text)
 {
-	static const struct { char unit; int64_t ms; } units[] = { { 's', 1000 }, { 'm', 60000 }, { 'h', 3600000 }, { 'd', 86400000 }, { 'w', 604800000 } };
+	static const struct {
+		char unit;
+		int64_t ms;
+	} units[] = { { 's', 1000 }, { 'm', 60000 }, { 'h', 3600000 }, { 'd', 86400000 }, { 'w', 604800000 } };
 	size_t n = strspn(text, "0123456789");
 	int64_t v = n && n < 7 ? strtoll(text, NULL, 10) : 0;
 
@@ -45,7 +48,10 @@
 uint64_t retention_hash(const char *lane, const char *tenant) { return core_hashs(core_hashs(31, lane), tenant); }
 
 /* ms between two clearings of a row without calendar terms. */
-static int64_t period(const struct Nl__Row *r) { return r->every[0] ? retention_span(r->every) : retention_span(r->keep) - r->window; }
+static int64_t period(const struct Nl__Row *r)
+{
+	return r->every[0] ? retention_span(r->every) : retention_span(r->keep) - r->window;
+}
 
 const char *retention_row(const struct Nl__Row *r)
 {
@@ -67,7 +73,8 @@
 	if (r->at[0])
 		return NULL; /* the calendar judges it */
 	if (period(r) < RETENTION_LEAST)
-		return r->every[0] ? "every: shorter than a clearing takes (10s)" : "keep: shorter than window and a clearing (10s)";
+		return r->every[0] ? "every: shorter than a clearing takes (10s)"
+				   : "keep: shorter than window and a clearing (10s)";
 	if ((int64_t)r->window > period(r))
 		return "window: longer than the time between two clearings";
 	if (keep && r->every[0] && keep < period(r) + (int64_t)r->window)
@@ -141,7 +148,9 @@
 		else if (gaps(cal, r->at, wall, &least, &most) && (int64_t)r->window > least)
 			why = "window: longer than the time between two clearings";
 		else if (r->keep[0] && (keep = retention_span(r->keep)) >= 0 && keep < most + (int64_t)r->window)
-			why = apr_psprintf(p, "keep: two clearings may be %" APR_INT64_T_FMT " h apart, and window: keep is shorter", most / 3600000);
+			why =
+			    apr_psprintf(p, "keep: two clearings may be %" APR_INT64_T_FMT " h apart, and window: keep is shorter",
+					 most / 3600000);
 		if (why)
 			return apr_psprintf(p, "retention %s: %s", r->name, why);
 	}
@@ -273,9 +282,7 @@
 		begin(r, index, c, "schedule", row->window, !plan->settled);
 		plan->settled |= c->wall - plan->planned >= RETENTION_SETTLE;
 		return TABLE_DONE;
-	case NL__CLEAR_STEP__CLEAR_NOW:
-		begin(r, index, c, c->by, 0, !plan || !plan->settled);
-		return TABLE_DONE;
+	case NL__CLEAR_STEP__CLEAR_NOW: begin(r, index, c, c->by, 0, !plan || !plan->settled); return TABLE_DONE;
 	case NL__CLEAR_STEP__CLEAR_SLICE:
 		if (!v || v->slices != c->slice || v->slices >= PURGE_SLICES)
 			return TABLE_REFUSED;
@@ -342,7 +349,8 @@
 		n.scope = row->name;
 		n.text = (char *)text_of(row, p);
 		arrput(t->plan, (struct Nl__Planned *)keep(&n.base));
-		for (; k && strcmp(t->plan[k - 1]->scope, t->plan[k]->scope) > 0; k--) { /* in order, so that equal states pack alike */
+		for (; k && strcmp(t->plan[k - 1]->scope, t->plan[k]->scope) > 0;
+		     k--) { /* in order, so that equal states pack alike */
 			struct Nl__Planned *x = t->plan[k];
 
 			t->plan[k] = t->plan[k - 1];
@@ -449,7 +457,8 @@
 		if (!p->due) {
 			int64_t base = wall;
 
-			for (ptrdiff_t k = 0; k < arrlen(r->ret.v); k++) /* a row that is edited again and again is not put off for ever */
+			for (ptrdiff_t k = 0; k < arrlen(r->ret.v);
+			     k++) /* a row that is edited again and again is not put off for ever */
 				if (!strcmp(r->ret.v[k]->scope, p->scope) && r->ret.v[k]->decided < wall)
 					base = r->ret.v[k]->decided;
 			c.step = NL__CLEAR_STEP__CLEAR_PLAN;
@@ -465,7 +474,8 @@
 		}
 		if (c.next && step(r, &c, now, o)) {
 			if (c.step == NL__CLEAR_STEP__CLEAR_DUE)
-				say(r, "retention", o->p, "Context of %s is due for clearing; %u due times were missed before.", p->scope, (unsigned)c.missed);
+				say(r, "retention", o->p, "Context of %s is due for clearing; %u due times were missed before.",
+				    p->scope, (unsigned)c.missed);
 			return 1;
 		}
 	}
@@ -501,7 +511,9 @@
 		if (!step(r, &c, now, o))
 			return 0;
 		if (c.late)
-			say(r, "retention", o->p, "Clearing %" APR_UINT64_T_FMT ": lines are long, but its window ends: slice %u goes on.", v->number, c.slice);
+			say(r, "retention", o->p,
+			    "Clearing %" APR_UINT64_T_FMT ": lines are long, but its window ends: slice %u goes on.", v->number,
+			    c.slice);
 		return 1;
 	}
 	return 0;
@@ -517,7 +529,8 @@
 	for (ptrdiff_t i = 0; i < arrlen(r->relay.w.clear); i++) {
 		const struct Nl__Value *v = r->relay.w.clear[i];
 
-		if (v->purge->slice == part && v->purge->number >= c->number && !strcmp(v->purge->lane, lane) && !strcmp(v->purge->tenant, tenant))
+		if (v->purge->slice == part && v->purge->number >= c->number && !strcmp(v->purge->lane, lane) &&
+		    !strcmp(v->purge->tenant, tenant))
 			return v->tick;
 	}
 	return 0;
@@ -543,7 +556,12 @@
 	uint64_t tick = 0;
 	int n = 0, index = 0;
 
-#define MISS(...) do { n++; if (a) json_object_array_add(a, json_object_new_string(apr_psprintf(p, __VA_ARGS__))); } while (0)
+#define MISS(...)                                                                                       \
+	do {                                                                                            \
+		n++;                                                                                    \
+		if (a)                                                                                  \
+			json_object_array_add(a, json_object_new_string(apr_psprintf(p, __VA_ARGS__))); \
+	} while (0)
 	if (c->slices < PURGE_SLICES)
 		MISS("%u of %u slices are not decided yet", PURGE_SLICES - (unsigned)c->slices, (unsigned)PURGE_SLICES);
 	for (uint32_t k = 0; k < c->slices; k++) {
@@ -564,7 +582,8 @@
 		index |= s->horizon >= tick;
 		for (ptrdiff_t k = 0; k < arrlen(s->v); k++)
 			if (s->v[k].number < c->number && covers(r, c, s->v[k].scope))
-				MISS(s->v[k].parts ? "server %s still names %u parts, which nothing finds any more" : "server %s has not said since what it keeps",
+				MISS(s->v[k].parts ? "server %s still names %u parts, which nothing finds any more"
+						   : "server %s has not said since what it keeps",
 				     s->v[k].server, (unsigned)s->v[k].parts);
 	}
 	if (!index)
@@ -589,7 +608,9 @@
 		c.scope = v->scope;
 		c.wall = wall;
 		if (step(r, &c, now, o)) {
-			say(r, "retention", o->p, "Clearing %" APR_UINT64_T_FMT " of %s is done: nothing names what was kept before.", v->number, v->scope);
+			say(r, "retention", o->p,
+			    "Clearing %" APR_UINT64_T_FMT " of %s is done: nothing names what was kept before.", v->number,
+			    v->scope);
 			return 1;
 		}
 	}
@@ -654,7 +675,8 @@
 	for (uint32_t i = 0; tick && i < SHARD_COUNT; i++) {
 		struct reg_svc *s = svc_of(r, i);
 		uint64_t cleared = s ? s->cleared : i == SHARD_CONTROL ? r->ret.cleared : r->pub.cleared;
-		int settle = s && !s->settled && s->cleared && s->clock + (uint64_t)(now - r->clock_at[i]) > s->cleared_at + REG_CLAIM_KEEP;
+		int settle =
+		    s && !s->settled && s->cleared && s->clock + (uint64_t)(now - r->clock_at[i]) > s->cleared_at + REG_CLAIM_KEEP;
 		struct Nl__Op op = NL__OP__INIT;
 		struct Nl__Trim t = NL__TRIM__INIT;
 
@@ -680,7 +702,9 @@
 	const char *s;
 
 	json_object_object_add(j, "owner", json_object_new_boolean(owner));
-	json_object_object_add(j, "owner_addr", json_object_new_string(owner_hint(r, SHARD_CONTROL, now) ? core_addr_str(p, owner_hint(r, SHARD_CONTROL, now)) : ""));
+	json_object_object_add(
+	    j, "owner_addr",
+	    json_object_new_string(owner_hint(r, SHARD_CONTROL, now) ? core_addr_str(p, owner_hint(r, SHARD_CONTROL, now)) : ""));
 	add_num(j, "wall", owner && retention_wall(r, now) != INT64_MIN ? retention_wall(r, now) : r->wall);
 	for (ptrdiff_t i = 0; i < arrlen(r->ret.plan); i++) {
 		struct json_object *x = json_object_new_object();
@@ -724,7 +748,8 @@
 
 	if (!ms || apr_time_exp_gmt(&x, ms * 1000) != APR_SUCCESS)
 		return "";
-	return apr_psprintf(p, "%04d-%02d-%02dT%02d:%02d:%02dZ", x.tm_year + 1900, x.tm_mon + 1, x.tm_mday, x.tm_hour, x.tm_min, x.tm_sec);
+	return apr_psprintf(p, "%04d-%02d-%02dT%02d:%02d:%02dZ", x.tm_year + 1900, x.tm_mon + 1, x.tm_mday, x.tm_hour, x.tm_min,
+			    x.tm_sec);
 }
 
 const char *retention_csv(const struct reg *r, apr_pool_t *p)
@@ -734,8 +759,9 @@
 	for (ptrdiff_t i = 0; i < arrlen(r->ret.v); i++) {
 		const struct Nl__Clearing *c = r->ret.v[i];
 
-		s = apr_psprintf(p, "%s%" APR_UINT64_T_FMT ",%s,%s,%s,%s,%s,%s,%s,%u,%s\n", s, c->number, c->scope, c->wide ? "yes" : "no", c->by,
-		                 when(c->due, p), when(c->decided, p), when(c->sliced, p), when(c->done, p), (unsigned)c->missed, c->late ? "yes" : "no");
+		s = apr_psprintf(p, "%s%" APR_UINT64_T_FMT ",%s,%s,%s,%s,%s,%s,%s,%u,%s\n", s, c->number, c->scope,
+				 c->wide ? "yes" : "no", c->by, when(c->due, p), when(c->decided, p), when(c->sliced, p),
+				 when(c->done, p), (unsigned)c->missed, c->late ? "yes" : "no");
 	}
 	return s;
 }
--- a/lib/control/retention.h
+++ b/lib/control/retention.h
@@ -9,15 +9,15 @@
 struct table;
 
 enum {
-	RETENTION_LOOK = 200,        /* ms between the owner's looks at the schedule */
-	RETENTION_CHECK = 500,       /* ms between its looks at what still names cleared parts */
-	RETENTION_LEAST = 10000,     /* the shortest schedule: a clearing takes some seconds itself */
-	RETENTION_SETTLE = 10000,    /* ms after which a row is in force everywhere, whatever the clocks say */
-	RETENTION_RECORDS = 512,     /* clearings that are remembered for the report */
-	RETENTION_HEARD = 6000,      /* a node unheard for so long routes nothing any more: it has lost its configuration */
-	RETENTION_STRAIN = 250,      /* per mille of strain above which the next slice waits */
-	RETENTION_DISK = 20000,      /* ms between cuttings of a part's log */
-	RETENTION_ROWS = 128,        /* rows of what is left that a holder of the index says */
+	RETENTION_LOOK = 200,     /* ms between the owner's looks at the schedule */
+	RETENTION_CHECK = 500,    /* ms between its looks at what still names cleared parts */
+	RETENTION_LEAST = 10000,  /* the shortest schedule: a clearing takes some seconds itself */
+	RETENTION_SETTLE = 10000, /* ms after which a row is in force everywhere, whatever the clocks say */
+	RETENTION_RECORDS = 512,  /* clearings that are remembered for the report */
+	RETENTION_HEARD = 6000,   /* a node unheard for so long routes nothing any more: it has lost its configuration */
+	RETENTION_STRAIN = 250,   /* per mille of strain above which the next slice waits */
+	RETENTION_DISK = 20000,   /* ms between cuttings of a part's log */
+	RETENTION_ROWS = 128,     /* rows of what is left that a holder of the index says */
 };
 #define RETENTION_ANY UINT64_MAX /* scope of what is left where it is not known by scopes */
 
@@ -30,15 +30,23 @@
 };
 
 /* What one holder of the index said last. */
-struct retention_said { uint64_t id, horizon; int64_t at; struct { char *server; uint64_t scope, number; uint32_t parts; } *v; /* stb_ds */ };
+struct retention_said {
+	uint64_t id, horizon;
+	int64_t at;
+	struct {
+		char *server;
+		uint64_t scope, number;
+		uint32_t parts;
+	} * v; /* stb_ds */
+};
 
-struct retention { /* a part of part 0's state */
-	uint64_t number;             /* of the newest clearing */
-	struct Nl__Clearing **v;     /* stb_ds, oldest first */
-	struct Nl__Planned **plan;   /* stb_ds, by scope */
+struct retention {                 /* a part of part 0's state */
+	uint64_t number;           /* of the newest clearing */
+	struct Nl__Clearing **v;   /* stb_ds, oldest first */
+	struct Nl__Planned **plan; /* stb_ds, by scope */
 	uint64_t cleared;
 	/* the owner's soft state */
-	uint64_t logged;             /* its last step: the next waits until it is applied */
+	uint64_t logged; /* its last step: the next waits until it is applied */
 	int64_t looked, checked;
 	struct retention_said *said; /* stb_ds */
 };
--- a/lib/control/sheet.c
+++ b/lib/control/sheet.c
@@ -4,10 +4,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-static const char *const columns[] = { "kind", "name", "service", "tenant", "prio", "share", "limit", "walled", "weights",
-	"prefill", "kv_bytes", "link", "store", "addr", "zone", "state", "host", "path", "split", "aim", "pause", "timeout", "attempts",
-	"resumable", "repeatable", "vouched", "open", "model", "slots", "conns", "watches", "room", "health", "rank", "rolled",
-	"head_bytes", "body_bytes", "head_ms", "idle_ms", "keep", "every", "at", "window" };
+static const char *const columns[] = { "kind",       "name",       "service",   "tenant",     "prio",    "share", "limit",
+				       "walled",     "weights",    "prefill",   "kv_bytes",   "link",    "store", "addr",
+				       "zone",       "state",      "host",      "path",       "split",   "aim",   "pause",
+				       "timeout",    "attempts",   "resumable", "repeatable", "vouched", "open",  "model",
+				       "slots",      "conns",      "watches",   "room",       "health",  "rank",  "rolled",
+				       "head_bytes", "body_bytes", "head_ms",   "idle_ms",    "keep",    "every", "at",
+				       "window" };
 enum { COLUMNS = sizeof columns / sizeof *columns };
 
 static const char *str(struct json_object *j, const char *k)
@@ -55,8 +58,9 @@
 
 struct json_object *sheet_cell(const char *column, const char *text)
 {
-	static const char *const ints[] = { "prio", "share", "limit", "prefill", "kv_bytes", "link", "store", "aim", "pause", "timeout", "attempts",
-		"slots", "conns", "watches", "room", "rank", "head_bytes", "body_bytes", "head_ms", "idle_ms", "window" };
+	static const char *const ints[] = { "prio", "share", "limit",      "prefill",    "kv_bytes", "link",    "store",
+					    "aim",  "pause", "timeout",    "attempts",   "slots",    "conns",   "watches",
+					    "room", "rank",  "head_bytes", "body_bytes", "head_ms",  "idle_ms", "window" };
 	static const char *const bools[] = { "walled", "resumable", "repeatable", "vouched", "open" };
 	char *end;
 	long long n = strtoll(text, &end, 10);
--- a/lib/control/sights.h
+++ b/lib/control/sights.h
@@ -8,26 +8,36 @@
 #include "core.h"
 
 enum {
-	SIGHT_SERVING = 0, SIGHT_DRAINING = 1, SIGHT_GONE = 2,
-	SIGHTS_TOMB = 60000,  /* ms for which a server that is gone is still told of */
-	SIGHTS_MISSED = 2,    /* lists in a row that lack a server before it counts as gone: pages may shift between calls */
-	SIGHTS_BACK = 2000,   /* ms after which one that was missed by mistake may be back: a list that lags is older */
-	SIGHTS_FIRM = 2000,   /* ms for which what a server said itself goes before a list that lags */
-	SIGHTS_SOON = 400, SIGHTS_CALM = 800, /* ms between looks at the list: after a change, else */
+	SIGHT_SERVING = 0,
+	SIGHT_DRAINING = 1,
+	SIGHT_GONE = 2,
+	SIGHTS_TOMB = 60000, /* ms for which a server that is gone is still told of */
+	SIGHTS_MISSED = 2,   /* lists in a row that lack a server before it counts as gone: pages may shift between calls */
+	SIGHTS_BACK = 2000,  /* ms after which one that was missed by mistake may be back: a list that lags is older */
+	SIGHTS_FIRM = 2000,  /* ms for which what a server said itself goes before a list that lags */
+	SIGHTS_SOON = 400,
+	SIGHTS_CALM = 800,    /* ms between looks at the list: after a change, else */
 	SIGHTS_LATELY = 3000, /* ms for which a change counts as late */
 	SIGHTS_LOST = 2000    /* ms after which a look at the list has got no answer */
 };
 
-struct sights_row { char *key; struct { struct Nl__Sight *s; int64_t gone, firm; int missed, ended; } value; };
+struct sights_row {
+	char *key;
+	struct {
+		struct Nl__Sight *s;
+		int64_t gone, firm;
+		int missed, ended;
+	} value;
+};
 
 struct sights {
 	struct sights_row *h; /* stb_ds, by the server's name */
 	uint64_t stamp;       /* the newest */
 	uint64_t forgotten;   /* tombstones up to this stamp are forgotten */
 	/* the owner's */
-	uint64_t term;        /* 0: this is no owner's */
-	int lists, listed;    /* seen in this term; enough of them for followers to be told */
-	uint64_t call;        /* the look at the list that is under way */
+	uint64_t term;     /* 0: this is no owner's */
+	int lists, listed; /* seen in this term; enough of them for followers to be told */
+	uint64_t call;     /* the look at the list that is under way */
 	int64_t called, due, changed;
 };
 
--- a/lib/control/table.c
+++ b/lib/control/table.c
@@ -7,7 +7,8 @@
 #include "ds.h"
 #include "retention.h"
 
-static const char *const kinds[] = { "none", "lane", "tenant", "share", "key", "server", "service", "registrar", "model", "door", "retention" };
+static const char *const kinds[] = { "none",    "lane",      "tenant", "share", "key",      "server",
+				     "service", "registrar", "model",  "door",  "retention" };
 enum { KINDS = sizeof kinds / sizeof *kinds };
 
 const char *table_kind_name(Nl__Kind k) { return (unsigned)k < KINDS ? kinds[k] : "none"; }
@@ -96,7 +97,10 @@
 static int path_ok(const char *s) { return word_ok(s, 1000) && s[0] == '/' && s[strlen(s) - 1] == '/'; }
 
 /* Named weights of a model are counted upwards. */
-static int count_ok(const char *s) { return strlen(s) > 0 && strlen(s) < 19 && s[0] != '0' && strspn(s, "0123456789") == strlen(s); }
+static int count_ok(const char *s)
+{
+	return strlen(s) > 0 && strlen(s) < 19 && s[0] != '0' && strspn(s, "0123456789") == strlen(s);
+}
 
 static const char *check_split(const struct Nl__Row *r)
 {
@@ -118,11 +122,16 @@
 {
 	const char *bad = check_split(r);
 
-	return bad ? bad : !name_ok(r->service) ? "service: missing" : r->prio > 9 ? "prio: 0 to 9"
+	return bad                                 ? bad
+	       : !name_ok(r->service)              ? "service: missing"
+	       : r->prio > 9                       ? "prio: 0 to 9"
 	       : r->limit < 1 || r->limit > 100000 ? "limit: 1 to 100000 places in the line"
-	       : (r->host[0] || r->path[0]) && !word_ok(r->host, 255) ? "host: 1 to 255 characters without blanks, where there is a path"
+	       : (r->host[0] || r->path[0]) && !word_ok(r->host, 255)
+		   ? "host: 1 to 255 characters without blanks, where there is a path"
 	       : r->host[0] && !path_ok(r->path) ? "path: begins and ends with a slash"
-	       : r->timeout > 3600000 ? "timeout: up to 3600000 ms" : r->attempts > 100 ? "attempts: up to 100" : NULL;
+	       : r->timeout > 3600000            ? "timeout: up to 3600000 ms"
+	       : r->attempts > 100               ? "attempts: up to 100"
+						 : NULL;
 }
 
 static const char *check_row(const struct Nl__Row *r, apr_pool_t *p)
@@ -137,27 +146,36 @@
 	case NL__KIND__LANE: bad = check_lane(r); break;
 	case NL__KIND__TENANT:
 	case NL__KIND__SHARE:
-		bad = r->share < 1 || r->share > 1000 ? "share: 1 to 1000"
-		      : r->limit > 100000 ? "limit: up to 100000 running at once; 0 for no limit"
-		      : r->rank > 10 ? "rank: 1 to 10; 0 for none"
-		      : r->kind == NL__KIND__SHARE && !strchr(r->name, '/') ? "name: lane/tenant" : NULL;
+		bad = r->share < 1 || r->share > 1000                       ? "share: 1 to 1000"
+		      : r->limit > 100000                                   ? "limit: up to 100000 running at once; 0 for no limit"
+		      : r->rank > 10                                        ? "rank: 1 to 10; 0 for none"
+		      : r->kind == NL__KIND__SHARE && !strchr(r->name, '/') ? "name: lane/tenant"
+									    : NULL;
+		break;
+	case NL__KIND__KEY:
+		bad = !name_ok(r->tenant) ? "tenant: missing" : strlen(r->name) != 64 ? "name: a digest of 64 hex digits" : NULL;
 		break;
-	case NL__KIND__KEY: bad = !name_ok(r->tenant) ? "tenant: missing" : strlen(r->name) != 64 ? "name: a digest of 64 hex digits" : NULL; break;
 	case NL__KIND__SERVER:
-		bad = !core_addr(r->addr) ? "addr: not ip:port" : !name_ok(r->service) ? "service: missing"
-		      : r->state > 1 ? "state: serving or draining" : NULL;
+		bad = !core_addr(r->addr)    ? "addr: not ip:port"
+		      : !name_ok(r->service) ? "service: missing"
+		      : r->state > 1         ? "state: serving or draining"
+					     : NULL;
 		break;
 	case NL__KIND__SERVICE:
-		bad = r->model[0] && !name_ok(r->model) ? "model: letters, digits, . _ / - or *"
-		      : (r->weights[0] || !r->model[0]) && !name_ok(r->weights) ? "weights: missing, and no model"
-		      : r->prefill < 1 || r->prefill > 100000 ? "prefill: 1 to 100000 tokens per ms"
-		      : r->kv_bytes < 1 ? "kv_bytes: 1 or more" : r->link < 1 ? "link: 1 or more bytes per ms"
+		bad = r->model[0] && !name_ok(r->model)                                    ? "model: letters, digits, . _ / - or *"
+		      : (r->weights[0] || !r->model[0]) && !name_ok(r->weights)            ? "weights: missing, and no model"
+		      : r->prefill < 1 || r->prefill > 100000                              ? "prefill: 1 to 100000 tokens per ms"
+		      : r->kv_bytes < 1                                                    ? "kv_bytes: 1 or more"
+		      : r->link < 1                                                        ? "link: 1 or more bytes per ms"
 		      : r->health[0] && (!word_ok(r->health, 1000) || r->health[0] != '/') ? "health: a path"
-		      : r->addr[0] && !core_addr(r->addr) ? "addr: not ip:port" : NULL;
+		      : r->addr[0] && !core_addr(r->addr)                                  ? "addr: not ip:port"
+											   : NULL;
 		break;
 	case NL__KIND__MODEL:
-		bad = r->weights[0] && !count_ok(r->weights) ? "weights: a number from 1" : r->rolled[0] && !count_ok(r->rolled) ? "rolled: a number from 1"
-		      : !r->weights[0] && !r->rolled[0] ? "weights: missing" : NULL;
+		bad = r->weights[0] && !count_ok(r->weights) ? "weights: a number from 1"
+		      : r->rolled[0] && !count_ok(r->rolled) ? "rolled: a number from 1"
+		      : !r->weights[0] && !r->rolled[0]      ? "weights: missing"
+							     : NULL;
 		break;
 	case NL__KIND__DOOR: break;
 	case NL__KIND__RETENTION: bad = retention_row(r); break;
@@ -166,15 +184,21 @@
 	return bad ? apr_psprintf(p, "%s %s: %s", table_kind_name(r->kind), r->name, bad) : NULL;
 }
 
-struct names { char *key; const struct Nl__Row *value; };
+struct names {
+	char *key;
+	const struct Nl__Row *value;
+};
 
 static int operators_kind(Nl__Kind k)
 {
-	return k == NL__KIND__LANE || k == NL__KIND__TENANT || k == NL__KIND__SHARE || k == NL__KIND__SERVICE || k == NL__KIND__DOOR ||
-	       k == NL__KIND__RETENTION;
+	return k == NL__KIND__LANE || k == NL__KIND__TENANT || k == NL__KIND__SHARE || k == NL__KIND__SERVICE ||
+	       k == NL__KIND__DOOR || k == NL__KIND__RETENTION;
 }
 
-static int replaced(const struct Nl__Change *c, Nl__Kind k) { return (operators_kind(k) && k != NL__KIND__RETENTION) || (c->keys && k == NL__KIND__KEY); }
+static int replaced(const struct Nl__Change *c, Nl__Kind k)
+{
+	return (operators_kind(k) && k != NL__KIND__RETENTION) || (c->keys && k == NL__KIND__KEY);
+}
 
 /* The names of all rows that a change sets, in one hash. */
 static struct names *names_set(const struct Nl__Change *c)
@@ -252,7 +276,8 @@
 		if ((why = check_row(c->set[i], p)))
 			return why;
 	for (size_t i = 0; i < c->n_set; i++) { /* an id is claimed in its service's part: such a lane stays with its service */
-		const struct Nl__Row *old = c->set[i]->kind == NL__KIND__LANE ? table_get(t, NL__KIND__LANE, c->set[i]->name) : NULL;
+		const struct Nl__Row *old =
+		    c->set[i]->kind == NL__KIND__LANE ? table_get(t, NL__KIND__LANE, c->set[i]->name) : NULL;
 
 		if (old && strcmp(old->service, c->set[i]->service) && !(old->vouched && c->set[i]->vouched))
 			return apr_psprintf(p, "lane %s: service: cannot change; make a new lane", old->name);
@@ -266,8 +291,8 @@
 
 /* ---- change --------------------------------------------------------------- */
 
-static void feed_add(struct Nl__Purge ***feed, uint32_t why, const char *service, const char *weights,
-                     const char *tenant, const char *server)
+static void feed_add(struct Nl__Purge ***feed, uint32_t why, const char *service, const char *weights, const char *tenant,
+		     const char *server)
 {
 	struct Nl__Purge p = NL__PURGE__INIT, *c;
 	size_t n;
@@ -496,7 +521,12 @@
 /* ---- JSON ----------------------------------------------------------------- */
 
 enum cell_kind { CELL_STR, CELL_INT, CELL_BIG, CELL_BOOL, CELL_STATE, CELL_HEX, CELL_SPLIT };
-struct cell { const char *name; enum cell_kind kind; size_t off; unsigned on; };
+struct cell {
+	const char *name;
+	enum cell_kind kind;
+	size_t off;
+	unsigned on;
+};
 #define ON(k) (1u << NL__KIND__##k)
 #define AT(f) offsetof(struct Nl__Row, f)
 
@@ -561,7 +591,8 @@
 		abort();
 	s[0] = 0;
 	for (size_t i = 0; i < r->n_split; i++)
-		k += (size_t)apr_snprintf(s + k, cap - k, "%s%s:%u", i ? "," : "", r->split[i]->service, (unsigned)r->split[i]->weight);
+		k += (size_t)apr_snprintf(s + k, cap - k, "%s%s:%u", i ? "," : "", r->split[i]->service,
+					  (unsigned)r->split[i]->weight);
 	return s;
 }
 
@@ -637,7 +668,8 @@
 		*why = "kind: none of lane, tenant, share, key, server, service, registrar, model, door, retention";
 		return NULL;
 	}
-	json_object_object_foreach(j, name, v) {
+	json_object_object_foreach(j, name, v)
+	{
 		const struct cell *c = NULL;
 		char *f;
 
@@ -653,9 +685,9 @@
 		f = (char *)r + c->off;
 		if (c->kind == CELL_BIG   ? !json_object_is_type(v, json_type_int) || json_object_get_int64(v) < 0
 		    : c->kind == CELL_INT ? !json_object_is_type(v, json_type_int) || json_object_get_int64(v) < 0 ||
-		                                  json_object_get_int64(v) > UINT32_MAX
+						json_object_get_int64(v) > UINT32_MAX
 		    : c->kind == CELL_BOOL ? !json_object_is_type(v, json_type_boolean)
-		                           : !json_object_is_type(v, json_type_string)) {
+					   : !json_object_is_type(v, json_type_string)) {
 			*why = apr_psprintf(p, "%s: %s: wrong type or range", table_kind_name(r->kind), name);
 			return NULL;
 		}
@@ -682,8 +714,7 @@
 	return r;
 }
 
-static int rows_parse(struct json_object *j, const char *name, size_t *n, struct Nl__Row ***v, apr_pool_t *p,
-                      const char **why)
+static int rows_parse(struct json_object *j, const char *name, size_t *n, struct Nl__Row ***v, apr_pool_t *p, const char **why)
 {
 	struct json_object *a;
 
@@ -716,7 +747,8 @@
 		*why = "body: not a JSON object";
 		goto end;
 	}
-	json_object_object_foreach(j, name, x) {
+	json_object_object_foreach(j, name, x)
+	{
 		(void)x;
 		if (strcmp(name, "expect") && strcmp(name, "whole") && strcmp(name, "set") && strcmp(name, "del")) {
 			*why = apr_psprintf(p, "%s: no such field", name);
--- a/lib/control/table.h
+++ b/lib/control/table.h
@@ -8,15 +8,24 @@
 
 #include "core.h"
 
-struct table_row { char *key; struct { struct Nl__Row *row; uint64_t edition; } value; };
-struct table_tomb { char *key; uint64_t edition; };
+struct table_row {
+	char *key;
+	struct {
+		struct Nl__Row *row;
+		uint64_t edition;
+	} value;
+};
+struct table_tomb {
+	char *key;
+	uint64_t edition;
+};
 
 struct table {
 	uint64_t edition;
-	uint64_t plan;  /* edition of the last change of operators' rows: what expect is held against */
-	uint64_t floor; /* deletions at or below floor are forgotten */
-	struct table_row *h;            /* stb_ds string map */
-	struct table_tomb *tomb;        /* stb_ds */
+	uint64_t plan;           /* edition of the last change of operators' rows: what expect is held against */
+	uint64_t floor;          /* deletions at or below floor are forgotten */
+	struct table_row *h;     /* stb_ds string map */
+	struct table_tomb *tomb; /* stb_ds */
 };
 
 enum { TABLE_TOMBS = 512, TABLE_MAX = 24 << 20, TABLE_SPLITS = 64, TABLE_SKIPPED = 64 };
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -17,10 +17,7 @@
 	return &arrlast(o->v);
 }
 
-void *out_new(struct out *o, size_t n, const void *init)
-{
-	return memcpy(apr_palloc(o->p, n), init, n);
-}
+void *out_new(struct out *o, size_t n, const void *init) { return memcpy(apr_palloc(o->p, n), init, n); }
 
 struct Nl__Msg *out_msg(struct out *o, uint64_t addr, uint32_t part, int body)
 {
@@ -79,10 +76,7 @@
 
 uint64_t core_rand(uint64_t *s) { return mix(*s += 0x9e3779b97f4a7c15ull); }
 
-uint32_t core_part_of(const char *service, uint32_t n)
-{
-	return SHARD_SERVICE + (uint32_t)(core_hashs(0, service) % n);
-}
+uint32_t core_part_of(const char *service, uint32_t n) { return SHARD_SERVICE + (uint32_t)(core_hashs(0, service) % n); }
 
 uint64_t core_addr(const char *s)
 {
@@ -98,8 +92,8 @@
 
 const char *core_addr_str(apr_pool_t *p, uint64_t a)
 {
-	return apr_psprintf(p, "%u.%u.%u.%u:%u", (unsigned)(a >> 40) & 255, (unsigned)(a >> 32) & 255,
-	                    (unsigned)(a >> 24) & 255, (unsigned)(a >> 16) & 255, (unsigned)a & 65535);
+	return apr_psprintf(p, "%u.%u.%u.%u:%u", (unsigned)(a >> 40) & 255, (unsigned)(a >> 32) & 255, (unsigned)(a >> 24) & 255,
+			    (unsigned)(a >> 16) & 255, (unsigned)a & 65535);
 }
 
 uint8_t *core_pack(apr_pool_t *p, const ProtobufCMessage *m, size_t *len)
@@ -111,7 +105,11 @@
 }
 
 static void *pool_alloc(void *p, size_t n) { return apr_palloc(p, n); }
-static void pool_free(void *p, void *d) { (void)p; (void)d; }
+static void pool_free(void *p, void *d)
+{
+	(void)p;
+	(void)d;
+}
 
 ProtobufCMessage *core_unpack(apr_pool_t *p, const ProtobufCMessageDescriptor *t, size_t n, const uint8_t *d)
 {
@@ -129,7 +127,22 @@
 }
 
 const struct bounds bounds_default = {
-	.config_ms = 2000, .revoke_ms = 5000, .drift_ms = 5000, .contact_ms = 3000, .drain_ms = 3000, .ack_ms = 4000, .catch_up_ms = 6000,
-	.grace_ms = 30000, .lease_ms = 3000, .thaw_ms = 300, .recover_ms = 12000, .roll_ms = 25000, .budget_mille = 200, .budget_slack = 18,
-	.budget_window_ms = 10000, .copies = 3, .list_mille = 0, .sights = 0,
+	.config_ms = 2000,
+	.revoke_ms = 5000,
+	.drift_ms = 5000,
+	.contact_ms = 3000,
+	.drain_ms = 3000,
+	.ack_ms = 4000,
+	.catch_up_ms = 6000,
+	.grace_ms = 30000,
+	.lease_ms = 3000,
+	.thaw_ms = 300,
+	.recover_ms = 12000,
+	.roll_ms = 25000,
+	.budget_mille = 200,
+	.budget_slack = 18,
+	.budget_window_ms = 10000,
+	.copies = 3,
+	.list_mille = 0,
+	.sights = 0,
 };
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -30,7 +30,7 @@
 /* A caller's request on its way to a server. The bytes stay with the shell, which passes the answer's pieces on by
  * itself and says how it ended. */
 struct forward {
-	uint64_t call, caller;       /* tokens */
+	uint64_t call, caller; /* tokens */
 	uint64_t addr;
 	const char *server, *tenant; /* the life meant; NULL tenant: none */
 	const char *shelf;           /* under which kept parts are filed there; NULL: none that others use */
@@ -39,23 +39,28 @@
 	int prio;                    /* 0 goes first, to 9 */
 	int limit_ms;
 	int64_t not_after;
-	const char *since;           /* take up after this piece; NULL: as the caller said */
-	int joined;                  /* the caller has a head and pieces already: only pieces go on */
-	int stream;                  /* passed on by whole pieces, whose ids rise */
+	const char *since; /* take up after this piece; NULL: as the caller said */
+	int joined;        /* the caller has a head and pieces already: only pieces go on */
+	int stream;        /* passed on by whole pieces, whose ids rise */
 	int repeatable;
-	int most;                    /* connections that this node may hold to that server; 0: no bound */
+	int most; /* connections that this node may hold to that server; 0: no bound */
 };
 
-struct persist_entry { uint64_t index, term; uint32_t kind; size_t len; const uint8_t *data; };
+struct persist_entry {
+	uint64_t index, term;
+	uint32_t kind;
+	size_t len;
+	const uint8_t *data;
+};
 
 struct persist {
 	uint32_t part;
 	uint64_t seq, term, vote;
-	uint64_t cut;  /* drop synced entries at or above this index first; 0 = none */
+	uint64_t cut; /* drop synced entries at or above this index first; 0 = none */
 	size_t n;
 	struct persist_entry *e;
-	int tidy;      /* what this takes away must not stay in freed pages */
-	int snap;      /* a new snapshot stands in data; entries at or below drop go away */
+	int tidy; /* what this takes away must not stay in freed pages */
+	int snap; /* a new snapshot stands in data; entries at or below drop go away */
 	uint64_t base, base_term, drop;
 	size_t members_len, data_len;
 	const uint8_t *members, *data;
@@ -64,39 +69,77 @@
 struct cmd {
 	enum cmd_kind kind;
 	union {
-		struct { uint64_t addr; struct Nl__Msg *msg; } send;
+		struct {
+			uint64_t addr;
+			struct Nl__Msg *msg;
+		} send;
 		struct persist *persist;
-		struct { uint64_t token; int status; int retry_ms; const char *body; uint64_t to; size_t len; } answer; /* to: 307, that peer's door; len: of body, 0 = its strlen */
-		struct { uint64_t token; const char *body; size_t len; int ok; } piece; /* PIECE, END */
-		struct { uint64_t token; const char *addr, *path, *body; int limit_ms; int stream; int64_t not_after; } call;
-		struct { uint64_t token; } cancel;
+		struct {
+			uint64_t token;
+			int status;
+			int retry_ms;
+			const char *body;
+			uint64_t to;
+			size_t len;
+		} answer; /* to: 307, that peer's door; len: of body, 0 = its strlen */
+		struct {
+			uint64_t token;
+			const char *body;
+			size_t len;
+			int ok;
+		} piece; /* PIECE, END */
+		struct {
+			uint64_t token;
+			const char *addr, *path, *body;
+			int limit_ms;
+			int stream;
+			int64_t not_after;
+		} call;
+		struct {
+			uint64_t token;
+		} cancel;
 		struct forward *forward;
-		struct { uint64_t token; } list;
-		struct { uint64_t token, addr; const char *server, *model; int64_t not_after; } look;
-		struct { uint64_t token, addr, fence; const char *server, *model, *weights, *holder; int64_t not_after; } order;
-		struct { uint64_t token, addr, since; const char *server; int wait_ms; } watch;
+		struct {
+			uint64_t token;
+		} list;
+		struct {
+			uint64_t token, addr;
+			const char *server, *model;
+			int64_t not_after;
+		} look;
+		struct {
+			uint64_t token, addr, fence;
+			const char *server, *model, *weights, *holder;
+			int64_t not_after;
+		} order;
+		struct {
+			uint64_t token, addr, since;
+			const char *server;
+			int wait_ms;
+		} watch;
 	} u;
 };
 
 /* Bounds that a deployment sets; ms unless said otherwise. bounds_default is what stands without settings. */
 struct bounds {
-	int config_ms;       /* a change is in force everywhere */
-	int revoke_ms;       /* a removed key is dead everywhere */
-	int drift_ms;        /* how much later while the core is unsettled */
-	int contact_ms;      /* calm time after which a node counts as in touch */
-	int drain_ms;        /* a leaving server gets nothing more */
+	int config_ms;  /* a change is in force everywhere */
+	int revoke_ms;  /* a removed key is dead everywhere */
+	int drift_ms;   /* how much later while the core is unsettled */
+	int contact_ms; /* calm time after which a node counts as in touch */
+	int drain_ms;   /* a leaving server gets nothing more */
 	int ack_ms, catch_up_ms, grace_ms, lease_ms, thaw_ms, recover_ms;
-	int roll_ms;         /* named weights have reached every server */
-	int budget_mille, budget_slack, budget_window_ms; /* resends over the fleet: per mille of requests, and so many more, in any window */
-	int copies;          /* of each part: one more than twice the machines that may be lost at once */
-	int list_mille;      /* calls to the list of servers, in thousandths a second, for the whole fleet; 0: no list */
-	int sights;          /* servers come from the list, not from the table */
+	int roll_ms; /* named weights have reached every server */
+	int budget_mille, budget_slack,
+	    budget_window_ms; /* resends over the fleet: per mille of requests, and so many more, in any window */
+	int copies;           /* of each part: one more than twice the machines that may be lost at once */
+	int list_mille;       /* calls to the list of servers, in thousandths a second, for the whole fleet; 0: no list */
+	int sights;           /* servers come from the list, not from the table */
 };
 extern const struct bounds bounds_default;
 
 struct out {
-	apr_pool_t *p;     /* commands live in it until the shell clears it */
-	struct cmd *v;     /* stb_ds array */
+	apr_pool_t *p;            /* commands live in it until the shell clears it */
+	struct cmd *v;            /* stb_ds array */
 	uint64_t id, addr, fleet; /* who speaks */
 };
 
--- a/lib/core/kept.c
+++ b/lib/core/kept.c
@@ -65,7 +65,10 @@
 	}
 }
 
-struct sweep { uint32_t server; uint64_t seen; };
+struct sweep {
+	uint32_t server;
+	uint64_t seen;
+};
 
 static int swept(const void *ctx, uint64_t id, const struct kept_copy *c)
 {
--- a/lib/core/kept.h
+++ b/lib/core/kept.h
@@ -10,12 +10,18 @@
 	uint32_t server, maker, service; /* dense indices */
 	uint64_t weights;                /* hash of the name */
 	uint64_t stamp;
-	uint64_t seen;                   /* the report that last named it; of forwarded sends the generation of its shelf */
+	uint64_t seen; /* the report that last named it; of forwarded sends the generation of its shelf */
 };
 
-struct kept_row { uint64_t key; struct kept_copy *value; };
+struct kept_row {
+	uint64_t key;
+	struct kept_copy *value;
+};
 
-struct kept { struct kept_row *h; /* stb_ds map: part hash -> stb_ds array of copies */ size_t n; };
+struct kept {
+	struct kept_row *h; /* stb_ds map: part hash -> stb_ds array of copies */
+	size_t n;
+};
 
 /* Put one copy in; the same (server, maker) replaces. Example: kept_put(&k, hash, &copy); */
 void kept_put(struct kept *k, uint64_t hash, const struct kept_copy *c);
--- a/lib/core/purge.c
+++ b/lib/core/purge.c
@@ -160,10 +160,7 @@
 
 /* ---- view ----------------------------------------------------------------- */
 
-static uint64_t subject(uint32_t why, const char *a, const char *b)
-{
-	return core_hashs(core_hashs(why, a), b);
-}
+static uint64_t subject(uint32_t why, const char *a, const char *b) { return core_hashs(core_hashs(why, a), b); }
 
 uint64_t view_subject(const struct Nl__Purge *p)
 {
@@ -201,13 +198,12 @@
 	return i >= 0 && stamp < h[i].value->tick;
 }
 
-int view_allows(const struct view *w, const char *service, const char *weights, const char *maker,
-                const char *server, uint64_t stamp)
+int view_allows(const struct view *w, const char *service, const char *weights, const char *maker, const char *server,
+		uint64_t stamp)
 {
 	if (!w->h)
 		return 1;
-	return !gone(w, subject(PURGE_WEIGHTS, service, weights), stamp) &&
-	       !gone(w, subject(PURGE_TENANT, maker, ""), stamp) &&
+	return !gone(w, subject(PURGE_WEIGHTS, service, weights), stamp) && !gone(w, subject(PURGE_TENANT, maker, ""), stamp) &&
 	       !gone(w, subject(PURGE_SERVER, server, ""), stamp);
 }
 
--- a/lib/core/purge.h
+++ b/lib/core/purge.h
@@ -8,12 +8,12 @@
 #include "core.h"
 
 enum {
-	PURGE_TICK = 200,     /* ms between silence ticks of the publisher */
-	PURGE_STALL = 1000,   /* ms without a step of the horizon before curiosity */
-	PURGE_ACK = 250,      /* ms between negative curiosities */
-	PURGE_DOWN = 3000,    /* a downstream unheard of for so long is dropped */
-	PURGE_STALE = 3000,   /* a horizon older than this is not reused under */
-	PURGE_CHUNK = 1000    /* ticks reserved in the log at once */
+	PURGE_TICK = 200,   /* ms between silence ticks of the publisher */
+	PURGE_STALL = 1000, /* ms without a step of the horizon before curiosity */
+	PURGE_ACK = 250,    /* ms between negative curiosities */
+	PURGE_DOWN = 3000,  /* a downstream unheard of for so long is dropped */
+	PURGE_STALE = 3000, /* a horizon older than this is not reused under */
+	PURGE_CHUNK = 1000  /* ticks reserved in the log at once */
 };
 
 enum { PURGE_WEIGHTS = 1, PURGE_TENANT = 2, PURGE_SERVER = 3, PURGE_CONTEXT = 4 };
@@ -22,13 +22,15 @@
 enum { PURGE_SLICES = 8 };
 #define PURGE_SLICE(id) ((uint32_t)((id) % PURGE_SLICES))
 
-struct tick_range { uint64_t a, b; };
+struct tick_range {
+	uint64_t a, b;
+};
 
 struct know {
-	uint64_t horizon;           /* the doubt horizon: every tick at or below is known */
-	uint64_t released;          /* values at or below are no longer held */
-	struct tick_range *ahead;   /* stb_ds: known ranges above the horizon, apart and in order */
-	struct Nl__Value **v;       /* stb_ds: held values in order of tick */
+	uint64_t horizon;         /* the doubt horizon: every tick at or below is known */
+	uint64_t released;        /* values at or below are no longer held */
+	struct tick_range *ahead; /* stb_ds: known ranges above the horizon, apart and in order */
+	struct Nl__Value **v;     /* stb_ds: held values in order of tick */
 };
 
 /* Learn that [a, b] is known; v, if any, is the value in it and is copied. Returns 1 when any tick was new.
@@ -53,10 +55,13 @@
 void know_clear(struct know *k);
 
 /* The monotone view: per subject the newest tick that withdrew it. */
-struct view_row { uint64_t key; struct Nl__Value *value; };
+struct view_row {
+	uint64_t key;
+	struct Nl__Value *value;
+};
 struct view {
-	struct view_row *h;        /* stb_ds map */
-	struct Nl__Value **clear;  /* stb_ds: of it, the clearings of context */
+	struct view_row *h;       /* stb_ds map */
+	struct Nl__Value **clear; /* stb_ds: of it, the clearings of context */
 };
 
 uint64_t view_subject(const struct Nl__Purge *p);
@@ -66,8 +71,8 @@
 
 /* Whether a part with this stamp is still usable. Example:
  * view_allows(&w, "arrears", "w1", "t3", "s7", stamp) */
-int view_allows(const struct view *w, const char *service, const char *weights, const char *maker,
-                const char *server, uint64_t stamp);
+int view_allows(const struct view *w, const char *service, const char *weights, const char *maker, const char *server,
+		uint64_t stamp);
 
 /* Whether a clearing of context withdrew a part that this tenant's exchange made for this service.
  * Example: if (!view_keeps(&w, "arrears", "t1", id, stamp)) read_anew(); */
@@ -77,21 +82,25 @@
 uint64_t view_tick(const struct view *w, uint32_t why, const char *a, const char *b);
 void view_clear(struct view *w);
 
-struct relay_down { uint64_t id, addr, taken; int64_t heard; int briefed; /* its owner has told it what it keeps */ };
+struct relay_down {
+	uint64_t id, addr, taken;
+	int64_t heard;
+	int briefed; /* its owner has told it what it keeps */
+};
 
 struct relay {
 	struct know k;
 	struct view w;
-	struct relay_down *down;    /* stb_ds */
-	uint64_t *up;               /* stb_ds: upstream addresses, best first; the last resort is the log */
+	struct relay_down *down; /* stb_ds */
+	uint64_t *up;            /* stb_ds: upstream addresses, best first; the last resort is the log */
 	size_t up_at;
-	int publisher;              /* the log itself: learns from commits, never asks */
-	int fresh;                  /* has knowledge from a holder since it began */
+	int publisher; /* the log itself: learns from commits, never asks */
+	int fresh;     /* has knowledge from a holder since it began */
 	int64_t moved, asked, born, heard, up_tried;
 	uint64_t asked_reach;
 	void (*on_value)(void *ctx, const struct Nl__Value *v);
 	void *ctx;
-	uint64_t n_inc;             /* increments told to downstreams */
+	uint64_t n_inc; /* increments told to downstreams */
 };
 
 void relay_open(struct relay *r, int64_t now);
--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -79,7 +79,8 @@
 	if (raft->role == RAFT_LEADER)
 		raft_advance_commit(raft);
 	else if (raft->leader_addr && raft->matched)
-		raft_send_append_reply(raft, raft->leader_addr, 1, raft->matched < raft->synced_index ? raft->matched : raft->synced_index, raft->round, o);
+		raft_send_append_reply(raft, raft->leader_addr, 1,
+				       raft->matched < raft->synced_index ? raft->matched : raft->synced_index, raft->round, o);
 }
 
 uint64_t raft_propose(struct raft *raft, const uint8_t *d, size_t n, int64_t now)
@@ -112,7 +113,7 @@
 			struct raft_entry *e = raft_entry_at(raft, raft->dirty_from + i);
 
 			s->e[i] = (struct persist_entry){ raft->dirty_from + i, e->term, e->kind, e->len,
-				                          apr_pmemdup(o->p, e->data, e->len + 1) };
+							  apr_pmemdup(o->p, e->data, e->len + 1) };
 		}
 	}
 	if (raft->snapshot_dirty) {
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -9,25 +9,30 @@
 enum raft_role { RAFT_FOLLOWER, RAFT_PRE_CANDIDATE, RAFT_CANDIDATE, RAFT_LEADER };
 
 enum {
-	RAFT_LEASE_MS = 600,    /* a member that heard its leader votes for no other for so long */
-	RAFT_LEASE_MARGIN_MS = 150,      /* the leader stops this much before its lease ends */
-	RAFT_HEARTBEAT_MS = 150,      /* between heartbeat rounds */
-	RAFT_ELECTION_MS = 700,      /* election timeout, plus up to half again */
-	RAFT_ELECTION_RETRY_MS = 300,      /* a candidate without a majority asks again after this, plus up to as much */
-	RAFT_PROBE_MS = 50,       /* between lease recovery probes of a restarted member */
-	RAFT_ELECTION_STAGGER_MS = 50,       /* no leader: members ask for votes so long after one another */
+	RAFT_LEASE_MS = 600,           /* a member that heard its leader votes for no other for so long */
+	RAFT_LEASE_MARGIN_MS = 150,    /* the leader stops this much before its lease ends */
+	RAFT_HEARTBEAT_MS = 150,       /* between heartbeat rounds */
+	RAFT_ELECTION_MS = 700,        /* election timeout, plus up to half again */
+	RAFT_ELECTION_RETRY_MS = 300,  /* a candidate without a majority asks again after this, plus up to as much */
+	RAFT_PROBE_MS = 50,            /* between lease recovery probes of a restarted member */
+	RAFT_ELECTION_STAGGER_MS = 50, /* no leader: members ask for votes so long after one another */
 	RAFT_SYNC_STALL_MS = 600,      /* a leader whose own sync takes longer steps down */
-	RAFT_MIN_VOTERS = 3,       /* bootstrapped with these; a group never shrinks below them */
-	RAFT_MEMBER_LOST_MS = 6000,      /* a silent member is replaced after this, unless the group is told another bound */
+	RAFT_MIN_VOTERS = 3,           /* bootstrapped with these; a group never shrinks below them */
+	RAFT_MEMBER_LOST_MS = 6000,    /* a silent member is replaced after this, unless the group is told another bound */
 	RAFT_MAX_MEMBERS = 8,
-	RAFT_LOG_TAIL = 256,       /* entries kept behind a snapshot, */
+	RAFT_LOG_TAIL = 256,           /* entries kept behind a snapshot, */
 	RAFT_LOG_TAIL_BYTES = 8 << 20, /* as far as they hold no more */
-	RAFT_SNAPSHOT_ENTRIES = 2048       /* entries before the next snapshot */
+	RAFT_SNAPSHOT_ENTRIES = 2048   /* entries before the next snapshot */
 };
 
 enum { RAFT_ENTRY_NOOP = 0, RAFT_ENTRY_MEMBERS = 1, RAFT_ENTRY_OPERATION = 2 };
 
-struct raft_entry { uint64_t term; uint32_t kind; size_t len; uint8_t *data; };
+struct raft_entry {
+	uint64_t term;
+	uint32_t kind;
+	size_t len;
+	uint8_t *data;
+};
 
 struct raft_member {
 	uint64_t id, addr;
@@ -40,7 +45,10 @@
 	int not_leader; /* has said since our restart that it does not lead */
 };
 
-struct raft_sync_mark { uint64_t seq, last; int64_t at; };
+struct raft_sync_mark {
+	uint64_t seq, last;
+	int64_t at;
+};
 
 struct raft {
 	uint32_t no;
@@ -60,34 +68,37 @@
 	int member_count;
 	uint64_t members_index;
 	int replicas;           /* members wanted */
-	int64_t member_lost_ms;         /* ms after which a member counts as lost */
+	int64_t member_lost_ms; /* ms after which a member counts as lost */
 
 	uint64_t commit, applied, synced_index, matched;
-	uint64_t term_start;  /* the leader's first entry in its term */
+	uint64_t term_start; /* the leader's first entry in its term */
 
 	int64_t vote_barrier_until, election_at, lease_expires_at, heartbeat_at, quorum_asked_at, probe_at;
-	int vote_barrier_unknown;           /* the barrier may protect a lease from before our restart */
+	int vote_barrier_unknown; /* the barrier may protect a lease from before our restart */
 	uint64_t life;
-	uint64_t round;       /* leader: the current heartbeat round; member: the last one answered */
+	uint64_t round; /* leader: the current heartbeat round; member: the last one answered */
 	int64_t heartbeat_sent_at[64];
 
 	int dirty, snapshot_dirty;
-	int drop_tail;             /* the next snapshot keeps no entries behind it, nor their traces on the disk */
+	int drop_tail; /* the next snapshot keeps no entries behind it, nor their traces on the disk */
 	uint64_t dirty_from, cut, seq, synced;
 	struct raft_sync_mark *marks; /* stb_ds */
-	struct { int on; uint64_t seq, to, term; } vote_held;
+	struct {
+		int on;
+		uint64_t seq, to, term;
+	} vote_held;
 	uint64_t self_vote_seq;
-	int snapshot_to_load;         /* the caller must load the snapshot before applying entries */
+	int snapshot_to_load; /* the caller must load the snapshot before applying entries */
 	uint64_t elections;
 };
 
 /* What came back from the disk. */
 struct raft_saved {
 	uint64_t term, vote;
-	uint64_t base, base_term;      /* the snapshot stands for all up to base */
+	uint64_t base, base_term; /* the snapshot stands for all up to base */
 	const uint8_t *members, *data;
 	size_t members_len, data_len;
-	uint64_t log_from;             /* index of e[0] */
+	uint64_t log_from; /* index of e[0] */
 	struct raft_entry *e;
 	size_t n;
 };
--- a/lib/core/raft_election.c
+++ b/lib/core/raft_election.c
@@ -72,7 +72,8 @@
 		raft->members[i].next = raft_last_index(raft) + 1;
 		raft->members[i].match = 0;
 		raft->members[i].round = 0;
-		raft->members[i].heard_at = now - raft->member_lost_ms / 2; /* who fell with the last owner has been silent since then */
+		raft->members[i].heard_at =
+		    now - raft->member_lost_ms / 2; /* who fell with the last owner has been silent since then */
 		raft->members[i].snapshot_sent_at = 0;
 	}
 	for (int i = 0; i < 64; i++)
@@ -103,8 +104,8 @@
 	for (int i = 0; i < raft->member_count; i++)
 		if (raft->members[i].voter)
 			n += raft->members[i].id == raft->id
-			         ? raft->role == RAFT_PRE_CANDIDATE || raft->synced >= raft->self_vote_seq
-			         : raft->members[i].granted;
+				 ? raft->role == RAFT_PRE_CANDIDATE || raft->synced >= raft->self_vote_seq
+				 : raft->members[i].granted;
 	if (n <= raft_voter_count(raft) / 2)
 		return;
 	if (raft->role == RAFT_PRE_CANDIDATE)
@@ -127,12 +128,12 @@
 {
 	const struct Nl__VoteAsk *a = m->vote_ask;
 	int newer = a->last_term > raft_term_at(raft, raft_last_index(raft)) ||
-	            (a->last_term == raft_term_at(raft, raft_last_index(raft)) && a->last >= raft_last_index(raft));
+		    (a->last_term == raft_term_at(raft, raft_last_index(raft)) && a->last >= raft_last_index(raft));
 	int free_to = now >= raft->vote_barrier_until && !raft_has_lease(raft, now);
 
 	if (a->pre || !free_to || a->term < raft->term) {
 		raft_send_vote(raft, m->addr, a->pre && newer && free_to ? a->term : raft->term,
-		          a->pre && newer && free_to && a->term > raft->term, a->pre, o);
+			       a->pre && newer && free_to && a->term > raft->term, a->pre, o);
 		return;
 	}
 	if (a->term > raft->term)
@@ -162,7 +163,7 @@
 	if (!who || !r->granted)
 		return;
 	if (r->pre ? raft->role == RAFT_PRE_CANDIDATE && r->term == raft->term + 1
-	           : raft->role == RAFT_CANDIDATE && r->term == raft->term) {
+		   : raft->role == RAFT_CANDIDATE && r->term == raft->term) {
 		who->granted = 1;
 		raft_count_votes(raft, now, o);
 	}
@@ -229,7 +230,8 @@
 			return;
 	raft->vote_barrier_unknown = 0;
 	raft->vote_barrier_until = 0;
-	raft->election_at = now + RAFT_ELECTION_STAGGER_MS * (1 + voters_ahead(raft)) + (int64_t)(core_rand(&raft->rng) % (RAFT_ELECTION_STAGGER_MS / 2));
+	raft->election_at = now + RAFT_ELECTION_STAGGER_MS * (1 + voters_ahead(raft)) +
+			    (int64_t)(core_rand(&raft->rng) % (RAFT_ELECTION_STAGGER_MS / 2));
 }
 
 /* The leader ended its lease before it said so: its followers need not wait for it. */
--- a/lib/core/raft_reconfigure.c
+++ b/lib/core/raft_reconfigure.c
@@ -80,7 +80,8 @@
 
 		if (raft->members[i].id == raft->id)
 			continue;
-		if (worst >= 0 && (k < many || (k == many && core_rdv(raft->no, raft->members[i].id) >= core_rdv(raft->no, raft->members[worst].id))))
+		if (worst >= 0 && (k < many || (k == many && core_rdv(raft->no, raft->members[i].id) >=
+								 core_rdv(raft->no, raft->members[worst].id))))
 			continue;
 		worst = i;
 		many = k;
@@ -89,7 +90,8 @@
 }
 
 /* A registrar whose zone has two members fewer than another: its joining spreads the group better. */
-static int zone_imbalanced(const struct raft *raft, const struct raft_member *next, const struct raft_member *live, int n, int64_t now)
+static int zone_imbalanced(const struct raft *raft, const struct raft_member *next, const struct raft_member *live, int n,
+			   int64_t now)
 {
 	int most = 0;
 
@@ -147,7 +149,8 @@
 		change_members(raft, m, raft->member_count - 1);
 		return;
 	}
-	if ((dead < 0 && v >= raft->replicas && !zone_imbalanced(raft, best, live, n, now)) || raft->member_count >= RAFT_MAX_MEMBERS || !best)
+	if ((dead < 0 && v >= raft->replicas && !zone_imbalanced(raft, best, live, n, now)) ||
+	    raft->member_count >= RAFT_MAX_MEMBERS || !best)
 		return;
 	memset(&m[raft->member_count], 0, sizeof *m);
 	m[raft->member_count].id = best->id;
--- a/lib/core/raft_replication.c
+++ b/lib/core/raft_replication.c
@@ -151,7 +151,8 @@
 	if (raft->dirty && a->round == raft->round)
 		return; /* nothing new to say before the sync, and then raft_synced says it */
 	raft->round = a->round;
-	raft_send_append_reply(raft, m->addr, 1, raft->matched < raft->synced_index ? raft->matched : raft->synced_index, a->round, o);
+	raft_send_append_reply(raft, m->addr, 1, raft->matched < raft->synced_index ? raft->matched : raft->synced_index, a->round,
+			       o);
 }
 
 void raft_on_append_reply(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o)
--- a/lib/core/raft_snapshot.c
+++ b/lib/core/raft_snapshot.c
@@ -10,7 +10,7 @@
 enum { SNAPSHOT_RESEND_MS = 1000 };
 
 static void raft_store_snapshot(struct raft *raft, uint64_t index, uint64_t term, const uint8_t *mem, size_t mem_len,
-                          const uint8_t *d, size_t n)
+				const uint8_t *d, size_t n)
 {
 	uint8_t *members = raft_copy_bytes(mem, mem_len); /* what is given may be the last snapshot's own */
 
@@ -38,8 +38,8 @@
 	s->term = raft->term;
 	s->index = raft->snapshot_index;
 	s->index_term = raft->snapshot_term;
-	s->members = (struct Nl__Members *)core_unpack(o->p, &nl__members__descriptor, raft->snapshot_members_len,
-	                                               raft->snapshot_members);
+	s->members =
+	    (struct Nl__Members *)core_unpack(o->p, &nl__members__descriptor, raft->snapshot_members_len, raft->snapshot_members);
 	s->data.data = apr_pmemdup(o->p, raft->snap, raft->snapshot_len);
 	s->data.len = raft->snapshot_len;
 	s->round = raft->round;
@@ -68,7 +68,8 @@
 		raft->snapshot_to_load = 1;
 		raft_reload_members(raft);
 	}
-	raft_send_append_reply(raft, m->addr, 1, raft->matched < raft->synced_index ? raft->matched : raft->synced_index, s->round, o);
+	raft_send_append_reply(raft, m->addr, 1, raft->matched < raft->synced_index ? raft->matched : raft->synced_index, s->round,
+			       o);
 }
 
 int raft_wants_snapshot(const struct raft *raft) { return raft->applied >= raft->snapshot_index + RAFT_SNAPSHOT_ENTRIES; }
@@ -83,7 +84,8 @@
 	raft_members_in_force(raft, raft->applied, &mem, &mem_len);
 	raft_store_snapshot(raft, raft->applied, raft_term_at(raft, raft->applied), mem, mem_len, d, n);
 	drop = raft->applied;
-	while (!raft->drop_tail && drop > raft->base && raft->applied - drop < RAFT_LOG_TAIL && bytes + raft_entry_at(raft, drop)->len <= RAFT_LOG_TAIL_BYTES)
+	while (!raft->drop_tail && drop > raft->base && raft->applied - drop < RAFT_LOG_TAIL &&
+	       bytes + raft_entry_at(raft, drop)->len <= RAFT_LOG_TAIL_BYTES)
 		bytes += raft_entry_at(raft, drop--)->len;
 	if (drop > raft->synced_index)
 		drop = raft->synced_index;
--- a/lib/data/ctr.c
+++ b/lib/data/ctr.c
@@ -42,8 +42,9 @@
 		if (x->digest && x->tenant != b->keyless && (k < 0 || keys[k].value != x->tenant || !b->tenant[x->tenant].on)) {
 			c->n.revoked++;
 			ctr_end_early(c, x, 401, "key: removed", now, o);
-		} else if (x->state != XCH_RUNNING && (!b->lane[x->lane].on || (!x->forwarded && b->lane[x->lane].service != x->service) ||
-		                                       !b->service[x->service].on)) {
+		} else if (x->state != XCH_RUNNING &&
+			   (!b->lane[x->lane].on || (!x->forwarded && b->lane[x->lane].service != x->service) ||
+			    !b->service[x->service].on)) {
 			ctr_end_early(c, x, 404, "lane: removed", now, o);
 		}
 	}
@@ -57,14 +58,39 @@
 	struct json_object *j = json_object_new_object(), *a = json_object_new_array();
 	uint32_t waiting = 0;
 	const char *s;
-	const struct { const char *k; uint64_t v; } n[] = {
-		{ "edition", c->f.t.edition }, { "horizon", c->relay.k.horizon }, { "kept", c->kept.n }, { "taken", c->n.taken },
-		{ "answered", c->n.answered }, { "refused", c->n.refused }, { "unknown", c->n.unknown }, { "sends", c->n.sends },
-		{ "resends", c->n.resends }, { "pieces", c->n.pieces }, { "tokens", c->n.tokens }, { "reused", c->n.reused },
-		{ "fetched", c->n.fetched }, { "cold", c->n.cold }, { "claims", c->n.claims }, { "looks", c->n.looks }, { "watches", c->n.watches }, { "events", c->n.events }, { "taken_up", c->n.taken_up },
-		{ "wrong_life", c->n.wrong_life }, { "refused_stale", c->n.refused_stale },
-		{ "refused_line", c->n.refused_line }, { "refused_limit", c->n.refused_limit }, { "refused_early", c->n.refused_early }, { "revoked", c->n.revoked }, { "blind", c->n.blind },
-		{ "downstreams", (uint64_t)arrlen(c->relay.down) }, { "increments", c->relay.n_inc }, { "counters", c->f.counters },
+	const struct {
+		const char *k;
+		uint64_t v;
+	} n[] = {
+		{ "edition", c->f.t.edition },
+		{ "horizon", c->relay.k.horizon },
+		{ "kept", c->kept.n },
+		{ "taken", c->n.taken },
+		{ "answered", c->n.answered },
+		{ "refused", c->n.refused },
+		{ "unknown", c->n.unknown },
+		{ "sends", c->n.sends },
+		{ "resends", c->n.resends },
+		{ "pieces", c->n.pieces },
+		{ "tokens", c->n.tokens },
+		{ "reused", c->n.reused },
+		{ "fetched", c->n.fetched },
+		{ "cold", c->n.cold },
+		{ "claims", c->n.claims },
+		{ "looks", c->n.looks },
+		{ "watches", c->n.watches },
+		{ "events", c->n.events },
+		{ "taken_up", c->n.taken_up },
+		{ "wrong_life", c->n.wrong_life },
+		{ "refused_stale", c->n.refused_stale },
+		{ "refused_line", c->n.refused_line },
+		{ "refused_limit", c->n.refused_limit },
+		{ "refused_early", c->n.refused_early },
+		{ "revoked", c->n.revoked },
+		{ "blind", c->n.blind },
+		{ "downstreams", (uint64_t)arrlen(c->relay.down) },
+		{ "increments", c->relay.n_inc },
+		{ "counters", c->f.counters },
 	};
 
 	for (size_t i = 0; i < sizeof n / sizeof *n; i++)
@@ -87,7 +113,8 @@
 		json_object_object_add(x, "standing", json_object_new_boolean(ctr_standing(c, i, now)));
 		json_object_object_add(x, "running", json_object_new_int(c->sv[i].running));
 		json_object_object_add(x, "slots", json_object_new_int(c->sv[i].slots));
-		json_object_object_add(x, "weights", json_object_new_string(c->sv[i].have ? c->weights.name[c->sv[i].weights] : ""));
+		json_object_object_add(x, "weights",
+				       json_object_new_string(c->sv[i].have ? c->weights.name[c->sv[i].weights] : ""));
 		json_object_array_add(a, x);
 	}
 	json_object_object_add(j, "servers", a);
@@ -103,9 +130,11 @@
 	for (ptrdiff_t i = 0; i < hmlen(c->use); i++) {
 		const struct ctr_use *u = &c->use[i];
 
-		s = apr_psprintf(p, "%s%s,%s,%" APR_UINT64_T_FMT ",%" APR_UINT64_T_FMT ",%" APR_UINT64_T_FMT ",%" APR_UINT64_T_FMT ",%" APR_UINT64_T_FMT "\n",
-		                 s, c->lanes.name[u->key >> 32], c->tenants.name[u->key & UINT32_MAX], u->value.exchanges, u->value.tokens,
-		                 u->value.reused, u->value.pieces, u->value.errors);
+		s = apr_psprintf(p,
+				 "%s%s,%s,%" APR_UINT64_T_FMT ",%" APR_UINT64_T_FMT ",%" APR_UINT64_T_FMT ",%" APR_UINT64_T_FMT
+				 ",%" APR_UINT64_T_FMT "\n",
+				 s, c->lanes.name[u->key >> 32], c->tenants.name[u->key & UINT32_MAX], u->value.exchanges,
+				 u->value.tokens, u->value.reused, u->value.pieces, u->value.errors);
 	}
 	return s;
 }
@@ -133,7 +162,8 @@
 				continue;
 			}
 			c->n.refused_early++;
-			ctr_refuse(c, x, 503, none ? ctr_no_server : "the line is too long to be sent within the limit", none ? CTR_RETRY : wait / 2, now, o);
+			ctr_refuse(c, x, 503, none ? ctr_no_server : "the line is too long to be sent within the limit",
+				   none ? CTR_RETRY : wait / 2, now, o);
 		}
 	}
 }
@@ -160,7 +190,7 @@
 		if (now >= x->limit) {
 			c->n.refused_limit += x->state != XCH_RUNNING;
 			ctr_end_early(c, x, x->state == XCH_RUNNING ? 504 : 503,
-			          x->state == XCH_RUNNING ? "the limit passed" : "the limit passed in the line", now, o);
+				      x->state == XCH_RUNNING ? "the limit passed" : "the limit passed in the line", now, o);
 		} else if (x->state == XCH_CLAIMING && !x->claimed && now - x->claim_from > CTR_RIDE) {
 			c->n.refused_early++;
 			ctr_refuse(c, x, 503, "the part of this service has no owner that answers", CTR_RETRY, now, o);
@@ -214,7 +244,8 @@
 {
 	while (arrlen(c->all) && now > ctr_good_until(c)) {
 		c->n.blind++;
-		ctr_end_early(c, arrlast(c->all), 503, "this counter has been cut off: its configuration may be out of force", now, o);
+		ctr_end_early(c, arrlast(c->all), 503, "this counter has been cut off: its configuration may be out of force", now,
+			      o);
 	}
 }
 
@@ -222,7 +253,9 @@
  * stream: an answer would go nowhere, and the caller wait. */
 static void door_has_begun(struct ctr *c, const struct ctr_ev *ev)
 {
-	uint64_t call = ev->kind == CTR_BEGAN ? ev->u.began.token : ev->kind == CTR_ENDED && ev->u.ended->began ? ev->u.ended->token : 0;
+	uint64_t call = ev->kind == CTR_BEGAN                         ? ev->u.began.token
+			: ev->kind == CTR_ENDED && ev->u.ended->began ? ev->u.ended->token
+								      : 0;
 	struct xch *x = call ? ctr_xch_by(c, call) : NULL;
 
 	if (x && x->call == call)
--- a/lib/data/ctr.h
+++ b/lib/data/ctr.h
@@ -8,43 +8,56 @@
 #include "purge.h"
 
 enum {
-	CTR_LOOK = 500,        /* ms between looks at a server's report */
-	CTR_TOLD = 1200,       /* ms for which a relay's word spares an own look */
-	CTR_REPORT = 3000,     /* a report older than this does not vouch for a server */
-	CTR_BAD = 1000,        /* ms a server that could not be reached is left alone */
-	CTR_CLAIM_WAIT = 300,  /* ms before a claim is asked again, of another registrar */
+	CTR_LOOK = 500,         /* ms between looks at a server's report */
+	CTR_TOLD = 1200,        /* ms for which a relay's word spares an own look */
+	CTR_REPORT = 3000,      /* a report older than this does not vouch for a server */
+	CTR_BAD = 1000,         /* ms a server that could not be reached is left alone */
+	CTR_CLAIM_WAIT = 300,   /* ms before a claim is asked again, of another registrar */
 	CTR_CLAIM_HOLD = 60000, /* ms after which a claim is too old to send with */
-	CTR_FETCH_MOST = 2000, /* ms that a server waits for a fetch at the most */
-	CTR_SLOW_HALF = 10000, /* ms in which half of a link's slowness is forgotten */
+	CTR_FETCH_MOST = 2000,  /* ms that a server waits for a fetch at the most */
+	CTR_SLOW_HALF = 10000,  /* ms in which half of a link's slowness is forgotten */
 	CTR_SLOW_MOST = 64,
-	CTR_RELEASE = 15000,   /* ms for which a claim is given back again and again */
+	CTR_RELEASE = 15000, /* ms for which a claim is given back again and again */
 	CTR_PARTS = 64,
-	CTR_KEPT = 20000,      /* kept parts of one report that are heeded */
-	CTR_WEIGHTS = 4096,    /* names of weights that reports may bring */
-	CTR_LIMIT_MIN = 50, CTR_LIMIT_MAX = 600000, CTR_LIMIT = 60000,
-	CTR_BUDGET = 200,      /* resends per mille of sends */
-	CTR_BUDGET_CAP = 2000, /* saved up at most: two resends */
+	CTR_KEPT = 20000,   /* kept parts of one report that are heeded */
+	CTR_WEIGHTS = 4096, /* names of weights that reports may bring */
+	CTR_LIMIT_MIN = 50,
+	CTR_LIMIT_MAX = 600000,
+	CTR_LIMIT = 60000,
+	CTR_RESEND_COST = 1000, /* what one resend takes from a service's budget */
+	CTR_BUDGET = 200,       /* resends per mille of sends */
+	CTR_BUDGET_CAP = 2000,  /* saved up at most: two resends */
 	CTR_RIDE = FOLLOW_RIDE, /* ms of not knowing that are ridden out; then all that is held here ends */
-	CTR_ASK = 50,          /* ms between askings for places that are lacked */
-	CTR_FIRST_MS = 35,     /* what a first piece takes besides reading */
-	CTR_LATE_MOST = 1000, CTR_FULL = 150, CTR_AGAIN_LEAST = 50, CTR_UNREACHED = 4,
-	CTR_WATCH_WAIT = 1000, CTR_WATCH_GAP = 300, /* ms that a server holds a watch; between two of them */
-	CTR_INDEX = 1000000,   /* copies of parts that the index holds at the most */
-	CTR_AWAY_MS = 40, CTR_AWAY_K = 12, /* ms that a server counts as dearer which does not keep the prefix, also by 1000 tokens of it: it pushes others' out */
-	CTR_KEPT_TELL = 75,    /* ms between words of kept parts to the zone */
-	CTR_BEGIN = 1300,      /* ms that a counter and its fleet take from a start to a configuration in force */
-	CTR_SOON = 60,         /* ms after which one that a single server turned away may come back */
-	CTR_PUMP = 10,         /* ms between weighings of lines that nobody has room for */
-	CTR_WAIT_MOST = 800,   /* ms of reading that may be ahead of a send at its server */
-	CTR_FULL_PART = 60,    /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
-	CTR_MEAN_SIZE = 5000,  /* tokens that others' requests are taken to hold */
+	CTR_ASK = 50,           /* ms between askings for places that are lacked */
+	CTR_FIRST_MS = 35,      /* what a first piece takes besides reading */
+	CTR_LATE_MOST = 1000,
+	CTR_FULL = 150,
+	CTR_AGAIN_LEAST = 50,
+	CTR_UNREACHED = 4,
+	CTR_WATCH_WAIT = 1000,
+	CTR_WATCH_GAP = 300, /* ms that a server holds a watch; between two of them */
+	CTR_INDEX = 1000000, /* copies of parts that the index holds at the most */
+	CTR_AWAY_MS = 40,
+	CTR_AWAY_K =
+	    12, /* ms that a server counts as dearer which does not keep the prefix, also by 1000 tokens of it: it pushes others' out */
+	CTR_KEPT_TELL = 75,     /* ms between words of kept parts to the zone */
+	CTR_BEGIN = 1300,       /* ms that a counter and its fleet take from a start to a configuration in force */
+	CTR_SOON = 60,          /* ms after which one that a single server turned away may come back */
+	CTR_PUMP = 10,          /* ms between weighings of lines that nobody has room for */
+	CTR_WAIT_MOST = 800,    /* ms of reading that may be ahead of a send at its server */
+	CTR_FULL_PART = 60,     /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
+	CTR_MEAN_SIZE = 5000,   /* tokens that others' requests are taken to hold */
 	CTR_STORE_HEARD = 3500, /* ms after the last word of a store's events for which it counts as up */
-	CTR_LOAD = 50, CTR_LOAD_WHOLE = 1000, CTR_LOAD_OLD = 2500, /* ms between words of load; between whole ones; after which one is forgotten */
-	CTR_FETCH_WAIT = 400,  /* ms that a fetch may take before reading anew is the better */
-	CTR_SINK_WAIT = 80,    /* ms of moves at the store beyond which nothing more is left there */
-	CTR_FETCH_MS = 6,      /* what a fetch takes besides moving */
-	CTR_OTHERS_HALF = 1000, CTR_LATE_HALF = 1500, CTR_FAILED_HALF = 3000, /* ms in which half of what was seen is forgotten */
-	CTR_FAILED_MS = 1500,  /* what a server costs of whose sends all broke off lately */
+	CTR_LOAD = 50,
+	CTR_LOAD_WHOLE = 1000,
+	CTR_LOAD_OLD = 2500,  /* ms between words of load; between whole ones; after which one is forgotten */
+	CTR_FETCH_WAIT = 400, /* ms that a fetch may take before reading anew is the better */
+	CTR_SINK_WAIT = 80,   /* ms of moves at the store beyond which nothing more is left there */
+	CTR_FETCH_MS = 6,     /* what a fetch takes besides moving */
+	CTR_OTHERS_HALF = 1000,
+	CTR_LATE_HALF = 1500,
+	CTR_FAILED_HALF = 3000, /* ms in which half of what was seen is forgotten */
+	CTR_FAILED_MS = 1500,   /* what a server costs of whose sends all broke off lately */
 	CTR_CALM_MARGIN = 150,
 	CTR_RIDE_MARGIN = 500, /* ms by which the ride ends before the strictest bound */
 	CTR_ROLL_EARLY = 1500, /* ms before a roll-out's bound after which older weights are sent nothing more */
@@ -55,31 +68,48 @@
 
 #define CTR_STEP_MS 0.4 /* ms that each request running at a server costs another */
 
-enum ctr_ev_kind { CTR_TICK, CTR_MSG, CTR_EXCHANGE, CTR_GONE, CTR_PIECE, CTR_DONE, CTR_CALLED, CTR_WEB, CTR_STOP, CTR_ASKED, CTR_BEGAN, CTR_ENDED, CTR_WATCHED };
+enum ctr_ev_kind {
+	CTR_TICK,
+	CTR_MSG,
+	CTR_EXCHANGE,
+	CTR_GONE,
+	CTR_PIECE,
+	CTR_DONE,
+	CTR_CALLED,
+	CTR_WEB,
+	CTR_STOP,
+	CTR_ASKED,
+	CTR_BEGAN,
+	CTR_ENDED,
+	CTR_WATCHED
+};
 
 /* An exchange whose text stays at the door; what is decided by is here. Strings live until the step is over. */
-struct ctr_part { uint64_t id; uint32_t tokens; };
+struct ctr_part {
+	uint64_t id;
+	uint32_t tokens;
+};
 struct ctr_asking {
 	uint64_t token;
-	const char *digest;          /* of the key; NULL: none was shown */
+	const char *digest; /* of the key; NULL: none was shown */
 	const char *host, *path, *id;
 	int limit_ms;
 	uint32_t tokens_in, tokens_out;
 	int nparts;
-	struct ctr_part part[64];    /* in order; the last is the exchange's own */
-	int resumes;                 /* the caller itself takes up a stream */
+	struct ctr_part part[64]; /* in order; the last is the exchange's own */
+	int resumes;              /* the caller itself takes up a stream */
 };
 
 /* How a forwarded send ended. */
 enum ctr_end {
-	CTR_WHOLE,   /* the server's whole answer has gone to the caller, whatever its status */
-	CTR_NEVER,   /* the server surely never began: no byte left, or it says so; the caller has heard nothing of it */
-	CTR_BROKE    /* it may have begun; began says whether the caller has seen a head and pieces */
+	CTR_WHOLE, /* the server's whole answer has gone to the caller, whatever its status */
+	CTR_NEVER, /* the server surely never began: no byte left, or it says so; the caller has heard nothing of it */
+	CTR_BROKE  /* it may have begun; began says whether the caller has seen a head and pieces */
 };
 struct ctr_ended {
 	uint64_t token;
 	enum ctr_end how;
-	int status;                  /* 0: no answer */
+	int status; /* 0: no answer */
 	int began;
 	uint32_t pieces;             /* whole pieces passed on by this send */
 	const char *since;           /* id of the last of them; NULL: none */
@@ -92,28 +122,62 @@
 	enum ctr_ev_kind kind;
 	union {
 		const struct Nl__Msg *msg;
-		struct { uint64_t token; const char *digest, *body; } exchange;
-		struct { uint64_t token; } gone;
-		struct { uint64_t token; const char *line; } piece;
+		struct {
+			uint64_t token;
+			const char *digest, *body;
+		} exchange;
+		struct {
+			uint64_t token;
+		} gone;
+		struct {
+			uint64_t token;
+			const char *line;
+		} piece;
 		/* never: the server surely never began */
-		struct { uint64_t token; int status, whole, never; const char *body; } done;
-		struct { uint64_t token; int status; const char *body; } called;
-		struct { uint64_t token; const char *path; } web;
+		struct {
+			uint64_t token;
+			int status, whole, never;
+			const char *body;
+		} done;
+		struct {
+			uint64_t token;
+			int status;
+			const char *body;
+		} called;
+		struct {
+			uint64_t token;
+			const char *path;
+		} web;
 		const struct ctr_asking *ask;
-		struct { uint64_t token; const char *weights; } began; /* the first piece has gone to the caller */
+		struct {
+			uint64_t token;
+			const char *weights;
+		} began; /* the first piece has gone to the caller */
 		const struct ctr_ended *ended;
-		struct { uint64_t token; const struct Nl__Kept *k; int status; } kept; /* answer to a watch */
+		struct {
+			uint64_t token;
+			const struct Nl__Kept *k;
+			int status;
+		} kept; /* answer to a watch */
 	} u;
 };
 
 /* Names that came in at the door, as dense indices for the life of the process. */
-struct names_row { char *key; uint32_t value; };
-struct names { struct names_row *h; char **name; };
+struct names_row {
+	char *key;
+	uint32_t value;
+};
+struct names {
+	struct names_row *h;
+	char **name;
+};
 uint32_t names_id(struct names *n, const char *s);
 int names_find(const struct names *n, const char *s); /* -1: never seen */
 
 /* The table as the data plane reads it: immutable, swapped whole at each edition. */
-struct bk_split { uint32_t service, upto; }; /* upto: weights up to and with this one */
+struct bk_split {
+	uint32_t service, upto;
+}; /* upto: weights up to and with this one */
 struct bk_lane {
 	int on, resumable, repeatable, vouched, open;
 	uint32_t service, prio, limit, aim, pause, timeout, attempts;
@@ -121,18 +185,50 @@
 	const struct bk_split *split;
 	uint32_t nsplit;
 };
-struct bk_tenant { int on, walled; uint32_t share, limit, rank; };
+struct bk_tenant {
+	int on, walled;
+	uint32_t share, limit, rank;
+};
 /* weights: those named newest; modelled: a bound holds for their reaching every server */
-struct bk_service { int on; uint32_t weights, prefill, kv_bytes, link, store, slots, watches, conns; uint64_t room; int store_server, modelled; };
-struct bk_place { uint64_t key; uint32_t value; }; /* hash of host and path -> lane */
+struct bk_service {
+	int on;
+	uint32_t weights, prefill, kv_bytes, link, store, slots, watches, conns;
+	uint64_t room;
+	int store_server, modelled;
+};
+struct bk_place {
+	uint64_t key;
+	uint32_t value;
+}; /* hash of host and path -> lane */
 /* One server's life, from the table or the list of servers. */
-struct bk_server { int on, draining, is_store; uint32_t service; const char *addr; uint64_t to, zone; };
+struct bk_server {
+	int on, draining, is_store;
+	uint32_t service;
+	const char *addr;
+	uint64_t to, zone;
+};
 /* Who stands: swapped whole like the book, but far more often. */
-struct roster { apr_pool_t *p; struct bk_server *server; uint32_t nserver; };
-struct bk_share { uint64_t key; struct { uint32_t share, limit; } value; };
+struct roster {
+	apr_pool_t *p;
+	struct bk_server *server;
+	uint32_t nserver;
+};
+struct bk_share {
+	uint64_t key;
+	struct {
+		uint32_t share, limit;
+	} value;
+};
 /* A scope whose context is cleared by itself, and so lies on shelves of its own; -1: all lanes, all tenants. */
-struct bk_scope { int lane, tenant; const char *lane_name, *tenant_name; uint64_t hash; };
-struct bk_key { char *key; uint32_t value; };
+struct bk_scope {
+	int lane, tenant;
+	const char *lane_name, *tenant_name;
+	uint64_t hash;
+};
+struct bk_key {
+	char *key;
+	uint32_t value;
+};
 struct book {
 	uint64_t edition;
 	apr_pool_t *p;
@@ -140,11 +236,13 @@
 	struct bk_tenant *tenant;
 	struct bk_service *service;
 	uint32_t nlane, ntenant, nservice;
-	uint32_t keyless;       /* the tenant of exchanges that show no key */
-	int *store;             /* stores that serve all services: servers, by rendezvous of what is left there */
+	uint32_t keyless; /* the tenant of exchanges that show no key */
+	int *store;       /* stores that serve all services: servers, by rendezvous of what is left there */
 	uint32_t nstore;
-	int keys, limits;       /* any key; any limit of places */
-	struct { uint32_t head, body, head_ms, idle_ms; } door; /* what callers may send, in bytes and ms; 0: as the program has it */
+	int keys, limits; /* any key; any limit of places */
+	struct {
+		uint32_t head, body, head_ms, idle_ms;
+	} door;                 /* what callers may send, in bytes and ms; 0: as the program has it */
 	uint64_t walls;         /* hash over the tenants that are walled off */
 	struct bk_place *place; /* stb_ds */
 	struct bk_scope *scope; /* stb_ds */
@@ -161,69 +259,103 @@
 	char *digest, *id, *xid, *tail;
 	uint32_t lane, tenant, service;
 	int64_t limit, since_at, claim_at, sent_at, claim_from;
-	uint64_t asked;     /* the registrar that was asked for the claim */
+	uint64_t asked; /* the registrar that was asked for the claim */
 	int nparts, claimed, begun, sends, resend_paid, unreached;
 	uint64_t hash[CTR_PARTS];
 	const char *text[CTR_PARTS];
 	uint32_t tokens[CTR_PARTS], tail_tokens;
-	uint64_t next;      /* piece expected */
-	int server;         /* -1: none chosen */
-	uint32_t tried;     /* last server that refused it */
+	uint64_t next;  /* piece expected */
+	int server;     /* -1: none chosen */
+	uint32_t tried; /* last server that refused it */
 	uint64_t stamp;
 	uint32_t weights;
-	int from;           /* the server that kept parts are fetched from; -1: none */
-	uint32_t fetch_ms;  /* what the fetch should take, the link as the table has it */
-	struct xch *after;  /* in its line */
+	int from;          /* the server that kept parts are fetched from; -1: none */
+	uint32_t fetch_ms; /* what the fetch should take, the link as the table has it */
+	struct xch *after; /* in its line */
 	/* what the text of stays at the door */
 	int forwarded, ran, repeatable, resumable, attempts, slot; /* slot: where it is among all */
-	uint32_t prio, tokens_out, ahead, size, brings; /* brings: of its size, what its server did not keep; ahead: tokens that its send still has to read; size: all that it takes at a server */
-	int sink;           /* the store that its parts are left at; -1: none */
-	int64_t first;      /* when its first piece went on; 0: none has */
-	char *since;        /* the last whole piece that the caller has */
-	uint64_t shelf;     /* of its send */
-	uint64_t filed;     /* scope and generation of that shelf */
-	double guess;       /* ms that its first piece should take */
+	uint32_t prio, tokens_out, ahead, size,
+	    brings; /* brings: of its size, what its server did not keep; ahead: tokens that its send still has to read; size: all that it takes at a server */
+	int sink;   /* the store that its parts are left at; -1: none */
+	int64_t first;  /* when its first piece went on; 0: none has */
+	char *since;    /* the last whole piece that the caller has */
+	uint64_t shelf; /* of its send */
+	uint64_t filed; /* scope and generation of that shelf */
+	double guess;   /* ms that its first piece should take */
 };
 
 /* still: since when its head has waited; gap: the usual ms between two heads that leave */
-struct line { uint32_t lane, tenant; char *name; struct xch *head, *tail; uint32_t n, running; uint64_t pass; int64_t still; double gap; };
+struct line {
+	uint32_t lane, tenant;
+	char *name;
+	struct xch *head, *tail;
+	uint32_t n, running;
+	uint64_t pass;
+	int64_t still;
+	double gap;
+};
 
 struct ctr_server {
 	int64_t reported, called, bad_until, told; /* told: when a relay last passed its report on */
 	uint64_t call, asked, serial, boot;
-	uint32_t weights, seen_weights; /* seen: by the list; an answer's own word is newer */
-	uint32_t stale;     /* parts in its last whole report that a clearing withdrew */
-	int64_t counted;    /* when that report came */
-	int odd;            /* its last report could not be read; said once */
+	uint32_t weights, seen_weights;                 /* seen: by the list; an answer's own word is newer */
+	uint32_t stale;                                 /* parts in its last whole report that a clearing withdrew */
+	int64_t counted;                                /* when that report came */
+	int odd;                                        /* its last report could not be read; said once */
 	int have, loading, slots, running, own, others; /* running there: ours as we know it, others' by the last report */
 	double mean_ms;
 	int64_t others_at, late_at, failed_at;
-	uint32_t ahead;     /* tokens that ours still have to read there */
-	uint64_t tokens;    /* of ours that run there, prompt and answer */
-	double late_ms;     /* how much later than reckoned first pieces came lately */
-	double failed;      /* of late sends, the part that broke off; forgotten by and by */
-	int fails;          /* connections in a row that did not come up */
+	uint32_t ahead;              /* tokens that ours still have to read there */
+	uint64_t tokens;             /* of ours that run there, prompt and answer */
+	double late_ms;              /* how much later than reckoned first pieces came lately */
+	double failed;               /* of late sends, the part that broke off; forgotten by and by */
+	int fails;                   /* connections in a row that did not come up */
 	uint64_t watch, epoch, next; /* a watch of its kept parts: the call, where it stands */
-	double link_free;   /* when the moves from and to it that are under way should be done; ours stand for all counters' */
+	double link_free;       /* when the moves from and to it that are under way should be done; ours stand for all counters' */
 	int64_t watched, heard; /* heard: a relay's word of its kept parts */
 };
 
 /* What is under way at servers, as one source says it: a counter of the zone, another zone's head, or this zone's head. */
-struct load_cell { uint32_t ahead, running, tokens; };
-struct load_from { uint64_t id; int of; int64_t at; uint64_t addr; struct load_cell *v; /* stb_ds, by server */ };
+struct load_cell {
+	uint32_t ahead, running, tokens;
+};
+struct load_from {
+	uint64_t id;
+	int of;
+	int64_t at;
+	uint64_t addr;
+	struct load_cell *v; /* stb_ds, by server */
+};
 
 /* What fetches from one server to another were seen to take, as a multiple of what the table says. */
-struct ctr_pair { uint64_t key; struct { double slow; int64_t at; } value; };
+struct ctr_pair {
+	uint64_t key;
+	struct {
+		double slow;
+		int64_t at;
+	} value;
+};
 
 /* A claim that is given back, asked again until the part has heard of it. */
-struct ctr_release { uint64_t token, seq, asked; uint32_t service, tenant; char *id; int64_t at, until; };
+struct ctr_release {
+	uint64_t token, seq, asked;
+	uint32_t service, tenant;
+	char *id;
+	int64_t at, until;
+};
 
 struct ctr_counts {
 	uint64_t taken, answered, refused, unknown, sends, resends, pieces, tokens, reused, fetched, cold, claims;
-	uint64_t watches, events, taken_up, wrong_life, looks, refused_stale, refused_line, refused_limit, refused_early, revoked, blind, gone;
+	uint64_t watches, events, taken_up, wrong_life, looks, refused_stale, refused_line, refused_limit, refused_early, revoked,
+	    blind, gone;
 };
 
-struct ctr_use { uint64_t key; struct { uint64_t exchanges, tokens, reused, pieces, errors; } value; };
+struct ctr_use {
+	uint64_t key;
+	struct {
+		uint64_t exchanges, tokens, reused, pieces, errors;
+	} value;
+};
 
 struct ctr {
 	uint64_t id, addr, token, seq, retries;
@@ -234,42 +366,61 @@
 	struct names lanes, tenants, services, servers, weights;
 	struct book *book;
 	struct roster *roster;
-	uint32_t nstand;            /* servers in it that take requests */
+	uint32_t nstand; /* servers in it that take requests */
 	struct bounds b;
-	struct load_from *load;     /* stb_ds: what others said */
-	struct load_cell *told_up, *told_down, *told_far, *others; /* stb_ds, by server: last said to each; what others have under way */
+	struct load_from *load; /* stb_ds: what others said */
+	struct load_cell *told_up, *told_down, *told_far,
+	    *others; /* stb_ds, by server: last said to each; what others have under way */
 	int64_t load_at, load_whole, others_fresh;
-	struct shelf_name { char *key; uint32_t value; } *shelves; /* stb_ds: a shelf's name as it goes to servers -> weights */
-	int *depth;                 /* stb_ds, by server: leading parts kept there; of the assigning under way */
-	uint64_t *server_hash;      /* stb_ds, by server: of its name, so that every counter ranks alike */
+	struct shelf_name {
+		char *key;
+		uint32_t value;
+	} * shelves;           /* stb_ds: a shelf's name as it goes to servers -> weights */
+	int *depth;            /* stb_ds, by server: leading parts kept there; of the assigning under way */
+	uint64_t *server_hash; /* stb_ds, by server: of its name, so that every counter ranks alike */
 	uint64_t zone_hash;
 	apr_pool_t *scratch;
-	uint64_t *generation;       /* stb_ds, by scope and slice; emptied when a clearing or another book comes */
-	int64_t now;                /* of the step under way */
+	uint64_t *generation;        /* stb_ds, by scope and slice; emptied when a clearing or another book comes */
+	int64_t now;                 /* of the step under way */
 	int64_t left_at, cleared_at; /* a look at what servers still name began; the last clearing was heard of whole */
-	ptrdiff_t left_pos;         /* how much of the index that look has before it */
-	struct Nl__Left *left;      /* stb_ds: what it has found */
+	ptrdiff_t left_pos;          /* how much of the index that look has before it */
+	struct Nl__Left *left;       /* stb_ds: what it has found */
 	int64_t opened, pump_at, heard_at;
-	struct Nl__Kept **heard;    /* stb_ds: events of kept parts that the zone has not been told */
+	struct Nl__Kept **heard; /* stb_ds: events of kept parts that the zone has not been told */
 	apr_pool_t *heard_pool;
-	uint64_t walled_tick;       /* newest purge of a tenant in the view */
-	struct { uint64_t key; uint32_t value; } *line_at; /* stb_ds: lane << 32 | tenant -> line */
-	struct ctr_named { uint32_t key; struct { int n; struct { uint64_t no; int64_t since; } v[CTR_NAMED]; } value; } *named; /* stb_ds, by service: what was named, oldest first, and since when that is known */
+	uint64_t walled_tick; /* newest purge of a tenant in the view */
+	struct {
+		uint64_t key;
+		uint32_t value;
+	} * line_at; /* stb_ds: lane << 32 | tenant -> line */
+	struct ctr_named {
+		uint32_t key;
+		struct {
+			int n;
+			struct {
+				uint64_t no;
+				int64_t since;
+			} v[CTR_NAMED];
+		} value;
+	} * named; /* stb_ds, by service: what was named, oldest first, and since when that is known */
 	apr_pool_t *p;
-	struct json_tokener *tok;   /* one for all that is read here, kept between texts */
-	struct ctr_server *sv;      /* stb_ds, by server index */
-	struct line *line;          /* stb_ds */
-	int64_t *stood;             /* stb_ds, by service: when a server of it last stood */
-	struct { uint64_t key; struct xch *value; } *by; /* stb_ds: token of a call, claim or caller */
-	struct xch **all;           /* stb_ds */
+	struct json_tokener *tok; /* one for all that is read here, kept between texts */
+	struct ctr_server *sv;    /* stb_ds, by server index */
+	struct line *line;        /* stb_ds */
+	int64_t *stood;           /* stb_ds, by service: when a server of it last stood */
+	struct {
+		uint64_t key;
+		struct xch *value;
+	} * by;                      /* stb_ds: token of a call, claim or caller */
+	struct xch **all;            /* stb_ds */
 	struct ctr_release *release; /* stb_ds */
-	struct ctr_pair *pair;      /* stb_ds: from << 32 | to */
-	uint32_t *running;          /* stb_ds: by tenant */
-	int64_t *budget;            /* stb_ds, by service: resends saved up, per mille */
+	struct ctr_pair *pair;       /* stb_ds: from << 32 | to */
+	uint32_t *running;           /* stb_ds: by tenant */
+	int64_t *budget;             /* stb_ds, by service: resends saved up, per mille */
 	struct ctr_counts n;
-	struct ctr_use *use;        /* stb_ds: lane << 32 | tenant */
+	struct ctr_use *use; /* stb_ds: lane << 32 | tenant */
 	int stopping;
-	int plain;                  /* to compare with: assign by load alone, and reuse what happens to be there */
+	int plain; /* to compare with: assign by load alone, and reuse what happens to be there */
 	void (*log)(void *ctx, const char *prefix, const char *line);
 	void *log_ctx;
 };
--- a/lib/data/ctr_assign.c
+++ b/lib/data/ctr_assign.c
@@ -29,10 +29,12 @@
 	for (ptrdiff_t i = 0; i < arrlen(v); i++) {
 		if (v[i].server != server || v[i].weights != weights || v[i].maker >= b->ntenant)
 			continue;
-		if (v[i].maker != x->tenant && (b->tenant[v[i].maker].walled || b->tenant[x->tenant].walled || !b->tenant[v[i].maker].on))
+		if (v[i].maker != x->tenant &&
+		    (b->tenant[v[i].maker].walled || b->tenant[x->tenant].walled || !b->tenant[v[i].maker].on))
 			continue;
 		if (view_allows(&c->relay.w, c->services.name[x->service], c->weights.name[weights], c->tenants.name[v[i].maker],
-		                c->servers.name[server], v[i].stamp) && ctr_keeps(c, x->service, v[i].maker, hash, v[i].stamp))
+				c->servers.name[server], v[i].stamp) &&
+		    ctr_keeps(c, x->service, v[i].maker, hash, v[i].stamp))
 			return &v[i];
 	}
 	return NULL;
@@ -57,10 +59,7 @@
 	return t;
 }
 
-static int busy(const struct ctr_server *v)
-{
-	return v->others + v->own;
-}
+static int busy(const struct ctr_server *v) { return v->others + v->own; }
 
 /* How much slower than the table says the link between two servers was seen to be; forgotten by and by. */
 static double slow_of(struct ctr *c, uint32_t from, uint32_t to, int64_t now)
@@ -99,18 +98,20 @@
 		struct plan p = { (int)s, 0, -1, 0, 0, 0, 0 };
 		double prefill;
 
-		if (c->roster->server[s].is_store || c->roster->server[s].service != x->service || s == x->tried || !ctr_standing(c, s, now) || busy(v) >= v->slots)
+		if (c->roster->server[s].is_store || c->roster->server[s].service != x->service || s == x->tried ||
+		    !ctr_standing(c, s, now) || busy(v) >= v->slots)
 			continue;
 		if (current)
 			p.keep = prefix(c, x, s, v->weights);
 		prefill = c->plain ? 0 : (double)(all - ctr_tokens_upto(x, p.keep)) / svc->prefill;
 		p.cost = prefill + v->mean_ms * busy(v) / v->slots;
-		for (uint32_t f = 0; current && !c->plain && p.keep < x->nparts && f < c->roster->nserver; f++) { /* a colleague server or the store */
+		for (uint32_t f = 0; current && !c->plain && p.keep < x->nparts && f < c->roster->nserver;
+		     f++) { /* a colleague server or the store */
 			double speed = c->roster->server[f].is_store ? svc->store : svc->link, save, cost, fetch;
 			int n;
 
-			if (f == s || c->roster->server[f].service != x->service || !speed || (!c->roster->server[f].is_store && c->sv[f].weights != v->weights) ||
-			    !ctr_standing(c, f, now))
+			if (f == s || c->roster->server[f].service != x->service || !speed ||
+			    (!c->roster->server[f].is_store && c->sv[f].weights != v->weights) || !ctr_standing(c, f, now))
 				continue;
 			n = prefix(c, x, f, v->weights);
 			if (n <= p.keep)
@@ -149,7 +150,7 @@
 	uint64_t age = core_rdv(b->walls ^ c->walled_tick, cut);
 
 	s = apr_psprintf(p, "%s-%" APR_UINT64_T_HEX_FMT "%s%s", w, age & 0xffffffff, b->tenant[tenant].walled ? "-" : "",
-	                    b->tenant[tenant].walled ? c->tenants.name[tenant] : "");
+			 b->tenant[tenant].walled ? c->tenants.name[tenant] : "");
 	return filed ? apr_psprintf(p, "%s~%016" APR_UINT64_T_HEX_FMT, s, filed) : s;
 }
 
@@ -186,7 +187,8 @@
 	double ahead = (double)(v->ahead + ahead_at(c, s, now)) / svc->prefill;
 
 	return ahead + CTR_STEP_MS * (v->own + others) + faded(v->late_ms, v->late_at, now, CTR_LATE_HALF) / 2 +
-	       CTR_FAILED_MS * faded(v->failed, v->failed_at, now, CTR_FAILED_HALF) + (c->roster->server[s].zone == c->zone_hash ? 0 : 1);
+	       CTR_FAILED_MS * faded(v->failed, v->failed_at, now, CTR_FAILED_HALF) +
+	       (c->roster->server[s].zone == c->zone_hash ? 0 : 1);
 }
 
 /* The part that a request shares with others: the last one is its own. */
@@ -223,7 +225,10 @@
 }
 
 /* What an exchange brings to a server's memory that keeps so many of its leading parts. */
-uint32_t ctr_brings(const struct xch *x, int keep) { return x->size - (uint32_t)ctr_tokens_upto(x, keep < x->nparts ? keep : x->nparts); }
+uint32_t ctr_brings(const struct xch *x, int keep)
+{
+	return x->size - (uint32_t)ctr_tokens_upto(x, keep < x->nparts ? keep : x->nparts);
+}
 
 /* Whether one more fits beside what runs there: not so much that kept parts are pushed out by it, nor that it would wait
  * there for long, where no other counter's more urgent one can pass it. What does not fit anywhere waits in its line. */
@@ -232,7 +237,8 @@
 	const struct ctr_server *v = &c->sv[s];
 	int others = others_at(c, s, now);
 	int fresh = now - c->others_fresh <= CTR_LOAD_OLD && s < (uint32_t)arrlen(c->others);
-	uint64_t held = v->tokens + (fresh ? c->others[s].tokens : (uint64_t)others * CTR_MEAN_SIZE), ahead = v->ahead + ahead_at(c, s, now);
+	uint64_t held = v->tokens + (fresh ? c->others[s].tokens : (uint64_t)others * CTR_MEAN_SIZE),
+		 ahead = v->ahead + ahead_at(c, s, now);
 
 	if (v->own + others >= v->slots)
 		return 0;
@@ -300,7 +306,8 @@
 
 		if (!c->depth[s] || sv->service != x->service || sv->is_store || c->sv[s].weights != weights)
 			continue;
-		if (deep >= 0 && (c->depth[s] < c->depth[deep] || (c->depth[s] == c->depth[deep] && c->sv[deep].own <= c->sv[s].own)))
+		if (deep >= 0 &&
+		    (c->depth[s] < c->depth[deep] || (c->depth[s] == c->depth[deep] && c->sv[deep].own <= c->sv[s].own)))
 			continue;
 		if (ctr_standing(c, s, now))
 			deep = (int)s;
@@ -403,10 +410,11 @@
 			read -= 0.7 * (double)ctr_tokens_upto(x, shared) / svc->prefill; /* others will have sent it here */
 		if (from >= 0 && from != (int)s && upto > p.keep && svc->link) {
 			double more = (double)(ctr_tokens_upto(x, upto) - ctr_tokens_upto(x, p.keep));
-			double ms = more * svc->kv_bytes / (c->roster->server[from].is_store ? svc->store ? svc->store : 1 : svc->link);
+			double ms =
+			    more * svc->kv_bytes / (c->roster->server[from].is_store ? svc->store ? svc->store : 1 : svc->link);
 
-			ms = ms * slow_of(c, (uint32_t)from, s, now) * (c->roster->server[from].zone == sv->zone ? 1 : 2) + CTR_FETCH_MS +
-			     link_wait(c, (uint32_t)from, now);
+			ms = ms * slow_of(c, (uint32_t)from, s, now) * (c->roster->server[from].zone == sv->zone ? 1 : 2) +
+			     CTR_FETCH_MS + link_wait(c, (uint32_t)from, now);
 			if (ms < CTR_FETCH_WAIT) {
 				p.from = from;
 				p.upto = upto;
@@ -417,7 +425,8 @@
 		}
 		p.cost = read + load_of(c, s, svc, now);
 		if (p.keep < shared && ((int)s != home || (from >= 0 && from != store && from != (int)s)))
-			p.cost += CTR_AWAY_MS + CTR_AWAY_K * (double)(ctr_tokens_upto(x, shared) - ctr_tokens_upto(x, p.keep)) / 1000;
+			p.cost +=
+			    CTR_AWAY_MS + CTR_AWAY_K * (double)(ctr_tokens_upto(x, shared) - ctr_tokens_upto(x, p.keep)) / 1000;
 		if (best.server < 0 || p.cost < best.cost)
 			best = p;
 	}
--- a/lib/data/ctr_book.c
+++ b/lib/data/ctr_book.c
@@ -70,10 +70,7 @@
 }
 
 /* Where a lane is found by host and path. Example: hmget(b->place, ctr_place("a.example", "/x/", 3)) */
-uint64_t ctr_place(const char *host, const char *path, size_t n)
-{
-	return core_hash(core_hashs(17, host), path, n);
-}
+uint64_t ctr_place(const char *host, const char *path, size_t n) { return core_hash(core_hashs(17, host), path, n); }
 
 static void lane_row(struct ctr *c, struct book *b, const struct Nl__Row *r)
 {
@@ -81,11 +78,26 @@
 	struct bk_lane *l = &b->lane[id];
 	struct bk_split *sp = apr_palloc(b->p, (r->n_split + 1) * sizeof *sp);
 
-	*l = (struct bk_lane){ 1, r->resumable, r->repeatable, r->vouched, r->open, names_id(&c->services, r->service), r->prio, r->limit,
-	                       r->aim, r->pause, r->timeout, r->attempts, apr_pstrdup(b->p, r->host), apr_pstrdup(b->p, r->path), sp, 0 };
+	*l = (struct bk_lane){ 1,
+			       r->resumable,
+			       r->repeatable,
+			       r->vouched,
+			       r->open,
+			       names_id(&c->services, r->service),
+			       r->prio,
+			       r->limit,
+			       r->aim,
+			       r->pause,
+			       r->timeout,
+			       r->attempts,
+			       apr_pstrdup(b->p, r->host),
+			       apr_pstrdup(b->p, r->path),
+			       sp,
+			       0 };
 	for (size_t k = 0; k < r->n_split; k++)
 		if (r->split[k]->weight)
-			sp[l->nsplit++] = (struct bk_split){ names_id(&c->services, r->split[k]->service), upto += r->split[k]->weight };
+			sp[l->nsplit++] =
+			    (struct bk_split){ names_id(&c->services, r->split[k]->service), upto += r->split[k]->weight };
 	if (r->path[0])
 		hmput(b->place, ctr_place(r->host, r->path, strlen(r->path)), id);
 }
@@ -112,7 +124,8 @@
 		hmput(c->named, id, ((typeof(c->named->value)){ 1, { { no, now - c->b.roll_ms / 2 } } }));
 	else if (n->value.v[n->value.n - 1].no != no)
 		named_put(n, no, now);
-	*s = (struct bk_service){ 1, named, r->prefill, r->kv_bytes, r->link, r->store, r->slots, r->watches, r->conns, r->room, -1, m != NULL };
+	*s = (struct bk_service){ 1,        named,      r->prefill, r->kv_bytes, r->link, r->store,
+				  r->slots, r->watches, r->conns,   r->room,     -1,      m != NULL };
 	if (r->addr[0] && !r->store && c->b.sights) /* a store itself, not a service that has one */
 		b->store[b->nstore++] = (int)names_id(&c->servers, apr_pstrcat(b->p, "store:", r->name, NULL));
 	if (r->addr[0] && r->store)
@@ -202,19 +215,20 @@
 	while (arrlen(c->stood) < (ptrdiff_t)b->nservice)
 		arrput(c->stood, now);
 	while (arrlen(c->budget) < (ptrdiff_t)b->nservice)
-		arrput(c->budget, 1000);
+		arrput(c->budget, CTR_RESEND_COST);
 	return b;
 }
 
 /* A service that is not in the table has no place in the book's arrays: its servers do not count. */
-static void roster_put(struct ctr *c, struct roster *r, uint32_t id, const char *service, const char *addr, const char *zone, int draining,
-                       int is_store)
+static void roster_put(struct ctr *c, struct roster *r, uint32_t id, const char *service, const char *addr, const char *zone,
+		       int draining, int is_store)
 {
 	int s = names_find(&c->services, service);
 
 	if (s < 0 || (uint32_t)s >= c->book->nservice)
 		return;
-	r->server[id] = (struct bk_server){ 1, draining, is_store, (uint32_t)s, apr_pstrdup(r->p, addr), core_addr(addr), core_hashs(0, zone) };
+	r->server[id] =
+	    (struct bk_server){ 1, draining, is_store, (uint32_t)s, apr_pstrdup(r->p, addr), core_addr(addr), core_hashs(0, zone) };
 }
 
 /* What the list says of a server; what the server itself said since goes first. */
@@ -273,7 +287,8 @@
 		if (row->kind == NL__KIND__SERVER && !c->b.sights)
 			roster_put(c, r, names_id(&c->servers, row->name), row->service, row->addr, row->zone, row->state != 0, 0);
 		else if (row->kind == NL__KIND__SERVICE && store_row(c, row))
-			roster_put(c, r, names_id(&c->servers, apr_pstrcat(p, "store:", row->name, NULL)), row->name, row->addr, row->zone, 0, 1);
+			roster_put(c, r, names_id(&c->servers, apr_pstrcat(p, "store:", row->name, NULL)), row->name, row->addr,
+				   row->zone, 0, 1);
 	}
 	for (ptrdiff_t i = 0; c->b.sights && i < shlen(g->h); i++) {
 		const struct Nl__Sight *s = g->h[i].value.s;
--- a/lib/data/ctr_in.h
+++ b/lib/data/ctr_in.h
@@ -7,8 +7,10 @@
 #include "ctr.h"
 
 extern const char ctr_no_server[];
-struct plan { int server, keep, from, upto; double cost, fetch, move; /* ms: fetch with its wait, move of the link alone */ };
-
+struct plan {
+	int server, keep, from, upto;
+	double cost, fetch, move; /* ms: fetch with its wait, move of the link alone */
+};
 
 /* ctr_assign.c */
 struct plan ctr_assign(struct ctr *c, const struct xch *x, int64_t now);
--- a/lib/data/ctr_line.c
+++ b/lib/data/ctr_line.c
@@ -48,8 +48,8 @@
 uint32_t ctr_part_of(const struct ctr *c, uint32_t service) { return core_part_of(c->services.name[service], SHARD_SERVICES); }
 
 /* Ask the part's owner, as far as it is known; whom. */
-static uint64_t claim_msg(struct ctr *c, uint32_t service, uint32_t tenant, const char *id, uint64_t seq, int release, uint64_t token,
-                          struct out *o)
+static uint64_t claim_msg(struct ctr *c, uint32_t service, uint32_t tenant, const char *id, uint64_t seq, int release,
+			  uint64_t token, struct out *o)
 {
 	uint32_t part = ctr_part_of(c, service);
 	uint64_t to = follow_seat(&c->f, part);
@@ -151,7 +151,7 @@
 		}
 	}
 	if (x->resend_paid)
-		c->budget[x->service] += 1000; /* never sent again */
+		c->budget[x->service] += CTR_RESEND_COST; /* never sent again */
 	(void)hmdel(c->by, x->token);
 	if (x->claim)
 		(void)hmdel(c->by, x->claim);
@@ -210,7 +210,9 @@
 	}
 	if (x->claim)
 		ctr_claim_release(c, x, now, o); /* the id may be used again */
-	out_answer(o, x->token, status, status == 503 || status == 429 ? back == CTR_SOON ? ctr_retry_soon(c, CTR_SOON) : retry_in(c, back) : 0, ctr_error_json(o->p, why, "refused"));
+	out_answer(o, x->token, status,
+		   status == 503 || status == 429 ? back == CTR_SOON ? ctr_retry_soon(c, CTR_SOON) : retry_in(c, back) : 0,
+		   ctr_error_json(o->p, why, "refused"));
 	c->n.refused++;
 	ctr_xch_drop(c, x);
 }
@@ -242,7 +244,8 @@
 		why = "body: not a JSON object";
 		goto end;
 	}
-	json_object_object_foreach(j, name, val) {
+	json_object_object_foreach(j, name, val)
+	{
 		if (!strcmp(name, "lane") || !strcmp(name, "id") || !strcmp(name, "tail")) {
 			if (!json_object_is_type(val, json_type_string))
 				why = apr_psprintf(p, "%s: not a string", name);
@@ -364,12 +367,16 @@
 	/* one that has just begun knows how long its fleet usually takes to find its owners */
 	if (c->b.sights)
 		back = ctr_retry_soon(c, now - c->opened < CTR_BEGIN ? (int)(CTR_BEGIN - (now - c->opened) + 200) : CTR_RETRY);
-	out_answer(o, token, 503, back, ctr_error_json(o->p, c->stopping ? "this counter is stopping"
-	       : "this counter's configuration is not certain to be in force", "refused"));
+	out_answer(
+	    o, token, 503, back,
+	    ctr_error_json(o->p,
+			   c->stopping ? "this counter is stopping" : "this counter's configuration is not certain to be in force",
+			   "refused"));
 	return 1;
 }
 
-static int refused_line(struct ctr *c, uint64_t token, const struct line *l, uint32_t lane, uint32_t service, int64_t now, struct out *o)
+static int refused_line(struct ctr *c, uint64_t token, const struct line *l, uint32_t lane, uint32_t service, int64_t now,
+			struct out *o)
 {
 	int full = l->n >= c->book->lane[lane].limit;
 
@@ -379,7 +386,7 @@
 	c->n.refused_line += full;
 	c->n.refused_early += !full;
 	out_answer(o, token, full ? 429 : 503, retry_in(c, full ? ctr_expected(l, l->n / 2, now) : CTR_RETRY),
-	           ctr_error_json(o->p, full ? "the line is full" : ctr_no_server, "refused"));
+		   ctr_error_json(o->p, full ? "the line is full" : ctr_no_server, "refused"));
 	return 1;
 }
 
@@ -503,9 +510,11 @@
 				continue;
 			waits = 1;
 			ctr_share_of(b, l->lane, l->tenant, &share, &limit);
-			if ((b->tenant[l->tenant].limit && c->running[l->tenant] >= ctr_held(c, c->tenants.name[l->tenant])) || (limit != UINT32_MAX && l->running >= ctr_held(c, l->name)))
+			if ((b->tenant[l->tenant].limit && c->running[l->tenant] >= ctr_held(c, c->tenants.name[l->tenant])) ||
+			    (limit != UINT32_MAX && l->running >= ctr_held(c, l->name)))
 				continue;
-			if (best && (class_of(b, l) > class_of(b, best) || (class_of(b, l) == class_of(b, best) && l->pass >= best->pass)))
+			if (best &&
+			    (class_of(b, l) > class_of(b, best) || (class_of(b, l) == class_of(b, best) && l->pass >= best->pass)))
 				continue;
 			pl = l->head->forwarded ? ctr_assign_forward(c, l->head, now) : ctr_assign(c, l->head, now);
 			if (pl.server < 0)
@@ -514,7 +523,8 @@
 			best_plan = pl;
 		}
 		if (!best) {
-			c->pump_at = waits ? now + CTR_PUMP : 0; /* all that waits was weighed against all servers: not at every event */
+			c->pump_at =
+			    waits ? now + CTR_PUMP : 0; /* all that waits was weighed against all servers: not at every event */
 			return;
 		}
 		x = best->head;
--- a/lib/data/ctr_load.c
+++ b/lib/data/ctr_load.c
@@ -27,7 +27,8 @@
 }
 
 /* Say what has changed since the last word, or all that is not nothing; nothing is said when nothing has. */
-static void say(struct ctr *c, const uint64_t *to, int n, int of, const struct load_cell *v, struct load_cell **told, int whole, struct out *o)
+static void say(struct ctr *c, const uint64_t *to, int n, int of, const struct load_cell *v, struct load_cell **told, int whole,
+		struct out *o)
 {
 	uint32_t servers = c->roster->nserver;
 	struct Nl__Load *l;
--- a/lib/data/ctr_retention.c
+++ b/lib/data/ctr_retention.c
@@ -7,7 +7,11 @@
 #include "ds.h"
 #include "retention.h"
 
-enum { RETENTION_COUNT = 1000, RETENTION_UNHEARD = 5000, RETENTION_STRETCH = 2000 }; /* ms between countings of what servers still name; after which one is not heard; rows of the index looked at in a tick */
+enum {
+	RETENTION_COUNT = 1000,
+	RETENTION_UNHEARD = 5000,
+	RETENTION_STRETCH = 2000
+}; /* ms between countings of what servers still name; after which one is not heard; rows of the index looked at in a tick */
 
 void ctr_scope_row(struct ctr *c, struct book *b, const struct Nl__Row *r)
 {
@@ -60,9 +64,10 @@
 				const struct bk_scope *s = k ? &c->book->scope[k - 1] : NULL;
 				uint64_t *g = &c->generation[k * PURGE_SLICES + p->slice];
 
-				if (p->number > *g && (s ? (!p->lane[0] || !s->lane_name[0] || !strcmp(p->lane, s->lane_name)) &&
-				                               (!p->tenant[0] || !s->tenant_name[0] || !strcmp(p->tenant, s->tenant_name))
-				                         : !p->lane[0] && !p->tenant[0]))
+				if (p->number > *g &&
+				    (s ? (!p->lane[0] || !s->lane_name[0] || !strcmp(p->lane, s->lane_name)) &&
+					     (!p->tenant[0] || !s->tenant_name[0] || !strcmp(p->tenant, s->tenant_name))
+				       : !p->lane[0] && !p->tenant[0]))
 					*g = p->number;
 			}
 		}
@@ -107,7 +112,8 @@
 	for (ptrdiff_t i = hmlen(c->use) - 1; i >= 0 && p->slice == PURGE_SLICES - 1; i--) {
 		uint64_t key = c->use[i].key;
 
-		if ((!p->lane[0] || !strcmp(p->lane, c->lanes.name[key >> 32])) && (!p->tenant[0] || !strcmp(p->tenant, c->tenants.name[key & UINT32_MAX])))
+		if ((!p->lane[0] || !strcmp(p->lane, c->lanes.name[key >> 32])) &&
+		    (!p->tenant[0] || !strcmp(p->tenant, c->tenants.name[key & UINT32_MAX])))
 			(void)hmdel(c->use, key);
 	}
 }
@@ -151,7 +157,8 @@
 	for (uint32_t s = 0; s < c->roster->nserver; s++) { /* 0 parts: it is not known what it keeps */
 		const struct ctr_server *v = &c->sv[s];
 
-		if (c->roster->server[s].on && (c->b.sights ? now - v->heard > RETENTION_UNHEARD : v->stale || v->counted <= c->cleared_at))
+		if (c->roster->server[s].on &&
+		    (c->b.sights ? now - v->heard > RETENTION_UNHEARD : v->stale || v->counted <= c->cleared_at))
 			left_add(c, left, s, RETENTION_ANY, 0, c->b.sights || v->counted <= c->cleared_at ? 0 : v->stale);
 	}
 }
--- a/lib/data/ctr_send.c
+++ b/lib/data/ctr_send.c
@@ -80,26 +80,32 @@
 	json_object_object_add(j, "tail", json_object_new_string(x->tail));
 	a = json_object_new_array();
 	for (int i = 0; i < pl->keep; i++)
-		json_object_array_add(a, copy_json(c, x->hash[i], ctr_usable(c, x, x->hash[i], (uint32_t)pl->server, x->weights), o->p));
+		json_object_array_add(
+		    a, copy_json(c, x->hash[i], ctr_usable(c, x, x->hash[i], (uint32_t)pl->server, x->weights), o->p));
 	json_object_object_add(j, "reuse", a);
 	if (pl->from >= 0) {
 		struct json_object *f = json_object_new_object();
 
 		a = json_object_new_array();
 		for (int i = pl->keep; i < pl->upto; i++)
-			json_object_array_add(a, copy_json(c, x->hash[i], ctr_usable(c, x, x->hash[i], (uint32_t)pl->from, x->weights), o->p));
+			json_object_array_add(
+			    a, copy_json(c, x->hash[i], ctr_usable(c, x, x->hash[i], (uint32_t)pl->from, x->weights), o->p));
 		json_object_object_add(f, "from", json_object_new_string(c->roster->server[pl->from].addr));
 		json_object_object_add(f, "parts", a);
 		/* no longer than reading them anew would take */
 		read = (double)(ctr_tokens_upto(x, pl->upto) - ctr_tokens_upto(x, pl->keep)) / b->service[x->service].prefill;
-		json_object_object_add(f, "wait_ms", json_object_new_int(read < 1 ? 1 : read > CTR_FETCH_MOST ? CTR_FETCH_MOST : (int)read));
+		json_object_object_add(f, "wait_ms",
+				       json_object_new_int(read < 1                ? 1
+							   : read > CTR_FETCH_MOST ? CTR_FETCH_MOST
+										   : (int)read));
 		json_object_object_add(j, "fetch", f);
 	}
 	k = out_cmd(o, CMD_CALL);
 	k->u.call.token = x->call;
 	k->u.call.addr = apr_pstrdup(o->p, c->roster->server[pl->server].addr);
 	k->u.call.path = "/v1/run";
-	k->u.call.body = apr_pstrdup(o->p, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
+	k->u.call.body =
+	    apr_pstrdup(o->p, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
 	k->u.call.limit_ms = (int)(x->limit - now);
 	k->u.call.stream = 1;
 	k->u.call.not_after = c->f.fresh + ctr_ride(c) + 200; /* a frozen process must not send what was decided before */
@@ -126,7 +132,8 @@
 	x->first = 0;
 	x->call = ctr_token_new(c);
 	hmput(c->by, x->call, x);
-	x->ahead = (uint32_t)(ctr_tokens_upto(x, x->nparts) + x->tail_tokens - ctr_tokens_upto(x, pl->from >= 0 ? pl->upto : pl->keep));
+	x->ahead =
+	    (uint32_t)(ctr_tokens_upto(x, x->nparts) + x->tail_tokens - ctr_tokens_upto(x, pl->from >= 0 ? pl->upto : pl->keep));
 	x->guess = pl->cost + CTR_FIRST_MS;
 	v->own++;
 	v->ahead += x->ahead;
@@ -138,15 +145,17 @@
 	f->server = c->servers.name[pl->server];
 	f->tenant = x->tenant == b->keyless ? NULL : c->tenants.name[x->tenant];
 	f->shelf = current ? ctr_shelf(c, x, v->weights, o->p)
-	           : apr_psprintf(o->p, "cold-%" APR_UINT64_T_HEX_FMT "-%" APR_UINT64_T_FMT, c->id, x->seq);
+			   : apr_psprintf(o->p, "cold-%" APR_UINT64_T_HEX_FMT "-%" APR_UINT64_T_FMT, c->id, x->seq);
 	x->shelf = current ? core_hashs(0, f->shelf) : 0;
 	x->filed = ctr_filed(c, x);
 	f->sink = current ? ctr_sink(c, x, x->shelf, now) : 0;
 	if (pl->from >= 0 && pl->upto > pl->keep)
 		ctr_link_use(c, (uint32_t)pl->from, pl->move, now);
 	if (f->sink)
-		ctr_link_use(c, (uint32_t)ctr_store_of(c, x), (double)x->ahead * b->service[x->service].kv_bytes /
-		             (b->service[x->service].store ? b->service[x->service].store : 1), now);
+		ctr_link_use(c, (uint32_t)ctr_store_of(c, x),
+			     (double)x->ahead * b->service[x->service].kv_bytes /
+				 (b->service[x->service].store ? b->service[x->service].store : 1),
+			     now);
 	x->sink = f->sink ? ctr_store_of(c, x) : -1;
 	f->weights = c->weights.name[v->weights];
 	f->from = pl->from >= 0 ? c->roster->server[pl->from].to : 0;
@@ -245,7 +254,7 @@
 		break;
 	case TABLE_NOT_OWNER:
 		claim_hint(c, x->service, x->asked, from, a->hint);
-		x->asked = 0; /* it did answer */
+		x->asked = 0;                            /* it did answer */
 		x->claim_at = now - CTR_CLAIM_WAIT + 20; /* ask the one named, soon */
 		break;
 	case TABLE_BUSY: x->claim_at = now - CTR_CLAIM_WAIT + 50; break;
@@ -260,7 +269,8 @@
 static void whole(struct ctr *c, struct xch *x, int64_t now, struct out *o)
 {
 	struct ctr_server *v = &c->sv[x->server];
-	const char *body = apr_psprintf(o->p, "{\"end\":true,\"pieces\":%" APR_UINT64_T_FMT ",\"exchange\":\"%s\"}\n", x->next, x->xid);
+	const char *body =
+	    apr_psprintf(o->p, "{\"end\":true,\"pieces\":%" APR_UINT64_T_FMT ",\"exchange\":\"%s\"}\n", x->next, x->xid);
 	struct cmd *k = out_cmd(o, CMD_END);
 
 	k->u.piece.token = x->token;
@@ -272,8 +282,10 @@
 		struct kept_copy n = { (uint32_t)x->server, x->tenant, x->service, x->weights, x->stamp, v->asked + 1 };
 		const struct kept_copy *old = ctr_usable(c, x, x->hash[i], (uint32_t)x->server, x->weights);
 
-		if (!old && view_allows(&c->relay.w, c->services.name[x->service], c->weights.name[x->weights], c->tenants.name[x->tenant],
-		                        c->servers.name[x->server], x->stamp) && ctr_keeps(c, x->service, x->tenant, x->hash[i], x->stamp))
+		if (!old &&
+		    view_allows(&c->relay.w, c->services.name[x->service], c->weights.name[x->weights], c->tenants.name[x->tenant],
+				c->servers.name[x->server], x->stamp) &&
+		    ctr_keeps(c, x->service, x->tenant, x->hash[i], x->stamp))
 			kept_put(&c->kept, x->hash[i], &n);
 	}
 	c->n.answered++;
@@ -296,7 +308,8 @@
 	}
 	if (json_object_object_get_ex(j, "end", &v)) {
 		if (x->from >= 0 && json_object_object_get_ex(j, "fetch_ms", &t))
-			ctr_learn_fetch(c, x, json_object_get_int64(t), json_object_object_get_ex(j, "fetched", &v) ? json_object_get_int(v) : 0, now);
+			ctr_learn_fetch(c, x, json_object_get_int64(t),
+					json_object_object_get_ex(j, "fetched", &v) ? json_object_get_int(v) : 0, now);
 		whole(c, x, now, o);
 		goto end;
 	}
@@ -307,7 +320,7 @@
 	k = out_cmd(o, CMD_PIECE);
 	k->u.piece.token = x->token;
 	k->u.piece.body = apr_psprintf(o->p, "{\"n\":%" APR_UINT64_T_FMT ",\"text\":%s}\n", x->next,
-	                               json_object_to_json_string_ext(t, JSON_C_TO_STRING_PLAIN));
+				       json_object_to_json_string_ext(t, JSON_C_TO_STRING_PLAIN));
 	k->u.piece.len = strlen(k->u.piece.body);
 	x->begun = 1;
 	x->next++;
@@ -332,11 +345,11 @@
 	x->tried = (uint32_t)x->server;
 	x->server = -1;
 	x->state = XCH_CLAIMING;
-	if (c->budget[x->service] < 1000) {
+	if (c->budget[x->service] < CTR_RESEND_COST) {
 		ctr_refuse(c, x, 503, "the server refused, and the budget for resends is spent", CTR_RETRY, now, o);
 		return;
 	}
-	c->budget[x->service] -= 1000 + CTR_BUDGET; /* a resend earns nothing */
+	c->budget[x->service] -= CTR_RESEND_COST + CTR_BUDGET; /* a resend earns nothing */
 	c->n.resends++;
 	ctr_send_claimed(c, x, now, o);
 }
@@ -359,7 +372,7 @@
 	v->late_ms = v->late_ms * 3 / 4 + late / 4;
 	v->late_at = now;
 	if (weights && strcmp(weights, c->weights.name[x->weights]))
-		return; /* not under the weights that its shelf says */
+		return;                                   /* not under the weights that its shelf says */
 	for (int i = 0; x->shelf && i < x->nparts; i++) { /* kept there now, until it is said to be gone */
 		struct kept_copy n = { (uint32_t)x->server, 0, x->service, x->weights, x->stamp, x->filed };
 
@@ -407,7 +420,7 @@
 /* May another server have it? Within its own bound and the fleet's budget for the service. */
 static int again(const struct ctr *c, const struct xch *x, int64_t now)
 {
-	return x->sends < x->attempts && x->unreached < CTR_UNREACHED && (!x->sends || c->budget[x->service] >= 1000) &&
+	return x->sends < x->attempts && x->unreached < CTR_UNREACHED && (!x->sends || c->budget[x->service] >= CTR_RESEND_COST) &&
 	       now + CTR_AGAIN_LEAST < x->limit;
 }
 
@@ -427,7 +440,7 @@
 	if (unreached) { /* nobody heard of this send: it is no try, and what was set aside for it comes back */
 		x->unreached++;
 		if (--x->sends > 0)
-			c->budget[x->service] += 1000;
+			c->budget[x->service] += CTR_RESEND_COST;
 	}
 	if (e->how == CTR_WHOLE) {
 		if (!x->first)
@@ -450,8 +463,9 @@
 			x->tried = s;
 			x->server = -1;
 			x->state = XCH_CLAIMING;
+			/* set aside at once: it may wait in its queue, and others be decided on meanwhile */
 			if (paid)
-				c->budget[x->service] -= 1000; /* set aside at once: it may wait in its line, and others be decided on meanwhile */
+				c->budget[x->service] -= CTR_RESEND_COST;
 			x->resend_paid = paid;
 			c->n.resends++;
 			c->n.taken_up += x->begun != 0;
--- a/lib/data/ctr_watch.c
+++ b/lib/data/ctr_watch.c
@@ -23,7 +23,8 @@
 	char line[300];
 
 	if (!c->sv[s].odd++ && c->log) {
-		apr_snprintf(line, sizeof line, "Step report: server %s: %s; it is passed over until it is mended.", c->servers.name[s], why);
+		apr_snprintf(line, sizeof line, "Step report: server %s: %s; it is passed over until it is mended.",
+			     c->servers.name[s], why);
 		c->log(c->log_ctx, "ctr", line);
 	}
 }
@@ -60,7 +61,9 @@
 	for (size_t i = 0; i < json_object_array_length(parts) && i < CTR_KEPT; i++) {
 		struct json_object *e = json_object_array_get_idx(parts, i);
 		int maker = names_find(&c->tenants, json_str(e, "m")), made_under = weights_of(c, json_str(e, "w"));
-		struct kept_copy n = { s, (uint32_t)maker, c->roster->server[s].service, (uint32_t)made_under, json_num(e, "t"), v->asked };
+		struct kept_copy n = {
+			s, (uint32_t)maker, c->roster->server[s].service, (uint32_t)made_under, json_num(e, "t"), v->asked
+		};
 
 		if (maker < 0 || made_under < 0)
 			continue; /* of nobody that the table ever named here */
@@ -119,7 +122,8 @@
 		k = out_cmd(o, CMD_CALL);
 		k->u.call.token = v->call;
 		k->u.call.addr = apr_pstrdup(o->p, c->roster->server[s].addr);
-		k->u.call.path = apr_psprintf(o->p, "/v1/report?since=%" APR_UINT64_T_FMT "&boot=%" APR_UINT64_T_FMT, v->serial, v->boot);
+		k->u.call.path =
+		    apr_psprintf(o->p, "/v1/report?since=%" APR_UINT64_T_FMT "&boot=%" APR_UINT64_T_FMT, v->serial, v->boot);
 		k->u.call.limit_ms = 800;
 		k->u.call.not_after = now + 800;
 	}
@@ -127,7 +131,10 @@
 
 /* ---- purges ------------------------------------------------------------------------------------- */
 
-struct withdrawn { struct ctr *c; const struct Nl__Value *v; };
+struct withdrawn {
+	struct ctr *c;
+	const struct Nl__Value *v;
+};
 
 static int is_withdrawn(const void *ctx, uint64_t id, const struct kept_copy *k)
 {
@@ -138,7 +145,8 @@
 	if (k->stamp >= w->v->tick)
 		return 0;
 	switch (p->why) {
-	case PURGE_WEIGHTS: return !strcmp(c->services.name[k->service], p->service) && !strcmp(c->weights.name[k->weights], p->weights);
+	case PURGE_WEIGHTS:
+		return !strcmp(c->services.name[k->service], p->service) && !strcmp(c->weights.name[k->weights], p->weights);
 	case PURGE_CONTEXT: /* what is forwarded is filed under another name from now on; its old names go as servers say */
 		return !c->b.sights && !ctr_keeps(c, k->service, k->maker, id, k->stamp);
 	case PURGE_TENANT: return !strcmp(c->tenants.name[k->maker], p->tenant);
@@ -206,7 +214,9 @@
 	}
 	for (size_t i = 0; i < k->n_e; i++) {
 		uint64_t key = ctr_kept_key(core_hashs(0, k->e[i]->shelf), k->e[i]->id);
-		struct kept_copy n = { (uint32_t)s, 0, c->roster->server[s].service, v->weights, 0, ctr_filed_text(k->e[i]->shelf) };
+		struct kept_copy n = {
+			(uint32_t)s, 0, c->roster->server[s].service, v->weights, 0, ctr_filed_text(k->e[i]->shelf)
+		};
 
 		c->n.events++;
 		if (k->e[i]->gone)
--- a/lib/shell/base.c
+++ b/lib/shell/base.c
@@ -35,10 +35,7 @@
 		return; /* nobody listens */
 }
 
-int64_t clock_wall(void)
-{
-	return apr_time_now() / 1000; /* schedules alone */
-}
+int64_t clock_wall(void) { return apr_time_now() / 1000; /* schedules alone */ }
 
 int64_t clock_ms(void)
 {
--- a/lib/shell/call.c
+++ b/lib/shell/call.c
@@ -16,7 +16,13 @@
 
 enum { CALL_LINE = 1 << 20, CALL_BODY = 16 << 20, CALL_CONNECT = 800 };
 
-struct order { int cancel; uint64_t token; char *url, *body; int limit_ms, stream; int64_t not_after; };
+struct order {
+	int cancel;
+	uint64_t token;
+	char *url, *body;
+	int limit_ms, stream;
+	int64_t not_after;
+};
 
 struct one {
 	uint64_t token;
@@ -33,7 +39,10 @@
 	CURLM *m;
 	apr_thread_t *t;
 	volatile int stop;
-	struct { uint64_t key; struct one *value; } *by;
+	struct {
+		uint64_t key;
+		struct one *value;
+	} * by;
 	struct one **anon; /* stb_ds: calls whose answer nobody waits for */
 };
 
@@ -121,7 +130,7 @@
 {
 	struct json_object *j = json_tokener_parse(body), *v;
 	int never = json_object_is_type(j, json_type_object) && json_object_object_get_ex(j, "began", &v) &&
-	            json_object_is_type(v, json_type_boolean) && !json_object_get_boolean(v);
+		    json_object_is_type(v, json_type_boolean) && !json_object_get_boolean(v);
 
 	if (j)
 		json_object_put(j);
@@ -259,8 +268,8 @@
 	curl_multi_wakeup(c->m);
 }
 
-void call_start(struct call *c, uint64_t token, const char *addr, const char *path, const char *body, int limit_ms,
-                int stream, int64_t not_after)
+void call_start(struct call *c, uint64_t token, const char *addr, const char *path, const char *body, int limit_ms, int stream,
+		int64_t not_after)
 {
 	struct order *q = calloc(1, sizeof *q);
 	size_t n = strlen(addr) + strlen(path) + 8;
--- a/lib/shell/http.c
+++ b/lib/shell/http.c
@@ -22,15 +22,15 @@
 #include "shell.h"
 
 enum {
-	BLOCK = 4096,            /* what a buffer begins with; such blocks are kept for the next */
+	BLOCK = 4096, /* what a buffer begins with; such blocks are kept for the next */
 	BLOCKS_KEPT = 256,
 	SCRATCH = 65536,
 	EVENTS = 256,
-	EARLY_MAX = 65536,       /* of bytes that come while a request is being answered */
+	EARLY_MAX = 65536, /* of bytes that come while a request is being answered */
 	CLIENT_HEAD = 65536,
 	CHUNK_LINE = 4096,
 	TRAILERS = 16384,
-	LINGER_MS = 2000,        /* for a caller to take an answer after which we close */
+	LINGER_MS = 2000, /* for a caller to take an answer after which we close */
 	KEPT_MS = 4000,
 	CONNECT_MS = 3000,
 	USER_TIMEOUT = 3000,
@@ -39,25 +39,64 @@
 
 static const int64_t NO_TIME = INT64_MAX;
 
-struct buf { char *d; size_t off, len, cap; };
+struct buf {
+	char *d;
+	size_t off, len, cap;
+};
 
-enum chunk_at { CH_SIZE, CH_EXT, CH_SIZE_LF, CH_DATA, CH_DATA_CR, CH_DATA_LF, CH_LINE, CH_TRAILER, CH_TRAILER_LF, CH_END_LF, CH_DONE };
-struct chunks { enum chunk_at at; int digits; uint64_t left; unsigned line, trailers; };
+enum chunk_at {
+	CH_SIZE,
+	CH_EXT,
+	CH_SIZE_LF,
+	CH_DATA,
+	CH_DATA_CR,
+	CH_DATA_LF,
+	CH_LINE,
+	CH_TRAILER,
+	CH_TRAILER_LF,
+	CH_END_LF,
+	CH_DONE
+};
+struct chunks {
+	enum chunk_at at;
+	int digits;
+	uint64_t left;
+	unsigned line, trailers;
+};
 
 /* what a head says of the connection and of the body */
-struct head { int minor, status, keep_s, whole; int close, chunked, has_len, expect, hosts, bad; uint64_t length; };
+struct head {
+	int minor, status, keep_s, whole;
+	int close, chunked, has_len, expect, hosts, bad;
+	uint64_t length;
+};
 
 enum conn_kind { CONN_DOOR, CONN_SERVER, CONN_CLIENT };
 enum conn_state {
-	ST_LISTEN, ST_PAUSED,
-	ST_HEAD, ST_BODY, ST_BUSY, ST_DONE, ST_LINGER,            /* server: BUSY while the answer is not finished, DONE till it is sent */
-	ST_FAIL, ST_QUEUED, ST_CONNECT, ST_ANSWER, ST_REST, ST_KEPT /* client: REST is the answer's body */
+	ST_LISTEN,
+	ST_PAUSED,
+	ST_HEAD,
+	ST_BODY,
+	ST_BUSY,
+	ST_DONE,
+	ST_LINGER, /* server: BUSY while the answer is not finished, DONE till it is sent */
+	ST_FAIL,
+	ST_QUEUED,
+	ST_CONNECT,
+	ST_ANSWER,
+	ST_REST,
+	ST_KEPT /* client: REST is the answer's body */
 };
 
 enum framing { FR_NONE, FR_LENGTH, FR_CHUNKED, FR_EOF };
 
 struct conn;
-struct peer { uint64_t addr; int open, most; unsigned epoch; struct conn *first, *last; /* kept */ };
+struct peer {
+	uint64_t addr;
+	int open, most;
+	unsigned epoch;
+	struct conn *first, *last; /* kept */
+};
 
 struct srv {
 	struct conn *door;
@@ -65,12 +104,12 @@
 	uint64_t token;
 	struct http_req req;
 	struct buf early;
-	size_t pos, body, body_len;   /* next raw byte; the body's place in the buffer */
+	size_t pos, body, body_len; /* next raw byte; the body's place in the buffer */
 	size_t target;
 	const char *verb;
 	int read, closing, linger, begun, no_body;
 	enum framing out;
-	uint64_t left;                /* of the answer's length */
+	uint64_t left; /* of the answer's length */
 };
 
 struct cli {
@@ -83,7 +122,11 @@
 	enum framing in;
 };
 
-struct listener { int id, port, leaving, burst, checked, inherits; uint64_t turn; struct http_limits lim; };
+struct listener {
+	int id, port, leaving, burst, checked, inherits;
+	uint64_t turn;
+	struct http_limits lim;
+};
 
 struct conn {
 	struct http *h;
@@ -92,31 +135,41 @@
 	enum conn_state st;
 	uint32_t mask;
 	int dead, queued;
-	int64_t due, key;             /* when something is to be done; what the heap believes, never later */
+	int64_t due, key; /* when something is to be done; what the heap believes, never later */
 	int hpos;
 	struct buf in, out;
-	size_t scan;                  /* of a head: lines before it are exact */
-	uint64_t left;                /* of the body being read */
+	size_t scan;   /* of a head: lines before it are exact */
+	uint64_t left; /* of the body being read */
 	struct chunks ck;
 	struct head hd;
 	struct http_field *f;
 	int nf, fcap;
-	union { struct listener d; struct srv s; struct cli k; };
+	union {
+		struct listener d;
+		struct srv s;
+		struct cli k;
+	};
 };
 
-struct call_at { uint64_t key; struct conn *value; };
-struct peer_at { uint64_t key; struct peer *value; };
+struct call_at {
+	uint64_t key;
+	struct conn *value;
+};
+struct peer_at {
+	uint64_t key;
+	struct peer *value;
+};
 
 struct http {
 	struct http_on on;
 	int ep, ev, woken;
 	int64_t now;
 	uint64_t turn, serial;
-	int did;                      /* callbacks were made before the wait of this turn */
+	int did; /* callbacks were made before the wait of this turn */
 	int busy;
 	struct conn **doors, **slot, **todo, **doing, **dead, **heap;
 	uint32_t *free_slot;
-	struct conn *spare;           /* chain through k.next */
+	struct conn *spare; /* chain through k.next */
 	char *block[BLOCKS_KEPT];
 	int nblock;
 	struct call_at *calls;
@@ -476,8 +529,8 @@
 
 	if (!request)
 		return e - p >= 12 && !memcmp(p, "HTTP/1.", 7) && (p[7] == '0' || p[7] == '1') && p[8] == ' ' && p[9] >= '1' &&
-		       p[9] <= '9' && p[10] >= '0' && p[10] <= '9' && p[11] >= '0' && p[11] <= '9' && (e - p == 12 || p[12] == ' ') &&
-		       text_ok(p, e);
+		       p[9] <= '9' && p[10] >= '0' && p[10] <= '9' && p[11] >= '0' && p[11] <= '9' &&
+		       (e - p == 12 || p[12] == ' ') && text_ok(p, e);
 	for (t = p; t < e && tchar[(unsigned char)*t]; t++)
 		;
 	if (t == p || t == e || *t++ != ' ')
@@ -506,7 +559,11 @@
 	return 1;
 }
 
-struct reading { struct conn *c; char *name_end, *value_end; int values, ended; };
+struct reading {
+	struct conn *c;
+	char *name_end, *value_end;
+	int values, ended;
+};
 
 static void terminate(struct reading *r)
 {
@@ -599,12 +656,8 @@
 static void note(struct head *hd, const char *name, size_t nn, const char *v, size_t n)
 {
 	switch (nn) {
-	case 4:
-		hd->hosts += !strncasecmp(name, "host", 4);
-		break;
-	case 6:
-		hd->expect |= !strncasecmp(name, "expect", 6) && has_token(v, n, "100-continue");
-		break;
+	case 4: hd->hosts += !strncasecmp(name, "host", 4); break;
+	case 6: hd->expect |= !strncasecmp(name, "expect", 6) && has_token(v, n, "100-continue"); break;
 	case 10:
 		if (!strncasecmp(name, "connection", 10))
 			hd->close |= has_token(v, n, "close");
@@ -656,8 +709,9 @@
 /* Read the whole head at in[from, to). Fields are offsets into the buffer afterwards. */
 static int head_read(struct conn *c, size_t from, size_t to, int request)
 {
-	static const http_parser_settings set = { .on_url = on_url, .on_header_field = on_field, .on_header_value = on_value,
-	                                          .on_headers_complete = on_head };
+	static const http_parser_settings set = {
+		.on_url = on_url, .on_header_field = on_field, .on_header_value = on_value, .on_headers_complete = on_head
+	};
 	struct reading r = { .c = c };
 	http_parser p;
 
@@ -771,8 +825,7 @@
 				return -1;
 			k->at = CH_DONE;
 			break;
-		case CH_DONE:
-			break;
+		case CH_DONE: break;
 		}
 	}
 	return (ssize_t)i;
@@ -836,8 +889,15 @@
 
 	fields_fix(c);
 	s->token = ++h->serial << SLOT_BITS | s->slot;
-	s->req = (struct http_req){ s->token, s->door->d.id, s->verb, c->in.d + s->target, c->f, c->nf,
-	                            c->hd.has_len || c->hd.chunked ? s->body_len ? c->in.d + s->body : "" : NULL, s->body_len, h->now };
+	s->req = (struct http_req){ s->token,
+				    s->door->d.id,
+				    s->verb,
+				    c->in.d + s->target,
+				    c->f,
+				    c->nf,
+				    c->hd.has_len || c->hd.chunked ? s->body_len ? c->in.d + s->body : "" : NULL,
+				    s->body_len,
+				    h->now };
 	s->begun = s->no_body = 0;
 	s->closing = c->hd.close;
 	c->st = ST_BUSY;
@@ -1065,8 +1125,7 @@
 		if (s->early.len >= EARLY_MAX)
 			conn_mask(c, c->mask & ~(uint32_t)EPOLLIN);
 		break;
-	default:
-		break;
+	default: break;
 	}
 }
 
@@ -1220,8 +1279,7 @@
 		put(h, &c->out, d, n);
 		put(h, &c->out, "\r\n", 2);
 		break;
-	default:
-		put(h, &c->out, d, n);
+	default: put(h, &c->out, d, n);
 	}
 	conn_todo(c);
 }
@@ -1262,7 +1320,9 @@
 
 static struct sockaddr_in sock_addr(uint64_t a)
 {
-	return (struct sockaddr_in){ .sin_family = AF_INET, .sin_addr.s_addr = htonl((uint32_t)(a >> 16)), .sin_port = htons((uint16_t)a) };
+	return (struct sockaddr_in){ .sin_family = AF_INET,
+				     .sin_addr.s_addr = htonl((uint32_t)(a >> 16)),
+				     .sin_port = htons((uint16_t)a) };
 }
 
 int http_listen(struct http *h, const char *addr, int door, const struct http_limits *l)
@@ -1467,7 +1527,8 @@
 	}
 	c->st = ST_CONNECT;
 	conn_mask(c, READ | EPOLLOUT);
-	conn_due(c, sooner(sooner(c->k.not_after == NO_TIME ? NO_TIME : c->k.not_after + 1, c->k.limit_at), h->now + c->k.connect_ms));
+	conn_due(c,
+		 sooner(sooner(c->k.not_after == NO_TIME ? NO_TIME : c->k.not_after + 1, c->k.limit_at), h->now + c->k.connect_ms));
 }
 
 /* Put the call on another connection: nothing of it went out on this one. */
@@ -1602,8 +1663,7 @@
 		if (n)
 			h->on.body(h->on.ctx, c->k.token, d, n);
 		return c->dead;
-	default:
-		return client_whole(c, n);
+	default: return client_whole(c, n);
 	}
 }
 
@@ -1618,8 +1678,8 @@
 	put(h, &c->in, d, n);
 	for (;;) {
 		end = head_end(c, from);
-		if (end < 0 || (end ? (size_t)end : c->in.len) - from > CLIENT_HEAD || (end && !head_read(c, from, (size_t)end, 0)) ||
-		    (end && c->hd.status == 101)) {
+		if (end < 0 || (end ? (size_t)end : c->in.len) - from > CLIENT_HEAD ||
+		    (end && !head_read(c, from, (size_t)end, 0)) || (end && c->hd.status == 101)) {
 			client_broken(c);
 			return 1;
 		}
@@ -1638,7 +1698,9 @@
 	c->left = c->hd.length;
 	c->ck = (struct chunks){ 0 };
 	c->k.in = c->k.is_head || c->hd.status == 204 || c->hd.status == 304 || (c->hd.has_len && !c->left) ? FR_NONE
-	          : c->hd.chunked ? FR_CHUNKED : c->hd.has_len ? FR_LENGTH : FR_EOF;
+		  : c->hd.chunked                                                                           ? FR_CHUNKED
+		  : c->hd.has_len                                                                           ? FR_LENGTH
+													    : FR_EOF;
 	c->st = ST_REST;
 	fields_fix(c);
 	h->did = 1;
@@ -1705,11 +1767,8 @@
 		else
 			client_send(c);
 		return;
-	case ST_KEPT:
-		conn_close(c, 0);
-		return;
-	default:
-		return; /* its start looks for itself */
+	case ST_KEPT: conn_close(c, 0); return;
+	default: return; /* its start looks for itself */
 	}
 }
 
--- a/lib/shell/http.h
+++ b/lib/shell/http.h
@@ -10,22 +10,27 @@
 #include <stdint.h>
 
 struct http;
-struct http_field { const char *name, *value; };
+struct http_field {
+	const char *name, *value;
+};
 
 /* A caller's whole request. It lives until its answer is finished or the caller is gone. */
 struct http_req {
 	uint64_t token;
-	int door;                /* which listener took it */
+	int door; /* which listener took it */
 	const char *verb, *target;
 	const struct http_field *f;
 	int nf;
 	const char *body;
 	size_t len;
-	int64_t at;              /* clock_ms when its last byte was read */
+	int64_t at; /* clock_ms when its last byte was read */
 };
 
 /* What a listener lets callers do. Changed at any time with http_limits. */
-struct http_limits { size_t head, body; int head_ms, idle_ms; };
+struct http_limits {
+	size_t head, body;
+	int head_ms, idle_ms;
+};
 
 /* A call to a server. Fields go out as they are; Host, Content-Length and Connection are not added by themselves,
  * except Content-Length when body is set or len is 0 with a verb that carries bodies. */
@@ -35,21 +40,21 @@
 	int nf;
 	const char *body;
 	size_t len;
-	int64_t not_after;       /* no byte leaves after this clock_ms */
+	int64_t not_after;        /* no byte leaves after this clock_ms */
 	int connect_ms, limit_ms; /* limit: of the whole call */
-	int fresh;               /* never on a kept connection */
+	int fresh;                /* never on a kept connection */
 };
 
 enum http_end {
-	HTTP_WHOLE,  /* the whole answer was read */
-	HTTP_NEVER,  /* no byte of the request ever left this machine, or the kernel says none did */
-	HTTP_BROKE   /* anything else: the server may have begun */
+	HTTP_WHOLE, /* the whole answer was read */
+	HTTP_NEVER, /* no byte of the request ever left this machine, or the kernel says none did */
+	HTTP_BROKE  /* anything else: the server may have begun */
 };
 
 struct http_on {
 	void *ctx;
 	void (*request)(void *ctx, const struct http_req *q);
-	void (*gone)(void *ctx, uint64_t token);                  /* a caller left before its answer was finished */
+	void (*gone)(void *ctx, uint64_t token); /* a caller left before its answer was finished */
 	void (*head)(void *ctx, uint64_t token, int status, const struct http_field *f, int nf);
 	void (*body)(void *ctx, uint64_t token, const char *d, size_t n);
 	void (*done)(void *ctx, uint64_t token, enum http_end how, int status);
@@ -114,7 +119,9 @@
 /* A field's value, or NULL; names in any case. Example: http_get(q->f, q->nf, "host") */
 const char *http_get(const struct http_field *f, int nf, const char *name);
 
-struct http_counts { uint64_t accepted, connects, kept_used, requests, calls, bad; };
+struct http_counts {
+	uint64_t accepted, connects, kept_used, requests, calls, bad;
+};
 struct http_counts http_count(const struct http *h);
 
 #endif
--- a/lib/shell/net.c
+++ b/lib/shell/net.c
@@ -11,18 +11,22 @@
 
 enum { NET_FRAME = 32 << 20, NET_QUEUE = 64 << 20, NET_AGAIN = 200, NET_DIAL = 250, NET_DRAWS = 64 };
 
-struct net_bytes { uint64_t addr; size_t n; uint8_t *d; };
+struct net_bytes {
+	uint64_t addr;
+	size_t n;
+	uint8_t *d;
+};
 
 struct conn {
 	apr_pool_t *p;
 	apr_socket_t *s;
 	apr_pollfd_t fd;
-	uint64_t addr;      /* outgoing: whom to; incoming: 0 */
-	uint8_t *buf;       /* stb_ds: bytes to write or read so far */
+	uint64_t addr; /* outgoing: whom to; incoming: 0 */
+	uint8_t *buf;  /* stb_ds: bytes to write or read so far */
 	size_t at;
 	int up, listed;
 	int64_t again, dialled;
-	int bad;            /* logged that it cannot be reached */
+	int bad; /* logged that it cannot be reached */
 };
 
 struct net {
@@ -32,8 +36,11 @@
 	apr_thread_t *t;
 	struct ring *to, *out;
 	volatile int stop;
-	struct conn **in;   /* stb_ds */
-	struct { uint64_t key; struct conn *value; } *peer;
+	struct conn **in; /* stb_ds */
+	struct {
+		uint64_t key;
+		struct conn *value;
+	} * peer;
 };
 
 static void unlist(struct net *n, struct conn *c)
@@ -60,7 +67,7 @@
 {
 	apr_sockaddr_t *sa = NULL;
 	const char *ip = apr_psprintf(p, "%u.%u.%u.%u", (unsigned)(a >> 40) & 255, (unsigned)(a >> 32) & 255,
-	                              (unsigned)(a >> 24) & 255, (unsigned)(a >> 16) & 255);
+				      (unsigned)(a >> 24) & 255, (unsigned)(a >> 16) & 255);
 
 	apr_sockaddr_info_get(&sa, ip, APR_INET, (apr_port_t)(a & 65535), 0, p);
 	return sa;
--- a/lib/shell/proc.c
+++ b/lib/shell/proc.c
@@ -19,7 +19,15 @@
 #define NL_VERSION "0.1.0"
 #endif
 
-enum { PROC_TICK = 25, PROC_SCAN = 250, PROC_DRAIN = 30000, PROC_RING = 65536, PROC_BATCH = 64, PROC_SETTINGS = 1000, PROC_LEAVE = 50 };
+enum {
+	PROC_TICK = 25,
+	PROC_SCAN = 250,
+	PROC_DRAIN = 30000,
+	PROC_RING = 65536,
+	PROC_BATCH = 64,
+	PROC_SETTINGS = 1000,
+	PROC_LEAVE = 50
+};
 
 uint64_t proc_random(void)
 {
@@ -73,10 +81,14 @@
 		rc = set_bad(program, s->file, "file", "not readable as a JSON object");
 		goto end;
 	}
-	json_object_object_foreach(j, key, v) {
-		const struct { const char *k; const char **to; } str[] = {
+	json_object_object_foreach(j, key, v)
+	{
+		const struct {
+			const char *k;
+			const char **to;
+		} str[] = {
 			{ "listen", &s->listen }, { "advertise", &s->advertise }, { "web", &s->web },
-			{ "zone", &s->zone }, { "data", &s->data }, { "fault", &s->fault },
+			{ "zone", &s->zone },     { "data", &s->data },           { "fault", &s->fault },
 		};
 		int known = 0;
 
@@ -98,7 +110,8 @@
 			}
 			if (!s->nseeds)
 				for (size_t i = 0; i < json_object_array_length(v); i++)
-					s->seed[s->nseeds++] = apr_pstrdup(p, json_object_get_string(json_object_array_get_idx(v, i)));
+					s->seed[s->nseeds++] =
+					    apr_pstrdup(p, json_object_get_string(json_object_array_get_idx(v, i)));
 		}
 		if (!known) {
 			rc = set_bad(program, s->file, key, apr_psprintf(p, "no such key; known: %s", set_keys));
@@ -114,8 +127,13 @@
 static int set_check(const struct settings *s, const char *program, int disk)
 {
 	const char *file = s->file ? s->file : "flags";
-	const struct { const char *k, *v; int must; } addr[] = {
-		{ "listen", s->listen, 1 }, { "web", s->web, 1 }, { "advertise", s->advertise, 0 },
+	const struct {
+		const char *k, *v;
+		int must;
+	} addr[] = {
+		{ "listen", s->listen, 1 },
+		{ "web", s->web, 1 },
+		{ "advertise", s->advertise, 0 },
 	};
 
 	for (size_t i = 0; i < sizeof addr / sizeof *addr; i++)
@@ -135,13 +153,16 @@
 
 int set_read(struct settings *s, const char *program, int disk, int argc, char **argv, apr_pool_t *p)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "say how it is called"), *version = arg_lit0(NULL, "version", "say the version");
+	struct arg_lit *help = arg_lit0("h", "help", "say how it is called"),
+		       *version = arg_lit0(NULL, "version", "say the version");
 	struct arg_lit *check = arg_lit0(NULL, "check", "check the settings and end; no socket opens");
-	struct arg_lit *other = arg_lit0(NULL, "platform", "take all settings from where the platform keeps them; no other flag but --check");
+	struct arg_lit *other =
+	    arg_lit0(NULL, "platform", "take all settings from where the platform keeps them; no other flag but --check");
 	struct arg_file *file = arg_file0("s", "settings", "FILE", "JSON settings; flags go first");
 	struct arg_str *listen = arg_str0("l", "listen", "IP:PORT", "where colleagues reach this process");
 	struct arg_str *adv = arg_str0(NULL, "advertise", "IP:PORT", "the address told to colleagues, if another");
-	struct arg_str *web = arg_str0("w", "web", "IP:PORT", disk ? "where operators and the platform call" : "where callers call");
+	struct arg_str *web =
+	    arg_str0("w", "web", "IP:PORT", disk ? "where operators and the platform call" : "where callers call");
 	struct arg_str *zone = arg_str0("z", "zone", "NAME", "the zone of this machine");
 	struct arg_str *seed = arg_strn(NULL, "seed", "IP:PORT", 0, 8, "another process; give three");
 	struct arg_str *data = arg_str0("d", "data", "FOLDER", disk ? "the data folder" : "unused here");
@@ -170,8 +191,10 @@
 	if (rc >= 0)
 		goto end;
 	if (other->count) {
-		if (!from || listen->count + adv->count + web->count + zone->count + seed->count + data->count + fault->count + file->count) {
-			rc = set_bad(program, "flags", "platform", from ? "no other flag but --check with it" : "not known by this program");
+		if (!from || listen->count + adv->count + web->count + zone->count + seed->count + data->count + fault->count +
+				 file->count) {
+			rc = set_bad(program, "flags", "platform",
+				     from ? "no other flag but --check with it" : "not known by this program");
 			goto end;
 		}
 		if ((rc = from(s, program, disk, p)) >= 0) {
@@ -215,7 +238,14 @@
 
 /* Settings of another form may change at any time, with a signal or without. A file that is torn or bad changes
  * nothing, is said once, and is read again until it is good. */
-struct watch { int64_t at; apr_time_t mtime; apr_ino_t inode; apr_off_t size; int stale; char why[500]; };
+struct watch {
+	int64_t at;
+	apr_time_t mtime;
+	apr_ino_t inode;
+	apr_off_t size;
+	int stale;
+	char why[500];
+};
 
 static int watch_moved(struct watch *w, const char *file, apr_pool_t *p)
 {
@@ -301,10 +331,14 @@
 		case CMD_END: web_piece(p->web, c->u.piece.token, c->u.piece.body, c->u.piece.len, 1, c->u.piece.ok); break;
 		case CMD_CALL:
 			call_start(p->call, c->u.call.token, c->u.call.addr, c->u.call.path, c->u.call.body, c->u.call.limit_ms,
-			           c->u.call.stream, c->u.call.not_after);
+				   c->u.call.stream, c->u.call.not_after);
 			break;
 		case CMD_CANCEL: call_cancel_one(p->call, c->u.cancel.token); break;
-		case CMD_FORWARD: case CMD_LIST: case CMD_LOOK: case CMD_ORDER: case CMD_WATCH: break; /* only doors of other languages have them */
+		case CMD_FORWARD:
+		case CMD_LIST:
+		case CMD_LOOK:
+		case CMD_ORDER:
+		case CMD_WATCH: break; /* only doors of other languages have them */
 		}
 	}
 	out_clear(&p->o);
--- a/lib/shell/shell.h
+++ b/lib/shell/shell.h
@@ -95,18 +95,23 @@
 
 /* Call a server. A POST goes out once and on a connection of its own; stream: lines come as EV_PIECE.
  * Example: call_start(c, token, "127.0.0.1:9000", "/v1/run", body, 60000, 1, not_after); */
-void call_start(struct call *c, uint64_t token, const char *addr, const char *path, const char *body, int limit_ms,
-                int stream, int64_t not_after);
+void call_start(struct call *c, uint64_t token, const char *addr, const char *path, const char *body, int limit_ms, int stream,
+		int64_t not_after);
 void call_cancel_one(struct call *c, uint64_t token);
 void call_close(struct call *c);
 
 /* ---- store ---- */
 struct store;
-struct store_found { uint64_t id, fleet; struct raft_saved part[SHARD_COUNT]; const struct raft_saved *ptr[SHARD_COUNT]; };
+struct store_found {
+	uint64_t id, fleet;
+	struct raft_saved part[SHARD_COUNT];
+	const struct raft_saved *ptr[SHARD_COUNT];
+};
 
 /* Open the data folder; what it holds goes to *f. NULL on a fault, with the reason and the remedy in *why.
  * Example: s = store_open("data", ring, &found, &why, pool); */
-struct store *store_open(const char *folder, const char *fault, struct ring *to, struct store_found *f, const char **why, apr_pool_t *p);
+struct store *store_open(const char *folder, const char *fault, struct ring *to, struct store_found *f, const char **why,
+			 apr_pool_t *p);
 
 /* Write one part's change; EV_SYNCED follows once it is on the disk. Example: store_write(s, persist); */
 void store_write(struct store *s, const struct persist *w);
@@ -126,10 +131,10 @@
 	int nseeds;
 	int check;
 	const char *file;
-	int grace_ms;         /* for a planned stop; 0: as the product has it */
+	int grace_ms; /* for a planned stop; 0: as the product has it */
 	struct bounds bounds;
-	int found;            /* a first start of empty disks: the first seed founds the fleet, once */
-	void *more;           /* what only another language's door knows */
+	int found;  /* a first start of empty disks: the first seed founds the fleet, once */
+	void *more; /* what only another language's door knows */
 	/* Settings in another form than the product's, for --platform; set before set_read. Fills in what flags may not.
 	 * -1 to go on; else an exit code, and in why one line of file, key and range. */
 	int (*other)(struct settings *s, const char *program, int disk, apr_pool_t *p);
@@ -149,8 +154,8 @@
 	int (*open)(void *ctx, struct proc *p);
 	int (*perform)(void *ctx, const struct cmd *c); /* 1: the command was the door's and is done */
 	void (*wait)(void *ctx, int ms);
-	void (*wake)(void *ctx);                        /* by any thread */
-	void (*stop)(void *ctx, int64_t now);           /* a planned stop begins */
+	void (*wake)(void *ctx);              /* by any thread */
+	void (*stop)(void *ctx, int64_t now); /* a planned stop begins */
 	int (*done)(void *ctx, int64_t now);
 	void (*close)(void *ctx);
 };
@@ -175,7 +180,7 @@
 	void *ctx;
 	/* e is NULL for a tick */
 	void (*step)(void *ctx, const struct shell_ev *e, int64_t now, struct out *o);
-	int (*done)(void *ctx); /* while stopping: nothing is under way any more */
+	int (*done)(void *ctx);     /* while stopping: nothing is under way any more */
 	int64_t (*good)(void *ctx); /* until when streams may go on; NULL: for ever */
 	/* Settings of another form were read anew; they live until it returns. NULL: nothing of them can change. */
 	void (*changed)(void *ctx, const struct settings *s);
--- a/lib/shell/store.c
+++ b/lib/shell/store.c
@@ -17,7 +17,10 @@
 #include "ds.h"
 #include "shell.h"
 
-struct store_job { struct persist w; apr_pool_t *p; };
+struct store_job {
+	struct persist w;
+	apr_pool_t *p;
+};
 
 struct store {
 	struct tdb_context *db;
@@ -29,7 +32,7 @@
 	uint64_t last[SHARD_COUNT];
 	volatile uint64_t syncs, refused;
 	int lock;
-	int tidy;            /* what was taken away must not stay in freed pages: a fresh file is due */
+	int tidy; /* what was taken away must not stay in freed pages: a fresh file is due */
 	const char *fault, *folder, *path, *fresh;
 };
 
@@ -66,9 +69,15 @@
 	return buf;
 }
 
-struct meta { uint64_t term, vote; };
-struct snap_head { uint64_t base, base_term, members_len, data_len; };
-struct entry_head { uint64_t term, kind; };
+struct meta {
+	uint64_t term, vote;
+};
+struct snap_head {
+	uint64_t base, base_term, members_len, data_len;
+};
+struct entry_head {
+	uint64_t term, kind;
+};
 
 static int write_one(struct store *s, const struct persist *w)
 {
@@ -228,7 +237,8 @@
 	apr_thread_mutex_unlock(s->m);
 	s->tidy = !ok;
 	if (!ok)
-		log_say(LOG_BAD, "store", "Step tidy: no fresh file could be written; what was cleared stays in freed pages until the next batch.");
+		log_say(LOG_BAD, "store",
+			"Step tidy: no fresh file could be written; what was cleared stays in freed pages until the next batch.");
 }
 
 static void *APR_THREAD_FUNC store_thread(apr_thread_t *t, void *arg)
@@ -249,7 +259,8 @@
 		fault_wait(s);
 		while (!s->stop && !write_batch(s, v, n)) { /* nothing is acknowledged meanwhile: the owner gives up */
 			if (!bad)
-				log_say(LOG_BAD, "store", "Step write: the disk refuses (%s); it is tried again.", tdb_errorstr(s->db));
+				log_say(LOG_BAD, "store", "Step write: the disk refuses (%s); it is tried again.",
+					tdb_errorstr(s->db));
 			bad = 1;
 			s->refused++;
 			apr_sleep(200000);
@@ -277,7 +288,12 @@
 
 /* ---- reading back ---- */
 
-struct reading { struct store_found *f; apr_pool_t *p; const char *bad; struct raft_entry *e[SHARD_COUNT]; /* stb_ds */ };
+struct reading {
+	struct store_found *f;
+	apr_pool_t *p;
+	const char *bad;
+	struct raft_entry *e[SHARD_COUNT]; /* stb_ds */
+};
 
 static int read_one(struct tdb_context *db, TDB_DATA k, TDB_DATA v, void *arg)
 {
@@ -391,7 +407,8 @@
 	return NULL;
 }
 
-struct store *store_open(const char *folder, const char *fault, struct ring *to, struct store_found *f, const char **why, apr_pool_t *p)
+struct store *store_open(const char *folder, const char *fault, struct ring *to, struct store_found *f, const char **why,
+			 apr_pool_t *p)
 {
 	struct store *s = apr_pcalloc(p, sizeof *s);
 	struct reading r = { f, p, NULL, { NULL } };
@@ -417,13 +434,17 @@
 	(void)unlink(s->fresh); /* of a fall in the middle of its writing */
 	s->db = file_open(path, O_RDWR | O_CREAT);
 	if (!s->db) {
-		*why = apr_psprintf(p, "step open: %s is damaged or unreadable (%s); move the folder away and start anew: "
-		                    "the registrar then joins under a new identity", path, strerror(errno));
+		*why = apr_psprintf(p,
+				    "step open: %s is damaged or unreadable (%s); move the folder away and start anew: "
+				    "the registrar then joins under a new identity",
+				    path, strerror(errno));
 		goto bad;
 	}
 	if (tdb_check(s->db, NULL, NULL) != 0 || tdb_traverse_read(s->db, read_one, &r) < 0 || r.bad) {
-		*why = apr_psprintf(p, "step check: %s is damaged%s%s; it is not voted with: move the folder away and start anew, "
-		                    "the registrar then joins under a new identity", path, r.bad ? " at record " : "", r.bad ? r.bad : "");
+		*why = apr_psprintf(p,
+				    "step check: %s is damaged%s%s; it is not voted with: move the folder away and start anew, "
+				    "the registrar then joins under a new identity",
+				    path, r.bad ? " at record " : "", r.bad ? r.bad : "");
 		goto bad;
 	}
 	bad = settle(s, &r, p);
--- a/lib/shell/tool.c
+++ b/lib/shell/tool.c
@@ -41,7 +41,10 @@
 	return hex;
 }
 
-struct grow { char *d; size_t n; };
+struct grow {
+	char *d;
+	size_t n;
+};
 
 static size_t on_body(char *d, size_t one, size_t n, void *arg)
 {
--- a/lib/shell/web.c
+++ b/lib/shell/web.c
@@ -19,14 +19,14 @@
 struct conn {
 	uint64_t token;
 	struct MHD_Connection *c;
-	char *body;          /* stb_ds: received */
+	char *body; /* stb_ds: received */
 	int too_large, asked, suspended, answered;
 	int status, retry_ms;
-	char *reply;         /* a whole answer */
+	char *reply; /* a whole answer */
 	int streaming, ended, ok;
-	char *buf;           /* stb_ds: stream bytes to go */
+	char *buf; /* stb_ds: stream bytes to go */
 	size_t at;
-	int mid;             /* what went last did not end a line */
+	int mid; /* what went last did not end a line */
 };
 
 struct web {
@@ -34,9 +34,12 @@
 	struct ring *to;
 	apr_thread_mutex_t *m;
 	uint64_t token;
-	struct { uint64_t key; struct conn *value; } *by;
+	struct {
+		uint64_t key;
+		struct conn *value;
+	} * by;
 	int closing;
-	int64_t good;        /* streams go no further after it */
+	int64_t good; /* streams go no further after it */
 };
 
 static void wake(struct conn *k)
@@ -67,7 +70,10 @@
 
 static ssize_t stream_more(void *arg, uint64_t pos, char *to, size_t max)
 {
-	struct { struct web *w; uint64_t token; } *x = arg;
+	struct {
+		struct web *w;
+		uint64_t token;
+	} *x = arg;
 	struct conn *k;
 	ssize_t n = 0;
 
@@ -101,7 +107,10 @@
 
 static enum MHD_Result reply_stream(struct web *w, struct conn *k)
 {
-	struct { struct web *w; uint64_t token; } *x = malloc(sizeof *x);
+	struct {
+		struct web *w;
+		uint64_t token;
+	} *x = malloc(sizeof *x);
 	struct MHD_Response *r;
 	enum MHD_Result rc;
 
@@ -135,8 +144,8 @@
 	return hex;
 }
 
-static enum MHD_Result on_request(void *arg, struct MHD_Connection *c, const char *url, const char *method,
-                                  const char *version, const char *data, size_t *n, void **state)
+static enum MHD_Result on_request(void *arg, struct MHD_Connection *c, const char *url, const char *method, const char *version,
+				  const char *data, size_t *n, void **state)
 {
 	struct web *w = arg;
 	struct conn *k = *state;
@@ -236,9 +245,9 @@
 	w->to = to;
 	apr_thread_mutex_create(&w->m, APR_THREAD_MUTEX_DEFAULT, p);
 	w->d = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, w,
-	                        MHD_OPTION_SOCK_ADDR, &sa, MHD_OPTION_NOTIFY_COMPLETED, on_end, w,
-	                        MHD_OPTION_CONNECTION_LIMIT, 20000u, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)64 << 10,
-	                        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+				MHD_OPTION_SOCK_ADDR, &sa, MHD_OPTION_NOTIFY_COMPLETED, on_end, w, MHD_OPTION_CONNECTION_LIMIT,
+				20000u, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)64 << 10, MHD_OPTION_LISTENING_ADDRESS_REUSE,
+				1u, MHD_OPTION_END);
 	if (!w->d) {
 		log_say(LOG_BAD, "web", "Cannot listen at %s: %s.", addr, strerror(errno));
 		return NULL;
--- a/rehearsal/callers.c
+++ b/rehearsal/callers.c
@@ -87,7 +87,8 @@
 /* A part's text: the same words for the same seed. */
 static void words(char *to, size_t n, uint64_t seed)
 {
-	static const char *const w[] = { "register ", "parcel ", "lineage ", "certificate ", "repair ", "arrears ", "tenant ", "record " };
+	static const char *const w[] = { "register ", "parcel ",  "lineage ", "certificate ",
+					 "repair ",   "arrears ", "tenant ",  "record " };
 	size_t k = 0;
 
 	while (k + 16 < n)
@@ -150,9 +151,9 @@
 	curl_slist_free_all(hs);
 	json_object_put(j);
 	outcome = rc == CURLE_OK && status == 200 && r.end == 1 && !r.error[0] ? "whole"
-	          : rc == CURLE_OK && !strcmp(r.outcome, "refused")            ? "refused"
-	          : rc == CURLE_COULDNT_CONNECT                                ? "unreached"
-	                                                                       : "unknown";
+		  : rc == CURLE_OK && !strcmp(r.outcome, "refused")            ? "refused"
+		  : rc == CURLE_COULDNT_CONNECT                                ? "unreached"
+									       : "unknown";
 	rec = json_object_new_object();
 	json_object_object_add(rec, "ev", json_object_new_string("told"));
 	json_object_object_add(rec, "id", json_object_new_string(id));
@@ -192,7 +193,8 @@
 		if (c->stop)
 			break;
 		rng = c->set.seed * 7 + k;
-		tenant = core_rand(&rng) % 2 ? (int)(core_rand(&rng) % 2) : (int)(core_rand(&rng) % (uint64_t)c->set.tenants); /* a few large ones */
+		tenant = core_rand(&rng) % 2 ? (int)(core_rand(&rng) % 2)
+					     : (int)(core_rand(&rng) % (uint64_t)c->set.tenants); /* a few large ones */
 		lane = (int)(core_rand(&rng) % (uint64_t)c->set.nlane);
 		snprintf(id, sizeof id, "x%llu-%llu", (unsigned long long)c->set.seed, (unsigned long long)k);
 		rc = ask(c, id, c->set.counter[core_rand(&rng) % (uint64_t)c->set.ncounter], tenant, lane, core_rand(&rng) % 4, h);
