--- a/rehearsal/check.c
+++ b/rehearsal/check.c
@@ -10,31 +10,64 @@
 
 /* A breach is named by its letter in docs/failures.md. */
 
-struct row { int64_t t; struct json_object *j; const char *ev; };
+struct row {
+	int64_t t;
+	struct json_object *j;
+	const char *ev;
+};
 
 struct id_row { /* what is known of one id */
 	char *key;
-	struct { int began, tries, told; int64_t asked; char server[64]; } value;
+	struct {
+		int began, tries, told;
+		int64_t asked;
+		char server[64];
+	} value;
 };
 struct asking_row { /* of one id at one counter: "ID COUNTER" */
 	char *key;
-	struct { int64_t refused; int open, ran; } value;
+	struct {
+		int64_t refused;
+		int open, ran;
+	} value;
 };
 struct counter_row { /* by the id that it has for one life: where it is, and its editions as probed */
 	char *key;
-	struct { char web[64]; struct { int64_t asked, edition; } *probe; } value;
+	struct {
+		char web[64];
+		struct {
+			int64_t asked, edition;
+		} * probe;
+	} value;
 };
 struct server_row {
 	char *key;
 	struct {
 		int64_t drained, undrained, drain_horizon, up, loaded_at, order_at, fence;
 		char weights[64], giver[32], service[64];
-		struct { int64_t t; char w[64]; } *loads;
+		struct {
+			int64_t t;
+			char w[64];
+		} * loads;
 	} value;
 };
-struct span_row { char *key; struct { int64_t from, to; } value; }; /* to: 0 while it lasts */
-struct table_row { char *key; struct { struct json_object *sure, **maybe; int64_t edition; } value; };
-struct naming { int64_t t; char service[64], weights[64]; };
+struct span_row {
+	char *key;
+	struct {
+		int64_t from, to;
+	} value;
+}; /* to: 0 while it lasts */
+struct table_row {
+	char *key;
+	struct {
+		struct json_object *sure, **maybe;
+		int64_t edition;
+	} value;
+};
+struct naming {
+	int64_t t;
+	char service[64], weights[64];
+};
 
 struct judge {
 	struct check_result *r;
@@ -46,10 +79,18 @@
 	struct server_row *server;
 	struct span_row *removed, *walled;
 	struct table_row *table;
-	struct { char *key; int64_t value; } *ends, *web_edition;
+	struct {
+		char *key;
+		int64_t value;
+	} * ends, *web_edition;
 	struct naming *naming;
-	struct { int64_t edition, t; } *acks;
-	struct { int64_t t; int again; } *tries; /* sends, in order of time */
+	struct {
+		int64_t edition, t;
+	} * acks;
+	struct {
+		int64_t t;
+		int again;
+	} * tries; /* sends, in order of time */
 	int64_t acked, final_edition, horizon, last_fault, back, pause;
 	int64_t sends, firsts, whole, refused, unknown, fresh, tokens, fetched;
 	int closed, finished, probes, records;
@@ -158,8 +199,7 @@
 
 /* ---- one entry of each map, made when it is new ---- */
 
-#define ENTRY(map, k) \
-	(shgeti(map, k) < 0 ? (void)shput(map, k, ((typeof((map)->value)){ 0 })) : (void)0, &shgetp(map, k)->value)
+#define ENTRY(map, k) (shgeti(map, k) < 0 ? (void)shput(map, k, ((typeof((map)->value)){ 0 })) : (void)0, &shgetp(map, k)->value)
 
 static typeof(((struct asking_row *)0)->value) *asking_of(struct judge *g, const char *id, const char *web)
 {
@@ -216,7 +256,8 @@
 	if (!k->asked)
 		breach(g, 'A', "%s was sent, and nobody asked it", id);
 	if (!g->untimed && s->drained && !s->undrained && t - s->drained > 3000)
-		breach(g, 'F', "server %s was sent %s, %lld ms after its drain was acknowledged", sv, id, (long long)(t - s->drained));
+		breach(g, 'F', "server %s was sent %s, %lld ms after its drain was acknowledged", sv, id,
+		       (long long)(t - s->drained));
 	in_force(g, x, t);
 	if (jgeti(j, "refused"))
 		return;
@@ -252,7 +293,8 @@
 			g->back = t;
 		}
 		if (shgeti(g->ends, x) < 0 || shget(g->ends, x) != jgeti(j, "pieces"))
-			breach(g, 'B', "%s: told whole with %lld pieces, which is not the server's whole answer", id, (long long)jgeti(j, "pieces"));
+			breach(g, 'B', "%s: told whole with %lld pieces, which is not the server's whole answer", id,
+			       (long long)jgeti(j, "pieces"));
 	} else if (!strcmp(o, "refused")) {
 		g->refused++;
 		a->refused = t;
@@ -331,7 +373,8 @@
 			breach(g, 'G', "%s of %s used a part made by %s, one of them walled off", id, tn, m);
 		/* a horizon read before the drain was asked for lies below its purge's tick; 7 s are a failover and the stale horizon */
 		if (!g->untimed && s->drained && t - s->drained > 7000 && !jgeti(u, "from") && jgeti(u, "ct") <= s->drain_horizon)
-			breach(g, 'G', "%s used a part made at tick %lld at %s, withdrawn with its drain", id, (long long)jgeti(u, "ct"), sv);
+			breach(g, 'G', "%s used a part made at tick %lld at %s, withdrawn with its drain", id,
+			       (long long)jgeti(u, "ct"), sv);
 	}
 }
 
@@ -380,12 +423,14 @@
 			if (strcmp(s->service, g->naming[i].service) || until - from < 25000)
 				continue;
 			for (ptrdiff_t q = 0; q < arrlen(s->loads); q++)
-				if (!strcmp(s->loads[q].w, g->naming[i].weights) && s->loads[q].t <= until && (s->up > until || s->loads[q].t >= s->up))
+				if (!strcmp(s->loads[q].w, g->naming[i].weights) && s->loads[q].t <= until &&
+				    (s->up > until || s->loads[q].t >= s->up))
 					on = s->loads[q].t;
 			if (!on)
 				breach(g, 'H', "weights %s never reached %s", g->naming[i].weights, g->server[k].key);
 			else if (on - from > 25000)
-				breach(g, 'H', "weights %s reached %s only after %lld ms", g->naming[i].weights, g->server[k].key, (long long)(on - from));
+				breach(g, 'H', "weights %s reached %s only after %lld ms", g->naming[i].weights, g->server[k].key,
+				       (long long)(on - from));
 		}
 	}
 }
@@ -448,15 +493,16 @@
 {
 	if (!want || !have)
 		return !want && !have;
-	json_object_object_foreach(want, name, v)
-		if (!json_object_equal(v, jget(have, name)))
-			return 0;
+	json_object_object_foreach(want, name, v) if (!json_object_equal(v, jget(have, name))) return 0;
 	return 1;
 }
 
 static void judge_table(struct judge *g, struct json_object *rows)
 {
-	struct { char *key; struct json_object *value; } *have = NULL;
+	struct {
+		char *key;
+		struct json_object *value;
+	} *have = NULL;
 
 	for (size_t i = 0; rows && i < json_object_array_length(rows); i++) {
 		struct json_object *row = json_object_array_get_idx(rows, i);
@@ -475,7 +521,8 @@
 		for (ptrdiff_t q = 0; q < arrlen(k->maybe) && !fits; q++)
 			fits = same_row(k->maybe[q], at_end);
 		if (!fits)
-			breach(g, 'K', "what edition %lld said of %s is not in the table at the end", (long long)k->edition, g->table[i].key);
+			breach(g, 'K', "what edition %lld said of %s is not in the table at the end", (long long)k->edition,
+			       g->table[i].key);
 	}
 	shfree(have);
 }
@@ -575,16 +622,18 @@
 		if (g->server[i].value.service[0] && !g->server[i].value.up)
 			undecided(g, "no records of server %s", g->server[i].key);
 	if (g->final_edition >= 0 && g->final_edition < g->acked)
-		breach(g, 'K', "the acknowledged edition %lld is lost: the table ends at %lld", (long long)g->acked, (long long)g->final_edition);
+		breach(g, 'K', "the acknowledged edition %lld is lost: the table ends at %lld", (long long)g->acked,
+		       (long long)g->final_edition);
 	judge_resends(g);
 	if (!g->untimed && arrlen(g->row))
 		judge_namings(g, arrlast(g->row).t);
 	if (!g->untimed && g->last_fault && (!g->back || g->pause > 12000))
 		breach(g, 'L', "service was not back 12 s after the last fault");
 	if (!g->closed || !g->finished || !g->records || !g->probes || g->final_edition < 0 || !g->whole)
-		undecided(g, "%s%s%s%s%s%s", g->closed ? "" : "callers' records are not closed; ", g->finished ? "" : "the run did not finish; ",
-		          g->records ? "" : "no server's records; ", g->probes ? "" : "no probes; ", g->final_edition < 0 ? "no final table; " : "",
-		          g->whole ? "" : "not one whole answer");
+		undecided(g, "%s%s%s%s%s%s", g->closed ? "" : "callers' records are not closed; ",
+			  g->finished ? "" : "the run did not finish; ", g->records ? "" : "no server's records; ",
+			  g->probes ? "" : "no probes; ", g->final_edition < 0 ? "no final table; " : "",
+			  g->whole ? "" : "not one whole answer");
 }
 
 int check_folder(const char *folder, int untimed, struct check_result *res)
@@ -619,9 +668,11 @@
 		if (!take(&g, &g.row[i]))
 			undecided(&g, "a record of an unknown kind: %s", g.row[i].ev);
 	judge_end(&g);
-	say(res, "exchanges %lld, sends %lld, whole %lld, refused %lld, unknown %lld, probes %d, prompt tokens %lld, read anew %lld (%.1f %%), parts fetched %lld",
-	    (long long)g.firsts, (long long)g.sends, (long long)g.whole, (long long)g.refused, (long long)g.unknown, g.probes, (long long)g.tokens,
-	    (long long)g.fresh, g.tokens ? 100.0 * (double)g.fresh / (double)g.tokens : 0.0, (long long)g.fetched);
+	say(res,
+	    "exchanges %lld, sends %lld, whole %lld, refused %lld, unknown %lld, probes %d, prompt tokens %lld, read anew %lld (%.1f %%), parts fetched %lld",
+	    (long long)g.firsts, (long long)g.sends, (long long)g.whole, (long long)g.refused, (long long)g.unknown, g.probes,
+	    (long long)g.tokens, (long long)g.fresh, g.tokens ? 100.0 * (double)g.fresh / (double)g.tokens : 0.0,
+	    (long long)g.fetched);
 	if (g.last_fault)
 		say(res, ", longest pause after the last fault %lld ms", (long long)(g.back ? g.pause : -1));
 	say(res, "\n%s\n", res->undecided ? "undecided" : res->breaches ? "FAILED" : "good");
--- a/rehearsal/hollow.c
+++ b/rehearsal/hollow.c
@@ -13,12 +13,26 @@
 #include "ds.h"
 #include "reg.h"
 
-enum { TICK = 25, START = 1000000, SLOTS_SERVER = 16, SLOTS_LISTED = 128, EVENTS_LATE = 80, KEEP_MOST = 20000, OUTSIDE = 64, SLOT_RUN = 92, SLOT_ORDER, SLOT_OUT, SLOT_MOST };
+enum {
+	TICK = 25,
+	START = 1000000,
+	SLOTS_SERVER = 16,
+	SLOTS_LISTED = 128,
+	EVENTS_LATE = 80,
+	KEEP_MOST = 20000,
+	OUTSIDE = 64,
+	SLOT_RUN = 92,
+	SLOT_ORDER,
+	SLOT_OUT,
+	SLOT_MOST
+};
 
 const struct hollow_set hollow_default = { 9, 4, 18, 4, 12, 0, 10, 0, 0, 8, 1, 180, 0, 0, 1, 0 };
 
 /* What was counted in the window under one kind: of message by its place in the body, from OUTSIDE on of event. */
-struct tally { uint64_t sent, sent_bytes, heard, heard_bytes, ns, codec_ns; };
+struct tally {
+	uint64_t sent, sent_bytes, heard, heard_bytes, ns, codec_ns;
+};
 
 struct node {
 	int no, counter;
@@ -29,12 +43,25 @@
 	struct out o;
 	uint64_t syncs, disk;
 	struct tally t[SLOT_MOST];
-	struct { uint32_t part; uint64_t seq; } *writes; /* stb_ds, oldest first */
+	struct {
+		uint32_t part;
+		uint64_t seq;
+	} * writes; /* stb_ds, oldest first */
 };
 
-struct block { uint64_t h, t; uint32_t maker, shelf; };
-struct kept_event { uint64_t id; uint32_t shelf; int gone; };
-struct watch { int node, due; uint64_t life, token, since; };
+struct block {
+	uint64_t h, t;
+	uint32_t maker, shelf;
+};
+struct kept_event {
+	uint64_t id;
+	uint32_t shelf;
+	int gone;
+};
+struct watch {
+	int node, due;
+	uint64_t life, token, since;
+};
 struct server {
 	uint64_t addr, serial;
 	int running, at;
@@ -47,12 +74,46 @@
 	struct watch *watch;    /* stb_ds: held */
 };
 
-enum ev_kind { HO_TICK, HO_MSG, HO_SYNC, HO_CALLED, HO_ARRIVE, HO_STREAM, HO_DONE, HO_LOAD, HO_CHURN, HO_CHANGE, HO_RESTART, HO_WATCHED, HO_LISTED, HO_LOOKED, HO_ORDERED };
-struct ev { int64_t at; uint64_t seq, life, token; enum ev_kind kind; int node, server, status; size_t n; uint8_t *d; };
+enum ev_kind {
+	HO_TICK,
+	HO_MSG,
+	HO_SYNC,
+	HO_CALLED,
+	HO_ARRIVE,
+	HO_STREAM,
+	HO_DONE,
+	HO_LOAD,
+	HO_CHURN,
+	HO_CHANGE,
+	HO_RESTART,
+	HO_WATCHED,
+	HO_LISTED,
+	HO_LOOKED,
+	HO_ORDERED
+};
+struct ev {
+	int64_t at;
+	uint64_t seq, life, token;
+	enum ev_kind kind;
+	int node, server, status;
+	size_t n;
+	uint8_t *d;
+};
 
-struct run { int node, server, next, over; uint64_t life, token; char xid[80]; };
-struct ask { int64_t at; int node; uint64_t part[3]; };
-struct change { uint64_t token, edition; int64_t acked; };
+struct run {
+	int node, server, next, over;
+	uint64_t life, token;
+	char xid[80];
+};
+struct ask {
+	int64_t at;
+	int node;
+	uint64_t part[3];
+};
+struct change {
+	uint64_t token, edition;
+	int64_t acked;
+};
 
 struct fleet {
 	struct hollow_set s;
@@ -61,20 +122,32 @@
 	int nn;
 	struct node *n;
 	struct server *sv;
-	struct ev *q;        /* stb_ds heap */
-	struct run *run;     /* stb_ds */
-	int *idle;           /* stb_ds: runs that are over */
-	struct { uint64_t key; int value; } *by;          /* stb_ds: node and token of a send -> its run */
-	struct { uint64_t key; struct ask value; } *asks; /* stb_ds: caller's token */
-	struct change *change;                            /* stb_ds */
-	struct { int n; int64_t last; } *reached;         /* stb_ds, by edition: counters that have it, and when the last came to */
+	struct ev *q;    /* stb_ds heap */
+	struct run *run; /* stb_ds */
+	int *idle;       /* stb_ds: runs that are over */
+	struct {
+		uint64_t key;
+		int value;
+	} * by; /* stb_ds: node and token of a send -> its run */
+	struct {
+		uint64_t key;
+		struct ask value;
+	} * asks;              /* stb_ds: caller's token */
+	struct change *change; /* stb_ds */
+	struct {
+		int n;
+		int64_t last;
+	} * reached; /* stb_ds, by edition: counters that have it, and when the last came to */
 	uint64_t edition, web;
 	int web_status, changed, restarted;
 	int64_t load_acc, churn_acc;
 	uint64_t asked, whole, refused, unknown, sends, pieces, send_ms, first_ms, first_n;
 	int64_t send_most;
-	struct { char *key; uint32_t value; } *shelves; /* stb_ds: under which name parts are kept */
-	char **shelf;                                   /* stb_ds */
+	struct {
+		char *key;
+		uint32_t value;
+	} * shelves;  /* stb_ds: under which name parts are kept */
+	char **shelf; /* stb_ds */
 	apr_pool_t *pool;
 };
 
@@ -199,8 +272,12 @@
 	for (ptrdiff_t i = 0; i < arrlen(v->watch); i++)
 		if (!v->watch[i].due) {
 			v->watch[i].due = 1;
-			push(f, (struct ev){ .at = f->now + EVENTS_LATE, .kind = HO_WATCHED, .node = v->watch[i].node, .life = v->watch[i].life,
-			                     .token = v->watch[i].token, .server = (int)(v - f->sv) });
+			push(f, (struct ev){ .at = f->now + EVENTS_LATE,
+					     .kind = HO_WATCHED,
+					     .node = v->watch[i].node,
+					     .life = v->watch[i].life,
+					     .token = v->watch[i].token,
+					     .server = (int)(v - f->sv) });
 		}
 }
 
@@ -233,14 +310,16 @@
 	char *d;
 
 	(void)f;
-	n = (size_t)snprintf(head, sizeof head, "{\"weights\":\"%s\",\"loading\":\"\",\"slots\":%d,\"running\":%d,\"serial\":%llu,\"boot\":1", v->weights,
-	                     SLOTS_SERVER, v->running, (unsigned long long)v->serial);
+	n = (size_t)snprintf(head, sizeof head,
+			     "{\"weights\":\"%s\",\"loading\":\"\",\"slots\":%d,\"running\":%d,\"serial\":%llu,\"boot\":1",
+			     v->weights, SLOTS_SERVER, v->running, (unsigned long long)v->serial);
 	if (!fresh && !v->text) {
 		v->text = malloc(64 + (size_t)arrlen(v->kept) * 100);
 		k = (size_t)sprintf(v->text, ",\"parts\":[");
 		for (ptrdiff_t i = 0; i < arrlen(v->kept); i++)
-			k += (size_t)sprintf(v->text + k, "%s{\"h\":\"%016llx\",\"w\":\"%s\",\"m\":\"t%u\",\"t\":%llu,\"n\":64}", i ? "," : "",
-			                     (unsigned long long)v->kept[i].h, v->weights, v->kept[i].maker, (unsigned long long)v->kept[i].t);
+			k += (size_t)sprintf(v->text + k, "%s{\"h\":\"%016llx\",\"w\":\"%s\",\"m\":\"t%u\",\"t\":%llu,\"n\":64}",
+					     i ? "," : "", (unsigned long long)v->kept[i].h, v->weights, v->kept[i].maker,
+					     (unsigned long long)v->kept[i].t);
 		v->text[k++] = ']';
 		v->len = k;
 	}
@@ -592,8 +671,12 @@
 			break;
 		case CMD_LOOK:
 			say(n, OUTSIDE + REG_LOOKED, 100);
-			push(f, (struct ev){ .at = f->now + 4, .kind = HO_LOOKED, .node = n->no, .life = n->life, .token = c->u.look.token,
-			                     .d = (uint8_t *)strdup(c->u.look.server) });
+			push(f, (struct ev){ .at = f->now + 4,
+					     .kind = HO_LOOKED,
+					     .node = n->no,
+					     .life = n->life,
+					     .token = c->u.look.token,
+					     .d = (uint8_t *)strdup(c->u.look.server) });
 			break;
 		case CMD_ORDER: { /* weights are there at once */
 			struct server *v = server_at(f, c->u.order.addr);
@@ -641,7 +724,10 @@
 {
 	struct node *n = &f->n[f->s.registrars + (int)rnd(f, (uint64_t)f->s.nodes)];
 	int tenant = (int)rnd(f, (uint64_t)f->s.tenants), lane = (int)rnd(f, (uint64_t)f->s.lanes), matter = (int)rnd(f, 200);
-	struct ask a = { f->now, n->no, { core_rdv(1, (uint64_t)lane), core_rdv((uint64_t)lane, (uint64_t)tenant), core_rdv((uint64_t)tenant << 32 | (uint64_t)lane, (uint64_t)matter) } };
+	struct ask a = { f->now,
+			 n->no,
+			 { core_rdv(1, (uint64_t)lane), core_rdv((uint64_t)lane, (uint64_t)tenant),
+			   core_rdv((uint64_t)tenant << 32 | (uint64_t)lane, (uint64_t)matter) } };
 	struct ctr_ev ev = { .kind = CTR_EXCHANGE };
 	struct ctr_asking q;
 	char key[65], body[700], path[30], id[30];
@@ -673,8 +759,10 @@
 		slot = OUTSIDE + CTR_ASKED;
 		hear(n, slot, 500);
 	} else {
-		snprintf(body, sizeof body, "{\"lane\":\"l%d\",\"id\":\"%s\",\"limit_ms\":20000,\"parts\":[\"the part of all of lane %d, quite long as such parts are\",\"the part of tenant %d\",\"matter %d of that tenant, with what was written about it and the rules that apply to it\"],\"tail\":\"what is asked\"}",
-		         lane, id, lane, tenant, matter);
+		snprintf(
+		    body, sizeof body,
+		    "{\"lane\":\"l%d\",\"id\":\"%s\",\"limit_ms\":20000,\"parts\":[\"the part of all of lane %d, quite long as such parts are\",\"the part of tenant %d\",\"matter %d of that tenant, with what was written about it and the rules that apply to it\"],\"tail\":\"what is asked\"}",
+		    lane, id, lane, tenant, matter);
 		ev.u.exchange.token = f->token;
 		ev.u.exchange.digest = key;
 		ev.u.exchange.body = body;
@@ -704,7 +792,7 @@
 	int no = f->changed++;
 
 	snprintf(body, sizeof body, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t%d\",\"share\":%d,\"limit\":%d,\"walled\":%s}]}",
-	         no / 2 % f->s.tenants, 1 + no % 7, f->s.listed ? 0 : 100000, no % 8 == 7 ? "true" : "false");
+		 no / 2 % f->s.tenants, 1 + no % 7, f->s.listed ? 0 : 100000, no % 8 == 7 ? "true" : "false");
 	c.token = f->token + 1; /* the answer may come within the step */
 	arrput(f->change, c);
 	operate(f, "/v1/change", body);
@@ -895,7 +983,9 @@
 	struct run *r = &f->run[i];
 	struct node *n = &f->n[r->node];
 	struct server *v = &f->sv[r->server];
-	struct ctr_ended done = { .token = r->token, .how = CTR_WHOLE, .status = 200, .began = 1, .slots = SLOTS_LISTED, .weights = v->weights };
+	struct ctr_ended done = {
+		.token = r->token, .how = CTR_WHOLE, .status = 200, .began = 1, .slots = SLOTS_LISTED, .weights = v->weights
+	};
 	struct ctr_ev ev = { .kind = CTR_BEGAN };
 	int slot = OUTSIDE + CTR_BEGAN;
 
@@ -1097,19 +1187,40 @@
 	apr_pool_create(&p, f->pool);
 	for (int i = 0; i < nsvc && s->listed; i++) {
 		arrput(rows, apr_psprintf(p, "{\"kind\":\"model\",\"name\":\"d%d\",\"weights\":\"1\"}", i));
-		arrput(rows, apr_psprintf(p, "{\"kind\":\"service\",\"name\":\"m%d\",\"model\":\"d%d\",\"prefill\":112,\"kv_bytes\":18432,\"link\":46250000,\"slots\":%d,\"conns\":630,\"watches\":64,\"room\":239003}", i, i, SLOTS_LISTED));
+		arrput(
+		    rows,
+		    apr_psprintf(
+			p,
+			"{\"kind\":\"service\",\"name\":\"m%d\",\"model\":\"d%d\",\"prefill\":112,\"kv_bytes\":18432,\"link\":46250000,\"slots\":%d,\"conns\":630,\"watches\":64,\"room\":239003}",
+			i, i, SLOTS_LISTED));
 	}
 	for (int i = 0; i < nsvc && !s->listed; i++)
-		arrput(rows, apr_psprintf(p, "{\"kind\":\"service\",\"name\":\"m%d\",\"weights\":\"w1\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000}", i));
+		arrput(
+		    rows,
+		    apr_psprintf(
+			p,
+			"{\"kind\":\"service\",\"name\":\"m%d\",\"weights\":\"w1\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000}",
+			i));
 	for (int i = 0; i < s->lanes; i++)
-		arrput(rows, apr_psprintf(p, "{\"kind\":\"lane\",\"name\":\"l%d\",\"service\":\"m%d\",\"prio\":%d,\"limit\":1000%s}", i, i % nsvc, i % 3,
-		       !s->listed ? "" : apr_psprintf(p, ",\"host\":\"a.example\",\"path\":\"/l%d/\",\"vouched\":true,\"aim\":360,\"pause\":72,\"attempts\":2", i)));
+		arrput(
+		    rows,
+		    apr_psprintf(
+			p, "{\"kind\":\"lane\",\"name\":\"l%d\",\"service\":\"m%d\",\"prio\":%d,\"limit\":1000%s}", i, i % nsvc,
+			i % 3,
+			!s->listed
+			    ? ""
+			    : apr_psprintf(
+				  p,
+				  ",\"host\":\"a.example\",\"path\":\"/l%d/\",\"vouched\":true,\"aim\":360,\"pause\":72,\"attempts\":2",
+				  i)));
 	for (int i = 0; i < s->tenants; i++) {
-		arrput(rows, apr_psprintf(p, "{\"kind\":\"tenant\",\"name\":\"t%d\",\"share\":1,\"limit\":%d}", i, s->listed ? 0 : 100000));
+		arrput(rows, apr_psprintf(p, "{\"kind\":\"tenant\",\"name\":\"t%d\",\"share\":1,\"limit\":%d}", i,
+					  s->listed ? 0 : 100000));
 		arrput(rows, apr_psprintf(p, "{\"kind\":\"key\",\"name\":\"%s\",\"tenant\":\"t%d\"}", digest(hex, i), i));
 	}
 	for (int i = 0; i < s->servers && !s->listed; i++)
-		arrput(rows, apr_psprintf(p, "{\"kind\":\"server\",\"name\":\"s%d\",\"service\":\"m%d\",\"addr\":\"%s\"}", i, i % nsvc, core_addr_str(p, f->sv[i].addr)));
+		arrput(rows, apr_psprintf(p, "{\"kind\":\"server\",\"name\":\"s%d\",\"service\":\"m%d\",\"addr\":\"%s\"}", i,
+					  i % nsvc, core_addr_str(p, f->sv[i].addr)));
 	for (int i = 0; i < arrlen(rows) && ok; i += 300)
 		ok = set_rows(f, rows, i, (int)arrlen(rows) - i < 300 ? (int)arrlen(rows) - i : 300);
 	arrfree(rows);
@@ -1228,8 +1339,10 @@
 
 static const char *slot_name(int slot, int counter)
 {
-	static const char *const ctr[] = { "tick", "msg", "exchange", "gone", "piece", "done", "look", "web", "stop", "asked", "began", "ended", "watched" };
-	static const char *const reg[] = { "tick", "msg", "synced", "web", "look", "stop", "doc", "read", "name", "listed", "looked", "ordered" };
+	static const char *const ctr[] = { "tick", "msg",  "exchange", "gone",  "piece", "done",   "look",
+					   "web",  "stop", "asked",    "began", "ended", "watched" };
+	static const char *const reg[] = { "tick", "msg",  "synced", "web",    "look",   "stop",
+					   "doc",  "read", "name",   "listed", "looked", "ordered" };
 	const ProtobufCFieldDescriptor *d;
 	unsigned k = (unsigned)slot - OUTSIDE;
 
@@ -1237,8 +1350,12 @@
 		d = protobuf_c_message_descriptor_get_field(&nl__msg__descriptor, (unsigned)slot);
 		return d ? d->name : "other";
 	}
-	return slot == SLOT_RUN ? "run" : slot == SLOT_ORDER ? "order" : slot == SLOT_OUT ? "passed"
-	       : counter && k < sizeof ctr / sizeof *ctr ? ctr[k] : !counter && k < sizeof reg / sizeof *reg ? reg[k] : "event";
+	return slot == SLOT_RUN                           ? "run"
+	       : slot == SLOT_ORDER                       ? "order"
+	       : slot == SLOT_OUT                         ? "passed"
+	       : counter && k < sizeof ctr / sizeof *ctr  ? ctr[k]
+	       : !counter && k < sizeof reg / sizeof *reg ? reg[k]
+							  : "event";
 }
 
 /* What callers' own bytes cost is not control. */
@@ -1247,7 +1364,8 @@
 	int k = slot - OUTSIDE;
 
 	return slot == SLOT_RUN || slot == SLOT_OUT ||
-	       (counter && (k == CTR_EXCHANGE || k == CTR_GONE || k == CTR_PIECE || k == CTR_DONE || k == CTR_ASKED || k == CTR_BEGAN || k == CTR_ENDED));
+	       (counter && (k == CTR_EXCHANGE || k == CTR_GONE || k == CTR_PIECE || k == CTR_DONE || k == CTR_ASKED ||
+			    k == CTR_BEGAN || k == CTR_ENDED));
 }
 
 enum role { ROLE_COUNTER, ROLE_RELAY, ROLE_REGISTRAR, ROLES };
@@ -1263,8 +1381,12 @@
 
 static double of(const struct tally *t, enum measure m)
 {
-	return m == SENT ? (double)t->sent : m == SENT_BYTES ? (double)t->sent_bytes : m == HEARD ? (double)t->heard
-	       : m == HEARD_BYTES ? (double)t->heard_bytes : m == CPU ? (double)t->ns / 1000 : (double)t->codec_ns / 1000;
+	return m == SENT          ? (double)t->sent
+	       : m == SENT_BYTES  ? (double)t->sent_bytes
+	       : m == HEARD       ? (double)t->heard
+	       : m == HEARD_BYTES ? (double)t->heard_bytes
+	       : m == CPU         ? (double)t->ns / 1000
+				  : (double)t->codec_ns / 1000;
 }
 
 static void role_rows(struct fleet *f, struct hollow_result *r, enum role role)
@@ -1289,7 +1411,8 @@
 					sum += v;
 					most = v > most ? v : most;
 				}
-			row(r, sum / n / s, most / s, "%s.%s.%s", role_name[role], measure_name[m], slot_name(slot, role != ROLE_REGISTRAR));
+			row(r, sum / n / s, most / s, "%s.%s.%s", role_name[role], measure_name[m],
+			    slot_name(slot, role != ROLE_REGISTRAR));
 		}
 		for (int i = 0; i < f->nn; i++) {
 			double c = 0, d = 0;
@@ -1441,7 +1564,8 @@
 	if (table_follow(&tab, &all) && all.n_set)
 		row(r, (double)(heap() - was) / (double)all.n_set, (double)(heap() - was) / (double)all.n_set, "state.row_bytes");
 	table_close(&tab);
-	row(r, (double)protobuf_c_message_get_packed_size(&all.base), (double)protobuf_c_message_get_packed_size(&all.base), "state.table_packed_bytes");
+	row(r, (double)protobuf_c_message_get_packed_size(&all.base), (double)protobuf_c_message_get_packed_size(&all.base),
+	    "state.table_packed_bytes");
 	apr_pool_destroy(p);
 }
 
@@ -1538,19 +1662,24 @@
 /* Coefficients as runs showed them, rounded up (docs/CAPACITY.md). */
 uint64_t hollow_needs(const struct hollow_set *s)
 {
-	uint64_t nodes = (uint64_t)s->nodes + (uint64_t)s->registrars, svc = (uint64_t)s->servers, rows = svc + 2 * (uint64_t)s->tenants + 2 * (uint64_t)s->lanes;
+	uint64_t nodes = (uint64_t)s->nodes + (uint64_t)s->registrars, svc = (uint64_t)s->servers,
+		 rows = svc + 2 * (uint64_t)s->tenants + 2 * (uint64_t)s->lanes;
 
-	return (32u << 20) + nodes * (200000 + 900 * rows) + (uint64_t)s->nodes * 300 * (uint64_t)s->parts + svc * 1000 + 150 * (uint64_t)s->parts +
-	       (uint64_t)s->rate * (uint64_t)(s->seconds + 4) * 1500 + (uint64_t)s->events * 100;
+	return (32u << 20) + nodes * (200000 + 900 * rows) + (uint64_t)s->nodes * 300 * (uint64_t)s->parts + svc * 1000 +
+	       150 * (uint64_t)s->parts + (uint64_t)s->rate * (uint64_t)(s->seconds + 4) * 1500 + (uint64_t)s->events * 100;
 }
 
 const char *hollow_refuse(const struct hollow_set *s, char *buf, size_t n)
 {
-	const struct { const char *name; int64_t v, least, most; } in[] = {
-		{ "nodes", s->nodes, 1, 4000 }, { "registrars", s->registrars, 3, 24 }, { "servers", s->servers, 1, 20000 },
-		{ "tenants", s->tenants, 1, 20000 }, { "lanes", s->lanes, 1, 4000 }, { "zones", s->zones, 0, 200 },
-		{ "seconds", s->seconds, 1, 3600 }, { "changes", s->changes, 0, 100000 }, { "restarts", s->restarts, 0, 10000 },
-		{ "pieces", s->pieces, 1, 10000 }, { "listed", s->listed, 0, 1 }, { "parts", s->parts, 0, 1000000000 }, { "rate", s->rate, 0, 1000000 }, { "events", s->events, 0, 10000000 },
+	const struct {
+		const char *name;
+		int64_t v, least, most;
+	} in[] = {
+		{ "nodes", s->nodes, 1, 4000 },      { "registrars", s->registrars, 3, 24 }, { "servers", s->servers, 1, 20000 },
+		{ "tenants", s->tenants, 1, 20000 }, { "lanes", s->lanes, 1, 4000 },         { "zones", s->zones, 0, 200 },
+		{ "seconds", s->seconds, 1, 3600 },  { "changes", s->changes, 0, 100000 },   { "restarts", s->restarts, 0, 10000 },
+		{ "pieces", s->pieces, 1, 10000 },   { "listed", s->listed, 0, 1 },          { "parts", s->parts, 0, 1000000000 },
+		{ "rate", s->rate, 0, 1000000 },     { "events", s->events, 0, 10000000 },
 	};
 	uint64_t have = s->machine ? s->machine : (uint64_t)sysconf(_SC_PHYS_PAGES) * (uint64_t)sysconf(_SC_PAGESIZE), need;
 
@@ -1561,8 +1690,8 @@
 		}
 	need = hollow_needs(s);
 	if (need > have / 2) {
-		snprintf(buf, n, "such a fleet needs about %llu MB, and half of this machine's memory is %llu MB", (unsigned long long)(need >> 20),
-		         (unsigned long long)(have / 2 >> 20));
+		snprintf(buf, n, "such a fleet needs about %llu MB, and half of this machine's memory is %llu MB",
+			 (unsigned long long)(need >> 20), (unsigned long long)(have / 2 >> 20));
 		return buf;
 	}
 	if (s->parts / s->servers > KEEP_MOST) {
@@ -1591,16 +1720,26 @@
 int hollow_main(int argc, char **argv)
 {
 	struct hollow_set s = hollow_default;
-	const struct { const char *name, *what; int *i; int64_t *l; } in[] = {
-		{ "nodes", "counters", &s.nodes, NULL }, { "registrars", "registrars", &s.registrars, NULL },
-		{ "servers", "language servers", &s.servers, NULL }, { "tenants", "tenants, each with a key", &s.tenants, NULL },
+	const struct {
+		const char *name, *what;
+		int *i;
+		int64_t *l;
+	} in[] = {
+		{ "nodes", "counters", &s.nodes, NULL },
+		{ "registrars", "registrars", &s.registrars, NULL },
+		{ "servers", "language servers", &s.servers, NULL },
+		{ "tenants", "tenants, each with a key", &s.tenants, NULL },
 		{ "lanes", "lanes, each with a service while there are servers", &s.lanes, NULL },
 		{ "zones", "zones; three are a region; 0: one for 16 counters, 3 to 21", &s.zones, NULL },
-		{ "parts", "kept parts at all servers together", NULL, &s.parts }, { "rate", "exchanges a second", NULL, &s.rate },
+		{ "parts", "kept parts at all servers together", NULL, &s.parts },
+		{ "rate", "exchanges a second", NULL, &s.rate },
 		{ "listed", "1: servers from a list, text at the door; 0: the product's own interface", &s.listed, NULL },
-		{ "pieces", "pieces of an answer", &s.pieces, NULL }, { "events", "kept parts that come and go a second", NULL, &s.events },
-		{ "changes", "changes of the table in the window", &s.changes, NULL }, { "restarts", "counters replaced in the window", &s.restarts, NULL },
-		{ "seconds", "of virtual time", &s.seconds, NULL }, { "seed", "a whole number", NULL, (int64_t *)&s.seed },
+		{ "pieces", "pieces of an answer", &s.pieces, NULL },
+		{ "events", "kept parts that come and go a second", NULL, &s.events },
+		{ "changes", "changes of the table in the window", &s.changes, NULL },
+		{ "restarts", "counters replaced in the window", &s.restarts, NULL },
+		{ "seconds", "of virtual time", &s.seconds, NULL },
+		{ "seed", "a whole number", NULL, (int64_t *)&s.seed },
 	};
 	enum { N = sizeof in / sizeof *in };
 	struct arg_str *a[N];
--- a/rehearsal/hollow.h
+++ b/rehearsal/hollow.h
@@ -8,10 +8,10 @@
 
 struct hollow_set {
 	int nodes, registrars, servers, tenants, lanes, zones, seconds, changes, restarts, pieces;
-	int listed;       /* 1: servers come from a list, tell of kept parts by events, and text stays at the door; 0: the product's own interface */
-	int64_t parts;    /* kept at all servers together */
-	int64_t rate;     /* exchanges a second, over the fleet */
-	int64_t events;   /* kept parts that come and go a second, over the fleet */
+	int listed; /* 1: servers come from a list, tell of kept parts by events, and text stays at the door; 0: the product's own interface */
+	int64_t parts;  /* kept at all servers together */
+	int64_t rate;   /* exchanges a second, over the fleet */
+	int64_t events; /* kept parts that come and go a second, over the fleet */
 	uint64_t seed;
 	uint64_t machine; /* bytes of memory of which half may be used; 0: this machine's */
 };
@@ -19,8 +19,13 @@
 extern const struct hollow_set hollow_default;
 
 /* One figure: of every node of a role the mean, and the node with the most. A fleet's own figure has both alike. */
-struct hollow_row { char key[64]; double mean, most; };
-struct hollow_result { struct hollow_row *v; }; /* stb_ds */
+struct hollow_row {
+	char key[64];
+	double mean, most;
+};
+struct hollow_result {
+	struct hollow_row *v;
+}; /* stb_ds */
 
 /* What such a fleet would need, in bytes, as far as earlier runs tell. Example: hollow_needs(&s) */
 uint64_t hollow_needs(const struct hollow_set *s);
--- a/rehearsal/kit.c
+++ b/rehearsal/kit.c
@@ -6,7 +6,9 @@
 #include <string.h>
 #include <unistd.h>
 
-struct record { int fd; };
+struct record {
+	int fd;
+};
 
 struct record *record_open(const char *path)
 {
--- a/rehearsal/kit.h
+++ b/rehearsal/kit.h
@@ -27,8 +27,8 @@
 	int ncounter;
 	const char *const *lane;
 	int nlane;
-	int tenants;                /* keys are key-0 ... */
-	int rate;                   /* exchanges a second, all together */
+	int tenants; /* keys are key-0 ... */
+	int rate;    /* exchanges a second, all together */
 	int threads;
 	int limit_ms;
 	int part_tokens;
@@ -52,14 +52,21 @@
 void links_close(struct links *l);
 
 /* ---- the checker ---- */
-struct check_result { int undecided, breaches; char text[8192]; };
+struct check_result {
+	int undecided, breaches;
+	char text[8192];
+};
 
 /* Judge a run's folder. Untimed leaves out the bounds in seconds, for machines whose speed is not known.
  * Example: check_folder("run-1", 0, &res) */
 int check_folder(const char *folder, int untimed, struct check_result *r);
 
 /* ---- scenarios ---- */
-struct run_set { const char *name, *folder, *deployment, *bin; uint64_t seed; int small, untimed; };
+struct run_set {
+	const char *name, *folder, *deployment, *bin;
+	uint64_t seed;
+	int small, untimed;
+};
 int run_scenario(const struct run_set *s);
 void run_list(FILE *f);
 
--- a/rehearsal/links.c
+++ b/rehearsal/links.c
@@ -12,10 +12,25 @@
 
 #include "kit.h"
 
-struct rule { uint64_t from, to; int cut, delay; };
-struct link { struct links *l; uint64_t at, real; int fd; };
-struct links { pthread_mutex_t m; struct rule rule[64]; int n, stop, nlink; struct link link[64]; };
-struct way { struct link *k; int fd; };
+struct rule {
+	uint64_t from, to;
+	int cut, delay;
+};
+struct link {
+	struct links *l;
+	uint64_t at, real;
+	int fd;
+};
+struct links {
+	pthread_mutex_t m;
+	struct rule rule[64];
+	int n, stop, nlink;
+	struct link link[64];
+};
+struct way {
+	struct link *k;
+	int fd;
+};
 
 static struct sockaddr_in sockaddr_of(uint64_t a)
 {
@@ -57,7 +72,12 @@
 }
 
 /* A frame on its way: links delay each one by itself, however many are on their way at once. */
-struct held { int64_t due; size_t n; struct held *next; uint8_t d[]; };
+struct held {
+	int64_t due;
+	size_t n;
+	struct held *next;
+	uint8_t d[];
+};
 
 /* Read one frame; NULL when the connection ends. What a rule cuts is read and dropped: *h stays NULL. */
 static int frame_in(struct way *w, struct held **h)
--- a/rehearsal/main.c
+++ b/rehearsal/main.c
@@ -14,20 +14,22 @@
 
 static int usage(FILE *o)
 {
-	fprintf(o, "Usage: rehearsal run NAME [--seed N] [--deployment warisan|rumah-teduh] [--small] [--untimed] [--folder F]\n"
-	           "       rehearsal up [--small] [--folder F]        a fleet to try things on\n"
-	           "       rehearsal check FOLDER                     judge the records of a run\n"
-	           "       rehearsal list                             the scenarios\n"
-	           "       rehearsal platform ...                     the same on a stand-in of the users' platform\n"
-	           "       rehearsal hollow --nodes N --servers M ... the cores of a large fleet in one process: what each role costs\n"
-	           "       rehearsal server ...                       one server stand-in\n");
+	fprintf(
+	    o, "Usage: rehearsal run NAME [--seed N] [--deployment warisan|rumah-teduh] [--small] [--untimed] [--folder F]\n"
+	       "       rehearsal up [--small] [--folder F]        a fleet to try things on\n"
+	       "       rehearsal check FOLDER                     judge the records of a run\n"
+	       "       rehearsal list                             the scenarios\n"
+	       "       rehearsal platform ...                     the same on a stand-in of the users' platform\n"
+	       "       rehearsal hollow --nodes N --servers M ... the cores of a large fleet in one process: what each role costs\n"
+	       "       rehearsal server ...                       one server stand-in\n");
 	return o == stdout ? 0 : 2;
 }
 
 static int run(int argc, char **argv, const char *fixed)
 {
 	struct arg_str *name = fixed ? NULL : arg_str1(NULL, NULL, "NAME", "the scenario");
-	struct arg_str *seed = arg_str0(NULL, "seed", "N", "a whole number"), *dep = arg_str0(NULL, "deployment", "NAME", "whose shape");
+	struct arg_str *seed = arg_str0(NULL, "seed", "N", "a whole number"),
+		       *dep = arg_str0(NULL, "deployment", "NAME", "whose shape");
 	struct arg_str *folder = arg_str0(NULL, "folder", "F", "where records go; must not exist");
 	struct arg_lit *small = arg_lit0(NULL, "small", "3 counters and 6 servers instead of 9 and 18");
 	struct arg_lit *untimed = arg_lit0(NULL, "untimed", "do not judge bounds in seconds: the machine's speed is not known");
--- a/rehearsal/run.c
+++ b/rehearsal/run.c
@@ -259,8 +259,10 @@
 		note(f, "drain-asked", "server", n->name);
 	else
 		note(f, "undrained", "server", n->name);
-	snprintf(b, sizeof b, "{\"set\":[{\"kind\":\"server\",\"name\":\"%s\",\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\",\"state\":\"%s\"}]}",
-	         n->name, n->service, n->web, n->zone, state);
+	snprintf(
+	    b, sizeof b,
+	    "{\"set\":[{\"kind\":\"server\",\"name\":\"%s\",\"service\":\"%s\",\"addr\":\"%s\",\"zone\":\"%s\",\"state\":\"%s\"}]}",
+	    n->name, n->service, n->web, n->zone, state);
 	must(f, b);
 	if (!strcmp(state, "draining"))
 		note(f, "drained", "server", n->name);
@@ -272,8 +274,10 @@
 	char b[400];
 
 	snprintf(f->weights[svc], sizeof f->weights[svc], "%s", w);
-	snprintf(b, sizeof b, "{\"set\":[{\"kind\":\"service\",\"name\":\"%s\",\"weights\":\"%s\",\"prefill\":%d,\"kv_bytes\":%d,\"link\":%d,\"store\":%d,\"addr\":\"%s\"}]}",
-	         f->services[svc], w, f->prefill, f->kv, f->link, f->link / 4, pick(f, STORE, 0)->web);
+	snprintf(
+	    b, sizeof b,
+	    "{\"set\":[{\"kind\":\"service\",\"name\":\"%s\",\"weights\":\"%s\",\"prefill\":%d,\"kv_bytes\":%d,\"link\":%d,\"store\":%d,\"addr\":\"%s\"}]}",
+	    f->services[svc], w, f->prefill, f->kv, f->link, f->link / 4, pick(f, STORE, 0)->web);
 	must(f, b);
 	j = ev("named");
 	json_object_object_add(j, "service", json_object_new_string(f->services[svc]));
@@ -287,8 +291,8 @@
 	struct json_object *j;
 
 	snprintf(name, sizeof name, "tenant-%d", i);
-	snprintf(b, sizeof b, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"tenant-%d\",\"share\":%d,\"limit\":400,\"walled\":%s}]}", i,
-	         i < 2 ? 10 : 2, walled ? "true" : "false");
+	snprintf(b, sizeof b, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"tenant-%d\",\"share\":%d,\"limit\":400,\"walled\":%s}]}",
+		 i, i < 2 ? 10 : 2, walled ? "true" : "false");
 	if (walled)
 		must(f, b);
 	j = ev("wall"); /* walled from the acknowledgement on, open from the asking on */
@@ -305,7 +309,8 @@
 
 	snprintf(k, sizeof k, "key-%d", i);
 	if (on)
-		snprintf(b, sizeof b, "{\"set\":[{\"kind\":\"key\",\"name\":\"%s\",\"tenant\":\"tenant-%d\"}]}", digest_hex(k, hex), i);
+		snprintf(b, sizeof b, "{\"set\":[{\"kind\":\"key\",\"name\":\"%s\",\"tenant\":\"tenant-%d\"}]}", digest_hex(k, hex),
+			 i);
 	else
 		snprintf(b, sizeof b, "{\"del\":[{\"kind\":\"key\",\"name\":\"%s\"}]}", digest_hex(k, hex));
 	if (on)
@@ -491,8 +496,9 @@
 		name_weights(f, i, "w1");
 	k = (size_t)snprintf(b, sizeof b, "{\"set\":[");
 	for (int i = 0; i < 3; i++)
-		k += (size_t)snprintf(b + k, sizeof b - k, "%s{\"kind\":\"lane\",\"name\":\"%s\",\"service\":\"%s\",\"prio\":%d,\"limit\":200}",
-		                      i ? "," : "", f->lanes[i], f->services[i], i == 2 ? 1 : 0);
+		k += (size_t)snprintf(b + k, sizeof b - k,
+				      "%s{\"kind\":\"lane\",\"name\":\"%s\",\"service\":\"%s\",\"prio\":%d,\"limit\":200}",
+				      i ? "," : "", f->lanes[i], f->services[i], i == 2 ? 1 : 0);
 	snprintf(b + k, sizeof b - k, "]}");
 	must(f, b);
 	for (int i = 0; i < 8; i++) {
@@ -854,8 +860,11 @@
 	char b[40];
 
 	for (int lie = 1; lie <= 5; lie++) {
-		fault(f, lie == 1 ? "servers answer with another's mark" : lie == 2 ? "servers leave pieces out" : lie == 3 ? "servers break off"
-		         : lie == 4 ? "servers repeat pieces" : "servers fall silent in the middle");
+		fault(f, lie == 1   ? "servers answer with another's mark"
+			 : lie == 2 ? "servers leave pieces out"
+			 : lie == 3 ? "servers break off"
+			 : lie == 4 ? "servers repeat pieces"
+				    : "servers fall silent in the middle");
 		snprintf(b, sizeof b, "{\"liar\":%d}", lie);
 		server_fault(f, 0, b);
 		server_fault(f, 4, b);
@@ -1001,7 +1010,8 @@
 	char b[200];
 
 	for (int i = 0; i < 100; i++) {
-		snprintf(b, sizeof b, "{\"set\":[{\"kind\":\"share\",\"name\":\"%s/tenant-%d\",\"share\":%d,\"limit\":100}]}", f->lanes[i % 3], i % 8, 1 + i % 9);
+		snprintf(b, sizeof b, "{\"set\":[{\"kind\":\"share\",\"name\":\"%s/tenant-%d\",\"share\":%d,\"limit\":100}]}",
+			 f->lanes[i % 3], i % 8, 1 + i % 9);
 		change(f, b, NULL);
 	}
 	return NULL;
@@ -1023,7 +1033,9 @@
 		int st;
 
 		change(f, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"tenant-7\",\"share\":2,\"limit\":400}]}", &e);
-		snprintf(b, sizeof b, "{\"expect\":%lld,\"set\":[{\"kind\":\"tenant\",\"name\":\"tenant-7\",\"share\":3,\"limit\":400}]}", (long long)e);
+		snprintf(b, sizeof b,
+			 "{\"expect\":%lld,\"set\":[{\"kind\":\"tenant\",\"name\":\"tenant-7\",\"share\":3,\"limit\":400}]}",
+			 (long long)e);
 		st = change(f, b, NULL);
 		won += st == 200;
 		st = change(f, b, NULL);
@@ -1040,7 +1052,8 @@
 	size_t k = (size_t)snprintf(b, 100, "{\"set\":[");
 
 	for (int i = 0; i < 20000; i++) /* a very large configuration: 20000 tenants' rows at once */
-		k += (size_t)snprintf(b + k, 200, "%s{\"kind\":\"tenant\",\"name\":\"estate-%d\",\"share\":1,\"limit\":10}", i ? "," : "", i);
+		k += (size_t)snprintf(b + k, 200, "%s{\"kind\":\"tenant\",\"name\":\"estate-%d\",\"share\":1,\"limit\":10}",
+				      i ? "," : "", i);
 	snprintf(b + k, 10, "]}");
 	fault(f, "a very large configuration");
 	must(f, b);
@@ -1082,7 +1095,7 @@
 	waitpid(pid, &st, 0);
 	if (!WIFEXITED(st) || WEXITSTATUS(st) != want) {
 		snprintf(what, sizeof what, "%s %s %s ended with %d, not %d", name, a[3] ? a[3] : "", a[4] ? a[4] : "",
-		         WIFEXITED(st) ? WEXITSTATUS(st) : -1, want);
+			 WIFEXITED(st) ? WEXITSTATUS(st) : -1, want);
 		note(f, "tool-failed", "what", what);
 	}
 }
@@ -1100,7 +1113,8 @@
 /* The operators' tools against a fleet: what they say by their ends. */
 static void sc_tools(struct fleet *f)
 {
-	char *at = pick(f, REGISTRAR, 1)->web, *ctr = pick(f, COUNTER, 0)->web, sheet[700], bad[700], out[700], old[700], cell[32], *text;
+	char *at = pick(f, REGISTRAR, 1)->web, *ctr = pick(f, COUNTER, 0)->web, sheet[700], bad[700], out[700], old[700], cell[32],
+	     *text;
 	struct json_object *r;
 
 	snprintf(sheet, sizeof sheet, "%s/sheet.tsv", f->s->folder);
@@ -1116,7 +1130,8 @@
 	tool(f, 0, "examiner", out, "--at", at, "--counter", ctr, sheet, NULL);
 	snprintf(cell, sizeof cell, "share=%d", 3);
 	r = ev("tried");
-	json_object_object_add(r, "change", json_tokener_parse("{\"set\":[{\"kind\":\"tenant\",\"name\":\"tenant-7\",\"share\":3}]}"));
+	json_object_object_add(r, "change",
+			       json_tokener_parse("{\"set\":[{\"kind\":\"tenant\",\"name\":\"tenant-7\",\"share\":3}]}"));
 	record_put(f->rec, r);
 	tool(f, 0, "clerk", out, "--at", at, "set", "tenant", "tenant-7", cell, NULL);
 	/* the sheet is of an earlier edition now, and says otherwise of tenant-7 */
@@ -1194,7 +1209,10 @@
 			nap(3000);
 			unlink(r->fault);
 			break;
-		default: key(f, tn, 0); nap(1000); key(f, tn, 1);
+		default:
+			key(f, tn, 0);
+			nap(1000);
+			key(f, tn, 1);
 		}
 		tenant(f, (int)(core_rand(&f->rng) % 8), (int)(core_rand(&f->rng) % 2));
 		nap((int64_t)(core_rand(&f->rng) % 2000));
@@ -1202,7 +1220,10 @@
 	sc_kill_owner(f);
 }
 
-static const struct { const char *name, *what; void (*run)(struct fleet *); } scenarios[] = {
+static const struct {
+	const char *name, *what;
+	void (*run)(struct fleet *);
+} scenarios[] = {
 	{ "steady", "load without faults", sc_steady },
 	{ "kill-owner", "the configuration's owner is killed under load", sc_kill_owner },
 	{ "kill-publisher", "the purge stream's publisher is killed between two purges", sc_kill_publisher },
@@ -1243,7 +1264,8 @@
 {
 	signal(SIGINT, on_int);
 	signal(SIGTERM, on_int);
-	printf("The fleet is up. Callers call %s (keys key-0 to key-7), operators %s.\n", f->ctr_web[0], pick(f, REGISTRAR, 0)->web);
+	printf("The fleet is up. Callers call %s (keys key-0 to key-7), operators %s.\n", f->ctr_web[0],
+	       pick(f, REGISTRAR, 0)->web);
 	printf("Try: clerk --at %s show\nCtrl-C ends it.\n", pick(f, REGISTRAR, 0)->web);
 	fflush(stdout);
 	while (!stop_up)
@@ -1296,8 +1318,9 @@
 	ok = check_folder(s->folder, s->untimed, &res);
 	printf("%s (%s, seed %llu): %s", s->name, s->deployment, (unsigned long long)s->seed, res.text);
 	if (which == 0 && done) /* only without faults do the same processes live throughout */
-		printf("processor time over %.1f s: counters %.2f ms an exchange, registrars %.2f ms an exchange (%llu exchanges)\n",
-		       (double)began / 1000, (double)cpu[0] / (double)done, (double)cpu[1] / (double)done, (unsigned long long)done);
+		printf(
+		    "processor time over %.1f s: counters %.2f ms an exchange, registrars %.2f ms an exchange (%llu exchanges)\n",
+		    (double)began / 1000, (double)cpu[0] / (double)done, (double)cpu[1] / (double)done, (unsigned long long)done);
 end:
 	for (int i = 0; i < f.nn; i++)
 		if (f.n[i].pid > 0 && f.n[i].kind <= COUNTER && !f.n[i].frozen)
--- a/rehearsal/server.c
+++ b/rehearsal/server.c
@@ -14,7 +14,12 @@
 #include "ds.h"
 #include "kit.h"
 
-struct copy { char h[20], w[64], m[64]; int64_t t; int tokens; uint64_t used; };
+struct copy {
+	char h[20], w[64], m[64];
+	int64_t t;
+	int tokens;
+	uint64_t used;
+};
 
 static struct {
 	apr_thread_mutex_t *m;
@@ -140,7 +145,8 @@
 	q = json_object_new_object();
 	json_object_object_add(q, "weights", json_object_new_string(w));
 	json_object_object_add(q, "parts", json_object_get(jget(f, "parts")));
-	if (http_do("POST", jgets(f, "from"), "/v1/fetch", NULL, json_object_to_json_string(q), wait < 20 ? 20 : (int)wait, &body) == 200)
+	if (http_do("POST", jgets(f, "from"), "/v1/fetch", NULL, json_object_to_json_string(q), wait < 20 ? 20 : (int)wait,
+		    &body) == 200)
 		got = json_tokener_parse(body);
 	list = jget(got, "parts");
 	for (size_t i = 0; list && i < json_object_array_length(list); i++)
@@ -202,7 +208,8 @@
 		if (r->next < r->pieces) {
 			if (r->next)
 				apr_sleep(sv.piece_ms * 1000);
-			r->len = (size_t)snprintf(r->line, sizeof r->line, "{\"x\":\"%s\",\"n\":%d,\"t\":\"%s#%d@%s\"}\n", r->xid, r->next, r->id, r->next, r->xid);
+			r->len = (size_t)snprintf(r->line, sizeof r->line, "{\"x\":\"%s\",\"n\":%d,\"t\":\"%s#%d@%s\"}\n", r->xid,
+						  r->next, r->id, r->next, r->xid);
 			r->next++;
 		} else {
 			struct json_object *j = jnew("end");
@@ -213,7 +220,8 @@
 			record_put(sv.rec, j);
 			r->len = (size_t)snprintf(r->line, sizeof r->line, "{\"x\":\"%s\",\"n\":%d,\"end\":true", r->xid, r->next);
 			if (r->fetch_ms >= 0)
-				r->len += (size_t)snprintf(r->line + r->len, sizeof r->line - r->len, ",\"fetch_ms\":%d,\"fetched\":%d", r->fetch_ms, r->fetched);
+				r->len += (size_t)snprintf(r->line + r->len, sizeof r->line - r->len,
+							   ",\"fetch_ms\":%d,\"fetched\":%d", r->fetch_ms, r->fetched);
 			r->len += (size_t)snprintf(r->line + r->len, sizeof r->line - r->len, "}\n");
 			r->done = 1;
 		}
@@ -302,7 +310,8 @@
 	for (int i = have; i < n; i++) {
 		struct json_object *e = json_object_array_get_idx(parts, (size_t)i);
 
-		keep(jgets(e, "h"), jgets(j, "weights"), jgets(j, "tenant"), jgeti(j, "stamp"), (int)(strlen(jgets(e, "text")) + 3) / 4);
+		keep(jgets(e, "h"), jgets(j, "weights"), jgets(j, "tenant"), jgeti(j, "stamp"),
+		     (int)(strlen(jgets(e, "text")) + 3) / 4);
 	}
 	r->pieces = sv.pieces / 2 + (int)(core_hashs(7, r->id) % (uint64_t)(sv.pieces + 1));
 	json_object_object_add(rec, "n", json_object_new_int(r->pieces));
@@ -475,8 +484,8 @@
 	return reply(c, 200, "{}");
 }
 
-static enum MHD_Result on_request(void *arg, struct MHD_Connection *c, const char *url, const char *method,
-                                  const char *version, const char *data, size_t *n, void **state)
+static enum MHD_Result on_request(void *arg, struct MHD_Connection *c, const char *url, const char *method, const char *version,
+				  const char *data, size_t *n, void **state)
 {
 	char **body = *state;
 
@@ -499,7 +508,7 @@
 	       : !strcmp(url, "/v1/fetch")  ? on_fetch(c, *body)
 	       : !strcmp(url, "/v1/keep")   ? on_keep(c, *body)
 	       : !strcmp(url, "/fault")     ? on_fault(c, *body)
-	                                    : reply(c, 404, "{}");
+					    : reply(c, 404, "{}");
 }
 
 static void on_end(void *arg, struct MHD_Connection *c, void **state, enum MHD_RequestTerminationCode why)
@@ -516,13 +525,19 @@
 
 int server_main(int argc, char **argv)
 {
-	struct arg_str *addr = arg_str1(NULL, "addr", "IP:PORT", "where it listens"), *name = arg_str1(NULL, "name", "NAME", "its name");
-	struct arg_str *weights = arg_str1(NULL, "weights", "NAME", "what it has loaded"), *store = arg_str0(NULL, "store", "IP:PORT", "the store");
+	struct arg_str *addr = arg_str1(NULL, "addr", "IP:PORT", "where it listens"),
+		       *name = arg_str1(NULL, "name", "NAME", "its name");
+	struct arg_str *weights = arg_str1(NULL, "weights", "NAME", "what it has loaded"),
+		       *store = arg_str0(NULL, "store", "IP:PORT", "the store");
 	struct arg_file *rec = arg_file1(NULL, "record", "FILE", "where runs are recorded");
-	struct arg_int *slots = arg_int0(NULL, "slots", "N", "runs at once"), *prefill = arg_int0(NULL, "prefill", "N", "tokens read per ms");
-	struct arg_int *piece = arg_int0(NULL, "piece-ms", "N", "ms per piece"), *pieces = arg_int0(NULL, "pieces", "N", "pieces per answer");
-	struct arg_int *load = arg_int0(NULL, "load-ms", "N", "ms to load weights"), *cap = arg_int0(NULL, "cap", "N", "tokens it can keep");
-	struct arg_int *link = arg_int0(NULL, "link", "N", "bytes per ms of a fetch"), *kv = arg_int0(NULL, "kv", "N", "bytes kept per token");
+	struct arg_int *slots = arg_int0(NULL, "slots", "N", "runs at once"),
+		       *prefill = arg_int0(NULL, "prefill", "N", "tokens read per ms");
+	struct arg_int *piece = arg_int0(NULL, "piece-ms", "N", "ms per piece"),
+		       *pieces = arg_int0(NULL, "pieces", "N", "pieces per answer");
+	struct arg_int *load = arg_int0(NULL, "load-ms", "N", "ms to load weights"),
+		       *cap = arg_int0(NULL, "cap", "N", "tokens it can keep");
+	struct arg_int *link = arg_int0(NULL, "link", "N", "bytes per ms of a fetch"),
+		       *kv = arg_int0(NULL, "kv", "N", "bytes kept per token");
 	struct arg_end *end = arg_end(5);
 	void *t[] = { addr, name, weights, store, rec, slots, prefill, piece, pieces, load, cap, link, kv, end };
 	struct json_object *up;
@@ -567,9 +582,9 @@
 	json_object_object_add(up, "weights", json_object_new_string(sv.weights));
 	record_put(sv.rec, up);
 	d = MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL, on_request, NULL,
-	                     MHD_OPTION_SOCK_ADDR, &sa, MHD_OPTION_NOTIFY_COMPLETED, on_end, NULL,
-	                     MHD_OPTION_THREAD_STACK_SIZE, (size_t)256 << 10, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
-	                     MHD_OPTION_CONNECTION_TIMEOUT, 30u, MHD_OPTION_END);
+			     MHD_OPTION_SOCK_ADDR, &sa, MHD_OPTION_NOTIFY_COMPLETED, on_end, NULL, MHD_OPTION_THREAD_STACK_SIZE,
+			     (size_t)256 << 10, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_CONNECTION_TIMEOUT, 30u,
+			     MHD_OPTION_END);
 	if (!d) {
 		fprintf(stderr, "rehearsal server: cannot listen at %s\n", addr->sval[0]);
 		return 1;
--- a/rehearsal/stand.c
+++ b/rehearsal/stand.c
@@ -528,7 +528,11 @@
 	run_for(r, 2000);
 }
 
-struct own_call { struct run *r; int status, answered; char *body; };
+struct own_call {
+	struct run *r;
+	int status, answered;
+	char *body;
+};
 
 static void own_answer(void *ctx, int status, const struct msg *m)
 {
@@ -545,7 +549,8 @@
 	for (int i = 0; i < 12 && !r->missed; i++) {
 		struct own_call c = { r, 0, 0, NULL };
 
-		call_once(r->l, nth(r, 1, i % count(r, 1))->control, method, path, body ? "Content-Type: application/json\r\n" : "", body, 6000, own_answer, &c);
+		call_once(r->l, nth(r, 1, i % count(r, 1))->control, method, path, body ? "Content-Type: application/json\r\n" : "",
+			  body, 6000, own_answer, &c);
 		while (!c.answered)
 			run_for(r, 20);
 		if (c.status == 200)
@@ -566,7 +571,8 @@
 	char *s;
 
 	run_for(r, 4000);
-	free(own_call(r, "POST", "/v1/change", "{\"set\":[{\"kind\":\"retention\",\"name\":\"*\",\"every\":\"12s\",\"window\":4000}]}"));
+	free(own_call(r, "POST", "/v1/change",
+		      "{\"set\":[{\"kind\":\"retention\",\"name\":\"*\",\"every\":\"12s\",\"window\":4000}]}"));
 	run_for(r, 6000);
 	sent = loop_us();
 	free(own_call(r, "POST", "/v1/clear", "{\"scope\":\"*\",\"by\":\"rehearsal\"}"));
@@ -584,10 +590,14 @@
 	s = own_call(r, "GET", "/v1/retention.csv", NULL);
 	printf("%s", s);
 	free(s);
-	printf("after the clearing servers used %llu parts of before and %llu others\n", (unsigned long long)r->f.old_used, (unsigned long long)r->f.new_used);
+	printf("after the clearing servers used %llu parts of before and %llu others\n", (unsigned long long)r->f.old_used,
+	       (unsigned long long)r->f.new_used);
 }
 
-static const struct { const char *name, *what; void (*fn)(struct run *r); } scenarios[] = {
+static const struct {
+	const char *name, *what;
+	void (*fn)(struct run *r);
+} scenarios[] = {
 	{ "quiet", "no fault", sc_quiet },
 	{ "kill-edge", "edges are killed and come back", sc_kill_edge },
 	{ "kill-core", "core machines are killed one after another, under changes", sc_kill_core },
@@ -629,8 +639,8 @@
 	char at[48];
 
 	if (r->slack > 1) { /* the daemons are told the sheet's; the judge is as patient as asked */
-		int64_t *v[] = { &judged.ack, &judged.drain, &judged.apply, &judged.revert, &judged.revoke, &judged.version, &judged.recovery,
-			         &judged.loss_slack, &judged.grace };
+		int64_t *v[] = { &judged.ack,     &judged.drain,    &judged.apply,      &judged.revert, &judged.revoke,
+				 &judged.version, &judged.recovery, &judged.loss_slack, &judged.grace };
 
 		for (size_t i = 0; i < sizeof v / sizeof *v; i++)
 			*v[i] *= r->slack;
@@ -748,8 +758,12 @@
 	loop_close(r->l);
 	judge_close(r->j);
 	free(r->fig.sec);
-	printf("%s %s seed %llu%s: %s; logs in %s\n", r->sheet->name, scenarios[k].name, (unsigned long long)r->seed, r->small ? " small" : "",
-	       rc == 0 ? "no rule broken" : rc == 3 ? "undecided" : "RULES BROKEN", r->folder);
+	printf("%s %s seed %llu%s: %s; logs in %s\n", r->sheet->name, scenarios[k].name, (unsigned long long)r->seed,
+	       r->small ? " small" : "",
+	       rc == 0   ? "no rule broken"
+	       : rc == 3 ? "undecided"
+			 : "RULES BROKEN",
+	       r->folder);
 	return rc;
 }
 
@@ -762,12 +776,16 @@
 static int run(int argc, char **argv)
 {
 	struct arg_str *name = arg_str1(NULL, NULL, "NAME", "the scenario"), *seed = arg_str0(NULL, "seed", "N", "a whole number"),
-		*dep = arg_str0(NULL, "deployment", "NAME", "warisan or teduh"), *bin = arg_str0(NULL, "bin", "DIR", "where the programs are"),
-		*report = arg_str0(NULL, "report", "DIR", "tables and a picture"), *folder = arg_str0(NULL, "folder", "DIR", "logs and disks; must not exist"),
-		*rate = arg_str0(NULL, "rate", "X", "traffic, as a share of the sheet's");
+		       *dep = arg_str0(NULL, "deployment", "NAME", "warisan or teduh"),
+		       *bin = arg_str0(NULL, "bin", "DIR", "where the programs are"),
+		       *report = arg_str0(NULL, "report", "DIR", "tables and a picture"),
+		       *folder = arg_str0(NULL, "folder", "DIR", "logs and disks; must not exist"),
+		       *rate = arg_str0(NULL, "rate", "X", "traffic, as a share of the sheet's");
 	struct arg_int *slack = arg_int0(NULL, "slack", "N", "bounds in ms are so many times as long: for slow machines");
-	struct arg_lit *impossible = arg_lit0(NULL, "impossible", "judge by bounds that nobody can keep: shows that breaches are seen");
-	struct arg_lit *small = arg_lit0(NULL, "small", "3 edges, 3 core machines, 4 servers"), *verbose = arg_litn("v", "verbose", 0, 3, "say more");
+	struct arg_lit *impossible =
+	    arg_lit0(NULL, "impossible", "judge by bounds that nobody can keep: shows that breaches are seen");
+	struct arg_lit *small = arg_lit0(NULL, "small", "3 edges, 3 core machines, 4 servers"),
+		       *verbose = arg_litn("v", "verbose", 0, 3, "say more");
 	struct arg_end *end = arg_end(5);
 	void *t[] = { name, seed, dep, bin, report, folder, rate, slack, small, impossible, verbose, end };
 	struct run *r = NULL;
@@ -809,7 +827,8 @@
 	if (folder->count)
 		snprintf(r->folder, sizeof r->folder, "%s", folder->sval[0]);
 	else
-		snprintf(r->folder, sizeof r->folder, "/tmp/platform-%s-%llu-%d", scenarios[k].name, (unsigned long long)r->seed, (int)getpid());
+		snprintf(r->folder, sizeof r->folder, "/tmp/platform-%s-%llu-%d", scenarios[k].name, (unsigned long long)r->seed,
+			 (int)getpid());
 	if (mkdir(r->folder, 0700)) {
 		fprintf(stderr, "rehearsal: %s: %s\n", r->folder, strerror(errno));
 		goto end;
@@ -830,8 +849,10 @@
 	}
 	if (argc >= 2 && !strcmp(argv[1], "run"))
 		return run(argc - 1, argv + 1);
-	fprintf(stderr, "Usage: rehearsal platform list\n"
-	                "       rehearsal platform run NAME [--seed N] [--deployment warisan|teduh] [--small] [--rate X] [--slack N] [--bin DIR]\n"
-	                "                              [--folder DIR] [--report DIR] [--impossible] [-v]\n");
+	fprintf(
+	    stderr,
+	    "Usage: rehearsal platform list\n"
+	    "       rehearsal platform run NAME [--seed N] [--deployment warisan|teduh] [--small] [--rate X] [--slack N] [--bin DIR]\n"
+	    "                              [--folder DIR] [--report DIR] [--impossible] [-v]\n");
 	return 2;
 }
--- a/rehearsal/stand.h
+++ b/rehearsal/stand.h
@@ -38,7 +38,9 @@
 int loop_until(struct loop *l, int64_t us, int (*done)(void *ctx), void *ctx);
 
 /* ---- HTTP ---- */
-struct field { char *name, *value; };
+struct field {
+	char *name, *value;
+};
 struct msg { /* a request or an answer as it was read */
 	char *method, *target;
 	int status, keep;
@@ -54,8 +56,8 @@
 	CONN_REFUSED, /* never came up */
 	CONN_RESET,
 	CONN_CLOSED,
-	CONN_BAD,     /* bytes that are no message */
-	CONN_SURPLUS  /* bytes where nothing was due */
+	CONN_BAD,    /* bytes that are no message */
+	CONN_SURPLUS /* bytes where nothing was due */
 };
 
 struct conn_on {
@@ -79,7 +81,7 @@
 struct conn *conn_call(struct loop *l, const char *addr, const struct conn_on *on, void *ctx);
 void conn_say(struct conn *c, const char *d, size_t n);
 void conn_sayf(struct conn *c, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
-void conn_expect(struct conn *c);  /* calling side: an answer is due from now on */
+void conn_expect(struct conn *c);         /* calling side: an answer is due from now on */
 void conn_next(struct conn *c, int keep); /* serving side: the answer is over */
 void conn_close(struct conn *c, int reset);
 void conn_set(struct conn *c, const struct conn_on *on, void *ctx);
@@ -93,7 +95,7 @@
 
 /* A plain call with its answer; fields as "Name: value\r\n". fn is called once; status 0: no clear answer. */
 void call_once(struct loop *l, const char *addr, const char *method, const char *target, const char *fields, const char *body,
-               int ms, void (*fn)(void *ctx, int status, const struct msg *m), void *ctx);
+	       int ms, void (*fn)(void *ctx, int status, const struct msg *m), void *ctx);
 
 uint64_t stand_hash(uint64_t seed, const void *d, size_t n);
 uint64_t stand_rand(uint64_t *rng);
@@ -105,10 +107,13 @@
 	char service[4][48];
 	int nservice, weight[4], timeout, target, priority, attempts, open, resumable, gap;
 };
-struct cfg_tenant { char name[48], key[4][64]; int nkey, isolated, priority; };
+struct cfg_tenant {
+	char name[48], key[4][64];
+	int nkey, isolated, priority;
+};
 struct cfg {
 	int64_t version, base;
-	struct cfg_route *route;   /* stb arrays */
+	struct cfg_route *route; /* stb arrays */
 	struct cfg_tenant *tenant;
 	char *text;
 };
@@ -124,15 +129,19 @@
 
 /* ---- judge ---- */
 struct bounds_set {
-	int64_t contact, ack, catch_up, drain, grace, loss_slack, apply, revert, drift, revoke, window, slack, recovery, transit, lease,
-		thaw, version;
+	int64_t contact, ack, catch_up, drain, grace, loss_slack, apply, revert, drift, revoke, window, slack, recovery, transit,
+	    lease, thaw, version;
 	double ratio;
 	int fence_checked, revoke_global;
 };
 extern const struct bounds_set bounds_sheet;
 
 struct judge;
-struct breach { char rule[16]; int64_t t; char text[240]; };
+struct breach {
+	char rule[16];
+	int64_t t;
+	char text[240];
+};
 enum { NOBODY = -1 };
 
 /* Times are milliseconds of the run. Example: j = judge_open(&bounds_sheet); */
@@ -142,13 +151,13 @@
 enum try_kind { TRY_ONCE, TRY_RESUMABLE, TRY_IDEMPOTENT };
 struct try_rec {
 	const char *id, *subject, *method, *host, *path, *key;
-	uint64_t body;       /* hash */
-	int edge;            /* machine that takes it, NOBODY: none */
+	uint64_t body; /* hash */
+	int edge;      /* machine that takes it, NOBODY: none */
 	enum try_kind kind;
-	int last_event;      /* taken up behind this one; 0: from the start */
-	int probe;           /* asks for what may not be there: earns nothing and is never denied wrongly */
+	int last_event; /* taken up behind this one; 0: from the start */
+	int probe;      /* asks for what may not be there: earns nothing and is never denied wrongly */
 	int stream;
-	int64_t deadline;    /* ms it waits */
+	int64_t deadline; /* ms it waits */
 	int cls;
 };
 void judge_try(struct judge *j, int64_t t, const struct try_rec *r);
@@ -156,12 +165,15 @@
 struct arrive_rec {
 	const char *id, *method, *host, *path, *tenant, *service, *instance;
 	uint64_t body;
-	int server, turned;  /* turned: away, with this status; 0: taken */
+	int server, turned; /* turned: away, with this status; 0: taken */
 	int last_event;
 };
 /* Returns the arrival's number, for what follows. Example: run = judge_arrive(j, t, &a); */
 int judge_arrive(struct judge *j, int64_t t, const struct arrive_rec *r);
-struct used_rec { int version; const char *tenant; };
+struct used_rec {
+	int version;
+	const char *tenant;
+};
 void judge_begin(struct judge *j, int64_t t, int run, int version, const struct used_rec *u, int n);
 
 /* how: 1 the whole answer went out; 0 the server broke off; -1 its caller left. Example: judge_ran(j, t, run, 1, 200, h, 12); */
@@ -169,7 +181,9 @@
 void judge_turned(struct judge *j, int run, int status);
 
 enum told { TOLD_WHOLE, TOLD_CUT, TOLD_NOTHING, TOLD_BAD, TOLD_GAVE_UP, TOLD_STRAY };
-struct event_rec { int id, run; };
+struct event_rec {
+	int id, run;
+};
 struct told_rec {
 	const char *id, *seal_id; /* the Attempt-Id in the answer */
 	int status, seal;         /* run named by the seal, -1: none */
@@ -177,7 +191,7 @@
 	enum told how;
 	uint64_t body;
 	const struct event_rec *event;
-	int nevent, events;       /* events: it was a stream of events */
+	int nevent, events; /* events: it was a stream of events */
 };
 void judge_told(struct judge *j, int64_t t, const struct told_rec *r);
 
@@ -189,7 +203,11 @@
 
 enum shown { SHOWN_READY, SHOWN_DRAINING, SHOWN_GONE };
 void judge_shown(struct judge *j, int64_t t, const char *instance, enum shown s);
-struct order_rec { const char *instance, *holder; int64_t fence; int status, thawed; };
+struct order_rec {
+	const char *instance, *holder;
+	int64_t fence;
+	int status, thawed;
+};
 void judge_order(struct judge *j, int64_t t, const struct order_rec *r);
 void judge_named(struct judge *j, int64_t t, int version, int acked);
 
@@ -207,21 +225,24 @@
 void judge_story(const struct judge *j, const char *id, FILE *f);
 
 /* ---- histogram: log-linear, 64 steps each power of two, so a value is known to 1 in 64 ---- */
-struct hist { uint32_t n[64 * 32]; uint64_t count; };
+struct hist {
+	uint32_t n[64 * 32];
+	uint64_t count;
+};
 void hist_add(struct hist *h, int64_t v);
 int64_t hist_at(const struct hist *h, double q); /* Example: hist_at(&h, 0.99) */
 
 /* ---- model servers ---- */
 struct engine {
-	int slots, queue, max_conns, drain_ms, fence_checked, idle_ms, kv, kv_bytes, stride, chunk, block, in_flight, load_ms, load_at_once, report_lag, events,
-		events_lag, linger;
+	int slots, queue, max_conns, drain_ms, fence_checked, idle_ms, kv, kv_bytes, stride, chunk, block, in_flight, load_ms,
+	    load_at_once, report_lag, events, events_lag, linger;
 	double step, per_slot, read_per_ms, link_mbps, events_loss, setup_ms;
 };
 extern const struct engine engine_sheet;
 
 struct server_fault {
 	double broken, garbage, surplus, lost, grey, close; /* shares of answers */
-	double stubborn; /* of requests whose connection closed, run all the same */
+	double stubborn;                                    /* of requests whose connection closed, run all the same */
 	int false_health, dark, events_lost;
 };
 
@@ -229,21 +250,25 @@
 	struct loop *l;
 	struct judge *j;
 	struct engine e;
-	int64_t start;             /* loop_us at which the run's time is 0 */
+	int64_t start; /* loop_us at which the run's time is 0 */
 	uint64_t rng;
-	struct server **server;    /* stb arrays */
+	struct server **server; /* stb arrays */
 	struct list *list;
 	const char *model;
-	int newest;                /* weights named so far */
+	int newest; /* weights named so far */
 	int loading;
 	int thaw_ms;
-	int64_t thawed;            /* a machine was thawed then, in ms of the run */
+	int64_t thawed;              /* a machine was thawed then, in ms of the run */
 	int64_t cleared, cleared_by; /* loop_us: what was read before must not be used after; 0: nothing was cleared */
 	uint64_t old_used, new_used; /* parts that were used after that: from before, and others */
 	uint64_t read, found, fetched, loads, orders, probes, turned; /* tokens; calls */
 };
 
-struct kept_part { char salt[48], id[24], tenant[48]; int tokens, version, refs; int64_t used, born; }; /* born: when its text was read */
+struct kept_part {
+	char salt[48], id[24], tenant[48];
+	int tokens, version, refs;
+	int64_t used, born;
+}; /* born: when its text was read */
 enum life { LIFE_UP, LIFE_DRAINING, LIFE_DOWN };
 struct server {
 	struct fleet_set *f;
@@ -254,37 +279,45 @@
 	struct server_fault fault;
 	struct port *port;
 	int version, loading_to, call_seq;
-	int method;                /* 0 hold, 1 preempt, 2 retain */
+	int method; /* 0 hold, 1 preempt, 2 retain */
 	int64_t fence;
 	char holder[64];
 	struct work **run, **wait; /* stb arrays */
 	struct kept_part *part;    /* stb array */
 	int64_t moves_free, due;   /* loop_us */
 	uint64_t epoch;
-	struct kv_event *event;    /* stb array */
-	int64_t last_event;        /* number of the newest event */
-	struct watcher *watcher;   /* stb array */
+	struct kv_event *event;  /* stb array */
+	int64_t last_event;      /* number of the newest event */
+	struct watcher *watcher; /* stb array */
 	uint64_t step_timer, load_timer, watch_timer, report_timer, life_timer, surplus_timer;
 	struct conn *surplus_conn;
 	char surplus_id[64];
-	int held_ms;               /* its work is held up so long */
-	struct { int queued, active, saturated, seq, version; int64_t used; } report[2];
+	int held_ms; /* its work is held up so long */
+	struct {
+		int queued, active, saturated, seq, version;
+		int64_t used;
+	} report[2];
 	int lives;
 };
 
 /* Example: s = server_add(f, "127.9.0.60:8080", "zone-a", "lm", 0); */
 struct server *server_add(struct fleet_set *f, const char *addr, const char *zone, const char *service, int is_store);
 void server_up(struct server *s);
-void server_crash(struct server *s);     /* all its connections are reset, what it kept is gone */
+void server_crash(struct server *s); /* all its connections are reset, what it kept is gone */
 void server_dark(struct server *s, int dark);
 void server_load(struct server *s, int version); /* at once, without an order */
-void server_drain(struct server *s);     /* stands as draining, serves on, then ends */
+void server_drain(struct server *s);             /* stands as draining, serves on, then ends */
 void servers_free(struct fleet_set *f);
 int64_t fleet_ms(const struct fleet_set *f);
 int64_t server_kept(const struct server *s); /* tokens that it keeps */
 
 /* ---- the list ---- */
-struct list_set { const char *addr; int lag_ms, page; double rate; int verbose; };
+struct list_set {
+	const char *addr;
+	int lag_ms, page;
+	double rate;
+	int verbose;
+};
 struct list *list_open(struct fleet_set *f, const struct list_set *s);
 void list_note(struct list *l, struct server *s); /* a server's state has changed */
 void list_close(struct list *l);
--- a/rehearsal/stand_client.c
+++ b/rehearsal/stand_client.c
@@ -7,8 +7,16 @@
 #include "ds.h"
 #include "stand_run.h"
 
-struct kept_conn { struct conn *c; int machine, busy; int64_t idle_until; };
-struct client { int zone, tenant; uint64_t hash; struct kept_conn *kept; /* stb array */ };
+struct kept_conn {
+	struct conn *c;
+	int machine, busy;
+	int64_t idle_until;
+};
+struct client {
+	int zone, tenant;
+	uint64_t hash;
+	struct kept_conn *kept; /* stb array */
+};
 
 struct subject { /* what a client wants, over all its tries */
 	struct clients *all;
@@ -51,7 +59,10 @@
 
 /* ---- the entry ---- */
 
-struct probe { struct run *r; int machine; };
+struct probe {
+	struct run *r;
+	int machine;
+};
 
 static void ready_told(void *ctx, int status, const struct msg *m)
 {
@@ -217,8 +228,8 @@
 		}
 	}
 	if (r->verbose > 1 && !whole)
-		run_say(r, "client: try %s of %s at %s: %d, how %d, %lld ms, events %d", a->id, k->name, r->m[a->machine].name, a->status, (int)how,
-		        (long long)(now - a->began), (int)arrlen(a->event));
+		run_say(r, "client: try %s of %s at %s: %d, how %d, %lld ms, events %d", a->id, k->name, r->m[a->machine].name,
+			a->status, (int)how, (long long)(now - a->began), (int)arrlen(a->event));
 	if (how == TOLD_CUT || how == TOLD_BAD)
 		r->fig.cut++;
 	if (how == TOLD_NOTHING)
@@ -248,8 +259,10 @@
 		r->fig.whole[s->cls]++;
 		second_of(r, s->born)->whole++;
 		r->fig.late[s->cls] += !timely;
-		r->fig.earned += !timely ? s->worth * k->late / k->worth :
-			s->refused_at && s->refused <= k->aim / 4 && s->tries > 1 ? s->worth * (1 + k->late / k->worth) / 2 : s->worth;
+		r->fig.earned += !timely ? s->worth * k->late / k->worth
+				 : s->refused_at && s->refused <= k->aim / 4 && s->tries > 1
+				     ? s->worth * (1 + k->late / k->worth) / 2
+				     : s->worth;
 		hist_add(&r->fig.pause[s->cls], s->worst_gap);
 	} else if (!again) {
 		if (promise)
@@ -480,10 +493,11 @@
 	conn_set_tag(x, a);
 	if (s->last_event)
 		snprintf(taken, sizeof taken, "Last-Event-Id: %d\r\n", s->last_event);
-	snprintf(head, sizeof head,
-	         "POST %s HTTP/1.1\r\nHost: %s\r\nX-Notchlug-Attempt-Id: %s\r\n%sX-Notchlug-Model-Name: %s\r\nX-Notchlug-Token-Count: %d,%d\r\n"
-	         "X-Notchlug-Prompt-Prefix: %s\r\nX-Notchlug-Deadline-Remaining: %lld\r\nX-Api-Key: %s\r\n", s->path, s->host, a->id, taken,
-	         r->sheet->model, s->prompt, s->out, s->parts, (long long)left, s->key);
+	snprintf(
+	    head, sizeof head,
+	    "POST %s HTTP/1.1\r\nHost: %s\r\nX-Notchlug-Attempt-Id: %s\r\n%sX-Notchlug-Model-Name: %s\r\nX-Notchlug-Token-Count: %d,%d\r\n"
+	    "X-Notchlug-Prompt-Prefix: %s\r\nX-Notchlug-Deadline-Remaining: %lld\r\nX-Api-Key: %s\r\n",
+	    s->path, s->host, a->id, taken, r->sheet->model, s->prompt, s->out, s->parts, (long long)left, s->key);
 	conn_expect(x);
 	conn_say(x, head, strlen(head));
 	if (chunked) {
@@ -530,12 +544,14 @@
 	snprintf(s->key, sizeof s->key, "%s", c->keys[s->who->tenant]);
 	snprintf(s->host, sizeof s->host, "%s", r->sheet->host);
 	if (c->extra && stand_rand(&r->rng) % 3 == 0)
-		snprintf(s->path, sizeof s->path, "/big%d/%llx", (int)(stand_rand(&r->rng) % (uint64_t)c->extra), (unsigned long long)(stand_rand(&r->rng) & 0xffff));
+		snprintf(s->path, sizeof s->path, "/big%d/%llx", (int)(stand_rand(&r->rng) % (uint64_t)c->extra),
+			 (unsigned long long)(stand_rand(&r->rng) & 0xffff));
 	else
 		snprintf(s->path, sizeof s->path, "%s%llx", k->prefix, (unsigned long long)(stand_rand(&r->rng) & 0xffff));
-	snprintf(s->parts, sizeof s->parts, "%08llx:%d,%08llx:%d,%08llx:%d", (unsigned long long)(stand_hash(1, &cls, sizeof cls) & 0xffffffff),
-	         shared / 4 + 1, (unsigned long long)(stand_hash(2, &seed, 8) & 0xffffffff), shared - shared / 4,
-	         (unsigned long long)(stand_rand(&r->rng) & 0xffffffff), own);
+	snprintf(s->parts, sizeof s->parts, "%08llx:%d,%08llx:%d,%08llx:%d",
+		 (unsigned long long)(stand_hash(1, &cls, sizeof cls) & 0xffffffff), shared / 4 + 1,
+		 (unsigned long long)(stand_hash(2, &seed, 8) & 0xffffffff), shared - shared / 4,
+		 (unsigned long long)(stand_rand(&r->rng) & 0xffffffff), own);
 	s->prompt = shared + 1 + own;
 	n = 80 + stand_rand(&r->rng) % 400;
 	for (size_t i = 0; i < n; i++)
--- a/rehearsal/stand_config.c
+++ b/rehearsal/stand_config.c
@@ -78,7 +78,8 @@
 		x.isolated = get(t, "Isolated") && json_object_get_boolean(get(t, "Isolated"));
 		x.priority = get_int(t, "Priority");
 		for (size_t k = 0; k < length(keys) && x.nkey < 4; k++)
-			snprintf(x.key[x.nkey++], sizeof x.key[0], "%s", json_object_get_string(json_object_array_get_idx(keys, k)));
+			snprintf(x.key[x.nkey++], sizeof x.key[0], "%s",
+				 json_object_get_string(json_object_array_get_idx(keys, k)));
 		arrput(c->tenant, x);
 	}
 	json_object_put(j);
--- a/rehearsal/stand_judge.c
+++ b/rehearsal/stand_judge.c
@@ -9,12 +9,31 @@
 #include "stand.h"
 
 const struct bounds_set bounds_sheet = {
-	.contact = 3000, .ack = 4000, .catch_up = 4000, .drain = 3000, .grace = 8000, .loss_slack = 200, .apply = 2000, .revert = 250,
-	.drift = 5000, .revoke = 5000, .window = 10000, .slack = 58, .recovery = 12000, .transit = 120, .lease = 3000, .thaw = 300,
-	.version = 15000, .ratio = 0.2, .fence_checked = 1, .revoke_global = 1,
+	.contact = 3000,
+	.ack = 4000,
+	.catch_up = 4000,
+	.drain = 3000,
+	.grace = 8000,
+	.loss_slack = 200,
+	.apply = 2000,
+	.revert = 250,
+	.drift = 5000,
+	.revoke = 5000,
+	.window = 10000,
+	.slack = 58,
+	.recovery = 12000,
+	.transit = 120,
+	.lease = 3000,
+	.thaw = 300,
+	.version = 15000,
+	.ratio = 0.2,
+	.fence_checked = 1,
+	.revoke_global = 1,
 };
 
-struct used { int version, tenant; };
+struct used {
+	int version, tenant;
+};
 struct arrival {
 	int64_t t, begun, ended;
 	char *id, *method, *host, *path, *tenant, *service, *instance;
@@ -33,17 +52,42 @@
 	struct event_rec *event;
 	int *run; /* arrivals */
 };
-struct kept_cfg { struct cfg *c; int64_t base, version, sent, acked, refused; int invalid; };
-struct machine_ev { int64_t t; int machine, core, up; enum trouble tr; };
-struct shown_ev { int64_t t; char *instance; enum shown s; };
-struct order_ev { int64_t t, fence; char *instance, *holder; int status, thawed; };
-struct named_ev { int64_t t; int version, acked; };
-struct read_ev { int64_t t; char *text; };
+struct kept_cfg {
+	struct cfg *c;
+	int64_t base, version, sent, acked, refused;
+	int invalid;
+};
+struct machine_ev {
+	int64_t t;
+	int machine, core, up;
+	enum trouble tr;
+};
+struct shown_ev {
+	int64_t t;
+	char *instance;
+	enum shown s;
+};
+struct order_ev {
+	int64_t t, fence;
+	char *instance, *holder;
+	int status, thawed;
+};
+struct named_ev {
+	int64_t t;
+	int version, acked;
+};
+struct read_ev {
+	int64_t t;
+	char *text;
+};
 
 struct judge {
 	struct bounds_set b;
 	struct attempt *a;
-	struct { char *key; int value; } *by_id, *names;
+	struct {
+		char *key;
+		int value;
+	} * by_id, *names;
 	struct arrival *r;
 	struct kept_cfg *c;
 	struct machine_ev *m;
@@ -52,7 +96,10 @@
 	struct named_ev *n;
 	struct read_ev *read;
 	int *own_end;
-	struct { char id[40]; int64_t t; } *stray;
+	struct {
+		char id[40];
+		int64_t t;
+	} * stray;
 	int64_t fault, back;
 	struct breach *out;
 };
@@ -134,9 +181,11 @@
 
 	memset(&a, 0, sizeof a);
 	a.t = t;
-	a.id = copy(r->id), a.subject = copy(r->subject), a.method = copy(r->method), a.host = copy(r->host), a.path = copy(r->path);
+	a.id = copy(r->id), a.subject = copy(r->subject), a.method = copy(r->method), a.host = copy(r->host),
+	a.path = copy(r->path);
 	a.key = copy(r->key);
-	a.body = r->body, a.edge = r->edge, a.kind = r->kind, a.last_event = r->last_event, a.probe = r->probe, a.stream = r->stream;
+	a.body = r->body, a.edge = r->edge, a.kind = r->kind, a.last_event = r->last_event, a.probe = r->probe,
+	a.stream = r->stream;
 	a.deadline = r->deadline, a.cls = r->cls;
 	a.seal = -1;
 	shput(j->by_id, a.id, (int)arrlen(j->a));
@@ -150,7 +199,8 @@
 	memset(&a, 0, sizeof a);
 	a.t = t;
 	a.begun = a.ended = -1;
-	a.id = copy(text(r->id)), a.method = copy(r->method), a.host = copy(text(r->host)), a.path = copy(r->path), a.tenant = copy(r->tenant);
+	a.id = copy(text(r->id)), a.method = copy(r->method), a.host = copy(text(r->host)), a.path = copy(r->path),
+	a.tenant = copy(r->tenant);
 	a.service = copy(r->service), a.instance = copy(r->instance);
 	a.body = r->body, a.server = r->server, a.turned = r->turned, a.last_event = r->last_event;
 	a.try = shget(j->by_id, a.id);
@@ -384,10 +434,14 @@
 	return v;
 }
 
-struct span { int may, older, bad, any, all; int64_t lo, hi; };
+struct span {
+	int may, older, bad, any, all;
+	int64_t lo, hi;
+};
 
 /* Which configurations handle a try this way: run by service, or denied (service NULL, status). */
-static struct span handled(const struct judge *j, const struct attempt *a, const char *service, int status, int64_t seen, int64_t from)
+static struct span handled(const struct judge *j, const struct attempt *a, const char *service, int status, int64_t seen,
+			   int64_t from)
 {
 	struct span s = { 0, 0, 0, 0, 1, INT64_MAX, -1 };
 
@@ -487,7 +541,8 @@
 
 			if (r && r->try == i && (!r->ran || r->how != 1 || r->last != last))
 				breach(j, "ORDER", a->told_at, "try %s ended as complete at piece %d of %d", a->id, last, r->last);
-			else if (!r && a->seal >= 0 && a->seal < arrlen(j->r) && (j->r[a->seal].how != 1 || j->r[a->seal].last > last))
+			else if (!r && a->seal >= 0 && a->seal < arrlen(j->r) &&
+				 (j->r[a->seal].how != 1 || j->r[a->seal].last > last))
 				breach(j, "ORDER", a->told_at, "try %s ended as complete without a piece", a->id);
 		}
 	}
@@ -533,7 +588,8 @@
 			key |= m->open || !arrlen(c->tenant) || cfg_holder(c, text(a->key));
 		}
 		if (any && !route)
-			breach(j, "ROUTE", r->begun, "service %s ran try %s, which no configuration sends there", r->service, a->id);
+			breach(j, "ROUTE", r->begun, "service %s ran try %s, which no configuration sends there", r->service,
+			       a->id);
 		else if (any && !key)
 			breach(j, "ROUTE", r->begun, "try %s ran with a key that no configuration holds", a->id);
 		else if (any && r->tenant && !holds_name(j, a->key, r->tenant, &held) && held)
@@ -549,7 +605,8 @@
 			runs += j->r[a->run[k]].begun >= 0;
 		if (a->kind == TRY_ONCE && runs > 1)
 			breach(j, "TWICE", a->t, "try %s ran %d times", a->id, runs);
-		if (a->kind == TRY_ONCE && runs && a->is_told && (a->status == 429 || a->status == 503 || a->status == 408 || a->status == 421))
+		if (a->kind == TRY_ONCE && runs && a->is_told &&
+		    (a->status == 429 || a->status == 503 || a->status == 408 || a->status == 421))
 			breach(j, "REFUSED", a->told_at, "try %s was answered %d and ran", a->id, a->status);
 	}
 }
@@ -558,7 +615,10 @@
 {
 	int denied = 0, asked = 0;
 	int64_t last_denied = 0;
-	struct { int64_t seen, lo; int life; } *back = NULL;
+	struct {
+		int64_t seen, lo;
+		int life;
+	} *back = NULL;
 
 	for (int i = 0; i < arrlen(j->a); i++) {
 		const struct attempt *a = &j->a[i];
@@ -574,18 +634,21 @@
 				continue;
 			s = handled(j, a, r->service, 0, r->begun, from);
 			if (touch && judge_touch(j, a->edge, r->begun) && !s.may && s.older)
-				breach(j, "CONFIG", r->begun, "try %s ran at %s, as only a version before %lld has it", a->id, r->service, (long long)from);
+				breach(j, "CONFIG", r->begun, "try %s ran at %s, as only a version before %lld has it", a->id,
+				       r->service, (long long)from);
 			else if (!s.may && !s.older && s.bad)
-				breach(j, "CONFIG", r->begun, "try %s ran at %s, as only a refused or invalid configuration has it", a->id, r->service);
+				breach(j, "CONFIG", r->begun, "try %s ran at %s, as only a refused or invalid configuration has it",
+				       a->id, r->service);
 		}
-		if (a->is_told && a->own && a->status >= 300 && a->status < 500 && a->status != 408 && a->status != 421 && a->status != 429) {
+		if (a->is_told && a->own && a->status >= 300 && a->status < 500 && a->status != 408 && a->status != 421 &&
+		    a->status != 429) {
 			struct span s = handled(j, a, NULL, a->status, a->told_at, from);
 
 			if (!touch || !judge_touch(j, a->edge, a->told_at))
 				continue;
 			if ((a->status == 401 || a->status == 403 || a->status == 404) && !s.may && s.older) {
-				breach(j, "CONFIG", a->told_at, "try %s was denied with %d, as only a version before %lld does", a->id, a->status,
-				       (long long)from);
+				breach(j, "CONFIG", a->told_at, "try %s was denied with %d, as only a version before %lld does",
+				       a->id, a->status, (long long)from);
 			} else if (s.all && !a->probe && from >= 0) {
 				denied++;
 				last_denied = a->told_at;
@@ -638,13 +701,15 @@
 					continue;
 				s = handled(j, a, r->service, 0, r->begun, -1);
 				if (s.hi >= 0 && s.hi < most)
-					breach(j, "CONFIG", r->begun, "machine %d went back behind %lld with try %s", m, (long long)most, a->id);
+					breach(j, "CONFIG", r->begun, "machine %d went back behind %lld with try %s", m,
+					       (long long)most, a->id);
 			}
 			if (a->own && (a->status == 401 || a->status == 403 || a->status == 404)) {
 				struct span s = handled(j, a, NULL, a->status, a->told_at, -1);
 
 				if (s.hi >= 0 && s.hi < most)
-					breach(j, "CONFIG", a->told_at, "machine %d went back behind %lld and denied try %s", m, (long long)most, a->id);
+					breach(j, "CONFIG", a->told_at, "machine %d went back behind %lld and denied try %s", m,
+					       (long long)most, a->id);
 			}
 		}
 	}
@@ -654,12 +719,14 @@
 		const struct kept_cfg *k = &j->c[i];
 
 		if (k->invalid && k->acked >= 0)
-			breach(j, "CONFIG", k->acked, "an invalid configuration (%lld on %lld) was acknowledged", (long long)k->version, (long long)k->base);
+			breach(j, "CONFIG", k->acked, "an invalid configuration (%lld on %lld) was acknowledged",
+			       (long long)k->version, (long long)k->base);
 		for (int n = 0; n < i; n++)
-			if (k->acked >= 0 && j->c[n].acked >= 0 && k->base == j->c[n].base && (k->version != j->c[n].version ||
-			    strcmp(k->c ? text(k->c->text) : "", j->c[n].c ? text(j->c[n].c->text) : "")))
-				breach(j, "CONFIG", k->acked, "%lld and %lld, both on top of %lld, were acknowledged", (long long)j->c[n].version,
-				       (long long)k->version, (long long)k->base);
+			if (k->acked >= 0 && j->c[n].acked >= 0 && k->base == j->c[n].base &&
+			    (k->version != j->c[n].version ||
+			     strcmp(k->c ? text(k->c->text) : "", j->c[n].c ? text(j->c[n].c->text) : "")))
+				breach(j, "CONFIG", k->acked, "%lld and %lld, both on top of %lld, were acknowledged",
+				       (long long)j->c[n].version, (long long)k->version, (long long)k->base);
 	}
 }
 
@@ -675,7 +742,9 @@
 			first = j->c[i].c;
 	for (int i = 0; i < arrlen(j->c); i++)
 		if (valid(&j->c[i]) && j->c[i].c != first)
-			added = arrlen(j->c[i].c->route) - arrlen(first->route) > added ? (int)(arrlen(j->c[i].c->route) - arrlen(first->route)) : added;
+			added = arrlen(j->c[i].c->route) - arrlen(first->route) > added
+				    ? (int)(arrlen(j->c[i].c->route) - arrlen(first->route))
+				    : added;
 	if (added < 20)
 		return;
 	for (int i = 0; i < arrlen(j->a); i++) {
@@ -696,7 +765,8 @@
 		got[late] += a->status >= 200 && a->status < 300;
 	}
 	if (all[0] >= 20 && all[1] >= 20 && got[0] / all[0] > 4 * got[1] / all[1])
-		breach(j, "CONFIG", 0, "routes added later were served %.0f of %.0f times, the first ones %.0f of %.0f", got[1], all[1], got[0], all[0]);
+		breach(j, "CONFIG", 0, "routes added later were served %.0f of %.0f times, the first ones %.0f of %.0f", got[1],
+		       all[1], got[0], all[0]);
 }
 
 static void rule_keys(struct judge *j)
@@ -731,8 +801,8 @@
 				has |= c->version > k->version && valid(&j->c[x]);
 			}
 			if (had && !has) {
-				breach(j, "CONFIG", ran, "try %s ran with a key that version %lld took away at %lld", a->id, (long long)k->version,
-				       (long long)k->acked);
+				breach(j, "CONFIG", ran, "try %s ran with a key that version %lld took away at %lld", a->id,
+				       (long long)k->version, (long long)k->acked);
 				break;
 			}
 		}
@@ -759,7 +829,8 @@
 		return;
 	}
 	if (c->version < top->version)
-		breach(j, rule, arrlast(j->read).t, "read back: %lld, though %lld was acknowledged", (long long)c->version, (long long)top->version);
+		breach(j, rule, arrlast(j->read).t, "read back: %lld, though %lld was acknowledged", (long long)c->version,
+		       (long long)top->version);
 	for (int i = 0; i < arrlen(j->c); i++) {
 		struct json_object *a, *b;
 
@@ -772,7 +843,8 @@
 		json_object_put(b);
 	}
 	if (c->version >= top->version && !same)
-		breach(j, "CONFIG", arrlast(j->read).t, "read back: %lld differs from what was sent under it", (long long)c->version);
+		breach(j, "CONFIG", arrlast(j->read).t, "read back: %lld differs from what was sent under it",
+		       (long long)c->version);
 	cfg_free(c);
 }
 
@@ -788,7 +860,8 @@
 			if (j->s[k].s != SHOWN_READY && !strcmp(j->s[k].instance, r->instance) && (shown < 0 || j->s[k].t < shown))
 				shown = j->s[k].t;
 		if (shown >= 0 && r->t > shown + j->b.drain)
-			breach(j, "DRAIN", r->t, "%s got try %s %lld ms after the list showed that it drains", r->instance, r->id, (long long)(r->t - shown));
+			breach(j, "DRAIN", r->t, "%s got try %s %lld ms after the list showed that it drains", r->instance, r->id,
+			       (long long)(r->t - shown));
 	}
 }
 
@@ -815,7 +888,8 @@
 			excused |= (!r->ran || r->ended > term + j->b.grace / 2) && a->told_at >= term + j->b.grace / 2;
 		}
 		if (!excused && (passed || (a->how == TOLD_CUT && a->told_at > a->t + j->b.loss_slack)))
-			breach(j, "LOST", a->told_at, "try %s was cut off by machine %d, which had SIGTERM at %lld", a->id, a->edge, (long long)term);
+			breach(j, "LOST", a->told_at, "try %s was cut off by machine %d, which had SIGTERM at %lld", a->id, a->edge,
+			       (long long)term);
 	}
 }
 
@@ -837,7 +911,10 @@
 
 static void rule_budget(struct judge *j)
 {
-	struct { char *key; int value; } *done = NULL;
+	struct {
+		char *key;
+		int value;
+	} *done = NULL;
 
 	for (int i = 0; i < arrlen(j->r); i++) {
 		const char *service = j->r[i].service;
@@ -872,8 +949,8 @@
 			x = in_window(asked, t - w * 3 / 2, t - w / 2);
 			n = x > n ? x : n;
 			if ((double)extra > j->b.ratio * (double)n + (double)j->b.slack) {
-				breach(j, "BUDGET", t, "%lld further arrivals at %s within %lld ms, for %lld requests", (long long)extra, service,
-				       (long long)w, (long long)n);
+				breach(j, "BUDGET", t, "%lld further arrivals at %s within %lld ms, for %lld requests",
+				       (long long)extra, service, (long long)w, (long long)n);
 				break;
 			}
 		}
@@ -896,15 +973,18 @@
 			if (a->thawed || (a->status == 412 && j->b.fence_checked) || strcmp(a->instance, b->instance))
 				continue;
 			if (strcmp(a->holder, b->holder) && a->fence == b->fence) {
-				breach(j, "ONE", b->t, "%s and %s share fence %lld at %s", a->holder, b->holder, (long long)b->fence, b->instance);
+				breach(j, "ONE", b->t, "%s and %s share fence %lld at %s", a->holder, b->holder,
+				       (long long)b->fence, b->instance);
 				break;
 			}
 			if (!j->b.fence_checked && b->fence < a->fence) {
-				breach(j, "ONE", b->t, "fence %lld follows %lld at %s", (long long)b->fence, (long long)a->fence, b->instance);
+				breach(j, "ONE", b->t, "fence %lld follows %lld at %s", (long long)b->fence, (long long)a->fence,
+				       b->instance);
 				break;
 			}
 			if (strcmp(a->holder, b->holder) && b->t - a->t < j->b.lease) {
-				breach(j, "ONE", b->t, "%s gave an order %lld ms after %s at %s", b->holder, (long long)(b->t - a->t), a->holder, b->instance);
+				breach(j, "ONE", b->t, "%s gave an order %lld ms after %s at %s", b->holder,
+				       (long long)(b->t - a->t), a->holder, b->instance);
 				break;
 			}
 		}
@@ -937,7 +1017,8 @@
 					if (!valid(&j->c[x]) || j->c[x].version < floor || j->c[x].sent > r->begun)
 						continue;
 					for (int n = 0; n < arrlen(c->tenant); n++)
-						w |= c->tenant[n].isolated && (!strcmp(c->tenant[n].name, maker) || !strcmp(c->tenant[n].name, text(r->tenant)));
+						w |= c->tenant[n].isolated && (!strcmp(c->tenant[n].name, maker) ||
+									       !strcmp(c->tenant[n].name, text(r->tenant)));
 					all += 1;
 					some += w;
 				}
@@ -955,8 +1036,8 @@
 				named = j->n[k].t;
 		from = settled_since(j, r->begun);
 		if (named >= 0 && from >= 0 && r->begun - (from > named ? from : named) > j->b.version)
-			breach(j, "VERSION", r->begun, "try %s began on version %d, %lld ms after a newer one was named", r->id, r->version,
-			       (long long)(r->begun - named));
+			breach(j, "VERSION", r->begun, "try %s began on version %d, %lld ms after a newer one was named", r->id,
+			       r->version, (long long)(r->begun - named));
 	}
 }
 
@@ -970,8 +1051,8 @@
 			continue;
 		most = j->b.ack + 3 * arrlen(k->c->route);
 		for (int n = 0; n < arrlen(j->c); n++) /* on top of what is no longer current it wins nothing */
-			if (n != i && j->c[n].acked >= 0 && j->c[n].acked <= k->sent + most && j->c[n].version > newest && j->c[n].base <= k->base &&
-			    j->c[n].version > k->base)
+			if (n != i && j->c[n].acked >= 0 && j->c[n].acked <= k->sent + most && j->c[n].version > newest &&
+			    j->c[n].base <= k->base && j->c[n].version > k->base)
 				newest = j->c[n].version;
 		if (newest)
 			continue;
@@ -979,8 +1060,8 @@
 			continue;
 		from = settled_since(j, k->sent + most);
 		if (from >= 0 && from <= k->sent)
-			breach(j, "ACKS", k->sent + most, "configuration %lld, sent at %lld, was not acknowledged within %lld ms", (long long)k->version,
-			       (long long)k->sent, (long long)most);
+			breach(j, "ACKS", k->sent + most, "configuration %lld, sent at %lld, was not acknowledged within %lld ms",
+			       (long long)k->version, (long long)k->sent, (long long)most);
 	}
 	for (int i = 0; i < arrlen(j->n); i++) {
 		int ok = 0;
@@ -992,7 +1073,8 @@
 			ok |= j->n[k].acked && j->n[k].version >= j->n[i].version && j->n[k].t <= j->n[i].t + j->b.ack;
 		from = settled_since(j, j->n[i].t + j->b.ack);
 		if (!ok && from >= 0 && from <= j->n[i].t)
-			breach(j, "ACKS", j->n[i].t + j->b.ack, "weights %d, named at %lld, were not acknowledged", j->n[i].version, (long long)j->n[i].t);
+			breach(j, "ACKS", j->n[i].t + j->b.ack, "weights %d, named at %lld, were not acknowledged", j->n[i].version,
+			       (long long)j->n[i].t);
 	}
 }
 
@@ -1012,8 +1094,8 @@
 		got[k] += a->is_told && a->how == TOLD_WHOLE && a->status >= 200 && a->status < 300;
 	}
 	if (all[0] && all[1] && got[0] / all[0] >= 0.25 && got[1] / all[1] < 0.25)
-		breach(j, "RECOVER", j->back + j->b.recovery, "%.0f of %.0f were served after the closing fault, %.0f of %.0f before", got[1], all[1],
-		       got[0], all[0]);
+		breach(j, "RECOVER", j->back + j->b.recovery,
+		       "%.0f of %.0f were served after the closing fault, %.0f of %.0f before", got[1], all[1], got[0], all[0]);
 }
 
 static void rule_ends(struct judge *j)
@@ -1040,7 +1122,10 @@
 
 static void rule_starved(struct judge *j)
 {
-	struct { char *key; int value; } *asked = NULL, *got = NULL;
+	struct {
+		char *key;
+		int value;
+	} *asked = NULL, *got = NULL;
 	double all = 0, served = 0;
 
 	for (int i = 0; i < arrlen(j->a); i++) {
@@ -1073,7 +1158,8 @@
 		int k = (int)shgeti(got, asked[i].key), n = k < 0 ? 0 : got[k].value;
 
 		if (asked[i].value >= 20 && all && (double)n / asked[i].value < served / all / 4)
-			breach(j, "STARVED", 0, "tenant %s was served %d of %d times, all together %.0f of %.0f", asked[i].key, n, asked[i].value, served, all);
+			breach(j, "STARVED", 0, "tenant %s was served %d of %d times, all together %.0f of %.0f", asked[i].key, n,
+			       asked[i].value, served, all);
 	}
 	shfree(asked);
 	shfree(got);
@@ -1114,18 +1200,22 @@
 
 void judge_story(const struct judge *j, const char *id, FILE *f)
 {
-	static const char *const how[] = { "whole", "cut", "no answer", "garbage", "given up", "stray" }, *const end[] = { "its caller left", "broke off", "whole" };
+	static const char *const how[] = { "whole", "cut", "no answer", "garbage", "given up", "stray" }, *const end[] = {
+		"its caller left", "broke off", "whole"
+	};
 	int k = shget(((struct judge *)(uintptr_t)j)->by_id, id);
 	const struct attempt *a = k >= 0 ? &j->a[k] : NULL;
 
 	if (!a)
 		return;
-	fprintf(f, "    %7lld sent to machine %d%s: %s%s%s, %lld ms to wait%s\n", (long long)a->t, a->edge, judge_touch(j, a->edge, a->t) ? "" : " (out of touch)",
-	        a->host, a->path, a->probe ? " (probe)" : "", (long long)a->deadline, a->kind == TRY_ONCE ? ", not repeatable" : "");
+	fprintf(f, "    %7lld sent to machine %d%s: %s%s%s, %lld ms to wait%s\n", (long long)a->t, a->edge,
+		judge_touch(j, a->edge, a->t) ? "" : " (out of touch)", a->host, a->path, a->probe ? " (probe)" : "",
+		(long long)a->deadline, a->kind == TRY_ONCE ? ", not repeatable" : "");
 	for (int i = 0; i < arrlen(a->run); i++) {
 		const struct arrival *r = &j->r[a->run[i]];
 
-		fprintf(f, "    %7lld arrived at %s of %s (run %d)%s", (long long)r->t, r->instance, r->service, a->run[i], r->turned ? ", turned away" : "");
+		fprintf(f, "    %7lld arrived at %s of %s (run %d)%s", (long long)r->t, r->instance, r->service, a->run[i],
+			r->turned ? ", turned away" : "");
 		if (r->turned)
 			fprintf(f, " with %d", r->turned);
 		if (r->begun >= 0)
@@ -1135,8 +1225,8 @@
 		fputc('\n', f);
 	}
 	if (a->is_told)
-		fprintf(f, "    %7lld told %d, %s%s, seal %d, %d pieces\n", (long long)a->told_at, a->status, how[a->how], a->own ? ", the system's own" : "", a->seal,
-		        (int)arrlen(a->event));
+		fprintf(f, "    %7lld told %d, %s%s, seal %d, %d pieces\n", (long long)a->told_at, a->status, how[a->how],
+			a->own ? ", the system's own" : "", a->seal, (int)arrlen(a->event));
 }
 
 /* ---- histogram ---- */
--- a/rehearsal/stand_list.c
+++ b/rehearsal/stand_list.c
@@ -5,8 +5,18 @@
 #include "ds.h"
 #include "stand.h"
 
-struct shown_server { int on, version; enum life life; char instance[32]; int64_t gone_at; };
-struct change { struct list *l; struct server *s; struct shown_server as; uint64_t timer; };
+struct shown_server {
+	int on, version;
+	enum life life;
+	char instance[32];
+	int64_t gone_at;
+};
+struct change {
+	struct list *l;
+	struct server *s;
+	struct shown_server as;
+	uint64_t timer;
+};
 
 struct list {
 	struct fleet_set *f;
@@ -66,7 +76,7 @@
 	snprintf(c->as.instance, sizeof c->as.instance, "%s", s->instance);
 	lag = l->set.lag_ms * (0.3 + 0.7 * stand_unit(&l->f->rng));
 	if (s->life == LIFE_DOWN && was == LIFE_UP)
-		lag += CRASHED_STAYS_MS; /* nobody has told the list */
+		lag += CRASHED_STAYS_MS;                 /* nobody has told the list */
 	for (int i = arrlen(l->change) - 1; i >= 0; i--) /* what comes later is shown later */
 		if (l->change[i]->s == s && s->life != LIFE_DOWN) {
 			loop_drop(l->f->l, l->change[i]->timer);
@@ -109,7 +119,8 @@
 		struct server *s = l->f->server[i];
 		struct json_object *e, *ms, *md;
 
-		if (!l->shown[i].on || (zone && (strncmp(zone + 5, s->zone, strlen(s->zone)) || (zone[5 + strlen(s->zone)] && zone[5 + strlen(s->zone)] != '&'))))
+		if (!l->shown[i].on || (zone && (strncmp(zone + 5, s->zone, strlen(s->zone)) ||
+						 (zone[5 + strlen(s->zone)] && zone[5 + strlen(s->zone)] != '&'))))
 			continue;
 		if (n == l->set.page) {
 			next = i;
@@ -128,7 +139,8 @@
 		json_object_object_add(e, "Zone", json_object_new_string(s->zone));
 		json_object_object_add(e, "ConfigVersion", json_object_new_string("v1"));
 		json_object_object_add(e, "SlotCount", json_object_new_int(l->f->e.slots));
-		json_object_object_add(e, "State", json_object_new_string(l->shown[i].life == LIFE_DRAINING ? "draining" : "ready"));
+		json_object_object_add(e, "State",
+				       json_object_new_string(l->shown[i].life == LIFE_DRAINING ? "draining" : "ready"));
 		json_object_object_add(e, "ColdLeftMs", json_object_new_int(0));
 		json_object_object_add(e, "Stage", json_object_new_string("combined"));
 		json_object_object_add(e, "Models", ms);
--- a/rehearsal/stand_machine.c
+++ b/rehearsal/stand_machine.c
@@ -60,15 +60,22 @@
 		fprintf(stderr, "rehearsal: %s: %s\n", path, strerror(errno));
 		exit(1);
 	}
-	fprintf(f, "NodeName = \"%s\"\nRole = \"%s\"\nMachineClass = \"%s\"\nServedRoles = [\"%s\"]\nIpAddress = \"%s\"\nZone = \"%s\"\nRegion = \"%s\"\n",
-	        m->name, m->core ? "registrar" : "counter", m->core ? "core" : "edge", m->core ? "control" : "edge", m->ip, m->zone, r->sheet->region);
+	fprintf(
+	    f,
+	    "NodeName = \"%s\"\nRole = \"%s\"\nMachineClass = \"%s\"\nServedRoles = [\"%s\"]\nIpAddress = \"%s\"\nZone = \"%s\"\nRegion = \"%s\"\n",
+	    m->name, m->core ? "registrar" : "counter", m->core ? "core" : "edge", m->core ? "control" : "edge", m->ip, m->zone,
+	    r->sheet->region);
 	fprintf(f, "InternalPorts = [%d,%d]\nSeedNodes = [", INSIDE, INSIDE_LAST);
 	for (int i = 0; i < r->nm && seeds < 3; i++)
 		if (r->m[i].core && r->m[i].listed)
 			fprintf(f, "%s\"%s\"", seeds++ ? "," : "", r->m[i].control);
-	fprintf(f, "]\nInitialStart = %s\nLossCounted = %s\nDiscoverySource = \"platform\"\nEntryType = \"vip\"\nBeatIntervalMs = 1200\n",
-	        m->starts || r->traffic_at >= 0 ? "false" : "true", m->core ? "true" : "false");
-	fprintf(f, "ContractList = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"kvcache\",\"stream\",\"engine\",\"tenants\"]\n");
+	fprintf(
+	    f,
+	    "]\nInitialStart = %s\nLossCounted = %s\nDiscoverySource = \"platform\"\nEntryType = \"vip\"\nBeatIntervalMs = 1200\n",
+	    m->starts || r->traffic_at >= 0 ? "false" : "true", m->core ? "true" : "false");
+	fprintf(
+	    f,
+	    "ContractList = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"kvcache\",\"stream\",\"engine\",\"tenants\"]\n");
 	if (m->core)
 		fprintf(f, "DataPath = \"%s/data\"\n", m->folder);
 	fprintf(f, "[Zones]\n");
@@ -79,16 +86,24 @@
 		fprintf(f, "ControlAddr = \"%s\"\n", m->control);
 	else
 		fprintf(f, "FrontAddr = \"%s\"\nReadiness = \"%s\"\n", m->front, m->ready);
-	fprintf(f, "[Limits]\nCpuQuota = 0.25\nCoreCount = 1\nMemoryMb = 260\nMaxFds = 4100\nLinkMbps = 1000.0\nDiskMb = %d\n", m->core ? 128 : 0);
-	fprintf(f, "[Tolerance]\nMachineLosses = 1\nZones = 0\nRegionLosses = 0\n[TimingBounds]\nSeedLagS = 3\nAddressReuseS = 2\n");
-	fprintf(f, "ContactMs = %lld\nAckMs = %lld\nCatchUpS = %lld\nDrainMs = %lld\nGraceS = %lld\nLossSlackMs = %lld\nConfigApplyMs = %lld\n",
-	        (long long)b->contact, (long long)b->ack, (long long)b->catch_up / 1000, (long long)b->drain, (long long)b->grace / 1000,
-	        (long long)b->loss_slack, (long long)b->apply);
-	fprintf(f, "RevertSlackMs = %lld\nDriftMaxMs = %lld\nRevocationGlobal = true\nRevokeMs = %lld\nRetryBudgetRatio = %.2f\nRetryWindowS = %lld\n",
-	        (long long)b->revert, (long long)b->drift, (long long)b->revoke, b->ratio, (long long)b->window / 1000);
-	fprintf(f, "RetryBudgetSlack = %lld\nRecoveryS = %lld\nTransitMs = %lld\nFenceChecked = %s\nLeaseMs = %lld\nThawSlackMs = %lld\nVersionMs = %lld\n",
-	        (long long)b->slack, (long long)b->recovery / 1000, (long long)b->transit, b->fence_checked ? "true" : "false", (long long)b->lease,
-	        (long long)b->thaw, (long long)b->version);
+	fprintf(f, "[Limits]\nCpuQuota = 0.25\nCoreCount = 1\nMemoryMb = 260\nMaxFds = 4100\nLinkMbps = 1000.0\nDiskMb = %d\n",
+		m->core ? 128 : 0);
+	fprintf(f,
+		"[Tolerance]\nMachineLosses = 1\nZones = 0\nRegionLosses = 0\n[TimingBounds]\nSeedLagS = 3\nAddressReuseS = 2\n");
+	fprintf(
+	    f,
+	    "ContactMs = %lld\nAckMs = %lld\nCatchUpS = %lld\nDrainMs = %lld\nGraceS = %lld\nLossSlackMs = %lld\nConfigApplyMs = %lld\n",
+	    (long long)b->contact, (long long)b->ack, (long long)b->catch_up / 1000, (long long)b->drain,
+	    (long long)b->grace / 1000, (long long)b->loss_slack, (long long)b->apply);
+	fprintf(
+	    f,
+	    "RevertSlackMs = %lld\nDriftMaxMs = %lld\nRevocationGlobal = true\nRevokeMs = %lld\nRetryBudgetRatio = %.2f\nRetryWindowS = %lld\n",
+	    (long long)b->revert, (long long)b->drift, (long long)b->revoke, b->ratio, (long long)b->window / 1000);
+	fprintf(
+	    f,
+	    "RetryBudgetSlack = %lld\nRecoveryS = %lld\nTransitMs = %lld\nFenceChecked = %s\nLeaseMs = %lld\nThawSlackMs = %lld\nVersionMs = %lld\n",
+	    (long long)b->slack, (long long)b->recovery / 1000, (long long)b->transit, b->fence_checked ? "true" : "false",
+	    (long long)b->lease, (long long)b->thaw, (long long)b->version);
 	fprintf(f, "[PlatformApi]\nAddress = \"%s\"\nRatePerS = 47.0\nDutyList = []\nMaxLagMs = 800\n", r->list_at);
 	fclose(f);
 	snprintf(path, sizeof path, "%s/data", m->folder);
@@ -252,7 +267,7 @@
 		m->own_ends++;
 		judge_own_end(r->j, run_ms(r), m->i);
 		run_say(r, "%s ended by itself (%s %d); see its log", m->name, WIFSIGNALED(st) ? "signal" : "code",
-		        WIFSIGNALED(st) ? WTERMSIG(st) : WEXITSTATUS(st));
+			WIFSIGNALED(st) ? WTERMSIG(st) : WEXITSTATUS(st));
 		m->timer = loop_after(r->l, ms_us(500), start_again, m);
 	}
 }
--- a/rehearsal/stand_net.c
+++ b/rehearsal/stand_net.c
@@ -17,8 +17,15 @@
 #include "ds.h"
 #include "stand.h"
 
-struct timer { int64_t at; uint64_t id; void (*fn)(void *ctx); void *ctx; };
-struct fd_owner { int kind; /* 1 port, 2 conn */ };
+struct timer {
+	int64_t at;
+	uint64_t id;
+	void (*fn)(void *ctx);
+	void *ctx;
+};
+struct fd_owner {
+	int kind; /* 1 port, 2 conn */
+};
 
 struct port {
 	struct fd_owner o;
@@ -38,9 +45,9 @@
 	void *ctx, *tag;
 	http_parser p;
 	struct msg m;
-	int value_next;    /* the parser's last piece was a field's value */
+	int value_next; /* the parser's last piece was a field's value */
 	int whole;
-	char *in, *out;    /* stb arrays */
+	char *in, *out; /* stb arrays */
 	size_t out_at;
 };
 
@@ -84,7 +91,12 @@
 
 /* ---- timers ---- */
 
-static void swap(struct timer *a, struct timer *b) { struct timer x = *a; *a = *b; *b = x; }
+static void swap(struct timer *a, struct timer *b)
+{
+	struct timer x = *a;
+	*a = *b;
+	*b = x;
+}
 
 static void sift(struct loop *l, size_t i)
 {
@@ -317,8 +329,13 @@
 }
 
 static const http_parser_settings settings = {
-	.on_message_begin = on_begin, .on_url = on_url, .on_header_field = on_name, .on_header_value = on_value,
-	.on_headers_complete = on_head, .on_body = on_data, .on_message_complete = on_whole,
+	.on_message_begin = on_begin,
+	.on_url = on_url,
+	.on_header_field = on_name,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_data,
+	.on_message_complete = on_whole,
 };
 
 static void restart(struct conn *c)
@@ -726,8 +743,8 @@
 
 void conn_answer(struct conn *c, int status, const char *fields, const char *body, size_t n, int keep)
 {
-	conn_sayf(c, "HTTP/1.1 %d %s\r\n%sContent-Length: %zu\r\n%s\r\n", status, http_status_str((enum http_status)status), fields, n,
-	          keep ? "" : "Connection: close\r\n");
+	conn_sayf(c, "HTTP/1.1 %d %s\r\n%sContent-Length: %zu\r\n%s\r\n", status, http_status_str((enum http_status)status), fields,
+		  n, keep ? "" : "Connection: close\r\n");
 	conn_say(c, body, n);
 	conn_next(c, keep);
 }
@@ -775,8 +792,8 @@
 	once_end(o, 0, NULL);
 }
 
-void call_once(struct loop *l, const char *addr, const char *method, const char *target, const char *fields, const char *body, int ms,
-               void (*fn)(void *ctx, int status, const struct msg *m), void *ctx)
+void call_once(struct loop *l, const char *addr, const char *method, const char *target, const char *fields, const char *body,
+	       int ms, void (*fn)(void *ctx, int status, const struct msg *m), void *ctx)
 {
 	static const struct conn_on on = { .whole = once_whole, .gone = once_gone };
 	struct once *o = calloc(1, sizeof *o);
--- a/rehearsal/stand_operator.c
+++ b/rehearsal/stand_operator.c
@@ -5,10 +5,13 @@
 #include "ds.h"
 #include "stand_run.h"
 
-struct want { enum change what; int modify; };
+struct want {
+	enum change what;
+	int modify;
+};
 enum what { SENDS_CONFIG, SENDS_WEIGHTS, READS };
 struct sending {
-	struct operator *o;
+	struct operator* o;
 	enum what what;
 	int cfg, hops, tries, others, unclear, alone, weights;
 	int64_t base, version, began, read_from;
@@ -18,7 +21,8 @@
 	double pause;
 };
 
-struct operator {
+struct operator
+{
 	struct run *r;
 	struct json_object *now; /* acknowledged */
 	int64_t version, next;
@@ -30,7 +34,7 @@
 };
 
 static void attempt(void *ctx);
-static void next(struct operator *o);
+static void next(struct operator* o);
 
 static struct json_object *clone(struct json_object *j)
 {
@@ -60,7 +64,7 @@
 	free(s);
 }
 
-static const char *pick_node(struct operator *o, int other)
+static const char *pick_node(struct operator* o, int other)
 {
 	struct run *r = o->r;
 	int n = 0, k;
@@ -79,7 +83,7 @@
 
 static void over(struct sending *s)
 {
-	struct operator *o = s->o;
+	struct operator* o = s->o;
 
 	for (int i = 0; i < arrlen(o->going); i++)
 		if (o->going[i] == s) {
@@ -102,7 +106,7 @@
 static void answer(void *ctx, int status, const struct msg *m)
 {
 	struct sending *s = ctx;
-	struct operator *o = s->o;
+	struct operator* o = s->o;
 	struct run *r = o->r;
 	const char *to = msg_get(m, "Location");
 	int64_t now = run_ms(r);
@@ -154,7 +158,8 @@
 			judge_cfg_fate(r->j, now, s->cfg, CFG_ACKED);
 			o->acked++;
 			if (r->verbose || now - s->began > 1000)
-				run_say(r, "configuration %lld is acknowledged after %lld ms", (long long)s->version, (long long)(now - s->began));
+				run_say(r, "configuration %lld is acknowledged after %lld ms", (long long)s->version,
+					(long long)(now - s->began));
 			if (s->full && s->version > o->version) {
 				json_object_put(o->now);
 				o->now = json_object_get(s->full);
@@ -177,8 +182,8 @@
 		if (!s->unclear) /* else it may have been taken, and overtaken since */
 			judge_cfg_fate(r->j, now, s->cfg, CFG_REFUSED);
 		if (s->full && !s->alone)
-			run_say(r, "configuration %lld on %lld was refused with %d: %.120s", (long long)s->version, (long long)s->base, status,
-			        m && m->body ? m->body : "");
+			run_say(r, "configuration %lld on %lld was refused with %d: %.120s", (long long)s->version,
+				(long long)s->base, status, m && m->body ? m->body : "");
 		over(s);
 		return;
 	}
@@ -197,12 +202,12 @@
 	}
 	s->tries++;
 	call_once(s->o->r->l, s->at, s->what == READS ? "GET" : "POST", s->path, s->fields, s->body,
-	          1000 + (s->body ? (int)(strlen(s->body) / 200) : 0), answer, s);
+		  1000 + (s->body ? (int)(strlen(s->body) / 200) : 0), answer, s);
 }
 
 static void send_off(struct sending *s)
 {
-	struct operator *o = s->o;
+	struct operator* o = s->o;
 
 	s->began = run_ms(o->r);
 	s->pause = 100;
@@ -211,7 +216,7 @@
 	attempt(s);
 }
 
-static struct sending *sending(struct operator *o, enum what what, const char *path, const char *body)
+static struct sending *sending(struct operator* o, enum what what, const char *path, const char *body)
 {
 	struct sending *s = calloc(1, sizeof *s);
 
@@ -223,7 +228,8 @@
 }
 
 /* The whole configuration goes out, or what differs; invalid: known to be so. */
-static struct sending *config_sending(struct operator *o, struct json_object *full, const char *text, const char *path, int64_t base, int invalid)
+static struct sending *config_sending(struct operator* o, struct json_object *full, const char *text, const char *path,
+				      int64_t base, int invalid)
 {
 	struct sending *s = sending(o, SENDS_CONFIG, path, text);
 	struct cfg *c = full ? cfg_read(json_object_to_json_string_ext(full, JSON_C_TO_STRING_PLAIN)) : NULL;
@@ -238,7 +244,7 @@
 
 /* ---- what it wants ---- */
 
-static struct json_object *route(struct operator *o, const char *name, const char *prefix, const struct class_set *c)
+static struct json_object *route(struct operator* o, const char *name, const char *prefix, const struct class_set *c)
 {
 	struct json_object *r = json_object_new_object();
 
@@ -273,7 +279,7 @@
 	return t;
 }
 
-static struct json_object *first(struct operator *o)
+static struct json_object *first(struct operator* o)
 {
 	struct run *r = o->r;
 	struct json_object *j = json_object_new_object(), *a = json_object_new_array(), *s, *e, *ms, *m;
@@ -329,17 +335,18 @@
 	return j;
 }
 
-void operator_first(struct operator *o)
+void operator_first(struct operator* o)
 {
 	struct json_object *j = first(o);
-	struct sending *s = config_sending(o, j, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN), "/configuration/replace", 0, 0);
+	struct sending *s =
+	    config_sending(o, j, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN), "/configuration/replace", 0, 0);
 
 	json_object_put(j);
 	o->next = 5;
 	send_off(s);
 }
 
-static int64_t climb(struct operator *o)
+static int64_t climb(struct operator* o)
 {
 	int64_t v = (o->next > o->version ? o->next : o->version) + 1 + (int64_t)(stand_rand(&o->r->rng) % 3);
 
@@ -376,10 +383,11 @@
 }
 
 /* Changes a copy of what stands; the items touched go to up, the names removed to gone. */
-static struct json_object *changed(struct operator *o, enum change what, struct sending **out, int modify)
+static struct json_object *changed(struct operator* o, enum change what, struct sending **out, int modify)
 {
 	struct run *r = o->r;
-	struct json_object *j = clone(o->now), *routes = member(j, "RouteList"), *tenants = member(j, "TenantList"), *x, *body, *up, *gone, *a;
+	struct json_object *j = clone(o->now), *routes = member(j, "RouteList"), *tenants = member(j, "TenantList"), *x, *body, *up,
+			   *gone, *a;
 	char name[64], prefix[96], added[96] = "", removed[96] = "";
 	int i = (int)(stand_rand(&r->rng) % CLASSES);
 	struct sending *s;
@@ -405,7 +413,8 @@
 		break;
 	case CHANGE_TIMEOUT:
 		x = json_object_array_get_idx(routes, (size_t)i);
-		json_object_object_add(x, "TimeoutMs", json_object_new_int(r->sheet->c[i].deadline + 10 * (int)(1 + stand_rand(&r->rng) % 50)));
+		json_object_object_add(x, "TimeoutMs",
+				       json_object_new_int(r->sheet->c[i].deadline + 10 * (int)(1 + stand_rand(&r->rng) % 50)));
 		json_object_array_add(a, json_object_get(x));
 		json_object_object_add(up, "RouteList", a);
 		break;
@@ -476,7 +485,7 @@
 	json_object_object_add(body, "Upsert", up);
 	json_object_object_add(body, "Remove", gone);
 	s = config_sending(o, j, json_object_to_json_string_ext(modify ? body : j, JSON_C_TO_STRING_PLAIN),
-	                   modify ? "/configuration/modify" : "/configuration/replace", o->version, 0);
+			   modify ? "/configuration/modify" : "/configuration/replace", o->version, 0);
 	snprintf(s->added, sizeof s->added, "%s", added);
 	snprintf(s->removed, sizeof s->removed, "%s", removed);
 	json_object_put(body);
@@ -484,7 +493,7 @@
 	return j;
 }
 
-static void next(struct operator *o)
+static void next(struct operator* o)
 {
 	struct sending *s;
 	struct want w;
@@ -497,7 +506,7 @@
 	send_off(s);
 }
 
-void operator_change(struct operator *o, enum change what, int modify)
+void operator_change(struct operator* o, enum change what, int modify)
 {
 	struct want w = { what, modify }; /* made when its turn comes, on top of what stands then */
 
@@ -505,7 +514,7 @@
 	next(o);
 }
 
-void operator_race(struct operator *o)
+void operator_race(struct operator* o)
 {
 	struct sending *s[2];
 
@@ -519,7 +528,7 @@
 		send_off(s[i]);
 }
 
-void operator_invalid(struct operator *o, enum invalid what)
+void operator_invalid(struct operator* o, enum invalid what)
 {
 	struct json_object *j, *routes, *tenants, *x;
 	struct sending *s;
@@ -538,14 +547,13 @@
 		json_object_object_del(x, "TrafficSplit");
 		json_object_object_add(x, "ServiceName", json_object_new_string("nowhere"));
 		break;
-	case INVALID_PLACE:
-		json_object_array_add(routes, route(o, "r-twin", o->r->sheet->c[0].prefix, &o->r->sheet->c[0]));
-		break;
+	case INVALID_PLACE: json_object_array_add(routes, route(o, "r-twin", o->r->sheet->c[0].prefix, &o->r->sheet->c[0])); break;
 	case INVALID_WEIGHT: put_split(x, o->r->sheet->service, o->r->sheet->service, 0, 0); break;
 	case INVALID_TIMEOUT: json_object_object_add(x, "TimeoutMs", json_object_new_int(0)); break;
 	case INVALID_KEY:
-		json_object_array_add(member(json_object_array_get_idx(tenants, 0), "AccessKeys"),
-		                      json_object_get(json_object_array_get_idx(member(json_object_array_get_idx(tenants, 1), "AccessKeys"), 0)));
+		json_object_array_add(
+		    member(json_object_array_get_idx(tenants, 0), "AccessKeys"),
+		    json_object_get(json_object_array_get_idx(member(json_object_array_get_idx(tenants, 1), "AccessKeys"), 0)));
 		break;
 	default: break;
 	}
@@ -559,7 +567,7 @@
 	send_off(s);
 }
 
-void operator_weights(struct operator *o, int version)
+void operator_weights(struct operator* o, int version)
 {
 	char b[200];
 	struct sending *s;
@@ -574,18 +582,18 @@
 	send_off(s);
 }
 
-void operator_read_back(struct operator *o) { send_off(sending(o, READS, "/configuration/retrieve", NULL)); }
+void operator_read_back(struct operator* o) { send_off(sending(o, READS, "/configuration/retrieve", NULL)); }
 
-int operator_idle(const struct operator *o) { return !arrlen(o->going) && !arrlen(o->queue); }
-int operator_acked(const struct operator *o) { return o->acked; }
-int operator_weights_acked(const struct operator *o) { return o->weights_acked; }
-int operator_read_done(const struct operator *o) { return o->read_done; }
-const char *operator_added(const struct operator *o) { return o->added[0] ? o->added : NULL; }
-const char *operator_removed(const struct operator *o) { return o->removed[0] ? o->removed : NULL; }
+int operator_idle(const struct operator* o) { return !arrlen(o->going) && !arrlen(o->queue); }
+int operator_acked(const struct operator* o) { return o->acked; }
+int operator_weights_acked(const struct operator* o) { return o->weights_acked; }
+int operator_read_done(const struct operator* o) { return o->read_done; }
+const char *operator_added(const struct operator* o) { return o->added[0] ? o->added : NULL; }
+const char *operator_removed(const struct operator* o) { return o->removed[0] ? o->removed : NULL; }
 
-struct operator *operator_open(struct run *r)
+struct operator* operator_open(struct run *r)
 {
-	struct operator *o = calloc(1, sizeof *o);
+	struct operator* o = calloc(1, sizeof *o);
 
 	o->r = r;
 	o->weights_acked = 1;
@@ -593,7 +601,7 @@
 }
 
 /* What is under way ends by itself within its second. */
-void operator_close(struct operator *o)
+void operator_close(struct operator* o)
 {
 	int64_t until = run_ms(o->r) + 5000;
 
--- a/rehearsal/stand_run.h
+++ b/rehearsal/stand_run.h
@@ -30,7 +30,10 @@
 };
 
 /* ---- figures ---- */
-struct second { int asked, whole, refused, failed; struct hist first; };
+struct second {
+	int asked, whole, refused, failed;
+	struct hist first;
+};
 struct figures {
 	struct hist first[CLASSES], pause[CLASSES], transit, own_lag; /* own_lag: this process itself, ms, by the moment */
 	int asked[CLASSES], whole[CLASSES], late[CLASSES], gave_up, refused, tries, cut, silent, probes, stray;
@@ -55,7 +58,7 @@
 	int nm, nservers;
 	int64_t traffic_at; /* ms of the run, -1: not yet */
 	struct clients *clients;
-	struct operator *op;
+	struct operator* op;
 	struct figures fig;
 	const char *missed; /* why the run proves nothing */
 };
@@ -67,14 +70,14 @@
 /* Machines. Example: m = machine_add(r, 0, 2); machine_start(m); machine_kill(m); */
 struct machine *machine_add(struct run *r, int core, int zone);
 void machine_start(struct machine *m);
-void machine_kill(struct machine *m);      /* SIGKILL, stays down */
-void machine_term(struct machine *m);      /* SIGTERM, SIGKILL after GraceS; machine_down says when it is over */
+void machine_kill(struct machine *m); /* SIGKILL, stays down */
+void machine_term(struct machine *m); /* SIGTERM, SIGKILL after GraceS; machine_down says when it is over */
 int machine_down(const struct machine *m);
 void machine_freeze(struct machine *m, int on);
-void machine_wipe(struct machine *m);      /* its disk is empty; the process must be down */
-void machine_remove(struct machine *m);    /* for good */
+void machine_wipe(struct machine *m);   /* its disk is empty; the process must be down */
+void machine_remove(struct machine *m); /* for good */
 void machine_hup(struct machine *m);
-void machines_look(struct run *r);         /* who ended by itself is started again */
+void machines_look(struct run *r); /* who ended by itself is started again */
 void machines_end(struct run *r);
 
 /* Entry and clients. */
@@ -87,24 +90,35 @@
 void clients_close(struct clients *c);
 
 /* The operator. What it wants goes out one after another unless said otherwise. */
-struct operator *operator_open(struct run *r);
-void operator_close(struct operator *o);
-void operator_first(struct operator *o);
-int operator_idle(const struct operator *o);
-int operator_acked(const struct operator *o); /* configurations so far */
-enum change { CHANGE_SPLIT, CHANGE_MOVE, CHANGE_TIMEOUT, CHANGE_ROUTE_ON, CHANGE_ROUTE_OFF, CHANGE_KEY_ON, CHANGE_KEY_OFF, CHANGE_WALL, CHANGE_IDLE,
-	CHANGE_BIG, CHANGES };
-void operator_change(struct operator *o, enum change what, int modify);
-void operator_race(struct operator *o);
+struct operator* operator_open(struct run *r);
+void operator_close(struct operator* o);
+void operator_first(struct operator* o);
+int operator_idle(const struct operator* o);
+int operator_acked(const struct operator* o); /* configurations so far */
+enum change {
+	CHANGE_SPLIT,
+	CHANGE_MOVE,
+	CHANGE_TIMEOUT,
+	CHANGE_ROUTE_ON,
+	CHANGE_ROUTE_OFF,
+	CHANGE_KEY_ON,
+	CHANGE_KEY_OFF,
+	CHANGE_WALL,
+	CHANGE_IDLE,
+	CHANGE_BIG,
+	CHANGES
+};
+void operator_change(struct operator* o, enum change what, int modify);
+void operator_race(struct operator* o);
 enum invalid { INVALID_CUT, INVALID_SERVICE, INVALID_PLACE, INVALID_WEIGHT, INVALID_TIMEOUT, INVALID_OLD, INVALID_KEY, INVALIDS };
-void operator_invalid(struct operator *o, enum invalid what);
-void operator_weights(struct operator *o, int version);
-int operator_weights_acked(const struct operator *o);
-void operator_read_back(struct operator *o);
-int operator_read_done(const struct operator *o);
+void operator_invalid(struct operator* o, enum invalid what);
+void operator_weights(struct operator* o, int version);
+int operator_weights_acked(const struct operator* o);
+void operator_read_back(struct operator* o);
+int operator_read_done(const struct operator* o);
 /* A route that came or went lately, for the probes; NULL: none. */
-const char *operator_added(const struct operator *o);
-const char *operator_removed(const struct operator *o);
+const char *operator_added(const struct operator* o);
+const char *operator_removed(const struct operator* o);
 
 /* Figures and the picture. */
 int report_write(struct run *r, const char *folder, const struct breach *b, int n);
--- a/rehearsal/stand_server.c
+++ b/rehearsal/stand_server.c
@@ -6,15 +6,45 @@
 #include "stand.h"
 
 const struct engine engine_sheet = {
-	.slots = 128, .queue = 384, .max_conns = 630, .drain_ms = 3000, .fence_checked = 1, .idle_ms = 8000, .kv = 239003, .kv_bytes = 18432,
-	.stride = 5, .chunk = 2048, .block = 16, .in_flight = 12, .load_ms = 1800, .load_at_once = 3, .report_lag = 100, .events = 4000,
-	.events_lag = 80, .linger = 1500, .step = 3.41, .per_slot = 0.097, .read_per_ms = 112, .link_mbps = 370000, .events_loss = 0,
+	.slots = 128,
+	.queue = 384,
+	.max_conns = 630,
+	.drain_ms = 3000,
+	.fence_checked = 1,
+	.idle_ms = 8000,
+	.kv = 239003,
+	.kv_bytes = 18432,
+	.stride = 5,
+	.chunk = 2048,
+	.block = 16,
+	.in_flight = 12,
+	.load_ms = 1800,
+	.load_at_once = 3,
+	.report_lag = 100,
+	.events = 4000,
+	.events_lag = 80,
+	.linger = 1500,
+	.step = 3.41,
+	.per_slot = 0.097,
+	.read_per_ms = 112,
+	.link_mbps = 370000,
+	.events_loss = 0,
 	.setup_ms = 5,
 };
 
-struct kv_event { int64_t number, seen_at; char sign, salt[48], id[24]; int tokens; };
-struct watcher { struct conn *c; int64_t since, until; };
-struct asked_part { char id[24]; int tokens, hit; };
+struct kv_event {
+	int64_t number, seen_at;
+	char sign, salt[48], id[24];
+	int tokens;
+};
+struct watcher {
+	struct conn *c;
+	int64_t since, until;
+};
+struct asked_part {
+	char id[24];
+	int tokens, hit;
+};
 
 enum work_state { WORK_WAITS, WORK_MOVES, WORK_READS, WORK_WRITES };
 struct work {
@@ -203,9 +233,9 @@
 
 static void fields_of(struct server *s, const char *id, char *b, size_t n)
 {
-	snprintf(b, n, "%s%s%sX-Notchlug-Server-Load: %d,%d,%d\r\nX-Notchlug-Weight-Versions: %d\r\n%s", id ? "X-Notchlug-Attempt-Id: " : "",
-	         id ? id : "", id ? "\r\n" : "", (int)arrlen(s->run), (int)arrlen(s->wait), s->f->e.slots, s->version,
-	         s->f->e.idle_ms >= 1000 ? "Keep-Alive: timeout=" : "");
+	snprintf(b, n, "%s%s%sX-Notchlug-Server-Load: %d,%d,%d\r\nX-Notchlug-Weight-Versions: %d\r\n%s",
+		 id ? "X-Notchlug-Attempt-Id: " : "", id ? id : "", id ? "\r\n" : "", (int)arrlen(s->run), (int)arrlen(s->wait),
+		 s->f->e.slots, s->version, s->f->e.idle_ms >= 1000 ? "Keep-Alive: timeout=" : "");
 	if (s->f->e.idle_ms >= 1000)
 		snprintf(b + strlen(b), n - strlen(b), "%d\r\n", s->f->e.idle_ms / 1000);
 }
@@ -254,8 +284,10 @@
 	w->told_version = w->s->version;
 	fields_of(w->s, w->id, b, sizeof b);
 	if (!w->lost)
-		conn_sayf(w->c, "HTTP/1.1 %d OK\r\n%sX-Notchlug-Server-Seal: %d.%08x\r\nContent-Type: text/event-stream\r\n"
-		          "Transfer-Encoding: chunked\r\n%s\r\n", status, b, w->run, (unsigned)w->seed, w->close ? "Connection: close\r\n" : "");
+		conn_sayf(w->c,
+			  "HTTP/1.1 %d OK\r\n%sX-Notchlug-Server-Seal: %d.%08x\r\nContent-Type: text/event-stream\r\n"
+			  "Transfer-Encoding: chunked\r\n%s\r\n",
+			  status, b, w->run, (unsigned)w->seed, w->close ? "Connection: close\r\n" : "");
 }
 
 /* 0: the work is over */
@@ -279,7 +311,7 @@
 	}
 	w->sent_id++;
 	n = snprintf(b, sizeof b, "%sid: %d\ndata: %d %d %lld %08llx\n\n", v, w->sent_id, w->run, w->sent_id, (long long)loop_us(),
-	             (unsigned long long)(w->seed * (uint64_t)w->sent_id) & 0xffffffff);
+		     (unsigned long long)(w->seed * (uint64_t)w->sent_id) & 0xffffffff);
 	if (!w->lost)
 		conn_sayf(w->c, "%x\r\n%s\r\n", (unsigned)n, b);
 	return 1;
@@ -416,7 +448,8 @@
 			if (!n || wait > ms_us(2000)) {
 				w->moved_at = now + ms_us(1);
 			} else {
-				double us = (double)moved * s->f->e.kv_bytes * 8 / s->f->e.link_mbps * (strcmp(from->zone, s->zone) ? 2 : 1);
+				double us = (double)moved * s->f->e.kv_bytes * 8 / s->f->e.link_mbps *
+					    (strcmp(from->zone, s->zone) ? 2 : 1);
 
 				w->moved_at = now + wait + ms_us(s->f->e.setup_ms) + (int64_t)us;
 				s->moves_free = w->moved_at;
@@ -668,7 +701,8 @@
 			char f[700];
 
 			fields_of(s, w->id, f, sizeof f);
-			snprintf(f + strlen(f), sizeof f - strlen(f), "X-Notchlug-Server-Seal: %d.%08x\r\n", w->run, (unsigned)w->seed);
+			snprintf(f + strlen(f), sizeof f - strlen(f), "X-Notchlug-Server-Seal: %d.%08x\r\n", w->run,
+				 (unsigned)w->seed);
 			w->body = stand_hash(0, "late", 4);
 			work_end(w, head ? 0 : 1, 504);
 			if (!c)
@@ -899,8 +933,8 @@
 	}
 	if (target && strcmp(target, s->instance))
 		status = 421;
-	else if (strcmp(op, "ConfigVersion") || !holder || fence < 0 || strcmp(model, s->f->model) || version < 1 || version > s->f->newest ||
-	         (strcmp(method, "hold") && strcmp(method, "preempt") && strcmp(method, "retain")))
+	else if (strcmp(op, "ConfigVersion") || !holder || fence < 0 || strcmp(model, s->f->model) || version < 1 ||
+		 version > s->f->newest || (strcmp(method, "hold") && strcmp(method, "preempt") && strcmp(method, "retain")))
 		status = 400;
 	else if (s->f->e.fence_checked && fence < s->fence)
 		status = 412;
@@ -948,7 +982,8 @@
 static void kv_answer(struct server *s, struct conn *c, int64_t since)
 {
 	struct json_object *j = json_object_new_object(), *a = json_object_new_array();
-	int64_t first = arrlen(s->event) ? s->event[0].number : s->last_event + 1, next = since > s->last_event ? s->last_event : since;
+	int64_t first = arrlen(s->event) ? s->event[0].number : s->last_event + 1,
+		next = since > s->last_event ? s->last_event : since;
 
 	for (int i = 0; i < arrlen(s->event); i++) {
 		struct kv_event *e = &s->event[i];
--- a/tests/measure.c
+++ b/tests/measure.c
@@ -32,11 +32,13 @@
 static void spread(const char *what, int64_t *v, int n)
 {
 	qsort(v, (size_t)n, sizeof *v, by_value);
-	printf("%-58s least %6lld  median %6lld  p95 %6lld  most %6lld ms  (%d seeds)\n", what, (long long)v[0], (long long)v[n / 2],
-	       (long long)v[n * 95 / 100], (long long)v[n - 1], n);
+	printf("%-58s least %6lld  median %6lld  p95 %6lld  most %6lld ms  (%d seeds)\n", what, (long long)v[0],
+	       (long long)v[n / 2], (long long)v[n * 95 / 100], (long long)v[n - 1], n);
 }
 
-struct count { uint64_t msg, sync, bytes; };
+struct count {
+	uint64_t msg, sync, bytes;
+};
 
 static struct count now_count(const struct sim *s) { return (struct count){ s->n_msg, s->n_sync, s->n_bytes }; }
 
@@ -74,7 +76,9 @@
 	per("a configuration change, beyond that", a, now_count(&s), idle, n);
 	a = now_count(&s);
 	for (int i = 0; i < n; i++) {
-		snprintf(body, sizeof body, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t1\",\"share\":1,\"limit\":100,\"walled\":%s}]}", i & 1 ? "false" : "true");
+		snprintf(body, sizeof body,
+			 "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t1\",\"share\":1,\"limit\":100,\"walled\":%s}]}",
+			 i & 1 ? "false" : "true");
 		sim_call(&s, 0, "POST", "/v1/change", body);
 		sim_run(&s, 1000, NULL);
 	}
@@ -92,7 +96,8 @@
 
 static void failover(int n)
 {
-	int64_t *change = calloc((size_t)n, sizeof *change), *horizon = calloc((size_t)n, sizeof *horizon), *serve = calloc((size_t)n, sizeof *serve);
+	int64_t *change = calloc((size_t)n, sizeof *change), *horizon = calloc((size_t)n, sizeof *horizon),
+		*serve = calloc((size_t)n, sizeof *serve);
 
 	for (int k = 0; k < n; k++) {
 		struct sim s;
@@ -141,14 +146,16 @@
 static int last_begin(struct sim *s, int tenant, int64_t since, int64_t *last)
 {
 	for (ptrdiff_t i = 0; i < arrlen(s->x); i++)
-		if ((tenant < 0 || s->x[i].tenant == tenant) && s->x[i].began && s->x[i].asked_at > since && s->x[i].asked_at - since > *last)
+		if ((tenant < 0 || s->x[i].tenant == tenant) && s->x[i].began && s->x[i].asked_at > since &&
+		    s->x[i].asked_at - since > *last)
 			*last = s->x[i].asked_at - since;
 	return 0;
 }
 
 static void bounds(int n)
 {
-	int64_t *drain = calloc((size_t)n, sizeof *drain), *key = calloc((size_t)n, sizeof *key), *roll = calloc((size_t)n, sizeof *roll);
+	int64_t *drain = calloc((size_t)n, sizeof *drain), *key = calloc((size_t)n, sizeof *key),
+		*roll = calloc((size_t)n, sizeof *roll);
 
 	for (int k = 0; k < n; k++) {
 		struct sim s;
@@ -159,8 +166,10 @@
 		sim_deploy(&s, 500 + (uint64_t)k, 4, 9, 18);
 		s.jitter = 40;
 		sim_freeze(&s, SIM_REGS + 1, 1);
-		snprintf(body, sizeof body, "{\"set\":[{\"kind\":\"server\",\"name\":\"s0\",\"service\":\"arrears\",\"addr\":\"%s\",\"state\":\"draining\"}],\"del\":[{\"kind\":\"key\",\"name\":\"%s\"}]}",
-		         s.sv[0].addr, sim_key(2, hex));
+		snprintf(
+		    body, sizeof body,
+		    "{\"set\":[{\"kind\":\"server\",\"name\":\"s0\",\"service\":\"arrears\",\"addr\":\"%s\",\"state\":\"draining\"}],\"del\":[{\"kind\":\"key\",\"name\":\"%s\"}]}",
+		    s.sv[0].addr, sim_key(2, hex));
 		if (!sim_change(&s, body, 12000))
 			fail(&s, "not acknowledged");
 		from = s.now;
@@ -179,7 +188,10 @@
 		}
 		drain[k] = (int64_t)before;
 		last_begin(&s, 2, from, &key[k]);
-		if (!sim_change(&s, "{\"set\":[{\"kind\":\"service\",\"name\":\"repairs\",\"weights\":\"w2\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000}]}", 12000))
+		if (!sim_change(
+			&s,
+			"{\"set\":[{\"kind\":\"service\",\"name\":\"repairs\",\"weights\":\"w2\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000}]}",
+			12000))
 			fail(&s, "not acknowledged");
 		from = s.now;
 		for (end = 0; !end;) {
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -25,10 +25,7 @@
 
 /* ---- the queue of events ----------------------------------------------------- */
 
-static int before(const struct sim_ev *a, const struct sim_ev *b)
-{
-	return a->at != b->at ? a->at < b->at : a->seq < b->seq;
-}
+static int before(const struct sim_ev *a, const struct sim_ev *b) { return a->at != b->at ? a->at < b->at : a->seq < b->seq; }
 
 static void push(struct sim *s, struct sim_ev e)
 {
@@ -70,10 +67,7 @@
 	return top;
 }
 
-static void ev_free(struct sim_ev *e)
-{
-	free(e->d);
-}
+static void ev_free(struct sim_ev *e) { free(e->d); }
 
 /* ---- disks ---------------------------------------------------------------------- */
 
@@ -181,22 +175,27 @@
 
 	if (v->odd) {
 		*body = malloc(200000);
-		k = (size_t)sprintf(*body, v->odd == 1 ? "{\"weights\":\"w1" : v->odd == 2 ? "[1,2]" : "{\"weights\":\"w1\",\"loading\":\"\",\"slots\":%s,\"parts\":[",
-		                    v->odd == 3 ? "99999999" : "8");
+		k = (size_t)sprintf(*body,
+				    v->odd == 1   ? "{\"weights\":\"w1"
+				    : v->odd == 2 ? "[1,2]"
+						  : "{\"weights\":\"w1\",\"loading\":\"\",\"slots\":%s,\"parts\":[",
+				    v->odd == 3 ? "99999999" : "8");
 		v->serial++;
 		for (int i = 0; i < 1000 && v->odd > 2; i++)
-			k += (size_t)sprintf(*body + k, "%s{\"h\":\"%x\",\"w\":\"odd-%d-%d\",\"m\":\"nobody-%d-%d\",\"t\":1,\"n\":1}", i ? "," : "", i, i, v->serial, i, v->serial);
+			k += (size_t)sprintf(*body + k,
+					     "%s{\"h\":\"%x\",\"w\":\"odd-%d-%d\",\"m\":\"nobody-%d-%d\",\"t\":1,\"n\":1}",
+					     i ? "," : "", i, i, v->serial, i, v->serial);
 		if (v->odd > 2)
 			sprintf(*body + k, "]}");
 		return;
 	}
 	*body = malloc(n);
 	k = (size_t)snprintf(*body, n, "{\"weights\":\"%s\",\"loading\":\"%s\",\"slots\":8,\"running\":%d,\"parts\":[", v->weights,
-	                     v->loading, v->running);
+			     v->loading, v->running);
 	for (ptrdiff_t i = 0; i < arrlen(v->kept); i++)
-		k += (size_t)snprintf(*body + k, n - k, "%s{\"h\":\"%016llx\",\"w\":\"%s\",\"m\":\"%s\",\"t\":%llu,\"n\":%d}", i ? "," : "",
-		                      (unsigned long long)v->kept[i].h, v->kept[i].w, v->kept[i].m,
-		                      (unsigned long long)v->kept[i].t, v->kept[i].n);
+		k += (size_t)snprintf(*body + k, n - k, "%s{\"h\":\"%016llx\",\"w\":\"%s\",\"m\":\"%s\",\"t\":%llu,\"n\":%d}",
+				      i ? "," : "", (unsigned long long)v->kept[i].h, v->kept[i].w, v->kept[i].m,
+				      (unsigned long long)v->kept[i].t, v->kept[i].n);
 	snprintf(*body + k, n - k, "]}");
 }
 
@@ -221,7 +220,9 @@
 	v->fence = fence;
 	if (json_object_object_get_ex(j, "load", &x) && strcmp(v->weights, json_object_get_string(x)) &&
 	    strcmp(v->loading, json_object_get_string(x))) {
-		struct sim_ev e = { .at = s->now + (s->load_ms ? s->load_ms : 1500 + (int64_t)rnd(s, 1000)), .kind = SIM_LOADED, .server = (int)(v - s->sv) };
+		struct sim_ev e = { .at = s->now + (s->load_ms ? s->load_ms : 1500 + (int64_t)rnd(s, 1000)),
+				    .kind = SIM_LOADED,
+				    .server = (int)(v - s->sv) };
 
 		snprintf(v->loading, sizeof v->loading, "%s", json_object_get_string(x));
 		v->load_done = e.at;
@@ -246,14 +247,13 @@
 {
 	struct Nl__Op *op = nl__op__unpack(NULL, n, d);
 
-	if (op && op->op_case == NL__OP__OP_VALUE && op->value->feed < SHARD_COUNT &&
-	    op->value->index > s->mark[op->value->feed]) {
+	if (op && op->op_case == NL__OP__OP_VALUE && op->value->feed < SHARD_COUNT && op->value->index > s->mark[op->value->feed]) {
 		struct sim_value v = { op->value->tick, view_subject(op->value->purge) };
 
 		s->mark[op->value->feed] = op->value->index;
 		if (arrlen(s->value) && arrlast(s->value).tick >= v.tick)
 			sim_breach(s, "tick %llu was published after %llu", (unsigned long long)v.tick,
-			           (unsigned long long)arrlast(s->value).tick);
+				   (unsigned long long)arrlast(s->value).tick);
 		arrput(s->value, v);
 	}
 	if (op)
@@ -272,7 +272,8 @@
 		if (d->base >= x)
 			n++;
 		else if (arrlen(e) && x >= d->from && x - d->from < (uint64_t)arrlen(e))
-			n += core_hash(e[x - d->from].term * 4 + e[x - d->from].kind, e[x - d->from].data, e[x - d->from].len) == hash;
+			n += core_hash(e[x - d->from].term * 4 + e[x - d->from].kind, e[x - d->from].data, e[x - d->from].len) ==
+			     hash;
 	}
 	return n;
 }
@@ -296,7 +297,8 @@
 			} else if ((uint64_t)arrlen(s->hash[i]) == x - 1) {
 				arrput(s->hash[i], h);
 				if (copies(s, i, x, h) < 2)
-					sim_breach(s, "part %d entry %llu is committed, and synced on %d disks", i, (unsigned long long)x, copies(s, i, x, h));
+					sim_breach(s, "part %d entry %llu is committed, and synced on %d disks", i,
+						   (unsigned long long)x, copies(s, i, x, h));
 				if (i == SHARD_PURGE && e->kind == RAFT_ENTRY_OPERATION)
 					check_value(s, e->data, e->len);
 			} else {
@@ -333,8 +335,8 @@
 			continue;
 		k = h ? hmgeti(h, s->value[i].key) : -1;
 		if (k < 0 || h[k].value->tick < s->value[i].tick)
-			sim_breach(s, "node %d has horizon %llu but not the value at %llu", node,
-			           (unsigned long long)y->k.horizon, (unsigned long long)s->value[i].tick);
+			sim_breach(s, "node %d has horizon %llu but not the value at %llu", node, (unsigned long long)y->k.horizon,
+				   (unsigned long long)s->value[i].tick);
 	}
 }
 
@@ -346,14 +348,16 @@
 	for (ptrdiff_t k = arrlen(s->ack) - 1; n->c && k >= 0 && k > arrlen(s->ack) - 20; k--)
 		if (s->now - s->ack[k].at > 2000 && n->c->f.t.edition < s->ack[k].edition)
 			sim_breach(s, "counter %d serves with edition %llu, %lld ms after %llu was acknowledged", i,
-			           (unsigned long long)n->c->f.t.edition, (long long)(s->now - s->ack[k].at), (unsigned long long)s->ack[k].edition);
+				   (unsigned long long)n->c->f.t.edition, (long long)(s->now - s->ack[k].at),
+				   (unsigned long long)s->ack[k].edition);
 }
 
 /* A machine never goes back, across its restarts too; one that knows none yet takes nothing. */
 static void check_edition(struct sim *s, int i, uint64_t edition)
 {
 	if (edition && edition < s->n[i].edition)
-		sim_breach(s, "node %d went back from edition %llu to %llu", i, (unsigned long long)s->n[i].edition, (unsigned long long)edition);
+		sim_breach(s, "node %d went back from edition %llu to %llu", i, (unsigned long long)s->n[i].edition,
+			   (unsigned long long)edition);
 	if (edition > s->n[i].edition)
 		s->n[i].edition = edition;
 }
@@ -413,7 +417,8 @@
 		if (s->asking[i].token == x->token) {
 			s->asking[i].refused = s->now;
 			for (ptrdiff_t k = 0; k < arrlen(s->run); k++)
-				if (s->run[k].node == s->asking[i].node && s->run[k].life == s->asking[i].life && s->run[k].asking == x->token)
+				if (s->run[k].node == s->asking[i].node && s->run[k].life == s->asking[i].life &&
+				    s->run[k].asking == x->token)
 					sim_breach(s, "%s ran, and its caller was told it was refused", x->id);
 			break;
 		}
@@ -463,7 +468,8 @@
 	if (!x)
 		return;
 	if (!end && s->removed && shgeti(s->removed, x->key) >= 0 && s->now - shget(s->removed, x->key) > 5000)
-		sim_breach(s, "%s heard a piece with a key that was removed %lld ms before", x->id, (long long)(s->now - shget(s->removed, x->key)));
+		sim_breach(s, "%s heard a piece with a key that was removed %lld ms before", x->id,
+			   (long long)(s->now - shget(s->removed, x->key)));
 	text = malloc(len + 1);
 	memcpy(text, body, len);
 	text[len] = 0;
@@ -517,8 +523,10 @@
 	a.token = e.token;
 	arrput(s->asking, a);
 	sim_key(tenant, x->key);
-	snprintf(body, sizeof body, "{\"lane\":\"%s\",\"id\":\"%s\",\"limit_ms\":%d,\"parts\":[\"the part of all of %s, quite long as such parts are\",\"the part of tenant %d\",\"matter %d of that tenant, with what was written about it and the rules that apply to it\"],\"tail\":\"%s\"}",
-	         lane, id, s->limit_ms, lane, tenant, pick, id);
+	snprintf(
+	    body, sizeof body,
+	    "{\"lane\":\"%s\",\"id\":\"%s\",\"limit_ms\":%d,\"parts\":[\"the part of all of %s, quite long as such parts are\",\"the part of tenant %d\",\"matter %d of that tenant, with what was written about it and the rules that apply to it\"],\"tail\":\"%s\"}",
+	    lane, id, s->limit_ms, lane, tenant, pick, id);
 	e.d = (uint8_t *)strdup(body);
 	push(s, e);
 }
@@ -574,8 +582,9 @@
 	for (ptrdiff_t i = 0; i < arrlen(s->value); i++)
 		for (int k = 0; k < 3; k++)
 			if (s->value[i].key == view_subject(&p[k]) && s->value[i].tick > c->t && s->value[i].tick <= stamp)
-				sim_breach(s, "a part of %s made at tick %llu at %s was reused at horizon %llu, withdrawn at %llu", c->m,
-				           (unsigned long long)c->t, v->name, (unsigned long long)stamp, (unsigned long long)s->value[i].tick);
+				sim_breach(s, "a part of %s made at tick %llu at %s was reused at horizon %llu, withdrawn at %llu",
+					   c->m, (unsigned long long)c->t, v->name, (unsigned long long)stamp,
+					   (unsigned long long)s->value[i].tick);
 }
 
 /* The very copy that a send names, as a server has it; NULL when it has none. */
@@ -587,8 +596,9 @@
 	json_object_object_get_ex(e, "m", &m);
 	json_object_object_get_ex(e, "t", &t);
 	for (ptrdiff_t q = 0; q < arrlen(v->kept); q++)
-		if (v->kept[q].h == strtoull(json_object_get_string(h), NULL, 16) && !strcmp(v->kept[q].m, json_object_get_string(m)) &&
-		    v->kept[q].t == json_object_get_uint64(t) && !strcmp(v->kept[q].w, weights))
+		if (v->kept[q].h == strtoull(json_object_get_string(h), NULL, 16) &&
+		    !strcmp(v->kept[q].m, json_object_get_string(m)) && v->kept[q].t == json_object_get_uint64(t) &&
+		    !strcmp(v->kept[q].w, weights))
 			return &v->kept[q];
 	return NULL;
 }
@@ -600,18 +610,20 @@
 	for (ptrdiff_t i = 0; i < arrlen(s->clear); i++) {
 		const struct sim_clear *c = &s->clear[i];
 
-		if (s->now < c->after || (c->tenant[0] && strcmp(c->tenant, k->m)) || (c->service[0] && strcmp(c->service, v->service)))
+		if (s->now < c->after || (c->tenant[0] && strcmp(c->tenant, k->m)) ||
+		    (c->service[0] && strcmp(c->service, v->service)))
 			continue;
 		s->n_judged++;
 		if (k->t < c->made)
-			sim_breach(s, "a part of %s made at tick %llu was used at %s, %lld ms after all before tick %llu was cleared", k->m,
-			           (unsigned long long)k->t, v->name, (long long)(s->now - c->after), (unsigned long long)c->made);
+			sim_breach(
+			    s, "a part of %s made at tick %llu was used at %s, %lld ms after all before tick %llu was cleared",
+			    k->m, (unsigned long long)k->t, v->name, (long long)(s->now - c->after), (unsigned long long)c->made);
 	}
 	if (strcmp(k->m, tenant))
 		for (int w = 0; w < 16; w++)
 			if (s->wall[w].walled && s->now - s->wall[w].since > 2000 && (atoi(tenant + 1) == w || atoi(k->m + 1) == w))
 				sim_breach(s, "%s used a part made by %s, one of them walled off %lld ms ago", tenant, k->m,
-				           (long long)(s->now - s->wall[w].since));
+					   (long long)(s->now - s->wall[w].since));
 }
 
 static int run_reuse(struct sim *s, struct sim_server *v, struct json_object *j, const char *tenant, uint64_t stamp)
@@ -643,7 +655,8 @@
 }
 
 /* What a send says to fetch, as far as its source answers within the time that the send allows. */
-static int run_fetch(struct sim *s, struct sim_server *v, struct json_object *j, const char *tenant, uint64_t stamp, int have, int *ms)
+static int run_fetch(struct sim *s, struct sim_server *v, struct json_object *j, const char *tenant, uint64_t stamp, int have,
+		     int *ms)
 {
 	struct json_object *f, *x, *list;
 	struct sim_server *from;
@@ -690,7 +703,9 @@
 
 static void broke(struct sim *s, int node, uint64_t life, uint64_t token, int status, int never)
 {
-	struct sim_ev e = { .at = s->now + 1, .kind = SIM_BROKE, .node = node, .life = life, .token = token, .status = status, .step = never };
+	struct sim_ev e = {
+		.at = s->now + 1, .kind = SIM_BROKE, .node = node, .life = life, .token = token, .status = status, .step = never
+	};
 
 	push(s, e);
 }
@@ -739,7 +754,8 @@
 	arrput(s->send, ((typeof(*s->send)){ s->now, c->tries > 0 }));
 	s->n_firsts += c->tries++ == 0;
 	if (v->departed && s->now - v->departed > 3000)
-		sim_breach(s, "%s was sent %s, %lld ms after its drain was acknowledged", v->name, id, (long long)(s->now - v->departed));
+		sim_breach(s, "%s was sent %s, %lld ms after its drain was acknowledged", v->name, id,
+			   (long long)(s->now - v->departed));
 	json_object_object_get_ex(j, "weights", &x);
 	if (v->running >= 8 || v->refuse || v->loading[0] || strcmp(json_object_get_string(x), v->weights)) {
 		broke(s, e->node, e->life, e->token, 503, 1);
@@ -754,7 +770,8 @@
 	else if (a->refused)
 		sim_breach(s, "%s ran %lld ms after its caller was told it was refused", id, (long long)(s->now - a->refused));
 	if (s->removed && shgeti(s->removed, c->key) >= 0 && c->asked_at - shget(s->removed, c->key) > 5000)
-		sim_breach(s, "%s ran with a key that was removed %lld ms before", id, (long long)(c->asked_at - shget(s->removed, c->key)));
+		sim_breach(s, "%s ran with a key that was removed %lld ms before", id,
+			   (long long)(c->asked_at - shget(s->removed, c->key)));
 	memset(&r, 0, sizeof r);
 	r.node = e->node;
 	r.life = e->life;
@@ -847,7 +864,8 @@
 	if (r->next < r->pieces)
 		snprintf(line, sizeof line, "{\"x\":\"%s\",\"n\":%d,\"t\":\"%s#%d\"}", r->xid, r->next, r->id, r->next);
 	else if (r->fetch_ms >= 0)
-		snprintf(line, sizeof line, "{\"x\":\"%s\",\"n\":%d,\"end\":true,\"fetch_ms\":%d,\"fetched\":%d}", r->xid, r->next, r->fetch_ms, r->fetched);
+		snprintf(line, sizeof line, "{\"x\":\"%s\",\"n\":%d,\"end\":true,\"fetch_ms\":%d,\"fetched\":%d}", r->xid, r->next,
+			 r->fetch_ms, r->fetched);
 	else
 		snprintf(line, sizeof line, "{\"x\":\"%s\",\"n\":%d,\"end\":true}", r->xid, r->next);
 	if (s->sv[r->server].bad == 1 && r->next == 1)
@@ -938,12 +956,15 @@
 static void list_call(struct sim *s, int i, uint64_t token)
 {
 	struct sim_node *n = &s->n[i];
-	struct sim_ev e = { .at = s->now + 2 + s->list.slow, .kind = SIM_LISTED, .node = i, .life = n->life, .token = token, .status = 1 };
+	struct sim_ev e = {
+		.at = s->now + 2 + s->list.slow, .kind = SIM_LISTED, .node = i, .life = n->life, .token = token, .status = 1
+	};
 	int64_t *ring = s->list.calls;
 	int many = 3 * s->b.list_mille / 3000 + 3;
 
 	if (s->list.n_list >= (uint64_t)many && many < 64 && s->now - ring[(s->list.n_list - (uint64_t)many) % 64] < 2900)
-		sim_breach(s, "%d calls to the list in %lld ms", many, (long long)(s->now - ring[(s->list.n_list - (uint64_t)many) % 64]));
+		sim_breach(s, "%d calls to the list in %lld ms", many,
+			   (long long)(s->now - ring[(s->list.n_list - (uint64_t)many) % 64]));
 	ring[s->list.n_list++ % 64] = s->now;
 	if (n->cell || s->now < s->list.away_until || rnd(s, 1000) < (uint64_t)s->list.refuse) {
 		e.status = 0;
@@ -958,7 +979,9 @@
 {
 	struct sim_node *n = &s->n[i];
 	struct sim_inst *v = inst_at(s, c->u.look.addr);
-	struct sim_ev e = { .at = s->now + 4, .kind = SIM_LOOKED, .node = i, .life = n->life, .token = c->u.look.token, .status = 200 };
+	struct sim_ev e = {
+		.at = s->now + 4, .kind = SIM_LOOKED, .node = i, .life = n->life, .token = c->u.look.token, .status = 200
+	};
 	int64_t at = s->now - s->list.dated;
 
 	s->list.n_look++;
@@ -974,12 +997,17 @@
 	push(s, e);
 }
 
-struct order { uint64_t addr, fence; char server[24], weights[32], holder[20]; };
+struct order {
+	uint64_t addr, fence;
+	char server[24], weights[32], holder[20];
+};
 
 static void inst_order(struct sim *s, int i, const struct cmd *c)
 {
 	struct sim_node *n = &s->n[i];
-	struct sim_ev e = { .at = s->now + 1 + (int64_t)rnd(s, 3), .kind = SIM_ORDER, .node = i, .life = n->life, .token = c->u.order.token };
+	struct sim_ev e = {
+		.at = s->now + 1 + (int64_t)rnd(s, 3), .kind = SIM_ORDER, .node = i, .life = n->life, .token = c->u.order.token
+	};
 	struct order *q;
 
 	if (local(s, n) > c->u.order.not_after || n->cell || !inst_at(s, c->u.order.addr)) {
@@ -1098,7 +1126,8 @@
 			to = node_at(s, c->u.send.addr);
 			if (to >= SIM_REGS && s->deaf >> c->u.send.msg->body_case % 64 & 1)
 				break;
-			if (to < 0 || s->n[to].cell != n->cell || (i < 16 && to < 16 && s->link_cut[i][to]) || (to != i && rnd(s, 1000) < (uint64_t)s->loss))
+			if (to < 0 || s->n[to].cell != n->cell || (i < 16 && to < 16 && s->link_cut[i][to]) ||
+			    (to != i && rnd(s, 1000) < (uint64_t)s->loss))
 				break;
 			e.kind = SIM_MSG;
 			e.node = to;
@@ -1162,14 +1191,16 @@
 		case CMD_LIST: list_call(s, i, c->u.list.token); break;
 		case CMD_LOOK: inst_look(s, i, c); break;
 		case CMD_ORDER: inst_order(s, i, c); break;
-		case CMD_FORWARD: case CMD_WATCH: break; /* no door stands here */
+		case CMD_FORWARD:
+		case CMD_WATCH: break; /* no door stands here */
 		case CMD_CANCEL:
 			for (ptrdiff_t q = 0; q < arrlen(s->run); q++)
 				if (!s->run[q].over && s->run[q].node == i && s->run[q].token == c->u.cancel.token)
 					run_over(s, &s->run[q]);
 			break;
 		case CMD_ANSWER: {
-			struct sim_web w = { c->u.answer.token, c->u.answer.status, s->now, "", c->u.answer.to, NULL, c->u.answer.len };
+			struct sim_web w = { c->u.answer.token, c->u.answer.status, s->now, "", c->u.answer.to, NULL,
+					     c->u.answer.len };
 
 			if (n->c) {
 				hear_answer(s, c->u.answer.token, c->u.answer.status, c->u.answer.retry_ms, c->u.answer.body);
@@ -1496,8 +1527,8 @@
 		struct sim_disk_part *d = &n->disk.p[k];
 		size_t m = (size_t)arrlen(d->e);
 
-		sv[k] = (struct raft_saved){ d->term, d->vote, d->base, d->base_term, d->members, d->data,
-			                     d->members_len, d->data_len, d->from, NULL, m };
+		sv[k] = (struct raft_saved){ d->term,        d->vote,     d->base, d->base_term, d->members, d->data,
+					     d->members_len, d->data_len, d->from, NULL,         m };
 		sv[k].e = apr_palloc(p, (m + 1) * sizeof *sv[k].e);
 		for (size_t q = 0; q < m; q++)
 			sv[k].e[q] = (struct raft_entry){ d->e[q].term, d->e[q].kind, d->e[q].len, d->e[q].data };
@@ -1821,7 +1852,8 @@
 
 			while (servers < SIM_SERVERS && s->sv[servers].used)
 				servers++;
-			if (!relay_current(&s->n[i].c->relay, local(s, &s->n[i])) || !s->n[i].c->book || s->n[i].c->roster->nserver < servers)
+			if (!relay_current(&s->n[i].c->relay, local(s, &s->n[i])) || !s->n[i].c->book ||
+			    s->n[i].c->roster->nserver < servers)
 				return 0;
 			for (uint32_t k = 0; k < s->n[i].c->roster->nserver; k++)
 				if (!s->n[i].c->sv[k].have)
@@ -1845,21 +1877,25 @@
 	}
 	k = (size_t)snprintf(body, sizeof body, "{\"set\":[");
 	for (int i = 0; i < 3; i++)
-		k += (size_t)snprintf(body + k, sizeof body - k,
-		                      "{\"kind\":\"service\",\"name\":\"%s\",\"weights\":\"w1\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000},"
-		                      "{\"kind\":\"lane\",\"name\":\"%s\",\"service\":\"%s\",\"prio\":%d,\"limit\":50},", svc[i], svc[i], svc[i], i == 2);
+		k += (size_t)snprintf(
+		    body + k, sizeof body - k,
+		    "{\"kind\":\"service\",\"name\":\"%s\",\"weights\":\"w1\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000},"
+		    "{\"kind\":\"lane\",\"name\":\"%s\",\"service\":\"%s\",\"prio\":%d,\"limit\":50},",
+		    svc[i], svc[i], svc[i], i == 2);
 	for (int i = 0; i < 4; i++)
-		k += (size_t)snprintf(body + k, sizeof body - k,
-		                      "{\"kind\":\"tenant\",\"name\":\"t%d\",\"share\":%d,\"limit\":100},{\"kind\":\"key\",\"name\":\"%s\",\"tenant\":\"t%d\"},",
-		                      i, i ? 1 : 5, sim_key(i, hex), i);
+		k += (size_t)snprintf(
+		    body + k, sizeof body - k,
+		    "{\"kind\":\"tenant\",\"name\":\"t%d\",\"share\":%d,\"limit\":100},{\"kind\":\"key\",\"name\":\"%s\",\"tenant\":\"t%d\"},",
+		    i, i ? 1 : 5, sim_key(i, hex), i);
 	for (int i = 0; i < servers; i++) {
 		char name[16];
 		int v;
 
 		snprintf(name, sizeof name, "s%d", i & 31);
 		v = sim_server(s, name, svc[i % 3], "w1");
-		k += (size_t)snprintf(body + k, sizeof body - k, "%s{\"kind\":\"server\",\"name\":\"%s\",\"service\":\"%s\",\"addr\":\"%s\"}",
-		                      i ? "," : "", name, svc[i % 3], s->sv[v].addr);
+		k += (size_t)snprintf(body + k, sizeof body - k,
+				      "%s{\"kind\":\"server\",\"name\":\"%s\",\"service\":\"%s\",\"addr\":\"%s\"}", i ? "," : "",
+				      name, svc[i % 3], s->sv[v].addr);
 	}
 	snprintf(body + k, sizeof body - k, "]}");
 	if (!sim_change(s, body, 12000))
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -8,22 +8,34 @@
 
 enum { SIM_REGS = 8, SIM_CTRS = 100, SIM_SERVERS = 24, SIM_NODES = SIM_REGS + SIM_CTRS };
 
-struct sim_entry { uint64_t term; uint32_t kind; size_t len; uint8_t *data; };
+struct sim_entry {
+	uint64_t term;
+	uint32_t kind;
+	size_t len;
+	uint8_t *data;
+};
 struct sim_disk_part {
 	uint64_t term, vote, base, base_term, from; /* from: index of e[0] */
 	struct sim_entry *e;
 	uint8_t *data, *members;
 	size_t data_len, members_len;
 };
-struct sim_disk { uint64_t id, fleet; int made; struct sim_disk_part p[SHARD_COUNT]; };
+struct sim_disk {
+	uint64_t id, fleet;
+	int made;
+	struct sim_disk_part p[SHARD_COUNT];
+};
 
-struct sim_write { apr_pool_t *p; struct persist *w; };
+struct sim_write {
+	apr_pool_t *p;
+	struct persist *w;
+};
 
 struct sim_node {
 	int used, counter, up, frozen, cell; /* cell: nodes in different cells cannot talk */
 	int64_t stall_until;
-	int64_t skew;          /* of its own monotonic clock */
-	int64_t wall_off;      /* how far its wall clock is off */
+	int64_t skew;     /* of its own monotonic clock */
+	int64_t wall_off; /* how far its wall clock is off */
 	uint64_t addr, id, life;
 	char zone[16];
 	struct reg *r;
@@ -35,7 +47,12 @@
 	uint64_t edition;
 };
 
-struct sim_kept { uint64_t h; char w[32], m[32]; uint64_t t; int n; };
+struct sim_kept {
+	uint64_t h;
+	char w[32], m[32];
+	uint64_t t;
+	int n;
+};
 struct sim_server {
 	int used, up;
 	char name[32], service[32], addr[32], weights[32], loading[32];
@@ -45,19 +62,20 @@
 	int64_t last_order;
 	struct sim_kept *kept;
 	int running;
-	int bad; /* 1 answers with another's mark, 2 skips a piece, 3 breaks off, 4 repeats a piece */
-	int hoard; /* drops nothing that it is told to */
+	int bad;          /* 1 answers with another's mark, 2 skips a piece, 3 breaks off, 4 repeats a piece */
+	int hoard;        /* drops nothing that it is told to */
 	int refuse, slow; /* slow: ms between pieces */
 	int serial;
 	int odd; /* reports: 1 torn, 2 no object, 3 slots beyond reason, 4 parts of a thousand unknown tenants and weights */
 	int is_store, slow_link, hang, mute, late; /* fetches from it: times slower, never answered; reports: none, ms late */
-	int64_t departed; /* when its drain was acknowledged */
+	int64_t departed;                          /* when its drain was acknowledged */
 };
 
 /* One life of a server that a list shows; it takes orders as the platform's servers do. */
 struct sim_inst {
 	int up, draining;
-	char name[24], service[32], addr[32], zone[16], weights[32], before[32], loading[32]; /* before: what it had until changed */
+	char name[24], service[32], addr[32], zone[16], weights[32], before[32],
+	    loading[32];                       /* before: what it had until changed */
 	int64_t born, changed, drained, ended; /* ended: when it leaves the truth that the list shows late; 0 not yet */
 	int64_t load_done, told_at, ordered;
 	uint64_t fence;
@@ -68,19 +86,39 @@
 
 /* The list of servers and how it misbehaves. */
 struct sim_list {
-	struct sim_inst *v;      /* stb_ds; never shrinks */
-	int lag, slow;           /* ms that it is behind; that a call takes */
-	int refuse, lossy;       /* per mille of calls that it refuses; of orders whose answer never comes */
-	int64_t away_until;      /* no call is answered before */
-	int dated;               /* ms that a server's report is old */
-	int slots;               /* of each server; 0: 128 */
-	int load_ms, at_once;    /* a load; how many go on at once without slowing each other down */
-	int64_t calls[64];       /* the last calls */
+	struct sim_inst *v;   /* stb_ds; never shrinks */
+	int lag, slow;        /* ms that it is behind; that a call takes */
+	int refuse, lossy;    /* per mille of calls that it refuses; of orders whose answer never comes */
+	int64_t away_until;   /* no call is answered before */
+	int dated;            /* ms that a server's report is old */
+	int slots;            /* of each server; 0: 128 */
+	int load_ms, at_once; /* a load; how many go on at once without slowing each other down */
+	int64_t calls[64];    /* the last calls */
 	uint64_t n_list, n_look, n_order, n_load, n_fenced, n_busy;
-	int most;                /* loads under way at once */
+	int most; /* loads under way at once */
 };
 
-enum sim_ev_kind { SIM_LISTED, SIM_LOOKED, SIM_ORDERED, SIM_ORDER, SIM_LOAD_END, SIM_TICK, SIM_MSG, SIM_SYNC, SIM_CALLED, SIM_ARRIVE, SIM_STREAM, SIM_BROKE, SIM_WEB, SIM_ASK, SIM_LEAVE, SIM_STOP, SIM_LOADED, SIM_DOC, SIM_DOOR };
+enum sim_ev_kind {
+	SIM_LISTED,
+	SIM_LOOKED,
+	SIM_ORDERED,
+	SIM_ORDER,
+	SIM_LOAD_END,
+	SIM_TICK,
+	SIM_MSG,
+	SIM_SYNC,
+	SIM_CALLED,
+	SIM_ARRIVE,
+	SIM_STREAM,
+	SIM_BROKE,
+	SIM_WEB,
+	SIM_ASK,
+	SIM_LEAVE,
+	SIM_STOP,
+	SIM_LOADED,
+	SIM_DOC,
+	SIM_DOOR
+};
 struct sim_ev {
 	int64_t at;
 	uint64_t seq, life;
@@ -94,7 +132,11 @@
 };
 
 /* One run at a server. */
-struct sim_run { uint64_t life, token, born, asking; int tenant, node, server, pieces, next, over, again, fetch_ms, fetched; char xid[80], id[64]; };
+struct sim_run {
+	uint64_t life, token, born, asking;
+	int tenant, node, server, pieces, next, over, again, fetch_ms, fetched;
+	char xid[80], id[64];
+};
 
 /* One exchange as its caller knows it, and what servers did with its id. */
 struct sim_exch {
@@ -103,16 +145,34 @@
 	const char *lane;
 	uint64_t token;
 	int64_t asked_at, told_at, first_at; /* first_at: its first piece */
-	int left;     /* its caller left */
-	int retry_ms; /* when it was told to come back */
+	int left;                            /* its caller left */
+	int retry_ms;                        /* when it was told to come back */
 	char key[65];
 };
 enum { SIM_OPEN = 0, SIM_WHOLE = 1, SIM_REFUSED = 2, SIM_UNKNOWN = 3, SIM_LOST = 4 };
 /* One asking of an id at one life of a counter, and when it was told that it is refused. */
-struct sim_asking { char id[64]; int node; uint64_t life, token; int64_t refused; };
-struct sim_web { uint64_t token; int status; int64_t at; char body[512]; uint64_t to; char *whole; size_t len; }; /* whole: of documents read */
-struct sim_ack { uint64_t edition; int64_t at; };
-struct sim_value { uint64_t tick, key; };
+struct sim_asking {
+	char id[64];
+	int node;
+	uint64_t life, token;
+	int64_t refused;
+};
+struct sim_web {
+	uint64_t token;
+	int status;
+	int64_t at;
+	char body[512];
+	uint64_t to;
+	char *whole;
+	size_t len;
+}; /* whole: of documents read */
+struct sim_ack {
+	uint64_t edition;
+	int64_t at;
+};
+struct sim_value {
+	uint64_t tick, key;
+};
 
 /* What stands between counters and servers when exchanges are forwarded: see sim_forward.h. */
 struct sim_door {
@@ -128,40 +188,53 @@
 	apr_pool_t *pool;
 	struct sim_node n[SIM_NODES];
 	struct sim_server sv[SIM_SERVERS];
-	struct sim_ev *q;      /* heap */
+	struct sim_ev *q;        /* heap */
 	int loss, delay, jitter; /* per mille; ms */
-	int far;               /* ms added between zones */
+	int far;                 /* ms added between zones */
 	int disk_ms;
-	int read_ms;           /* that servers read at a token which they do not keep */
-	int64_t epoch;         /* ms since 1970 at virtual time 0; 0: registrars know no wall clock */
+	int read_ms;   /* that servers read at a token which they do not keep */
+	int64_t epoch; /* ms since 1970 at virtual time 0; 0: registrars know no wall clock */
 	const struct reg_calendar *calendar;
-	int limit_ms;          /* of exchanges */
-	struct bounds b;       /* of registrars */
+	int limit_ms;    /* of exchanges */
+	struct bounds b; /* of registrars */
 	struct sim_list list;
 	struct sim_door door;
-	uint64_t deaf;         /* kinds of message (bits by body) that do not reach counters */
-	int copies;            /* of each part; 0: as the product has it */
-	int catch_up_ms;       /* 0: as the product has it */
+	uint64_t deaf;   /* kinds of message (bits by body) that do not reach counters */
+	int copies;      /* of each part; 0: as the product has it */
+	int catch_up_ms; /* 0: as the product has it */
 	const struct reg_tongue *tongue;
-	int load_ms;           /* how long servers load weights; 0: 1.5 to 2.5 s */
+	int load_ms; /* how long servers load weights; 0: 1.5 to 2.5 s */
 	char bad[512];
 	/* global truth */
 	uint64_t *hash[SHARD_COUNT]; /* stb_ds: hash of each committed entry */
-	struct sim_value *value;    /* published values in order of tick */
-	struct sim_web *web;        /* answers to operators' calls */
+	struct sim_value *value;     /* published values in order of tick */
+	struct sim_web *web;         /* answers to operators' calls */
 	struct sim_ack *ack;
 	uint64_t n_msg, n_sync, n_bytes, n_orders, by_body[64];
 	uint64_t mark[SHARD_COUNT];
-	struct sim_exch *x;         /* stb_ds */
-	struct sim_asking *asking;  /* stb_ds */
-	struct sim_run *run;        /* stb_ds */
-	struct { int64_t at; int again; } *send; /* stb_ds: each send that arrived, and whether it was a resend */
-	struct { char *key; int64_t value; } *removed; /* digests of keys, when their removal was acknowledged */
-	struct { int64_t since; int walled; } wall[16];
-	struct sim_clear { char tenant[16], service[16]; uint64_t made; int64_t after; } *clear; /* stb_ds: from a time on nothing made before a tick is used */
+	struct sim_exch *x;        /* stb_ds */
+	struct sim_asking *asking; /* stb_ds */
+	struct sim_run *run;       /* stb_ds */
+	struct {
+		int64_t at;
+		int again;
+	} * send; /* stb_ds: each send that arrived, and whether it was a resend */
+	struct {
+		char *key;
+		int64_t value;
+	} * removed; /* digests of keys, when their removal was acknowledged */
+	struct {
+		int64_t since;
+		int walled;
+	} wall[16];
+	struct sim_clear {
+		char tenant[16], service[16];
+		uint64_t made;
+		int64_t after;
+	} * clear; /* stb_ds: from a time on nothing made before a tick is used */
 	uint64_t n_judged;
-	int limit[16];              /* of a tenant over the fleet, where it is judged */
-	int most[16];               /* runs of a tenant at once */
+	int limit[16]; /* of a tenant over the fleet, where it is judged */
+	int most[16];  /* runs of a tenant at once */
 	uint64_t n_sends, n_firsts, n_whole, n_refused, n_unknown, n_fresh, n_tokens, n_fetched, n_vain, n_odd;
 	unsigned char link_cut[16][16]; /* one way, between the first nodes: from, to */
 };
--- a/tests/sim_forward.c
+++ b/tests/sim_forward.c
@@ -73,7 +73,8 @@
 	if (!key)
 		sim_breach(&f->s, "CONFIG: %s ran for tenant %d with key %d", r->id, tenant, r->key);
 	if (f->removed[r->key] && r->asked - f->removed[r->key] > f->s.b.revoke_ms)
-		sim_breach(&f->s, "CONFIG: %s ran with key %d, asked %lld ms after its removal", r->id, r->key, (long long)(r->asked - f->removed[r->key]));
+		sim_breach(&f->s, "CONFIG: %s ran with key %d, asked %lld ms after its removal", r->id, r->key,
+			   (long long)(r->asked - f->removed[r->key]));
 }
 
 static void judge_refusal(struct fw *f, const struct fw_req *r, int status)
@@ -112,7 +113,8 @@
 	return 1;
 }
 
-static void judge_use(struct fw *f, const struct fw_req *r, const struct fw_call *c, const struct fw_part *p, int weights, const char *name)
+static void judge_use(struct fw *f, const struct fw_req *r, const struct fw_call *c, const struct fw_part *p, int weights,
+		      const char *name)
 {
 	f->n_judged++;
 	if (p->weights != weights)
@@ -131,7 +133,8 @@
 		snprintf(text, sizeof text, "%d", p->weights);
 		if (f->s.value[i].key == view_subject(&w) && f->s.value[i].tick > p->horizon && f->s.value[i].tick <= c->horizon)
 			sim_breach(&f->s, "PURGE: %s used a part made at horizon %llu, withdrawn at %llu, at horizon %llu", r->id,
-			           (unsigned long long)p->horizon, (unsigned long long)f->s.value[i].tick, (unsigned long long)c->horizon);
+				   (unsigned long long)p->horizon, (unsigned long long)f->s.value[i].tick,
+				   (unsigned long long)c->horizon);
 	}
 }
 
@@ -234,7 +237,8 @@
 	if (at + 1 == FW_PARTS)
 		snprintf(text, sizeof text, "%s's own", r->id);
 	else
-		snprintf(text, sizeof text, "%d.%d.%d.%d", r->lane, f->prefix_of_tenant ? r->tenant : 0, at > 0 ? r->pick / 4 : 0, at > 1 ? r->pick : 0);
+		snprintf(text, sizeof text, "%d.%d.%d.%d", r->lane, f->prefix_of_tenant ? r->tenant : 0, at > 0 ? r->pick / 4 : 0,
+			 at > 1 ? r->pick : 0);
 	return core_hashs(5, text);
 }
 
@@ -329,7 +333,8 @@
 
 	mark(f);
 	if (shown && f->s.now - shown > f->s.b.drain_ms && in_touch(f, c->node, shown))
-		sim_breach(&f->s, "DRAIN: %s was sent %s, %lld ms after its drain was shown", v->name, r->id, (long long)(f->s.now - shown));
+		sim_breach(&f->s, "DRAIN: %s was sent %s, %lld ms after its drain was shown", v->name, r->id,
+			   (long long)(f->s.now - shown));
 	if (r->arrivals++ >= tries_of[r->lane])
 		sim_breach(&f->s, "ATTEMPTS: %s was sent %d times", r->id, r->arrivals);
 	arrput(f->arrival, a);
@@ -337,7 +342,8 @@
 	if (f->s.now - c->sent_at > 3100)
 		sim_breach(&f->s, "FRESH: %s arrives %lld ms after it was decided on", r->id, (long long)(f->s.now - c->sent_at));
 	if (f->s.now - f->contact[c->node] > 3100 + 150)
-		sim_breach(&f->s, "FRESH: %s was sent %lld ms after its counter last heard the core", r->id, (long long)(f->s.now - f->contact[c->node]));
+		sim_breach(&f->s, "FRESH: %s was sent %lld ms after its counter last heard the core", r->id,
+			   (long long)(f->s.now - f->contact[c->node]));
 }
 
 static void run_begins(struct fw *f, uint64_t at, struct fw_req *r, int i)
@@ -701,7 +707,8 @@
 		return 1;
 	case CMD_CANCEL:
 		for (ptrdiff_t i = arrlen(f->call) - 1; i >= 0; i--)
-			if (f->call[i].token == k->u.cancel.token && f->call[i].node == node && f->call[i].life == f->s.n[node].life) {
+			if (f->call[i].token == k->u.cancel.token && f->call[i].node == node &&
+			    f->call[i].life == f->s.n[node].life) {
 				f->call[i].over = 1;
 				drop_run(f, &f->call[i]);
 			}
@@ -899,9 +906,7 @@
 		}
 		later(f, FE_LOAD, 0, 0, f->every ? 1 + (int64_t)dice(f, 2 * (uint64_t)f->every) : 50);
 		break;
-	default:
-		mark(f);
-		later(f, FE_MARK, 0, 0, 10);
+	default: mark(f); later(f, FE_MARK, 0, 0, 10);
 	}
 }
 
@@ -1066,7 +1071,8 @@
 	for (int n = SIM_REGS; n < SIM_REGS + f->ctrs; n++) {
 		struct ctr *c = s->n[n].c;
 
-		if (!c || !ctr_ready(c, sim_local(s, n)) || c->nstand < (uint32_t)f->servers || !relay_current(&c->relay, sim_local(s, n)))
+		if (!c || !ctr_ready(c, sim_local(s, n)) || c->nstand < (uint32_t)f->servers ||
+		    !relay_current(&c->relay, sim_local(s, n)))
 			return 0;
 	}
 	return 1;
@@ -1147,7 +1153,8 @@
 				most = n > most ? n : most;
 			}
 			if (again * 1000 > f->s.b.budget_mille * most + f->s.b.budget_slack * 1000)
-				sim_breach(&f->s, "BUDGET: %d resends for %d requests at %s in a window from %lld", again, most, services[sv], (long long)from);
+				sim_breach(&f->s, "BUDGET: %d resends for %d requests at %s in a window from %lld", again, most,
+					   services[sv], (long long)from);
 		}
 }
 
--- a/tests/sim_forward.h
+++ b/tests/sim_forward.h
@@ -12,28 +12,44 @@
 
 /* One version of the configuration, as the judge knows it. */
 struct fw_conf {
-	int64_t sent, ack;           /* ack: INT64_MAX while it is not acknowledged */
-	int service[FW_LANES];       /* 0 pool, 1 aux; -1: the lane is not there */
-	int key[FW_KEYS];            /* whose, two each; -1: taken away */
+	int64_t sent, ack;     /* ack: INT64_MAX while it is not acknowledged */
+	int service[FW_LANES]; /* 0 pool, 1 aux; -1: the lane is not there */
+	int key[FW_KEYS];      /* whose, two each; -1: taken away */
 	int walled[FW_TENANTS];
 };
 
 /* Named weights of a service's model. */
-struct fw_named { int service, weights; int64_t ack; };
+struct fw_named {
+	int service, weights;
+	int64_t ack;
+};
 
-struct fw_part { char shelf[64]; uint64_t id; uint32_t tokens; int weights, tenant; uint64_t horizon; };
-struct fw_event { uint64_t no; int gone; char shelf[64]; uint64_t id; uint32_t tokens; int64_t at; };
+struct fw_part {
+	char shelf[64];
+	uint64_t id;
+	uint32_t tokens;
+	int weights, tenant;
+	uint64_t horizon;
+};
+struct fw_event {
+	uint64_t no;
+	int gone;
+	char shelf[64];
+	uint64_t id;
+	uint32_t tokens;
+	int64_t at;
+};
 
 /* What one life of a server has beside what the list shows; the store is one too. */
 struct fw_server {
 	int made, running;
-	struct fw_part *part;        /* stb_ds, least lately used first */
-	struct fw_event *ev;         /* stb_ds, the newest FW_EVENTS */
+	struct fw_part *part; /* stb_ds, least lately used first */
+	struct fw_event *ev;  /* stb_ds, the newest FW_EVENTS */
 	uint64_t next, epoch;
 	int refuse, silent, slow, hard, breaks, head, surplus; /* per mille of requests: 503 not executed; begun and never answered;
 	                              ms more between pieces; 500; broken after some pieces; before the head; pieces sent again */
-	int bare;                    /* per mille: 503 that does not say that it was not executed */
-	int retains;                 /* keeps its parts over a load */
+	int bare;                                              /* per mille: 503 that does not say that it was not executed */
+	int retains;                                           /* keeps its parts over a load */
 	int watched;
 };
 
@@ -56,36 +72,44 @@
 	int64_t not_after, sent_at, wait_until;
 	uint64_t addr, fetch, sink, since, horizon;
 	int begun, told, pieces, status, limit_ms, prio, current, run_weights;
-	struct { int running, waiting, slots; } load;
+	struct {
+		int running, waiting, slots;
+	} load;
 };
 
-struct fw_arrival { int64_t at; int again, service; };
+struct fw_arrival {
+	int64_t at;
+	int again, service;
+};
 
 struct fw {
 	struct sim s;
-	struct fw_server *v;         /* stb_ds, by place in the list; the store is apart */
+	struct fw_server *v; /* stb_ds, by place in the list; the store is apart */
 	struct fw_server store;
-	struct fw_conf *conf;        /* stb_ds */
-	struct fw_named *named;      /* stb_ds */
-	struct fw_req *req;          /* stb_ds */
-	struct fw_call *call;        /* stb_ds */
-	struct fw_arrival *arrival;  /* stb_ds */
-	struct { int64_t at; int service; } *asked; /* stb_ds */
-	int64_t removed[FW_KEYS];    /* when the removal of a key was acknowledged; 0: not */
-	int64_t trouble[SIM_NODES];  /* last trouble of each counter */
-	int64_t frozen[SIM_NODES];   /* when it was last frozen */
-	int64_t contact[SIM_NODES];  /* when it last could hear the core */
-	int64_t unsettled;           /* last trouble of the core, of the list, of links */
-	int64_t owned;               /* when the configuration last had an owner */
+	struct fw_conf *conf;       /* stb_ds */
+	struct fw_named *named;     /* stb_ds */
+	struct fw_req *req;         /* stb_ds */
+	struct fw_call *call;       /* stb_ds */
+	struct fw_arrival *arrival; /* stb_ds */
+	struct {
+		int64_t at;
+		int service;
+	} * asked;                  /* stb_ds */
+	int64_t removed[FW_KEYS];   /* when the removal of a key was acknowledged; 0: not */
+	int64_t trouble[SIM_NODES]; /* last trouble of each counter */
+	int64_t frozen[SIM_NODES];  /* when it was last frozen */
+	int64_t contact[SIM_NODES]; /* when it last could hear the core */
+	int64_t unsettled;          /* last trouble of the core, of the list, of links */
+	int64_t owned;              /* when the configuration last had an owner */
 	int64_t life_at[SIM_NODES];
 	uint64_t life[SIM_NODES];
 	uint64_t dice;
 	int regs, ctrs, servers;
 	int every, limit_ms, lag, lossy; /* ms between askings; of requests; of events, per mille that never come */
-	int prefix_of_tenant;        /* parts are a tenant's own, not all tenants' */
-	int room;                    /* parts that a server keeps */
-	uint64_t n_forward, n_run, n_whole, n_cut, n_refused, n_promised, n_resend, n_taken_up, n_reused, n_fetched, n_sunk, n_never, n_wrong,
-	         n_cold, n_watch, n_events, n_lost, n_read, n_late, n_wall, n_judged;
+	int prefix_of_tenant;            /* parts are a tenant's own, not all tenants' */
+	int room;                        /* parts that a server keeps */
+	uint64_t n_forward, n_run, n_whole, n_cut, n_refused, n_promised, n_resend, n_taken_up, n_reused, n_fetched, n_sunk,
+	    n_never, n_wrong, n_cold, n_watch, n_events, n_lost, n_read, n_late, n_wall, n_judged;
 };
 
 /* A founded fleet with two services of listed servers, lanes, tenants and keys; ready to be asked.
--- a/tests/test_clear.c
+++ b/tests/test_clear.c
@@ -92,7 +92,8 @@
 		if (strcmp(c->scope, scope) || strcmp(c->by, "schedule"))
 			continue;
 		if (next && c->due != next)
-			fail_msg("seed %llu: %s was due at %lld and cleared for %lld", (unsigned long long)s->seed, scope, (long long)next, (long long)c->due);
+			fail_msg("seed %llu: %s was due at %lld and cleared for %lld", (unsigned long long)s->seed, scope,
+				 (long long)next, (long long)c->due);
 		next = c->due + every * (1 + (int64_t)c->missed);
 		n += 1 + (int)c->missed;
 	}
@@ -219,7 +220,8 @@
 			case 0: /* one clock, by hours, both ways; two more keep the time */
 				for (int i = 0; i < 4; i++)
 					s.n[i].wall_off = 0;
-				s.n[core_rand(&rng) % 4].wall_off = (core_rand(&rng) % 2 ? 1 : -1) * (int64_t)(core_rand(&rng) % 10000000);
+				s.n[core_rand(&rng) % 4].wall_off =
+				    (core_rand(&rng) % 2 ? 1 : -1) * (int64_t)(core_rand(&rng) % 10000000);
 				break;
 			case 1:
 				if (owner >= 0) {
@@ -278,9 +280,11 @@
 		case 2: sim_crash(&s, sim_owner(&s, SHARD_PURGE), 0); break;
 		case 3: sim_crash(&s, sim_owner(&s, SHARD_CONTROL), seed % 2 ? 1 : 0); break;
 		case 4: s.sv[1].up = 0; break; /* and comes back with what it had */
-		default: /* a wall and a roll-out at the same time */
-			snprintf(body, sizeof body, "{\"set\":[{\"kind\":\"service\",\"name\":\"repairs\",\"weights\":\"w2\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000},"
-			         "{\"kind\":\"tenant\",\"name\":\"t1\",\"share\":1,\"limit\":100,\"walled\":true}]}");
+		default:                       /* a wall and a roll-out at the same time */
+			snprintf(
+			    body, sizeof body,
+			    "{\"set\":[{\"kind\":\"service\",\"name\":\"repairs\",\"weights\":\"w2\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000},"
+			    "{\"kind\":\"tenant\",\"name\":\"t1\",\"share\":1,\"limit\":100,\"walled\":true}]}");
 			must_change(&s, body, 12000);
 		}
 		made = horizon_now(&s);
@@ -314,16 +318,33 @@
 /* What a row may not say is refused whole, and the cell is named. */
 static void bad_rows_name_their_cell(void **st)
 {
-	static const struct { const char *name, *keep, *every, *at, *why; uint32_t window; } bad[] = {
-		{ "t9", "1d", "", "", "name", 0 }, { "*/t9", "1d", "", "", "no tenant t9", 0 }, { "nolane/*", "1d", "", "", "no lane nolane", 0 },
-		{ "*", "", "", "", "keep: missing", 0 }, { "*", "soon", "", "", "keep", 0 }, { "*", "0d", "", "", "keep", 0 },
-		{ "*", "", "1s", "", "every: shorter", 0 }, { "*", "", "1h", "daily 02:30 UTC", "every: not beside at", 0 },
-		{ "*", "", "1m", "", "window", 60001 }, { "*", "1m", "", "", "keep: shorter", 70000 }, { "*", "1h", "1h", "", "keep: shorter", 1 },
-		{ "*", "", "", "daily 02:30", "zone", 0 }, { "*", "", "", "daily 02:30 Mars/Olympus", "no time zone Mars/Olympus", 0 },
-		{ "*", "", "", "yearly 02-30 02:30 UTC", "never", 0 }, { "*", "", "", "monthly 32 02:30 UTC", "never", 0 },
-		{ "*", "", "", "mon,mon 02:30 UTC", "overlaps", 0 }, { "*", "", "", "daily 24:00 UTC", "time of day", 0 },
-		{ "*", "", "", "daily 02:30 UTC now", "words after", 0 }, { "*", "", "", "mon, 02:30 UTC", "days", 0 }, { "*", "", "", "noon", "days", 0 },
-		{ "*", "", "", "daily 02:30 UTC", "window", 86400001 }, { "*", "1d", "", "mon 02:30 UTC", "keep", 0 }, { "*", "1d", "", "daily 02:30 UTC", "keep", 1 },
+	static const struct {
+		const char *name, *keep, *every, *at, *why;
+		uint32_t window;
+	} bad[] = {
+		{ "t9", "1d", "", "", "name", 0 },
+		{ "*/t9", "1d", "", "", "no tenant t9", 0 },
+		{ "nolane/*", "1d", "", "", "no lane nolane", 0 },
+		{ "*", "", "", "", "keep: missing", 0 },
+		{ "*", "soon", "", "", "keep", 0 },
+		{ "*", "0d", "", "", "keep", 0 },
+		{ "*", "", "1s", "", "every: shorter", 0 },
+		{ "*", "", "1h", "daily 02:30 UTC", "every: not beside at", 0 },
+		{ "*", "", "1m", "", "window", 60001 },
+		{ "*", "1m", "", "", "keep: shorter", 70000 },
+		{ "*", "1h", "1h", "", "keep: shorter", 1 },
+		{ "*", "", "", "daily 02:30", "zone", 0 },
+		{ "*", "", "", "daily 02:30 Mars/Olympus", "no time zone Mars/Olympus", 0 },
+		{ "*", "", "", "yearly 02-30 02:30 UTC", "never", 0 },
+		{ "*", "", "", "monthly 32 02:30 UTC", "never", 0 },
+		{ "*", "", "", "mon,mon 02:30 UTC", "overlaps", 0 },
+		{ "*", "", "", "daily 24:00 UTC", "time of day", 0 },
+		{ "*", "", "", "daily 02:30 UTC now", "words after", 0 },
+		{ "*", "", "", "mon, 02:30 UTC", "days", 0 },
+		{ "*", "", "", "noon", "days", 0 },
+		{ "*", "", "", "daily 02:30 UTC", "window", 86400001 },
+		{ "*", "1d", "", "mon 02:30 UTC", "keep", 0 },
+		{ "*", "1d", "", "daily 02:30 UTC", "keep", 1 },
 	};
 	struct table t;
 	struct Nl__Row tenant = NL__ROW__INIT, lane = NL__ROW__INIT, r, *set[2] = { &tenant, &lane }, *one[1] = { &r };
@@ -335,10 +356,10 @@
 	apr_pool_create(&p, NULL);
 	table_open(&t);
 	tenant.kind = NL__KIND__TENANT;
-	tenant.name = (char *)(uintptr_t)"t1";
+	tenant.name = (char *)(uintptr_t) "t1";
 	tenant.share = 1;
 	lane.kind = NL__KIND__LANE;
-	lane.name = lane.service = (char *)(uintptr_t)"arrears";
+	lane.name = lane.service = (char *)(uintptr_t) "arrears";
 	lane.limit = 1;
 	c.any = 1;
 	c.set = set;
@@ -384,14 +405,18 @@
 
 static void calendars_come_when_they_say(void **st)
 {
-	const struct { const char *text; int64_t from, due; } c[] = {
+	const struct {
+		const char *text;
+		int64_t from, due;
+	} c[] = {
 		{ "daily 02:30 Asia/Kuala_Lumpur", utc(2026, 12, 2, 0, 0), utc(2026, 12, 2, 18, 30) },
 		{ "daily 02:30 Asia/Kuala_Lumpur", utc(2026, 12, 2, 18, 30), utc(2026, 12, 3, 18, 30) },
 		{ "mon 03:00 UTC", utc(2026, 12, 2, 0, 0), utc(2026, 12, 7, 3, 0) },
 		{ "mon,thu 03:00 UTC", utc(2026, 12, 2, 0, 0), utc(2026, 12, 3, 3, 0) },
 		{ "monthly 31 12:00 UTC", utc(2027, 2, 1, 0, 0), utc(2027, 3, 31, 12, 0) },
 		{ "yearly 02-29 12:00 UTC", utc(2027, 1, 1, 0, 0), utc(2028, 2, 29, 12, 0) },
-		{ "daily 02:30 Europe/Berlin", utc(2027, 3, 27, 12, 0), utc(2027, 3, 28, 1, 0) },  /* left out: the clock goes on at 03:00 */
+		{ "daily 02:30 Europe/Berlin", utc(2027, 3, 27, 12, 0),
+		  utc(2027, 3, 28, 1, 0) }, /* left out: the clock goes on at 03:00 */
 		{ "daily 02:30 Europe/Berlin", utc(2027, 3, 28, 1, 0), utc(2027, 3, 29, 0, 30) },
 		{ "daily 02:30 Europe/Berlin", utc(2027, 10, 30, 12, 0), utc(2027, 10, 31, 0, 30) }, /* twice: the first counts */
 		{ "daily 02:30 Europe/Berlin", utc(2027, 10, 31, 0, 30), utc(2027, 11, 1, 1, 30) },
@@ -401,7 +426,8 @@
 	(void)st;
 	for (size_t i = 0; i < sizeof c / sizeof *c; i++)
 		if (calendar_icu.next(c[i].text, c[i].from) != c[i].due)
-			fail_msg("%s after %lld: %lld, not %lld", c[i].text, (long long)c[i].from, (long long)calendar_icu.next(c[i].text, c[i].from), (long long)c[i].due);
+			fail_msg("%s after %lld: %lld, not %lld", c[i].text, (long long)c[i].from,
+				 (long long)calendar_icu.next(c[i].text, c[i].from), (long long)c[i].due);
 }
 
 static const char *shelf(struct ctr *c, struct xch *x, uint32_t weights, apr_pool_t *p, const char *tenant)
@@ -526,13 +552,14 @@
 	c->b.sights = 1;
 	c->f.nup = 0;
 	for (uint64_t i = 0; i < 5000; i++)
-		kept_put(&c->kept, 1000 + i, &(struct kept_copy){ (uint32_t)(i % 2), 0, 0, 0, 0, ctr_filed_text(i % 1000 == 7 ? t1 : again) });
+		kept_put(&c->kept, 1000 + i,
+			 &(struct kept_copy){ (uint32_t)(i % 2), 0, 0, 0, 0, ctr_filed_text(i % 1000 == 7 ? t1 : again) });
 	for (int i = 0; i < 200; i++)
 		ctr_retention_tick(c, s.now + s.n[SIM_REGS].skew + 25 * i);
 	assert_true(c->f.index);
 	for (ptrdiff_t i = 0; i < arrlen(c->f.left); i++) {
 		assert_true(c->f.left[i].parts == 0 || (c->f.left[i].parts == 5 && c->f.left[i].scope == ctr_filed_text(t1) >> 32 &&
-		                                        c->f.left[i].number == (ctr_filed_text(t1) & UINT32_MAX)));
+							c->f.left[i].number == (ctr_filed_text(t1) & UINT32_MAX)));
 		old += c->f.left[i].parts;
 	}
 	assert_int_equal(old, 5);
@@ -640,7 +667,10 @@
 	}
 }
 
-static int by_time(const void *a, const void *b) { return *(const int64_t *)a < *(const int64_t *)b ? -1 : *(const int64_t *)a > *(const int64_t *)b; }
+static int by_time(const void *a, const void *b)
+{
+	return *(const int64_t *)a < *(const int64_t *)b ? -1 : *(const int64_t *)a > *(const int64_t *)b;
+}
 
 /* Of all that were answered: the time that so many of a hundred waited for their first piece at the most. */
 static int64_t first_piece(const struct sim *s, int of_100)
@@ -672,7 +702,8 @@
 		s.epoch = EPOCH * 1000ll;
 		s.read_ms = 5;
 		if (on)
-			must_change(&s, "{\"set\":[{\"kind\":\"retention\",\"name\":\"*\",\"every\":\"20s\",\"window\":8000}]}", 12000);
+			must_change(&s, "{\"set\":[{\"kind\":\"retention\",\"name\":\"*\",\"every\":\"20s\",\"window\":8000}]}",
+				    12000);
 		else
 			must_change(&s, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t3\",\"share\":1,\"limit\":99}]}", 12000);
 		load(&s, &rng, 60000, 20, 3);
@@ -684,8 +715,8 @@
 		assert_true(!on || records(&s)->number >= 2);
 		sim_close(&s);
 	}
-	print_message("first piece of 90 and 99 in 100: %lld and %lld ms without clearing, %lld and %lld ms with one each 20 s\n", (long long)most[0][0],
-	              (long long)most[0][1], (long long)most[1][0], (long long)most[1][1]);
+	print_message("first piece of 90 and 99 in 100: %lld and %lld ms without clearing, %lld and %lld ms with one each 20 s\n",
+		      (long long)most[0][0], (long long)most[0][1], (long long)most[1][0], (long long)most[1][1]);
 	assert_true(most[1][0] <= most[0][0] + 30);
 	assert_true(most[1][1] <= most[0][1] + 60 * 5 + 30);
 }
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -39,7 +39,9 @@
 		assert_true(s.n[i].disk.p[SHARD_CONTROL].term > 0);
 	}
 	assert_int_equal(sim_do(&s, 1, "POST", "/v1/change", "{\"set\":[" TENANT("rumah", "3") "]}", 6000), 200);
-	assert_int_equal(sim_do(&s, 2, "POST", "/v1/change", "{\"set\":[{\"kind\":\"tenant\",\"name\":\"x\",\"share\":0,\"limit\":1}]}", 6000), 400);
+	assert_int_equal(
+	    sim_do(&s, 2, "POST", "/v1/change", "{\"set\":[{\"kind\":\"tenant\",\"name\":\"x\",\"share\":0,\"limit\":1}]}", 6000),
+	    400);
 	assert_int_equal(sim_do(&s, 3, "GET", "/v1/table", "", 6000), 200);
 	ok(&s);
 	sim_close(&s);
@@ -144,7 +146,8 @@
 		ok(&s);
 		sim_close(&s);
 	}
-	print_message("all registrars lose power: a change is acknowledged again after at most %lld ms of virtual time\n", (long long)worst);
+	print_message("all registrars lose power: a change is acknowledged again after at most %lld ms of virtual time\n",
+		      (long long)worst);
 }
 
 static int all_owned(struct sim *s)
@@ -218,11 +221,13 @@
 
 					for (int m = 0; o >= 0 && m < s.n[o].r->part[q].member_count; m++)
 						for (int k = 0; k < SIM_REGS; k++)
-							up += s.n[k].up && s.n[k].id == s.n[o].r->part[q].members[m].id && s.n[o].r->part[q].members[m].voter;
+							up += s.n[k].up && s.n[k].id == s.n[o].r->part[q].members[m].id &&
+							      s.n[o].r->part[q].members[m].voter;
 					whole &= o >= 0 && up == 3 && s.n[o].r->part[q].member_count == 3;
 				}
 				if (s.now - from > 40000)
-					fail_msg("seed %llu: the groups are not whole 40 s after machine %d was replaced", (unsigned long long)seed, i);
+					fail_msg("seed %llu: the groups are not whole 40 s after machine %d was replaced",
+						 (unsigned long long)seed, i);
 			}
 			if (s.now - from > worst)
 				worst = s.now - from;
@@ -256,7 +261,8 @@
 			int64_t end = s.now + 3000;
 
 			/* just before the deaf one asks */
-			while (s.now < end && n->r->part[SHARD_CONTROL].election_at > s.now + n->skew + 5 + (int64_t)(core_rand(&rng) % 20))
+			while (s.now < end &&
+			       n->r->part[SHARD_CONTROL].election_at > s.now + n->skew + 5 + (int64_t)(core_rand(&rng) % 20))
 				sim_run(&s, 1, NULL);
 			sim_crash(&s, b, 0);
 			sim_start(&s, b);
@@ -293,7 +299,8 @@
 	e = s.n[sim_owner(&s, SHARD_CONTROL)].r->ctl.edition;
 	assert_true(e > 2 * RAFT_SNAPSHOT_ENTRIES + RAFT_SNAPSHOT_ENTRIES / 2);
 	for (int i = 0; i < 4; i++) {
-		struct Nl__Members *m = nl__members__unpack(NULL, s.n[i].disk.p[SHARD_CONTROL].members_len, s.n[i].disk.p[SHARD_CONTROL].members);
+		struct Nl__Members *m =
+		    nl__members__unpack(NULL, s.n[i].disk.p[SHARD_CONTROL].members_len, s.n[i].disk.p[SHARD_CONTROL].members);
 
 		if (s.n[i].r->part[SHARD_CONTROL].member_count) { /* not the fourth, which keeps no copy */
 			assert_non_null(m);
@@ -390,8 +397,9 @@
 				break;
 			default: break;
 			}
-			snprintf(body, sizeof body, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t%d\",\"share\":1,\"limit\":9,\"walled\":%s}]}",
-			         k % 5, k & 1 ? "true" : "false");
+			snprintf(body, sizeof body,
+				 "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t%d\",\"share\":1,\"limit\":9,\"walled\":%s}]}", k % 5,
+				 k & 1 ? "true" : "false");
 			for (int i = 0; i < 4; i++)
 				if (s.n[i].up)
 					sim_call(&s, i, "POST", "/v1/change", body);
