Controller step cut into modules: one job each, includes run one way

Each is now a file of its own with a header that says what it keeps, who calls it and what always holds; reg.c is the step alone. reg_private.h names what all share, and duty.h is gone.

Functions are moved, not changed, but for one: apply returned nothing and answered whoever waited; it now returns the outcome and the step answers, so that the state machines do not call the proposals, which look into the state machines. No module includes one that calls it.

--- /dev/null
+++ b/lib/control/bootstrap.c
@@ -0,0 +1,143 @@
+#include "bootstrap.h"
+
+#include <apr_strings.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ds.h"
+#include "reg_private.h"
+
+static int is_empty(const struct reg *r)
+{
+	for (int i = 0; i < SHARD_COUNT; i++)
+		if (r->part[i].term || r->part[i].member_count || r->part[i].base)
+			return 0;
+	return !r->fleet;
+}
+
+static void found_here(struct reg *r, uint64_t fleet, const struct Nl__Members *ms, int64_t now, struct out *o)
+{
+	struct raft_member m[RAFT_MAX_MEMBERS];
+	int n = 0, mine = 0;
+
+	for (size_t i = 0; i < ms->n_m && n < RAFT_MAX_MEMBERS; i++) {
+		memset(&m[n], 0, sizeof m[n]);
+		m[n].id = ms->m[i]->id;
+		m[n].addr = ms->m[i]->addr;
+		m[n].voter = 1;
+		mine |= m[n++].id == r->id;
+	}
+	if (!mine || !is_empty(r))
+		return;
+	r->fleet = r->f.fleet = fleet;
+	r->fleet_dirty = 1;
+	o->fleet = fleet;
+	for (int i = 0; i < SHARD_COUNT; i++)
+		raft_bootstrap(&r->part[i], m, n, now, o);
+	say(r, "found", o->p, "The fleet %016" APR_UINT64_T_HEX_FMT " is founded with %d registrars.", fleet, n);
+}
+
+void on_found(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
+{
+	const struct Nl__Found *q = m->found;
+	struct Nl__Found *a;
+
+	if (q->ask || q->members) {
+		if (q->members && q->fleet)
+			found_here(r, q->fleet, q->members, now, o);
+		a = OUT_NEW(o, Nl__Found, NL__FOUND__INIT);
+		a->empty = is_empty(r);
+		a->fleet = r->fleet;
+		a->token = q->token;
+		out_msg(o, m->addr, 0, NL__MSG__BODY_FOUND)->found = a;
+		return;
+	}
+	for (int i = 0; i < r->nseeds && (r->found.web || r->found.own); i++)
+		if (r->seeds[i] == m->addr) {
+			r->found.id[i] = m->id;
+			r->found.empty[i] = q->empty;
+			r->found.fleet[i] = q->fleet;
+		}
+}
+
+void found_begin(struct reg *r, int64_t now)
+{
+	if (r->found.members)
+		nl__members__free_unpacked(r->found.members, NULL);
+	memset(&r->found, 0, sizeof r->found);
+	r->found.until = now + 10000;
+}
+
+void reg_found(struct reg *r, int64_t now)
+{
+	if (r->found.web || r->found.own || !r->nseeds || !is_empty(r))
+		return;
+	found_begin(r, now);
+	r->found.own = 1;
+	r->found.until = now + 30000; /* by then its seeds have answered, or were replaced */
+}
+
+static void found_end(struct reg *r, int status, const char *body, struct out *o)
+{
+	if (r->found.web)
+		out_answer(o, r->found.web, status, 0, body);
+	r->found.web = 0;
+	r->found.own = 0;
+}
+
+void found_tick(struct reg *r, int64_t now, struct out *o)
+{
+	int heard = 0, empty = 0, done = 0;
+
+	if ((!r->found.web && !r->found.own) || now < r->found.at)
+		return;
+	r->found.at = now + 200;
+	for (int i = 0; i < r->nseeds; i++) {
+		heard += r->found.id[i] != 0;
+		empty += r->found.id[i] && r->found.empty[i] && !r->found.fleet[i];
+		done += r->found.fleet[i] && r->found.fleet[i] == r->found.name;
+	}
+	if (r->nseeds && done == r->nseeds) {
+		found_end(r, 200, apr_psprintf(o->p, "{\"fleet\":\"%016" APR_UINT64_T_HEX_FMT "\"}", r->fleet), o);
+		return;
+	}
+	if (r->found.own ? (!r->found.members && (empty < heard || r->fleet)) || (r->fleet && now > r->found.until)
+			 : now > r->found.until || (!r->found.members && heard == r->nseeds && empty < heard)) {
+		found_end(r, 409,
+			  error_json(o->p,
+				     heard < r->nseeds ? "found: not every seed answers"
+						       : "found: a seed already belongs to a fleet; start the others and they join",
+				     0),
+			  o);
+		return;
+	}
+	if (!r->found.members && heard == r->nseeds) {
+		r->found.members = malloc(sizeof *r->found.members);
+		if (!r->found.members)
+			abort();
+		nl__members__init(r->found.members);
+		r->found.name = core_rand(&r->rng) | 1;
+		r->found.members->m = calloc((size_t)r->nseeds, sizeof *r->found.members->m);
+		for (int i = 0; i < r->nseeds; i++) {
+			struct Nl__Member *x = malloc(sizeof *x);
+
+			if (!x || !r->found.members->m)
+				abort();
+			nl__member__init(x);
+			x->id = r->found.id[i];
+			x->addr = r->seeds[i];
+			x->voter = 1;
+			r->found.members->m[r->found.members->n_m++] = x;
+		}
+	}
+	for (int i = 0; i < r->nseeds; i++) {
+		struct Nl__Found *q = OUT_NEW(o, Nl__Found, NL__FOUND__INIT);
+
+		q->ask = 1;
+		if (r->found.members) {
+			q->fleet = r->found.name;
+			q->members = (struct Nl__Members *)core_dup(o->p, &r->found.members->base);
+		}
+		out_msg(o, r->seeds[i], 0, NL__MSG__BODY_FOUND)->found = q;
+	}
+}
--- /dev/null
+++ b/lib/control/bootstrap.h
@@ -0,0 +1,18 @@
+/* The bootstrap of a fleet: its first members agree that all of them are empty and start every part's log with them.
+ * An operator's call or the settings of the first seed begin it; the step passes messages and the time.
+ * Always: a node that has ever been a member, or belongs to a fleet, is never bootstrapped again. */
+#ifndef NL_BOOTSTRAP_H
+#define NL_BOOTSTRAP_H
+
+#include "reg.h"
+
+/* A message of the bootstrap: a question, the members to start with, or an answer. */
+void on_found(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o);
+
+/* Begin for an operator's call, with 10 s to end. */
+void found_begin(struct reg *r, int64_t now);
+
+/* Go on with a bootstrap that this node has begun. */
+void found_tick(struct reg *r, int64_t now, struct out *o);
+
+#endif
--- /dev/null
+++ b/lib/control/config_sync.h
@@ -0,0 +1,11 @@
+/* Configuration sync, the leader's side: nodes ask in turn what has changed, and learn of their peers on the way.
+ * The step passes each node's request. Always: only a leader with a lease answers with content; others name it. */
+#ifndef NL_CONFIG_SYNC_H
+#define NL_CONFIG_SYNC_H
+
+#include "reg.h"
+
+/* A node asks what has changed since the edition it has. */
+void on_follow(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o);
+
+#endif
--- a/lib/control/giver.c
+++ b/lib/control/giver.c
@@ -5,7 +5,8 @@
 #include <string.h>
 
 #include "ds.h"
-#include "duty.h"
+#include "leadership.h"
+#include "reg_private.h"
 
 static struct reg_server *server_of(struct reg *r, const char *name)
 {
--- /dev/null
+++ b/lib/control/leadership_change.h
@@ -0,0 +1,15 @@
+/* What begins and ends with leadership of a part: the publisher, the rollouts, the quota shares, calls that wait.
+ * The step calls it for each part. Always: leadership begins after all that is committed has been applied, and ends before
+ * the next entry is; whoever waits for an answer then is told that the outcome is unknown. */
+#ifndef NL_LEADERSHIP_CHANGE_H
+#define NL_LEADERSHIP_CHANGE_H
+
+#include "reg.h"
+
+/* Begin to lead a part if the lease is held and this term was not begun yet. */
+void office_begins(struct reg *r, uint32_t i, int64_t now, struct out *o);
+
+/* Stop what only a leader does if the part's leadership is lost. */
+void office_ends(struct reg *r, uint32_t i, int64_t now, struct out *o);
+
+#endif
--- /dev/null
+++ b/lib/control/membership.c
@@ -0,0 +1,86 @@
+#include "membership.h"
+
+#include <apr_strings.h>
+#include <string.h>
+
+#include "ds.h"
+#include "leadership.h"
+#include "proposals.h"
+#include "reg_private.h"
+
+int64_t lost_after(const struct reg *r) { return r->b.catch_up_ms * 2 / 5; }
+
+void join_tick(struct reg *r, int64_t now, struct out *o)
+{
+	char name[20];
+	const struct Nl__Row *row;
+	struct Nl__Op op = NL__OP__INIT;
+	struct Nl__Change c = NL__CHANGE__INIT;
+	struct Nl__Row me = NL__ROW__INIT, *set[1] = { &me };
+
+	if (now - r->joined < 1000 || follow_age(&r->f, now) > 600 || r->stopping)
+		return;
+	apr_snprintf(name, sizeof name, "%016" APR_UINT64_T_HEX_FMT, r->id);
+	row = table_get(&r->f.t, NL__KIND__REGISTRAR, name);
+	me.kind = NL__KIND__REGISTRAR;
+	me.name = name;
+	me.id = r->id;
+	me.addr = (char *)core_addr_str(o->p, r->addr);
+	me.zone = (char *)r->zone;
+	if (row && !strcmp(row->addr, me.addr) && !strcmp(row->zone, me.zone))
+		return;
+	r->joined = now;
+	c.any = 1;
+	c.set = set;
+	c.n_set = 1;
+	op.op_case = NL__OP__OP_CHANGE;
+	op.change = &c;
+	ask(r, SHARD_CONTROL, &op, 0, now);
+}
+
+void mend_tick(struct reg *r, int64_t now, struct out *o)
+{
+	struct raft_member live[FOLLOW_SEATS];
+	const struct Nl__Row *row;
+	char name[20];
+	int n = 0;
+
+	if (now - r->mended < REG_MEND || follow_age(&r->f, now) > FOLLOW_CONFIG)
+		return;
+	r->mended = now;
+	memset(live, 0, sizeof live);
+	for (; n < r->f.nlive; n++) {
+		live[n].id = r->f.live_id[n];
+		live[n].addr = r->f.live[n];
+		apr_snprintf(name, sizeof name, "%016" APR_UINT64_T_HEX_FMT, live[n].id);
+		row = table_get(&r->f.t, NL__KIND__REGISTRAR, name);
+		live[n].zone = row ? core_hashs(0, row->zone) : 0;
+	}
+	for (int i = 0; i < SHARD_COUNT; i++) {
+		r->part[i].replicas = r->b.copies < RAFT_MIN_VOTERS        ? RAFT_MIN_VOTERS
+				      : r->b.copies < RAFT_MAX_MEMBERS - 1 ? r->b.copies
+									   : RAFT_MAX_MEMBERS - 1;
+		r->part[i].member_lost_ms = lost_after(r);
+		raft_reconfigure(&r->part[i], live, n, now);
+	}
+	if (!in_office(r, SHARD_CONTROL, now) || now - r->owner_since[SHARD_CONTROL] < 60000)
+		return;
+	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++) {
+		struct Nl__Row *old = r->ctl.h[i].value.row, *del[1] = { old };
+		struct Nl__Op op = NL__OP__INIT;
+		struct Nl__Change c = NL__CHANGE__INIT;
+		int seen = old->kind != NL__KIND__REGISTRAR;
+
+		for (ptrdiff_t k = 0; k < arrlen(r->seen) && !seen; k++)
+			seen = r->seen[k].id == old->id;
+		if (seen)
+			continue;
+		c.any = 1;
+		c.del = del;
+		c.n_del = 1;
+		op.op_case = NL__OP__OP_CHANGE;
+		op.change = &c;
+		log_op(r, SHARD_CONTROL, &op, now, o);
+		return;
+	}
+}
--- /dev/null
+++ b/lib/control/operator_documents.c
@@ -0,0 +1,133 @@
+#include "operator_documents.h"
+
+#include <apr_strings.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ds.h"
+#include "leadership.h"
+#include "reg_private.h"
+#include "state_machine.h"
+
+/* Only the configuration's owner in office takes them; others say who that is, as far as they know. */
+static int elsewhere(struct reg *r, uint64_t token, int64_t now, struct out *o)
+{
+	uint64_t to = owner_hint(r, SHARD_CONTROL, now);
+	struct cmd *c;
+
+	if (in_office(r, SHARD_CONTROL, now))
+		return 0;
+	if (!to && follow_age(&r->f, now) < FOLLOW_EVERY + FOLLOW_WAIT)
+		to = r->f.seat[SHARD_CONTROL];
+	if (!to || to == r->addr) {
+		out_answer(o, token, 503, 200,
+			   error_json(o->p, "no owner of the configuration is known here: nothing was logged", 0));
+		return 1;
+	}
+	c = out_cmd(o, CMD_ANSWER);
+	c->u.answer.token = token;
+	c->u.answer.status = 307;
+	c->u.answer.body = "";
+	c->u.answer.to = to;
+	return 1;
+}
+
+/* Log a change and answer when it is committed. */
+static void call_log(struct reg *r, uint64_t token, struct Nl__Change *c, int64_t now, struct out *o)
+{
+	struct reg_call w = { token, 0, c->doc_digest };
+	struct Nl__Op op = NL__OP__INIT;
+
+	op.op_case = NL__OP__OP_CHANGE;
+	op.change = c;
+	w.index = log_op(r, SHARD_CONTROL, &op, now, o);
+	if (w.index)
+		arrput(r->call, w);
+	else
+		out_answer(o, token, 503, 200, error_json(o->p, "the configuration's owner has changed: nothing was logged", 0));
+}
+
+void on_doc(struct reg *r, uint64_t token, uint64_t base, int patch, const char *body, size_t len, int64_t now, struct out *o)
+{
+	uint64_t digest = core_hash(base << 1 | !!patch, body, len) | 1;
+	struct Nl__Change c = NL__CHANGE__INIT;
+	const char *why = NULL;
+
+	if (elsewhere(r, token, now, o))
+		return;
+	if (doc_taken(r, digest)) {
+		out_answer(o, token, 200, 0, "{}");
+		return;
+	}
+	for (ptrdiff_t i = 0; i < arrlen(r->call); i++)
+		if (r->call[i].digest == digest) { /* its first sending is being logged */
+			struct reg_call w = { token, r->call[i].index, digest };
+
+			arrput(r->call, w);
+			return;
+		}
+	if (base != r->ctl_doc_version) {
+		out_answer(o, token, 412, 0, error_json(o->p, "another version is current", 0));
+		return;
+	}
+	if (!r->tongue)
+		why = "document: none is taken here";
+	else if (r->tongue->read((const char *)r->ctl_doc, r->ctl_doc_len, body, len, patch, &c, &why, o->p))
+		why = why ? why : "document: cannot be read";
+	else if (c.doc_version <= r->ctl_doc_version)
+		why = "version: not above the current one";
+	else {
+		c.any = c.whole = c.keys = 1;
+		c.doc_base = base;
+		c.doc_digest = digest;
+		why = table_check(&r->ctl, &c, o->p);
+	}
+	if (why)
+		out_answer(o, token, 400, 0, error_json(o->p, why, 0));
+	else
+		call_log(r, token, &c, now, o);
+}
+
+void on_read(struct reg *r, uint64_t token, int64_t now, struct out *o)
+{
+	struct cmd *c;
+
+	if (elsewhere(r, token, now, o))
+		return;
+	if (!r->ctl_doc_version) {
+		out_answer(o, token, 404, 0, error_json(o->p, "no document was taken yet", 0));
+		return;
+	}
+	c = out_cmd(o, CMD_ANSWER);
+	c->u.answer.token = token;
+	c->u.answer.status = 200;
+	c->u.answer.body = apr_pmemdup(o->p, r->ctl_doc, r->ctl_doc_len + 1);
+	c->u.answer.len = r->ctl_doc_len;
+}
+
+void on_name(struct reg *r, uint64_t token, const char *model, const char *weights, int64_t now, struct out *o)
+{
+	struct Nl__Change c = NL__CHANGE__INIT;
+	struct Nl__Row m = NL__ROW__INIT, *set[1] = { &m };
+	const struct Nl__Row *old;
+	const char *why;
+
+	if (elsewhere(r, token, now, o))
+		return;
+	m.kind = NL__KIND__MODEL;
+	m.name = (char *)model;
+	m.weights = (char *)weights;
+	c.any = 1;
+	c.set = set;
+	c.n_set = 1;
+	why = table_check(&r->ctl, &c, o->p);
+	if (why || !weights[0]) {
+		out_answer(o, token, 400, 0, error_json(o->p, why ? why : "weights: missing", 0));
+		return;
+	}
+	old = table_get(&r->ctl, NL__KIND__MODEL, model);
+	if (strtoull(weights, NULL, 10) <= (old ? strtoull(old->weights, NULL, 10) : 1))
+		out_answer(o, token, 200, 0, "{}"); /* committed, and perhaps overtaken, before */
+	else
+		call_log(r, token, &c, now, o);
+}
--- /dev/null
+++ b/lib/control/proposals.c
@@ -0,0 +1,192 @@
+#include "proposals.h"
+
+#include <apr_strings.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ds.h"
+#include "leadership.h"
+#include "reg_private.h"
+#include "state_machine.h"
+
+void send_answer(struct reg *r, uint64_t addr, uint64_t token, uint32_t st, const char *why, uint64_t hint, struct out *o)
+{
+	struct Nl__Answer *a = OUT_NEW(o, Nl__Answer, NL__ANSWER__INIT);
+
+	a->token = token;
+	a->status = st;
+	a->why = (char *)why;
+	a->edition = r->ctl.edition;
+	a->hint = hint;
+	out_msg(o, addr, 0, NL__MSG__BODY_ANSWER)->answer = a;
+}
+
+/* Operators' calls that wait for this entry. */
+static void answer_calls(struct reg *r, uint64_t index, uint32_t st, struct out *o)
+{
+	for (ptrdiff_t i = arrlen(r->call) - 1; i >= 0; i--) {
+		if (r->call[i].index != index)
+			continue;
+		if (st == TABLE_DONE)
+			out_answer(o, r->call[i].token, 200, 0, "{}");
+		else if (st == TABLE_OVERTAKEN)
+			out_answer(o, r->call[i].token, 412, 0, error_json(o->p, "another version is current", 0));
+		else
+			out_answer(o, r->call[i].token, 400, 0, error_json(o->p, "version: not above the current one", 0));
+		arrdel(r->call, i);
+	}
+}
+
+void answer_wait(struct reg *r, uint32_t part, uint64_t index, uint32_t st, struct out *o)
+{
+	if (part == SHARD_CONTROL)
+		answer_calls(r, index, st, o);
+	for (ptrdiff_t i = 0; i < arrlen(r->wait); i++)
+		if (r->wait[i].part == part && r->wait[i].index == index) {
+			send_answer(r, r->wait[i].addr, r->wait[i].token, st,
+				    st == TABLE_OVERTAKEN ? "edition overtaken"
+				    : st == TABLE_REFUSED ? "already claimed"
+							  : "",
+				    0, o);
+			arrdel(r->wait, i);
+			return;
+		}
+}
+
+/* An operator wants a scope cleared now; the time is the owner's, since nothing is planned by it. */
+static const char *clear_check(const struct reg *r, struct Nl__Clear *c, int64_t now, apr_pool_t *p)
+{
+	int64_t wall = retention_wall(r, now);
+	char lane[200], tenant[200];
+
+	if (!retention_scope(c->scope, lane, tenant))
+		return "scope: lane/tenant, with * for all; * alone for everything";
+	if (lane[0] && !table_get(&r->ctl, NL__KIND__LANE, lane))
+		return apr_psprintf(p, "scope: no lane %s", lane);
+	if (tenant[0] && !table_get(&r->ctl, NL__KIND__TENANT, tenant))
+		return apr_psprintf(p, "scope: no tenant %s", tenant);
+	c->wall = c->due = wall == INT64_MIN ? r->wall : wall;
+	return NULL;
+}
+
+void on_propose(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
+{
+	const struct Nl__Propose *q = m->propose;
+	struct reg_wait w = { m->part, 0, m->addr, q->token };
+	const char *why = NULL;
+	const struct reg_done *done;
+	int fits;
+
+	if (m->part >= SHARD_COUNT || !q->op)
+		return;
+	fits = m->part == SHARD_CONTROL ? q->op->op_case == NL__OP__OP_CHANGE || (q->op->op_case == NL__OP__OP_CLEAR &&
+										  q->op->clear->step == NL__CLEAR_STEP__CLEAR_NOW)
+	       : svc_of(r, m->part)     ? q->op->op_case == NL__OP__OP_CLAIM
+					: 0;
+	if (!in_office(r, m->part, now)) {
+		send_answer(r, m->addr, q->token, TABLE_NOT_OWNER, "", owner_hint(r, m->part, now), o);
+		return;
+	}
+	if (!fits)
+		why = "op: not one that this part takes";
+	else if (m->part == SHARD_CONTROL && (done = done_of(r, q->op->from, q->op->token))) {
+		send_answer(r, m->addr, q->token, done->status, "edition overtaken", 0, o);
+		return;
+	} else if (m->part == SHARD_CONTROL && q->op->op_case == NL__OP__OP_CLEAR) {
+		why = clear_check(r, q->op->clear, now, o->p);
+	} else if (m->part == SHARD_CONTROL && r->ctl.edition && !q->op->change->any && q->op->change->expect < r->ctl.plan) {
+		send_answer(r, m->addr, q->token, TABLE_OVERTAKEN, "edition overtaken", 0, o);
+		return;
+	} else if (m->part == SHARD_CONTROL) {
+		why = table_check(&r->ctl, q->op->change, o->p);
+		if (!why)
+			why = retention_check(r->calendar, q->op->change, retention_wall(r, now), o->p);
+	}
+	if (why) {
+		send_answer(r, m->addr, q->token, TABLE_REFUSED, why, 0, o);
+		return;
+	}
+	w.index = log_op(r, m->part, q->op, now, o);
+	if (w.index)
+		arrput(r->wait, w);
+}
+
+/* A proposal of this node's own, or of an operator calling here. */
+void ask(struct reg *r, uint32_t part, const struct Nl__Op *op, uint64_t web, int64_t now)
+{
+	struct reg_ask a = { ++r->token, web, part, NULL, now + REG_CALL, 0, 0, 0 };
+	size_t n = nl__op__get_packed_size(op);
+	uint8_t *d = malloc(n + 1);
+
+	if (!d)
+		abort();
+	nl__op__pack(op, d);
+	a.op = nl__op__unpack(NULL, n, d);
+	free(d);
+	if (!a.op)
+		abort();
+	a.op->from = r->id;
+	a.op->token = a.token;
+	arrput(r->ask, a);
+}
+
+static void ask_end(struct reg *r, ptrdiff_t i)
+{
+	nl__op__free_unpacked(r->ask[i].op, NULL);
+	arrdel(r->ask, i);
+}
+
+void asks_tick(struct reg *r, int64_t now, struct out *o)
+{
+	for (ptrdiff_t i = arrlen(r->ask) - 1; i >= 0; i--) {
+		struct reg_ask *a = &r->ask[i];
+		struct Nl__Propose *q;
+
+		if (now >= a->until) {
+			if (a->web)
+				out_answer(o, a->web, a->sends > a->denied ? 504 : 503, 1000,
+					   error_json(o->p,
+						      a->sends > a->denied ? "outcome unknown: read the table before trying again"
+									   : "no owner of the configuration: nothing was logged",
+						      0));
+			ask_end(r, i);
+			continue;
+		}
+		if (now < a->again || follow_age(&r->f, now) > 2 * FOLLOW_EVERY + 100)
+			continue;
+		a->again = now + REG_AGAIN;
+		a->sends++;
+		q = OUT_NEW(o, Nl__Propose, NL__PROPOSE__INIT);
+		q->token = a->token;
+		q->op = (struct Nl__Op *)core_dup(o->p, &a->op->base);
+		out_msg(o, follow_seat(&r->f, a->part), a->part, NL__MSG__BODY_PROPOSE)->propose = q;
+	}
+}
+
+void on_answer(struct reg *r, const struct Nl__Answer *a, int64_t now, struct out *o)
+{
+	for (ptrdiff_t i = 0; i < arrlen(r->ask); i++) {
+		struct reg_ask *q = &r->ask[i];
+		const char *body;
+
+		if (q->token != a->token)
+			continue;
+		if (a->status == TABLE_NOT_OWNER) { /* surely not logged there */
+			q->denied++;
+			q->again = now + 50; /* the one named, soon */
+			follow_hint(&r->f, q->part, a->hint);
+			return;
+		}
+		if (a->status == TABLE_BUSY)
+			return; /* stays open: its end is unknown */
+		if (q->web && a->status == TABLE_DONE) {
+			body = apr_psprintf(o->p, "{\"edition\":%" APR_UINT64_T_FMT "}", a->edition);
+			out_answer(o, q->web, 200, 0, body);
+		} else if (q->web) {
+			out_answer(o, q->web, a->status == TABLE_OVERTAKEN ? 409 : 400, 0, error_json(o->p, a->why, a->edition));
+		}
+		ask_end(r, i);
+		follow_ask(&r->f, r->relay.k.horizon, now, o);
+		return;
+	}
+}
--- /dev/null
+++ b/lib/control/proposals.h
@@ -0,0 +1,27 @@
+/* Proposals to the replicated log: this node's own go to the leader until they are answered; a leader checks, logs and
+ * answers those of others. The step passes messages and the time; operators' calls and the membership propose here.
+ * Always: a proposal keeps its token however often it is sent, so that it is applied once; an answer follows the commit. */
+#ifndef NL_PROPOSALS_H
+#define NL_PROPOSALS_H
+
+#include "reg.h"
+
+/* Answer a proposal: its outcome (TABLE_*), why, and who leads where this node does not. */
+void send_answer(struct reg *r, uint64_t addr, uint64_t token, uint32_t st, const char *why, uint64_t hint, struct out *o);
+
+/* Answer whoever waits for this entry, which was just applied. */
+void answer_wait(struct reg *r, uint32_t part, uint64_t index, uint32_t st, struct out *o);
+
+/* Another node's proposal arrives. */
+void on_propose(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o);
+
+/* Propose an operation to its leader, on behalf of an operator's call or, with web 0, of this node itself. */
+void ask(struct reg *r, uint32_t part, const struct Nl__Op *op, uint64_t web, int64_t now);
+
+/* Send open proposals again, and give up those past their time. */
+void asks_tick(struct reg *r, int64_t now, struct out *o);
+
+/* The answer to one of this node's proposals arrives. */
+void on_answer(struct reg *r, const struct Nl__Answer *a, int64_t now, struct out *o);
+
+#endif
--- /dev/null
+++ b/lib/control/reg_private.c
@@ -0,0 +1,14 @@
+#include "reg_private.h"
+
+const char *error_json(apr_pool_t *p, const char *why, uint64_t edition)
+{
+	struct json_object *j = json_object_new_object();
+	const char *s;
+
+	json_object_object_add(j, "error", json_object_new_string(why));
+	if (edition)
+		json_object_object_add(j, "edition", json_object_new_int64((int64_t)edition));
+	s = apr_pstrdup(p, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN));
+	json_object_put(j);
+	return s;
+}
--- /dev/null
+++ b/lib/control/reg_private.h
@@ -0,0 +1,31 @@
+/* What every module of a registrar uses: its log line, a service part's state by its number, the body of a refusal.
+ * All modules of lib/control that work on struct reg include this; it calls none of them. */
+#ifndef NL_REG_PRIVATE_H
+#define NL_REG_PRIVATE_H
+
+#include <apr_strings.h>
+
+#include "reg.h"
+
+/* Write one log line under a prefix. Example: say(r, "purge", o->p, "The publisher begins at %d.", tick); */
+static inline void say(struct reg *r, const char *prefix, apr_pool_t *p, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (!r->log)
+		return;
+	va_start(ap, fmt);
+	r->log(r->log_ctx, prefix, apr_pvsprintf(p, fmt, ap));
+	va_end(ap);
+}
+
+/* A service part's state; NULL: this part is none. */
+static inline struct reg_svc *svc_of(struct reg *r, uint32_t part)
+{
+	return part >= SHARD_SERVICE && part < SHARD_COUNT ? &r->svc[part - SHARD_SERVICE] : NULL;
+}
+
+/* The JSON body that says why a call was refused; an edition of 0 is left out. Example: error_json(o->p, "path: no such call", 0) */
+const char *error_json(apr_pool_t *p, const char *why, uint64_t edition);
+
+#endif
--- a/lib/control/retention.c
+++ b/lib/control/retention.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 #include "ds.h"
-#include "duty.h"
-#include "reg.h"
+#include "leadership.h"
+#include "reg_private.h"
 
 /* ---- rows ------------------------------------------------------------------ */
 
--- /dev/null
+++ b/lib/control/snapshot.h
@@ -0,0 +1,21 @@
+/* Snapshots of the replicated state: packed for the log, loaded whole in place of what was there.
+ * The step takes one when a part's log has grown, and loads one that another member sent or the disk held.
+ * Always: equal states pack to equal bytes, and loading leaves nothing of the state before. */
+#ifndef NL_SNAPSHOT_H
+#define NL_SNAPSHOT_H
+
+#include "reg.h"
+
+/* Free a list of purge values. */
+void clear_values(struct Nl__Value ***v);
+
+/* Empty a service part's state. */
+void clear_svc(struct reg_svc *s);
+
+/* Replace a part's state by the snapshot that its log holds. */
+void load_state(struct reg *r, uint32_t part, apr_pool_t *p);
+
+/* Hand the part's log a snapshot of what is applied now. */
+void snapshot(struct reg *r, uint32_t i, struct out *o);
+
+#endif
--- /dev/null
+++ b/lib/control/state_machine.c
@@ -0,0 +1,288 @@
+#include "state_machine.h"
+
+#include <apr_strings.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ds.h"
+#include "reg_private.h"
+
+static void feed_put(struct Nl__Value ***feed, uint32_t part, uint64_t index, struct Nl__Purge *p)
+{
+	struct Nl__Value v = NL__VALUE__INIT;
+
+	v.feed = part;
+	v.index = index;
+	v.purge = p;
+	arrput(*feed, value_copy(&v));
+}
+
+static void feed_trim(struct Nl__Value ***feed, uint64_t upto)
+{
+	size_t n = 0;
+
+	while (n < (size_t)arrlen(*feed) && (*feed)[n]->index <= upto)
+		value_free((*feed)[n++]);
+	if (n)
+		arrdeln(*feed, 0, n);
+}
+
+const struct reg_done *done_of(const struct reg *r, uint64_t from, uint64_t token)
+{
+	for (ptrdiff_t i = arrlen(r->ctl_done) - 1; i >= 0; i--)
+		if (r->ctl_done[i].from == from && r->ctl_done[i].token == token)
+			return &r->ctl_done[i];
+	return NULL;
+}
+
+const struct Nl__DoneDoc *doc_taken(const struct reg *r, uint64_t digest)
+{
+	for (ptrdiff_t i = arrlen(r->docs) - 1; i >= 0; i--)
+		if (r->docs[i].digest == digest)
+			return &r->docs[i];
+	return NULL;
+}
+
+void doc_keep(struct reg *r, const uint8_t *d, size_t n, uint64_t version)
+{
+	free(r->ctl_doc);
+	r->ctl_doc = malloc(n + 1);
+	if (!r->ctl_doc)
+		abort();
+	if (n)
+		memcpy(r->ctl_doc, d, n);
+	r->ctl_doc[n] = 0;
+	r->ctl_doc_len = n;
+	r->ctl_doc_version = version;
+}
+
+void doc_note(struct reg *r, uint64_t version, uint64_t digest)
+{
+	struct Nl__DoneDoc d = NL__DONE_DOC__INIT;
+
+	d.version = version;
+	d.digest = digest;
+	arrput(r->docs, d);
+	if (arrlen(r->docs) > REG_DONE)
+		arrdel(r->docs, 0);
+}
+
+/* A document is taken in the log's order: the same call again changes nothing, one built on another version is late. */
+static int apply_doc(struct reg *r, const struct Nl__Change *c, struct Nl__Purge ***feed)
+{
+	const struct Nl__DoneDoc *old = doc_taken(r, c->doc_digest);
+	int st;
+
+	r->doc_logged += c->doc.len;
+	if (old && old->version == c->doc_version)
+		return TABLE_DONE;
+	if (c->doc_base != r->ctl_doc_version)
+		return TABLE_OVERTAKEN;
+	if (c->doc_version <= r->ctl_doc_version)
+		return TABLE_REFUSED;
+	st = table_apply(&r->ctl, c, feed);
+	if (st != TABLE_DONE)
+		return st;
+	doc_keep(r, c->doc.data, c->doc.len, c->doc_version);
+	doc_note(r, c->doc_version, c->doc_digest);
+	return TABLE_DONE;
+}
+
+/* A change may be proposed again while its answer is lost; it is applied once. */
+static uint32_t apply_change(struct reg *r, uint64_t index, const struct Nl__Op *op)
+{
+	const struct reg_done *old = op->from ? done_of(r, op->from, op->token) : NULL;
+	struct reg_done d = { op->from, op->token, 0 };
+	struct Nl__Purge **p = NULL;
+	int st;
+
+	if (old)
+		return old->status;
+	st = op->change->doc_version ? apply_doc(r, op->change, &p) : table_apply(&r->ctl, op->change, &p);
+	d.status = (uint32_t)st;
+	if (d.from)
+		arrput(r->ctl_done, d);
+	if (arrlen(r->ctl_done) > REG_DONE)
+		arrdel(r->ctl_done, 0);
+
+	for (ptrdiff_t i = 0; i < arrlen(p); i++) {
+		feed_put(&r->ctl_feed, SHARD_CONTROL, index << 16 | (uint64_t)i, p[i]);
+		nl__purge__free_unpacked(p[i], NULL);
+	}
+	arrfree(p);
+	if (st == TABLE_DONE)
+		retention_rows(r, index);
+	return (uint32_t)st;
+}
+
+/* An operator's call to clear may be proposed again while its answer is lost, too. */
+static uint32_t apply_clear(struct reg *r, uint64_t index, const struct Nl__Op *op)
+{
+	const struct reg_done *old = op->from ? done_of(r, op->from, op->token) : NULL;
+	struct reg_done d = { op->from, op->token, 0 };
+
+	if (old)
+		return old->status;
+	d.status = retention_apply(r, index, op->clear);
+	if (d.from)
+		arrput(r->ctl_done, d);
+	if (arrlen(r->ctl_done) > REG_DONE)
+		arrdel(r->ctl_done, 0);
+	return d.status;
+}
+
+/* Once context is cleared, what a part logged before goes from its disks, and again when no claim is left from then. */
+static void apply_cleared(struct reg *r, uint32_t part, const struct Nl__Trim *t)
+{
+	struct reg_svc *s = svc_of(r, part);
+	uint64_t *cleared = s ? &s->cleared : part == SHARD_CONTROL ? &r->ret.cleared : &r->pub.cleared;
+
+	if (t->cleared <= *cleared && !t->settled)
+		return;
+	if (s && t->cleared > *cleared) {
+		s->cleared_at = s->clock;
+		s->settled = 0;
+	} else if (s) {
+		s->settled = 1;
+	}
+	*cleared = t->cleared > *cleared ? t->cleared : *cleared;
+	r->fresh[part] = 1;
+}
+
+static uint32_t apply_claim(struct reg_svc *s, const struct Nl__Claim *c, apr_pool_t *p)
+{
+	char *key = apr_pstrcat(p, c->tenant, "\x1f", c->id, NULL);
+	ptrdiff_t i = shgeti(s->h, key);
+	int mine;
+
+	if (i >= 0 && s->h[i].value.at + REG_CLAIM_KEEP < s->clock) {
+		(void)shdel(s->h, key);
+		i = -1;
+	}
+	mine = i >= 0 && s->h[i].value.by == c->by && s->h[i].value.seq == c->seq;
+	if (c->release) { /* remembered, since the claim itself may still be on its way, here or once more */
+		if (i < 0 || mine)
+			shput(s->h, key, ((typeof(s->h->value)){ c->by, c->seq, s->clock, 1 }));
+		return TABLE_DONE;
+	}
+	if (mine ? s->h[i].value.given_back : i >= 0 && !s->h[i].value.given_back)
+		return TABLE_REFUSED;
+	if (!mine)
+		shput(s->h, key, ((typeof(s->h->value)){ c->by, c->seq, s->clock, 0 }));
+	return TABLE_DONE;
+}
+
+/* Claims past their time count as absent when looked up; now and then they go. */
+void forget_claims(struct reg_svc *s)
+{
+	for (ptrdiff_t i = shlen(s->h) - 1; i >= 0; i--)
+		if (s->h[i].value.at + REG_CLAIM_KEEP < s->clock)
+			(void)shdel(s->h, s->h[i].key);
+}
+
+static void apply_rolled(struct reg *r, uint32_t part, uint64_t index, const struct Nl__Rolled *c)
+{
+	struct reg_svc *s = svc_of(r, part);
+	ptrdiff_t i = shgeti(s->rolled, c->service);
+	char *now_on = strdup(c->weights);
+
+	if (i >= 0 && strcmp(s->rolled[i].value, c->weights)) {
+		struct Nl__Purge p = NL__PURGE__INIT;
+
+		p.why = PURGE_WEIGHTS;
+		p.service = c->service;
+		p.weights = s->rolled[i].value;
+		feed_put(&s->feed, part, index << 16, &p);
+	}
+	if (i >= 0)
+		free(s->rolled[i].value);
+	shput(s->rolled, c->service, now_on);
+}
+
+static void apply_value(struct reg *r, const struct Nl__Value *v, int64_t now, struct out *o)
+{
+	struct reg_pub *b = &r->pub;
+	int fresh = v->feed < SHARD_COUNT && v->index > b->mark[v->feed] && v->purge;
+
+	if (fresh) {
+		b->mark[v->feed] = v->index;
+		arrput(b->v, value_copy(v));
+		view_apply(&b->last, v);
+	}
+	if (r->relay.publisher && v->tick > r->tick) { /* logged, so it may go out: value and silence before it */
+		relay_publish(&r->relay, r->tick + 1, v->tick, fresh ? v : NULL, now, o);
+		r->tick = v->tick;
+		if (r->pending_tick <= r->tick && r->tick < b->ceiling) { /* and one tick of silence after it */
+			r->tick++;
+			relay_publish(&r->relay, r->tick, r->tick, NULL, now, o);
+		}
+	}
+}
+
+static void apply_reserve(struct reg *r, const struct Nl__Reserve *c)
+{
+	size_t n = 0;
+
+	if (c->ceiling > r->pub.ceiling)
+		r->pub.ceiling = c->ceiling;
+	while (n < (size_t)arrlen(r->pub.v) && r->pub.v[n]->tick <= c->released)
+		value_free(r->pub.v[n++]);
+	if (n)
+		arrdeln(r->pub.v, 0, n);
+	if (c->released > r->pub.released)
+		r->pub.released = c->released;
+}
+
+uint32_t apply(struct reg *r, uint32_t part, uint64_t index, const struct raft_entry *e, int64_t now, struct out *o)
+{
+	struct Nl__Op *op = (struct Nl__Op *)core_unpack(o->p, &nl__op__descriptor, e->len, e->data);
+	uint32_t st = TABLE_REFUSED;
+
+	if (op && svc_of(r, part))
+		svc_of(r, part)->clock += op->clock;
+	if (op)
+		switch (op->op_case) {
+		case NL__OP__OP_CHANGE:
+			if (part == SHARD_CONTROL)
+				st = apply_change(r, index, op);
+			break;
+		case NL__OP__OP_RESERVE:
+			if (part == SHARD_PURGE) {
+				apply_reserve(r, op->reserve);
+				st = TABLE_DONE;
+			}
+			break;
+		case NL__OP__OP_VALUE:
+			if (part == SHARD_PURGE) {
+				apply_value(r, op->value, now, o);
+				st = TABLE_DONE;
+			}
+			break;
+		case NL__OP__OP_CLAIM:
+			if (svc_of(r, part))
+				st = apply_claim(svc_of(r, part), op->claim, o->p);
+			break;
+		case NL__OP__OP_ROLLED:
+			if (svc_of(r, part)) {
+				apply_rolled(r, part, index, op->rolled);
+				st = TABLE_DONE;
+			} else if (part == SHARD_CONTROL) {
+				giver_meant(r, op->rolled->server, now);
+				st = TABLE_DONE;
+			}
+			break;
+		case NL__OP__OP_TRIM:
+			if (part != SHARD_PURGE)
+				feed_trim(part == SHARD_CONTROL ? &r->ctl_feed : &svc_of(r, part)->feed, op->trim->feed);
+			if (op->trim->cleared)
+				apply_cleared(r, part, op->trim);
+			st = TABLE_DONE;
+			break;
+		case NL__OP__OP_CLEAR:
+			if (part == SHARD_CONTROL)
+				st = apply_clear(r, index, op);
+			break;
+		default: break;
+		}
+	return st;
+}
