A stream goes on at another server only behind an event whose id is known

Cause: a resumable request whose client had been passed a part of a body without events (another content type) was sent again and the second run's whole body written behind the first's part; a second server's body without events was likewise written behind the first's events.

--- a/lib/data/ctr_send.c
+++ b/lib/data/ctr_send.c
@@ -417,6 +417,15 @@
 	}
 }
 
+/* After a send that may have run: may the request be sent again at all? A stream that the caller has seen a part of goes on
+ * only behind an event whose id is known. */
+static int may_repeat(const struct xch *x)
+{
+	if (x->begun)
+		return x->resumable && x->since;
+	return x->repeatable || x->resumable;
+}
+
 /* May another server have it? Within its own bound and the fleet's budget for the service. */
 static int again(const struct ctr *c, const struct xch *x, int64_t now)
 {
@@ -452,7 +461,7 @@
 		ctr_xch_drop(c, x);
 		return;
 	}
-	if (e->how == CTR_BROKE ? x->begun ? x->resumable : x->repeatable || x->resumable : !x->begun || x->resumable) {
+	if ((e->how == CTR_NEVER && !x->begun) || may_repeat(x)) {
 		if (again(c, x, now)) {
 			int paid = x->sends > 0;
 
