A kept connection ages from its answer's arrival, and is looked at again when it is used

Cause: its time was counted from when the answer was read, which after a freeze is late; and it was weighed when a call was taken, not when the request left, between which a freeze may lie. A request that may run once could then go out just as the server closed, or into a connection that the server had forgotten without a word. After: the time runs from the look for events before the one that brought the answer's end (it cannot have arrived sooner), and is weighed by the clock anew when the request is sent.

--- a/lib/shell/http.c
+++ b/lib/shell/http.c
@@ -164,6 +164,8 @@
 	struct http_on on;
 	int ep, ev, woken;
 	int64_t now;
+	int64_t polled; /* when the newest events were asked for */
+	int64_t looked; /* when the loop looked for events the time before: what comes now arrived later */
 	uint64_t turn, serial;
 	int did; /* callbacks were made before the wait of this turn */
 	int busy;
@@ -1596,7 +1598,8 @@
 		if (c->fd >= 0) {
 			char b;
 
-			if (recv(c->fd, &b, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK)) {
+			if (recv(c->fd, &b, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK) ||
+			    clock_ms() >= c->k.until) {
 				c = client_move(c);
 				continue;
 			}
@@ -1623,7 +1626,8 @@
 /* Whole, with surplus bytes behind it or not. */
 static int client_whole(struct conn *c, size_t surplus)
 {
-	c->k.until = c->h->now + keep_ms(&c->hd);
+	/* the server counts from when it answered: after a freeze that may be long ago */
+	c->k.until = c->h->looked + keep_ms(&c->hd);
 	client_end(c, HTTP_WHOLE, !surplus && !c->hd.close && !c->out.len && !c->k.cut);
 	return 1;
 }
@@ -1934,8 +1938,9 @@
 		ms = 0;
 	if (ms && arrlen(h->heap) && h->heap[0]->key - h->now < ms)
 		ms = h->heap[0]->key > h->now ? (int)(h->heap[0]->key - h->now) : 0;
+	h->looked = h->polled;
 	n = epoll_wait(h->ep, h->event, EVENTS, ms);
-	h->now = clock_ms();
+	h->now = h->polled = clock_ms();
 	for (i = 0; i < n; i++) {
 		struct conn *c = h->event[i].data.ptr;
 		uint32_t ev = h->event[i].events;
@@ -1988,7 +1993,7 @@
 		free(h);
 		return NULL;
 	}
-	h->now = clock_ms();
+	h->now = h->polled = h->looked = clock_ms();
 	return h;
 }
 
