A cut answer whose end is its connection's end is reset, so that it never looks whole

Cause: an HTTP/1.0 client hears an answer of unknown length up to the connection's end. Where such a connection ended before the answer (the client had closed its half, took nothing for the idle time, or the program stopped) it ended in the ordinary way, and the part looked whole. After: it is reset, as an aborted answer is. The guard 'an abort resets' follows the new line.

--- a/lib/shell/http.c
+++ b/lib/shell/http.c
@@ -404,6 +404,15 @@
 	free(p);
 }
 
+/* Would an ordinary end of this connection make an answer look whole that is not? So it is where the end of the connection
+ * is the end of the answer. */
+static int end_misleads(const struct conn *c)
+{
+	if (c->kind != CONN_SERVER || !c->s.begun || c->s.out != FR_EOF || c->s.no_body)
+		return 0;
+	return c->st == ST_BUSY || (c->st == ST_DONE && c->out.len > c->out.off);
+}
+
 /* Its memory lives on to the end of the turn. */
 static void conn_close(struct conn *c, int reset)
 {
@@ -414,7 +423,7 @@
 		return;
 	c->dead = 1;
 	if (c->fd >= 0) {
-		if (reset)
+		if (reset || end_misleads(c))
 			setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &l, sizeof l);
 		close(c->fd);
 	}
