--- /dev/null
+++ b/tests/net_sim.h
@@ -0,0 +1,66 @@
+/* net_sim: TCP in memory under virtual time. A test program that links with --wrap for the calls below runs the product's
+ * own event loop on it: the product holds file descriptors, the test's clients and servers hold struct sim_conn.
+ * Wrapped: clock_ms, socket, bind, listen, getsockname, connect, accept4, setsockopt, getsockopt, shutdown, close, send,
+ * recv, epoll_create1, epoll_ctl, epoll_wait. Descriptors that are not simulated go to the kernel. */
+#ifndef NL_NET_SIM_H
+#define NL_NET_SIM_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+struct sim_conn;
+
+enum sim_connect { SIM_ACCEPT, SIM_REFUSE, SIM_IGNORE };
+
+/* How the product left its side of a connection. */
+enum sim_left { SIM_OPEN, SIM_HALF_CLOSED, SIM_CLOSED, SIM_RESET };
+
+struct net_sim_hooks {
+	void *ctx;
+	/* The product connects to addr. *delay: ms until the outcome shows. */
+	enum sim_connect (*connect)(void *ctx, struct sim_conn *c, uint64_t addr, int *delay);
+	/* The kernel has accepted bytes of the product, whether or not they will ever be read. */
+	void (*accepted)(void *ctx, struct sim_conn *c, const char *d, size_t n);
+};
+
+/* Begin: an empty network. Example: net_sim_open(seed, &hooks); */
+void net_sim_open(uint64_t seed, const struct net_sim_hooks *hooks);
+void net_sim_close(void);
+
+/* The virtual clock, which clock_ms returns. Example: net_sim_advance(5); */
+int64_t net_sim_now(void);
+void net_sim_advance(int64_t ms);
+
+/* In the next system call that is not a wait, jump by so many ms: the process was frozen there. */
+void net_sim_freeze(int64_t ms);
+
+/* A client connects to the product's port; NULL when nobody listens. */
+struct sim_conn *net_sim_dial(int port);
+
+/* Towards the product, arriving ms from now and never before what was said earlier. Nothing arrives after an end. */
+void net_sim_say(struct sim_conn *c, const char *d, size_t n, int64_t in_ms);
+void net_sim_end(struct sim_conn *c, int64_t in_ms);
+void net_sim_reset(struct sim_conn *c, int64_t in_ms);
+
+/* The far end has forgotten the connection without a word. What is sent to it is answered by a reset after so many ms;
+ * below 0: by silence. */
+void net_sim_forget(struct sim_conn *c, int64_t reset_ms);
+
+/* Bytes that the far end takes before it has read them. */
+void net_sim_window(struct sim_conn *c, size_t n);
+
+/* Read what the product has sent. Example: n = net_sim_hear(c, to, sizeof to); */
+size_t net_sim_hear(struct sim_conn *c, char *to, size_t cap);
+enum sim_left net_sim_left(const struct sim_conn *c);
+
+/* Whether bytes, an end or a reset had arrived at the product, unread, when it made the system call under way; and when that
+ * call began, before any freeze in it. */
+int net_sim_unread(const struct sim_conn *c);
+int64_t net_sim_called(void);
+
+/* A number of the connection that is never used again, and room for the test's own data. */
+uint64_t net_sim_id(const struct sim_conn *c);
+void net_sim_tag(struct sim_conn *c, void *tag);
+void *net_sim_tag_of(const struct sim_conn *c);
+
+#endif
--- /dev/null
+++ b/tests/test_connections.c
@@ -0,0 +1,1464 @@
+/* Connections under a hostile far end: the platform's door, the forwarding core and the event loop as they run in the
+ * daemon, on a simulated network with virtual time. Servers answer late, twice, with other requests' ids, half, torn, not at
+ * all; clients pipeline, leave, read slowly, smuggle. What reaches whom is checked byte by byte. A failing seed prints itself:
+ * NL_SEED=n NL_SEEDS=1 build/test_connections */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <apr_general.h>
+#include <apr_strings.h>
+#include <cmocka.h>
+
+#include "ctr_in.h"
+#include "doc.h"
+#include "ds.h"
+#include "edge.h"
+#include "http.h"
+#include "net_sim.h"
+#include "shell.h"
+
+enum {
+	SERVERS = 4,
+	CLIENTS = 12,
+	FRONT_PORT = 8080,
+	READINESS_PORT = 8081,
+	TICK_MS = 25,
+	LOAD_MS = 4000,
+	DRAIN_MS = 9000,
+	OWNER = 1,               /* the address that the core's owner answers at */
+	DEADLINE_SLACK_MS = 100, /* between a client's byte and the door's clock */
+	KEEP_UNTOLD_MS = 4300,   /* a connection whose server tells no time rests for less */
+	KEEP_MARGIN_MS = 300,
+	SEED_RUNS = 200
+};
+
+enum route { ROUTE_ONCE, ROUTE_REPEATABLE, ROUTE_RESUMABLE, ROUTE_STREAM, ROUTES };
+
+static const struct {
+	const char *path;
+	int repeatable, resumable, streams;
+} routes[ROUTES] = { { "/once/", 0, 0, 0 }, { "/repeatable/", 1, 0, 0 }, { "/resumable/", 0, 1, 1 }, { "/stream/", 0, 0, 1 } };
+
+/* One time that a request was put on a wire. */
+struct wire {
+	uint64_t conn;
+	int64_t cleared_at; /* when the product learned that it did not run; INT64_MAX: never */
+	int act;            /* what the server was about to do with it */
+};
+
+enum { TENANTS = 2 };
+
+struct request {
+	enum route route;
+	int key; /* the tenant whose key it shows; TENANTS: a key of nobody; -1: none */
+	int more_fields;
+	int64_t deadline_at;
+	char id[24], path[40], body[200];
+	size_t body_len;
+	int events; /* of its stream, whoever runs it */
+	int runs, promised, told;
+	struct wire *wires; /* stb_ds */
+};
+
+struct run {
+	int request, status;
+	char *body; /* stb_ds: all that the server means to say */
+};
+
+/* What a server does with a request. */
+enum act {
+	ACT_ANSWER,
+	ACT_CHUNKED,
+	ACT_CLOSE_DELIMITED,
+	ACT_FAIL,
+	ACT_TURN_AWAY,
+	ACT_WRONG_LIFE,
+	ACT_TOO_MANY,
+	ACT_BARE_REFUSAL,
+	ACT_RESET_EARLY,
+	ACT_END_EARLY,
+	ACT_CUT_HEAD,
+	ACT_CUT_BODY,
+	ACT_SILENT,
+	ACT_LATE,
+	ACT_SURPLUS,
+	ACT_SURPLUS_REFUSAL,
+	ACT_FOREIGN,
+	ACT_FOREIGN_REFUSAL,
+	ACT_GARBAGE,
+	ACT_TOO_SHORT,
+	ACT_TOO_LONG,
+	ACT_NO_SEAL,
+	ACT_NO_ID,
+	ACT_BAD_CHUNK,
+	ACT_FORGET,
+	ACT_SHORT_KEEP,
+	ACT_CLOSES,
+	ACT_INTERIM,
+	ACT_NOT_A_STREAM,
+	ACTS
+};
+
+struct server_conn {
+	struct sim_conn *c;
+	int instance; /* the server's life that listens there */
+	char *in;     /* stb_ds: of the request under way */
+	int planned, noted, over, request;
+	enum act act;
+	size_t early_at;     /* bytes of a request after which an early act comes */
+	char last_id[24];    /* of the request before */
+	int64_t answered_at; /* when its answer has arrived; 0: not yet */
+	int64_t odd_at;      /* when bytes arrive that belong to no request; 0: never */
+	int keep_ms;         /* for how long it may rest afterwards */
+};
+
+enum client_mode { CLIENT_PLAIN, CLIENT_PIPELINES, CLIENT_LEAVES, CLIENT_HALF_CLOSES, CLIENT_SLOW, CLIENT_SMUGGLES, CLIENT_MODES };
+
+struct client {
+	struct sim_conn *c;
+	enum client_mode mode;
+	int *waiting; /* stb_ds: requests without a whole answer */
+	char *in;     /* stb_ds: of the answer under way */
+	int64_t next_at;
+	int left; /* it has ended its side */
+	int old;  /* speaks HTTP/1.0: answers of no told length end with the connection */
+};
+
+static struct {
+	uint64_t seed, rng;
+	struct edge edge;
+	struct proc proc;
+	struct ctr ctr;
+	struct platform platform;
+	struct request *requests; /* stb_ds */
+	struct run *runs;         /* stb_ds */
+	struct server_conn **server_conns;
+	struct client clients[CLIENTS];
+	uint64_t *follow_tokens; /* stb_ds: askings that the owner has not answered */
+	uint64_t edition;
+	int64_t owner_silent_until, started, frozen_ms;
+	int honest_ids;   /* ids are used again, and servers send no surplus */
+	enum act *script; /* stb_ds: what servers do with the next requests; by chance where it is empty */
+	char bad[400];
+} w;
+
+/* Sums over all seeds: a model that brings nothing about proves nothing. */
+static struct {
+	uint64_t requests, whole, refused, failed, cut, runs, wires, again, resumed, surplus, foreign, frozen, smuggled, acts[ACTS];
+} sum;
+
+static uint64_t dice(uint64_t n) { return core_rand(&w.rng) % n; }
+
+static void breach(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
+static void breach(const char *fmt, ...)
+{
+	va_list ap;
+
+	if (w.bad[0])
+		return;
+	va_start(ap, fmt);
+	vsnprintf(w.bad, sizeof w.bad, fmt, ap);
+	va_end(ap);
+}
+
+static void append(char **to, const char *d, size_t n)
+{
+	if (n)
+		memcpy(arraddnptr(*to, n), d, n);
+}
+
+static void append_format(char **to, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+static void append_format(char **to, const char *fmt, ...)
+{
+	char text[700];
+	va_list ap;
+	int n;
+
+	va_start(ap, fmt);
+	n = vsnprintf(text, sizeof text, fmt, ap);
+	va_end(ap);
+	append(to, text, (size_t)n);
+}
+
+/* Where a head ends in d, or 0. */
+static size_t head_length(const char *d, size_t n)
+{
+	for (size_t i = 3; i < n; i++)
+		if (!memcmp(d + i - 3, "\r\n\r\n", 4))
+			return i + 1;
+	return 0;
+}
+
+/* A field's value in a head, copied; 0 when it is not there. */
+static int field(const char *d, size_t n, const char *name, char *to, size_t cap)
+{
+	size_t len = strlen(name);
+
+	for (const char *p = memchr(d, '\n', n), *end = d + n; p && p + 1 < end; p = memchr(p + 1, '\n', (size_t)(end - p - 1))) {
+		const char *line = p + 1, *stop;
+
+		if ((size_t)(end - line) <= len || strncasecmp(line, name, len) || line[len] != ':')
+			continue;
+		line += len + 1;
+		line += *line == ' ';
+		stop = memchr(line, '\r', (size_t)(end - line));
+		snprintf(to, cap, "%.*s", (int)(stop ? stop - line : 0), line);
+		return 1;
+	}
+	return 0;
+}
+
+/* ---- servers ---- */
+
+/* What a run says, all of it. */
+static int run_new(int request, int from_event, int status)
+{
+	struct request *q = &w.requests[request];
+	struct run r = { request, status, NULL };
+	int no = (int)arrlen(w.runs);
+
+	if (routes[q->route].streams && status == 200) {
+		for (int i = from_event + 1; i <= q->events; i++)
+			append_format(&r.body, "%sid: %d\ndata: request %d event %d run %d\n\n", dice(8) ? "" : "x-note: 1\n", i,
+				      request, i, no);
+	} else {
+		append_format(&r.body, "request %d run %d ", request, no);
+		for (uint64_t i = dice(4) ? dice(200) : dice(6000); i; i--)
+			arrput(r.body, (char)('a' + (i + (uint64_t)no) % 26));
+	}
+	q->runs++;
+	if (q->promised)
+		breach("request %d (%s) runs after its client was promised that it never will", request, q->path);
+	sum.runs++;
+	arrput(w.runs, r);
+	return no;
+}
+
+/* Say d in pieces that are torn anywhere. Returns when the last has arrived. */
+static int64_t say_torn(struct server_conn *s, const char *d, size_t n, int64_t in_ms)
+{
+	while (n) {
+		size_t k = dice(2) ? n : 1 + dice(n);
+
+		net_sim_say(s->c, d, k, in_ms);
+		d += k;
+		n -= k;
+		if (n)
+			in_ms += (int64_t)dice(4) ? 0 : (int64_t)dice(30);
+	}
+	return in_ms;
+}
+
+static void head(char **to, int status, const char *id, int run, const char *extra)
+{
+	append_format(to, "HTTP/1.1 %d Status\r\n", status);
+	if (id)
+		append_format(to, "X-Notchlug-Attempt-Id: %s\r\n", id);
+	if (run >= 0)
+		append_format(to, "X-Notchlug-Server-Seal: %d\r\n", run);
+	append_format(to, "X-Notchlug-Server-Load: %d,%d,8\r\n%s", (int)dice(4), 0, extra);
+}
+
+static void chunks(char **to, const char *d, size_t n)
+{
+	while (n) {
+		size_t k = 1 + dice(n < 300 ? n : 300);
+
+		append_format(to, "%zx%s\r\n", k, dice(6) ? "" : ";x=y");
+		append(to, d, k);
+		append(to, "\r\n", 2);
+		d += k;
+		n -= k;
+	}
+}
+
+enum framing { FRAME_LENGTH, FRAME_CHUNKED, FRAME_CLOSE };
+
+/* A whole answer as bytes. */
+static char *whole_answer(int status, const char *id, int run, const char *body, size_t n, enum framing framing, const char *extra)
+{
+	char *b = NULL;
+
+	head(&b, status, id, run, extra);
+	if (framing == FRAME_LENGTH) {
+		append_format(&b, "Content-Length: %zu\r\n\r\n", n);
+		append(&b, body, n);
+	} else if (framing == FRAME_CHUNKED) {
+		append_format(&b, "Transfer-Encoding: chunked\r\n\r\n");
+		chunks(&b, body, n);
+		append_format(&b, "0\r\n\r\n");
+	} else {
+		append_format(&b, "Connection: close\r\n\r\n");
+		append(&b, body, n);
+	}
+	return b;
+}
+
+/* Says the whole of b, or as much as cut says, and forgets it. */
+static int64_t say_answer(struct server_conn *s, char *b, size_t cut, int64_t in_ms)
+{
+	size_t n = (size_t)arrlen(b);
+	int64_t at = say_torn(s, b, cut < n ? cut : n, in_ms);
+
+	arrfree(b);
+	if (!s->answered_at)
+		s->answered_at = net_sim_now() + at;
+	return at;
+}
+
+/* Bytes that belong to no request begin to arrive. */
+static int64_t odd(struct server_conn *s, int64_t in_ms)
+{
+	if (!s->odd_at)
+		s->odd_at = net_sim_now() + in_ms;
+	return in_ms;
+}
+
+static void cleared(struct server_conn *s, int64_t in_ms)
+{
+	struct request *q = &w.requests[s->request];
+
+	for (ptrdiff_t i = 0; i < arrlen(q->wires); i++)
+		if (q->wires[i].conn == net_sim_id(s->c) && q->wires[i].cleared_at == INT64_MAX)
+			q->wires[i].cleared_at = net_sim_now() + in_ms;
+}
+
+/* Turned away with the promise that it did not run. */
+static int64_t turn_away(struct server_conn *s, int status, const char *id, const char *extra, int64_t in_ms)
+{
+	int64_t at = say_answer(s, whole_answer(status, id, -1, "no", 2, FRAME_LENGTH, extra), SIZE_MAX, in_ms);
+
+	cleared(s, at);
+	return at;
+}
+
+static const char event_stream[] = "Content-Type: text/event-stream\r\n", not_executed[] = "X-Notchlug-Not-Executed: 1\r\n";
+
+static void end_or_reset(struct server_conn *s, int64_t in_ms)
+{
+	s->over = 1;
+	if (dice(2))
+		net_sim_end(s->c, in_ms);
+	else
+		net_sim_reset(s->c, in_ms);
+	if (dice(2))
+		net_sim_forget(s->c, (int64_t)dice(20));
+}
+
+/* The whole request has come. */
+static void serve(struct server_conn *s, const char *id, int from_event)
+{
+	struct request *q = &w.requests[s->request];
+	int stream = routes[q->route].streams, run = -1;
+	int64_t at = (int64_t)(dice(5) ? dice(40) : dice(600));
+	const char *type = stream ? event_stream : "Content-Type: text/plain\r\n", *body;
+	char extra[300], other[24];
+	size_t n;
+	char *b;
+
+	snprintf(other, sizeof other, "%s", s->last_id[0] && strcmp(s->last_id, id) && dice(2) ? s->last_id : "elsewhere");
+	if (s->act != ACT_TURN_AWAY && s->act != ACT_WRONG_LIFE && s->act != ACT_TOO_MANY) {
+		if (s->act == ACT_NOT_A_STREAM)
+			stream = 0;
+		run = run_new(s->request, from_event, s->act == ACT_FAIL ? 500 : s->act == ACT_BARE_REFUSAL ? 503 : 200);
+	}
+	body = run >= 0 ? w.runs[run].body : "";
+	n = run >= 0 ? (size_t)arrlen(w.runs[run].body) : 0;
+	snprintf(extra, sizeof extra, "%s", type);
+	switch (s->act) {
+	case ACT_ANSWER: say_answer(s, whole_answer(200, id, run, body, n, FRAME_LENGTH, extra), SIZE_MAX, at); break;
+	case ACT_CHUNKED: say_answer(s, whole_answer(200, id, run, body, n, FRAME_CHUNKED, extra), SIZE_MAX, at); break;
+	case ACT_CLOSE_DELIMITED:
+		at = say_answer(s, whole_answer(200, id, run, body, n, FRAME_CLOSE, extra), SIZE_MAX, at);
+		net_sim_end(s->c, at);
+		s->over = 1;
+		break;
+	case ACT_FAIL: /* which has run, whatever else it says */
+		if (dice(2))
+			snprintf(extra, sizeof extra, "%s%s", type, not_executed);
+		say_answer(s, whole_answer(500, id, run, body, n, FRAME_LENGTH, extra), SIZE_MAX, at);
+		break;
+	case ACT_TURN_AWAY: turn_away(s, 503, id, not_executed, at); break;
+	case ACT_WRONG_LIFE: turn_away(s, 421, id, dice(2) ? not_executed : "", at); break;
+	case ACT_TOO_MANY: turn_away(s, 429, id, not_executed, at); break;
+	case ACT_BARE_REFUSAL:
+		w.runs[run].status = (int[]){ 503, 429, 408 }[dice(3)];
+		say_answer(s, whole_answer(w.runs[run].status, id, run, body, n, FRAME_LENGTH, extra), SIZE_MAX, at);
+		break;
+	case ACT_CUT_HEAD:
+	case ACT_CUT_BODY:
+		b = whole_answer(200, id, run, body, n, dice(2) ? FRAME_LENGTH : FRAME_CHUNKED, extra);
+		at = say_answer(s, b,
+				s->act == ACT_CUT_HEAD ? dice(head_length(b, (size_t)arrlen(b)))
+						       : head_length(b, (size_t)arrlen(b)) + dice(n ? n : 1),
+				at);
+		end_or_reset(s, at + (int64_t)dice(20));
+		break;
+	case ACT_SILENT: break;
+	case ACT_LATE:
+		say_answer(s, whole_answer(200, id, run, body, n, FRAME_LENGTH, extra), SIZE_MAX, at + 1500 + (int64_t)dice(4000));
+		break;
+	case ACT_SURPLUS: /* its answer, and one more of it behind it or in the slot of the next */
+		at = say_answer(s, whole_answer(200, id, run, body, n, FRAME_LENGTH, extra), SIZE_MAX, at);
+		say_answer(s, whole_answer(200, id, run, body, n, FRAME_LENGTH, extra), SIZE_MAX,
+			   odd(s, at + (int64_t)(dice(3) ? dice(300) : 0)));
+		break;
+	case ACT_SURPLUS_REFUSAL:
+		at = say_answer(s, whole_answer(200, id, run, body, n, FRAME_LENGTH, extra), SIZE_MAX, at);
+		say_answer(s, whole_answer(dice(2) ? 503 : 421, id, -1, "no", 2, FRAME_LENGTH, not_executed), SIZE_MAX,
+			   odd(s, at + (int64_t)dice(300)));
+		break;
+	case ACT_FOREIGN: /* another request's answer in this one's slot, and its own behind it */
+		at = say_answer(s,
+				whole_answer(200, other, (int)dice((uint64_t)run + 1), "other", 5,
+					     dice(2) ? FRAME_LENGTH : FRAME_CHUNKED, extra),
+				SIZE_MAX, odd(s, at));
+		if (dice(2))
+			say_answer(s, whole_answer(200, id, run, body, n, FRAME_LENGTH, extra), SIZE_MAX, at + (int64_t)dice(200));
+		break;
+	case ACT_FOREIGN_REFUSAL:
+		at = say_answer(s,
+				whole_answer((int[]){ 503, 421, 429 }[dice(3)], dice(4) ? other : NULL, -1, "no", 2, FRAME_LENGTH,
+					     not_executed),
+				SIZE_MAX, odd(s, at));
+		if (dice(2))
+			say_answer(s, whole_answer(200, id, run, body, n, FRAME_LENGTH, extra), SIZE_MAX, at + (int64_t)dice(200));
+		break;
+	case ACT_GARBAGE:
+		net_sim_say(
+		    s->c,
+		    (const char *[]){ "\r\n\r\nxx", "HTTP/9.9 2OO\r\n\r\n", "GET / HTTP/1.1\r\n\r\n", "\x16\x03\x01" }[dice(4)], 4,
+		    at);
+		break;
+	case ACT_TOO_SHORT: /* says more than comes */
+		b = NULL;
+		head(&b, 200, id, run, extra);
+		append_format(&b, "Content-Length: %zu\r\n\r\n", n + 1 + dice(50));
+		append(&b, body, n);
+		at = say_answer(s, b, SIZE_MAX, at);
+		if (dice(2))
+			end_or_reset(s, at);
+		break;
+	case ACT_TOO_LONG: /* says less than comes: the rest belongs to nobody */
+		append_format(&w.runs[run].body, "-");
+		n = (size_t)arrlen(w.runs[run].body) - 1;
+		b = whole_answer(200, id, run, w.runs[run].body, n, FRAME_LENGTH, extra);
+		arrsetlen(w.runs[run].body, n);
+		append_format(&b, "%s", dice(2) ? "surplus" : "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+		odd(s, say_answer(s, b, SIZE_MAX, at));
+		break;
+	case ACT_NO_SEAL: say_answer(s, whole_answer(200, id, -1, body, n, FRAME_LENGTH, extra), SIZE_MAX, at); break;
+	case ACT_NO_ID: say_answer(s, whole_answer(200, NULL, run, body, n, FRAME_LENGTH, extra), SIZE_MAX, at); break;
+	case ACT_BAD_CHUNK:
+		b = NULL;
+		head(&b, 200, id, run, extra);
+		append_format(&b, "Transfer-Encoding: chunked\r\n\r\n");
+		chunks(&b, body, n);
+		if (dice(2)) {
+			append_format(&b, "%s", (const char *[]){ "zz\r\n", "5\nabcde\r\n0\r\n\r\n", "0\r\nx\n\r\n" }[dice(3)]);
+		} else { /* a chunk that is longer than it said: its first bytes are good */
+			append_format(&b, "3\r\nabcdef\r\n0\r\n\r\n");
+			append_format(&w.runs[run].body, "abc");
+		}
+		say_answer(s, b, SIZE_MAX, at);
+		break;
+	case ACT_FORGET:
+		at = say_answer(s, whole_answer(200, id, run, body, n, FRAME_LENGTH, extra), SIZE_MAX, at);
+		net_sim_forget(s->c, dice(3) ? (int64_t)dice(40) : -1);
+		s->over = 1;
+		break;
+	case ACT_SHORT_KEEP:
+		s->keep_ms = 1000 * (1 + (int)dice(3));
+		snprintf(extra, sizeof extra, "%sKeep-Alive: timeout=%d\r\n", type, s->keep_ms / 1000);
+		at = say_answer(s, whole_answer(200, id, run, body, n, FRAME_LENGTH, extra), SIZE_MAX, at);
+		end_or_reset(s, at + (int64_t)dice(700));
+		break;
+	case ACT_CLOSES:
+		snprintf(extra, sizeof extra, "%sConnection: close\r\n", type);
+		at = say_answer(s, whole_answer(200, id, run, body, n, FRAME_LENGTH, extra), SIZE_MAX, at);
+		end_or_reset(s, at + (int64_t)dice(500));
+		break;
+	case ACT_INTERIM:
+		net_sim_say(s->c, "HTTP/1.1 103 Early Hints\r\nX-Notchlug-Not-Executed: 1\r\n\r\n", 55, 0);
+		say_answer(s, whole_answer(200, id, run, body, n, FRAME_CHUNKED, extra), SIZE_MAX, at);
+		break;
+	case ACT_NOT_A_STREAM: /* on a stream's route: a body of another type, broken off now and then */
+		b = whole_answer(200, id, run, body, n, FRAME_LENGTH, "Content-Type: application/json\r\n");
+		at = say_answer(s, b, dice(2) ? SIZE_MAX : (size_t)arrlen(b) - 1, at);
+		if (dice(2))
+			end_or_reset(s, at);
+		break;
+	default: break;
+	}
+	(void)stream;
+}
+
+static void watch(struct server_conn *s)
+{
+	static const char body[] = "{\"NodeEpoch\":1,\"NextToken\":1,\"LostCount\":false,\"EventList\":[]}";
+	int64_t at = (int64_t)dice(1000);
+
+	if (dice(10))
+		say_answer(s, whole_answer(200, NULL, -1, body, sizeof body - 1, FRAME_LENGTH, ""), SIZE_MAX, at);
+	else if (dice(2))
+		end_or_reset(s, at);
+}
+
+static enum act choose_act(void)
+{
+	enum act a;
+
+	if (arrlen(w.script)) {
+		a = w.script[0];
+		arrdel(w.script, 0);
+		return a;
+	}
+	a = dice(3) ? ACT_ANSWER + dice(2) : (enum act)dice(ACTS);
+
+	if (w.honest_ids && (a == ACT_SURPLUS || a == ACT_SURPLUS_REFUSAL || a == ACT_FOREIGN || a == ACT_FOREIGN_REFUSAL))
+		a = ACT_ANSWER;
+	return a;
+}
+
+/* A request's path is on a wire: from here on it may run. */
+static void note_wire(struct server_conn *s, const char *path, size_t n)
+{
+	struct request *q;
+	int no = -1;
+	struct wire wire = { net_sim_id(s->c), INT64_MAX, (int)s->act };
+
+	for (int r = 0; r < ROUTES; r++)
+		if (n > strlen(routes[r].path) && !strncmp(path, routes[r].path, strlen(routes[r].path)))
+			no = atoi(path + strlen(routes[r].path));
+	if (no < 0 || no >= arrlen(w.requests) || strlen(w.requests[no].path) != n || strncmp(w.requests[no].path, path, n)) {
+		breach("a server was sent %.*s, which no client asked for", (int)n, path);
+		s->over = 1;
+		return;
+	}
+	q = &w.requests[no];
+	s->request = no;
+	s->noted = 1;
+	if (q->promised)
+		breach("request %d (%s) was sent after its client was promised that it never will", no, q->path);
+	if (!routes[q->route].repeatable && !routes[q->route].resumable)
+		for (ptrdiff_t i = 0; i < arrlen(q->wires); i++)
+			if (q->wires[i].cleared_at > net_sim_now())
+				breach("request %d (%s) was sent a second time; the first may have run (act %d on connection %llu)",
+				       no, q->path, q->wires[i].act, (unsigned long long)q->wires[i].conn);
+	sum.wires++;
+	sum.again += arrlen(q->wires) > 0;
+	arrput(q->wires, wire);
+}
+
+/* What the door must add, take away and leave alone. */
+static void check_fields(const struct server_conn *s, const struct request *q, size_t head_len)
+{
+	char v[200], want[40];
+	int found, bearer = q->key >= 0 && q->key < TENANTS;
+
+	snprintf(want, sizeof want, "i-%d", s->instance);
+	if (!field(s->in, head_len, "X-Notchlug-Target-Instance", v, sizeof v) || strcmp(v, want))
+		breach("request %s does not name the server's life that it is meant for", q->path);
+	found = field(s->in, head_len, "X-Notchlug-Tenant-Id", v, sizeof v);
+	snprintf(want, sizeof want, "t%d", q->key);
+	if (found != bearer || (found && strcmp(v, want)))
+		breach("request %s goes on as another tenant's: %s", q->path, found ? v : "nobody's");
+	if (field(s->in, head_len, "X-Api-Key", v, sizeof v))
+		breach("request %s shows its key to a server", q->path);
+	if (!field(s->in, head_len, "X-Notchlug-Expected-Version", v, sizeof v) || strcmp(v, "w1"))
+		breach("request %s does not name the weights that it is meant for", q->path);
+	if (!field(s->in, head_len, "X-Notchlug-Cache-Salt", v, sizeof v) || !strcmp(v, "mine"))
+		breach("request %s does not name the shelf of its kept parts", q->path);
+	if (!field(s->in, head_len, "X-Notchlug-Deadline-Remaining", v, sizeof v) ||
+	    atoi(v) > q->deadline_at - net_sim_called() + DEADLINE_SLACK_MS + w.frozen_ms)
+		breach("request %s has %lld ms left and says %s", q->path, (long long)(q->deadline_at - net_sim_called()), v);
+	if (!field(s->in, head_len, "Host", v, sizeof v) || strcmp(v, "h.example"))
+		breach("request %s has lost its host", q->path);
+	for (int i = 1; i < q->more_fields; i++) { /* the first may be named by Connection */
+		snprintf(want, sizeof want, "X-More-%d", i);
+		if (!field(s->in, head_len, want, v, sizeof v))
+			breach("request %s has lost a field", q->path);
+	}
+}
+
+static void take_request(struct server_conn *s, size_t head_len, size_t body_len)
+{
+	struct request *q = &w.requests[s->request];
+	char id[64] = "", since[24] = "0";
+
+	field(s->in, head_len, "X-Notchlug-Attempt-Id", id, sizeof id);
+	if (strcmp(id, q->id) || body_len != q->body_len || memcmp(s->in + head_len, q->body, body_len))
+		breach("request %d (%s) reached a server changed", s->request, q->path);
+	check_fields(s, q, head_len);
+	if (field(s->in, head_len, "Last-Event-Id", since, sizeof since)) {
+		sum.resumed++;
+		if (!dice(4)) /* a server that begins anew all the same */
+			strcpy(since, "0");
+	}
+	sum.acts[s->act]++;
+	sum.surplus += s->act == ACT_SURPLUS || s->act == ACT_SURPLUS_REFUSAL;
+	sum.foreign += s->act == ACT_FOREIGN || s->act == ACT_FOREIGN_REFUSAL;
+	serve(s, id, atoi(since));
+	snprintf(s->last_id, sizeof s->last_id, "%s", id);
+}
+
+/* A request begins on a connection that was used before: was it fit for one? */
+static void check_rested(struct server_conn *s)
+{
+	int64_t rested = net_sim_called() - s->answered_at;
+
+	if (net_sim_unread(s->c))
+		breach("a request is sent on a connection where something has arrived unread");
+	if (s->odd_at && s->odd_at <= net_sim_called())
+		breach("a request is sent on a connection that is out of step since %lld ms",
+		       (long long)(net_sim_called() - s->odd_at));
+	if (s->answered_at && rested > s->keep_ms - KEEP_MARGIN_MS)
+		breach("a request is sent on a connection that has rested for %lld of %d ms", (long long)rested, s->keep_ms);
+	s->answered_at = 0;
+	s->keep_ms = KEEP_UNTOLD_MS;
+}
+
+static void on_accepted(void *ctx, struct sim_conn *c, const char *d, size_t n)
+{
+	struct server_conn *s = net_sim_tag_of(c);
+	size_t end;
+	char length[24] = "0";
+
+	(void)ctx;
+	if (!s) /* a client's connection */
+		return;
+	if (!arrlen(s->in)) {
+		check_rested(s);
+		s->act = *d == 'G' ? ACT_ANSWER : choose_act(); /* a watch takes nothing from the script */
+		s->early_at = 1 + dice(400);
+		s->noted = 0;
+	}
+	append(&s->in, d, n);
+	if (!s->noted) {
+		const char *from = memchr(s->in, ' ', (size_t)arrlen(s->in)), *to;
+
+		if (from && (to = memchr(from + 1, ' ', (size_t)(s->in + arrlen(s->in) - from - 1)))) {
+			if (!strncmp(from + 1, "/kv-events", 10))
+				s->noted = 2;
+			else
+				note_wire(s, from + 1, (size_t)(to - from - 1));
+		}
+	}
+	if (s->over)
+		return;
+	if ((s->act == ACT_RESET_EARLY || s->act == ACT_END_EARLY) && (size_t)arrlen(s->in) >= s->early_at && s->noted != 2) {
+		sum.acts[s->act]++;
+		if (s->act == ACT_END_EARLY)
+			net_sim_end(s->c, (int64_t)dice(30));
+		else
+			net_sim_reset(s->c, (int64_t)dice(30));
+		s->over = 1;
+		return;
+	}
+	end = head_length(s->in, (size_t)arrlen(s->in));
+	if (!end)
+		return;
+	field(s->in, end, "Content-Length", length, sizeof length);
+	if ((size_t)arrlen(s->in) < end + (size_t)atoi(length))
+		return;
+	if ((size_t)arrlen(s->in) > end + (size_t)atoi(length))
+		breach("bytes follow a request on a connection before its answer");
+	if (s->noted == 2)
+		watch(s);
+	else
+		take_request(s, end, (size_t)atoi(length));
+	arrsetlen(s->in, 0);
+}
+
+static enum sim_connect on_connect(void *ctx, struct sim_conn *c, uint64_t addr, int *delay)
+{
+	struct server_conn *s;
+
+	(void)ctx;
+	*delay = (int)dice(8);
+	if (!arrlen(w.script) && !dice(25))
+		return dice(2) ? SIM_REFUSE : SIM_IGNORE;
+	if (!(s = calloc(1, sizeof *s)))
+		abort();
+	s->c = c;
+	s->instance = (int)(addr >> 16 & 0xff) - 1;
+	net_sim_tag(c, s);
+	arrput(w.server_conns, s);
+	return SIM_ACCEPT;
+}
+
+/* ---- clients ---- */
+
+static int request_new(int reuse)
+{
+	struct request q;
+	int no = (int)arrlen(w.requests);
+
+	memset(&q, 0, sizeof q);
+	q.route = (enum route)dice(ROUTES);
+	snprintf(q.path, sizeof q.path, "%s%d", routes[q.route].path, no);
+	if (reuse && no > 0 && dice(3) == 0)
+		memcpy(q.id, w.requests[dice((uint64_t)no)].id, sizeof q.id);
+	else
+		snprintf(q.id, sizeof q.id, "try-%d", no);
+	q.body_len = dice(4) ? (size_t)snprintf(q.body, sizeof q.body, "body of %d, GET /once/0 HTTP/1.1\r\n\r\n", no) : 0;
+	q.events = 2 + (int)dice(5);
+	q.key = q.route == ROUTE_REPEATABLE ? (int)dice(TENANTS + 1) : (int)dice(TENANTS + 2) - 1;
+	q.more_fields = dice(30) ? (int)dice(4) : 90 + (int)dice(200);
+	arrput(w.requests, q);
+	sum.requests++;
+	return no;
+}
+
+static void request_bytes(char **to, int no, int old)
+{
+	struct request *q = &w.requests[no];
+	int limit = 600 + (int)dice(2500);
+
+	append_format(to, "POST %s HTTP/1.%d\r\nHost: h.example\r\n", q->path, !old);
+	for (int i = 0; i < q->more_fields; i++)
+		append_format(to, "X-More-%d: %d\r\n", i, no);
+	append_format(to, "X-Notchlug-Attempt-Id: %s\r\nX-Notchlug-Deadline-Remaining: %d\r\n", q->id, limit);
+	if (q->key >= 0)
+		append_format(to, "X-Api-Key: key-%d\r\n", q->key);
+	if (!dice(8)) /* words that are not a client's to say */
+		append_format(to, "X-Notchlug-Tenant-Id: t1\r\nX-Notchlug-Cache-Salt: mine\r\nX-Notchlug-Target-Instance: i-9\r\n"
+				  "X-Notchlug-Expected-Version: w0\r\n");
+	if (!dice(8))
+		append_format(to, "Connection: X-Notchlug-Attempt-Id, Host, X-More-0\r\n");
+	q->deadline_at = net_sim_now() + limit;
+	if (!old && !dice(3)) {
+		append_format(to, "Transfer-Encoding: chunked\r\n\r\n");
+		chunks(to, q->body, q->body_len);
+		append_format(to, "0\r\n\r\n");
+	} else {
+		append_format(to, "Content-Length: %zu\r\n\r\n", q->body_len);
+		append(to, q->body, q->body_len);
+	}
+}
+
+static const char *const smuggled[] = {
+	"POST /once/0 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /once/777777 HTTP/1.1\r\n\r\n",
+	"POST /once/0 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\nContent-Length: 40\r\n\r\nabcdGET /once/777777 HTTP/1.1\r\n\r\n",
+	"POST /once/0 HTTP/1.1\r\nHost: h.example\r\nX: a\r\n Content-Length: 4\r\n\r\nabcdGET /once/777777 HTTP/1.1\r\n\r\n",
+	"POST /once/0 HTTP/1.1\nHost: h.example\nContent-Length: 4\n\nabcdGET /once/777777 HTTP/1.1\r\n\r\n",
+	"POST /once/0 HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n3\nabc\r\n0\r\n\r\nGET /once/777777 HTTP/1.1\r\n\r\n",
+};
+
+static void client_close(struct client *k)
+{
+	arrfree(k->waiting);
+	arrfree(k->in);
+	k->c = NULL;
+}
+
+static void client_dial(struct client *k)
+{
+	memset(k, 0, sizeof *k);
+	k->mode = dice(2) ? CLIENT_PLAIN : (enum client_mode)dice(CLIENT_MODES);
+	k->old = k->mode != CLIENT_PIPELINES && !dice(6);
+	k->c = net_sim_dial(FRONT_PORT);
+	assert_non_null(k->c);
+	if (k->mode == CLIENT_SLOW)
+		net_sim_window(k->c, 1 + dice(600));
+}
+
+static void client_ask(struct client *k)
+{
+	char *b = NULL;
+	int n = k->mode == CLIENT_PIPELINES ? 1 + (int)dice(4) : 1;
+	int64_t at = 0;
+
+	if (k->mode == CLIENT_SMUGGLES) {
+		const char *text = smuggled[dice(sizeof smuggled / sizeof *smuggled)];
+
+		net_sim_say(k->c, text, strlen(text), 0);
+		k->left = 1;
+		k->next_at = net_sim_now() + 500;
+		sum.smuggled++;
+		return;
+	}
+	while (n--) {
+		int no = request_new(w.honest_ids);
+
+		request_bytes(&b, no, k->old);
+		if (arrlen(k->waiting)) /* its time begins when those before it are answered */
+			w.requests[no].deadline_at = INT32_MAX;
+		arrput(k->waiting, no);
+	}
+	for (size_t off = 0, len = (size_t)arrlen(b); off < len;) {
+		size_t part = dice(3) ? len - off : 1 + dice(len - off);
+
+		net_sim_say(k->c, b + off, part, at);
+		off += part;
+		at += (int64_t)dice(10);
+	}
+	arrfree(b);
+	if (k->mode == CLIENT_LEAVES) {
+		if (dice(2))
+			net_sim_reset(k->c, at + (int64_t)dice(120));
+		else
+			net_sim_end(k->c, at + (int64_t)dice(120));
+		k->left = 1;
+	}
+	if (k->mode == CLIENT_HALF_CLOSES) {
+		net_sim_end(k->c, at + (int64_t)dice(200));
+		k->left = 1;
+	}
+}
+
+struct answer {
+	int status, sealed, run, complete, closes;
+	size_t head, used;
+	char *body; /* stb_ds */
+};
+
+/* What a client understands of the bytes so far. 0: not an answer in the protocol. */
+static int read_answer(const char *d, size_t n, int ended, struct answer *a)
+{
+	char v[100];
+	size_t pos;
+
+	memset(a, 0, sizeof *a);
+	a->run = -1;
+	a->head = head_length(d, n);
+	if (!a->head)
+		return n < 9 ? !memcmp(d, "HTTP/1.1 ", n) : !memcmp(d, "HTTP/1.1 ", 9);
+	if (memcmp(d, "HTTP/1.1 ", 9))
+		return 0;
+	a->status = atoi(d + 9);
+	a->closes = field(d, a->head, "Connection", v, sizeof v) && !strcasecmp(v, "close");
+	if (field(d, a->head, "X-Notchlug-Server-Seal", v, sizeof v)) {
+		a->sealed = 1;
+		a->run = atoi(v);
+	}
+	pos = a->head;
+	if (field(d, a->head, "Content-Length", v, sizeof v)) {
+		size_t want = (size_t)atoi(v), k = n - pos < want ? n - pos : want;
+
+		append(&a->body, d + pos, k);
+		a->used = pos + k;
+		a->complete = k == want;
+		return 1;
+	}
+	if (!field(d, a->head, "Transfer-Encoding", v, sizeof v)) { /* up to the end of the connection */
+		append(&a->body, d + pos, n - pos);
+		a->used = n;
+		a->complete = ended;
+		return 1;
+	}
+	for (;;) {
+		const char *nl = memchr(d + pos, '\n', n - pos);
+		size_t size, line;
+
+		if (!nl)
+			return 1;
+		line = (size_t)(nl - d) + 1;
+		size = strtoul(d + pos, NULL, 16);
+		if (size && n - line < size + 2) {
+			append(&a->body, d + line, n - line < size ? n - line : size);
+			return 1;
+		}
+		if (!size) {
+			a->complete = n - line >= 2;
+			a->used = line + 2;
+			return 1;
+		}
+		append(&a->body, d + line, size);
+		pos = line + size + 2;
+	}
+}
+
+/* A stream's events must rise one by one, each of a run of this very request. */
+static void check_events(int no, const struct answer *a)
+{
+	const struct request *q = &w.requests[no];
+	int expected = 1, first_run = -1;
+	size_t n = (size_t)arrlen(a->body);
+	char *text = malloc(n + 1), *p = text;
+
+	memcpy(text, a->body ? a->body : "", n);
+	text[n] = 0;
+	while (p && *p) {
+		char *end = strstr(p, "\n\n"), *data;
+		int id, request, event, run;
+
+		if (!end)
+			break;
+		*end = 0;
+		p = strstr(p, "id: ");
+		data = p ? strstr(p, "data: ") : NULL;
+		if (!data || sscanf(p, "id: %d", &id) != 1 ||
+		    sscanf(data, "data: request %d event %d run %d", &request, &event, &run) != 3) {
+			breach("request %d (%s): an event that is none", no, q->path);
+			break;
+		}
+		if (request != no || w.runs[run].request != no)
+			breach("request %d (%s) received an event of request %d", no, q->path, request);
+		if (id != expected || event != id)
+			breach("request %d (%s) received event %d where %d was due", no, q->path, id, expected);
+		if (first_run >= 0 && run != first_run && !routes[q->route].resumable)
+			breach("request %d (%s): events of two runs", no, q->path);
+		first_run = run;
+		expected++;
+		p = end + 2;
+	}
+	if (a->complete && expected != q->events + 1)
+		breach("request %d (%s): a stream of %d events looks complete after %d", no, q->path, q->events, expected - 1);
+	free(text);
+}
+
+static int is_promise(int status) { return status == 503 || status == 429 || status == 408 || status == 421; }
+
+static void check_answer(int no, const struct answer *a)
+{
+	struct request *q = &w.requests[no];
+	const struct run *r;
+	size_t n = (size_t)arrlen(a->body);
+
+	if (!a->head)
+		return;
+	if (!a->sealed) {
+		if (a->status < 300)
+			breach("request %d (%s) received a success without a seal", no, q->path);
+		if (a->status < 500 && !is_promise(a->status) &&
+		    !(a->status == 401 && q->route == ROUTE_REPEATABLE && q->key == TENANTS))
+			breach("request %d (%s) is proper and was answered %d", no, q->path, a->status);
+		if (is_promise(a->status)) {
+			q->promised = 1;
+			for (ptrdiff_t i = 0; i < arrlen(q->wires); i++)
+				if (q->wires[i].cleared_at > net_sim_now())
+					breach("request %d (%s) was answered %d, and it may have run", no, q->path, a->status);
+		}
+		return;
+	}
+	if (a->run < 0 || a->run >= arrlen(w.runs) || w.runs[a->run].request != no) {
+		breach("request %d (%s) received the answer of request %d", no, q->path,
+		       a->run < 0 || a->run >= arrlen(w.runs) ? -1 : w.runs[a->run].request);
+		return;
+	}
+	r = &w.runs[a->run];
+	if (r->status != a->status)
+		breach("request %d (%s): status %d became %d", no, q->path, r->status, a->status);
+	if (is_promise(a->status))
+		breach("request %d (%s) ran and was answered %d", no, q->path, a->status);
+	if (routes[q->route].streams && a->status == 200 && n > 2 && strncmp(a->body, "request", 7)) {
+		check_events(no, a);
+		return;
+	}
+	if (n > (size_t)arrlen(r->body) || memcmp(a->body ? a->body : "", r->body ? r->body : "", n))
+		breach("request %d (%s): a body that its run %d did not say: %zu of %zu bytes, ends with %.12s", no, q->path,
+		       a->run, n, (size_t)arrlen(r->body), a->body + n - 12);
+	else if (a->complete && n != (size_t)arrlen(r->body))
+		breach("request %d (%s): %zu bytes of %zu look complete", no, q->path, n, (size_t)arrlen(r->body));
+}
+
+static void count_answer(const struct answer *a, struct request *q)
+{
+	q->told = 1;
+	if (!a->complete)
+		sum.cut++;
+	else if (a->status < 300)
+		sum.whole++;
+	else if (is_promise(a->status))
+		sum.refused++;
+	else
+		sum.failed++;
+}
+
+/* Returns 0 when the connection is of no more use. */
+static int client_read(struct client *k)
+{
+	char d[4096];
+	size_t n;
+	enum sim_left left = net_sim_left(k->c);
+
+	while ((n = net_sim_hear(k->c, d, k->mode == CLIENT_SLOW ? 1 + dice(200) : sizeof d))) {
+		append(&k->in, d, n);
+		if (k->mode == CLIENT_SLOW)
+			break;
+	}
+	if (k->mode == CLIENT_SMUGGLES)
+		return left == SIM_OPEN;
+	for (;;) {
+		struct answer a = { 0 };
+		int ended = left == SIM_CLOSED || left == SIM_HALF_CLOSED, over;
+
+		if (n && k->mode == CLIENT_SLOW)
+			ended = 0; /* it has not read all yet */
+		if (!arrlen(k->waiting)) {
+			if (arrlen(k->in))
+				breach("bytes on a connection where no request waits: %.40s", k->in);
+			break;
+		}
+		if (arrlen(k->in)) {
+			if (!read_answer(k->in, (size_t)arrlen(k->in), ended && left != SIM_RESET, &a))
+				breach("request %d: bytes that are no answer: %.30s", k->waiting[0], k->in);
+			check_answer(k->waiting[0], &a);
+		}
+		if (!a.complete) {
+			arrfree(a.body);
+			break;
+		}
+		count_answer(&a, &w.requests[k->waiting[0]]);
+		arrdel(k->waiting, 0);
+		arrdeln(k->in, 0, a.used);
+		over = a.closes;
+		arrfree(a.body);
+		if (over) {
+			if (arrlen(k->in))
+				breach("bytes behind an answer that closes its connection");
+			return 0;
+		}
+	}
+	if (left != SIM_OPEN && !(n && k->mode == CLIENT_SLOW)) {
+		sum.cut += (uint64_t)arrlen(k->waiting);
+		return 0;
+	}
+	return 1;
+}
+
+static void client_turn(struct client *k, int ask)
+{
+	int64_t now = net_sim_now();
+
+	if (!k->c) {
+		if (!ask || now < k->next_at)
+			return;
+		client_dial(k);
+	}
+	if (!client_read(k) || (k->left && now >= k->next_at && k->mode == CLIENT_SMUGGLES)) {
+		if (!k->left)
+			net_sim_end(k->c, 0);
+		client_close(k);
+		k->next_at = now + (int64_t)dice(60);
+		return;
+	}
+	if (arrlen(k->waiting) || k->left || now < k->next_at || !ask)
+		return;
+	if (!dice(12)) { /* rests */
+		k->next_at = now + (int64_t)dice(1500);
+		return;
+	}
+	client_ask(k);
+}
+
+/* ---- the daemon round them ---- */
+
+int64_t __real_clock_ms(void);
+void __wrap_proc_perform(struct proc *p);
+void __wrap_proc_perform(struct proc *p)
+{
+	for (ptrdiff_t i = 0; i < arrlen(p->o.v); i++) {
+		const struct cmd *c = &p->o.v[i];
+
+		if (platform_edge.perform(&w.edge, c))
+			continue;
+		if (c->kind == CMD_SEND && c->u.send.msg->body_case == NL__MSG__BODY_FOLLOW)
+			arrput(w.follow_tokens, c->u.send.msg->follow->token);
+	}
+	out_clear(&p->o);
+}
+
+static void core_step(const struct ctr_ev *ev)
+{
+	ctr_step(&w.ctr, ev, net_sim_now(), &w.proc.o);
+	__wrap_proc_perform(&w.proc);
+}
+
+static struct Nl__Row *row(apr_pool_t *p, Nl__Kind kind, const char *name)
+{
+	struct Nl__Row *r = apr_palloc(p, sizeof *r);
+
+	nl__row__init(r);
+	r->kind = kind;
+	r->name = apr_pstrdup(p, name);
+	return r;
+}
+
+static struct Nl__Sight *instance(apr_pool_t *p, int i)
+{
+	struct Nl__Sight *x = apr_palloc(p, sizeof *x);
+
+	nl__sight__init(x);
+	x->server = apr_psprintf(p, "i-%d", i);
+	x->service = "pool";
+	x->addr = apr_psprintf(p, "127.1.0.%d:80", i + 1);
+	x->zone = "z1";
+	x->slots = 8;
+	x->weights = "w1";
+	x->stamp = 1;
+	return x;
+}
+
+/* The owner's word, whole the first time. */
+static void owner_answers(uint64_t token)
+{
+	struct Nl__Msg m = NL__MSG__INIT;
+	struct Nl__FollowReply r = NL__FOLLOW_REPLY__INIT;
+	struct Nl__Row *rows[1 + ROUTES + 2 * TENANTS];
+	struct Nl__Sight *sights[SERVERS];
+	struct ctr_ev ev;
+	apr_pool_t *p;
+
+	apr_pool_create(&p, w.proc.p);
+	r.token = token;
+	r.licensed = 1;
+	r.fleet = 7;
+	r.counters = 1;
+	r.edition = r.since = r.sights = 1;
+	if (!w.ctr.book) {
+		r.whole = r.sights_whole = 1;
+		rows[0] = row(p, NL__KIND__SERVICE, "pool");
+		rows[0]->weights = "w1";
+		rows[0]->prefill = 20;
+		for (int i = 0; i < ROUTES; i++) {
+			struct Nl__Row *l = rows[1 + i] = row(p, NL__KIND__LANE, routes[i].path);
+
+			l->service = "pool";
+			l->host = "h.example";
+			l->path = (char *)(uintptr_t)routes[i].path;
+			l->limit = 20;
+			l->open = i != ROUTE_REPEATABLE;
+			l->attempts = 3;
+			l->repeatable = routes[i].repeatable;
+			l->resumable = routes[i].resumable;
+		}
+		for (int i = 0; i < SERVERS; i++)
+			sights[i] = instance(p, i);
+		r.set = rows;
+		for (int i = 0; i < TENANTS; i++) {
+			char hex[65];
+			struct Nl__Row **at = &rows[1 + ROUTES + 2 * i];
+
+			at[0] = row(p, NL__KIND__TENANT, apr_psprintf(p, "t%d", i));
+			at[0]->share = 1;
+			at[1] = row(p, NL__KIND__KEY, doc_digest(apr_psprintf(p, "key-%d", i), hex));
+			at[1]->tenant = at[0]->name;
+		}
+		r.n_set = 1 + ROUTES + 2 * TENANTS;
+		r.sight = sights;
+		r.n_sight = SERVERS;
+	}
+	m.speak = CORE_SPEAK;
+	m.body_case = NL__MSG__BODY_FOLLOW_REPLY;
+	m.follow_reply = &r;
+	m.addr = m.id = OWNER;
+	memset(&ev, 0, sizeof ev);
+	ev.kind = CTR_MSG;
+	ev.u.msg = &m;
+	core_step(&ev);
+	apr_pool_destroy(p);
+}
+
+static void owner_turn(void)
+{
+	uint64_t *tokens = w.follow_tokens;
+
+	if (!arrlen(tokens))
+		return;
+	w.follow_tokens = NULL;
+	for (ptrdiff_t i = 0; net_sim_now() >= w.owner_silent_until && i < arrlen(tokens); i++)
+		owner_answers(tokens[i]);
+	arrfree(tokens);
+}
+
+static void world_open(uint64_t seed)
+{
+	struct net_sim_hooks hooks = { NULL, on_connect, on_accepted };
+	uint64_t owner = OWNER;
+
+	memset(&w, 0, sizeof w);
+	w.seed = seed;
+	w.rng = seed * 0x2545f4914f6cdd1dull + 77;
+	w.honest_ids = seed % 8 == 0;
+	net_sim_open(seed, &hooks);
+	w.started = net_sim_now();
+	apr_pool_create(&w.proc.p, NULL);
+	apr_pool_create(&w.proc.o.p, w.proc.p);
+	ctr_open(&w.ctr, 5, 1005, "z1", &owner, 1, net_sim_now());
+	w.ctr.b.sights = 1;
+	w.ctr.b.budget_mille = 1000;
+	w.ctr.b.budget_slack = 60;
+	w.platform.front = "127.0.0.1:8080";
+	w.platform.readiness = "127.0.0.1:8081";
+	w.proc.set.more = &w.platform;
+	w.edge.c = &w.ctr;
+	assert_true(platform_edge.open(&w.edge, &w.proc));
+}
+
+static void world_close(void)
+{
+	for (int i = 0; i < CLIENTS; i++)
+		client_close(&w.clients[i]);
+	platform_edge.close(&w.edge);
+	ctr_close(&w.ctr);
+	arrfree(w.proc.o.v);
+	apr_pool_destroy(w.proc.p);
+	net_sim_close();
+	for (ptrdiff_t i = 0; i < arrlen(w.server_conns); i++) {
+		arrfree(w.server_conns[i]->in);
+		free(w.server_conns[i]);
+	}
+	arrfree(w.server_conns);
+	for (ptrdiff_t i = 0; i < arrlen(w.runs); i++)
+		arrfree(w.runs[i].body);
+	arrfree(w.runs);
+	for (ptrdiff_t i = 0; i < arrlen(w.requests); i++)
+		arrfree(w.requests[i].wires);
+	arrfree(w.requests);
+	arrfree(w.follow_tokens);
+	arrfree(w.script);
+}
+
+static void play(int64_t ms, int ask)
+{
+	int64_t end = net_sim_now() + ms, tick = 0;
+
+	while (net_sim_now() < end && !w.bad[0]) {
+		struct ctr_ev ev = { .kind = CTR_TICK };
+
+		net_sim_advance((int64_t)dice(5));
+		if (ask && !dice(600)) {
+			int64_t frozen = (int64_t)dice(3500);
+
+			net_sim_freeze(frozen);
+			w.frozen_ms += frozen;
+			sum.frozen++;
+		}
+		if (ask && !dice(1500))
+			w.owner_silent_until = net_sim_now() + (int64_t)dice(3500);
+		for (int i = 0; i < CLIENTS; i++)
+			client_turn(&w.clients[i], ask && w.ctr.book);
+		platform_edge.wait(&w.edge, 0);
+		if (net_sim_now() - tick >= TICK_MS) {
+			tick = net_sim_now();
+			core_step(&ev);
+		}
+		owner_turn();
+	}
+}
+
+static uint64_t seed_count(uint64_t n)
+{
+	const char *e = getenv("NL_SEEDS");
+
+	return e ? strtoull(e, NULL, 10) : n;
+}
+
+static uint64_t first_seed(void)
+{
+	const char *e = getenv("NL_SEED");
+
+	return e ? strtoull(e, NULL, 10) : 1;
+}
+
+static void no_answer_goes_astray(void **st)
+{
+	uint64_t first = first_seed(), n = seed_count(SEED_RUNS);
+
+	(void)st;
+	memset(&sum, 0, sizeof sum);
+	for (uint64_t seed = first; seed < first + n; seed++) {
+		world_open(seed);
+		play(LOAD_MS, 1);
+		w.owner_silent_until = 0;
+		play(DRAIN_MS, 0);
+		for (int i = 0; i < CLIENTS; i++)
+			if (w.clients[i].c && arrlen(w.clients[i].waiting) && !w.clients[i].left &&
+			    w.clients[i].mode != CLIENT_SLOW)
+				breach("request %d (%s) was never answered", w.clients[i].waiting[0],
+				       w.requests[w.clients[i].waiting[0]].path);
+		if (w.bad[0])
+			fail_msg("NL_SEED=%llu at %lld ms: %s", (unsigned long long)seed, (long long)(net_sim_now() - w.started),
+				 w.bad);
+		world_close();
+	}
+	print_message(
+	    "%llu seeds: %llu requests, %llu whole, %llu refused, %llu failed, %llu cut; %llu wires (%llu again, %llu resumed), %llu runs; "
+	    "%llu surplus, %llu foreign, %llu freezes, %llu smuggled\n",
+	    (unsigned long long)n, (unsigned long long)sum.requests, (unsigned long long)sum.whole, (unsigned long long)sum.refused,
+	    (unsigned long long)sum.failed, (unsigned long long)sum.cut, (unsigned long long)sum.wires,
+	    (unsigned long long)sum.again, (unsigned long long)sum.resumed, (unsigned long long)sum.runs,
+	    (unsigned long long)sum.surplus, (unsigned long long)sum.foreign, (unsigned long long)sum.frozen,
+	    (unsigned long long)sum.smuggled);
+	if (n < 20)
+		return;
+	for (int i = 0; i < ACTS; i++)
+		if (!sum.acts[i])
+			fail_msg("act %d was never played", i);
+	assert_true(sum.whole > sum.requests / 4 && sum.again && sum.resumed && sum.refused && sum.failed && sum.cut);
+}
+
+/* ---- one request at a time, servers by script ---- */
+
+/* A world whose door is open and that nobody has asked anything. */
+static void quiet_world(uint64_t seed)
+{
+	world_open(seed);
+	w.honest_ids = 0;
+	play(500, 0);
+	assert_non_null(w.ctr.book);
+}
+
+static void quiet_end(uint64_t seed)
+{
+	if (w.bad[0])
+		fail_msg("seed %llu: %s", (unsigned long long)seed, w.bad);
+	world_close();
+}
+
+/* One client asks on a route, and the servers that it meets do as the script says. Returns its request's number. */
+static int ask_scripted(enum route route, const enum act *acts, int n)
+{
+	struct client *k = &w.clients[0];
+	int no = request_new(0);
+	char *b = NULL;
+
+	w.requests[no].route = route;
+	w.requests[no].key = 0;
+	snprintf(w.requests[no].path, sizeof w.requests[no].path, "%s%d", routes[route].path, no);
+	for (int i = 0; i < n; i++)
+		arrput(w.script, acts[i]);
+	if (!k->c)
+		assert_non_null(k->c = net_sim_dial(FRONT_PORT));
+	request_bytes(&b, no, 0);
+	net_sim_say(k->c, b, (size_t)arrlen(b), 0);
+	arrfree(b);
+	arrput(k->waiting, no);
+	play(DRAIN_MS, 0);
+	return no;
+}
+
+/* An earlier answer that says "not executed" may stand in the slot of a request that runs: it goes to no second server. */
+static void a_refusal_of_another_request_is_no_promise(void **st)
+{
+	static const enum act acts[] = { ACT_FOREIGN_REFUSAL };
+
+	(void)st;
+	for (uint64_t seed = 1; seed <= 40; seed++)
+		for (int route = 0; route < ROUTES; route++) {
+			int no;
+
+			if (routes[route].repeatable || routes[route].resumable)
+				continue;
+			quiet_world(seed);
+			no = ask_scripted((enum route)route, acts, 1);
+			assert_int_equal(arrlen(w.requests[no].wires), 1);
+			assert_int_equal(w.requests[no].promised, 0);
+			quiet_end(seed);
+		}
+}
+
+/* What was turned away in its own name goes to another server, and is answered. */
+static void a_refusal_of_this_request_is_a_promise(void **st)
+{
+	static const enum act acts[] = { ACT_TURN_AWAY, ACT_ANSWER };
+
+	(void)st;
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		int no;
+
+		quiet_world(seed);
+		no = ask_scripted(ROUTE_ONCE, acts, 2);
+		assert_int_equal(arrlen(w.requests[no].wires), 2);
+		assert_int_equal(w.requests[no].runs, 1);
+		assert_int_equal(w.requests[no].told, 1);
+		quiet_end(seed);
+	}
+}
+
+/* Part of a body that has no events has gone to the client: nothing can go on behind it. Nor can a body behind events. */
+static void only_events_are_taken_up(void **st)
+{
+	static const enum act acts[][2] = { { ACT_NOT_A_STREAM, ACT_ANSWER }, { ACT_CUT_BODY, ACT_NOT_A_STREAM } };
+
+	(void)st;
+	for (uint64_t seed = 1; seed <= 60; seed++)
+		for (int i = 0; i < 2; i++) {
+			quiet_world(seed);
+			ask_scripted(ROUTE_RESUMABLE, acts[i], 2);
+			quiet_end(seed);
+		}
+}
+
+/* The readiness door follows the configuration: ready while it is certain to be in force, not while its owner is silent. */
+static int readiness(void)
+{
+	static const char ask[] = "GET /readiness HTTP/1.1\r\n\r\n";
+	struct sim_conn *c = net_sim_dial(READINESS_PORT);
+	char answer[200] = "";
+
+	assert_non_null(c);
+	net_sim_say(c, ask, sizeof ask - 1, 0);
+	play(40, 0);
+	net_sim_hear(c, answer, sizeof answer - 1);
+	net_sim_end(c, 0);
+	return atoi(answer + strlen("HTTP/1.1 "));
+}
+
+static void readiness_follows_the_configuration(void **st)
+{
+	(void)st;
+	quiet_world(1);
+	assert_int_equal(readiness(), 200);
+	w.owner_silent_until = net_sim_now() + 20000;
+	play(ctr_ride(&w.ctr) + 200, 0);
+	assert_int_equal(readiness(), 503);
+	w.owner_silent_until = 0;
+	play(1000, 0);
+	assert_int_equal(readiness(), 200);
+	platform_edge.stop(&w.edge, net_sim_now());
+	assert_int_equal(readiness(), 503);
+	quiet_end(1);
+}
+
+/* Without a configuration that is certain to be in force all is refused with a promise, known routes and unknown ones: never
+ * with a 4xx that a newer configuration might not give. */
+static void a_stale_door_promises_and_denies_nothing(void **st)
+{
+	struct sim_conn *c;
+	char answer[400] = "";
+	static const char unknown[] =
+	    "POST /nowhere/ HTTP/1.1\r\nHost: h.example\r\nX-Notchlug-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n";
+	int no;
+
+	(void)st;
+	quiet_world(1);
+	w.owner_silent_until = net_sim_now() + 60000;
+	play(ctr_ride(&w.ctr) + 200, 0);
+	no = ask_scripted(ROUTE_ONCE, NULL, 0);
+	assert_int_equal(arrlen(w.requests[no].wires), 0);
+	assert_int_equal(w.requests[no].told, 1);
+	assert_int_equal(w.requests[no].promised, 1);
+	assert_non_null(c = net_sim_dial(FRONT_PORT));
+	net_sim_say(c, unknown, sizeof unknown - 1, 0);
+	play(50, 0);
+	net_sim_hear(c, answer, sizeof answer - 1);
+	assert_int_equal(atoi(answer + strlen("HTTP/1.1 ")), 503);
+	assert_non_null(strstr(answer, "Retry-After: "));
+	quiet_end(1);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_refusal_of_another_request_is_no_promise),
+		cmocka_unit_test(a_refusal_of_this_request_is_a_promise),
+		cmocka_unit_test(only_events_are_taken_up),
+		cmocka_unit_test(readiness_follows_the_configuration),
+		cmocka_unit_test(a_stale_door_promises_and_denies_nothing),
+		cmocka_unit_test(no_answer_goes_astray),
+	};
+	int rc;
+
+	apr_initialize();
+	rc = cmocka_run_group_tests(tests, NULL, NULL);
+	apr_terminate();
+	return rc;
+}
