Knowledge of purges is timed from the asking, so that old messages are no news

Cause: a router took a message of knowledge as being as fresh as its arrival, less the teller's own age. One that stood still for twenty seconds, or whose link was cut, reads at first what lay in its buffer: its horizon moved a little, and it counted as current for three more seconds. The configuration is timed from the asking and was certain again after one round trip, so in between it named kept parts that a clearing had withdrawn long before, and servers used them.

Ruled out: the clearing said "unreachable" too early (it waits 6 s for nodes that are not heard, and the router was frozen for 20 s); the configuration's own bound (follow_age refused all until a new answer).

Now each curiosity carries the asker's clock, and what is told to it carries that back. A horizon counts as known at the asking less the teller's age; without an asking, or with one from a clock to come, never. Stall detection stays as it was.

--- a/lib/core/purge.c
+++ b/lib/core/purge.c
@@ -241,7 +241,7 @@
 {
 	memset(r, 0, sizeof *r);
 	r->born = r->up_tried = now;
-	r->moved = now - PURGE_STALE - 1; /* nothing is current before the first knowledge */
+	r->moved = r->known_at = now - PURGE_STALE - 1; /* nothing is current before the first knowledge */
 }
 
 void relay_close(struct relay *r)
@@ -281,11 +281,11 @@
 	return t;
 }
 
-int relay_current(const struct relay *r, int64_t now) { return r->fresh && now - r->moved < PURGE_STALE; }
+int relay_current(const struct relay *r, int64_t now) { return r->fresh && now - r->known_at < PURGE_STALE; }
 
 static uint32_t age(const struct relay *r, int64_t now)
 {
-	int64_t ms = now - r->moved;
+	int64_t ms = now - r->known_at;
 
 	return ms < 0 ? 0 : ms > INT32_MAX ? INT32_MAX : (uint32_t)ms;
 }
@@ -299,13 +299,18 @@
 		if (!know_tell(&r->k, a, b, m, o) || !m->n_inc)
 			continue;
 		m->age = age(r, now);
+		m->asked = r->down[i].asked;
 		out_msg(o, r->down[i].addr, SHARD_PURGE, NL__MSG__BODY_KNOWLEDGE)->knowledge = m;
 		r->n_inc += m->n_inc;
 	}
 }
 
-/* at: when its teller's horizon moved, on our clock. */
-static int learn(struct relay *r, uint64_t a, uint64_t b, const struct Nl__Value *v, int64_t at)
+/* When what a message says held, on our clock and at the latest. It was told after we asked, and was so old then. What lay
+ * in a buffer while a link was cut or this process stood still names an asking from before, and is no news. */
+static int64_t known_since(int64_t asked, uint32_t age, int64_t now) { return asked > 0 && asked <= now ? asked - age : 0; }
+
+/* moved: when its teller's horizon moved, as far as messages take no time; known_at: the same, timed from our asking. */
+static int learn(struct relay *r, uint64_t a, uint64_t b, const struct Nl__Value *v, int64_t moved, int64_t known_at)
 {
 	uint64_t h = r->k.horizon;
 	int is_new;
@@ -317,8 +322,8 @@
 	}
 	is_new = know_add(&r->k, a, b, v);
 	if (r->k.horizon > h) {
-		if (at > r->moved)
-			r->moved = at;
+		r->moved = moved > r->moved ? moved : r->moved;
+		r->known_at = known_at > r->known_at ? known_at : r->known_at;
 		r->fresh = 1;
 	}
 	return is_new;
@@ -326,7 +331,7 @@
 
 void relay_publish(struct relay *r, uint64_t a, uint64_t b, const struct Nl__Value *v, int64_t now, struct out *o)
 {
-	if (learn(r, a, b, v, now))
+	if (learn(r, a, b, v, now, now))
 		pass_on(r, a, b, now, o);
 }
 
@@ -337,7 +342,7 @@
 
 		if (c->a > c->b || (c->value && (!c->value->purge || c->value->tick < c->a || c->value->tick > c->b)))
 			continue;
-		if (learn(r, c->a, c->b, c->value, now - m->age))
+		if (learn(r, c->a, c->b, c->value, now - m->age, known_since(m->asked, m->age, now)))
 			pass_on(r, c->a, c->b, now, o);
 	}
 }
@@ -352,18 +357,19 @@
 		}
 	if (s->upto <= r->k.horizon)
 		return;
-	learn(r, r->k.horizon + 1, s->upto, NULL, now - s->age);
+	learn(r, r->k.horizon + 1, s->upto, NULL, now - s->age, known_since(s->asked, s->age, now));
 	/* the values themselves are not held here: those below must take a snapshot as well */
 	know_release(&r->k, s->upto);
 	pass_on(r, s->upto + 1, know_reach(&r->k), now, o);
 }
 
-static void send_snap(struct relay *r, uint64_t to, int64_t now, struct out *o)
+static void send_snap(struct relay *r, uint64_t to, int64_t asked, int64_t now, struct out *o)
 {
 	struct Nl__PurgeSnap *s = OUT_NEW(o, Nl__PurgeSnap, NL__PURGE_SNAP__INIT);
 
 	s->upto = r->k.horizon;
 	s->age = age(r, now);
+	s->asked = asked;
 	s->last = apr_palloc(o->p, ((size_t)hmlen(r->w.h) + 1) * sizeof *s->last);
 	for (ptrdiff_t i = 0; i < hmlen(r->w.h); i++)
 		s->last[s->n_last++] = (struct Nl__Value *)core_dup(o->p, &r->w.h[i].value->base);
@@ -383,6 +389,7 @@
 	c->taken = relay_taken(r);
 	c->reach = know_reach(&r->k);
 	c->snap = !r->fresh;
+	c->asked = now;
 	c->want = apr_palloc(o->p, 9 * sizeof *c->want);
 	if (want && n < 8) /* and all above what is known at all */
 		gap[n++] = (struct tick_range){ c->reach + 1, UINT64_MAX };
@@ -409,18 +416,19 @@
 		if (r->down[i].id == msg->id)
 			d = &r->down[i];
 	if (!d) {
-		struct relay_down nd = { msg->id, msg->addr, 0, now, 0 };
+		struct relay_down nd = { msg->id, msg->addr, 0, now, 0, 0 };
 
 		arrput(r->down, nd);
 		d = &arrlast(r->down);
 		d->taken = c->taken;
 	}
 	d->heard = now;
+	d->asked = c->asked;
 	d->addr = msg->addr;
 	if (c->taken > d->taken)
 		d->taken = c->taken;
 	if (c->snap || c->taken < r->k.released) {
-		send_snap(r, msg->addr, now, o);
+		send_snap(r, msg->addr, c->asked, now, o);
 		return;
 	}
 	for (size_t i = 0; i < c->n_want; i++) {
@@ -431,9 +439,10 @@
 		unknown |= c->want[i]->b > r->k.horizon;
 	}
 	if (!told)
-		send_snap(r, msg->addr, now, o);
+		send_snap(r, msg->addr, c->asked, now, o);
 	else if (m->n_inc) {
 		m->age = age(r, now);
+		m->asked = c->asked;
 		out_msg(o, msg->addr, SHARD_PURGE, NL__MSG__BODY_KNOWLEDGE)->knowledge = m;
 	}
 	/* pass the question further up, unless it was asked lately */
--- a/lib/core/purge.h
+++ b/lib/core/purge.h
@@ -85,7 +85,8 @@
 struct relay_down {
 	uint64_t id, addr, taken;
 	int64_t heard;
-	int briefed; /* its owner has told it what it keeps */
+	int briefed;   /* its owner has told it what it keeps */
+	int64_t asked; /* its own clock when it last asked */
 };
 
 struct relay {
@@ -94,9 +95,10 @@
 	struct relay_down *down; /* stb_ds */
 	uint64_t *up;            /* stb_ds: upstream addresses, best first; the last resort is the log */
 	size_t up_at;
-	int publisher; /* the log itself: learns from commits, never asks */
-	int fresh;     /* has knowledge from a holder since it began */
-	int64_t moved, asked, born, heard, up_tried;
+	int publisher;                               /* the log itself: learns from commits, never asks */
+	int fresh;                                   /* has knowledge from a holder since it began */
+	int64_t moved, asked, born, heard, up_tried; /* moved: when the horizon last did */
+	int64_t known_at; /* up to when all that was decided is known, timed from our asking; never later than it was so */
 	uint64_t asked_reach;
 	void (*on_value)(void *ctx, const struct Nl__Value *v);
 	void *ctx;
--- a/tests/test_units.c
+++ b/tests/test_units.c
@@ -160,6 +160,7 @@
 	a.publisher = 0; /* cut off from here on */
 	now += 20000;
 	c.snap = 1;
+	c.asked = now;
 	m.body_case = NL__MSG__BODY_CURIOSITY;
 	m.curiosity = &c;
 	m.id = 2;
@@ -176,6 +177,19 @@
 	relay_msg(&b, o.v[0].u.send.msg, now, &o);
 	assert_true(relay_current(&b, now));
 	assert_false(relay_current(&b, now + PURGE_STALE));
+	/* what was told then, and is read much later, is no news; nor is what names no asking of ours */
+	out_clear(&o);
+	relay_publish(&a, 12, 12, NULL, now, &o);
+	now += 20000;
+	relay_msg(&b, o.v[0].u.send.msg, now, &o);
+	assert_int_equal(b.k.horizon, 12);
+	assert_false(relay_current(&b, now));
+	out_clear(&o);
+	relay_publish(&a, 13, 13, NULL, now, &o);
+	o.v[0].u.send.msg->knowledge->asked = 0;
+	relay_msg(&b, o.v[0].u.send.msg, now, &o);
+	assert_int_equal(b.k.horizon, 13);
+	assert_false(relay_current(&b, now));
 	relay_close(&a);
 	relay_close(&b);
 	arrfree(o.v);
