Lost voters go before successors vote; learners hold all; short silences move none

Cause: a dead member was replaced by promoting a fourth voter beside it, so that three of four had to answer; a learner was promoted up to 16 entries behind; 1.6 s of silence moved members in all groups.

Now: learner prepared after 0.4 x CatchUpS of silence, dropped if the voter returns; at 0.6 x the lost voter is removed, then the learner, which holds all that is committed, promoted. Live members that move are replaced by adding first. No change whose voters lack a live majority that holds all that is committed. Ruled out: swap in one entry (quorums of old and new need not meet), joint consensus (two entries as well, same tolerance).

--- a/lib/control/bootstrap.c
+++ b/lib/control/bootstrap.c
@@ -89,7 +89,9 @@
 {
 	int heard = 0, empty = 0, done = 0;
 
-	if ((!r->found.web && !r->found.own) || now < r->found.at)
+	if (!r->found.web && !r->found.own)
+		return;
+	if (now < r->found.at && !(r->found.own && r->fleet && !r->found.members))
 		return;
 	r->found.at = now + 200;
 	for (int i = 0; i < r->nseeds; i++) {
--- a/lib/control/config_sync.c
+++ b/lib/control/config_sync.c
@@ -94,7 +94,7 @@
 		places(r, m->id, q, a->counters, a, now, o);
 	a->registrars = apr_palloc(o->p, ((size_t)arrlen(r->seen) + 1) * sizeof *a->registrars);
 	for (ptrdiff_t i = 0; i < arrlen(r->seen); i++)
-		if (!r->seen[i].counter && now - r->seen[i].at < (lost_after(r) < REG_SEEN ? lost_after(r) : REG_SEEN)) {
+		if (!r->seen[i].counter && now - r->seen[i].at < live_within(r)) {
 			struct Nl__Member *x = OUT_NEW(o, Nl__Member, NL__MEMBER__INIT);
 
 			x->id = r->seen[i].id;
--- a/lib/control/membership.c
+++ b/lib/control/membership.c
@@ -8,7 +8,14 @@
 #include "proposals.h"
 #include "reg_private.h"
 
-int64_t lost_after(const struct reg *r) { return r->b.catch_up_ms * 2 / 5; }
+int64_t live_within(const struct reg *r)
+{
+	int64_t ms = r->b.catch_up_ms / 5;
+
+	return ms < REG_SEEN ? ms : REG_SEEN;
+}
+
+static int64_t lost_after(const struct reg *r) { return r->b.catch_up_ms * 3 / 5; }
 
 void join_tick(struct reg *r, int64_t now, struct out *o)
 {
@@ -38,16 +45,14 @@
 	ask(r, SHARD_CONTROL, &op, 0, now);
 }
 
-void mend_tick(struct reg *r, int64_t now, struct out *o)
+/* Leaders change the membership of their groups towards what the bounds ask for. */
+static void reconfigure_groups(struct reg *r, int64_t now)
 {
 	struct raft_member live[FOLLOW_SEATS];
 	const struct Nl__Row *row;
 	char name[20];
 	int n = 0;
 
-	if (now - r->mended < REG_MEND || follow_age(&r->f, now) > FOLLOW_CONFIG)
-		return;
-	r->mended = now;
 	memset(live, 0, sizeof live);
 	for (; n < r->f.nlive; n++) {
 		live[n].id = r->f.live_id[n];
@@ -63,8 +68,37 @@
 		r->part[i].member_lost_ms = lost_after(r);
 		raft_reconfigure(&r->part[i], live, n, now);
 	}
-	if (!in_office(r, SHARD_CONTROL, now) || now - r->owner_since[SHARD_CONTROL] < 60000)
+}
+
+static int heard_lately(const struct reg *r, uint64_t id, int64_t now)
+{
+	for (ptrdiff_t i = 0; i < arrlen(r->seen); i++)
+		if (r->seen[i].id == id)
+			return now - r->seen[i].at < REG_SEEN;
+	return 0;
+}
+
+/* Where a silent registrar stood, a new one with an empty disk may stand whose seeds are all as new: it is told whom to ask. */
+static void announce_fleet(struct reg *r, int64_t now, struct out *o)
+{
+	if (now - r->announced < REG_ANNOUNCE)
 		return;
+	r->announced = now;
+	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++) {
+		const struct Nl__Row *row = r->ctl.h[i].value.row;
+		struct Nl__Owner *w;
+
+		if (row->kind != NL__KIND__REGISTRAR || heard_lately(r, row->id, now) || !core_addr(row->addr))
+			continue;
+		w = OUT_NEW(o, Nl__Owner, NL__OWNER__INIT);
+		w->owner = o->addr;
+		out_msg(o, core_addr(row->addr), SHARD_CONTROL, NL__MSG__BODY_OWNER)->owner = w;
+	}
+}
+
+/* The configuration's owner takes registrars that are long gone out of the table, one at a time. */
+static void forget_registrars(struct reg *r, int64_t now, struct out *o)
+{
 	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++) {
 		struct Nl__Row *old = r->ctl.h[i].value.row, *del[1] = { old };
 		struct Nl__Op op = NL__OP__INIT;
@@ -84,3 +118,16 @@
 		return;
 	}
 }
+
+void membership_tick(struct reg *r, int64_t now, struct out *o)
+{
+	if (now - r->reconfigured < REG_RECONFIGURE || follow_age(&r->f, now) > FOLLOW_CONFIG)
+		return;
+	r->reconfigured = now;
+	reconfigure_groups(r, now);
+	if (!in_office(r, SHARD_CONTROL, now))
+		return;
+	announce_fleet(r, now, o);
+	if (now - r->owner_since[SHARD_CONTROL] >= REG_FORGET)
+		forget_registrars(r, now, o);
+}
--- a/lib/control/membership.h
+++ b/lib/control/membership.h
@@ -5,13 +5,16 @@
 
 #include "reg.h"
 
-/* ms after which a silent registrar is replaced: the rest of the bound is for the joining of another. */
-int64_t lost_after(const struct reg *r);
+/* ms of silence after which a registrar is not named as one that could join a group. A member loses its place after
+ * three times as long, and a learner is prepared for it at two thirds of that; the rest of the deployment's bound for
+ * catching up is for the change of membership. Example: if (now - seen->at < live_within(r)) name(seen); */
+int64_t live_within(const struct reg *r);
 
 /* A registrar keeps its own row true: first at its joining, again when its address has changed. */
 void join_tick(struct reg *r, int64_t now, struct out *o);
 
-/* Owners mend their groups; the configuration's owner forgets registrars that are long gone. */
-void mend_tick(struct reg *r, int64_t now, struct out *o);
+/* Leaders change the membership of their groups; the configuration's leader tells new registrars where the fleet is, and
+ * forgets those that are long gone. Example: membership_tick(r, now, o); */
+void membership_tick(struct reg *r, int64_t now, struct out *o);
 
 #endif
--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -84,7 +84,7 @@
 			r->f.seat[i] = owner_hint(r, i, now);
 	follow_tick(&r->f, r->relay.k.horizon, now, o);
 	join_tick(r, now, o);
-	mend_tick(r, now, o);
+	membership_tick(r, now, o);
 	if (r->relay.publisher && in_office(r, SHARD_PURGE, now))
 		publisher_tick(r, now, o);
 	if (!r->relay.publisher)
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -23,7 +23,9 @@
 	REG_CLAIM_KEEP = 720000,   /* ms of the part's own clock that a claim is remembered: the longest limit and two minutes */
 	REG_AGAIN = 400,           /* ms before a proposal without an answer is made again */
 	REG_BATCH = 128,           /* purges logged together */
-	REG_MEND = 200,            /* ms between steps of mending a part's group */
+	REG_RECONFIGURE = 50,      /* ms between steps of changing the membership of groups */
+	REG_ANNOUNCE = 500,        /* ms between words to where silent registrars stood */
+	REG_FORGET = 60000,        /* ms in office before registrars that were never heard of are forgotten */
 	REG_SNAP_BYTES = 16 << 20, /* of documents logged before the next snapshot, since each is kept whole */
 	REG_DONE = 256,            /* changes whose answers are remembered */
 	REG_FEED = 100             /* ms between the publisher's askings of the feeds */
@@ -225,7 +227,7 @@
 	struct reg_server *server;
 	struct reg_named *named; /* stb_ds, by service */
 	uint64_t token;
-	int64_t owner_since[SHARD_COUNT], clock_at[SHARD_COUNT], mended, joined;
+	int64_t owner_since[SHARD_COUNT], clock_at[SHARD_COUNT], reconfigured, announced, joined;
 	uint64_t was_owner[SHARD_COUNT]; /* term in which we last took office */
 	/* publisher's soft state */
 	uint64_t tick;                 /* highest tick declared */
--- a/lib/core/raft_reconfigure.c
+++ b/lib/core/raft_reconfigure.c
@@ -1,160 +1,309 @@
 /* Changes of membership, one member at a time: lost members are replaced, learners promoted, zones balanced.
- * Called by the control plane at the leader. A change starts only when the change before it is committed. */
+ * Called by the control plane at the leader. A change starts only when the change before it is committed, in the leader's
+ * own term, and only towards a membership whose voters include a live majority that holds all that is committed.
+ *
+ * A lost voter is removed before its successor is promoted, so that its silence never counts towards a larger majority;
+ * the successor has caught up as a learner by then. A voter that still answers is removed only after its successor is
+ * promoted. A voter that is silent for a while gets a successor prepared as a learner, which goes again if it returns. */
 #include "raft_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-static void change_members(struct raft *raft, const struct raft_member *m, int n)
+/* A learner that is silent for so long makes room for another; it has no vote that could be missed. */
+enum { LEARNER_LOST_MS = 2 * RAFT_LEASE_MS };
+
+/* What the leader knows when it decides on a change. */
+struct view {
+	struct raft *raft;
+	const struct raft_member *live; /* registrars known to the fleet, with their zones */
+	int live_count;
+	int64_t now;
+};
+
+/* How the membership stands. Positions are in raft->members; -1: none. */
+struct standing {
+	int voters;
+	int suspects;    /* voters that are silent, for whom a learner is prepared */
+	int lost_voters; /* voters given up */
+	int lost_voter;  /* one of them */
+	int learner, lost_learner;
+};
+
+static void change_members(struct raft *raft, const struct raft_member *members, int count)
 {
 	size_t len;
-	uint8_t *d = raft_pack_members(m, n, &len);
+	uint8_t *packed = raft_pack_members(members, count, &len);
 
-	raft_append_entry(raft, raft->term, RAFT_ENTRY_MEMBERS, d, len);
-	raft_set_members(raft, d, len, raft_last_index(raft));
-	free(d);
+	raft_append_entry(raft, raft->term, RAFT_ENTRY_MEMBERS, packed, len);
+	raft_set_members(raft, packed, len, raft_last_index(raft));
+	free(packed);
 }
 
-static const struct raft_member *find_live(const struct raft_member *live, int n, uint64_t id)
+static const struct raft_member *find_live(const struct view *view, uint64_t id)
 {
-	for (int i = 0; i < n; i++)
-		if (live[i].id == id)
-			return &live[i];
+	for (int i = 0; i < view->live_count; i++)
+		if (view->live[i].id == id)
+			return &view->live[i];
 	return NULL;
 }
 
 /* Another identity stands where a member stood: its disk was lost, and it will not come back. */
-static int member_replaced(const struct raft_member *m, const struct raft_member *live, int n, int64_t now)
+static int is_replaced(const struct view *view, const struct raft_member *member)
 {
 	int other = 0;
 
-	for (int i = 0; i < n; i++) {
-		if (live[i].id == m->id)
+	for (int i = 0; i < view->live_count; i++) {
+		if (view->live[i].id == member->id)
 			return 0;
-		other |= live[i].addr == m->addr;
+		other |= view->live[i].addr == member->addr;
 	}
-	return other && now - m->heard_at > 4 * RAFT_HEARTBEAT_MS;
+	return other && view->now - member->heard_at > RAFT_LEASE_MS;
+}
+
+static int is_silent_for(const struct view *view, const struct raft_member *member, int64_t ms)
+{
+	return member->id != view->raft->id && (view->now - member->heard_at > ms || is_replaced(view, member));
 }
 
-static int member_lost(const struct raft *raft, const struct raft_member *m, const struct raft_member *live, int n, int64_t now)
+static int is_suspect(const struct view *view, const struct raft_member *member)
 {
-	return m->id != raft->id && (now - m->heard_at > raft->member_lost_ms || member_replaced(m, live, n, now));
+	return is_silent_for(view, member, view->raft->member_lost_ms * 2 / 3);
 }
 
-/* Members of a zone that are not lost. */
-static int members_in_zone(const struct raft *raft, uint64_t zone, const struct raft_member *live, int n, int64_t now)
+static int is_lost(const struct view *view, const struct raft_member *member)
 {
-	int k = 0;
+	return is_silent_for(view, member, view->raft->member_lost_ms);
+}
+
+/* Whether a member answers, and has synced all that is committed. */
+static int is_caught_up(const struct view *view, const struct raft_member *member)
+{
+	const struct raft *raft = view->raft;
+
+	if (member->id == raft->id)
+		return raft->synced_index >= raft->commit;
+	return !is_silent_for(view, member, RAFT_LEASE_MS) && member->match >= raft->commit;
+}
+
+/* Whether these members could commit and elect by themselves at once. */
+static int has_ready_majority(const struct view *view, const struct raft_member *members, int count)
+{
+	int voters = 0, ready = 0;
+
+	for (int i = 0; i < count; i++) {
+		voters += members[i].voter;
+		ready += members[i].voter && is_caught_up(view, &members[i]);
+	}
+	return ready > voters / 2;
+}
+
+/* Voters of a zone that are not silent. */
+static int voters_in_zone(const struct view *view, uint64_t zone)
+{
+	const struct raft *raft = view->raft;
+	int n = 0;
 
 	for (int i = 0; i < raft->member_count && zone; i++)
-		k += raft->members[i].zone == zone && !member_lost(raft, &raft->members[i], live, n, now);
-	return k;
+		n += raft->members[i].voter && raft->members[i].zone == zone && !is_suspect(view, &raft->members[i]);
+	return n;
 }
 
-/* The registrar that joins next: of the zone with the fewest members, the one that rendezvous names. */
-static const struct raft_member *next_replica(struct raft *raft, const struct raft_member *live, int n, int64_t now)
+/* The registrar that joins next: of the zone with the fewest voters, the one that rendezvous hashing names. */
+static const struct raft_member *next_replica(const struct view *view)
 {
 	const struct raft_member *best = NULL;
-	int few = 0;
+	uint32_t group = view->raft->no;
+	int fewest = 0;
 
-	for (int i = 0; i < n; i++) {
-		int k = members_in_zone(raft, live[i].zone, live, n, now);
+	for (int i = 0; i < view->live_count; i++) {
+		const struct raft_member *candidate = &view->live[i];
+		int n = candidate->zone ? voters_in_zone(view, candidate->zone) : RAFT_MAX_MEMBERS; /* unknown yet: last */
 
-		if (raft_find_member(raft, live[i].id))
+		if (raft_find_member(view->raft, candidate->id))
 			continue;
-		if (best && (k > few || (k == few && core_rdv(raft->no, live[i].id) <= core_rdv(raft->no, best->id))))
+		if (best && (n > fewest || (n == fewest && core_rdv(group, candidate->id) <= core_rdv(group, best->id))))
 			continue;
-		best = &live[i];
-		few = k;
+		best = candidate;
+		fewest = n;
 	}
 	return best;
 }
 
-/* One too many: of the zone with the most members, the one that rendezvous ranks last; never the owner. */
-static int surplus_voter(const struct raft *raft, const struct raft_member *live, int n, int64_t now)
+/* One voter too many: of the zone with the most voters, the one that rendezvous hashing ranks last; never the leader. */
+static int surplus_voter(const struct view *view)
 {
-	int worst = -1, many = 0;
+	const struct raft *raft = view->raft;
+	int worst = -1, most = 0;
 
 	for (int i = 0; i < raft->member_count; i++) {
-		int k = members_in_zone(raft, raft->members[i].zone, live, n, now);
+		const struct raft_member *member = &raft->members[i];
+		int n = voters_in_zone(view, member->zone);
 
-		if (raft->members[i].id == raft->id)
+		if (member->id == raft->id || !member->voter)
 			continue;
-		if (worst >= 0 && (k < many || (k == many && core_rdv(raft->no, raft->members[i].id) >=
-								 core_rdv(raft->no, raft->members[worst].id))))
+		if (worst >= 0 &&
+		    (n < most || (n == most && core_rdv(raft->no, member->id) >= core_rdv(raft->no, raft->members[worst].id))))
 			continue;
 		worst = i;
-		many = k;
+		most = n;
 	}
 	return worst;
 }
 
-/* A registrar whose zone has two members fewer than another: its joining spreads the group better. */
-static int zone_imbalanced(const struct raft *raft, const struct raft_member *next, const struct raft_member *live, int n,
-			   int64_t now)
+/* Whether a registrar's zone has two voters fewer than another: its joining spreads the group better. */
+static int spreads_zones(const struct view *view, const struct raft_member *candidate)
 {
+	const struct raft *raft = view->raft;
 	int most = 0;
 
 	for (int i = 0; i < raft->member_count; i++) {
-		int k = members_in_zone(raft, raft->members[i].zone, live, n, now);
+		int n = voters_in_zone(view, raft->members[i].zone);
 
-		if (k > most)
-			most = k;
+		if (n > most)
+			most = n;
 	}
-	return next && members_in_zone(raft, next->zone, live, n, now) + 2 <= most;
+	return candidate->zone && voters_in_zone(view, candidate->zone) + 2 <= most;
 }
 
-void raft_reconfigure(struct raft *raft, const struct raft_member *live, int n, int64_t now)
+/* Take over zones and addresses as the fleet knows them; 1 when an address has changed and is being logged. */
+static int update_addresses(const struct view *view)
 {
-	struct raft_member m[RAFT_MAX_MEMBERS];
-	const struct raft_member *best;
-	int dead = -1, learner = -1, v = 0, alive = 0;
+	struct raft *raft = view->raft;
+	struct raft_member members[RAFT_MAX_MEMBERS];
+	int moved = 0;
 
-	if (!raft_has_lease(raft, now) || raft->members_index > raft->commit)
-		return;
-	for (int i = 0; i < raft->member_count; i++)
-		if (find_live(live, n, raft->members[i].id) && find_live(live, n, raft->members[i].id)->zone)
-			raft->members[i].zone = find_live(live, n, raft->members[i].id)->zone;
-	memcpy(m, raft->members, sizeof m);
 	for (int i = 0; i < raft->member_count; i++) {
-		const struct raft_member *l = find_live(live, n, m[i].id);
-		int lost = member_lost(raft, &m[i], live, n, now);
+		const struct raft_member *known = find_live(view, raft->members[i].id);
 
-		if (l && l->addr != m[i].addr) { /* moved to another address */
-			m[i].addr = l->addr;
-			change_members(raft, m, raft->member_count);
-			return;
-		}
-		v += m[i].voter;
-		alive += m[i].voter && !lost;
-		if (lost && (dead < 0 || !m[i].voter))
-			dead = i;
-		if (!m[i].voter)
-			learner = i;
+		if (known && known->zone)
+			raft->members[i].zone = known->zone;
+	}
+	memcpy(members, raft->members, sizeof members);
+	for (int i = 0; i < raft->member_count && !moved; i++) {
+		const struct raft_member *known = find_live(view, members[i].id);
+
+		moved = known && known->addr != members[i].addr;
+		if (moved)
+			members[i].addr = known->addr;
 	}
-	if (learner >= 0 && dead != learner) { /* raise it once it has caught up */
-		if (m[learner].match + 16 >= raft_last_index(raft) && m[learner].match >= raft->term_start) {
-			m[learner].voter = 1;
-			change_members(raft, m, raft->member_count);
+	if (moved)
+		change_members(raft, members, raft->member_count);
+	return moved;
+}
+
+static struct standing take_stock(const struct view *view)
+{
+	const struct raft *raft = view->raft;
+	struct standing s = { .lost_voter = -1, .learner = -1, .lost_learner = -1 };
+
+	for (int i = 0; i < raft->member_count; i++) {
+		const struct raft_member *member = &raft->members[i];
+
+		if (!member->voter) {
+			if (is_silent_for(view, member, LEARNER_LOST_MS))
+				s.lost_learner = i;
+			else
+				s.learner = i;
+			continue;
 		}
+		s.voters++;
+		s.suspects += is_suspect(view, member);
+		s.lost_voters += is_lost(view, member);
+		if (is_lost(view, member))
+			s.lost_voter = i;
+	}
+	return s;
+}
+
+/* Remove one member, unless the others would lack a live majority that holds all that is committed. */
+static void remove_member(const struct view *view, int position)
+{
+	struct raft *raft = view->raft;
+	struct raft_member members[RAFT_MAX_MEMBERS];
+
+	memcpy(members, raft->members, sizeof members);
+	members[position] = members[raft->member_count - 1];
+	if (has_ready_majority(view, members, raft->member_count - 1))
+		change_members(raft, members, raft->member_count - 1);
+}
+
+/* Give a learner its vote; it holds all that is committed. */
+static void promote_learner(const struct view *view, int position)
+{
+	struct raft *raft = view->raft;
+	struct raft_member members[RAFT_MAX_MEMBERS];
+
+	memcpy(members, raft->members, sizeof members);
+	members[position].voter = 1;
+	if (has_ready_majority(view, members, raft->member_count))
+		change_members(raft, members, raft->member_count);
+}
+
+static void add_learner(const struct view *view, const struct raft_member *joining)
+{
+	struct raft *raft = view->raft;
+	struct raft_member members[RAFT_MAX_MEMBERS];
+	int count = raft->member_count;
+
+	memcpy(members, raft->members, sizeof members);
+	memset(&members[count], 0, sizeof *members);
+	members[count].id = joining->id;
+	members[count].addr = joining->addr;
+	change_members(raft, members, count + 1);
+	raft_find_member(raft, joining->id)->heard_at = view->now;
+	raft_find_member(raft, joining->id)->zone = joining->zone;
+}
+
+/* A learner is there: promote it, make room for it first, or let it go when it is no longer needed. */
+static void use_learner(const struct view *view, const struct standing *s)
+{
+	const struct raft *raft = view->raft;
+	const struct raft_member *learner = &raft->members[s->learner];
+	int wanted = s->voters < raft->replicas || (!s->suspects && spreads_zones(view, learner));
+
+	if (!s->suspects && !wanted) {
+		remove_member(view, s->learner);
 		return;
 	}
-	best = next_replica(raft, live, n, now);
-	if (dead < 0 && v > raft->replicas)
-		dead = surplus_voter(raft, live, n, now);
-	if (dead >= 0 && (!m[dead].voter || v > RAFT_MIN_VOTERS)) {
-		if (m[dead].voter && alive - !member_lost(raft, &m[dead], live, n, now) <= (v - 1) / 2)
-			return;
-		m[dead] = m[raft->member_count - 1];
-		change_members(raft, m, raft->member_count - 1);
+	if (!is_caught_up(view, learner) || learner->match < raft->term_start)
+		return;
+	if (s->lost_voter >= 0)
+		remove_member(view, s->lost_voter);
+	else if (wanted)
+		promote_learner(view, s->learner);
+}
+
+/* Without a successor at hand a lost voter goes where that lets the rest survive one more loss, never below the minimum. */
+static int shrinks_well(const struct standing *s)
+{
+	return s->lost_voters && s->voters > RAFT_MIN_VOTERS && (s->voters % 2 == 0 || s->lost_voters > 1);
+}
+
+void raft_reconfigure(struct raft *raft, const struct raft_member *live, int n, int64_t now)
+{
+	struct view view = { raft, live, n, now };
+	const struct raft_member *joining;
+	struct standing s;
+
+	if (!raft_has_lease(raft, now) || raft->members_index > raft->commit || update_addresses(&view))
+		return;
+	s = take_stock(&view);
+	if (s.lost_learner >= 0) {
+		remove_member(&view, s.lost_learner);
 		return;
 	}
-	if ((dead < 0 && v >= raft->replicas && !zone_imbalanced(raft, best, live, n, now)) ||
-	    raft->member_count >= RAFT_MAX_MEMBERS || !best)
+	if (s.learner >= 0) {
+		use_learner(&view, &s);
 		return;
-	memset(&m[raft->member_count], 0, sizeof *m);
-	m[raft->member_count].id = best->id;
-	m[raft->member_count].addr = best->addr;
-	change_members(raft, m, raft->member_count + 1);
-	raft_find_member(raft, m[raft->member_count - 1].id)->heard_at = now;
+	}
+	joining = raft->member_count < RAFT_MAX_MEMBERS ? next_replica(&view) : NULL;
+	if (joining && (s.suspects || s.voters < raft->replicas || spreads_zones(&view, joining)) && s.voters <= raft->replicas)
+		add_learner(&view, joining);
+	else if (shrinks_well(&s))
+		remove_member(&view, s.lost_voter);
+	else if (s.voters > raft->replicas && s.lost_voters)
+		remove_member(&view, s.lost_voter);
+	else if (s.voters > raft->replicas && !s.suspects)
+		remove_member(&view, surplus_voter(&view));
 }
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1372,6 +1372,10 @@
 		ev.kind = REG_TICK;
 		reg_do(s, e->node, &ev);
 		break;
+	case SIM_STOP:
+		ev.kind = REG_STOP;
+		reg_do(s, e->node, &ev);
+		break;
 	case SIM_MSG: {
 		struct Nl__Msg *m = nl__msg__unpack(NULL, e->n, e->d);
 
--- /dev/null
+++ b/tests/test_membership.c
@@ -0,0 +1,695 @@
+/* Losses of registrars one after another: after a repair, a replacement or a planned stop the fleet has to survive the
+ * next loss within the deployment's catch-up bound. Times are measured over many seeds: NL_SEEDS=1000 prints the
+ * distributions of docs/measurements.md. */
+#include <apr_general.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "ds.h"
+#include "sim.h"
+
+enum {
+	CATCH_UP_MS = 4000,
+	WINDOW_MS = 7000, /* in which an exposed moment counts */
+	SAMPLE_MS = 20,
+	LOAD_EVERY_MS = 100, /* between changes of configuration */
+	SETTLE_MS = 12000
+};
+
+struct deployment {
+	const char *name;
+	int machines, zones;
+	int machine_losses; /* at once */
+	int zone_losses;
+};
+
+static const struct deployment deployments[] = {
+	{ "3 machines, 1 lost", 3, 3, 1, 0 }, { "4 machines, 1 lost", 4, 4, 1, 0 }, { "5 machines, 1 lost", 5, 3, 1, 0 },
+	{ "5 machines, 2 lost", 5, 3, 2, 0 }, { "8 machines, 1 lost", 8, 4, 1, 0 }, { "8 machines, 2 lost", 8, 4, 2, 0 },
+	{ "3 machines, a zone", 3, 3, 1, 1 }, { "8 machines, a zone", 8, 4, 1, 1 },
+};
+enum { DEPLOYMENTS = sizeof deployments / sizeof *deployments };
+
+enum fault {
+	KILLED,           /* back with its disk */
+	WIPED,            /* back at its address with an empty disk */
+	REPLACED,         /* killed for good, a new machine at a new address */
+	REPLACED_PLANNED, /* the same after SIGTERM */
+	REMOVED,          /* killed for good, no successor: the others hold spare machines */
+	REMOVED_PLANNED,  /* the same after SIGTERM */
+	FAULTS
+};
+
+static const char *const fault_names[FAULTS] = {
+	"killed, back with its disk", "wiped", "replaced, unplanned", "replaced, planned", "removed, unplanned", "removed, planned",
+};
+
+static uint64_t draw(struct sim *s, uint64_t n) { return core_rand(&s->rng) % n; }
+
+static void check(struct sim *s)
+{
+	if (s->bad[0])
+		fail_msg("%s", s->bad);
+}
+
+static int copies_of(const struct deployment *d) { return 2 * d->machine_losses + 1; }
+
+static void deploy(struct sim *s, const struct deployment *d, uint64_t seed)
+{
+	uint64_t seeds[3];
+	char text[32];
+
+	sim_open(s, seed);
+	s->copies = copies_of(d);
+	s->catch_up_ms = CATCH_UP_MS;
+	for (int i = 0; i < 3; i++) {
+		snprintf(text, sizeof text, "127.0.1.%d:7000", i + 1);
+		seeds[i] = core_addr(text);
+	}
+	for (int i = 0; i < d->machines; i++) {
+		snprintf(text, sizeof text, "z%d", i % d->zones + 1);
+		sim_registrar(s, text, seeds, 3);
+	}
+	reg_found(s->n[0].r, s->now + s->n[0].skew);
+}
+
+static struct raft *raft_at(struct sim *s, int node, uint32_t shard) { return &s->n[node].r->part[shard]; }
+
+static int is_live(const struct sim *s, int node) { return s->n[node].used && s->n[node].up && !s->n[node].frozen && s->n[node].r; }
+
+static int node_by_id(const struct sim *s, uint64_t id)
+{
+	for (int i = 0; i < SIM_REGS; i++)
+		if (is_live(s, i) && s->n[i].id == id)
+			return i;
+	return -1;
+}
+
+/* Whether all that is committed lies on a node's disk. */
+static int holds_committed(const struct sim *s, int node, uint32_t shard)
+{
+	const struct sim_disk_part *disk = &s->n[node].disk.p[shard];
+	uint64_t index = (uint64_t)arrlen(s->hash[shard]);
+	const struct sim_entry *e;
+
+	if (disk->base >= index)
+		return 1;
+	if (!arrlen(disk->e) || index < disk->from || index - disk->from >= (uint64_t)arrlen(disk->e))
+		return 0;
+	e = &disk->e[index - disk->from];
+	return core_hash(e->term * 4 + e->kind, e->data, e->len) == s->hash[shard][index - 1];
+}
+
+/* The member that would lead: the newest log of all live ones. */
+static int newest_member(struct sim *s, uint32_t shard)
+{
+	int newest = -1;
+	uint64_t newest_term = 0, newest_last = 0;
+
+	for (int i = 0; i < SIM_REGS; i++) {
+		const struct raft *raft;
+		uint64_t last, term;
+
+		if (!is_live(s, i) || !raft_at(s, i, shard)->member_count)
+			continue;
+		raft = raft_at(s, i, shard);
+		last = raft->base + (uint64_t)arrlen(raft->log);
+		term = arrlen(raft->log) ? arrlast(raft->log).term : raft->base_term;
+		if (newest >= 0 && (term < newest_term || (term == newest_term && last <= newest_last)))
+			continue;
+		newest = i;
+		newest_term = term;
+		newest_last = last;
+	}
+	return newest;
+}
+
+static int survives_with(struct sim *s, uint32_t shard, const struct Nl__Members *m, unsigned lost)
+{
+	int voters = 0, live = 0, holders = 0;
+
+	for (size_t i = 0; m && i < m->n_m; i++) {
+		int node = node_by_id(s, m->m[i]->id);
+
+		if (!m->m[i]->voter)
+			continue;
+		voters++;
+		if (node < 0 || lost >> node & 1)
+			continue;
+		live++;
+		holders += holds_committed(s, node, shard);
+	}
+	return live > voters / 2 && holders > 0;
+}
+
+/* Whether a shard goes on without the nodes in lost, under each membership that may still come to hold. */
+static int shard_survives(struct sim *s, uint32_t shard, unsigned lost)
+{
+	int node = newest_member(s, shard), seen = 0, ok = 1;
+	const struct raft *raft;
+
+	if (node < 0)
+		return 0;
+	raft = raft_at(s, node, shard);
+	for (ptrdiff_t i = arrlen(raft->log) - 1; i >= 0 && ok; i--) {
+		struct Nl__Members *m;
+
+		if (raft->log[i].kind != RAFT_ENTRY_MEMBERS)
+			continue;
+		m = nl__members__unpack(NULL, raft->log[i].len, raft->log[i].data);
+		ok = survives_with(s, shard, m, lost);
+		nl__members__free_unpacked(m, NULL);
+		seen++;
+		if (raft->base + 1 + (uint64_t)i <= (uint64_t)arrlen(s->hash[shard]))
+			return ok;
+	}
+	if (raft->snapshot_members_len && ok) {
+		struct Nl__Members *m = nl__members__unpack(NULL, raft->snapshot_members_len, raft->snapshot_members);
+
+		ok = survives_with(s, shard, m, lost);
+		nl__members__free_unpacked(m, NULL);
+		seen++;
+	}
+	return ok && seen;
+}
+
+static int all_survive(struct sim *s, unsigned lost)
+{
+	for (uint32_t shard = 0; shard < SHARD_COUNT; shard++)
+		if (!shard_survives(s, shard, lost))
+			return 0;
+	return 1;
+}
+
+static unsigned zone_mask(const struct sim *s, const char *zone)
+{
+	unsigned mask = 0;
+
+	for (int i = 0; i < SIM_REGS; i++)
+		if (s->n[i].used && !strcmp(s->n[i].zone, zone))
+			mask |= 1u << i;
+	return mask;
+}
+
+/* Whether any loss that the deployment tolerates would be survived right now. */
+static int tolerance_is_whole(struct sim *s, const struct deployment *d)
+{
+	for (int a = 0; a < SIM_REGS; a++) {
+		if (!is_live(s, a))
+			continue;
+		if (d->zone_losses ? !all_survive(s, zone_mask(s, s->n[a].zone)) : !all_survive(s, 1u << a))
+			return 0;
+		for (int b = a + 1; b < SIM_REGS && d->machine_losses > 1; b++)
+			if (is_live(s, b) && !all_survive(s, 1u << a | 1u << b))
+				return 0;
+	}
+	return 1;
+}
+
+static int64_t next_load_at;
+
+/* Let time pass under a load of changes; runs until done says so or the time is over. */
+static void pass(struct sim *s, int64_t ms)
+{
+	int64_t end = s->now + ms;
+
+	while (s->now < end) {
+		int64_t step = end - s->now < SAMPLE_MS ? end - s->now : SAMPLE_MS;
+		int node = (int)draw(s, SIM_REGS);
+
+		if (s->now >= next_load_at && is_live(s, node)) {
+			char body[128];
+
+			snprintf(body, sizeof body, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t%d\",\"share\":1,\"limit\":%d}]}",
+				 (int)draw(s, 4), 1 + (int)draw(s, 1000));
+			sim_call(s, node, "POST", "/v1/change", body);
+			next_load_at = s->now + LOAD_EVERY_MS;
+		}
+		if (!sim_run(s, step, NULL))
+			check(s);
+	}
+}
+
+static int groups_are_full(struct sim *s, const struct deployment *d)
+{
+	int want = copies_of(d) < d->machines ? copies_of(d) : d->machines;
+
+	for (uint32_t shard = 0; shard < SHARD_COUNT; shard++) {
+		int leader = sim_owner(s, shard), voters = 0;
+
+		if (leader < 0 || raft_at(s, leader, shard)->members_index > raft_at(s, leader, shard)->commit)
+			return 0;
+		for (int i = 0; i < raft_at(s, leader, shard)->member_count; i++)
+			voters += raft_at(s, leader, shard)->members[i].voter;
+		if (voters != want || raft_at(s, leader, shard)->member_count != want)
+			return 0;
+	}
+	return 1;
+}
+
+static void settle(struct sim *s, const struct deployment *d)
+{
+	int64_t end = s->now + SETTLE_MS;
+
+	next_load_at = s->now + 3000;
+	while ((!groups_are_full(s, d) || !tolerance_is_whole(s, d)) && s->now < end)
+		pass(s, SAMPLE_MS);
+	if (s->now >= end)
+		fail_msg("%s, seed %llu: never whole", d->name, (unsigned long long)s->seed);
+	pass(s, 1000 + (int64_t)draw(s, 1000));
+}
+
+/* A planned stop, as the process does it. */
+static void stop(struct sim *s, int node)
+{
+	sim_stop(s, node);
+	pass(s, 1);
+}
+
+/* Another machine takes the place: a new address, an empty disk. */
+static void start_successor(struct sim *s, int node)
+{
+	static int serial;
+	char text[32];
+
+	snprintf(text, sizeof text, "127.0.7.%d:7000", 1 + serial++ % 250);
+	s->n[node].addr = core_addr(text);
+	sim_start(s, node);
+}
+
+static int any_live(struct sim *s, const struct deployment *d)
+{
+	int node;
+
+	do
+		node = (int)draw(s, (uint64_t)d->machines);
+	while (!is_live(s, node));
+	return node;
+}
+
+/* The machines that go in this run: so many as the deployment tolerates at once, often a leader among them. */
+static unsigned choose_lost(struct sim *s, const struct deployment *d)
+{
+	int first = draw(s, 2) && sim_owner(s, SHARD_CONTROL) >= 0 ? sim_owner(s, SHARD_CONTROL) : any_live(s, d);
+	unsigned lost = 1u << first;
+
+	if (d->zone_losses)
+		return zone_mask(s, s->n[first].zone);
+	for (int i = 1; i < d->machine_losses; i++)
+		while (__builtin_popcount(lost) <= i)
+			lost |= 1u << any_live(s, d);
+	return lost;
+}
+
+/* Bring a fault about; the time from which the catch-up bound runs. */
+static int64_t bring_about(struct sim *s, const struct deployment *d, enum fault fault, unsigned lost)
+{
+	int planned = fault == REPLACED_PLANNED || fault == REMOVED_PLANNED;
+	int returns = fault != REMOVED && fault != REMOVED_PLANNED;
+	int64_t away = 50 + (int64_t)draw(s, draw(s, 2) ? 600 : 8000);
+
+	(void)d;
+	for (int i = 0; i < SIM_REGS; i++)
+		if (lost >> i & 1) {
+			if (planned)
+				stop(s, i);
+			sim_crash(s, i, fault != KILLED);
+		}
+	if (!returns)
+		return s->now;
+	pass(s, away);
+	for (int i = 0; i < SIM_REGS; i++)
+		if (lost >> i & 1) {
+			if (fault == REPLACED || fault == REPLACED_PLANNED)
+				start_successor(s, i);
+			else
+				sim_start(s, i);
+		}
+	return s->now;
+}
+
+/* How long after from the fleet was last exposed to a loss that it has to tolerate. */
+static int64_t exposed_for(struct sim *s, const struct deployment *d, int64_t from)
+{
+	int64_t last_exposed = from - SAMPLE_MS;
+
+	while (s->now - from < WINDOW_MS) {
+		if (!tolerance_is_whole(s, d))
+			last_exposed = s->now;
+		pass(s, SAMPLE_MS);
+	}
+	return last_exposed + SAMPLE_MS - from;
+}
+
+static int compare_times(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+static void print_times(const struct deployment *d, enum fault fault, int64_t *times)
+{
+	size_t n = (size_t)arrlen(times);
+
+	qsort(times, n, sizeof *times, compare_times);
+	print_message("%-20s | %-26s | %5zu | %5lld | %5lld | %5lld | %5lld\n", d->name, fault_names[fault], n,
+		      (long long)times[n / 2], (long long)times[n * 95 / 100], (long long)times[n * 99 / 100],
+		      (long long)times[n - 1]);
+}
+
+static int seeds_or(int n) { return getenv("NL_SEEDS") ? atoi(getenv("NL_SEEDS")) : n; }
+
+/* After any loss that the deployment tolerates, the next one is survived within the catch-up bound. */
+static void next_loss_is_survived_in_time(void **state)
+{
+	const char *only = getenv("NL_DEPLOYMENT"); /* its number */
+	int seeds = seeds_or(2), late = 0;
+
+	(void)state;
+	print_message("%-20s | %-26s | %5s | %5s | %5s | %5s | %5s\n", "deployment", "loss", "runs", "p50", "p95", "p99", "most");
+	for (int k = 0; k < DEPLOYMENTS; k++)
+		for (int fault = 0; fault < FAULTS; fault++) {
+			const struct deployment *d = &deployments[k];
+			int spare = d->machines - copies_of(d);
+			int64_t *times = NULL;
+
+			if (only && k != atoi(only))
+				continue;
+			if ((fault == REMOVED || fault == REMOVED_PLANNED) && (d->zone_losses || spare < d->machine_losses))
+				continue; /* no machine is left to take the place */
+			for (int seed = 1; seed <= seeds; seed++) {
+				struct sim s;
+				int64_t t;
+
+				deploy(&s, d, (uint64_t)(seed + 100000 * k + 10000000 * fault));
+				settle(&s, d);
+				t = bring_about(&s, d, (enum fault)fault, choose_lost(&s, d));
+				t = exposed_for(&s, d, t);
+				arrput(times, t);
+				late += t > CATCH_UP_MS;
+				if (t > CATCH_UP_MS)
+					print_message("late: %s, %s, seed %d: %lld ms\n", d->name, fault_names[fault], seed,
+						      (long long)t);
+				check(&s);
+				sim_close(&s);
+			}
+			print_times(d, (enum fault)fault, times);
+			arrfree(times);
+		}
+	assert_int_equal(late, 0);
+}
+
+/* All three seeds come back with empty disks and know only each other: the others tell them of the fleet. */
+static void seeds_with_empty_disks_find_the_fleet(void **state)
+{
+	const struct deployment *d = &deployments[5];
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		struct sim s;
+
+		deploy(&s, d, seed);
+		settle(&s, d);
+		sim_crash(&s, 0, 1);
+		sim_crash(&s, 1, 1);
+		pass(&s, CATCH_UP_MS);
+		sim_crash(&s, 2, 1);
+		pass(&s, (int64_t)draw(&s, 3000));
+		for (int i = 0; i < 3; i++)
+			sim_start(&s, i);
+		pass(&s, CATCH_UP_MS);
+		check(&s);
+		for (int i = 0; i < 3; i++)
+			assert_int_equal(s.n[i].r->fleet, s.n[3].r->fleet);
+		assert_true(tolerance_is_whole(&s, d));
+		sim_close(&s);
+	}
+}
+
+/* ---- a leader alone, its members' answers given by hand ---- */
+
+struct leader {
+	struct raft raft;
+	struct out out;
+	int64_t now;
+	struct raft_member live[6]; /* registrars that the fleet knows */
+	int live_count;
+};
+
+static struct Nl__Msg message(int body)
+{
+	struct Nl__Msg m = NL__MSG__INIT;
+
+	m.body_case = (Nl__Msg__BodyCase)body;
+	return m;
+}
+
+static void sync_disk(struct leader *l)
+{
+	raft_flush(&l->raft, l->now, &l->out);
+	raft_synced(&l->raft, l->raft.seq, l->now, &l->out);
+	raft_flush(&l->raft, l->now, &l->out);
+}
+
+static void hear(struct leader *l, uint64_t from, struct Nl__Msg *m)
+{
+	m->id = from;
+	m->addr = 100 + from;
+	raft_receive(&l->raft, m, l->now, &l->out);
+	sync_disk(l);
+}
+
+static void hear_vote(struct leader *l, uint64_t from, uint64_t term, int pre)
+{
+	struct Nl__Msg m = message(NL__MSG__BODY_VOTE_REPLY);
+	struct Nl__VoteReply v = NL__VOTE_REPLY__INIT;
+
+	v.term = term;
+	v.granted = 1;
+	v.pre = pre;
+	m.vote_reply = &v;
+	hear(l, from, &m);
+}
+
+/* A member answers the newest heartbeat: it has synced all up to match. */
+static void hear_answer(struct leader *l, uint64_t from, uint64_t match)
+{
+	struct Nl__Msg m = message(NL__MSG__BODY_APPEND_REPLY);
+	struct Nl__AppendReply a = NL__APPEND_REPLY__INIT;
+
+	a.term = l->raft.term;
+	a.ok = 1;
+	a.match = match;
+	a.round = l->raft.round;
+	m.append_reply = &a;
+	hear(l, from, &m);
+}
+
+static uint64_t newest(const struct leader *l) { return l->raft.base + (uint64_t)arrlen(l->raft.log); }
+
+/* Time passes; the members in the mask answer each heartbeat, and hold all that there is. */
+static void beat(struct leader *l, int64_t ms, unsigned answering)
+{
+	for (int64_t end = l->now + ms; l->now < end;) {
+		l->now += RAFT_HEARTBEAT_MS;
+		raft_tick(&l->raft, l->now, &l->out);
+		sync_disk(l);
+		for (uint64_t id = 2; id < 10; id++)
+			if (answering >> id & 1)
+				hear_answer(l, id, newest(l));
+		out_clear(&l->out);
+	}
+}
+
+/* Member 1 leads a group of so many voters. */
+static void lead(struct leader *l, int voters)
+{
+	struct raft_member members[RAFT_MAX_MEMBERS];
+
+	memset(l, 0, sizeof *l);
+	memset(members, 0, sizeof members);
+	apr_pool_create(&l->out.p, NULL);
+	l->out.id = 1;
+	l->out.addr = 101;
+	l->now = 100000;
+	for (int i = 0; i < voters; i++)
+		members[i] = (struct raft_member){ .id = (uint64_t)i + 1, .addr = 101 + (uint64_t)i, .voter = 1 };
+	for (int i = 0; i < voters + 1; i++)
+		l->live[i] = (struct raft_member){ .id = (uint64_t)i + 1, .addr = 101 + (uint64_t)i, .zone = 1 + (uint64_t)i };
+	l->live_count = voters + 1; /* one more stands by */
+	raft_open(&l->raft, 0, 1, 5, NULL, l->now);
+	l->raft.replicas = voters;
+	l->raft.member_lost_ms = 2400;
+	raft_bootstrap(&l->raft, members, voters, l->now, &l->out);
+	sync_disk(l);
+	l->now += 5000;
+	raft_tick(&l->raft, l->now, &l->out);
+	for (uint64_t id = 2; id <= (uint64_t)voters; id++)
+		hear_vote(l, id, l->raft.term + 1, 1);
+	for (uint64_t id = 2; id <= (uint64_t)voters; id++)
+		hear_vote(l, id, l->raft.term, 0);
+	assert_int_equal(l->raft.role, RAFT_LEADER);
+	beat(l, 600, ((1u << (voters + 1)) - 1) & ~3u);
+	assert_true(raft_has_lease(&l->raft, l->now));
+}
+
+static void lead_end(struct leader *l)
+{
+	raft_close(&l->raft);
+	arrfree(l->out.v);
+	apr_pool_destroy(l->out.p);
+}
+
+static const struct raft_member *member(const struct leader *l, uint64_t id)
+{
+	for (int i = 0; i < l->raft.member_count; i++)
+		if (l->raft.members[i].id == id)
+			return &l->raft.members[i];
+	return NULL;
+}
+
+static void reconfigure(struct leader *l)
+{
+	raft_reconfigure(&l->raft, l->live, l->live_count, l->now);
+	sync_disk(l);
+}
+
+static void propose(struct leader *l)
+{
+	assert_true(raft_propose(&l->raft, (const uint8_t *)"x", 1, l->now) > 0);
+	sync_disk(l);
+}
+
+/* A silent voter's successor is prepared as a learner, and goes again when the voter returns. */
+static void a_short_silence_moves_no_member(void **state)
+{
+	struct leader l;
+
+	(void)state;
+	lead(&l, 3);
+	beat(&l, 1700, 1u << 2);
+	reconfigure(&l);
+	assert_non_null(member(&l, 4));
+	assert_false(member(&l, 4)->voter);
+	beat(&l, 300, 1u << 2 | 1u << 4);
+	reconfigure(&l); /* caught up, but member 3 is not given up yet */
+	assert_false(member(&l, 4)->voter);
+	assert_non_null(member(&l, 3));
+	beat(&l, 150, 1u << 2 | 1u << 3 | 1u << 4);
+	reconfigure(&l);
+	assert_null(member(&l, 4));
+	assert_int_equal(l.raft.member_count, 3);
+	lead_end(&l);
+}
+
+/* The lost voter goes before its successor votes: its silence never counts towards a larger majority. */
+static void a_lost_voter_goes_before_its_successor_votes(void **state)
+{
+	struct leader l;
+
+	(void)state;
+	lead(&l, 3);
+	beat(&l, 1700, 1u << 2);
+	reconfigure(&l);
+	beat(&l, 1000, 1u << 2 | 1u << 4);
+	reconfigure(&l);
+	assert_null(member(&l, 3));
+	assert_false(member(&l, 4)->voter);
+	reconfigure(&l); /* one change at a time: this one is not committed yet */
+	assert_false(member(&l, 4)->voter);
+	beat(&l, 150, 1u << 2 | 1u << 4);
+	reconfigure(&l);
+	assert_true(member(&l, 4)->voter);
+	assert_int_equal(l.raft.member_count, 3);
+	lead_end(&l);
+}
+
+/* A learner that lacks the newest committed entry gets no vote, and a lost voter keeps its place until it has it. */
+static void a_learner_votes_only_with_all_that_is_committed(void **state)
+{
+	struct leader l;
+	uint64_t old;
+
+	(void)state;
+	lead(&l, 3);
+	beat(&l, 1700, 1u << 2);
+	reconfigure(&l);
+	beat(&l, 1000, 1u << 2 | 1u << 4);
+	old = newest(&l);
+	propose(&l);
+	hear_answer(&l, 2, newest(&l));
+	hear_answer(&l, 4, old);
+	assert_int_equal(l.raft.commit, newest(&l));
+	reconfigure(&l);
+	assert_non_null(member(&l, 3));
+	hear_answer(&l, 4, newest(&l));
+	reconfigure(&l);
+	assert_null(member(&l, 3));
+	beat(&l, 150, 1u << 2 | 1u << 4);
+	old = newest(&l);
+	propose(&l);
+	hear_answer(&l, 2, newest(&l));
+	reconfigure(&l);
+	assert_false(member(&l, 4)->voter);
+	hear_answer(&l, 4, newest(&l));
+	reconfigure(&l);
+	assert_true(member(&l, 4)->voter);
+	lead_end(&l);
+}
+
+/* Five voters become four only when three of those that stay hold all that is committed. */
+static void no_change_without_a_majority_that_has_caught_up(void **state)
+{
+	struct leader l;
+	uint64_t old;
+
+	(void)state;
+	lead(&l, 5);
+	l.live[1].zone = l.live[2].zone = 9; /* the zone with the most voters: one of members 2 and 3 is to go */
+	l.raft.replicas = 3;
+	old = newest(&l);
+	propose(&l);
+	hear_answer(&l, 2, newest(&l));
+	hear_answer(&l, 3, newest(&l));
+	hear_answer(&l, 4, old);
+	hear_answer(&l, 5, old);
+	assert_int_equal(l.raft.commit, newest(&l));
+	reconfigure(&l);
+	assert_int_equal(l.raft.member_count, 5);
+	hear_answer(&l, 4, newest(&l));
+	reconfigure(&l);
+	assert_int_equal(l.raft.member_count, 4);
+	lead_end(&l);
+	/* a voter that is silent counts for none, though it is not given up */
+	lead(&l, 5);
+	l.live[1].zone = l.live[2].zone = 9;
+	beat(&l, 900, 1u << 2 | 1u << 3);
+	l.raft.replicas = 3;
+	reconfigure(&l);
+	assert_int_equal(l.raft.member_count, 5);
+	beat(&l, 150, 1u << 2 | 1u << 3 | 1u << 4);
+	reconfigure(&l);
+	assert_int_equal(l.raft.member_count, 4);
+	lead_end(&l);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_short_silence_moves_no_member),
+		cmocka_unit_test(a_lost_voter_goes_before_its_successor_votes),
+		cmocka_unit_test(a_learner_votes_only_with_all_that_is_committed),
+		cmocka_unit_test(no_change_without_a_majority_that_has_caught_up),
+		cmocka_unit_test(next_loss_is_survived_in_time),
+		cmocka_unit_test(seeds_with_empty_disks_find_the_fleet),
+	};
+
+	apr_initialize();
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
