Orders sent again after a lost answer are acknowledged again, on the product's own interface too

Cause: only documents were recognised, by a 64-bit hash among the last 256; a change through POST /v1/change was known by the registrar that passed it on and its counter alone, so the same bytes sent again were answered 200 and then 409, and a clearing was decided twice.

A key used for another order: 422. Behind the record's end: 504, never a refusal. A change is judged by the leader alone, no more by the copy of whoever was called.

--- a/bin/registrar.c
+++ b/bin/registrar.c
@@ -52,6 +52,7 @@
 			ev.u.web.verb = e->verb;
 			ev.u.web.path = e->path;
 			ev.u.web.body = e->body;
+			ev.u.web.key = e->key;
 			break;
 		case EV_DONE:
 			ev.kind = REG_CALLED;
--- a/lib/control/leadership_change.c
+++ b/lib/control/leadership_change.c
@@ -46,7 +46,7 @@
 	if (p->role != RAFT_LEADER)
 		for (ptrdiff_t k = arrlen(r->wait) - 1; k >= 0; k--)
 			if (r->wait[k].part == i) {
-				send_answer(r, r->wait[k].addr, r->wait[k].token, TABLE_BUSY, "ownership lost: outcome unknown", 0,
+				send_answer(r->wait[k].addr, r->wait[k].token, TABLE_BUSY, 0, "ownership lost: outcome unknown", 0,
 					    o);
 				arrdel(r->wait, k);
 			}
--- a/lib/control/operator_api.c
+++ b/lib/control/operator_api.c
@@ -92,10 +92,18 @@
 	return s;
 }
 
-void on_web(struct reg *r, uint64_t web, const char *verb, const char *path, const char *body, int64_t now, struct out *o)
+void on_web(struct reg *r, uint64_t web, const char *verb, const char *path, const char *body, const char *key, int64_t now,
+	    struct out *o)
 {
+	struct Nl__OrderId order = NL__ORDER_ID__INIT;
+	struct order_id id;
 	const char *why = NULL;
 
+	if (key && !order_key_valid(key)) {
+		out_answer(o, web, 400, 0, error_json(o->p, ORDER_KEY_INVALID, 0));
+		return;
+	}
+
 	if (!strcmp(path, "/v1/state") && !strcmp(verb, "GET")) {
 		out_answer(o, web, 200, 0, state_json(r, now, o->p));
 	} else if (!strcmp(path, "/v1/table") && !strcmp(verb, "GET")) {
@@ -108,12 +116,13 @@
 
 		op.op_case = NL__OP__OP_CHANGE;
 		op.change = table_change_parse(body, o->p, &why);
-		if (op.change)
-			why = table_check(&r->f.t, op.change, o->p);
-		if (why)
+		if (why) {
 			out_answer(o, web, 400, 0, error_json(o->p, why, 0));
-		else
-			ask(r, SHARD_CONTROL, &op, web, now);
+			return;
+		}
+		order_identify(&id, key, path, !op.change->any, op.change->expect, body, strlen(body));
+		op.order = order_pack(&id, &order);
+		ask(r, SHARD_CONTROL, &op, web, now);
 	} else if (!strcmp(path, "/v1/retention") && !strcmp(verb, "GET")) {
 		out_answer(o, web, 200, 0, retention_json(r, now, o->p));
 	} else if (!strcmp(path, "/v1/retention.csv") && !strcmp(verb, "GET")) {
@@ -128,6 +137,8 @@
 		c.step = NL__CLEAR_STEP__CLEAR_NOW;
 		c.scope = (char *)json_str(j, "scope");
 		c.by = (char *)(json_str(j, "by")[0] ? json_str(j, "by") : "an operator");
+		order_identify(&id, key, path, 0, 0, body, strlen(body));
+		op.order = order_pack(&id, &order);
 		if (strpbrk(c.by, ",\"\r\n") || strlen(c.by) > 100)
 			out_answer(o, web, 400, 0, error_json(o->p, "by: up to 100 characters without commas and quotes", 0));
 		else
--- a/lib/control/operator_api.h
+++ b/lib/control/operator_api.h
@@ -7,7 +7,8 @@
 #include "reg.h"
 
 /* An operator's call. */
-void on_web(struct reg *r, uint64_t web, const char *verb, const char *path, const char *body, int64_t now, struct out *o);
+void on_web(struct reg *r, uint64_t web, const char *verb, const char *path, const char *body, const char *key, int64_t now,
+	    struct out *o);
 
 /* Answer reads of the table that have waited for the leader. */
 void reads_tick(struct reg *r, int64_t now, struct out *o);
--- a/lib/control/operator_documents.c
+++ b/lib/control/operator_documents.c
@@ -33,13 +33,15 @@
 }
 
 /* Log a change and answer when it is committed. */
-static void call_log(struct reg *r, uint64_t token, struct Nl__Change *c, int64_t now, struct out *o)
+static void call_log(struct reg *r, uint64_t token, struct Nl__Change *c, const struct order_id *id, int64_t now, struct out *o)
 {
-	struct reg_call w = { token, 0, c->doc_digest };
+	struct reg_call w = { token, 0, *id };
+	struct Nl__OrderId order = NL__ORDER_ID__INIT;
 	struct Nl__Op op = NL__OP__INIT;
 
 	op.op_case = NL__OP__OP_CHANGE;
 	op.change = c;
+	op.order = order_pack(id, &order);
 	w.index = log_op(r, SHARD_CONTROL, &op, now, o);
 	if (w.index)
 		arrput(r->call, w);
@@ -47,27 +49,50 @@
 		out_answer(o, token, 503, 200, error_json(o->p, "the configuration's owner has changed: nothing was logged", 0));
 }
 
+/* An order that was accepted is acknowledged again; one that is being logged is waited for. 1: it was such a one. */
+static int answer_repeated(struct reg *r, uint64_t token, const struct order_id *id, struct out *o)
+{
+	const struct order_record *accepted = orders_find(&r->orders, id);
+
+	if (accepted) {
+		if (order_outcome(accepted, id) == TABLE_DONE)
+			out_answer(o, token, 200, 0, "{}");
+		else
+			out_answer(o, token, 422, 0, error_json(o->p, ORDER_KEY_REUSED, 0));
+		return 1;
+	}
+	for (ptrdiff_t i = 0; i < arrlen(r->call); i++)
+		if (order_same(&r->call[i].order, id)) {
+			struct reg_call w = { token, r->call[i].index, *id };
+
+			arrput(r->call, w);
+			return 1;
+		}
+	return 0;
+}
+
+/* A document that builds on another version is late, unless it may be an order that was accepted and is forgotten. */
+static void answer_overtaken(struct reg *r, uint64_t token, uint64_t base, struct out *o)
+{
+	if (orders_may_have_forgotten(&r->orders, ORDER_DOCUMENTS, base))
+		out_answer(o, token, 504, REG_CALL, error_json(o->p, ORDER_FORGOTTEN, 0));
+	else
+		out_answer(o, token, 412, 0, error_json(o->p, "another version is current", 0));
+}
+
 void on_doc(struct reg *r, uint64_t token, uint64_t base, int patch, const char *body, size_t len, int64_t now, struct out *o)
 {
-	uint64_t digest = core_hash(base << 1 | !!patch, body, len) | 1;
 	struct Nl__Change c = NL__CHANGE__INIT;
 	const char *why = NULL;
+	struct order_id id;
 
 	if (elsewhere(r, token, now, o))
 		return;
-	if (doc_taken(r, digest)) {
-		out_answer(o, token, 200, 0, "{}");
+	order_identify(&id, NULL, patch ? "patch" : "document", 1, base, body, len);
+	if (answer_repeated(r, token, &id, o))
 		return;
-	}
-	for (ptrdiff_t i = 0; i < arrlen(r->call); i++)
-		if (r->call[i].digest == digest) { /* its first sending is being logged */
-			struct reg_call w = { token, r->call[i].index, digest };
-
-			arrput(r->call, w);
-			return;
-		}
 	if (base != r->ctl_doc_version) {
-		out_answer(o, token, 412, 0, error_json(o->p, "another version is current", 0));
+		answer_overtaken(r, token, base, o);
 		return;
 	}
 	if (!r->tongue)
@@ -79,13 +104,12 @@
 	else {
 		c.any = c.whole = c.keys = 1;
 		c.doc_base = base;
-		c.doc_digest = digest;
 		why = table_check(&r->ctl, &c, o->p);
 	}
 	if (why)
 		out_answer(o, token, 400, 0, error_json(o->p, why, 0));
 	else
-		call_log(r, token, &c, now, o);
+		call_log(r, token, &c, &id, now, o);
 }
 
 void on_read(struct reg *r, uint64_t token, int64_t now, struct out *o)
@@ -109,6 +133,7 @@
 {
 	struct Nl__Change c = NL__CHANGE__INIT;
 	struct Nl__Row m = NL__ROW__INIT, *set[1] = { &m };
+	const struct order_id none = { 0 }; /* a number that only rises needs no record */
 	const struct Nl__Row *old;
 	const char *why;
 
@@ -129,5 +154,5 @@
 	if (strtoull(weights, NULL, 10) <= (old ? strtoull(old->weights, NULL, 10) : 1))
 		out_answer(o, token, 200, 0, "{}"); /* committed, and perhaps overtaken, before */
 	else
-		call_log(r, token, &c, now, o);
+		call_log(r, token, &c, &none, now, o);
 }
--- a/lib/control/proposals.c
+++ b/lib/control/proposals.c
@@ -9,14 +9,14 @@
 #include "reg_private.h"
 #include "state_machine.h"
 
-void send_answer(struct reg *r, uint64_t addr, uint64_t token, uint32_t st, const char *why, uint64_t hint, struct out *o)
+void send_answer(uint64_t addr, uint64_t token, uint32_t st, uint64_t version, const char *why, uint64_t hint, struct out *o)
 {
 	struct Nl__Answer *a = OUT_NEW(o, Nl__Answer, NL__ANSWER__INIT);
 
 	a->token = token;
 	a->status = st;
 	a->why = (char *)why;
-	a->edition = r->ctl.edition;
+	a->edition = version;
 	a->hint = hint;
 	out_msg(o, addr, 0, NL__MSG__BODY_ANSWER)->answer = a;
 }
@@ -29,6 +29,8 @@
 			continue;
 		if (st == TABLE_DONE)
 			out_answer(o, r->call[i].token, 200, 0, "{}");
+		else if (st == TABLE_KEY_REUSED)
+			out_answer(o, r->call[i].token, 422, 0, error_json(o->p, ORDER_KEY_REUSED, 0));
 		else if (st == TABLE_OVERTAKEN)
 			out_answer(o, r->call[i].token, 412, 0, error_json(o->p, "another version is current", 0));
 		else
@@ -37,17 +39,25 @@
 	}
 }
 
-void answer_wait(struct reg *r, uint32_t part, uint64_t index, uint32_t st, struct out *o)
+/* Why an entry that a proposal waited for came to nothing. */
+static const char *outcome_text(uint32_t st)
+{
+	switch (st) {
+	case TABLE_OVERTAKEN: return "edition overtaken";
+	case TABLE_REFUSED: return "already claimed";
+	case TABLE_KEY_REUSED: return ORDER_KEY_REUSED;
+	default: return "";
+	}
+}
+
+void answer_wait(struct reg *r, uint32_t part, uint64_t index, struct applied applied, struct out *o)
 {
 	if (part == SHARD_CONTROL)
-		answer_calls(r, index, st, o);
+		answer_calls(r, index, applied.status, o);
 	for (ptrdiff_t i = 0; i < arrlen(r->wait); i++)
 		if (r->wait[i].part == part && r->wait[i].index == index) {
-			send_answer(r, r->wait[i].addr, r->wait[i].token, st,
-				    st == TABLE_OVERTAKEN ? "edition overtaken"
-				    : st == TABLE_REFUSED ? "already claimed"
-							  : "",
-				    0, o);
+			send_answer(r->wait[i].addr, r->wait[i].token, applied.status, applied.version,
+				    outcome_text(applied.status), 0, o);
 			arrdel(r->wait, i);
 			return;
 		}
@@ -69,12 +79,20 @@
 	return NULL;
 }
 
+/* A change that builds on an older edition is late, unless it may be an order that was accepted and is forgotten. */
+static uint32_t change_overtaken(const struct reg *r, const struct Nl__Change *c)
+{
+	return orders_may_have_forgotten(&r->orders, ORDER_CHANGES, c->expect) ? TABLE_FORGOTTEN : TABLE_OVERTAKEN;
+}
+
 void on_propose(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	const struct Nl__Propose *q = m->propose;
 	struct reg_wait w = { m->part, 0, m->addr, q->token };
 	const char *why = NULL;
 	const struct reg_done *done;
+	const struct order_record *accepted;
+	struct order_id id = order_unpack(q->op ? q->op->order : NULL);
 	int fits;
 
 	if (m->part >= SHARD_COUNT || !q->op)
@@ -84,18 +102,21 @@
 	       : svc_of(r, m->part)     ? q->op->op_case == NL__OP__OP_CLAIM
 					: 0;
 	if (!in_office(r, m->part, now)) {
-		send_answer(r, m->addr, q->token, TABLE_NOT_OWNER, "", owner_hint(r, m->part, now), o);
+		send_answer(m->addr, q->token, TABLE_NOT_OWNER, 0, "", owner_hint(r, m->part, now), o);
 		return;
 	}
 	if (!fits)
 		why = "op: not one that this part takes";
-	else if (m->part == SHARD_CONTROL && (done = done_of(r, q->op->from, q->op->token))) {
-		send_answer(r, m->addr, q->token, done->status, "edition overtaken", 0, o);
+	else if ((accepted = orders_find(&r->orders, &id))) {
+		send_answer(m->addr, q->token, order_outcome(accepted, &id), accepted->version, ORDER_KEY_REUSED, 0, o);
+		return;
+	} else if (m->part == SHARD_CONTROL && (done = done_of(r, q->op->from, q->op->token))) {
+		send_answer(m->addr, q->token, done->status, r->ctl.edition, "edition overtaken", 0, o);
 		return;
 	} else if (m->part == SHARD_CONTROL && q->op->op_case == NL__OP__OP_CLEAR) {
 		why = clear_check(r, q->op->clear, now, o->p);
 	} else if (m->part == SHARD_CONTROL && r->ctl.edition && !q->op->change->any && q->op->change->expect < r->ctl.plan) {
-		send_answer(r, m->addr, q->token, TABLE_OVERTAKEN, "edition overtaken", 0, o);
+		send_answer(m->addr, q->token, change_overtaken(r, q->op->change), r->ctl.edition, "edition overtaken", 0, o);
 		return;
 	} else if (m->part == SHARD_CONTROL) {
 		why = table_check(&r->ctl, q->op->change, o->p);
@@ -103,7 +124,7 @@
 			why = retention_check(r->calendar, q->op->change, retention_wall(r, now), o->p);
 	}
 	if (why) {
-		send_answer(r, m->addr, q->token, TABLE_REFUSED, why, 0, o);
+		send_answer(m->addr, q->token, TABLE_REFUSED, r->ctl.edition, why, 0, o);
 		return;
 	}
 	w.index = log_op(r, m->part, q->op, now, o);
@@ -163,6 +184,17 @@
 	}
 }
 
+/* The status of an order that was not accepted. */
+static int refusal_status(uint32_t st)
+{
+	switch (st) {
+	case TABLE_OVERTAKEN: return 409;
+	case TABLE_KEY_REUSED: return 422;
+	case TABLE_FORGOTTEN: return 504;
+	default: return 400;
+	}
+}
+
 void on_answer(struct reg *r, const struct Nl__Answer *a, int64_t now, struct out *o)
 {
 	for (ptrdiff_t i = 0; i < arrlen(r->ask); i++) {
@@ -183,7 +215,8 @@
 			body = apr_psprintf(o->p, "{\"edition\":%" APR_UINT64_T_FMT "}", a->edition);
 			out_answer(o, q->web, 200, 0, body);
 		} else if (q->web) {
-			out_answer(o, q->web, a->status == TABLE_OVERTAKEN ? 409 : 400, 0, error_json(o->p, a->why, a->edition));
+			out_answer(o, q->web, refusal_status(a->status), 0,
+				   error_json(o->p, a->status == TABLE_FORGOTTEN ? ORDER_FORGOTTEN : a->why, a->edition));
 		}
 		ask_end(r, i);
 		follow_ask(&r->f, r->relay.k.horizon, now, o);
--- a/lib/control/proposals.h
+++ b/lib/control/proposals.h
@@ -4,13 +4,13 @@
 #ifndef NL_PROPOSALS_H
 #define NL_PROPOSALS_H
 
-#include "reg.h"
+#include "state_machine.h"
 
-/* Answer a proposal: its outcome (TABLE_*), why, and who leads where this node does not. */
-void send_answer(struct reg *r, uint64_t addr, uint64_t token, uint32_t st, const char *why, uint64_t hint, struct out *o);
+/* Answer a proposal: its outcome (TABLE_*), the version it made, why, and who leads where this node does not. */
+void send_answer(uint64_t addr, uint64_t token, uint32_t st, uint64_t version, const char *why, uint64_t hint, struct out *o);
 
 /* Answer whoever waits for this entry, which was just applied. */
-void answer_wait(struct reg *r, uint32_t part, uint64_t index, uint32_t st, struct out *o);
+void answer_wait(struct reg *r, uint32_t part, uint64_t index, struct applied applied, struct out *o);
 
 /* Another node's proposal arrives. */
 void on_propose(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o);
--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -112,7 +112,7 @@
 	case REG_TICK: tick(r, now, o); break;
 	case REG_MSG: on_msg(r, ev->u.msg, now, o); break;
 	case REG_SYNCED: raft_synced(&r->part[ev->u.synced.part], ev->u.synced.seq, now, o); break;
-	case REG_WEB: on_web(r, ev->u.web.token, ev->u.web.verb, ev->u.web.path, ev->u.web.body, now, o); break;
+	case REG_WEB: on_web(r, ev->u.web.token, ev->u.web.verb, ev->u.web.path, ev->u.web.body, ev->u.web.key, now, o); break;
 	case REG_CALLED:
 		for (ptrdiff_t i = 0; i < arrlen(r->server); i++)
 			if (ev->u.called.token && r->server[i].call == ev->u.called.token && ev->u.called.status == 200)
@@ -196,7 +196,7 @@
 	retention_clear(r);
 	clear_values(&r->ctl_feed);
 	arrfree(r->ctl_done);
-	arrfree(r->docs);
+	orders_clear(&r->orders);
 	arrfree(r->call);
 	free(r->ctl_doc);
 	clear_values(&r->pub.v);
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -4,6 +4,7 @@
 
 #include "follow.h"
 #include "giver.h"
+#include "orders.h"
 #include "raft.h"
 #include "purge.h"
 #include "retention.h"
@@ -56,8 +57,8 @@
 		} synced;
 		struct {
 			uint64_t token;
-			const char *verb, *path, *body;
-		} web;
+			const char *verb, *path, *body, *key;
+		} web; /* key: an Idempotency-Key, NULL for none */
 		struct {
 			uint64_t token;
 			int status;
@@ -105,9 +106,10 @@
 		    const char **why, apr_pool_t *p);
 };
 
-/* An operator's document or naming that is logged here: answered once it is committed. digest 0: a naming. */
+/* An operator's document or naming that is logged here: answered once it is committed. */
 struct reg_call {
-	uint64_t token, index, digest;
+	uint64_t token, index;
+	struct order_id order;
 };
 struct reg_wait {
 	uint32_t part;
@@ -196,7 +198,7 @@
 		uint64_t from, token;
 		uint32_t status;
 	} * ctl_done;                   /* stb_ds, oldest first */
-	struct Nl__DoneDoc *docs;       /* stb_ds, oldest first: calls with documents that were taken */
+	struct orders orders;           /* operators' orders that were accepted */
 	uint8_t *ctl_doc;               /* the newest document, byte for byte */
 	size_t ctl_doc_len, doc_logged; /* doc_logged: bytes since the last snapshot */
 	uint64_t ctl_doc_version;
--- a/lib/control/snapshot.c
+++ b/lib/control/snapshot.c
@@ -42,10 +42,7 @@
 	s.doc.data = r->ctl_doc;
 	s.doc.len = r->ctl_doc_len;
 	s.doc_version = r->ctl_doc_version;
-	s.n_docs = (size_t)arrlen(r->docs);
-	s.docs = apr_palloc(p, (s.n_docs + 1) * sizeof *s.docs);
-	for (size_t i = 0; i < s.n_docs; i++)
-		s.docs[i] = &r->docs[i];
+	orders_pack(&r->orders, &s, p);
 	retention_pack(r, &s);
 	return core_pack(p, &s.base, n);
 }
@@ -167,14 +164,12 @@
 		r->spare_edition = 0;
 		clear_values(&r->ctl_feed);
 		arrsetlen(r->ctl_done, 0);
-		arrsetlen(r->docs, 0);
+		orders_load(&r->orders, s);
 		r->doc_logged = 0;
 		retention_load(r, s);
 		doc_keep(r, s ? s->doc.data : NULL, s ? s->doc.len : 0, s ? s->doc_version : 0);
 		if (!s)
 			return;
-		for (size_t i = 0; i < s->n_docs; i++)
-			doc_note(r, s->docs[i]->version, s->docs[i]->digest);
 		for (size_t i = 0; i < s->n_done; i++) {
 			struct reg_done d = { s->done[i]->from, s->done[i]->token, s->done[i]->status };
 
--- a/lib/control/state_machine.c
+++ b/lib/control/state_machine.c
@@ -35,12 +35,9 @@
 	return NULL;
 }
 
-const struct Nl__DoneDoc *doc_taken(const struct reg *r, uint64_t digest)
+uint32_t order_outcome(const struct order_record *accepted, const struct order_id *id)
 {
-	for (ptrdiff_t i = arrlen(r->docs) - 1; i >= 0; i--)
-		if (r->docs[i].digest == digest)
-			return &r->docs[i];
-	return NULL;
+	return order_same(&accepted->id, id) ? TABLE_DONE : TABLE_KEY_REUSED;
 }
 
 void doc_keep(struct reg *r, const uint8_t *d, size_t n, uint64_t version)
@@ -56,26 +53,11 @@
 	r->ctl_doc_version = version;
 }
 
-void doc_note(struct reg *r, uint64_t version, uint64_t digest)
-{
-	struct Nl__DoneDoc d = NL__DONE_DOC__INIT;
-
-	d.version = version;
-	d.digest = digest;
-	arrput(r->docs, d);
-	if (arrlen(r->docs) > REG_DONE)
-		arrdel(r->docs, 0);
-}
-
-/* A document is taken in the log's order: the same call again changes nothing, one built on another version is late. */
+/* A document is taken in the log's order: one built on another version is late. */
 static int apply_doc(struct reg *r, const struct Nl__Change *c, struct Nl__Purge ***feed)
 {
-	const struct Nl__DoneDoc *old = doc_taken(r, c->doc_digest);
 	int st;
 
-	r->doc_logged += c->doc.len;
-	if (old && old->version == c->doc_version)
-		return TABLE_DONE;
 	if (c->doc_base != r->ctl_doc_version)
 		return TABLE_OVERTAKEN;
 	if (c->doc_version <= r->ctl_doc_version)
@@ -84,21 +66,28 @@
 	if (st != TABLE_DONE)
 		return st;
 	doc_keep(r, c->doc.data, c->doc.len, c->doc_version);
-	doc_note(r, c->doc_version, c->doc_digest);
 	return TABLE_DONE;
 }
 
-/* A change may be proposed again while its answer is lost; it is applied once. */
+/* A change may be proposed again while its answer is lost, and an order sent again by its operator: it is applied once. */
 static uint32_t apply_change(struct reg *r, uint64_t index, const struct Nl__Op *op)
 {
 	const struct reg_done *old = op->from ? done_of(r, op->from, op->token) : NULL;
 	struct reg_done d = { op->from, op->token, 0 };
 	struct Nl__Purge **p = NULL;
-	int st;
+	struct order_id id = order_unpack(op->order);
+	const struct order_record *accepted = orders_find(&r->orders, &id);
+	int document = op->change->doc_version != 0, st;
 
+	r->doc_logged += op->change->doc.len;
 	if (old)
 		return old->status;
-	st = op->change->doc_version ? apply_doc(r, op->change, &p) : table_apply(&r->ctl, op->change, &p);
+	if (accepted)
+		return order_outcome(accepted, &id);
+	st = document ? apply_doc(r, op->change, &p) : table_apply(&r->ctl, op->change, &p);
+	if (st == TABLE_DONE)
+		orders_add(&r->orders, &id, document ? ORDER_DOCUMENTS : ORDER_CHANGES,
+			   document ? r->ctl_doc_version : r->ctl.edition);
 	d.status = (uint32_t)st;
 	if (d.from)
 		arrput(r->ctl_done, d);
@@ -120,10 +109,16 @@
 {
 	const struct reg_done *old = op->from ? done_of(r, op->from, op->token) : NULL;
 	struct reg_done d = { op->from, op->token, 0 };
+	struct order_id id = order_unpack(op->order);
+	const struct order_record *accepted = orders_find(&r->orders, &id);
 
 	if (old)
 		return old->status;
+	if (accepted)
+		return order_outcome(accepted, &id);
 	d.status = retention_apply(r, index, op->clear);
+	if (d.status == TABLE_DONE)
+		orders_add(&r->orders, &id, ORDER_UNVERSIONED, r->ctl.edition);
 	if (d.from)
 		arrput(r->ctl_done, d);
 	if (arrlen(r->ctl_done) > REG_DONE)
@@ -233,9 +228,11 @@
 		r->pub.released = c->released;
 }
 
-uint32_t apply(struct reg *r, uint32_t part, uint64_t index, const struct raft_entry *e, int64_t now, struct out *o)
+struct applied apply(struct reg *r, uint32_t part, uint64_t index, const struct raft_entry *e, int64_t now, struct out *o)
 {
 	struct Nl__Op *op = (struct Nl__Op *)core_unpack(o->p, &nl__op__descriptor, e->len, e->data);
+	struct order_id id = order_unpack(op ? op->order : NULL);
+	const struct order_record *accepted;
 	uint32_t st = TABLE_REFUSED;
 
 	if (op && svc_of(r, part))
@@ -284,5 +281,6 @@
 			break;
 		default: break;
 		}
-	return st;
+	accepted = orders_find(&r->orders, &id);
+	return (struct applied){ st, accepted ? accepted->version : r->ctl.edition };
 }
--- a/lib/control/state_machine.h
+++ b/lib/control/state_machine.h
@@ -6,22 +6,26 @@
 
 #include "reg.h"
 
+/* What came of an entry: TABLE_DONE, TABLE_REFUSED, TABLE_OVERTAKEN or TABLE_KEY_REUSED, and the version to acknowledge: of an
+ * order, the one that it made when it was accepted, however long ago; else the table's. */
+struct applied {
+	uint32_t status;
+	uint64_t version;
+};
+
 /* The outcome of a change that was applied before, by who proposed it and its token; NULL: none is remembered. */
 const struct reg_done *done_of(const struct reg *r, uint64_t from, uint64_t token);
 
-/* The document that was taken from a call with this digest; NULL: none is remembered. */
-const struct Nl__DoneDoc *doc_taken(const struct reg *r, uint64_t digest);
+/* What an order is answered whose key or content was accepted before: TABLE_DONE again, or TABLE_KEY_REUSED. */
+uint32_t order_outcome(const struct order_record *accepted, const struct order_id *id);
 
 /* Keep a copy of the newest document, byte for byte. */
 void doc_keep(struct reg *r, const uint8_t *d, size_t n, uint64_t version);
 
-/* Remember that a call's document was taken, among the newest REG_DONE. */
-void doc_note(struct reg *r, uint64_t version, uint64_t digest);
-
 /* Drop claims past their time. They count as absent before, so that no member need do it at the same entry. */
 void forget_claims(struct reg_svc *s);
 
-/* Apply one committed entry and return its outcome, one of TABLE_DONE, TABLE_REFUSED and TABLE_OVERTAKEN. */
-uint32_t apply(struct reg *r, uint32_t part, uint64_t index, const struct raft_entry *e, int64_t now, struct out *o);
+/* Apply one committed entry. */
+struct applied apply(struct reg *r, uint32_t part, uint64_t index, const struct raft_entry *e, int64_t now, struct out *o);
 
 #endif
--- a/lib/control/table.h
+++ b/lib/control/table.h
@@ -29,7 +29,15 @@
 };
 
 enum { TABLE_TOMBS = 512, TABLE_MAX = 24 << 20, TABLE_SPLITS = 64, TABLE_SKIPPED = 64 };
-enum { TABLE_DONE = 0, TABLE_NOT_OWNER = 1, TABLE_REFUSED = 2, TABLE_OVERTAKEN = 3, TABLE_BUSY = 4 };
+enum {
+	TABLE_DONE = 0,
+	TABLE_NOT_OWNER = 1,
+	TABLE_REFUSED = 2,
+	TABLE_OVERTAKEN = 3,
+	TABLE_BUSY = 4,
+	TABLE_KEY_REUSED = 5,
+	TABLE_FORGOTTEN = 6
+};
 
 void table_open(struct table *t);
 void table_close(struct table *t);
--- a/lib/shell/base.c
+++ b/lib/shell/base.c
@@ -141,6 +141,7 @@
 	free(e->verb);
 	free(e->path);
 	free(e->digest);
+	free(e->key);
 	free(e->body);
 	free(e);
 }
--- a/lib/shell/shell.h
+++ b/lib/shell/shell.h
@@ -51,7 +51,8 @@
 	enum shell_ev_kind kind;
 	uint64_t token;
 	struct Nl__Msg *msg;
-	char *verb, *path, *digest, *body; /* web; a piece's or an answer's body; malloc'd */
+	char *verb, *path, *digest, *body,
+	    *key; /* web (key: its Idempotency-Key or NULL); a piece's or an answer's body; malloc'd */
 	int status, never, stream;
 	uint32_t part;
 	uint64_t seq;
--- a/lib/shell/web.c
+++ b/lib/shell/web.c
@@ -150,6 +150,7 @@
 	struct web *w = arg;
 	struct conn *k = *state;
 	struct shell_ev *e;
+	const char *key;
 	enum MHD_Result rc = MHD_YES;
 
 	(void)version;
@@ -185,6 +186,8 @@
 			e->digest = digest(MHD_lookup_connection_value(c, MHD_HEADER_KIND, "Authorization"));
 			arrput(k->body, 0);
 			e->body = strdup(k->body);
+			if ((key = MHD_lookup_connection_value(c, MHD_HEADER_KIND, "Idempotency-Key")))
+				e->key = strdup(key);
 			if (ring_push(w->to, e, 0)) {
 				k->suspended = 1;
 				MHD_suspend_connection(c);
--- a/tests/linear.c
+++ b/tests/linear.c
@@ -9,7 +9,9 @@
 #include "ds.h"
 
 /* What the register holds after some order of operations. */
-struct register_state { uint64_t version, value; };
+struct register_state {
+	uint64_t version, value;
+};
 
 /* A request or an answer, in a list by time. Both are taken out while their operation is ordered. */
 struct event {
@@ -20,21 +22,31 @@
 };
 
 /* A configuration that was visited: the set of ordered operations follows as a bitmap. */
-struct configuration { struct register_state state; struct configuration *same_hash; uint64_t ordered[]; };
+struct configuration {
+	struct register_state state;
+	struct configuration *same_hash;
+	uint64_t ordered[];
+};
 
 /* One step of the order, to be undone when it leads nowhere. */
-struct step { struct event *request; struct register_state before; };
+struct step {
+	struct event *request;
+	struct register_state before;
+};
 
 struct search {
 	const struct linear_op *ops;
-	size_t n, words, open;     /* open: answered operations that are not ordered yet */
-	struct event *events;      /* 0: the list's head; then two for each operation */
-	struct event **answer;     /* by operation; NULL if the outcome is unknown */
-	uint64_t *ordered;         /* bitmap */
+	size_t n, words, open; /* open: answered operations that are not ordered yet */
+	struct event *events;  /* 0: the list's head; then two for each operation */
+	struct event **answer; /* by operation; NULL if the outcome is unknown */
+	uint64_t *ordered;     /* bitmap */
 	struct register_state state;
-	struct step *steps;        /* stb_ds */
-	struct { uint64_t key; struct configuration *value; } *visited; /* stb_ds, by hash */
-	size_t longest, stuck;     /* the longest order found; the operation whose answer ended it */
+	struct step *steps; /* stb_ds */
+	struct {
+		uint64_t key;
+		struct configuration *value;
+	} * visited;           /* stb_ds, by hash */
+	size_t longest, stuck; /* the longest order found; the operation whose answer ended it */
 };
 
 void linear_print(const struct linear_op *op, char *to, size_t size)
@@ -47,10 +59,11 @@
 	if (op->version != LINEAR_ANY)
 		snprintf(version, sizeof version, "%" PRIu64, op->version);
 	if (op->kind == LINEAR_READ)
-		snprintf(to, size, "read of version %s value %" PRIx64 " [%" PRId64 ", %" PRId64 "]", version, op->value, op->called, op->returned);
+		snprintf(to, size, "read of version %s value %" PRIx64 " [%" PRId64 ", %" PRId64 "]", version, op->value,
+			 op->called, op->returned);
 	else
-		snprintf(to, size, "write of version %s on %s value %" PRIx64 " [%" PRId64 ", %" PRId64 "] %s", version, base, op->value, op->called,
-		         op->outcome == LINEAR_UNKNOWN ? INT64_MAX : op->returned, outcome[op->outcome]);
+		snprintf(to, size, "write of version %s on %s value %" PRIx64 " [%" PRId64 ", %" PRId64 "] %s", version, base,
+			 op->value, op->called, op->outcome == LINEAR_UNKNOWN ? INT64_MAX : op->returned, outcome[op->outcome]);
 }
 
 /* Whether a write takes effect on this state. An unknown version is above all that came before it. */
@@ -250,7 +263,8 @@
 	result = run(&s);
 	if (result == LINEAR_BROKEN) {
 		linear_print(&ops[s.stuck], text, sizeof text);
-		snprintf(why, why_size, "not linearizable: after %zu of %zu operations nothing explains the %s", s.longest, n, text);
+		snprintf(why, why_size, "not linearizable: after %zu of %zu operations nothing explains the %s", s.longest, n,
+			 text);
 	} else if (result == LINEAR_UNDECIDED) {
 		snprintf(why, why_size, "undecided after %d steps over %zu operations", LINEAR_STEPS, n);
 	}
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1199,8 +1199,13 @@
 					run_over(s, &s->run[q]);
 			break;
 		case CMD_ANSWER: {
-			struct sim_web w = { c->u.answer.token, c->u.answer.status, s->now, "", c->u.answer.to, NULL,
-					     c->u.answer.len };
+			struct sim_web w = { c->u.answer.token,
+					     c->u.answer.status,
+					     s->now,
+					     "",
+					     c->u.answer.to,
+					     NULL,
+					     c->u.answer.len ? c->u.answer.len : strlen(c->u.answer.body) };
 
 			if (n->c) {
 				hear_answer(s, c->u.answer.token, c->u.answer.status, c->u.answer.retry_ms, c->u.answer.body);
@@ -1438,13 +1443,15 @@
 		reg_do(s, e->node, &ev);
 		break;
 	case SIM_WEB: {
-		char *verb = (char *)e->d, *path = verb + strlen(verb) + 1, *body = path + strlen(path) + 1;
+		char *verb = (char *)e->d, *path = verb + strlen(verb) + 1, *body = path + strlen(path) + 1,
+		     *key = body + strlen(body) + 1;
 
 		ev.kind = REG_WEB;
 		ev.u.web.token = e->token;
 		ev.u.web.verb = verb;
 		ev.u.web.path = path;
 		ev.u.web.body = body;
+		ev.u.web.key = key[0] ? key : NULL;
 		reg_do(s, e->node, &ev);
 		break;
 	}
@@ -1651,13 +1658,19 @@
 
 uint64_t sim_call(struct sim *s, int node, const char *verb, const char *path, const char *body)
 {
-	size_t a = strlen(verb) + 1, b = strlen(path) + 1, c = strlen(body) + 1;
+	return sim_call_keyed(s, node, verb, path, body, "");
+}
+
+uint64_t sim_call_keyed(struct sim *s, int node, const char *verb, const char *path, const char *body, const char *key)
+{
+	size_t a = strlen(verb) + 1, b = strlen(path) + 1, c = strlen(body) + 1, d = strlen(key) + 1;
 	struct sim_ev e = { .at = s->now, .kind = SIM_WEB, .node = node, .life = s->n[node].life, .token = ++s->token };
 
-	e.d = malloc(a + b + c);
+	e.d = malloc(a + b + c + d);
 	memcpy(e.d, verb, a);
 	memcpy(e.d + a, path, b);
 	memcpy(e.d + a + b, body, c);
+	memcpy(e.d + a + b + c, key, d);
 	push(s, e);
 	return e.token;
 }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -296,6 +296,8 @@
 
 /* An operator's call to a registrar; returns its token. Example: t = sim_call(&s, 0, "POST", "/v1/found", "{}"); */
 uint64_t sim_call(struct sim *s, int node, const char *verb, const char *path, const char *body);
+/* The same with an Idempotency-Key. Example: t = sim_call_keyed(&s, 0, "POST", "/v1/change", body, "key-1"); */
+uint64_t sim_call_keyed(struct sim *s, int node, const char *verb, const char *path, const char *body, const char *key);
 const struct sim_web *sim_answer(struct sim *s, uint64_t token);
 
 /* Make a call and wait for its answer's status; 0 on none. Example: assert_int_equal(sim_do(&s, 0, ...), 200); */
--- a/tests/test_linear.c
+++ b/tests/test_linear.c
@@ -13,14 +13,30 @@
 #include "core.h"
 #include "linear.h"
 
-#define WRITE(from, to, on, makes) { LINEAR_WRITE, LINEAR_OK, from, to, on, makes, 100 + (makes) }
-#define REFUSED(from, to, on, makes) { LINEAR_WRITE, LINEAR_REFUSED, from, to, on, makes, 100 + (makes) }
-#define UNKNOWN(from, on, makes) { LINEAR_WRITE, LINEAR_UNKNOWN, from, 0, on, makes, 100 + (makes) }
-#define READ(from, to, sees) { LINEAR_READ, LINEAR_OK, from, to, 0, sees, (sees) ? 100 + (sees) : 0 }
+#define WRITE(from, to, on, makes)                                          \
+	{                                                                   \
+		LINEAR_WRITE, LINEAR_OK, from, to, on, makes, 100 + (makes) \
+	}
+#define REFUSED(from, to, on, makes)                                             \
+	{                                                                        \
+		LINEAR_WRITE, LINEAR_REFUSED, from, to, on, makes, 100 + (makes) \
+	}
+#define UNKNOWN(from, on, makes)                                                \
+	{                                                                       \
+		LINEAR_WRITE, LINEAR_UNKNOWN, from, 0, on, makes, 100 + (makes) \
+	}
+#define READ(from, to, sees)                                                         \
+	{                                                                            \
+		LINEAR_READ, LINEAR_OK, from, to, 0, sees, (sees) ? 100 + (sees) : 0 \
+	}
 
 enum { HISTORY = 8 };
 
-struct named_history { const char *name; size_t n; struct linear_op ops[HISTORY]; };
+struct named_history {
+	const char *name;
+	size_t n;
+	struct linear_op ops[HISTORY];
+};
 
 static const struct named_history holding[] = {
 	{ "empty", 0, { READ(0, 0, 0) } },
@@ -34,7 +50,9 @@
 	{ "a number used twice, once in force", 2, { WRITE(0, 9, 0, 1), { LINEAR_WRITE, LINEAR_REFUSED, 0, 9, 0, 1, 777 } } },
 	{ "not above its base", 2, { WRITE(0, 1, 0, 5), REFUSED(2, 3, 5, 4) } },
 	{ "unconditional", 4, { WRITE(0, 1, LINEAR_ANY, 4), WRITE(2, 3, LINEAR_ANY, 6), READ(4, 5, 6), REFUSED(6, 7, 4, 9) } },
-	{ "made a version that nobody learnt", 3, { { LINEAR_WRITE, LINEAR_UNKNOWN, 0, 0, 0, LINEAR_ANY, 7 }, REFUSED(2, 3, 0, 4), WRITE(4, 5, LINEAR_ANY, 9) } },
+	{ "made a version that nobody learnt",
+	  3,
+	  { { LINEAR_WRITE, LINEAR_UNKNOWN, 0, 0, 0, LINEAR_ANY, 7 }, REFUSED(2, 3, 0, 4), WRITE(4, 5, LINEAR_ANY, 9) } },
 };
 
 static const struct named_history broken[] = {
@@ -46,14 +64,21 @@
 	{ "refused although nothing came before", 2, { READ(0, 1, 0), REFUSED(2, 3, 0, 1) } },
 	{ "refused before the one that overtook it was sent", 2, { REFUSED(0, 1, 0, 1), WRITE(2, 3, 0, 2) } },
 	{ "seen, then unseen", 3, { UNKNOWN(0, 0, 1), READ(5, 6, 1), READ(7, 8, 0) } },
-	{ "unknown, and in force twice", 5,
-	  { { LINEAR_WRITE, LINEAR_UNKNOWN, 0, 0, LINEAR_ANY, 1, 7 }, { LINEAR_READ, LINEAR_OK, 1, 2, 0, 1, 7 }, WRITE(3, 4, 1, 2), READ(5, 6, 2), { LINEAR_READ, LINEAR_OK, 7, 8, 0, 1, 7 } } },
+	{ "unknown, and in force twice",
+	  5,
+	  { { LINEAR_WRITE, LINEAR_UNKNOWN, 0, 0, LINEAR_ANY, 1, 7 },
+	    { LINEAR_READ, LINEAR_OK, 1, 2, 0, 1, 7 },
+	    WRITE(3, 4, 1, 2),
+	    READ(5, 6, 2),
+	    { LINEAR_READ, LINEAR_OK, 7, 8, 0, 1, 7 } } },
 	{ "unknown, and in force before it was sent", 2, { UNKNOWN(5, 0, 1), READ(0, 1, 1) } },
 	{ "a value that nobody wrote", 2, { WRITE(0, 1, 0, 1), { LINEAR_READ, LINEAR_OK, 2, 3, 0, 1, 777 } } },
 	{ "built on a version that never was", 2, { WRITE(0, 1, 0, 1), WRITE(2, 3, 7, 8) } },
 	{ "the version went back", 2, { WRITE(0, 1, 0, 5), WRITE(2, 3, 5, 4) } },
-	{ "two reads that see two writes in unlike order", 6,
-	  { WRITE(0, 20, LINEAR_ANY, 1), WRITE(0, 20, LINEAR_ANY, 2), READ(1, 2, 2), READ(3, 4, 1), READ(5, 6, 2), READ(7, 8, 1) } },
+	{ "two reads that see two writes in unlike order",
+	  6,
+	  { WRITE(0, 20, LINEAR_ANY, 1), WRITE(0, 20, LINEAR_ANY, 2), READ(1, 2, 2), READ(3, 4, 1), READ(5, 6, 2),
+	    READ(7, 8, 1) } },
 };
 
 static void known_histories_are_judged_right(void **state)
@@ -73,7 +98,9 @@
 
 /* ---- every order ---- */
 
-struct plain_register { uint64_t version, value; };
+struct plain_register {
+	uint64_t version, value;
+};
 
 static int plain_step(const struct linear_op *op, struct plain_register *r)
 {
@@ -101,7 +128,8 @@
 			continue;
 		open |= ops[i].outcome != LINEAR_UNKNOWN;
 		for (size_t k = 0; k < n; k++) /* another had its answer before this one was requested */
-			too_late |= k != i && !(used & 1u << k) && ops[k].outcome != LINEAR_UNKNOWN && ops[k].returned < ops[i].called;
+			too_late |=
+			    k != i && !(used & 1u << k) && ops[k].outcome != LINEAR_UNKNOWN && ops[k].returned < ops[i].called;
 		if (!too_late && plain_step(&ops[i], &after) && plain_search(ops, n, used | 1u << i, after))
 			return 1;
 	}
@@ -166,14 +194,17 @@
 
 	for (int64_t t = 0; n + AT_ONCE + 1 <= LONG; t += 100) {
 		for (int i = 0; i < AT_ONCE; i++) {
-			struct linear_op op = { LINEAR_WRITE, LINEAR_REFUSED, t + i, t + 90 - i, version, version + 1 + (uint64_t)i, (uint64_t)(t + i + 1) };
+			struct linear_op op = { LINEAR_WRITE,         LINEAR_REFUSED, t + i,
+						t + 90 - i,           version,        version + 1 + (uint64_t)i,
+						(uint64_t)(t + i + 1) };
 
 			if (i == (int)(t / 100 % AT_ONCE))
 				op.outcome = t / 100 % 10 ? LINEAR_OK : LINEAR_UNKNOWN;
 			ops[n++] = op;
 		}
 		version += 1 + (uint64_t)(t / 100 % AT_ONCE);
-		ops[n++] = (struct linear_op){ LINEAR_READ, LINEAR_OK, t + 95, t + 99, 0, version, (uint64_t)(t + t / 100 % AT_ONCE + 1) };
+		ops[n++] =
+		    (struct linear_op){ LINEAR_READ, LINEAR_OK, t + 95, t + 99, 0, version, (uint64_t)(t + t / 100 % AT_ONCE + 1) };
 	}
 	return n;
 }
