Connections: a freeze may lie in the look before a request; two guards more are seen

The sanitizers found a null pointer handed to memcpy in net_sim (mended). The guard of the look by the clock was not seen at first: freezes now also fall between the look and the request, and a test of its own brings that about.

--- a/tests/net_sim.c
+++ b/tests/net_sim.c
@@ -48,6 +48,7 @@
 static struct {
 	uint64_t rng, serial;
 	int64_t now, freeze, called;
+	int freeze_peek;
 	struct net_sim_hooks hooks;
 	struct sim_conn **fds; /* stb_ds: by descriptor; NULL: free */
 	struct sim_conn **all; /* stb_ds */
@@ -85,7 +86,11 @@
 
 int64_t net_sim_now(void) { return net.now; }
 void net_sim_advance(int64_t ms) { net.now += ms; }
-void net_sim_freeze(int64_t ms) { net.freeze = ms; }
+void net_sim_freeze(int64_t ms, int peek)
+{
+	net.freeze = ms;
+	net.freeze_peek = peek;
+}
 
 static struct sim_conn *conn_new(void)
 {
@@ -155,9 +160,10 @@
 	size_t n = (size_t)arrlen(c->out);
 
 	n = n < cap ? n : cap;
+	if (!n)
+		return 0;
 	memcpy(to, c->out, n);
-	if (n)
-		arrdeln(c->out, 0, n);
+	arrdeln(c->out, 0, n);
 	return n;
 }
 
@@ -188,9 +194,11 @@
 	return FIRST_FD + (int)arrlen(net.fds) - 1;
 }
 
-static void maybe_freeze(void)
+static void maybe_freeze(int peek)
 {
 	net.called = net.now;
+	if (net.freeze_peek && !peek)
+		return;
 	net.now += net.freeze;
 	net.freeze = 0;
 }
@@ -344,7 +352,7 @@
 	size_t k = room(c);
 
 	(void)flags;
-	maybe_freeze();
+	maybe_freeze(0);
 	if (arrived(c, SEGMENT_RESET)) {
 		errno = c->error_told++ ? EPIPE : ECONNRESET;
 		return -1;
@@ -381,7 +389,7 @@
 	struct segment *s;
 	size_t got = 0, k;
 
-	maybe_freeze();
+	maybe_freeze((flags & MSG_PEEK) != 0);
 	while (got < n && (s = next_segment(c)) && s->kind == SEGMENT_DATA) {
 		k = s->n - s->off < n - got ? s->n - s->off : n - got;
 		memcpy((char *)d + got, s->d + s->off, k);
--- a/tests/net_sim.h
+++ b/tests/net_sim.h
@@ -31,8 +31,9 @@
 int64_t net_sim_now(void);
 void net_sim_advance(int64_t ms);
 
-/* In the next system call that is not a wait, jump by so many ms: the process was frozen there. */
-void net_sim_freeze(int64_t ms);
+/* In the next send or recv, jump by so many ms: the process was frozen there. peek: in the next look at a connection's bytes,
+ * which comes just before a request leaves. */
+void net_sim_freeze(int64_t ms, int peek);
 
 /* A client connects to the product's port; NULL when nobody listens. */
 struct sim_conn *net_sim_dial(int port);
--- a/tests/test_connections.c
+++ b/tests/test_connections.c
@@ -476,7 +476,8 @@
 		s->keep_ms = 1000 * (1 + (int)dice(3));
 		snprintf(extra, sizeof extra, "%sKeep-Alive: timeout=%d\r\n", type, s->keep_ms / 1000);
 		at = say_answer(s, whole_answer(200, id, run, body, n, FRAME_LENGTH, extra), SIZE_MAX, at);
-		end_or_reset(s, at + (int64_t)dice(700));
+		if (dice(2)) /* and does not wait for so long; else it stays open for longer */
+			end_or_reset(s, at + (int64_t)dice(700));
 		break;
 	case ACT_CLOSES:
 		snprintf(extra, sizeof extra, "%sConnection: close\r\n", type);
@@ -1227,7 +1228,7 @@
 		if (ask && !dice(600)) {
 			int64_t frozen = (int64_t)dice(3500);
 
-			net_sim_freeze(frozen);
+			net_sim_freeze(frozen, (int)dice(2));
 			w.frozen_ms += frozen;
 			sum.frozen++;
 		}
@@ -1314,7 +1315,7 @@
 }
 
 /* One client asks on a route, and the servers that it meets do as the script says. Returns its request's number. */
-static int ask_scripted(enum route route, const enum act *acts, int n)
+static int ask_scripted(enum route route, const enum act *acts, int n, int64_t ms)
 {
 	struct client *k = &w.clients[0];
 	int no = request_new(0);
@@ -1331,7 +1332,7 @@
 	net_sim_say(k->c, b, (size_t)arrlen(b), 0);
 	arrfree(b);
 	arrput(k->waiting, no);
-	play(DRAIN_MS, 0);
+	play(ms, 0);
 	return no;
 }
 
@@ -1348,7 +1349,7 @@
 			if (routes[route].repeatable || routes[route].resumable)
 				continue;
 			quiet_world(seed);
-			no = ask_scripted((enum route)route, acts, 1);
+			no = ask_scripted((enum route)route, acts, 1, DRAIN_MS);
 			assert_int_equal(arrlen(w.requests[no].wires), 1);
 			assert_int_equal(w.requests[no].promised, 0);
 			quiet_end(seed);
@@ -1365,7 +1366,7 @@
 		int no;
 
 		quiet_world(seed);
-		no = ask_scripted(ROUTE_ONCE, acts, 2);
+		no = ask_scripted(ROUTE_ONCE, acts, 2, DRAIN_MS);
 		assert_int_equal(arrlen(w.requests[no].wires), 2);
 		assert_int_equal(w.requests[no].runs, 1);
 		assert_int_equal(w.requests[no].told, 1);
@@ -1382,11 +1383,30 @@
 	for (uint64_t seed = 1; seed <= 60; seed++)
 		for (int i = 0; i < 2; i++) {
 			quiet_world(seed);
-			ask_scripted(ROUTE_RESUMABLE, acts[i], 2);
+			ask_scripted(ROUTE_RESUMABLE, acts[i], 2, DRAIN_MS);
 			quiet_end(seed);
 		}
 }
 
+/* The process freezes between its look at a kept connection and the request that would go out on it, for longer than its server
+ * keeps it. */
+static void a_connection_ages_in_a_freeze(void **st)
+{
+	static const enum act acts[] = { ACT_SHORT_KEEP };
+
+	(void)st;
+	for (uint64_t seed = 1; seed <= 200; seed++) {
+		quiet_world(seed);
+		ask_scripted(ROUTE_ONCE, acts, 1, 300);
+		if (!arrlen(w.clients[0].waiting)) {
+			net_sim_freeze(1200, 1);
+			w.frozen_ms = 1200;
+			ask_scripted(ROUTE_ONCE, acts, 1, 2000);
+		}
+		quiet_end(seed);
+	}
+}
+
 /* The readiness door follows the configuration: ready while it is certain to be in force, not while its owner is silent. */
 static int readiness(void)
 {
@@ -1432,7 +1452,7 @@
 	quiet_world(1);
 	w.owner_silent_until = net_sim_now() + 60000;
 	play(ctr_ride(&w.ctr) + 200, 0);
-	no = ask_scripted(ROUTE_ONCE, NULL, 0);
+	no = ask_scripted(ROUTE_ONCE, NULL, 0, DRAIN_MS);
 	assert_int_equal(arrlen(w.requests[no].wires), 0);
 	assert_int_equal(w.requests[no].told, 1);
 	assert_int_equal(w.requests[no].promised, 1);
@@ -1451,6 +1471,7 @@
 		cmocka_unit_test(a_refusal_of_another_request_is_no_promise),
 		cmocka_unit_test(a_refusal_of_this_request_is_a_promise),
 		cmocka_unit_test(only_events_are_taken_up),
+		cmocka_unit_test(a_connection_ages_in_a_freeze),
 		cmocka_unit_test(readiness_follows_the_configuration),
 		cmocka_unit_test(a_stale_door_promises_and_denies_nothing),
 		cmocka_unit_test(no_answer_goes_astray),
