A cold salt is of one send alone

Cause: a request that was sent by a router whose purge horizon stood still, broke and was sent again, had the same cold salt both times, so the second run could use what the first had left. Ruled out: the bound of the horizon (the router knew that it was not current).

--- a/lib/data/ctr_send.c
+++ b/lib/data/ctr_send.c
@@ -145,7 +145,7 @@
 	f->server = c->servers.name[pl->server];
 	f->tenant = x->tenant == b->keyless ? NULL : c->tenants.name[x->tenant];
 	f->shelf = current ? ctr_shelf(c, x, v->weights, o->p)
-			   : apr_psprintf(o->p, "cold-%" APR_UINT64_T_HEX_FMT "-%" APR_UINT64_T_FMT, c->id, x->seq);
+			   : apr_psprintf(o->p, "cold-%" APR_UINT64_T_HEX_FMT "-%" APR_UINT64_T_FMT, c->id, x->call);
 	x->shelf = current ? core_hashs(0, f->shelf) : 0;
 	x->filed = ctr_filed(c, x);
 	f->sink = current ? ctr_sink(c, x, x->shelf, now) : 0;
