--- a/tests/test_connections.c
+++ b/tests/test_connections.c
@@ -29,8 +29,9 @@
 	READINESS_PORT = 8081,
 	TICK_MS = 25,
 	LOAD_MS = 4000,
-	DRAIN_MS = 9000,
-	OWNER = 1,               /* the address that the core's owner answers at */
+	DRAIN_MS = 13000,
+	OWNER = 1, /* the address that the core's owner answers at */
+	SEND_GRACE_MS = 200,
 	DEADLINE_SLACK_MS = 100, /* between a client's byte and the door's clock */
 	KEEP_UNTOLD_MS = 4300,   /* a connection whose server tells no time rests for less */
 	KEEP_MARGIN_MS = 300,
@@ -526,6 +527,9 @@
 	return a;
 }
 
+/* Until when a configuration that was certain when a request was decided on may still send it. */
+static int64_t ctr_fresh_until(void) { return w.ctr.f.fresh + ctr_ride(&w.ctr) + SEND_GRACE_MS; }
+
 /* A request's path is on a wire: from here on it may run. */
 static void note_wire(struct server_conn *s, const char *path, size_t n)
 {
@@ -551,6 +555,9 @@
 			if (q->wires[i].cleared_at > net_sim_now())
 				breach("request %d (%s) was sent a second time; the first may have run (act %d on connection %llu)",
 				       no, q->path, q->wires[i].act, (unsigned long long)q->wires[i].conn);
+	if (net_sim_called() > ctr_fresh_until())
+		breach("request %d (%s) was sent by a configuration that is %lld ms old", no, q->path,
+		       (long long)(net_sim_called() - w.ctr.f.fresh));
 	sum.wires++;
 	sum.again += arrlen(q->wires) > 0;
 	arrput(q->wires, wire);
@@ -719,7 +726,7 @@
 static void request_bytes(char **to, int no, int old)
 {
 	struct request *q = &w.requests[no];
-	int limit = 600 + (int)dice(2500);
+	int limit = 600 + (int)(dice(6) ? dice(2500) : dice(8000));
 
 	append_format(to, "POST %s HTTP/1.%d\r\nHost: h.example\r\n", q->path, !old);
 	for (int i = 0; i < q->more_fields; i++)
@@ -1226,14 +1233,14 @@
 
 		net_sim_advance((int64_t)dice(5));
 		if (ask && !dice(600)) {
-			int64_t frozen = (int64_t)dice(3500);
+			int64_t frozen = (int64_t)(dice(4) ? dice(3500) : dice(9000));
 
 			net_sim_freeze(frozen, (int)dice(2));
 			w.frozen_ms += frozen;
 			sum.frozen++;
 		}
 		if (ask && !dice(1500))
-			w.owner_silent_until = net_sim_now() + (int64_t)dice(3500);
+			w.owner_silent_until = net_sim_now() + (int64_t)dice(6000);
 		for (int i = 0; i < CLIENTS; i++)
 			client_turn(&w.clients[i], ask && w.ctr.book);
 		platform_edge.wait(&w.edge, 0);
