Model checker of the replicated log: all orders to a bound, random paths, minimal failing paths

It drives the real step functions of lib/core/raft with three and four replicas, their disks and the messages between them. Each replica has a heap of its own in one block, so that states are saved, restored and hashed without the checker knowing what the structures hold; times are hashed relative to now. Invariants: see enum explore_invariant.

--- /dev/null
+++ b/tests/explore.c
@@ -0,0 +1,651 @@
+#include "explore.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "ds.h"
+#include "explore_check.h"
+
+enum { FIRST_ADDR = 100, OPERATION_BYTES = 4, RESERVED_COMMANDS = 64, MAX_BLOBS = 1 << 22, MAX_BYTES = 1 << 16 };
+
+/* Every random number of the replicated log is 0: the order of ticks, which is chosen, decides who is first. Only the number
+ * of a life has to differ, and leaves no rest against the spans that it is cut to. */
+enum { RANDOM_SPAN = 2100 };
+
+struct explore_world explore_world;
+enum explore_invariant explore_breach;
+char explore_breach_text[256];
+
+static struct explore_heap heaps[EXPLORE_NODES];
+static struct raft *rafts[EXPLORE_NODES];
+static struct out out;
+static uint64_t next_random;
+
+struct explore_saved {
+	struct explore_world world;
+	struct raft *rafts[EXPLORE_NODES];
+	struct explore_heap heaps[EXPLORE_NODES];
+};
+
+uint64_t __wrap_core_rand(uint64_t *state);
+
+uint64_t __wrap_core_rand(uint64_t *state)
+{
+	(void)state;
+	return next_random;
+}
+
+struct raft *explore_raft(int node) { return rafts[node]; }
+
+/* ---- interned byte strings ---------------------------------------------- */
+
+struct blob {
+	size_t n;
+	uint64_t hash;
+	uint8_t *d;
+};
+
+static struct blob *blobs;   /* stb_ds */
+static uint32_t *blob_slots; /* number of the blob plus one */
+
+uint32_t explore_intern(const void *d, size_t n)
+{
+	uint64_t hash = XXH3_64bits(d, n);
+	size_t slot = hash % (2 * MAX_BLOBS);
+	struct blob blob = { n, hash, NULL };
+
+	if (!blob_slots) {
+		blob_slots = calloc(2 * MAX_BLOBS, sizeof *blob_slots);
+		if (!blob_slots)
+			abort();
+	}
+	for (; blob_slots[slot]; slot = (slot + 1) % (2 * MAX_BLOBS)) {
+		const struct blob *other = &blobs[blob_slots[slot] - 1];
+
+		if (other->hash == hash && other->n == n && !memcmp(other->d, d, n))
+			return blob_slots[slot] - 1;
+	}
+	if (arrlen(blobs) == MAX_BLOBS) {
+		fprintf(stderr, "explore: too many messages and writes that differ\n");
+		abort();
+	}
+	blob.d = malloc(n + 1);
+	if (!blob.d)
+		abort();
+	if (n)
+		memcpy(blob.d, d, n);
+	arrput(blobs, blob);
+	blob_slots[slot] = (uint32_t)arrlen(blobs);
+	return blob_slots[slot] - 1;
+}
+
+const uint8_t *explore_blob(uint32_t blob, size_t *n)
+{
+	*n = blobs[blob].n;
+	return blobs[blob].d;
+}
+
+/* ---- the disk ------------------------------------------------------------- */
+
+struct disk_write {
+	uint64_t seq, term, vote, cut, base, base_term, drop, first;
+	uint32_t snapshot, members, data, n;
+	struct explore_disk_entry e[EXPLORE_ENTRIES];
+};
+
+static void queue_write(struct explore_replica *replica, const struct persist *persist)
+{
+	struct disk_write write;
+
+	if (replica->n_writes == EXPLORE_WRITES) {
+		fprintf(stderr, "explore: too many writes wait for the disk\n");
+		abort();
+	}
+	memset(&write, 0, sizeof write);
+	write.seq = persist->seq;
+	write.term = persist->term;
+	write.vote = persist->vote;
+	write.cut = persist->cut;
+	if (persist->snap) {
+		write.snapshot = 1;
+		write.base = persist->base;
+		write.base_term = persist->base_term;
+		write.drop = persist->drop;
+		write.members = explore_intern(persist->members, persist->members_len);
+		write.data = explore_intern(persist->data, persist->data_len);
+	}
+	write.n = (uint32_t)persist->n;
+	write.first = persist->n ? persist->e[0].index : 0;
+	for (uint32_t i = 0; i < write.n; i++)
+		write.e[i] = (struct explore_disk_entry){ persist->e[i].term, persist->e[i].kind,
+							  explore_intern(persist->e[i].data, persist->e[i].len) };
+	replica->writes[replica->n_writes++] = explore_intern(&write, offsetof(struct disk_write, e) + write.n * sizeof *write.e);
+}
+
+static void disk_cut(struct explore_disk *disk, uint64_t from)
+{
+	while (disk->n && disk->first + disk->n - 1 >= from)
+		memset(&disk->e[--disk->n], 0, sizeof *disk->e);
+}
+
+static void disk_drop(struct explore_disk *disk, uint64_t up_to)
+{
+	uint32_t gone = 0;
+
+	while (gone < disk->n && disk->first + gone <= up_to)
+		gone++;
+	disk->n -= gone;
+	memmove(disk->e, disk->e + gone, disk->n * sizeof *disk->e);
+	memset(disk->e + disk->n, 0, gone * sizeof *disk->e);
+	disk->first += gone;
+	if (!disk->n)
+		disk->first = up_to + 1;
+}
+
+/* The oldest write reaches the disk; its number. */
+static uint64_t disk_write_one(int node)
+{
+	struct explore_replica *replica = &explore_world.replica[node];
+	struct explore_disk *disk = &replica->disk;
+	size_t n;
+	const struct disk_write *write = (const struct disk_write *)(const void *)explore_blob(replica->writes[0], &n);
+
+	memmove(replica->writes, replica->writes + 1, --replica->n_writes * sizeof *replica->writes);
+	replica->writes[replica->n_writes] = 0;
+	disk->term = write->term;
+	disk->vote = write->vote;
+	if (write->cut)
+		disk_cut(disk, write->cut);
+	if (write->snapshot) {
+		disk->members = write->members;
+		disk->data = write->data;
+		disk->base = write->base;
+		disk->base_term = write->base_term;
+		disk_drop(disk, write->drop);
+	}
+	for (uint32_t i = 0; i < write->n; i++) {
+		disk_cut(disk, write->first + i);
+		if (!disk->n)
+			disk->first = write->first + i;
+		disk->e[disk->n++] = write->e[i];
+	}
+	check_disk(node);
+	return write->seq;
+}
+
+/* ---- messages ------------------------------------------------------------- */
+
+int explore_node_at(uint64_t addr)
+{
+	return addr >= FIRST_ADDR && addr < FIRST_ADDR + (uint64_t)explore_world.nodes ? (int)(addr - FIRST_ADDR) : -1;
+}
+
+static void remove_message(uint32_t at)
+{
+	struct explore_world *world = &explore_world;
+
+	memmove(world->messages + at, world->messages + at + 1, (--world->n_messages - at) * sizeof *world->messages);
+	memset(&world->messages[world->n_messages], 0, sizeof *world->messages);
+}
+
+/* The same message twice in flight is one: a second delivery is a duplicate. */
+static void send_message(int node, const struct cmd *cmd)
+{
+	struct explore_world *world = &explore_world;
+	static uint8_t bytes[MAX_BYTES];
+	struct explore_message message = { 0, (uint8_t)node, 0, 0 };
+	int to = explore_node_at(cmd->u.send.addr);
+
+	check_message(node, cmd);
+	if (to < 0 || to == node || nl__msg__get_packed_size(cmd->u.send.msg) > MAX_BYTES)
+		return;
+	message.to = (uint8_t)to;
+	message.blob = explore_intern(bytes, nl__msg__pack(cmd->u.send.msg, bytes));
+	for (uint32_t i = 0; i < world->n_messages; i++)
+		if (!memcmp(&world->messages[i], &message, sizeof message))
+			return;
+	if (world->n_messages == EXPLORE_IN_FLIGHT)
+		remove_message(0); /* the oldest is lost */
+	world->messages[world->n_messages++] = message;
+}
+
+static int find_message(const struct choice *choice)
+{
+	uint32_t nth = 0;
+
+	for (uint32_t i = 0; i < explore_world.n_messages; i++)
+		if (explore_world.messages[i].to == choice->node && explore_world.messages[i].from == choice->from &&
+		    nth++ == choice->arg)
+			return (int)i;
+	return -1;
+}
+
+/* ---- steps ------------------------------------------------------------------ */
+
+static void rehash(int node)
+{
+	struct explore_replica *replica = &explore_world.replica[node];
+	uint64_t raft = rafts[node] ? explore_heap_hash(&heaps[node], rafts[node], explore_world.now) : 0;
+
+	replica->hash = 0;
+	replica->hash = XXH3_64bits_withSeed(replica, sizeof *replica, raft);
+}
+
+static struct out *step_begin(int node)
+{
+	if (!out.p) {
+		apr_initialize();
+		apr_pool_create(&out.p, NULL);
+		arrsetcap(out.v, RESERVED_COMMANDS);
+	}
+	out.id = explore_world.replica[node].identity;
+	out.addr = FIRST_ADDR + (uint64_t)node;
+	out.fleet = 1;
+	explore_heap_select(&heaps[node]);
+	return &out;
+}
+
+static void load_machine(int node)
+{
+	struct explore_machine *machine = &explore_world.replica[node].machine;
+	struct raft *raft = rafts[node];
+
+	memset(machine, 0, sizeof *machine);
+	machine->applied = raft->snapshot_index;
+	machine->n = (uint32_t)(raft->snapshot_len / OPERATION_BYTES);
+	if (raft->snapshot_len)
+		memcpy(machine->op, raft->snap, raft->snapshot_len);
+	raft->snapshot_to_load = 0;
+	check_loaded(node);
+}
+
+static void apply_committed(int node)
+{
+	struct explore_machine *machine = &explore_world.replica[node].machine;
+	const struct raft_entry *entry;
+	uint64_t index;
+
+	while ((entry = raft_next_committed(rafts[node], &index))) {
+		machine->applied = index;
+		memcpy(&machine->op[machine->n++], entry->data, OPERATION_BYTES);
+		check_applied(node, index, entry);
+	}
+	machine->applied = rafts[node]->applied;
+}
+
+static void step_end(int node)
+{
+	struct raft *raft = rafts[node];
+
+	if (raft->snapshot_to_load)
+		load_machine(node);
+	apply_committed(node);
+	raft_flush(raft, explore_world.now, &out);
+	explore_heap_select(NULL);
+	for (ptrdiff_t i = 0; i < arrlen(out.v); i++) {
+		if (out.v[i].kind == CMD_PERSIST)
+			queue_write(&explore_world.replica[node], out.v[i].u.persist);
+		else if (out.v[i].kind == CMD_SEND)
+			send_message(node, &out.v[i]);
+	}
+	out_clear(&out);
+	check_replica(node);
+	check_leases();
+	rehash(node);
+}
+
+static void deliver(int node, uint32_t blob)
+{
+	struct out *o = step_begin(node);
+	size_t n;
+	const uint8_t *bytes = explore_blob(blob, &n);
+	struct Nl__Msg *message = (struct Nl__Msg *)core_unpack(o->p, &nl__msg__descriptor, n, bytes);
+
+	raft_receive(rafts[node], message, explore_world.now, o);
+	step_end(node);
+}
+
+static struct raft_entry *saved_entries(const struct explore_disk *disk)
+{
+	static struct raft_entry entries[EXPLORE_ENTRIES];
+
+	for (uint32_t i = 0; i < disk->n; i++) {
+		size_t n;
+		const uint8_t *d = explore_blob(disk->e[i].blob, &n);
+
+		entries[i] = (struct raft_entry){ disk->e[i].term, disk->e[i].kind, n, (uint8_t *)(uintptr_t)d };
+	}
+	return entries;
+}
+
+static void open_replica(int node)
+{
+	struct explore_replica *replica = &explore_world.replica[node];
+	const struct explore_disk *disk = &replica->disk;
+	struct raft_saved saved = { .term = disk->term, .vote = disk->vote, .base = disk->base, .base_term = disk->base_term };
+
+	if (disk->base) {
+		saved.members = explore_blob(disk->members, &saved.members_len);
+		saved.data = explore_blob(disk->data, &saved.data_len);
+	}
+	saved.log_from = disk->first;
+	saved.e = saved_entries(disk);
+	saved.n = disk->n;
+	replica->up = 1;
+	replica->commit = replica->leads = 0;
+	memset(&replica->machine, 0, sizeof replica->machine);
+	explore_heap_reset(&heaps[node]);
+	(void)step_begin(node);
+	rafts[node] = malloc(sizeof *rafts[node]);
+	next_random = (uint64_t)RANDOM_SPAN * (1000u * replica->identity + ++replica->lives) << 20;
+	raft_open(rafts[node], 0, replica->identity, 1, disk->term ? &saved : NULL, explore_world.now);
+	rafts[node]->member_lost_ms = EXPLORE_LOST_MS;
+	next_random = 0;
+	step_end(node);
+}
+
+void explore_open_all(void)
+{
+	for (int i = 0; i < EXPLORE_NODES; i++) {
+		explore_heap_reset(&heaps[i]);
+		rafts[i] = NULL;
+	}
+	for (int i = 0; i < explore_world.nodes; i++)
+		open_replica(i);
+}
+
+void explore_bootstrap(int voters)
+{
+	struct raft_member members[EXPLORE_NODES];
+
+	memset(members, 0, sizeof members);
+	for (int i = 0; i < voters; i++) {
+		members[i].id = explore_world.replica[i].identity;
+		members[i].addr = FIRST_ADDR + (uint64_t)i;
+		members[i].voter = 1;
+	}
+	for (int i = 0; i < voters; i++) {
+		raft_bootstrap(rafts[i], members, voters, explore_world.now, step_begin(i));
+		step_end(i);
+	}
+}
+
+static void crash(int node, int written)
+{
+	struct explore_replica *replica = &explore_world.replica[node];
+
+	for (int i = 0; i < written; i++)
+		(void)disk_write_one(node);
+	replica->n_writes = 0;
+	memset(replica->writes, 0, sizeof replica->writes);
+	memset(&replica->machine, 0, sizeof replica->machine);
+	replica->up = 0;
+	explore_heap_reset(&heaps[node]);
+	rafts[node] = NULL;
+	rehash(node);
+}
+
+static void wipe(int node)
+{
+	struct explore_replica *replica = &explore_world.replica[node];
+
+	memset(&replica->disk, 0, sizeof replica->disk);
+	replica->identity = ++explore_world.identities;
+	explore_world.wipes++;
+	open_replica(node);
+}
+
+static void propose(int node)
+{
+	uint32_t operation = ++explore_world.operations;
+
+	(void)step_begin(node);
+	(void)raft_propose(rafts[node], (const uint8_t *)&operation, OPERATION_BYTES, explore_world.now);
+	step_end(node);
+}
+
+static void compact(int node)
+{
+	const struct explore_machine *machine = &explore_world.replica[node].machine;
+
+	(void)step_begin(node);
+	rafts[node]->drop_tail = 1;
+	raft_snapshot(rafts[node], (const uint8_t *)machine->op, machine->n * OPERATION_BYTES);
+	step_end(node);
+}
+
+static void reconfigure(int node, int only_up)
+{
+	struct raft_member live[EXPLORE_NODES];
+	int n = 0;
+
+	memset(live, 0, sizeof live);
+	for (int i = 0; i < explore_world.nodes; i++) {
+		if (only_up && !explore_world.replica[i].up)
+			continue;
+		live[n].id = explore_world.replica[i].identity;
+		live[n++].addr = FIRST_ADDR + (uint64_t)i;
+	}
+	(void)step_begin(node);
+	raft_reconfigure(rafts[node], live, n, explore_world.now);
+	step_end(node);
+}
+
+static void wait_ms(int ms)
+{
+	explore_world.now += ms;
+	for (int i = 0; i < explore_world.nodes; i++)
+		rehash(i);
+	check_leases();
+}
+
+static int possible(const struct choice *choice)
+{
+	const struct explore_replica *replica = &explore_world.replica[choice->node];
+
+	if (choice->kind == CHOICE_WAIT)
+		return 1;
+	if (choice->node >= explore_world.nodes)
+		return 0;
+	switch (choice->kind) {
+	case CHOICE_DROP: return find_message(choice) >= 0;
+	case CHOICE_RESTART: return !replica->up;
+	case CHOICE_WIPE: return !replica->up && explore_world.identities + 1 < EXPLORE_IDENTITIES;
+	default: break;
+	}
+	if (!replica->up)
+		return 0;
+	switch (choice->kind) {
+	case CHOICE_DELIVER:
+	case CHOICE_DUPLICATE: return find_message(choice) >= 0;
+	case CHOICE_SYNC: return replica->n_writes > 0;
+	case CHOICE_CRASH: return choice->arg <= replica->n_writes;
+	case CHOICE_COMPACT: return rafts[choice->node]->applied > rafts[choice->node]->snapshot_index;
+	case CHOICE_PROPOSE:
+	case CHOICE_RECONFIGURE:
+	case CHOICE_STEP_DOWN: return rafts[choice->node]->role == RAFT_LEADER;
+	default: return 1;
+	}
+}
+
+static void perform(const struct choice *choice)
+{
+	int node = choice->node, at;
+	uint32_t blob;
+
+	switch (choice->kind) {
+	case CHOICE_DELIVER:
+	case CHOICE_DUPLICATE:
+	case CHOICE_DROP:
+		at = find_message(choice);
+		blob = explore_world.messages[at].blob;
+		if (choice->kind != CHOICE_DUPLICATE)
+			remove_message((uint32_t)at);
+		if (choice->kind != CHOICE_DROP)
+			deliver(node, blob);
+		break;
+	case CHOICE_SYNC: {
+		uint64_t seq = disk_write_one(node);
+
+		raft_synced(rafts[node], seq, explore_world.now, step_begin(node));
+		step_end(node);
+		break;
+	}
+	case CHOICE_TICK:
+		raft_tick(rafts[node], explore_world.now, step_begin(node));
+		step_end(node);
+		break;
+	case CHOICE_WAIT: wait_ms(choice->arg); break;
+	case CHOICE_PROPOSE: propose(node); break;
+	case CHOICE_CRASH: crash(node, choice->arg); break;
+	case CHOICE_RESTART: open_replica(node); break;
+	case CHOICE_WIPE: wipe(node); break;
+	case CHOICE_COMPACT: compact(node); break;
+	case CHOICE_RECONFIGURE: reconfigure(node, choice->arg); break;
+	case CHOICE_STEP_DOWN:
+		raft_step_down(rafts[node], explore_world.now, step_begin(node));
+		step_end(node);
+		break;
+	default: break;
+	}
+}
+
+/* What only happens now and then, other than messages, writes and time. */
+static int is_rare(int kind)
+{
+	switch (kind) {
+	case CHOICE_DUPLICATE:
+	case CHOICE_PROPOSE:
+	case CHOICE_CRASH:
+	case CHOICE_WIPE:
+	case CHOICE_COMPACT:
+	case CHOICE_RECONFIGURE:
+	case CHOICE_STEP_DOWN: return 1;
+	default: return 0;
+	}
+}
+
+int explore_do(struct choice choice)
+{
+	if (choice.kind >= CHOICE_KINDS || !possible(&choice))
+		return 0;
+	perform(&choice);
+	if (explore_world.budget[choice.kind] && explore_world.budget[choice.kind] != EXPLORE_FREELY)
+		explore_world.budget[choice.kind]--;
+	if (explore_world.rare && is_rare(choice.kind))
+		explore_world.rare--;
+	return 1;
+}
+
+/* ---- enumeration ------------------------------------------------------------- */
+
+/* The spans that decide: a heartbeat, a lease without its margin, a vote barrier. */
+static const uint16_t waits[] = { RAFT_HEARTBEAT_MS, RAFT_LEASE_MS - RAFT_LEASE_MARGIN_MS, RAFT_ELECTION_MS };
+
+struct choice_list {
+	struct choice *v;
+	size_t n, limit;
+};
+
+static void add(struct choice_list *list, int kind, int node, int from, int arg)
+{
+	struct choice choice = { (uint8_t)kind, (uint8_t)node, (uint8_t)from, (uint16_t)arg };
+
+	if (is_rare(kind) && !explore_world.rare)
+		return;
+	if (list->n < list->limit && explore_world.budget[kind] && possible(&choice))
+		list->v[list->n++] = choice;
+}
+
+static void add_deliveries(struct choice_list *list)
+{
+	for (int to = 0; to < explore_world.nodes; to++)
+		for (int from = 0; from < explore_world.nodes; from++)
+			for (int nth = 0; find_message(&(struct choice){ 0, (uint8_t)to, (uint8_t)from, (uint16_t)nth }) >= 0;
+			     nth++) {
+				add(list, CHOICE_DELIVER, to, from, nth);
+				add(list, CHOICE_DUPLICATE, to, from, nth);
+			}
+}
+
+size_t explore_choices(struct choice *v, size_t limit)
+{
+	struct choice_list list = { v, 0, limit };
+
+	if (explore_exhausted())
+		return 0;
+	add_deliveries(&list);
+	for (int node = 0; node < explore_world.nodes; node++) {
+		for (int kind = CHOICE_SYNC; kind < CHOICE_KINDS; kind++)
+			if (kind != CHOICE_WAIT)
+				add(&list, kind, node, 0, 0);
+		if (explore_world.replica[node].n_writes)
+			add(&list, CHOICE_CRASH, node, 0, explore_world.replica[node].n_writes);
+		add(&list, CHOICE_RECONFIGURE, node, 0, 1);
+	}
+	for (size_t i = 0; i < sizeof waits / sizeof *waits; i++)
+		add(&list, CHOICE_WAIT, 0, 0, waits[i]);
+	return list.n;
+}
+
+int explore_exhausted(void)
+{
+	for (int i = 0; i < explore_world.nodes; i++) {
+		const struct raft *raft = rafts[i];
+
+		if (raft && (raft->term + 4 >= EXPLORE_TERMS || raft->base + (uint64_t)arrlen(raft->log) + 4 >= EXPLORE_ENTRIES))
+			return 1;
+		if (explore_world.replica[i].n_writes + 2 >= EXPLORE_WRITES || explore_world.replica[i].lives > 200)
+			return 1;
+	}
+	return 0;
+}
+
+uint64_t explore_hash(void)
+{
+	struct explore_world *world = &explore_world;
+	uint64_t sum = XXH3_64bits(&world->history, sizeof world->history) ^
+		       XXH3_64bits_withSeed(world->budget, sizeof world->budget, world->operations * 256u + world->rare);
+
+	for (uint32_t i = 0; i < world->n_messages; i++)
+		sum += XXH3_64bits(&world->messages[i], sizeof *world->messages);
+	for (int i = 0; i < world->nodes; i++)
+		sum = (sum ^ world->replica[i].hash) * 0x9e3779b97f4a7c15ull;
+	return sum;
+}
+
+struct explore_saved *explore_saved_new(void)
+{
+	struct explore_saved *saved = malloc(sizeof *saved);
+
+	if (!saved)
+		abort();
+	return saved;
+}
+
+void explore_save(struct explore_saved *saved)
+{
+	saved->world = explore_world;
+	memcpy(saved->rafts, rafts, sizeof rafts);
+	for (int i = 0; i < explore_world.nodes; i++)
+		explore_heap_copy(&saved->heaps[i], &heaps[i]);
+}
+
+void explore_restore(const struct explore_saved *saved)
+{
+	explore_world = saved->world;
+	memcpy(rafts, saved->rafts, sizeof rafts);
+	for (int i = 0; i < explore_world.nodes; i++)
+		explore_heap_copy(&heaps[i], &saved->heaps[i]);
+}
+
+enum explore_invariant explore_replay(enum explore_scene scene, const struct choice *path, size_t n)
+{
+	explore_begin(scene);
+	for (size_t i = 0; i < n && !explore_breach && !explore_exhausted(); i++)
+		(void)explore_do(path[i]);
+	return explore_breach;
+}
--- /dev/null
+++ b/tests/explore_check.c
@@ -0,0 +1,382 @@
+#include "explore_check.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+#include "ds.h"
+
+void check_fail(enum explore_invariant invariant, const char *format, ...)
+{
+	va_list args;
+
+	if (explore_breach)
+		return;
+	explore_breach = invariant;
+	va_start(args, format);
+	(void)vsnprintf(explore_breach_text, sizeof explore_breach_text, format, args);
+	va_end(args);
+}
+
+static uint64_t last_index(const struct raft *raft) { return raft->base + (uint64_t)arrlen(raft->log); }
+
+static const struct raft_entry *entry_at(const struct raft *raft, uint64_t index)
+{
+	return index > raft->base && index <= last_index(raft) ? &raft->log[index - raft->base - 1] : NULL;
+}
+
+static uint64_t disk_last(const struct explore_disk *disk) { return disk->n ? disk->first + disk->n - 1 : disk->base; }
+
+/* Whether a disk holds the entry that was committed at an index, in its log or its snapshot. */
+static int disk_holds(const struct explore_disk *disk, uint64_t index)
+{
+	if (index <= disk->base)
+		return 1;
+	return disk->n && index >= disk->first && index <= disk_last(disk) &&
+	       disk->e[index - disk->first].term == explore_world.history.committed[index].term;
+}
+
+static struct explore_replica *replica_of(uint64_t identity)
+{
+	for (int i = 0; i < explore_world.nodes; i++)
+		if (explore_world.replica[i].identity == identity)
+			return &explore_world.replica[i];
+	return NULL;
+}
+
+/* ---- votes and acknowledgements ------------------------------------------- */
+
+static void note_vote(uint64_t identity, uint64_t term, uint64_t vote)
+{
+	uint8_t *known = &explore_world.history.vote[identity][term];
+
+	if (!vote)
+		return;
+	if (*known && *known != vote)
+		check_fail(ONE_VOTE_A_TERM, "replica %d voted in term %d for %d and for %d", (int)identity, (int)term, *known,
+			   (int)vote);
+	*known = (uint8_t)vote;
+}
+
+static void check_voter_log(int node)
+{
+	const struct explore_history *history = &explore_world.history;
+	const struct explore_replica *replica = &explore_world.replica[node];
+
+	for (uint64_t i = 1; i <= history->commit; i++)
+		if (history->acknowledged[replica->identity][i] == history->committed[i].term && !disk_holds(&replica->disk, i))
+			check_fail(VOTER_KEEPS_WHAT_IT_ACKNOWLEDGED, "replica %d votes without entry %d, which it acknowledged",
+				   replica->identity, (int)i);
+}
+
+static void check_vote_reply(int node, const struct cmd *cmd)
+{
+	const struct Nl__VoteReply *reply = cmd->u.send.msg->vote_reply;
+	const struct explore_replica *replica = &explore_world.replica[node];
+	int candidate = explore_node_at(cmd->u.send.addr);
+
+	if (!reply->granted || reply->pre || candidate < 0)
+		return;
+	if (replica->disk.term < reply->term || (replica->disk.term == reply->term && !replica->disk.vote))
+		check_fail(VOTE_IS_ON_DISK, "replica %d grants term %d before its vote is on the disk", replica->identity,
+			   (int)reply->term);
+	check_voter_log(node);
+}
+
+static void check_append_reply(int node, const struct cmd *cmd)
+{
+	const struct Nl__AppendReply *reply = cmd->u.send.msg->append_reply;
+	struct explore_replica *replica = &explore_world.replica[node];
+	struct explore_disk *disk = &replica->disk;
+
+	if (!reply->ok)
+		return;
+	if (reply->match > disk_last(disk))
+		check_fail(ACKNOWLEDGED_IS_ON_DISK, "replica %d acknowledges %d, its disk has %d", replica->identity,
+			   (int)reply->match, (int)disk_last(disk));
+	for (uint64_t i = disk->first; disk->n && i <= reply->match && i <= disk_last(disk); i++)
+		explore_world.history.acknowledged[replica->identity][i] = (uint8_t)disk->e[i - disk->first].term;
+}
+
+void check_message(int node, const struct cmd *cmd)
+{
+	switch (cmd->u.send.msg->body_case) {
+	case NL__MSG__BODY_VOTE_REPLY: check_vote_reply(node, cmd); break;
+	case NL__MSG__BODY_APPEND_REPLY: check_append_reply(node, cmd); break;
+	default: break;
+	}
+}
+
+void check_disk(int node)
+{
+	const struct explore_replica *replica = &explore_world.replica[node];
+
+	note_vote(replica->identity, replica->disk.term, replica->disk.vote);
+}
+
+/* ---- the state machine ------------------------------------------------------ */
+
+static void check_machine(int node)
+{
+	const struct explore_history *history = &explore_world.history;
+	const struct explore_machine *machine = &explore_world.replica[node].machine;
+	uint32_t n = 0;
+
+	for (uint64_t i = 1; i <= machine->applied && i <= history->commit; i++) {
+		size_t bytes;
+
+		if (history->committed[i].kind != RAFT_ENTRY_OPERATION)
+			continue;
+		if (n >= machine->n ||
+		    memcmp(explore_blob(history->committed[i].blob, &bytes), &machine->op[n], sizeof *machine->op))
+			check_fail(APPLIED_IN_ORDER, "replica %d: operation %d differs from entry %d",
+				   explore_world.replica[node].identity, (int)n, (int)i);
+		n++;
+	}
+	if (n != machine->n)
+		check_fail(APPLIED_IN_ORDER, "replica %d applied %d operations up to %d, others %d",
+			   explore_world.replica[node].identity, (int)machine->n, (int)machine->applied, (int)n);
+}
+
+static void note_committed(int node);
+
+void check_applied(int node, uint64_t index, const struct raft_entry *entry)
+{
+	(void)entry;
+	note_committed(node);
+	if (index > explore_world.history.commit)
+		check_fail(APPLIED_IN_ORDER, "replica %d applied %d, which is not committed", explore_world.replica[node].identity,
+			   (int)index);
+}
+
+void check_loaded(int node)
+{
+	if (explore_world.replica[node].machine.applied > explore_world.history.commit)
+		check_fail(APPLIED_IN_ORDER, "replica %d: a snapshot of what is not committed",
+			   explore_world.replica[node].identity);
+}
+
+/* ---- the log ------------------------------------------------------------------ */
+
+static int is_committed_entry(const struct raft_entry *entry, uint64_t index)
+{
+	const struct explore_history *history = &explore_world.history;
+
+	return entry->term == history->committed[index].term && entry->kind == history->committed[index].kind &&
+	       explore_intern(entry->data, entry->len) == history->committed[index].blob;
+}
+
+static void check_copies(const struct raft *raft, uint64_t index)
+{
+	int voters = 0, copies = 0;
+
+	if (explore_world.wipes)
+		return;
+	for (int i = 0; i < raft->member_count; i++) {
+		const struct explore_replica *replica = replica_of(raft->members[i].id);
+
+		if (!raft->members[i].voter)
+			continue;
+		voters++;
+		copies += replica && disk_holds(&replica->disk, index);
+	}
+	if (copies <= voters / 2)
+		check_fail(COMMITTED_ON_A_MAJORITY, "entry %d is committed on %d of %d disks", (int)index, copies, voters);
+}
+
+static void note_committed(int node)
+{
+	struct explore_history *history = &explore_world.history;
+	const struct raft *raft = explore_raft(node);
+
+	for (uint64_t i = raft->base + 1; i <= raft->commit && i <= history->commit; i++)
+		if (!is_committed_entry(entry_at(raft, i), i))
+			check_fail(COMMITTED_STAYS, "replica %d has another entry %d than was committed",
+				   explore_world.replica[node].identity, (int)i);
+	while (history->commit < raft->commit) {
+		const struct raft_entry *entry = entry_at(raft, history->commit + 1);
+
+		if (!entry) {
+			check_fail(COMMITTED_STAYS, "replica %d commits %d, which it does not hold",
+				   explore_world.replica[node].identity, (int)history->commit + 1);
+			return;
+		}
+		history->commit++;
+		history->committed[history->commit].term = entry->term;
+		history->committed[history->commit].commit_term = raft->term;
+		history->committed[history->commit].kind = entry->kind;
+		history->committed[history->commit].blob = explore_intern(entry->data, entry->len);
+		if (raft->role == RAFT_LEADER)
+			check_copies(raft, history->commit);
+	}
+}
+
+/* Entries of one index and term are the same, and so is all before them. */
+static void check_logs(int node, int other)
+{
+	const struct raft *a = explore_raft(node), *b = explore_raft(other);
+	uint64_t from = a->base > b->base ? a->base : b->base;
+	uint64_t to = last_index(a) < last_index(b) ? last_index(a) : last_index(b);
+	int same = 0;
+
+	for (uint64_t i = to; i > from; i--) {
+		const struct raft_entry *x = entry_at(a, i), *y = entry_at(b, i);
+		int equal = x->term == y->term && x->kind == y->kind && x->len == y->len && !memcmp(x->data, y->data, x->len);
+
+		same |= x->term == y->term;
+		if (same && !equal)
+			check_fail(LOGS_MATCH, "replicas %d and %d differ at entry %d", explore_world.replica[node].identity,
+				   explore_world.replica[other].identity, (int)i);
+	}
+}
+
+/* A leader begins: votes of a majority of its members have reached their disks. */
+static void check_elected(int node)
+{
+	const struct raft *raft = explore_raft(node);
+	int voters = 0, votes = 0;
+
+	for (int i = 0; i < raft->member_count; i++) {
+		voters += raft->members[i].voter;
+		votes += raft->members[i].voter && explore_world.history.vote[raft->members[i].id][raft->term] == raft->id;
+	}
+	if (votes <= voters / 2)
+		check_fail(VOTE_IS_ON_DISK, "replica %d leads term %d with %d of %d votes on disks", (int)raft->id, (int)raft->term,
+			   votes, voters);
+}
+
+static void check_leader(int node)
+{
+	struct explore_history *history = &explore_world.history;
+	const struct explore_replica *replica = &explore_world.replica[node];
+	const struct raft *raft = explore_raft(node);
+
+	if (history->leader[raft->term] && history->leader[raft->term] != replica->identity)
+		check_fail(ONE_LEADER_A_TERM, "term %d has the leaders %d and %d", (int)raft->term, history->leader[raft->term],
+			   replica->identity);
+	if (!history->leader[raft->term])
+		check_elected(node);
+	history->leader[raft->term] = replica->identity;
+	for (uint64_t i = raft->base + 1; i <= history->commit; i++)
+		if (history->committed[i].commit_term < raft->term &&
+		    (i > last_index(raft) || !is_committed_entry(entry_at(raft, i), i)))
+			check_fail(LEADER_HAS_ALL_COMMITTED, "leader %d of term %d lacks entry %d", replica->identity,
+				   (int)raft->term, (int)i);
+}
+
+/* ---- membership ---------------------------------------------------------------- */
+
+struct voters {
+	int n;
+	uint64_t id[RAFT_MAX_MEMBERS];
+};
+
+static struct voters voters_unpack(const uint8_t *d, size_t n)
+{
+	struct Nl__Members *members = nl__members__unpack(NULL, n, d);
+	struct voters voters = { 0 };
+
+	for (size_t i = 0; members && i < members->n_m; i++)
+		if (members->m[i]->voter)
+			voters.id[voters.n++] = members->m[i]->id;
+	if (members)
+		nl__members__free_unpacked(members, NULL);
+	return voters;
+}
+
+/* How many stand in one set and not in the other. */
+static int voters_differ(const struct voters *a, const struct voters *b)
+{
+	int common = 0;
+
+	for (int i = 0; i < a->n; i++)
+		for (int k = 0; k < b->n; k++)
+			common += a->id[i] == b->id[k];
+	return a->n + b->n - 2 * common;
+}
+
+static void check_changes(int node)
+{
+	const struct raft *raft = explore_raft(node);
+	int uncommitted = 0, known = raft->snapshot_index > 0;
+	struct voters before = voters_unpack(raft->snapshot_members, raft->snapshot_members_len);
+
+	for (uint64_t i = raft->base + 1; i <= last_index(raft); i++) {
+		const struct raft_entry *entry = entry_at(raft, i);
+		struct voters voters;
+
+		if (entry->kind != RAFT_ENTRY_MEMBERS)
+			continue;
+		voters = voters_unpack(entry->data, entry->len);
+		uncommitted += i > raft->commit && entry->term == raft->term;
+		if (i > raft->snapshot_index && known && voters_differ(&before, &voters) > 1)
+			check_fail(ONE_CHANGE_AT_A_TIME, "replica %d: entry %d changes %d voters",
+				   explore_world.replica[node].identity, (int)i, voters_differ(&before, &voters));
+		if (i > raft->snapshot_index)
+			before = voters;
+		known = 1;
+	}
+	if (raft->role == RAFT_LEADER && uncommitted > 1)
+		check_fail(ONE_CHANGE_AT_A_TIME, "leader %d has %d changes of membership not committed",
+			   explore_world.replica[node].identity, uncommitted);
+	if (raft->role == RAFT_LEADER && uncommitted && raft->commit < raft->term_start)
+		check_fail(CHANGE_AFTER_OWN_COMMIT, "leader %d changes the membership before an entry of its term is committed",
+			   explore_world.replica[node].identity);
+}
+
+static void check_voters(int node)
+{
+	const struct raft *raft = explore_raft(node);
+	int voters = 0;
+
+	for (int i = 0; i < raft->member_count; i++)
+		voters += raft->members[i].voter;
+	if (raft->member_count && voters < RAFT_MIN_VOTERS)
+		check_fail(ENOUGH_VOTERS, "replica %d knows of %d voters", explore_world.replica[node].identity, voters);
+}
+
+/* ---- all ---------------------------------------------------------------------- */
+
+void check_replica(int node)
+{
+	struct explore_replica *replica = &explore_world.replica[node];
+	const struct raft *raft = explore_raft(node);
+
+	if (raft->commit < replica->commit)
+		check_fail(COMMIT_NEVER_GOES_BACK, "replica %d: commit went from %d to %d", replica->identity, (int)replica->commit,
+			   (int)raft->commit);
+	if (raft->role == RAFT_LEADER && raft->commit > replica->commit && raft->commit > raft->base &&
+	    entry_at(raft, raft->commit)->term != raft->term && raft->term == replica->leads)
+		check_fail(LEADER_COMMITS_ITS_TERM, "leader %d of term %d commits up to %d, of term %d", replica->identity,
+			   (int)raft->term, (int)raft->commit, (int)entry_at(raft, raft->commit)->term);
+	replica->commit = raft->commit;
+	replica->leads = raft->role == RAFT_LEADER ? raft->term : 0;
+	note_committed(node);
+	check_machine(node);
+	if (raft->role == RAFT_LEADER)
+		check_leader(node);
+	for (int i = 0; i < explore_world.nodes; i++)
+		if (i != node && explore_raft(i))
+			check_logs(node, i);
+	check_changes(node);
+	check_voters(node);
+}
+
+void check_leases(void)
+{
+	int holder = -1;
+
+	for (int i = 0; i < explore_world.nodes; i++) {
+		const struct raft *raft = explore_raft(i);
+
+		if (!raft || !raft_has_lease(raft, explore_world.now))
+			continue;
+		if (holder >= 0)
+			check_fail(ONE_LEASE_AT_A_TIME, "replicas %d and %d both have a lease",
+				   explore_world.replica[holder].identity, explore_world.replica[i].identity);
+		holder = i;
+		if (explore_world.replica[i].machine.applied < explore_world.history.commit)
+			check_fail(READS_ARE_FRESH, "replica %d has a lease and applied %d of %d",
+				   explore_world.replica[i].identity, (int)explore_world.replica[i].machine.applied,
+				   (int)explore_world.history.commit);
+	}
+}
--- /dev/null
+++ b/tests/explore_check.h
@@ -0,0 +1,35 @@
+/* explore_check: the invariants of the model checker. They are checked against what an onlooker has seen so far. */
+#ifndef NL_EXPLORE_CHECK_H
+#define NL_EXPLORE_CHECK_H
+
+#include "explore.h"
+
+/* Note a breach, unless one is noted already. Example: check_fail(LOGS_MATCH, "entry %d", 3); */
+void check_fail(enum explore_invariant invariant, const char *format, ...) __attribute__((format(printf, 2, 3)));
+
+/* What a replica says: called before the message leaves. */
+void check_message(int node, const struct cmd *cmd);
+
+/* An entry is taken in by a replica's state machine. */
+void check_applied(int node, uint64_t index, const struct raft_entry *entry);
+
+/* A replica's state machine starts from a snapshot. */
+void check_loaded(int node);
+
+/* A replica's term and vote have reached the disk. */
+void check_disk(int node);
+
+/* All that holds after a step of a replica. */
+void check_replica(int node);
+
+/* All that holds at any moment between two replicas. */
+void check_leases(void);
+
+/* The replica that answers at addr; -1: none. */
+int explore_node_at(uint64_t addr);
+
+/* Number of an interned byte string, and the string. */
+uint32_t explore_intern(const void *d, size_t n);
+const uint8_t *explore_blob(uint32_t blob, size_t *n);
+
+#endif
--- /dev/null
+++ b/tests/test_explore.c
@@ -0,0 +1,98 @@
+/* The model checker's short bound, and paths that it found. Bounded by states and steps, never by time. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#include "explore_search.h"
+
+enum {
+	SHORT_STATES = 6000, /* of each scene */
+	MAX_DEPTH = 40,
+	TABLE_BITS = 14,
+	RANDOM_PATHS = 2200,
+	RANDOM_CHOICES = 500
+};
+
+static struct explore_path found;
+
+static void assert_nothing_found(void)
+{
+	if (!found.breach)
+		return;
+	explore_minimize(&found);
+	explore_print(&found, stderr);
+	fail();
+}
+
+static void all_orders_from_each_scene(void **state)
+{
+	(void)state;
+	for (int scene = 0; scene < SCENES; scene++) {
+		struct explore_stats stats;
+
+		explore_all((enum explore_scene)scene, SHORT_STATES, MAX_DEPTH, TABLE_BITS, &found, &stats);
+		assert_nothing_found();
+		printf("%s: %llu states, %llu steps, all orders to depth %d\n", explore_scene_name((enum explore_scene)scene),
+		       (unsigned long long)stats.states, (unsigned long long)stats.steps, stats.depth);
+		assert_true(stats.states >= SHORT_STATES || stats.whole);
+	}
+}
+
+static void random_paths_from_each_scene(void **state)
+{
+	struct explore_stats stats = { 0 };
+	uint64_t committed = 0;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= RANDOM_PATHS; seed++) {
+		explore_random((enum explore_scene)(seed % SCENES), seed, RANDOM_CHOICES, &found, &stats);
+		committed += explore_world.history.commit;
+		assert_nothing_found();
+	}
+	printf("%d paths, %llu steps, %llu entries committed\n", RANDOM_PATHS, (unsigned long long)stats.steps,
+	       (unsigned long long)committed);
+	assert_true(committed > 4 * RANDOM_PATHS); /* or the paths show nothing */
+}
+
+/* The same choices lead to the same state, and going back to a saved state forgets what came after. */
+static void states_are_saved_and_restored(void **state)
+{
+	struct explore_saved *saved = explore_saved_new();
+	struct choice v[64];
+	uint64_t hash;
+	size_t n;
+
+	(void)state;
+	explore_begin(SCENE_LEASE);
+	explore_save(saved);
+	hash = explore_hash();
+	n = explore_choices(v, 64);
+	assert_true(n > 5);
+	for (size_t i = 0; i < n; i++) {
+		uint64_t first;
+
+		(void)explore_do(v[i]);
+		first = explore_hash();
+		explore_restore(saved);
+		assert_true(explore_hash() == hash);
+		(void)explore_do(v[i]);
+		assert_true(explore_hash() == first);
+		explore_restore(saved);
+	}
+	free(saved);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(states_are_saved_and_restored),
+		cmocka_unit_test(all_orders_from_each_scene),
+		cmocka_unit_test(random_paths_from_each_scene),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
