--- a/lib/core/raft_snapshot.c
+++ b/lib/core/raft_snapshot.c
@@ -46,6 +46,12 @@
 	out_msg(o, m->addr, raft->no, NL__MSG__BODY_SNAP)->snap = s;
 }
 
+/* The log holds the snapshot's last entry, so it holds all that the snapshot stands for; what comes after may be acknowledged. */
+static int log_covers(const struct raft *raft, const struct Nl__Snap *s)
+{
+	return s->index <= raft_last_index(raft) && raft_term_at(raft, s->index) == s->index_term;
+}
+
 void raft_on_snapshot(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	const struct Nl__Snap *s = m->snap;
@@ -54,7 +60,11 @@
 		raft_send_append_reply(raft, m->addr, 0, 0, 0, o);
 		return;
 	}
-	if (s->index > raft->commit && s->members) {
+	if (s->index > raft->commit && log_covers(raft, s)) {
+		raft->commit = s->index;
+		if (raft->matched < s->index)
+			raft->matched = s->index;
+	} else if (s->index > raft->commit && s->members) {
 		uint8_t *mem = malloc(nl__members__get_packed_size(s->members) + 1);
 		size_t len = mem ? nl__members__pack(s->members, mem) : 0;
 
--- a/tests/test_explore.c
+++ b/tests/test_explore.c
@@ -86,9 +86,28 @@
 	free(saved);
 }
 
+/* A snapshot came to a member whose log went past it: the entries behind it, which the member had acknowledged, were lost. It
+ * was sent because a second proposal had overtaken the first. */
+static void a_snapshot_keeps_the_acknowledged_entries_behind_it(void **state)
+{
+	static const struct choice path[] = {
+		{ CHOICE_PROPOSE, 0, 0, 0 }, { CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_DELIVER, 1, 0, 0 },
+		{ CHOICE_SYNC, 1, 0, 0 },    { CHOICE_PROPOSE, 0, 0, 0 }, { CHOICE_DELIVER, 0, 2, 0 }, { CHOICE_DELIVER, 2, 0, 0 },
+		{ CHOICE_SYNC, 0, 0, 0 },    { CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_COMPACT, 0, 0, 0 }, { CHOICE_WAIT, 0, 0, 300 },
+		{ CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_SYNC, 1, 0, 0 },    { CHOICE_WAIT, 0, 0, 300 },  { CHOICE_SYNC, 2, 0, 0 },
+		{ CHOICE_DELIVER, 0, 2, 0 }, { CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_SYNC, 0, 0, 0 },
+		{ CHOICE_SYNC, 2, 0, 0 },    { CHOICE_WAIT, 0, 0, 300 },  { CHOICE_TICK, 1, 0, 0 },    { CHOICE_WAIT, 0, 0, 300 },
+		{ CHOICE_DELIVER, 2, 1, 0 }, { CHOICE_DELIVER, 1, 2, 0 }, { CHOICE_DELIVER, 2, 1, 0 }, { CHOICE_SYNC, 2, 0, 0 },
+	};
+
+	(void)state;
+	assert_int_equal(explore_replay(SCENE_REJOINED, path, sizeof path / sizeof *path), INVARIANT_NONE);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_snapshot_keeps_the_acknowledged_entries_behind_it),
 		cmocka_unit_test(states_are_saved_and_restored),
 		cmocka_unit_test(all_orders_from_each_scene),
 		cmocka_unit_test(random_paths_from_each_scene),
