clerk sends an order again under one key until it has a clear answer

Before, clerk made one call: a lost answer left the operator to find out whether the order had been taken, and sending it again was refused. The doors pass the header on. test_clerk: a registrar that loses answers sees one key and the same bytes; clear refusals end it.

--- a/bin/clerk.c
+++ b/bin/clerk.c
@@ -6,19 +6,30 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "orders.h"
 #include "sheet.h"
+#include "shell.h"
 #include "table.h"
 #include "tool.h"
 
 enum { OK = 0, REFUSED = 1, USAGE = 2, UNREACHED = 3, OVERTAKEN = 4 };
+enum {
+	ORDER_CALL_MS = 8000, /* for one sending of an order */
+	ORDER_FOR_MS = 20000, /* for which an order without a clear answer is sent again */
+	ORDER_PAUSE_MS = 200, /* before it is; twice as long each time, up to */
+	ORDER_PAUSE_MAX_MS = 1600
+};
 
 static apr_pool_t *pool;
-static const char *at = "127.0.0.1:8000";
+static const char *at = "127.0.0.1:8000"; /* the registrar that is called */
+static const char *registrars[8];         /* the addresses that --at lists */
+static int registrar_count, registrar_now;
+static const char *order_key; /* of this run's order; NULL: one is made up */
 
 static int usage(FILE *f)
 {
 	fprintf(f,
-		"Usage: clerk [--at IP:PORT] COMMAND      a registrar's web address\n\n"
+		"Usage: clerk [--at IP:PORT[,IP:PORT...]] [--key KEY] COMMAND      registrars' web addresses\n\n"
 		"  found                          found a fleet from the three seeds, once\n"
 		"  show [KIND]                    the table as a sheet (tab-separated)\n"
 		"  set KIND NAME COLUMN=VALUE...  change cells of one row, or add the row\n"
@@ -33,7 +44,9 @@
 		"  retention [--report]           clearings that are due, run, are done, and what is missing; the report as CSV\n"
 		"  state                          who owns what, editions, horizons, servers\n"
 		"  --help, --version\n\n"
-		"Ends with 0 done, 1 refused, 2 wrong call, 3 nobody answers, 4 overtaken: the table has changed.\n");
+		"Each order carries a key of its own, and is sent again with it, to the addresses in turn, until it has a clear\n"
+		"answer, for 20 s. --key KEY: an order that an earlier run gave up is done once, however often it is sent.\n\n"
+		"Ends with 0 done, 1 refused, 2 wrong call, 3 no clear answer, 4 overtaken: the table has changed.\n");
 	return f == stdout ? OK : USAGE;
 }
 
@@ -49,12 +62,62 @@
 	return j;
 }
 
+/* A key that no other order has. */
+static const char *new_key(void)
+{
+	unsigned char random[16];
+	char *key = apr_palloc(pool, 2 * sizeof random + 1);
+
+	if (apr_generate_random_bytes(random, sizeof random) != APR_SUCCESS)
+		abort();
+	for (size_t i = 0; i < sizeof random; i++)
+		apr_snprintf(key + 2 * i, 3, "%02x", random[i]);
+	return key;
+}
+
+/* Read --at; 0 if it is no list of addresses. */
+static int read_registrars(const char *list)
+{
+	char *copy = apr_pstrdup(pool, list), *rest = NULL;
+
+	for (char *one = apr_strtok(copy, ",", &rest); one; one = apr_strtok(NULL, ",", &rest)) {
+		if (!core_addr(one) || registrar_count == (int)(sizeof registrars / sizeof *registrars))
+			return 0;
+		registrars[registrar_count++] = one;
+	}
+	at = registrars[0];
+	return registrar_count > 0;
+}
+
+/* Whether an answer leaves open what became of the order, or says that it may come again. */
+static int unclear(int status) { return !status || status == 408 || status == 429 || status >= 500; }
+
+/* Send an order until it has a clear answer, always under one key: it is done once, however often it arrives. */
+static int order(const char *path, struct json_object *request, char **body)
+{
+	const char *text = json_object_to_json_string_ext(request, JSON_C_TO_STRING_PLAIN);
+	const char *key = order_key ? order_key : new_key();
+	int64_t end = clock_ms() + ORDER_FOR_MS;
+	int pause_ms = ORDER_PAUSE_MS, status;
+
+	while (unclear(status = http_order(at, path, key, text, ORDER_CALL_MS, body)) && clock_ms() < end) {
+		free(*body);
+		apr_sleep(apr_time_from_msec(pause_ms));
+		registrar_now = (registrar_now + 1) % registrar_count;
+		at = registrars[registrar_now];
+		pause_ms = pause_ms < ORDER_PAUSE_MAX_MS ? 2 * pause_ms : ORDER_PAUSE_MAX_MS;
+	}
+	if (unclear(status))
+		fprintf(stderr, "clerk: the outcome is not known; the same command with --key %s sends this order again\n", key);
+	return status;
+}
+
 static int change(struct json_object *c)
 {
 	char *body = NULL;
-	int st = http_do("POST", at, "/v1/change", NULL, json_object_to_json_string_ext(c, JSON_C_TO_STRING_PLAIN), 8000, &body);
+	int st = order("/v1/change", c, &body);
 	struct json_object *j = st ? json_tokener_parse(body) : NULL;
-	int rc = st == 200 ? OK : st == 409 ? OVERTAKEN : st == 0 ? UNREACHED : REFUSED;
+	int rc = st == 200 ? OK : st == 409 ? OVERTAKEN : unclear(st) ? UNREACHED : REFUSED;
 
 	if (rc == OK)
 		printf("edition %lld\n", (long long)jgeti(j, "edition"));
@@ -234,14 +297,14 @@
 
 	json_object_object_add(j, "scope", json_object_new_string(!strcmp(scope, "all") ? "*" : scope));
 	json_object_object_add(j, "by", json_object_new_string(user && user[0] ? user : "clerk"));
-	st = http_do("POST", at, "/v1/clear", NULL, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN), 8000, &body);
+	st = order("/v1/clear", j, &body);
 	if (st == 200)
 		printf("clearing is decided; clerk retention shows how far it is\n");
 	else
 		fprintf(stderr, "clerk: step clear, at %s: %s\n", at, st ? body : "nobody answers");
 	free(body);
 	json_object_put(j);
-	return st == 200 ? OK : st ? REFUSED : UNREACHED;
+	return st == 200 ? OK : unclear(st) ? UNREACHED : REFUSED;
 }
 
 static const char *when(int64_t ms)
@@ -314,8 +377,11 @@
 	apr_initialize();
 	apr_pool_create(&pool, NULL);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	if (argc > 2 && !strcmp(argv[1], "--at")) {
-		at = argv[2];
+	while (argc > 2 && (!strcmp(argv[1], "--at") || !strcmp(argv[1], "--key"))) {
+		if (!strcmp(argv[1], "--at"))
+			at = argv[2];
+		else
+			order_key = argv[2];
 		argc -= 2;
 		argv += 2;
 	}
@@ -326,8 +392,11 @@
 		rc = usage(stdout);
 	else if (IS("--version", 1))
 		rc = printf("clerk (notchlug) %s\n", NL_VERSION) < 0;
-	else if (!core_addr(at)) {
-		fprintf(stderr, "clerk: --at: an address ip:port\n");
+	else if (!read_registrars(at)) {
+		fprintf(stderr, "clerk: --at: up to eight addresses ip:port, with commas between\n");
+		rc = USAGE;
+	} else if (order_key && !order_key_valid(order_key)) {
+		fprintf(stderr, "clerk: --key: 1 to 128 visible ASCII characters\n");
 		rc = USAGE;
 	} else if (IS("found", 1))
 		rc = found();
--- a/lib/shell/tool.c
+++ b/lib/shell/tool.c
@@ -58,19 +58,18 @@
 	return n;
 }
 
-int http_do(const char *verb, const char *addr, const char *path, const char *key, const char *body, int ms, char **out)
+/* One call with one more header, unless that is empty. */
+static int call_once(const char *verb, const char *addr, const char *path, const char *header, const char *body, int ms, char **out)
 {
 	CURL *h = curl_easy_init();
 	struct curl_slist *hs = curl_slist_append(NULL, "Expect:");
 	struct grow g = { calloc(1, 1), 0 };
-	char url[512], auth[200];
+	char url[512];
 	long status = 0;
 
 	snprintf(url, sizeof url, "http://%s%s", addr, path);
-	if (key) {
-		snprintf(auth, sizeof auth, "Authorization: Bearer %s", key);
-		hs = curl_slist_append(hs, auth);
-	}
+	if (header[0])
+		hs = curl_slist_append(hs, header);
 	curl_easy_setopt(h, CURLOPT_URL, url);
 	curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(h, CURLOPT_PROXY, "");
@@ -91,6 +90,23 @@
 	return (int)status;
 }
 
+int http_do(const char *verb, const char *addr, const char *path, const char *key, const char *body, int ms, char **out)
+{
+	char header[200] = "";
+
+	if (key)
+		snprintf(header, sizeof header, "Authorization: Bearer %s", key);
+	return call_once(verb, addr, path, header, body, ms, out);
+}
+
+int http_order(const char *addr, const char *path, const char *key, const char *body, int ms, char **out)
+{
+	char header[200];
+
+	snprintf(header, sizeof header, "Idempotency-Key: %s", key);
+	return call_once("POST", addr, path, header, body, ms, out);
+}
+
 char *file_read(const char *path)
 {
 	FILE *f = strcmp(path, "-") ? fopen(path, "r") : stdin;
--- a/lib/shell/tool.h
+++ b/lib/shell/tool.h
@@ -9,6 +9,9 @@
  * Example: st = http_do("POST", "127.0.0.1:8000", "/v1/found", NULL, "{}", 5000, &body); */
 int http_do(const char *verb, const char *addr, const char *path, const char *key, const char *body, int ms, char **body_out);
 
+/* An operator's order, with its idempotency key. Example: st = http_order("127.0.0.1:8000", "/v1/change", key, body, 5000, &body); */
+int http_order(const char *addr, const char *path, const char *key, const char *body, int ms, char **body_out);
+
 /* A member of an object, NULL, "" or 0 when it is not there. Example: jgeti(j, "edition") */
 struct json_object *jget(struct json_object *j, const char *k);
 const char *jgets(struct json_object *j, const char *k);
--- /dev/null
+++ b/tests/test_clerk.c
@@ -0,0 +1,206 @@
+/* clerk against a registrar whose answers are lost: one order, one key, until there is a clear answer. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <arpa/inet.h>
+#include <cmocka.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+enum { CALLS = 8, REQUEST = 4096, WAIT_S = 30 };
+
+/* A registrar that gives the answers of a script, one a connection; an empty one is lost. */
+struct registrar {
+	int listener;
+	const char *const *script;
+	int calls;
+	char request[CALLS][REQUEST];
+};
+
+#define ANSWER(status, body) "HTTP/1.1 " status "\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n" body
+static const char lost[] = "";
+
+static int listen_at(char address[32])
+{
+	struct sockaddr_in at = { .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	struct timeval limit = { .tv_sec = WAIT_S };
+	socklen_t size = sizeof at;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_true(fd >= 0);
+	assert_int_equal(bind(fd, (struct sockaddr *)&at, sizeof at), 0);
+	assert_int_equal(listen(fd, 16), 0);
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&at, &size), 0);
+	assert_int_equal(setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit), 0);
+	snprintf(address, 32, "127.0.0.1:%d", ntohs(at.sin_port));
+	return fd;
+}
+
+/* Whether the request's head and the body that it announces are there. */
+static int is_whole(const char *request)
+{
+	const char *body = strstr(request, "\r\n\r\n"), *length = strstr(request, "Content-Length: ");
+
+	return body && (!length || strlen(body + 4) >= strtoul(length + 16, NULL, 10));
+}
+
+static void read_request(int fd, char *to)
+{
+	size_t n = 0;
+	ssize_t got;
+
+	while (!is_whole(to) && (got = read(fd, to + n, REQUEST - 1 - n)) > 0) {
+		n += (size_t)got;
+		to[n] = 0;
+	}
+}
+
+static void *serve(void *arg)
+{
+	struct registrar *r = arg;
+
+	for (int i = 0; r->script[i]; i++) {
+		int fd = accept(r->listener, NULL, NULL);
+		const char *rest = r->script[i];
+		ssize_t sent;
+
+		if (fd < 0)
+			break;
+		read_request(fd, r->request[r->calls++]);
+		for (; *rest && (sent = write(fd, rest, strlen(rest))) > 0; rest += sent)
+			;
+		close(fd);
+	}
+	return NULL;
+}
+
+/* Run clerk once; its exit code, and what it printed. */
+static int clerk(const char *arguments, char *output, size_t size)
+{
+	char command[600];
+	size_t n = 0;
+	FILE *f;
+	int status;
+
+	snprintf(command, sizeof command, "%s %s 2>&1", CLERK, arguments);
+	f = popen(command, "r");
+	assert_non_null(f);
+	n = fread(output, 1, size - 1, f);
+	output[n] = 0;
+	status = pclose(f);
+	assert_true(WIFEXITED(status));
+	return WEXITSTATUS(status);
+}
+
+static int against(struct registrar *r, const char *const *script, const char *arguments, char *output, size_t size)
+{
+	char address[32], all[300];
+	pthread_t thread;
+	int code;
+
+	memset(r, 0, sizeof *r);
+	r->script = script;
+	r->listener = listen_at(address);
+	assert_int_equal(pthread_create(&thread, NULL, serve, r), 0);
+	snprintf(all, sizeof all, arguments, address);
+	code = clerk(all, output, size);
+	shutdown(r->listener, SHUT_RDWR);
+	close(r->listener);
+	pthread_join(thread, NULL);
+	return code;
+}
+
+static const char *key_of(const struct registrar *r, int call, char key[200])
+{
+	const char *at = strstr(r->request[call], "Idempotency-Key: ");
+
+	assert_non_null(at);
+	snprintf(key, 200, "%.*s", (int)strcspn(at + 17, "\r\n"), at + 17);
+	return key;
+}
+
+static void an_order_is_sent_again_under_one_key(void **state)
+{
+	static const char *const script[] = { lost, ANSWER("503 Service Unavailable", "{\"error\":\"no leader\"}"),
+					      ANSWER("504 Gateway Timeout", "{\"error\":\"outcome unknown\"}"),
+					      ANSWER("200 OK", "{\"edition\":7}"), NULL };
+	static struct registrar r;
+	char output[1000], first[200], again[200];
+
+	(void)state;
+	assert_int_equal(against(&r, script, "--at %s key add t secret", output, sizeof output), 0);
+	assert_non_null(strstr(output, "edition 7"));
+	assert_int_equal(r.calls, 4);
+	key_of(&r, 0, first);
+	assert_true(strlen(first) >= 32);
+	for (int i = 1; i < 4; i++) {
+		assert_string_equal(key_of(&r, i, again), first);
+		assert_string_equal(strstr(r.request[i], "\r\n\r\n"), strstr(r.request[0], "\r\n\r\n"));
+	}
+	/* another order, another key */
+	assert_int_equal(against(&r, script + 3, "--at %s key add t secret", output, sizeof output), 0);
+	assert_string_not_equal(key_of(&r, 0, again), first);
+	/* one that was given up before */
+	assert_int_equal(against(&r, script + 3, "--at %s --key earlier-1 key add t secret", output, sizeof output), 0);
+	assert_string_equal(key_of(&r, 0, again), "earlier-1");
+	/* clearing too */
+	assert_int_equal(against(&r, script, "--at %s clear all", output, sizeof output), 0);
+	assert_int_equal(r.calls, 4);
+	assert_string_equal(key_of(&r, 3, again), key_of(&r, 0, first));
+}
+
+static void a_clear_refusal_ends_it(void **state)
+{
+	static const struct {
+		const char *script[2];
+		int code;
+	} cases[] = {
+		{ { ANSWER("409 Conflict", "{\"error\":\"edition overtaken\",\"edition\":9}"), NULL }, 4 },
+		{ { ANSWER("400 Bad Request", "{\"error\":\"wrong\"}"), NULL }, 1 },
+		{ { ANSWER("422 Unprocessable Entity", "{\"error\":\"Idempotency-Key: used before for another order\"}"), NULL },
+		  1 },
+	};
+	static struct registrar r;
+	char output[1000];
+
+	(void)state;
+	for (size_t i = 0; i < sizeof cases / sizeof *cases; i++) {
+		assert_int_equal(against(&r, cases[i].script, "--at %s del tenant t", output, sizeof output), cases[i].code);
+		assert_int_equal(r.calls, 1);
+	}
+	assert_int_equal(clerk("--key 'no key' del tenant t", output, sizeof output), 2);
+	assert_int_equal(clerk("--at nowhere del tenant t", output, sizeof output), 2);
+}
+
+/* A registrar that is gone is not asked for ever: the next address is. */
+static void the_next_registrar_is_called(void **state)
+{
+	static const char *const script[] = { ANSWER("200 OK", "{\"edition\":3}"), NULL };
+	static struct registrar r;
+	char output[1000], gone[32], arguments[100];
+
+	(void)state;
+	close(listen_at(gone));
+	snprintf(arguments, sizeof arguments, "--at %s,%%s del tenant t", gone);
+	assert_int_equal(against(&r, script, arguments, output, sizeof output), 0);
+	assert_int_equal(r.calls, 1);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(an_order_is_sent_again_under_one_key),
+		cmocka_unit_test(a_clear_refusal_ends_it),
+		cmocka_unit_test(the_next_registrar_is_called),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -436,6 +436,7 @@
 		copy(h.text[0], ev->u.web.verb);
 		copy(h.text[1], ev->u.web.path);
 		copy(h.text[2], ev->u.web.body);
+		copy(h.text[3], ev->u.web.key ? ev->u.web.key : "");
 		break;
 	case REG_LISTED:
 		h.token = ev->u.listed.token;
@@ -594,6 +595,9 @@
 	assert_string_equal(h->text[0], "POST");
 	assert_string_equal(h->text[1], "/v1/change");
 	assert_string_equal(h->text[2], "{\"a\":1}");
+	assert_string_equal(h->text[3], "");
+	says(ask(&d, "POST", "/v1/change", "idempotency-key: one-2\r\n", "{\"a\":1}"), "200", "");
+	assert_string_equal(arrlast(d.v).text[3], "one-2");
 	desk_close(&d);
 }
 
--- a/tests/test_shell.c
+++ b/tests/test_shell.c
@@ -725,6 +725,7 @@
 static void streams_end_definitely(void **st)
 {
 	static const char ask[] = "POST /v1/exchange HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer k\r\nContent-Length: 2\r\n\r\n{}";
+	static const char keyed[] = "POST /v1/change HTTP/1.1\r\nHost: x\r\nIdempotency-Key: one-2\r\nContent-Length: 2\r\n\r\n{}";
 	apr_pool_t *p;
 	struct ring *r;
 	struct web *w;
@@ -743,12 +744,22 @@
 	assert_true(write(fd, ask, sizeof ask - 1) > 0);
 	e = next(r, EV_WEB);
 	assert_int_equal(strlen(e->digest), 64);
+	assert_null(e->key);
 	web_piece(w, e->token, "one\n", 4, 0, 1);
 	read_until(fd, b, sizeof b, "one\n");
 	web_piece(w, e->token, "end\n", 4, 1, 1);
 	read_until(fd, b, sizeof b, "\r\n0\r\n\r\n");
 	close(fd);
 	shell_ev_free(e);
+	/* an order's key goes along */
+	fd = dial(addr);
+	assert_true(write(fd, keyed, sizeof keyed - 1) > 0);
+	e = next(r, EV_WEB);
+	assert_string_equal(e->key, "one-2");
+	web_answer(w, e->token, 200, 0, "{}");
+	read_until(fd, b, sizeof b, "{}");
+	close(fd);
+	shell_ev_free(e);
 	/* a broken one says so and has no last chunk */
 	fd = dial(addr);
 	assert_true(write(fd, ask, sizeof ask - 1) > 0);
