--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1110,6 +1110,69 @@
 	}
 }
 
+/* How a send of the newest request ends; its call, or 0 when it was not sent. */
+static uint64_t solo_sent(struct solo *s)
+{
+	for (ptrdiff_t i = arrlen(s->o.v) - 1; i >= 0; i--)
+		if (s->o.v[i].kind == CMD_FORWARD)
+			return s->o.v[i].u.forward->call;
+	return 0;
+}
+
+static void solo_ended(struct solo *s, uint64_t call, enum ctr_end how, int status)
+{
+	struct ctr_ended e = { .token = call, .how = how, .status = status };
+	struct ctr_ev ev = { .kind = CTR_ENDED };
+
+	ev.u.ended = &e;
+	out_clear(&s->o);
+	solo_step(s, &ev);
+	for (int i = 0; how != CTR_WHOLE && i < 4; i++) /* it may wait in its line before it is sent again */
+		solo_tick(s, 60);
+}
+
+/* What one service's requests have earned for resends is not another's to spend. */
+static void each_service_has_its_own_budget(void **st)
+{
+	struct solo s;
+	struct Nl__Row *rows[4];
+	struct Nl__Sight *sights[4];
+	int status;
+
+	(void)st;
+	solo_open(&s, 5);
+	for (int i = 0; i < 2; i++) {
+		rows[i] = new_service(s.p, i ? "idle" : "busy");
+		rows[2 + i] = new_row(s.p, NL__KIND__LANE, i ? "l-idle" : "l-busy");
+		rows[2 + i]->service = rows[i]->name;
+		rows[2 + i]->host = i ? "idle" : "busy";
+		rows[2 + i]->path = "/";
+		rows[2 + i]->limit = 10;
+		rows[2 + i]->open = 1;
+		rows[2 + i]->attempts = 4;
+		sights[2 * i] = new_sight(s.p, 1 + 2 * i, rows[i]->name);
+		sights[2 * i + 1] = new_sight(s.p, 2 + 2 * i, rows[i]->name);
+	}
+	solo_table(&s, rows, 4, sights, 4, 1);
+	for (int i = 0; i < 30; i++) {
+		assert_non_null(solo_ask(&s, "busy", "/x", "id", &status));
+		solo_ended(&s, solo_sent(&s), CTR_WHOLE, 200);
+	}
+	for (int i = 0; i < 2; i++) {
+		assert_non_null(solo_ask(&s, i ? "idle" : "busy", "/x", "id", &status));
+		solo_ended(&s, solo_sent(&s), CTR_NEVER, 503);
+		assert_true(solo_sent(&s)); /* a first resend is free to each */
+		solo_ended(&s, solo_sent(&s), CTR_NEVER, 503);
+		if (i) {
+			assert_false(solo_sent(&s));
+			continue;
+		}
+		assert_true(solo_sent(&s));
+		solo_ended(&s, solo_sent(&s), CTR_WHOLE, 200);
+	}
+	solo_close(&s);
+}
+
 /* The name under which parts are filed changes with all that decides who may use them. */
 static void a_shelf_says_who_may_use_it(void **st)
 {
@@ -1211,6 +1274,7 @@
 		cmocka_unit_test(loads_add_up),
 		cmocka_unit_test(kept_parts_follow_events),
 		cmocka_unit_test(a_blind_counter_hears_of_a_head),
+		cmocka_unit_test(each_service_has_its_own_budget),
 		cmocka_unit_test(a_shelf_says_who_may_use_it),
 	};
 	int rc;
