A planned stop hands leadership over, and no copy goes while another is behind

Cause: on SIGTERM a registrar gave its leadership up to nobody in particular and ended at once, also when the others lacked what it held, or when its going left its group without a majority (two stops at once).

Now: a leaving leader takes no proposals, waits up to a second for a voter that holds all and names it; the most caught-up one asks for votes first. A leaving member says so in its answers; its copy no longer counts for commits where those who stay are a majority by themselves, and the leader lets it go once all other voters hold what it held and those who stay can go on; else it stays until the grace is over, and a spare registrar is promoted in its place meanwhile. A member that was taken out is told so when it asks for votes. When all of a group stop, they wait for nobody.

--- a/bin/registrar.c
+++ b/bin/registrar.c
@@ -80,8 +80,9 @@
 
 static int done(void *ctx)
 {
-	(void)ctx;
-	return 1;
+	const struct registrar *g = ctx;
+
+	return reg_stopped(&g->r, clock_ms());
 }
 
 static void say(void *ctx, const char *prefix, const char *line)
--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -77,7 +77,7 @@
 static void tick(struct reg *r, int64_t now, struct out *o)
 {
 	for (int i = 0; i < SHARD_COUNT; i++)
-		if (r->fleet && !r->stopping)
+		if (r->fleet)
 			raft_tick(&r->part[i], now, o);
 	found_tick(r, now, o);
 	if (r->stopping)
@@ -132,7 +132,7 @@
 	case REG_STOP:
 		r->stopping = 1;
 		for (int i = 0; i < SHARD_COUNT; i++)
-			raft_step_down(&r->part[i], now, o);
+			raft_leave(&r->part[i], now);
 		break;
 	default: break;
 	}
@@ -232,3 +232,11 @@
 	arrfree(r->reads);
 	arrfree(r->server);
 }
+
+int reg_stopped(const struct reg *r, int64_t now)
+{
+	for (int i = 0; i < SHARD_COUNT && r->fleet; i++)
+		if (!raft_may_leave(&r->part[i], now))
+			return 0;
+	return 1;
+}
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -277,4 +277,8 @@
  * Example: d = reg_state(&r, part, pool, &n); */
 uint8_t *reg_state(const struct reg *r, uint32_t part, apr_pool_t *p, size_t *n);
 
+/* After REG_STOP: whether nothing more needs this registrar, so that its process may end before the grace is over.
+ * Example: return reg_stopped(&r, now); */
+int reg_stopped(const struct reg *r, int64_t now);
+
 #endif
--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -36,6 +36,9 @@
 		}
 		if (now < raft->lease_expires_at)
 			raft->quorum_asked_at = now;
+		raft_count_staying(raft, now);
+		if (raft->leaving && raft_hand_over(raft, now, o))
+			return;
 		if (now - raft->heartbeat_at >= RAFT_HEARTBEAT_MS) {
 			raft->heartbeat_at = now;
 			raft->heartbeat_sent_at[++raft->round % 64] = now;
@@ -50,6 +53,11 @@
 		return;
 	if (!raft_find_member(raft, raft->id) || !raft_find_member(raft, raft->id)->voter)
 		return;
+	if (raft->leaving) { /* it only learns whether it was taken out */
+		raft_request_votes(raft, 1, now, o);
+		raft_retry_election_after(raft, RAFT_ELECTION_RETRY_MS, now);
+		return;
+	}
 	raft->role = RAFT_PRE_CANDIDATE;
 	raft->leader_id = raft->leader_addr = 0;
 	raft_request_votes(raft, 1, now, o);
@@ -85,7 +93,7 @@
 
 uint64_t raft_propose(struct raft *raft, const uint8_t *d, size_t n, int64_t now)
 {
-	if (!raft_has_lease(raft, now))
+	if (!raft_has_lease(raft, now) || raft->leaving)
 		return 0;
 	raft_append_entry(raft, raft->term, RAFT_ENTRY_OPERATION, d, n);
 	return raft_last_index(raft);
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -42,9 +42,14 @@
 	uint64_t next, match, round;
 	int64_t heard_at, snapshot_sent_at;
 	int granted;
-	int not_leader; /* has said since our restart that it does not lead */
+	int not_leader;       /* has said since our restart that it does not lead */
+	int leaving;          /* it is to stop, and is not counted where the others suffice; */
+	uint64_t leave_index; /* the newest entry when it said so */
 };
 
+/* Whether a member that is to stop may go. */
+enum raft_release { RAFT_HELD, RAFT_RELEASED_LATER, RAFT_RELEASED };
+
 struct raft_sync_mark {
 	uint64_t seq, last;
 	int64_t at;
@@ -90,6 +95,11 @@
 	uint64_t self_vote_seq;
 	int snapshot_to_load; /* the caller must load the snapshot before applying entries */
 	uint64_t elections;
+	int leaving; /* this member is to stop: it asks for no votes and takes no proposals */
+	enum raft_release release;
+	int64_t leave_by;     /* of a leader: it steps down at the latest; then: its successor has been elected */
+	int staying_majority; /* leader: voters that answer and do not leave are a majority by themselves */
+	int removed;          /* a leader has said that this member is none any more */
 };
 
 /* What came back from the disk. */
@@ -151,4 +161,11 @@
  * spread over zones. live: registrars known to the fleet, with their zones. Example: raft_reconfigure(&raft, live, n, now); */
 void raft_reconfigure(struct raft *raft, const struct raft_member *live, int n, int64_t now);
 
+/* This member is to stop: a leader hands over, and no votes are asked for from now on. Example: raft_leave(&raft, now); */
+void raft_leave(struct raft *raft, int64_t now);
+
+/* Whether a leaving member may go: it does not lead, and its copy is no longer needed.
+ * Example: if (raft_may_leave(&raft, now)) exit(0); */
+int raft_may_leave(const struct raft *raft, int64_t now);
+
 #endif
--- a/lib/core/raft_election.c
+++ b/lib/core/raft_election.c
@@ -27,6 +27,7 @@
 		raft->leader_id = raft->leader_addr = 0;
 		raft->matched = raft->commit;
 		raft->round = 0; /* rounds are counted within a term */
+		raft->release = RAFT_HELD;
 	}
 	if (raft->role == RAFT_LEADER)
 		raft->leader_id = raft->leader_addr = 0;
@@ -67,6 +68,7 @@
 	raft->lease_expires_at = 0;
 	raft->quorum_asked_at = now;
 	raft->heartbeat_at = 0;
+	raft->staying_majority = 0;
 	raft->round = 0;
 	for (int i = 0; i < raft->member_count; i++) {
 		raft->members[i].next = raft_last_index(raft) + 1;
@@ -75,6 +77,7 @@
 		raft->members[i].heard_at =
 		    now - raft->member_lost_ms / 2; /* who fell with the last owner has been silent since then */
 		raft->members[i].snapshot_sent_at = 0;
+		raft->members[i].leaving = 0;
 	}
 	for (int i = 0; i < 64; i++)
 		raft->heartbeat_sent_at[i] = now - 1000 * RAFT_LEASE_MS; /* acks of earlier rounds grant nothing */
@@ -124,6 +127,16 @@
 	out_msg(o, to, raft->no, NL__MSG__BODY_VOTE_REPLY)->vote_reply = r;
 }
 
+/* A candidate was taken out of the group while it was away. */
+static void send_removed(struct raft *raft, uint64_t to, struct out *o)
+{
+	struct Nl__VoteReply *r = OUT_NEW(o, Nl__VoteReply, NL__VOTE_REPLY__INIT);
+
+	r->term = raft->term;
+	r->removed = 1;
+	out_msg(o, to, raft->no, NL__MSG__BODY_VOTE_REPLY)->vote_reply = r;
+}
+
 void raft_on_vote_request(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	const struct Nl__VoteAsk *a = m->vote_ask;
@@ -131,6 +144,11 @@
 		    (a->last_term == raft_term_at(raft, raft_last_index(raft)) && a->last >= raft_last_index(raft));
 	int free_to = now >= raft->vote_barrier_until && !raft_has_lease(raft, now);
 
+	if (raft_has_lease(raft, now) && raft->members_index <= raft->commit && !raft_find_member(raft, m->id)) {
+		send_removed(raft, m->addr, o);
+		return;
+	}
+
 	if (a->pre || !free_to || a->term < raft->term) {
 		raft_send_vote(raft, m->addr, a->pre && newer && free_to ? a->term : raft->term,
 			       a->pre && newer && free_to && a->term > raft->term, a->pre, o);
@@ -156,6 +174,11 @@
 	const struct Nl__VoteReply *r = m->vote_reply;
 	struct raft_member *who = raft_find_member(raft, m->id);
 
+	if (r->removed && r->term >= raft->term) {
+		raft_become_follower(raft, raft->term, now);
+		raft->removed = 1;
+		return;
+	}
 	if (r->term > raft->term && !(r->pre && r->granted)) {
 		raft_become_follower(raft, r->term, now);
 		return;
@@ -240,15 +263,19 @@
 	if (m->give_up->term != raft->term || raft->leader_id != m->id || raft->role != RAFT_FOLLOWER)
 		return;
 	raft->vote_barrier_until = 0;
-	raft->election_at = now + (int64_t)(core_rand(&raft->rng) % STEP_DOWN_SPREAD_MS);
+	raft->election_at = now;
+	if (m->give_up->successor != raft->id)
+		raft->election_at +=
+		    (int64_t)(core_rand(&raft->rng) % STEP_DOWN_SPREAD_MS) + (m->give_up->successor ? STEP_DOWN_SPREAD_MS : 0);
 }
 
 void raft_step_down(struct raft *raft, int64_t now, struct out *o)
 {
-	uint64_t term = raft->term;
+	uint64_t term = raft->term, successor;
 
 	if (raft->role != RAFT_LEADER)
 		return;
+	successor = raft_successor(raft, now);
 	raft_become_follower(raft, raft->term, now); /* the licence ends before anyone is told */
 	raft->election_at += RAFT_ELECTION_MS;
 	for (int i = 0; i < raft->member_count; i++)
@@ -256,6 +283,7 @@
 			struct Nl__GiveUp *g = OUT_NEW(o, Nl__GiveUp, NL__GIVE_UP__INIT);
 
 			g->term = term;
+			g->successor = successor;
 			out_msg(o, raft->members[i].addr, raft->no, NL__MSG__BODY_GIVE_UP)->give_up = g;
 		}
 }
--- a/lib/core/raft_internal.h
+++ b/lib/core/raft_internal.h
@@ -116,4 +116,24 @@
 /* Take the leader's snapshot in place of all state up to its index. */
 void raft_on_snapshot(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o);
 
+/* ---- leaving and handing over (raft_transfer.c) ---- */
+
+/* Leader: a member has said whether it is to stop. */
+void raft_note_leaving(struct raft *raft, struct raft_member *member, int leaving);
+
+/* Leader: whether those who stay are a majority by themselves. */
+void raft_count_staying(struct raft *raft, int64_t now);
+
+/* The index up to which a voter counts towards commits: none for one that leaves where the others suffice. */
+uint64_t raft_counted_index(const struct raft *raft, const struct raft_member *member);
+
+/* Leader: whether a leaving member may go, since all other voters hold what it holds. */
+int raft_is_released(const struct raft *raft, const struct raft_member *member);
+
+/* Leader: the most caught-up voter that answers and stays; 0 for none. */
+uint64_t raft_successor(const struct raft *raft, int64_t now);
+
+/* A leaving leader steps down once its successor has caught up, or after a while; 1 when it has. */
+int raft_hand_over(struct raft *raft, int64_t now, struct out *o);
+
 #endif
--- a/lib/core/raft_reconfigure.c
+++ b/lib/core/raft_reconfigure.c
@@ -24,9 +24,10 @@
 /* How the membership stands. Positions are in raft->members; -1: none. */
 struct standing {
 	int voters;
-	int suspects;    /* voters that are silent, for whom a learner is prepared */
-	int lost_voters; /* voters given up */
-	int lost_voter;  /* one of them */
+	int suspects;      /* voters that are silent, for whom a learner is prepared */
+	int lost_voters;   /* voters given up */
+	int lost_voter;    /* one of them */
+	int leaving_voter; /* one that is to stop, while those who stay are no majority by themselves */
 	int learner, lost_learner;
 };
 
@@ -192,10 +193,16 @@
 	return moved;
 }
 
+/* A voter that is to stop is replaced beforehand where those who stay could not go on by themselves. */
+static int needs_successor(const struct raft *raft, const struct raft_member *member)
+{
+	return member->leaving && member->id != raft->id && !raft->staying_majority;
+}
+
 static struct standing take_stock(const struct view *view)
 {
 	const struct raft *raft = view->raft;
-	struct standing s = { .lost_voter = -1, .learner = -1, .lost_learner = -1 };
+	struct standing s = { .lost_voter = -1, .leaving_voter = -1, .learner = -1, .lost_learner = -1 };
 
 	for (int i = 0; i < raft->member_count; i++) {
 		const struct raft_member *member = &raft->members[i];
@@ -208,7 +215,9 @@
 			continue;
 		}
 		s.voters++;
-		s.suspects += is_suspect(view, member);
+		s.suspects += is_suspect(view, member) || needs_successor(raft, member);
+		if (needs_successor(raft, member))
+			s.leaving_voter = i;
 		s.lost_voters += is_lost(view, member);
 		if (is_lost(view, member))
 			s.lost_voter = i;
@@ -270,7 +279,7 @@
 		return;
 	if (s->lost_voter >= 0)
 		remove_member(view, s->lost_voter);
-	else if (wanted)
+	else if (wanted || s->leaving_voter >= 0)
 		promote_learner(view, s->learner);
 }
 
@@ -304,6 +313,8 @@
 		remove_member(&view, s.lost_voter);
 	else if (s.voters > raft->replicas && s.lost_voters)
 		remove_member(&view, s.lost_voter);
+	else if (s.voters > raft->replicas && s.leaving_voter >= 0)
+		remove_member(&view, s.leaving_voter);
 	else if (s.voters > raft->replicas && !s.suspects)
 		remove_member(&view, surplus_voter(&view));
 }
--- a/lib/core/raft_replication.c
+++ b/lib/core/raft_replication.c
@@ -21,7 +21,7 @@
 	for (int i = 0; i < raft->member_count; i++) {
 		if (!raft->members[i].voter)
 			continue;
-		match[n] = raft->members[i].id == raft->id ? raft->synced_index : raft->members[i].match;
+		match[n] = raft_counted_index(raft, &raft->members[i]);
 		round[n++] = raft->members[i].id == raft->id ? raft->round : raft->members[i].round;
 	}
 	if (!n)
@@ -58,6 +58,7 @@
 	a->prev_term = raft_term_at(raft, a->prev);
 	a->commit = raft->commit;
 	a->round = raft->round;
+	a->released = raft_is_released(raft, m);
 	n = (size_t)(raft_last_index(raft) - a->prev);
 	n = n > 512 ? 512 : n;
 	a->e = apr_palloc(o->p, (n + 1) * sizeof *a->e);
@@ -91,6 +92,7 @@
 	r->ok = ok;
 	r->match = match;
 	r->round = round;
+	r->leaving = raft->leaving;
 	out_msg(o, to, raft->no, NL__MSG__BODY_APPEND_REPLY)->append_reply = r;
 }
 
@@ -105,6 +107,7 @@
 	raft->leader_addr = m->addr;
 	raft->vote_barrier_until = now + RAFT_LEASE_MS;
 	raft->vote_barrier_unknown = 0;
+	raft->removed = 0;
 	raft_reset_election_timer(raft, now);
 	return 1;
 }
@@ -124,6 +127,7 @@
 		raft_send_append_reply(raft, m->addr, 0, hint > raft->commit ? hint : raft->commit, a->round, o);
 		return;
 	}
+	raft->release = a->released ? RAFT_RELEASED : RAFT_HELD;
 	skip = raft->commit > i ? raft->commit - i : 0; /* committed entries never differ */
 	for (size_t k = skip; k < a->n_e; k++) {
 		const struct Nl__Entry *e = a->e[k];
@@ -167,6 +171,7 @@
 	if (raft->role != RAFT_LEADER || r->term != raft->term || !who)
 		return;
 	who->heard_at = now;
+	raft_note_leaving(raft, who, r->leaving);
 	if (r->round > who->round)
 		who->round = r->round;
 	if (r->ok) {
--- /dev/null
+++ b/lib/core/raft_transfer.c
@@ -0,0 +1,132 @@
+/* Leaving and handing over. A member that is to stop hands its leadership to the most caught-up voter that stays, and may
+ * go once the leader says that every other voter has synced all that its own copy could be needed for.
+ * Called by raft.c for ticks and by raft_replication.c for what is said to a leaving member. */
+#include "raft_internal.h"
+
+enum { HANDOVER_MS = 1000 }; /* a leaving leader waits so long for a successor to catch up, and then for its election */
+
+static uint64_t synced_by(const struct raft *raft, const struct raft_member *member)
+{
+	return member->id == raft->id ? raft->synced_index : member->match;
+}
+
+static int is_leaving(const struct raft *raft, const struct raft_member *member)
+{
+	return member->id == raft->id ? raft->leaving : member->leaving;
+}
+
+static int answers(const struct raft *raft, const struct raft_member *member, int64_t now)
+{
+	return member->id == raft->id || now - member->heard_at <= RAFT_LEASE_MS;
+}
+
+/* Whether every other voter has synced an index. */
+static int others_hold(const struct raft *raft, uint64_t id, uint64_t index)
+{
+	for (int i = 0; i < raft->member_count; i++) {
+		const struct raft_member *member = &raft->members[i];
+
+		if (member->voter && member->id != id && synced_by(raft, member) < index)
+			return 0;
+	}
+	return 1;
+}
+
+void raft_note_leaving(struct raft *raft, struct raft_member *member, int leaving)
+{
+	if (leaving && !member->leaving)
+		member->leave_index = raft_last_index(raft);
+	member->leaving = leaving;
+}
+
+void raft_count_staying(struct raft *raft, int64_t now)
+{
+	int staying = 0;
+
+	for (int i = 0; i < raft->member_count; i++) {
+		const struct raft_member *member = &raft->members[i];
+
+		staying += member->voter && !is_leaving(raft, member) && answers(raft, member, now);
+	}
+	raft->staying_majority = staying > raft_voter_count(raft) / 2;
+}
+
+uint64_t raft_counted_index(const struct raft *raft, const struct raft_member *member)
+{
+	return raft->staying_majority && is_leaving(raft, member) ? 0 : synced_by(raft, member);
+}
+
+/* Whether those who stay can go on without a member. Where nobody else stays, the whole group is being stopped. */
+static int can_go_on_without(const struct raft *raft, uint64_t id)
+{
+	int others_staying = 0;
+
+	for (int i = 0; i < raft->member_count; i++) {
+		const struct raft_member *member = &raft->members[i];
+
+		others_staying += member->voter && member->id != id && !is_leaving(raft, member);
+	}
+	return raft->staying_majority || !others_staying;
+}
+
+int raft_is_released(const struct raft *raft, const struct raft_member *member)
+{
+	uint64_t index = member->leave_index;
+
+	if (!raft->staying_majority && raft->commit > index) /* commits still rest on its copy */
+		index = raft->commit;
+	return member->leaving && can_go_on_without(raft, member->id) && others_hold(raft, member->id, index);
+}
+
+uint64_t raft_successor(const struct raft *raft, int64_t now)
+{
+	const struct raft_member *best = NULL;
+
+	for (int i = 0; i < raft->member_count; i++) {
+		const struct raft_member *member = &raft->members[i];
+
+		if (!member->voter || member->id == raft->id || member->leaving || !answers(raft, member, now))
+			continue;
+		if (!best || member->match > best->match ||
+		    (member->match == best->match && core_rdv(raft->no, member->id) > core_rdv(raft->no, best->id)))
+			best = member;
+	}
+	return best ? best->id : 0;
+}
+
+int raft_hand_over(struct raft *raft, int64_t now, struct out *o)
+{
+	const struct raft_member *successor = raft_find_member(raft, raft_successor(raft, now));
+	uint64_t last = raft_last_index(raft);
+	int ready = successor ? successor->match >= last : others_hold(raft, raft->id, last);
+
+	if (!ready && now < raft->leave_by)
+		return 0;
+	raft->release = can_go_on_without(raft, raft->id) && others_hold(raft, raft->id, last) ? RAFT_RELEASED_LATER : RAFT_HELD;
+	raft->leave_by = now + HANDOVER_MS;
+	raft_step_down(raft, now, o);
+	return 1;
+}
+
+void raft_leave(struct raft *raft, int64_t now)
+{
+	if (raft->leaving)
+		return;
+	raft->leaving = 1;
+	raft->release = RAFT_HELD;
+	raft->leave_by = now + HANDOVER_MS;
+}
+
+int raft_may_leave(const struct raft *raft, int64_t now)
+{
+	const struct raft_member *self = NULL;
+
+	for (int i = 0; i < raft->member_count; i++)
+		if (raft->members[i].id == raft->id)
+			self = &raft->members[i];
+	if (raft->role == RAFT_LEADER)
+		return 0;
+	if (!self || !self->voter || raft->removed)
+		return 1;
+	return raft->release == RAFT_RELEASED || (raft->release == RAFT_RELEASED_LATER && now >= raft->leave_by);
+}
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -15,6 +15,7 @@
 
 enum {
 	CATCH_UP_MS = 4000,
+	GRACE_MS = 7300,  /* of a planned stop */
 	WINDOW_MS = 7000, /* in which an exposed moment counts */
 	SAMPLE_MS = 20,
 	LOAD_EVERY_MS = 100, /* between changes of configuration */
@@ -90,11 +91,10 @@
 	return -1;
 }
 
-/* Whether all that is committed lies on a node's disk. */
-static int holds_committed(const struct sim *s, int node, uint32_t shard)
+/* Whether a committed entry, and so all before it, lies on a node's disk. */
+static int holds(const struct sim *s, int node, uint32_t shard, uint64_t index)
 {
 	const struct sim_disk_part *disk = &s->n[node].disk.p[shard];
-	uint64_t index = (uint64_t)arrlen(s->hash[shard]);
 	const struct sim_entry *e;
 
 	if (disk->base >= index)
@@ -105,6 +105,11 @@
 	return core_hash(e->term * 4 + e->kind, e->data, e->len) == s->hash[shard][index - 1];
 }
 
+static int holds_committed(const struct sim *s, int node, uint32_t shard)
+{
+	return holds(s, node, shard, (uint64_t)arrlen(s->hash[shard]));
+}
+
 /* The member that would lead: the newest log of all live ones. */
 static int newest_member(struct sim *s, uint32_t shard)
 {
@@ -264,11 +269,42 @@
 	pass(s, 1000 + (int64_t)draw(s, 1000));
 }
 
-/* A planned stop, as the process does it. */
-static void stop(struct sim *s, int node)
+/* Whether all voters but one have on their disks what was committed up to an index, as far as they answer. */
+static int others_hold(struct sim *s, int node, uint32_t shard, uint64_t index)
+{
+	const struct raft *raft = raft_at(s, node, shard);
+
+	for (int i = 0; i < raft->member_count; i++) {
+		int other = node_by_id(s, raft->members[i].id);
+
+		if (raft->members[i].voter && other >= 0 && other != node && !holds(s, other, shard, index))
+			return 0;
+	}
+	return 1;
+}
+
+/* A planned stop, as the process does it: it ends when it says that it may, or when the grace is over. It then leads
+ * nothing, and the others hold what it held. */
+static int64_t stop(struct sim *s, int node)
 {
+	int64_t from = s->now;
+	uint64_t committed[SHARD_COUNT];
+
+	for (uint32_t shard = 0; shard < SHARD_COUNT; shard++)
+		committed[shard] = (uint64_t)arrlen(s->hash[shard]);
 	sim_stop(s, node);
 	pass(s, 1);
+	while (s->now - from < GRACE_MS && !reg_stopped(s->n[node].r, sim_local(s, node)))
+		pass(s, 5);
+	for (uint32_t shard = 0; shard < SHARD_COUNT && s->now - from < GRACE_MS; shard++) {
+		const struct raft *raft = raft_at(s, node, shard);
+
+		assert_int_not_equal(raft->role, RAFT_LEADER);
+		if (raft->commit >= committed[shard] && !others_hold(s, node, shard, committed[shard]))
+			fail_msg("seed %llu: node %d goes, and another copy of shard %u is behind", (unsigned long long)s->seed,
+				 node, shard);
+	}
+	return s->now - from;
 }
 
 /* Another machine takes the place: a new address, an empty disk. */
@@ -405,6 +441,123 @@
 	assert_int_equal(late, 0);
 }
 
+/* A member that is to stop while another copy is behind stays until that one has caught up, and leads no more by then. */
+static void a_leaving_member_waits_for_the_others(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= (uint64_t)seeds_or(6); seed++) {
+		struct sim s;
+		int leader, behind;
+		int64_t took;
+
+		deploy(&s, &deployments[0], seed);
+		settle(&s, &deployments[0]);
+		leader = sim_owner(&s, SHARD_CONTROL);
+		behind = (leader + 1 + (int)(seed % 2)) % 3;
+		for (int i = 0; i < 3; i++)
+			s.link_cut[i][behind] = s.link_cut[behind][i] = i != behind;
+		pass(&s, 1000);
+		/* the link heals while the member waits */
+		sim_stop(&s, leader);
+		pass(&s, 1500);
+		assert_false(reg_stopped(s.n[leader].r, sim_local(&s, leader)));
+		memset(s.link_cut, 0, sizeof s.link_cut);
+		took = stop(&s, leader);
+		if (took > 3000)
+			fail_msg("seed %llu: gone %lld ms after the heal", (unsigned long long)seed, (long long)took);
+		sim_crash(&s, leader, 1);
+		sim_start(&s, leader);
+		pass(&s, CATCH_UP_MS);
+		assert_true(tolerance_is_whole(&s, &deployments[0]));
+		check(&s);
+		sim_close(&s);
+	}
+}
+
+/* With all others caught up a planned stop takes no longer than a few heartbeats and an election. */
+static void a_planned_stop_is_short(void **state)
+{
+	int64_t most = 0;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= (uint64_t)seeds_or(10); seed++) {
+		const struct deployment *d = &deployments[seed % DEPLOYMENTS];
+		struct sim s;
+		int64_t took;
+
+		deploy(&s, d, seed);
+		settle(&s, d);
+		took = stop(&s, any_live(&s, d));
+		most = took > most ? took : most;
+		check(&s);
+		sim_close(&s);
+	}
+	print_message("a planned stop takes %lld ms at most\n", (long long)most);
+	assert_true(most <= 2000);
+}
+
+/* One machine after the other is told to stop, and replaced by a new one; the next follows once that had its time. */
+static void all_machines_are_replaced_in_turn(void **state)
+{
+	(void)state;
+	for (int k = 0; k < DEPLOYMENTS; k += 3) {
+		const struct deployment *d = &deployments[k];
+		struct sim s;
+
+		deploy(&s, d, 77 + (uint64_t)k);
+		settle(&s, d);
+		for (int i = 0; i < d->machines; i++) {
+			stop(&s, i);
+			sim_crash(&s, i, 1);
+			pass(&s, (int64_t)draw(&s, 3000));
+			start_successor(&s, i);
+			pass(&s, CATCH_UP_MS);
+			check(&s);
+			if (!tolerance_is_whole(&s, d))
+				fail_msg("%s: exposed after %d", d->name, i);
+		}
+		sim_close(&s);
+	}
+}
+
+/* Two machines are told to stop at once, where the deployment tolerates one loss; spare ones take the places. */
+static void two_leave_at_once(void **state)
+{
+	const struct deployment *d = &deployments[4];
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= (uint64_t)seeds_or(6); seed++) {
+		struct sim s;
+		int a, b;
+		int64_t from;
+
+		deploy(&s, d, seed);
+		settle(&s, d);
+		a = sim_owner(&s, SHARD_CONTROL);
+		do
+			b = any_live(&s, d);
+		while (b == a);
+		sim_stop(&s, a);
+		sim_stop(&s, b);
+		from = s.now;
+		while (s.now - from < GRACE_MS && (s.n[a].up || s.n[b].up)) {
+			pass(&s, 5);
+			if (s.n[a].up && reg_stopped(s.n[a].r, sim_local(&s, a)))
+				sim_crash(&s, a, 1);
+			if (s.n[b].up && reg_stopped(s.n[b].r, sim_local(&s, b)))
+				sim_crash(&s, b, 1);
+		}
+		if (s.n[a].up || s.n[b].up)
+			fail_msg("seed %llu: %d %d still there after the grace", (unsigned long long)seed, s.n[a].up, s.n[b].up);
+		if (!all_survive(&s, 0))
+			fail_msg("seed %llu: a majority left", (unsigned long long)seed);
+		pass(&s, CATCH_UP_MS);
+		assert_true(tolerance_is_whole(&s, d));
+		check(&s);
+		sim_close(&s);
+	}
+}
+
 /* All three seeds come back with empty disks and know only each other: the others tell them of the fleet. */
 static void seeds_with_empty_disks_find_the_fleet(void **state)
 {
@@ -679,6 +832,105 @@
 	lead_end(&l);
 }
 
+static uint64_t successor_named(struct leader *l)
+{
+	for (ptrdiff_t i = 0; i < arrlen(l->out.v); i++)
+		if (l->out.v[i].kind == CMD_SEND && l->out.v[i].u.send.msg->body_case == NL__MSG__BODY_GIVE_UP)
+			return l->out.v[i].u.send.msg->give_up->successor;
+	return 0;
+}
+
+/* A leaving leader takes no proposals, waits for a voter that holds all, and names the one that holds most. */
+static void a_leaving_leader_hands_over_to_the_most_caught_up(void **state)
+{
+	(void)state;
+	for (uint64_t ahead = 2; ahead <= 3; ahead++) {
+		struct leader l;
+		uint64_t old;
+
+		lead(&l, 3);
+		old = newest(&l);
+		propose(&l);
+		hear_answer(&l, 2, ahead == 2 ? old + 1 : old);
+		hear_answer(&l, 3, ahead == 3 ? old + 1 : old);
+		raft_leave(&l.raft, l.now);
+		out_clear(&l.out);
+		raft_tick(&l.raft, l.now, &l.out);
+		assert_int_equal(l.raft.role, RAFT_FOLLOWER);
+		assert_int_equal(successor_named(&l), ahead);
+		lead_end(&l);
+	}
+	for (uint64_t wait = 0; wait <= 1; wait++) { /* nobody holds all: it waits, but not for ever */
+		struct leader l;
+		uint64_t old;
+
+		lead(&l, 3);
+		old = newest(&l);
+		propose(&l);
+		raft_leave(&l.raft, l.now);
+		assert_int_equal(raft_propose(&l.raft, (const uint8_t *)"y", 1, l.now), 0);
+		for (int i = 0; i < 4; i++) {
+			l.now += RAFT_HEARTBEAT_MS;
+			raft_tick(&l.raft, l.now, &l.out);
+			sync_disk(&l);
+			hear_answer(&l, 2, old);
+			hear_answer(&l, 3, old);
+		}
+		assert_int_equal(l.raft.role, RAFT_LEADER);
+		if (wait) {
+			l.now += 500;
+			raft_tick(&l.raft, l.now, &l.out);
+			assert_int_equal(l.raft.role, RAFT_FOLLOWER);
+		} else {
+			hear_answer(&l, 3, newest(&l));
+			raft_tick(&l.raft, l.now, &l.out);
+			assert_int_equal(l.raft.role, RAFT_FOLLOWER);
+			assert_int_equal(successor_named(&l), 3);
+		}
+		assert_false(raft_may_leave(&l.raft, l.now)); /* no successor has been elected yet */
+		lead_end(&l);
+	}
+}
+
+/* What a leaving voter has synced commits nothing where the others are a majority by themselves. */
+static void a_leaving_voter_is_not_counted(void **state)
+{
+	struct leader l;
+	struct Nl__Msg m = message(NL__MSG__BODY_APPEND_REPLY);
+	struct Nl__AppendReply a = NL__APPEND_REPLY__INIT;
+	uint64_t old;
+
+	(void)state;
+	lead(&l, 3);
+	old = newest(&l);
+	a.term = l.raft.term;
+	a.ok = a.leaving = 1;
+	a.round = l.raft.round;
+	a.match = old;
+	m.append_reply = &a;
+	hear(&l, 3, &m);
+	raft_tick(&l.raft, l.now, &l.out);
+	propose(&l);
+	a.match = newest(&l);
+	hear(&l, 3, &m);
+	assert_int_equal(l.raft.commit, old);
+	hear_answer(&l, 2, newest(&l));
+	assert_int_equal(l.raft.commit, newest(&l));
+	/* the other voter is silent: the leaving one counts, and is kept */
+	for (int i = 0; i < 5; i++) {
+		l.now += RAFT_HEARTBEAT_MS;
+		raft_tick(&l.raft, l.now, &l.out);
+		sync_disk(&l);
+		a.round = l.raft.round;
+		hear(&l, 3, &m);
+	}
+	propose(&l);
+	a.match = newest(&l);
+	hear(&l, 3, &m);
+	assert_int_equal(l.raft.commit, newest(&l));
+	lead_end(&l);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -686,7 +938,13 @@
 		cmocka_unit_test(a_lost_voter_goes_before_its_successor_votes),
 		cmocka_unit_test(a_learner_votes_only_with_all_that_is_committed),
 		cmocka_unit_test(no_change_without_a_majority_that_has_caught_up),
+		cmocka_unit_test(a_leaving_leader_hands_over_to_the_most_caught_up),
+		cmocka_unit_test(a_leaving_voter_is_not_counted),
 		cmocka_unit_test(next_loss_is_survived_in_time),
+		cmocka_unit_test(a_leaving_member_waits_for_the_others),
+		cmocka_unit_test(a_planned_stop_is_short),
+		cmocka_unit_test(all_machines_are_replaced_in_turn),
+		cmocka_unit_test(two_leave_at_once),
 		cmocka_unit_test(seeds_with_empty_disks_find_the_fleet),
 	};
 
