--- a/tests/test_shell.c
+++ b/tests/test_shell.c
@@ -756,7 +756,7 @@
 	assert_true(write(fd, keyed, sizeof keyed - 1) > 0);
 	e = next(r, EV_WEB);
 	assert_string_equal(e->key, "one-2");
-	web_answer(w, e->token, 200, 0, "{}");
+	web_answer(w, e->token, 200, 0, "{}", 0);
 	read_until(fd, b, sizeof b, "{}");
 	close(fd);
 	shell_ev_free(e);
