Entries and pieces go over a connection of their own, past which heartbeats go

A direction between two registrars had one TCP connection. A document of 4 MB fills a link of 10 Mbit/s for over three seconds, and heartbeats waited behind it: the leader lost its lease of 450 ms with every large change.

--- a/lib/shell/net.c
+++ b/lib/shell/net.c
@@ -1,5 +1,6 @@
-/* net: framed messages between our own processes, one TCP connection a direction.
- * A message may be lost when a connection breaks; the core's protocols expect that. */
+/* net: framed messages between our own processes. A direction has one TCP connection, and a second one for log entries and
+ * pieces of snapshots: heartbeats must not wait behind those on a slow link, or the leader's lease ends.
+ * A message may be lost when a connection breaks, and overtake one of the other connection; the core's protocols expect that. */
 #include <apr_network_io.h>
 #include <apr_poll.h>
 #include <apr_strings.h>
@@ -9,10 +10,13 @@
 #include "ds.h"
 #include "shell.h"
 
+#define NET_BULK ((uint64_t)1 << 63) /* in the key of a peer: its second connection */
+
 enum { NET_FRAME = 32 << 20, NET_QUEUE = 64 << 20, NET_AGAIN = 200, NET_DIAL = 250, NET_DRAWS = 64 };
 
 struct net_bytes {
 	uint64_t addr;
+	int bulk;
 	size_t n;
 	uint8_t *d;
 };
@@ -160,7 +164,8 @@
 
 static void out_queue(struct net *n, struct net_bytes *b)
 {
-	struct conn *c = hmget(n->peer, b->addr);
+	uint64_t key = b->addr | (b->bulk ? NET_BULK : 0);
+	struct conn *c = hmget(n->peer, key);
 	uint8_t *to;
 
 	if (!c) {
@@ -172,7 +177,7 @@
 			abort();
 		c->p = p;
 		c->addr = b->addr;
-		hmput(n->peer, b->addr, c);
+		hmput(n->peer, key, c);
 	}
 	/* a machine without power, or behind a cut, does not answer a dial; the kernel would ask once more after a second only */
 	if (c->s && !c->up && clock_ms() - c->dialled > NET_DIAL) {
@@ -355,6 +360,12 @@
 	return NULL;
 }
 
+/* Messages that may be large and that nothing waits for within a lease. */
+static int is_bulk(const struct Nl__Msg *m)
+{
+	return m->body_case == NL__MSG__BODY_SNAPSHOT_PIECE || (m->body_case == NL__MSG__BODY_APPEND && m->append->n_e);
+}
+
 void net_send(struct net *n, uint64_t addr, const struct Nl__Msg *m)
 {
 	struct net_bytes *b = malloc(sizeof *b);
@@ -363,6 +374,7 @@
 	if (!b || !(b->d = malloc(len + 4)))
 		abort();
 	b->addr = addr;
+	b->bulk = is_bulk(m);
 	b->n = len + 4;
 	for (int i = 0; i < 4; i++)
 		b->d[i] = (uint8_t)(len >> (24 - 8 * i));
