--- a/lib/control/reg.c
+++ b/lib/control/reg.c
@@ -23,24 +23,52 @@
 #include "snapshot.h"
 #include "state_machine.h"
 
+/* A message that breaks the protocol was dropped: one log line, and under a flood of them one a second that counts them. */
+static void log_dropped(struct reg *r, const struct Nl__Msg *m, const char *why, int64_t now, struct out *o)
+{
+	r->dropped++;
+	if (r->drops_logged && now - r->drop_logged_at < REG_DROP_LOG)
+		return;
+	say(r, "raft", o->p, "A message of kind %d of %s is dropped: %s; %" APR_UINT64_T_FMT " since the last such line.",
+	    (int)m->body_case, core_addr_str(o->p, m->addr), why, r->dropped - r->drops_logged);
+	r->drops_logged = r->dropped;
+	r->drop_logged_at = now;
+}
+
+static void on_raft_msg(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
+{
+	const char *why;
+
+	if (!r->fleet)
+		return; /* an empty machine is spoken to before it knows its fleet */
+	if (m->fleet != r->fleet)
+		why = "it names no fleet";
+	else if (m->part >= SHARD_COUNT)
+		why = "there is no such shard";
+	else
+		why = raft_receive(&r->part[m->part], m, now, o);
+	if (why)
+		log_dropped(r, m, why, now, o);
+}
+
 static void on_msg(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	int64_t before;
 
-	if (m->speak != CORE_SPEAK || (m->fleet && r->fleet && m->fleet != r->fleet))
+	if (m->speak != CORE_SPEAK || (m->fleet && r->fleet && m->fleet != r->fleet)) {
+		log_dropped(r, m, "it is of another fleet or edition of the protocol", now, o);
 		return;
+	}
 	switch (m->body_case) {
 	case NL__MSG__BODY_VOTE_ASK:
 	case NL__MSG__BODY_VOTE_REPLY:
 	case NL__MSG__BODY_APPEND:
 	case NL__MSG__BODY_APPEND_REPLY:
-	case NL__MSG__BODY_SNAP:
+	case NL__MSG__BODY_SNAPSHOT_PIECE:
+	case NL__MSG__BODY_SNAPSHOT_REPLY:
 	case NL__MSG__BODY_GIVE_UP:
 	case NL__MSG__BODY_PROBE:
-	case NL__MSG__BODY_PROBE_REPLY:
-		if (m->part < SHARD_COUNT && r->fleet && m->fleet == r->fleet)
-			raft_receive(&r->part[m->part], m, now, o);
-		break;
+	case NL__MSG__BODY_PROBE_REPLY: on_raft_msg(r, m, now, o); break;
 	case NL__MSG__BODY_FOLLOW: on_follow(r, m, now, o); break;
 	case NL__MSG__BODY_FOLLOW_REPLY:
 	case NL__MSG__BODY_OWNER:
@@ -151,9 +179,8 @@
 		while ((e = raft_next_committed(p, &index)))
 			answer_wait(r, i, index, apply(r, i, index, e, now, o), o);
 		office_begins(r, i, now, o);
-		if (raft_wants_snapshot(p) || (i == SHARD_CONTROL && r->doc_logged > REG_SNAP_BYTES)) {
+		if (raft_wants_snapshot(p))
 			snapshot(r, i, o);
-		}
 	}
 	asks_tick(r, now, o);
 	calls_tick(r, now, o);
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -22,15 +22,15 @@
 	REG_SPARE = 64,                 /* limits in the table up to which every counter holds spare places of each */
 	REG_RETRY_MS = 200,             /* ms after which an operator's call that was refused for want of a leader may come again */
 	REG_CALL = 5000,                /* ms before an operator's call is answered as unknown */
-	REG_CLAIM_KEEP = 720000,   /* ms of the part's own clock that a claim is remembered: the longest limit and two minutes */
-	REG_AGAIN = 400,           /* ms before a proposal without an answer is made again */
-	REG_BATCH = 128,           /* purges logged together */
-	REG_RECONFIGURE = 50,      /* ms between steps of changing the membership of groups */
-	REG_ANNOUNCE = 500,        /* ms between words to where silent registrars stood */
-	REG_FORGET = 60000,        /* ms in office before registrars that were never heard of are forgotten */
-	REG_SNAP_BYTES = 16 << 20, /* of documents logged before the next snapshot, since each is kept whole */
-	REG_DONE = 256,            /* changes whose answers are remembered */
-	REG_FEED = 100             /* ms between the publisher's askings of the feeds */
+	REG_CLAIM_KEEP = 720000, /* ms of the part's own clock that a claim is remembered: the longest limit and two minutes */
+	REG_AGAIN = 400,         /* ms before a proposal without an answer is made again */
+	REG_BATCH = 128,         /* purges logged together */
+	REG_RECONFIGURE = 50,    /* ms between steps of changing the membership of groups */
+	REG_ANNOUNCE = 500,      /* ms between words to where silent registrars stood */
+	REG_FORGET = 60000,      /* ms in office before registrars that were never heard of are forgotten */
+	REG_DROP_LOG = 1000,     /* ms between log lines on messages that break the protocol */
+	REG_DONE = 256,          /* changes whose answers are remembered */
+	REG_FEED = 100           /* ms between the publisher's askings of the feeds */
 };
 
 enum reg_ev_kind {
@@ -207,10 +207,10 @@
 	struct reg_done {
 		uint64_t from, token;
 		uint32_t status;
-	} * ctl_done;                   /* stb_ds, oldest first */
-	struct orders orders;           /* operators' orders that were accepted */
-	uint8_t *ctl_doc;               /* the newest document, byte for byte */
-	size_t ctl_doc_len, doc_logged; /* doc_logged: bytes since the last snapshot */
+	} * ctl_done;         /* stb_ds, oldest first */
+	struct orders orders; /* operators' orders that were accepted */
+	uint8_t *ctl_doc;     /* the newest document, byte for byte */
+	size_t ctl_doc_len;
 	uint64_t ctl_doc_version;
 	struct reg_call *call; /* stb_ds */
 	struct retention ret;
@@ -255,6 +255,8 @@
 		int empty[8];
 		struct Nl__Members *members;
 	} found;
+	int64_t drop_logged_at;         /* messages that break the protocol: last log line, */
+	uint64_t dropped, drops_logged; /* how many there were, how many of them lines have told of */
 	int stopping;
 	void (*log)(void *ctx, const char *prefix, const char *line);
 	void *log_ctx;
--- a/lib/control/snapshot.c
+++ b/lib/control/snapshot.c
@@ -166,7 +166,6 @@
 		clear_values(&r->ctl_feed);
 		arrsetlen(r->ctl_done, 0);
 		orders_load(&r->orders, s);
-		r->doc_logged = 0;
 		retention_load(r, s);
 		doc_keep(r, s ? s->doc.data : NULL, s ? s->doc.len : 0, s ? s->doc_version : 0);
 		if (!s)
@@ -233,8 +232,6 @@
 
 	if (svc_of(r, i))
 		forget_claims(svc_of(r, i));
-	if (i == SHARD_CONTROL)
-		r->doc_logged = 0;
 	d = reg_state(r, i, o->p, &n);
 	raft_snapshot(&r->part[i], d, n);
 }
--- a/lib/control/state_machine.c
+++ b/lib/control/state_machine.c
@@ -79,7 +79,6 @@
 	const struct order_record *accepted = orders_find(&r->orders, &id);
 	int document = op->change->doc_version != 0, st;
 
-	r->doc_logged += op->change->doc.len;
 	if (old)
 		return old->status;
 	if (accepted)
--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -8,19 +8,38 @@
 
 #include "ds.h"
 
-void raft_receive(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o)
+/* Whether an append or a piece is meant for another identity: one that was at our address before its disk was lost. What the
+ * leader sends to that one would undo what it sends to us. */
+static int is_for_another(const struct raft *raft, const struct Nl__Msg *m)
 {
+	uint64_t to = m->body_case == NL__MSG__BODY_APPEND           ? m->append->to
+		      : m->body_case == NL__MSG__BODY_SNAPSHOT_PIECE ? m->snapshot_piece->to
+								     : 0;
+
+	return to && to != raft->id;
+}
+
+const char *raft_receive(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o)
+{
+	const char *fault = raft_message_fault(raft, m);
+
+	if (fault)
+		return fault;
+	if (is_for_another(raft, m))
+		return NULL;
 	switch (m->body_case) {
 	case NL__MSG__BODY_VOTE_ASK: raft_on_vote_request(raft, m, now, o); break;
 	case NL__MSG__BODY_VOTE_REPLY: raft_on_vote_reply(raft, m, now, o); break;
 	case NL__MSG__BODY_APPEND: raft_on_append(raft, m, now, o); break;
 	case NL__MSG__BODY_APPEND_REPLY: raft_on_append_reply(raft, m, now, o); break;
-	case NL__MSG__BODY_SNAP: raft_on_snapshot(raft, m, now, o); break;
+	case NL__MSG__BODY_SNAPSHOT_PIECE: raft_on_snapshot_piece(raft, m, now, o); break;
+	case NL__MSG__BODY_SNAPSHOT_REPLY: raft_on_snapshot_reply(raft, m, now, o); break;
 	case NL__MSG__BODY_GIVE_UP: raft_on_give_up(raft, m, now); break;
 	case NL__MSG__BODY_PROBE: raft_on_probe(raft, m, o); break;
 	case NL__MSG__BODY_PROBE_REPLY: raft_on_probe_reply(raft, m, now); break;
 	default: break;
 	}
+	return NULL;
 }
 
 void raft_tick(struct raft *raft, int64_t now, struct out *o)
@@ -106,6 +125,7 @@
 
 	if (raft->role == RAFT_LEADER)
 		raft_replicate(raft, 0, now, o);
+	raft_release_previous(raft);
 	if (!raft->dirty)
 		return;
 	s = apr_pcalloc(o->p, sizeof *s);
@@ -194,6 +214,9 @@
 	arrfree(raft->marks);
 	free(raft->snap);
 	free(raft->snapshot_members);
+	free(raft->previous.data);
+	free(raft->previous.members);
+	raft_drop_incoming(raft);
 	memset(raft, 0, sizeof *raft);
 }
 
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -20,11 +20,22 @@
 	RAFT_MIN_VOTERS = 3,           /* bootstrapped with these; a group never shrinks below them */
 	RAFT_MEMBER_LOST_MS = 6000,    /* a silent member is replaced after this, unless the group is told another bound */
 	RAFT_MAX_MEMBERS = 8,
-	RAFT_LOG_TAIL = 256,           /* entries kept behind a snapshot, */
-	RAFT_LOG_TAIL_BYTES = 8 << 20, /* as far as they hold no more */
-	RAFT_SNAPSHOT_ENTRIES = 2048   /* entries before the next snapshot */
+	RAFT_LOG_TAIL = 256,                /* entries kept behind a snapshot, */
+	RAFT_LOG_TAIL_BYTES = 8 << 20,      /* as far as they hold no more */
+	RAFT_SNAPSHOT_ENTRIES = 2048,       /* entries before the next snapshot, */
+	RAFT_SNAPSHOT_LOG_BYTES = 8 << 20,  /* or so many bytes of them, when the last snapshot is not larger */
+	RAFT_APPEND_WINDOW_BYTES = 1 << 20, /* entries under way to a member; one entry always is */
+	RAFT_APPEND_MAX_ENTRIES = 512,      /* entries in one message */
+	RAFT_RESEND_MS = 300,               /* silence after which what is under way is sent again, doubled each time, */
+	RAFT_RESEND_MAX_MS = 4800,          /* up to this */
+	RAFT_PIECE_BYTES = 64 << 10,        /* of a snapshot in one message */
+	RAFT_PIECE_WINDOW = 4,              /* pieces under way to a member */
+	RAFT_TRANSFER_IDLE_MS = 10000,      /* a transfer without a reply for so long begins anew, with the newest snapshot */
+	RAFT_SNAPSHOT_MAX_BYTES = 64 << 20  /* a larger one is not taken from a leader */
 };
 
+enum { RAFT_DIGEST_BYTES = 32 };
+
 enum { RAFT_ENTRY_NOOP = 0, RAFT_ENTRY_MEMBERS = 1, RAFT_ENTRY_OPERATION = 2 };
 
 struct raft_entry {
@@ -34,13 +45,40 @@
 	uint8_t *data;
 };
 
+/* Leader: the snapshot that is on its way to a member. */
+struct raft_snapshot_transfer {
+	uint64_t index;       /* of the snapshot; 0: none is under way */
+	uint64_t acked, sent; /* bytes that the member says it holds, bytes sent */
+	int answered;         /* the member has replied: a whole window may be under way */
+	int64_t heard_at;     /* last reply, or the beginning */
+	int64_t progress_at;  /* last byte acknowledged, or last resend */
+	int64_t resend_ms;    /* silence after which what is under way is sent again */
+	int64_t resume_at;    /* nothing is sent before; after a wrong digest */
+	int64_t rewound_at;
+};
+
+/* Leader: a snapshot before the newest that a member is still receiving. */
+struct raft_old_snapshot {
+	uint64_t index, term;
+	uint8_t *data, *members;
+	size_t len, members_len;
+	uint8_t digest[RAFT_DIGEST_BYTES];
+	int has_digest;
+};
+
+struct raft_incoming; /* member: a snapshot of which pieces have come (raft_snapshot.c) */
+
 struct raft_member {
 	uint64_t id, addr;
 	uint64_t zone; /* hash of the zone's name; 0 while unknown */
 	int voter;
 	/* what the leader knows of it */
 	uint64_t next, match, round;
-	int64_t heard_at, snapshot_sent_at;
+	uint64_t unacked; /* entries from here to next are under way */
+	int64_t heard_at;
+	int probing;                    /* next is a guess: no entries go out before the member agrees */
+	int64_t progress_at, resend_ms; /* of entries under way */
+	struct raft_snapshot_transfer transfer;
 	int granted;
 	int not_leader;       /* has said since our restart that it does not lead */
 	int leaving;          /* it is to stop, and is not counted where the others suffice; */
@@ -68,6 +106,11 @@
 	size_t snapshot_len;
 	uint8_t *snapshot_members;
 	size_t snapshot_members_len;
+	uint8_t snapshot_digest[RAFT_DIGEST_BYTES];
+	int snapshot_has_digest;
+	struct raft_old_snapshot previous;
+	struct raft_incoming *incoming;
+	size_t applied_bytes; /* of entries applied since the snapshot */
 
 	struct raft_member members[RAFT_MAX_MEMBERS];
 	int member_count;
@@ -127,8 +170,9 @@
 /* Let time pass. Example: raft_tick(&raft, now, o); */
 void raft_tick(struct raft *raft, int64_t now, struct out *o);
 
-/* Handle a message of another member. Example: raft_receive(&raft, msg, now, o); */
-void raft_receive(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o);
+/* Handle a message of another member. NULL, or why it was dropped: it breaks the protocol and changed nothing.
+ * Example: why = raft_receive(&raft, msg, now, o); */
+const char *raft_receive(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o);
 
 /* The disk has synced all up to seq. Example: raft_synced(&raft, seq, now, o); */
 void raft_synced(struct raft *raft, uint64_t seq, int64_t now, struct out *o);
--- a/lib/core/raft_election.c
+++ b/lib/core/raft_election.c
@@ -3,6 +3,8 @@
  * A vote is told only once it is synced; nobody votes while its vote barrier stands. */
 #include "raft_internal.h"
 
+#include <string.h>
+
 #include "ds.h"
 
 enum { STEP_DOWN_SPREAD_MS = 100 }; /* members of a leader that stepped down ask for votes within this time */
@@ -72,12 +74,16 @@
 	raft->round = 0;
 	for (int i = 0; i < raft->member_count; i++) {
 		raft->members[i].next = raft_last_index(raft) + 1;
+		raft->members[i].unacked = raft->members[i].next;
 		raft->members[i].match = 0;
 		raft->members[i].round = 0;
 		raft->members[i].heard_at =
 		    now - raft->member_lost_ms / 2; /* who fell with the last owner has been silent since then */
-		raft->members[i].snapshot_sent_at = 0;
 		raft->members[i].leaving = 0;
+		raft->members[i].probing = 0;
+		raft->members[i].progress_at = now;
+		raft->members[i].resend_ms = RAFT_RESEND_MS;
+		memset(&raft->members[i].transfer, 0, sizeof raft->members[i].transfer);
 	}
 	for (int i = 0; i < 64; i++)
 		raft->heartbeat_sent_at[i] = now - 1000 * RAFT_LEASE_MS; /* acks of earlier rounds grant nothing */
--- a/lib/core/raft_internal.h
+++ b/lib/core/raft_internal.h
@@ -44,6 +44,9 @@
 /* The packed members in force at an index: what a snapshot at that index carries. */
 void raft_members_in_force(struct raft *raft, uint64_t i, const uint8_t **d, size_t *n);
 
+/* Whether packed members can be a group's: each once, with identity and address, and at least one that votes. */
+int raft_members_valid(const uint8_t *d, size_t n);
+
 /* Members packed as a log entry holds them; the caller frees the result. */
 uint8_t *raft_pack_members(const struct raft_member *m, int n, size_t *len);
 
@@ -110,11 +113,28 @@
 
 /* ---- snapshots (raft_snapshot.c) ---- */
 
-/* Leader: send the snapshot to a member whose next entry is no longer in the log. */
+/* Leader: send pieces to a member whose next entry is no longer in the log, as far as the window allows. */
 void raft_send_snapshot(struct raft *raft, struct raft_member *m, int64_t now, struct out *o);
 
-/* Take the leader's snapshot in place of all state up to its index. */
-void raft_on_snapshot(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o);
+/* Leader: the member needs no snapshot any more. */
+void raft_end_transfer(struct raft *raft, struct raft_member *m);
+
+/* Drop the snapshot before the newest when no transfer reads it. */
+void raft_release_previous(struct raft *raft);
+
+/* A piece of the leader's snapshot; the whole is installed in place of all state up to its index. */
+void raft_on_snapshot_piece(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o);
+
+/* A member says how much of a snapshot it holds. */
+void raft_on_snapshot_reply(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o);
+
+/* Forget the pieces that have come. */
+void raft_drop_incoming(struct raft *raft);
+
+/* ---- protocol checks (raft_validate.c) ---- */
+
+/* Why a message cannot come from a member that keeps to the protocol, or NULL. */
+const char *raft_message_fault(const struct raft *raft, const struct Nl__Msg *m);
 
 /* ---- leaving and handing over (raft_transfer.c) ---- */
 
--- a/lib/core/raft_log.c
+++ b/lib/core/raft_log.c
@@ -69,6 +69,7 @@
 	while (raft->applied < raft->commit && !raft->snapshot_to_load) {
 		struct raft_entry *e = raft_entry_at(raft, ++raft->applied);
 
+		raft->applied_bytes += e ? e->len : 0;
 		if (e && e->kind == RAFT_ENTRY_OPERATION) {
 			*index = raft->applied;
 			return e;
--- a/lib/core/raft_members.c
+++ b/lib/core/raft_members.c
@@ -35,7 +35,9 @@
 		struct raft_member *m = &raft->members[raft->member_count++];
 
 		memset(m, 0, sizeof *m);
-		m->next = raft_last_index(raft) + 1;
+		m->next = m->unacked = raft_last_index(raft) + 1;
+		m->resend_ms = RAFT_RESEND_MS;
+		m->probing = 1;
 		for (int k = 0; k < oldn; k++)
 			if (old[k].id == ms->m[i]->id)
 				*m = old[k];
@@ -71,6 +73,22 @@
 	*n = raft->snapshot_members_len;
 }
 
+int raft_members_valid(const uint8_t *d, size_t n)
+{
+	struct Nl__Members *ms = nl__members__unpack(NULL, n, d);
+	int voters = 0, valid = ms && ms->n_m && ms->n_m <= RAFT_MAX_MEMBERS;
+
+	for (size_t i = 0; valid && i < ms->n_m; i++) {
+		valid = ms->m[i]->id && ms->m[i]->addr;
+		voters += ms->m[i]->voter;
+		for (size_t k = 0; k < i; k++)
+			valid = valid && ms->m[k]->id != ms->m[i]->id;
+	}
+	if (ms)
+		nl__members__free_unpacked(ms, NULL);
+	return valid && voters;
+}
+
 uint8_t *raft_pack_members(const struct raft_member *m, int n, size_t *len)
 {
 	struct Nl__Members ms = NL__MEMBERS__INIT;
--- a/lib/core/raft_replication.c
+++ b/lib/core/raft_replication.c
@@ -43,27 +43,59 @@
 	return raft->role == RAFT_LEADER && now < raft->lease_expires_at && raft->commit >= raft->term_start;
 }
 
-static void send_append(struct raft *raft, struct raft_member *m, int64_t now, struct out *o)
+/* The number of bytes of entries under way to a member, counted no further than the window. */
+static size_t bytes_under_way(const struct raft *raft, const struct raft_member *m)
 {
-	struct Nl__Append *a;
-	size_t n, bytes = 0;
+	size_t bytes = 0;
 
-	if (m->next <= raft->base) {
-		raft_send_snapshot(raft, m, now, o);
-		return;
+	for (uint64_t i = m->unacked; i < m->next && bytes < RAFT_APPEND_WINDOW_BYTES; i++) {
+		const struct raft_entry *e = raft_entry_at(raft, i);
+
+		bytes += e ? e->len : 0;
 	}
-	a = OUT_NEW(o, Nl__Append, NL__APPEND__INIT);
+	return bytes;
+}
+
+static struct Nl__Append *new_append(struct raft *raft, const struct raft_member *m, uint64_t prev, struct out *o)
+{
+	struct Nl__Append *a = OUT_NEW(o, Nl__Append, NL__APPEND__INIT);
+
 	a->term = raft->term;
-	a->prev = m->next - 1;
-	a->prev_term = raft_term_at(raft, a->prev);
+	a->to = m->id;
+	a->prev = prev;
+	a->prev_term = raft_term_at(raft, prev);
 	a->commit = raft->commit;
 	a->round = raft->round;
 	a->released = raft_is_released(raft, m);
-	n = (size_t)(raft_last_index(raft) - a->prev);
-	n = n > 512 ? 512 : n;
-	a->e = apr_palloc(o->p, (n + 1) * sizeof *a->e);
-	for (size_t i = 0; i < n && bytes < 1 << 20; i++) {
-		struct raft_entry *e = raft_entry_at(raft, a->prev + 1 + i);
+	out_msg(o, m->addr, raft->no, NL__MSG__BODY_APPEND)->append = a;
+	return a;
+}
+
+/* An append without entries, at an index that the member is known to hold, or at the one that is guessed. It never waits for
+ * entries or pieces, nor can it arrive too early for them. */
+static void send_heartbeat(struct raft *raft, const struct raft_member *m, struct out *o)
+{
+	uint64_t prev = m->probing ? m->next - 1 : m->match;
+
+	(void)new_append(raft, m, prev > raft->base ? prev : raft->base, o);
+}
+
+/* Entries from next on: as many as the window has room for, and one at least when none is under way. */
+static void send_entries(struct raft *raft, struct raft_member *m, int64_t now, struct out *o)
+{
+	size_t bytes = bytes_under_way(raft, m), n = (size_t)(raft_last_index(raft) + 1 - m->next);
+	int idle = m->next == m->unacked;
+	struct Nl__Append *a;
+
+	if (!n || (!idle && bytes >= RAFT_APPEND_WINDOW_BYTES))
+		return;
+	if (idle)
+		m->progress_at = now;
+	n = n > RAFT_APPEND_MAX_ENTRIES ? RAFT_APPEND_MAX_ENTRIES : n;
+	a = new_append(raft, m, m->next - 1, o);
+	a->e = apr_palloc(o->p, n * sizeof *a->e);
+	while (a->n_e < n && (!a->n_e || bytes < RAFT_APPEND_WINDOW_BYTES)) {
+		struct raft_entry *e = raft_entry_at(raft, m->next++);
 		struct Nl__Entry *x = OUT_NEW(o, Nl__Entry, NL__ENTRY__INIT);
 
 		x->term = e->term;
@@ -73,15 +105,40 @@
 		bytes += e->len;
 		a->e[a->n_e++] = x;
 	}
-	m->next += a->n_e;
-	out_msg(o, m->addr, raft->no, NL__MSG__BODY_APPEND)->append = a;
+}
+
+/* Silence: entries under way are taken for lost, and go out again less and less often. */
+static void resend_after_silence(struct raft_member *m, int64_t now)
+{
+	if (m->next == m->unacked || now - m->progress_at < m->resend_ms)
+		return;
+	m->next = m->unacked;
+	m->progress_at = now;
+	m->resend_ms = m->resend_ms * 2 < RAFT_RESEND_MAX_MS ? m->resend_ms * 2 : RAFT_RESEND_MAX_MS;
+}
+
+static void send_missing(struct raft *raft, struct raft_member *m, int64_t now, struct out *o)
+{
+	if (m->probing && m->next > raft->base)
+		return;
+	resend_after_silence(m, now);
+	if (m->next <= raft->base)
+		raft_send_snapshot(raft, m, now, o);
+	else
+		send_entries(raft, m, now, o);
 }
 
 void raft_replicate(struct raft *raft, int all, int64_t now, struct out *o)
 {
-	for (int i = 0; i < raft->member_count; i++)
-		if (raft->members[i].id != raft->id && (all || raft->members[i].next <= raft_last_index(raft)))
-			send_append(raft, &raft->members[i], now, o);
+	for (int i = 0; i < raft->member_count; i++) {
+		struct raft_member *m = &raft->members[i];
+
+		if (m->id == raft->id)
+			continue;
+		if (all)
+			send_heartbeat(raft, m, o);
+		send_missing(raft, m, now, o);
+	}
 }
 
 void raft_send_append_reply(struct raft *raft, uint64_t to, int ok, uint64_t match, uint64_t round, struct out *o)
@@ -91,6 +148,7 @@
 	r->term = raft->term;
 	r->ok = ok;
 	r->match = match;
+	r->matched = ok ? raft->matched : 0;
 	r->round = round;
 	r->leaving = raft->leaving;
 	out_msg(o, to, raft->no, NL__MSG__BODY_APPEND_REPLY)->append_reply = r;
@@ -127,7 +185,8 @@
 		raft_send_append_reply(raft, m->addr, 0, hint > raft->commit ? hint : raft->commit, a->round, o);
 		return;
 	}
-	raft->release = a->released ? RAFT_RELEASED : RAFT_HELD;
+	if (a->round >= raft->round) /* entries may arrive later than heartbeats that were sent after them */
+		raft->release = a->released ? RAFT_RELEASED : RAFT_HELD;
 	skip = raft->commit > i ? raft->commit - i : 0; /* committed entries never differ */
 	for (size_t k = skip; k < a->n_e; k++) {
 		const struct Nl__Entry *e = a->e[k];
@@ -154,11 +213,43 @@
 	}
 	if (raft->dirty && a->round == raft->round)
 		return; /* nothing new to say before the sync, and then raft_synced says it */
-	raft->round = a->round;
+	if (a->round > raft->round)
+		raft->round = a->round; /* entries arrive later than heartbeats that were sent after them */
 	raft_send_append_reply(raft, m->addr, 1, raft->matched < raft->synced_index ? raft->matched : raft->synced_index, a->round,
 			       o);
 }
 
+/* The member's log is ours up to matched, and synced up to match. The reply may be to an earlier append than the one that asked
+ * where the member stands, so what goes out next begins behind what it vouches for. */
+static void on_accepted(struct raft_member *who, uint64_t match, uint64_t matched, int64_t now)
+{
+	uint64_t known = matched > match ? matched : match;
+
+	if (who->probing && known + 1 < who->next)
+		who->next = who->unacked = known + 1;
+	who->probing = 0;
+	if (match > who->match) {
+		who->match = match;
+		who->progress_at = now;
+		who->resend_ms = RAFT_RESEND_MS;
+	}
+	if (who->unacked <= who->match)
+		who->unacked = who->match + 1;
+	if (who->next < who->unacked)
+		who->next = who->unacked;
+}
+
+/* The member's log does not reach or match: it is asked again at its hint, without entries until it agrees. A hint below the
+ * base means a snapshot, whose replies say more than further appends would. */
+static void on_rejected(struct raft *raft, struct raft_member *who, uint64_t hint, struct out *o)
+{
+	who->next = who->unacked = (hint > who->match ? hint : who->match) + 1;
+	if (who->next <= raft->base)
+		return;
+	who->probing = 1;
+	send_heartbeat(raft, who, o);
+}
+
 void raft_on_append_reply(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	const struct Nl__AppendReply *r = m->append_reply;
@@ -174,16 +265,11 @@
 	raft_note_leaving(raft, who, r->leaving);
 	if (r->round > who->round)
 		who->round = r->round;
-	if (r->ok) {
-		if (r->match > who->match)
-			who->match = r->match;
-		if (who->next <= who->match)
-			who->next = who->match + 1;
-	} else {
-		who->next = r->match + 1;
-		if (who->next <= who->match)
-			who->next = who->match + 1;
-		send_append(raft, who, now, o);
-	}
+	if (r->ok)
+		on_accepted(who, r->match, r->matched, now);
+	else
+		on_rejected(raft, who, r->match, o);
+	if (who->next > raft->base && who->transfer.index)
+		raft_end_transfer(raft, who);
 	raft_advance_commit(raft);
 }
--- /dev/null
+++ b/tests/raft_world.h
@@ -0,0 +1,114 @@
+/* raft_world: one raft group on a few machines under seeded virtual time, with documents as its operations. Links have delay,
+ * bandwidth, loss, repetition and reordering; disks take time and forget what was not synced.
+ * Safety is checked after every step; the first breach is kept in bad. */
+#ifndef NL_RAFT_WORLD_H
+#define NL_RAFT_WORLD_H
+
+#include "raft.h"
+
+enum { WORLD_MACHINES = 4, WORLD_CATCH_UP_MS = 4000 };
+
+struct world_entry {
+	uint64_t term;
+	uint32_t kind;
+	size_t len;
+	uint8_t *data;
+};
+
+struct world_disk {
+	uint64_t term, vote, base, base_term, first; /* first: index of entries[0] */
+	struct world_entry *entries;                 /* stb_ds */
+	uint8_t *data, *members;
+	size_t len, members_len;
+};
+
+struct world_write {
+	int64_t due;
+	apr_pool_t *pool;
+	struct persist *persist;
+};
+
+/* The replicated state: the newest document, and how many there were. */
+struct world_state {
+	uint64_t version, applied, chain;
+	uint8_t *document;
+	size_t len;
+};
+
+struct world_machine {
+	int up, cut, disk_full;
+	uint64_t id, addr, life;
+	struct raft raft;
+	struct out out;
+	struct world_disk disk;
+	struct world_write *writes; /* stb_ds, oldest first */
+	struct world_state state;
+	uint64_t commit;                      /* highest seen in this life */
+	int64_t bulk_free_at;                 /* its link, for what is large */
+	int64_t bulk_arrival[WORLD_MACHINES]; /* newest of what is large, by receiver */
+};
+
+struct world_packet {
+	int64_t at;
+	int from, to;
+	uint64_t life;
+	size_t len;
+	uint8_t *data;
+};
+
+struct world {
+	uint64_t seed, rng;
+	int64_t now;
+	int machines;
+	struct world_machine m[WORLD_MACHINES];
+	struct world_packet *packets; /* stb_ds */
+	int loss, repeat;             /* per mille of messages */
+	int reorder;                  /* entries and pieces, too, may pass each other */
+	int delay_ms, jitter_ms, disk_ms;
+	size_t bytes_per_ms; /* of each machine's link, for what is not a heartbeat */
+	size_t document_len;
+	/* the operator: one document after the other */
+	uint64_t proposed, acked, acked_index, pending_index, pending_term;
+	int pending_at;   /* the machine that logged it; -1: none */
+	uint64_t changes; /* acknowledged */
+	char bad[300];
+	/* figures */
+	uint64_t messages, bytes, pieces, piece_bytes, append_bytes;
+	size_t peak_memory, peak_disk, peak_under_way; /* bytes of one machine; of packets between two */
+	/* called for each message before it is sent; 0: it is lost */
+	int (*filter)(struct world *w, int from, int to, struct Nl__Msg *m);
+};
+
+/* A founded group of three on four machines, with a leader. Example: world_open(&w, 1, 300 << 10); */
+void world_open(struct world *w, uint64_t seed, size_t document_len);
+void world_close(struct world *w);
+
+/* Let time pass, or until done says so; 0 when something was breached or done never said so.
+ * Example: assert_true(world_run(&w, 500, NULL)); */
+int world_run(struct world *w, int64_t ms, int (*done)(struct world *w));
+
+/* Have the operator log documents until `count` more are acknowledged. Example: world_change(&w, 10, 20000); */
+int world_change(struct world *w, uint64_t count, int64_t ms);
+
+/* Power is lost, with `wipe` the disk and its identity too; power is back. Example: world_crash(&w, 2, 0); */
+void world_crash(struct world *w, int machine, int wipe);
+void world_start(struct world *w, int machine);
+
+/* The machine that leads with a lease, or -1. Example: leader = world_leader(&w); */
+int world_leader(const struct world *w);
+
+/* How long, under further changes, until three members vote that have synced and applied all that is acknowledged now; -1 when
+ * longer than ms. Example: assert_true(world_catch_up(&w, WORLD_CATCH_UP_MS) >= 0); */
+int64_t world_catch_up(struct world *w, int64_t ms);
+
+/* Whether three members vote and each has synced and applied all that is acknowledged. Example: if (world_whole(&w)) ... */
+int world_whole(const struct world *w);
+
+/* Bytes that a machine holds in its log and snapshots; on its disk. Example: assert_true(world_memory(&w, 0) < 32 << 20); */
+size_t world_memory(const struct world *w, int machine);
+size_t world_disk_bytes(const struct world *w, int machine);
+
+/* What every machine holds and believes, for a failure's report. Example: world_print(&w); */
+void world_print(const struct world *w);
+
+#endif
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -527,7 +527,7 @@
 
 	if (!w->s.n[node].up)
 		return;
-	w->s.n[node].r->doc_logged = REG_SNAP_BYTES + 1; /* as after large documents */
+	w->s.n[node].r->part[SHARD_CONTROL].applied_bytes = 2 * RAFT_SNAPSHOT_LOG_BYTES; /* as after large documents */
 	w->snapshots++;
 }
 
