The list of servers is timed from the asking; an answer held back by a freeze has its own test

Cause: a leader that stood still while a look at the platform's list was under way took the list, twenty seconds old, for the list of now. Where its lease is renewed in the same term (all stood still together), it told routers of servers that had left, and that those on the list serve. Other looks are dropped by their token as soon as a new one is made, which a frozen process does not do.

--- a/lib/control/sights.c
+++ b/lib/control/sights.c
@@ -160,6 +160,9 @@
 	if (!s->term || !token || token != s->call)
 		return;
 	s->call = 0;
+	/* timed from the asking: what this process reads only after it stood still shows servers that may have left since */
+	if (now - s->called > SIGHTS_LOST)
+		ok = 0;
 	if (!ok) {
 		s->changed = now; /* again soon: a server may have begun to leave */
 		return;
--- a/tests/test_isolation.c
+++ b/tests/test_isolation.c
@@ -766,6 +766,72 @@
 	}
 }
 
+/* The leader stands still between making an answer and writing it: by then its lease is over. */
+static void an_answer_held_back_is_not_written(void **state)
+{
+	int seen = 0;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= 12; seed++) {
+		struct world w;
+		struct call c = { .kind = seed % 2 ? CALL_READ_DOCUMENT : CALL_NAME_NOTHING };
+		int leader;
+
+		open_world(&w, seed);
+		w.s.answer_ms = 0;
+		operate(&w, 3000, -1, 40);
+		w.s.answer_ms = 40;
+		leader = sim_owner(&w.s, SHARD_CONTROL);
+		assert_true(leader >= 0);
+		c.node = leader;
+		send_document_call(&w, &c);
+		sim_run(&w.s, 1, NULL);
+		if (!sim_answer(&w.s, c.token)) {
+			seen++;
+			sim_freeze(&w.s, leader, 1);
+			sim_run(&w.s, ISOLATION_MS, NULL);
+			assert_null(sim_answer(&w.s, c.token));
+			sim_freeze(&w.s, leader, 0);
+			sim_run(&w.s, 100, NULL);
+			assert_non_null(sim_answer(&w.s, c.token));
+			assert_int_equal(sim_answer(&w.s, c.token)->status, 503);
+			assert_true(sim_answer(&w.s, c.token)->retry_ms > 0);
+		}
+		intact(&w);
+		close_world(&w);
+	}
+	assert_true(seen >= 6);
+}
+
+/* The list of servers as it was when the leader asked: after a freeze it is not told to anybody as the list of now. */
+static void a_list_read_late_is_none(void **state)
+{
+	struct sights seen, followed;
+	struct Nl__Sight server = NL__SIGHT__INIT, *list[1] = { &server };
+	struct out o = { 0 };
+	int64_t now = 100000;
+
+	(void)state;
+	apr_pool_create(&o.p, NULL);
+	sights_open(&seen);
+	sights_open(&followed);
+	sights_begin(&seen, &followed, 1, now);
+	server.server = server.service = server.addr = server.zone = server.weights = "x";
+	sights_tick(&seen, 0, 10000, 7, now, &o);
+	assert_int_equal(arrlen(o.v), 1);
+	sights_listed(&seen, 7, 1, list, 1, now + ISOLATION_MS);
+	assert_null(sights_get(&seen, "x"));
+	assert_false(seen.listed);
+	now += ISOLATION_MS + SIGHTS_CALM;
+	sights_tick(&seen, 0, 10000, 8, now, &o);
+	sights_listed(&seen, 8, 1, list, 1, now + 100);
+	assert_non_null(sights_get(&seen, "x"));
+	sights_close(&seen);
+	sights_close(&followed);
+	arrfree(o.v);
+	apr_pool_destroy(o.p);
+}
+
 /* The others' disks stand still, though their processes go on: nothing is committed, and whoever waits is told so. */
 static void an_open_outcome_is_said_to_be_open(void **state)
 {
@@ -803,7 +869,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(controllers_in_trouble),      cmocka_unit_test(core_in_pieces),
 		cmocka_unit_test(all_frozen_and_thawed),       cmocka_unit_test(routers_in_trouble),
-		cmocka_unit_test(an_answer_read_late_is_none), cmocka_unit_test(an_open_outcome_is_said_to_be_open),
+		cmocka_unit_test(an_answer_read_late_is_none), cmocka_unit_test(an_answer_held_back_is_not_written),
+		cmocka_unit_test(a_list_read_late_is_none),    cmocka_unit_test(an_open_outcome_is_said_to_be_open),
 	};
 
 	apr_initialize();
