--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -931,6 +931,47 @@
 	lead_end(&l);
 }
 
+/* Whether the last message to a member says that it may go. */
+static int let_go(struct leader *l, uint64_t id)
+{
+	int released = 0;
+
+	for (ptrdiff_t i = 0; i < arrlen(l->out.v); i++)
+		if (l->out.v[i].kind == CMD_SEND && l->out.v[i].u.send.addr == 100 + id &&
+		    l->out.v[i].u.send.msg->body_case == NL__MSG__BODY_APPEND)
+			released = l->out.v[i].u.send.msg->append->released;
+	return released;
+}
+
+/* A leaving member is kept while another voter, though it answers, lacks what the leaving one held. */
+static void a_leaving_voter_is_kept_while_another_is_behind(void **state)
+{
+	struct leader l;
+	struct Nl__Msg m = message(NL__MSG__BODY_APPEND_REPLY);
+	struct Nl__AppendReply a = NL__APPEND_REPLY__INIT;
+	uint64_t old;
+
+	(void)state;
+	lead(&l, 3);
+	old = newest(&l);
+	propose(&l);
+	a.term = l.raft.term;
+	a.ok = a.leaving = 1;
+	a.round = l.raft.round;
+	a.match = newest(&l);
+	m.append_reply = &a;
+	hear(&l, 3, &m);
+	for (int caught_up = 0; caught_up <= 1; caught_up++) {
+		hear_answer(&l, 2, caught_up ? newest(&l) : old);
+		out_clear(&l.out);
+		l.now += RAFT_HEARTBEAT_MS;
+		raft_tick(&l.raft, l.now, &l.out);
+		assert_int_equal(let_go(&l, 3), caught_up);
+		assert_int_equal(let_go(&l, 2), 0);
+	}
+	lead_end(&l);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -940,6 +981,7 @@
 		cmocka_unit_test(no_change_without_a_majority_that_has_caught_up),
 		cmocka_unit_test(a_leaving_leader_hands_over_to_the_most_caught_up),
 		cmocka_unit_test(a_leaving_voter_is_not_counted),
+		cmocka_unit_test(a_leaving_voter_is_kept_while_another_is_behind),
 		cmocka_unit_test(next_loss_is_survived_in_time),
 		cmocka_unit_test(a_leaving_member_waits_for_the_others),
 		cmocka_unit_test(a_planned_stop_is_short),
