Data folder: judged by its records and their total, not by its free space

TDB writes the place of its recovery area into the file's head before the transaction is committed; the head may then point past the file's end, and tdb_check finds fault though no record is missing.

Ruled out: torn or lost records. In every image that keeps, loses and tears unsynced writes the records were those of one whole transaction.

Now each transaction writes the number of records and the sum of their checksums; records that agree with it are whole, and the file is written anew if its free space is torn. What does not agree is refused, also an entry missing at the end, which nothing told before. A folder of the version before has no total and must pass TDB's check, as before. A fresh file's own name is synced before it takes the old one's.

--- a/lib/shell/store.c
+++ b/lib/shell/store.c
@@ -1,5 +1,7 @@
 /* store: a registrar's data folder: one TDB file, every record with a checksum, one transaction a batch.
- * Acknowledged only after the transaction's own syncs; a failing disk is retried, never skipped. */
+ * Acknowledged only after the transaction's own syncs; a failing disk is retried, never skipped.
+ * Each transaction also writes how many records there are and the sum of their checksums (TOTAL_KEY), so that what a loss of
+ * power has left is judged by its records: all of them of one transaction, or the file is refused. */
 #include <apr_file_io.h>
 #include <apr_strings.h>
 #include <errno.h>
@@ -22,8 +24,32 @@
 	apr_pool_t *p;
 };
 
+enum { STORE_KEY = 64 }; /* bytes of a record's key, its end included */
+
+static const char TOTAL_KEY[] = "total";
+
+/* What the file holds besides this record itself. */
+struct total {
+	uint64_t records, sum;
+};
+
+struct record_sum {
+	char *key;
+	uint64_t value;
+};
+
+/* What a record was before the transaction under way changed it. */
+struct sum_undo {
+	char key[STORE_KEY];
+	uint64_t sum;
+	int had;
+};
+
 struct store {
 	struct tdb_context *db;
+	struct record_sum *sums; /* stb_ds: the checksum of every record, but for the total's */
+	struct sum_undo *undo;   /* stb_ds */
+	struct total total;
 	struct ring *to, *jobs;
 	apr_thread_t *t;
 	apr_thread_mutex_t *m;
@@ -36,11 +62,10 @@
 	const char *fault, *folder, *path, *fresh;
 };
 
-/* A record: 8 bytes checksum over key and body, then the body. */
-static int put(struct store *s, const char *key, const void *head, size_t hn, const void *d, size_t n)
+/* A record: 8 bytes checksum over key and body, then the body. Returns whether it was written, and its checksum. */
+static int record_write(struct store *s, const char *key, const void *head, size_t hn, const void *d, size_t n, uint64_t *sum)
 {
 	uint8_t *b = malloc(8 + hn + n);
-	uint64_t sum;
 	TDB_DATA k = { (unsigned char *)(uintptr_t)key, strlen(key) }, v = { b, 8 + hn + n };
 	int rc;
 
@@ -49,18 +74,75 @@
 	memcpy(b + 8, head, hn);
 	if (n)
 		memcpy(b + 8 + hn, d, n);
-	sum = core_hash(core_hashs(0, key), b + 8, hn + n);
-	memcpy(b, &sum, 8);
+	*sum = core_hash(core_hashs(0, key), b + 8, hn + n);
+	memcpy(b, sum, 8);
 	rc = tdb_store(s->db, k, v, TDB_REPLACE);
 	free(b);
 	return rc == 0;
 }
 
+/* The checksum of a record changes, or the record comes or goes (has 0). What was there is noted, for a transaction may fail. */
+static void sums_change(struct store *s, const char *key, uint64_t sum, int has)
+{
+	ptrdiff_t old = shgeti(s->sums, key);
+	struct sum_undo undo = { "", 0, old >= 0 };
+
+	snprintf(undo.key, sizeof undo.key, "%s", key);
+	if (old >= 0) {
+		undo.sum = s->sums[old].value;
+		s->total.sum -= undo.sum;
+		s->total.records--;
+	}
+	arrput(s->undo, undo);
+	if (has) {
+		s->total.sum += sum;
+		s->total.records++;
+		shput(s->sums, key, sum);
+	} else {
+		(void)shdel(s->sums, key);
+	}
+}
+
+/* A transaction was taken back. */
+static void sums_undo(struct store *s)
+{
+	struct sum_undo *undo = s->undo;
+
+	s->undo = NULL;
+	for (ptrdiff_t i = arrlen(undo) - 1; i >= 0; i--)
+		sums_change(s, undo[i].key, undo[i].sum, undo[i].had);
+	arrfree(undo);
+	arrsetlen(s->undo, 0);
+}
+
+static int put(struct store *s, const char *key, const void *head, size_t hn, const void *d, size_t n)
+{
+	uint64_t sum;
+
+	if (!record_write(s, key, head, hn, d, n, &sum))
+		return 0;
+	sums_change(s, key, sum, 1);
+	return 1;
+}
+
 static int del(struct store *s, const char *key)
 {
 	TDB_DATA k = { (unsigned char *)(uintptr_t)key, strlen(key) };
 
-	return !tdb_exists(s->db, k) || tdb_delete(s->db, k) == 0;
+	if (shgeti(s->sums, key) < 0)
+		return 1;
+	if (tdb_delete(s->db, k))
+		return 0;
+	sums_change(s, key, 0, 0);
+	return 1;
+}
+
+/* The last write of each transaction. */
+static int total_write(struct store *s)
+{
+	uint64_t sum;
+
+	return record_write(s, TOTAL_KEY, &s->total, sizeof s->total, NULL, 0, &sum);
 }
 
 static const char *entry_key(char *buf, size_t n, uint32_t part, uint64_t i)
@@ -151,10 +233,12 @@
 	apr_thread_mutex_lock(s->m);
 	memcpy(first, s->first, sizeof first);
 	memcpy(last, s->last, sizeof last);
+	arrsetlen(s->undo, 0);
 	ok = tdb_transaction_start(s->db) == 0;
 	if (ok) {
 		for (size_t i = 0; i < n && ok; i++)
 			ok = write_one(s, &v[i]->w);
+		ok = ok && total_write(s);
 		if (ok)
 			ok = tdb_transaction_commit(s->db) == 0; /* syncs; on a fault it has cancelled itself */
 		else
@@ -163,6 +247,7 @@
 	if (!ok) {
 		memcpy(s->first, first, sizeof first);
 		memcpy(s->last, last, sizeof last);
+		sums_undo(s);
 	} else {
 		s->syncs++;
 	}
@@ -216,7 +301,10 @@
 		tdb_transaction_cancel(db);
 		ok = 0;
 	}
-	ok = ok && tdb_transaction_commit(db) == 0 && rename(s->fresh, s->path) == 0;
+	ok = ok && tdb_transaction_commit(db) == 0;
+	if (ok)
+		folder_sync(s->folder); /* the fresh file's own name must last before it is given another */
+	ok = ok && rename(s->fresh, s->path) == 0;
 	if (!ok) {
 		tdb_close(db);
 		(void)unlink(s->fresh);
@@ -293,6 +381,10 @@
 	apr_pool_t *p;
 	const char *bad;
 	struct raft_entry *e[SHARD_COUNT]; /* stb_ds */
+	struct store *store;
+	struct total total; /* as the file says */
+	int has_total;
+	uint64_t records, sum; /* as they are */
 };
 
 /* NOLINTNEXTLINE(readability-function-size): one case for each kind of record */
@@ -318,6 +410,18 @@
 		r->bad = key;
 		return -1;
 	}
+	if (!strcmp(key, TOTAL_KEY) && n == sizeof r->total) {
+		memcpy(&r->total, b, n);
+		r->has_total = 1;
+		return 0;
+	}
+	if (k.dsize >= STORE_KEY) {
+		r->bad = key;
+		return -1;
+	}
+	r->records++;
+	r->sum += sum;
+	sums_change(r->store, key, sum, 1);
 	if (!strcmp(key, "id") && n == 16) {
 		memcpy(&r->f->id, b, 8);
 		memcpy(&r->f->fleet, b + 8, 8);
@@ -408,12 +512,23 @@
 	return NULL;
 }
 
+/* Are these all records of the last transaction, and of no other? The library's own check also looks at what holds no record: it
+ * finds fault with a file that lost power while room for a larger transaction was made, though nothing is missing. A file of an
+ * earlier version has no total and must pass it. */
+static int is_complete(const struct reading *r, int whole)
+{
+	if (!r->has_total)
+		return whole;
+	return r->records == r->total.records && r->sum == r->total.sum;
+}
+
 struct store *store_open(const char *folder, const char *fault, struct ring *to, struct store_found *f, const char **why,
 			 apr_pool_t *p)
 {
 	struct store *s = apr_pcalloc(p, sizeof *s);
-	struct reading r = { f, p, NULL, { NULL } };
+	struct reading r = { .f = f, .p = p, .store = s };
 	const char *path = apr_pstrcat(p, folder, "/registrar.tdb", NULL), *bad;
+	int whole;
 
 	(void)signal(SIGXFSZ, SIG_IGN); /* a full disk is a failed write, not a death */
 	memset(f, 0, sizeof *f);
@@ -441,7 +556,9 @@
 				    path, strerror(errno));
 		goto bad;
 	}
-	if (tdb_check(s->db, NULL, NULL) != 0 || tdb_traverse_read(s->db, read_one, &r) < 0 || r.bad) {
+	sh_new_strdup(s->sums);
+	whole = tdb_check(s->db, NULL, NULL) == 0;
+	if (tdb_traverse_read(s->db, read_one, &r) < 0 || r.bad || !is_complete(&r, whole)) {
 		*why = apr_psprintf(p,
 				    "step check: %s is damaged%s%s; it is not voted with: move the folder away and start anew, "
 				    "the registrar then joins under a new identity",
@@ -453,6 +570,14 @@
 		*why = apr_psprintf(p, "step check: %s: %s; it is not voted with: move the folder away and start anew", path, bad);
 		goto bad;
 	}
+	if (!whole && !file_anew(s)) {
+		*why = apr_psprintf(
+		    p, "step mend: %s holds all of its records, but its free space is torn, and no fresh file can be written",
+		    path);
+		goto bad;
+	}
+	if (!whole)
+		log_say(LOG_WARN, "store", "%s was torn outside its records by a loss of power; they were written anew.", path);
 	for (int i = 0; i < SHARD_COUNT; i++)
 		arrfree(r.e[i]);
 	folder_sync(folder); /* the file's name must last too */
@@ -464,6 +589,8 @@
 bad:
 	for (int i = 0; i < SHARD_COUNT; i++)
 		arrfree(r.e[i]);
+	shfree(s->sums);
+	arrfree(s->undo);
 	if (s->db)
 		tdb_close(s->db);
 	if (s->lock >= 0)
@@ -477,11 +604,14 @@
 	int ok;
 
 	apr_thread_mutex_lock(s->m);
+	arrsetlen(s->undo, 0);
 	ok = tdb_transaction_start(s->db) == 0;
-	if (ok && !(ok = put(s, "id", v, sizeof v, NULL, 0)))
+	if (ok && !(ok = put(s, "id", v, sizeof v, NULL, 0) && total_write(s)))
 		tdb_transaction_cancel(s->db);
 	else if (ok)
 		ok = tdb_transaction_commit(s->db) == 0;
+	if (!ok)
+		sums_undo(s);
 	apr_thread_mutex_unlock(s->m);
 	return ok;
 }
@@ -520,5 +650,7 @@
 	while ((j = ring_pop(s->jobs, 0)))
 		apr_pool_destroy(j->p);
 	tdb_close(s->db);
+	shfree(s->sums);
+	arrfree(s->undo);
 	close(s->lock);
 }
