--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -115,6 +115,7 @@
 	PATIENCE_MS = 1000, /* without an answer, an order is sent again */
 	LOOK_MS = 5,
 	RUN_MS = 25000,
+	LONG_RUN_MS = 120000,
 	SETTLE_MS = 30000,
 	REPEATERS = 2
 };
@@ -316,7 +317,7 @@
 		o->op.value = number_after(text, "\"OrderNumber\":");
 		return;
 	}
-	o->op.value = number_after(text, "\"share\":");
+	o->op.value = number_after(text, "\"limit\":");
 	o->op.version = o->op.value ? number_after(text, "\"plan\":") : 0;
 }
 
@@ -493,7 +494,7 @@
 		snprintf(expect, sizeof expect, "\"expect\":%llu,", (unsigned long long)o->op.base);
 	if (anywhere || dice(w, 2))
 		snprintf(o->key, sizeof o->key, "operator-%llu", (unsigned long long)o->op.value);
-	snprintf(o->body, sizeof o->body, "{%s\"set\":[{\"kind\":\"tenant\",\"name\":\"t\",\"share\":%llu}]}", expect,
+	snprintf(o->body, sizeof o->body, "{%s\"set\":[{\"kind\":\"tenant\",\"name\":\"t\",\"share\":1,\"limit\":%llu}]}", expect,
 		 (unsigned long long)o->op.value);
 }
 
@@ -606,9 +607,9 @@
 	}
 }
 
-static void operate(struct world *w)
+static void operate(struct world *w, int64_t run_ms)
 {
-	int64_t end = w->s.now + RUN_MS;
+	int64_t end = w->s.now + run_ms;
 
 	w->s.loss = w->s.seed % 3 == 0 ? 20 : 0;
 	w->s.disk_ms = w->s.seed % 4 == 1 ? 30 : 2;
@@ -747,9 +748,9 @@
 	apr_pool_destroy(pool);
 }
 
-static void operators_at_once(enum interface interface, const char *name)
+static void operators_at_once(enum interface interface, const char *name, uint64_t seeds_wanted, int64_t run_ms)
 {
-	uint64_t seeds = getenv("NL_SEEDS") ? strtoull(getenv("NL_SEEDS"), NULL, 10) : 30,
+	uint64_t seeds = getenv("NL_SEEDS") ? strtoull(getenv("NL_SEEDS"), NULL, 10) : seeds_wanted,
 		 first = getenv("NL_SEED") ? strtoull(getenv("NL_SEED"), NULL, 10) : 1;
 	uint64_t orders = 0, accepted = 0, refused = 0, unknown = 0, reads = 0, resent = 0, repeated = 0, troubles = 0,
 		 snapshots = 0;
@@ -757,7 +758,7 @@
 
 	for (uint64_t seed = first; seed < first + seeds; seed++) {
 		found(&w, seed, interface);
-		operate(&w);
+		operate(&w, run_ms);
 		read_back(&w);
 		judge(&w);
 		repeat_all(&w);
@@ -789,13 +790,21 @@
 static void documents_of_many_operators(void **state)
 {
 	(void)state;
-	operators_at_once(DOCUMENTS, "documents");
+	operators_at_once(DOCUMENTS, "documents", 30, RUN_MS);
 }
 
 static void changes_of_many_operators(void **state)
 {
 	(void)state;
-	operators_at_once(TABLE, "changes");
+	operators_at_once(TABLE, "changes", 30, RUN_MS);
+}
+
+/* Long enough for many hundred accepted orders between an order and its repetition. */
+static void many_hundred_orders(void **state)
+{
+	(void)state;
+	operators_at_once(DOCUMENTS, "documents, long", 4, LONG_RUN_MS);
+	operators_at_once(TABLE, "changes, long", 4, LONG_RUN_MS);
 }
 
 /* ---- single cases ---- */
@@ -1000,6 +1009,7 @@
 		cmocka_unit_test(beyond_the_record_the_outcome_is_unknown),
 		cmocka_unit_test(documents_of_many_operators),
 		cmocka_unit_test(changes_of_many_operators),
+		cmocka_unit_test(many_hundred_orders),
 	};
 
 	apr_initialize();
