A refused copy of an order does not speak for the others

Cause: a registrar passes an order on again after 400 ms without an answer. The leader may refuse one copy as the table stands, and accept the next after another change; the refusal, on its way for longer, was then told to the operator: 400 for an order that took effect. Seen to fail first (a_refused_copy_does_not_speak_for_the_others: 'answered with 400'). Now a refusal is said once every copy that is open has been refused; till then no more are sent, and the outcome is unknown at the end of the call's time.

--- a/lib/control/proposals.c
+++ b/lib/control/proposals.c
@@ -135,7 +135,7 @@
 /* A proposal of this node's own, or of an operator calling here. */
 void ask(struct reg *r, uint32_t part, const struct Nl__Op *op, uint64_t web, int64_t now)
 {
-	struct reg_ask a = { ++r->token, web, part, NULL, now + REG_CALL, 0, 0, 0 };
+	struct reg_ask a = { ++r->token, web, part, NULL, now + REG_CALL, 0, 0, 0, 0 };
 	size_t n = nl__op__get_packed_size(op);
 	uint8_t *d = malloc(n + 1);
 
@@ -205,6 +205,17 @@
 	}
 }
 
+/* A copy was refused as the table stood. While another may still be on its way, it may be accepted as the table stands
+ * then: nothing is said before that one is answered too, and no more are sent. */
+static int another_copy_is_open(struct reg_ask *a)
+{
+	a->refused++;
+	if (a->refused >= a->sends - a->denied)
+		return 0;
+	a->again = a->until;
+	return 1;
+}
+
 void on_answer(struct reg *r, const struct Nl__Answer *a, int64_t now, struct out *o)
 {
 	for (ptrdiff_t i = 0; i < arrlen(r->ask); i++) {
@@ -219,6 +230,8 @@
 			follow_hint(&r->f, q->part, a->hint);
 			return;
 		}
+		if (a->status == TABLE_REFUSED && another_copy_is_open(q))
+			return;
 		if (a->status == TABLE_BUSY)
 			return; /* stays open: its end is unknown */
 		if (a->status != TABLE_DONE && now >= q->until)
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -125,6 +125,7 @@
 	struct Nl__Op *op; /* malloc'd */
 	int64_t until, again;
 	int sends, denied; /* as long as they are alike it surely was not logged */
+	int refused;       /* copies that were refused before they were logged */
 };
 /* An operator's read that waits for the leader's word. web: its call; token: of our asking. */
 struct reg_read {
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -943,6 +943,60 @@
 	}
 }
 
+/* A refusal that was on its way for long, as it reaches the registrar that asked. */
+static void deliver_refusal(struct world *w, int from, int to, uint64_t token)
+{
+	struct Nl__Msg m = NL__MSG__INIT;
+	struct Nl__Answer refusal = NL__ANSWER__INIT;
+	struct sim_ev e = { .at = w->s.now, .kind = SIM_MSG, .node = to };
+
+	refusal.token = token;
+	refusal.status = TABLE_REFUSED;
+	refusal.why = (char *)"del service s: no such row";
+	m.speak = CORE_SPEAK;
+	m.id = w->s.n[from].id;
+	m.addr = w->s.n[from].addr;
+	m.fleet = w->s.n[to].r->fleet;
+	m.body_case = NL__MSG__BODY_ANSWER;
+	m.answer = &refusal;
+	e.n = nl__msg__get_packed_size(&m);
+	e.d = malloc(e.n + 1);
+	nl__msg__pack(&m, e.d);
+	sim_push(&w->s, e);
+}
+
+/* A registrar passes an order on twice, since no answer comes. The leader refuses the first copy and, after another change,
+ * accepts the second: the refusal, which arrives last, must not be said. */
+static void a_refused_copy_does_not_speak_for_the_others(void **state)
+{
+	static struct world w;
+	uint64_t token;
+	int leader, asked;
+
+	(void)state;
+	found(&w, 6, TABLE);
+	sim_run(&w.s, 3000, NULL);
+	leader = sim_owner(&w.s, SHARD_CONTROL);
+	asked = (leader + 1) % w.registrars;
+	w.s.link_cut[leader][asked] = 1;
+	token = sim_call(&w.s, asked, "POST", "/v1/change", removal);
+	sim_run(&w.s, 50, NULL);
+	assert_int_equal(sim_do(&w.s, leader, "POST", "/v1/change", service_change, 300), 200);
+	sim_run(&w.s, 500, NULL);
+	assert_null(table_get(&w.s.n[leader].r->ctl, NL__KIND__SERVICE, "s")); /* the second copy was accepted */
+	assert_int_equal(arrlen(w.s.n[asked].r->ask), 1);
+	deliver_refusal(&w, leader, asked, w.s.n[asked].r->ask[0].token);
+	sim_run(&w.s, 100, NULL);
+	if (sim_answer(&w.s, token) && sim_answer(&w.s, token)->status < 500)
+		fail_msg("answered with %d", sim_answer(&w.s, token)->status);
+	w.s.link_cut[leader][asked] = 0;
+	sim_run(&w.s, 6000, NULL);
+	assert_non_null(sim_answer(&w.s, token));
+	assert_true(sim_answer(&w.s, token)->status == 200 || sim_answer(&w.s, token)->status >= 500);
+	intact(&w);
+	close_world(&w);
+}
+
 /* Clearing has no base: with a key it is decided once. */
 static void clearing_with_a_key_is_decided_once(void **state)
 {
@@ -1006,6 +1060,7 @@
 		cmocka_unit_test(a_change_sent_again_is_acknowledged_again),
 		cmocka_unit_test(of_two_orders_under_one_key_one_is_accepted),
 		cmocka_unit_test(clearing_with_a_key_is_decided_once),
+		cmocka_unit_test(a_refused_copy_does_not_speak_for_the_others),
 		cmocka_unit_test(beyond_the_record_the_outcome_is_unknown),
 		cmocka_unit_test(documents_of_many_operators),
 		cmocka_unit_test(changes_of_many_operators),
