--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1173,6 +1173,69 @@
 	solo_close(&s);
 }
 
+/* What the last step sent, and on which of two lanes. */
+static void solo_note_sends(struct solo *s, uint64_t **running, int served[2])
+{
+	for (ptrdiff_t i = 0; i < arrlen(s->o.v); i++) {
+		uint64_t call;
+
+		if (s->o.v[i].kind != CMD_FORWARD)
+			continue;
+		call = s->o.v[i].u.forward->call;
+		arrput(*running, call);
+		served[ctr_xch_by(&s->c, call)->lane == (uint32_t)names_find(&s->c.lanes, "later")]++;
+	}
+}
+
+/* A lane that a later edition brings gets its turns like those that were there before, and takes none from them. */
+static void lanes_added_later_take_turns(void **st)
+{
+	enum { ROUNDS = 200 };
+	struct solo s;
+	struct Nl__Row *rows[3];
+	struct Nl__Sight *sight;
+	uint64_t *running = NULL;
+	int status, served[2] = { 0, 0 };
+
+	(void)st;
+	solo_open(&s, 5);
+	rows[0] = new_service(s.p, "pool");
+	for (int i = 0; i < 2; i++) {
+		rows[1 + i] = new_row(s.p, NL__KIND__LANE, i ? "later" : "first");
+		rows[1 + i]->service = "pool";
+		rows[1 + i]->host = i ? "later" : "first";
+		rows[1 + i]->path = "/";
+		rows[1 + i]->limit = ROUNDS;
+		rows[1 + i]->open = 1;
+	}
+	sight = new_sight(s.p, 1, "pool");
+	sight->slots = 2;
+	solo_table(&s, rows, 2, &sight, 1, 1);
+	for (int i = 0; i < 100; i++) { /* the first lane has had its turns for a while */
+		assert_non_null(solo_ask(&s, "first", "/x", "id", &status));
+		solo_ended(&s, solo_sent(&s), CTR_WHOLE, 200);
+	}
+	for (int i = 0; i < 10; i++) { /* and some of its requests wait */
+		assert_non_null(solo_ask(&s, "first", "/x", "id", &status));
+		solo_note_sends(&s, &running, served);
+	}
+	solo_table(&s, rows, 3, &sight, 1, 2);
+	for (int round = 0; round < ROUNDS; round++) { /* two come, one goes */
+		s.now += 11;
+		for (int i = 0; i < 2; i++) {
+			assert_non_null(solo_ask(&s, i ? "later" : "first", "/x", "id", &status));
+			solo_note_sends(&s, &running, served);
+		}
+		solo_ended(&s, running[0], CTR_WHOLE, 200);
+		arrdel(running, 0);
+		solo_note_sends(&s, &running, served);
+	}
+	assert_in_range(served[0] + served[1], ROUNDS, ROUNDS + 20);
+	assert_in_range(served[1], served[0] * 3 / 4, served[0] * 4 / 3 + 1);
+	arrfree(running);
+	solo_close(&s);
+}
+
 /* The name under which parts are filed changes with all that decides who may use them. */
 static void a_shelf_says_who_may_use_it(void **st)
 {
@@ -1275,6 +1338,7 @@
 		cmocka_unit_test(kept_parts_follow_events),
 		cmocka_unit_test(a_blind_counter_hears_of_a_head),
 		cmocka_unit_test(each_service_has_its_own_budget),
+		cmocka_unit_test(lanes_added_later_take_turns),
 		cmocka_unit_test(a_shelf_says_who_may_use_it),
 	};
 	int rc;
