--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1173,6 +1173,50 @@
 	solo_close(&s);
 }
 
+/* The shelf that the newest send names. */
+static const char *solo_shelf(const struct solo *s)
+{
+	for (ptrdiff_t i = arrlen(s->o.v) - 1; i >= 0; i--)
+		if (s->o.v[i].kind == CMD_FORWARD)
+			return s->o.v[i].u.forward->shelf;
+	return NULL;
+}
+
+/* While withdrawals are not known to be heard of, each send has a shelf of its own, also the second one of a request: what the
+ * first left there may have been withdrawn meanwhile. */
+static void a_cold_shelf_is_of_one_send(void **st)
+{
+	struct solo s;
+	struct Nl__Row *rows[2];
+	struct Nl__Sight *sights[2];
+	char *first;
+	int status;
+
+	(void)st;
+	solo_open(&s, 5);
+	rows[0] = new_service(s.p, "pool");
+	rows[1] = new_row(s.p, NL__KIND__LANE, "lane");
+	rows[1]->service = "pool";
+	rows[1]->host = "h";
+	rows[1]->path = "/";
+	rows[1]->limit = 10;
+	rows[1]->open = rows[1]->repeatable = 1;
+	rows[1]->attempts = 3;
+	for (int i = 0; i < 2; i++)
+		sights[i] = new_sight(s.p, 1 + i, "pool");
+	solo_table(&s, rows, 2, sights, 2, 1);
+	assert_false(relay_current(&s.c.relay, s.now)); /* nothing has been heard of withdrawals */
+	assert_non_null(solo_ask(&s, "h", "/x", "id", &status));
+	assert_non_null(solo_shelf(&s));
+	first = apr_pstrdup(s.p, solo_shelf(&s));
+	solo_ended(&s, solo_sent(&s), CTR_BROKE, 0);
+	assert_true(solo_sent(&s));
+	assert_int_equal(strncmp(first, "cold-", 5), 0);
+	assert_int_equal(strncmp(solo_shelf(&s), "cold-", 5), 0);
+	assert_string_not_equal(first, solo_shelf(&s));
+	solo_close(&s);
+}
+
 /* What the last step sent, and on which of two lanes. */
 static void solo_note_sends(struct solo *s, uint64_t **running, int served[2])
 {
@@ -1339,6 +1383,7 @@
 		cmocka_unit_test(a_blind_counter_hears_of_a_head),
 		cmocka_unit_test(each_service_has_its_own_budget),
 		cmocka_unit_test(lanes_added_later_take_turns),
+		cmocka_unit_test(a_cold_shelf_is_of_one_send),
 		cmocka_unit_test(a_shelf_says_who_may_use_it),
 	};
 	int rc;
