HTTP loop cut into modules: buffers, connections, parsing, server, client, loop; no change of behaviour

lib/shell/http.c (2,074 lines) held five jobs. Functions that files share have the prefix http_; struct buf, srv and cli are buffer, server_side and client_side.

--- /dev/null
+++ b/lib/shell/http_server.c
@@ -0,0 +1,561 @@
+/* http_server: clients that connect to a door, one request at a time on a connection, and their answers. */
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <http_parser.h>
+
+#include "ds.h"
+#include "http_internal.h"
+#include "shell.h"
+
+static struct conn *by_token(struct http *h, uint64_t token)
+{
+	size_t i = token & ((1u << SLOT_BITS) - 1);
+	struct conn *c = i < arrlenu(h->slot) ? h->slot[i] : NULL;
+
+	return c && !c->dead && c->st == ST_BUSY && c->s.token == token ? c : NULL;
+}
+
+static void put_status(struct http *h, struct buffer *b, int status)
+{
+	const char *s = http_status_str((enum http_status)status);
+
+	http_buffer_put(h, b, "HTTP/1.1 ", 9);
+	http_buffer_number(h, b, (uint64_t)status, 10);
+	http_buffer_put(h, b, " ", 1);
+	http_buffer_text(h, b, *s == '<' ? "Other" : s);
+	http_buffer_put(h, b, "\r\n", 2);
+}
+
+/* Nothing of it was delivered: it could not be read. */
+static void server_refuse(struct conn *c, int status)
+{
+	struct http *h = c->h;
+
+	h->n.bad++;
+	h->busy++;
+	put_status(h, &c->out, status);
+	http_buffer_text(h, &c->out, "Content-Length: 0\r\nConnection: close\r\n\r\n");
+	c->st = ST_DONE;
+	c->s.closing = c->s.linger = 1;
+	c->in.len = 0;
+	http_timer_set(c, h->now + LINGER_MS);
+	http_conn_queue(c);
+}
+
+static void server_lost(struct conn *c)
+{
+	struct http *h = c->h;
+	int waits = c->st == ST_BUSY;
+
+	http_conn_close(c, 0);
+	if (!waits)
+		return;
+	h->did = 1;
+	h->on.gone(h->on.ctx, c->s.token);
+}
+
+static void server_deliver(struct conn *c)
+{
+	struct http *h = c->h;
+	struct server_side *s = &c->s;
+
+	http_head_fix_fields(c);
+	s->token = ++h->serial << SLOT_BITS | s->slot;
+	s->req = (struct http_req){ s->token,
+				    s->door->d.id,
+				    s->verb,
+				    c->in.d + s->target,
+				    c->f,
+				    c->nf,
+				    c->hd.has_len || c->hd.chunked ? s->body_len ? c->in.d + s->body : "" : NULL,
+				    s->body_len,
+				    h->now };
+	s->begun = s->no_body = 0;
+	s->closing = c->hd.close;
+	c->st = ST_BUSY;
+	c->due = NO_TIME;
+	h->busy++;
+	h->n.requests++;
+	h->did = 1;
+	h->on.request(h->on.ctx, &s->req);
+}
+
+static int server_body(struct conn *c)
+{
+	struct server_side *s = &c->s;
+	const struct http_limits *lim = &s->door->d.lim;
+	const char *d = NULL;
+	size_t dn, n;
+	ssize_t k;
+
+	if (!c->hd.chunked) {
+		n = c->in.len - s->pos;
+		if (n > c->left)
+			n = (size_t)c->left;
+		s->pos += n;
+		s->body_len += n;
+		c->left -= n;
+		return !c->left;
+	}
+	while (s->pos < c->in.len && c->ck.at != CH_DONE) {
+		if ((k = http_chunk_step(&c->ck, c->in.d + s->pos, c->in.len - s->pos, &d, &dn)) < 0) {
+			server_refuse(c, 400);
+			return 0;
+		}
+		if (c->ck.at != CH_SIZE && s->body_len + dn + c->ck.left > lim->body) { /* the size itself may be half read */
+			server_refuse(c, 413);
+			return 0;
+		}
+		if (dn)
+			memmove(c->in.d + s->body + s->body_len, d, dn);
+		s->body_len += dn;
+		s->pos += (size_t)k;
+	}
+	if (c->ck.at == CH_DONE)
+		return 1;
+	/* what was framing makes room for what is to come */
+	c->in.len = s->pos = s->body + s->body_len;
+	return 0;
+}
+
+static void server_parse(struct conn *c)
+{
+	struct http *h = c->h;
+	struct server_side *s = &c->s;
+	const struct http_limits *lim = &s->door->d.lim;
+	ssize_t end;
+
+	if (c->st == ST_HEAD) {
+		while (c->in.len - s->pos >= 2 && !memcmp(c->in.d + s->pos, "\r\n", 2))
+			s->pos += 2; /* blank lines before a request */
+		if (c->in.len == s->pos) {
+			c->in.len = s->pos = c->scan = 0;
+			return;
+		}
+		end = http_head_end(c, s->pos);
+		if (end < 0) {
+			server_refuse(c, 400);
+			return;
+		}
+		if ((end ? (size_t)end : c->in.len) - s->pos > lim->head) {
+			server_refuse(c, 431);
+			return;
+		}
+		if (!end) {
+			if (c->due == NO_TIME || !s->read) {
+				s->read = 1;
+				http_timer_set(c, h->now + lim->head_ms);
+			}
+			return;
+		}
+		if (!http_head_read(c, s->pos, (size_t)end, 1)) {
+			server_refuse(c, 400);
+			return;
+		}
+		if (c->hd.has_len && c->hd.length > lim->body) {
+			server_refuse(c, 413);
+			return;
+		}
+		s->pos = s->body = (size_t)end;
+		s->body_len = 0;
+		c->left = c->hd.length;
+		c->ck = (struct chunks){ 0 };
+		c->st = ST_BODY;
+		if (c->left > c->in.len - s->pos)
+			http_buffer_room(h, &c->in, (size_t)c->left - (c->in.len - s->pos));
+		if (c->hd.expect && c->hd.minor && (c->hd.chunked || c->left) && c->in.len == s->pos) {
+			http_buffer_text(h, &c->out, "HTTP/1.1 100 Continue\r\n\r\n");
+			http_conn_queue(c);
+		}
+	}
+	if (c->st != ST_BODY)
+		return;
+	if (server_body(c))
+		server_deliver(c);
+	else if (c->st == ST_BODY)
+		http_timer_set(c, h->now + lim->idle_ms);
+}
+
+static void server_idle(struct conn *c)
+{
+	c->st = ST_HEAD;
+	c->s.read = 0;
+	c->s.pos = c->scan = 0;
+	http_timer_set(c, c->h->now + c->s.door->d.lim.idle_ms);
+}
+
+/* The answer is out. */
+static void server_next(struct conn *c)
+{
+	struct http *h = c->h;
+	struct server_side *s = &c->s;
+	size_t rest = c->in.len > s->pos ? c->in.len - s->pos : 0;
+
+	if (s->closing) {
+		if (!s->linger && !rest && !s->early.len) {
+			http_conn_close(c, 0);
+			return;
+		}
+		/* closing over unread bytes would reset, and the answer might be lost with it */
+		h->busy--;
+		shutdown(c->fd, SHUT_WR);
+		c->st = ST_LINGER;
+		http_buffer_free(h, &c->in);
+		http_buffer_free(h, &s->early);
+		http_conn_watch(c, HTTP_READ_EVENTS);
+		http_timer_set(c, h->now + LINGER_MS);
+		return;
+	}
+	if (rest)
+		memmove(c->in.d, c->in.d + s->pos, rest);
+	c->in.len = rest;
+	if (!rest && !s->early.len && s->door->d.leaving) {
+		http_conn_close(c, 0); /* its head was out before we left */
+		return;
+	}
+	if (s->early.len) {
+		http_buffer_put(h, &c->in, s->early.d, s->early.len);
+		http_buffer_free(h, &s->early);
+		if (!(c->mask & EPOLLIN))
+			http_conn_watch(c, HTTP_READ_EVENTS);
+	}
+	h->busy--;
+	server_idle(c);
+	if (c->in.len)
+		server_parse(c);
+	else
+		http_buffer_free(h, &c->in);
+}
+
+void http_server_flush(struct conn *c)
+{
+	int lost;
+
+	if (c->st == ST_LINGER)
+		return;
+	if (!http_conn_send(c, &lost)) {
+		if (lost)
+			server_lost(c);
+		else
+			http_conn_watch(c, c->mask | EPOLLOUT);
+		return;
+	}
+	if (c->mask & EPOLLOUT)
+		http_conn_watch(c, c->mask & ~(uint32_t)EPOLLOUT);
+	if (c->st == ST_DONE)
+		server_next(c);
+}
+
+static void server_read(struct conn *c)
+{
+	struct http *h = c->h;
+	struct server_side *s = &c->s;
+	ssize_t n = recv(c->fd, h->scratch, SCRATCH, 0);
+
+	if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+		return;
+	if (n <= 0) {
+		server_lost(c);
+		return;
+	}
+	switch (c->st) {
+	case ST_HEAD:
+	case ST_BODY:
+		http_buffer_put(h, &c->in, h->scratch, (size_t)n);
+		server_parse(c);
+		break;
+	case ST_BUSY:
+	case ST_DONE:
+		if (s->linger)
+			break; /* of a request that was refused */
+		http_buffer_put(h, &s->early, h->scratch, (size_t)n);
+		if (s->early.len >= EARLY_MAX)
+			http_conn_watch(c, c->mask & ~(uint32_t)EPOLLIN);
+		break;
+	default: break;
+	}
+}
+
+void http_server_event(struct conn *c, uint32_t ev)
+{
+	/* who closes, or its half, waits for no answer */
+	if (ev & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
+		server_lost(c);
+		return;
+	}
+	if (ev & EPOLLOUT)
+		http_server_flush(c);
+	if (!c->dead && (ev & EPOLLIN))
+		server_read(c);
+}
+
+void http_server_accept(struct conn *l)
+{
+	struct http *h = l->h;
+	struct listener *d = &l->d;
+	int i, fd;
+
+	/* one a turn, and more only when more wait turn after turn */
+	d->burst = d->turn + 1 == h->turn ? d->burst < 64 ? d->burst * 2 : 64 : 1;
+	d->turn = h->turn;
+	for (i = 0; i < d->burst; i++) {
+		struct conn *c;
+
+		fd = accept4(l->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0) {
+			if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+				l->st = ST_PAUSED;
+				http_conn_watch(l, EPOLLRDHUP);
+				http_timer_set(l, h->now + 100);
+			}
+			return;
+		}
+		if (!d->checked) {
+			d->checked = 1;
+			d->inherits = http_socket_inherits(fd);
+		}
+		if (!d->inherits)
+			http_socket_options(fd);
+		h->n.accepted++;
+		c = http_conn_new(h, CONN_SERVER, fd);
+		c->s.door = l;
+		if (arrlen(h->free_slot)) {
+			c->s.slot = arrpop(h->free_slot);
+		} else {
+			c->s.slot = (uint32_t)arrlenu(h->slot);
+			arrput(h->slot, NULL);
+		}
+		h->slot[c->s.slot] = c;
+		http_conn_watch(c, HTTP_READ_EVENTS);
+		server_idle(c);
+	}
+}
+
+void http_server_timeout(struct conn *c)
+{
+	if (c->st == ST_BUSY)
+		return;
+	http_conn_close(c, 0);
+}
+
+/* Head of an answer. Length below 0: as the version allows. */
+static void answer_head(struct conn *c, int status, const struct http_field *f, int nf, int64_t length)
+{
+	struct http *h = c->h;
+	struct server_side *s = &c->s;
+	int i, none = status == 204 || status == 304 || (status >= 100 && status < 200);
+
+	put_status(h, &c->out, status);
+	for (i = 0; i < nf; i++)
+		if (!http_is_framing_field(f[i].name))
+			http_buffer_field(h, &c->out, &f[i]);
+	s->begun = 1;
+	s->no_body = none || !strcmp(s->verb, "HEAD");
+	if (s->door->d.leaving && !s->closing)
+		s->closing = s->linger = 1;
+	s->left = length < 0 ? 0 : (uint64_t)length;
+	s->out = length >= 0 ? FR_LENGTH : c->hd.minor ? FR_CHUNKED : FR_EOF;
+	if (none) {
+		s->out = FR_NONE;
+	} else if (s->out == FR_LENGTH) {
+		http_buffer_text(h, &c->out, "Content-Length: ");
+		http_buffer_number(h, &c->out, (uint64_t)length, 10);
+		http_buffer_put(h, &c->out, "\r\n", 2);
+	} else if (s->out == FR_CHUNKED) {
+		http_buffer_text(h, &c->out, "Transfer-Encoding: chunked\r\n");
+	}
+	if (s->closing)
+		http_buffer_text(h, &c->out, "Connection: close\r\n");
+	http_buffer_put(h, &c->out, "\r\n", 2);
+	http_conn_queue(c);
+}
+
+static void answer_over(struct conn *c)
+{
+	c->st = ST_DONE;
+	http_timer_set(c, c->h->now + c->s.door->d.lim.idle_ms);
+	http_conn_queue(c);
+}
+
+const struct http_req *http_request(struct http *h, uint64_t token)
+{
+	struct conn *c = by_token(h, token);
+
+	return c ? &c->s.req : NULL;
+}
+
+void http_answer(struct http *h, uint64_t token, int status, const struct http_field *f, int nf, const char *body, size_t len)
+{
+	struct conn *c = by_token(h, token);
+
+	if (!c || c->s.begun)
+		return;
+	answer_head(c, status, f, nf, (int64_t)len);
+	if (!c->s.no_body)
+		http_buffer_put(h, &c->out, body, len);
+	answer_over(c);
+}
+
+void http_begin(struct http *h, uint64_t token, int status, const struct http_field *f, int nf, int64_t length)
+{
+	struct conn *c = by_token(h, token);
+
+	if (c && !c->s.begun)
+		answer_head(c, status, f, nf, length);
+}
+
+void http_write(struct http *h, uint64_t token, const char *d, size_t n)
+{
+	struct conn *c = by_token(h, token);
+
+	if (!c || !c->s.begun || c->s.no_body || !n)
+		return;
+	switch (c->s.out) {
+	case FR_LENGTH:
+		if (n > c->s.left) {
+			log_say(LOG_BAD, "http", "An answer is longer than it said; it is broken off.");
+			http_abort(h, token);
+			return;
+		}
+		c->s.left -= n;
+		http_buffer_put(h, &c->out, d, n);
+		break;
+	case FR_CHUNKED:
+		http_buffer_number(h, &c->out, n, 16);
+		http_buffer_put(h, &c->out, "\r\n", 2);
+		http_buffer_put(h, &c->out, d, n);
+		http_buffer_put(h, &c->out, "\r\n", 2);
+		break;
+	default: http_buffer_put(h, &c->out, d, n);
+	}
+	http_conn_queue(c);
+}
+
+void http_finish(struct http *h, uint64_t token)
+{
+	struct conn *c = by_token(h, token);
+
+	if (!c)
+		return;
+	if (!c->s.begun || (c->s.out == FR_LENGTH && c->s.left && !c->s.no_body)) {
+		http_abort(h, token);
+		return;
+	}
+	if (c->s.out == FR_CHUNKED && !c->s.no_body)
+		http_buffer_put(h, &c->out, "0\r\n\r\n", 5);
+	answer_over(c);
+}
+
+void http_abort(struct http *h, uint64_t token)
+{
+	struct conn *c = by_token(h, token);
+
+	if (c)
+		http_conn_close(c, 1);
+}
+
+size_t http_backlog(struct http *h, uint64_t token)
+{
+	struct conn *c = by_token(h, token);
+
+	return c ? c->out.len - c->out.off : 0;
+}
+
+int http_busy(const struct http *h) { return h->busy; }
+
+/* ---- doors ---- */
+
+int http_listen(struct http *h, const char *addr, int door, const struct http_limits *l)
+{
+	uint64_t a = core_addr(addr);
+	struct sockaddr_in sa = http_socket_address(a);
+	socklen_t n = sizeof sa;
+	struct conn *c;
+	int fd, on = 1;
+
+	if (!a) {
+		log_say(LOG_BAD, "http", "Cannot listen at %s: not an address.", addr);
+		return 0;
+	}
+	if ((fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) < 0)
+		goto bad;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+	http_socket_options(fd);
+	if (bind(fd, (struct sockaddr *)&sa, sizeof sa) || listen(fd, 1024) || getsockname(fd, (struct sockaddr *)&sa, &n))
+		goto bad;
+	c = http_conn_new(h, CONN_DOOR, fd);
+	c->st = ST_LISTEN;
+	c->d.id = door;
+	c->d.port = ntohs(sa.sin_port);
+	c->d.burst = 1;
+	c->d.lim = *l;
+	http_conn_watch(c, EPOLLIN);
+	arrput(h->doors, c);
+	return 1;
+bad:
+	log_say(LOG_BAD, "http", "Cannot listen at %s: %s.", addr, strerror(errno));
+	if (fd >= 0)
+		close(fd);
+	return 0;
+}
+
+int http_port(const struct http *h, int door)
+{
+	ptrdiff_t i;
+
+	for (i = arrlen(h->doors); i--;)
+		if (h->doors[i]->d.id == door)
+			return h->doors[i]->d.port;
+	return 0;
+}
+
+void http_limits(struct http *h, int door, const struct http_limits *l)
+{
+	ptrdiff_t i;
+
+	for (i = 0; i < arrlen(h->doors); i++)
+		if (h->doors[i]->d.id == door)
+			h->doors[i]->d.lim = *l;
+}
+
+static int nothing_read(const struct conn *c) { return c->st == ST_HEAD && !c->in.len; }
+
+void http_shut(struct http *h, int door)
+{
+	ptrdiff_t i;
+
+	for (i = 0; i < arrlen(h->doors); i++) {
+		struct conn *l = h->doors[i];
+
+		if (l->d.id != door || l->fd < 0)
+			continue;
+		close(l->fd); /* its struct stays for its connections */
+		l->fd = -1;
+		http_timer_remove(h, l);
+	}
+	for (i = 0; i < arrlen(h->slot); i++) {
+		struct conn *c = h->slot[i];
+
+		if (c && !c->dead && c->s.door->d.id == door && !c->s.token && nothing_read(c))
+			http_conn_close(c, 0);
+	}
+}
+
+void http_leave(struct http *h, int door)
+{
+	ptrdiff_t i;
+
+	for (i = 0; i < arrlen(h->doors); i++)
+		if (h->doors[i]->d.id == door)
+			h->doors[i]->d.leaving = 1;
+	for (i = 0; i < arrlen(h->slot); i++) {
+		struct conn *c = h->slot[i];
+
+		if (c && !c->dead && c->s.door->d.id == door && nothing_read(c))
+			http_conn_close(c, 0);
+	}
+}
