Recovery of a group that lost its majority, by an operator's word, in a new epoch

Now: POST /v1/recover and clerk recover, at one registrar, naming the lost. Each group that can goes on with this copy alone, refused where a leader is known, the members not named are a majority, a named one was heard within 3 s, another survivor holds a newer copy, or no vote is held here; a second call is refused as the copy is a majority by itself. Messages of an older epoch are refused; who hears of a newer one neither leads nor votes, keeps its term on the disk, and is taken back only under a new identity. Editions and ticks skip a million, feeds count on by epoch, so that nothing of the lost is given out again. Ruled out: a new fleet (all groups and routers would fall out), taking old members back by truncating their logs (their disks could no longer be read).

--- a/bin/clerk.c
+++ b/bin/clerk.c
@@ -33,6 +33,8 @@
 	fprintf(f,
 		"Usage: clerk [--at IP:PORT[,IP:PORT...]] [--key KEY] COMMAND      registrars' web addresses\n\n"
 		"  found                          found a fleet from the three seeds, once\n"
+		"  recover [ID ...]               at one registrar: go on with its copy of the groups whose majority is lost\n"
+		"                                 for good with these registrars; without ID: say who the members are\n"
 		"  show [KIND]                    the table as a sheet (tab-separated)\n"
 		"  set KIND NAME COLUMN=VALUE...  change cells of one row, or add the row\n"
 		"  del KIND NAME                  take a row out\n"
@@ -383,6 +385,24 @@
 	return st == 200 ? OK : st ? REFUSED : UNREACHED;
 }
 
+/* Asks one registrar alone: which copy goes on is the operator's choice. */
+static int recover(int count, char **ids)
+{
+	struct json_object *call = json_object_new_object(), *lost = json_object_new_array();
+	char *body = NULL;
+	int status;
+
+	for (int i = 0; i < count; i++)
+		json_object_array_add(lost, json_object_new_string(ids[i]));
+	json_object_object_add(call, "lost", lost);
+	status =
+	    http_do("POST", at, "/v1/recover", NULL, json_object_to_json_string_ext(call, JSON_C_TO_STRING_PLAIN), 7000, &body);
+	json_object_put(call);
+	printf("%s\n", status ? body : "nobody answers");
+	free(body);
+	return status == 200 ? OK : status ? REFUSED : UNREACHED;
+}
+
 int main(int argc, char **argv)
 {
 	struct json_object *r;
@@ -416,6 +436,8 @@
 		rc = USAGE;
 	} else if (IS("found", 1))
 		rc = found();
+	else if (n >= 1 && !strcmp(a[0], "recover"))
+		rc = recover(n - 1, a + 1);
 	else if (IS("clear", 2))
 		rc = clear(a[1]);
 	else if (IS("retention", 1) || (IS("retention", 2) && !strcmp(a[1], "--report")))
--- a/lib/control/operator_paths.c
+++ b/lib/control/operator_paths.c
@@ -7,6 +7,7 @@
 #include "leadership.h"
 #include "operator_api.h"
 #include "operator_documents.h"
+#include "recovery.h"
 #include "reg_private.h"
 
 struct operator_path {
@@ -24,6 +25,7 @@
 	{ REG_WEB, "POST", "/v1/change", PATH_NEEDS_LEADER_IN_REACH, change_table },
 	{ REG_WEB, "POST", "/v1/clear", PATH_NEEDS_LEADER_IN_REACH, clear_context },
 	{ REG_WEB, "POST", "/v1/found", PATH_NEEDS_SEEDS, found_fleet },
+	{ REG_WEB, "POST", "/v1/recover", PATH_NEEDS_LOCAL_STATE, recover_groups },
 	{ REG_DOC, NULL, NULL, PATH_NEEDS_LEADERSHIP, put_document },
 	{ REG_READ, NULL, NULL, PATH_NEEDS_LEADERSHIP, read_document },
 	{ REG_NAME, NULL, NULL, PATH_NEEDS_LEADERSHIP, name_weights },
--- a/lib/control/purge_publisher.c
+++ b/lib/control/purge_publisher.c
@@ -113,8 +113,10 @@
 		view_apply(&y->w, r->pub.last.h[i].value);
 	for (ptrdiff_t i = 0; i < arrlen(r->pub.v); i++)
 		relay_publish(y, y->k.horizon + 1, r->pub.v[i]->tick, r->pub.v[i], now, o);
-	relay_publish(y, y->k.horizon + 1, r->pub.ceiling, NULL, now, o);
 	r->tick = r->pub.ceiling;
+	if (raft_epoch(r->part[SHARD_PURGE].term) > r->epoch[SHARD_PURGE]) /* the ceiling rises with the first operation */
+		r->tick += REG_RECOVERY_SKIP;
+	relay_publish(y, y->k.horizon + 1, r->tick, NULL, now, o);
 	r->pending_tick = 0;
 	r->reserved_for = UINT64_MAX;
 	r->tick_at = now;
--- /dev/null
+++ b/lib/control/recovery.c
@@ -0,0 +1,90 @@
+#include "recovery.h"
+
+#include <apr_strings.h>
+#include <json-c/json.h>
+#include <stdlib.h>
+
+#include "ds.h"
+#include "reg_private.h"
+
+enum { MOST_LOST = RAFT_MAX_MEMBERS };
+
+/* The identities that the call names as lost for good; -1 when they cannot be read. */
+static int read_lost(const char *body, uint64_t lost[MOST_LOST])
+{
+	struct json_object *call = json_tokener_parse(body), *list;
+	int count = -1;
+
+	if (call && json_object_is_type(call, json_type_object) && json_object_object_get_ex(call, "lost", &list) &&
+	    json_object_is_type(list, json_type_array) && json_object_array_length(list) <= MOST_LOST) {
+		count = 0;
+		for (size_t i = 0; i < json_object_array_length(list); i++)
+			lost[count++] = strtoull(json_object_get_string(json_object_array_get_idx(list, i)), NULL, 16);
+	}
+	json_object_put(call);
+	return count;
+}
+
+static struct json_object *member_json(const struct raft *raft, const struct raft_member *member, int64_t now, apr_pool_t *p)
+{
+	struct json_object *j = json_object_new_object();
+
+	json_object_object_add(j, "id", json_object_new_string(apr_psprintf(p, "%016" APR_UINT64_T_HEX_FMT, member->id)));
+	json_object_object_add(j, "address", json_object_new_string(core_addr_str(p, member->addr)));
+	json_object_object_add(j, "voter", json_object_new_boolean(member->voter));
+	json_object_object_add(j, "here", json_object_new_boolean(member->id == raft->id));
+	if (member->message_at)
+		json_object_object_add(j, "heard_ms_ago", json_object_new_int64(now - member->message_at));
+	return j;
+}
+
+static struct json_object *shard_json(const struct raft *raft, enum raft_recovery verdict, int recovered, int64_t now,
+				      apr_pool_t *p)
+{
+	struct json_object *j = json_object_new_object(), *members = json_object_new_array();
+
+	json_object_object_add(j, "shard", json_object_new_int64(raft->no));
+	json_object_object_add(j, "recovered", json_object_new_boolean(recovered));
+	json_object_object_add(j, "why", json_object_new_string(raft_recovery_text(verdict)));
+	json_object_object_add(j, "kept_up_to", json_object_new_uint64(raft->base + (uint64_t)arrlen(raft->log)));
+	json_object_object_add(j, "epoch", json_object_new_uint64(raft_epoch(raft->term)));
+	for (int i = 0; i < raft->member_count; i++)
+		json_object_array_add(members, member_json(raft, &raft->members[i], now, p));
+	json_object_object_add(j, "members", members);
+	return j;
+}
+
+void recover_groups(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
+{
+	uint64_t lost[MOST_LOST];
+	int count = read_lost(ev->u.web.body, lost), recovered = 0;
+	struct json_object *answer, *shards;
+
+	if (count < 0) {
+		out_answer(o, ev->u.web.token, 400, 0, error_json(o->p, "lost: a list of up to 8 identities of registrars", 0));
+		return;
+	}
+	answer = json_object_new_object();
+	shards = json_object_new_array();
+	for (int i = 0; i < SHARD_COUNT; i++) {
+		struct raft *raft = &r->part[i];
+		enum raft_recovery verdict =
+		    count ? raft_recover(raft, lost, count, now) : raft_can_recover(raft, lost, count, now);
+		int done = count && verdict == RAFT_RECOVERY_POSSIBLE;
+
+		recovered += done;
+		if (done)
+			say(r, "recovery", o->p, "Shard %d goes on with this copy alone, in epoch %" APR_UINT64_T_FMT ".", i,
+			    raft_epoch(raft->term));
+		json_object_array_add(shards, shard_json(raft, verdict, done, now, o->p));
+	}
+	json_object_object_add(answer, "recovered", json_object_new_int(recovered));
+	json_object_object_add(answer, "lost",
+			       json_object_new_string(recovered ? "what only the lost registrars held: orders, claims "
+								  "and purges that were acknowledged last may be missing"
+								: "nothing"));
+	json_object_object_add(answer, "shards", shards);
+	out_answer(o, ev->u.web.token, recovered ? 200 : 409, 0,
+		   apr_pstrdup(o->p, json_object_to_json_string_ext(answer, JSON_C_TO_STRING_PLAIN)));
+	json_object_put(answer);
+}
--- a/lib/control/reg.h
+++ b/lib/control/reg.h
@@ -22,15 +22,17 @@
 	REG_SPARE = 64,                 /* limits in the table up to which every counter holds spare places of each */
 	REG_RETRY_MS = 200,             /* ms after which an operator's call that was refused for want of a leader may come again */
 	REG_CALL = 5000,                /* ms before an operator's call is answered as unknown */
-	REG_CLAIM_KEEP = 720000, /* ms of the part's own clock that a claim is remembered: the longest limit and two minutes */
-	REG_AGAIN = 400,         /* ms before a proposal without an answer is made again */
-	REG_BATCH = 128,         /* purges logged together */
-	REG_RECONFIGURE = 50,    /* ms between steps of changing the membership of groups */
-	REG_ANNOUNCE = 500,      /* ms between words to where silent registrars stood */
-	REG_FORGET = 60000,      /* ms in office before registrars that were never heard of are forgotten */
-	REG_DROP_LOG = 1000,     /* ms between log lines on messages that break the protocol */
-	REG_DONE = 256,          /* changes whose answers are remembered */
-	REG_FEED = 100           /* ms between the publisher's askings of the feeds */
+	REG_CLAIM_KEEP = 720000,     /* ms of the part's own clock that a claim is remembered: the longest limit and two minutes */
+	REG_AGAIN = 400,             /* ms before a proposal without an answer is made again */
+	REG_BATCH = 128,             /* purges logged together */
+	REG_RECONFIGURE = 50,        /* ms between steps of changing the membership of groups */
+	REG_ANNOUNCE = 500,          /* ms between words to where silent registrars stood */
+	REG_RECOVERY_SKIP = 1 << 20, /* editions and ticks that a recovery skips */
+	REG_EPOCH_SHIFT = 40,        /* of the epoch in the index of a feed's value */
+	REG_FORGET = 60000,          /* ms in office before registrars that were never heard of are forgotten */
+	REG_DROP_LOG = 1000,         /* ms between log lines on messages that break the protocol */
+	REG_DONE = 256,              /* changes whose answers are remembered */
+	REG_FEED = 100               /* ms between the publisher's askings of the feeds */
 };
 
 enum reg_ev_kind {
@@ -237,6 +239,7 @@
 	struct reg_server *server;
 	struct reg_named *named; /* stb_ds, by service */
 	uint64_t token;
+	uint64_t epoch[SHARD_COUNT]; /* of the newest operation applied */
 	int64_t owner_since[SHARD_COUNT], clock_at[SHARD_COUNT], reconfigured, announced, joined;
 	uint64_t was_owner[SHARD_COUNT]; /* term in which we last took office */
 	/* publisher's soft state */
--- a/lib/control/snapshot.c
+++ b/lib/control/snapshot.c
@@ -154,6 +154,7 @@
 {
 	const struct raft *q = &r->part[part];
 
+	r->epoch[part] = raft_epoch(q->snapshot_term);
 	if (part == SHARD_CONTROL) {
 		struct Nl__CtlState *s =
 		    (struct Nl__CtlState *)core_unpack(p, &nl__ctl_state__descriptor, q->snapshot_len, q->snap);
--- a/lib/control/state_machine.c
+++ b/lib/control/state_machine.c
@@ -227,13 +227,29 @@
 		r->pub.released = c->released;
 }
 
-struct applied apply(struct reg *r, uint32_t part, uint64_t index, const struct raft_entry *e, int64_t now, struct out *o)
+/* The first operation after a recovery: numbers that the lost members may have given out are not given out again. */
+static void enter_epoch(struct reg *r, uint32_t part, uint64_t epoch)
 {
+	if (epoch <= r->epoch[part])
+		return;
+	r->epoch[part] = epoch;
+	if (part == SHARD_CONTROL) { /* every node takes the table whole */
+		r->ctl.edition += REG_RECOVERY_SKIP;
+		r->ctl.floor = r->ctl.plan = r->ctl.edition;
+	}
+	if (part == SHARD_PURGE)
+		r->pub.ceiling += REG_RECOVERY_SKIP;
+}
+
+struct applied apply(struct reg *r, uint32_t part, uint64_t entry_index, const struct raft_entry *e, int64_t now, struct out *o)
+{
+	uint64_t index = raft_epoch(e->term) << REG_EPOCH_SHIFT | entry_index; /* of feeds: above all of the epoch before */
 	struct Nl__Op *op = (struct Nl__Op *)core_unpack(o->p, &nl__op__descriptor, e->len, e->data);
 	struct order_id id = order_unpack(op ? op->order : NULL);
 	const struct order_record *accepted;
 	uint32_t st = TABLE_REFUSED;
 
+	enter_epoch(r, part, raft_epoch(e->term));
 	if (op && svc_of(r, part))
 		svc_of(r, part)->clock += op->clock;
 	if (op)
--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -21,12 +21,21 @@
 
 const char *raft_receive(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
+	struct raft_member *sender = raft_find_member(raft, m->id);
 	const char *fault = raft_message_fault(raft, m);
 
 	if (fault)
 		return fault;
 	if (is_for_another(raft, m))
 		return NULL;
+	if (sender)
+		sender->message_at = now;
+	if (sender && m->body_case == NL__MSG__BODY_VOTE_ASK) {
+		sender->last_index = m->vote_ask->last;
+		sender->last_term = m->vote_ask->last_term;
+	}
+	if (!raft_is_of_this_epoch(raft, m, now, o))
+		return NULL;
 	switch (m->body_case) {
 	case NL__MSG__BODY_VOTE_ASK: raft_on_vote_request(raft, m, now, o); break;
 	case NL__MSG__BODY_VOTE_REPLY: raft_on_vote_reply(raft, m, now, o); break;
@@ -66,6 +75,8 @@
 		}
 		return;
 	}
+	if (raft->fenced)
+		return;
 	if (raft->vote_barrier_unknown && now < raft->vote_barrier_until && now >= raft->probe_at)
 		raft_send_probes(raft, now, o);
 	if (now < raft->election_at || now < raft->vote_barrier_until || raft_sync_stalled(raft, now))
@@ -228,7 +239,7 @@
 	(void)o;
 	if (raft_last_index(raft) || raft->term || raft->member_count)
 		return;
-	d = raft_pack_members(m, n, &len);
+	d = raft_pack_members(raft, m, n, &len);
 	raft->term = 1; /* entry 1 of term 1 is the same on every founder */
 	raft_append_entry(raft, 1, RAFT_ENTRY_MEMBERS, d, len);
 	raft_set_members(raft, d, len, 1);
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -20,6 +20,9 @@
 	RAFT_MIN_VOTERS = 3,           /* bootstrapped with these; a group never shrinks below them */
 	RAFT_MEMBER_LOST_MS = 6000,    /* a silent member is replaced after this, unless the group is told another bound */
 	RAFT_MAX_MEMBERS = 8,
+	RAFT_MAX_FENCED = 24,               /* identities of older epochs that are remembered */
+	RAFT_EPOCH_SHIFT = 26,              /* of the epoch in a term */
+	RAFT_ABSENT_MS = 3000,              /* a member unheard of for so long may be named as lost */
 	RAFT_LOG_TAIL = 256,                /* entries kept behind a snapshot, */
 	RAFT_LOG_TAIL_BYTES = 8 << 20,      /* as far as they hold no more */
 	RAFT_SNAPSHOT_ENTRIES = 2048,       /* entries before the next snapshot, */
@@ -80,9 +83,11 @@
 	int64_t progress_at, resend_ms; /* of entries under way */
 	struct raft_snapshot_transfer transfer;
 	int granted;
-	int not_leader;       /* has said since our restart that it does not lead */
-	int leaving;          /* it is to stop, and is not counted where the others suffice; */
-	uint64_t leave_index; /* the newest entry when it said so */
+	int not_leader;                 /* has said since our restart that it does not lead */
+	int64_t message_at;             /* its last message of any kind; */
+	uint64_t last_index, last_term; /* the newest entry that it last asked for votes with */
+	int leaving;                    /* it is to stop, and is not counted where the others suffice; */
+	uint64_t leave_index;           /* the newest entry when it said so */
 };
 
 /* Whether a member that is to stop may go. */
@@ -140,9 +145,12 @@
 	uint64_t elections;
 	int leaving; /* this member is to stop: it asks for no votes and takes no proposals */
 	enum raft_release release;
-	int64_t leave_by;     /* of a leader: it steps down at the latest; then: its successor has been elected */
-	int staying_majority; /* leader: voters that answer and do not leave are a majority by themselves */
-	int removed;          /* a leader has said that this member is none any more */
+	int64_t leave_by;                     /* of a leader: it steps down at the latest; then: its successor has been elected */
+	int staying_majority;                 /* leader: voters that answer and do not leave are a majority by themselves */
+	int fenced;                           /* this copy is of an older epoch */
+	uint64_t fenced_ids[RAFT_MAX_FENCED]; /* identities of older epochs, which the group does not take back */
+	int fenced_count;
+	int removed; /* a leader has said that this member is none any more */
 };
 
 /* What came back from the disk. */
@@ -212,4 +220,30 @@
  * Example: if (raft_may_leave(&raft, now)) exit(0); */
 int raft_may_leave(const struct raft *raft, int64_t now);
 
+/* ---- recovery from a lost majority ---- */
+
+enum raft_recovery {
+	RAFT_RECOVERY_POSSIBLE,
+	RAFT_RECOVERY_NO_VOTER,
+	RAFT_RECOVERY_HAS_LEADER,
+	RAFT_RECOVERY_MAJORITY_REMAINS,
+	RAFT_RECOVERY_MEMBER_ANSWERS,
+	RAFT_RECOVERY_OTHER_IS_NEWER
+};
+
+/* The epoch of a term: how often the group was recovered before it. Example: raft_epoch(entry->term) */
+uint64_t raft_epoch(uint64_t term);
+
+/* Whether the group may go on with this copy alone, given the members that an operator names as lost for good.
+ * Example: if (raft_can_recover(&raft, lost, 2, now) != RAFT_RECOVERY_POSSIBLE) refuse(); */
+enum raft_recovery raft_can_recover(const struct raft *raft, const uint64_t *lost, int count, int64_t now);
+
+/* Go on with this copy alone in a new epoch, if that is possible. Entries that are held here but were never committed
+ * become so; entries that only the lost members held are lost.
+ * Example: verdict = raft_recover(&raft, lost, 2, now); */
+enum raft_recovery raft_recover(struct raft *raft, const uint64_t *lost, int count, int64_t now);
+
+/* The verdict in words. Example: raft_recovery_text(RAFT_RECOVERY_HAS_LEADER) */
+const char *raft_recovery_text(enum raft_recovery verdict);
+
 #endif
--- a/lib/core/raft_internal.h
+++ b/lib/core/raft_internal.h
@@ -48,7 +48,7 @@
 int raft_members_valid(const uint8_t *d, size_t n);
 
 /* Members packed as a log entry holds them; the caller frees the result. */
-uint8_t *raft_pack_members(const struct raft_member *m, int n, size_t *len);
+uint8_t *raft_pack_members(const struct raft *raft, const struct raft_member *m, int n, size_t *len);
 
 /* ---- elections (raft_election.c) ---- */
 
@@ -156,4 +156,15 @@
 /* A leaving leader steps down once its successor has caught up, or after a while; 1 when it has. */
 int raft_hand_over(struct raft *raft, int64_t now, struct out *o);
 
+/* ---- epochs (raft_recovery.c) ---- */
+
+/* Whether a message is of this member's epoch. Tells its sender, or this member itself, when one is of an older epoch. */
+int raft_is_of_this_epoch(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o);
+
+/* Remember an identity of an older epoch; the next members entry carries it. */
+void raft_add_fenced(struct raft *raft, uint64_t id);
+
+/* Whether an identity is remembered as one of an older epoch. */
+int raft_is_fenced(const struct raft *raft, uint64_t id);
+
 #endif
--- a/lib/core/raft_members.c
+++ b/lib/core/raft_members.c
@@ -45,6 +45,9 @@
 		m->addr = ms->m[i]->addr;
 		m->voter = ms->m[i]->voter;
 	}
+	raft->fenced_count = 0;
+	for (size_t i = 0; ms && i < ms->n_fenced; i++)
+		raft_add_fenced(raft, ms->fenced[i]);
 	if (ms)
 		nl__members__free_unpacked(ms, NULL);
 }
@@ -89,7 +92,7 @@
 	return valid && voters;
 }
 
-uint8_t *raft_pack_members(const struct raft_member *m, int n, size_t *len)
+uint8_t *raft_pack_members(const struct raft *raft, const struct raft_member *m, int n, size_t *len)
 {
 	struct Nl__Members ms = NL__MEMBERS__INIT;
 	struct Nl__Member v[RAFT_MAX_MEMBERS], *pv[RAFT_MAX_MEMBERS];
@@ -104,6 +107,8 @@
 	}
 	ms.n_m = (size_t)n;
 	ms.m = pv;
+	ms.n_fenced = (size_t)raft->fenced_count;
+	ms.fenced = (uint64_t *)raft->fenced_ids;
 	*len = nl__members__get_packed_size(&ms);
 	d = raft_copy_bytes(NULL, 0);
 	d = realloc(d, *len + 1);
--- a/lib/core/raft_reconfigure.c
+++ b/lib/core/raft_reconfigure.c
@@ -34,7 +34,7 @@
 static void change_members(struct raft *raft, const struct raft_member *members, int count)
 {
 	size_t len;
-	uint8_t *packed = raft_pack_members(members, count, &len);
+	uint8_t *packed = raft_pack_members(raft, members, count, &len);
 
 	raft_append_entry(raft, raft->term, RAFT_ENTRY_MEMBERS, packed, len);
 	raft_set_members(raft, packed, len, raft_last_index(raft));
@@ -121,7 +121,7 @@
 		const struct raft_member *candidate = &view->live[i];
 		int n = candidate->zone ? voters_in_zone(view, candidate->zone) : RAFT_MAX_MEMBERS; /* unknown yet: last */
 
-		if (raft_find_member(view->raft, candidate->id))
+		if (raft_find_member(view->raft, candidate->id) || raft_is_fenced(view->raft, candidate->id))
 			continue;
 		if (best && (n > fewest || (n == fewest && core_rdv(group, candidate->id) <= core_rdv(group, best->id))))
 			continue;
@@ -208,7 +208,7 @@
 		const struct raft_member *member = &raft->members[i];
 
 		if (!member->voter) {
-			if (is_silent_for(view, member, LEARNER_LOST_MS))
+			if (is_silent_for(view, member, LEARNER_LOST_MS) || raft_is_fenced(raft, member->id))
 				s.lost_learner = i;
 			else
 				s.learner = i;
--- /dev/null
+++ b/lib/core/raft_recovery.c
@@ -0,0 +1,169 @@
+/* Recovery of a group that has lost its majority for good, by an operator's word: one voter that is left goes on alone
+ * with its copy, in a new epoch. The epoch is the upper part of the term. Members of an older epoch are fenced: their
+ * messages are refused, they neither vote nor lead once they hear of the newer epoch, and no group takes them back under
+ * their old identity. Called by raft.c for every message, and by the control plane for the operator's call. */
+#include "raft_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+uint64_t raft_epoch(uint64_t term) { return term >> RAFT_EPOCH_SHIFT; }
+
+/* The term that a message speaks for; a probe speaks for none. */
+static uint64_t message_term(const struct raft *raft, const struct Nl__Msg *m)
+{
+	switch (m->body_case) {
+	case NL__MSG__BODY_VOTE_ASK: return m->vote_ask->term;
+	case NL__MSG__BODY_VOTE_REPLY: return m->vote_reply->term;
+	case NL__MSG__BODY_APPEND: return m->append->term;
+	case NL__MSG__BODY_APPEND_REPLY: return m->append_reply->term;
+	case NL__MSG__BODY_SNAPSHOT_PIECE: return m->snapshot_piece->term;
+	case NL__MSG__BODY_SNAPSHOT_REPLY: return m->snapshot_reply->term;
+	case NL__MSG__BODY_GIVE_UP: return m->give_up->term;
+	case NL__MSG__BODY_PROBE_REPLY: return m->probe_reply->last_term;
+	default: return raft->term;
+	}
+}
+
+/* This member's copy is of an older epoch: it neither leads, votes nor asks for votes any more. */
+static void become_fenced(struct raft *raft, int64_t now)
+{
+	raft_become_follower(raft, raft->term, now);
+	raft->leader_id = raft->leader_addr = 0;
+	raft->fenced = 1;
+}
+
+/* A leader of a newer epoch offers membership to an identity of an older one: it has to take another. */
+static void refuse_membership(struct raft *raft, const struct Nl__Msg *m, struct out *o)
+{
+	struct Nl__AppendReply *r = OUT_NEW(o, Nl__AppendReply, NL__APPEND_REPLY__INIT);
+
+	r->term = message_term(raft, m);
+	r->fenced = 1;
+	out_msg(o, m->addr, raft->no, NL__MSG__BODY_APPEND_REPLY)->append_reply = r;
+}
+
+/* Tell a member of an older epoch that it is fenced. */
+static void fence_sender(struct raft *raft, const struct Nl__Msg *m, struct out *o)
+{
+	struct Nl__VoteReply *r = OUT_NEW(o, Nl__VoteReply, NL__VOTE_REPLY__INIT);
+
+	r->term = raft->term;
+	r->removed = 1;
+	out_msg(o, m->addr, raft->no, NL__MSG__BODY_VOTE_REPLY)->vote_reply = r;
+}
+
+static int is_offer(const struct Nl__Msg *m)
+{
+	return m->body_case == NL__MSG__BODY_APPEND || m->body_case == NL__MSG__BODY_SNAPSHOT_PIECE;
+}
+
+int raft_is_of_this_epoch(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o)
+{
+	uint64_t theirs = raft_epoch(message_term(raft, m)), ours = raft_epoch(raft->term);
+
+	if (theirs == ours)
+		return !raft->fenced;
+	if (theirs < ours) {
+		if (m->body_case == NL__MSG__BODY_VOTE_ASK || is_offer(m))
+			fence_sender(raft, m, o);
+		return 0;
+	}
+	if (!raft->member_count) /* nothing is held here: it takes the group as it is */
+		return is_offer(m);
+	become_fenced(raft, now);
+	if (is_offer(m))
+		refuse_membership(raft, m, o);
+	return 0;
+}
+
+void raft_add_fenced(struct raft *raft, uint64_t id)
+{
+	if (raft_is_fenced(raft, id) || raft->fenced_count == RAFT_MAX_FENCED)
+		return;
+	raft->fenced_ids[raft->fenced_count++] = id;
+}
+
+int raft_is_fenced(const struct raft *raft, uint64_t id)
+{
+	for (int i = 0; i < raft->fenced_count; i++)
+		if (raft->fenced_ids[i] == id)
+			return 1;
+	return 0;
+}
+
+static int is_named(const uint64_t *lost, int count, uint64_t id)
+{
+	for (int i = 0; i < count; i++)
+		if (lost[i] == id)
+			return 1;
+	return 0;
+}
+
+enum raft_recovery raft_can_recover(const struct raft *raft, const uint64_t *lost, int count, int64_t now)
+{
+	int voters = 0, remaining = 0, voting = 0;
+
+	for (int i = 0; i < raft->member_count; i++) {
+		const struct raft_member *member = &raft->members[i];
+		int named = is_named(lost, count, member->id);
+
+		if (!member->voter)
+			continue;
+		voters++;
+		remaining += !named;
+		voting |= member->id == raft->id && !named;
+		if (named && member->id != raft->id && member->message_at && now - member->message_at < RAFT_ABSENT_MS)
+			return RAFT_RECOVERY_MEMBER_ANSWERS;
+		if (!named && (member->last_term > raft_term_at(raft, raft_last_index(raft)) ||
+			       (member->last_term == raft_term_at(raft, raft_last_index(raft)) &&
+				member->last_index > raft_last_index(raft))))
+			return RAFT_RECOVERY_OTHER_IS_NEWER;
+	}
+	if (!voting || raft->fenced)
+		return RAFT_RECOVERY_NO_VOTER;
+	if (raft->role == RAFT_LEADER || now < raft->vote_barrier_until)
+		return RAFT_RECOVERY_HAS_LEADER;
+	if (remaining > voters / 2)
+		return RAFT_RECOVERY_MAJORITY_REMAINS;
+	return RAFT_RECOVERY_POSSIBLE;
+}
+
+enum raft_recovery raft_recover(struct raft *raft, const uint64_t *lost, int count, int64_t now)
+{
+	enum raft_recovery verdict = raft_can_recover(raft, lost, count, now);
+	struct raft_member self;
+	size_t len;
+	uint8_t *packed;
+
+	if (verdict != RAFT_RECOVERY_POSSIBLE)
+		return verdict;
+	for (int i = 0; i < raft->member_count; i++)
+		if (raft->members[i].id != raft->id)
+			raft_add_fenced(raft, raft->members[i].id);
+	self = *raft_find_member(raft, raft->id);
+	raft_become_follower(raft, (raft_epoch(raft->term) + 1) << RAFT_EPOCH_SHIFT, now);
+	raft->vote = raft->id;
+	packed = raft_pack_members(raft, &self, 1, &len);
+	raft_append_entry(raft, raft->term, RAFT_ENTRY_MEMBERS, packed, len);
+	raft_set_members(raft, packed, len, raft_last_index(raft));
+	free(packed);
+	raft->vote_barrier_until = 0;
+	raft->vote_barrier_unknown = 0;
+	raft->removed = 0;
+	raft->election_at = now;
+	return verdict;
+}
+
+const char *raft_recovery_text(enum raft_recovery verdict)
+{
+	switch (verdict) {
+	case RAFT_RECOVERY_POSSIBLE: return "the group goes on with this copy";
+	case RAFT_RECOVERY_NO_VOTER: return "this registrar holds no vote in the group, or its copy is of an older epoch";
+	case RAFT_RECOVERY_HAS_LEADER: return "the group has a leader";
+	case RAFT_RECOVERY_MAJORITY_REMAINS: return "the members that are not named as lost are a majority";
+	case RAFT_RECOVERY_MEMBER_ANSWERS: return "a member that is named as lost answers";
+	case RAFT_RECOVERY_OTHER_IS_NEWER: return "another member that is left holds a newer copy: recover there";
+	}
+	return "";
+}
--- a/lib/core/raft_replication.c
+++ b/lib/core/raft_replication.c
@@ -261,6 +261,10 @@
 	}
 	if (raft->role != RAFT_LEADER || r->term != raft->term || !who)
 		return;
+	if (r->fenced) {
+		raft_add_fenced(raft, m->id);
+		return;
+	}
 	who->heard_at = now;
 	raft_note_leaving(raft, who, r->leaving);
 	if (r->round > who->round)
--- a/lib/core/raft_transfer.c
+++ b/lib/core/raft_transfer.c
@@ -126,7 +126,7 @@
 			self = &raft->members[i];
 	if (raft->role == RAFT_LEADER)
 		return 0;
-	if (!self || !self->voter || raft->removed)
+	if (!self || !self->voter || raft->removed || raft->fenced)
 		return 1;
 	return raft->release == RAFT_RELEASED || (raft->release == RAFT_RELEASED_LATER && now >= raft->leave_by);
 }
