Model checker: a restarted granter, a leader again, an old leader's entries in flight; membership checked as promised

Scenes RESTARTED and LED_BEFORE; NEW_LEADER keeps the old leader's entries in flight. Membership: never fewer than three members nor than two voters; where there are two voters, three members hold all that is committed when the entry is made; this and the majority of copies now hold for paths with lost disks too (an acknowledgement of a lost identity counts as long as it is a member). The comment of RAFT_MIN_VOTERS says what holds. Not seen yet: a reply of another term taken for one of this (needs five replicas or a longer path than was tried).

--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -17,7 +17,7 @@
 	RAFT_PROBE_MS = 50,            /* between lease recovery probes of a restarted member */
 	RAFT_ELECTION_STAGGER_MS = 50, /* no leader: members ask for votes so long after one another */
 	RAFT_SYNC_STALL_MS = 600,      /* a leader whose own sync takes longer steps down */
-	RAFT_MIN_VOTERS = 3,           /* bootstrapped with these; a group never shrinks below them */
+	RAFT_MIN_VOTERS = 3,           /* bootstrapped with these; one fewer only while a learner takes a lost one's place */
 	RAFT_MEMBER_LOST_MS = 6000,    /* a silent member is replaced after this, unless the group is told another bound */
 	RAFT_MAX_MEMBERS = 8,
 	RAFT_MAX_FENCED = 24,               /* identities of older epochs that are remembered */
--- a/tests/explore.c
+++ b/tests/explore.c
@@ -394,7 +394,6 @@
 
 	memset(&replica->disk, 0, sizeof replica->disk);
 	replica->identity = ++explore_world.identities;
-	explore_world.wipes++;
 	open_replica(node);
 }
 
--- a/tests/explore.h
+++ b/tests/explore.h
@@ -97,7 +97,7 @@
 
 struct explore_world {
 	int64_t now;
-	uint8_t nodes, voters, identities, wipes;
+	uint8_t nodes, voters, identities;
 	uint32_t operations;
 	uint8_t budget[CHOICE_KINDS]; /* how often each kind may still be chosen by the exhaustive search */
 	uint8_t rare;                 /* and how often a rare kind at all */
@@ -133,7 +133,7 @@
 enum explore_scene {
 	SCENE_EMPTY,      /* three replicas, just founded */
 	SCENE_LEASE,      /* a leader with a lease, a follower that lags */
-	SCENE_NEW_LEADER, /* just after the leader changed; the old one knows nothing of it */
+	SCENE_NEW_LEADER, /* just after the leader changed; the old one knows nothing of it, and its entries are in flight */
 	SCENE_CHANGE,     /* a fourth member is being added */
 	SCENE_REJOINED,   /* a member came back that lost what was not synced */
 	SCENE_LEARNER,    /* a learner that has nearly caught up */
@@ -143,6 +143,8 @@
 	SCENE_REPLACED,   /* a member lost its disk and is being replaced */
 	SCENE_SPLIT_LOG,  /* an old leader's entries of an earlier term stand on one follower */
 	SCENE_CUT_OFF,    /* a follower heard nothing of the leader for longer than an election timeout */
+	SCENE_RESTARTED,  /* the same, and the follower that grants the lease has just restarted */
+	SCENE_LED_BEFORE, /* a leader again, two terms after its first; an acknowledgement of then is still in flight */
 	SCENES
 };
 
--- a/tests/explore_check.c
+++ b/tests/explore_check.c
@@ -86,15 +86,18 @@
 {
 	const struct Nl__AppendReply *reply = cmd->u.send.msg->append_reply;
 	struct explore_replica *replica = &explore_world.replica[node];
-	struct explore_disk *disk = &replica->disk;
+	const struct explore_disk *disk = &replica->disk;
+	struct explore_history *history = &explore_world.history;
 
 	if (!reply->ok)
 		return;
 	if (reply->match > disk_last(disk))
 		check_fail(ACKNOWLEDGED_IS_ON_DISK, "replica %d acknowledges %d, its disk has %d", replica->identity,
 			   (int)reply->match, (int)disk_last(disk));
+	for (uint64_t i = 1; i <= reply->match && i <= disk->base; i++)
+		history->acknowledged[replica->identity][i] = (uint8_t)history->committed[i].term;
 	for (uint64_t i = disk->first; disk->n && i <= reply->match && i <= disk_last(disk); i++)
-		explore_world.history.acknowledged[replica->identity][i] = (uint8_t)disk->e[i - disk->first].term;
+		history->acknowledged[replica->identity][i] = (uint8_t)disk->e[i - disk->first].term;
 }
 
 void check_message(int node, const struct cmd *cmd)
@@ -165,19 +168,25 @@
 	       explore_intern(entry->data, entry->len) == history->committed[index].blob;
 }
 
+/* Whether a member has the entry that was committed at an index; one that has lost its disk counts as long as it is a member. */
+static int member_holds(const struct raft_member *member, uint64_t index)
+{
+	const struct explore_history *history = &explore_world.history;
+	const struct explore_replica *replica = replica_of(member->id);
+
+	return replica ? disk_holds(&replica->disk, index)
+		       : history->acknowledged[member->id][index] == history->committed[index].term;
+}
+
 static void check_copies(const struct raft *raft, uint64_t index)
 {
 	int voters = 0, copies = 0;
 
-	if (explore_world.wipes)
-		return;
 	for (int i = 0; i < raft->member_count; i++) {
-		const struct explore_replica *replica = replica_of(raft->members[i].id);
-
 		if (!raft->members[i].voter)
 			continue;
 		voters++;
-		copies += replica && disk_holds(&replica->disk, index);
+		copies += member_holds(&raft->members[i], index);
 	}
 	if (copies <= voters / 2)
 		check_fail(COMMITTED_ON_A_MAJORITY, "entry %d, committed, is on %d of %d disks", (int)index, copies, voters);
@@ -323,7 +332,7 @@
 			   explore_world.replica[node].identity);
 }
 
-/* A lost voter may go before its successor, which is a learner then, has its vote: one voter fewer than the minimum, no less. */
+/* Never fewer members than the minimum. A lost voter may go before its successor, which is a learner then, has its vote. */
 static void check_voters(int node)
 {
 	const struct raft *raft = explore_raft(node);
@@ -331,18 +340,29 @@
 
 	for (int i = 0; i < raft->member_count; i++)
 		voters += raft->members[i].voter;
-	if (raft->member_count && voters < RAFT_MIN_VOTERS - 1)
-		check_fail(ENOUGH_VOTERS, "replica %d knows of %d voters", explore_world.replica[node].identity, voters);
+	if (raft->member_count && (raft->member_count < RAFT_MIN_VOTERS || voters < RAFT_MIN_VOTERS - 1))
+		check_fail(ENOUGH_VOTERS, "replica %d knows of %d members, %d of them voters", explore_world.replica[node].identity,
+			   raft->member_count, voters);
 }
 
-/* A leader has just changed the membership: a majority of the new voters has all that is committed on its disks. */
+/* A leader has just changed the membership: a majority of the new voters has all that is committed on its disks, and where
+ * there are fewer voters than the minimum, learners that have it make up for them. */
 static void check_new_members(int node)
 {
 	struct explore_replica *replica = &explore_world.replica[node];
 	const struct raft *raft = explore_raft(node);
+	int voters = 0, copies = 0;
 
-	if (raft->role == RAFT_LEADER && raft->members_index > raft->commit && raft->members_index > replica->members_index)
+	if (raft->role == RAFT_LEADER && raft->members_index > raft->commit && raft->members_index > replica->members_index) {
 		check_copies(raft, raft->commit);
+		for (int i = 0; i < raft->member_count; i++) {
+			voters += raft->members[i].voter;
+			copies += member_holds(&raft->members[i], raft->commit);
+		}
+		if (voters < RAFT_MIN_VOTERS && copies < RAFT_MIN_VOTERS)
+			check_fail(ENOUGH_VOTERS, "leader %d leaves %d voters, and %d copies of entry %d", replica->identity,
+				   voters, copies, (int)raft->commit);
+	}
 	replica->members_index = raft->members_index;
 }
 
--- a/tests/explore_scenes.c
+++ b/tests/explore_scenes.c
@@ -103,12 +103,11 @@
 static void scene_new_leader(void)
 {
 	begin_lease(3, 3);
-	(void)do_one(CHOICE_PROPOSE, 0, 0, 0); /* known to the old leader alone */
+	(void)do_one(CHOICE_PROPOSE, 0, 0, 0); /* known to the old leader alone, and in flight */
+	(void)do_one(CHOICE_PROPOSE, 0, 0, 0);
 	(void)do_one(CHOICE_SYNC, 0, 0, 0);
-	lose_messages();
 	wait_for(RAFT_ELECTION_MS);
 	elect(1, 6);
-	lose_messages();
 }
 
 static void scene_change(void)
@@ -209,6 +208,26 @@
 	}
 }
 
+static void scene_restarted(void)
+{
+	scene_cut_off();
+	fall(1);
+	come_back(1);
+}
+
+static void scene_led_before(void)
+{
+	begin_lease(3, 3);
+	for (int i = 0; i < 5; i++)
+		heartbeat(0, ALL);
+	wait_for(RAFT_HEARTBEAT_MS);
+	(void)do_one(CHOICE_TICK, 0, 0, 0);
+	(void)do_one(CHOICE_DELIVER, 1, 0, 0);
+	(void)do_one(CHOICE_STEP_DOWN, 0, 0, 0);
+	wait_for(RAFT_ELECTION_MS);
+	elect(0, 5);
+}
+
 static const struct {
 	const char *name;
 	void (*prepare)(void);
@@ -225,6 +244,8 @@
 	[SCENE_REPLACED] = { "REPLACED", scene_replaced },
 	[SCENE_SPLIT_LOG] = { "SPLIT_LOG", scene_split_log },
 	[SCENE_CUT_OFF] = { "CUT_OFF", scene_cut_off },
+	[SCENE_RESTARTED] = { "RESTARTED", scene_restarted },
+	[SCENE_LED_BEFORE] = { "LED_BEFORE", scene_led_before },
 };
 
 const char *explore_scene_name(enum explore_scene scene) { return scenes[scene].name; }
