--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -105,6 +105,33 @@
 	apr_pool_destroy(pool);
 }
 
+/* What the record adds to each snapshot, once it is full. */
+static void a_full_record_is_small(void **state)
+{
+	struct orders orders = { 0 };
+	struct Nl__CtlState saved = NL__CTL_STATE__INIT;
+	apr_pool_t *pool;
+	size_t bytes;
+
+	(void)state;
+	apr_pool_create(&pool, NULL);
+	for (uint64_t i = 0; i < 2 * ORDERS_KEPT; i++) {
+		char key[40];
+		struct order_id id;
+
+		snprintf(key, sizeof key, "operator-%llu", (unsigned long long)i);
+		id = identity(key, 1, i, "x");
+		orders_add(&orders, &id, ORDER_CHANGES, 1000000 + i);
+	}
+	assert_int_equal(arrlen(orders.v), ORDERS_KEPT);
+	orders_pack(&orders, &saved, pool);
+	bytes = nl__ctl_state__get_packed_size(&saved);
+	print_message("a full record: %zu bytes in a snapshot\n", bytes);
+	assert_true(bytes < 400 * 1000);
+	orders_clear(&orders);
+	apr_pool_destroy(pool);
+}
+
 /* ---- a fleet and its operators ---- */
 
 enum {
@@ -1057,6 +1084,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(orders_are_identified),
 		cmocka_unit_test(the_record_is_bounded_and_knows_how_far_it_reaches),
+		cmocka_unit_test(a_full_record_is_small),
 		cmocka_unit_test(a_change_sent_again_is_acknowledged_again),
 		cmocka_unit_test(of_two_orders_under_one_key_one_is_accepted),
 		cmocka_unit_test(clearing_with_a_key_is_decided_once),
