--- a/rehearsal/stand_judge.c
+++ b/rehearsal/stand_judge.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "ds.h"
+#include "stand_history.h"
 #include "stand.h"
 
 const struct bounds_set bounds_sheet = {
@@ -848,6 +849,33 @@
 	cfg_free(c);
 }
 
+/* All that the operator sent and read fits one register. Readings come one after the other, each within a second. */
+static void rule_history(struct judge *j)
+{
+	struct history_write *writes = NULL;
+	struct history_read *reads = NULL;
+	char why[400];
+
+	for (int i = 0; i < arrlen(j->c); i++) {
+		const struct kept_cfg *k = &j->c[i];
+		struct history_write w = { k->base, k->version, k->sent, k->acked, k->refused, k->c ? text(k->c->text) : NULL };
+
+		if (!k->invalid)
+			arrput(writes, w);
+	}
+	for (int i = 0; i < arrlen(j->read); i++) {
+		struct history_read r = { j->read[i].t - 1000, j->read[i].t, text(j->read[i].text) };
+
+		if (j->read[i].text)
+			arrput(reads, r);
+	}
+	if (!history_holds(writes, arrlenu(writes), reads, arrlenu(reads), why, sizeof why))
+		breach(j, j->fault >= 0 ? "LOST" : "CONFIG", arrlen(reads) ? arrlast(reads).answered : 0,
+		       "the operator's history is %s", why);
+	arrfree(writes);
+	arrfree(reads);
+}
+
 static void rule_drain(struct judge *j)
 {
 	for (int i = 0; i < arrlen(j->r); i++) {
@@ -1182,6 +1210,7 @@
 	rule_added(j);
 	rule_keys(j);
 	rule_read(j, end);
+	rule_history(j);
 	rule_drain(j);
 	rule_lost(j);
 	rule_budget(j);
--- a/tests/test_stand.c
+++ b/tests/test_stand.c
@@ -378,6 +378,22 @@
 	judge_read(j, 20000, bad ? FIRST : CFG("3", ROUTE("b", "/b/", "lm"), TENANTS("\"k1\"", "false")));
 }
 
+/* Its base was never in force. */
+static void built_on_nothing(struct judge *j, int bad)
+{
+	cfg_at(j, 5000, 5100, 1, CFG("3", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false")));
+	cfg_at(j, 6000, 6100, bad ? 4 : 3, CFG("5", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false")));
+}
+
+/* It was acknowledged before the one that it builds on was sent. */
+static void acknowledged_too_early(struct judge *j, int bad)
+{
+	int64_t first = bad ? 6000 : 5000, second = bad ? 5000 : 6000;
+
+	cfg_at(j, first, first + 100, 1, CFG("3", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false")));
+	cfg_at(j, second, second + 100, 3, CFG("5", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false")));
+}
+
 static void read_other(struct judge *j, int bad)
 {
 	cfg_at(j, 5000, 5100, 1, CFG("3", ROUTE("b", "/b/", "lm"), TENANTS("\"k1\"", "false")));
@@ -747,6 +763,8 @@
 	{ "invalid acknowledged", "CONFIG", invalid_acked },
 	{ "both acknowledged", "CONFIG", both_acked },
 	{ "read old", "CONFIG", read_old },
+	{ "built on nothing", "CONFIG", built_on_nothing },
+	{ "acknowledged too early", "CONFIG", acknowledged_too_early },
 	{ "read another", "CONFIG", read_other },
 	{ "read nothing", "CONFIG", read_nothing },
 	{ "lost after the fault", "LOST", lost_after_fault },
