--- a/tests/test_connections.c
+++ b/tests/test_connections.c
@@ -340,6 +340,8 @@
 
 static const char event_stream[] = "Content-Type: text/event-stream\r\n", not_executed[] = "X-Notchlug-Not-Executed: 1\r\n";
 
+static const char nameless[] = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"; /* an answer to nobody */
+
 static void end_or_reset(struct server_conn *s, int64_t in_ms)
 {
 	s->over = 1;
@@ -450,8 +452,13 @@
 		n = (size_t)arrlen(w.runs[run].body) - 1;
 		b = whole_answer(200, id, run, w.runs[run].body, n, FRAME_LENGTH, extra);
 		arrsetlen(w.runs[run].body, n);
-		append_format(&b, "%s", dice(2) ? "surplus" : "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
-		odd(s, say_answer(s, b, SIZE_MAX, at));
+		if (dice(2)) {
+			append_format(&b, "%s", dice(2) ? "surplus" : nameless);
+			odd(s, say_answer(s, b, SIZE_MAX, at));
+		} else {
+			at = odd(s, say_answer(s, b, SIZE_MAX, at) + (int64_t)dice(300));
+			net_sim_say(s->c, nameless, sizeof nameless - 1, at);
+		}
 		break;
 	case ACT_NO_SEAL: say_answer(s, whole_answer(200, id, -1, body, n, FRAME_LENGTH, extra), SIZE_MAX, at); break;
 	case ACT_NO_ID: say_answer(s, whole_answer(200, NULL, run, body, n, FRAME_LENGTH, extra), SIZE_MAX, at); break;
@@ -502,11 +509,19 @@
 
 static void watch(struct server_conn *s)
 {
-	static const char body[] = "{\"NodeEpoch\":1,\"NextToken\":1,\"LostCount\":false,\"EventList\":[]}";
+	static const char *const bodies[] = {
+		"{\"NodeEpoch\":1,\"NextToken\":1,\"LostCount\":false,\"EventList\":[]}",
+		"{\"NodeEpoch\":1,\"NextToken\":1,\"LostCount\":false,\"EventList\":[[1,\"+\",\"s\",\"5c\",800,\"m\"],[2,\"-\",\"s\",\"5c\",0,\"m\"]]}",
+		"{\"NodeEpoch\":null,\"NextToken\":-1,\"EventList\":[null,[],[1],[1,null,null,null,null,null],[{},{},{},{},{},{}],[[],[],[],[],[]]]}",
+		"{\"EventList\":{}}",
+		"[",
+		"null"
+	};
 	int64_t at = (int64_t)dice(1000);
+	const char *body = bodies[dice(10) ? dice(2) : dice(sizeof bodies / sizeof *bodies)];
 
 	if (dice(10))
-		say_answer(s, whole_answer(200, NULL, -1, body, sizeof body - 1, FRAME_LENGTH, ""), SIZE_MAX, at);
+		say_answer(s, whole_answer(dice(10) ? 200 : 429, NULL, -1, body, strlen(body), FRAME_LENGTH, ""), SIZE_MAX, at);
 	else if (dice(2))
 		end_or_reset(s, at);
 }
