--- a/lib/data/ctr_send.c
+++ b/lib/data/ctr_send.c
@@ -303,8 +303,8 @@
 	struct cmd *k;
 
 	if (!json_object_is_type(j, json_type_object) || !json_object_object_get_ex(j, "x", &v) ||
-	    strcmp(json_object_get_string(v), x->xid) || !json_object_object_get_ex(j, "n", &n) ||
-	    json_object_get_uint64(n) != x->next) {
+	    !json_object_is_type(v, json_type_string) || strcmp(json_object_get_string(v), x->xid) ||
+	    !json_object_object_get_ex(j, "n", &n) || json_object_get_uint64(n) != x->next) {
 		ctr_give_up(c, x, 502, "the server's answer does not belong to this exchange", o);
 		goto end;
 	}
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1173,6 +1173,44 @@
 	solo_close(&s);
 }
 
+/* Lines of a server's stream that are none of this send's end its exchange, whatever stands in them. */
+static void odd_lines_end_an_exchange(void **st)
+{
+	static const char *const lines[] = {
+		"{\"x\":null,\"n\":0}", "{\"x\":{},\"n\":0}", "{\"x\":\"other\",\"n\":0}", "{\"n\":0}", "null", "[]", "{", ""
+	};
+
+	(void)st;
+	for (size_t i = 0; i < sizeof lines / sizeof *lines; i++) {
+		struct solo s;
+		struct Nl__Row *rows[2];
+		struct Nl__Sight *sight;
+		struct ctr_ev ev = { .kind = CTR_PIECE };
+		struct xch *x;
+		int status;
+
+		solo_open(&s, 5);
+		rows[0] = new_service(s.p, "pool");
+		rows[1] = new_row(s.p, NL__KIND__LANE, "lane");
+		rows[1]->service = "pool";
+		rows[1]->host = "h";
+		rows[1]->path = "/";
+		rows[1]->limit = 10;
+		rows[1]->open = 1;
+		sight = new_sight(s.p, 1, "pool");
+		solo_table(&s, rows, 2, &sight, 1, 1);
+		assert_non_null(x = solo_ask(&s, "h", "/x", "id", &status));
+		x->xid = "send";
+		ev.u.piece.token = solo_sent(&s);
+		ev.u.piece.line = lines[i];
+		out_clear(&s.o);
+		solo_step(&s, &ev);
+		assert_null(ctr_xch_by(&s.c, s.token));
+		assert_int_equal(arrlen(s.o.v) ? s.o.v[arrlen(s.o.v) - 1].u.answer.status : 0, 502);
+		solo_close(&s);
+	}
+}
+
 /* The shelf that the newest send names. */
 static const char *solo_shelf(const struct solo *s)
 {
@@ -1384,6 +1422,7 @@
 		cmocka_unit_test(each_service_has_its_own_budget),
 		cmocka_unit_test(lanes_added_later_take_turns),
 		cmocka_unit_test(a_cold_shelf_is_of_one_send),
+		cmocka_unit_test(odd_lines_end_an_exchange),
 		cmocka_unit_test(a_shelf_says_who_may_use_it),
 	};
 	int rc;
