--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -558,6 +558,59 @@
 	}
 }
 
+static int all_led(struct sim *s)
+{
+	for (uint32_t shard = 0; shard < SHARD_COUNT; shard++)
+		if (sim_owner(s, shard) < 0)
+			return 0;
+	return 1;
+}
+
+/* A machine is back with an empty disk, where syncs take 25 ms and many hundred changes lie behind. Once the catch-up bound
+ * is over, a change is acknowledged, and right then the leader loses its disk while the other two lose power. */
+static void the_leaders_disk_is_lost_after_a_repair(void **state)
+{
+	int seeds = seeds_or(3);
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= (uint64_t)seeds; seed++) {
+		struct sim s;
+		int wiped, leader;
+		uint64_t edition;
+
+		deploy(&s, &deployments[0], seed);
+		settle(&s, &deployments[0]);
+		s.disk_ms = 25;
+		for (int i = 0; i < 1400; i++) {
+			sim_call(&s, (int)(i % 3), "POST", "/v1/change",
+				 "{\"set\":[{\"kind\":\"tenant\",\"name\":\"busy\",\"share\":1,\"limit\":5}]}");
+			assert_true(sim_run(&s, 20, NULL));
+		}
+		wiped = (int)(seed % 3);
+		sim_crash(&s, wiped, 1);
+		pass(&s, 16000);
+		sim_start(&s, wiped);
+		pass(&s, CATCH_UP_MS + 50);
+		edition = sim_change(&s, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"last\",\"share\":1,\"limit\":5}]}", 4000);
+		check(&s);
+		assert_true(edition > 0);
+		leader = sim_owner(&s, SHARD_CONTROL);
+		assert_int_not_equal(leader, -1);
+		for (int i = 0; i < 3; i++)
+			sim_crash(&s, i, i == leader);
+		pass(&s, 500);
+		for (int i = 0; i < 3; i++)
+			sim_start(&s, i);
+		sim_run(&s, 12000, all_led);
+		check(&s);
+		if (!all_led(&s))
+			fail_msg("seed %llu: a group stays without a leader", (unsigned long long)seed);
+		pass(&s, 500);
+		assert_non_null(table_get(&s.n[sim_owner(&s, SHARD_CONTROL)].r->ctl, NL__KIND__TENANT, "last"));
+		sim_close(&s);
+	}
+}
+
 /* All three seeds come back with empty disks and know only each other: the others tell them of the fleet. */
 static void seeds_with_empty_disks_find_the_fleet(void **state)
 {
@@ -987,6 +1040,7 @@
 		cmocka_unit_test(a_planned_stop_is_short),
 		cmocka_unit_test(all_machines_are_replaced_in_turn),
 		cmocka_unit_test(two_leave_at_once),
+		cmocka_unit_test(the_leaders_disk_is_lost_after_a_repair),
 		cmocka_unit_test(seeds_with_empty_disks_find_the_fleet),
 	};
 
