--- a/tests/explore.h
+++ b/tests/explore.h
@@ -145,6 +145,7 @@
 	SCENE_CUT_OFF,    /* a follower heard nothing of the leader for longer than an election timeout */
 	SCENE_RESTARTED,  /* the same, and the follower that grants the lease has just restarted */
 	SCENE_LED_BEFORE, /* a leader again, two terms after its first; an acknowledgement of then is still in flight */
+	SCENE_LATE_ACK,   /* a leader took a snapshot; a follower's acknowledgement of entries behind it is in flight */
 	SCENES
 };
 
--- a/tests/explore_scenes.c
+++ b/tests/explore_scenes.c
@@ -228,6 +228,19 @@
 	elect(0, 5);
 }
 
+static void scene_late_ack(void)
+{
+	begin_lease(3, 3);
+	(void)do_one(CHOICE_PROPOSE, 0, 0, 0);
+	(void)do_one(CHOICE_PROPOSE, 0, 0, 0);
+	while (do_one(CHOICE_SYNC, 0, 0, 0) || do_one(CHOICE_DELIVER, 2, 0, 0) || do_one(CHOICE_SYNC, 2, 0, 0))
+		;
+	(void)do_one(CHOICE_DELIVER, 1, 0, 0); /* the first entry alone is committed, and the follower has not heard of it */
+	(void)do_one(CHOICE_SYNC, 1, 0, 0);
+	(void)do_one(CHOICE_DELIVER, 0, 1, 0);
+	(void)do_one(CHOICE_COMPACT, 0, 0, 0);
+}
+
 static const struct {
 	const char *name;
 	void (*prepare)(void);
@@ -246,6 +259,7 @@
 	[SCENE_CUT_OFF] = { "CUT_OFF", scene_cut_off },
 	[SCENE_RESTARTED] = { "RESTARTED", scene_restarted },
 	[SCENE_LED_BEFORE] = { "LED_BEFORE", scene_led_before },
+	[SCENE_LATE_ACK] = { "LATE_ACK", scene_late_ack },
 };
 
 const char *explore_scene_name(enum explore_scene scene) { return scenes[scene].name; }
--- a/tests/test_explore.c
+++ b/tests/test_explore.c
@@ -104,10 +104,25 @@
 	assert_int_equal(explore_replay(SCENE_REJOINED, path, sizeof path / sizeof *path), INVARIANT_NONE);
 }
 
+/* The same, when an acknowledgement comes late and the leader has taken a snapshot in the meantime. */
+static void a_late_acknowledgement_is_not_taken_back(void **state)
+{
+	static const struct choice path[] = {
+		{ CHOICE_WAIT, 0, 0, 150 },  { CHOICE_WAIT, 0, 0, 150 },  { CHOICE_SYNC, 0, 0, 0 },    { CHOICE_DELIVER, 0, 2, 0 },
+		{ CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_DELIVER, 0, 2, 0 }, { CHOICE_SYNC, 2, 0, 0 },    { CHOICE_WAIT, 0, 0, 1600 },
+		{ CHOICE_TICK, 1, 0, 0 },    { CHOICE_DELIVER, 2, 1, 0 }, { CHOICE_DELIVER, 1, 2, 0 }, { CHOICE_DELIVER, 2, 1, 0 },
+		{ CHOICE_SYNC, 2, 0, 0 },
+	};
+
+	(void)state;
+	assert_int_equal(explore_replay(SCENE_LATE_ACK, path, sizeof path / sizeof *path), INVARIANT_NONE);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_snapshot_keeps_the_acknowledged_entries_behind_it),
+		cmocka_unit_test(a_late_acknowledgement_is_not_taken_back),
 		cmocka_unit_test(states_are_saved_and_restored),
 		cmocka_unit_test(all_orders_from_each_scene),
 		cmocka_unit_test(random_paths_from_each_scene),
