--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -32,7 +32,7 @@
 	RAFT_RESEND_MS = 300,               /* silence after which what is under way is sent again, doubled each time, */
 	RAFT_RESEND_MAX_MS = 4800,          /* up to this */
 	RAFT_PIECE_BYTES = 64 << 10,        /* of a snapshot in one message */
-	RAFT_PIECE_WINDOW = 4,              /* pieces under way to a member */
+	RAFT_PIECE_WINDOW = 8,              /* pieces under way to a member */
 	RAFT_TRANSFER_IDLE_MS = 10000,      /* a transfer without a reply for so long begins anew, with the newest snapshot */
 	RAFT_SNAPSHOT_MAX_BYTES = 64 << 20  /* a larger one is not taken from a leader */
 };
