Test: disks are lost at any moment after a repair, again and again; one harness for a leader alone

Eight deployments, six kinds of loss; after the catch-up bound and up to 3 s more so many disks as the tolerance allows go right after an acknowledgement, in half of the runs all others lose power; then once more.

--- /dev/null
+++ b/tests/raft_leader.h
@@ -0,0 +1,51 @@
+/* A raft leader alone, whose members' answers a test gives by hand. */
+#ifndef NL_RAFT_LEADER_H
+#define NL_RAFT_LEADER_H
+
+#include "raft.h"
+
+struct leader {
+	struct raft raft;
+	struct out out;
+	int64_t now;
+	struct raft_member live[6]; /* registrars that the fleet knows */
+	int live_count;
+};
+
+/* An empty message of a kind. */
+struct Nl__Msg leader_message(int body);
+
+/* Its disk takes all that it has written. */
+void leader_sync_disk(struct leader *l);
+
+/* It receives a message of a member. */
+void leader_hear(struct leader *l, uint64_t from, struct Nl__Msg *m);
+
+/* A member grants its vote, or says with pre that it would. */
+void leader_hear_vote(struct leader *l, uint64_t from, uint64_t term, int pre);
+
+/* A member answers the newest heartbeat: it has synced all up to match. */
+void leader_hear_answer(struct leader *l, uint64_t from, uint64_t match);
+
+/* The index of its newest entry. */
+uint64_t leader_newest(const struct leader *l);
+
+/* Time passes; the members in the mask answer each heartbeat, and hold all that there is. */
+void leader_beat(struct leader *l, int64_t ms, unsigned answering);
+
+/* Member 1 leads a group of so many voters; one more registrar stands by. */
+void leader_begin(struct leader *l, int voters);
+
+/* Free all memory. */
+void leader_end(struct leader *l);
+
+/* A member of its group, or NULL. */
+const struct raft_member *leader_member(const struct leader *l, uint64_t id);
+
+/* It changes the membership by one step, if that is due. */
+void leader_reconfigure(struct leader *l);
+
+/* It logs an operation, and syncs it. */
+void leader_propose(struct leader *l);
+
+#endif
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -11,6 +11,7 @@
 #include <cmocka.h>
 
 #include "ds.h"
+#include "raft_leader.h"
 #include "sim.h"
 
 enum {
@@ -566,6 +567,68 @@
 	return 1;
 }
 
+/* Right after an acknowledgement so many machines as the deployment tolerates lose their disks, and often all others their
+ * power; all that were up before come back. */
+static void lose_disks_after_an_acknowledgement(struct sim *s, const struct deployment *d, const char *tenant)
+{
+	unsigned up = 0, lost;
+	int power = (int)draw(s, 2), held = 0;
+	char body[128];
+
+	snprintf(body, sizeof body, "{\"set\":[{\"kind\":\"tenant\",\"name\":\"%s\",\"share\":1,\"limit\":5}]}", tenant);
+	if (!sim_change(s, body, 4000))
+		fail_msg("%s, seed %llu: no acknowledgement; %s", d->name, (unsigned long long)s->seed, s->bad);
+	lost = choose_lost(s, d);
+	for (int i = 0; i < SIM_REGS; i++)
+		if (is_live(s, i) && (power || lost >> i & 1)) {
+			up |= 1u << i;
+			sim_crash(s, i, (int)(lost >> i & 1));
+		}
+	pass(s, 100 + (int64_t)draw(s, 900));
+	for (int i = 0; i < SIM_REGS; i++)
+		if (up >> i & 1)
+			sim_start(s, i);
+	sim_run(s, 12000, all_led);
+	check(s);
+	if (!all_led(s))
+		fail_msg("%s, seed %llu: a group stays without a leader", d->name, (unsigned long long)s->seed);
+	pass(s, 500);
+	for (int i = 0; i < SIM_REGS; i++)
+		held |= is_live(s, i) && table_get(&s->n[i].r->ctl, NL__KIND__TENANT, tenant) != NULL;
+	if (!held)
+		fail_msg("%s, seed %llu: acknowledged, and lost", d->name, (unsigned long long)s->seed);
+}
+
+/* After each kind of loss and the catch-up bound the next one comes at any moment, and again after that. */
+static void disks_are_lost_at_any_moment_after_a_repair(void **state)
+{
+	int seeds = seeds_or(1), runs = 0;
+
+	(void)state;
+	for (int k = 0; k < DEPLOYMENTS; k++)
+		for (int fault = 0; fault < FAULTS; fault++) {
+			const struct deployment *d = &deployments[k];
+
+			if ((fault == REMOVED || fault == REMOVED_PLANNED) &&
+			    (d->zone_losses || d->machines - copies_of(d) < d->machine_losses))
+				continue;
+			for (int seed = 1; seed <= seeds; seed++, runs++) {
+				struct sim s;
+
+				deploy(&s, d, (uint64_t)(50000000 + seed + 100000 * k + 10000000 * fault));
+				settle(&s, d);
+				bring_about(&s, d, (enum fault)fault, choose_lost(&s, d));
+				pass(&s, CATCH_UP_MS + (int64_t)draw(&s, 3000));
+				lose_disks_after_an_acknowledgement(&s, d, "first");
+				pass(&s, CATCH_UP_MS + (int64_t)draw(&s, 3000));
+				lose_disks_after_an_acknowledgement(&s, d, "second");
+				check(&s);
+				sim_close(&s);
+			}
+		}
+	print_message("%d runs of three losses one after another\n", runs);
+}
+
 /* A machine is back with an empty disk, where syncs take 25 ms and many hundred changes lie behind. Once the catch-up bound
  * is over, a change is acknowledged, and right then the leader loses its disk while the other two lose power. */
 static void the_leaders_disk_is_lost_after_a_repair(void **state)
@@ -640,158 +703,26 @@
 
 /* ---- a leader alone, its members' answers given by hand ---- */
 
-struct leader {
-	struct raft raft;
-	struct out out;
-	int64_t now;
-	struct raft_member live[6]; /* registrars that the fleet knows */
-	int live_count;
-};
-
-static struct Nl__Msg message(int body)
-{
-	struct Nl__Msg m = NL__MSG__INIT;
-
-	m.body_case = (Nl__Msg__BodyCase)body;
-	return m;
-}
-
-static void sync_disk(struct leader *l)
-{
-	raft_flush(&l->raft, l->now, &l->out);
-	raft_synced(&l->raft, l->raft.seq, l->now, &l->out);
-	raft_flush(&l->raft, l->now, &l->out);
-}
-
-static void hear(struct leader *l, uint64_t from, struct Nl__Msg *m)
-{
-	m->id = from;
-	m->addr = 100 + from;
-	raft_receive(&l->raft, m, l->now, &l->out);
-	sync_disk(l);
-}
-
-static void hear_vote(struct leader *l, uint64_t from, uint64_t term, int pre)
-{
-	struct Nl__Msg m = message(NL__MSG__BODY_VOTE_REPLY);
-	struct Nl__VoteReply v = NL__VOTE_REPLY__INIT;
-
-	v.term = term;
-	v.granted = 1;
-	v.pre = pre;
-	m.vote_reply = &v;
-	hear(l, from, &m);
-}
-
-/* A member answers the newest heartbeat: it has synced all up to match. */
-static void hear_answer(struct leader *l, uint64_t from, uint64_t match)
-{
-	struct Nl__Msg m = message(NL__MSG__BODY_APPEND_REPLY);
-	struct Nl__AppendReply a = NL__APPEND_REPLY__INIT;
-
-	a.term = l->raft.term;
-	a.ok = 1;
-	a.match = match;
-	a.round = l->raft.round;
-	m.append_reply = &a;
-	hear(l, from, &m);
-}
-
-static uint64_t newest(const struct leader *l) { return l->raft.base + (uint64_t)arrlen(l->raft.log); }
-
-/* Time passes; the members in the mask answer each heartbeat, and hold all that there is. */
-static void beat(struct leader *l, int64_t ms, unsigned answering)
-{
-	for (int64_t end = l->now + ms; l->now < end;) {
-		l->now += RAFT_HEARTBEAT_MS;
-		raft_tick(&l->raft, l->now, &l->out);
-		sync_disk(l);
-		for (uint64_t id = 2; id < 10; id++)
-			if (answering >> id & 1)
-				hear_answer(l, id, newest(l));
-		out_clear(&l->out);
-	}
-}
-
-/* Member 1 leads a group of so many voters. */
-static void lead(struct leader *l, int voters)
-{
-	struct raft_member members[RAFT_MAX_MEMBERS];
-
-	memset(l, 0, sizeof *l);
-	memset(members, 0, sizeof members);
-	apr_pool_create(&l->out.p, NULL);
-	l->out.id = 1;
-	l->out.addr = 101;
-	l->now = 100000;
-	for (int i = 0; i < voters; i++)
-		members[i] = (struct raft_member){ .id = (uint64_t)i + 1, .addr = 101 + (uint64_t)i, .voter = 1 };
-	for (int i = 0; i < voters + 1; i++)
-		l->live[i] = (struct raft_member){ .id = (uint64_t)i + 1, .addr = 101 + (uint64_t)i, .zone = 1 + (uint64_t)i };
-	l->live_count = voters + 1; /* one more stands by */
-	raft_open(&l->raft, 0, 1, 5, NULL, l->now);
-	l->raft.replicas = voters;
-	l->raft.member_lost_ms = 2400;
-	raft_bootstrap(&l->raft, members, voters, l->now, &l->out);
-	sync_disk(l);
-	l->now += 5000;
-	raft_tick(&l->raft, l->now, &l->out);
-	for (uint64_t id = 2; id <= (uint64_t)voters; id++)
-		hear_vote(l, id, l->raft.term + 1, 1);
-	for (uint64_t id = 2; id <= (uint64_t)voters; id++)
-		hear_vote(l, id, l->raft.term, 0);
-	assert_int_equal(l->raft.role, RAFT_LEADER);
-	beat(l, 600, ((1u << (voters + 1)) - 1) & ~3u);
-	assert_true(raft_has_lease(&l->raft, l->now));
-}
-
-static void lead_end(struct leader *l)
-{
-	raft_close(&l->raft);
-	arrfree(l->out.v);
-	apr_pool_destroy(l->out.p);
-}
-
-static const struct raft_member *member(const struct leader *l, uint64_t id)
-{
-	for (int i = 0; i < l->raft.member_count; i++)
-		if (l->raft.members[i].id == id)
-			return &l->raft.members[i];
-	return NULL;
-}
-
-static void reconfigure(struct leader *l)
-{
-	raft_reconfigure(&l->raft, l->live, l->live_count, l->now);
-	sync_disk(l);
-}
-
-static void propose(struct leader *l)
-{
-	assert_true(raft_propose(&l->raft, (const uint8_t *)"x", 1, l->now) > 0);
-	sync_disk(l);
-}
-
 /* A silent voter's successor is prepared as a learner, and goes again when the voter returns. */
 static void a_short_silence_moves_no_member(void **state)
 {
 	struct leader l;
 
 	(void)state;
-	lead(&l, 3);
-	beat(&l, 1700, 1u << 2);
-	reconfigure(&l);
-	assert_non_null(member(&l, 4));
-	assert_false(member(&l, 4)->voter);
-	beat(&l, 300, 1u << 2 | 1u << 4);
-	reconfigure(&l); /* caught up, but member 3 is not given up yet */
-	assert_false(member(&l, 4)->voter);
-	assert_non_null(member(&l, 3));
-	beat(&l, 150, 1u << 2 | 1u << 3 | 1u << 4);
-	reconfigure(&l);
-	assert_null(member(&l, 4));
+	leader_begin(&l, 3);
+	leader_beat(&l, 1700, 1u << 2);
+	leader_reconfigure(&l);
+	assert_non_null(leader_member(&l, 4));
+	assert_false(leader_member(&l, 4)->voter);
+	leader_beat(&l, 300, 1u << 2 | 1u << 4);
+	leader_reconfigure(&l); /* caught up, but member 3 is not given up yet */
+	assert_false(leader_member(&l, 4)->voter);
+	assert_non_null(leader_member(&l, 3));
+	leader_beat(&l, 150, 1u << 2 | 1u << 3 | 1u << 4);
+	leader_reconfigure(&l);
+	assert_null(leader_member(&l, 4));
 	assert_int_equal(l.raft.member_count, 3);
-	lead_end(&l);
+	leader_end(&l);
 }
 
 /* The lost voter goes before its successor votes: its silence never counts towards a larger majority. */
@@ -800,20 +731,20 @@
 	struct leader l;
 
 	(void)state;
-	lead(&l, 3);
-	beat(&l, 1700, 1u << 2);
-	reconfigure(&l);
-	beat(&l, 1000, 1u << 2 | 1u << 4);
-	reconfigure(&l);
-	assert_null(member(&l, 3));
-	assert_false(member(&l, 4)->voter);
-	reconfigure(&l); /* one change at a time: this one is not committed yet */
-	assert_false(member(&l, 4)->voter);
-	beat(&l, 150, 1u << 2 | 1u << 4);
-	reconfigure(&l);
-	assert_true(member(&l, 4)->voter);
+	leader_begin(&l, 3);
+	leader_beat(&l, 1700, 1u << 2);
+	leader_reconfigure(&l);
+	leader_beat(&l, 1000, 1u << 2 | 1u << 4);
+	leader_reconfigure(&l);
+	assert_null(leader_member(&l, 3));
+	assert_false(leader_member(&l, 4)->voter);
+	leader_reconfigure(&l); /* one change at a time: this one is not committed yet */
+	assert_false(leader_member(&l, 4)->voter);
+	leader_beat(&l, 150, 1u << 2 | 1u << 4);
+	leader_reconfigure(&l);
+	assert_true(leader_member(&l, 4)->voter);
 	assert_int_equal(l.raft.member_count, 3);
-	lead_end(&l);
+	leader_end(&l);
 }
 
 /* A learner that lacks the newest committed entry gets no vote, and a lost voter keeps its place until it has it. */
@@ -823,30 +754,30 @@
 	uint64_t old;
 
 	(void)state;
-	lead(&l, 3);
-	beat(&l, 1700, 1u << 2);
-	reconfigure(&l);
-	beat(&l, 1000, 1u << 2 | 1u << 4);
-	old = newest(&l);
-	propose(&l);
-	hear_answer(&l, 2, newest(&l));
-	hear_answer(&l, 4, old);
-	assert_int_equal(l.raft.commit, newest(&l));
-	reconfigure(&l);
-	assert_non_null(member(&l, 3));
-	hear_answer(&l, 4, newest(&l));
-	reconfigure(&l);
-	assert_null(member(&l, 3));
-	beat(&l, 150, 1u << 2 | 1u << 4);
-	old = newest(&l);
-	propose(&l);
-	hear_answer(&l, 2, newest(&l));
-	reconfigure(&l);
-	assert_false(member(&l, 4)->voter);
-	hear_answer(&l, 4, newest(&l));
-	reconfigure(&l);
-	assert_true(member(&l, 4)->voter);
-	lead_end(&l);
+	leader_begin(&l, 3);
+	leader_beat(&l, 1700, 1u << 2);
+	leader_reconfigure(&l);
+	leader_beat(&l, 1000, 1u << 2 | 1u << 4);
+	old = leader_newest(&l);
+	leader_propose(&l);
+	leader_hear_answer(&l, 2, leader_newest(&l));
+	leader_hear_answer(&l, 4, old);
+	assert_int_equal(l.raft.commit, leader_newest(&l));
+	leader_reconfigure(&l);
+	assert_non_null(leader_member(&l, 3));
+	leader_hear_answer(&l, 4, leader_newest(&l));
+	leader_reconfigure(&l);
+	assert_null(leader_member(&l, 3));
+	leader_beat(&l, 150, 1u << 2 | 1u << 4);
+	old = leader_newest(&l);
+	leader_propose(&l);
+	leader_hear_answer(&l, 2, leader_newest(&l));
+	leader_reconfigure(&l);
+	assert_false(leader_member(&l, 4)->voter);
+	leader_hear_answer(&l, 4, leader_newest(&l));
+	leader_reconfigure(&l);
+	assert_true(leader_member(&l, 4)->voter);
+	leader_end(&l);
 }
 
 /* Five voters become four only when three of those that stay hold all that is committed. */
@@ -856,33 +787,33 @@
 	uint64_t old;
 
 	(void)state;
-	lead(&l, 5);
+	leader_begin(&l, 5);
 	l.live[1].zone = l.live[2].zone = 9; /* the zone with the most voters: one of members 2 and 3 is to go */
 	l.raft.replicas = 3;
-	old = newest(&l);
-	propose(&l);
-	hear_answer(&l, 2, newest(&l));
-	hear_answer(&l, 3, newest(&l));
-	hear_answer(&l, 4, old);
-	hear_answer(&l, 5, old);
-	assert_int_equal(l.raft.commit, newest(&l));
-	reconfigure(&l);
+	old = leader_newest(&l);
+	leader_propose(&l);
+	leader_hear_answer(&l, 2, leader_newest(&l));
+	leader_hear_answer(&l, 3, leader_newest(&l));
+	leader_hear_answer(&l, 4, old);
+	leader_hear_answer(&l, 5, old);
+	assert_int_equal(l.raft.commit, leader_newest(&l));
+	leader_reconfigure(&l);
 	assert_int_equal(l.raft.member_count, 5);
-	hear_answer(&l, 4, newest(&l));
-	reconfigure(&l);
+	leader_hear_answer(&l, 4, leader_newest(&l));
+	leader_reconfigure(&l);
 	assert_int_equal(l.raft.member_count, 4);
-	lead_end(&l);
+	leader_end(&l);
 	/* a voter that is silent counts for none, though it is not given up */
-	lead(&l, 5);
+	leader_begin(&l, 5);
 	l.live[1].zone = l.live[2].zone = 9;
-	beat(&l, 900, 1u << 2 | 1u << 3);
+	leader_beat(&l, 900, 1u << 2 | 1u << 3);
 	l.raft.replicas = 3;
-	reconfigure(&l);
+	leader_reconfigure(&l);
 	assert_int_equal(l.raft.member_count, 5);
-	beat(&l, 150, 1u << 2 | 1u << 3 | 1u << 4);
-	reconfigure(&l);
+	leader_beat(&l, 150, 1u << 2 | 1u << 3 | 1u << 4);
+	leader_reconfigure(&l);
 	assert_int_equal(l.raft.member_count, 4);
-	lead_end(&l);
+	leader_end(&l);
 }
 
 static uint64_t successor_named(struct leader *l)
@@ -901,33 +832,33 @@
 		struct leader l;
 		uint64_t old;
 
-		lead(&l, 3);
-		old = newest(&l);
-		propose(&l);
-		hear_answer(&l, 2, ahead == 2 ? old + 1 : old);
-		hear_answer(&l, 3, ahead == 3 ? old + 1 : old);
+		leader_begin(&l, 3);
+		old = leader_newest(&l);
+		leader_propose(&l);
+		leader_hear_answer(&l, 2, ahead == 2 ? old + 1 : old);
+		leader_hear_answer(&l, 3, ahead == 3 ? old + 1 : old);
 		raft_leave(&l.raft, l.now);
 		out_clear(&l.out);
 		raft_tick(&l.raft, l.now, &l.out);
 		assert_int_equal(l.raft.role, RAFT_FOLLOWER);
 		assert_int_equal(successor_named(&l), ahead);
-		lead_end(&l);
+		leader_end(&l);
 	}
 	for (uint64_t wait = 0; wait <= 1; wait++) { /* nobody holds all: it waits, but not for ever */
 		struct leader l;
 		uint64_t old;
 
-		lead(&l, 3);
-		old = newest(&l);
-		propose(&l);
+		leader_begin(&l, 3);
+		old = leader_newest(&l);
+		leader_propose(&l);
 		raft_leave(&l.raft, l.now);
 		assert_int_equal(raft_propose(&l.raft, (const uint8_t *)"y", 1, l.now), 0);
 		for (int i = 0; i < 4; i++) {
 			l.now += RAFT_HEARTBEAT_MS;
 			raft_tick(&l.raft, l.now, &l.out);
-			sync_disk(&l);
-			hear_answer(&l, 2, old);
-			hear_answer(&l, 3, old);
+			leader_sync_disk(&l);
+			leader_hear_answer(&l, 2, old);
+			leader_hear_answer(&l, 3, old);
 		}
 		assert_int_equal(l.raft.role, RAFT_LEADER);
 		if (wait) {
@@ -935,13 +866,13 @@
 			raft_tick(&l.raft, l.now, &l.out);
 			assert_int_equal(l.raft.role, RAFT_FOLLOWER);
 		} else {
-			hear_answer(&l, 3, newest(&l));
+			leader_hear_answer(&l, 3, leader_newest(&l));
 			raft_tick(&l.raft, l.now, &l.out);
 			assert_int_equal(l.raft.role, RAFT_FOLLOWER);
 			assert_int_equal(successor_named(&l), 3);
 		}
 		assert_false(raft_may_leave(&l.raft, l.now)); /* no successor has been elected yet */
-		lead_end(&l);
+		leader_end(&l);
 	}
 }
 
@@ -949,39 +880,39 @@
 static void a_leaving_voter_is_not_counted(void **state)
 {
 	struct leader l;
-	struct Nl__Msg m = message(NL__MSG__BODY_APPEND_REPLY);
+	struct Nl__Msg m = leader_message(NL__MSG__BODY_APPEND_REPLY);
 	struct Nl__AppendReply a = NL__APPEND_REPLY__INIT;
 	uint64_t old;
 
 	(void)state;
-	lead(&l, 3);
-	old = newest(&l);
+	leader_begin(&l, 3);
+	old = leader_newest(&l);
 	a.term = l.raft.term;
 	a.ok = a.leaving = 1;
 	a.round = l.raft.round;
 	a.match = old;
 	m.append_reply = &a;
-	hear(&l, 3, &m);
+	leader_hear(&l, 3, &m);
 	raft_tick(&l.raft, l.now, &l.out);
-	propose(&l);
-	a.match = newest(&l);
-	hear(&l, 3, &m);
+	leader_propose(&l);
+	a.match = leader_newest(&l);
+	leader_hear(&l, 3, &m);
 	assert_int_equal(l.raft.commit, old);
-	hear_answer(&l, 2, newest(&l));
-	assert_int_equal(l.raft.commit, newest(&l));
+	leader_hear_answer(&l, 2, leader_newest(&l));
+	assert_int_equal(l.raft.commit, leader_newest(&l));
 	/* the other voter is silent: the leaving one counts, and is kept */
 	for (int i = 0; i < 5; i++) {
 		l.now += RAFT_HEARTBEAT_MS;
 		raft_tick(&l.raft, l.now, &l.out);
-		sync_disk(&l);
+		leader_sync_disk(&l);
 		a.round = l.raft.round;
-		hear(&l, 3, &m);
+		leader_hear(&l, 3, &m);
 	}
-	propose(&l);
-	a.match = newest(&l);
-	hear(&l, 3, &m);
-	assert_int_equal(l.raft.commit, newest(&l));
-	lead_end(&l);
+	leader_propose(&l);
+	a.match = leader_newest(&l);
+	leader_hear(&l, 3, &m);
+	assert_int_equal(l.raft.commit, leader_newest(&l));
+	leader_end(&l);
 }
 
 /* Whether the last message to a member says that it may go. */
@@ -1000,29 +931,29 @@
 static void a_leaving_voter_is_kept_while_another_is_behind(void **state)
 {
 	struct leader l;
-	struct Nl__Msg m = message(NL__MSG__BODY_APPEND_REPLY);
+	struct Nl__Msg m = leader_message(NL__MSG__BODY_APPEND_REPLY);
 	struct Nl__AppendReply a = NL__APPEND_REPLY__INIT;
 	uint64_t old;
 
 	(void)state;
-	lead(&l, 3);
-	old = newest(&l);
-	propose(&l);
+	leader_begin(&l, 3);
+	old = leader_newest(&l);
+	leader_propose(&l);
 	a.term = l.raft.term;
 	a.ok = a.leaving = 1;
 	a.round = l.raft.round;
-	a.match = newest(&l);
+	a.match = leader_newest(&l);
 	m.append_reply = &a;
-	hear(&l, 3, &m);
+	leader_hear(&l, 3, &m);
 	for (int caught_up = 0; caught_up <= 1; caught_up++) {
-		hear_answer(&l, 2, caught_up ? newest(&l) : old);
+		leader_hear_answer(&l, 2, caught_up ? leader_newest(&l) : old);
 		out_clear(&l.out);
 		l.now += RAFT_HEARTBEAT_MS;
 		raft_tick(&l.raft, l.now, &l.out);
 		assert_int_equal(let_go(&l, 3), caught_up);
 		assert_int_equal(let_go(&l, 2), 0);
 	}
-	lead_end(&l);
+	leader_end(&l);
 }
 
 int main(void)
@@ -1040,10 +971,12 @@
 		cmocka_unit_test(a_planned_stop_is_short),
 		cmocka_unit_test(all_machines_are_replaced_in_turn),
 		cmocka_unit_test(two_leave_at_once),
+		cmocka_unit_test(disks_are_lost_at_any_moment_after_a_repair),
 		cmocka_unit_test(the_leaders_disk_is_lost_after_a_repair),
 		cmocka_unit_test(seeds_with_empty_disks_find_the_fleet),
 	};
 
 	apr_initialize();
+	cmocka_set_test_filter(getenv("NL_TEST"));
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_recovery.c
+++ b/tests/test_recovery.c
@@ -9,142 +9,9 @@
 #include <cmocka.h>
 
 #include "ds.h"
+#include "raft_leader.h"
 #include "sim.h"
 
-/* ---- a leader alone, its members' answers given by hand ---- */
-
-struct leader {
-	struct raft raft;
-	struct out out;
-	int64_t now;
-	struct raft_member live[6]; /* registrars that the fleet knows */
-	int live_count;
-};
-
-static struct Nl__Msg message(int body)
-{
-	struct Nl__Msg m = NL__MSG__INIT;
-
-	m.body_case = (Nl__Msg__BodyCase)body;
-	return m;
-}
-
-static void sync_disk(struct leader *l)
-{
-	raft_flush(&l->raft, l->now, &l->out);
-	raft_synced(&l->raft, l->raft.seq, l->now, &l->out);
-	raft_flush(&l->raft, l->now, &l->out);
-}
-
-static void hear(struct leader *l, uint64_t from, struct Nl__Msg *m)
-{
-	m->id = from;
-	m->addr = 100 + from;
-	raft_receive(&l->raft, m, l->now, &l->out);
-	sync_disk(l);
-}
-
-static void hear_vote(struct leader *l, uint64_t from, uint64_t term, int pre)
-{
-	struct Nl__Msg m = message(NL__MSG__BODY_VOTE_REPLY);
-	struct Nl__VoteReply v = NL__VOTE_REPLY__INIT;
-
-	v.term = term;
-	v.granted = 1;
-	v.pre = pre;
-	m.vote_reply = &v;
-	hear(l, from, &m);
-}
-
-/* A member answers the newest heartbeat: it has synced all up to match. */
-static void hear_answer(struct leader *l, uint64_t from, uint64_t match)
-{
-	struct Nl__Msg m = message(NL__MSG__BODY_APPEND_REPLY);
-	struct Nl__AppendReply a = NL__APPEND_REPLY__INIT;
-
-	a.term = l->raft.term;
-	a.ok = 1;
-	a.match = match;
-	a.round = l->raft.round;
-	m.append_reply = &a;
-	hear(l, from, &m);
-}
-
-static uint64_t newest(const struct leader *l) { return l->raft.base + (uint64_t)arrlen(l->raft.log); }
-
-/* Time passes; the members in the mask answer each heartbeat, and hold all that there is. */
-static void beat(struct leader *l, int64_t ms, unsigned answering)
-{
-	for (int64_t end = l->now + ms; l->now < end;) {
-		l->now += RAFT_HEARTBEAT_MS;
-		raft_tick(&l->raft, l->now, &l->out);
-		sync_disk(l);
-		for (uint64_t id = 2; id < 10; id++)
-			if (answering >> id & 1)
-				hear_answer(l, id, newest(l));
-		out_clear(&l->out);
-	}
-}
-
-/* Member 1 leads a group of so many voters. */
-static void lead(struct leader *l, int voters)
-{
-	struct raft_member members[RAFT_MAX_MEMBERS];
-
-	memset(l, 0, sizeof *l);
-	memset(members, 0, sizeof members);
-	apr_pool_create(&l->out.p, NULL);
-	l->out.id = 1;
-	l->out.addr = 101;
-	l->now = 100000;
-	for (int i = 0; i < voters; i++)
-		members[i] = (struct raft_member){ .id = (uint64_t)i + 1, .addr = 101 + (uint64_t)i, .voter = 1 };
-	for (int i = 0; i < voters + 1; i++)
-		l->live[i] = (struct raft_member){ .id = (uint64_t)i + 1, .addr = 101 + (uint64_t)i, .zone = 1 + (uint64_t)i };
-	l->live_count = voters + 1; /* one more stands by */
-	raft_open(&l->raft, 0, 1, 5, NULL, l->now);
-	l->raft.replicas = voters;
-	l->raft.member_lost_ms = 2400;
-	raft_bootstrap(&l->raft, members, voters, l->now, &l->out);
-	sync_disk(l);
-	l->now += 5000;
-	raft_tick(&l->raft, l->now, &l->out);
-	for (uint64_t id = 2; id <= (uint64_t)voters; id++)
-		hear_vote(l, id, l->raft.term + 1, 1);
-	for (uint64_t id = 2; id <= (uint64_t)voters; id++)
-		hear_vote(l, id, l->raft.term, 0);
-	assert_int_equal(l->raft.role, RAFT_LEADER);
-	beat(l, 600, ((1u << (voters + 1)) - 1) & ~3u);
-	assert_true(raft_has_lease(&l->raft, l->now));
-}
-
-static void lead_end(struct leader *l)
-{
-	raft_close(&l->raft);
-	arrfree(l->out.v);
-	apr_pool_destroy(l->out.p);
-}
-
-static const struct raft_member *member(const struct leader *l, uint64_t id)
-{
-	for (int i = 0; i < l->raft.member_count; i++)
-		if (l->raft.members[i].id == id)
-			return &l->raft.members[i];
-	return NULL;
-}
-
-static void reconfigure(struct leader *l)
-{
-	raft_reconfigure(&l->raft, l->live, l->live_count, l->now);
-	sync_disk(l);
-}
-
-static void propose(struct leader *l)
-{
-	assert_true(raft_propose(&l->raft, (const uint8_t *)"x", 1, l->now) > 0);
-	sync_disk(l);
-}
-
 /* ---- one member ---- */
 
 /* The leader has lost its followers: it steps down, and hears of nobody for a while. */
@@ -153,7 +20,7 @@
 	for (int i = 0; i < 30; i++) {
 		l->now += RAFT_HEARTBEAT_MS;
 		raft_tick(&l->raft, l->now, &l->out);
-		sync_disk(l);
+		leader_sync_disk(l);
 	}
 	assert_int_not_equal(l->raft.role, RAFT_LEADER);
 	out_clear(&l->out);
@@ -171,7 +38,7 @@
 
 static void hear_vote_request(struct leader *l, uint64_t from, uint64_t term, uint64_t last, uint64_t last_term)
 {
-	struct Nl__Msg m = message(NL__MSG__BODY_VOTE_ASK);
+	struct Nl__Msg m = leader_message(NL__MSG__BODY_VOTE_ASK);
 	struct Nl__VoteAsk a = NL__VOTE_ASK__INIT;
 
 	a.term = term;
@@ -179,7 +46,7 @@
 	a.last_term = last_term;
 	m.vote_ask = &a;
 	out_clear(&l->out);
-	hear(l, from, &m);
+	leader_hear(l, from, &m);
 }
 
 static void recovery_is_refused_while_it_may_not_be(void **state)
@@ -188,7 +55,7 @@
 	struct leader l;
 
 	(void)state;
-	lead(&l, 3);
+	leader_begin(&l, 3);
 	assert_int_equal(raft_recover(&l.raft, lost, 2, l.now), RAFT_RECOVERY_MEMBER_ANSWERS);
 	l.now += RAFT_ABSENT_MS;
 	assert_int_equal(raft_recover(&l.raft, lost, 2, l.now), RAFT_RECOVERY_HAS_LEADER);
@@ -207,20 +74,20 @@
 	assert_int_equal(raft_recover(&l.raft, lost, 2, l.now), RAFT_RECOVERY_POSSIBLE);
 	assert_int_equal(raft_epoch(l.raft.term), 1);
 	assert_int_equal(raft_recover(&l.raft, lost, 2, l.now), RAFT_RECOVERY_MAJORITY_REMAINS); /* twice */
-	lead_end(&l);
+	leader_end(&l);
 	/* of five with three lost the newer of the two copies goes on */
-	lead(&l, 5);
+	leader_begin(&l, 5);
 	lose_followers(&l);
-	hear_vote_request(&l, 4, l.raft.term, newest(&l) + 1, l.raft.term);
+	hear_vote_request(&l, 4, l.raft.term, leader_newest(&l) + 1, l.raft.term);
 	assert_int_equal(raft_recover(&l.raft, (const uint64_t[]){ 2, 3, 5 }, 3, l.now), RAFT_RECOVERY_OTHER_IS_NEWER);
-	lead_end(&l);
+	leader_end(&l);
 	/* one that is no member */
-	lead(&l, 3);
+	leader_begin(&l, 3);
 	lose_followers(&l);
 	l.raft.id = 77;
 	assert_int_equal(raft_recover(&l.raft, lost, 2, l.now), RAFT_RECOVERY_NO_VOTER);
 	l.raft.id = 1;
-	lead_end(&l);
+	leader_end(&l);
 }
 
 /* Alone, it commits all that it holds, and keeps the epoch over a restart. */
@@ -230,53 +97,53 @@
 	uint64_t held;
 
 	(void)state;
-	lead(&l, 3);
-	propose(&l); /* on this disk alone */
-	held = newest(&l);
+	leader_begin(&l, 3);
+	leader_propose(&l); /* on this disk alone */
+	held = leader_newest(&l);
 	assert_true(l.raft.commit < held);
 	lose_followers(&l);
 	assert_int_equal(raft_recover(&l.raft, lost, 2, l.now), RAFT_RECOVERY_POSSIBLE);
 	for (int i = 0; i < 4; i++) {
 		raft_tick(&l.raft, l.now, &l.out);
-		sync_disk(&l);
+		leader_sync_disk(&l);
 		l.now += RAFT_HEARTBEAT_MS;
 	}
 	assert_true(raft_has_lease(&l.raft, l.now - RAFT_HEARTBEAT_MS));
 	assert_true(l.raft.commit > held);
 	assert_int_equal(l.raft.member_count, 1);
 	assert_true(raft_epoch(l.raft.term) == 1);
-	lead_end(&l);
+	leader_end(&l);
 }
 
 /* Whatever an old member says is refused, and it is told; the old term may be as high as it likes. */
 static void messages_of_an_older_epoch_are_refused(void **state)
 {
 	struct leader l;
-	struct Nl__Msg m = message(NL__MSG__BODY_APPEND), *reply;
+	struct Nl__Msg m = leader_message(NL__MSG__BODY_APPEND), *reply;
 	struct Nl__Append a = NL__APPEND__INIT;
 	uint64_t term;
 
 	(void)state;
-	lead(&l, 3);
+	leader_begin(&l, 3);
 	lose_followers(&l);
 	assert_int_equal(raft_recover(&l.raft, lost, 2, l.now), RAFT_RECOVERY_POSSIBLE);
-	sync_disk(&l);
+	leader_sync_disk(&l);
 	term = l.raft.term;
-	hear_vote_request(&l, 2, 1000000, newest(&l) + 50, 1000000);
+	hear_vote_request(&l, 2, 1000000, leader_newest(&l) + 50, 1000000);
 	reply = sent(&l, NL__MSG__BODY_VOTE_REPLY);
 	assert_non_null(reply);
 	assert_false(reply->vote_reply->granted);
 	assert_int_equal(reply->vote_reply->term, term);
 	out_clear(&l.out);
 	a.term = 1000000;
-	a.prev = newest(&l);
+	a.prev = leader_newest(&l);
 	m.append = &a;
-	hear(&l, 2, &m);
+	leader_hear(&l, 2, &m);
 	assert_null(sent(&l, NL__MSG__BODY_APPEND_REPLY));
 	assert_non_null(sent(&l, NL__MSG__BODY_VOTE_REPLY));
 	assert_int_equal(l.raft.term, term);
 	assert_int_equal(l.raft.leader_id, 0);
-	lead_end(&l);
+	leader_end(&l);
 }
 
 /* An old member that hears of the newer epoch leads no more, gives no vote, asks for none, and joins no group. */
@@ -284,16 +151,16 @@
 {
 	const uint64_t newer = (uint64_t)1 << RAFT_EPOCH_SHIFT;
 	struct leader l;
-	struct Nl__Msg m = message(NL__MSG__BODY_VOTE_REPLY), offer = message(NL__MSG__BODY_APPEND);
+	struct Nl__Msg m = leader_message(NL__MSG__BODY_VOTE_REPLY), offer = leader_message(NL__MSG__BODY_APPEND);
 	struct Nl__VoteReply v = NL__VOTE_REPLY__INIT;
 	struct Nl__Append a = NL__APPEND__INIT;
 
 	(void)state;
-	lead(&l, 3);
+	leader_begin(&l, 3);
 	v.term = newer;
 	v.removed = 1;
 	m.vote_reply = &v;
-	hear(&l, 2, &m);
+	leader_hear(&l, 2, &m);
 	assert_int_equal(l.raft.role, RAFT_FOLLOWER);
 	assert_false(raft_has_lease(&l.raft, l.now));
 	assert_int_equal(raft_epoch(l.raft.term), 0); /* its term stays what it was: its disk can be told from the new ones */
@@ -303,43 +170,43 @@
 		raft_tick(&l.raft, l.now, &l.out);
 	}
 	assert_null(sent(&l, NL__MSG__BODY_VOTE_ASK));
-	hear_vote_request(&l, 3, l.raft.term + 1, newest(&l) + 9, l.raft.term + 1);
+	hear_vote_request(&l, 3, l.raft.term + 1, leader_newest(&l) + 9, l.raft.term + 1);
 	assert_null(sent(&l, NL__MSG__BODY_VOTE_REPLY));
 	a.term = newer;
 	offer.append = &a;
 	out_clear(&l.out);
-	hear(&l, 3, &offer);
+	leader_hear(&l, 3, &offer);
 	assert_non_null(sent(&l, NL__MSG__BODY_APPEND_REPLY));
 	assert_true(sent(&l, NL__MSG__BODY_APPEND_REPLY)->append_reply->fenced);
 	assert_int_equal(raft_recover(&l.raft, lost, 2, l.now + RAFT_ABSENT_MS), RAFT_RECOVERY_NO_VOTER);
-	lead_end(&l);
+	leader_end(&l);
 }
 
 /* A learner that turns out to hold a copy of an older epoch goes, and is not chosen again. */
 static void an_old_identity_is_not_taken_back(void **state)
 {
 	struct leader l;
-	struct Nl__Msg m = message(NL__MSG__BODY_APPEND_REPLY);
+	struct Nl__Msg m = leader_message(NL__MSG__BODY_APPEND_REPLY);
 	struct Nl__AppendReply a = NL__APPEND_REPLY__INIT;
 
 	(void)state;
-	lead(&l, 3);
-	beat(&l, 1700, 1u << 2);
-	reconfigure(&l);
-	assert_non_null(member(&l, 4));
-	beat(&l, 150, 1u << 2);
+	leader_begin(&l, 3);
+	leader_beat(&l, 1700, 1u << 2);
+	leader_reconfigure(&l);
+	assert_non_null(leader_member(&l, 4));
+	leader_beat(&l, 150, 1u << 2);
 	a.term = l.raft.term;
 	a.fenced = 1;
 	m.append_reply = &a;
-	hear(&l, 4, &m);
-	reconfigure(&l);
-	assert_null(member(&l, 4));
+	leader_hear(&l, 4, &m);
+	leader_reconfigure(&l);
+	assert_null(leader_member(&l, 4));
 	for (int i = 0; i < 10; i++) {
-		beat(&l, 150, 1u << 2);
-		reconfigure(&l);
-		assert_null(member(&l, 4));
+		leader_beat(&l, 150, 1u << 2);
+		leader_reconfigure(&l);
+		assert_null(leader_member(&l, 4));
 	}
-	lead_end(&l);
+	leader_end(&l);
 }
 
 /* ---- fleets ---- */
@@ -479,5 +346,6 @@
 	};
 
 	apr_initialize();
+	cmocka_set_test_filter(getenv("NL_TEST"));
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
