--- a/tests/sim.h
+++ b/tests/sim.h
@@ -208,7 +208,7 @@
 	const struct reg_tongue *tongue;
 	int load_ms; /* how long servers load weights; 0: 1.5 to 2.5 s */
 	char bad[512];
-	int recovered;         /* a group went on with one copy by an operator's word: commits may rest on that one */
+	int recovered; /* a group went on with one copy by an operator's word: commits may rest on that one */
 	/* global truth */
 	uint64_t *hash[SHARD_COUNT]; /* stb_ds: hash of each committed entry */
 	struct sim_value *value;     /* published values in order of tick */
