Peers: a connection whose bytes nobody acknowledges is given up after a second

Cause: an established connection to a machine that lost power or was cut off was kept, and the kernel asks again after ever longer pauses (12.6 s, then 25.4 s after the first unanswered byte).

Now TCP_USER_TIMEOUT of 1 s ends it, and the next message dials anew.

--- a/lib/shell/net.c
+++ b/lib/shell/net.c
@@ -3,9 +3,13 @@
  * A message may be lost when a connection breaks, and overtake one of the other connection; the core's protocols expect that. */
 #include <apr_network_io.h>
 #include <apr_poll.h>
+#include <apr_portable.h>
 #include <apr_strings.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "ds.h"
 #include "shell.h"
@@ -14,6 +18,10 @@
 
 enum { NET_FRAME = 32 << 20, NET_QUEUE = 64 << 20, NET_AGAIN = 200, NET_DIAL = 250, NET_DRAWS = 64 };
 
+/* Bytes that are not acknowledged for so long end a connection. The kernel would ask a silent machine again after ever longer
+ * pauses, and not look for 10 s and more after it is back. */
+enum { NET_UNACKNOWLEDGED_MS = 1000 };
+
 struct net_bytes {
 	uint64_t addr;
 	int bulk;
@@ -90,6 +98,15 @@
 	apr_pool_clear(c->p);
 }
 
+static void limit_unacknowledged(apr_socket_t *socket)
+{
+	int ms = NET_UNACKNOWLEDGED_MS;
+	apr_os_sock_t fd;
+
+	if (apr_os_sock_get(&fd, socket) == APR_SUCCESS)
+		(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+}
+
 static void out_dial(struct net *n, struct conn *c)
 {
 	apr_sockaddr_t *sa = sockaddr(c->addr, c->p);
@@ -102,6 +119,7 @@
 	apr_socket_opt_set(c->s, APR_SO_NONBLOCK, 1);
 	apr_socket_timeout_set(c->s, 0);
 	apr_socket_opt_set(c->s, APR_TCP_NODELAY, 1);
+	limit_unacknowledged(c->s);
 	c->dialled = clock_ms();
 	st = apr_socket_connect(c->s, sa);
 	if (st != APR_SUCCESS && !APR_STATUS_IS_EINPROGRESS(st)) {
--- a/tests/test_shell.c
+++ b/tests/test_shell.c
@@ -722,6 +722,57 @@
 	}
 }
 
+/* A colleague that takes nothing more, on a connection that was up: what is sent then goes over a new one, once it listens again. */
+static void a_connection_that_nobody_acknowledges_is_made_anew(void **st)
+{
+	enum { SMALL_BUFFER = 4096, LARGE_MESSAGE = 1 << 20, MANY = 40 };
+	struct sockaddr_in to = { .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int listener = socket(AF_INET, SOCK_STREAM, 0), one = 1, small = SMALL_BUFFER, deaf = -1, again = -1;
+	struct Nl__Msg message = NL__MSG__INIT;
+	struct Nl__SnapshotPiece piece = NL__SNAPSHOT_PIECE__INIT;
+	struct pollfd waiting = { listener, POLLIN, 0 };
+	char at[40], peer[40];
+	struct net *net;
+	struct ring *ring;
+	apr_pool_t *p;
+
+	(void)st;
+	apr_pool_create(&p, NULL);
+	ring_open(&ring, 64, p);
+	free_addr(at);
+	free_addr(peer);
+	to.sin_port = htons((uint16_t)(core_addr(peer) & 65535));
+	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+	setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+	assert_int_equal(bind(listener, (struct sockaddr *)&to, sizeof to), 0);
+	assert_int_equal(listen(listener, 8), 0);
+	net = net_open(at, ring, p);
+	assert_non_null(net);
+	message.speak = CORE_SPEAK;
+	message.body_case = NL__MSG__BODY_SNAPSHOT_PIECE;
+	message.snapshot_piece = &piece;
+	piece.data.len = LARGE_MESSAGE;
+	piece.data.data = calloc(1, LARGE_MESSAGE);
+	assert_non_null(piece.data.data);
+	for (int i = 0; i < MANY; i++) /* more than both ends' buffers hold */
+		net_send(net, core_addr(peer), &message);
+	assert_int_equal(poll(&waiting, 1, LIMIT), 1);
+	deaf = accept(listener, NULL, NULL);
+	assert_return_code(deaf, 0);
+	for (int64_t end = clock_ms() + LIMIT; again < 0 && clock_ms() < end;) {
+		net_send(net, core_addr(peer), &message);
+		if (poll(&waiting, 1, 50) == 1)
+			again = accept(listener, NULL, NULL);
+	}
+	assert_return_code(again, 0);
+	free(piece.data.data);
+	net_close(net);
+	close(again);
+	close(deaf);
+	close(listener);
+	apr_pool_destroy(p);
+}
+
 static void streams_end_definitely(void **st)
 {
 	static const char ask[] = "POST /v1/exchange HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer k\r\nContent-Length: 2\r\n\r\n{}";
@@ -899,6 +950,7 @@
 		cmocka_unit_test(damaged_folder_is_refused),
 		cmocka_unit_test(senseless_colleagues_are_hung_up_on),
 		cmocka_unit_test(a_dial_that_hangs_is_made_anew),
+		cmocka_unit_test(a_connection_that_nobody_acknowledges_is_made_anew),
 		cmocka_unit_test(streams_end_definitely),
 		cmocka_unit_test(bad_settings_open_nothing),
 	};
