An answer that holds by a lease alone never begins to leave after its end

Cause: the platform's listener looked at the clock when the answer was put into the connection's buffer. It is sent in the loop's next round; a process that stands still in between sent it twenty seconds later.

--- a/lib/shell/http.h
+++ b/lib/shell/http.h
@@ -79,6 +79,10 @@
 /* A whole answer. Example: http_answer(h, token, 503, f, 1, "", 0); */
 void http_answer(struct http *h, uint64_t token, int status, const struct http_field *f, int nf, const char *body, size_t len);
 
+/* An answer that must have begun to leave by then: past it the connection is reset, and the caller hears nothing. Called before
+ * the answer is given. Example: http_answer_until(h, token, lease_end); http_answer(h, token, 200, f, 1, body, len); */
+void http_answer_until(struct http *h, uint64_t token, int64_t until);
+
 /* An answer in pieces: chunked where length is below 0. Nothing is held back. http_abort ends it so that it cannot look whole. */
 void http_begin(struct http *h, uint64_t token, int status, const struct http_field *f, int nf, int64_t length);
 void http_write(struct http *h, uint64_t token, const char *d, size_t n);
--- a/lib/shell/http_internal.h
+++ b/lib/shell/http_internal.h
@@ -101,7 +101,8 @@
 	const char *verb;
 	int read, closing, linger, begun, no_body;
 	enum framing out;
-	uint64_t left; /* of the answer's length */
+	uint64_t left;        /* of the answer's length */
+	int64_t answer_until; /* no answer begins to leave after it; 0: whenever */
 };
 
 struct client_side {
--- a/lib/shell/http_server.c
+++ b/lib/shell/http_server.c
@@ -75,6 +75,7 @@
 				    s->body_len,
 				    h->now };
 	s->begun = s->no_body = 0;
+	s->answer_until = 0;
 	s->closing = c->hd.close;
 	c->st = ST_BUSY;
 	c->due = NO_TIME;
@@ -231,12 +232,22 @@
 		http_buffer_free(h, &c->in);
 }
 
+/* Nothing of an answer has left, and its time is over: this process may have stood still since it was given. */
+static int answer_is_late(const struct conn *c)
+{
+	return c->s.answer_until && c->st == ST_DONE && c->out.len && !c->out.off && clock_ms() > c->s.answer_until;
+}
+
 void http_server_flush(struct conn *c)
 {
 	int lost;
 
 	if (c->st == ST_LINGER)
 		return;
+	if (answer_is_late(c)) {
+		http_conn_close(c, 1);
+		return;
+	}
 	if (!http_conn_send(c, &lost)) {
 		if (lost)
 			server_lost(c);
@@ -400,6 +411,14 @@
 	answer_over(c);
 }
 
+void http_answer_until(struct http *h, uint64_t token, int64_t until)
+{
+	struct conn *c = by_token(h, token);
+
+	if (c && !c->s.begun)
+		c->s.answer_until = until;
+}
+
 void http_begin(struct http *h, uint64_t token, int status, const struct http_field *f, int nf, int64_t length)
 {
 	struct conn *c = by_token(h, token);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -349,6 +349,39 @@
 	end(&s);
 }
 
+/* An answer that holds for a while only: given in time, and not sent before its process stood still. */
+static void an_answer_past_its_time_never_leaves(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	char b[GOT];
+	int fd = dial(h), how;
+
+	(void)st;
+	say(fd, "GET /a HTTP/1.1\r\n\r\n");
+	UNTIL(h, s.requests == 1);
+	http_answer_until(h, s.token[0], __wrap_clock_ms() + 400);
+	http_answer(h, s.token[0], 200, NULL, 0, "old", 3);
+	moved += 20000;
+	assert_int_equal(hear(h, fd, b, GOT, GOT, &how), 0);
+	assert_int_equal(how, 2);
+	assert_int_equal(http_busy(h), 0);
+	close(fd);
+	fd = dial(h);
+	say(fd, "GET /a HTTP/1.1\r\n\r\n");
+	UNTIL(h, s.requests == 2);
+	http_answer_until(h, s.token[1], __wrap_clock_ms() + LIMIT);
+	http_answer(h, s.token[1], 200, NULL, 0, "new", 3);
+	heard_so_far(h, fd, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew");
+	say(fd, "GET /b HTTP/1.1\r\n\r\n"); /* the next one on the connection holds for ever */
+	UNTIL(h, s.requests == 3);
+	http_answer(h, s.token[2], 200, NULL, 0, "any", 3);
+	moved += 2 * LIMIT;
+	heard_so_far(h, fd, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nany");
+	close(fd);
+	end(&s);
+}
+
 static void one_at_a_time(void **st)
 {
 	struct seen s;
@@ -1967,6 +2000,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(answers_are_bare),
+		cmocka_unit_test(an_answer_past_its_time_never_leaves),
 		cmocka_unit_test(one_at_a_time),
 		cmocka_unit_test(byte_by_byte),
 		cmocka_unit_test(smuggling),
