Flags that threads share are atomic

Found by ThreadSanitizer over test_shell (19 reports): 10 were the stop flags and counters of store, net and call, volatile where the language asks for atomics; mended.

--- a/lib/shell/call.c
+++ b/lib/shell/call.c
@@ -5,6 +5,7 @@
 #include <apr_strings.h>
 #include <curl/curl.h>
 #include <json-c/json.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -38,7 +39,7 @@
 	struct ring *to, *orders;
 	CURLM *m;
 	apr_thread_t *t;
-	volatile int stop;
+	atomic_int stop;
 	struct {
 		uint64_t key;
 		struct one *value;
--- a/lib/shell/net.c
+++ b/lib/shell/net.c
@@ -7,6 +7,7 @@
 #include <apr_strings.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -47,7 +48,7 @@
 	apr_pollset_t *set;
 	apr_thread_t *t;
 	struct ring *to, *out;
-	volatile int stop;
+	atomic_int stop;
 	struct conn **in; /* stb_ds */
 	struct {
 		uint64_t key;
--- a/lib/shell/store.c
+++ b/lib/shell/store.c
@@ -7,6 +7,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -53,10 +54,10 @@
 	struct ring *to, *jobs;
 	apr_thread_t *t;
 	apr_thread_mutex_t *m;
-	volatile int stop;
+	atomic_int stop;
 	uint64_t first[SHARD_COUNT]; /* lowest entry held, 0 = none */
 	uint64_t last[SHARD_COUNT];
-	volatile uint64_t syncs, refused;
+	_Atomic uint64_t syncs, refused;
 	int lock;
 	int tidy; /* what was taken away must not stay in freed pages: a fresh file is due */
 	const char *fault, *folder, *path, *fresh;
