--- a/tests/test_isolation.c
+++ b/tests/test_isolation.c
@@ -886,6 +886,56 @@
 	close_world(&w);
 }
 
+/* A controller takes a change on a leader's last word, hears of another follower that it does not lead, and then nothing:
+ * what surely was not logged is refused as soon as that last word is too old. */
+static void what_nobody_took_is_refused_soon(void **state)
+{
+	enum { LAST_WORD_MS = FOLLOW_SILENT - 30 };
+	int refused = 0;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= 24; seed++) {
+		struct world w;
+		struct reg *r;
+		int leader, node, follower;
+		uint64_t token, answers;
+		int64_t sent;
+
+		open_world(&w, seed);
+		operate(&w, 3000, -1, 40);
+		w.s.answer_ms = 0;
+		w.s.loss = 0;
+		leader = sim_owner(&w.s, SHARD_CONTROL);
+		assert_true(leader >= 0);
+		node = (leader + 1) % CONTROLLERS;
+		follower = (leader + 2) % CONTROLLERS;
+		cut_links(&w, node, 0, SIM_REGS, CUT_BOTH);
+		w.s.link_cut[node][follower] = w.s.link_cut[follower][node] = 0;
+		r = w.s.n[node].r;
+		while (follow_age(&r->f, sim_local(&w.s, node)) < LAST_WORD_MS)
+			sim_run(&w.s, 1, NULL);
+		r->f.seat[SHARD_CONTROL] = w.s.n[follower].addr; /* as a hint that came late would have it */
+		answers = w.s.by_body[NL__MSG__BODY_ANSWER];
+		token = sim_call(&w.s, node, "POST", "/v1/change",
+				 "{\"set\":[{\"kind\":\"service\",\"name\":\"sx\",\"weights\":\"w1\"" SPEEDS "}]}");
+		sent = w.s.now;
+		sim_run(&w.s, 20, NULL);
+		if (w.s.by_body[NL__MSG__BODY_ANSWER] > answers && arrlen(r->ask) == 1 && r->ask[0].sends == 1 &&
+		    r->ask[0].denied == 1) {
+			while (!sim_answer(&w.s, token) && w.s.now < sent + 2 * OPEN_OUTCOME_MS)
+				sim_run(&w.s, LOOK_MS, NULL);
+			assert_non_null(sim_answer(&w.s, token));
+			assert_int_equal(sim_answer(&w.s, token)->status, 503);
+			if (w.s.now - sent > ANSWER_MS)
+				fail_msg("seed %llu: refused after %lld ms", (unsigned long long)seed, (long long)(w.s.now - sent));
+			refused++;
+		}
+		intact(&w);
+		close_world(&w);
+	}
+	assert_true(refused >= 6);
+}
+
 /* The others' disks stand still, though their processes go on: nothing is committed, and whoever waits is told so. */
 static void an_open_outcome_is_said_to_be_open(void **state)
 {
@@ -925,7 +975,7 @@
 		cmocka_unit_test(all_frozen_and_thawed),         cmocka_unit_test(routers_in_trouble),
 		cmocka_unit_test(an_answer_read_late_is_none),   cmocka_unit_test(an_answer_held_back_is_not_written),
 		cmocka_unit_test(a_list_read_late_is_none),      cmocka_unit_test(an_open_outcome_is_said_to_be_open),
-		cmocka_unit_test(only_the_leader_answers_reads),
+		cmocka_unit_test(only_the_leader_answers_reads), cmocka_unit_test(what_nobody_took_is_refused_soon),
 	};
 
 	apr_initialize();
