--- a/tests/test_connections.c
+++ b/tests/test_connections.c
@@ -738,6 +738,18 @@
 	return no;
 }
 
+static const char *const counts[] = { "900,80", "-1,-1", "4294967295,4294967295", "x", "99999999999999999999,1", ",", "0,0" };
+static const char *const prefixes[] = { "5c:400,91:300",
+					"5c:4294967295,91:4294967295",
+					"5c:-1,91:-2",
+					"5c",
+					":",
+					"5c:x",
+					"5c:0,5c:0,5c:0,5c:0",
+					"ffffffffffffffffffff:99999999999999999999" };
+
+#define COUNT(a) (sizeof(a) / sizeof *(a))
+
 static void request_bytes(char **to, int no, int old)
 {
 	struct request *q = &w.requests[no];
@@ -752,6 +764,9 @@
 	if (!dice(8)) /* words that are not a client's to say */
 		append_format(to, "X-Notchlug-Tenant-Id: t1\r\nX-Notchlug-Cache-Salt: mine\r\nX-Notchlug-Target-Instance: i-9\r\n"
 				  "X-Notchlug-Expected-Version: w0\r\n");
+	if (dice(4))
+		append_format(to, "X-Notchlug-Token-Count: %s\r\nX-Notchlug-Prompt-Prefix: %s\r\n",
+			      counts[dice(8) ? 0 : dice(COUNT(counts))], prefixes[dice(8) ? 0 : dice(COUNT(prefixes))]);
 	if (!dice(8))
 		append_format(to, "Connection: X-Notchlug-Attempt-Id, Host, X-More-0\r\n");
 	q->deadline_at = net_sim_now() + limit;
@@ -1281,6 +1296,23 @@
 	return e ? strtoull(e, NULL, 10) : 1;
 }
 
+/* Once nothing is under way, nothing is counted as under way at any server. */
+static void check_books(void)
+{
+	if (arrlen(w.ctr.all))
+		return;
+	for (ptrdiff_t i = 0; i < arrlen(w.ctr.sv); i++) {
+		const struct ctr_server *v = &w.ctr.sv[i];
+
+		if (v->own || v->ahead || v->tokens)
+			breach("server %d: %d requests, %u tokens ahead, %llu tokens are left over", (int)i, v->own, v->ahead,
+			       (unsigned long long)v->tokens);
+	}
+	for (ptrdiff_t i = 0; i < arrlen(w.ctr.line); i++)
+		if (w.ctr.line[i].n || w.ctr.line[i].running)
+			breach("a line of nobody has %u waiting and %u running", w.ctr.line[i].n, w.ctr.line[i].running);
+}
+
 static void no_answer_goes_astray(void **st)
 {
 	uint64_t first = first_seed(), n = seed_count(SEED_RUNS);
@@ -1297,6 +1329,7 @@
 			    w.clients[i].mode != CLIENT_SLOW)
 				breach("request %d (%s) was never answered", w.clients[i].waiting[0],
 				       w.requests[w.clients[i].waiting[0]].path);
+		check_books();
 		if (w.bad[0])
 			fail_msg("NL_SEED=%llu at %lld ms: %s", (unsigned long long)seed, (long long)(net_sim_now() - w.started),
 				 w.bad);
