--- a/tests/test_snapshot.c
+++ b/tests/test_snapshot.c
@@ -791,6 +791,49 @@
 	print_message("storms: %llu seeds, whole again after at most %lld ms\n", (unsigned long long)seeds, (long long)worst);
 }
 
+/* What a transfer costs, by the size of the state: an empty member is added while documents go on, ten a second. */
+static void transfers_by_size(void **st)
+{
+	static const size_t size[] = { 30 * KB, 300 * KB, 1 * MB, 4 * MB, 8 * MB };
+
+	(void)st;
+	for (size_t i = 0; i < sizeof size / sizeof *size; i++) {
+		for (int slow = 0; slow < 2; slow++) {
+			struct world w;
+			int64_t ms;
+			uint64_t needed;
+
+			world_open(&w, 5, size[i]);
+			assert_true(world_change(&w, 4 + 2 * RAFT_SNAPSHOT_LOG_BYTES / size[i], 200000) || w.bad[0]);
+			w.pause_ms = slow ? 2000 : 100;
+			assert_true(world_run(&w, 500, NULL));
+			world_crash(&w, (world_leader(&w) + 1) % 3, 1);
+			if (slow) { /* 100 Mbit/s, 20 ms a way, 10 ms a sync */
+				w.bytes_per_ms = 12500;
+				w.delay_ms = 20;
+				w.disk_ms = 10;
+			}
+			assert_true(world_change(&w, 1, 60000) || w.bad[0]);
+			for (int k = 0; k < WORLD_MACHINES; k++)
+				world_start(&w, k);
+			w.messages = w.pieces = w.piece_bytes = w.append_bytes = 0;
+			w.peak_memory = w.peak_disk = w.peak_under_way = 0;
+			ms = world_catch_up(&w, 4 * WORLD_CATCH_UP_MS);
+			ok(&w);
+			needed = (size[i] + RAFT_PIECE_BYTES - 1) / RAFT_PIECE_BYTES;
+			print_message(
+			    "%zu KB, %s: whole after %lld ms; %llu messages, %llu pieces (one snapshot has %llu) of %llu KB, "
+			    "entries %llu KB; at most %zu KB in a member, %zu KB on a disk, %zu KB under way\n",
+			    size[i] / KB, slow ? "100 Mbit/s" : "1 Gbit/s", (long long)ms, (unsigned long long)w.messages,
+			    (unsigned long long)w.pieces, (unsigned long long)needed, (unsigned long long)w.piece_bytes / KB,
+			    (unsigned long long)w.append_bytes / KB, w.peak_memory / KB, w.peak_disk / KB, w.peak_under_way / KB);
+			assert_true(ms >= 0 && ms <= WORLD_CATCH_UP_MS);
+			bounded(&w);
+			world_close(&w);
+		}
+	}
+}
+
 /* Three machines with slow disks, and no spare one: a member that lost its disk votes again, and its old identity no longer,
  * well before one more loss is to be survived. Then that loss comes: the leader's disk, and the power of the other two. */
 static void a_wiped_member_of_three_votes_again_in_time(void **st)
@@ -846,6 +889,7 @@
 		cmocka_unit_test(entries_are_paced_by_what_was_acknowledged),
 		cmocka_unit_test(members_come_back_under_changes),
 		cmocka_unit_test(storms),
+		cmocka_unit_test(transfers_by_size),
 		cmocka_unit_test(a_wiped_member_of_three_votes_again_in_time),
 	};
 
