--- a/rehearsal/stand.h
+++ b/rehearsal/stand.h
@@ -4,8 +4,9 @@
  *   stand_net      loop, timers, HTTP both ways       stand_server   model servers and the store
  *   stand_list     the list of servers                stand_client   entry, clients, histogram
  *   stand_operator who sends configurations           stand_machine  processes under test
- *   stand_config   how configurations read            stand_judge    the rules
- *   stand_report   figures and a picture              stand          scenarios */
+ *   stand_config   how configurations read            stand_judge*   records, and rules by subject
+ *   stand_report   figures and a picture              stand_histogram  durations
+ *   stand          scenarios */
 #ifndef NL_STAND_H
 #define NL_STAND_H
 
