--- a/bin/clerk.c
+++ b/bin/clerk.c
@@ -403,6 +403,7 @@
 	return status == 200 ? OK : status ? REFUSED : UNREACHED;
 }
 
+/* NOLINTNEXTLINE(readability-function-size): the command line, option by option */
 int main(int argc, char **argv)
 {
 	struct json_object *r;
--- a/lib/shell/web.c
+++ b/lib/shell/web.c
@@ -156,6 +156,7 @@
 	return hex;
 }
 
+/* NOLINTNEXTLINE(readability-function-size): one check after the other of a request */
 static enum MHD_Result on_request(void *arg, struct MHD_Connection *c, const char *url, const char *method, const char *version,
 				  const char *data, size_t *n, void **state)
 {
