A majority that stays is counted anew when a member leaves or the members change

Found by the model checker (22 choices when made minimal). Cause: staying_majority is counted at ticks; a member that began to leave, and a lost voter removed, between two ticks left it true, and the leaving member was released although the leader alone stayed of two voters: with it gone the group has no majority. Before: a_member_is_let_go_only_by_a_majority_that_stays fails with LEFT_IS_NOT_NEEDED. After: it passes; until the next tick nobody is released and all copies count.

--- a/lib/core/raft_members.c
+++ b/lib/core/raft_members.c
@@ -31,6 +31,7 @@
 	memcpy(old, raft->members, sizeof old);
 	raft->member_count = 0;
 	raft->members_index = index;
+	raft->staying_majority = 0; /* until it is counted among these */
 	for (size_t i = 0; ms && i < ms->n_m && raft->member_count < RAFT_MAX_MEMBERS; i++) {
 		struct raft_member *m = &raft->members[raft->member_count++];
 
--- a/lib/core/raft_transfer.c
+++ b/lib/core/raft_transfer.c
@@ -34,8 +34,10 @@
 
 void raft_note_leaving(struct raft *raft, struct raft_member *member, int leaving)
 {
-	if (leaving && !member->leaving)
+	if (leaving && !member->leaving) {
 		member->leave_index = raft_last_index(raft);
+		raft->staying_majority = 0; /* until it is counted again */
+	}
 	member->leaving = leaving;
 }
 
