Data folder: a commit that a full disk stops is looked at anew before anything is written

Cause: a disk that fills up in the middle of a commit refuses the rest of it and what undoes it. A commit whose last write alone is refused was acknowledged, and taken back at the next opening.

Now a commit has failed also when the library logged a fault in it, and after a failed one the file is opened anew (which takes back what is not whole), its records are read, and the batch is written once more. Tried before: undoing the sums in memory alone; the test failed on, since such a commit may stand after all.

--- a/lib/shell/store.c
+++ b/lib/shell/store.c
@@ -39,17 +39,9 @@
 	uint64_t value;
 };
 
-/* What a record was before the transaction under way changed it. */
-struct sum_undo {
-	char key[STORE_KEY];
-	uint64_t sum;
-	int had;
-};
-
 struct store {
 	struct tdb_context *db;
 	struct record_sum *sums; /* stb_ds: the checksum of every record, but for the total's */
-	struct sum_undo *undo;   /* stb_ds */
 	struct total total;
 	struct ring *to, *jobs;
 	apr_thread_t *t;
@@ -59,7 +51,9 @@
 	uint64_t last[SHARD_COUNT];
 	_Atomic uint64_t syncs, refused;
 	int lock;
-	int tidy; /* what was taken away must not stay in freed pages: a fresh file is due */
+	int faults; /* that the library has logged */
+	int torn;   /* a transaction has failed since the file was opened */
+	int tidy;   /* what was taken away must not stay in freed pages: a fresh file is due */
 	const char *fault, *folder, *path, *fresh;
 };
 
@@ -82,19 +76,15 @@
 	return rc == 0;
 }
 
-/* The checksum of a record changes, or the record comes or goes (has 0). What was there is noted, for a transaction may fail. */
+/* The checksum of a record changes, or the record comes or goes (has 0). */
 static void sums_change(struct store *s, const char *key, uint64_t sum, int has)
 {
 	ptrdiff_t old = shgeti(s->sums, key);
-	struct sum_undo undo = { "", 0, old >= 0 };
 
-	snprintf(undo.key, sizeof undo.key, "%s", key);
 	if (old >= 0) {
-		undo.sum = s->sums[old].value;
-		s->total.sum -= undo.sum;
+		s->total.sum -= s->sums[old].value;
 		s->total.records--;
 	}
-	arrput(s->undo, undo);
 	if (has) {
 		s->total.sum += sum;
 		s->total.records++;
@@ -104,18 +94,6 @@
 	}
 }
 
-/* A transaction was taken back. */
-static void sums_undo(struct store *s)
-{
-	struct sum_undo *undo = s->undo;
-
-	s->undo = NULL;
-	for (ptrdiff_t i = arrlen(undo) - 1; i >= 0; i--)
-		sums_change(s, undo[i].key, undo[i].sum, undo[i].had);
-	arrfree(undo);
-	arrsetlen(s->undo, 0);
-}
-
 static int put(struct store *s, const char *key, const void *head, size_t hn, const void *d, size_t n)
 {
 	uint64_t sum;
@@ -226,6 +204,67 @@
 	} while (ms > 0 && clock_ms() - from < ms && !s->stop);
 }
 
+/* The library's log: faults are counted, nothing is printed. */
+static void count_faults(struct tdb_context *db, enum tdb_debug_level level, const char *format, ...)
+{
+	int *faults = tdb_get_logging_private(db);
+
+	(void)format;
+	if (level == TDB_DEBUG_FATAL || level == TDB_DEBUG_ERROR)
+		++*faults;
+}
+
+static struct tdb_context *file_open(const char *path, int flags, int *faults)
+{
+	struct tdb_logging_context lc = { count_faults, faults };
+
+	return tdb_open_ex(path, 1009, TDB_NOMMAP, flags, 0600, &lc, NULL);
+}
+
+static int sums_add_record(struct tdb_context *db, TDB_DATA key, TDB_DATA value, void *store)
+{
+	char name[STORE_KEY];
+	uint64_t sum;
+
+	(void)db;
+	if (key.dsize >= sizeof name || value.dsize < sizeof sum)
+		return -1;
+	memcpy(name, key.dptr, key.dsize);
+	name[key.dsize] = 0;
+	memcpy(&sum, value.dptr, sizeof sum);
+	if (strcmp(name, TOTAL_KEY))
+		sums_change(store, name, sum, 1);
+	return 0;
+}
+
+/* A commit that a full disk has stopped may stand, or half of it, and what undoes it is refused as well. Only opening the file
+ * tells: the library then takes back what is not whole. So nothing is written before that, and what stands is read again; the
+ * batch is then written once more, whether it stands or not. */
+static int file_open_again(struct store *s)
+{
+	if (s->db)
+		(void)tdb_close(s->db);
+	s->db = file_open(s->path, O_RDWR, &s->faults);
+	if (!s->db)
+		return 0;
+	shfree(s->sums);
+	sh_new_strdup(s->sums);
+	s->total = (struct total){ 0, 0 };
+	if (tdb_traverse_read(s->db, sums_add_record, s) < 0)
+		return 0;
+	s->torn = 0;
+	return 1;
+}
+
+/* A commit whose last write is refused (the mark that it is over) says that it was done, and is taken back at the next opening.
+ * The library's log tells. */
+static int commit(struct store *s)
+{
+	int before = s->faults;
+
+	return tdb_transaction_commit(s->db) == 0 && s->faults == before;
+}
+
 static int write_batch(struct store *s, struct store_job **v, size_t n)
 {
 	uint64_t first[SHARD_COUNT], last[SHARD_COUNT];
@@ -234,21 +273,20 @@
 	apr_thread_mutex_lock(s->m);
 	memcpy(first, s->first, sizeof first);
 	memcpy(last, s->last, sizeof last);
-	arrsetlen(s->undo, 0);
-	ok = tdb_transaction_start(s->db) == 0;
+	ok = (!s->torn || file_open_again(s)) && tdb_transaction_start(s->db) == 0;
 	if (ok) {
 		for (size_t i = 0; i < n && ok; i++)
 			ok = write_one(s, &v[i]->w);
 		ok = ok && total_write(s);
 		if (ok)
-			ok = tdb_transaction_commit(s->db) == 0; /* syncs; on a fault it has cancelled itself */
+			ok = commit(s); /* syncs; on a fault it has cancelled itself, as far as it could */
 		else
 			tdb_transaction_cancel(s->db);
+		s->torn = !ok;
 	}
 	if (!ok) {
 		memcpy(s->first, first, sizeof first);
 		memcpy(s->last, last, sizeof last);
-		sums_undo(s);
 	} else {
 		s->syncs++;
 	}
@@ -256,20 +294,6 @@
 	return ok;
 }
 
-static void tdb_quiet(struct tdb_context *db, enum tdb_debug_level l, const char *fmt, ...)
-{
-	(void)db;
-	(void)l;
-	(void)fmt;
-}
-
-static struct tdb_context *file_open(const char *path, int flags)
-{
-	struct tdb_logging_context lc = { tdb_quiet, NULL };
-
-	return tdb_open_ex(path, 1009, TDB_NOMMAP, flags, 0600, &lc, NULL);
-}
-
 static void folder_sync(const char *folder)
 {
 	int fd = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
@@ -291,10 +315,10 @@
 static int file_anew(struct store *s)
 {
 	struct tdb_context *db;
-	int ok;
+	int before = s->faults, ok;
 
 	(void)unlink(s->fresh);
-	db = file_open(s->fresh, O_RDWR | O_CREAT | O_EXCL);
+	db = file_open(s->fresh, O_RDWR | O_CREAT | O_EXCL, &s->faults);
 	if (!db)
 		return 0;
 	ok = tdb_transaction_start(db) == 0;
@@ -302,7 +326,7 @@
 		tdb_transaction_cancel(db);
 		ok = 0;
 	}
-	ok = ok && tdb_transaction_commit(db) == 0;
+	ok = ok && tdb_transaction_commit(db) == 0 && s->faults == before;
 	if (ok)
 		folder_sync(s->folder); /* the fresh file's own name must last before it is given another */
 	ok = ok && rename(s->fresh, s->path) == 0;
@@ -349,7 +373,7 @@
 		while (!s->stop && !write_batch(s, v, n)) { /* nothing is acknowledged meanwhile: the owner gives up */
 			if (!bad)
 				log_say(LOG_BAD, "store", "Step write: the disk refuses (%s); it is tried again.",
-					tdb_errorstr(s->db));
+					s->db ? tdb_errorstr(s->db) : "it cannot be opened");
 			bad = 1;
 			s->refused++;
 			apr_sleep(200000);
@@ -550,7 +574,7 @@
 	s->path = path;
 	s->fresh = apr_pstrcat(p, path, ".fresh", NULL);
 	(void)unlink(s->fresh); /* of a fall in the middle of its writing */
-	s->db = file_open(path, O_RDWR | O_CREAT);
+	s->db = file_open(path, O_RDWR | O_CREAT, &s->faults);
 	if (!s->db) {
 		*why = apr_psprintf(p,
 				    "step open: %s is damaged or unreadable (%s); move the folder away and start anew: "
@@ -592,7 +616,6 @@
 	for (int i = 0; i < SHARD_COUNT; i++)
 		arrfree(r.e[i]);
 	shfree(s->sums);
-	arrfree(s->undo);
 	if (s->db)
 		tdb_close(s->db);
 	if (s->lock >= 0)
@@ -606,14 +629,12 @@
 	int ok;
 
 	apr_thread_mutex_lock(s->m);
-	arrsetlen(s->undo, 0);
-	ok = tdb_transaction_start(s->db) == 0;
+	ok = (!s->torn || file_open_again(s)) && tdb_transaction_start(s->db) == 0;
 	if (ok && !(ok = put(s, "id", v, sizeof v, NULL, 0) && total_write(s)))
 		tdb_transaction_cancel(s->db);
 	else if (ok)
-		ok = tdb_transaction_commit(s->db) == 0;
-	if (!ok)
-		sums_undo(s);
+		ok = commit(s);
+	s->torn |= !ok;
 	apr_thread_mutex_unlock(s->m);
 	return ok;
 }
@@ -651,8 +672,8 @@
 	apr_thread_join(&st, s->t);
 	while ((j = ring_pop(s->jobs, 0)))
 		apr_pool_destroy(j->p);
-	tdb_close(s->db);
+	if (s->db)
+		tdb_close(s->db);
 	shfree(s->sums);
-	arrfree(s->undo);
 	close(s->lock);
 }
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -60,6 +60,8 @@
 	struct fall *falls;      /* stb_ds */
 	int falls_left;
 	uint64_t random;
+	int writes_until_full; /* 0: it does not fill up by itself */
+	volatile int full;     /* every write is refused */
 } disk;
 
 static int is_watched(int fd)
@@ -144,10 +146,26 @@
 	arrsetlen(disk.pending, 0);
 }
 
+/* Whether the disk takes nothing (more). */
+static int is_full(int fd)
+{
+	if (!is_watched(fd))
+		return 0;
+	if (!disk.full && disk.writes_until_full && --disk.writes_until_full == 0)
+		disk.full = 1;
+	if (disk.full)
+		errno = ENOSPC;
+	return disk.full;
+}
+
 /* The library's own calls end here. */
 ssize_t pwrite(int fd, const void *data, size_t length, off_t offset)
 {
-	ssize_t written = syscall(SYS_pwrite64, fd, data, length, offset);
+	ssize_t written;
+
+	if (is_full(fd))
+		return -1;
+	written = syscall(SYS_pwrite64, fd, data, length, offset);
 
 	if (written > 0 && is_watched(fd))
 		disk_changes(offset, data, (size_t)written);
@@ -158,8 +176,11 @@
 
 int ftruncate(int fd, off_t length)
 {
-	int result = (int)syscall(SYS_ftruncate, fd, length);
+	int result;
 
+	if (is_full(fd))
+		return -1;
+	result = (int)syscall(SYS_ftruncate, fd, length);
 	if (!result && is_watched(fd))
 		disk_changes(length, NULL, 0);
 	return result;
@@ -418,6 +439,61 @@
 		run(seed);
 }
 
+/* A disk that fills up in the middle of a transaction, and takes nothing for a while, harms neither what was there nor what comes. */
+static void a_disk_that_fills_up_harms_nothing(void **state)
+{
+	enum { FULL_SEEDS = 4, FULL_TRANSACTIONS = 12, WRITES = 30 };
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= FULL_SEEDS; seed++) {
+		char folder[] = "/tmp/nl-store-XXXXXX";
+		struct expected written = { 0 };
+		struct store_found found;
+		struct store *store;
+		struct ring *ring;
+		const char *why = NULL;
+		apr_pool_t *pool;
+		uint64_t random = seed;
+
+		apr_pool_create(&pool, NULL);
+		ring_open(&ring, 64, pool);
+		assert_non_null(mkdtemp(folder));
+		store = store_open(folder, NULL, ring, &found, &why, pool);
+		assert_non_null(store);
+		assert_true(store_identity(store, IDENTITY, FLEET));
+		watch(folder);
+		for (uint64_t number = 1; number <= FULL_TRANSACTIONS; number++) {
+			uint64_t refused = store_refused(store);
+			struct shell_ev *event = NULL;
+
+			disk.writes_until_full = 1 + (int)(core_rand(&random) % WRITES);
+			write_next(store, seed, number, &written, &random);
+			for (int64_t end = clock_ms() + LIMIT_MS; !event && store_refused(store) == refused && clock_ms() < end;)
+				event = ring_pop(ring, 10);
+			disk.writes_until_full = 0;
+			disk.full = 0;
+			if (event)
+				shell_ev_free(event);
+			else
+				await_synced(ring, number);
+		}
+		disk.file = 0;
+		store_close(store);
+		store = store_open(folder, NULL, ring, &found, &why, pool);
+		if (!store)
+			fail_msg("seed %llu: after a full disk: %s", (unsigned long long)seed, why);
+		if (!holds(&found, seed, &written))
+			fail_msg("seed %llu: after a full disk: what was acknowledged does not stand", (unsigned long long)seed);
+		store_close(store);
+		for (ptrdiff_t i = 0; i < arrlen(disk.pending); i++)
+			free(disk.pending[i].data);
+		arrsetlen(disk.pending, 0);
+		arrsetlen(disk.synced, 0);
+		folder_remove(folder);
+		apr_pool_destroy(pool);
+	}
+}
+
 /* The newest entry is taken out of a file that is otherwise whole: no checksum and no gap in the log tells, the total does. */
 static void a_missing_record_is_refused(void **state)
 {
@@ -457,6 +533,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_loss_of_power_leaves_whole_transactions),
+		cmocka_unit_test(a_disk_that_fills_up_harms_nothing),
 		cmocka_unit_test(a_missing_record_is_refused),
 	};
 	int rc;
