Words of kept parts go over the connection for bulk, past which knowledge of purges goes

Cause: the head of a zone tells each router what servers keep; on links of 10 Mbit/s its queue to each grew without end, and knowledge of purges stood in it. Ruled out: processor (0.006 cores), silence of the publisher (horizons moved every 0.3 to 2 s).

--- a/lib/shell/net.c
+++ b/lib/shell/net.c
@@ -379,10 +379,15 @@
 	return NULL;
 }
 
-/* Messages that may be large and that nothing waits for within a lease. */
+/* Messages that may be large, or many, and that nothing waits for within a lease or a bound of freshness. */
 static int is_bulk(const struct Nl__Msg *m)
 {
-	return m->body_case == NL__MSG__BODY_SNAPSHOT_PIECE || (m->body_case == NL__MSG__BODY_APPEND && m->append->n_e);
+	switch (m->body_case) {
+	case NL__MSG__BODY_SNAPSHOT_PIECE:
+	case NL__MSG__BODY_KEPT_ALL: return 1;
+	case NL__MSG__BODY_APPEND: return m->append->n_e > 0;
+	default: return 0;
+	}
 }
 
 void net_send(struct net *n, uint64_t addr, const struct Nl__Msg *m)
