--- a/lib/control/table.c
+++ b/lib/control/table.c
@@ -432,6 +432,8 @@
 	return plan;
 }
 
+static int compare_keys(const void *a, const void *b) { return strcmp(*(char *const *)a, *(char *const *)b); }
+
 int table_apply(struct table *t, const struct Nl__Change *c, struct Nl__Purge ***feed)
 {
 	int plan = c->whole;
@@ -453,6 +455,8 @@
 		for (ptrdiff_t i = 0; i < shlen(t->h); i++)
 			if (replaced(c, t->h[i].value.row->kind) && shgeti(set, t->h[i].key) < 0)
 				arrput(gone, strdup(t->h[i].key));
+		if (gone) /* the map's own order is another after a snapshot, and what follows must be the same on every replica */
+			qsort(gone, (size_t)arrlen(gone), sizeof *gone, compare_keys);
 		for (ptrdiff_t i = 0; i < arrlen(gone); i++) {
 			row_del(t, gone[i], t->edition, feed);
 			free(gone[i]);
