--- a/bin/clerk.c
+++ b/bin/clerk.c
@@ -23,7 +23,7 @@
 };
 
 static apr_pool_t *pool;
-static const char *at = "127.0.0.1:8000"; /* the registrar that is called */
+static const char *at = "127.0.0.1:8000"; /* the controller that is called */
 static const char *registrars[8];         /* the addresses that --at lists */
 static int registrar_count, registrar_now;
 static const char *order_key; /* of this run's order; NULL: one is made up */
@@ -54,7 +54,7 @@
 	return f == stdout ? OK : USAGE;
 }
 
-/* Read from the registrar. 503 says that it has no leader in reach: it is asked again for a while. */
+/* Read from the controller. 503 says that it has no leader in reach: it is asked again for a while. */
 static int read_path(const char *path, int limit_ms, char **body)
 {
 	for (int waited = 0;; waited += READ_PAUSE_MS) {
@@ -256,7 +256,7 @@
 	return OK;
 }
 
-/* The fleet's state: each registrar of the table is asked for its own. */
+/* The fleet's state: each controller of the table is asked for its own. */
 static int state(void)
 {
 	struct json_object *t = table(), *rows = jget(t, "rows");
@@ -385,7 +385,7 @@
 	return st == 200 ? OK : st ? REFUSED : UNREACHED;
 }
 
-/* Asks one registrar alone: which copy goes on is the operator's choice. */
+/* Asks one controller alone: which copy goes on is the operator's choice. */
 static int recover(int count, char **ids)
 {
 	struct json_object *call = json_object_new_object(), *lost = json_object_new_array();
--- a/bin/counter.c
+++ b/bin/counter.c
@@ -2,79 +2,79 @@
 #include <apr_general.h>
 #include <string.h>
 
-#include "ctr.h"
+#include "router.h"
 #include "edge.h"
 #include "platform.h"
 #include "shell.h"
 
 static void step(void *ctx, const struct shell_ev *e, int64_t now, struct out *o)
 {
-	struct ctr *c = ctx;
-	struct ctr_ev ev;
+	struct router *c = ctx;
+	struct router_ev ev;
 
 	memset(&ev, 0, sizeof ev);
 	if (!e) {
-		ev.kind = CTR_TICK;
+		ev.kind = ROUTER_TICK;
 	} else
 		switch (e->kind) {
 		case EV_MSG:
-			ev.kind = CTR_MSG;
+			ev.kind = ROUTER_MSG;
 			ev.u.msg = e->msg;
 			break;
 		case EV_WEB:
 			if (!strcmp(e->path, "/v1/exchange") && !strcmp(e->verb, "POST")) {
-				ev.kind = CTR_EXCHANGE;
+				ev.kind = ROUTER_EXCHANGE;
 				ev.u.exchange.token = e->token;
 				ev.u.exchange.digest = e->digest;
 				ev.u.exchange.body = e->body;
 			} else {
-				ev.kind = CTR_WEB;
+				ev.kind = ROUTER_WEB;
 				ev.u.web.token = e->token;
 				ev.u.web.path = e->path;
 			}
 			break;
 		case EV_GONE:
-			ev.kind = CTR_GONE;
+			ev.kind = ROUTER_GONE;
 			ev.u.gone.token = e->token;
 			break;
 		case EV_PIECE:
-			ev.kind = CTR_PIECE;
+			ev.kind = ROUTER_PIECE;
 			ev.u.piece.token = e->token;
 			ev.u.piece.line = e->body;
 			break;
 		case EV_DONE:
 			if (e->stream) {
-				ev.kind = CTR_DONE;
+				ev.kind = ROUTER_DONE;
 				ev.u.done.token = e->token;
 				ev.u.done.status = e->status;
 				ev.u.done.never = e->never;
 				ev.u.done.body = e->body;
 			} else {
-				ev.kind = CTR_CALLED;
+				ev.kind = ROUTER_CALLED;
 				ev.u.called.token = e->token;
 				ev.u.called.status = e->status;
 				ev.u.called.body = e->body;
 			}
 			break;
-		case EV_STOP: ev.kind = CTR_STOP; break;
+		case EV_STOP: ev.kind = ROUTER_STOP; break;
 		default: return;
 		}
-	ctr_step(c, &ev, now, o);
+	router_step(c, &ev, now, o);
 }
 
 static void changed(void *ctx, const struct settings *s)
 {
-	struct ctr *c = ctx;
+	struct router *c = ctx;
 	uint64_t seeds[8];
 
 	for (int i = 0; i < s->nseeds; i++)
 		seeds[i] = core_addr(s->seed[i]);
-	follow_seeds(&c->f, seeds, s->nseeds);
+	config_watch_seeds(&c->f, seeds, s->nseeds);
 	c->b = s->bounds;
 }
 
-static int done(void *ctx) { return ctr_idle(ctx); }
-static int64_t good(void *ctx) { return ctr_good_until(ctx); }
+static int done(void *ctx) { return router_idle(ctx); }
+static int64_t good(void *ctx) { return router_good_until(ctx); }
 
 static void say(void *ctx, const char *prefix, const char *line)
 {
@@ -85,7 +85,7 @@
 int main(int argc, char **argv)
 {
 	struct proc p;
-	struct ctr c;
+	struct router c;
 	struct edge edge;
 	struct proc_duty d = { &c, step, done, good, changed };
 	uint64_t seeds[8];
@@ -108,8 +108,8 @@
 		p.door = &platform_edge;
 		p.door_ctx = &edge;
 	}
-	ctr_open(&c, proc_random(), core_addr(p.set.advertise ? p.set.advertise : p.set.listen), p.set.zone, seeds, p.set.nseeds,
-		 clock_ms());
+	router_open(&c, proc_random(), core_addr(p.set.advertise ? p.set.advertise : p.set.listen), p.set.zone, seeds, p.set.nseeds,
+		    clock_ms());
 	if (p.set.more)
 		c.b = p.set.bounds;
 	if (!proc_open(&p))
@@ -118,7 +118,7 @@
 	log_say(LOG_INFO, "counter", "Serves callers at %s in zone %s.",
 		p.set.more ? ((struct platform *)p.set.more)->front : p.set.web, p.set.zone);
 	rc = proc_run(&p, &d);
-	ctr_close(&c);
+	router_close(&c);
 end:
 	apr_pool_destroy(p.p);
 	apr_terminate();
--- a/bin/examiner.c
+++ b/bin/examiner.c
@@ -329,7 +329,7 @@
 			say(&x, 1, "change", why);
 		table_close(&empty);
 	}
-	/* as the registrars judge it: an operator's change since then overtakes */
+	/* as the controllers judge it: an operator's change since then overtakes */
 	if (jget(change, "expect") && jgeti(change, "expect") < jgeti(table, "plan"))
 		say(&x, 1, "change",
 		    apr_psprintf(
--- a/bin/registrar.c
+++ b/bin/registrar.c
@@ -1,4 +1,4 @@
-/* registrar: a machine of the core, with a disk. */
+/* controller: a machine of the core, with a disk. */
 #include <apr_general.h>
 #include <string.h>
 
@@ -6,21 +6,21 @@
 #include "control.h"
 #include "doc.h"
 #include "platform.h"
-#include "reg.h"
+#include "controller.h"
 #include "shell.h"
 
 struct registrar {
-	struct reg r;
+	struct controller r;
 	struct proc p;
 	struct control door;
 };
 
-static void stepped(void *ctx, const struct reg_ev *ev, int64_t now, struct out *o)
+static void stepped(void *ctx, const struct controller_ev *ev, int64_t now, struct out *o)
 {
 	struct registrar *g = ctx;
 
 	g->r.wall = clock_wall();
-	reg_step(&g->r, ev, now, o);
+	controller_step(&g->r, ev, now, o);
 	if (g->r.fleet_dirty) { /* on the disk before anything said under it */
 		g->r.fleet_dirty = 0;
 		if (!store_identity(g->p.store, g->r.id, g->r.fleet))
@@ -30,24 +30,24 @@
 
 static void step(void *ctx, const struct shell_ev *e, int64_t now, struct out *o)
 {
-	struct reg_ev ev;
+	struct controller_ev ev;
 
 	memset(&ev, 0, sizeof ev);
 	if (!e) {
-		ev.kind = REG_TICK;
+		ev.kind = CONTROLLER_TICK;
 	} else
 		switch (e->kind) {
 		case EV_MSG:
-			ev.kind = REG_MSG;
+			ev.kind = CONTROLLER_MSG;
 			ev.u.msg = e->msg;
 			break;
 		case EV_SYNCED:
-			ev.kind = REG_SYNCED;
+			ev.kind = CONTROLLER_SYNCED;
 			ev.u.synced.part = e->part;
 			ev.u.synced.seq = e->seq;
 			break;
 		case EV_WEB:
-			ev.kind = REG_WEB;
+			ev.kind = CONTROLLER_WEB;
 			ev.u.web.token = e->token;
 			ev.u.web.verb = e->verb;
 			ev.u.web.path = e->path;
@@ -55,12 +55,12 @@
 			ev.u.web.key = e->key;
 			break;
 		case EV_DONE:
-			ev.kind = REG_CALLED;
+			ev.kind = CONTROLLER_CALLED;
 			ev.u.called.token = e->token;
 			ev.u.called.status = e->status;
 			ev.u.called.body = e->body;
 			break;
-		case EV_STOP: ev.kind = REG_STOP; break;
+		case EV_STOP: ev.kind = CONTROLLER_STOP; break;
 		default: return;
 		}
 	stepped(ctx, &ev, now, o);
@@ -73,7 +73,7 @@
 
 	for (int i = 0; i < s->nseeds; i++)
 		seeds[i] = core_addr(s->seed[i]);
-	follow_seeds(&g->r.f, seeds, s->nseeds);
+	config_watch_seeds(&g->r.f, seeds, s->nseeds);
 	g->r.b = s->bounds;
 	g->door.list = ((const struct platform *)s->more)->list;
 }
@@ -82,7 +82,7 @@
 {
 	const struct registrar *g = ctx;
 
-	return reg_stopped(&g->r, clock_ms());
+	return controller_stopped(&g->r, clock_ms());
 }
 
 static void say(void *ctx, const char *prefix, const char *line)
@@ -131,22 +131,22 @@
 		p->door = &platform_control;
 		p->door_ctx = &g.door;
 	}
-	reg_open(&g.r, f.id, core_addr(p->set.advertise ? p->set.advertise : p->set.listen), p->set.zone, seeds, p->set.nseeds,
-		 f.fleet, proc_random(), f.ptr, clock_ms());
+	controller_open(&g.r, f.id, core_addr(p->set.advertise ? p->set.advertise : p->set.listen), p->set.zone, seeds,
+			p->set.nseeds, f.fleet, proc_random(), f.ptr, clock_ms());
 	g.r.log = say;
 	g.r.calendar = &calendar_icu;
 	if (p->set.more) {
-		g.r.tongue = &platform_tongue;
+		g.r.codec = &platform_tongue;
 		g.r.b = p->set.bounds;
 		if (p->set.found && p->set.nseeds && !strcmp(p->set.seed[0], p->set.listen))
-			reg_found(&g.r, clock_ms());
+			controller_bootstrap(&g.r, clock_ms());
 	}
 	if (!proc_open(p))
 		goto end;
 	log_say(LOG_INFO, "registrar", "Serves operators at %s in zone %s.",
 		p->set.more ? ((struct platform *)p->set.more)->control : p->set.web, p->set.zone);
 	rc = proc_run(p, &d);
-	reg_close(&g.r);
+	controller_close(&g.r);
 end:
 	apr_pool_destroy(p->p);
 	apr_terminate();
--- a/lib/control/bootstrap.c
+++ b/lib/control/bootstrap.c
@@ -5,11 +5,11 @@
 #include <string.h>
 
 #include "ds.h"
-#include "reg_private.h"
+#include "controller_private.h"
 
 enum { FOUND_RETRY_MS = 1000 };
 
-static int is_empty(const struct reg *r)
+static int is_empty(const struct controller *r)
 {
 	for (int i = 0; i < SHARD_COUNT; i++)
 		if (r->part[i].term || r->part[i].member_count || r->part[i].base)
@@ -17,7 +17,7 @@
 	return !r->fleet;
 }
 
-static void found_here(struct reg *r, uint64_t fleet, const struct Nl__Members *ms, int64_t now, struct out *o)
+static void bootstrap_here(struct controller *r, uint64_t fleet, const struct Nl__Members *ms, int64_t now, struct out *o)
 {
 	struct raft_member m[RAFT_MAX_MEMBERS];
 	int n = 0, mine = 0;
@@ -36,17 +36,17 @@
 	o->fleet = fleet;
 	for (int i = 0; i < SHARD_COUNT; i++)
 		raft_bootstrap(&r->part[i], m, n, now, o);
-	say(r, "found", o->p, "The fleet %016" APR_UINT64_T_HEX_FMT " is founded with %d registrars.", fleet, n);
+	log_line(r, "found", o->p, "The fleet %016" APR_UINT64_T_HEX_FMT " is founded with %d registrars.", fleet, n);
 }
 
-void on_found(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
+void on_bootstrap_message(struct controller *r, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	const struct Nl__Found *q = m->found;
 	struct Nl__Found *a;
 
 	if (q->ask || q->members) {
 		if (q->members && q->fleet)
-			found_here(r, q->fleet, q->members, now, o);
+			bootstrap_here(r, q->fleet, q->members, now, o);
 		a = OUT_NEW(o, Nl__Found, NL__FOUND__INIT);
 		a->empty = is_empty(r);
 		a->fleet = r->fleet;
@@ -62,7 +62,7 @@
 		}
 }
 
-static void found_begin(struct reg *r, int64_t now)
+static void bootstrap_begin(struct controller *r, int64_t now)
 {
 	if (r->found.members)
 		nl__members__free_unpacked(r->found.members, NULL);
@@ -70,7 +70,7 @@
 	r->found.until = now + 10000;
 }
 
-void found_fleet(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
+void found_fleet(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o)
 {
 	const char *why = r->fleet ? "found: this registrar belongs to a fleet" : r->nseeds ? NULL : "found: no seeds are set";
 
@@ -82,20 +82,20 @@
 		out_answer(o, ev->u.web.token, 503, FOUND_RETRY_MS, error_json(o->p, "found: already under way", 0));
 		return;
 	}
-	found_begin(r, now);
+	bootstrap_begin(r, now);
 	r->found.web = ev->u.web.token;
 }
 
-void reg_found(struct reg *r, int64_t now)
+void controller_bootstrap(struct controller *r, int64_t now)
 {
 	if (r->found.web || r->found.own || !r->nseeds || !is_empty(r))
 		return;
-	found_begin(r, now);
+	bootstrap_begin(r, now);
 	r->found.own = 1;
 	r->found.until = now + 30000; /* by then its seeds have answered, or were replaced */
 }
 
-static void found_end(struct reg *r, int status, const char *body, struct out *o)
+static void bootstrap_end(struct controller *r, int status, const char *body, struct out *o)
 {
 	if (r->found.web)
 		out_answer(o, r->found.web, status, status < 500 ? 0 : FOUND_RETRY_MS, body);
@@ -104,18 +104,18 @@
 }
 
 /* Definite is only a seed's word that it belongs to a fleet. Once the members were named, some may have taken them. */
-static void found_fails(struct reg *r, int all_heard, struct out *o)
+static void found_fails(struct controller *r, int all_heard, struct out *o)
 {
 	if (r->found.members)
-		found_end(r, 504, error_json(o->p, "found: not every seed answers, and some may have begun: ask again", 0), o);
+		bootstrap_end(r, 504, error_json(o->p, "found: not every seed answers, and some may have begun: ask again", 0), o);
 	else if (!all_heard)
-		found_end(r, 503, error_json(o->p, "found: not every seed answers; nothing was founded", 0), o);
+		bootstrap_end(r, 503, error_json(o->p, "found: not every seed answers; nothing was founded", 0), o);
 	else
-		found_end(r, 409, error_json(o->p, "found: a seed already belongs to a fleet; start the others and they join", 0),
-			  o);
+		bootstrap_end(r, 409,
+			      error_json(o->p, "found: a seed already belongs to a fleet; start the others and they join", 0), o);
 }
 
-void found_tick(struct reg *r, int64_t now, struct out *o)
+void bootstrap_tick(struct controller *r, int64_t now, struct out *o)
 {
 	int heard = 0, empty = 0, done = 0;
 
@@ -130,7 +130,7 @@
 		done += r->found.fleet[i] && r->found.fleet[i] == r->found.name;
 	}
 	if (r->nseeds && done == r->nseeds) {
-		found_end(r, 200, apr_psprintf(o->p, "{\"fleet\":\"%016" APR_UINT64_T_HEX_FMT "\"}", r->fleet), o);
+		bootstrap_end(r, 200, apr_psprintf(o->p, "{\"fleet\":\"%016" APR_UINT64_T_HEX_FMT "\"}", r->fleet), o);
 		return;
 	}
 	if (r->found.own ? (!r->found.members && (empty < heard || r->fleet)) || (r->fleet && now > r->found.until)
--- a/lib/control/bootstrap.h
+++ b/lib/control/bootstrap.h
@@ -4,15 +4,15 @@
 #ifndef NL_BOOTSTRAP_H
 #define NL_BOOTSTRAP_H
 
-#include "reg.h"
+#include "controller.h"
 
 /* A message of the bootstrap: a question, the members to start with, or an answer. */
-void on_found(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o);
+void on_bootstrap_message(struct controller *r, const struct Nl__Msg *m, int64_t now, struct out *o);
 
 /* An operator's call begins it; it has 10 s to end. */
-void found_fleet(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o);
+void found_fleet(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o);
 
 /* Go on with a bootstrap that this node has begun. */
-void found_tick(struct reg *r, int64_t now, struct out *o);
+void bootstrap_tick(struct controller *r, int64_t now, struct out *o);
 
 #endif
--- a/lib/control/calendar.c
+++ b/lib/control/calendar.c
@@ -139,4 +139,4 @@
 	return parse(text, &s, p);
 }
 
-const struct reg_calendar calendar_icu = { check, next };
+const struct controller_calendar calendar_icu = { check, next };
--- a/lib/control/calendar.h
+++ b/lib/control/calendar.h
@@ -7,6 +7,6 @@
 #include "retention.h"
 
 /* Example: reg.calendar = &calendar_icu; due = calendar_icu.next("daily 02:30 Asia/Kuala_Lumpur", wall); */
-extern const struct reg_calendar calendar_icu;
+extern const struct controller_calendar calendar_icu;
 
 #endif
--- a/lib/control/config_sync.h
+++ b/lib/control/config_sync.h
@@ -3,9 +3,9 @@
 #ifndef NL_CONFIG_SYNC_H
 #define NL_CONFIG_SYNC_H
 
-#include "reg.h"
+#include "controller.h"
 
 /* A node asks what has changed since the edition it has. */
-void on_follow(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o);
+void on_config_sync_request(struct controller *r, const struct Nl__Msg *m, int64_t now, struct out *o);
 
 #endif
--- a/lib/control/follow.c
+++ b/lib/control/config_watch.c
@@ -1,36 +1,36 @@
-#include "follow.h"
+#include "config_watch.h"
 
 #include <apr_strings.h>
 #include <string.h>
 
 #include "ds.h"
 
-void follow_open(struct follow *f, uint64_t born, const uint64_t *seeds, int n, int64_t now)
+void config_watch_open(struct config_watch *f, uint64_t born, const uint64_t *seeds, int n, int64_t now)
 {
 	memset(f, 0, sizeof *f);
 	table_open(&f->t);
-	sights_open(&f->sights);
+	instances_open(&f->instances);
 	sh_new_strdup(f->hold);
 	f->born = f->rng = born;
 	f->zone = f->web = "";
-	for (int i = 0; i < n && i < FOLLOW_SEATS; i++)
+	for (int i = 0; i < n && i < CONFIG_WATCH_SEATS; i++)
 		f->cand[f->ncand++] = seeds[i];
 	f->nseed = f->ncand;
 	f->fresh = now - 1000000;
 	f->last_word = now;
-	f->last_ask = now - FOLLOW_EVERY;
+	f->last_ask = now - CONFIG_WATCH_EVERY;
 	for (int i = 0; i < SHARD_COUNT && f->ncand; i++)
 		f->at[i] = (int)(core_rand(&f->rng) % (uint64_t)f->ncand);
 }
 
-void follow_seeds(struct follow *f, const uint64_t *seeds, int n)
+void config_watch_seeds(struct config_watch *f, const uint64_t *seeds, int n)
 {
-	uint64_t old[FOLLOW_SEATS];
+	uint64_t old[CONFIG_WATCH_SEATS];
 	int nold = f->ncand;
 
 	memcpy(old, f->cand, sizeof old);
 	f->ncand = 0;
-	for (int i = 0; i < n && i < FOLLOW_SEATS; i++)
+	for (int i = 0; i < n && i < CONFIG_WATCH_SEATS; i++)
 		f->cand[f->ncand++] = seeds[i];
 	f->nseed = f->ncand;
 	for (int i = 0; i < nold; i++) { /* who was known stays so until the next answer */
@@ -38,29 +38,29 @@
 
 		for (int k = 0; k < f->ncand; k++)
 			known |= f->cand[k] == old[i];
-		if (!known && f->ncand < FOLLOW_SEATS)
+		if (!known && f->ncand < CONFIG_WATCH_SEATS)
 			f->cand[f->ncand++] = old[i];
 	}
 	for (int i = 0; i < SHARD_COUNT; i++)
 		f->at[i] = f->ncand ? f->at[i] % f->ncand : 0;
 }
 
-void follow_close(struct follow *f)
+void config_watch_close(struct config_watch *f)
 {
 	table_close(&f->t);
-	sights_close(&f->sights);
+	instances_close(&f->instances);
 	shfree(f->hold);
 	arrfree(f->left);
 }
 
-typeof(((struct follow_hold *)0)->value) *follow_hold(struct follow *f, const char *name)
+typeof(((struct config_watch_hold *)0)->value) *config_watch_hold(struct config_watch *f, const char *name)
 {
 	if (shgeti(f->hold, name) < 0)
 		shput(f->hold, name, ((typeof(f->hold->value)){ 0, 0, 0 }));
 	return &shgetp(f->hold, name)->value;
 }
 
-static void say_holds(struct follow *f, struct Nl__Follow *a, struct out *o)
+static void say_holds(struct config_watch *f, struct Nl__ConfigSync *a, struct out *o)
 {
 	a->hold = apr_palloc(o->p, ((size_t)shlen(f->hold) + 1) * sizeof *a->hold);
 	for (ptrdiff_t i = shlen(f->hold) - 1; i >= 0; i--) {
@@ -81,55 +81,55 @@
 }
 
 /* An older answer that comes late may say more than was given since. */
-static void take_places(struct follow *f, const struct Nl__FollowReply *r)
+static void take_places(struct config_watch *f, const struct Nl__ConfigSyncReply *r)
 {
 	if (r->token <= f->applied)
 		return;
 	f->applied = r->token;
 	for (size_t i = 0; i < r->n_place; i++)
-		follow_hold(f, r->place[i]->name)->held = r->place[i]->held;
+		config_watch_hold(f, r->place[i]->name)->held = r->place[i]->held;
 }
 
-int64_t follow_age(const struct follow *f, int64_t now) { return now - f->fresh; }
+int64_t config_watch_age(const struct config_watch *f, int64_t now) { return now - f->fresh; }
 
-uint64_t follow_seat(struct follow *f, uint32_t part)
+uint64_t config_watch_leader_addr(struct config_watch *f, uint32_t part)
 {
 	if (part >= SHARD_COUNT)
 		return 0;
-	return f->seat[part] ? f->seat[part] : f->ncand ? f->cand[f->at[part] % f->ncand] : 0;
+	return f->leader_addr[part] ? f->leader_addr[part] : f->ncand ? f->cand[f->at[part] % f->ncand] : 0;
 }
 
-void follow_miss(struct follow *f, uint32_t part)
+void config_watch_miss(struct config_watch *f, uint32_t part)
 {
-	f->seat[part] = 0;
+	f->leader_addr[part] = 0;
 	f->at[part]++;
 }
 
-uint64_t follow_log(struct follow *f, int64_t moved, int64_t now)
+uint64_t config_watch_log(struct config_watch *f, int64_t moved, int64_t now)
 {
-	if (now - moved > 2 * FOLLOW_LOG && now - f->log_tried > FOLLOW_LOG) {
+	if (now - moved > 2 * CONFIG_WATCH_LOG && now - f->log_tried > CONFIG_WATCH_LOG) {
 		f->log_tried = now;
-		follow_miss(f, SHARD_PURGE);
+		config_watch_miss(f, SHARD_PURGE);
 	}
-	return follow_seat(f, SHARD_PURGE);
+	return config_watch_leader_addr(f, SHARD_PURGE);
 }
 
-void follow_hint(struct follow *f, uint32_t part, uint64_t addr)
+void config_watch_hint(struct config_watch *f, uint32_t part, uint64_t addr)
 {
 	if (part >= SHARD_COUNT)
 		return;
 	if (addr)
-		f->seat[part] = addr;
+		f->leader_addr[part] = addr;
 	else
-		follow_miss(f, part);
+		config_watch_miss(f, part);
 }
 
-static struct Nl__Follow *asking(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
+static struct Nl__ConfigSync *asking(struct config_watch *f, uint64_t horizon, int64_t now, struct out *o)
 {
-	struct Nl__Follow *a = OUT_NEW(o, Nl__Follow, NL__FOLLOW__INIT);
+	struct Nl__ConfigSync *a = OUT_NEW(o, Nl__ConfigSync, NL__CONFIG_SYNC__INIT);
 
 	a->have = f->t.edition;
-	a->sights = f->sights.stamp;
+	a->instances = f->instances.stamp;
 	a->born = f->born;
 	a->token = ++f->token;
 	a->zone = (char *)f->zone;
@@ -137,7 +137,7 @@
 	a->counter = f->counter;
 	a->horizon = horizon;
 	a->wall = f->wall;
-	a->strain = f->strain;
+	a->load_pressure = f->load_pressure;
 	a->index = f->index;
 	a->n_left = (size_t)arrlen(f->left);
 	a->left = apr_palloc(o->p, (a->n_left + 1) * sizeof *a->left);
@@ -150,49 +150,49 @@
 	return a;
 }
 
-void follow_ask(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
+void config_watch_ask(struct config_watch *f, uint64_t horizon, int64_t now, struct out *o)
 {
-	uint64_t to = follow_seat(f, SHARD_CONTROL);
+	uint64_t to = config_watch_leader_addr(f, SHARD_CONTROL);
 
 	if (to)
 		out_msg(o, to, SHARD_CONTROL, NL__MSG__BODY_FOLLOW)->follow = asking(f, horizon, now, o);
 }
 
 /* The owner is silent, or nobody's guess is right: a few at once, in turn, so that a new owner is found as soon as there is
- * one. Only a licensed one answers with more than a hint. */
-static void ask_around(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
+ * one. Only a has_lease one answers with more than a hint. */
+static void ask_around(struct config_watch *f, uint64_t horizon, int64_t now, struct out *o)
 {
-	struct Nl__Follow *a = asking(f, horizon, now, o);
-	uint64_t first = f->seat[SHARD_CONTROL];
+	struct Nl__ConfigSync *a = asking(f, horizon, now, o);
+	uint64_t first = f->leader_addr[SHARD_CONTROL];
 
 	if (first)
 		out_msg(o, first, SHARD_CONTROL, NL__MSG__BODY_FOLLOW)->follow = a;
-	for (int i = 0; i < FOLLOW_AROUND && i < f->ncand; i++) {
+	for (int i = 0; i < CONFIG_WATCH_AROUND && i < f->ncand; i++) {
 		uint64_t to = f->cand[(f->at[SHARD_CONTROL] + i) % f->ncand];
 
 		if (to != first)
 			out_msg(o, to, SHARD_CONTROL, NL__MSG__BODY_FOLLOW)->follow = a;
 	}
-	f->at[SHARD_CONTROL] = (f->at[SHARD_CONTROL] + FOLLOW_AROUND) % (f->ncand ? f->ncand : 1);
+	f->at[SHARD_CONTROL] = (f->at[SHARD_CONTROL] + CONFIG_WATCH_AROUND) % (f->ncand ? f->ncand : 1);
 }
 
-void follow_tick(struct follow *f, uint64_t horizon, int64_t now, struct out *o)
+void config_watch_tick(struct config_watch *f, uint64_t horizon, int64_t now, struct out *o)
 {
-	int silent = follow_age(f, now) > FOLLOW_SILENT;
+	int silent = config_watch_age(f, now) > CONFIG_WATCH_SILENT;
 
-	if (now - f->last_ask < (silent ? FOLLOW_EVERY / 2 : FOLLOW_EVERY))
+	if (now - f->last_ask < (silent ? CONFIG_WATCH_EVERY / 2 : CONFIG_WATCH_EVERY))
 		return;
-	if (now - f->last_word > FOLLOW_WAIT + FOLLOW_EVERY) {
-		follow_miss(f, SHARD_CONTROL);
-		f->last_word = now - FOLLOW_EVERY; /* the next one gets its time too */
+	if (now - f->last_word > CONFIG_WATCH_WAIT + CONFIG_WATCH_EVERY) {
+		config_watch_miss(f, SHARD_CONTROL);
+		f->last_word = now - CONFIG_WATCH_EVERY; /* the next one gets its time too */
 	}
 	if (silent)
 		ask_around(f, horizon, now, o);
 	else
-		follow_ask(f, horizon, now, o);
+		config_watch_ask(f, horizon, now, o);
 }
 
-static void take_registrars(struct follow *f, const struct Nl__FollowReply *r)
+static void take_registrars(struct config_watch *f, const struct Nl__ConfigSyncReply *r)
 {
 	f->ncand = f->nseed;
 	f->nlive = 0;
@@ -200,42 +200,42 @@
 		const struct Nl__Member *m = r->registrars[i];
 		int known = 0;
 
-		if (f->nlive < FOLLOW_SEATS) {
+		if (f->nlive < CONFIG_WATCH_SEATS) {
 			f->live[f->nlive] = m->addr;
 			f->live_id[f->nlive++] = m->id;
 		}
 		for (int k = 0; k < f->ncand; k++)
 			known |= f->cand[k] == m->addr;
-		if (!known && f->ncand < FOLLOW_SEATS)
+		if (!known && f->ncand < CONFIG_WATCH_SEATS)
 			f->cand[f->ncand++] = m->addr;
 	}
 }
 
-int follow_msg(struct follow *f, const struct Nl__Msg *m, int64_t now, struct out *o)
+int config_watch_msg(struct config_watch *f, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
-	const struct Nl__FollowReply *r = m->follow_reply;
+	const struct Nl__ConfigSyncReply *r = m->follow_reply;
 	uint64_t was = f->t.edition;
 	int64_t asked;
 
 	if (m->body_case == NL__MSG__BODY_OWNER) {
-		follow_hint(f, m->part, m->owner->owner);
+		config_watch_hint(f, m->part, m->owner->owner);
 		return 0;
 	}
 	if (m->body_case != NL__MSG__BODY_FOLLOW_REPLY || f->asked[r->token % 16].token != r->token)
 		return 0;
 	f->last_word = now;
 	asked = f->asked[r->token % 16].at;
-	if (!r->licensed) {
+	if (!r->has_lease) {
 		if (r->token == f->token) { /* only the newest asking moves the guess */
-			follow_hint(f, SHARD_CONTROL, r->hint == m->addr ? 0 : r->hint);
+			config_watch_hint(f, SHARD_CONTROL, r->hint == m->addr ? 0 : r->hint);
 			if (r->hint && r->hint != m->addr && now - f->last_ask >= 20)
-				follow_ask(f, 0, now, o);
+				config_watch_ask(f, 0, now, o);
 		}
 		return 0;
 	}
 	if (f->fleet && r->fleet != f->fleet)
 		return 0;
-	f->seat[SHARD_CONTROL] = m->addr;
+	f->leader_addr[SHARD_CONTROL] = m->addr;
 	if (!table_follow(&f->t, r))
 		return 0; /* an answer to an older asking; the next one fits */
 	f->fleet = r->fleet;
@@ -250,5 +250,5 @@
 		f->head[f->nhead++] = r->head[i];
 	f->counters = r->counters;
 	take_registrars(f, r);
-	return (f->t.edition != was ? FOLLOW_TABLE : 0) | (sights_follow(&f->sights, r, now) ? FOLLOW_SIGHTS : 0);
+	return (f->t.edition != was ? CONFIG_WATCH_TABLE : 0) | (instances_follow(&f->instances, r, now) ? CONFIG_WATCH_SIGHTS : 0);
 }
--- a/lib/control/reg.c
+++ b/lib/control/controller.c
@@ -1,7 +1,7 @@
-/* A registrar's step: passes each event to the module that it is for, then applies what was committed, part by part.
- * The daemon, the simulator and the tests call reg_step, and it alone calls the other modules' entry points.
+/* A controller's step: passes each event to the module that it is for, then applies what was committed, part by part.
+ * The daemon, the simulator and the tests call controller_step, and it alone calls the other modules' entry points.
  * Always: pure; all that it does to the world is the list of commands in o. */
-#include "reg.h"
+#include "controller.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -9,7 +9,7 @@
 #include "bootstrap.h"
 #include "config_sync.h"
 #include "ds.h"
-#include "giver.h"
+#include "rollout.h"
 #include "leadership.h"
 #include "leadership_change.h"
 #include "membership.h"
@@ -19,23 +19,23 @@
 #include "proposals.h"
 #include "purge_publisher.h"
 #include "quota_shares.h"
-#include "reg_private.h"
+#include "controller_private.h"
 #include "snapshot.h"
 #include "state_machine.h"
 
 /* A message that breaks the protocol was dropped: one log line, and under a flood of them one a second that counts them. */
-static void log_dropped(struct reg *r, const struct Nl__Msg *m, const char *why, int64_t now, struct out *o)
+static void log_dropped(struct controller *r, const struct Nl__Msg *m, const char *why, int64_t now, struct out *o)
 {
 	r->dropped++;
-	if (r->drops_logged && now - r->drop_logged_at < REG_DROP_LOG)
+	if (r->drops_logged && now - r->drop_logged_at < CONTROLLER_DROP_LOG)
 		return;
-	say(r, "raft", o->p, "A message of kind %d of %s is dropped: %s; %" APR_UINT64_T_FMT " since the last such line.",
-	    (int)m->body_case, core_addr_str(o->p, m->addr), why, r->dropped - r->drops_logged);
+	log_line(r, "raft", o->p, "A message of kind %d of %s is dropped: %s; %" APR_UINT64_T_FMT " since the last such line.",
+		 (int)m->body_case, core_addr_str(o->p, m->addr), why, r->dropped - r->drops_logged);
 	r->drops_logged = r->dropped;
 	r->drop_logged_at = now;
 }
 
-static void on_raft_msg(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
+static void on_raft_msg(struct controller *r, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	const char *why;
 
@@ -51,7 +51,7 @@
 		log_dropped(r, m, why, now, o);
 }
 
-static void on_msg(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
+static void on_msg(struct controller *r, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	int64_t before;
 
@@ -69,65 +69,66 @@
 	case NL__MSG__BODY_GIVE_UP:
 	case NL__MSG__BODY_PROBE:
 	case NL__MSG__BODY_PROBE_REPLY: on_raft_msg(r, m, now, o); break;
-	case NL__MSG__BODY_FOLLOW: on_follow(r, m, now, o); break;
+	case NL__MSG__BODY_FOLLOW: on_config_sync_request(r, m, now, o); break;
 	case NL__MSG__BODY_FOLLOW_REPLY:
 	case NL__MSG__BODY_OWNER:
 		before = r->f.fresh;
-		if (follow_msg(&r->f, m, now, o))
-			giver_named(r, before);
+		if (config_watch_msg(&r->f, m, now, o))
+			rollout_on_versions(r, before);
 		if (!r->fleet && r->f.fleet) {
 			r->fleet = r->f.fleet;
 			r->fleet_dirty = 1;
 		}
 		break;
-	case NL__MSG__BODY_PROPOSE: on_propose(r, m, now, o); break;
-	case NL__MSG__BODY_ANSWER: on_answer(r, m->answer, now, o); break;
+	case NL__MSG__BODY_PROPOSE: on_proposal(r, m, now, o); break;
+	case NL__MSG__BODY_ANSWER: on_proposal_reply(r, m->answer, now, o); break;
 	case NL__MSG__BODY_READ: on_read_asked(r, m, now, o); break;
 	case NL__MSG__BODY_READ_REPLY: on_read_reply(r, m->read_reply, now, o); break;
-	case NL__MSG__BODY_FEED_ASK: on_feed_ask(r, m, now, o); break;
+	case NL__MSG__BODY_FEED_ASK: on_feed_request(r, m, now, o); break;
 	case NL__MSG__BODY_FEED_REPLY: on_feed_reply(r, m, now, o); break;
 	case NL__MSG__BODY_CURIOSITY:
-		if (!r->relay.publisher || !in_office(r, SHARD_PURGE, now)) {
+		if (!r->relay.publisher || !leads_shard(r, SHARD_PURGE, now)) {
 			struct Nl__Owner *w = OUT_NEW(o, Nl__Owner, NL__OWNER__INIT);
 
-			w->owner = owner_hint(r, SHARD_PURGE, now);
+			w->owner = leader_hint(r, SHARD_PURGE, now);
 			out_msg(o, m->addr, SHARD_PURGE, NL__MSG__BODY_OWNER)->owner = w;
 			break;
 		}
 		/* fall through */
 	case NL__MSG__BODY_KNOWLEDGE:
 	case NL__MSG__BODY_PURGE_SNAP: relay_msg(&r->relay, m, now, o); break;
-	case NL__MSG__BODY_FOUND: on_found(r, m, now, o); break;
+	case NL__MSG__BODY_FOUND: on_bootstrap_message(r, m, now, o); break;
 	default: break;
 	}
 }
 
-static void tick(struct reg *r, int64_t now, struct out *o)
+static void tick(struct controller *r, int64_t now, struct out *o)
 {
 	for (int i = 0; i < SHARD_COUNT; i++)
 		if (r->fleet)
 			raft_tick(&r->part[i], now, o);
-	found_tick(r, now, o);
+	bootstrap_tick(r, now, o);
 	if (r->stopping)
 		return;
 	for (uint32_t i = 0; i < SHARD_COUNT; i++) /* a member knows its owner best */
-		if (owner_hint(r, i, now))
-			r->f.seat[i] = owner_hint(r, i, now);
-	follow_tick(&r->f, r->relay.k.horizon, now, o);
-	join_tick(r, now, o);
+		if (leader_hint(r, i, now))
+			r->f.leader_addr[i] = leader_hint(r, i, now);
+	config_watch_tick(&r->f, r->relay.k.horizon, now, o);
+	membership_register_tick(r, now, o);
 	membership_tick(r, now, o);
-	if (r->relay.publisher && in_office(r, SHARD_PURGE, now))
+	if (r->relay.publisher && leads_shard(r, SHARD_PURGE, now))
 		publisher_tick(r, now, o);
 	if (!r->relay.publisher)
-		relay_up(&r->relay, NULL, 0, follow_log(&r->f, r->relay.moved, now), now);
+		relay_up(&r->relay, NULL, 0, config_watch_log(&r->f, r->relay.moved, now), now);
 	relay_tick(&r->relay, now, o);
-	giver_tick(r, now, o);
-	giver_sighted(r, now, o);
+	rollout_tick(r, now, o);
+	rollout_instances(r, now, o);
 	retention_tick(r, now, o);
 	retention_disks(r, now, o);
 }
 
-void reg_step(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
+/* NOLINTNEXTLINE(readability-function-size): one case for each event */
+void controller_step(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o)
 {
 	o->id = r->id;
 	o->addr = r->addr;
@@ -137,27 +138,31 @@
 		if (r->fresh[i] && !r->part[i].snapshot_to_load) {
 			r->part[i].drop_tail = 1;
 			r->fresh[i] = 0;
-			snapshot(r, i, o);
+			snapshot_take(r, i, o);
 		}
 	switch (ev->kind) {
-	case REG_TICK: tick(r, now, o); break;
-	case REG_MSG: on_msg(r, ev->u.msg, now, o); break;
-	case REG_SYNCED: raft_synced(&r->part[ev->u.synced.part], ev->u.synced.seq, now, o); break;
-	case REG_WEB:
-	case REG_DOC:
-	case REG_READ:
-	case REG_NAME: on_operator_call(r, ev, now, o); break;
-	case REG_CALLED:
+	case CONTROLLER_TICK: tick(r, now, o); break;
+	case CONTROLLER_MSG: on_msg(r, ev->u.msg, now, o); break;
+	case CONTROLLER_SYNCED: raft_synced(&r->part[ev->u.synced.part], ev->u.synced.seq, now, o); break;
+	case CONTROLLER_WEB:
+	case CONTROLLER_DOC:
+	case CONTROLLER_READ:
+	case CONTROLLER_NAME: on_operator_call(r, ev, now, o); break;
+	case CONTROLLER_CALLED:
 		for (ptrdiff_t i = 0; i < arrlen(r->server); i++)
 			if (ev->u.called.token && r->server[i].call == ev->u.called.token && ev->u.called.status == 200)
-				giver_report(r, &r->server[i], ev->u.called.body, now, o);
+				rollout_report(r, &r->server[i], ev->u.called.body, now, o);
 		break;
-	case REG_LISTED: sights_listed(&r->sights, ev->u.listed.token, ev->u.listed.ok, ev->u.listed.v, ev->u.listed.n, now); break;
-	case REG_LOOKED:
-		giver_looked(r, ev->u.looked.token, ev->u.looked.status, ev->u.looked.weights, ev->u.looked.loading, now);
+	case CONTROLLER_LISTED:
+		instances_listed(&r->instances, ev->u.listed.token, ev->u.listed.ok, ev->u.listed.v, ev->u.listed.n, now);
 		break;
-	case REG_ORDERED: giver_ordered(r, ev->u.ordered.token, ev->u.ordered.status, ev->u.ordered.never, now, o); break;
-	case REG_STOP:
+	case CONTROLLER_LOOKED:
+		rollout_on_look(r, ev->u.looked.token, ev->u.looked.status, ev->u.looked.weights, ev->u.looked.loading, now);
+		break;
+	case CONTROLLER_ORDERED:
+		rollout_on_ordered(r, ev->u.ordered.token, ev->u.ordered.status, ev->u.ordered.never, now, o);
+		break;
+	case CONTROLLER_STOP:
 		r->stopping = 1;
 		for (int i = 0; i < SHARD_COUNT; i++)
 			raft_leave(&r->part[i], now);
@@ -170,27 +175,27 @@
 		uint64_t index;
 
 		if (p->snapshot_to_load) {
-			load_state(r, i, o->p);
+			snapshot_load(r, i, o->p);
 			if (i == SHARD_CONTROL)
-				r->giver.blind = now; /* orders that were logged before are in no snapshot */
+				r->rollout.blind = now; /* orders that were logged before are in no snapshot */
 			p->snapshot_to_load = 0;
 		}
-		office_ends(r, i, now, o);
+		on_leadership_lost(r, i, now, o);
 		while ((e = raft_next_committed(p, &index)))
-			answer_wait(r, i, index, apply(r, i, index, e, now, o), o);
-		office_begins(r, i, now, o);
+			answer_proposers(r, i, index, state_machine_apply(r, i, index, e, now, o), o);
+		on_leadership_gained(r, i, now, o);
 		if (raft_wants_snapshot(p))
-			snapshot(r, i, o);
+			snapshot_take(r, i, o);
 	}
-	asks_tick(r, now, o);
+	proposals_tick(r, now, o);
 	calls_tick(r, now, o);
-	reads_tick(r, now, o);
+	table_reads_tick(r, now, o);
 	for (uint32_t i = 0; i < SHARD_COUNT; i++)
 		raft_flush(&r->part[i], now, o);
 }
 
-void reg_open(struct reg *r, uint64_t id, uint64_t addr, const char *zone, const uint64_t *seeds, int nseeds, uint64_t fleet,
-	      uint64_t seed, const struct raft_saved *const *saved, int64_t now)
+void controller_open(struct controller *r, uint64_t id, uint64_t addr, const char *zone, const uint64_t *seeds, int nseeds,
+		     uint64_t fleet, uint64_t seed, const struct raft_saved *const *saved, int64_t now)
 {
 	memset(r, 0, sizeof *r);
 	r->id = id;
@@ -198,46 +203,46 @@
 	r->zone = zone;
 	r->fleet = fleet;
 	r->rng = seed;
-	r->token = core_rand(&r->rng) >> 2; /* never one of this registrar's life before */
+	r->token = core_rand(&r->rng) >> 2; /* never one of this controller's life before */
 	r->nseeds = nseeds > 8 ? 8 : nseeds;
 	memcpy(r->seeds, seeds, (size_t)r->nseeds * sizeof *seeds);
 	r->b = bounds_default;
 	table_open(&r->ctl);
-	sights_open(&r->sights);
-	giver_open(&r->giver, now);
+	instances_open(&r->instances);
+	rollout_open(&r->rollout, now);
 	for (int i = 0; i < SHARD_SERVICES; i++)
-		clear_svc(&r->svc[i]);
+		clear_service_state(&r->svc[i]);
 	for (uint32_t i = 0; i < SHARD_COUNT; i++)
 		raft_open(&r->part[i], i, id, seed, saved ? saved[i] : NULL, now);
 	sh_new_strdup(r->named);
 	sh_new_strdup(r->limit);
-	follow_open(&r->f, id, seeds, r->nseeds, now);
+	config_watch_open(&r->f, id, seeds, r->nseeds, now);
 	r->f.fleet = fleet;
 	r->f.zone = zone;
 	relay_open(&r->relay, now);
 }
 
-void reg_close(struct reg *r)
+void controller_close(struct controller *r)
 {
 	for (int i = 0; i < SHARD_COUNT; i++)
 		raft_close(&r->part[i]);
 	table_close(&r->ctl);
-	sights_close(&r->sights);
-	giver_close(&r->giver);
+	instances_close(&r->instances);
+	rollout_close(&r->rollout);
 	retention_clear(r);
-	clear_values(&r->ctl_feed);
+	free_values(&r->ctl_feed);
 	arrfree(r->ctl_done);
 	orders_clear(&r->orders);
 	arrfree(r->call);
 	free(r->ctl_doc);
-	clear_values(&r->pub.v);
+	free_values(&r->pub.v);
 	view_clear(&r->pub.last);
 	for (int i = 0; i < SHARD_SERVICES; i++) {
-		clear_svc(&r->svc[i]);
+		clear_service_state(&r->svc[i]);
 		shfree(r->svc[i].h);
 		shfree(r->svc[i].rolled);
 	}
-	follow_close(&r->f);
+	config_watch_close(&r->f);
 	relay_close(&r->relay);
 	for (ptrdiff_t i = 0; i < arrlen(r->ask); i++)
 		nl__op__free_unpacked(r->ask[i].op, NULL);
@@ -250,7 +255,7 @@
 	for (ptrdiff_t i = 0; i < shlen(r->named); i++)
 		free(r->named[i].value.weights);
 	shfree(r->named);
-	limits_clear(r);
+	quota_shares_clear(r);
 	shfree(r->limit);
 	arrfree(r->spare);
 	arrfree(r->wait);
@@ -260,7 +265,7 @@
 	arrfree(r->server);
 }
 
-int reg_stopped(const struct reg *r, int64_t now)
+int controller_stopped(const struct controller *r, int64_t now)
 {
 	for (int i = 0; i < SHARD_COUNT && r->fleet; i++)
 		if (!raft_may_leave(&r->part[i], now))
--- a/lib/control/reg.h
+++ b/lib/control/controller.h
@@ -1,9 +1,9 @@
-/* reg: a registrar's duties as one pure step: parts, configuration, claims, publisher, server orders. */
-#ifndef NL_REG_H
-#define NL_REG_H
+/* reg: a controller's duties as one pure step: parts, configuration, claims, publisher, server orders. */
+#ifndef NL_CONTROLLER_H
+#define NL_CONTROLLER_H
 
-#include "follow.h"
-#include "giver.h"
+#include "config_watch.h"
+#include "rollout.h"
 #include "orders.h"
 #include "raft.h"
 #include "purge.h"
@@ -11,47 +11,48 @@
 #include "table.h"
 
 enum {
-	REG_SEEN = 3000, /* ms a node counts as live after its last asking */
-	REG_HOLD = 4000, /* ms a new giver waits after the licence, before its first order */
-	REG_LOOK = 500,  /* ms between a giver's looks at a server's report */
+	CONTROLLER_SEEN = 3000, /* ms a node counts as live after its last asking */
+	CONTROLLER_HOLD = 4000, /* ms a new rollout waits after the lease, before its first order */
+	CONTROLLER_LOOK = 500,  /* ms between a rollout's looks at a server's report */
 	/* From the naming of weights to the last server that has them: 25 s. The last is told early enough for a loading of
-	 * 8 s; the first giver is done with telling early enough for another to take over: licence, election, hold-off. */
-	REG_TELL = 16000,
-	REG_TAKE_OVER = 7500,
-	REG_PLACES = FOLLOW_RIDE + 300, /* ms after its last asking for which a counter's places are its own */
-	REG_SPARE = 64,                 /* limits in the table up to which every counter holds spare places of each */
-	REG_RETRY_MS = 200,             /* ms after which an operator's call that was refused for want of a leader may come again */
-	REG_CALL = 5000,                /* ms before an operator's call is answered as unknown */
-	REG_CLAIM_KEEP = 720000,     /* ms of the part's own clock that a claim is remembered: the longest limit and two minutes */
-	REG_AGAIN = 400,             /* ms before a proposal without an answer is made again */
-	REG_BATCH = 128,             /* purges logged together */
-	REG_RECONFIGURE = 50,        /* ms between steps of changing the membership of groups */
-	REG_ANNOUNCE = 500,          /* ms between words to where silent registrars stood */
-	REG_RECOVERY_SKIP = 1 << 20, /* editions and ticks that a recovery skips */
-	REG_EPOCH_SHIFT = 40,        /* of the epoch in the index of a feed's value */
-	REG_FORGET = 60000,          /* ms in office before registrars that were never heard of are forgotten */
-	REG_DROP_LOG = 1000,         /* ms between log lines on messages that break the protocol */
-	REG_DONE = 256,              /* changes whose answers are remembered */
-	REG_FEED = 100               /* ms between the publisher's askings of the feeds */
+	 * 8 s; the first rollout is done with telling early enough for another to take over: lease, election, hold-off. */
+	CONTROLLER_TELL = 16000,
+	CONTROLLER_TAKE_OVER = 7500,
+	CONTROLLER_SHARES_MS = CONFIG_WATCH_RIDE + 300, /* ms after its last asking for which a router's places are its own */
+	CONTROLLER_SPARE = 64,     /* limits in the table up to which every router holds spare places of each */
+	CONTROLLER_RETRY_MS = 200, /* ms after which an operator's call that was refused for want of a leader may come again */
+	CONTROLLER_CALL = 5000,    /* ms before an operator's call is answered as unknown */
+	CONTROLLER_CLAIM_KEEP =
+	    720000,                  /* ms of the part's own clock that a claim is remembered: the longest limit and two minutes */
+	CONTROLLER_AGAIN = 400,      /* ms before a proposal without an answer is made again */
+	CONTROLLER_BATCH = 128,      /* purges logged together */
+	CONTROLLER_RECONFIGURE = 50, /* ms between steps of changing the membership of groups */
+	CONTROLLER_ANNOUNCE = 500,   /* ms between words to where silent controllers stood */
+	CONTROLLER_RECOVERY_SKIP = 1 << 20, /* editions and ticks that a recovery skips */
+	CONTROLLER_EPOCH_SHIFT = 40,        /* of the epoch in the index of a feed's value */
+	CONTROLLER_FORGET = 60000,          /* ms in office before controllers that were never heard of are forgotten */
+	CONTROLLER_DROP_LOG = 1000,         /* ms between log lines on messages that break the protocol */
+	CONTROLLER_DONE = 256,              /* changes whose answers are remembered */
+	CONTROLLER_FEED = 100               /* ms between the publisher's askings of the feeds */
 };
 
-enum reg_ev_kind {
-	REG_TICK,
-	REG_MSG,
-	REG_SYNCED,
-	REG_WEB,
-	REG_CALLED,
-	REG_STOP,
-	REG_DOC,
-	REG_READ,
-	REG_NAME,
-	REG_LISTED,
-	REG_LOOKED,
-	REG_ORDERED
+enum controller_ev_kind {
+	CONTROLLER_TICK,
+	CONTROLLER_MSG,
+	CONTROLLER_SYNCED,
+	CONTROLLER_WEB,
+	CONTROLLER_CALLED,
+	CONTROLLER_STOP,
+	CONTROLLER_DOC,
+	CONTROLLER_READ,
+	CONTROLLER_NAME,
+	CONTROLLER_LISTED,
+	CONTROLLER_LOOKED,
+	CONTROLLER_ORDERED
 };
 
-struct reg_ev {
-	enum reg_ev_kind kind;
+struct controller_ev {
+	enum controller_ev_kind kind;
 	union {
 		const struct Nl__Msg *msg;
 		struct {
@@ -87,7 +88,7 @@
 			uint64_t token;
 			int ok;
 			size_t n;
-			struct Nl__Sight *const *v;
+			struct Nl__Instance *const *v;
 		} listed; /* the whole list of servers */
 		struct {
 			uint64_t token;
@@ -106,22 +107,22 @@
 /* The language that operators' documents are written in: the door's. Makes rows out of a document, and one whole
  * document out of an old one and a patch. *why says what is wrong and names the item. Pure; results live in p.
  * whole: the new document, as bytes; c: rows that replace all earlier ones, keys too. */
-struct reg_tongue {
+struct controller_codec {
 	int (*read)(const char *old, size_t old_len, const char *body, size_t len, int patch, struct Nl__Change *c,
 		    const char **why, apr_pool_t *p);
 };
 
 /* An operator's document or naming that is logged here: answered once it is committed. */
-struct reg_call {
+struct controller_call {
 	uint64_t token, index;
 	struct order_id order;
 	int64_t until; /* when it is answered though its outcome is open */
 };
-struct reg_wait {
+struct controller_wait {
 	uint32_t part;
 	uint64_t index, addr, token;
 };
-struct reg_ask {
+struct controller_ask {
 	uint64_t token, web;
 	uint32_t part;
 	struct Nl__Op *op; /* malloc'd */
@@ -130,30 +131,30 @@
 	int refused;       /* copies that were refused before they were logged */
 };
 /* An operator's read that waits for the leader's word. web: its call; token: of our asking. */
-struct reg_read {
+struct controller_read {
 	uint64_t web, token;
 	Nl__ReadKind kind;
 	int64_t asked, again;
 };
-struct reg_seen {
+struct controller_seen {
 	uint64_t id, addr, zone;
 	int64_t at;
 	int counter;
 	uint64_t edition, horizon, token;
 	int64_t wall;
-	uint32_t strain;
+	uint32_t load_pressure;
 };
-/* What a counter holds or may still believe to hold under a limit; the answer that said the last of it. */
-struct reg_place {
+/* What a router holds or may still believe to hold under a limit; the answer that said the last of it. */
+struct controller_place {
 	uint64_t id, token;
 	uint32_t rec, want;
 	int64_t at, fed;
 }; /* fed: when it last had any */
-struct reg_limit {
+struct controller_limit {
 	char *key;
-	struct reg_place *value; /* stb_ds */
+	struct controller_place *value; /* stb_ds */
 };
-struct reg_claim {
+struct controller_claim {
 	char *key;
 	struct {
 		uint64_t by, seq, at;
@@ -161,19 +162,19 @@
 	} value;
 };
 
-struct reg_svc { /* a service part's state */
+struct controller_svc { /* a service part's state */
 	uint64_t clock;
-	struct reg_claim *h;          /* stb_ds string map */
+	struct controller_claim *h;   /* stb_ds string map */
 	struct Nl__Value **feed;      /* decisions for the publisher */
 	uint64_t cleared, cleared_at; /* the newest clearing after which its log was cut: tick, clock */
 	int settled;                  /* no claim is left from before it */
-	struct reg_rolled {
+	struct controller_rolled {
 		char *key;
 		char *value;
 	} * rolled; /* service -> weights last fully rolled out */
 };
 
-struct reg_pub { /* the purge part's state */
+struct controller_pub { /* the purge part's state */
 	uint64_t ceiling, released;
 	struct Nl__Value **v; /* held values, by tick */
 	struct view last;
@@ -181,8 +182,8 @@
 	uint64_t cleared;
 };
 
-/* Weights as they were named for a service: since when, at the earliest; what this giver began with. */
-struct reg_named {
+/* Weights as they were named for a service: since when, at the earliest; what this rollout began with. */
+struct controller_named {
 	char *key;
 	struct {
 		char *weights;
@@ -190,7 +191,7 @@
 	} value;
 };
 
-struct reg_server { /* the giver's view of one server */
+struct controller_server { /* the rollout's view of one server */
 	char *name, *service;
 	uint64_t call;
 	int64_t called, reported, ordered, load_at;
@@ -199,7 +200,7 @@
 	uint64_t carried_want;
 };
 
-struct reg {
+struct controller {
 	uint64_t id, addr, fleet, rng;
 	const char *zone;
 	uint64_t seeds[8];
@@ -207,7 +208,7 @@
 	struct raft part[SHARD_COUNT];
 	struct table ctl;
 	struct Nl__Value **ctl_feed;
-	struct reg_done {
+	struct controller_done {
 		uint64_t from, token;
 		uint32_t status;
 	} * ctl_done;         /* stb_ds, oldest first */
@@ -215,33 +216,33 @@
 	uint8_t *ctl_doc;     /* the newest document, byte for byte */
 	size_t ctl_doc_len;
 	uint64_t ctl_doc_version;
-	struct reg_call *call; /* stb_ds */
+	struct controller_call *call; /* stb_ds */
 	struct retention ret;
-	const struct reg_calendar *calendar; /* NULL: no schedules in calendar terms */
+	const struct controller_calendar *calendar; /* NULL: no schedules in calendar terms */
 	int64_t wall; /* the machine's clock at this step, ms since 1970, set by whoever steps; 0: no schedule runs */
 	int64_t disk_at[SHARD_COUNT];
-	int fresh[SHARD_COUNT];          /* a snapshot is due, and nothing older stays on the disk */
-	const struct reg_tongue *tongue; /* of documents; NULL: none are taken */
-	struct reg_pub pub;
-	struct reg_svc svc[SHARD_SERVICES];
-	struct follow f;
-	struct bounds b;      /* bounds_default until they are set */
-	struct sights sights; /* what the configuration's owner sees itself */
-	struct giver giver;
+	int fresh[SHARD_COUNT];               /* a snapshot is due, and nothing older stays on the disk */
+	const struct controller_codec *codec; /* of documents; NULL: none are taken */
+	struct controller_pub pub;
+	struct controller_svc svc[SHARD_SERVICES];
+	struct config_watch f;
+	struct bounds b;            /* bounds_default until they are set */
+	struct instances instances; /* what the configuration's owner sees itself */
+	struct rollout rollout;
 	struct relay relay;
-	struct reg_wait *wait;
-	struct reg_ask *ask;
-	struct reg_seen *seen;
-	char **spare; /* stb_ds: limits of which every counter is given a few places ahead */
+	struct controller_wait *wait;
+	struct controller_ask *ask;
+	struct controller_seen *seen;
+	char **spare; /* stb_ds: limits of which every router is given a few places ahead */
 	uint64_t spare_edition;
-	struct reg_limit *limit; /* stb_ds: by what the limit is of; the configuration owner's soft state */
-	struct reg_read *reads;  /* stb_ds */
-	struct reg_server *server;
-	struct reg_named *named; /* stb_ds, by service */
+	struct controller_limit *limit; /* stb_ds: by what the limit is of; the configuration owner's soft state */
+	struct controller_read *reads;  /* stb_ds */
+	struct controller_server *server;
+	struct controller_named *named; /* stb_ds, by service */
 	uint64_t token;
 	uint64_t epoch[SHARD_COUNT]; /* of the newest operation applied */
-	int64_t owner_since[SHARD_COUNT], clock_at[SHARD_COUNT], reconfigured, announced, joined;
-	uint64_t was_owner[SHARD_COUNT]; /* term in which we last took office */
+	int64_t leader_since[SHARD_COUNT], clock_at[SHARD_COUNT], reconfigured, announced, joined;
+	uint64_t leader_term[SHARD_COUNT]; /* term in which we last took office */
 	/* publisher's soft state */
 	uint64_t tick;                 /* highest tick declared */
 	uint64_t feed_ok[SHARD_COUNT]; /* round at which each feed last said all */
@@ -267,24 +268,24 @@
 	int fleet_dirty; /* the shell must store r->fleet */
 };
 
-/* Begin. saved[i] may be NULL. Example: reg_open(&r, id, addr, "z1", seeds, 3, fleet, seed, saved, now); */
-void reg_open(struct reg *r, uint64_t id, uint64_t addr, const char *zone, const uint64_t *seeds, int nseeds, uint64_t fleet,
-	      uint64_t seed, const struct raft_saved *const *saved, int64_t now);
-void reg_close(struct reg *r);
+/* Begin. saved[i] may be NULL. Example: controller_open(&r, id, addr, "z1", seeds, 3, fleet, seed, saved, now); */
+void controller_open(struct controller *r, uint64_t id, uint64_t addr, const char *zone, const uint64_t *seeds, int nseeds,
+		     uint64_t fleet, uint64_t seed, const struct raft_saved *const *saved, int64_t now);
+void controller_close(struct controller *r);
 
-/* One step. Example: reg_step(&r, &(struct reg_ev){ .kind = REG_TICK }, now, &o); */
-void reg_step(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o);
+/* One step. Example: controller_step(&r, &(struct controller_ev){ .kind = CONTROLLER_TICK }, now, &o); */
+void controller_step(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o);
 
 /* Found the fleet without a call, as the settings of the first seed say: goes on until all seeds answer that they are
- * empty, or one belongs to a fleet. Example: if (initial) reg_found(&r, now); */
-void reg_found(struct reg *r, int64_t now);
+ * empty, or one belongs to a fleet. Example: if (initial) controller_bootstrap(&r, now); */
+void controller_bootstrap(struct controller *r, int64_t now);
 
 /* The state of a part's machine, packed, as a snapshot holds it; for checks.
- * Example: d = reg_state(&r, part, pool, &n); */
-uint8_t *reg_state(const struct reg *r, uint32_t part, apr_pool_t *p, size_t *n);
+ * Example: d = controller_state(&r, part, pool, &n); */
+uint8_t *controller_state(const struct controller *r, uint32_t part, apr_pool_t *p, size_t *n);
 
-/* After REG_STOP: whether nothing more needs this registrar, so that its process may end before the grace is over.
- * Example: return reg_stopped(&r, now); */
-int reg_stopped(const struct reg *r, int64_t now);
+/* After CONTROLLER_STOP: whether nothing more needs this controller, so that its process may end before the grace is over.
+ * Example: return controller_stopped(&r, now); */
+int controller_stopped(const struct controller *r, int64_t now);
 
 #endif
--- a/lib/control/reg_private.c
+++ b/lib/control/controller_private.c
@@ -1,4 +1,4 @@
-#include "reg_private.h"
+#include "controller_private.h"
 
 const char *error_json(apr_pool_t *p, const char *why, uint64_t edition)
 {
@@ -15,6 +15,6 @@
 
 void refuse_without_leader(uint64_t token, struct out *o)
 {
-	out_answer(o, token, 503, REG_RETRY_MS,
+	out_answer(o, token, 503, CONTROLLER_RETRY_MS,
 		   error_json(o->p, "no leader of the configuration is in reach: nothing was logged", 0));
 }
--- a/lib/control/reg_private.h
+++ b/lib/control/controller_private.h
@@ -1,14 +1,14 @@
-/* What every module of a registrar uses: its log line, a service part's state by its number, the body of a refusal.
- * All modules of lib/control that work on struct reg include this; it calls none of them. */
-#ifndef NL_REG_PRIVATE_H
-#define NL_REG_PRIVATE_H
+/* What every module of a controller uses: its log line, a service part's state by its number, the body of a refusal.
+ * All modules of lib/control that work on struct controller include this; it calls none of them. */
+#ifndef NL_CONTROLLER_PRIVATE_H
+#define NL_CONTROLLER_PRIVATE_H
 
 #include <apr_strings.h>
 
-#include "reg.h"
+#include "controller.h"
 
-/* Write one log line under a prefix. Example: say(r, "purge", o->p, "The publisher begins at %d.", tick); */
-static inline void say(struct reg *r, const char *prefix, apr_pool_t *p, const char *fmt, ...)
+/* Write one log line under a prefix. Example: log_line(r, "purge", o->p, "The publisher begins at %d.", tick); */
+static inline void log_line(struct controller *r, const char *prefix, apr_pool_t *p, const char *fmt, ...)
 {
 	va_list ap;
 
@@ -20,7 +20,7 @@
 }
 
 /* A service part's state; NULL: this part is none. */
-__attribute__((nonnull)) static inline struct reg_svc *svc_of(struct reg *r, uint32_t part)
+__attribute__((nonnull)) static inline struct controller_svc *service_shard(struct controller *r, uint32_t part)
 {
 	return part >= SHARD_SERVICE && part < SHARD_COUNT ? &r->svc[part - SHARD_SERVICE] : NULL;
 }
--- a/lib/control/leadership.h
+++ b/lib/control/leadership.h
@@ -4,16 +4,16 @@
 #ifndef NL_LEADERSHIP_H
 #define NL_LEADERSHIP_H
 
-#include "reg.h"
+#include "controller.h"
 
-/* Licensed, and all that was committed before has been applied here. */
-static inline int in_office(const struct reg *r, uint32_t part, int64_t now)
+/* Leased, and all that was committed before has been applied here. */
+static inline int leads_shard(const struct controller *r, uint32_t part, int64_t now)
 {
-	return raft_has_lease(&r->part[part], now) && r->was_owner[part] == r->part[part].term;
+	return raft_has_lease(&r->part[part], now) && r->leader_term[part] == r->part[part].term;
 }
 
 /* Who owns a part, as far as this member has heard within its promise; an older word would send others to the dead. */
-static inline uint64_t owner_hint(const struct reg *r, uint32_t part, int64_t now)
+static inline uint64_t leader_hint(const struct controller *r, uint32_t part, int64_t now)
 {
 	const struct raft *p = &r->part[part];
 
@@ -21,13 +21,13 @@
 }
 
 /* Whether the configuration's leader was heard so lately that asking it makes sense. */
-static inline int leader_in_reach(const struct reg *r, int64_t now)
+static inline int leader_in_reach(const struct controller *r, int64_t now)
 {
-	return in_office(r, SHARD_CONTROL, now) || follow_age(&r->f, now) <= FOLLOW_SILENT;
+	return leads_shard(r, SHARD_CONTROL, now) || config_watch_age(&r->f, now) <= CONFIG_WATCH_SILENT;
 }
 
 /* Log an operation of this part, stamped with the part's own clock; its index, or 0 when this is not its leader.
- * Example: w.index = log_op(r, SHARD_CONTROL, &op, now, o); */
-uint64_t log_op(struct reg *r, uint32_t part, struct Nl__Op *op, int64_t now, struct out *o);
+ * Example: w.index = log_operation(r, SHARD_CONTROL, &op, now, o); */
+uint64_t log_operation(struct controller *r, uint32_t part, struct Nl__Op *op, int64_t now, struct out *o);
 
 #endif
--- a/lib/control/leadership_change.h
+++ b/lib/control/leadership_change.h
@@ -4,12 +4,12 @@
 #ifndef NL_LEADERSHIP_CHANGE_H
 #define NL_LEADERSHIP_CHANGE_H
 
-#include "reg.h"
+#include "controller.h"
 
 /* Begin to lead a part if the lease is held and this term was not begun yet. */
-void office_begins(struct reg *r, uint32_t i, int64_t now, struct out *o);
+void on_leadership_gained(struct controller *r, uint32_t i, int64_t now, struct out *o);
 
 /* Stop what only a leader does if the part's leadership is lost. */
-void office_ends(struct reg *r, uint32_t i, int64_t now, struct out *o);
+void on_leadership_lost(struct controller *r, uint32_t i, int64_t now, struct out *o);
 
 #endif
--- a/lib/control/membership.c
+++ b/lib/control/membership.c
@@ -6,18 +6,18 @@
 #include "ds.h"
 #include "leadership.h"
 #include "proposals.h"
-#include "reg_private.h"
+#include "controller_private.h"
 
-int64_t live_within(const struct reg *r)
+int64_t live_within(const struct controller *r)
 {
 	int64_t ms = r->b.catch_up_ms / 5;
 
-	return ms < REG_SEEN ? ms : REG_SEEN;
+	return ms < CONTROLLER_SEEN ? ms : CONTROLLER_SEEN;
 }
 
-static int64_t lost_after(const struct reg *r) { return r->b.catch_up_ms * 3 / 5; }
+static int64_t member_lost_after_ms(const struct controller *r) { return r->b.catch_up_ms * 3 / 5; }
 
-void join_tick(struct reg *r, int64_t now, struct out *o)
+void membership_register_tick(struct controller *r, int64_t now, struct out *o)
 {
 	char name[20];
 	const struct Nl__Row *row;
@@ -25,7 +25,7 @@
 	struct Nl__Change c = NL__CHANGE__INIT;
 	struct Nl__Row me = NL__ROW__INIT, *set[1] = { &me };
 
-	if (now - r->joined < 1000 || follow_age(&r->f, now) > 600 || r->stopping)
+	if (now - r->joined < 1000 || config_watch_age(&r->f, now) > 600 || r->stopping)
 		return;
 	apr_snprintf(name, sizeof name, "%016" APR_UINT64_T_HEX_FMT, r->id);
 	row = table_get(&r->f.t, NL__KIND__REGISTRAR, name);
@@ -42,13 +42,13 @@
 	c.n_set = 1;
 	op.op_case = NL__OP__OP_CHANGE;
 	op.change = &c;
-	ask(r, SHARD_CONTROL, &op, 0, now);
+	propose(r, SHARD_CONTROL, &op, 0, now);
 }
 
 /* Leaders change the membership of their groups towards what the bounds ask for. */
-static void reconfigure_groups(struct reg *r, int64_t now)
+static void reconfigure_groups(struct controller *r, int64_t now)
 {
-	struct raft_member live[FOLLOW_SEATS];
+	struct raft_member live[CONFIG_WATCH_SEATS];
 	const struct Nl__Row *row;
 	char name[20];
 	int n = 0;
@@ -65,23 +65,23 @@
 		r->part[i].replicas = r->b.copies < RAFT_MIN_VOTERS        ? RAFT_MIN_VOTERS
 				      : r->b.copies < RAFT_MAX_MEMBERS - 1 ? r->b.copies
 									   : RAFT_MAX_MEMBERS - 1;
-		r->part[i].member_lost_ms = lost_after(r);
+		r->part[i].member_lost_ms = member_lost_after_ms(r);
 		raft_reconfigure(&r->part[i], live, n, now);
 	}
 }
 
-static int heard_lately(const struct reg *r, uint64_t id, int64_t now)
+static int heard_lately(const struct controller *r, uint64_t id, int64_t now)
 {
 	for (ptrdiff_t i = 0; i < arrlen(r->seen); i++)
 		if (r->seen[i].id == id)
-			return now - r->seen[i].at < REG_SEEN;
+			return now - r->seen[i].at < CONTROLLER_SEEN;
 	return 0;
 }
 
-/* Where a silent registrar stood, a new one with an empty disk may stand whose seeds are all as new: it is told whom to ask. */
-static void announce_fleet(struct reg *r, int64_t now, struct out *o)
+/* Where a silent controller stood, a new one with an empty disk may stand whose seeds are all as new: it is told whom to ask. */
+static void announce_fleet(struct controller *r, int64_t now, struct out *o)
 {
-	if (now - r->announced < REG_ANNOUNCE)
+	if (now - r->announced < CONTROLLER_ANNOUNCE)
 		return;
 	r->announced = now;
 	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++) {
@@ -96,8 +96,8 @@
 	}
 }
 
-/* The configuration's owner takes registrars that are long gone out of the table, one at a time. */
-static void forget_registrars(struct reg *r, int64_t now, struct out *o)
+/* The configuration's owner takes controllers that are long gone out of the table, one at a time. */
+static void forget_registrars(struct controller *r, int64_t now, struct out *o)
 {
 	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++) {
 		struct Nl__Row *old = r->ctl.h[i].value.row, *del[1] = { old };
@@ -114,20 +114,20 @@
 		c.n_del = 1;
 		op.op_case = NL__OP__OP_CHANGE;
 		op.change = &c;
-		log_op(r, SHARD_CONTROL, &op, now, o);
+		log_operation(r, SHARD_CONTROL, &op, now, o);
 		return;
 	}
 }
 
-void membership_tick(struct reg *r, int64_t now, struct out *o)
+void membership_tick(struct controller *r, int64_t now, struct out *o)
 {
-	if (now - r->reconfigured < REG_RECONFIGURE || follow_age(&r->f, now) > FOLLOW_CONFIG)
+	if (now - r->reconfigured < CONTROLLER_RECONFIGURE || config_watch_age(&r->f, now) > CONFIG_WATCH_CONFIG)
 		return;
 	r->reconfigured = now;
 	reconfigure_groups(r, now);
-	if (!in_office(r, SHARD_CONTROL, now))
+	if (!leads_shard(r, SHARD_CONTROL, now))
 		return;
 	announce_fleet(r, now, o);
-	if (now - r->owner_since[SHARD_CONTROL] >= REG_FORGET)
+	if (now - r->leader_since[SHARD_CONTROL] >= CONTROLLER_FORGET)
 		forget_registrars(r, now, o);
 }
--- a/lib/control/operator_api.c
+++ b/lib/control/operator_api.c
@@ -6,7 +6,7 @@
 #include "ds.h"
 #include "leadership.h"
 #include "proposals.h"
-#include "reg_private.h"
+#include "controller_private.h"
 
 static const char *table_json(const struct table *t, apr_pool_t *p)
 {
@@ -24,7 +24,7 @@
 }
 
 /* NOLINTNEXTLINE(readability-function-size): a flat list of members */
-static const char *state_json(struct reg *r, int64_t now, apr_pool_t *p)
+static const char *state_json(struct controller *r, int64_t now, apr_pool_t *p)
 {
 	static const char *const roles[] = { "standby", "asking", "contender", "owner" };
 	struct json_object *j = json_object_new_object(), *a = json_object_new_array();
@@ -35,7 +35,7 @@
 	json_object_object_add(j, "addr", json_object_new_string(core_addr_str(p, r->addr)));
 	json_object_object_add(j, "fleet", json_object_new_string(apr_psprintf(p, "%016" APR_UINT64_T_HEX_FMT, r->fleet)));
 	json_object_object_add(j, "edition", json_object_new_int64((int64_t)r->f.t.edition));
-	json_object_object_add(j, "age_ms", json_object_new_int64(follow_age(&r->f, now)));
+	json_object_object_add(j, "age_ms", json_object_new_int64(config_watch_age(&r->f, now)));
 	json_object_object_add(j, "horizon", json_object_new_int64((int64_t)r->relay.k.horizon));
 	json_object_object_add(j, "publisher", json_object_new_boolean(r->relay.publisher));
 	for (int i = 0; i < SHARD_COUNT; i++) {
@@ -58,7 +58,7 @@
 	}
 	json_object_object_add(j, "parts", a);
 	a = json_object_new_array();
-	for (ptrdiff_t i = 0; i < arrlen(r->seen) && in_office(r, SHARD_CONTROL, now); i++) {
+	for (ptrdiff_t i = 0; i < arrlen(r->seen) && leads_shard(r, SHARD_CONTROL, now); i++) {
 		struct json_object *x = json_object_new_object();
 
 		json_object_object_add(x, "addr", json_object_new_string(core_addr_str(p, r->seen[i].addr)));
@@ -73,7 +73,7 @@
 	for (ptrdiff_t i = 0; i < arrlen(r->server); i++) {
 		struct json_object *x = json_object_new_object();
 
-		if (!in_office(r, core_part_of(r->server[i].service, SHARD_SERVICES), now)) {
+		if (!leads_shard(r, core_part_of(r->server[i].service, SHARD_SERVICES), now)) {
 			json_object_put(x);
 			continue;
 		}
@@ -85,55 +85,56 @@
 		json_object_array_add(a, x);
 	}
 	json_object_object_add(j, "servers", a);
-	if (r->b.sights)
+	if (r->b.instances)
 		json_object_object_add(
-		    j, "sights", sights_json(in_office(r, SHARD_CONTROL, now) && r->sights.listed ? &r->sights : &r->f.sights));
+		    j, "sights",
+		    instances_json(leads_shard(r, SHARD_CONTROL, now) && r->instances.listed ? &r->instances : &r->f.instances));
 	s = apr_pstrdup(p, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN));
 	json_object_put(j);
 	return s;
 }
 
-void read_state(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
+void read_state(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o)
 {
 	out_answer(o, ev->u.web.token, 200, 0, state_json(r, now, o->p));
 }
 
 /* ---- reads on the leader's word -------------------------------------------------------------- */
 
-static void read_begins(struct reg *r, uint64_t web, Nl__ReadKind kind, int64_t now)
+static void read_begins(struct controller *r, uint64_t web, Nl__ReadKind kind, int64_t now)
 {
-	struct reg_read read = { web, ++r->token, kind, now, now };
+	struct controller_read read = { web, ++r->token, kind, now, now };
 
 	arrput(r->reads, read);
 }
 
-void read_table(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
+void read_table(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o)
 {
 	read_begins(r, ev->u.web.token, NL__READ_KIND__READ_TABLE, now);
-	follow_ask(&r->f, r->relay.k.horizon, now, o);
+	config_watch_ask(&r->f, r->relay.k.horizon, now, o);
 }
 
-void read_retention(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
+void read_retention(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o)
 {
 	(void)o;
 	read_begins(r, ev->u.web.token, NL__READ_KIND__READ_RETENTION, now);
 }
 
-void read_retention_report(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
+void read_retention_report(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o)
 {
 	(void)o;
 	read_begins(r, ev->u.web.token, NL__READ_KIND__READ_RETENTION_REPORT, now);
 }
 
-void on_read_asked(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
+void on_read_asked(struct controller *r, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	struct Nl__ReadReply *reply;
 	struct Nl__Owner *hint;
 	const char *body;
 
-	if (!in_office(r, SHARD_CONTROL, now)) {
+	if (!leads_shard(r, SHARD_CONTROL, now)) {
 		hint = OUT_NEW(o, Nl__Owner, NL__OWNER__INIT);
-		hint->owner = owner_hint(r, SHARD_CONTROL, now);
+		hint->owner = leader_hint(r, SHARD_CONTROL, now);
 		out_msg(o, m->addr, SHARD_CONTROL, NL__MSG__BODY_OWNER)->owner = hint;
 		return;
 	}
@@ -150,43 +151,43 @@
 	out_msg(o, m->addr, SHARD_CONTROL, NL__MSG__BODY_READ_REPLY)->read_reply = reply;
 }
 
-void on_read_reply(struct reg *r, const struct Nl__ReadReply *reply, int64_t now, struct out *o)
+void on_read_reply(struct controller *r, const struct Nl__ReadReply *reply, int64_t now, struct out *o)
 {
 	for (ptrdiff_t i = 0; i < arrlen(r->reads); i++) {
-		const struct reg_read *read = &r->reads[i];
+		const struct controller_read *read = &r->reads[i];
 
-		if (read->token != reply->token || now >= read->asked + REG_CALL)
+		if (read->token != reply->token || now >= read->asked + CONTROLLER_CALL)
 			continue;
 		out_answer_until(o, read->web, 200, apr_pstrmemdup(o->p, (const char *)reply->body.data, reply->body.len),
-				 read->asked + REG_CALL);
+				 read->asked + CONTROLLER_CALL);
 		arrdel(r->reads, i);
 		return;
 	}
 }
 
 /* Ask whoever leads, as far as is known. */
-static void read_ask(struct reg *r, struct reg_read *read, int64_t now, struct out *o)
+static void read_ask(struct controller *r, struct controller_read *read, int64_t now, struct out *o)
 {
 	struct Nl__Read *ask;
 
 	if (read->kind == NL__READ_KIND__READ_TABLE || now < read->again) /* the table comes with the following */
 		return;
-	read->again = now + REG_AGAIN / 4;
+	read->again = now + CONTROLLER_AGAIN / 4;
 	ask = OUT_NEW(o, Nl__Read, NL__READ__INIT);
 	ask->token = read->token;
 	ask->kind = read->kind;
-	out_msg(o, follow_seat(&r->f, SHARD_CONTROL), SHARD_CONTROL, NL__MSG__BODY_READ)->read = ask;
+	out_msg(o, config_watch_leader_addr(&r->f, SHARD_CONTROL), SHARD_CONTROL, NL__MSG__BODY_READ)->read = ask;
 }
 
-void reads_tick(struct reg *r, int64_t now, struct out *o)
+void table_reads_tick(struct controller *r, int64_t now, struct out *o)
 {
 	for (ptrdiff_t i = arrlen(r->reads) - 1; i >= 0; i--) {
-		struct reg_read *read = &r->reads[i];
+		struct controller_read *read = &r->reads[i];
 		int fresh = read->kind == NL__READ_KIND__READ_TABLE && r->f.fresh >= read->asked;
 
 		if (fresh) {
-			out_answer_until(o, read->web, 200, table_json(&r->f.t, o->p), read->asked + REG_CALL);
-		} else if (leader_in_reach(r, now) && now < read->asked + REG_CALL) {
+			out_answer_until(o, read->web, 200, table_json(&r->f.t, o->p), read->asked + CONTROLLER_CALL);
+		} else if (leader_in_reach(r, now) && now < read->asked + CONTROLLER_CALL) {
 			read_ask(r, read, now, o);
 			continue;
 		} else {
@@ -199,7 +200,7 @@
 /* ---- orders that are passed on to the leader --------------------------------------------------- */
 
 /* Who sent an order and what it is, so that it is known when it is sent again. 0: its key is none, and it is answered so. */
-static int order_of(const struct reg_ev *ev, int versioned, uint64_t version, struct order_id *id, struct out *o)
+static int order_of(const struct controller_ev *ev, int versioned, uint64_t version, struct order_id *id, struct out *o)
 {
 	if (ev->u.web.key && !order_key_valid(ev->u.web.key)) {
 		out_answer(o, ev->u.web.token, 400, 0, error_json(o->p, ORDER_KEY_INVALID, 0));
@@ -209,7 +210,7 @@
 	return 1;
 }
 
-void change_table(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
+void change_table(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o)
 {
 	struct Nl__OrderId order = NL__ORDER_ID__INIT;
 	struct Nl__Op op = NL__OP__INIT;
@@ -225,10 +226,10 @@
 	if (!order_of(ev, !op.change->any, op.change->expect, &id, o))
 		return;
 	op.order = order_pack(&id, &order);
-	ask(r, SHARD_CONTROL, &op, ev->u.web.token, now);
+	propose(r, SHARD_CONTROL, &op, ev->u.web.token, now);
 }
 
-void clear_context(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
+void clear_context(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o)
 {
 	struct json_object *j = json_tokener_parse(ev->u.web.body);
 	struct Nl__OrderId order = NL__ORDER_ID__INIT;
@@ -245,7 +246,7 @@
 		out_answer(o, ev->u.web.token, 400, 0, error_json(o->p, "by: up to 100 characters without commas and quotes", 0));
 	} else if (order_of(ev, 0, 0, &id, o)) {
 		op.order = order_pack(&id, &order);
-		ask(r, SHARD_CONTROL, &op, ev->u.web.token, now);
+		propose(r, SHARD_CONTROL, &op, ev->u.web.token, now);
 	}
 	json_object_put(j);
 }
--- a/lib/control/operator_api.h
+++ b/lib/control/operator_api.h
@@ -4,25 +4,25 @@
 #ifndef NL_OPERATOR_API_H
 #define NL_OPERATOR_API_H
 
-#include "reg.h"
+#include "controller.h"
 
 /* What this node knows, for whoever looks at this node. */
-void read_state(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o);
+void read_state(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o);
 
 /* Reads that wait for the leader's word. */
-void read_table(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o);
-void read_retention(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o);
-void read_retention_report(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o);
+void read_table(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o);
+void read_retention(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o);
+void read_retention_report(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o);
 
 /* Another node passes a read on; the leader's answer to one of ours. */
-void on_read_asked(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o);
-void on_read_reply(struct reg *r, const struct Nl__ReadReply *reply, int64_t now, struct out *o);
+void on_read_asked(struct controller *r, const struct Nl__Msg *m, int64_t now, struct out *o);
+void on_read_reply(struct controller *r, const struct Nl__ReadReply *reply, int64_t now, struct out *o);
 
 /* Answer reads that have what they waited for, and those that wait for nobody. */
-void reads_tick(struct reg *r, int64_t now, struct out *o);
+void table_reads_tick(struct controller *r, int64_t now, struct out *o);
 
 /* Orders that are proposed to the leader. */
-void change_table(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o);
-void clear_context(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o);
+void change_table(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o);
+void clear_context(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o);
 
 #endif
--- a/lib/control/operator_documents.c
+++ b/lib/control/operator_documents.c
@@ -6,20 +6,21 @@
 
 #include "ds.h"
 #include "leadership.h"
-#include "reg_private.h"
+#include "controller_private.h"
 #include "state_machine.h"
 
 /* Log a change and answer when it is committed. */
-static void call_log(struct reg *r, uint64_t token, struct Nl__Change *c, const struct order_id *id, int64_t now, struct out *o)
+static void log_and_answer(struct controller *r, uint64_t token, struct Nl__Change *c, const struct order_id *id, int64_t now,
+			   struct out *o)
 {
-	struct reg_call w = { token, 0, *id, now + REG_CALL };
+	struct controller_call w = { token, 0, *id, now + CONTROLLER_CALL };
 	struct Nl__OrderId order = NL__ORDER_ID__INIT;
 	struct Nl__Op op = NL__OP__INIT;
 
 	op.op_case = NL__OP__OP_CHANGE;
 	op.change = c;
 	op.order = order_pack(id, &order);
-	w.index = log_op(r, SHARD_CONTROL, &op, now, o);
+	w.index = log_operation(r, SHARD_CONTROL, &op, now, o);
 	if (w.index)
 		arrput(r->call, w);
 	else
@@ -27,7 +28,7 @@
 }
 
 /* An order that was accepted is acknowledged again; one that is being logged is waited for. 1: it was such a one. */
-static int answer_repeated(struct reg *r, uint64_t token, const struct order_id *id, int64_t now, struct out *o)
+static int answer_repeated(struct controller *r, uint64_t token, const struct order_id *id, int64_t now, struct out *o)
 {
 	const struct order_record *accepted = orders_find(&r->orders, id);
 
@@ -40,7 +41,7 @@
 	}
 	for (ptrdiff_t i = 0; i < arrlen(r->call); i++)
 		if (order_same(&r->call[i].order, id)) {
-			struct reg_call w = { token, r->call[i].index, *id, now + REG_CALL };
+			struct controller_call w = { token, r->call[i].index, *id, now + CONTROLLER_CALL };
 
 			arrput(r->call, w);
 			return 1;
@@ -49,15 +50,15 @@
 }
 
 /* A document that builds on another version is late, unless it may be an order that was accepted and is forgotten. */
-static void answer_overtaken(struct reg *r, uint64_t token, uint64_t base, struct out *o)
+static void answer_overtaken(struct controller *r, uint64_t token, uint64_t base, struct out *o)
 {
 	if (orders_may_have_forgotten(&r->orders, ORDER_DOCUMENTS, base))
-		out_answer(o, token, 504, REG_CALL, error_json(o->p, ORDER_FORGOTTEN, 0));
+		out_answer(o, token, 504, CONTROLLER_CALL, error_json(o->p, ORDER_FORGOTTEN, 0));
 	else
 		out_answer(o, token, 412, 0, error_json(o->p, "another version is current", 0));
 }
 
-void put_document(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
+void put_document(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o)
 {
 	uint64_t token = ev->u.doc.token, base = ev->u.doc.base;
 	int patch = ev->u.doc.patch;
@@ -78,9 +79,9 @@
 		answer_overtaken(r, token, base, o);
 		return;
 	}
-	if (!r->tongue)
+	if (!r->codec)
 		why = "document: none is taken here";
-	else if (r->tongue->read((const char *)r->ctl_doc, r->ctl_doc_len, body, len, patch, &c, &why, o->p))
+	else if (r->codec->read((const char *)r->ctl_doc, r->ctl_doc_len, body, len, patch, &c, &why, o->p))
 		why = why ? why : "document: cannot be read";
 	else if (c.doc_version <= r->ctl_doc_version)
 		why = "version: not above the current one";
@@ -92,10 +93,10 @@
 	if (why)
 		out_answer(o, token, 400, 0, error_json(o->p, why, 0));
 	else
-		call_log(r, token, &c, &id, now, o);
+		log_and_answer(r, token, &c, &id, now, o);
 }
 
-void read_document(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
+void read_document(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o)
 {
 	uint64_t token = ev->u.read.token;
 	struct cmd *c;
@@ -112,7 +113,7 @@
 	c->u.answer.len = r->ctl_doc_len;
 }
 
-void name_weights(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
+void name_weights(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o)
 {
 	uint64_t token = ev->u.name.token;
 	const char *model = ev->u.name.model, *weights = ev->u.name.weights;
@@ -141,14 +142,15 @@
 	if (strtoull(weights, NULL, 10) <= (old ? strtoull(old->weights, NULL, 10) : 1))
 		out_answer(o, token, 200, 0, "{}"); /* committed, and perhaps overtaken, before */
 	else
-		call_log(r, token, &c, &none, now, o);
+		log_and_answer(r, token, &c, &none, now, o);
 }
 
-void calls_tick(struct reg *r, int64_t now, struct out *o)
+void calls_tick(struct controller *r, int64_t now, struct out *o)
 {
 	for (ptrdiff_t i = arrlen(r->call) - 1; i >= 0; i--)
 		if (now >= r->call[i].until) {
-			out_answer(o, r->call[i].token, 504, REG_RETRY_MS, error_json(o->p, "outcome unknown: send it again", 0));
+			out_answer(o, r->call[i].token, 504, CONTROLLER_RETRY_MS,
+				   error_json(o->p, "outcome unknown: send it again", 0));
 			arrdel(r->call, i);
 		}
 }
--- a/lib/control/operator_documents.h
+++ b/lib/control/operator_documents.h
@@ -4,18 +4,18 @@
 #ifndef NL_OPERATOR_DOCUMENTS_H
 #define NL_OPERATOR_DOCUMENTS_H
 
-#include "reg.h"
+#include "controller.h"
 
 /* A document, whole or a patch on the version base. */
-void put_document(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o);
+void put_document(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o);
 
 /* The newest document is wanted back. */
-void read_document(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o);
+void read_document(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o);
 
 /* Weights are named for a model. */
-void name_weights(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o);
+void name_weights(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o);
 
 /* Calls whose outcome has been open for too long are told so. */
-void calls_tick(struct reg *r, int64_t now, struct out *o);
+void calls_tick(struct controller *r, int64_t now, struct out *o);
 
 #endif
--- a/lib/control/operator_paths.h
+++ b/lib/control/operator_paths.h
@@ -5,7 +5,7 @@
 #ifndef NL_OPERATOR_PATHS_H
 #define NL_OPERATOR_PATHS_H
 
-#include "reg.h"
+#include "controller.h"
 
 /* What an answer rests on. */
 enum path_needs {
@@ -15,7 +15,7 @@
 	PATH_NEEDS_LEADER_IN_REACH /* on the leader's word, which this node asks for */
 };
 
-/* An operator's call: an event of kind REG_WEB, REG_DOC, REG_READ or REG_NAME. */
-void on_operator_call(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o);
+/* An operator's call: an event of kind CONTROLLER_WEB, CONTROLLER_DOC, CONTROLLER_READ or CONTROLLER_NAME. */
+void on_operator_call(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o);
 
 #endif
--- a/lib/control/orders.h
+++ b/lib/control/orders.h
@@ -1,6 +1,6 @@
 /* orders: the replicated record of operators' orders that took effect.
  *
- * An operator whose answer was lost sends the same order again, to any registrar. The record tells a repeated order from a
+ * An operator whose answer was lost sends the same order again, to any controller. The record tells a repeated order from a
  * new one: it holds an identity, a digest of the content and the outcome of each order that was accepted lately. It is part
  * of the control shard's state: it changes only as log entries are applied, and is saved in snapshots, so every replica
  * decides alike, whoever leads. It is bounded; how far back it reaches is known, so an order from before that is answered
--- a/lib/control/proposals.c
+++ b/lib/control/proposals.c
@@ -6,10 +6,10 @@
 
 #include "ds.h"
 #include "leadership.h"
-#include "reg_private.h"
+#include "controller_private.h"
 #include "state_machine.h"
 
-void send_answer(uint64_t addr, uint64_t token, uint32_t st, uint64_t version, const char *why, uint64_t hint, struct out *o)
+void reply_to_proposal(uint64_t addr, uint64_t token, uint32_t st, uint64_t version, const char *why, uint64_t hint, struct out *o)
 {
 	struct Nl__Answer *a = OUT_NEW(o, Nl__Answer, NL__ANSWER__INIT);
 
@@ -22,7 +22,7 @@
 }
 
 /* Operators' calls that wait for this entry. */
-static void answer_calls(struct reg *r, uint64_t index, uint32_t st, struct out *o)
+static void answer_operator_calls(struct controller *r, uint64_t index, uint32_t st, struct out *o)
 {
 	for (ptrdiff_t i = arrlen(r->call) - 1; i >= 0; i--) {
 		if (r->call[i].index != index)
@@ -50,21 +50,21 @@
 	}
 }
 
-void answer_wait(struct reg *r, uint32_t part, uint64_t index, struct applied applied, struct out *o)
+void answer_proposers(struct controller *r, uint32_t part, uint64_t index, struct applied applied, struct out *o)
 {
 	if (part == SHARD_CONTROL)
-		answer_calls(r, index, applied.status, o);
+		answer_operator_calls(r, index, applied.status, o);
 	for (ptrdiff_t i = 0; i < arrlen(r->wait); i++)
 		if (r->wait[i].part == part && r->wait[i].index == index) {
-			send_answer(r->wait[i].addr, r->wait[i].token, applied.status, applied.version,
-				    outcome_text(applied.status), 0, o);
+			reply_to_proposal(r->wait[i].addr, r->wait[i].token, applied.status, applied.version,
+					  outcome_text(applied.status), 0, o);
 			arrdel(r->wait, i);
 			return;
 		}
 }
 
 /* An operator wants a scope cleared now; the time is the owner's, since nothing is planned by it. */
-static const char *clear_check(const struct reg *r, struct Nl__Clear *c, int64_t now, apr_pool_t *p)
+static const char *check_purge_request(const struct controller *r, struct Nl__Clear *c, int64_t now, apr_pool_t *p)
 {
 	int64_t wall = retention_wall(r, now);
 	char lane[200], tenant[200];
@@ -80,43 +80,43 @@
 }
 
 /* A change that builds on an older edition is late, unless it may be an order that was accepted and is forgotten. */
-static uint32_t change_overtaken(const struct reg *r, const struct Nl__Change *c)
+static uint32_t change_overtaken(const struct controller *r, const struct Nl__Change *c)
 {
 	return orders_may_have_forgotten(&r->orders, ORDER_CHANGES, c->expect) ? TABLE_FORGOTTEN : TABLE_OVERTAKEN;
 }
 
-void on_propose(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
+void on_proposal(struct controller *r, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	const struct Nl__Propose *q = m->propose;
-	struct reg_wait w = { m->part, 0, m->addr, q->token };
+	struct controller_wait w = { m->part, 0, m->addr, q->token };
 	const char *why = NULL;
-	const struct reg_done *done;
+	const struct controller_done *done;
 	const struct order_record *accepted;
 	struct order_id id = order_unpack(q->op ? q->op->order : NULL);
 	int fits;
 
 	if (m->part >= SHARD_COUNT || !q->op)
 		return;
-	fits = m->part == SHARD_CONTROL ? q->op->op_case == NL__OP__OP_CHANGE || (q->op->op_case == NL__OP__OP_CLEAR &&
-										  q->op->clear->step == NL__CLEAR_STEP__CLEAR_NOW)
-	       : svc_of(r, m->part)     ? q->op->op_case == NL__OP__OP_CLAIM
-					: 0;
-	if (!in_office(r, m->part, now)) {
-		send_answer(m->addr, q->token, TABLE_NOT_OWNER, 0, "", owner_hint(r, m->part, now), o);
+	fits = m->part == SHARD_CONTROL    ? q->op->op_case == NL__OP__OP_CHANGE || (q->op->op_case == NL__OP__OP_CLEAR &&
+                                                                                  q->op->clear->step == NL__CLEAR_STEP__CLEAR_NOW)
+	       : service_shard(r, m->part) ? q->op->op_case == NL__OP__OP_CLAIM
+					   : 0;
+	if (!leads_shard(r, m->part, now)) {
+		reply_to_proposal(m->addr, q->token, TABLE_NOT_OWNER, 0, "", leader_hint(r, m->part, now), o);
 		return;
 	}
 	if (!fits)
 		why = "op: not one that this part takes";
 	else if ((accepted = orders_find(&r->orders, &id))) {
-		send_answer(m->addr, q->token, order_outcome(accepted, &id), accepted->version, ORDER_KEY_REUSED, 0, o);
+		reply_to_proposal(m->addr, q->token, order_outcome(accepted, &id), accepted->version, ORDER_KEY_REUSED, 0, o);
 		return;
-	} else if (m->part == SHARD_CONTROL && (done = done_of(r, q->op->from, q->op->token))) {
-		send_answer(m->addr, q->token, done->status, r->ctl.edition, "edition overtaken", 0, o);
+	} else if (m->part == SHARD_CONTROL && (done = find_done_operation(r, q->op->from, q->op->token))) {
+		reply_to_proposal(m->addr, q->token, done->status, r->ctl.edition, "edition overtaken", 0, o);
 		return;
 	} else if (m->part == SHARD_CONTROL && q->op->op_case == NL__OP__OP_CLEAR) {
-		why = clear_check(r, q->op->clear, now, o->p);
+		why = check_purge_request(r, q->op->clear, now, o->p);
 	} else if (m->part == SHARD_CONTROL && r->ctl.edition && !q->op->change->any && q->op->change->expect < r->ctl.plan) {
-		send_answer(m->addr, q->token, change_overtaken(r, q->op->change), r->ctl.edition, "edition overtaken", 0, o);
+		reply_to_proposal(m->addr, q->token, change_overtaken(r, q->op->change), r->ctl.edition, "edition overtaken", 0, o);
 		return;
 	} else if (m->part == SHARD_CONTROL) {
 		why = table_check(&r->ctl, q->op->change, o->p);
@@ -124,18 +124,18 @@
 			why = retention_check(r->calendar, q->op->change, retention_wall(r, now), o->p);
 	}
 	if (why) {
-		send_answer(m->addr, q->token, TABLE_REFUSED, r->ctl.edition, why, 0, o);
+		reply_to_proposal(m->addr, q->token, TABLE_REFUSED, r->ctl.edition, why, 0, o);
 		return;
 	}
-	w.index = log_op(r, m->part, q->op, now, o);
+	w.index = log_operation(r, m->part, q->op, now, o);
 	if (w.index)
 		arrput(r->wait, w);
 }
 
 /* A proposal of this node's own, or of an operator calling here. */
-void ask(struct reg *r, uint32_t part, const struct Nl__Op *op, uint64_t web, int64_t now)
+void propose(struct controller *r, uint32_t part, const struct Nl__Op *op, uint64_t web, int64_t now)
 {
-	struct reg_ask a = { ++r->token, web, part, NULL, now + REG_CALL, 0, 0, 0, 0 };
+	struct controller_ask a = { ++r->token, web, part, NULL, now + CONTROLLER_CALL, 0, 0, 0, 0 };
 	size_t n = nl__op__get_packed_size(op);
 	uint8_t *d = malloc(n + 1);
 
@@ -151,7 +151,7 @@
 	arrput(r->ask, a);
 }
 
-static void ask_end(struct reg *r, ptrdiff_t i)
+static void end_proposal(struct controller *r, ptrdiff_t i)
 {
 	nl__op__free_unpacked(r->ask[i].op, NULL);
 	arrdel(r->ask, i);
@@ -159,38 +159,38 @@
 
 /* Whether a proposal is over without an outcome. What surely was not logged is answered as soon as no leader is in reach;
  * what may have been waits for its outcome, up to its time. */
-static int ask_given_up(const struct reg *r, const struct reg_ask *a, int64_t now, struct out *o)
+static int ask_given_up(const struct controller *r, const struct controller_ask *a, int64_t now, struct out *o)
 {
 	int open = a->sends > a->denied;
 
 	if (now < a->until && (open || !a->web || leader_in_reach(r, now)))
 		return 0;
 	if (a->web && open)
-		out_answer(o, a->web, 504, REG_RETRY_MS,
+		out_answer(o, a->web, 504, CONTROLLER_RETRY_MS,
 			   error_json(o->p, "outcome unknown: read the table before trying again", 0));
 	else if (a->web)
 		refuse_without_leader(a->web, o);
 	return 1;
 }
 
-void asks_tick(struct reg *r, int64_t now, struct out *o)
+void proposals_tick(struct controller *r, int64_t now, struct out *o)
 {
 	for (ptrdiff_t i = arrlen(r->ask) - 1; i >= 0; i--) {
-		struct reg_ask *a = &r->ask[i];
+		struct controller_ask *a = &r->ask[i];
 		struct Nl__Propose *q;
 
 		if (ask_given_up(r, a, now, o)) {
-			ask_end(r, i);
+			end_proposal(r, i);
 			continue;
 		}
 		if (now < a->again || !leader_in_reach(r, now))
 			continue;
-		a->again = now + REG_AGAIN;
+		a->again = now + CONTROLLER_AGAIN;
 		a->sends++;
 		q = OUT_NEW(o, Nl__Propose, NL__PROPOSE__INIT);
 		q->token = a->token;
 		q->op = (struct Nl__Op *)core_dup(o->p, &a->op->base);
-		out_msg(o, follow_seat(&r->f, a->part), a->part, NL__MSG__BODY_PROPOSE)->propose = q;
+		out_msg(o, config_watch_leader_addr(&r->f, a->part), a->part, NL__MSG__BODY_PROPOSE)->propose = q;
 	}
 }
 
@@ -207,7 +207,7 @@
 
 /* A copy was refused as the table stood. While another may still be on its way, it may be accepted as the table stands
  * then: nothing is said before that one is answered too, and no more are sent. */
-static int another_copy_is_open(struct reg_ask *a)
+static int another_copy_is_open(struct controller_ask *a)
 {
 	a->refused++;
 	if (a->refused >= a->sends - a->denied)
@@ -216,10 +216,10 @@
 	return 1;
 }
 
-void on_answer(struct reg *r, const struct Nl__Answer *a, int64_t now, struct out *o)
+void on_proposal_reply(struct controller *r, const struct Nl__Answer *a, int64_t now, struct out *o)
 {
 	for (ptrdiff_t i = 0; i < arrlen(r->ask); i++) {
-		struct reg_ask *q = &r->ask[i];
+		struct controller_ask *q = &r->ask[i];
 		const char *body;
 
 		if (q->token != a->token)
@@ -227,7 +227,7 @@
 		if (a->status == TABLE_NOT_OWNER) { /* surely not logged there */
 			q->denied++;
 			q->again = now + 50; /* the one named, soon */
-			follow_hint(&r->f, q->part, a->hint);
+			config_watch_hint(&r->f, q->part, a->hint);
 			return;
 		}
 		if (a->status == TABLE_REFUSED && another_copy_is_open(q))
@@ -246,10 +246,10 @@
 			if (status < 500)
 				out_answer_until(o, q->web, status, body, q->until);
 			else
-				out_answer(o, q->web, status, REG_RETRY_MS, body);
+				out_answer(o, q->web, status, CONTROLLER_RETRY_MS, body);
 		}
-		ask_end(r, i);
-		follow_ask(&r->f, r->relay.k.horizon, now, o);
+		end_proposal(r, i);
+		config_watch_ask(&r->f, r->relay.k.horizon, now, o);
 		return;
 	}
 }
--- a/lib/control/purge_publisher.c
+++ b/lib/control/purge_publisher.c
@@ -4,9 +4,9 @@
 
 #include "ds.h"
 #include "leadership.h"
-#include "reg_private.h"
+#include "controller_private.h"
 
-static struct Nl__Value **values_dup(struct Nl__Value *const *v, size_t n, apr_pool_t *p)
+static struct Nl__Value **copy_values(struct Nl__Value *const *v, size_t n, apr_pool_t *p)
 {
 	struct Nl__Value **c = apr_palloc(p, (n + 1) * sizeof *c);
 
@@ -15,12 +15,12 @@
 	return c;
 }
 
-static struct Nl__Value **feed_of(struct reg *r, uint32_t part)
+static struct Nl__Value **find_feed(struct controller *r, uint32_t part)
 {
-	return part == SHARD_CONTROL ? r->ctl_feed : svc_of(r, part) ? svc_of(r, part)->feed : NULL;
+	return part == SHARD_CONTROL ? r->ctl_feed : service_shard(r, part) ? service_shard(r, part)->feed : NULL;
 }
 
-void on_feed_ask(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
+void on_feed_request(struct controller *r, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	struct Nl__FeedReply *a;
 	struct Nl__Value **v;
@@ -28,21 +28,21 @@
 
 	if (m->part >= SHARD_COUNT || m->part == SHARD_PURGE)
 		return;
-	if (!in_office(r, m->part, now)) {
+	if (!leads_shard(r, m->part, now)) {
 		struct Nl__Owner *w = OUT_NEW(o, Nl__Owner, NL__OWNER__INIT);
 
-		w->owner = owner_hint(r, m->part, now);
+		w->owner = leader_hint(r, m->part, now);
 		out_msg(o, m->addr, m->part, NL__MSG__BODY_OWNER)->owner = w;
 		return;
 	}
 	a = OUT_NEW(o, Nl__FeedReply, NL__FEED_REPLY__INIT);
 	a->round = m->feed_ask->round;
-	v = feed_of(r, m->part);
+	v = find_feed(r, m->part);
 	while (n < (size_t)arrlen(v) && v[n]->index <= m->feed_ask->have)
 		n++;
 	old = n;
 	a->n_v = (size_t)arrlen(v) - n;
-	a->v = values_dup(v ? v + n : NULL, a->n_v, o->p);
+	a->v = copy_values(v ? v + n : NULL, a->n_v, o->p);
 	out_msg(o, m->addr, m->part, NL__MSG__BODY_FEED_REPLY)->feed_reply = a;
 	if (old > 64) {
 		struct Nl__Op op = NL__OP__INIT;
@@ -51,18 +51,18 @@
 		t.feed = m->feed_ask->have;
 		op.op_case = NL__OP__OP_TRIM;
 		op.trim = &t;
-		log_op(r, m->part, &op, now, o);
+		log_operation(r, m->part, &op, now, o);
 	}
 }
 
-void on_feed_reply(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o)
+void on_feed_reply(struct controller *r, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	const struct Nl__FeedReply *a = m->feed_reply;
 	int asked = 0;
 
-	if (!r->relay.publisher || m->part >= SHARD_COUNT || !in_office(r, SHARD_PURGE, now))
+	if (!r->relay.publisher || m->part >= SHARD_COUNT || !leads_shard(r, SHARD_PURGE, now))
 		return;
-	follow_hint(&r->f, m->part, m->addr);
+	config_watch_hint(&r->f, m->part, m->addr);
 	/* one batch at a time; what does not fit, the feed will say again */
 	for (size_t i = 0; i < a->n_v && (asked || r->pending_tick <= r->tick); i++) {
 		struct Nl__Op op = NL__OP__INIT;
@@ -70,13 +70,13 @@
 
 		if (!a->v[i]->purge || a->v[i]->index <= r->pub.mark[m->part])
 			continue;
-		if (next > r->pub.ceiling || asked == REG_BATCH)
+		if (next > r->pub.ceiling || asked == CONTROLLER_BATCH)
 			break;
 		a->v[i]->feed = m->part;
 		a->v[i]->tick = next;
 		op.op_case = NL__OP__OP_VALUE;
 		op.value = a->v[i];
-		if (!log_op(r, SHARD_PURGE, &op, now, o))
+		if (!log_operation(r, SHARD_PURGE, &op, now, o))
 			break;
 		r->pending_tick = next;
 		asked++;
@@ -87,7 +87,7 @@
 		r->feed_ok[m->part] = a->round;
 }
 
-static void reserve(struct reg *r, int64_t now, struct out *o)
+static void reserve_ticks(struct controller *r, int64_t now, struct out *o)
 {
 	struct Nl__Op op = NL__OP__INIT;
 	struct Nl__Reserve c = NL__RESERVE__INIT;
@@ -96,11 +96,11 @@
 	c.released = r->relay.k.released;
 	op.op_case = NL__OP__OP_RESERVE;
 	op.reserve = &c;
-	if (log_op(r, SHARD_PURGE, &op, now, o))
+	if (log_operation(r, SHARD_PURGE, &op, now, o))
 		r->reserved_for = r->pub.ceiling;
 }
 
-void publisher_begins(struct reg *r, int64_t now, struct out *o)
+void publisher_start(struct controller *r, int64_t now, struct out *o)
 {
 	struct relay *y = &r->relay;
 
@@ -115,7 +115,7 @@
 		relay_publish(y, y->k.horizon + 1, r->pub.v[i]->tick, r->pub.v[i], now, o);
 	r->tick = r->pub.ceiling;
 	if (raft_epoch(r->part[SHARD_PURGE].term) > r->epoch[SHARD_PURGE]) /* the ceiling rises with the first operation */
-		r->tick += REG_RECOVERY_SKIP;
+		r->tick += CONTROLLER_RECOVERY_SKIP;
 	relay_publish(y, y->k.horizon + 1, r->tick, NULL, now, o);
 	r->pending_tick = 0;
 	r->reserved_for = UINT64_MAX;
@@ -123,14 +123,14 @@
 	for (int i = 0; i < SHARD_COUNT; i++)
 		r->feed_ok[i] = 0;
 	r->feed_round = 1;
-	reserve(r, now, o);
+	reserve_ticks(r, now, o);
 }
 
-void publisher_tick(struct reg *r, int64_t now, struct out *o)
+void publisher_tick(struct controller *r, int64_t now, struct out *o)
 {
 	int all = 1;
 
-	if (now - r->feed_at >= REG_FEED) {
+	if (now - r->feed_at >= CONTROLLER_FEED) {
 		r->feed_at = now;
 		r->feed_round++;
 		for (uint32_t i = 0; i < SHARD_COUNT; i++) {
@@ -139,15 +139,16 @@
 			if (i == SHARD_PURGE)
 				continue;
 			if (i != SHARD_CONTROL && r->feed_round > r->feed_ok[i] + 5 && r->feed_round % 5 == 0)
-				follow_miss(&r->f, i); /* no word for a while: try another registrar, then heed its hint */
+				config_watch_miss(&r->f, i); /* no word for a while: try another controller, then heed its hint */
 			q = OUT_NEW(o, Nl__FeedAsk, NL__FEED_ASK__INIT);
 			q->have = r->pub.mark[i];
 			q->round = r->feed_round;
-			out_msg(o, in_office(r, i, now) ? o->addr : follow_seat(&r->f, i), i, NL__MSG__BODY_FEED_ASK)->feed_ask = q;
+			out_msg(o, leads_shard(r, i, now) ? o->addr : config_watch_leader_addr(&r->f, i), i, NL__MSG__BODY_FEED_ASK)
+			    ->feed_ask = q;
 		}
 	}
 	if (r->pub.ceiling < r->tick + PURGE_CHUNK / 2 && r->reserved_for != r->pub.ceiling)
-		reserve(r, now, o);
+		reserve_ticks(r, now, o);
 	if (now - r->tick_at < PURGE_TICK || r->pending_tick > r->tick || r->tick >= r->pub.ceiling)
 		return;
 	for (uint32_t i = 0; i < SHARD_COUNT; i++) /* silence waits for every feed */
--- a/lib/control/purge_publisher.h
+++ b/lib/control/purge_publisher.h
@@ -4,18 +4,18 @@
 #ifndef NL_PURGE_PUBLISHER_H
 #define NL_PURGE_PUBLISHER_H
 
-#include "reg.h"
+#include "controller.h"
 
 /* A publisher asks a part that is led here for its newest decisions. */
-void on_feed_ask(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o);
+void on_feed_request(struct controller *r, const struct Nl__Msg *m, int64_t now, struct out *o);
 
 /* A part's decisions arrive: they are logged in batches. */
-void on_feed_reply(struct reg *r, const struct Nl__Msg *m, int64_t now, struct out *o);
+void on_feed_reply(struct controller *r, const struct Nl__Msg *m, int64_t now, struct out *o);
 
 /* Taking office: every tick up to the old ceiling is known, as a logged value or as silence. */
-void publisher_begins(struct reg *r, int64_t now, struct out *o);
+void publisher_start(struct controller *r, int64_t now, struct out *o);
 
 /* Ask the parts for decisions, and declare silence once none has any left. */
-void publisher_tick(struct reg *r, int64_t now, struct out *o);
+void publisher_tick(struct controller *r, int64_t now, struct out *o);
 
 #endif
--- a/lib/control/quota_shares.c
+++ b/lib/control/quota_shares.c
@@ -4,10 +4,10 @@
 #include <string.h>
 
 #include "ds.h"
-#include "reg_private.h"
+#include "controller_private.h"
 
 /* The fleet's limit of "tenant" or "lane/tenant" as the table has it. */
-static uint32_t limit_of(const struct reg *r, const char *name)
+static uint32_t find_limit(const struct controller *r, const char *name)
 {
 	const struct Nl__Row *row = table_get(&r->ctl, strchr(name, '/') ? NL__KIND__SHARE : NL__KIND__TENANT, name);
 
@@ -15,15 +15,15 @@
 }
 
 /* Whether there is such a row at all; one without a limit has 0. */
-static int named(const struct reg *r, const char *name)
+static int named(const struct controller *r, const char *name)
 {
 	return table_get(&r->ctl, strchr(name, '/') ? NL__KIND__SHARE : NL__KIND__TENANT, name) != NULL;
 }
 
 /* What the asker may use. Never more than the limit less all that others hold or may believe to hold. What is wanted
  * beyond the limit is shared out evenly; the odd places go to those that have gone without for longest. */
-static uint32_t share_out(const struct reg_place *v, const struct reg_place *me, const char *name, uint32_t limit, uint32_t spare,
-			  int64_t now)
+static uint32_t compute_share(const struct controller_place *v, const struct controller_place *me, const char *name, uint32_t limit,
+			      uint32_t spare, int64_t now)
 {
 	uint64_t others = 0, all = 0, turn = core_hashs((uint64_t)(now / 1000), name);
 	uint32_t n = 0, rank = 0, want = me->want + spare, even;
@@ -48,16 +48,16 @@
 					  : limit;
 }
 
-static struct reg_place *place_of(struct reg *r, const char *name, uint64_t id, uint32_t most, int64_t now)
+static struct controller_place *find_share(struct controller *r, const char *name, uint64_t id, uint32_t most, int64_t now)
 {
-	struct reg_place *v, n = { id, 0, most, 0, now, 0 };
+	struct controller_place *v, n = { id, 0, most, 0, now, 0 };
 	ptrdiff_t me = -1;
 
 	if (shgeti(r->limit, name) < 0)
 		shput(r->limit, name, NULL);
 	v = shget(r->limit, name);
 	for (ptrdiff_t i = arrlen(v) - 1; i >= 0; i--)
-		if (now - v[i].at > REG_PLACES)
+		if (now - v[i].at > CONTROLLER_SHARES_MS)
 			arrdelswap(v, i);
 	for (ptrdiff_t i = 0; i < arrlen(v); i++)
 		if (v[i].id == id)
@@ -71,8 +71,8 @@
 }
 
 /* Say what the asker may use, and count it as held until it is heard to be back. */
-static void place_say(struct reg_place *me, const char *name, uint32_t held, uint64_t token, struct Nl__FollowReply *a,
-		      struct out *o)
+static void reply_share(struct controller_place *me, const char *name, uint32_t held, uint64_t token, struct Nl__ConfigSyncReply *a,
+			struct out *o)
 {
 	struct Nl__Hold *p = OUT_NEW(o, Nl__Hold, NL__HOLD__INIT);
 
@@ -84,8 +84,8 @@
 	a->place[a->n_place++] = p;
 }
 
-/* Where a table has few limits, counters hold some of each ahead: a failover then finds them with places. */
-static void spare_names(struct reg *r)
+/* Where a table has few limits, routers hold some of each ahead: a failover then finds them with places. */
+static void update_reserved_limits(struct controller *r)
 {
 	if (r->spare_edition == r->ctl.edition)
 		return;
@@ -96,7 +96,7 @@
 
 		if ((row->kind != NL__KIND__TENANT && row->kind != NL__KIND__SHARE) || !row->limit)
 			continue;
-		if (arrlen(r->spare) == REG_SPARE) {
+		if (arrlen(r->spare) == CONTROLLER_SPARE) {
 			arrsetlen(r->spare, 0);
 			return;
 		}
@@ -106,54 +106,54 @@
 
 /* Places that the asker holds, uses and wants, and what it gets. In the first seconds of an office nobody gets more: not
  * all that the last owner gave has been heard of yet. */
-void places(struct reg *r, uint64_t id, const struct Nl__Follow *q, uint32_t counters, struct Nl__FollowReply *a, int64_t now,
-	    struct out *o)
+void quota_shares_update(struct controller *r, uint64_t id, const struct Nl__ConfigSync *q, uint32_t counters,
+			 struct Nl__ConfigSyncReply *a, int64_t now, struct out *o)
 {
 	/* the members are a fleet's first entry, its first owner's the second: before it nobody gave any */
-	int young = now - r->owner_since[SHARD_CONTROL] < REG_PLACES && r->part[SHARD_CONTROL].term_start > 2;
+	int young = now - r->leader_since[SHARD_CONTROL] < CONTROLLER_SHARES_MS && r->part[SHARD_CONTROL].term_start > 2;
 	uint32_t n = counters ? counters : 1;
 
-	spare_names(r);
+	update_reserved_limits(r);
 	a->place = apr_palloc(o->p, (q->n_hold + (size_t)arrlen(r->spare) + 1) * sizeof *a->place);
 	for (size_t k = 0; k < q->n_hold; k++) {
 		const struct Nl__Hold *h = q->hold[k];
-		uint32_t limit = limit_of(r, h->name), got, most = h->held > h->used ? h->held : h->used;
-		struct reg_place *me;
+		uint32_t limit = find_limit(r, h->name), got, most = h->held > h->used ? h->held : h->used;
+		struct controller_place *me;
 
 		if (!limit && named(r, h->name)) /* no limit: nobody asks for places */
 			continue;
-		me = place_of(r, h->name, id, most, now);
+		me = find_share(r, h->name, id, most, now);
 		if (q->applied >= me->token || most > me->rec) /* it has heard the last that was said */
 			me->rec = most;
 		me->want = h->want;
 		me->at = now;
-		got = share_out(shget(r->limit, h->name), me, h->name, limit, limit / n / 4, now);
+		got = compute_share(shget(r->limit, h->name), me, h->name, limit, limit / n / 4, now);
 		if (young && got > h->held)
 			got = h->held < limit ? h->held : limit;
 		if (got || h->used)
 			me->fed = now;
-		place_say(me, h->name, got, q->token, a, o);
+		reply_share(me, h->name, got, q->token, a, o);
 	}
 	for (ptrdiff_t i = 0; i < arrlen(r->spare) && q->counter && !young; i++) {
-		uint32_t limit = limit_of(r, r->spare[i]), got;
-		struct reg_place *me;
+		uint32_t limit = find_limit(r, r->spare[i]), got;
+		struct controller_place *me;
 		int named = 0;
 
 		for (size_t k = 0; k < q->n_hold && !named; k++)
 			named = !strcmp(q->hold[k]->name, r->spare[i]);
 		if (named || limit < 4 * n)
 			continue;
-		me = place_of(r, r->spare[i], id, 0, now);
+		me = find_share(r, r->spare[i], id, 0, now);
 		me->at = now;
 		me->want = 0;
 		if (q->applied >= me->token)
 			me->rec = 0;
-		got = share_out(shget(r->limit, r->spare[i]), me, r->spare[i], limit, limit / n / 4, now);
-		place_say(me, r->spare[i], got, q->token, a, o);
+		got = compute_share(shget(r->limit, r->spare[i]), me, r->spare[i], limit, limit / n / 4, now);
+		reply_share(me, r->spare[i], got, q->token, a, o);
 	}
 }
 
-void limits_clear(struct reg *r)
+void quota_shares_clear(struct controller *r)
 {
 	for (ptrdiff_t i = 0; i < shlen(r->limit); i++)
 		arrfree(r->limit[i].value);
--- a/lib/control/quota_shares.h
+++ b/lib/control/quota_shares.h
@@ -4,13 +4,13 @@
 #ifndef NL_QUOTA_SHARES_H
 #define NL_QUOTA_SHARES_H
 
-#include "reg.h"
+#include "controller.h"
 
 /* Take in what a router holds, uses and wants under its limits, and add what it gets to the answer. */
-void places(struct reg *r, uint64_t id, const struct Nl__Follow *q, uint32_t counters, struct Nl__FollowReply *a, int64_t now,
-	    struct out *o);
+void quota_shares_update(struct controller *r, uint64_t id, const struct Nl__ConfigSync *q, uint32_t counters,
+			 struct Nl__ConfigSyncReply *a, int64_t now, struct out *o);
 
 /* Forget who holds what: a new leader learns it from the routers. */
-void limits_clear(struct reg *r);
+void quota_shares_clear(struct controller *r);
 
 #endif
--- a/lib/control/recovery.c
+++ b/lib/control/recovery.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 
 #include "ds.h"
-#include "reg_private.h"
+#include "controller_private.h"
 
 enum { MOST_LOST = RAFT_MAX_MEMBERS };
 
@@ -54,7 +54,7 @@
 	return j;
 }
 
-void recover_groups(struct reg *r, const struct reg_ev *ev, int64_t now, struct out *o)
+void recover_groups(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o)
 {
 	uint64_t lost[MOST_LOST];
 	int count = read_lost(ev->u.web.body, lost), recovered = 0;
@@ -74,8 +74,8 @@
 
 		recovered += done;
 		if (done)
-			say(r, "recovery", o->p, "Shard %d goes on with this copy alone, in epoch %" APR_UINT64_T_FMT ".", i,
-			    raft_epoch(raft->term));
+			log_line(r, "recovery", o->p, "Shard %d goes on with this copy alone, in epoch %" APR_UINT64_T_FMT ".", i,
+				 raft_epoch(raft->term));
 		json_object_array_add(shards, shard_json(raft, verdict, done, now, o->p));
 	}
 	json_object_object_add(answer, "recovered", json_object_new_int(recovered));
--- a/lib/control/retention.c
+++ b/lib/control/retention.c
@@ -6,7 +6,7 @@
 
 #include "ds.h"
 #include "leadership.h"
-#include "reg_private.h"
+#include "controller_private.h"
 
 /* ---- rows ------------------------------------------------------------------ */
 
@@ -111,7 +111,7 @@
 }
 
 /* The shortest and the longest time between two clearings in the next 800 days; 0 when fewer than two come. */
-static int gaps(const struct reg_calendar *cal, const char *text, int64_t wall, int64_t *least, int64_t *most)
+static int gaps(const struct controller_calendar *cal, const char *text, int64_t wall, int64_t *least, int64_t *most)
 {
 	int64_t a = cal->next(text, wall), b;
 	int n = 0;
@@ -126,7 +126,7 @@
 	return n;
 }
 
-const char *retention_check(const struct reg_calendar *cal, const struct Nl__Change *c, int64_t wall, apr_pool_t *p)
+const char *retention_check(const struct controller_calendar *cal, const struct Nl__Change *c, int64_t wall, apr_pool_t *p)
 {
 	for (size_t i = 0; i < c->n_set; i++) {
 		const struct Nl__Row *r = c->set[i];
@@ -157,7 +157,7 @@
 	return NULL;
 }
 
-int64_t retention_next(const struct reg_calendar *cal, const struct Nl__Row *row, int64_t base, int64_t from)
+int64_t retention_next(const struct controller_calendar *cal, const struct Nl__Row *row, int64_t base, int64_t from)
 {
 	int64_t ms;
 
@@ -204,7 +204,7 @@
 }
 
 /* One slice of a clearing goes to the publisher. */
-static void emit(struct reg *r, uint64_t index, struct Nl__Clearing *c)
+static void emit(struct controller *r, uint64_t index, struct Nl__Clearing *c)
 {
 	struct Nl__Purge p = NL__PURGE__INIT;
 	struct Nl__Value v = NL__VALUE__INIT;
@@ -229,7 +229,7 @@
 	arrput(r->ctl_feed, value_copy(&v));
 }
 
-static void begin(struct reg *r, uint64_t index, const struct Nl__Clear *c, const char *by, uint32_t window, int wide)
+static void begin(struct controller *r, uint64_t index, const struct Nl__Clear *c, const char *by, uint32_t window, int wide)
 {
 	struct retention *t = &r->ret;
 	struct Nl__Clearing n = NL__CLEARING__INIT;
@@ -261,7 +261,7 @@
 	}
 }
 
-uint32_t retention_apply(struct reg *r, uint64_t index, const struct Nl__Clear *c)
+uint32_t retention_apply(struct controller *r, uint64_t index, const struct Nl__Clear *c)
 {
 	struct retention *t = &r->ret;
 	struct Nl__Planned *plan = plan_of(t, c->scope);
@@ -305,7 +305,7 @@
 	return apr_psprintf(p, "%s|%s|%s|%u", r->keep, r->every, r->at, (unsigned)r->window);
 }
 
-void retention_rows(struct reg *r, uint64_t index)
+void retention_rows(struct controller *r, uint64_t index)
 {
 	struct retention *t = &r->ret;
 	apr_pool_t *p;
@@ -330,7 +330,7 @@
 			t->plan[i]->due = 0;
 			continue;
 		}
-		/* what lies on its own shelves must not be found again if the row comes back */
+		/* what lies on its own cache namespaces must not be found again if the row comes back */
 		struct Nl__Clear c = NL__CLEAR__INIT;
 
 		c.scope = t->plan[i]->scope;
@@ -360,7 +360,7 @@
 	apr_pool_destroy(p);
 }
 
-void retention_pack(const struct reg *r, struct Nl__CtlState *s)
+void retention_pack(const struct controller *r, struct Nl__CtlState *s)
 {
 	s->clearings = r->ret.number;
 	s->clearing = r->ret.v;
@@ -370,7 +370,7 @@
 	s->cleared = r->ret.cleared;
 }
 
-void retention_clear(struct reg *r)
+void retention_clear(struct controller *r)
 {
 	struct retention *t = &r->ret;
 
@@ -389,7 +389,7 @@
 	memset(t, 0, sizeof *t);
 }
 
-void retention_load(struct reg *r, const struct Nl__CtlState *s)
+void retention_load(struct controller *r, const struct Nl__CtlState *s)
 {
 	retention_clear(r);
 	if (!s)
@@ -405,7 +405,7 @@
 /* ---- the clocks --------------------------------------------------------------- */
 
 /* More than half of part 0's voters say that it is this late, or later: one clock that jumps decides nothing. */
-int64_t retention_wall(const struct reg *r, int64_t now)
+int64_t retention_wall(const struct controller *r, int64_t now)
 {
 	const struct raft *p = &r->part[SHARD_CONTROL];
 	int64_t v[RAFT_MAX_MEMBERS];
@@ -421,7 +421,7 @@
 			wall = r->wall ? r->wall : INT64_MIN;
 		else
 			for (ptrdiff_t s = 0; s < arrlen(r->seen); s++)
-				if (r->seen[s].id == p->members[i].id && r->seen[s].wall && now - r->seen[s].at <= REG_SEEN)
+				if (r->seen[s].id == p->members[i].id && r->seen[s].wall && now - r->seen[s].at <= CONTROLLER_SEEN)
 					wall = r->seen[s].wall + (now - r->seen[s].at);
 		for (; k && v[k - 1] < wall; k--)
 			v[k] = v[k - 1];
@@ -433,17 +433,17 @@
 
 /* ---- the owner decides ----------------------------------------------------------- */
 
-static uint64_t step(struct reg *r, struct Nl__Clear *c, int64_t now, struct out *o)
+static uint64_t step(struct controller *r, struct Nl__Clear *c, int64_t now, struct out *o)
 {
 	struct Nl__Op op = NL__OP__INIT;
 
 	op.op_case = NL__OP__OP_CLEAR;
 	op.clear = c;
-	return r->ret.logged = log_op(r, SHARD_CONTROL, &op, now, o);
+	return r->ret.logged = log_operation(r, SHARD_CONTROL, &op, now, o);
 }
 
 /* A row without a due time gets one; one whose time has come is cleared, however many times were missed since. */
-static int plan(struct reg *r, int64_t wall, int64_t now, struct out *o)
+static int plan(struct controller *r, int64_t wall, int64_t now, struct out *o)
 {
 	for (ptrdiff_t i = 0; i < arrlen(r->ret.plan); i++) {
 		struct Nl__Planned *p = r->ret.plan[i];
@@ -474,24 +474,25 @@
 		}
 		if (c.next && step(r, &c, now, o)) {
 			if (c.step == NL__CLEAR_STEP__CLEAR_DUE)
-				say(r, "retention", o->p, "Context of %s is due for clearing; %u due times were missed before.",
-				    p->scope, (unsigned)c.missed);
+				log_line(r, "retention", o->p,
+					 "Context of %s is due for clearing; %u due times were missed before.", p->scope,
+					 (unsigned)c.missed);
 			return 1;
 		}
 	}
 	return 0;
 }
 
-static int calm(const struct reg *r, int64_t now)
+static int calm(const struct controller *r, int64_t now)
 {
 	for (ptrdiff_t i = 0; i < arrlen(r->seen); i++)
-		if (r->seen[i].counter && now - r->seen[i].at < REG_SEEN && r->seen[i].strain > RETENTION_STRAIN)
+		if (r->seen[i].counter && now - r->seen[i].at < CONTROLLER_SEEN && r->seen[i].load_pressure > RETENTION_STRAIN)
 			return 0;
 	return 1;
 }
 
 /* The next slice of a clearing: at half its pace while callers are served in time, at its full pace whatever they feel. */
-static int slice(struct reg *r, int64_t wall, int64_t now, struct out *o)
+static int slice(struct controller *r, int64_t wall, int64_t now, struct out *o)
 {
 	for (ptrdiff_t i = 0; i < arrlen(r->ret.v); i++) {
 		struct Nl__Clearing *v = r->ret.v[i];
@@ -511,16 +512,16 @@
 		if (!step(r, &c, now, o))
 			return 0;
 		if (c.late)
-			say(r, "retention", o->p,
-			    "Clearing %" APR_UINT64_T_FMT ": lines are long, but its window ends: slice %u goes on.", v->number,
-			    c.slice);
+			log_line(r, "retention", o->p,
+				 "Clearing %" APR_UINT64_T_FMT ": lines are long, but its window ends: slice %u goes on.",
+				 v->number, c.slice);
 		return 1;
 	}
 	return 0;
 }
 
 /* The tick at which a slice of a clearing is in force, as far as it is known here; 0: not published yet. */
-static uint64_t tick_of(const struct reg *r, const struct Nl__Clearing *c, uint32_t part)
+static uint64_t tick_of(const struct controller *r, const struct Nl__Clearing *c, uint32_t part)
 {
 	char lane[200] = "", tenant[200] = "";
 
@@ -536,8 +537,8 @@
 	return 0;
 }
 
-/* Whether a shelf of this scope holds what such a clearing covers. */
-static int covers(const struct reg *r, const struct Nl__Clearing *c, uint64_t scope)
+/* Whether a cache_namespace of this scope holds what such a clearing covers. */
+static int covers(const struct controller *r, const struct Nl__Clearing *c, uint64_t scope)
 {
 	char lane[200] = "", tenant[200] = "", l[200], t[200];
 
@@ -551,7 +552,7 @@
 }
 
 /* What a clearing still waits for: texts are appended to a, if it is given. */
-static int missing(const struct reg *r, const struct Nl__Clearing *c, int64_t now, struct json_object *a, apr_pool_t *p)
+static int missing(const struct controller *r, const struct Nl__Clearing *c, int64_t now, struct json_object *a, apr_pool_t *p)
 {
 	uint64_t tick = 0;
 	int n = 0, index = 0;
@@ -592,9 +593,9 @@
 	return n;
 }
 
-static int done(struct reg *r, int64_t wall, int64_t now, struct out *o)
+static int done(struct controller *r, int64_t wall, int64_t now, struct out *o)
 {
-	if (now - r->ret.checked < RETENTION_CHECK || now - r->owner_since[SHARD_CONTROL] < RETENTION_HEARD)
+	if (now - r->ret.checked < RETENTION_CHECK || now - r->leader_since[SHARD_CONTROL] < RETENTION_HEARD)
 		return 0; /* a new owner hears all nodes first */
 	r->ret.checked = now;
 	for (ptrdiff_t i = 0; i < arrlen(r->ret.v); i++) {
@@ -608,20 +609,20 @@
 		c.scope = v->scope;
 		c.wall = wall;
 		if (step(r, &c, now, o)) {
-			say(r, "retention", o->p,
-			    "Clearing %" APR_UINT64_T_FMT " of %s is done: nothing names what was kept before.", v->number,
-			    v->scope);
+			log_line(r, "retention", o->p,
+				 "Clearing %" APR_UINT64_T_FMT " of %s is done: nothing names what was kept before.", v->number,
+				 v->scope);
 			return 1;
 		}
 	}
 	return 0;
 }
 
-void retention_tick(struct reg *r, int64_t now, struct out *o)
+void retention_tick(struct controller *r, int64_t now, struct out *o)
 {
 	int64_t wall;
 
-	if ((!arrlen(r->ret.plan) && !arrlen(r->ret.v)) || !in_office(r, SHARD_CONTROL, now))
+	if ((!arrlen(r->ret.plan) && !arrlen(r->ret.v)) || !leads_shard(r, SHARD_CONTROL, now))
 		return;
 	if (now - r->ret.looked < RETENTION_LOOK || r->ret.logged > r->part[SHARD_CONTROL].applied)
 		return;
@@ -631,9 +632,9 @@
 		r->ret.looked = now - RETENTION_LOOK; /* the next step as soon as this one is applied */
 }
 
-void retention_heard(struct reg *r, const struct Nl__Msg *m, int64_t now)
+void retention_heard(struct controller *r, const struct Nl__Msg *m, int64_t now)
 {
-	const struct Nl__Follow *q = m->follow;
+	const struct Nl__ConfigSync *q = m->follow;
 	struct retention_said *s = NULL, n = { m->id, 0, 0, NULL };
 
 	for (ptrdiff_t i = arrlen(r->ret.said) - 1; i >= 0; i--)
@@ -666,28 +667,28 @@
 
 /* ---- the disks --------------------------------------------------------------------- */
 
-void retention_disks(struct reg *r, int64_t now, struct out *o)
+void retention_disks(struct controller *r, int64_t now, struct out *o)
 {
 	uint64_t tick = 0;
 
 	for (ptrdiff_t i = 0; i < arrlen(r->relay.w.clear); i++)
 		tick = r->relay.w.clear[i]->tick > tick ? r->relay.w.clear[i]->tick : tick;
 	for (uint32_t i = 0; tick && i < SHARD_COUNT; i++) {
-		struct reg_svc *s = svc_of(r, i);
+		struct controller_svc *s = service_shard(r, i);
 		uint64_t cleared = s ? s->cleared : i == SHARD_CONTROL ? r->ret.cleared : r->pub.cleared;
-		int settle =
-		    s && !s->settled && s->cleared && s->clock + (uint64_t)(now - r->clock_at[i]) > s->cleared_at + REG_CLAIM_KEEP;
+		int settle = s && !s->settled && s->cleared &&
+			     s->clock + (uint64_t)(now - r->clock_at[i]) > s->cleared_at + CONTROLLER_CLAIM_KEEP;
 		struct Nl__Op op = NL__OP__INIT;
 		struct Nl__Trim t = NL__TRIM__INIT;
 
-		if (!in_office(r, i, now) || now - r->disk_at[i] < RETENTION_DISK || (tick <= cleared && !settle))
+		if (!leads_shard(r, i, now) || now - r->disk_at[i] < RETENTION_DISK || (tick <= cleared && !settle))
 			continue;
 		r->disk_at[i] = now;
 		t.cleared = tick;
 		t.settled = settle;
 		op.op_case = NL__OP__OP_TRIM;
 		op.trim = &t;
-		(void)log_op(r, i, &op, now, o);
+		(void)log_operation(r, i, &op, now, o);
 	}
 }
 
@@ -695,16 +696,16 @@
 
 static void add_num(struct json_object *j, const char *k, int64_t v) { json_object_object_add(j, k, json_object_new_int64(v)); }
 
-const char *retention_json(struct reg *r, int64_t now, apr_pool_t *p)
+const char *retention_json(struct controller *r, int64_t now, apr_pool_t *p)
 {
 	struct json_object *j = json_object_new_object(), *a = json_object_new_array();
-	int owner = in_office(r, SHARD_CONTROL, now);
+	int owner = leads_shard(r, SHARD_CONTROL, now);
 	const char *s;
 
 	json_object_object_add(j, "owner", json_object_new_boolean(owner));
 	json_object_object_add(
 	    j, "owner_addr",
-	    json_object_new_string(owner_hint(r, SHARD_CONTROL, now) ? core_addr_str(p, owner_hint(r, SHARD_CONTROL, now)) : ""));
+	    json_object_new_string(leader_hint(r, SHARD_CONTROL, now) ? core_addr_str(p, leader_hint(r, SHARD_CONTROL, now)) : ""));
 	add_num(j, "wall", owner && retention_wall(r, now) != INT64_MIN ? retention_wall(r, now) : r->wall);
 	for (ptrdiff_t i = 0; i < arrlen(r->ret.plan); i++) {
 		struct json_object *x = json_object_new_object();
@@ -752,7 +753,7 @@
 			    x.tm_sec);
 }
 
-const char *retention_csv(const struct reg *r, apr_pool_t *p)
+const char *retention_csv(const struct controller *r, apr_pool_t *p)
 {
 	const char *s = "number,scope,whole fleet,by,due,decided,unreachable,done,missed due times,window lapsed under load\n";
 
--- a/lib/control/retention.h
+++ b/lib/control/retention.h
@@ -5,7 +5,7 @@
 
 #include "core.h"
 
-struct reg;
+struct controller;
 struct table;
 
 enum {
@@ -15,14 +15,14 @@
 	RETENTION_SETTLE = 10000, /* ms after which a row is in force everywhere, whatever the clocks say */
 	RETENTION_RECORDS = 512,  /* clearings that are remembered for the report */
 	RETENTION_HEARD = 6000,   /* a node unheard for so long routes nothing any more: it has lost its configuration */
-	RETENTION_STRAIN = 250,   /* per mille of strain above which the next slice waits */
+	RETENTION_STRAIN = 250,   /* per mille of load_pressure above which the next slice waits */
 	RETENTION_DISK = 20000,   /* ms between cuttings of a part's log */
 	RETENTION_ROWS = 128,     /* rows of what is left that a holder of the index says */
 };
 #define RETENTION_ANY UINT64_MAX /* scope of what is left where it is not known by scopes */
 
 /* Schedules in calendar terms. Pure: times are ms since 1970. */
-struct reg_calendar {
+struct controller_calendar {
 	/* NULL, or what is wrong. Example: if ((why = cal->check("daily 02:30 Asia/Kuala_Lumpur", pool))) refuse(why); */
 	const char *(*check)(const char *text, apr_pool_t *p);
 	/* The first time after from; 0: none comes. Example: due = cal->next("mon 03:00 UTC", wall); */
@@ -57,7 +57,7 @@
 /* A row's scope, split: lane and tenant, "" for all. 0 when it is no scope. Example: retention_scope("*", lane, tenant) */
 int retention_scope(const char *name, char lane[200], char tenant[200]);
 
-/* The hash by which a scope's own shelf is known. Example: retention_hash("arrears", "") */
+/* The hash by which a scope's own cache_namespace is known. Example: retention_hash("arrears", "") */
 uint64_t retention_hash(const char *lane, const char *tenant);
 
 /* What is wrong with a row by itself; with the lanes and tenants of the table. NULL: nothing. */
@@ -65,33 +65,33 @@
 const char *retention_scopes(const struct table *t, const struct Nl__Change *c, apr_pool_t *p);
 
 /* The same against the calendar, at a time. Example: why = retention_check(cal, change, wall, pool); */
-const char *retention_check(const struct reg_calendar *cal, const struct Nl__Change *c, int64_t wall, apr_pool_t *p);
+const char *retention_check(const struct controller_calendar *cal, const struct Nl__Change *c, int64_t wall, apr_pool_t *p);
 
 /* When a row's clearing comes after a time. Example: due = retention_next(cal, row, from, from); */
-int64_t retention_next(const struct reg_calendar *cal, const struct Nl__Row *row, int64_t base, int64_t from);
+int64_t retention_next(const struct controller_calendar *cal, const struct Nl__Row *row, int64_t base, int64_t from);
 
 /* Apply one step from the log; what it decides is appended to feed, numbered from index. */
-uint32_t retention_apply(struct reg *r, uint64_t index, const struct Nl__Clear *c);
+uint32_t retention_apply(struct controller *r, uint64_t index, const struct Nl__Clear *c);
 
 /* After a change of the table: plans follow rows. */
-void retention_rows(struct reg *r, uint64_t index);
+void retention_rows(struct controller *r, uint64_t index);
 
 /* The owner's time passes; a word of a node. */
-void retention_tick(struct reg *r, int64_t now, struct out *o);
-void retention_heard(struct reg *r, const struct Nl__Msg *m, int64_t now);
+void retention_tick(struct controller *r, int64_t now, struct out *o);
+void retention_heard(struct controller *r, const struct Nl__Msg *m, int64_t now);
 
 /* Cut the logs on the disks once something was cleared, in every part that is owned here. */
-void retention_disks(struct reg *r, int64_t now, struct out *o);
+void retention_disks(struct controller *r, int64_t now, struct out *o);
 
-/* What the registrars' clocks agree that it is at the least; INT64_MIN: no majority is heard. */
-int64_t retention_wall(const struct reg *r, int64_t now);
+/* What the controllers' clocks agree that it is at the least; INT64_MIN: no majority is heard. */
+int64_t retention_wall(const struct controller *r, int64_t now);
 
 /* For operators: rows, clearings, what is missing; and the auditors' report. */
-const char *retention_json(struct reg *r, int64_t now, apr_pool_t *p);
-const char *retention_csv(const struct reg *r, apr_pool_t *p);
+const char *retention_json(struct controller *r, int64_t now, apr_pool_t *p);
+const char *retention_csv(const struct controller *r, apr_pool_t *p);
 
-void retention_pack(const struct reg *r, struct Nl__CtlState *s);
-void retention_load(struct reg *r, const struct Nl__CtlState *s);
-void retention_clear(struct reg *r);
+void retention_pack(const struct controller *r, struct Nl__CtlState *s);
+void retention_load(struct controller *r, const struct Nl__CtlState *s);
+void retention_clear(struct controller *r);
 
 #endif
--- a/lib/control/giver.c
+++ b/lib/control/rollout.c
@@ -1,4 +1,4 @@
-#include "giver.h"
+#include "rollout.h"
 
 #include <apr_strings.h>
 #include <stdlib.h>
@@ -6,9 +6,9 @@
 
 #include "ds.h"
 #include "leadership.h"
-#include "reg_private.h"
+#include "controller_private.h"
 
-static struct reg_server *server_of(struct reg *r, const char *name)
+static struct controller_server *server_of(struct controller *r, const char *name)
 {
 	for (ptrdiff_t i = 0; i < arrlen(r->server); i++)
 		if (!strcmp(r->server[i].name, name))
@@ -28,9 +28,9 @@
 	c->u.call.not_after = not_after;
 }
 
-/* An order: body fields, fenced by the part's term. The giver's licence is checked again before it leaves. */
-static void order(struct reg *r, struct reg_server *s, uint32_t part, const char *addr, struct json_object *what, int64_t now,
-		  struct out *o)
+/* An order: body fields, fenced by the part's term. The rollout's lease is checked again before it leaves. */
+static void order(struct controller *r, struct controller_server *s, uint32_t part, const char *addr, struct json_object *what,
+		  int64_t now, struct out *o)
 {
 	uint64_t fence = r->part[part].term << 20 | (++r->order_seq & 0xfffff);
 
@@ -42,7 +42,7 @@
 	s->ordered = now;
 }
 
-void giver_report(struct reg *r, struct reg_server *s, const char *body, int64_t now, struct out *o)
+void rollout_report(struct controller *r, struct controller_server *s, const char *body, int64_t now, struct out *o)
 {
 	struct json_object *j = json_tokener_parse(body), *parts, *drop;
 	const struct Nl__Row *row = table_get(&r->f.t, NL__KIND__SERVER, s->name);
@@ -66,7 +66,7 @@
 	if (!json_object_array_length(drop)) {
 		s->carried = s->carried_want; /* the report shows it: carried out up to the horizon at the look */
 		json_object_put(drop);
-	} else if (in_office(r, part, now) && now - r->owner_since[part] >= REG_HOLD && relay_current(&r->relay, now)) {
+	} else if (leads_shard(r, part, now) && now - r->leader_since[part] >= CONTROLLER_HOLD && relay_current(&r->relay, now)) {
 		struct json_object *what = json_object_new_object();
 
 		json_object_object_add(what, "drop", drop);
@@ -79,12 +79,12 @@
 		json_object_put(j);
 }
 
-static void look_at(struct reg *r, const struct Nl__Row *row, int64_t now, struct out *o)
+static void look_at(struct controller *r, const struct Nl__Row *row, int64_t now, struct out *o)
 {
-	struct reg_server *s = server_of(r, row->name);
+	struct controller_server *s = server_of(r, row->name);
 
 	if (!s) {
-		struct reg_server n;
+		struct controller_server n;
 
 		memset(&n, 0, sizeof n);
 		n.name = strdup(row->name);
@@ -93,7 +93,7 @@
 		arrput(r->server, n);
 		s = &arrlast(r->server);
 	}
-	if (now - s->called < REG_LOOK)
+	if (now - s->called < CONTROLLER_LOOK)
 		return;
 	s->called = now;
 	s->call = ++r->token;
@@ -102,7 +102,7 @@
 }
 
 /* Followed tables say what is named; not later than the last good asking that did not say so. */
-void giver_named(struct reg *r, int64_t before)
+void rollout_on_versions(struct controller *r, int64_t before)
 {
 	for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
 		const struct Nl__Row *row = r->f.t.h[i].value.row;
@@ -120,16 +120,16 @@
 }
 
 /* How many of n servers may have been told by now: a third at once, the next ones as the loading ends, or when the
- * bound asks for it. A giver that took over has less time left and need not leave any for another. */
-static int due(const struct reg *r, uint32_t part, typeof(((struct reg_named *)0)->value) *m, int n, int64_t now)
+ * bound asks for it. A rollout that took over has less time left and need not leave any for another. */
+static int due(const struct controller *r, uint32_t part, typeof(((struct controller_named *)0)->value) *m, int n, int64_t now)
 {
-	int64_t last = m->since + REG_TELL;
+	int64_t last = m->since + CONTROLLER_TELL;
 	int third = (n + 2) / 3;
 
-	if (!m->first || m->first < r->owner_since[part])
+	if (!m->first || m->first < r->leader_since[part])
 		m->first = now;
-	if (r->owner_since[part] <= m->since)
-		last -= REG_TAKE_OVER;
+	if (r->leader_since[part] <= m->since)
+		last -= CONTROLLER_TAKE_OVER;
 	if (now >= last || m->first >= last)
 		return n;
 	return third * (1 + (int)(2 * (now - m->first) / (last - m->first)));
@@ -137,16 +137,16 @@
 
 /* One service's roll-out: a third of its servers at a time, the rest keep serving. */
 /* NOLINTNEXTLINE(readability-function-size): to be cut, issue 18 */
-static void roll(struct reg *r, const struct Nl__Row *service, uint32_t part, int64_t now, struct out *o)
+static void roll(struct controller *r, const struct Nl__Row *service, uint32_t part, int64_t now, struct out *o)
 {
-	struct reg_svc *c = svc_of(r, part);
+	struct controller_svc *c = service_shard(r, part);
 	typeof(r->named->value) *m = &shgetp(r->named, service->name)->value;
 	int n = 0, loading = 0, on = 0, room, more;
 	ptrdiff_t was;
 
 	for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
 		const struct Nl__Row *row = r->f.t.h[i].value.row;
-		struct reg_server *s;
+		struct controller_server *s;
 
 		if (row->kind != NL__KIND__SERVER || strcmp(row->service, service->name) || row->state)
 			continue;
@@ -169,16 +169,16 @@
 	}
 	for (ptrdiff_t i = 0; i < shlen(r->f.t.h) && on < n; i++) {
 		const struct Nl__Row *row = r->f.t.h[i].value.row;
-		struct reg_server *s;
+		struct controller_server *s;
 		struct json_object *what;
 
 		if (row->kind != NL__KIND__SERVER || strcmp(row->service, service->name) || row->state)
 			continue;
 		s = server_of(r, row->name);
-		if (!s || now - s->reported > 2 * REG_LOOK || !strcmp(s->weights, service->weights) ||
-		    !strcmp(s->loading, service->weights) || now - s->ordered < REG_LOOK)
+		if (!s || now - s->reported > 2 * CONTROLLER_LOOK || !strcmp(s->weights, service->weights) ||
+		    !strcmp(s->loading, service->weights) || now - s->ordered < CONTROLLER_LOOK)
 			continue;
-		if (s->load_at >= m->since && now - s->load_at < 2 * REG_LOOK)
+		if (s->load_at >= m->since && now - s->load_at < 2 * CONTROLLER_LOOK)
 			continue; /* told just now */
 		/* one whose order was lost, or that loads what has been overtaken, is told in the place it has */
 		if (s->load_at < m->since && !s->loading[0] && room-- <= 0)
@@ -187,7 +187,7 @@
 		json_object_object_add(what, "load", json_object_new_string(service->weights));
 		order(r, s, part, apr_pstrdup(o->p, row->addr), what, now, o);
 		s->load_at = now;
-		say(r, "order", o->p, "Server %s is told to load %s.", s->name, service->weights);
+		log_line(r, "order", o->p, "Server %s is told to load %s.", s->name, service->weights);
 	}
 	was = shgeti(c->rolled, service->name);
 	if (n && on == n && (was < 0 || strcmp(c->rolled[was].value, service->weights))) {
@@ -199,14 +199,14 @@
 		op.op_case = NL__OP__OP_ROLLED;
 		op.rolled = &d;
 		if (arrlen(r->part[part].marks) == 0) /* nothing of ours is still on its way */
-			log_op(r, part, &op, now, o);
+			log_operation(r, part, &op, now, o);
 	}
 }
 
-void giver_tick(struct reg *r, int64_t now, struct out *o)
+void rollout_tick(struct controller *r, int64_t now, struct out *o)
 {
 	for (uint32_t part = SHARD_SERVICE; part < SHARD_COUNT; part++) {
-		if (!in_office(r, part, now) || follow_age(&r->f, now) > FOLLOW_CONFIG)
+		if (!leads_shard(r, part, now) || config_watch_age(&r->f, now) > CONFIG_WATCH_CONFIG)
 			continue;
 		for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
 			const struct Nl__Row *row = r->f.t.h[i].value.row;
@@ -214,8 +214,8 @@
 			if (row->kind == NL__KIND__SERVER && core_part_of(row->service, SHARD_SERVICES) == part)
 				look_at(r, row, now, o);
 		}
-		if (now - r->owner_since[part] < REG_HOLD)
-			continue; /* the last giver's orders must have had time to end */
+		if (now - r->leader_since[part] < CONTROLLER_HOLD)
+			continue; /* the last rollout's orders must have had time to end */
 		for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
 			const struct Nl__Row *row = r->f.t.h[i].value.row;
 
@@ -225,9 +225,9 @@
 	}
 }
 
-/* ---- orders to sighted servers ------------------------------------------------------- */
+/* ---- orders to seen servers ------------------------------------------------------- */
 
-void giver_open(struct giver *g, int64_t now)
+void rollout_open(struct rollout *g, int64_t now)
 {
 	memset(g, 0, sizeof *g);
 	sh_new_strdup(g->m);
@@ -235,13 +235,13 @@
 	g->blind = now;
 }
 
-static void told_free(struct giver_server *s)
+static void told_free(struct rollout_server *s)
 {
 	free(s->name);
 	free(s->weights);
 }
 
-void giver_close(struct giver *g)
+void rollout_close(struct rollout *g)
 {
 	for (ptrdiff_t i = 0; i < arrlen(g->v); i++)
 		told_free(&g->v[i]);
@@ -252,7 +252,7 @@
 	shfree(g->meant);
 }
 
-static struct giver_server *told_get(const struct giver *g, const char *name)
+static struct rollout_server *told_get(const struct rollout *g, const char *name)
 {
 	for (ptrdiff_t i = 0; i < arrlen(g->v); i++)
 		if (!strcmp(g->v[i].name, name))
@@ -260,9 +260,9 @@
 	return NULL;
 }
 
-static struct giver_server *told_of(struct giver *g, const char *name)
+static struct rollout_server *told_of(struct rollout *g, const char *name)
 {
-	struct giver_server n, *s = told_get(g, name);
+	struct rollout_server n, *s = told_get(g, name);
 
 	if (s)
 		return s;
@@ -273,13 +273,13 @@
 	return &arrlast(g->v);
 }
 
-void giver_begins(struct reg *r, int64_t now)
+void rollout_start(struct controller *r, int64_t now)
 {
-	struct giver *g = &r->giver;
+	struct rollout *g = &r->rollout;
 	uint64_t term = r->part[SHARD_CONTROL].term;
 
 	/* no other gave orders between if the terms follow each other */
-	g->wait = g->term && term == g->term + 1 ? 0 : r->b.lease_ms + GIVER_AFTER;
+	g->wait = g->term && term == g->term + 1 ? 0 : r->b.lease_ms + ROLLOUT_AFTER;
 	g->begun = now;
 	g->term = term;
 	g->seq = 0;
@@ -287,14 +287,14 @@
 	for (ptrdiff_t i = 0; i < arrlen(g->v); i++)
 		told_free(&g->v[i]);
 	arrsetlen(g->v, 0);
-	sights_begin(&r->sights, &r->f.sights, term, now);
-	for (ptrdiff_t i = 0; i < shlen(r->sights.h); i++)
-		if (r->sights.h[i].value.s->loading)
-			told_of(g, r->sights.h[i].key)->is = GIVER_UNSURE;
+	instances_begin(&r->instances, &r->f.instances, term, now);
+	for (ptrdiff_t i = 0; i < shlen(r->instances.h); i++)
+		if (r->instances.h[i].value.s->loading)
+			told_of(g, r->instances.h[i].key)->is = ROLLOUT_UNSURE;
 }
 
-/* Since when a model's newest weights are named, as far as this registrar can tell. */
-static void note_models(struct reg *r, int64_t now)
+/* Since when a model's newest weights are named, as far as this controller can tell. */
+static void note_models(struct controller *r, int64_t now)
 {
 	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++) {
 		const struct Nl__Row *row = r->ctl.h[i].value.row;
@@ -302,15 +302,15 @@
 
 		if (row->kind != NL__KIND__MODEL)
 			continue;
-		k = shgeti(r->giver.m, row->name);
+		k = shgeti(r->rollout.m, row->name);
 		if (k < 0) {
-			typeof(r->giver.m->value) n = { strdup(row->weights), now, 0, 0, 0, 0, 0, 0, 0, 0 };
+			typeof(r->rollout.m->value) n = { strdup(row->weights), now, 0, 0, 0, 0, 0, 0, 0, 0 };
 
-			shput(r->giver.m, row->name, n);
-		} else if (strcmp(r->giver.m[k].value.weights, row->weights)) {
-			free(r->giver.m[k].value.weights);
-			r->giver.m[k].value.weights = strdup(row->weights);
-			r->giver.m[k].value.since = now;
+			shput(r->rollout.m, row->name, n);
+		} else if (strcmp(r->rollout.m[k].value.weights, row->weights)) {
+			free(r->rollout.m[k].value.weights);
+			r->rollout.m[k].value.weights = strdup(row->weights);
+			r->rollout.m[k].value.since = now;
 		}
 	}
 }
@@ -327,36 +327,36 @@
 	return strlen(weights) != strlen(named) ? strlen(weights) > strlen(named) : strcmp(weights, named) > 0;
 }
 
-static const char *model_of(const struct reg *r, const struct Nl__Sight *x)
+static const char *model_of(const struct controller *r, const struct Nl__Instance *x)
 {
-	const struct Nl__Row *service = x->state == SIGHT_SERVING ? table_get(&r->ctl, NL__KIND__SERVICE, x->service) : NULL;
+	const struct Nl__Row *service = x->state == INSTANCE_SERVING ? table_get(&r->ctl, NL__KIND__SERVICE, x->service) : NULL;
 
 	return service && service->model[0] ? service->model : NULL;
 }
 
-/* From when on a server may be ordered: a giver before may have told it at the latest then. Every order is meant in the
+/* From when on a server may be ordered: a rollout before may have told it at the latest then. Every order is meant in the
  * log first, so whoever takes over knows which servers may have had one lately, and the others need not wait. */
-static int64_t free_from(const struct giver *g, const char *name)
+static int64_t free_from(const struct rollout *g, const char *name)
 {
-	struct giver_meant *h = g->meant;
+	struct rollout_order_logged *h = g->meant;
 	ptrdiff_t i = shgeti(h, name);
 	int64_t at = i >= 0 && h[i].value > g->blind ? h[i].value : g->blind;
 
-	return at > g->begun ? 0 : at + GIVER_MEANT_FOR + g->wait;
+	return at > g->begun ? 0 : at + ROLLOUT_MEANT_FOR + g->wait;
 }
 
-/* Tell counters whether to count on a server, whose weights stay what they are. */
-static void unload(struct reg *r, const struct giver_server *s, int loading, int64_t now)
+/* Tell routers whether to count on a server, whose weights stay what they are. */
+static void unload(struct controller *r, const struct rollout_server *s, int loading, int64_t now)
 {
-	const struct Nl__Sight *x = sights_get(&r->sights, s->name);
+	const struct Nl__Instance *x = instances_get(&r->instances, s->name);
 	char *weights = x ? strdup(x->weights) : NULL;
 
 	if (weights)
-		sights_say(&r->sights, s->name, weights, loading, now);
+		instances_set_weights(&r->instances, s->name, weights, loading, now);
 	free(weights);
 }
 
-static void mean(struct reg *r, struct giver_server *s, const char *model, const char *weights, int64_t now, struct out *o)
+static void mean(struct controller *r, struct rollout_server *s, const char *model, const char *weights, int64_t now, struct out *o)
 {
 	struct Nl__Op op = NL__OP__INIT;
 	struct Nl__Rolled d = NL__ROLLED__INIT;
@@ -364,63 +364,64 @@
 	d.service = (char *)model;
 	d.weights = (char *)weights;
 	d.server = s->name;
-	d.fence = r->giver.term << 20 | (r->giver.seq & 0xfffff);
+	d.fence = r->rollout.term << 20 | (r->rollout.seq & 0xfffff);
 	op.op_case = NL__OP__OP_ROLLED;
 	op.rolled = &d;
-	if (!log_op(r, SHARD_CONTROL, &op, now, o))
+	if (!log_operation(r, SHARD_CONTROL, &op, now, o))
 		return;
-	s->is = GIVER_MEANT;
+	s->is = ROLLOUT_MEANT;
 	s->told = now;
 	s->beside = 1;
 	free(s->weights);
 	s->weights = strdup(weights);
-	unload(r, s, 1, now); /* counters hear of it while the log is written */
+	unload(r, s, 1, now); /* routers hear of it while the log is written */
 }
 
-void giver_meant(struct reg *r, const char *server, int64_t now)
+void rollout_order_logged(struct controller *r, const char *server, int64_t now)
 {
-	for (ptrdiff_t i = shlen(r->giver.meant) - 1; i >= 0; i--)
-		if (now - r->giver.meant[i].value > 60000)
-			(void)shdel(r->giver.meant, r->giver.meant[i].key);
-	shput(r->giver.meant, server, now);
+	for (ptrdiff_t i = shlen(r->rollout.meant) - 1; i >= 0; i--)
+		if (now - r->rollout.meant[i].value > 60000)
+			(void)shdel(r->rollout.meant, r->rollout.meant[i].key);
+	shput(r->rollout.meant, server, now);
 }
 
-static void give(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, int64_t meant, int64_t now,
-		 struct out *o)
+static void give(struct controller *r, struct rollout_server *s, const struct Nl__Instance *x, const char *model, int64_t meant,
+		 int64_t now, struct out *o)
 {
-	int64_t until = r->part[SHARD_CONTROL].lease_expires_at - GIVER_MARGIN;
+	int64_t until = r->part[SHARD_CONTROL].lease_expires_at - ROLLOUT_MARGIN;
 	struct cmd *c;
 
-	if (until > meant + GIVER_MEANT_FOR)
-		until = meant + GIVER_MEANT_FOR;
-	if (now >= until || r->giver.barred) {
-		s->is = GIVER_IDLE;
+	if (until > meant + ROLLOUT_MEANT_FOR)
+		until = meant + ROLLOUT_MEANT_FOR;
+	if (now >= until || r->rollout.barred) {
+		s->is = ROLLOUT_IDLE;
 		unload(r, s, 0, now);
 		return;
 	}
-	s->is = GIVER_ASKED;
+	s->is = ROLLOUT_ASKED;
 	s->token = ++r->token;
 	s->told = now;
 	c = out_cmd(o, CMD_ORDER);
 	c->u.order.token = s->token;
 	c->u.order.addr = core_addr(x->addr);
-	c->u.order.fence = r->giver.term << 20 | (++r->giver.seq & 0xfffff);
+	c->u.order.fence = r->rollout.term << 20 | (++r->rollout.seq & 0xfffff);
 	c->u.order.server = apr_pstrdup(o->p, x->server);
 	c->u.order.model = apr_pstrdup(o->p, model);
 	c->u.order.weights = apr_pstrdup(o->p, s->weights);
 	c->u.order.holder = apr_psprintf(o->p, "%016" APR_UINT64_T_HEX_FMT, r->id);
 	c->u.order.not_after = until;
-	say(r, "order", o->p, "Server %s is told to load %s of %s.", x->server, s->weights, model);
-	sights_say(&r->sights, s->name, x->weights, 1, now); /* x may be another copy after this */
+	log_line(r, "order", o->p, "Server %s is told to load %s of %s.", x->server, s->weights, model);
+	instances_set_weights(&r->instances, s->name, x->weights, 1, now); /* x may be another copy after this */
 }
 
-static void look(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, int64_t now, struct out *o)
+static void look(struct controller *r, struct rollout_server *s, const struct Nl__Instance *x, const char *model, int64_t now,
+		 struct out *o)
 {
-	ptrdiff_t k = shgeti(r->giver.m, model);
-	int load = k < 0 ? 0 : r->giver.m[k].value.base_ms;
+	ptrdiff_t k = shgeti(r->rollout.m, model);
+	int load = k < 0 ? 0 : r->rollout.m[k].value.base_ms;
 	struct cmd *c;
 
-	if (now - s->looked < GIVER_LOOK || now - s->told < load * 4 / 5 || (s->look && now - s->looked < GIVER_SILENT))
+	if (now - s->looked < ROLLOUT_LOOK || now - s->told < load * 4 / 5 || (s->look && now - s->looked < ROLLOUT_SILENT))
 		return;
 	s->look = ++r->token;
 	s->looked = now;
@@ -429,45 +430,45 @@
 	c->u.look.addr = core_addr(x->addr);
 	c->u.look.server = apr_pstrdup(o->p, x->server);
 	c->u.look.model = apr_pstrdup(o->p, model);
-	c->u.look.not_after = now + GIVER_SILENT;
+	c->u.look.not_after = now + ROLLOUT_SILENT;
 }
 
 /* One that was told, or may have been: what is known of it since. */
-static void attend(struct reg *r, struct giver_server *s, const struct Nl__Sight *x, const char *model, const char *named,
-		   int64_t now, struct out *o)
+static void attend(struct controller *r, struct rollout_server *s, const struct Nl__Instance *x, const char *model,
+		   const char *named, int64_t now, struct out *o)
 {
-	if (s->is == GIVER_MEANT) {
-		ptrdiff_t k = shgeti(r->giver.meant, s->name);
+	if (s->is == ROLLOUT_MEANT) {
+		ptrdiff_t k = shgeti(r->rollout.meant, s->name);
 
-		if (k >= 0 && r->giver.meant[k].value >= s->told) {
-			give(r, s, x, model, r->giver.meant[k].value, now, o);
-		} else if (now - s->told > GIVER_MEANT_FOR) {
-			s->is = GIVER_IDLE; /* the log stands still */
+		if (k >= 0 && r->rollout.meant[k].value >= s->told) {
+			give(r, s, x, model, r->rollout.meant[k].value, now, o);
+		} else if (now - s->told > ROLLOUT_MEANT_FOR) {
+			s->is = ROLLOUT_IDLE; /* the log stands still */
 			unload(r, s, 0, now);
 		}
 		return;
 	}
-	if (s->is == GIVER_ASKED && now - s->told >= GIVER_SILENT)
-		s->is = GIVER_UNSURE;
-	if (s->is == GIVER_LOADING || s->is == GIVER_UNSURE) {
+	if (s->is == ROLLOUT_ASKED && now - s->told >= ROLLOUT_SILENT)
+		s->is = ROLLOUT_UNSURE;
+	if (s->is == ROLLOUT_LOADING || s->is == ROLLOUT_UNSURE) {
 		if (has(x->weights, named)) { /* the list says so */
-			s->is = GIVER_IDLE;
-			sights_say(&r->sights, s->name, x->weights, 0, now);
-		} else if (now >= s->told + GIVER_LOOK) {
+			s->is = ROLLOUT_IDLE;
+			instances_set_weights(&r->instances, s->name, x->weights, 0, now);
+		} else if (now >= s->told + ROLLOUT_LOOK) {
 			look(r, s, x, model, now, o);
 		}
 	}
 }
 
 /* Learn from a load's end how long one takes, and whether more at once than at first make it longer. */
-static void learn(struct reg *r, const struct giver_server *s, const char *model, int64_t now)
+static void learn(struct controller *r, const struct rollout_server *s, const char *model, int64_t now)
 {
-	typeof(r->giver.m->value) *m;
+	typeof(r->rollout.m->value) *m;
 	int ms = (int)(now - s->told);
 
-	if (shgeti(r->giver.m, model) < 0 || s->is != GIVER_LOADING || !s->told)
+	if (shgeti(r->rollout.m, model) < 0 || s->is != ROLLOUT_LOADING || !s->told)
 		return;
-	m = &shgetp(r->giver.m, model)->value;
+	m = &shgetp(r->rollout.m, model)->value;
 	if (s->beside <= m->base) {
 		m->base_ms = m->base_ms ? (3 * m->base_ms + ms) / 4 : ms;
 		return;
@@ -484,15 +485,16 @@
 
 /* How many may load at once: as many as don't slow each other down, as far as is known; more when the bound asks for
  * it and it helps; all that are left once the time that is planned for is over. */
-static int at_once(const struct reg *r, typeof(((struct giver_model *)0)->value) *m, int n, int left, int busy, int64_t now)
+static int at_once(const struct controller *r, typeof(((struct rollout_model *)0)->value) *m, int n, int left, int busy,
+		   int64_t now)
 {
-	int64_t load = m->base_ms ? m->base_ms : r->b.roll_ms / 10, time = m->since + r->b.roll_ms * GIVER_PLAN / 100 - now;
+	int64_t load = m->base_ms ? m->base_ms : r->b.roll_ms / 10, time = m->since + r->b.roll_ms * ROLLOUT_PLAN / 100 - now;
 	int need;
 
 	if (!m->base)
 		m->base = m->room = (n + 3) / 6 > 1 ? (n + 3) / 6 : 1;
 	if (time < load) /* while more don't help, or have not shown that they do, a few more keep as busy as all */
-		return (m->many || (m->base_ms && m->more < 2 * m->base)) && now < m->since + r->b.roll_ms * GIVER_LAST / 100 &&
+		return (m->many || (m->base_ms && m->more < 2 * m->base)) && now < m->since + r->b.roll_ms * ROLLOUT_LAST / 100 &&
 			       left > 2 * m->base
 			   ? 2 * m->base
 			   : left;
@@ -524,8 +526,8 @@
 	return &arrlast(*z);
 }
 
-static void log_rolled(struct reg *r, typeof(((struct giver_model *)0)->value) *m, const struct Nl__Row *model, int64_t now,
-		       struct out *o)
+static void log_rolled(struct controller *r, typeof(((struct rollout_model *)0)->value) *m, const struct Nl__Row *model,
+		       int64_t now, struct out *o)
 {
 	const struct raft *p = &r->part[SHARD_CONTROL];
 	struct Nl__Row row = *model, *set[1] = { &row };
@@ -541,32 +543,32 @@
 	c.n_set = 1;
 	op.op_case = NL__OP__OP_CHANGE;
 	op.change = &c;
-	if (log_op(r, SHARD_CONTROL, &op, now, o)) {
+	if (log_operation(r, SHARD_CONTROL, &op, now, o)) {
 		m->rolled = now;
-		say(r, "order", o->p, "Every server has %s of %s.", model->weights, model->name);
+		log_line(r, "order", o->p, "Every server has %s of %s.", model->weights, model->name);
 	}
 }
 
 /* 1 when nothing is left to do. */
-static int roll_model(struct reg *r, const struct Nl__Row *model, int64_t now, struct out *o)
+static int roll_model(struct controller *r, const struct Nl__Row *model, int64_t now, struct out *o)
 {
-	typeof(r->giver.m->value) *m = &shgetp(r->giver.m, model->name)->value;
+	typeof(r->rollout.m->value) *m = &shgetp(r->rollout.m, model->name)->value;
 	int n = 0, on = 0, busy = 0, room;
 	struct zone *z = NULL;
 
-	for (ptrdiff_t i = 0; i < shlen(r->sights.h); i++) {
-		const struct Nl__Sight *x = r->sights.h[i].value.s;
+	for (ptrdiff_t i = 0; i < shlen(r->instances.h); i++) {
+		const struct Nl__Instance *x = r->instances.h[i].value.s;
 		const char *name = model_of(r, x);
-		struct giver_server *s;
+		struct rollout_server *s;
 		int out;
 
 		if (!name || strcmp(name, model->name))
 			continue;
-		s = told_get(&r->giver, x->server);
+		s = told_get(&r->rollout, x->server);
 		if (s)
 			attend(r, s, x, model->name, model->weights, now, o);
-		x = r->sights.h[i].value.s;
-		out = s && s->is != GIVER_IDLE;
+		x = r->instances.h[i].value.s;
+		out = s && s->is != ROLLOUT_IDLE;
 		n++;
 		busy += out;
 		on += !out && has(x->weights, model->weights);
@@ -576,23 +578,23 @@
 	if (n && on == n && strcmp(model->rolled, model->weights))
 		log_rolled(r, m, model, now, o);
 	room = on == n ? 0 : at_once(r, m, n, n - on, busy, now) - busy;
-	if (r->giver.barred || now >= r->part[SHARD_CONTROL].lease_expires_at - GIVER_MARGIN)
+	if (r->rollout.barred || now >= r->part[SHARD_CONTROL].lease_expires_at - ROLLOUT_MARGIN)
 		room = 0;
 	while (room-- > 0) { /* next in the zone that has the smallest share of its servers out */
-		const struct Nl__Sight *best = NULL;
+		const struct Nl__Instance *best = NULL;
 		struct zone *at = NULL;
 
-		for (ptrdiff_t i = 0; i < shlen(r->sights.h); i++) {
-			const struct Nl__Sight *x = r->sights.h[i].value.s;
+		for (ptrdiff_t i = 0; i < shlen(r->instances.h); i++) {
+			const struct Nl__Instance *x = r->instances.h[i].value.s;
 			const char *name = model_of(r, x);
-			struct giver_server *s;
+			struct rollout_server *s;
 			struct zone *q;
 
 			if (!name || strcmp(name, model->name) || has(x->weights, model->weights))
 				continue;
-			s = told_get(&r->giver, x->server);
+			s = told_get(&r->rollout, x->server);
 			q = zone_of(&z, x->zone, o->p);
-			if ((s && (s->is != GIVER_IDLE || now < s->again)) || now < free_from(&r->giver, x->server) ||
+			if ((s && (s->is != ROLLOUT_IDLE || now < s->again)) || now < free_from(&r->rollout, x->server) ||
 			    (at && q->out * at->n >= at->out * q->n))
 				continue;
 			best = x;
@@ -601,118 +603,118 @@
 		if (!best)
 			break;
 		at->out++;
-		mean(r, told_of(&r->giver, best->server), model->name, model->weights, now, o);
+		mean(r, told_of(&r->rollout, best->server), model->name, model->weights, now, o);
 		busy++;
 	}
-	for (ptrdiff_t i = 0; i < arrlen(r->giver.v); i++)
-		if (r->giver.v[i].is != GIVER_IDLE && r->giver.v[i].beside < busy)
-			r->giver.v[i].beside = busy;
+	for (ptrdiff_t i = 0; i < arrlen(r->rollout.v); i++)
+		if (r->rollout.v[i].is != ROLLOUT_IDLE && r->rollout.v[i].beside < busy)
+			r->rollout.v[i].beside = busy;
 	arrfree(z);
 	return !n || (on == n && !strcmp(model->rolled, model->weights));
 }
 
-void giver_sighted(struct reg *r, int64_t now, struct out *o)
+void rollout_instances(struct controller *r, int64_t now, struct out *o)
 {
 	int soon = 0, done = 1;
 
-	if (!r->b.sights)
+	if (!r->b.instances)
 		return;
 	note_models(r, now);
-	if (!in_office(r, SHARD_CONTROL, now))
+	if (!leads_shard(r, SHARD_CONTROL, now))
 		return;
-	for (ptrdiff_t i = arrlen(r->giver.v) - 1; i >= 0; i--) { /* those of servers that have left */
-		const struct Nl__Sight *x = sights_get(&r->sights, r->giver.v[i].name);
+	for (ptrdiff_t i = arrlen(r->rollout.v) - 1; i >= 0; i--) { /* those of servers that have left */
+		const struct Nl__Instance *x = instances_get(&r->instances, r->rollout.v[i].name);
 
-		if (x && x->state == SIGHT_SERVING) {
-			soon |= r->giver.v[i].is != GIVER_IDLE;
+		if (x && x->state == INSTANCE_SERVING) {
+			soon |= r->rollout.v[i].is != ROLLOUT_IDLE;
 			continue;
 		}
-		told_free(&r->giver.v[i]);
-		arrdelswap(r->giver.v, i);
+		told_free(&r->rollout.v[i]);
+		arrdelswap(r->rollout.v, i);
 	}
-	sights_tick(&r->sights, soon, r->b.list_mille, ++r->token, now, o);
-	if (!r->sights.listed || (r->giver.done_stamp == r->sights.stamp && r->giver.done_edition == r->ctl.edition))
+	instances_tick(&r->instances, soon, r->b.list_mille, ++r->token, now, o);
+	if (!r->instances.listed || (r->rollout.done_stamp == r->instances.stamp && r->rollout.done_edition == r->ctl.edition))
 		return;
 	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++)
 		if (r->ctl.h[i].value.row->kind == NL__KIND__MODEL)
 			done &= roll_model(r, r->ctl.h[i].value.row, now, o);
 	if (done) { /* until something is seen or named */
-		r->giver.done_stamp = r->sights.stamp;
-		r->giver.done_edition = r->ctl.edition;
+		r->rollout.done_stamp = r->instances.stamp;
+		r->rollout.done_edition = r->ctl.edition;
 	}
 }
 
-void giver_ordered(struct reg *r, uint64_t token, int status, int never, int64_t now, struct out *o)
+void rollout_on_ordered(struct controller *r, uint64_t token, int status, int never, int64_t now, struct out *o)
 {
-	struct giver_server *s = NULL;
-	const struct Nl__Sight *x;
+	struct rollout_server *s = NULL;
+	const struct Nl__Instance *x;
 
-	for (ptrdiff_t i = 0; i < arrlen(r->giver.v) && token; i++)
-		if (r->giver.v[i].token == token)
-			s = &r->giver.v[i];
-	x = s ? sights_get(&r->sights, s->name) : NULL;
+	for (ptrdiff_t i = 0; i < arrlen(r->rollout.v) && token; i++)
+		if (r->rollout.v[i].token == token)
+			s = &r->rollout.v[i];
+	x = s ? instances_get(&r->instances, s->name) : NULL;
 	if (!x)
 		return;
 	s->token = 0;
 	switch (status) {
 	case 200:
-		s->is = GIVER_IDLE;
-		sights_say(&r->sights, s->name, s->weights, 0, now);
+		s->is = ROLLOUT_IDLE;
+		instances_set_weights(&r->instances, s->name, s->weights, 0, now);
 		break;
-	case 202: s->is = GIVER_LOADING; break;
+	case 202: s->is = ROLLOUT_LOADING; break;
 	case 412:
-		if (!r->giver.barred)
-			say(r, "order", o->p, "Server %s has seen a higher fence; no orders until the next term.", s->name);
-		r->giver.barred = 1;
-		s->is = GIVER_UNSURE;
+		if (!r->rollout.barred)
+			log_line(r, "order", o->p, "Server %s has seen a higher fence; no orders until the next term.", s->name);
+		r->rollout.barred = 1;
+		s->is = ROLLOUT_UNSURE;
 		break;
-	case 421: sights_end(&r->sights, s->name, now); break;
-	case 409: s->is = GIVER_UNSURE; break; /* it loads what it was told before: told again when a look says it is done */
+	case 421: instances_end(&r->instances, s->name, now); break;
+	case 409: s->is = ROLLOUT_UNSURE; break; /* it loads what it was told before: told again when a look says it is done */
 	default:
 		if (never) {
-			s->is = GIVER_IDLE;
+			s->is = ROLLOUT_IDLE;
 			s->again = now + 100;
-			sights_say(&r->sights, s->name, x->weights, 0, now);
+			instances_set_weights(&r->instances, s->name, x->weights, 0, now);
 		} else {
-			s->is = GIVER_UNSURE;
-			s->again = now + (status ? GIVER_REFUSED : 0);
+			s->is = ROLLOUT_UNSURE;
+			s->again = now + (status ? ROLLOUT_REFUSED : 0);
 			if (status)
-				say(r, "order", o->p, "Step order: server %s answers %d.", s->name, status);
+				log_line(r, "order", o->p, "Step order: server %s answers %d.", s->name, status);
 		}
 	}
 }
 
-void giver_looked(struct reg *r, uint64_t token, int status, const char *weights, int loading, int64_t now)
+void rollout_on_look(struct controller *r, uint64_t token, int status, const char *weights, int loading, int64_t now)
 {
-	struct giver_server *s = NULL;
-	const struct Nl__Sight *x;
+	struct rollout_server *s = NULL;
+	const struct Nl__Instance *x;
 	const char *model;
 	ptrdiff_t k;
 
-	for (ptrdiff_t i = 0; i < arrlen(r->giver.v) && token; i++)
-		if (r->giver.v[i].look == token)
-			s = &r->giver.v[i];
-	x = s ? sights_get(&r->sights, s->name) : NULL;
+	for (ptrdiff_t i = 0; i < arrlen(r->rollout.v) && token; i++)
+		if (r->rollout.v[i].look == token)
+			s = &r->rollout.v[i];
+	x = s ? instances_get(&r->instances, s->name) : NULL;
 	model = x ? model_of(r, x) : NULL;
 	if (!model)
 		return;
 	s->look = 0;
 	if (status == 421) {
-		sights_end(&r->sights, s->name, now);
+		instances_end(&r->instances, s->name, now);
 		return;
 	}
-	k = shgeti(r->giver.m, model);
-	if (status != 200 || !weights || k < 0 || (s->is != GIVER_LOADING && s->is != GIVER_UNSURE))
+	k = shgeti(r->rollout.m, model);
+	if (status != 200 || !weights || k < 0 || (s->is != ROLLOUT_LOADING && s->is != ROLLOUT_UNSURE))
 		return;
 	if (loading) {
-		s->is = GIVER_LOADING;
-		sights_say(&r->sights, s->name, weights, 1, now);
+		s->is = ROLLOUT_LOADING;
+		instances_set_weights(&r->instances, s->name, weights, 1, now);
 		return;
 	}
-	if (!has(weights, s->weights) && s->looked < s->told + GIVER_DATED)
+	if (!has(weights, s->weights) && s->looked < s->told + ROLLOUT_DATED)
 		return; /* the report may be older than the order */
 	if (!strcmp(weights, s->weights))
 		learn(r, s, model, now);
-	s->is = GIVER_IDLE;
-	sights_say(&r->sights, s->name, weights, 0, now);
+	s->is = ROLLOUT_IDLE;
+	instances_set_weights(&r->instances, s->name, weights, 0, now);
 }
--- a/lib/control/snapshot.c
+++ b/lib/control/snapshot.c
@@ -5,15 +5,15 @@
 #include <string.h>
 
 #include "ds.h"
-#include "reg_private.h"
+#include "controller_private.h"
 #include "state_machine.h"
 
-static int by_key(const void *a, const void *b) { return strcmp(*(char *const *)a, *(char *const *)b); }
+static int compare_keys(const void *a, const void *b) { return strcmp(*(char *const *)a, *(char *const *)b); }
 
-static uint8_t *pack_ctl(const struct reg *r, apr_pool_t *p, size_t *n)
+static uint8_t *pack_control_state(const struct controller *r, apr_pool_t *p, size_t *n)
 {
 	struct Nl__CtlState s = NL__CTL_STATE__INIT;
-	struct Nl__FollowReply all = NL__FOLLOW_REPLY__INIT;
+	struct Nl__ConfigSyncReply all = NL__CONFIG_SYNC_REPLY__INIT;
 	struct table_row *h = r->ctl.h;
 	char **key = apr_palloc(p, ((size_t)shlen(h) + 1) * sizeof *key);
 
@@ -25,7 +25,7 @@
 	s.n_row = all.n_set;
 	for (size_t i = 0; i < s.n_row; i++) /* in order, so that equal states pack alike */
 		key[i] = h[i].key;
-	qsort(key, s.n_row, sizeof *key, by_key);
+	qsort(key, s.n_row, sizeof *key, compare_keys);
 	for (size_t i = 0; i < s.n_row; i++)
 		s.row[i] = shget(h, key[i]).row;
 	s.feed = r->ctl_feed;
@@ -47,7 +47,7 @@
 	return core_pack(p, &s.base, n);
 }
 
-static uint8_t *pack_pub(const struct reg *r, apr_pool_t *p, size_t *n)
+static uint8_t *pack_purge_state(const struct controller *r, apr_pool_t *p, size_t *n)
 {
 	struct Nl__PurgeState s = NL__PURGE_STATE__INIT;
 	struct Nl__FeedMark m[SHARD_COUNT], *pm[SHARD_COUNT];
@@ -77,10 +77,10 @@
 	return core_pack(p, &s.base, n);
 }
 
-static uint8_t *pack_svc(const struct reg_svc *c, apr_pool_t *p, size_t *n)
+static uint8_t *pack_service_state(const struct controller_svc *c, apr_pool_t *p, size_t *n)
 {
 	struct Nl__ServiceState s = NL__SERVICE_STATE__INIT;
-	struct reg_claim *h = c->h;
+	struct controller_claim *h = c->h;
 	char **key = apr_palloc(p, ((size_t)shlen(h) + 1) * sizeof *key);
 	size_t live = 0;
 
@@ -90,9 +90,9 @@
 	s.settled = c->settled;
 	s.c = apr_palloc(p, ((size_t)shlen(h) + 1) * sizeof *s.c);
 	for (ptrdiff_t i = 0; i < shlen(h); i++)
-		if (h[i].value.at + REG_CLAIM_KEEP >= c->clock)
+		if (h[i].value.at + CONTROLLER_CLAIM_KEEP >= c->clock)
 			key[live++] = h[i].key;
-	qsort(key, live, sizeof *key, by_key);
+	qsort(key, live, sizeof *key, compare_keys);
 	for (size_t i = 0; i < live; i++) {
 		struct Nl__ClaimRow *x = apr_palloc(p, sizeof *x);
 		char *sep = strchr(key[i], '\x1f');
@@ -123,24 +123,24 @@
 	return core_pack(p, &s.base, n);
 }
 
-uint8_t *reg_state(const struct reg *r, uint32_t part, apr_pool_t *p, size_t *n)
+uint8_t *controller_state(const struct controller *r, uint32_t part, apr_pool_t *p, size_t *n)
 {
-	return part == SHARD_CONTROL ? pack_ctl(r, p, n)
-	       : part == SHARD_PURGE ? pack_pub(r, p, n)
-				     : pack_svc(&r->svc[part - SHARD_SERVICE], p, n);
+	return part == SHARD_CONTROL ? pack_control_state(r, p, n)
+	       : part == SHARD_PURGE ? pack_purge_state(r, p, n)
+				     : pack_service_state(&r->svc[part - SHARD_SERVICE], p, n);
 }
 
-void clear_values(struct Nl__Value ***v)
+void free_values(struct Nl__Value ***v)
 {
 	for (ptrdiff_t i = 0; i < arrlen(*v); i++)
 		value_free((*v)[i]);
 	arrfree(*v);
 }
 
-void clear_svc(struct reg_svc *s)
+void clear_service_state(struct controller_svc *s)
 {
 	shfree(s->h);
-	clear_values(&s->feed);
+	free_values(&s->feed);
 	for (ptrdiff_t i = 0; i < shlen(s->rolled); i++)
 		free(s->rolled[i].value);
 	shfree(s->rolled);
@@ -150,7 +150,7 @@
 }
 
 /* NOLINTNEXTLINE(readability-function-size): to be cut, issue 18 */
-void load_state(struct reg *r, uint32_t part, apr_pool_t *p)
+void snapshot_load(struct controller *r, uint32_t part, apr_pool_t *p)
 {
 	const struct raft *q = &r->part[part];
 
@@ -158,21 +158,21 @@
 	if (part == SHARD_CONTROL) {
 		struct Nl__CtlState *s =
 		    (struct Nl__CtlState *)core_unpack(p, &nl__ctl_state__descriptor, q->snapshot_len, q->snap);
-		struct Nl__FollowReply all = NL__FOLLOW_REPLY__INIT;
+		struct Nl__ConfigSyncReply all = NL__CONFIG_SYNC_REPLY__INIT;
 
 		table_close(&r->ctl);
 		table_open(&r->ctl);
 		arrsetlen(r->spare, 0); /* its names were that table's */
 		r->spare_edition = 0;
-		clear_values(&r->ctl_feed);
+		free_values(&r->ctl_feed);
 		arrsetlen(r->ctl_done, 0);
 		orders_load(&r->orders, s);
 		retention_load(r, s);
-		doc_keep(r, s ? s->doc.data : NULL, s ? s->doc.len : 0, s ? s->doc_version : 0);
+		keep_document(r, s ? s->doc.data : NULL, s ? s->doc.len : 0, s ? s->doc_version : 0);
 		if (!s)
 			return;
 		for (size_t i = 0; i < s->n_done; i++) {
-			struct reg_done d = { s->done[i]->from, s->done[i]->token, s->done[i]->status };
+			struct controller_done d = { s->done[i]->from, s->done[i]->token, s->done[i]->status };
 
 			arrput(r->ctl_done, d);
 		}
@@ -189,7 +189,7 @@
 		struct Nl__PurgeState *s =
 		    (struct Nl__PurgeState *)core_unpack(p, &nl__purge_state__descriptor, q->snapshot_len, q->snap);
 
-		clear_values(&r->pub.v);
+		free_values(&r->pub.v);
 		view_clear(&r->pub.last);
 		memset(&r->pub, 0, sizeof r->pub);
 		if (!s)
@@ -205,11 +205,11 @@
 			if (s->mark[i]->feed < SHARD_COUNT)
 				r->pub.mark[s->mark[i]->feed] = s->mark[i]->index;
 	} else {
-		struct reg_svc *c = svc_of(r, part);
+		struct controller_svc *c = service_shard(r, part);
 		struct Nl__ServiceState *s =
 		    (struct Nl__ServiceState *)core_unpack(p, &nl__service_state__descriptor, q->snapshot_len, q->snap);
 
-		clear_svc(c);
+		clear_service_state(c);
 		if (!s)
 			return;
 		c->clock = s->clock;
@@ -226,13 +226,13 @@
 	}
 }
 
-void snapshot(struct reg *r, uint32_t i, struct out *o)
+void snapshot_take(struct controller *r, uint32_t i, struct out *o)
 {
 	size_t n;
 	uint8_t *d;
 
-	if (svc_of(r, i))
-		forget_claims(svc_of(r, i));
-	d = reg_state(r, i, o->p, &n);
+	if (service_shard(r, i))
+		expire_claims(service_shard(r, i));
+	d = controller_state(r, i, o->p, &n);
 	raft_snapshot(&r->part[i], d, n);
 }
--- a/lib/control/snapshot.h
+++ b/lib/control/snapshot.h
@@ -4,18 +4,18 @@
 #ifndef NL_SNAPSHOT_H
 #define NL_SNAPSHOT_H
 
-#include "reg.h"
+#include "controller.h"
 
 /* Free a list of purge values. */
-void clear_values(struct Nl__Value ***v);
+void free_values(struct Nl__Value ***v);
 
 /* Empty a service part's state. */
-void clear_svc(struct reg_svc *s);
+void clear_service_state(struct controller_svc *s);
 
 /* Replace a part's state by the snapshot that its log holds. */
-void load_state(struct reg *r, uint32_t part, apr_pool_t *p);
+void snapshot_load(struct controller *r, uint32_t part, apr_pool_t *p);
 
 /* Hand the part's log a snapshot of what is applied now. */
-void snapshot(struct reg *r, uint32_t i, struct out *o);
+void snapshot_take(struct controller *r, uint32_t i, struct out *o);
 
 #endif
--- a/lib/control/state_machine.c
+++ b/lib/control/state_machine.c
@@ -5,9 +5,9 @@
 #include <string.h>
 
 #include "ds.h"
-#include "reg_private.h"
+#include "controller_private.h"
 
-static void feed_put(struct Nl__Value ***feed, uint32_t part, uint64_t index, struct Nl__Purge *p)
+static void append_to_feed(struct Nl__Value ***feed, uint32_t part, uint64_t index, struct Nl__Purge *p)
 {
 	struct Nl__Value v = NL__VALUE__INIT;
 
@@ -17,7 +17,7 @@
 	arrput(*feed, value_copy(&v));
 }
 
-static void feed_trim(struct Nl__Value ***feed, uint64_t upto)
+static void trim_feed(struct Nl__Value ***feed, uint64_t upto)
 {
 	size_t n = 0;
 
@@ -27,7 +27,7 @@
 		arrdeln(*feed, 0, n);
 }
 
-const struct reg_done *done_of(const struct reg *r, uint64_t from, uint64_t token)
+const struct controller_done *find_done_operation(const struct controller *r, uint64_t from, uint64_t token)
 {
 	for (ptrdiff_t i = arrlen(r->ctl_done) - 1; i >= 0; i--)
 		if (r->ctl_done[i].from == from && r->ctl_done[i].token == token)
@@ -40,7 +40,7 @@
 	return order_same(&accepted->id, id) ? TABLE_DONE : TABLE_KEY_REUSED;
 }
 
-void doc_keep(struct reg *r, const uint8_t *d, size_t n, uint64_t version)
+void keep_document(struct controller *r, const uint8_t *d, size_t n, uint64_t version)
 {
 	free(r->ctl_doc);
 	r->ctl_doc = malloc(n + 1);
@@ -54,7 +54,7 @@
 }
 
 /* A document is taken in the log's order: one built on another version is late. */
-static int apply_doc(struct reg *r, const struct Nl__Change *c, struct Nl__Purge ***feed)
+static int apply_document(struct controller *r, const struct Nl__Change *c, struct Nl__Purge ***feed)
 {
 	int st;
 
@@ -65,15 +65,15 @@
 	st = table_apply(&r->ctl, c, feed);
 	if (st != TABLE_DONE)
 		return st;
-	doc_keep(r, c->doc.data, c->doc.len, c->doc_version);
+	keep_document(r, c->doc.data, c->doc.len, c->doc_version);
 	return TABLE_DONE;
 }
 
 /* A change may be proposed again while its answer is lost, and an order sent again by its operator: it is applied once. */
-static uint32_t apply_change(struct reg *r, uint64_t index, const struct Nl__Op *op)
+static uint32_t apply_change(struct controller *r, uint64_t index, const struct Nl__Op *op)
 {
-	const struct reg_done *old = op->from ? done_of(r, op->from, op->token) : NULL;
-	struct reg_done d = { op->from, op->token, 0 };
+	const struct controller_done *old = op->from ? find_done_operation(r, op->from, op->token) : NULL;
+	struct controller_done d = { op->from, op->token, 0 };
 	struct Nl__Purge **p = NULL;
 	struct order_id id = order_unpack(op->order);
 	const struct order_record *accepted = orders_find(&r->orders, &id);
@@ -83,18 +83,18 @@
 		return old->status;
 	if (accepted)
 		return order_outcome(accepted, &id);
-	st = document ? apply_doc(r, op->change, &p) : table_apply(&r->ctl, op->change, &p);
+	st = document ? apply_document(r, op->change, &p) : table_apply(&r->ctl, op->change, &p);
 	if (st == TABLE_DONE)
 		orders_add(&r->orders, &id, document ? ORDER_DOCUMENTS : ORDER_CHANGES,
 			   document ? r->ctl_doc_version : r->ctl.edition);
 	d.status = (uint32_t)st;
 	if (d.from)
 		arrput(r->ctl_done, d);
-	if (arrlen(r->ctl_done) > REG_DONE)
+	if (arrlen(r->ctl_done) > CONTROLLER_DONE)
 		arrdel(r->ctl_done, 0);
 
 	for (ptrdiff_t i = 0; i < arrlen(p); i++) {
-		feed_put(&r->ctl_feed, SHARD_CONTROL, index << 16 | (uint64_t)i, p[i]);
+		append_to_feed(&r->ctl_feed, SHARD_CONTROL, index << 16 | (uint64_t)i, p[i]);
 		nl__purge__free_unpacked(p[i], NULL);
 	}
 	arrfree(p);
@@ -104,10 +104,10 @@
 }
 
 /* An operator's call to clear may be proposed again while its answer is lost, too. */
-static uint32_t apply_clear(struct reg *r, uint64_t index, const struct Nl__Op *op)
+static uint32_t apply_clear(struct controller *r, uint64_t index, const struct Nl__Op *op)
 {
-	const struct reg_done *old = op->from ? done_of(r, op->from, op->token) : NULL;
-	struct reg_done d = { op->from, op->token, 0 };
+	const struct controller_done *old = op->from ? find_done_operation(r, op->from, op->token) : NULL;
+	struct controller_done d = { op->from, op->token, 0 };
 	struct order_id id = order_unpack(op->order);
 	const struct order_record *accepted = orders_find(&r->orders, &id);
 
@@ -120,15 +120,15 @@
 		orders_add(&r->orders, &id, ORDER_UNVERSIONED, r->ctl.edition);
 	if (d.from)
 		arrput(r->ctl_done, d);
-	if (arrlen(r->ctl_done) > REG_DONE)
+	if (arrlen(r->ctl_done) > CONTROLLER_DONE)
 		arrdel(r->ctl_done, 0);
 	return d.status;
 }
 
 /* Once context is cleared, what a part logged before goes from its disks, and again when no claim is left from then. */
-static void apply_cleared(struct reg *r, uint32_t part, const struct Nl__Trim *t)
+static void apply_cleared(struct controller *r, uint32_t part, const struct Nl__Trim *t)
 {
-	struct reg_svc *s = svc_of(r, part);
+	struct controller_svc *s = service_shard(r, part);
 	uint64_t *cleared = s ? &s->cleared : part == SHARD_CONTROL ? &r->ret.cleared : &r->pub.cleared;
 
 	if (t->cleared <= *cleared && !t->settled)
@@ -143,13 +143,13 @@
 	r->fresh[part] = 1;
 }
 
-static uint32_t apply_claim(struct reg_svc *s, const struct Nl__Claim *c, apr_pool_t *p)
+static uint32_t apply_claim(struct controller_svc *s, const struct Nl__Claim *c, apr_pool_t *p)
 {
 	char *key = apr_pstrcat(p, c->tenant, "\x1f", c->id, NULL);
 	ptrdiff_t i = shgeti(s->h, key);
 	int mine;
 
-	if (i >= 0 && s->h[i].value.at + REG_CLAIM_KEEP < s->clock) {
+	if (i >= 0 && s->h[i].value.at + CONTROLLER_CLAIM_KEEP < s->clock) {
 		(void)shdel(s->h, key);
 		i = -1;
 	}
@@ -167,16 +167,16 @@
 }
 
 /* Claims past their time count as absent when looked up; now and then they go. */
-void forget_claims(struct reg_svc *s)
+void expire_claims(struct controller_svc *s)
 {
 	for (ptrdiff_t i = shlen(s->h) - 1; i >= 0; i--)
-		if (s->h[i].value.at + REG_CLAIM_KEEP < s->clock)
+		if (s->h[i].value.at + CONTROLLER_CLAIM_KEEP < s->clock)
 			(void)shdel(s->h, s->h[i].key);
 }
 
-static void apply_rolled(struct reg *r, uint32_t part, uint64_t index, const struct Nl__Rolled *c)
+static void apply_rollout(struct controller *r, uint32_t part, uint64_t index, const struct Nl__Rolled *c)
 {
-	struct reg_svc *s = svc_of(r, part);
+	struct controller_svc *s = service_shard(r, part);
 	ptrdiff_t i = shgeti(s->rolled, c->service);
 	char *now_on = strdup(c->weights);
 
@@ -186,16 +186,16 @@
 		p.why = PURGE_WEIGHTS;
 		p.service = c->service;
 		p.weights = s->rolled[i].value;
-		feed_put(&s->feed, part, index << 16, &p);
+		append_to_feed(&s->feed, part, index << 16, &p);
 	}
 	if (i >= 0)
 		free(s->rolled[i].value);
 	shput(s->rolled, c->service, now_on);
 }
 
-static void apply_value(struct reg *r, const struct Nl__Value *v, int64_t now, struct out *o)
+static void apply_value(struct controller *r, const struct Nl__Value *v, int64_t now, struct out *o)
 {
-	struct reg_pub *b = &r->pub;
+	struct controller_pub *b = &r->pub;
 	int fresh = v->feed < SHARD_COUNT && v->index > b->mark[v->feed] && v->purge;
 
 	if (fresh) {
@@ -213,7 +213,7 @@
 	}
 }
 
-static void apply_reserve(struct reg *r, const struct Nl__Reserve *c)
+static void apply_reservation(struct controller *r, const struct Nl__Reserve *c)
 {
 	size_t n = 0;
 
@@ -228,30 +228,31 @@
 }
 
 /* The first operation after a recovery: numbers that the lost members may have given out are not given out again. */
-static void enter_epoch(struct reg *r, uint32_t part, uint64_t epoch)
+static void enter_epoch(struct controller *r, uint32_t part, uint64_t epoch)
 {
 	if (epoch <= r->epoch[part])
 		return;
 	r->epoch[part] = epoch;
 	if (part == SHARD_CONTROL) { /* every node takes the table whole */
-		r->ctl.edition += REG_RECOVERY_SKIP;
+		r->ctl.edition += CONTROLLER_RECOVERY_SKIP;
 		r->ctl.floor = r->ctl.plan = r->ctl.edition;
 	}
 	if (part == SHARD_PURGE)
-		r->pub.ceiling += REG_RECOVERY_SKIP;
+		r->pub.ceiling += CONTROLLER_RECOVERY_SKIP;
 }
 
-struct applied apply(struct reg *r, uint32_t part, uint64_t entry_index, const struct raft_entry *e, int64_t now, struct out *o)
+struct applied state_machine_apply(struct controller *r, uint32_t part, uint64_t entry_index, const struct raft_entry *e,
+				   int64_t now, struct out *o)
 {
-	uint64_t index = raft_epoch(e->term) << REG_EPOCH_SHIFT | entry_index; /* of feeds: above all of the epoch before */
+	uint64_t index = raft_epoch(e->term) << CONTROLLER_EPOCH_SHIFT | entry_index; /* of feeds: above all of the epoch before */
 	struct Nl__Op *op = (struct Nl__Op *)core_unpack(o->p, &nl__op__descriptor, e->len, e->data);
 	struct order_id id = order_unpack(op ? op->order : NULL);
 	const struct order_record *accepted;
 	uint32_t st = TABLE_REFUSED;
 
 	enter_epoch(r, part, raft_epoch(e->term));
-	if (op && svc_of(r, part))
-		svc_of(r, part)->clock += op->clock;
+	if (op && service_shard(r, part))
+		service_shard(r, part)->clock += op->clock;
 	if (op)
 		switch (op->op_case) {
 		case NL__OP__OP_CHANGE:
@@ -260,7 +261,7 @@
 			break;
 		case NL__OP__OP_RESERVE:
 			if (part == SHARD_PURGE) {
-				apply_reserve(r, op->reserve);
+				apply_reservation(r, op->reserve);
 				st = TABLE_DONE;
 			}
 			break;
@@ -271,21 +272,21 @@
 			}
 			break;
 		case NL__OP__OP_CLAIM:
-			if (svc_of(r, part))
-				st = apply_claim(svc_of(r, part), op->claim, o->p);
+			if (service_shard(r, part))
+				st = apply_claim(service_shard(r, part), op->claim, o->p);
 			break;
 		case NL__OP__OP_ROLLED:
-			if (svc_of(r, part)) {
-				apply_rolled(r, part, index, op->rolled);
+			if (service_shard(r, part)) {
+				apply_rollout(r, part, index, op->rolled);
 				st = TABLE_DONE;
 			} else if (part == SHARD_CONTROL) {
-				giver_meant(r, op->rolled->server, now);
+				rollout_order_logged(r, op->rolled->server, now);
 				st = TABLE_DONE;
 			}
 			break;
 		case NL__OP__OP_TRIM:
 			if (part != SHARD_PURGE)
-				feed_trim(part == SHARD_CONTROL ? &r->ctl_feed : &svc_of(r, part)->feed, op->trim->feed);
+				trim_feed(part == SHARD_CONTROL ? &r->ctl_feed : &service_shard(r, part)->feed, op->trim->feed);
 			if (op->trim->cleared)
 				apply_cleared(r, part, op->trim);
 			st = TABLE_DONE;
--- a/lib/control/state_machine.h
+++ b/lib/control/state_machine.h
@@ -4,7 +4,7 @@
 #ifndef NL_STATE_MACHINE_H
 #define NL_STATE_MACHINE_H
 
-#include "reg.h"
+#include "controller.h"
 
 /* What came of an entry: TABLE_DONE, TABLE_REFUSED, TABLE_OVERTAKEN or TABLE_KEY_REUSED, and the version to acknowledge: of an
  * order, the one that it made when it was accepted, however long ago; else the table's. */
@@ -14,18 +14,19 @@
 };
 
 /* The outcome of a change that was applied before, by who proposed it and its token; NULL: none is remembered. */
-const struct reg_done *done_of(const struct reg *r, uint64_t from, uint64_t token);
+const struct controller_done *find_done_operation(const struct controller *r, uint64_t from, uint64_t token);
 
 /* What an order is answered whose key or content was accepted before: TABLE_DONE again, or TABLE_KEY_REUSED. */
 uint32_t order_outcome(const struct order_record *accepted, const struct order_id *id);
 
 /* Keep a copy of the newest document, byte for byte. */
-void doc_keep(struct reg *r, const uint8_t *d, size_t n, uint64_t version);
+void keep_document(struct controller *r, const uint8_t *d, size_t n, uint64_t version);
 
 /* Drop claims past their time. They count as absent before, so that no member need do it at the same entry. */
-void forget_claims(struct reg_svc *s);
+void expire_claims(struct controller_svc *s);
 
 /* Apply one committed entry. */
-struct applied apply(struct reg *r, uint32_t part, uint64_t index, const struct raft_entry *e, int64_t now, struct out *o);
+struct applied state_machine_apply(struct controller *r, uint32_t part, uint64_t index, const struct raft_entry *e, int64_t now,
+				   struct out *o);
 
 #endif
--- a/lib/control/table.c
+++ b/lib/control/table.c
@@ -448,7 +448,7 @@
 		plan |= operators_kind(c->del[i]->kind);
 	if (plan)
 		t->plan = t->edition;
-	if (c->whole) { /* operators' kinds are replaced; servers, registrars and models have calls of their own */
+	if (c->whole) { /* operators' kinds are replaced; servers, controllers and models have calls of their own */
 		struct names *set = names_set(c);
 		char **gone = NULL;
 
@@ -473,7 +473,7 @@
 
 /* ---- follow --------------------------------------------------------------- */
 
-void table_since(const struct table *t, uint64_t have, struct Nl__FollowReply *r, apr_pool_t *p)
+void table_since(const struct table *t, uint64_t have, struct Nl__ConfigSyncReply *r, apr_pool_t *p)
 {
 	size_t n = 0, rows = (size_t)shlen(t->h);
 
@@ -504,7 +504,7 @@
 	}
 }
 
-int table_follow(struct table *t, const struct Nl__FollowReply *r)
+int table_follow(struct table *t, const struct Nl__ConfigSyncReply *r)
 {
 	char buf[300];
 
--- a/lib/control/table.h
+++ b/lib/control/table.h
@@ -1,4 +1,4 @@
-/* table: the one table of weights, shares and limits, and of keys, servers and registrars.
+/* table: the one table of weights, shares and limits, and of keys, servers and controllers.
  * Rows are keyed by kind and name; every change has an edition; deletions leave tombstones so that a
  * follower that is a little behind gets only what changed. */
 #ifndef NL_TABLE_H
@@ -51,11 +51,11 @@
 int table_apply(struct table *t, const struct Nl__Change *c, struct Nl__Purge ***feed);
 
 /* Fill a reply with what changed since an edition, or all of it. Example: table_since(&t, 7, reply, pool); */
-void table_since(const struct table *t, uint64_t have, struct Nl__FollowReply *r, apr_pool_t *p);
+void table_since(const struct table *t, uint64_t have, struct Nl__ConfigSyncReply *r, apr_pool_t *p);
 
 /* Take such a reply in; 0 when it does not fit on what is here. Editions never go back.
  * Example: if (!table_follow(&t, reply)) ask_for_all(); */
-int table_follow(struct table *t, const struct Nl__FollowReply *r);
+int table_follow(struct table *t, const struct Nl__ConfigSyncReply *r);
 
 /* The edition of the last change of operators' rows, as far as a follower can tell: of those still there.
  * Example: if (expect < table_plan(&t)) overtaken(); */
--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -151,5 +151,5 @@
 	.budget_window_ms = 10000,
 	.copies = 3,
 	.list_mille = 0,
-	.sights = 0,
+	.instances = 0,
 };
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -13,7 +13,7 @@
 
 /* The places a command may stand for. A step returns a list of these; the shell performs them. */
 enum cmd_kind {
-	CMD_SEND,    /* say msg to the colleague at addr */
+	CMD_SEND,    /* say msg to the peer at addr */
 	CMD_PERSIST, /* write and sync one group's state, then answer with EV synced */
 	CMD_ANSWER,  /* answer a web call whole: status, body, retry hint */
 	CMD_PIECE,   /* pass one piece of a stream on to a caller */
@@ -33,7 +33,7 @@
 	uint64_t call, caller; /* tokens */
 	uint64_t addr;
 	const char *server, *tenant; /* the life meant; NULL tenant: none */
-	const char *shelf;           /* under which kept parts are filed there; NULL: none that others use */
+	const char *cache_namespace; /* under which kept parts are filed there; NULL: none that others use */
 	const char *weights;         /* expected; NULL: any */
 	uint64_t from, sink;         /* fetch from and leave parts at; 0: none */
 	int prio;                    /* 0 goes first, to 9 */
@@ -134,7 +134,7 @@
 	    budget_window_ms; /* resends over the fleet: per mille of requests, and so many more, in any window */
 	int copies;           /* of each part: one more than twice the machines that may be lost at once */
 	int list_mille;       /* calls to the list of servers, in thousandths a second, for the whole fleet; 0: no list */
-	int sights;           /* servers come from the list, not from the table */
+	int instances;        /* servers come from the list, not from the table */
 };
 extern const struct bounds bounds_default;
 
@@ -147,7 +147,7 @@
 /* Add one command. Example: out_cmd(o, CMD_CANCEL)->u.cancel.token = t; */
 struct cmd *out_cmd(struct out *o, enum cmd_kind k);
 
-/* Add a message to a colleague and return it for filling in.
+/* Add a message to a peer and return it for filling in.
  * Example: m = out_msg(o, addr, 0, NL__MSG__BODY_OWNER); m->owner = ...; */
 struct Nl__Msg *out_msg(struct out *o, uint64_t addr, uint32_t part, int body);
 
--- a/lib/core/kept.h
+++ b/lib/core/kept.h
@@ -10,7 +10,7 @@
 	uint32_t server, maker, service; /* dense indices */
 	uint64_t weights;                /* hash of the name */
 	uint64_t stamp;
-	uint64_t seen; /* the report that last named it; of forwarded sends the generation of its shelf */
+	uint64_t seen; /* the report that last named it; of forwarded sends the generation of its cache_namespace */
 };
 
 struct kept_row {
--- a/lib/core/purge.c
+++ b/lib/core/purge.c
@@ -476,7 +476,7 @@
 
 	for (ptrdiff_t i = arrlen(r->down) - 1; i >= 0; i--)
 		if (now - r->down[i].heard > PURGE_DOWN)
-			arrdel(r->down, (size_t)i); /* its licence lapsed: it must take a snapshot */
+			arrdel(r->down, (size_t)i); /* its lease lapsed: it must take a snapshot */
 	/* a new holder does not know yet who is below it: nothing goes before all had time to speak */
 	if (now - r->born > PURGE_DOWN)
 		know_release(&r->k, relay_taken(r));
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -211,7 +211,7 @@
 void raft_step_down(struct raft *raft, int64_t now, struct out *o);
 
 /* The leader changes its group by one step: adds, promotes, readdresses or removes one member, towards `replicas` of them
- * spread over zones. live: registrars known to the fleet, with their zones. Example: raft_reconfigure(&raft, live, n, now); */
+ * spread over zones. live: controllers known to the fleet, with their zones. Example: raft_reconfigure(&raft, live, n, now); */
 void raft_reconfigure(struct raft *raft, const struct raft_member *live, int n, int64_t now);
 
 /* This member is to stop: a leader hands over, and no votes are asked for from now on. Example: raft_leave(&raft, now); */
--- a/lib/core/raft_election.c
+++ b/lib/core/raft_election.c
@@ -202,7 +202,7 @@
 
 One that came back waits out what it may have promised before. When all fell together, that would be a wait for an owner that
 fell too. So it asks every member that it knows; once all of them have said, in this life of ours, that they own nothing, nobody
-holds a licence that rests on a promise from before. An owner that we do not know can be there only if some member of ours
+holds a lease that rests on a promise from before. An owner that we do not know can be there only if some member of ours
 was there when the members changed, so that its log is of a later term, or has a later members entry, than ours: then we wait. */
 
 void raft_send_probes(struct raft *raft, int64_t now, struct out *o)
@@ -282,7 +282,7 @@
 	if (raft->role != RAFT_LEADER)
 		return;
 	successor = raft_successor(raft, now);
-	raft_become_follower(raft, raft->term, now); /* the licence ends before anyone is told */
+	raft_become_follower(raft, raft->term, now); /* the lease ends before anyone is told */
 	raft->election_at += RAFT_ELECTION_MS;
 	for (int i = 0; i < raft->member_count; i++)
 		if (raft->members[i].id != raft->id) {
--- a/lib/core/raft_reconfigure.c
+++ b/lib/core/raft_reconfigure.c
@@ -16,7 +16,7 @@
 /* What the leader knows when it decides on a change. */
 struct view {
 	struct raft *raft;
-	const struct raft_member *live; /* registrars known to the fleet, with their zones */
+	const struct raft_member *live; /* controllers known to the fleet, with their zones */
 	int live_count;
 	int64_t now;
 };
@@ -110,7 +110,7 @@
 	return n;
 }
 
-/* The registrar that joins next: of the zone with the fewest voters, the one that rendezvous hashing names. */
+/* The controller that joins next: of the zone with the fewest voters, the one that rendezvous hashing names. */
 static const struct raft_member *next_replica(const struct view *view)
 {
 	const struct raft_member *best = NULL;
@@ -152,7 +152,7 @@
 	return worst;
 }
 
-/* Whether a registrar's zone has two voters fewer than another: its joining spreads the group better. */
+/* Whether a controller's zone has two voters fewer than another: its joining spreads the group better. */
 static int spreads_zones(const struct view *view, const struct raft_member *candidate)
 {
 	const struct raft *raft = view->raft;
--- a/lib/core/raft_replication.c
+++ b/lib/core/raft_replication.c
@@ -158,7 +158,7 @@
 	out_msg(o, to, raft->no, NL__MSG__BODY_APPEND_REPLY)->append_reply = r;
 }
 
-/* A message of an owner at our term or a later one: follow it and promise it the licence. */
+/* A message of an owner at our term or a later one: follow it and promise it the lease. */
 int raft_accept_leader(struct raft *raft, const struct Nl__Msg *m, uint64_t term, int64_t now)
 {
 	if (term < raft->term)
