--- a/lib/data/ctr.h
+++ b/lib/data/router.h
@@ -1,114 +1,114 @@
-/* ctr: a counter's duties as one pure step: takes exchanges into lines, claims, assigns, sends, passes
+/* ctr: a router's duties as one pure step: takes exchanges into lines, claims, assigns, sends, passes
  * the stream on, keeps the index and its purge view, relays purges. */
-#ifndef NL_CTR_H
-#define NL_CTR_H
+#ifndef NL_ROUTER_H
+#define NL_ROUTER_H
 
-#include "follow.h"
+#include "config_watch.h"
 #include "kept.h"
 #include "purge.h"
 
 enum {
-	CTR_LOOK = 500,         /* ms between looks at a server's report */
-	CTR_TOLD = 1200,        /* ms for which a relay's word spares an own look */
-	CTR_REPORT = 3000,      /* a report older than this does not vouch for a server */
-	CTR_BAD = 1000,         /* ms a server that could not be reached is left alone */
-	CTR_CLAIM_WAIT = 300,   /* ms before a claim is asked again, of another registrar */
-	CTR_CLAIM_HOLD = 60000, /* ms after which a claim is too old to send with */
-	CTR_FETCH_MOST = 2000,  /* ms that a server waits for a fetch at the most */
-	CTR_SLOW_HALF = 10000,  /* ms in which half of a link's slowness is forgotten */
-	CTR_SLOW_MOST = 64,
-	CTR_RELEASE = 15000, /* ms for which a claim is given back again and again */
-	CTR_PARTS = 64,
-	CTR_KEPT = 20000,   /* kept parts of one report that are heeded */
-	CTR_WEIGHTS = 4096, /* names of weights that reports may bring */
-	CTR_LIMIT_MIN = 50,
-	CTR_LIMIT_MAX = 600000,
-	CTR_LIMIT = 60000,
-	CTR_RESEND_COST = 1000, /* what one resend takes from a service's budget */
-	CTR_BUDGET = 200,       /* resends per mille of sends */
-	CTR_BUDGET_CAP = 2000,  /* saved up at most: two resends */
-	CTR_RIDE = FOLLOW_RIDE, /* ms of not knowing that are ridden out; then all that is held here ends */
-	CTR_ASK = 50,           /* ms between askings for places that are lacked */
-	CTR_FIRST_MS = 35,      /* what a first piece takes besides reading */
-	CTR_LATE_MOST = 1000,
-	CTR_FULL = 150,
-	CTR_AGAIN_LEAST = 50,
-	CTR_UNREACHED = 4,
-	CTR_WATCH_WAIT = 1000,
-	CTR_WATCH_GAP = 300, /* ms that a server holds a watch; between two of them */
-	CTR_INDEX = 1000000, /* copies of parts that the index holds at the most */
-	CTR_AWAY_MS = 40,
-	CTR_AWAY_K =
+	ROUTER_LOOK = 500,         /* ms between looks at a server's report */
+	ROUTER_TOLD = 1200,        /* ms for which a relay's word spares an own look */
+	ROUTER_REPORT = 3000,      /* a report older than this does not vouch for a server */
+	ROUTER_BAD = 1000,         /* ms a server that could not be reached is left alone */
+	ROUTER_CLAIM_WAIT = 300,   /* ms before a claim is asked again, of another controller */
+	ROUTER_CLAIM_HOLD = 60000, /* ms after which a claim is too old to send with */
+	ROUTER_FETCH_MOST = 2000,  /* ms that a server waits for a fetch at the most */
+	ROUTER_SLOW_HALF = 10000,  /* ms in which half of a link's slowness is forgotten */
+	ROUTER_SLOW_MOST = 64,
+	ROUTER_RELEASE = 15000, /* ms for which a claim is given back again and again */
+	ROUTER_PARTS = 64,
+	ROUTER_KEPT = 20000,   /* kept parts of one report that are heeded */
+	ROUTER_WEIGHTS = 4096, /* names of weights that reports may bring */
+	ROUTER_LIMIT_MIN = 50,
+	ROUTER_LIMIT_MAX = 600000,
+	ROUTER_LIMIT = 60000,
+	ROUTER_RESEND_COST = 1000,       /* what one resend takes from a service's budget */
+	ROUTER_BUDGET = 200,             /* resends per mille of sends */
+	ROUTER_BUDGET_CAP = 2000,        /* saved up at most: two resends */
+	ROUTER_RIDE = CONFIG_WATCH_RIDE, /* ms of not knowing that are ridden out; then all that is held here ends */
+	ROUTER_ASK = 50,                 /* ms between askings for places that are lacked */
+	ROUTER_FIRST_MS = 35,            /* what a first piece takes besides reading */
+	ROUTER_LATE_MOST = 1000,
+	ROUTER_FULL = 150,
+	ROUTER_AGAIN_LEAST = 50,
+	ROUTER_UNREACHED = 4,
+	ROUTER_WATCH_WAIT = 1000,
+	ROUTER_WATCH_GAP = 300, /* ms that a server holds a watch; between two of them */
+	ROUTER_INDEX = 1000000, /* copies of parts that the index holds at the most */
+	ROUTER_AWAY_MS = 40,
+	ROUTER_AWAY_K =
 	    12, /* ms that a server counts as dearer which does not keep the prefix, also by 1000 tokens of it: it pushes others' out */
-	CTR_KEPT_TELL = 75,     /* ms between words of kept parts to the zone */
-	CTR_BEGIN = 1300,       /* ms that a counter and its fleet take from a start to a configuration in force */
-	CTR_SOON = 60,          /* ms after which one that a single server turned away may come back */
-	CTR_PUMP = 10,          /* ms between weighings of lines that nobody has room for */
-	CTR_WAIT_MOST = 800,    /* ms of reading that may be ahead of a send at its server */
-	CTR_FULL_PART = 60,     /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
-	CTR_MEAN_SIZE = 5000,   /* tokens that others' requests are taken to hold */
-	CTR_STORE_HEARD = 3500, /* ms after the last word of a store's events for which it counts as up */
-	CTR_LOAD = 50,
-	CTR_LOAD_WHOLE = 1000,
-	CTR_LOAD_OLD = 2500,  /* ms between words of load; between whole ones; after which one is forgotten */
-	CTR_FETCH_WAIT = 400, /* ms that a fetch may take before reading anew is the better */
-	CTR_SINK_WAIT = 80,   /* ms of moves at the store beyond which nothing more is left there */
-	CTR_FETCH_MS = 6,     /* what a fetch takes besides moving */
-	CTR_OTHERS_HALF = 1000,
-	CTR_LATE_HALF = 1500,
-	CTR_FAILED_HALF = 3000, /* ms in which half of what was seen is forgotten */
-	CTR_FAILED_MS = 1500,   /* what a server costs of whose sends all broke off lately */
-	CTR_CALM_MARGIN = 150,
-	CTR_RIDE_MARGIN = 500, /* ms by which the ride ends before the strictest bound */
-	CTR_ROLL_EARLY = 1500, /* ms before a roll-out's bound after which older weights are sent nothing more */
-	CTR_NAMED = 8,         /* namings of a service's weights that are remembered */
-	CTR_RETRY = 500,       /* ms after which a refused caller may come back, at the least */
-	CTR_RETRY_MOST = 30000
+	ROUTER_KEPT_TELL = 75,     /* ms between words of kept parts to the zone */
+	ROUTER_BEGIN = 1300,       /* ms that a router and its fleet take from a start to a configuration in force */
+	ROUTER_SOON = 60,          /* ms after which one that a single server turned away may come back */
+	ROUTER_PUMP = 10,          /* ms between weighings of lines that nobody has room for */
+	ROUTER_WAIT_MOST = 800,    /* ms of reading that may be ahead of a send at its server */
+	ROUTER_FULL_PART = 60,     /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
+	ROUTER_MEAN_SIZE = 5000,   /* tokens that others' requests are taken to hold */
+	ROUTER_STORE_HEARD = 3500, /* ms after the last word of a store's events for which it counts as up */
+	ROUTER_LOAD = 50,
+	ROUTER_LOAD_WHOLE = 1000,
+	ROUTER_LOAD_OLD = 2500,  /* ms between words of load; between whole ones; after which one is forgotten */
+	ROUTER_FETCH_WAIT = 400, /* ms that a fetch may take before reading anew is the better */
+	ROUTER_SINK_WAIT = 80,   /* ms of moves at the store beyond which nothing more is left there */
+	ROUTER_FETCH_MS = 6,     /* what a fetch takes besides moving */
+	ROUTER_OTHERS_HALF = 1000,
+	ROUTER_LATE_HALF = 1500,
+	ROUTER_FAILED_HALF = 3000, /* ms in which half of what was seen is forgotten */
+	ROUTER_FAILED_MS = 1500,   /* what a server costs of whose sends all broke off lately */
+	ROUTER_CALM_MARGIN = 150,
+	ROUTER_RIDE_MARGIN = 500, /* ms by which the ride ends before the strictest bound */
+	ROUTER_ROLL_EARLY = 1500, /* ms before a roll-out's bound after which older weights are sent nothing more */
+	ROUTER_NAMED = 8,         /* namings of a service's weights that are remembered */
+	ROUTER_RETRY = 500,       /* ms after which a refused caller may come back, at the least */
+	ROUTER_RETRY_MOST = 30000
 };
 
-#define CTR_STEP_MS 0.4 /* ms that each request running at a server costs another */
+#define ROUTER_STEP_MS 0.4 /* ms that each request running at a server costs another */
 
-enum ctr_ev_kind {
-	CTR_TICK,
-	CTR_MSG,
-	CTR_EXCHANGE,
-	CTR_GONE,
-	CTR_PIECE,
-	CTR_DONE,
-	CTR_CALLED,
-	CTR_WEB,
-	CTR_STOP,
-	CTR_ASKED,
-	CTR_BEGAN,
-	CTR_ENDED,
-	CTR_WATCHED
+enum router_ev_kind {
+	ROUTER_TICK,
+	ROUTER_MSG,
+	ROUTER_EXCHANGE,
+	ROUTER_GONE,
+	ROUTER_PIECE,
+	ROUTER_DONE,
+	ROUTER_CALLED,
+	ROUTER_WEB,
+	ROUTER_STOP,
+	ROUTER_ASKED,
+	ROUTER_BEGAN,
+	ROUTER_ENDED,
+	ROUTER_WATCHED
 };
 
 /* An exchange whose text stays at the door; what is decided by is here. Strings live until the step is over. */
-struct ctr_part {
+struct router_part {
 	uint64_t id;
 	uint32_t tokens;
 };
-struct ctr_asking {
+struct router_asking {
 	uint64_t token;
 	const char *digest; /* of the key; NULL: none was shown */
 	const char *host, *path, *id;
 	int limit_ms;
 	uint32_t tokens_in, tokens_out;
 	int nparts;
-	struct ctr_part part[64]; /* in order; the last is the exchange's own */
-	int resumes;              /* the caller itself takes up a stream */
+	struct router_part part[64]; /* in order; the last is the exchange's own */
+	int resumes;                 /* the caller itself takes up a stream */
 };
 
 /* How a forwarded send ended. */
-enum ctr_end {
-	CTR_WHOLE, /* the server's whole answer has gone to the caller, whatever its status */
-	CTR_NEVER, /* the server surely never began: no byte left, or it says so; the caller has heard nothing of it */
-	CTR_BROKE  /* it may have begun; began says whether the caller has seen a head and pieces */
+enum router_end {
+	ROUTER_WHOLE, /* the server's whole answer has gone to the caller, whatever its status */
+	ROUTER_NEVER, /* the server surely never began: no byte left, or it says so; the caller has heard nothing of it */
+	ROUTER_BROKE  /* it may have begun; began says whether the caller has seen a head and pieces */
 };
-struct ctr_ended {
+struct router_ended {
 	uint64_t token;
-	enum ctr_end how;
+	enum router_end how;
 	int status; /* 0: no answer */
 	int began;
 	uint32_t pieces;             /* whole pieces passed on by this send */
@@ -118,8 +118,8 @@
 	int wrong_life;              /* the address answers for another server, or other weights */
 };
 
-struct ctr_ev {
-	enum ctr_ev_kind kind;
+struct router_ev {
+	enum router_ev_kind kind;
 	union {
 		const struct Nl__Msg *msg;
 		struct {
@@ -148,12 +148,12 @@
 			uint64_t token;
 			const char *path;
 		} web;
-		const struct ctr_asking *ask;
+		const struct router_asking *ask;
 		struct {
 			uint64_t token;
 			const char *weights;
 		} began; /* the first piece has gone to the caller */
-		const struct ctr_ended *ended;
+		const struct router_ended *ended;
 		struct {
 			uint64_t token;
 			const struct Nl__Kept *k;
@@ -207,8 +207,8 @@
 	const char *addr;
 	uint64_t to, zone;
 };
-/* Who stands: swapped whole like the book, but far more often. */
-struct roster {
+/* Who stands: swapped whole like the route_table, but far more often. */
+struct server_table {
 	apr_pool_t *p;
 	struct bk_server *server;
 	uint32_t nserver;
@@ -219,7 +219,7 @@
 		uint32_t share, limit;
 	} value;
 };
-/* A scope whose context is cleared by itself, and so lies on shelves of its own; -1: all lanes, all tenants. */
+/* A scope whose context is cleared by itself, and so lies on cache namespaces of its own; -1: all lanes, all tenants. */
 struct bk_scope {
 	int lane, tenant;
 	const char *lane_name, *tenant_name;
@@ -229,7 +229,7 @@
 	char *key;
 	uint32_t value;
 };
-struct book {
+struct route_table {
 	uint64_t edition;
 	apr_pool_t *p;
 	struct bk_lane *lane;
@@ -250,52 +250,52 @@
 	struct bk_key *key;     /* stb_ds: digest -> tenant */
 };
 
-enum xch_state { XCH_WAITING, XCH_CLAIMING, XCH_RUNNING };
+enum request_state { REQUEST_WAITING, REQUEST_CLAIMING, REQUEST_RUNNING };
 
-struct xch {
+struct client_request {
 	uint64_t token, seq, claim, call;
-	enum xch_state state;
+	enum request_state state;
 	apr_pool_t *p;
 	char *digest, *id, *xid, *tail;
 	uint32_t lane, tenant, service;
 	int64_t limit, since_at, claim_at, sent_at, claim_from;
-	uint64_t asked; /* the registrar that was asked for the claim */
+	uint64_t asked; /* the controller that was asked for the claim */
 	int nparts, claimed, begun, sends, resend_paid, unreached;
-	uint64_t hash[CTR_PARTS];
-	const char *text[CTR_PARTS];
-	uint32_t tokens[CTR_PARTS], tail_tokens;
+	uint64_t hash[ROUTER_PARTS];
+	const char *text[ROUTER_PARTS];
+	uint32_t tokens[ROUTER_PARTS], tail_tokens;
 	uint64_t next;  /* piece expected */
 	int server;     /* -1: none chosen */
 	uint32_t tried; /* last server that refused it */
 	uint64_t stamp;
 	uint32_t weights;
-	int from;          /* the server that kept parts are fetched from; -1: none */
-	uint32_t fetch_ms; /* what the fetch should take, the link as the table has it */
-	struct xch *after; /* in its line */
+	int from;                     /* the server that kept parts are fetched from; -1: none */
+	uint32_t fetch_ms;            /* what the fetch should take, the link as the table has it */
+	struct client_request *after; /* in its line */
 	/* what the text of stays at the door */
 	int forwarded, ran, repeatable, resumable, attempts, slot; /* slot: where it is among all */
 	uint32_t prio, tokens_out, ahead, size,
 	    brings; /* brings: of its size, what its server did not keep; ahead: tokens that its send still has to read; size: all that it takes at a server */
 	int sink;   /* the store that its parts are left at; -1: none */
-	int64_t first;  /* when its first piece went on; 0: none has */
-	char *since;    /* the last whole piece that the caller has */
-	uint64_t shelf; /* of its send */
-	uint64_t filed; /* scope and generation of that shelf */
-	double guess;   /* ms that its first piece should take */
+	int64_t first;            /* when its first piece went on; 0: none has */
+	char *since;              /* the last whole piece that the caller has */
+	uint64_t cache_namespace; /* of its send */
+	uint64_t filed;           /* scope and generation of that cache_namespace */
+	double guess;             /* ms that its first piece should take */
 };
 
 /* still: since when its head has waited; gap: the usual ms between two heads that leave */
 struct line {
 	uint32_t lane, tenant;
 	char *name;
-	struct xch *head, *tail;
+	struct client_request *head, *tail;
 	uint32_t n, running;
 	uint64_t pass;
 	int64_t still;
 	double gap;
 };
 
-struct ctr_server {
+struct router_server {
 	int64_t reported, called, bad_until, told; /* told: when a relay last passed its report on */
 	uint64_t call, asked, serial, boot;
 	uint32_t weights, seen_weights;                 /* seen: by the list; an answer's own word is newer */
@@ -311,11 +311,11 @@
 	double failed;               /* of late sends, the part that broke off; forgotten by and by */
 	int fails;                   /* connections in a row that did not come up */
 	uint64_t watch, epoch, next; /* a watch of its kept parts: the call, where it stands */
-	double link_free;       /* when the moves from and to it that are under way should be done; ours stand for all counters' */
+	double link_free;       /* when the moves from and to it that are under way should be done; ours stand for all routers' */
 	int64_t watched, heard; /* heard: a relay's word of its kept parts */
 };
 
-/* What is under way at servers, as one source says it: a counter of the zone, another zone's head, or this zone's head. */
+/* What is under way at servers, as one source says it: a router of the zone, another zone's head, or this zone's head. */
 struct load_cell {
 	uint32_t ahead, running, tokens;
 };
@@ -328,7 +328,7 @@
 };
 
 /* What fetches from one server to another were seen to take, as a multiple of what the table says. */
-struct ctr_pair {
+struct router_pair {
 	uint64_t key;
 	struct {
 		double slow;
@@ -337,50 +337,50 @@
 };
 
 /* A claim that is given back, asked again until the part has heard of it. */
-struct ctr_release {
+struct router_release {
 	uint64_t token, seq, asked;
 	uint32_t service, tenant;
 	char *id;
 	int64_t at, until;
 };
 
-struct ctr_counts {
+struct router_counts {
 	uint64_t taken, answered, refused, unknown, sends, resends, pieces, tokens, reused, fetched, cold, claims;
 	uint64_t watches, events, taken_up, wrong_life, looks, refused_stale, refused_line, refused_limit, refused_early, revoked,
 	    blind, gone;
 };
 
-struct ctr_use {
+struct router_use {
 	uint64_t key;
 	struct {
 		uint64_t exchanges, tokens, reused, pieces, errors;
 	} value;
 };
 
-struct ctr {
+struct router {
 	uint64_t id, addr, token, seq, retries;
 	const char *zone;
-	struct follow f;
+	struct config_watch f;
 	struct relay relay;
 	struct kept kept;
 	struct names lanes, tenants, services, servers, weights;
-	struct book *book;
-	struct roster *roster;
+	struct route_table *route_table;
+	struct server_table *server_table;
 	uint32_t nstand; /* servers in it that take requests */
 	struct bounds b;
 	struct load_from *load; /* stb_ds: what others said */
 	struct load_cell *told_up, *told_down, *told_far,
 	    *others; /* stb_ds, by server: last said to each; what others have under way */
 	int64_t load_at, load_whole, others_fresh;
-	struct shelf_name {
+	struct cache_namespace_name {
 		char *key;
 		uint32_t value;
-	} * shelves;           /* stb_ds: a shelf's name as it goes to servers -> weights */
+	} * shelves;           /* stb_ds: a cache_namespace's name as it goes to servers -> weights */
 	int *depth;            /* stb_ds, by server: leading parts kept there; of the assigning under way */
-	uint64_t *server_hash; /* stb_ds, by server: of its name, so that every counter ranks alike */
+	uint64_t *server_hash; /* stb_ds, by server: of its name, so that every router ranks alike */
 	uint64_t zone_hash;
 	apr_pool_t *scratch;
-	uint64_t *generation;        /* stb_ds, by scope and slice; emptied when a clearing or another book comes */
+	uint64_t *generation;        /* stb_ds, by scope and slice; emptied when a clearing or another route_table comes */
 	int64_t now;                 /* of the step under way */
 	int64_t left_at, cleared_at; /* a look at what servers still name began; the last clearing was heard of whole */
 	ptrdiff_t left_pos;          /* how much of the index that look has before it */
@@ -393,57 +393,57 @@
 		uint64_t key;
 		uint32_t value;
 	} * line_at; /* stb_ds: lane << 32 | tenant -> line */
-	struct ctr_named {
+	struct router_named {
 		uint32_t key;
 		struct {
 			int n;
 			struct {
 				uint64_t no;
 				int64_t since;
-			} v[CTR_NAMED];
+			} v[ROUTER_NAMED];
 		} value;
 	} * named; /* stb_ds, by service: what was named, oldest first, and since when that is known */
 	apr_pool_t *p;
 	struct json_tokener *tok; /* one for all that is read here, kept between texts */
-	struct ctr_server *sv;    /* stb_ds, by server index */
+	struct router_server *sv; /* stb_ds, by server index */
 	struct line *line;        /* stb_ds */
 	int64_t *stood;           /* stb_ds, by service: when a server of it last stood */
 	struct {
 		uint64_t key;
-		struct xch *value;
-	} * by;                      /* stb_ds: token of a call, claim or caller */
-	struct xch **all;            /* stb_ds */
-	struct ctr_release *release; /* stb_ds */
-	struct ctr_pair *pair;       /* stb_ds: from << 32 | to */
-	uint32_t *running;           /* stb_ds: by tenant */
-	int64_t *budget;             /* stb_ds, by service: resends saved up, per mille */
-	struct ctr_counts n;
-	struct ctr_use *use; /* stb_ds: lane << 32 | tenant */
+		struct client_request *value;
+	} * by;                         /* stb_ds: token of a call, claim or caller */
+	struct client_request **all;    /* stb_ds */
+	struct router_release *release; /* stb_ds */
+	struct router_pair *pair;       /* stb_ds: from << 32 | to */
+	uint32_t *running;              /* stb_ds: by tenant */
+	int64_t *budget;                /* stb_ds, by service: resends saved up, per mille */
+	struct router_counts n;
+	struct router_use *use; /* stb_ds: lane << 32 | tenant */
 	int stopping;
 	int plain; /* to compare with: assign by load alone, and reuse what happens to be there */
 	void (*log)(void *ctx, const char *prefix, const char *line);
 	void *log_ctx;
 };
 
-/* Begin. Example: ctr_open(&c, id, addr, "z1", seeds, 3, now); */
-void ctr_open(struct ctr *c, uint64_t id, uint64_t addr, const char *zone, const uint64_t *seeds, int n, int64_t now);
-void ctr_close(struct ctr *c);
+/* Begin. Example: router_open(&c, id, addr, "z1", seeds, 3, now); */
+void router_open(struct router *c, uint64_t id, uint64_t addr, const char *zone, const uint64_t *seeds, int n, int64_t now);
+void router_close(struct router *c);
 
-/* One step. Example: ctr_step(&c, &(struct ctr_ev){ .kind = CTR_TICK }, now, &o); */
-void ctr_step(struct ctr *c, const struct ctr_ev *ev, int64_t now, struct out *o);
+/* One step. Example: router_step(&c, &(struct router_ev){ .kind = ROUTER_TICK }, now, &o); */
+void router_step(struct router *c, const struct router_ev *ev, int64_t now, struct out *o);
 
 /* Until when what is held here may go on to callers: past it keys may have been removed that still hold here.
- * Example: web_good_until(web, ctr_good_until(&c)); */
-int64_t ctr_good_until(const struct ctr *c);
+ * Example: web_good_until(web, router_good_until(&c)); */
+int64_t router_good_until(const struct router *c);
 
 /* Whether it may be called ready: it has a configuration that is in force, and is not stopping.
- * Example: answer(ctr_ready(&c, now) ? 200 : 503); */
-int ctr_ready(const struct ctr *c, int64_t now);
+ * Example: answer(router_ready(&c, now) ? 200 : 503); */
+int router_ready(const struct router *c, int64_t now);
 
-/* Whether nothing is under way. Example: if (stopping && ctr_idle(&c)) leave(); */
-int ctr_idle(const struct ctr *c);
+/* Whether nothing is under way. Example: if (stopping && router_idle(&c)) leave(); */
+int router_idle(const struct router *c);
 
-/* Usage so far as CSV: lane,tenant,exchanges,tokens,reused,pieces,errors. Example: ctr_usage(&c, pool) */
-const char *ctr_usage(const struct ctr *c, apr_pool_t *p);
+/* Usage so far as CSV: lane,tenant,exchanges,tokens,reused,pieces,errors. Example: router_usage(&c, pool) */
+const char *router_usage(const struct router *c, apr_pool_t *p);
 
 #endif
--- a/lib/data/ctr_assign.c
+++ b/lib/data/router_assign.c
@@ -1,5 +1,5 @@
-/* ctr_assign: which server an exchange goes to, what it reuses there, and what it fetches from where. */
-#include "ctr_in.h"
+/* router_assign: which server an exchange goes to, what it reuses there, and what it fetches from where. */
+#include "router_internal.h"
 
 #include <apr_strings.h>
 #include <stdlib.h>
@@ -7,23 +7,24 @@
 
 #include "ds.h"
 
-int ctr_standing(const struct ctr *c, uint32_t s, int64_t now)
+int router_standing(const struct router *c, uint32_t s, int64_t now)
 {
-	const struct bk_server *b = &c->roster->server[s];
-	const struct ctr_server *v = &c->sv[s];
+	const struct bk_server *b = &c->server_table->server[s];
+	const struct router_server *v = &c->sv[s];
 
-	if (!b->on || b->draining || (!v->have && !(b->is_store && c->b.sights)) || v->loading || now < v->bad_until)
+	if (!b->on || b->draining || (!v->have && !(b->is_store && c->b.instances)) || v->loading || now < v->bad_until)
 		return 0;
-	if (!c->b.sights)
-		return now - v->reported < CTR_REPORT;
+	if (!c->b.instances)
+		return now - v->reported < ROUTER_REPORT;
 	if (b->is_store)
-		return now - v->heard < CTR_STORE_HEARD;
-	return ctr_rolled(c, b->service, v->weights, now);
+		return now - v->heard < ROUTER_STORE_HEARD;
+	return router_rolled(c, b->service, v->weights, now);
 }
 
-const struct kept_copy *ctr_usable(struct ctr *c, const struct xch *x, uint64_t hash, uint32_t server, uint32_t weights)
+const struct kept_copy *router_usable(struct router *c, const struct client_request *x, uint64_t hash, uint32_t server,
+				      uint32_t weights)
 {
-	const struct book *b = c->book;
+	const struct route_table *b = c->route_table;
 	struct kept_copy *v = kept_get(&c->kept, hash);
 
 	for (ptrdiff_t i = 0; i < arrlen(v); i++) {
@@ -34,23 +35,23 @@
 			continue;
 		if (view_allows(&c->relay.w, c->services.name[x->service], c->weights.name[weights], c->tenants.name[v[i].maker],
 				c->servers.name[server], v[i].stamp) &&
-		    ctr_keeps(c, x->service, v[i].maker, hash, v[i].stamp))
+		    router_keeps(c, x->service, v[i].maker, hash, v[i].stamp))
 			return &v[i];
 	}
 	return NULL;
 }
 
 /* How many leading parts a server keeps in a form this exchange may use. */
-static int prefix(struct ctr *c, const struct xch *x, uint32_t server, uint32_t weights)
+static int prefix(struct router *c, const struct client_request *x, uint32_t server, uint32_t weights)
 {
 	int n = 0;
 
-	while (n < x->nparts && ctr_usable(c, x, x->hash[n], server, weights))
+	while (n < x->nparts && router_usable(c, x, x->hash[n], server, weights))
 		n++;
 	return n;
 }
 
-uint64_t ctr_tokens_upto(const struct xch *x, int n)
+uint64_t router_tokens_upto(const struct client_request *x, int n)
 {
 	uint64_t t = 0;
 
@@ -59,64 +60,64 @@
 	return t;
 }
 
-static int busy(const struct ctr_server *v) { return v->others + v->own; }
+static int busy(const struct router_server *v) { return v->others + v->own; }
 
 /* How much slower than the table says the link between two servers was seen to be; forgotten by and by. */
-static double slow_of(struct ctr *c, uint32_t from, uint32_t to, int64_t now)
+static double slow_of(struct router *c, uint32_t from, uint32_t to, int64_t now)
 {
 	ptrdiff_t i = hmgeti(c->pair, (uint64_t)from << 32 | to);
 	double slow = i < 0 ? 1 : c->pair[i].value.slow;
 
-	for (int64_t t = i < 0 ? 0 : now - c->pair[i].value.at; t >= CTR_SLOW_HALF && slow > 1; t -= CTR_SLOW_HALF)
+	for (int64_t t = i < 0 ? 0 : now - c->pair[i].value.at; t >= ROUTER_SLOW_HALF && slow > 1; t -= ROUTER_SLOW_HALF)
 		slow /= 2;
 	return slow < 1 ? 1 : slow;
 }
 
 /* An answer says what its fetch took and brought. One that brought nothing was waited for in vain. */
-void ctr_learn_fetch(struct ctr *c, const struct xch *x, int64_t took, int brought, int64_t now)
+void router_learn_fetch(struct router *c, const struct client_request *x, int64_t took, int brought, int64_t now)
 {
-	double slow = brought && took > 0 ? (double)took / (x->fetch_ms ? x->fetch_ms : 1) : CTR_SLOW_MOST;
+	double slow = brought && took > 0 ? (double)took / (x->fetch_ms ? x->fetch_ms : 1) : ROUTER_SLOW_MOST;
 
 	if (took <= 20 && brought) /* too short to tell a link from a process that was not scheduled */
 		slow = 1;
-	if (slow > CTR_SLOW_MOST)
-		slow = CTR_SLOW_MOST;
+	if (slow > ROUTER_SLOW_MOST)
+		slow = ROUTER_SLOW_MOST;
 	hmput(c->pair, (uint64_t)x->from << 32 | (uint32_t)x->server, ((typeof(c->pair->value)){ slow, now }));
 }
 
 /* Prefill saved against load and lines; a fetch where the link beats the prefill. */
-struct plan ctr_assign(struct ctr *c, const struct xch *x, int64_t now)
+struct plan router_assign(struct router *c, const struct client_request *x, int64_t now)
 {
-	const struct book *b = c->book;
+	const struct route_table *b = c->route_table;
 	const struct bk_service *svc = &b->service[x->service];
 	struct plan best = { -1, 0, -1, 0, 0, 0, 0 };
 	int current = relay_current(&c->relay, now);
-	uint64_t all = ctr_tokens_upto(x, x->nparts) + x->tail_tokens;
+	uint64_t all = router_tokens_upto(x, x->nparts) + x->tail_tokens;
 
-	for (uint32_t s = 0; s < c->roster->nserver; s++) {
-		struct ctr_server *v = &c->sv[s];
+	for (uint32_t s = 0; s < c->server_table->nserver; s++) {
+		struct router_server *v = &c->sv[s];
 		struct plan p = { (int)s, 0, -1, 0, 0, 0, 0 };
 		double prefill;
 
-		if (c->roster->server[s].is_store || c->roster->server[s].service != x->service || s == x->tried ||
-		    !ctr_standing(c, s, now) || busy(v) >= v->slots)
+		if (c->server_table->server[s].is_store || c->server_table->server[s].service != x->service || s == x->tried ||
+		    !router_standing(c, s, now) || busy(v) >= v->slots)
 			continue;
 		if (current)
 			p.keep = prefix(c, x, s, v->weights);
-		prefill = c->plain ? 0 : (double)(all - ctr_tokens_upto(x, p.keep)) / svc->prefill;
+		prefill = c->plain ? 0 : (double)(all - router_tokens_upto(x, p.keep)) / svc->prefill;
 		p.cost = prefill + v->mean_ms * busy(v) / v->slots;
-		for (uint32_t f = 0; current && !c->plain && p.keep < x->nparts && f < c->roster->nserver;
-		     f++) { /* a colleague server or the store */
-			double speed = c->roster->server[f].is_store ? svc->store : svc->link, save, cost, fetch;
+		for (uint32_t f = 0; current && !c->plain && p.keep < x->nparts && f < c->server_table->nserver;
+		     f++) { /* a peer server or the store */
+			double speed = c->server_table->server[f].is_store ? svc->store : svc->link, save, cost, fetch;
 			int n;
 
-			if (f == s || c->roster->server[f].service != x->service || !speed ||
-			    (!c->roster->server[f].is_store && c->sv[f].weights != v->weights) || !ctr_standing(c, f, now))
+			if (f == s || c->server_table->server[f].service != x->service || !speed ||
+			    (!c->server_table->server[f].is_store && c->sv[f].weights != v->weights) || !router_standing(c, f, now))
 				continue;
 			n = prefix(c, x, f, v->weights);
 			if (n <= p.keep)
 				continue;
-			save = (double)(ctr_tokens_upto(x, n) - ctr_tokens_upto(x, p.keep));
+			save = (double)(router_tokens_upto(x, n) - router_tokens_upto(x, p.keep));
 			fetch = save * svc->kv_bytes / speed;
 			cost = fetch * slow_of(c, f, s, now);
 			save /= svc->prefill;
@@ -139,13 +140,13 @@
 /* The name under which kept parts are filed at servers. It says all that decides who may use them again: the weights, the
  * walls, and the purges that the view knows of. So a server finds no part that was made under other weights or behind a
  * wall, whatever it keeps; and a purge that is known here makes what was filed before it unreachable from here. A scope with
- * a retention row of its own has shelves of its own, and every clearing that covers a shelf's slice gives it a new name. */
-const char *ctr_shelf(struct ctr *c, const struct xch *x, uint32_t weights, apr_pool_t *p)
+ * a retention row of its own has cache namespaces of its own, and every clearing that covers a cache_namespace's slice gives it a new name. */
+const char *router_cache_namespace(struct router *c, const struct client_request *x, uint32_t weights, apr_pool_t *p)
 {
-	const struct book *b = c->book;
+	const struct route_table *b = c->route_table;
 	uint32_t service = x->service, tenant = x->tenant;
 	const char *w = c->weights.name[weights], *s;
-	uint64_t filed = ctr_filed(c, x);
+	uint64_t filed = router_filed(c, x);
 	uint64_t cut = view_tick(&c->relay.w, PURGE_WEIGHTS, c->services.name[service], w);
 	uint64_t age = core_rdv(b->walls ^ c->walled_tick, cut);
 
@@ -154,7 +155,7 @@
 	return filed ? apr_psprintf(p, "%s~%016" APR_UINT64_T_HEX_FMT, s, filed) : s;
 }
 
-uint64_t ctr_kept_key(uint64_t shelf, uint64_t id) { return core_rdv(shelf, id); }
+uint64_t router_kept_key(uint64_t cache_namespace, uint64_t id) { return core_rdv(cache_namespace, id); }
 
 /* Of what was seen lately, less the older it is. */
 static double faded(double v, int64_t at, int64_t now, int half)
@@ -164,51 +165,54 @@
 	return v;
 }
 
-/* What other counters have under way there: as the heads of zones say, else as the server's last answer said. */
-static int others_at(const struct ctr *c, uint32_t s, int64_t now)
+/* What other routers have under way there: as the heads of zones say, else as the server's last answer said. */
+static int others_at(const struct router *c, uint32_t s, int64_t now)
 {
-	const struct ctr_server *v = &c->sv[s];
+	const struct router_server *v = &c->sv[s];
 
-	if (now - c->others_fresh <= CTR_LOAD_OLD && s < (uint32_t)arrlen(c->others))
+	if (now - c->others_fresh <= ROUTER_LOAD_OLD && s < (uint32_t)arrlen(c->others))
 		return (int)c->others[s].running;
-	return (int)faded(v->others, v->others_at, now, CTR_OTHERS_HALF);
+	return (int)faded(v->others, v->others_at, now, ROUTER_OTHERS_HALF);
 }
 
-static uint32_t ahead_at(const struct ctr *c, uint32_t s, int64_t now)
+static uint32_t ahead_at(const struct router *c, uint32_t s, int64_t now)
 {
-	return now - c->others_fresh <= CTR_LOAD_OLD && s < (uint32_t)arrlen(c->others) ? c->others[s].ahead : 0;
+	return now - c->others_fresh <= ROUTER_LOAD_OLD && s < (uint32_t)arrlen(c->others) ? c->others[s].ahead : 0;
 }
 
 /* How long a send would wait there before it is read, and what makes it risky, in ms. */
-static double load_of(const struct ctr *c, uint32_t s, const struct bk_service *svc, int64_t now)
+static double load_of(const struct router *c, uint32_t s, const struct bk_service *svc, int64_t now)
 {
-	const struct ctr_server *v = &c->sv[s];
+	const struct router_server *v = &c->sv[s];
 	int others = others_at(c, s, now);
 	double ahead = (double)(v->ahead + ahead_at(c, s, now)) / svc->prefill;
 
-	return ahead + CTR_STEP_MS * (v->own + others) + faded(v->late_ms, v->late_at, now, CTR_LATE_HALF) / 2 +
-	       CTR_FAILED_MS * faded(v->failed, v->failed_at, now, CTR_FAILED_HALF) +
-	       (c->roster->server[s].zone == c->zone_hash ? 0 : 1);
+	return ahead + ROUTER_STEP_MS * (v->own + others) + faded(v->late_ms, v->late_at, now, ROUTER_LATE_HALF) / 2 +
+	       ROUTER_FAILED_MS * faded(v->failed, v->failed_at, now, ROUTER_FAILED_HALF) +
+	       (c->server_table->server[s].zone == c->zone_hash ? 0 : 1);
 }
 
 /* The part that a request shares with others: the last one is its own. */
-uint64_t ctr_home_part(const struct xch *x) { return x->nparts > 1 ? x->hash[x->nparts - 2] : x->nparts ? x->hash[0] : x->seq; }
+uint64_t router_home_part(const struct client_request *x)
+{
+	return x->nparts > 1 ? x->hash[x->nparts - 2] : x->nparts ? x->hash[0] : x->seq;
+}
 
 /* The store that a prefix is left at, if any: of several always the same. -1: there is none. */
-int ctr_store_of(const struct ctr *c, const struct xch *x)
+int router_store_of(const struct router *c, const struct client_request *x)
 {
-	const struct book *b = c->book;
+	const struct route_table *b = c->route_table;
 
-	return b->nstore ? b->store[core_rdv(61, ctr_home_part(x)) % b->nstore] : b->service[x->service].store_server;
+	return b->nstore ? b->store[core_rdv(61, router_home_part(x)) % b->nstore] : b->service[x->service].store_server;
 }
 
-/* How many leading parts each server keeps on this shelf, into c->depth; and the store, which keeps many shelves. */
-static int depths(struct ctr *c, const struct xch *x, uint64_t shelf, uint32_t weights)
+/* How many leading parts each server keeps on this cache_namespace, into c->depth; and the store, which keeps many cache namespaces. */
+static int depths(struct router *c, const struct client_request *x, uint64_t cache_namespace, uint32_t weights)
 {
-	int store = ctr_store_of(c, x), deep = 0;
+	int store = router_store_of(c, x), deep = 0;
 
 	for (int i = 0; i < x->nparts; i++) {
-		struct kept_copy *v = kept_get(&c->kept, ctr_kept_key(shelf, x->hash[i]));
+		struct kept_copy *v = kept_get(&c->kept, router_kept_key(cache_namespace, x->hash[i]));
 
 		for (ptrdiff_t k = 0; k < arrlen(v); k++) {
 			uint32_t s = v[k].server;
@@ -225,39 +229,40 @@
 }
 
 /* What an exchange brings to a server's memory that keeps so many of its leading parts. */
-uint32_t ctr_brings(const struct xch *x, int keep)
+uint32_t router_brings(const struct client_request *x, int keep)
 {
-	return x->size - (uint32_t)ctr_tokens_upto(x, keep < x->nparts ? keep : x->nparts);
+	return x->size - (uint32_t)router_tokens_upto(x, keep < x->nparts ? keep : x->nparts);
 }
 
 /* Whether one more fits beside what runs there: not so much that kept parts are pushed out by it, nor that it would wait
- * there for long, where no other counter's more urgent one can pass it. What does not fit anywhere waits in its line. */
-static int fits(const struct ctr *c, const struct xch *x, uint32_t s, int keep, const struct bk_service *svc, int64_t now)
+ * there for long, where no other router's more urgent one can pass it. What does not fit anywhere waits in its line. */
+static int fits(const struct router *c, const struct client_request *x, uint32_t s, int keep, const struct bk_service *svc,
+		int64_t now)
 {
-	const struct ctr_server *v = &c->sv[s];
+	const struct router_server *v = &c->sv[s];
 	int others = others_at(c, s, now);
-	int fresh = now - c->others_fresh <= CTR_LOAD_OLD && s < (uint32_t)arrlen(c->others);
-	uint64_t held = v->tokens + (fresh ? c->others[s].tokens : (uint64_t)others * CTR_MEAN_SIZE),
+	int fresh = now - c->others_fresh <= ROUTER_LOAD_OLD && s < (uint32_t)arrlen(c->others);
+	uint64_t held = v->tokens + (fresh ? c->others[s].tokens : (uint64_t)others * ROUTER_MEAN_SIZE),
 		 ahead = v->ahead + ahead_at(c, s, now);
 
 	if (v->own + others >= v->slots)
 		return 0;
-	if (ahead && ahead / svc->prefill > CTR_WAIT_MOST)
+	if (ahead && ahead / svc->prefill > ROUTER_WAIT_MOST)
 		return 0;
-	return !svc->room || !held || held + ctr_brings(x, keep) <= svc->room * CTR_FULL_PART / 100;
+	return !svc->room || !held || held + router_brings(x, keep) <= svc->room * ROUTER_FULL_PART / 100;
 }
 
-/* The server that rendezvous hashing names for a prefix, so that all counters name the same. While it does not stand, the
+/* The server that rendezvous hashing names for a prefix, so that all routers name the same. While it does not stand, the
  * next in an order that does not change while others load, fall or rise; those with the newest weights go first, since what
  * is read there is of use when the others have them too. -1: none stands. */
-static int home_of(struct ctr *c, const struct xch *x, int64_t now)
+static int home_of(struct router *c, const struct client_request *x, int64_t now)
 {
-	uint32_t newest = c->book->service[x->service].weights;
-	uint64_t part = ctr_home_part(x), first = 0, top = 0;
+	uint32_t newest = c->route_table->service[x->service].weights;
+	uint64_t part = router_home_part(x), first = 0, top = 0;
 	int home = -1, named = -1, best = -1;
 
-	for (uint32_t s = 0; s < c->roster->nserver; s++) {
-		const struct bk_server *sv = &c->roster->server[s];
+	for (uint32_t s = 0; s < c->server_table->nserver; s++) {
+		const struct bk_server *sv = &c->server_table->server[s];
 		uint64_t w;
 		int fresh;
 
@@ -268,7 +273,7 @@
 			best = (int)s;
 			first = w;
 		}
-		if (!ctr_standing(c, s, now))
+		if (!router_standing(c, s, now))
 			continue;
 		fresh = c->sv[s].weights == newest;
 		if (home < 0 || fresh > named || (fresh == named && w > top)) {
@@ -277,56 +282,56 @@
 			top = w;
 		}
 	}
-	return best >= 0 && ctr_standing(c, (uint32_t)best, now) ? best : home;
+	return best >= 0 && router_standing(c, (uint32_t)best, now) ? best : home;
 }
 
 /* Moves at one machine run one after the other. How long one that begins now would wait there. */
-static double link_wait(const struct ctr *c, uint32_t s, int64_t now)
+static double link_wait(const struct router *c, uint32_t s, int64_t now)
 {
 	double ms = c->sv[s].link_free - (double)now;
 
 	return ms > 0 ? ms : 0;
 }
 
-/* This counter sees its own moves only; it takes each as standing for one of every counter. */
-void ctr_link_use(struct ctr *c, uint32_t s, double ms, int64_t now)
+/* This router sees its own moves only; it takes each as standing for one of every router. */
+void router_link_use(struct router *c, uint32_t s, double ms, int64_t now)
 {
-	struct ctr_server *v = &c->sv[s];
+	struct router_server *v = &c->sv[s];
 
 	v->link_free = (v->link_free > (double)now ? v->link_free : (double)now) + ms * (c->f.counters ? c->f.counters : 1);
 }
 
 /* The deepest holder of the prefix among servers with these weights. -1: nobody is known to keep any. */
-static int holder_of(struct ctr *c, const struct xch *x, uint32_t weights, int64_t now)
+static int holder_of(struct router *c, const struct client_request *x, uint32_t weights, int64_t now)
 {
 	int deep = -1;
 
-	for (uint32_t s = 0; s < c->roster->nserver; s++) {
-		const struct bk_server *sv = &c->roster->server[s];
+	for (uint32_t s = 0; s < c->server_table->nserver; s++) {
+		const struct bk_server *sv = &c->server_table->server[s];
 
 		if (!c->depth[s] || sv->service != x->service || sv->is_store || c->sv[s].weights != weights)
 			continue;
 		if (deep >= 0 &&
 		    (c->depth[s] < c->depth[deep] || (c->depth[s] == c->depth[deep] && c->sv[deep].own <= c->sv[s].own)))
 			continue;
-		if (ctr_standing(c, s, now))
+		if (router_standing(c, s, now))
 			deep = (int)s;
 	}
 	return deep;
 }
 
-/* Where else it may go: a few that the request's own id names. All counters see the same load, some 50 ms old or more; if
+/* Where else it may go: a few that the request's own id names. All routers see the same load, some 50 ms old or more; if
  * each took the idlest of all, they would take the same one together. */
-static void choices(const struct ctr *c, const struct xch *x, int choice[3], int64_t now)
+static void choices(const struct router *c, const struct client_request *x, int choice[3], int64_t now)
 {
 	uint64_t top[3] = { 0, 0, 0 }, id = core_hashs(53, x->id);
 
 	choice[0] = choice[1] = choice[2] = -1;
-	for (uint32_t s = 0; s < c->roster->nserver; s++) {
-		const struct bk_server *sv = &c->roster->server[s];
+	for (uint32_t s = 0; s < c->server_table->nserver; s++) {
+		const struct bk_server *sv = &c->server_table->server[s];
 		uint64_t w;
 
-		if (!sv->on || sv->is_store || sv->service != x->service || s == x->tried || !ctr_standing(c, s, now))
+		if (!sv->on || sv->is_store || sv->service != x->service || s == x->tried || !router_standing(c, s, now))
 			continue;
 		w = core_rdv(id, c->server_hash[s]);
 		for (int k = 0; k < 3; k++)
@@ -345,22 +350,22 @@
 /* Go where the prefix is kept, or to its home; elsewhere only where the wait there is so long that it pays to move the
  * prefix, and then with a fetch. Reading again what is kept somewhere is the dearest of all. */
 /* NOLINTNEXTLINE(readability-function-size): to be cut, issue 18 */
-struct plan ctr_assign_forward(struct ctr *c, const struct xch *x, int64_t now)
+struct plan router_assign_forward(struct router *c, const struct client_request *x, int64_t now)
 {
-	const struct book *b = c->book;
+	const struct route_table *b = c->route_table;
 	const struct bk_service *svc = &b->service[x->service];
 	struct plan best = { -1, 0, -1, 0, 0, 0, 0 };
 	int current = relay_current(&c->relay, now), home = home_of(c, x, now), shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
-	uint32_t n = c->roster->nserver, seen[4], nseen = 0;
-	int choice[3], holder[4], held[4], store = ctr_store_of(c, x), store_up;
-	double all = (double)(ctr_tokens_upto(x, x->nparts) + x->tail_tokens);
+	uint32_t n = c->server_table->nserver, seen[4], nseen = 0;
+	int choice[3], holder[4], held[4], store = router_store_of(c, x), store_up;
+	double all = (double)(router_tokens_upto(x, x->nparts) + x->tail_tokens);
 
 	if (home < 0)
 		return best;
 	arrsetlen(c->depth, n);
 	memset(c->depth, 0, n * sizeof *c->depth);
 	for (uint32_t s = 0; s < n && current; s++) {
-		const struct bk_server *sv = &c->roster->server[s];
+		const struct bk_server *sv = &c->server_table->server[s];
 		uint32_t k = 0;
 
 		if (!sv->on || sv->is_store || sv->service != x->service)
@@ -369,11 +374,13 @@
 			k++;
 		if (k == nseen && nseen < 4) {
 			seen[nseen++] = c->sv[s].weights;
-			held[k] = depths(c, x, core_hashs(0, ctr_shelf(c, x, c->sv[s].weights, c->scratch)), c->sv[s].weights);
+			held[k] = depths(c, x, core_hashs(0, router_cache_namespace(c, x, c->sv[s].weights, c->scratch)),
+					 c->sv[s].weights);
 		}
 	}
 	apr_pool_clear(c->scratch);
-	store_up = store >= 0 && (uint32_t)store < n && c->roster->server[store].on && ctr_standing(c, (uint32_t)store, now);
+	store_up =
+	    store >= 0 && (uint32_t)store < n && c->server_table->server[store].on && router_standing(c, (uint32_t)store, now);
 	for (uint32_t k = 0; k < nseen; k++) {
 		holder[k] = holder_of(c, x, seen[k], now);
 		/* servers' links are many, the store's is one: it is asked for what no server keeps */
@@ -385,13 +392,13 @@
 	}
 	choices(c, x, choice, now);
 	for (uint32_t s = 0; s < n; s++) {
-		const struct bk_server *sv = &c->roster->server[s];
-		struct ctr_server *v = &c->sv[s];
+		const struct bk_server *sv = &c->server_table->server[s];
+		struct router_server *v = &c->sv[s];
 		struct plan p = { (int)s, c->depth[s], -1, 0, 0, 0, 0 };
 		double read;
 		int from = -1, upto = 0;
 
-		if (!sv->on || sv->service != x->service || sv->is_store || s == x->tried || !ctr_standing(c, s, now))
+		if (!sv->on || sv->service != x->service || sv->is_store || s == x->tried || !router_standing(c, s, now))
 			continue;
 		if (p.keep < shared && (int)s != home && (int)s != choice[0] && (int)s != choice[1] && (int)s != choice[2])
 			continue;
@@ -406,28 +413,28 @@
 			from = home;
 			upto = shared; /* it has it, unless nobody asked there yet */
 		}
-		read = (all - (double)ctr_tokens_upto(x, p.keep)) / svc->prefill;
+		read = (all - (double)router_tokens_upto(x, p.keep)) / svc->prefill;
 		if (!p.keep && (int)s == home && from < 0)
-			read -= 0.7 * (double)ctr_tokens_upto(x, shared) / svc->prefill; /* others will have sent it here */
+			read -= 0.7 * (double)router_tokens_upto(x, shared) / svc->prefill; /* others will have sent it here */
 		if (from >= 0 && from != (int)s && upto > p.keep && svc->link) {
-			double more = (double)(ctr_tokens_upto(x, upto) - ctr_tokens_upto(x, p.keep));
-			double ms =
-			    more * svc->kv_bytes / (c->roster->server[from].is_store ? svc->store ? svc->store : 1 : svc->link);
+			double more = (double)(router_tokens_upto(x, upto) - router_tokens_upto(x, p.keep));
+			double ms = more * svc->kv_bytes /
+				    (c->server_table->server[from].is_store ? svc->store ? svc->store : 1 : svc->link);
 
-			ms = ms * slow_of(c, (uint32_t)from, s, now) * (c->roster->server[from].zone == sv->zone ? 1 : 2) +
-			     CTR_FETCH_MS + link_wait(c, (uint32_t)from, now);
-			if (ms < CTR_FETCH_WAIT) {
+			ms = ms * slow_of(c, (uint32_t)from, s, now) * (c->server_table->server[from].zone == sv->zone ? 1 : 2) +
+			     ROUTER_FETCH_MS + link_wait(c, (uint32_t)from, now);
+			if (ms < ROUTER_FETCH_WAIT) {
 				p.from = from;
 				p.upto = upto;
 				p.fetch = ms;
-				p.move = ms - CTR_FETCH_MS - link_wait(c, (uint32_t)from, now);
+				p.move = ms - ROUTER_FETCH_MS - link_wait(c, (uint32_t)from, now);
 				read += ms - more / svc->prefill;
 			}
 		}
 		p.cost = read + load_of(c, s, svc, now);
 		if (p.keep < shared && ((int)s != home || (from >= 0 && from != store && from != (int)s)))
-			p.cost +=
-			    CTR_AWAY_MS + CTR_AWAY_K * (double)(ctr_tokens_upto(x, shared) - ctr_tokens_upto(x, p.keep)) / 1000;
+			p.cost += ROUTER_AWAY_MS +
+				  ROUTER_AWAY_K * (double)(router_tokens_upto(x, shared) - router_tokens_upto(x, p.keep)) / 1000;
 		if (best.server < 0 || p.cost < best.cost)
 			best = p;
 	}
@@ -435,25 +442,26 @@
 }
 
 /* The store, where the prefix is to be left once it is read there: it is up and not known to have it. 0: not. */
-uint64_t ctr_sink(struct ctr *c, const struct xch *x, uint64_t shelf, int64_t now)
+uint64_t router_sink(struct router *c, const struct client_request *x, uint64_t cache_namespace, int64_t now)
 {
-	int st = ctr_store_of(c, x), shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
+	int st = router_store_of(c, x), shared = x->nparts > 1 ? x->nparts - 1 : x->nparts;
 
-	if (st < 0 || (uint32_t)st >= c->roster->nserver || !c->roster->server[st].on || !ctr_standing(c, (uint32_t)st, now))
+	if (st < 0 || (uint32_t)st >= c->server_table->nserver || !c->server_table->server[st].on ||
+	    !router_standing(c, (uint32_t)st, now))
 		return 0;
-	if (link_wait(c, (uint32_t)st, now) > CTR_SINK_WAIT)
+	if (link_wait(c, (uint32_t)st, now) > ROUTER_SINK_WAIT)
 		return 0;
 	/* its own part would go there too and push shared ones out: one that brings little of it will come */
-	if ((x->size - ctr_tokens_upto(x, shared)) * 3ull > ctr_tokens_upto(x, shared))
+	if ((x->size - router_tokens_upto(x, shared)) * 3ull > router_tokens_upto(x, shared))
 		return 0;
 	for (int i = 0; i < shared; i++) {
-		struct kept_copy *v = kept_get(&c->kept, ctr_kept_key(shelf, x->hash[i]));
+		struct kept_copy *v = kept_get(&c->kept, router_kept_key(cache_namespace, x->hash[i]));
 		int there = 0;
 
 		for (ptrdiff_t k = 0; k < arrlen(v) && !there; k++)
 			there = v[k].server == (uint32_t)st;
 		if (!there)
-			return c->roster->server[st].to;
+			return c->server_table->server[st].to;
 	}
 	return 0;
 }
--- /dev/null
+++ b/lib/data/router_internal.h
@@ -0,0 +1,100 @@
+/* router_internal: what the files of the router's step share. Not for others. */
+#ifndef NL_ROUTER_INTERNAL_H
+#define NL_ROUTER_INTERNAL_H
+
+#include <json-c/json.h>
+
+#include "router.h"
+
+extern const char router_no_server[];
+struct plan {
+	int server, keep, from, upto;
+	double cost, fetch, move; /* ms: fetch with its wait, move of the link alone */
+};
+
+/* router_assign.c */
+struct plan router_assign(struct router *c, const struct client_request *x, int64_t now);
+struct plan router_assign_forward(struct router *c, const struct client_request *x, int64_t now);
+const char *router_cache_namespace(struct router *c, const struct client_request *x, uint32_t weights, apr_pool_t *p);
+void router_link_use(struct router *c, uint32_t s, double ms, int64_t now);
+uint64_t router_sink(struct router *c, const struct client_request *x, uint64_t cache_namespace, int64_t now);
+uint32_t router_brings(const struct client_request *x, int keep);
+int router_store_of(const struct router *c, const struct client_request *x);
+uint64_t router_kept_key(uint64_t cache_namespace, uint64_t id);
+void router_learn_fetch(struct router *c, const struct client_request *x, int64_t took, int brought, int64_t now);
+int router_rolled(const struct router *c, uint32_t service, uint32_t weights, int64_t now);
+int router_standing(const struct router *c, uint32_t s, int64_t now);
+uint64_t router_home_part(const struct client_request *x);
+uint64_t router_tokens_upto(const struct client_request *x, int n);
+const struct kept_copy *router_usable(struct router *c, const struct client_request *x, uint64_t hash, uint32_t server,
+				      uint32_t weights);
+/* router_route_table.c */
+void router_route_table_free(struct route_table *b);
+struct route_table *router_route_table_make(struct router *c, int64_t now);
+uint64_t router_place(const char *host, const char *path, size_t n);
+struct server_table *router_server_table_make(struct router *c, int64_t now);
+void router_server_table_free(struct server_table *r);
+void router_names_clear(struct names *n);
+void router_share_of(const struct route_table *b, uint32_t lane, uint32_t tenant, uint32_t *share, uint32_t *limit);
+/* router_queue.c */
+void router_call_cancel(struct client_request *x, struct out *o);
+void router_claim_miss(struct router *c, uint32_t service, uint64_t asked);
+void router_claim_release(struct router *c, const struct client_request *x, int64_t now, struct out *o);
+void router_claim_send(struct router *c, struct client_request *x, int64_t now, struct out *o);
+void router_end_early(struct router *c, struct client_request *x, int status, const char *why, int64_t now, struct out *o);
+const char *router_error_json(apr_pool_t *p, const char *why, const char *outcome);
+double router_expected(const struct line *l, uint32_t i, int64_t now);
+void router_give_up(struct router *c, struct client_request *x, int status, const char *why, struct out *o);
+uint32_t router_held(const struct router *c, const char *name);
+struct line *router_line_of(struct router *c, uint32_t lane, uint32_t tenant);
+int router_retry_soon(struct router *c, int ms);
+int router_ride(const struct router *c);
+void router_asked(struct router *c, const struct router_asking *a, int64_t now, struct out *o);
+uint32_t router_part_of(const struct router *c, uint32_t service);
+void router_dispatch(struct router *c, int64_t now, struct out *o);
+struct json_object *router_read_json(struct router *c, const char *text);
+void router_refuse(struct router *c, struct client_request *x, int status, const char *why, double back, int64_t now,
+		   struct out *o);
+void router_release_end(struct router *c, ptrdiff_t i);
+void router_releases_tick(struct router *c, int64_t now, struct out *o);
+void router_take(struct router *c, uint64_t token, const char *digest, const char *body, int64_t now, struct out *o);
+uint64_t router_token_new(struct router *c);
+struct router_use *router_use_of(struct router *c, const struct client_request *x);
+void router_want_places(struct router *c, int64_t now, struct out *o);
+struct client_request *router_request_by(struct router *c, uint64_t token);
+void router_request_drop(struct router *c, struct client_request *x);
+/* router_load.c */
+void router_load_tick(struct router *c, int64_t now, struct out *o);
+void router_on_load(struct router *c, uint64_t id, uint64_t addr, const struct Nl__Load *l, int64_t now);
+void router_load_clear(struct router *c);
+/* router_send.c */
+void router_on_answer(struct router *c, const struct Nl__Answer *a, uint64_t from, int64_t now, struct out *o);
+void router_on_done(struct router *c, struct client_request *x, const typeof(((struct router_ev *)0)->u.done) *d, int64_t now,
+		    struct out *o);
+void router_forward(struct router *c, struct client_request *x, const struct plan *pl, int64_t now, struct out *o);
+void router_on_began(struct router *c, struct client_request *x, const char *weights, int64_t now);
+void router_on_ended(struct router *c, struct client_request *x, const struct router_ended *e, int64_t now, struct out *o);
+void router_on_piece(struct router *c, struct client_request *x, const char *text, int64_t now, struct out *o);
+void router_send_claimed(struct router *c, struct client_request *x, int64_t now, struct out *o);
+/* router_retention.c */
+void router_scope_row(struct router *c, struct route_table *b, const struct Nl__Row *r);
+int router_scope(const struct route_table *b, uint32_t lane, uint32_t tenant);
+uint64_t router_generation(struct router *c, int scope, uint32_t slice);
+uint64_t router_filed(struct router *c, const struct client_request *x);
+uint64_t router_filed_text(const char *cache_namespace);
+void router_cleared(struct router *c, const struct Nl__Value *v, int64_t now);
+void router_retention_tick(struct router *c, int64_t now);
+int router_keeps(const struct router *c, uint32_t service, uint32_t maker, uint64_t id, uint64_t stamp);
+/* router_watch.c */
+void router_look(struct router *c, int64_t now, struct out *o);
+void router_on_passed_report(struct router *c, const struct Nl__Report *r, int64_t now, struct out *o);
+void router_on_report(struct router *c, uint32_t s, const char *body, int64_t now);
+void router_on_value(void *ctx, const struct Nl__Value *v);
+void router_watch(struct router *c, int64_t now, struct out *o);
+void router_on_watched(struct router *c, uint64_t token, const struct Nl__Kept *k, int status, int64_t now);
+void router_on_kept(struct router *c, const struct Nl__Kept *k, int64_t now);
+void router_kept_tell(struct router *c, int64_t now, struct out *o);
+int router_interval(const struct router *c, int ms);
+void router_pass_report(struct router *c, uint32_t s, const char *body, struct out *o);
+
+#endif
--- a/lib/data/ctr_load.c
+++ b/lib/data/router_load.c
@@ -1,8 +1,8 @@
-/* ctr_load: what all counters have under way at each server. A counter alone sees only its own sends, so several would
+/* router_load: what all routers have under way at each server. A router alone sees only its own sends, so several would
  * queue behind each other at one server while others idle. Its word goes to the head of its zone, sums go between heads,
- * and the sum of all comes back: three hops, some 50 ms old, and a cost that does not grow with the square of counters.
+ * and the sum of all comes back: three hops, some 50 ms old, and a cost that does not grow with the square of routers.
  * Soft state: a lost word is mended by the next whole one. */
-#include "ctr_in.h"
+#include "router_internal.h"
 
 #include <apr_strings.h>
 #include <string.h>
@@ -27,10 +27,10 @@
 }
 
 /* Say what has changed since the last word, or all that is not nothing; nothing is said when nothing has. */
-static void say(struct ctr *c, const uint64_t *to, int n, int of, const struct load_cell *v, struct load_cell **told, int whole,
+static void say(struct router *c, const uint64_t *to, int n, int of, const struct load_cell *v, struct load_cell **told, int whole,
 		struct out *o)
 {
-	uint32_t servers = c->roster->nserver;
+	uint32_t servers = c->server_table->nserver;
 	struct Nl__Load *l;
 
 	size_to(told, servers);
@@ -59,30 +59,30 @@
 		out_msg(o, to[i], 0, NL__MSG__BODY_LOAD)->load = l;
 }
 
-static struct load_cell *zeros(const struct ctr *c, struct out *o)
+static struct load_cell *zeros(const struct router *c, struct out *o)
 {
-	return apr_pcalloc(o->p, (c->roster->nserver + 1) * sizeof(struct load_cell));
+	return apr_pcalloc(o->p, (c->server_table->nserver + 1) * sizeof(struct load_cell));
 }
 
-void ctr_load_tick(struct ctr *c, int64_t now, struct out *o)
+void router_load_tick(struct router *c, int64_t now, struct out *o)
 {
 	struct load_cell *own, *zone, *all;
 	uint64_t *down;
 	int whole, n = 0;
 
-	if (!c->roster || now - c->load_at < ctr_pace(c, CTR_LOAD))
+	if (!c->server_table || now - c->load_at < router_interval(c, ROUTER_LOAD))
 		return;
 	c->load_at = now;
-	whole = now - c->load_whole >= (c->f.counters > 16 ? 2 : 1) * CTR_LOAD_WHOLE;
+	whole = now - c->load_whole >= (c->f.counters > 16 ? 2 : 1) * ROUTER_LOAD_WHOLE;
 	if (whole)
 		c->load_whole = now;
 	for (ptrdiff_t i = arrlen(c->load) - 1; i >= 0; i--)
-		if (now - c->load[i].at > CTR_LOAD_OLD) {
+		if (now - c->load[i].at > ROUTER_LOAD_OLD) {
 			arrfree(c->load[i].v);
 			arrdelswap(c->load, i);
 		}
 	own = zeros(c, o);
-	for (uint32_t s = 0; s < c->roster->nserver; s++)
+	for (uint32_t s = 0; s < c->server_table->nserver; s++)
 		own[s] = (struct load_cell){ c->sv[s].ahead, (uint32_t)c->sv[s].own, (uint32_t)c->sv[s].tokens };
 	if (c->f.nup) { /* not the head: what others have is what the head says of all, less what it knows to be ours */
 		say(c, c->f.up, 1, LOAD_OWN, own, &c->told_up, whole, o);
@@ -90,12 +90,12 @@
 	}
 	zone = zeros(c, o);
 	all = zeros(c, o);
-	size_to(&c->others, c->roster->nserver);
+	size_to(&c->others, c->server_table->nserver);
 	for (ptrdiff_t i = 0; i < arrlen(c->load); i++)
-		for (ptrdiff_t s = 0; s < arrlen(c->load[i].v) && s < (ptrdiff_t)c->roster->nserver; s++)
+		for (ptrdiff_t s = 0; s < arrlen(c->load[i].v) && s < (ptrdiff_t)c->server_table->nserver; s++)
 			if (c->load[i].of != LOAD_ALL)
 				add(c->load[i].of == LOAD_OWN ? &zone[s] : &all[s], &c->load[i].v[s]);
-	for (uint32_t s = 0; s < c->roster->nserver; s++) {
+	for (uint32_t s = 0; s < c->server_table->nserver; s++) {
 		c->others[s] = zone[s];
 		add(&c->others[s], &all[s]);
 		add(&zone[s], &own[s]);
@@ -112,11 +112,11 @@
 		say(c, down, n, LOAD_ALL, all, &c->told_down, whole, o);
 }
 
-void ctr_on_load(struct ctr *c, uint64_t id, uint64_t addr, const struct Nl__Load *l, int64_t now)
+void router_on_load(struct router *c, uint64_t id, uint64_t addr, const struct Nl__Load *l, int64_t now)
 {
 	struct load_from *f = NULL, zero = { id, (int)l->of, now, addr, NULL };
 
-	if (!c->roster || l->of > LOAD_ALL || id == c->id)
+	if (!c->server_table || l->of > LOAD_ALL || id == c->id)
 		return;
 	for (ptrdiff_t i = 0; i < arrlen(c->load) && !f; i++)
 		if (c->load[i].id == id)
@@ -130,7 +130,7 @@
 	f->of = (int)l->of;
 	f->at = now;
 	f->addr = addr;
-	size_to(&f->v, c->roster->nserver);
+	size_to(&f->v, c->server_table->nserver);
 	if (l->whole && arrlen(f->v))
 		memset(f->v, 0, (size_t)arrlen(f->v) * sizeof *f->v);
 	for (size_t i = 0; i < l->n_row; i++) {
@@ -141,8 +141,8 @@
 	}
 	if (l->of != LOAD_ALL)
 		return;
-	size_to(&c->others, c->roster->nserver);
-	size_to(&c->told_up, c->roster->nserver);
+	size_to(&c->others, c->server_table->nserver);
+	size_to(&c->told_up, c->server_table->nserver);
 	for (ptrdiff_t s = 0; s < arrlen(f->v) && s < arrlen(c->others); s++) {
 		const struct load_cell *mine = &c->told_up[s], *all = &f->v[s];
 
@@ -153,7 +153,7 @@
 	c->others_fresh = now;
 }
 
-void ctr_load_clear(struct ctr *c)
+void router_load_clear(struct router *c)
 {
 	for (ptrdiff_t i = 0; i < arrlen(c->load); i++)
 		arrfree(c->load[i].v);
--- a/lib/data/ctr_line.c
+++ b/lib/data/router_queue.c
@@ -1,5 +1,5 @@
-/* ctr_line: taking exchanges into lines, their order, their ends; who goes next. */
-#include "ctr_in.h"
+/* router_queue: taking exchanges into lines, their order, their ends; who goes next. */
+#include "router_internal.h"
 
 #include <apr_strings.h>
 #include <stdlib.h>
@@ -10,16 +10,16 @@
 /* ---- exchanges: ends --------------------------------------------------------------- */
 
 /* Tokens of claims and calls; the shell numbers callers from 1 up, so ours keep the highest bit. */
-uint64_t ctr_token_new(struct ctr *c) { return ++c->token | 1ull << 63; }
+uint64_t router_token_new(struct router *c) { return ++c->token | 1ull << 63; }
 
-struct xch *ctr_xch_by(struct ctr *c, uint64_t token)
+struct client_request *router_request_by(struct router *c, uint64_t token)
 {
 	ptrdiff_t i = c->by ? hmgeti(c->by, token) : -1;
 
 	return i < 0 ? NULL : c->by[i].value;
 }
 
-struct line *ctr_line_of(struct ctr *c, uint32_t lane, uint32_t tenant)
+struct line *router_line_of(struct router *c, uint32_t lane, uint32_t tenant)
 {
 	struct line n = { lane, tenant, NULL, NULL, NULL, 0, 0, 0, 0, 0 };
 
@@ -33,7 +33,7 @@
 	return &arrlast(c->line);
 }
 
-const char *ctr_error_json(apr_pool_t *p, const char *why, const char *outcome)
+const char *router_error_json(apr_pool_t *p, const char *why, const char *outcome)
 {
 	struct json_object *j = json_object_new_object();
 	const char *s;
@@ -45,14 +45,17 @@
 	return s;
 }
 
-uint32_t ctr_part_of(const struct ctr *c, uint32_t service) { return core_part_of(c->services.name[service], SHARD_SERVICES); }
+uint32_t router_part_of(const struct router *c, uint32_t service)
+{
+	return core_part_of(c->services.name[service], SHARD_SERVICES);
+}
 
 /* Ask the part's owner, as far as it is known; whom. */
-static uint64_t claim_msg(struct ctr *c, uint32_t service, uint32_t tenant, const char *id, uint64_t seq, int release,
+static uint64_t claim_msg(struct router *c, uint32_t service, uint32_t tenant, const char *id, uint64_t seq, int release,
 			  uint64_t token, struct out *o)
 {
-	uint32_t part = ctr_part_of(c, service);
-	uint64_t to = follow_seat(&c->f, part);
+	uint32_t part = router_part_of(c, service);
+	uint64_t to = config_watch_leader_addr(&c->f, part);
 	struct Nl__Propose *q = OUT_NEW(o, Nl__Propose, NL__PROPOSE__INIT);
 
 	q->op = OUT_NEW(o, Nl__Op, NL__OP__INIT);
@@ -70,49 +73,51 @@
 }
 
 /* Who was asked does not answer: ask another, unless that has been decided meanwhile. */
-void ctr_claim_miss(struct ctr *c, uint32_t service, uint64_t asked)
+void router_claim_miss(struct router *c, uint32_t service, uint64_t asked)
 {
-	if (follow_seat(&c->f, ctr_part_of(c, service)) == asked)
-		follow_miss(&c->f, ctr_part_of(c, service));
+	if (config_watch_leader_addr(&c->f, router_part_of(c, service)) == asked)
+		config_watch_miss(&c->f, router_part_of(c, service));
 }
 
-void ctr_claim_send(struct ctr *c, struct xch *x, int64_t now, struct out *o)
+void router_claim_send(struct router *c, struct client_request *x, int64_t now, struct out *o)
 {
 	x->claim_at = now;
 	x->asked = claim_msg(c, x->service, x->tenant, x->id, x->seq, 0, x->claim, o);
 }
 
 /* The id may be used again: said until the part has heard it. */
-void ctr_claim_release(struct ctr *c, const struct xch *x, int64_t now, struct out *o)
+void router_claim_release(struct router *c, const struct client_request *x, int64_t now, struct out *o)
 {
-	struct ctr_release r = { ctr_token_new(c), x->seq, 0, x->service, x->tenant, strdup(x->id), now, now + CTR_RELEASE };
+	struct router_release r = {
+		router_token_new(c), x->seq, 0, x->service, x->tenant, strdup(x->id), now, now + ROUTER_RELEASE
+	};
 
 	r.asked = claim_msg(c, r.service, r.tenant, r.id, r.seq, 1, r.token, o);
 	arrput(c->release, r);
 }
 
-void ctr_release_end(struct ctr *c, ptrdiff_t i)
+void router_release_end(struct router *c, ptrdiff_t i)
 {
 	free(c->release[i].id);
 	arrdelswap(c->release, i);
 }
 
-void ctr_releases_tick(struct ctr *c, int64_t now, struct out *o)
+void router_releases_tick(struct router *c, int64_t now, struct out *o)
 {
 	for (ptrdiff_t i = arrlen(c->release) - 1; i >= 0; i--) {
-		struct ctr_release *r = &c->release[i];
+		struct router_release *r = &c->release[i];
 
 		if (now >= r->until) {
-			ctr_release_end(c, i);
-		} else if (now - r->at >= CTR_CLAIM_WAIT) {
+			router_release_end(c, i);
+		} else if (now - r->at >= ROUTER_CLAIM_WAIT) {
 			r->at = now;
-			ctr_claim_miss(c, r->service, r->asked);
+			router_claim_miss(c, r->service, r->asked);
 			r->asked = claim_msg(c, r->service, r->tenant, r->id, r->seq, 1, r->token, o);
 		}
 	}
 }
 
-struct ctr_use *ctr_use_of(struct ctr *c, const struct xch *x)
+struct router_use *router_use_of(struct router *c, const struct client_request *x)
 {
 	uint64_t key = (uint64_t)x->lane << 32 | x->tenant;
 	typeof(c->use->value) zero = { 0, 0, 0, 0, 0 };
@@ -123,12 +128,12 @@
 }
 
 /* Take an exchange out of everything; what the caller hears has been said before. */
-void ctr_xch_drop(struct ctr *c, struct xch *x)
+void router_request_drop(struct router *c, struct client_request *x)
 {
-	struct line *l = ctr_line_of(c, x->lane, x->tenant);
+	struct line *l = router_line_of(c, x->lane, x->tenant);
 
-	if (x->state == XCH_WAITING) {
-		struct xch **at = &l->head, *prev = NULL;
+	if (x->state == REQUEST_WAITING) {
+		struct client_request **at = &l->head, *prev = NULL;
 
 		while (*at && *at != x) {
 			prev = *at;
@@ -146,12 +151,12 @@
 		if (x->server >= 0) {
 			c->sv[x->server].own--;
 			c->sv[x->server].ahead -= x->ahead;
-			if (x->forwarded && x->state == XCH_RUNNING)
+			if (x->forwarded && x->state == REQUEST_RUNNING)
 				c->sv[x->server].tokens -= x->brings;
 		}
 	}
 	if (x->resend_paid)
-		c->budget[x->service] += CTR_RESEND_COST; /* never sent again */
+		c->budget[x->service] += ROUTER_RESEND_COST; /* never sent again */
 	(void)hmdel(c->by, x->token);
 	if (x->claim)
 		(void)hmdel(c->by, x->claim);
@@ -163,29 +168,29 @@
 	apr_pool_destroy(x->p);
 }
 
-void ctr_call_cancel(struct xch *x, struct out *o)
+void router_call_cancel(struct client_request *x, struct out *o)
 {
-	if (x->state == XCH_RUNNING && x->call)
+	if (x->state == REQUEST_RUNNING && x->call)
 		out_cmd(o, CMD_CANCEL)->u.cancel.token = x->call;
 }
 
 /* When to come back for a reason that passes soon. */
-int ctr_retry_soon(struct ctr *c, int ms) { return ms + (int)(core_rdv(c->id, ++c->retries) % (uint64_t)(ms / 2 + 1)); }
+int router_retry_soon(struct router *c, int ms) { return ms + (int)(core_rdv(c->id, ++c->retries) % (uint64_t)(ms / 2 + 1)); }
 
 /* When to come back: not sooner than makes sense, and not all at once. */
-static int retry_in(struct ctr *c, double ms)
+static int retry_in(struct router *c, double ms)
 {
-	int64_t least = ms < CTR_RETRY ? CTR_RETRY : ms > CTR_RETRY_MOST ? CTR_RETRY_MOST : (int64_t)ms;
+	int64_t least = ms < ROUTER_RETRY ? ROUTER_RETRY : ms > ROUTER_RETRY_MOST ? ROUTER_RETRY_MOST : (int64_t)ms;
 
 	return (int)(least + (int64_t)(core_rdv(c->id, ++c->retries) % (uint64_t)least));
 }
 
 /* Given up after a send: what the server did is not known. */
-void ctr_give_up(struct ctr *c, struct xch *x, int status, const char *why, struct out *o)
+void router_give_up(struct router *c, struct client_request *x, int status, const char *why, struct out *o)
 {
-	const char *body = ctr_error_json(o->p, why, "unknown");
+	const char *body = router_error_json(o->p, why, "unknown");
 
-	ctr_call_cancel(x, o);
+	router_call_cancel(x, o);
 	if (x->begun) {
 		struct cmd *k = out_cmd(o, CMD_END);
 
@@ -197,35 +202,35 @@
 		out_answer(o, x->token, status == 503 ? 502 : status, 0, body);
 	}
 	c->n.unknown++;
-	ctr_use_of(c, x)->value.errors++;
-	ctr_xch_drop(c, x);
+	router_use_of(c, x)->value.errors++;
+	router_request_drop(c, x);
 }
 
 /* Refused: nothing of it was ever sent to a server that may have begun, and nothing will be. */
-void ctr_refuse(struct ctr *c, struct xch *x, int status, const char *why, double back, int64_t now, struct out *o)
+void router_refuse(struct router *c, struct client_request *x, int status, const char *why, double back, int64_t now, struct out *o)
 {
 	if (x->begun || x->ran) {
-		ctr_give_up(c, x, 502, why, o);
+		router_give_up(c, x, 502, why, o);
 		return;
 	}
 	if (x->claim)
-		ctr_claim_release(c, x, now, o); /* the id may be used again */
+		router_claim_release(c, x, now, o); /* the id may be used again */
 	out_answer(o, x->token, status,
-		   status == 503 || status == 429 ? back == CTR_SOON ? ctr_retry_soon(c, CTR_SOON) : retry_in(c, back) : 0,
-		   ctr_error_json(o->p, why, "refused"));
+		   status == 503 || status == 429 ? back == ROUTER_SOON ? router_retry_soon(c, ROUTER_SOON) : retry_in(c, back) : 0,
+		   router_error_json(o->p, why, "refused"));
 	c->n.refused++;
-	ctr_xch_drop(c, x);
+	router_request_drop(c, x);
 }
 
-void ctr_end_early(struct ctr *c, struct xch *x, int status, const char *why, int64_t now, struct out *o)
+void router_end_early(struct router *c, struct client_request *x, int status, const char *why, int64_t now, struct out *o)
 {
-	if (x->state == XCH_RUNNING || x->begun || x->ran)
-		ctr_give_up(c, x, status, why, o);
+	if (x->state == REQUEST_RUNNING || x->begun || x->ran)
+		router_give_up(c, x, status, why, o);
 	else
-		ctr_refuse(c, x, status, why, CTR_RETRY, now, o);
+		router_refuse(c, x, status, why, ROUTER_RETRY, now, o);
 }
 
-struct json_object *ctr_read_json(struct ctr *c, const char *text)
+struct json_object *router_read_json(struct router *c, const char *text)
 {
 	json_tokener_reset(c->tok);
 	return json_tokener_parse_ex(c->tok, text, -1);
@@ -233,12 +238,12 @@
 
 /* ---- exchanges: taken at the door ---------------------------------------------------- */
 
-static const char *parse(struct ctr *c, struct xch *x, const char *body, const char **lane, int *limit, apr_pool_t *p)
+static const char *parse(struct router *c, struct client_request *x, const char *body, const char **lane, int *limit, apr_pool_t *p)
 {
-	struct json_object *j = ctr_read_json(c, body), *v;
+	struct json_object *j = router_read_json(c, body), *v;
 	const char *why = NULL;
 
-	*limit = CTR_LIMIT;
+	*limit = ROUTER_LIMIT;
 	*lane = NULL;
 	if (!json_object_is_type(j, json_type_object)) {
 		why = "body: not a JSON object";
@@ -258,13 +263,13 @@
 		} else if (!strcmp(name, "limit_ms")) {
 			int64_t n = json_object_get_int64(val);
 
-			if (!json_object_is_type(val, json_type_int) || n < CTR_LIMIT_MIN || n > CTR_LIMIT_MAX)
-				why = apr_psprintf(p, "limit_ms: %d to %d", CTR_LIMIT_MIN, CTR_LIMIT_MAX);
+			if (!json_object_is_type(val, json_type_int) || n < ROUTER_LIMIT_MIN || n > ROUTER_LIMIT_MAX)
+				why = apr_psprintf(p, "limit_ms: %d to %d", ROUTER_LIMIT_MIN, ROUTER_LIMIT_MAX);
 			else
 				*limit = (int)n;
 		} else if (!strcmp(name, "parts")) {
-			if (!json_object_is_type(val, json_type_array) || json_object_array_length(val) > CTR_PARTS) {
-				why = apr_psprintf(p, "parts: a list of at most %d strings", CTR_PARTS);
+			if (!json_object_is_type(val, json_type_array) || json_object_array_length(val) > ROUTER_PARTS) {
+				why = apr_psprintf(p, "parts: a list of at most %d strings", ROUTER_PARTS);
 				continue;
 			}
 			for (size_t i = 0; i < json_object_array_length(val); i++) {
@@ -292,11 +297,11 @@
 	return why;
 }
 
-const char ctr_no_server[] = "no server of this service stands";
+const char router_no_server[] = "no server of this service stands";
 
 /* How long the exchange with i others before it in its line has yet to wait: what its line's heads usually take, and
  * for the next of them no less than the time for which it has already stood still. */
-double ctr_expected(const struct line *l, uint32_t i, int64_t now)
+double router_expected(const struct line *l, uint32_t i, int64_t now)
 {
 	double still = (double)(now - l->still);
 
@@ -304,26 +309,29 @@
 }
 
 /* Whether the configuration here is certain to be in force, or may be ridden on. */
-static int in_force(const struct ctr *c, int64_t now) { return c->book && follow_age(&c->f, now) <= ctr_ride(c); }
+static int in_force(const struct router *c, int64_t now)
+{
+	return c->route_table && config_watch_age(&c->f, now) <= router_ride(c);
+}
 
 /* How long the configuration's owner may go unheard while new work is still taken. With servers from the table it is the
  * brief's two seconds. Where a deployment counts nodes as in touch only when the core has been calm for a while, an owner
  * that falls silent just after its last good answer makes the core uncalm for that long: until then what it may have
  * acknowledged meanwhile need not be in force here. No removed key may outlive its bound either: docs/design.md, Freshness. */
-int ctr_ride(const struct ctr *c)
+int router_ride(const struct router *c)
 {
-	int key = c->b.revoke_ms - CTR_RIDE_MARGIN, calm = c->b.contact_ms - CTR_CALM_MARGIN;
-	int drift = c->b.config_ms + c->b.drift_ms - CTR_RIDE_MARGIN;
+	int key = c->b.revoke_ms - ROUTER_RIDE_MARGIN, calm = c->b.contact_ms - ROUTER_CALM_MARGIN;
+	int drift = c->b.config_ms + c->b.drift_ms - ROUTER_RIDE_MARGIN;
 
-	if (!c->b.sights)
-		return FOLLOW_CONFIG;
-	if (calm < c->b.config_ms - CTR_CALM_MARGIN)
-		calm = c->b.config_ms - CTR_CALM_MARGIN;
+	if (!c->b.instances)
+		return CONFIG_WATCH_CONFIG;
+	if (calm < c->b.config_ms - ROUTER_CALM_MARGIN)
+		calm = c->b.config_ms - ROUTER_CALM_MARGIN;
 	return key < calm && key < drift ? key : drift < calm ? drift : calm;
 }
 
 /* Which class a line goes in: its tenant's, where that has one, else its lane's. */
-static uint32_t class_of(const struct book *b, const struct line *l)
+static uint32_t class_of(const struct route_table *b, const struct line *l)
 {
 	uint32_t rank = b->tenant[l->tenant].rank;
 
@@ -331,9 +339,9 @@
 }
 
 /* To the end of its line. */
-static void line_up(struct ctr *c, struct xch *x, struct line *l, int64_t now)
+static void line_up(struct router *c, struct client_request *x, struct line *l, int64_t now)
 {
-	const struct book *b = c->book;
+	const struct route_table *b = c->route_table;
 
 	if (!l->n) { /* a line that was empty starts where the others are */
 		uint64_t least = UINT64_MAX;
@@ -355,47 +363,48 @@
 	arrput(c->all, x);
 	hmput(c->by, x->token, x);
 }
-static int refused_stale(struct ctr *c, uint64_t token, int64_t now, struct out *o)
+static int refused_stale(struct router *c, uint64_t token, int64_t now, struct out *o)
 {
 	int back;
 
 	if (!c->stopping && in_force(c, now))
 		return 0;
-	back = retry_in(c, CTR_RETRY);
+	back = retry_in(c, ROUTER_RETRY);
 	c->n.refused++;
 	c->n.refused_stale++;
 	/* one that has just begun knows how long its fleet usually takes to find its owners */
-	if (c->b.sights)
-		back = ctr_retry_soon(c, now - c->opened < CTR_BEGIN ? (int)(CTR_BEGIN - (now - c->opened) + 200) : CTR_RETRY);
-	out_answer(
-	    o, token, 503, back,
-	    ctr_error_json(o->p,
-			   c->stopping ? "this counter is stopping" : "this counter's configuration is not certain to be in force",
-			   "refused"));
+	if (c->b.instances)
+		back = router_retry_soon(c, now - c->opened < ROUTER_BEGIN ? (int)(ROUTER_BEGIN - (now - c->opened) + 200)
+									   : ROUTER_RETRY);
+	out_answer(o, token, 503, back,
+		   router_error_json(o->p,
+				     c->stopping ? "this counter is stopping"
+						 : "this counter's configuration is not certain to be in force",
+				     "refused"));
 	return 1;
 }
 
-static int refused_line(struct ctr *c, uint64_t token, const struct line *l, uint32_t lane, uint32_t service, int64_t now,
+static int refused_line(struct router *c, uint64_t token, const struct line *l, uint32_t lane, uint32_t service, int64_t now,
 			struct out *o)
 {
-	int full = l->n >= c->book->lane[lane].limit;
+	int full = l->n >= c->route_table->lane[lane].limit;
 
-	if (!full && now - c->stood[service] <= CTR_RIDE)
+	if (!full && now - c->stood[service] <= ROUTER_RIDE)
 		return 0;
 	c->n.refused++;
 	c->n.refused_line += full;
 	c->n.refused_early += !full;
-	out_answer(o, token, full ? 429 : 503, retry_in(c, full ? ctr_expected(l, l->n / 2, now) : CTR_RETRY),
-		   ctr_error_json(o->p, full ? "the line is full" : ctr_no_server, "refused"));
+	out_answer(o, token, full ? 429 : 503, retry_in(c, full ? router_expected(l, l->n / 2, now) : ROUTER_RETRY),
+		   router_error_json(o->p, full ? "the line is full" : router_no_server, "refused"));
 	return 1;
 }
 
-void ctr_take(struct ctr *c, uint64_t token, const char *digest, const char *body, int64_t now, struct out *o)
+void router_take(struct router *c, uint64_t token, const char *digest, const char *body, int64_t now, struct out *o)
 {
-	struct book *b = c->book;
+	struct route_table *b = c->route_table;
 	struct bk_key *keys = b ? b->key : NULL;
 	apr_pool_t *p;
-	struct xch *x;
+	struct client_request *x;
 	const char *lane, *why;
 	int limit, li;
 	ptrdiff_t ki;
@@ -408,7 +417,7 @@
 	ki = keys ? shgeti(keys, digest) : -1;
 	if (ki < 0 || !b->tenant[keys[ki].value].on) {
 		c->n.refused++;
-		out_answer(o, token, 401, 0, ctr_error_json(o->p, "key: unknown", "refused"));
+		out_answer(o, token, 401, 0, router_error_json(o->p, "key: unknown", "refused"));
 		return;
 	}
 	apr_pool_create(&p, c->p);
@@ -418,14 +427,14 @@
 	li = why ? -1 : names_find(&c->lanes, lane);
 	if (why || li < 0 || !b->lane[li].on || !b->service[b->lane[li].service].on) {
 		c->n.refused++;
-		out_answer(o, token, why ? 400 : 404, 0, ctr_error_json(o->p, why ? why : "lane: unknown", "refused"));
+		out_answer(o, token, why ? 400 : 404, 0, router_error_json(o->p, why ? why : "lane: unknown", "refused"));
 		apr_pool_destroy(p);
 		return;
 	}
 	x->lane = (uint32_t)li;
 	x->tenant = keys[ki].value;
 	x->service = b->lane[li].service;
-	l = ctr_line_of(c, x->lane, x->tenant);
+	l = router_line_of(c, x->lane, x->tenant);
 	if (refused_line(c, token, l, x->lane, x->service, now, o)) {
 		apr_pool_destroy(p);
 		return;
@@ -447,21 +456,21 @@
 	line_up(c, x, l, now);
 }
 
-uint32_t ctr_held(const struct ctr *c, const char *name)
+uint32_t router_held(const struct router *c, const char *name)
 {
-	struct follow_hold *h = c->f.hold;
+	struct config_watch_hold *h = c->f.hold;
 	ptrdiff_t i = shgeti(h, name);
 
 	return i < 0 ? 0 : h[i].value.held;
 }
 
 /* What is used and wanted of each limit; where a line lacks places, its owner is asked at once, though not each time. */
-void ctr_want_places(struct ctr *c, int64_t now, struct out *o)
+void router_want_places(struct router *c, int64_t now, struct out *o)
 {
-	struct follow *f = &c->f;
+	struct config_watch *f = &c->f;
 	int lacks = 0;
 
-	if (!c->book->limits)
+	if (!c->route_table->limits)
 		return;
 	for (ptrdiff_t i = 0; i < shlen(f->hold); i++)
 		f->hold[i].value.used = f->hold[i].value.want = 0;
@@ -471,36 +480,36 @@
 
 		if (!l->n && !l->running)
 			continue;
-		ctr_share_of(c->book, l->lane, l->tenant, &share, &limit);
+		router_share_of(c->route_table, l->lane, l->tenant, &share, &limit);
 		for (int k = 0; k < 1 + (limit != UINT32_MAX); k++) {
 			typeof(f->hold->value) *h;
 
-			if (!k && !c->book->tenant[l->tenant].limit)
+			if (!k && !c->route_table->tenant[l->tenant].limit)
 				continue;
-			h = follow_hold(f, k ? l->name : c->tenants.name[l->tenant]);
+			h = config_watch_hold(f, k ? l->name : c->tenants.name[l->tenant]);
 
 			h->used += l->running;
 			h->want += l->running + l->n;
 			lacks |= l->n && h->used >= h->held;
 		}
 	}
-	if (lacks && now - f->last_ask >= CTR_ASK)
-		follow_ask(f, c->relay.k.horizon, now, o);
+	if (lacks && now - f->last_ask >= ROUTER_ASK)
+		config_watch_ask(f, c->relay.k.horizon, now, o);
 }
 
 /* Heads of lines go on while there are places: by class, then by share. */
 /* NOLINTNEXTLINE(readability-function-size): to be cut, issue 18 */
-void ctr_pump(struct ctr *c, int64_t now, struct out *o)
+void router_dispatch(struct router *c, int64_t now, struct out *o)
 {
-	const struct book *b = c->book;
+	const struct route_table *b = c->route_table;
 
-	if (!in_force(c, now) || !c->roster || !arrlen(c->all) || now < c->pump_at)
+	if (!in_force(c, now) || !c->server_table || !arrlen(c->all) || now < c->pump_at)
 		return;
 	for (;;) {
 		struct line *best = NULL;
 		int waits = 0;
 		struct plan best_plan = { -1, 0, -1, 0, 0, 0, 0 };
-		struct xch *x;
+		struct client_request *x;
 		uint32_t share, limit;
 
 		for (ptrdiff_t i = 0; i < arrlen(c->line); i++) {
@@ -510,14 +519,14 @@
 			if (!l->n)
 				continue;
 			waits = 1;
-			ctr_share_of(b, l->lane, l->tenant, &share, &limit);
-			if ((b->tenant[l->tenant].limit && c->running[l->tenant] >= ctr_held(c, c->tenants.name[l->tenant])) ||
-			    (limit != UINT32_MAX && l->running >= ctr_held(c, l->name)))
+			router_share_of(b, l->lane, l->tenant, &share, &limit);
+			if ((b->tenant[l->tenant].limit && c->running[l->tenant] >= router_held(c, c->tenants.name[l->tenant])) ||
+			    (limit != UINT32_MAX && l->running >= router_held(c, l->name)))
 				continue;
 			if (best &&
 			    (class_of(b, l) > class_of(b, best) || (class_of(b, l) == class_of(b, best) && l->pass >= best->pass)))
 				continue;
-			pl = l->head->forwarded ? ctr_assign_forward(c, l->head, now) : ctr_assign(c, l->head, now);
+			pl = l->head->forwarded ? router_assign_forward(c, l->head, now) : router_assign(c, l->head, now);
 			if (pl.server < 0)
 				continue;
 			best = l;
@@ -525,7 +534,7 @@
 		}
 		if (!best) {
 			c->pump_at =
-			    waits ? now + CTR_PUMP : 0; /* all that waits was weighed against all servers: not at every event */
+			    waits ? now + ROUTER_PUMP : 0; /* all that waits was weighed against all servers: not at every event */
 			return;
 		}
 		x = best->head;
@@ -537,32 +546,32 @@
 		best->running++;
 		best->gap += ((double)(now - best->still) - best->gap) / 16;
 		best->still = now;
-		ctr_share_of(b, best->lane, best->tenant, &share, &limit);
+		router_share_of(b, best->lane, best->tenant, &share, &limit);
 		best->pass += 1000000 / (share ? share : 1);
 		c->running[x->tenant]++;
-		x->state = XCH_CLAIMING;
+		x->state = REQUEST_CLAIMING;
 		x->server = best_plan.server;
 		c->sv[x->server].own++; /* its place is held until its claim has been answered */
 		if (x->forwarded) {
 			x->prio = class_of(b, best);
 			x->server = -1;
 			c->sv[best_plan.server].own--;
-			ctr_forward(c, x, &best_plan, now, o);
+			router_forward(c, x, &best_plan, now, o);
 			continue;
 		}
 		if (x->claimed) {
-			ctr_send_claimed(c, x, now, o);
+			router_send_claimed(c, x, now, o);
 			continue;
 		}
-		x->claim = ctr_token_new(c);
+		x->claim = router_token_new(c);
 		x->claim_from = now;
 		hmput(c->by, x->claim, x);
-		ctr_claim_send(c, x, now, o);
+		router_claim_send(c, x, now, o);
 	}
 }
 
 /* Which lane an exchange is on: the longest path prefix of its host. -1: none. */
-static int lane_at(const struct book *b, const char *host, const char *path)
+static int lane_at(const struct route_table *b, const char *host, const char *path)
 {
 	struct bk_place *h = b->place;
 	size_t n = strcspn(path, "?#");
@@ -573,7 +582,7 @@
 
 		if (path[n - 1] != '/')
 			continue;
-		i = hmgeti(h, ctr_place(host, path, n));
+		i = hmgeti(h, router_place(host, path, n));
 		if (i < 0)
 			continue;
 		l = &b->lane[h[i].value];
@@ -596,19 +605,19 @@
 	return l->split[k].service;
 }
 
-static void refused_wrong(struct ctr *c, uint64_t token, int status, const char *why, struct out *o)
+static void refused_wrong(struct router *c, uint64_t token, int status, const char *why, struct out *o)
 {
 	c->n.refused++;
-	out_answer(o, token, status, 0, ctr_error_json(o->p, why, "refused"));
+	out_answer(o, token, status, 0, router_error_json(o->p, why, "refused"));
 }
 
 /* NOLINTNEXTLINE(readability-function-size): to be cut, issue 18 */
-void ctr_asked(struct ctr *c, const struct ctr_asking *a, int64_t now, struct out *o)
+void router_asked(struct router *c, const struct router_asking *a, int64_t now, struct out *o)
 {
-	const struct book *b = c->book;
+	const struct route_table *b = c->route_table;
 	const struct bk_lane *bl;
 	struct line *l;
-	struct xch *x;
+	struct client_request *x;
 	apr_pool_t *p;
 	int li, shared;
 	uint32_t tenant, service;
@@ -639,7 +648,7 @@
 		refused_wrong(c, a->token, 404, "lane: its service is unknown", o);
 		return;
 	}
-	l = ctr_line_of(c, (uint32_t)li, tenant);
+	l = router_line_of(c, (uint32_t)li, tenant);
 	if (refused_line(c, a->token, l, (uint32_t)li, service, now, o))
 		return;
 	apr_pool_create(&p, c->p);
@@ -660,12 +669,12 @@
 	x->repeatable = bl->repeatable;
 	x->resumable = bl->resumable;
 	x->attempts = bl->attempts ? (int)bl->attempts : 2;
-	x->nparts = a->nparts < CTR_PARTS ? a->nparts : CTR_PARTS;
+	x->nparts = a->nparts < ROUTER_PARTS ? a->nparts : ROUTER_PARTS;
 	for (int i = 0; i < x->nparts; i++) {
 		x->hash[i] = a->part[i].id;
 		x->tokens[i] = a->part[i].tokens;
 	}
-	shared = (int)ctr_tokens_upto(x, x->nparts);
+	shared = (int)router_tokens_upto(x, x->nparts);
 	x->tail_tokens = a->tokens_in > (uint32_t)shared ? a->tokens_in - (uint32_t)shared : 0;
 	x->tokens_out = a->tokens_out;
 	x->size = (uint32_t)shared + x->tail_tokens + x->tokens_out;
--- a/lib/data/ctr_retention.c
+++ b/lib/data/router_retention.c
@@ -1,5 +1,5 @@
-/* ctr_retention: what a clearing of context means at a counter: under which names parts are filed, what still names others. */
-#include "ctr_in.h"
+/* router_retention: what a clearing of context means at a router: under which names parts are filed, what still names others. */
+#include "router_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -13,13 +13,13 @@
 	RETENTION_STRETCH = 2000
 }; /* ms between countings of what servers still name; after which one is not heard; rows of the index looked at in a tick */
 
-void ctr_scope_row(struct ctr *c, struct book *b, const struct Nl__Row *r)
+void router_scope_row(struct router *c, struct route_table *b, const struct Nl__Row *r)
 {
 	char lane[200], tenant[200];
 	struct bk_scope s = { -1, -1, "", "", 0 };
 
 	if (!retention_scope(r->name, lane, tenant) || (!lane[0] && !tenant[0]))
-		return; /* of everything: the common shelves are its own */
+		return; /* of everything: the common cache namespaces are its own */
 	s.lane = lane[0] ? (int)names_find(&c->lanes, lane) : -1;
 	s.tenant = tenant[0] ? (int)names_find(&c->tenants, tenant) : -1;
 	if ((lane[0] && s.lane < 0) || (tenant[0] && s.tenant < 0))
@@ -31,7 +31,7 @@
 }
 
 /* The narrowest scope of a lane and a tenant that is cleared by itself; a tenant's goes before a lane's. -1: none. */
-int ctr_scope(const struct book *b, uint32_t lane, uint32_t tenant)
+int router_scope(const struct route_table *b, uint32_t lane, uint32_t tenant)
 {
 	int best = -1, weight = 0;
 
@@ -47,10 +47,10 @@
 	return best;
 }
 
-/* The newest clearing that covers a scope's shelves of a slice, or the common ones (-1); 0: none ever did. */
-uint64_t ctr_generation(struct ctr *c, int scope, uint32_t slice)
+/* The newest clearing that covers a scope's cache namespaces of a slice, or the common ones (-1); 0: none ever did. */
+uint64_t router_generation(struct router *c, int scope, uint32_t slice)
 {
-	ptrdiff_t n = arrlen(c->book->scope) + 1;
+	ptrdiff_t n = arrlen(c->route_table->scope) + 1;
 
 	if (!arrlen(c->relay.w.clear))
 		return 0;
@@ -61,7 +61,7 @@
 			const struct Nl__Purge *p = c->relay.w.clear[i]->purge;
 
 			for (ptrdiff_t k = 0; k < n && p->slice < PURGE_SLICES; k++) {
-				const struct bk_scope *s = k ? &c->book->scope[k - 1] : NULL;
+				const struct bk_scope *s = k ? &c->route_table->scope[k - 1] : NULL;
 				uint64_t *g = &c->generation[k * PURGE_SLICES + p->slice];
 
 				if (p->number > *g &&
@@ -75,29 +75,29 @@
 	return c->generation[(scope + 1) * PURGE_SLICES + slice];
 }
 
-/* What a shelf's name says of clearings: 32 bits of its scope, 32 of its generation. 0: neither. */
-uint64_t ctr_filed(struct ctr *c, const struct xch *x)
+/* What a cache_namespace's name says of clearings: 32 bits of its scope, 32 of its generation. 0: neither. */
+uint64_t router_filed(struct router *c, const struct client_request *x)
 {
-	int scope = ctr_scope(c->book, x->lane, x->tenant);
-	uint64_t hash = scope < 0 ? 0 : c->book->scope[scope].hash;
+	int scope = router_scope(c->route_table, x->lane, x->tenant);
+	uint64_t hash = scope < 0 ? 0 : c->route_table->scope[scope].hash;
 
-	return hash << 32 | (ctr_generation(c, scope, PURGE_SLICE(ctr_home_part(x))) & UINT32_MAX);
+	return hash << 32 | (router_generation(c, scope, PURGE_SLICE(router_home_part(x))) & UINT32_MAX);
 }
 
-uint64_t ctr_filed_text(const char *shelf)
+uint64_t router_filed_text(const char *cache_namespace)
 {
-	const char *t = strrchr(shelf, '~');
+	const char *t = strrchr(cache_namespace, '~');
 
 	return t && strlen(t) == 17 ? strtoull(t + 1, NULL, 16) : 0;
 }
 
-int ctr_keeps(const struct ctr *c, uint32_t service, uint32_t maker, uint64_t id, uint64_t stamp)
+int router_keeps(const struct router *c, uint32_t service, uint32_t maker, uint64_t id, uint64_t stamp)
 {
 	return view_keeps(&c->relay.w, c->services.name[service], c->tenants.name[maker], id, stamp);
 }
 
 /* With the last slice, usage that names who is cleared goes too. */
-void ctr_cleared(struct ctr *c, const struct Nl__Value *v, int64_t now)
+void router_cleared(struct router *c, const struct Nl__Value *v, int64_t now)
 {
 	const struct Nl__Purge *p = v->purge;
 
@@ -118,7 +118,7 @@
 	}
 }
 
-static void left_add(struct ctr *c, struct Nl__Left **left, uint32_t server, uint64_t scope, uint64_t number, uint32_t parts)
+static void left_add(struct router *c, struct Nl__Left **left, uint32_t server, uint64_t scope, uint64_t number, uint32_t parts)
 {
 	struct Nl__Left n = NL__LEFT__INIT, *v = *left;
 
@@ -135,36 +135,36 @@
 		arrput(*left, n);
 }
 
-/* A shelf's generation is of one slice; what is older than the oldest slice of its scope now is surely from before. */
-static int is_old(struct ctr *c, uint64_t filed)
+/* A cache_namespace's generation is of one slice; what is older than the oldest slice of its scope now is surely from before. */
+static int is_old(struct router *c, uint64_t filed)
 {
 	uint64_t oldest = UINT64_MAX;
 	int scope = -1;
 
-	for (ptrdiff_t i = 0; filed >> 32 && i < arrlen(c->book->scope); i++)
-		if ((c->book->scope[i].hash & UINT32_MAX) == filed >> 32)
+	for (ptrdiff_t i = 0; filed >> 32 && i < arrlen(c->route_table->scope); i++)
+		if ((c->route_table->scope[i].hash & UINT32_MAX) == filed >> 32)
 			scope = (int)i;
 	if (filed >> 32 && scope < 0)
 		return 1; /* of a row that is no more */
 	for (uint32_t k = 0; k < PURGE_SLICES; k++)
-		oldest = ctr_generation(c, scope, k) < oldest ? ctr_generation(c, scope, k) : oldest;
+		oldest = router_generation(c, scope, k) < oldest ? router_generation(c, scope, k) : oldest;
 	return (filed & UINT32_MAX) < oldest;
 }
 
 /* Servers that have not said since what they keep. Our own interface's say at once what a clearing withdrew there. */
-static void left_servers(struct ctr *c, struct Nl__Left **left, int64_t now)
+static void left_servers(struct router *c, struct Nl__Left **left, int64_t now)
 {
-	for (uint32_t s = 0; s < c->roster->nserver; s++) { /* 0 parts: it is not known what it keeps */
-		const struct ctr_server *v = &c->sv[s];
+	for (uint32_t s = 0; s < c->server_table->nserver; s++) { /* 0 parts: it is not known what it keeps */
+		const struct router_server *v = &c->sv[s];
 
-		if (c->roster->server[s].on &&
-		    (c->b.sights ? now - v->heard > RETENTION_UNHEARD : v->stale || v->counted <= c->cleared_at))
-			left_add(c, left, s, RETENTION_ANY, 0, c->b.sights || v->counted <= c->cleared_at ? 0 : v->stale);
+		if (c->server_table->server[s].on &&
+		    (c->b.instances ? now - v->heard > RETENTION_UNHEARD : v->stale || v->counted <= c->cleared_at))
+			left_add(c, left, s, RETENTION_ANY, 0, c->b.instances || v->counted <= c->cleared_at ? 0 : v->stale);
 	}
 }
 
 /* A stretch of the index, from its end on: what a deletion moves meanwhile is looked at twice rather than never. */
-static void left_index(struct ctr *c)
+static void left_index(struct router *c)
 {
 	struct kept_row *h = c->kept.h;
 	uint64_t last = UINT64_MAX;
@@ -181,20 +181,20 @@
 			if (filed != last)
 				old = is_old(c, filed);
 			last = filed;
-			if (old && r->value[k].server < c->roster->nserver)
+			if (old && r->value[k].server < c->server_table->nserver)
 				left_add(c, &c->left, r->value[k].server, filed >> 32, filed & UINT32_MAX, 1);
 		}
 	}
 }
 
 /* What servers still name from before a clearing, for the owner of part 0; how far lines are from free capacity. */
-void ctr_retention_tick(struct ctr *c, int64_t now)
+void router_retention_tick(struct router *c, int64_t now)
 {
 	uint32_t waiting = 0;
 
-	if (!c->book)
+	if (!c->route_table)
 		return;
-	if (!arrlen(c->relay.w.clear) || (c->b.sights && c->f.nup)) {
+	if (!arrlen(c->relay.w.clear) || (c->b.instances && c->f.nup)) {
 		c->f.index = 0;
 		c->left_pos = 0;
 		arrsetlen(c->f.left, 0);
@@ -205,8 +205,8 @@
 		return;
 	for (ptrdiff_t i = 0; i < arrlen(c->line); i++)
 		waiting += c->line[i].n;
-	c->f.strain = waiting ? (uint32_t)(1000ull * waiting / (arrlen(c->all) ? (uint64_t)arrlen(c->all) : 1)) : 0;
-	if (!arrlen(c->relay.w.clear) || (c->b.sights && c->f.nup)) {
+	c->f.load_pressure = waiting ? (uint32_t)(1000ull * waiting / (arrlen(c->all) ? (uint64_t)arrlen(c->all) : 1)) : 0;
+	if (!arrlen(c->relay.w.clear) || (c->b.instances && c->f.nup)) {
 		c->left_at = now;
 		return;
 	}
@@ -214,8 +214,8 @@
 	arrsetlen(c->f.left, 0);
 	for (ptrdiff_t i = 0; i < arrlen(c->left); i++)
 		arrput(c->f.left, c->left[i]);
-	c->f.index = !c->b.sights || c->left_at >= c->cleared_at;
+	c->f.index = !c->b.instances || c->left_at >= c->cleared_at;
 	arrsetlen(c->left, 0);
 	c->left_at = now;
-	c->left_pos = c->b.sights ? hmlen(c->kept.h) : 0;
+	c->left_pos = c->b.instances ? hmlen(c->kept.h) : 0;
 }
--- a/lib/data/ctr_book.c
+++ b/lib/data/router_route_table.c
@@ -1,5 +1,5 @@
-/* ctr_book: names at the door, and the table as the data plane reads it: immutable, swapped whole. */
-#include "ctr_in.h"
+/* router_route_table: names at the door, and the table as the data plane reads it: immutable, swapped whole. */
+#include "router_internal.h"
 
 #include <apr_strings.h>
 #include <stdlib.h>
@@ -29,7 +29,7 @@
 	return i < 0 ? -1 : (int)h[i].value;
 }
 
-void ctr_names_clear(struct names *n)
+void router_names_clear(struct names *n)
 {
 	for (ptrdiff_t i = 0; i < arrlen(n->name); i++)
 		free(n->name[i]);
@@ -37,7 +37,7 @@
 	shfree(n->h);
 }
 
-void ctr_book_free(struct book *b)
+void router_route_table_free(struct route_table *b)
 {
 	if (!b)
 		return;
@@ -49,7 +49,7 @@
 }
 
 /* The names that rows bring, so that the arrays have their size. */
-static void book_names(struct ctr *c, const struct Nl__Row *r)
+static void route_table_names(struct router *c, const struct Nl__Row *r)
 {
 	switch (r->kind) {
 	case NL__KIND__LANE:
@@ -69,10 +69,10 @@
 	}
 }
 
-/* Where a lane is found by host and path. Example: hmget(b->place, ctr_place("a.example", "/x/", 3)) */
-uint64_t ctr_place(const char *host, const char *path, size_t n) { return core_hash(core_hashs(17, host), path, n); }
+/* Where a lane is found by host and path. Example: hmget(b->place, router_place("a.example", "/x/", 3)) */
+uint64_t router_place(const char *host, const char *path, size_t n) { return core_hash(core_hashs(17, host), path, n); }
 
-static void lane_row(struct ctr *c, struct book *b, const struct Nl__Row *r)
+static void lane_row(struct router *c, struct route_table *b, const struct Nl__Row *r)
 {
 	uint32_t id = names_id(&c->lanes, r->name), upto = 0;
 	struct bk_lane *l = &b->lane[id];
@@ -99,26 +99,26 @@
 			sp[l->nsplit++] =
 			    (struct bk_split){ names_id(&c->services, r->split[k]->service), upto += r->split[k]->weight };
 	if (r->path[0])
-		hmput(b->place, ctr_place(r->host, r->path, strlen(r->path)), id);
+		hmput(b->place, router_place(r->host, r->path, strlen(r->path)), id);
 }
 
-static void named_put(struct ctr_named *n, uint64_t no, int64_t now)
+static void named_put(struct router_named *n, uint64_t no, int64_t now)
 {
-	if (n->value.n == CTR_NAMED)
+	if (n->value.n == ROUTER_NAMED)
 		memmove(n->value.v, n->value.v + 1, (size_t)--n->value.n * sizeof *n->value.v);
 	n->value.v[n->value.n].no = no;
 	n->value.v[n->value.n++].since = now;
 }
 
-/* What is named newest for a service, and since when. A counter that has just begun does not know how long ago it was
+/* What is named newest for a service, and since when. A router that has just begun does not know how long ago it was
  * named: it takes half of the bound as gone. */
-static void service_row(struct ctr *c, struct book *b, const struct Nl__Row *r, int64_t now)
+static void service_row(struct router *c, struct route_table *b, const struct Nl__Row *r, int64_t now)
 {
 	const struct Nl__Row *m = r->model[0] ? table_get(&c->f.t, NL__KIND__MODEL, r->model) : NULL;
 	uint32_t id = names_id(&c->services, r->name), named = names_id(&c->weights, m ? m->weights : r->weights);
 	uint64_t no = m ? strtoull(m->weights, NULL, 10) : 0;
 	struct bk_service *s = &b->service[id];
-	struct ctr_named *n = hmgetp_null(c->named, id);
+	struct router_named *n = hmgetp_null(c->named, id);
 
 	if (!n)
 		hmput(c->named, id, ((typeof(c->named->value)){ 1, { { no, now - c->b.roll_ms / 2 } } }));
@@ -126,7 +126,7 @@
 		named_put(n, no, now);
 	*s = (struct bk_service){ 1,        named,      r->prefill, r->kv_bytes, r->link, r->store,
 				  r->slots, r->watches, r->conns,   r->room,     -1,      m != NULL };
-	if (r->addr[0] && !r->store && c->b.sights) /* a store itself, not a service that has one */
+	if (r->addr[0] && !r->store && c->b.instances) /* a store itself, not a service that has one */
 		b->store[b->nstore++] = (int)names_id(&c->servers, apr_pstrcat(b->p, "store:", r->name, NULL));
 	if (r->addr[0] && r->store)
 		s->store_server = (int)names_id(&c->servers, apr_pstrcat(b->p, "store:", r->name, NULL));
@@ -134,33 +134,34 @@
 
 /* May a server with these weights be sent anything? Newer ones that were named are on every server in their bound, however
  * much newer ones were named since: one that has older ones then gets nothing. */
-int ctr_rolled(const struct ctr *c, uint32_t service, uint32_t weights, int64_t now)
+int router_rolled(const struct router *c, uint32_t service, uint32_t weights, int64_t now)
 {
-	struct ctr_named *h = c->named, *n;
+	struct router_named *h = c->named, *n;
 	uint64_t no;
 
-	if (weights == c->book->service[service].weights || !c->book->service[service].modelled || !(n = hmgetp_null(h, service)))
+	if (weights == c->route_table->service[service].weights || !c->route_table->service[service].modelled ||
+	    !(n = hmgetp_null(h, service)))
 		return 1;
 	no = strtoull(c->weights.name[weights], NULL, 10);
 	for (int i = 0; i < n->value.n; i++)
 		if (n->value.v[i].no > no)
-			return now < n->value.v[i].since + c->b.roll_ms - CTR_ROLL_EARLY;
+			return now < n->value.v[i].since + c->b.roll_ms - ROUTER_ROLL_EARLY;
 	return 1;
 }
 
 /* NOLINTNEXTLINE(readability-function-size): to be cut, issue 18 */
-struct book *ctr_book_make(struct ctr *c, int64_t now)
+struct route_table *router_route_table_make(struct router *c, int64_t now)
 {
 	const struct table *t = &c->f.t;
 	apr_pool_t *p;
-	struct book *b;
+	struct route_table *b;
 
 	apr_pool_create(&p, c->p);
 	b = apr_pcalloc(p, sizeof *b);
 	b->p = p;
 	b->edition = t->edition;
 	for (ptrdiff_t i = 0; i < shlen(t->h); i++)
-		book_names(c, t->h[i].value.row);
+		route_table_names(c, t->h[i].value.row);
 	b->keyless = names_id(&c->tenants, "");
 	b->nlane = (uint32_t)arrlen(c->lanes.name);
 	b->ntenant = (uint32_t)arrlen(c->tenants.name);
@@ -188,7 +189,7 @@
 			b->keys = 1;
 			break;
 		case NL__KIND__SERVICE: service_row(c, b, r, now); break;
-		case NL__KIND__RETENTION: ctr_scope_row(c, b, r); break;
+		case NL__KIND__RETENTION: router_scope_row(c, b, r); break;
 		case NL__KIND__DOOR:
 			b->door.head = r->head_bytes;
 			b->door.body = r->body_bytes;
@@ -216,24 +217,24 @@
 	while (arrlen(c->stood) < (ptrdiff_t)b->nservice)
 		arrput(c->stood, now);
 	while (arrlen(c->budget) < (ptrdiff_t)b->nservice)
-		arrput(c->budget, CTR_RESEND_COST);
+		arrput(c->budget, ROUTER_RESEND_COST);
 	return b;
 }
 
-/* A service that is not in the table has no place in the book's arrays: its servers do not count. */
-static void roster_put(struct ctr *c, struct roster *r, uint32_t id, const char *service, const char *addr, const char *zone,
-		       int draining, int is_store)
+/* A service that is not in the table has no place in the route_table's arrays: its servers do not count. */
+static void server_table_put(struct router *c, struct server_table *r, uint32_t id, const char *service, const char *addr,
+			     const char *zone, int draining, int is_store)
 {
 	int s = names_find(&c->services, service);
 
-	if (s < 0 || (uint32_t)s >= c->book->nservice)
+	if (s < 0 || (uint32_t)s >= c->route_table->nservice)
 		return;
 	r->server[id] =
 	    (struct bk_server){ 1, draining, is_store, (uint32_t)s, apr_pstrdup(r->p, addr), core_addr(addr), core_hashs(0, zone) };
 }
 
 /* What the list says of a server; what the server itself said since goes first. */
-static void roster_sight(struct ctr *c, struct ctr_server *v, const struct Nl__Sight *s, int64_t now)
+static void server_table_instance(struct router *c, struct router_server *v, const struct Nl__Instance *s, int64_t now)
 {
 	int w = s->weights[0] && strlen(s->weights) < 128 ? (int)names_id(&c->weights, s->weights) : -1;
 
@@ -247,17 +248,17 @@
 }
 
 /* Whether a service's row stands for a store: where stores have rows of their own those do, else each service's address. */
-static int store_row(const struct ctr *c, const struct Nl__Row *r)
+static int store_row(const struct router *c, const struct Nl__Row *r)
 {
-	return r->addr[0] && (c->book->nstore ? !r->store : r->store != 0);
+	return r->addr[0] && (c->route_table->nstore ? !r->store : r->store != 0);
 }
 
-struct roster *ctr_roster_make(struct ctr *c, int64_t now)
+struct server_table *router_server_table_make(struct router *c, int64_t now)
 {
 	const struct table *t = &c->f.t;
-	const struct sights *g = &c->f.sights;
+	const struct instances *g = &c->f.instances;
 	apr_pool_t *p;
-	struct roster *r;
+	struct server_table *r;
 
 	apr_pool_create(&p, c->p);
 	r = apr_pcalloc(p, sizeof *r);
@@ -265,18 +266,18 @@
 	for (ptrdiff_t i = 0; i < shlen(t->h); i++) {
 		const struct Nl__Row *row = t->h[i].value.row;
 
-		if (row->kind == NL__KIND__SERVER && !c->b.sights)
+		if (row->kind == NL__KIND__SERVER && !c->b.instances)
 			names_id(&c->servers, row->name);
 		else if (row->kind == NL__KIND__SERVICE && store_row(c, row))
 			names_id(&c->servers, apr_pstrcat(p, "store:", row->name, NULL));
 	}
-	for (ptrdiff_t i = 0; c->b.sights && i < shlen(g->h); i++)
-		if (g->h[i].value.s->state != SIGHT_GONE)
+	for (ptrdiff_t i = 0; c->b.instances && i < shlen(g->h); i++)
+		if (g->h[i].value.s->state != INSTANCE_GONE)
 			names_id(&c->servers, g->h[i].key);
 	r->nserver = (uint32_t)arrlen(c->servers.name);
 	r->server = apr_pcalloc(p, (r->nserver + 1) * sizeof *r->server);
 	while (arrlen(c->sv) < (ptrdiff_t)r->nserver) {
-		struct ctr_server s;
+		struct router_server s;
 
 		memset(&s, 0, sizeof s);
 		arrput(c->server_hash, core_hashs(43, c->servers.name[arrlen(c->sv)]));
@@ -285,34 +286,35 @@
 	for (ptrdiff_t i = 0; i < shlen(t->h); i++) {
 		const struct Nl__Row *row = t->h[i].value.row;
 
-		if (row->kind == NL__KIND__SERVER && !c->b.sights)
-			roster_put(c, r, names_id(&c->servers, row->name), row->service, row->addr, row->zone, row->state != 0, 0);
+		if (row->kind == NL__KIND__SERVER && !c->b.instances)
+			server_table_put(c, r, names_id(&c->servers, row->name), row->service, row->addr, row->zone,
+					 row->state != 0, 0);
 		else if (row->kind == NL__KIND__SERVICE && store_row(c, row))
-			roster_put(c, r, names_id(&c->servers, apr_pstrcat(p, "store:", row->name, NULL)), row->name, row->addr,
-				   row->zone, 0, 1);
+			server_table_put(c, r, names_id(&c->servers, apr_pstrcat(p, "store:", row->name, NULL)), row->name,
+					 row->addr, row->zone, 0, 1);
 	}
-	for (ptrdiff_t i = 0; c->b.sights && i < shlen(g->h); i++) {
-		const struct Nl__Sight *s = g->h[i].value.s;
+	for (ptrdiff_t i = 0; c->b.instances && i < shlen(g->h); i++) {
+		const struct Nl__Instance *s = g->h[i].value.s;
 		int id = names_find(&c->servers, g->h[i].key);
 
-		if (id < 0 || s->state == SIGHT_GONE)
+		if (id < 0 || s->state == INSTANCE_GONE)
 			continue;
-		roster_put(c, r, (uint32_t)id, s->service, s->addr, s->zone, s->state != SIGHT_SERVING, 0);
-		roster_sight(c, &c->sv[id], s, now);
+		server_table_put(c, r, (uint32_t)id, s->service, s->addr, s->zone, s->state != INSTANCE_SERVING, 0);
+		server_table_instance(c, &c->sv[id], s, now);
 	}
-	for (uint32_t i = 0; c->roster && i < c->roster->nserver; i++)
-		if (c->roster->server[i].on && !r->server[i].on)
+	for (uint32_t i = 0; c->server_table && i < c->server_table->nserver; i++)
+		if (c->server_table->server[i].on && !r->server[i].on)
 			kept_sweep(&c->kept, i, UINT64_MAX); /* that life is over, and what it kept */
 	return r;
 }
 
-void ctr_roster_free(struct roster *r)
+void router_server_table_free(struct server_table *r)
 {
 	if (r)
 		apr_pool_destroy(r->p);
 }
 
-void ctr_share_of(const struct book *b, uint32_t lane, uint32_t tenant, uint32_t *share, uint32_t *limit)
+void router_share_of(const struct route_table *b, uint32_t lane, uint32_t tenant, uint32_t *share, uint32_t *limit)
 {
 	struct bk_share *h = b->share;
 	ptrdiff_t i = h ? hmgeti(h, (uint64_t)lane << 32 | tenant) : -1;
--- a/lib/data/ctr_send.c
+++ b/lib/data/router_send.c
@@ -1,5 +1,5 @@
-/* ctr_send: sends, what comes back from servers, and when another may have it. */
-#include "ctr_in.h"
+/* router_send: sends, what comes back from servers, and when another may have it. */
+#include "router_internal.h"
 
 #include <apr_strings.h>
 #include <stdlib.h>
@@ -7,7 +7,7 @@
 
 #include "ds.h"
 
-static struct json_object *copy_json(const struct ctr *c, uint64_t hash, const struct kept_copy *k, apr_pool_t *p)
+static struct json_object *copy_json(const struct router *c, uint64_t hash, const struct kept_copy *k, apr_pool_t *p)
 {
 	struct json_object *j = json_object_new_object();
 
@@ -17,40 +17,40 @@
 	return j;
 }
 
-/* Resends that may be saved up: a counter's part of what the fleet may resend at once beside its share of the traffic. */
-static int64_t budget_cap(const struct ctr *c)
+/* Resends that may be saved up: a router's part of what the fleet may resend at once beside its share of the traffic. */
+static int64_t budget_cap(const struct router *c)
 {
 	uint32_t n = c->f.counters ? c->f.counters : 1;
 
-	return c->b.sights ? 1000 + (int64_t)c->b.budget_slack * 600 / n : CTR_BUDGET_CAP;
+	return c->b.instances ? 1000 + (int64_t)c->b.budget_slack * 600 / n : ROUTER_BUDGET_CAP;
 }
 
 /* What every send costs and earns, whatever its door. */
-static void count_send(struct ctr *c, struct xch *x, const struct plan *pl, int64_t now)
+static void count_send(struct router *c, struct client_request *x, const struct plan *pl, int64_t now)
 {
 	c->n.sends++;
-	c->budget[x->service] += c->b.sights ? c->b.budget_mille * 3 / 4 : CTR_BUDGET;
+	c->budget[x->service] += c->b.instances ? c->b.budget_mille * 3 / 4 : ROUTER_BUDGET;
 	if (c->budget[x->service] > budget_cap(c))
 		c->budget[x->service] = budget_cap(c);
-	c->n.tokens += ctr_tokens_upto(x, x->nparts) + x->tail_tokens;
-	c->n.reused += ctr_tokens_upto(x, pl->keep);
-	c->n.fetched += pl->from >= 0 ? ctr_tokens_upto(x, pl->upto) - ctr_tokens_upto(x, pl->keep) : 0;
+	c->n.tokens += router_tokens_upto(x, x->nparts) + x->tail_tokens;
+	c->n.reused += router_tokens_upto(x, pl->keep);
+	c->n.fetched += pl->from >= 0 ? router_tokens_upto(x, pl->upto) - router_tokens_upto(x, pl->keep) : 0;
 	c->n.cold += !relay_current(&c->relay, now);
-	ctr_use_of(c, x)->value.tokens += ctr_tokens_upto(x, x->nparts) + x->tail_tokens;
-	ctr_use_of(c, x)->value.reused += ctr_tokens_upto(x, pl->keep);
+	router_use_of(c, x)->value.tokens += router_tokens_upto(x, x->nparts) + x->tail_tokens;
+	router_use_of(c, x)->value.reused += router_tokens_upto(x, pl->keep);
 }
 
 /* The one place where an exchange leaves for a server. */
 /* NOLINTNEXTLINE(readability-function-size): to be cut, issue 18 */
-static void send_to(struct ctr *c, struct xch *x, const struct plan *pl, int64_t now, struct out *o)
+static void send_to(struct router *c, struct client_request *x, const struct plan *pl, int64_t now, struct out *o)
 {
-	const struct book *b = c->book;
-	struct ctr_server *v = &c->sv[pl->server];
+	const struct route_table *b = c->route_table;
+	struct router_server *v = &c->sv[pl->server];
 	struct json_object *j = json_object_new_object(), *a;
 	struct cmd *k;
 	double read;
 
-	x->state = XCH_RUNNING;
+	x->state = REQUEST_RUNNING;
 	x->server = pl->server;
 	x->weights = v->weights;
 	x->stamp = c->relay.k.horizon;
@@ -59,7 +59,7 @@
 	x->next = 0;
 	x->from = pl->from;
 	x->fetch_ms = (uint32_t)(pl->fetch + 0.5);
-	x->call = ctr_token_new(c);
+	x->call = router_token_new(c);
 	hmput(c->by, x->call, x);
 	x->xid = apr_psprintf(x->p, "%016" APR_UINT64_T_HEX_FMT "-%" APR_UINT64_T_FMT "-%d", c->id, x->seq, x->sends);
 	v->own++;
@@ -82,7 +82,7 @@
 	a = json_object_new_array();
 	for (int i = 0; i < pl->keep; i++)
 		json_object_array_add(
-		    a, copy_json(c, x->hash[i], ctr_usable(c, x, x->hash[i], (uint32_t)pl->server, x->weights), o->p));
+		    a, copy_json(c, x->hash[i], router_usable(c, x, x->hash[i], (uint32_t)pl->server, x->weights), o->p));
 	json_object_object_add(j, "reuse", a);
 	if (pl->from >= 0) {
 		struct json_object *f = json_object_new_object();
@@ -90,41 +90,41 @@
 		a = json_object_new_array();
 		for (int i = pl->keep; i < pl->upto; i++)
 			json_object_array_add(
-			    a, copy_json(c, x->hash[i], ctr_usable(c, x, x->hash[i], (uint32_t)pl->from, x->weights), o->p));
-		json_object_object_add(f, "from", json_object_new_string(c->roster->server[pl->from].addr));
+			    a, copy_json(c, x->hash[i], router_usable(c, x, x->hash[i], (uint32_t)pl->from, x->weights), o->p));
+		json_object_object_add(f, "from", json_object_new_string(c->server_table->server[pl->from].addr));
 		json_object_object_add(f, "parts", a);
 		/* no longer than reading them anew would take */
-		read = (double)(ctr_tokens_upto(x, pl->upto) - ctr_tokens_upto(x, pl->keep)) / b->service[x->service].prefill;
+		read = (double)(router_tokens_upto(x, pl->upto) - router_tokens_upto(x, pl->keep)) / b->service[x->service].prefill;
 		json_object_object_add(f, "wait_ms",
-				       json_object_new_int(read < 1                ? 1
-							   : read > CTR_FETCH_MOST ? CTR_FETCH_MOST
-										   : (int)read));
+				       json_object_new_int(read < 1                   ? 1
+							   : read > ROUTER_FETCH_MOST ? ROUTER_FETCH_MOST
+										      : (int)read));
 		json_object_object_add(j, "fetch", f);
 	}
 	k = out_cmd(o, CMD_CALL);
 	k->u.call.token = x->call;
-	k->u.call.addr = apr_pstrdup(o->p, c->roster->server[pl->server].addr);
+	k->u.call.addr = apr_pstrdup(o->p, c->server_table->server[pl->server].addr);
 	k->u.call.path = "/v1/run";
 	k->u.call.body =
 	    apr_pstrdup(o->p, json_object_to_json_string_ext(j, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
 	k->u.call.limit_ms = (int)(x->limit - now);
 	k->u.call.stream = 1;
-	k->u.call.not_after = c->f.fresh + ctr_ride(c) + 200; /* a frozen process must not send what was decided before */
+	k->u.call.not_after = c->f.fresh + router_ride(c) + 200; /* a frozen process must not send what was decided before */
 	json_object_put(j);
 	count_send(c, x, pl, now);
 }
 
 /* The text goes from the door; here is whom to, and what for. */
 /* NOLINTNEXTLINE(readability-function-size): to be cut, issue 18 */
-void ctr_forward(struct ctr *c, struct xch *x, const struct plan *pl, int64_t now, struct out *o)
+void router_forward(struct router *c, struct client_request *x, const struct plan *pl, int64_t now, struct out *o)
 {
-	const struct book *b = c->book;
-	const struct bk_server *sv = &c->roster->server[pl->server];
-	struct ctr_server *v = &c->sv[pl->server];
+	const struct route_table *b = c->route_table;
+	const struct bk_server *sv = &c->server_table->server[pl->server];
+	struct router_server *v = &c->sv[pl->server];
 	struct forward *f = apr_pcalloc(o->p, sizeof *f);
 	int current = relay_current(&c->relay, now);
 
-	x->state = XCH_RUNNING;
+	x->state = REQUEST_RUNNING;
 	x->server = pl->server;
 	x->weights = v->weights;
 	x->stamp = c->relay.k.horizon;
@@ -132,38 +132,38 @@
 	x->sends++;
 	x->from = pl->from;
 	x->first = 0;
-	x->call = ctr_token_new(c);
+	x->call = router_token_new(c);
 	hmput(c->by, x->call, x);
-	x->ahead =
-	    (uint32_t)(ctr_tokens_upto(x, x->nparts) + x->tail_tokens - ctr_tokens_upto(x, pl->from >= 0 ? pl->upto : pl->keep));
-	x->guess = pl->cost + CTR_FIRST_MS;
+	x->ahead = (uint32_t)(router_tokens_upto(x, x->nparts) + x->tail_tokens -
+			      router_tokens_upto(x, pl->from >= 0 ? pl->upto : pl->keep));
+	x->guess = pl->cost + ROUTER_FIRST_MS;
 	v->own++;
 	v->ahead += x->ahead;
-	x->brings = ctr_brings(x, pl->keep);
+	x->brings = router_brings(x, pl->keep);
 	v->tokens += x->brings;
 	f->call = x->call;
 	f->caller = x->token;
 	f->addr = sv->to;
 	f->server = c->servers.name[pl->server];
 	f->tenant = x->tenant == b->keyless ? NULL : c->tenants.name[x->tenant];
-	f->shelf = current ? ctr_shelf(c, x, v->weights, o->p)
-			   : apr_psprintf(o->p, "cold-%" APR_UINT64_T_HEX_FMT "-%" APR_UINT64_T_FMT, c->id, x->call);
-	x->shelf = current ? core_hashs(0, f->shelf) : 0;
-	x->filed = ctr_filed(c, x);
-	f->sink = current ? ctr_sink(c, x, x->shelf, now) : 0;
+	f->cache_namespace = current ? router_cache_namespace(c, x, v->weights, o->p)
+				     : apr_psprintf(o->p, "cold-%" APR_UINT64_T_HEX_FMT "-%" APR_UINT64_T_FMT, c->id, x->call);
+	x->cache_namespace = current ? core_hashs(0, f->cache_namespace) : 0;
+	x->filed = router_filed(c, x);
+	f->sink = current ? router_sink(c, x, x->cache_namespace, now) : 0;
 	if (pl->from >= 0 && pl->upto > pl->keep)
-		ctr_link_use(c, (uint32_t)pl->from, pl->move, now);
+		router_link_use(c, (uint32_t)pl->from, pl->move, now);
 	if (f->sink)
-		ctr_link_use(c, (uint32_t)ctr_store_of(c, x),
-			     (double)x->ahead * b->service[x->service].kv_bytes /
-				 (b->service[x->service].store ? b->service[x->service].store : 1),
-			     now);
-	x->sink = f->sink ? ctr_store_of(c, x) : -1;
+		router_link_use(c, (uint32_t)router_store_of(c, x),
+				(double)x->ahead * b->service[x->service].kv_bytes /
+				    (b->service[x->service].store ? b->service[x->service].store : 1),
+				now);
+	x->sink = f->sink ? router_store_of(c, x) : -1;
 	f->weights = c->weights.name[v->weights];
-	f->from = pl->from >= 0 ? c->roster->server[pl->from].to : 0;
+	f->from = pl->from >= 0 ? c->server_table->server[pl->from].to : 0;
 	f->prio = (int)x->prio;
 	f->limit_ms = (int)(x->limit - now);
-	f->not_after = c->f.fresh + ctr_ride(c) + 200; /* a frozen process must not send what was decided before */
+	f->not_after = c->f.fresh + router_ride(c) + 200; /* a frozen process must not send what was decided before */
 	f->since = x->since;
 	f->joined = x->begun;
 	f->stream = 1;
@@ -181,11 +181,11 @@
 }
 
 /* With its claim, to the head of its line: there is no place just now. */
-static void back_to_line(struct ctr *c, struct xch *x)
+static void back_to_line(struct router *c, struct client_request *x)
 {
-	struct line *l = ctr_line_of(c, x->lane, x->tenant);
+	struct line *l = router_line_of(c, x->lane, x->tenant);
 
-	x->state = XCH_WAITING;
+	x->state = REQUEST_WAITING;
 	x->after = l->head;
 	l->head = x;
 	if (!l->tail)
@@ -195,29 +195,29 @@
 	c->running[x->tenant]--;
 }
 
-void ctr_send_claimed(struct ctr *c, struct xch *x, int64_t now, struct out *o)
+void router_send_claimed(struct router *c, struct client_request *x, int64_t now, struct out *o)
 {
 	struct plan pl = { -1, 0, -1, 0, 0, 0, 0 };
 
 	if (now >= x->limit) {
 		c->n.refused_limit++;
-		ctr_refuse(c, x, 503, "the limit passed before a send", CTR_RETRY, now, o);
+		router_refuse(c, x, 503, "the limit passed before a send", ROUTER_RETRY, now, o);
 		return;
 	}
 	if (x->server >= 0) { /* the place that was held for it */
 		c->sv[x->server].own--;
 		x->server = -1;
 	}
-	if (!x->forwarded && now - x->claim_from > CTR_CLAIM_HOLD) { /* it must outlast what is sent under it */
-		ctr_refuse(c, x, 503, "no server could take it for long", CTR_RETRY, now, o);
+	if (!x->forwarded && now - x->claim_from > ROUTER_CLAIM_HOLD) { /* it must outlast what is sent under it */
+		router_refuse(c, x, 503, "no server could take it for long", ROUTER_RETRY, now, o);
 		return;
 	}
-	if (follow_age(&c->f, now) <= ctr_ride(c))
-		pl = x->forwarded ? ctr_assign_forward(c, x, now) : ctr_assign(c, x, now);
+	if (config_watch_age(&c->f, now) <= router_ride(c))
+		pl = x->forwarded ? router_assign_forward(c, x, now) : router_assign(c, x, now);
 	if (pl.server < 0)
-		back_to_line(c, x); /* its place went to another counter's, or this counter must hear the owner first */
+		back_to_line(c, x); /* its place went to another router's, or this router must hear the owner first */
 	else if (x->forwarded)
-		ctr_forward(c, x, &pl, now, o);
+		router_forward(c, x, &pl, now, o);
 	else
 		send_to(c, x, &pl, now, o);
 }
@@ -225,52 +225,52 @@
 /* ---- answers ------------------------------------------------------------------------------ */
 
 /* Who was asked is not the owner, and may know who is. A late word about another guess moves nothing. */
-static void claim_hint(struct ctr *c, uint32_t service, uint64_t asked, uint64_t from, uint64_t hint)
+static void claim_hint(struct router *c, uint32_t service, uint64_t asked, uint64_t from, uint64_t hint)
 {
-	if (asked == from && follow_seat(&c->f, ctr_part_of(c, service)) == asked)
-		follow_hint(&c->f, ctr_part_of(c, service), hint == from ? 0 : hint);
+	if (asked == from && config_watch_leader_addr(&c->f, router_part_of(c, service)) == asked)
+		config_watch_hint(&c->f, router_part_of(c, service), hint == from ? 0 : hint);
 }
 
-void ctr_on_answer(struct ctr *c, const struct Nl__Answer *a, uint64_t from, int64_t now, struct out *o)
+void router_on_answer(struct router *c, const struct Nl__Answer *a, uint64_t from, int64_t now, struct out *o)
 {
-	struct xch *x = ctr_xch_by(c, a->token);
+	struct client_request *x = router_request_by(c, a->token);
 
 	for (ptrdiff_t i = 0; i < arrlen(c->release); i++)
 		if (c->release[i].token == a->token) {
 			if (a->status == TABLE_NOT_OWNER) {
 				claim_hint(c, c->release[i].service, c->release[i].asked, from, a->hint);
-				c->release[i].at = now - CTR_CLAIM_WAIT + 50;
+				c->release[i].at = now - ROUTER_CLAIM_WAIT + 50;
 				c->release[i].asked = 0;
 			} else if (a->status != TABLE_BUSY) {
-				ctr_release_end(c, i);
+				router_release_end(c, i);
 			}
 			return;
 		}
-	if (!x || x->state != XCH_CLAIMING || x->claim != a->token || x->claimed)
+	if (!x || x->state != REQUEST_CLAIMING || x->claim != a->token || x->claimed)
 		return;
 	switch (a->status) {
 	case TABLE_DONE:
 		x->claimed = 1;
-		follow_hint(&c->f, ctr_part_of(c, x->service), from); /* who answers owns */
-		ctr_send_claimed(c, x, now, o);
+		config_watch_hint(&c->f, router_part_of(c, x->service), from); /* who answers owns */
+		router_send_claimed(c, x, now, o);
 		break;
 	case TABLE_NOT_OWNER:
 		claim_hint(c, x->service, x->asked, from, a->hint);
-		x->asked = 0;                            /* it did answer */
-		x->claim_at = now - CTR_CLAIM_WAIT + 20; /* ask the one named, soon */
+		x->asked = 0;                               /* it did answer */
+		x->claim_at = now - ROUTER_CLAIM_WAIT + 20; /* ask the one named, soon */
 		break;
-	case TABLE_BUSY: x->claim_at = now - CTR_CLAIM_WAIT + 50; break;
+	case TABLE_BUSY: x->claim_at = now - ROUTER_CLAIM_WAIT + 50; break;
 	default:
 		/* not "refused": the asking that holds the id may be running */
-		out_answer(o, x->token, 409, 0, ctr_error_json(o->p, "id: claimed by an earlier asking", "claimed"));
+		out_answer(o, x->token, 409, 0, router_error_json(o->p, "id: claimed by an earlier asking", "claimed"));
 		c->n.refused++;
-		ctr_xch_drop(c, x);
+		router_request_drop(c, x);
 	}
 }
 
-static void whole(struct ctr *c, struct xch *x, int64_t now, struct out *o)
+static void whole(struct router *c, struct client_request *x, int64_t now, struct out *o)
 {
-	struct ctr_server *v = &c->sv[x->server];
+	struct router_server *v = &c->sv[x->server];
 	const char *body =
 	    apr_psprintf(o->p, "{\"end\":true,\"pieces\":%" APR_UINT64_T_FMT ",\"exchange\":\"%s\"}\n", x->next, x->xid);
 	struct cmd *k = out_cmd(o, CMD_END);
@@ -282,41 +282,41 @@
 	v->mean_ms += ((double)(now - x->sent_at) - v->mean_ms) / 8;
 	for (int i = 0; i < x->nparts; i++) { /* kept there now, until a report says otherwise */
 		struct kept_copy n = { (uint32_t)x->server, x->tenant, x->service, x->weights, x->stamp, v->asked + 1 };
-		const struct kept_copy *old = ctr_usable(c, x, x->hash[i], (uint32_t)x->server, x->weights);
+		const struct kept_copy *old = router_usable(c, x, x->hash[i], (uint32_t)x->server, x->weights);
 
 		if (!old &&
 		    view_allows(&c->relay.w, c->services.name[x->service], c->weights.name[x->weights], c->tenants.name[x->tenant],
 				c->servers.name[x->server], x->stamp) &&
-		    ctr_keeps(c, x->service, x->tenant, x->hash[i], x->stamp))
+		    router_keeps(c, x->service, x->tenant, x->hash[i], x->stamp))
 			kept_put(&c->kept, x->hash[i], &n);
 	}
 	c->n.answered++;
-	ctr_use_of(c, x)->value.exchanges++;
-	ctr_use_of(c, x)->value.pieces += x->next;
-	ctr_xch_drop(c, x);
+	router_use_of(c, x)->value.exchanges++;
+	router_use_of(c, x)->value.pieces += x->next;
+	router_request_drop(c, x);
 }
 
 /* One line of a server's stream: bound to this send, in order, else it is no answer. */
-void ctr_on_piece(struct ctr *c, struct xch *x, const char *text, int64_t now, struct out *o)
+void router_on_piece(struct router *c, struct client_request *x, const char *text, int64_t now, struct out *o)
 {
-	struct json_object *j = ctr_read_json(c, text), *v, *n, *t;
+	struct json_object *j = router_read_json(c, text), *v, *n, *t;
 	struct cmd *k;
 
 	if (!json_object_is_type(j, json_type_object) || !json_object_object_get_ex(j, "x", &v) ||
 	    !json_object_is_type(v, json_type_string) || strcmp(json_object_get_string(v), x->xid) ||
 	    !json_object_object_get_ex(j, "n", &n) || json_object_get_uint64(n) != x->next) {
-		ctr_give_up(c, x, 502, "the server's answer does not belong to this exchange", o);
+		router_give_up(c, x, 502, "the server's answer does not belong to this exchange", o);
 		goto end;
 	}
 	if (json_object_object_get_ex(j, "end", &v)) {
 		if (x->from >= 0 && json_object_object_get_ex(j, "fetch_ms", &t))
-			ctr_learn_fetch(c, x, json_object_get_int64(t),
-					json_object_object_get_ex(j, "fetched", &v) ? json_object_get_int(v) : 0, now);
+			router_learn_fetch(c, x, json_object_get_int64(t),
+					   json_object_object_get_ex(j, "fetched", &v) ? json_object_get_int(v) : 0, now);
 		whole(c, x, now, o);
 		goto end;
 	}
 	if (!json_object_object_get_ex(j, "t", &t)) {
-		ctr_give_up(c, x, 502, "the server's answer is not whole", o);
+		router_give_up(c, x, 502, "the server's answer is not whole", o);
 		goto end;
 	}
 	k = out_cmd(o, CMD_PIECE);
@@ -332,35 +332,36 @@
 		json_object_put(j);
 }
 
-void ctr_on_done(struct ctr *c, struct xch *x, const typeof(((struct ctr_ev *)0)->u.done) *d, int64_t now, struct out *o)
+void router_on_done(struct router *c, struct client_request *x, const typeof(((struct router_ev *)0)->u.done) *d, int64_t now,
+		    struct out *o)
 {
 	(void)hmdel(c->by, x->call);
 	x->call = 0;
 	if (!d->never || x->next) {
-		ctr_give_up(c, x, 502, "the server's answer broke off", o);
+		router_give_up(c, x, 502, "the server's answer broke off", o);
 		return;
 	}
 	/* it surely never began: another server may have it, within the budget */
 	c->sv[x->server].own--;
 	if (d->status == 0)
-		c->sv[x->server].bad_until = now + CTR_BAD;
+		c->sv[x->server].bad_until = now + ROUTER_BAD;
 	x->tried = (uint32_t)x->server;
 	x->server = -1;
-	x->state = XCH_CLAIMING;
-	if (c->budget[x->service] < CTR_RESEND_COST) {
-		ctr_refuse(c, x, 503, "the server refused, and the budget for resends is spent", CTR_RETRY, now, o);
+	x->state = REQUEST_CLAIMING;
+	if (c->budget[x->service] < ROUTER_RESEND_COST) {
+		router_refuse(c, x, 503, "the server refused, and the budget for resends is spent", ROUTER_RETRY, now, o);
 		return;
 	}
-	c->budget[x->service] -= CTR_RESEND_COST + CTR_BUDGET; /* a resend earns nothing */
+	c->budget[x->service] -= ROUTER_RESEND_COST + ROUTER_BUDGET; /* a resend earns nothing */
 	c->n.resends++;
-	ctr_send_claimed(c, x, now, o);
+	router_send_claimed(c, x, now, o);
 }
 
 /* ---- forwarded sends -------------------------------------------------------------------------- */
 
-void ctr_on_began(struct ctr *c, struct xch *x, const char *weights, int64_t now)
+void router_on_began(struct router *c, struct client_request *x, const char *weights, int64_t now)
 {
-	struct ctr_server *v = &c->sv[x->server];
+	struct router_server *v = &c->sv[x->server];
 	double late;
 
 	x->begun = 1;
@@ -370,58 +371,58 @@
 	v->ahead -= x->ahead;
 	x->ahead = 0;
 	late = (double)(now - x->sent_at) - x->guess;
-	late = late < 0 ? 0 : late > CTR_LATE_MOST ? CTR_LATE_MOST : late;
+	late = late < 0 ? 0 : late > ROUTER_LATE_MOST ? ROUTER_LATE_MOST : late;
 	v->late_ms = v->late_ms * 3 / 4 + late / 4;
 	v->late_at = now;
 	if (weights && strcmp(weights, c->weights.name[x->weights]))
-		return;                                   /* not under the weights that its shelf says */
-	for (int i = 0; x->shelf && i < x->nparts; i++) { /* kept there now, until it is said to be gone */
+		return;                                             /* not under the weights that its cache_namespace says */
+	for (int i = 0; x->cache_namespace && i < x->nparts; i++) { /* kept there now, until it is said to be gone */
 		struct kept_copy n = { (uint32_t)x->server, 0, x->service, x->weights, x->stamp, x->filed };
 
-		kept_put(&c->kept, ctr_kept_key(x->shelf, x->hash[i]), &n);
+		kept_put(&c->kept, router_kept_key(x->cache_namespace, x->hash[i]), &n);
 		n.server = (uint32_t)x->sink;
 		if (x->sink >= 0)
-			kept_put(&c->kept, ctr_kept_key(x->shelf, x->hash[i]), &n);
+			kept_put(&c->kept, router_kept_key(x->cache_namespace, x->hash[i]), &n);
 	}
 }
 
-static void learn_load(struct ctr *c, uint32_t s, const struct ctr_ended *e, int64_t now)
+static void learn_load(struct router *c, uint32_t s, const struct router_ended *e, int64_t now)
 {
-	struct ctr_server *v = &c->sv[s];
+	struct router_server *v = &c->sv[s];
 
 	if (e->slots > 0 && e->running >= 0 && e->waiting >= 0 && e->running + e->waiting < 100000) {
 		v->others = e->running + e->waiting > v->own ? e->running + e->waiting - v->own : 0;
 		v->others_at = now;
 	}
-	if (e->how != CTR_BROKE) {
+	if (e->how != ROUTER_BROKE) {
 		v->failed = v->failed * 7 / 8;
 	} else {
 		v->failed = v->failed * 7 / 8 + 1.0 / 8;
 		v->failed_at = now;
 	}
-	if (e->how == CTR_NEVER && !e->status) { /* its connection did not come up */
+	if (e->how == ROUTER_NEVER && !e->status) { /* its connection did not come up */
 		v->fails++;
-		v->bad_until = now + (v->fails > 3 ? 2 * CTR_BAD : CTR_BAD);
+		v->bad_until = now + (v->fails > 3 ? 2 * ROUTER_BAD : ROUTER_BAD);
 	} else if (e->status) {
 		v->fails = 0;
 	}
-	if (e->how == CTR_NEVER && e->status == 503)
-		v->bad_until = now + CTR_FULL; /* full, or loading */
+	if (e->how == ROUTER_NEVER && e->status == 503)
+		v->bad_until = now + ROUTER_FULL; /* full, or loading */
 	if (e->wrong_life) {
 		c->n.wrong_life++;
-		v->bad_until = now + CTR_BAD; /* the list will say who stands there */
+		v->bad_until = now + ROUTER_BAD; /* the list will say who stands there */
 	}
 	if (e->weights && strlen(e->weights) < 128) {
 		int w = names_find(&c->weights, e->weights);
 
-		if (w >= 0 || arrlen(c->weights.name) < CTR_WEIGHTS)
+		if (w >= 0 || arrlen(c->weights.name) < ROUTER_WEIGHTS)
 			v->weights = w >= 0 ? (uint32_t)w : names_id(&c->weights, e->weights);
 	}
 }
 
 /* After a send that may have run: may the request be sent again at all? A stream that the caller has seen a part of goes on
  * only behind an event whose id is known. */
-static int may_repeat(const struct xch *x)
+static int may_repeat(const struct client_request *x)
 {
 	if (x->begun)
 		return x->resumable && x->since;
@@ -429,16 +430,16 @@
 }
 
 /* May another server have it? Within its own bound and the fleet's budget for the service. */
-static int again(const struct ctr *c, const struct xch *x, int64_t now)
+static int again(const struct router *c, const struct client_request *x, int64_t now)
 {
-	return x->sends < x->attempts && x->unreached < CTR_UNREACHED && (!x->sends || c->budget[x->service] >= CTR_RESEND_COST) &&
-	       now + CTR_AGAIN_LEAST < x->limit;
+	return x->sends < x->attempts && x->unreached < ROUTER_UNREACHED &&
+	       (!x->sends || c->budget[x->service] >= ROUTER_RESEND_COST) && now + ROUTER_AGAIN_LEAST < x->limit;
 }
 
-void ctr_on_ended(struct ctr *c, struct xch *x, const struct ctr_ended *e, int64_t now, struct out *o)
+void router_on_ended(struct router *c, struct client_request *x, const struct router_ended *e, int64_t now, struct out *o)
 {
 	uint32_t s = (uint32_t)x->server;
-	int unreached = e->how == CTR_NEVER && !e->status && !e->wrong_life;
+	int unreached = e->how == ROUTER_NEVER && !e->status && !e->wrong_life;
 
 	(void)hmdel(c->by, x->call);
 	x->call = 0;
@@ -447,23 +448,23 @@
 		x->since = apr_pstrdup(x->p, e->since);
 	x->next += e->pieces;
 	x->begun |= e->began;
-	x->ran |= e->how != CTR_NEVER;
+	x->ran |= e->how != ROUTER_NEVER;
 	if (unreached) { /* nobody heard of this send: it is no try, and what was set aside for it comes back */
 		x->unreached++;
 		if (--x->sends > 0)
-			c->budget[x->service] += CTR_RESEND_COST;
+			c->budget[x->service] += ROUTER_RESEND_COST;
 	}
-	if (e->how == CTR_WHOLE) {
+	if (e->how == ROUTER_WHOLE) {
 		if (!x->first)
-			ctr_on_began(c, x, e->weights, now);
+			router_on_began(c, x, e->weights, now);
 		c->sv[s].mean_ms += ((double)(now - x->sent_at) - c->sv[s].mean_ms) / 8;
 		c->n.answered++;
-		ctr_use_of(c, x)->value.exchanges++;
-		ctr_use_of(c, x)->value.pieces += x->next;
-		ctr_xch_drop(c, x);
+		router_use_of(c, x)->value.exchanges++;
+		router_use_of(c, x)->value.pieces += x->next;
+		router_request_drop(c, x);
 		return;
 	}
-	if ((e->how == CTR_NEVER && !x->begun) || may_repeat(x)) {
+	if ((e->how == ROUTER_NEVER && !x->begun) || may_repeat(x)) {
 		if (again(c, x, now)) {
 			int paid = x->sends > 0;
 
@@ -473,20 +474,20 @@
 			x->ahead = 0;
 			x->tried = s;
 			x->server = -1;
-			x->state = XCH_CLAIMING;
+			x->state = REQUEST_CLAIMING;
 			/* set aside at once: it may wait in its queue, and others be decided on meanwhile */
 			if (paid)
-				c->budget[x->service] -= CTR_RESEND_COST;
+				c->budget[x->service] -= ROUTER_RESEND_COST;
 			x->resend_paid = paid;
 			c->n.resends++;
 			c->n.taken_up += x->begun != 0;
-			ctr_send_claimed(c, x, now, o);
+			router_send_claimed(c, x, now, o);
 			return;
 		}
-		if (e->how == CTR_NEVER && !x->begun) {
-			ctr_refuse(c, x, 503, "the server did not take it, and it may go to no other", CTR_SOON, now, o);
+		if (e->how == ROUTER_NEVER && !x->begun) {
+			router_refuse(c, x, 503, "the server did not take it, and it may go to no other", ROUTER_SOON, now, o);
 			return;
 		}
 	}
-	ctr_give_up(c, x, 502, "the server's answer broke off", o);
+	router_give_up(c, x, 502, "the server's answer broke off", o);
 }
--- a/lib/data/ctr_watch.c
+++ b/lib/data/router_watch.c
@@ -1,5 +1,5 @@
-/* ctr_watch: servers' reports, the index of kept parts, and what purges withdraw from it. */
-#include "ctr_in.h"
+/* router_watch: servers' reports, the index of kept parts, and what purges withdraw from it. */
+#include "router_internal.h"
 
 #include <apr_strings.h>
 #include <stdlib.h>
@@ -10,15 +10,15 @@
 /* ---- reports ---------------------------------------------------------------------------------- */
 
 /* Names of weights come from reports too: a server may still have those from before. They are bounded. */
-static int weights_of(struct ctr *c, const char *name)
+static int weights_of(struct router *c, const char *name)
 {
 	int i = names_find(&c->weights, name);
 
-	return i >= 0 || strlen(name) > 128 || arrlen(c->weights.name) >= CTR_WEIGHTS ? i : (int)names_id(&c->weights, name);
+	return i >= 0 || strlen(name) > 128 || arrlen(c->weights.name) >= ROUTER_WEIGHTS ? i : (int)names_id(&c->weights, name);
 }
 
 /* A report that cannot be read changes nothing, and is spoken of once. */
-static void odd_report(struct ctr *c, uint32_t s, const char *why)
+static void odd_report(struct router *c, uint32_t s, const char *why)
 {
 	char line[300];
 
@@ -29,10 +29,10 @@
 	}
 }
 
-void ctr_on_report(struct ctr *c, uint32_t s, const char *body, int64_t now)
+void router_on_report(struct router *c, uint32_t s, const char *body, int64_t now)
 {
-	struct ctr_server *v = &c->sv[s];
-	struct json_object *j = ctr_read_json(c, body), *parts;
+	struct router_server *v = &c->sv[s];
+	struct json_object *j = router_read_json(c, body), *parts;
 	const char *service;
 	int weights = json_object_is_type(j, json_type_object) ? weights_of(c, json_str(j, "weights")) : -1;
 
@@ -47,7 +47,7 @@
 	v->loading = json_str(j, "loading")[0] != 0;
 	v->slots = (int)json_num(j, "slots");
 	v->running = (int)json_num(j, "running");
-	v->others = v->running > v->own ? v->running - v->own : 0; /* what other counters run there */
+	v->others = v->running > v->own ? v->running - v->own : 0; /* what other routers run there */
 	if (!json_object_object_get_ex(j, "parts", &parts) || !json_object_is_type(parts, json_type_array)) {
 		if (json_num(j, "serial") != v->serial || json_num(j, "boot") != v->boot)
 			v->told = v->called = 0; /* what changed was lost on its way here: look ourselves */
@@ -55,21 +55,21 @@
 	}
 	v->serial = json_num(j, "serial");
 	v->boot = json_num(j, "boot");
-	service = c->services.name[c->roster->server[s].service];
+	service = c->services.name[c->server_table->server[s].service];
 	v->stale = 0;
 	v->counted = now;
-	for (size_t i = 0; i < json_object_array_length(parts) && i < CTR_KEPT; i++) {
+	for (size_t i = 0; i < json_object_array_length(parts) && i < ROUTER_KEPT; i++) {
 		struct json_object *e = json_object_array_get_idx(parts, i);
 		int maker = names_find(&c->tenants, json_str(e, "m")), made_under = weights_of(c, json_str(e, "w"));
 		struct kept_copy n = {
-			s, (uint32_t)maker, c->roster->server[s].service, (uint32_t)made_under, json_num(e, "t"), v->asked
+			s, (uint32_t)maker, c->server_table->server[s].service, (uint32_t)made_under, json_num(e, "t"), v->asked
 		};
 
 		if (maker < 0 || made_under < 0)
 			continue; /* of nobody that the table ever named here */
 
 		/* a late report never revives what is withdrawn */
-		if (!ctr_keeps(c, n.service, n.maker, strtoull(json_str(e, "h"), NULL, 16), n.stamp))
+		if (!router_keeps(c, n.service, n.maker, strtoull(json_str(e, "h"), NULL, 16), n.stamp))
 			v->stale++;
 		else if (view_allows(&c->relay.w, service, json_str(e, "w"), json_str(e, "m"), c->servers.name[s], n.stamp))
 			kept_put(&c->kept, strtoull(json_str(e, "h"), NULL, 16), &n);
@@ -81,7 +81,7 @@
 }
 
 /* A relay looks for its zone: what it saw goes to its downstreams as it came. */
-void ctr_pass_report(struct ctr *c, uint32_t s, const char *body, struct out *o)
+void router_pass_report(struct router *c, uint32_t s, const char *body, struct out *o)
 {
 	for (ptrdiff_t i = 0; i < arrlen(c->relay.down); i++) {
 		struct Nl__Report *r = OUT_NEW(o, Nl__Report, NL__REPORT__INIT);
@@ -93,35 +93,35 @@
 	}
 }
 
-void ctr_on_passed_report(struct ctr *c, const struct Nl__Report *r, int64_t now, struct out *o)
+void router_on_passed_report(struct router *c, const struct Nl__Report *r, int64_t now, struct out *o)
 {
 	int s = names_find(&c->servers, r->server);
 
-	if (s < 0 || !c->roster || (uint32_t)s >= c->roster->nserver || !c->roster->server[s].on)
+	if (s < 0 || !c->server_table || (uint32_t)s >= c->server_table->nserver || !c->server_table->server[s].on)
 		return;
 	c->sv[s].told = now;
 	c->sv[s].asked++;
-	ctr_on_report(c, (uint32_t)s, apr_pstrmemdup(o->p, (char *)r->body.data, r->body.len), now);
+	router_on_report(c, (uint32_t)s, apr_pstrmemdup(o->p, (char *)r->body.data, r->body.len), now);
 }
 
-void ctr_look(struct ctr *c, int64_t now, struct out *o)
+void router_look(struct router *c, int64_t now, struct out *o)
 {
-	const struct roster *b = c->roster;
+	const struct server_table *b = c->server_table;
 
 	for (uint32_t s = 0; b && s < b->nserver; s++) {
-		struct ctr_server *v = &c->sv[s];
+		struct router_server *v = &c->sv[s];
 		struct cmd *k;
 
-		if (!c->roster->server[s].on || now - v->called < CTR_LOOK || now - v->told < CTR_TOLD)
+		if (!c->server_table->server[s].on || now - v->called < ROUTER_LOOK || now - v->told < ROUTER_TOLD)
 			continue;
-		/* spread over the period, so that counters do not all look at once */
-		v->called = v->called ? now : now - (int64_t)(core_rdv(c->id, s) % CTR_LOOK);
-		v->call = ctr_token_new(c);
+		/* spread over the period, so that routers do not all look at once */
+		v->called = v->called ? now : now - (int64_t)(core_rdv(c->id, s) % ROUTER_LOOK);
+		v->call = router_token_new(c);
 		v->asked++;
 		c->n.looks++;
 		k = out_cmd(o, CMD_CALL);
 		k->u.call.token = v->call;
-		k->u.call.addr = apr_pstrdup(o->p, c->roster->server[s].addr);
+		k->u.call.addr = apr_pstrdup(o->p, c->server_table->server[s].addr);
 		k->u.call.path =
 		    apr_psprintf(o->p, "/v1/report?since=%" APR_UINT64_T_FMT "&boot=%" APR_UINT64_T_FMT, v->serial, v->boot);
 		k->u.call.limit_ms = 800;
@@ -132,7 +132,7 @@
 /* ---- purges ------------------------------------------------------------------------------------- */
 
 struct withdrawn {
-	struct ctr *c;
+	struct router *c;
 	const struct Nl__Value *v;
 };
 
@@ -140,7 +140,7 @@
 {
 	const struct withdrawn *w = ctx;
 	const struct Nl__Purge *p = w->v->purge;
-	const struct ctr *c = w->c;
+	const struct router *c = w->c;
 
 	if (k->stamp >= w->v->tick)
 		return 0;
@@ -148,39 +148,40 @@
 	case PURGE_WEIGHTS:
 		return !strcmp(c->services.name[k->service], p->service) && !strcmp(c->weights.name[k->weights], p->weights);
 	case PURGE_CONTEXT: /* what is forwarded is filed under another name from now on; its old names go as servers say */
-		return !c->b.sights && !ctr_keeps(c, k->service, k->maker, id, k->stamp);
+		return !c->b.instances && !router_keeps(c, k->service, k->maker, id, k->stamp);
 	case PURGE_TENANT: return !strcmp(c->tenants.name[k->maker], p->tenant);
 	default: return !strcmp(c->servers.name[k->server], p->server);
 	}
 }
 
-void ctr_on_value(void *ctx, const struct Nl__Value *v)
+void router_on_value(void *ctx, const struct Nl__Value *v)
 {
 	struct withdrawn w = { ctx, v };
 
 	if (v->purge && v->purge->why == PURGE_TENANT && v->tick > w.c->walled_tick)
 		w.c->walled_tick = v->tick;
 	if (v->purge && v->purge->why == PURGE_CONTEXT)
-		ctr_cleared(w.c, v, w.c->now);
+		router_cleared(w.c, v, w.c->now);
 	kept_drop(&w.c->kept, is_withdrawn, &w);
 }
 
 /* ---- watches of kept parts ---------------------------------------------------------------------- */
 
 /* The head of a zone's relays watches each server for its zone; what it hears goes down the way purges go. */
-void ctr_watch(struct ctr *c, int64_t now, struct out *o)
+void router_watch(struct router *c, int64_t now, struct out *o)
 {
-	const struct roster *r = c->roster;
+	const struct server_table *r = c->server_table;
 
-	if (!r || c->stopping || c->f.nup || follow_age(&c->f, now) > ctr_ride(c))
+	if (!r || c->stopping || c->f.nup || config_watch_age(&c->f, now) > router_ride(c))
 		return;
 	for (uint32_t s = 0; s < r->nserver; s++) {
-		struct ctr_server *v = &c->sv[s];
+		struct router_server *v = &c->sv[s];
 		struct cmd *k;
 
-		if (!r->server[s].on || r->server[s].draining || v->watch || now - v->watched < CTR_WATCH_GAP || now < v->bad_until)
+		if (!r->server[s].on || r->server[s].draining || v->watch || now - v->watched < ROUTER_WATCH_GAP ||
+		    now < v->bad_until)
 			continue;
-		v->watch = ctr_token_new(c);
+		v->watch = router_token_new(c);
 		v->watched = now;
 		c->n.watches++;
 		k = out_cmd(o, CMD_WATCH);
@@ -188,17 +189,17 @@
 		k->u.watch.addr = r->server[s].to;
 		k->u.watch.server = c->servers.name[s];
 		k->u.watch.since = v->next;
-		k->u.watch.wait_ms = CTR_WATCH_WAIT;
+		k->u.watch.wait_ms = ROUTER_WATCH_WAIT;
 	}
 }
 
 /* Of one server: what it keeps now, and no longer. Events that were missed make all that is known of it doubtful. */
-void ctr_on_kept(struct ctr *c, const struct Nl__Kept *k, int64_t now)
+void router_on_kept(struct router *c, const struct Nl__Kept *k, int64_t now)
 {
 	int s = names_find(&c->servers, k->server);
-	struct ctr_server *v;
+	struct router_server *v;
 
-	if (s < 0 || !c->roster || (uint32_t)s >= c->roster->nserver || !c->roster->server[s].on)
+	if (s < 0 || !c->server_table || (uint32_t)s >= c->server_table->nserver || !c->server_table->server[s].on)
 		return;
 	v = &c->sv[s];
 	v->heard = now;
@@ -207,51 +208,50 @@
 	v->epoch = k->epoch;
 	if (!k->n_held || k->next > v->next)
 		v->next = k->next;
-	for (size_t i = 0; i < k->n_held && c->kept.n < CTR_INDEX; i++) {
-		struct kept_copy n = { (uint32_t)s, 0, c->roster->server[s].service, v->weights, 0, 0 };
+	for (size_t i = 0; i < k->n_held && c->kept.n < ROUTER_INDEX; i++) {
+		struct kept_copy n = { (uint32_t)s, 0, c->server_table->server[s].service, v->weights, 0, 0 };
 
 		kept_put(&c->kept, k->held[i], &n);
 	}
 	for (size_t i = 0; i < k->n_e; i++) {
-		uint64_t key = ctr_kept_key(core_hashs(0, k->e[i]->shelf), k->e[i]->id);
-		struct kept_copy n = {
-			(uint32_t)s, 0, c->roster->server[s].service, v->weights, 0, ctr_filed_text(k->e[i]->shelf)
-		};
+		uint64_t key = router_kept_key(core_hashs(0, k->e[i]->cache_namespace), k->e[i]->id);
+		struct kept_copy n = { (uint32_t)s, 0, c->server_table->server[s].service,
+				       v->weights,  0, router_filed_text(k->e[i]->cache_namespace) };
 
 		c->n.events++;
 		if (k->e[i]->gone)
 			kept_lose(&c->kept, key, (uint32_t)s);
-		else if (c->kept.n < CTR_INDEX)
+		else if (c->kept.n < ROUTER_INDEX)
 			kept_put(&c->kept, key, &n);
 	}
 }
 
-void ctr_on_watched(struct ctr *c, uint64_t token, const struct Nl__Kept *k, int status, int64_t now)
+void router_on_watched(struct router *c, uint64_t token, const struct Nl__Kept *k, int status, int64_t now)
 {
-	for (uint32_t s = 0; c->roster && s < c->roster->nserver; s++) {
-		struct ctr_server *v = &c->sv[s];
+	for (uint32_t s = 0; c->server_table && s < c->server_table->nserver; s++) {
+		struct router_server *v = &c->sv[s];
 
 		if (v->watch != token)
 			continue;
 		v->watch = 0;
 		v->watched = now;
 		if (status != 200 || !k) {
-			v->watched = now + CTR_LOOK; /* too many watch it, or it is gone */
+			v->watched = now + ROUTER_LOOK; /* too many watch it, or it is gone */
 			return;
 		}
-		ctr_on_kept(c, k, now);
+		router_on_kept(c, k, now);
 		/* of a store each word goes on, for it says that the store is up */
-		if (arrlen(c->relay.down) && (k->n_e || c->roster->server[s].is_store))
+		if (arrlen(c->relay.down) && (k->n_e || c->server_table->server[s].is_store))
 			arrput(c->heard, (struct Nl__Kept *)core_dup(c->heard_pool, &k->base));
 		return;
 	}
 }
 
-/* A counter that is new in the zone, or back, hears only what changes from then on; so it is told once all that is known to be
+/* A router that is new in the zone, or back, hears only what changes from then on; so it is told once all that is known to be
  * kept, or it would have prompts read again that lie ready. It adds this to what it knows itself. */
-static void brief(struct ctr *c, uint64_t addr, struct out *o)
+static void brief(struct router *c, uint64_t addr, struct out *o)
 {
-	const struct roster *r = c->roster;
+	const struct server_table *r = c->server_table;
 	struct Nl__KeptAll *all = OUT_NEW(o, Nl__KeptAll, NL__KEPT_ALL__INIT);
 	struct Nl__Kept **of = apr_pcalloc(o->p, (r->nserver + 1) * sizeof *of);
 
@@ -283,17 +283,17 @@
 		out_msg(o, addr, 0, NL__MSG__BODY_KEPT_ALL)->kept_all = all;
 }
 
-/* What was heard goes on a few times a second: a word for each watch and each counter of the zone would be their product. */
-void ctr_kept_tell(struct ctr *c, int64_t now, struct out *o)
+/* What was heard goes on a few times a second: a word for each watch and each router of the zone would be their product. */
+void router_kept_tell(struct router *c, int64_t now, struct out *o)
 {
 	struct Nl__KeptAll *all;
 
-	for (ptrdiff_t i = 0; c->roster && !c->f.nup && i < arrlen(c->relay.down); i++)
+	for (ptrdiff_t i = 0; c->server_table && !c->f.nup && i < arrlen(c->relay.down); i++)
 		if (!c->relay.down[i].briefed) {
 			c->relay.down[i].briefed = 1;
 			brief(c, c->relay.down[i].addr, o);
 		}
-	if (!arrlen(c->heard) || now - c->heard_at < ctr_pace(c, CTR_KEPT_TELL))
+	if (!arrlen(c->heard) || now - c->heard_at < router_interval(c, ROUTER_KEPT_TELL))
 		return;
 	c->heard_at = now;
 	all = OUT_NEW(o, Nl__KeptAll, NL__KEPT_ALL__INIT);
@@ -307,8 +307,8 @@
 	apr_pool_clear(c->heard_pool);
 }
 
-/* Words between counters are rarer the more of them there are. Example: ctr_pace(c, 50) is 50 for up to 16 counters */
-int ctr_pace(const struct ctr *c, int ms)
+/* Words between routers are rarer the more of them there are. Example: router_interval(c, 50) is 50 for up to 16 routers */
+int router_interval(const struct router *c, int ms)
 {
 	return c->f.counters <= 16 ? ms : c->f.counters >= 64 ? 4 * ms : ms * (int)c->f.counters / 16;
 }
--- a/lib/shell/net.c
+++ b/lib/shell/net.c
@@ -160,7 +160,7 @@
 		out_close(n, c);
 		return;
 	}
-	if (got & APR_POLLIN) { /* the colleague never speaks here: it closed */
+	if (got & APR_POLLIN) { /* the peer never speaks here: it closed */
 		char b[64];
 		apr_size_t len = sizeof b;
 		apr_status_t st = apr_socket_recv(c->s, b, &len);
@@ -233,7 +233,7 @@
 	free(c);
 }
 
-/* Frames that are whole become events; 0 when the colleague's bytes make no sense. */
+/* Frames that are whole become events; 0 when the peer's bytes make no sense. */
 static int in_frames(struct net *n, struct conn *c)
 {
 	size_t at = 0;
--- a/lib/shell/shell.h
+++ b/lib/shell/shell.h
@@ -1,6 +1,6 @@
 /* shell: sockets, files, clocks and threads round the pure cores. One header for the whole layer:
  *   log   lines on stderr            ring   bounded, between threads
- *   net   colleagues                 web    callers and operators
+ *   net   peers                 web    callers and operators
  *   call  servers                    store  the data folder
  *   set   settings                   proc   the loop of a program */
 #ifndef NL_SHELL_H
@@ -27,7 +27,7 @@
 int64_t clock_ms(void);
 
 /* Milliseconds since 1970 as this machine has it; it may jump. Schedules alone are read by it, and only where a majority of
- * registrars says the same. Example: r.wall = clock_wall(); */
+ * controllers says the same. Example: r.wall = clock_wall(); */
 int64_t clock_wall(void);
 
 /* ---- ring ---- */
@@ -63,11 +63,11 @@
 /* ---- net ---- */
 struct net;
 
-/* Listen for colleagues at addr and push their messages to the ring. NULL on a fault, which is logged.
+/* Listen for peers at addr and push their messages to the ring. NULL on a fault, which is logged.
  * Example: n = net_open("127.0.0.1:7000", ring, pool); */
 struct net *net_open(const char *addr, struct ring *to, apr_pool_t *p);
 
-/* Say a message; never waits, drops when the colleague's line is full. Example: net_send(n, a, msg); */
+/* Say a message; never waits, drops when the peer's line is full. Example: net_send(n, a, msg); */
 void net_send(struct net *n, uint64_t addr, const struct Nl__Msg *m);
 void net_close(struct net *n);
 
@@ -194,7 +194,7 @@
 /* Run until SIGTERM or SIGINT and the drain that follows. Example: return proc_run(&p, &duty); */
 int proc_run(struct proc *p, const struct proc_duty *d);
 
-/* Perform the commands that a step left in p->o. Example: ctr_step(c, &ev, now, &p->o); proc_perform(p); */
+/* Perform the commands that a step left in p->o. Example: router_step(c, &ev, now, &p->o); proc_perform(p); */
 void proc_perform(struct proc *p);
 
 /* A random number from the kernel. Example: id = proc_random(); */
--- a/lib/shell/store.c
+++ b/lib/shell/store.c
@@ -1,4 +1,4 @@
-/* store: a registrar's data folder: one TDB file, every record with a checksum, one transaction a batch.
+/* store: a controller's data folder: one TDB file, every record with a checksum, one transaction a batch.
  * Acknowledged only after the transaction's own syncs; a failing disk is retried, never skipped.
  * Each transaction also writes how many records there are and the sum of their checksums (TOTAL_KEY), so that what a loss of
  * power has left is judged by its records: all of them of one transaction, or the file is refused. */
--- a/rehearsal/check.c
+++ b/rehearsal/check.c
@@ -44,7 +44,7 @@
 	char *key;
 	struct {
 		int64_t drained, undrained, drain_horizon, up, loaded_at, order_at, fence;
-		char weights[64], giver[32], service[64];
+		char weights[64], rollout[32], service[64];
 		struct {
 			int64_t t;
 			char w[64];
@@ -385,13 +385,13 @@
 	const char *sv = jgets(j, "server");
 	typeof(g->server->value) *s = ENTRY(g->server, sv);
 
-	if (s->order_at && strcmp(s->giver, jgets(j, "giver")) && t - s->order_at < 3000)
+	if (s->order_at && strcmp(s->rollout, jgets(j, "giver")) && t - s->order_at < 3000)
 		breach(g, 'I', "server %s had orders of two givers %lld ms apart", sv, (long long)(t - s->order_at));
 	if (!jgeti(j, "fenced") && jgeti(j, "fence") < s->fence)
 		breach(g, 'I', "server %s took an order with a lower fence", sv);
 	if (jgeti(j, "fence") > s->fence)
 		s->fence = jgeti(j, "fence");
-	snprintf(s->giver, sizeof s->giver, "%s", jgets(j, "giver"));
+	snprintf(s->rollout, sizeof s->rollout, "%s", jgets(j, "giver"));
 	s->order_at = t;
 }
 
--- a/rehearsal/hollow.c
+++ b/rehearsal/hollow.c
@@ -9,9 +9,9 @@
 #include <time.h>
 #include <unistd.h>
 
-#include "ctr.h"
+#include "router.h"
 #include "ds.h"
-#include "reg.h"
+#include "controller.h"
 
 enum {
 	TICK = 25,
@@ -38,8 +38,8 @@
 	int no, counter;
 	uint64_t addr, life, edition;
 	char zone[16];
-	struct ctr *c;
-	struct reg *r;
+	struct router *c;
+	struct controller *r;
 	struct out o;
 	uint64_t syncs, disk;
 	struct tally t[SLOT_MOST];
@@ -51,11 +51,11 @@
 
 struct block {
 	uint64_t h, t;
-	uint32_t maker, shelf;
+	uint32_t maker, cache_namespace;
 };
 struct kept_event {
 	uint64_t id;
-	uint32_t shelf;
+	uint32_t cache_namespace;
 	int gone;
 };
 struct watch {
@@ -146,8 +146,8 @@
 	struct {
 		char *key;
 		uint32_t value;
-	} * shelves;  /* stb_ds: under which name parts are kept */
-	char **shelf; /* stb_ds */
+	} * shelves;            /* stb_ds: under which name parts are kept */
+	char **cache_namespace; /* stb_ds */
 	apr_pool_t *pool;
 };
 
@@ -250,21 +250,21 @@
 	push(f, e);
 }
 
-static uint32_t shelf_of(struct fleet *f, const char *name)
+static uint32_t cache_namespace_of(struct fleet *f, const char *name)
 {
 	ptrdiff_t i = shgeti(f->shelves, name);
 
 	if (i >= 0)
 		return f->shelves[i].value;
-	arrput(f->shelf, strdup(name));
-	shput(f->shelves, name, (uint32_t)arrlen(f->shelf) - 1);
-	return (uint32_t)arrlen(f->shelf) - 1;
+	arrput(f->cache_namespace, strdup(name));
+	shput(f->shelves, name, (uint32_t)arrlen(f->cache_namespace) - 1);
+	return (uint32_t)arrlen(f->cache_namespace) - 1;
 }
 
 /* Whoever watches hears of it a little later, with what else comes until then. */
 static void tell(struct fleet *f, struct server *v, const struct block *b, int gone)
 {
-	struct kept_event e = { b->h, b->shelf, gone };
+	struct kept_event e = { b->h, b->cache_namespace, gone };
 
 	if (!f->s.listed)
 		return;
@@ -281,13 +281,13 @@
 		}
 }
 
-static void keep(struct fleet *f, struct server *v, uint64_t h, uint32_t maker, uint64_t t, uint32_t shelf)
+static void keep(struct fleet *f, struct server *v, uint64_t h, uint32_t maker, uint64_t t, uint32_t cache_namespace)
 {
-	struct block b = { h, t, maker, shelf };
+	struct block b = { h, t, maker, cache_namespace };
 	ptrdiff_t most = (ptrdiff_t)(f->s.parts / f->s.servers);
 
 	for (ptrdiff_t i = 0; i < arrlen(v->kept) && i < 64; i++) /* the last few are looked at; a copy twice does no harm */
-		if (v->kept[i].h == h && v->kept[i].maker == maker && v->kept[i].shelf == shelf)
+		if (v->kept[i].h == h && v->kept[i].maker == maker && v->kept[i].cache_namespace == cache_namespace)
 			return;
 	if (most < 4)
 		most = 4;
@@ -401,22 +401,22 @@
 	}
 }
 
-static void ctr_do(struct fleet *f, struct node *n, int slot, const struct ctr_ev *ev)
+static void router_do(struct fleet *f, struct node *n, int slot, const struct router_ev *ev)
 {
 	int64_t t = cpu_ns();
 
-	ctr_step(n->c, ev, f->now, &n->o);
+	router_step(n->c, ev, f->now, &n->o);
 	n->t[slot].ns += (uint64_t)(cpu_ns() - t);
 	if (n->c->f.t.edition != n->edition)
 		reached(f, n);
 	perform(f, n);
 }
 
-static void reg_do(struct fleet *f, struct node *n, int slot, const struct reg_ev *ev)
+static void controller_do(struct fleet *f, struct node *n, int slot, const struct controller_ev *ev)
 {
 	int64_t t = cpu_ns();
 
-	reg_step(n->r, ev, f->now, &n->o);
+	controller_step(n->r, ev, f->now, &n->o);
 	n->t[slot].ns += (uint64_t)(cpu_ns() - t);
 	n->r->fleet_dirty = 0;
 	perform(f, n);
@@ -491,7 +491,7 @@
 	struct ev e = { .node = n->no, .life = n->life, .token = c->u.call.token };
 
 	if (c->u.call.stream) {
-		struct xch *x = n->c && hmgeti(n->c->by, e.token) >= 0 ? hmget(n->c->by, e.token) : NULL;
+		struct client_request *x = n->c && hmgeti(n->c->by, e.token) >= 0 ? hmget(n->c->by, e.token) : NULL;
 
 		say(n, SLOT_RUN, strlen(c->u.call.body));
 		sent(f, x ? x->token : 0);
@@ -510,7 +510,7 @@
 		say(n, SLOT_ORDER, strlen(c->u.call.body));
 		return;
 	}
-	say(n, OUTSIDE + (n->c ? (int)CTR_CALLED : (int)REG_CALLED), strlen(c->u.call.path));
+	say(n, OUTSIDE + (n->c ? (int)ROUTER_CALLED : (int)CONTROLLER_CALLED), strlen(c->u.call.path));
 	if (!v)
 		return;
 	e.kind = HO_CALLED;
@@ -526,7 +526,7 @@
 	struct server *v = server_at(f, w->addr);
 	struct run r = { .node = n->no, .life = n->life, .token = w->call };
 	ptrdiff_t i = hmgeti(f->asks, w->caller);
-	uint32_t shelf;
+	uint32_t cache_namespace;
 
 	sent(f, w->caller);
 	say(n, SLOT_RUN, 0);
@@ -536,9 +536,9 @@
 	}
 	r.server = (int)(v - f->sv);
 	v->running++;
-	shelf = w->shelf ? shelf_of(f, w->shelf) : 0;
+	cache_namespace = w->cache_namespace ? cache_namespace_of(f, w->cache_namespace) : 0;
 	for (int k = 0; k < 3 && i >= 0; k++)
-		keep(f, v, f->asks[i].value.part[k], 0, 0, shelf);
+		keep(f, v, f->asks[i].value.part[k], 0, 0, cache_namespace);
 	snprintf(r.xid, sizeof r.xid, "%llu", (unsigned long long)w->caller);
 	begins(f, &r, f->now + 20 + (int64_t)rnd(f, 3));
 }
@@ -549,7 +549,7 @@
 	struct watch w = { n->no, 0, n->life, c->u.watch.token, c->u.watch.since };
 	struct ev e = { .at = f->now + c->u.watch.wait_ms, .kind = HO_WATCHED, .node = n->no, .life = n->life, .token = w.token };
 
-	say(n, OUTSIDE + CTR_WATCHED, 60);
+	say(n, OUTSIDE + ROUTER_WATCHED, 60);
 	if (!v)
 		return;
 	e.server = (int)(v - f->sv);
@@ -565,7 +565,7 @@
 static void watched(struct fleet *f, struct node *n, const struct ev *e)
 {
 	struct server *v = &f->sv[e->server];
-	struct ctr_ev ev = { .kind = CTR_WATCHED };
+	struct router_ev ev = { .kind = ROUTER_WATCHED };
 	struct Nl__Kept k = NL__KEPT__INIT;
 	struct Nl__KeptEvent *ke, **pe;
 	struct watch w;
@@ -590,7 +590,7 @@
 
 		nl__kept_event__init(&ke[q]);
 		ke[q].gone = x->gone;
-		ke[q].shelf = f->shelf[x->shelf];
+		ke[q].cache_namespace = f->cache_namespace[x->cache_namespace];
 		ke[q].id = x->id;
 		ke[q].tokens = 64;
 		pe[q] = &ke[q];
@@ -598,22 +598,22 @@
 	ev.u.kept.token = w.token;
 	ev.u.kept.k = &k;
 	ev.u.kept.status = 200;
-	hear(n, OUTSIDE + CTR_WATCHED, 120 + 45 * k.n_e); /* as text */
-	ctr_do(f, n, OUTSIDE + CTR_WATCHED, &ev);
+	hear(n, OUTSIDE + ROUTER_WATCHED, 120 + 45 * k.n_e); /* as text */
+	router_do(f, n, OUTSIDE + ROUTER_WATCHED, &ev);
 	free(ke);
 	free(pe);
 }
 
 static void listed(struct fleet *f, struct node *n, const struct ev *e)
 {
-	struct reg_ev ev = { .kind = REG_LISTED };
-	struct Nl__Sight *x = calloc((size_t)f->s.servers, sizeof *x), **px = calloc((size_t)f->s.servers, sizeof *px);
+	struct controller_ev ev = { .kind = CONTROLLER_LISTED };
+	struct Nl__Instance *x = calloc((size_t)f->s.servers, sizeof *x), **px = calloc((size_t)f->s.servers, sizeof *px);
 	size_t bytes = 0;
 
 	for (int i = 0; i < f->s.servers; i++) {
 		struct server *v = &f->sv[i];
 
-		nl__sight__init(&x[i]);
+		nl__instance__init(&x[i]);
 		x[i].server = v->name;
 		x[i].service = v->service;
 		x[i].zone = v->zone;
@@ -627,8 +627,8 @@
 	ev.u.listed.ok = 1;
 	ev.u.listed.n = (size_t)f->s.servers;
 	ev.u.listed.v = px;
-	hear(n, OUTSIDE + REG_LISTED, bytes);
-	reg_do(f, n, OUTSIDE + REG_LISTED, &ev);
+	hear(n, OUTSIDE + CONTROLLER_LISTED, bytes);
+	controller_do(f, n, OUTSIDE + CONTROLLER_LISTED, &ev);
 	free(px);
 	free(x);
 }
@@ -666,11 +666,11 @@
 		case CMD_FORWARD: forward(f, n, c->u.forward); break;
 		case CMD_WATCH: watch(f, n, c); break;
 		case CMD_LIST:
-			say(n, OUTSIDE + REG_LISTED, 100);
+			say(n, OUTSIDE + CONTROLLER_LISTED, 100);
 			event(f, HO_LISTED, n->no, c->u.list.token, f->now + 20);
 			break;
 		case CMD_LOOK:
-			say(n, OUTSIDE + REG_LOOKED, 100);
+			say(n, OUTSIDE + CONTROLLER_LOOKED, 100);
 			push(f, (struct ev){ .at = f->now + 4,
 					     .kind = HO_LOOKED,
 					     .node = n->no,
@@ -681,7 +681,7 @@
 		case CMD_ORDER: { /* weights are there at once */
 			struct server *v = server_at(f, c->u.order.addr);
 
-			say(n, OUTSIDE + REG_ORDERED, 200);
+			say(n, OUTSIDE + CONTROLLER_ORDERED, 200);
 			if (v)
 				apr_cpystrn(v->weights, c->u.order.weights, sizeof v->weights);
 			event(f, HO_ORDERED, n->no, c->u.order.token, f->now + 4);
@@ -728,10 +728,10 @@
 			 n->no,
 			 { core_rdv(1, (uint64_t)lane), core_rdv((uint64_t)lane, (uint64_t)tenant),
 			   core_rdv((uint64_t)tenant << 32 | (uint64_t)lane, (uint64_t)matter) } };
-	struct ctr_ev ev = { .kind = CTR_EXCHANGE };
-	struct ctr_asking q;
+	struct router_ev ev = { .kind = ROUTER_EXCHANGE };
+	struct router_asking q;
 	char key[65], body[700], path[30], id[30];
-	int slot = OUTSIDE + CTR_EXCHANGE;
+	int slot = OUTSIDE + ROUTER_EXCHANGE;
 
 	if (!n->c)
 		return;
@@ -753,10 +753,10 @@
 		q.tokens_out = 420;
 		q.nparts = 3;
 		for (int i = 0; i < 3; i++)
-			q.part[i] = (struct ctr_part){ a.part[i], 1000 };
-		ev.kind = CTR_ASKED;
+			q.part[i] = (struct router_part){ a.part[i], 1000 };
+		ev.kind = ROUTER_ASKED;
 		ev.u.ask = &q;
-		slot = OUTSIDE + CTR_ASKED;
+		slot = OUTSIDE + ROUTER_ASKED;
 		hear(n, slot, 500);
 	} else {
 		snprintf(
@@ -768,19 +768,19 @@
 		ev.u.exchange.body = body;
 		hear(n, slot, strlen(body));
 	}
-	ctr_do(f, n, slot, &ev);
+	router_do(f, n, slot, &ev);
 }
 
 static uint64_t operate(struct fleet *f, const char *path, const char *body)
 {
 	struct node *n = &f->n[(int)rnd(f, (uint64_t)f->s.registrars)];
-	struct reg_ev ev = { .kind = REG_WEB };
+	struct controller_ev ev = { .kind = CONTROLLER_WEB };
 
 	ev.u.web.token = ++f->token;
 	ev.u.web.verb = "POST";
 	ev.u.web.path = path;
 	ev.u.web.body = body;
-	reg_do(f, n, OUTSIDE + REG_WEB, &ev);
+	controller_do(f, n, OUTSIDE + CONTROLLER_WEB, &ev);
 	return ev.u.web.token;
 }
 
@@ -819,15 +819,15 @@
 	for (int k = 0; k < 3; k++)
 		seeds[k] = address(AT_REGISTRAR, k);
 	n->life = ++f->seq;
-	b.sights = f->s.listed;
+	b.instances = f->s.listed;
 	b.list_mille = f->s.listed ? 2000 : 0;
 	if (n->counter) {
 		n->c = malloc(sizeof *n->c);
-		ctr_open(n->c, id, n->addr, n->zone, seeds, 3, f->now);
+		router_open(n->c, id, n->addr, n->zone, seeds, 3, f->now);
 		n->c->b = b;
 	} else {
 		n->r = malloc(sizeof *n->r);
-		reg_open(n->r, id, n->addr, n->zone, seeds, 3, 0, core_rand(&f->rng), NULL, f->now);
+		controller_open(n->r, id, n->addr, n->zone, seeds, 3, 0, core_rand(&f->rng), NULL, f->now);
 		n->r->b = b;
 	}
 	event(f, HO_TICK, n->no, 0, f->now + (int64_t)rnd(f, TICK));
@@ -836,11 +836,11 @@
 static void end(struct node *n)
 {
 	if (n->c) {
-		ctr_close(n->c);
+		router_close(n->c);
 		free(n->c);
 	}
 	if (n->r) {
-		reg_close(n->r);
+		controller_close(n->r);
 		free(n->r);
 	}
 	n->c = NULL;
@@ -878,101 +878,101 @@
 	return m;
 }
 
-static void ctr_dispatch(struct fleet *f, struct node *n, struct ev *e)
+static void router_dispatch(struct fleet *f, struct node *n, struct ev *e)
 {
-	struct ctr_ev ev = { .kind = CTR_TICK };
-	struct ctr_ended ended = { 0 };
-	int slot = OUTSIDE + CTR_TICK;
+	struct router_ev ev = { .kind = ROUTER_TICK };
+	struct router_ended ended = { 0 };
+	int slot = OUTSIDE + ROUTER_TICK;
 	struct Nl__Msg *m = NULL;
 
 	switch (e->kind) {
 	case HO_MSG:
 		m = take(n, e, &slot);
-		ev.kind = CTR_MSG;
+		ev.kind = ROUTER_MSG;
 		ev.u.msg = m;
 		break;
 	case HO_CALLED:
-		ev.kind = CTR_CALLED;
+		ev.kind = ROUTER_CALLED;
 		ev.u.called.token = e->token;
 		ev.u.called.status = e->status;
 		ev.u.called.body = (char *)e->d;
-		slot = OUTSIDE + CTR_CALLED;
+		slot = OUTSIDE + ROUTER_CALLED;
 		hear(n, slot, e->n);
 		break;
 	case HO_DONE:
 		if (f->s.listed) {
 			ended.token = e->token;
-			ended.how = CTR_NEVER;
+			ended.how = ROUTER_NEVER;
 			ended.status = 503;
-			ev.kind = CTR_ENDED;
+			ev.kind = ROUTER_ENDED;
 			ev.u.ended = &ended;
-			slot = OUTSIDE + CTR_ENDED;
+			slot = OUTSIDE + ROUTER_ENDED;
 			hear(n, slot, 0);
 			break;
 		}
-		ev.kind = CTR_DONE;
+		ev.kind = ROUTER_DONE;
 		ev.u.done.token = e->token;
 		ev.u.done.status = 503;
 		ev.u.done.never = 1;
 		ev.u.done.body = "";
-		slot = OUTSIDE + CTR_DONE;
+		slot = OUTSIDE + ROUTER_DONE;
 		hear(n, slot, 0);
 		break;
 	default: break;
 	}
-	ctr_do(f, n, slot, &ev);
+	router_do(f, n, slot, &ev);
 	if (m)
 		nl__msg__free_unpacked(m, NULL);
 }
 
-static void reg_dispatch(struct fleet *f, struct node *n, struct ev *e)
+static void controller_dispatch(struct fleet *f, struct node *n, struct ev *e)
 {
-	struct reg_ev ev = { .kind = REG_TICK };
-	int slot = OUTSIDE + REG_TICK;
+	struct controller_ev ev = { .kind = CONTROLLER_TICK };
+	int slot = OUTSIDE + CONTROLLER_TICK;
 	struct Nl__Msg *m = NULL;
 
 	switch (e->kind) {
 	case HO_MSG:
 		m = take(n, e, &slot);
-		ev.kind = REG_MSG;
+		ev.kind = CONTROLLER_MSG;
 		ev.u.msg = m;
 		break;
 	case HO_SYNC:
-		ev.kind = REG_SYNCED;
+		ev.kind = CONTROLLER_SYNCED;
 		ev.u.synced.part = n->writes[0].part;
 		ev.u.synced.seq = n->writes[0].seq;
 		arrdel(n->writes, 0);
-		slot = OUTSIDE + REG_SYNCED;
+		slot = OUTSIDE + CONTROLLER_SYNCED;
 		hear(n, slot, 0);
 		break;
 	case HO_CALLED:
-		ev.kind = REG_CALLED;
+		ev.kind = CONTROLLER_CALLED;
 		ev.u.called.token = e->token;
 		ev.u.called.status = e->status;
 		ev.u.called.body = (char *)e->d;
-		slot = OUTSIDE + REG_CALLED;
+		slot = OUTSIDE + CONTROLLER_CALLED;
 		hear(n, slot, e->n);
 		break;
 	case HO_LOOKED:
 		for (int i = 0; i < f->s.servers; i++)
 			if (!strcmp(f->sv[i].name, (char *)e->d))
 				ev.u.looked.weights = f->sv[i].weights;
-		ev.kind = REG_LOOKED;
+		ev.kind = CONTROLLER_LOOKED;
 		ev.u.looked.token = e->token;
 		ev.u.looked.status = 200;
-		slot = OUTSIDE + REG_LOOKED;
+		slot = OUTSIDE + CONTROLLER_LOOKED;
 		hear(n, slot, 300);
 		break;
 	case HO_ORDERED:
-		ev.kind = REG_ORDERED;
+		ev.kind = CONTROLLER_ORDERED;
 		ev.u.ordered.token = e->token;
 		ev.u.ordered.status = 200;
-		slot = OUTSIDE + REG_ORDERED;
+		slot = OUTSIDE + CONTROLLER_ORDERED;
 		hear(n, slot, 100);
 		break;
 	default: break;
 	}
-	reg_do(f, n, slot, &ev);
+	controller_do(f, n, slot, &ev);
 	if (m)
 		nl__msg__free_unpacked(m, NULL);
 }
@@ -983,11 +983,11 @@
 	struct run *r = &f->run[i];
 	struct node *n = &f->n[r->node];
 	struct server *v = &f->sv[r->server];
-	struct ctr_ended done = {
-		.token = r->token, .how = CTR_WHOLE, .status = 200, .began = 1, .slots = SLOTS_LISTED, .weights = v->weights
+	struct router_ended done = {
+		.token = r->token, .how = ROUTER_WHOLE, .status = 200, .began = 1, .slots = SLOTS_LISTED, .weights = v->weights
 	};
-	struct ctr_ev ev = { .kind = CTR_BEGAN };
-	int slot = OUTSIDE + CTR_BEGAN;
+	struct router_ev ev = { .kind = ROUTER_BEGAN };
+	int slot = OUTSIDE + ROUTER_BEGAN;
 
 	if (!r->next) {
 		r->next = f->s.pieces;
@@ -1001,15 +1001,15 @@
 		arrput(f->idle, i);
 		done.pieces = (uint32_t)f->s.pieces;
 		done.running = v->running;
-		ev.kind = CTR_ENDED;
+		ev.kind = ROUTER_ENDED;
 		ev.u.ended = &done;
-		slot = OUTSIDE + CTR_ENDED;
+		slot = OUTSIDE + ROUTER_ENDED;
 		f->pieces += (uint64_t)f->s.pieces;
 		f->whole += hmgeti(f->asks, caller) >= 0;
 		(void)hmdel(f->asks, caller);
 	}
 	hear(n, slot, 0);
-	ctr_do(f, n, slot, &ev);
+	router_do(f, n, slot, &ev);
 }
 
 static void streams(struct fleet *f, const struct ev *e)
@@ -1017,7 +1017,7 @@
 	int i = (int)e->token;
 	struct run *r = &f->run[i];
 	struct node *n = &f->n[r->node];
-	struct ctr_ev ev = { .kind = CTR_PIECE };
+	struct router_ev ev = { .kind = ROUTER_PIECE };
 	char line[200];
 	int last = r->next == f->s.pieces;
 
@@ -1043,8 +1043,8 @@
 	} else {
 		event(f, HO_STREAM, r->node, e->token, f->now + 10 + (int64_t)rnd(f, 10));
 	}
-	hear(n, OUTSIDE + CTR_PIECE, strlen(line));
-	ctr_do(f, n, OUTSIDE + CTR_PIECE, &ev);
+	hear(n, OUTSIDE + ROUTER_PIECE, strlen(line));
+	router_do(f, n, OUTSIDE + ROUTER_PIECE, &ev);
 }
 
 static void again(struct fleet *f, const struct ev *e, int64_t in)
@@ -1095,9 +1095,9 @@
 		return;
 	}
 	if (n->c)
-		ctr_dispatch(f, n, e);
+		router_dispatch(f, n, e);
 	else
-		reg_dispatch(f, n, e);
+		controller_dispatch(f, n, e);
 }
 
 static int run_until(struct fleet *f, int64_t ms, int (*done)(struct fleet *))
@@ -1153,7 +1153,7 @@
 static int all_ready(struct fleet *f)
 {
 	for (int i = f->s.registrars; i < f->nn; i++)
-		if (!f->n[i].c || follow_age(&f->n[i].c->f, f->now) > FOLLOW_CONFIG || f->n[i].edition < f->edition ||
+		if (!f->n[i].c || config_watch_age(&f->n[i].c->f, f->now) > CONFIG_WATCH_CONFIG || f->n[i].edition < f->edition ||
 		    !relay_current(&f->n[i].c->relay, f->now))
 			return 0;
 	return 1;
@@ -1244,7 +1244,7 @@
 	f->now = START;
 	apr_pool_create(&f->pool, NULL);
 	sh_new_strdup(f->shelves);
-	(void)shelf_of(f, "1-of-before");
+	(void)cache_namespace_of(f, "1-of-before");
 	f->nn = s->registrars + s->nodes;
 	f->n = calloc((size_t)f->nn, sizeof *f->n);
 	f->sv = calloc((size_t)s->servers, sizeof *f->sv);
@@ -1364,8 +1364,8 @@
 	int k = slot - OUTSIDE;
 
 	return slot == SLOT_RUN || slot == SLOT_OUT ||
-	       (counter && (k == CTR_EXCHANGE || k == CTR_GONE || k == CTR_PIECE || k == CTR_DONE || k == CTR_ASKED ||
-			    k == CTR_BEGAN || k == CTR_ENDED));
+	       (counter && (k == ROUTER_EXCHANGE || k == ROUTER_GONE || k == ROUTER_PIECE || k == ROUTER_DONE ||
+			    k == ROUTER_ASKED || k == ROUTER_BEGAN || k == ROUTER_ENDED));
 }
 
 enum role { ROLE_COUNTER, ROLE_RELAY, ROLE_REGISTRAR, ROLES };
@@ -1493,7 +1493,7 @@
 	struct kept k = { 0 };
 	struct view w = { 0 };
 	struct table tab;
-	struct Nl__FollowReply all = NL__FOLLOW_REPLY__INIT;
+	struct Nl__ConfigSyncReply all = NL__CONFIG_SYNC_REPLY__INIT;
 	enum { EVENTS = 100 }; /* of one message */
 	struct Nl__KeptEvent ke[EVENTS], *pe[EVENTS];
 	struct Nl__Kept kept = NL__KEPT__INIT;
@@ -1520,7 +1520,7 @@
 	kept_clear(&k);
 	for (int i = 0; i < EVENTS; i++) {
 		nl__kept_event__init(&ke[i]);
-		ke[i].shelf = "t1234567";
+		ke[i].cache_namespace = "t1234567";
 		ke[i].id = core_rand(&f->rng);
 		ke[i].tokens = 64;
 		pe[i] = &ke[i];
@@ -1607,9 +1607,9 @@
 	arrfree(f->idle);
 	arrfree(f->change);
 	arrfree(f->reached);
-	for (ptrdiff_t i = 0; i < arrlen(f->shelf); i++)
-		free(f->shelf[i]);
-	arrfree(f->shelf);
+	for (ptrdiff_t i = 0; i < arrlen(f->cache_namespace); i++)
+		free(f->cache_namespace[i]);
+	arrfree(f->cache_namespace);
 	shfree(f->shelves);
 	hmfree(f->by);
 	hmfree(f->asks);
--- a/rehearsal/kit.h
+++ b/rehearsal/kit.h
@@ -40,7 +40,7 @@
 void callers_stop(struct callers *c); /* waits for what is under way */
 uint64_t callers_whole(const struct callers *c);
 
-/* ---- links between colleagues: each node is advertised at its link ---- */
+/* ---- links between peers: each node is advertised at its link ---- */
 struct links;
 struct links *links_open(void);
 int links_add(struct links *l, const char *at, const char *real);
--- a/rehearsal/links.c
+++ b/rehearsal/links.c
@@ -1,4 +1,4 @@
-/* Links: each colleague is advertised at its link, which passes frames on by rule. */
+/* Links: each peer is advertised at its link, which passes frames on by rule. */
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
--- a/rehearsal/run.c
+++ b/rehearsal/run.c
@@ -40,7 +40,7 @@
 	int rate, prefill, link, kv, far, load_ms;
 	char weights[3][20];
 	struct callers *callers;
-	const char *ctr_web[16];
+	const char *router_web[16];
 };
 
 static void nap(int64_t ms) { usleep((useconds_t)ms * 1000); }
@@ -207,7 +207,7 @@
 
 /* ---- the platform and the operators ---- */
 
-/* Through any registrar that is up; the status of the answer, and its edition noted when acknowledged. */
+/* Through any controller that is up; the status of the answer, and its edition noted when acknowledged. */
 static int change(struct fleet *f, const char *body, int64_t *edition)
 {
 	int st = 0;
@@ -390,7 +390,7 @@
 	return 0;
 }
 
-/* Processor time so far of all counters and registrars that live, in ms. */
+/* Processor time so far of all counters and controllers that live, in ms. */
 static int64_t cpu_ms(struct fleet *f, enum kind kind)
 {
 	int64_t sum = 0;
@@ -479,7 +479,7 @@
 	for (int i = 0; i < f->nreg; i++)
 		add(f, REGISTRAR, i);
 	for (int i = 0; i < f->nctr; i++)
-		f->ctr_web[i] = add(f, COUNTER, i)->web;
+		f->router_web[i] = add(f, COUNTER, i)->web;
 	for (int i = 0; i < f->nn; i++)
 		start(f, &f->n[i], 0);
 	for (int turn = 0; turn < 300 && st != 200; turn++) {
@@ -525,7 +525,7 @@
 static void load_on(struct fleet *f)
 {
 	static char path[700];
-	struct callers_set c = { f->ctr_web, f->nctr, f->lanes, 3, 8, f->rate, 96, 10000, 400, f->s->seed, path };
+	struct callers_set c = { f->router_web, f->nctr, f->lanes, 3, 8, f->rate, 96, 10000, 400, f->s->seed, path };
 
 	snprintf(path, sizeof path, "%s/callers.rec", f->s->folder);
 	f->callers = callers_start(&c);
@@ -926,7 +926,7 @@
 	nap(8000);
 }
 
-/* A registrar's file is torn while it is down: it is refused with a word, moved away, and the machine joins as a new one. */
+/* A controller's file is torn while it is down: it is refused with a word, moved away, and the machine joins as a new one. */
 static void sc_torn(struct fleet *f)
 {
 	struct node *n = pick(f, REGISTRAR, owner_wait(f, 0));
@@ -988,7 +988,7 @@
 static void sc_overload(struct fleet *f)
 {
 	char path[700];
-	struct callers_set c = { f->ctr_web, f->nctr, f->lanes, 3, 8, f->rate * 10, 256, 3000, 400, f->s->seed + 1000, path };
+	struct callers_set c = { f->router_web, f->nctr, f->lanes, 3, 8, f->rate * 10, 256, 3000, 400, f->s->seed + 1000, path };
 	struct callers *more;
 
 	snprintf(path, sizeof path, "%s/more.rec", f->s->folder);
@@ -1264,7 +1264,7 @@
 {
 	signal(SIGINT, on_int);
 	signal(SIGTERM, on_int);
-	printf("The fleet is up. Callers call %s (keys key-0 to key-7), operators %s.\n", f->ctr_web[0],
+	printf("The fleet is up. Callers call %s (keys key-0 to key-7), operators %s.\n", f->router_web[0],
 	       pick(f, REGISTRAR, 0)->web);
 	printf("Try: clerk --at %s show\nCtrl-C ends it.\n", pick(f, REGISTRAR, 0)->web);
 	fflush(stdout);
--- a/rehearsal/server.c
+++ b/rehearsal/server.c
@@ -132,7 +132,7 @@
 	return have;
 }
 
-/* Fetch kept parts from a colleague server or the store; what fails, or would take longer than the send allows, is read
+/* Fetch kept parts from a peer server or the store; what fails, or would take longer than the send allows, is read
  * from the prompt instead. */
 static int fetch(struct json_object *f, const char *w, struct json_object *used, int have, int *ms)
 {
--- a/rehearsal/stand_judge_servers.c
+++ b/rehearsal/stand_judge_servers.c
@@ -1,4 +1,4 @@
-/* Rules about model servers: drained ones, the order-giver's fence, memory of other weights or tenants. */
+/* Rules about model servers: drained ones, the order-rollout's fence, memory of other weights or tenants. */
 #include <string.h>
 
 #include "ds.h"
--- a/tests/explore_heap.c
+++ b/tests/explore_heap.c
@@ -162,7 +162,7 @@
 }
 
 /* A pointer to a block, or to the first element of an stb_ds array in one. */
-static void follow_pointer(const unsigned char *p, int depth)
+static void config_watch_pointer(const unsigned char *p, int depth)
 {
 	const unsigned char *start = p - sizeof(stbds_array_header);
 
@@ -196,7 +196,7 @@
 
 	for (size_t i = 0; i < n; i++) {
 		if (words[i] - low < hashing.heap->used && words[i] % 8 == 0)
-			follow_pointer((const unsigned char *)(uintptr_t)words[i], depth + 1);
+			config_watch_pointer((const unsigned char *)(uintptr_t)words[i], depth + 1);
 		else if (words[i] - oldest < 2 * TIME_WINDOW_MS)
 			emit(relative(words[i]));
 		else
@@ -209,6 +209,6 @@
 	hashing.heap = heap;
 	hashing.now = now;
 	hashing.n = 0;
-	follow_pointer(root, 0);
+	config_watch_pointer(root, 0);
 	return XXH3_64bits(hashing.words, hashing.n * sizeof *hashing.words);
 }
--- a/tests/measure.c
+++ b/tests/measure.c
@@ -2,7 +2,7 @@
  *   measure counts          messages and syncs per change, purge and exchange
  *   measure failover N      times until a change is acknowledged after the owner is lost, over N seeds
  *   measure bounds N        drains, removed keys and roll-outs as distributions over N seeds
- *   measure load N          N exchanges, for callgrind with --toggle-collect=ctr_step */
+ *   measure load N          N exchanges, for callgrind with --toggle-collect=router_step */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
--- a/tests/raft_leader.h
+++ b/tests/raft_leader.h
@@ -8,7 +8,7 @@
 	struct raft raft;
 	struct out out;
 	int64_t now;
-	struct raft_member live[6]; /* registrars that the fleet knows */
+	struct raft_member live[6]; /* controllers that the fleet knows */
 	int live_count;
 };
 
@@ -33,7 +33,7 @@
 /* Time passes; the members in the mask answer each heartbeat, and hold all that there is. */
 void leader_beat(struct leader *l, int64_t ms, unsigned answering);
 
-/* Member 1 leads a group of so many voters; one more registrar stands by. */
+/* Member 1 leads a group of so many voters; one more controller stands by. */
 void leader_begin(struct leader *l, int voters);
 
 /* Free all memory. */
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -202,16 +202,16 @@
 static void server_order(struct sim *s, struct sim_server *v, const char *body)
 {
 	struct json_object *j = json_tokener_parse(body), *x, *d;
-	uint64_t fence = 0, giver = 0;
+	uint64_t fence = 0, rollout = 0;
 
 	if (json_object_object_get_ex(j, "fence", &x))
 		fence = json_object_get_uint64(x);
 	if (json_object_object_get_ex(j, "giver", &x))
-		giver = strtoull(json_object_get_string(x), NULL, 16);
+		rollout = strtoull(json_object_get_string(x), NULL, 16);
 	s->n_orders++;
-	if (v->last_giver && giver != v->last_giver && s->now - v->last_order < 3000)
+	if (v->last_giver && rollout != v->last_giver && s->now - v->last_order < 3000)
 		sim_breach(s, "server %s had orders of two givers %lld ms apart", v->name, (long long)(s->now - v->last_order));
-	v->last_giver = giver;
+	v->last_giver = rollout;
 	v->last_order = s->now;
 	if (fence < v->fence) {
 		json_object_put(j);
@@ -832,14 +832,14 @@
 	s->sv[r->server].running--;
 }
 
-static void ctr_do(struct sim *s, int i, const struct ctr_ev *ev);
+static void router_do(struct sim *s, int i, const struct router_ev *ev);
 
 /* The next piece of a run leaves its server. */
 static void run_streams(struct sim *s, const struct sim_ev *e)
 {
 	struct sim_run *r = &s->run[e->token];
 	struct sim_node *n = &s->n[r->node];
-	struct ctr_ev ev;
+	struct router_ev ev;
 	char line[300];
 
 	if (r->over)
@@ -858,7 +858,7 @@
 		return;
 	}
 	memset(&ev, 0, sizeof ev);
-	ev.kind = CTR_PIECE;
+	ev.kind = ROUTER_PIECE;
 	ev.u.piece.token = r->token;
 	ev.u.piece.line = line;
 	if (r->next < r->pieces)
@@ -881,7 +881,7 @@
 		run_over(s, r);
 	else
 		stream_at(s, (ptrdiff_t)e->token, s->now + 10 + (int64_t)rnd(s, 10) + s->sv[r->server].slow);
-	ctr_do(s, r->node, &ev);
+	router_do(s, r->node, &ev);
 }
 
 /* ---- the list of servers, and servers that take orders as the platform's do ------------ */
@@ -927,16 +927,16 @@
 /* What the list shows at a moment that is past. */
 static void list_pack(struct sim *s, int64_t at, struct sim_ev *e)
 {
-	struct Nl__FollowReply a = NL__FOLLOW_REPLY__INIT;
-	struct Nl__Sight *x = calloc((size_t)arrlen(s->list.v) + 1, sizeof *x);
+	struct Nl__ConfigSyncReply a = NL__CONFIG_SYNC_REPLY__INIT;
+	struct Nl__Instance *x = calloc((size_t)arrlen(s->list.v) + 1, sizeof *x);
 
-	a.sight = calloc((size_t)arrlen(s->list.v) + 1, sizeof *a.sight);
+	a.instance = calloc((size_t)arrlen(s->list.v) + 1, sizeof *a.instance);
 	for (ptrdiff_t i = 0; i < arrlen(s->list.v); i++) {
 		struct sim_inst *v = &s->list.v[i];
 
 		if (v->born > at || (v->ended && v->ended <= at))
 			continue;
-		nl__sight__init(&x[i]);
+		nl__instance__init(&x[i]);
 		x[i].server = v->name;
 		x[i].service = v->service;
 		x[i].addr = v->addr;
@@ -944,12 +944,12 @@
 		x[i].slots = s->list.slots ? (uint32_t)s->list.slots : 128;
 		x[i].state = v->draining && v->drained <= at;
 		x[i].weights = v->changed > at ? v->before : v->weights;
-		a.sight[a.n_sight++] = &x[i];
+		a.instance[a.n_instance++] = &x[i];
 	}
-	e->n = nl__follow_reply__get_packed_size(&a);
+	e->n = nl__config_sync_reply__get_packed_size(&a);
 	e->d = malloc(e->n + 1);
-	nl__follow_reply__pack(&a, e->d);
-	free(a.sight);
+	nl__config_sync_reply__pack(&a, e->d);
+	free(a.instance);
 	free(x);
 }
 
@@ -1107,7 +1107,7 @@
 	return s->delay + (int64_t)rnd(s, (uint64_t)s->jitter + 1) + (strcmp(a->zone, b->zone) ? s->far : 0);
 }
 
-/* An operator hears a registrar's answer. */
+/* An operator hears a controller's answer. */
 static void operator_hears(struct sim *s, struct sim_web w)
 {
 	const struct sim_node *n = &s->n[w.node];
@@ -1161,7 +1161,7 @@
 	memcpy(&late, e->d, sizeof late);
 	if (late.not_after && local(s, &s->n[e->node]) > late.not_after) {
 		late.w.status = 503;
-		late.w.retry_ms = REG_RETRY_MS;
+		late.w.retry_ms = CONTROLLER_RETRY_MS;
 		snprintf(late.w.body, sizeof late.w.body, "{}");
 	}
 	operator_hears(s, late.w);
@@ -1276,12 +1276,12 @@
 	out_clear(&n->o);
 }
 
-static void reg_do(struct sim *s, int i, const struct reg_ev *ev)
+static void controller_do(struct sim *s, int i, const struct controller_ev *ev)
 {
 	struct sim_node *n = &s->n[i];
 
 	n->r->wall = s->epoch ? s->epoch + s->now + n->wall_off : 0;
-	reg_step(n->r, ev, local(s, n), &n->o);
+	controller_step(n->r, ev, local(s, n), &n->o);
 	if (n->r->fleet_dirty) {
 		n->disk.fleet = n->r->fleet;
 		n->r->fleet_dirty = 0;
@@ -1290,68 +1290,68 @@
 	check_node(s, i);
 }
 
-static void ctr_do(struct sim *s, int i, const struct ctr_ev *ev)
+static void router_do(struct sim *s, int i, const struct router_ev *ev)
 {
 	struct sim_node *n = &s->n[i];
 
-	ctr_step(n->c, ev, local(s, n), &n->o);
+	router_step(n->c, ev, local(s, n), &n->o);
 	perform(s, i);
 	check_node(s, i);
 }
 
 /* A counter's share of the events. */
-static void ctr_dispatch(struct sim *s, struct sim_ev *e)
+static void router_dispatch(struct sim *s, struct sim_ev *e)
 {
-	struct ctr_ev ev;
+	struct router_ev ev;
 	struct Nl__Msg *m = NULL;
 	struct sim_exch *x;
 
 	memset(&ev, 0, sizeof ev);
 	switch (e->kind) {
-	case SIM_TICK: ev.kind = CTR_TICK; break;
+	case SIM_TICK: ev.kind = ROUTER_TICK; break;
 	case SIM_MSG:
 		m = nl__msg__unpack(NULL, e->n, e->d);
 		if (!m)
 			return;
-		ev.kind = CTR_MSG;
+		ev.kind = ROUTER_MSG;
 		ev.u.msg = m;
 		break;
 	case SIM_CALLED:
-		ev.kind = CTR_CALLED;
+		ev.kind = ROUTER_CALLED;
 		ev.u.called.token = e->token;
 		ev.u.called.status = e->status;
 		ev.u.called.body = (const char *)e->d;
 		break;
 	case SIM_BROKE:
-		ev.kind = CTR_DONE;
+		ev.kind = ROUTER_DONE;
 		ev.u.done.token = e->token;
 		ev.u.done.status = e->status;
 		ev.u.done.never = e->step;
 		ev.u.done.body = "";
 		break;
 	case SIM_LEAVE:
-		ev.kind = CTR_GONE;
+		ev.kind = ROUTER_GONE;
 		ev.u.gone.token = e->token;
 		break;
-	case SIM_STOP: ev.kind = CTR_STOP; break;
+	case SIM_STOP: ev.kind = ROUTER_STOP; break;
 	case SIM_ASK:
 		x = exch_by(s, e->token);
 		if (!x)
 			return;
-		ev.kind = CTR_EXCHANGE;
+		ev.kind = ROUTER_EXCHANGE;
 		ev.u.exchange.token = e->token;
 		ev.u.exchange.digest = x->key;
 		ev.u.exchange.body = (const char *)e->d;
 		break;
 	default: return;
 	}
-	ctr_do(s, e->node, &ev);
+	router_do(s, e->node, &ev);
 	if (m)
 		nl__msg__free_unpacked(m, NULL);
 }
 
 void sim_push(struct sim *s, struct sim_ev e) { push(s, e); }
-void sim_ctr(struct sim *s, int node, const struct ctr_ev *ev) { ctr_do(s, node, ev); }
+void sim_ctr(struct sim *s, int node, const struct router_ev *ev) { router_do(s, node, ev); }
 int64_t sim_local(const struct sim *s, int node) { return local(s, &s->n[node]); }
 
 static void tick_at(struct sim *s, int node, int64_t at)
@@ -1364,7 +1364,7 @@
 static void dispatch(struct sim *s, struct sim_ev *e)
 {
 	struct sim_node *n = &s->n[e->node];
-	struct reg_ev ev;
+	struct controller_ev ev;
 
 	if (e->kind == SIM_DOOR) {
 		s->door.event(s->door.ctx, e);
@@ -1417,27 +1417,27 @@
 	if (e->kind == SIM_TICK)
 		tick_at(s, e->node, s->now + 25);
 	if (n->c) {
-		ctr_dispatch(s, e);
+		router_dispatch(s, e);
 		return;
 	}
 	memset(&ev, 0, sizeof ev);
 	switch (e->kind) {
 	case SIM_TICK:
-		ev.kind = REG_TICK;
-		reg_do(s, e->node, &ev);
+		ev.kind = CONTROLLER_TICK;
+		controller_do(s, e->node, &ev);
 		break;
 	case SIM_STOP:
-		ev.kind = REG_STOP;
-		reg_do(s, e->node, &ev);
+		ev.kind = CONTROLLER_STOP;
+		controller_do(s, e->node, &ev);
 		break;
 	case SIM_MSG: {
 		struct Nl__Msg *m = nl__msg__unpack(NULL, e->n, e->d);
 
 		if (!m)
 			break;
-		ev.kind = REG_MSG;
+		ev.kind = CONTROLLER_MSG;
 		ev.u.msg = m;
-		reg_do(s, e->node, &ev);
+		controller_do(s, e->node, &ev);
 		nl__msg__free_unpacked(m, NULL);
 		break;
 	}
@@ -1450,68 +1450,68 @@
 			break;
 		}
 		disk_write(&n->disk, n->writes[0].w);
-		ev.kind = REG_SYNCED;
+		ev.kind = CONTROLLER_SYNCED;
 		ev.u.synced.part = n->writes[0].w->part;
 		ev.u.synced.seq = n->writes[0].w->seq;
 		apr_pool_destroy(n->writes[0].p);
 		arrdel(n->writes, 0);
-		reg_do(s, e->node, &ev);
+		controller_do(s, e->node, &ev);
 		break;
 	case SIM_CALLED:
-		ev.kind = REG_CALLED;
+		ev.kind = CONTROLLER_CALLED;
 		ev.u.called.token = e->token;
 		ev.u.called.status = e->status;
 		ev.u.called.body = (const char *)e->d;
-		reg_do(s, e->node, &ev);
+		controller_do(s, e->node, &ev);
 		break;
 	case SIM_LISTED: {
-		struct Nl__FollowReply *a = nl__follow_reply__unpack(NULL, e->n, e->d);
+		struct Nl__ConfigSyncReply *a = nl__config_sync_reply__unpack(NULL, e->n, e->d);
 
-		ev.kind = REG_LISTED;
+		ev.kind = CONTROLLER_LISTED;
 		ev.u.listed.token = e->token;
 		ev.u.listed.ok = e->status;
-		ev.u.listed.v = a->sight;
-		ev.u.listed.n = e->status ? a->n_sight : 0;
-		reg_do(s, e->node, &ev);
-		nl__follow_reply__free_unpacked(a, NULL);
+		ev.u.listed.v = a->instance;
+		ev.u.listed.n = e->status ? a->n_instance : 0;
+		controller_do(s, e->node, &ev);
+		nl__config_sync_reply__free_unpacked(a, NULL);
 		break;
 	}
 	case SIM_LOOKED:
-		ev.kind = REG_LOOKED;
+		ev.kind = CONTROLLER_LOOKED;
 		ev.u.looked.token = e->token;
 		ev.u.looked.status = e->status;
 		ev.u.looked.weights = (const char *)e->d;
 		ev.u.looked.loading = e->step;
-		reg_do(s, e->node, &ev);
+		controller_do(s, e->node, &ev);
 		break;
 	case SIM_ANSWERED: answer_is_written(s, e); break;
 	case SIM_ORDERED:
-		ev.kind = REG_ORDERED;
+		ev.kind = CONTROLLER_ORDERED;
 		ev.u.ordered.token = e->token;
 		ev.u.ordered.status = e->status;
 		ev.u.ordered.never = e->step;
-		reg_do(s, e->node, &ev);
+		controller_do(s, e->node, &ev);
 		break;
 	case SIM_WEB: {
 		char *verb = (char *)e->d, *path = verb + strlen(verb) + 1, *body = path + strlen(path) + 1,
 		     *key = body + strlen(body) + 1;
 
-		ev.kind = REG_WEB;
+		ev.kind = CONTROLLER_WEB;
 		ev.u.web.token = e->token;
 		ev.u.web.verb = verb;
 		ev.u.web.path = path;
 		ev.u.web.body = body;
 		ev.u.web.key = key[0] ? key : NULL;
-		reg_do(s, e->node, &ev);
+		controller_do(s, e->node, &ev);
 		break;
 	}
 	case SIM_DOC: {
 		char *body = (char *)e->d, *weights = body + e->n + 1;
 
-		ev.kind = e->status == 2 ? REG_READ : e->status == 3 ? REG_NAME : REG_DOC;
-		if (ev.kind == REG_READ) {
+		ev.kind = e->status == 2 ? CONTROLLER_READ : e->status == 3 ? CONTROLLER_NAME : CONTROLLER_DOC;
+		if (ev.kind == CONTROLLER_READ) {
 			ev.u.read.token = e->token;
-		} else if (ev.kind == REG_NAME) {
+		} else if (ev.kind == CONTROLLER_NAME) {
 			ev.u.name.token = e->token;
 			ev.u.name.model = body;
 			ev.u.name.weights = weights;
@@ -1522,7 +1522,7 @@
 			ev.u.doc.body = body;
 			ev.u.doc.len = e->n;
 		}
-		reg_do(s, e->node, &ev);
+		controller_do(s, e->node, &ev);
 		break;
 	}
 	default: break;
@@ -1571,7 +1571,7 @@
 	if (n->counter) { /* no disk: a new identity at each start */
 		n->id = core_rand(&s->rng);
 		n->c = malloc(sizeof *n->c);
-		ctr_open(n->c, n->id, n->addr, n->zone, seeds, nseeds, local(s, n));
+		router_open(n->c, n->id, n->addr, n->zone, seeds, nseeds, local(s, n));
 		n->c->b = s->b;
 		n->c->log = count_line;
 		n->c->log_ctx = s;
@@ -1596,9 +1596,9 @@
 		psv[k] = &sv[k];
 	}
 	n->r = malloc(sizeof *n->r);
-	reg_open(n->r, n->id, n->addr, n->zone, seeds, nseeds, n->disk.fleet, core_rand(&s->rng), psv, local(s, n));
+	controller_open(n->r, n->id, n->addr, n->zone, seeds, nseeds, n->disk.fleet, core_rand(&s->rng), psv, local(s, n));
 	n->r->b = s->b;
-	n->r->tongue = s->tongue;
+	n->r->codec = s->codec;
 	n->r->calendar = s->calendar;
 	if (s->copies)
 		n->r->b.copies = s->copies;
@@ -1649,12 +1649,12 @@
 	struct sim_node *n = &s->n[i];
 
 	if (n->r) {
-		reg_close(n->r);
+		controller_close(n->r);
 		free(n->r);
 	}
 	n->r = NULL;
 	if (n->c) {
-		ctr_close(n->c);
+		router_close(n->c);
 		free(n->c);
 		n->c = NULL;
 		callers_lose(s, i);
@@ -1817,14 +1817,14 @@
 	apr_pool_destroy(s->pool);
 }
 
-/* Every part is led, and every registrar has heard the configuration's leader: none refuses for want of one. */
+/* Every part is led, and every controller has heard the configuration's leader: none refuses for want of one. */
 static int all_owned(struct sim *s)
 {
 	for (uint32_t i = 0; i < SHARD_COUNT; i++)
 		if (sim_owner(s, i) < 0)
 			return 0;
 	for (int i = 0; i < SIM_REGS; i++)
-		if (s->n[i].used && s->n[i].up && follow_age(&s->n[i].r->f, local(s, &s->n[i])) > FOLLOW_SILENT)
+		if (s->n[i].used && s->n[i].up && config_watch_age(&s->n[i].r->f, local(s, &s->n[i])) > CONFIG_WATCH_SILENT)
 			return 0;
 	return 1;
 }
@@ -1923,10 +1923,10 @@
 
 			while (servers < SIM_SERVERS && s->sv[servers].used)
 				servers++;
-			if (!relay_current(&s->n[i].c->relay, local(s, &s->n[i])) || !s->n[i].c->book ||
-			    s->n[i].c->roster->nserver < servers)
+			if (!relay_current(&s->n[i].c->relay, local(s, &s->n[i])) || !s->n[i].c->route_table ||
+			    s->n[i].c->server_table->nserver < servers)
 				return 0;
-			for (uint32_t k = 0; k < s->n[i].c->roster->nserver; k++)
+			for (uint32_t k = 0; k < s->n[i].c->server_table->nserver; k++)
 				if (!s->n[i].c->sv[k].have)
 					return 0;
 		}
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -3,8 +3,8 @@
 #ifndef NL_SIM_H
 #define NL_SIM_H
 
-#include "ctr.h"
-#include "reg.h"
+#include "router.h"
+#include "controller.h"
 
 enum { SIM_REGS = 8, SIM_CTRS = 100, SIM_SERVERS = 24, SIM_NODES = SIM_REGS + SIM_CTRS };
 
@@ -39,8 +39,8 @@
 	uint64_t addr, id, life;
 	int64_t link_free_at; /* its link is busy until then */
 	char zone[16];
-	struct reg *r;
-	struct ctr *c;
+	struct controller *r;
+	struct router *c;
 	struct sim_disk disk;
 	struct sim_write *writes; /* not yet synced, oldest first */
 	struct out o;
@@ -195,19 +195,19 @@
 	int loss, delay, jitter; /* per mille; ms */
 	int far;                 /* ms added between zones */
 	int disk_ms;
-	int bytes_per_ms; /* that a registrar's link carries; 0: any number */
+	int bytes_per_ms; /* that a controller's link carries; 0: any number */
 	int read_ms;      /* that servers read at a token which they do not keep */
-	int64_t epoch;    /* ms since 1970 at virtual time 0; 0: registrars know no wall clock */
-	const struct reg_calendar *calendar;
+	int64_t epoch;    /* ms since 1970 at virtual time 0; 0: controllers know no wall clock */
+	const struct controller_calendar *calendar;
 	int limit_ms;    /* of exchanges */
-	int answer_ms;   /* up to which a registrar's answer waits in its process before it is written; 0: at once */
-	struct bounds b; /* of registrars */
+	int answer_ms;   /* up to which a controller's answer waits in its process before it is written; 0: at once */
+	struct bounds b; /* of controllers */
 	struct sim_list list;
 	struct sim_door door;
 	uint64_t deaf;   /* kinds of message (bits by body) that do not reach counters */
 	int copies;      /* of each part; 0: as the product has it */
 	int catch_up_ms; /* 0: as the product has it */
-	const struct reg_tongue *tongue;
+	const struct controller_codec *codec;
 	int load_ms; /* how long servers load weights; 0: 1.5 to 2.5 s */
 	char bad[512];
 	int recovered; /* a group went on with one copy by an operator's word: commits may rest on that one */
@@ -269,7 +269,7 @@
  * Example: assert_true(sim_change(&s, "{\"set\":[...]}", 12000)); */
 uint64_t sim_change(struct sim *s, const char *body, int64_t ms);
 
-/* A whole small deployment: registrars, counters, servers, lanes, tenants, keys; ready to be asked.
+/* A whole small deployment: controllers, counters, servers, lanes, tenants, keys; ready to be asked.
  * Example: sim_deploy(&s, 1, 4, 3, 6); */
 void sim_deploy(struct sim *s, uint64_t seed, int regs, int ctrs, int servers);
 
@@ -300,7 +300,7 @@
 void sim_cut(struct sim *s, int node, int cell);
 void sim_breach(struct sim *s, const char *fmt, ...);
 
-/* An operator's call to a registrar; returns its token. Example: t = sim_call(&s, 0, "POST", "/v1/found", "{}"); */
+/* An operator's call to a controller; returns its token. Example: t = sim_call(&s, 0, "POST", "/v1/found", "{}"); */
 uint64_t sim_call(struct sim *s, int node, const char *verb, const char *path, const char *body);
 /* The same with an Idempotency-Key. Example: t = sim_call_keyed(&s, 0, "POST", "/v1/change", body, "key-1"); */
 uint64_t sim_call_keyed(struct sim *s, int node, const char *verb, const char *path, const char *body, const char *key);
@@ -309,19 +309,19 @@
 /* Make a call and wait for its answer's status; 0 on none. Example: assert_int_equal(sim_do(&s, 0, ...), 200); */
 int sim_do(struct sim *s, int node, const char *verb, const char *path, const char *body, int64_t ms);
 
-/* An operator's document, a reading (body NULL) or a naming (weights not NULL: body is the model) at one registrar.
+/* An operator's document, a reading (body NULL) or a naming (weights not NULL: body is the model) at one controller.
  * Example: t = sim_doc(&s, 0, 5, 0, body, NULL); */
 uint64_t sim_doc(struct sim *s, int node, uint64_t base, int patch, const char *body, const char *weights);
 
-/* Which registrar licensed-owns a part; -1 for none. Example: sim_owner(&s, SHARD_CONTROL) */
+/* Which controller has_lease-owns a part; -1 for none. Example: sim_owner(&s, SHARD_CONTROL) */
 int sim_owner(struct sim *s, uint32_t part);
 
 /* Put an event in the queue; do one step of a counter. Example: sim_push(&s, e); sim_ctr(&s, node, &ev); */
 void sim_push(struct sim *s, struct sim_ev e);
-void sim_ctr(struct sim *s, int node, const struct ctr_ev *ev);
+void sim_ctr(struct sim *s, int node, const struct router_ev *ev);
 int64_t sim_local(const struct sim *s, int node);
 
-/* A founded fleet of n registrars in as many zones. Example: sim_fleet(&s, 1, 4); */
+/* A founded fleet of n controllers in as many zones. Example: sim_fleet(&s, 1, 4); */
 void sim_fleet(struct sim *s, uint64_t seed, int regs);
 
 #endif
