--- a/tests/sim_forward.c
+++ b/tests/sim_forward.c
@@ -174,7 +174,7 @@
 {
 	struct fw_event e = { v->next++, gone, "", p->id, p->tokens, f->s.now + f->lag };
 
-	memcpy(e.shelf, p->shelf, sizeof e.shelf);
+	memcpy(e.cache_namespace, p->cache_namespace, sizeof e.cache_namespace);
 	if (chance(f, f->lossy))
 		return;
 	arrput(v->ev, e);
@@ -182,17 +182,17 @@
 		arrdel(v->ev, 0);
 }
 
-static int part_at(const struct fw_server *v, const char *shelf, uint64_t id)
+static int part_at(const struct fw_server *v, const char *cache_namespace, uint64_t id)
 {
 	for (ptrdiff_t i = 0; i < arrlen(v->part); i++)
-		if (v->part[i].id == id && !strcmp(v->part[i].shelf, shelf))
+		if (v->part[i].id == id && !strcmp(v->part[i].cache_namespace, cache_namespace))
 			return (int)i;
 	return -1;
 }
 
 static void keep(struct fw *f, struct fw_server *v, const struct fw_part *p)
 {
-	int at = part_at(v, p->shelf, p->id);
+	int at = part_at(v, p->cache_namespace, p->id);
 
 	if (at >= 0) { /* used: it goes last */
 		struct fw_part old = v->part[at];
@@ -211,7 +211,7 @@
 	}
 }
 
-/* A load drops what a server keeps; some retain it, so that only the shelf keeps it apart. */
+/* A load drops what a server keeps; some retain it, so that only the cache_namespace keeps it apart. */
 static void loads(struct fw *f, int i)
 {
 	struct fw_server *v = server_of(f, i);
@@ -253,11 +253,11 @@
 
 static int door_stands(struct fw *f, const struct fw_call *c) { return f->s.n[c->node].up && f->s.n[c->node].life == c->life; }
 
-static void ended(struct fw *f, uint64_t at, enum ctr_end how, int status, int wrong)
+static void ended(struct fw *f, uint64_t at, enum router_end how, int status, int wrong)
 {
 	struct fw_call *c = &f->call[at];
-	struct ctr_ended e;
-	struct ctr_ev ev;
+	struct router_ended e;
+	struct router_ev ev;
 	char since[24], weights[24];
 	int node = c->node;
 
@@ -279,9 +279,9 @@
 	snprintf(weights, sizeof weights, "%d", c->run_weights);
 	e.weights = c->run_weights ? weights : NULL;
 	memset(&ev, 0, sizeof ev);
-	ev.kind = CTR_ENDED;
+	ev.kind = ROUTER_ENDED;
 	ev.u.ended = &e;
-	f->n_never += how == CTR_NEVER;
+	f->n_never += how == ROUTER_NEVER;
 	f->n_wrong += wrong;
 	sim_ctr(&f->s, node, &ev);
 }
@@ -360,7 +360,7 @@
 	c->run_weights = weights;
 	w->running++;
 	for (int k = 0; k < FW_PARTS; k++) {
-		int p = part_at(w, c->shelf, part_id(f, r, k));
+		int p = part_at(w, c->cache_namespace, part_id(f, r, k));
 
 		if (p < 0)
 			break;
@@ -371,7 +371,7 @@
 	from = c->fetch ? inst_at(f, c->fetch) : -1;
 	for (int k = have; from >= 0 && from != i && k < FW_PARTS; k++) {
 		struct fw_server *src = server_of(f, from);
-		int p = part_at(src, c->shelf, part_id(f, r, k));
+		int p = part_at(src, c->cache_namespace, part_id(f, r, k));
 
 		if (p < 0)
 			break;
@@ -386,13 +386,13 @@
 		struct fw_part p;
 
 		memset(&p, 0, sizeof p);
-		snprintf(p.shelf, sizeof p.shelf, "%s", c->shelf);
+		snprintf(p.cache_namespace, sizeof p.cache_namespace, "%s", c->cache_namespace);
 		p.id = part_id(f, r, k);
 		p.tokens = (uint32_t)tokens_of(k);
 		p.weights = weights;
 		p.tenant = c->tenant;
 		p.horizon = c->horizon;
-		if (!c->shelf[0])
+		if (!c->cache_namespace[0])
 			break;
 		keep(f, w, &p);
 		if (k >= have) {
@@ -456,7 +456,7 @@
 	struct fw_req *r = &f->req[c->req];
 	struct fw_server *w = server_of(f, c->server);
 	int node = c->node;
-	struct ctr_ev ev;
+	struct router_ev ev;
 
 	if (c->over || !door_stands(f, c)) {
 		drop_run(f, c);
@@ -467,18 +467,18 @@
 		return;
 	}
 	if (!f->s.list.v[c->server].up || c->die == c->shown) {
-		ended(f, at, CTR_BROKE, c->begun ? 200 : 0, 0);
+		ended(f, at, ROUTER_BROKE, c->begun ? 200 : 0, 0);
 		return;
 	}
 	if (c->fate == FATE_SILENT)
 		return; /* nothing comes any more; the run takes its place until it is given up */
 	if (c->fate == FATE_HARD || c->fate == FATE_BARE) { /* as the door does: an answer that would promise too much is none */
 		if (c->joined || c->repeatable || c->fate == FATE_BARE) {
-			ended(f, at, CTR_BROKE, c->fate == FATE_HARD ? 500 : 503, 0);
+			ended(f, at, ROUTER_BROKE, c->fate == FATE_HARD ? 500 : 503, 0);
 			return;
 		}
 		told(f, r, FW_ANSWERED, 500);
-		ended(f, at, CTR_WHOLE, 500, 0);
+		ended(f, at, ROUTER_WHOLE, 500, 0);
 		return;
 	}
 	if (c->next < r->total) {
@@ -502,7 +502,7 @@
 			return;
 		c->told = 1;
 		memset(&ev, 0, sizeof ev);
-		ev.kind = CTR_BEGAN;
+		ev.kind = ROUTER_BEGAN;
 		ev.u.began.token = c->token;
 		{
 			char weights[24];
@@ -516,7 +516,7 @@
 	if (r->token && r->last != r->total)
 		sim_breach(&f->s, "ORDER: %s ends as whole after piece %d of %d", r->id, r->last, r->total);
 	told(f, r, FW_WHOLE, 200);
-	ended(f, at, CTR_WHOLE, 200, 0);
+	ended(f, at, ROUTER_WHOLE, 200, 0);
 }
 
 /* ---- the door's commands --------------------------------------------------------------------------- */
@@ -534,7 +534,7 @@
 	c.server = -1;
 	c.addr = w->addr;
 	snprintf(c.name, sizeof c.name, "%s", w->server);
-	snprintf(c.shelf, sizeof c.shelf, "%s", w->shelf ? w->shelf : "");
+	snprintf(c.cache_namespace, sizeof c.cache_namespace, "%s", w->cache_namespace ? w->cache_namespace : "");
 	c.tenant = w->tenant ? atoi(w->tenant + 1) : -1;
 	c.weights = w->weights ? atoi(w->weights) : 0;
 	c.fetch = w->from;
@@ -552,9 +552,9 @@
 	c.req = r ? (int)(r - f->req) : -1;
 	f->n_forward++;
 	f->n_taken_up += w->joined;
-	f->n_cold += !strncmp(c.shelf, "cold-", 5);
-	if (!c.current && strncmp(c.shelf, "cold-", 5))
-		sim_breach(&f->s, "COLD: a send from a counter whose purge horizon stands still has shelf %s", c.shelf);
+	f->n_cold += !strncmp(c.cache_namespace, "cold-", 5);
+	if (!c.current && strncmp(c.cache_namespace, "cold-", 5))
+		sim_breach(&f->s, "COLD: a send from a counter whose purge horizon stands still has shelf %s", c.cache_namespace);
 	if (r) {
 		r->resends = w->joined;
 		r->sent = f->s.now;
@@ -605,7 +605,7 @@
 	struct fw_server *v;
 	struct Nl__Kept k = NL__KEPT__INIT;
 	struct Nl__KeptEvent e[FW_EVENTS], *list[FW_EVENTS];
-	struct ctr_ev ev;
+	struct router_ev ev;
 
 	if (c->over || !door_stands(f, c))
 		return;
@@ -625,7 +625,7 @@
 			break;
 		nl__kept_event__init(&e[n]);
 		e[n].gone = v->ev[x].gone;
-		e[n].shelf = v->ev[x].shelf;
+		e[n].cache_namespace = v->ev[x].cache_namespace;
 		e[n].id = v->ev[x].id;
 		e[n].tokens = v->ev[x].tokens;
 		list[n] = &e[n];
@@ -649,7 +649,7 @@
 	k.e = list;
 	k.n_e = (size_t)n;
 	memset(&ev, 0, sizeof ev);
-	ev.kind = CTR_WATCHED;
+	ev.kind = ROUTER_WATCHED;
 	ev.u.kept.token = c->token;
 	ev.u.kept.k = status == 200 ? &k : NULL;
 	ev.u.kept.status = status;
@@ -766,8 +766,8 @@
 {
 	struct fw_req *r = &f->req[e->token];
 	struct sim_node *n = &f->s.n[r->node];
-	struct ctr_asking a;
-	struct ctr_ev ev;
+	struct router_asking a;
+	struct router_ev ev;
 	char key[65], path[40], id[32];
 
 	if (!e->status) { /* it comes back under a new id, to whoever */
@@ -801,9 +801,9 @@
 	a.tokens_out = 100;
 	a.nparts = FW_PARTS;
 	for (int k = 0; k < FW_PARTS; k++)
-		a.part[k] = (struct ctr_part){ part_id(f, r, k), (uint32_t)tokens_of(k) };
+		a.part[k] = (struct router_part){ part_id(f, r, k), (uint32_t)tokens_of(k) };
 	memset(&ev, 0, sizeof ev);
-	ev.kind = CTR_ASKED;
+	ev.kind = ROUTER_ASKED;
 	ev.u.ask = &a;
 	sim_ctr(&f->s, r->node, &ev);
 }
@@ -811,7 +811,7 @@
 static void limit_passes(struct fw *f, uint64_t at)
 {
 	struct fw_req *r = &f->req[at];
-	struct ctr_ev ev;
+	struct router_ev ev;
 	uint64_t token = r->token;
 	int node = r->node;
 
@@ -823,7 +823,7 @@
 	if (!f->s.n[node].up || f->s.n[node].life != r->life || f->s.n[node].frozen)
 		return;
 	memset(&ev, 0, sizeof ev);
-	ev.kind = CTR_GONE;
+	ev.kind = ROUTER_GONE;
 	ev.u.gone.token = token;
 	sim_ctr(&f->s, node, &ev);
 }
@@ -831,7 +831,7 @@
 static void one_leaves(struct fw *f)
 {
 	ptrdiff_t i = arrlen(f->req) - 1 - (ptrdiff_t)dice(f, 30);
-	struct ctr_ev ev;
+	struct router_ev ev;
 	struct fw_req *r;
 	uint64_t token;
 
@@ -843,7 +843,7 @@
 		return;
 	told(f, r, FW_LOST, 0);
 	memset(&ev, 0, sizeof ev);
-	ev.kind = CTR_GONE;
+	ev.kind = ROUTER_GONE;
 	ev.u.gone.token = token;
 	sim_ctr(&f->s, r->node, &ev);
 }
@@ -889,7 +889,7 @@
 		if (f->s.n[c->node].frozen)
 			later(f, e->step, c->node, e->token, 20);
 		else
-			ended(f, e->token, CTR_NEVER, c->status, c->status == 421);
+			ended(f, e->token, ROUTER_NEVER, c->status, c->status == 421);
 		break;
 	}
 	case FE_WATCH: watched(f, e->token); break;
@@ -1069,9 +1069,9 @@
 	struct fw *f = s->door.ctx;
 
 	for (int n = SIM_REGS; n < SIM_REGS + f->ctrs; n++) {
-		struct ctr *c = s->n[n].c;
+		struct router *c = s->n[n].c;
 
-		if (!c || !ctr_ready(c, sim_local(s, n)) || c->nstand < (uint32_t)f->servers ||
+		if (!c || !router_ready(c, sim_local(s, n)) || c->nstand < (uint32_t)f->servers ||
 		    !relay_current(&c->relay, sim_local(s, n)))
 			return 0;
 	}
@@ -1087,7 +1087,7 @@
 	memset(f, 0, sizeof *f);
 	sim_open(&f->s, seed);
 	f->s.door = (struct sim_door){ f, perform, event, lost };
-	f->s.b.sights = 1;
+	f->s.b.instances = 1;
 	f->s.b.list_mille = 47000;
 	f->s.b.roll_ms = 15000;
 	f->s.list.load_ms = 1100;
--- a/tests/sim_forward.h
+++ b/tests/sim_forward.h
@@ -25,7 +25,7 @@
 };
 
 struct fw_part {
-	char shelf[64];
+	char cache_namespace[64];
 	uint64_t id;
 	uint32_t tokens;
 	int weights, tenant;
@@ -34,7 +34,7 @@
 struct fw_event {
 	uint64_t no;
 	int gone;
-	char shelf[64];
+	char cache_namespace[64];
 	uint64_t id;
 	uint32_t tokens;
 	int64_t at;
@@ -67,7 +67,7 @@
 struct fw_call {
 	uint64_t token, caller, life;
 	int node, req, watch, server, over, at_server;
-	char name[32], shelf[64];
+	char name[32], cache_namespace[64];
 	int tenant, weights, joined, stream, repeatable, last, from, next, die, fate, shown;
 	int64_t not_after, sent_at, wait_until;
 	uint64_t addr, fetch, sink, since, horizon;
--- a/tests/test_check.c
+++ b/tests/test_check.c
@@ -83,8 +83,8 @@
 #define BEGIN(t, used)        \
 	"server-s1 {\"t\":" t \
 	",\"ev\":\"begin\",\"server\":\"s1\",\"id\":\"x2\",\"tenant\":\"tenant-1\",\"weights\":\"w1\",\"used\":[" used "]}"
-#define ORDER(t, giver, fence, no) \
-	"server-s1 {\"t\":" t ",\"ev\":\"order\",\"server\":\"s1\",\"giver\":\"" giver "\",\"fence\":" fence ",\"fenced\":" no "}"
+#define ORDER(t, rollout, fence, no) \
+	"server-s1 {\"t\":" t ",\"ev\":\"order\",\"server\":\"s1\",\"giver\":\"" rollout "\",\"fence\":" fence ",\"fenced\":" no "}"
 #define STATE(t, e, age)                                                                                                \
 	"probes {\"t\":" t ",\"ev\":\"state\",\"id\":\"00000000000000aa\",\"web\":\"C\",\"asked\":" t ",\"edition\":" e \
 	",\"age_ms\":" age ",\"horizon\":20}"
--- a/tests/test_clear.c
+++ b/tests/test_clear.c
@@ -9,7 +9,7 @@
 #include <cmocka.h>
 
 #include "calendar.h"
-#include "ctr_in.h"
+#include "router_internal.h"
 #include "ds.h"
 #include "retention.h"
 #include "sim.h"
@@ -68,7 +68,7 @@
 			fail_msg("seed %llu: %s was never told anything", (unsigned long long)s->seed, s->x[i].id);
 }
 
-/* The records of clearings, as the registrar that knows most has them. */
+/* The records of clearings, as the controller that knows most has them. */
 static const struct retention *records(struct sim *s)
 {
 	const struct retention *best = NULL;
@@ -430,10 +430,10 @@
 				 (long long)calendar_icu.next(c[i].text, c[i].from), (long long)c[i].due);
 }
 
-static const char *shelf(struct ctr *c, struct xch *x, uint32_t weights, apr_pool_t *p, const char *tenant)
+static const char *cache_namespace(struct router *c, struct client_request *x, uint32_t weights, apr_pool_t *p, const char *tenant)
 {
 	x->tenant = (uint32_t)names_find(&c->tenants, tenant);
-	return ctr_shelf(c, x, weights, p);
+	return router_cache_namespace(c, x, weights, p);
 }
 
 static int missing_says(struct sim *s, const char *text)
@@ -491,8 +491,8 @@
 static void shelves_follow_clearings(void **st)
 {
 	struct sim s;
-	struct ctr *c;
-	struct xch x;
+	struct router *c;
+	struct client_request x;
 	apr_pool_t *p;
 	const char *t1, *t2, *again;
 	uint64_t rng = 9;
@@ -509,57 +509,58 @@
 	x.nparts = 2;
 	x.hash[0] = 12345;
 	w = (uint32_t)names_find(&c->weights, "w1");
-	t1 = shelf(c, &x, w, p, "t1");
-	assert_string_equal(t1, shelf(c, &x, w, p, "t2")); /* no row: all on one shelf, and named as ever */
+	t1 = cache_namespace(c, &x, w, p, "t1");
+	assert_string_equal(t1, cache_namespace(c, &x, w, p, "t2")); /* no row: all on one cache_namespace, and named as ever */
 	assert_null(strchr(t1, '~'));
 	must_change(&s, "{\"set\":[{\"kind\":\"retention\",\"name\":\"*/t1\",\"every\":\"12s\"}]}", 12000);
 	sim_run(&s, 1000, NULL);
-	assert_string_not_equal(shelf(c, &x, w, p, "t1"), t1);
-	assert_string_equal(shelf(c, &x, w, p, "t2"), t1);
-	/* the first clearing of a row takes the common shelves along: what t1 left there before is found by nobody */
+	assert_string_not_equal(cache_namespace(c, &x, w, p, "t1"), t1);
+	assert_string_equal(cache_namespace(c, &x, w, p, "t2"), t1);
+	/* the first clearing of a row takes the common cache namespaces along: what t1 left there before is found by nobody */
 	while (!records(&s)->number)
 		load(&s, &rng, 500, 50, 1);
 	load(&s, &rng, 2000, 50, 1);
-	t2 = shelf(c, &x, w, p, "t2");
+	t2 = cache_namespace(c, &x, w, p, "t2");
 	assert_string_not_equal(t2, t1);
 	/* the next leaves them alone */
-	t1 = shelf(c, &x, w, p, "t1");
+	t1 = cache_namespace(c, &x, w, p, "t1");
 	while (records(&s)->number < 2)
 		load(&s, &rng, 500, 50, 1);
 	load(&s, &rng, 2000, 50, 1);
-	assert_string_not_equal(shelf(c, &x, w, p, "t1"), t1);
-	assert_string_equal(shelf(c, &x, w, p, "t2"), t2);
+	assert_string_not_equal(cache_namespace(c, &x, w, p, "t1"), t1);
+	assert_string_equal(cache_namespace(c, &x, w, p, "t2"), t2);
 	/* of a lane: what the tenant of a row has there goes too, what it has elsewhere stays */
-	t1 = shelf(c, &x, w, p, "t1");
+	t1 = cache_namespace(c, &x, w, p, "t1");
 	assert_true(clear_now(&s, "arrears/t1", 9000) > 0);
 	sim_run(&s, 2000, NULL);
-	assert_string_not_equal(shelf(c, &x, w, p, "t1"), t1);
-	assert_string_not_equal(shelf(c, &x, w, p, "t2"), t2); /* that scope has no row: all common shelves */
+	assert_string_not_equal(cache_namespace(c, &x, w, p, "t1"), t1);
+	assert_string_not_equal(cache_namespace(c, &x, w, p, "t2"), t2); /* that scope has no row: all common cache namespaces */
 	/* its row goes and comes back: nothing of before is found again */
-	t1 = shelf(c, &x, w, p, "t1");
+	t1 = cache_namespace(c, &x, w, p, "t1");
 	must_change(&s, "{\"del\":[{\"kind\":\"retention\",\"name\":\"*/t1\"}]}", 12000);
 	sim_run(&s, 2000, NULL);
-	assert_string_equal(shelf(c, &x, w, p, "t1"), shelf(c, &x, w, p, "t2"));
+	assert_string_equal(cache_namespace(c, &x, w, p, "t1"), cache_namespace(c, &x, w, p, "t2"));
 	must_change(&s, "{\"set\":[{\"kind\":\"retention\",\"name\":\"*/t1\",\"every\":\"1d\"}]}", 12000);
 	sim_run(&s, 2000, NULL);
-	again = shelf(c, &x, w, p, "t1");
+	again = cache_namespace(c, &x, w, p, "t1");
 	assert_string_not_equal(again, t1);
 	/* slices end alike, so that what prompts share is shared again */
 	x.hash[0] = 12346;
-	assert_string_equal(again, shelf(c, &x, w, p, "t1"));
+	assert_string_equal(again, cache_namespace(c, &x, w, p, "t1"));
 	ok(&s);
 	/* the head of a zone sees in its index what servers still name of before, and nothing else, in a few thousand rows a tick */
-	c->b.sights = 1;
+	c->b.instances = 1;
 	c->f.nup = 0;
 	for (uint64_t i = 0; i < 5000; i++)
 		kept_put(&c->kept, 1000 + i,
-			 &(struct kept_copy){ (uint32_t)(i % 2), 0, 0, 0, 0, ctr_filed_text(i % 1000 == 7 ? t1 : again) });
+			 &(struct kept_copy){ (uint32_t)(i % 2), 0, 0, 0, 0, router_filed_text(i % 1000 == 7 ? t1 : again) });
 	for (int i = 0; i < 200; i++)
-		ctr_retention_tick(c, s.now + s.n[SIM_REGS].skew + 25 * i);
+		router_retention_tick(c, s.now + s.n[SIM_REGS].skew + 25 * i);
 	assert_true(c->f.index);
 	for (ptrdiff_t i = 0; i < arrlen(c->f.left); i++) {
-		assert_true(c->f.left[i].parts == 0 || (c->f.left[i].parts == 5 && c->f.left[i].scope == ctr_filed_text(t1) >> 32 &&
-							c->f.left[i].number == (ctr_filed_text(t1) & UINT32_MAX)));
+		assert_true(c->f.left[i].parts == 0 ||
+			    (c->f.left[i].parts == 5 && c->f.left[i].scope == router_filed_text(t1) >> 32 &&
+			     c->f.left[i].number == (router_filed_text(t1) & UINT32_MAX)));
 		old += c->f.left[i].parts;
 	}
 	assert_int_equal(old, 5);
@@ -629,7 +630,7 @@
 	sim_run(&s, 30000, NULL);
 	ok(&s);
 	assert_true(disks_with(&s, "secret-") >= 2); /* once still means once */
-	sim_run(&s, REG_CLAIM_KEEP + 30000, NULL);
+	sim_run(&s, CONTROLLER_CLAIM_KEEP + 30000, NULL);
 	ok(&s);
 	assert_int_equal(disks_with(&s, "secret-"), 0);
 	assert_int_equal(told_of_content, 0);
--- a/tests/test_clerk.c
+++ b/tests/test_clerk.c
@@ -1,4 +1,4 @@
-/* clerk against a registrar whose answers are lost: one order, one key, until there is a clear answer. */
+/* clerk against a controller whose answers are lost: one order, one key, until there is a clear answer. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -17,7 +17,7 @@
 
 enum { CALLS = 8, REQUEST = 4096, WAIT_S = 30 };
 
-/* A registrar that gives the answers of a script, one a connection; an empty one is lost. */
+/* A controller that gives the answers of a script, one a connection; an empty one is lost. */
 struct registrar {
 	int listener;
 	const char *const *script;
@@ -180,7 +180,7 @@
 	assert_int_equal(clerk("--at nowhere del tenant t", output, sizeof output), 2);
 }
 
-/* A registrar that is gone is not asked for ever: the next address is. */
+/* A controller that is gone is not asked for ever: the next address is. */
 static void the_next_registrar_is_called(void **state)
 {
 	static const char *const script[] = { ANSWER("200 OK", "{\"edition\":3}"), NULL };
--- a/tests/test_connections.c
+++ b/tests/test_connections.c
@@ -14,7 +14,7 @@
 #include <apr_strings.h>
 #include <cmocka.h>
 
-#include "ctr_in.h"
+#include "router_internal.h"
 #include "doc.h"
 #include "ds.h"
 #include "edge.h"
@@ -134,13 +134,13 @@
 	uint64_t seed, rng;
 	struct edge edge;
 	struct proc proc;
-	struct ctr ctr;
+	struct router ctr;
 	struct platform platform;
 	struct request *requests; /* stb_ds */
 	struct run *runs;         /* stb_ds */
 	struct server_conn **server_conns;
 	struct client clients[CLIENTS];
-	uint64_t *follow_tokens; /* stb_ds: askings that the owner has not answered */
+	uint64_t *config_watch_tokens; /* stb_ds: askings that the owner has not answered */
 	uint64_t edition;
 	int64_t owner_silent_until, started, frozen_ms;
 	int honest_ids;   /* ids are used again, and servers send no surplus */
@@ -543,7 +543,7 @@
 }
 
 /* Until when a configuration that was certain when a request was decided on may still send it. */
-static int64_t ctr_fresh_until(void) { return w.ctr.f.fresh + ctr_ride(&w.ctr) + SEND_GRACE_MS; }
+static int64_t router_fresh_until(void) { return w.ctr.f.fresh + router_ride(&w.ctr) + SEND_GRACE_MS; }
 
 /* A request's path is on a wire: from here on it may run. */
 static void note_wire(struct server_conn *s, const char *path, size_t n)
@@ -570,7 +570,7 @@
 			if (q->wires[i].cleared_at > net_sim_now())
 				breach("request %d (%s) was sent a second time; the first may have run (act %d on connection %llu)",
 				       no, q->path, q->wires[i].act, (unsigned long long)q->wires[i].conn);
-	if (net_sim_called() > ctr_fresh_until())
+	if (net_sim_called() > router_fresh_until())
 		breach("request %d (%s) was sent by a configuration that is %lld ms old", no, q->path,
 		       (long long)(net_sim_called() - w.ctr.f.fresh));
 	sum.wires++;
@@ -1098,14 +1098,14 @@
 		if (platform_edge.perform(&w.edge, c))
 			continue;
 		if (c->kind == CMD_SEND && c->u.send.msg->body_case == NL__MSG__BODY_FOLLOW)
-			arrput(w.follow_tokens, c->u.send.msg->follow->token);
+			arrput(w.config_watch_tokens, c->u.send.msg->follow->token);
 	}
 	out_clear(&p->o);
 }
 
-static void core_step(const struct ctr_ev *ev)
+static void core_step(const struct router_ev *ev)
 {
-	ctr_step(&w.ctr, ev, net_sim_now(), &w.proc.o);
+	router_step(&w.ctr, ev, net_sim_now(), &w.proc.o);
 	__wrap_proc_perform(&w.proc);
 }
 
@@ -1119,11 +1119,11 @@
 	return r;
 }
 
-static struct Nl__Sight *instance(apr_pool_t *p, int i)
+static struct Nl__Instance *instance(apr_pool_t *p, int i)
 {
-	struct Nl__Sight *x = apr_palloc(p, sizeof *x);
+	struct Nl__Instance *x = apr_palloc(p, sizeof *x);
 
-	nl__sight__init(x);
+	nl__instance__init(x);
 	x->server = apr_psprintf(p, "i-%d", i);
 	x->service = "pool";
 	x->addr = apr_psprintf(p, "127.1.0.%d:80", i + 1);
@@ -1138,20 +1138,20 @@
 static void owner_answers(uint64_t token)
 {
 	struct Nl__Msg m = NL__MSG__INIT;
-	struct Nl__FollowReply r = NL__FOLLOW_REPLY__INIT;
+	struct Nl__ConfigSyncReply r = NL__CONFIG_SYNC_REPLY__INIT;
 	struct Nl__Row *rows[1 + ROUTES + 2 * TENANTS];
-	struct Nl__Sight *sights[SERVERS];
-	struct ctr_ev ev;
+	struct Nl__Instance *instances[SERVERS];
+	struct router_ev ev;
 	apr_pool_t *p;
 
 	apr_pool_create(&p, w.proc.p);
 	r.token = token;
-	r.licensed = 1;
+	r.has_lease = 1;
 	r.fleet = 7;
 	r.counters = 1;
-	r.edition = r.since = r.sights = 1;
-	if (!w.ctr.book) {
-		r.whole = r.sights_whole = 1;
+	r.edition = r.since = r.instances = 1;
+	if (!w.ctr.route_table) {
+		r.whole = r.instances_whole = 1;
 		rows[0] = row(p, NL__KIND__SERVICE, "pool");
 		rows[0]->weights = "w1";
 		rows[0]->prefill = 20;
@@ -1168,7 +1168,7 @@
 			l->resumable = routes[i].resumable;
 		}
 		for (int i = 0; i < SERVERS; i++)
-			sights[i] = instance(p, i);
+			instances[i] = instance(p, i);
 		r.set = rows;
 		for (int i = 0; i < TENANTS; i++) {
 			char hex[65];
@@ -1180,15 +1180,15 @@
 			at[1]->tenant = at[0]->name;
 		}
 		r.n_set = 1 + ROUTES + 2 * TENANTS;
-		r.sight = sights;
-		r.n_sight = SERVERS;
+		r.instance = instances;
+		r.n_instance = SERVERS;
 	}
 	m.speak = CORE_SPEAK;
 	m.body_case = NL__MSG__BODY_FOLLOW_REPLY;
 	m.follow_reply = &r;
 	m.addr = m.id = OWNER;
 	memset(&ev, 0, sizeof ev);
-	ev.kind = CTR_MSG;
+	ev.kind = ROUTER_MSG;
 	ev.u.msg = &m;
 	core_step(&ev);
 	apr_pool_destroy(p);
@@ -1196,11 +1196,11 @@
 
 static void owner_turn(void)
 {
-	uint64_t *tokens = w.follow_tokens;
+	uint64_t *tokens = w.config_watch_tokens;
 
 	if (!arrlen(tokens))
 		return;
-	w.follow_tokens = NULL;
+	w.config_watch_tokens = NULL;
 	for (ptrdiff_t i = 0; net_sim_now() >= w.owner_silent_until && i < arrlen(tokens); i++)
 		owner_answers(tokens[i]);
 	arrfree(tokens);
@@ -1219,8 +1219,8 @@
 	w.started = net_sim_now();
 	apr_pool_create(&w.proc.p, NULL);
 	apr_pool_create(&w.proc.o.p, w.proc.p);
-	ctr_open(&w.ctr, 5, 1005, "z1", &owner, 1, net_sim_now());
-	w.ctr.b.sights = 1;
+	router_open(&w.ctr, 5, 1005, "z1", &owner, 1, net_sim_now());
+	w.ctr.b.instances = 1;
 	w.ctr.b.budget_mille = 1000;
 	w.ctr.b.budget_slack = 60;
 	w.platform.front = "127.0.0.1:8080";
@@ -1235,7 +1235,7 @@
 	for (int i = 0; i < CLIENTS; i++)
 		client_close(&w.clients[i]);
 	platform_edge.close(&w.edge);
-	ctr_close(&w.ctr);
+	router_close(&w.ctr);
 	arrfree(w.proc.o.v);
 	apr_pool_destroy(w.proc.p);
 	net_sim_close();
@@ -1250,7 +1250,7 @@
 	for (ptrdiff_t i = 0; i < arrlen(w.requests); i++)
 		arrfree(w.requests[i].wires);
 	arrfree(w.requests);
-	arrfree(w.follow_tokens);
+	arrfree(w.config_watch_tokens);
 	arrfree(w.script);
 }
 
@@ -1259,7 +1259,7 @@
 	int64_t end = net_sim_now() + ms, tick = 0;
 
 	while (net_sim_now() < end && !w.bad[0]) {
-		struct ctr_ev ev = { .kind = CTR_TICK };
+		struct router_ev ev = { .kind = ROUTER_TICK };
 
 		net_sim_advance((int64_t)dice(5));
 		if (ask && !dice(600)) {
@@ -1272,7 +1272,7 @@
 		if (ask && !dice(1500))
 			w.owner_silent_until = net_sim_now() + (int64_t)dice(6000);
 		for (int i = 0; i < CLIENTS; i++)
-			client_turn(&w.clients[i], ask && w.ctr.book);
+			client_turn(&w.clients[i], ask && w.ctr.route_table);
 		platform_edge.wait(&w.edge, 0);
 		if (net_sim_now() - tick >= TICK_MS) {
 			tick = net_sim_now();
@@ -1302,7 +1302,7 @@
 	if (arrlen(w.ctr.all))
 		return;
 	for (ptrdiff_t i = 0; i < arrlen(w.ctr.sv); i++) {
-		const struct ctr_server *v = &w.ctr.sv[i];
+		const struct router_server *v = &w.ctr.sv[i];
 
 		if (v->own || v->ahead || v->tokens)
 			breach("server %d: %d requests, %u tokens ahead, %llu tokens are left over", (int)i, v->own, v->ahead,
@@ -1359,7 +1359,7 @@
 	world_open(seed);
 	w.honest_ids = 0;
 	play(500, 0);
-	assert_non_null(w.ctr.book);
+	assert_non_null(w.ctr.route_table);
 }
 
 static void quiet_end(uint64_t seed)
@@ -1483,7 +1483,7 @@
 	quiet_world(1);
 	assert_int_equal(readiness(), 200);
 	w.owner_silent_until = net_sim_now() + 20000;
-	play(ctr_ride(&w.ctr) + 200, 0);
+	play(router_ride(&w.ctr) + 200, 0);
 	assert_int_equal(readiness(), 503);
 	w.owner_silent_until = 0;
 	play(1000, 0);
@@ -1506,7 +1506,7 @@
 	(void)st;
 	quiet_world(1);
 	w.owner_silent_until = net_sim_now() + 60000;
-	play(ctr_ride(&w.ctr) + 200, 0);
+	play(router_ride(&w.ctr) + 200, 0);
 	no = ask_scripted(ROUTE_ONCE, NULL, 0, DRAIN_MS);
 	assert_int_equal(arrlen(w.requests[no].wires), 0);
 	assert_int_equal(w.requests[no].told, 1);
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -76,7 +76,7 @@
 	}
 }
 
-/* Kill any one registrar at any time: nothing acknowledged is lost, service is back within 12 s. */
+/* Kill any one controller at any time: nothing acknowledged is lost, service is back within 12 s. */
 static void one_registrar_lost(void **st)
 {
 	int64_t worst = 0;
@@ -102,7 +102,7 @@
 			worst = s.now - from;
 		assert_true(s.n[sim_owner(&s, SHARD_CONTROL)].r->ctl.edition > e);
 		assert_non_null(table_get(&s.n[sim_owner(&s, SHARD_CONTROL)].r->ctl, NL__KIND__TENANT, "rumah"));
-		/* the group mends itself with the fourth registrar, then the lost one comes back */
+		/* the group mends itself with the fourth controller, then the lost one comes back */
 		sim_run(&s, 15000, NULL);
 		ok(&s);
 		sim_start(&s, victim);
@@ -115,7 +115,7 @@
 	print_message("one registrar lost: service back after at most %lld ms of virtual time\n", (long long)worst);
 }
 
-/* All registrars lose power at the moment a change is acknowledged: it is there when they are back, within 12 s. */
+/* All controllers lose power at the moment a change is acknowledged: it is there when they are back, within 12 s. */
 static void all_registrars_lose_power(void **st)
 {
 	int64_t worst = 0;
@@ -158,7 +158,7 @@
 	return 1;
 }
 
-/* Who fell together owes no promise to an owner that fell too: every part is owned well before a licence would have ended. */
+/* Who fell together owes no promise to an owner that fell too: every part is owned well before a lease would have ended. */
 static void who_fell_together_wait_for_nobody(void **st)
 {
 	int64_t worst = 0;
@@ -241,7 +241,7 @@
 }
 
 /* One member and the owner do not hear each other, and it asks for votes; the other, who does, keeps its promise, also when it
- * falls and is back at once: never two licensed owners. */
+ * falls and is back at once: never two has_lease owners. */
 static void promises_outlast_a_restart(void **st)
 {
 	(void)st;
@@ -422,7 +422,7 @@
 				fail_msg("seed %llu: part %u has no owner 12 s after the last fault", (unsigned long long)seed, i);
 		/* all horizons reach the publisher's, all tables agree */
 		for (int i = 0; i < 4; i++) {
-			struct reg *pub = s.n[sim_owner(&s, SHARD_PURGE)].r, *me = s.n[i].r;
+			struct controller *pub = s.n[sim_owner(&s, SHARD_PURGE)].r, *me = s.n[i].r;
 
 			assert_true(me->relay.k.horizon + 10 >= pub->tick);
 			assert_true(me->f.t.edition == s.n[sim_owner(&s, SHARD_CONTROL)].r->ctl.edition);
--- a/tests/test_data.c
+++ b/tests/test_data.c
@@ -1,4 +1,4 @@
-/* The whole fleet under seeded virtual time: callers, counters, registrars, servers, and every fault. */
+/* The whole fleet under seeded virtual time: callers, counters, controllers, servers, and every fault. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -131,7 +131,7 @@
 		uint64_t rng = seed * 31;
 		char body[400], hex[65];
 		int64_t named;
-		int giver;
+		int rollout;
 
 		sim_deploy(&s, seed, 4, 3, 6);
 		ok(&s);
@@ -152,9 +152,9 @@
 		s.sv[0].departed = s.now;
 		load(&s, &rng, 5000, 20, 3);
 		/* remove the key of t2, with a counter cut off and another frozen meanwhile */
-		/* the first hears all registrars but the configuration's owner: it could claim and send, but not know */
-		giver = sim_owner(&s, SHARD_CONTROL);
-		s.link_cut[giver][SIM_REGS] = 1;
+		/* the first hears all controllers but the configuration's owner: it could claim and send, but not know */
+		rollout = sim_owner(&s, SHARD_CONTROL);
+		s.link_cut[rollout][SIM_REGS] = 1;
 		sim_freeze(&s, SIM_REGS + 1, 1);
 		snprintf(body, sizeof body, "{\"del\":[{\"kind\":\"key\",\"name\":\"%s\"}]}", sim_key(2, hex));
 		must_change(&s, body, 12000);
@@ -172,9 +172,9 @@
 		    12000);
 		named = s.now;
 		load(&s, &rng, 1000, 20, 3);
-		giver = sim_owner(&s, core_part_of("repairs", SHARD_SERVICES)); /* and the giver dies in the middle */
-		if (giver >= 0)
-			sim_crash(&s, giver, 0);
+		rollout = sim_owner(&s, core_part_of("repairs", SHARD_SERVICES)); /* and the rollout dies in the middle */
+		if (rollout >= 0)
+			sim_crash(&s, rollout, 0);
 		load(&s, &rng, 2000, 20, 3);
 		s.sv[4].up = 1;
 		while (strcmp(s.sv[1].weights, "w2") || strcmp(s.sv[4].weights, "w2")) {
@@ -254,7 +254,7 @@
 				}
 				break;
 			case 9: s.jitter = (int)(core_rand(&rng) % 100); break;
-			case 10: s.link_cut[r][core_rand(&rng) % 11] ^= 1; break; /* one way, from a registrar to any */
+			case 10: s.link_cut[r][core_rand(&rng) % 11] ^= 1; break; /* one way, from a controller to any */
 			default:
 				snprintf(
 				    body, sizeof body,
@@ -314,7 +314,7 @@
 		      (long long)v[n * 95 / 100], (long long)v[n - 1], (unsigned long long)n);
 }
 
-/* New weights for one service of six servers that load for 1 to 8 s, under load: its giver dies at any moment of the
+/* New weights for one service of six servers that load for 1 to 8 s, under load: its rollout dies at any moment of the
  * roll-out, or a server dies and is back, or both, or another naming overtakes. All have them within 25 s. */
 static void weights_reach_every_server(void **st)
 {
@@ -332,14 +332,14 @@
 			struct sim s;
 			uint64_t rng = seed * 131 + (uint64_t)mode;
 			const char *want = mode == 4 ? "w3" : "w2";
-			int64_t named, giver_at, server_at;
-			int dead = 1 + 3 * (int)(core_rand(&rng) % 6), on = 0, giver = -1, gone = 0;
+			int64_t named, rollout_at, server_at;
+			int dead = 1 + 3 * (int)(core_rand(&rng) % 6), on = 0, rollout = -1, gone = 0;
 
 			sim_deploy(&s, seed, 4, 2, 18);
 			ok(&s);
 			s.load_ms = 1000 + (int)(seed % 8) * 1000;
 			s.jitter = (int)(core_rand(&rng) % 40);
-			sim_run(&s, 6000, NULL); /* the giver's hold-off is over */
+			sim_run(&s, 6000, NULL); /* the rollout's hold-off is over */
 			must_change(
 			    &s,
 			    "{\"set\":[{\"kind\":\"service\",\"name\":\"repairs\",\"weights\":\"w2\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000}]}",
@@ -352,15 +352,15 @@
 				    12000);
 			}
 			named = s.now;
-			giver_at = mode % 2 || mode == 4 ? named + (int64_t)(core_rand(&rng) % 15000) : INT64_MAX;
+			rollout_at = mode % 2 || mode == 4 ? named + (int64_t)(core_rand(&rng) % 15000) : INT64_MAX;
 			server_at = mode == 2 || mode == 3 ? named + (int64_t)(core_rand(&rng) % 5000) : INT64_MAX;
 			while (on < 6) {
 				int up = 0;
 
 				load(&s, &rng, 100, 60, 2);
-				if (s.now >= giver_at && giver < 0 &&
-				    (giver = sim_owner(&s, core_part_of("repairs", SHARD_SERVICES))) >= 0)
-					sim_crash(&s, giver, 0);
+				if (s.now >= rollout_at && rollout < 0 &&
+				    (rollout = sim_owner(&s, core_part_of("repairs", SHARD_SERVICES))) >= 0)
+					sim_crash(&s, rollout, 0);
 				if (s.now >= server_at && !gone) {
 					gone = 1;
 					s.sv[dead].up = 0;
@@ -555,7 +555,7 @@
 		for (int i = 0; i < 4; i++)
 			sim_crash(s, i, 0);
 		break;
-	case L_ZONE: /* all that stands in one zone: a registrar, counters, servers */
+	case L_ZONE: /* all that stands in one zone: a controller, counters, servers */
 		sim_crash(s, r, 0);
 		for (int i = SIM_REGS; i < SIM_NODES; i++)
 			if (s->n[i].used && !strcmp(s->n[i].zone, s->n[r].zone))
@@ -968,7 +968,7 @@
 	for (int odd = 1; odd <= 4; odd++) {
 		struct sim s;
 		uint64_t rng = 5;
-		struct ctr *c;
+		struct router *c;
 		ptrdiff_t tenants;
 
 		sim_deploy(&s, 5, 3, 1, 6);
@@ -979,7 +979,7 @@
 		load(&s, &rng, 12000, 20, 1);
 		all_told(&s);
 		assert_int_equal(arrlen(c->tenants.name), tenants);
-		assert_true(arrlen(c->weights.name) <= CTR_WEIGHTS);
+		assert_true(arrlen(c->weights.name) <= ROUTER_WEIGHTS);
 		assert_int_equal(s.n_odd, odd < 4 ? 3 : 0);
 		assert_int_equal(s.n_unknown, 0);
 		assert_true(s.n_whole > 400);
@@ -1014,9 +1014,9 @@
 	sim_ask(&s, SIM_REGS, "late", 0, "arrears", 0);
 	sim_run(&s, 20, NULL);
 	assert_int_equal(s.x[12].told, SIM_REFUSED);
-	assert_false(ctr_idle(s.n[SIM_REGS].c));
+	assert_false(router_idle(s.n[SIM_REGS].c));
 	all_told(&s);
-	assert_true(ctr_idle(s.n[SIM_REGS].c));
+	assert_true(router_idle(s.n[SIM_REGS].c));
 	for (int i = 1; i < 11; i++)
 		assert_int_equal(s.x[i].told, SIM_WHOLE);
 	assert_int_equal(s.x[11].began, 0); /* it left while it waited: never sent */
@@ -1070,7 +1070,7 @@
 	for (ptrdiff_t i = from; i < arrlen(s->x); i++)
 		if (s->x[i].told == SIM_REFUSED) {
 			arrput(v, s->x[i].told_at - s->x[i].asked_at);
-			assert_true(s->x[i].retry_ms >= CTR_RETRY);
+			assert_true(s->x[i].retry_ms >= ROUTER_RETRY);
 			differ += s->x[i].retry_ms != s->x[from].retry_ms;
 		}
 	assert_true(differ * 2 > arrlen(v));
@@ -1129,8 +1129,8 @@
 				whole += s.x[i].told == SIM_WHOLE;
 				late += s.x[i].told == SIM_REFUSED && s.x[i].told_at - s.x[i].asked_at >= s.limit_ms;
 				if (mode < 2 && s.x[i].told == SIM_REFUSED &&
-				    s.x[i].told_at > fault + CTR_REPORT + CTR_RIDE + 500 &&
-				    s.x[i].told_at - s.x[i].asked_at > (mode ? CTR_RIDE + 100 : 100))
+				    s.x[i].told_at > fault + ROUTER_REPORT + ROUTER_RIDE + 500 &&
+				    s.x[i].told_at - s.x[i].asked_at > (mode ? ROUTER_RIDE + 100 : 100))
 					fail_msg("seed %llu: %s was held for %lld ms", (unsigned long long)seed, s.x[i].id,
 						 (long long)(s.x[i].told_at - s.x[i].asked_at));
 			}
@@ -1311,7 +1311,7 @@
 	assert_true(s.now - from < 3000);
 	ok(&s);
 	{ /* and each once: asked again, the feeds say the same, and nothing is published anew */
-		struct reg_pub *pub = &s.n[sim_owner(&s, SHARD_PURGE)].r->pub;
+		struct controller_pub *pub = &s.n[sim_owner(&s, SHARD_PURGE)].r->pub;
 		uint64_t sum = 0, later = 0;
 
 		for (ptrdiff_t i = 0; i < hmlen(pub->last.h); i++)
@@ -1333,7 +1333,7 @@
 	for (int k = 0; k < 3; k++) {
 		static const int size[] = { 9, 30, 100 };
 		struct sim s;
-		struct reg *pub;
+		struct controller *pub;
 		uint64_t from, horizon, worst = UINT64_MAX, inc, looks = 0;
 		int node;
 
@@ -1342,7 +1342,7 @@
 		sim_run(&s, 5000, NULL);
 		node = sim_owner(&s, SHARD_PURGE);
 		pub = s.n[node].r;
-		assert_true(arrlen(pub->relay.down) <= 4 + 3); /* a relay a zone, and the other registrars */
+		assert_true(arrlen(pub->relay.down) <= 4 + 3); /* a relay a zone, and the other controllers */
 		from = s.by_body[NL__MSG__BODY_KNOWLEDGE];
 		inc = pub->relay.n_inc;
 		horizon = pub->tick;
--- a/tests/test_doc.c
+++ b/tests/test_doc.c
@@ -323,7 +323,7 @@
 	for (int i = 0; i < 2; i++) {
 		char *a = many(sizes[i], 1), *b = many(sizes[i], 2);
 		double t0, t1, t2, t3, t4;
-		struct Nl__FollowReply rep = NL__FOLLOW_REPLY__INIT;
+		struct Nl__ConfigSyncReply rep = NL__CONFIG_SYNC_REPLY__INIT;
 		struct Nl__Purge **feed = NULL;
 		struct Nl__Change c;
 		struct table t;
@@ -381,14 +381,14 @@
 	return sim_answer(s, t);
 }
 
-/* n registrars over a few zones, founded by the settings of the first. */
+/* n controllers over a few zones, founded by the settings of the first. */
 static void fleet(struct sim *s, uint64_t seed, int n, int zones, int copies)
 {
 	uint64_t seeds[3];
 	char buf[32];
 
 	sim_open(s, seed);
-	s->tongue = &platform_tongue;
+	s->codec = &platform_tongue;
 	s->copies = copies;
 	s->catch_up_ms = 4000;
 	for (int i = 0; i < 3; i++) {
@@ -399,7 +399,7 @@
 		snprintf(buf, sizeof buf, "z%d", i % zones + 1);
 		sim_registrar(s, buf, seeds, 3);
 	}
-	reg_found(s->n[0].r, s->now + s->n[0].skew);
+	controller_bootstrap(s->n[0].r, s->now + s->n[0].skew);
 }
 
 /* Each part is owned, and has so many voting members, each of which is up. */
@@ -444,7 +444,7 @@
 	return s->now - from;
 }
 
-/* A call as the operator makes it: follows twice, goes on to another registrar after a 5xx or a second of silence. */
+/* A call as the operator makes it: follows twice, goes on to another controller after a 5xx or a second of silence. */
 struct call {
 	uint64_t base, version, token;
 	int patch, node, hops, busy, status;
@@ -548,13 +548,13 @@
 	fleet(&s, 1, 3, 3, 3);
 	took = until_whole(&s, 3, 5000);
 	print_message("a fleet of three stands %lld ms after its start\n", (long long)took);
-	sim_run(&s, 1000, NULL);                  /* the fleet stands before its founder has heard each seed say so */
-	reg_found(s.n[0].r, s.now + s.n[0].skew); /* again: it belongs to one */
+	sim_run(&s, 1000, NULL);                             /* the fleet stands before its founder has heard each seed say so */
+	controller_bootstrap(s.n[0].r, s.now + s.n[0].skew); /* again: it belongs to one */
 	assert_int_equal(s.n[0].r->found.own, 0);
 	sim_crash(&s, 0, 1); /* the first seed loses its disk, and its settings still say so */
 	sim_run(&s, 3000, NULL);
 	sim_start(&s, 0);
-	reg_found(s.n[0].r, s.now + s.n[0].skew);
+	controller_bootstrap(s.n[0].r, s.now + s.n[0].skew);
 	until_whole(&s, 3, 15000);
 	for (int i = 0; i < 3; i++)
 		assert_int_equal(s.n[i].r->fleet, s.n[1].r->fleet);
@@ -568,7 +568,7 @@
 		seeds[i] = core_addr(buf);
 	}
 	sim_registrar(&s, "z1", seeds, 3);
-	reg_found(s.n[0].r, s.now + s.n[0].skew);
+	controller_bootstrap(s.n[0].r, s.now + s.n[0].skew);
 	sim_run(&s, 40000, NULL);
 	assert_int_equal(s.n[0].r->fleet, 0);
 	sim_registrar(&s, "z2", seeds, 3);
@@ -594,7 +594,7 @@
 	(void)st;
 	fleet(&s, 3, 4, 4, 3);
 	until_whole(&s, 3, 5000);
-	sim_run(&s, 3000, NULL); /* the registrars' own rows are in */
+	sim_run(&s, 3000, NULL); /* the controllers' own rows are in */
 	{
 		struct call c = { 0 };
 
@@ -964,7 +964,7 @@
 	int o = sim_owner(s, SHARD_CONTROL);
 
 	apr_pool_create(&p, NULL);
-	a = reg_state(s->n[o].r, SHARD_CONTROL, p, &n);
+	a = controller_state(s->n[o].r, SHARD_CONTROL, p, &n);
 	for (int i = 0; i < regs(s); i++) {
 		const struct raft *q = &s->n[i].r->part[SHARD_CONTROL];
 		uint8_t *b;
@@ -983,7 +983,7 @@
 			}
 		if (q->applied != s->n[o].r->part[SHARD_CONTROL].applied || !q->member_count)
 			continue;
-		b = reg_state(s->n[i].r, SHARD_CONTROL, p, &m);
+		b = controller_state(s->n[i].r, SHARD_CONTROL, p, &m);
 		assert_int_equal(n, m);
 		assert_memory_equal(a, b, n);
 	}
@@ -1163,7 +1163,7 @@
 	sim_close(&s);
 }
 
-/* Of registrars that stand in three zones in turn, no part has more than two members in one. */
+/* Of controllers that stand in three zones in turn, no part has more than two members in one. */
 static int spread_out(struct sim *s, int n)
 {
 	for (uint32_t i = 0; i < SHARD_COUNT; i++) {
@@ -1268,7 +1268,7 @@
 	assert_true(worst <= 4000);
 }
 
-/* With fewer registrars than copies wanted there are as many as there are; never fewer than three. */
+/* With fewer controllers than copies wanted there are as many as there are; never fewer than three. */
 static void as_many_copies_as_registrars(void **st)
 {
 	struct sim s;
@@ -1311,7 +1311,7 @@
 		snprintf(buf, sizeof buf, "z%d", i < 3 ? 1 : i);
 		sim_registrar(&s, buf, seeds, 3);
 	}
-	reg_found(s.n[0].r, s.now + s.n[0].skew);
+	controller_bootstrap(s.n[0].r, s.now + s.n[0].skew);
 	until_whole(&s, 3, 5000);
 	sim_run(&s, 8000, NULL);
 	until_whole(&s, 3, 5000);
@@ -1342,7 +1342,7 @@
 	sim_run(&s, 8000, NULL);
 	o = sim_owner(&s, SHARD_CONTROL);
 	assert_int_equal(shlen(s.n[o].r->limit), 0);
-	follow_hold(&s.n[SIM_REGS].c->f, "t1")->want = 1;
+	config_watch_hold(&s.n[SIM_REGS].c->f, "t1")->want = 1;
 	sim_run(&s, 1000, NULL);
 	assert_int_equal(shlen(s.n[o].r->limit), 0);
 	ok(&s);
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -10,7 +10,7 @@
 #include <apr_strings.h>
 #include <cmocka.h>
 
-#include "ctr_in.h"
+#include "router_internal.h"
 #include "ds.h"
 #include "sim_forward.h"
 
@@ -603,7 +603,7 @@
 /* ---- a counter by itself --------------------------------------------------------------------- */
 
 struct solo {
-	struct ctr c;
+	struct router c;
 	struct out o;
 	apr_pool_t *p;
 	int64_t now;
@@ -618,40 +618,41 @@
 	apr_pool_create(&s->p, NULL);
 	apr_pool_create(&s->o.p, s->p);
 	s->now = 1000000;
-	ctr_open(&s->c, id, id + 1000, "z1", &seed, 1, s->now);
-	s->c.b.sights = 1;
+	router_open(&s->c, id, id + 1000, "z1", &seed, 1, s->now);
+	s->c.b.instances = 1;
 }
 
 static void solo_close(struct solo *s)
 {
-	ctr_close(&s->c);
+	router_close(&s->c);
 	arrfree(s->o.v);
 	apr_pool_destroy(s->p);
 }
 
-static void solo_step(struct solo *s, const struct ctr_ev *ev) { ctr_step(&s->c, ev, s->now, &s->o); }
+static void solo_step(struct solo *s, const struct router_ev *ev) { router_step(&s->c, ev, s->now, &s->o); }
 static void solo_tick(struct solo *s, int64_t ms)
 {
 	s->now += ms;
-	solo_step(s, &(struct ctr_ev){ .kind = CTR_TICK });
+	solo_step(s, &(struct router_ev){ .kind = ROUTER_TICK });
 }
 
 static void solo_msg(struct solo *s, struct Nl__Msg *m)
 {
-	struct ctr_ev ev;
+	struct router_ev ev;
 
 	memset(&ev, 0, sizeof ev);
-	ev.kind = CTR_MSG;
+	ev.kind = ROUTER_MSG;
 	ev.u.msg = m;
 	m->speak = CORE_SPEAK;
 	solo_step(s, &ev);
 }
 
 /* A whole table, and the servers of a list. */
-static void solo_table(struct solo *s, struct Nl__Row **rows, size_t n, struct Nl__Sight **sights, size_t nsight, uint64_t edition)
+static void solo_table(struct solo *s, struct Nl__Row **rows, size_t n, struct Nl__Instance **instances, size_t nsight,
+		       uint64_t edition)
 {
 	struct Nl__Msg m = NL__MSG__INIT;
-	struct Nl__FollowReply r = NL__FOLLOW_REPLY__INIT;
+	struct Nl__ConfigSyncReply r = NL__CONFIG_SYNC_REPLY__INIT;
 
 	out_clear(&s->o);
 	solo_tick(s, 300);
@@ -659,14 +660,14 @@
 		if (s->o.v[i].kind == CMD_SEND && s->o.v[i].u.send.msg->body_case == NL__MSG__BODY_FOLLOW)
 			r.token = s->o.v[i].u.send.msg->follow->token;
 	assert_true(r.token);
-	r.licensed = r.whole = r.sights_whole = 1;
+	r.has_lease = r.whole = r.instances_whole = 1;
 	r.fleet = 7;
 	r.edition = edition;
 	r.set = rows;
 	r.n_set = n;
-	r.sight = sights;
-	r.n_sight = nsight;
-	r.sights = edition;
+	r.instance = instances;
+	r.n_instance = nsight;
+	r.instances = edition;
 	r.counters = 1;
 	m.body_case = NL__MSG__BODY_FOLLOW_REPLY;
 	m.follow_reply = &r;
@@ -674,7 +675,7 @@
 	m.id = 1;
 	solo_msg(s, &m);
 	out_clear(&s->o);
-	assert_non_null(s->c.book);
+	assert_non_null(s->c.route_table);
 }
 
 static struct Nl__Row *new_row(apr_pool_t *p, Nl__Kind kind, const char *name)
@@ -697,10 +698,10 @@
 }
 
 /* Ask; the exchange as it waits, or NULL with its status. */
-static struct xch *solo_ask(struct solo *s, const char *host, const char *path, const char *id, int *status)
+static struct client_request *solo_ask(struct solo *s, const char *host, const char *path, const char *id, int *status)
 {
-	struct ctr_asking a;
-	struct ctr_ev ev;
+	struct router_asking a;
+	struct router_ev ev;
 
 	memset(&a, 0, sizeof a);
 	memset(&ev, 0, sizeof ev);
@@ -709,7 +710,7 @@
 	a.path = path;
 	a.id = id;
 	a.limit_ms = 60000;
-	ev.kind = CTR_ASKED;
+	ev.kind = ROUTER_ASKED;
 	ev.u.ask = &a;
 	out_clear(&s->o);
 	solo_step(s, &ev);
@@ -717,15 +718,15 @@
 	for (ptrdiff_t i = 0; i < arrlen(s->o.v); i++)
 		if (s->o.v[i].kind == CMD_ANSWER && s->o.v[i].u.answer.token == a.token)
 			*status = s->o.v[i].u.answer.status;
-	return ctr_xch_by(&s->c, a.token);
+	return router_request_by(&s->c, a.token);
 }
 
 static void solo_gone(struct solo *s)
 {
-	struct ctr_ev ev;
+	struct router_ev ev;
 
 	memset(&ev, 0, sizeof ev);
-	ev.kind = CTR_GONE;
+	ev.kind = ROUTER_GONE;
 	ev.u.gone.token = s->token;
 	solo_step(s, &ev);
 }
@@ -792,7 +793,7 @@
 		size_t at = (size_t)snprintf(path, sizeof path, "/");
 		int deep = (int)dice(&d, 8);
 		const char *want;
-		struct xch *x;
+		struct client_request *x;
 
 		snprintf(host, sizeof host, "h%d.example", (int)dice(&d, 13));
 		for (int i = 0; i < deep; i++)
@@ -864,11 +865,11 @@
 	solo_close(&s);
 }
 
-static struct Nl__Sight *new_sight(apr_pool_t *p, int i, const char *service)
+static struct Nl__Instance *new_sight(apr_pool_t *p, int i, const char *service)
 {
-	struct Nl__Sight *x = apr_palloc(p, sizeof *x);
+	struct Nl__Instance *x = apr_palloc(p, sizeof *x);
 
-	nl__sight__init(x);
+	nl__instance__init(x);
 	x->server = apr_psprintf(p, "i-%d", i);
 	x->service = (char *)(uintptr_t)service;
 	x->addr = apr_psprintf(p, "127.1.0.%d:80", i + 1);
@@ -888,7 +889,7 @@
 	for (uint64_t seed = 1; seed <= seeds(20); seed++) {
 		struct solo s[N];
 		struct Nl__Row *rows[1];
-		struct Nl__Sight *sights[SRV];
+		struct Nl__Instance *instances[SRV];
 		uint64_t d = seed * 13;
 		int loss = seed % 3 == 0 ? 300 : seed % 3 == 1 ? 50 : 0, off = (int)dice(&d, N);
 
@@ -896,15 +897,15 @@
 			solo_open(&s[i], (uint64_t)i + 1);
 			rows[0] = new_service(s[i].p, "pool");
 			for (int k = 0; k < SRV; k++)
-				sights[k] = new_sight(s[i].p, (k + i) % SRV, "pool"); /* each knows them by other numbers */
-			solo_table(&s[i], rows, 1, sights, SRV, 1);
+				instances[k] = new_sight(s[i].p, (k + i) % SRV, "pool"); /* each knows them by other numbers */
+			solo_table(&s[i], rows, 1, instances, SRV, 1);
 		}
 		for (int round = 0; round < 400; round++) {
 			int quiet = round >= 300, lose = quiet ? 0 : loss;
 
 			for (int i = 0; i < N; i++) {
 				int zone = i % ZONES, head = i < ZONES;
-				struct ctr *c = &s[i].c;
+				struct router *c = &s[i].c;
 
 				c->f.fresh = s[i].now;
 				c->zone_hash = (uint64_t)zone + 1;
@@ -975,7 +976,7 @@
 	for (uint64_t seed = 1; seed <= seeds(10); seed++) {
 		struct solo s;
 		struct Nl__Row *rows[1];
-		struct Nl__Sight *sights[SRV];
+		struct Nl__Instance *instances[SRV];
 		uint64_t d = seed * 7, epoch[SRV] = { 1, 1, 1 }, next[SRV] = { 1, 1, 1 };
 		int have[SRV][SHELVES][IDS];
 
@@ -983,8 +984,8 @@
 		solo_open(&s, 5);
 		rows[0] = new_service(s.p, "pool");
 		for (int k = 0; k < SRV; k++)
-			sights[k] = new_sight(s.p, k, "pool");
-		solo_table(&s, rows, 1, sights, SRV, 1);
+			instances[k] = new_sight(s.p, k, "pool");
+		solo_table(&s, rows, 1, instances, SRV, 1);
 		for (int round = 0; round < 600; round++) {
 			struct Nl__Msg m = NL__MSG__INIT;
 			struct Nl__KeptAll words = NL__KEPT_ALL__INIT;
@@ -1002,14 +1003,14 @@
 			k.epoch = epoch[v];
 			k.next = next[v] += (uint64_t)n;
 			for (int i = 0; i < n; i++) {
-				int shelf = (int)dice(&d, SHELVES), id = (int)dice(&d, IDS);
+				int cache_namespace = (int)dice(&d, SHELVES), id = (int)dice(&d, IDS);
 
 				nl__kept_event__init(&e[i]);
-				e[i].shelf = shelf ? "w1-a" : "w1-b";
+				e[i].cache_namespace = cache_namespace ? "w1-a" : "w1-b";
 				e[i].id = (uint64_t)id + 1;
 				e[i].gone = dice(&d, 3) == 0;
 				e[i].tokens = 10;
-				have[v][shelf][id] = !e[i].gone;
+				have[v][cache_namespace][id] = !e[i].gone;
 				list[i] = &e[i];
 			}
 			k.e = list;
@@ -1024,8 +1025,9 @@
 			for (int x = 0; x < SRV; x++)
 				for (int h = 0; h < SHELVES; h++)
 					for (int i = 0; i < IDS; i++) {
-						struct kept_copy *c = kept_get(
-						    &s.c.kept, ctr_kept_key(core_hashs(0, h ? "w1-a" : "w1-b"), (uint64_t)i + 1));
+						struct kept_copy *c =
+						    kept_get(&s.c.kept,
+							     router_kept_key(core_hashs(0, h ? "w1-a" : "w1-b"), (uint64_t)i + 1));
 						int there = 0;
 
 						for (ptrdiff_t q = 0; q < arrlen(c); q++)
@@ -1035,9 +1037,9 @@
 					}
 			assert_int_equal(s.c.kept.n, all);
 		}
-		sights[0]->state = SIGHT_GONE; /* what a life kept goes with it */
-		sights[0]->stamp = 2;
-		solo_table(&s, rows, 1, sights, SRV, 2);
+		instances[0]->state = INSTANCE_GONE; /* what a life kept goes with it */
+		instances[0]->stamp = 2;
+		solo_table(&s, rows, 1, instances, SRV, 2);
 		for (ptrdiff_t i = 0; i < hmlen(s.c.kept.h); i++)
 			for (ptrdiff_t q = 0; q < arrlen(s.c.kept.h[i].value); q++)
 				assert_int_not_equal(s.c.kept.h[i].value[q].server, names_find(&s.c.servers, "i-0"));
@@ -1045,14 +1047,14 @@
 	}
 }
 
-static const char *shelf_of(struct solo *s, uint32_t service, uint32_t weights, uint32_t tenant)
+static const char *cache_namespace_of(struct solo *s, uint32_t service, uint32_t weights, uint32_t tenant)
 {
-	struct xch x;
+	struct client_request x;
 
 	memset(&x, 0, sizeof x);
 	x.service = service;
 	x.tenant = tenant;
-	return ctr_shelf(&s->c, &x, weights, s->p);
+	return router_cache_namespace(&s->c, &x, weights, s->p);
 }
 
 /* A counter that has been cut off for too long hears that a first piece has gone on: its caller has a head, and is owed an
@@ -1062,9 +1064,9 @@
 	for (int how = 0; how < 2; how++) {
 		struct solo s;
 		struct Nl__Row *rows[2];
-		struct Nl__Sight *sight;
-		struct ctr_ev ev;
-		struct ctr_ended e;
+		struct Nl__Instance *instance;
+		struct router_ev ev;
+		struct router_ended e;
 		uint64_t call = 0;
 		int status, ends = 0, answers = 0;
 
@@ -1077,26 +1079,26 @@
 		rows[1]->path = "/";
 		rows[1]->limit = 10;
 		rows[1]->open = 1;
-		sight = new_sight(s.p, 1, "pool");
-		solo_table(&s, rows, 2, &sight, 1, 1);
+		instance = new_sight(s.p, 1, "pool");
+		solo_table(&s, rows, 2, &instance, 1, 1);
 		assert_non_null(solo_ask(&s, "h", "/x", "id", &status));
 		for (ptrdiff_t i = 0; i < arrlen(s.o.v); i++)
 			if (s.o.v[i].kind == CMD_FORWARD)
 				call = s.o.v[i].u.forward->call;
 		assert_true(call);
 		out_clear(&s.o);
-		s.now += CTR_RIDE + 1000;
+		s.now += ROUTER_RIDE + 1000;
 		memset(&ev, 0, sizeof ev);
 		memset(&e, 0, sizeof e);
 		if (how) {
 			e.token = call;
-			e.how = CTR_BROKE;
+			e.how = ROUTER_BROKE;
 			e.status = 200;
 			e.began = 1;
-			ev.kind = CTR_ENDED;
+			ev.kind = ROUTER_ENDED;
 			ev.u.ended = &e;
 		} else {
-			ev.kind = CTR_BEGAN;
+			ev.kind = ROUTER_BEGAN;
 			ev.u.began.token = call;
 		}
 		solo_step(&s, &ev);
@@ -1119,15 +1121,15 @@
 	return 0;
 }
 
-static void solo_ended(struct solo *s, uint64_t call, enum ctr_end how, int status)
+static void solo_ended(struct solo *s, uint64_t call, enum router_end how, int status)
 {
-	struct ctr_ended e = { .token = call, .how = how, .status = status };
-	struct ctr_ev ev = { .kind = CTR_ENDED };
+	struct router_ended e = { .token = call, .how = how, .status = status };
+	struct router_ev ev = { .kind = ROUTER_ENDED };
 
 	ev.u.ended = &e;
 	out_clear(&s->o);
 	solo_step(s, &ev);
-	for (int i = 0; how != CTR_WHOLE && i < 4; i++) /* it may wait in its line before it is sent again */
+	for (int i = 0; how != ROUTER_WHOLE && i < 4; i++) /* it may wait in its line before it is sent again */
 		solo_tick(s, 60);
 }
 
@@ -1136,7 +1138,7 @@
 {
 	struct solo s;
 	struct Nl__Row *rows[4];
-	struct Nl__Sight *sights[4];
+	struct Nl__Instance *instances[4];
 	int status;
 
 	(void)st;
@@ -1150,25 +1152,25 @@
 		rows[2 + i]->limit = 10;
 		rows[2 + i]->open = 1;
 		rows[2 + i]->attempts = 4;
-		sights[2 * i] = new_sight(s.p, 1 + 2 * i, rows[i]->name);
-		sights[2 * i + 1] = new_sight(s.p, 2 + 2 * i, rows[i]->name);
+		instances[2 * i] = new_sight(s.p, 1 + 2 * i, rows[i]->name);
+		instances[2 * i + 1] = new_sight(s.p, 2 + 2 * i, rows[i]->name);
 	}
-	solo_table(&s, rows, 4, sights, 4, 1);
+	solo_table(&s, rows, 4, instances, 4, 1);
 	for (int i = 0; i < 30; i++) {
 		assert_non_null(solo_ask(&s, "busy", "/x", "id", &status));
-		solo_ended(&s, solo_sent(&s), CTR_WHOLE, 200);
+		solo_ended(&s, solo_sent(&s), ROUTER_WHOLE, 200);
 	}
 	for (int i = 0; i < 2; i++) {
 		assert_non_null(solo_ask(&s, i ? "idle" : "busy", "/x", "id", &status));
-		solo_ended(&s, solo_sent(&s), CTR_NEVER, 503);
+		solo_ended(&s, solo_sent(&s), ROUTER_NEVER, 503);
 		assert_true(solo_sent(&s)); /* a first resend is free to each */
-		solo_ended(&s, solo_sent(&s), CTR_NEVER, 503);
+		solo_ended(&s, solo_sent(&s), ROUTER_NEVER, 503);
 		if (i) {
 			assert_false(solo_sent(&s));
 			continue;
 		}
 		assert_true(solo_sent(&s));
-		solo_ended(&s, solo_sent(&s), CTR_WHOLE, 200);
+		solo_ended(&s, solo_sent(&s), ROUTER_WHOLE, 200);
 	}
 	solo_close(&s);
 }
@@ -1184,9 +1186,9 @@
 	for (size_t i = 0; i < sizeof lines / sizeof *lines; i++) {
 		struct solo s;
 		struct Nl__Row *rows[2];
-		struct Nl__Sight *sight;
-		struct ctr_ev ev = { .kind = CTR_PIECE };
-		struct xch *x;
+		struct Nl__Instance *instance;
+		struct router_ev ev = { .kind = ROUTER_PIECE };
+		struct client_request *x;
 		int status;
 
 		solo_open(&s, 5);
@@ -1197,36 +1199,36 @@
 		rows[1]->path = "/";
 		rows[1]->limit = 10;
 		rows[1]->open = 1;
-		sight = new_sight(s.p, 1, "pool");
-		solo_table(&s, rows, 2, &sight, 1, 1);
+		instance = new_sight(s.p, 1, "pool");
+		solo_table(&s, rows, 2, &instance, 1, 1);
 		assert_non_null(x = solo_ask(&s, "h", "/x", "id", &status));
 		x->xid = "send";
 		ev.u.piece.token = solo_sent(&s);
 		ev.u.piece.line = lines[i];
 		out_clear(&s.o);
 		solo_step(&s, &ev);
-		assert_null(ctr_xch_by(&s.c, s.token));
+		assert_null(router_request_by(&s.c, s.token));
 		assert_int_equal(arrlen(s.o.v) ? s.o.v[arrlen(s.o.v) - 1].u.answer.status : 0, 502);
 		solo_close(&s);
 	}
 }
 
-/* The shelf that the newest send names. */
-static const char *solo_shelf(const struct solo *s)
+/* The cache_namespace that the newest send names. */
+static const char *solo_cache_namespace(const struct solo *s)
 {
 	for (ptrdiff_t i = arrlen(s->o.v) - 1; i >= 0; i--)
 		if (s->o.v[i].kind == CMD_FORWARD)
-			return s->o.v[i].u.forward->shelf;
+			return s->o.v[i].u.forward->cache_namespace;
 	return NULL;
 }
 
-/* While withdrawals are not known to be heard of, each send has a shelf of its own, also the second one of a request: what the
+/* While withdrawals are not known to be heard of, each send has a cache_namespace of its own, also the second one of a request: what the
  * first left there may have been withdrawn meanwhile. */
 static void a_cold_shelf_is_of_one_send(void **st)
 {
 	struct solo s;
 	struct Nl__Row *rows[2];
-	struct Nl__Sight *sights[2];
+	struct Nl__Instance *instances[2];
 	char *first;
 	int status;
 
@@ -1241,17 +1243,17 @@
 	rows[1]->open = rows[1]->repeatable = 1;
 	rows[1]->attempts = 3;
 	for (int i = 0; i < 2; i++)
-		sights[i] = new_sight(s.p, 1 + i, "pool");
-	solo_table(&s, rows, 2, sights, 2, 1);
+		instances[i] = new_sight(s.p, 1 + i, "pool");
+	solo_table(&s, rows, 2, instances, 2, 1);
 	assert_false(relay_current(&s.c.relay, s.now)); /* nothing has been heard of withdrawals */
 	assert_non_null(solo_ask(&s, "h", "/x", "id", &status));
-	assert_non_null(solo_shelf(&s));
-	first = apr_pstrdup(s.p, solo_shelf(&s));
-	solo_ended(&s, solo_sent(&s), CTR_BROKE, 0);
+	assert_non_null(solo_cache_namespace(&s));
+	first = apr_pstrdup(s.p, solo_cache_namespace(&s));
+	solo_ended(&s, solo_sent(&s), ROUTER_BROKE, 0);
 	assert_true(solo_sent(&s));
 	assert_int_equal(strncmp(first, "cold-", 5), 0);
-	assert_int_equal(strncmp(solo_shelf(&s), "cold-", 5), 0);
-	assert_string_not_equal(first, solo_shelf(&s));
+	assert_int_equal(strncmp(solo_cache_namespace(&s), "cold-", 5), 0);
+	assert_string_not_equal(first, solo_cache_namespace(&s));
 	solo_close(&s);
 }
 
@@ -1265,7 +1267,7 @@
 			continue;
 		call = s->o.v[i].u.forward->call;
 		arrput(*running, call);
-		served[ctr_xch_by(&s->c, call)->lane == (uint32_t)names_find(&s->c.lanes, "later")]++;
+		served[router_request_by(&s->c, call)->lane == (uint32_t)names_find(&s->c.lanes, "later")]++;
 	}
 }
 
@@ -1275,7 +1277,7 @@
 	enum { ROUNDS = 200 };
 	struct solo s;
 	struct Nl__Row *rows[3];
-	struct Nl__Sight *sight;
+	struct Nl__Instance *instance;
 	uint64_t *running = NULL;
 	int status, served[2] = { 0, 0 };
 
@@ -1290,25 +1292,25 @@
 		rows[1 + i]->limit = ROUNDS;
 		rows[1 + i]->open = 1;
 	}
-	sight = new_sight(s.p, 1, "pool");
-	sight->slots = 2;
-	solo_table(&s, rows, 2, &sight, 1, 1);
+	instance = new_sight(s.p, 1, "pool");
+	instance->slots = 2;
+	solo_table(&s, rows, 2, &instance, 1, 1);
 	for (int i = 0; i < 100; i++) { /* the first lane has had its turns for a while */
 		assert_non_null(solo_ask(&s, "first", "/x", "id", &status));
-		solo_ended(&s, solo_sent(&s), CTR_WHOLE, 200);
+		solo_ended(&s, solo_sent(&s), ROUTER_WHOLE, 200);
 	}
 	for (int i = 0; i < 10; i++) { /* and some of its requests wait */
 		assert_non_null(solo_ask(&s, "first", "/x", "id", &status));
 		solo_note_sends(&s, &running, served);
 	}
-	solo_table(&s, rows, 3, &sight, 1, 2);
+	solo_table(&s, rows, 3, &instance, 1, 2);
 	for (int round = 0; round < ROUNDS; round++) { /* two come, one goes */
 		s.now += 11;
 		for (int i = 0; i < 2; i++) {
 			assert_non_null(solo_ask(&s, i ? "later" : "first", "/x", "id", &status));
 			solo_note_sends(&s, &running, served);
 		}
-		solo_ended(&s, running[0], CTR_WHOLE, 200);
+		solo_ended(&s, running[0], ROUTER_WHOLE, 200);
 		arrdel(running, 0);
 		solo_note_sends(&s, &running, served);
 	}
@@ -1339,13 +1341,13 @@
 	t0 = names_id(&s.c.tenants, "t0");
 	t1 = names_id(&s.c.tenants, "t1");
 	pool = names_id(&s.c.services, "pool");
-	was[n++] = (char *)(uintptr_t)shelf_of(&s, pool, w1, t0);
-	assert_string_equal(was[0], shelf_of(&s, pool, w1, t1));
-	was[n++] = (char *)(uintptr_t)shelf_of(&s, pool, w2, t0);
+	was[n++] = (char *)(uintptr_t)cache_namespace_of(&s, pool, w1, t0);
+	assert_string_equal(was[0], cache_namespace_of(&s, pool, w1, t1));
+	was[n++] = (char *)(uintptr_t)cache_namespace_of(&s, pool, w2, t0);
 	rows[2]->walled = 1;
 	solo_table(&s, rows, 3, NULL, 0, 2);
-	was[n++] = (char *)(uintptr_t)shelf_of(&s, pool, w1, t0);
-	was[n++] = (char *)(uintptr_t)shelf_of(&s, pool, w1, t1);
+	was[n++] = (char *)(uintptr_t)cache_namespace_of(&s, pool, w1, t0);
+	was[n++] = (char *)(uintptr_t)cache_namespace_of(&s, pool, w1, t1);
 	for (int k = 0; k < 2; k++) {
 		struct Nl__Value v = NL__VALUE__INIT;
 		struct Nl__Purge p = NL__PURGE__INIT;
@@ -1357,9 +1359,9 @@
 		p.weights = "w1";
 		p.tenant = "t1";
 		view_apply(&s.c.relay.w, &v);
-		ctr_on_value(&s.c, &v);
-		was[n++] = (char *)(uintptr_t)shelf_of(&s, pool, w1, t0);
-		was[n++] = (char *)(uintptr_t)shelf_of(&s, pool, w1, t1);
+		router_on_value(&s.c, &v);
+		was[n++] = (char *)(uintptr_t)cache_namespace_of(&s, pool, w1, t0);
+		was[n++] = (char *)(uintptr_t)cache_namespace_of(&s, pool, w1, t1);
 	}
 	for (int i = 0; i < n; i++)
 		for (int k = 0; k < i; k++)
--- a/tests/test_hollow.c
+++ b/tests/test_hollow.c
@@ -46,7 +46,7 @@
 	/* each counter asks what is in force four times a second, and is answered as often */
 	assert_true(hollow_get(&r, "counter.sent.follow") >= 3.7);
 	assert_true(hollow_get(&r, "counter.heard.follow_reply") >= 3.5);
-	/* what is sent is heard: only registrars ask and answer in rounds */
+	/* what is sent is heard: only controllers ask and answer in rounds */
 	assert_true(hollow_get(&r, "registrar.sent.append") > 1);
 	assert_float_equal(hollow_get(&r, "registrar.sent.append"), hollow_get(&r, "registrar.heard.append"), 1);
 	assert_true(hollow_get(&r, "registrar.disk.bytes") > 0);
--- a/tests/test_sights.c
+++ b/tests/test_instances.c
@@ -10,7 +10,7 @@
 #include <cmocka.h>
 
 #include "ds.h"
-#include "ctr_in.h"
+#include "router_internal.h"
 #include "sim.h"
 
 enum { REGS = 4, CTRS = 6, SERVERS = 18, STEP = 20 };
@@ -38,7 +38,7 @@
 static void judge_one(struct sim *s, struct judge *j, int node, int i)
 {
 	struct sim_inst *v = &s->list.v[i];
-	const struct Nl__Sight *x = sights_get(&s->n[node].c->f.sights, v->name);
+	const struct Nl__Instance *x = instances_get(&s->n[node].c->f.instances, v->name);
 	int was = j->state[node][i], is = !x ? -1 : (int)x->state;
 
 	/* state as judged: 0 never seen, 1 serving, 2 draining, 3 gone or forgotten after it */
@@ -150,7 +150,7 @@
 
 	memset(j, 0, sizeof *j);
 	sim_open(s, seed);
-	s->b.sights = 1;
+	s->b.instances = 1;
 	s->b.list_mille = 47000;
 	s->b.roll_ms = roll_ms;
 	s->list.load_ms = load_ms;
@@ -234,7 +234,7 @@
 		assert_string_equal(rolled(&s), "2");
 		assert_int_equal(s.list.n_order, SERVERS);
 		for (int i = 0; i < SERVERS; i++) {
-			const struct Nl__Sight *x = sights_get(&s.n[SIM_REGS].c->f.sights, s.list.v[i].name);
+			const struct Nl__Instance *x = instances_get(&s.n[SIM_REGS].c->f.instances, s.list.v[i].name);
 
 			assert_non_null(x);
 			assert_string_equal(x->weights, "2");
@@ -260,7 +260,7 @@
 	last = all_have(&s, "2", named);
 	print_message("no slower with more: all have it after %lld ms, %d at once, %d orders\n", (long long)last, s.list.most,
 		      (int)s.list.n_order);
-	assert_true(last >= 0 && last < s.b.roll_ms * GIVER_PLAN / 100);
+	assert_true(last >= 0 && last < s.b.roll_ms * ROLLOUT_PLAN / 100);
 	assert_true(s.list.most <= 6);
 	sim_close(&s);
 }
@@ -289,7 +289,7 @@
 	sim_close(&s);
 }
 
-/* The giver is killed, frozen or cut off at any moment of a roll-out; orders and answers get lost. */
+/* The rollout is killed, frozen or cut off at any moment of a roll-out; orders and answers get lost. */
 static void the_giver_is_lost(void **st)
 {
 	int64_t worst = 0;
@@ -300,7 +300,7 @@
 		struct judge j;
 		uint64_t d = seed * 31;
 		int64_t named, last;
-		int at, how = (int)(seed % 5); /* 4: from the other registrars alone */
+		int at, how = (int)(seed % 5); /* 4: from the other controllers alone */
 
 		fleet(&s, &j, seed, seed / 4 % 2 ? 12000 : 15000, seed / 4 % 2 ? 1100 : 1800);
 		s.list.lossy = seed % 3 ? 0 : 200;
@@ -368,7 +368,7 @@
 	}
 }
 
-/* Servers come, drain, crash and are replaced while the list lags, refuses, is slow or away, and registrars fall. */
+/* Servers come, drain, crash and are replaced while the list lags, refuses, is slow or away, and controllers fall. */
 static void servers_come_and_go(void **st)
 {
 	int64_t worst = 0;
@@ -445,7 +445,7 @@
 	print_message("drains reach every counter after at most %lld ms\n", (long long)worst);
 }
 
-/* A server that has seen a higher fence: its giver is not the newest, and gives no more orders in its term. */
+/* A server that has seen a higher fence: its rollout is not the newest, and gives no more orders in its term. */
 static void a_higher_fence_bars(void **st)
 {
 	struct sim s;
@@ -465,7 +465,7 @@
 	assert_int_equal(s.list.n_load, 0);
 	for (int i = 0; i < SERVERS; i++) {
 		s.list.v[i].fence = 0;
-		assert_int_equal(sights_get(&s.n[SIM_REGS].c->f.sights, s.list.v[i].name)->loading, 0);
+		assert_int_equal(instances_get(&s.n[SIM_REGS].c->f.instances, s.list.v[i].name)->loading, 0);
 	}
 	sim_crash(&s, sim_owner(&s, SHARD_CONTROL), 0);
 	go(&s, &j, 25000);
@@ -490,10 +490,10 @@
 		struct Nl__Kept k = NL__KEPT__INIT, *pk = &k;
 		struct Nl__KeptAll all = NL__KEPT_ALL__INIT;
 		struct Nl__Msg m = NL__MSG__INIT;
-		uint64_t key = ctr_kept_key(core_hashs(0, "shelf"), 5);
+		uint64_t key = router_kept_key(core_hashs(0, "shelf"), 5);
 
 		fleet(&s, &j, seed, 15000, 100);
-		e.shelf = "shelf";
+		e.cache_namespace = "shelf";
 		e.id = 5;
 		e.tokens = 100;
 		k.server = s.list.v[1].name;
@@ -507,10 +507,10 @@
 		m.body_case = NL__MSG__BODY_KEPT_ALL;
 		m.kept_all = &all;
 		for (int n = SIM_REGS; n < SIM_REGS + CTRS; n++) { /* what all have heard */
-			struct ctr_ev ev = { .kind = CTR_MSG };
+			struct router_ev ev = { .kind = ROUTER_MSG };
 
 			ev.u.msg = &m;
-			ctr_step(s.n[n].c, &ev, s.now + s.n[n].skew, &s.n[n].o);
+			router_step(s.n[n].c, &ev, s.now + s.n[n].skew, &s.n[n].o);
 			out_clear(&s.n[n].o);
 			assert_true(knows(&s, n, key));
 		}
@@ -530,13 +530,13 @@
 	assert_true(learned > 3);
 }
 
-/* ---- sights by themselves ------------------------------------------------------------- */
+/* ---- instances by themselves ------------------------------------------------------------- */
 
-static struct Nl__Sight *sight(apr_pool_t *p, const char *name, int state, const char *weights)
+static struct Nl__Instance *instance(apr_pool_t *p, const char *name, int state, const char *weights)
 {
-	struct Nl__Sight *x = apr_palloc(p, sizeof *x);
+	struct Nl__Instance *x = apr_palloc(p, sizeof *x);
 
-	nl__sight__init(x);
+	nl__instance__init(x);
 	x->server = (char *)name;
 	x->service = "pool";
 	x->addr = "127.0.0.1:1";
@@ -546,114 +546,114 @@
 	return x;
 }
 
-static void show(struct sights *s, struct Nl__Sight **v, size_t n, int64_t now, struct out *o)
+static void show(struct instances *s, struct Nl__Instance **v, size_t n, int64_t now, struct out *o)
 {
-	sights_tick(s, 1, 47000, (uint64_t)now, now, o);
+	instances_tick(s, 1, 47000, (uint64_t)now, now, o);
 	assert_int_equal(s->call, now);
-	sights_listed(s, (uint64_t)now, 1, v, n, now);
+	instances_listed(s, (uint64_t)now, 1, v, n, now);
 	out_clear(o);
 }
 
-static void sights_alone(void **st)
+static void instances_alone(void **st)
 {
-	struct sights f, w, u;
+	struct instances f, w, u;
 	struct out o;
-	struct Nl__FollowReply a = NL__FOLLOW_REPLY__INIT, b = NL__FOLLOW_REPLY__INIT;
-	struct Nl__Sight *v[3];
+	struct Nl__ConfigSyncReply a = NL__CONFIG_SYNC_REPLY__INIT, b = NL__CONFIG_SYNC_REPLY__INIT;
+	struct Nl__Instance *v[3];
 	apr_pool_t *p;
 
 	(void)st;
 	memset(&o, 0, sizeof o);
 	apr_pool_create(&p, NULL);
 	apr_pool_create(&o.p, p);
-	sights_open(&f);
-	sights_open(&w);
-	sights_open(&u);
-	v[0] = sight(p, "a", 0, "1");
-	v[1] = sight(p, "b", 0, "1");
-	v[2] = sight(p, "c", 1, "1");
-	sights_begin(&w, &f, 3, 1000);
-	sights_since(&w, 0, &a, p);
-	assert_int_equal(a.sights, 0); /* no list yet: nothing to tell */
-	assert_false(sights_follow(&f, &a, 1000));
+	instances_open(&f);
+	instances_open(&w);
+	instances_open(&u);
+	v[0] = instance(p, "a", 0, "1");
+	v[1] = instance(p, "b", 0, "1");
+	v[2] = instance(p, "c", 1, "1");
+	instances_begin(&w, &f, 3, 1000);
+	instances_since(&w, 0, &a, p);
+	assert_int_equal(a.instances, 0); /* no list yet: nothing to tell */
+	assert_false(instances_follow(&f, &a, 1000));
 	show(&w, v, 3, 1000, &o);
-	sights_since(&w, f.stamp, &a, p);
-	assert_true(a.sights_whole);
-	assert_true(sights_follow(&f, &a, 1000));
+	instances_since(&w, f.stamp, &a, p);
+	assert_true(a.instances_whole);
+	assert_true(instances_follow(&f, &a, 1000));
 	assert_int_equal(shlen(f.h), 3);
-	assert_false(sights_follow(&f, &a, 1000));
-	sights_since(&w, f.stamp, &b, p);
-	assert_int_equal(b.n_sight, 0);
-	assert_false(b.sights_whole);
+	assert_false(instances_follow(&f, &a, 1000));
+	instances_since(&w, f.stamp, &b, p);
+	assert_int_equal(b.n_instance, 0);
+	assert_false(b.instances_whole);
 
 	/* one that drains never serves again; one that is missing once is no news, twice is gone */
-	v[2] = sight(p, "c", 0, "1");
+	v[2] = instance(p, "c", 0, "1");
 	show(&w, v + 1, 2, 1500, &o);
-	assert_int_equal(sights_get(&w, "c")->state, SIGHT_DRAINING);
-	assert_int_equal(sights_get(&w, "a")->state, SIGHT_SERVING);
+	assert_int_equal(instances_get(&w, "c")->state, INSTANCE_DRAINING);
+	assert_int_equal(instances_get(&w, "a")->state, INSTANCE_SERVING);
 	show(&w, v + 1, 2, 2000, &o);
-	assert_int_equal(sights_get(&w, "a")->state, SIGHT_GONE);
-	sights_since(&w, f.stamp, &b, p);
-	assert_false(b.sights_whole);
-	assert_int_equal(b.n_sight, 1);
-	assert_true(sights_follow(&f, &b, 2000));
-	assert_int_equal(sights_get(&f, "a")->state, SIGHT_GONE);
-	assert_false(sights_follow(&f, &a, 2000)); /* an older answer that comes late */
-	assert_int_equal(sights_get(&f, "a")->state, SIGHT_GONE);
+	assert_int_equal(instances_get(&w, "a")->state, INSTANCE_GONE);
+	instances_since(&w, f.stamp, &b, p);
+	assert_false(b.instances_whole);
+	assert_int_equal(b.n_instance, 1);
+	assert_true(instances_follow(&f, &b, 2000));
+	assert_int_equal(instances_get(&f, "a")->state, INSTANCE_GONE);
+	assert_false(instances_follow(&f, &a, 2000)); /* an older answer that comes late */
+	assert_int_equal(instances_get(&f, "a")->state, INSTANCE_GONE);
 	show(&w, v, 3, 2500, &o); /* an older list */
-	assert_int_equal(sights_get(&w, "a")->state, SIGHT_GONE);
+	assert_int_equal(instances_get(&w, "a")->state, INSTANCE_GONE);
 	show(&w, v, 3, 6000, &o); /* it was missed by mistake */
-	assert_int_equal(sights_get(&w, "a")->state, SIGHT_SERVING);
+	assert_int_equal(instances_get(&w, "a")->state, INSTANCE_SERVING);
 
 	/* what a server says itself goes before a list that lags */
-	sights_say(&w, "b", "2", 0, 6500);
+	instances_set_weights(&w, "b", "2", 0, 6500);
 	show(&w, v, 3, 7000, &o);
-	assert_string_equal(sights_get(&w, "b")->weights, "2");
+	assert_string_equal(instances_get(&w, "b")->weights, "2");
 	show(&w, v, 3, 9000, &o);
-	assert_string_equal(sights_get(&w, "b")->weights, "1");
-	sights_end(&w, "b", 9100);
+	assert_string_equal(instances_get(&w, "b")->weights, "1");
+	instances_end(&w, "b", 9100);
 	show(&w, v, 3, 14000, &o);
-	assert_int_equal(sights_get(&w, "b")->state, SIGHT_GONE);
+	assert_int_equal(instances_get(&w, "b")->state, INSTANCE_GONE);
 
 	/* another owner, which knows less: whole, but what drains goes on draining */
-	sights_begin(&u, &f, 4, 14000);
-	sights_close(&u);
-	sights_open(&u);
+	instances_begin(&u, &f, 4, 14000);
+	instances_close(&u);
+	instances_open(&u);
 	u.term = 4;
 	u.stamp = 4ull << 24;
 	show(&u, v, 3, 15000, &o);
 	memset(&b, 0, sizeof b);
-	nl__follow_reply__init(&b);
-	sights_since(&u, f.stamp, &b, p);
-	assert_true(b.sights_whole);
-	assert_true(sights_follow(&f, &b, 15000));
-	assert_int_equal(sights_get(&f, "c")->state, SIGHT_DRAINING);
+	nl__config_sync_reply__init(&b);
+	instances_since(&u, f.stamp, &b, p);
+	assert_true(b.instances_whole);
+	assert_true(instances_follow(&f, &b, 15000));
+	assert_int_equal(instances_get(&f, "c")->state, INSTANCE_DRAINING);
 	/* and the owner before, which does not know yet that it is none, is heard no more */
-	nl__follow_reply__init(&b);
-	sights_since(&w, 0, &b, p);
-	assert_false(sights_follow(&f, &b, 15100));
+	nl__config_sync_reply__init(&b);
+	instances_since(&w, 0, &b, p);
+	assert_false(instances_follow(&f, &b, 15100));
 
 	/* one call at a time; a lost one is made again; a late answer is none */
-	sights_tick(&u, 0, 47000, 77, 30000, &o);
-	sights_tick(&u, 1, 47000, 78, 31000, &o);
+	instances_tick(&u, 0, 47000, 77, 30000, &o);
+	instances_tick(&u, 1, 47000, 78, 31000, &o);
 	assert_int_equal(arrlen(o.v), 1);
-	sights_tick(&u, 1, 47000, 79, 32000, &o);
+	instances_tick(&u, 1, 47000, 79, 32000, &o);
 	assert_int_equal(arrlen(o.v), 2);
-	sights_listed(&u, 77, 1, v, 0, 32100);
-	sights_listed(&u, 77, 1, v, 0, 32200);
-	assert_int_equal(sights_get(&u, "a")->state, SIGHT_SERVING);
-	sights_listed(&u, 79, 0, v, 0, 32300); /* refused */
-	assert_int_equal(sights_get(&u, "a")->state, SIGHT_SERVING);
+	instances_listed(&u, 77, 1, v, 0, 32100);
+	instances_listed(&u, 77, 1, v, 0, 32200);
+	assert_int_equal(instances_get(&u, "a")->state, INSTANCE_SERVING);
+	instances_listed(&u, 79, 0, v, 0, 32300); /* refused */
+	assert_int_equal(instances_get(&u, "a")->state, INSTANCE_SERVING);
 
 	/* tombstones go after a while, here and there; who missed one gets all */
-	sights_tick(&w, 1, 47000, 90, 80000, &o);
-	assert_null(sights_get(&w, "b"));
-	nl__follow_reply__init(&b);
-	sights_since(&w, (3ull << 24) + 1, &b, p);
-	assert_true(b.sights_whole);
-	sights_close(&f);
-	sights_close(&w);
-	sights_close(&u);
+	instances_tick(&w, 1, 47000, 90, 80000, &o);
+	assert_null(instances_get(&w, "b"));
+	nl__config_sync_reply__init(&b);
+	instances_since(&w, (3ull << 24) + 1, &b, p);
+	assert_true(b.instances_whole);
+	instances_close(&f);
+	instances_close(&w);
+	instances_close(&u);
 	arrfree(o.v);
 	apr_pool_destroy(p);
 }
@@ -669,7 +669,7 @@
 		cmocka_unit_test(servers_come_and_go),
 		cmocka_unit_test(a_higher_fence_bars),
 		cmocka_unit_test(a_counter_that_is_back_learns_what_is_kept),
-		cmocka_unit_test(sights_alone),
+		cmocka_unit_test(instances_alone),
 	};
 	int rc;
 
--- a/tests/test_isolation.c
+++ b/tests/test_isolation.c
@@ -10,7 +10,7 @@
 #include <apr_general.h>
 #include <cmocka.h>
 
-#include "ctr_in.h"
+#include "router_internal.h"
 #include "doc.h"
 #include "ds.h"
 #include "sim.h"
@@ -411,7 +411,7 @@
 
 		if (!n->up || n->frozen)
 			continue;
-		if (!ctr_ready(n->c, now)) {
+		if (!router_ready(n->c, now)) {
 			w->router_refused++;
 			continue;
 		}
@@ -452,7 +452,7 @@
 	w->rng = seed * 6364136223846793005ull + 99;
 	w->documents = (int)(seed % 2);
 	sim_open(&w->s, seed);
-	w->s.tongue = &platform_tongue;
+	w->s.codec = &platform_tongue;
 	w->s.epoch = 1800000000000ll;
 	w->s.loss = seed % 3 ? 0 : 5;
 	for (int i = 0; i < 3; i++) {
@@ -467,7 +467,7 @@
 		snprintf(text, sizeof text, "z%d", i % 3 + 1);
 		sim_counter(&w->s, text);
 	}
-	reg_found(w->s.n[0].r, sim_local(&w->s, 0));
+	controller_bootstrap(w->s.n[0].r, sim_local(&w->s, 0));
 	for (int64_t end = w->s.now + 20000; w->s.now < end && sim_owner(&w->s, SHARD_CONTROL) < 0;)
 		look(w);
 	assert_true(sim_owner(&w->s, SHARD_CONTROL) >= 0);
@@ -546,7 +546,7 @@
 		look(w);
 	assert_true(sim_owner(&w->s, SHARD_CONTROL) >= 0);
 	for (int i = SIM_REGS; i < SIM_REGS + ROUTERS; i++)
-		if (!ctr_ready(w->s.n[i].c, sim_local(&w->s, i)))
+		if (!router_ready(w->s.n[i].c, sim_local(&w->s, i)))
 			fail_msg("seed %llu: router %d does not take requests again", (unsigned long long)w->s.seed, i);
 	for (int i = 0; i < CONTROLLERS; i++)
 		if (sim_do(&w->s, i, "GET", "/v1/table", "", 2000) != 200 ||
@@ -730,7 +730,7 @@
 		operate(&w, ROUTER_BOUND_MS, -1, 40);
 		for (int64_t end = w.s.now + ISOLATION_MS - ROUTER_BOUND_MS; w.s.now < end;) {
 			operate(&w, 100, -1, 40);
-			if (!frozen && ctr_ready(w.s.n[router].c, sim_local(&w.s, router)))
+			if (!frozen && router_ready(w.s.n[router].c, sim_local(&w.s, router)))
 				fail_msg("seed %llu: router %d takes requests, and has heard nobody for a while",
 					 (unsigned long long)seed, router);
 		}
@@ -824,28 +824,28 @@
 /* The list of servers as it was when the leader asked: after a freeze it is not told to anybody as the list of now. */
 static void a_list_read_late_is_none(void **state)
 {
-	struct sights seen, followed;
-	struct Nl__Sight server = NL__SIGHT__INIT, *list[1] = { &server };
+	struct instances seen, followed;
+	struct Nl__Instance server = NL__INSTANCE__INIT, *list[1] = { &server };
 	struct out o = { 0 };
 	int64_t now = 100000;
 
 	(void)state;
 	apr_pool_create(&o.p, NULL);
-	sights_open(&seen);
-	sights_open(&followed);
-	sights_begin(&seen, &followed, 1, now);
+	instances_open(&seen);
+	instances_open(&followed);
+	instances_begin(&seen, &followed, 1, now);
 	server.server = server.service = server.addr = server.zone = server.weights = "x";
-	sights_tick(&seen, 0, 10000, 7, now, &o);
+	instances_tick(&seen, 0, 10000, 7, now, &o);
 	assert_int_equal(arrlen(o.v), 1);
-	sights_listed(&seen, 7, 1, list, 1, now + ISOLATION_MS);
-	assert_null(sights_get(&seen, "x"));
+	instances_listed(&seen, 7, 1, list, 1, now + ISOLATION_MS);
+	assert_null(instances_get(&seen, "x"));
 	assert_false(seen.listed);
-	now += ISOLATION_MS + SIGHTS_CALM;
-	sights_tick(&seen, 0, 10000, 8, now, &o);
-	sights_listed(&seen, 8, 1, list, 1, now + 100);
-	assert_non_null(sights_get(&seen, "x"));
-	sights_close(&seen);
-	sights_close(&followed);
+	now += ISOLATION_MS + INSTANCES_CALM;
+	instances_tick(&seen, 0, 10000, 8, now, &o);
+	instances_listed(&seen, 8, 1, list, 1, now + 100);
+	assert_non_null(instances_get(&seen, "x"));
+	instances_close(&seen);
+	instances_close(&followed);
 	arrfree(o.v);
 	apr_pool_destroy(o.p);
 }
@@ -890,13 +890,13 @@
  * what surely was not logged is refused as soon as that last word is too old. */
 static void what_nobody_took_is_refused_soon(void **state)
 {
-	enum { LAST_WORD_MS = FOLLOW_SILENT - 30 };
+	enum { LAST_WORD_MS = CONFIG_WATCH_SILENT - 30 };
 	int refused = 0;
 
 	(void)state;
 	for (uint64_t seed = 1; seed <= 24; seed++) {
 		struct world w;
-		struct reg *r;
+		struct controller *r;
 		int leader, node, follower;
 		uint64_t token, answers;
 		int64_t sent;
@@ -912,9 +912,9 @@
 		cut_links(&w, node, 0, SIM_REGS, CUT_BOTH);
 		w.s.link_cut[node][follower] = w.s.link_cut[follower][node] = 0;
 		r = w.s.n[node].r;
-		while (follow_age(&r->f, sim_local(&w.s, node)) < LAST_WORD_MS)
+		while (config_watch_age(&r->f, sim_local(&w.s, node)) < LAST_WORD_MS)
 			sim_run(&w.s, 1, NULL);
-		r->f.seat[SHARD_CONTROL] = w.s.n[follower].addr; /* as a hint that came late would have it */
+		r->f.leader_addr[SHARD_CONTROL] = w.s.n[follower].addr; /* as a hint that came late would have it */
 		answers = w.s.by_body[NL__MSG__BODY_ANSWER];
 		token = sim_call(&w.s, node, "POST", "/v1/change",
 				 "{\"set\":[{\"kind\":\"service\",\"name\":\"sx\",\"weights\":\"w1\"" SPEEDS "}]}");
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -1,4 +1,4 @@
-/* Losses of registrars one after another: after a repair, a replacement or a planned stop the fleet has to survive the
+/* Losses of controllers one after another: after a repair, a replacement or a planned stop the fleet has to survive the
  * next loss within the deployment's catch-up bound. Times are measured over many seeds: NL_SEEDS=1000 prints the
  * distributions of docs/measurements.md. */
 #include <apr_general.h>
@@ -80,7 +80,7 @@
 		snprintf(text, sizeof text, "z%d", i % d->zones + 1);
 		sim_registrar(s, text, seeds, 3);
 	}
-	reg_found(s->n[0].r, s->now + s->n[0].skew);
+	controller_bootstrap(s->n[0].r, s->now + s->n[0].skew);
 }
 
 static struct raft *raft_at(struct sim *s, int node, uint32_t shard) { return &s->n[node].r->part[shard]; }
@@ -298,7 +298,7 @@
 		committed[shard] = (uint64_t)arrlen(s->hash[shard]);
 	sim_stop(s, node);
 	pass(s, 1);
-	while (s->now - from < GRACE_MS && !reg_stopped(s->n[node].r, sim_local(s, node)))
+	while (s->now - from < GRACE_MS && !controller_stopped(s->n[node].r, sim_local(s, node)))
 		pass(s, 5);
 	for (uint32_t shard = 0; shard < SHARD_COUNT && s->now - from < GRACE_MS; shard++) {
 		const struct raft *raft = raft_at(s, node, shard);
@@ -464,7 +464,7 @@
 		/* the link heals while the member waits */
 		sim_stop(&s, leader);
 		pass(&s, 1500);
-		assert_false(reg_stopped(s.n[leader].r, sim_local(&s, leader)));
+		assert_false(controller_stopped(s.n[leader].r, sim_local(&s, leader)));
 		memset(s.link_cut, 0, sizeof s.link_cut);
 		took = stop(&s, leader);
 		if (took > 3000)
@@ -546,9 +546,9 @@
 		from = s.now;
 		while (s.now - from < GRACE_MS && (s.n[a].up || s.n[b].up)) {
 			pass(&s, 5);
-			if (s.n[a].up && reg_stopped(s.n[a].r, sim_local(&s, a)))
+			if (s.n[a].up && controller_stopped(s.n[a].r, sim_local(&s, a)))
 				sim_crash(&s, a, 1);
-			if (s.n[b].up && reg_stopped(s.n[b].r, sim_local(&s, b)))
+			if (s.n[b].up && controller_stopped(s.n[b].r, sim_local(&s, b)))
 				sim_crash(&s, b, 1);
 		}
 		if (s.n[a].up || s.n[b].up)
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -248,7 +248,7 @@
 	w->registrars = 4 + (int)(seed % 2);
 	w->rng = seed * 977 + 5;
 	sim_open(&w->s, seed);
-	w->s.tongue = &platform_tongue;
+	w->s.codec = &platform_tongue;
 	w->s.copies = REPLICAS;
 	w->s.catch_up_ms = 4000;
 	for (int i = 0; i < 3; i++) {
@@ -259,7 +259,7 @@
 		snprintf(text, sizeof text, "z%d", i % 3 + 1);
 		sim_registrar(&w->s, text, seeds, 3);
 	}
-	reg_found(w->s.n[0].r, sim_local(&w->s, 0));
+	controller_bootstrap(w->s.n[0].r, sim_local(&w->s, 0));
 	run_until_whole(w, 8000);
 }
 
@@ -295,7 +295,7 @@
 		c->token = sim_call_keyed(&w->s, node, "POST", "/v1/change", o->body, o->key);
 }
 
-/* Send the order once, now and then to two registrars at the same moment; some answers will be lost. */
+/* Send the order once, now and then to two controllers at the same moment; some answers will be lost. */
 static void send_copies(struct world *w, struct operator* o)
 {
 	o->copies = o->reads || dice(w, 6) ? 1 : 2;
@@ -761,14 +761,14 @@
 	uint8_t *a;
 
 	apr_pool_create(&pool, NULL);
-	a = reg_state(w->s.n[leader].r, SHARD_CONTROL, pool, &n);
+	a = controller_state(w->s.n[leader].r, SHARD_CONTROL, pool, &n);
 	for (int i = 0; i < w->registrars; i++) {
 		const struct raft *shard = &w->s.n[i].r->part[SHARD_CONTROL];
 		uint8_t *b;
 
 		if (!w->s.n[i].up || shard->applied != w->s.n[leader].r->part[SHARD_CONTROL].applied || !shard->member_count)
 			continue;
-		b = reg_state(w->s.n[i].r, SHARD_CONTROL, pool, &m);
+		b = controller_state(w->s.n[i].r, SHARD_CONTROL, pool, &m);
 		assert_int_equal(n, m);
 		assert_memory_equal(a, b, n);
 	}
@@ -970,7 +970,7 @@
 	}
 }
 
-/* A refusal that was on its way for long, as it reaches the registrar that asked. */
+/* A refusal that was on its way for long, as it reaches the controller that asked. */
 static void deliver_refusal(struct world *w, int from, int to, uint64_t token)
 {
 	struct Nl__Msg m = NL__MSG__INIT;
@@ -992,7 +992,7 @@
 	sim_push(&w->s, e);
 }
 
-/* A registrar passes an order on twice, since no answer comes. The leader refuses the first copy and, after another change,
+/* A controller passes an order on twice, since no answer comes. The leader refuses the first copy and, after another change,
  * accepts the second: the refusal, which arrives last, must not be said. */
 static void a_refused_copy_does_not_speak_for_the_others(void **state)
 {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -175,7 +175,7 @@
 	assert_int_equal(s.bounds.budget_window_ms, 10000);
 	assert_int_equal(s.bounds.copies, 5);
 	assert_int_equal(s.bounds.list_mille, 47500);
-	assert_int_equal(s.bounds.sights, 1);
+	assert_int_equal(s.bounds.instances, 1);
 	assert_string_equal(f->node, "edge-z1-1");
 	assert_string_equal(f->region, "r1");
 	assert_string_equal(f->front, "127.1.0.14:8689");
@@ -351,7 +351,7 @@
 /* ---- the control door, with a scripted core behind it ---- */
 
 struct heard {
-	enum reg_ev_kind kind;
+	enum controller_ev_kind kind;
 	uint64_t token, base;
 	int patch, ok, status, never, loading;
 	size_t n;
@@ -359,7 +359,7 @@
 	struct {
 		char server[60], service[60], addr[60], zone[60], weights[60];
 		uint32_t slots, state, cold;
-	} sight[8];
+	} instance[8];
 };
 
 /* One answer for each event that wants one. */
@@ -409,7 +409,7 @@
 
 static void copy(char to[200], const char *s) { snprintf(to, 200, "%s", s ? s : "(none)"); }
 
-static void core(void *ctx, const struct reg_ev *ev, int64_t now, struct out *o)
+static void core(void *ctx, const struct controller_ev *ev, int64_t now, struct out *o)
 {
 	struct desk *d = ctx;
 	struct heard h;
@@ -419,7 +419,7 @@
 	memset(&h, 0, sizeof h);
 	h.kind = ev->kind;
 	switch (ev->kind) {
-	case REG_DOC:
+	case CONTROLLER_DOC:
 		h.token = ev->u.doc.token;
 		h.base = ev->u.doc.base;
 		h.patch = ev->u.doc.patch;
@@ -427,44 +427,44 @@
 		copy(h.text[1], ev->u.doc.invalid);
 		h.n = ev->u.doc.len;
 		break;
-	case REG_READ: h.token = ev->u.read.token; break;
-	case REG_NAME:
+	case CONTROLLER_READ: h.token = ev->u.read.token; break;
+	case CONTROLLER_NAME:
 		h.token = ev->u.name.token;
 		copy(h.text[0], ev->u.name.model);
 		copy(h.text[1], ev->u.name.weights);
 		copy(h.text[2], ev->u.name.invalid);
 		break;
-	case REG_WEB:
+	case CONTROLLER_WEB:
 		h.token = ev->u.web.token;
 		copy(h.text[0], ev->u.web.verb);
 		copy(h.text[1], ev->u.web.path);
 		copy(h.text[2], ev->u.web.body);
 		copy(h.text[3], ev->u.web.key ? ev->u.web.key : "");
 		break;
-	case REG_LISTED:
+	case CONTROLLER_LISTED:
 		h.token = ev->u.listed.token;
 		h.ok = ev->u.listed.ok;
 		h.n = ev->u.listed.n;
 		for (size_t i = 0; i < h.n && i < 8; i++) {
-			const struct Nl__Sight *s = ev->u.listed.v[i];
-
-			snprintf(h.sight[i].server, 60, "%s", s->server);
-			snprintf(h.sight[i].service, 60, "%s", s->service);
-			snprintf(h.sight[i].addr, 60, "%s", s->addr);
-			snprintf(h.sight[i].zone, 60, "%s", s->zone);
-			snprintf(h.sight[i].weights, 60, "%s", s->weights);
-			h.sight[i].slots = s->slots;
-			h.sight[i].state = s->state;
-			h.sight[i].cold = s->cold_ms;
+			const struct Nl__Instance *s = ev->u.listed.v[i];
+
+			snprintf(h.instance[i].server, 60, "%s", s->server);
+			snprintf(h.instance[i].service, 60, "%s", s->service);
+			snprintf(h.instance[i].addr, 60, "%s", s->addr);
+			snprintf(h.instance[i].zone, 60, "%s", s->zone);
+			snprintf(h.instance[i].weights, 60, "%s", s->weights);
+			h.instance[i].slots = s->slots;
+			h.instance[i].state = s->state;
+			h.instance[i].cold = s->cold_ms;
 		}
 		break;
-	case REG_LOOKED:
+	case CONTROLLER_LOOKED:
 		h.token = ev->u.looked.token;
 		h.status = ev->u.looked.status;
 		h.loading = ev->u.looked.loading;
 		copy(h.text[0], ev->u.looked.weights);
 		break;
-	case REG_ORDERED:
+	case CONTROLLER_ORDERED:
 		h.token = ev->u.ordered.token;
 		h.status = ev->u.ordered.status;
 		h.never = ev->u.ordered.never;
@@ -472,7 +472,9 @@
 	default: break;
 	}
 	arrput(d->v, h);
-	if ((ev->kind == REG_DOC || ev->kind == REG_READ || ev->kind == REG_NAME || ev->kind == REG_WEB) && !d->s.hold) {
+	if ((ev->kind == CONTROLLER_DOC || ev->kind == CONTROLLER_READ || ev->kind == CONTROLLER_NAME ||
+	     ev->kind == CONTROLLER_WEB) &&
+	    !d->s.hold) {
 		out_answer(o, h.token, d->s.status, d->s.retry, d->s.body);
 		c = &arrlast(o->v);
 		c->u.answer.to = d->s.to;
@@ -562,7 +564,7 @@
 	says(ask(&d, "POST", "/configuration/replace", "X-Notchlug-Base-Version: 5\r\n", "{\"ConfigVersion\":7}"), "200",
 	     "Content-Type: application/json");
 	h = &arrlast(d.v);
-	assert_int_equal(h->kind, REG_DOC);
+	assert_int_equal(h->kind, CONTROLLER_DOC);
 	assert_int_equal(h->base, 5);
 	assert_int_equal(h->patch, 0);
 	assert_string_equal(h->text[0], "{\"ConfigVersion\":7}");
@@ -577,7 +579,7 @@
 	d.s = (struct script){ 200, 0, 0, "{\"RouteList\":[]} and not this", 16, 0 };
 	says(ask(&d, "GET", "/configuration/retrieve", "", ""), "200", "\r\n\r\n{\"RouteList\":[]}");
 	assert_null(strstr(said, "and not"));
-	assert_int_equal(arrlast(d.v).kind, REG_READ);
+	assert_int_equal(arrlast(d.v).kind, CONTROLLER_READ);
 
 	d.s = (struct script){ 307, 0, core_addr("127.9.8.7:7360"), NULL, 0, 0 };
 	says(ask(&d, "POST", "/configuration/replace?x=1", "X-Notchlug-Base-Version: 0\r\n", "{}"), "307",
@@ -589,13 +591,13 @@
 	d.s = (struct script){ 200, 0, 0, "{}", 0, 0 };
 	says(ask(&d, "POST", "/version-put", "", "{\"ModelName\":\"m1\",\"ConfigVersion\":2}"), "200", "");
 	h = &arrlast(d.v);
-	assert_int_equal(h->kind, REG_NAME);
+	assert_int_equal(h->kind, CONTROLLER_NAME);
 	assert_string_equal(h->text[0], "m1");
 	assert_string_equal(h->text[1], "2");
 
 	says(ask(&d, "POST", "/v1/change", "", "{\"a\":1}"), "200", ""); /* the product's own calls stay */
 	h = &arrlast(d.v);
-	assert_int_equal(h->kind, REG_WEB);
+	assert_int_equal(h->kind, CONTROLLER_WEB);
 	assert_string_equal(h->text[0], "POST");
 	assert_string_equal(h->text[1], "/v1/change");
 	assert_string_equal(h->text[2], "{\"a\":1}");
@@ -614,25 +616,27 @@
 		const char *verb, *target, *fields, *body, *status, *part;
 		int kind;
 	} c[] = {
-		{ "POST", "/configuration/replace", "", "{}", "400", "X-Notchlug-Base-Version", REG_DOC },
+		{ "POST", "/configuration/replace", "", "{}", "400", "X-Notchlug-Base-Version", CONTROLLER_DOC },
 		{ "POST", "/configuration/replace", "X-Notchlug-Base-Version: -1\r\n", "{}", "400", "X-Notchlug-Base-Version",
-		  REG_DOC },
+		  CONTROLLER_DOC },
 		{ "POST", "/configuration/replace", "X-Notchlug-Base-Version: 99999999999999999999\r\n", "{}", "400",
-		  "X-Notchlug-Base-Version", REG_DOC },
+		  "X-Notchlug-Base-Version", CONTROLLER_DOC },
 		{ "POST", "/configuration/modify", "X-Notchlug-Base-Version: 7x\r\n", "{}", "400", "X-Notchlug-Base-Version",
-		  REG_DOC },
+		  CONTROLLER_DOC },
 		{ "GET", "/configuration/replace", "", "", "405", "Allow: POST", NO_EVENT },
 		{ "POST", "/configuration/retrieve", "", "", "405", "Allow: GET", NO_EVENT },
 		{ "PUT", "/version-put", "", "", "405", "Allow: POST", NO_EVENT },
 		{ "GET", "/configuration", "", "", "404", "no such path", NO_EVENT },
 		{ "GET", "/configuration/retrieve/", "", "", "404", "no such path", NO_EVENT },
-		{ "POST", "/version-put", "", "", "400", "ModelName", REG_NAME },
-		{ "POST", "/version-put", "", "{\"ModelName\":\"m1\"}", "400", "ConfigVersion", REG_NAME },
-		{ "POST", "/version-put", "", "{\"ModelName\":\"\",\"ConfigVersion\":2}", "400", "ModelName", REG_NAME },
-		{ "POST", "/version-put", "", "{\"ModelName\":\"m1\",\"ConfigVersion\":0}", "400", "ConfigVersion", REG_NAME },
-		{ "POST", "/version-put", "", "{\"ModelName\":\"m1\",\"ConfigVersion\":1.5}", "400", "ConfigVersion", REG_NAME },
-		{ "POST", "/version-put", "", "[\"m1\",2]", "400", "ModelName", REG_NAME },
-		{ "POST", "/version-put", "", "{\"ModelName\":\"m1\",\"ConfigVer", "400", "ModelName", REG_NAME },
+		{ "POST", "/version-put", "", "", "400", "ModelName", CONTROLLER_NAME },
+		{ "POST", "/version-put", "", "{\"ModelName\":\"m1\"}", "400", "ConfigVersion", CONTROLLER_NAME },
+		{ "POST", "/version-put", "", "{\"ModelName\":\"\",\"ConfigVersion\":2}", "400", "ModelName", CONTROLLER_NAME },
+		{ "POST", "/version-put", "", "{\"ModelName\":\"m1\",\"ConfigVersion\":0}", "400", "ConfigVersion",
+		  CONTROLLER_NAME },
+		{ "POST", "/version-put", "", "{\"ModelName\":\"m1\",\"ConfigVersion\":1.5}", "400", "ConfigVersion",
+		  CONTROLLER_NAME },
+		{ "POST", "/version-put", "", "[\"m1\",2]", "400", "ModelName", CONTROLLER_NAME },
+		{ "POST", "/version-put", "", "{\"ModelName\":\"m1\",\"ConfigVer", "400", "ModelName", CONTROLLER_NAME },
 	};
 	struct desk d;
 	ptrdiff_t events = 0;
@@ -652,9 +656,9 @@
 		if (c[i].kind == NO_EVENT)
 			continue;
 		assert_int_equal(arrlast(d.v).kind, c[i].kind);
-		if (!strstr(arrlast(d.v).text[c[i].kind == REG_DOC ? 1 : 2], c[i].part))
+		if (!strstr(arrlast(d.v).text[c[i].kind == CONTROLLER_DOC ? 1 : 2], c[i].part))
 			fail_msg("%s %s: the core is told \"%s\"", c[i].target, c[i].body,
-				 arrlast(d.v).text[c[i].kind == REG_DOC ? 1 : 2]);
+				 arrlast(d.v).text[c[i].kind == CONTROLLER_DOC ? 1 : 2]);
 	}
 	desk_close(&d);
 }
@@ -788,22 +792,22 @@
 	    q, sizeof q);
 	assert_int_equal(strncmp(q, "GET /instances?PageToken=p%202%2F%26 HTTP/1.1\r\n", 47), 0);
 	h = event(&d);
-	assert_int_equal(h->kind, REG_LISTED);
+	assert_int_equal(h->kind, CONTROLLER_LISTED);
 	assert_int_equal(h->token, 77);
 	assert_true(h->ok);
 	assert_int_equal(h->n, 3);
-	assert_string_equal(h->sight[0].server, "i-2");
-	assert_string_equal(h->sight[0].service, "s1");
-	assert_string_equal(h->sight[0].addr, "127.0.0.8:8080");
-	assert_string_equal(h->sight[0].zone, "z1");
-	assert_string_equal(h->sight[0].weights, "3");
-	assert_int_equal(h->sight[0].slots, 128);
-	assert_int_equal(h->sight[0].cold, 40);
-	assert_int_equal(h->sight[0].state, 0);
-	assert_string_equal(h->sight[1].server, "i-1"); /* on both pages: the later one holds */
-	assert_int_equal(h->sight[1].state, 1);
-	assert_string_equal(h->sight[2].server, "i-3");
-	assert_string_equal(h->sight[2].weights, "");
+	assert_string_equal(h->instance[0].server, "i-2");
+	assert_string_equal(h->instance[0].service, "s1");
+	assert_string_equal(h->instance[0].addr, "127.0.0.8:8080");
+	assert_string_equal(h->instance[0].zone, "z1");
+	assert_string_equal(h->instance[0].weights, "3");
+	assert_int_equal(h->instance[0].slots, 128);
+	assert_int_equal(h->instance[0].cold, 40);
+	assert_int_equal(h->instance[0].state, 0);
+	assert_string_equal(h->instance[1].server, "i-1"); /* on both pages: the later one holds */
+	assert_int_equal(h->instance[1].state, 1);
+	assert_string_equal(h->instance[2].server, "i-3");
+	assert_string_equal(h->instance[2].weights, "");
 	list(&d, 78);
 	serve(&d, reply(*st, 200, "{\"Instances\":[],\"NextToken\":null}"), q, sizeof q);
 	assert_true(event(&d)->ok); /* an empty list is a list */
@@ -906,7 +910,7 @@
 		serve(&d, reply(*st, c[i].status, c[i].body), q, sizeof q);
 		assert_int_equal(strncmp(q, "GET /report HTTP/1.1\r\n", 22), 0);
 		assert_non_null(strcasestr(q, "\r\nX-Notchlug-Target-Instance: i-1\r\n"));
-		assert_int_equal(event(&d)->kind, REG_LOOKED);
+		assert_int_equal(event(&d)->kind, CONTROLLER_LOOKED);
 		assert_int_equal(d.v[0].token, 5);
 		assert_int_equal(d.v[0].status, c[i].want);
 		assert_int_equal(d.v[0].loading, c[i].loading);
@@ -947,7 +951,7 @@
 		assert_string_equal(strstr(q, "\r\n\r\n") + 4,
 				    "{\"Operation\":\"ConfigVersion\",\"ModelName\":\"m1\",\"ConfigVersion\":2,"
 				    "\"Method\":\"hold\",\"Holder\":\"node-7\",\"FenceNumber\":18446744073709551615}");
-		assert_int_equal(event(&d)->kind, REG_ORDERED);
+		assert_int_equal(event(&d)->kind, CONTROLLER_ORDERED);
 		assert_int_equal(d.v[0].token, 6);
 		assert_int_equal(d.v[0].status, status[i]);
 		assert_int_equal(d.v[0].never, 0);
@@ -987,7 +991,7 @@
 	    arrlast(d.p.o.v).u.order.weights = "w";
 	proc_perform(&d.p);
 	platform_control.stop(&d.c, clock_ms());
-	assert_int_equal(arrlast(d.v).kind, REG_STOP);
+	assert_int_equal(arrlast(d.v).kind, CONTROLLER_STOP);
 	late = socket(AF_INET, SOCK_STREAM, 0); /* refused, or closed unread */
 	if (connect(late,
 		    (struct sockaddr *)&(struct sockaddr_in){ .sin_family = AF_INET,
--- a/tests/test_raft_fuzz.c
+++ b/tests/test_raft_fuzz.c
@@ -459,7 +459,7 @@
 	print_message("%llu seeds, %llu messages heard again\n", (unsigned long long)seeds, (unsigned long long)replayed);
 }
 
-/* ---- a registrar's door to its groups ---- */
+/* ---- a controller's door to its groups ---- */
 
 static int log_lines;
 
@@ -470,7 +470,7 @@
 	log_lines += !strcmp(prefix, "raft");
 }
 
-static uint64_t image_of_all(const struct reg *r)
+static uint64_t image_of_all(const struct controller *r)
 {
 	uint64_t h = 0;
 
@@ -479,15 +479,15 @@
 	return h;
 }
 
-static void foreign(struct reg *r, struct Nl__Msg *m, int64_t now, struct out *o)
+static void foreign(struct controller *r, struct Nl__Msg *m, int64_t now, struct out *o)
 {
-	struct reg_ev ev = { .kind = REG_MSG };
+	struct controller_ev ev = { .kind = CONTROLLER_MSG };
 	uint64_t before = image_of_all(r), dropped = r->dropped;
 
 	ev.u.msg = m;
-	r->drop_logged_at = now - 10 * REG_DROP_LOG;
+	r->drop_logged_at = now - 10 * CONTROLLER_DROP_LOG;
 	log_lines = 0;
-	reg_step(r, &ev, now, o);
+	controller_step(r, &ev, now, o);
 	assert_int_equal(r->dropped, dropped + 1);
 	assert_int_equal(log_lines, 1);
 	assert_true(image_of_all(r) == before);
@@ -497,7 +497,7 @@
 static void messages_of_other_fleets_are_dropped_with_a_line(void **st)
 {
 	struct sim s;
-	struct reg *r;
+	struct controller *r;
 	int64_t now;
 	int node;
 
@@ -526,7 +526,7 @@
 		foreign(r, &x.msg, now, &s.n[node].o);
 	}
 	{ /* a flood of them: one line a second, which counts them */
-		struct reg_ev ev = { .kind = REG_MSG };
+		struct controller_ev ev = { .kind = CONTROLLER_MSG };
 		struct sample x;
 
 		sample_open(&x, NL__MSG__BODY_APPEND, &r->part[0], r->part[0].leader_id);
@@ -534,7 +534,7 @@
 		ev.u.msg = &x.msg;
 		log_lines = 0;
 		for (int i = 0; i < 3000; i++)
-			reg_step(r, &ev, now + i, &s.n[node].o);
+			controller_step(r, &ev, now + i, &s.n[node].o);
 		assert_true(log_lines >= 2 && log_lines <= 4);
 	}
 	out_clear(&s.n[node].o);
--- a/tests/test_recovery.c
+++ b/tests/test_recovery.c
@@ -276,7 +276,7 @@
 		}
 		edition = sim_change(&s, TENANT("after"), 12000);
 		check(&s);
-		assert_true(edition > REG_RECOVERY_SKIP);
+		assert_true(edition > CONTROLLER_RECOVERY_SKIP);
 		assert_true(table_has(&s, left, "before"));
 		/* old members and new machines come together */
 		sim_start(&s, gone[0]);
@@ -312,7 +312,7 @@
 	}
 }
 
-/* A registrar that joined no group cannot take one over, and bodies that are no such call are refused. */
+/* A controller that joined no group cannot take one over, and bodies that are no such call are refused. */
 static void a_call_at_the_wrong_machine_is_refused(void **state)
 {
 	static const char *const bodies[] = { "", "{", "[]", "{}", "{\"lost\":5}", "{\"lost\":[1,2,3,4,5,6,7,8,9]}" };
--- a/tests/test_shell.c
+++ b/tests/test_shell.c
@@ -322,7 +322,7 @@
 	apr_pool_create(&p, NULL);
 	ring_open(&r, 64, p);
 	s = folder_begin(folder, r, &f, p);
-	assert_null(open_again(folder, r, &f, &why, p)); /* one registrar a folder */
+	assert_null(open_again(folder, r, &f, &why, p)); /* one controller a folder */
 	assert_non_null(strstr(why, "in use"));
 	write_some(s, r, 1, 1, 50, 0);
 	write_some(s, r, 2, 40, 5, 40); /* a conflict: 40 and above are replaced by 40 to 44 */
@@ -517,7 +517,7 @@
 			assert_non_null(strstr(why, "step"));
 			refused++;
 		} else {
-			if (f.id) { /* it holds all that was synced, or it is the empty file of a new registrar */
+			if (f.id) { /* it holds all that was synced, or it is the empty file of a new controller */
 				assert_int_equal(f.part[2].n, 90);
 				for (int k = 0; k < 90; k++) {
 					char want[32];
@@ -558,7 +558,7 @@
 	apr_pool_destroy(p);
 }
 
-/* ---- colleagues ---- */
+/* ---- peers ---- */
 
 static void senseless_colleagues_are_hung_up_on(void **st)
 {
@@ -636,7 +636,7 @@
 	return n;
 }
 
-/* A colleague without power does not answer the dial at all; once it is back it is dialled anew, not when the kernel
+/* A peer without power does not answer the dial at all; once it is back it is dialled anew, not when the kernel
  * thinks of it. */
 static void a_dial_that_hangs_is_made_anew(void **st)
 {
@@ -722,7 +722,7 @@
 	}
 }
 
-/* A colleague that takes nothing more, on a connection that was up: what is sent then goes over a new one, once it listens again. */
+/* A peer that takes nothing more, on a connection that was up: what is sent then goes over a new one, once it listens again. */
 /* A listener at a free address of the loopback, which is written to peer. */
 static int listen_as_peer(char *peer)
 {
--- a/tests/test_store_snapshot.c
+++ b/tests/test_store_snapshot.c
@@ -23,7 +23,7 @@
 
 static uint64_t env(const char *name, uint64_t otherwise) { return getenv(name) ? strtoull(getenv(name), NULL, 10) : otherwise; }
 
-/* One registrar's group of one: raft, its folder, and the newest document as its state. */
+/* One controller's group of one: raft, its folder, and the newest document as its state. */
 struct solo {
 	apr_pool_t *pool;
 	char folder[64];
--- a/tests/test_units.c
+++ b/tests/test_units.c
@@ -9,7 +9,7 @@
 #include <apr_strings.h>
 #include <cmocka.h>
 
-#include "ctr.h"
+#include "router.h"
 #include "ds.h"
 #include "kept.h"
 #include "raft.h"
@@ -288,7 +288,7 @@
 			}
 			assert_int_equal(table_apply(&t, &c, NULL), TABLE_DONE);
 			if (core_rand(&rng) % 40 == 0 || i == 1499) {
-				struct Nl__FollowReply a = NL__FOLLOW_REPLY__INIT;
+				struct Nl__ConfigSyncReply a = NL__CONFIG_SYNC_REPLY__INIT;
 
 				table_since(&t, f.edition, &a, p);
 				assert_true(table_follow(&f, &a));
@@ -638,7 +638,7 @@
 		bench_close(&b);
 	}
 
-	/* an owner heard since: its licence holds, whatever the others said before */
+	/* an owner heard since: its lease holds, whatever the others said before */
 	bench_return(&b);
 	life = said(&b, NL__MSG__BODY_PROBE)->probe->life;
 	hear_idle(&b, 2, life, 0, 3, 1);
