Data folder: a torn file does not keep a registrar from starting where the disk is full

Now the registrar starts with what it read, and the records go to a fresh file before its first transaction.

--- a/lib/shell/store.c
+++ b/lib/shell/store.c
@@ -52,6 +52,7 @@
 	_Atomic uint64_t syncs, refused;
 	int lock;
 	int faults; /* that the library has logged */
+	int renew;  /* its records are to be written to a fresh file */
 	int torn;   /* a transaction has failed since the file was opened */
 	int tidy;   /* what was taken away must not stay in freed pages: a fresh file is due */
 	const char *fault, *folder, *path, *fresh;
@@ -265,6 +266,15 @@
 	return tdb_transaction_commit(s->db) == 0 && s->faults == before;
 }
 
+static int file_anew(struct store *s);
+
+/* A file torn outside its records takes no transaction before they stand in a fresh one; a full disk may not let that be yet. */
+static int is_renewed(struct store *s)
+{
+	s->renew = s->renew && !file_anew(s);
+	return !s->renew;
+}
+
 static int write_batch(struct store *s, struct store_job **v, size_t n)
 {
 	uint64_t first[SHARD_COUNT], last[SHARD_COUNT];
@@ -273,7 +283,7 @@
 	apr_thread_mutex_lock(s->m);
 	memcpy(first, s->first, sizeof first);
 	memcpy(last, s->last, sizeof last);
-	ok = (!s->torn || file_open_again(s)) && tdb_transaction_start(s->db) == 0;
+	ok = (!s->torn || file_open_again(s)) && is_renewed(s) && tdb_transaction_start(s->db) == 0;
 	if (ok) {
 		for (size_t i = 0; i < n && ok; i++)
 			ok = write_one(s, &v[i]->w);
@@ -596,14 +606,10 @@
 		*why = apr_psprintf(p, "step check: %s: %s; it is not voted with: move the folder away and start anew", path, bad);
 		goto bad;
 	}
-	if (!whole && !file_anew(s)) {
-		*why = apr_psprintf(
-		    p, "step mend: %s holds all of its records, but its free space is torn, and no fresh file can be written",
-		    path);
-		goto bad;
-	}
+	s->renew = !whole && !file_anew(s);
 	if (!whole)
-		log_say(LOG_WARN, "store", "%s was torn outside its records by a loss of power; they were written anew.", path);
+		log_say(LOG_WARN, "store", "%s was torn outside its records by a loss of power; they %s.", path,
+			s->renew ? "are to be written anew before anything else" : "were written anew");
 	for (int i = 0; i < SHARD_COUNT; i++)
 		arrfree(r.e[i]);
 	folder_sync(folder); /* the file's name must last too */
@@ -629,7 +635,7 @@
 	int ok;
 
 	apr_thread_mutex_lock(s->m);
-	ok = (!s->torn || file_open_again(s)) && tdb_transaction_start(s->db) == 0;
+	ok = (!s->torn || file_open_again(s)) && is_renewed(s) && tdb_transaction_start(s->db) == 0;
 	if (ok && !(ok = put(s, "id", v, sizeof v, NULL, 0) && total_write(s)))
 		tdb_transaction_cancel(s->db);
 	else if (ok)
