Test: a torn file lets the registrar start on a full disk, and takes writes afterwards

Each image that a loss of power leaves is opened with no fresh file possible, and written on once one is.

--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -358,11 +358,20 @@
 	return 1;
 }
 
+/* What is opened takes further writes, also when its free space was torn and no fresh file could be made at the start. */
+static void assert_goes_on(struct store *store, struct ring *ring, const struct store_found *found)
+{
+	struct persist write = { .part = SHARD, .seq = 1, .term = found->part[SHARD].term + 1 };
+
+	store_write(store, &write);
+	await_synced(ring, 1);
+}
+
 /* Opens what each loss of power has left. */
 static void open_what_is_left(uint64_t seed, uint64_t number, const struct expected *before, const struct expected *after)
 {
 	for (ptrdiff_t i = 0; i < arrlen(disk.falls); i++) {
-		char folder[] = "/tmp/nl-fall-XXXXXX", path[200];
+		char folder[] = "/tmp/nl-fall-XXXXXX", path[200], in_the_way[200];
 		struct store_found found;
 		struct store *store;
 		struct ring *ring;
@@ -378,6 +387,8 @@
 		assert_int_equal(write(fd, disk.falls[i].image, disk.falls[i].length), disk.falls[i].length);
 		close(fd);
 		free(disk.falls[i].image);
+		snprintf(in_the_way, sizeof in_the_way, "%s/registrar.tdb.fresh", folder);
+		assert_return_code(mkdir(in_the_way, 0700), 0); /* no fresh file can be made */
 		store = store_open(folder, NULL, ring, &found, &why, pool);
 		if (!store)
 			fail_msg("seed %llu, transaction %llu: after a loss of power: %s", (unsigned long long)seed,
@@ -386,6 +397,8 @@
 			fail_msg(
 			    "seed %llu, transaction %llu: after a loss of power: neither what was before nor what was written stands",
 			    (unsigned long long)seed, (unsigned long long)number);
+		assert_return_code(rmdir(in_the_way), 0);
+		assert_goes_on(store, ring, &found);
 		store_close(store);
 		folder_remove(folder);
 		apr_pool_destroy(pool);
