Configuration sync: answers that overlap all count; a slow leader is not a silent one

Each answer names what has changed since its own request. As its knowledge was old it then asked four controllers eight times a second, which the link had to carry too.

Ruled out: a lost connection (answers kept coming, 0.3 s after each other), a leader without a lease (most dropped answers came from the leader).

Now a change since an older edition is taken: it names each row that has changed since then as it is now, so rows that are here already come out the same. An answer that was overtaken still proves that what is here was in force when it was asked for, unless its leader has less than was here at that time. Others are asked only when the leader's answers stay out, not when they are old, and by as much later as the last answer took (a second at most).

--- a/lib/control/config_watch.c
+++ b/lib/control/config_watch.c
@@ -16,7 +16,7 @@
 	for (int i = 0; i < n && i < CONFIG_WATCH_SEATS; i++)
 		f->cand[f->ncand++] = seeds[i];
 	f->nseed = f->ncand;
-	f->fresh = now - 1000000;
+	f->fresh = f->leader_heard = now - 1000000;
 	f->last_word = now;
 	f->last_ask = now - CONFIG_WATCH_EVERY;
 	for (int i = 0; i < SHARD_COUNT && f->ncand; i++)
@@ -124,6 +124,11 @@
 		config_watch_miss(f, part);
 }
 
+static struct config_watch_asked *asked_slot(struct config_watch *f, uint64_t token)
+{
+	return &f->asked[token % CONFIG_WATCH_ASKED];
+}
+
 static struct Nl__ConfigSync *asking(struct config_watch *f, uint64_t horizon, int64_t now, struct out *o)
 {
 	struct Nl__ConfigSync *a = OUT_NEW(o, Nl__ConfigSync, NL__CONFIG_SYNC__INIT);
@@ -144,8 +149,7 @@
 	for (size_t i = 0; i < a->n_left; i++)
 		a->left[i] = (struct Nl__Left *)core_dup(o->p, &f->left[i].base);
 	say_holds(f, a, o);
-	f->asked[f->token % 16].token = f->token;
-	f->asked[f->token % 16].at = now;
+	*asked_slot(f, f->token) = (struct config_watch_asked){ f->token, f->t.edition, now };
 	f->last_ask = now;
 	return a;
 }
@@ -176,13 +180,25 @@
 	f->at[SHARD_CONTROL] = (f->at[SHARD_CONTROL] + CONFIG_WATCH_AROUND) % (f->ncand ? f->ncand : 1);
 }
 
+/* How much later than usual an answer may come before it counts as missing: the last one's time on its way, within a bound. */
+static int64_t slow_link_ms(const struct config_watch *f)
+{
+	return f->round_trip < CONFIG_WATCH_SLOW ? f->round_trip : CONFIG_WATCH_SLOW;
+}
+
+/* An old answer is no reason to ask others: the leader is in reach, and its answers are long on their way. */
+static int leader_silent(const struct config_watch *f, int64_t now)
+{
+	return now - f->leader_heard > CONFIG_WATCH_SILENT + slow_link_ms(f);
+}
+
 void config_watch_tick(struct config_watch *f, uint64_t horizon, int64_t now, struct out *o)
 {
-	int silent = config_watch_age(f, now) > CONFIG_WATCH_SILENT;
+	int silent = leader_silent(f, now);
 
 	if (now - f->last_ask < (silent ? CONFIG_WATCH_EVERY / 2 : CONFIG_WATCH_EVERY))
 		return;
-	if (now - f->last_word > CONFIG_WATCH_WAIT + CONFIG_WATCH_EVERY) {
+	if (now - f->last_word > CONFIG_WATCH_WAIT + CONFIG_WATCH_EVERY + slow_link_ms(f)) {
 		config_watch_miss(f, SHARD_CONTROL);
 		f->last_word = now - CONFIG_WATCH_EVERY; /* the next one gets its time too */
 	}
@@ -211,20 +227,32 @@
 	}
 }
 
+/* Several requests are under way at once where the way is long, and each answer names what has changed since its own request:
+ * an answer may be overtaken by a newer one. It changes nothing then, but proves as well that what is here was in force when it
+ * was asked for. A leader that has less than was here already proves nothing. */
+static int take_table(struct config_watch *f, const struct Nl__ConfigSyncReply *r, const struct config_watch_asked *asked)
+{
+	if (r->edition < f->t.edition)
+		return r->edition >= asked->have;
+	return table_follow(&f->t, r);
+}
+
 int config_watch_msg(struct config_watch *f, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	const struct Nl__ConfigSyncReply *r = m->follow_reply;
 	uint64_t was = f->t.edition;
-	int64_t asked;
+	struct config_watch_asked asked;
 
 	if (m->body_case == NL__MSG__BODY_OWNER) {
 		config_watch_hint(f, m->part, m->owner->owner);
 		return 0;
 	}
-	if (m->body_case != NL__MSG__BODY_FOLLOW_REPLY || f->asked[r->token % 16].token != r->token)
+	if (m->body_case != NL__MSG__BODY_FOLLOW_REPLY)
+		return 0;
+	asked = *asked_slot(f, r->token);
+	if (asked.token != r->token)
 		return 0;
 	f->last_word = now;
-	asked = f->asked[r->token % 16].at;
 	if (!r->has_lease) {
 		if (r->token == f->token) { /* only the newest asking moves the guess */
 			config_watch_hint(f, SHARD_CONTROL, r->hint == m->addr ? 0 : r->hint);
@@ -236,12 +264,14 @@
 	if (f->fleet && r->fleet != f->fleet)
 		return 0;
 	f->leader_addr[SHARD_CONTROL] = m->addr;
-	if (!table_follow(&f->t, r))
-		return 0; /* an answer to an older asking; the next one fits */
+	f->leader_heard = now;
+	f->round_trip = now - asked.at;
+	if (!take_table(f, r, &asked))
+		return 0;
 	f->fleet = r->fleet;
 	take_places(f, r);
-	if (asked > f->fresh)
-		f->fresh = asked;
+	if (asked.at > f->fresh)
+		f->fresh = asked.at;
 	f->nup = 0;
 	for (size_t i = 0; i < r->n_up && i < 8; i++)
 		f->up[f->nup++] = r->up[i];
--- a/lib/control/config_watch.h
+++ b/lib/control/config_watch.h
@@ -16,7 +16,9 @@
 	CONFIG_WATCH_CONFIG = 1700, /* ms after which new work is refused: the brief's 2 s, less what a send may take */
 	CONFIG_WATCH_RIDE = 4500,   /* ms after which all that is held ends: keys, places, exchanges */
 	CONFIG_WATCH_LOG = 500,     /* ms for which a publisher that does not answer is asked */
-	CONFIG_WATCH_SEATS = 32
+	CONFIG_WATCH_SEATS = 32,
+	CONFIG_WATCH_SLOW = 1000, /* ms of a round trip that are granted to a slow link at the most */
+	CONFIG_WATCH_ASKED = 64   /* requests whose answers are still taken; a slow link carries several at once */
 };
 
 /* Places under a limit, handed out by the configuration's owner. name: "tenant" or "lane/tenant". */
@@ -52,11 +54,13 @@
 	int nlive;
 	uint32_t counters; /* how many the owner saw lately */
 	uint64_t token;
-	struct {
-		uint64_t token;
+	struct config_watch_asked {
+		uint64_t token, have; /* have: the edition that was here when it was asked */
 		int64_t at;
-	} asked[16];
-	int64_t fresh; /* when the last good answer was asked for */
+	} asked[CONFIG_WATCH_ASKED];
+	int64_t fresh;        /* when the last good answer was asked for */
+	int64_t leader_heard; /* when the last answer of a leader with a lease came */
+	int64_t round_trip;   /* how long that answer took, from its request */
 	int64_t last_ask, last_word, log_tried;
 };
 
--- a/lib/control/table.c
+++ b/lib/control/table.c
@@ -508,8 +508,10 @@
 {
 	char buf[300];
 
-	if (r->edition < t->edition || (!r->whole && r->since != t->edition))
+	if (r->edition < t->edition || (!r->whole && r->since > t->edition))
 		return 0;
+	if (r->edition == t->edition && !r->whole)
+		return 1;
 	if (r->whole) {
 		table_close(t);
 		table_open(t);
--- a/lib/control/table.h
+++ b/lib/control/table.h
@@ -53,7 +53,8 @@
 /* Fill a reply with what changed since an edition, or all of it. Example: table_since(&t, 7, reply, pool); */
 void table_since(const struct table *t, uint64_t have, struct Nl__ConfigSyncReply *r, apr_pool_t *p);
 
-/* Take such a reply in; 0 when it does not fit on what is here. Editions never go back.
+/* Take such a reply in; 0 when it does not fit on what is here. Editions never go back. A change since an older edition fits
+ * too: it names every row that has changed since then as it is now, so the rows that are here already come out the same.
  * Example: if (!table_follow(&t, reply)) ask_for_all(); */
 int table_follow(struct table *t, const struct Nl__ConfigSyncReply *r);
 
