A forwarded request that a server has been sent outlives the configuration's age

No rule asks for that: a removed key binds requests that callers send after its bound, and where the removal is known, what runs goes on (it was sent while its key held). Only the router that knew less was the stricter one.

Now what waits is refused with a time to come back, what comes is refused at once, nothing new is sent, and what has been sent goes on to its end or its limit.

--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -26,6 +26,10 @@
 	c->nstand = n;
 }
 
+/* A forwarded request that a server has been sent goes on, as it does where its key is known to be removed: it was sent while
+ * the configuration was certain to be in force, and the server ends it within its deadline. */
+static int outlives_configuration(const struct client_request *x) { return x->forwarded && x->state == REQUEST_RUNNING; }
+
 static void swap_route_table(struct router *c, int64_t now, struct out *o)
 {
 	struct route_table *b = router_route_table_make(c, now), *old = c->route_table;
@@ -37,8 +41,8 @@
 		struct bk_key *keys = b->key;
 		ptrdiff_t k = x->digest ? shgeti(keys, x->digest) : -1;
 
-		if (x->forwarded && x->state == REQUEST_RUNNING)
-			continue; /* sent while its key held; a server ends it within its deadline */
+		if (outlives_configuration(x))
+			continue;
 		if (x->digest && x->tenant != b->keyless && (k < 0 || keys[k].value != x->tenant || !b->tenant[x->tenant].on)) {
 			c->n.revoked++;
 			router_end_early(c, x, 401, "key: removed", now, o);
@@ -240,13 +244,17 @@
 	}
 }
 
-/* Cut off, or woken after a freeze: before anything else happens, all that is held here ends. */
+/* Cut off, or woken after a freeze: before anything else happens, what has not been sent is refused, and in the product's own
+ * interface all that is held here ends. */
 static void end_blind(struct router *c, int64_t now, struct out *o)
 {
-	while (arrlen(c->all) && now > router_good_until(c)) {
+	if (now <= router_good_until(c))
+		return;
+	for (ptrdiff_t i = arrlen(c->all) - 1; i >= 0; i--) {
+		if (outlives_configuration(c->all[i]))
+			continue;
 		c->n.blind++;
-		router_end_early(c, arrlast(c->all), 503, "this counter has been cut off: its configuration may be out of force",
-				 now, o);
+		router_end_early(c, c->all[i], 503, "this counter has been cut off: its configuration may be out of force", now, o);
 	}
 }
 
