The head of a zone tells of kept parts by key, within a share of its link

Now events wait at the head, of each part the newest, and leave as 8-byte keys, as fast as 40 % of the link carries them; a new router is told the index in pieces under the same bound.

Found by the new test: a server that lost its events without having new ones was not passed on, so routers kept what the head had forgotten.

--- a/lib/core/core.c
+++ b/lib/core/core.c
@@ -152,4 +152,5 @@
 	.copies = 3,
 	.list_mille = 0,
 	.instances = 0,
+	.link_kbps = 0,
 };
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -135,6 +135,7 @@
 	int copies;           /* of each part: one more than twice the machines that may be lost at once */
 	int list_mille;       /* calls to the list of servers, in thousandths a second, for the whole fleet; 0: no list */
 	int instances;        /* servers come from the list, not from the table */
+	int link_kbps;        /* of this machine's own link; 0: no bound is known */
 };
 extern const struct bounds bounds_default;
 
--- a/lib/core/purge.c
+++ b/lib/core/purge.c
@@ -417,7 +417,7 @@
 		if (r->down[i].id == msg->id)
 			d = &r->down[i];
 	if (!d) {
-		struct relay_down nd = { msg->id, msg->addr, 0, now, 0, 0 };
+		struct relay_down nd = { msg->id, msg->addr, 0, now, 0, 0, 0 };
 
 		arrput(r->down, nd);
 		d = &arrlast(r->down);
--- a/lib/core/purge.h
+++ b/lib/core/purge.h
@@ -85,8 +85,9 @@
 struct relay_down {
 	uint64_t id, addr, taken;
 	int64_t heard;
-	int briefed;   /* its owner has told it what it keeps */
-	int64_t asked; /* its own clock when it last asked */
+	int briefed;      /* its owner has begun to tell it what it keeps */
+	ptrdiff_t untold; /* rows of its owner's index that it has yet to be told */
+	int64_t asked;    /* its own clock when it last asked */
 };
 
 struct relay {
--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -181,7 +181,7 @@
 	relay_tick(&c->relay, now, o);
 	if (c->b.instances) {
 		router_load_tick(c, now, o);
-		router_kept_tell(c, now, o);
+		router_feed_tick(c, now, o);
 	}
 	if (c->b.instances)
 		router_watch(c, now, o);
@@ -360,7 +360,6 @@
 		abort();
 	apr_pool_create(&c->p, NULL);
 	apr_pool_create(&c->scratch, c->p);
-	apr_pool_create(&c->heard_pool, c->p);
 	c->b = bounds_default;
 	c->opened = now;
 	c->zone_hash = core_hashs(0, zone);
@@ -383,7 +382,7 @@
 	router_route_table_free(c->route_table);
 	router_server_table_free(c->server_table);
 	router_load_clear(c);
-	arrfree(c->heard);
+	router_feed_clear(c);
 	hmfree(c->line_at);
 	hmfree(c->named);
 	arrfree(c->generation);
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -295,7 +295,21 @@
 	double gap;
 };
 
+/* Events of one server's kept parts that the zone has not been told: of each part the newest. */
+struct kept_news {
+	uint64_t epoch, next;
+	int lost, queued; /* lost: what was known before no longer counts */
+	struct {
+		uint64_t key;
+		struct {
+			uint64_t filed;
+			int gone;
+		} value;
+	} * part; /* stb_ds, by the part's key in the index */
+};
+
 struct router_server {
+	struct kept_news news;
 	int64_t reported, called, bad_until, told; /* told: when a relay last passed its report on */
 	uint64_t call, asked, serial, boot;
 	uint32_t weights, seen_weights;                 /* seen: by the list; an answer's own word is newer */
@@ -385,9 +399,11 @@
 	int64_t left_at, cleared_at; /* a look at what servers still name began; the last clearing was heard of whole */
 	ptrdiff_t left_pos;          /* how much of the index that look has before it */
 	struct Nl__Left *left;       /* stb_ds: what it has found */
-	int64_t opened, pump_at, heard_at;
-	struct Nl__Kept **heard; /* stb_ds: events of kept parts that the zone has not been told */
-	apr_pool_t *heard_pool;
+	int64_t opened, pump_at;
+	struct {
+		uint32_t *queue; /* stb_ds: servers whose events the zone has not been told, who has waited longest first */
+		int64_t told_at, free_at; /* when it was last told; when the link has room for more */
+	} feed;
 	uint64_t walled_tick; /* newest purge of a tenant in the view */
 	struct {
 		uint64_t key;
--- a/lib/data/router_internal.h
+++ b/lib/data/router_internal.h
@@ -85,6 +85,11 @@
 void router_cleared(struct router *c, const struct Nl__Value *v, int64_t now);
 void router_retention_tick(struct router *c, int64_t now);
 int router_keeps(const struct router *c, uint32_t service, uint32_t maker, uint64_t id, uint64_t stamp);
+/* router_kept_feed.c */
+/* What a watch has answered, before it is taken in here. */
+void router_feed_add(struct router *c, uint32_t server, const struct Nl__Kept *kept);
+void router_feed_tick(struct router *c, int64_t now, struct out *o);
+void router_feed_clear(struct router *c);
 /* router_watch.c */
 void router_look(struct router *c, int64_t now, struct out *o);
 void router_on_passed_report(struct router *c, const struct Nl__Report *r, int64_t now, struct out *o);
@@ -93,7 +98,6 @@
 void router_watch(struct router *c, int64_t now, struct out *o);
 void router_on_watched(struct router *c, uint64_t token, const struct Nl__Kept *k, int status, int64_t now);
 void router_on_kept(struct router *c, const struct Nl__Kept *k, int64_t now);
-void router_kept_tell(struct router *c, int64_t now, struct out *o);
 int router_interval(const struct router *c, int ms);
 void router_pass_report(struct router *c, uint32_t s, const char *body, struct out *o);
 
--- a/lib/data/router_watch.c
+++ b/lib/data/router_watch.c
@@ -193,6 +193,21 @@
 	}
 }
 
+static void part_added(struct router *c, uint32_t server, uint64_t key, uint64_t filed)
+{
+	struct kept_copy copy = { server, 0, c->server_table->server[server].service, c->sv[server].weights, 0, filed };
+
+	c->n.events++;
+	if (c->kept.n < ROUTER_INDEX)
+		kept_put(&c->kept, key, &copy);
+}
+
+static void part_removed(struct router *c, uint32_t server, uint64_t key)
+{
+	c->n.events++;
+	kept_lose(&c->kept, key, server);
+}
+
 /* Of one server: what it keeps now, and no longer. Events that were missed make all that is known of it doubtful. */
 void router_on_kept(struct router *c, const struct Nl__Kept *k, int64_t now)
 {
@@ -215,15 +230,16 @@
 	}
 	for (size_t i = 0; i < k->n_e; i++) {
 		uint64_t key = router_kept_key(core_hashs(0, k->e[i]->cache_namespace), k->e[i]->id);
-		struct kept_copy n = { (uint32_t)s, 0, c->server_table->server[s].service,
-				       v->weights,  0, router_filed_text(k->e[i]->cache_namespace) };
 
-		c->n.events++;
 		if (k->e[i]->gone)
-			kept_lose(&c->kept, key, (uint32_t)s);
-		else if (c->kept.n < ROUTER_INDEX)
-			kept_put(&c->kept, key, &n);
+			part_removed(c, (uint32_t)s, key);
+		else
+			part_added(c, (uint32_t)s, key, router_filed_text(k->e[i]->cache_namespace));
 	}
+	for (size_t i = 0; i < k->n_added; i++)
+		part_added(c, (uint32_t)s, k->added[i], i < k->n_added_filed ? k->added_filed[i] : 0);
+	for (size_t i = 0; i < k->n_removed; i++)
+		part_removed(c, (uint32_t)s, k->removed[i]);
 }
 
 void router_on_watched(struct router *c, uint64_t token, const struct Nl__Kept *k, int status, int64_t now)
@@ -239,74 +255,12 @@
 			v->watched = now + ROUTER_LOOK; /* too many watch it, or it is gone */
 			return;
 		}
+		router_feed_add(c, s, k);
 		router_on_kept(c, k, now);
-		/* of a store each word goes on, for it says that the store is up */
-		if (arrlen(c->relay.down) && (k->n_e || c->server_table->server[s].is_store))
-			arrput(c->heard, (struct Nl__Kept *)core_dup(c->heard_pool, &k->base));
 		return;
 	}
 }
 
-/* A router that is new in the zone, or back, hears only what changes from then on; so it is told once all that is known to be
- * kept, or it would have prompts read again that lie ready. It adds this to what it knows itself. */
-static void brief(struct router *c, uint64_t addr, struct out *o)
-{
-	const struct server_table *r = c->server_table;
-	struct Nl__KeptAll *all = OUT_NEW(o, Nl__KeptAll, NL__KEPT_ALL__INIT);
-	struct Nl__Kept **of = apr_pcalloc(o->p, (r->nserver + 1) * sizeof *of);
-
-	all->k = apr_palloc(o->p, (r->nserver + 1) * sizeof *all->k);
-	for (int fill = 0; fill < 2; fill++) { /* counted first, then put in */
-		for (ptrdiff_t i = 0; i < hmlen(c->kept.h); i++)
-			for (ptrdiff_t k = 0; k < arrlen(c->kept.h[i].value); k++) {
-				uint32_t s = c->kept.h[i].value[k].server;
-
-				if (s >= r->nserver || !r->server[s].on || !c->sv[s].epoch)
-					continue;
-				if (!of[s]) {
-					of[s] = OUT_NEW(o, Nl__Kept, NL__KEPT__INIT);
-					of[s]->server = apr_pstrdup(o->p, c->servers.name[s]);
-					of[s]->epoch = c->sv[s].epoch;
-					of[s]->next = c->sv[s].next;
-					all->k[all->n_k++] = of[s];
-				}
-				if (fill)
-					of[s]->held[of[s]->n_held] = c->kept.h[i].key;
-				of[s]->n_held++;
-			}
-		for (size_t i = 0; !fill && i < all->n_k; i++) {
-			all->k[i]->held = apr_palloc(o->p, all->k[i]->n_held * sizeof *all->k[i]->held);
-			all->k[i]->n_held = 0;
-		}
-	}
-	if (all->n_k)
-		out_msg(o, addr, 0, NL__MSG__BODY_KEPT_ALL)->kept_all = all;
-}
-
-/* What was heard goes on a few times a second: a word for each watch and each router of the zone would be their product. */
-void router_kept_tell(struct router *c, int64_t now, struct out *o)
-{
-	struct Nl__KeptAll *all;
-
-	for (ptrdiff_t i = 0; c->server_table && !c->f.nup && i < arrlen(c->relay.down); i++)
-		if (!c->relay.down[i].briefed) {
-			c->relay.down[i].briefed = 1;
-			brief(c, c->relay.down[i].addr, o);
-		}
-	if (!arrlen(c->heard) || now - c->heard_at < router_interval(c, ROUTER_KEPT_TELL))
-		return;
-	c->heard_at = now;
-	all = OUT_NEW(o, Nl__KeptAll, NL__KEPT_ALL__INIT);
-	all->n_k = (size_t)arrlen(c->heard);
-	all->k = apr_palloc(o->p, all->n_k * sizeof *all->k);
-	for (size_t i = 0; i < all->n_k; i++)
-		all->k[i] = (struct Nl__Kept *)core_dup(o->p, &c->heard[i]->base);
-	for (ptrdiff_t i = 0; i < arrlen(c->relay.down); i++)
-		out_msg(o, c->relay.down[i].addr, 0, NL__MSG__BODY_KEPT_ALL)->kept_all = all;
-	arrsetlen(c->heard, 0);
-	apr_pool_clear(c->heard_pool);
-}
-
 /* Words between routers are rarer the more of them there are. Example: router_interval(c, 50) is 50 for up to 16 routers */
 int router_interval(const struct router *c, int ms)
 {
--- a/rehearsal/hollow.c
+++ b/rehearsal/hollow.c
@@ -1495,7 +1495,7 @@
 	struct table tab;
 	struct Nl__ConfigSyncReply all = NL__CONFIG_SYNC_REPLY__INIT;
 	enum { EVENTS = 100 }; /* of one message */
-	struct Nl__KeptEvent ke[EVENTS], *pe[EVENTS];
+	uint64_t keys[EVENTS];
 	struct Nl__Kept kept = NL__KEPT__INIT;
 	struct Nl__KeptAll heard = NL__KEPT_ALL__INIT;
 	struct Nl__Kept *one = &kept;
@@ -1518,20 +1518,15 @@
 		row(r, (double)t / (double)n, (double)t / (double)n, "state.kept_put_ns");
 	}
 	kept_clear(&k);
-	for (int i = 0; i < EVENTS; i++) {
-		nl__kept_event__init(&ke[i]);
-		ke[i].cache_namespace = "t1234567";
-		ke[i].id = core_rand(&f->rng);
-		ke[i].tokens = 64;
-		pe[i] = &ke[i];
-	}
+	for (int i = 0; i < EVENTS; i++)
+		keys[i] = core_rand(&f->rng);
 	m.body_case = NL__MSG__BODY_KEPT_ALL;
 	m.kept_all = &heard;
 	heard.n_k = 1;
 	heard.k = &one;
 	kept.server = "s1000";
-	kept.n_e = EVENTS;
-	kept.e = pe;
+	kept.n_added = EVENTS;
+	kept.added = keys;
 	bytes = nl__msg__get_packed_size(&m);
 	d = malloc(bytes);
 	nl__msg__pack(&m, d);
