A router that has just begun is no zone's head, and asks few servers at once for all they keep

Now a router says whether it has been in service for ten seconds, and one that has goes before one that has not: a restarted router is told the index, and where each watch stands, by the head before it takes over. One that does begin as the head asks for first answers so few at once that they fill its link for 150 ms, by what such answers brought lately.

Tests: a_restarted_router_is_no_head_at_first, a_new_head_asks_few_servers_at_once; both guards seen.

--- a/lib/control/config_watch.c
+++ b/lib/control/config_watch.c
@@ -144,6 +144,7 @@
 	a->wall = f->wall;
 	a->load_pressure = f->load_pressure;
 	a->index = f->index;
+	a->warm = f->warm;
 	a->n_left = (size_t)arrlen(f->left);
 	a->left = apr_palloc(o->p, (a->n_left + 1) * sizeof *a->left);
 	for (size_t i = 0; i < a->n_left; i++)
--- a/lib/control/config_watch.h
+++ b/lib/control/config_watch.h
@@ -38,6 +38,7 @@
 	int64_t wall;           /* a controller's; 0: none */
 	uint32_t load_pressure; /* a router's */
 	int index;              /* it holds the index */
+	int warm;               /* a router's: in service for a while */
 	struct Nl__Left *left;  /* stb_ds: what servers still name of before a clearing */
 	uint64_t fleet;         /* 0 until known */
 	const char *zone, *web;
--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -176,6 +176,7 @@
 static void tick(struct router *c, int64_t now, struct out *o)
 {
 	router_retention_tick(c, now);
+	c->f.warm = !c->stopping && now - c->opened >= ROUTER_WARM;
 	config_watch_tick(&c->f, c->relay.k.horizon, now, o);
 	relay_up(&c->relay, c->f.up, (size_t)c->f.nup, config_watch_log(&c->f, c->relay.moved, now), now);
 	relay_tick(&c->relay, now, o);
@@ -362,6 +363,7 @@
 	apr_pool_create(&c->scratch, c->p);
 	c->b = bounds_default;
 	c->opened = now;
+	c->first_watch_bytes = ROUTER_FIRST_WATCH_BYTES;
 	c->zone_hash = core_hashs(0, zone);
 	config_watch_open(&c->f, id, seeds, n, now);
 	c->f.zone = zone;
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -35,12 +35,16 @@
 	ROUTER_AGAIN_LEAST = 50,
 	ROUTER_UNREACHED = 4,
 	ROUTER_WATCH_WAIT = 1000,
-	ROUTER_WATCH_GAP = 300, /* ms that a server holds a watch; between two of them */
-	ROUTER_INDEX = 1000000, /* copies of parts that the index holds at the most */
+	ROUTER_FIRST_WATCH_MS = 150,      /* of a router's link that first answers of servers may take at once */
+	ROUTER_FIRST_WATCH_BYTES = 65536, /* what a first answer is taken to bring until some have come */
+	ROUTER_EVENT_BYTES = 50,          /* of an event as servers say it */
+	ROUTER_WATCH_GAP = 300,           /* ms that a server holds a watch; between two of them */
+	ROUTER_INDEX = 1000000,           /* copies of parts that the index holds at the most */
 	ROUTER_AWAY_MS = 40,
 	ROUTER_AWAY_K =
 	    12, /* ms that a server counts as dearer which does not keep the prefix, also by 1000 tokens of it: it pushes others' out */
 	ROUTER_KEPT_TELL = 75,     /* ms between words of kept parts to the zone */
+	ROUTER_WARM = 10000,       /* ms after a start in which a router is no other's upstream if it can be helped */
 	ROUTER_BEGIN = 1300,       /* ms that a router and its fleet take from a start to a configuration in force */
 	ROUTER_SOON = 60,          /* ms after which one that a single server turned away may come back */
 	ROUTER_PUMP = 10,          /* ms between weighings of lines that nobody has room for */
@@ -400,6 +404,7 @@
 	ptrdiff_t left_pos;          /* how much of the index that look has before it */
 	struct Nl__Left *left;       /* stb_ds: what it has found */
 	int64_t opened, pump_at;
+	double first_watch_bytes; /* what a server's first answer brings, as they went lately */
 	struct {
 		uint32_t *queue; /* stb_ds: servers whose events the zone has not been told, who has waited longest first */
 		int64_t told_at, free_at; /* when it was last told; when the link has room for more */
--- a/lib/data/router_watch.c
+++ b/lib/data/router_watch.c
@@ -2,6 +2,7 @@
 #include "router_internal.h"
 
 #include <apr_strings.h>
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -167,32 +168,61 @@
 
 /* ---- watches of kept parts ---------------------------------------------------------------------- */
 
+/* How many servers may be asked at once for all that they still name, as a router does that knows nothing of them yet: their
+ * answers come all together, and the configuration must not wait behind them on a slow link. */
+static int first_watches(const struct router *c)
+{
+	int64_t room = (int64_t)c->b.link_kbps / 8 * ROUTER_FIRST_WATCH_MS;
+
+	if (!c->b.link_kbps)
+		return INT_MAX;
+	return 1 + (int)(room / (int64_t)(c->first_watch_bytes + 1));
+}
+
+static void watch_server(struct router *c, uint32_t s, int64_t now, struct out *o)
+{
+	struct router_server *v = &c->sv[s];
+	struct cmd *k = out_cmd(o, CMD_WATCH);
+
+	v->watch = router_token_new(c);
+	v->watched = now;
+	c->n.watches++;
+	k->u.watch.token = v->watch;
+	k->u.watch.addr = c->server_table->server[s].to;
+	k->u.watch.server = c->servers.name[s];
+	k->u.watch.since = v->next;
+	k->u.watch.wait_ms = ROUTER_WATCH_WAIT;
+}
+
 /* The head of a zone's relays watches each server for its zone; what it hears goes down the way purges go. */
 void router_watch(struct router *c, int64_t now, struct out *o)
 {
 	const struct server_table *r = c->server_table;
+	int first = 0, most = first_watches(c);
 
 	if (!r || c->stopping || c->f.nup || config_watch_age(&c->f, now) > router_ride(c))
 		return;
+	for (uint32_t s = 0; s < r->nserver; s++)
+		first += c->sv[s].watch && !c->sv[s].next;
 	for (uint32_t s = 0; s < r->nserver; s++) {
-		struct router_server *v = &c->sv[s];
-		struct cmd *k;
+		const struct router_server *v = &c->sv[s];
 
 		if (!r->server[s].on || r->server[s].draining || v->watch || now - v->watched < ROUTER_WATCH_GAP ||
-		    now < v->bad_until)
+		    now < v->bad_until || (!v->next && first >= most))
 			continue;
-		v->watch = router_token_new(c);
-		v->watched = now;
-		c->n.watches++;
-		k = out_cmd(o, CMD_WATCH);
-		k->u.watch.token = v->watch;
-		k->u.watch.addr = r->server[s].to;
-		k->u.watch.server = c->servers.name[s];
-		k->u.watch.since = v->next;
-		k->u.watch.wait_ms = ROUTER_WATCH_WAIT;
+		first += !v->next;
+		watch_server(c, s, now, o);
 	}
 }
 
+/* What a first answer brings, as they went lately. */
+static void learn_first_watch(struct router *c, const struct Nl__Kept *k)
+{
+	double bytes = ROUTER_EVENT_BYTES * (double)k->n_e;
+
+	c->first_watch_bytes += (bytes - c->first_watch_bytes) / 4;
+}
+
 static void part_added(struct router *c, uint32_t server, uint64_t key, uint64_t filed)
 {
 	struct kept_copy copy = { server, 0, c->server_table->server[server].service, c->sv[server].weights, 0, filed };
@@ -255,6 +285,8 @@
 			v->watched = now + ROUTER_LOOK; /* too many watch it, or it is gone */
 			return;
 		}
+		if (!v->next)
+			learn_first_watch(c, k);
 		router_feed_add(c, s, k);
 		router_on_kept(c, k, now);
 		return;
--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -12,6 +12,7 @@
 
 #include "config_watch.h"
 #include "ds.h"
+#include "sim.h"
 
 enum {
 	NAMES = 20,
@@ -275,12 +276,58 @@
 	world_close(&w);
 }
 
+/* ---- upstream ---------------------------------------------------------------------------------- */
+
+enum { CONTROLLERS = 3, ROUTERS = 8, WARM_MS = 16000, SETTLE_MS = 2500 };
+
+/* The router of a zone that no other of it is upstream of; -1: none, or not exactly one. */
+static int head_of_zone(const struct sim *s, const char *zone)
+{
+	int head = -1, heads = 0;
+
+	for (int i = SIM_REGS; i < SIM_REGS + ROUTERS; i++)
+		if (s->n[i].up && !strcmp(s->n[i].zone, zone) && !s->n[i].c->f.nup) {
+			head = i;
+			heads++;
+		}
+	return heads == 1 ? head : -1;
+}
+
+/* A head that is restarted is not the head again before it has been in service for a while: it would know nothing that it could
+ * pass on, and ask all servers at once. Then it is. */
+static void a_restarted_router_is_no_head_at_first(void **state)
+{
+	uint64_t first, n = seeds_of(4, &first);
+
+	(void)state;
+	for (uint64_t seed = first; seed < first + n; seed++) {
+		struct sim s;
+		int head, other;
+
+		sim_deploy(&s, seed, CONTROLLERS, ROUTERS, 4);
+		assert_true(sim_run(&s, WARM_MS, NULL));
+		head = head_of_zone(&s, "z1");
+		assert_true(head >= 0);
+		sim_crash(&s, head, 0);
+		assert_true(sim_run(&s, 100, NULL));
+		sim_start(&s, head);
+		assert_true(sim_run(&s, SETTLE_MS, NULL));
+		other = head_of_zone(&s, "z1");
+		if (other < 0 || other == head)
+			fail_msg("seed %llu: %d is the head, %d was", (unsigned long long)seed, other, head);
+		assert_true(sim_run(&s, WARM_MS, NULL));
+		assert_int_equal(head_of_zone(&s, "z1"), head);
+		sim_close(&s);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(overlapping_answers_all_count),
 		cmocka_unit_test(a_slow_leader_is_not_a_silent_one),
 		cmocka_unit_test(a_leader_that_knows_less_proves_nothing),
+		cmocka_unit_test(a_restarted_router_is_no_head_at_first),
 	};
 	int rc;
 
--- a/tests/test_kept_feed.c
+++ b/tests/test_kept_feed.c
@@ -168,6 +168,34 @@
 	node_step(z, 0, &ev);
 }
 
+/* A server answers a watch with so many events of parts that it keeps. */
+static void answer_all(struct zone *z, uint64_t token, int server, size_t events)
+{
+	struct Nl__Kept kept = NL__KEPT__INIT;
+	struct router_ev ev = { .kind = ROUTER_WATCHED };
+	apr_pool_t *p;
+
+	apr_pool_create(&p, z->pool);
+	kept.server = apr_psprintf(p, "i-%d", server);
+	kept.epoch = 1;
+	kept.next = z->next[server] += events;
+	kept.e = apr_palloc(p, events * sizeof *kept.e);
+	for (; kept.n_e < events; kept.n_e++) {
+		struct Nl__KeptEvent *e = apr_palloc(p, sizeof *e);
+
+		nl__kept_event__init(e);
+		e->cache_namespace = "w1-a";
+		e->id = 1 + dice(z, PARTS);
+		e->tokens = 10;
+		kept.e[kept.n_e] = e;
+	}
+	ev.u.kept.token = token;
+	ev.u.kept.k = &kept;
+	ev.u.kept.status = 200;
+	node_step(z, 0, &ev);
+	apr_pool_destroy(p);
+}
+
 /* What the head has sent and asked for in its last step. */
 static void head_performs(struct zone *z)
 {
@@ -291,11 +319,48 @@
 	}
 }
 
+/* A router that becomes the head and knows nothing yet asks servers for all that they name: so few at once that its link is not
+ * full for long, and all of them before long. */
+static void a_new_head_asks_few_servers_at_once(void **state)
+{
+	enum { ANSWER_EVENTS = 500, ANSWER_MS = 150, WITHIN_MS = 8000, MOST_MS = 300 };
+
+	(void)state;
+	for (int link_kbps = 0; link_kbps <= 20 * LINK_KBPS; link_kbps += 5 * LINK_KBPS) {
+		struct zone z;
+		struct router *head = &z.node[0].router;
+		int most = 0, open = 0, bound = link_kbps ? MOST_MS * link_kbps / 8 / (50 * ANSWER_EVENTS) : SERVERS;
+
+		zone_open(&z, 3, link_kbps);
+		head->f.nup = 0;
+		for (int64_t end = z.now + WITHIN_MS; z.now < end; z.now += TICK_MS) {
+			head->f.fresh = z.now;
+			node_step(&z, 0, &(struct router_ev){ .kind = ROUTER_TICK });
+			open = 0;
+			for (int s = 0; s < SERVERS; s++)
+				open += head->sv[s].watch && !head->sv[s].next;
+			most = open > most ? open : most;
+			for (int s = 0; s < SERVERS; s++) {
+				struct router_server *v = &head->sv[s];
+
+				if (v->watch && z.now - v->watched >= ANSWER_MS)
+					answer_all(&z, v->watch, atoi(head->servers.name[s] + 2), ANSWER_EVENTS);
+			}
+			out_clear(&z.node[0].out);
+		}
+		assert_true(most <= (bound < 1 ? 1 : bound));
+		for (int s = 0; s < SERVERS; s++)
+			assert_true(head->sv[s].next > 0);
+		zone_close(&z);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(every_follower_ends_with_the_heads_index),
 		cmocka_unit_test(the_feed_keeps_to_its_share_of_the_link),
+		cmocka_unit_test(a_new_head_asks_few_servers_at_once),
 	};
 	int rc;
 
