--- a/lib/control/controller.h
+++ b/lib/control/controller.h
@@ -11,10 +11,10 @@
 #include "table.h"
 
 enum {
-	CONTROLLER_SEEN = 3000,    /* ms a node counts as live after its last asking */
+	CONTROLLER_SEEN = 3000,         /* ms a node counts as live after its last asking */
 	CONTROLLER_SEEN_FORGET = 60000, /* ms after its last asking when it is forgotten */
-	CONTROLLER_HOLD = 4000,    /* ms a new rollout waits after the lease, before its first order */
-	CONTROLLER_LOOK = 500,     /* ms between a rollout's looks at a server's report */
+	CONTROLLER_HOLD = 4000,         /* ms a new rollout waits after the lease, before its first order */
+	CONTROLLER_LOOK = 500,          /* ms between a rollout's looks at a server's report */
 	/* From the naming of weights to the last server that has them: 25 s. The last is told early enough for a loading of
 	 * 8 s; the first rollout is done with telling early enough for another to take over: lease, election, hold-off. */
 	CONTROLLER_TELL = 16000,
