Leaving: voters that are to stop do not vouch for each other

Cause: where no other voter stayed, a leader took the whole group for being stopped and let each voter go on the others' word. "To stop" is no lasting state: a voter that crashes while it leaves comes back to stay, and then stands alone where the other was let go meanwhile. The same stood in the model checker's check as an exemption. Ruled out: the removal of the other voter (nobody was removed on the path), a late message (none on the path). After: a voter is let go only where the voters that stay are a majority of the group by themselves and all others hold what it holds; the exemption is out of the check.

--- a/lib/core/raft_transfer.c
+++ b/lib/core/raft_transfer.c
@@ -1,5 +1,6 @@
 /* Leaving and handing over. A member that is to stop hands its leadership to the most caught-up voter that stays, and may
- * go once the leader says that every other voter has synced all that its own copy could be needed for.
+ * go once the leader says that the voters that stay are a majority and that every other voter has synced all that its own
+ * copy could be needed for. Until then it stays up to the end of its grace.
  * Called by raft.c for ticks and by raft_replication.c for what is said to a leaving member. */
 #include "raft_internal.h"
 
@@ -67,26 +68,17 @@
 	return raft->staying_majority && is_leaving(raft, member) ? 0 : synced_by(raft, member);
 }
 
-/* Whether those who stay can go on without a member. Where nobody else stays, the whole group is being stopped. */
-static int can_go_on_without(const struct raft *raft, uint64_t id)
+/* Whether a leaving voter's copy is needed by nobody: the voters that stay are a majority by themselves, and all others hold
+ * what it holds. Voters that are to stop do not vouch for each other, even where all of them are: one of them may crash, come
+ * back to stay, and find itself without a majority. */
+static int is_spare(const struct raft *raft, uint64_t id, uint64_t index)
 {
-	int others_staying = 0;
-
-	for (int i = 0; i < raft->member_count; i++) {
-		const struct raft_member *member = &raft->members[i];
-
-		others_staying += member->voter && member->id != id && !is_leaving(raft, member);
-	}
-	return raft->staying_majority || !others_staying;
+	return raft->staying_majority && others_hold(raft, id, index);
 }
 
 int raft_is_released(const struct raft *raft, const struct raft_member *member)
 {
-	uint64_t index = member->leave_index;
-
-	if (!raft->staying_majority && raft->commit > index) /* commits still rest on its copy */
-		index = raft->commit;
-	return member->leaving && can_go_on_without(raft, member->id) && others_hold(raft, member->id, index);
+	return member->leaving && is_spare(raft, member->id, member->leave_index);
 }
 
 uint64_t raft_successor(const struct raft *raft, int64_t now)
@@ -113,7 +105,7 @@
 
 	if (!ready && now < raft->leave_by)
 		return 0;
-	raft->release = can_go_on_without(raft, raft->id) && others_hold(raft, raft->id, last) ? RAFT_RELEASED_LATER : RAFT_HELD;
+	raft->release = is_spare(raft, raft->id, last) ? RAFT_RELEASED_LATER : RAFT_HELD;
 	raft->leave_by = now + HANDOVER_MS;
 	raft_step_down(raft, now, o);
 	return 1;
--- a/tests/explore_check.c
+++ b/tests/explore_check.c
@@ -366,21 +366,6 @@
 	replica->members_index = raft->members_index;
 }
 
-/* Whether another voter stays. Where none does the whole group is being stopped, and every disk is kept. */
-static int others_stay(const struct raft *raft)
-{
-	int staying = 0;
-
-	for (int i = 0; i < raft->member_count; i++) {
-		const struct raft_member *member = &raft->members[i];
-		const struct explore_replica *replica = replica_of(member->id);
-		const struct raft *other = replica ? explore_raft((int)(replica - explore_world.replica)) : NULL;
-
-		staying += member->voter && other != raft && replica && !(other && other->leaving);
-	}
-	return staying > 0;
-}
-
 /* One that may leave takes no copy along that is needed: a majority of its group has all that is committed without it. */
 static void check_leaving(int node)
 {
@@ -398,7 +383,7 @@
 		    member->voter && member->id != raft->id &&
 		    (!replica_of(member->id) || member_holds(member, raft->commit)); /* what is lost meanwhile is another loss */
 	}
-	if (voter && !raft->removed && copies <= voters / 2 && others_stay(raft))
+	if (voter && !raft->removed && copies <= voters / 2)
 		check_fail(LEFT_IS_NOT_NEEDED, "replica %d may leave, entry %d is on %d of %d others' disks", (int)raft->id,
 			   (int)raft->commit, copies, voters);
 }
--- a/tests/test_explore.c
+++ b/tests/test_explore.c
@@ -214,6 +214,40 @@
 	assert_int_equal(explore_replay(SCENE_REPLACED, path, sizeof path / sizeof *path), INVARIANT_NONE);
 }
 
+/* Both voters were told to stop, so each was let go on the other's word; one crashed and came back to stay. */
+static void leaving_members_do_not_vouch_for_each_other(void **state)
+{
+	static const struct choice path[] = {
+		{ CHOICE_SYNC, 0, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 },     { CHOICE_DELIVER, 2, 0, 0 },
+		{ CHOICE_WAIT, 0, 0, 700 },  { CHOICE_TICK, 0, 0, 0 },        { CHOICE_SYNC, 1, 0, 0 },
+		{ CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_TICK, 1, 0, 0 },        { CHOICE_DELIVER, 0, 1, 0 },
+		{ CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_SYNC, 1, 0, 0 },        { CHOICE_DELIVER, 0, 1, 0 },
+		{ CHOICE_SYNC, 0, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 },     { CHOICE_COMPACT, 0, 0, 0 },
+		{ CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_WAIT, 0, 0, 700 },      { CHOICE_TICK, 1, 0, 0 },
+		{ CHOICE_SYNC, 1, 0, 0 },    { CHOICE_DELIVER, 0, 1, 0 },     { CHOICE_SYNC, 0, 0, 0 },
+		{ CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_SYNC, 0, 0, 0 },        { CHOICE_DELIVER, 1, 0, 0 },
+		{ CHOICE_TICK, 0, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 },     { CHOICE_DELIVER, 2, 0, 0 },
+		{ CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_SYNC, 0, 0, 0 },        { CHOICE_DELIVER, 0, 2, 0 },
+		{ CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_DELIVER, 2, 0, 0 },     { CHOICE_SYNC, 1, 0, 0 },
+		{ CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_SYNC, 0, 0, 0 },        { CHOICE_DELIVER, 1, 0, 0 },
+		{ CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_DELIVER, 2, 0, 0 },     { CHOICE_DELIVER, 0, 2, 0 },
+		{ CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_DELIVER, 0, 2, 0 },     { CHOICE_SYNC, 1, 0, 0 },
+		{ CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_TICK, 0, 0, 0 },        { CHOICE_LEAVE, 1, 0, 0 },
+		{ CHOICE_SYNC, 2, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 },     { CHOICE_SYNC, 2, 0, 0 },
+		{ CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_DELIVER, 2, 0, 0 },     { CHOICE_DELIVER, 0, 2, 0 },
+		{ CHOICE_DELIVER, 0, 2, 0 }, { CHOICE_DELIVER, 0, 1, 0 },     { CHOICE_DELIVER, 0, 2, 0 },
+		{ CHOICE_DELIVER, 0, 2, 0 }, { CHOICE_DELIVER, 2, 0, 0 },     { CHOICE_SYNC, 2, 0, 0 },
+		{ CHOICE_DELIVER, 0, 2, 0 }, { CHOICE_RECONFIGURE, 0, 0, 0 }, { CHOICE_DELIVER, 1, 0, 0 },
+		{ CHOICE_SYNC, 1, 0, 0 },    { CHOICE_LEAVE, 0, 0, 0 },       { CHOICE_DELIVER, 0, 1, 0 },
+		{ CHOICE_TICK, 0, 0, 0 },    { CHOICE_WAIT, 0, 0, 150 },      { CHOICE_WAIT, 0, 0, 450 },
+		{ CHOICE_WAIT, 0, 0, 150 },  { CHOICE_CRASH, 1, 0, 0 },       { CHOICE_WAIT, 0, 0, 300 },
+		{ CHOICE_TICK, 0, 0, 0 },
+	};
+
+	(void)state;
+	assert_int_equal(explore_replay(SCENE_REPLACED, path, sizeof path / sizeof *path), INVARIANT_NONE);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -221,6 +255,7 @@
 		cmocka_unit_test(a_late_acknowledgement_is_not_taken_back),
 		cmocka_unit_test(a_member_is_let_go_when_no_commit_rests_on_its_copy),
 		cmocka_unit_test(a_member_is_let_go_only_by_a_majority_that_stays),
+		cmocka_unit_test(leaving_members_do_not_vouch_for_each_other),
 		cmocka_unit_test(an_older_log_gets_no_vote),
 		cmocka_unit_test(a_change_of_members_waits_for_the_one_before),
 		cmocka_unit_test(one_answer_to_a_probe_is_not_all),
