Leaving: what a member acknowledged before it may have gone commits nothing

Cause: a member that leaves is told so by appends that carry entries too. It acknowledges them and ends. Where the voters that stay lost their majority meanwhile (another voter was told to stop), the leader counted that acknowledgement: an entry was committed on one disk of three. Found by a new choice of the model checker, CHOICE_END: a voter that may leave ends and its disk is thrown away; from then on it holds nothing (ENDED_IS_NOT_NEEDED, and the check of copies at each commit). Until now the checker left the copies of those that had left in their places. Ruled out: late messages of an older term (the leader did not change on the path), a lost disk (none on it). Ruled out as ways: a separate message for the release (entries and releases would have to be ordered anyway). The checker lets only voters end: a learner's copy counts for nothing yet.

--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -89,6 +89,7 @@
 	uint64_t last_index, last_term; /* the newest entry that it last asked for votes with */
 	int leaving;                    /* it is to stop, and is not counted where the others suffice; */
 	uint64_t leave_index;           /* the newest entry when it said so */
+	uint64_t release_round;         /* newest heartbeat round in which it was told that it may go; 0: none */
 };
 
 /* Whether a member that is to stop may go. */
@@ -146,6 +147,7 @@
 	uint64_t elections;
 	int leaving; /* this member is to stop: it asks for no votes and takes no proposals */
 	enum raft_release release;
+	uint64_t release_round;               /* heartbeat round that told it */
 	int64_t leave_by;                     /* of a leader: it steps down at the latest; then: its successor has been elected */
 	int staying_majority;                 /* leader: voters that answer and do not leave are a majority by themselves */
 	int fenced;                           /* this copy is of an older epoch */
--- a/lib/core/raft_election.c
+++ b/lib/core/raft_election.c
@@ -28,7 +28,7 @@
 		raft_mark_dirty(raft, 0);
 		raft->leader_id = raft->leader_addr = 0;
 		raft->matched = raft->commit;
-		raft->round = 0; /* rounds are counted within a term */
+		raft->round = raft->release_round = 0; /* rounds are counted within a term */
 		raft->release = RAFT_HELD;
 	}
 	if (raft->role == RAFT_LEADER)
@@ -80,6 +80,7 @@
 		raft->members[i].heard_at =
 		    now - raft->member_lost_ms / 2; /* who fell with the last owner has been silent since then */
 		raft->members[i].leaving = 0;
+		raft->members[i].release_round = 0;
 		raft->members[i].probing = 0;
 		raft->members[i].progress_at = now;
 		raft->members[i].resend_ms = RAFT_RESEND_MS;
@@ -98,7 +99,7 @@
 	raft->term++;
 	raft->vote = raft->id;
 	raft->matched = raft->commit;
-	raft->round = 0;
+	raft->round = raft->release_round = 0;
 	raft->leader_id = raft->leader_addr = 0;
 	raft_mark_dirty(raft, 0);
 	raft->self_vote_seq = raft->seq + 1; /* the sync that this step's flush will ask for */
--- a/lib/core/raft_internal.h
+++ b/lib/core/raft_internal.h
@@ -147,7 +147,8 @@
 /* Leader: whether those who stay are a majority by themselves. */
 void raft_count_staying(struct raft *raft, int64_t now);
 
-/* The index up to which a voter counts towards commits: none for one that leaves where the others suffice. */
+/* The index up to which a voter counts towards commits: none for one that leaves where the others suffice, or that may have
+ * gone. */
 uint64_t raft_counted_index(const struct raft *raft, const struct raft_member *member);
 
 /* Leader: whether a leaving member may go, since all other voters hold what it holds. */
--- a/lib/core/raft_replication.c
+++ b/lib/core/raft_replication.c
@@ -58,7 +58,7 @@
 	return bytes;
 }
 
-static struct Nl__Append *new_append(struct raft *raft, const struct raft_member *m, uint64_t prev, struct out *o)
+static struct Nl__Append *new_append(struct raft *raft, struct raft_member *m, uint64_t prev, struct out *o)
 {
 	struct Nl__Append *a = OUT_NEW(o, Nl__Append, NL__APPEND__INIT);
 
@@ -69,13 +69,15 @@
 	a->commit = raft->commit;
 	a->round = raft->round;
 	a->released = raft_is_released(raft, m);
+	if (a->released)
+		m->release_round = raft->round;
 	out_msg(o, m->addr, raft->no, NL__MSG__BODY_APPEND)->append = a;
 	return a;
 }
 
 /* An append without entries, at an index that the member is known to hold, or at the one that is guessed. It never waits for
  * entries or pieces, nor can it arrive too early for them. */
-static void send_heartbeat(struct raft *raft, const struct raft_member *m, struct out *o)
+static void send_heartbeat(struct raft *raft, struct raft_member *m, struct out *o)
 {
 	uint64_t prev = m->probing ? m->next - 1 : m->match;
 
@@ -174,6 +176,16 @@
 	return 1;
 }
 
+/* Whether this member may go: what the newest round says, as entries may arrive later than heartbeats that were sent after
+ * them. The answer carries the round, so that the leader knows that this member has heard it. */
+static void note_release(struct raft *raft, const struct Nl__Append *a)
+{
+	if (a->round < raft->release_round)
+		return;
+	raft->release_round = a->round;
+	raft->release = a->released ? RAFT_RELEASED : RAFT_HELD;
+}
+
 void raft_on_append(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	const struct Nl__Append *a = m->append;
@@ -183,14 +195,13 @@
 		raft_send_append_reply(raft, m->addr, 0, 0, 0, o);
 		return;
 	}
+	note_release(raft, a);
 	if (i > raft_last_index(raft) || (i >= raft->base && i > raft->commit && raft_term_at(raft, i) != a->prev_term)) {
 		uint64_t hint = i > raft_last_index(raft) ? raft_last_index(raft) : i - 1;
 
 		raft_send_append_reply(raft, m->addr, 0, hint > raft->commit ? hint : raft->commit, a->round, o);
 		return;
 	}
-	if (a->round >= raft->round) /* entries may arrive later than heartbeats that were sent after them */
-		raft->release = a->released ? RAFT_RELEASED : RAFT_HELD;
 	skip = raft->commit > i ? raft->commit - i : 0; /* committed entries never differ */
 	for (size_t k = skip; k < a->n_e; k++) {
 		const struct Nl__Entry *e = a->e[k];
--- a/lib/core/raft_transfer.c
+++ b/lib/core/raft_transfer.c
@@ -21,6 +21,13 @@
 	return member->id == raft->id || now - member->heard_at <= RAFT_LEASE_MS;
 }
 
+/* Whether a member was told that it may go, and has not answered a later heartbeat round since. Its acknowledgements may be of
+ * before it went. */
+static int may_have_gone(const struct raft_member *member)
+{
+	return member->release_round && member->round <= member->release_round;
+}
+
 /* Whether every other voter has synced an index. */
 static int others_hold(const struct raft *raft, uint64_t id, uint64_t index)
 {
@@ -58,13 +65,15 @@
 	for (int i = 0; i < raft->member_count; i++) {
 		const struct raft_member *member = &raft->members[i];
 
-		staying += member->voter && !is_leaving(raft, member) && answers(raft, member, now);
+		staying += member->voter && !is_leaving(raft, member) && !may_have_gone(member) && answers(raft, member, now);
 	}
 	raft->staying_majority = staying > raft_voter_count(raft) / 2;
 }
 
 uint64_t raft_counted_index(const struct raft *raft, const struct raft_member *member)
 {
+	if (may_have_gone(member))
+		return 0;
 	return raft->staying_majority && is_leaving(raft, member) ? 0 : synced_by(raft, member);
 }
 
--- a/tests/explore.c
+++ b/tests/explore.c
@@ -30,6 +30,7 @@
 	struct explore_heap heaps[EXPLORE_NODES];
 };
 
+/* NOLINTNEXTLINE(bugprone-reserved-identifier,cert-dcl37-c,cert-dcl51-cpp): the linker's --wrap asks for this name */
 uint64_t __wrap_core_rand(uint64_t *state);
 
 uint64_t __wrap_core_rand(uint64_t *state)
@@ -397,6 +398,19 @@
 	open_replica(node);
 }
 
+/* A member that is to stop and may is gone for good; another machine may come up in its place. */
+static void end_replica(int node)
+{
+	struct explore_replica *replica = &explore_world.replica[node];
+
+	explore_world.history.ended[replica->identity] = 1;
+	crash(node, 0);
+	memset(&replica->disk, 0, sizeof replica->disk);
+	replica->identity = ++explore_world.identities;
+	rehash(node);
+	check_ended();
+}
+
 static void propose(int node)
 {
 	uint32_t operation = ++explore_world.operations;
@@ -441,6 +455,18 @@
 	check_leases();
 }
 
+/* Only a voter's end is a matter of the group: a learner's copy counts for nothing yet. */
+static int may_end(int node)
+{
+	const struct raft *raft = rafts[node];
+	int voter = 0;
+
+	for (int i = 0; i < raft->member_count; i++)
+		voter |= raft->members[i].id == raft->id && raft->members[i].voter;
+	return voter && raft->leaving && raft_may_leave(raft, explore_world.now) &&
+	       explore_world.identities + 1 < EXPLORE_IDENTITIES;
+}
+
 static int possible(const struct choice *choice)
 {
 	const struct explore_replica *replica = &explore_world.replica[choice->node];
@@ -460,6 +486,7 @@
 	switch (choice->kind) {
 	case CHOICE_DELIVER:
 	case CHOICE_DUPLICATE: return find_message(choice) >= 0;
+	case CHOICE_END: return may_end(choice->node);
 	case CHOICE_SYNC: return replica->n_writes > 0;
 	case CHOICE_CRASH: return choice->arg <= replica->n_writes;
 	case CHOICE_COMPACT: return rafts[choice->node]->applied > rafts[choice->node]->snapshot_index;
@@ -509,6 +536,7 @@
 		raft_leave(rafts[node], explore_world.now);
 		step_end(node);
 		break;
+	case CHOICE_END: end_replica(node); break;
 	case CHOICE_STEP_DOWN:
 		raft_step_down(rafts[node], explore_world.now, step_begin(node));
 		step_end(node);
@@ -528,7 +556,8 @@
 	case CHOICE_COMPACT:
 	case CHOICE_RECONFIGURE:
 	case CHOICE_STEP_DOWN:
-	case CHOICE_LEAVE: return 1;
+	case CHOICE_LEAVE:
+	case CHOICE_END: return 1;
 	default: return 0;
 	}
 }
--- a/tests/explore.h
+++ b/tests/explore.h
@@ -40,6 +40,7 @@
 	CHOICE_RECONFIGURE, /* node may change the membership; arg 1: it knows only of replicas that are up */
 	CHOICE_STEP_DOWN,   /* planned */
 	CHOICE_LEAVE,       /* node is to stop for good, and asks to be let go of */
+	CHOICE_END,         /* node, which is to stop and may, ends; its disk is thrown away */
 	CHOICE_KINDS
 };
 
@@ -94,6 +95,7 @@
 	uint8_t leader[EXPLORE_TERMS];                             /* identity that led the term */
 	uint8_t vote[EXPLORE_IDENTITIES][EXPLORE_TERMS];           /* identity voted for */
 	uint8_t acknowledged[EXPLORE_IDENTITIES][EXPLORE_ENTRIES]; /* term of the entry acknowledged at an index */
+	uint8_t ended[EXPLORE_IDENTITIES];                         /* its leave was granted, and its disk is gone */
 };
 
 struct explore_world {
@@ -128,6 +130,7 @@
 	ONE_CHANGE_AT_A_TIME,
 	CHANGE_AFTER_OWN_COMMIT,
 	LEFT_IS_NOT_NEEDED,
+	ENDED_IS_NOT_NEEDED,
 	INVARIANTS
 };
 
--- a/tests/explore_check.c
+++ b/tests/explore_check.c
@@ -168,16 +168,29 @@
 	       explore_intern(entry->data, entry->len) == history->committed[index].blob;
 }
 
-/* Whether a member has the entry that was committed at an index; one that has lost its disk counts as long as it is a member. */
+/* Whether a member has the entry that was committed at an index. One that has lost its disk counts as long as it is a member;
+ * one that was let go does not. */
 static int member_holds(const struct raft_member *member, uint64_t index)
 {
 	const struct explore_history *history = &explore_world.history;
 	const struct explore_replica *replica = replica_of(member->id);
 
+	if (history->ended[member->id])
+		return 0;
 	return replica ? disk_holds(&replica->disk, index)
 		       : history->acknowledged[member->id][index] == history->committed[index].term;
 }
 
+/* Whether an identity is there with the entry at an index, or would be but for a disk that was lost, which is another loss. */
+static int holds_or_was_lost(uint64_t id, uint64_t index)
+{
+	const struct explore_replica *replica = replica_of(id);
+
+	if (explore_world.history.ended[id])
+		return 0;
+	return !replica || disk_holds(&replica->disk, index);
+}
+
 static void check_copies(const struct raft *raft, uint64_t index)
 {
 	int voters = 0, copies = 0;
@@ -292,6 +305,34 @@
 	return voters;
 }
 
+/* The voters of the newest membership that is committed. */
+static struct voters committed_voters(void)
+{
+	const struct explore_history *history = &explore_world.history;
+
+	for (uint64_t i = history->commit; i; i--)
+		if (history->committed[i].kind == RAFT_ENTRY_MEMBERS) {
+			size_t n;
+			const uint8_t *d = explore_blob(history->committed[i].blob, &n);
+
+			return voters_unpack(d, n);
+		}
+	return (struct voters){ 0 };
+}
+
+/* Those that were let go are not needed: a majority of the group holds all that is committed without them. */
+void check_ended(void)
+{
+	struct voters voters = committed_voters();
+	uint64_t index = explore_world.history.commit;
+	int copies = 0;
+
+	for (int i = 0; i < voters.n; i++)
+		copies += holds_or_was_lost(voters.id[i], index);
+	if (voters.n && copies <= voters.n / 2)
+		check_fail(ENDED_IS_NOT_NEEDED, "entry %d is on %d disks of %d voters after a leave", (int)index, copies, voters.n);
+}
+
 /* How many stand in one set and not in the other. */
 static int voters_differ(const struct voters *a, const struct voters *b)
 {
@@ -379,9 +420,7 @@
 
 		voters += member->voter;
 		voter |= member->voter && member->id == raft->id;
-		copies +=
-		    member->voter && member->id != raft->id &&
-		    (!replica_of(member->id) || member_holds(member, raft->commit)); /* what is lost meanwhile is another loss */
+		copies += member->voter && member->id != raft->id && holds_or_was_lost(member->id, raft->commit);
 	}
 	if (voter && !raft->removed && copies <= voters / 2)
 		check_fail(LEFT_IS_NOT_NEEDED, "replica %d may leave, entry %d is on %d of %d others' disks", (int)raft->id,
--- a/tests/explore_check.h
+++ b/tests/explore_check.h
@@ -22,6 +22,9 @@
 /* All that holds after a step of a replica. */
 void check_replica(int node);
 
+/* All that holds when a member has been let go and its disk is gone. */
+void check_ended(void);
+
 /* All that holds at any moment between two replicas. */
 void check_leases(void);
 
--- a/tests/explore_scenes.c
+++ b/tests/explore_scenes.c
@@ -281,6 +281,7 @@
 	[CHOICE_RECONFIGURE] = 2,
 	[CHOICE_STEP_DOWN] = 1,
 	[CHOICE_LEAVE] = 1,
+	[CHOICE_END] = 1,
 };
 
 void explore_begin(enum explore_scene scene)
--- a/tests/explore_search.c
+++ b/tests/explore_search.c
@@ -10,7 +10,7 @@
 static const char *const kind_names[CHOICE_KINDS] = {
 	"CHOICE_DELIVER", "CHOICE_DUPLICATE",   "CHOICE_DROP",      "CHOICE_SYNC",    "CHOICE_TICK",
 	"CHOICE_WAIT",    "CHOICE_PROPOSE",     "CHOICE_CRASH",     "CHOICE_RESTART", "CHOICE_WIPE",
-	"CHOICE_COMPACT", "CHOICE_RECONFIGURE", "CHOICE_STEP_DOWN", "CHOICE_LEAVE",
+	"CHOICE_COMPACT", "CHOICE_RECONFIGURE", "CHOICE_STEP_DOWN", "CHOICE_LEAVE",   "CHOICE_END",
 };
 
 static const char *const invariant_names[INVARIANTS] = {
@@ -33,6 +33,7 @@
 	[ONE_CHANGE_AT_A_TIME] = "ONE_CHANGE_AT_A_TIME",
 	[CHANGE_AFTER_OWN_COMMIT] = "CHANGE_AFTER_OWN_COMMIT",
 	[LEFT_IS_NOT_NEEDED] = "LEFT_IS_NOT_NEEDED",
+	[ENDED_IS_NOT_NEEDED] = "ENDED_IS_NOT_NEEDED",
 };
 
 const char *explore_invariant_name(enum explore_invariant invariant) { return invariant_names[invariant]; }
@@ -223,6 +224,7 @@
 		episode->weight[CHOICE_WIPE] = 3;
 		episode->weight[CHOICE_STEP_DOWN] = 10;
 		episode->weight[CHOICE_LEAVE] = 10;
+		episode->weight[CHOICE_END] = 30;
 	}
 	for (int kind = 0; kind < CHOICE_KINDS; kind++)
 		episode->total = (uint16_t)(episode->total + episode->weight[kind]);
--- a/tests/test_explore.c
+++ b/tests/test_explore.c
@@ -248,6 +248,28 @@
 	assert_int_equal(explore_replay(SCENE_REPLACED, path, sizeof path / sizeof *path), INVARIANT_NONE);
 }
 
+/* An entry counted as committed by the acknowledgement of a member that had been let go with that very entry, and was gone. */
+static void one_that_may_have_gone_is_not_counted(void **state)
+{
+	static const struct choice path[] = {
+		{ CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_SYNC, 1, 0, 0 },    { CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_SYNC, 0, 0, 0 },
+		{ CHOICE_LEAVE, 0, 0, 0 },   { CHOICE_TICK, 0, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_TICK, 1, 0, 0 },
+		{ CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_DELIVER, 2, 1, 0 }, { CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_DELIVER, 1, 2, 0 },
+		{ CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_COMPACT, 1, 0, 0 }, { CHOICE_DELIVER, 2, 1, 0 }, { CHOICE_SYNC, 1, 0, 0 },
+		{ CHOICE_DELIVER, 1, 2, 0 }, { CHOICE_SYNC, 0, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_DELIVER, 0, 1, 0 },
+		{ CHOICE_DELIVER, 2, 1, 0 }, { CHOICE_SYNC, 2, 0, 0 },    { CHOICE_TICK, 1, 0, 0 },    { CHOICE_DELIVER, 1, 2, 0 },
+		{ CHOICE_SYNC, 0, 0, 0 },    { CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_DELIVER, 2, 1, 0 }, { CHOICE_DELIVER, 1, 0, 0 },
+		{ CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_DELIVER, 1, 2, 0 }, { CHOICE_SYNC, 1, 0, 0 },    { CHOICE_TICK, 1, 0, 0 },
+		{ CHOICE_SYNC, 1, 0, 0 },    { CHOICE_DELIVER, 2, 1, 0 }, { CHOICE_SYNC, 2, 0, 0 },    { CHOICE_DELIVER, 1, 2, 0 },
+		{ CHOICE_LEAVE, 2, 0, 0 },   { CHOICE_PROPOSE, 1, 0, 0 }, { CHOICE_DELIVER, 2, 1, 0 }, { CHOICE_DELIVER, 0, 1, 0 },
+		{ CHOICE_SYNC, 0, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_SYNC, 2, 0, 0 },    { CHOICE_END, 0, 0, 0 },
+		{ CHOICE_DELIVER, 1, 2, 0 },
+	};
+
+	(void)state;
+	assert_int_equal(explore_replay(SCENE_REJOINED, path, sizeof path / sizeof *path), INVARIANT_NONE);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -256,6 +278,7 @@
 		cmocka_unit_test(a_member_is_let_go_when_no_commit_rests_on_its_copy),
 		cmocka_unit_test(a_member_is_let_go_only_by_a_majority_that_stays),
 		cmocka_unit_test(leaving_members_do_not_vouch_for_each_other),
+		cmocka_unit_test(one_that_may_have_gone_is_not_counted),
 		cmocka_unit_test(an_older_log_gets_no_vote),
 		cmocka_unit_test(a_change_of_members_waits_for_the_one_before),
 		cmocka_unit_test(one_answer_to_a_probe_is_not_all),
