Leaving: let go only by members that are committed

Cause: the leader counted who stays among the newest members of its log. While the removal of another leaving voter was under way it let a second one go by the smaller group; had that removal been cut by a newer leader, the group of before would have lost two voters at once. Ruled out: the release of both by one majority (the other one was held on the path). After: nobody is let go while a change of members is not committed.

--- a/lib/core/raft_transfer.c
+++ b/lib/core/raft_transfer.c
@@ -77,12 +77,12 @@
 	return raft->staying_majority && is_leaving(raft, member) ? 0 : synced_by(raft, member);
 }
 
-/* Whether a leaving voter's copy is needed by nobody: the voters that stay are a majority by themselves, and all others hold
- * what it holds. Voters that are to stop do not vouch for each other, even where all of them are: one of them may crash, come
- * back to stay, and find itself without a majority. */
+/* Whether a leaving voter's copy is needed by nobody: by members that are committed, the voters that stay are a majority by
+ * themselves, and all others hold what it holds. Voters that are to stop do not vouch for each other, even where all of them
+ * are: one of them may crash, come back to stay, and find itself without a majority. */
 static int is_spare(const struct raft *raft, uint64_t id, uint64_t index)
 {
-	return raft->staying_majority && others_hold(raft, id, index);
+	return raft->staying_majority && raft->members_index <= raft->commit && others_hold(raft, id, index);
 }
 
 int raft_is_released(const struct raft *raft, const struct raft_member *member)
--- a/tests/test_explore.c
+++ b/tests/test_explore.c
@@ -270,6 +270,30 @@
 	assert_int_equal(explore_replay(SCENE_REJOINED, path, sizeof path / sizeof *path), INVARIANT_NONE);
 }
 
+/* Another leaving voter was being taken out, and this one was let go as if that were committed. */
+static void a_member_is_let_go_only_by_committed_members(void **state)
+{
+	static const struct choice path[] = {
+		{ CHOICE_DELIVER, 2, 0, 0 },     { CHOICE_SYNC, 2, 0, 0 },    { CHOICE_DELIVER, 0, 2, 0 },
+		{ CHOICE_SYNC, 0, 0, 0 },        { CHOICE_WAIT, 0, 0, 1600 }, { CHOICE_DELIVER, 1, 0, 0 },
+		{ CHOICE_LEAVE, 3, 0, 0 },       { CHOICE_SYNC, 1, 0, 0 },    { CHOICE_LEAVE, 0, 0, 0 },
+		{ CHOICE_TICK, 2, 0, 0 },        { CHOICE_DELIVER, 3, 2, 0 }, { CHOICE_DELIVER, 2, 3, 0 },
+		{ CHOICE_DELIVER, 0, 2, 0 },     { CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_DELIVER, 0, 2, 0 },
+		{ CHOICE_SYNC, 2, 0, 0 },        { CHOICE_DELIVER, 3, 2, 0 }, { CHOICE_SYNC, 0, 0, 0 },
+		{ CHOICE_DELIVER, 2, 0, 0 },     { CHOICE_SYNC, 3, 0, 0 },    { CHOICE_DELIVER, 2, 3, 0 },
+		{ CHOICE_SYNC, 2, 0, 0 },        { CHOICE_DELIVER, 0, 2, 0 }, { CHOICE_DROP, 3, 2, 0 },
+		{ CHOICE_DELIVER, 1, 2, 0 },     { CHOICE_DELIVER, 1, 2, 1 }, { CHOICE_DELIVER, 1, 2, 0 },
+		{ CHOICE_SYNC, 1, 0, 0 },        { CHOICE_TICK, 2, 0, 0 },    { CHOICE_DELIVER, 1, 2, 0 },
+		{ CHOICE_SYNC, 0, 0, 0 },        { CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_WAIT, 0, 0, 150 },
+		{ CHOICE_DELIVER, 2, 1, 3 },     { CHOICE_DELIVER, 3, 2, 0 }, { CHOICE_DELIVER, 2, 3, 0 },
+		{ CHOICE_RECONFIGURE, 2, 0, 0 }, { CHOICE_DROP, 0, 2, 1 },    { CHOICE_DELIVER, 0, 2, 0 },
+		{ CHOICE_TICK, 2, 0, 0 },        { CHOICE_DELIVER, 0, 2, 0 },
+	};
+
+	(void)state;
+	assert_int_equal(explore_replay(SCENE_FOUR, path, sizeof path / sizeof *path), INVARIANT_NONE);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -279,6 +303,7 @@
 		cmocka_unit_test(a_member_is_let_go_only_by_a_majority_that_stays),
 		cmocka_unit_test(leaving_members_do_not_vouch_for_each_other),
 		cmocka_unit_test(one_that_may_have_gone_is_not_counted),
+		cmocka_unit_test(a_member_is_let_go_only_by_committed_members),
 		cmocka_unit_test(an_older_log_gets_no_vote),
 		cmocka_unit_test(a_change_of_members_waits_for_the_one_before),
 		cmocka_unit_test(one_answer_to_a_probe_is_not_all),
