Simulator: an acknowledgement may come from a disk that was lost just then

Cause: the check that an entry is on two disks when the first machine commits it read the disks as they are at that moment. Before: "part 3 entry 5 is committed, and synced on 1 disks", 1 ms after the loss. After: a disk that was lost counts for as long as what its machine had sent may be under way (delay, jitter and the way between zones: 3 ms), and never beside the new disk of the same machine. All else is as strict as before.

--- a/tests/sim.h
+++ b/tests/sim.h
@@ -42,7 +42,9 @@
 	struct controller *r;
 	struct router *c;
 	struct sim_disk disk;
-	struct sim_write *writes; /* not yet synced, oldest first */
+	struct sim_disk lost_disk; /* as it was when it was lost; */
+	int64_t lost_at;           /* 0: never */
+	struct sim_write *writes;  /* not yet synced, oldest first */
 	struct out o;
 	uint64_t checked[SHARD_COUNT];
 	uint64_t edition;
