Proposals: a leader that is to stop says that it has not logged a proposal

Cause: between SIGTERM and the handover a leader has its lease and takes nothing more into its log. A proposal that another controller had passed on to it got no answer at all. The asker had to count that copy as one that might still be accepted, so a clear refusal by the successor was held back, and the operator was told "outcome unknown" after 5 s.

Ruled out: a limit on how long a refusal is held back: it could not tell a lost copy from a late one.

--- a/lib/control/proposals.c
+++ b/lib/control/proposals.c
@@ -130,6 +130,8 @@
 	w.index = log_operation(r, m->part, q->op, now, o);
 	if (w.index)
 		arrput(r->wait, w);
+	else /* it leads and is to stop: surely not logged here, and its successor is not known yet */
+		reply_to_proposal(m->addr, q->token, TABLE_NOT_OWNER, 0, "", leader_hint(r, m->part, now), o);
 }
 
 /* A proposal of this node's own, or of an operator calling here. */
--- a/tests/test_planned_stop.c
+++ b/tests/test_planned_stop.c
@@ -19,6 +19,8 @@
 	ROUTERS = 6,
 	SERVERS = 3,
 	TICK_MS = 25,
+	STALL_MS = 400,
+	SOON_MS = 1500,
 	STEP_MS = 1,
 	AFTER_STOP_MS = 4000,
 	LEASE_GAP_MS = 200,  /* without a leader of the configuration */
@@ -26,6 +28,8 @@
 	OLDEST_MS = 450      /* that a router's configuration becomes; 250 and the way without a stop */
 };
 
+#define SPEEDS ",\"weights\":\"w1\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000"
+
 static uint64_t number_from(const char *variable, uint64_t otherwise)
 {
 	const char *text = getenv(variable);
@@ -185,10 +189,61 @@
 	assert_true(held);
 }
 
+/* ---- what a leaving leader says to those who propose ------------------------------ */
+
+static void stall_disks(struct sim *s, int leader, int64_t ms)
+{
+	for (int i = 0; i < 3; i++)
+		if (i != leader)
+			s->n[i].stall_until = s->now + ms;
+}
+
+/* A leader is to stop and may not yet, since an entry is not on the others' disks; a change that is passed on to it
+ * meanwhile was surely not logged there, and it says so. If it said nothing, a refusal by its successor would have to be
+ * held back: the copy that got no answer might still be accepted. */
+static void a_leaving_leader_answers_proposals(void **state)
+{
+	static const char service
+	    [] = "{\"set\":[{\"kind\":\"service\",\"name\":\"extra\"" SPEEDS "}]}",
+     gone[] = "{\"del\":[{\"kind\":\"service\",\"name\":\"extra\"}]}",
+     lane[] =
+	    "{\"set\":[{\"kind\":\"lane\",\"name\":\"extra\",\"service\":\"extra\",\"split\":\"extra:1\",\"prio\":0,\"limit\":5}]}";
+
+	(void)state;
+	for (uint64_t seed = first_seed(); seed < first_seed() + seeds_or(8); seed++) {
+		struct sim s;
+		uint64_t token;
+		int64_t sent_at;
+		int leader;
+
+		sim_deploy(&s, seed, 3, 2, SERVERS);
+		assert_true(sim_change(&s, service, 8000));
+		pass(&s, 1000);
+		leader = sim_owner(&s, SHARD_CONTROL);
+		stall_disks(&s, leader, STALL_MS);
+		sim_call(&s, leader, "POST", "/v1/change", gone);
+		pass(&s, 20);
+		sim_stop(&s, leader);
+		pass(&s, 20);
+		assert_int_equal(sim_owner(&s, SHARD_CONTROL), leader);
+		token = sim_call(&s, (leader + 1) % 3, "POST", "/v1/change", lane); /* its service is still in the table */
+		sent_at = s.now;
+		while (!sim_answer(&s, token) && s.now < sent_at + 2 * CONTROLLER_CALL)
+			pass(&s, STEP_MS);
+		assert_non_null(sim_answer(&s, token));
+		if (sim_answer(&s, token)->status != 400)
+			fail_msg("seed %llu: %d after %lld ms", (unsigned long long)seed, sim_answer(&s, token)->status,
+				 (long long)(s.now - sent_at));
+		assert_true(s.now - sent_at < SOON_MS);
+		sim_close(&s);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_held_request_is_answered_in_time),
+		cmocka_unit_test(a_leaving_leader_answers_proposals),
 		cmocka_unit_test(a_planned_stop_leaves_a_short_gap),
 	};
 	int rc;
