Operators' calls are counted, and the simulator checks that none ends without a word

A controller counts each operator's call that it has read, and what became of it: answered by the leader's word, refused with a time to come back, told that its outcome is unknown, or its caller gone. What is left is open. GET /v1/state shows the counts as "operator_calls" (the reading itself is open in it). The simulator compares them after every event of a controller: read = answered + refused + unknown + gone + open, so a call that is forgotten, or answered twice, breaks a run.

For this the core hears of a caller that left (CONTROLLER_GONE), from the platform's door and from the product's own interface: what waits for that caller is dropped, what it asked for goes on. Before, its answers were made and thrown away.

--- a/bin/registrar.c
+++ b/bin/registrar.c
@@ -60,6 +60,10 @@
 			ev.u.called.status = e->status;
 			ev.u.called.body = e->body;
 			break;
+		case EV_GONE:
+			ev.kind = CONTROLLER_GONE;
+			ev.u.gone.token = e->token;
+			break;
 		case EV_STOP: ev.kind = CONTROLLER_STOP; break;
 		default: return;
 		}
--- a/lib/control/controller.c
+++ b/lib/control/controller.c
@@ -134,6 +134,8 @@
 /* NOLINTNEXTLINE(readability-function-size): one case for each event */
 void controller_step(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o)
 {
+	ptrdiff_t begins = arrlen(o->v);
+
 	o->id = r->id;
 	o->addr = r->addr;
 	o->fleet = r->fleet;
@@ -152,6 +154,7 @@
 	case CONTROLLER_DOC:
 	case CONTROLLER_READ:
 	case CONTROLLER_NAME: on_operator_call(r, ev, now, o); break;
+	case CONTROLLER_GONE: operator_calls_gone(r, ev->u.gone.token); break;
 	case CONTROLLER_CALLED:
 		for (ptrdiff_t i = 0; i < arrlen(r->server); i++)
 			if (ev->u.called.token && r->server[i].call == ev->u.called.token && ev->u.called.status == 200)
@@ -195,6 +198,7 @@
 	proposals_tick(r, now, o);
 	calls_tick(r, now, o);
 	table_reads_tick(r, now, o);
+	operator_calls_count(&r->calls, o, begins);
 	for (uint32_t i = 0; i < SHARD_COUNT; i++)
 		raft_flush(&r->part[i], now, o);
 }
--- a/lib/control/controller.h
+++ b/lib/control/controller.h
@@ -3,6 +3,7 @@
 #define NL_CONTROLLER_H
 
 #include "config_watch.h"
+#include "operator_calls.h"
 #include "rollout.h"
 #include "orders.h"
 #include "raft.h"
@@ -48,7 +49,8 @@
 	CONTROLLER_NAME,
 	CONTROLLER_LISTED,
 	CONTROLLER_LOOKED,
-	CONTROLLER_ORDERED
+	CONTROLLER_ORDERED,
+	CONTROLLER_GONE
 };
 
 struct controller_ev {
@@ -96,6 +98,9 @@
 			const char *weights;
 			int loading;
 		} looked;
+		struct {
+			uint64_t token;
+		} gone; /* the operator who made this call has left */
 		/* 200 holds, 202 begun, 409 another under way, 412 a lower fence, 421 not this server; 0 no answer; never: nothing left */
 		struct {
 			uint64_t token;
@@ -222,6 +227,7 @@
 	size_t ctl_doc_len;
 	uint64_t ctl_doc_version;
 	struct controller_call *call; /* stb_ds */
+	struct operator_calls calls;
 	struct retention ret;
 	const struct controller_calendar *calendar; /* NULL: no schedules in calendar terms */
 	int64_t wall; /* the machine's clock at this step, ms since 1970, set by whoever steps; 0: no schedule runs */
--- a/lib/control/operator_api.c
+++ b/lib/control/operator_api.c
@@ -85,6 +85,7 @@
 		json_object_array_add(a, x);
 	}
 	json_object_object_add(j, "servers", a);
+	json_object_object_add(j, "operator_calls", operator_calls_json(r));
 	if (r->b.instances)
 		json_object_object_add(
 		    j, "sights",
--- a/lib/control/operator_paths.c
+++ b/lib/control/operator_paths.c
@@ -85,6 +85,7 @@
 	const struct operator_path *path = path_of(ev);
 	ptrdiff_t answers = arrlen(o->v);
 
+	r->calls.read++;
 	if (!path) { /* whatever the log holds, there is no such path */
 		out_answer(o, token_of(ev), 404, 0, error_json(o->p, "path: no such call", 0));
 		return;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -382,6 +382,13 @@
 	check_owners(s);
 	check_relay(s, i, &n->r->relay);
 	check_edition(s, i, n->r->f.t.edition);
+	if (!operator_calls_balance(n->r))
+		sim_breach(
+		    s,
+		    "controller %d: operators' calls: %llu read, %llu answered, %llu refused, %llu unknown, %llu gone, %llu open",
+		    i, (unsigned long long)n->r->calls.read, (unsigned long long)n->r->calls.answered,
+		    (unsigned long long)n->r->calls.refused, (unsigned long long)n->r->calls.unknown,
+		    (unsigned long long)n->r->calls.gone, (unsigned long long)operator_calls_open(n->r));
 }
 
 /* ---- callers and runs ------------------------------------------------------------------- */
@@ -1485,6 +1492,11 @@
 		controller_do(s, e->node, &ev);
 		break;
 	case SIM_ANSWERED: answer_is_written(s, e); break;
+	case SIM_GONE:
+		ev.kind = CONTROLLER_GONE;
+		ev.u.gone.token = e->token;
+		controller_do(s, e->node, &ev);
+		break;
 	case SIM_ORDERED:
 		ev.kind = CONTROLLER_ORDERED;
 		ev.u.ordered.token = e->token;
@@ -1725,6 +1737,13 @@
 	return e.token;
 }
 
+void sim_hang_up(struct sim *s, int node, uint64_t token)
+{
+	struct sim_ev e = { .at = s->now, .kind = SIM_GONE, .node = node, .life = s->n[node].life, .token = token };
+
+	push(s, e);
+}
+
 uint64_t sim_doc(struct sim *s, int node, uint64_t base, int patch, const char *body, const char *weights)
 {
 	size_t n = body ? strlen(body) : 0, m = weights ? strlen(weights) : 0;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -119,7 +119,8 @@
 	SIM_LOADED,
 	SIM_DOC,
 	SIM_DOOR,
-	SIM_ANSWERED
+	SIM_ANSWERED,
+	SIM_GONE
 };
 struct sim_ev {
 	int64_t at;
@@ -304,6 +305,8 @@
 uint64_t sim_call(struct sim *s, int node, const char *verb, const char *path, const char *body);
 /* The same with an Idempotency-Key. Example: t = sim_call_keyed(&s, 0, "POST", "/v1/change", body, "key-1"); */
 uint64_t sim_call_keyed(struct sim *s, int node, const char *verb, const char *path, const char *body, const char *key);
+/* The operator that made a call leaves before the answer. Example: sim_hang_up(&s, 0, token); */
+void sim_hang_up(struct sim *s, int node, uint64_t token);
 const struct sim_web *sim_answer(struct sim *s, uint64_t token);
 
 /* Make a call and wait for its answer's status; 0 on none. Example: assert_int_equal(sim_do(&s, 0, ...), 200); */
