Proposals: a controller that is to stop leaves no open outcome waiting; rolling stops under the checker

Cause: a change that was passed on, and whose fate was open because its leader stepped down ("busy"), was passed on again only 400 ms later. A controller that is told to stop looks for no leader any more, so after 550 ms nothing could answer the call, and it waited out its 5 s.

Ruled out: going on with config watch requests until the process ends: they count the asker among the live controllers, which the stop is to take out.

Mend: "busy" is followed by another try after 50 ms, as "not the leader" is; a member goes on taking its group's word for who leads while it stops; and where a controller that stops has no leader in reach, an open outcome is said at once (504).

Tests: orders_through_planned_stops: eight writers, readers and repeaters, some of whom hang up, while the leader, or now and then another, is told to stop every 4 s, ends when nothing needs it, and is back with its disk or as an empty machine; each history is checked for linearizability, each acknowledged order is sent again and must be acknowledged again.

--- a/lib/control/controller.c
+++ b/lib/control/controller.c
@@ -112,11 +112,11 @@
 		if (r->fleet)
 			raft_tick(&r->part[i], now, o);
 	bootstrap_tick(r, now, o);
-	if (r->stopping)
-		return;
-	for (uint32_t i = 0; i < SHARD_COUNT; i++) /* a member knows its owner best */
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) /* a member knows its leader best */
 		if (leader_hint(r, i, now))
 			r->f.leader_addr[i] = leader_hint(r, i, now);
+	if (r->stopping)
+		return;
 	config_watch_tick(&r->f, r->relay.k.horizon, now, o);
 	membership_register_tick(r, now, o);
 	membership_tick(r, now, o);
--- a/lib/control/controller.h
+++ b/lib/control/controller.h
@@ -26,6 +26,7 @@
 	CONTROLLER_CLAIM_KEEP =
 	    720000,                  /* ms of the part's own clock that a claim is remembered: the longest limit and two minutes */
 	CONTROLLER_AGAIN = 400,      /* ms before a proposal without an answer is made again */
+	CONTROLLER_SOON = 50,        /* the same where the answer was that there is another leader */
 	CONTROLLER_BATCH = 128,      /* purges logged together */
 	CONTROLLER_RECONFIGURE = 50, /* ms between steps of changing the membership of groups */
 	CONTROLLER_ANNOUNCE = 500,   /* ms between words to where silent controllers stood */
--- a/lib/control/proposals.c
+++ b/lib/control/proposals.c
@@ -160,12 +160,13 @@
 }
 
 /* Whether a proposal is over without an outcome. What surely was not logged is answered as soon as no leader is in reach;
- * what may have been waits for its outcome, up to its time. */
+ * what may have been waits for its outcome, up to its time. A controller that is to stop looks for no leader any more: there
+ * nothing waits without one. */
 static int ask_given_up(const struct controller *r, const struct controller_ask *a, int64_t now, struct out *o)
 {
 	int open = a->sends > a->denied;
 
-	if (now < a->until && (open || !a->web || leader_in_reach(r, now)))
+	if (now < a->until && (!a->web || leader_in_reach(r, now) || (open && !r->stopping)))
 		return 0;
 	if (a->web && open)
 		out_answer(o, a->web, 504, CONTROLLER_RETRY_MS,
@@ -228,14 +229,16 @@
 			continue;
 		if (a->status == TABLE_NOT_OWNER) { /* surely not logged there */
 			q->denied++;
-			q->again = now + 50; /* the one named, soon */
+			q->again = now + CONTROLLER_SOON; /* the one named */
 			config_watch_hint(&r->f, q->part, a->hint);
 			return;
 		}
 		if (a->status == TABLE_REFUSED && another_copy_is_open(q))
 			return;
-		if (a->status == TABLE_BUSY)
-			return; /* stays open: its end is unknown */
+		if (a->status == TABLE_BUSY) { /* stays open: its end is unknown, and the next leader will tell */
+			q->again = now + CONTROLLER_SOON;
+			return;
+		}
 		if (a->status != TABLE_DONE && now >= q->until)
 			return; /* said long ago, and read only now: no more than that it may have been logged is certain */
 		if (q->web && a->status == TABLE_DONE) {
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -1,5 +1,6 @@
 /* Operators' orders: the record that recognises repeated ones, and histories of many operators at once, under virtual time,
- * while answers are lost and controllers fall, freeze and are cut off. Each history must be linearizable. */
+ * while answers are lost and controllers fall, freeze and are cut off, or are told to stop one after the other. Each history
+ * must be linearizable. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -143,11 +144,16 @@
 	LOOK_MS = 5,
 	RUN_MS = 25000,
 	LONG_RUN_MS = 120000,
+	STOPS_RUN_MS = 45000,
 	SETTLE_MS = 30000,
+	STOP_EVERY_MS = 4000,
+	GRACE_MS = 7300,     /* of a planned stop */
+	STOP_CALLS_MS = 700, /* in which a controller that is to stop has answered all calls */
 	REPEATERS = 2
 };
 
 enum interface { DOCUMENTS, TABLE };
+enum trouble { FAULTS, PLANNED_STOPS };
 
 /* One sending of an order or a reading. */
 struct copy {
@@ -182,6 +188,7 @@
 struct world {
 	struct sim s;
 	enum interface interface;
+	enum trouble trouble;
 	int registrars;
 	uint64_t rng, values, newest;
 	struct operator writer[WRITERS], reader[READERS], repeater[REPEATERS];
@@ -190,7 +197,9 @@
 	struct known *known;       /* stb_ds: by version */
 	struct accepted *accepted; /* stb_ds */
 	int64_t trouble_at, heal_at;
-	int broken; /* the node in trouble; -1: none */
+	int broken;        /* the node in trouble; -1: none */
+	int64_t told_at;   /* when it was told to stop; 0: it was not, or has ended */
+	int64_t *calls_ms; /* stb_ds: of each planned stop, until no call was open any more */
 	uint64_t refused, unknown, resent, repeated, troubles, snapshots, reads;
 };
 
@@ -237,13 +246,14 @@
 		fail_msg("seed %llu: not whole after %lld ms", (unsigned long long)w->s.seed, (long long)ms);
 }
 
-static void found(struct world *w, uint64_t seed, enum interface interface)
+static void found(struct world *w, uint64_t seed, enum interface interface, enum trouble trouble)
 {
 	uint64_t seeds[3];
 	char text[32];
 
 	memset(w, 0, sizeof *w);
 	w->interface = interface;
+	w->trouble = trouble;
 	w->broken = -1;
 	w->registrars = 4 + (int)(seed % 2);
 	w->rng = seed * 977 + 5;
@@ -269,6 +279,7 @@
 	arrfree(w->base_value);
 	arrfree(w->known);
 	arrfree(w->accepted);
+	arrfree(w->calls_ms);
 	sim_close(&w->s);
 }
 
@@ -287,6 +298,9 @@
 	c->node = node;
 	c->hops = hops;
 	c->sent = w->s.now;
+	c->token = 0;
+	if (w->told_at && node == w->broken)
+		return; /* its door is shut */
 	if (w->interface == DOCUMENTS)
 		c->token = sim_doc(&w->s, node, o->op.base, 0, o->reads ? NULL : o->body, NULL);
 	else if (o->reads)
@@ -321,6 +335,8 @@
 	}
 	if (a)
 		return a->status >= 500 ? -1 : a->status;
+	if (!c->token)
+		return -1;
 	return w->s.now - c->sent > PATIENCE_MS ? -1 : 0;
 }
 
@@ -434,6 +450,15 @@
 	}
 }
 
+/* Some hang up, others just hear nothing more. */
+static void leave_calls(struct world *w, struct operator* o)
+{
+	for (int i = 0; i < o->copies; i++)
+		if (dice(w, 2) && o->copy[i].token && !sim_answer(&w->s, o->copy[i].token))
+			sim_hang_up(&w->s, o->copy[i].node, o->copy[i].token);
+	o->copies = 0;
+}
+
 /* One look at an operator. */
 static void attend(struct world *w, struct operator* o)
 {
@@ -459,7 +484,7 @@
 	if (waiting)
 		return;
 	if (o->copies) { /* none will be answered: again, elsewhere, a little later */
-		o->copies = 0;
+		leave_calls(w, o);
 		o->again = w->s.now + 20 + (int64_t)dice(w, 200);
 	}
 	if (o->gives_up && o->sendings) {
@@ -590,8 +615,61 @@
 	w->trouble_at = INT64_MAX; /* the next once all is whole */
 }
 
+/* ---- planned stops ---- */
+
+/* As a program that got SIGTERM: it ends once nothing needs it and all its calls are answered, and at the latest when the
+ * grace is over; no call may be open by then. Some go for good, and an empty machine takes the address. */
+static void end_planned_stop(struct world *w)
+{
+	struct controller *r = w->s.n[w->broken].r;
+	uint64_t open = operator_calls_open(r);
+	int64_t took = w->s.now - w->told_at;
+
+	if (open && took > STOP_CALLS_MS)
+		fail_msg("seed %llu: %llu calls are open %lld ms after the stop", (unsigned long long)w->s.seed,
+			 (unsigned long long)open, (long long)took);
+	if (!open && w->calls_ms && arrlast(w->calls_ms) < 0)
+		arrlast(w->calls_ms) = took;
+	if ((open || !controller_stopped(r, sim_local(&w->s, w->broken))) && took < GRACE_MS)
+		return;
+	sim_crash(&w->s, w->broken, (int)dice(w, 2));
+	w->told_at = 0;
+	w->heal_at = w->s.now + 100 + (int64_t)dice(w, 1500);
+}
+
+static void begin_planned_stop(struct world *w)
+{
+	int leader = sim_owner(&w->s, SHARD_CONTROL);
+
+	w->broken = leader >= 0 && dice(w, 5) ? leader : (int)dice(w, (uint64_t)w->registrars);
+	w->told_at = w->s.now;
+	w->heal_at = INT64_MAX;
+	w->trouble_at = w->s.now + STOP_EVERY_MS;
+	w->troubles++;
+	arrput(w->calls_ms, -1);
+	sim_stop(&w->s, w->broken);
+}
+
+static void planned_stops(struct world *w, int64_t end)
+{
+	if (w->told_at)
+		end_planned_stop(w);
+	if (w->broken >= 0 && w->s.now >= w->heal_at) {
+		sim_start(&w->s, w->broken);
+		w->broken = -1;
+	}
+	if (w->broken < 0 && w->s.now >= w->trouble_at && w->s.now < end && whole(w))
+		begin_planned_stop(w);
+	if (!dice(w, 200))
+		snapshot_somewhere(w);
+}
+
 static void trouble(struct world *w, int64_t end)
 {
+	if (w->trouble == PLANNED_STOPS) {
+		planned_stops(w, end);
+		return;
+	}
 	if (w->broken >= 0 && w->s.now >= w->heal_at)
 		heal(w);
 	if (w->trouble_at == INT64_MAX && whole(w))
@@ -650,6 +728,8 @@
 		look(w, w->s.now < end);
 	}
 	intact(w);
+	while (w->told_at && sim_run(&w->s, LOOK_MS, NULL))
+		end_planned_stop(w);
 	if (w->broken >= 0)
 		heal(w);
 	w->s.loss = 0;
@@ -775,16 +855,36 @@
 	apr_pool_destroy(pool);
 }
 
-static void operators_at_once(enum interface interface, const char *name, uint64_t seeds_wanted, int64_t run_ms)
+static int compare_times(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+static void print_stops(int64_t *ms)
+{
+	ptrdiff_t n = arrlen(ms);
+
+	if (!ms || !n)
+		return;
+	qsort(ms, (size_t)n, sizeof *ms, compare_times);
+	print_message("%td planned stops: all calls answered after %lld ms in the median, p99 %lld, most %lld\n", n,
+		      (long long)ms[n / 2], (long long)ms[(n - 1) * 99 / 100], (long long)ms[n - 1]);
+}
+
+static void operators_at_once(enum interface interface, enum trouble trouble, const char *name, uint64_t seeds_wanted,
+			      int64_t run_ms)
 {
 	uint64_t seeds = getenv("NL_SEEDS") ? strtoull(getenv("NL_SEEDS"), NULL, 10) : seeds_wanted,
 		 first = getenv("NL_SEED") ? strtoull(getenv("NL_SEED"), NULL, 10) : 1;
 	uint64_t orders = 0, accepted = 0, refused = 0, unknown = 0, reads = 0, resent = 0, repeated = 0, troubles = 0,
 		 snapshots = 0;
+	int64_t *calls_ms = NULL;
 	static struct world w;
 
 	for (uint64_t seed = first; seed < first + seeds; seed++) {
-		found(&w, seed, interface);
+		found(&w, seed, interface, trouble);
 		operate(&w, run_ms);
 		read_back(&w);
 		judge(&w);
@@ -802,6 +902,8 @@
 		repeated += w.repeated;
 		troubles += w.troubles;
 		snapshots += w.snapshots;
+		for (ptrdiff_t i = 0; i < arrlen(w.calls_ms); i++)
+			arrput(calls_ms, w.calls_ms[i]);
 		close_world(&w);
 	}
 	print_message(
@@ -810,6 +912,8 @@
 	    name, (unsigned long long)seeds, (unsigned long long)orders, (unsigned long long)accepted, (unsigned long long)refused,
 	    (unsigned long long)unknown, (unsigned long long)reads, (unsigned long long)resent, (unsigned long long)repeated,
 	    (unsigned long long)troubles, (unsigned long long)snapshots);
+	print_stops(calls_ms);
+	arrfree(calls_ms);
 	assert_true(accepted > 20 * seeds && refused > 20 * seeds && resent > 20 * seeds && repeated > 20 * seeds &&
 		    troubles > seeds);
 }
@@ -817,21 +921,29 @@
 static void documents_of_many_operators(void **state)
 {
 	(void)state;
-	operators_at_once(DOCUMENTS, "documents", 30, RUN_MS);
+	operators_at_once(DOCUMENTS, FAULTS, "documents", 30, RUN_MS);
 }
 
 static void changes_of_many_operators(void **state)
 {
 	(void)state;
-	operators_at_once(TABLE, "changes", 30, RUN_MS);
+	operators_at_once(TABLE, FAULTS, "changes", 30, RUN_MS);
 }
 
 /* Long enough for many hundred accepted orders between an order and its repetition. */
 static void many_hundred_orders(void **state)
 {
 	(void)state;
-	operators_at_once(DOCUMENTS, "documents, long", 4, LONG_RUN_MS);
-	operators_at_once(TABLE, "changes, long", 4, LONG_RUN_MS);
+	operators_at_once(DOCUMENTS, FAULTS, "documents, long", 4, LONG_RUN_MS);
+	operators_at_once(TABLE, FAULTS, "changes, long", 4, LONG_RUN_MS);
+}
+
+/* Hundreds of changes while the leader is told to stop every 4 s and comes back with its disk or as an empty machine. */
+static void orders_through_planned_stops(void **state)
+{
+	(void)state;
+	operators_at_once(DOCUMENTS, PLANNED_STOPS, "documents, planned stops", 6, STOPS_RUN_MS);
+	operators_at_once(TABLE, PLANNED_STOPS, "changes, planned stops", 6, STOPS_RUN_MS);
 }
 
 /* ---- single cases ---- */
@@ -893,7 +1005,7 @@
 	uint64_t first, keyed, later;
 
 	(void)state;
-	found(&w, 4, TABLE);
+	found(&w, 4, TABLE, FAULTS);
 	sim_run(&w.s, 3000, NULL);
 	assert_int_equal(call(&w, "/v1/change", tenant_change, "", &a), 200);
 	first = edition(a);
@@ -946,7 +1058,7 @@
 		uint64_t token[2];
 		int status[2] = { 0, 0 };
 
-		found(&w, seed, TABLE);
+		found(&w, seed, TABLE, FAULTS);
 		w.s.disk_ms = 20;
 		for (int i = 0; i < 2; i++) {
 			char body[200];
@@ -1001,7 +1113,7 @@
 	int leader, asked;
 
 	(void)state;
-	found(&w, 6, TABLE);
+	found(&w, 6, TABLE, FAULTS);
 	sim_run(&w.s, 3000, NULL);
 	leader = sim_owner(&w.s, SHARD_CONTROL);
 	asked = (leader + 1) % w.registrars;
@@ -1033,7 +1145,7 @@
 	for (uint64_t seed = 1; seed <= 8; seed++) {
 		const struct sim_web *a;
 
-		found(&w, seed, TABLE);
+		found(&w, seed, TABLE, FAULTS);
 		for (int i = 0; i < 4; i++) {
 			assert_int_equal(call(&w, "/v1/clear", "{\"scope\":\"*\",\"by\":\"one\"}", "clear-1", &a), 200);
 			if (i == 1)
@@ -1058,7 +1170,7 @@
 	int leader;
 
 	(void)state;
-	found(&w, 3, TABLE);
+	found(&w, 3, TABLE, FAULTS);
 	for (int i = 0; i < w.registrars; i++)
 		w.s.n[i].r->orders.kept = 8;
 	for (int i = 0; i < 20; i++) {
@@ -1093,6 +1205,7 @@
 		cmocka_unit_test(documents_of_many_operators),
 		cmocka_unit_test(changes_of_many_operators),
 		cmocka_unit_test(many_hundred_orders),
+		cmocka_unit_test(orders_through_planned_stops),
 	};
 
 	apr_initialize();
--- a/tests/test_planned_stop.c
+++ b/tests/test_planned_stop.c
@@ -239,11 +239,47 @@
 	}
 }
 
+/* A change that was passed on, and perhaps logged, by a controller that is told to stop when its leader is gone: it looks for
+ * no other leader, so it says at once that the outcome is unknown. */
+static void an_open_outcome_is_said_at_once(void **state)
+{
+	static const char change[] = "{\"set\":[{\"kind\":\"service\",\"name\":\"extra\"" SPEEDS "}]}";
+
+	(void)state;
+	for (uint64_t seed = first_seed(); seed < first_seed() + seeds_or(8); seed++) {
+		struct sim s;
+		uint64_t token;
+		int64_t told_at;
+		int leader, node;
+
+		sim_deploy(&s, seed, 3, 2, SERVERS);
+		pass(&s, 1000);
+		leader = sim_owner(&s, SHARD_CONTROL);
+		node = (leader + 1) % 3;
+		stall_disks(&s, leader, STALL_MS);
+		token = sim_call(&s, node, "POST", "/v1/change", change);
+		pass(&s, 20);
+		sim_crash(&s, leader, 0);
+		sim_crash(&s, (leader + 2) % 3, 0);
+		sim_stop(&s, node);
+		told_at = s.now;
+		while (!sim_answer(&s, token) && s.now < told_at + 2 * CONTROLLER_CALL)
+			pass(&s, STEP_MS);
+		assert_non_null(sim_answer(&s, token));
+		assert_int_equal(sim_answer(&s, token)->status, 504);
+		if (s.now - told_at > CONFIG_WATCH_SILENT + TICK_MS)
+			fail_msg("seed %llu: said %lld ms after the stop", (unsigned long long)seed, (long long)(s.now - told_at));
+		assert_int_equal(operator_calls_open(s.n[node].r), 0);
+		sim_close(&s);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_held_request_is_answered_in_time),
 		cmocka_unit_test(a_leaving_leader_answers_proposals),
+		cmocka_unit_test(an_open_outcome_is_said_at_once),
 		cmocka_unit_test(a_planned_stop_leaves_a_short_gap),
 	};
 	int rc;
