Planned stop: a controller begins no call any more and is done only once all that it has read are answered

Cause: "nothing needs this controller" looked at its copies of the log alone. On the product's own interface the process could end 50 ms later with calls open; on the platform's it waited for them, but a request whose last bytes came after the stop, or within the last 50 ms, became a call that nothing would answer, and a founding that waited for silent seeds held the stop up for 10 s, past the grace.

Before: a_founding_ends_with_the_stop: no answer at the stop; a_stop_waits_for_calls_and_begins_none: a read is begun.

--- a/lib/control/bootstrap.c
+++ b/lib/control/bootstrap.c
@@ -115,6 +115,16 @@
 			      error_json(o->p, "found: a seed already belongs to a fleet; start the others and they join", 0), o);
 }
 
+void bootstrap_stop(struct controller *r, struct out *o)
+{
+	int begun = r->found.members != NULL;
+
+	if (!r->found.web)
+		return;
+	found_fails(r, 0, o);
+	r->found.own = begun; /* seeds that have begun are still told of the others */
+}
+
 void bootstrap_tick(struct controller *r, int64_t now, struct out *o)
 {
 	int heard = 0, empty = 0, done = 0;
--- a/lib/control/bootstrap.h
+++ b/lib/control/bootstrap.h
@@ -12,6 +12,9 @@
 /* An operator's call begins it; it has 10 s to end. */
 void found_fleet(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o);
 
+/* This controller is to stop: the call for a bootstrap that is under way is answered. Example: bootstrap_stop(r, o); */
+void bootstrap_stop(struct controller *r, struct out *o);
+
 /* Go on with a bootstrap that this node has begun. */
 void bootstrap_tick(struct controller *r, int64_t now, struct out *o);
 
--- a/lib/control/controller.c
+++ b/lib/control/controller.c
@@ -173,6 +173,7 @@
 		r->stopping = 1;
 		for (int i = 0; i < SHARD_COUNT; i++)
 			raft_leave(&r->part[i], now);
+		bootstrap_stop(r, o);
 		break;
 	default: break;
 	}
@@ -277,6 +278,8 @@
 
 int controller_stopped(const struct controller *r, int64_t now)
 {
+	if (operator_calls_open(r))
+		return 0;
 	for (int i = 0; i < SHARD_COUNT && r->fleet; i++)
 		if (!raft_may_leave(&r->part[i], now))
 			return 0;
--- a/lib/control/controller.h
+++ b/lib/control/controller.h
@@ -297,7 +297,8 @@
  * Example: d = controller_state(&r, part, pool, &n); */
 uint8_t *controller_state(const struct controller *r, uint32_t part, apr_pool_t *p, size_t *n);
 
-/* After CONTROLLER_STOP: whether nothing more needs this controller, so that its process may end before the grace is over.
+/* After CONTROLLER_STOP: whether nothing more needs this controller and all that operators called for is answered, so that its
+ * process may end before the grace is over.
  * Example: return controller_stopped(&r, now); */
 int controller_stopped(const struct controller *r, int64_t now);
 
--- a/lib/control/controller_private.c
+++ b/lib/control/controller_private.c
@@ -18,3 +18,9 @@
 	out_answer(o, token, 503, CONTROLLER_RETRY_MS,
 		   error_json(o->p, "no leader of the configuration is in reach: nothing was logged", 0));
 }
+
+void refuse_while_stopping(uint64_t token, struct out *o)
+{
+	out_answer(o, token, 503, CONTROLLER_RETRY_MS,
+		   error_json(o->p, "this controller stops: nothing was logged, call another", 0));
+}
--- a/lib/control/controller_private.h
+++ b/lib/control/controller_private.h
@@ -31,4 +31,7 @@
 /* No leader is known: whatever this call asked for was not logged. */
 void refuse_without_leader(uint64_t token, struct out *o);
 
+/* This controller is to stop and begins nothing any more: nothing was logged. */
+void refuse_while_stopping(uint64_t token, struct out *o);
+
 #endif
--- a/lib/control/operator_paths.c
+++ b/lib/control/operator_paths.c
@@ -90,6 +90,10 @@
 		out_answer(o, token_of(ev), 404, 0, error_json(o->p, "path: no such call", 0));
 		return;
 	}
+	if (r->stopping && path->needs != PATH_NEEDS_LOCAL_STATE) {
+		refuse_while_stopping(token_of(ev), o);
+		return;
+	}
 	switch (path->needs) {
 	case PATH_NEEDS_LOCAL_STATE:
 	case PATH_NEEDS_SEEDS: path->handle(r, ev, now, o); break;
--- a/tests/test_planned_stop.c
+++ b/tests/test_planned_stop.c
@@ -274,13 +274,77 @@
 	}
 }
 
+static int64_t answered_after(struct sim *s, uint64_t token, int64_t limit)
+{
+	int64_t from = s->now;
+
+	while (!sim_answer(s, token) && s->now < from + limit)
+		pass(s, STEP_MS);
+	assert_non_null(sim_answer(s, token));
+	return s->now - from;
+}
+
+/* Founding waits for seeds that do not answer; a stop ends it at once, in words. */
+static void a_founding_ends_with_the_stop(void **state)
+{
+	uint64_t seeds[3] = { core_addr("127.0.1.1:7000"), core_addr("127.0.1.2:7000"), core_addr("127.0.1.3:7000") };
+	struct sim s;
+	uint64_t token;
+
+	(void)state;
+	sim_open(&s, first_seed());
+	sim_registrar(&s, "z1", seeds, 3);
+	token = sim_call(&s, 0, "POST", "/v1/found", "{}");
+	pass(&s, 500);
+	assert_null(sim_answer(&s, token));
+	sim_stop(&s, 0);
+	assert_true(answered_after(&s, token, 12000) <= TICK_MS);
+	assert_int_equal(sim_answer(&s, token)->status, 503);
+	assert_true(controller_stopped(s.n[0].r, sim_local(&s, 0)));
+	sim_close(&s);
+}
+
+/* A controller that is to stop begins no call, and is not done before those that it has read are answered. */
+static void a_stop_waits_for_calls_and_begins_none(void **state)
+{
+	static const char change[] = "{\"set\":[{\"kind\":\"service\",\"name\":\"extra\"" SPEEDS "}]}";
+	int waited = 0;
+
+	(void)state;
+	for (uint64_t seed = first_seed(); seed < first_seed() + seeds_or(8); seed++) {
+		struct sim s;
+		uint64_t before, after;
+		int node;
+
+		sim_deploy(&s, seed, 4, 2, SERVERS);
+		s.delay = 40;
+		pass(&s, 1500);
+		node = (sim_owner(&s, SHARD_CONTROL) + 1 + (int)(seed % 3)) % 4;
+		before = sim_call(&s, node, "POST", "/v1/change", change);
+		pass(&s, 20);
+		sim_stop(&s, node);
+		pass(&s, 1);
+		after = sim_call(&s, node, "GET", "/v1/table", "");
+		assert_true(answered_after(&s, after, 100) <= 1);
+		assert_int_equal(sim_answer(&s, after)->status, 503);
+		assert_true(sim_answer(&s, after)->retry_ms > 0);
+		while (!controller_stopped(s.n[node].r, sim_local(&s, node))) {
+			waited += !sim_answer(&s, before);
+			pass(&s, STEP_MS);
+		}
+		assert_non_null(sim_answer(&s, before));
+		assert_int_equal(sim_answer(&s, before)->status, 200);
+		sim_close(&s);
+	}
+	assert_true(waited);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(a_held_request_is_answered_in_time),
-		cmocka_unit_test(a_leaving_leader_answers_proposals),
-		cmocka_unit_test(an_open_outcome_is_said_at_once),
-		cmocka_unit_test(a_planned_stop_leaves_a_short_gap),
+		cmocka_unit_test(a_held_request_is_answered_in_time),     cmocka_unit_test(a_leaving_leader_answers_proposals),
+		cmocka_unit_test(an_open_outcome_is_said_at_once),        cmocka_unit_test(a_founding_ends_with_the_stop),
+		cmocka_unit_test(a_stop_waits_for_calls_and_begins_none), cmocka_unit_test(a_planned_stop_leaves_a_short_gap),
 	};
 	int rc;
 
