--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -428,6 +428,7 @@
 		h.n = ev->u.doc.len;
 		break;
 	case CONTROLLER_READ: h.token = ev->u.read.token; break;
+	case CONTROLLER_GONE: h.token = ev->u.gone.token; break;
 	case CONTROLLER_NAME:
 		h.token = ev->u.name.token;
 		copy(h.text[0], ev->u.name.model);
@@ -701,6 +702,8 @@
 	while (!platform_control.done(&d.c, clock_ms()) && clock_ms() < end)
 		platform_control.wait(&d.c, 5);
 	assert_true(platform_control.done(&d.c, clock_ms()));
+	assert_int_equal(arrlast(d.v).kind, CONTROLLER_GONE); /* and the core is told */
+	assert_int_equal(arrlast(d.v).token, d.v[0].token);
 	out_answer(&d.p.o, d.v[0].token, 200, 0, "{}");
 	proc_perform(&d.p);
 	d.s.hold = 0;
@@ -1018,6 +1021,38 @@
 	desk_close(&d);
 }
 
+/* The time to stop in is over, and the core has not answered: whoever waits is told that the outcome is open, before the end. */
+static void what_is_open_at_the_end_of_the_grace_is_said(void **st)
+{
+	const char q[] = "GET /configuration/retrieve HTTP/1.1\r\nHost: x\r\n\r\n";
+	int64_t end = clock_ms() + LIMIT;
+	struct desk d;
+	int fd[2];
+
+	desk_open(&d, *st);
+	d.s.hold = 1;
+	for (int i = 0; i < 2; i++) {
+		fd[i] = dial(d.web);
+		assert_int_equal(write(fd[i], q, sizeof q - 1), sizeof q - 1);
+	}
+	while (arrlen(d.v) < 2 && clock_ms() < end)
+		platform_control.wait(&d.c, 5);
+	d.p.stopping = 1;
+	d.p.stop_at = clock_ms() + LIMIT;
+	platform_control.stop(&d.c, clock_ms());
+	platform_control.wait(&d.c, 5);
+	assert_false(platform_control.done(&d.c, clock_ms()));
+	d.p.stop_at = clock_ms();
+	for (int i = 0; i < 2; i++) { /* as proc does between the last step and the close */
+		hear(&d, fd[i], said, sizeof said);
+		says(said, "504", "Retry-After");
+		close(fd[i]);
+	}
+	out_answer(&d.p.o, d.v[0].token, 200, 0, "{}"); /* too late, and nobody's */
+	proc_perform(&d.p);
+	desk_close(&d);
+}
+
 /* ---- settings that change ---- */
 
 static int reads;
@@ -1137,6 +1172,7 @@
 		T(a_servers_report_is_read),
 		T(orders_go_out_once_and_their_answers_come_back),
 		T(a_planned_stop_ends_what_is_under_way),
+		T(what_is_open_at_the_end_of_the_grace_is_said),
 		T(settings_are_read_anew),
 	};
 	int rc;
