Own interface: what is left to say at the end is said whole, and what is open is told as 504

Cause: at the end of a process the interface marked its open calls as answered and stopped the HTTP daemon in the same moment, which closes connections that still wait to be resumed: their callers heard nothing. The answer meant for them was 503, which promises that nothing ran, for calls that the core may have passed on.

Mend: no new connections; open calls get 504, outcome unknown; requests that become whole after that get 503; then the daemon goes on until every caller has taken the end of its answer, for 1 s at most.

Before: a_close_says_what_is_left_to_say: the open call hears nothing (round 1). After: 20 rounds: a 3 MB answer given just before the close arrives whole, the open call hears 504.

--- a/lib/shell/web.c
+++ b/lib/shell/web.c
@@ -10,11 +10,17 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "ds.h"
 #include "shell.h"
 
-enum { WEB_STREAM_MAX = 8 << 20, WEB_RETRY_MS = 200 };
+enum {
+	WEB_STREAM_MAX = 8 << 20,
+	WEB_RETRY_MS = 200,
+	WEB_CLOSE_MS = 1000, /* at the end, for callers to take what is said to them */
+	WEB_CLOSE_LOOK_MS = 2
+};
 
 struct conn {
 	uint64_t token;
@@ -188,7 +194,11 @@
 	}
 	if (!k->asked) {
 		k->asked = 1;
-		if (k->too_large) {
+		if (w->closing) {
+			k->status = 503;
+			k->retry_ms = WEB_RETRY_MS;
+			k->reply = strdup("{\"error\":\"stopping\",\"outcome\":\"refused\"}");
+		} else if (k->too_large) {
 			k->status = 400;
 			k->reply = strdup("{\"error\":\"body: too large\",\"outcome\":\"refused\"}");
 		} else {
@@ -361,21 +371,49 @@
 	apr_thread_mutex_unlock(w->m);
 }
 
-void web_close(struct web *w)
+/* Callers whose request was read whole, and who have not taken the end of its answer. */
+static int waiting(struct web *w)
+{
+	int n = 0;
+
+	apr_thread_mutex_lock(w->m);
+	for (ptrdiff_t i = 0; i < hmlen(w->by); i++)
+		n += w->by[i].value->asked;
+	apr_thread_mutex_unlock(w->m);
+	return n;
+}
+
+/* Whoever was read and not answered is told that the outcome is open: the core may have passed it on. */
+static void end_calls(struct web *w)
 {
 	apr_thread_mutex_lock(w->m);
 	w->closing = 1;
 	for (ptrdiff_t i = 0; i < hmlen(w->by); i++) {
 		struct conn *k = w->by[i].value;
 
+		if (!k->asked)
+			continue;
 		k->ended = 1;
 		if (!k->reply && !k->streaming) {
-			k->status = 503;
+			k->status = 504;
+			k->retry_ms = WEB_RETRY_MS;
 			k->reply = strdup("{\"error\":\"stopping\",\"outcome\":\"unknown\"}");
 		}
 		wake(k);
 	}
 	apr_thread_mutex_unlock(w->m);
+}
+
+void web_close(struct web *w)
+{
+	MHD_socket listener = MHD_quiesce_daemon(w->d); /* no new connections */
+	int64_t end = clock_ms() + WEB_CLOSE_MS;
+
+	end_calls(w);
+	while (waiting(w) && clock_ms() < end)
+		apr_sleep(apr_time_from_msec(WEB_CLOSE_LOOK_MS));
 	MHD_stop_daemon(w->d);
+	if (listener != MHD_INVALID_SOCKET)
+		close(listener);
 	hmfree(w->by);
 }
--- a/tests/test_shell.c
+++ b/tests/test_shell.c
@@ -978,6 +978,70 @@
 	apr_pool_destroy(p);
 }
 
+static void *closes(void *w)
+{
+	web_close(w);
+	return NULL;
+}
+
+/* Close the interface while a caller reads to the end. */
+static void close_while_read(struct web *w, int fd, char *to, size_t size)
+{
+	pthread_t thread;
+	size_t n = 0;
+	ssize_t k;
+
+	assert_int_equal(pthread_create(&thread, NULL, closes, w), 0);
+	while (n < size - 1 && (k = read(fd, to + n, size - 1 - n)) > 0)
+		n += (size_t)k;
+	to[n] = 0;
+	pthread_join(thread, NULL);
+}
+
+/* The process ends: an answer that was just given leaves whole, however large, and whoever has none is told that the outcome
+ * is open. */
+static void a_close_says_what_is_left_to_say(void **st)
+{
+	enum { LARGE = 3 << 20 };
+	static const char ask[] = "GET /v1/table HTTP/1.1\r\nHost: x\r\n\r\n";
+	static char large[LARGE + 1], heard[LARGE + 1000];
+
+	(void)st;
+	memset(large, 'a', LARGE);
+	large[0] = '{';
+	for (int round = 0; round < 20; round++) {
+		apr_pool_t *p;
+		struct ring *r;
+		struct web *w;
+		struct shell_ev *e;
+		char addr[40];
+		int given, open;
+
+		apr_pool_create(&p, NULL);
+		ring_open(&r, 64, p);
+		free_addr(addr);
+		w = web_open(addr, r, p);
+		assert_non_null(w);
+		given = dial(addr);
+		assert_true(write(given, ask, sizeof ask - 1) > 0);
+		e = next(r, EV_WEB);
+		open = dial(addr);
+		assert_true(write(open, ask, sizeof ask - 1) > 0);
+		shell_ev_free(next(r, EV_WEB));
+		web_answer(w, e->token, 200, 0, large, 0);
+		shell_ev_free(e);
+		close_while_read(w, given, heard, sizeof heard);
+		assert_non_null(strstr(heard, " 200 "));
+		assert_int_equal(strlen(strstr(heard, "\r\n\r\n") + 4), LARGE);
+		read_until(open, heard, sizeof heard, NULL);
+		assert_non_null(strstr(heard, " 504 "));
+		assert_non_null(strstr(heard, "unknown"));
+		close(given);
+		close(open);
+		apr_pool_destroy(p);
+	}
+}
+
 static void bad_settings_open_nothing(void **st)
 {
 	static const struct {
@@ -1023,6 +1087,7 @@
 		cmocka_unit_test(a_connection_that_nobody_acknowledges_is_made_anew),
 		cmocka_unit_test(knowledge_passes_words_of_kept_parts),
 		cmocka_unit_test(streams_end_definitely),
+		cmocka_unit_test(a_close_says_what_is_left_to_say),
 		cmocka_unit_test(bad_settings_open_nothing),
 	};
 
