Messages between processes: what was said last leaves before the end

Cause: at net_close the sending thread ended at its next look at the stop flag, whatever stood in its line or in the connections' buffers: a leader's last word, answers to proposals that others had passed on.

--- a/lib/shell/net.c
+++ b/lib/shell/net.c
@@ -17,7 +17,16 @@
 
 #define NET_BULK ((uint64_t)1 << 63) /* in the key of a peer: its second connection */
 
-enum { NET_FRAME = 32 << 20, NET_QUEUE = 64 << 20, NET_AGAIN = 200, NET_DIAL = 250, NET_DRAWS = 64 };
+enum {
+	NET_FRAME = 32 << 20,
+	NET_QUEUE = 64 << 20,
+	NET_AGAIN = 200,
+	NET_DIAL = 250,
+	NET_DRAWS = 64,
+	NET_POLL_MS = 100,
+	NET_CLOSE_MS = 200,    /* at the end, for what was said last to leave */
+	NET_CLOSE_POLL_MS = 10 /* between looks whether it has */
+};
 
 /* Bytes that are not acknowledged for so long end a connection. The kernel would ask a silent machine again after ever longer
  * pauses, and not look for 10 s and more after it is back. */
@@ -315,33 +324,54 @@
 		in_close(n, c);
 }
 
+/* Wait for sockets for a while, then take what is to be sent. */
+static void serve(struct net *n, int wait_ms)
+{
+	const apr_pollfd_t *got = NULL;
+	apr_int32_t count = 0;
+	struct net_bytes *bytes;
+
+	apr_pollset_poll(n->set, apr_time_from_msec(wait_ms), &count, &got);
+	for (apr_int32_t i = 0; i < count; i++) {
+		struct conn *c = got[i].client_data;
+
+		if (!c)
+			in_take(n);
+		else if (!c->addr)
+			in_ready(n, c);
+		else if (c->s)
+			out_ready(n, c, got[i].rtnevents);
+	}
+	while ((bytes = ring_pop(n->out, 0))) {
+		out_queue(n, bytes);
+		free(bytes->d);
+		free(bytes);
+	}
+}
+
+static int has_unsent(const struct net *n)
+{
+	for (ptrdiff_t i = 0; i < hmlen(n->peer); i++) {
+		const struct conn *c = n->peer[i].value;
+
+		if (c->s && c->at < (size_t)arrlen(c->buf))
+			return 1;
+	}
+	return 0;
+}
+
 static void *APR_THREAD_FUNC net_thread(apr_thread_t *t, void *arg)
 {
 	struct net *n = arg;
+	int64_t end;
 
 	(void)t;
-	while (!n->stop) {
-		const apr_pollfd_t *got = NULL;
-		apr_int32_t k = 0;
-		struct net_bytes *b;
-
-		apr_pollset_poll(n->set, 100000, &k, &got);
-		for (apr_int32_t i = 0; i < k; i++) {
-			struct conn *c = got[i].client_data;
-
-			if (!c)
-				in_take(n);
-			else if (!c->addr)
-				in_ready(n, c);
-			else if (c->s)
-				out_ready(n, c, got[i].rtnevents);
-		}
-		while ((b = ring_pop(n->out, 0))) {
-			out_queue(n, b);
-			free(b->d);
-			free(b);
-		}
-	}
+	while (!n->stop)
+		serve(n, NET_POLL_MS);
+	end = clock_ms() + NET_CLOSE_MS;
+	do
+		serve(n, NET_CLOSE_POLL_MS);
+	while (has_unsent(n) && clock_ms() < end);
 	return NULL;
 }
 
--- a/lib/shell/shell.h
+++ b/lib/shell/shell.h
@@ -69,6 +69,8 @@
 
 /* Say a message; never waits, drops when the peer's line is full. Example: net_send(n, a, msg); */
 void net_send(struct net *n, uint64_t addr, const struct Nl__Msg *m);
+
+/* End; what was said before leaves first, as far as peers take it within 200 ms. Example: net_close(n); */
 void net_close(struct net *n);
 
 /* ---- web ---- */
--- a/tests/test_shell.c
+++ b/tests/test_shell.c
@@ -1042,6 +1042,57 @@
 	}
 }
 
+/* What was said before the close still leaves: to a peer that is connected, and to one that is only now dialled. A peer that
+ * takes nothing does not hold the close up. */
+static void what_was_said_last_leaves(void **st)
+{
+	enum { MESSAGES = 2000, ROUNDS = 20, CLOSE_MS = 2000 };
+
+	(void)st;
+	for (int round = 0; round < ROUNDS; round++) {
+		struct Nl__Msg m = NL__MSG__INIT;
+		struct Nl__Owner owner = NL__OWNER__INIT;
+		struct net *from, *to;
+		struct ring *r, *unused;
+		struct shell_ev *e;
+		char at_from[40], at_to[40], deaf[40];
+		int listens = listener(deaf), heard = 0;
+		int64_t end;
+		apr_pool_t *p;
+
+		apr_pool_create(&p, NULL);
+		ring_open(&r, 4 * MESSAGES, p);
+		ring_open(&unused, 64, p);
+		free_addr(at_from);
+		free_addr(at_to);
+		from = net_open(at_from, unused, p);
+		to = net_open(at_to, r, p);
+		assert_true(from && to);
+		m.speak = CORE_SPEAK;
+		m.body_case = NL__MSG__BODY_OWNER;
+		m.owner = &owner;
+		if (round % 2) { /* connected before */
+			net_send(from, core_addr(at_to), &m);
+			shell_ev_free(next(r, EV_MSG));
+		}
+		net_send(from, core_addr(deaf), &m);
+		for (int i = 0; i < MESSAGES; i++)
+			net_send(from, core_addr(at_to), &m);
+		end = clock_ms() + CLOSE_MS;
+		net_close(from);
+		assert_true(clock_ms() < end);
+		for (; heard < MESSAGES; heard++) {
+			e = ring_pop(r, 2000);
+			if (!e)
+				fail_msg("round %d: %d of %d messages arrive", round, heard, (int)MESSAGES);
+			shell_ev_free(e);
+		}
+		net_close(to);
+		close(listens);
+		apr_pool_destroy(p);
+	}
+}
+
 static void bad_settings_open_nothing(void **st)
 {
 	static const struct {
@@ -1088,6 +1139,7 @@
 		cmocka_unit_test(knowledge_passes_words_of_kept_parts),
 		cmocka_unit_test(streams_end_definitely),
 		cmocka_unit_test(a_close_says_what_is_left_to_say),
+		cmocka_unit_test(what_was_said_last_leaves),
 		cmocka_unit_test(bad_settings_open_nothing),
 	};
 
