clerk: a read whose answer is lost is made again, at the addresses in turn

Cause: reads were tried again after 503 alone, and at the first address alone: an answer lost to a controller that stopped, or an address where nobody listens any more, ended the command, and with it set and apply, which read first. Before: a_read_is_made_again: ends with 3 after the first lost answer. After: made again for 8 s like an order without a clear answer; a clear refusal ends it (a_refused_read_ends). Where nobody answers at any address the command now takes these 8 s before it ends with 3.

--- a/bin/clerk.c
+++ b/bin/clerk.c
@@ -18,7 +18,7 @@
 	ORDER_FOR_MS = 20000, /* for which an order without a clear answer is sent again */
 	ORDER_PAUSE_MS = 200, /* before it is; twice as long each time, up to */
 	ORDER_PAUSE_MAX_MS = 1600,
-	READ_FOR_MS = 8000, /* for which a read that finds no leader is tried again */
+	READ_FOR_MS = 8000, /* for which a read without a clear answer is made again */
 	READ_PAUSE_MS = 200
 };
 
@@ -54,18 +54,28 @@
 	return f == stdout ? OK : USAGE;
 }
 
-/* Read from the controller. 503 says that it has no leader in reach: it is asked again for a while. */
+/* Whether an answer leaves open what became of a call, or says that it may come again. */
+static int unclear(int status) { return !status || status == 408 || status == 429 || status >= 500; }
+
+static void call_next_registrar(void)
+{
+	registrar_now = (registrar_now + 1) % registrar_count;
+	at = registrars[registrar_now];
+}
+
+/* Read from a controller. It changes nothing, so it is made again until there is a clear answer, at the addresses in turn. */
 static int read_path(const char *path, int limit_ms, char **body)
 {
-	for (int waited = 0;; waited += READ_PAUSE_MS) {
-		int status = http_do("GET", at, path, NULL, NULL, limit_ms, body);
+	int64_t end = clock_ms() + READ_FOR_MS;
+	int status;
 
-		if (status != 503 || waited >= READ_FOR_MS)
-			return status;
+	while (unclear(status = http_do("GET", at, path, NULL, NULL, limit_ms, body)) && clock_ms() < end) {
 		free(*body);
 		*body = NULL;
 		apr_sleep(apr_time_from_msec(READ_PAUSE_MS));
+		call_next_registrar();
 	}
+	return status;
 }
 
 static struct json_object *table(void)
@@ -107,9 +117,6 @@
 	return registrar_count > 0;
 }
 
-/* Whether an answer leaves open what became of the order, or says that it may come again. */
-static int unclear(int status) { return !status || status == 408 || status == 429 || status >= 500; }
-
 /* Send an order until it has a clear answer, always under one key: it is done once, however often it arrives. */
 static int order(const char *path, struct json_object *request, char **body)
 {
@@ -121,8 +128,7 @@
 	while (unclear(status = http_order(at, path, key, text, ORDER_CALL_MS, body)) && clock_ms() < end) {
 		free(*body);
 		apr_sleep(apr_time_from_msec(pause_ms));
-		registrar_now = (registrar_now + 1) % registrar_count;
-		at = registrars[registrar_now];
+		call_next_registrar();
 		pause_ms = pause_ms < ORDER_PAUSE_MAX_MS ? 2 * pause_ms : ORDER_PAUSE_MAX_MS;
 	}
 	if (unclear(status))
--- a/tests/test_clerk.c
+++ b/tests/test_clerk.c
@@ -194,12 +194,45 @@
 	assert_int_equal(r.calls, 1);
 }
 
+/* A read changes nothing: one whose answer is lost, or that a controller cannot answer, is made again, at the next address. */
+static void a_read_is_made_again(void **state)
+{
+	static const char *const script[] = { lost, ANSWER("503 Service Unavailable", "{\"error\":\"this controller stops\"}"),
+					      ANSWER("504 Gateway Timeout", "{\"error\":\"outcome unknown\"}"),
+					      ANSWER("200 OK", "{\"edition\":3,\"rows\":[]}"), NULL };
+	static struct registrar r;
+	char output[1000], gone[32], arguments[100];
+
+	(void)state;
+	assert_int_equal(against(&r, script, "--at %s show", output, sizeof output), 0);
+	assert_int_equal(r.calls, 4);
+	close(listen_at(gone));
+	snprintf(arguments, sizeof arguments, "--at %s,%%s show", gone);
+	assert_int_equal(against(&r, script + 3, arguments, output, sizeof output), 0);
+	assert_int_equal(r.calls, 1);
+	assert_non_null(strstr(r.request[0], "GET /v1/table"));
+}
+
+/* A clear refusal of a read is not asked for again. */
+static void a_refused_read_ends(void **state)
+{
+	static const char *const script[] = { ANSWER("404 Not Found", "{\"error\":\"no such call\"}"), NULL };
+	static struct registrar r;
+	char output[1000];
+
+	(void)state;
+	assert_int_not_equal(against(&r, script, "--at %s retention", output, sizeof output), 0);
+	assert_int_equal(r.calls, 1);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(an_order_is_sent_again_under_one_key),
 		cmocka_unit_test(a_clear_refusal_ends_it),
 		cmocka_unit_test(the_next_registrar_is_called),
+		cmocka_unit_test(a_read_is_made_again),
+		cmocka_unit_test(a_refused_read_ends),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
