--- a/lib/control/controller.c
+++ b/lib/control/controller.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "bootstrap.h"
+#include "config_handover.h"
 #include "config_sync.h"
 #include "ds.h"
 #include "rollout.h"
@@ -69,7 +70,10 @@
 	case NL__MSG__BODY_GIVE_UP:
 	case NL__MSG__BODY_PROBE:
 	case NL__MSG__BODY_PROBE_REPLY: on_raft_msg(r, m, now, o); break;
-	case NL__MSG__BODY_FOLLOW: on_config_sync_request(r, m, now, o); break;
+	case NL__MSG__BODY_FOLLOW:
+		if (!config_handover_take(r, m, now, o))
+			on_config_sync_request(r, m, now, o);
+		break;
 	case NL__MSG__BODY_FOLLOW_REPLY:
 	case NL__MSG__BODY_OWNER:
 		before = r->f.fresh;
@@ -108,11 +112,11 @@
 		if (r->fleet)
 			raft_tick(&r->part[i], now, o);
 	bootstrap_tick(r, now, o);
-	if (r->stopping)
-		return;
-	for (uint32_t i = 0; i < SHARD_COUNT; i++) /* a member knows its owner best */
+	for (uint32_t i = 0; i < SHARD_COUNT; i++) /* a member knows its leader best */
 		if (leader_hint(r, i, now))
 			r->f.leader_addr[i] = leader_hint(r, i, now);
+	if (r->stopping)
+		return;
 	config_watch_tick(&r->f, r->relay.k.horizon, now, o);
 	membership_register_tick(r, now, o);
 	membership_tick(r, now, o);
@@ -130,6 +134,8 @@
 /* NOLINTNEXTLINE(readability-function-size): one case for each event */
 void controller_step(struct controller *r, const struct controller_ev *ev, int64_t now, struct out *o)
 {
+	ptrdiff_t begins = arrlen(o->v);
+
 	o->id = r->id;
 	o->addr = r->addr;
 	o->fleet = r->fleet;
@@ -148,6 +154,7 @@
 	case CONTROLLER_DOC:
 	case CONTROLLER_READ:
 	case CONTROLLER_NAME: on_operator_call(r, ev, now, o); break;
+	case CONTROLLER_GONE: operator_calls_gone(r, ev->u.gone.token); break;
 	case CONTROLLER_CALLED:
 		for (ptrdiff_t i = 0; i < arrlen(r->server); i++)
 			if (ev->u.called.token && r->server[i].call == ev->u.called.token && ev->u.called.status == 200)
@@ -166,6 +173,7 @@
 		r->stopping = 1;
 		for (int i = 0; i < SHARD_COUNT; i++)
 			raft_leave(&r->part[i], now);
+		bootstrap_stop(r, o);
 		break;
 	default: break;
 	}
@@ -187,9 +195,11 @@
 		if (raft_wants_snapshot(p))
 			snapshot_take(r, i, o);
 	}
+	config_handover_tick(r, now, o);
 	proposals_tick(r, now, o);
 	calls_tick(r, now, o);
 	table_reads_tick(r, now, o);
+	operator_calls_count(&r->calls, o, begins);
 	for (uint32_t i = 0; i < SHARD_COUNT; i++)
 		raft_flush(&r->part[i], now, o);
 }
@@ -234,6 +244,7 @@
 	arrfree(r->ctl_done);
 	orders_clear(&r->orders);
 	arrfree(r->call);
+	config_handover_clear(r);
 	free(r->ctl_doc);
 	free_values(&r->pub.v);
 	view_clear(&r->pub.last);
@@ -267,6 +278,8 @@
 
 int controller_stopped(const struct controller *r, int64_t now)
 {
+	if (operator_calls_open(r))
+		return 0;
 	for (int i = 0; i < SHARD_COUNT && r->fleet; i++)
 		if (!raft_may_leave(&r->part[i], now))
 			return 0;
--- a/lib/control/controller.h
+++ b/lib/control/controller.h
@@ -3,6 +3,7 @@
 #define NL_CONTROLLER_H
 
 #include "config_watch.h"
+#include "operator_calls.h"
 #include "rollout.h"
 #include "orders.h"
 #include "raft.h"
@@ -26,6 +27,7 @@
 	CONTROLLER_CLAIM_KEEP =
 	    720000,                  /* ms of the part's own clock that a claim is remembered: the longest limit and two minutes */
 	CONTROLLER_AGAIN = 400,      /* ms before a proposal without an answer is made again */
+	CONTROLLER_SOON = 50,        /* the same where the answer was that there is another leader */
 	CONTROLLER_BATCH = 128,      /* purges logged together */
 	CONTROLLER_RECONFIGURE = 50, /* ms between steps of changing the membership of groups */
 	CONTROLLER_ANNOUNCE = 500,   /* ms between words to where silent controllers stood */
@@ -49,7 +51,8 @@
 	CONTROLLER_NAME,
 	CONTROLLER_LISTED,
 	CONTROLLER_LOOKED,
-	CONTROLLER_ORDERED
+	CONTROLLER_ORDERED,
+	CONTROLLER_GONE
 };
 
 struct controller_ev {
@@ -97,6 +100,9 @@
 			const char *weights;
 			int loading;
 		} looked;
+		struct {
+			uint64_t token;
+		} gone; /* the operator who made this call has left */
 		/* 200 holds, 202 begun, 409 another under way, 412 a lower fence, 421 not this server; 0 no answer; never: nothing left */
 		struct {
 			uint64_t token;
@@ -137,6 +143,11 @@
 	Nl__ReadKind kind;
 	int64_t asked, again;
 };
+/* A config watch request that waits for the next leader. */
+struct controller_held_request {
+	struct Nl__Msg *request; /* malloc'd */
+	int64_t until;
+};
 struct controller_seen {
 	uint64_t id, addr, zone;
 	int64_t at;
@@ -219,6 +230,7 @@
 	size_t ctl_doc_len;
 	uint64_t ctl_doc_version;
 	struct controller_call *call; /* stb_ds */
+	struct operator_calls calls;
 	struct retention ret;
 	const struct controller_calendar *calendar; /* NULL: no schedules in calendar terms */
 	int64_t wall; /* the machine's clock at this step, ms since 1970, set by whoever steps; 0: no schedule runs */
@@ -235,7 +247,8 @@
 	struct controller_wait *wait;
 	struct controller_ask *ask;
 	struct controller_seen *seen;
-	char **spare; /* stb_ds: limits of which every router is given a few places ahead */
+	struct controller_held_request *held; /* stb_ds */
+	char **spare;                         /* stb_ds: limits of which every router is given a few places ahead */
 	uint64_t spare_edition;
 	struct controller_limit *limit; /* stb_ds: by what the limit is of; the configuration owner's soft state */
 	struct controller_read *reads;  /* stb_ds */
@@ -286,7 +299,8 @@
  * Example: d = controller_state(&r, part, pool, &n); */
 uint8_t *controller_state(const struct controller *r, uint32_t part, apr_pool_t *p, size_t *n);
 
-/* After CONTROLLER_STOP: whether nothing more needs this controller, so that its process may end before the grace is over.
+/* After CONTROLLER_STOP: whether nothing more needs this controller and all that operators called for is answered, so that its
+ * process may end before the grace is over.
  * Example: return controller_stopped(&r, now); */
 int controller_stopped(const struct controller *r, int64_t now);
 
--- a/lib/control/operator_paths.c
+++ b/lib/control/operator_paths.c
@@ -85,10 +85,15 @@
 	const struct operator_path *path = path_of(ev);
 	ptrdiff_t answers = arrlen(o->v);
 
+	r->calls.read++;
 	if (!path) { /* whatever the log holds, there is no such path */
 		out_answer(o, token_of(ev), 404, 0, error_json(o->p, "path: no such call", 0));
 		return;
 	}
+	if (r->stopping && path->needs != PATH_NEEDS_LOCAL_STATE) {
+		refuse_while_stopping(token_of(ev), o);
+		return;
+	}
 	switch (path->needs) {
 	case PATH_NEEDS_LOCAL_STATE:
 	case PATH_NEEDS_SEEDS: path->handle(r, ev, now, o); break;
