Router: one function ends a request, and each is counted

Cause: ten places answered a client for good, counted by hand, and dropped the request; whether one was lost or told two ends could not be seen. Now router_request_end (lib/data/router_outcome.c) is the only way out of a request that was queued, router_decline of one that was not: five typed outcomes, each counted, and taken == their sum + those under way (router_balanced, /v1/state). Dropping a request is static to that file. Admission (which route, tenant and service) has a file of its own, router_admission.c.

Checks: after every event the simulators compare requests taken with ends and those under way, places in lines and at servers, and the tokens by which requests are found; both hold each client to exactly one end, and that each past its limit has one. Before: no such check. No change of behaviour is meant; the spread of retry times draws other numbers.

--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -67,9 +67,11 @@
 		{ "horizon", c->relay.k.horizon },
 		{ "kept", c->kept.n },
 		{ "taken", c->n.taken },
-		{ "answered", c->n.answered },
-		{ "refused", c->n.refused },
-		{ "unknown", c->n.unknown },
+		{ "answered", c->n.outcome[REQUEST_ANSWERED] },
+		{ "refused", c->n.outcome[REQUEST_REFUSED] },
+		{ "rejected", c->n.outcome[REQUEST_REJECTED] },
+		{ "broken_off", c->n.outcome[REQUEST_BROKEN_OFF] },
+		{ "client_gone", c->n.outcome[REQUEST_CLIENT_GONE] },
 		{ "sends", c->n.sends },
 		{ "resends", c->n.resends },
 		{ "pieces", c->n.pieces },
@@ -284,11 +286,7 @@
 		x = router_request_by(c, ev->u.gone.token);
 		if (!x || x->token != ev->u.gone.token)
 			break;
-		c->n.gone++;
-		router_call_cancel(x, o);
-		if (x->state != REQUEST_RUNNING && x->claim)
-			router_claim_release(c, x, now, o);
-		router_request_drop(c, x);
+		router_request_end(c, x, &(struct request_ending){ REQUEST_CLIENT_GONE, 0, NULL, 0 }, now, o);
 		break;
 	case ROUTER_PIECE:
 		x = router_request_by(c, ev->u.piece.token);
@@ -366,8 +364,7 @@
 
 void router_close(struct router *c)
 {
-	while (arrlen(c->all))
-		router_request_drop(c, c->all[0]);
+	router_requests_discard(c);
 	while (arrlen(c->release))
 		router_release_end(c, 0);
 	arrfree(c->release);
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -252,6 +252,16 @@
 
 enum request_state { REQUEST_WAITING, REQUEST_CLAIMING, REQUEST_RUNNING };
 
+/* How a request that was taken ended. Each has exactly one outcome: router_outcome.c. */
+enum request_outcome {
+	REQUEST_ANSWERED,    /* a server's whole answer went to its client, whatever the answer's status */
+	REQUEST_REFUSED,     /* it never ran and never will; its client was told when to come back */
+	REQUEST_REJECTED,    /* it never ran and never will; its client was told by a 4xx what is wrong with it */
+	REQUEST_BROKEN_OFF,  /* it may have run; its client was told an error, or its stream was ended as not whole */
+	REQUEST_CLIENT_GONE, /* its client left before it ended */
+	REQUEST_OUTCOMES
+};
+
 struct client_request {
 	uint64_t token, seq, claim, call;
 	enum request_state state;
@@ -266,7 +276,7 @@
 	uint32_t tokens[ROUTER_PARTS], tail_tokens;
 	uint64_t next;  /* piece expected */
 	int server;     /* -1: none chosen */
-	uint32_t tried; /* last server that refused it */
+	uint32_t tried; /* the last server that gave it back */
 	uint64_t stamp;
 	uint32_t weights;
 	int from;                     /* the server that kept parts are fetched from; -1: none */
@@ -345,9 +355,10 @@
 };
 
 struct router_counts {
-	uint64_t taken, answered, refused, unknown, sends, resends, pieces, tokens, reused, fetched, cold, claims;
+	uint64_t outcome[REQUEST_OUTCOMES];
+	uint64_t taken, sends, resends, pieces, tokens, reused, fetched, cold, claims;
 	uint64_t watches, events, taken_up, wrong_life, looks, refused_stale, refused_line, refused_limit, refused_early, revoked,
-	    blind, gone;
+	    blind;
 };
 
 struct router_use {
@@ -440,6 +451,10 @@
  * Example: answer(router_ready(&c, now) ? 200 : 503); */
 int router_ready(const struct router *c, int64_t now);
 
+/* Whether each request that was taken has ended once or is under way; it always holds.
+ * Example: if (!router_balanced(&c)) fail("a request is lost"); */
+int router_balanced(const struct router *c);
+
 /* Whether nothing is under way. Example: if (stopping && router_idle(&c)) leave(); */
 int router_idle(const struct router *c);
 
--- a/lib/data/router_internal.h
+++ b/lib/data/router_internal.h
@@ -36,33 +36,65 @@
 void router_server_table_free(struct server_table *r);
 void router_names_clear(struct names *n);
 void router_share_of(const struct route_table *b, uint32_t lane, uint32_t tenant, uint32_t *share, uint32_t *limit);
+/* router_outcome.c */
+/* What a request's client is told at its end: why is a text, or the last piece of an answer of the own interface. */
+struct request_ending {
+	enum request_outcome outcome;
+	int status;
+	const char *why;
+	int retry_ms; /* when to come back, of refused ones */
+};
+
+/* The one way for a request to end: tells its client, counts the outcome, and takes it out. What may have run is never
+ * refused or rejected: it counts as broken off.
+ * Example: router_request_end(c, x, &(struct request_ending){ REQUEST_ANSWERED, 200, NULL, 0 }, now, o); */
+void router_request_end(struct router *c, struct client_request *x, const struct request_ending *e, int64_t now, struct out *o);
+
+/* The same for one that was never queued. Example: router_decline(c, token, &(struct request_ending){ REQUEST_REJECTED, 404,
+ * "lane: unknown", 0 }, o); */
+void router_decline(struct router *c, uint64_t token, const struct request_ending *e, struct out *o);
+
+/* Endings by name, each by router_request_end. */
+void router_refuse(struct router *c, struct client_request *x, int status, const char *why, double back, int64_t now,
+		   struct out *o);
+void router_reject(struct router *c, struct client_request *x, int status, const char *why, int64_t now, struct out *o);
+void router_give_up(struct router *c, struct client_request *x, int status, const char *why, int64_t now, struct out *o);
+
+/* Whatever state it is in: broken off if it may have run, else refused or rejected, as the status says. */
+void router_end_early(struct router *c, struct client_request *x, int status, const char *why, int64_t now, struct out *o);
+void router_request_add(struct router *c, struct client_request *x);
+struct client_request *router_request_by(struct router *c, uint64_t token);
+
+/* All that is under way, without a word: the process ends. Example: router_requests_discard(c); */
+void router_requests_discard(struct router *c);
+/* router_admission.c */
+void router_take(struct router *c, uint64_t token, const char *digest, const char *body, int64_t now, struct out *o);
+void router_asked(struct router *c, const struct router_asking *a, int64_t now, struct out *o);
+
 /* router_queue.c */
-void router_call_cancel(struct client_request *x, struct out *o);
 void router_claim_miss(struct router *c, uint32_t service, uint64_t asked);
 void router_claim_release(struct router *c, const struct client_request *x, int64_t now, struct out *o);
 void router_claim_send(struct router *c, struct client_request *x, int64_t now, struct out *o);
-void router_end_early(struct router *c, struct client_request *x, int status, const char *why, int64_t now, struct out *o);
 const char *router_error_json(apr_pool_t *p, const char *why, const char *outcome);
 double router_expected(const struct line *l, uint32_t i, int64_t now);
-void router_give_up(struct router *c, struct client_request *x, int status, const char *why, struct out *o);
 uint32_t router_held(const struct router *c, const char *name);
 struct line *router_line_of(struct router *c, uint32_t lane, uint32_t tenant);
 int router_retry_soon(struct router *c, int ms);
+int router_retry_in(struct router *c, double ms);
 int router_ride(const struct router *c);
-void router_asked(struct router *c, const struct router_asking *a, int64_t now, struct out *o);
+int router_in_force(const struct router *c, int64_t now);
+void router_queue_insert(struct router *c, struct client_request *x, int64_t now);
+void router_queue_remove(struct router *c, struct client_request *x);
+void router_queue_return(struct router *c, struct client_request *x);
+void router_place_leave(struct router *c, struct client_request *x);
 uint32_t router_part_of(const struct router *c, uint32_t service);
 void router_dispatch(struct router *c, int64_t now, struct out *o);
 struct json_object *router_read_json(struct router *c, const char *text);
-void router_refuse(struct router *c, struct client_request *x, int status, const char *why, double back, int64_t now,
-		   struct out *o);
 void router_release_end(struct router *c, ptrdiff_t i);
 void router_releases_tick(struct router *c, int64_t now, struct out *o);
-void router_take(struct router *c, uint64_t token, const char *digest, const char *body, int64_t now, struct out *o);
 uint64_t router_token_new(struct router *c);
 struct router_use *router_use_of(struct router *c, const struct client_request *x);
 void router_want_places(struct router *c, int64_t now, struct out *o);
-struct client_request *router_request_by(struct router *c, uint64_t token);
-void router_request_drop(struct router *c, struct client_request *x);
 /* router_load.c */
 void router_load_tick(struct router *c, int64_t now, struct out *o);
 void router_on_load(struct router *c, uint64_t id, uint64_t addr, const struct Nl__Load *l, int64_t now);
--- a/lib/data/router_queue.c
+++ b/lib/data/router_queue.c
@@ -1,4 +1,4 @@
-/* router_queue: taking exchanges into lines, their order, their ends; who goes next. */
+/* router_queue: the lines that requests wait in, their order, the claims they need, who goes next. */
 #include "router_internal.h"
 
 #include <apr_strings.h>
@@ -7,18 +7,9 @@
 
 #include "ds.h"
 
-/* ---- exchanges: ends --------------------------------------------------------------- */
-
 /* Tokens of claims and calls; the shell numbers callers from 1 up, so ours keep the highest bit. */
 uint64_t router_token_new(struct router *c) { return ++c->token | 1ull << 63; }
 
-struct client_request *router_request_by(struct router *c, uint64_t token)
-{
-	ptrdiff_t i = c->by ? hmgeti(c->by, token) : -1;
-
-	return i < 0 ? NULL : c->by[i].value;
-}
-
 struct line *router_line_of(struct router *c, uint32_t lane, uint32_t tenant)
 {
 	struct line n = { lane, tenant, NULL, NULL, NULL, 0, 0, 0, 0, 0 };
@@ -127,178 +118,23 @@
 	return hmgetp(c->use, key);
 }
 
-/* Take an exchange out of everything; what the caller hears has been said before. */
-void router_request_drop(struct router *c, struct client_request *x)
-{
-	struct line *l = router_line_of(c, x->lane, x->tenant);
-
-	if (x->state == REQUEST_WAITING) {
-		struct client_request **at = &l->head, *prev = NULL;
-
-		while (*at && *at != x) {
-			prev = *at;
-			at = &(*at)->after;
-		}
-		if (*at) {
-			*at = x->after;
-			if (l->tail == x)
-				l->tail = prev;
-			l->n--;
-		}
-	} else {
-		l->running--;
-		c->running[x->tenant]--;
-		if (x->server >= 0) {
-			c->sv[x->server].own--;
-			c->sv[x->server].ahead -= x->ahead;
-			if (x->forwarded && x->state == REQUEST_RUNNING)
-				c->sv[x->server].tokens -= x->brings;
-		}
-	}
-	if (x->resend_paid)
-		c->budget[x->service] += ROUTER_RESEND_COST; /* never sent again */
-	(void)hmdel(c->by, x->token);
-	if (x->claim)
-		(void)hmdel(c->by, x->claim);
-	if (x->call)
-		(void)hmdel(c->by, x->call);
-	arrdelswap(c->all, x->slot);
-	if (x->slot < arrlen(c->all))
-		c->all[x->slot]->slot = x->slot;
-	apr_pool_destroy(x->p);
-}
-
-void router_call_cancel(struct client_request *x, struct out *o)
-{
-	if (x->state == REQUEST_RUNNING && x->call)
-		out_cmd(o, CMD_CANCEL)->u.cancel.token = x->call;
-}
-
 /* When to come back for a reason that passes soon. */
 int router_retry_soon(struct router *c, int ms) { return ms + (int)(core_rdv(c->id, ++c->retries) % (uint64_t)(ms / 2 + 1)); }
 
 /* When to come back: not sooner than makes sense, and not all at once. */
-static int retry_in(struct router *c, double ms)
+int router_retry_in(struct router *c, double ms)
 {
 	int64_t least = ms < ROUTER_RETRY ? ROUTER_RETRY : ms > ROUTER_RETRY_MOST ? ROUTER_RETRY_MOST : (int64_t)ms;
 
 	return (int)(least + (int64_t)(core_rdv(c->id, ++c->retries) % (uint64_t)least));
 }
 
-/* Given up after a send: what the server did is not known. */
-void router_give_up(struct router *c, struct client_request *x, int status, const char *why, struct out *o)
-{
-	const char *body = router_error_json(o->p, why, "unknown");
-
-	router_call_cancel(x, o);
-	if (x->begun) {
-		struct cmd *k = out_cmd(o, CMD_END);
-
-		k->u.piece.token = x->token;
-		k->u.piece.body = body;
-		k->u.piece.len = strlen(body);
-		k->u.piece.ok = 0;
-	} else { /* 503 would promise that it never runs */
-		out_answer(o, x->token, status == 503 ? 502 : status, 0, body);
-	}
-	c->n.unknown++;
-	router_use_of(c, x)->value.errors++;
-	router_request_drop(c, x);
-}
-
-/* Refused: nothing of it was ever sent to a server that may have begun, and nothing will be. */
-void router_refuse(struct router *c, struct client_request *x, int status, const char *why, double back, int64_t now, struct out *o)
-{
-	if (x->begun || x->ran) {
-		router_give_up(c, x, 502, why, o);
-		return;
-	}
-	if (x->claim)
-		router_claim_release(c, x, now, o); /* the id may be used again */
-	out_answer(o, x->token, status,
-		   status == 503 || status == 429 ? back == ROUTER_SOON ? router_retry_soon(c, ROUTER_SOON) : retry_in(c, back) : 0,
-		   router_error_json(o->p, why, "refused"));
-	c->n.refused++;
-	router_request_drop(c, x);
-}
-
-void router_end_early(struct router *c, struct client_request *x, int status, const char *why, int64_t now, struct out *o)
-{
-	if (x->state == REQUEST_RUNNING || x->begun || x->ran)
-		router_give_up(c, x, status, why, o);
-	else
-		router_refuse(c, x, status, why, ROUTER_RETRY, now, o);
-}
-
 struct json_object *router_read_json(struct router *c, const char *text)
 {
 	json_tokener_reset(c->tok);
 	return json_tokener_parse_ex(c->tok, text, -1);
 }
 
-/* ---- exchanges: taken at the door ---------------------------------------------------- */
-
-static const char *parse(struct router *c, struct client_request *x, const char *body, const char **lane, int *limit, apr_pool_t *p)
-{
-	struct json_object *j = router_read_json(c, body), *v;
-	const char *why = NULL;
-
-	*limit = ROUTER_LIMIT;
-	*lane = NULL;
-	if (!json_object_is_type(j, json_type_object)) {
-		why = "body: not a JSON object";
-		goto end;
-	}
-	json_object_object_foreach(j, name, val)
-	{
-		if (!strcmp(name, "lane") || !strcmp(name, "id") || !strcmp(name, "tail")) {
-			if (!json_object_is_type(val, json_type_string))
-				why = apr_psprintf(p, "%s: not a string", name);
-			else if (!strcmp(name, "lane"))
-				*lane = apr_pstrdup(p, json_object_get_string(val));
-			else if (!strcmp(name, "id"))
-				x->id = apr_pstrdup(p, json_object_get_string(val));
-			else
-				x->tail = apr_pstrdup(p, json_object_get_string(val));
-		} else if (!strcmp(name, "limit_ms")) {
-			int64_t n = json_object_get_int64(val);
-
-			if (!json_object_is_type(val, json_type_int) || n < ROUTER_LIMIT_MIN || n > ROUTER_LIMIT_MAX)
-				why = apr_psprintf(p, "limit_ms: %d to %d", ROUTER_LIMIT_MIN, ROUTER_LIMIT_MAX);
-			else
-				*limit = (int)n;
-		} else if (!strcmp(name, "parts")) {
-			if (!json_object_is_type(val, json_type_array) || json_object_array_length(val) > ROUTER_PARTS) {
-				why = apr_psprintf(p, "parts: a list of at most %d strings", ROUTER_PARTS);
-				continue;
-			}
-			for (size_t i = 0; i < json_object_array_length(val); i++) {
-				v = json_object_array_get_idx(val, i);
-				if (!json_object_is_type(v, json_type_string))
-					why = "parts: a list of strings";
-				else
-					x->text[x->nparts++] = apr_pstrdup(p, json_object_get_string(v));
-			}
-		} else {
-			why = apr_psprintf(p, "%s: no such field", name);
-		}
-	}
-	if (why)
-		goto end;
-	if (!*lane)
-		why = "lane: missing";
-	else if (!x->id || !x->id[0] || strlen(x->id) > 128 || strpbrk(x->id, "\x1f\n"))
-		why = "id: 1 to 128 characters";
-	else if (!x->tail)
-		why = "tail: missing";
-end:
-	if (j)
-		json_object_put(j);
-	return why;
-}
-
-const char router_no_server[] = "no server of this service stands";
-
 /* How long the exchange with i others before it in its line has yet to wait: what its line's heads usually take, and
  * for the next of them no less than the time for which it has already stood still. */
 double router_expected(const struct line *l, uint32_t i, int64_t now)
@@ -309,7 +145,7 @@
 }
 
 /* Whether the configuration here is certain to be in force, or may be ridden on. */
-static int in_force(const struct router *c, int64_t now)
+int router_in_force(const struct router *c, int64_t now)
 {
 	return c->route_table && config_watch_age(&c->f, now) <= router_ride(c);
 }
@@ -338,122 +174,84 @@
 	return rank ? rank - 1 : b->lane[l->lane].prio;
 }
 
-/* To the end of its line. */
-static void line_up(struct router *c, struct client_request *x, struct line *l, int64_t now)
+/* A line that was empty starts where the others of its class are: the time for which it was empty counts neither as a wait
+ * nor as turns that it has left to others. */
+static void line_begins(struct router *c, struct line *l, int64_t now)
 {
 	const struct route_table *b = c->route_table;
+	uint64_t least = UINT64_MAX;
 
-	if (!l->n) { /* a line that was empty starts where the others are */
-		uint64_t least = UINT64_MAX;
+	l->still = now;
+	for (ptrdiff_t i = 0; i < arrlen(c->line); i++)
+		if (c->line[i].n && class_of(b, &c->line[i]) == class_of(b, l) && c->line[i].pass < least)
+			least = c->line[i].pass;
+	if (least != UINT64_MAX && l->pass < least)
+		l->pass = least;
+}
 
-		l->still = now;
-		for (ptrdiff_t i = 0; i < arrlen(c->line); i++)
-			if (c->line[i].n && class_of(b, &c->line[i]) == class_of(b, l) && c->line[i].pass < least)
-				least = c->line[i].pass;
-		if (least != UINT64_MAX && l->pass < least)
-			l->pass = least;
-	}
-	if (l->tail)
-		l->tail->after = x;
-	else
-		l->head = x;
-	l->tail = x;
+/* Behind all that were taken before it. */
+void router_queue_insert(struct router *c, struct client_request *x, int64_t now)
+{
+	struct line *l = router_line_of(c, x->lane, x->tenant);
+	struct client_request **at = &l->head;
+
+	if (!l->n)
+		line_begins(c, l, now);
+	if (l->tail && l->tail->seq < x->seq)
+		at = &l->tail->after;
+	while (*at && (*at)->seq < x->seq)
+		at = &(*at)->after;
+	x->state = REQUEST_WAITING;
+	x->after = *at;
+	*at = x;
+	if (!x->after)
+		l->tail = x;
 	l->n++;
-	x->slot = (int)arrlen(c->all);
-	arrput(c->all, x);
-	hmput(c->by, x->token, x);
 }
-static int refused_stale(struct router *c, uint64_t token, int64_t now, struct out *o)
+
+void router_queue_remove(struct router *c, struct client_request *x)
 {
-	int back;
-
-	if (!c->stopping && in_force(c, now))
-		return 0;
-	back = retry_in(c, ROUTER_RETRY);
-	c->n.refused++;
-	c->n.refused_stale++;
-	/* one that has just begun knows how long its fleet usually takes to find its owners */
-	if (c->b.instances)
-		back = router_retry_soon(c, now - c->opened < ROUTER_BEGIN ? (int)(ROUTER_BEGIN - (now - c->opened) + 200)
-									   : ROUTER_RETRY);
-	out_answer(o, token, 503, back,
-		   router_error_json(o->p,
-				     c->stopping ? "this counter is stopping"
-						 : "this counter's configuration is not certain to be in force",
-				     "refused"));
-	return 1;
+	struct line *l = router_line_of(c, x->lane, x->tenant);
+	struct client_request **at = &l->head, *before = NULL;
+
+	while (*at && *at != x) {
+		before = *at;
+		at = &(*at)->after;
+	}
+	if (!*at)
+		return;
+	*at = x->after;
+	x->after = NULL;
+	if (l->tail == x)
+		l->tail = before;
+	l->n--;
 }
 
-static int refused_line(struct router *c, uint64_t token, const struct line *l, uint32_t lane, uint32_t service, int64_t now,
-			struct out *o)
+/* A place is one of those that limits of a tenant and a lane count: held from the moment a request leaves its line. */
+static void place_take(struct router *c, struct client_request *x)
 {
-	int full = l->n >= c->route_table->lane[lane].limit;
-
-	if (!full && now - c->stood[service] <= ROUTER_RIDE)
-		return 0;
-	c->n.refused++;
-	c->n.refused_line += full;
-	c->n.refused_early += !full;
-	out_answer(o, token, full ? 429 : 503, retry_in(c, full ? router_expected(l, l->n / 2, now) : ROUTER_RETRY),
-		   router_error_json(o->p, full ? "the line is full" : router_no_server, "refused"));
-	return 1;
+	router_line_of(c, x->lane, x->tenant)->running++;
+	c->running[x->tenant]++;
 }
 
-void router_take(struct router *c, uint64_t token, const char *digest, const char *body, int64_t now, struct out *o)
+void router_place_leave(struct router *c, struct client_request *x)
 {
-	struct route_table *b = c->route_table;
-	struct bk_key *keys = b ? b->key : NULL;
-	apr_pool_t *p;
-	struct client_request *x;
-	const char *lane, *why;
-	int limit, li;
-	ptrdiff_t ki;
-	uint64_t h;
-	struct line *l;
-
-	c->n.taken++;
-	if (refused_stale(c, token, now, o))
-		return;
-	ki = keys ? shgeti(keys, digest) : -1;
-	if (ki < 0 || !b->tenant[keys[ki].value].on) {
-		c->n.refused++;
-		out_answer(o, token, 401, 0, router_error_json(o->p, "key: unknown", "refused"));
-		return;
-	}
-	apr_pool_create(&p, c->p);
-	x = apr_pcalloc(p, sizeof *x);
-	x->p = p;
-	why = parse(c, x, body, &lane, &limit, p);
-	li = why ? -1 : names_find(&c->lanes, lane);
-	if (why || li < 0 || !b->lane[li].on || !b->service[b->lane[li].service].on) {
-		c->n.refused++;
-		out_answer(o, token, why ? 400 : 404, 0, router_error_json(o->p, why ? why : "lane: unknown", "refused"));
-		apr_pool_destroy(p);
-		return;
-	}
-	x->lane = (uint32_t)li;
-	x->tenant = keys[ki].value;
-	x->service = b->lane[li].service;
-	l = router_line_of(c, x->lane, x->tenant);
-	if (refused_line(c, token, l, x->lane, x->service, now, o)) {
-		apr_pool_destroy(p);
-		return;
-	}
-	x->token = token;
-	x->digest = apr_pstrdup(p, digest);
-	x->seq = ++c->seq;
-	x->limit = now + limit;
-	x->since_at = now;
-	x->server = -1;
-	x->tried = UINT32_MAX;
-	h = core_hashs(0, c->services.name[x->service]);
-	for (int i = 0; i < x->nparts; i++) {
-		h = core_hashs(h, x->text[i]);
-		x->hash[i] = h;
-		x->tokens[i] = (uint32_t)(strlen(x->text[i]) + 3) / 4;
-	}
-	x->tail_tokens = (uint32_t)(strlen(x->tail) + 3) / 4;
-	line_up(c, x, l, now);
+	router_line_of(c, x->lane, x->tenant)->running--;
+	c->running[x->tenant]--;
+}
+
+/* To the head of its line: there is no place at a server just now. */
+void router_queue_return(struct router *c, struct client_request *x)
+{
+	struct line *l = router_line_of(c, x->lane, x->tenant);
+
+	router_place_leave(c, x);
+	x->state = REQUEST_WAITING;
+	x->after = l->head;
+	l->head = x;
+	if (!l->tail)
+		l->tail = x;
+	l->n++;
 }
 
 uint32_t router_held(const struct router *c, const char *name)
@@ -503,7 +301,7 @@
 {
 	const struct route_table *b = c->route_table;
 
-	if (!in_force(c, now) || !c->server_table || !arrlen(c->all) || now < c->pump_at)
+	if (!router_in_force(c, now) || !c->server_table || !arrlen(c->all) || now < c->pump_at)
 		return;
 	for (;;) {
 		struct line *best = NULL;
@@ -538,17 +336,12 @@
 			return;
 		}
 		x = best->head;
-		best->head = x->after;
-		if (!best->head)
-			best->tail = NULL;
-		x->after = NULL;
-		best->n--;
-		best->running++;
+		router_queue_remove(c, x);
+		place_take(c, x);
 		best->gap += ((double)(now - best->still) - best->gap) / 16;
 		best->still = now;
 		router_share_of(b, best->lane, best->tenant, &share, &limit);
 		best->pass += 1000000 / (share ? share : 1);
-		c->running[x->tenant]++;
 		x->state = REQUEST_CLAIMING;
 		x->server = best_plan.server;
 		c->sv[x->server].own++; /* its place is held until its claim has been answered */
@@ -569,114 +362,3 @@
 		router_claim_send(c, x, now, o);
 	}
 }
-
-/* Which lane an exchange is on: the longest path prefix of its host. -1: none. */
-static int lane_at(const struct route_table *b, const char *host, const char *path)
-{
-	struct bk_place *h = b->place;
-	size_t n = strcspn(path, "?#");
-
-	for (; h && n; n--) {
-		ptrdiff_t i;
-		const struct bk_lane *l;
-
-		if (path[n - 1] != '/')
-			continue;
-		i = hmgeti(h, router_place(host, path, n));
-		if (i < 0)
-			continue;
-		l = &b->lane[h[i].value];
-		if (l->on && !strcmp(l->host, host) && strlen(l->path) == n && !strncmp(l->path, path, n))
-			return (int)h[i].value;
-	}
-	return -1;
-}
-
-/* By the split's weights; the same id always goes the same way. */
-static uint32_t service_at(const struct bk_lane *l, const char *id)
-{
-	uint32_t at, k = 0;
-
-	if (!l->nsplit)
-		return l->service;
-	at = (uint32_t)(core_hashs(31, id) % l->split[l->nsplit - 1].upto);
-	while (l->split[k].upto <= at)
-		k++;
-	return l->split[k].service;
-}
-
-static void refused_wrong(struct router *c, uint64_t token, int status, const char *why, struct out *o)
-{
-	c->n.refused++;
-	out_answer(o, token, status, 0, router_error_json(o->p, why, "refused"));
-}
-
-/* NOLINTNEXTLINE(readability-function-size): to be cut, issue 18 */
-void router_asked(struct router *c, const struct router_asking *a, int64_t now, struct out *o)
-{
-	const struct route_table *b = c->route_table;
-	const struct bk_lane *bl;
-	struct line *l;
-	struct client_request *x;
-	apr_pool_t *p;
-	int li, shared;
-	uint32_t tenant, service;
-
-	c->n.taken++;
-	if (refused_stale(c, a->token, now, o))
-		return;
-	li = lane_at(b, a->host, a->path);
-	if (li < 0) {
-		refused_wrong(c, a->token, 404, "lane: none at this host and path", o);
-		return;
-	}
-	bl = &b->lane[li];
-	tenant = b->keyless;
-	if (b->keys && (a->digest || !bl->open)) {
-		struct bk_key *keys = b->key;
-		ptrdiff_t ki = a->digest ? shgeti(keys, a->digest) : -1;
-
-		if (ki >= 0 && b->tenant[keys[ki].value].on) {
-			tenant = keys[ki].value;
-		} else if (!bl->open) {
-			refused_wrong(c, a->token, 401, "key: unknown", o);
-			return;
-		}
-	}
-	service = service_at(bl, a->id);
-	if (!b->service[service].on) {
-		refused_wrong(c, a->token, 404, "lane: its service is unknown", o);
-		return;
-	}
-	l = router_line_of(c, (uint32_t)li, tenant);
-	if (refused_line(c, a->token, l, (uint32_t)li, service, now, o))
-		return;
-	apr_pool_create(&p, c->p);
-	x = apr_pcalloc(p, sizeof *x);
-	x->p = p;
-	x->lane = (uint32_t)li;
-	x->tenant = tenant;
-	x->service = service;
-	x->token = a->token;
-	x->digest = a->digest ? apr_pstrdup(p, a->digest) : NULL;
-	x->id = apr_pstrdup(p, a->id);
-	x->seq = ++c->seq;
-	x->limit = now + (bl->timeout && (int)bl->timeout < a->limit_ms ? (int)bl->timeout : a->limit_ms);
-	x->since_at = now;
-	x->server = -1;
-	x->tried = UINT32_MAX;
-	x->forwarded = x->claimed = 1; /* whoever calls vouches that the id is used once */
-	x->repeatable = bl->repeatable;
-	x->resumable = bl->resumable;
-	x->attempts = bl->attempts ? (int)bl->attempts : 2;
-	x->nparts = a->nparts < ROUTER_PARTS ? a->nparts : ROUTER_PARTS;
-	for (int i = 0; i < x->nparts; i++) {
-		x->hash[i] = a->part[i].id;
-		x->tokens[i] = a->part[i].tokens;
-	}
-	shared = (int)router_tokens_upto(x, x->nparts);
-	x->tail_tokens = a->tokens_in > (uint32_t)shared ? a->tokens_in - (uint32_t)shared : 0;
-	x->tokens_out = a->tokens_out;
-	x->size = (uint32_t)shared + x->tail_tokens + x->tokens_out;
-	line_up(c, x, l, now);
-}
--- a/lib/data/router_send.c
+++ b/lib/data/router_send.c
@@ -180,21 +180,6 @@
 		count_send(c, x, pl, now);
 }
 
-/* With its claim, to the head of its line: there is no place just now. */
-static void back_to_line(struct router *c, struct client_request *x)
-{
-	struct line *l = router_line_of(c, x->lane, x->tenant);
-
-	x->state = REQUEST_WAITING;
-	x->after = l->head;
-	l->head = x;
-	if (!l->tail)
-		l->tail = x;
-	l->n++;
-	l->running--;
-	c->running[x->tenant]--;
-}
-
 void router_send_claimed(struct router *c, struct client_request *x, int64_t now, struct out *o)
 {
 	struct plan pl = { -1, 0, -1, 0, 0, 0, 0 };
@@ -215,7 +200,7 @@
 	if (config_watch_age(&c->f, now) <= router_ride(c))
 		pl = x->forwarded ? router_assign_forward(c, x, now) : router_assign(c, x, now);
 	if (pl.server < 0)
-		back_to_line(c, x); /* its place went to another router's, or this router must hear the owner first */
+		router_queue_return(c, x); /* its place went to another router's, or this router must hear the owner first */
 	else if (x->forwarded)
 		router_forward(c, x, &pl, now, o);
 	else
@@ -260,11 +245,7 @@
 		x->claim_at = now - ROUTER_CLAIM_WAIT + 20; /* ask the one named, soon */
 		break;
 	case TABLE_BUSY: x->claim_at = now - ROUTER_CLAIM_WAIT + 50; break;
-	default:
-		/* not "refused": the asking that holds the id may be running */
-		out_answer(o, x->token, 409, 0, router_error_json(o->p, "id: claimed by an earlier asking", "claimed"));
-		c->n.refused++;
-		router_request_drop(c, x);
+	default: router_reject(c, x, 409, "id: claimed by an earlier asking", now, o);
 	}
 }
 
@@ -273,12 +254,7 @@
 	struct router_server *v = &c->sv[x->server];
 	const char *body =
 	    apr_psprintf(o->p, "{\"end\":true,\"pieces\":%" APR_UINT64_T_FMT ",\"exchange\":\"%s\"}\n", x->next, x->xid);
-	struct cmd *k = out_cmd(o, CMD_END);
 
-	k->u.piece.token = x->token;
-	k->u.piece.body = body;
-	k->u.piece.len = strlen(body);
-	k->u.piece.ok = 1;
 	v->mean_ms += ((double)(now - x->sent_at) - v->mean_ms) / 8;
 	for (int i = 0; i < x->nparts; i++) { /* kept there now, until a report says otherwise */
 		struct kept_copy n = { (uint32_t)x->server, x->tenant, x->service, x->weights, x->stamp, v->asked + 1 };
@@ -290,10 +266,7 @@
 		    router_keeps(c, x->service, x->tenant, x->hash[i], x->stamp))
 			kept_put(&c->kept, x->hash[i], &n);
 	}
-	c->n.answered++;
-	router_use_of(c, x)->value.exchanges++;
-	router_use_of(c, x)->value.pieces += x->next;
-	router_request_drop(c, x);
+	router_request_end(c, x, &(struct request_ending){ REQUEST_ANSWERED, 200, body, 0 }, now, o);
 }
 
 /* One line of a server's stream: bound to this send, in order, else it is no answer. */
@@ -305,7 +278,7 @@
 	if (!json_object_is_type(j, json_type_object) || !json_object_object_get_ex(j, "x", &v) ||
 	    !json_object_is_type(v, json_type_string) || strcmp(json_object_get_string(v), x->xid) ||
 	    !json_object_object_get_ex(j, "n", &n) || json_object_get_uint64(n) != x->next) {
-		router_give_up(c, x, 502, "the server's answer does not belong to this exchange", o);
+		router_give_up(c, x, 502, "the server's answer does not belong to this exchange", now, o);
 		goto end;
 	}
 	if (json_object_object_get_ex(j, "end", &v)) {
@@ -316,7 +289,7 @@
 		goto end;
 	}
 	if (!json_object_object_get_ex(j, "t", &t)) {
-		router_give_up(c, x, 502, "the server's answer is not whole", o);
+		router_give_up(c, x, 502, "the server's answer is not whole", now, o);
 		goto end;
 	}
 	k = out_cmd(o, CMD_PIECE);
@@ -332,22 +305,35 @@
 		json_object_put(j);
 }
 
+/* Its server has nothing more to do with it; it keeps its place, until it is sent again or goes back to its line. */
+static void given_back(struct router *c, struct client_request *x)
+{
+	struct router_server *v = &c->sv[x->server];
+
+	v->own--;
+	if (x->forwarded) {
+		v->ahead -= x->ahead;
+		v->tokens -= x->brings;
+		x->ahead = 0;
+	}
+	x->tried = (uint32_t)x->server;
+	x->server = -1;
+	x->state = REQUEST_CLAIMING;
+}
+
 void router_on_done(struct router *c, struct client_request *x, const typeof(((struct router_ev *)0)->u.done) *d, int64_t now,
 		    struct out *o)
 {
 	(void)hmdel(c->by, x->call);
 	x->call = 0;
 	if (!d->never || x->next) {
-		router_give_up(c, x, 502, "the server's answer broke off", o);
+		router_give_up(c, x, 502, "the server's answer broke off", now, o);
 		return;
 	}
 	/* it surely never began: another server may have it, within the budget */
-	c->sv[x->server].own--;
 	if (d->status == 0)
 		c->sv[x->server].bad_until = now + ROUTER_BAD;
-	x->tried = (uint32_t)x->server;
-	x->server = -1;
-	x->state = REQUEST_CLAIMING;
+	given_back(c, x);
 	if (c->budget[x->service] < ROUTER_RESEND_COST) {
 		router_refuse(c, x, 503, "the server refused, and the budget for resends is spent", ROUTER_RETRY, now, o);
 		return;
@@ -436,6 +422,16 @@
 	       (!x->sends || c->budget[x->service] >= ROUTER_RESEND_COST) && now + ROUTER_AGAIN_LEAST < x->limit;
 }
 
+/* Set aside at once: it may wait in its line, and others be decided on meanwhile. */
+static void set_resend_aside(struct router *c, struct client_request *x)
+{
+	x->resend_paid = x->sends > 0;
+	if (x->resend_paid)
+		c->budget[x->service] -= ROUTER_RESEND_COST;
+	c->n.resends++;
+	c->n.taken_up += x->begun != 0;
+}
+
 void router_on_ended(struct router *c, struct client_request *x, const struct router_ended *e, int64_t now, struct out *o)
 {
 	uint32_t s = (uint32_t)x->server;
@@ -458,36 +454,16 @@
 		if (!x->first)
 			router_on_began(c, x, e->weights, now);
 		c->sv[s].mean_ms += ((double)(now - x->sent_at) - c->sv[s].mean_ms) / 8;
-		c->n.answered++;
-		router_use_of(c, x)->value.exchanges++;
-		router_use_of(c, x)->value.pieces += x->next;
-		router_request_drop(c, x);
+		router_request_end(c, x, &(struct request_ending){ REQUEST_ANSWERED, e->status, NULL, 0 }, now, o);
 		return;
 	}
-	if ((e->how == ROUTER_NEVER && !x->begun) || may_repeat(x)) {
-		if (again(c, x, now)) {
-			int paid = x->sends > 0;
-
-			c->sv[s].own--;
-			c->sv[s].ahead -= x->ahead;
-			c->sv[s].tokens -= x->brings;
-			x->ahead = 0;
-			x->tried = s;
-			x->server = -1;
-			x->state = REQUEST_CLAIMING;
-			/* set aside at once: it may wait in its queue, and others be decided on meanwhile */
-			if (paid)
-				c->budget[x->service] -= ROUTER_RESEND_COST;
-			x->resend_paid = paid;
-			c->n.resends++;
-			c->n.taken_up += x->begun != 0;
-			router_send_claimed(c, x, now, o);
-			return;
-		}
-		if (e->how == ROUTER_NEVER && !x->begun) {
-			router_refuse(c, x, 503, "the server did not take it, and it may go to no other", ROUTER_SOON, now, o);
-			return;
-		}
+	given_back(c, x);
+	if (!(e->how == ROUTER_NEVER && !x->begun) && !may_repeat(x)) {
+		router_give_up(c, x, 502, "the server's answer broke off", now, o);
+	} else if (!again(c, x, now)) {
+		router_refuse(c, x, 503, "the server did not take it, and it may go to no other", ROUTER_SOON, now, o);
+	} else {
+		set_resend_aside(c, x);
+		router_send_claimed(c, x, now, o);
 	}
-	router_give_up(c, x, 502, "the server's answer broke off", o);
 }
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -362,10 +362,41 @@
 		s->n[i].edition = edition;
 }
 
+/* Each request that was taken has ended once or is under way; places at servers and in lines are held by these alone. */
+static void check_requests(struct sim *s, int i)
+{
+	const struct router *c = s->n[i].c;
+	long own = 0, waiting = 0, running = 0, placed = 0, in_lines = 0, in_places = 0, tokens = 0;
+
+	if (!router_balanced(c))
+		sim_breach(s, "counter %d has lost a request, or ended one twice", i);
+	for (ptrdiff_t k = 0; k < arrlen(c->all); k++) {
+		const struct client_request *x = c->all[k];
+
+		waiting += x->state == REQUEST_WAITING;
+		running += x->state != REQUEST_WAITING;
+		placed += x->server >= 0;
+		tokens += 1 + (x->call != 0) + (x->claim != 0);
+	}
+	for (ptrdiff_t k = 0; k < arrlen(c->line); k++) {
+		in_lines += c->line[k].n;
+		in_places += c->line[k].running;
+	}
+	for (ptrdiff_t k = 0; k < arrlen(c->sv); k++)
+		own += c->sv[k].own;
+	if (tokens != hmlen(c->by))
+		sim_breach(s, "counter %d finds requests by %ld tokens, not %ld", i, (long)hmlen(c->by), tokens);
+	if (in_lines != waiting || in_places != running || own != placed)
+		sim_breach(s, "counter %d counts %ld in lines of %ld, %ld in places of %ld, %ld at servers of %ld", i, in_lines,
+			   waiting, in_places, running, own, placed);
+}
+
 static void check_counter(struct sim *s, int i)
 {
 	struct sim_node *n = &s->n[i];
 
+	check_requests(s, i);
+
 	check_relay(s, i, &n->c->relay);
 	check_edition(s, i, n->c->f.t.edition);
 }
@@ -447,10 +478,23 @@
 	return best;
 }
 
+/* A caller hears one end of each asking. */
+static void hear_end(struct sim *s, uint64_t token)
+{
+	for (ptrdiff_t i = arrlen(s->asking) - 1; i >= 0; i--)
+		if (s->asking[i].token == token) {
+			if (s->asking[i].ended)
+				sim_breach(s, "%s was told its end twice", s->asking[i].id);
+			s->asking[i].ended = 1;
+			return;
+		}
+}
+
 static void hear_answer(struct sim *s, uint64_t token, int status, int retry_ms, const char *body)
 {
 	struct sim_exch *x = exch_by(s, token);
 
+	hear_end(s, token);
 	if (!x)
 		return;
 	x->retry_ms = retry_ms;
@@ -465,6 +509,8 @@
 	struct json_object *j, *v;
 	char *text, want[100];
 
+	if (end)
+		hear_end(s, token);
 	if (!x)
 		return;
 	if (!end && s->removed && shgeti(s->removed, x->key) >= 0 && s->now - shget(s->removed, x->key) > 5000)
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -158,6 +158,7 @@
 	int node;
 	uint64_t life, token;
 	int64_t refused;
+	int ended; /* its caller was told an end */
 };
 struct sim_web {
 	uint64_t token;
--- a/tests/sim_forward.c
+++ b/tests/sim_forward.c
@@ -286,9 +286,11 @@
 	sim_ctr(&f->s, node, &ev);
 }
 
-/* The caller's end. */
+/* The caller's end: there is one of each request. */
 static void told(struct fw *f, struct fw_req *r, int how, int status)
 {
+	if (r->told != FW_OPEN)
+		sim_breach(&f->s, "ENDS: %s has a second end, %d after %d", r->id, how, r->told);
 	r->told = how;
 	r->status = status;
 	r->told_at = f->s.now;
@@ -297,6 +299,18 @@
 	f->n_cut += how == FW_CUT;
 }
 
+/* A counter ends what it holds, once: not what has ended, nor what nobody asked. */
+static void judge_end(struct fw *f, int node, uint64_t token)
+{
+	for (ptrdiff_t i = arrlen(f->req) - 1; i >= 0; i--)
+		if (f->req[i].asked_as == token && f->req[i].node == node) {
+			if (!f->req[i].token)
+				sim_breach(&f->s, "ENDS: %s is told an end after its own", f->req[i].id);
+			return;
+		}
+	sim_breach(&f->s, "ENDS: counter %d tells an end to nobody", node);
+}
+
 static struct fw_req *req_by(struct fw *f, int node, uint64_t token)
 {
 	for (ptrdiff_t i = arrlen(f->req) - 1; i >= 0 && token; i--)
@@ -667,6 +681,7 @@
 	struct fw_req *r = req_by(f, node, k->u.answer.token);
 	int status = k->u.answer.status;
 
+	judge_end(f, node, k->u.answer.token);
 	if (!r)
 		return;
 	if (r->head)
@@ -701,6 +716,7 @@
 	case CMD_WATCH: door_watch(f, node, k); return 1;
 	case CMD_ANSWER: answered(f, node, k); return 1;
 	case CMD_END:
+		judge_end(f, node, k->u.piece.token);
 		r = req_by(f, node, k->u.piece.token);
 		if (r)
 			told(f, r, FW_CUT, 0);
@@ -749,7 +765,7 @@
 	r.pick = pick;
 	r.tries = tries;
 	r.life = f->s.n[node].life;
-	r.token = ++f->s.token;
+	r.token = r.asked_as = ++f->s.token;
 	r.asked = f->s.now;
 	r.limit = f->s.now + f->limit_ms;
 	r.total = 2 + (int)(core_hashs(1, r.id) % 6);
@@ -1158,8 +1174,17 @@
 		}
 }
 
+/* ENDS: every request that is past its limit has an end. */
+static void judge_ends(struct fw *f)
+{
+	for (ptrdiff_t i = 0; i < arrlen(f->req); i++)
+		if (f->req[i].told == FW_OPEN && f->req[i].limit + 300 < f->s.now)
+			sim_breach(&f->s, "ENDS: %s has no end", f->req[i].id);
+}
+
 int fw_end(struct fw *f)
 {
+	judge_ends(f);
 	judge_budget(f);
 	return !f->s.bad[0];
 }
--- a/tests/sim_forward.h
+++ b/tests/sim_forward.h
@@ -56,7 +56,7 @@
 struct fw_req {
 	char id[32];
 	int lane, tenant, key, node, tries, pick;
-	uint64_t life, token;
+	uint64_t life, token, asked_as; /* token: 0 once it has ended */
 	int64_t asked, limit, told_at, sent;
 	int arrivals, runs, last, head, total, told, status, retry_ms, promised, resends;
 	uint32_t prio;
