Router: a newer table places anew what waits or is given back

Cause, each seen in a test before the mend (tests/test_requests.c): - A request at a server whose service was then removed, and which that server gave back, was weighed against a service with no row: fits() divides by its prefill of 0, and the process died of SIGFPE with all that it held (a_request_given_back_after_its_service_went_is_refused). - What waited was judged by its lane's name and its old service: 404 where its service went though its route leads to another one now, 404 where a shorter route takes its path, 401 where its key passed to another tenant, 401 where keys are no longer asked for. Route and key are there: a 4xx denies what every configuration allows. - On the product's own interface the same 404 where the lane has another service: now 503, it comes back. - A request that was running when its key or route went skipped that check, and when its server gave it back it was sent again with the removed key. - A service that was away longer than 4.5 s refused at once when it was back: when it last stood was from before. Now one function, placement_of, says for a host, path, key and id which lane, tenant and service; a request keeps those texts, and what no server works on goes by it again (router_place_again) at a new table and when it is given back. It keeps its service while its route still leads there; a stream that has begun stays at its service or ends. Without a service's row nothing is assigned.

Ruled out by reading, and by the simulators' checks: indices and pointers into the old table (names are dense for the life of the process, arrays grow before the swap, lines live outside the table).

--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -26,6 +26,26 @@
 	c->nstand = n;
 }
 
+/* A newer table and a request of the own interface: its key ends it wherever it is; what was not sent ends with its lane, and
+ * comes back where that has another service now, since its claim is held by the old one's owner. */
+static void judge_claimed(struct router *c, struct client_request *x, int64_t now, struct out *o)
+{
+	const struct route_table *b = c->route_table;
+	struct bk_key *keys = b->key;
+	ptrdiff_t k = x->digest ? shgeti(keys, x->digest) : -1;
+
+	if (x->digest && x->tenant != b->keyless && (k < 0 || keys[k].value != x->tenant || !b->tenant[x->tenant].on)) {
+		c->n.revoked++;
+		router_end_early(c, x, 401, "key: removed", now, o);
+	} else if (x->state == REQUEST_RUNNING) {
+		return;
+	} else if (!b->lane[x->lane].on || !b->service[b->lane[x->lane].service].on) {
+		router_end_early(c, x, 404, "lane: removed", now, o);
+	} else if (b->lane[x->lane].service != x->service) {
+		router_end_early(c, x, 503, "the lane has another service now", now, o);
+	}
+}
+
 static void swap_route_table(struct router *c, int64_t now, struct out *o)
 {
 	struct route_table *b = router_route_table_make(c, now), *old = c->route_table;
@@ -34,19 +54,12 @@
 	swap_server_table(c, now);
 	for (ptrdiff_t i = arrlen(c->all) - 1; i >= 0; i--) {
 		struct client_request *x = c->all[i];
-		struct bk_key *keys = b->key;
-		ptrdiff_t k = x->digest ? shgeti(keys, x->digest) : -1;
-
-		if (x->forwarded && x->state == REQUEST_RUNNING)
-			continue; /* sent while its key held; a server ends it within its deadline */
-		if (x->digest && x->tenant != b->keyless && (k < 0 || keys[k].value != x->tenant || !b->tenant[x->tenant].on)) {
-			c->n.revoked++;
-			router_end_early(c, x, 401, "key: removed", now, o);
-		} else if (x->state != REQUEST_RUNNING &&
-			   (!b->lane[x->lane].on || (!x->forwarded && b->lane[x->lane].service != x->service) ||
-			    !b->service[x->service].on)) {
-			router_end_early(c, x, 404, "lane: removed", now, o);
-		}
+
+		if (!x->forwarded)
+			judge_claimed(c, x, now, o);
+		else if (x->state !=
+			 REQUEST_RUNNING) /* what runs was sent while its key held: it ends by itself, or is given back */
+			(void)router_place_again(c, x, now, o);
 	}
 	router_route_table_free(old);
 }
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -267,6 +267,8 @@
 	enum request_state state;
 	apr_pool_t *p;
 	char *digest, *id, *xid, *tail;
+	const char *host, *path; /* of a forwarded one: a newer table places it again by them */
+	uint64_t edition;        /* of the table that it was last placed by */
 	uint32_t lane, tenant, service;
 	int64_t limit, since_at, claim_at, sent_at, claim_from;
 	uint64_t asked; /* the controller that was asked for the claim */
--- a/lib/data/router_admission.c
+++ b/lib/data/router_admission.c
@@ -1,5 +1,5 @@
 /* router_admission: which route, tenant and service a request has by the table in force; taking requests, and what is refused
- * before it waits. */
+ * before it waits. A newer table judges what waits once more by the same rule. */
 #include "router_internal.h"
 
 #include <apr_strings.h>
@@ -114,6 +114,7 @@
 /* Into its line, and among all that are under way. */
 static void line_up(struct router *c, struct client_request *x, int64_t now)
 {
+	x->edition = c->route_table->edition;
 	router_queue_insert(c, x, now);
 	router_request_add(c, x);
 }
@@ -208,6 +209,17 @@
 	return l->split[k].service;
 }
 
+/* Whether a lane still leads to a service, whatever part of its requests. */
+static int leads_to(const struct bk_lane *l, uint32_t service)
+{
+	if (!l->nsplit)
+		return l->service == service;
+	for (uint32_t k = 0; k < l->nsplit; k++)
+		if (l->split[k].service == service)
+			return 1;
+	return 0;
+}
+
 /* Where a request goes by a table, or the status that says why nowhere. */
 struct placement {
 	int status;
@@ -246,6 +258,58 @@
 	return p;
 }
 
+/* Another service serves it from now on; what was set aside for another send there is set aside here. 0: that ended it. */
+static int change_service(struct router *c, struct client_request *x, uint32_t service, int64_t now, struct out *o)
+{
+	int paid = x->resend_paid;
+
+	if (paid)
+		c->budget[x->service] += ROUTER_RESEND_COST;
+	x->resend_paid = 0;
+	x->service = service;
+	if (x->begun) { /* the other service knows nothing of this stream */
+		router_give_up(c, x, 502, "the service of this stream is gone", now, o);
+		return 0;
+	}
+	if (paid && c->budget[service] < ROUTER_RESEND_COST) {
+		router_refuse(c, x, 503, "its service changed, and the budget for resends is spent", ROUTER_SOON, now, o);
+		return 0;
+	}
+	if (paid)
+		c->budget[service] -= ROUTER_RESEND_COST;
+	x->resend_paid = paid;
+	return 1;
+}
+
+int router_place_again(struct router *c, struct client_request *x, int64_t now, struct out *o)
+{
+	const struct route_table *b = c->route_table;
+	const struct bk_lane *l;
+	struct placement p;
+
+	if (x->edition == b->edition)
+		return 1;
+	x->edition = b->edition;
+	p = placement_of(b, x->host, x->path, x->digest, x->id);
+	if (p.status) {
+		c->n.revoked += p.status == 401;
+		router_end_early(c, x, p.status, p.why, now, o);
+		return 0;
+	}
+	if (p.lane != x->lane || p.tenant != x->tenant)
+		router_queue_move(c, x, p.lane, p.tenant, now);
+	l = &b->lane[p.lane];
+	x->repeatable = x->repeatable && l->repeatable;
+	x->resumable = x->resumable && l->resumable;
+	if (x->ran && !x->repeatable && !x->resumable) {
+		router_give_up(c, x, 502, "the server's answer broke off, and it may not be sent again", now, o);
+		return 0;
+	}
+	if (b->service[x->service].on && (x->begun || leads_to(l, x->service)))
+		return 1;
+	return change_service(c, x, p.service, now, o);
+}
+
 /* Text of the caller's own memory, for as long as the request lives. */
 static struct client_request *request_new(struct router *c, const struct router_asking *a)
 {
@@ -258,6 +322,8 @@
 	x->p = p;
 	x->token = a->token;
 	x->digest = a->digest ? apr_pstrdup(p, a->digest) : NULL;
+	x->host = apr_pstrdup(p, a->host);
+	x->path = apr_pstrdup(p, a->path);
 	x->id = apr_pstrdup(p, a->id);
 	x->seq = ++c->seq;
 	x->server = -1;
--- a/lib/data/router_assign.c
+++ b/lib/data/router_assign.c
@@ -360,7 +360,7 @@
 	int choice[3], holder[4], held[4], store = router_store_of(c, x), store_up;
 	double all = (double)(router_tokens_upto(x, x->nparts) + x->tail_tokens);
 
-	if (home < 0)
+	if (home < 0 || !svc->on)
 		return best;
 	arrsetlen(c->depth, n);
 	memset(c->depth, 0, n * sizeof *c->depth);
--- a/lib/data/router_queue.c
+++ b/lib/data/router_queue.c
@@ -254,6 +254,24 @@
 	l->n++;
 }
 
+/* Its lane or its tenant is another one from now on, whether it waits or holds a place. */
+void router_queue_move(struct router *c, struct client_request *x, uint32_t lane, uint32_t tenant, int64_t now)
+{
+	int waits = x->state == REQUEST_WAITING;
+
+	if (waits)
+		router_queue_remove(c, x);
+	else
+		router_place_leave(c, x);
+	(void)router_line_of(c, lane, tenant);
+	x->lane = lane;
+	x->tenant = tenant;
+	if (waits)
+		router_queue_insert(c, x, now);
+	else
+		place_take(c, x);
+}
+
 uint32_t router_held(const struct router *c, const char *name)
 {
 	struct config_watch_hold *h = c->f.hold;
--- a/lib/data/router_route_table.c
+++ b/lib/data/router_route_table.c
@@ -149,6 +149,16 @@
 	return 1;
 }
 
+/* A service that is new, or back, has its time to be seen with servers, whenever one of it last stood. */
+static void services_return(struct router *c, const struct route_table *b, int64_t now)
+{
+	const struct route_table *old = c->route_table;
+
+	for (uint32_t i = 0; i < b->nservice; i++)
+		if (b->service[i].on && !(old && i < old->nservice && old->service[i].on))
+			c->stood[i] = now;
+}
+
 /* NOLINTNEXTLINE(readability-function-size): to be cut, issue 18 */
 struct route_table *router_route_table_make(struct router *c, int64_t now)
 {
@@ -218,6 +228,7 @@
 		arrput(c->stood, now);
 	while (arrlen(c->budget) < (ptrdiff_t)b->nservice)
 		arrput(c->budget, ROUTER_RESEND_COST);
+	services_return(c, b, now);
 	return b;
 }
 
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -362,7 +362,8 @@
 		s->n[i].edition = edition;
 }
 
-/* Each request that was taken has ended once or is under way; places at servers and in lines are held by these alone. */
+/* Each request that was taken has ended once or is under way; places at servers and in lines are held by these alone, and
+ * what waits was placed by the table in force. */
 static void check_requests(struct sim *s, int i)
 {
 	const struct router *c = s->n[i].c;
@@ -377,6 +378,8 @@
 		running += x->state != REQUEST_WAITING;
 		placed += x->server >= 0;
 		tokens += 1 + (x->call != 0) + (x->claim != 0);
+		if (x->forwarded && x->state == REQUEST_WAITING && x->edition != c->route_table->edition)
+			sim_breach(s, "counter %d holds %s by an old table", i, x->id);
 	}
 	for (ptrdiff_t k = 0; k < arrlen(c->line); k++) {
 		in_lines += c->line[k].n;
--- /dev/null
+++ b/tests/test_requests.c
@@ -0,0 +1,422 @@
+/* How requests end in the router's core: each state of a request against each event that may end it. The table of states
+ * and events is in docs/consistency.md, "A request in the core". */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_general.h>
+#include <apr_strings.h>
+#include <cmocka.h>
+
+#include "ds.h"
+#include "sim_forward.h"
+#include "solo.h"
+
+enum { ROWS = 16, SERVERS_MOST = 8, REQUEST_LIMIT = 60000 };
+
+/* A table under construction, and the servers of its list. */
+struct world {
+	struct solo s;
+	struct Nl__Row *row[ROWS];
+	struct Nl__Instance *server[SERVERS_MOST];
+	size_t rows, servers;
+	uint64_t edition;
+};
+
+static struct Nl__Row *world_service(struct world *w, const char *name) { return w->row[w->rows++] = new_service(w->s.p, name); }
+
+static struct Nl__Row *world_route(struct world *w, const char *name, const char *path, const char *service)
+{
+	struct Nl__Row *r = w->row[w->rows++] = new_row(w->s.p, NL__KIND__LANE, name);
+
+	r->service = apr_pstrdup(w->s.p, service);
+	r->host = "h";
+	r->path = apr_pstrdup(w->s.p, path);
+	r->limit = 10;
+	r->attempts = 3;
+	r->open = 1;
+	return r;
+}
+
+static void world_key(struct world *w, char letter, const char *tenant)
+{
+	char digest[65];
+
+	memset(digest, letter, 64);
+	digest[64] = 0;
+	w->row[w->rows++] = new_row(w->s.p, NL__KIND__KEY, digest);
+	w->row[w->rows - 1]->tenant = apr_pstrdup(w->s.p, tenant);
+}
+
+static struct Nl__Row *world_tenant(struct world *w, const char *name)
+{
+	struct Nl__Row *r = w->row[w->rows++] = new_row(w->s.p, NL__KIND__TENANT, name);
+
+	r->share = 1;
+	return r;
+}
+
+static void world_server(struct world *w, const char *service)
+{
+	w->server[w->servers] = new_sight(w->s.p, (int)w->servers, service);
+	w->servers++;
+}
+
+/* Put the table into force; the commands of that step stay in w->s.o. */
+static void world_apply(struct world *w) { solo_table(&w->s, w->row, w->rows, w->server, w->servers, ++w->edition); }
+
+/* The answer that a caller got in the last step; 0: none, -1: its stream was broken off. */
+static int heard(const struct solo *s, uint64_t token)
+{
+	int status = 0, ends = 0;
+
+	for (ptrdiff_t i = 0; i < arrlen(s->o.v); i++) {
+		const struct cmd *k = &s->o.v[i];
+
+		if (k->kind == CMD_ANSWER && k->u.answer.token == token) {
+			status = k->u.answer.status;
+			ends++;
+		} else if (k->kind == CMD_END && k->u.piece.token == token) {
+			status = -1;
+			ends++;
+		}
+	}
+	assert_true(ends <= 1);
+	return status;
+}
+
+/* Ask with a key; the request, or NULL. */
+static struct client_request *ask(struct world *w, const char *path, char key)
+{
+	struct router_asking a;
+	struct router_ev ev;
+	char digest[65];
+
+	memset(&a, 0, sizeof a);
+	memset(&ev, 0, sizeof ev);
+	memset(digest, key, 64);
+	digest[64] = 0;
+	a.token = ++w->s.token;
+	a.digest = key ? digest : NULL;
+	a.host = "h";
+	a.path = path;
+	a.id = apr_psprintf(w->s.p, "id-%d", (int)w->s.token);
+	a.limit_ms = REQUEST_LIMIT;
+	a.tokens_in = 2000;
+	a.tokens_out = 100;
+	ev.kind = ROUTER_ASKED;
+	ev.u.ask = &a;
+	out_clear(&w->s.o);
+	solo_step(&w->s, &ev);
+	return router_request_by(&w->s.c, a.token);
+}
+
+/* How a send ends, without letting time pass. */
+static void send_ends(struct world *w, uint64_t call, enum router_end how, int status, int began, const char *since)
+{
+	struct router_ended e = { .token = call, .how = how, .status = status, .began = began, .since = since };
+	struct router_ev ev = { .kind = ROUTER_ENDED };
+
+	ev.u.ended = &e;
+	out_clear(&w->s.o);
+	solo_step(&w->s, &ev);
+}
+
+/* The server that the newest send went to, or NULL. */
+static const char *sent_to(const struct solo *s)
+{
+	for (ptrdiff_t i = arrlen(s->o.v) - 1; i >= 0; i--)
+		if (s->o.v[i].kind == CMD_FORWARD)
+			return s->o.v[i].u.forward->server;
+	return NULL;
+}
+
+/* Put the table into force, and say what the caller of a request heard of it. */
+static int heard_of_table(struct world *w, uint64_t token)
+{
+	uint64_t follow = 0;
+	struct Nl__Msg m = NL__MSG__INIT;
+	struct Nl__ConfigSyncReply r = NL__CONFIG_SYNC_REPLY__INIT;
+
+	out_clear(&w->s.o);
+	solo_tick(&w->s, 300);
+	for (ptrdiff_t i = 0; i < arrlen(w->s.o.v); i++)
+		if (w->s.o.v[i].kind == CMD_SEND && w->s.o.v[i].u.send.msg->body_case == NL__MSG__BODY_FOLLOW)
+			follow = w->s.o.v[i].u.send.msg->follow->token;
+	assert_true(follow);
+	out_clear(&w->s.o);
+	r.token = follow;
+	r.has_lease = r.whole = r.instances_whole = 1;
+	r.fleet = 7;
+	r.edition = r.instances = ++w->edition;
+	r.set = w->row;
+	r.n_set = w->rows;
+	r.instance = w->server;
+	r.n_instance = w->servers;
+	r.counters = 1;
+	m.body_case = NL__MSG__BODY_FOLLOW_REPLY;
+	m.follow_reply = &r;
+	m.addr = m.id = 1;
+	solo_msg(&w->s, &m);
+	return heard(&w->s, token);
+}
+
+/* ---- a new route table over requests that wait ------------------------------------------------- */
+
+/* Its service goes and its route has another one: it goes to that one. */
+static void a_waiting_request_follows_its_route_to_another_service(void **st)
+{
+	struct world w = { 0 };
+	struct Nl__Row *route;
+	struct client_request *x;
+
+	(void)st;
+	solo_open(&w.s, 5);
+	route = world_route(&w, "route", "/", "old");
+	world_service(&w, "new");
+	world_service(&w, "old");
+	world_apply(&w);
+	assert_non_null(x = ask(&w, "/x", 0));
+	assert_int_equal(x->state, REQUEST_WAITING);
+	route->service = "new";
+	w.rows--;
+	world_server(&w, "new");
+	assert_int_equal(heard_of_table(&w, 1), 0);
+	solo_tick(&w.s, 20);
+	assert_non_null(sent_to(&w.s));
+	solo_close(&w.s);
+}
+
+/* Its route goes, and a shorter one takes its path: it goes by that one. */
+static void a_waiting_request_falls_to_the_shorter_route(void **st)
+{
+	struct world w = { 0 };
+	struct client_request *x;
+
+	(void)st;
+	solo_open(&w.s, 5);
+	world_service(&w, "new");
+	world_service(&w, "old");
+	world_route(&w, "short", "/", "new");
+	world_route(&w, "deep", "/x/", "old");
+	world_apply(&w);
+	assert_non_null(x = ask(&w, "/x/y", 0));
+	w.rows--;
+	world_server(&w, "new");
+	assert_int_equal(heard_of_table(&w, 1), 0);
+	solo_tick(&w.s, 20);
+	assert_non_null(sent_to(&w.s));
+	solo_close(&w.s);
+}
+
+/* Its key passes to another tenant: it is that one's. */
+static void a_waiting_request_goes_with_its_key_to_another_tenant(void **st)
+{
+	struct world w = { 0 };
+	struct client_request *x;
+
+	(void)st;
+	solo_open(&w.s, 5);
+	world_service(&w, "pool");
+	world_route(&w, "route", "/", "pool")->open = 0;
+	world_tenant(&w, "t1");
+	world_tenant(&w, "t2");
+	world_key(&w, 'a', "t1");
+	world_apply(&w);
+	assert_non_null(x = ask(&w, "/x", 'a'));
+	w.row[w.rows - 1]->tenant = "t2";
+	world_server(&w, "pool");
+	assert_int_equal(heard_of_table(&w, 1), 0);
+	solo_tick(&w.s, 20);
+	assert_non_null(sent_to(&w.s));
+	for (ptrdiff_t i = 0; i < arrlen(w.s.o.v); i++)
+		if (w.s.o.v[i].kind == CMD_FORWARD)
+			assert_string_equal(w.s.o.v[i].u.forward->tenant, "t2");
+	solo_close(&w.s);
+}
+
+/* Keys are no longer asked for: whoever waits with one goes on without. */
+static void a_waiting_request_outlives_the_end_of_keys(void **st)
+{
+	struct world w = { 0 };
+	struct client_request *x;
+
+	(void)st;
+	solo_open(&w.s, 5);
+	world_service(&w, "pool");
+	world_route(&w, "route", "/", "pool");
+	world_tenant(&w, "t1");
+	world_key(&w, 'a', "t1");
+	world_apply(&w);
+	assert_non_null(x = ask(&w, "/x", 'a'));
+	w.rows -= 2;
+	world_server(&w, "pool");
+	assert_int_equal(heard_of_table(&w, 1), 0);
+	solo_tick(&w.s, 20);
+	assert_non_null(sent_to(&w.s));
+	solo_close(&w.s);
+}
+
+/* On the product's own interface a claim binds a request to its service's owner: it is refused, and comes back. */
+static void a_waiting_claim_comes_back_for_its_lanes_new_service(void **st)
+{
+	struct world w = { 0 };
+	struct Nl__Row *route;
+	struct router_ev ev = { .kind = ROUTER_EXCHANGE };
+	char digest[65];
+
+	(void)st;
+	solo_open(&w.s, 5);
+	route = world_route(&w, "route", "/", "old");
+	world_service(&w, "new");
+	world_service(&w, "old");
+	world_tenant(&w, "t1");
+	world_key(&w, 'a', "t1");
+	world_apply(&w);
+	memset(digest, 'a', 64);
+	digest[64] = 0;
+	ev.u.exchange.token = 1;
+	ev.u.exchange.digest = digest;
+	ev.u.exchange.body = "{\"lane\":\"route\",\"id\":\"x\",\"tail\":\"t\"}";
+	solo_step(&w.s, &ev);
+	assert_int_equal(arrlen(w.s.c.all), 1);
+	route->service = "new";
+	assert_int_equal(heard_of_table(&w, 1), 503);
+	solo_close(&w.s);
+}
+
+/* Neither a route nor a key is left for it: 404 and 401, at once. */
+static void a_waiting_request_that_nothing_allows_is_told_so(void **st)
+{
+	(void)st;
+	for (int key = 0; key < 2; key++) {
+		struct world w = { 0 };
+
+		solo_open(&w.s, 5);
+		world_service(&w, "pool");
+		world_tenant(&w, "t1");
+		world_key(&w, 'b', "t1");
+		if (key) {
+			world_route(&w, "route", "/", "pool")->open = 0;
+			world_key(&w, 'a', "t1");
+		} else {
+			world_key(&w, 'a', "t1");
+			world_route(&w, "route", "/", "pool")->open = 0;
+		}
+		world_apply(&w);
+		assert_non_null(ask(&w, "/x", 'a'));
+		w.rows--;
+		assert_int_equal(heard_of_table(&w, 1), key ? 401 : 404);
+		assert_int_equal(arrlen(w.s.c.all), 0);
+		solo_close(&w.s);
+	}
+}
+
+/* ---- a new route table over requests at servers ------------------------------------------------------ */
+
+/* It was sent; its service goes; its server turns it away: it is refused, and the process lives. */
+static void a_request_given_back_after_its_service_went_is_refused(void **st)
+{
+	struct world w = { 0 };
+	uint64_t call;
+
+	(void)st;
+	solo_open(&w.s, 5);
+	world_service(&w, "stays");
+	world_route(&w, "other", "/other/", "stays");
+	world_service(&w, "goes");
+	world_route(&w, "route", "/", "goes");
+	for (int i = 0; i < 2; i++)
+		world_server(&w, "goes");
+	world_apply(&w);
+	for (int i = 0; i < 6; i++)
+		assert_non_null(ask(&w, "/x", 0));
+	call = solo_sent(&w.s);
+	assert_true(call);
+	w.rows -= 2;
+	assert_int_equal(heard_of_table(&w, 6), 0);
+	send_ends(&w, call, ROUTER_NEVER, 503, 0, NULL);
+	assert_int_equal(heard(&w.s, 6), 404);
+	assert_null(sent_to(&w.s));
+	assert_int_equal(arrlen(w.s.c.all), 5);
+	solo_close(&w.s);
+}
+
+/* It was sent; its key goes; its server turns it away: it is not sent again with that key. */
+static void a_request_given_back_after_its_key_went_is_not_sent_again(void **st)
+{
+	struct world w = { 0 };
+
+	(void)st;
+	solo_open(&w.s, 5);
+	world_service(&w, "pool");
+	world_route(&w, "route", "/", "pool")->open = 0;
+	world_tenant(&w, "t1");
+	world_key(&w, 'b', "t1");
+	world_key(&w, 'a', "t1");
+	for (int i = 0; i < 2; i++)
+		world_server(&w, "pool");
+	world_apply(&w);
+	assert_non_null(ask(&w, "/x", 'a'));
+	assert_non_null(sent_to(&w.s));
+	w.rows--;
+	{
+		uint64_t call = solo_sent(&w.s);
+
+		assert_int_equal(heard_of_table(&w, 1), 0);
+		send_ends(&w, call, ROUTER_NEVER, 503, 0, NULL);
+	}
+	assert_int_equal(heard(&w.s, 1), 401);
+	assert_null(sent_to(&w.s));
+	solo_close(&w.s);
+}
+
+/* A service was away for long and is back with its servers: a request for it is sent, not refused. */
+static void a_service_that_is_back_takes_requests_at_once(void **st)
+{
+	struct world w = { 0 };
+
+	(void)st;
+	solo_open(&w.s, 5);
+	world_service(&w, "stays");
+	world_route(&w, "other", "/other/", "stays");
+	world_service(&w, "goes");
+	world_route(&w, "route", "/", "goes");
+	world_apply(&w);
+	w.rows -= 2;
+	world_apply(&w);
+	for (int i = 0; i < 100; i++) {
+		w.s.c.f.fresh = w.s.now;
+		solo_tick(&w.s, 100);
+	}
+	w.rows += 2;
+	world_server(&w, "goes");
+	world_apply(&w);
+	assert_non_null(ask(&w, "/x", 0));
+	assert_non_null(sent_to(&w.s));
+	solo_close(&w.s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_waiting_request_follows_its_route_to_another_service),
+		cmocka_unit_test(a_waiting_request_falls_to_the_shorter_route),
+		cmocka_unit_test(a_waiting_request_goes_with_its_key_to_another_tenant),
+		cmocka_unit_test(a_waiting_request_outlives_the_end_of_keys),
+		cmocka_unit_test(a_waiting_claim_comes_back_for_its_lanes_new_service),
+		cmocka_unit_test(a_waiting_request_that_nothing_allows_is_told_so),
+		cmocka_unit_test(a_request_given_back_after_its_service_went_is_refused),
+		cmocka_unit_test(a_request_given_back_after_its_key_went_is_not_sent_again),
+		cmocka_unit_test(a_service_that_is_back_takes_requests_at_once),
+	};
+	int rc;
+
+	apr_initialize();
+	rc = cmocka_run_group_tests(tests, NULL, NULL);
+	apr_terminate();
+	return rc;
+}
