Router: what is given back is neither blocked nor held in silence

Three faults, each seen in tests/test_requests.c before the mend: - A request that goes back to an empty line was measured by how long that line had been empty: past half of its time the next tick told it that the line is too long, and broke off a stream that the next free place would have taken up. A line that was empty now begins anew, whoever comes first (line_begins). - The server that gave a request back was never tried again. Where it is the only one that stands, the request stayed at the head of its line until half of its limit had passed, and all behind it waited for it though that server had places. Now it is passed over for 300 ms (ROUTER_AVOID). - A stream to be taken up waited for a server up to 4.5 s (none stands) or its limit, while its client gives up after max(2 s, 4 aims, 8 pauses) of silence. It ends at three quarters of that, so that the client can take it up.

Before: a_stream_waits_a_moment_for_a_place, one_server_turns_a_request_away, a_stream_is_not_held_in_silence failed (told 4550 ms after, not 1500).

--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -155,6 +155,19 @@
 	return s;
 }
 
+/* How long a stream may be silent before it is taken up: its client gives up after two seconds, four times its aim or eight
+ * times its pause, whichever is longest, and should be told before, to take it up by itself. */
+static int64_t silence_of(const struct bk_lane *l)
+{
+	int64_t patience = ROUTER_SILENCE;
+
+	if (4 * (int64_t)l->aim > patience)
+		patience = 4 * (int64_t)l->aim;
+	if (8 * (int64_t)l->pause > patience)
+		patience = 8 * (int64_t)l->pause;
+	return patience * 3 / 4;
+}
+
 /* What will not be sent in time is told so now, not at its limit. */
 static void end_hopeless(struct router *c, int64_t now, struct out *o)
 {
@@ -173,6 +186,10 @@
 			double wait = router_expected(l, before, now);
 
 			next = x->after;
+			if (x->begun && now - x->given_back_at > silence_of(&c->route_table->lane[x->lane])) {
+				router_give_up(c, x, 502, "no server took the stream up in time", now, o);
+				continue;
+			}
 			if (!none && wait <= (double)(x->limit - now)) {
 				before++;
 				continue;
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -34,6 +34,8 @@
 	ROUTER_FULL = 150,
 	ROUTER_AGAIN_LEAST = 50,
 	ROUTER_UNREACHED = 4,
+	ROUTER_SILENCE = 2000, /* ms of silence that a stream's client bears at the least */
+	ROUTER_AVOID = 300,    /* ms for which a request goes to another server than the one that gave it back */
 	ROUTER_WATCH_WAIT = 1000,
 	ROUTER_WATCH_GAP = 300, /* ms that a server holds a watch; between two of them */
 	ROUTER_INDEX = 1000000, /* copies of parts that the index holds at the most */
@@ -276,9 +278,11 @@
 	uint64_t hash[ROUTER_PARTS];
 	const char *text[ROUTER_PARTS];
 	uint32_t tokens[ROUTER_PARTS], tail_tokens;
-	uint64_t next;  /* piece expected */
-	int server;     /* -1: none chosen */
-	uint32_t tried; /* the last server that gave it back */
+	uint64_t next;         /* piece expected */
+	int server;            /* -1: none chosen */
+	uint32_t tried;        /* the last server that gave it back */
+	int64_t tried_until;   /* until then it goes to another one */
+	int64_t given_back_at; /* when that was */
 	uint64_t stamp;
 	uint32_t weights;
 	int from;                     /* the server that kept parts are fetched from; -1: none */
--- a/lib/data/router_assign.c
+++ b/lib/data/router_assign.c
@@ -60,6 +60,9 @@
 	return t;
 }
 
+/* The server that has just given a request back is passed over for a moment: another one may have it. */
+static int avoids(const struct client_request *x, uint32_t s, int64_t now) { return s == x->tried && now < x->tried_until; }
+
 static int busy(const struct router_server *v) { return v->others + v->own; }
 
 /* How much slower than the table says the link between two servers was seen to be; forgotten by and by. */
@@ -99,7 +102,7 @@
 		struct plan p = { (int)s, 0, -1, 0, 0, 0, 0 };
 		double prefill;
 
-		if (c->server_table->server[s].is_store || c->server_table->server[s].service != x->service || s == x->tried ||
+		if (c->server_table->server[s].is_store || c->server_table->server[s].service != x->service || avoids(x, s, now) ||
 		    !router_standing(c, s, now) || busy(v) >= v->slots)
 			continue;
 		if (current)
@@ -266,7 +269,7 @@
 		uint64_t w;
 		int fresh;
 
-		if (!sv->on || sv->is_store || sv->draining || sv->service != x->service || s == x->tried)
+		if (!sv->on || sv->is_store || sv->draining || sv->service != x->service || avoids(x, s, now))
 			continue;
 		w = core_rdv(part, c->server_hash[s]);
 		if (best < 0 || w > first) {
@@ -331,7 +334,7 @@
 		const struct bk_server *sv = &c->server_table->server[s];
 		uint64_t w;
 
-		if (!sv->on || sv->is_store || sv->service != x->service || s == x->tried || !router_standing(c, s, now))
+		if (!sv->on || sv->is_store || sv->service != x->service || avoids(x, s, now) || !router_standing(c, s, now))
 			continue;
 		w = core_rdv(id, c->server_hash[s]);
 		for (int k = 0; k < 3; k++)
@@ -398,7 +401,7 @@
 		double read;
 		int from = -1, upto = 0;
 
-		if (!sv->on || sv->service != x->service || sv->is_store || s == x->tried || !router_standing(c, s, now))
+		if (!sv->on || sv->service != x->service || sv->is_store || avoids(x, s, now) || !router_standing(c, s, now))
 			continue;
 		if (p.keep < shared && (int)s != home && (int)s != choice[0] && (int)s != choice[1] && (int)s != choice[2])
 			continue;
--- a/lib/data/router_internal.h
+++ b/lib/data/router_internal.h
@@ -88,7 +88,7 @@
 int router_in_force(const struct router *c, int64_t now);
 void router_queue_insert(struct router *c, struct client_request *x, int64_t now);
 void router_queue_remove(struct router *c, struct client_request *x);
-void router_queue_return(struct router *c, struct client_request *x);
+void router_queue_return(struct router *c, struct client_request *x, int64_t now);
 void router_queue_move(struct router *c, struct client_request *x, uint32_t lane, uint32_t tenant, int64_t now);
 void router_place_leave(struct router *c, struct client_request *x);
 uint32_t router_part_of(const struct router *c, uint32_t service);
--- a/lib/data/router_queue.c
+++ b/lib/data/router_queue.c
@@ -241,11 +241,13 @@
 }
 
 /* To the head of its line: there is no place at a server just now. */
-void router_queue_return(struct router *c, struct client_request *x)
+void router_queue_return(struct router *c, struct client_request *x, int64_t now)
 {
 	struct line *l = router_line_of(c, x->lane, x->tenant);
 
 	router_place_leave(c, x);
+	if (!l->n)
+		line_begins(c, l, now);
 	x->state = REQUEST_WAITING;
 	x->after = l->head;
 	l->head = x;
--- a/lib/data/router_send.c
+++ b/lib/data/router_send.c
@@ -200,7 +200,7 @@
 	if (config_watch_age(&c->f, now) <= router_ride(c))
 		pl = x->forwarded ? router_assign_forward(c, x, now) : router_assign(c, x, now);
 	if (pl.server < 0)
-		router_queue_return(c, x); /* its place went to another router's, or this router must hear the owner first */
+		router_queue_return(c, x, now); /* its place went to another router's, or this router must hear the owner first */
 	else if (x->forwarded)
 		router_forward(c, x, &pl, now, o);
 	else
@@ -306,7 +306,7 @@
 }
 
 /* Its server has nothing more to do with it; it keeps its place, until it is sent again or goes back to its line. */
-static void given_back(struct router *c, struct client_request *x)
+static void given_back(struct router *c, struct client_request *x, int64_t now)
 {
 	struct router_server *v = &c->sv[x->server];
 
@@ -317,6 +317,8 @@
 		x->ahead = 0;
 	}
 	x->tried = (uint32_t)x->server;
+	x->tried_until = now + ROUTER_AVOID;
+	x->given_back_at = now;
 	x->server = -1;
 	x->state = REQUEST_CLAIMING;
 }
@@ -333,7 +335,7 @@
 	/* it surely never began: another server may have it, within the budget */
 	if (d->status == 0)
 		c->sv[x->server].bad_until = now + ROUTER_BAD;
-	given_back(c, x);
+	given_back(c, x, now);
 	if (c->budget[x->service] < ROUTER_RESEND_COST) {
 		router_refuse(c, x, 503, "the server refused, and the budget for resends is spent", ROUTER_RETRY, now, o);
 		return;
@@ -457,7 +459,7 @@
 		router_request_end(c, x, &(struct request_ending){ REQUEST_ANSWERED, e->status, NULL, 0 }, now, o);
 		return;
 	}
-	given_back(c, x);
+	given_back(c, x, now);
 	if (!(e->how == ROUTER_NEVER && !x->begun) && !may_repeat(x)) {
 		router_give_up(c, x, 502, "the server's answer broke off", now, o);
 	} else if (!again(c, x, now)) {
--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -125,6 +125,15 @@
 	solo_step(&w->s, &ev);
 }
 
+static void began(struct world *w, uint64_t call)
+{
+	struct router_ev ev = { .kind = ROUTER_BEGAN };
+
+	ev.u.began.token = call;
+	out_clear(&w->s.o);
+	solo_step(&w->s, &ev);
+}
+
 /* The server that the newest send went to, or NULL. */
 static const char *sent_to(const struct solo *s)
 {
@@ -400,6 +409,118 @@
 	solo_close(&w.s);
 }
 
+/* ---- requests that are given back ---------------------------------------------------------------- */
+
+/* A stream broke off, and no server has a place: it waits a moment, and goes on once one has. */
+static void a_stream_waits_a_moment_for_a_place(void **st)
+{
+	struct world w = { 0 };
+	uint64_t first, call;
+
+	(void)st;
+	solo_open(&w.s, 5);
+	world_service(&w, "pool");
+	world_route(&w, "route", "/", "pool")->resumable = 1;
+	for (int i = 0; i < 2; i++) {
+		world_server(&w, "pool");
+		w.server[i]->slots = 1;
+	}
+	world_apply(&w);
+	assert_non_null(ask(&w, "/x", 0));
+	first = solo_sent(&w.s);
+	assert_non_null(ask(&w, "/x", 0));
+	call = solo_sent(&w.s);
+	began(&w, call);
+	solo_tick(&w.s, 100);
+	began(&w, first);
+	for (int i = 0; i < 700; i++) { /* over half of its time: the queue was empty meanwhile */
+		w.s.c.f.fresh = w.s.now;
+		solo_tick(&w.s, 50);
+	}
+	send_ends(&w, call, ROUTER_BROKE, 200, 1, "3");
+	assert_int_equal(heard(&w.s, 2), 0);
+	assert_null(sent_to(&w.s));
+	out_clear(&w.s.o);
+	w.s.c.f.fresh = w.s.now;
+	solo_tick(&w.s, 50);
+	assert_int_equal(heard(&w.s, 2), 0);
+	send_ends(&w, first, ROUTER_WHOLE, 200, 1, "9");
+	solo_tick(&w.s, 20);
+	assert_non_null(sent_to(&w.s));
+	solo_close(&w.s);
+}
+
+/* A stream broke off, and no server has a place for long: its client is told while it still listens, so that it can take the
+ * stream up by itself. Its patience is two seconds, four times the aim or eight times the pause, whichever is longest. */
+static void a_stream_is_not_held_in_silence(void **st)
+{
+	(void)st;
+	for (int pause = 0; pause <= 1000; pause += 1000) {
+		struct world w = { 0 };
+		struct Nl__Row *route;
+		uint64_t call;
+		int64_t from;
+		int status = 0, patience = pause ? 8 * pause : 2000;
+
+		solo_open(&w.s, 5);
+		world_service(&w, "pool");
+		route = world_route(&w, "route", "/", "pool");
+		route->resumable = 1;
+		route->pause = (uint32_t)pause;
+		for (int i = 0; i < 2; i++) {
+			world_server(&w, "pool");
+			w.server[i]->slots = 1;
+		}
+		world_apply(&w);
+		for (int i = 0; i < 2; i++)
+			assert_non_null(ask(&w, "/x", 0));
+		call = solo_sent(&w.s);
+		began(&w, call);
+		send_ends(&w, call, ROUTER_BROKE, 200, 1, "3");
+		assert_non_null(ask(&w, "/x", 0)); /* it takes the place: the stream's server is to be avoided for now */
+		from = w.s.now;
+		while (!status && w.s.now - from < 20000) {
+			out_clear(&w.s.o);
+			w.s.c.f.fresh = w.s.now;
+			w.s.c.sv[1].bad_until = w.s.c.sv[0].bad_until = w.s.now + 100;
+			solo_tick(&w.s, 50);
+			status = heard(&w.s, 2);
+		}
+		assert_int_equal(status, -1);
+		assert_in_range(w.s.now - from, patience / 2, patience - 200);
+		solo_close(&w.s);
+	}
+}
+
+/* The one server that stands turned it away: it is neither held until its limit, nor does it hold up others. */
+static void one_server_turns_a_request_away(void **st)
+{
+	struct world w = { 0 };
+	int64_t from;
+	int sent = 0, status = 0;
+
+	(void)st;
+	solo_open(&w.s, 5);
+	world_service(&w, "pool");
+	world_route(&w, "route", "/", "pool");
+	world_server(&w, "pool");
+	world_apply(&w);
+	assert_non_null(ask(&w, "/x", 0));
+	send_ends(&w, solo_sent(&w.s), ROUTER_NEVER, 503, 0, NULL);
+	from = w.s.now;
+	ask(&w, "/x", 0);
+	for (int i = 0; i < 20 && !(sent || status); i++) {
+		out_clear(&w.s.o);
+		w.s.c.f.fresh = w.s.now;
+		solo_tick(&w.s, 50);
+		sent = sent_to(&w.s) != NULL;
+		status = heard(&w.s, 1);
+	}
+	assert_true(sent || status == 503);
+	assert_true(w.s.now - from <= 500);
+	solo_close(&w.s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -411,7 +532,10 @@
 		cmocka_unit_test(a_waiting_request_that_nothing_allows_is_told_so),
 		cmocka_unit_test(a_request_given_back_after_its_service_went_is_refused),
 		cmocka_unit_test(a_request_given_back_after_its_key_went_is_not_sent_again),
+		cmocka_unit_test(a_stream_waits_a_moment_for_a_place),
 		cmocka_unit_test(a_service_that_is_back_takes_requests_at_once),
+		cmocka_unit_test(a_stream_is_not_held_in_silence),
+		cmocka_unit_test(one_server_turns_a_request_away),
 	};
 	int rc;
 
