Router: a stop can say when the process ends, and what is held is told

Cause: a stopping process exits at the end of its grace and closes what is open; what still waited in the core's lines got neither an answer nor a refusal. Now the event ROUTER_STOP may carry leave_by: from one second before it what waits is refused with 503, from 300 ms before it what runs is answered 502, or its stream ended as not whole. Left to the callers: bin/counter.c and platform/edge.c do not set leave_by yet (0: as before).

--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -201,6 +201,19 @@
 	}
 }
 
+/* The process ends soon: what is still here is told so, rather than find its connection closed. */
+static void end_leaving(struct router *c, int64_t now, struct out *o)
+{
+	if (!c->leave_by || now < c->leave_by - ROUTER_LEAVE_WAITING)
+		return;
+	for (ptrdiff_t i = arrlen(c->all) - 1; i >= 0; i--) {
+		struct client_request *x = c->all[i];
+
+		if (x->state != REQUEST_RUNNING || now >= c->leave_by - ROUTER_LEAVE_RUNNING)
+			router_end_early(c, x, 503, "this counter is stopping", now, o);
+	}
+}
+
 static void tick(struct router *c, int64_t now, struct out *o)
 {
 	router_retention_tick(c, now);
@@ -216,6 +229,7 @@
 	else
 		router_look(c, now, o);
 	end_hopeless(c, now, o);
+	end_leaving(c, now, o);
 	router_releases_tick(c, now, o);
 	for (ptrdiff_t i = arrlen(c->all) - 1; i >= 0; i--) {
 		struct client_request *x = c->all[i];
@@ -343,7 +357,10 @@
 		else
 			out_answer(o, ev->u.web.token, 404, 0, router_error_json(o->p, "path: no such call", "refused"));
 		break;
-	case ROUTER_STOP: c->stopping = 1; break;
+	case ROUTER_STOP:
+		c->stopping = 1;
+		c->leave_by = ev->u.stop.leave_by;
+		break;
 	case ROUTER_ASKED: router_asked(c, ev->u.ask, now, o); break;
 	case ROUTER_BEGAN:
 		x = router_request_by(c, ev->u.began.token);
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -34,8 +34,10 @@
 	ROUTER_FULL = 150,
 	ROUTER_AGAIN_LEAST = 50,
 	ROUTER_UNREACHED = 4,
-	ROUTER_SILENCE = 2000, /* ms of silence that a stream's client bears at the least */
-	ROUTER_AVOID = 300,    /* ms for which a request goes to another server than the one that gave it back */
+	ROUTER_LEAVE_WAITING = 1000, /* ms before a stopping process ends: by then what waits is refused, */
+	ROUTER_LEAVE_RUNNING = 300,  /* and what runs is broken off with an answer */
+	ROUTER_SILENCE = 2000,       /* ms of silence that a stream's client bears at the least */
+	ROUTER_AVOID = 300,          /* ms for which a request goes to another server than the one that gave it back */
 	ROUTER_WATCH_WAIT = 1000,
 	ROUTER_WATCH_GAP = 300, /* ms that a server holds a watch; between two of them */
 	ROUTER_INDEX = 1000000, /* copies of parts that the index holds at the most */
@@ -150,6 +152,10 @@
 			uint64_t token;
 			const char *path;
 		} web;
+		/* when the process ends, whatever is under way then; 0: not known */
+		struct {
+			int64_t leave_by;
+		} stop;
 		const struct router_asking *ask;
 		struct {
 			uint64_t token;
@@ -437,7 +443,8 @@
 	struct router_counts n;
 	struct router_use *use; /* stb_ds: lane << 32 | tenant */
 	int stopping;
-	int plain; /* to compare with: assign by load alone, and reuse what happens to be there */
+	int64_t leave_by; /* of a stop: when the process ends; 0: not known */
+	int plain;        /* to compare with: assign by load alone, and reuse what happens to be there */
 	void (*log)(void *ctx, const char *prefix, const char *line);
 	void *log_ctx;
 };
--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -521,6 +521,47 @@
 	solo_close(&w.s);
 }
 
+/* ---- a planned stop -------------------------------------------------------------------------------- */
+
+/* What waits is refused, and what runs is answered, before the process ends. */
+static void a_process_that_leaves_answers_what_it_holds(void **st)
+{
+	struct world w = { 0 };
+	struct router_ev ev = { .kind = ROUTER_STOP };
+	int told[3] = { 0, 0, 0 };
+
+	(void)st;
+	solo_open(&w.s, 5);
+	world_service(&w, "pool");
+	world_route(&w, "route", "/", "pool");
+	world_server(&w, "pool");
+	w.server[0]->slots = 2;
+	world_apply(&w);
+	assert_non_null(ask(&w, "/x", 0));
+	began(&w, solo_sent(&w.s));
+	for (int i = 0; i < 2; i++)
+		assert_non_null(ask(&w, "/x", 0));
+	assert_int_equal(router_request_by(&w.s.c, 2)->state, REQUEST_RUNNING);
+	assert_int_equal(router_request_by(&w.s.c, 3)->state, REQUEST_WAITING);
+	ev.u.stop.leave_by = w.s.now + 3000;
+	solo_step(&w.s, &ev);
+	while (w.s.now < ev.u.stop.leave_by - 100) {
+		out_clear(&w.s.o);
+		w.s.c.f.fresh = w.s.now;
+		solo_tick(&w.s, 50);
+		for (uint64_t i = 0; i < 3; i++)
+			if (heard(&w.s, i + 1))
+				told[i] = heard(&w.s, i + 1);
+		if (w.s.now < ev.u.stop.leave_by - 1050)
+			assert_int_equal(arrlen(w.s.c.all), 3); /* not sooner than it must */
+	}
+	assert_int_equal(told[0], -1);
+	assert_int_equal(told[1], 502);
+	assert_int_equal(told[2], 503);
+	assert_true(router_idle(&w.s.c));
+	solo_close(&w.s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -536,6 +577,7 @@
 		cmocka_unit_test(a_service_that_is_back_takes_requests_at_once),
 		cmocka_unit_test(a_stream_is_not_held_in_silence),
 		cmocka_unit_test(one_server_turns_a_request_away),
+		cmocka_unit_test(a_process_that_leaves_answers_what_it_holds),
 	};
 	int rc;
 
