Tests: a storm of planned work over forwarded requests, judged by LOST

Servers have 2 to 4 places, so that requests wait and are given back. Judged (sim_forward.c, judge_loss and the rest): no request without an end, none with two; no 502, 504, broken stream or fallen connection for what a counter has read, unless a server broke it off or its time was over; DENIED, CONFIG, ROUTE, BUDGET, TWICE, REFUSED as before, now with splits.

--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -46,6 +46,8 @@
 	}
 }
 
+/* What waits is placed by the new table. What runs was sent while its key and route held: it ends by itself, within its time,
+ * and is placed by the new table if its server gives it back. */
 static void swap_route_table(struct router *c, int64_t now, struct out *o)
 {
 	struct route_table *b = router_route_table_make(c, now), *old = c->route_table;
@@ -57,8 +59,7 @@
 
 		if (!x->forwarded)
 			judge_claimed(c, x, now, o);
-		else if (x->state !=
-			 REQUEST_RUNNING) /* what runs was sent while its key held: it ends by itself, or is given back */
+		else if (x->state != REQUEST_RUNNING)
 			(void)router_place_again(c, x, now, o);
 	}
 	router_route_table_free(old);
--- a/tests/sim_forward.c
+++ b/tests/sim_forward.c
@@ -60,12 +60,42 @@
 	return lane == FW_DEEP && c->service[lane] < 0 ? c->service[FW_ONCE] : c->service[lane];
 }
 
+static int leads_to(const struct fw_conf *c, int lane, int service)
+{
+	int at = lane == FW_DEEP && c->service[lane] < 0 ? FW_ONCE : lane;
+
+	return c->service[at] >= 0 && (c->service[at] == service || c->split[at]);
+}
+
+/* The longest time that a request may have, by the shortest of the timeouts that may be in force. */
+static int64_t time_of(const struct fw *f, const struct fw_req *r)
+{
+	int64_t least = r->limit - r->asked;
+
+	for (ptrdiff_t k = oldest(f, r->node, r->asked); k < arrlen(f->conf); k++) {
+		const struct fw_conf *c = &f->conf[k];
+		int at = r->lane == FW_DEEP && c->service[r->lane] < 0 ? FW_ONCE : r->lane;
+
+		if (c->timeout[at] && c->timeout[at] < least)
+			least = c->timeout[at];
+	}
+	return least;
+}
+
+/* LOST: under planned work nothing that was read ends without an answer or a refusal, unless a server broke it off or its
+ * time was over. */
+static void judge_loss(struct fw *f, const struct fw_req *r, const char *how)
+{
+	if (f->planned && r->read && !r->broke && f->s.now - r->asked < time_of(f, r) - 20)
+		sim_breach(&f->s, "LOST: %s %s %lld ms after it was asked", r->id, how, (long long)(f->s.now - r->asked));
+}
+
 static void judge_config(struct fw *f, const struct fw_req *r, int service, int tenant)
 {
 	int route = 0, key = 0;
 
 	for (ptrdiff_t k = oldest(f, r->node, r->asked); k < arrlen(f->conf); k++) {
-		route |= service_in(&f->conf[k], r->lane) == service;
+		route |= leads_to(&f->conf[k], r->lane, service);
 		key |= f->conf[k].key[r->key] == tenant;
 	}
 	if (!route)
@@ -281,6 +311,8 @@
 	memset(&ev, 0, sizeof ev);
 	ev.kind = ROUTER_ENDED;
 	ev.u.ended = &e;
+	if (how == ROUTER_BROKE && c->req >= 0)
+		f->req[c->req].broke = 1;
 	f->n_never += how == ROUTER_NEVER;
 	f->n_wrong += wrong;
 	sim_ctr(&f->s, node, &ev);
@@ -457,7 +489,7 @@
 	}
 	if (w->running >= c->load.slots || chance(f, w->refuse) || (v->loading[0] && dice(f, 2))) {
 		c->status = 503;
-		later(f, FE_NEVER, c->node, at, 1);
+		later(f, FE_NEVER, c->node, at, 1 + w->hold);
 		return;
 	}
 	run_begins(f, at, r, i);
@@ -697,6 +729,8 @@
 			if (!f->call[i].watch && f->call[i].req == r - f->req && !f->call[i].over)
 				sim_breach(&f->s, "REFUSED: %s was told %d while a send of it was under way", r->id, status);
 	}
+	if (status == 502 || status == 504)
+		judge_loss(f, r, "was given up");
 	f->n_refused++;
 	r->retry_ms = k->u.answer.retry_ms;
 	if ((status == 503 || status == 429) && r->retry_ms < 1 && !r->runs)
@@ -718,8 +752,10 @@
 	case CMD_END:
 		judge_end(f, node, k->u.piece.token);
 		r = req_by(f, node, k->u.piece.token);
-		if (r)
+		if (r) {
+			judge_loss(f, r, "was broken off");
 			told(f, r, FW_CUT, 0);
+		}
 		return 1;
 	case CMD_CANCEL:
 		for (ptrdiff_t i = arrlen(f->call) - 1; i >= 0; i--)
@@ -738,8 +774,10 @@
 	struct fw *f = ctx;
 
 	for (ptrdiff_t i = 0; i < arrlen(f->req); i++)
-		if (f->req[i].token && f->req[i].node == node)
+		if (f->req[i].token && f->req[i].node == node) {
+			judge_loss(f, &f->req[i], "fell with its counter");
 			told(f, &f->req[i], FW_LOST, 0);
+		}
 	for (ptrdiff_t i = 0; i < arrlen(f->call); i++)
 		if (f->call[i].node == node && !f->call[i].over) { /* what is on its way arrives all the same */
 			if (f->call[i].at_server) {
@@ -774,7 +812,9 @@
 	e.status = 1;
 	sim_push(&f->s, e);
 	later(f, FE_LIMIT, node, e.token, f->limit_ms + 300);
-	arrput(f->asked, ((typeof(*f->asked)){ f->s.now, service_in(&arrlast(f->conf), lane) }));
+	for (int k = 0; k < 2; k++)
+		if (leads_to(&arrlast(f->conf), lane, k))
+			arrput(f->asked, ((typeof(*f->asked)){ f->s.now, k }));
 	return (int)e.token;
 }
 
@@ -821,6 +861,7 @@
 	memset(&ev, 0, sizeof ev);
 	ev.kind = ROUTER_ASKED;
 	ev.u.ask = &a;
+	r->read = 1;
 	sim_ctr(&f->s, r->node, &ev);
 }
 
@@ -949,39 +990,85 @@
 	c->del[c->n_del++] = r;
 }
 
-static void change_rows(struct fw *f, const struct fw_conf *was, const struct fw_conf *is, struct Nl__Change *c, apr_pool_t *p)
+static void service_row(int k, struct Nl__Change *c, apr_pool_t *p)
 {
-	char key[65], name[8];
+	struct Nl__Row *v = row(p, c, NL__KIND__SERVICE, services[k]);
+
+	v->model = (char *)(uintptr_t)models[k];
+	v->weights = "0";
+	v->prefill = 20;
+	v->kv_bytes = 400;
+	v->link = 100000;
+	v->slots = 128;
+	v->conns = 400;
+	v->watches = 8;
+	if (!k) {
+		v->addr = "127.9.0.1:9000";
+		v->store = 50000;
+	}
+}
 
-	(void)f;
-	for (int l = 0; l < FW_LANES; l++) {
-		struct Nl__Row *r;
+static void lane_row(int l, const struct fw_conf *is, struct Nl__Change *c, apr_pool_t *p)
+{
+	struct Nl__Row *r = row(p, c, NL__KIND__LANE, lanes[l]);
+
+	r->service = apr_pstrdup(p, services[is->service[l]]);
+	r->host = apr_pstrdup(p, "h.example");
+	r->path = apr_pstrdup(p, paths[l]);
+	r->prio = (uint32_t)prios[l];
+	r->limit = 60;
+	r->attempts = (uint32_t)tries_of[l];
+	r->resumable = l == FW_CHAT;
+	r->repeatable = l == FW_IDEM;
+	r->vouched = 1;
+	r->timeout = (uint32_t)is->timeout[l];
+	if (!is->split[l])
+		return;
+	r->split = apr_palloc(p, 2 * sizeof *r->split);
+	for (r->n_split = 0; r->n_split < 2; r->n_split++) {
+		struct Nl__Split *half = apr_palloc(p, sizeof *half);
+
+		nl__split__init(half);
+		half->service = apr_pstrdup(p, services[r->n_split]);
+		half->weight = 1;
+		r->split[r->n_split] = half;
+	}
+}
 
-		if (was && was->service[l] == is->service[l])
+static void change_lanes(const struct fw_conf *was, const struct fw_conf *is, struct Nl__Change *c, apr_pool_t *p)
+{
+	for (int l = 0; l < FW_LANES; l++) {
+		if (was && was->service[l] == is->service[l] && was->split[l] == is->split[l] && was->timeout[l] == is->timeout[l])
 			continue;
-		if (is->service[l] < 0) {
+		if (is->service[l] >= 0)
+			lane_row(l, is, c, p);
+		else if (was && was->service[l] >= 0)
 			gone(p, c, NL__KIND__LANE, lanes[l]);
+	}
+}
+
+static void change_rows(const struct fw_conf *was, const struct fw_conf *is, struct Nl__Change *c, apr_pool_t *p)
+{
+	char key[65], name[8];
+
+	change_lanes(was, is, c, p);
+	for (int k = 0; k < 2; k++) {
+		if (was && was->gone[k] == is->gone[k])
 			continue;
-		}
-		r = row(p, c, NL__KIND__LANE, lanes[l]);
-		r->service = apr_pstrdup(p, services[is->service[l]]);
-		r->host = apr_pstrdup(p, "h.example");
-		r->path = apr_pstrdup(p, paths[l]);
-		r->prio = (uint32_t)prios[l];
-		r->limit = 60;
-		r->attempts = (uint32_t)tries_of[l];
-		r->resumable = l == FW_CHAT;
-		r->repeatable = l == FW_IDEM;
-		r->vouched = 1;
+		if (is->gone[k])
+			gone(p, c, NL__KIND__SERVICE, services[k]);
+		else
+			service_row(k, c, p);
 	}
 	for (int t = 0; t < FW_TENANTS; t++) {
 		struct Nl__Row *r;
 
-		if (was && was->walled[t] == is->walled[t])
+		if (was && was->walled[t] == is->walled[t] && was->places[t] == is->places[t])
 			continue;
 		snprintf(name, sizeof name, "t%d", t & 7);
 		r = row(p, c, NL__KIND__TENANT, name);
 		r->walled = is->walled[t];
+		r->limit = (uint32_t)is->places[t];
 		r->share = 1;
 	}
 	for (int k = 0; k < FW_KEYS; k++) {
@@ -1010,26 +1097,17 @@
 	q.del = del;
 	if (first)
 		for (int i = 0; i < 2; i++) {
-			struct Nl__Row *m = row(p, &q, NL__KIND__MODEL, models[i]), *v = row(p, &q, NL__KIND__SERVICE, services[i]);
+			struct Nl__Row *m = row(p, &q, NL__KIND__MODEL, models[i]);
 
 			m->weights = "1";
 			m->rolled = "";
-			v->model = (char *)(uintptr_t)models[i];
-			v->weights = "0";
-			v->prefill = 20;
-			v->kv_bytes = 400;
-			v->link = 100000;
-			v->slots = 128;
-			v->conns = 400;
-			v->watches = 8;
-			if (!i) {
-				v->addr = "127.9.0.1:9000";
-				v->store = 50000;
-			}
 		}
-	change_rows(f, first ? NULL : &arrlast(f->conf), &c, &q, p);
+	change_rows(first ? NULL : &arrlast(f->conf), &c, &q, p);
 	for (int k = 0; k < FW_KEYS; k++)
 		keys[k] = !first && arrlast(f->conf).key[k] >= 0 && c.key[k] < 0;
+	for (int k = 0; k < FW_KEYS; k++)
+		if (c.key[k] >= 0)
+			f->removed[k] = 0;
 	c.sent = f->s.now;
 	c.ack = INT64_MAX;
 	arrput(f->conf, c);
@@ -1043,6 +1121,26 @@
 	return ok;
 }
 
+void fw_stop(struct fw *f, int node, int grace_ms)
+{
+	struct router_ev ev = { .kind = ROUTER_STOP };
+
+	f->leaving[node] = f->s.now + grace_ms;
+	ev.u.stop.leave_by = sim_local(&f->s, node) + grace_ms;
+	sim_ctr(&f->s, node, &ev);
+}
+
+void fw_leavers(struct fw *f)
+{
+	for (int node = SIM_REGS; node < SIM_REGS + f->ctrs; node++) {
+		if (!f->leaving[node] || (!router_idle(f->s.n[node].c) && f->s.now < f->leaving[node]))
+			continue;
+		f->leaving[node] = 0;
+		sim_crash(&f->s, node, 0);
+		sim_start(&f->s, node);
+	}
+}
+
 int fw_change(struct fw *f, struct fw_conf c) { return propose(f, c, 0); }
 
 int fw_name(struct fw *f, int service, int weights)
--- a/tests/sim_forward.h
+++ b/tests/sim_forward.h
@@ -16,6 +16,10 @@
 	int service[FW_LANES]; /* 0 pool, 1 aux; -1: the lane is not there */
 	int key[FW_KEYS];      /* whose, two each; -1: taken away */
 	int walled[FW_TENANTS];
+	int split[FW_LANES];    /* half of the lane's requests go to the other service */
+	int timeout[FW_LANES];  /* ms; 0: none */
+	int places[FW_TENANTS]; /* that a tenant may have at a time, at all counters; 0: no limit */
+	int gone[2];            /* the service has no row; no lane leads to it then */
 };
 
 /* Named weights of a service's model. */
@@ -49,6 +53,7 @@
 	int refuse, silent, slow, hard, breaks, head, surplus; /* per mille of requests: 503 not executed; begun and never answered;
 	                              ms more between pieces; 500; broken after some pieces; before the head; pieces sent again */
 	int bare;                                              /* per mille: 503 that does not say that it was not executed */
+	int hold;                                              /* ms for which it holds what it then turns away */
 	int retains;                                           /* keeps its parts over a load */
 	int watched;
 };
@@ -59,6 +64,7 @@
 	uint64_t life, token, asked_as; /* token: 0 once it has ended */
 	int64_t asked, limit, told_at, sent;
 	int arrivals, runs, last, head, total, told, status, retry_ms, promised, resends;
+	int read, broke; /* its counter has heard of it; a server broke off a send of it */
 	uint32_t prio;
 };
 enum { FW_OPEN = 0, FW_WHOLE, FW_ANSWERED, FW_CUT, FW_LOST };
@@ -106,6 +112,8 @@
 	uint64_t dice;
 	int regs, ctrs, servers;
 	int every, limit_ms, lag, lossy; /* ms between askings; of requests; of events, per mille that never come */
+	int planned;                     /* nothing happens but planned work: no request may be lost */
+	int64_t leaving[SIM_NODES];      /* when a counter that was told to stop is to end; 0: it was not */
 	int prefix_of_tenant;            /* parts are a tenant's own, not all tenants' */
 	int room;                        /* parts that a server keeps */
 	uint64_t n_forward, n_run, n_whole, n_cut, n_refused, n_promised, n_resend, n_taken_up, n_reused, n_fetched, n_sunk,
@@ -132,6 +140,11 @@
 /* One more server; under an address that is free again, if at is not -1. Example: fw_server(&f, 0, -1); */
 int fw_server(struct fw *f, int service, int at);
 
+/* Tell a counter to stop; it ends at the end of its grace, or once it is idle, and is started again (fw_leavers).
+ * Example: fw_stop(&f, SIM_REGS, 4000); */
+void fw_stop(struct fw *f, int node, int grace_ms);
+void fw_leavers(struct fw *f);
+
 /* What is judged over the whole time: BUDGET, and that every caller was answered. Example: fw_end(&f); */
 int fw_end(struct fw *f);
 
--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -562,6 +562,179 @@
 	solo_close(&w.s);
 }
 
+/* ---- whole fleets under planned work ------------------------------------------------------------------ */
+
+static uint64_t seeds(uint64_t n)
+{
+	const char *e = getenv("NL_SEEDS");
+
+	return e ? strtoull(e, NULL, 10) : n;
+}
+
+static uint64_t first_seed(void)
+{
+	const char *e = getenv("NL_SEED");
+
+	return e ? strtoull(e, NULL, 10) : 1;
+}
+
+static uint64_t dice(uint64_t *s, uint64_t n) { return core_rand(s) % n; }
+
+static void go(struct fw *f, int64_t ms)
+{
+	if (!fw_run(f, ms))
+		fail_msg("seed %llu: %s", (unsigned long long)f->s.seed, f->s.bad);
+}
+
+/* Two places a server, so that requests wait, are turned away and given back. */
+static void crowded(struct fw *f)
+{
+	f->s.list.slots = 2 + (int)(f->s.seed % 3);
+	f->planned = 1;
+}
+
+static void lane_changes(struct fw_conf *c, int lane, uint64_t *d)
+{
+	switch (dice(d, 4)) {
+	case 0: /* the lane goes, or is back; the streams' and the first one stay */
+		if (lane == FW_DEEP || lane == FW_IDEM)
+			c->service[lane] = c->service[lane] < 0 ? (int)dice(d, 2) : -1;
+		break;
+	case 1:
+		if (c->service[lane] >= 0)
+			c->service[lane] = !c->service[lane];
+		break;
+	case 2: c->split[lane] = c->service[lane] >= 0 && !c->split[lane]; break;
+	default: c->timeout[lane] = dice(d, 2) ? 0 : 1500 + (int)dice(d, 3000);
+	}
+}
+
+static void key_changes(struct fw_conf *c, int key, uint64_t *d)
+{
+	if (key % 2 == 0)
+		return; /* one of each tenant stays */
+	c->key[key] = c->key[key] < 0 ? key / 2 : dice(d, 2) ? -1 : (int)dice(d, FW_TENANTS);
+}
+
+/* The second service goes with all that leads to it, or is back. */
+static void service_changes(struct fw_conf *c)
+{
+	c->gone[1] = !c->gone[1];
+	for (int l = 0; l < FW_LANES; l++) {
+		if (c->gone[1] && c->service[l] == 1)
+			c->service[l] = 0;
+		if (c->gone[1])
+			c->split[l] = 0;
+	}
+}
+
+/* No lane leads to a service without a row. */
+static void heed_gone(struct fw_conf *c)
+{
+	for (int l = 0; l < FW_LANES && c->gone[1]; l++) {
+		if (c->service[l] == 1)
+			c->service[l] = 0;
+		c->split[l] = 0;
+	}
+}
+
+static void one_change(struct fw *f, uint64_t *d)
+{
+	struct fw_conf c = arrlast(f->conf);
+
+	for (uint64_t n = 1 + dice(d, 3); n; n--)
+		switch (dice(d, 6)) {
+		case 0:
+		case 1: lane_changes(&c, (int)dice(d, FW_LANES), d); break;
+		case 2: key_changes(&c, (int)dice(d, FW_KEYS), d); break;
+		case 3: service_changes(&c); break;
+		case 4: c.walled[dice(d, FW_TENANTS)] ^= 1; break;
+		default: c.places[dice(d, FW_TENANTS)] = dice(d, 2) ? 0 : 4 + (int)dice(d, 30);
+		}
+	heed_gone(&c);
+	if (!fw_change(f, c))
+		fail_msg("seed %llu: the change is not acknowledged: %s", (unsigned long long)f->s.seed, f->s.bad);
+}
+
+/* A server is drained, one that drained for long ends, or a new one comes. */
+static void one_server_changes(struct fw *f, uint64_t *d)
+{
+	int i = (int)dice(d, (uint64_t)arrlen(f->s.list.v)), stand = 0;
+	struct sim_inst *v = &f->s.list.v[i];
+
+	for (ptrdiff_t k = 0; k < arrlen(f->s.list.v); k++)
+		stand += f->s.list.v[k].up && !f->s.list.v[k].draining && !strcmp(f->s.list.v[k].service, v->service);
+	if (!v->up)
+		fw_server(f, v->service[0] == 'a', dice(d, 2) ? i : -1);
+	else if (v->draining && f->s.now - v->drained > 8000 && !f->v[i].running)
+		sim_inst_end(&f->s, i, 0);
+	else if (!v->draining && stand > 1)
+		sim_inst_drain(&f->s, i);
+	else if (stand < 4)
+		fw_server(f, v->service[0] == 'a', -1);
+}
+
+static void one_router_stops(struct fw *f, uint64_t *d)
+{
+	int node = SIM_REGS + (int)dice(d, (uint64_t)f->ctrs);
+
+	for (int n = SIM_REGS; n < SIM_REGS + f->ctrs; n++)
+		if (f->leaving[n])
+			return; /* one at a time */
+	fw_stop(f, node, 2000 + (int)dice(d, 5000));
+}
+
+/* Hundreds of changes, servers drained and replaced, routers stopped and started again, in crowded services whose servers do
+ * nothing wrong: each request ends once, and nothing is broken off but at its deadline. */
+static void planned_work_loses_nothing(void **st)
+{
+	uint64_t asked = 0, whole = 0, refused = 0, cut = 0, resends = 0, changes = 0, stops = 0, never = 0;
+
+	(void)st;
+	for (uint64_t seed = first_seed(), n = seeds(8); n; seed++, n--) {
+		struct fw f;
+		uint64_t d = seed * 7919;
+
+		fw_open(&f, seed, 4, 3, 6, crowded);
+		if (f.s.bad[0])
+			fail_msg("seed %llu: %s", (unsigned long long)seed, f.s.bad);
+		f.every = seed % 3 == 0 ? 4 : seed % 3 == 1 ? 10 : 25;
+		for (int step = 0; step < 120; step++) {
+			for (ptrdiff_t i = 0; i < arrlen(f.v); i++)
+				f.v[i].hold = i % 3 ? 0 : 400;
+			one_change(&f, &d);
+			changes++;
+			if (!dice(&d, 4))
+				one_server_changes(&f, &d);
+			if (!dice(&d, 20)) {
+				one_router_stops(&f, &d);
+				stops++;
+			}
+			fw_leavers(&f);
+			go(&f, (int64_t)dice(&d, 200));
+		}
+		f.every = 0;
+		for (int k = 0; k < 80; k++) {
+			fw_leavers(&f);
+			go(&f, 100);
+		}
+		if (!fw_end(&f))
+			fail_msg("seed %llu: %s", (unsigned long long)seed, f.s.bad);
+		asked += (uint64_t)arrlen(f.req);
+		whole += f.n_whole;
+		refused += f.n_refused;
+		cut += f.n_cut;
+		resends += f.n_resend;
+		never += f.n_never;
+		fw_close(&f);
+	}
+	print_message(
+	    "planned work: %llu asked, %llu whole, %llu answered otherwise, %llu cut, %llu given back, %llu resends; %llu "
+	    "changes, %llu stops\n",
+	    (unsigned long long)asked, (unsigned long long)whole, (unsigned long long)refused, (unsigned long long)cut,
+	    (unsigned long long)never, (unsigned long long)resends, (unsigned long long)changes, (unsigned long long)stops);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -578,10 +751,13 @@
 		cmocka_unit_test(a_stream_is_not_held_in_silence),
 		cmocka_unit_test(one_server_turns_a_request_away),
 		cmocka_unit_test(a_process_that_leaves_answers_what_it_holds),
+		cmocka_unit_test(planned_work_loses_nothing),
 	};
 	int rc;
 
 	apr_initialize();
+	if (getenv("NL_TEST"))
+		cmocka_set_test_filter(getenv("NL_TEST"));
 	rc = cmocka_run_group_tests(tests, NULL, NULL);
 	apr_terminate();
 	return rc;
