--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -26,10 +26,28 @@
 	c->nstand = n;
 }
 
-/* A forwarded request that a server has been sent goes on, as it does where its key is known to be removed: it was sent while
- * the configuration was certain to be in force, and the server ends it within its deadline. */
-static int outlives_configuration(const struct client_request *x) { return x->forwarded && x->state == REQUEST_RUNNING; }
+/* A newer table and a request of the own interface: its key ends it wherever it is; what was not sent ends with its lane, and
+ * comes back where that has another service now, since its claim is held by the old one's owner. */
+static void judge_claimed(struct router *c, struct client_request *x, int64_t now, struct out *o)
+{
+	const struct route_table *b = c->route_table;
+	struct bk_key *keys = b->key;
+	ptrdiff_t k = x->digest ? shgeti(keys, x->digest) : -1;
+
+	if (x->digest && x->tenant != b->keyless && (k < 0 || keys[k].value != x->tenant || !b->tenant[x->tenant].on)) {
+		c->n.revoked++;
+		router_end_early(c, x, 401, "key: removed", now, o);
+	} else if (x->state == REQUEST_RUNNING) {
+		return;
+	} else if (!b->lane[x->lane].on || !b->service[b->lane[x->lane].service].on) {
+		router_end_early(c, x, 404, "lane: removed", now, o);
+	} else if (b->lane[x->lane].service != x->service) {
+		router_end_early(c, x, 503, "the lane has another service now", now, o);
+	}
+}
 
+/* What waits is placed by the new table. What runs was sent while its key and route held: it ends by itself, within its time,
+ * and is placed by the new table if its server gives it back. */
 static void swap_route_table(struct router *c, int64_t now, struct out *o)
 {
 	struct route_table *b = router_route_table_make(c, now), *old = c->route_table;
@@ -38,19 +56,11 @@
 	swap_server_table(c, now);
 	for (ptrdiff_t i = arrlen(c->all) - 1; i >= 0; i--) {
 		struct client_request *x = c->all[i];
-		struct bk_key *keys = b->key;
-		ptrdiff_t k = x->digest ? shgeti(keys, x->digest) : -1;
 
-		if (outlives_configuration(x))
-			continue;
-		if (x->digest && x->tenant != b->keyless && (k < 0 || keys[k].value != x->tenant || !b->tenant[x->tenant].on)) {
-			c->n.revoked++;
-			router_end_early(c, x, 401, "key: removed", now, o);
-		} else if (x->state != REQUEST_RUNNING &&
-			   (!b->lane[x->lane].on || (!x->forwarded && b->lane[x->lane].service != x->service) ||
-			    !b->service[x->service].on)) {
-			router_end_early(c, x, 404, "lane: removed", now, o);
-		}
+		if (!x->forwarded)
+			judge_claimed(c, x, now, o);
+		else if (x->state != REQUEST_RUNNING)
+			(void)router_place_again(c, x, now, o);
 	}
 	router_route_table_free(old);
 }
@@ -71,9 +81,11 @@
 		{ "horizon", c->relay.k.horizon },
 		{ "kept", c->kept.n },
 		{ "taken", c->n.taken },
-		{ "answered", c->n.answered },
-		{ "refused", c->n.refused },
-		{ "unknown", c->n.unknown },
+		{ "answered", c->n.outcome[REQUEST_ANSWERED] },
+		{ "refused", c->n.outcome[REQUEST_REFUSED] },
+		{ "rejected", c->n.outcome[REQUEST_REJECTED] },
+		{ "broken_off", c->n.outcome[REQUEST_BROKEN_OFF] },
+		{ "client_gone", c->n.outcome[REQUEST_CLIENT_GONE] },
 		{ "sends", c->n.sends },
 		{ "resends", c->n.resends },
 		{ "pieces", c->n.pieces },
@@ -144,6 +156,19 @@
 	return s;
 }
 
+/* How long a stream may be silent before it is taken up: its client gives up after two seconds, four times its aim or eight
+ * times its pause, whichever is longest, and should be told before, to take it up by itself. */
+static int64_t silence_of(const struct bk_lane *l)
+{
+	int64_t patience = ROUTER_SILENCE;
+
+	if (4 * (int64_t)l->aim > patience)
+		patience = 4 * (int64_t)l->aim;
+	if (8 * (int64_t)l->pause > patience)
+		patience = 8 * (int64_t)l->pause;
+	return patience * 3 / 4;
+}
+
 /* What will not be sent in time is told so now, not at its limit. */
 static void end_hopeless(struct router *c, int64_t now, struct out *o)
 {
@@ -162,6 +187,10 @@
 			double wait = router_expected(l, before, now);
 
 			next = x->after;
+			if (x->begun && now - x->given_back_at > silence_of(&c->route_table->lane[x->lane])) {
+				router_give_up(c, x, 502, "no server took the stream up in time", now, o);
+				continue;
+			}
 			if (!none && wait <= (double)(x->limit - now)) {
 				before++;
 				continue;
@@ -173,6 +202,19 @@
 	}
 }
 
+/* The process ends soon: what is still here is told so, rather than find its connection closed. */
+static void end_leaving(struct router *c, int64_t now, struct out *o)
+{
+	if (!c->leave_by || now < c->leave_by - ROUTER_LEAVE_WAITING)
+		return;
+	for (ptrdiff_t i = arrlen(c->all) - 1; i >= 0; i--) {
+		struct client_request *x = c->all[i];
+
+		if (x->state != REQUEST_RUNNING || now >= c->leave_by - ROUTER_LEAVE_RUNNING)
+			router_end_early(c, x, 503, "this counter is stopping", now, o);
+	}
+}
+
 static void tick(struct router *c, int64_t now, struct out *o)
 {
 	router_retention_tick(c, now);
@@ -189,6 +231,7 @@
 	else
 		router_look(c, now, o);
 	end_hopeless(c, now, o);
+	end_leaving(c, now, o);
 	router_releases_tick(c, now, o);
 	for (ptrdiff_t i = arrlen(c->all) - 1; i >= 0; i--) {
 		struct client_request *x = c->all[i];
@@ -245,6 +288,10 @@
 	}
 }
 
+/* A forwarded request that a server has been sent goes on, as it does where its key is known to be removed: it was sent while
+ * the configuration was certain to be in force, and the server ends it within its deadline. */
+static int outlives_configuration(const struct client_request *x) { return x->forwarded && x->state == REQUEST_RUNNING; }
+
 /* Cut off, or woken after a freeze: before anything else happens, what has not been sent is refused, and in the product's own
  * interface all that is held here ends. */
 static void end_blind(struct router *c, int64_t now, struct out *o)
@@ -293,11 +340,7 @@
 		x = router_request_by(c, ev->u.gone.token);
 		if (!x || x->token != ev->u.gone.token)
 			break;
-		c->n.gone++;
-		router_call_cancel(x, o);
-		if (x->state != REQUEST_RUNNING && x->claim)
-			router_claim_release(c, x, now, o);
-		router_request_drop(c, x);
+		router_request_end(c, x, &(struct request_ending){ REQUEST_CLIENT_GONE, 0, NULL, 0 }, now, o);
 		break;
 	case ROUTER_PIECE:
 		x = router_request_by(c, ev->u.piece.token);
@@ -324,7 +367,10 @@
 		else
 			out_answer(o, ev->u.web.token, 404, 0, router_error_json(o->p, "path: no such call", "refused"));
 		break;
-	case ROUTER_STOP: c->stopping = 1; break;
+	case ROUTER_STOP:
+		c->stopping = 1;
+		c->leave_by = ev->u.stop.leave_by;
+		break;
 	case ROUTER_ASKED: router_asked(c, ev->u.ask, now, o); break;
 	case ROUTER_BEGAN:
 		x = router_request_by(c, ev->u.began.token);
@@ -375,8 +421,7 @@
 
 void router_close(struct router *c)
 {
-	while (arrlen(c->all))
-		router_request_drop(c, c->all[0]);
+	router_requests_discard(c);
 	while (arrlen(c->release))
 		router_release_end(c, 0);
 	arrfree(c->release);
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -34,6 +34,10 @@
 	ROUTER_FULL = 150,
 	ROUTER_AGAIN_LEAST = 50,
 	ROUTER_UNREACHED = 4,
+	ROUTER_LEAVE_WAITING = 1000, /* ms before a stopping process ends: by then what waits is refused, */
+	ROUTER_LEAVE_RUNNING = 300,  /* and what runs is broken off with an answer */
+	ROUTER_SILENCE = 2000,       /* ms of silence that a stream's client bears at the least */
+	ROUTER_AVOID = 300,          /* ms for which a request goes to another server than the one that gave it back */
 	ROUTER_WATCH_WAIT = 1000,
 	ROUTER_FIRST_WATCH_MS = 150,      /* of a router's link that first answers of servers may take at once */
 	ROUTER_FIRST_WATCH_BYTES = 65536, /* what a first answer is taken to bring until some have come */
@@ -152,6 +156,10 @@
 			uint64_t token;
 			const char *path;
 		} web;
+		/* when the process ends, whatever is under way then; 0: not known */
+		struct {
+			int64_t leave_by;
+		} stop;
 		const struct router_asking *ask;
 		struct {
 			uint64_t token;
@@ -256,11 +264,23 @@
 
 enum request_state { REQUEST_WAITING, REQUEST_CLAIMING, REQUEST_RUNNING };
 
+/* How a request that was taken ended. Each has exactly one outcome: router_outcome.c. */
+enum request_outcome {
+	REQUEST_ANSWERED,    /* a server's whole answer went to its client, whatever the answer's status */
+	REQUEST_REFUSED,     /* it never ran and never will; its client was told when to come back */
+	REQUEST_REJECTED,    /* it never ran and never will; its client was told by a 4xx what is wrong with it */
+	REQUEST_BROKEN_OFF,  /* it may have run; its client was told an error, or its stream was ended as not whole */
+	REQUEST_CLIENT_GONE, /* its client left before it ended */
+	REQUEST_OUTCOMES
+};
+
 struct client_request {
 	uint64_t token, seq, claim, call;
 	enum request_state state;
 	apr_pool_t *p;
 	char *digest, *id, *xid, *tail;
+	const char *host, *path; /* of a forwarded one: a newer table places it again by them */
+	uint64_t edition;        /* of the table that it was last placed by */
 	uint32_t lane, tenant, service;
 	int64_t limit, since_at, claim_at, sent_at, claim_from;
 	uint64_t asked; /* the controller that was asked for the claim */
@@ -268,9 +288,11 @@
 	uint64_t hash[ROUTER_PARTS];
 	const char *text[ROUTER_PARTS];
 	uint32_t tokens[ROUTER_PARTS], tail_tokens;
-	uint64_t next;  /* piece expected */
-	int server;     /* -1: none chosen */
-	uint32_t tried; /* last server that refused it */
+	uint64_t next;         /* piece expected */
+	int server;            /* -1: none chosen */
+	uint32_t tried;        /* the last server that gave it back */
+	int64_t tried_until;   /* until then it goes to another one */
+	int64_t given_back_at; /* when that was */
 	uint64_t stamp;
 	uint32_t weights;
 	int from;                     /* the server that kept parts are fetched from; -1: none */
@@ -363,9 +385,10 @@
 };
 
 struct router_counts {
-	uint64_t taken, answered, refused, unknown, sends, resends, pieces, tokens, reused, fetched, cold, claims;
+	uint64_t outcome[REQUEST_OUTCOMES];
+	uint64_t taken, sends, resends, pieces, tokens, reused, fetched, cold, claims;
 	uint64_t watches, events, taken_up, wrong_life, looks, refused_stale, refused_line, refused_limit, refused_early, revoked,
-	    blind, gone;
+	    blind;
 };
 
 struct router_use {
@@ -441,7 +464,8 @@
 	struct router_counts n;
 	struct router_use *use; /* stb_ds: lane << 32 | tenant */
 	int stopping;
-	int plain; /* to compare with: assign by load alone, and reuse what happens to be there */
+	int64_t leave_by; /* of a stop: when the process ends; 0: not known */
+	int plain;        /* to compare with: assign by load alone, and reuse what happens to be there */
 	void (*log)(void *ctx, const char *prefix, const char *line);
 	void *log_ctx;
 };
@@ -461,6 +485,10 @@
  * Example: answer(router_ready(&c, now) ? 200 : 503); */
 int router_ready(const struct router *c, int64_t now);
 
+/* Whether each request that was taken has ended once or is under way; it always holds.
+ * Example: if (!router_balanced(&c)) fail("a request is lost"); */
+int router_balanced(const struct router *c);
+
 /* Whether nothing is under way. Example: if (stopping && router_idle(&c)) leave(); */
 int router_idle(const struct router *c);
 
