Move: listeners from http_server.c to http_door.c

http_server.c holds clients and their answers; listeners, accepting and leaving a door stand in a file of their own.

--- a/lib/shell/http.c
+++ b/lib/shell/http.c
@@ -99,7 +99,7 @@
 		else if (c->kind == CONN_CLIENT)
 			http_client_event(c, ev);
 		else if (c->st == ST_LISTEN)
-			http_server_accept(c);
+			http_door_accept(c);
 	}
 	run_timers(h);
 	run_todo(h);
--- a/lib/shell/http_internal.h
+++ b/lib/shell/http_internal.h
@@ -1,7 +1,8 @@
 /* http_internal: what the files of the HTTP loop share. Not for others.
  *   http_buffer  bytes to come and to go      http_parse   heads and chunks
  *   http_conn    connections and their times  http_server  clients that are answered
- *   http_client  calls and kept connections   http         the loop */
+ *   http_door    listeners, how they are left  http         the loop
+ *   http_client  calls and kept connections */
 #ifndef NL_HTTP_INTERNAL_H
 #define NL_HTTP_INTERNAL_H
 
@@ -240,11 +241,17 @@
 
 /* ---- http_server.c ---- */
 
-void http_server_accept(struct conn *l);
 void http_server_event(struct conn *c, uint32_t ev);
 void http_server_flush(struct conn *c);
 void http_server_timeout(struct conn *c);
 
+/* Wait for a request, from now on. */
+void http_server_idle(struct conn *c);
+
+/* ---- http_door.c ---- */
+
+void http_door_accept(struct conn *l);
+
 /* ---- http_client.c ---- */
 
 void http_client_start(struct conn *c);
