HTTP server: clients' connections end in one place, which loses no answer and counts outcomes

Cause: a connection was closed in five places. A close over unread bytes is a reset, which may overtake the answer, and `nothing_read` knew only what this process had read. (1) http_leave and http_shut reset requests that stood unread in the kernel. (2) http_shut reset what the listener's backlog held. (3) server_next, while leaving, closed behind an answer that had not said `Connection: close`. (4) Requests that had been read behind another one were dropped once its answer said that the connection closes: by RFC 9112 9.3.2 the client has to expect that, by rule LOST they were read and got no answer. (5) A client that ended its half behind a given answer was cut. (6) http_close reset answers over unread bytes. (7) Nothing counted what became of a request. Ruled out: bytes that come between the last look and the close; the client's request is then unread, which the protocol allows. A half close before the answer stays "gone": RFC 9112 leaves it open, a full close looks alike, and GONE forbids to work on. Before, each seen to fail: leaving_reads_what_has_come, shutting_takes_the_backlog, leaving_keeps_the_answer_under_way, leaving_answers_what_was_read_behind, a_half_close_does_not_cut_a_given_answer; closing_loses_no_answer with the old close in place of http_server_stop. each_request_has_one_outcome and what_is_incomplete_is_refused test what is new. After: http_end.c ends connections (our half ends, theirs is read until it ends, 2 s at most; a reset only where an answer was broken off) and counts one outcome for each whole request. http_shut accepts the backlog; idle connections are closed by the next turn of the loop, which has read all that had come. Left: bytes that come after an answer has said that it closes are read and dropped.

--- a/lib/shell/http.c
+++ b/lib/shell/http.c
@@ -75,7 +75,7 @@
 	if (arrlen(h->todo) || (arrlen(h->heap) && h->heap[0]->key - h->now < (int64_t)ms + 1000))
 		h->now = clock_ms();
 	run_todo(h);
-	if (h->did || arrlen(h->todo) || ms < 0)
+	if (h->did || h->sweeps || arrlen(h->todo) || ms < 0)
 		ms = 0;
 	if (ms && arrlen(h->heap) && h->heap[0]->key - h->now < ms)
 		ms = h->heap[0]->key > h->now ? (int)(h->heap[0]->key - h->now) : 0;
@@ -101,6 +101,8 @@
 		else if (c->st == ST_LISTEN)
 			http_door_accept(c);
 	}
+	if (n < EVENTS)
+		http_door_sweep(h);
 	run_timers(h);
 	run_todo(h);
 	http_conn_reap(h);
@@ -138,14 +140,10 @@
 void http_close(struct http *h)
 {
 	ptrdiff_t i;
-	int lost;
 
 	for (i = 0; i < arrlen(h->slot); i++)
-		if (h->slot[i] && !h->slot[i]->dead) {
-			if (h->slot[i]->st != ST_LINGER)
-				http_conn_send(h->slot[i], &lost);
-			http_conn_close(h->slot[i], 0);
-		}
+		if (h->slot[i] && !h->slot[i]->dead)
+			http_server_stop(h->slot[i]);
 	for (i = 0; i < hmlen(h->calls); i++)
 		http_conn_close(h->calls[i].value, 0);
 	while (hmlen(h->peers)) {
@@ -201,3 +199,12 @@
 }
 
 struct http_counts http_count(const struct http *h) { return h->n; }
+
+uint64_t http_unsettled(const struct http *h)
+{
+	uint64_t left = h->n.requests;
+
+	for (int i = 0; i < HTTP_OUTCOMES; i++)
+		left -= h->n.outcome[i];
+	return left;
+}
--- a/lib/shell/http.h
+++ b/lib/shell/http.h
@@ -67,12 +67,20 @@
 int http_listen(struct http *h, const char *addr, int door, const struct http_limits *l);
 void http_limits(struct http *h, int door, const struct http_limits *l);
 
-/* No new connections at this door; waiting ones that nothing was read from are closed unread. Example: http_shut(h, 1); */
+/* No new connections at this door. Those that have come are taken, and the next turn of the loop reads what has come on them;
+ * the ones that have then said nothing are closed. Example: http_shut(h, 1); */
 void http_shut(struct http *h, int door);
 
-/* From now on each answer of this door says Connection: close, and idle connections are closed. Example: http_leave(h, 1); */
+/* From now on the last answer on each connection of this door says Connection: close. The next turn of the loop reads what has
+ * come, and closes the connections that are idle then. Example: http_leave(h, 1); */
 void http_leave(struct http *h, int door);
 
+/* Requests of a door that have been read in part. Example: while (http_receiving(h, 1)) http_wait(h, 25); */
+int http_receiving(const struct http *h, int door);
+
+/* Answer those with 503 and when to come back: they will never run. Example: http_refuse_incomplete(h, 1, 500); */
+void http_refuse_incomplete(struct http *h, int door, int retry_ms);
+
 /* The request of a token, or NULL when it is over. Example: q = http_request(h, token); */
 const struct http_req *http_request(struct http *h, uint64_t token);
 
@@ -92,7 +100,7 @@
 /* Bytes that a caller has not taken yet. Example: if (http_backlog(h, token) > 8 << 20) http_abort(h, token); */
 size_t http_backlog(struct http *h, uint64_t token);
 
-/* Callers that are being answered, or whose answers are not sent to the end. Example: while (http_busy(h)) http_wait(h, 25); */
+/* Callers that are being answered, or whose answers are not sent to the end, and doors whose last look is still to come. Example: while (http_busy(h)) http_wait(h, 25); */
 int http_busy(const struct http *h);
 
 /* The port of a door, for one that was opened at port 0. Example: port = http_port(h, 1); */
@@ -123,9 +131,25 @@
 /* A field's value, or NULL; names in any case. Example: http_get(q->f, q->nf, "host") */
 const char *http_get(const struct http_field *f, int nf, const char *name);
 
+/* What became of a request that was read whole. Each has one outcome, counted when its connection is done with it. */
+enum http_outcome {
+	HTTP_ANSWERED,    /* the whole answer has left */
+	HTTP_REFUSED,     /* a whole answer that says when to come back: 503 or 429 with Retry-After */
+	HTTP_CLIENT_GONE, /* the client left, or its connection was lost, before the answer had left */
+	HTTP_CUT_ABORTED, /* broken off by http_abort */
+	HTTP_CUT_LATE,    /* the answer would have left past the time of http_answer_until */
+	HTTP_CUT_STALLED, /* the client took nothing of its answer for the idle time */
+	HTTP_CUT_CLOSED,  /* the loop was closed first */
+	HTTP_OUTCOMES
+};
+
 struct http_counts {
 	uint64_t accepted, connects, kept_used, requests, calls, bad;
+	uint64_t outcome[HTTP_OUTCOMES]; /* of requests; what is missing to their sum is under way */
 };
 struct http_counts http_count(const struct http *h);
 
+/* Requests that were read whole and have no outcome yet. Example: left = http_unsettled(h); */
+uint64_t http_unsettled(const struct http *h);
+
 #endif
--- a/lib/shell/http_internal.h
+++ b/lib/shell/http_internal.h
@@ -1,8 +1,8 @@
 /* http_internal: what the files of the HTTP loop share. Not for others.
  *   http_buffer  bytes to come and to go      http_parse   heads and chunks
  *   http_conn    connections and their times  http_server  clients that are answered
- *   http_door    listeners, how they are left  http         the loop
- *   http_client  calls and kept connections */
+ *   http_door    listeners, how they are left  http_end     how a client's connection ends
+ *   http_client  calls and kept connections   http         the loop */
 #ifndef NL_HTTP_INTERNAL_H
 #define NL_HTTP_INTERNAL_H
 
@@ -22,7 +22,9 @@
 	CLIENT_HEAD = 65536,
 	CHUNK_LINE = 4096,
 	TRAILERS = 16384,
-	LINGER_MS = 2000, /* for a caller to take an answer after which we close */
+	LINGER_MS = 2000,    /* for a caller to take an answer after which we close */
+	LEAVE_IDLE_MS = 200, /* at a door that leaves, for a request that was on its way when the answer before it ended */
+	BACKLOG = 1024,      /* connections that the kernel keeps until they are accepted */
 	KEPT_MS = 4000,
 	CONNECT_MS = 3000,
 	USER_TIMEOUT = 3000,
@@ -102,6 +104,8 @@
 	const char *verb;
 	int read, closing, linger, begun, no_body;
 	enum framing out;
+	int unsettled;        /* a request was read whole, and its outcome is not counted yet */
+	int refusal;          /* its answer says when to come back */
 	int64_t since;        /* when the wait under way began, which the door's limits bound */
 	uint64_t unsent;      /* of a finished answer, when that wait began; UINT64_MAX: not looked at yet */
 	uint64_t left;        /* of the answer's length */
@@ -120,6 +124,7 @@
 
 struct listener {
 	int id, port, leaving, burst, checked, inherits;
+	int sweep; /* idle connections are closed once what has come was read */
 	uint64_t turn;
 	struct http_limits lim;
 };
@@ -165,6 +170,7 @@
 	uint64_t turn, serial;
 	int did; /* callbacks were made before the wait of this turn */
 	int busy;
+	int sweeps; /* doors that wait for theirs */
 	struct conn **doors, **slot, **todo, **doing, **dead, **heap;
 	uint32_t *free_slot;
 	struct conn *spare; /* chain through k.next */
@@ -250,10 +256,33 @@
 /* Wait for a request, from now on. */
 void http_server_idle(struct conn *c);
 
+/* Answer what cannot be served, or not read to its end; nothing of it is delivered. retry_ms: when to come back; 0: not said. */
+void http_server_refuse(struct conn *c, int status, int retry_ms);
+
+/* ---- http_end.c ---- */
+
+/* The request's outcome, counted once. */
+void http_server_settle(struct conn *c, enum http_outcome outcome);
+
+/* Close before the answer has left: at once, and with a reset where an ordinary end could look whole. */
+void http_server_cut(struct conn *c, enum http_outcome outcome);
+
+/* Close behind a whole answer, so that it arrives: our side ends, and theirs is read until it ends too, for LINGER_MS. */
+void http_server_linger(struct conn *c);
+
+/* Read and forget what comes on a connection that lingers; close it once its other side has ended. */
+void http_server_linger_read(struct conn *c);
+
+/* The loop is closed: send what the kernel takes, and close. */
+void http_server_stop(struct conn *c);
+
 /* ---- http_door.c ---- */
 
 void http_door_accept(struct conn *l);
 
+/* Close the idle connections of doors that asked for it. Called in a turn that has read all that had come. */
+void http_door_sweep(struct http *h);
+
 /* ---- http_client.c ---- */
 
 void http_client_start(struct conn *c);
--- a/lib/shell/http_server.c
+++ b/lib/shell/http_server.c
@@ -1,6 +1,7 @@
 /* http_server: clients that connect to a door, one request at a time on a connection, and their answers. */
 #include <errno.h>
 #include <linux/sockios.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -39,7 +40,8 @@
 	case ST_HEAD:
 		if (c->s.read)
 			return d->lim.head_ms;
-		return d->lim.idle_ms;
+		return d->leaving && c->s.token && d->lim.idle_ms > LEAVE_IDLE_MS ? LEAVE_IDLE_MS : d->lim.idle_ms;
+	case ST_DONE: return c->s.unsettled ? d->lim.idle_ms : LINGER_MS; /* of a refusal: its request was not read */
 	case ST_LINGER: return LINGER_MS;
 	default: return d->lim.idle_ms;
 	}
@@ -51,14 +53,18 @@
 	http_timer_set(c, c->s.since + wait_ms(c));
 }
 
-/* Nothing of it was delivered: it could not be read. */
-static void server_refuse(struct conn *c, int status)
+void http_server_refuse(struct conn *c, int status, int retry_ms)
 {
 	struct http *h = c->h;
+	char after[48];
 
 	h->n.bad++;
 	h->busy++;
 	put_status(h, &c->out, status);
+	if (retry_ms > 0) {
+		snprintf(after, sizeof after, "Retry-After: %d.%03d\r\n", retry_ms / 1000, retry_ms % 1000);
+		http_buffer_text(h, &c->out, after);
+	}
 	http_buffer_text(h, &c->out, "Content-Length: 0\r\nConnection: close\r\n\r\n");
 	c->st = ST_DONE;
 	c->s.closing = c->s.linger = 1;
@@ -72,7 +78,7 @@
 	struct http *h = c->h;
 	int waits = c->st == ST_BUSY;
 
-	http_conn_close(c, 0);
+	http_server_cut(c, HTTP_CLIENT_GONE);
 	if (!waits)
 		return;
 	h->did = 1;
@@ -95,7 +101,8 @@
 				    c->hd.has_len || c->hd.chunked ? s->body_len ? c->in.d + s->body : "" : NULL,
 				    s->body_len,
 				    h->now };
-	s->begun = s->no_body = 0;
+	s->begun = s->no_body = s->refusal = 0;
+	s->unsettled = 1;
 	s->answer_until = 0;
 	s->closing = c->hd.close;
 	c->st = ST_BUSY;
@@ -125,11 +132,11 @@
 	}
 	while (s->pos < c->in.len && c->ck.at != CH_DONE) {
 		if ((k = http_chunk_step(&c->ck, c->in.d + s->pos, c->in.len - s->pos, &d, &dn)) < 0) {
-			server_refuse(c, 400);
+			http_server_refuse(c, 400, 0);
 			return 0;
 		}
 		if (c->ck.at != CH_SIZE && s->body_len + dn + c->ck.left > lim->body) { /* the size itself may be half read */
-			server_refuse(c, 413);
+			http_server_refuse(c, 413, 0);
 			return 0;
 		}
 		if (dn)
@@ -160,11 +167,11 @@
 		}
 		end = http_head_end(c, s->pos);
 		if (end < 0) {
-			server_refuse(c, 400);
+			http_server_refuse(c, 400, 0);
 			return;
 		}
 		if ((end ? (size_t)end : c->in.len) - s->pos > lim->head) {
-			server_refuse(c, 431);
+			http_server_refuse(c, 431, 0);
 			return;
 		}
 		if (!end) {
@@ -175,11 +182,11 @@
 			return;
 		}
 		if (!http_head_read(c, s->pos, (size_t)end, 1)) {
-			server_refuse(c, 400);
+			http_server_refuse(c, 400, 0);
 			return;
 		}
 		if (c->hd.has_len && c->hd.length > lim->body) {
-			server_refuse(c, 413);
+			http_server_refuse(c, 413, 0);
 			return;
 		}
 		s->pos = s->body = (size_t)end;
@@ -210,35 +217,22 @@
 	wait_begins(c);
 }
 
-/* The answer is out. */
+/* The answer is out. A connection that has not said that it closes waits for the next request, also while the door leaves: one
+ * may be on its way, and closing over it would be a reset that may overtake the answer. */
 static void server_next(struct conn *c)
 {
 	struct http *h = c->h;
 	struct server_side *s = &c->s;
 	size_t rest = c->in.len > s->pos ? c->in.len - s->pos : 0;
 
+	http_server_settle(c, s->refusal ? HTTP_REFUSED : HTTP_ANSWERED);
 	if (s->closing) {
-		if (!s->linger && !rest && !s->early.len) {
-			http_conn_close(c, 0);
-			return;
-		}
-		/* closing over unread bytes would reset, and the answer might be lost with it */
-		h->busy--;
-		shutdown(c->fd, SHUT_WR);
-		c->st = ST_LINGER;
-		http_buffer_free(h, &c->in);
-		http_buffer_free(h, &s->early);
-		http_conn_watch(c, HTTP_READ_EVENTS);
-		http_timer_set(c, h->now + LINGER_MS);
+		http_server_linger(c);
 		return;
 	}
 	if (rest)
 		memmove(c->in.d, c->in.d + s->pos, rest);
 	c->in.len = rest;
-	if (!rest && !s->early.len && s->door->d.leaving) {
-		http_conn_close(c, 0); /* its head was out before we left */
-		return;
-	}
 	if (s->early.len) {
 		http_buffer_put(h, &c->in, s->early.d, s->early.len);
 		http_buffer_free(h, &s->early);
@@ -266,7 +260,7 @@
 	if (c->st == ST_LINGER)
 		return;
 	if (answer_is_late(c)) {
-		http_conn_close(c, 1);
+		http_server_cut(c, HTTP_CUT_LATE);
 		return;
 	}
 	if (!http_conn_send(c, &lost)) {
@@ -282,6 +276,16 @@
 		server_next(c);
 }
 
+/* Bytes behind the request that is being answered: they are read now, so that the answer need not be the last. */
+static void server_read_early(struct conn *c)
+{
+	struct http *h = c->h;
+	ssize_t n = recv(c->fd, h->scratch, SCRATCH, 0);
+
+	if (n > 0)
+		http_buffer_put(h, &c->s.early, h->scratch, (size_t)n);
+}
+
 /* Returns how many bytes have come. */
 static ssize_t server_read(struct conn *c)
 {
@@ -314,16 +318,32 @@
 	return n;
 }
 
+/* The client's half has ended behind an answer that was given whole: it takes the rest of it, and asks for nothing more. */
+static void half_closed(struct conn *c)
+{
+	c->s.closing = c->s.linger = 1;
+	http_conn_watch(c, EPOLLHUP | (c->mask & (uint32_t)EPOLLOUT));
+}
+
+/* A client that ends its half before it has an answer counts as gone. HTTP/1.1 leaves open what such an end means; a full close
+ * looks the same until something is sent, and a server must not work on for a client that has left. */
 void http_server_event(struct conn *c, uint32_t ev)
 {
-	/* who closes, or its half, waits for no answer */
-	if (ev & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
+	if (c->st == ST_LINGER) {
+		http_server_linger_read(c);
+		return;
+	}
+	if ((ev & (EPOLLHUP | EPOLLERR)) || ((ev & EPOLLRDHUP) && c->st != ST_DONE)) {
 		server_lost(c);
 		return;
 	}
 	if (ev & EPOLLOUT)
 		http_server_flush(c);
-	if (!c->dead && (ev & EPOLLIN))
+	if (c->dead)
+		return;
+	if ((ev & EPOLLRDHUP) && c->st == ST_DONE)
+		half_closed(c);
+	else if (ev & EPOLLIN)
 		server_read(c);
 }
 
@@ -369,14 +389,34 @@
 	if (c->st == ST_BUSY)
 		return;
 	if (c->st == ST_LINGER) {
-		http_conn_close(c, 0);
+		http_server_linger_read(c);
+		if (!c->dead)
+			http_conn_close(c, 0);
 	} else if (due > c->h->now) { /* a longer time has come into force */
 		http_timer_set(c, due);
 	} else if (c->st == ST_DONE ? !answer_moves(c) : !request_moves(c)) {
-		http_conn_close(c, 0);
+		http_server_cut(c, HTTP_CUT_STALLED);
 	}
 }
 
+/* Does the answer say that the connection closes, because the door leaves? It does not when bytes of another request have
+ * come: that one is served too. */
+static int leaves_with_answer(struct conn *c)
+{
+	struct server_side *s = &c->s;
+
+	if (!s->door->d.leaving || s->closing)
+		return 0;
+	if (c->in.len <= s->pos && !s->early.len && (c->mask & EPOLLIN))
+		server_read_early(c);
+	return c->in.len <= s->pos && !s->early.len;
+}
+
+static int says_when_to_come_back(int status, const struct http_field *f, int nf)
+{
+	return (status == 503 || status == 429) && http_get(f, nf, "Retry-After") != NULL;
+}
+
 /* Head of an answer. Length below 0: as the version allows. */
 static void answer_head(struct conn *c, int status, const struct http_field *f, int nf, int64_t length)
 {
@@ -390,7 +430,8 @@
 			http_buffer_field(h, &c->out, &f[i]);
 	s->begun = 1;
 	s->no_body = none || !strcmp(s->verb, "HEAD");
-	if (s->door->d.leaving && !s->closing)
+	s->refusal = says_when_to_come_back(status, f, nf);
+	if (leaves_with_answer(c))
 		s->closing = s->linger = 1;
 	s->left = length < 0 ? 0 : (uint64_t)length;
 	s->out = length >= 0 ? FR_LENGTH : c->hd.minor ? FR_CHUNKED : FR_EOF;
@@ -499,7 +540,7 @@
 	struct conn *c = by_token(h, token);
 
 	if (c)
-		http_conn_close(c, 1);
+		http_server_cut(c, HTTP_CUT_ABORTED);
 }
 
 size_t http_backlog(struct http *h, uint64_t token)
@@ -509,4 +550,4 @@
 	return c ? c->out.len - c->out.off : 0;
 }
 
-int http_busy(const struct http *h) { return h->busy; }
+int http_busy(const struct http *h) { return h->busy + h->sweeps; }
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -880,10 +880,108 @@
 	end(&s);
 }
 
-/* ---- limits that change, and times that are over, under requests that have come ---- */
+/* ---- a planned stop, and limits that change, under requests that have come ---- */
+
+static const char leaving_ok[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 
 static const char get_a[] = "GET /a HTTP/1.1\r\n\r\n";
 
+/* A request that stands unread in the kernel when the door leaves is served, and not reset. */
+static void leaving_reads_what_has_come(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	int fd = dial(h);
+
+	(void)st;
+	s.answer = 1;
+	say(fd, get_a);
+	heard_so_far(h, fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	say(fd, get_a);
+	http_leave(h, 1);
+	heard(h, fd, leaving_ok);
+	assert_int_equal(s.requests, 2);
+	assert_int_equal(http_busy(h), 0);
+	end(&s);
+}
+
+/* What the listener's backlog holds when the door is shut is taken first, and so is what was said on it. */
+static void shutting_takes_the_backlog(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	int fd[20];
+	char b[GOT];
+	int how;
+
+	(void)st;
+	s.answer = 1;
+	for (int i = 0; i < 20; i++) {
+		fd[i] = dial(h);
+		if (i % 2)
+			say(fd[i], get_a);
+	}
+	http_leave(h, 1);
+	http_shut(h, 1);
+	for (int i = 1; i < 20; i += 2)
+		heard(h, fd[i], leaving_ok);
+	for (int i = 0; i < 20; i += 2) { /* who has said nothing is closed */
+		assert_int_equal(hear(h, fd[i], b, GOT, GOT, &how), 0);
+		assert_int_equal(how, 1);
+		close(fd[i]);
+	}
+	assert_int_equal(s.requests, 10);
+	end(&s);
+}
+
+/* An answer whose head left before the door leaves has not said that the connection closes: a request that has come behind it
+ * is served, and the answer is not lost with a reset over unread bytes. */
+static void leaving_keeps_the_answer_under_way(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	int fd = dial(h);
+
+	(void)st;
+	say(fd, get_a);
+	UNTIL(h, s.requests == 1);
+	http_begin(h, s.token[0], 200, NULL, 0, 1);
+	heard_so_far(h, fd, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n");
+	http_leave(h, 1);
+	http_wait(h, 0);
+	say(fd, get_a); /* unread when the answer ends */
+	http_write(h, s.token[0], "x", 1);
+	http_finish(h, s.token[0]);
+	s.answer = 1;
+	heard(h, fd, "xHTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+	assert_int_equal(s.requests, 2);
+	end(&s);
+}
+
+/* Requests that were read behind one another: the last of them is told that the connection closes. */
+static void leaving_answers_what_was_read_behind(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	int fd = dial(h);
+
+	(void)st;
+	say(fd, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+	UNTIL(h, s.requests == 1);
+	say(fd, "GET /3 HTTP/1.1\r\n\r\n");
+	http_wait(h, 1000);
+	http_leave(h, 1);
+	s.answer = 1;
+	http_answer(h, s.token[0], 200, NULL, 0, "1", 1);
+	heard(h, fd,
+	      "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1"
+	      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+	assert_int_equal(s.requests, 3);
+	assert_int_equal(http_busy(h), 0);
+	end(&s);
+}
+
 /* A time is over, and the bytes that it waited for have come since the loop looked: they are read first. */
 static void bytes_go_before_their_timer(void **st)
 {
@@ -1029,6 +1127,139 @@
 	end(&s);
 }
 
+/* A caller that has ended its half once its answer was given still takes the rest of it. */
+static void a_half_close_does_not_cut_a_given_answer(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	int fd = dial(h), how;
+	size_t want;
+
+	(void)st;
+	want = give_large(&s, fd);
+	http_wait(h, 0);
+	shutdown(fd, SHUT_WR);
+	http_wait(h, 100);
+	assert_int_equal(hear_slowly(h, fd, want, 0, &how), want);
+	heard(h, fd, "");
+	assert_int_equal(s.gone, 0);
+	assert_int_equal(http_busy(h), 0);
+	end(&s);
+}
+
+/* Each request that was read whole has one outcome. */
+static void each_request_has_one_outcome(void **st)
+{
+	static const char get_old[] = "GET / HTTP/1.0\r\n\r\n";
+	struct http_field again[] = { { "Retry-After", "1.5" } };
+	uint64_t want[HTTP_OUTCOMES] = { 0 };
+	struct seen s;
+	struct http *h = begin(&s);
+	int fd;
+
+	(void)st;
+	for (int i = 0; i < 7; i++) {
+		struct http_counts n;
+
+		fd = dial(h);
+		say(fd, i == 3 ? get_old : get_a);
+		UNTIL(h, s.requests == i + 1);
+		assert_int_equal(http_unsettled(h), 1);
+		if (i == 0)
+			http_answer(h, s.token[i], 200, NULL, 0, "x", 1);
+		if (i == 1)
+			http_answer(h, s.token[i], 503, again, 1, "", 0);
+		if (i == 2)
+			http_answer(h, s.token[i], 503, NULL, 0, "", 0);
+		if (i == 3)
+			http_begin(h, s.token[i], 200, NULL, 0, -1);
+		if (i == 3 || i == 4)
+			http_abort(h, s.token[i]);
+		if (i == 5)
+			close(fd);
+		if (i == 6) {
+			http_answer_until(h, s.token[i], clock_ms() - 1);
+			http_answer(h, s.token[i], 200, NULL, 0, "x", 1);
+		}
+		want[(int[]){ HTTP_ANSWERED, HTTP_REFUSED, HTTP_ANSWERED, HTTP_CUT_ABORTED, HTTP_CUT_ABORTED, HTTP_CLIENT_GONE,
+			      HTTP_CUT_LATE }[i]]++;
+		UNTIL(h, !http_unsettled(h));
+		n = http_count(h);
+		assert_memory_equal(n.outcome, want, sizeof want);
+		if (i != 5)
+			close(fd);
+	}
+	fd = dial(h);
+	say(fd, "GET /bad\r\n\r\n"); /* never read whole */
+	UNTIL(h, http_count(h).bad == 1);
+	assert_int_equal(http_unsettled(h), 0);
+	close(fd);
+	end(&s);
+}
+
+/* The loop is closed while answers are on their way, over bytes that nobody has read: the answers arrive. */
+static void closing_loses_no_answer(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	int given = dial(h), lingers = dial(h), waits = dial(h);
+	char b[200];
+
+	(void)st;
+	say(given, get_a);
+	UNTIL(h, s.requests == 1);
+	say(lingers, "GET / HTTP/1.1\r\nConnection: close\r\n\r\nsurplus");
+	UNTIL(h, s.requests == 2);
+	say(waits, get_a);
+	UNTIL(h, s.requests == 3);
+	http_answer(h, s.token[1], 200, NULL, 0, "2", 1);
+	http_wait(h, 0);
+	assert_int_equal(http_unsettled(h), 2);
+	http_answer(h, s.token[0], 200, NULL, 0, "1", 1);
+	say(given, "surplus");
+	say(lingers, "surplus");
+	end(&s);
+	assert_int_equal(recv(given, b, sizeof b, 0), 39);
+	assert_int_equal(recv(given, b, sizeof b, 0), 0);
+	assert_int_equal(recv(lingers, b, sizeof b, 0), 58);
+	assert_int_equal(recv(lingers, b, sizeof b, 0), 0);
+	assert_int_equal(recv(waits, b, sizeof b, 0), 0);
+	close(given);
+	close(lingers);
+	close(waits);
+}
+
+/* A request that is read in part when the process ends is refused with when to come back, and the client hears it. */
+static void what_is_incomplete_is_refused(void **st)
+{
+	static const char refused[] =
+	    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+	struct seen s;
+	struct http *h = begin(&s);
+	int head = dial(h), body = dial(h), chunk = dial(h), idle = dial(h), waits = dial(h);
+
+	(void)st;
+	say(head, "GET /a HT");
+	say(body, "POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
+	say(chunk, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab");
+	say(waits, get_a);
+	UNTIL(h, s.requests == 1 && http_receiving(h, 1) == 3);
+	http_leave(h, 1);
+	http_shut(h, 1);
+	http_refuse_incomplete(h, 1, 500);
+	assert_int_equal(http_receiving(h, 1), 0);
+	say(body, "cde"); /* was on its way, and is read over */
+	heard(h, head, refused);
+	heard(h, body, refused);
+	heard(h, chunk, refused);
+	heard(h, idle, "");
+	http_answer(h, s.token[0], 200, NULL, 0, "", 0);
+	heard(h, waits, leaving_ok);
+	assert_int_equal(s.requests, 1);
+	assert_int_equal(http_busy(h), 0);
+	end(&s);
+}
+
 /* What is understood does not depend on how the bytes are cut, however odd they are. */
 struct understood {
 	int requests, bad;
@@ -2172,10 +2403,18 @@
 		cmocka_unit_test(abort_never_looks_whole),
 		cmocka_unit_test(gone_once),
 		cmocka_unit_test(leaves),
+		cmocka_unit_test(leaving_reads_what_has_come),
+		cmocka_unit_test(shutting_takes_the_backlog),
+		cmocka_unit_test(leaving_keeps_the_answer_under_way),
+		cmocka_unit_test(leaving_answers_what_was_read_behind),
 		cmocka_unit_test(bytes_go_before_their_timer),
 		cmocka_unit_test(a_slow_head_gains_no_time),
 		cmocka_unit_test(longer_times_hold_at_once),
 		cmocka_unit_test(a_slow_link_that_moves_is_not_cut),
+		cmocka_unit_test(a_half_close_does_not_cut_a_given_answer),
+		cmocka_unit_test(each_request_has_one_outcome),
+		cmocka_unit_test(closing_loses_no_answer),
+		cmocka_unit_test(what_is_incomplete_is_refused),
 		cmocka_unit_test(slow_callers),
 		cmocka_unit_test(backlog),
 		cmocka_unit_test(wakes),
