HTTP server: an idle connection is read once more before a leaving door closes it

Cause: the turn of the loop that closes idle connections at http_leave and http_shut had asked for events before; a process that stood still in between closed over a request that had come meanwhile (a reset), and a wait that a signal had interrupted counted as a look at which nothing had come. After: each idle connection is read before it is closed, one recv for each at a planned stop. What comes after that read is reset unread, which the protocol allows.

--- a/lib/shell/http.c
+++ b/lib/shell/http.c
@@ -101,8 +101,7 @@
 		else if (c->st == ST_LISTEN)
 			http_door_accept(c);
 	}
-	if (n < EVENTS)
-		http_door_sweep(h);
+	http_door_sweep(h);
 	run_timers(h);
 	run_todo(h);
 	http_conn_reap(h);
--- a/lib/shell/http.h
+++ b/lib/shell/http.h
@@ -68,7 +68,7 @@
 void http_limits(struct http *h, int door, const struct http_limits *l);
 
 /* No new connections at this door. Those that have come are taken, and the next turn of the loop reads what has come on them;
- * the ones that have then said nothing are closed. Example: http_shut(h, 1); */
+ * the ones on which nothing has come are closed. Example: http_shut(h, 1); */
 void http_shut(struct http *h, int door);
 
 /* From now on the last answer on each connection of this door says Connection: close. The next turn of the loop reads what has
--- a/lib/shell/http_door.c
+++ b/lib/shell/http_door.c
@@ -172,7 +172,7 @@
 	for (i = 0; i < arrlen(h->slot); i++) {
 		struct conn *c = h->slot[i];
 
-		if (c && !c->dead && c->s.door->d.sweep && may_close_unread(c))
+		if (c && !c->dead && c->s.door->d.sweep && may_close_unread(c) && !http_server_moves(c))
 			http_conn_close(c, 0);
 	}
 	for (i = 0; i < arrlen(h->doors); i++)
--- a/lib/shell/http_internal.h
+++ b/lib/shell/http_internal.h
@@ -253,6 +253,9 @@
 void http_server_flush(struct conn *c);
 void http_server_timeout(struct conn *c);
 
+/* Read what has come of a request. Returns whether anything has that lets it go on: a head has its time as a whole. */
+int http_server_moves(struct conn *c);
+
 /* Wait for a request, from now on. */
 void http_server_idle(struct conn *c);
 
@@ -280,7 +283,7 @@
 
 void http_door_accept(struct conn *l);
 
-/* Close the idle connections of doors that asked for it. Called in a turn that has read all that had come. */
+/* Close the connections of doors that asked for it, if they are idle and nothing has come on them. */
 void http_door_sweep(struct http *h);
 
 /* ---- http_client.c ---- */
--- a/lib/shell/http_server.c
+++ b/lib/shell/http_server.c
@@ -347,8 +347,8 @@
 		server_read(c);
 }
 
-/* Bytes may have come since the loop looked: this process may have stood still. A head has its time as a whole. */
-static int request_moves(struct conn *c)
+/* Bytes may have come since the loop looked: this process may have stood still. */
+int http_server_moves(struct conn *c)
 {
 	int in_head = c->st == ST_HEAD && c->s.read;
 	ssize_t n = server_read(c);
@@ -394,7 +394,7 @@
 			http_conn_close(c, 0);
 	} else if (due > c->h->now) { /* a longer time has come into force */
 		http_timer_set(c, due);
-	} else if (c->st == ST_DONE ? !answer_moves(c) : !request_moves(c)) {
+	} else if (c->st == ST_DONE ? !answer_moves(c) : !http_server_moves(c)) {
 		http_server_cut(c, HTTP_CUT_STALLED);
 	}
 }
