--- a/lib/shell/http_server.c
+++ b/lib/shell/http_server.c
@@ -1,9 +1,10 @@
 /* http_server: clients that connect to a door, one request at a time on a connection, and their answers. */
 #include <errno.h>
-#include <stdlib.h>
+#include <linux/sockios.h>
+#include <stdio.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <http_parser.h>
 
@@ -30,19 +31,45 @@
 	http_buffer_put(h, b, "\r\n", 2);
 }
 
-/* Nothing of it was delivered: it could not be read. */
-static void server_refuse(struct conn *c, int status)
+/* For how long the wait under way may last. */
+static int wait_ms(const struct conn *c)
+{
+	const struct listener *d = &c->s.door->d;
+
+	switch (c->st) {
+	case ST_HEAD:
+		if (c->s.read)
+			return d->lim.head_ms;
+		return d->leaving && c->s.token && d->lim.idle_ms > LEAVE_IDLE_MS ? LEAVE_IDLE_MS : d->lim.idle_ms;
+	case ST_DONE: return c->s.unsettled ? d->lim.idle_ms : LINGER_MS; /* of a refusal: its request was not read */
+	case ST_LINGER: return LINGER_MS;
+	default: return d->lim.idle_ms;
+	}
+}
+
+static void wait_begins(struct conn *c)
+{
+	c->s.since = c->h->now;
+	http_timer_set(c, c->s.since + wait_ms(c));
+}
+
+void http_server_refuse(struct conn *c, int status, int retry_ms)
 {
 	struct http *h = c->h;
+	char after[48];
 
 	h->n.bad++;
 	h->busy++;
 	put_status(h, &c->out, status);
+	if (retry_ms > 0) {
+		snprintf(after, sizeof after, "Retry-After: %d.%03d\r\n", retry_ms / 1000, retry_ms % 1000);
+		http_buffer_text(h, &c->out, after);
+	}
 	http_buffer_text(h, &c->out, "Content-Length: 0\r\nConnection: close\r\n\r\n");
 	c->st = ST_DONE;
 	c->s.closing = c->s.linger = 1;
 	c->in.len = 0;
-	http_timer_set(c, h->now + LINGER_MS);
+	wait_begins(c);
 	http_conn_queue(c);
 }
 
@@ -51,7 +78,7 @@
 	struct http *h = c->h;
 	int waits = c->st == ST_BUSY;
 
-	http_conn_close(c, 0);
+	http_server_cut(c, HTTP_CLIENT_GONE);
 	if (!waits)
 		return;
 	h->did = 1;
@@ -74,7 +101,8 @@
 				    c->hd.has_len || c->hd.chunked ? s->body_len ? c->in.d + s->body : "" : NULL,
 				    s->body_len,
 				    h->now };
-	s->begun = s->no_body = 0;
+	s->begun = s->no_body = s->refusal = 0;
+	s->unsettled = 1;
 	s->answer_until = 0;
 	s->closing = c->hd.close;
 	c->st = ST_BUSY;
@@ -104,11 +132,11 @@
 	}
 	while (s->pos < c->in.len && c->ck.at != CH_DONE) {
 		if ((k = http_chunk_step(&c->ck, c->in.d + s->pos, c->in.len - s->pos, &d, &dn)) < 0) {
-			server_refuse(c, 400);
+			http_server_refuse(c, 400, 0);
 			return 0;
 		}
 		if (c->ck.at != CH_SIZE && s->body_len + dn + c->ck.left > lim->body) { /* the size itself may be half read */
-			server_refuse(c, 413);
+			http_server_refuse(c, 413, 0);
 			return 0;
 		}
 		if (dn)
@@ -139,26 +167,26 @@
 		}
 		end = http_head_end(c, s->pos);
 		if (end < 0) {
-			server_refuse(c, 400);
+			http_server_refuse(c, 400, 0);
 			return;
 		}
 		if ((end ? (size_t)end : c->in.len) - s->pos > lim->head) {
-			server_refuse(c, 431);
+			http_server_refuse(c, 431, 0);
 			return;
 		}
 		if (!end) {
 			if (c->due == NO_TIME || !s->read) {
 				s->read = 1;
-				http_timer_set(c, h->now + lim->head_ms);
+				wait_begins(c);
 			}
 			return;
 		}
 		if (!http_head_read(c, s->pos, (size_t)end, 1)) {
-			server_refuse(c, 400);
+			http_server_refuse(c, 400, 0);
 			return;
 		}
 		if (c->hd.has_len && c->hd.length > lim->body) {
-			server_refuse(c, 413);
+			http_server_refuse(c, 413, 0);
 			return;
 		}
 		s->pos = s->body = (size_t)end;
@@ -178,46 +206,33 @@
 	if (server_body(c))
 		server_deliver(c);
 	else if (c->st == ST_BODY)
-		http_timer_set(c, h->now + lim->idle_ms);
+		wait_begins(c);
 }
 
-static void server_idle(struct conn *c)
+void http_server_idle(struct conn *c)
 {
 	c->st = ST_HEAD;
 	c->s.read = 0;
 	c->s.pos = c->scan = 0;
-	http_timer_set(c, c->h->now + c->s.door->d.lim.idle_ms);
+	wait_begins(c);
 }
 
-/* The answer is out. */
+/* The answer is out. A connection that has not said that it closes waits for the next request, also while the door leaves: one
+ * may be on its way, and closing over it would be a reset that may overtake the answer. */
 static void server_next(struct conn *c)
 {
 	struct http *h = c->h;
 	struct server_side *s = &c->s;
 	size_t rest = c->in.len > s->pos ? c->in.len - s->pos : 0;
 
+	http_server_settle(c, s->refusal ? HTTP_REFUSED : HTTP_ANSWERED);
 	if (s->closing) {
-		if (!s->linger && !rest && !s->early.len) {
-			http_conn_close(c, 0);
-			return;
-		}
-		/* closing over unread bytes would reset, and the answer might be lost with it */
-		h->busy--;
-		shutdown(c->fd, SHUT_WR);
-		c->st = ST_LINGER;
-		http_buffer_free(h, &c->in);
-		http_buffer_free(h, &s->early);
-		http_conn_watch(c, HTTP_READ_EVENTS);
-		http_timer_set(c, h->now + LINGER_MS);
+		http_server_linger(c);
 		return;
 	}
 	if (rest)
 		memmove(c->in.d, c->in.d + s->pos, rest);
 	c->in.len = rest;
-	if (!rest && !s->early.len && s->door->d.leaving) {
-		http_conn_close(c, 0); /* its head was out before we left */
-		return;
-	}
 	if (s->early.len) {
 		http_buffer_put(h, &c->in, s->early.d, s->early.len);
 		http_buffer_free(h, &s->early);
@@ -225,7 +240,7 @@
 			http_conn_watch(c, HTTP_READ_EVENTS);
 	}
 	h->busy--;
-	server_idle(c);
+	http_server_idle(c);
 	if (c->in.len)
 		server_parse(c);
 	else
@@ -245,7 +260,7 @@
 	if (c->st == ST_LINGER)
 		return;
 	if (answer_is_late(c)) {
-		http_conn_close(c, 1);
+		http_server_cut(c, HTTP_CUT_LATE);
 		return;
 	}
 	if (!http_conn_send(c, &lost)) {
@@ -261,17 +276,28 @@
 		server_next(c);
 }
 
-static void server_read(struct conn *c)
+/* Bytes behind the request that is being answered: they are read now, so that the answer need not be the last. */
+static void server_read_early(struct conn *c)
+{
+	struct http *h = c->h;
+	ssize_t n = recv(c->fd, h->scratch, SCRATCH, 0);
+
+	if (n > 0)
+		http_buffer_put(h, &c->s.early, h->scratch, (size_t)n);
+}
+
+/* Returns how many bytes have come. */
+static ssize_t server_read(struct conn *c)
 {
 	struct http *h = c->h;
 	struct server_side *s = &c->s;
 	ssize_t n = recv(c->fd, h->scratch, SCRATCH, 0);
 
 	if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
-		return;
+		return 0;
 	if (n <= 0) {
 		server_lost(c);
-		return;
+		return 0;
 	}
 	switch (c->st) {
 	case ST_HEAD:
@@ -289,68 +315,106 @@
 		break;
 	default: break;
 	}
+	return n;
+}
+
+/* The client's half has ended behind an answer that was given whole: it takes the rest of it, and asks for nothing more. */
+static void half_closed(struct conn *c)
+{
+	c->s.closing = c->s.linger = 1;
+	http_conn_watch(c, EPOLLHUP | (c->mask & (uint32_t)EPOLLOUT));
 }
 
+/* A client that ends its half before it has an answer counts as gone. HTTP/1.1 leaves open what such an end means; a full close
+ * looks the same until something is sent, and a server must not work on for a client that has left. */
 void http_server_event(struct conn *c, uint32_t ev)
 {
-	/* who closes, or its half, waits for no answer */
-	if (ev & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
+	if (c->st == ST_LINGER) {
+		http_server_linger_read(c);
+		return;
+	}
+	if ((ev & (EPOLLHUP | EPOLLERR)) || ((ev & EPOLLRDHUP) && c->st != ST_DONE)) {
 		server_lost(c);
 		return;
 	}
 	if (ev & EPOLLOUT)
 		http_server_flush(c);
-	if (!c->dead && (ev & EPOLLIN))
+	if (c->dead)
+		return;
+	if ((ev & EPOLLRDHUP) && c->st == ST_DONE)
+		half_closed(c);
+	else if (ev & EPOLLIN)
 		server_read(c);
 }
 
-void http_server_accept(struct conn *l)
+/* Bytes may have come since the loop looked: this process may have stood still. */
+int http_server_moves(struct conn *c)
 {
-	struct http *h = l->h;
-	struct listener *d = &l->d;
-	int i, fd;
+	int in_head = c->st == ST_HEAD && c->s.read;
+	ssize_t n = server_read(c);
 
-	/* one a turn, and more only when more wait turn after turn */
-	d->burst = d->turn + 1 == h->turn ? d->burst < 64 ? d->burst * 2 : 64 : 1;
-	d->turn = h->turn;
-	for (i = 0; i < d->burst; i++) {
-		struct conn *c;
+	return c->dead || c->st == ST_BUSY || c->st == ST_DONE || (n > 0 && !(in_head && c->st == ST_HEAD));
+}
 
-		fd = accept4(l->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-		if (fd < 0) {
-			if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
-				l->st = ST_PAUSED;
-				http_conn_watch(l, EPOLLRDHUP);
-				http_timer_set(l, h->now + 100);
-			}
-			return;
-		}
-		if (!d->checked) {
-			d->checked = 1;
-			d->inherits = http_socket_inherits(fd);
-		}
-		if (!d->inherits)
-			http_socket_options(fd);
-		h->n.accepted++;
-		c = http_conn_new(h, CONN_SERVER, fd);
-		c->s.door = l;
-		if (arrlen(h->free_slot)) {
-			c->s.slot = arrpop(h->free_slot);
-		} else {
-			c->s.slot = (uint32_t)arrlenu(h->slot);
-			arrput(h->slot, NULL);
-		}
-		h->slot[c->s.slot] = c;
-		http_conn_watch(c, HTTP_READ_EVENTS);
-		server_idle(c);
-	}
+/* Bytes of the answer that the client's machine has not acknowledged. */
+static uint64_t unsent(const struct conn *c)
+{
+	int kernel = 0;
+
+	if (ioctl(c->fd, SIOCOUTQ, &kernel) || kernel < 0)
+		kernel = 0;
+	return c->out.len - c->out.off + (uint64_t)kernel;
+}
+
+/* A slow link may need many times the idle time for one answer. */
+static int answer_moves(struct conn *c)
+{
+	uint64_t left;
+
+	http_server_flush(c);
+	if (c->dead || c->st != ST_DONE)
+		return 1;
+	left = unsent(c);
+	if (left >= c->s.unsent)
+		return 0;
+	c->s.unsent = left;
+	wait_begins(c);
+	return 1;
 }
 
 void http_server_timeout(struct conn *c)
 {
+	int64_t due = c->s.since + wait_ms(c);
+
 	if (c->st == ST_BUSY)
 		return;
-	http_conn_close(c, 0);
+	if (c->st == ST_LINGER) {
+		http_server_linger_read(c);
+		if (!c->dead)
+			http_conn_close(c, 0);
+	} else if (due > c->h->now) { /* a longer time has come into force */
+		http_timer_set(c, due);
+	} else if (c->st == ST_DONE ? !answer_moves(c) : !http_server_moves(c)) {
+		http_server_cut(c, HTTP_CUT_STALLED);
+	}
+}
+
+/* Does the answer say that the connection closes, because the door leaves? It does not when bytes of another request have
+ * come: that one is served too. */
+static int leaves_with_answer(struct conn *c)
+{
+	struct server_side *s = &c->s;
+
+	if (!s->door->d.leaving || s->closing)
+		return 0;
+	if (c->in.len <= s->pos && !s->early.len && (c->mask & EPOLLIN))
+		server_read_early(c);
+	return c->in.len <= s->pos && !s->early.len;
+}
+
+static int says_when_to_come_back(int status, const struct http_field *f, int nf)
+{
+	return (status == 503 || status == 429) && http_get(f, nf, "Retry-After") != NULL;
 }
 
 /* Head of an answer. Length below 0: as the version allows. */
@@ -366,7 +430,8 @@
 			http_buffer_field(h, &c->out, &f[i]);
 	s->begun = 1;
 	s->no_body = none || !strcmp(s->verb, "HEAD");
-	if (s->door->d.leaving && !s->closing)
+	s->refusal = says_when_to_come_back(status, f, nf);
+	if (leaves_with_answer(c))
 		s->closing = s->linger = 1;
 	s->left = length < 0 ? 0 : (uint64_t)length;
 	s->out = length >= 0 ? FR_LENGTH : c->hd.minor ? FR_CHUNKED : FR_EOF;
@@ -388,7 +453,8 @@
 static void answer_over(struct conn *c)
 {
 	c->st = ST_DONE;
-	http_timer_set(c, c->h->now + c->s.door->d.lim.idle_ms);
+	c->s.unsent = UINT64_MAX; /* looked at only when the idle time is over, so that an answer costs no system call more */
+	wait_begins(c);
 	http_conn_queue(c);
 }
 
@@ -474,7 +540,7 @@
 	struct conn *c = by_token(h, token);
 
 	if (c)
-		http_conn_close(c, 1);
+		http_server_cut(c, HTTP_CUT_ABORTED);
 }
 
 size_t http_backlog(struct http *h, uint64_t token)
@@ -484,97 +550,4 @@
 	return c ? c->out.len - c->out.off : 0;
 }
 
-int http_busy(const struct http *h) { return h->busy; }
-
-/* ---- doors ---- */
-
-int http_listen(struct http *h, const char *addr, int door, const struct http_limits *l)
-{
-	uint64_t a = core_addr(addr);
-	struct sockaddr_in sa = http_socket_address(a);
-	socklen_t n = sizeof sa;
-	struct conn *c;
-	int fd, on = 1;
-
-	if (!a) {
-		log_say(LOG_BAD, "http", "Cannot listen at %s: not an address.", addr);
-		return 0;
-	}
-	if ((fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) < 0)
-		goto bad;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-	http_socket_options(fd);
-	if (bind(fd, (struct sockaddr *)&sa, sizeof sa) || listen(fd, 1024) || getsockname(fd, (struct sockaddr *)&sa, &n))
-		goto bad;
-	c = http_conn_new(h, CONN_DOOR, fd);
-	c->st = ST_LISTEN;
-	c->d.id = door;
-	c->d.port = ntohs(sa.sin_port);
-	c->d.burst = 1;
-	c->d.lim = *l;
-	http_conn_watch(c, EPOLLIN);
-	arrput(h->doors, c);
-	return 1;
-bad:
-	log_say(LOG_BAD, "http", "Cannot listen at %s: %s.", addr, strerror(errno));
-	if (fd >= 0)
-		close(fd);
-	return 0;
-}
-
-int http_port(const struct http *h, int door)
-{
-	ptrdiff_t i;
-
-	for (i = arrlen(h->doors); i--;)
-		if (h->doors[i]->d.id == door)
-			return h->doors[i]->d.port;
-	return 0;
-}
-
-void http_limits(struct http *h, int door, const struct http_limits *l)
-{
-	ptrdiff_t i;
-
-	for (i = 0; i < arrlen(h->doors); i++)
-		if (h->doors[i]->d.id == door)
-			h->doors[i]->d.lim = *l;
-}
-
-static int nothing_read(const struct conn *c) { return c->st == ST_HEAD && !c->in.len; }
-
-void http_shut(struct http *h, int door)
-{
-	ptrdiff_t i;
-
-	for (i = 0; i < arrlen(h->doors); i++) {
-		struct conn *l = h->doors[i];
-
-		if (l->d.id != door || l->fd < 0)
-			continue;
-		close(l->fd); /* its struct stays for its connections */
-		l->fd = -1;
-		http_timer_remove(h, l);
-	}
-	for (i = 0; i < arrlen(h->slot); i++) {
-		struct conn *c = h->slot[i];
-
-		if (c && !c->dead && c->s.door->d.id == door && !c->s.token && nothing_read(c))
-			http_conn_close(c, 0);
-	}
-}
-
-void http_leave(struct http *h, int door)
-{
-	ptrdiff_t i;
-
-	for (i = 0; i < arrlen(h->doors); i++)
-		if (h->doors[i]->d.id == door)
-			h->doors[i]->d.leaving = 1;
-	for (i = 0; i < arrlen(h->slot); i++) {
-		struct conn *c = h->slot[i];
-
-		if (c && !c->dead && c->s.door->d.id == door && nothing_read(c))
-			http_conn_close(c, 0);
-	}
-}
+int http_busy(const struct http *h) { return h->busy + h->sweeps; }
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -17,6 +17,7 @@
 #include <poll.h>
 #include <pthread.h>
 #include <sys/epoll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -35,7 +36,13 @@
 };
 
 static int64_t moved, freeze; /* freeze: for so long in the next wait */
-static struct there *early;   /* a server that speaks first, in the next wait */
+static struct {               /* said to the product in the next wait, once it has looked; the process then stands still */
+	int fd;
+	const char *text;
+	int64_t frozen_ms;
+} after_look;
+static void say(int fd, const char *d);
+static struct there *early; /* a server that speaks first, in the next wait */
 static void speak_first(struct there *t);
 
 int64_t __wrap_clock_ms(void) { return __real_clock_ms() + moved; }
@@ -55,6 +62,14 @@
 	if (early)
 		speak_first(early);
 	early = NULL;
+	if (after_look.text) {
+		int got = __real_epoll_wait(fd, e, n, 0);
+
+		say(after_look.fd, after_look.text);
+		after_look.text = NULL;
+		moved += after_look.frozen_ms;
+		return got;
+	}
 	return __real_epoll_wait(fd, e, n, ms);
 }
 
@@ -561,6 +576,10 @@
 	say_n(fd, fill, sizeof fill); /* the answer is heard all the same */
 	heard(h, fd, big);
 	fd = dial(h);
+	say(fd, "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 300000\r\n\r\n");
+	say_n(fd, fill, sizeof fill);
+	heard(h, fd, big);
+	fd = dial(h);
 	say(fd, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n");
 	heard(h, fd, big);
 	http_limits(h, 1, &small);
@@ -866,6 +885,447 @@
 	end(&s);
 }
 
+/* ---- a planned stop, and limits that change, under requests that have come ---- */
+
+static const char leaving_ok[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
+static const char get_a[] = "GET /a HTTP/1.1\r\n\r\n";
+
+/* A request that stands unread in the kernel when the door leaves is served, and not reset. */
+static void leaving_reads_what_has_come(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	int fd = dial(h);
+
+	(void)st;
+	s.answer = 1;
+	say(fd, get_a);
+	heard_so_far(h, fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	say(fd, get_a);
+	http_leave(h, 1);
+	heard(h, fd, leaving_ok);
+	assert_int_equal(s.requests, 2);
+	assert_int_equal(http_busy(h), 0);
+	end(&s);
+	h = begin(&s); /* it comes once the loop has looked, and before the connection is closed */
+	s.answer = 1;
+	fd = dial(h);
+	UNTIL(h, http_count(h).accepted == 1);
+	http_leave(h, 1);
+	after_look.fd = fd;
+	after_look.text = get_a;
+	after_look.frozen_ms = 1;
+	heard(h, fd, leaving_ok);
+	end(&s);
+}
+
+/* What the listener's backlog holds when the door is shut is taken first, and so is what was said on it. */
+static void shutting_takes_the_backlog(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	int fd[20];
+	char b[GOT];
+	int how;
+
+	(void)st;
+	s.answer = 1;
+	for (int i = 0; i < 20; i++) {
+		fd[i] = dial(h);
+		if (i % 2)
+			say(fd[i], get_a);
+	}
+	http_leave(h, 1);
+	http_shut(h, 1);
+	for (int i = 1; i < 20; i += 2)
+		heard(h, fd[i], leaving_ok);
+	for (int i = 0; i < 20; i += 2) { /* who has said nothing is closed */
+		assert_int_equal(hear(h, fd[i], b, GOT, GOT, &how), 0);
+		assert_int_equal(how, 1);
+		close(fd[i]);
+	}
+	assert_int_equal(s.requests, 10);
+	end(&s);
+}
+
+/* An answer whose head left before the door leaves has not said that the connection closes: a request that has come behind it
+ * is served, and the answer is not lost with a reset over unread bytes. */
+static void leaving_keeps_the_answer_under_way(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	int fd = dial(h);
+
+	(void)st;
+	say(fd, get_a);
+	UNTIL(h, s.requests == 1);
+	http_begin(h, s.token[0], 200, NULL, 0, 1);
+	heard_so_far(h, fd, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n");
+	http_leave(h, 1);
+	http_wait(h, 0);
+	say(fd, get_a); /* unread when the answer ends */
+	http_write(h, s.token[0], "x", 1);
+	http_finish(h, s.token[0]);
+	s.answer = 1;
+	heard(h, fd, "xHTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+	assert_int_equal(s.requests, 2);
+	end(&s);
+}
+
+/* Requests that were read behind one another: the last of them is told that the connection closes. */
+static void leaving_answers_what_was_read_behind(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	int fd = dial(h);
+
+	(void)st;
+	say(fd, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+	UNTIL(h, s.requests == 1);
+	say(fd, "GET /3 HTTP/1.1\r\n\r\n");
+	http_wait(h, 1000);
+	http_leave(h, 1);
+	s.answer = 1;
+	http_answer(h, s.token[0], 200, NULL, 0, "1", 1);
+	heard(h, fd,
+	      "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1"
+	      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+	assert_int_equal(s.requests, 3);
+	assert_int_equal(http_busy(h), 0);
+	end(&s);
+}
+
+/* A time is over, and the bytes that it waited for have come since the loop looked: they are read first. */
+static void bytes_go_before_their_timer(void **st)
+{
+	static const char *const before[] = { "", "GET /a HT", "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\na" };
+	static const char *const rest[] = { "GET /a HTTP/1.1\r\n\r\n", "TP/1.1\r\n\r\n", "b" };
+	struct seen s;
+	struct http *h = begin(&s);
+
+	(void)st;
+	s.answer = 1;
+	for (int i = 0; i < 3; i++) {
+		int fd = dial(h), accepted = i + 1;
+
+		say(fd, before[i]);
+		UNTIL(h, http_count(h).accepted == (uint64_t)accepted);
+		for (int k = 0; k < 3; k++)
+			http_wait(h, 5);
+		after_look.fd = fd;
+		after_look.text = rest[i];
+		after_look.frozen_ms = 61000;
+		http_wait(h, 0);
+		UNTIL(h, s.requests == i + 1);
+		close(fd);
+	}
+	end(&s);
+}
+
+/* A head has its time as a whole: bytes that come when it is over, and do not end it, buy no more. */
+static void a_slow_head_gains_no_time(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	int fd = dial(h);
+	char b[1];
+
+	(void)st;
+	say(fd, "GET /a HT");
+	http_wait(h, 1000);
+	http_wait(h, 1000);
+	after_look.fd = fd;
+	after_look.text = "TP/1.1\r\nX: ";
+	after_look.frozen_ms = 5001;
+	http_wait(h, 0);
+	assert_int_equal(recv(fd, b, 1, MSG_DONTWAIT), 0);
+	close(fd);
+	end(&s);
+}
+
+/* Longer times that come into force hold for who waits already. */
+static void longer_times_hold_at_once(void **st)
+{
+	struct http_limits brief = { 2048, 16384, 1000, 1000 };
+	struct seen s;
+	struct http *h = begin(&s);
+	int idle, head, body;
+	char b[1];
+
+	(void)st;
+	http_limits(h, 1, &brief);
+	idle = dial(h);
+	head = dial(h);
+	body = dial(h);
+	say(head, "GET / HTTP/1.1\r\nX: ");
+	say(body, "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
+	for (int i = 0; i < 10; i++)
+		http_wait(h, 5);
+	http_limits(h, 1, &usual);
+	moved += 4000;
+	for (int i = 0; i < 5; i++)
+		http_wait(h, 0);
+	assert_int_equal(recv(idle, b, 1, MSG_DONTWAIT), -1);
+	assert_int_equal(errno, EAGAIN);
+	s.answer = 1;
+	say(idle, get_a);
+	say(head, "y\r\n\r\n");
+	say(body, "cde");
+	UNTIL(h, s.requests == 3);
+	moved += 61000;
+	heard(h, idle, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	close(head);
+	close(body);
+	end(&s);
+}
+
+enum { LARGE = 12 << 20 };
+
+/* A large answer, given whole; read by somebody who takes a little of it each time that the clock has moved on. */
+static size_t hear_slowly(struct http *h, int fd, size_t want, int64_t step_ms, int *how)
+{
+	static char b[LARGE + 1000];
+	size_t n = 0;
+
+	*how = 0;
+	while (n < want && !*how) {
+		size_t got = hear(h, fd, b, want - n < 1 << 20 ? want - n : 1 << 20, sizeof b, how);
+
+		n += got;
+		moved += step_ms;
+		http_wait(h, 0);
+	}
+	return n;
+}
+
+static size_t give_large(struct seen *s, int fd)
+{
+	char *body = calloc(1, LARGE);
+	char text[100];
+
+	say(fd, get_a);
+	UNTIL(s->h, s->requests == 1);
+	http_answer(s->h, s->token[0], 200, NULL, 0, body, LARGE);
+	free(body);
+	return (size_t)snprintf(text, sizeof text, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", LARGE) + LARGE;
+}
+
+/* A slow link that moves is not cut off, however long the answer takes in all; one that does not move is. */
+static void a_slow_link_that_moves_is_not_cut(void **st)
+{
+	struct http_limits brief = { 2048, 16384, 1000, 1000 };
+	int how, fd;
+	struct seen s;
+	struct http *h = begin(&s);
+	size_t want;
+
+	(void)st;
+	http_limits(h, 1, &brief);
+	fd = dial(h);
+	want = give_large(&s, fd);
+	assert_int_equal(hear_slowly(h, fd, want, 900, &how), want);
+	assert_int_equal(how, 0);
+	close(fd);
+	end(&s);
+	h = begin(&s);
+	http_limits(h, 1, &brief);
+	fd = dial(h);
+	want = give_large(&s, fd);
+	http_wait(h, 0);
+	moved += 1100;
+	http_wait(h, 0);
+	moved += 1100;
+	http_wait(h, 0);
+	assert_true(hear_slowly(h, fd, want, 0, &how) < want);
+	assert_int_not_equal(how, 0);
+	close(fd);
+	end(&s);
+}
+
+/* A caller that has ended its half once its answer was given still takes the rest of it. */
+static void a_half_close_does_not_cut_a_given_answer(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	int fd = dial(h), how;
+	size_t want;
+
+	(void)st;
+	want = give_large(&s, fd);
+	http_wait(h, 0);
+	shutdown(fd, SHUT_WR);
+	http_wait(h, 100);
+	assert_int_equal(hear_slowly(h, fd, want, 0, &how), want);
+	heard(h, fd, "");
+	assert_int_equal(s.gone, 0);
+	assert_int_equal(http_busy(h), 0);
+	end(&s);
+}
+
+/* A body that its client holds back until it is asked for goes on while the door leaves. */
+static void leaving_asks_for_the_body(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	int fd = dial(h);
+
+	(void)st;
+	s.answer = 1;
+	say(fd, "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+	http_leave(h, 1);
+	http_shut(h, 1);
+	heard_so_far(h, fd, "HTTP/1.1 100 Continue\r\n\r\n");
+	assert_int_equal(http_receiving(h, 1), 1);
+	say(fd, "ok");
+	heard(h, fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok");
+	end(&s);
+}
+
+/* No descriptor is left for what the listener's backlog holds when the door is shut: the rest goes on as ever. */
+static void shutting_without_descriptors(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	int first = dial(h), second, how;
+	struct rlimit was, few;
+	char b[GOT];
+
+	(void)st;
+	s.answer = 1;
+	UNTIL(h, http_count(h).accepted == 1);
+	second = dial(h);
+	say(first, get_a);
+	say(second, get_a);
+	assert_return_code(getrlimit(RLIMIT_NOFILE, &was), errno);
+	few = (struct rlimit){ (rlim_t)second + 1, was.rlim_max };
+	assert_return_code(setrlimit(RLIMIT_NOFILE, &few), errno);
+	http_leave(h, 1);
+	http_shut(h, 1);
+	assert_return_code(setrlimit(RLIMIT_NOFILE, &was), errno);
+	heard(h, first, leaving_ok);
+	hear(h, second, b, GOT, GOT, &how);
+	assert_int_not_equal(how, 0); /* closed unread */
+	close(second);
+	assert_int_equal(s.requests, 1);
+	assert_int_equal(http_busy(h), 0);
+	end(&s);
+}
+
+/* Each request that was read whole has one outcome. */
+static void each_request_has_one_outcome(void **st)
+{
+	static const char get_old[] = "GET / HTTP/1.0\r\n\r\n";
+	struct http_field again[] = { { "Retry-After", "1.5" } };
+	uint64_t want[HTTP_OUTCOMES] = { 0 };
+	struct seen s;
+	struct http *h = begin(&s);
+	int fd;
+
+	(void)st;
+	for (int i = 0; i < 7; i++) {
+		struct http_counts n;
+
+		fd = dial(h);
+		say(fd, i == 3 ? get_old : get_a);
+		UNTIL(h, s.requests == i + 1);
+		assert_int_equal(http_unsettled(h), 1);
+		if (i == 0)
+			http_answer(h, s.token[i], 200, NULL, 0, "x", 1);
+		if (i == 1)
+			http_answer(h, s.token[i], 503, again, 1, "", 0);
+		if (i == 2)
+			http_answer(h, s.token[i], 503, NULL, 0, "", 0);
+		if (i == 3)
+			http_begin(h, s.token[i], 200, NULL, 0, -1);
+		if (i == 3 || i == 4)
+			http_abort(h, s.token[i]);
+		if (i == 5)
+			close(fd);
+		if (i == 6) {
+			http_answer_until(h, s.token[i], clock_ms() - 1);
+			http_answer(h, s.token[i], 200, NULL, 0, "x", 1);
+		}
+		want[(int[]){ HTTP_ANSWERED, HTTP_REFUSED, HTTP_ANSWERED, HTTP_CUT_ABORTED, HTTP_CUT_ABORTED, HTTP_CLIENT_GONE,
+			      HTTP_CUT_LATE }[i]]++;
+		UNTIL(h, !http_unsettled(h));
+		n = http_count(h);
+		assert_memory_equal(n.outcome, want, sizeof want);
+		if (i != 5)
+			close(fd);
+	}
+	fd = dial(h);
+	say(fd, "GET /bad\r\n\r\n"); /* never read whole */
+	UNTIL(h, http_count(h).bad == 1);
+	assert_int_equal(http_unsettled(h), 0);
+	close(fd);
+	end(&s);
+}
+
+/* The loop is closed while answers are on their way, over bytes that nobody has read: the answers arrive. */
+static void closing_loses_no_answer(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	int given = dial(h), lingers = dial(h), waits = dial(h);
+	char b[200];
+
+	(void)st;
+	say(given, get_a);
+	UNTIL(h, s.requests == 1);
+	say(lingers, "GET / HTTP/1.1\r\nConnection: close\r\n\r\nsurplus");
+	UNTIL(h, s.requests == 2);
+	say(waits, get_a);
+	UNTIL(h, s.requests == 3);
+	http_answer(h, s.token[1], 200, NULL, 0, "2", 1);
+	http_wait(h, 0);
+	assert_int_equal(http_unsettled(h), 2);
+	http_answer(h, s.token[0], 200, NULL, 0, "1", 1);
+	say(given, "surplus");
+	say(lingers, "surplus");
+	end(&s);
+	assert_int_equal(recv(given, b, sizeof b, 0), 39);
+	assert_int_equal(recv(given, b, sizeof b, 0), 0);
+	assert_int_equal(recv(lingers, b, sizeof b, 0), 58);
+	assert_int_equal(recv(lingers, b, sizeof b, 0), 0);
+	assert_int_equal(recv(waits, b, sizeof b, 0), 0);
+	close(given);
+	close(lingers);
+	close(waits);
+}
+
+/* A request that is read in part when the process ends is refused with when to come back, and the client hears it. */
+static void what_is_incomplete_is_refused(void **st)
+{
+	static const char refused[] =
+	    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+	struct seen s;
+	struct http *h = begin(&s);
+	int head = dial(h), body = dial(h), chunk = dial(h), idle = dial(h), waits = dial(h);
+
+	(void)st;
+	say(head, "GET /a HT");
+	say(body, "POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
+	say(chunk, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab");
+	say(waits, get_a);
+	UNTIL(h, s.requests == 1 && http_receiving(h, 1) == 3);
+	http_leave(h, 1);
+	http_shut(h, 1);
+	http_refuse_incomplete(h, 1, 500);
+	assert_int_equal(http_receiving(h, 1), 0);
+	say(body, "cde"); /* was on its way, and is read over */
+	heard(h, head, refused);
+	heard(h, body, refused);
+	heard(h, chunk, refused);
+	heard(h, idle, "");
+	http_answer(h, s.token[0], 200, NULL, 0, "", 0);
+	heard(h, waits, leaving_ok);
+	assert_int_equal(s.requests, 1);
+	assert_int_equal(http_busy(h), 0);
+	end(&s);
+}
+
 /* What is understood does not depend on how the bytes are cut, however odd they are. */
 struct understood {
 	int requests, bad;
@@ -2009,6 +2469,20 @@
 		cmocka_unit_test(abort_never_looks_whole),
 		cmocka_unit_test(gone_once),
 		cmocka_unit_test(leaves),
+		cmocka_unit_test(leaving_reads_what_has_come),
+		cmocka_unit_test(shutting_takes_the_backlog),
+		cmocka_unit_test(leaving_keeps_the_answer_under_way),
+		cmocka_unit_test(leaving_answers_what_was_read_behind),
+		cmocka_unit_test(bytes_go_before_their_timer),
+		cmocka_unit_test(a_slow_head_gains_no_time),
+		cmocka_unit_test(longer_times_hold_at_once),
+		cmocka_unit_test(a_slow_link_that_moves_is_not_cut),
+		cmocka_unit_test(a_half_close_does_not_cut_a_given_answer),
+		cmocka_unit_test(leaving_asks_for_the_body),
+		cmocka_unit_test(shutting_without_descriptors),
+		cmocka_unit_test(each_request_has_one_outcome),
+		cmocka_unit_test(closing_loses_no_answer),
+		cmocka_unit_test(what_is_incomplete_is_refused),
 		cmocka_unit_test(slow_callers),
 		cmocka_unit_test(backlog),
 		cmocka_unit_test(wakes),
@@ -2026,5 +2500,7 @@
 	};
 
 	apr_initialize();
+	if (getenv("NL_TEST"))
+		cmocka_set_test_filter(getenv("NL_TEST"));
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
