Stand: LOST is judged clause by clause, in a file of its own

Cause: the judge saw LOST only beside a SIGTERM, and took every reset for a request that had not been read. Cuts beside a SIGHUP or a configuration, and resets of what had been read and was held, were never counted.

Ruled out: guessing from the way in which a connection ends. A process that gives up a request resets its connection as one that has not read it does. The kernel tells what the other end has left unread (sock_diag), without any privilege.

Before: one rule of 25 lines, three stories. After: stand_judge_lost.c, a clause by a function; 25 more stories, each with a twin just inside the rule. A server that broke off excuses a cut only if it was the last one to take the request; until now any earlier one did.

--- a/rehearsal/stand.h
+++ b/rehearsal/stand.h
@@ -6,7 +6,7 @@
  *   stand_operator who sends configurations           stand_machine  processes under test
  *   stand_config   how configurations read            stand_judge*   records, and rules by subject
  *   stand_report   figures and a picture              stand_histogram  durations
- *   stand          scenarios */
+ *   stand_unread   what the other end has not read    stand          scenarios */
 #ifndef NL_STAND_H
 #define NL_STAND_H
 
@@ -87,6 +87,7 @@
 void conn_close(struct conn *c, int reset);
 void conn_set(struct conn *c, const struct conn_on *on, void *ctx);
 int conn_up(const struct conn *c);
+int conn_read_by_peer(const struct conn *c);                /* 1: the process at the other end has read all that was said */
 int conn_alive(const struct loop *l, const struct conn *c); /* for those who kept only its address */
 void *conn_tag(struct conn *c);
 void conn_set_tag(struct conn *c, void *tag);
@@ -98,6 +99,10 @@
 void call_once(struct loop *l, const char *addr, const char *method, const char *target, const char *fields, const char *body,
 	       int ms, void (*fn)(void *ctx, int status, const struct msg *m), void *ctx);
 
+/* How many bytes sent over a connected TCP socket the process at the other end, on this machine, has not read yet;
+ * -1: not known. Example: if (socket_unread(fd) == 0) has_read = 1; */
+int socket_unread(int fd);
+
 uint64_t stand_hash(uint64_t seed, const void *d, size_t n);
 uint64_t stand_rand(uint64_t *rng);
 double stand_unit(uint64_t *rng); /* 0 to 1 */
@@ -189,6 +194,7 @@
 	const char *id, *seal_id; /* the Attempt-Id in the answer */
 	int status, seal;         /* run named by the seal, -1: none */
 	int own;                  /* the answer bears neither seal nor a server's id: the system's own */
+	int read;                 /* the machine's process had read the whole request */
 	enum told how;
 	uint64_t body;
 	const struct event_rec *event;
@@ -215,6 +221,8 @@
 enum trouble { CALM, PLANNED, UNPLANNED };
 /* A machine's trouble begins or ends; life: a new life of its processes begins. */
 void judge_machine(struct judge *j, int64_t t, int machine, int core, enum trouble tr, int up);
+/* The process of a machine was sent SIGHUP. */
+void judge_reload(struct judge *j, int64_t t, int machine);
 void judge_own_end(struct judge *j, int64_t t, int machine);
 void judge_closing(struct judge *j, int64_t fault, int64_t back);
 int judge_touch(const struct judge *j, int machine, int64_t t);
--- a/rehearsal/stand_client.c
+++ b/rehearsal/stand_client.c
@@ -32,7 +32,7 @@
 	struct subject *s;
 	struct clients *all;
 	struct conn *c;
-	int machine, fresh, status, seal, own, events, sent, bytes, done, resumed_from;
+	int machine, fresh, status, seal, own, events, sent, bytes, done, resumed_from, read;
 	int64_t began, until, heard;
 	char id[24], seal_id[40], *text; /* stb array: what of a stream is not read yet */
 	double retry_after;
@@ -211,6 +211,7 @@
 	t.status = a->status;
 	t.seal = a->seal;
 	t.own = a->own;
+	t.read = a->read;
 	t.how = how;
 	t.events = a->events;
 	t.event = a->event;
@@ -621,6 +622,8 @@
 		const struct class_set *k = &r->sheet->c[a->s->cls];
 		int64_t silence = 2000;
 
+		if (a->c && !a->read)
+			a->read = conn_read_by_peer(a->c);
 		if (4 * k->aim > silence)
 			silence = 4 * k->aim;
 		if (8 * k->gap > silence)
--- a/rehearsal/stand_judge.c
+++ b/rehearsal/stand_judge.c
@@ -89,6 +89,7 @@
 	arrfree(j->r);
 	arrfree(j->c);
 	arrfree(j->m);
+	arrfree(j->reload);
 	arrfree(j->s);
 	arrfree(j->o);
 	arrfree(j->n);
@@ -181,6 +182,7 @@
 	a->is_told = 1;
 	a->told_at = t;
 	a->seal_id = copy(r->seal_id);
+	a->read = r->read;
 	a->status = r->status, a->seal = r->seal, a->own = r->own, a->how = r->how, a->told_body = r->body, a->events = r->events;
 	for (int i = 0; i < r->nevent; i++)
 		arrput(a->event, r->event[i]);
@@ -237,6 +239,13 @@
 	arrput(j->m, e);
 }
 
+void judge_reload(struct judge *j, int64_t t, int machine)
+{
+	struct reload_ev e = { t, machine };
+
+	arrput(j->reload, e);
+}
+
 void judge_own_end(struct judge *j, int64_t t, int machine)
 {
 	(void)t;
@@ -310,6 +319,6 @@
 		fputc('\n', f);
 	}
 	if (a->is_told)
-		fprintf(f, "    %7lld told %d, %s%s, seal %d, %d pieces\n", (long long)a->told_at, a->status, how[a->how],
-			a->own ? ", the system's own" : "", a->seal, (int)arrlen(a->event));
+		fprintf(f, "    %7lld told %d, %s%s%s, seal %d, %d pieces\n", (long long)a->told_at, a->status, how[a->how],
+			a->read ? ", had been read" : "", a->own ? ", the system's own" : "", a->seal, (int)arrlen(a->event));
 }
--- a/rehearsal/stand_judge_private.h
+++ b/rehearsal/stand_judge_private.h
@@ -20,6 +20,7 @@
 	char *id, *subject, *method, *host, *path, *key, *seal_id;
 	uint64_t body, told_body;
 	int edge, probe, stream, last_event, cls, is_told, status, seal, own, events;
+	int read; /* the machine's process had read the whole request */
 	int64_t deadline;
 	enum try_kind kind;
 	enum told how;
@@ -36,6 +37,11 @@
 	int machine, core, up;
 	enum trouble tr;
 };
+/* A SIGHUP to the process of a machine. */
+struct reload_ev {
+	int64_t t;
+	int machine;
+};
 struct shown_ev {
 	int64_t t;
 	char *instance;
@@ -64,6 +70,7 @@
 	struct arrival *r;
 	struct kept_cfg *c;
 	struct machine_ev *m;
+	struct reload_ev *reload;
 	struct shown_ev *s;
 	struct order_ev *o;
 	struct named_ev *n;
@@ -125,8 +132,9 @@
 void rule_drain(struct judge *j);
 void rule_one(struct judge *j);
 void rule_memory(struct judge *j);
-/* stand_judge_service */
+/* stand_judge_lost */
 void rule_lost(struct judge *j);
+/* stand_judge_service */
 void rule_budget(struct judge *j);
 void rule_recover(struct judge *j);
 void rule_ends(struct judge *j);
--- a/rehearsal/stand_net.c
+++ b/rehearsal/stand_net.c
@@ -481,6 +481,11 @@
 	c->ctx = ctx;
 }
 
+int conn_read_by_peer(const struct conn *c)
+{
+	return c->up && !c->dead && arrlenu(c->out) == c->out_at && socket_unread(c->fd) == 0;
+}
+
 int conn_up(const struct conn *c) { return c->up && !c->dead; }
 
 int conn_alive(const struct loop *l, const struct conn *c)
--- a/tests/test_stand.c
+++ b/tests/test_stand.c
@@ -495,6 +495,260 @@
 	judge_told(j, 15000, &r); /* in the second half of GraceS; excused while its server still works */
 }
 
+/* ---- LOST, clause by clause: bad breaks the rule, the mended twin is just inside it ---- */
+
+enum { STOPPED_AT = 10100, RELOADED_AT = 12000, CFG_SENT_AT = 20000, CFG_ACKED_AT = 20100 };
+
+static void stops(struct judge *j, int machine) { judge_machine(j, STOPPED_AT, machine, machine >= EDGES, PLANNED, 0); }
+
+/* A reset without a byte of an answer; read: the machine's process had read the whole request. */
+static void is_reset(struct judge *j, int64_t t, const char *id, int read)
+{
+	struct told_rec r = { .id = id, .seal = -1, .how = TOLD_NOTHING, .read = read };
+
+	judge_told(j, t, &r);
+}
+
+/* Passed on to a server that is at work on it when the connection is reset. */
+static void reset_at_work(struct judge *j, int64_t t, int64_t end)
+{
+	judge_try(j, t, &a_try);
+	runs(j, t + 10, &a_try, "lm");
+	is_reset(j, end, "x1", 1);
+}
+
+static void configured(struct judge *j)
+{
+	cfg_at(j, CFG_SENT_AT, CFG_ACKED_AT, 1, CFG("5", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false")));
+}
+
+static void lost_passed_on(struct judge *j, int bad)
+{
+	stops(j, 0);
+	if (bad)
+		reset_at_work(j, 10200, 10250); /* within LossSlackMs: it has been passed on all the same */
+	else
+		served(j, 10200, &a_try, "lm");
+}
+
+static void lost_after_slack(struct judge *j, int bad)
+{
+	stops(j, 0);
+	judge_try(j, 10200, &a_try);
+	is_reset(j, 10400 + bad, "x1", 1);
+}
+
+static void lost_read(struct judge *j, int bad)
+{
+	stops(j, 0);
+	judge_try(j, 10200, &a_try);
+	is_reset(j, 10500, "x1", bad); /* unread bytes are no whole request */
+}
+
+static void lost_after_grace(struct judge *j, int bad)
+{
+	int64_t end = STOPPED_AT + bounds_sheet.grace + 1000 + !bad;
+
+	stops(j, 0);
+	judge_try(j, end - 500, &a_try);
+	is_reset(j, end, "x1", 1);
+}
+
+static void lost_before_the_stop(struct judge *j, int bad)
+{
+	judge_try(j, STOPPED_AT - 500, &a_try);
+	stops(j, 0);
+	is_reset(j, STOPPED_AT - !bad, "x1", 1);
+}
+
+static void lost_beside_another_stop(struct judge *j, int bad)
+{
+	stops(j, bad ? 0 : 1);
+	reset_at_work(j, 10200, 10700);
+}
+
+static void lost_sent_after_reload(struct judge *j, int bad)
+{
+	int64_t t = RELOADED_AT + bounds_sheet.apply + !bad;
+
+	judge_reload(j, RELOADED_AT, 0);
+	reset_at_work(j, t, t + 300);
+}
+
+static void lost_cut_after_reload(struct judge *j, int bad)
+{
+	judge_reload(j, RELOADED_AT, 0);
+	reset_at_work(j, RELOADED_AT - 1000, RELOADED_AT + bad);
+}
+
+static void lost_beside_another_reload(struct judge *j, int bad)
+{
+	judge_reload(j, RELOADED_AT, bad ? 0 : 1);
+	reset_at_work(j, RELOADED_AT + 100, RELOADED_AT + 500);
+}
+
+static void lost_from_the_sending(struct judge *j, int bad)
+{
+	configured(j);
+	reset_at_work(j, CFG_SENT_AT - 500, CFG_SENT_AT - !bad);
+}
+
+static void lost_after_the_acknowledgement(struct judge *j, int bad)
+{
+	int64_t end = CFG_ACKED_AT + bounds_sheet.apply + 1000 + !bad;
+
+	configured(j);
+	reset_at_work(j, end - 500, end);
+}
+
+/* One with no clear answer may be in force for the rest of the day; one that was refused never is. */
+static void lost_beside_a_refused_one(struct judge *j, int bad)
+{
+	int n = cfg_at(j, CFG_SENT_AT, -1, 1, CFG("5", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false")));
+
+	if (!bad)
+		judge_cfg_fate(j, CFG_ACKED_AT, n, CFG_REFUSED);
+	reset_at_work(j, 30000, 30500);
+}
+
+static void lost_beside_an_invalid_one(struct judge *j, int bad)
+{
+	const char *service = bad ? CFG("5", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false"))
+				  : CFG("5", ROUTE("a", "/a/", "nowhere"), TENANTS("\"k1\"", "false"));
+
+	cfg_at(j, CFG_SENT_AT, -1, 1, service);
+	reset_at_work(j, 30000, 30500);
+}
+
+/* Beside the configuration 40 requests, of them 12 or 13 cut; at other times 10, of them 1 cut. */
+static void lost_over_three_times_as_often(struct judge *j, int bad)
+{
+	char id[20];
+
+	configured(j);
+	for (int i = 0; i < 50; i++) {
+		int beside = i < 40, cut = beside ? i < 12 + bad : i == 40;
+		int64_t t = beside ? CFG_SENT_AT + 10 * i : 10000 + 10 * i;
+		struct try_rec x;
+
+		snprintf(id, sizeof id, "s%d", i);
+		x = named(id);
+		if (!cut) {
+			served(j, t, &x, "lm");
+			continue;
+		}
+		judge_try(j, t, &x);
+		runs(j, t + 5, &x, "lm");
+		is_reset(j, t + 100, id, 1);
+	}
+}
+
+static void lost_before_seven_tenths(struct judge *j, int bad)
+{
+	configured(j);
+	reset_at_work(j, CFG_SENT_AT - 5000, CFG_SENT_AT - 5000 + 5600 - bad); /* of 8000 */
+}
+
+/* Seven tenths of its time excuse nothing beside a SIGHUP. */
+static void lost_late_beside_reload(struct judge *j, int bad)
+{
+	configured(j);
+	if (bad)
+		judge_reload(j, CFG_SENT_AT, 0);
+	reset_at_work(j, CFG_SENT_AT - 5000, CFG_SENT_AT + 600);
+}
+
+static void lost_in_calm(struct judge *j, int bad)
+{
+	int64_t sent_at = 10200, from = sent_at - bounds_sheet.contact;
+
+	judge_machine(j, from - bad, 0, 0, UNPLANNED, 1);
+	stops(j, 0);
+	reset_at_work(j, sent_at, sent_at + 500);
+}
+
+static void lost_in_a_calm_core(struct judge *j, int bad)
+{
+	int64_t sent_at = 10200, from = sent_at - bounds_sheet.contact;
+
+	judge_machine(j, from - bad, EDGES, 1, UNPLANNED, 1);
+	stops(j, 0);
+	reset_at_work(j, sent_at, sent_at + 500);
+}
+
+static void lost_not_broken_off(struct judge *j, int bad)
+{
+	int run;
+
+	stops(j, 0);
+	judge_try(j, 10200, &a_try);
+	run = runs(j, 10210, &a_try, "lm");
+	judge_ran(j, 10300, run, bad, 200, 0, 2); /* 1: the whole answer went out; 0: the server broke off */
+	is_reset(j, 10400, "x1", 1);
+}
+
+/* A server broke off, another took the request on; only the last one counts, and not one that turned it away. */
+static void lost_at_a_second_server(struct judge *j, int bad)
+{
+	int run;
+
+	stops(j, 0);
+	judge_try(j, 10200, &a_try);
+	run = runs(j, 10210, &a_try, "lm");
+	judge_ran(j, 10300, run, 0, 200, 0, 1);
+	run = arrives(j, 10310, &a_try, "lm", "i-2");
+	if (!bad)
+		judge_turned(j, run, 503);
+	is_reset(j, 10600, "x1", 1);
+}
+
+static void lost_before_the_deadline(struct judge *j, int bad)
+{
+	struct try_rec x = a_try;
+
+	x.deadline = 1000;
+	stops(j, 0);
+	judge_try(j, 10200, &x);
+	is_reset(j, 11200 - bad, "x1", 1);
+}
+
+static void lost_before_the_timeout(struct judge *j, int bad)
+{
+	cfg_at(
+	    j, 5000, 5100, 1,
+	    CFG("5",
+		"{\"Name\":\"a\",\"HostName\":\"h.example\",\"PathPrefix\":\"/a/\",\"RouteType\":\"streaming\",\"TimeoutMs\":1000,"
+		"\"ServiceName\":\"lm\",\"MaxAttempts\":2}",
+		TENANTS("\"k1\"", "false")));
+	stops(j, 0);
+	judge_try(j, 10200, &a_try);
+	is_reset(j, 11200 - bad, "x1", 1);
+}
+
+/* The server is at work past GraceS; the request was sent 3 s after the SIGTERM at the latest, or later. */
+static void lost_sent_long_after_the_stop(struct judge *j, int bad)
+{
+	stops(j, 0);
+	reset_at_work(j, STOPPED_AT + 3000 + bad, STOPPED_AT + 7000);
+}
+
+static void lost_in_the_first_half(struct judge *j, int bad)
+{
+	stops(j, 0);
+	reset_at_work(j, STOPPED_AT + 100, STOPPED_AT + bounds_sheet.grace / 2 - bad);
+}
+
+static void lost_done_in_the_first_half(struct judge *j, int bad)
+{
+	int run;
+
+	stops(j, 0);
+	judge_try(j, STOPPED_AT + 100, &a_try);
+	run = runs(j, STOPPED_AT + 110, &a_try, "lm");
+	judge_ran(j, STOPPED_AT + bounds_sheet.grace / 2 - bad, run, 1, 200, 0, 2);
+	is_reset(j, STOPPED_AT + bounds_sheet.grace / 2 + 500, "x1", 1);
+}
+
 static void budget(struct judge *j, int bad)
 {
 	for (int i = 0; i < 100; i++) { /* 0.2 x 100 + 58 = 78 */
@@ -775,6 +1029,31 @@
 	{ "lost", "LOST", lost },
 	{ "lost, unread", "LOST", lost_unread },
 	{ "lost, still at work", "LOST", lost_late_work },
+	{ "lost: passed on", "LOST", lost_passed_on },
+	{ "lost: after LossSlackMs", "LOST", lost_after_slack },
+	{ "lost: read or not", "LOST", lost_read },
+	{ "lost: 1 s after GraceS", "LOST", lost_after_grace },
+	{ "lost: before the SIGTERM", "LOST", lost_before_the_stop },
+	{ "lost: another's SIGTERM", "LOST", lost_beside_another_stop },
+	{ "lost: sent after a SIGHUP", "LOST", lost_sent_after_reload },
+	{ "lost: cut after a SIGHUP", "LOST", lost_cut_after_reload },
+	{ "lost: another's SIGHUP", "LOST", lost_beside_another_reload },
+	{ "lost: from a configuration's sending", "LOST", lost_from_the_sending },
+	{ "lost: after its acknowledgement", "LOST", lost_after_the_acknowledgement },
+	{ "lost: a refused one", "LOST ACKS", lost_beside_a_refused_one },
+	{ "lost: an invalid one", "LOST ACKS", lost_beside_an_invalid_one },
+	{ "lost: over three times as often", "LOST", lost_over_three_times_as_often },
+	{ "lost: seven tenths", "LOST", lost_before_seven_tenths },
+	{ "lost: seven tenths and SIGHUP", "LOST", lost_late_beside_reload },
+	{ "lost: calm machine", "LOST", lost_in_calm },
+	{ "lost: calm core", "LOST", lost_in_a_calm_core },
+	{ "lost: the server broke off", "LOST", lost_not_broken_off },
+	{ "lost: a second server", "LOST", lost_at_a_second_server },
+	{ "lost: the deadline", "LOST", lost_before_the_deadline },
+	{ "lost: the route's timeout", "LOST", lost_before_the_timeout },
+	{ "lost: 3 s after the SIGTERM", "LOST", lost_sent_long_after_the_stop },
+	{ "lost: first half of GraceS", "LOST", lost_in_the_first_half },
+	{ "lost: done in the first half", "LOST", lost_done_in_the_first_half },
 	{ "budget", "BUDGET", budget },
 	{ "a gap", "ORDER", order_gap },
 	{ "a piece twice", "ORDER", order_double },
@@ -1475,6 +1754,36 @@
 	int done, draining;
 };
 
+static void keeps_request(void *ctx, struct conn *c, struct msg *m) { (void)ctx, (void)c, (void)m; }
+
+static int read_by_peer(void *ctx) { return conn_read_by_peer(ctx); }
+
+/* Whether a process has read a request is seen from outside, before its connection ends one way or the other. */
+static void what_a_process_has_not_read_is_seen(void **st)
+{
+	static const struct conn_on serves = { .request = keeps_request }, calls = { 0 };
+	static const char request[] = "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n";
+	struct loop *l = loop_open();
+	struct port *p;
+	struct conn *c;
+	char at[40];
+
+	(void)st;
+	snprintf(at, sizeof at, "127.%d.%d.99:8080", 16 + (getpid() / 250) % 200, 1 + getpid() % 250);
+	p = port_open(l, at, &serves, NULL, 0);
+	assert_non_null(p);
+	port_dark(p, 1);
+	c = conn_call(l, at, &calls, NULL);
+	assert_non_null(c);
+	conn_say(c, request, sizeof request - 1);
+	assert_false(loop_until(l, ms_us(50), read_by_peer, c));
+	port_dark(p, 0);
+	assert_true(loop_until(l, ms_us(5000), read_by_peer, c));
+	conn_close(c, 1);
+	port_close(p, 1);
+	loop_close(l);
+}
+
 static void on_list(void *ctx, int status, const struct msg *m)
 {
 	struct seen *s = ctx;
@@ -1719,6 +2028,7 @@
 		cmocka_unit_test(health_and_report_tell_what_they_should),
 		cmocka_unit_test(faults_are_as_named),
 		cmocka_unit_test(connections_are_bounded_and_idle_ones_closed),
+		cmocka_unit_test(what_a_process_has_not_read_is_seen),
 		cmocka_unit_test(the_list_lags_comes_in_pages_and_has_a_rate),
 		cmocka_unit_test(calm_clients_break_nothing),
 		cmocka_unit_test(a_missing_tenant_is_seen),
