--- a/rehearsal/stand.c
+++ b/rehearsal/stand.c
@@ -627,6 +627,7 @@
 	{ "wipe", "a core machine loses its disk after an acknowledgement", sc_wipe },
 	{ "replace", "a core machine is replaced at another address", sc_replace },
 	{ "clear", "kept context is cleared, on schedule and at once", sc_clear },
+	{ "planned", "a long day of planned work: changes, stops, reloads, releases", planned_day },
 	{ "cut", "skipped: the links of processes on one machine cannot be cut without tools for isolation", NULL },
 };
 
@@ -634,7 +635,7 @@
 
 static int set_up(struct run *r, const char *deployment)
 {
-	int edges = r->small ? 3 : 9, cores = r->small ? 3 : 4, servers = r->small ? 4 : 18;
+	int cores = r->small ? 3 : 4, servers = r->small ? 4 : 18;
 	struct bounds_set judged = r->b;
 	char at[48];
 
@@ -685,7 +686,7 @@
 		return 0;
 	for (int i = 0; i < cores; i++)
 		machine_add(r, 1, i % 4)->listed = 1;
-	for (int i = 0; i < edges; i++)
+	for (int i = 0; i < r->edges; i++)
 		machine_add(r, 0, i % 4);
 	for (int i = 0; i < r->nm; i++)
 		machine_start(&r->m[i]);
@@ -714,6 +715,8 @@
 
 	if (!set_up(r, deployment))
 		goto end;
+	if (r->core_share > 0 || r->router_share > 0)
+		quota_hold(r);
 	clients_traffic(r->clients, 1);
 	scenarios[k].fn(r);
 	clients_traffic(r->clients, 0);
@@ -751,6 +754,7 @@
 		clients_close(r->clients);
 	if (r->op)
 		operator_close(r->op);
+	quota_release(r);
 	machines_end(r);
 	if (r->f.list)
 		list_close(r->f.list);
@@ -780,14 +784,19 @@
 		       *bin = arg_str0(NULL, "bin", "DIR", "where the programs are"),
 		       *report = arg_str0(NULL, "report", "DIR", "tables and a picture"),
 		       *folder = arg_str0(NULL, "folder", "DIR", "logs and disks; must not exist"),
-		       *rate = arg_str0(NULL, "rate", "X", "traffic, as a share of the sheet's");
-	struct arg_int *slack = arg_int0(NULL, "slack", "N", "bounds in ms are so many times as long: for slow machines");
+		       *rate = arg_str0(NULL, "rate", "X", "traffic, as a share of the sheet's"),
+		       *core_share = arg_str0(NULL, "core-share", "X", "the share of a processor that each core machine has"),
+		       *router_share = arg_str0(NULL, "router-share", "X", "and each edge");
+	struct arg_int *length = arg_int0(NULL, "length", "S", "how long a planned day is, in seconds"),
+		       *edges = arg_int0(NULL, "edges", "N", "so many edges"),
+		       *slack = arg_int0(NULL, "slack", "N", "bounds in ms are so many times as long: for slow machines");
 	struct arg_lit *impossible =
 	    arg_lit0(NULL, "impossible", "judge by bounds that nobody can keep: shows that breaches are seen");
 	struct arg_lit *small = arg_lit0(NULL, "small", "3 edges, 3 core machines, 4 servers"),
 		       *verbose = arg_litn("v", "verbose", 0, 3, "say more");
 	struct arg_end *end = arg_end(5);
-	void *t[] = { name, seed, dep, bin, report, folder, rate, slack, small, impossible, verbose, end };
+	void *t[] = { name,         seed,   dep,   bin,   report, folder,     rate,    core_share,
+		      router_share, length, edges, slack, small,  impossible, verbose, end };
 	struct run *r = NULL;
 	char self[600], *stop = "";
 	ssize_t n;
@@ -816,6 +825,10 @@
 		goto end;
 	}
 	r->small = small->count;
+	r->length_s = length->count ? length->ival[0] : 0;
+	r->core_share = core_share->count ? atof(core_share->sval[0]) : 0;
+	r->router_share = router_share->count ? atof(router_share->sval[0]) : 0;
+	r->edges = edges->count ? edges->ival[0] : r->small ? 3 : 9;
 	r->impossible = impossible->count;
 	r->verbose = verbose->count;
 	r->b = bounds_sheet;
@@ -853,6 +866,7 @@
 	    stderr,
 	    "Usage: rehearsal platform list\n"
 	    "       rehearsal platform run NAME [--seed N] [--deployment warisan|teduh] [--small] [--rate X] [--slack N] [--bin DIR]\n"
-	    "                              [--folder DIR] [--report DIR] [--impossible] [-v]\n");
+	    "                              [--folder DIR] [--report DIR] [--length S] [--edges N]\n"
+	    "                              [--core-share X] [--router-share X] [--impossible] [-v]\n");
 	return 2;
 }
--- a/rehearsal/stand.h
+++ b/rehearsal/stand.h
@@ -6,7 +6,9 @@
  *   stand_operator who sends configurations           stand_machine  processes under test
  *   stand_config   how configurations read            stand_judge*   records, and rules by subject
  *   stand_report   figures and a picture              stand_histogram  durations
- *   stand_unread   what the other end has not read    stand          scenarios */
+ *   stand_unread   what the other end has not read    stand          scenarios
+ *   stand_planned  the long day of planned work       stand_change   its changes of the configuration
+ *   stand_quota    shares of a processor */
 #ifndef NL_STAND_H
 #define NL_STAND_H
 
--- a/rehearsal/stand_client.c
+++ b/rehearsal/stand_client.c
@@ -10,7 +10,7 @@
 struct kept_conn {
 	struct conn *c;
 	int machine, busy;
-	int64_t idle_until;
+	int64_t idle_until, rests_from;
 };
 struct client {
 	int zone, tenant;
@@ -220,7 +220,8 @@
 	if (a->c) {
 		if (how == TOLD_WHOLE && a->keep && kc) {
 			kc->busy = 0;
-			kc->idle_until = now + (a->keep_s > 0 ? a->keep_s * 1000 - 300 : 10000);
+			kc->rests_from = now;
+			kc->idle_until = a->keep_s > 0 ? now + a->keep_s * 1000 - 300 : INT64_MAX;
 			conn_set(a->c, &on_answer, c); /* nothing is due: what comes now is surplus */
 			conn_set_tag(a->c, NULL);
 		} else {
@@ -409,6 +410,9 @@
 
 static const struct conn_on on_answer = { .head = on_head, .data = on_data, .whole = on_whole, .gone = on_gone };
 
+/* How long a connection may have rested that is taken up again: four fifths of IdleTimeoutMs. */
+static int64_t rest_most(const struct run *r) { return r->op ? operator_idle_timeout(r->op) * 4 / 5 : 10000; }
+
 static void try_now(struct subject *s, int fresh)
 {
 	struct clients *c = s->all;
@@ -443,7 +447,7 @@
 
 		if (old->busy)
 			continue;
-		if (now > old->idle_until) {
+		if (now > old->idle_until || now > old->rests_from + rest_most(r)) {
 			conn_set_tag(old->c, NULL);
 			conn_close(old->c, 0);
 			arrdelswap(s->who->kept, i);
@@ -461,7 +465,7 @@
 		a->fresh = 1;
 		a->c = conn_call(r->l, r->m[machine].front, &on_answer, c);
 		if (a->c) {
-			struct kept_conn made = { a->c, machine, 1, 0 };
+			struct kept_conn made = { a->c, machine, 1, 0, 0 };
 
 			arrput(s->who->kept, made);
 		}
--- a/rehearsal/stand_machine.c
+++ b/rehearsal/stand_machine.c
@@ -129,6 +129,7 @@
 	write_boot(m);
 	m->starts++;
 	m->leaving = m->frozen = 0;
+	m->quota_left = m->quota_seen = m->quota_held = 0;
 	snprintf(bin, sizeof bin, "%s/%s", r->bin, m->core ? "registrar" : "counter");
 	snprintf(conf, sizeof conf, "NOTCHLUG_CONFIG=%s/boot.toml", m->folder);
 	snprintf(home, sizeof home, "HOME=%s", m->folder);
@@ -232,6 +233,19 @@
 	judge_machine(m->r->j, run_ms(m->r), m->i, m->core, UNPLANNED, -1);
 }
 
+void machine_retire(struct machine *m)
+{
+	m->retiring = 1;
+	machine_term(m);
+}
+
+static void retired(struct machine *m)
+{
+	m->gone = 1;
+	m->in = 0;
+	judge_machine(m->r->j, run_ms(m->r), m->i, m->core, PLANNED, -1);
+}
+
 static void start_again(void *ctx)
 {
 	struct machine *m = ctx;
@@ -264,6 +278,8 @@
 		}
 		if (m->leaving) {
 			m->leaving = 0;
+			if (m->retiring)
+				retired(m);
 			continue;
 		}
 		m->own_ends++;
--- a/rehearsal/stand_operator.c
+++ b/rehearsal/stand_operator.c
@@ -31,6 +31,7 @@
 	int acked, keys, routes, weights_acked, read_done, closed;
 	char added[96], removed[96];
 	int splits;
+	uint64_t rng, turn; /* what it changes; which of the planned changes comes next */
 };
 
 static void attempt(void *ctx);
@@ -348,7 +349,7 @@
 
 static int64_t climb(struct operator* o)
 {
-	int64_t v = (o->next > o->version ? o->next : o->version) + 1 + (int64_t)(stand_rand(&o->r->rng) % 3);
+	int64_t v = (o->next > o->version ? o->next : o->version) + 1 + (int64_t)(stand_rand(&o->rng) % 3);
 
 	o->next = v;
 	return v;
@@ -389,7 +390,7 @@
 	struct json_object *j = clone(o->now), *routes = member(j, "RouteList"), *tenants = member(j, "TenantList"), *x, *body, *up,
 			   *gone, *a;
 	char name[64], prefix[96], added[96] = "", removed[96] = "";
-	int i = (int)(stand_rand(&r->rng) % CLASSES);
+	int i = (int)(stand_rand(&o->rng) % CLASSES);
 	struct sending *s;
 
 	body = json_object_new_object();
@@ -414,7 +415,7 @@
 	case CHANGE_TIMEOUT:
 		x = json_object_array_get_idx(routes, (size_t)i);
 		json_object_object_add(x, "TimeoutMs",
-				       json_object_new_int(r->sheet->c[i].deadline + 10 * (int)(1 + stand_rand(&r->rng) % 50)));
+				       json_object_new_int(r->sheet->c[i].deadline + 10 * (int)(1 + stand_rand(&o->rng) % 50)));
 		json_object_array_add(a, json_object_get(x));
 		json_object_object_add(up, "RouteList", a);
 		break;
@@ -457,7 +458,7 @@
 		break;
 	}
 	case CHANGE_WALL:
-		i = 2 + (int)(stand_rand(&r->rng) % (uint64_t)(r->sheet->tenants - 2));
+		i = 2 + (int)(stand_rand(&o->rng) % (uint64_t)(r->sheet->tenants - 2));
 		x = json_object_array_get_idx(tenants, (size_t)i);
 		json_object_object_add(x, "Isolated", json_object_new_boolean(!json_object_get_boolean(member(x, "Isolated"))));
 		json_object_array_add(a, json_object_get(x));
@@ -473,6 +474,16 @@
 		}
 		json_object_object_add(up, "RouteList", a);
 		break;
+	case CHANGE_BIG_OFF:
+	case CHANGE_LIMITS:
+	case CHANGE_KEY_MORE:
+	case CHANGE_TENANT:
+	case CHANGE_PRIORITY:
+	case CHANGE_ATTEMPTS:
+	case CHANGE_PLACES:
+		planned_change(j, up, gone, what, o->turn++);
+		json_object_put(a);
+		break;
 	default: /* routes that nothing goes to */
 		snprintf(name, sizeof name, "r-idle-%d", o->routes);
 		snprintf(prefix, sizeof prefix, "/idle%d/", o->routes++);
@@ -588,6 +599,13 @@
 int operator_acked(const struct operator* o) { return o->acked; }
 int operator_weights_acked(const struct operator* o) { return o->weights_acked; }
 int operator_read_done(const struct operator* o) { return o->read_done; }
+int operator_idle_timeout(const struct operator* o)
+{
+	struct json_object *idle = o->now ? member(member(o->now, "Limits"), "IdleTimeoutMs") : NULL;
+
+	return idle ? json_object_get_int(idle) : 0;
+}
+
 const char *operator_added(const struct operator* o) { return o->added[0] ? o->added : NULL; }
 const char *operator_removed(const struct operator* o) { return o->removed[0] ? o->removed : NULL; }
 
@@ -596,6 +614,7 @@
 	struct operator* o = calloc(1, sizeof *o);
 
 	o->r = r;
+	o->rng = stand_hash(r->seed, "operator", 8);
 	o->weights_acked = 1;
 	return o;
 }
--- a/rehearsal/stand_run.h
+++ b/rehearsal/stand_run.h
@@ -4,7 +4,7 @@
 
 #include "stand.h"
 
-enum { MOST_MACHINES = 40, CLASSES = 3, MOST_SECONDS = 600 };
+enum { SEED_LAG_MS = 3000, MOST_MACHINES = 80, CLASSES = 3, MOST_SECONDS = 600 };
 
 /* ---- the sheet of a deployment ---- */
 struct class_set {
@@ -23,7 +23,10 @@
 struct machine {
 	struct run *r;
 	int i, core, pid, frozen, gone, starts, leaving, killed, wanted, in, misses, own_ends, listed;
+	int retiring; /* it does not come back once it has ended */
 	int64_t leave_by;
+	int64_t quota_left, quota_seen; /* microseconds of processor time */
+	int quota_held;
 	char name[64], ip[32], zone[40], folder[700];
 	char front[48], ready[48], control[48];
 	uint64_t timer;
@@ -44,6 +47,7 @@
 /* ---- the run ---- */
 struct operator;
 struct clients;
+struct quota;
 struct run {
 	struct loop *l;
 	struct judge *j;
@@ -51,15 +55,18 @@
 	struct bounds_set b;
 	const struct sheet *sheet;
 	uint64_t rng, seed;
-	int small, verbose, slack, impossible;
+	int small, verbose, slack, impossible, length_s, edges;
 	char base[20], folder[600], bin[600], list_at[40];
-	double rate; /* of the sheet's */
+	double rate;                     /* of the sheet's */
+	double core_share, router_share; /* of a processor; 0: whole */
 	struct machine m[MOST_MACHINES];
 	int nm, nservers;
 	int64_t traffic_at; /* ms of the run, -1: not yet */
 	struct clients *clients;
 	struct operator* op;
 	struct figures fig;
+	struct quota *quota;
+	uint64_t quota_timer;
 	const char *missed; /* why the run proves nothing */
 };
 
@@ -76,10 +83,19 @@
 void machine_freeze(struct machine *m, int on);
 void machine_wipe(struct machine *m);   /* its disk is empty; the process must be down */
 void machine_remove(struct machine *m); /* for good */
+void machine_retire(struct machine *m); /* SIGTERM, and gone for good once it has ended */
 void machine_hup(struct machine *m);
 void machines_look(struct run *r); /* who ended by itself is started again */
 void machines_end(struct run *r);
 
+/* Hold the processes of core machines and routers to the run's shares of a processor, until quota_release. A share of 0
+ * holds nothing back. */
+void quota_hold(struct run *r);
+void quota_release(struct run *r);
+
+/* The scenario of a long day of planned work. */
+void planned_day(struct run *r);
+
 /* Entry and clients. */
 struct clients *clients_open(struct run *r);
 void clients_traffic(struct clients *c, int on);
@@ -106,9 +122,22 @@
 	CHANGE_WALL,
 	CHANGE_IDLE,
 	CHANGE_BIG,
+	CHANGE_BIG_OFF,  /* those routes go again */
+	CHANGE_LIMITS,   /* IdleTimeoutMs; whole configurations only */
+	CHANGE_KEY_MORE, /* a tenant gets a second key, or loses it */
+	CHANGE_TENANT,   /* a tenant without requests comes or goes */
+	CHANGE_PRIORITY, /* of a tenant */
+	CHANGE_ATTEMPTS, /* of a route */
+	CHANGE_PLACES,   /* how many connections a server takes */
 	CHANGES
 };
 void operator_change(struct operator* o, enum change what, int modify);
+/* Make one of the changes behind CHANGE_BIG in a whole configuration; what it touches goes into the lists of a call to
+ * modify. The turn says which item it takes. Example: planned_change(config, upsert, removed, CHANGE_TENANT, 3); */
+void planned_change(struct json_object *config, struct json_object *upsert, struct json_object *removed, enum change what,
+		    uint64_t turn);
+/* IdleTimeoutMs of the configuration acknowledged last; 0: none. */
+int operator_idle_timeout(const struct operator* o);
 void operator_race(struct operator* o);
 enum invalid { INVALID_CUT, INVALID_SERVICE, INVALID_PLACE, INVALID_WEIGHT, INVALID_TIMEOUT, INVALID_OLD, INVALID_KEY, INVALIDS };
 void operator_invalid(struct operator* o, enum invalid what);
