--- a/rehearsal/stand.c
+++ b/rehearsal/stand.c
@@ -628,6 +628,7 @@
 	{ "replace", "a core machine is replaced at another address", sc_replace },
 	{ "clear", "kept context is cleared, on schedule and at once", sc_clear },
 	{ "planned", "a long day of planned work: changes, stops, reloads, releases", planned_day },
+	{ "planned-core", "the whole core is stopped and started under changes", planned_core_stop },
 	{ "cut", "skipped: the links of processes on one machine cannot be cut without tools for isolation", NULL },
 };
 
--- a/rehearsal/stand_planned.c
+++ b/rehearsal/stand_planned.c
@@ -15,7 +15,8 @@
 	RELOAD_EVERY_MS = 4500, /* SIGHUP of all */
 	RELEASE_PAUSE_MS = 1500,
 	WEIGHTS_EVERY_MS = 25000,
-	DOWN_MS = 300, /* from the end of a process to its next start */
+	CORE_AWAY_MS = 6000, /* how long no core machine runs, from their SIGTERM */
+	DOWN_MS = 300,       /* from the end of a process to its next start */
 	ROUTER_PAUSE_MS = 1200,
 	CORE_PAUSE_MS = 1500,   /* beyond CatchUpS */
 	REPLACED_EVERY = 3,     /* of so many stops one is for good */
@@ -245,6 +246,7 @@
 	day.next_release = start + 1000;
 	day.next_weights = start + 2000;
 	clients_probe(r->clients, 1);
+	clients_long(r->clients, 1);
 	while (run_ms(r) < start + length && !r->missed) {
 		change(&day);
 		roll_on(r, &day.routers);
@@ -257,3 +259,30 @@
 	run_say(r, "the planned day is over: %d changes, %d routers and %d core machines stopped, %d servers replaced", day.changes,
 		day.routers.turn, day.core.turn, day.released);
 }
+
+static void core_all(struct run *run, void (*what)(struct machine *m))
+{
+	for (int i = 0; i < run->nm; i++)
+		if (run->m[i].core && !run->m[i].gone)
+			what(&run->m[i]);
+}
+
+void planned_core_stop(struct run *r)
+{
+	int64_t start = run_ms(r), stop = start + r->b.contact, back = stop + CORE_AWAY_MS, end = back + r->b.grace + r->b.catch_up;
+	struct day day = { .run = r, .rng = stand_hash(r->seed, "core stop", 9), .weights = 1 };
+	int stopped = 0;
+
+	clients_long(r->clients, 1);
+	while (run_ms(r) < end && !r->missed) {
+		change(&day);
+		if (!stopped && run_ms(r) >= stop) {
+			run_say(r, "planned: all core machines are stopped");
+			core_all(r, machine_term);
+			stopped = 1;
+		}
+		if (run_ms(r) >= back) /* one that has not ended yet is started by a later call */
+			core_all(r, machine_start);
+		run_for(r, STEP_MS);
+	}
+}
--- a/rehearsal/stand_run.h
+++ b/rehearsal/stand_run.h
@@ -95,12 +95,15 @@
 
 /* The scenario of a long day of planned work. */
 void planned_day(struct run *r);
+/* The whole core is stopped in order and started again seconds later, while a change is under way. */
+void planned_core_stop(struct run *r);
 
 /* Entry and clients. */
 struct clients *clients_open(struct run *r);
 void clients_traffic(struct clients *c, int on);
 int clients_busy(const struct clients *c);
 void clients_extra(struct clients *c, int routes); /* so many added routes get traffic too */
+void clients_long(struct clients *c, int on);      /* some requests ask for answers of seconds */
 void clients_probe(struct clients *c, int on);
 void clients_keys(struct clients *c, int tenant, const char *key);
 void clients_close(struct clients *c);
