--- a/rehearsal/stand.h
+++ b/rehearsal/stand.h
@@ -112,6 +112,7 @@
 /* ---- configurations, as the judge and the operator read them ---- */
 struct cfg_route {
 	char name[48], host[64], prefix[96], type[24];
+	size_t prefix_length;
 	char service[4][48];
 	int nservice, weight[4], timeout, target, priority, attempts, open, resumable, gap;
 };
