Stand: a socket leaves the loop before it is closed; planted cuts are seen at a real front

Cause: a process that is being started holds copies of the stand's sockets for a moment. A socket closed meanwhile stays in epoll's list, with a pointer to a connection that is freed.

After: the loop removes a socket from epoll before it closes it.

Also: `planted_cuts_are_seen` lets the stand's clients go to a front that reads each request and resets it 300 ms later, beside a SIGTERM, a SIGHUP and a configuration: LOST is seen each time; it is not without planned work, nor when the front reads nothing. Runs that clients go through alone begin at 10 s of the run's time, for the judge takes times below 0 for "never"; until now their configuration was acknowledged at -9 s, which is to say never.

--- a/rehearsal/stand_client.c
+++ b/rehearsal/stand_client.c
@@ -7,7 +7,10 @@
 #include "ds.h"
 #include "stand_run.h"
 
-enum { TIMES_AS_LONG = 20 }; /* the answers of some requests on a planned day */
+enum {
+	TIMES_AS_LONG = 20, /* the answers of some requests on a planned day */
+	REST_MS = 10000     /* how long a connection may rest before any configuration is known */
+};
 
 struct kept_conn {
 	struct conn *c;
@@ -412,8 +415,13 @@
 
 static const struct conn_on on_answer = { .head = on_head, .data = on_data, .whole = on_whole, .gone = on_gone };
 
-/* How long a connection may have rested that is taken up again: four fifths of IdleTimeoutMs. */
-static int64_t rest_most(const struct run *r) { return r->op ? operator_idle_timeout(r->op) * 4 / 5 : 10000; }
+/* How long a connection may have rested that is taken up again: four fifths of IdleTimeoutMs, where that is known. */
+static int64_t rest_most(const struct run *r)
+{
+	int idle = r->op ? operator_idle_timeout(r->op) : 0;
+
+	return idle ? idle * 4 / 5 : REST_MS;
+}
 
 static void try_now(struct subject *s, int fresh)
 {
--- a/rehearsal/stand_net.c
+++ b/rehearsal/stand_net.c
@@ -205,6 +205,14 @@
 	return NULL;
 }
 
+/* Close a socket that the loop watches. To close it is not enough: a process that is being started holds a copy of it for
+ * a moment, and as long epoll goes on to name it with a pointer that may have been freed. */
+static void stop_watching(struct loop *l, int fd)
+{
+	epoll_ctl(l->ep, EPOLL_CTL_DEL, fd, NULL);
+	close(fd);
+}
+
 static void kill_conn(struct conn *c, int reset)
 {
 	struct linger now = { 1, 0 };
@@ -217,7 +225,7 @@
 	if (reset && c->fd >= 0)
 		setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
 	if (c->fd >= 0)
-		close(c->fd);
+		stop_watching(c->l, c->fd);
 	c->fd = -1;
 }
 
@@ -570,7 +578,7 @@
 	if (!p || p->dead)
 		return;
 	p->dead = 1;
-	close(p->fd);
+	stop_watching(p->l, p->fd);
 	for (int i = 0; i < arrlen(p->l->conn); i++)
 		if (p->l->conn[i]->port == p)
 			kill_conn(p->l->conn[i], reset);
--- a/tests/test_stand.c
+++ b/tests/test_stand.c
@@ -1867,14 +1867,17 @@
 
 /* ---- clients straight at a server, without an edge between: what the parts see fits together ---- */
 
-static void straight(const char *cfg_text, const struct server_fault *x, int64_t ms, struct judge **j, struct figures *fig)
+enum { ALONE_FROM_MS = 10000 }; /* the run's time when clients come: its machine has long been in touch */
+
+/* One machine, at whose front anybody may listen, and one of the core. */
+static struct run *alone(const char *cfg_text)
 {
 	struct run *r = calloc(1, sizeof *r);
 	struct cfg *c;
 
 	r->l = loop_open();
 	r->f.l = r->l;
-	r->f.start = loop_us();
+	r->f.start = loop_us() - ms_us(ALONE_FROM_MS);
 	r->b = bounds_sheet;
 	r->j = r->f.j = judge_open(&r->b);
 	r->sheet = &sheets[0];
@@ -1890,30 +1893,50 @@
 	snprintf(r->m[0].ready, sizeof r->m[0].ready, "%s.100:8080", r->base);
 	snprintf(r->m[0].zone, sizeof r->m[0].zone, "%s", r->sheet->zone[0]);
 	r->m[0].in = r->nm = 1;
-	server_add(&r->f, r->m[0].front, r->sheet->zone[0], r->sheet->service, 0);
-	server_up(r->f.server[0]);
-	r->f.server[0]->fault = *x;
-	judge_machine(r->j, -10000, 0, 0, CALM, 1);
-	judge_machine(r->j, -10000, 1, 1, CALM, 1);
+	judge_machine(r->j, 0, 0, 0, CALM, 1);
+	judge_machine(r->j, 0, 1, 1, CALM, 1);
 	c = cfg_read(cfg_text);
 	assert_non_null(c);
-	judge_cfg_fate(r->j, -9000, judge_cfg(r->j, -9500, c, 0, 0), CFG_ACKED);
+	judge_cfg_fate(r->j, 1000, judge_cfg(r->j, 500, c, 0, 0), CFG_ACKED);
+	return r;
+}
+
+static void clients_for(struct run *r, int64_t ms)
+{
 	r->op = operator_open(r);
 	r->clients = clients_open(r);
 	clients_traffic(r->clients, 1);
 	loop_until(r->l, ms_us((double)ms), NULL, NULL);
 	clients_traffic(r->clients, 0);
-	for (int i = 0; i < 400 && clients_busy(r->clients); i++)
-		loop_until(r->l, ms_us(25), NULL, NULL);
-	assert_int_equal(clients_busy(r->clients), 0);
+}
+
+/* The run ends; its judge is left. */
+static struct judge *alone_end(struct run *r)
+{
+	struct judge *j = r->j;
+
 	clients_close(r->clients);
 	operator_close(r->op);
 	servers_free(&r->f);
 	loop_close(r->l);
-	*j = r->j;
-	*fig = r->fig;
 	free(r->fig.sec);
 	free(r);
+	return j;
+}
+
+static void straight(const char *cfg_text, const struct server_fault *x, int64_t ms, struct judge **j, struct figures *fig)
+{
+	struct run *r = alone(cfg_text);
+
+	server_add(&r->f, r->m[0].front, r->sheet->zone[0], r->sheet->service, 0);
+	server_up(r->f.server[0]);
+	r->f.server[0]->fault = *x;
+	clients_for(r, ms);
+	for (int i = 0; i < 400 && clients_busy(r->clients); i++)
+		loop_until(r->l, ms_us(25), NULL, NULL);
+	assert_int_equal(clients_busy(r->clients), 0);
+	*fig = r->fig;
+	*j = alone_end(r);
 }
 
 #define PLAIN_ROUTE(prefix)                                                                  \
@@ -1952,6 +1975,73 @@
 	free(f);
 }
 
+/* ---- cuts planted at a machine's front ---- */
+
+enum { PLANTED_AFTER_MS = 300 };
+
+struct planted {
+	struct loop *l;
+	struct conn **held; /* stb array: requests that were read, the oldest first */
+};
+
+static void cut_oldest(void *ctx)
+{
+	struct planted *x = ctx;
+	struct conn *c = x->held[0];
+
+	arrdel(x->held, 0);
+	if (conn_alive(x->l, c))
+		conn_close(c, 1);
+}
+
+static void read_and_cut(void *ctx, struct conn *c, struct msg *m)
+{
+	struct planted *x = ctx;
+
+	(void)m;
+	arrput(x->held, c);
+	loop_after(x->l, ms_us(PLANTED_AFTER_MS), cut_oldest, x);
+}
+
+/* How many LOST are seen when the front reads each request and resets its connection, or reads none and resets all. */
+static int lost_at_front(int reads, void (*plan)(struct judge *j))
+{
+	static const struct conn_on on = { .request = read_and_cut };
+	struct run *r = alone(ROUTES "}");
+	struct planted x = { r->l, NULL };
+	struct port *p = port_open(r->l, r->m[0].front, &on, &x, 0);
+	struct judge *j;
+	int lost;
+
+	assert_non_null(p);
+	port_dark(p, !reads);
+	plan(r->j);
+	clients_for(r, 2 * PLANTED_AFTER_MS);
+	loop_until(r->l, ms_us(2.0 * PLANTED_AFTER_MS), NULL, NULL);
+	port_close(p, 1);
+	loop_until(r->l, ms_us(50), NULL, NULL);
+	j = alone_end(r);
+	lost = breaches_of(j, "LOST", "read and cut off");
+	judge_close(j);
+	arrfree(x.held);
+	return lost;
+}
+
+static void plan_stop(struct judge *j) { judge_machine(j, ALONE_FROM_MS, 0, 0, PLANNED, 0); }
+static void plan_reload(struct judge *j) { judge_reload(j, ALONE_FROM_MS, 0); }
+static void plan_configuration(struct judge *j) { judge_cfg(j, ALONE_FROM_MS, cfg_read(ROUTES "}"), 0, 0); }
+static void plan_nothing(struct judge *j) { (void)j; }
+
+static void planted_cuts_are_seen(void **st)
+{
+	(void)st;
+	assert_true(lost_at_front(1, plan_stop) > 0);
+	assert_true(lost_at_front(1, plan_reload) > 0);
+	assert_true(lost_at_front(1, plan_configuration) > 0);
+	assert_int_equal(lost_at_front(1, plan_nothing), 0);
+	assert_int_equal(lost_at_front(0, plan_stop), 0);
+}
+
 static void a_missing_tenant_is_seen(void **st)
 {
 	struct figures *f = calloc(1, sizeof *f);
@@ -2031,6 +2121,7 @@
 		cmocka_unit_test(what_a_process_has_not_read_is_seen),
 		cmocka_unit_test(the_list_lags_comes_in_pages_and_has_a_rate),
 		cmocka_unit_test(calm_clients_break_nothing),
+		cmocka_unit_test(planted_cuts_are_seen),
 		cmocka_unit_test(a_missing_tenant_is_seen),
 		cmocka_unit_test(cut_streams_are_taken_up_without_a_breach),
 		cmocka_unit_test(surplus_bytes_that_reach_a_client_are_seen),
