--- a/tests/test_stand.c
+++ b/tests/test_stand.c
@@ -1137,6 +1137,39 @@
 	}
 }
 
+/* Whatever planned changes follow on each other, what comes out is valid, and the lists for modify name what was touched. */
+static void planned_changes_are_valid(void **st)
+{
+	static const char text[] =
+	    "{\"ConfigVersion\":1,\"RouteList\":[" ROUTE("a", "/a/", "lm") "," ROUTE("b", "/b/", "lm") "," ROUTE(
+		"c", "/c/", "lm") "," ROUTE("r-big-0", "/big0/",
+					    "lm") "],\"ServiceList\":[{\"Name\":\"lm\",\"MaxConnections\":9}],\"Limits\":"
+						  "{\"IdleTimeoutMs\":15000}," TENANTS("\"k1\"", "false") "}";
+	struct json_object *config = json_tokener_parse(text),
+			   *plain = json_tokener_parse("{\"Name\":\"t3\",\"AccessKeys\":[\"k3\"]}");
+
+	(void)st;
+	json_object_array_add(json_object_object_get(config, "TenantList"), plain);
+	for (uint64_t turn = 0; turn < 100; turn++) {
+		enum change what = (enum change)(CHANGE_BIG_OFF + turn % (CHANGES - CHANGE_BIG_OFF));
+		struct json_object *upsert = json_object_new_object(), *removed = json_object_new_object();
+		struct cfg *c;
+
+		planned_change(config, upsert, removed, what, turn);
+		json_object_object_add(config, "ConfigVersion", json_object_new_int64((int64_t)turn + 2));
+		c = cfg_read(json_object_to_json_string(config));
+		assert_non_null(c);
+		assert_null(cfg_invalid(c, (int64_t)turn + 1));
+		assert_int_equal(arrlen(c->route), 3 + (turn < 1 && what != CHANGE_BIG_OFF));
+		if (what != CHANGE_LIMITS)
+			assert_int_equal(json_object_object_length(upsert) + json_object_object_length(removed), 1);
+		cfg_free(c);
+		json_object_put(upsert);
+		json_object_put(removed);
+	}
+	json_object_put(config);
+}
+
 static void histogram_is_within_its_steps(void **st)
 {
 	struct hist *h = calloc(1, sizeof *h);
@@ -2104,6 +2137,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(judge_catches_each_breach),
 		cmocka_unit_test(configurations_are_told_apart),
+		cmocka_unit_test(planned_changes_are_valid),
 		cmocka_unit_test(histogram_is_within_its_steps),
 		cmocka_unit_test(a_stream_is_whole_and_stamped),
 		cmocka_unit_test(what_does_not_run_says_so),
