--- a/rehearsal/stand_client.c
+++ b/rehearsal/stand_client.c
@@ -9,6 +9,7 @@
 
 enum {
 	TIMES_AS_LONG = 20, /* the answers of some requests on a planned day */
+	LONG_PROBE = 500,   /* tokens: such a probe is under way for seconds, while its route or key goes */
 	REST_MS = 10000     /* how long a connection may rest before any configuration is known */
 };
 
@@ -594,7 +595,7 @@
 	if (!c->probing || c->closing)
 		return;
 	for (int i = 0; i < r->nm; i++) {
-		const char *at = stand_rand(&r->rng) % 2 ? operator_added(r->op) : operator_removed(r->op);
+		const char *at = stand_rand(&r->rng) % 2 ? operator_added(r->op) : operator_removed(r->op), *key;
 		struct subject *s;
 
 		if (r->m[i].core || r->m[i].gone || !r->m[i].in)
@@ -607,8 +608,9 @@
 		s->probe = 1;
 		s->avoid[0] = i;
 		s->prompt = 40;
-		s->out = 1;
-		snprintf(s->key, sizeof s->key, "%s", c->keys[0]);
+		s->out = c->long_every ? LONG_PROBE : 1;
+		key = stand_rand(&r->rng) % 2 ? operator_second_key(r->op) : NULL;
+		snprintf(s->key, sizeof s->key, "%s", key ? key : c->keys[0]);
 		snprintf(s->host, sizeof s->host, "%s", r->sheet->host);
 		snprintf(s->path, sizeof s->path, "%s%s", at ? at : "/never/", "p");
 		snprintf(s->parts, sizeof s->parts, "%08llx:40", (unsigned long long)(stand_rand(&r->rng) & 0xffffffff));
--- a/rehearsal/stand_operator.c
+++ b/rehearsal/stand_operator.c
@@ -609,6 +609,19 @@
 const char *operator_added(const struct operator* o) { return o->added[0] ? o->added : NULL; }
 const char *operator_removed(const struct operator* o) { return o->removed[0] ? o->removed : NULL; }
 
+const char *operator_second_key(const struct operator* o)
+{
+	struct json_object *tenants = o->now ? member(o->now, "TenantList") : NULL;
+
+	for (size_t i = 0; tenants && i < json_object_array_length(tenants); i++) {
+		struct json_object *keys = member(json_object_array_get_idx(tenants, i), "AccessKeys");
+
+		if (json_object_array_length(keys) > 1)
+			return json_object_get_string(json_object_array_get_idx(keys, 1));
+	}
+	return NULL;
+}
+
 struct operator* operator_open(struct run *r)
 {
 	struct operator* o = calloc(1, sizeof *o);
--- a/rehearsal/stand_run.h
+++ b/rehearsal/stand_run.h
@@ -151,6 +151,8 @@
 /* A route that came or went lately, for the probes; NULL: none. */
 const char *operator_added(const struct operator* o);
 const char *operator_removed(const struct operator* o);
+/* A key that a tenant holds besides its first one; NULL: none. */
+const char *operator_second_key(const struct operator* o);
 
 /* Figures and the picture. */
 int report_write(struct run *r, const char *folder, const struct breach *b, int n);
