--- a/rehearsal/stand_client.c
+++ b/rehearsal/stand_client.c
@@ -7,10 +7,16 @@
 #include "ds.h"
 #include "stand_run.h"
 
+enum {
+	TIMES_AS_LONG = 20, /* the answers of some requests on a planned day */
+	LONG_PROBE = 500,   /* tokens: such a probe is under way for seconds, while its route or key goes */
+	REST_MS = 10000     /* how long a connection may rest before any configuration is known */
+};
+
 struct kept_conn {
 	struct conn *c;
 	int machine, busy;
-	int64_t idle_until;
+	int64_t idle_until, rests_from;
 };
 struct client {
 	int zone, tenant;
@@ -32,7 +38,7 @@
 	struct subject *s;
 	struct clients *all;
 	struct conn *c;
-	int machine, fresh, status, seal, own, events, sent, bytes, done, resumed_from;
+	int machine, fresh, status, seal, own, events, sent, bytes, done, resumed_from, read;
 	int64_t began, until, heard;
 	char id[24], seal_id[40], *text; /* stb array: what of a stream is not read yet */
 	double retry_after;
@@ -48,7 +54,7 @@
 	uint64_t look, probes_timer, ready_timer, ids;
 	double due[CLASSES];
 	int64_t last;
-	int on, extra, probing, closing, asked;
+	int on, extra, probing, long_every, closing, asked;
 	char keys[16][64];
 };
 
@@ -211,6 +217,7 @@
 	t.status = a->status;
 	t.seal = a->seal;
 	t.own = a->own;
+	t.read = a->read;
 	t.how = how;
 	t.events = a->events;
 	t.event = a->event;
@@ -219,7 +226,8 @@
 	if (a->c) {
 		if (how == TOLD_WHOLE && a->keep && kc) {
 			kc->busy = 0;
-			kc->idle_until = now + (a->keep_s > 0 ? a->keep_s * 1000 - 300 : 10000);
+			kc->rests_from = now;
+			kc->idle_until = a->keep_s > 0 ? now + a->keep_s * 1000 - 300 : INT64_MAX;
 			conn_set(a->c, &on_answer, c); /* nothing is due: what comes now is surplus */
 			conn_set_tag(a->c, NULL);
 		} else {
@@ -408,6 +416,14 @@
 
 static const struct conn_on on_answer = { .head = on_head, .data = on_data, .whole = on_whole, .gone = on_gone };
 
+/* How long a connection may have rested that is taken up again: four fifths of IdleTimeoutMs, where that is known. */
+static int64_t rest_most(const struct run *r)
+{
+	int idle = r->op ? operator_idle_timeout(r->op) : 0;
+
+	return idle ? idle * 4 / 5 : REST_MS;
+}
+
 static void try_now(struct subject *s, int fresh)
 {
 	struct clients *c = s->all;
@@ -442,7 +458,7 @@
 
 		if (old->busy)
 			continue;
-		if (now > old->idle_until) {
+		if (now > old->idle_until || now > old->rests_from + rest_most(r)) {
 			conn_set_tag(old->c, NULL);
 			conn_close(old->c, 0);
 			arrdelswap(s->who->kept, i);
@@ -460,7 +476,7 @@
 		a->fresh = 1;
 		a->c = conn_call(r->l, r->m[machine].front, &on_answer, c);
 		if (a->c) {
-			struct kept_conn made = { a->c, machine, 1, 0 };
+			struct kept_conn made = { a->c, machine, 1, 0, 0 };
 
 			arrput(s->who->kept, made);
 		}
@@ -540,6 +556,8 @@
 	shared = spread(&seed, k->shared);
 	own = spread(&r->rng, k->own);
 	s->out = spread(&r->rng, k->out);
+	if (c->long_every && c->asked % c->long_every == 0)
+		s->out *= TIMES_AS_LONG;
 	s->prompt = shared + own;
 	snprintf(s->key, sizeof s->key, "%s", c->keys[s->who->tenant]);
 	snprintf(s->host, sizeof s->host, "%s", r->sheet->host);
@@ -577,7 +595,7 @@
 	if (!c->probing || c->closing)
 		return;
 	for (int i = 0; i < r->nm; i++) {
-		const char *at = stand_rand(&r->rng) % 2 ? operator_added(r->op) : operator_removed(r->op);
+		const char *at = stand_rand(&r->rng) % 2 ? operator_added(r->op) : operator_removed(r->op), *key;
 		struct subject *s;
 
 		if (r->m[i].core || r->m[i].gone || !r->m[i].in)
@@ -590,8 +608,9 @@
 		s->probe = 1;
 		s->avoid[0] = i;
 		s->prompt = 40;
-		s->out = 1;
-		snprintf(s->key, sizeof s->key, "%s", c->keys[0]);
+		s->out = c->long_every ? LONG_PROBE : 1;
+		key = stand_rand(&r->rng) % 2 ? operator_second_key(r->op) : NULL;
+		snprintf(s->key, sizeof s->key, "%s", key ? key : c->keys[0]);
 		snprintf(s->host, sizeof s->host, "%s", r->sheet->host);
 		snprintf(s->path, sizeof s->path, "%s%s", at ? at : "/never/", "p");
 		snprintf(s->parts, sizeof s->parts, "%08llx:40", (unsigned long long)(stand_rand(&r->rng) & 0xffffffff));
@@ -621,6 +640,8 @@
 		const struct class_set *k = &r->sheet->c[a->s->cls];
 		int64_t silence = 2000;
 
+		if (a->c && !a->read)
+			a->read = conn_read_by_peer(a->c);
 		if (4 * k->aim > silence)
 			silence = 4 * k->aim;
 		if (8 * k->gap > silence)
@@ -674,6 +695,7 @@
 
 int clients_busy(const struct clients *c) { return (int)arrlen(c->going) + (int)arrlen(c->waiting); }
 void clients_extra(struct clients *c, int routes) { c->extra = routes; }
+void clients_long(struct clients *c, int every) { c->long_every = every; }
 void clients_probe(struct clients *c, int on) { c->probing = on; }
 void clients_keys(struct clients *c, int tenant, const char *key) { snprintf(c->keys[tenant], sizeof c->keys[tenant], "%s", key); }
 
--- a/tests/test_stand.c
+++ b/tests/test_stand.c
@@ -495,6 +495,260 @@
 	judge_told(j, 15000, &r); /* in the second half of GraceS; excused while its server still works */
 }
 
+/* ---- LOST, clause by clause: bad breaks the rule, the mended twin is just inside it ---- */
+
+enum { STOPPED_AT = 10100, RELOADED_AT = 12000, CFG_SENT_AT = 20000, CFG_ACKED_AT = 20100 };
+
+static void stops(struct judge *j, int machine) { judge_machine(j, STOPPED_AT, machine, machine >= EDGES, PLANNED, 0); }
+
+/* A reset without a byte of an answer; read: the machine's process had read the whole request. */
+static void is_reset(struct judge *j, int64_t t, const char *id, int read)
+{
+	struct told_rec r = { .id = id, .seal = -1, .how = TOLD_NOTHING, .read = read };
+
+	judge_told(j, t, &r);
+}
+
+/* Passed on to a server that is at work on it when the connection is reset. */
+static void reset_at_work(struct judge *j, int64_t t, int64_t end)
+{
+	judge_try(j, t, &a_try);
+	runs(j, t + 10, &a_try, "lm");
+	is_reset(j, end, "x1", 1);
+}
+
+static void configured(struct judge *j)
+{
+	cfg_at(j, CFG_SENT_AT, CFG_ACKED_AT, 1, CFG("5", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false")));
+}
+
+static void lost_passed_on(struct judge *j, int bad)
+{
+	stops(j, 0);
+	if (bad)
+		reset_at_work(j, 10200, 10250); /* within LossSlackMs: it has been passed on all the same */
+	else
+		served(j, 10200, &a_try, "lm");
+}
+
+static void lost_after_slack(struct judge *j, int bad)
+{
+	stops(j, 0);
+	judge_try(j, 10200, &a_try);
+	is_reset(j, 10400 + bad, "x1", 1);
+}
+
+static void lost_read(struct judge *j, int bad)
+{
+	stops(j, 0);
+	judge_try(j, 10200, &a_try);
+	is_reset(j, 10500, "x1", bad); /* unread bytes are no whole request */
+}
+
+static void lost_after_grace(struct judge *j, int bad)
+{
+	int64_t end = STOPPED_AT + bounds_sheet.grace + 1000 + !bad;
+
+	stops(j, 0);
+	judge_try(j, end - 500, &a_try);
+	is_reset(j, end, "x1", 1);
+}
+
+static void lost_before_the_stop(struct judge *j, int bad)
+{
+	judge_try(j, STOPPED_AT - 500, &a_try);
+	stops(j, 0);
+	is_reset(j, STOPPED_AT - !bad, "x1", 1);
+}
+
+static void lost_beside_another_stop(struct judge *j, int bad)
+{
+	stops(j, bad ? 0 : 1);
+	reset_at_work(j, 10200, 10700);
+}
+
+static void lost_sent_after_reload(struct judge *j, int bad)
+{
+	int64_t t = RELOADED_AT + bounds_sheet.apply + !bad;
+
+	judge_reload(j, RELOADED_AT, 0);
+	reset_at_work(j, t, t + 300);
+}
+
+static void lost_cut_after_reload(struct judge *j, int bad)
+{
+	judge_reload(j, RELOADED_AT, 0);
+	reset_at_work(j, RELOADED_AT - 1000, RELOADED_AT + bad);
+}
+
+static void lost_beside_another_reload(struct judge *j, int bad)
+{
+	judge_reload(j, RELOADED_AT, bad ? 0 : 1);
+	reset_at_work(j, RELOADED_AT + 100, RELOADED_AT + 500);
+}
+
+static void lost_from_the_sending(struct judge *j, int bad)
+{
+	configured(j);
+	reset_at_work(j, CFG_SENT_AT - 500, CFG_SENT_AT - !bad);
+}
+
+static void lost_after_the_acknowledgement(struct judge *j, int bad)
+{
+	int64_t end = CFG_ACKED_AT + bounds_sheet.apply + 1000 + !bad;
+
+	configured(j);
+	reset_at_work(j, end - 500, end);
+}
+
+/* One with no clear answer may be in force for the rest of the day; one that was refused never is. */
+static void lost_beside_a_refused_one(struct judge *j, int bad)
+{
+	int n = cfg_at(j, CFG_SENT_AT, -1, 1, CFG("5", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false")));
+
+	if (!bad)
+		judge_cfg_fate(j, CFG_ACKED_AT, n, CFG_REFUSED);
+	reset_at_work(j, 30000, 30500);
+}
+
+static void lost_beside_an_invalid_one(struct judge *j, int bad)
+{
+	const char *service = bad ? CFG("5", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false"))
+				  : CFG("5", ROUTE("a", "/a/", "nowhere"), TENANTS("\"k1\"", "false"));
+
+	cfg_at(j, CFG_SENT_AT, -1, 1, service);
+	reset_at_work(j, 30000, 30500);
+}
+
+/* Beside the configuration 40 requests, of them 12 or 13 cut; at other times 10, of them 1 cut. */
+static void lost_over_three_times_as_often(struct judge *j, int bad)
+{
+	char id[20];
+
+	configured(j);
+	for (int i = 0; i < 50; i++) {
+		int beside = i < 40, cut = beside ? i < 12 + bad : i == 40;
+		int64_t t = beside ? CFG_SENT_AT + 10 * i : 10000 + 10 * i;
+		struct try_rec x;
+
+		snprintf(id, sizeof id, "s%d", i);
+		x = named(id);
+		if (!cut) {
+			served(j, t, &x, "lm");
+			continue;
+		}
+		judge_try(j, t, &x);
+		runs(j, t + 5, &x, "lm");
+		is_reset(j, t + 100, id, 1);
+	}
+}
+
+static void lost_before_seven_tenths(struct judge *j, int bad)
+{
+	configured(j);
+	reset_at_work(j, CFG_SENT_AT - 5000, CFG_SENT_AT - 5000 + 5600 - bad); /* of 8000 */
+}
+
+/* Seven tenths of its time excuse nothing beside a SIGHUP. */
+static void lost_late_beside_reload(struct judge *j, int bad)
+{
+	configured(j);
+	if (bad)
+		judge_reload(j, CFG_SENT_AT, 0);
+	reset_at_work(j, CFG_SENT_AT - 5000, CFG_SENT_AT + 600);
+}
+
+static void lost_in_calm(struct judge *j, int bad)
+{
+	int64_t sent_at = 10200, from = sent_at - bounds_sheet.contact;
+
+	judge_machine(j, from - bad, 0, 0, UNPLANNED, 1);
+	stops(j, 0);
+	reset_at_work(j, sent_at, sent_at + 500);
+}
+
+static void lost_in_a_calm_core(struct judge *j, int bad)
+{
+	int64_t sent_at = 10200, from = sent_at - bounds_sheet.contact;
+
+	judge_machine(j, from - bad, EDGES, 1, UNPLANNED, 1);
+	stops(j, 0);
+	reset_at_work(j, sent_at, sent_at + 500);
+}
+
+static void lost_not_broken_off(struct judge *j, int bad)
+{
+	int run;
+
+	stops(j, 0);
+	judge_try(j, 10200, &a_try);
+	run = runs(j, 10210, &a_try, "lm");
+	judge_ran(j, 10300, run, bad, 200, 0, 2); /* 1: the whole answer went out; 0: the server broke off */
+	is_reset(j, 10400, "x1", 1);
+}
+
+/* A server broke off, another took the request on; only the last one counts, and not one that turned it away. */
+static void lost_at_a_second_server(struct judge *j, int bad)
+{
+	int run;
+
+	stops(j, 0);
+	judge_try(j, 10200, &a_try);
+	run = runs(j, 10210, &a_try, "lm");
+	judge_ran(j, 10300, run, 0, 200, 0, 1);
+	run = arrives(j, 10310, &a_try, "lm", "i-2");
+	if (!bad)
+		judge_turned(j, run, 503);
+	is_reset(j, 10600, "x1", 1);
+}
+
+static void lost_before_the_deadline(struct judge *j, int bad)
+{
+	struct try_rec x = a_try;
+
+	x.deadline = 1000;
+	stops(j, 0);
+	judge_try(j, 10200, &x);
+	is_reset(j, 11200 - bad, "x1", 1);
+}
+
+static void lost_before_the_timeout(struct judge *j, int bad)
+{
+	cfg_at(
+	    j, 5000, 5100, 1,
+	    CFG("5",
+		"{\"Name\":\"a\",\"HostName\":\"h.example\",\"PathPrefix\":\"/a/\",\"RouteType\":\"streaming\",\"TimeoutMs\":1000,"
+		"\"ServiceName\":\"lm\",\"MaxAttempts\":2}",
+		TENANTS("\"k1\"", "false")));
+	stops(j, 0);
+	judge_try(j, 10200, &a_try);
+	is_reset(j, 11200 - bad, "x1", 1);
+}
+
+/* The server is at work past GraceS; the request was sent 3 s after the SIGTERM at the latest, or later. */
+static void lost_sent_long_after_the_stop(struct judge *j, int bad)
+{
+	stops(j, 0);
+	reset_at_work(j, STOPPED_AT + 3000 + bad, STOPPED_AT + 7000);
+}
+
+static void lost_in_the_first_half(struct judge *j, int bad)
+{
+	stops(j, 0);
+	reset_at_work(j, STOPPED_AT + 100, STOPPED_AT + bounds_sheet.grace / 2 - bad);
+}
+
+static void lost_done_in_the_first_half(struct judge *j, int bad)
+{
+	int run;
+
+	stops(j, 0);
+	judge_try(j, STOPPED_AT + 100, &a_try);
+	run = runs(j, STOPPED_AT + 110, &a_try, "lm");
+	judge_ran(j, STOPPED_AT + bounds_sheet.grace / 2 - bad, run, 1, 200, 0, 2);
+	is_reset(j, STOPPED_AT + bounds_sheet.grace / 2 + 500, "x1", 1);
+}
+
 static void budget(struct judge *j, int bad)
 {
 	for (int i = 0; i < 100; i++) { /* 0.2 x 100 + 58 = 78 */
@@ -775,6 +1029,31 @@
 	{ "lost", "LOST", lost },
 	{ "lost, unread", "LOST", lost_unread },
 	{ "lost, still at work", "LOST", lost_late_work },
+	{ "lost: passed on", "LOST", lost_passed_on },
+	{ "lost: after LossSlackMs", "LOST", lost_after_slack },
+	{ "lost: read or not", "LOST", lost_read },
+	{ "lost: 1 s after GraceS", "LOST", lost_after_grace },
+	{ "lost: before the SIGTERM", "LOST", lost_before_the_stop },
+	{ "lost: another's SIGTERM", "LOST", lost_beside_another_stop },
+	{ "lost: sent after a SIGHUP", "LOST", lost_sent_after_reload },
+	{ "lost: cut after a SIGHUP", "LOST", lost_cut_after_reload },
+	{ "lost: another's SIGHUP", "LOST", lost_beside_another_reload },
+	{ "lost: from a configuration's sending", "LOST", lost_from_the_sending },
+	{ "lost: after its acknowledgement", "LOST", lost_after_the_acknowledgement },
+	{ "lost: a refused one", "LOST ACKS", lost_beside_a_refused_one },
+	{ "lost: an invalid one", "LOST ACKS", lost_beside_an_invalid_one },
+	{ "lost: over three times as often", "LOST", lost_over_three_times_as_often },
+	{ "lost: seven tenths", "LOST", lost_before_seven_tenths },
+	{ "lost: seven tenths and SIGHUP", "LOST", lost_late_beside_reload },
+	{ "lost: calm machine", "LOST", lost_in_calm },
+	{ "lost: calm core", "LOST", lost_in_a_calm_core },
+	{ "lost: the server broke off", "LOST", lost_not_broken_off },
+	{ "lost: a second server", "LOST", lost_at_a_second_server },
+	{ "lost: the deadline", "LOST", lost_before_the_deadline },
+	{ "lost: the route's timeout", "LOST", lost_before_the_timeout },
+	{ "lost: 3 s after the SIGTERM", "LOST", lost_sent_long_after_the_stop },
+	{ "lost: first half of GraceS", "LOST", lost_in_the_first_half },
+	{ "lost: done in the first half", "LOST", lost_done_in_the_first_half },
 	{ "budget", "BUDGET", budget },
 	{ "a gap", "ORDER", order_gap },
 	{ "a piece twice", "ORDER", order_double },
@@ -858,6 +1137,39 @@
 	}
 }
 
+/* Whatever planned changes follow on each other, what comes out is valid, and the lists for modify name what was touched. */
+static void planned_changes_are_valid(void **st)
+{
+	static const char text[] =
+	    "{\"ConfigVersion\":1,\"RouteList\":[" ROUTE("a", "/a/", "lm") "," ROUTE("b", "/b/", "lm") "," ROUTE(
+		"c", "/c/", "lm") "," ROUTE("r-big-0", "/big0/",
+					    "lm") "],\"ServiceList\":[{\"Name\":\"lm\",\"MaxConnections\":9}],\"Limits\":"
+						  "{\"IdleTimeoutMs\":15000}," TENANTS("\"k1\"", "false") "}";
+	struct json_object *config = json_tokener_parse(text),
+			   *plain = json_tokener_parse("{\"Name\":\"t3\",\"AccessKeys\":[\"k3\"]}");
+
+	(void)st;
+	json_object_array_add(json_object_object_get(config, "TenantList"), plain);
+	for (uint64_t turn = 0; turn < 100; turn++) {
+		enum change what = (enum change)(CHANGE_BIG_OFF + turn % (CHANGES - CHANGE_BIG_OFF));
+		struct json_object *upsert = json_object_new_object(), *removed = json_object_new_object();
+		struct cfg *c;
+
+		planned_change(config, upsert, removed, what, turn);
+		json_object_object_add(config, "ConfigVersion", json_object_new_int64((int64_t)turn + 2));
+		c = cfg_read(json_object_to_json_string(config));
+		assert_non_null(c);
+		assert_null(cfg_invalid(c, (int64_t)turn + 1));
+		assert_int_equal(arrlen(c->route), 3 + (turn < 1 && what != CHANGE_BIG_OFF));
+		if (what != CHANGE_LIMITS)
+			assert_int_equal(json_object_object_length(upsert) + json_object_object_length(removed), 1);
+		cfg_free(c);
+		json_object_put(upsert);
+		json_object_put(removed);
+	}
+	json_object_put(config);
+}
+
 static void histogram_is_within_its_steps(void **st)
 {
 	struct hist *h = calloc(1, sizeof *h);
@@ -1475,6 +1787,36 @@
 	int done, draining;
 };
 
+static void keeps_request(void *ctx, struct conn *c, struct msg *m) { (void)ctx, (void)c, (void)m; }
+
+static int read_by_peer(void *ctx) { return conn_read_by_peer(ctx); }
+
+/* Whether a process has read a request is seen from outside, before its connection ends one way or the other. */
+static void what_a_process_has_not_read_is_seen(void **st)
+{
+	static const struct conn_on serves = { .request = keeps_request }, calls = { 0 };
+	static const char request[] = "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n";
+	struct loop *l = loop_open();
+	struct port *p;
+	struct conn *c;
+	char at[40];
+
+	(void)st;
+	snprintf(at, sizeof at, "127.%d.%d.99:8080", 16 + (getpid() / 250) % 200, 1 + getpid() % 250);
+	p = port_open(l, at, &serves, NULL, 0);
+	assert_non_null(p);
+	port_dark(p, 1);
+	c = conn_call(l, at, &calls, NULL);
+	assert_non_null(c);
+	conn_say(c, request, sizeof request - 1);
+	assert_false(loop_until(l, ms_us(50), read_by_peer, c));
+	port_dark(p, 0);
+	assert_true(loop_until(l, ms_us(5000), read_by_peer, c));
+	conn_close(c, 1);
+	port_close(p, 1);
+	loop_close(l);
+}
+
 static void on_list(void *ctx, int status, const struct msg *m)
 {
 	struct seen *s = ctx;
@@ -1558,14 +1900,17 @@
 
 /* ---- clients straight at a server, without an edge between: what the parts see fits together ---- */
 
-static void straight(const char *cfg_text, const struct server_fault *x, int64_t ms, struct judge **j, struct figures *fig)
+enum { ALONE_FROM_MS = 10000 }; /* the run's time when clients come: its machine has long been in touch */
+
+/* One machine, at whose front anybody may listen, and one of the core. */
+static struct run *alone(const char *cfg_text)
 {
 	struct run *r = calloc(1, sizeof *r);
 	struct cfg *c;
 
 	r->l = loop_open();
 	r->f.l = r->l;
-	r->f.start = loop_us();
+	r->f.start = loop_us() - ms_us(ALONE_FROM_MS);
 	r->b = bounds_sheet;
 	r->j = r->f.j = judge_open(&r->b);
 	r->sheet = &sheets[0];
@@ -1581,30 +1926,50 @@
 	snprintf(r->m[0].ready, sizeof r->m[0].ready, "%s.100:8080", r->base);
 	snprintf(r->m[0].zone, sizeof r->m[0].zone, "%s", r->sheet->zone[0]);
 	r->m[0].in = r->nm = 1;
-	server_add(&r->f, r->m[0].front, r->sheet->zone[0], r->sheet->service, 0);
-	server_up(r->f.server[0]);
-	r->f.server[0]->fault = *x;
-	judge_machine(r->j, -10000, 0, 0, CALM, 1);
-	judge_machine(r->j, -10000, 1, 1, CALM, 1);
+	judge_machine(r->j, 0, 0, 0, CALM, 1);
+	judge_machine(r->j, 0, 1, 1, CALM, 1);
 	c = cfg_read(cfg_text);
 	assert_non_null(c);
-	judge_cfg_fate(r->j, -9000, judge_cfg(r->j, -9500, c, 0, 0), CFG_ACKED);
+	judge_cfg_fate(r->j, 1000, judge_cfg(r->j, 500, c, 0, 0), CFG_ACKED);
+	return r;
+}
+
+static void clients_for(struct run *r, int64_t ms)
+{
 	r->op = operator_open(r);
 	r->clients = clients_open(r);
 	clients_traffic(r->clients, 1);
 	loop_until(r->l, ms_us((double)ms), NULL, NULL);
 	clients_traffic(r->clients, 0);
-	for (int i = 0; i < 400 && clients_busy(r->clients); i++)
-		loop_until(r->l, ms_us(25), NULL, NULL);
-	assert_int_equal(clients_busy(r->clients), 0);
+}
+
+/* The run ends; its judge is left. */
+static struct judge *alone_end(struct run *r)
+{
+	struct judge *j = r->j;
+
 	clients_close(r->clients);
 	operator_close(r->op);
 	servers_free(&r->f);
 	loop_close(r->l);
-	*j = r->j;
-	*fig = r->fig;
 	free(r->fig.sec);
 	free(r);
+	return j;
+}
+
+static void straight(const char *cfg_text, const struct server_fault *x, int64_t ms, struct judge **j, struct figures *fig)
+{
+	struct run *r = alone(cfg_text);
+
+	server_add(&r->f, r->m[0].front, r->sheet->zone[0], r->sheet->service, 0);
+	server_up(r->f.server[0]);
+	r->f.server[0]->fault = *x;
+	clients_for(r, ms);
+	for (int i = 0; i < 400 && clients_busy(r->clients); i++)
+		loop_until(r->l, ms_us(25), NULL, NULL);
+	assert_int_equal(clients_busy(r->clients), 0);
+	*fig = r->fig;
+	*j = alone_end(r);
 }
 
 #define PLAIN_ROUTE(prefix)                                                                  \
@@ -1643,6 +2008,73 @@
 	free(f);
 }
 
+/* ---- cuts planted at a machine's front ---- */
+
+enum { PLANTED_AFTER_MS = 300 };
+
+struct planted {
+	struct loop *l;
+	struct conn **held; /* stb array: requests that were read, the oldest first */
+};
+
+static void cut_oldest(void *ctx)
+{
+	struct planted *x = ctx;
+	struct conn *c = x->held[0];
+
+	arrdel(x->held, 0);
+	if (conn_alive(x->l, c))
+		conn_close(c, 1);
+}
+
+static void read_and_cut(void *ctx, struct conn *c, struct msg *m)
+{
+	struct planted *x = ctx;
+
+	(void)m;
+	arrput(x->held, c);
+	loop_after(x->l, ms_us(PLANTED_AFTER_MS), cut_oldest, x);
+}
+
+/* How many LOST are seen when the front reads each request and resets its connection, or reads none and resets all. */
+static int lost_at_front(int reads, void (*plan)(struct judge *j))
+{
+	static const struct conn_on on = { .request = read_and_cut };
+	struct run *r = alone(ROUTES "}");
+	struct planted x = { r->l, NULL };
+	struct port *p = port_open(r->l, r->m[0].front, &on, &x, 0);
+	struct judge *j;
+	int lost;
+
+	assert_non_null(p);
+	port_dark(p, !reads);
+	plan(r->j);
+	clients_for(r, 2 * PLANTED_AFTER_MS);
+	loop_until(r->l, ms_us(2.0 * PLANTED_AFTER_MS), NULL, NULL);
+	port_close(p, 1);
+	loop_until(r->l, ms_us(50), NULL, NULL);
+	j = alone_end(r);
+	lost = breaches_of(j, "LOST", "read and cut off");
+	judge_close(j);
+	arrfree(x.held);
+	return lost;
+}
+
+static void plan_stop(struct judge *j) { judge_machine(j, ALONE_FROM_MS, 0, 0, PLANNED, 0); }
+static void plan_reload(struct judge *j) { judge_reload(j, ALONE_FROM_MS, 0); }
+static void plan_configuration(struct judge *j) { judge_cfg(j, ALONE_FROM_MS, cfg_read(ROUTES "}"), 0, 0); }
+static void plan_nothing(struct judge *j) { (void)j; }
+
+static void planted_cuts_are_seen(void **st)
+{
+	(void)st;
+	assert_true(lost_at_front(1, plan_stop) > 0);
+	assert_true(lost_at_front(1, plan_reload) > 0);
+	assert_true(lost_at_front(1, plan_configuration) > 0);
+	assert_int_equal(lost_at_front(1, plan_nothing), 0);
+	assert_int_equal(lost_at_front(0, plan_stop), 0);
+}
+
 static void a_missing_tenant_is_seen(void **st)
 {
 	struct figures *f = calloc(1, sizeof *f);
@@ -1705,6 +2137,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(judge_catches_each_breach),
 		cmocka_unit_test(configurations_are_told_apart),
+		cmocka_unit_test(planned_changes_are_valid),
 		cmocka_unit_test(histogram_is_within_its_steps),
 		cmocka_unit_test(a_stream_is_whole_and_stamped),
 		cmocka_unit_test(what_does_not_run_says_so),
@@ -1719,8 +2152,10 @@
 		cmocka_unit_test(health_and_report_tell_what_they_should),
 		cmocka_unit_test(faults_are_as_named),
 		cmocka_unit_test(connections_are_bounded_and_idle_ones_closed),
+		cmocka_unit_test(what_a_process_has_not_read_is_seen),
 		cmocka_unit_test(the_list_lags_comes_in_pages_and_has_a_rate),
 		cmocka_unit_test(calm_clients_break_nothing),
+		cmocka_unit_test(planted_cuts_are_seen),
 		cmocka_unit_test(a_missing_tenant_is_seen),
 		cmocka_unit_test(cut_streams_are_taken_up_without_a_breach),
 		cmocka_unit_test(surplus_bytes_that_reach_a_client_are_seen),
