Test: a founding that has begun ends as unknown at a planned stop, and its seeds are still told of each other

The branch of bootstrap_stop in which the members were named rested on an argument. The test loses the first message that names them, with the caller there and with one that has hung up.

--- a/tests/test_planned_stop.c
+++ b/tests/test_planned_stop.c
@@ -304,6 +304,39 @@
 	sim_close(&s);
 }
 
+/* Once seeds may have begun, the outcome of a founding is open, and they are still told of each other. */
+static void a_founding_that_has_begun_is_unknown(void **state)
+{
+	uint64_t seeds[3] = { core_addr("127.0.1.1:7000"), core_addr("127.0.1.2:7000"), core_addr("127.0.1.3:7000") };
+
+	(void)state;
+	for (int hang_up = 0; hang_up < 2; hang_up++) {
+		struct sim s;
+		uint64_t token;
+
+		sim_open(&s, first_seed());
+		for (int i = 0; i < 3; i++)
+			sim_registrar(&s, "z1", seeds, 3);
+		token = sim_call(&s, 0, "POST", "/v1/found", "{}");
+		while (!s.n[0].r->found.members) { /* the first message that names them is lost */
+			s.loss = s.n[0].r->found.id[1] && s.n[0].r->found.id[2] ? 1000 : 0;
+			pass(&s, STEP_MS);
+		}
+		s.loss = 0;
+		if (hang_up)
+			sim_hang_up(&s, 0, token);
+		sim_stop(&s, 0);
+		pass(&s, STEP_MS);
+		assert_non_null(sim_answer(&s, token)); /* to whoever is there */
+		assert_int_equal(sim_answer(&s, token)->status, 504);
+		assert_int_equal(operator_calls_open(s.n[0].r), 0);
+		pass(&s, 3000);
+		for (int i = 0; i < 3; i++)
+			assert_true(s.n[i].r->fleet && s.n[i].r->fleet == s.n[0].r->fleet);
+		sim_close(&s);
+	}
+}
+
 /* A controller that is to stop begins no call, and is not done before those that it has read are answered. */
 static void a_stop_waits_for_calls_and_begins_none(void **state)
 {
@@ -342,9 +375,10 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(a_held_request_is_answered_in_time),     cmocka_unit_test(a_leaving_leader_answers_proposals),
-		cmocka_unit_test(an_open_outcome_is_said_at_once),        cmocka_unit_test(a_founding_ends_with_the_stop),
-		cmocka_unit_test(a_stop_waits_for_calls_and_begins_none), cmocka_unit_test(a_planned_stop_leaves_a_short_gap),
+		cmocka_unit_test(a_held_request_is_answered_in_time),   cmocka_unit_test(a_leaving_leader_answers_proposals),
+		cmocka_unit_test(an_open_outcome_is_said_at_once),      cmocka_unit_test(a_founding_ends_with_the_stop),
+		cmocka_unit_test(a_founding_that_has_begun_is_unknown), cmocka_unit_test(a_stop_waits_for_calls_and_begins_none),
+		cmocka_unit_test(a_planned_stop_leaves_a_short_gap),
 	};
 	int rc;
 
