Messages between processes: a dial that is slow stays under way beside newer ones

And the connection was lost in the first place because bytes that are not acknowledged for a second end it, which a full link takes as well.

Ruled out: more patience for each dial (a machine that was dark and is back would be heard by as much later; the kernel asks again after a second at the soonest).

Now a dial stays while newer ones go out beside it, eight at most, and the first answer counts. A connection whose dial took long is given three times that more for its acknowledgements, 5 s at most; on a link with nothing in its way the second stands.

Test: a_dial_that_is_slow_stays_under_way (one dial at a time before; guard seen to fail); a_dial_that_hangs_is_made_anew as it was.

--- a/lib/shell/net.c
+++ b/lib/shell/net.c
@@ -21,7 +21,8 @@
 	NET_FRAME = 32 << 20,
 	NET_QUEUE = 64 << 20,
 	NET_AGAIN = 200,
-	NET_DIAL = 250,
+	NET_DIAL = 250, /* ms without an answer after which another dial goes out beside it */
+	NET_DIALS = 8,  /* that wait beside the newest one; a longer way than that is as good as none */
 	NET_DRAWS = 64,
 	NET_POLL_MS = 100,
 	NET_CLOSE_MS = 200,    /* at the end, for what was said last to leave */
@@ -29,8 +30,13 @@
 };
 
 /* Bytes that are not acknowledged for so long end a connection. The kernel would ask a silent machine again after ever longer
- * pauses, and not look for 10 s and more after it is back. */
-enum { NET_UNACKNOWLEDGED_MS = 1000 };
+ * pauses, and not look for 10 s and more after it is back. Over a link that is full an acknowledgement may take as long as that:
+ * so a connection whose dial took its time is given a few times that more. */
+enum {
+	NET_UNACKNOWLEDGED_MS = 1000,
+	NET_UNACKNOWLEDGED_WAYS = 3, /* round trips, as the dial took them, that are granted beside it */
+	NET_UNACKNOWLEDGED_MOST_MS = 5000
+};
 
 struct net_bytes {
 	uint64_t addr;
@@ -39,6 +45,14 @@
 	uint8_t *d;
 };
 
+/* A dial that has had no answer yet. */
+struct dial {
+	apr_pool_t *p;
+	apr_socket_t *s;
+	apr_pollfd_t fd;
+	int64_t at;
+};
+
 struct conn {
 	apr_pool_t *p;
 	apr_socket_t *s;
@@ -48,7 +62,8 @@
 	size_t at;
 	int up, listed;
 	int64_t again, dialled;
-	int bad; /* logged that it cannot be reached */
+	struct dial *older; /* stb_ds: outgoing: dials before the newest one, oldest first */
+	int bad;            /* logged that it cannot be reached */
 };
 
 struct net {
@@ -95,8 +110,23 @@
 	return sa;
 }
 
+static void dial_close(struct net *n, struct dial *d)
+{
+	apr_pollset_remove(n->set, &d->fd);
+	apr_socket_close(d->s);
+	apr_pool_destroy(d->p);
+}
+
+static void older_close(struct net *n, struct conn *c)
+{
+	for (ptrdiff_t i = 0; i < arrlen(c->older); i++)
+		dial_close(n, &c->older[i]);
+	arrfree(c->older);
+}
+
 static void out_close(struct net *n, struct conn *c)
 {
+	older_close(n, c);
 	unlist(n, c);
 	if (c->s)
 		apr_socket_close(c->s);
@@ -108,9 +138,8 @@
 	apr_pool_clear(c->p);
 }
 
-static void limit_unacknowledged(apr_socket_t *socket)
+static void limit_unacknowledged(apr_socket_t *socket, int ms)
 {
-	int ms = NET_UNACKNOWLEDGED_MS;
 	apr_os_sock_t fd;
 
 	if (apr_os_sock_get(&fd, socket) == APR_SUCCESS)
@@ -129,7 +158,7 @@
 	apr_socket_opt_set(c->s, APR_SO_NONBLOCK, 1);
 	apr_socket_timeout_set(c->s, 0);
 	apr_socket_opt_set(c->s, APR_TCP_NODELAY, 1);
-	limit_unacknowledged(c->s);
+	limit_unacknowledged(c->s, NET_DIAL * (NET_DIALS + 1));
 	c->dialled = clock_ms();
 	st = apr_socket_connect(c->s, sa);
 	if (st != APR_SUCCESS && !APR_STATUS_IS_EINPROGRESS(st)) {
@@ -160,6 +189,38 @@
 	list(n, c, APR_POLLIN);
 }
 
+/* An answer to a dial may only be slow, behind a full link: the dial stays, and another goes out beside it, for a machine that
+ * was dark is asked again by the kernel after a second at the soonest. What it was made for is no longer worth sending. */
+static void dial_beside(struct net *n, struct conn *c)
+{
+	struct dial d = { c->p, c->s, c->fd, c->dialled };
+
+	if (arrlen(c->older) == NET_DIALS) {
+		dial_close(n, &c->older[0]);
+		arrdel(c->older, 0);
+	}
+	arrput(c->older, d);
+	apr_pool_create(&c->p, n->p);
+	c->s = NULL;
+	c->listed = 0;
+	arrsetlen(c->buf, 0);
+	c->at = 0;
+	out_dial(n, c);
+}
+
+/* The first answer to a dial: this connection is the one. */
+static void out_up(struct net *n, struct conn *c)
+{
+	int64_t allowed = NET_UNACKNOWLEDGED_MS + NET_UNACKNOWLEDGED_WAYS * (clock_ms() - c->dialled);
+
+	older_close(n, c);
+	limit_unacknowledged(c->s, (int)(allowed < NET_UNACKNOWLEDGED_MOST_MS ? allowed : NET_UNACKNOWLEDGED_MOST_MS));
+	if (c->bad)
+		log_say(LOG_INFO, "net", "Colleague %s is reached again.", core_addr_str(c->p, c->addr));
+	c->up = 1;
+	c->bad = 0;
+}
+
 static void out_ready(struct net *n, struct conn *c, apr_int16_t got)
 {
 	if (!c->up && (got & (APR_POLLERR | APR_POLLHUP))) {
@@ -180,16 +241,42 @@
 		}
 	}
 	if (got & APR_POLLOUT) {
-		if (!c->up && c->bad)
-			log_say(LOG_INFO, "net", "Colleague %s is reached again.", core_addr_str(c->p, c->addr));
-		c->up = 1;
-		c->bad = 0;
+		if (!c->up)
+			out_up(n, c);
 		out_write(n, c);
 	} else if (got & (APR_POLLERR | APR_POLLHUP)) {
 		out_close(n, c);
 	}
 }
 
+/* An older dial has its answer: it takes the newest one's place, or is over. */
+static void older_ready(struct net *n, struct conn *c, const apr_socket_t *s, apr_int16_t got)
+{
+	ptrdiff_t i = 0;
+	struct dial d;
+
+	while (i < arrlen(c->older) && c->older[i].s != s)
+		i++;
+	if (i == arrlen(c->older))
+		return; /* closed meanwhile */
+	d = c->older[i];
+	arrdel(c->older, i);
+	if (got & (APR_POLLERR | APR_POLLHUP)) {
+		dial_close(n, &d);
+		return;
+	}
+	unlist(n, c);
+	if (c->s)
+		apr_socket_close(c->s);
+	apr_pool_destroy(c->p);
+	c->p = d.p;
+	c->s = d.s;
+	c->fd = d.fd;
+	c->listed = 1;
+	c->dialled = d.at;
+	out_ready(n, c, got);
+}
+
 static void out_queue(struct net *n, struct net_bytes *b)
 {
 	uint64_t key = b->addr | (b->bulk ? NET_BULK : 0);
@@ -208,11 +295,9 @@
 		hmput(n->peer, key, c);
 	}
 	/* a machine without power, or behind a cut, does not answer a dial; the kernel would ask once more after a second only */
-	if (c->s && !c->up && clock_ms() - c->dialled > NET_DIAL) {
-		out_close(n, c);
-		c->again = 0;
-	}
-	if (!c->s && clock_ms() >= c->again)
+	if (c->s && !c->up && clock_ms() - c->dialled > NET_DIAL)
+		dial_beside(n, c);
+	else if (!c->s && clock_ms() >= c->again)
 		out_dial(n, c);
 	if (!c->s || (size_t)arrlen(c->buf) - c->at + b->n > NET_QUEUE)
 		return; /* lost: the core asks again */
@@ -339,8 +424,10 @@
 			in_take(n);
 		else if (!c->addr)
 			in_ready(n, c);
-		else if (c->s)
+		else if (c->s && got[i].desc.s == c->s)
 			out_ready(n, c, got[i].rtnevents);
+		else
+			older_ready(n, c, got[i].desc.s, got[i].rtnevents);
 	}
 	while ((bytes = ring_pop(n->out, 0))) {
 		out_queue(n, bytes);
@@ -458,6 +545,7 @@
 	for (ptrdiff_t i = 0; i < hmlen(n->peer); i++) {
 		struct conn *c = n->peer[i].value;
 
+		older_close(n, c);
 		if (c->s)
 			apr_socket_close(c->s);
 		arrfree(c->buf);
--- a/tests/test_shell.c
+++ b/tests/test_shell.c
@@ -636,6 +636,69 @@
 	return n;
 }
 
+/* Over a link that is full the answer to a dial takes longer than the pause between two: each stays under way beside the newer
+ * ones, within a bound, and once one is answered the others are over. */
+static void a_dial_that_is_slow_stays_under_way(void **st)
+{
+	apr_pool_t *p;
+	struct ring *r;
+	struct net *a;
+	char at_a[40], at_b[40];
+	struct Nl__Msg m = NL__MSG__INIT;
+	struct Nl__Owner q = NL__OWNER__INIT;
+	int64_t end = clock_ms() + LIMIT;
+	struct sockaddr_in to = { .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int l = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0), full[4], one = 1, own, taken = 0, most = 0;
+	unsigned port;
+
+	(void)st;
+	apr_pool_create(&p, NULL);
+	ring_open(&r, 64, p);
+	free_addr(at_a);
+	free_addr(at_b);
+	port = (unsigned)(core_addr(at_b) & 65535);
+	to.sin_port = htons((uint16_t)port);
+	setsockopt(l, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+	assert_int_equal(bind(l, (struct sockaddr *)&to, sizeof to), 0);
+	assert_int_equal(listen(l, 0), 0);
+	for (int i = 0; i < 4; i++) {
+		full[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)connect(full[i], (struct sockaddr *)&to, sizeof to);
+	}
+	while (!(dialling(port) > 0) && clock_ms() < end)
+		;
+	own = dialling(port);
+	a = net_open(at_a, r, p);
+	assert_non_null(a);
+	m.speak = CORE_SPEAK;
+	m.body_case = NL__MSG__BODY_OWNER;
+	m.owner = &q;
+	while (most < own + 3 && clock_ms() < end) { /* the newest dial, and two beside it */
+		net_send(a, core_addr(at_b), &m);
+		most = dialling(port) > most ? dialling(port) : most;
+		assert_null(ring_pop(r, 10));
+	}
+	assert_true(most >= own + 3);
+	for (int i = 0; i < 4; i++)
+		close(full[i]);
+	while ((dialling(port) > 0 || !taken) && clock_ms() < end) { /* the queue empties, and dials are answered */
+		struct pollfd wait = { l, POLLIN, 0 };
+		int fd;
+
+		(void)poll(&wait, 1, 10);
+		while ((fd = accept(l, NULL, NULL)) >= 0) {
+			taken++;
+			close(fd);
+		}
+		assert_true(dialling(port) <= own + 9);
+	}
+	assert_true(taken > 0);
+	assert_int_equal(dialling(port), 0);
+	net_close(a);
+	close(l);
+	apr_pool_destroy(p);
+}
+
 /* A peer without power does not answer the dial at all; once it is back it is dialled anew, not when the kernel
  * thinks of it. */
 static void a_dial_that_hangs_is_made_anew(void **st)
@@ -1135,6 +1198,7 @@
 		cmocka_unit_test(damaged_folder_is_refused),
 		cmocka_unit_test(senseless_colleagues_are_hung_up_on),
 		cmocka_unit_test(a_dial_that_hangs_is_made_anew),
+		cmocka_unit_test(a_dial_that_is_slow_stays_under_way),
 		cmocka_unit_test(a_connection_that_nobody_acknowledges_is_made_anew),
 		cmocka_unit_test(knowledge_passes_words_of_kept_parts),
 		cmocka_unit_test(streams_end_definitely),
