--- a/tests/sim_forward.h
+++ b/tests/sim_forward.h
@@ -114,6 +114,7 @@
 	int every, limit_ms, lag, lossy; /* ms between askings; of requests; of events, per mille that never come */
 	int planned;                     /* nothing happens but planned work: no request may be lost */
 	int64_t leaving[SIM_NODES];      /* when a counter that was told to stop is to end; 0: it was not */
+	int grace[SIM_NODES];            /* ms that it was given for it */
 	int prefix_of_tenant;            /* parts are a tenant's own, not all tenants' */
 	int room;                        /* parts that a server keeps */
 	uint64_t n_forward, n_run, n_whole, n_cut, n_refused, n_promised, n_resend, n_taken_up, n_reused, n_fetched, n_sunk,
