Tests: each end of a send, and each event in each state of a request

Both found no fault beyond those mended before. Seen to fail with six planted faults (ran forgotten, no last id, attempts, budget, time, not repeatable).

--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -521,6 +521,77 @@
 	solo_close(&w.s);
 }
 
+/* What the caller hears of each way in which a send can end, in each state: 0: nothing, and it is sent again. */
+enum { HEARS_SENT_AGAIN = 0, HEARS_BROKEN = -1 };
+struct send_end {
+	enum router_end how;
+	int begun, ran, repeatable, resumable, since; /* of the request, with what this end says */
+	int spent;                                    /* why it may go to no other server; 0: it may */
+};
+enum { SPENT_ATTEMPTS = 1, SPENT_BUDGET, SPENT_TIME, SPENT_KINDS };
+
+/* The first table of docs/consistency.md, "A request in the core". */
+static int expected(const struct send_end *e)
+{
+	int runs_again = e->begun ? e->resumable && e->since : e->how == ROUTER_NEVER || e->repeatable || e->resumable;
+
+	if (runs_again && !e->spent)
+		return HEARS_SENT_AGAIN;
+	if (e->begun)
+		return HEARS_BROKEN;
+	return e->how == ROUTER_NEVER && !e->ran ? 503 : 502;
+}
+
+static void check_send_end(const struct send_end *e)
+{
+	struct world w = { 0 };
+	struct client_request *x;
+	uint64_t call;
+
+	solo_open(&w.s, 5);
+	world_service(&w, "pool");
+	world_route(&w, "route", "/", "pool");
+	for (int i = 0; i < 2; i++)
+		world_server(&w, "pool");
+	world_apply(&w);
+	x = ask(&w, "/x", 0);
+	assert_non_null(x);
+	call = solo_sent(&w.s);
+	x->begun = e->begun;
+	x->ran = e->ran;
+	x->repeatable = e->repeatable;
+	x->resumable = e->resumable;
+	if (e->spent == SPENT_ATTEMPTS)
+		x->attempts = 1;
+	if (e->spent == SPENT_BUDGET)
+		w.s.c.budget[x->service] = 0;
+	if (e->spent == SPENT_TIME)
+		x->limit = w.s.now + 10;
+	send_ends(&w, call, e->how, e->how == ROUTER_NEVER ? 503 : 200, e->begun, e->since ? "3" : NULL);
+	if (heard(&w.s, 1) != expected(e))
+		fail_msg("how %d begun %d ran %d repeatable %d resumable %d since %d spent %d: heard %d, not %d", (int)e->how,
+			 e->begun, e->ran, e->repeatable, e->resumable, e->since, e->spent, heard(&w.s, 1), expected(e));
+	assert_int_equal(sent_to(&w.s) != NULL, expected(e) == HEARS_SENT_AGAIN);
+	assert_int_equal(arrlen(w.s.c.all), expected(e) == HEARS_SENT_AGAIN);
+	assert_true(router_balanced(&w.s.c));
+	solo_close(&w.s);
+}
+
+static void each_end_of_a_send_is_told_as_the_table_says(void **st)
+{
+	enum { FLAGS = 5 };
+
+	(void)st;
+	for (int how = ROUTER_NEVER; how <= ROUTER_BROKE; how++)
+		for (int flags = 0; flags < 1 << FLAGS; flags++)
+			for (int spent = 0; spent < SPENT_KINDS; spent++) {
+				struct send_end e = { (enum router_end)how, flags & 1,      flags >> 1 & 1, flags >> 2 & 1,
+						      flags >> 3 & 1,       flags >> 4 & 1, spent };
+
+				check_send_end(&e);
+			}
+}
+
 /* ---- a planned stop -------------------------------------------------------------------------------- */
 
 /* What waits is refused, and what runs is answered, before the process ends. */
@@ -562,6 +633,148 @@
 	solo_close(&w.s);
 }
 
+/* ---- each event in each state --------------------------------------------------------------------------- */
+
+enum request_phase {
+	PHASE_WAITING,    /* taken, never sent */
+	PHASE_SENT,       /* at a server, nothing heard of it */
+	PHASE_STREAMING,  /* its client has a head */
+	PHASE_GIVEN_BACK, /* waits again; it surely never ran */
+	PHASE_TAKE_UP,    /* waits again; its client has a part of the stream */
+	PHASES
+};
+enum request_event {
+	EVENT_ROUTE_GONE,
+	EVENT_KEY_GONE,
+	EVENT_OTHER_TIMES, /* another timeout, weight and wall */
+	EVENT_SERVERS_DRAIN,
+	EVENT_SERVERS_GONE,
+	EVENT_NO_SERVER, /* for five seconds */
+	EVENT_DEADLINE,
+	EVENT_LEAVE, /* a stop, and its grace is over */
+	EVENT_CLIENT_GONE,
+	EVENTS
+};
+enum { HEARS_NOTHING = 0, HEARS_CLIENT_GONE = -2 };
+
+/* What the client hears: a status, HEARS_BROKEN, or nothing, and then the request is still under way. */
+static const int hears[EVENTS][PHASES] = {
+	[EVENT_ROUTE_GONE] = { 404, 0, 0, 404, HEARS_BROKEN },
+	[EVENT_KEY_GONE] = { 401, 0, 0, 401, HEARS_BROKEN },
+	[EVENT_OTHER_TIMES] = { 0, 0, 0, 0, 0 },
+	[EVENT_SERVERS_DRAIN] = { 0, 0, 0, 0, 0 },
+	[EVENT_SERVERS_GONE] = { 0, 0, 0, 0, 0 },
+	[EVENT_NO_SERVER] = { 503, 0, 0, 503, HEARS_BROKEN },
+	[EVENT_DEADLINE] = { 503, 504, HEARS_BROKEN, 503, HEARS_BROKEN },
+	[EVENT_LEAVE] = { 503, 502, HEARS_BROKEN, 503, HEARS_BROKEN },
+	[EVENT_CLIENT_GONE] = { HEARS_CLIENT_GONE, HEARS_CLIENT_GONE, HEARS_CLIENT_GONE, HEARS_CLIENT_GONE, HEARS_CLIENT_GONE },
+};
+
+/* Rows in order: what events take away comes last. */
+enum { ROW_SERVICE, ROW_TENANT, ROW_OTHER_KEY, ROW_KEY, ROW_ROUTE };
+
+static void open_in_phase(struct world *w, enum request_phase phase)
+{
+	uint64_t call;
+
+	solo_open(&w->s, 5);
+	world_service(w, "pool");
+	world_tenant(w, "t1");
+	world_key(w, 'b', "t1");
+	world_key(w, 'a', "t1");
+	world_route(w, "route", "/", "pool")->resumable = 1;
+	w->row[ROW_ROUTE]->open = 0;
+	if (phase != PHASE_WAITING)
+		world_server(w, "pool");
+	world_apply(w);
+	assert_non_null(ask(w, "/x", 'a'));
+	call = solo_sent(&w->s);
+	assert_int_equal(call != 0, phase != PHASE_WAITING);
+	if (phase == PHASE_STREAMING || phase == PHASE_TAKE_UP)
+		began(w, call);
+	if (phase == PHASE_GIVEN_BACK)
+		send_ends(w, call, ROUTER_NEVER, 503, 0, NULL);
+	if (phase == PHASE_TAKE_UP)
+		send_ends(w, call, ROUTER_BROKE, 200, 1, "3");
+	if (phase != PHASE_WAITING)
+		w->s.c.sv[0].bad_until = w->s.now + 100000; /* none takes it before the event is over */
+}
+
+static int ticks_until_heard(struct world *w, int64_t ms)
+{
+	int told = 0;
+
+	for (int64_t end = w->s.now + ms; w->s.now < end && !told;) {
+		out_clear(&w->s.o);
+		w->s.c.f.fresh = w->s.now;
+		solo_tick(&w->s, 50);
+		told = heard(&w->s, 1);
+	}
+	return told;
+}
+
+/* Bring an event about; what the client hears of it. */
+static int event_happens(struct world *w, enum request_event event)
+{
+	struct router_ev stop = { .kind = ROUTER_STOP };
+
+	switch (event) {
+	case EVENT_ROUTE_GONE: w->rows--; return heard_of_table(w, 1);
+	case EVENT_KEY_GONE: w->row[ROW_KEY] = w->row[--w->rows]; return heard_of_table(w, 1);
+	case EVENT_OTHER_TIMES:
+		w->row[ROW_ROUTE]->timeout = 100;
+		w->row[ROW_TENANT]->walled = 1;
+		w->row[ROW_SERVICE]->weights = "w2";
+		return heard_of_table(w, 1);
+	case EVENT_SERVERS_DRAIN:
+		for (size_t i = 0; i < w->servers; i++)
+			w->server[i]->state = INSTANCE_DRAINING;
+		return heard_of_table(w, 1);
+	case EVENT_SERVERS_GONE: w->servers = 0; return heard_of_table(w, 1);
+	case EVENT_NO_SERVER: w->servers = 0; return heard_of_table(w, 1) ? 1 : ticks_until_heard(w, 5000);
+	case EVENT_DEADLINE: w->s.c.all[0]->limit = w->s.now + 200; return ticks_until_heard(w, 300);
+	case EVENT_LEAVE:
+		stop.u.stop.leave_by = w->s.now + 1200;
+		solo_step(&w->s, &stop);
+		return ticks_until_heard(w, 1100);
+	default:
+		out_clear(&w->s.o);
+		solo_gone(&w->s);
+		return heard(&w->s, 1) ? 1 : HEARS_CLIENT_GONE;
+	}
+}
+
+static enum request_outcome outcome_heard(int told)
+{
+	return told == HEARS_CLIENT_GONE    ? REQUEST_CLIENT_GONE
+	       : told == 503                ? REQUEST_REFUSED
+	       : told == 401 || told == 404 ? REQUEST_REJECTED
+					    : REQUEST_BROKEN_OFF;
+}
+
+static void each_event_in_each_state_ends_as_the_table_says(void **st)
+{
+	(void)st;
+	for (int event = 0; event < EVENTS; event++)
+		for (int phase = 0; phase < PHASES; phase++) {
+			struct world w = { 0 };
+			int told, cancels = 0, runs = phase == PHASE_SENT || phase == PHASE_STREAMING;
+
+			open_in_phase(&w, (enum request_phase)phase);
+			told = event_happens(&w, (enum request_event)event);
+			if (told != hears[event][phase])
+				fail_msg("event %d in phase %d: heard %d, not %d", event, phase, told, hears[event][phase]);
+			assert_int_equal(arrlen(w.s.c.all), told == HEARS_NOTHING);
+			assert_true(router_balanced(&w.s.c));
+			if (told)
+				assert_int_equal(w.s.c.n.outcome[outcome_heard(told)], 1);
+			for (ptrdiff_t i = 0; i < arrlen(w.s.o.v); i++)
+				cancels += w.s.o.v[i].kind == CMD_CANCEL;
+			assert_int_equal(cancels, told && runs);
+			solo_close(&w.s);
+		}
+}
+
 /* ---- whole fleets under planned work ------------------------------------------------------------------ */
 
 static uint64_t seeds(uint64_t n)
@@ -752,7 +965,9 @@
 		cmocka_unit_test(a_service_that_is_back_takes_requests_at_once),
 		cmocka_unit_test(a_stream_is_not_held_in_silence),
 		cmocka_unit_test(one_server_turns_a_request_away),
+		cmocka_unit_test(each_end_of_a_send_is_told_as_the_table_says),
 		cmocka_unit_test(a_process_that_leaves_answers_what_it_holds),
+		cmocka_unit_test(each_event_in_each_state_ends_as_the_table_says),
 		cmocka_unit_test(planned_work_loses_nothing),
 	};
 	int rc;
