Router: quota and admission have names of their own (renamed)

'place' meant both a quota slot and where a request goes: router_quota_release, quota_take; router_readmit, admission_of, struct admission. No change of behaviour.

--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -60,7 +60,7 @@
 		if (!x->forwarded)
 			judge_claimed(c, x, now, o);
 		else if (x->state != REQUEST_RUNNING)
-			(void)router_place_again(c, x, now, o);
+			(void)router_readmit(c, x, now, o);
 	}
 	router_route_table_free(old);
 }
--- a/lib/data/router_admission.c
+++ b/lib/data/router_admission.c
@@ -221,7 +221,7 @@
 }
 
 /* Where a request goes by a table, or the status that says why nowhere. */
-struct placement {
+struct admission {
 	int status;
 	const char *why;
 	uint32_t lane, tenant, service;
@@ -241,20 +241,20 @@
 	return 1;
 }
 
-static struct placement placement_of(const struct route_table *b, const char *host, const char *path, const char *digest,
+static struct admission admission_of(const struct route_table *b, const char *host, const char *path, const char *digest,
 				     const char *id)
 {
-	struct placement p = { 0, NULL, 0, 0, 0 };
+	struct admission p = { 0, NULL, 0, 0, 0 };
 	int lane = lane_at(b, host, path);
 
 	if (lane < 0)
-		return (struct placement){ 404, "lane: none at this host and path", 0, 0, 0 };
+		return (struct admission){ 404, "lane: none at this host and path", 0, 0, 0 };
 	p.lane = (uint32_t)lane;
 	if (!tenant_at(b, &b->lane[lane], digest, &p.tenant))
-		return (struct placement){ 401, "key: unknown", 0, 0, 0 };
+		return (struct admission){ 401, "key: unknown", 0, 0, 0 };
 	p.service = service_at(&b->lane[lane], id);
 	if (!b->service[p.service].on)
-		return (struct placement){ 404, "lane: its service is unknown", 0, 0, 0 };
+		return (struct admission){ 404, "lane: its service is unknown", 0, 0, 0 };
 	return p;
 }
 
@@ -281,16 +281,16 @@
 	return 1;
 }
 
-int router_place_again(struct router *c, struct client_request *x, int64_t now, struct out *o)
+int router_readmit(struct router *c, struct client_request *x, int64_t now, struct out *o)
 {
 	const struct route_table *b = c->route_table;
 	const struct bk_lane *l;
-	struct placement p;
+	struct admission p;
 
 	if (x->edition == b->edition)
 		return 1;
 	x->edition = b->edition;
-	p = placement_of(b, x->host, x->path, x->digest, x->id);
+	p = admission_of(b, x->host, x->path, x->digest, x->id);
 	if (p.status) {
 		c->n.revoked += p.status == 401;
 		router_end_early(c, x, p.status, p.why, now, o);
@@ -346,12 +346,12 @@
 	const struct route_table *b = c->route_table;
 	const struct bk_lane *l;
 	struct client_request *x;
-	struct placement p;
+	struct admission p;
 
 	c->n.taken++;
 	if (refused_stale(c, a->token, now, o))
 		return;
-	p = placement_of(b, a->host, a->path, a->digest, a->id);
+	p = admission_of(b, a->host, a->path, a->digest, a->id);
 	if (p.status) {
 		rejected(c, a->token, p.status, p.why, o);
 		return;
--- a/lib/data/router_internal.h
+++ b/lib/data/router_internal.h
@@ -72,8 +72,8 @@
 void router_asked(struct router *c, const struct router_asking *a, int64_t now, struct out *o);
 
 /* The newest table holds for what no server is working on: its lane, tenant and service are looked up again. 0: that ended
- * it. Example: if (!router_place_again(c, x, now, o)) return; */
-int router_place_again(struct router *c, struct client_request *x, int64_t now, struct out *o);
+ * it. Example: if (!router_readmit(c, x, now, o)) return; */
+int router_readmit(struct router *c, struct client_request *x, int64_t now, struct out *o);
 /* router_queue.c */
 void router_claim_miss(struct router *c, uint32_t service, uint64_t asked);
 void router_claim_release(struct router *c, const struct client_request *x, int64_t now, struct out *o);
@@ -90,7 +90,7 @@
 void router_queue_remove(struct router *c, struct client_request *x);
 void router_queue_return(struct router *c, struct client_request *x, int64_t now);
 void router_queue_move(struct router *c, struct client_request *x, uint32_t lane, uint32_t tenant, int64_t now);
-void router_place_leave(struct router *c, struct client_request *x);
+void router_quota_release(struct router *c, struct client_request *x);
 uint32_t router_part_of(const struct router *c, uint32_t service);
 void router_dispatch(struct router *c, int64_t now, struct out *o);
 struct json_object *router_read_json(struct router *c, const char *text);
--- a/lib/data/router_outcome.c
+++ b/lib/data/router_outcome.c
@@ -37,7 +37,7 @@
 	if (x->state == REQUEST_WAITING) {
 		router_queue_remove(c, x);
 	} else {
-		router_place_leave(c, x);
+		router_quota_release(c, x);
 		if (x->server >= 0) {
 			c->sv[x->server].own--;
 			c->sv[x->server].ahead -= x->ahead;
--- a/lib/data/router_queue.c
+++ b/lib/data/router_queue.c
@@ -228,13 +228,13 @@
 }
 
 /* A place is one of those that limits of a tenant and a lane count: held from the moment a request leaves its line. */
-static void place_take(struct router *c, struct client_request *x)
+static void quota_take(struct router *c, struct client_request *x)
 {
 	router_line_of(c, x->lane, x->tenant)->running++;
 	c->running[x->tenant]++;
 }
 
-void router_place_leave(struct router *c, struct client_request *x)
+void router_quota_release(struct router *c, struct client_request *x)
 {
 	router_line_of(c, x->lane, x->tenant)->running--;
 	c->running[x->tenant]--;
@@ -245,7 +245,7 @@
 {
 	struct line *l = router_line_of(c, x->lane, x->tenant);
 
-	router_place_leave(c, x);
+	router_quota_release(c, x);
 	if (!l->n)
 		line_begins(c, l, now);
 	x->state = REQUEST_WAITING;
@@ -264,14 +264,14 @@
 	if (waits)
 		router_queue_remove(c, x);
 	else
-		router_place_leave(c, x);
+		router_quota_release(c, x);
 	(void)router_line_of(c, lane, tenant);
 	x->lane = lane;
 	x->tenant = tenant;
 	if (waits)
 		router_queue_insert(c, x, now);
 	else
-		place_take(c, x);
+		quota_take(c, x);
 }
 
 uint32_t router_held(const struct router *c, const char *name)
@@ -357,7 +357,7 @@
 		}
 		x = best->head;
 		router_queue_remove(c, x);
-		place_take(c, x);
+		quota_take(c, x);
 		best->gap += ((double)(now - best->still) - best->gap) / 16;
 		best->still = now;
 		router_share_of(b, best->lane, best->tenant, &share, &limit);
--- a/lib/data/router_send.c
+++ b/lib/data/router_send.c
@@ -466,7 +466,7 @@
 		router_refuse(c, x, 503, "the server did not take it, and it may go to no other", ROUTER_SOON, now, o);
 	} else {
 		set_resend_aside(c, x);
-		if (router_place_again(c, x, now, o))
+		if (router_readmit(c, x, now, o))
 			router_send_claimed(c, x, now, o);
 	}
 }
