Edge: a planned stop ends every request that was read, in time for its answer to leave

Cause: proc_run left its loop at stop_at and closed whatever was open without a word: what waited in a queue and no server had ever had, what was sent to a silent server, what was half read. A request taken 2.4 s after SIGTERM with 8 s to its deadline outlived a GraceS of 8, and nothing ended it with 503 while that could still leave. With a GraceS of 3 or less the door was never shut at all (2.4 s of grace are more than it has). A half-read request did not count as under way. Ruled out: more time than PROC_LEAVE at the end of proc_run; it is too late there to say 503 for what waits. Left: the product's own interface (web.c) and the registrar's door (control.c) still end by closing.

--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -250,6 +250,24 @@
 	}
 }
 
+/* Another counter can serve them; here they would be sent too late to be answered. */
+static void stop_unsent(struct router *c, int64_t now, struct out *o)
+{
+	for (ptrdiff_t i = arrlen(c->all) - 1; i >= 0; i--) {
+		struct client_request *x = c->all[i];
+
+		if (x->state != REQUEST_RUNNING && !x->begun && !x->ran)
+			router_refuse(c, x, 503, "this counter is stopping", ROUTER_RETRY, now, o);
+	}
+}
+
+/* 502 for what may have run, a broken end for an answer that has begun. */
+static void stop_all(struct router *c, int64_t now, struct out *o)
+{
+	while (arrlen(c->all))
+		router_end_early(c, arrlast(c->all), 503, "this counter has stopped", now, o);
+}
+
 /* The door passes a head on before it says so. Whatever ends the exchange in this very step owes its caller an end of the
  * stream: an answer would go nowhere, and the caller wait. */
 static void door_has_begun(struct router *c, const struct router_ev *ev)
@@ -316,6 +334,8 @@
 			out_answer(o, ev->u.web.token, 404, 0, router_error_json(o->p, "path: no such call", "refused"));
 		break;
 	case ROUTER_STOP: c->stopping = 1; break;
+	case ROUTER_STOP_UNSENT: stop_unsent(c, now, o); break;
+	case ROUTER_STOP_ALL: stop_all(c, now, o); break;
 	case ROUTER_ASKED: router_asked(c, ev->u.ask, now, o); break;
 	case ROUTER_BEGAN:
 		x = router_request_by(c, ev->u.began.token);
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -77,7 +77,9 @@
 	ROUTER_DONE,
 	ROUTER_CALLED,
 	ROUTER_WEB,
-	ROUTER_STOP,
+	ROUTER_STOP,        /* a planned stop: what comes from now on is refused */
+	ROUTER_STOP_UNSENT, /* of what is under way, what no server has had is refused with when to come back */
+	ROUTER_STOP_ALL,    /* the time to stop in is nearly over: all that is under way ends */
 	ROUTER_ASKED,
 	ROUTER_BEGAN,
 	ROUTER_ENDED,
--- a/tests/net_sim.c
+++ b/tests/net_sim.c
@@ -34,7 +34,7 @@
 	ptrdiff_t in_at;
 	int in_over; /* an end or a reset has been queued */
 	char *out;   /* from the product, not yet read; stb_ds */
-	size_t window;
+	size_t window, taken;
 	enum sim_left left;
 	int forgotten, linger_reset, error_told;
 	int64_t forgotten_reset;
@@ -174,6 +174,7 @@
 
 int net_sim_unread(const struct sim_conn *c) { return c->in_at < arrlen(c->in) && c->in[c->in_at].at <= net.called; }
 int64_t net_sim_called(void) { return net.called; }
+size_t net_sim_taken(const struct sim_conn *c) { return c->taken; }
 
 /* ---- for the product ---- */
 
@@ -331,6 +332,8 @@
 		return 0;
 	if (!c)
 		return __real_close(fd);
+	for (ptrdiff_t i = 0; i < arrlen(c->queue); i++) /* what a listener has not accepted is reset */
+		c->queue[i]->left = SIM_RESET;
 	unread = next_segment(c) && next_segment(c)->kind == SEGMENT_DATA;
 	c->left = c->linger_reset || unread ? SIM_RESET : SIM_CLOSED;
 	c->mask = 0;
@@ -397,6 +400,7 @@
 		if (flags & MSG_PEEK)
 			break;
 		s->off += k;
+		c->taken += k;
 		if (s->off == s->n)
 			c->in_at++;
 	}
--- a/tests/net_sim.h
+++ b/tests/net_sim.h
@@ -59,6 +59,9 @@
 int net_sim_unread(const struct sim_conn *c);
 int64_t net_sim_called(void);
 
+/* Bytes that the product has read on a connection, ever. */
+size_t net_sim_taken(const struct sim_conn *c);
+
 /* A number of the connection that is never used again, and room for the test's own data. */
 uint64_t net_sim_id(const struct sim_conn *c);
 void net_sim_tag(struct sim_conn *c, void *tag);
--- a/tests/test_connections.c
+++ b/tests/test_connections.c
@@ -35,7 +35,13 @@
 	DEADLINE_SLACK_MS = 100, /* between a client's byte and the door's clock */
 	KEEP_UNTOLD_MS = 4300,   /* a connection whose server tells no time rests for less */
 	KEEP_MARGIN_MS = 300,
-	SEED_RUNS = 200
+	SEED_RUNS = 200,
+	STOP_RUNS = 400,
+	GRACE_MS = 7300,       /* of a planned stop, as settings.c leaves it of 8 s */
+	SHORT_GRACE_MS = 4000, /* less than a head may take */
+	LOSS_SLACK_MS = 200,   /* a request that ends sooner, and was passed on to nobody, is not lost */
+	STOP_LAST_MS = 300,    /* before the end of a stop: EDGE_LAST */
+	LEFT_MS = 50           /* for which the loop runs on once a process has stopped: PROC_LEAVE */
 };
 
 enum route { ROUTE_ONCE, ROUTE_REPEATABLE, ROUTE_RESUMABLE, ROUTE_STREAM, ROUTES };
@@ -61,7 +67,10 @@
 	int64_t deadline_at;
 	char id[24], path[40], body[200];
 	size_t body_len;
-	int events; /* of its stream, whoever runs it */
+	size_t ends_at;   /* on its connection: how many bytes were said when it was whole */
+	int64_t whole_at; /* when its last byte arrives */
+	int limit_ms;     /* for which its client waits */
+	int events;       /* of its stream, whoever runs it */
 	int runs, promised, told;
 	struct wire *wires; /* stb_ds */
 };
@@ -126,8 +135,9 @@
 	int *waiting; /* stb_ds: requests without a whole answer */
 	char *in;     /* stb_ds: of the answer under way */
 	int64_t next_at;
-	int left; /* it has ended its side */
-	int old;  /* speaks HTTP/1.0: answers of no told length end with the connection */
+	size_t said; /* bytes, ever */
+	int left;    /* it has ended its side */
+	int old;     /* speaks HTTP/1.0: answers of no told length end with the connection */
 };
 
 static struct {
@@ -143,6 +153,8 @@
 	uint64_t *config_watch_tokens; /* stb_ds: askings that the owner has not answered */
 	uint64_t edition;
 	int64_t owner_silent_until, started, frozen_ms;
+	int calm;         /* no server breaks off, nobody freezes, the owner always answers: only planned work is about */
+	int closed;       /* the process has ended */
 	int honest_ids;   /* ids are used again, and servers send no surplus */
 	enum act *script; /* stb_ds: what servers do with the next requests; by chance where it is empty */
 	char bad[400];
@@ -526,6 +538,10 @@
 		end_or_reset(s, at);
 }
 
+/* What servers do that never break off. */
+static const enum act calm_acts[] = { ACT_ANSWER,    ACT_ANSWER,   ACT_ANSWER, ACT_CHUNKED, ACT_CHUNKED, ACT_CLOSE_DELIMITED,
+				      ACT_TURN_AWAY, ACT_TOO_MANY, ACT_LATE,   ACT_SILENT,  ACT_FAIL };
+
 static enum act choose_act(void)
 {
 	enum act a;
@@ -535,6 +551,8 @@
 		arrdel(w.script, 0);
 		return a;
 	}
+	if (w.calm)
+		return calm_acts[dice(sizeof calm_acts / sizeof *calm_acts)];
 	a = dice(3) ? ACT_ANSWER + dice(2) : (enum act)dice(ACTS);
 
 	if (w.honest_ids && (a == ACT_SURPLUS || a == ACT_SURPLUS_REFUSAL || a == ACT_FOREIGN || a == ACT_FOREIGN_REFUSAL))
@@ -769,6 +787,7 @@
 			      counts[dice(8) ? 0 : dice(COUNT(counts))], prefixes[dice(8) ? 0 : dice(COUNT(prefixes))]);
 	if (!dice(8))
 		append_format(to, "Connection: X-Notchlug-Attempt-Id, Host, X-More-0\r\n");
+	q->limit_ms = limit;
 	q->deadline_at = net_sim_now() + limit;
 	if (!old && !dice(3)) {
 		append_format(to, "Transfer-Encoding: chunked\r\n\r\n");
@@ -801,7 +820,11 @@
 	k->mode = dice(2) ? CLIENT_PLAIN : (enum client_mode)dice(CLIENT_MODES);
 	k->old = k->mode != CLIENT_PIPELINES && !dice(6);
 	k->c = net_sim_dial(FRONT_PORT);
-	assert_non_null(k->c);
+	if (!k->c) { /* the listener is closed: a process that stops */
+		assert_true(w.edge.leave_at);
+		k->next_at = INT64_MAX;
+		return;
+	}
 	if (k->mode == CLIENT_SLOW)
 		net_sim_window(k->c, 1 + dice(600));
 }
@@ -825,6 +848,7 @@
 		int no = request_new(w.honest_ids);
 
 		request_bytes(&b, no, k->old, k->mode == CLIENT_PIPELINES);
+		w.requests[no].ends_at = k->said + (size_t)arrlen(b);
 		if (arrlen(k->waiting)) /* its time begins when those before it are answered */
 			w.requests[no].deadline_at = INT32_MAX;
 		arrput(k->waiting, no);
@@ -834,8 +858,12 @@
 
 		net_sim_say(k->c, b + off, part, at);
 		off += part;
+		for (ptrdiff_t i = 0; i < arrlen(k->waiting); i++)
+			if (w.requests[k->waiting[i]].ends_at <= k->said + off && !w.requests[k->waiting[i]].whole_at)
+				w.requests[k->waiting[i]].whole_at = net_sim_now() + at;
 		at += (int64_t)dice(10);
 	}
+	k->said += (size_t)arrlen(b);
 	arrfree(b);
 	if (k->mode == CLIENT_LEAVES) {
 		if (dice(2))
@@ -1009,6 +1037,26 @@
 		sum.failed++;
 }
 
+/* Rule LOST: read whole, and its connection ends without a whole answer before the client's deadline. What was pipelined behind
+ * an answer that had to be broken off ends with it: by RFC 9112, 9.3.2, its client has to ask again. An answer that has begun
+ * has to be when its deadline comes, and when the time to stop in is over. */
+static void check_lost(const struct client *k)
+{
+	for (ptrdiff_t i = 0; w.calm && !k->left && k->mode != CLIENT_SLOW && i < arrlen(k->waiting); i++) {
+		const struct request *q = &w.requests[k->waiting[i]];
+
+		int64_t age = net_sim_now() - q->whole_at;
+
+		if (net_sim_taken(k->c) < q->ends_at)
+			continue;
+		if (age >= q->limit_ms || (arrlen(k->in) && w.edge.leave_at && net_sim_now() >= w.proc.stop_at - STOP_LAST_MS))
+			break;
+		if (arrlen(q->wires) || age > LOSS_SLACK_MS)
+			breach("request %d (%s) was read whole and got no answer: sent to %d, %lld of %d ms old", k->waiting[i],
+			       q->path, (int)arrlen(q->wires), (long long)age, q->limit_ms);
+	}
+}
+
 /* Returns 0 when the connection is of no more use. */
 static int client_read(struct client *k)
 {
@@ -1056,6 +1104,7 @@
 	}
 	if (left != SIM_OPEN && !(n && k->mode == CLIENT_SLOW)) {
 		sum.cut += (uint64_t)arrlen(k->waiting);
+		check_lost(k);
 		return 0;
 	}
 	return 1;
@@ -1069,6 +1118,8 @@
 		if (!ask || now < k->next_at)
 			return;
 		client_dial(k);
+		if (!k->c)
+			return;
 	}
 	if (!client_read(k) || (k->left && now >= k->next_at && k->mode == CLIENT_SMUGGLES)) {
 		if (!k->left)
@@ -1088,6 +1139,21 @@
 
 /* ---- the daemon round them ---- */
 
+/* Thousands of stops say thousands of lines; only what is wrong is shown. */
+void __wrap_log_say(enum log_level level, const char *prefix, const char *fmt, ...) __attribute__((format(printf, 3, 4)));
+void __wrap_log_say(enum log_level level, const char *prefix, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (level > LOG_WARN)
+		return;
+	va_start(ap, fmt);
+	fprintf(stderr, "%s: ", prefix);
+	vfprintf(stderr, fmt, ap);
+	fprintf(stderr, "\n");
+	va_end(ap);
+}
+
 int64_t __real_clock_ms(void);
 void __wrap_proc_perform(struct proc *p);
 void __wrap_proc_perform(struct proc *p)
@@ -1234,7 +1300,8 @@
 {
 	for (int i = 0; i < CLIENTS; i++)
 		client_close(&w.clients[i]);
-	platform_edge.close(&w.edge);
+	if (!w.closed)
+		platform_edge.close(&w.edge);
 	router_close(&w.ctr);
 	arrfree(w.proc.o.v);
 	apr_pool_destroy(w.proc.p);
@@ -1262,14 +1329,14 @@
 		struct router_ev ev = { .kind = ROUTER_TICK };
 
 		net_sim_advance((int64_t)dice(5));
-		if (ask && !dice(600)) {
+		if (ask && !w.calm && !dice(600)) {
 			int64_t frozen = (int64_t)(dice(4) ? dice(3500) : dice(9000));
 
 			net_sim_freeze(frozen, (int)dice(2));
 			w.frozen_ms += frozen;
 			sum.frozen++;
 		}
-		if (ask && !dice(1500))
+		if (ask && !w.calm && !dice(1500))
 			w.owner_silent_until = net_sim_now() + (int64_t)dice(6000);
 		for (int i = 0; i < CLIENTS; i++)
 			client_turn(&w.clients[i], ask && w.ctr.route_table);
@@ -1282,6 +1349,32 @@
 	}
 }
 
+/* ---- a planned stop ---- */
+
+static void stop_begins(int64_t grace_ms)
+{
+	w.proc.stopping = 1;
+	w.proc.stop_at = net_sim_now() + grace_ms;
+	platform_edge.stop(&w.edge, net_sim_now());
+}
+
+/* The process stops as proc_run does it. Returns how long that took. */
+static int64_t stop_ends(int ask)
+{
+	int64_t from = net_sim_now(), end;
+
+	while (!w.bad[0] && net_sim_now() < w.proc.stop_at && !platform_edge.done(&w.edge, net_sim_now()))
+		play(1, ask);
+	for (end = net_sim_now() + LEFT_MS; net_sim_now() < end; net_sim_advance(5))
+		platform_edge.wait(&w.edge, 0);
+	platform_edge.close(&w.edge);
+	w.closed = 1;
+	for (int i = 0; i < CLIENTS; i++)
+		if (w.clients[i].c && !client_read(&w.clients[i]))
+			client_close(&w.clients[i]);
+	return net_sim_now() - from;
+}
+
 static uint64_t seed_count(uint64_t n)
 {
 	const char *e = getenv("NL_SEEDS");
@@ -1488,7 +1581,7 @@
 	w.owner_silent_until = 0;
 	play(1000, 0);
 	assert_int_equal(readiness(), 200);
-	platform_edge.stop(&w.edge, net_sim_now());
+	stop_begins(GRACE_MS);
 	assert_int_equal(readiness(), 503);
 	quiet_end(1);
 }
@@ -1520,6 +1613,212 @@
 	quiet_end(1);
 }
 
+/* ---- planned work ---- */
+
+static void random_limits(void)
+{
+	struct http_limits l = { 16384 + dice(16384), 65536 + dice(65536), 100 + (int)dice(3000), 100 + (int)dice(5000) };
+
+	http_limits(w.edge.h, 1, &l);
+}
+
+/* Settings are read anew, as counter.c takes them over. */
+static void settings_change(void)
+{
+	uint64_t seeds[2] = { OWNER, OWNER + dice(2) };
+
+	config_watch_seeds(&w.ctr.f, seeds, 1 + (int)dice(2));
+	w.ctr.b.budget_mille = 500 + (int)dice(1000);
+}
+
+static void play_planned(int64_t ms)
+{
+	int64_t end = net_sim_now() + ms;
+
+	while (net_sim_now() < end && !w.bad[0]) {
+		play(1 + (int64_t)dice(200), 1);
+		if (!dice(3))
+			random_limits();
+		if (!dice(8))
+			settings_change();
+	}
+}
+
+static uint64_t without_outcome(const struct http_counts *n)
+{
+	uint64_t left = n->requests;
+
+	for (int i = 0; i < HTTP_OUTCOMES; i++)
+		left -= n->outcome[i];
+	return left;
+}
+
+/* Who may not have taken the whole of an answer when the process ended. */
+static uint64_t slow_clients(void)
+{
+	uint64_t n = 0;
+
+	for (int i = 0; i < CLIENTS; i++)
+		n += w.clients[i].c && w.clients[i].mode == CLIENT_SLOW && arrlen(w.clients[i].waiting);
+	return n;
+}
+
+/* Whoever's request was read whole hears a whole answer: with limits and settings that change all the time, and with a stop
+ * at any time of any length. */
+static void planned_work_loses_nothing(void **st)
+{
+	uint64_t first = first_seed(), n = seed_count(STOP_RUNS), refused = 0, gone = 0;
+
+	(void)st;
+	memset(&sum, 0, sizeof sum);
+	for (uint64_t seed = first; seed < first + n; seed++) {
+		int64_t grace, took;
+		struct http_counts outcomes;
+
+		world_open(seed);
+		w.calm = w.honest_ids = 1;
+		play(300, 0);
+		play_planned((int64_t)dice(3000));
+		grace = dice(3) ? GRACE_MS : 500 + (int64_t)dice(9000);
+		stop_begins(grace);
+		took = stop_ends(1);
+		if (took > grace + LEFT_MS + 10)
+			breach("the stop took %lld of %lld ms", (long long)took, (long long)grace);
+		if (w.bad[0])
+			fail_msg("NL_SEED=%llu at %lld ms: %s", (unsigned long long)seed, (long long)(net_sim_now() - w.started),
+				 w.bad);
+		outcomes = w.edge.outcomes;
+		if (without_outcome(&outcomes) > slow_clients())
+			fail_msg("NL_SEED=%llu: %llu requests have no outcome", (unsigned long long)seed,
+				 (unsigned long long)without_outcome(&outcomes));
+		refused += outcomes.outcome[HTTP_REFUSED];
+		gone += outcomes.outcome[HTTP_CLIENT_GONE];
+		world_close();
+	}
+	print_message("%llu seeds: %llu requests, %llu whole, %llu refused, %llu failed, %llu cut\n", (unsigned long long)n,
+		      (unsigned long long)sum.requests, (unsigned long long)sum.whole, (unsigned long long)sum.refused,
+		      (unsigned long long)sum.failed, (unsigned long long)sum.cut);
+	assert_true(n < 20 || (sum.whole && sum.refused && sum.failed && refused && gone));
+}
+
+enum { CROWD = 50 };
+
+/* More requests than the servers have places, and servers that are silent: what was never sent hears early when to come back,
+ * what was sent has the time to stop in and then hears that it failed. */
+static void a_stop_answers_the_waiting_and_the_running(void **st)
+{
+	(void)st;
+	for (uint64_t seed = 1; seed <= 10; seed++) {
+		struct sim_conn *c[CROWD];
+		int64_t told_at[CROWD] = { 0 }, from;
+		int statuses[CROWD], waited = 0, ran = 0;
+		char *in[CROWD] = { NULL };
+
+		quiet_world(seed);
+		w.calm = 1;
+		for (int i = 0; i < CROWD; i++)
+			arrput(w.script, ACT_SILENT);
+		for (int i = 0; i < CROWD; i++) {
+			char b[400];
+			int no = request_new(0);
+
+			w.requests[no].route = ROUTE_ONCE;
+			w.requests[no].body_len = 0;
+			w.requests[no].key = -1;
+			w.requests[no].more_fields = 0;
+			w.requests[no].deadline_at = INT32_MAX;
+			snprintf(w.requests[no].path, sizeof w.requests[no].path, "/once/%d", no);
+			snprintf(b, sizeof b,
+				 "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Notchlug-Attempt-Id: %s\r\n"
+				 "X-Notchlug-Deadline-Remaining: 60000\r\nContent-Length: 0\r\n\r\n",
+				 w.requests[no].path, w.requests[no].id);
+			assert_non_null(c[i] = net_sim_dial(FRONT_PORT));
+			net_sim_say(c[i], b, strlen(b), 0);
+		}
+		play(200, 0);
+		assert_int_equal(arrlen(w.ctr.all), CROWD);
+		from = net_sim_now();
+		stop_begins(GRACE_MS);
+		while (!platform_edge.done(&w.edge, net_sim_now()) && net_sim_now() < w.proc.stop_at) {
+			play(1, 0);
+			for (int i = 0; i < CROWD; i++) {
+				char b[1000];
+
+				append(&in[i], b, net_sim_hear(c[i], b, sizeof b));
+				if (arrlen(in[i]) && !told_at[i])
+					told_at[i] = net_sim_now() - from;
+			}
+		}
+		for (int i = 0; i < CROWD; i++) {
+			struct answer a = { 0 };
+			int sent = arrlen(w.requests[i].wires) > 0;
+			char v[40];
+
+			statuses[i] = 0;
+			if (arrlen(in[i]) && read_answer(in[i], (size_t)arrlen(in[i]), 1, &a) && a.complete)
+				statuses[i] = a.status;
+			if (statuses[i] != (sent ? 502 : 503))
+				fail_msg("seed %llu: request %d, %s, was told %d", (unsigned long long)seed, i,
+					 sent ? "sent" : "never sent", statuses[i]);
+			assert_true(sent || field(in[i], a.head, "Retry-After", v, sizeof v));
+			assert_true(sent ? told_at[i] > GRACE_MS - 500 : told_at[i] <= GRACE_MS / 2 + 100);
+			waited += !sent;
+			ran += sent;
+			arrfree(a.body);
+			arrfree(in[i]);
+		}
+		assert_true(waited && ran);
+		assert_true(platform_edge.done(&w.edge, net_sim_now()));
+		quiet_end(seed);
+	}
+}
+
+/* SIGTERM between any two bytes of a request; the rest comes at once, when the listener has closed, or never. */
+static void a_stop_at_each_byte_of_a_request(void **st)
+{
+	static const char request[] = "POST /once/0 HTTP/1.1\r\nHost: h.example\r\nX-Notchlug-Attempt-Id: a\r\n"
+				      "X-Notchlug-Deadline-Remaining: 3000\r\nContent-Length: 4\r\n\r\nbody";
+	static const int64_t rest_after[] = { 1, 3000, -1 };
+	size_t len = sizeof request - 1;
+
+	(void)st;
+	for (size_t cut = 1; cut <= len; cut++)
+		for (int i = 0; i < 3; i++) {
+			struct answer a = { 0 };
+			char b[8192];
+			struct sim_conn *c;
+			size_t n;
+			int no, answers;
+
+			quiet_world(cut);
+			w.calm = 1;
+			no = request_new(0);
+			w.requests[no].route = ROUTE_ONCE;
+			strcpy(w.requests[no].path, "/once/0");
+			strcpy(w.requests[no].id, "a");
+			strcpy(w.requests[no].body, "body");
+			w.requests[no].body_len = 4;
+			w.requests[no].key = -1;
+			w.requests[no].more_fields = 0;
+			w.requests[no].deadline_at = INT32_MAX;
+			arrput(w.script, ACT_ANSWER);
+			assert_non_null(c = net_sim_dial(FRONT_PORT));
+			net_sim_say(c, request, cut, 0);
+			play(20, 0);
+			stop_begins(i == 2 ? SHORT_GRACE_MS : GRACE_MS);
+			if (rest_after[i] >= 0)
+				net_sim_say(c, request + cut, len - cut, rest_after[i]);
+			stop_ends(0);
+			n = net_sim_hear(c, b, sizeof b);
+			answers = n && read_answer(b, n, 1, &a) && a.complete;
+			if (!answers || a.status != (i == 0 || cut == len ? 200 : 503) ||
+			    (i && cut < len && arrlen(w.requests[no].wires)))
+				fail_msg("cut %zu, rest after %lld ms: %d", cut, (long long)rest_after[i], answers ? a.status : -1);
+			arrfree(a.body);
+			quiet_end(cut);
+		}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -1529,6 +1828,9 @@
 		cmocka_unit_test(a_connection_ages_in_a_freeze),
 		cmocka_unit_test(readiness_follows_the_configuration),
 		cmocka_unit_test(a_stale_door_promises_and_denies_nothing),
+		cmocka_unit_test(a_stop_answers_the_waiting_and_the_running),
+		cmocka_unit_test(a_stop_at_each_byte_of_a_request),
+		cmocka_unit_test(planned_work_loses_nothing),
 		cmocka_unit_test(no_answer_goes_astray),
 	};
 	int rc;
