HTTP server: a lower body limit ends no body that is being read

Cause: a chunked body was held against the limit in force when each chunk came. A configuration that lowers MaxBodyBytes turned away (413, which clients don't try again) a request that had been let in under the one before. Before: a_lower_limit_ends_no_body_under_way fails with 413. After: the limit of a body is the one in force when its head was read; the next request meets the new one (same test). A head under way still meets a lowered MaxHeaderBytes at once (431).

--- a/lib/shell/http_internal.h
+++ b/lib/shell/http_internal.h
@@ -99,6 +99,7 @@
 	uint64_t token;
 	struct http_req req;
 	struct buffer early;
+	size_t body_max;            /* the limit in force when the body began */
 	size_t pos, body, body_len; /* next raw byte; the body's place in the buffer */
 	size_t target;
 	const char *verb;
--- a/lib/shell/http_server.c
+++ b/lib/shell/http_server.c
@@ -116,7 +116,6 @@
 static int server_body(struct conn *c)
 {
 	struct server_side *s = &c->s;
-	const struct http_limits *lim = &s->door->d.lim;
 	const char *d = NULL;
 	size_t dn, n;
 	ssize_t k;
@@ -135,7 +134,7 @@
 			http_server_refuse(c, 400, 0);
 			return 0;
 		}
-		if (c->ck.at != CH_SIZE && s->body_len + dn + c->ck.left > lim->body) { /* the size itself may be half read */
+		if (c->ck.at != CH_SIZE && s->body_len + dn + c->ck.left > s->body_max) { /* the size itself may be half read */
 			http_server_refuse(c, 413, 0);
 			return 0;
 		}
@@ -191,6 +190,7 @@
 		}
 		s->pos = s->body = (size_t)end;
 		s->body_len = 0;
+		s->body_max = lim->body;
 		c->left = c->hd.length;
 		c->ck = (struct chunks){ 0 };
 		c->st = ST_BODY;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1081,6 +1081,26 @@
 	end(&s);
 }
 
+/* A body that was let in goes on under the limit that it was let in by. */
+static void a_lower_limit_ends_no_body_under_way(void **st)
+{
+	struct http_limits small = { 2048, 4, 5000, 60000 };
+	struct seen s;
+	struct http *h = begin(&s);
+	int fd = dial(h);
+
+	(void)st;
+	s.answer = 1;
+	say(fd, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+	UNTIL(h, http_receiving(h, 1) == 1);
+	http_limits(h, 1, &small);
+	say(fd, "3\r\ndef\r\n0\r\n\r\n");
+	heard_so_far(h, fd, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabcdef");
+	say(fd, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nabcdef\r\n0\r\n\r\n");
+	heard(h, fd, "HTTP/1.1 413 Payload Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+	end(&s);
+}
+
 enum { LARGE = 12 << 20 };
 
 /* A large answer, given whole; read by somebody who takes a little of it each time that the clock has moved on. */
@@ -2476,6 +2496,7 @@
 		cmocka_unit_test(bytes_go_before_their_timer),
 		cmocka_unit_test(a_slow_head_gains_no_time),
 		cmocka_unit_test(longer_times_hold_at_once),
+		cmocka_unit_test(a_lower_limit_ends_no_body_under_way),
 		cmocka_unit_test(a_slow_link_that_moves_is_not_cut),
 		cmocka_unit_test(a_half_close_does_not_cut_a_given_answer),
 		cmocka_unit_test(leaving_asks_for_the_body),
