HTTP server: a look behind a request spoils no piece that is being passed on

That buffer holds the piece of a server's answer whose arrival made the head be written: a pipelining client's next request stood in the answer instead of its body. Before: a_look_behind_a_request_spoils_no_piece fails. After: it is read into the connection's own buffer.

--- a/lib/shell/http_server.c
+++ b/lib/shell/http_server.c
@@ -276,14 +276,18 @@
 		server_next(c);
 }
 
-/* Bytes behind the request that is being answered: they are read now, so that the answer need not be the last. */
+/* Bytes behind the request that is being answered: they are read now, so that the answer need not be the last. Not by way of
+ * the scratch buffer, which may hold the piece of a server's answer that is being passed on. */
 static void server_read_early(struct conn *c)
 {
 	struct http *h = c->h;
-	ssize_t n = recv(c->fd, h->scratch, SCRATCH, 0);
+	struct buffer *early = &c->s.early;
+	ssize_t n = recv(c->fd, http_buffer_room(h, early, BLOCK), BLOCK, 0);
 
 	if (n > 0)
-		http_buffer_put(h, &c->s.early, h->scratch, (size_t)n);
+		early->len += (size_t)n;
+	else
+		http_buffer_free(h, early);
 }
 
 /* Returns how many bytes have come. */
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -21,7 +21,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "http.h"
+#include "http_internal.h"
 #include "shell.h"
 
 enum { LIMIT = 20000, GOT = 1 << 16, MANY = 2048, BODY = 8192 };
@@ -1642,6 +1642,47 @@
 	end(&s);
 }
 
+static void pass_piece_on(void *ctx, uint64_t token, const char *d, size_t n)
+{
+	struct seen *s = ctx;
+
+	(void)token;
+	http_begin(s->h, s->token[0], 200, NULL, 0, -1);
+	http_write(s->h, s->token[0], d, n);
+	http_finish(s->h, s->token[0]);
+}
+
+/* A piece of a server's answer goes on as it is, also when the head before it makes a leaving door look for another request. */
+static void a_look_behind_a_request_spoils_no_piece(void **st)
+{
+	struct seen s;
+	struct http *h = begin(&s);
+	struct there t = serve();
+	struct http_out q = get();
+	int fd = dial(h);
+
+	(void)st;
+	h->on.body = pass_piece_on;
+	say(fd, get_a);
+	UNTIL(h, s.requests == 1);
+	http_leave(h, 1);
+	http_call(h, 1, t.addr, &q);
+	taken(h, &t);
+	heard_so_far(h, t.c, GET);
+	say(t.c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
+	UNTIL(h, s.call[1].status == 200);
+	say(t.c, "body"); /* read by itself */
+	s.answer = 1;
+	after_look.fd = fd;
+	after_look.text = "GET /a/path/that/is/longer/than/the/head/and/the/body/of/the/answer/that/is/passed/on HTTP/1.1\r\n\r\n";
+	heard(h, fd,
+	      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+	close(t.c);
+	close(t.fd);
+	end(&s);
+}
+
 static void head_too_large(void **st)
 {
 	struct seen s;
@@ -2510,6 +2551,7 @@
 		cmocka_unit_test(many_early),
 		cmocka_unit_test(cut_anywhere),
 		cmocka_unit_test(answers_as_read),
+		cmocka_unit_test(a_look_behind_a_request_spoils_no_piece),
 		cmocka_unit_test(head_too_large),
 		cmocka_unit_test(kept_connections),
 		cmocka_unit_test(never_and_late),
