--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -205,12 +205,12 @@
 /* The process ends soon: what is still here is told so, rather than find its connection closed. */
 static void end_leaving(struct router *c, int64_t now, struct out *o)
 {
-	if (!c->leave_by || now < c->leave_by - ROUTER_LEAVE_WAITING)
+	if (!c->stop.run_until || now < c->stop.send_until)
 		return;
 	for (ptrdiff_t i = arrlen(c->all) - 1; i >= 0; i--) {
 		struct client_request *x = c->all[i];
 
-		if (x->state != REQUEST_RUNNING || now >= c->leave_by - ROUTER_LEAVE_RUNNING)
+		if (x->state != REQUEST_RUNNING || now >= c->stop.run_until)
 			router_end_early(c, x, 503, "this counter is stopping", now, o);
 	}
 }
@@ -369,7 +369,7 @@
 		break;
 	case ROUTER_STOP:
 		c->stopping = 1;
-		c->leave_by = ev->u.stop.leave_by;
+		c->stop = ev->u.stop;
 		break;
 	case ROUTER_ASKED: router_asked(c, ev->u.ask, now, o); break;
 	case ROUTER_BEGAN:
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -34,10 +34,8 @@
 	ROUTER_FULL = 150,
 	ROUTER_AGAIN_LEAST = 50,
 	ROUTER_UNREACHED = 4,
-	ROUTER_LEAVE_WAITING = 1000, /* ms before a stopping process ends: by then what waits is refused, */
-	ROUTER_LEAVE_RUNNING = 300,  /* and what runs is broken off with an answer */
-	ROUTER_SILENCE = 2000,       /* ms of silence that a stream's client bears at the least */
-	ROUTER_AVOID = 300,          /* ms for which a request goes to another server than the one that gave it back */
+	ROUTER_SILENCE = 2000, /* ms of silence that a stream's client bears at the least */
+	ROUTER_AVOID = 300,    /* ms for which a request goes to another server than the one that gave it back */
 	ROUTER_WATCH_WAIT = 1000,
 	ROUTER_FIRST_WATCH_MS = 150,      /* of a router's link that first answers of servers may take at once */
 	ROUTER_FIRST_WATCH_BYTES = 65536, /* what a first answer is taken to bring until some have come */
@@ -85,7 +83,7 @@
 	ROUTER_DONE,
 	ROUTER_CALLED,
 	ROUTER_WEB,
-	ROUTER_STOP,
+	ROUTER_STOP, /* a planned stop: what comes from now on is refused */
 	ROUTER_ASKED,
 	ROUTER_BEGAN,
 	ROUTER_ENDED,
@@ -108,6 +106,12 @@
 	int resumes;                 /* the caller itself takes up a stream */
 };
 
+/* The times of a planned stop. Past send_until nothing more is sent, and what waits is refused, so that another router may have
+ * it in time; past run_until what still runs ends, so that its caller hears so before the process ends. 0: not known. */
+struct router_stop {
+	int64_t send_until, run_until;
+};
+
 /* How a forwarded send ended. */
 enum router_end {
 	ROUTER_WHOLE, /* the server's whole answer has gone to the caller, whatever its status */
@@ -156,10 +160,7 @@
 			uint64_t token;
 			const char *path;
 		} web;
-		/* when the process ends, whatever is under way then; 0: not known */
-		struct {
-			int64_t leave_by;
-		} stop;
+		struct router_stop stop;
 		const struct router_asking *ask;
 		struct {
 			uint64_t token;
@@ -464,8 +465,8 @@
 	struct router_counts n;
 	struct router_use *use; /* stb_ds: lane << 32 | tenant */
 	int stopping;
-	int64_t leave_by; /* of a stop: when the process ends; 0: not known */
-	int plain;        /* to compare with: assign by load alone, and reuse what happens to be there */
+	struct router_stop stop; /* of a planned stop */
+	int plain;               /* to compare with: assign by load alone, and reuse what happens to be there */
 	void (*log)(void *ctx, const char *prefix, const char *line);
 	void *log_ctx;
 };
--- a/lib/shell/http_server.c
+++ b/lib/shell/http_server.c
@@ -116,7 +116,6 @@
 static int server_body(struct conn *c)
 {
 	struct server_side *s = &c->s;
-	const struct http_limits *lim = &s->door->d.lim;
 	const char *d = NULL;
 	size_t dn, n;
 	ssize_t k;
@@ -135,7 +134,7 @@
 			http_server_refuse(c, 400, 0);
 			return 0;
 		}
-		if (c->ck.at != CH_SIZE && s->body_len + dn + c->ck.left > lim->body) { /* the size itself may be half read */
+		if (c->ck.at != CH_SIZE && s->body_len + dn + c->ck.left > s->body_max) { /* the size itself may be half read */
 			http_server_refuse(c, 413, 0);
 			return 0;
 		}
@@ -191,6 +190,7 @@
 		}
 		s->pos = s->body = (size_t)end;
 		s->body_len = 0;
+		s->body_max = lim->body;
 		c->left = c->hd.length;
 		c->ck = (struct chunks){ 0 };
 		c->st = ST_BODY;
@@ -276,14 +276,18 @@
 		server_next(c);
 }
 
-/* Bytes behind the request that is being answered: they are read now, so that the answer need not be the last. */
+/* Bytes behind the request that is being answered: they are read now, so that the answer need not be the last. Not by way of
+ * the scratch buffer, which may hold the piece of a server's answer that is being passed on. */
 static void server_read_early(struct conn *c)
 {
 	struct http *h = c->h;
-	ssize_t n = recv(c->fd, h->scratch, SCRATCH, 0);
+	struct buffer *early = &c->s.early;
+	ssize_t n = recv(c->fd, http_buffer_room(h, early, BLOCK), BLOCK, 0);
 
 	if (n > 0)
-		http_buffer_put(h, &c->s.early, h->scratch, (size_t)n);
+		early->len += (size_t)n;
+	else
+		http_buffer_free(h, early);
 }
 
 /* Returns how many bytes have come. */
--- a/tests/sim_forward.c
+++ b/tests/sim_forward.c
@@ -1142,7 +1142,8 @@
 
 	f->leaving[node] = f->s.now + grace_ms;
 	f->grace[node] = grace_ms;
-	ev.u.stop.leave_by = sim_local(&f->s, node) + grace_ms;
+	ev.u.stop.send_until = sim_local(&f->s, node) + grace_ms / 2;
+	ev.u.stop.run_until = sim_local(&f->s, node) + grace_ms - 300;
 	sim_ctr(&f->s, node, &ev);
 }
 
--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -614,16 +614,17 @@
 		assert_non_null(ask(&w, "/x", 0));
 	assert_int_equal(router_request_by(&w.s.c, 2)->state, REQUEST_RUNNING);
 	assert_int_equal(router_request_by(&w.s.c, 3)->state, REQUEST_WAITING);
-	ev.u.stop.leave_by = w.s.now + 3000;
+	ev.u.stop.send_until = w.s.now + 2000;
+	ev.u.stop.run_until = w.s.now + 2700;
 	solo_step(&w.s, &ev);
-	while (w.s.now < ev.u.stop.leave_by - 100) {
+	while (w.s.now < ev.u.stop.run_until + 200) {
 		out_clear(&w.s.o);
 		w.s.c.f.fresh = w.s.now;
 		solo_tick(&w.s, 50);
 		for (uint64_t i = 0; i < 3; i++)
 			if (heard(&w.s, i + 1))
 				told[i] = heard(&w.s, i + 1);
-		if (w.s.now < ev.u.stop.leave_by - 1050)
+		if (w.s.now < ev.u.stop.send_until - 50)
 			assert_int_equal(arrlen(w.s.c.all), 3); /* not sooner than it must */
 	}
 	assert_int_equal(told[0], -1);
@@ -734,7 +735,8 @@
 	case EVENT_NO_SERVER: w->servers = 0; return heard_of_table(w, 1) ? 1 : ticks_until_heard(w, 5000);
 	case EVENT_DEADLINE: w->s.c.all[0]->limit = w->s.now + 200; return ticks_until_heard(w, 300);
 	case EVENT_LEAVE:
-		stop.u.stop.leave_by = w->s.now + 1200;
+		stop.u.stop.send_until = w->s.now + 200;
+		stop.u.stop.run_until = w->s.now + 900;
 		solo_step(&w->s, &stop);
 		return ticks_until_heard(w, 1100);
 	default:
