Test: more seeds of counters that come back

Cause: the test counts how many counters learned from a zone's head, over six seeds, and who is a head is drawn by the seed. With quicker elections the draws fall otherwise: three, and four were asked for. Before: 6 seeds, more than 3. What each counter has to learn is as before.

--- a/tests/test_instances.c
+++ b/tests/test_instances.c
@@ -483,7 +483,7 @@
 	int learned = 0;
 
 	(void)st;
-	for (uint64_t seed = 1; seed <= 6; seed++) {
+	for (uint64_t seed = 1; seed <= 12; seed++) {
 		struct sim s;
 		struct judge j;
 		struct Nl__KeptEvent e = NL__KEPT_EVENT__INIT, *pe = &e;
@@ -527,7 +527,8 @@
 		}
 		sim_close(&s);
 	}
-	assert_true(learned > 3);
+	print_message("%d counters learned\n", learned);
+	assert_true(learned > 6);
 }
 
 /* ---- instances by themselves ------------------------------------------------------------- */
