Handover: the successor stands at once, with the old leader's word

Cause: a leader that steps down told its followers, and the successor asked at its next tick whether it would be elected, and then for votes; it took its lease from a heartbeat of the tick after. A vote request that overtook the word to a third voter was refused by the promise to the old leader. Where the successor had been told to stop too, the others waited 100 to 200 ms. Of voters that held the same, the one that was named was drawn by hash, so it could be the one with the slow disk; and a new leader counted a slow voter among those that stay before it held an entry of its term, so that its first commit waited for that disk. Ruled out: the lease (the old leader drops it before it tells anybody, no promise was waited out), the load of proposals (the leader takes none while it leaves). After: the successor becomes candidate in the step in which it hears the word; its requests say which leader has given up (VoteAsk.gave_up), and a voter that knows of no later term holds no promise against it; the first entry of a term carries a heartbeat round, so one answer gives commit and lease; of equals the voter is named that acknowledged the newest entry first; the others wait 50 to 100 ms; a voter counts as staying once it holds an entry of the leader's term.

--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -43,7 +43,7 @@
 	case NL__MSG__BODY_APPEND_REPLY: raft_on_append_reply(raft, m, now, o); break;
 	case NL__MSG__BODY_SNAPSHOT_PIECE: raft_on_snapshot_piece(raft, m, now, o); break;
 	case NL__MSG__BODY_SNAPSHOT_REPLY: raft_on_snapshot_reply(raft, m, now, o); break;
-	case NL__MSG__BODY_GIVE_UP: raft_on_give_up(raft, m, now); break;
+	case NL__MSG__BODY_GIVE_UP: raft_on_give_up(raft, m, now, o); break;
 	case NL__MSG__BODY_PROBE: raft_on_probe(raft, m, o); break;
 	case NL__MSG__BODY_PROBE_REPLY: raft_on_probe_reply(raft, m, now); break;
 	default: break;
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -130,6 +130,7 @@
 
 	int64_t vote_barrier_until, election_at, lease_expires_at, heartbeat_at, quorum_asked_at, probe_at;
 	int vote_barrier_unknown; /* the barrier may protect a lease from before our restart */
+	uint64_t gave_up;         /* newest term whose leader has told that it gave up */
 	uint64_t life;
 	uint64_t round; /* leader: the current heartbeat round; member: the last one answered */
 	int64_t heartbeat_sent_at[64];
--- a/lib/core/raft_election.c
+++ b/lib/core/raft_election.c
@@ -7,7 +7,7 @@
 
 #include "ds.h"
 
-enum { STEP_DOWN_SPREAD_MS = 100 }; /* members of a leader that stepped down ask for votes within this time */
+enum { STEP_DOWN_SPREAD_MS = 50 }; /* voters other than the successor wait so long, and up to as much more */
 
 void raft_reset_election_timer(struct raft *raft, int64_t now)
 {
@@ -57,11 +57,20 @@
 		a->last = raft_last_index(raft);
 		a->last_term = raft_term_at(raft, raft_last_index(raft));
 		a->pre = pre;
+		a->gave_up = raft->gave_up;
 		out_msg(o, raft->members[i].addr, raft->no, NL__MSG__BODY_VOTE_ASK)->vote_ask = a;
 	}
 	raft->quorum_asked_at = now;
 }
 
+/* The first entry of the term carries the first heartbeat round: one answer of a majority gives commit and lease. */
+static void begin_round(struct raft *raft, int64_t now)
+{
+	raft->round = 1;
+	raft->heartbeat_at = now;
+	raft->heartbeat_sent_at[raft->round % 64] = now;
+}
+
 static void become_leader(struct raft *raft, int64_t now, struct out *o)
 {
 	raft->role = RAFT_LEADER;
@@ -69,9 +78,7 @@
 	raft->leader_addr = o->addr;
 	raft->lease_expires_at = 0;
 	raft->quorum_asked_at = now;
-	raft->heartbeat_at = 0;
 	raft->staying_majority = 0;
-	raft->round = 0;
 	for (int i = 0; i < raft->member_count; i++) {
 		raft->members[i].next = raft_last_index(raft) + 1;
 		raft->members[i].unacked = raft->members[i].next;
@@ -91,6 +98,7 @@
 	raft_append_entry(raft, raft->term, RAFT_ENTRY_NOOP, NULL, 0);
 	raft->term_start = raft_last_index(raft);
 	raft->elections++;
+	begin_round(raft, now);
 }
 
 static void become_candidate(struct raft *raft, struct out *o, int64_t now)
@@ -144,18 +152,30 @@
 	out_msg(o, to, raft->no, NL__MSG__BODY_VOTE_REPLY)->vote_reply = r;
 }
 
+/* The leader of a term has dropped its lease. Where this member knows of no later term, whatever it promised was promised to
+ * that leader or to an earlier one, whose lease was over before that one led. */
+static void note_gave_up(struct raft *raft, uint64_t term)
+{
+	if (!term || term < raft->term)
+		return;
+	raft->gave_up = term;
+	raft->vote_barrier_until = 0;
+	raft->vote_barrier_unknown = 0;
+}
+
 void raft_on_vote_request(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	const struct Nl__VoteAsk *a = m->vote_ask;
 	int newer = a->last_term > raft_term_at(raft, raft_last_index(raft)) ||
 		    (a->last_term == raft_term_at(raft, raft_last_index(raft)) && a->last >= raft_last_index(raft));
-	int free_to = now >= raft->vote_barrier_until && !raft_has_lease(raft, now);
+	int free_to;
 
 	if (raft_has_lease(raft, now) && raft->members_index <= raft->commit && !raft_find_member(raft, m->id)) {
 		send_removed(raft, m->addr, o);
 		return;
 	}
-
+	note_gave_up(raft, a->gave_up);
+	free_to = now >= raft->vote_barrier_until && !raft_has_lease(raft, now);
 	if (a->pre || !free_to || a->term < raft->term) {
 		raft_send_vote(raft, m->addr, a->pre && newer && free_to ? a->term : raft->term,
 			       a->pre && newer && free_to && a->term > raft->term, a->pre, o);
@@ -264,16 +284,27 @@
 			    (int64_t)(core_rand(&raft->rng) % (RAFT_ELECTION_STAGGER_MS / 2));
 }
 
-/* The leader ended its lease before it said so: its followers need not wait for it. */
-void raft_on_give_up(struct raft *raft, const struct Nl__Msg *m, int64_t now)
+static int may_stand(struct raft *raft, int64_t now)
+{
+	const struct raft_member *self = raft_find_member(raft, raft->id);
+
+	return self && self->voter && !raft->leaving && !raft->fenced && !raft_sync_stalled(raft, now);
+}
+
+/* The leader ended its lease before it said so: its followers need not wait for it. The successor that it names stands at
+ * once, without asking whether it would be elected; its request tells the others what they may not have heard yet. */
+void raft_on_give_up(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o)
 {
 	if (m->give_up->term != raft->term || raft->leader_id != m->id || raft->role != RAFT_FOLLOWER)
 		return;
-	raft->vote_barrier_until = 0;
-	raft->election_at = now;
-	if (m->give_up->successor != raft->id)
-		raft->election_at +=
-		    (int64_t)(core_rand(&raft->rng) % STEP_DOWN_SPREAD_MS) + (m->give_up->successor ? STEP_DOWN_SPREAD_MS : 0);
+	note_gave_up(raft, raft->term);
+	if (m->give_up->successor == raft->id && may_stand(raft, now)) {
+		become_candidate(raft, o, now);
+		return;
+	}
+	raft->election_at = now + (int64_t)(core_rand(&raft->rng) % STEP_DOWN_SPREAD_MS);
+	if (m->give_up->successor)
+		raft->election_at += STEP_DOWN_SPREAD_MS;
 }
 
 void raft_step_down(struct raft *raft, int64_t now, struct out *o)
--- a/lib/core/raft_internal.h
+++ b/lib/core/raft_internal.h
@@ -88,8 +88,8 @@
 /* A member says whether it leads; once none does, the vote barrier ends early. */
 void raft_on_probe_reply(struct raft *raft, const struct Nl__Msg *m, int64_t now);
 
-/* The leader has stepped down. */
-void raft_on_give_up(struct raft *raft, const struct Nl__Msg *m, int64_t now);
+/* The leader has stepped down: its successor stands for election at once, the others soon. */
+void raft_on_give_up(struct raft *raft, const struct Nl__Msg *m, int64_t now, struct out *o);
 
 /* ---- replication (raft_replication.c) ---- */
 
@@ -144,7 +144,7 @@
 /* Leader: a commit without a majority that stays rests on the copies of leaving members; they are held until others have it. */
 void raft_note_commit(struct raft *raft);
 
-/* Leader: whether those who stay are a majority by themselves. */
+/* Leader: whether those who stay, and have synced an entry of this term, are a majority by themselves. */
 void raft_count_staying(struct raft *raft, int64_t now);
 
 /* The index up to which a voter counts towards commits: none for one that leaves where the others suffice, or that may have
--- a/lib/core/raft_transfer.c
+++ b/lib/core/raft_transfer.c
@@ -65,7 +65,8 @@
 	for (int i = 0; i < raft->member_count; i++) {
 		const struct raft_member *member = &raft->members[i];
 
-		staying += member->voter && !is_leaving(raft, member) && !may_have_gone(member) && answers(raft, member, now);
+		staying += member->voter && !is_leaving(raft, member) && !may_have_gone(member) && answers(raft, member, now) &&
+			   synced_by(raft, member) >= raft->term_start;
 	}
 	raft->staying_majority = staying > raft_voter_count(raft) / 2;
 }
@@ -90,6 +91,14 @@
 	return member->leaving && is_spare(raft, member->id, member->leave_index);
 }
 
+/* Of two voters that hold the same: whether one acknowledged it sooner, as its disk and its link are quicker. */
+static int is_quicker(const struct raft *raft, const struct raft_member *a, const struct raft_member *b)
+{
+	if (a->progress_at != b->progress_at)
+		return a->progress_at < b->progress_at;
+	return core_rdv(raft->no, a->id) > core_rdv(raft->no, b->id);
+}
+
 uint64_t raft_successor(const struct raft *raft, int64_t now)
 {
 	const struct raft_member *best = NULL;
@@ -99,8 +108,7 @@
 
 		if (!member->voter || member->id == raft->id || member->leaving || !answers(raft, member, now))
 			continue;
-		if (!best || member->match > best->match ||
-		    (member->match == best->match && core_rdv(raft->no, member->id) > core_rdv(raft->no, best->id)))
+		if (!best || member->match > best->match || (member->match == best->match && is_quicker(raft, member, best)))
 			best = member;
 	}
 	return best ? best->id : 0;
--- a/lib/core/raft_validate.c
+++ b/lib/core/raft_validate.c
@@ -75,6 +75,8 @@
 
 	if (!v->term || absurd(v->term) || absurd(v->last) || v->last_term > v->term)
 		return "an absurd term or index";
+	if (v->gave_up >= v->term)
+		return "a leader that gave up a term to come";
 	return m->id == raft->id ? "a message of our own" : NULL;
 }
 
--- a/tests/raft_world.c
+++ b/tests/raft_world.c
@@ -8,7 +8,7 @@
 
 #include "ds.h"
 
-enum { TICK_MS = 10, RECONFIGURE_MS = 200, HEAD = 24 /* of a document: version, applied, chain */ };
+enum { RECONFIGURE_MS = 200, HEAD = 24 /* of a document: version, applied, chain */ };
 
 static uint64_t draw(struct world *w, uint64_t n) { return n ? core_rand(&w->rng) % n : 0; }
 
@@ -168,7 +168,7 @@
 
 static void queue_write(struct world *w, struct world_machine *m, const struct persist *p)
 {
-	struct world_write x = { .due = w->now + w->disk_ms };
+	struct world_write x = { .due = w->now + w->disk_ms + m->slow_disk_ms };
 
 	apr_pool_create(&x.pool, NULL);
 	x.persist = apr_pmemdup(x.pool, p, sizeof *p);
@@ -236,6 +236,8 @@
 	int64_t delay = w->delay_ms + (int64_t)draw(w, (uint64_t)w->jitter_ms + 1), at;
 	int bulk = m->body_case == NL__MSG__BODY_SNAPSHOT_PIECE || (m->body_case == NL__MSG__BODY_APPEND && m->append->n_e);
 
+	if (w->delay_us)
+		delay += (w->delay_us + (int64_t)draw(w, 1000)) / 1000;
 	if (!bulk)
 		return w->now + delay;
 	if (from->bulk_free_at < w->now)
@@ -411,7 +413,7 @@
 
 static void reconfigure(struct world *w, int i)
 {
-	struct raft_member live[WORLD_MACHINES];
+	struct raft_member live[WORLD_MAX_MACHINES];
 	int n = 0;
 
 	memset(live, 0, sizeof live);
@@ -437,7 +439,7 @@
 	deliver_due(w);
 	for (int i = 0; i < w->machines; i++) {
 		sync_due(w, i);
-		if (w->m[i].up && (w->now + i) % TICK_MS == 0)
+		if (w->m[i].up && (w->now + w->m[i].tick_phase) % w->tick_ms == 0)
 			tick(w, i);
 	}
 	if (w->now % 50 == 0)
@@ -464,6 +466,24 @@
 
 /* ---- the operator ---- */
 
+int world_log(struct world *w)
+{
+	int leader = world_leader(w);
+	uint8_t *d;
+	uint64_t index;
+
+	if (leader < 0)
+		return 0;
+	d = malloc(w->document_len);
+	memset(d, filling(w->proposed + 1), w->document_len);
+	put_u64(d, w->proposed + 1);
+	index = raft_propose(&w->m[leader].raft, d, w->document_len, w->now);
+	free(d);
+	settle(w, leader);
+	w->proposed += index > 0;
+	return index > 0;
+}
+
 static void propose(struct world *w)
 {
 	int leader = world_leader(w);
@@ -538,6 +558,7 @@
 						  m->disk.entries[i].data };
 	raft_open(&m->raft, 0, m->id, w->seed + m->life, m->disk.term ? &saved : NULL, w->now);
 	m->raft.member_lost_ms = WORLD_CATCH_UP_MS * 2 / 5;
+	m->raft.replicas = w->voters;
 	free(saved.e);
 	m->out.id = m->id;
 	m->out.addr = m->addr;
@@ -572,32 +593,37 @@
 
 static int has_leader(struct world *w) { return world_leader(w) >= 0; }
 
-void world_open(struct world *w, uint64_t seed, size_t document_len)
+void world_open(struct world *w, uint64_t seed, size_t document_len) { world_open_with(w, seed, document_len, RAFT_MIN_VOTERS); }
+
+void world_open_with(struct world *w, uint64_t seed, size_t document_len, int voters)
 {
-	struct raft_member founders[RAFT_MIN_VOTERS];
+	struct raft_member founders[WORLD_MAX_MACHINES];
 
 	memset(w, 0, sizeof *w);
 	memset(founders, 0, sizeof founders);
 	w->seed = w->rng = seed;
 	w->now = 1000;
-	w->machines = WORLD_MACHINES;
+	w->machines = voters + 1;
+	w->voters = voters;
 	w->delay_ms = 1;
 	w->jitter_ms = 1;
 	w->disk_ms = 4;
+	w->tick_ms = 10;
 	w->bytes_per_ms = 125000; /* 1 Gbit/s */
 	w->document_len = document_len;
 	w->pending_at = -1;
-	for (int i = 0; i < RAFT_MIN_VOTERS; i++)
+	for (int i = 0; i < voters; i++)
 		founders[i] = (struct raft_member){ .id = (uint64_t)i + 1, .addr = 1000 + (uint64_t)i, .voter = 1 };
 	for (int i = 0; i < w->machines; i++) {
 		struct world_machine *m = &w->m[i];
 
 		m->id = (uint64_t)i + 1;
 		m->addr = 1000 + (uint64_t)i;
+		m->tick_phase = i;
 		apr_pool_create(&m->out.p, NULL);
 		open_machine(w, m);
-		if (i < RAFT_MIN_VOTERS)
-			raft_bootstrap(&m->raft, founders, RAFT_MIN_VOTERS, w->now, &m->out);
+		if (i < voters)
+			raft_bootstrap(&m->raft, founders, voters, w->now, &m->out);
 		settle(w, i);
 	}
 	if (!world_run(w, 5000, has_leader))
@@ -635,7 +661,7 @@
 	int leader = world_leader(w);
 	const struct raft *raft = leader < 0 ? NULL : &w->m[leader].raft;
 
-	if (!raft || raft->member_count != RAFT_MIN_VOTERS || raft->members_index > raft->commit)
+	if (!raft || raft->member_count != w->voters || raft->members_index > raft->commit)
 		return 0;
 	for (int i = 0; i < raft->member_count; i++)
 		if (!raft->members[i].voter || !holds(w, raft->members[i].id, index))
--- a/tests/raft_world.h
+++ b/tests/raft_world.h
@@ -6,7 +6,11 @@
 
 #include "raft.h"
 
-enum { WORLD_MACHINES = 4, WORLD_CATCH_UP_MS = 4000 };
+enum {
+	WORLD_MACHINES = 4, /* as world_open has it */
+	WORLD_MAX_MACHINES = 6,
+	WORLD_CATCH_UP_MS = 4000
+};
 
 struct world_entry {
 	uint64_t term;
@@ -37,15 +41,17 @@
 
 struct world_machine {
 	int up, cut, disk_full;
+	int tick_phase; /* ms by which its ticks come earlier than others' */
+	int slow_disk_ms; /* that its disk takes longer than the others' */
 	uint64_t id, addr, life;
 	struct raft raft;
 	struct out out;
 	struct world_disk disk;
 	struct world_write *writes; /* stb_ds, oldest first */
 	struct world_state state;
-	uint64_t commit;                      /* highest seen in this life */
-	int64_t bulk_free_at;                 /* its link, for what is large */
-	int64_t bulk_arrival[WORLD_MACHINES]; /* newest of what is large, by receiver */
+	uint64_t commit;                          /* highest seen in this life */
+	int64_t bulk_free_at;                     /* its link, for what is large */
+	int64_t bulk_arrival[WORLD_MAX_MACHINES]; /* newest of what is large, by receiver */
 };
 
 struct world_packet {
@@ -59,12 +65,14 @@
 struct world {
 	uint64_t seed, rng;
 	int64_t now;
-	int machines;
-	struct world_machine m[WORLD_MACHINES];
+	int machines, voters;
+	struct world_machine m[WORLD_MAX_MACHINES];
 	struct world_packet *packets; /* stb_ds */
 	int loss, repeat;             /* per mille of messages */
 	int reorder;                  /* entries and pieces, too, may pass each other */
 	int delay_ms, jitter_ms, disk_ms;
+	int delay_us; /* and so much one way, on the average: the world's clock counts whole ms */
+	int tick_ms;
 	size_t bytes_per_ms; /* of each machine's link, for what is not a heartbeat */
 	size_t document_len;
 	/* the operator: one document after the other */
@@ -83,6 +91,9 @@
 
 /* A founded group of three on four machines, with a leader. Example: world_open(&w, 1, 300 << 10); */
 void world_open(struct world *w, uint64_t seed, size_t document_len);
+
+/* The same with so many voters, and one machine more. Example: world_open_with(&w, 1, 300, 5); */
+void world_open_with(struct world *w, uint64_t seed, size_t document_len, int voters);
 void world_close(struct world *w);
 
 /* Let time pass, or until done says so; 0 when something was breached or done never said so.
@@ -92,6 +103,9 @@
 /* Have the operator log documents until `count` more are acknowledged. Example: world_change(&w, 10, 20000); */
 int world_change(struct world *w, uint64_t count, int64_t ms);
 
+/* An operator logs one more document at the leader, and does not wait for it; 0 without a leader. Example: world_log(&w); */
+int world_log(struct world *w);
+
 /* Power is lost, with `wipe` the disk and its identity too; power is back. Example: world_crash(&w, 2, 0); */
 void world_crash(struct world *w, int machine, int wipe);
 void world_start(struct world *w, int machine);
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -932,6 +932,33 @@
 	leader_end(&l);
 }
 
+/* The same while the others lack what it holds, so that it is not let go yet. */
+static void a_leaving_voter_that_is_held_is_not_counted(void **state)
+{
+	struct leader l;
+	struct Nl__Msg m = leader_message(NL__MSG__BODY_APPEND_REPLY);
+	struct Nl__AppendReply a = NL__APPEND_REPLY__INIT;
+	uint64_t old;
+
+	(void)state;
+	leader_begin(&l, 3);
+	old = leader_newest(&l);
+	leader_propose(&l);
+	a.term = l.raft.term;
+	a.ok = a.leaving = 1;
+	a.round = l.raft.round;
+	a.match = old;
+	m.append_reply = &a;
+	leader_hear(&l, 3, &m);
+	raft_tick(&l.raft, l.now, &l.out);
+	a.match = leader_newest(&l);
+	leader_hear(&l, 3, &m);
+	assert_int_equal(l.raft.commit, old);
+	leader_hear_answer(&l, 2, leader_newest(&l));
+	assert_int_equal(l.raft.commit, leader_newest(&l));
+	leader_end(&l);
+}
+
 /* Whether the last message to a member says that it may go. */
 static int let_go(struct leader *l, uint64_t id)
 {
@@ -982,6 +1009,7 @@
 		cmocka_unit_test(no_change_without_a_majority_that_has_caught_up),
 		cmocka_unit_test(a_leaving_leader_hands_over_to_the_most_caught_up),
 		cmocka_unit_test(a_leaving_voter_is_not_counted),
+		cmocka_unit_test(a_leaving_voter_that_is_held_is_not_counted),
 		cmocka_unit_test(a_leaving_voter_is_kept_while_another_is_behind),
 		cmocka_unit_test(next_loss_is_survived_in_time),
 		cmocka_unit_test(a_leaving_member_waits_for_the_others),
--- a/tests/test_raft_fuzz.c
+++ b/tests/test_raft_fuzz.c
@@ -144,6 +144,7 @@
 
 static void vote_term_0(struct sample *s) { s->vote_ask.term = s->vote_ask.last_term = 0; }
 static void vote_term_far(struct sample *s) { s->vote_ask.term = FAR; }
+static void vote_gave_up_late(struct sample *s) { s->vote_ask.gave_up = s->vote_ask.term; }
 static void vote_last_far(struct sample *s) { s->vote_ask.last = FAR; }
 static void vote_last_term_late(struct sample *s) { s->vote_ask.last_term = s->vote_ask.term + 1; }
 static void vote_reply_term_far(struct sample *s) { s->vote_reply.term = FAR; }
@@ -201,6 +202,7 @@
 	{ NL__MSG__BODY_VOTE_ASK, BOTH, "a vote in term 0", vote_term_0 },
 	{ NL__MSG__BODY_VOTE_ASK, BOTH, "a vote in a far term", vote_term_far },
 	{ NL__MSG__BODY_VOTE_ASK, BOTH, "a vote for a far index", vote_last_far },
+	{ NL__MSG__BODY_VOTE_ASK, BOTH, "a vote for a leader whose own term gave up", vote_gave_up_late },
 	{ NL__MSG__BODY_VOTE_ASK, BOTH, "a vote for a log of a later term", vote_last_term_late },
 	{ NL__MSG__BODY_VOTE_REPLY, BOTH, "a vote from a far term", vote_reply_term_far },
 	{ NL__MSG__BODY_APPEND, FOLLOWER, "an append of term 0", append_term_0 },
