Membership: a silent learner goes once another has caught up; paths of the checker anew

Before: a_silent_learner_keeps_its_place_at_the_minimum fails (ENOUGH_VOTERS: two voters, two copies). After: it goes once the other one has caught up; with enough voters at once, as before.

--- a/lib/core/raft_reconfigure.c
+++ b/lib/core/raft_reconfigure.c
@@ -264,12 +264,14 @@
 	raft_find_member(raft, joining->id)->zone = joining->zone;
 }
 
-/* A learner has fallen silent. Where it makes up for a voter of the minimum another one joins before it goes. */
-static void exchange_learner(const struct view *view, int lost, const struct raft_member *joining)
+/* A learner has fallen silent. Where it makes up for a voter of the minimum it goes only once another one has caught up. */
+static void exchange_learner(const struct view *view, const struct standing *s, const struct raft_member *joining)
 {
-	if (view->raft->member_count > RAFT_MIN_VOTERS)
-		remove_member(view, lost);
-	else if (joining)
+	int others = s->voters + (s->learner >= 0 && is_caught_up(view, &view->raft->members[s->learner]));
+
+	if (others >= RAFT_MIN_VOTERS)
+		remove_member(view, s->lost_learner);
+	else if (s->learner < 0 && joining)
 		add_learner(view, joining);
 }
 
@@ -309,7 +311,7 @@
 	s = take_stock(&view);
 	joining = raft->member_count < RAFT_MAX_MEMBERS ? next_replica(&view) : NULL;
 	if (s.lost_learner >= 0) {
-		exchange_learner(&view, s.lost_learner, joining);
+		exchange_learner(&view, &s, joining);
 		return;
 	}
 	if (s.learner >= 0) {
--- a/tests/test_explore.c
+++ b/tests/test_explore.c
@@ -321,6 +321,137 @@
 	assert_int_equal(explore_replay(SCENE_REPLACED, path, sizeof path / sizeof *path), INVARIANT_NONE);
 }
 
+/* The same, where the leader hands over to one that stands at once. */
+static void no_voter_is_let_go_where_all_are_to_stop(void **state)
+{
+	static const struct choice path[] = {
+		{ CHOICE_WAIT, 0, 0, 150 },  { CHOICE_SYNC, 0, 0, 0 },    { CHOICE_WAIT, 0, 0, 150 },
+		{ CHOICE_WAIT, 0, 0, 150 },  { CHOICE_WAIT, 0, 0, 150 },  { CHOICE_WAIT, 0, 0, 150 },
+		{ CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_TICK, 0, 0, 0 },    { CHOICE_SYNC, 1, 0, 0 },
+		{ CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_WAIT, 0, 0, 600 },
+		{ CHOICE_WAIT, 0, 0, 600 },  { CHOICE_TICK, 0, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 },
+		{ CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_DELIVER, 0, 2, 0 },
+		{ CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_SYNC, 2, 0, 0 },
+		{ CHOICE_DELIVER, 0, 2, 0 }, { CHOICE_SYNC, 0, 0, 0 },    { CHOICE_SYNC, 1, 0, 0 },
+		{ CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_DELIVER, 2, 0, 0 },
+		{ CHOICE_SYNC, 1, 0, 0 },    { CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_DELIVER, 0, 1, 0 },
+		{ CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_DELIVER, 0, 2, 0 }, { CHOICE_DELIVER, 2, 0, 0 },
+		{ CHOICE_DELIVER, 0, 2, 0 }, { CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_SYNC, 0, 0, 0 },
+		{ CHOICE_SYNC, 2, 0, 0 },    { CHOICE_DELIVER, 0, 2, 0 }, { CHOICE_RECONFIGURE, 0, 0, 0 },
+		{ CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_SYNC, 0, 0, 0 },    { CHOICE_LEAVE, 0, 0, 0 },
+		{ CHOICE_SYNC, 1, 0, 0 },    { CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_TICK, 0, 0, 0 },
+		{ CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_SYNC, 1, 0, 0 },
+		{ CHOICE_SYNC, 0, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_SYNC, 1, 0, 0 },
+		{ CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_SYNC, 0, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 },
+		{ CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_WAIT, 0, 0, 1600 }, { CHOICE_TICK, 1, 0, 0 },
+		{ CHOICE_WAIT, 0, 0, 300 },  { CHOICE_WAIT, 0, 0, 450 },  { CHOICE_TICK, 1, 0, 0 },
+		{ CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_DELIVER, 0, 1, 0 },
+		{ CHOICE_SYNC, 1, 0, 0 },    { CHOICE_SYNC, 0, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 },
+		{ CHOICE_SYNC, 1, 0, 0 },    { CHOICE_WAIT, 0, 0, 450 },  { CHOICE_DELIVER, 0, 1, 0 },
+		{ CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_LEAVE, 1, 0, 0 },   { CHOICE_TICK, 1, 0, 0 },
+		{ CHOICE_DELIVER, 0, 1, 0 },
+	};
+
+	(void)state;
+	assert_int_equal(explore_replay(SCENE_REPLACED, path, sizeof path / sizeof *path), INVARIANT_NONE);
+}
+
+/* The same, where the leader hands over to one that stands at once. */
+static void a_member_stays_while_a_change_of_members_is_open(void **state)
+{
+	static const struct choice path[] = {
+		{ CHOICE_DELIVER, 2, 0, 0 },     { CHOICE_SYNC, 2, 0, 0 },        { CHOICE_DELIVER, 0, 2, 0 },
+		{ CHOICE_WAIT, 0, 0, 450 },      { CHOICE_SYNC, 0, 0, 0 },        { CHOICE_WAIT, 0, 0, 450 },
+		{ CHOICE_TICK, 2, 0, 0 },        { CHOICE_CRASH, 1, 0, 0 },       { CHOICE_DELIVER, 0, 2, 0 },
+		{ CHOICE_DELIVER, 2, 0, 0 },     { CHOICE_DELIVER, 0, 2, 0 },     { CHOICE_SYNC, 2, 0, 0 },
+		{ CHOICE_LEAVE, 0, 0, 0 },       { CHOICE_WIPE, 1, 0, 0 },        { CHOICE_SYNC, 0, 0, 0 },
+		{ CHOICE_DELIVER, 2, 0, 0 },     { CHOICE_SYNC, 2, 0, 0 },        { CHOICE_DELIVER, 3, 2, 0 },
+		{ CHOICE_WAIT, 0, 0, 700 },      { CHOICE_DELIVER, 2, 3, 0 },     { CHOICE_DELIVER, 0, 2, 0 },
+		{ CHOICE_SYNC, 3, 0, 0 },        { CHOICE_DELIVER, 3, 2, 0 },     { CHOICE_DELIVER, 2, 0, 0 },
+		{ CHOICE_DELIVER, 2, 3, 0 },     { CHOICE_DELIVER, 3, 2, 0 },     { CHOICE_TICK, 2, 0, 0 },
+		{ CHOICE_SYNC, 3, 0, 0 },        { CHOICE_DELIVER, 2, 3, 0 },     { CHOICE_SYNC, 0, 0, 0 },
+		{ CHOICE_DELIVER, 2, 0, 0 },     { CHOICE_WAIT, 0, 0, 600 },      { CHOICE_WAIT, 0, 0, 150 },
+		{ CHOICE_TICK, 2, 0, 0 },        { CHOICE_DELIVER, 0, 2, 0 },     { CHOICE_DELIVER, 2, 0, 0 },
+		{ CHOICE_DELIVER, 0, 2, 0 },     { CHOICE_SYNC, 0, 0, 0 },        { CHOICE_SYNC, 2, 0, 0 },
+		{ CHOICE_DELIVER, 2, 0, 0 },     { CHOICE_DELIVER, 0, 2, 0 },     { CHOICE_SYNC, 2, 0, 0 },
+		{ CHOICE_DELIVER, 2, 0, 0 },     { CHOICE_DELIVER, 3, 2, 0 },     { CHOICE_DELIVER, 2, 3, 0 },
+		{ CHOICE_SYNC, 3, 0, 0 },        { CHOICE_SYNC, 0, 0, 0 },        { CHOICE_DELIVER, 2, 3, 0 },
+		{ CHOICE_DELIVER, 2, 0, 0 },     { CHOICE_RECONFIGURE, 2, 0, 1 }, { CHOICE_DELIVER, 3, 2, 0 },
+		{ CHOICE_DELIVER, 0, 2, 0 },     { CHOICE_SYNC, 3, 0, 0 },        { CHOICE_DELIVER, 2, 3, 0 },
+		{ CHOICE_SYNC, 2, 0, 0 },        { CHOICE_SYNC, 0, 0, 0 },        { CHOICE_DELIVER, 2, 0, 0 },
+		{ CHOICE_RECONFIGURE, 2, 0, 1 }, { CHOICE_TICK, 2, 0, 0 },        { CHOICE_DELIVER, 0, 2, 0 },
+		{ CHOICE_PROPOSE, 2, 0, 0 },     { CHOICE_DELIVER, 0, 2, 0 },
+	};
+
+	(void)state;
+	assert_int_equal(explore_replay(SCENE_CHANGE, path, sizeof path / sizeof *path), INVARIANT_NONE);
+}
+
+/* So many heartbeats of a leader that one follower alone answers. */
+static void beat(uint8_t leader, uint8_t follower, int rounds)
+{
+	for (int i = 0; i < rounds; i++) {
+		(void)explore_do((struct choice){ CHOICE_WAIT, 0, 0, RAFT_HEARTBEAT_MS });
+		(void)explore_do((struct choice){ CHOICE_TICK, leader, 0, 0 });
+		(void)explore_do((struct choice){ CHOICE_SYNC, leader, 0, 0 });
+		while (explore_do((struct choice){ CHOICE_DELIVER, follower, leader, 0 }) ||
+		       explore_do((struct choice){ CHOICE_SYNC, follower, 0, 0 }) ||
+		       explore_do((struct choice){ CHOICE_DELIVER, leader, follower, 0 }))
+			;
+	}
+}
+
+/* The same, with no change of leader: the lost voter is taken out, and then the learner falls silent. */
+static void a_silent_learner_keeps_its_place_at_the_minimum(void **state)
+{
+	(void)state;
+	explore_begin(SCENE_REPLACED);
+	for (int i = 0; i < 8; i++) {
+		beat(0, 1, 1);
+		beat(0, 2, 1);
+	}
+	(void)explore_do((struct choice){ CHOICE_RECONFIGURE, 0, 0, 1 });
+	beat(0, 1, 12);
+	assert_int_equal(explore_raft(0)->member_count, RAFT_MIN_VOTERS);
+	(void)explore_do((struct choice){ CHOICE_RECONFIGURE, 0, 0, 0 });
+	assert_int_equal(explore_raft(0)->member_count, RAFT_MIN_VOTERS + 1); /* another one joins */
+	beat(0, 1, 2);
+	(void)explore_do((struct choice){ CHOICE_RECONFIGURE, 0, 0, 0 });
+	assert_int_equal(explore_raft(0)->member_count, RAFT_MIN_VOTERS + 1); /* which has not caught up yet */
+	beat(0, 3, 1);
+	beat(0, 1, 1);
+	beat(0, 3, 2);
+	beat(0, 1, 1);
+	(void)explore_do((struct choice){ CHOICE_RECONFIGURE, 0, 0, 0 });
+	assert_int_equal(explore_raft(0)->member_count, RAFT_MIN_VOTERS); /* and the silent one goes */
+	assert_int_equal(explore_breach, INVARIANT_NONE);
+}
+
+/* A leaving member was let go by a majority that was counted before another one said that it leaves. */
+static void a_majority_counted_before_is_not_used(void **state)
+{
+	static const struct choice path[] = {
+		{ CHOICE_WAIT, 0, 0, 150 },  { CHOICE_WAIT, 0, 0, 150 },  { CHOICE_WAIT, 0, 0, 450 },  { CHOICE_TICK, 0, 0, 0 },
+		{ CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_SYNC, 1, 0, 0 },
+		{ CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_SYNC, 0, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_WAIT, 0, 0, 150 },
+		{ CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_SYNC, 0, 0, 0 },
+		{ CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_TICK, 0, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_DELIVER, 0, 1, 0 },
+		{ CHOICE_WAIT, 0, 0, 150 },  { CHOICE_TICK, 0, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_DELIVER, 0, 1, 0 },
+		{ CHOICE_SYNC, 1, 0, 0 },    { CHOICE_LEAVE, 2, 0, 0 },   { CHOICE_WAIT, 0, 0, 600 },  { CHOICE_DELIVER, 2, 0, 2 },
+		{ CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_SYNC, 2, 0, 0 },    { CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_TICK, 0, 0, 0 },
+		{ CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_DELIVER, 2, 0, 0 },
+		{ CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_DELIVER, 0, 2, 1 }, { CHOICE_DELIVER, 0, 2, 4 }, { CHOICE_DELIVER, 0, 2, 3 },
+		{ CHOICE_DELIVER, 2, 0, 2 }, { CHOICE_DELIVER, 0, 2, 0 }, { CHOICE_DELIVER, 0, 2, 0 }, { CHOICE_SYNC, 2, 0, 0 },
+		{ CHOICE_DELIVER, 0, 2, 1 }, { CHOICE_DROP, 0, 2, 0 },    { CHOICE_DELIVER, 0, 2, 0 }, { CHOICE_DELIVER, 1, 0, 0 },
+		{ CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_LEAVE, 1, 0, 0 },   { CHOICE_END, 2, 0, 0 },     { CHOICE_WAIT, 0, 0, 150 },
+		{ CHOICE_TICK, 0, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_DELIVER, 0, 1, 0 }, { CHOICE_PROPOSE, 0, 0, 0 },
+		{ CHOICE_DELIVER, 1, 0, 0 },
+	};
+
+	(void)state;
+	assert_int_equal(explore_replay(SCENE_ALL_FELL, path, sizeof path / sizeof *path), INVARIANT_NONE);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -332,6 +463,10 @@
 		cmocka_unit_test(one_that_may_have_gone_is_not_counted),
 		cmocka_unit_test(a_member_is_let_go_only_by_committed_members),
 		cmocka_unit_test(a_silent_learner_goes_after_its_successor_came),
+		cmocka_unit_test(no_voter_is_let_go_where_all_are_to_stop),
+		cmocka_unit_test(a_member_stays_while_a_change_of_members_is_open),
+		cmocka_unit_test(a_silent_learner_keeps_its_place_at_the_minimum),
+		cmocka_unit_test(a_majority_counted_before_is_not_used),
 		cmocka_unit_test(an_older_log_gets_no_vote),
 		cmocka_unit_test(a_change_of_members_waits_for_the_one_before),
 		cmocka_unit_test(one_answer_to_a_probe_is_not_all),
