Router: a split's service without room does not hold up the other's requests

Cause: dispatch weighs the head of a line alone. Where a lane is split, a head whose service had no server, or no place, held up all behind it: with one service down, 8 requests for the other one, whose server was idle, left after 4550 ms (trial). So did a head that avoids the server which gave it back, for 300 ms. Now up to 16 of a split lane's line are weighed, one for each service (first_ready); one that passes the head moves neither the time the head stands still nor the line's pace, and is refused only once it has itself waited as long as it has left. Before: a_split_is_not_held_up_by_one_service failed (1 of 3 sent); after: green, sends stay in order, the head's are refused when no server stood for 4.5 s. a_split_refuses_nobody_for_a_head_of_another_service seen to fail without wait_of. Lanes without a split are dispatched as before, but for a head that avoids a server.

--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -169,6 +169,15 @@
 	return patience * 3 / 4;
 }
 
+/* How long a request with so many before it has yet to wait. One of another service than the head's may pass it, as soon as it
+ * is sent, and is only taken to wait for as long as it has. */
+static double wait_of(const struct line *l, const struct client_request *x, uint32_t before, int64_t now)
+{
+	if (x->service == l->head->service)
+		return router_expected(l, before, now);
+	return (double)(now - (x->given_back_at ? x->given_back_at : x->since_at));
+}
+
 /* What will not be sent in time is told so now, not at its limit. */
 static void end_hopeless(struct router *c, int64_t now, struct out *o)
 {
@@ -184,7 +193,7 @@
 
 		for (struct client_request *x = l->head; x; x = next) {
 			int none = now - c->stood[x->service] > ROUTER_RIDE;
-			double wait = router_expected(l, before, now);
+			double wait = wait_of(l, x, before, now);
 
 			next = x->after;
 			if (x->begun && now - x->given_back_at > silence_of(&c->route_table->lane[x->lane])) {
--- a/lib/data/router_queue.c
+++ b/lib/data/router_queue.c
@@ -135,6 +135,8 @@
 	return json_tokener_parse_ex(c->tok, text, -1);
 }
 
+enum { QUEUE_LOOK = 16 }; /* requests of a line that are weighed at a time, where its head has to wait */
+
 /* How long the exchange with i others before it in its line has yet to wait: what its line's heads usually take, and
  * for the next of them no less than the time for which it has already stood still. */
 double router_expected(const struct line *l, uint32_t i, int64_t now)
@@ -315,6 +317,32 @@
 		config_watch_ask(f, c->relay.k.horizon, now, o);
 }
 
+/* The first of a line that a server has room for. Behind a head that none has room for this may be one of another service,
+ * or, where the head was given back and avoids the server that did, any. NULL: none. */
+static struct client_request *first_ready(struct router *c, const struct line *l, int64_t now, struct plan *plan)
+{
+	uint32_t full[QUEUE_LOOK];
+	int n = 0, looked = 0, split = c->route_table->lane[l->lane].nsplit > 0;
+
+	for (struct client_request *x = l->head; x && looked < QUEUE_LOOK; x = x->after, looked++) {
+		int known = 0;
+
+		for (int k = 0; k < n; k++)
+			known |= full[k] == x->service;
+		if (known)
+			continue;
+		*plan = x->forwarded ? router_assign_forward(c, x, now) : router_assign(c, x, now);
+		if (plan->server >= 0)
+			return x;
+		if (now < x->tried_until)
+			continue; /* there may be room at the server that it avoids */
+		if (!split && !x->begun)
+			return NULL; /* all behind it are of its service */
+		full[n++] = x->service;
+	}
+	return NULL;
+}
+
 /* Heads of lines go on while there are places: by class, then by share. */
 /* NOLINTNEXTLINE(readability-function-size): to be cut, issue 18 */
 void router_dispatch(struct router *c, int64_t now, struct out *o)
@@ -327,7 +355,7 @@
 		struct line *best = NULL;
 		int waits = 0;
 		struct plan best_plan = { -1, 0, -1, 0, 0, 0, 0 };
-		struct client_request *x;
+		struct client_request *x = NULL, *ready;
 		uint32_t share, limit;
 
 		for (ptrdiff_t i = 0; i < arrlen(c->line); i++) {
@@ -344,10 +372,11 @@
 			if (best &&
 			    (class_of(b, l) > class_of(b, best) || (class_of(b, l) == class_of(b, best) && l->pass >= best->pass)))
 				continue;
-			pl = l->head->forwarded ? router_assign_forward(c, l->head, now) : router_assign(c, l->head, now);
-			if (pl.server < 0)
+			ready = first_ready(c, l, now, &pl);
+			if (!ready)
 				continue;
 			best = l;
+			x = ready;
 			best_plan = pl;
 		}
 		if (!best) {
@@ -355,11 +384,12 @@
 			    waits ? now + ROUTER_PUMP : 0; /* all that waits was weighed against all servers: not at every event */
 			return;
 		}
-		x = best->head;
+		if (x == best->head) {
+			best->gap += ((double)(now - best->still) - best->gap) / 16;
+			best->still = now;
+		}
 		router_queue_remove(c, x);
 		quota_take(c, x);
-		best->gap += ((double)(now - best->still) - best->gap) / 16;
-		best->still = now;
 		router_share_of(b, best->lane, best->tenant, &share, &limit);
 		best->pass += 1000000 / (share ? share : 1);
 		x->state = REQUEST_CLAIMING;
--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -521,6 +521,117 @@
 	solo_close(&w.s);
 }
 
+/* A lane whose requests go to a service with one server of few places, and to one without any. */
+static void split_open(struct world *w, int slots)
+{
+	struct Nl__Row *route;
+
+	solo_open(&w->s, 5);
+	world_service(w, "up");
+	world_service(w, "down");
+	route = world_route(w, "route", "/", "up");
+	route->limit = 100;
+	route->split = apr_palloc(w->s.p, 2 * sizeof *route->split);
+	for (route->n_split = 0; route->n_split < 2; route->n_split++) {
+		struct Nl__Split *half = apr_palloc(w->s.p, sizeof *half);
+
+		nl__split__init(half);
+		half->service = w->row[route->n_split]->name;
+		half->weight = 1;
+		route->split[route->n_split] = half;
+	}
+	world_server(w, "up");
+	w->server[0]->slots = (uint32_t)slots;
+	world_apply(w);
+}
+
+static int is_for(const struct world *w, const struct client_request *x, const char *service)
+{
+	return !strcmp(w->s.c.services.name[x->service], service);
+}
+
+static void time_passes(struct world *w, int64_t ms)
+{
+	for (int64_t end = w->s.now + ms; w->s.now < end;) {
+		w->s.c.f.fresh = w->s.now;
+		solo_tick(&w->s, 50);
+	}
+}
+
+/* The one that runs ends; sends go out in the order in which they were asked. */
+static uint64_t one_ends(struct world *w, uint64_t last)
+{
+	for (ptrdiff_t k = 0; k < arrlen(w->s.c.all); k++)
+		if (w->s.c.all[k]->state == REQUEST_RUNNING) {
+			send_ends(w, w->s.c.all[k]->call, ROUTER_WHOLE, 200, 1, NULL);
+			break;
+		}
+	time_passes(w, 50);
+	for (ptrdiff_t k = 0; k < arrlen(w->s.o.v); k++)
+		if (w->s.o.v[k].kind == CMD_FORWARD) {
+			assert_true(w->s.o.v[k].u.forward->caller > last);
+			last = w->s.o.v[k].u.forward->caller;
+		}
+	return last;
+}
+
+/* Half of a lane's requests are for a service without a server: the others pass them, in order. */
+static void a_split_is_not_held_up_by_one_service(void **st)
+{
+	struct world w = { 0 };
+	int sent = 0, told = 0, waiting;
+	uint64_t last = 0;
+
+	(void)st;
+	split_open(&w, 3);
+	for (int i = 0; i < 12; i++) {
+		assert_non_null(ask(&w, "/x", 0));
+		solo_tick(&w.s, 20);
+		sent += solo_sent(&w.s) != 0;
+	}
+	assert_int_equal(sent, 3);
+	for (int i = 0; i < 20; i++)
+		last = one_ends(&w, last);
+	waiting = (int)arrlen(w.s.c.all);
+	assert_in_range(waiting, 1, 9);
+	for (ptrdiff_t k = 0; k < waiting; k++)
+		assert_true(is_for(&w, w.s.c.all[k], "down"));
+	for (int i = 0; i < 100; i++) {
+		out_clear(&w.s.o);
+		time_passes(&w, 50);
+		for (uint64_t k = 1; k <= 12; k++)
+			told += heard(&w.s, k) == 503;
+	}
+	assert_int_equal(told, waiting);
+	solo_close(&w.s);
+}
+
+/* The head of a line stands still for a service without a server: one of another service, with little time, is not told that
+ * the line is too long. */
+static void a_split_refuses_nobody_for_a_head_of_another_service(void **st)
+{
+	struct world w = { 0 };
+	struct client_request *x;
+
+	(void)st;
+	split_open(&w, 1);
+	do { /* the head is for the service that is down, and the server's one place is taken */
+		assert_non_null(x = ask(&w, "/x", 0));
+		time_passes(&w, 50);
+	} while (is_for(&w, x, "up"));
+	time_passes(&w, 2500);
+	do
+		assert_non_null(x = ask(&w, "/x", 0));
+	while (!is_for(&w, x, "up"));
+	assert_int_equal(x->state, REQUEST_WAITING);
+	x->limit = w.s.now + 2000;
+	out_clear(&w.s.o);
+	time_passes(&w, 100);
+	assert_int_equal(heard(&w.s, w.s.token), 0);
+	assert_ptr_equal(router_request_by(&w.s.c, w.s.token), x);
+	solo_close(&w.s);
+}
+
 /* What the caller hears of each way in which a send can end, in each state: 0: nothing, and it is sent again. */
 enum { HEARS_SENT_AGAIN = 0, HEARS_BROKEN = -1 };
 struct send_end {
@@ -965,6 +1076,8 @@
 		cmocka_unit_test(a_service_that_is_back_takes_requests_at_once),
 		cmocka_unit_test(a_stream_is_not_held_in_silence),
 		cmocka_unit_test(one_server_turns_a_request_away),
+		cmocka_unit_test(a_split_is_not_held_up_by_one_service),
+		cmocka_unit_test(a_split_refuses_nobody_for_a_head_of_another_service),
 		cmocka_unit_test(each_end_of_a_send_is_told_as_the_table_says),
 		cmocka_unit_test(a_process_that_leaves_answers_what_it_holds),
 		cmocka_unit_test(each_event_in_each_state_ends_as_the_table_says),
