Own interface: a planned stop tells the router until when it may send and run

Cause (by reading): the program of the own interface passed a stop on without its times, so what waited was held until its connections were closed (504 there). Wired as on the platform's door; the router's part is tested by a_process_that_leaves_answers_what_it_holds, the wiring by no test.

--- a/bin/counter.c
+++ b/bin/counter.c
@@ -7,6 +7,8 @@
 #include "platform.h"
 #include "shell.h"
 
+enum { LAST_ANSWERS_MS = 300 }; /* before the end of a planned stop: for the last answers to leave */
+
 static void step(void *ctx, const struct shell_ev *e, int64_t now, struct out *o)
 {
 	struct router *c = ctx;
@@ -56,7 +58,11 @@
 				ev.u.called.body = e->body;
 			}
 			break;
-		case EV_STOP: ev.kind = ROUTER_STOP; break;
+		case EV_STOP:
+			ev.kind = ROUTER_STOP;
+			ev.u.stop.send_until = now + (e->end_at - now) / 2;
+			ev.u.stop.run_until = e->end_at - LAST_ANSWERS_MS;
+			break;
 		default: return;
 		}
 	router_step(c, &ev, now, o);
--- a/lib/shell/proc.c
+++ b/lib/shell/proc.c
@@ -362,7 +362,7 @@
 
 			log_say(LOG_INFO, "proc", "Stops: what is under way is ended first.");
 			p->stopping = 1;
-			p->stop_at = now + (p->set.grace_ms ? p->set.grace_ms : PROC_DRAIN);
+			p->stop_at = stop.end_at = now + (p->set.grace_ms ? p->set.grace_ms : PROC_DRAIN);
 			if (p->door)
 				p->door->stop(p->door_ctx, now);
 			else
--- a/lib/shell/shell.h
+++ b/lib/shell/shell.h
@@ -56,6 +56,7 @@
 	int status, never, stream;
 	uint32_t part;
 	uint64_t seq;
+	int64_t end_at; /* of a stop: when the process ends at the latest */
 };
 struct shell_ev *shell_ev_new(enum shell_ev_kind k);
 void shell_ev_free(struct shell_ev *e);
