--- a/rehearsal/stand_client.c
+++ b/rehearsal/stand_client.c
@@ -9,7 +9,7 @@
 
 enum {
 	TIMES_AS_LONG = 20, /* the answers of some requests on a planned day */
-	LONG_PROBE = 500,   /* tokens: such a probe is under way for seconds, while its route or key goes */
+	LONG_PROBE = 200,   /* tokens: such a probe is under way for a second or more, while its route or key goes */
 	REST_MS = 10000     /* how long a connection may rest before any configuration is known */
 };
 
