--- a/lib/core/raft_transfer.c
+++ b/lib/core/raft_transfer.c
@@ -91,14 +91,6 @@
 	return member->leaving && is_spare(raft, member->id, member->leave_index);
 }
 
-/* Of two voters that hold the same: whether one acknowledged it sooner, as its disk and its link are quicker. */
-static int is_quicker(const struct raft *raft, const struct raft_member *a, const struct raft_member *b)
-{
-	if (a->progress_at != b->progress_at)
-		return a->progress_at < b->progress_at;
-	return core_rdv(raft->no, a->id) > core_rdv(raft->no, b->id);
-}
-
 uint64_t raft_successor(const struct raft *raft, int64_t now)
 {
 	const struct raft_member *best = NULL;
@@ -108,7 +100,8 @@
 
 		if (!member->voter || member->id == raft->id || member->leaving || !answers(raft, member, now))
 			continue;
-		if (!best || member->match > best->match || (member->match == best->match && is_quicker(raft, member, best)))
+		if (!best || member->match > best->match ||
+		    (member->match == best->match && core_rdv(raft->no, member->id) > core_rdv(raft->no, best->id)))
 			best = member;
 	}
 	return best ? best->id : 0;
