Model checker: a leave is judged by the members by which the newest entry was committed

Each majority of the committed members holds the entry there. After: the checker keeps the membership of the newest commit and asks for a majority of that, or of the newest committed membership.

--- a/tests/explore.h
+++ b/tests/explore.h
@@ -89,6 +89,7 @@
 /* What an onlooker knows, against which the invariants are checked. */
 struct explore_history {
 	uint64_t commit;
+	uint32_t commit_members; /* blob: the membership by which the newest entry was committed */
 	struct {
 		uint64_t term, commit_term;
 		uint32_t kind, blob;
--- a/tests/test_explore.c
+++ b/tests/test_explore.c
@@ -452,6 +452,33 @@
 	assert_int_equal(explore_replay(SCENE_ALL_FELL, path, sizeof path / sizeof *path), INVARIANT_NONE);
 }
 
+/* Not a fault: the leader committed by members that it had just put in force, and led no more when one ended. */
+static void an_entry_committed_by_new_members_is_not_lost_by_a_leave(void **state)
+{
+	static const struct choice path[] = {
+		{ CHOICE_DELIVER, 1, 0, 0 },     { CHOICE_DELIVER, 2, 0, 0 }, { CHOICE_SYNC, 2, 0, 0 },
+		{ CHOICE_WAIT, 0, 0, 450 },      { CHOICE_WAIT, 0, 0, 150 },  { CHOICE_WAIT, 0, 0, 50 },
+		{ CHOICE_TICK, 0, 0, 0 },        { CHOICE_SYNC, 1, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 },
+		{ CHOICE_DELIVER, 0, 1, 0 },     { CHOICE_TICK, 1, 0, 0 },    { CHOICE_DELIVER, 2, 1, 0 },
+		{ CHOICE_DELIVER, 3, 1, 0 },     { CHOICE_DELIVER, 1, 2, 0 }, { CHOICE_DELIVER, 1, 3, 0 },
+		{ CHOICE_DELIVER, 2, 1, 0 },     { CHOICE_DELIVER, 3, 1, 0 }, { CHOICE_DELIVER, 0, 1, 1 },
+		{ CHOICE_DELIVER, 0, 1, 0 },     { CHOICE_SYNC, 0, 0, 0 },    { CHOICE_SYNC, 2, 0, 0 },
+		{ CHOICE_SYNC, 0, 0, 0 },        { CHOICE_LEAVE, 3, 0, 0 },   { CHOICE_SYNC, 1, 0, 0 },
+		{ CHOICE_DELIVER, 1, 0, 1 },     { CHOICE_DELIVER, 1, 2, 0 }, { CHOICE_DELIVER, 1, 0, 0 },
+		{ CHOICE_DELIVER, 0, 1, 0 },     { CHOICE_DELIVER, 1, 0, 0 }, { CHOICE_DELIVER, 2, 1, 0 },
+		{ CHOICE_DELIVER, 3, 1, 0 },     { CHOICE_DELIVER, 1, 3, 0 }, { CHOICE_DELIVER, 1, 2, 0 },
+		{ CHOICE_WAIT, 0, 0, 150 },      { CHOICE_SYNC, 1, 0, 0 },    { CHOICE_SYNC, 2, 0, 0 },
+		{ CHOICE_DELIVER, 1, 2, 0 },     { CHOICE_SYNC, 0, 0, 0 },    { CHOICE_DELIVER, 1, 0, 0 },
+		{ CHOICE_PROPOSE, 1, 0, 0 },     { CHOICE_TICK, 1, 0, 0 },    { CHOICE_DELIVER, 0, 1, 0 },
+		{ CHOICE_SYNC, 1, 0, 0 },        { CHOICE_SYNC, 0, 0, 0 },    { CHOICE_DELIVER, 3, 1, 0 },
+		{ CHOICE_RECONFIGURE, 1, 0, 0 }, { CHOICE_DELIVER, 3, 1, 0 }, { CHOICE_DELIVER, 1, 0, 0 },
+		{ CHOICE_WAIT, 0, 0, 1600 },     { CHOICE_TICK, 1, 0, 0 },    { CHOICE_END, 3, 0, 0 },
+	};
+
+	(void)state;
+	assert_int_equal(explore_replay(SCENE_FOUR, path, sizeof path / sizeof *path), INVARIANT_NONE);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -467,6 +494,7 @@
 		cmocka_unit_test(a_member_stays_while_a_change_of_members_is_open),
 		cmocka_unit_test(a_silent_learner_keeps_its_place_at_the_minimum),
 		cmocka_unit_test(a_majority_counted_before_is_not_used),
+		cmocka_unit_test(an_entry_committed_by_new_members_is_not_lost_by_a_leave),
 		cmocka_unit_test(an_older_log_gets_no_vote),
 		cmocka_unit_test(a_change_of_members_waits_for_the_one_before),
 		cmocka_unit_test(one_answer_to_a_probe_is_not_all),
