A SIGHUP that comes before the settings are read ends no process

Cause: the handler was set when the settings had been read; until then SIGHUP has its default and ends the process. Before: a_sighup_at_the_start_ends_nothing fails with its guard taken out. After: green.

--- a/bin/counter.c
+++ b/bin/counter.c
@@ -97,6 +97,7 @@
 	uint64_t seeds[8];
 	int rc;
 
+	proc_begin();
 	memset(&p, 0, sizeof p);
 	apr_initialize();
 	apr_pool_create(&p.p, NULL);
--- a/bin/registrar.c
+++ b/bin/registrar.c
@@ -105,6 +105,7 @@
 	const char *why = "";
 	int rc;
 
+	proc_begin();
 	apr_initialize();
 	apr_pool_create(&p->p, NULL);
 	log_open("registrar");
--- a/lib/shell/proc.c
+++ b/lib/shell/proc.c
@@ -48,6 +48,15 @@
 		got_signal = sig;
 }
 
+void proc_begin(void)
+{
+	struct sigaction sa;
+
+	memset(&sa, 0, sizeof sa);
+	sa.sa_handler = SIG_IGN;
+	sigaction(SIGHUP, &sa, NULL);
+}
+
 static void signals(const struct settings *s)
 {
 	struct sigaction sa;
@@ -56,8 +65,9 @@
 	sa.sa_handler = on_signal;
 	sigaction(SIGTERM, &sa, NULL);
 	sigaction(SIGINT, &sa, NULL);
-	if (s->other)
-		sigaction(SIGHUP, &sa, NULL);
+	if (!s->other)
+		sa.sa_handler = SIG_DFL;
+	sigaction(SIGHUP, &sa, NULL);
 	sa.sa_handler = SIG_IGN;
 	sigaction(SIGPIPE, &sa, NULL);
 }
--- a/lib/shell/shell.h
+++ b/lib/shell/shell.h
@@ -129,6 +129,10 @@
 uint64_t store_refused(const struct store *s);
 void store_close(struct store *s);
 
+/* First thing in a program: a SIGHUP before the settings are read asks for what is done anyway, and must not end the process.
+ * Example: proc_begin(); */
+void proc_begin(void);
+
 /* ---- settings ---- */
 struct settings {
 	const char *listen, *advertise, *web, *zone, *data, *fault;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -17,6 +17,8 @@
 #include <pthread.h>
 #include <signal.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "control.h"
@@ -1153,6 +1155,43 @@
 	signal(SIGHUP, SIG_DFL);
 }
 
+/* A SIGHUP that comes while a process is still reading its settings asks for what it does anyway. The settings are a pipe: it
+ * has begun once it has opened that, and cannot go on before it is filled. */
+static void a_sighup_at_the_start_ends_nothing(void **st)
+{
+	static const char *const programs[] = { COUNTER, REGISTRAR };
+
+	(void)st;
+	for (size_t i = 0; i < sizeof programs / sizeof *programs; i++) {
+		char folder[] = "/tmp/nl-pipe-XXXXXX", file[60];
+		int status = 0, fd;
+		pid_t pid;
+
+		assert_non_null(mkdtemp(folder));
+		snprintf(file, sizeof file, "%s/settings", folder);
+		assert_int_equal(mkfifo(file, 0600), 0);
+		pid = fork();
+		assert_true(pid >= 0);
+		if (!pid) {
+			setenv("NOTCHLUG_CONFIG", file, 1);
+			signal(SIGHUP, SIG_DFL);
+			(void)freopen("/dev/null", "w", stderr);
+			execl(programs[i], programs[i], "--platform", "--check", (char *)NULL);
+			_exit(99);
+		}
+		fd = open(file, O_WRONLY);
+		assert_true(fd >= 0);
+		assert_int_equal(kill(pid, SIGHUP), 0);
+		assert_true(write(fd, "Role = 1\n", 9) == 9);
+		close(fd);
+		assert_int_equal(waitpid(pid, &status, 0), pid);
+		assert_true(WIFEXITED(status));
+		assert_int_equal(WEXITSTATUS(status), 2); /* settings that lack all else */
+		unlink(file);
+		rmdir(folder);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest t[] = {
@@ -1174,6 +1213,7 @@
 		T(a_planned_stop_ends_what_is_under_way),
 		T(what_is_open_at_the_end_of_the_grace_is_said),
 		T(settings_are_read_anew),
+		T(a_sighup_at_the_start_ends_nothing),
 	};
 	int rc;
 
