--- a/tests/raft_world.h
+++ b/tests/raft_world.h
@@ -41,7 +41,7 @@
 
 struct world_machine {
 	int up, cut, disk_full;
-	int tick_phase; /* ms by which its ticks come earlier than others' */
+	int tick_phase;   /* ms by which its ticks come earlier than others' */
 	int slow_disk_ms; /* that its disk takes longer than the others' */
 	uint64_t id, addr, life;
 	struct raft raft;
