--- a/tests/test_kept_feed.c
+++ b/tests/test_kept_feed.c
@@ -13,6 +13,7 @@
 
 #include "ds.h"
 #include "router_internal.h"
+#include "solo.h"
 
 enum {
 	SERVERS = 30,
@@ -47,21 +48,6 @@
 
 static uint64_t dice(struct zone *z, uint64_t n) { return core_rand(&z->rng) % n; }
 
-static struct Nl__Instance *instance_new(apr_pool_t *p, int i)
-{
-	struct Nl__Instance *x = apr_palloc(p, sizeof *x);
-
-	nl__instance__init(x);
-	x->server = apr_psprintf(p, "i-%d", i);
-	x->service = "pool";
-	x->addr = apr_psprintf(p, "127.1.0.%d:80", i + 1);
-	x->zone = "z1";
-	x->slots = 100;
-	x->weights = "w1";
-	x->stamp = 1;
-	return x;
-}
-
 static void node_step(struct zone *z, int i, const struct router_ev *ev)
 {
 	router_step(&z->node[i].router, ev, z->now, &z->node[i].out);
@@ -85,7 +71,7 @@
 	struct Nl__Instance *instances[SERVERS];
 
 	for (int k = 0; k < SERVERS; k++)
-		instances[k] = instance_new(z->pool, (k + i) % SERVERS); /* each router numbers them otherwise */
+		instances[k] = new_sight(z->pool, (k + i) % SERVERS, "pool"); /* each router numbers them otherwise */
 	row.kind = NL__KIND__SERVICE;
 	row.name = "pool";
 	row.weights = "w1";
@@ -136,6 +122,18 @@
 	apr_pool_destroy(z->pool);
 }
 
+static struct Nl__KeptEvent *event_new(apr_pool_t *p, const char *cache_namespace, uint64_t part, int gone)
+{
+	struct Nl__KeptEvent *e = apr_palloc(p, sizeof *e);
+
+	nl__kept_event__init(e);
+	e->cache_namespace = apr_pstrdup(p, cache_namespace);
+	e->id = part;
+	e->gone = gone;
+	e->tokens = 10;
+	return e;
+}
+
 /* A server answers a watch: some events, none, or that some are missed; it may also have begun anew. */
 static void answer_watch(struct zone *z, uint64_t token, int server, apr_pool_t *p)
 {
@@ -153,14 +151,9 @@
 	kept.next = z->next[server] += n;
 	kept.e = apr_palloc(p, (n + 1) * sizeof *kept.e);
 	for (; kept.n_e < n; kept.n_e++) {
-		struct Nl__KeptEvent *e = apr_palloc(p, sizeof *e);
-
-		nl__kept_event__init(e);
-		e->cache_namespace = dice(z, 2) ? "w1-a" : "w1-b~0000000700000002";
-		e->id = 1 + dice(z, PARTS);
-		e->gone = !dice(z, 3);
-		e->tokens = 10;
-		kept.e[kept.n_e] = e;
+		const char *cache_namespace = dice(z, 2) ? "w1-a" : "w1-b~0000000700000002";
+
+		kept.e[kept.n_e] = event_new(p, cache_namespace, 1 + dice(z, PARTS), !dice(z, 3));
 	}
 	ev.u.kept.token = token;
 	ev.u.kept.k = &kept;
@@ -180,15 +173,8 @@
 	kept.epoch = 1;
 	kept.next = z->next[server] += events;
 	kept.e = apr_palloc(p, events * sizeof *kept.e);
-	for (; kept.n_e < events; kept.n_e++) {
-		struct Nl__KeptEvent *e = apr_palloc(p, sizeof *e);
-
-		nl__kept_event__init(e);
-		e->cache_namespace = "w1-a";
-		e->id = 1 + dice(z, PARTS);
-		e->tokens = 10;
-		kept.e[kept.n_e] = e;
-	}
+	for (; kept.n_e < events; kept.n_e++)
+		kept.e[kept.n_e] = event_new(p, "w1-a", 1 + dice(z, PARTS), 0);
 	ev.u.kept.token = token;
 	ev.u.kept.k = &kept;
 	ev.u.kept.status = 200;
--- a/tests/test_shell.c
+++ b/tests/test_shell.c
@@ -636,6 +636,23 @@
 	return n;
 }
 
+/* A listener whose queue is full, by connections of its own: no dial to it is answered before one is taken. */
+static int full_listener(unsigned port, int full[4])
+{
+	struct sockaddr_in to = { .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int l = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0), one = 1;
+
+	to.sin_port = htons((uint16_t)port);
+	setsockopt(l, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+	assert_int_equal(bind(l, (struct sockaddr *)&to, sizeof to), 0);
+	assert_int_equal(listen(l, 0), 0);
+	for (int i = 0; i < 4; i++) {
+		full[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)connect(full[i], (struct sockaddr *)&to, sizeof to);
+	}
+	return l;
+}
+
 /* Over a link that is full the answer to a dial takes longer than the pause between two: each stays under way beside the newer
  * ones, within a bound, and once one is answered the others are over. */
 static void a_dial_that_is_slow_stays_under_way(void **st)
@@ -647,8 +664,7 @@
 	struct Nl__Msg m = NL__MSG__INIT;
 	struct Nl__Owner q = NL__OWNER__INIT;
 	int64_t end = clock_ms() + LIMIT;
-	struct sockaddr_in to = { .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
-	int l = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0), full[4], one = 1, own, taken = 0, most = 0;
+	int l, full[4], own, taken = 0, most = 0;
 	unsigned port;
 
 	(void)st;
@@ -657,14 +673,7 @@
 	free_addr(at_a);
 	free_addr(at_b);
 	port = (unsigned)(core_addr(at_b) & 65535);
-	to.sin_port = htons((uint16_t)port);
-	setsockopt(l, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-	assert_int_equal(bind(l, (struct sockaddr *)&to, sizeof to), 0);
-	assert_int_equal(listen(l, 0), 0);
-	for (int i = 0; i < 4; i++) {
-		full[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		(void)connect(full[i], (struct sockaddr *)&to, sizeof to);
-	}
+	l = full_listener(port, full);
 	while (!(dialling(port) > 0) && clock_ms() < end)
 		;
 	own = dialling(port);
@@ -711,8 +720,7 @@
 	struct Nl__Owner q = NL__OWNER__INIT;
 	struct shell_ev *e = NULL;
 	int64_t end = clock_ms() + LIMIT;
-	struct sockaddr_in to = { .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
-	int l = socket(AF_INET, SOCK_STREAM, 0), full[4], one = 1;
+	int l, full[4], one;
 	unsigned port;
 
 	(void)st;
@@ -721,14 +729,7 @@
 	free_addr(at_a);
 	free_addr(at_b);
 	port = (unsigned)(core_addr(at_b) & 65535);
-	to.sin_port = htons((uint16_t)port);
-	setsockopt(l, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-	assert_int_equal(bind(l, (struct sockaddr *)&to, sizeof to), 0);
-	assert_int_equal(listen(l, 0), 0);
-	for (int i = 0; i < 4; i++) { /* its queue is full: further dials are not answered */
-		full[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		(void)connect(full[i], (struct sockaddr *)&to, sizeof to);
-	}
+	l = full_listener(port, full); /* further dials are not answered */
 	a = net_open(at_a, r, p);
 	assert_non_null(a);
 	m.speak = CORE_SPEAK;
