Roll-out: what would wait at a server with older weights is not sent shortly before the bound

Cause: from 1.5 s before the bound on a router sends nothing to older weights. Ruled out: late knowledge of the naming (they left by the router's own time in the last moment). Now such a send must be reckoned to begin in half of what is left to the 1.5 s. Before: older_weights_get_nothing_that_would_wait fails with its guard taken out. After: green.

--- a/lib/data/router_assign.c
+++ b/lib/data/router_assign.c
@@ -350,6 +350,13 @@
 	}
 }
 
+/* What goes to a server with older weights has to begin there before newer ones are due: in twice the time that it is reckoned
+ * to wait, as the load that is known is older than the load it will meet. */
+static int begins_in_time(const struct router *c, const struct client_request *x, uint32_t weights, double wait_ms, int64_t now)
+{
+	return router_rolled(c, x->service, weights, now + (int64_t)(2 * wait_ms));
+}
+
 /* Go where the prefix is kept, or to its home; elsewhere only where the wait there is so long that it pays to move the
  * prefix, and then with a fetch. Reading again what is kept somewhere is the dearest of all. */
 /* NOLINTNEXTLINE(readability-function-size): to be cut, issue 18 */
@@ -435,6 +442,8 @@
 			}
 		}
 		p.cost = read + load_of(c, s, svc, now);
+		if (!begins_in_time(c, x, v->weights, p.cost, now))
+			continue;
 		if (p.keep < shared && ((int)s != home || (from >= 0 && from != store && from != (int)s)))
 			p.cost += ROUTER_AWAY_MS +
 				  ROUTER_AWAY_K * (double)(router_tokens_upto(x, shared) - router_tokens_upto(x, p.keep)) / 1000;
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1049,6 +1049,44 @@
 	solo_close(&s);
 }
 
+/* Newer weights are due soon, and a server still has older ones: what begins there at once may go, what would wait there may
+ * not, since it could begin when the bound has passed. */
+static void older_weights_get_nothing_that_would_wait(void **st)
+{
+	for (int busy = 0; busy < 2; busy++) {
+		struct solo s;
+		struct Nl__Row *rows[3];
+		struct Nl__Instance *instance;
+		int status;
+
+		(void)st;
+		solo_open(&s, 5);
+		rows[0] = new_service(s.p, "pool");
+		rows[0]->model = "m";
+		rows[1] = new_row(s.p, NL__KIND__LANE, "l");
+		rows[1]->service = "pool";
+		rows[1]->host = "h";
+		rows[1]->path = "/";
+		rows[1]->limit = 10;
+		rows[1]->open = 1;
+		rows[2] = new_row(s.p, NL__KIND__MODEL, "m");
+		rows[2]->weights = "1";
+		instance = new_sight(s.p, 1, "pool");
+		instance->weights = "1";
+		solo_table(&s, rows, 3, &instance, 1, 1);
+		rows[2]->weights = "2";
+		solo_table(&s, rows, 3, &instance, 1, 2);
+		s.now += s.c.b.roll_ms - ROUTER_ROLL_EARLY - 600;
+		s.c.f.fresh = s.now;
+		solo_tick(&s, 1);
+		if (busy)
+			s.c.sv[0].ahead = 500 * rows[0]->prefill; /* 500 ms of reading */
+		assert_non_null(solo_ask(&s, "h", "/x", "id", &status));
+		assert_int_equal(solo_sent(&s) != 0, !busy);
+		solo_close(&s);
+	}
+}
+
 /* What one service's requests have earned for resends is not another's to spend. */
 static void each_service_has_its_own_budget(void **st)
 {
@@ -1338,6 +1376,7 @@
 		cmocka_unit_test(kept_parts_follow_events),
 		cmocka_unit_test(a_router_out_of_touch_hears_of_a_stream),
 		cmocka_unit_test(what_is_sent_outlives_the_configuration),
+		cmocka_unit_test(older_weights_get_nothing_that_would_wait),
 		cmocka_unit_test(each_service_has_its_own_budget),
 		cmocka_unit_test(lanes_added_later_take_turns),
 		cmocka_unit_test(a_cold_shelf_is_of_one_send),
