--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1049,6 +1049,77 @@
 	solo_close(&s);
 }
 
+/* A full queue refuses the newest with a time to come back; what waits and what is sent goes on. */
+static void a_full_queue_refuses_the_newest(void **st)
+{
+	enum { PLACES = 10 }; /* of the route's queue */
+	struct solo s;
+	struct told told;
+	uint64_t call;
+	int status;
+
+	(void)st;
+	solo_open(&s, 5);
+	solo_one_server(&s, 1);
+	assert_non_null(solo_ask(&s, "h", "/x", "sent", &status));
+	call = solo_sent(&s);
+	assert_true(call);
+	for (int i = 0; i < PLACES; i++) {
+		assert_non_null(solo_ask(&s, "h", "/x", "waits", &status));
+		assert_int_equal(status, 0);
+	}
+	assert_null(solo_ask(&s, "h", "/x", "late", &status));
+	told = solo_told(&s);
+	assert_int_equal(status, 429);
+	assert_int_equal(told.answers, 1);
+	assert_true(told.retry_ms > 0);
+	assert_int_equal(arrlen(s.c.all), 1 + PLACES);
+	s.c.f.fresh = s.now;
+	solo_ended(&s, call, ROUTER_WHOLE, 200);
+	told = solo_told(&s);
+	assert_int_equal(told.answers + told.ends, 0);
+	out_clear(&s.o);
+	solo_tick(&s, 25);
+	assert_true(solo_sent(&s)); /* the next one's turn */
+	assert_int_equal(arrlen(s.c.all), PLACES);
+	solo_close(&s);
+}
+
+/* Settings that are read anew bring a shorter bound for removed keys: it holds from the next step on. What is sent goes on; what
+ * waits is not sent by a configuration that is older than the bound allows now; and what comes is refused. */
+static void new_bounds_hold_from_the_next_step(void **st)
+{
+	struct solo s;
+	struct told told;
+	uint64_t call;
+	int status;
+
+	(void)st;
+	solo_open(&s, 5);
+	solo_one_server(&s, 1);
+	assert_non_null(solo_ask(&s, "h", "/x", "sent", &status));
+	call = solo_sent(&s);
+	assert_true(call);
+	assert_non_null(solo_ask(&s, "h", "/x", "waits", &status));
+	s.now += 1500; /* well within the bounds of before */
+	s.c.b.revoke_ms = 1000;
+	out_clear(&s.o);
+	solo_tick(&s, 25);
+	told = solo_told(&s);
+	assert_int_equal(told.ends + told.cancels + told.answers, 0);
+	assert_null(solo_ask(&s, "h", "/x", "late", &status));
+	assert_int_equal(status, 503);
+	solo_ended(&s, call, ROUTER_WHOLE, 200);
+	told = solo_told(&s);
+	assert_int_equal(told.ends + told.answers, 0);
+	assert_false(solo_sent(&s)); /* there is a place, but the configuration is too old */
+	s.c.f.fresh = s.now;         /* heard again */
+	out_clear(&s.o);
+	solo_tick(&s, 25);
+	assert_true(solo_sent(&s));
+	solo_close(&s);
+}
+
 /* Newer weights are due soon, and a server still has older ones: what begins there at once may go, what would wait there may
  * not, since it could begin when the bound has passed. */
 static void older_weights_get_nothing_that_would_wait(void **st)
@@ -1377,6 +1448,8 @@
 		cmocka_unit_test(a_router_out_of_touch_hears_of_a_stream),
 		cmocka_unit_test(what_is_sent_outlives_the_configuration),
 		cmocka_unit_test(older_weights_get_nothing_that_would_wait),
+		cmocka_unit_test(a_full_queue_refuses_the_newest),
+		cmocka_unit_test(new_bounds_hold_from_the_next_step),
 		cmocka_unit_test(each_service_has_its_own_budget),
 		cmocka_unit_test(lanes_added_later_take_turns),
 		cmocka_unit_test(a_cold_shelf_is_of_one_send),
