Sight: namings as routers date them, begins past the bound, what a server had when told

A router logs each naming it hears of and each date that it forgets, counts and logs requests that begin on weights past their bound as it dates them (begun_past_bound in state, prefix invariant); the leader logs what a server had when it is told to load.

--- a/lib/control/rollout.c
+++ b/lib/control/rollout.c
@@ -410,7 +410,7 @@
 	c->u.order.weights = apr_pstrdup(o->p, s->weights);
 	c->u.order.holder = apr_psprintf(o->p, "%016" APR_UINT64_T_HEX_FMT, r->id);
 	c->u.order.not_after = until;
-	log_line(r, "order", o->p, "Server %s is told to load %s of %s.", x->server, s->weights, model);
+	log_line(r, "order", o->p, "Server %s, on %s, is told to load %s of %s.", x->server, x->weights, s->weights, model);
 	instances_set_weights(&r->instances, s->name, x->weights, 1, now); /* x may be another copy after this */
 }
 
--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -105,6 +105,7 @@
 		{ "refused_early", c->n.refused_early },
 		{ "revoked", c->n.revoked },
 		{ "blind", c->n.blind },
+		{ "begun_past_bound", c->n.begun_past_bound },
 		{ "downstreams", (uint64_t)arrlen(c->relay.down) },
 		{ "increments", c->relay.n_inc },
 		{ "counters", c->f.counters },
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -389,7 +389,7 @@
 	uint64_t outcome[REQUEST_OUTCOMES];
 	uint64_t taken, sends, resends, pieces, tokens, reused, fetched, cold, claims;
 	uint64_t watches, events, taken_up, wrong_life, looks, refused_stale, refused_line, refused_limit, refused_early, revoked,
-	    blind;
+	    blind, begun_past_bound; /* requests that began on weights past their bound */
 };
 
 struct router_use {
--- a/lib/data/router_route_table.c
+++ b/lib/data/router_route_table.c
@@ -2,6 +2,8 @@
 #include "router_internal.h"
 
 #include <apr_strings.h>
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -102,6 +104,21 @@
 		hmput(b->place, router_place(r->host, r->path, strlen(r->path)), id);
 }
 
+/* What this router takes to be the date of a naming, and that it forgets one: for whoever reads the log. */
+static void log_naming(struct router *c, const char *service, const struct router_named *n, uint64_t no)
+{
+	char line[200];
+
+	if (!c->log)
+		return;
+	if (n->value.n == ROUTER_NAMED)
+		snprintf(line, sizeof line, "Weights %" PRIu64 " of %.60s are heard of; the date of %" PRIu64 " is forgotten.", no,
+			 service, n->value.v[0].no);
+	else
+		snprintf(line, sizeof line, "Weights %" PRIu64 " of %.60s are heard of.", no, service);
+	c->log(c->log_ctx, "weights", line);
+}
+
 static void named_put(struct router_named *n, uint64_t no, int64_t now)
 {
 	if (n->value.n == ROUTER_NAMED)
@@ -120,10 +137,12 @@
 	struct bk_service *s = &b->service[id];
 	struct router_named *n = hmgetp_null(c->named, id);
 
-	if (!n)
+	if (!n) {
 		hmput(c->named, id, ((typeof(c->named->value)){ 1, { { no, now - c->b.roll_ms / 2 } } }));
-	else if (n->value.v[n->value.n - 1].no != no)
+	} else if (n->value.v[n->value.n - 1].no != no) {
+		log_naming(c, r->name, n, no);
 		named_put(n, no, now);
+	}
 	*s = (struct bk_service){ 1,        named,      r->prefill, r->kv_bytes, r->link, r->store,
 				  r->slots, r->watches, r->conns,   r->room,     -1,      m != NULL };
 	if (r->addr[0] && !r->store && c->b.instances) /* a store itself, not a service that has one */
--- a/lib/data/router_send.c
+++ b/lib/data/router_send.c
@@ -2,6 +2,8 @@
 #include "router_internal.h"
 
 #include <apr_strings.h>
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -347,6 +349,23 @@
 
 /* ---- forwarded sends -------------------------------------------------------------------------- */
 
+/* A request that begins on weights past their bound, as this router dates it, is counted and logged: it was sent too late, or
+ * waited at its server for longer than reckoned. */
+static void check_begin(struct router *c, const struct client_request *x, int64_t now)
+{
+	char line[300];
+
+	if (router_rolled(c, x->service, x->weights, now - ROUTER_ROLL_EARLY))
+		return;
+	c->n.begun_past_bound++;
+	if (!c->log)
+		return;
+	snprintf(line, sizeof line,
+		 "A request began on weights %.60s of %.60s past their bound, at %.60s; it was sent %" PRId64 " ms ago.",
+		 c->weights.name[x->weights], c->services.name[x->service], c->servers.name[x->server], now - x->sent_at);
+	c->log(c->log_ctx, "invariant", line);
+}
+
 void router_on_began(struct router *c, struct client_request *x, const char *weights, int64_t now)
 {
 	struct router_server *v = &c->sv[x->server];
@@ -356,6 +375,7 @@
 	if (x->first)
 		return;
 	x->first = now;
+	check_begin(c, x, now);
 	v->ahead -= x->ahead;
 	x->ahead = 0;
 	late = (double)(now - x->sent_at) - x->guess;
