--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1127,6 +1127,8 @@
 	snprintf(v->holder, sizeof v->holder, "%s", q->holder);
 	if (!strcmp(v->weights, q->weights))
 		return 200;
+	if (v->refuses)
+		return 503;
 	if (v->loading[0]) {
 		s->list.n_busy++;
 		return 409;
@@ -1262,7 +1264,7 @@
 			e.d = malloc(e.n + 1);
 			nl__msg__pack(c->u.send.msg, e.d);
 			s->n_bytes += e.n;
-			e.at = s->now + (to == i ? 0 : way(s, n, &s->n[to]));
+			e.at = s->now + (to == i ? 0 : way(s, n, &s->n[to]) + s->n[to].slow_ms);
 			if (s->bytes_per_ms && to != i) {
 				if (n->link_free_at < s->now)
 					n->link_free_at = s->now;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -38,6 +38,7 @@
 	int64_t wall_off; /* how far its wall clock is off */
 	uint64_t addr, id, life;
 	int64_t link_free_at; /* its link is busy until then */
+	int slow_ms;          /* ms by which messages to it take longer */
 	char zone[16];
 	struct controller *r;
 	struct router *c;
@@ -85,6 +86,7 @@
 	char holder[20];
 	char loaded[8][32];
 	int loads;
+	int refuses; /* answers each order to load with 503 */
 };
 
 /* The list of servers and how it misbehaves. */
--- a/tests/sim_forward.c
+++ b/tests/sim_forward.c
@@ -7,7 +7,7 @@
 
 #include "ds.h"
 
-enum { FE_CONNECT, FE_ARRIVE, FE_PIECE, FE_NEVER, FE_BROKE, FE_WATCH, FE_ASK, FE_GONE, FE_LOAD, FE_MARK, FE_LIMIT };
+enum { FE_CONNECT, FE_ARRIVE, FE_PIECE, FE_NEVER, FE_BROKE, FE_WATCH, FE_ASK, FE_GONE, FE_LOAD, FE_MARK, FE_LIMIT, FE_BEGIN };
 enum { FATE_WELL, FATE_SILENT, FATE_HARD, FATE_BARE };
 
 static const char *const services[] = { "pool", "aux" };
@@ -44,6 +44,20 @@
 	return f->trouble[node] <= from - f->s.b.contact_ms && f->unsettled <= from - f->s.b.contact_ms;
 }
 
+/* Since when the core counts as settled, as the stand's judge has it: a majority is up, and nothing has changed for
+ * contact_ms. INT64_MAX: it does not. */
+static int64_t core_settled_since(const struct fw *f)
+{
+	int64_t since = f->core_changed + f->s.b.contact_ms;
+	int up = 0, all = 0;
+
+	for (int n = 0; n < SIM_REGS; n++) {
+		all += f->s.n[n].used;
+		up += (int)(f->core_up >> n & 1);
+	}
+	return 2 * up > all && since <= f->s.now ? since : INT64_MAX;
+}
+
 /* The oldest version that may still be used for what was asked then. */
 static ptrdiff_t oldest(const struct fw *f, int node, int64_t asked)
 {
@@ -366,6 +380,29 @@
 
 static void mark(struct fw *f);
 
+/* When weights newer than these were first acknowledged; INT64_MAX: never. */
+static int64_t superseded_at(const struct fw *f, int service, int weights)
+{
+	int64_t at = INT64_MAX;
+
+	for (ptrdiff_t i = 0; i < arrlen(f->named); i++)
+		if (f->named[i].service == service && f->named[i].weights > weights && f->named[i].ack < at)
+			at = f->named[i].ack;
+	return at;
+}
+
+/* VERSION: a router that is in touch when its request begins is judged, however lately it came to be. The bound counts from the
+ * acknowledgement, or from when the core was settled again. */
+static void judge_version(struct fw *f, const struct fw_req *r, int service, int weights, const char *name)
+{
+	int64_t named = superseded_at(f, service, weights), settled = core_settled_since(f);
+	int64_t from = named > settled ? named : settled;
+
+	if (from < f->s.now - f->s.b.roll_ms && f->trouble[r->node] <= f->s.now - f->s.b.contact_ms)
+		sim_breach(&f->s, "VERSION: %s begins on weights %d at %s, %lld ms after newer ones were acknowledged", r->id,
+			   weights, name, (long long)(f->s.now - named));
+}
+
 static void judge_run(struct fw *f, struct fw_req *r, struct fw_call *c, const struct sim_inst *v)
 {
 	int service = v->service[0] == 'a', weights = atoi(v->weights);
@@ -379,8 +416,7 @@
 	if (!r->head && c->joined)
 		sim_breach(&f->s, "ORDER: %s goes on where nothing began", r->id);
 	judge_config(f, r, service, c->tenant);
-	if (weights < newest(f, service, f->s.now - f->s.b.roll_ms) && in_touch(f, r->node, f->s.now - f->s.b.roll_ms))
-		sim_breach(&f->s, "VERSION: %s begins on weights %d at %s", r->id, weights, v->name);
+	judge_version(f, r, service, weights, v->name);
 }
 
 /* It gets a 421: meant for another life at this address, or for other weights. */
@@ -417,6 +453,7 @@
 	int have = 0, from, weights = atoi(v->weights), read = 0, fetch = 0;
 
 	judge_run(f, r, c, v);
+	c->began_at = f->s.now;
 	r->runs++;
 	f->n_run++;
 	c->at_server = 1;
@@ -509,7 +546,26 @@
 		later(f, FE_NEVER, c->node, at, 1 + w->hold);
 		return;
 	}
-	run_begins(f, at, r, i);
+	if (w->queue_ms)
+		later(f, FE_BEGIN, c->node, at, w->queue_ms);
+	else
+		run_begins(f, at, r, i);
+}
+
+/* What waited at its server begins there, unless it was taken back or the server has changed. */
+static void queued_begins(struct fw *f, uint64_t at)
+{
+	struct fw_call *c = &f->call[at];
+	int i = inst_at(f, c->addr);
+
+	if (c->over)
+		return;
+	if (i != c->server || misdirected(c, &f->s.list.v[i])) {
+		c->status = i == c->server ? 421 : 0;
+		later(f, FE_NEVER, c->node, at, 1);
+		return;
+	}
+	run_begins(f, at, &f->req[c->req], i);
 }
 
 /* A piece, or the end, of a run leaves its server. */
@@ -922,11 +978,24 @@
 	sim_ctr(&f->s, r->node, &ev);
 }
 
+/* Which controllers are up and in reach, and when that last changed. */
+static void mark_core(struct fw *f)
+{
+	unsigned up = 0;
+
+	for (int n = 0; n < SIM_REGS; n++)
+		up |= (unsigned)(f->s.n[n].used && f->s.n[n].up && !f->s.n[n].frozen && !f->s.n[n].cell) << n;
+	if (up != f->core_up || f->s.now < f->s.list.away_until || f->s.loss || f->s.deaf)
+		f->core_changed = f->s.now;
+	f->core_up = up;
+}
+
 /* Where each counter and the core stand. */
 static void mark(struct fw *f)
 {
 	int core = 0;
 
+	mark_core(f);
 	for (int n = 0; n < SIM_REGS; n++)
 		if (f->s.n[n].used && (!f->s.n[n].up || f->s.n[n].frozen || f->s.n[n].cell))
 			core = 1;
@@ -953,6 +1022,7 @@
 	switch (e->step) {
 	case FE_CONNECT: connects(f, e->token); break;
 	case FE_ARRIVE: arrives(f, e->token); break;
+	case FE_BEGIN: queued_begins(f, e->token); break;
 	case FE_PIECE: piece(f, e->token); break;
 	case FE_NEVER:
 	case FE_BROKE: {
--- a/tests/sim_forward.h
+++ b/tests/sim_forward.h
@@ -54,6 +54,7 @@
 	                              ms more between pieces; 500; broken after some pieces; before the head; pieces sent again */
 	int bare;                                              /* per mille: 503 that does not say that it was not executed */
 	int hold;                                              /* ms for which it holds what it then turns away */
+	int queue_ms;                                          /* ms that a request waits at it before it begins */
 	int retains;                                           /* keeps its parts over a load */
 	int watched;
 };
@@ -76,6 +77,7 @@
 	char name[32], cache_namespace[64];
 	int tenant, weights, joined, stream, repeatable, last, from, next, die, fate, shown;
 	int64_t not_after, sent_at, wait_until;
+	int64_t began_at; /* when its server began to work for it; 0: it has not */
 	uint64_t addr, fetch, sink, since, horizon;
 	int begun, told, pieces, status, limit_ms, prio, current, run_weights;
 	struct {
@@ -106,6 +108,8 @@
 	int64_t frozen[SIM_NODES];  /* when it was last frozen */
 	int64_t contact[SIM_NODES]; /* when it last could hear the core */
 	int64_t unsettled;          /* last trouble of the core, of the list, of links */
+	unsigned core_up;           /* bits of the controllers that are up and in reach */
+	int64_t core_changed;       /* when that last changed, or the core was in other trouble */
 	int64_t owned;              /* when the configuration last had an owner */
 	int64_t life_at[SIM_NODES];
 	uint64_t life[SIM_NODES];
