Weights: the date of a naming is agreed on and handed out, not each router's guess

Cause: the rule counts from the acknowledgement of a naming, and no program knew when that was. Each router dated it by when it heard of it, kept eight dates, threw the oldest away with the ninth, and had none of before its start. Now each naming is in the model's row with its moment on the control group's clock, stamped by the leader before it is logged, so never later than the acknowledgement. Past-bound namings are pruned to the newest; at most 64 are kept, merged to the earlier date. not_after of a send ends with its weights. Weights of a server only rise within a life; unknown ones count as the oldest. The invariant counts sends and begins past the bound.

--- a/lib/control/config_sync.c
+++ b/lib/control/config_sync.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "ds.h"
+#include "group_clock.h"
 #include "leadership.h"
 #include "membership.h"
 #include "quota_shares.h"
@@ -121,6 +122,8 @@
 		return;
 	late = note_seen(r, &me, now);
 	retention_heard(r, m, now);
+	a->clock = group_clock_now(r, now);
+	a->clock_term = r->part[SHARD_CONTROL].term;
 	table_since(&r->ctl, q->have, a, o->p);
 	instances_since(&r->instances, q->instances, a, o->p);
 	if (q->counter)
--- a/lib/control/config_watch.c
+++ b/lib/control/config_watch.c
@@ -90,6 +90,38 @@
 		config_watch_hold(f, r->place[i]->name)->held = r->place[i]->held;
 }
 
+/* The leader's clock was at most what the answer says when it was asked for. Of one leader's answers the quickest tells best. */
+static void take_clock(struct config_watch *f, const struct Nl__ConfigSyncReply *r, int64_t asked_at)
+{
+	int64_t offset = (int64_t)r->clock - asked_at;
+
+	if (!r->clock || !r->clock_term)
+		return;
+	for (int i = 0; i < CONFIG_WATCH_TERMS; i++)
+		if (f->group_clock[i].term == r->clock_term) {
+			if (offset < f->group_clock[i].offset)
+				f->group_clock[i].offset = offset;
+			return;
+		}
+	if (r->clock_term < f->group_clock[0].term)
+		return; /* of a leader that has been followed by another since */
+	memmove(&f->group_clock[1], &f->group_clock[0], (CONFIG_WATCH_TERMS - 1) * sizeof f->group_clock[0]);
+	f->group_clock[0].term = r->clock_term;
+	f->group_clock[0].offset = offset;
+}
+
+int64_t config_watch_clock(const struct config_watch *f, uint64_t term, int64_t now)
+{
+	int known = 0;
+
+	if (!f->group_clock[0].term)
+		return 0;
+	for (int i = 0; i < CONFIG_WATCH_TERMS; i++)
+		if (term && f->group_clock[i].term == term)
+			known = i;
+	return now + f->group_clock[known].offset;
+}
+
 int64_t config_watch_age(const struct config_watch *f, int64_t now) { return now - f->fresh; }
 
 uint64_t config_watch_leader_addr(struct config_watch *f, uint32_t part)
@@ -267,6 +299,7 @@
 	f->leader_addr[SHARD_CONTROL] = m->addr;
 	f->leader_heard = now;
 	f->round_trip = now - asked.at;
+	take_clock(f, r, asked.at);
 	if (!take_table(f, r, &asked))
 		return 0;
 	f->fleet = r->fleet;
--- a/lib/control/config_watch.h
+++ b/lib/control/config_watch.h
@@ -18,6 +18,7 @@
 	CONFIG_WATCH_LOG = 500,     /* ms for which a publisher that does not answer is asked */
 	CONFIG_WATCH_SEATS = 32,
 	CONFIG_WATCH_SLOW = 1000, /* ms of a round trip that are granted to a slow link at the most */
+	CONFIG_WATCH_TERMS = 8,   /* leaders of the control group whose clocks are remembered */
 	CONFIG_WATCH_ASKED = 64   /* requests whose answers are still taken; a slow link carries several at once */
 };
 
@@ -59,9 +60,13 @@
 		uint64_t token, have; /* have: the edition that was here when it was asked */
 		int64_t at;
 	} asked[CONFIG_WATCH_ASKED];
-	int64_t fresh;        /* when the last good answer was asked for */
-	int64_t leader_heard; /* when the last answer of a leader with a lease came */
-	int64_t round_trip;   /* how long that answer took, from its request */
+	struct {
+		uint64_t term;             /* 0: none */
+		int64_t offset;            /* that leader's clock less this node's; never too small */
+	} group_clock[CONFIG_WATCH_TERMS]; /* newest first */
+	int64_t fresh;                     /* when the last good answer was asked for */
+	int64_t leader_heard;              /* when the last answer of a leader with a lease came */
+	int64_t round_trip;                /* how long that answer took, from its request */
 	int64_t last_ask, last_word, log_tried;
 };
 
@@ -88,6 +93,11 @@
 /* How old the newest certain knowledge is. Example: if (config_watch_age(&f, now) > CONFIG_WATCH_CONFIG) refuse(); */
 int64_t config_watch_age(const struct config_watch *f, int64_t now);
 
+/* The control group's clock as its leader of this term counts it, as far as this node can tell: never behind. Where no answer of
+ * that leader has come, or for term 0, the newest leader's: it went on from there. 0: not known.
+ * Example: age = config_watch_clock(&f, naming->term, now) - naming->at; */
+int64_t config_watch_clock(const struct config_watch *f, uint64_t term, int64_t now);
+
 /* Whom to ask about a part; a word of its owner, or of its absence.
  * Example: out_msg(o, config_watch_leader_addr(&f, part), part, ...); */
 uint64_t config_watch_leader_addr(struct config_watch *f, uint32_t part);
--- a/lib/control/controller.h
+++ b/lib/control/controller.h
@@ -233,7 +233,8 @@
 	struct operator_calls calls;
 	struct retention ret;
 	const struct controller_calendar *calendar; /* NULL: no schedules in calendar terms */
-	int64_t wall; /* the machine's clock at this step, ms since 1970, set by whoever steps; 0: no schedule runs */
+	int64_t group_clock_offset; /* the control group's clock less this machine's, while it leads: group_clock.h */
+	int64_t wall;               /* the machine's clock at this step, ms since 1970, set by whoever steps; 0: no schedule runs */
 	int64_t disk_at[SHARD_COUNT];
 	int fresh[SHARD_COUNT];               /* a snapshot is due, and nothing older stays on the disk */
 	const struct controller_codec *codec; /* of documents; NULL: none are taken */
--- a/lib/control/leadership_change.c
+++ b/lib/control/leadership_change.c
@@ -1,6 +1,7 @@
 #include "leadership_change.h"
 
 #include "ds.h"
+#include "group_clock.h"
 #include "leadership.h"
 #include "proposals.h"
 #include "purge_publisher.h"
@@ -17,6 +18,7 @@
 		r->leader_since[i] = r->clock_at[i] = now;
 		log_line(r, "part", o->p, "Part %u is owned here from term %" APR_UINT64_T_FMT ".", i, p->term);
 		if (i == SHARD_CONTROL) {
+			group_clock_lead(r, now);
 			arrsetlen(r->seen, 0);
 			quota_shares_clear(r);
 			rollout_start(r, now);
--- /dev/null
+++ b/lib/control/naming.h
@@ -0,0 +1,38 @@
+/* naming: the dates at which weights were named for a model, kept in the model's row and so replicated with it.
+ * Newer weights have to stand everywhere within a bound of their naming's acknowledgement. Each naming is dated by the leader's
+ * clock when it is logged, which is before it is acknowledged; the clock is the control group's (group_clock.h). A date may
+ * therefore be too early, and never too late.
+ * Always: dates and weights rise along the list, which holds at most NAMING_MOST entries. */
+#ifndef NL_NAMING_H
+#define NL_NAMING_H
+
+#include "core.h"
+
+enum { NAMING_MOST = 64 };
+
+/* A model's namings while a row is being made; the row points into it. */
+struct naming_list {
+	struct Nl__Naming item[NAMING_MOST + 1], *entry[NAMING_MOST + 1];
+	size_t count;
+};
+
+/* A moment on the control group's clock, and the term of the leader that counted it. */
+struct group_moment {
+	uint64_t at, term;
+};
+
+/* Give a row the namings of the row before it, NULL for none, and one of its own weights if they are newer. Those that were made by
+ * bound_passed have had their bound: of them the newest is kept, since it forbids all older weights. Beyond NAMING_MOST two that
+ * lie closest together become one, with the newer weights and the earlier date.
+ * Example: naming_update(&list, before, &row, table->clock, change->bound_passed); */
+void naming_update(struct naming_list *list, const struct Nl__Row *before, struct Nl__Row *row, struct group_moment now,
+		   uint64_t bound_passed);
+
+/* The first naming of newer weights than these; NULL where none is newer, or where its date is not known.
+ * Example: if (weights < naming_newest(model) && !(naming = naming_after(model, weights))) count_as_long_ago(); */
+const struct Nl__Naming *naming_after(const struct Nl__Row *model, uint64_t weights);
+
+/* A model's newest weights, as a number. Example: if (naming_newest(model) > 3) roll_out(); */
+uint64_t naming_newest(const struct Nl__Row *model);
+
+#endif
--- a/lib/control/snapshot.c
+++ b/lib/control/snapshot.c
@@ -21,6 +21,7 @@
 	s.fleet = r->fleet;
 	s.edition = r->ctl.edition;
 	s.plan = r->ctl.plan;
+	s.clock = r->ctl.now.at;
 	s.row = all.set;
 	s.n_row = all.n_set;
 	for (size_t i = 0; i < s.n_row; i++) /* in order, so that equal states pack alike */
@@ -182,6 +183,7 @@
 		all.n_set = s->n_row;
 		(void)table_follow(&r->ctl, &all);
 		r->ctl.plan = s->plan;
+		r->ctl.now.at = s->clock;
 		r->ctl.floor = s->edition;
 		for (size_t i = 0; i < s->n_feed; i++)
 			arrput(r->ctl_feed, value_copy(s->feed[i]));
--- a/lib/control/state_machine.c
+++ b/lib/control/state_machine.c
@@ -253,6 +253,8 @@
 	enter_epoch(r, part, raft_epoch(e->term));
 	if (op && service_shard(r, part))
 		service_shard(r, part)->clock += op->clock;
+	if (op && part == SHARD_CONTROL)
+		r->ctl.now = (struct group_moment){ op->at > r->ctl.now.at ? op->at : r->ctl.now.at, e->term };
 	if (op)
 		switch (op->op_case) {
 		case NL__OP__OP_CHANGE:
--- a/lib/control/table.c
+++ b/lib/control/table.c
@@ -352,12 +352,14 @@
 static const char *higher(const char *a, const char *b) { return strtoull(a, NULL, 10) >= strtoull(b, NULL, 10) ? a : b; }
 
 /* Weights of a model only rise; what a change leaves empty stays. Before any are named, the first stand everywhere. */
-static struct Nl__Row *model_row(const struct Nl__Row *was, const struct Nl__Row *r)
+static struct Nl__Row *model_row(const struct table *t, const struct Nl__Row *was, const struct Nl__Row *r, uint64_t bound_passed)
 {
 	struct Nl__Row m = *r;
+	struct naming_list namings;
 
 	m.weights = (char *)higher(r->weights, was ? was->weights : "1");
 	m.rolled = (char *)higher(r->rolled, was ? was->rolled : "1");
+	naming_update(&namings, was, &m, t->now, bound_passed);
 	return row_copy(&m);
 }
 
@@ -380,16 +382,13 @@
 	return same;
 }
 
-/* still: an equal row keeps its edition, so that followers get only what changed. */
-static void row_set(struct table *t, const struct Nl__Row *r, uint64_t edition, int still, struct Nl__Purge ***feed)
+/* Put a row, which the table owns from now on, in the place of its namesake. */
+static void row_put(struct table *t, struct Nl__Row *is, uint64_t edition, struct Nl__Purge ***feed)
 {
-	ptrdiff_t i = find(t, r->kind, r->name);
-	struct Nl__Row *old = i >= 0 ? t->h[i].value.row : NULL, *is;
+	ptrdiff_t i = find(t, is->kind, is->name);
+	struct Nl__Row *old = i >= 0 ? t->h[i].value.row : NULL;
 	char buf[300];
 
-	if (old && still && row_same(old, r))
-		return;
-	is = r->kind == NL__KIND__MODEL ? model_row(old, r) : row_copy(r);
 	if (old) {
 		decide(t, old, is, feed);
 		t->h[i].value.row = is;
@@ -397,7 +396,17 @@
 		nl__row__free_unpacked(old, NULL);
 		return;
 	}
-	shput(t->h, key_of(buf, sizeof buf, r->kind, r->name), ((typeof(t->h->value)){ is, edition }));
+	shput(t->h, key_of(buf, sizeof buf, is->kind, is->name), ((typeof(t->h->value)){ is, edition }));
+}
+
+/* One row of a change. In a whole document an equal row keeps its edition, so that followers get only what changed. */
+static void row_set(struct table *t, const struct Nl__Row *r, const struct Nl__Change *c, struct Nl__Purge ***feed)
+{
+	const struct Nl__Row *old = table_get(t, r->kind, r->name);
+
+	if (old && c->whole && row_same(old, r))
+		return;
+	row_put(t, r->kind == NL__KIND__MODEL ? model_row(t, old, r, c->bound_passed) : row_copy(r), t->edition, feed);
 }
 
 static void row_del(struct table *t, const char *key, uint64_t edition, struct Nl__Purge ***feed)
@@ -467,7 +476,7 @@
 	for (size_t i = 0; i < c->n_del; i++)
 		row_del(t, key_of(buf, sizeof buf, c->del[i]->kind, c->del[i]->name), t->edition, feed);
 	for (size_t i = 0; i < c->n_set; i++)
-		row_set(t, c->set[i], t->edition, c->whole, feed);
+		row_set(t, c->set[i], c, feed);
 	return TABLE_DONE;
 }
 
@@ -519,7 +528,7 @@
 	for (size_t i = 0; i < r->n_del; i++)
 		row_del(t, key_of(buf, sizeof buf, r->del[i]->kind, r->del[i]->name), r->edition, NULL);
 	for (size_t i = 0; i < r->n_set; i++)
-		row_set(t, r->set[i], r->edition, 0, NULL);
+		row_put(t, row_copy(r->set[i]), r->edition, NULL); /* as the leader has it */
 	t->edition = r->edition;
 	return 1;
 }
--- a/lib/control/table.h
+++ b/lib/control/table.h
@@ -7,6 +7,7 @@
 #include <json-c/json.h>
 
 #include "core.h"
+#include "naming.h"
 
 struct table_row {
 	char *key;
@@ -24,6 +25,7 @@
 	uint64_t edition;
 	uint64_t plan;           /* edition of the last change of operators' rows: what expect is held against */
 	uint64_t floor;          /* deletions at or below floor are forgotten */
+	struct group_moment now; /* of the newest operation; not kept in followers' copies */
 	struct table_row *h;     /* stb_ds string map */
 	struct table_tomb *tomb; /* stb_ds */
 };
--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -53,6 +53,7 @@
 	struct route_table *b = router_route_table_make(c, now), *old = c->route_table;
 
 	c->route_table = b;
+	router_weights_log_namings(c, old, now);
 	swap_server_table(c, now);
 	for (ptrdiff_t i = arrlen(c->all) - 1; i >= 0; i--) {
 		struct client_request *x = c->all[i];
@@ -105,6 +106,7 @@
 		{ "refused_early", c->n.refused_early },
 		{ "revoked", c->n.revoked },
 		{ "blind", c->n.blind },
+		{ "sent_past_bound", c->n.sent_past_bound },
 		{ "begun_past_bound", c->n.begun_past_bound },
 		{ "downstreams", (uint64_t)arrlen(c->relay.down) },
 		{ "increments", c->relay.n_inc },
@@ -339,6 +341,8 @@
 	o->id = c->id;
 	o->addr = c->addr;
 	o->fleet = c->f.fleet;
+	if (c->now && now - c->now > ROUTER_PAUSE)
+		c->paused_at = now;
 	c->now = now;
 	door_has_begun(c, ev);
 	end_blind(c, now, o);
@@ -441,7 +445,6 @@
 	router_load_clear(c);
 	router_feed_clear(c);
 	hmfree(c->line_at);
-	hmfree(c->named);
 	arrfree(c->generation);
 	arrfree(c->left);
 	arrfree(c->depth);
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -67,7 +67,8 @@
 	ROUTER_CALM_MARGIN = 150,
 	ROUTER_RIDE_MARGIN = 500, /* ms by which the ride ends before the strictest bound */
 	ROUTER_ROLL_EARLY = 1500, /* ms before a roll-out's bound after which older weights are sent nothing more */
-	ROUTER_NAMED = 8,         /* namings of a service's weights that are remembered */
+	ROUTER_PAUSE = 200,       /* ms between two steps after which this process counts as having stood still */
+	ROUTER_HEARD_LATE = 250,  /* ms that a request's begin may be on its way here */
 	ROUTER_RETRY = 500,       /* ms after which a refused caller may come back, at the least */
 	ROUTER_RETRY_MOST = 30000
 };
@@ -202,12 +203,13 @@
 	int on, walled;
 	uint32_t share, limit, rank;
 };
-/* weights: those named newest; modelled: a bound holds for their reaching every server */
+/* weights: those named newest; model: whose weights they are, with the dates of their namings; NULL: no bound holds for them */
 struct bk_service {
 	int on;
 	uint32_t weights, prefill, kv_bytes, link, store, slots, watches, conns;
 	uint64_t room;
-	int store_server, modelled;
+	int store_server;
+	const struct Nl__Row *model;
 };
 struct bk_place {
 	uint64_t key;
@@ -389,7 +391,9 @@
 	uint64_t outcome[REQUEST_OUTCOMES];
 	uint64_t taken, sends, resends, pieces, tokens, reused, fetched, cold, claims;
 	uint64_t watches, events, taken_up, wrong_life, looks, refused_stale, refused_line, refused_limit, refused_early, revoked,
-	    blind, begun_past_bound; /* requests that began on weights past their bound */
+	    blind;
+	uint64_t sent_past_bound;  /* sends to servers whose weights were past their bound; it is always 0 */
+	uint64_t begun_past_bound; /* requests that began on weights past their bound; it is always 0 */
 };
 
 struct router_use {
@@ -424,6 +428,7 @@
 	apr_pool_t *scratch;
 	uint64_t *generation;        /* stb_ds, by scope and slice; emptied when a clearing or another route_table comes */
 	int64_t now;                 /* of the step under way */
+	int64_t paused_at;           /* when this process last went on after it had stood still; 0: never */
 	int64_t left_at, cleared_at; /* a look at what servers still name began; the last clearing was heard of whole */
 	ptrdiff_t left_pos;          /* how much of the index that look has before it */
 	struct Nl__Left *left;       /* stb_ds: what it has found */
@@ -438,16 +443,6 @@
 		uint64_t key;
 		uint32_t value;
 	} * line_at; /* stb_ds: lane << 32 | tenant -> line */
-	struct router_named {
-		uint32_t key;
-		struct {
-			int n;
-			struct {
-				uint64_t no;
-				int64_t since;
-			} v[ROUTER_NAMED];
-		} value;
-	} * named; /* stb_ds, by service: what was named, oldest first, and since when that is known */
 	apr_pool_t *p;
 	struct json_tokener *tok; /* one for all that is read here, kept between texts */
 	struct router_server *sv; /* stb_ds, by server index */
--- a/lib/data/router_assign.c
+++ b/lib/data/router_assign.c
@@ -18,7 +18,7 @@
 		return now - v->reported < ROUTER_REPORT;
 	if (b->is_store)
 		return now - v->heard < ROUTER_STORE_HEARD;
-	return router_rolled(c, b->service, v->weights, now);
+	return now < router_weights_last_send(c, b->service, v->weights, now);
 }
 
 const struct kept_copy *router_usable(struct router *c, const struct client_request *x, uint64_t hash, uint32_t server,
@@ -354,7 +354,7 @@
  * to wait, as the load that is known is older than the load it will meet. */
 static int begins_in_time(const struct router *c, const struct client_request *x, uint32_t weights, double wait_ms, int64_t now)
 {
-	return router_rolled(c, x->service, weights, now + (int64_t)(2 * wait_ms));
+	return now + (int64_t)(2 * wait_ms) < router_weights_last_send(c, x->service, weights, now);
 }
 
 /* Go where the prefix is kept, or to its home; elsewhere only where the wait there is so long that it pays to move the
--- a/lib/data/router_internal.h
+++ b/lib/data/router_internal.h
@@ -22,12 +22,24 @@
 int router_store_of(const struct router *c, const struct client_request *x);
 uint64_t router_kept_key(uint64_t cache_namespace, uint64_t id);
 void router_learn_fetch(struct router *c, const struct client_request *x, int64_t took, int brought, int64_t now);
-int router_rolled(const struct router *c, uint32_t service, uint32_t weights, int64_t now);
 int router_standing(const struct router *c, uint32_t s, int64_t now);
 uint64_t router_home_part(const struct client_request *x);
 uint64_t router_tokens_upto(const struct client_request *x, int n);
 const struct kept_copy *router_usable(struct router *c, const struct client_request *x, uint64_t hash, uint32_t server,
 				      uint32_t weights);
+/* router_weights.c */
+/* When work on these weights must have begun at a server of the service, on this router's clock: INT64_MAX where nothing newer is
+ * named, INT64_MIN where it is not known when. Example: if (now >= router_weights_end(c, service, weights, now)) skip(); */
+int64_t router_weights_end(const struct router *c, uint32_t service, uint32_t weights, int64_t now);
+/* Until when a send may leave for them, so that it has time to begin. Example: f->not_after = router_weights_last_send(...); */
+int64_t router_weights_last_send(const struct router *c, uint32_t service, uint32_t weights, int64_t now);
+/* A server's weights as its answer or the list says. Example: router_weights_learn(c, s, names_id(&c->weights, "3")); */
+void router_weights_learn(struct router *c, uint32_t server, uint32_t weights);
+/* Log a naming that a newer route table brings. Example: router_weights_log_namings(c, old_table, now); */
+void router_weights_log_namings(struct router *c, const struct route_table *old, int64_t now);
+/* The invariant, where a send leaves and where its begin is heard of. */
+void router_weights_check_send(struct router *c, const struct client_request *x, int64_t now);
+void router_weights_check_begin(struct router *c, const struct client_request *x, int64_t now);
 /* router_route_table.c */
 void router_route_table_free(struct route_table *b);
 struct route_table *router_route_table_make(struct router *c, int64_t now);
--- a/lib/data/router_route_table.c
+++ b/lib/data/router_route_table.c
@@ -2,8 +2,6 @@
 #include "router_internal.h"
 
 #include <apr_strings.h>
-#include <inttypes.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -104,70 +102,22 @@
 		hmput(b->place, router_place(r->host, r->path, strlen(r->path)), id);
 }
 
-/* What this router takes to be the date of a naming, and that it forgets one: for whoever reads the log. */
-static void log_naming(struct router *c, const char *service, const struct router_named *n, uint64_t no)
-{
-	char line[200];
-
-	if (!c->log)
-		return;
-	if (n->value.n == ROUTER_NAMED)
-		snprintf(line, sizeof line, "Weights %" PRIu64 " of %.60s are heard of; the date of %" PRIu64 " is forgotten.", no,
-			 service, n->value.v[0].no);
-	else
-		snprintf(line, sizeof line, "Weights %" PRIu64 " of %.60s are heard of.", no, service);
-	c->log(c->log_ctx, "weights", line);
-}
-
-static void named_put(struct router_named *n, uint64_t no, int64_t now)
-{
-	if (n->value.n == ROUTER_NAMED)
-		memmove(n->value.v, n->value.v + 1, (size_t)--n->value.n * sizeof *n->value.v);
-	n->value.v[n->value.n].no = no;
-	n->value.v[n->value.n++].since = now;
-}
-
-/* What is named newest for a service, and since when. A router that has just begun does not know how long ago it was
- * named: it takes half of the bound as gone. */
-static void service_row(struct router *c, struct route_table *b, const struct Nl__Row *r, int64_t now)
+static void service_row(struct router *c, struct route_table *b, const struct Nl__Row *r)
 {
 	const struct Nl__Row *m = r->model[0] ? table_get(&c->f.t, NL__KIND__MODEL, r->model) : NULL;
 	uint32_t id = names_id(&c->services, r->name), named = names_id(&c->weights, m ? m->weights : r->weights);
-	uint64_t no = m ? strtoull(m->weights, NULL, 10) : 0;
 	struct bk_service *s = &b->service[id];
-	struct router_named *n = hmgetp_null(c->named, id);
 
-	if (!n) {
-		hmput(c->named, id, ((typeof(c->named->value)){ 1, { { no, now - c->b.roll_ms / 2 } } }));
-	} else if (n->value.v[n->value.n - 1].no != no) {
-		log_naming(c, r->name, n, no);
-		named_put(n, no, now);
-	}
 	*s = (struct bk_service){ 1,        named,      r->prefill, r->kv_bytes, r->link, r->store,
-				  r->slots, r->watches, r->conns,   r->room,     -1,      m != NULL };
+				  r->slots, r->watches, r->conns,   r->room,     -1,      NULL };
+	if (m)
+		s->model = (const struct Nl__Row *)core_dup(b->p, &m->base);
 	if (r->addr[0] && !r->store && c->b.instances) /* a store itself, not a service that has one */
 		b->store[b->nstore++] = (int)names_id(&c->servers, apr_pstrcat(b->p, "store:", r->name, NULL));
 	if (r->addr[0] && r->store)
 		s->store_server = (int)names_id(&c->servers, apr_pstrcat(b->p, "store:", r->name, NULL));
 }
 
-/* May a server with these weights be sent anything? Newer ones that were named are on every server in their bound, however
- * much newer ones were named since: one that has older ones then gets nothing. */
-int router_rolled(const struct router *c, uint32_t service, uint32_t weights, int64_t now)
-{
-	struct router_named *h = c->named, *n;
-	uint64_t no;
-
-	if (weights == c->route_table->service[service].weights || !c->route_table->service[service].modelled ||
-	    !(n = hmgetp_null(h, service)))
-		return 1;
-	no = strtoull(c->weights.name[weights], NULL, 10);
-	for (int i = 0; i < n->value.n; i++)
-		if (n->value.v[i].no > no)
-			return now < n->value.v[i].since + c->b.roll_ms - ROUTER_ROLL_EARLY;
-	return 1;
-}
-
 /* A service that is new, or back, has its time to be seen with servers, whenever one of it last stood. */
 static void services_return(struct router *c, const struct route_table *b, int64_t now)
 {
@@ -217,7 +167,7 @@
 			shput(b->key, r->name, names_id(&c->tenants, r->tenant));
 			b->keys = 1;
 			break;
-		case NL__KIND__SERVICE: service_row(c, b, r, now); break;
+		case NL__KIND__SERVICE: service_row(c, b, r); break;
 		case NL__KIND__RETENTION: router_scope_row(c, b, r); break;
 		case NL__KIND__DOOR:
 			b->door.head = r->head_bytes;
@@ -264,12 +214,17 @@
 }
 
 /* What the list says of a server; what the server itself said since goes first. */
-static void server_table_instance(struct router *c, struct router_server *v, const struct Nl__Instance *s, int64_t now)
+static void server_table_instance(struct router *c, uint32_t server, const struct Nl__Instance *s, int64_t now)
 {
+	struct router_server *v = &c->sv[server];
 	int w = s->weights[0] && strlen(s->weights) < 128 ? (int)names_id(&c->weights, s->weights) : -1;
 
-	if (w >= 0 && (!v->have || v->seen_weights != (uint32_t)w))
-		v->weights = v->seen_weights = (uint32_t)w;
+	if (w < 0 && !v->have)
+		v->weights = names_id(&c->weights, ""); /* not known: they count as the oldest */
+	if (w >= 0 && (!v->have || v->seen_weights != (uint32_t)w)) {
+		router_weights_learn(c, server, (uint32_t)w);
+		v->seen_weights = (uint32_t)w;
+	}
 	if (!v->have)
 		v->bad_until = now + (s->cold_ms > 2000 ? 2000 : s->cold_ms);
 	v->have = 1;
@@ -330,7 +285,7 @@
 		if (id < 0 || s->state == INSTANCE_GONE)
 			continue;
 		server_table_put(c, r, (uint32_t)id, s->service, s->addr, s->zone, s->state != INSTANCE_SERVING, 0);
-		server_table_instance(c, &c->sv[id], s, now);
+		server_table_instance(c, (uint32_t)id, s, now);
 	}
 	for (uint32_t i = 0; c->server_table && i < c->server_table->nserver; i++)
 		if (c->server_table->server[i].on && !r->server[i].on)
--- a/lib/data/router_send.c
+++ b/lib/data/router_send.c
@@ -2,8 +2,6 @@
 #include "router_internal.h"
 
 #include <apr_strings.h>
-#include <inttypes.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -125,6 +123,7 @@
 	struct router_server *v = &c->sv[pl->server];
 	struct forward *f = apr_pcalloc(o->p, sizeof *f);
 	int current = relay_current(&c->relay, now);
+	int64_t last_send;
 
 	x->state = REQUEST_RUNNING;
 	x->server = pl->server;
@@ -166,6 +165,10 @@
 	f->prio = (int)x->prio;
 	f->limit_ms = (int)(x->limit - now);
 	f->not_after = c->f.fresh + router_ride(c) + 200; /* a frozen process must not send what was decided before */
+	last_send = router_weights_last_send(c, x->service, x->weights, now);
+	if (f->not_after > last_send)
+		f->not_after = last_send;
+	router_weights_check_send(c, x, now);
 	f->since = x->since;
 	f->joined = x->begun;
 	f->stream = 1;
@@ -349,23 +352,6 @@
 
 /* ---- forwarded sends -------------------------------------------------------------------------- */
 
-/* A request that begins on weights past their bound, as this router dates it, is counted and logged: it was sent too late, or
- * waited at its server for longer than reckoned. */
-static void check_begin(struct router *c, const struct client_request *x, int64_t now)
-{
-	char line[300];
-
-	if (router_rolled(c, x->service, x->weights, now - ROUTER_ROLL_EARLY))
-		return;
-	c->n.begun_past_bound++;
-	if (!c->log)
-		return;
-	snprintf(line, sizeof line,
-		 "A request began on weights %.60s of %.60s past their bound, at %.60s; it was sent %" PRId64 " ms ago.",
-		 c->weights.name[x->weights], c->services.name[x->service], c->servers.name[x->server], now - x->sent_at);
-	c->log(c->log_ctx, "invariant", line);
-}
-
 void router_on_began(struct router *c, struct client_request *x, const char *weights, int64_t now)
 {
 	struct router_server *v = &c->sv[x->server];
@@ -375,7 +361,7 @@
 	if (x->first)
 		return;
 	x->first = now;
-	check_begin(c, x, now);
+	router_weights_check_begin(c, x, now);
 	v->ahead -= x->ahead;
 	x->ahead = 0;
 	late = (double)(now - x->sent_at) - x->guess;
@@ -424,7 +410,7 @@
 		int w = names_find(&c->weights, e->weights);
 
 		if (w >= 0 || arrlen(c->weights.name) < ROUTER_WEIGHTS)
-			v->weights = w >= 0 ? (uint32_t)w : names_id(&c->weights, e->weights);
+			router_weights_learn(c, s, w >= 0 ? (uint32_t)w : names_id(&c->weights, e->weights));
 	}
 }
 
@@ -454,6 +440,21 @@
 	c->n.taken_up += x->begun != 0;
 }
 
+/* Its server has nothing more to do with a request: another one may have it, or it ends. never: it surely has not run there. */
+static void send_again(struct router *c, struct client_request *x, int never, int64_t now, struct out *o)
+{
+	given_back(c, x, now);
+	if (!never && !may_repeat(x)) {
+		router_give_up(c, x, 502, "the server's answer broke off", now, o);
+	} else if (!again(c, x, now)) {
+		router_refuse(c, x, 503, "the server did not take it, and it may go to no other", ROUTER_SOON, now, o);
+	} else {
+		set_resend_aside(c, x);
+		if (router_readmit(c, x, now, o))
+			router_send_claimed(c, x, now, o);
+	}
+}
+
 void router_on_ended(struct router *c, struct client_request *x, const struct router_ended *e, int64_t now, struct out *o)
 {
 	uint32_t s = (uint32_t)x->server;
@@ -479,14 +480,5 @@
 		router_request_end(c, x, &(struct request_ending){ REQUEST_ANSWERED, e->status, NULL, 0 }, now, o);
 		return;
 	}
-	given_back(c, x, now);
-	if (!(e->how == ROUTER_NEVER && !x->begun) && !may_repeat(x)) {
-		router_give_up(c, x, 502, "the server's answer broke off", now, o);
-	} else if (!again(c, x, now)) {
-		router_refuse(c, x, 503, "the server did not take it, and it may go to no other", ROUTER_SOON, now, o);
-	} else {
-		set_resend_aside(c, x);
-		if (router_readmit(c, x, now, o))
-			router_send_claimed(c, x, now, o);
-	}
+	send_again(c, x, e->how == ROUTER_NEVER && !x->begun, now, o);
 }
--- a/tests/solo.c
+++ b/tests/solo.c
@@ -70,6 +70,8 @@
 	r.n_instance = nsight;
 	r.instances = edition;
 	r.counters = 1;
+	r.clock = (uint64_t)s->now; /* the control group's clock is the router's own */
+	r.clock_term = 1;
 	m.body_case = NL__MSG__BODY_FOLLOW_REPLY;
 	m.follow_reply = &r;
 	m.addr = 1;
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1127,6 +1127,7 @@
 	for (int busy = 0; busy < 2; busy++) {
 		struct solo s;
 		struct Nl__Row *rows[3];
+		struct Nl__Naming named = NL__NAMING__INIT, *naming[1] = { &named };
 		struct Nl__Instance *instance;
 		int status;
 
@@ -1146,8 +1147,12 @@
 		instance->weights = "1";
 		solo_table(&s, rows, 3, &instance, 1, 1);
 		rows[2]->weights = "2";
+		named.weights = 2;
+		named.at = (uint64_t)s.now;
+		rows[2]->naming = naming;
+		rows[2]->n_naming = 1;
 		solo_table(&s, rows, 3, &instance, 1, 2);
-		s.now += s.c.b.roll_ms - ROUTER_ROLL_EARLY - 600;
+		s.now = (int64_t)named.at + s.c.b.roll_ms - ROUTER_ROLL_EARLY - 600;
 		s.c.f.fresh = s.now;
 		solo_tick(&s, 1);
 		if (busy)
