Roll-out: servers whose weights are due first are told first

Cause: each naming dated the whole roll-out anew, and the next server was taken by its zone's share alone, whatever weights it had: on a naming every 3 s none of 166 orders in 20 s went to the 64 servers with the oldest weights. Now the next server is the one whose weights are due first, then its zone's share; the pace follows from when each is due; a server that takes over a quarter of the bound holds no place; an order names what is newest when it leaves.

--- a/lib/control/rollout.c
+++ b/lib/control/rollout.c
@@ -6,6 +6,7 @@
 
 #include "ds.h"
 #include "leadership.h"
+#include "naming.h"
 #include "controller_private.h"
 
 static struct controller_server *server_of(struct controller *r, const char *name)
@@ -246,8 +247,6 @@
 	for (ptrdiff_t i = 0; i < arrlen(g->v); i++)
 		told_free(&g->v[i]);
 	arrfree(g->v);
-	for (ptrdiff_t i = 0; i < shlen(g->m); i++)
-		free(g->m[i].value.weights);
 	shfree(g->m);
 	shfree(g->meant);
 }
@@ -293,25 +292,15 @@
 			told_of(g, r->instances.h[i].key)->is = ROLLOUT_UNSURE;
 }
 
-/* Since when a model's newest weights are named, as far as this controller can tell. */
-static void note_models(struct controller *r, int64_t now)
+/* What is learnt of each model's loads has a place from its first naming on. */
+static void note_models(struct controller *r)
 {
 	for (ptrdiff_t i = 0; i < shlen(r->ctl.h); i++) {
 		const struct Nl__Row *row = r->ctl.h[i].value.row;
-		ptrdiff_t k;
+		typeof(r->rollout.m->value) none = { 0, 0, 0, 0, 0, 0, 0, 0 };
 
-		if (row->kind != NL__KIND__MODEL)
-			continue;
-		k = shgeti(r->rollout.m, row->name);
-		if (k < 0) {
-			typeof(r->rollout.m->value) n = { strdup(row->weights), now, 0, 0, 0, 0, 0, 0, 0, 0 };
-
-			shput(r->rollout.m, row->name, n);
-		} else if (strcmp(r->rollout.m[k].value.weights, row->weights)) {
-			free(r->rollout.m[k].value.weights);
-			r->rollout.m[k].value.weights = strdup(row->weights);
-			r->rollout.m[k].value.since = now;
-		}
+		if (row->kind == NL__KIND__MODEL && shgeti(r->rollout.m, row->name) < 0)
+			shput(r->rollout.m, row->name, none);
 	}
 }
 
@@ -356,6 +345,12 @@
 	free(weights);
 }
 
+static void set_target(struct rollout_server *s, const char *weights)
+{
+	free(s->weights);
+	s->weights = strdup(weights);
+}
+
 static void mean(struct controller *r, struct rollout_server *s, const char *model, const char *weights, int64_t now, struct out *o)
 {
 	struct Nl__Op op = NL__OP__INIT;
@@ -372,8 +367,7 @@
 	s->is = ROLLOUT_MEANT;
 	s->told = now;
 	s->beside = 1;
-	free(s->weights);
-	s->weights = strdup(weights);
+	set_target(s, weights);
 	unload(r, s, 1, now); /* routers hear of it while the log is written */
 }
 
@@ -385,8 +379,9 @@
 	shput(r->rollout.meant, server, now);
 }
 
-static void give(struct controller *r, struct rollout_server *s, const struct Nl__Instance *x, const char *model, int64_t meant,
-		 int64_t now, struct out *o)
+/* What was named while the log was written is loaded at once. */
+static void give(struct controller *r, struct rollout_server *s, const struct Nl__Instance *x, const char *model, const char *named,
+		 int64_t meant, int64_t now, struct out *o)
 {
 	int64_t until = r->part[SHARD_CONTROL].lease_expires_at - ROLLOUT_MARGIN;
 	struct cmd *c;
@@ -398,6 +393,7 @@
 		unload(r, s, 0, now);
 		return;
 	}
+	set_target(s, named);
 	s->is = ROLLOUT_ASKED;
 	s->token = ++r->token;
 	s->told = now;
@@ -441,7 +437,7 @@
 		ptrdiff_t k = shgeti(r->rollout.meant, s->name);
 
 		if (k >= 0 && r->rollout.meant[k].value >= s->told) {
-			give(r, s, x, model, r->rollout.meant[k].value, now, o);
+			give(r, s, x, model, named, r->rollout.meant[k].value, now, o);
 		} else if (now - s->told > ROLLOUT_MEANT_FOR) {
 			s->is = ROLLOUT_IDLE; /* the log stands still */
 			unload(r, s, 0, now);
@@ -483,30 +479,66 @@
 	}
 }
 
-/* How many may load at once: as many as don't slow each other down, as far as is known; more when the bound asks for
- * it and it helps; all that are left once the time that is planned for is over. */
-static int at_once(const struct controller *r, typeof(((struct rollout_model *)0)->value) *m, int n, int left, int busy,
+/* By when a server must have loaded newer weights than these, on this controller's clock; long past where that is not known. */
+static int64_t due_at(const struct controller *r, const struct Nl__Row *model, const char *weights)
+{
+	const struct Nl__Naming *newer = naming_after(model, strtoull(weights, NULL, 10));
+
+	return newer ? (int64_t)newer->at + r->b.roll_ms - r->group_clock_offset : INT64_MIN;
+}
+
+/* How many servers have to load at once so that each has loaded in the time that is planned for. due: when those are due that are
+ * yet to be told, soonest first. *urgent: for how many of them that time is over. */
+static int needed_at_once(const struct controller *r, const int64_t *due, int busy, int64_t load, int64_t now, int *urgent)
+{
+	int64_t reserve = (int64_t)r->b.roll_ms * (100 - ROLLOUT_PLAN) / 100;
+	int needed = 0;
+
+	*urgent = 0;
+	for (int i = 0; i < arrlen(due); i++) {
+		int64_t before = i + 1 + busy / 2; /* those under way have begun some time ago */
+		int64_t time = due[i] == INT64_MIN ? 0 : due[i] - reserve - now;
+
+		if (time < load)
+			(*urgent)++;
+		else if ((before * load + time - 1) / time > needed)
+			needed = (int)((before * load + time - 1) / time);
+	}
+	return needed;
+}
+
+/* How many may load at once: as many as don't slow each other down, as far as is known; more when the bound asks for it and it
+ * helps; and all those for which the time that is planned for is over. */
+static int at_once(const struct controller *r, typeof(((struct rollout_model *)0)->value) *m, int n, const int64_t *due, int busy,
 		   int64_t now)
 {
-	int64_t load = m->base_ms ? m->base_ms : r->b.roll_ms / 10, time = m->since + r->b.roll_ms * ROLLOUT_PLAN / 100 - now;
-	int need;
+	int64_t load = m->base_ms ? m->base_ms : r->b.roll_ms / 10, reserve = (int64_t)r->b.roll_ms * (100 - ROLLOUT_LAST) / 100;
+	int urgent, needed;
 
 	if (!m->base)
 		m->base = m->room = (n + 3) / 6 > 1 ? (n + 3) / 6 : 1;
-	if (time < load) /* while more don't help, or have not shown that they do, a few more keep as busy as all */
-		return (m->many || (m->base_ms && m->more < 2 * m->base)) && now < m->since + r->b.roll_ms * ROLLOUT_LAST / 100 &&
-			       left > 2 * m->base
-			   ? 2 * m->base
-			   : left;
+	needed = needed_at_once(r, due, busy, load, now, &urgent);
+	if (urgent) {
+		int helps = !m->many && (!m->base_ms || m->more >= 2 * m->base);
+		int all = urgent + busy > m->room ? urgent + busy : m->room;
+
+		/* while more don't help, or have not shown that they do, a few more keep as busy as all */
+		return helps || due[0] == INT64_MIN || now >= due[0] - reserve || all <= 2 * m->base ? all : 2 * m->base;
+	}
 	if (!busy)
 		m->begun = now;
 	if (m->many || (!m->base_ms && now - m->begun < 2 * load)) /* the first ones show how long it takes */
 		return m->room;
-	left -= busy / 2; /* those under way have begun some time ago */
-	need = (int)((left * load + time - 1) / time);
-	if (need > 2 * m->base && m->more < 2 * m->base) /* not further before it has shown that it helps */
-		need = 2 * m->base;
-	return need > m->room ? need : m->room;
+	if (needed > 2 * m->base && m->more < 2 * m->base) /* not further before it has shown that it helps */
+		needed = 2 * m->base;
+	return needed > m->room ? needed : m->room;
+}
+
+static int compare_moments(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
 }
 
 struct zone {
@@ -549,12 +581,59 @@
 	}
 }
 
-/* 1 when nothing is left to do. */
-static int roll_model(struct controller *r, const struct Nl__Row *model, int64_t now, struct out *o)
+/* Whether a server may be told now: nothing is under way there, and nobody else may have told it lately. */
+static int may_be_told(const struct controller *r, const struct Nl__Instance *x, int64_t now)
 {
-	typeof(r->rollout.m->value) *m = &shgetp(r->rollout.m, model->name)->value;
-	int n = 0, on = 0, busy = 0, room;
-	struct zone *z = NULL;
+	const struct rollout_server *s = told_get(&r->rollout, x->server);
+
+	return !(s && (s->is != ROLLOUT_IDLE || now < s->again)) && now >= free_from(&r->rollout, x->server);
+}
+
+/* The server to be told next: of those that are due soonest one in the zone that has the smallest share of its servers out. */
+static const struct Nl__Instance *next_to_tell(struct controller *r, const struct Nl__Row *model, struct zone **zones, int64_t now,
+					       apr_pool_t *p)
+{
+	const struct Nl__Instance *best = NULL;
+	int64_t best_due = INT64_MAX;
+	struct zone best_zone = { 0 };
+
+	for (ptrdiff_t i = 0; i < shlen(r->instances.h); i++) {
+		const struct Nl__Instance *x = r->instances.h[i].value.s;
+		const char *name = model_of(r, x);
+		struct zone zone;
+		int64_t due;
+
+		if (!name || strcmp(name, model->name) || has(x->weights, model->weights))
+			continue;
+		due = due_at(r, model, x->weights);
+		zone = *zone_of(zones, x->zone, p);
+		if (best && (due > best_due || (due == best_due && zone.out * best_zone.n >= best_zone.out * zone.n)))
+			continue;
+		if (!may_be_told(r, x, now))
+			continue;
+		best = x;
+		best_due = due;
+		best_zone = zone;
+	}
+	return best;
+}
+
+/* A server that does not come to an end holds no place of others any more. */
+static int holds_place(const struct controller *r, const struct rollout_server *s, int64_t now)
+{
+	return s && s->is != ROLLOUT_IDLE && now - s->told < r->b.roll_ms / ROLLOUT_STALLED;
+}
+
+/* A model's servers as a roll-out finds them. busy: those that hold a place among the ones that load at once. */
+struct servers_found {
+	int all, done, busy;
+	struct zone *zones; /* stb_ds */
+	int64_t *due;       /* stb_ds: of those that are yet to be told, soonest first */
+};
+
+static struct servers_found find_servers(struct controller *r, const struct Nl__Row *model, int64_t now, struct out *o)
+{
+	struct servers_found found = { 0 };
 
 	for (ptrdiff_t i = 0; i < shlen(r->instances.h); i++) {
 		const struct Nl__Instance *x = r->instances.h[i].value.s;
@@ -569,48 +648,55 @@
 			attend(r, s, x, model->name, model->weights, now, o);
 		x = r->instances.h[i].value.s;
 		out = s && s->is != ROLLOUT_IDLE;
-		n++;
-		busy += out;
-		on += !out && has(x->weights, model->weights);
-		zone_of(&z, x->zone, o->p)->n++;
-		zone_of(&z, x->zone, o->p)->out += out;
+		found.all++;
+		found.busy += holds_place(r, s, now);
+		if (!out && has(x->weights, model->weights))
+			found.done++;
+		else if (!out)
+			arrput(found.due, due_at(r, model, x->weights));
+		zone_of(&found.zones, x->zone, o->p)->n++;
+		zone_of(&found.zones, x->zone, o->p)->out += out;
 	}
-	if (n && on == n && strcmp(model->rolled, model->weights))
-		log_rolled(r, m, model, now, o);
-	room = on == n ? 0 : at_once(r, m, n, n - on, busy, now) - busy;
+	if (found.due)
+		qsort(found.due, (size_t)arrlen(found.due), sizeof *found.due, compare_moments);
+	return found;
+}
+
+/* Tell as many servers as there is room for. */
+static void tell_servers(struct controller *r, const struct Nl__Row *model, struct servers_found *found, int64_t now, struct out *o)
+{
+	typeof(r->rollout.m->value) *m = &shgetp(r->rollout.m, model->name)->value;
+	int room = at_once(r, m, found->all, found->due, found->busy, now) - found->busy;
+
 	if (r->rollout.barred || now >= r->part[SHARD_CONTROL].lease_expires_at - ROLLOUT_MARGIN)
-		room = 0;
-	while (room-- > 0) { /* next in the zone that has the smallest share of its servers out */
-		const struct Nl__Instance *best = NULL;
-		struct zone *at = NULL;
-
-		for (ptrdiff_t i = 0; i < shlen(r->instances.h); i++) {
-			const struct Nl__Instance *x = r->instances.h[i].value.s;
-			const char *name = model_of(r, x);
-			struct rollout_server *s;
-			struct zone *q;
-
-			if (!name || strcmp(name, model->name) || has(x->weights, model->weights))
-				continue;
-			s = told_get(&r->rollout, x->server);
-			q = zone_of(&z, x->zone, o->p);
-			if ((s && (s->is != ROLLOUT_IDLE || now < s->again)) || now < free_from(&r->rollout, x->server) ||
-			    (at && q->out * at->n >= at->out * q->n))
-				continue;
-			best = x;
-			at = q;
-		}
-		if (!best)
+		return;
+	while (room-- > 0) {
+		const struct Nl__Instance *next = next_to_tell(r, model, &found->zones, now, o->p);
+
+		if (!next)
 			break;
-		at->out++;
-		mean(r, told_of(&r->rollout, best->server), model->name, model->weights, now, o);
-		busy++;
+		zone_of(&found->zones, next->zone, o->p)->out++;
+		mean(r, told_of(&r->rollout, next->server), model->name, model->weights, now, o);
+		found->busy++;
 	}
+}
+
+/* 1 when nothing is left to do. */
+static int roll_model(struct controller *r, const struct Nl__Row *model, int64_t now, struct out *o)
+{
+	struct servers_found found = find_servers(r, model, now, o);
+	int complete = found.done == found.all;
+
+	if (found.all && complete && strcmp(model->rolled, model->weights))
+		log_rolled(r, &shgetp(r->rollout.m, model->name)->value, model, now, o);
+	if (!complete)
+		tell_servers(r, model, &found, now, o);
 	for (ptrdiff_t i = 0; i < arrlen(r->rollout.v); i++)
-		if (r->rollout.v[i].is != ROLLOUT_IDLE && r->rollout.v[i].beside < busy)
-			r->rollout.v[i].beside = busy;
-	arrfree(z);
-	return !n || (on == n && !strcmp(model->rolled, model->weights));
+		if (r->rollout.v[i].is != ROLLOUT_IDLE && r->rollout.v[i].beside < found.busy)
+			r->rollout.v[i].beside = found.busy;
+	arrfree(found.zones);
+	arrfree(found.due);
+	return !found.all || (complete && !strcmp(model->rolled, model->weights));
 }
 
 void rollout_instances(struct controller *r, int64_t now, struct out *o)
@@ -619,7 +705,7 @@
 
 	if (!r->b.instances)
 		return;
-	note_models(r, now);
+	note_models(r);
 	if (!leads_shard(r, SHARD_CONTROL, now))
 		return;
 	for (ptrdiff_t i = arrlen(r->rollout.v) - 1; i >= 0; i--) { /* those of servers that have left */
--- a/lib/control/rollout.h
+++ b/lib/control/rollout.h
@@ -14,6 +14,7 @@
 	ROLLOUT_SILENT = 1000,    /* ms after which an order or a look has got no answer */
 	ROLLOUT_LAST = 95,        /* per cent of the bound after which all that are left are told */
 	ROLLOUT_REFUSED = 2000,   /* ms before one that refuses an order gets another */
+	ROLLOUT_STALLED = 4,      /* a server that loads for this part of the bound, a quarter, counts as stalled */
 	ROLLOUT_MEANT_FOR = 1000, /* ms after an order was logged in which it may leave */
 	ROLLOUT_MARGIN = 100,     /* ms before the lease's end after which no order leaves */
 	ROLLOUT_AFTER = 300       /* ms beyond the lease for the last rollout's orders to have ended */
@@ -28,13 +29,12 @@
 	int beside; /* how many were under way at the most meanwhile, itself counted */
 };
 
-/* A model's roll-out: since when the newest weights are named; how many load at once, at first and now; how long a load
- * takes then, and with more at once; whether more were too many. */
+/* A model's roll-out: when its end was logged last; since when servers load without a pause; how many load at once, at first and
+ * now; how long a load takes then, and with more at once; whether more were too many. */
 struct rollout_model {
 	char *key;
 	struct {
-		char *weights;
-		int64_t since, rolled, begun;
+		int64_t rolled, begun;
 		int base, room, base_ms, more_ms, more, many;
 	} value;
 };
--- a/tests/test_weights_bound.c
+++ b/tests/test_weights_bound.c
@@ -390,6 +390,41 @@
 		controllers_fall(seed, 2500, 1, 1);
 }
 
+/* All controllers stand still until shortly before the bound: whoever leads then tells all servers that are left at once, as they serve nobody
+ * any more, rather than so many at a time. */
+static void all_that_are_left_are_told_at_the_last(void **st)
+{
+	(void)st;
+	for (uint64_t seed = 1; seed <= seeds(3); seed++) {
+		struct fw *f = open_fleet(seed, MANY_SERVERS, many_servers);
+		int64_t told_from = 0, told_upto = 0;
+		int all, older = 0;
+
+		go(f, SETTLE_MS);
+		name(f, 2);
+		for (int node = 0; node < CONTROLLERS; node++)
+			sim_freeze(&f->s, node, 1);
+		go(f, ROLL_MS - 2000);
+		for (int node = 0; node < CONTROLLERS; node++)
+			sim_freeze(&f->s, node, 0);
+		do {
+			int before = older;
+
+			go(f, SAMPLE_MS);
+			older = older_servers(f, 2, &all);
+			if (older < before && !told_from)
+				told_from = f->s.now;
+			if (older < before)
+				told_upto = f->s.now;
+		} while (older && f->s.now < f->named[0].ack + 3 * ROLL_MS);
+		assert_int_equal(older, 0);
+		if (told_upto - told_from >= 2 * f->s.list.load_ms) /* so many at once load half as fast */
+			fail_msg("seed %llu: %lld ms between the first and the last server that has the weights",
+				 (unsigned long long)seed, (long long)(told_upto - told_from));
+		close_fleet(f);
+	}
+}
+
 /* The weights that servers must have at this moment: the newest that were acknowledged a bound ago. */
 static int due_weights(const struct fw *f)
 {
@@ -474,6 +509,7 @@
 		cmocka_unit_test_teardown(a_leader_dies_during_a_roll_out, teardown),
 		cmocka_unit_test_teardown(a_leader_dies_after_one_naming, teardown),
 		cmocka_unit_test_teardown(all_controllers_restart_during_a_roll_out, teardown),
+		cmocka_unit_test_teardown(all_that_are_left_are_told_at_the_last, teardown),
 		cmocka_unit_test_teardown(namings_every_few_seconds_leave_no_server_behind, teardown),
 	};
 	int rc;
