Router: a send that has not begun shortly before its weights' bound is taken back

Ruled out: a longer margin (no estimate made at the send can know it; the servers stand idle meanwhile); the remaining deadline as a bound (it ends work that has begun). Now what has no first piece 300 ms before the bound is cancelled and goes to another server if it may be repeated; else its client hears that it may have run. Counted (recalled).

--- a/lib/control/rollout.c
+++ b/lib/control/rollout.c
@@ -499,7 +499,7 @@
 		int64_t before = i + 1 + busy / 2; /* those under way have begun some time ago */
 		int64_t time = due[i] == INT64_MIN ? 0 : due[i] - reserve - now;
 
-		if (time < load)
+		if (time <= 0 || time < load)
 			(*urgent)++;
 		else if ((before * load + time - 1) / time > needed)
 			needed = (int)((before * load + time - 1) / time);
--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -106,6 +106,7 @@
 		{ "refused_early", c->n.refused_early },
 		{ "revoked", c->n.revoked },
 		{ "blind", c->n.blind },
+		{ "recalled", c->n.recalled },
 		{ "sent_past_bound", c->n.sent_past_bound },
 		{ "begun_past_bound", c->n.begun_past_bound },
 		{ "downstreams", (uint64_t)arrlen(c->relay.down) },
@@ -242,6 +243,7 @@
 		router_watch(c, now, o);
 	else
 		router_look(c, now, o);
+	router_weights_recall(c, now, o);
 	end_hopeless(c, now, o);
 	end_leaving(c, now, o);
 	router_releases_tick(c, now, o);
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -67,6 +67,7 @@
 	ROUTER_CALM_MARGIN = 150,
 	ROUTER_RIDE_MARGIN = 500, /* ms by which the ride ends before the strictest bound */
 	ROUTER_ROLL_EARLY = 1500, /* ms before a roll-out's bound after which older weights are sent nothing more */
+	ROUTER_ROLL_RECALL = 300, /* ms before that bound at which what has not begun on older weights is taken back */
 	ROUTER_PAUSE = 200,       /* ms between two steps after which this process counts as having stood still */
 	ROUTER_HEARD_LATE = 250,  /* ms that a request's begin may be on its way here */
 	ROUTER_RETRY = 500,       /* ms after which a refused caller may come back, at the least */
@@ -392,6 +393,7 @@
 	uint64_t taken, sends, resends, pieces, tokens, reused, fetched, cold, claims;
 	uint64_t watches, events, taken_up, wrong_life, looks, refused_stale, refused_line, refused_limit, refused_early, revoked,
 	    blind;
+	uint64_t recalled;         /* sends taken back because they had not begun shortly before their weights' bound */
 	uint64_t sent_past_bound;  /* sends to servers whose weights were past their bound; it is always 0 */
 	uint64_t begun_past_bound; /* requests that began on weights past their bound; it is always 0 */
 };
--- a/lib/data/router_internal.h
+++ b/lib/data/router_internal.h
@@ -40,6 +40,8 @@
 /* The invariant, where a send leaves and where its begin is heard of. */
 void router_weights_check_send(struct router *c, const struct client_request *x, int64_t now);
 void router_weights_check_begin(struct router *c, const struct client_request *x, int64_t now);
+/* Take back what has not begun shortly before its weights' bound. Example: router_weights_recall(c, now, o); */
+void router_weights_recall(struct router *c, int64_t now, struct out *o);
 /* router_route_table.c */
 void router_route_table_free(struct route_table *b);
 struct route_table *router_route_table_make(struct router *c, int64_t now);
@@ -120,6 +122,9 @@
 void router_on_done(struct router *c, struct client_request *x, const typeof(((struct router_ev *)0)->u.done) *d, int64_t now,
 		    struct out *o);
 void router_forward(struct router *c, struct client_request *x, const struct plan *pl, int64_t now, struct out *o);
+/* Cancel a send that has not begun as far as is known; the request goes to another server if it may, else it ends.
+ * Example: router_take_back(c, x, now, o); */
+void router_take_back(struct router *c, struct client_request *x, int64_t now, struct out *o);
 void router_on_began(struct router *c, struct client_request *x, const char *weights, int64_t now);
 void router_on_ended(struct router *c, struct client_request *x, const struct router_ended *e, int64_t now, struct out *o);
 void router_on_piece(struct router *c, struct client_request *x, const char *text, int64_t now, struct out *o);
--- a/lib/data/router_send.c
+++ b/lib/data/router_send.c
@@ -482,3 +482,12 @@
 	}
 	send_again(c, x, e->how == ROUTER_NEVER && !x->begun, now, o);
 }
+
+void router_take_back(struct router *c, struct client_request *x, int64_t now, struct out *o)
+{
+	out_cmd(o, CMD_CANCEL)->u.cancel.token = x->call;
+	(void)hmdel(c->by, x->call);
+	x->call = 0;
+	x->ran = 1; /* it may have begun just now */
+	send_again(c, x, 0, now, o);
+}
--- a/lib/data/router_weights.c
+++ b/lib/data/router_weights.c
@@ -1,4 +1,5 @@
-/* router_weights: until when servers with older weights may be sent requests. Newer weights that were named are on every server within a bound (bounds.roll_ms); no request may begin on older ones after
+/* router_weights: until when servers with older weights may be sent requests, and what is done about a send that has not begun by
+ * then. Newer weights that were named are on every server within a bound (bounds.roll_ms); no request may begin on older ones after
  * it. The date of each naming comes with the configuration, on the control group's clock (lib/control/naming.h).
  * Always: no send leaves, and none is known to begin, on weights past their bound. What breaks this is counted and logged. */
 #include "router_internal.h"
@@ -33,6 +34,13 @@
 	return end == INT64_MAX || end == INT64_MIN ? end : end - ROUTER_ROLL_EARLY;
 }
 
+static int64_t recall_at(const struct router *c, const struct client_request *x, int64_t now)
+{
+	int64_t end = router_weights_end(c, x->service, x->weights, now);
+
+	return end == INT64_MAX || end == INT64_MIN ? INT64_MAX : end - ROUTER_ROLL_RECALL;
+}
+
 static int is_number(const char *name) { return *name && strspn(name, "0123456789") == strlen(name); }
 
 /* Within one life a server's weights only rise, and what tells of them may be late. */
@@ -99,3 +107,21 @@
 	c->n.begun_past_bound++;
 	log_violation(c, "begins", x, now - end);
 }
+
+/* ---- taking back ------------------------------------------------------------------------------ */
+
+/* A send that waits at its server for longer than was reckoned must not begin after its weights' bound. It is cancelled in time, and
+ * goes to another server if it may. */
+void router_weights_recall(struct router *c, int64_t now, struct out *o)
+{
+	for (ptrdiff_t i = arrlen(c->all) - 1; i >= 0; i--) {
+		struct client_request *x = c->all[i];
+
+		if (!x->forwarded || x->state != REQUEST_RUNNING || x->first)
+			continue;
+		if (now < recall_at(c, x, now))
+			continue;
+		c->n.recalled++;
+		router_take_back(c, x, now, o);
+	}
+}
