Roll-out, own interface: a naming that overtakes another one puts nothing off

Now the time runs from the first naming that not every server got. Before: namings_that_overtake_put_nothing_off fails (a server has the first weights after 25 s).

--- a/lib/control/controller.h
+++ b/lib/control/controller.h
@@ -195,12 +195,13 @@
 	uint64_t cleared;
 };
 
-/* Weights as they were named for a service: since when, at the earliest; what this rollout began with. */
+/* Weights as they were named for a service, since when at the earliest; since when weights have been named that not every server
+ * got; what this rollout began with. */
 struct controller_named {
 	char *key;
 	struct {
 		char *weights;
-		int64_t since, first;
+		int64_t since, unrolled_since, first;
 	} value;
 };
 
--- a/lib/control/rollout.c
+++ b/lib/control/rollout.c
@@ -102,11 +102,22 @@
 	call(s->call, apr_pstrdup(o->p, row->addr), "/v1/report", NULL, now + 400, o);
 }
 
-/* Followed tables say what is named; not later than the last good asking that did not say so. */
+/* Whether every server of a service has had these weights, or it is not known here which ones they all had. */
+static int is_rolled_out(struct controller *r, const char *service, const char *weights)
+{
+	struct controller_svc *shard = service_shard(r, core_part_of(service, SHARD_SERVICES));
+	ptrdiff_t i = shgeti(shard->rolled, service);
+
+	return i < 0 || !strcmp(shard->rolled[i].value, weights);
+}
+
+/* Followed tables say what is named; not later than the last good asking that did not say so. A naming that overtakes another one
+ * leaves that one's servers no more time. */
 void rollout_on_versions(struct controller *r, int64_t before)
 {
 	for (ptrdiff_t i = 0; i < shlen(r->f.t.h); i++) {
 		const struct Nl__Row *row = r->f.t.h[i].value.row;
+		int64_t unrolled;
 		ptrdiff_t k;
 
 		if (row->kind != NL__KIND__SERVICE)
@@ -114,9 +125,11 @@
 		k = shgeti(r->named, row->name);
 		if (k >= 0 && !strcmp(r->named[k].value.weights, row->weights))
 			continue;
+		unrolled =
+		    k >= 0 && !is_rolled_out(r, row->name, r->named[k].value.weights) ? r->named[k].value.unrolled_since : before;
 		if (k >= 0)
 			free(r->named[k].value.weights);
-		shput(r->named, row->name, ((typeof(r->named->value)){ strdup(row->weights), before, 0 }));
+		shput(r->named, row->name, ((typeof(r->named->value)){ strdup(row->weights), before, unrolled, 0 }));
 	}
 }
 
@@ -124,12 +137,12 @@
  * bound asks for it. A rollout that took over has less time left and need not leave any for another. */
 static int due(const struct controller *r, uint32_t part, typeof(((struct controller_named *)0)->value) *m, int n, int64_t now)
 {
-	int64_t last = m->since + CONTROLLER_TELL;
+	int64_t last = m->unrolled_since + CONTROLLER_TELL;
 	int third = (n + 2) / 3;
 
 	if (!m->first || m->first < r->leader_since[part])
 		m->first = now;
-	if (r->leader_since[part] <= m->since)
+	if (r->leader_since[part] <= m->unrolled_since)
 		last -= CONTROLLER_TAKE_OVER;
 	if (now >= last || m->first >= last)
 		return n;
--- a/tests/test_data.c
+++ b/tests/test_data.c
@@ -391,6 +391,40 @@
 	}
 }
 
+/* Weights that are named every three seconds: each naming overtakes the one before, and leaves the servers that have not been told
+ * of that one no more time. None keeps the first weights beyond 25 s. */
+static void namings_that_overtake_put_nothing_off(void **state)
+{
+	uint64_t first, seeds = seeds_of(10, &first);
+
+	(void)state;
+	for (uint64_t seed = first; seed < first + seeds; seed++) {
+		struct sim s;
+		uint64_t rng = seed * 17;
+		char body[200];
+		int64_t named = 0;
+
+		sim_deploy(&s, seed, 4, 2, 18);
+		ok(&s);
+		s.load_ms = 2000;
+		sim_run(&s, 6000, NULL); /* the rollout's hold-off is over */
+		for (int weights = 2; weights < 11; weights++) {
+			snprintf(body, sizeof body,
+				 "{\"set\":[{\"kind\":\"service\",\"name\":\"repairs\",\"weights\":\"w%d\",\"prefill\":20,"
+				 "\"kv_bytes\":400,\"link\":100000}]}",
+				 weights);
+			must_change(&s, body, 12000);
+			if (!named)
+				named = s.now;
+			load(&s, &rng, weights == 10 ? named + 25000 - s.now : 3000, 60, 2);
+		}
+		for (int i = 1; i < 18; i += 3)
+			if (!strcmp(s.sv[i].weights, "w1"))
+				fail_msg("seed %llu: server %d has the first weights after 25 s", (unsigned long long)seed, i);
+		sim_close(&s);
+	}
+}
+
 /* Walls both ways, roll-outs there and back and drains while parts are fetched between servers and from a store that
  * keeps all it ever got; the store goes down and is back empty, links between servers are slow or hang in a fetch,
  * reports are lost or late. No part of other weights, of a walled tenant or withdrawn at a known tick is ever used. */
@@ -1373,6 +1407,7 @@
 		cmocka_unit_test(decisions_under_load),
 		cmocka_unit_test(storm_under_load),
 		cmocka_unit_test(weights_reach_every_server),
+		cmocka_unit_test(namings_that_overtake_put_nothing_off),
 		cmocka_unit_test(each_fault_and_one_more),
 		cmocka_unit_test(fetches_keep_within_walls),
 		cmocka_unit_test(slow_links_are_learned),
