--- a/lib/control/table.c
+++ b/lib/control/table.c
@@ -266,6 +266,18 @@
 	return why;
 }
 
+/* With its row the dates would go by which servers with older weights get nothing more. */
+static const char *check_model_removed(const struct table *t, const struct Nl__Row *removed, apr_pool_t *p)
+{
+	for (ptrdiff_t i = 0; i < shlen(t->h); i++) {
+		const struct Nl__Row *row = t->h[i].value.row;
+
+		if (row->kind == NL__KIND__SERVICE && !strcmp(row->model, removed->name))
+			return apr_psprintf(p, "del model %s: service %s has it", removed->name, row->name);
+	}
+	return NULL;
+}
+
 const char *table_check(const struct table *t, const struct Nl__Change *c, apr_pool_t *p)
 {
 	const char *why;
@@ -285,6 +297,9 @@
 	for (size_t i = 0; i < c->n_del; i++)
 		if (!c->whole && find(t, c->del[i]->kind, c->del[i]->name) < 0)
 			return apr_psprintf(p, "del %s %s: no such row", table_kind_name(c->del[i]->kind), c->del[i]->name);
+	for (size_t i = 0; i < c->n_del; i++)
+		if (c->del[i]->kind == NL__KIND__MODEL && (why = check_model_removed(t, c->del[i], p)))
+			return why;
 	why = retention_scopes(t, c, p);
 	return why ? why : check_whole(t, c, p);
 }
--- /dev/null
+++ b/tests/test_naming.c
@@ -0,0 +1,261 @@
+/* Dates of namings in a model's row, and the control group's clock as a node reckons it by its leader's answers. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_general.h>
+#include <apr_strings.h>
+#include <cmocka.h>
+
+#include "config_watch.h"
+#include "ds.h"
+#include "naming.h"
+#include "table.h"
+
+enum { BOUND_MS = 20000, TERM = 3, LEADER = 1 };
+
+static struct table table;
+static apr_pool_t *pool;
+
+static int setup(void **state)
+{
+	(void)state;
+	apr_pool_create(&pool, NULL);
+	table_open(&table);
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	(void)state;
+	table_close(&table);
+	apr_pool_destroy(pool);
+	return 0;
+}
+
+/* Apply a change of the model's row at a moment, as the leader logs it; the row as it is then. */
+static const struct Nl__Row *apply(const char *weights, const char *rolled, uint64_t at)
+{
+	struct Nl__Change change = NL__CHANGE__INIT;
+	struct Nl__Row row = NL__ROW__INIT, *rows[1] = { &row };
+
+	row.kind = NL__KIND__MODEL;
+	row.name = "m";
+	row.weights = (char *)(uintptr_t)weights;
+	row.rolled = (char *)(uintptr_t)rolled;
+	change.any = 1;
+	change.set = rows;
+	change.n_set = 1;
+	change.bound_passed = at > BOUND_MS ? at - BOUND_MS : 0;
+	table.now = (struct group_moment){ at, TERM };
+	assert_int_equal(table_apply(&table, &change, NULL), TABLE_DONE);
+	return table_get(&table, NL__KIND__MODEL, "m");
+}
+
+static const struct Nl__Row *name(unsigned weights, uint64_t at) { return apply(apr_psprintf(pool, "%u", weights), "", at); }
+
+static uint64_t date_after(const struct Nl__Row *model, uint64_t weights)
+{
+	const struct Nl__Naming *naming = naming_after(model, weights);
+
+	return naming ? naming->at : 0;
+}
+
+/* Weights are dated by the first naming that is newer than they are, whatever was named since. */
+static void older_weights_have_the_first_newer_date(void **state)
+{
+	const struct Nl__Row *model;
+
+	(void)state;
+	name(2, 1000);
+	name(5, 3000);
+	model = name(6, 4000);
+	assert_int_equal(date_after(model, 0), 1000);
+	assert_int_equal(date_after(model, 1), 1000);
+	assert_int_equal(date_after(model, 2), 3000);
+	assert_int_equal(date_after(model, 4), 3000); /* never named */
+	assert_int_equal(date_after(model, 5), 4000);
+	assert_null(naming_after(model, 6));
+	assert_int_equal(naming_after(model, 1)->term, TERM);
+}
+
+/* A naming that is sent again, an older one, and the end of a roll-out date nothing anew. */
+static void what_names_nothing_newer_dates_nothing(void **state)
+{
+	const struct Nl__Row *model;
+
+	(void)state;
+	name(2, 1000);
+	name(2, 2000);
+	name(1, 3000);
+	model = apply("", "2", 4000);
+	assert_string_equal(model->weights, "2");
+	assert_string_equal(model->rolled, "2");
+	assert_int_equal(model->n_naming, 1);
+	assert_int_equal(date_after(model, 1), 1000);
+}
+
+/* Of namings whose bound has passed the newest is kept: it forbids all that is older, and what came before it is no longer needed. */
+static void the_newest_passed_date_is_kept(void **state)
+{
+	const struct Nl__Row *model;
+
+	(void)state;
+	for (unsigned weights = 2; weights < 500; weights++) {
+		model = name(weights, weights * 3000ull);
+		assert_true(model->n_naming <= BOUND_MS / 3000 + 2);
+		assert_true(date_after(model, 1) + BOUND_MS <= weights * 3000ull || weights < 9);
+	}
+}
+
+/* More namings within the bound than are kept: a date is only ever too early, and by less than a share of the bound. */
+static void merged_dates_are_too_early_and_not_by_much(void **state)
+{
+	const struct Nl__Row *model = NULL;
+	const uint64_t every_ms = 50, namings = 1000;
+
+	(void)state;
+	for (uint64_t weights = 2; weights < namings; weights++) {
+		model = name((unsigned)weights, weights * every_ms);
+		assert_true(model->n_naming <= NAMING_MOST);
+	}
+	for (uint64_t weights = namings - BOUND_MS / every_ms + 1; weights + 1 < namings; weights++) {
+		uint64_t named = (weights + 1) * every_ms, date = date_after(model, weights);
+
+		assert_true(date <= named);
+		assert_true(named - date <= BOUND_MS / (NAMING_MOST / 4));
+	}
+}
+
+/* A follower's copy is the leader's row, to the byte. */
+static void followers_have_the_same_dates(void **state)
+{
+	struct table follower;
+	struct Nl__ConfigSyncReply reply = NL__CONFIG_SYNC_REPLY__INIT;
+	const struct Nl__Row *model;
+
+	(void)state;
+	table_open(&follower);
+	name(2, 1000);
+	table_since(&table, 0, &reply, pool);
+	assert_true(table_follow(&follower, &reply));
+	name(3, 2000);
+	name(4, 2500);
+	nl__config_sync_reply__init(&reply);
+	table_since(&table, follower.edition, &reply, pool);
+	assert_true(table_follow(&follower, &reply));
+	model = table_get(&follower, NL__KIND__MODEL, "m");
+	assert_int_equal(model->n_naming, 3);
+	assert_int_equal(date_after(model, 2), 2000);
+	table_close(&follower);
+}
+
+/* A row that an older edition of the program left has no dates: they count as not known. */
+static void a_row_without_dates_tells_none(void **state)
+{
+	struct Nl__Row row = NL__ROW__INIT;
+
+	(void)state;
+	row.kind = NL__KIND__MODEL;
+	row.weights = "7";
+	assert_null(naming_after(&row, 6));
+	assert_true(naming_newest(&row) == 7);
+}
+
+/* The row of a model stays while a service has the model. */
+static void a_model_in_use_is_not_removed(void **state)
+{
+	struct Nl__Change change = NL__CHANGE__INIT, add = NL__CHANGE__INIT;
+	struct Nl__Row row = NL__ROW__INIT, service = NL__ROW__INIT, *removed[1] = { &row }, *added[1] = { &service };
+
+	(void)state;
+	name(2, 1000);
+	row.kind = NL__KIND__MODEL;
+	row.name = "m";
+	change.any = 1;
+	change.del = removed;
+	change.n_del = 1;
+	assert_null(table_check(&table, &change, pool));
+	service.kind = NL__KIND__SERVICE;
+	service.name = "pool";
+	service.model = "m";
+	service.prefill = service.kv_bytes = service.link = 100;
+	add.any = 1;
+	add.set = added;
+	add.n_set = 1;
+	assert_int_equal(table_apply(&table, &add, NULL), TABLE_DONE);
+	assert_string_equal(table_check(&table, &change, pool), "del model m: service pool has it");
+}
+
+/* ---- the clock --------------------------------------------------------------------------------- */
+
+/* Ask at one moment and get an answer at another. */
+static void hear_clock(struct config_watch *watch, uint64_t term, uint64_t clock, int64_t asked_at, int64_t answered_at)
+{
+	struct out out = { 0 };
+	struct Nl__Msg m = NL__MSG__INIT;
+	struct Nl__ConfigSyncReply reply = NL__CONFIG_SYNC_REPLY__INIT;
+
+	out.p = pool;
+	config_watch_ask(watch, 0, asked_at, &out);
+	reply.token = watch->token;
+	reply.has_lease = reply.whole = 1;
+	reply.fleet = 7;
+	reply.edition = watch->t.edition + 1;
+	reply.clock = clock;
+	reply.clock_term = term;
+	m.body_case = NL__MSG__BODY_FOLLOW_REPLY;
+	m.follow_reply = &reply;
+	m.addr = LEADER;
+	(void)config_watch_msg(watch, &m, answered_at, &out);
+	arrfree(out.v);
+}
+
+/* The clock is never behind its leader's, and a quicker answer makes it more exact. A later leader's clock is its own, also where it
+ * has lost time; what the one before dated is reckoned by that one's. */
+static void the_clock_is_never_behind_its_leader(void **state)
+{
+	struct config_watch watch;
+	uint64_t seed = LEADER;
+
+	(void)state;
+	config_watch_open(&watch, 2, &seed, 1, 0);
+	assert_int_equal(config_watch_clock(&watch, 0, 500), 0);
+	hear_clock(&watch, 4, 10000, 1000, 3000); /* read by the leader at some time from 1000 to 3000 */
+	assert_int_equal(config_watch_clock(&watch, 4, 3000), 12000);
+	hear_clock(&watch, 4, 12500, 4000, 4200);
+	assert_int_equal(config_watch_clock(&watch, 4, 5000), 13500);
+	hear_clock(&watch, 4, 15000, 5000, 9000); /* a slow one tells nothing more */
+	assert_int_equal(config_watch_clock(&watch, 4, 9000), 17500);
+	hear_clock(&watch, 5, 12000, 10000, 10100);
+	assert_int_equal(config_watch_clock(&watch, 5, 10100), 12100);
+	assert_int_equal(config_watch_clock(&watch, 4, 10100), 18600);
+	assert_int_equal(config_watch_clock(&watch, 0, 10100), 12100); /* the newest leader's */
+	assert_int_equal(config_watch_clock(&watch, 3, 10100), 12100); /* not heard: it went on from there */
+	hear_clock(&watch, 3, 1000, 10200, 10300);                     /* an older leader's late word */
+	assert_int_equal(config_watch_clock(&watch, 0, 10300), 12300);
+	config_watch_close(&watch);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(older_weights_have_the_first_newer_date, setup, teardown),
+		cmocka_unit_test_setup_teardown(what_names_nothing_newer_dates_nothing, setup, teardown),
+		cmocka_unit_test_setup_teardown(the_newest_passed_date_is_kept, setup, teardown),
+		cmocka_unit_test_setup_teardown(merged_dates_are_too_early_and_not_by_much, setup, teardown),
+		cmocka_unit_test_setup_teardown(followers_have_the_same_dates, setup, teardown),
+		cmocka_unit_test_setup_teardown(a_row_without_dates_tells_none, setup, teardown),
+		cmocka_unit_test_setup_teardown(a_model_in_use_is_not_removed, setup, teardown),
+		cmocka_unit_test_setup_teardown(the_clock_is_never_behind_its_leader, setup, teardown),
+	};
+	int rc;
+
+	apr_initialize();
+	rc = cmocka_run_group_tests(tests, NULL, NULL);
+	apr_terminate();
+	return rc;
+}
