--- a/rehearsal/stand.c
+++ b/rehearsal/stand.c
@@ -13,6 +13,9 @@
 #include "ds.h"
 #include "stand_run.h"
 
+/* Rules that no delay excuses. */
+#define TIMELESS "TWICE", "MIXED", "ORDER", "UNASKED", "ROUTE", "STALE", "WALL", "ONE", "FAULT"
+
 /* From the system's page: two deployments. The same weights of requests, at their rates. */
 const struct sheet sheets[2] = {
 	{ .name = "warisan", .host = "ficu95.example", .service = "lm-registry", .store = "clerk-desk", .model = "daka510000",
@@ -597,46 +600,48 @@
 static const struct {
 	const char *name, *what;
 	void (*fn)(struct run *r);
+	void (*prepare)(struct run *r); /* before the machines are made; NULL: nothing to do */
 } scenarios[] = {
-	{ "quiet", "no fault", sc_quiet },
-	{ "kill-edge", "edges are killed and come back", sc_kill_edge },
-	{ "kill-core", "core machines are killed one after another, under changes", sc_kill_core },
-	{ "kill-all", "every process is killed at once, right after an acknowledgement", sc_kill_all },
-	{ "freeze", "an edge and a core machine freeze and wake", sc_freeze },
-	{ "term-roll", "machines are stopped and started in turn", sc_term_roll },
-	{ "config", "configurations change, in whole and in part", sc_config },
-	{ "storm", "thirty changes one right after another", sc_storm },
-	{ "race", "two operators on top of the same version", sc_race },
-	{ "bad", "invalid configurations between proper ones", sc_bad },
-	{ "big", "two hundred more routes, all used", sc_big },
-	{ "revoke", "a key is taken away from clients that go on using it", sc_revoke },
-	{ "roll-out", "new weights", sc_roll_out },
-	{ "release", "servers drain, end and come back as new ones", sc_release },
-	{ "crash", "servers crash, come back, and one is lost", sc_crash },
-	{ "garble", "broken answers, garbage, bytes behind whole answers", sc_garble },
-	{ "lost-answer", "requests run, their answers never come", sc_lost_answer },
-	{ "grey", "a server fails a third of its requests; health lies", sc_grey },
-	{ "dark", "a server falls silent", sc_dark },
-	{ "stall", "servers stand still for moments, several at once", sc_stall },
-	{ "blind", "edges are cut off from the core while servers are slow to begin", sc_blind },
-	{ "hiccup", "the whole platform stands still for moments", sc_hiccup },
-	{ "stutter", "machines freeze for moments, several at once", sc_stutter },
-	{ "flap", "a server goes and comes", sc_flap },
-	{ "events-gap", "events of kept parts are late and lost", sc_events_gap },
-	{ "store-down", "the store goes and comes back empty", sc_store_down },
-	{ "wipe", "a core machine loses its disk after an acknowledgement", sc_wipe },
-	{ "replace", "a core machine is replaced at another address", sc_replace },
-	{ "clear", "kept context is cleared, on schedule and at once", sc_clear },
-	{ "planned", "a long day of planned work: changes, stops, reloads, releases", planned_day },
-	{ "planned-core", "the whole core is stopped and started under changes", planned_core_stop },
-	{ "cut", "skipped: the links of processes on one machine cannot be cut without tools for isolation", NULL },
+	{ "quiet", "no fault", sc_quiet, NULL },
+	{ "kill-edge", "edges are killed and come back", sc_kill_edge, NULL },
+	{ "kill-core", "core machines are killed one after another, under changes", sc_kill_core, NULL },
+	{ "kill-all", "every process is killed at once, right after an acknowledgement", sc_kill_all, NULL },
+	{ "freeze", "an edge and a core machine freeze and wake", sc_freeze, NULL },
+	{ "term-roll", "machines are stopped and started in turn", sc_term_roll, NULL },
+	{ "config", "configurations change, in whole and in part", sc_config, NULL },
+	{ "storm", "thirty changes one right after another", sc_storm, NULL },
+	{ "race", "two operators on top of the same version", sc_race, NULL },
+	{ "bad", "invalid configurations between proper ones", sc_bad, NULL },
+	{ "big", "two hundred more routes, all used", sc_big, NULL },
+	{ "revoke", "a key is taken away from clients that go on using it", sc_revoke, NULL },
+	{ "roll-out", "new weights", sc_roll_out, NULL },
+	{ "release", "servers drain, end and come back as new ones", sc_release, NULL },
+	{ "crash", "servers crash, come back, and one is lost", sc_crash, NULL },
+	{ "garble", "broken answers, garbage, bytes behind whole answers", sc_garble, NULL },
+	{ "lost-answer", "requests run, their answers never come", sc_lost_answer, NULL },
+	{ "grey", "a server fails a third of its requests; health lies", sc_grey, NULL },
+	{ "dark", "a server falls silent", sc_dark, NULL },
+	{ "stall", "servers stand still for moments, several at once", sc_stall, NULL },
+	{ "blind", "edges are cut off from the core while servers are slow to begin", sc_blind, NULL },
+	{ "hiccup", "the whole platform stands still for moments", sc_hiccup, NULL },
+	{ "stutter", "machines freeze for moments, several at once", sc_stutter, NULL },
+	{ "flap", "a server goes and comes", sc_flap, NULL },
+	{ "events-gap", "events of kept parts are late and lost", sc_events_gap, NULL },
+	{ "store-down", "the store goes and comes back empty", sc_store_down, NULL },
+	{ "wipe", "a core machine loses its disk after an acknowledgement", sc_wipe, NULL },
+	{ "replace", "a core machine is replaced at another address", sc_replace, NULL },
+	{ "clear", "kept context is cleared, on schedule and at once", sc_clear, NULL },
+	{ "planned", "a long day of planned work: changes, stops, reloads, releases", planned_day, NULL },
+	{ "planned-core", "the whole core is stopped and started under changes", planned_core_stop, NULL },
+	{ "soak", "troubles of all kinds that overlap, while weights are named in series", soak, soak_prepare },
+	{ "cut", "skipped: the links of processes on one machine cannot be cut without tools for isolation", NULL, NULL },
 };
 
 /* ---- one run ---- */
 
 static int set_up(struct run *r, const char *deployment)
 {
-	int cores = r->small ? 3 : 4, servers = r->small ? 4 : 18;
+	int cores = r->cores ? r->cores : r->small ? 3 : 4, servers = r->small ? 4 : 18;
 	struct bounds_set judged = r->b;
 	char at[48];
 
@@ -709,6 +714,24 @@
 	return !r->missed;
 }
 
+/* Whether this process, or one under test, was kept from a processor for longer than the run bears. */
+static int is_late(const struct run *r)
+{
+	return hist_at(&r->fig.own_lag, 1) > r->latest * r->slack || r->waited_most > r->latest * r->slack;
+}
+
+/* Whether a breach is among these that no delay explains. */
+static int timeless(const struct breach *b, int n)
+{
+	static const char *const rules[] = { TIMELESS };
+
+	for (int i = 0; i < n; i++)
+		for (size_t k = 0; k < sizeof rules / sizeof *rules; k++)
+			if (!strcmp(b[i].rule, rules[k]))
+				return 1;
+	return 0;
+}
+
 static int one_run(struct run *r, const char *deployment, int k, const char *report)
 {
 	const struct breach *b = NULL;
@@ -746,6 +769,17 @@
 			rc = 1;
 		}
 	}
+	if (r->latest) {
+		int at_stake = judge_version_at_stake(r->j);
+
+		printf(
+		    "VERSION was judged on %d requests; %d went to processes told to end; a process waited at most %lld ms of a second\n",
+		    at_stake, r->fig.leaving, (long long)r->waited_most);
+		if (!rc && !at_stake)
+			r->missed = "no request began when the rule VERSION could have been broken";
+	}
+	if (rc && r->latest && is_late(r) && !timeless(b, n))
+		r->missed = "this process or one under test was held up: what depends on time is nobody's fault here";
 end:
 	if (r->missed) {
 		printf("UNDECIDED: %s\n", r->missed);
@@ -757,6 +791,8 @@
 		operator_close(r->op);
 	quota_release(r);
 	machines_end(r);
+	if (invariant_lines(r))
+		rc = 1;
 	if (r->f.list)
 		list_close(r->f.list);
 	servers_free(&r->f);
@@ -829,12 +865,16 @@
 	r->length_s = length->count ? length->ival[0] : 0;
 	r->core_share = core_share->count ? atof(core_share->sval[0]) : 0;
 	r->router_share = router_share->count ? atof(router_share->sval[0]) : 0;
-	r->edges = edges->count ? edges->ival[0] : r->small ? 3 : 9;
+	r->edges = edges->count ? edges->ival[0] : 0;
 	r->impossible = impossible->count;
 	r->verbose = verbose->count;
 	r->b = bounds_sheet;
 	r->rate = rate->count ? atof(rate->sval[0]) : r->small ? 0.22 : 1; /* as much for each server */
 	r->slack = slack->count ? slack->ival[0] : 1;
+	if (scenarios[k].prepare)
+		scenarios[k].prepare(r);
+	if (!r->edges)
+		r->edges = r->small ? 3 : 9;
 	n = readlink("/proc/self/exe", self, sizeof self - 1);
 	self[n > 0 ? n : 0] = 0;
 	snprintf(r->bin, sizeof r->bin, "%s", bin->count ? bin->sval[0] : dirname(self));
--- a/rehearsal/stand.h
+++ b/rehearsal/stand.h
@@ -8,7 +8,7 @@
  *   stand_report   figures and a picture              stand_histogram  durations
  *   stand_unread   what the other end has not read    stand          scenarios
  *   stand_planned  the long day of planned work       stand_change   its changes of the configuration
- *   stand_quota    shares of a processor */
+ *   stand_quota    shares of a processor              stand_soak     troubles and namings that overlap, by seed */
 #ifndef NL_STAND_H
 #define NL_STAND_H
 
@@ -233,6 +233,10 @@
 /* Judge all that was seen; the breaches, an stb array owned by the judge. Example: n = judge_all(j, end, &b); */
 int judge_all(struct judge *j, int64_t end, const struct breach **b);
 
+/* How many requests VERSION was judged on: at their beginning a newer naming had been acknowledged for longer than the
+ * bound, over one settled stretch, and their sender was in touch. Example: if (!judge_version_at_stake(j)) nothing_shown(); */
+int judge_version_at_stake(const struct judge *j);
+
 /* What was seen of one try, in lines. Example: judge_story(j, "9c41d07be2a35f68", stdout); */
 void judge_story(const struct judge *j, const char *id, FILE *f);
 
@@ -255,7 +259,8 @@
 struct server_fault {
 	double broken, garbage, surplus, lost, grey, close; /* shares of answers */
 	double stubborn;                                    /* of requests whose connection closed, run all the same */
-	int false_health, dark, events_lost;
+	double slow, load_slow;                             /* so many times as long: a step, a load; 0: as it should be */
+	int false_health, dark, events_lost, refuses_loads;
 };
 
 struct fleet_set {
--- a/rehearsal/stand_client.c
+++ b/rehearsal/stand_client.c
@@ -471,6 +471,7 @@
 		kept->busy = 1;
 		a->c = kept->c;
 		a->machine = kept->machine;
+		r->fig.leaving += r->m[a->machine].leaving;
 		conn_set(a->c, &on_answer, c);
 	} else {
 		a->fresh = 1;
--- a/rehearsal/stand_judge.c
+++ b/rehearsal/stand_judge.c
@@ -281,6 +281,7 @@
 	rule_budget(j);
 	rule_one(j);
 	rule_memory(j);
+	rule_version(j);
 	rule_acks(j, end);
 	rule_recover(j);
 	rule_ends(j);
--- a/rehearsal/stand_judge_private.h
+++ b/rehearsal/stand_judge_private.h
@@ -132,6 +132,7 @@
 void rule_drain(struct judge *j);
 void rule_one(struct judge *j);
 void rule_memory(struct judge *j);
+void rule_version(struct judge *j);
 /* stand_judge_lost */
 void rule_lost(struct judge *j);
 /* stand_judge_service */
--- a/rehearsal/stand_judge_servers.c
+++ b/rehearsal/stand_judge_servers.c
@@ -56,7 +56,6 @@
 {
 	for (int i = 0; i < arrlen(j->r); i++) {
 		const struct arrival *r = &j->r[i];
-		int64_t named = -1, from;
 		int stale = 0, wall = 0;
 
 		if (r->begun < 0)
@@ -90,14 +89,49 @@
 			breach(j, "STALE", r->begun, "try %s ran under version %d on memory of another", r->id, r->version);
 		if (wall)
 			breach(j, "WALL", r->begun, "try %s of %s ran on memory of another, behind a wall", r->id, text(r->tenant));
-		if (r->try < 0 || !judge_touch(j, j->a[r->try].edge, r->begun))
+	}
+}
+
+/* For how long, until t, a version newer than this one has been acknowledged over one stretch with a settled core; -1:
+ * none has been, or the core is not settled. */
+static int64_t superseded_for(const struct judge *j, int version, int64_t t)
+{
+	int64_t named = -1, from = settled_since(j, t);
+
+	for (int k = 0; k < arrlen(j->n); k++)
+		if (j->n[k].acked && j->n[k].version > version && j->n[k].t <= t && (named < 0 || j->n[k].t < named))
+			named = j->n[k].t;
+	if (named < 0 || from < 0)
+		return -1;
+	return t - (from > named ? from : named);
+}
+
+/* Whether the rule asks anything of a run: the machine that sent it was in touch as it did. */
+static int version_applies(const struct judge *j, const struct arrival *r)
+{
+	return r->begun >= 0 && r->try >= 0 && judge_touch(j, j->a[r->try].edge, r->t);
+}
+
+void rule_version(struct judge *j)
+{
+	for (int i = 0; i < arrlen(j->r); i++) {
+		const struct arrival *r = &j->r[i];
+		int64_t age;
+
+		if (!version_applies(j, r))
 			continue;
-		for (int k = 0; k < arrlen(j->n); k++)
-			if (j->n[k].acked && j->n[k].version > r->version && (named < 0 || j->n[k].t < named))
-				named = j->n[k].t;
-		from = settled_since(j, r->begun);
-		if (named >= 0 && from >= 0 && r->begun - (from > named ? from : named) > j->b.version)
-			breach(j, "VERSION", r->begun, "try %s began on version %d, %lld ms after a newer one was named", r->id,
-			       r->version, (long long)(r->begun - named));
+		age = superseded_for(j, r->version, r->begun);
+		if (age > j->b.version)
+			breach(j, "VERSION", r->begun, "try %s began on version %d, %lld ms after a newer one was acknowledged",
+			       r->id, r->version, (long long)age);
 	}
 }
+
+int judge_version_at_stake(const struct judge *j)
+{
+	int n = 0;
+
+	for (int i = 0; i < arrlen(j->r); i++) /* version 1 is nobody's newer one: any naming supersedes it */
+		n += version_applies(j, &j->r[i]) && superseded_for(j, 1, j->r[i].begun) > j->b.version;
+	return n;
+}
--- a/rehearsal/stand_operator.c
+++ b/rehearsal/stand_operator.c
@@ -5,6 +5,8 @@
 #include "ds.h"
 #include "stand_run.h"
 
+enum { LOST_AFTER_MS = 30 }; /* a connection whose answer is lost is closed by then */
+
 struct want {
 	enum change what;
 	int modify;
@@ -13,7 +15,7 @@
 struct sending {
 	struct operator* o;
 	enum what what;
-	int cfg, hops, tries, others, unclear, alone, weights;
+	int cfg, hops, tries, others, unclear, alone, weights, lost;
 	int64_t base, version, began, read_from;
 	char *body, *path, fields[120], at[64];
 	struct json_object *full; /* what stands once it is taken; NULL: nothing valid */
@@ -32,6 +34,8 @@
 	char added[96], removed[96];
 	int splits;
 	uint64_t rng, turn; /* what it changes; which of the planned changes comes next */
+	double lose;        /* the share of answers to namings that are lost on their way */
+	char leader[64];    /* who acknowledged last */
 };
 
 static void attempt(void *ctx);
@@ -118,6 +122,10 @@
 		over(s);
 		return;
 	}
+	if (s->lost) {
+		again_later(s);
+		return;
+	}
 	if (status == 307 && to && s->hops < 2) {
 		const char *p = strstr(to, "://");
 		size_t n;
@@ -151,6 +159,7 @@
 		return;
 	}
 	if (status >= 200 && status < 300) {
+		snprintf(o->leader, sizeof o->leader, "%s", s->at);
 		if (s->what == SENDS_WEIGHTS) {
 			judge_named(r->j, now, s->weights, 1);
 			o->weights_acked = s->weights;
@@ -196,14 +205,17 @@
 static void attempt(void *ctx)
 {
 	struct sending *s = ctx;
+	int wait = 1000 + (s->body ? (int)(strlen(s->body) / 200) : 0);
 
 	if (s->o->closed) {
 		over(s);
 		return;
 	}
 	s->tries++;
-	call_once(s->o->r->l, s->at, s->what == READS ? "GET" : "POST", s->path, s->fields, s->body,
-		  1000 + (s->body ? (int)(strlen(s->body) / 200) : 0), answer, s);
+	s->lost = s->what == SENDS_WEIGHTS && s->o->lose > 0 && stand_unit(&s->o->rng) < s->o->lose;
+	if (s->lost)
+		wait = 1 + (int)(stand_rand(&s->o->rng) % LOST_AFTER_MS);
+	call_once(s->o->r->l, s->at, s->what == READS ? "GET" : "POST", s->path, s->fields, s->body, wait, answer, s);
 }
 
 static void send_off(struct sending *s)
@@ -597,6 +609,8 @@
 
 int operator_idle(const struct operator* o) { return !arrlen(o->going) && !arrlen(o->queue); }
 int operator_acked(const struct operator* o) { return o->acked; }
+void operator_lose(struct operator* o, double share) { o->lose = share; }
+const char *operator_leader(const struct operator* o) { return o->leader; }
 int operator_weights_acked(const struct operator* o) { return o->weights_acked; }
 int operator_read_done(const struct operator* o) { return o->read_done; }
 int operator_idle_timeout(const struct operator* o)
--- a/rehearsal/stand_run.h
+++ b/rehearsal/stand_run.h
@@ -40,6 +40,7 @@
 struct figures {
 	struct hist first[CLASSES], pause[CLASSES], transit, own_lag; /* own_lag: this process itself, ms, by the moment */
 	int asked[CLASSES], whole[CLASSES], late[CLASSES], gave_up, refused, tries, cut, silent, probes, stray;
+	int leaving; /* tries over a connection kept from before, to a process that is told to end */
 	double owed, earned;
 	struct second *sec; /* MOST_SECONDS */
 };
@@ -55,7 +56,7 @@
 	struct bounds_set b;
 	const struct sheet *sheet;
 	uint64_t rng, seed;
-	int small, verbose, slack, impossible, length_s, edges;
+	int small, verbose, slack, impossible, length_s, edges, cores;
 	char base[20], folder[600], bin[600], list_at[40];
 	double rate;                     /* of the sheet's */
 	double core_share, router_share; /* of a processor; 0: whole */
@@ -67,7 +68,9 @@
 	struct figures fig;
 	struct quota *quota;
 	uint64_t quota_timer;
-	const char *missed; /* why the run proves nothing */
+	int64_t latest;         /* ms: a run that was later itself blames nobody for being late; 0: not asked */
+	int64_t waited_most;    /* ms of a second that a process under test waited for a processor */
+	const char *missed;     /* why the run proves nothing */
 };
 
 static inline int64_t run_ms(const struct run *r) { return (loop_us() - r->f.start) / 1000; }
@@ -98,6 +101,13 @@
 /* The whole core is stopped in order and started again seconds later, while a change is under way. */
 void planned_core_stop(struct run *r);
 
+/* The scenario of troubles that overlap while weights are named in series. Before the machines are made: how many there
+ * are, and the run's bounds. */
+void soak_prepare(struct run *r);
+void soak(struct run *r);
+/* Print what the logs of the machines say of broken invariants; returns how many lines. They must have ended. */
+int invariant_lines(const struct run *r);
+
 /* Entry and clients. */
 struct clients *clients_open(struct run *r);
 void clients_traffic(struct clients *c, int on);
@@ -146,6 +156,10 @@
 void operator_invalid(struct operator* o, enum invalid what);
 void operator_weights(struct operator* o, int version);
 int operator_weights_acked(const struct operator* o);
+/* Of so many namings the answer is lost: the connection is closed within moments, and the naming is sent again. */
+void operator_lose(struct operator* o, double share);
+/* The address that acknowledged last; empty: none yet. */
+const char *operator_leader(const struct operator* o);
 void operator_read_back(struct operator* o);
 int operator_read_done(const struct operator* o);
 /* A route that came or went lately, for the probes; NULL: none. */
--- a/rehearsal/stand_server_batch.c
+++ b/rehearsal/stand_server_batch.c
@@ -471,7 +471,10 @@
 	int n = ++s->f->loading, most = s->f->e.load_at_once;
 
 	s->f->loads++;
-	s->load_timer = loop_after(s->f->l, ms_us(s->f->e.load_ms * (n > most ? (double)n / most : 1.0)), load_done, s);
+	s->load_timer = loop_after(
+	    s->f->l,
+	    ms_us(s->f->e.load_ms * (n > most ? (double)n / most : 1.0) * (s->fault.load_slow > 0 ? s->fault.load_slow : 1)),
+	    load_done, s);
 }
 
 /* One step of the batch: what the last one did comes out, and the next one begins. */
@@ -570,7 +573,9 @@
 	}
 	if (!busy && !arrlen(s->wait))
 		return;
-	ms = (s->f->e.step + s->f->e.per_slot * busy + read / s->f->e.read_per_ms) * s->speed + s->held_ms;
+	ms = (s->f->e.step + s->f->e.per_slot * busy + read / s->f->e.read_per_ms) * s->speed *
+		 (s->fault.slow > 0 ? s->fault.slow : 1) +
+	     s->held_ms;
 	s->held_ms = 0;
 	s->due += ms_us(ms);
 	if (s->due < loop_us() - ms_us(20))
--- a/rehearsal/stand_server_http.c
+++ b/rehearsal/stand_server_http.c
@@ -195,6 +195,8 @@
 		status = 200;
 	else if (out_of_order(s))
 		status = version == s->loading_to ? 202 : 409;
+	else if (s->fault.refuses_loads)
+		status = 0; /* no answer, and not taken */
 	else
 		status = 202;
 	if (s->f->j && status != 421 && status != 400) {
@@ -227,7 +229,10 @@
 		set_going(s);
 	}
 	json_object_put(j);
-	conn_answer(c, status, "", "", 0, 1);
+	if (!status)
+		conn_close(c, 1);
+	else
+		conn_answer(c, status, "", "", 0, 1);
 }
 
 static void kv_answer(struct server *s, struct conn *c, int64_t since)
