--- a/tests/test_stand.c
+++ b/tests/test_stand.c
@@ -903,6 +903,82 @@
 	judge_begin(j, 20100 + (bad ? 10 : -10), arrives(j, 20005, &a_try, "lm", "i-1"), 1, NULL, 0);
 }
 
+/* The machine that takes a_try sends it at `sent`; it begins on `weights` at `begun`. */
+static void begins_on(struct judge *j, int64_t sent, int64_t begun, int weights)
+{
+	judge_try(j, sent, &a_try);
+	judge_begin(j, begun, arrives(j, sent + 5, &a_try, "lm", "i-1"), weights, NULL, 0);
+}
+
+/* The sender is killed between the send and the beginning: it was in touch as it sent. */
+static void version_sender_gone(struct judge *j, int bad)
+{
+	judge_named(j, 5100, 2, 1);
+	judge_machine(j, 20050, a_try.edge, 0, UNPLANNED, 0);
+	begins_on(j, 20000, 20100 + (bad ? 10 : -10), 1);
+}
+
+/* The sender was thawed too lately as it sent, though it is in touch again at the beginning. */
+static void version_sender_thawed(struct judge *j, int bad)
+{
+	judge_named(j, 5100, 2, 1);
+	judge_machine(j, 20000, a_try.edge, 0, UNPLANNED, 0);
+	judge_machine(j, 21000, a_try.edge, 0, UNPLANNED, 1);
+	begins_on(j, 24000 + (bad ? 1 : -10), 24500, 1);
+}
+
+/* The time counts over one settled stretch, which begins ContactMs after the last trouble of the core. */
+static void version_unsettled(struct judge *j, int bad)
+{
+	judge_named(j, 2000, 2, 1);
+	judge_machine(j, 6000, EDGES, 1, UNPLANNED, 0);
+	judge_machine(j, 7000, EDGES, 1, UNPLANNED, 1);
+	begins_on(j, 24900, 25000 + (bad ? 10 : -10), 1);
+}
+
+/* Later namings don't put off what an earlier one asks. */
+static void version_named_again(struct judge *j, int bad)
+{
+	for (int weights = 2; weights < 14; weights++)
+		judge_named(j, 5100 + 1000 * (weights - 2), weights, 1);
+	begins_on(j, 20000, 20100 + (bad ? 10 : -10), 1);
+}
+
+/* Weights that are not the newest may be used for VersionMs from the naming that followed them. */
+static void version_between(struct judge *j, int bad)
+{
+	judge_named(j, 3000, 2, 1);
+	judge_named(j, 5100, 3, 1);
+	judge_named(j, 9000, 4, 1);
+	begins_on(j, 20000, 20100 + (bad ? 10 : -10), 2);
+}
+
+/* A naming that nobody acknowledged asks for nothing. */
+static void version_not_acked(struct judge *j, int bad)
+{
+	judge_machine(j, 5050, EDGES, 1, UNPLANNED, 0); /* nor has the core to acknowledge it */
+	judge_named(j, 5100, 2, 0);
+	if (bad)
+		judge_named(j, 5200, 2, 1);
+	begins_on(j, 23200, 23300, 1);
+}
+
+static void version_at_stake(void **st)
+{
+	struct judge *j = world();
+
+	(void)st;
+	assert_int_equal(judge_version_at_stake(j), 0);
+	begins_on(j, 5000, 5010, 1);
+	judge_named(j, 5100, 2, 1);
+	assert_int_equal(judge_version_at_stake(j), 0);
+	begins_on(j, 20000, 20100, 2); /* just at the bound */
+	assert_int_equal(judge_version_at_stake(j), 0);
+	begins_on(j, 20000, 20101, 2);
+	assert_int_equal(judge_version_at_stake(j), 1);
+	judge_close(j);
+}
+
 static void acks(struct judge *j, int bad)
 {
 	cfg_at(j, 5000, 9003 + (bad ? 1 : 0), 1, CFG("3", ROUTE("a", "/a/", "lm"), TENANTS("\"k1\"", "false")));
@@ -1066,6 +1142,12 @@
 	{ "stale", "STALE", stale },
 	{ "wall", "WALL", wall },
 	{ "version", "VERSION", version },
+	{ "version: the sender is gone", "VERSION", version_sender_gone },
+	{ "version: the sender was thawed", "VERSION", version_sender_thawed },
+	{ "version: the core was not settled", "VERSION", version_unsettled },
+	{ "version: named again and again", "VERSION", version_named_again },
+	{ "version: weights between", "VERSION", version_between },
+	{ "version: not acknowledged", "VERSION", version_not_acked },
 	{ "acks", "ACKS", acks },
 	{ "acks, unsettled", "ACKS", acks_unsettled },
 	{ "acks of weights", "ACKS", acks_weights },
@@ -2136,6 +2218,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(judge_catches_each_breach),
+		cmocka_unit_test(version_at_stake),
 		cmocka_unit_test(configurations_are_told_apart),
 		cmocka_unit_test(planned_changes_are_valid),
 		cmocka_unit_test(histogram_is_within_its_steps),
