--- a/rehearsal/stand.c
+++ b/rehearsal/stand.c
@@ -732,6 +732,34 @@
 	return 0;
 }
 
+/* The gate: at most 60% of the requests are refused or fail. */
+static int gate_broken(const struct run *r)
+{
+	int whole = 0, asked = 0;
+
+	for (int i = 0; i < CLASSES; i++)
+		whole += r->fig.whole[i], asked += r->fig.asked[i];
+	if (whole && whole * 10 >= asked * 4)
+		return 0;
+	printf("BREACH GATE     : %d of %d requests were served\n", whole, asked);
+	return 1;
+}
+
+/* What a run under short bounds comes to: nothing, if it was held up or never put VERSION to the test. */
+static int timed_verdict(struct run *r, int broken, const struct breach *b, int n)
+{
+	int at_stake = judge_version_at_stake(r->j);
+
+	printf("VERSION was judged on %d requests; tries over kept connections to processes told to end: %d\n", at_stake,
+	       r->fig.leaving);
+	printf("a process under test waited for a processor at most %lld ms of a second\n", (long long)r->waited_most);
+	if (!broken && !at_stake)
+		r->missed = "no request began when the rule VERSION could have been broken";
+	if (broken && is_late(r) && !timeless(b, n))
+		r->missed = "this process or one under test was held up: what depends on time is nobody's fault here";
+	return broken;
+}
+
 static int one_run(struct run *r, const char *deployment, int k, const char *report)
 {
 	const struct breach *b = NULL;
@@ -759,27 +787,9 @@
 		printf("BREACH CLEARED  : %llu parts of before a clearing were used after it\n", (unsigned long long)r->f.old_used);
 		rc = 1;
 	}
-	{
-		int whole = 0, asked = 0;
-
-		for (int i = 0; i < CLASSES; i++)
-			whole += r->fig.whole[i], asked += r->fig.asked[i];
-		if (!whole || whole * 10 < asked * 4) { /* the gate: at most 60% refused or failed */
-			printf("BREACH GATE     : %d of %d requests were served\n", whole, asked);
-			rc = 1;
-		}
-	}
-	if (r->latest) {
-		int at_stake = judge_version_at_stake(r->j);
-
-		printf(
-		    "VERSION was judged on %d requests; %d went to processes told to end; a process waited at most %lld ms of a second\n",
-		    at_stake, r->fig.leaving, (long long)r->waited_most);
-		if (!rc && !at_stake)
-			r->missed = "no request began when the rule VERSION could have been broken";
-	}
-	if (rc && r->latest && is_late(r) && !timeless(b, n))
-		r->missed = "this process or one under test was held up: what depends on time is nobody's fault here";
+	rc |= gate_broken(r);
+	if (r->latest)
+		rc = timed_verdict(r, rc, b, n);
 end:
 	if (r->missed) {
 		printf("UNDECIDED: %s\n", r->missed);
