--- a/tests/test_stand.c
+++ b/tests/test_stand.c
@@ -1693,6 +1693,68 @@
 	rig_close(&g);
 }
 
+static void loads_are_refused_or_slow(void **st)
+{
+	int64_t began;
+	struct rig g;
+
+	(void)st;
+	rig_open(&g);
+	g.f.newest = 2;
+	g.a->fault.refuses_loads = 1;
+	ask(&g, g.at[0], "POST", "/order", "", ORDER("2", "4", ""));
+	assert_int_equal(g.status, 0);
+	assert_true(g.gone); /* no answer, and nothing was taken */
+	assert_int_equal(g.a->loading_to, 0);
+	hang_up(&g);
+	g.a->fault = (struct server_fault){ .load_slow = 10 };
+	began = loop_us();
+	ask(&g, g.at[0], "POST", "/order", "", ORDER("2", "4", ""));
+	assert_int_equal(g.status, 202);
+	assert_true(loop_until(g.f.l, ms_us(3000), loaded, &g));
+	assert_true(loop_us() - began >= ms_us(10 * g.f.e.load_ms));
+	hang_up(&g);
+	rig_close(&g);
+}
+
+static void write_log(const struct run *run, const char *machine, const char *text)
+{
+	char path[700];
+	FILE *f;
+
+	snprintf(path, sizeof path, "%s/%s.log", run->folder, machine);
+	f = fopen(path, "w");
+	assert_non_null(f);
+	fputs(text, f);
+	fclose(f);
+}
+
+static void broken_invariants_are_found_in_logs(void **st)
+{
+	struct run *run = calloc(1, sizeof *run);
+	char path[700];
+
+	(void)st;
+	snprintf(run->folder, sizeof run->folder, "/tmp/stand-XXXXXX");
+	assert_non_null(mkdtemp(run->folder));
+	run->nm = 3; /* the third one never began: it has no log */
+	snprintf(run->m[0].name, sizeof run->m[0].name, "one");
+	snprintf(run->m[1].name, sizeof run->m[1].name, "two");
+	snprintf(run->m[2].name, sizeof run->m[2].name, "three");
+	write_log(run, "one", "<6>counter[7]: proc: Ended, no invariant was broken.\n");
+	write_log(run, "two", "");
+	assert_int_equal(invariant_lines(run), 0);
+	write_log(run, "two",
+		  "<3>Dec  2 counter[7]: ctr: invariant: a send left.\ninvariant: a begin.\n<3>counter[7]: invariant a send.\n");
+	assert_int_equal(invariant_lines(run), 3);
+	for (int i = 0; i < 2; i++) {
+		snprintf(path, sizeof path, "%s/%s.log", run->folder, run->m[i].name);
+		unlink(path);
+	}
+	rmdir(run->folder);
+	free(run);
+}
+
 static void heard(void *ctx, int status, const struct msg *m)
 {
 	(void)ctx, (void)m;
@@ -2230,6 +2292,8 @@
 		cmocka_unit_test(events_come_late_in_order_and_name_gaps),
 		cmocka_unit_test(only_so_many_calls_for_events_are_held),
 		cmocka_unit_test(orders_are_fenced_counted_and_drop_what_was_kept),
+		cmocka_unit_test(loads_are_refused_or_slow),
+		cmocka_unit_test(broken_invariants_are_found_in_logs),
 		cmocka_unit_test(preempted_streams_are_reset_and_retained_ones_tell),
 		cmocka_unit_test(the_urgent_go_first_and_the_late_are_turned_away),
 		cmocka_unit_test(health_and_report_tell_what_they_should),
