--- a/rehearsal/stand_operator.c
+++ b/rehearsal/stand_operator.c
@@ -5,7 +5,10 @@
 #include "ds.h"
 #include "stand_run.h"
 
-enum { LOST_AFTER_MS = 30 }; /* a connection whose answer is lost is closed by then */
+enum {
+	LOST_AFTER_MS = 30, /* a connection whose answer is lost is closed by then */
+	MOST_LOST = 3       /* answers to one naming: what is acknowledged can still be so within AckMs */
+};
 
 struct want {
 	enum change what;
@@ -15,7 +18,7 @@
 struct sending {
 	struct operator* o;
 	enum what what;
-	int cfg, hops, tries, others, unclear, alone, weights, lost;
+	int cfg, hops, tries, others, unclear, alone, weights, lost, losses;
 	int64_t base, version, began, read_from;
 	char *body, *path, fields[120], at[64];
 	struct json_object *full; /* what stands once it is taken; NULL: nothing valid */
@@ -212,7 +215,8 @@
 		return;
 	}
 	s->tries++;
-	s->lost = s->what == SENDS_WEIGHTS && s->o->lose > 0 && stand_unit(&s->o->rng) < s->o->lose;
+	s->lost = s->what == SENDS_WEIGHTS && s->losses < MOST_LOST && s->o->lose > 0 && stand_unit(&s->o->rng) < s->o->lose;
+	s->losses += s->lost;
 	if (s->lost)
 		wait = 1 + (int)(stand_rand(&s->o->rng) % LOST_AFTER_MS);
 	call_once(s->o->r->l, s->at, s->what == READS ? "GET" : "POST", s->path, s->fields, s->body, wait, answer, s);
