--- a/rehearsal/stand_run.h
+++ b/rehearsal/stand_run.h
@@ -68,9 +68,9 @@
 	struct figures fig;
 	struct quota *quota;
 	uint64_t quota_timer;
-	int64_t latest;         /* ms: a run that was later itself blames nobody for being late; 0: not asked */
-	int64_t waited_most;    /* ms of a second that a process under test waited for a processor */
-	const char *missed;     /* why the run proves nothing */
+	int64_t latest;      /* ms: a run that was later itself blames nobody for being late; 0: not asked */
+	int64_t waited_most; /* ms of a second that a process under test waited for a processor */
+	const char *missed;  /* why the run proves nothing */
 };
 
 static inline int64_t run_ms(const struct run *r) { return (loop_us() - r->f.start) / 1000; }
--- a/rehearsal/stand_soak.c
+++ b/rehearsal/stand_soak.c
@@ -55,9 +55,10 @@
 /* Troubles of one subject: in series with gaps, and pauses between the series. */
 struct lane {
 	void (*strike)(struct soak *soak, int kind);
-	int kinds, most;          /* kinds of trouble; troubles in a series */
-	int64_t gap, pause;       /* the longest, in ms */
-	int64_t shortest_pause;   /* the shortest pause */
+	int kinds, most;        /* kinds of trouble; troubles in a series */
+	int64_t gap, pause;     /* the longest, in ms */
+	int64_t shortest_pause; /* the shortest pause */
+	uint64_t strike_seed, strikes;
 	int kind, left;           /* the kind that struck last; how many are still to come in the series */
 	int64_t series_gap, next; /* ms */
 };
@@ -70,7 +71,7 @@
 
 struct soak {
 	struct run *run;
-	uint64_t rng;
+	uint64_t rng, naming_seed, naming_turn;
 	int64_t end;
 	struct lane lane[LANES];
 	struct episode *under_way; /* stb array */
@@ -90,6 +91,9 @@
 	return least + (int64_t)(stand_rand(&soak->rng) % (uint64_t)(most - least + 1));
 }
 
+/* What one strike or naming draws depends on its place in its series alone, not on what the clock did to others. */
+static void draw_anew(struct soak *soak, uint64_t seed, uint64_t turn) { soak->rng = stand_hash(seed, &turn, sizeof turn); }
+
 static int one_in(struct soak *soak, int64_t n) { return between(soak, 1, n) == 1; }
 
 static void lasts(struct soak *soak, int64_t ms, int (*over)(struct soak *, void *), void *subject)
@@ -414,6 +418,7 @@
 {
 	if (run_ms(soak->run) < lane->next)
 		return;
+	draw_anew(soak, lane->strike_seed, lane->strikes++);
 	if (!lane->left) {
 		lane->left = (int)between(soak, 1, lane->most);
 		lane->series_gap = between(soak, lane->gap / 8, lane->gap);
@@ -431,6 +436,7 @@
 
 	if (now < soak->next_naming)
 		return;
+	draw_anew(soak, soak->naming_seed, soak->naming_turn++);
 	if (!soak->namings_left && one_in(soak, BURST_EVERY)) {
 		soak->namings_left = BURST_NAMINGS_LEAST + (int)between(soak, 0, BURST_NAMINGS_MORE);
 		soak->naming_gap = between(soak, NAMING_GAP_LEAST_MS, 2 * NAMING_GAP_LEAST_MS);
@@ -566,9 +572,12 @@
 	};
 	for (int i = 0; i < LANES; i++)
 		soak.lane[i].next = start + (one_in(&soak, CALM_LANE_EVERY) ? length : between(&soak, 500, bound));
+	for (int i = 0; i < LANES; i++)
+		soak.lane[i].strike_seed = stand_rand(&soak.rng);
+	soak.naming_seed = stand_rand(&soak.rng);
+	soak.next_naming = start + between(&soak, 0, 2000);
 	clients_probe(r->clients, 1);
 	clients_long(r->clients, LONG_EVERY);
-	soak.next_naming = start + between(&soak, 0, 2000);
 	r->f.e.load_ms = (int)(bound / LOAD_SHARE);
 	go_on(&soak, soak.end, 1);
 	for (int i = 0; i < arrlen(soak.under_way); i++)
