--- a/lib/control/rollout.h
+++ b/lib/control/rollout.h
@@ -1,6 +1,9 @@
-/* rollout: orders to servers: named weights are rolled out, kept parts that a purge covers are dropped. */
-#ifndef NL_GIVER_H
-#define NL_GIVER_H
+/* rollout: orders to servers: named weights are rolled out, kept parts that a purge covers are dropped.
+ *   rollout.c             servers that are rows of the table
+ *   rollout_instances.c   servers of the platform's list
+ *   rollout_pace.c        how many of those load at once, and by when */
+#ifndef NL_ROLLOUT_H
+#define NL_ROLLOUT_H
 
 #include "core.h"
 
@@ -15,17 +18,21 @@
 	ROLLOUT_LAST = 95,        /* per cent of the bound after which all that are left are told */
 	ROLLOUT_REFUSED = 2000,   /* ms before one that refuses an order gets another */
 	ROLLOUT_STALLED = 4,      /* a server that loads for this part of the bound, a quarter, counts as stalled */
-	ROLLOUT_MEANT_FOR = 1000, /* ms after an order was logged in which it may leave */
+	ROLLOUT_INTENT_MS = 1000, /* ms after an order was logged in which it may leave */
 	ROLLOUT_MARGIN = 100,     /* ms before the lease's end after which no order leaves */
 	ROLLOUT_AFTER = 300       /* ms beyond the lease for the last rollout's orders to have ended */
 };
 
-/* A seen server that is told, or looked at, until it has what is named. */
+/* What is known of an order to a server: nothing is under way; it is being logged; it has left; whether it was taken is not known;
+ * the server loads. */
+enum rollout_order_state { ROLLOUT_IDLE, ROLLOUT_INTENDED, ROLLOUT_ORDERED, ROLLOUT_UNSURE, ROLLOUT_LOADING };
+
+/* A listed server that is ordered, or looked at, until it has what is named. */
 struct rollout_server {
-	char *name, *weights; /* weights: what it was told to load */
-	enum { ROLLOUT_IDLE, ROLLOUT_MEANT, ROLLOUT_ASKED, ROLLOUT_UNSURE, ROLLOUT_LOADING } is;
+	char *name, *weights; /* weights: what it was ordered to load */
+	enum rollout_order_state state;
 	uint64_t token, look; /* of what is under way */
-	int64_t told, looked, again;
+	int64_t ordered_at, looked_at, retry_at;
 	int beside; /* how many were under way at the most meanwhile, itself counted */
 };
 
@@ -33,27 +40,27 @@
  * now; how long a load takes then, and with more at once; whether more were too many. */
 struct rollout_model {
 	char *key;
-	struct {
+	struct rollout_pace {
 		int64_t rolled, begun;
 		int base, room, base_ms, more_ms, more, many;
 	} value;
 };
 
 struct rollout {
-	struct rollout_server *v; /* stb_ds */
-	struct rollout_model *m;  /* stb_ds */
-	uint64_t term, seq;       /* of the office; orders given in it */
+	struct rollout_server *servers; /* stb_ds */
+	struct rollout_model *models;   /* stb_ds */
+	uint64_t term, seq;             /* of the leadership; orders given in it */
 	struct rollout_order_logged {
 		char *key;
 		int64_t value;
-	} * meant;                         /* stb_ds: when orders to a server that were logged were applied here */
+	} * intents;                       /* stb_ds: when orders to a server that were logged were applied here */
 	int64_t blind;                     /* what was logged before is not known here */
-	int64_t begun, wait;               /* of the office; how long what a rollout before told must be over */
+	int64_t begun, wait;               /* of the leadership; how long what a leader before ordered must be over */
 	int barred;                        /* a server has seen a higher fence */
 	uint64_t done_stamp, done_edition; /* of what was seen and named when nothing was left to do */
 };
 
-/* Look at servers, and order what is due. Example: rollout_tick(r, now, o); */
+/* Look at the servers of the table, and order what is due. Example: rollout_tick(r, now, o); */
 void rollout_tick(struct controller *r, int64_t now, struct out *o);
 
 /* The followed table has changed; before: when the last good asking was that did not say so.
@@ -63,10 +70,10 @@
 /* A server's report. Example: rollout_report(r, &r->server[i], body, now, o); */
 void rollout_report(struct controller *r, struct controller_server *s, const char *body, int64_t now, struct out *o);
 
-/* The office that sees begins; what the one before left under way is looked at. Example: rollout_start(r, now); */
+/* Leadership of the control group begins; what the leader before left under way is looked at. Example: rollout_start(r, now); */
 void rollout_start(struct controller *r, int64_t now);
 
-/* Roll named weights out to the servers seen. Example: rollout_instances(r, now, o); */
+/* Roll named weights out to the listed servers. Example: rollout_instances(r, now, o); */
 void rollout_instances(struct controller *r, int64_t now, struct out *o);
 
 /* Answers to an order and to a look. Example: rollout_on_ordered(r, token, 202, 0, now, o); */
