--- a/tests/sim_forward.c
+++ b/tests/sim_forward.c
@@ -558,6 +558,9 @@
 	struct fw_call *c = &f->call[at];
 	int i = inst_at(f, c->addr);
 
+	if (c->over && i >= 0 && i == c->server && server_of(f, i)->keeps) /* its caller has left, and it runs all the same */
+		judge_version(f, &f->req[c->req], f->s.list.v[i].service[0] == 'a', atoi(f->s.list.v[i].weights),
+			      f->s.list.v[i].name);
 	if (c->over)
 		return;
 	if (i != c->server || misdirected(c, &f->s.list.v[i])) {
--- a/tests/sim_forward.h
+++ b/tests/sim_forward.h
@@ -55,6 +55,7 @@
 	int bare;                                              /* per mille: 503 that does not say that it was not executed */
 	int hold;                                              /* ms for which it holds what it then turns away */
 	int queue_ms;                                          /* ms that a request waits at it before it begins */
+	int keeps;                                             /* goes on with a request whose connection closes */
 	int retains;                                           /* keeps its parts over a load */
 	int watched;
 };
