--- a/lib/control/config_watch.c
+++ b/lib/control/config_watch.c
@@ -90,16 +90,17 @@
 		config_watch_hold(f, r->place[i]->name)->held = r->place[i]->held;
 }
 
-/* The leader's clock was at most what the answer says when it was asked for. Of one leader's answers the quickest tells best. */
-static void take_clock(struct config_watch *f, const struct Nl__ConfigSyncReply *r, int64_t asked_at)
+/* The leader's clock was at most what the answer says when it was asked for, and has reached that when it comes. Of one leader's
+ * answers the quickest tells best; one that shows the reckoning to be behind, as the two clocks drift, begins it anew. */
+static void take_clock(struct config_watch *f, const struct Nl__ConfigSyncReply *r, int64_t asked_at, int64_t now)
 {
-	int64_t offset = (int64_t)r->clock - asked_at;
+	int64_t offset = (int64_t)r->clock - asked_at, reached = (int64_t)r->clock - now;
 
 	if (!r->clock || !r->clock_term)
 		return;
 	for (int i = 0; i < CONFIG_WATCH_TERMS; i++)
 		if (f->group_clock[i].term == r->clock_term) {
-			if (offset < f->group_clock[i].offset)
+			if (offset < f->group_clock[i].offset || reached > f->group_clock[i].offset)
 				f->group_clock[i].offset = offset;
 			return;
 		}
@@ -299,7 +300,7 @@
 	f->leader_addr[SHARD_CONTROL] = m->addr;
 	f->leader_heard = now;
 	f->round_trip = now - asked.at;
-	take_clock(f, r, asked.at);
+	take_clock(f, r, asked.at, now);
 	if (!take_table(f, r, &asked))
 		return 0;
 	f->fleet = r->fleet;
--- a/lib/control/config_watch.h
+++ b/lib/control/config_watch.h
@@ -62,7 +62,7 @@
 	} asked[CONFIG_WATCH_ASKED];
 	struct {
 		uint64_t term;             /* 0: none */
-		int64_t offset;            /* that leader's clock less this node's; never too small */
+		int64_t offset;            /* that leader's clock less this node's; not too small */
 	} group_clock[CONFIG_WATCH_TERMS]; /* newest first */
 	int64_t fresh;                     /* when the last good answer was asked for */
 	int64_t leader_heard;              /* when the last answer of a leader with a lease came */
@@ -93,7 +93,8 @@
 /* How old the newest certain knowledge is. Example: if (config_watch_age(&f, now) > CONFIG_WATCH_CONFIG) refuse(); */
 int64_t config_watch_age(const struct config_watch *f, int64_t now);
 
-/* The control group's clock as its leader of this term counts it, as far as this node can tell: never behind. Where no answer of
+/* The control group's clock as its leader of this term counts it, as far as this node can tell: not behind, but for what the two
+ * clocks drift apart in the time that an answer is on its way. Where no answer of
  * that leader has come, or for term 0, the newest leader's: it went on from there. 0: not known.
  * Example: age = config_watch_clock(&f, naming->term, now) - naming->at; */
 int64_t config_watch_clock(const struct config_watch *f, uint64_t term, int64_t now);
--- a/lib/control/group_clock.h
+++ b/lib/control/group_clock.h
@@ -4,7 +4,7 @@
  * time that the answer took, and is never behind the leader that answered. A new leader goes on from the later of what was logged
  * and what it has heard. If all members restart at once, the clock loses the time from the last logged operation on: a moment
  * therefore names the term of the leader that counted it, and whoever heard that leader goes on reckoning by its clock.
- * Always: it does not go back. */
+ * Always: it does not go back within a term. */
 #ifndef NL_GROUP_CLOCK_H
 #define NL_GROUP_CLOCK_H
 
--- a/lib/control/naming.c
+++ b/lib/control/naming.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum { FIRST_WEIGHTS = 1 }; /* which stand everywhere before any are named */
+
 uint64_t naming_newest(const struct Nl__Row *model) { return strtoull(model->weights, NULL, 10); }
 
 static void list_add(struct naming_list *list, uint64_t weights, struct group_moment moment)
@@ -44,7 +46,7 @@
 void naming_update(struct naming_list *list, const struct Nl__Row *before, struct Nl__Row *row, struct group_moment now,
 		   uint64_t bound_passed)
 {
-	uint64_t newest = naming_newest(row), older = before ? naming_newest(before) : 1;
+	uint64_t newest = naming_newest(row), older = before ? naming_newest(before) : FIRST_WEIGHTS;
 
 	list->count = 0;
 	for (size_t i = 0; before && i < before->n_naming && i < NAMING_MOST; i++) {
@@ -52,6 +54,8 @@
 
 		list_add(list, naming->weights, (struct group_moment){ naming->at, naming->term });
 	}
+	if (newest > older && !list->count && older > FIRST_WEIGHTS) /* named before dates were kept */
+		list_add(list, older, (struct group_moment){ NAMING_UNKNOWN, 0 });
 	if (newest > older)
 		list_add(list, newest, now);
 	drop_passed(list, bound_passed);
@@ -61,10 +65,15 @@
 	row->n_naming = list->count;
 }
 
+int naming_supersedes(const struct Nl__Row *model, uint64_t weights)
+{
+	return weights < naming_newest(model) && naming_newest(model) > FIRST_WEIGHTS;
+}
+
 const struct Nl__Naming *naming_after(const struct Nl__Row *model, uint64_t weights)
 {
 	for (size_t i = 0; i < model->n_naming; i++)
 		if (model->naming[i]->weights > weights)
-			return model->naming[i];
+			return model->naming[i]->at == NAMING_UNKNOWN ? NULL : model->naming[i];
 	return NULL;
 }
--- a/lib/control/naming.h
+++ b/lib/control/naming.h
@@ -8,7 +8,10 @@
 
 #include "core.h"
 
-enum { NAMING_MOST = 64 };
+enum {
+	NAMING_MOST = 64,
+	NAMING_UNKNOWN = 0 /* the moment of weights that were named before dates were kept */
+};
 
 /* A model's namings while a row is being made; the row points into it. */
 struct naming_list {
@@ -24,12 +27,15 @@
 /* Give a row the namings of the row before it, NULL for none, and one of its own weights if they are newer. Those that were made by
  * bound_passed have had their bound: of them the newest is kept, since it forbids all older weights. Beyond NAMING_MOST two that
  * lie closest together become one, with the newer weights and the earlier date.
- * Example: naming_update(&list, before, &row, table->clock, change->bound_passed); */
+ * Example: naming_update(&list, before, &row, table->now, change->bound_passed); */
 void naming_update(struct naming_list *list, const struct Nl__Row *before, struct Nl__Row *row, struct group_moment now,
 		   uint64_t bound_passed);
 
+/* Whether newer weights than these have been named. Example: if (!naming_supersedes(model, 3)) send(server); */
+int naming_supersedes(const struct Nl__Row *model, uint64_t weights);
+
 /* The first naming of newer weights than these; NULL where none is newer, or where its date is not known.
- * Example: if (weights < naming_newest(model) && !(naming = naming_after(model, weights))) count_as_long_ago(); */
+ * Example: if (naming_supersedes(model, 3) && !(naming = naming_after(model, 3))) count_as_long_ago(); */
 const struct Nl__Naming *naming_after(const struct Nl__Row *model, uint64_t weights);
 
 /* A model's newest weights, as a number. Example: if (naming_newest(model) > 3) roll_out(); */
--- a/lib/control/rollout_instances.c
+++ b/lib/control/rollout_instances.c
@@ -324,17 +324,19 @@
 	return best;
 }
 
-/* A server that does not come to an end holds no place of others any more. */
+/* A server that does not come to an end, or has refused, holds no place of others. */
 static int holds_place(const struct controller *r, const struct rollout_server *s, int64_t now)
 {
-	return s && s->state != ROLLOUT_IDLE && now - s->ordered_at < r->b.roll_ms / ROLLOUT_STALLED;
+	int refused = s && s->state == ROLLOUT_UNSURE && now < s->retry_at;
+
+	return s && s->state != ROLLOUT_IDLE && !refused && now - s->ordered_at < r->b.roll_ms / ROLLOUT_STALLED;
 }
 
 /* A model's servers as a roll-out finds them. busy: those that hold a place among the ones that load at once. */
 struct servers_found {
 	int all, done, busy;
 	struct zone *zones; /* stb_ds */
-	int64_t *due;       /* stb_ds: of those that are yet to be told, soonest first */
+	int64_t *due;       /* stb_ds: of those that may be ordered now, soonest first */
 };
 
 static struct servers_found find_servers(struct controller *r, const struct Nl__Row *model, int64_t now, struct out *o)
@@ -358,7 +360,7 @@
 		found.busy += holds_place(r, s, now);
 		if (!out && has_weights(x->weights, model->weights))
 			found.done++;
-		else if (!out)
+		else if (may_be_ordered(r, x, now))
 			arrput(found.due, rollout_due_at(r, model, x->weights));
 		zone_of(&found.zones, x->zone, o->p)->n++;
 		zone_of(&found.zones, x->zone, o->p)->out += out;
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -37,7 +37,8 @@
 	const char *weights;         /* expected; NULL: any */
 	uint64_t from, sink;         /* fetch from and leave parts at; 0: none */
 	int prio;                    /* 0 goes first, to 9 */
-	int limit_ms;
+	int limit_ms;                /* for which its caller waits */
+	int server_limit_ms;         /* for which its server may work at it, in its queue too */
 	int64_t not_after;
 	const char *since; /* take up after this piece; NULL: as the caller said */
 	int joined;        /* the caller has a head and pieces already: only pieces go on */
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -65,12 +65,14 @@
 	ROUTER_FAILED_HALF = 3000, /* ms in which half of what was seen is forgotten */
 	ROUTER_FAILED_MS = 1500,   /* what a server costs of whose sends all broke off lately */
 	ROUTER_CALM_MARGIN = 150,
-	ROUTER_RIDE_MARGIN = 500, /* ms by which the ride ends before the strictest bound */
-	ROUTER_ROLL_EARLY = 1500, /* ms before a roll-out's bound after which older weights are sent nothing more */
-	ROUTER_ROLL_RECALL = 300, /* ms before that bound at which what has not begun on older weights is taken back */
-	ROUTER_PAUSE = 200,       /* ms between two steps after which this process counts as having stood still */
-	ROUTER_HEARD_LATE = 250,  /* ms that a request's begin may be on its way here */
-	ROUTER_RETRY = 500,       /* ms after which a refused caller may come back, at the least */
+	ROUTER_RIDE_MARGIN = 500,    /* ms by which the ride ends before the strictest bound */
+	ROUTER_ROLL_EARLY = 1500,    /* ms before a roll-out's bound after which older weights are sent nothing more */
+	ROUTER_ROLL_CAP = 4000,      /* ms before that bound from which on it is the deadline of a send to older weights */
+	ROUTER_ROLL_RECALL = 300,    /* ms before that bound at which what has not begun on older weights is taken back */
+	ROUTER_VIOLATION_LOG = 1000, /* ms between log lines on violations of an invariant */
+	ROUTER_PAUSE = 200,          /* ms between two steps after which this process counts as having stood still */
+	ROUTER_HEARD_LATE = 250,     /* ms that a request's begin may be on its way here */
+	ROUTER_RETRY = 500,          /* ms after which a refused caller may come back, at the least */
 	ROUTER_RETRY_MOST = 30000
 };
 
@@ -394,8 +396,8 @@
 	uint64_t watches, events, taken_up, wrong_life, looks, refused_stale, refused_line, refused_limit, refused_early, revoked,
 	    blind;
 	uint64_t recalled;         /* sends taken back because they had not begun shortly before their weights' bound */
-	uint64_t sent_past_bound;  /* sends to servers whose weights were past their bound; it is always 0 */
-	uint64_t begun_past_bound; /* requests that began on weights past their bound; it is always 0 */
+	uint64_t sent_past_bound;  /* sends to servers whose weights were past their bound: a fault, if any */
+	uint64_t begun_past_bound; /* requests that began on weights past their bound: a fault, if any */
 };
 
 struct router_use {
@@ -430,6 +432,7 @@
 	apr_pool_t *scratch;
 	uint64_t *generation;        /* stb_ds, by scope and slice; emptied when a clearing or another route_table comes */
 	int64_t now;                 /* of the step under way */
+	int64_t violation_logged_at; /* 0: never */
 	int64_t paused_at;           /* when this process last went on after it had stood still; 0: never */
 	int64_t left_at, cleared_at; /* a look at what servers still name began; the last clearing was heard of whole */
 	ptrdiff_t left_pos;          /* how much of the index that look has before it */
--- a/lib/data/router_send.c
+++ b/lib/data/router_send.c
@@ -114,6 +114,17 @@
 	count_send(c, x, pl, now);
 }
 
+/* How long a server may work at a request. Shortly before the end of its weights not longer than until then: a server that goes on
+ * with a request after its connection has closed would begin it past their bound, and turns away what its deadline has passed for. */
+static int server_limit(const struct router *c, const struct client_request *x, int64_t now)
+{
+	int64_t limit = x->limit - now, weights = router_weights_end(c, x->service, x->weights, now);
+
+	if (weights != INT64_MAX && weights - now < ROUTER_ROLL_CAP && weights - now < limit)
+		limit = weights - now;
+	return (int)limit;
+}
+
 /* The text goes from the door; here is whom to, and what for. */
 /* NOLINTNEXTLINE(readability-function-size): to be cut, issue 18 */
 void router_forward(struct router *c, struct client_request *x, const struct plan *pl, int64_t now, struct out *o)
@@ -164,6 +175,7 @@
 	f->from = pl->from >= 0 ? c->server_table->server[pl->from].to : 0;
 	f->prio = (int)x->prio;
 	f->limit_ms = (int)(x->limit - now);
+	f->server_limit_ms = server_limit(c, x, now);
 	f->not_after = c->f.fresh + router_ride(c) + 200; /* a frozen process must not send what was decided before */
 	last_send = router_weights_last_send(c, x->service, x->weights, now);
 	if (f->not_after > last_send)
--- a/lib/data/router_weights.c
+++ b/lib/data/router_weights.c
@@ -20,7 +20,7 @@
 	const struct Nl__Naming *newer;
 	int64_t clock;
 
-	if (!model || weights == c->route_table->service[service].weights || weights_number(c, weights) >= naming_newest(model))
+	if (!model || weights == c->route_table->service[service].weights || !naming_supersedes(model, weights_number(c, weights)))
 		return INT64_MAX;
 	newer = naming_after(model, weights_number(c, weights));
 	clock = newer ? config_watch_clock(&c->f, newer->term, now) : 0;
@@ -74,12 +74,14 @@
 
 /* ---- the invariant ---------------------------------------------------------------------------- */
 
+/* All are counted, and one a second is logged. */
 static void log_violation(struct router *c, const char *what, const struct client_request *x, int64_t late_ms)
 {
 	char line[400];
 
-	if (!c->log)
+	if (!c->log || (c->violation_logged_at && c->now - c->violation_logged_at < ROUTER_VIOLATION_LOG))
 		return;
+	c->violation_logged_at = c->now;
 	snprintf(line, sizeof line, "A request %s on weights %.60s of %.60s at %.60s, %" PRId64 " ms past their bound.", what,
 		 c->weights.name[x->weights], c->services.name[x->service], c->servers.name[x->server], late_ms);
 	c->log(c->log_ctx, "invariant", line);
--- a/rehearsal/stand.h
+++ b/rehearsal/stand.h
@@ -298,6 +298,7 @@
 	int version, loading_to, call_seq;
 	int method; /* 0 hold, 1 preempt, 2 retain */
 	int64_t fence;
+	int64_t read_again_at; /* when it last began to read again after it was silent, in ms of the run; 0: never */
 	char holder[64];
 	struct work **run, **wait; /* stb arrays */
 	struct kept_part *part;    /* stb array */
--- a/rehearsal/stand_server.c
+++ b/rehearsal/stand_server.c
@@ -121,6 +121,7 @@
 		loop_drop(s->f->l, s->step_timer);
 		s->step_timer = 0;
 	} else {
+		s->read_again_at = fleet_ms(s->f);
 		set_going(s);
 		watchers_look(s);
 	}
--- a/tests/sim_forward.h
+++ b/tests/sim_forward.h
@@ -78,6 +78,7 @@
 	char name[32], cache_namespace[64];
 	int tenant, weights, joined, stream, repeatable, last, from, next, die, fate, shown;
 	int64_t not_after, sent_at, wait_until;
+	int64_t arrived_at;
 	int64_t began_at; /* when its server began to work for it; 0: it has not */
 	uint64_t addr, fetch, sink, since, horizon;
 	int begun, told, pieces, status, limit_ms, prio, current, run_weights;
