Soak: a run whose disk stood still is not held against the fleet

Nothing could be synced. The soak asked the kernel about processors, not about the disk.

Any other breach fails it as before; no rule of the judge has changed.

--- a/rehearsal/stand.c
+++ b/rehearsal/stand.c
@@ -732,6 +732,14 @@
 	return 0;
 }
 
+int disk_explains_all(const struct disk_stall *stalls, int n, const struct breach *b, int breaches, int64_t reach)
+{
+	for (int i = 0; i < breaches; i++)
+		if (!disk_explains(stalls, n, b[i].t, reach))
+			return 0;
+	return breaches > 0 && !timeless(b, breaches);
+}
+
 /* The gate: at most 60% of the requests are refused or fail. */
 static int gate_broken(const struct run *r)
 {
@@ -750,6 +758,7 @@
 static void timed_verdict(struct run *r, int broken, int gate, const struct breach *b, int n)
 {
 	int at_stake = judge_version_at_stake(r->j);
+	int64_t longest = r->latest * r->slack;
 
 	printf("VERSION was judged on %d requests; tries over kept connections to processes told to end: %d\n", at_stake,
 	       r->fig.leaving);
@@ -758,10 +767,33 @@
 		r->missed = "too little was served";
 	else if (!broken && !at_stake)
 		r->missed = "no request began when the rule VERSION could have been broken";
+	printf("a small sync took at most %lld ms; %d took more than %lld ms\n", (long long)r->disk_most, r->disk_stalls,
+	       (long long)longest);
+	for (int i = 0; i < r->disk_stalls; i++)
+		printf("the disk stood still from %lld to %lld ms\n", (long long)r->disk_stall[i].from,
+		       (long long)r->disk_stall[i].to);
+	if (broken && !r->f.old_used && disk_explains_all(r->disk_stall, r->disk_stalls, b, n, r->b.version + r->b.contact))
+		r->missed = "the disk stood still before each breach: what depends on time is nobody's fault here";
 	if (broken && is_late(r) && !timeless(b, n))
 		r->missed = "this process or one under test was held up: what depends on time is nobody's fault here";
 }
 
+static void hold_and_watch(struct run *r)
+{
+	if (r->core_share > 0 || r->router_share > 0)
+		quota_hold(r);
+	if (r->latest)
+		r->disk_watch = disk_watch_open(r->folder, r->f.start, r->latest * r->slack, fdatasync);
+}
+
+static void disk_watch_end(struct run *r)
+{
+	if (!r->disk_watch)
+		return;
+	r->disk_stalls = disk_watch_close(r->disk_watch, r->disk_stall, MOST_DISK_STALLS, &r->disk_most);
+	r->disk_watch = NULL;
+}
+
 static int one_run(struct run *r, const char *deployment, int k, const char *report)
 {
 	const struct breach *b = NULL;
@@ -769,8 +801,7 @@
 
 	if (!set_up(r, deployment))
 		goto end;
-	if (r->core_share > 0 || r->router_share > 0)
-		quota_hold(r);
+	hold_and_watch(r);
 	clients_traffic(r->clients, 1);
 	scenarios[k].fn(r);
 	clients_traffic(r->clients, 0);
@@ -780,6 +811,7 @@
 		goto end;
 	operator_read_back(r->op);
 	wait_for(r, 6 * r->b.contact, read_back);
+	disk_watch_end(r);
 	n = judge_all(r->j, run_ms(r), &b);
 	report_print(r, b, n);
 	if (report && !report_write(r, report, b, n))
@@ -803,6 +835,7 @@
 	if (r->op)
 		operator_close(r->op);
 	quota_release(r);
+	disk_watch_end(r);
 	machines_end(r);
 	if (invariant_lines(r))
 		rc = 1;
--- a/tests/test_stand.c
+++ b/tests/test_stand.c
@@ -1,7 +1,9 @@
 /* The stand-in of the users' platform, tried by itself: the judge catches a breach of each rule and lets its mended
  * twin pass; servers, store and list speak as the pages say. */
+#include <sched.h>
 #include <setjmp.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
@@ -1729,6 +1731,97 @@
 	fclose(f);
 }
 
+enum { DISK_BOUND_MS = 10, DISK_SLOW_MS = 25, DISK_SYNCS_BEFORE = 2, DISK_LIMIT_MS = 5000 };
+
+static atomic_int disk_syncs;
+
+static void spend(int ms)
+{
+	int64_t until = loop_us() + ms_us(ms);
+
+	while (loop_us() < until)
+		;
+}
+
+/* The third sync and those after it take longer than the bound; those before are over at once. */
+static int third_sync_is_slow(int fd)
+{
+	(void)fd;
+	if (++disk_syncs > DISK_SYNCS_BEFORE)
+		spend(DISK_SLOW_MS);
+	return 0;
+}
+
+static int every_sync_is_refused(int fd)
+{
+	(void)fd;
+	spend(DISK_SLOW_MS);
+	disk_syncs++;
+	return -1;
+}
+
+/* Watch until so many syncs have begun; then close, though the last may be under way. */
+static int watched_stalls(int (*sync)(int fd), int syncs, struct disk_stall *stalls, int most, int64_t *longest)
+{
+	int64_t limit = loop_us() + ms_us(DISK_LIMIT_MS);
+	char folder[] = "/tmp/stand-XXXXXX", path[700];
+	struct disk_watch *watch;
+	int n;
+
+	disk_syncs = 0;
+	assert_non_null(mkdtemp(folder));
+	watch = disk_watch_open(folder, loop_us(), DISK_BOUND_MS, sync);
+	assert_non_null(watch);
+	while (disk_syncs < syncs && loop_us() < limit)
+		sched_yield();
+	assert_true(disk_syncs >= syncs);
+	n = disk_watch_close(watch, stalls, most, longest);
+	snprintf(path, sizeof path, "%s/disk-watch", folder);
+	unlink(path);
+	rmdir(folder);
+	return n;
+}
+
+static void stalls_of_the_disk_are_seen(void **st)
+{
+	struct disk_stall stall[8];
+	int64_t longest;
+	int n;
+
+	(void)st;
+	n = watched_stalls(third_sync_is_slow, DISK_SYNCS_BEFORE + 1, stall, 8, &longest);
+	assert_true(n >= 1); /* the one that was under way as the watch was closed, too */
+	assert_true(longest >= DISK_SLOW_MS - 1);
+	assert_true(stall[n - 1].to - stall[n - 1].from >= DISK_SLOW_MS - 1);
+	assert_int_equal(watched_stalls(every_sync_is_refused, 2, stall, 8, &longest), 0); /* refused is not stalled */
+	assert_int_equal(longest, 0);
+	assert_int_equal(disk_watch_close(NULL, stall, 8, &longest), 0);
+	assert_null(disk_watch_open("/nowhere", loop_us(), DISK_BOUND_MS, third_sync_is_slow));
+}
+
+/* A stall excuses what depends on time, for so long after it, and nothing before it. */
+static void a_stall_of_the_disk_explains_what_follows_it_for_a_while(void **st)
+{
+	const struct disk_stall stall[] = { { 1000, 1400 }, { 20000, 28000 } };
+	struct breach b[] = { { "ACKS", 24000, "" }, { "VERSION", 37000, "" } };
+
+	(void)st;
+	assert_false(disk_explains(stall, 2, 999, 9000));
+	assert_true(disk_explains(stall, 2, 1000, 9000));
+	assert_true(disk_explains(stall, 2, 10400, 9000));
+	assert_false(disk_explains(stall, 2, 10401, 9000));
+	assert_false(disk_explains(stall, 2, 19999, 9000));
+	assert_true(disk_explains(stall, 2, 37000, 9000));
+	assert_false(disk_explains(stall, 0, 24000, 9000));
+	assert_true(disk_explains_all(stall, 2, b, 2, 9000));
+	assert_false(disk_explains_all(stall, 2, b, 0, 9000)); /* what broke then is something else */
+	b[1].t = 37001;                                        /* one of them is too late: the run has failed */
+	assert_false(disk_explains_all(stall, 2, b, 2, 9000));
+	b[1].t = 37000;
+	snprintf(b[1].rule, sizeof b[1].rule, "ONE"); /* no delay excuses that one */
+	assert_false(disk_explains_all(stall, 2, b, 2, 9000));
+}
+
 static void broken_invariants_are_found_in_logs(void **st)
 {
 	struct run *run = calloc(1, sizeof *run);
@@ -2294,6 +2387,8 @@
 		cmocka_unit_test(orders_are_fenced_counted_and_drop_what_was_kept),
 		cmocka_unit_test(loads_are_refused_or_slow),
 		cmocka_unit_test(broken_invariants_are_found_in_logs),
+		cmocka_unit_test(stalls_of_the_disk_are_seen),
+		cmocka_unit_test(a_stall_of_the_disk_explains_what_follows_it_for_a_while),
 		cmocka_unit_test(preempted_streams_are_reset_and_retained_ones_tell),
 		cmocka_unit_test(the_urgent_go_first_and_the_late_are_turned_away),
 		cmocka_unit_test(health_and_report_tell_what_they_should),
