Roll-out: loads that a leader before ordered hold their places

Cause: a leader that takes over marks servers that load as not sure, without a moment; counted from 0 they had stalled long ago, and it ordered as many again beside them. Before: 4 servers load at once after the leader's death, 2 in calm.

--- a/lib/control/rollout_instances.c
+++ b/lib/control/rollout_instances.c
@@ -324,12 +324,18 @@
 	return best;
 }
 
+/* When a server was ordered, at the latest: one that a leader before ordered loads since before this leadership. */
+static int64_t ordered_since(const struct controller *r, const struct rollout_server *s)
+{
+	return s->ordered_at ? s->ordered_at : r->rollout.begun;
+}
+
 /* A server that does not come to an end, or has refused, holds no place of others. */
 static int holds_place(const struct controller *r, const struct rollout_server *s, int64_t now)
 {
 	int refused = s && s->state == ROLLOUT_UNSURE && now < s->retry_at;
 
-	return s && s->state != ROLLOUT_IDLE && !refused && now - s->ordered_at < r->b.roll_ms / ROLLOUT_STALLED;
+	return s && s->state != ROLLOUT_IDLE && !refused && now - ordered_since(r, s) < r->b.roll_ms / ROLLOUT_STALLED;
 }
 
 /* A model's servers as a roll-out finds them. busy: those that hold a place among the ones that load at once. */
@@ -506,7 +512,7 @@
 		instances_set_weights(&r->instances, s->name, weights, 1, now);
 		return;
 	}
-	if (!has_weights(weights, s->weights) && s->looked_at < s->ordered_at + ROLLOUT_DATED)
+	if (!has_weights(weights, s->weights) && s->looked_at < ordered_since(r, s) + ROLLOUT_DATED)
 		return; /* the report may be older than the order */
 	if (!strcmp(weights, s->weights))
 		rollout_pace_learn(r, s, model, now);
--- a/tests/test_weights_review.c
+++ b/tests/test_weights_review.c
@@ -25,6 +25,7 @@
 	POOL = 0,
 	ROLL_MS = 12000,
 	LOAD_MS = 900,
+	LONG_LOAD_MS = 2900, /* under a quarter of the bound; longer than a leader is missing */
 	SLOW_LOAD_MS = 4200, /* over a quarter of the bound */
 	SETTLE_MS = 2000,
 	SAMPLE_MS = 20,
@@ -154,6 +155,42 @@
 	}
 }
 
+static void long_loads(struct fw *f)
+{
+	bounds(f);
+	f->s.list.load_ms = LONG_LOAD_MS;
+}
+
+/* The most servers that load at once while the first ones of a roll-out do, in which the leader may die while servers load. */
+static int most_over_a_leaders_death(uint64_t seed, int dies)
+{
+	struct fw *f = open_fleet(seed, long_loads);
+	int64_t named;
+	int before, after;
+
+	go(f, SETTLE_MS);
+	named = name(f, 2);
+	before = most_loading(f, named + 500 + (int64_t)seed * 150);
+	if (dies)
+		sim_crash(&f->s, sim_owner(&f->s, SHARD_CONTROL), 0);
+	after = most_loading(f, named + LONG_LOAD_MS);
+	teardown(NULL);
+	return before > after ? before : after;
+}
+
+/* Whoever takes over counts the loads of the leader before among those that go on at once. */
+static void loads_that_are_taken_over_hold_their_places(void **st)
+{
+	(void)st;
+	for (uint64_t seed = 1; seed <= 6; seed++) {
+		int calm = most_over_a_leaders_death(seed, 0), died = most_over_a_leaders_death(seed, 1);
+
+		print_message("seed %llu: at most %d servers load at once, %d if the leader dies\n", (unsigned long long)seed, calm,
+			      died);
+		assert_true(died <= calm);
+	}
+}
+
 static void busy_fleet(struct fw *f)
 {
 	bounds(f);
@@ -651,6 +688,7 @@
 		cmocka_unit_test_teardown(healthy_servers_are_not_starved, teardown),
 		cmocka_unit_test_teardown(all_controllers_restart_after_idle_time, teardown),
 		cmocka_unit_test_teardown(slow_loads_hold_their_places, teardown),
+		cmocka_unit_test_teardown(loads_that_are_taken_over_hold_their_places, teardown),
 	};
 	int rc;
 
