--- a/tests/test_naming.c
+++ b/tests/test_naming.c
@@ -122,6 +122,7 @@
 		model = name((unsigned)weights, weights * every_ms);
 		assert_true(model->n_naming <= NAMING_MOST);
 	}
+	print_message("a model's row with %d namings: %d bytes\n", (int)model->n_naming, (int)nl__row__get_packed_size(model));
 	for (uint64_t weights = namings - BOUND_MS / every_ms + 1; weights + 1 < namings; weights++) {
 		uint64_t named = (weights + 1) * every_ms, date = date_after(model, weights);
 
