HTTP client: an answer to another request is passed over, not taken for a break

Cause: a server that says an earlier request's answer late, in the slot where the next one is due, made the router close that connection and count the send as broken off. The id tells the two apart, and the request's own answer follows. Before: an_answer_to_another_request_is_passed_over fails (a request goes to a second server, or is not answered); after: passes. At most four such answers are passed over on a connection, which is closed afterwards; an answer without an id still ends the send.

--- a/lib/shell/http.h
+++ b/lib/shell/http.h
@@ -113,6 +113,10 @@
 /* Give a call up: its connection is closed; nothing more is heard of it. Example: http_cancel(h, token); */
 void http_cancel(struct http *h, uint64_t token);
 
+/* From within head: this answer belongs to another request, whose server said it late or twice. It is passed over, and the call's
+ * own is still to come: head is called again. Example: if (!is_ours(f, nf)) http_skip_answer(h, token); */
+void http_skip_answer(struct http *h, uint64_t token);
+
 /* Whether any byte of a call that is under way has left. Example: if (!http_sent(h, token)) http_cancel(h, token); */
 int http_sent(struct http *h, uint64_t token);
 
--- a/lib/shell/http_client.c
+++ b/lib/shell/http_client.c
@@ -211,19 +211,54 @@
 	}
 }
 
+static int client_bytes(struct conn *c, const char *d, size_t n);
+
+/* An answer to another request is over; what stands behind it, or is to come, is the next one. */
+static int client_next_answer(struct conn *c, const char *behind, size_t n)
+{
+	char *copy = NULL;
+	int over;
+
+	c->k.skipping = 0;
+	if (++c->k.skipped > ANSWERS_SKIPPED || c->hd.close) {
+		client_broken(c);
+		return 1;
+	}
+	if (n) { /* it may stand in the buffer that is emptied here */
+		copy = malloc(n);
+		if (!copy)
+			abort();
+		memcpy(copy, behind, n);
+	}
+	http_buffer_free(c->h, &c->in);
+	c->st = ST_ANSWER;
+	c->scan = 0;
+	c->hd = (struct head){ .keep_s = -1 };
+	over = n ? client_bytes(c, copy, n) : 0;
+	free(copy);
+	return over;
+}
+
 /* Whole, with surplus bytes behind it or not. */
-static int client_whole(struct conn *c, size_t surplus)
+static int client_whole(struct conn *c, const char *behind, size_t surplus)
 {
+	if (c->k.skipping)
+		return client_next_answer(c, behind, surplus);
 	/* the server counts from when it answered: after a freeze that may be long ago */
 	c->k.until = c->h->looked + keep_ms(&c->hd);
-	http_client_end(c, HTTP_WHOLE, !surplus && !c->hd.close && !c->out.len && !c->k.cut);
+	http_client_end(c, HTTP_WHOLE, !surplus && !c->k.skipped && !c->hd.close && !c->out.len && !c->k.cut);
 	return 1;
 }
 
+static void client_pass_body(struct conn *c, const char *d, size_t n)
+{
+	if (n && !c->k.skipping)
+		c->h->on.body(c->h->on.ctx, c->k.token, d, n);
+}
+
 /* Bytes of the body. Returns 1 when the call is over. */
 static int client_rest(struct conn *c, const char *d, size_t n)
 {
-	struct http *h = c->h;
 	const char *p = NULL;
 	size_t pn;
 	ssize_t k;
@@ -232,30 +267,27 @@
 	case FR_LENGTH:
 		pn = n < c->left ? n : (size_t)c->left;
 		c->left -= pn;
-		if (pn)
-			h->on.body(h->on.ctx, c->k.token, d, pn);
+		client_pass_body(c, d, pn);
 		if (c->dead)
 			return 1;
-		return c->left ? 0 : client_whole(c, n - pn);
+		return c->left ? 0 : client_whole(c, d + pn, n - pn);
 	case FR_CHUNKED:
 		while (n && c->ck.at != CH_DONE) {
 			if ((k = http_chunk_step(&c->ck, d, n, &p, &pn)) < 0) {
 				client_broken(c);
 				return 1;
 			}
-			if (pn)
-				h->on.body(h->on.ctx, c->k.token, p, pn);
+			client_pass_body(c, p, pn);
 			if (c->dead)
 				return 1;
 			d += k;
 			n -= (size_t)k;
 		}
-		return c->ck.at == CH_DONE ? client_whole(c, n) : 0;
+		return c->ck.at == CH_DONE ? client_whole(c, d, n) : 0;
 	case FR_EOF:
-		if (n)
-			h->on.body(h->on.ctx, c->k.token, d, n);
+		client_pass_body(c, d, n);
 		return c->dead;
-	default: return client_whole(c, n);
+	default: return client_whole(c, d, n);
 	}
 }
 
@@ -304,7 +336,7 @@
 
 static void client_eof(struct conn *c)
 {
-	if (c->st == ST_REST && c->k.in == FR_EOF && c->hd.close)
+	if (c->st == ST_REST && c->k.in == FR_EOF && c->hd.close && !c->k.skipping)
 		http_client_end(c, HTTP_WHOLE, 0);
 	else
 		client_broken(c);
@@ -428,6 +460,14 @@
 	http_conn_close(c, 1);
 }
 
+void http_skip_answer(struct http *h, uint64_t token)
+{
+	struct conn *c = hmget(h->calls, token);
+
+	if (c)
+		c->k.skipping = 1;
+}
+
 int http_sent(struct http *h, uint64_t token)
 {
 	struct conn *c = hmget(h->calls, token);
--- a/lib/shell/http_internal.h
+++ b/lib/shell/http_internal.h
@@ -25,6 +25,7 @@
 	LINGER_MS = 2000,    /* for a caller to take an answer after which we close */
 	LEAVE_IDLE_MS = 200, /* at a door that leaves, for a request that was on its way when the answer before it ended */
 	BACKLOG = 1024,      /* connections that the kernel keeps until they are accepted */
+	ANSWERS_SKIPPED = 4, /* answers to other requests that a call passes over on its connection */
 	KEPT_MS = 4000,
 	CONNECT_MS = 3000,
 	USER_TIMEOUT = 3000,
@@ -119,6 +120,8 @@
 	uint64_t token;
 	int64_t not_after, limit_at, until; /* until: a kept one may be used */
 	int connect_ms, fresh, is_head, sent, cut;
+	int skipping; /* the answer being read belongs to another request: nothing of it is passed on */
+	int skipped;  /* such answers on this connection */
 	struct conn *next, *prev;
 	enum framing in;
 };
--- a/tests/test_connections.c
+++ b/tests/test_connections.c
@@ -100,6 +100,7 @@
 	ACT_SURPLUS_REFUSAL,
 	ACT_FOREIGN,
 	ACT_FOREIGN_REFUSAL,
+	ACT_FOREIGN_THEN_OWN,
 	ACT_GARBAGE,
 	ACT_TOO_SHORT,
 	ACT_TOO_LONG,
@@ -436,6 +437,13 @@
 		if (dice(2))
 			say_answer(s, whole_answer(200, id, run, body, n, FRAME_LENGTH, extra), SIZE_MAX, at + (int64_t)dice(200));
 		break;
+	case ACT_FOREIGN_THEN_OWN:
+		at = say_answer(s,
+				whole_answer(200, other, (int)dice((uint64_t)run + 1), "other", 5,
+					     dice(2) ? FRAME_LENGTH : FRAME_CHUNKED, extra),
+				SIZE_MAX, odd(s, at));
+		say_answer(s, whole_answer(200, id, run, body, n, FRAME_LENGTH, extra), SIZE_MAX, at + (int64_t)dice(200));
+		break;
 	case ACT_FOREIGN_REFUSAL:
 		at = say_answer(s,
 				whole_answer((int[]){ 503, 421, 429 }[dice(3)], dice(4) ? other : NULL, -1, "no", 2, FRAME_LENGTH,
@@ -555,7 +563,8 @@
 		return calm_acts[dice(sizeof calm_acts / sizeof *calm_acts)];
 	a = dice(3) ? ACT_ANSWER + dice(2) : (enum act)dice(ACTS);
 
-	if (w.honest_ids && (a == ACT_SURPLUS || a == ACT_SURPLUS_REFUSAL || a == ACT_FOREIGN || a == ACT_FOREIGN_REFUSAL))
+	if (w.honest_ids && (a == ACT_SURPLUS || a == ACT_SURPLUS_REFUSAL || a == ACT_FOREIGN || a == ACT_FOREIGN_REFUSAL ||
+			     a == ACT_FOREIGN_THEN_OWN))
 		a = ACT_ANSWER;
 	return a;
 }
@@ -643,7 +652,7 @@
 	}
 	sum.acts[s->act]++;
 	sum.surplus += s->act == ACT_SURPLUS || s->act == ACT_SURPLUS_REFUSAL;
-	sum.foreign += s->act == ACT_FOREIGN || s->act == ACT_FOREIGN_REFUSAL;
+	sum.foreign += s->act == ACT_FOREIGN || s->act == ACT_FOREIGN_REFUSAL || s->act == ACT_FOREIGN_THEN_OWN;
 	serve(s, id, atoi(since));
 	snprintf(s->last_id, sizeof s->last_id, "%s", id);
 }
@@ -1504,6 +1513,25 @@
 		}
 }
 
+/* Where a server says an earlier request's answer late, a request's own answer behind it still reaches its client, whole, and the
+ * request goes to no second server. */
+static void an_answer_to_another_request_is_passed_over(void **st)
+{
+	static const enum act acts[] = { ACT_FOREIGN_THEN_OWN };
+
+	(void)st;
+	for (uint64_t seed = 1; seed <= 40; seed++)
+		for (int route = 0; route < ROUTES; route++) {
+			int no;
+
+			quiet_world(seed);
+			no = ask_scripted((enum route)route, acts, 1, DRAIN_MS);
+			assert_int_equal(arrlen(w.requests[no].wires), 1);
+			assert_int_equal(w.requests[no].told, 1);
+			quiet_end(seed);
+		}
+}
+
 /* What was turned away in its own name goes to another server, and is answered. */
 static void a_refusal_of_this_request_is_a_promise(void **st)
 {
@@ -1823,6 +1851,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_refusal_of_another_request_is_no_promise),
+		cmocka_unit_test(an_answer_to_another_request_is_passed_over),
 		cmocka_unit_test(a_refusal_of_this_request_is_a_promise),
 		cmocka_unit_test(only_events_are_taken_up),
 		cmocka_unit_test(a_connection_ages_in_a_freeze),
