Router: one record for each decision, summed by route; placement in modules of its own

Cause: a router could not say why it chose a server. Each send now has a record: why (kept there, fetched, home, by load, nothing else open), how many servers were open, tokens kept, moved and read, the wait expected and the one that came. Sums and histograms by route are told as /metrics in the Prometheus text format. router_assign.c is cut: placement (candidates, sources, cost), cost (load, room, moves), prefix (generations, depths), decision, metrics. A table of mechanisms names what an experiment may switch off. Prefix lookups are there and not asked yet.

--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -106,6 +106,9 @@
 		{ "refused_early", c->n.refused_early },
 		{ "revoked", c->n.revoked },
 		{ "blind", c->n.blind },
+		{ "lookups_used", c->n.lookups_used },
+		{ "lookups_missed", c->n.lookups_missed },
+		{ "lookups_answered", c->n.lookups_answered },
 		{ "recalled", c->n.recalled },
 		{ "sent_past_bound", c->n.sent_past_bound },
 		{ "begun_past_bound", c->n.begun_past_bound },
@@ -289,6 +292,8 @@
 		for (size_t i = 0; i < m->kept_all->n_k; i++)
 			router_on_kept(c, m->kept_all->k[i], now);
 		break;
+	case NL__MSG__BODY_PREFIX_ASK: router_on_prefix_ask(c, m, o); break;
+	case NL__MSG__BODY_PREFIX_REPLY: router_on_prefix_reply(c, m->prefix_reply, now); break;
 	case NL__MSG__BODY_REPORT: router_on_passed_report(c, m->report, now, o); break;
 	case NL__MSG__BODY_FOLLOW: { /* a seed need not be a controller: say whom to ask */
 		struct Nl__ConfigSyncReply *a = OUT_NEW(o, Nl__ConfigSyncReply, NL__CONFIG_SYNC_REPLY__INIT);
@@ -380,6 +385,8 @@
 			out_answer(o, ev->u.web.token, 200, 0, router_usage(c, o->p));
 		else if (!strcmp(ev->u.web.path, "/v1/state"))
 			out_answer(o, ev->u.web.token, 200, 0, state_json(c, now, o->p));
+		else if (!strcmp(ev->u.web.path, "/metrics"))
+			out_answer(o, ev->u.web.token, 200, 0, router_metrics(c, now, o->p));
 		else
 			out_answer(o, ev->u.web.token, 404, 0, router_error_json(o->p, "path: no such call", "refused"));
 		break;
@@ -427,6 +434,7 @@
 	c->opened = now;
 	c->first_watch_bytes = ROUTER_FIRST_WATCH_BYTES;
 	c->zone_hash = core_hashs(0, zone);
+	router_lookup_open(c);
 	config_watch_open(&c->f, id, seeds, n, now);
 	c->f.zone = zone;
 	c->f.counter = 1;
@@ -451,6 +459,8 @@
 	arrfree(c->left);
 	arrfree(c->depth);
 	arrfree(c->server_hash);
+	arrfree(c->decisions);
+	hmfree(c->server_at);
 	router_names_clear(&c->lanes);
 	router_names_clear(&c->tenants);
 	router_names_clear(&c->services);
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -5,7 +5,9 @@
 
 #include "config_watch.h"
 #include "kept.h"
+#include "mechanism.h"
 #include "purge.h"
+#include "router_decision.h"
 
 enum {
 	ROUTER_LOOK = 500,         /* ms between looks at a server's report */
@@ -268,6 +270,22 @@
 	struct bk_key *key;     /* stb_ds: digest -> tenant */
 };
 
+/* Generations of weights that servers of a service have at once, as far as they are told apart. */
+enum { GENERATIONS = 4 };
+
+/* A server that keeps leading parts of a prompt under a cache namespace, as the head of the zone has said. */
+struct prefix_holder {
+	uint32_t server, depth;
+	uint64_t cache_namespace;
+};
+
+enum lookup_state {
+	LOOKUP_NONE,  /* nobody was asked, or is waited for */
+	LOOKUP_ASKED, /* the answer is waited for */
+	LOOKUP_ANSWERED,
+	LOOKUP_MISSED /* no answer came in time */
+};
+
 enum request_state { REQUEST_WAITING, REQUEST_CLAIMING, REQUEST_RUNNING };
 
 /* How a request that was taken ended. Each has exactly one outcome: router_outcome.c. */
@@ -314,6 +332,12 @@
 	uint64_t cache_namespace; /* of its send */
 	uint64_t filed;           /* scope and generation of that cache_namespace */
 	double guess;             /* ms that its first piece should take */
+	struct decision decision; /* of its newest send */
+	enum lookup_state lookup; /* of its prefix, with the head of the zone */
+	int64_t lookup_at, lookup_until;
+	uint64_t lookup_namespace[GENERATIONS]; /* as they were asked for */
+	int lookup_namespaces, nholder;
+	struct prefix_holder *holder; /* as it was answered */
 };
 
 /* still: since when its head has waited; gap: the usual ms between two heads that leave */
@@ -395,6 +419,7 @@
 	uint64_t taken, sends, resends, pieces, tokens, reused, fetched, cold, claims;
 	uint64_t watches, events, taken_up, wrong_life, looks, refused_stale, refused_line, refused_limit, refused_early, revoked,
 	    blind;
+	uint64_t lookups_used, lookups_missed, lookups_answered; /* of prefixes: in time; not; for others */
 	uint64_t recalled;         /* sends taken back because they had not begun shortly before their weights' bound */
 	uint64_t sent_past_bound;  /* sends to servers whose weights were past their bound: a fault, if any */
 	uint64_t begun_past_bound; /* requests that began on weights past their bound: a fault, if any */
@@ -428,6 +453,16 @@
 	} * shelves;           /* stb_ds: a cache_namespace's name as it goes to servers -> weights */
 	int *depth;            /* stb_ds, by server: leading parts kept there; of the assigning under way */
 	uint64_t *server_hash; /* stb_ds, by server: of its name, so that every router ranks alike */
+	struct {
+		uint64_t key;
+		uint32_t value;
+	} * server_at; /* stb_ds: by that hash */
+	struct {
+		double round_trip_ms; /* of answers, lately */
+		int misses;           /* in a row */
+		int64_t probe_at;     /* when a head that does not answer is asked again */
+	} lookup;
+	struct decision_counts **decisions; /* stb_ds, by lane; NULL: none yet */
 	uint64_t zone_hash;
 	apr_pool_t *scratch;
 	uint64_t *generation;        /* stb_ds, by scope and slice; emptied when a clearing or another route_table comes */
--- a/lib/data/router_internal.h
+++ b/lib/data/router_internal.h
@@ -10,23 +10,71 @@
 struct plan {
 	int server, keep, from, upto;
 	double cost, fetch, move; /* ms: fetch with its wait, move of the link alone */
+	enum decision_reason reason;
+	uint32_t candidates; /* that were open */
+};
+
+/* Servers of a service that have the same weights, as seen by one request. */
+struct generation {
+	uint32_t weights;
+	uint64_t cache_namespace; /* hash of its name */
+	int store_depth;          /* leading parts that the store keeps */
+	int source, source_depth; /* the server or store to fetch from, and how many leading parts it keeps; -1: none */
+};
+
+/* What is under way at a server: requests, tokens still to be read, tokens in its memory. */
+struct server_load {
+	uint32_t running;
+	uint64_t ahead, tokens;
 };
 
 /* router_assign.c */
 struct plan router_assign(struct router *c, const struct client_request *x, int64_t now);
+int router_avoids(const struct client_request *x, uint32_t s, int64_t now);
+double router_link_slowness(struct router *c, uint32_t from, uint32_t to, int64_t now);
+void router_learn_fetch(struct router *c, const struct client_request *x, int64_t took, int brought, int64_t now);
+int router_standing(const struct router *c, uint32_t s, int64_t now);
+uint64_t router_tokens_upto(const struct client_request *x, int n);
+const struct kept_copy *router_usable(struct router *c, const struct client_request *x, uint64_t hash, uint32_t server,
+				      uint32_t weights);
+/* router_placement.c */
 struct plan router_assign_forward(struct router *c, const struct client_request *x, int64_t now);
 const char *router_cache_namespace(struct router *c, const struct client_request *x, uint32_t weights, apr_pool_t *p);
-void router_link_use(struct router *c, uint32_t s, double ms, int64_t now);
 uint64_t router_sink(struct router *c, const struct client_request *x, uint64_t cache_namespace, int64_t now);
-uint32_t router_brings(const struct client_request *x, int keep);
 int router_store_of(const struct router *c, const struct client_request *x);
 uint64_t router_kept_key(uint64_t cache_namespace, uint64_t id);
-void router_learn_fetch(struct router *c, const struct client_request *x, int64_t took, int brought, int64_t now);
-int router_standing(const struct router *c, uint32_t s, int64_t now);
 uint64_t router_home_part(const struct client_request *x);
-uint64_t router_tokens_upto(const struct client_request *x, int n);
-const struct kept_copy *router_usable(struct router *c, const struct client_request *x, uint64_t hash, uint32_t server,
-				      uint32_t weights);
+/* router_cost.c */
+/* What is under way at a server, ours and others' as far as it is known. Example: load = router_server_load(c, s, now); */
+struct server_load router_server_load(const struct router *c, uint32_t s, int64_t now);
+/* How long a send would wait there before it is read, and what makes it risky, in ms. */
+double router_load_ms(const struct router *c, uint32_t s, const struct bk_service *service, int64_t now);
+/* What a request brings to the memory of a server that keeps so many of its leading parts. */
+uint32_t router_brings(const struct client_request *x, int keep);
+/* Whether one more fits beside what runs there: not so much that kept parts are pushed out by it, nor that it would wait
+ * there for long, where no other router's more urgent one can pass it. What does not fit anywhere waits in its line. */
+int router_fits(const struct router *c, const struct client_request *x, uint32_t s, int keep, const struct bk_service *service,
+		int64_t now);
+/* How long a move that begins now would wait at a machine's link; a move that begins; what one takes. In ms. */
+double router_link_wait(const struct router *c, uint32_t s, int64_t now);
+void router_link_use(struct router *c, uint32_t s, double ms, int64_t now);
+double router_move_ms(struct router *c, uint32_t from, uint32_t to, double tokens, const struct bk_service *service, int64_t now);
+/* router_prefix.c */
+/* The generations of weights that servers of a request's service have; returns their number.
+ * Example: n = router_generations(c, x, generations); */
+int router_generations(struct router *c, const struct client_request *x, struct generation *generations);
+/* How many leading parts each server keeps, into c->depth, and the store for each generation. */
+void router_prefix_depths(struct router *c, const struct client_request *x, struct generation *generations, int n, int store);
+void router_lookup_open(struct router *c);
+/* Ask the head of the zone who keeps a request's prefix. Example: router_lookup_ask(c, x, now, o); */
+void router_lookup_ask(struct router *c, struct client_request *x, int64_t now, struct out *o);
+/* Whether a request still waits for the answer. Example: if (router_lookup_waits(c, x, now)) continue; */
+int router_lookup_waits(struct router *c, struct client_request *x, int64_t now);
+void router_on_prefix_ask(struct router *c, const struct Nl__Msg *m, struct out *o);
+void router_on_prefix_reply(struct router *c, const struct Nl__PrefixReply *reply, int64_t now);
+/* router_metrics.c */
+/* What this router counts, in the Prometheus text format. Example: out_answer(o, token, 200, 0, router_metrics(c, now, o->p)); */
+const char *router_metrics(const struct router *c, int64_t now, apr_pool_t *p);
 /* router_weights.c */
 /* When work on these weights must have begun at a server of the service, on this router's clock: INT64_MAX where nothing newer is
  * named, INT64_MIN where it is not known when. Example: if (now >= router_weights_end(c, service, weights, now)) skip(); */
--- a/lib/data/router_queue.c
+++ b/lib/data/router_queue.c
@@ -329,7 +329,7 @@
 
 		for (int k = 0; k < n; k++)
 			known |= full[k] == x->service;
-		if (known)
+		if (known || router_lookup_waits(c, x, now))
 			continue;
 		*plan = x->forwarded ? router_assign_forward(c, x, now) : router_assign(c, x, now);
 		if (plan->server >= 0)
@@ -354,7 +354,7 @@
 	for (;;) {
 		struct line *best = NULL;
 		int waits = 0;
-		struct plan best_plan = { -1, 0, -1, 0, 0, 0, 0 };
+		struct plan best_plan = { .server = -1, .from = -1 };
 		struct client_request *x = NULL, *ready;
 		uint32_t share, limit;
 
--- a/lib/data/router_route_table.c
+++ b/lib/data/router_route_table.c
@@ -266,6 +266,7 @@
 
 		memset(&s, 0, sizeof s);
 		arrput(c->server_hash, core_hashs(43, c->servers.name[arrlen(c->sv)]));
+		hmput(c->server_at, arrlast(c->server_hash), (uint32_t)arrlen(c->sv));
 		arrput(c->sv, s);
 	}
 	for (ptrdiff_t i = 0; i < shlen(t->h); i++) {
--- a/lib/data/router_send.c
+++ b/lib/data/router_send.c
@@ -125,6 +125,38 @@
 	return (int)limit;
 }
 
+static struct decision_counts *decisions_of(struct router *c, const struct client_request *x)
+{
+	while (arrlen(c->decisions) <= (ptrdiff_t)x->lane)
+		arrput(c->decisions, NULL);
+	if (!c->decisions[x->lane])
+		c->decisions[x->lane] = apr_pcalloc(c->p, sizeof **c->decisions);
+	return c->decisions[x->lane];
+}
+
+/* What was decided and is expected of it. */
+static void record_decision(struct router *c, struct client_request *x, const struct plan *pl, int64_t now)
+{
+	int shared = x->nparts > 1 ? x->nparts - 1 : x->nparts, have = pl->from >= 0 ? pl->upto : pl->keep;
+	uint64_t lacks = have < shared ? router_tokens_upto(x, shared) - router_tokens_upto(x, have) : 0;
+	struct decision_counts *n = decisions_of(c, x);
+
+	x->decision = (struct decision){
+		.reason = pl->reason,
+		.candidates = pl->candidates,
+		.kept = (uint32_t)router_tokens_upto(x, pl->keep),
+		.moved = (uint32_t)(router_tokens_upto(x, have) - router_tokens_upto(x, pl->keep)),
+		.read = x->ahead,
+		.shared = (uint32_t)lacks,
+		.older = x->weights != c->route_table->service[x->service].weights,
+		.wait_ms = (int)x->guess,
+		.open = 1,
+	};
+	n->looked_up += x->lookup == LOOKUP_ANSWERED;
+	n->looked_up_late += x->lookup == LOOKUP_MISSED;
+	decision_count(n, &x->decision, now - (x->given_back_at ? x->given_back_at : x->since_at));
+}
+
 /* The text goes from the door; here is whom to, and what for. */
 /* NOLINTNEXTLINE(readability-function-size): to be cut, issue 18 */
 void router_forward(struct router *c, struct client_request *x, const struct plan *pl, int64_t now, struct out *o)
@@ -190,6 +222,7 @@
 		f->most = n < 2 ? 2 : n;
 	}
 	f->repeatable = x->repeatable || x->resumable;
+	record_decision(c, x, pl, now);
 	out_cmd(o, CMD_FORWARD)->u.forward = f;
 	if (x->sends > 1)
 		x->resend_paid = 0; /* a resend earns nothing; what was set aside for it is spent */
@@ -199,7 +232,7 @@
 
 void router_send_claimed(struct router *c, struct client_request *x, int64_t now, struct out *o)
 {
-	struct plan pl = { -1, 0, -1, 0, 0, 0, 0 };
+	struct plan pl = { .server = -1, .from = -1 };
 
 	if (now >= x->limit) {
 		c->n.refused_limit++;
@@ -373,6 +406,7 @@
 	if (x->first)
 		return;
 	x->first = now;
+	decision_began(decisions_of(c, x), &x->decision, now - x->sent_at);
 	router_weights_check_begin(c, x, now);
 	v->ahead -= x->ahead;
 	x->ahead = 0;
@@ -475,6 +509,8 @@
 	(void)hmdel(c->by, x->call);
 	x->call = 0;
 	learn_load(c, s, e, now);
+	if (e->how != ROUTER_WHOLE)
+		decision_ended(decisions_of(c, x), &x->decision);
 	if (e->since)
 		x->since = apr_pstrdup(x->p, e->since);
 	x->next += e->pieces;
