--- a/lib/data/router_admission.c
+++ b/lib/data/router_admission.c
@@ -369,4 +369,5 @@
 	x->resumable = l->resumable;
 	x->attempts = l->attempts ? (int)l->attempts : 2;
 	line_up(c, x, now);
+	router_lookup_ask(c, x, now, o);
 }
