--- a/lib/control/rollout.h
+++ b/lib/control/rollout.h
@@ -11,21 +11,23 @@
 struct controller_server;
 
 enum {
-	ROLLOUT_LOOK = 200,       /* ms between looks at a server that should soon have loaded */
-	ROLLOUT_PLAN = 90,        /* per cent of the bound in which all is planned to be done */
-	ROLLOUT_DATED = 700,      /* ms after which a server's report cannot be older than what it was told */
-	ROLLOUT_SILENT = 1000,    /* ms after which an order or a look has got no answer */
-	ROLLOUT_LAST = 95,        /* per cent of the bound after which all that are left are told */
-	ROLLOUT_REFUSED = 2000,   /* ms before one that refuses an order gets another */
-	ROLLOUT_STALLED = 4,      /* a server that loads for this part of the bound, a quarter, counts as stalled */
-	ROLLOUT_INTENT_MS = 1000, /* ms after an order was logged in which it may leave */
-	ROLLOUT_MARGIN = 100,     /* ms before the lease's end after which no order leaves */
-	ROLLOUT_AFTER = 300       /* ms beyond the lease for the last rollout's orders to have ended */
+	ROLLOUT_LOOK = 200,        /* ms between looks at a server that should soon have loaded */
+	ROLLOUT_PLAN = 90,         /* per cent of the bound in which all is planned to be done */
+	ROLLOUT_DATED = 700,       /* ms after which a server's report cannot be older than what it was told */
+	ROLLOUT_SILENT = 1000,     /* ms after which an order or a look has got no answer */
+	ROLLOUT_LAST = 95,         /* per cent of the bound after which all that are left are told */
+	ROLLOUT_REFUSED = 2000,    /* ms before one that refuses an order gets another */
+	ROLLOUT_STALLED = 4,       /* a server that loads for this part of the bound, a quarter, counts as stalled */
+	ROLLOUT_NOTICE_PART = 8,   /* of a load, an eighth: before it, routers are told to send the server nothing more */
+	ROLLOUT_NOTICE_MOST = 500, /* ms of that notice at the most; less than ROLLOUT_INTENT_MS */
+	ROLLOUT_INTENT_MS = 1000,  /* ms after an order was logged in which it may leave */
+	ROLLOUT_MARGIN = 100,      /* ms before the lease's end after which no order leaves */
+	ROLLOUT_AFTER = 300        /* ms beyond the lease for the last rollout's orders to have ended */
 };
 
-/* What is known of an order to a server: nothing is under way; it is being logged; it has left; whether it was taken is not known;
- * the server loads. */
-enum rollout_order_state { ROLLOUT_IDLE, ROLLOUT_INTENDED, ROLLOUT_ORDERED, ROLLOUT_UNSURE, ROLLOUT_LOADING };
+/* What is known of an order to a server: nothing is under way; routers have notice that it will be given; it is being logged; it has
+ * left; whether it was taken is not known; the server loads. */
+enum rollout_order_state { ROLLOUT_IDLE, ROLLOUT_NOTICE, ROLLOUT_INTENDED, ROLLOUT_ORDERED, ROLLOUT_UNSURE, ROLLOUT_LOADING };
 
 /* A listed server that is ordered, or looked at, until it has what is named. */
 struct rollout_server {
--- a/lib/control/rollout_instances.c
+++ b/lib/control/rollout_instances.c
@@ -8,6 +8,7 @@
 
 #include "ds.h"
 #include "leadership.h"
+#include "mechanism.h"
 #include "controller_private.h"
 #include "rollout_pace.h"
 
@@ -155,6 +156,21 @@
 	publish_loading(r, s, 1, now); /* routers hear of it while the log is written */
 }
 
+/* Routers send it nothing more from now on, where there is time for that; then the order is logged and leaves. A leader that is lost
+ * meanwhile leaves nothing behind: its successor tells routers what it sees itself. */
+static void give_notice(struct controller *r, struct rollout_server *s, const struct Nl__Row *model, const struct Nl__Instance *x,
+			int64_t now, struct out *o)
+{
+	if (!rollout_notice_ms(r, model->name, rollout_due_at(r, model, x->weights), now)) {
+		log_intent(r, s, model->name, model->weights, now, o);
+		return;
+	}
+	s->state = ROLLOUT_NOTICE;
+	s->ordered_at = now;
+	s->beside = 1;
+	publish_loading(r, s, 1, now);
+}
+
 void rollout_order_logged(struct controller *r, const char *server, int64_t now)
 {
 	for (ptrdiff_t i = shlen(r->rollout.intents) - 1; i >= 0; i--)
@@ -163,7 +179,8 @@
 	shput(r->rollout.intents, server, now);
 }
 
-/* What was named while the log was written is loaded at once. */
+/* What was named while the log was written is loaded at once. What runs at the server goes on under the new weights: to wait for its
+ * end would keep the server from all others for as long as its longest answer takes. */
 static void send_order(struct controller *r, struct rollout_server *s, const struct Nl__Instance *x, const char *model,
 		       const char *named, int64_t meant, int64_t now, struct out *o)
 {
@@ -190,6 +207,7 @@
 	c->u.order.weights = apr_pstrdup(o->p, s->weights);
 	c->u.order.holder = apr_psprintf(o->p, "%016" APR_UINT64_T_HEX_FMT, r->id);
 	c->u.order.not_after = until;
+	c->u.order.under_runs = mechanism_on(r->b.without, MECHANISM_RETAIN);
 	log_line(r, "order", o->p, "Server %s, on %s, is told to load %s of %s.", x->server, x->weights, s->weights, model);
 	instances_set_weights(&r->instances, s->name, x->weights, 1, now); /* x may be another copy after this */
 }
@@ -215,14 +233,19 @@
 }
 
 /* One that was told, or may have been: what is known of it since. */
-static void follow_up(struct controller *r, struct rollout_server *s, const struct Nl__Instance *x, const char *model,
-		      const char *named, int64_t now, struct out *o)
+static void follow_up(struct controller *r, struct rollout_server *s, const struct Nl__Instance *x, const struct Nl__Row *model,
+		      int64_t now, struct out *o)
 {
+	if (s->state == ROLLOUT_NOTICE) {
+		if (now - s->ordered_at >= rollout_notice_ms(r, model->name, rollout_due_at(r, model, x->weights), now))
+			log_intent(r, s, model->name, model->weights, now, o);
+		return;
+	}
 	if (s->state == ROLLOUT_INTENDED) {
 		ptrdiff_t k = shgeti(r->rollout.intents, s->name);
 
 		if (k >= 0 && r->rollout.intents[k].value >= s->ordered_at) {
-			send_order(r, s, x, model, named, r->rollout.intents[k].value, now, o);
+			send_order(r, s, x, model->name, model->weights, r->rollout.intents[k].value, now, o);
 		} else if (now - s->ordered_at > ROLLOUT_INTENT_MS) {
 			s->state = ROLLOUT_IDLE; /* the log stands still */
 			publish_loading(r, s, 0, now);
@@ -232,11 +255,11 @@
 	if (s->state == ROLLOUT_ORDERED && now - s->ordered_at >= ROLLOUT_SILENT)
 		s->state = ROLLOUT_UNSURE;
 	if (s->state == ROLLOUT_LOADING || s->state == ROLLOUT_UNSURE) {
-		if (has_weights(x->weights, named)) { /* the list says so */
+		if (has_weights(x->weights, model->weights)) { /* the list says so */
 			s->state = ROLLOUT_IDLE;
 			instances_set_weights(&r->instances, s->name, x->weights, 0, now);
 		} else if (now >= s->ordered_at + ROLLOUT_LOOK) {
-			look(r, s, x, model, now, o);
+			look(r, s, x, model->name, now, o);
 		}
 	}
 }
@@ -338,9 +361,12 @@
 	return s && s->state != ROLLOUT_IDLE && !refused && now - ordered_since(r, s) < r->b.roll_ms / ROLLOUT_STALLED;
 }
 
-/* A model's servers as a roll-out finds them. busy: those that hold a place among the ones that load at once. */
+static int may_load(const struct rollout_server *s) { return s && (s->state == ROLLOUT_LOADING || s->state == ROLLOUT_UNSURE); }
+
+/* A model's servers as a roll-out finds them. busy: those that hold a place among the ones that load at once; loading: of those, the
+ * ones that are known to load, or may: one that is yet to answer its order may refuse it. */
 struct servers_found {
-	int all, done, busy;
+	int all, done, busy, loading;
 	struct zone *zones; /* stb_ds */
 	int64_t *due;       /* stb_ds: of those that may be ordered now, soonest first */
 };
@@ -359,11 +385,12 @@
 			continue;
 		s = server_find(&r->rollout, x->server);
 		if (s)
-			follow_up(r, s, x, model->name, model->weights, now, o);
+			follow_up(r, s, x, model, now, o);
 		x = r->instances.h[i].value.s;
 		out = s && s->state != ROLLOUT_IDLE;
 		found.all++;
 		found.busy += holds_place(r, s, now);
+		found.loading += may_load(s) && holds_place(r, s, now);
 		if (!out && has_weights(x->weights, model->weights))
 			found.done++;
 		else if (may_be_ordered(r, x, now))
@@ -391,7 +418,7 @@
 		if (!next)
 			break;
 		zone_of(&found->zones, next->zone, o->p)->out++;
-		log_intent(r, server_get(&r->rollout, next->server), model->name, model->weights, now, o);
+		give_notice(r, server_get(&r->rollout, next->server), model, next, now, o);
 		found->busy++;
 	}
 }
@@ -406,9 +433,12 @@
 		log_rolled(r, &shgetp(r->rollout.models, model->name)->value, model, now, o);
 	if (!complete)
 		order_servers(r, model, &found, now, o);
-	for (ptrdiff_t i = 0; i < arrlen(r->rollout.servers); i++)
-		if (r->rollout.servers[i].state != ROLLOUT_IDLE && r->rollout.servers[i].beside < found.busy)
-			r->rollout.servers[i].beside = found.busy;
+	for (ptrdiff_t i = 0; i < arrlen(r->rollout.servers); i++) {
+		struct rollout_server *s = &r->rollout.servers[i];
+
+		if (may_load(s) && s->beside < found.loading)
+			s->beside = found.loading;
+	}
 	arrfree(found.zones);
 	arrfree(found.due);
 	return !found.all || (complete && !strcmp(model->rolled, model->weights));
--- a/lib/control/rollout_pace.c
+++ b/lib/control/rollout_pace.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "ds.h"
+#include "mechanism.h"
 #include "naming.h"
 
 void rollout_pace_learn(struct controller *r, const struct rollout_server *s, const char *model, int64_t now)
@@ -27,6 +28,31 @@
 	}
 }
 
+static int64_t load_ms(const struct controller *r, const struct rollout_pace *m)
+{
+	return m->base_ms ? m->base_ms : r->b.roll_ms / 10;
+}
+
+static int64_t notice_ms(const struct controller *r, const struct rollout_pace *m)
+{
+	int64_t ms = load_ms(r, m) / ROLLOUT_NOTICE_PART;
+
+	if (!mechanism_on(r->b.without, MECHANISM_RETAIN))
+		return 0;
+	return ms < ROLLOUT_NOTICE_MOST ? ms : ROLLOUT_NOTICE_MOST;
+}
+
+int64_t rollout_notice_ms(const struct controller *r, const char *model, int64_t due, int64_t now)
+{
+	struct rollout_model *models = r->rollout.models;
+	ptrdiff_t k = shgeti(models, model);
+	struct rollout_pace none = { 0 };
+	const struct rollout_pace *m = k >= 0 ? &models[k].value : &none;
+	int64_t reserve = (int64_t)r->b.roll_ms * (100 - ROLLOUT_PLAN) / 100;
+
+	return due == INT64_MIN || now + 2 * load_ms(r, m) > due - reserve ? 0 : notice_ms(r, m);
+}
+
 int64_t rollout_due_at(const struct controller *r, const struct Nl__Row *model, const char *weights)
 {
 	const struct Nl__Naming *newer = naming_after(model, strtoull(weights, NULL, 10));
@@ -56,7 +82,7 @@
 
 int rollout_at_once(const struct controller *r, struct rollout_pace *m, int n, const int64_t *due, int busy, int64_t now)
 {
-	int64_t load = m->base_ms ? m->base_ms : r->b.roll_ms / 10, reserve = (int64_t)r->b.roll_ms * (100 - ROLLOUT_LAST) / 100;
+	int64_t load = load_ms(r, m) + notice_ms(r, m), reserve = (int64_t)r->b.roll_ms * (100 - ROLLOUT_LAST) / 100;
 	int urgent, needed;
 
 	if (!m->base)
--- a/lib/control/rollout_pace.h
+++ b/lib/control/rollout_pace.h
@@ -9,6 +9,10 @@
  * Example: rollout_pace_learn(r, server, "lm", now); */
 void rollout_pace_learn(struct controller *r, const struct rollout_server *s, const char *model, int64_t now);
 
+/* How long before its load a server is sent nothing more, so that the more of what runs there has ended by then, and routers know.
+ * None where it has to have loaded soon. Example: if (now - since < rollout_notice_ms(r, "lm", due, now)) return; */
+int64_t rollout_notice_ms(const struct controller *r, const char *model, int64_t due, int64_t now);
+
 /* By when a server must have loaded newer weights than these, on this controller's clock; INT64_MIN, long past, where that is not
  * known. Example: due = rollout_due_at(r, model, "3"); */
 int64_t rollout_due_at(const struct controller *r, const struct Nl__Row *model, const char *weights);
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -113,6 +113,7 @@
 			uint64_t token, addr, fence;
 			const char *server, *model, *weights, *holder;
 			int64_t not_after;
+			int under_runs; /* load at once, under the requests that run there; else after they have ended */
 		} order;
 		struct {
 			uint64_t token, addr, since;
