--- a/bin/counter.c
+++ b/bin/counter.c
@@ -119,6 +119,7 @@
 		    clock_ms());
 	if (p.set.more)
 		c.b = p.set.bounds;
+	c.b.without = p.set.without;
 	if (!proc_open(&p))
 		goto end;
 	c.log = say;
--- a/bin/registrar.c
+++ b/bin/registrar.c
@@ -140,6 +140,7 @@
 			p->set.nseeds, f.fleet, proc_random(), f.ptr, clock_ms());
 	g.r.log = say;
 	g.r.calendar = &calendar_icu;
+	g.r.b.without = p->set.without;
 	if (p->set.more) {
 		g.r.codec = &platform_tongue;
 		g.r.b = p->set.bounds;
--- a/lib/shell/proc.c
+++ b/lib/shell/proc.c
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include "ds.h"
+#include "mechanism.h"
 #include "shell.h"
 
 #ifndef NL_VERSION
@@ -161,14 +162,39 @@
 	return -1;
 }
 
+/* Where metrics are told, and the mechanisms that are off: only an experiment may switch one off. */
+static int set_experiment(struct settings *s, const char *program, const struct arg_int *metrics, const struct arg_lit *experiments,
+			  const struct arg_str *without)
+{
+	s->metrics_port = metrics->count ? metrics->ival[0] : 0;
+	if (metrics->count && (s->metrics_port < 1 || s->metrics_port > 65535))
+		return set_bad(program, "flags", "metrics", "a port of 1 to 65535");
+	if (without->count && !experiments->count)
+		return set_bad(program, "flags", "without", "only with --experiments");
+	for (int i = 0; i < without->count; i++) {
+		int m = mechanism_find(without->sval[i]);
+
+		if (m < 0) {
+			fprintf(stderr, "%s: flags: without: no mechanism is called %s; known:", program, without->sval[i]);
+			for (int k = 0; k < MECHANISMS; k++)
+				fprintf(stderr, " %s", mechanism_info[k].name);
+			fprintf(stderr, "\n");
+			return 2;
+		}
+		s->without |= UINT32_C(1) << m;
+	}
+	return -1;
+}
+
 /* NOLINTNEXTLINE(readability-function-size): a flat list of settings */
 int set_read(struct settings *s, const char *program, int disk, int argc, char **argv, apr_pool_t *p)
 {
 	struct arg_lit *help = arg_lit0("h", "help", "say how it is called"),
 		       *version = arg_lit0(NULL, "version", "say the version");
 	struct arg_lit *check = arg_lit0(NULL, "check", "check the settings and end; no socket opens");
-	struct arg_lit *other =
-	    arg_lit0(NULL, "platform", "take all settings from where the platform keeps them; no other flag but --check");
+	struct arg_lit *other = arg_lit0(
+	    NULL, "platform",
+	    "take all settings from where the platform keeps them; with --check, --metrics, --experiments and --without alone");
 	struct arg_file *file = arg_file0("s", "settings", "FILE", "JSON settings; flags go first");
 	struct arg_str *listen = arg_str0("l", "listen", "IP:PORT", "where colleagues reach this process");
 	struct arg_str *adv = arg_str0(NULL, "advertise", "IP:PORT", "the address told to colleagues, if another");
@@ -177,9 +203,13 @@
 	struct arg_str *zone = arg_str0("z", "zone", "NAME", "the zone of this machine");
 	struct arg_str *seed = arg_strn(NULL, "seed", "IP:PORT", 0, 8, "another process; give three");
 	struct arg_str *data = arg_str0("d", "data", "FOLDER", disk ? "the data folder" : "unused here");
+	struct arg_int *metrics = arg_int0(NULL, "metrics", "PORT", "tell metrics there, as GET /metrics");
+	struct arg_lit *experiments = arg_lit0(NULL, "experiments", "allow --without");
+	struct arg_str *without = arg_strn(NULL, "without", "NAME", 0, MECHANISMS, "an experiment: switch a mechanism off");
 	struct arg_str *fault = arg_str0(NULL, "fault", "FILE", "rehearsals only: a file with the ms that each sync is slower");
 	struct arg_end *end = arg_end(10);
-	void *t[] = { help, version, check, other, file, listen, adv, web, zone, seed, data, fault, end };
+	void *t[] = { help, version, check, other,   file,        listen,  adv,   web,
+		      zone, seed,    data,  metrics, experiments, without, fault, end };
 	int (*from)(struct settings *, const char *, int, apr_pool_t *) = s->other;
 	int rc = -1, bad;
 
@@ -199,24 +229,29 @@
 		arg_print_errors(stderr, end, program);
 		rc = 2;
 	}
+	if (rc < 0)
+		rc = set_experiment(s, program, metrics, experiments, without);
 	if (rc >= 0)
 		goto end;
 	if (other->count) {
 		if (!from || listen->count + adv->count + web->count + zone->count + seed->count + data->count + fault->count +
 				 file->count) {
 			rc = set_bad(program, "flags", "platform",
-				     from ? "no other flag but --check with it" : "not known by this program");
+				     from ? "no other flag but --check, --metrics, --experiments and --without with it"
+					  : "not known by this program");
 			goto end;
 		}
 		if ((rc = from(s, program, disk, p)) >= 0) {
 			fprintf(stderr, "%s: %s\n", program, s->why);
 			goto end;
 		}
+		s->bounds.without = s->without;
 		s->check = check->count;
 		s->other = from;
 		goto check;
 	}
 	s->bounds = bounds_default;
+	s->bounds.without = s->without;
 #define TAKE(a) ((a)->count ? apr_pstrdup(p, (a)->sval[0]) : NULL)
 	s->listen = TAKE(listen);
 	s->advertise = TAKE(adv);
@@ -297,6 +332,7 @@
 			w->stale = 0;
 			w->why[0] = 0;
 			log_say(LOG_INFO, "proc", "Settings are read anew%s.", got_hup ? ", as asked by SIGHUP" : "");
+			s.bounds.without = p->set.without;
 			p->set.bounds = s.bounds;
 			p->set.grace_ms = s.grace_ms;
 			if (d->changed)
@@ -307,8 +343,16 @@
 	apr_pool_destroy(tmp);
 }
 
+static void say_experiment(const struct settings *s)
+{
+	for (int m = 0; m < MECHANISMS; m++)
+		if (!mechanism_on(s->without, (enum mechanism)m))
+			log_say(LOG_WARN, "experiment", "Without %s: %s.", mechanism_info[m].name, mechanism_info[m].what);
+}
+
 int proc_open(struct proc *p)
 {
+	say_experiment(&p->set);
 	signals(&p->set);
 	if (!p->ring)
 		ring_open(&p->ring, PROC_RING, p->p);
