--- a/bin/counter.c
+++ b/bin/counter.c
@@ -120,6 +120,7 @@
 	if (p.set.more)
 		c.b = p.set.bounds;
 	c.b.without = p.set.without;
+	c.b.experiments = p.set.experiments;
 	if (!proc_open(&p))
 		goto end;
 	c.log = say;
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -138,6 +138,7 @@
 	int list_mille;       /* calls to the list of servers, in thousandths a second, for the whole fleet; 0: no list */
 	int instances;        /* servers come from the list, not from the table */
 	int link_kbps;        /* of this machine's own link; 0: no bound is known */
+	int experiments;      /* an experiment is on: decisions are logged too */
 	uint32_t without;     /* mechanisms that an experiment has switched off, as a set: mechanism.h */
 };
 extern const struct bounds bounds_default;
--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -246,6 +246,7 @@
 		router_watch(c, now, o);
 	else
 		router_look(c, now, o);
+	router_log_decisions(c, now);
 	router_weights_recall(c, now, o);
 	end_hopeless(c, now, o);
 	end_leaving(c, now, o);
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -47,15 +47,16 @@
 	ROUTER_AWAY_MS = 40,
 	ROUTER_AWAY_K =
 	    12, /* ms that a server counts as dearer which does not keep the prefix, also by 1000 tokens of it: it pushes others' out */
-	ROUTER_KEPT_TELL = 75,     /* ms between words of kept parts to the zone */
-	ROUTER_WARM = 10000,       /* ms after a start in which a router is no other's upstream if it can be helped */
-	ROUTER_BEGIN = 1300,       /* ms that a router and its fleet take from a start to a configuration in force */
-	ROUTER_SOON = 60,          /* ms after which one that a single server turned away may come back */
-	ROUTER_PUMP = 10,          /* ms between weighings of lines that nobody has room for */
-	ROUTER_WAIT_MOST = 800,    /* ms of reading that may be ahead of a send at its server */
-	ROUTER_FULL_PART = 60,     /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
-	ROUTER_MEAN_SIZE = 5000,   /* tokens that others' requests are taken to hold */
-	ROUTER_STORE_HEARD = 3500, /* ms after the last word of a store's events for which it counts as up */
+	ROUTER_KEPT_TELL = 75,       /* ms between words of kept parts to the zone */
+	ROUTER_WARM = 10000,         /* ms after a start in which a router is no other's upstream if it can be helped */
+	ROUTER_BEGIN = 1300,         /* ms that a router and its fleet take from a start to a configuration in force */
+	ROUTER_SOON = 60,            /* ms after which one that a single server turned away may come back */
+	ROUTER_PUMP = 10,            /* ms between weighings of lines that nobody has room for */
+	ROUTER_WAIT_MOST = 800,      /* ms of reading that may be ahead of a send at its server */
+	ROUTER_FULL_PART = 60,       /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
+	ROUTER_MEAN_SIZE = 5000,     /* tokens that others' requests are taken to hold */
+	ROUTER_STORE_HEARD = 3500,   /* ms after the last word of a store's events for which it counts as up */
+	ROUTER_DECISIONS_LOG = 2000, /* ms between lines of decisions in an experiment's log */
 	ROUTER_LOAD = 50,
 	ROUTER_LOAD_WHOLE = 1000,
 	ROUTER_LOAD_OLD = 2500,  /* ms between words of load; between whole ones; after which one is forgotten */
@@ -462,6 +463,7 @@
 		int misses;           /* in a row */
 		int64_t probe_at;     /* when a head that does not answer is asked again */
 	} lookup;
+	int64_t decisions_logged_at;
 	struct decision_counts **decisions; /* stb_ds, by lane; NULL: none yet */
 	uint64_t zone_hash;
 	apr_pool_t *scratch;
--- a/lib/data/router_internal.h
+++ b/lib/data/router_internal.h
@@ -75,6 +75,8 @@
 /* router_metrics.c */
 /* What this router counts, in the Prometheus text format. Example: out_answer(o, token, 200, 0, router_metrics(c, now, o->p)); */
 const char *router_metrics(const struct router *c, int64_t now, apr_pool_t *p);
+/* In an experiment, what was decided so far, once in two seconds. Example: router_log_decisions(c, now); */
+void router_log_decisions(struct router *c, int64_t now);
 /* router_weights.c */
 /* When work on these weights must have begun at a server of the service, on this router's clock: INT64_MAX where nothing newer is
  * named, INT64_MIN where it is not known when. Example: if (now >= router_weights_end(c, service, weights, now)) skip(); */
--- a/lib/data/router_metrics.c
+++ b/lib/data/router_metrics.c
@@ -180,3 +180,42 @@
 	arrfree(t.d);
 	return s;
 }
+
+/* ---- the log of an experiment ------------------------------------------------------------------------ */
+
+static uint64_t observed(const struct decision_histogram *h)
+{
+	uint64_t n = 0;
+
+	for (int i = 0; i <= DECISION_BUCKETS; i++)
+		n += h->n[i];
+	return n;
+}
+
+/* Totals of one route since this process began, as words and numbers in turn. */
+static void log_route(struct router *c, ptrdiff_t lane)
+{
+	const struct decision_counts *n = c->decisions[lane];
+	char s[700];
+	int at = snprintf(s, sizeof s, "route %.60s", c->lanes.name[lane]);
+
+	for (int i = 0; i < DECISION_REASONS; i++)
+		at += snprintf(s + at, sizeof s - (size_t)at, " %s %" PRIu64, reason_name[i], n->decisions[i]);
+	snprintf(s + at, sizeof s - (size_t)at,
+		 " older %" PRIu64 " looked_up %" PRIu64 " missed %" PRIu64 " failed %" PRIu64 " t_kept %" PRIu64
+		 " t_fetched %" PRIu64 " t_read %" PRIu64 " t_shared %" PRIu64 " queue_ms %" PRIu64 " expected_ms %" PRIu64
+		 " first_ms %" PRIu64 " firsts %" PRIu64 " over_ms %" PRIu64,
+		 n->older, n->looked_up, n->looked_up_late, n->failed, n->kept, n->moved, n->read, n->shared_read, n->queue.sum,
+		 n->wait.sum, n->first.sum, observed(&n->first), n->over.sum);
+	c->log(c->log_ctx, "decisions", s);
+}
+
+void router_log_decisions(struct router *c, int64_t now)
+{
+	if (!c->b.experiments || !c->log || now - c->decisions_logged_at < ROUTER_DECISIONS_LOG)
+		return;
+	c->decisions_logged_at = now;
+	for (ptrdiff_t l = 0; l < arrlen(c->decisions); l++)
+		if (c->decisions[l])
+			log_route(c, l);
+}
--- a/lib/shell/proc.c
+++ b/lib/shell/proc.c
@@ -166,6 +166,7 @@
 static int set_experiment(struct settings *s, const char *program, const struct arg_int *metrics, const struct arg_lit *experiments,
 			  const struct arg_str *without)
 {
+	s->experiments = experiments->count;
 	s->metrics_port = metrics->count ? metrics->ival[0] : 0;
 	if (metrics->count && (s->metrics_port < 1 || s->metrics_port > 65535))
 		return set_bad(program, "flags", "metrics", "a port of 1 to 65535");
@@ -246,12 +247,14 @@
 			goto end;
 		}
 		s->bounds.without = s->without;
+		s->bounds.experiments = s->experiments;
 		s->check = check->count;
 		s->other = from;
 		goto check;
 	}
 	s->bounds = bounds_default;
 	s->bounds.without = s->without;
+	s->bounds.experiments = s->experiments;
 #define TAKE(a) ((a)->count ? apr_pstrdup(p, (a)->sval[0]) : NULL)
 	s->listen = TAKE(listen);
 	s->advertise = TAKE(adv);
@@ -333,6 +336,7 @@
 			w->why[0] = 0;
 			log_say(LOG_INFO, "proc", "Settings are read anew%s.", got_hup ? ", as asked by SIGHUP" : "");
 			s.bounds.without = p->set.without;
+			s.bounds.experiments = p->set.experiments;
 			p->set.bounds = s.bounds;
 			p->set.grace_ms = s.grace_ms;
 			if (d->changed)
--- a/lib/shell/shell.h
+++ b/lib/shell/shell.h
@@ -142,6 +142,7 @@
 	const char *file;
 	int grace_ms;     /* for a planned stop; 0: as the product has it */
 	int metrics_port; /* where metrics are told; 0: nowhere */
+	int experiments;  /* --without is allowed, and decisions are logged */
 	uint32_t without; /* mechanisms that an experiment switches off, as a set: mechanism.h */
 	struct bounds bounds;
 	int found;  /* a first start of empty disks: the first seed founds the fleet, once */
