--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -58,6 +58,7 @@
 	ROUTER_STORE_HEARD = 3500,   /* ms after the last word of a store's events for which it counts as up */
 	ROUTER_DECISIONS_LOG = 2000, /* ms between lines of decisions in an experiment's log */
 	ROUTER_LOAD = 50,
+	ROUTER_LOAD_SOON = 20, /* ms between words of load where sends have left or begun */
 	ROUTER_LOAD_WHOLE = 1000,
 	ROUTER_LOAD_OLD = 2500,  /* ms between words of load; between whole ones; after which one is forgotten */
 	ROUTER_FETCH_WAIT = 400, /* ms that a fetch may take before reading anew is the better */
@@ -447,7 +448,8 @@
 	struct load_from *load; /* stb_ds: what others said */
 	struct load_cell *told_up, *told_down, *told_far,
 	    *others; /* stb_ds, by server: last said to each; what others have under way */
-	int64_t load_at, load_whole, others_fresh;
+	int64_t load_at, load_whole, load_told_at, others_fresh;
+	int load_changed; /* a send has left or begun since the last word */
 	struct cache_namespace_name {
 		char *key;
 		uint32_t value;
--- a/lib/data/router_internal.h
+++ b/lib/data/router_internal.h
@@ -44,6 +44,10 @@
 int router_store_of(const struct router *c, const struct client_request *x);
 uint64_t router_kept_key(uint64_t cache_namespace, uint64_t id);
 uint64_t router_home_part(const struct client_request *x);
+/* The servers that a request may go to, besides those that keep its prefix: its home and a few others; returns their number.
+ * Example: n = router_candidates(c, x, server, now); */
+enum { CANDIDATES = 8 };
+int router_candidates(struct router *c, const struct client_request *x, uint32_t *server, int64_t now);
 /* router_cost.c */
 /* What is under way at a server, ours and others' as far as it is known. Example: load = router_server_load(c, s, now); */
 struct server_load router_server_load(const struct router *c, uint32_t s, int64_t now);
@@ -167,6 +171,10 @@
 void router_load_tick(struct router *c, int64_t now, struct out *o);
 void router_on_load(struct router *c, uint64_t id, uint64_t addr, const struct Nl__Load *l, int64_t now);
 void router_load_clear(struct router *c);
+/* What all routers have under way at a server, as far as this one knows; 0: nothing is known. */
+int router_load_all(const struct router *c, uint32_t server, struct load_cell *all);
+/* The head of the zone says so of one server. */
+void router_load_heard(struct router *c, uint32_t server, const struct load_cell *all);
 /* router_send.c */
 void router_on_answer(struct router *c, const struct Nl__Answer *a, uint64_t from, int64_t now, struct out *o);
 void router_on_done(struct router *c, struct client_request *x, const typeof(((struct router_ev *)0)->u.done) *d, int64_t now,
--- a/lib/data/router_load.c
+++ b/lib/data/router_load.c
@@ -26,6 +26,16 @@
 	to->tokens += v->tokens;
 }
 
+/* What all have, less what this router knows that the head counts as its own. */
+static struct load_cell others_of(const struct load_cell *all, const struct load_cell *mine)
+{
+	return (struct load_cell){
+		all->ahead > mine->ahead ? all->ahead - mine->ahead : 0,
+		all->running > mine->running ? all->running - mine->running : 0,
+		all->tokens > mine->tokens ? all->tokens - mine->tokens : 0,
+	};
+}
+
 /* Say what has changed since the last word, or all that is not nothing; nothing is said when nothing has. */
 static void say(struct router *c, const uint64_t *to, int n, int of, const struct load_cell *v, struct load_cell **told, int whole,
 		struct out *o)
@@ -64,15 +74,27 @@
 	return apr_pcalloc(o->p, (c->server_table->nserver + 1) * sizeof(struct load_cell));
 }
 
+/* How long after its last word a router says what has changed: soon where a send left or began, so that the head of its zone, which
+ * others ask, knows; else as rarely as words are said that all hear. Heads are few, and tell each other soon. */
+static int load_interval(const struct router *c)
+{
+	int rarely = router_interval(c, ROUTER_LOAD);
+
+	if (!c->f.nup)
+		return ROUTER_LOAD;
+	return c->load_changed && rarely > ROUTER_LOAD_SOON ? ROUTER_LOAD_SOON : rarely;
+}
+
 void router_load_tick(struct router *c, int64_t now, struct out *o)
 {
 	struct load_cell *own, *zone, *all;
 	uint64_t *down;
 	int whole, n = 0;
 
-	if (!c->server_table || now - c->load_at < router_interval(c, ROUTER_LOAD))
+	if (!c->server_table || now - c->load_at < load_interval(c))
 		return;
 	c->load_at = now;
+	c->load_changed = 0;
 	whole = now - c->load_whole >= (c->f.counters > 16 ? 2 : 1) * ROUTER_LOAD_WHOLE;
 	if (whole)
 		c->load_whole = now;
@@ -104,6 +126,9 @@
 	c->others_fresh = now;
 	if (c->f.nhead)
 		say(c, c->f.head, c->f.nhead, LOAD_ZONE, zone, &c->told_far, whole, o);
+	if (!whole && now - c->load_told_at < router_interval(c, ROUTER_LOAD))
+		return;
+	c->load_told_at = now;
 	down = apr_palloc(o->p, ((size_t)arrlen(c->load) + 1) * sizeof *down);
 	for (ptrdiff_t i = 0; i < arrlen(c->load); i++)
 		if (c->load[i].of == LOAD_OWN)
@@ -143,16 +168,28 @@
 		return;
 	size_to(&c->others, c->server_table->nserver);
 	size_to(&c->told_up, c->server_table->nserver);
-	for (ptrdiff_t s = 0; s < arrlen(f->v) && s < arrlen(c->others); s++) {
-		const struct load_cell *mine = &c->told_up[s], *all = &f->v[s];
-
-		c->others[s].ahead = all->ahead > mine->ahead ? all->ahead - mine->ahead : 0;
-		c->others[s].running = all->running > mine->running ? all->running - mine->running : 0;
-		c->others[s].tokens = all->tokens > mine->tokens ? all->tokens - mine->tokens : 0;
-	}
+	for (ptrdiff_t s = 0; s < arrlen(f->v) && s < arrlen(c->others); s++)
+		c->others[s] = others_of(&f->v[s], &c->told_up[s]);
 	c->others_fresh = now;
 }
 
+int router_load_all(const struct router *c, uint32_t server, struct load_cell *all)
+{
+	if (!mechanism_on(c->b.without, MECHANISM_SHARED_LOAD) || server >= (uint32_t)arrlen(c->others) ||
+	    server >= (uint32_t)arrlen(c->sv))
+		return 0;
+	*all = (struct load_cell){ c->sv[server].ahead, (uint32_t)c->sv[server].own, (uint32_t)c->sv[server].tokens };
+	add(all, &c->others[server]);
+	return 1;
+}
+
+void router_load_heard(struct router *c, uint32_t server, const struct load_cell *all)
+{
+	if (server >= (uint32_t)arrlen(c->others) || server >= (uint32_t)arrlen(c->told_up))
+		return;
+	c->others[server] = others_of(all, &c->told_up[server]);
+}
+
 void router_load_clear(struct router *c)
 {
 	for (ptrdiff_t i = 0; i < arrlen(c->load); i++)
--- a/lib/data/router_placement.c
+++ b/lib/data/router_placement.c
@@ -139,6 +139,20 @@
 	}
 }
 
+int router_candidates(struct router *c, const struct client_request *x, uint32_t *server, int64_t now)
+{
+	struct placement p = { .x = x, .now = now, .home = home_of(c, x, now) };
+	int n = 0;
+
+	if (p.home >= 0)
+		server[n++] = (uint32_t)p.home;
+	find_choices(c, &p);
+	for (int k = 0; k < CHOICES && n < CANDIDATES; k++)
+		if (p.choice[k] >= 0 && p.choice[k] != p.home)
+			server[n++] = (uint32_t)p.choice[k];
+	return n;
+}
+
 static int is_candidate(const struct router *c, const struct placement *p, uint32_t s)
 {
 	if (c->depth[s] >= p->shared || (int)s == p->home)
--- a/lib/data/router_prefix.c
+++ b/lib/data/router_prefix.c
@@ -135,6 +135,17 @@
 
 void router_lookup_open(struct router *c) { c->lookup.round_trip_ms = LOOKUP_FIRST_MS; }
 
+/* The load of the servers that it may go to is asked for too: what the head tells all of them is older. */
+static void ask_load(struct router *c, const struct client_request *x, struct Nl__PrefixAsk *ask, int64_t now, struct out *o)
+{
+	uint32_t server[CANDIDATES];
+	int n = router_candidates(c, x, server, now);
+
+	ask->server = apr_palloc(o->p, (size_t)(n + 1) * sizeof *ask->server);
+	for (int i = 0; i < n; i++)
+		ask->server[ask->n_server++] = c->server_hash[server[i]];
+}
+
 void router_lookup_ask(struct router *c, struct client_request *x, int64_t now, struct out *o)
 {
 	struct generation generations[GENERATIONS];
@@ -156,6 +167,7 @@
 	ask->n_cache_namespace = (size_t)n;
 	ask->n_part = x->nparts < LOOKUP_PARTS ? (size_t)x->nparts : LOOKUP_PARTS;
 	ask->part = apr_pmemdup(o->p, x->hash, ask->n_part * sizeof *ask->part);
+	ask_load(c, x, ask, now, o);
 	out_msg(o, c->f.up[0], 0, NL__MSG__BODY_PREFIX_ASK)->prefix_ask = ask;
 	c->lookup.probe_at = now + LOOKUP_PROBE_MS;
 	x->lookup = silent ? LOOKUP_NONE : LOOKUP_ASKED;
@@ -199,18 +211,41 @@
 		}
 }
 
+/* The load of the servers that were asked for, and of the holders that are named. */
+static void answer_load(struct router *c, const struct Nl__PrefixAsk *ask, struct Nl__PrefixReply *reply, struct out *o)
+{
+	reply->load = apr_palloc(o->p, (ask->n_server + reply->n_holder + 1) * sizeof *reply->load);
+	for (size_t i = 0; i < ask->n_server + reply->n_holder; i++) {
+		uint64_t hash = i < ask->n_server ? ask->server[i] : reply->holder[i - ask->n_server]->server;
+		ptrdiff_t at = hmgeti(c->server_at, hash);
+		struct Nl__ServerLoad *load;
+		struct load_cell all;
+
+		if (at < 0 || !router_load_all(c, c->server_at[at].value, &all))
+			continue;
+		load = OUT_NEW(o, Nl__ServerLoad, NL__SERVER_LOAD__INIT);
+		load->server = hash;
+		load->ahead = all.ahead;
+		load->running = all.running;
+		load->tokens = all.tokens;
+		reply->load[reply->n_load++] = load;
+	}
+}
+
 void router_on_prefix_ask(struct router *c, const struct Nl__Msg *m, struct out *o)
 {
 	const struct Nl__PrefixAsk *ask = m->prefix_ask;
 	struct Nl__PrefixReply *reply;
 
-	if (!c->server_table || !ask->n_part || ask->n_part > LOOKUP_PARTS || ask->n_cache_namespace > GENERATIONS)
+	if (!c->server_table || !ask->n_part || ask->n_part > LOOKUP_PARTS || ask->n_cache_namespace > GENERATIONS ||
+	    ask->n_server > CANDIDATES)
 		return;
 	reply = OUT_NEW(o, Nl__PrefixReply, NL__PREFIX_REPLY__INIT);
 	reply->token = ask->token;
 	reply->holder = apr_palloc(o->p, (ask->n_cache_namespace * LOOKUP_HOLDERS + 1) * sizeof *reply->holder);
 	for (size_t k = 0; k < ask->n_cache_namespace; k++)
 		answer_holders(c, ask, k, reply, o);
+	answer_load(c, ask, reply, o);
 	c->n.lookups_answered++;
 	out_msg(o, m->addr, 0, NL__MSG__BODY_PREFIX_REPLY)->prefix_reply = reply;
 }
@@ -249,6 +284,14 @@
 	c->lookup.round_trip_ms += ((double)(now - x->lookup_at) - c->lookup.round_trip_ms) / 8;
 	c->n.lookups_used += x->lookup == LOOKUP_ASKED;
 	take_holders(c, x, reply);
+	for (size_t i = 0; i < reply->n_load; i++) {
+		const struct Nl__ServerLoad *load = reply->load[i];
+		ptrdiff_t at = hmgeti(c->server_at, load->server);
+
+		if (at >= 0)
+			router_load_heard(c, c->server_at[at].value,
+					  &(struct load_cell){ load->ahead, load->running, load->tokens });
+	}
 	x->lookup = LOOKUP_ANSWERED;
 	c->pump_at = 0;
 }
--- a/lib/data/router_send.c
+++ b/lib/data/router_send.c
@@ -223,6 +223,7 @@
 	}
 	f->repeatable = x->repeatable || x->resumable;
 	record_decision(c, x, pl, now);
+	c->load_changed = 1;
 	out_cmd(o, CMD_FORWARD)->u.forward = f;
 	if (x->sends > 1)
 		x->resend_paid = 0; /* a resend earns nothing; what was set aside for it is spent */
@@ -407,6 +408,7 @@
 		return;
 	x->first = now;
 	decision_began(decisions_of(c, x), &x->decision, now - x->sent_at);
+	c->load_changed = 1;
 	router_weights_check_begin(c, x, now);
 	v->ahead -= x->ahead;
 	x->ahead = 0;
