--- a/lib/control/rollout_pace.c
+++ b/lib/control/rollout_pace.c
@@ -95,6 +95,8 @@
 		/* while more don't help, or have not shown that they do, a few more keep as busy as all */
 		return helps || due[0] == INT64_MIN || now >= due[0] - reserve || all <= 2 * m->base ? all : 2 * m->base;
 	}
+	if (!mechanism_on(r->b.without, MECHANISM_PACE))
+		return m->base;
 	if (!busy)
 		m->begun = now;
 	if (m->many || (!m->base_ms && now - m->begun < 2 * load)) /* the first ones show how long it takes */
