--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -53,7 +53,7 @@
 	ROUTER_SOON = 60,            /* ms after which one that a single server turned away may come back */
 	ROUTER_PUMP = 10,            /* ms between weighings of lines that nobody has room for */
 	ROUTER_WAIT_MOST = 800,      /* ms of reading that may be ahead of a send at its server */
-	ROUTER_FULL_PART = 60,       /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
+	ROUTER_FULL_PART = 80,       /* of a server's memory that what runs may take, in per cent: the rest is for kept parts */
 	ROUTER_MEAN_SIZE = 5000,     /* tokens that others' requests are taken to hold */
 	ROUTER_STORE_HEARD = 3500,   /* ms after the last word of a store's events for which it counts as up */
 	ROUTER_DECISIONS_LOG = 2000, /* ms between lines of decisions in an experiment's log */
