--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -119,6 +119,7 @@
 			uint64_t token, addr, since;
 			const char *server;
 			int wait_ms;
+			int all; /* what it keeps now, at once; else what has changed since */
 		} watch;
 	} u;
 };
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -383,6 +383,7 @@
 	double failed;               /* of late sends, the part that broke off; forgotten by and by */
 	int fails;                   /* connections in a row that did not come up */
 	uint64_t watch, epoch, next; /* a watch of its kept parts: the call, where it stands */
+	int listed, watch_all;       /* all that it keeps was told once, and no event missed since; the watch asks for that */
 	double link_free;       /* when the moves from and to it that are under way should be done; ours stand for all routers' */
 	int64_t watched, heard; /* heard: a relay's word of its kept parts */
 };
--- a/lib/data/router_kept_feed.c
+++ b/lib/data/router_kept_feed.c
@@ -195,7 +195,8 @@
 {
 	struct relay_down *down;
 
-	if (!c->server_table || c->f.nup || !arrlen(c->relay.down) || !mechanism_on(c->b.without, MECHANISM_FEED)) { /* another is the head, or there is nobody to tell */
+	if (!c->server_table || c->f.nup || !arrlen(c->relay.down) ||
+	    !mechanism_on(c->b.without, MECHANISM_FEED)) { /* another is the head, or there is nobody to tell */
 		if (arrlen(c->feed.queue))
 			router_feed_clear(c);
 		return;
--- a/lib/data/router_watch.c
+++ b/lib/data/router_watch.c
@@ -192,6 +192,7 @@
 	k->u.watch.server = c->servers.name[s];
 	k->u.watch.since = v->next;
 	k->u.watch.wait_ms = ROUTER_WATCH_WAIT;
+	k->u.watch.all = v->watch_all = !v->listed && !v->next;
 }
 
 /* The head of a zone's relays watches each server for its zone; what it hears goes down the way purges go. */
@@ -285,10 +286,13 @@
 			v->watched = now + ROUTER_LOOK; /* too many watch it, or it is gone */
 			return;
 		}
-		if (!v->next)
+		if (v->watch_all)
 			learn_first_watch(c, k);
+		v->listed = v->watch_all || (v->listed && !k->lost);
 		router_feed_add(c, s, k);
 		router_on_kept(c, k, now);
+		if (k->lost && !v->watch_all)
+			v->next = 0; /* events were missed: all that it keeps is asked for */
 		return;
 	}
 }
--- a/tests/engine_sim.c
+++ b/tests/engine_sim.c
@@ -11,15 +11,15 @@
 
 enum {
 	TICK_MS = 25,
-	WAY_MS = 1,         /* between processes */
-	WATCH_MS = 200,     /* for which a server holds a watch */
-	STEP_MS = 10,       /* between two tokens of an answer */
-	CHUNK = 2048,       /* tokens that a server reads of one prompt before it looks at the next */
-	MOVE_TIMES = 60,    /* a move is so many times as quick as reading */
+	WAY_MS = 1,      /* between processes */
+	WATCH_MS = 200,  /* for which a server holds a watch */
+	STEP_MS = 10,    /* between two tokens of an answer */
+	CHUNK = 2048,    /* tokens that a server reads of one prompt before it looks at the next */
+	MOVE_TIMES = 60, /* a move is so many times as quick as reading */
 	MOVE_MS = 4,
-	AGAIN_MS = 10000,   /* a part that was used so long ago is not read again, but anew */
+	AGAIN_MS = 10000, /* a part that was used so long ago is not read again, but anew */
 	LOSS_SCALE = 1000,
-	NOTICE_MS = 300,    /* before a load, in which routers send the server nothing more */
+	NOTICE_MS = 300, /* before a load, in which routers send the server nothing more */
 	MAX_WAITING = 400,
 	ROUTER_ADDR = 1001
 };
@@ -270,7 +270,8 @@
 
 static void say_ended(struct engine_sim *w, const struct run *r, enum router_end how, int status)
 {
-	later(w, (struct happening){ .kind = HAPPENS_ENDED, .router = r->router, .call = r->call, .how = how, .status = status }, WAY_MS);
+	later(w, (struct happening){ .kind = HAPPENS_ENDED, .router = r->router, .call = r->call, .how = how, .status = status },
+	      WAY_MS);
 }
 
 static void chunk_is_read(struct engine_sim *w, struct engine *e)
@@ -488,8 +489,11 @@
 		return;
 	for (ptrdiff_t k = 0; k < arrlen(c->relay.down); k++)
 		c->relay.down[k].heard = w->now;
-	for (int j = zone + ENGINE_ZONES; j < ENGINE_ROUTERS && arrlen(c->relay.down) < ENGINE_ROUTERS / ENGINE_ZONES - 1; j += ENGINE_ZONES) {
-		struct relay_down down = { .id = (uint64_t)j + 1, .addr = (uint64_t)j + ROUTER_ADDR, .heard = w->now, .briefed = 1 };
+	for (int j = zone + ENGINE_ZONES; j < ENGINE_ROUTERS && arrlen(c->relay.down) < ENGINE_ROUTERS / ENGINE_ZONES - 1;
+	     j += ENGINE_ZONES) {
+		struct relay_down down = {
+			.id = (uint64_t)j + 1, .addr = (uint64_t)j + ROUTER_ADDR, .heard = w->now, .briefed = 1
+		};
 
 		arrput(c->relay.down, down);
 	}
@@ -549,7 +553,9 @@
 
 	if (!a)
 		return;
-	h.run = (struct run){ .router = i, .kind = a->kind, .call = f->call, .parts = a->parts, .from = f->from, .out = a->out, .prio = f->prio };
+	h.run = (struct run){
+		.router = i, .kind = a->kind, .call = f->call, .parts = a->parts, .from = f->from, .out = a->out, .prio = f->prio
+	};
 	memcpy(h.run.id, a->id, sizeof h.run.id);
 	memcpy(h.run.tokens, a->tokens, sizeof h.run.tokens);
 	apr_cpystrn(h.run.name, f->cache_namespace ? f->cache_namespace : "", sizeof h.run.name);
@@ -587,7 +593,8 @@
 		case CMD_SEND: message(w, i, k); break;
 		case CMD_FORWARD: forwarded(w, i, k->u.forward); break;
 		case CMD_WATCH:
-			arrput(w->watch, ((struct watch){ i, atoi(k->u.watch.server + 2), k->u.watch.token, k->u.watch.since, w->now + WATCH_MS }));
+			arrput(w->watch, ((struct watch){ i, atoi(k->u.watch.server + 2), k->u.watch.token, k->u.watch.since,
+							  w->now + WATCH_MS }));
 			break;
 		case CMD_ANSWER: {
 			ptrdiff_t at = hmgeti(w->asked, at_router(i, k->u.answer.token));
@@ -693,7 +700,11 @@
 
 static void ended(struct engine_sim *w, const struct happening *h)
 {
-	struct router_ended e = { .token = h->call, .how = h->how, .status = h->status, .began = h->how == ROUTER_WHOLE, .wrong_life = h->status == 421 };
+	struct router_ended e = { .token = h->call,
+				  .how = h->how,
+				  .status = h->status,
+				  .began = h->how == ROUTER_WHOLE,
+				  .wrong_life = h->status == 421 };
 	struct router_ev ev = { .kind = ROUTER_ENDED };
 	ptrdiff_t at = hmgeti(w->by_call, at_router(h->router, h->call));
 
--- a/tests/engine_sim.h
+++ b/tests/engine_sim.h
@@ -10,30 +10,30 @@
 
 /* A kind of request: a shared prefix out of so many, an own part, and pieces to put out. */
 struct engine_kind {
-	int every_ms;      /* between requests of all routers together; 0: none come */
-	int prefixes;      /* shared prefixes; 0: the request shares none */
-	int hot_percent;   /* of the requests, those for the first prefix alone */
+	int every_ms;    /* between requests of all routers together; 0: none come */
+	int prefixes;    /* shared prefixes; 0: the request shares none */
+	int hot_percent; /* of the requests, those for the first prefix alone */
 	uint32_t shared, own, out;
 	int aim_ms;
 };
 
 struct engine_settings {
 	uint64_t seed;
-	int read_per_ms;   /* tokens that a server reads in a ms */
-	uint32_t room;     /* tokens that a server keeps, what runs included */
-	int link_kbps;     /* of a router's own link, as it is told */
+	int read_per_ms;              /* tokens that a server reads in a ms */
+	uint32_t room;                /* tokens that a server keeps, what runs included */
+	int link_kbps;                /* of a router's own link, as it is told */
 	int event_lag_ms, event_loss; /* of events of kept parts; per mille that never come */
-	int load_ms;       /* for which new weights load */
-	int retain;        /* they load under running requests */
-	int at_once;       /* servers that load together */
-	uint32_t without;  /* mechanisms that are off */
+	int load_ms;                  /* for which new weights load */
+	int retain;                   /* they load under running requests */
+	int at_once;                  /* servers that load together */
+	uint32_t without;             /* mechanisms that are off */
 	struct engine_kind kind[ENGINE_KINDS];
 };
 
 struct engine_counts {
 	uint64_t asked, begun, in_aim, refused, ended;
-	int64_t first_ms;                              /* sum, from the request to its first piece */
-	int *first;                                    /* stb_ds: each one, in ms */
+	int64_t first_ms; /* sum, from the request to its first piece */
+	int *first;       /* stb_ds: each one, in ms */
 };
 
 struct engine_sim;
--- a/tests/test_connections.c
+++ b/tests/test_connections.c
@@ -534,6 +534,8 @@
 		"{\"NodeEpoch\":1,\"NextToken\":1,\"LostCount\":false,\"EventList\":[[1,\"+\",\"s\",\"5c\",800,\"m\"],[2,\"-\",\"s\",\"5c\",0,\"m\"]]}",
 		"{\"NodeEpoch\":null,\"NextToken\":-1,\"EventList\":[null,[],[1],[1,null,null,null,null,null],[{},{},{},{},{},{}],[[],[],[],[],[]]]}",
 		"{\"EventList\":{}}",
+		"{\"NodeEpoch\":1,\"NextToken\":1,\"HeldCount\":[[\"s\",\"5c\",800,\"m\"]]}",
+		"{\"NodeEpoch\":1,\"HeldCount\":[null,[],[1],[null,null,null],[{},{},{}]]}",
 		"[",
 		"null"
 	};
@@ -693,7 +695,7 @@
 		const char *from = memchr(s->in, ' ', (size_t)arrlen(s->in)), *to;
 
 		if (from && (to = memchr(from + 1, ' ', (size_t)(s->in + arrlen(s->in) - from - 1)))) {
-			if (!strncmp(from + 1, "/kv-events", 10))
+			if (!strncmp(from + 1, "/kv-events", 10) || !strncmp(from + 1, "/kv-list", 8))
 				s->noted = 2;
 			else
 				note_wire(s, from + 1, (size_t)(to - from - 1));
--- a/tests/test_kept_feed.c
+++ b/tests/test_kept_feed.c
@@ -341,12 +341,62 @@
 	}
 }
 
+static int watch_of(const struct node *head, const char *server, uint64_t *token)
+{
+	for (ptrdiff_t i = 0; i < arrlen(head->out.v); i++) {
+		const struct cmd *k = &head->out.v[i];
+
+		if (k->kind != CMD_WATCH || strcmp(k->u.watch.server, server))
+			continue;
+		*token = k->u.watch.token;
+		return k->u.watch.all;
+	}
+	return -1;
+}
+
+/* The head asks a server for all that it keeps once, then for what has changed, and again for all where it has missed events. */
+static void what_is_kept_is_listed_once(void **state)
+{
+	static const struct {
+		int lost, all_next;
+	} answers[] = { { 0, 0 }, { 0, 0 }, { 1, 1 }, { 1, 0 }, { 0, 0 } };
+	struct zone z;
+	uint64_t token;
+
+	(void)state;
+	zone_open(&z, 5, 0);
+	z.node[0].router.f.nup = 0;
+	z.node[0].router.f.fresh = z.now;
+	node_step(&z, 0, &(struct router_ev){ .kind = ROUTER_TICK });
+	assert_int_equal(watch_of(&z.node[0], "i-3", &token), 1);
+	for (size_t i = 0; i < sizeof answers / sizeof *answers; i++) {
+		struct Nl__Kept kept = NL__KEPT__INIT;
+		struct router_ev ev = { .kind = ROUTER_WATCHED };
+
+		out_clear(&z.node[0].out);
+		kept.server = "i-3";
+		kept.epoch = 1;
+		kept.next = i + 1;
+		kept.lost = answers[i].lost;
+		ev.u.kept.token = token;
+		ev.u.kept.k = &kept;
+		ev.u.kept.status = 200;
+		node_step(&z, 0, &ev);
+		z.now += ROUTER_WATCH_GAP + TICK_MS;
+		z.node[0].router.f.fresh = z.now;
+		node_step(&z, 0, &(struct router_ev){ .kind = ROUTER_TICK });
+		assert_int_equal(watch_of(&z.node[0], "i-3", &token), answers[i].all_next);
+	}
+	zone_close(&z);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(every_follower_ends_with_the_heads_index),
 		cmocka_unit_test(the_feed_keeps_to_its_share_of_the_link),
 		cmocka_unit_test(a_new_head_asks_few_servers_at_once),
+		cmocka_unit_test(what_is_kept_is_listed_once),
 	};
 	int rc;
 
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -45,9 +45,10 @@
 
 static void print_counts(const char *what, uint64_t seed, const struct engine_sim *w)
 {
-	print_message("%s, seed %llu: read again %.3f of all; in aim %.3f of large and %.3f of small; 90 of 100 within %d and %d ms\n", what,
-		      (unsigned long long)seed, share_again(w), in_aim(w, LARGE), in_aim(w, SMALL), engine_percentile(w, LARGE, 90),
-		      engine_percentile(w, SMALL, 90));
+	print_message(
+	    "%s, seed %llu: read again %.3f of all; in aim %.3f of large and %.3f of small; 90 of 100 within %d and %d ms\n", what,
+	    (unsigned long long)seed, share_again(w), in_aim(w, LARGE), in_aim(w, SMALL), engine_percentile(w, LARGE, 90),
+	    engine_percentile(w, SMALL, 90));
 }
 
 static uint32_t off(enum mechanism m) { return UINT32_C(1) << m; }
@@ -104,7 +105,10 @@
 			struct engine_settings set = usual(seed);
 			struct engine_sim *w;
 
-			set.without = k == 1 ? off(MECHANISM_LOOKUP) : k == 2 ? off(MECHANISM_LOOKUP) | off(MECHANISM_FEED) : k == 3 ? off(MECHANISM_HOMES) : 0;
+			set.without = k == 1   ? off(MECHANISM_LOOKUP)
+				      : k == 2 ? off(MECHANISM_LOOKUP) | off(MECHANISM_FEED)
+				      : k == 3 ? off(MECHANISM_HOMES)
+					       : 0;
 			w = played(&set, 8000);
 			print_counts(k == 0 ? "calm" : k == 1 ? "no lookup" : k == 2 ? "no lookup, no feed" : "no homes", seed, w);
 			engine_close(w);
