--- a/lib/core/purge.c
+++ b/lib/core/purge.c
@@ -380,12 +380,14 @@
 static void ask_up(struct relay *r, int want, int64_t now, struct out *o)
 {
 	struct tick_range gap[8];
-	int n = want ? know_gaps(&r->k, gap, 8) : 0;
 	size_t holders = (size_t)arrlen(r->up);
 	struct Nl__Curiosity *c;
+	int n;
 
 	if (r->publisher || !holders)
 		return;
+	want = want && !r->incurious;
+	n = want ? know_gaps(&r->k, gap, 8) : 0;
 	c = OUT_NEW(o, Nl__Curiosity, NL__CURIOSITY__INIT);
 	c->taken = relay_taken(r);
 	c->reach = know_reach(&r->k);
--- a/lib/core/purge.h
+++ b/lib/core/purge.h
@@ -96,6 +96,7 @@
 	struct relay_down *down; /* stb_ds */
 	uint64_t *up;            /* stb_ds: upstream addresses, best first; the last resort is the log */
 	size_t up_at;
+	int incurious;                               /* an experiment: gaps are not asked for */
 	int publisher;                               /* the log itself: learns from commits, never asks */
 	int fresh;                                   /* has knowledge from a holder since it began */
 	int64_t moved, asked, born, heard, up_tried; /* moved: when the horizon last did */
--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -237,6 +237,7 @@
 	c->f.warm = !c->stopping && now - c->opened >= ROUTER_WARM;
 	config_watch_tick(&c->f, c->relay.k.horizon, now, o);
 	relay_up(&c->relay, c->f.up, (size_t)c->f.nup, config_watch_log(&c->f, c->relay.moved, now), now);
+	c->relay.incurious = !mechanism_on(c->b.without, MECHANISM_CURIOSITY);
 	relay_tick(&c->relay, now, o);
 	if (c->b.instances) {
 		router_load_tick(c, now, o);
