--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1077,6 +1077,7 @@
 	};
 	struct order *q;
 
+	s->list.n_under += c->u.order.under_runs != 0;
 	if (local(s, n) > c->u.order.not_after || n->cell || !inst_at(s, c->u.order.addr)) {
 		e.kind = SIM_ORDERED;
 		e.step = 1;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -100,7 +100,8 @@
 	int load_ms, at_once; /* a load; how many go on at once without slowing each other down */
 	int64_t calls[64];    /* the last calls */
 	uint64_t n_list, n_look, n_order, n_load, n_fenced, n_busy;
-	int most; /* loads under way at once */
+	uint64_t n_under; /* orders to load under running requests */
+	int most;         /* loads under way at once */
 };
 
 enum sim_ev_kind {
--- a/tests/test_instances.c
+++ b/tests/test_instances.c
@@ -230,6 +230,7 @@
 		assert_true(last >= 0);
 		assert_int_equal(s.list.n_load, SERVERS);
 		assert_int_equal(s.list.n_order, SERVERS);
+		assert_int_equal(s.list.n_under, SERVERS); /* no server waits for the end of what runs there */
 		go(&s, &j, 2000);
 		assert_string_equal(rolled(&s), "2");
 		assert_int_equal(s.list.n_order, SERVERS);
