--- a/bin/registrar.c
+++ b/bin/registrar.c
@@ -95,6 +95,22 @@
 	log_say(LOG_INFO, prefix, "%s", line);
 }
 
+/* What the settings say, and what only the platform's do. */
+static void take_settings(struct registrar *g)
+{
+	const struct settings *set = &g->p.set;
+
+	g->r.log = say;
+	g->r.calendar = &calendar_icu;
+	g->r.b.without = set->without;
+	if (!set->more)
+		return;
+	g->r.codec = &platform_tongue;
+	g->r.b = set->bounds;
+	if (set->found && set->nseeds && !strcmp(set->seed[0], set->listen))
+		controller_bootstrap(&g->r, clock_ms());
+}
+
 int main(int argc, char **argv)
 {
 	static struct registrar g;
@@ -138,15 +154,7 @@
 	}
 	controller_open(&g.r, f.id, core_addr(p->set.advertise ? p->set.advertise : p->set.listen), p->set.zone, seeds,
 			p->set.nseeds, f.fleet, proc_random(), f.ptr, clock_ms());
-	g.r.log = say;
-	g.r.calendar = &calendar_icu;
-	g.r.b.without = p->set.without;
-	if (p->set.more) {
-		g.r.codec = &platform_tongue;
-		g.r.b = p->set.bounds;
-		if (p->set.found && p->set.nseeds && !strcmp(p->set.seed[0], p->set.listen))
-			controller_bootstrap(&g.r, clock_ms());
-	}
+	take_settings(&g);
 	if (!proc_open(p))
 		goto end;
 	log_say(LOG_INFO, "registrar", "Serves operators at %s in zone %s.",
--- a/lib/data/router_metrics.c
+++ b/lib/data/router_metrics.c
@@ -49,7 +49,10 @@
 	for (; *value && n + 3 < size; value++) {
 		if (*value == '"' || *value == '\\' || *value == '\n')
 			to[n++] = '\\';
-		to[n++] = *value == '\n' ? 'n' : *value;
+		to[n] = *value;
+		if (*value == '\n')
+			to[n] = 'n';
+		n++;
 	}
 	to[n] = 0;
 	return to;
--- a/lib/shell/http_client.c
+++ b/lib/shell/http_client.c
@@ -284,9 +284,7 @@
 			n -= (size_t)k;
 		}
 		return c->ck.at == CH_DONE ? client_whole(c, d, n) : 0;
-	case FR_EOF:
-		client_pass_body(c, d, n);
-		return c->dead;
+	case FR_EOF: client_pass_body(c, d, n); return c->dead;
 	default: return client_whole(c, d, n);
 	}
 }
