--- a/bin/clerk.c
+++ b/bin/clerk.c
@@ -47,6 +47,7 @@
 		"  clear all | LANE/TENANT        clear kept context now; * stands for all lanes or tenants\n"
 		"  retention [--report]           clearings that are due, run, are done, and what is missing; the report as CSV\n"
 		"  state                          who owns what, editions, horizons, servers\n"
+		"  metrics                        what a router counts, in the Prometheus text format; --at: its metrics address\n"
 		"  --help, --version\n\n"
 		"Each order carries a key of its own, and is sent again with it, to the addresses in turn, until it has a clear\n"
 		"answer, for 20 s. --key KEY: an order that an earlier run gave up is done once, however often it is sent.\n\n"
@@ -312,6 +313,20 @@
 	return OK;
 }
 
+/* What a router counts, as it tells it; --at names the router's own address. */
+static int metrics(void)
+{
+	char *body = NULL;
+	int status = http_do("GET", at, "/metrics", NULL, NULL, 3000, &body);
+
+	if (status == 200)
+		fputs(body, stdout);
+	else
+		fprintf(stderr, "clerk: step metrics, at %s: %s\n", at, status ? "it tells none" : "nobody answers");
+	free(body);
+	return status == 200 ? OK : status ? REFUSED : UNREACHED;
+}
+
 static int clear(const char *scope)
 {
 	struct json_object *j = json_object_new_object();
@@ -451,6 +466,8 @@
 		rc = retention(n == 2);
 	else if (IS("state", 1))
 		rc = state();
+	else if (IS("metrics", 1))
+		rc = metrics();
 	else if (IS("show", 1) || IS("show", 2))
 		rc = show(n == 2 ? a[1] : NULL);
 	else if (n >= 4 && !strcmp(a[0], "set"))
--- a/lib/core/mechanism.c
+++ b/lib/core/mechanism.c
@@ -11,7 +11,6 @@
 	[MECHANISM_SHARED_LOAD] = { "shared-load", "what other routers have under way at servers is counted" },
 	[MECHANISM_ROOM] = { "room", "a send that would fill a server, or wait long there, waits in its router" },
 	[MECHANISM_LATENESS] = { "lateness", "servers whose first pieces came late lately count as dearer" },
-	[MECHANISM_LINKS] = { "links", "slow links between servers are learned" },
 	[MECHANISM_RETAIN] = { "retain", "new weights are loaded under running requests, not after their end" },
 	[MECHANISM_PACE] = { "pace", "how many servers load new weights at once is learned" },
 	[MECHANISM_CURIOSITY] = { "curiosity", "gaps in the purge stream are asked for upstream" },
--- a/lib/core/mechanism.h
+++ b/lib/core/mechanism.h
@@ -14,7 +14,6 @@
 	MECHANISM_SHARED_LOAD, /* what other routers have under way at servers is known and counted */
 	MECHANISM_ROOM,        /* a send that would fill a server's memory or wait long there waits in its router */
 	MECHANISM_LATENESS,    /* servers whose first pieces came late lately count as dearer */
-	MECHANISM_LINKS,       /* slow links between servers are learned */
 	MECHANISM_RETAIN,      /* new weights are loaded under running requests, instead of after they have ended */
 	MECHANISM_PACE,        /* how many servers load new weights at once is learned */
 	MECHANISM_CURIOSITY,   /* gaps in the purge stream are asked for upstream */
--- a/lib/data/router_cost.c
+++ b/lib/data/router_cost.c
@@ -85,11 +85,10 @@
 	v->link_free = (v->link_free > (double)now ? v->link_free : (double)now) + ms * (c->f.counters ? c->f.counters : 1);
 }
 
-double router_move_ms(struct router *c, uint32_t from, uint32_t to, double tokens, const struct bk_service *service, int64_t now)
+double router_move_ms(const struct router *c, uint32_t from, uint32_t to, double tokens, const struct bk_service *service)
 {
 	const struct bk_server *source = &c->server_table->server[from];
 	double speed = source->is_store ? service->store ? service->store : 1 : service->link;
-	double ms = tokens * service->kv_bytes / speed * (source->zone == c->server_table->server[to].zone ? 1 : 2);
 
-	return mechanism_on(c->b.without, MECHANISM_LINKS) ? ms * router_link_slowness(c, from, to, now) : ms;
+	return tokens * service->kv_bytes / speed * (source->zone == c->server_table->server[to].zone ? 1 : 2);
 }
--- a/lib/data/router_internal.h
+++ b/lib/data/router_internal.h
@@ -62,7 +62,7 @@
 /* How long a move that begins now would wait at a machine's link; a move that begins; what one takes. In ms. */
 double router_link_wait(const struct router *c, uint32_t s, int64_t now);
 void router_link_use(struct router *c, uint32_t s, double ms, int64_t now);
-double router_move_ms(struct router *c, uint32_t from, uint32_t to, double tokens, const struct bk_service *service, int64_t now);
+double router_move_ms(const struct router *c, uint32_t from, uint32_t to, double tokens, const struct bk_service *service);
 /* router_prefix.c */
 /* The generations of weights that servers of a request's service have; returns their number.
  * Example: n = router_generations(c, x, generations); */
--- a/lib/data/router_placement.c
+++ b/lib/data/router_placement.c
@@ -227,7 +227,7 @@
 	const struct client_request *x = p->x;
 	uint32_t s = (uint32_t)k->plan.server;
 	double more = (double)(router_tokens_upto(x, upto) - router_tokens_upto(x, k->plan.keep));
-	double move = router_move_ms(c, (uint32_t)from, s, more, p->service, p->now);
+	double move = router_move_ms(c, (uint32_t)from, s, more, p->service);
 	double ms = move + ROUTER_FETCH_MS + router_link_wait(c, (uint32_t)from, p->now);
 
 	if (ms >= ROUTER_FETCH_WAIT)
