Emulator: the last table is requested until a controller answers, with a pause

Measured: the_last_table_is_read_once_a_leader_is_back fails with the old loop (5 rounds, no pause) and passes now, as does its twin for a fleet that never has a leader.

--- a/emulator/fleet_run.c
+++ b/emulator/fleet_run.c
@@ -9,8 +9,11 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "final_table.h"
 #include "fleet_internal.h"
 
+enum { TABLE_REQUEST_MS = 6000 };
+
 static int all_ready(struct test_fleet *fleet)
 {
 	for (int i = 0; i < fleet->router_count; i++) {
@@ -180,35 +183,52 @@
 	pthread_create(&fleet->probe_thread, NULL, fleet_probe_thread, fleet);
 }
 
-static void load_off(struct test_fleet *fleet)
+static int request_table(void *context, int controller, char **body)
+{
+	struct test_fleet *fleet = context;
+	struct fleet_process *node = fleet_process_of(fleet, PROCESS_CONTROLLER, controller);
+
+	if (!node || !node->pid)
+		return 0;
+	return http_call_blocking("GET", node->web_address, "/v1/table", NULL, NULL, TABLE_REQUEST_MS, body);
+}
+
+static void pause_run(void *context, int64_t ms)
+{
+	(void)context;
+	fleet_sleep_ms(ms);
+}
+
+static int64_t run_clock_ms(void *context)
+{
+	(void)context;
+	return clock_ms();
+}
+
+/* Record the configuration that the run ends with. */
+static void record_final_table(struct test_fleet *fleet)
 {
-	struct json_object *r;
-	char *out = NULL;
-	int st = 0;
+	const struct final_table_calls calls = { fleet, request_table, pause_run, run_clock_ms };
+	char *text = final_table_read(&calls, fleet->controller_count);
+	struct json_object *table = text ? json_tokener_parse(text) : NULL;
+	struct json_object *event;
+
+	free(text);
+	if (!table)
+		return;
+	event = fleet_event("table");
+	json_object_object_add(event, "edition", json_object_new_int64(json_member_int(table, "edition")));
+	json_object_object_add(event, "rows", json_object_get(json_member(table, "rows")));
+	record_put(fleet->record, event);
+	json_object_put(table);
+}
 
+static void load_off(struct test_fleet *fleet)
+{
 	load_clients_stop(fleet->load_clients);
 	fleet->stop = 1;
 	pthread_join(fleet->probe_thread, NULL);
-	for (int i = 0; i < fleet->controller_count * 5 && st != 200; i++) {
-		struct fleet_process *node =
-		    fleet_process_of(fleet, PROCESS_CONTROLLER, i % fleet->controller_count);
-
-		free(out);
-		out = NULL;
-		st = node && node->pid
-			 ? http_call_blocking("GET", node->web_address, "/v1/table", NULL, NULL, 6000, &out)
-			 : 0;
-	}
-	if (st == 200) {
-		struct json_object *json = json_tokener_parse(out);
-
-		r = fleet_event("table");
-		json_object_object_add(r, "edition", json_object_new_int64(json_member_int(json, "edition")));
-		json_object_object_add(r, "rows", json_object_get(json_member(json, "rows")));
-		record_put(fleet->record, r);
-		json_object_put(json);
-	}
-	free(out);
+	record_final_table(fleet);
 }
 
 void run_list(FILE *out)
--- a/tests/test_emulator.c
+++ b/tests/test_emulator.c
@@ -13,6 +13,7 @@
 #include <cmocka.h>
 
 #include "containers.h"
+#include "final_table.h"
 #include "platform_run.h"
 #include "program_names.h"
 
@@ -2511,6 +2512,70 @@
 	rmdir(folder);
 }
 
+/* ---- the table that a run ends with ---- */
+
+enum { TABLE_CONTROLLERS = 4 };
+
+/* Controllers that refuse until a moment; a request takes no time, as on an idle machine. */
+struct refusing_controllers {
+	int64_t now_ms;
+	int64_t accept_at_ms;
+	int asked;
+};
+
+static int refusing_request(void *context, int controller, char **body)
+{
+	struct refusing_controllers *fleet = context;
+
+	assert_in_range(controller, 0, TABLE_CONTROLLERS - 1);
+	fleet->asked++;
+	if (fleet->now_ms < fleet->accept_at_ms) {
+		*body = strdup("{\"error\":\"no leader in reach\"}");
+		return 503;
+	}
+	*body = strdup("{\"edition\":7,\"rows\":[]}");
+	return 200;
+}
+
+static void refusing_sleep(void *context, int64_t ms)
+{
+	((struct refusing_controllers *)context)->now_ms += ms;
+}
+
+static int64_t refusing_clock(void *context)
+{
+	return ((struct refusing_controllers *)context)->now_ms;
+}
+
+/* All controllers refuse while they elect a leader: the table is requested again until one answers, and for a
+ * bounded time. */
+static void the_last_table_is_read_once_a_leader_is_back(void **state)
+{
+	static const int64_t no_leader_ms[] = { 0, 300, 2500, 8000 };
+
+	(void)state;
+	for (size_t i = 0; i < sizeof no_leader_ms / sizeof *no_leader_ms; i++) {
+		struct refusing_controllers fleet = { 1000, 1000 + no_leader_ms[i], 0 };
+		struct final_table_calls calls = { &fleet, refusing_request, refusing_sleep, refusing_clock };
+		char *table = final_table_read(&calls, TABLE_CONTROLLERS);
+
+		assert_non_null(table);
+		assert_string_equal(table, "{\"edition\":7,\"rows\":[]}");
+		free(table);
+	}
+}
+
+static void a_fleet_without_a_leader_has_no_last_table(void **state)
+{
+	struct refusing_controllers fleet = { 1000, INT64_MAX, 0 };
+	struct final_table_calls calls = { &fleet, refusing_request, refusing_sleep, refusing_clock };
+
+	(void)state;
+	assert_null(final_table_read(&calls, TABLE_CONTROLLERS));
+	assert_true(fleet.now_ms - 1000 >= FINAL_TABLE_LIMIT_MS);
+	assert_true(fleet.asked >= TABLE_CONTROLLERS);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -2545,6 +2610,8 @@
 		cmocka_unit_test(surplus_bytes_that_reach_a_client_are_seen),
 		cmocka_unit_test(an_answer_lost_after_its_run_is_not_run_again_where_it_may_not),
 		cmocka_unit_test(older_builds_are_found_by_their_names),
+		cmocka_unit_test(the_last_table_is_read_once_a_leader_is_back),
+		cmocka_unit_test(a_fleet_without_a_leader_has_no_last_table),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
