--- a/lib/shell/transport.c
+++ b/lib/shell/transport.c
@@ -128,10 +128,12 @@
 	return APR_SUCCESS;
 }
 
-static apr_status_t start_thread(struct transport *transport, apr_pool_t *pool)
+/* The thread adds sockets to the pollset, which allocates for each in its pool: so that must be the thread's.
+ */
+static apr_status_t start_thread(struct transport *transport)
 {
-	apr_status_t status =
-	    apr_pollset_create(&transport->pollset, MAX_POLLED_SOCKETS, pool, APR_POLLSET_WAKEABLE);
+	apr_status_t status = apr_pollset_create(&transport->pollset, MAX_POLLED_SOCKETS, transport->pool,
+						 APR_POLLSET_WAKEABLE);
 	apr_pollfd_t poll_fd = { 0 };
 
 	if (status != APR_SUCCESS)
@@ -139,9 +141,9 @@
 	poll_fd.desc_type = APR_POLL_SOCKET;
 	poll_fd.reqevents = APR_POLLIN;
 	poll_fd.desc.s = transport->listen_socket;
-	poll_fd.p = pool;
+	poll_fd.p = transport->pool;
 	apr_pollset_add(transport->pollset, &poll_fd);
-	return apr_thread_create(&transport->thread, NULL, transport_thread, transport, pool);
+	return apr_thread_create(&transport->thread, NULL, transport_thread, transport, transport->pool);
 }
 
 struct transport *transport_open(const char *addr, struct ring *events, apr_pool_t *pool)
@@ -155,7 +157,7 @@
 	ring_open(&transport->outgoing_frames, MAX_QUEUED_FRAMES, pool);
 	status = listen_at(transport, core_parse_addr(addr), pool);
 	if (status == APR_SUCCESS)
-		status = start_thread(transport, pool);
+		status = start_thread(transport);
 	if (status == APR_SUCCESS)
 		return transport;
 	log_write(LOG_ERROR, "transport", "Cannot listen at %s: %s.", addr,
--- a/lib/shell/transport_internal.h
+++ b/lib/shell/transport_internal.h
@@ -59,7 +59,7 @@
 
 /* The thread owns all but outgoing_frames, which is a ring, and stop. */
 struct transport {
-	apr_pool_t *pool; /* the thread's, with an allocator of its own */
+	apr_pool_t *pool; /* the thread's, from its start to its end */
 	apr_socket_t *listen_socket;
 	apr_pollset_t *pollset; /* other threads only wake it */
 	apr_thread_t *thread;
