Control: a proposal is known while it is open, however many others are applied

Cause: the outcomes of the last 256 proposals were kept, over all proposers. Change: a proposal names the run of its process and the oldest of that run's proposals that is still open; the replicated record (completed_proposals.c, taken out of state_machine.c) keeps the outcomes of all that are not older and applies none that is older. The count has gone as a bound.

--- a/lib/control/controller.c
+++ b/lib/control/controller.c
@@ -342,6 +342,7 @@
 	controller->identity.rng = seed;
 	controller->identity.last_token =
 	    core_random(&controller->identity.rng) >> 2; /* never one of this controller's life before */
+	controller->identity.run = controller->identity.last_token + 1;
 	controller->identity.seed_count =
 	    seed_count > CONTROLLER_MAX_SEEDS ? CONTROLLER_MAX_SEEDS : seed_count;
 	memcpy(controller->identity.seeds, seeds, (size_t)controller->identity.seed_count * sizeof *seeds);
@@ -370,7 +371,7 @@
 	rollout_close(&controller->rollout);
 	retention_reset(&controller->retention);
 	free_values(&controller->config.purge_feed);
-	arrfree(controller->config.done_operations);
+	completed_proposals_reset(&controller->config.completed_proposals);
 	idempotency_log_reset(&controller->config.accepted_requests);
 	arrfree(controller->operators.logged_calls);
 	config_handover_clear(controller);
--- a/lib/control/controller_state.h
+++ b/lib/control/controller_state.h
@@ -10,6 +10,7 @@
 #include <stdbool.h>
 
 #include "config_table.h"
+#include "completed_proposals.h"
 #include "config_watch.h"
 #include "idempotency.h"
 #include "purge_relay.h"
@@ -46,7 +47,6 @@
 	CONTROLLER_EPOCH_SHIFT = 40,            /* of the epoch in the index of a feed's value */
 	CONTROLLER_FORGET_CONTROLLERS_MS = 60000, /* of leadership, before silent controllers are removed */
 	CONTROLLER_DROP_LOG_MS = 1000,            /* between log lines on messages that break the protocol */
-	CONTROLLER_MAX_DONE_OPERATIONS = 256,     /* operations whose outcome is remembered */
 	CONTROLLER_FEED_POLL_MS = 100             /* between the publisher's requests to the feeds */
 };
 
@@ -189,13 +189,6 @@
 	uint64_t requested_purge_tick; /* the horizon at the newest poll */
 };
 
-/* An operation that was applied, as its proposer knows it, and what came of it. */
-struct controller_done_operation {
-	uint64_t from; /* the proposer's id */
-	uint64_t token;
-	enum proposal_status status;
-};
-
 /* Who this process is in the fleet, and how it makes numbers that nobody else has. Written at the start and
  * by the bootstrap. */
 struct controller_identity {
@@ -207,6 +200,7 @@
 	uint64_t seeds[CONTROLLER_MAX_SEEDS]; /* addresses */
 	int seed_count;
 	uint64_t rng;        /* state of the random numbers */
+	uint64_t run;        /* names this run of the process: random, not 0 */
 	uint64_t last_token; /* the newest token that was given out; the first one is random */
 };
 
@@ -231,9 +225,9 @@
 struct controller_config {
 	struct config_table table;
 	struct Nl__Value **purge_feed; /* stb_ds: decisions for the publisher, oldest first */
-	struct controller_done_operation *done_operations; /* stb_ds, oldest first */
-	struct idempotency_log accepted_requests;          /* operators' requests that were accepted */
-	uint8_t *document;                                 /* the newest document, byte for byte; malloc'd */
+	struct completed_proposals completed_proposals;
+	struct idempotency_log accepted_requests; /* operators' requests that were accepted */
+	uint8_t *document;                        /* the newest document, byte for byte; malloc'd */
 	size_t document_bytes;
 	uint64_t document_version;
 };
--- a/lib/control/proposals.c
+++ b/lib/control/proposals.c
@@ -116,7 +116,7 @@
 	const struct config_table *table = &controller->config.table;
 	struct request_key request_key = request_key_unpack(q->operation->request_key);
 	const struct idempotency_record *accepted;
-	const struct controller_done_operation *done;
+	enum proposal_status status;
 
 	if ((accepted = idempotency_log_find(&controller->config.accepted_requests, &request_key))) {
 		reply_to_proposal(message->addr, q->token, repeated_request_status(accepted, &request_key),
@@ -125,10 +125,9 @@
 	}
 	if (message->shard != SHARD_CONTROL)
 		return false;
-	done = find_done_operation(controller, q->operation->requester_id, q->operation->token);
-	if (done) {
-		reply_to_proposal(message->addr, q->token, done->status, table->revision, "edition overtaken",
-				  0, out);
+	if (completed_proposals_find(&controller->config.completed_proposals, q->operation, &status)) {
+		reply_to_proposal(message->addr, q->token, status, table->revision, "edition overtaken", 0,
+				  out);
 		return true;
 	}
 	if (is_superseded(table, q->operation)) {
@@ -196,6 +195,7 @@
 	if (!proposal.operation)
 		abort();
 	proposal.operation->requester_id = controller->identity.id;
+	proposal.operation->requester_run = controller->identity.run;
 	proposal.operation->token = proposal.token;
 	arrput(controller->proposals.own, proposal);
 }
@@ -242,6 +242,7 @@
 		proposal->send_count++;
 		q = MESSAGE_NEW(out, Nl__Propose, NL__PROPOSE__INIT);
 		q->token = proposal->token;
+		proposal->operation->oldest_open_token = controller->proposals.own[0].token;
 		q->operation =
 		    (struct Nl__Operation *)core_copy_message(out->pool, &proposal->operation->base);
 		command_send(out, config_watch_leader_addr(&controller->config_watch, proposal->shard),
--- a/lib/control/snapshot.c
+++ b/lib/control/snapshot.c
@@ -34,15 +34,7 @@
 		state.rows[i] = shget(row, key[i]).row;
 	state.feed = controller->config.purge_feed;
 	state.n_feed = (size_t)arrlen(controller->config.purge_feed);
-	state.n_completed = (size_t)arrlen(controller->config.done_operations);
-	state.completed = apr_palloc(pool, (state.n_completed + 1) * sizeof *state.completed);
-	for (size_t i = 0; i < state.n_completed; i++) {
-		state.completed[i] = apr_palloc(pool, sizeof *state.completed[i]);
-		nl__completed_operation__init(state.completed[i]);
-		state.completed[i]->from = controller->config.done_operations[i].from;
-		state.completed[i]->token = controller->config.done_operations[i].token;
-		state.completed[i]->status = controller->config.done_operations[i].status;
-	}
+	completed_proposals_pack(&controller->config.completed_proposals, &state, pool);
 	state.document.data = controller->config.document;
 	state.document.len = controller->config.document_bytes;
 	state.document_version = controller->config.document_version;
@@ -166,20 +158,13 @@
 	config_table_close(&config->table);
 	config_table_open(&config->table);
 	free_values(&config->purge_feed);
-	arrsetlen(config->done_operations, 0);
+	completed_proposals_load(&config->completed_proposals, state);
 	idempotency_log_load(&config->accepted_requests, state);
 	retention_load(&controller->retention, state);
 	store_document(controller, state ? state->document.data : NULL, state ? state->document.len : 0,
 		       state ? state->document_version : 0);
 	if (!state)
 		return;
-	for (size_t i = 0; i < state->n_completed; i++) {
-		const struct Nl__CompletedOperation *completed = state->completed[i];
-		struct controller_done_operation done = { completed->from, completed->token,
-							  (enum proposal_status)completed->status };
-
-		arrput(config->done_operations, done);
-	}
 	all.full = 1;
 	all.revision = state->revision;
 	all.set = state->rows;
--- a/lib/control/state_machine.c
+++ b/lib/control/state_machine.c
@@ -27,16 +27,6 @@
 		arrdeln(*feed, 0, n);
 }
 
-const struct controller_done_operation *find_done_operation(const struct controller *controller,
-							    uint64_t from, uint64_t token)
-{
-	for (ptrdiff_t i = arrlen(controller->config.done_operations) - 1; i >= 0; i--)
-		if (controller->config.done_operations[i].from == from &&
-		    controller->config.done_operations[i].token == token)
-			return &controller->config.done_operations[i];
-	return NULL;
-}
-
 enum proposal_status repeated_request_status(const struct idempotency_record *accepted,
 					     const struct request_key *request_key)
 {
@@ -61,18 +51,12 @@
 static bool applied_before(const struct controller *controller, const struct Nl__Operation *operation,
 			   enum proposal_status *status)
 {
-	const struct controller_done_operation *done =
-	    operation->requester_id
-		? find_done_operation(controller, operation->requester_id, operation->token)
-		: NULL;
 	struct request_key request_key = request_key_unpack(operation->request_key);
 	const struct idempotency_record *accepted =
 	    idempotency_log_find(&controller->config.accepted_requests, &request_key);
 
-	if (done) {
-		*status = done->status;
+	if (completed_proposals_find(&controller->config.completed_proposals, operation, status))
 		return true;
-	}
 	if (accepted) {
 		*status = repeated_request_status(accepted, &request_key);
 		return true;
@@ -84,15 +68,11 @@
 static void remember_operation(struct controller *controller, const struct Nl__Operation *operation,
 			       enum proposal_status status, enum request_series series, uint64_t version)
 {
-	struct controller_done_operation done = { operation->requester_id, operation->token, status };
 	struct request_key request_key = request_key_unpack(operation->request_key);
 
 	if (status == PROPOSAL_DONE)
 		idempotency_log_add(&controller->config.accepted_requests, &request_key, series, version);
-	if (done.from)
-		arrput(controller->config.done_operations, done);
-	if (arrlen(controller->config.done_operations) > CONTROLLER_MAX_DONE_OPERATIONS)
-		arrdel(controller->config.done_operations, 0);
+	completed_proposals_add(&controller->config.completed_proposals, operation, status);
 }
 
 /* Documents are accepted in the log's order: one that builds on another version is late. */
@@ -291,6 +271,7 @@
 static void apply_control(struct controller *controller, uint64_t index,
 			  const struct Nl__Operation *operation, struct apply_result *result)
 {
+	completed_proposals_note_open(&controller->config.completed_proposals, operation);
 	switch (operation->body_case) {
 	case NL__OPERATION__BODY_CHANGE:
 		result->status = apply_change(controller, index, operation);
--- a/lib/control/state_machine.h
+++ b/lib/control/state_machine.h
@@ -30,11 +30,6 @@
 struct apply_result state_machine_apply(struct controller *controller, uint32_t shard, uint64_t entry_index,
 					const struct raft_entry *entry, apr_pool_t *pool);
 
-/* The outcome of an operation that was applied before, by who proposed it and its token; NULL: none is
- * remembered. */
-const struct controller_done_operation *find_done_operation(const struct controller *controller,
-							    uint64_t from, uint64_t token);
-
 /* What a request is answered whose key or content was accepted before: PROPOSAL_DONE again, or
  * PROPOSAL_KEY_REUSED when the content is another. */
 enum proposal_status repeated_request_status(const struct idempotency_record *accepted,
--- a/tests/stored_walk.h
+++ b/tests/stored_walk.h
@@ -22,6 +22,11 @@
 };
 extern const ProtobufCMessageDescriptor *const walk_roots[WALK_ROOTS];
 
+/* Walk only the fields of a schema as walk_schema gives it: those that an earlier version had. Any other
+ * field is not filled, and checked to be absent. NULL: all fields. The text must outlive the walks. Example:
+ * walk_as_of(file_read("messages/fields.txt", &n, pool), pool); */
+void walk_as_of(const char *schema, apr_pool_t *pool);
+
 /* The numbers of a root's fields of which one at a time is set; 0: its first, and one alone if it has none.
  * Ends with 0. Example: for (const uint32_t *c = walk_cases(root, pool); ...) */
 const uint32_t *walk_cases(enum walk_root root, apr_pool_t *pool);
--- a/tests/test_idempotency.c
+++ b/tests/test_idempotency.c
@@ -11,6 +11,7 @@
 #include <apr_general.h>
 #include <cmocka.h>
 
+#include "completed_proposals.h"
 #include "config_document.h"
 #include "containers.h"
 #include "linear.h"
@@ -118,6 +119,98 @@
 	apr_pool_destroy(pool);
 }
 
+/* ---- proposals that were applied ---- */
+
+static struct Nl__Operation proposal(uint64_t proposer, uint64_t run, uint64_t token, uint64_t oldest_open)
+{
+	struct Nl__Operation operation = NL__OPERATION__INIT;
+
+	operation.requester_id = proposer;
+	operation.requester_run = run;
+	operation.token = token;
+	operation.oldest_open_token = oldest_open;
+	return operation;
+}
+
+static void apply_proposal(struct completed_proposals *completed, struct Nl__Operation operation)
+{
+	completed_proposals_note_open(completed, &operation);
+	completed_proposals_add(completed, &operation, PROPOSAL_DONE);
+}
+
+static int is_known(const struct completed_proposals *completed, uint64_t proposer, uint64_t run,
+		    uint64_t token)
+{
+	struct Nl__Operation operation = proposal(proposer, run, token, 0);
+	enum proposal_status status;
+
+	return completed_proposals_find(completed, &operation, &status);
+}
+
+/* However many others are applied meanwhile, a proposal is known while it is open, and a late copy of one
+ * that is not open any more is not taken for a new one; what is kept is what is open. A snapshot holds the
+ * same. */
+static void an_open_proposal_is_known_after_any_number_of_others(void **state)
+{
+	enum { OTHERS = 5000, OPEN = 50 };
+	struct completed_proposals completed = { 0 }, loaded = { 0 };
+	struct Nl__ControlState saved = NL__CONTROL_STATE__INIT;
+	ptrdiff_t kept;
+	apr_pool_t *pool;
+
+	(void)state;
+	apr_pool_create(&pool, NULL);
+	apply_proposal(&completed, proposal(1, 11, 100, 100)); /* its answer is lost */
+	for (uint64_t i = 0; i < OTHERS; i++)
+		apply_proposal(&completed, proposal(2, 22, 1000 + i, 1000 + (i < OPEN ? 0 : i - OPEN)));
+	kept = arrlen(completed.proposals);
+	assert_true(kept <= OPEN + 2);
+	completed_proposals_pack(&completed, &saved, pool);
+	completed_proposals_load(&loaded, &saved);
+	for (int round = 0; round < 2; round++) {
+		struct completed_proposals *record = round ? &loaded : &completed;
+
+		assert_true(is_known(record, 1, 11, 100));
+		assert_true(is_known(record, 2, 22, 1000)); /* not open any more */
+		assert_true(is_known(record, 2, 22, 1000 + OTHERS - 1));
+		assert_false(is_known(record, 2, 22, 1000 + OTHERS));
+		assert_false(is_known(record, 2, 23, 1)); /* of another run, which begins lower */
+		assert_false(is_known(record, 3, 22, 1));
+		apply_proposal(record, proposal(1, 11, 101, 101)); /* it had its answer */
+		assert_true(is_known(record, 1, 11, 100));
+		assert_int_equal(arrlen(record->proposals), kept); /* one new, one dropped */
+		completed_proposals_reset(record);
+	}
+	apr_pool_destroy(pool);
+}
+
+/* Processes that start again and again, and proposers of earlier versions, which name no run: both are
+ * bounded. */
+static void the_record_of_proposals_is_bounded(void **state)
+{
+	struct completed_proposals completed = { 0 }, loaded = { 0 };
+	struct Nl__ControlState saved = NL__CONTROL_STATE__INIT;
+	apr_pool_t *pool;
+
+	(void)state;
+	apr_pool_create(&pool, NULL);
+	for (uint64_t run = 1; run <= 3 * COMPLETED_MAX_RUNS; run++) {
+		apply_proposal(&completed, proposal(1, run, 1000 - run, 1000 - run));
+		apply_proposal(&completed, proposal(9, 0, run, 0));
+		assert_true(is_known(&completed, 1, run, 1000 - run) && is_known(&completed, 9, 0, run));
+	}
+	assert_int_equal(arrlen(completed.runs), COMPLETED_MAX_RUNS);
+	assert_int_equal(arrlen(completed.proposals), COMPLETED_MAX_RUNS + COMPLETED_MAX_WITHOUT_RUN);
+	completed_proposals_pack(&completed, &saved, pool);
+	completed_proposals_load(&loaded, &saved);
+	assert_int_equal(loaded.without_run, COMPLETED_MAX_WITHOUT_RUN);
+	assert_int_equal(arrlen(loaded.proposals), arrlen(completed.proposals));
+	completed_proposals_load(&loaded, NULL);
+	assert_int_equal(arrlen(loaded.proposals) + arrlen(loaded.runs), 0);
+	completed_proposals_reset(&completed);
+	apr_pool_destroy(pool);
+}
+
 /* What the record adds to each snapshot, once it is full. */
 static void a_full_record_is_small(void **state)
 {
@@ -1127,6 +1220,51 @@
 	close_world(&world);
 }
 
+/* A change without a key of its own, whose answer was lost, is proposed again after hundreds of others were
+ * applied: it must not take effect a second time, over what was accepted since. */
+static void a_change_proposed_again_after_hundreds_is_applied_once(void **state)
+{
+	enum { OTHERS = 400, OTHERS_MS = 300 };
+	static const char newer[] = "{\"set\":[{\"kind\":\"tenant\",\"name\":\"t\",\"share\":9}]}";
+	static struct world world;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= 10; seed++) {
+		const struct Nl__Row *row;
+		int leader, submitted;
+		uint64_t token;
+		char body[200];
+
+		found(&world, seed, TABLE, FAULTS);
+		sim_run(&world.s, 3000, NULL);
+		leader = sim_leader(&world.s, SHARD_CONTROL);
+		submitted = (leader + 1) % world.controllers;
+		world.s.link_cut[leader][submitted] = 1; /* the answer is lost */
+		token = sim_call(&world.s, submitted, "POST", "/v1/change", unconditional);
+		sim_run(&world.s, 30, NULL);
+		for (int i = 0; i < OTHERS; i++) {
+			snprintf(body, sizeof body,
+				 "{\"set\":[{\"kind\":\"tenant\",\"name\":\"o%d\",\"share\":1}]}", i);
+			sim_call(&world.s, leader, "POST", "/v1/change", body);
+		}
+		assert_int_equal(sim_call_and_wait(&world.s, leader, "POST", "/v1/change", newer, OTHERS_MS),
+				 200);
+		assert_true(sim_run(&world.s, 600, NULL)); /* a copy comes after 400 ms */
+		row =
+		    config_table_get(&world.s.nodes[leader].controller->config.table, NL__KIND__TENANT, "t");
+		assert_non_null(row);
+		if (row->share != 9)
+			fail_msg("seed %llu: applied twice, over a newer change", (unsigned long long)seed);
+		world.s.link_cut[leader][submitted] = 0;
+		sim_run(&world.s, 6000, NULL);
+		assert_non_null(sim_answer(&world.s, token));
+		assert_true(sim_answer(&world.s, token)->status == 200 ||
+			    sim_answer(&world.s, token)->status >= 500);
+		intact(&world);
+		close_world(&world);
+	}
+}
+
 /* Two orders under one key, sent at one moment: the log's order decides which of them it is. */
 static void of_two_requests_under_one_key_one_is_accepted(void **state)
 {
@@ -1296,7 +1434,10 @@
 		cmocka_unit_test(keyed_requests_are_identified),
 		cmocka_unit_test(the_record_is_bounded_and_knows_how_far_it_reaches),
 		cmocka_unit_test(a_full_record_is_small),
+		cmocka_unit_test(an_open_proposal_is_known_after_any_number_of_others),
+		cmocka_unit_test(the_record_of_proposals_is_bounded),
 		cmocka_unit_test(a_change_sent_again_is_acknowledged_again),
+		cmocka_unit_test(a_change_proposed_again_after_hundreds_is_applied_once),
 		cmocka_unit_test(of_two_requests_under_one_key_one_is_accepted),
 		cmocka_unit_test(a_purge_with_a_key_is_decided_once),
 		cmocka_unit_test(a_refused_copy_does_not_decide_for_the_others),
