Emulator: surplus bytes leave the next request its connection's tag

Cause: a server that sends bytes behind a complete answer cleared or took over the connection's tag, though the next request had begun on it; when its caller disconnected, the work was not told and wrote to a connection that had been freed. surplus_bytes_that_reach_a_client_are_seen crashed in one run of tests/run (double free), in 3 of 35 alone and in 3 of 6 side by side with the address sanitizer. Change: the tag is only taken when no request holds it, and only given back by who holds it. surplus_bytes_leave_the_next_request_its_connection brings it about each time; it failed before. 18 runs of test_emulator, six side by side with sanitizers: none failed.

--- a/emulator/model_server_answers.c
+++ b/emulator/model_server_answers.c
@@ -153,7 +153,8 @@
 
 	loop_cancel(server->fleet->loop, server->surplus_timer);
 	server->surplus_timer = 0;
-	conn_set_tag(server->surplus_conn, NULL);
+	if (conn_tag(server->surplus_conn) == server)
+		conn_set_tag(server->surplus_conn, NULL);
 	response_fields(server, server->surplus_id, f, sizeof f);
 	conn_writef(server->surplus_conn, "HTTP/1.1 200 OK\r\n%sContent-Length: 4\r\n\r\nlate", f);
 }
@@ -204,7 +205,8 @@
 	    !server->surplus_timer) { /* bytes behind a complete answer, at once or a little later */
 		snprintf(server->surplus_id, sizeof server->surplus_id, "%s", id);
 		server->surplus_conn = conn;
-		if (emulator_random_unit(&server->fleet->rng) < 0.5) {
+		/* a tag: the next request has begun on the connection, and its work needs the tag */
+		if (emulator_random_unit(&server->fleet->rng) < 0.5 || conn_tag(conn)) {
 			send_surplus(server);
 		} else { /* in the slot where the next one is due, if that comes sooner */
 			conn_set_tag(conn, server);
--- a/tests/test_emulator.c
+++ b/tests/test_emulator.c
@@ -1514,6 +1514,41 @@
 	rig_close(&rig);
 }
 
+/* Whether the first answer has come and the second request runs. */
+static int second_runs(void *ctx)
+{
+	struct rig *rig = ctx;
+
+	return rig->removed || (rig->done && arrlen(rig->a->batch) + arrlen(rig->a->queue) > 0);
+}
+
+/* Two requests sent at once on one connection; surplus bytes follow the first answer while the second request
+ * runs, whose caller then disconnects: the server still knows whose connection it was. */
+static void surplus_bytes_leave_the_next_request_its_connection(void **state)
+{
+	enum { ROUNDS = 20 };
+
+	(void)state;
+	for (int round = 0; round < ROUNDS; round++) {
+		struct rig rig;
+
+		rig_open(&rig);
+		rig.f.rng = (uint64_t)round + 1;
+		rig.a->fault.surplus = 1;
+		answer_clear(&rig);
+		rig.c = conn_connect(rig.f.loop, rig.at[0], &on_answer, &rig);
+		conn_expect(rig.c);
+		for (int i = 0; i < 2; i++)
+			conn_writef(rig.c, "POST /x HTTP/1.1\r\nHost: h\r\n%sContent-Length: 0\r\n\r\n",
+				    i ? GEN("t2", "300", "aa:300") : GEN("t1", "300", "aa:300"));
+		assert_true(loop_until(rig.f.loop, ms_us(5000), second_runs, &rig));
+		hang_up(&rig);
+		loop_until(rig.f.loop, ms_us(100), NULL, NULL);
+		assert_int_equal(arrlen(rig.a->batch) + arrlen(rig.a->queue), 0);
+		rig_close(&rig);
+	}
+}
+
 static void what_does_not_run_says_so(void **state)
 {
 	static const struct {
@@ -2585,6 +2620,7 @@
 		cmocka_unit_test(planned_changes_are_valid),
 		cmocka_unit_test(histogram_is_within_its_steps),
 		cmocka_unit_test(a_stream_is_whole_and_stamped),
+		cmocka_unit_test(surplus_bytes_leave_the_next_request_its_connection),
 		cmocka_unit_test(what_does_not_run_says_so),
 		cmocka_unit_test(cached_blocks_are_not_prefilled_again_and_stay_in_their_namespace),
 		cmocka_unit_test(the_longest_unused_gives_way),
