Purges: knowledge is dated by the horizon it dates; zone heads are told the publisher

(1) A router that had turned to the publisher for a moment stays registered there for 3 s, and is told each tick by it and by its relay. The first to come moved the horizon and carried the date of the router's last request to the publisher; the relay's newer date for the same tick was dropped, as nothing moved. (2) A zone head whose publisher had ended asked its old address for a second, then others at random. Change: Knowledge names the sender's horizon, and a receiver takes its date once it knows as much, whoever brought the ticks. Before, a date was taken as soon as the horizon moved at all, also where the sender knew of later ticks that were lost on the way: that can no longer look fresh. The head of a zone is told the publisher's address with each answer on the configuration. New fields on the wire; a sender of before is dated as before.

--- a/lib/control/config_sync.c
+++ b/lib/control/config_sync.c
@@ -163,8 +163,10 @@
 		reply->router_count +=
 		    controller->membership.nodes[i].is_router &&
 		    now - controller->membership.nodes[i].observed_at_ms < CONTROLLER_NODE_LIVE_MS;
-	if (sync->is_router && !reply->n_upstreams)
+	if (sync->is_router && !reply->n_upstreams) {
 		add_zone_heads(controller, node.zone, reply, now, out);
+		reply->publisher = leader_hint(controller, SHARD_PURGE, now);
+	}
 	if (!is_late)
 		quota_shares_update(&controller->quota, &controller->config.table,
 				    is_new_leader(controller, now), message->id, sync, reply->router_count,
--- a/lib/control/config_watch.c
+++ b/lib/control/config_watch.c
@@ -349,6 +349,9 @@
 	     watch->zone_head_count < (int)(sizeof watch->zone_heads / sizeof *watch->zone_heads);
 	     i++)
 		watch->zone_heads[watch->zone_head_count++] = reply->zone_heads[i];
+	/* a publisher that has ended can't name its successor */
+	if (reply->publisher)
+		config_watch_hint(watch, SHARD_PURGE, reply->publisher);
 	watch->router_count = reply->router_count;
 	apply_controllers(watch, reply);
 	return (watch->table.revision != revision_before ? CONFIG_WATCH_TABLE_CHANGED : 0) |
--- a/lib/core/purge_relay.c
+++ b/lib/core/purge_relay.c
@@ -69,6 +69,16 @@
 	return ms > INT32_MAX ? INT32_MAX : (uint32_t)ms;
 }
 
+/* Say up to which tick all was known, and how long ago: the receiver's own clock in the request that this
+ * follows dates it. */
+static void date_knowledge(const struct relay *relay, struct Nl__Knowledge *knowledge,
+			   int64_t request_clock_ms, int64_t now)
+{
+	knowledge->age_ms = knowledge_age_ms(relay, now);
+	knowledge->request_clock_ms = request_clock_ms;
+	knowledge->horizon = relay->knowledge.horizon;
+}
+
 /* Send each downstream what is known of a range. */
 static void send_increments(struct relay *relay, uint64_t first, uint64_t last, int64_t now,
 			    struct command_list *out)
@@ -80,8 +90,7 @@
 		if (!knowledge_append(&relay->knowledge, first, last, knowledge, out) ||
 		    !knowledge->n_increments)
 			continue;
-		knowledge->age_ms = knowledge_age_ms(relay, now);
-		knowledge->request_clock_ms = downstream->request_clock_ms;
+		date_knowledge(relay, knowledge, downstream->request_clock_ms, now);
 		command_send(out, downstream->addr, SHARD_PURGE, NL__MSG__BODY_KNOWLEDGE)->knowledge =
 		    knowledge;
 		relay->increments_sent += knowledge->n_increments;
@@ -96,10 +105,18 @@
 	return request_clock_ms > 0 && request_clock_ms <= now ? request_clock_ms - age_ms : 0;
 }
 
+/* Everything decided up to known_at_ms has a tick up to horizon, as its sender says: so it holds for us once
+ * we know as much, whichever message brought the ticks themselves. */
+static void note_known(struct relay *relay, uint64_t horizon, int64_t known_at_ms)
+{
+	if (relay->knowledge.horizon >= horizon && known_at_ms > relay->known_at_ms)
+		relay->known_at_ms = known_at_ms;
+}
+
 /* Add a range and its value; 1 when any tick was new. horizon_moved_at_ms: when the sender's horizon moved,
- * if messages took no time; known_at_ms: the same, counted from our request. */
+ * if messages took no time. */
 static int learn_range(struct relay *relay, uint64_t first, uint64_t last, const struct Nl__Value *value,
-		       int64_t horizon_moved_at_ms, int64_t known_at_ms)
+		       int64_t horizon_moved_at_ms)
 {
 	uint64_t old_horizon = relay->knowledge.horizon;
 	int is_new;
@@ -113,8 +130,6 @@
 	if (relay->knowledge.horizon > old_horizon) {
 		if (horizon_moved_at_ms > relay->horizon_moved_at_ms)
 			relay->horizon_moved_at_ms = horizon_moved_at_ms;
-		if (known_at_ms > relay->known_at_ms)
-			relay->known_at_ms = known_at_ms;
 		relay->has_knowledge = true;
 	}
 	return is_new;
@@ -123,7 +138,10 @@
 void relay_publish(struct relay *relay, uint64_t first, uint64_t last, const struct Nl__Value *value,
 		   int64_t now, struct command_list *out)
 {
-	if (learn_range(relay, first, last, value, now, now))
+	int is_new = learn_range(relay, first, last, value, now);
+
+	note_known(relay, last, now);
+	if (is_new)
 		send_increments(relay, first, last, now, out);
 }
 
@@ -140,31 +158,43 @@
 			 struct command_list *out)
 {
 	int64_t known_at_ms = known_as_of(knowledge->request_clock_ms, knowledge->age_ms, now);
+	bool *is_new = apr_pcalloc(out->pool, (knowledge->n_increments + 1) * sizeof *is_new);
+	uint64_t old_horizon = relay->knowledge.horizon;
 
 	for (size_t i = 0; i < knowledge->n_increments; i++) {
 		const struct Nl__Increment *increment = knowledge->increments[i];
 
-		if (!is_valid(increment))
-			continue;
-		if (learn_range(relay, increment->first, increment->last, increment->value,
-				now - knowledge->age_ms, known_at_ms))
-			send_increments(relay, increment->first, increment->last, now, out);
+		is_new[i] = is_valid(increment) && learn_range(relay, increment->first, increment->last,
+							       increment->value, now - knowledge->age_ms);
 	}
+	if (knowledge->horizon)
+		note_known(relay, knowledge->horizon, known_at_ms);
+	else if (relay->knowledge.horizon > old_horizon) /* a sender of an earlier version */
+		note_known(relay, 0, known_at_ms);
+	for (size_t i = 0; i < knowledge->n_increments; i++)
+		if (is_new[i])
+			send_increments(relay, knowledge->increments[i]->first,
+					knowledge->increments[i]->last, now, out);
 }
 
 static void on_purge_snapshot(struct relay *relay, const struct Nl__PurgeSnapshot *snapshot, int64_t now,
 			      struct command_list *out)
 {
+	bool brings_ticks = snapshot->upto_tick > relay->knowledge.horizon;
+
 	for (size_t i = 0; i < snapshot->n_latest; i++)
 		if (snapshot->latest[i]->purge) {
 			purge_view_apply(&relay->view, snapshot->latest[i]);
 			if (relay->on_value)
 				relay->on_value(relay->context, snapshot->latest[i]);
 		}
-	if (snapshot->upto_tick <= relay->knowledge.horizon)
+	if (brings_ticks)
+		learn_range(relay, relay->knowledge.horizon + 1, snapshot->upto_tick, NULL,
+			    now - snapshot->age_ms);
+	note_known(relay, snapshot->upto_tick,
+		   known_as_of(snapshot->request_clock_ms, snapshot->age_ms, now));
+	if (!brings_ticks)
 		return;
-	learn_range(relay, relay->knowledge.horizon + 1, snapshot->upto_tick, NULL, now - snapshot->age_ms,
-		    known_as_of(snapshot->request_clock_ms, snapshot->age_ms, now));
 	/* the values themselves are not held here: downstreams need a snapshot as well */
 	knowledge_release(&relay->knowledge, snapshot->upto_tick);
 	send_increments(relay, snapshot->upto_tick + 1, knowledge_reach(&relay->knowledge), now, out);
@@ -268,8 +298,7 @@
 	if (!complete) {
 		send_purge_snapshot(relay, message->addr, curiosity->request_clock_ms, now, out);
 	} else if (knowledge->n_increments) {
-		knowledge->age_ms = knowledge_age_ms(relay, now);
-		knowledge->request_clock_ms = curiosity->request_clock_ms;
+		date_knowledge(relay, knowledge, curiosity->request_clock_ms, now);
 		command_send(out, message->addr, SHARD_PURGE, NL__MSG__BODY_KNOWLEDGE)->knowledge = knowledge;
 	}
 	return !has_unknown || knowledge->n_increments;
--- a/tests/test_planned_stop.c
+++ b/tests/test_planned_stop.c
@@ -24,9 +24,10 @@
 	RETRY_FAST_MS = 1500,
 	STEP_MS = 1,
 	AFTER_STOP_MS = 4000,
-	LEASE_GAP_MS = 200,  /* without a leader of the configuration */
-	ANSWER_GAP_MS = 300, /* until a router has its next good answer */
-	OLDEST_MS = 450      /* that a router's configuration becomes; 250 and the way without a stop */
+	LEASE_GAP_MS = 200,      /* without a leader of the configuration */
+	ANSWER_GAP_MS = 300,     /* until a router has its next good answer */
+	OLDEST_PURGES_MS = 1200, /* that a router's knowledge of purges becomes */
+	OLDEST_MS = 450          /* that a router's configuration becomes; 250 and the way without a stop */
 };
 
 #define SPEEDS ",\"weights\":\"w1\",\"prefill\":20,\"kv_bytes\":400,\"link\":100000"
@@ -163,6 +164,52 @@
 	arrfree(gaps.age);
 }
 
+/* ---- how old routers' knowledge of purges becomes ---------------------------------- */
+
+/* The publisher is told to stop; the oldest that each router's knowledge becomes is added to ages. */
+static void stop_the_publisher(struct sim *sim, int64_t **ages)
+{
+	int publisher = sim_leader(sim, SHARD_PURGE);
+	int64_t end = sim->now + AFTER_STOP_MS, age[ROUTERS] = { 0 };
+
+	sim_stop(sim, publisher);
+	while (sim->now < end) {
+		pass(sim, STEP_MS);
+		end_when_stopped(sim, publisher);
+		for (int i = 0; i < ROUTERS; i++) {
+			int node = SIM_CONTROLLERS + i;
+			int64_t known = sim->nodes[node].router->relay.known_at_ms;
+
+			if (sim_local(sim, node) - known > age[i])
+				age[i] = sim_local(sim, node) - known;
+		}
+	}
+	for (int i = 0; i < ROUTERS; i++)
+		arrput(*ages, age[i]);
+}
+
+/* Past PURGE_MAX_STALENESS_MS a router reuses no cached context: a planned stop must not come near. */
+static void a_planned_stop_of_the_publisher_keeps_purges_fresh(void **state)
+{
+	int64_t *ages = NULL;
+
+	(void)state;
+	for (uint64_t seed = first_seed(); seed < first_seed() + seeds_or(24); seed++) {
+		struct sim sim;
+
+		sim_deploy(&sim, seed, 3 + (int)(seed % 3), ROUTERS, SERVERS);
+		sim.delay_ms = 1 + (int)(seed % 4);
+		sim.jitter_ms = 2;
+		sim.disk_ms = seed % 5 == 1 ? 30 : 4;
+		pass(&sim, 3000 + (int64_t)(core_random(&sim.rng) % 500));
+		stop_the_publisher(&sim, &ages);
+		sim_close(&sim);
+	}
+	print_times("oldest knowledge of purges of a router", ages);
+	assert_true(percentile(ages, 100) <= OLDEST_PURGES_MS);
+	arrfree(ages);
+}
+
 /* No successor can be elected: what the stopped leader holds is answered in time, though without a lease. */
 static void a_pending_request_is_answered_in_time(void **state)
 {
@@ -405,6 +452,7 @@
 		cmocka_unit_test(a_bootstrap_that_has_begun_is_unknown),
 		cmocka_unit_test(a_stop_waits_for_calls_and_begins_none),
 		cmocka_unit_test(a_planned_stop_leaves_a_short_gap),
+		cmocka_unit_test(a_planned_stop_of_the_publisher_keeps_purges_fresh),
 	};
 	int rc;
 
--- a/tests/test_units.c
+++ b/tests/test_units.c
@@ -202,6 +202,76 @@
 	apr_pool_destroy(out.pool);
 }
 
+/* Two nodes tell the same ticks. Whichever comes first, the newer date counts once as much is known as it
+ * dates, and not before. */
+static void knowledge_is_dated_once_all_that_it_dates_is_known(void **state)
+{
+	struct relay a, b;
+	struct command_list out = { 0 };
+	struct Nl__Msg message = NL__MSG__INIT, told = NL__MSG__INIT;
+	struct Nl__Curiosity curiosity = NL__CURIOSITY__INIT;
+	struct Nl__TickRange range = NL__TICK_RANGE__INIT, *wanted = &range;
+	struct Nl__Knowledge repeated = NL__KNOWLEDGE__INIT;
+	struct Nl__Increment increment = NL__INCREMENT__INIT, *increments = &increment;
+	int64_t now = 100000;
+
+	(void)state;
+	apr_pool_create(&out.pool, NULL);
+	relay_open(&a, now);
+	relay_open(&b, now);
+	a.is_publisher = 1;
+	relay_publish(&a, 1, 10, NULL, now, &out);
+	curiosity.needs_snapshot = 1;
+	curiosity.request_clock_ms = now;
+	message.body_case = NL__MSG__BODY_CURIOSITY;
+	message.curiosity = &curiosity;
+	message.id = 2;
+	command_list_clear(&out);
+	relay_receive(&a, &message, now, &out);
+	relay_receive(&b, out.commands[0].args.send.msg, now, &out);
+	assert_int_equal(b.known_at_ms, now);
+	/* 11 to 13 are published, and what is said of them lost; only 11 is asked for */
+	for (uint64_t tick = 11; tick <= 13; tick++)
+		relay_publish(&a, tick, tick, NULL, now + 3000, &out);
+	curiosity.needs_snapshot = 0;
+	curiosity.acknowledged_tick = 10;
+	curiosity.request_clock_ms = now + 3000;
+	curiosity.n_wanted = 1;
+	curiosity.wanted = &wanted;
+	range.first = range.last = 11;
+	command_list_clear(&out);
+	relay_receive(&a, &message, now + 3000, &out);
+	assert_int_equal(arrlen(out.commands), 1);
+	relay_receive(&b, out.commands[0].args.send.msg, now + 3000, &out);
+	assert_int_equal(b.knowledge.horizon, 11);
+	assert_int_equal(b.known_at_ms, now); /* 12 and 13 may be purges */
+	range.last = 13;
+	command_list_clear(&out);
+	relay_receive(&a, &message, now + 3000, &out);
+	relay_receive(&b, out.commands[0].args.send.msg, now + 3000, &out);
+	assert_int_equal(b.knowledge.horizon, 13);
+	assert_int_equal(b.known_at_ms, now + 3000);
+	/* another node tells of 13, which is known, after a newer request */
+	increment.first = increment.last = 13;
+	repeated.n_increments = 1;
+	repeated.increments = &increments;
+	repeated.request_clock_ms = now + 3400;
+	repeated.age_ms = 100;
+	repeated.horizon = 13;
+	told.body_case = NL__MSG__BODY_KNOWLEDGE;
+	told.knowledge = &repeated;
+	relay_receive(&b, &told, now + 3500, &out);
+	assert_int_equal(b.known_at_ms, now + 3300);
+	repeated.request_clock_ms = now + 3450; /* it knows more than it tells */
+	repeated.horizon = 14;
+	relay_receive(&b, &told, now + 3500, &out);
+	assert_int_equal(b.known_at_ms, now + 3300);
+	relay_close(&a);
+	relay_close(&b);
+	arrfree(out.commands);
+	apr_pool_destroy(out.pool);
+}
+
 static int of_server(const void *ctx, uint64_t id, const struct block_replica *replica)
 {
 	(void)id;
@@ -688,6 +758,7 @@
 		cmocka_unit_test(knowledge_against_plain_array),
 		cmocka_unit_test(view_against_plain_list),
 		cmocka_unit_test(what_is_old_stays_old),
+		cmocka_unit_test(knowledge_is_dated_once_all_that_it_dates_is_known),
 		cmocka_unit_test(index_against_plain_table),
 		cmocka_unit_test(table_followers_end_alike),
 		cmocka_unit_test(bad_changes_name_the_field),
