Storage: a folder is opened while its disk refuses writes, if it holds what was acknowledged

Change: its records are read from a copy outside the folder, and the file is opened before the first transaction, as after one that failed. Nothing is acknowledged meanwhile. A disk without room for either is called full, not damaged.

--- a/lib/shell/storage.c
+++ b/lib/shell/storage.c
@@ -38,6 +38,10 @@
 	case STORAGE_FILE_UNREADABLE:
 		return apr_psprintf(pool, "step open: %s is damaged or unreadable (%s); " REMEDY, path,
 				    strerror(failure->error_number));
+	case STORAGE_DISK_FULL:
+		return apr_psprintf(
+		    pool, "step open: the disk of %s refuses writes (%s): free space and start again", path,
+		    strerror(failure->error_number));
 	case STORAGE_RECORD_DAMAGED:
 		return apr_psprintf(
 		    pool, "step check: %s is damaged at record %s; it takes no part in votes: " REMEDY, path,
@@ -78,6 +82,34 @@
 	return STORAGE_OK;
 }
 
+/* Reads a file that the library can't open because the disk refuses the writes that take back an unfinished
+ * transaction. Its records are read from a copy; the file itself is opened before the first transaction, as
+ * after one that failed. */
+static enum storage_error load_from_copy(struct storage *storage, struct stored_state *found,
+					 struct storage_failure *failure, apr_pool_t *pool)
+{
+	bool passes_check;
+	bool loaded;
+
+	storage->database = storage_file_open_copy(storage->path, &storage->library_faults);
+	if (!storage->database)
+		return failure->error_number == ENOSPC || failure->error_number == EDQUOT
+			   ? STORAGE_DISK_FULL
+			   : STORAGE_FILE_UNREADABLE;
+	passes_check = tdb_check(storage->database, NULL, NULL) == 0;
+	loaded = storage_load(storage, passes_check, found, failure, pool);
+	(void)tdb_close(storage->database);
+	storage->database = NULL;
+	if (!loaded)
+		return failure->error;
+	storage->transaction_failed = true;
+	storage->rewrite_pending = !passes_check;
+	log_write(LOG_WARN, "storage",
+		  "The disk of %s refuses writes; nothing is acknowledged until it takes them.",
+		  storage->path);
+	return STORAGE_OK;
+}
+
 /* Opens and reads the database file. One that is torn outside its records lacks nothing, but takes no
  * transaction: it is written anew, now or, if the disk is full, before the first transaction. */
 static enum storage_error open_file(struct storage *storage, struct stored_state *found,
@@ -90,7 +122,7 @@
 	storage->database = storage_file_open(storage->path, O_RDWR | O_CREAT, &storage->library_faults);
 	if (!storage->database) {
 		failure->error_number = errno;
-		return STORAGE_FILE_UNREADABLE;
+		return load_from_copy(storage, found, failure, pool);
 	}
 	passes_check = tdb_check(storage->database, NULL, NULL) == 0;
 	if (!storage_load(storage, passes_check, found, failure, pool))
--- a/lib/shell/storage.h
+++ b/lib/shell/storage.h
@@ -3,7 +3,8 @@
  * entries. All of it stands in one TDB file of checksummed records. bin/ opens it before the controller
  * starts; the process loop writes to it. Invariant: SHELL_EVENT_SYNCED is sent for a write only after its
  * transaction was synced, and a write is never skipped. A folder that doesn't hold exactly the records of its
- * last transaction isn't opened: a vote or an acknowledged entry could be missing. */
+ * last transaction isn't opened: a vote or an acknowledged entry could be missing. One whose disk refuses
+ * writes is opened if it holds them: nothing is acknowledged until the disk takes writes again. */
 #ifndef NL_STORAGE_H
 #define NL_STORAGE_H
 
@@ -35,6 +36,7 @@
 	STORAGE_FOLDER_NOT_CREATED, /* mkdir failed */
 	STORAGE_FOLDER_LOCKED,      /* another controller uses it, or it can't be written */
 	STORAGE_FILE_UNREADABLE,    /* not a database, or no permission */
+	STORAGE_DISK_FULL,          /* no room to create or repair the file; nothing is known to be damaged */
 	STORAGE_RECORD_DAMAGED,     /* a record's checksum or form is wrong */
 	STORAGE_RECORDS_MISSING,    /* not all records of the last transaction are there */
 	STORAGE_ENTRY_MISSING,      /* the log of a shard has a gap */
--- a/lib/shell/storage_file.c
+++ b/lib/shell/storage_file.c
@@ -1,13 +1,14 @@
 /* storage_file: the database file itself: opening, transactions, writing it anew. */
 #include <fcntl.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "containers.h"
 #include "storage_internal.h"
 
-enum { TDB_HASH_SIZE = 1009, FILE_MODE = 0600 };
+enum { TDB_HASH_SIZE = 1009, FILE_MODE = 0600, COPY_BYTES = 65536 };
 
 /* The library's log: faults are counted, nothing is printed. */
 static void count_library_faults(struct tdb_context *database, enum tdb_debug_level level, const char *format,
@@ -27,6 +28,36 @@
 	return tdb_open_ex(path, TDB_HASH_SIZE, TDB_NOMMAP, flags, FILE_MODE, &logging, NULL);
 }
 
+/* Copies what can be read of a file; false on an error. */
+static bool copy_bytes(int from, int to)
+{
+	char bytes[COPY_BYTES];
+	ssize_t size;
+
+	while ((size = read(from, bytes, sizeof bytes)) > 0)
+		if (write(to, bytes, (size_t)size) != size)
+			return false;
+	return size == 0;
+}
+
+struct tdb_context *storage_file_open_copy(const char *path, int *faults)
+{
+	char copy_path[] = P_tmpdir "/notchlug-copy-XXXXXX";
+	struct tdb_context *copy = NULL;
+	int from = open(path, O_RDONLY | O_CLOEXEC);
+	int to = from < 0 ? -1 : mkstemp(copy_path);
+
+	if (to >= 0 && copy_bytes(from, to))
+		copy = storage_file_open(copy_path, O_RDWR, faults);
+	if (to >= 0) {
+		(void)unlink(copy_path);
+		close(to);
+	}
+	if (from >= 0)
+		close(from);
+	return copy;
+}
+
 static int checksum_add_record(struct tdb_context *database, TDB_DATA key, TDB_DATA value, void *storage)
 {
 	char name[STORAGE_MAX_KEY_BYTES];
--- a/lib/shell/storage_internal.h
+++ b/lib/shell/storage_internal.h
@@ -124,6 +124,11 @@
  * errno on an error. */
 struct tdb_context *storage_file_open(const char *path, int flags, int *faults);
 
+/* Open a copy of the database file outside the data folder, which ends with tdb_close: what the file would
+ * hold once the library has taken back an unfinished transaction, where the disk refuses the writes that this
+ * needs. NULL when there is no room for the copy or it can't be opened either. */
+struct tdb_context *storage_file_open_copy(const char *path, int *faults);
+
 /* Open the file anew after a failed transaction and read its checksums again. False when that fails; it stays
  * due. */
 bool storage_file_reopen(struct storage *storage);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -531,6 +531,92 @@
 	}
 }
 
+/* A commit that a full disk stopped, and the folder opened while the disk still refuses every write: what was
+ * acknowledged is there, nothing more is acknowledged, and once the disk takes writes all goes on. */
+static void a_folder_opens_while_its_disk_is_full(void **state)
+{
+	enum { OPENINGS = 40, TRANSACTIONS_BEFORE = 3 };
+	int refused_by_library = 0;
+
+	(void)state;
+	for (uint64_t seed = 1; seed <= OPENINGS; seed++) {
+		char folder[] = "/tmp/nl-store-XXXXXX", path[200];
+		struct expected written = { 0 }, stopped;
+		struct stored_state found;
+		struct storage *store;
+		struct ring *ring;
+		struct storage_failure failure;
+		struct tdb_context *file;
+		struct shell_event *event;
+		apr_pool_t *pool;
+		uint64_t random = seed, refused;
+
+		apr_pool_create(&pool, NULL);
+		ring_open(&ring, 64, pool);
+		assert_non_null(mkdtemp(folder));
+		store = storage_open(folder, NULL, ring, &found, &failure, pool);
+		assert_non_null(store);
+		assert_true(storage_write_identity(store, IDENTITY, FLEET));
+		for (uint64_t number = 1; number <= TRANSACTIONS_BEFORE; number++) {
+			write_next(store, seed, number, &written, &random);
+			await_synced(ring, number);
+		}
+		watch(folder);
+		stopped = written;
+		disk.writes_until_full = (int)seed;
+		refused = storage_refused_count(store);
+		write_next(store, seed, TRANSACTIONS_BEFORE + 1, &stopped, &random);
+		event = NULL;
+		for (int64_t end = clock_ms() + LIMIT_MS;
+		     !event && storage_refused_count(store) == refused && clock_ms() < end;)
+			event = ring_pop(ring, 10);
+		if (event) { /* it was over before the disk was full */
+			shell_event_free(event);
+			written = stopped;
+		}
+		disk.full = 1;
+		storage_close(store);
+		file_of(path, sizeof path, folder);
+		file = tdb_open(path, 0, TDB_NOMMAP, O_RDWR, 0600);
+		refused_by_library += !file;
+		if (file)
+			tdb_close(file);
+		store = storage_open(folder, NULL, ring, &found, &failure, pool);
+		if (!store)
+			fail_msg("seed %llu: the disk is full: %s", (unsigned long long)seed,
+				 storage_strerror(&failure, pool));
+		if (!holds(&found, seed, &written) && !holds(&found, seed, &stopped))
+			fail_msg("seed %llu: what was acknowledged does not stand", (unsigned long long)seed);
+		if (!holds(&found, seed, &written))
+			written = stopped;
+		refused = storage_refused_count(store);
+		write_next(store, seed, TRANSACTIONS_BEFORE + 2, &written, &random);
+		for (int64_t end = clock_ms() + LIMIT_MS;
+		     storage_refused_count(store) == refused && clock_ms() < end;)
+			assert_null(ring_pop(ring, 10));
+		disk.writes_until_full = 0;
+		disk.full = 0;
+		await_synced(ring, TRANSACTIONS_BEFORE + 2);
+		disk.file = 0;
+		storage_close(store);
+		store = storage_open(folder, NULL, ring, &found, &failure, pool);
+		assert_non_null(store);
+		if (!holds(&found, seed, &written))
+			fail_msg("seed %llu: what was acknowledged later does not stand",
+				 (unsigned long long)seed);
+		storage_close(store);
+		for (ptrdiff_t i = 0; i < arrlen(disk.pending); i++)
+			free(disk.pending[i].data);
+		arrsetlen(disk.pending, 0);
+		arrsetlen(disk.synced, 0);
+		folder_remove(folder);
+		apr_pool_destroy(pool);
+	}
+	print_message("%d of %d folders the library alone does not open\n", refused_by_library,
+		      (int)OPENINGS);
+	assert_true(refused_by_library > 0);
+}
+
 /* The newest entry is taken out of a file that is otherwise whole: no checksum and no gap in the log tells,
  * the total does. */
 static void a_missing_record_is_refused(void **state)
@@ -573,6 +659,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_loss_of_power_leaves_complete_transactions),
 		cmocka_unit_test(a_disk_that_fills_up_harms_nothing),
+		cmocka_unit_test(a_folder_opens_while_its_disk_is_full),
 		cmocka_unit_test(a_missing_record_is_refused),
 	};
 	int rc;
