--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -162,6 +162,7 @@
 	assert_int_equal(settings.bounds.grace_ms, 7300);
 	assert_int_equal(settings.bounds.contact_ms, 3001);
 	assert_int_equal(settings.bounds.ack_ms, 4001);
+	assert_non_null(strstr(platform_unused_settings(), "AckMs")); /* said at the start */
 	assert_int_equal(settings.bounds.catch_up_ms, 4500);
 	assert_int_equal(settings.bounds.drain_ms, 3002);
 	assert_int_equal(settings.bounds.config_ms, 2001);
