--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -538,6 +538,32 @@
 	router_fixture_close(&world.s);
 }
 
+/* The only server gave a request back. No other may have it, so after a moment it has it again. */
+static void the_only_server_has_a_returned_request_again(void **state)
+{
+	enum { LIMIT_MS = 1000, STEP_MS = 50 };
+	struct world world = { 0 };
+	int sent = 0;
+
+	(void)state;
+	router_fixture_open(&world.s, 5);
+	world_service(&world, "pool");
+	world_route(&world, "route", "/", "pool");
+	world_server(&world, "pool");
+	world_apply(&world);
+	assert_non_null(ask(&world, "/x", 0));
+	send_ends(&world, router_fixture_last_call(&world.s), FORWARD_NOT_STARTED, 0, 0, NULL);
+	for (int64_t waited = 0; waited < LIMIT_MS && !sent; waited += STEP_MS) {
+		command_list_clear(&world.s.commands);
+		world.s.router.config.watch.fetched_at_ms = world.s.now;
+		router_fixture_tick(&world.s, STEP_MS);
+		assert_int_equal(answered_status(&world.s, 1), 0);
+		sent = sent_to(&world.s) != NULL;
+	}
+	assert_true(sent);
+	router_fixture_close(&world.s);
+}
+
 /* A route whose requests go to a service with one server of few places, and to one without any. */
 static void split_open(struct world *world, int slots)
 {
@@ -1148,6 +1174,7 @@
 		cmocka_unit_test(a_service_that_is_back_takes_requests_at_once),
 		cmocka_unit_test(a_stream_is_not_held_in_silence),
 		cmocka_unit_test(one_server_turns_a_request_away),
+		cmocka_unit_test(the_only_server_has_a_returned_request_again),
 		cmocka_unit_test(a_split_is_not_held_up_by_one_service),
 		cmocka_unit_test(a_split_refuses_nobody_for_a_head_of_another_service),
 		cmocka_unit_test(each_end_of_a_send_is_told_as_the_table_says),
