--- a/lib/control/bootstrap.c
+++ b/lib/control/bootstrap.c
@@ -14,12 +14,12 @@
 	BOOTSTRAP_SETTINGS_MS = 30000 /* by then all seeds have answered, or were replaced */
 };
 
-static int is_empty(const struct controller *controller)
+static bool is_empty(const struct controller *controller)
 {
 	for (int i = 0; i < SHARD_COUNT; i++)
 		if (controller->shards[i].term || controller->shards[i].group.member_count ||
 		    controller->shards[i].log.base_index)
-			return 0;
+			return false;
 	return !controller->identity.fleet;
 }
 
--- a/lib/control/calendar.c
+++ b/lib/control/calendar.c
@@ -86,7 +86,7 @@
 	return NULL;
 }
 
-static int is_known_zone(const char *zone)
+static bool is_known_zone(const char *zone)
 {
 	UChar id[ZONE_BYTES], canonical[ZONE_BYTES];
 	UErrorCode status = U_ZERO_ERROR;
@@ -133,14 +133,14 @@
 /* ---- due times ---- */
 
 /* Whether the calendar stands on a day of the schedule. */
-static int is_scheduled_day(UCalendar *calendar, const struct schedule *schedule, UErrorCode *status)
+static bool is_scheduled_day(UCalendar *calendar, const struct schedule *schedule, UErrorCode *status)
 {
 	int weekday = ucal_get(calendar, UCAL_DAY_OF_WEEK, status) - 1;
 
 	if (!(schedule->weekdays & 1 << weekday))
-		return 0;
+		return false;
 	if (schedule->day_of_month && ucal_get(calendar, UCAL_DATE, status) != schedule->day_of_month)
-		return 0;
+		return false;
 	return !schedule->month || ucal_get(calendar, UCAL_MONTH, status) + 1 == schedule->month;
 }
 
--- a/lib/control/config_check.c
+++ b/lib/control/config_check.c
@@ -7,7 +7,7 @@
 #include "containers.h"
 #include "retention_schedule.h"
 
-static int is_name(const char *text)
+static bool is_name(const char *text)
 {
 	size_t length = strlen(text);
 
@@ -16,23 +16,23 @@
 }
 
 /* Printable and without blanks, so that it fits a cell of the text form. */
-static int is_cell_text(const char *text, size_t max_length)
+static bool is_cell_text(const char *text, size_t max_length)
 {
 	size_t length = 0;
 
 	for (; text[length]; length++)
 		if ((unsigned char)text[length] <= ' ' || (unsigned char)text[length] == 127)
-			return 0;
+			return false;
 	return length > 0 && length <= max_length;
 }
 
-static int is_path_prefix(const char *text)
+static bool is_path_prefix(const char *text)
 {
 	return is_cell_text(text, 1000) && text[0] == '/' && text[strlen(text) - 1] == '/';
 }
 
 /* Weights of a model are numbered upwards from 1. */
-static int is_weights_number(const char *text)
+static bool is_weights_number(const char *text)
 {
 	return strlen(text) > 0 && strlen(text) < 19 && text[0] != '0' &&
 	       strspn(text, "0123456789") == strlen(text);
--- a/lib/control/config_handover.c
+++ b/lib/control/config_handover.c
@@ -65,18 +65,18 @@
 	arrput(controller->handover.deferred, deferred);
 }
 
-int config_handover_intercept(struct controller *controller, const struct Nl__Msg *message, int64_t now,
-			      struct command_list *out)
+bool config_handover_intercept(struct controller *controller, const struct Nl__Msg *message, int64_t now,
+			       struct command_list *out)
 {
 	switch (handling_now(controller, now)) {
 	case HANDLE_DEFER:
 		defer_request(controller, message, now);
-		return 1;
+		return true;
 	case HANDLE_FORWARD:
 		forward_request(controller, message, now, out);
-		return 1;
+		return true;
 	default:
-		return 0;
+		return false;
 	}
 }
 
--- a/lib/control/config_handover.h
+++ b/lib/control/config_handover.h
@@ -18,8 +18,8 @@
 /* A configuration request has come. Returns 1 when it is deferred or was forwarded, 0 when it is to be
  * answered now. Example: if (!config_handover_intercept(controller, message, now, out))
  *                  on_config_sync_request(controller, message, now, out); */
-int config_handover_intercept(struct controller *controller, const struct Nl__Msg *message, int64_t now,
-			      struct command_list *out);
+bool config_handover_intercept(struct controller *controller, const struct Nl__Msg *message, int64_t now,
+			       struct command_list *out);
 
 /* Answer or forward deferred requests as far as that is possible by now. */
 void config_handover_tick(struct controller *controller, int64_t now, struct command_list *out);
--- a/lib/control/config_row.c
+++ b/lib/control/config_row.c
@@ -8,7 +8,7 @@
 					  "service", "registrar", "model",  "door",  "retention" };
 enum { KIND_COUNT = sizeof kind_names / sizeof *kind_names };
 
-int config_kind_is_valid(Nl__Kind kind)
+bool config_kind_is_valid(Nl__Kind kind)
 {
 	return kind > NL__KIND__NONE && (unsigned)kind < KIND_COUNT;
 }
@@ -188,7 +188,7 @@
 	return NULL;
 }
 
-static int has_type_of_column(struct json_object *value, enum column_kind kind)
+static bool has_type_of_column(struct json_object *value, enum column_kind kind)
 {
 	switch (kind) {
 	case COLUMN_UINT64:
--- a/lib/control/config_row.h
+++ b/lib/control/config_row.h
@@ -6,6 +6,7 @@
 #ifndef NL_CONFIG_ROW_H
 #define NL_CONFIG_ROW_H
 
+#include <stdbool.h>
 #include <json-c/json.h>
 
 #include "core.h"
@@ -14,7 +15,7 @@
 	"kind: none of lane, tenant, share, key, server, service, registrar, model, door, retention"
 
 /* Whether rows can be of this kind: one that this version knows, and not NL__KIND__NONE. */
-int config_kind_is_valid(Nl__Kind kind);
+bool config_kind_is_valid(Nl__Kind kind);
 
 /* A kind's name in JSON, "none" for one that is not known; and back: NL__KIND__NONE for no name of a kind.
  * Example: config_kind_parse("lane") == NL__KIND__ROUTE */
--- a/lib/control/config_sync.c
+++ b/lib/control/config_sync.c
@@ -13,7 +13,7 @@
 /* Which of two routers of a zone is upstream of the other: one that has been in service for a while goes
  * before one that has just begun, which knows nothing yet that it could pass on; others are ranked by
  * rendezvous hashing. */
-static int is_upstream(const struct controller_node_status *node, const struct controller_node_status *other)
+static bool is_upstream(const struct controller_node_status *node, const struct controller_node_status *other)
 {
 	if (node->is_warm != other->is_warm)
 		return node->is_warm;
--- a/lib/control/config_table.c
+++ b/lib/control/config_table.c
@@ -1,5 +1,6 @@
 #include "config_table.h"
 
+#include <stdbool.h>
 #include <apr_strings.h>
 #include <stdlib.h>
 #include <string.h>
@@ -71,7 +72,7 @@
 	return i < 0 ? NULL : table->rows[i].value.row;
 }
 
-static int is_operator_kind(Nl__Kind kind)
+static bool is_operator_kind(Nl__Kind kind)
 {
 	return kind == NL__KIND__ROUTE || kind == NL__KIND__TENANT || kind == NL__KIND__SHARE ||
 	       kind == NL__KIND__SERVICE || kind == NL__KIND__LISTENER || kind == NL__KIND__RETENTION;
@@ -79,7 +80,7 @@
 
 /* Whether a change that replaces all rows replaces those of this kind. Servers, controllers and models have
  * calls of their own, and retention has too. */
-static int is_replaced(const struct Nl__Change *change, Nl__Kind kind)
+static bool is_replaced(const struct Nl__Change *change, Nl__Kind kind)
 {
 	return (is_operator_kind(kind) && kind != NL__KIND__RETENTION) ||
 	       (change->replace_keys && kind == NL__KIND__KEY);
@@ -351,14 +352,14 @@
 	}
 }
 
-int config_table_follow(struct config_table *table, const struct Nl__ConfigSyncReply *reply)
+bool config_table_follow(struct config_table *table, const struct Nl__ConfigSyncReply *reply)
 {
 	char key[CONFIG_ROW_KEY_BYTES];
 
 	if (reply->revision < table->revision || (!reply->full && reply->since_revision > table->revision))
-		return 0;
+		return false;
 	if (reply->revision == table->revision && !reply->full)
-		return 1;
+		return true;
 	if (reply->full) {
 		config_table_close(table);
 		config_table_open(table);
@@ -369,5 +370,5 @@
 	for (size_t i = 0; i < reply->n_set; i++)
 		row_put(table, row_copy(reply->set[i]), reply->revision, NULL); /* as the leader has it */
 	table->revision = reply->revision;
-	return 1;
+	return true;
 }
--- a/lib/control/config_table.h
+++ b/lib/control/config_table.h
@@ -10,6 +10,8 @@
 #ifndef NL_CONFIG_TABLE_H
 #define NL_CONFIG_TABLE_H
 
+#include <stdbool.h>
+
 #include "core.h"
 #include "proposal_status.h"
 #include "version_history.h"
@@ -73,7 +75,7 @@
  * since a revision that the copy has not reached. One since an older revision fits, too: it names every row
  * that has changed since then as it is now, so the rows that are here already come out the same. Example: if
  * (!config_table_follow(&table, reply)) request_all(); */
-int config_table_follow(struct config_table *table, const struct Nl__ConfigSyncReply *reply);
+bool config_table_follow(struct config_table *table, const struct Nl__ConfigSyncReply *reply);
 
 /* The revision of the last change of operators' rows, as far as a copy can tell: of those still there.
  * Example: if (expected < config_table_operator_revision(&table)) reject(); */
--- a/lib/control/config_text.c
+++ b/lib/control/config_text.c
@@ -1,5 +1,6 @@
 #include "config_text.h"
 
+#include <stdbool.h>
 #include <apr_strings.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,7 +22,7 @@
 	return json_object_object_get_ex(json, name, &v) ? json_object_get_string(v) : "";
 }
 
-static int is_operator_kind_name(const char *kind)
+static bool is_operator_kind_name(const char *kind)
 {
 	return strcmp(kind, "key") && strcmp(kind, "registrar");
 }
@@ -187,12 +188,12 @@
 	return NULL;
 }
 
-static int has_kind(struct json_object *rows, const char *kind)
+static bool has_kind(struct json_object *rows, const char *kind)
 {
 	for (size_t i = 0; rows && i < json_object_array_length(rows); i++)
 		if (!strcmp(member_text(json_object_array_get_idx(rows, i), "kind"), kind))
-			return 1;
-	return 0;
+			return true;
+	return false;
 }
 
 /* Alike: every column either has is the same; an empty cell is a column left out. */
--- a/lib/control/controller.c
+++ b/lib/control/controller.c
@@ -404,12 +404,12 @@
 	arrfree(controller->server_rollout.servers);
 }
 
-int controller_stopped(const struct controller *controller, int64_t now)
+bool controller_stopped(const struct controller *controller, int64_t now)
 {
 	if (operator_calls_open(controller))
-		return 0;
+		return false;
 	for (int i = 0; i < SHARD_COUNT && controller->identity.fleet; i++)
 		if (!raft_may_stop(&controller->shards[i], now))
-			return 0;
-	return 1;
+			return false;
+	return true;
 }
--- a/lib/control/controller.h
+++ b/lib/control/controller.h
@@ -40,6 +40,6 @@
 /* After CONTROLLER_STOP: whether nothing more needs this controller and all that operators called for is
  * answered, so that its process may end before the time for a graceful shutdown is over. Example: return
  * controller_stopped(&controller, now); */
-int controller_stopped(const struct controller *controller, int64_t now);
+bool controller_stopped(const struct controller *controller, int64_t now);
 
 #endif
--- a/lib/control/idempotency.c
+++ b/lib/control/idempotency.c
@@ -8,16 +8,16 @@
 /* Goes in front of the bytes of a key, so that no key has the digest of a content: no call has this name. */
 static const char key_prefix[] = "Idempotency-Key";
 
-int idempotency_key_is_valid(const char *key)
+bool idempotency_key_is_valid(const char *key)
 {
 	size_t n = strlen(key);
 
 	if (!n || n > IDEMPOTENCY_KEY_MAX)
-		return 0;
+		return false;
 	for (size_t i = 0; i < n; i++)
 		if (key[i] <= ' ' || key[i] > '~')
-			return 0;
-	return 1;
+			return false;
+	return true;
 }
 
 static void digest_content(uint8_t digest[REQUEST_DIGEST_BYTES], const char *call, uint64_t base_version,
@@ -59,7 +59,7 @@
 	request->is_set = has_key || has_base;
 }
 
-int request_key_equal(const struct request_key *a, const struct request_key *b)
+bool request_key_equal(const struct request_key *a, const struct request_key *b)
 {
 	return a->is_set && b->is_set && !memcmp(a->key_digest, b->key_digest, REQUEST_DIGEST_BYTES) &&
 	       !memcmp(a->content_digest, b->content_digest, REQUEST_DIGEST_BYTES);
@@ -76,8 +76,8 @@
 	return NULL;
 }
 
-int idempotency_log_may_have_evicted(const struct idempotency_log *log, enum request_series series,
-				     uint64_t base_version)
+bool idempotency_log_may_have_evicted(const struct idempotency_log *log, enum request_series series,
+				      uint64_t base_version)
 {
 	/* a request that built on a base made a version above it; all that made one above the evicted
 	 * versions are still recorded */
--- a/lib/control/idempotency.h
+++ b/lib/control/idempotency.h
@@ -10,6 +10,7 @@
 #ifndef NL_IDEMPOTENCY_H
 #define NL_IDEMPOTENCY_H
 
+#include <stdbool.h>
 #include <apr_pools.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -60,7 +61,7 @@
 
 /* Whether an idempotency key may be used: 1 to IDEMPOTENCY_KEY_MAX visible ASCII characters.
  * Example: if (!idempotency_key_is_valid(key)) reject(IDEMPOTENCY_KEY_INVALID); */
-int idempotency_key_is_valid(const char *key);
+bool idempotency_key_is_valid(const char *key);
 
 /* Make the key of a request: of its idempotency key, if it has one; else, if it builds on a version, of its
  * content; else it is not set. Example: request_key_init(&request, key, "/v1/change", 1, 7, body, size); */
@@ -69,7 +70,7 @@
 
 /* Whether two requests are the same, in key and content.
  * Example: if (request_key_equal(&pending->key, &key)) wait_for(pending); */
-int request_key_equal(const struct request_key *a, const struct request_key *b);
+bool request_key_equal(const struct request_key *a, const struct request_key *b);
 
 /* The accepted request of this key, NULL if there is none; valid until the log changes. Its content may
  * differ: then the idempotency key was used for another request. Example: if ((found =
@@ -79,8 +80,8 @@
 
 /* Whether a request that built on this version may have been accepted and evicted since.
  * Example: if (idempotency_log_may_have_evicted(&log, SERIES_DOCUMENTS, base_version)) answer_unknown(); */
-int idempotency_log_may_have_evicted(const struct idempotency_log *log, enum request_series series,
-				     uint64_t base_version);
+bool idempotency_log_may_have_evicted(const struct idempotency_log *log, enum request_series series,
+				      uint64_t base_version);
 
 /* Record an accepted request, and evict the oldest one when there are too many. Only while a log entry is
  * applied. Example: idempotency_log_add(&log, &key, SERIES_CHANGES, revision); */
--- a/lib/control/instances.c
+++ b/lib/control/instances.c
@@ -1,5 +1,6 @@
 #include "instances.h"
 
+#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -285,12 +286,12 @@
 
 /* ---- a follower's side ---- */
 
-static int is_in_reply(const struct Nl__ConfigSyncReply *reply, const char *server)
+static bool is_in_reply(const struct Nl__ConfigSyncReply *reply, const char *server)
 {
 	for (size_t i = 0; i < reply->n_instances; i++)
 		if (!strcmp(reply->instances[i]->server, server))
-			return 1;
-	return 0;
+			return true;
+	return false;
 }
 
 /* Drop servers that a full reply lacks; returns whether any was dropped. */
--- a/lib/control/operator_calls.c
+++ b/lib/control/operator_calls.c
@@ -34,7 +34,7 @@
 	return calls->answered + calls->rejected + calls->unknown + calls->disconnected;
 }
 
-int operator_calls_are_balanced(const struct controller *controller)
+bool operator_calls_are_balanced(const struct controller *controller)
 {
 	return controller->operators.calls.read ==
 	       ended_calls(&controller->operators.calls) + operator_calls_open(controller);
--- a/lib/control/operator_calls.h
+++ b/lib/control/operator_calls.h
@@ -10,6 +10,7 @@
 #ifndef NL_OPERATOR_CALLS_H
 #define NL_OPERATOR_CALLS_H
 
+#include <stdbool.h>
 #include <json-c/json.h>
 
 #include "controller_state.h"
@@ -23,7 +24,7 @@
 
 /* Whether every call that was read has ended or is open.
  * Example: assert(operator_calls_are_balanced(controller)); */
-int operator_calls_are_balanced(const struct controller *controller);
+bool operator_calls_are_balanced(const struct controller *controller);
 
 /* A caller has disconnected: it gets no answer any more. What it requested goes on.
  * Example: operator_calls_disconnected(controller, token); */
--- a/lib/control/retention.c
+++ b/lib/control/retention.c
@@ -263,12 +263,12 @@
 
 /* Whether a service shard's claims of before its last trim have run out, so that they can go from its disk.
  */
-static int can_compact(struct controller *controller, uint32_t shard, int64_t now)
+static bool can_compact(struct controller *controller, uint32_t shard, int64_t now)
 {
 	const struct controller_service_state *service = service_shard_state(controller, shard);
 
 	if (!service || service->is_compacted || !service->purged_tick)
-		return 0;
+		return false;
 	return service->clock_ms + (uint64_t)(now - controller->leadership[shard].clock_advanced_at_ms) >
 	       service->purged_at_ms + CONTROLLER_CLAIM_TTL_MS;
 }
--- a/lib/control/retention_schedule.c
+++ b/lib/control/retention_schedule.c
@@ -1,5 +1,6 @@
 #include "retention_schedule.h"
 
+#include <stdbool.h>
 #include <apr_strings.h>
 #include <stdlib.h>
 #include <string.h>
@@ -96,15 +97,15 @@
 }
 
 /* Whether the table has a row after the change. */
-static int has_row_after(const struct config_table *table, const struct Nl__Change *change, Nl__Kind kind,
-			 const char *name)
+static bool has_row_after(const struct config_table *table, const struct Nl__Change *change, Nl__Kind kind,
+			  const char *name)
 {
 	for (size_t i = 0; i < change->n_set; i++)
 		if (change->set[i]->kind == kind && !strcmp(change->set[i]->name, name))
-			return 1;
+			return true;
 	for (size_t i = 0; i < change->n_deleted; i++)
 		if (change->deleted[i]->kind == kind && !strcmp(change->deleted[i]->name, name))
-			return 0;
+			return false;
 	return !change->replace_all && config_table_get(table, kind, name);
 }
 
--- a/lib/control/rollout.c
+++ b/lib/control/rollout.c
@@ -70,8 +70,8 @@
 }
 
 /* Whether a cached block that a server reports may stay: no purge covers it. */
-static int may_keep_block(const struct controller *controller, const struct controller_server *server,
-			  struct json_object *block)
+static bool may_keep_block(const struct controller *controller, const struct controller_server *server,
+			   struct json_object *block)
 {
 	const struct purge_view *view = &controller->relay.view;
 	const char *maker = json_string_member(block, "m");
@@ -99,7 +99,7 @@
 }
 
 /* Whether commands may be sent to the servers of a shard: the commands of the leader before have ended. */
-static int may_command_shard(const struct controller *controller, uint32_t shard, int64_t now)
+static bool may_command_shard(const struct controller *controller, uint32_t shard, int64_t now)
 {
 	return leads_shard(controller, shard, now) &&
 	       now - controller->leadership[shard].since_ms >= CONTROLLER_ROLLOUT_HOLD_OFF_MS;
@@ -165,7 +165,7 @@
 /* ---- target weights ---- */
 
 /* Whether every server of a service has had these weights, or it is not known here which ones they had. */
-static int is_rolled_out(struct controller *controller, const char *service_name, const char *weights)
+static bool is_rolled_out(struct controller *controller, const char *service_name, const char *weights)
 {
 	struct controller_service_state *state =
 	    service_shard_state(controller, core_shard_of(service_name, SHARD_SERVICES));
@@ -242,7 +242,7 @@
 	int loading;      /* load any, or were commanded to */
 };
 
-static int is_server_of(const struct Nl__Row *row, const struct Nl__Row *service)
+static bool is_server_of(const struct Nl__Row *row, const struct Nl__Row *service)
 {
 	return row->kind == NL__KIND__SERVER && !strcmp(row->service, service->name) && !row->state;
 }
--- a/lib/control/rollout_command.c
+++ b/lib/control/rollout_command.c
@@ -47,17 +47,17 @@
 
 /* ---- weights ---- */
 
-static int is_digits(const char *text)
+static bool is_digits(const char *text)
 {
 	return *text && strspn(text, "0123456789") == strlen(text);
 }
 
-int rollout_has_weights(const char *weights, const char *target_weights)
+bool rollout_has_weights(const char *weights, const char *target_weights)
 {
 	if (!strcmp(weights, target_weights))
-		return 1;
+		return true;
 	if (!is_digits(weights) || !is_digits(target_weights))
-		return 0;
+		return false;
 	return strlen(weights) != strlen(target_weights) ? strlen(weights) > strlen(target_weights)
 							 : strcmp(weights, target_weights) > 0;
 }
--- a/lib/control/rollout_command.h
+++ b/lib/control/rollout_command.h
@@ -18,7 +18,7 @@
 struct rollout_server *rollout_server_get(struct rollout *rollout, const char *name);
 
 /* Whether weights are the target's, or newer: a server may have those before the target is known here. */
-int rollout_has_weights(const char *weights, const char *target_weights);
+bool rollout_has_weights(const char *weights, const char *target_weights);
 
 /* The model of a server's service; NULL when it serves none, or does not serve. */
 const char *rollout_instance_model(const struct controller *controller, const struct Nl__Instance *instance);
--- a/lib/control/rollout_instances.c
+++ b/lib/control/rollout_instances.c
@@ -123,8 +123,8 @@
 
 /* Whether a server may be commanded now: nothing is under way there, and no leader before may have commanded
  * it lately. */
-static int may_be_commanded(const struct controller *controller, const struct Nl__Instance *instance,
-			    int64_t now)
+static bool may_be_commanded(const struct controller *controller, const struct Nl__Instance *instance,
+			     int64_t now)
 {
 	const struct rollout_server *server = rollout_server_find(&controller->rollout, instance->server);
 
@@ -134,8 +134,8 @@
 
 /* Whether a candidate goes before the best so far: due sooner, or in a zone with a smaller share unavailable.
  */
-static int is_better(int64_t deadline_ms, const struct zone_servers *zone, int64_t best_deadline_ms,
-		     const struct zone_servers *best_zone)
+static bool is_better(int64_t deadline_ms, const struct zone_servers *zone, int64_t best_deadline_ms,
+		      const struct zone_servers *best_zone)
 {
 	if (deadline_ms != best_deadline_ms)
 		return deadline_ms < best_deadline_ms;
@@ -182,7 +182,7 @@
 		   controller->bounds.rollout_ms / ROLLOUT_STALL_DIVISOR;
 }
 
-static int may_be_loading(const struct rollout_server *server)
+static bool may_be_loading(const struct rollout_server *server)
 {
 	return server && (server->state == ROLLOUT_LOADING || server->state == ROLLOUT_UNCONFIRMED);
 }
--- a/lib/control/version_history.c
+++ b/lib/control/version_history.c
@@ -1,5 +1,6 @@
 #include "version_history.h"
 
+#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -71,7 +72,7 @@
 	row->n_target_versions = list->count;
 }
 
-int version_history_supersedes(const struct Nl__Row *model, uint64_t weights)
+bool version_history_supersedes(const struct Nl__Row *model, uint64_t weights)
 {
 	return weights < version_history_newest(model) && version_history_newest(model) > FIRST_WEIGHTS;
 }
--- a/lib/control/version_history.h
+++ b/lib/control/version_history.h
@@ -10,6 +10,8 @@
 #ifndef NL_VERSION_HISTORY_H
 #define NL_VERSION_HISTORY_H
 
+#include <stdbool.h>
+
 #include "core.h"
 
 enum {
@@ -40,7 +42,7 @@
 
 /* Whether newer weights than these have been set. Example: if (!version_history_supersedes(model, 3))
  * send(server); */
-int version_history_supersedes(const struct Nl__Row *model, uint64_t weights);
+bool version_history_supersedes(const struct Nl__Row *model, uint64_t weights);
 
 /* The first version newer than these weights, the row's; NULL where none is newer, or its date is not known.
  * Example: if (version_history_supersedes(model, 3) && !(version = version_history_after(model, 3)))
--- a/lib/core/prefix_index.c
+++ b/lib/core/prefix_index.c
@@ -1,5 +1,6 @@
 #include "prefix_index.h"
 
+#include <stdbool.h>
 #include <string.h>
 
 #include "containers.h"
@@ -41,7 +42,7 @@
 }
 
 void prefix_index_remove_if(struct prefix_index *index,
-			    int (*matches)(const void *, uint64_t, const struct block_replica *),
+			    bool (*matches)(const void *, uint64_t, const struct block_replica *),
 			    const void *context)
 {
 	for (ptrdiff_t i = hmlen(index->blocks) - 1; i >= 0; i--) {
@@ -76,7 +77,7 @@
 	uint64_t report_number;
 };
 
-static int is_unreported(const void *context, uint64_t block_hash, const struct block_replica *replica)
+static bool is_unreported(const void *context, uint64_t block_hash, const struct block_replica *replica)
 {
 	const struct unreported *wanted = context;
 
--- a/lib/core/prefix_index.h
+++ b/lib/core/prefix_index.h
@@ -6,6 +6,7 @@
 #ifndef NL_PREFIX_INDEX_H
 #define NL_PREFIX_INDEX_H
 
+#include <stdbool.h>
 #include "core.h"
 
 /* One server's copy of a block. Indices are dense, and the owner's. */
@@ -49,8 +50,8 @@
 
 /* Remove all replicas that match. Example: prefix_index_remove_if(&index, is_purged, purge); */
 void prefix_index_remove_if(struct prefix_index *index,
-			    int (*matches)(const void *context, uint64_t block_hash,
-					   const struct block_replica *replica),
+			    bool (*matches)(const void *context, uint64_t block_hash,
+					    const struct block_replica *replica),
 			    const void *context);
 
 /* Remove everything and free its memory. */
--- a/lib/core/purge_relay.c
+++ b/lib/core/purge_relay.c
@@ -54,7 +54,7 @@
 	return tick;
 }
 
-int relay_is_current(const struct relay *relay, int64_t now)
+bool relay_is_current(const struct relay *relay, int64_t now)
 {
 	return relay->has_knowledge && now - relay->known_at_ms < PURGE_MAX_STALENESS_MS;
 }
@@ -145,12 +145,12 @@
 		send_increments(relay, first, last, now, out);
 }
 
-static int is_valid(const struct Nl__Increment *increment)
+static bool is_valid(const struct Nl__Increment *increment)
 {
 	const struct Nl__Value *value = increment->value;
 
 	if (increment->first > increment->last)
-		return 0;
+		return false;
 	return !value || (value->purge && value->tick >= increment->first && value->tick <= increment->last);
 }
 
--- a/lib/core/purge_relay.h
+++ b/lib/core/purge_relay.h
@@ -82,6 +82,6 @@
 
 /* Whether cached context may be reused: the knowledge is not too old. Example: if (!relay_is_current(&relay,
  * now)) prefill_all(); */
-int relay_is_current(const struct relay *relay, int64_t now);
+bool relay_is_current(const struct relay *relay, int64_t now);
 
 #endif
--- a/lib/core/purge_view.c
+++ b/lib/core/purge_view.c
@@ -1,6 +1,7 @@
 /* Called by purge_relay.c and the router; calls purge.c. */
 #include "purge_view.h"
 
+#include <stdbool.h>
 #include <string.h>
 
 #include "containers.h"
@@ -29,7 +30,7 @@
 }
 
 /* Whether a subject was withdrawn after a stamp. */
-static int is_withdrawn(const struct purge_view *view, uint64_t key, uint64_t stamp)
+static bool is_withdrawn(const struct purge_view *view, uint64_t key, uint64_t stamp)
 {
 	struct purge_view_row *row = view->subjects;
 	ptrdiff_t i = hmgeti(row, key);
@@ -37,18 +38,18 @@
 	return i >= 0 && stamp < row[i].value->tick;
 }
 
-int purge_view_allows(const struct purge_view *view, const char *service, const char *weights,
-		      const char *tenant, const char *server, uint64_t stamp)
+bool purge_view_allows(const struct purge_view *view, const char *service, const char *weights,
+		       const char *tenant, const char *server, uint64_t stamp)
 {
 	if (!view->subjects)
-		return 1;
+		return true;
 	return !is_withdrawn(view, purge_subject_of(PURGE_WEIGHTS, service, weights), stamp) &&
 	       !is_withdrawn(view, purge_subject_of(PURGE_TENANT, tenant, ""), stamp) &&
 	       !is_withdrawn(view, purge_subject_of(PURGE_SERVER, server, ""), stamp);
 }
 
-int purge_view_keeps_context(const struct purge_view *view, const char *service, const char *tenant,
-			     uint64_t block_hash, uint64_t stamp)
+bool purge_view_keeps_context(const struct purge_view *view, const char *service, const char *tenant,
+			      uint64_t block_hash, uint64_t stamp)
 {
 	for (ptrdiff_t i = 0; i < arrlen(view->context_purges); i++) {
 		const struct Nl__Value *value = view->context_purges[i];
@@ -57,9 +58,9 @@
 		if (stamp < value->tick && purge->slice == PURGE_SLICE(block_hash) &&
 		    (!purge->tenant[0] || !strcmp(purge->tenant, tenant)) &&
 		    (!purge->service[0] || !strcmp(purge->service, service)))
-			return 0;
+			return false;
 	}
-	return 1;
+	return true;
 }
 
 uint64_t purge_view_tick(const struct purge_view *view, enum purge_reason reason, const char *name,
--- a/lib/core/purge_view.h
+++ b/lib/core/purge_view.h
@@ -4,6 +4,8 @@
 #ifndef NL_PURGE_VIEW_H
 #define NL_PURGE_VIEW_H
 
+#include <stdbool.h>
+
 #include "purge.h"
 
 /* One subject. */
@@ -24,13 +26,13 @@
 
 /* Whether a cached block with this stamp is still usable: the purge tick that its router knew when the
  * request was sent. Example: purge_view_allows(&view, "arrears", "w1", "t3", "s7", stamp) */
-int purge_view_allows(const struct purge_view *view, const char *service, const char *weights,
-		      const char *tenant, const char *server, uint64_t stamp);
+bool purge_view_allows(const struct purge_view *view, const char *service, const char *weights,
+		       const char *tenant, const char *server, uint64_t stamp);
 
 /* Whether no retention purge has withdrawn a block that this tenant's request made for this service.
  * Example: if (!purge_view_keeps_context(&view, "arrears", "t1", block_hash, stamp)) prefill_again(); */
-int purge_view_keeps_context(const struct purge_view *view, const char *service, const char *tenant,
-			     uint64_t block_hash, uint64_t stamp);
+bool purge_view_keeps_context(const struct purge_view *view, const char *service, const char *tenant,
+			      uint64_t block_hash, uint64_t stamp);
 
 /* The newest tick that withdrew a subject; 0: none. detail as in purge_subject_of.
  * Example: purge_view_tick(&view, PURGE_WEIGHTS, "arrears", "w1") */
--- a/lib/core/raft.c
+++ b/lib/core/raft.c
@@ -18,7 +18,7 @@
 
 /* Whether an append or a snapshot chunk is meant for another identity: one that was at our address before its
  * disk was lost. What the leader sends to that one would undo what it sends to us. */
-static int is_for_another(const struct raft *raft, const struct Nl__Msg *message)
+static bool is_for_another(const struct raft *raft, const struct Nl__Msg *message)
 {
 	uint64_t to = 0;
 
--- a/lib/core/raft.h
+++ b/lib/core/raft.h
@@ -349,11 +349,11 @@
 
 /* Whether this node leads with a lease and knows all that was committed before its term.
  * Example: if (raft_has_lease(&raft, now)) answer(); */
-int raft_has_lease(const struct raft *raft, int64_t now);
+bool raft_has_lease(const struct raft *raft, int64_t now);
 
 /* Whether the log has grown enough for a snapshot. Example: if (raft_needs_snapshot(&raft))
  * raft_snapshot(&raft, data, size); */
-int raft_needs_snapshot(const struct raft *raft);
+bool raft_needs_snapshot(const struct raft *raft);
 
 /* Take over a snapshot of the state machine as of the applied index; data is copied, and the log behind it is
  * shortened. */
@@ -374,7 +374,7 @@
 
 /* Whether a draining member may stop: it does not lead, and its copy is no longer needed.
  * Example: if (raft_may_stop(&raft, now)) exit(0); */
-int raft_may_stop(const struct raft *raft, int64_t now);
+bool raft_may_stop(const struct raft *raft, int64_t now);
 
 /* ---- recovery from a lost majority ---- */
 
--- a/lib/core/raft_disk.c
+++ b/lib/core/raft_disk.c
@@ -7,7 +7,7 @@
 #include "containers.h"
 #include "raft_internal.h"
 
-int raft_sync_stalled(const struct raft *raft, int64_t now)
+bool raft_sync_stalled(const struct raft *raft, int64_t now)
 {
 	return arrlen(raft->disk.pending_syncs) &&
 	       now - raft->disk.pending_syncs[0].started_at_ms > RAFT_SYNC_STALL_MS;
--- a/lib/core/raft_drain.c
+++ b/lib/core/raft_drain.c
@@ -9,32 +9,32 @@
 	return member->id == raft->id ? raft->disk.synced_index : member->progress.match_index;
 }
 
-static int is_draining(const struct raft *raft, const struct raft_member *member)
+static bool is_draining(const struct raft *raft, const struct raft_member *member)
 {
 	return member->id == raft->id ? raft->drain.requested : member->drain.requested;
 }
 
-static int is_responsive(const struct raft *raft, const struct raft_member *member, int64_t now)
+static bool is_responsive(const struct raft *raft, const struct raft_member *member, int64_t now)
 {
 	return member->id == raft->id || now - member->progress.last_reply_at_ms <= RAFT_LEASE_MS;
 }
 
 /* Whether a member was told that it may stop, and has not answered a later heartbeat round since. Its
  * acknowledgements may be older than its stop. */
-static int may_have_stopped(const struct raft_member *member)
+static bool may_have_stopped(const struct raft_member *member)
 {
 	return member->drain.release_round && member->progress.acked_round <= member->drain.release_round;
 }
 
-int raft_others_have_synced(const struct raft *raft, uint64_t id, uint64_t index)
+bool raft_others_have_synced(const struct raft *raft, uint64_t id, uint64_t index)
 {
 	for (int i = 0; i < raft->group.member_count; i++) {
 		const struct raft_member *member = &raft->group.members[i];
 
 		if (member->voter && member->id != id && raft_synced_by(raft, member) < index)
-			return 0;
+			return false;
 	}
-	return 1;
+	return true;
 }
 
 void raft_note_draining(struct raft *raft, struct raft_member *member, int draining)
@@ -80,13 +80,13 @@
 									       : raft_synced_by(raft, member);
 }
 
-int raft_is_expendable(const struct raft *raft, uint64_t id, uint64_t index)
+bool raft_is_expendable(const struct raft *raft, uint64_t id, uint64_t index)
 {
 	return raft->drain.has_remaining_majority && raft->group.members_index <= raft->log.commit_index &&
 	       raft_others_have_synced(raft, id, index);
 }
 
-int raft_is_released(const struct raft *raft, const struct raft_member *member)
+bool raft_is_released(const struct raft *raft, const struct raft_member *member)
 {
 	return member->drain.requested && raft_is_expendable(raft, member->id, member->drain.index);
 }
--- a/lib/core/raft_election.c
+++ b/lib/core/raft_election.c
@@ -52,16 +52,16 @@
 	raft_reset_election_timer(raft, now);
 }
 
-int raft_has_lease(const struct raft *raft, int64_t now)
+bool raft_has_lease(const struct raft *raft, int64_t now)
 {
 	return raft->role == RAFT_LEADER && now < raft->lease.expires_at_ms &&
 	       raft->log.commit_index >= raft->log.term_start_index;
 }
 
-int raft_accept_leader(struct raft *raft, const struct Nl__Msg *message, uint64_t term, int64_t now)
+bool raft_accept_leader(struct raft *raft, const struct Nl__Msg *message, uint64_t term, int64_t now)
 {
 	if (term < raft->term)
-		return 0;
+		return false;
 	if (term > raft->term || raft->role != RAFT_FOLLOWER)
 		raft_become_follower(raft, term, now);
 	raft->leader_id = message->id;
@@ -70,7 +70,7 @@
 	raft->election.vote_barrier_unknown = false;
 	raft->removed = false;
 	raft_reset_election_timer(raft, now);
-	return 1;
+	return true;
 }
 
 /* ---- candidates and their votes ---- */
@@ -157,7 +157,7 @@
 }
 
 /* Whether a voter has granted; our own vote counts once it is synced. */
-static int has_granted(const struct raft *raft, const struct raft_member *member)
+static bool has_granted(const struct raft *raft, const struct raft_member *member)
 {
 	if (member->id == raft->id)
 		return raft->role == RAFT_PRE_CANDIDATE || raft->disk.synced_seq >= raft->disk.self_vote_seq;
@@ -203,7 +203,7 @@
 }
 
 /* Whether a candidate's log is at least as new as ours. */
-static int is_up_to_date(const struct raft *raft, const struct Nl__VoteRequest *request)
+static bool is_up_to_date(const struct raft *raft, const struct Nl__VoteRequest *request)
 {
 	uint64_t last_term = raft_last_term(raft);
 
@@ -337,7 +337,7 @@
 }
 
 /* Whether a member's answer shows that there may be a leader which this one does not know. */
-static int may_hide_leader(const struct raft *raft, const struct Nl__ProbeReply *reply)
+static bool may_hide_leader(const struct raft *raft, const struct Nl__ProbeReply *reply)
 {
 	uint64_t term = raft_last_term(raft);
 
@@ -368,7 +368,7 @@
 	    (int64_t)(core_random(&raft->random_state) % (RAFT_ELECTION_STAGGER_MS / 2));
 }
 
-static int may_run_for_election(struct raft *raft, int64_t now)
+static bool may_run_for_election(struct raft *raft, int64_t now)
 {
 	const struct raft_member *self = raft_find_member(raft, raft->id);
 
--- a/lib/core/raft_internal.h
+++ b/lib/core/raft_internal.h
@@ -4,6 +4,7 @@
 #ifndef NL_RAFT_INTERNAL_H
 #define NL_RAFT_INTERNAL_H
 
+#include <stdbool.h>
 #include <nettle/sha2.h>
 
 #include "raft.h"
@@ -63,7 +64,7 @@
 
 /* Whether packed members can be a group's: each once, with identity and address, and at least one that votes.
  */
-int raft_members_valid(const uint8_t *packed, size_t size);
+bool raft_members_valid(const uint8_t *packed, size_t size);
 
 /* Members packed as a log entry holds them; the caller frees the result. */
 uint8_t *raft_pack_members(const struct raft *raft, const struct raft_member *member, int count, size_t *len);
@@ -72,12 +73,12 @@
 void raft_add_fenced(struct raft *raft, uint64_t id);
 
 /* Whether an identity is remembered as one of an older epoch. */
-int raft_is_fenced(const struct raft *raft, uint64_t id);
+bool raft_is_fenced(const struct raft *raft, uint64_t id);
 
 /* ---- the disk (raft_disk.c) ---- */
 
 /* Whether the oldest sync under way has taken longer than RAFT_SYNC_STALL_MS. */
-int raft_sync_stalled(const struct raft *raft, int64_t now);
+bool raft_sync_stalled(const struct raft *raft, int64_t now);
 
 /* Request a sync of what has become dirty, if anything has. */
 void raft_write_dirty(struct raft *raft, int64_t now, struct command_list *out);
@@ -109,7 +110,7 @@
 uint64_t raft_synced_by(const struct raft *raft, const struct raft_member *member);
 
 /* Whether every voter but `id` has synced an index. */
-int raft_others_have_synced(const struct raft *raft, uint64_t id, uint64_t index);
+bool raft_others_have_synced(const struct raft *raft, uint64_t id, uint64_t index);
 
 /* A member has announced whether it is to stop. */
 void raft_note_draining(struct raft *raft, struct raft_member *member, int draining);
@@ -129,10 +130,10 @@
  * voters that stay are a majority by themselves, and all others hold what it holds. Draining voters do not
  * vouch for each other, even where all of them are: one of them may crash, come back to stay, and find itself
  * without a majority. */
-int raft_is_expendable(const struct raft *raft, uint64_t id, uint64_t index);
+bool raft_is_expendable(const struct raft *raft, uint64_t id, uint64_t index);
 
 /* Whether a draining member may stop. */
-int raft_is_released(const struct raft *raft, const struct raft_member *member);
+bool raft_is_released(const struct raft *raft, const struct raft_member *member);
 
 /* The most caught-up voter that answers and stays; 0 for none. */
 uint64_t raft_successor(const struct raft *raft, int64_t now);
@@ -179,7 +180,7 @@
 		       struct command_list *out);
 
 /* A message of a leader: 0 when its term is over; else follow it and set the vote barrier. */
-int raft_accept_leader(struct raft *raft, const struct Nl__Msg *message, uint64_t term, int64_t now);
+bool raft_accept_leader(struct raft *raft, const struct Nl__Msg *message, uint64_t term, int64_t now);
 
 /* After a (re)start: a vote barrier, since a vote may have been given before, and the election timer. */
 void raft_begin_elections(struct raft *raft, int64_t now);
@@ -241,8 +242,8 @@
 
 /* Whether a message is of this member's epoch. Tells its sender, or this member itself, when one is of an
  * older epoch. */
-int raft_is_of_this_epoch(struct raft *raft, const struct Nl__Msg *message, int64_t now,
-			  struct command_list *out);
+bool raft_is_of_this_epoch(struct raft *raft, const struct Nl__Msg *message, int64_t now,
+			   struct command_list *out);
 
 /* ---- replication (raft_replication.c) ---- */
 
--- a/lib/core/raft_members.c
+++ b/lib/core/raft_members.c
@@ -35,12 +35,12 @@
 	raft->group.fenced_ids[raft->group.fenced_count++] = id;
 }
 
-int raft_is_fenced(const struct raft *raft, uint64_t id)
+bool raft_is_fenced(const struct raft *raft, uint64_t id)
 {
 	for (int i = 0; i < raft->group.fenced_count; i++)
 		if (raft->group.fenced_ids[i] == id)
-			return 1;
-	return 0;
+			return true;
+	return false;
 }
 
 /* A member of which nothing is known yet. */
@@ -106,7 +106,7 @@
 	*size = raft->snapshots.newest.members_len;
 }
 
-int raft_members_valid(const uint8_t *packed, size_t size)
+bool raft_members_valid(const uint8_t *packed, size_t size)
 {
 	struct Nl__Members *members = nl__members__unpack(NULL, size, packed);
 	int voters = 0, valid = members && members->n_members && members->n_members <= RAFT_MAX_MEMBERS;
--- a/lib/core/raft_reconfigure.c
+++ b/lib/core/raft_reconfigure.c
@@ -56,36 +56,36 @@
 
 /* Another identity has the address of a member: the disk of that member was lost, and it will not come back.
  */
-static int is_replaced(const struct fleet_view *view, const struct raft_member *member)
+static bool is_replaced(const struct fleet_view *view, const struct raft_member *member)
 {
 	int other = 0;
 
 	for (int i = 0; i < view->live_count; i++) {
 		if (view->live[i].id == member->id)
-			return 0;
+			return false;
 		other |= view->live[i].addr == member->addr;
 	}
 	return other && view->now - member->progress.last_reply_at_ms > RAFT_LEASE_MS;
 }
 
-static int is_silent_for(const struct fleet_view *view, const struct raft_member *member, int64_t silent_ms)
+static bool is_silent_for(const struct fleet_view *view, const struct raft_member *member, int64_t silent_ms)
 {
 	return member->id != view->raft->id &&
 	       (view->now - member->progress.last_reply_at_ms > silent_ms || is_replaced(view, member));
 }
 
-static int is_suspect(const struct fleet_view *view, const struct raft_member *member)
+static bool is_suspect(const struct fleet_view *view, const struct raft_member *member)
 {
 	return is_silent_for(view, member, view->raft->group.member_lost_ms * 2 / 3);
 }
 
-static int is_lost(const struct fleet_view *view, const struct raft_member *member)
+static bool is_lost(const struct fleet_view *view, const struct raft_member *member)
 {
 	return is_silent_for(view, member, view->raft->group.member_lost_ms);
 }
 
 /* Whether a member answers, and has synced all that is committed. */
-static int is_caught_up(const struct fleet_view *view, const struct raft_member *member)
+static bool is_caught_up(const struct fleet_view *view, const struct raft_member *member)
 {
 	const struct raft *raft = view->raft;
 
@@ -96,7 +96,7 @@
 }
 
 /* Whether these members could commit and elect by themselves at once. */
-static int has_ready_majority(const struct fleet_view *view, const struct raft_member *members, int count)
+static bool has_ready_majority(const struct fleet_view *view, const struct raft_member *members, int count)
 {
 	int voters = 0, ready = 0;
 
--- a/lib/core/raft_recovery.c
+++ b/lib/core/raft_recovery.c
@@ -57,14 +57,14 @@
 	command_send(out, message->addr, raft->shard, NL__MSG__BODY_APPEND_REPLY)->append_reply = reply;
 }
 
-static int is_offer(const struct Nl__Msg *message)
+static bool is_offer(const struct Nl__Msg *message)
 {
 	return message->body_case == NL__MSG__BODY_APPEND ||
 	       message->body_case == NL__MSG__BODY_SNAPSHOT_CHUNK;
 }
 
-int raft_is_of_this_epoch(struct raft *raft, const struct Nl__Msg *message, int64_t now,
-			  struct command_list *out)
+bool raft_is_of_this_epoch(struct raft *raft, const struct Nl__Msg *message, int64_t now,
+			   struct command_list *out)
 {
 	uint64_t theirs = raft_epoch(message_term(raft, message)), ours = raft_epoch(raft->term);
 
@@ -73,22 +73,22 @@
 	if (theirs < ours) {
 		if (message->body_case == NL__MSG__BODY_VOTE_REQUEST || is_offer(message))
 			raft_send_removed(raft, message->addr, out); /* it is fenced */
-		return 0;
+		return false;
 	}
 	if (!raft->group.member_count) /* nothing is held here: it takes the group as it is */
 		return is_offer(message);
 	become_fenced(raft, now);
 	if (is_offer(message))
 		refuse_membership(raft, message, out);
-	return 0;
+	return false;
 }
 
-static int is_listed(const uint64_t *lost, int count, uint64_t id)
+static bool is_listed(const uint64_t *lost, int count, uint64_t id)
 {
 	for (int i = 0; i < count; i++)
 		if (lost[i] == id)
-			return 1;
-	return 0;
+			return true;
+	return false;
 }
 
 enum raft_recovery raft_can_recover(const struct raft *raft, const uint64_t *lost, int count, int64_t now)
--- a/lib/core/raft_replication.c
+++ b/lib/core/raft_replication.c
@@ -189,12 +189,12 @@
 }
 
 /* Whether the log holds the entry before the appended ones. A dropped or committed entry is the leader's. */
-static int has_previous(const struct raft *raft, const struct Nl__Append *append)
+static bool has_previous(const struct raft *raft, const struct Nl__Append *append)
 {
 	uint64_t prev = append->prev_index;
 
 	if (prev > raft_last_index(raft))
-		return 0;
+		return false;
 	return prev < raft->log.base_index || prev <= raft->log.commit_index ||
 	       raft_term_at(raft, prev) == append->prev_term;
 }
--- a/lib/core/raft_snapshot.c
+++ b/lib/core/raft_snapshot.c
@@ -75,12 +75,12 @@
 	free_snapshot(&raft->snapshots.previous);
 }
 
-static int is_being_sent(const struct raft *raft, uint64_t index)
+static bool is_being_sent(const struct raft *raft, uint64_t index)
 {
 	for (int i = 0; i < raft->group.member_count && index; i++)
 		if (raft->group.members[i].transfer.index == index)
-			return 1;
-	return 0;
+			return true;
+	return false;
 }
 
 void raft_release_previous(struct raft *raft)
@@ -139,18 +139,18 @@
 
 /* A learner that holds nothing yet: it is sent the state as it is now rather than an old one and the long log
  * behind it. */
-static int has_new_learner(const struct raft *raft)
+static bool has_new_learner(const struct raft *raft)
 {
 	for (int i = 0; i < raft->group.member_count && raft->role == RAFT_LEADER; i++) {
 		const struct raft_member *member = &raft->group.members[i];
 
 		if (!member->voter && !member->progress.match_index && !member->transfer.index)
-			return 1;
+			return true;
 	}
-	return 0;
+	return false;
 }
 
-int raft_needs_snapshot(const struct raft *raft)
+bool raft_needs_snapshot(const struct raft *raft)
 {
 	size_t snapshot_bytes = raft->snapshots.newest.data_len;
 	size_t log_bytes =
--- a/lib/core/raft_snapshot_receive.c
+++ b/lib/core/raft_snapshot_receive.c
@@ -46,7 +46,7 @@
 	raft_digest_begin(&incoming->sum, incoming->index, incoming->index_term, incoming->members_len);
 }
 
-static int same_transfer(const struct raft_incoming *incoming, const struct Nl__SnapshotChunk *chunk)
+static bool same_transfer(const struct raft_incoming *incoming, const struct Nl__SnapshotChunk *chunk)
 {
 	return incoming->index == chunk->index && incoming->index_term == chunk->index_term &&
 	       incoming->members_len == chunk->members_len && incoming->total_bytes == chunk->total_bytes &&
--- a/lib/core/raft_transfer.c
+++ b/lib/core/raft_transfer.c
@@ -37,14 +37,14 @@
 	raft->drain.deadline_ms = now + HANDOVER_MS;
 }
 
-int raft_may_stop(const struct raft *raft, int64_t now)
+bool raft_may_stop(const struct raft *raft, int64_t now)
 {
 	const struct raft_member *self = raft_find_const_member(raft, raft->id);
 
 	if (raft->role == RAFT_LEADER)
-		return 0;
+		return false;
 	if (!self || !self->voter || raft->removed || raft->fenced)
-		return 1;
+		return true;
 	return raft->drain.release == RAFT_RELEASED ||
 	       (raft->drain.release == RAFT_RELEASED_LATER && now >= raft->drain.deadline_ms);
 }
--- a/lib/core/raft_validate.c
+++ b/lib/core/raft_validate.c
@@ -9,7 +9,7 @@
 /* No fleet reaches terms and indices beyond this: incremented once a microsecond they take eight years. */
 #define MAX_COUNTER ((uint64_t)1 << 48)
 
-static int is_implausible(uint64_t counter)
+static bool is_implausible(uint64_t counter)
 {
 	return counter > MAX_COUNTER;
 }
--- a/lib/core/tick_knowledge.c
+++ b/lib/core/tick_knowledge.c
@@ -1,6 +1,7 @@
 /* Called by purge_relay.c; calls purge.c. */
 #include "tick_knowledge.h"
 
+#include <stdbool.h>
 #include <string.h>
 
 #include "containers.h"
@@ -54,21 +55,21 @@
 	return 1;
 }
 
-int knowledge_add(struct tick_knowledge *known, uint64_t first, uint64_t last, const struct Nl__Value *value)
+bool knowledge_add(struct tick_knowledge *known, uint64_t first, uint64_t last, const struct Nl__Value *value)
 {
 	if (first > last)
-		return 0;
+		return false;
 	if (value)
 		hold_value(known, value);
 	if (first <= known->horizon)
 		first = known->horizon + 1;
 	if (first > last || !merge_range(known, (struct tick_range){ first, last }))
-		return 0;
+		return false;
 	if (known->known_ranges[0].first == known->horizon + 1) {
 		known->horizon = known->known_ranges[0].last;
 		arrdel(known->known_ranges, 0);
 	}
-	return 1;
+	return true;
 }
 
 uint64_t knowledge_reach(const struct tick_knowledge *known)
@@ -114,11 +115,11 @@
 	}
 }
 
-int knowledge_append(const struct tick_knowledge *known, uint64_t first, uint64_t last,
-		     struct Nl__Knowledge *knowledge, struct command_list *out)
+bool knowledge_append(const struct tick_knowledge *known, uint64_t first, uint64_t last,
+		      struct Nl__Knowledge *knowledge, struct command_list *out)
 {
 	if (first <= known->released)
-		return 0;
+		return false;
 	if (first <= known->horizon)
 		append_run(known, first, last < known->horizon ? last : known->horizon, knowledge, out);
 	for (ptrdiff_t i = 0; i < arrlen(known->known_ranges); i++) {
@@ -129,7 +130,7 @@
 		if (range_first <= range_last)
 			append_run(known, range_first, range_last, knowledge, out);
 	}
-	return 1;
+	return true;
 }
 
 void knowledge_release(struct tick_knowledge *known, uint64_t upto)
--- a/lib/core/tick_knowledge.h
+++ b/lib/core/tick_knowledge.h
@@ -4,6 +4,8 @@
 #ifndef NL_TICK_KNOWLEDGE_H
 #define NL_TICK_KNOWLEDGE_H
 
+#include <stdbool.h>
+
 #include "purge.h"
 
 /* Both ends belong to it. */
@@ -22,7 +24,8 @@
 
 /* Learn that all ticks of [first, last] are known; value, if any, is the one in it, and is copied. 1 when any
  * tick was new. Example: knowledge_add(&known, 5, 9, NULL); */
-int knowledge_add(struct tick_knowledge *known, uint64_t first, uint64_t last, const struct Nl__Value *value);
+bool knowledge_add(struct tick_knowledge *known, uint64_t first, uint64_t last,
+		   const struct Nl__Value *value);
 
 /* The unknown ranges up to the highest known tick, at most max_count; how many. Example: n =
  * knowledge_gaps(&known, ranges, 8); */
@@ -33,8 +36,8 @@
 
 /* Append what is known of [first, last] to a message, in the step's memory; 0 when the range begins below
  * what is still held. Example: if (!knowledge_append(&known, 1, 9, message, out)) send_snapshot(); */
-int knowledge_append(const struct tick_knowledge *known, uint64_t first, uint64_t last,
-		     struct Nl__Knowledge *message, struct command_list *out);
+bool knowledge_append(const struct tick_knowledge *known, uint64_t first, uint64_t last,
+		      struct Nl__Knowledge *message, struct command_list *out);
 
 /* Free the values at or below a tick, as far as the horizon. Example: knowledge_release(&known, 100); */
 void knowledge_release(struct tick_knowledge *known, uint64_t upto);
--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -270,15 +270,15 @@
 
 /* ---- opening and closing --------------------------------------------------------------------- */
 
-int router_ready(const struct router *router, int64_t now)
+bool router_ready(const struct router *router, int64_t now)
 {
 	if (router->shutdown.in_progress || !router->config.route_table)
-		return 0;
+		return false;
 	return router->config.watch.table.revision &&
 	       config_watch_age_ms(&router->config.watch, now) <= router_max_staleness_ms(router);
 }
 
-int router_idle(const struct router *router)
+bool router_idle(const struct router *router)
 {
 	return arrlen(router->requests.all) == 0 && arrlen(router->requests.claim_releases) == 0;
 }
--- a/lib/data/router.h
+++ b/lib/data/router.h
@@ -246,14 +246,14 @@
 int64_t router_config_valid_until(const struct router *router);
 
 /* Whether it may report ready: its configuration is in force and it is not shutting down. */
-int router_ready(const struct router *router, int64_t now);
+bool router_ready(const struct router *router, int64_t now);
 
 /* Whether each request received has ended once or is under way. Always true; tests check it after each
  * step. */
-int router_balanced(const struct router *router);
+bool router_balanced(const struct router *router);
 
 /* Whether nothing is under way, so that a shutdown may end. */
-int router_idle(const struct router *router);
+bool router_idle(const struct router *router);
 
 /* Usage so far as CSV, in the caller's pool: lane,tenant,exchanges,tokens,reused,pieces,errors. */
 const char *router_usage(const struct router *router, apr_pool_t *pool);
--- a/lib/data/router_outcome.c
+++ b/lib/data/router_outcome.c
@@ -86,7 +86,7 @@
 		request_drop(router, router->requests.all[0]);
 }
 
-int router_balanced(const struct router *router)
+bool router_balanced(const struct router *router)
 {
 	uint64_t sum = (uint64_t)arrlen(router->requests.all);
 
--- a/lib/data/router_purge.c
+++ b/lib/data/router_purge.c
@@ -9,14 +9,14 @@
 	const struct Nl__Value *value;
 };
 
-static int is_purged(const void *context, uint64_t block_hash, const struct block_replica *replica)
+static bool is_purged(const void *context, uint64_t block_hash, const struct block_replica *replica)
 {
 	const struct purge_match *match = context;
 	const struct Nl__Purge *purge = match->value->purge;
 	const struct router *router = match->router;
 
 	if (replica->stamp_tick >= match->value->tick)
-		return 0;
+		return false;
 	switch (purge->reason) {
 	case PURGE_WEIGHTS:
 		return !strcmp(router->names.services.names[replica->service_index], purge->service) &&
--- a/lib/shell/http.h
+++ b/lib/shell/http.h
@@ -8,6 +8,7 @@
 #ifndef NL_HTTP_H
 #define NL_HTTP_H
 
+#include <stdbool.h>
 #include <apr_pools.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -161,7 +162,7 @@
 void http_call_skip_response(struct http *http, uint64_t token);
 
 /* Whether a byte of a call under way has left. */
-int http_call_is_sent(struct http *http, uint64_t token);
+bool http_call_is_sent(struct http *http, uint64_t token);
 
 /* Close the idle connections to an address, and keep none of those in use: it belongs to another server now.
  */
--- a/lib/shell/http_buffer.c
+++ b/lib/shell/http_buffer.c
@@ -83,7 +83,7 @@
 	buffer->len += n;
 }
 
-int http_is_framing_field(const char *name)
+bool http_is_framing_field(const char *name)
 {
 	switch (strlen(name)) {
 	case 10:
@@ -93,7 +93,7 @@
 	case 17:
 		return !strcasecmp(name, "transfer-encoding");
 	}
-	return 0;
+	return false;
 }
 
 void http_buffer_append_field(struct http *http, struct buffer *buffer, const struct http_field *field)
--- a/lib/shell/http_client.c
+++ b/lib/shell/http_client.c
@@ -517,7 +517,7 @@
 		conn->client.skipping = 1;
 }
 
-int http_call_is_sent(struct http *http, uint64_t token)
+bool http_call_is_sent(struct http *http, uint64_t token)
 {
 	struct http_connection *conn = hmget(http->calls, token);
 
--- a/lib/shell/http_connection.c
+++ b/lib/shell/http_connection.c
@@ -226,7 +226,7 @@
 	return !getsockopt(fd, level, name, &v, &n) && (expected ? v == expected : v > 0);
 }
 
-int http_socket_inherits(int fd)
+bool http_socket_inherits(int fd)
 {
 	return option_is(fd, IPPROTO_TCP, TCP_NODELAY, 0) &&
 	       option_is(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS) &&
--- a/lib/shell/http_internal.h
+++ b/lib/shell/http_internal.h
@@ -8,6 +8,7 @@
 #ifndef NL_HTTP_INTERNAL_H
 #define NL_HTTP_INTERNAL_H
 
+#include <stdbool.h>
 #include <netinet/in.h>
 #include <stdint.h>
 #include <sys/epoll.h>
@@ -289,7 +290,7 @@
 void http_buffer_append_field(struct http *http, struct buffer *buffer, const struct http_field *field);
 
 /* Whether a field says how a message is framed; the loop alone writes those. */
-int http_is_framing_field(const char *name);
+bool http_is_framing_field(const char *name);
 
 /* ---- http_connection.c ---- */
 
@@ -326,7 +327,7 @@
 void http_socket_options(int fd);
 
 /* Whether an accepted socket has its listener's options, as on Linux. */
-int http_socket_inherits(int fd);
+bool http_socket_inherits(int fd);
 
 /* The socket address of an address as core_parse_addr gives it. */
 struct sockaddr_in http_socket_address(uint64_t address);
--- a/lib/shell/http_listener.c
+++ b/lib/shell/http_listener.c
@@ -132,7 +132,7 @@
 			http->listeners[i]->listener.limits = *limits;
 }
 
-static int is_incomplete(const struct http_connection *conn, int listener_id)
+static bool is_incomplete(const struct http_connection *conn, int listener_id)
 {
 	return conn && !conn->closed && conn->server.listener->listener.listener_id == listener_id &&
 	       (conn->state == CONN_READING_BODY || (conn->state == CONN_READING_HEAD && conn->input.len));
@@ -166,7 +166,7 @@
 }
 
 /* Nothing of a request was read, and none is awaited: the listener drains, or the client never sent one. */
-static int may_close_unread(const struct http_connection *conn)
+static bool may_close_unread(const struct http_connection *conn)
 {
 	return conn->state == CONN_READING_HEAD && !conn->input.len &&
 	       (conn->server.listener->listener.draining || !conn->server.token);
--- a/lib/shell/http_parse.c
+++ b/lib/shell/http_parse.c
@@ -12,7 +12,7 @@
 
 /* ---- heads ---- */
 
-static int is_token_char(unsigned char character)
+static bool is_token_char(unsigned char character)
 {
 	static const char others[] = "!#$%&'*+-.^_`|~";
 
@@ -42,16 +42,16 @@
 	return 0;
 }
 
-static int is_text(const char *text, const char *end)
+static bool is_text(const char *text, const char *end)
 {
 	for (; text < end; text++)
 		if (((unsigned char)*text < 32 && *text != '\t') || *text == 127)
-			return 0;
-	return 1;
+			return false;
+	return true;
 }
 
 /* First line: METHOD SP target SP HTTP/1.x, or HTTP/1.x SP ddd [SP reason] */
-static int is_start_line(const char *line, const char *end, int request)
+static bool is_start_line(const char *line, const char *end, int request)
 {
 	const char *cursor;
 
@@ -63,7 +63,7 @@
 	for (cursor = line; cursor < end && http_token_char[(unsigned char)*cursor]; cursor++)
 		;
 	if (cursor == line || cursor == end || *cursor++ != ' ')
-		return 0;
+		return false;
 	for (line = cursor; cursor < end && (unsigned char)*cursor > 32 && *cursor != 127; cursor++)
 		;
 	return cursor > line && end - cursor == 9 && !memcmp(cursor, " HTTP/1.", 8) &&
@@ -303,7 +303,7 @@
 	return -1;
 }
 
-static int is_control(char byte)
+static bool is_control(char byte)
 {
 	return ((unsigned char)byte < 32 && byte != '\t') || byte == 127;
 }
--- a/lib/shell/http_server.c
+++ b/lib/shell/http_server.c
@@ -430,7 +430,7 @@
 	return 1;
 }
 
-static int has_progressed(struct http_connection *conn)
+static bool has_progressed(struct http_connection *conn)
 {
 	return conn->state == CONN_SENDING_RESPONSE ? response_progressed(conn)
 						    : http_server_progressed(conn);
@@ -466,7 +466,7 @@
 	return conn->input.len <= side->parse_offset && !side->early.len;
 }
 
-static int has_retry_after(int status, const struct http_field *fields, int field_count)
+static bool has_retry_after(int status, const struct http_field *fields, int field_count)
 {
 	return (status == 503 || status == 429) &&
 	       http_field_value(fields, field_count, "Retry-After") != NULL;
--- a/tests/test_units.c
+++ b/tests/test_units.c
@@ -272,7 +272,7 @@
 	apr_pool_destroy(out.pool);
 }
 
-static int of_server(const void *ctx, uint64_t id, const struct block_replica *replica)
+static bool of_server(const void *ctx, uint64_t id, const struct block_replica *replica)
 {
 	(void)id;
 	return replica->server_index == *(const uint32_t *)ctx;
