Tests: guards that no test missed: past the bound, recalls, and what may have run

past_the_bound_only_target_weights_get_requests and a stricter a_storm_of_recalls (test_weights_review), what_may_have_run_is_not_promised_otherwise (test_requests).

--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -564,6 +564,38 @@
 	router_fixture_close(&world.s);
 }
 
+/* A send broke off before its answer, so the request may have run; it waits for another server when its own
+ * goes, and is given up. 503 would promise that it never ran. */
+static void what_may_have_run_is_not_promised_otherwise(void **state)
+{
+	enum { LIMIT_MS = 10000, STEP_MS = 50 };
+	struct world world = { 0 };
+	int64_t fetched_at_ms;
+	uint64_t call;
+	int status = 0;
+
+	(void)state;
+	router_fixture_open(&world.s, 5);
+	world_service(&world, "pool");
+	world_route(&world, "route", "/", "pool")->idempotent = 1;
+	world_server(&world, "pool");
+	world_apply(&world);
+	assert_non_null(ask(&world, "/x", 0));
+	call = router_fixture_last_call(&world.s);
+	world.servers = 0;
+	world_apply(&world);
+	send_ends(&world, call, FORWARD_BROKEN_OFF, 0, 0, NULL);
+	fetched_at_ms = world.s.router.config.watch.fetched_at_ms;
+	for (int64_t waited = 0; waited < LIMIT_MS && !status; waited += STEP_MS) {
+		status = answered_status(&world.s, 1);
+		command_list_clear(&world.s.commands);
+		world.s.router.config.watch.fetched_at_ms = fetched_at_ms; /* no answer of the leader */
+		router_fixture_tick(&world.s, STEP_MS);
+	}
+	assert_int_equal(status, 502);
+	router_fixture_close(&world.s);
+}
+
 /* A route whose requests go to a service with one server of few places, and to one without any. */
 static void split_open(struct world *world, int slots)
 {
@@ -1175,6 +1207,7 @@
 		cmocka_unit_test(a_stream_is_not_held_in_silence),
 		cmocka_unit_test(one_server_turns_a_request_away),
 		cmocka_unit_test(the_only_server_has_a_returned_request_again),
+		cmocka_unit_test(what_may_have_run_is_not_promised_otherwise),
 		cmocka_unit_test(a_split_is_not_held_up_by_one_service),
 		cmocka_unit_test(a_split_refuses_nobody_for_a_head_of_another_service),
 		cmocka_unit_test(each_end_of_a_send_is_told_as_the_table_says),
--- a/tests/test_weights_review.c
+++ b/tests/test_weights_review.c
@@ -708,6 +708,7 @@
 			    repeatable, new_servers, (int)fixture.router.stats.recalled, cancelled, broke,
 			    refused, sent, (int)arrlen(fixture.router.requests.all),
 			    (int)fixture.router.stats.sent_past_bound);
+			assert_true(fixture.router.stats.recalled > 0);
 			assert_int_equal(fixture.router.stats.recalled, cancelled);
 			assert_int_equal(fixture.router.stats.sent_past_bound, 0);
 			if (!repeatable)
@@ -716,6 +717,44 @@
 		}
 }
 
+/* Past the bound, servers with older weights get nothing: a request waits for one with the target weights. */
+static void past_the_bound_only_target_weights_get_requests(void **state)
+{
+	enum { SERVERS = 12, NEW_SERVERS = 3, REQUESTS = 20, WATCHED_MS = 500 };
+
+	(void)state;
+	for (int new_servers = 0; new_servers <= NEW_SERVERS; new_servers += NEW_SERVERS) {
+		struct router_fixture fixture = { 0 };
+		int64_t end = 1000000 + FIXTURE_ROLL_MS;
+		int sent = 0;
+
+		open_lone_router(&fixture, SERVERS, new_servers, 1, 1000000, 1, 3);
+		fixture_wait(&fixture, end + 10);
+		for (int i = 0; i < REQUESTS; i++) {
+			int status;
+
+			(void)router_fixture_submit(&fixture, "h", "/x", apr_psprintf(fixture.p, "id-%d", i),
+						    &status);
+			for (ptrdiff_t k = 0; k < arrlen(fixture.commands.commands); k++)
+				sent += fixture.commands.commands[k].kind == CMD_FORWARD;
+		}
+		for (int64_t until = fixture.now + WATCHED_MS; fixture.now < until;) {
+			command_list_clear(&fixture.commands);
+			router_fixture_tick(&fixture, 10);
+			for (ptrdiff_t k = 0; k < arrlen(fixture.commands.commands); k++)
+				sent += fixture.commands.commands[k].kind == CMD_FORWARD;
+		}
+		for (int i = 0; i < SERVERS - new_servers; i++)
+			assert_int_equal(fixture.router.servers.states[i].own_running, 0);
+		if (new_servers)
+			assert_true(sent > 0);
+		else
+			assert_int_equal(sent, 0);
+		assert_int_equal(fixture.router.stats.sent_past_bound, 0);
+		router_fixture_close(&fixture);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -724,6 +763,7 @@
 		cmocka_unit_test(no_leaders_clock_is_behind),
 		cmocka_unit_test(the_clock_that_is_reckoned_does_not_fall_behind),
 		cmocka_unit_test(a_storm_of_recalls),
+		cmocka_unit_test(past_the_bound_only_target_weights_get_requests),
 		cmocka_unit_test_teardown(a_refusing_server_does_not_hurry_the_others, teardown),
 		cmocka_unit_test_teardown(a_refusing_server_costs_no_capacity_of_others, teardown),
 		cmocka_unit_test_teardown(what_was_taken_back_does_not_begin_late, teardown),
