--- a/tests/test_weights_review.c
+++ b/tests/test_weights_review.c
@@ -316,6 +316,44 @@
 	}
 }
 
+/* Whether this server is one of those that stall in this test. */
+static int stalls(ptrdiff_t index, uint64_t seed)
+{
+	return index / 3 % 3 == (ptrdiff_t)(seed % 3); /* services take turns in the list */
+}
+
+/* A third of the servers take the command and load for ever. They hold no place of others for longer than a
+ * part of the bound: all others have the new weights in time. */
+static void stalled_loads_hold_no_slots_for_long(void **state)
+{
+	(void)state;
+	for (uint64_t seed = 1; seed <= 4; seed++) {
+		struct sim_forward *forwarding = open_fleet(seed, bounds);
+		struct sim_instance_list *list = &forwarding->sim.instance_list;
+		int64_t targeted_at;
+		int behind = 0, stalled = 0;
+
+		go(forwarding, SETTLE_MS);
+		targeted_at = name(forwarding, 2);
+		while (forwarding->sim.now < targeted_at + ROLL_MS) {
+			go(forwarding, SAMPLE_MS);
+			for (ptrdiff_t i = 0; i < arrlen(list->instances); i++)
+				if (stalls(i, seed) && list->instances[i].loading[0])
+					list->instances[i].load_done_at = INT64_MAX;
+		}
+		for (ptrdiff_t i = 0; i < arrlen(list->instances); i++) {
+			stalled += in_pool(&list->instances[i]) && list->instances[i].loading[0] != 0;
+			behind += in_pool(&list->instances[i]) && !stalls(i, seed) &&
+				  atoi(list->instances[i].weights) < 2;
+		}
+		print_message("seed %llu: %d servers stall, %d others are behind at the bound\n",
+			      (unsigned long long)seed, stalled, behind);
+		assert_true(stalled > 0);
+		assert_int_equal(behind, 0);
+		teardown(NULL);
+	}
+}
+
 /* ---- restarts ---------------------------------------------------------------------------------- */
 
 enum { IDLE_MS = 60000, CONTACT_MS = 4000 };
@@ -768,6 +806,7 @@
 		cmocka_unit_test_teardown(a_refusing_server_costs_no_capacity_of_others, teardown),
 		cmocka_unit_test_teardown(what_was_taken_back_does_not_begin_late, teardown),
 		cmocka_unit_test_teardown(healthy_servers_are_not_starved, teardown),
+		cmocka_unit_test_teardown(stalled_loads_hold_no_slots_for_long, teardown),
 		cmocka_unit_test_teardown(all_controllers_restart_after_idle_time, teardown),
 		cmocka_unit_test_teardown(slow_loads_hold_their_slots, teardown),
 		cmocka_unit_test_teardown(loads_that_are_taken_over_hold_their_slots, teardown),
