--- a/review/fleet.py
+++ b/review/fleet.py
@@ -353,9 +353,10 @@
 
     # ---- clients ----
 
-    def request(self, router, attempt, key, path="/a/x", deadline_ms=4000, model="model1"):
+    def request(self, router, attempt, key, path="/a/x", deadline_ms=4000, model="model1",
+                host="desk.example"):
         """Send one request to a router as a client does. Returns the status; None without an answer."""
-        fields = {"Host": "desk.example", "X-Notchlug-Attempt-Id": attempt,
+        fields = {"Host": host, "X-Notchlug-Attempt-Id": attempt,
                   "X-Notchlug-Model-Name": model, "X-Notchlug-Token-Count": "1460,80",
                   "X-Notchlug-Prompt-Prefix": "5c1e07a2:800,91bd3f06:660",
                   "X-Notchlug-Deadline-Remaining": str(deadline_ms)}
