--- a/review/fleet.py
+++ b/review/fleet.py
@@ -246,7 +246,6 @@
     def __init__(self, folder, routers=2, servers=2, server_class=ModelServer):
         self.record = Record(folder)
         self.runs, self.lock = [], threading.Lock()
-        self.folder = tempfile.mkdtemp(prefix="review-")
         self.processes, self.servers = [], []
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.roles = {role["on"]: role for role in tomllib.load(file)["roles"].values()}
@@ -261,6 +260,7 @@
         for i in range(servers):
             self.servers.append(server_class(self, (f"{net}.{100 + i}", SERVER_PORT), f"i-{i:010x}",
                                              "lm0001a", ZONES[i % 4], "model1"))
+        self.folder = tempfile.mkdtemp(prefix="review-")
         self.core = [Process(self, self.roles["core"], f"core-{i}", ip, ZONES[i])
                      for i, ip in enumerate(core_ips)]
         self.edge = [Process(self, self.roles["edge"], f"edge-{i}", f"{net}.{20 + i}", ZONES[i % 4])
