Streams: the end of a connection is not the end of an answer that cuts an event

Cause: the HTTP client took the end of the connection for the end of the answer, which HTTP alone allows, and the front end sent what was left in its buffer as a last event.

A stream cut within an event or before its first one is broken off: resumed where the route allows it, otherwise the client sees the cut. Streams whose lines end with CR alone are read by events, too.

--- a/lib/shell/http.h
+++ b/lib/shell/http.h
@@ -2,8 +2,9 @@
  * a thread of its own. The front ends in platform/ use it: clients and operators connect to its listeners,
  * and its calls go to servers. It is stricter than an ordinary HTTP library, because a request must not run
  * twice and an answer must not be taken for another request's: a connection carries one request at a time;
- * no request is sent twice; an answer that is cut short never looks complete; a connection on which bytes
- * follow a complete answer is closed. A head is checked for strict syntax before http-parser reads it. Only
+ * no request is sent twice; an answer that is cut short never looks complete, and one that only its content
+ * can show to be complete has a result of its own; a connection on which bytes follow a complete answer is
+ * closed. A head is checked for strict syntax before http-parser reads it. Only
  * the thread that runs the loop may call these functions, except http_wake.
  */
 #ifndef NL_HTTP_H
@@ -61,13 +62,21 @@
 
 /* How a call ended. */
 enum http_call_result {
-	HTTP_CALL_COMPLETE, /* the answer was read to its end */
+	HTTP_CALL_COMPLETE, /* the answer was read to its end, which its length, its chunks or its status show
+			     */
+	/* the answer has no framing and ended where the server closed the connection in order (RFC 9112, 6.3,
+	 * 8): whether it is complete only its content can show */
+	HTTP_CALL_ENDED_BY_CLOSE,
 	HTTP_CALL_NOT_SENT, /* no byte of the request left this machine, or the kernel reports that none did
 			     */
 	HTTP_CALL_OUTCOME_UNKNOWN /* the call failed in any other way: the server may have begun the request
 				   */
 };
 
+/* Whether a call ended with an answer: HTTP_CALL_COMPLETE or HTTP_CALL_ENDED_BY_CLOSE. For a caller whose
+ * answers show by themselves whether they were cut, such as JSON objects. */
+bool http_call_has_answer(enum http_call_result result);
+
 /* Callbacks of the loop. Pointers that a callback receives are valid until it returns, except the request,
  * which stays valid for longer. */
 struct http_callbacks {
--- a/lib/shell/http_client.c
+++ b/lib/shell/http_client.c
@@ -389,8 +389,8 @@
 static void client_handle_eof(struct http_connection *conn)
 {
 	if (conn->state == CONN_READING_RESPONSE && conn->client.response_framing == BODY_UNTIL_EOF &&
-	    conn->head.close_connection && !conn->client.is_skipping_response)
-		http_client_finish_call(conn, HTTP_CALL_COMPLETE, 0);
+	    !conn->client.is_skipping_response)
+		http_client_finish_call(conn, HTTP_CALL_ENDED_BY_CLOSE, 0);
 	else
 		client_fail_call(conn);
 }
@@ -531,6 +531,11 @@
 		conn->client.is_skipping_response = 1;
 }
 
+bool http_call_has_answer(enum http_call_result result)
+{
+	return result == HTTP_CALL_COMPLETE || result == HTTP_CALL_ENDED_BY_CLOSE;
+}
+
 bool http_call_has_sent_bytes(struct http *http, uint64_t token)
 {
 	struct http_connection *conn = hmget(http->calls, token);
--- a/tests/test_connections.c
+++ b/tests/test_connections.c
@@ -115,6 +115,7 @@
 	ACT_CLOSES,
 	ACT_INTERIM,
 	ACT_NOT_A_STREAM,
+	ACT_CUT_UNFRAMED,
 	ACTS
 };
 
@@ -170,6 +171,9 @@
 	int closed; /* the process has ended */
 	int honest_ids;   /* ids are used again, and servers send no surplus */
 	enum act *script; /* stb_ds: what servers do with the next requests; by chance where it is empty */
+	const char *line_end;      /* of streams' lines; NULL: LF */
+	int has_unframed_cut;      /* unframed_cut_bytes decides, not chance */
+	size_t unframed_cut_bytes; /* bytes of the body that ACT_CUT_UNFRAMED sends */
 	char bad[400];
 } w;
 
@@ -246,6 +250,21 @@
 
 /* ---- servers ---- */
 
+static const char *line_end(void)
+{
+	return w.line_end ? w.line_end : "\n";
+}
+
+static void append_event(char **to, int event, int request, int run)
+{
+	const char *end = line_end();
+
+	if (!random_below(8))
+		append_format(to, "x-note: 1%s", end);
+	append_format(to, "id: %d%sdata: request %d event %d run %d%s%s", event, end, request, event, run,
+		      end, end);
+}
+
 /* What a run says, all of it. */
 static int run_new(int request, int from_event, int status)
 {
@@ -255,8 +274,7 @@
 
 	if (routes[q->route].streams && status == 200) {
 		for (int i = from_event + 1; i <= q->events; i++)
-			append_format(&r.body, "%sid: %d\ndata: request %d event %d run %d\n\n",
-				      random_below(8) ? "" : "x-note: 1\n", i, request, i, no);
+			append_event(&r.body, i, request, no);
 	} else {
 		append_format(&r.body, "request %d run %d ", request, no);
 		for (uint64_t i = random_below(4) ? random_below(200) : random_below(6000); i; i--)
@@ -388,6 +406,33 @@
 		net_sim_forget(conn->c, (int64_t)random_below(20));
 }
 
+/* Whether a stream's body that ends after size bytes shows that it was cut: before its first event, or within
+ * one. */
+static int shows_cut(const char *body, size_t size)
+{
+	size_t line_end_bytes = strlen(line_end());
+
+	return size < 2 * line_end_bytes ||
+	       memcmp(body + size - line_end_bytes, line_end(), line_end_bytes) != 0 ||
+	       memcmp(body + size - 2 * line_end_bytes, line_end(), line_end_bytes) != 0;
+}
+
+/* Where an answer without framing is cut: its head, and as much of the body as shows the cut. */
+static size_t unframed_cut(const char *body, size_t body_bytes, const char *id, int run, const char *extra)
+{
+	char *answer = complete_answer(200, id, run, "", 0, FRAME_CLOSE, extra);
+	size_t head_bytes = (size_t)arrlen(answer), cut = w.unframed_cut_bytes;
+
+	arrfree(answer);
+	if (!w.has_unframed_cut)
+		cut = random_below(body_bytes + 1);
+	if (cut > body_bytes)
+		cut = body_bytes;
+	if (!shows_cut(body, cut)) /* between two events nothing shows it */
+		cut--;
+	return head_bytes + cut;
+}
+
 /* The whole request has come. */
 static void serve(struct server_conn *s, const char *id, int from_event)
 {
@@ -576,6 +621,14 @@
 		if (random_below(2))
 			end_or_reset(s, at);
 		break;
+	case ACT_CUT_UNFRAMED:
+		/* only a stream shows the cut: any other body without a length ends where its connection does
+		 */
+		at = say_answer(s, complete_answer(200, id, run, body, n, FRAME_CLOSE, extra),
+				stream ? unframed_cut(body, n, id, run, extra) : SIZE_MAX, at);
+		net_sim_end(s->c, at);
+		s->ended = 1;
+		break;
 	default:
 		break;
 	}
@@ -1035,6 +1088,19 @@
 	}
 }
 
+/* Makes each line end, CR LF or CR, an LF. */
+static void unify_line_ends(char *text)
+{
+	char *to = text;
+
+	for (; *text; text++)
+		if (*text != '\r')
+			*to++ = *text;
+		else if (text[1] != '\n')
+			*to++ = '\n';
+	*to = 0;
+}
+
 /* A stream's events must rise one by one, each of a run of this very request. */
 static void check_events(int no, const struct answer *a)
 {
@@ -1045,6 +1111,7 @@
 
 	memcpy(text, a->body ? a->body : "", n);
 	text[n] = 0;
+	unify_line_ends(text);
 	while (p && *p) {
 		char *end = strstr(p, "\n\n"), *data;
 		int id, request, event, run;
@@ -1597,7 +1664,7 @@
 		arrput(w.script, acts[i]);
 	if (!client->c)
 		assert_non_null(client->c = net_sim_connect(FRONT_PORT));
-	request_bytes(&b, no, 0, 0);
+	request_bytes(&b, no, client->old, 0);
 	net_sim_write(client->c, b, (size_t)arrlen(b), 0);
 	arrfree(b);
 	arrput(client->pending, no);
@@ -1679,6 +1746,33 @@
 		}
 }
 
+/* Guards against half an event at the end of a complete answer: the server of a stream without a length ends
+ * its connection in order at each byte of the stream. Where the route allows it another server takes the
+ * stream up and it ends whole; otherwise the client sees that it was cut. */
+static void an_event_cut_in_an_unframed_stream_shows_the_cut(void **state)
+{
+	static const enum act acts[] = { ACT_CUT_UNFRAMED, ACT_ANSWER };
+	static const char *const line_ends[] = { "\n", "\r\n", "\r" };
+
+	(void)state;
+	for (int cut = 0; cut <= 130; cut++)
+		for (int old = 0; old < 2; old++)
+			for (int route = ROUTE_RESUMABLE; route <= ROUTE_STREAM; route++) {
+				memset(&sum, 0, sizeof sum);
+				quiet_world((uint64_t)cut);
+				w.line_end = line_ends[cut % 3];
+				w.has_unframed_cut = 1;
+				w.unframed_cut_bytes = (size_t)cut;
+				w.clients[0].old = old;
+				ask_scripted((enum route)route, acts, 2, DRAIN_MS);
+				if (sum.whole != (route == ROUTE_RESUMABLE))
+					fail_msg(
+					    "cut after %d bytes, route %d, HTTP/1.%d: %d complete answers",
+					    cut, route, !old, (int)sum.whole);
+				quiet_end((uint64_t)cut);
+			}
+}
+
 /* The process freezes between its look at a kept connection and the request that would go out on it, for
  * longer than its server keeps it. */
 static void a_connection_ages_in_a_freeze(void **state)
@@ -1977,6 +2071,7 @@
 		cmocka_unit_test(an_answer_to_another_request_is_passed_over),
 		cmocka_unit_test(a_refusal_of_this_request_is_a_promise),
 		cmocka_unit_test(only_event_streams_are_resumed),
+		cmocka_unit_test(an_event_cut_in_an_unframed_stream_shows_the_cut),
 		cmocka_unit_test(a_connection_ages_in_a_freeze),
 		cmocka_unit_test(readiness_follows_the_configuration),
 		cmocka_unit_test(a_stale_front_end_promises_and_denies_nothing),
