Limits: a large number of the configuration no longer wraps to a small one

Cause: a router added its allowance of 1,024 bytes to the stored limit in uint32_t.

Rows keep their form: those of older builds are read as before.

--- a/lib/data/router_cost.c
+++ b/lib/data/router_cost.c
@@ -89,7 +89,8 @@
 	if (!service->capacity_tokens || !load.resident_tokens)
 		return true;
 	return load.resident_tokens + router_uncached_tokens(request, cached_blocks) <=
-	       service->capacity_tokens * ROUTER_MAX_RESIDENT_PERCENT / 100;
+	       service->capacity_tokens / 100 * ROUTER_MAX_RESIDENT_PERCENT +
+		   service->capacity_tokens % 100 * ROUTER_MAX_RESIDENT_PERCENT / 100;
 }
 
 /* Transfers at one server run one after the other. */
--- a/lib/data/router_send_forwarded.c
+++ b/lib/data/router_send_forwarded.c
@@ -5,6 +5,7 @@
 #include "router_internal.h"
 
 #include <apr_strings.h>
+#include <limits.h>
 #include <string.h>
 
 #include "containers.h"
@@ -159,12 +160,14 @@
 /* The maximum number of connections from this router to a server; 0: the program's default. */
 static int max_connections(const struct router *router, const struct service_config *service)
 {
-	int connections;
+	uint64_t connections;
 
 	if (!service->max_connections)
 		return 0;
-	connections = (int)(service->max_connections * 9 / 10 / fleet_router_count(router));
-	return connections < MIN_CONNECTIONS ? MIN_CONNECTIONS : connections;
+	connections = (uint64_t)service->max_connections * 9 / 10 / fleet_router_count(router);
+	if (connections > INT_MAX)
+		return INT_MAX;
+	return connections < MIN_CONNECTIONS ? MIN_CONNECTIONS : (int)connections;
 }
 
 void router_forward_to_server(struct router *router, struct client_request *request, const struct plan *plan,
--- a/lib/shell/http.h
+++ b/lib/shell/http.h
@@ -39,10 +39,10 @@
 
 /* The limits of a listener on requests and connections of clients. */
 struct http_limits {
-	size_t max_head_bytes; /* largest head of a request */
-	size_t max_body_bytes; /* largest body of a request */
-	int head_timeout_ms;   /* to receive a complete head, counted from its first byte */
-	int idle_timeout_ms;   /* between two requests, and without progress of a body or an answer */
+	size_t max_head_bytes;   /* largest head of a request */
+	size_t max_body_bytes;   /* largest body of a request */
+	int64_t head_timeout_ms; /* to receive a complete head, counted from its first byte */
+	int64_t idle_timeout_ms; /* between two requests, and without progress of a body or an answer */
 };
 
 /* A call to a server. The call copies it. The fields are sent as they are; the loop adds no Host and no
--- a/lib/shell/http_parse.c
+++ b/lib/shell/http_parse.c
@@ -404,5 +404,5 @@
 {
 	for (int i = 0; i < 256; i++)
 		http_token_char[i] = (unsigned char)is_token_char((unsigned char)i);
-	http_parser_set_max_header_size(1 << 24); /* the callers limit the size of heads */
+	http_parser_set_max_header_size(UINT32_MAX); /* the callers limit the size of heads */
 }
--- a/lib/shell/http_server.c
+++ b/lib/shell/http_server.c
@@ -36,7 +36,7 @@
 }
 
 /* The longest time that the present wait may take. */
-static int wait_timeout_ms(const struct http_connection *conn)
+static int64_t wait_timeout_ms(const struct http_connection *conn)
 {
 	const struct listener *listener = &conn->server.listener->listener;
 
--- a/tests/test_connections.c
+++ b/tests/test_connections.c
@@ -68,7 +68,7 @@
 	int key; /* the tenant whose key it shows; TENANTS: a key of nobody; -1: none */
 	int more_fields;
 	int64_t deadline_at;
-	char id[24], path[40], body[200];
+	char id[24], path[40], body[2000];
 	size_t body_len;
 	size_t ends_at;      /* on its connection: how many bytes were said when it was whole */
 	int64_t complete_at; /* when its last byte arrives */
@@ -153,6 +153,9 @@
 	int old;              /* speaks HTTP/1.0: answers of no told length end with the connection */
 };
 
+/* The limits that a configuration sets for clients. */
+enum listener_limit { LIMIT_HEAD_BYTES, LIMIT_BODY_BYTES, LIMIT_HEAD_MS, LIMIT_IDLE_MS, LISTENER_LIMITS };
+
 static struct {
 	uint64_t seed, rng;
 	struct edge edge;
@@ -166,10 +169,11 @@
 	uint64_t *config_watch_tokens; /* stb_ds: requests that the leader has not answered */
 	uint64_t edition;
 	int64_t owner_silent_until, started, frozen_ms;
-	int calm;   /* no server breaks off, nobody freezes, the leader always answers: only planned work is
-		       about */
-	int closed; /* the process has ended */
-	int honest_ids;   /* ids are used again, and servers send no surplus */
+	int calm; /* no server breaks off, nobody freezes, the leader always answers: only planned work is
+		     about */
+	uint32_t limits[LISTENER_LIMITS]; /* of the configuration; 0: none */
+	int closed;                       /* the process has ended */
+	int honest_ids;                   /* ids are used again, and servers send no surplus */
 	enum act *script; /* stb_ds: what servers do with the next requests; by chance where it is empty */
 	const char *line_end;      /* of streams' lines; NULL: LF */
 	int has_unframed_cut;      /* unframed_cut_bytes decides, not chance */
@@ -1367,6 +1371,17 @@
 	return r;
 }
 
+static struct Nl__Row *listener_row(apr_pool_t *pool)
+{
+	struct Nl__Row *listener = row(pool, NL__KIND__LISTENER, "door");
+
+	listener->max_head_bytes = w.limits[LIMIT_HEAD_BYTES];
+	listener->max_body_bytes = w.limits[LIMIT_BODY_BYTES];
+	listener->head_timeout_ms = w.limits[LIMIT_HEAD_MS];
+	listener->idle_timeout_ms = w.limits[LIMIT_IDLE_MS];
+	return listener;
+}
+
 static struct Nl__Instance *instance(apr_pool_t *pool, int i)
 {
 	struct Nl__Instance *listed = apr_palloc(pool, sizeof *listed);
@@ -1387,7 +1402,7 @@
 {
 	struct Nl__Msg message = NL__MSG__INIT;
 	struct Nl__ConfigSyncReply reply = NL__CONFIG_SYNC_REPLY__INIT;
-	struct Nl__Row *rows[1 + ROUTES + 2 * TENANTS];
+	struct Nl__Row *rows[2 + ROUTES + 2 * TENANTS];
 	struct Nl__Instance *instances[SERVERS];
 	struct router_event event;
 	apr_pool_t *pool;
@@ -1429,6 +1444,7 @@
 			config_row[1]->tenant = config_row[0]->name;
 		}
 		reply.n_set = 1 + ROUTES + 2 * TENANTS;
+		rows[reply.n_set++] = listener_row(pool);
 		reply.instances = instances;
 		reply.n_instances = SERVERS;
 	}
@@ -1649,17 +1665,12 @@
 	world_close();
 }
 
-/* One client asks on a route, and the servers that it meets do as the script says. Returns its request's
- * number. */
-static int ask_scripted(enum route route, const enum act *acts, int n, int64_t ms)
+/* The first client sends a request, and the servers that it meets do as the script says. */
+static void send_scripted(int no, const enum act *acts, int n, int64_t ms)
 {
 	struct client *client = &w.clients[0];
-	int no = request_new(0);
 	char *b = NULL;
 
-	w.requests[no].route = route;
-	w.requests[no].key = 0;
-	snprintf(w.requests[no].path, sizeof w.requests[no].path, "%s%d", routes[route].path, no);
 	for (int i = 0; i < n; i++)
 		arrput(w.script, acts[i]);
 	if (!client->c)
@@ -1669,9 +1680,75 @@
 	arrfree(b);
 	arrput(client->pending, no);
 	play(ms, 0);
+}
+
+static int scripted_request(enum route route)
+{
+	int no = request_new(0);
+
+	w.requests[no].route = route;
+	w.requests[no].key = 0;
+	snprintf(w.requests[no].path, sizeof w.requests[no].path, "%s%d", routes[route].path, no);
 	return no;
 }
 
+/* One client asks on a route, and the servers that it meets do as the script says. Returns its request's
+ * number. */
+static int ask_scripted(enum route route, const enum act *acts, int n, int64_t ms)
+{
+	int no = scripted_request(route);
+
+	send_scripted(no, acts, n, ms);
+	return no;
+}
+
+/* A request with a body of 1,500 bytes and 100 fields of its own. */
+static int large_request(enum route route)
+{
+	int no = scripted_request(route);
+	struct request *request = &w.requests[no];
+
+	memset(request->body, 'a', sizeof request->body);
+	request->body_len = 1500;
+	request->more_fields = 100;
+	return no;
+}
+
+/* Guards against a large limit of the configuration that wraps and acts as a small one: a request of some
+ * three thousand bytes, on a connection that has rested for a while, is served under limits of any size. */
+static void large_limits_of_a_configuration_stay_large(void **state)
+{
+	static const uint32_t limits[] = { 0,
+					   4096,
+					   INT32_MAX - 2000,
+					   INT32_MAX - 1999,
+					   INT32_MAX,
+					   1u << 31,
+					   UINT32_MAX - 2000,
+					   UINT32_MAX - 1024,
+					   UINT32_MAX - 1023,
+					   UINT32_MAX - 1,
+					   UINT32_MAX };
+	static const enum act acts[] = { ACT_ANSWER };
+
+	(void)state;
+	for (int limit = 0; limit < LISTENER_LIMITS; limit++)
+		for (size_t i = 0; i < sizeof limits / sizeof *limits; i++) {
+			memset(&sum, 0, sizeof sum);
+			world_open(i);
+			w.limits[limit] = limits[i];
+			play(500, 0);
+			w.clients[0].c = net_sim_connect(FRONT_PORT);
+			play(300, 0);
+			if (!w.clients[0].c)
+				fail_msg("limit %d of %u: an idle connection is closed", limit, limits[i]);
+			send_scripted(large_request(ROUTE_ONCE), acts, 1, DRAIN_MS);
+			if (sum.whole != 1)
+				fail_msg("limit %d of %u: no answer", limit, limits[i]);
+			quiet_end(i);
+		}
+}
+
 /* An earlier answer that says "not executed" may stand in the slot of a request that runs: it goes to no
  * second server. */
 static void a_refusal_of_another_request_is_no_promise(void **state)
@@ -2067,6 +2144,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(large_limits_of_a_configuration_stay_large),
 		cmocka_unit_test(a_refusal_of_another_request_is_no_promise),
 		cmocka_unit_test(an_answer_to_another_request_is_passed_over),
 		cmocka_unit_test(a_refusal_of_this_request_is_a_promise),
