Keys: the route alone says whether it requires one; the last key gone opens nothing

Cause: determine_tenant required a key only where has_keys said that the table holds at least one.

Change: has_keys is gone; key_optional of the route decides alone. A router logs how many routes require a key while none is configured.

Tests: test_config_in_force, a_route_without_any_key_left_stays_closed, a_patch_without_any_key_left_opens_no_route and a_waiting_request_ends_with_the_last_key, each seen to fail before (0 for 401; a waiting request was sent).

--- a/lib/data/router_admission.c
+++ b/lib/data/router_admission.c
@@ -357,17 +357,17 @@
 };
 
 /* Determines the tenant of a request. Returns false if the route requires a key and the request has no valid
- * one. */
+ * one. The route alone says whether a key is required: a table without any key opens no route. */
 static bool determine_tenant(const struct route_table *routes, const struct route_config *route,
 			     const char *digest, uint32_t *tenant_index)
 {
 	struct key_entry *keys = routes->keys;
-	ptrdiff_t key_index = digest && routes->has_keys ? shgeti(keys, digest) : -1;
+	ptrdiff_t key_index = digest ? shgeti(keys, digest) : -1;
 
 	*tenant_index = routes->anonymous_tenant_index;
 	if (key_index >= 0 && routes->tenants[keys[key_index].value].is_configured)
 		*tenant_index = keys[key_index].value;
-	else if (routes->has_keys && !route->key_optional)
+	else if (!route->key_optional)
 		return false;
 	return true;
 }
--- a/lib/data/router_config.c
+++ b/lib/data/router_config.c
@@ -61,12 +61,39 @@
 	}
 }
 
+/* The number of routes whose requests nobody can make: they require a key, and the table has none. */
+static uint32_t count_routes_without_possible_key(const struct route_table *routes)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; routes && !shlen(routes->keys) && i < routes->route_count; i++)
+		count += routes->routes[i].is_configured && routes->routes[i].path[0] &&
+			 !routes->routes[i].key_optional;
+	return count;
+}
+
+/* Log when routes begin to reject all requests, or stop doing so, because the table has no keys. */
+static void log_routes_without_possible_key(const struct router *router, const struct route_table *old)
+{
+	uint32_t count = count_routes_without_possible_key(router->config.route_table);
+	char line[150];
+
+	if (!router->log || count == count_routes_without_possible_key(old))
+		return;
+	apr_snprintf(
+	    line, sizeof line,
+	    "Routes that require a key while no key is configured: %u. Their requests are rejected with 401.",
+	    count);
+	router->log(router->log_context, "router", line);
+}
+
 static void install_route_table(struct router *router, int64_t now, struct command_list *out)
 {
 	struct route_table *routes = router_route_table_new(router, now), *old = router->config.route_table;
 
 	router->config.route_table = routes;
 	router_weights_log_targets(router, old, now);
+	log_routes_without_possible_key(router, old);
 	install_server_table(router, now);
 	for (ptrdiff_t i = arrlen(router->requests.all) - 1; i >= 0; i--) {
 		struct client_request *request = router->requests.all[i];
--- a/lib/data/router_route_table.c
+++ b/lib/data/router_route_table.c
@@ -213,7 +213,6 @@
 		break;
 	case NL__KIND__KEY:
 		shput(routes->keys, row->name, names_find_or_add(&router->names.tenants, row->tenant));
-		routes->has_keys = true;
 		break;
 	case NL__KIND__SERVICE:
 		add_service(router, routes, row);
--- a/lib/data/router_route_table.h
+++ b/lib/data/router_route_table.h
@@ -142,7 +142,6 @@
 	 * one */
 	int *store_server_indices;
 	uint32_t store_count;
-	bool has_keys;
 	bool has_concurrency_limits; /* a tenant or share has a concurrency limit */
 	struct {
 		uint32_t max_head_bytes;
--- a/tests/engine_sim.c
+++ b/tests/engine_sim.c
@@ -471,6 +471,7 @@
 		route[k].service = "pool";
 		route[k].host = "h";
 		route[k].path = apr_psprintf(pool, "/%d/", k);
+		route[k].key_optional = 1;
 		route[k].limit = MAX_WAITING;
 		route[k].idempotent = 1;
 		route[k].max_attempts = 3;
--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -121,6 +121,13 @@
 
 struct client_request *router_fixture_submit(struct router_fixture *fixture, const char *host,
 					     const char *path, const char *id, int *status)
+{
+	return router_fixture_submit_with_key(fixture, host, path, id, NULL, status);
+}
+
+struct client_request *router_fixture_submit_with_key(struct router_fixture *fixture, const char *host,
+						      const char *path, const char *id,
+						      const char *key_digest, int *status)
 {
 	struct forwarded_request request;
 	struct router_event event;
@@ -131,6 +138,7 @@
 	request.host = host;
 	request.path = path;
 	request.request_id = id;
+	request.key_digest = key_digest;
 	request.timeout_ms = 60000;
 	event.kind = ROUTER_EVENT_FORWARDED_REQUEST;
 	event.args.forwarded_request = &request;
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -44,6 +44,11 @@
 struct client_request *router_fixture_submit(struct router_fixture *fixture, const char *host,
 					     const char *path, const char *id, int *status);
 
+/* The same with the digest of the client's key; NULL: the client sends none. */
+struct client_request *router_fixture_submit_with_key(struct router_fixture *fixture, const char *host,
+						      const char *path, const char *id,
+						      const char *key_digest, int *status);
+
 /* Disconnect the client of the newest request. */
 void router_fixture_disconnect(struct router_fixture *fixture);
 
--- a/tests/test_config_in_force.c
+++ b/tests/test_config_in_force.c
@@ -16,20 +16,34 @@
 #include "containers.h"
 #include "router_fixture.h"
 
-enum { MAX_ROWS = 40, SERVERS = 2 };
+enum { SERVERS = 2 };
 
 /* A router and the documents that were put in force there one after the other. */
 struct deployment {
 	struct router_fixture fixture;
 	apr_pool_t *pool;
 	uint64_t revision;
+	size_t server_count; /* of the service s */
+	char keys_line[200]; /* the newest line logged about routes that require a key while there is none */
 };
 
+static void keep_log_line(void *context, const char *subsystem, const char *line)
+{
+	struct deployment *deployment = context;
+
+	(void)subsystem;
+	if (strstr(line, "no key is configured"))
+		apr_cpystrn(deployment->keys_line, line, sizeof deployment->keys_line);
+}
+
 static void deployment_open(struct deployment *deployment)
 {
 	memset(deployment, 0, sizeof *deployment);
 	apr_pool_create(&deployment->pool, NULL);
+	deployment->server_count = SERVERS;
 	router_fixture_open(&deployment->fixture, 1);
+	deployment->fixture.router.log = keep_log_line;
+	deployment->fixture.router.log_context = deployment;
 }
 
 static void deployment_close(struct deployment *deployment)
@@ -38,8 +52,9 @@
 	apr_pool_destroy(deployment->pool);
 }
 
-/* Put a document in force that replaces the whole configuration. */
-static void deployment_configure(struct deployment *deployment, const char *document)
+/* Translate and check a document, or a patch of the document base, as a controller does, and put it in force.
+ */
+static void put_in_force(struct deployment *deployment, const char *base, const char *body, int is_patch)
 {
 	struct Nl__Instance *instances[SERVERS];
 	struct Nl__Change change;
@@ -47,21 +62,32 @@
 	const char *error = NULL;
 
 	nl__change__init(&change);
-	if (platform_codec.read(NULL, 0, document, strlen(document), 0, &change, &error, deployment->pool))
-		fail_msg("%s: %s", document, error);
+	if (platform_codec.read(base, base ? strlen(base) : 0, body, strlen(body), is_patch, &change, &error,
+				deployment->pool))
+		fail_msg("%s: %s", body, error);
 	change.any_revision = change.replace_all = change.replace_keys = 1;
 	config_table_open(&table);
 	error = config_check_change(&table, &change, deployment->pool);
 	config_table_close(&table);
 	if (error)
-		fail_msg("%s: %s", document, error);
+		fail_msg("%s: %s", body, error);
 	for (size_t i = 0; i < change.n_set; i++)
 		if (change.set[i]->kind == NL__KIND__SERVICE)
 			change.set[i]->target_weights = "w1";
-	for (int i = 0; i < SERVERS; i++)
-		instances[i] = new_instance(deployment->pool, i, "s");
-	router_fixture_table(&deployment->fixture, change.set, change.n_set, instances, SERVERS,
-			     ++deployment->revision);
+	for (size_t i = 0; i < deployment->server_count; i++)
+		instances[i] = new_instance(deployment->pool, (int)i, "s");
+	router_fixture_table(&deployment->fixture, change.set, change.n_set, instances,
+			     deployment->server_count, ++deployment->revision);
+}
+
+static void deployment_configure(struct deployment *deployment, const char *document)
+{
+	put_in_force(deployment, NULL, document, 0);
+}
+
+static void deployment_patch(struct deployment *deployment, const char *document, const char *patch)
+{
+	put_in_force(deployment, document, patch, 1);
 }
 
 static const struct forward_command *newest_forward(const struct deployment *deployment)
@@ -155,11 +181,133 @@
 	}
 }
 
+/* ---- keys ---- */
+
+/* Submit a request with a key, or without one where key is NULL. Returns the status of its answer; 0: it is
+ * sent to a server. */
+static int status_with_key(struct deployment *deployment, const char *path, const char *key)
+{
+	char hex[65];
+	int status;
+
+	(void)router_fixture_submit_with_key(&deployment->fixture, "h", path, "id",
+					     key ? access_key_digest(key, hex) : NULL, &status);
+	return status;
+}
+
+#define KEYED_ROUTE "{\"Name\":\"r\",\"HostName\":\"h\",\"PathPrefix\":\"/\",\"ServiceName\":\"s\"}"
+#define OPEN_ROUTE \
+	"{\"Name\":\"o\",\"HostName\":\"h\",\"PathPrefix\":\"/o/\",\"ServiceName\":\"s\",\"PublicAccess\":true}"
+#define KEYS_DOCUMENT(more)                                                    \
+	"{\"ConfigVersion\":1,\"RouteList\":[" KEYED_ROUTE "," OPEN_ROUTE "]," \
+	"\"ServiceList\":[{\"Name\":\"s\"}]" more "}"
+
+/* Guards against routes that are open to everyone because no key is left: whether a route asks for a key is
+ * said by its configuration alone. */
+static void a_route_without_any_key_left_stays_closed(void **state)
+{
+	static const char two[] =
+	    KEYS_DOCUMENT(",\"TenantList\":[{\"Name\":\"t\",\"AccessKeys\":[\"k1\",\"k2\"]}]");
+	static const char one[] = KEYS_DOCUMENT(",\"TenantList\":[{\"Name\":\"t\",\"AccessKeys\":[\"k2\"]}]");
+	static const char *const none[] = {
+		KEYS_DOCUMENT(",\"TenantList\":[{\"Name\":\"t\",\"AccessKeys\":[]}]"),
+		KEYS_DOCUMENT(",\"TenantList\":[{\"Name\":\"t\"}]"),
+		KEYS_DOCUMENT(",\"TenantList\":[]"),
+	};
+	static const char no_list[] = KEYS_DOCUMENT("");
+
+	(void)state;
+	for (size_t i = 0; i < sizeof none / sizeof *none; i++)
+		for (int had_keys = 0; had_keys < 2; had_keys++) {
+			struct deployment deployment;
+
+			deployment_open(&deployment);
+			if (had_keys) {
+				deployment_configure(&deployment, two);
+				assert_int_equal(status_with_key(&deployment, "/", "k1"), 0);
+				assert_int_equal(status_with_key(&deployment, "/", "k2"), 0);
+				assert_int_equal(status_with_key(&deployment, "/", "k3"), 401);
+				deployment_configure(&deployment, one);
+				assert_int_equal(status_with_key(&deployment, "/", "k1"), 401);
+				assert_int_equal(status_with_key(&deployment, "/", "k2"), 0);
+			}
+			deployment_configure(&deployment, none[i]);
+			assert_non_null(strstr(deployment.keys_line, "configured: 1."));
+			assert_int_equal(status_with_key(&deployment, "/", "k1"), 401);
+			assert_int_equal(status_with_key(&deployment, "/", "k2"), 401);
+			assert_int_equal(status_with_key(&deployment, "/", "never a key"), 401);
+			assert_int_equal(status_with_key(&deployment, "/", NULL), 401);
+			assert_int_equal(status_with_key(&deployment, "/o/", "k2"), 0);
+			assert_int_equal(status_with_key(&deployment, "/o/", NULL), 0);
+			deployment_configure(&deployment, no_list); /* which says that all are open */
+			assert_non_null(strstr(deployment.keys_line, "configured: 0."));
+			assert_int_equal(status_with_key(&deployment, "/", "k1"), 0);
+			assert_int_equal(status_with_key(&deployment, "/", NULL), 0);
+			deployment_configure(&deployment, none[i]);
+			assert_int_equal(status_with_key(&deployment, "/", NULL), 401);
+			deployment_close(&deployment);
+		}
+}
+
+/* The same, where patches take the last tenant and the last key away. */
+static void a_patch_without_any_key_left_opens_no_route(void **state)
+{
+	static const char document[] =
+	    KEYS_DOCUMENT(",\"TenantList\":[{\"Name\":\"t\",\"AccessKeys\":[\"k1\"]}]");
+	static const char *const patches[] = {
+		"{\"ConfigVersion\":2,\"Remove\":{\"TenantList\":[\"t\"]}}",
+		"{\"ConfigVersion\":2,\"Upsert\":{\"TenantList\":[{\"Name\":\"t\",\"AccessKeys\":[]}]}}",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof patches / sizeof *patches; i++) {
+		struct deployment deployment;
+
+		deployment_open(&deployment);
+		deployment_configure(&deployment, document);
+		assert_int_equal(status_with_key(&deployment, "/", "k1"), 0);
+		deployment_patch(&deployment, document, patches[i]);
+		assert_int_equal(status_with_key(&deployment, "/", "k1"), 401);
+		assert_int_equal(status_with_key(&deployment, "/", NULL), 401);
+		assert_int_equal(status_with_key(&deployment, "/o/", NULL), 0);
+		deployment_close(&deployment);
+	}
+}
+
+/* Guards against a request that waits while its key is taken away, the last of all, and is then sent. */
+static void a_waiting_request_ends_with_the_last_key(void **state)
+{
+	struct deployment deployment;
+	struct client_request *request;
+	char hex[65];
+	int status;
+
+	(void)state;
+	deployment_open(&deployment);
+	deployment.server_count = 0; /* nobody can run it yet */
+	deployment_configure(&deployment,
+			     KEYS_DOCUMENT(",\"TenantList\":[{\"Name\":\"t\",\"AccessKeys\":[\"k1\"]}]"));
+	request = router_fixture_submit_with_key(&deployment.fixture, "h", "/", "id",
+						 access_key_digest("k1", hex), &status);
+	assert_non_null(request);
+	assert_int_equal(request->state, REQUEST_WAITING);
+	deployment.server_count = SERVERS;
+	deployment_configure(&deployment,
+			     KEYS_DOCUMENT(",\"TenantList\":[{\"Name\":\"t\",\"AccessKeys\":[]}]"));
+	assert_null(router_request_by_token(&deployment.fixture.router, deployment.fixture.token));
+	assert_int_equal(deployment.fixture.router.stats.ended_key_removed, 1);
+	assert_null(newest_forward(&deployment));
+	deployment_close(&deployment);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(large_numbers_of_a_configuration_stay_large),
 		cmocka_unit_test(a_slow_store_is_a_store),
+		cmocka_unit_test(a_route_without_any_key_left_stays_closed),
+		cmocka_unit_test(a_patch_without_any_key_left_opens_no_route),
+		cmocka_unit_test(a_waiting_request_ends_with_the_last_key),
 	};
 	int rc;
 
--- a/tests/test_decisions.c
+++ b/tests/test_decisions.c
@@ -41,6 +41,7 @@
 	row->service = "pool";
 	row->host = "h";
 	row->path = "/x/";
+	row->key_optional = 1;
 	row->limit = 100;
 	rows[0] = service;
 	rows[1] = row;
