Hosts: one form in which names of hosts are compared, on both sides

Cause: the front end wrote a request's host in lower case and cut its port off; the configured host was compared byte by byte as it stood in its row.

Change: host_name_normalize (lib/core) makes the one form: lower case, no port, no dot at the end. The router applies it to the rows' hosts and to the requests'; the index of routes and both checks for two routes with one host and path use it. Rows and documents keep their spelling. A table of an older build with two spellings of one host serves, at all routers, the one that was served before, and still takes changes of other rows. A host that is longer than its buffer matches nothing; absolute targets of any scheme name their host.

In test_connections an_event_cut_in_an_unframed_stream_shows_the_cut gives its clients 8 s: with the new random numbers one had a limit of under a second, in which no second server could answer.

--- a/lib/control/config_check.c
+++ b/lib/control/config_check.c
@@ -58,6 +58,7 @@
 static const char *check_route(const struct Nl__Row *row)
 {
 	const char *error = check_split(row);
+	char host[HOST_NAME_BYTES];
 
 	if (error)
 		return error;
@@ -69,6 +70,8 @@
 		return "limit: must be 1 to 100000 queued requests";
 	if ((row->host[0] || row->path[0]) && !is_cell_text(row->host, 255))
 		return "host: must be 1 to 255 characters without blanks when a path is set";
+	if (row->host[0] && !host_name_normalize(row->host, host))
+		return "host: names no host";
 	if (row->host[0] && !is_path_prefix(row->path))
 		return "path: must begin and end with a slash, up to 1000 characters without blanks";
 	if (row->timeout_ms > 3600000)
@@ -222,6 +225,15 @@
 	return NULL;
 }
 
+/* The key of a route in routes_by_host_and_path: two spellings of one host have the same. */
+static const char *host_and_path_key(const struct Nl__Row *route, apr_pool_t *pool)
+{
+	char host[HOST_NAME_BYTES];
+
+	host_name_normalize(route->host, host);
+	return apr_pstrcat(pool, host, "\t", route->path, NULL);
+}
+
 /* Check that no other route has the same host and path. */
 static const char *check_host_and_path(struct consistency_check *check, const struct Nl__Row *route,
 				       apr_pool_t *pool)
@@ -231,7 +243,7 @@
 
 	if (!route->path[0])
 		return NULL;
-	host_and_path = apr_pstrcat(pool, route->host, "\t", route->path, NULL);
+	host_and_path = host_and_path_key(route, pool);
 	duplicate = shgeti(check->routes_by_host_and_path, host_and_path);
 	if (duplicate >= 0)
 		return apr_psprintf(pool, "lane %s: host and path: already used by lane %s", route->name,
@@ -240,19 +252,21 @@
 	return NULL;
 }
 
-/* Check first the routes that the change keeps, then those that it sets. If a change sets a row twice, the
- * last one is applied. */
+/* Check the routes that the change sets against each other and against those that it keeps. Routes that it
+ * keeps are not checked against each other: a table of an older build may hold two spellings of one host, and
+ * still takes other changes. If a change sets a row twice, the last one is applied. */
 static const char *check_routes(struct consistency_check *check, apr_pool_t *pool)
 {
 	const struct Nl__Change *change = check->change;
 	char key[CONFIG_ROW_KEY_BYTES];
 	const char *error = NULL;
 
-	for (ptrdiff_t i = 0; i < shlen(check->rows_before_change) && !error; i++) {
+	for (ptrdiff_t i = 0; i < shlen(check->rows_before_change); i++) {
 		const struct Nl__Row *row = check->rows_before_change[i].value.row;
 
-		if (row->kind == NL__KIND__ROUTE && is_row_unchanged(check, check->rows_before_change[i].key))
-			error = check_host_and_path(check, row, pool);
+		if (row->kind == NL__KIND__ROUTE && row->path[0] &&
+		    is_row_unchanged(check, check->rows_before_change[i].key))
+			shput(check->routes_by_host_and_path, host_and_path_key(row, pool), row);
 	}
 	for (size_t i = 0; i < change->n_set && !error; i++) {
 		const struct Nl__Row *row = change->set[i];
--- a/lib/core/core.h
+++ b/lib/core/core.h
@@ -8,6 +8,7 @@
 #include "bounds.h"
 #include "commands.h"
 #include "hashing.h"
+#include "host_name.h"
 #include "packing.h"
 
 #endif
--- a/lib/data/router_admission.c
+++ b/lib/data/router_admission.c
@@ -299,7 +299,8 @@
 
 /* ---- forwarded requests ---------------------------------------------------------------------- */
 
-/* Returns the index of the route for a host and path, the one with the longest path prefix; -1: none. */
+/* Returns the index of the route for a host, in the form of host_name_normalize, and path: the one with the
+ * longest path prefix; -1: none. */
 static int find_route_by_path(const struct route_table *routes, const char *host, const char *path)
 {
 	struct route_match *matches = routes->matches;
@@ -454,8 +455,8 @@
 }
 
 /* Creates a request with copies of the front end's strings and of the prompt's blocks. */
-static struct client_request *create_forwarded_request(struct router *router,
-						       const struct forwarded_request *incoming)
+static struct client_request *
+create_forwarded_request(struct router *router, const struct forwarded_request *incoming, const char *host)
 {
 	struct client_request *request = create_request(router, incoming->token, incoming->key_digest);
 	struct request_prompt *prompt = &request->prompt;
@@ -464,7 +465,7 @@
 	request->is_forwarded = true;
 	request->claim.is_confirmed = true; /* the client guarantees that the id is used only once */
 	request->sequence = ++router->requests.last_sequence;
-	request->client.host = apr_pstrdup(request->pool, incoming->host);
+	request->client.host = apr_pstrdup(request->pool, host);
 	request->client.path = apr_pstrdup(request->pool, incoming->path);
 	request->client.request_id = apr_pstrdup(request->pool, incoming->request_id);
 	prompt->block_count =
@@ -489,12 +490,14 @@
 	struct client_request *request;
 	struct admission admission;
 	int timeout_ms = incoming->timeout_ms;
+	char host[HOST_NAME_BYTES];
 
 	router->stats.requests_received++;
 	if (decline_if_stale(router, incoming->token, now, out))
 		return;
-	admission = determine_admission(routes, incoming->host, incoming->path, incoming->key_digest,
-					incoming->request_id);
+	host_name_normalize(incoming->host, host);
+	admission =
+	    determine_admission(routes, host, incoming->path, incoming->key_digest, incoming->request_id);
 	if (admission.status) {
 		reject_before_queueing(router, incoming->token, admission.status, admission.reason, out);
 		return;
@@ -507,7 +510,7 @@
 	route = &routes->routes[admission.route_index];
 	if (route->timeout_ms && (int)route->timeout_ms < timeout_ms)
 		timeout_ms = (int)route->timeout_ms;
-	request = create_forwarded_request(router, incoming);
+	request = create_forwarded_request(router, incoming, host);
 	request->client.deadline_at_ms = now + timeout_ms;
 	request->client.received_at_ms = now;
 	request->route.index = admission.route_index;
--- a/lib/data/router_event.h
+++ b/lib/data/router_event.h
@@ -40,7 +40,7 @@
 struct forwarded_request {
 	uint64_t token;         /* identifies the client's connection */
 	const char *key_digest; /* digest of the client's key; NULL: the client sent no key */
-	const char *host;
+	const char *host;       /* as the client sent it; may have a port */
 	const char *path;
 	const char *request_id;
 	int timeout_ms; /* timeout requested by the client */
--- a/lib/data/router_internal.h
+++ b/lib/data/router_internal.h
@@ -59,7 +59,8 @@
 /* Frees a route table; NULL is allowed. */
 void router_route_table_free(struct route_table *routes);
 
-/* The key of a route in route_table.matches: a hash of its host and of the first path_length bytes of a path.
+/* The key of a route in route_table.matches: a hash of its host, in the form of host_name_normalize, and of
+ * the first path_length bytes of a path.
  * Example: hmget(routes->matches, router_match_key("a.example", "/x/", 3)) */
 uint64_t router_match_key(const char *host, const char *path, size_t path_length);
 
--- a/lib/data/router_request.h
+++ b/lib/data/router_request.h
@@ -57,7 +57,8 @@
 	uint64_t token;   /* identifies the client's connection */
 	char *key_digest; /* digest of the client's key; NULL: the client sent no key */
 	char *request_id;
-	/* of a forwarded request; used to route it again by host and path when the route table changes */
+	/* of a forwarded request; used to route it again by host and path when the route table changes; the
+	 * host is in the form of host_name_normalize */
 	const char *host;
 	const char *path;
 	int64_t received_at_ms;
--- a/lib/data/router_route_table.c
+++ b/lib/data/router_route_table.c
@@ -88,13 +88,48 @@
 
 /* ---- second pass: contents of the table ------------------------------------------------------ */
 
+/* Whether a row takes precedence over another route of the same host and path. Tables of older builds may
+ * hold such routes, with hosts in two spellings. The one whose host needs no normalization was the one
+ * served; the order of the names decides between others, because the order of the rows may differ between
+ * routers. */
+static bool takes_precedence(const struct Nl__Row *row, const struct Nl__Row *other)
+{
+	char name[HOST_NAME_BYTES];
+	bool is_normalized = host_name_normalize(row->host, name) && !strcmp(row->host, name);
+	bool is_other_normalized = host_name_normalize(other->host, name) && !strcmp(other->host, name);
+
+	if (is_normalized != is_other_normalized)
+		return is_normalized;
+	return strcmp(row->name, other->name) < 0;
+}
+
+/* Adds a route to the map from host and path. */
+static void add_match(struct router *router, struct route_table *routes, const struct Nl__Row *row,
+		      uint32_t route_index)
+{
+	const char *host = routes->routes[route_index].host;
+	uint64_t key = router_match_key(host, row->path, strlen(row->path));
+	ptrdiff_t existing = hmgeti(routes->matches, key);
+	const struct Nl__Row *other = NULL;
+
+	if (!host[0] || !row->path[0])
+		return;
+	if (existing >= 0)
+		other = config_table_get(&router->config.watch.table, NL__KIND__ROUTE,
+					 router->names.routes.names[routes->matches[existing].value]);
+	if (!other || takes_precedence(row, other))
+		hmput(routes->matches, key, route_index);
+}
+
 static void add_route(struct router *router, struct route_table *routes, const struct Nl__Row *row)
 {
 	uint32_t route_index = names_find_or_add(&router->names.routes, row->name);
 	uint32_t cumulative_weight = 0;
 	struct route_config *route = &routes->routes[route_index];
 	struct route_split *splits = apr_palloc(routes->pool, (row->n_split + 1) * sizeof *splits);
+	char host[HOST_NAME_BYTES];
 
+	host_name_normalize(row->host, host);
 	*route = (struct route_config){
 		.is_configured = true,
 		.resumable = row->resumable,
@@ -107,7 +142,7 @@
 		.max_chunk_gap_ms = row->max_gap_ms,
 		.timeout_ms = row->timeout_ms,
 		.max_attempts = row->max_attempts,
-		.host = apr_pstrdup(routes->pool, row->host),
+		.host = apr_pstrdup(routes->pool, host),
 		.path = apr_pstrdup(routes->pool, row->path),
 		.splits = splits,
 	};
@@ -120,9 +155,7 @@
 			.cumulative_weight = cumulative_weight,
 		};
 	}
-	if (row->path[0])
-		hmput(routes->matches, router_match_key(row->host, row->path, strlen(row->path)),
-		      route_index);
+	add_match(router, routes, row, route_index);
 }
 
 static void add_tenant(struct router *router, struct route_table *routes, const struct Nl__Row *row)
--- a/lib/data/router_route_table.h
+++ b/lib/data/router_route_table.h
@@ -49,7 +49,7 @@
 	uint32_t max_chunk_gap_ms; /* maximum time between two chunks of an answer */
 	uint32_t timeout_ms;
 	uint32_t max_attempts;
-	const char *host;
+	const char *host; /* in the form of host_name_normalize; "": requests cannot name it */
 	const char *path;
 	const struct route_split *splits;
 	uint32_t split_count;
--- a/tests/test_config_in_force.c
+++ b/tests/test_config_in_force.c
@@ -300,6 +300,167 @@
 	deployment_close(&deployment);
 }
 
+/* ---- hosts ---- */
+
+/* Whether a request with this host is sent to a server under a configuration whose only route has this
+ * HostName. */
+static bool is_served(const char *host_name, const char *host)
+{
+	struct deployment deployment;
+	int status;
+
+	deployment_open(&deployment);
+	deployment_configure(
+	    &deployment,
+	    apr_psprintf(deployment.pool,
+			 "{\"ConfigVersion\":1,\"RouteList\":[{\"Name\":\"r\",\"HostName\":\"%s\","
+			 "\"PathPrefix\":\"/x/\",\"ServiceName\":\"s\"}],\"ServiceList\":[{\"Name\":\"s\"}]}",
+			 host_name));
+	(void)router_fixture_submit(&deployment.fixture, host, "/x/1", "id", &status);
+	deployment_close(&deployment);
+	return !status;
+}
+
+#define LETTERS_50 "abcdefghijklmnopqrstuvwxyzabcdefghijklmnopqrstuvwx"
+#define LETTERS_250 LETTERS_50 LETTERS_50 LETTERS_50 LETTERS_50 LETTERS_50
+
+/* Guards against a route that is acknowledged and answers 404, as its HostName is spelt in another way than
+ * the hosts of its requests: by upper-case letters, a port or a dot at the end. */
+static void a_host_has_one_form_in_all_spellings(void **state)
+{
+	static const char *const spellings[] = {
+		"counter.example",   "Counter.Example",  "COUNTER.EXAMPLE",  "counter.example:80",
+		"Counter.Example:1", "counter.example:", "counter.example.", "Counter.Example.:8080"
+	};
+	static const char *const addresses[] = { "[::1]", "[::1]:80", "[::1]:" };
+	static const char *const others[] = { "",
+					      ":80",
+					      "counter",
+					      "counter.example.com",
+					      "xcounter.example",
+					      "[::1]",
+					      "counter.example:80:80",
+					      "counter.example:x" };
+
+	(void)state;
+	for (size_t i = 0; i < sizeof spellings / sizeof *spellings; i++) {
+		for (size_t k = 0; k < sizeof spellings / sizeof *spellings; k++)
+			if (!is_served(spellings[i], spellings[k]))
+				fail_msg("HostName %s, host %s: not served", spellings[i], spellings[k]);
+		for (size_t k = 0; k < sizeof others / sizeof *others; k++)
+			if (is_served(spellings[i], others[k]))
+				fail_msg("HostName %s, host %s: served", spellings[i], others[k]);
+	}
+	for (size_t i = 0; i < sizeof addresses / sizeof *addresses; i++) {
+		for (size_t k = 0; k < sizeof addresses / sizeof *addresses; k++)
+			if (!is_served(addresses[i], addresses[k]))
+				fail_msg("HostName %s, host %s: not served", addresses[i], addresses[k]);
+		assert_false(is_served(addresses[i], "[::2]"));
+	}
+	assert_true(is_served(LETTERS_250 "abcde", LETTERS_250 "abcde:8080"));
+	assert_false(is_served(LETTERS_250 "abcde", LETTERS_250 "abcdef"));
+}
+
+/* Guards against two routes that share host and path in two spellings, of which one can never be served. */
+static void routes_alike_but_for_the_spelling_of_a_host_are_one_conflict(void **state)
+{
+	static const char *const pairs[][2] = { { "a.example", "A.example" },
+						{ "a.example", "a.example:80" },
+						{ "a.example.", "a.Example" } };
+	apr_pool_t *pool;
+
+	(void)state;
+	apr_pool_create(&pool, NULL);
+	for (size_t i = 0; i < sizeof pairs / sizeof *pairs; i++) {
+		struct Nl__Change change;
+		const char *document = apr_psprintf(
+		    pool,
+		    "{\"ConfigVersion\":1,\"RouteList\":[{\"Name\":\"r1\",\"HostName\":\"%s\",\"PathPrefix\":\"/x/\","
+		    "\"ServiceName\":\"s\"},{\"Name\":\"r2\",\"HostName\":\"%s\",\"PathPrefix\":\"/x/\","
+		    "\"ServiceName\":\"s\"}],\"ServiceList\":[{\"Name\":\"s\"}]}",
+		    pairs[i][0], pairs[i][1]);
+		const char *error = NULL;
+
+		nl__change__init(&change);
+		assert_int_not_equal(
+		    platform_codec.read(NULL, 0, document, strlen(document), 0, &change, &error, pool), 0);
+		assert_non_null(strstr(error, "the same as those of route r1"));
+	}
+	apr_pool_destroy(pool);
+}
+
+static struct Nl__Row *route_row(apr_pool_t *pool, const char *name, const char *host, const char *service)
+{
+	struct Nl__Row *row = new_row(pool, NL__KIND__ROUTE, name);
+
+	row->host = (char *)(uintptr_t)host;
+	row->path = (char *)(uintptr_t) "/x/";
+	row->service = (char *)(uintptr_t)service;
+	row->limit = 10;
+	row->key_optional = 1;
+	return row;
+}
+
+/* Guards against rows of an older build, whose hosts have upper-case letters and two of which share a host in
+ * two spellings: the first is served, and of the two every router takes the one that was served before. */
+static void hosts_stored_by_an_older_build_are_served(void **state)
+{
+	(void)state;
+	for (int order = 0; order < 2; order++) {
+		struct router_fixture fixture;
+		struct Nl__Instance *instances[1];
+		struct Nl__Row *rows[5];
+		struct client_request *request;
+		int status;
+
+		router_fixture_open(&fixture, 1);
+		rows[0] = new_service(fixture.pool, "s");
+		rows[1] = new_service(fixture.pool, "other");
+		rows[2] = route_row(fixture.pool, "alone", "Counter.Example", "s");
+		rows[3 + order] = route_row(fixture.pool, "a-later", "A.example", "other");
+		rows[4 - order] = route_row(fixture.pool, "served", "a.example", "s");
+		instances[0] = new_instance(fixture.pool, 0, "s");
+		router_fixture_table(&fixture, rows, 5, instances, 1, 1);
+		request = router_fixture_submit(&fixture, "counter.example", "/x/", "1", &status);
+		assert_non_null(request);
+		request = router_fixture_submit(&fixture, "A.EXAMPLE", "/x/", "2", &status);
+		assert_non_null(request);
+		assert_string_equal(fixture.router.names.routes.names[request->route.index], "served");
+		router_fixture_close(&fixture);
+	}
+}
+
+/* A table that an older build left with two spellings of one host takes changes of other rows, and refuses
+ * one that adds a third. */
+static void a_stored_conflict_of_hosts_blocks_no_other_change(void **state)
+{
+	struct Nl__Row *set[2];
+	struct Nl__Change change;
+	struct config_table table;
+	apr_pool_t *pool;
+
+	(void)state;
+	apr_pool_create(&pool, NULL);
+	config_table_open(&table);
+	nl__change__init(&change);
+	change.any_revision = 1;
+	change.set = set;
+	change.n_set = 2;
+	set[0] = route_row(pool, "one", "a.example", "s");
+	set[1] = route_row(pool, "two", "A.example", "s");
+	assert_non_null(config_check_change(&table, &change, pool));
+	assert_int_equal(config_table_apply(&table, &change, NULL), PROPOSAL_APPLIED);
+	change.n_set = 1;
+	set[0] = route_row(pool, "three", "b.example", "s");
+	assert_null(config_check_change(&table, &change, pool));
+	set[0] = route_row(pool, "three", "a.Example:80", "s");
+	assert_non_null(config_check_change(&table, &change, pool));
+	set[0] = route_row(pool, "three", ":80", "s");
+	assert_non_null(config_check_change(&table, &change, pool));
+	config_table_close(&table);
+	apr_pool_destroy(pool);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -308,6 +469,10 @@
 		cmocka_unit_test(a_route_without_any_key_left_stays_closed),
 		cmocka_unit_test(a_patch_without_any_key_left_opens_no_route),
 		cmocka_unit_test(a_waiting_request_ends_with_the_last_key),
+		cmocka_unit_test(a_host_has_one_form_in_all_spellings),
+		cmocka_unit_test(routes_alike_but_for_the_spelling_of_a_host_are_one_conflict),
+		cmocka_unit_test(hosts_stored_by_an_older_build_are_served),
+		cmocka_unit_test(a_stored_conflict_of_hosts_blocks_no_other_change),
 	};
 	int rc;
 
--- a/tests/test_connections.c
+++ b/tests/test_connections.c
@@ -54,6 +54,17 @@
 		     { "/resumable/", 0, 1, 1 },
 		     { "/stream/", 0, 0, 1 } };
 
+/* The ways in which a client names the routes' host: before the path in the target, and in Host. */
+static const struct {
+	const char *target_prefix, *host;
+} hosts[] = { { "", "h.example" },
+	      { "", "H.Example" },
+	      { "", "h.example:8080" },
+	      { "HTTP://H.example:80", "elsewhere.example" },
+	      { "https://h.example.", "h.example" } };
+
+enum { HOSTS = sizeof hosts / sizeof *hosts };
+
 /* One time that a request was put on a wire. */
 struct wire {
 	uint64_t conn;
@@ -65,7 +76,8 @@
 
 struct request {
 	enum route route;
-	int key; /* the tenant whose key it shows; TENANTS: a key of nobody; -1: none */
+	int host; /* its place in hosts */
+	int key;  /* the tenant whose key it shows; TENANTS: a key of nobody; -1: none */
 	int more_fields;
 	int64_t deadline_at;
 	char id[24], path[40], body[2000];
@@ -176,6 +188,7 @@
 	int honest_ids;                   /* ids are used again, and servers send no surplus */
 	enum act *script; /* stb_ds: what servers do with the next requests; by chance where it is empty */
 	const char *line_end;      /* of streams' lines; NULL: LF */
+	int limit_ms;              /* for which clients wait; 0: decided by chance */
 	int has_unframed_cut;      /* unframed_cut_bytes decides, not chance */
 	size_t unframed_cut_bytes; /* bytes of the body that ACT_CUT_UNFRAMED sends */
 	char bad[400];
@@ -700,7 +713,16 @@
 	struct request *request;
 	int no = -1;
 	struct wire wire = { net_sim_id(conn->c), INT64_MAX, (int)conn->act };
+	const char *target = path;
+
+	for (int i = 0; i < HOSTS; i++) {
+		size_t prefix = strlen(hosts[i].target_prefix);
 
+		if (prefix && n > prefix && !strncmp(target, hosts[i].target_prefix, prefix)) {
+			path = target + prefix;
+			n -= prefix;
+		}
+	}
 	for (int r = 0; r < ROUTES; r++)
 		if (n > strlen(routes[r].path) && !strncmp(path, routes[r].path, strlen(routes[r].path)))
 			no = atoi(path + strlen(routes[r].path));
@@ -711,6 +733,8 @@
 		return;
 	}
 	request = &w.requests[no];
+	if ((size_t)(path - target) != strlen(hosts[request->host].target_prefix))
+		breach("request %d (%s) reached a server with another target", no, request->path);
 	conn->request = no;
 	conn->noted = 1;
 	if (request->promises)
@@ -754,7 +778,7 @@
 	    atoi(v) > request->deadline_at - net_sim_call_began_at() + DEADLINE_SLACK_MS + w.frozen_ms)
 		breach("request %s has %lld ms left and says %s", request->path,
 		       (long long)(request->deadline_at - net_sim_call_began_at()), v);
-	if (!field(conn->in, head_len, "Host", v, sizeof v) || strcmp(v, "h.example"))
+	if (!field(conn->in, head_len, "Host", v, sizeof v) || strcmp(v, hosts[request->host].host))
 		breach("request %s has lost its host", request->path);
 	for (int i = 1; i < request->more_fields; i++) { /* the first may be named by Connection */
 		snprintf(expected, sizeof expected, "X-More-%d", i);
@@ -890,6 +914,7 @@
 	request.body_len = random_below(4) ? (size_t)snprintf(request.body, sizeof request.body,
 							      "body of %d, GET /once/0 HTTP/1.1\r\n\r\n", no)
 					   : 0;
+	request.host = random_below(3) ? 0 : (int)random_below(HOSTS);
 	request.events = 2 + (int)random_below(5);
 	request.key = request.route == ROUTE_REPEATABLE ? (int)random_below(TENANTS + 1)
 							: (int)random_below(TENANTS + 2) - 1;
@@ -916,11 +941,15 @@
 static void request_bytes(char **to, int no, int old, int pipelined)
 {
 	struct request *request = &w.requests[no];
-	int limit = 600 + (int)(pipelined || random_below(6)
-				    ? random_below(2400)
-				    : random_below(8000)); /* four in a row end while the model still looks */
-
-	append_format(to, "POST %s HTTP/1.%d\r\nHost: h.example\r\n", request->path, !old);
+	int limit =
+	    w.limit_ms
+		? w.limit_ms
+		: 600 + (int)(pipelined || random_below(6)
+				  ? random_below(2400)
+				  : random_below(8000)); /* four in a row end while the model still looks */
+
+	append_format(to, "POST %s%s HTTP/1.%d\r\nHost: %s\r\n", hosts[request->host].target_prefix,
+		      request->path, !old, hosts[request->host].host);
 	for (int i = 0; i < request->more_fields; i++)
 		append_format(to, "X-More-%d: %d\r\n", i, no);
 	append_format(to, "X-Notchlug-Attempt-Id: %s\r\nX-Notchlug-Deadline-Remaining: %d\r\n", request->id,
@@ -1422,7 +1451,7 @@
 			struct Nl__Row *l = rows[1 + i] = row(pool, NL__KIND__ROUTE, routes[i].path);
 
 			l->service = "pool";
-			l->host = "h.example";
+			l->host = i % 2 ? "h.example" : "H.Example:443";
 			l->path = (char *)(uintptr_t)routes[i].path;
 			l->limit = 20;
 			l->key_optional = i != ROUTE_REPEATABLE;
@@ -1838,6 +1867,7 @@
 				memset(&sum, 0, sizeof sum);
 				quiet_world((uint64_t)cut);
 				w.line_end = line_ends[cut % 3];
+				w.limit_ms = 8000;
 				w.has_unframed_cut = 1;
 				w.unframed_cut_bytes = (size_t)cut;
 				w.clients[0].old = old;
@@ -2040,6 +2070,7 @@
 			int no = request_new(0);
 
 			w.requests[no].route = ROUTE_ONCE;
+			w.requests[no].host = 0;
 			w.requests[no].body_len = 0;
 			w.requests[no].key = -1;
 			w.requests[no].more_fields = 0;
@@ -2115,6 +2146,7 @@
 			w.calm = 1;
 			no = request_new(0);
 			w.requests[no].route = ROUTE_ONCE;
+			w.requests[no].host = 0;
 			strcpy(w.requests[no].path, "/once/0");
 			strcpy(w.requests[no].id, "a");
 			strcpy(w.requests[no].body, "body");
