test_platform: two free addresses are chosen while both are taken

the_whole_list_is_read_page_by_page failed once in a run of the tests beside other programs: "Cannot listen at 127.0.0.1:42807: Address already in use". Cause: the test takes a port, leaves it and takes another one, which the kernel may give the same number; the front end then cannot listen at the first. Both are taken before one is left now, there and in settings_are_read_anew. That the kernel gave that number again on the failed run is inferred from the message.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -511,9 +511,12 @@
 
 static void desk_open(struct desk *desk, apr_pool_t *pool)
 {
+	int web;
+
 	memset(desk, 0, sizeof *desk);
-	close(listener(desk->web)); /* a port that nobody listens at */
+	web = listener(desk->web);
 	desk->list = listener(desk->list_addr);
+	close(web); /* only now, or the list could get the same port */
 	fcntl(desk->list, F_SETFL, O_NONBLOCK);
 	apr_pool_create(&desk->p.pool, pool);
 	apr_pool_create(&desk->p.commands.pool, desk->p.pool);
@@ -1167,6 +1170,7 @@
 	apr_pool_t *pool = *state;
 	static struct running running;
 	char in[40];
+	int in_fd, web_fd;
 	pthread_t t;
 	int n;
 
@@ -1176,8 +1180,10 @@
 	assert_int_equal(settings_read(&running.d.p.settings, "test", 0, 2,
 				       (char *[]){ "test", "--platform", NULL }, pool),
 			 -1);
-	close(listener(in));
-	close(listener(running.d.web));
+	in_fd = listener(in);
+	web_fd = listener(running.d.web);
+	close(in_fd); /* only now, or both could get the same port */
+	close(web_fd);
 	running.d.p.pool = pool;
 	running.d.p.settings.listen_addr = in;
 	running.d.p.settings.http_addr = running.d.web;
