Memory: the requests of all clients share a limit, so that bodies end no router

Cause: a body is held as it is read and as it is sent on, and nothing bounded the sum.

Large buffers of known length take what they need, not the next power of two.

Tests: test_connections, a_body_beyond_the_memory_is_refused ended the test program before; test_http_server, requests_share_a_limit_of_memory.

--- a/lib/shell/http.h
+++ b/lib/shell/http.h
@@ -99,6 +99,11 @@
 /* Open a loop without listeners. Returns NULL on an error, which is logged. End it with http_close. */
 struct http *http_open(const struct http_callbacks *callbacks, apr_pool_t *pool);
 
+/* Limit the memory that requests of clients take from their first byte to the end of their answers, of all
+ * listeners together. It counts the bytes of a head and a body as soon as they are announced. A request that
+ * would exceed it gets 503 with Retry-After and is never delivered. SIZE_MAX, the initial value: no limit. */
+void http_set_request_memory_limit(struct http *http, size_t max_bytes);
+
 /* Close all connections and free the loop. Of finished answers, the bytes that the kernel accepts at once are
  * sent. No callback is made. */
 void http_close(struct http *http);
--- a/lib/shell/http_buffer.c
+++ b/lib/shell/http_buffer.c
@@ -29,6 +29,9 @@
 		buffer->offset = 0;
 		return buffer->data + buffer->len;
 	}
+	/* a large body of known length gets what it needs: doubling would take up to twice as much */
+	if (buffer->len + size > MAX_DOUBLED_BYTES && buffer->len + size > 2 * capacity)
+		capacity = buffer->len + size;
 	while (capacity < buffer->len + size)
 		capacity *= 2;
 	if (capacity == BUFFER_BLOCK_BYTES && http->spare_block_count) {
--- a/lib/shell/http_connection.c
+++ b/lib/shell/http_connection.c
@@ -169,6 +169,8 @@
 	}
 	conn->fd = -1;
 	http_timer_remove(http, conn);
+	if (conn->kind == CONN_SERVER)
+		http_server_release_memory(conn);
 	if (conn->kind == CONN_SERVER &&
 	    (conn->state == CONN_HANDLING || conn->state == CONN_SENDING_RESPONSE))
 		http->busy_client_count--;
--- a/lib/shell/http_internal.h
+++ b/lib/shell/http_internal.h
@@ -19,6 +19,7 @@
 enum {
 	BUFFER_BLOCK_BYTES = 4096, /* initial size of a buffer; blocks of this size are kept for reuse */
 	MAX_SPARE_BLOCKS = 256,
+	MAX_DOUBLED_BYTES = 65536, /* larger buffers grow to the size that is needed, or by doubling */
 	SCRATCH_BYTES = 65536,
 	MAX_EPOLL_EVENTS = 256,
 	MAX_PIPELINED_BYTES = 65536, /* received while an earlier request of the connection is answered */
@@ -28,6 +29,8 @@
 	LINGER_TIMEOUT_MS = 2000, /* for a client to read the last answer before its connection is closed */
 	DRAIN_IDLE_TIMEOUT_MS = 200, /* at a draining listener, for a request that the client sent before it
 					received the previous answer */
+	MEMORY_RETRY_AFTER_MS = 500, /* Retry-After of a request for which there is no memory */
+	MEMORY_LOG_INTERVAL_MS = 10000, /* between two log lines about such requests */
 	ACCEPT_BACKLOG = 1024, /* established connections that the kernel queues until they are accepted */
 	MAX_SKIPPED_RESPONSES = 4, /* answers to other requests that a call may discard */
 	DEFAULT_KEEP_ALIVE_MS = 4000,
@@ -142,7 +145,8 @@
 	size_t body_bytes;
 	size_t target_offset;
 	const char *method;
-	int has_head_begun; /* a byte of the next head was received */
+	int has_head_begun;    /* a byte of the next head was received */
+	size_t reserved_bytes; /* of the loop's memory for requests, until the request is answered */
 
 	/* the answer */
 	int has_response_begun;
@@ -247,10 +251,13 @@
 	int64_t
 	    previous_poll_at_ms; /* when the epoll_wait before it returned: bytes read now arrived after it */
 	uint64_t iteration;
-	uint64_t last_token_serial; /* serial number in the newest token */
-	int callback_made;          /* a callback was made in this iteration: do not wait */
-	int busy_client_count;      /* clients whose answers are not finished or not sent completely */
-	int sweep_count;            /* listeners with is_sweep_due */
+	uint64_t last_token_serial;  /* serial number in the newest token */
+	int callback_made;           /* a callback was made in this iteration: do not wait */
+	int busy_client_count;       /* clients whose answers are not finished or not sent completely */
+	int sweep_count;             /* listeners with is_sweep_due */
+	size_t request_bytes;        /* sum of reserved_bytes of all clients' connections */
+	size_t max_request_bytes;    /* upper bound of request_bytes */
+	int64_t memory_logged_at_ms; /* when a request without memory was logged last; 0: never */
 
 	/* connections; the arrays and maps are managed by stb_ds */
 	struct http_connection **listeners;
@@ -380,6 +387,9 @@
  * client should retry; 0: not given. */
 void http_server_reject(struct http_connection *conn, int status, int retry_after_ms);
 
+/* Return what a client's connection has reserved of the memory for requests. */
+void http_server_release_memory(struct http_connection *conn);
+
 /* ---- http_disconnect.c ---- */
 
 /* Count the outcome of the connection's request, unless it is counted already. */
--- a/lib/shell/http_loop.c
+++ b/lib/shell/http_loop.c
@@ -145,9 +145,15 @@
 		return NULL;
 	}
 	http->now_ms = http->last_poll_at_ms = http->previous_poll_at_ms = clock_ms();
+	http->max_request_bytes = SIZE_MAX;
 	return http;
 }
 
+void http_set_request_memory_limit(struct http *http, size_t max_bytes)
+{
+	http->max_request_bytes = max_bytes;
+}
+
 void http_close(struct http *http)
 {
 	ptrdiff_t i;
--- a/lib/shell/http_server.c
+++ b/lib/shell/http_server.c
@@ -81,11 +81,47 @@
 	http_buffer_append_text(http, &conn->output, "Content-Length: 0\r\nConnection: close\r\n\r\n");
 	conn->state = CONN_SENDING_RESPONSE;
 	conn->server.close_after_response = conn->server.must_linger = 1;
-	conn->input.len = 0;
+	http_buffer_free(http, &conn->input);
+	http_server_release_memory(conn);
 	begin_wait(conn);
 	http_conn_queue(conn);
 }
 
+/* ---- memory for requests ---- */
+
+void http_server_release_memory(struct http_connection *conn)
+{
+	conn->http->request_bytes -= conn->server.reserved_bytes;
+	conn->server.reserved_bytes = 0;
+}
+
+static void log_memory_exhausted(struct http *http, size_t request_bytes)
+{
+	if (http->memory_logged_at_ms && http->now_ms - http->memory_logged_at_ms < MEMORY_LOG_INTERVAL_MS)
+		return;
+	http->memory_logged_at_ms = http->now_ms;
+	log_write(LOG_WARN, "http",
+		  "Request rejected with 503: it needs %zu bytes, and requests hold %zu of %zu bytes.",
+		  request_bytes, http->request_bytes, http->max_request_bytes);
+}
+
+/* Reserves memory for the request that is being read, in place of what it has reserved. Returns false if
+ * there is not enough: the request was rejected. */
+static bool reserve_memory(struct http_connection *conn, size_t request_bytes)
+{
+	struct http *http = conn->http;
+	size_t others_bytes = http->request_bytes - conn->server.reserved_bytes;
+
+	if (request_bytes > http->max_request_bytes - others_bytes) {
+		log_memory_exhausted(http, request_bytes);
+		http_server_reject(conn, 503, MEMORY_RETRY_AFTER_MS);
+		return false;
+	}
+	http->request_bytes = others_bytes + request_bytes;
+	conn->server.reserved_bytes = request_bytes;
+	return true;
+}
+
 static void handle_client_disconnect(struct http_connection *conn)
 {
 	struct http *http = conn->http;
@@ -163,6 +199,10 @@
 			http_server_reject(conn, 413, 0);
 			return 0;
 		}
+		if (conn->chunks.state != CHUNK_SIZE &&
+		    !reserve_memory(conn, side->body_offset + side->body_bytes + data_size +
+					      (size_t)conn->chunks.remaining_bytes))
+			return 0;
 		if (data_size)
 			memmove(conn->input.data + side->body_offset + side->body_bytes, data, data_size);
 		side->body_bytes += data_size;
@@ -180,6 +220,8 @@
 {
 	struct server_side *side = &conn->server;
 
+	if (!reserve_memory(conn, head_end + (size_t)conn->head.length))
+		return;
 	side->parse_offset = side->body_offset = head_end;
 	side->body_bytes = 0;
 	side->max_body_bytes = side->listener->listener.limits.max_body_bytes;
@@ -199,6 +241,8 @@
 /* The head is incomplete. Its timeout starts with its first byte. */
 static void server_await_head(struct http_connection *conn)
 {
+	if (!reserve_memory(conn, conn->input.len))
+		return;
 	if (conn->timeout_at_ms != TIME_NEVER && conn->server.has_head_begun)
 		return;
 	conn->server.has_head_begun = 1;
@@ -266,6 +310,7 @@
 	    conn->input.len > side->parse_offset ? conn->input.len - side->parse_offset : 0;
 
 	http_server_count_outcome(conn, side->is_rejection ? HTTP_OUTCOME_REJECTED : HTTP_OUTCOME_ANSWERED);
+	http_server_release_memory(conn);
 	if (side->close_after_response) {
 		http_server_linger(conn);
 		return;
--- a/tests/test_connections.c
+++ b/tests/test_connections.c
@@ -1519,6 +1519,7 @@
 	w.ctr.config.bounds.retry_budget_slack = 60;
 	w.platform.front_addr = "127.0.0.1:8080";
 	w.platform.readiness_addr = "127.0.0.1:8081";
+	w.platform.memory_mb = 260;
 	w.proc.settings.front_end_settings = &w.platform;
 	w.edge.router = &w.ctr;
 	assert_true(platform_edge.open(&w.edge, &w.proc));
@@ -1778,6 +1779,41 @@
 		}
 }
 
+/* Guards against a router that ends for want of memory when a client announces a body that the configuration
+ * allows and no process can hold. */
+static void a_body_beyond_the_memory_is_refused(void **state)
+{
+	static const char *const announced[] = {
+		"Content-Length: 999999999999999\r\n\r\n",
+		"Transfer-Encoding: chunked\r\n\r\nffffffffffffff\r\n",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < sizeof announced / sizeof *announced; i++) {
+		struct answer a = { 0 };
+		struct sim_conn *conn;
+		char *b = NULL, answer[8192];
+		size_t n;
+
+		world_open(i);
+		w.limits[LIMIT_BODY_BYTES] = UINT32_MAX;
+		play(500, 0);
+		append_format(&b,
+			      "POST /once/0 HTTP/1.1\r\nHost: h.example\r\nX-Notchlug-Attempt-Id: a\r\n%s",
+			      announced[i]);
+		assert_non_null(conn = net_sim_connect(FRONT_PORT));
+		net_sim_write(conn, b, (size_t)arrlen(b), 0);
+		arrfree(b);
+		play(100, 0);
+		n = net_sim_read(conn, answer, sizeof answer);
+		assert_true(n && read_answer(answer, n, 1, &a) && a.complete);
+		assert_int_equal(a.status, 503);
+		arrfree(a.body);
+		net_sim_end(conn, 0);
+		quiet_end(i);
+	}
+}
+
 /* An earlier answer that says "not executed" may stand in the slot of a request that runs: it goes to no
  * second server. */
 static void a_refusal_of_another_request_is_no_promise(void **state)
@@ -2177,6 +2213,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(large_limits_of_a_configuration_stay_large),
+		cmocka_unit_test(a_body_beyond_the_memory_is_refused),
 		cmocka_unit_test(a_refusal_of_another_request_is_no_promise),
 		cmocka_unit_test(an_answer_to_another_request_is_passed_over),
 		cmocka_unit_test(a_refusal_of_this_request_is_a_promise),
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -320,6 +320,73 @@
 	http_fixture_close(&recorder);
 }
 
+#define NO_MEMORY \
+	"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+/* Guards against requests that together take more memory than the process has: those of all connections share
+ * one limit, from their first byte to the end of their answers, however they announce their bodies. */
+static void requests_share_a_limit_of_memory(void **state)
+{
+	static const char held[] = "POST / HTTP/1.1\r\nContent-Length: 6000\r\n\r\nabc";
+	static const char *const refused[] = {
+		"POST / HTTP/1.1\r\nContent-Length: 6000\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 999999999999999\r\n\r\n",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1770\r\na",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffff\r\na",
+	};
+	static const char small[] = "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi";
+	const struct http_limits limits = { SIZE_MAX, SIZE_MAX, 5000, 60000 };
+	struct http_recorder recorder;
+	struct http *h = http_fixture_open(&recorder);
+	static char fill[6000];
+	int holder, fd;
+
+	(void)state;
+	memset(fill, 'a', sizeof fill);
+	http_listener_set_limits(h, 1, &limits);
+	http_set_request_memory_limit(h, 10000);
+	holder = http_fixture_dial(h);
+	http_fixture_write(holder, held);
+	UNTIL(h, http_incomplete_request_count(h, 1) == 1);
+	for (size_t i = 0; i < sizeof refused / sizeof *refused; i++) {
+		fd = http_fixture_dial(h);
+		http_fixture_write(fd, refused[i]);
+		http_fixture_expect_end(h, fd, NO_MEMORY);
+	}
+	fd = http_fixture_dial(h); /* a head without an end */
+	http_fixture_write(fd, "GET / HTTP/1.1\r\nX: ");
+	http_fixture_write_bytes(fd, fill, sizeof fill);
+	http_fixture_expect_end(h, fd, NO_MEMORY);
+	assert_int_equal(recorder.requests, 0);
+	recorder.answer = 1; /* what fits beside it is served, again and again on one connection */
+	fd = http_fixture_dial(h);
+	for (int i = 0; i < 2000; i++) {
+		http_fixture_write(fd, small);
+		http_fixture_expect(h, fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
+	}
+	recorder.answer = 0; /* the request holds its memory until it is answered */
+	http_fixture_write_bytes(holder, fill, 5997);
+	UNTIL(h, recorder.requests == 2001);
+	close(fd);
+	fd = http_fixture_dial(h);
+	http_fixture_write(fd, refused[0]);
+	http_fixture_expect_end(h, fd, NO_MEMORY);
+	http_respond(h, recorder.token[2000 % HTTP_FIXTURE_TOKENS], 200, NULL, 0, "", 0);
+	http_fixture_expect(h, holder, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	fd = http_fixture_dial(h);
+	http_fixture_write(fd, held);
+	UNTIL(h, http_incomplete_request_count(h, 1) == 1);
+	close(fd); /* and so does one whose client leaves */
+	UNTIL(h, http_incomplete_request_count(h, 1) == 0);
+	fd = http_fixture_dial(h);
+	http_fixture_write(fd, held);
+	http_fixture_write_bytes(fd, fill, 5997);
+	UNTIL(h, recorder.requests == 2002);
+	close(fd);
+	close(holder);
+	http_fixture_close(&recorder);
+}
+
 static void continues(void **state)
 {
 	struct http_recorder recorder;
@@ -764,6 +831,7 @@
 		cmocka_unit_test(byte_by_byte),
 		cmocka_unit_test(smuggling),
 		cmocka_unit_test(too_large),
+		cmocka_unit_test(requests_share_a_limit_of_memory),
 		cmocka_unit_test(continues),
 		cmocka_unit_test(abort_never_looks_whole),
 		cmocka_unit_test(gone_once),
