Retries: only streams are repeated for being resumable

Cause: "resumable" was taken for "may run again" whatever the answers of the route are.

Change: the route table holds resumable only for routes whose answers are streams. Rows of older builds and rows written by hand are read the same way; documents keep what was written.

Tests, both seen to fail before (two sends for one): test_config_in_force, only_streams_are_repeated_for_being_resumable and a_stored_row_without_streams_is_not_resumable. The rows of streams in test_requests, test_connections and the simulator had no pause between events and so were no streams; they have one now (250 ms, and 1 ms where the test plays none, which leaves the router's patience as it was).

--- a/lib/data/router_route_table.c
+++ b/lib/data/router_route_table.c
@@ -127,12 +127,13 @@
 	uint32_t cumulative_weight = 0;
 	struct route_config *route = &routes->routes[route_index];
 	struct route_split *splits = apr_palloc(routes->pool, (row->n_split + 1) * sizeof *splits);
+	bool has_streams = row->max_gap_ms != 0; /* any other answer cannot be resumed after an event */
 	char host[HOST_NAME_BYTES];
 
 	host_name_normalize(row->host, host);
 	*route = (struct route_config){
 		.is_configured = true,
-		.resumable = row->resumable,
+		.resumable = has_streams && row->resumable,
 		.idempotent = row->idempotent,
 		.key_optional = row->key_optional,
 		.service_index = names_find_or_add(&router->names.services, row->service),
--- a/lib/data/router_route_table.h
+++ b/lib/data/router_route_table.h
@@ -39,7 +39,7 @@
 /* A route: the host and path of its requests and the service that serves them. Times of 0 are not set. */
 struct route_config {
 	bool is_configured;
-	bool resumable;    /* a broken stream may be resumed after its last event */
+	bool resumable;    /* its answers are streams, and a broken one may be resumed after its last event */
 	bool idempotent;   /* a request may run more than once */
 	bool key_optional; /* requests need no client key */
 	uint32_t service_index;
--- a/tests/sim_forward.c
+++ b/tests/sim_forward.c
@@ -1310,6 +1310,7 @@
 	config_row->limit = 60;
 	config_row->max_attempts = (uint32_t)tries_of[l];
 	config_row->resumable = l == SIM_FORWARD_CHAT;
+	config_row->max_gap_ms = l == SIM_FORWARD_CHAT ? 250 : 0;
 	config_row->idempotent = l == SIM_FORWARD_IDEM;
 	config_row->client_deduplicates = 1;
 	config_row->timeout_ms = (uint32_t)config->timeout[l];
--- a/tests/test_config_in_force.c
+++ b/tests/test_config_in_force.c
@@ -461,6 +461,78 @@
 	apr_pool_destroy(pool);
 }
 
+/* ---- requests that may have run ---- */
+
+/* How many servers get a request whose first server breaks its answer off before its head, under this
+ * document, with the status of its answer; 0: none yet. */
+static int sends_after_break(const char *document, int *status)
+{
+	struct deployment deployment;
+	struct router_fixture *fixture = &deployment.fixture;
+	uint64_t first, second;
+
+	deployment_open(&deployment);
+	deployment_configure(&deployment, document);
+	assert_non_null(router_fixture_submit(fixture, "h", "/x/", "id", status));
+	assert_true((first = router_fixture_last_call(fixture)) != 0);
+	router_fixture_end_call(fixture, first, FORWARD_BROKEN_OFF, 0);
+	second = router_fixture_last_call(fixture);
+	for (ptrdiff_t i = 0; i < arrlen(fixture->commands.commands); i++)
+		if (fixture->commands.commands[i].kind == CMD_ANSWER)
+			*status = fixture->commands.commands[i].args.answer.status;
+	deployment_close(&deployment);
+	return 1 + (second != 0);
+}
+
+#define ROUTE_OF_TYPE(type, more)                                                                        \
+	"{\"ConfigVersion\":1,\"RouteList\":[{\"Name\":\"r\",\"HostName\":\"h\",\"PathPrefix\":\"/x/\"," \
+	"\"ServiceName\":\"s\",\"MaxAttempts\":3,\"RouteType\":\"" type "\"" more                        \
+	"}],\"ServiceList\":[{\"Name\":\"s\"}]}"
+
+/* Guards against a second run of a request that may run once: Resumable speaks of streams, and stands for
+ * nothing in the entry of a route of another type. */
+static void only_streams_are_repeated_for_being_resumable(void **state)
+{
+	int status;
+
+	(void)state;
+	assert_int_equal(sends_after_break(ROUTE_OF_TYPE("non_idempotent", ",\"Resumable\":true"), &status),
+			 1);
+	assert_int_equal(status, 502);
+	assert_int_equal(sends_after_break(ROUTE_OF_TYPE("", ",\"Resumable\":true"), &status), 1);
+	assert_int_equal(sends_after_break(ROUTE_OF_TYPE("non_idempotent", ""), &status), 1);
+	assert_int_equal(sends_after_break(ROUTE_OF_TYPE("streaming", ""), &status), 1);
+	assert_int_equal(sends_after_break(ROUTE_OF_TYPE("streaming", ",\"Resumable\":true"), &status), 2);
+	assert_int_equal(sends_after_break(ROUTE_OF_TYPE("idempotent", ",\"Resumable\":true"), &status), 2);
+	assert_int_equal(sends_after_break(ROUTE_OF_TYPE("idempotent", ""), &status), 2);
+}
+
+/* The same for a row that an older build stored, or that was written by hand: without a pause between events
+ * a route has no streams. */
+static void a_stored_row_without_streams_is_not_resumable(void **state)
+{
+	(void)state;
+	for (int has_streams = 0; has_streams < 2; has_streams++) {
+		struct router_fixture fixture;
+		struct Nl__Instance *instances[SERVERS];
+		struct Nl__Row *rows[2];
+		int status;
+
+		router_fixture_open(&fixture, 1);
+		rows[0] = new_service(fixture.pool, "s");
+		rows[1] = route_row(fixture.pool, "r", "h", "s");
+		rows[1]->resumable = 1;
+		rows[1]->max_gap_ms = has_streams ? 250 : 0;
+		for (int i = 0; i < SERVERS; i++)
+			instances[i] = new_instance(fixture.pool, i, "s");
+		router_fixture_table(&fixture, rows, 2, instances, SERVERS, 1);
+		assert_non_null(router_fixture_submit(&fixture, "h", "/x/", "id", &status));
+		router_fixture_end_call(&fixture, router_fixture_last_call(&fixture), FORWARD_BROKEN_OFF, 0);
+		assert_int_equal(router_fixture_last_call(&fixture) != 0, has_streams);
+		router_fixture_close(&fixture);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -473,6 +545,8 @@
 		cmocka_unit_test(routes_alike_but_for_the_spelling_of_a_host_are_one_conflict),
 		cmocka_unit_test(hosts_stored_by_an_older_build_are_served),
 		cmocka_unit_test(a_stored_conflict_of_hosts_blocks_no_other_change),
+		cmocka_unit_test(only_streams_are_repeated_for_being_resumable),
+		cmocka_unit_test(a_stored_row_without_streams_is_not_resumable),
 	};
 	int rc;
 
--- a/tests/test_connections.c
+++ b/tests/test_connections.c
@@ -1458,6 +1458,7 @@
 			l->max_attempts = 3;
 			l->idempotent = routes[i].repeatable;
 			l->resumable = routes[i].resumable;
+			l->max_gap_ms = routes[i].streams ? 250 : 0;
 		}
 		for (int i = 0; i < SERVERS; i++)
 			instances[i] = instance(pool, i);
--- a/tests/test_requests.c
+++ b/tests/test_requests.c
@@ -45,6 +45,17 @@
 	return row;
 }
 
+/* A route whose answers are streams that may be resumed. */
+static struct Nl__Row *world_stream_route(struct world *world, const char *name, const char *path,
+					  const char *service)
+{
+	struct Nl__Row *row = world_route(world, name, path, service);
+
+	row->resumable = 1;
+	row->max_gap_ms = 250;
+	return row;
+}
+
 static void world_key(struct world *world, char letter, const char *tenant)
 {
 	char digest[65];
@@ -433,7 +444,7 @@
 	(void)state;
 	router_fixture_open(&world.s, 5);
 	world_service(&world, "pool");
-	world_route(&world, "route", "/", "pool")->resumable = 1;
+	world_stream_route(&world, "route", "/", "pool");
 	for (int i = 0; i < 2; i++) {
 		world_server(&world, "pool");
 		world.server[i]->slots = 1;
@@ -478,9 +489,8 @@
 
 		router_fixture_open(&world.s, 5);
 		world_service(&world, "pool");
-		route = world_route(&world, "route", "/", "pool");
-		route->resumable = 1;
-		route->max_gap_ms = (uint32_t)pause;
+		route = world_stream_route(&world, "route", "/", "pool");
+		route->max_gap_ms = pause ? (uint32_t)pause : 1;
 		for (int i = 0; i < 2; i++) {
 			world_server(&world, "pool");
 			world.server[i]->slots = 1;
@@ -883,7 +893,7 @@
 	world_tenant(world, "t1");
 	world_key(world, 'b', "t1");
 	world_key(world, 'a', "t1");
-	world_route(world, "route", "/", "pool")->resumable = 1;
+	world_stream_route(world, "route", "/", "pool");
 	world->row[ROW_ROUTE]->key_optional = 0;
 	if (phase != PHASE_WAITING)
 		world_server(world, "pool");
