Routers: no configuration yet is neither ready nor a 404

Cause: a recent table was taken for a configuration; from the bootstrap on it has the controllers' own rows. A router could not tell "no route matches" from "no configuration was ever committed".

Change: the control leader's answer says whether no document was committed and no route was set by hand (ConfigSyncReply.is_unconfigured, false from older builds). A router that knows no configuration is not ready and refuses with 503 and Retry-After; an empty document is one, and answers 404.

--- a/lib/control/config_sync.c
+++ b/lib/control/config_sync.c
@@ -126,6 +126,21 @@
 	       controller->shards[SHARD_CONTROL].log.term_start_index > 2;
 }
 
+static bool has_route(const struct config_table *table)
+{
+	for (ptrdiff_t i = 0; i < shlen(table->rows); i++)
+		if (table->rows[i].value.row->kind == NL__KIND__ROUTE)
+			return true;
+	return false;
+}
+
+/* Returns whether the fleet has no configuration yet: no document was committed, and no route was set by
+ * hand. A document without routes is a configuration. */
+static bool is_unconfigured(const struct controller *controller)
+{
+	return !controller->config.document_version && !has_route(&controller->config.table);
+}
+
 void on_config_sync_request(struct controller *controller, const struct Nl__Msg *message, int64_t now,
 			    struct command_list *out)
 {
@@ -159,6 +174,7 @@
 	retention_on_report(controller, message, now);
 	reply->group_clock_ms = group_clock_now(controller, now);
 	reply->clock_term = controller->shards[SHARD_CONTROL].term;
+	reply->is_unconfigured = is_unconfigured(controller);
 	config_table_pack_since(&controller->config.table, sync->have_revision, reply, out->pool);
 	instances_pack_since(&controller->instances, sync->instances_stamp, reply, out->pool);
 	if (sync->is_router)
--- a/lib/control/config_watch.c
+++ b/lib/control/config_watch.c
@@ -353,6 +353,8 @@
 	if (!apply_table(watch, reply, &request))
 		return 0;
 	watch->fleet_id = reply->fleet_id;
+	if (reply->revision == watch->table.revision)
+		watch->is_unconfigured = reply->is_unconfigured;
 	apply_quotas(watch, reply);
 	if (request.requested_at_ms > watch->confirmed_at_ms)
 		watch->confirmed_at_ms = request.requested_at_ms;
--- a/lib/control/config_watch.h
+++ b/lib/control/config_watch.h
@@ -71,6 +71,7 @@
 	struct config_watch_quota *quotas; /* stb_ds string map; a router sets used and requested */
 	uint64_t applied_token;            /* token of the newest reply whose quota slots are in force */
 	uint64_t fleet_id;                 /* fleet id; 0 until a leader has replied */
+	bool is_unconfigured;              /* the fleet had no configuration at the table's revision */
 
 	/* status that this node reports in its requests */
 	uint64_t node_id;
--- a/lib/data/router.c
+++ b/lib/data/router.c
@@ -278,7 +278,8 @@
 
 bool router_ready(const struct router *router, int64_t now)
 {
-	if (router->shutdown.in_progress || !router->config.route_table)
+	if (router->shutdown.in_progress || !router->config.route_table ||
+	    router->config.watch.is_unconfigured)
 		return false;
 	return router->config.watch.table.revision &&
 	       config_watch_age_ms(&router->config.watch, now) <= router_max_staleness_ms(router);
--- a/lib/data/router_admission.c
+++ b/lib/data/router_admission.c
@@ -20,16 +20,20 @@
 
 /* ---- declining requests ---------------------------------------------------------------------- */
 
+/* Declines a request that arrives while no configuration is known to be in force, which could allow it. */
 static bool decline_if_stale(struct router *router, uint64_t token, int64_t now, struct command_list *out)
 {
 	struct request_ending ending = { REQUEST_REFUSED, 503,
 					 "this router's configuration is not certain to be in force", 0 };
 	int64_t uptime_ms = now - router->clock.started_at_ms;
 
-	if (!router->shutdown.in_progress && router_config_in_force(router, now))
+	if (!router->shutdown.in_progress && router_config_in_force(router, now) &&
+	    !router->config.watch.is_unconfigured)
 		return false;
 	if (router->shutdown.in_progress)
 		ending.reason = "this router is shutting down";
+	else if (router->config.watch.is_unconfigured)
+		ending.reason = "this fleet has no configuration yet";
 	router->stats.refused_stale_config++;
 	if (!router->config.bounds.use_endpoint_list)
 		ending.retry_after_ms = router_retry_after_ms(router, ROUTER_RETRY_AFTER_MIN_MS);
--- a/tests/router_fixture.c
+++ b/tests/router_fixture.c
@@ -66,6 +66,7 @@
 			reply.token = fixture->commands.commands[i].args.send.msg->config_sync->token;
 	assert_true(reply.token);
 	reply.has_lease = reply.full = reply.instances_full = 1;
+	reply.is_unconfigured = fixture->is_unconfigured;
 	reply.fleet_id = 7;
 	reply.revision = revision;
 	reply.set = rows;
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -10,9 +10,10 @@
 struct router_fixture {
 	struct router router;
 	struct command_list commands;
-	apr_pool_t *pool; /* lives as long as the fixture; rows and commands are allocated from it */
-	int64_t now;      /* ms */
-	uint64_t token;   /* of the newest request */
+	apr_pool_t *pool;     /* lives as long as the fixture; rows and commands are allocated from it */
+	int64_t now;          /* ms */
+	uint64_t token;       /* of the newest request */
+	bool is_unconfigured; /* the control leader's answers say so */
 };
 
 /* Open a router in zone z1 that has no configuration table yet; release it with router_fixture_close. */
--- a/tests/test_config_in_force.c
+++ b/tests/test_config_in_force.c
@@ -533,6 +533,30 @@
 	}
 }
 
+/* ---- before the first configuration ---- */
+
+/* Guards against 404 for want of any configuration: a router that knows none yet is not ready and refuses
+ * with 503, and one that knows an empty one answers 404. */
+static void a_router_without_a_configuration_denies_nothing(void **state)
+{
+	struct router_fixture fixture;
+	int status;
+
+	(void)state;
+	router_fixture_open(&fixture, 1);
+	fixture.is_unconfigured = true;
+	router_fixture_table(&fixture, NULL, 0, NULL, 0, 1);
+	assert_false(router_ready(&fixture.router, fixture.now));
+	assert_null(router_fixture_submit(&fixture, "h", "/x/", "1", &status));
+	assert_int_equal(status, 503);
+	fixture.is_unconfigured = false;
+	router_fixture_table(&fixture, NULL, 0, NULL, 0, 2);
+	assert_true(router_ready(&fixture.router, fixture.now));
+	assert_null(router_fixture_submit(&fixture, "h", "/x/", "2", &status));
+	assert_int_equal(status, 404);
+	router_fixture_close(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -547,6 +571,7 @@
 		cmocka_unit_test(a_stored_conflict_of_hosts_blocks_no_other_change),
 		cmocka_unit_test(only_streams_are_repeated_for_being_resumable),
 		cmocka_unit_test(a_stored_row_without_streams_is_not_resumable),
+		cmocka_unit_test(a_router_without_a_configuration_denies_nothing),
 	};
 	int rc;
 
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -1447,6 +1447,38 @@
 	sim_close(&sim);
 }
 
+static bool is_router_ready(const struct sim *sim)
+{
+	return router_ready(sim->nodes[SIM_CONTROLLERS].router, sim_local_clock(sim, SIM_CONTROLLERS));
+}
+
+/* Guards against routers that are ready before there is a configuration: not before the first document, nor
+ * after its acknowledgement while only a controller that fell knew of it. A document without routes is one.
+ */
+static void routers_wait_for_the_first_document(void **state)
+{
+	(void)state;
+	for (int crash = 0; crash < 2; crash++) {
+		struct sim sim;
+
+		fleet(&sim, 6, 3, 3, 3);
+		until_complete(&sim, 3, 5000);
+		sim_add_router(&sim, "z1");
+		sim_run(&sim, 5000, NULL);
+		assert_true(sim.nodes[SIM_CONTROLLERS].router->config.watch.table.revision > 0);
+		assert_false(is_router_ready(&sim));
+		assert_int_equal(put_doc(&sim, 0, 0, DOC("7", "", SERVICE("s1"), "")), 200);
+		if (crash) {
+			sim_crash(&sim, sim_leader(&sim, SHARD_CONTROL), 0);
+			assert_false(is_router_ready(&sim));
+		}
+		sim_run(&sim, crash ? 6000 : 1000, NULL);
+		assert_true(is_router_ready(&sim));
+		ok(&sim);
+		sim_close(&sim);
+	}
+}
+
 /* Weights that a model's servers all had are withdrawn once others stand everywhere; target version alone
  * withdraws nothing. */
 static void weights_are_withdrawn_when_rolled_out(void **state)
@@ -1517,6 +1549,7 @@
 		cmocka_unit_test(as_many_replicas_as_controllers),
 		cmocka_unit_test(groups_spread_over_zones),
 		cmocka_unit_test(no_limit_needs_no_places),
+		cmocka_unit_test(routers_wait_for_the_first_document),
 	};
 
 	apr_initialize();
--- a/tests/test_stored_messages.c
+++ b/tests/test_stored_messages.c
@@ -17,7 +17,7 @@
 
 /* The folders of tests/data, oldest first: a version that adds fields adds one. The last one is this
  * version's. */
-static const char *const versions[] = { "messages", "messages-2" };
+static const char *const versions[] = { "messages", "messages-2", "messages-3" };
 enum { VERSIONS = sizeof versions / sizeof *versions };
 
 static apr_pool_t *pool;
