--- a/lib/shell/http.h
+++ b/lib/shell/http.h
@@ -62,8 +62,8 @@
 
 /* How a call ended. */
 enum http_call_result {
-	HTTP_CALL_COMPLETE, /* the answer was read to its end, which its length, its chunks or its status show
-			     */
+	/* the answer was read to its end, which its length, its chunks or its status show */
+	HTTP_CALL_COMPLETE,
 	/* the answer has no framing and ended where the server closed the connection in order (RFC 9112, 6.3,
 	 * 8): whether it is complete only its content can show */
 	HTTP_CALL_ENDED_BY_CLOSE,
