Retries: a small fleet may overdraw its retry budget by a twentieth of its slack

Cause: a router that did not see the crash sends to the earlier incarnation, which the list still shows; the new one answers 421. The request had an attempt left, its service no retry: each router's life begins with one, spent on an earlier stream that was resumed, and a send earns 0.15 of one. The users' rule allows 58 arrivals in ten seconds beyond a fifth of the requests.

Change: a budget may be overdrawn by a twentieth of the router's share of the slack, by one retry at most: one retry for each of two routers, 0.03 for each of 90, a twentieth of the slack over the fleet.

--- a/lib/data/router_admission.c
+++ b/lib/data/router_admission.c
@@ -410,7 +410,7 @@
 				 "the service of this stream was removed from the configuration", now, out);
 		return false;
 	}
-	if (had_retry_reserved && router->quota.retry_budget_milli[service_index] < ROUTER_RETRY_COST_MILLI) {
+	if (had_retry_reserved && !router_retry_budget_allows(router, service_index)) {
 		router_refuse(
 		    router, request, 503,
 		    "the service of the lane changed, and the retry budget of the new service is exhausted",
--- a/lib/data/router_internal.h
+++ b/lib/data/router_internal.h
@@ -256,6 +256,9 @@
  * same moment. */
 int router_retry_after_ms(struct router *router, double ms);
 
+/* Whether the retry budget of a service allows another retry. */
+bool router_retry_budget_allows(const struct router *router, uint32_t service_index);
+
 /* Credits the first attempt of a request to the retry budget of its service. */
 void router_retry_budget_add(struct router *router, uint32_t service_index);
 
--- a/lib/data/router_retry.c
+++ b/lib/data/router_retry.c
@@ -38,6 +38,25 @@
 	return 1000 + (int64_t)router->config.bounds.retry_budget_slack * 600 / routers;
 }
 
+/* By how much a service's budget may be overdrawn, in thousandths: a twentieth of this router's share of the
+ * slack, and one retry at most. The few requests of a small fleet earn little: without it the next ones would
+ * be refused after the first retry, with nearly all of the slack unused. */
+static int64_t retry_overdraft_milli(const struct router *router)
+{
+	uint32_t routers = router->config.watch.router_count ? router->config.watch.router_count : 1;
+	int64_t overdraft_milli = (int64_t)router->config.bounds.retry_budget_slack * 50 / routers;
+
+	if (!router->config.bounds.use_endpoint_list)
+		return 0;
+	return overdraft_milli < ROUTER_RETRY_COST_MILLI ? overdraft_milli : ROUTER_RETRY_COST_MILLI;
+}
+
+bool router_retry_budget_allows(const struct router *router, uint32_t service_index)
+{
+	return router->quota.retry_budget_milli[service_index] + retry_overdraft_milli(router) >=
+	       ROUTER_RETRY_COST_MILLI;
+}
+
 void router_retry_budget_add(struct router *router, uint32_t service_index)
 {
 	int64_t *budget_milli = &router->quota.retry_budget_milli[service_index];
@@ -95,7 +114,7 @@
 	return request->retry.attempt_count < request->retry.max_attempts &&
 	       request->retry.unreachable_count < ROUTER_MAX_UNREACHABLE_SENDS &&
 	       (!request->retry.attempt_count ||
-		router->quota.retry_budget_milli[request->route.service_index] >= ROUTER_RETRY_COST_MILLI) &&
+		router_retry_budget_allows(router, request->route.service_index)) &&
 	       now + ROUTER_RETRY_MIN_REMAINING_MS < request->client.deadline_at_ms;
 }
 
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1284,6 +1284,7 @@
 		instances[2 * i] = new_instance(fixture.pool, 1 + 2 * i, rows[i]->name);
 		instances[2 * i + 1] = new_instance(fixture.pool, 2 + 2 * i, rows[i]->name);
 	}
+	fixture.router.config.bounds.retry_budget_slack = 15; /* too little for a retry by overdraft */
 	router_fixture_table(&fixture, rows, 4, instances, 4, 1);
 	for (int i = 0; i < 30; i++) {
 		assert_non_null(router_fixture_submit(&fixture, "busy", "/x", "id", &status));
